feat(base): design page, reducer's events and effects, build and checks

Cause: an empty repository needs the interfaces that all modules share before they can be written side by side. Before: nothing. Conclusion: the modules can be built against fixed headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+# A thin front for CMake. `make run` and `make test` are all that a fresh
+# checkout needs.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SEED ?= 1
+SEED_FROM ?= 1
+SEED_COUNT ?= 200
+SECONDS ?= 60
+
+C_FILES = $(shell git ls-files --cached --others --exclude-standard \
+	'src/agatebeam/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
+
+.PHONY: all deps build asan run test test-asan lint format format-check \
+	bench history history-mutants fuzz capacity proto clean
+
+all: build
+
+deps:
+	./scripts/install-deps
+
+build: deps
+	cmake -S . -B $(BUILD) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+asan: deps
+	cmake -S . -B $(BUILD)-asan -DAGB_SANITIZE=ON \
+	    -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	cmake --build $(BUILD)-asan -j $(JOBS)
+
+run: build
+	AGB_BIN=$(BUILD) ./scripts/demo
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure -j 4
+
+test-asan: asan
+	cd $(BUILD)-asan && ctest --output-on-failure -j 4
+
+bench: build
+	$(BUILD)/agb-bench --seed $(SEED)
+
+history: build
+	$(BUILD)/agb-history --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(C_FILES)
+
+lint: build
+	./scripts/lint $(BUILD)
+
+proto:
+	cd src/agatebeam && rpcgen -C -h agb_proto.x >gen/agb_proto.h.new && \
+	    mv gen/agb_proto.h.new gen/agb_proto.h
+	cd src/agatebeam && rpcgen -C -c agb_proto.x >gen/agb_proto_xdr.new && \
+	    mv gen/agb_proto_xdr.new gen/agb_proto_xdr.c
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
--- /dev/null
+++ b/src/agatebeam/agb_proto.x
@@ -0,0 +1,251 @@
+/*
+ * Messages between entry instances: ONC RPC (RFC 5531) program 0x20a9a7e1,
+ * version 1. The procedure number of a call equals the discriminant of its
+ * arguments. `make proto` writes agb_proto.h and agb_proto_xdr.c.
+ */
+
+const AGB_X_PROG = 0x20a9a7e1;
+const AGB_X_VERS = 1;
+const AGB_X_NAME_MAX = 47;
+const AGB_X_ID_MAX = 63;
+const AGB_X_ADDR_MAX = 63;
+const AGB_X_DETAIL_MAX = 191;
+const AGB_X_KEY_MAX = 128;
+const AGB_X_ARGS_MAX = 65536;
+const AGB_X_TEXT_MAX = 1048576;
+const AGB_X_SHARDS_MAX = 64;
+const AGB_X_TEAMS_MAX = 64;
+const AGB_X_RELEASES_MAX = 1024;
+const AGB_X_ITEMS_MAX = 1024;
+
+typedef string agb_x_name<AGB_X_NAME_MAX>;
+typedef string agb_x_id<AGB_X_ID_MAX>;
+typedef string agb_x_addr<AGB_X_ADDR_MAX>;
+typedef string agb_x_detail<AGB_X_DETAIL_MAX>;
+typedef string agb_x_key<AGB_X_KEY_MAX>;
+
+enum agb_x_proc {
+	AGB_X_NULL = 0,
+	AGB_X_HEARTBEAT = 1,
+	AGB_X_SUMMARY = 2,
+	AGB_X_GRANT = 3,
+	AGB_X_RELEASE = 4,
+	AGB_X_SUBMIT = 5,
+	AGB_X_JOB_GET = 6,
+	AGB_X_CANCEL = 7,
+	AGB_X_ENV_GET = 8,
+	AGB_X_EXPLAIN = 9,
+	AGB_X_STATUS = 10
+};
+
+struct agb_x_resources {
+	hyper cpu_milli;
+	hyper mem_mb;
+	hyper accel;
+};
+
+struct agb_x_attempt {
+	unsigned hyper epoch;
+	unsigned hyper seq;
+};
+
+/* What the other shards need to know of one shard. age_ms: time since its
+ * owner measured it; a relayed summary grows older on its way. */
+struct agb_x_shard {
+	agb_x_name domain;
+	agb_x_addr owner_rpc;
+	unsigned hyper epoch;
+	unsigned hyper serial;
+	unsigned int age_ms;
+	unsigned int slots_free;
+	unsigned int quick_queued;
+	unsigned int tasks_queued;
+	unsigned int wait_ms;
+	agb_x_resources free;
+};
+
+struct agb_x_team_use {
+	agb_x_name team;
+	agb_x_name domain;
+	unsigned hyper serial;
+	agb_x_resources used;
+};
+
+/* One entry instance and the document version in force there. */
+struct agb_x_member {
+	agb_x_name instance;
+	agb_x_name domain;
+	agb_x_addr rpc;
+	unsigned hyper env_version;
+	unsigned int age_ms;
+};
+
+struct agb_x_heartbeat_args {
+	agb_x_member from;
+	bool leaving;
+};
+
+struct agb_x_heartbeat_res {
+	unsigned hyper env_version;
+	bool is_owner;
+	agb_x_shard shards<AGB_X_SHARDS_MAX>;
+};
+
+struct agb_x_summary_args {
+	unsigned hyper env_version;
+	agb_x_shard shard;
+	agb_x_team_use teams<AGB_X_TEAMS_MAX>;
+	agb_x_member members<AGB_X_ITEMS_MAX>;
+};
+
+struct agb_x_summary_res {
+	unsigned hyper env_version;
+};
+
+struct agb_x_grant_args {
+	unsigned hyper env_version;
+	agb_x_id request;
+	agb_x_name work;
+	agb_x_name team;
+	agb_x_name instance;
+	unsigned int deadline_ms;
+	bool idempotent;
+	agb_x_key key;
+};
+
+struct agb_x_grant_res {
+	unsigned hyper env_version;
+	bool granted;
+	agb_x_attempt attempt;
+	agb_x_name worker;
+	agb_x_addr runner;
+	int outcome;
+	int reason;
+	unsigned int retry_ms;
+	agb_x_detail detail;
+};
+
+struct agb_x_release {
+	agb_x_attempt attempt;
+	int result;
+};
+
+struct agb_x_release_args {
+	agb_x_release items<AGB_X_RELEASES_MAX>;
+};
+
+struct agb_x_submit_args {
+	unsigned hyper env_version;
+	agb_x_name work;
+	agb_x_name team;
+	unsigned int tasks;
+	agb_x_resources need;
+	unsigned int run_ms;
+	unsigned int deadline_ms;
+	bool idempotent;
+	agb_x_key key;
+	opaque args<AGB_X_ARGS_MAX>;
+};
+
+struct agb_x_submit_res {
+	unsigned hyper env_version;
+	bool accepted;
+	agb_x_id job;
+	int outcome;
+	int reason;
+	unsigned int retry_ms;
+	agb_x_detail detail;
+};
+
+struct agb_x_job_get_args {
+	agb_x_id job;
+	agb_x_name team;
+	unsigned int wait_ms;
+};
+
+/* state: "queued", "running", "done". outcome and reason hold once done. */
+struct agb_x_job_res {
+	bool found;
+	agb_x_name state;
+	int outcome;
+	int reason;
+	unsigned int tasks;
+	unsigned int running;
+	unsigned int ended;
+	agb_x_detail detail;
+	opaque result<AGB_X_ARGS_MAX>;
+};
+
+struct agb_x_cancel_args {
+	agb_x_id job;
+	agb_x_name team;
+};
+
+struct agb_x_env_get_args {
+	unsigned hyper have;
+};
+
+struct agb_x_env_get_res {
+	unsigned hyper env_version;
+	opaque text<AGB_X_TEXT_MAX>;
+};
+
+struct agb_x_explain_args {
+	agb_x_id id;
+};
+
+struct agb_x_text_res {
+	bool found;
+	string text<AGB_X_TEXT_MAX>;
+};
+
+union agb_x_args switch (agb_x_proc proc) {
+case AGB_X_NULL:
+	void;
+case AGB_X_HEARTBEAT:
+	agb_x_heartbeat_args heartbeat;
+case AGB_X_SUMMARY:
+	agb_x_summary_args summary;
+case AGB_X_GRANT:
+	agb_x_grant_args grant;
+case AGB_X_RELEASE:
+	agb_x_release_args release;
+case AGB_X_SUBMIT:
+	agb_x_submit_args submit;
+case AGB_X_JOB_GET:
+	agb_x_job_get_args job_get;
+case AGB_X_CANCEL:
+	agb_x_cancel_args cancel;
+case AGB_X_ENV_GET:
+	agb_x_env_get_args env_get;
+case AGB_X_EXPLAIN:
+	agb_x_explain_args explain;
+case AGB_X_STATUS:
+	void;
+};
+
+/* AGB_X_CANCEL and AGB_X_JOB_GET both answer with the state of the job. */
+union agb_x_res switch (agb_x_proc proc) {
+case AGB_X_NULL:
+	void;
+case AGB_X_HEARTBEAT:
+	agb_x_heartbeat_res heartbeat;
+case AGB_X_SUMMARY:
+	agb_x_summary_res summary;
+case AGB_X_GRANT:
+	agb_x_grant_res grant;
+case AGB_X_RELEASE:
+	void;
+case AGB_X_SUBMIT:
+	agb_x_submit_res submit;
+case AGB_X_JOB_GET:
+	agb_x_job_res job_get;
+case AGB_X_CANCEL:
+	agb_x_job_res cancel;
+case AGB_X_ENV_GET:
+	agb_x_env_get_res env_get;
+case AGB_X_EXPLAIN:
+	agb_x_text_res explain;
+case AGB_X_STATUS:
+	agb_x_text_res status;
+};
--- /dev/null
+++ b/src/agatebeam/finding.c
@@ -0,0 +1,53 @@
+#include "finding.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "types.h"
+
+void
+agb_findings_add(struct agb_findings *f, enum agb_finding_level level,
+    const char *place, const char *fmt, ...)
+{
+	struct agb_finding *it;
+	va_list ap;
+
+	if (level == AGB_FINDING_ERROR)
+		f->errors++;
+	if (f->len == AGB_FINDINGS_MAX) {
+		f->dropped++;
+		return;
+	}
+	it = &f->items[f->len++];
+	it->level = level;
+	agb_name_set(it->place, sizeof(it->place), place);
+	va_start(ap, fmt);
+	vsnprintf(it->text, sizeof(it->text), fmt, ap);
+	va_end(ap);
+}
+
+size_t
+agb_findings_format(
+    const struct agb_findings *f, const char *file, char *buf, size_t len)
+{
+	const struct agb_finding *it;
+	size_t used, i;
+	int n;
+
+	used = 0;
+	buf[0] = '\0';
+	for (i = 0; i < f->len && used + 1 < len; i++) {
+		it = &f->items[i];
+		n = snprintf(buf + used, len - used, "%s: %s: %s: %s\n", file,
+		    it->place,
+		    it->level == AGB_FINDING_ERROR ? "error" : "warning",
+		    it->text);
+		used += (size_t)n < len - used ? (size_t)n : len - used - 1;
+	}
+	if (f->dropped > 0 && used + 1 < len) {
+		n = snprintf(
+		    buf + used, len - used, "%s: %zu more\n", file, f->dropped);
+		used += (size_t)n < len - used ? (size_t)n : len - used - 1;
+	}
+	return used;
+}
--- /dev/null
+++ b/src/agatebeam/types.h
@@ -0,0 +1,136 @@
+#ifndef AGB_TYPES_H
+#define AGB_TYPES_H
+
+/**
+ * DOC: types
+ *
+ * Value types shared by all modules: time, names, resources, outcomes and
+ * reasons. Nothing here allocates.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Microseconds on a monotonic clock; only differences have a meaning. */
+typedef uint64_t agb_time;
+
+#define AGB_MS ((agb_time)1000)
+#define AGB_SEC ((agb_time)1000000)
+#define AGB_TIME_MAX UINT64_MAX
+
+/* Names of instances, domains, teams, classes and services, with the NUL. */
+#define AGB_NAME_LEN 48
+/* Job, task and request ids as callers see them, with the NUL. */
+#define AGB_ID_LEN 64
+/* "address:port" of an IPv4 or IPv6 endpoint, with the NUL. */
+#define AGB_ADDR_LEN 64
+/* Longest detail text in an answer or a decision line, with the NUL. */
+#define AGB_DETAIL_LEN 192
+
+typedef char agb_name[AGB_NAME_LEN];
+typedef char agb_id[AGB_ID_LEN];
+typedef char agb_addr[AGB_ADDR_LEN];
+
+/**
+ * struct agb_resources - an amount of what a worker offers
+ * @cpu_milli: processors in thousandths of a core
+ * @mem_mb: memory in MiB
+ * @accel: whole accelerators
+ */
+struct agb_resources {
+	int64_t cpu_milli;
+	int64_t mem_mb;
+	int64_t accel;
+};
+
+/**
+ * enum agb_outcome - what a caller may conclude about its request
+ * @AGB_NOT_RUN: it did not run and will not run
+ * @AGB_UNKNOWN: it may have run
+ * @AGB_RAN: it ran; the answer tells the result
+ */
+enum agb_outcome {
+	AGB_NOT_RUN,
+	AGB_UNKNOWN,
+	AGB_RAN,
+};
+
+/**
+ * enum agb_reason - why an answer or decision is what it is
+ */
+enum agb_reason {
+	AGB_REASON_NONE,
+	AGB_REASON_NO_DOCUMENT,	   /* no environment document known yet */
+	AGB_REASON_BAD_CREDENTIAL, /* no team has this credential */
+	AGB_REASON_BAD_REQUEST,	   /* malformed, or a field out of range */
+	AGB_REASON_NO_SERVICE,	   /* the document names no such service */
+	AGB_REASON_NOT_ALLOWED,	   /* the team may not use this service */
+	AGB_REASON_NOT_FOUND,	   /* no such job */
+	AGB_REASON_NO_OWNER,	   /* no reachable owner of a fitting shard */
+	AGB_REASON_NEVER_FITS,	   /* larger than the largest worker */
+	AGB_REASON_QUOTA,	   /* over the team's quota */
+	AGB_REASON_OVERLOAD,	   /* shed under overload */
+	AGB_REASON_DEADLINE,	   /* cannot or did not meet its deadline */
+	AGB_REASON_CANCELLED,	   /* cancelled by the caller */
+	AGB_REASON_ISOLATED,	   /* needs the store, which is not reachable */
+	AGB_REASON_DUPLICATE,	   /* the key is in use by another request */
+	AGB_REASON_DRAINING,	   /* this instance is shutting down */
+	AGB_REASON_UPSTREAM_REFUSED, /* the runner refused before it ran */
+	AGB_REASON_UPSTREAM_LOST,    /* the connection to the runner broke */
+	AGB_REASON_UPSTREAM_SHORT,   /* the runner's answer was not whole */
+	AGB_REASON_WORKER_LOST,	     /* the worker vanished while it ran */
+	AGB_REASON_FAILS_EVERYWHERE, /* failed on several healthy workers */
+	AGB_REASON_PREEMPTED,	     /* stopped in favour of urgent work */
+	AGB_REASON_LEAVING,	     /* the worker is leaving */
+	AGB_REASON_STORE_UNKNOWN,    /* a durable write's fate is not known */
+	AGB_REASON_MAX
+};
+
+/**
+ * agb_reason_name() - wire name of a reason, such as "never-fits"
+ * @r: the reason
+ * Return: a static string; "none" for values out of range.
+ */
+const char *agb_reason_name(enum agb_reason r);
+
+/**
+ * agb_outcome_name() - wire name of an outcome
+ * @o: the outcome
+ * Return: "not-run", "unknown" or "ran".
+ */
+const char *agb_outcome_name(enum agb_outcome o);
+
+/**
+ * agb_name_set() - copy a string into a fixed array, truncating
+ * @dst: destination
+ * @len: its size in bytes, at least 1
+ * @src: source; NULL counts as ""
+ * Return: false when @src did not fit.
+ */
+bool agb_name_set(char *dst, size_t len, const char *src);
+
+/**
+ * agb_resources_fit() - whether @need fits into @room in each dimension
+ * @need: the amount asked for
+ * @room: the amount available
+ * Return: true when it fits.
+ */
+bool agb_resources_fit(
+    const struct agb_resources *need, const struct agb_resources *room);
+
+/**
+ * agb_resources_add() - add @b to @a
+ * @a: changed
+ * @b: the amount to add
+ */
+void agb_resources_add(struct agb_resources *a, const struct agb_resources *b);
+
+/**
+ * agb_resources_sub() - subtract @b from @a; the result may be negative
+ * @a: changed
+ * @b: the amount to subtract
+ */
+void agb_resources_sub(struct agb_resources *a, const struct agb_resources *b);
+
+#endif
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,118 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "effect.h"
+#include "finding.h"
+#include "mem.h"
+#include "store.h"
+#include "suite.h"
+#include "types.h"
+
+/* Guards against names that lose their end NUL or their truncation flag. */
+static void
+test_name_set(void)
+{
+	static const struct {
+		const char *src;
+		const char *want;
+		bool fits;
+	} cases[] = {
+	    {"", "", true},
+	    {NULL, "", true},
+	    {"abc", "abc", true},
+	    {"abcd", "abc", false},
+	};
+	char buf[4];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT_EQUAL(agb_name_set(buf, sizeof(buf), cases[i].src),
+		    cases[i].fits);
+		CU_ASSERT_STRING_EQUAL(buf, cases[i].want);
+	}
+}
+
+/* Guards against a reason without a wire name. */
+static void
+test_reason_names(void)
+{
+	int r;
+
+	for (r = 0; r < AGB_REASON_MAX; r++)
+		CU_ASSERT_PTR_NOT_NULL_FATAL(agb_reason_name(r));
+	CU_ASSERT_STRING_EQUAL(agb_reason_name(AGB_REASON_MAX), "none");
+}
+
+/* Guards against findings that are lost without being counted. */
+static void
+test_findings_overflow(void)
+{
+	struct agb_findings *f = agb_xcalloc(1, sizeof(*f));
+	char buf[64];
+	int i;
+
+	for (i = 0; i < AGB_FINDINGS_MAX + 3; i++)
+		agb_findings_add(f, AGB_FINDING_ERROR, "/a", "bad %d", i);
+	CU_ASSERT_EQUAL(f->len, AGB_FINDINGS_MAX);
+	CU_ASSERT_EQUAL(f->dropped, 3);
+	CU_ASSERT_EQUAL(f->errors, AGB_FINDINGS_MAX + 3);
+	CU_ASSERT_EQUAL(
+	    agb_findings_format(f, "x", buf, sizeof(buf)), strlen(buf));
+	free(f);
+}
+
+/* Guards against a prefix range that leaves out or adds keys. */
+static void
+test_prefix_end(void)
+{
+	static const struct {
+		const char *prefix;
+		const char *want;
+	} cases[] = {
+	    {"a/", "a0"},
+	    {"a\xff", "b"},
+	};
+	char *end;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		end = agb_store_prefix_end(cases[i].prefix);
+		CU_ASSERT_STRING_EQUAL(end, cases[i].want);
+		free(end);
+	}
+}
+
+/* Guards against effects that leak or share what they own. */
+static void
+test_effects_own(void)
+{
+	struct agb_effects out = {0};
+	struct agb_effect *ef;
+
+	agb_effects_log(&out, AGB_LOG_INFO, "route", "a=%d", 1);
+	ef = agb_effects_add(&out, AGB_EF_STORE);
+	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
+	agb_store_op_cmp(&ef->u.store, "k", AGB_STORE_CREATE_REV, 0);
+	agb_store_op_put(&ef->u.store, "k", "v", 1, 0);
+	agb_store_op_delete(&ef->u.store, "j", "k");
+	agb_effects_reply(&out, 7, 503, AGB_NOT_RUN, AGB_REASON_OVERLOAD, 50,
+	    "queue is full");
+	CU_ASSERT_EQUAL(out.len, 3);
+	CU_ASSERT_STRING_EQUAL(out.items[0].u.log.line, "a=1");
+	agb_effects_free(&out);
+	CU_ASSERT_EQUAL(out.len, 0);
+}
+
+static const struct suite_test tests[] = {
+    {"name_set", test_name_set},
+    {"reason_names", test_reason_names},
+    {"findings_overflow", test_findings_overflow},
+    {"prefix_end", test_prefix_end},
+    {"effects_own", test_effects_own},
+};
+
+int
+main(void)
+{
+	return suite_run("base", tests, sizeof(tests) / sizeof(tests[0]));
+}
