--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -64,10 +64,9 @@
 	agb_x_resources free;
 };
 
+/* What a team's running work holds in one shard. */
 struct agb_x_team_use {
 	agb_x_name team;
-	agb_x_name domain;
-	unsigned hyper serial;
 	agb_x_resources used;
 };
 
@@ -91,6 +90,8 @@
 	agb_x_shard shards<AGB_X_SHARDS_MAX>;
 };
 
+/* A whole snapshot: a team that is not in the list uses nothing. The epoch
+ * and serial of the shard order the snapshots of one domain. */
 struct agb_x_summary_args {
 	unsigned hyper env_version;
 	agb_x_shard shard;
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -81,8 +81,6 @@
 
 struct agb_x_team_use {
 	agb_x_name team;
-	agb_x_name domain;
-	u_quad_t serial;
 	agb_x_resources used;
 };
 typedef struct agb_x_team_use agb_x_team_use;
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -193,10 +193,6 @@
 
 	 if (!xdr_agb_x_name (xdrs, &objp->team))
 		 return FALSE;
-	 if (!xdr_agb_x_name (xdrs, &objp->domain))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->serial))
-		 return FALSE;
 	 if (!xdr_agb_x_resources (xdrs, &objp->used))
 		 return FALSE;
 	return TRUE;
--- /dev/null
+++ b/src/agatebeam/member.c
@@ -0,0 +1,673 @@
+#include "member.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "mem.h"
+#include "proto.h"
+
+/* A dead owner is noticed through its store lease; heartbeats only carry
+ * versions and load, so that twice a second is enough. */
+#define HEARTBEAT_INTERVAL (500 * AGB_MS)
+#define SUMMARY_INTERVAL_NEAR (1 * AGB_SEC)
+/* The link between regions is paid by volume. */
+#define SUMMARY_INTERVAL_FAR (2 * AGB_SEC)
+/* Age at which a view of a shard is no longer used for routing. */
+#define VIEW_MAX_AGE (10 * AGB_SEC)
+/* Age at which a member is no longer reported. */
+#define MEMBER_MAX_AGE (30 * AGB_SEC)
+/* Silence after which the owner is not counted on to relay documents. */
+#define RELAY_MAX_SILENCE (3 * AGB_SEC)
+#define RPC_TIMEOUT_MS 2000
+
+enum {
+	TAG_HEARTBEAT = 1,
+	TAG_SUMMARY = 2,
+	TAG_PROBE = 3,
+};
+
+/* An entry instance, from the list or from its own heartbeat. */
+struct peer {
+	agb_name instance;
+	agb_name region;
+	agb_name domain;
+	agb_addr rpc;
+	enum agb_instance_state state;
+	uint64_t env_version;
+	agb_time heard_at;
+	UT_hash_handle hh;
+};
+
+struct view {
+	struct agb_shard_view v;
+	agb_time next_summary;
+	UT_hash_handle hh;
+};
+
+/* Use of each team in one other shard, as its owner last told. */
+struct team_uses {
+	agb_name domain;
+	uint64_t epoch;
+	uint64_t serial;
+	agb_x_team_use *items;
+	u_int len;
+	UT_hash_handle hh;
+};
+
+struct agb_member {
+	struct agb_member_config cfg;
+	struct peer *peers;
+	struct view *views;
+	struct team_uses *uses;
+	uint64_t serial;
+	uint64_t seen_version;
+	agb_addr seen_peer;
+	agb_time next_heartbeat;
+	agb_time next_summary;
+	agb_time owner_heard_at;
+	bool owner_heard;
+	unsigned short rng[3];
+};
+
+struct agb_member *
+agb_member_new(const struct agb_member_config *cfg)
+{
+	struct agb_member *const m = agb_xcalloc(1, sizeof(*m));
+
+	m->cfg = *cfg;
+	m->rng[0] = (unsigned short)cfg->seed;
+	m->rng[1] = (unsigned short)(cfg->seed >> 16);
+	m->rng[2] = (unsigned short)(cfg->seed >> 32);
+	return m;
+}
+
+static void
+uses_clear(struct team_uses *u)
+{
+	u_int i;
+
+	for (i = 0; i < u->len; i++)
+		free(u->items[i].team);
+	free(u->items);
+	u->items = NULL;
+	u->len = 0;
+}
+
+void
+agb_member_free(struct agb_member *m)
+{
+	struct peer *p, *pnext;
+	struct view *v, *vnext;
+	struct team_uses *u, *unext;
+
+	if (m == NULL)
+		return;
+	p = m->peers;
+	HASH_CLEAR(hh, m->peers);
+	for (; p != NULL; p = pnext) {
+		pnext = p->hh.next;
+		free(p);
+	}
+	v = m->views;
+	HASH_CLEAR(hh, m->views);
+	for (; v != NULL; v = vnext) {
+		vnext = v->hh.next;
+		free(v);
+	}
+	u = m->uses;
+	HASH_CLEAR(hh, m->uses);
+	for (; u != NULL; u = unext) {
+		unext = u->hh.next;
+		uses_clear(u);
+		free(u);
+	}
+	free(m);
+}
+
+static struct peer *
+peer_get(struct agb_member *m, const char *instance)
+{
+	struct peer *p;
+
+	HASH_FIND_STR(m->peers, instance, p);
+	if (p == NULL) {
+		p = agb_xcalloc(1, sizeof(*p));
+		agb_name_set(p->instance, sizeof(p->instance), instance);
+		HASH_ADD_STR(m->peers, instance, p);
+	}
+	return p;
+}
+
+static struct view *
+view_get(struct agb_member *m, const char *domain)
+{
+	struct view *v;
+
+	HASH_FIND_STR(m->views, domain, v);
+	if (v == NULL) {
+		v = agb_xcalloc(1, sizeof(*v));
+		agb_name_set(v->v.domain, sizeof(v->v.domain), domain);
+		HASH_ADD_KEYPTR(
+		    hh, m->views, v->v.domain, strlen(v->v.domain), v);
+	}
+	return v;
+}
+
+static void
+version_seen(struct agb_member *m, uint64_t version, const char *peer)
+{
+	if (version < m->seen_version)
+		return;
+	m->seen_version = version;
+	agb_name_set(m->seen_peer, sizeof(m->seen_peer), peer);
+}
+
+/* Takes a summary when it is newer than what is known: a higher epoch, or a
+ * higher serial of the same owner. */
+static void
+take_shard(struct agb_member *m, agb_time now, const agb_x_shard *s)
+{
+	struct agb_shard_view *v;
+	const agb_time age = s->age_ms * AGB_MS;
+
+	if (strcmp(s->domain, m->cfg.domain) == 0 &&
+	    strcmp(s->owner_rpc, m->cfg.rpc) == 0)
+		return;
+	v = &view_get(m, s->domain)->v;
+	if (s->epoch < v->epoch ||
+	    (s->epoch == v->epoch && s->serial <= v->serial))
+		return;
+	agb_name_set(v->owner, sizeof(v->owner), s->owner_rpc);
+	v->epoch = s->epoch;
+	v->serial = s->serial;
+	v->measured_at = age < now ? now - age : 0;
+	v->slots_free = s->slots_free;
+	v->quick_queued = s->quick_queued;
+	v->tasks_queued = s->tasks_queued;
+	v->wait_ms = s->wait_ms;
+	v->free = agb_proto_resources_get(&s->free);
+}
+
+static void
+take_member(struct agb_member *m, agb_time now, const agb_x_member *x)
+{
+	const agb_time age = x->age_ms * AGB_MS;
+	const agb_time at = age < now ? now - age : 0;
+	struct peer *const p = peer_get(m, x->instance);
+
+	if (at < p->heard_at)
+		return;
+	agb_name_set(p->domain, sizeof(p->domain), x->domain);
+	agb_name_set(p->rpc, sizeof(p->rpc), x->rpc);
+	p->env_version = x->env_version;
+	p->heard_at = at;
+}
+
+/* Replaces what is known of the use in one shard by a newer snapshot. */
+static void
+take_uses(struct agb_member *m, const agb_x_summary_args *a)
+{
+	const agb_x_shard *const s = &a->shard;
+	struct team_uses *u;
+	u_int i;
+
+	HASH_FIND_STR(m->uses, s->domain, u);
+	if (u == NULL) {
+		u = agb_xcalloc(1, sizeof(*u));
+		agb_name_set(u->domain, sizeof(u->domain), s->domain);
+		HASH_ADD_STR(m->uses, domain, u);
+	} else if (s->epoch < u->epoch ||
+	    (s->epoch == u->epoch && s->serial <= u->serial)) {
+		return;
+	}
+	uses_clear(u);
+	u->epoch = s->epoch;
+	u->serial = s->serial;
+	u->items = agb_xcalloc(a->teams.teams_len, sizeof(*u->items));
+	for (i = 0; i < a->teams.teams_len; i++) {
+		u->items[i] = a->teams.teams_val[i];
+		u->items[i].team = agb_xstrdup(a->teams.teams_val[i].team);
+	}
+	u->len = a->teams.teams_len;
+}
+
+static void
+take_list(struct agb_member *m, const struct agb_ev_list *list)
+{
+	const struct agb_instance *it;
+	struct peer *p;
+	size_t i;
+
+	if (!list->ok)
+		return;
+	for (i = 0; i < list->items_len; i++) {
+		it = &list->items[i];
+		agb_name_set(view_get(m, it->domain)->v.region, AGB_NAME_LEN,
+		    it->region);
+		if (it->kind != AGB_INSTANCE_ENTRY)
+			continue;
+		if (it->state == AGB_INSTANCE_GONE) {
+			HASH_FIND_STR(m->peers, it->id, p);
+			if (p != NULL) {
+				HASH_DEL(m->peers, p);
+				free(p);
+			}
+			continue;
+		}
+		p = peer_get(m, it->id);
+		agb_name_set(p->region, sizeof(p->region), it->region);
+		agb_name_set(p->domain, sizeof(p->domain), it->domain);
+		agb_name_set(p->rpc, sizeof(p->rpc), it->rpc);
+		p->state = it->state;
+	}
+}
+
+static void
+fill_self(const struct agb_member *m, const struct agb_member_input *in,
+    agb_x_member *x)
+{
+	x->instance = agb_xstrdup(m->cfg.instance);
+	x->domain = agb_xstrdup(m->cfg.domain);
+	x->rpc = agb_xstrdup(m->cfg.rpc);
+	x->env_version = in->env_version;
+	x->age_ms = 0;
+}
+
+static struct agb_effect *
+peer_call(
+    struct agb_effects *out, unsigned tag, const char *peer, agb_x_proc proc)
+{
+	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_RPC_CALL);
+
+	ef->tag = AGB_TAG(AGB_TAG_MEMBER, tag);
+	ef->timeout_ms = RPC_TIMEOUT_MS;
+	agb_name_set(ef->peer, sizeof(ef->peer), peer);
+	ef->u.rpc_args.proc = proc;
+	return ef;
+}
+
+static void
+send_heartbeat(const struct agb_member *m, const struct agb_member_input *in,
+    unsigned tag, const char *peer, struct agb_effects *out)
+{
+	struct agb_effect *const ef =
+	    peer_call(out, tag, peer, AGB_X_HEARTBEAT);
+	agb_x_heartbeat_args *const a = &ef->u.rpc_args.agb_x_args_u.heartbeat;
+
+	fill_self(m, in, &a->from);
+	a->leaving = in->leaving;
+}
+
+static uint32_t
+age_ms(agb_time now, agb_time at)
+{
+	const agb_time ms = now > at ? (now - at) / AGB_MS : 0;
+
+	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
+}
+
+/* Members of the own domain that were heard of, for the other owners. */
+static void
+fill_members(const struct agb_member *m, agb_time now,
+    const struct agb_member_input *in, agb_x_summary_args *a)
+{
+	const struct peer *p;
+	agb_x_member *x;
+
+	a->members.members_val =
+	    agb_xcalloc(HASH_COUNT(m->peers) + 1, sizeof(*x));
+	fill_self(m, in, &a->members.members_val[0]);
+	a->members.members_len = 1;
+	for (p = m->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->domain, m->cfg.domain) != 0 ||
+		    strcmp(p->instance, m->cfg.instance) == 0 ||
+		    p->heard_at == 0 || now - p->heard_at > MEMBER_MAX_AGE ||
+		    a->members.members_len == AGB_X_ITEMS_MAX)
+			continue;
+		x = &a->members.members_val[a->members.members_len++];
+		x->instance = agb_xstrdup(p->instance);
+		x->domain = agb_xstrdup(p->domain);
+		x->rpc = agb_xstrdup(p->rpc);
+		x->env_version = p->env_version;
+		x->age_ms = age_ms(now, p->heard_at);
+	}
+}
+
+static void
+fill_teams(const struct agb_member_input *in, agb_x_summary_args *a)
+{
+	static const struct agb_resources zero;
+	const struct agb_env *const env = in->env;
+	agb_x_team_use *x;
+	uint16_t i;
+
+	if (env == NULL || in->team_used == NULL)
+		return;
+	a->teams.teams_val = agb_xcalloc(env->teams_len, sizeof(*x));
+	for (i = 0; i < env->teams_len && i < AGB_X_TEAMS_MAX; i++) {
+		if (memcmp(&in->team_used[i], &zero, sizeof(zero)) == 0)
+			continue;
+		x = &a->teams.teams_val[a->teams.teams_len++];
+		x->team = agb_xstrdup(env->teams[i].name);
+		x->used = agb_proto_resources(&in->team_used[i]);
+	}
+}
+
+static void
+send_summary(struct agb_member *m, agb_time now,
+    const struct agb_member_input *in, const char *peer,
+    struct agb_effects *out)
+{
+	struct agb_effect *const ef =
+	    peer_call(out, TAG_SUMMARY, peer, AGB_X_SUMMARY);
+	agb_x_summary_args *const a = &ef->u.rpc_args.agb_x_args_u.summary;
+
+	a->env_version = in->env_version;
+	agb_proto_clone(
+	    (xdrproc_t)xdr_agb_x_shard, &a->shard, in->shard, sizeof(a->shard));
+	a->shard.serial = m->serial;
+	fill_teams(in, a);
+	fill_members(m, now, in, a);
+}
+
+/* A live entry instance of a domain, drawn at random, to ask who owns its
+ * shard. */
+static const struct peer *
+peer_draw(struct agb_member *m, const char *domain)
+{
+	const struct peer *p, *best;
+	unsigned seen;
+
+	best = NULL;
+	seen = 0;
+	for (p = m->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->domain, domain) != 0 || p->rpc[0] == '\0' ||
+		    p->state != AGB_INSTANCE_LIVE ||
+		    strcmp(p->instance, m->cfg.instance) == 0)
+			continue;
+		seen++;
+		if ((unsigned)nrand48(m->rng) % seen == 0)
+			best = p;
+	}
+	return best;
+}
+
+static void
+tell_domain(struct agb_member *m, agb_time now,
+    const struct agb_member_input *in, struct view *w, struct agb_effects *out)
+{
+	const bool far = strcmp(w->v.region, m->cfg.region) != 0;
+	const struct peer *p;
+
+	if (strcmp(w->v.domain, m->cfg.domain) == 0 || now < w->next_summary)
+		return;
+	w->next_summary =
+	    now + (far ? SUMMARY_INTERVAL_FAR : SUMMARY_INTERVAL_NEAR);
+	if (w->v.owner[0] != '\0')
+		send_summary(m, now, in, w->v.owner, out);
+	if (w->v.owner[0] != '\0' &&
+	    now - w->v.measured_at < 2 * SUMMARY_INTERVAL_FAR)
+		return;
+	p = peer_draw(m, w->v.domain);
+	if (p != NULL)
+		send_heartbeat(m, in, TAG_PROBE, p->rpc, out);
+}
+
+static void
+on_tick(struct agb_member *m, agb_time now, const struct agb_member_input *in,
+    struct agb_effects *out)
+{
+	struct view *w;
+
+	if (now >= m->next_heartbeat) {
+		m->next_heartbeat = now + HEARTBEAT_INTERVAL;
+		if (!in->active && in->owner[0] != '\0')
+			send_heartbeat(m, in, TAG_HEARTBEAT, in->owner, out);
+	}
+	if (!in->active || now < m->next_summary)
+		return;
+	m->next_summary = now + SUMMARY_INTERVAL_NEAR;
+	m->serial++;
+	for (w = m->views; w != NULL; w = w->hh.next) {
+		tell_domain(m, now, in, w, out);
+	}
+}
+
+static void
+fill_shard(const struct agb_shard_view *v, agb_time now, agb_x_shard *x)
+{
+	x->domain = agb_xstrdup(v->domain);
+	x->owner_rpc = agb_xstrdup(v->owner);
+	x->epoch = v->epoch;
+	x->serial = v->serial;
+	x->age_ms = age_ms(now, v->measured_at);
+	x->slots_free = v->slots_free;
+	x->quick_queued = v->quick_queued;
+	x->tasks_queued = v->tasks_queued;
+	x->wait_ms = v->wait_ms;
+	x->free = agb_proto_resources(&v->free);
+}
+
+static void
+answer_heartbeat(struct agb_member *m, agb_time now, const struct agb_event *ev,
+    const struct agb_member_input *in, struct agb_effects *out)
+{
+	const agb_x_heartbeat_args *const a =
+	    &ev->u.rpc_args.agb_x_args_u.heartbeat;
+	struct agb_effect *ef;
+	agb_x_heartbeat_res *r;
+	struct view *w;
+
+	take_member(m, now, &a->from);
+	version_seen(m, a->from.env_version, a->from.rpc);
+	ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
+	ef->token = ev->token;
+	ef->u.rpc_res.proc = AGB_X_HEARTBEAT;
+	r = &ef->u.rpc_res.agb_x_res_u.heartbeat;
+	r->env_version = in->env_version;
+	r->is_owner = in->active;
+	r->shards.shards_val = agb_xcalloc(
+	    HASH_COUNT(m->views) + 1, sizeof(*r->shards.shards_val));
+	if (in->active) {
+		agb_proto_clone((xdrproc_t)xdr_agb_x_shard,
+		    &r->shards.shards_val[0], in->shard, sizeof(*in->shard));
+		r->shards.shards_val[0].serial = ++m->serial;
+		r->shards.shards_len = 1;
+	}
+	for (w = m->views; w != NULL; w = w->hh.next) {
+		if (w->v.owner[0] == '\0' ||
+		    now - w->v.measured_at > VIEW_MAX_AGE ||
+		    r->shards.shards_len == AGB_X_SHARDS_MAX ||
+		    (in->active && strcmp(w->v.domain, m->cfg.domain) == 0))
+			continue;
+		fill_shard(
+		    &w->v, now, &r->shards.shards_val[r->shards.shards_len++]);
+	}
+}
+
+static void
+answer_summary(struct agb_member *m, agb_time now, const struct agb_event *ev,
+    const struct agb_member_input *in, struct agb_effects *out)
+{
+	const agb_x_summary_args *const a =
+	    &ev->u.rpc_args.agb_x_args_u.summary;
+	struct agb_effect *ef;
+	u_int i;
+
+	take_shard(m, now, &a->shard);
+	version_seen(m, a->env_version, a->shard.owner_rpc);
+	take_uses(m, a);
+	for (i = 0; i < a->members.members_len; i++)
+		take_member(m, now, &a->members.members_val[i]);
+	ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
+	ef->token = ev->token;
+	ef->u.rpc_res.proc = AGB_X_SUMMARY;
+	ef->u.rpc_res.agb_x_res_u.summary.env_version = in->env_version;
+}
+
+static void
+on_reply(struct agb_member *m, agb_time now, const struct agb_event *ev,
+    const struct agb_member_input *in)
+{
+	const agb_x_heartbeat_res *r;
+	u_int i;
+
+	if (!ev->rpc_ok || ev->u.rpc_res.proc != AGB_X_HEARTBEAT)
+		return;
+	r = &ev->u.rpc_res.agb_x_res_u.heartbeat;
+	for (i = 0; i < r->shards.shards_len; i++)
+		take_shard(m, now, &r->shards.shards_val[i]);
+	if ((ev->tag & 0xff) != TAG_HEARTBEAT || !r->is_owner)
+		return;
+	m->owner_heard = true;
+	m->owner_heard_at = now;
+	version_seen(m, r->env_version, in->owner);
+}
+
+void
+agb_member_step(struct agb_member *m, agb_time now, const struct agb_event *ev,
+    const struct agb_member_input *in, struct agb_effects *out)
+{
+	switch (ev->type) {
+	case AGB_EV_TICK:
+		on_tick(m, now, in, out);
+		break;
+	case AGB_EV_LIST:
+		take_list(m, &ev->u.list);
+		break;
+	case AGB_EV_RPC_REPLY:
+		on_reply(m, now, ev, in);
+		break;
+	case AGB_EV_RPC_CALL:
+		if (ev->u.rpc_args.proc == AGB_X_HEARTBEAT)
+			answer_heartbeat(m, now, ev, in, out);
+		else if (ev->u.rpc_args.proc == AGB_X_SUMMARY)
+			answer_summary(m, now, ev, in, out);
+		break;
+	default:
+		break;
+	}
+}
+
+bool
+agb_member_relayed(const struct agb_member *m, agb_time now)
+{
+	return m->owner_heard && now - m->owner_heard_at < RELAY_MAX_SILENCE;
+}
+
+const struct agb_shard_view *
+agb_member_shard_find(
+    const struct agb_member *m, agb_time now, const char *domain)
+{
+	const struct view *v;
+
+	HASH_FIND_STR(m->views, domain, v);
+	if (v == NULL || v->v.owner[0] == '\0' ||
+	    now - v->v.measured_at > VIEW_MAX_AGE)
+		return NULL;
+	return &v->v;
+}
+
+struct agb_resources
+agb_member_team_remote(const struct agb_member *m, const char *team)
+{
+	struct agb_resources sum = {0};
+	struct agb_resources used;
+	const struct team_uses *u;
+	u_int i;
+
+	for (u = m->uses; u != NULL; u = u->hh.next) {
+		if (strcmp(u->domain, m->cfg.domain) == 0)
+			continue;
+		for (i = 0; i < u->len; i++) {
+			if (strcmp(u->items[i].team, team) != 0)
+				continue;
+			used = agb_proto_resources_get(&u->items[i].used);
+			agb_resources_add(&sum, &used);
+		}
+	}
+	return sum;
+}
+
+uint64_t
+agb_member_version_seen(const struct agb_member *m, const char **peer)
+{
+	*peer = m->seen_peer;
+	return m->seen_version;
+}
+
+static json_object *
+shard_json(const agb_x_shard *s)
+{
+	json_object *const o = json_object_new_object();
+
+	json_object_object_add(o, "domain", json_object_new_string(s->domain));
+	json_object_object_add(
+	    o, "owner", json_object_new_string(s->owner_rpc));
+	json_object_object_add(o, "epoch", json_object_new_uint64(s->epoch));
+	json_object_object_add(o, "age_ms", json_object_new_int64(s->age_ms));
+	json_object_object_add(
+	    o, "slots_free", json_object_new_int64(s->slots_free));
+	json_object_object_add(
+	    o, "quick_queued", json_object_new_int64(s->quick_queued));
+	json_object_object_add(
+	    o, "tasks_queued", json_object_new_int64(s->tasks_queued));
+	json_object_object_add(o, "wait_ms", json_object_new_int64(s->wait_ms));
+	return o;
+}
+
+static json_object *
+member_json(
+    const char *instance, const char *domain, uint64_t version, uint32_t age)
+{
+	json_object *const o = json_object_new_object();
+
+	json_object_object_add(o, "instance", json_object_new_string(instance));
+	json_object_object_add(o, "domain", json_object_new_string(domain));
+	json_object_object_add(
+	    o, "env_version", json_object_new_uint64(version));
+	json_object_object_add(o, "age_ms", json_object_new_int64(age));
+	return o;
+}
+
+void
+agb_member_status(const struct agb_member *m, agb_time now,
+    const struct agb_member_input *in, json_object *to)
+{
+	json_object *const shards = json_object_new_array();
+	json_object *const members = json_object_new_array();
+	const struct view *w;
+	const struct peer *p;
+	agb_x_shard s;
+
+	if (in->active)
+		json_object_array_add(shards, shard_json(in->shard));
+	for (w = m->views; w != NULL; w = w->hh.next) {
+		if (w->v.owner[0] == '\0' ||
+		    (in->active && strcmp(w->v.domain, m->cfg.domain) == 0))
+			continue;
+		memset(&s, 0, sizeof(s));
+		fill_shard(&w->v, now, &s);
+		json_object_array_add(shards, shard_json(&s));
+		xdr_free((xdrproc_t)xdr_agb_x_shard, (char *)&s);
+	}
+	json_object_array_add(members,
+	    member_json(m->cfg.instance, m->cfg.domain, in->env_version, 0));
+	for (p = m->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->instance, m->cfg.instance) == 0 ||
+		    p->heard_at == 0 || now - p->heard_at > MEMBER_MAX_AGE)
+			continue;
+		json_object_array_add(members,
+		    member_json(p->instance, p->domain, p->env_version,
+			age_ms(now, p->heard_at)));
+	}
+	json_object_object_add(to, "shards", shards);
+	json_object_object_add(to, "members", members);
+}
+
+agb_time
+agb_member_next_tick(const struct agb_member *m)
+{
+	return m->next_heartbeat;
+}
