--- a/src/agatebeam/finding.h
+++ b/src/agatebeam/finding.h
@@ -27,7 +27,7 @@
 /**
  * struct agb_finding - one problem
  * @level: its weight
- * @place: "line 4" or a JSON pointer such as "/teams/2/weight"
+ * @place: "line 4", or with a JSON pointer "line 4 /teams/2/weight"
  * @text: what is wrong and what is allowed
  */
 struct agb_finding {
