feat(env): parse and check environment documents and settings

Cause: the daemon and agatectl need checked documents and settings. The name in a document is that of the deployment, not of the environment, since promotion copies a document whole from trial to production. Before: headers only. Conclusion: the daemon can load its settings and documents.

--- a/src/agatebeam/env.h
+++ b/src/agatebeam/env.h
@@ -14,7 +14,12 @@
 
 /* A document may be as large as one value of the store. */
 #define AGB_ENV_TEXT_MAX ((size_t)1024 * 1024)
+/* Bit sets of domains and teams have 32 and 64 bits. */
 #define AGB_ENV_DOMAINS_MAX 32
+#define AGB_ENV_TEAMS_MAX 64
+#define AGB_ENV_REGIONS_MAX 16
+#define AGB_ENV_CLASSES_MAX 64
+#define AGB_ENV_WORKS_MAX 256
 #define AGB_ENV_NONE UINT16_MAX
 
 /**
@@ -130,9 +135,11 @@
 /**
  * struct agb_env - a checked environment document
  * @version: store revision that put it in force; 0 while unknown
- * @name: the environment, such as "trial" or "production"
+ * @name: the deployment that it is written for, such as "lagos-tramway"; the
+ *	same in trial and production, since promotion copies a document whole
  * @headroom_percent: part of each shard kept free for urgent work
  * @eject_max_percent: largest part of a shard's workers ejected at once
+ * @text: the document as written, @text_len bytes and a NUL
  */
 struct agb_env {
 	uint64_t version;
--- /dev/null
+++ b/src/agatebeam/settings.c
@@ -0,0 +1,193 @@
+#include "settings.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jsonc.h"
+
+/* Settings are a page or two; more is the wrong file. */
+#define TEXT_MAX ((size_t)64 * 1024)
+#define KIB ((int64_t)1024)
+#define HOUR_MS ((int64_t)3600 * 1000)
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+static const char *const keys[] = {"instance", "environment", "region",
+    "domain", "http", "rpc", "store", "platform", "drain_ms", "head_max",
+    "body_max", "connections_max", "head_timeout_ms", "call_timeout_ms",
+    "log_json", "log_level"};
+static const char *const levels[] = {"debug", "info", "warn", "error"};
+
+static const struct agb_jsonc_range drain = {0, HOUR_MS, "ms"};
+static const struct agb_jsonc_range heads = {KIB, 64 * KIB, "bytes"};
+static const struct agb_jsonc_range bodies = {0, 64 * KIB *KIB, "bytes"};
+static const struct agb_jsonc_range connections = {1, 100000, "connections"};
+static const struct agb_jsonc_range head_timeouts = {100, 600000, "ms"};
+static const struct agb_jsonc_range call_timeouts = {100, HOUR_MS, "ms"};
+
+enum addr_use {
+	ADDR_LISTEN, /* may be the wildcard address, and port 0 */
+	ADDR_REACH,  /* others connect to it */
+};
+
+/* Whether @host is an IPv4 or IPv6 address; sets whether it is a wildcard. */
+static bool
+host_valid(const char *host, bool v6, bool *wildcard)
+{
+	static const struct in6_addr any6;
+	struct in6_addr a6;
+	struct in_addr a4;
+
+	if (v6) {
+		if (inet_pton(AF_INET6, host, &a6) != 1)
+			return false;
+		*wildcard = memcmp(&a6, &any6, sizeof(a6)) == 0;
+		return true;
+	}
+	if (inet_pton(AF_INET, host, &a4) != 1)
+		return false;
+	*wildcard = a4.s_addr == 0;
+	return true;
+}
+
+/*
+ * What is wrong with an address, or NULL.
+ */
+static const char *
+addr_fault(const char *addr, enum addr_use use)
+{
+	const bool v6 = addr[0] == '[';
+	const size_t bracket = v6 ? 1 : 0;
+	const char *const colon = strrchr(addr, ':');
+	char host[AGB_ADDR_LEN];
+	bool wildcard = false;
+	size_t len;
+	long port;
+
+	if (strstr(addr, "://") != NULL)
+		return "has a scheme; expected only ADDRESS:PORT";
+	if (colon == NULL || colon[1] == '\0' ||
+	    strspn(colon + 1, "0123456789") != strlen(colon + 1))
+		return "has no port; expected ADDRESS:PORT";
+	len = (size_t)(colon - addr);
+	if (v6 && (len < 2 || addr[len - 1] != ']'))
+		return "is not an address; IPv6 is written [ADDRESS]:PORT";
+	len -= 2 * bracket;
+	memcpy(host, addr + bracket, len);
+	host[len] = '\0';
+	if (!host_valid(host, v6, &wildcard))
+		return "is not an IPv4 or IPv6 address and port; host names "
+		       "are not looked up";
+	port = strtol(colon + 1, NULL, 10);
+	if (port > 65535)
+		return "has a port past 65535";
+	if (use == ADDR_REACH && wildcard)
+		return "is a wildcard address; others cannot connect to it";
+	if (use == ADDR_REACH && port == 0)
+		return "has port 0; others cannot connect to it";
+	return NULL;
+}
+
+static void
+parse_addr(const struct agb_jsonc_node *root, const char *key,
+    enum addr_use use, char *dst)
+{
+	const char *fault;
+
+	if (!agb_jsonc_str(root, key, true, dst, AGB_ADDR_LEN))
+		return;
+	fault = addr_fault(dst, use);
+	if (fault != NULL)
+		agb_jsonc_report(root, key, AGB_FINDING_ERROR, "%s", fault);
+}
+
+static void
+parse_store(const struct agb_jsonc_node *root, struct agb_settings *out)
+{
+	struct agb_jsonc_node list;
+	const char *addr, *fault;
+	size_t len, i, k;
+
+	if (!agb_jsonc_array(
+		root, "store", true, AGB_STORE_ENDPOINTS_MAX, &list, &len))
+		return;
+	for (i = 0; i < len; i++) {
+		addr = agb_jsonc_item_str(&list, i, AGB_ADDR_LEN - 1);
+		if (addr == NULL)
+			continue;
+		fault = addr_fault(addr, ADDR_REACH);
+		if (fault != NULL) {
+			agb_jsonc_report_item(
+			    &list, i, AGB_FINDING_ERROR, "%s", fault);
+			continue;
+		}
+		for (k = 0; k < out->store_len; k++) {
+			if (strcmp(out->store[k], addr) == 0)
+				agb_jsonc_report_item(&list, i,
+				    AGB_FINDING_WARNING,
+				    "\"%s\" stands in the list twice", addr);
+		}
+		agb_name_set(out->store[out->store_len++], AGB_ADDR_LEN, addr);
+	}
+}
+
+static void
+parse_root(const struct agb_jsonc_node *root, struct agb_settings *out)
+{
+	size_t level = AGB_LOG_INFO;
+
+	agb_jsonc_known(root, keys, LEN(keys));
+	agb_jsonc_name(root, "instance", out->instance);
+	agb_jsonc_name(root, "environment", out->environment);
+	agb_jsonc_name(root, "region", out->region);
+	agb_jsonc_name(root, "domain", out->domain);
+	parse_addr(root, "http", ADDR_LISTEN, out->http);
+	parse_addr(root, "rpc", ADDR_REACH, out->rpc);
+	if (out->http[0] != '\0' && strcmp(out->http, out->rpc) == 0)
+		agb_jsonc_report(root, "rpc", AGB_FINDING_ERROR,
+		    "is the same address and port as http");
+	parse_store(root, out);
+	parse_addr(root, "platform", ADDR_REACH, out->platform);
+	agb_jsonc_u32(root, "drain_ms", false, &drain, &out->drain_ms);
+	agb_jsonc_u32(root, "head_max", false, &heads, &out->head_max);
+	agb_jsonc_u32(root, "body_max", false, &bodies, &out->body_max);
+	agb_jsonc_u32(root, "connections_max", false, &connections,
+	    &out->connections_max);
+	agb_jsonc_u32(root, "head_timeout_ms", false, &head_timeouts,
+	    &out->head_timeout_ms);
+	agb_jsonc_u32(root, "call_timeout_ms", false, &call_timeouts,
+	    &out->call_timeout_ms);
+	if (out->drain_ms > 0 && out->drain_ms < out->call_timeout_ms)
+		agb_jsonc_report(root, "drain_ms", AGB_FINDING_WARNING,
+		    "is %u ms, shorter than call_timeout_ms of %u ms; a stop "
+		    "may cut off requests",
+		    out->drain_ms, out->call_timeout_ms);
+	agb_jsonc_bool(root, "log_json", &out->log_json);
+	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
+	out->log_level = (enum agb_log_level)level;
+}
+
+bool
+agb_settings_parse(const char *text, size_t len, struct agb_settings *out,
+    struct agb_findings *findings)
+{
+	const size_t errors = findings->errors;
+	struct agb_jsonc_node root;
+	struct agb_jsonc *doc;
+
+	memset(out, 0, sizeof(*out));
+	out->drain_ms = 60000;
+	out->head_max = 16 * 1024;
+	out->body_max = 1024 * 1024;
+	out->connections_max = 1024;
+	out->head_timeout_ms = 10000;
+	out->call_timeout_ms = 60000;
+	out->log_level = AGB_LOG_INFO;
+	doc = agb_jsonc_parse(text, len, TEXT_MAX, findings);
+	if (doc == NULL)
+		return false;
+	if (agb_jsonc_root(doc, &root))
+		parse_root(&root, out);
+	agb_jsonc_free(doc);
+	return findings->errors == errors;
+}
