feat(httpc): HTTP/1.1 client pool on libuv

Cause: the store, runner and worker agent clients need to know whether a request can have reached the server and whether the answer is whole.

Change: own client over libuv TCP. Trials with libh2o 2.2.5's http1client showed that it aborts the process by an assertion (http1client.c:216) when a server sends a malformed Content-Length, and that it reports a chunked body cut between two chunks as complete; neither can be worked around from outside.

Conclusion: test_httpc holds 18 forms of answers, requests that were never written, reuse, deadlines, cancellation and streams.

--- /dev/null
+++ b/src/agatebeam/httpc.c
@@ -0,0 +1,910 @@
+#include "httpc.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "mem.h"
+
+/*
+ * libh2o 2.2.5's http1client is not used: it aborts by an assertion when a
+ * server sends a malformed Content-Length or an unknown Transfer-Encoding,
+ * and reports a chunked body that is cut between two chunks as complete.
+ */
+
+/* Idle connections close before servers, which allow 10 s or more, do. */
+#define IDLE_CLOSE_MS 5000
+#define SWEEP_MS 1000
+/* Endpoints without requests are forgotten after this time. */
+#define ENDPOINT_IDLE_MS 30000
+#define READ_BYTES ((size_t)64 * 1024)
+/* Header, chunk and trailer lines of one answer together. */
+#define LINES_BYTES_MAX ((size_t)256 * 1024)
+#define LINE_MAX_BYTES ((size_t)16 * 1024)
+
+enum call_state {
+	CALL_QUEUED,
+	CALL_CONNECTING,
+	CALL_SENT,
+	CALL_DONE,    /* in the list of finished calls */
+	CALL_CALLING, /* its end callback runs */
+};
+
+/* What the next byte of the answer belongs to. */
+enum phase {
+	PHASE_STATUS,
+	PHASE_HEADER,
+	PHASE_LENGTH,
+	PHASE_CHUNK_SIZE,
+	PHASE_CHUNK,
+	PHASE_CHUNK_END,
+	PHASE_TRAILER,
+	PHASE_END,
+};
+
+struct endpoint {
+	agb_addr addr;
+	struct sockaddr_storage sa;
+	UT_hash_handle hh;
+	unsigned active;
+	unsigned queued;
+	uint64_t used_at;
+	struct agb_httpc_call *queue;
+	struct conn *idle;
+};
+
+struct conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct agb_httpc *c;
+	struct endpoint *ep;
+	struct agb_httpc_call *call; /* NULL while idle */
+	struct conn *prev, *next;
+	uint64_t idle_at;
+	bool writing;
+	char *out; /* request bytes, kept until they are written */
+};
+
+struct agb_httpc_call {
+	struct agb_httpc *c;
+	struct endpoint *ep;
+	struct conn *conn;
+	struct agb_httpc_call *prev, *next;
+	struct agb_httpc_call *all_prev, *all_next;
+	enum call_state state;
+	uv_timer_t timer;
+	bool in_callback;
+	bool cancelled;
+	bool is_head;
+	char *out;
+	size_t out_len;
+	enum phase phase;
+	bool keep_alive;
+	bool has_length;
+	bool chunked;
+	uint64_t left; /* of the body or of the chunk */
+	char *line;
+	size_t line_len;
+	size_t line_cap;
+	size_t lines_bytes;
+	size_t body_max;
+	char *body;
+	size_t body_cap;
+	struct agb_httpc_header headers[AGB_HTTPC_HEADERS_MAX];
+	struct agb_httpc_res res;
+	agb_httpc_cb cb;
+	agb_httpc_chunk_cb on_chunk;
+	void *arg;
+};
+
+struct agb_httpc {
+	uv_loop_t *loop;
+	unsigned per_endpoint_max;
+	struct endpoint *endpoints;
+	struct agb_httpc_call *done;
+	struct agb_httpc_call *all;
+	uv_check_t check;
+	uv_idle_t idle;
+	uv_timer_t sweep;
+	int handles;
+	bool closing;
+	char read_buf[READ_BYTES];
+};
+
+bool
+agb_httpc_parse_addr(const char *addr, struct sockaddr_storage *out)
+{
+	char host[AGB_ADDR_LEN];
+	const char *port;
+	size_t len;
+	unsigned long n;
+	char *end;
+
+	memset(out, 0, sizeof(*out));
+	port = strrchr(addr, ':');
+	if (port == NULL || !isdigit((unsigned char)port[1]))
+		return false;
+	n = strtoul(port + 1, &end, 10);
+	if (*end != '\0' || n == 0 || n > UINT16_MAX)
+		return false;
+	len = (size_t)(port - addr);
+	if (len > 1 && addr[0] == '[' && addr[len - 1] == ']') {
+		addr++;
+		len -= 2;
+	}
+	if (len == 0 || len >= sizeof(host))
+		return false;
+	memcpy(host, addr, len);
+	host[len] = '\0';
+	return uv_ip4_addr(host, (int)n, (struct sockaddr_in *)out) == 0 ||
+	    uv_ip6_addr(host, (int)n, (struct sockaddr_in6 *)out) == 0;
+}
+
+static void
+call_free_cb(uv_handle_t *h)
+{
+	struct agb_httpc_call *const call = h->data;
+	size_t i;
+
+	for (i = 0; i < call->res.headers_len; i++)
+		free((char *)call->headers[i].name);
+	free(call->out);
+	free(call->body);
+	free(call->line);
+	free(call);
+}
+
+static void
+call_free(struct agb_httpc_call *call)
+{
+	DL_DELETE2(call->c->all, call, all_prev, all_next);
+	uv_close((uv_handle_t *)&call->timer, call_free_cb);
+}
+
+static void
+conn_free_cb(uv_handle_t *h)
+{
+	struct conn *const conn = h->data;
+
+	free(conn->out);
+	free(conn);
+}
+
+static void
+conn_close(struct conn *conn)
+{
+	if (conn->call != NULL)
+		conn->call->conn = NULL;
+	conn->call = NULL;
+	uv_close((uv_handle_t *)&conn->tcp, conn_free_cb);
+}
+
+static void
+conn_close_idle(struct conn *conn)
+{
+	DL_DELETE(conn->ep->idle, conn);
+	conn_close(conn);
+}
+
+/* Does nothing: an active idle handle keeps the loop from sleeping. */
+static void
+on_idle(uv_idle_t *h)
+{
+}
+
+/* Puts a call into the list from which flush_done() calls back. */
+static void
+finish(struct agb_httpc_call *call, enum agb_httpc_status status,
+    const char *error)
+{
+	if (call->state == CALL_QUEUED && call->ep != NULL) {
+		DL_DELETE(call->ep->queue, call);
+		call->ep->queued--;
+		call->ep = NULL;
+	}
+	uv_timer_stop(&call->timer);
+	if (call->conn != NULL)
+		conn_close(call->conn);
+	call->state = CALL_DONE;
+	if (call->phase == PHASE_STATUS || call->phase == PHASE_HEADER)
+		call->res.http_status = 0;
+	call->res.status = status;
+	call->res.error = error;
+	call->res.headers = call->headers;
+	call->res.body = call->body;
+	DL_APPEND(call->c->done, call);
+	uv_idle_start(&call->c->idle, on_idle);
+}
+
+/* Whether any byte of the request has left this process. */
+static bool
+was_sent(const struct agb_httpc_call *call)
+{
+	const struct conn *const conn = call->conn;
+
+	if (call->state != CALL_SENT)
+		return false;
+	return conn == NULL || !conn->writing ||
+	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp) <
+	    call->out_len;
+}
+
+/* As finish(), with the status that the progress of the call implies. */
+static void
+fail(struct agb_httpc_call *call, const char *error)
+{
+	finish(call, was_sent(call) ? AGB_HTTPC_LOST : AGB_HTTPC_UNSENT, error);
+}
+
+static bool
+body_append(struct agb_httpc_call *call, const char *data, size_t len)
+{
+	size_t cap;
+
+	if (len > call->body_max - call->res.body_len)
+		return false;
+	if (call->res.body_len + len + 1 > call->body_cap) {
+		cap = call->body_cap > 0 ? call->body_cap : 1024;
+		while (cap < call->res.body_len + len + 1)
+			cap *= 2;
+		call->body = agb_xreallocarray(call->body, cap, 1);
+		call->body_cap = cap;
+	}
+	memcpy(call->body + call->res.body_len, data, len);
+	call->res.body_len += len;
+	call->body[call->res.body_len] = '\0';
+	return true;
+}
+
+/* Return: NULL, or what is wrong with the answer. */
+static const char *
+take_body(struct agb_httpc_call *call, const char *data, size_t len)
+{
+	if (call->on_chunk == NULL)
+		return body_append(call, data, len)
+		    ? NULL
+		    : "body larger than allowed";
+	call->in_callback = true;
+	call->on_chunk(call->arg, call->res.http_status, data, len);
+	call->in_callback = false;
+	return NULL;
+}
+
+static bool
+is_token(const char *s, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (!isalnum((unsigned char)s[i]) &&
+		    (s[i] == '\0' || strchr("!#$%&'*+-.^_`|~", s[i]) == NULL))
+			return false;
+	}
+	return len > 0;
+}
+
+/* Return: false when it is not a plain decimal number. */
+static bool
+parse_length(const char *s, uint64_t *out)
+{
+	char *end;
+
+	if (!isdigit((unsigned char)s[0]))
+		return false;
+	errno = 0;
+	*out = strtoull(s, &end, 10);
+	return errno == 0 && *end == '\0';
+}
+
+static const char *
+take_status(struct agb_httpc_call *call)
+{
+	const char *const s = call->line;
+
+	if (strncmp(s, "HTTP/1.", 7) != 0 || (s[7] != '0' && s[7] != '1') ||
+	    s[8] != ' ' || s[9] < '1' || s[9] > '5' ||
+	    !isdigit((unsigned char)s[10]) || !isdigit((unsigned char)s[11]) ||
+	    (s[12] != ' ' && s[12] != '\0'))
+		return "malformed status line";
+	call->res.http_status = (int)strtol(s + 9, NULL, 10);
+	call->keep_alive = s[7] == '1';
+	call->phase = PHASE_HEADER;
+	return NULL;
+}
+
+static const char *
+take_header(struct agb_httpc_call *call)
+{
+	struct agb_httpc_header *h;
+	char *colon, *name, *value, *p;
+
+	colon = strchr(call->line, ':');
+	if (colon == NULL ||
+	    !is_token(call->line, (size_t)(colon - call->line)))
+		return "malformed header line";
+	if (call->res.headers_len == AGB_HTTPC_HEADERS_MAX)
+		return "too many header lines";
+	name = agb_xmemdup(call->line, call->line_len);
+	for (p = name; *p != ':'; p++)
+		*p = (char)tolower((unsigned char)*p);
+	*p = '\0';
+	value = p + 1;
+	value += strspn(value, " \t");
+	for (p = value + strlen(value); p > value && strchr(" \t", p[-1]); p--)
+		p[-1] = '\0';
+	h = &call->headers[call->res.headers_len++];
+	h->name = name;
+	h->value = value;
+	if (strcmp(name, "content-length") == 0) {
+		if (call->has_length || !parse_length(value, &call->left))
+			return "malformed Content-Length";
+		call->has_length = true;
+	} else if (strcmp(name, "transfer-encoding") == 0) {
+		if (call->chunked || strcasecmp(value, "chunked") != 0)
+			return "unknown Transfer-Encoding";
+		call->chunked = true;
+	} else if (strcmp(name, "connection") == 0) {
+		if (strcasestr(value, "close") != NULL)
+			call->keep_alive = false;
+	}
+	return NULL;
+}
+
+static const char *
+header_ended(struct agb_httpc_call *call)
+{
+	const int status = call->res.http_status;
+	size_t i;
+
+	if (status == 101)
+		return "unwanted protocol switch";
+	if (status < 200) {
+		for (i = 0; i < call->res.headers_len; i++)
+			free((char *)call->headers[i].name);
+		call->res.headers_len = 0;
+		call->res.http_status = 0;
+		call->has_length = call->chunked = false;
+		call->phase = PHASE_STATUS;
+		return NULL;
+	}
+	if (call->is_head || status == 204 || status == 304) {
+		call->phase = PHASE_END;
+		return NULL;
+	}
+	/* Both together are a sign of request smuggling (RFC 9112, 6.1). */
+	if (call->chunked == call->has_length)
+		return call->chunked ? "both Content-Length and chunks"
+				     : "neither Content-Length nor chunks";
+	if (call->on_chunk == NULL && call->has_length &&
+	    call->left > call->body_max)
+		return "body larger than allowed";
+	if (call->chunked)
+		call->phase = PHASE_CHUNK_SIZE;
+	else
+		call->phase = call->left > 0 ? PHASE_LENGTH : PHASE_END;
+	return NULL;
+}
+
+static const char *
+take_chunk_size(struct agb_httpc_call *call)
+{
+	char *end;
+
+	if (!isxdigit((unsigned char)call->line[0]))
+		return "malformed chunk";
+	errno = 0;
+	call->left = strtoull(call->line, &end, 16);
+	if (errno != 0 || strchr("; \t", *end) == NULL)
+		return "malformed chunk";
+	call->phase = call->left > 0 ? PHASE_CHUNK : PHASE_TRAILER;
+	return NULL;
+}
+
+static const char *
+take_line(struct agb_httpc_call *call)
+{
+	switch (call->phase) {
+	case PHASE_STATUS:
+		return take_status(call);
+	case PHASE_HEADER:
+		return call->line_len > 0 ? take_header(call)
+					  : header_ended(call);
+	case PHASE_CHUNK_SIZE:
+		return take_chunk_size(call);
+	case PHASE_CHUNK_END:
+		call->phase = PHASE_CHUNK_SIZE;
+		return call->line_len > 0 ? "malformed chunk" : NULL;
+	case PHASE_TRAILER:
+		if (call->line_len == 0)
+			call->phase = PHASE_END;
+		return NULL;
+	default:
+		return "malformed answer";
+	}
+}
+
+/* Collects a line; sets *@used to the bytes taken. */
+static const char *
+feed_line(
+    struct agb_httpc_call *call, const char *data, size_t len, size_t *used)
+{
+	const char *const nl = memchr(data, '\n', len);
+	const char *error;
+	size_t i;
+
+	*used = nl != NULL ? (size_t)(nl - data) + 1 : len;
+	call->lines_bytes += *used;
+	if (call->line_len + *used > LINE_MAX_BYTES ||
+	    (call->lines_bytes > LINES_BYTES_MAX && !call->chunked))
+		return "header too long";
+	if (call->line_len + *used + 1 > call->line_cap) {
+		call->line_cap = (call->line_len + *used + 1) * 2;
+		call->line = agb_xreallocarray(call->line, call->line_cap, 1);
+	}
+	memcpy(call->line + call->line_len, data, *used);
+	call->line_len += *used;
+	if (nl == NULL)
+		return NULL;
+	if (call->line_len < 2 || call->line[call->line_len - 2] != '\r')
+		return "line without carriage return";
+	call->line_len -= 2;
+	call->line[call->line_len] = '\0';
+	for (i = 0; i < call->line_len; i++) {
+		if (((unsigned char)call->line[i] < ' ' &&
+			call->line[i] != '\t') ||
+		    call->line[i] == 0x7f)
+			return "control character in a line";
+	}
+	error = take_line(call);
+	call->line_len = 0;
+	return error;
+}
+
+/* Takes bytes of the answer up to its end; sets *@used. */
+static const char *
+feed(struct agb_httpc_call *call, const char *data, size_t len, size_t *used)
+{
+	const char *error = NULL;
+	size_t n;
+
+	*used = 0;
+	while (*used < len && call->phase != PHASE_END && error == NULL &&
+	    !call->cancelled) {
+		n = len - *used;
+		if (call->phase != PHASE_LENGTH && call->phase != PHASE_CHUNK) {
+			error = feed_line(call, data + *used, n, &n);
+			*used += n;
+			continue;
+		}
+		if (n > call->left)
+			n = (size_t)call->left;
+		error = take_body(call, data + *used, n);
+		call->left -= n;
+		*used += n;
+		if (call->left == 0)
+			call->phase = call->phase == PHASE_CHUNK
+			    ? PHASE_CHUNK_END
+			    : PHASE_END;
+	}
+	return error;
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+	struct conn *const conn = h->data;
+
+	*buf = uv_buf_init(conn->c->read_buf, READ_BYTES);
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *const conn = s->data;
+	struct agb_httpc_call *const call = conn->call;
+	const char *error;
+	size_t used;
+
+	if (n == 0)
+		return;
+	if (call == NULL) {
+		/* An idle connection was closed, or says something unasked. */
+		conn_close_idle(conn);
+		return;
+	}
+	if (n < 0) {
+		fail(call,
+		    n == UV_EOF ? "closed before the answer's end"
+				: "connection broke");
+		return;
+	}
+	error = feed(call, buf->base, (size_t)n, &used);
+	if (call->cancelled) {
+		agb_httpc_cancel(call);
+		return;
+	}
+	if (error != NULL) {
+		/* An answer of any form proves that the request arrived. */
+		finish(call, AGB_HTTPC_LOST, error);
+		return;
+	}
+	if (call->phase != PHASE_END)
+		return;
+	if (call->keep_alive && used == (size_t)n && !conn->writing) {
+		call->conn = NULL;
+		conn->call = NULL;
+		conn->idle_at = uv_now(call->c->loop);
+		DL_PREPEND(conn->ep->idle, conn);
+	}
+	finish(call, AGB_HTTPC_WHOLE, NULL);
+}
+
+static void
+on_written(uv_write_t *w, int status)
+{
+	struct conn *const conn = w->data;
+
+	conn->writing = false;
+	free(conn->out);
+	conn->out = NULL;
+	if (status < 0 && conn->call != NULL)
+		fail(conn->call, "connection broke while sending");
+}
+
+/* Writes the request; false when nothing could be written at all. */
+static bool
+conn_send(struct conn *conn, struct agb_httpc_call *call)
+{
+	uv_stream_t *const s = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buf = uv_buf_init(call->out, (unsigned)call->out_len);
+	int n;
+
+	n = uv_try_write(s, &buf, 1);
+	if (n < 0 && n != UV_EAGAIN)
+		return false;
+	conn->call = call;
+	call->conn = conn;
+	call->state = CALL_SENT;
+	if (n > 0) {
+		buf.base += n;
+		buf.len -= (size_t)n;
+	}
+	if (buf.len > 0) {
+		conn->out = call->out;
+		call->out = NULL;
+		conn->writing = true;
+		conn->write.data = conn;
+		if (uv_write(&conn->write, s, &buf, 1, on_written) != 0)
+			finish(call, AGB_HTTPC_LOST, "write failed");
+	}
+	return true;
+}
+
+static void
+on_connect(uv_connect_t *req, int status)
+{
+	struct conn *const conn = req->data;
+	struct agb_httpc_call *const call = conn->call;
+
+	if (call == NULL)
+		return;
+	if (status < 0 ||
+	    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0 ||
+	    !conn_send(conn, call))
+		fail(call, "connection failed");
+}
+
+static void
+conn_open(struct agb_httpc *c, struct agb_httpc_call *call)
+{
+	struct conn *const conn = agb_xcalloc(1, sizeof(*conn));
+
+	conn->c = c;
+	conn->ep = call->ep;
+	conn->call = call;
+	conn->tcp.data = conn;
+	conn->connect.data = conn;
+	call->conn = conn;
+	call->state = CALL_CONNECTING;
+	uv_tcp_init(c->loop, &conn->tcp);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+		(const struct sockaddr *)&call->ep->sa, on_connect) != 0) {
+		fail(call, "connection failed");
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+}
+
+/* Starts the calls that wait for a connection, as many as are allowed. */
+static void
+start_queued(struct agb_httpc *c, struct endpoint *ep)
+{
+	struct agb_httpc_call *call;
+	struct conn *conn;
+
+	while (ep->queue != NULL && ep->active < c->per_endpoint_max) {
+		call = ep->queue;
+		DL_DELETE(ep->queue, call);
+		ep->queued--;
+		ep->active++;
+		call->state = CALL_CONNECTING;
+		while (call->state == CALL_CONNECTING && ep->idle != NULL) {
+			conn = ep->idle;
+			DL_DELETE(ep->idle, conn);
+			if (!conn_send(conn, call))
+				conn_close(conn);
+		}
+		if (call->state == CALL_CONNECTING)
+			conn_open(c, call);
+	}
+}
+
+static void
+leave_endpoint(struct agb_httpc_call *call)
+{
+	struct endpoint *const ep = call->ep;
+
+	if (ep == NULL)
+		return;
+	call->ep = NULL;
+	ep->active--;
+	ep->used_at = uv_now(call->c->loop);
+	start_queued(call->c, ep);
+}
+
+static void
+flush_done(uv_check_t *h)
+{
+	struct agb_httpc *const c = h->data;
+	struct agb_httpc_call *call;
+	size_t n;
+
+	/* Calls that end meanwhile wait for the next turn, so that a caller
+	 * who retries at once cannot hold the loop. */
+	DL_COUNT(c->done, call, n);
+	while (n-- > 0 && c->done != NULL && !c->closing) {
+		call = c->done;
+		DL_DELETE(c->done, call);
+		leave_endpoint(call);
+		call->state = CALL_CALLING;
+		call->cb(call->arg, &call->res);
+		call_free(call);
+	}
+	if (c->done == NULL && !c->closing)
+		uv_idle_stop(&c->idle);
+}
+
+static void
+on_deadline(uv_timer_t *t)
+{
+	struct agb_httpc_call *const call = t->data;
+
+	call->res.timed_out = true;
+	fail(call, "no whole answer in time");
+}
+
+static void
+endpoint_free(struct agb_httpc *c, struct endpoint *ep)
+{
+	while (ep->idle != NULL)
+		conn_close_idle(ep->idle);
+	HASH_DEL(c->endpoints, ep);
+	free(ep);
+}
+
+static void
+on_sweep(uv_timer_t *t)
+{
+	struct agb_httpc *const c = t->data;
+	const uint64_t now = uv_now(c->loop);
+	struct endpoint *ep, *next;
+
+	for (ep = c->endpoints; ep != NULL; ep = next) {
+		next = ep->hh.next;
+		/* The head of the list was used last. */
+		while (ep->idle != NULL &&
+		    now - ep->idle->prev->idle_at >= IDLE_CLOSE_MS)
+			conn_close_idle(ep->idle->prev);
+		if (ep->active == 0 && ep->queue == NULL &&
+		    now - ep->used_at >= ENDPOINT_IDLE_MS)
+			endpoint_free(c, ep);
+	}
+}
+
+static struct endpoint *
+endpoint_get(struct agb_httpc *c, const char *addr)
+{
+	struct sockaddr_storage sa;
+	struct endpoint *ep;
+
+	HASH_FIND_STR(c->endpoints, addr, ep);
+	if (ep != NULL)
+		return ep;
+	if (strlen(addr) >= AGB_ADDR_LEN || !agb_httpc_parse_addr(addr, &sa))
+		return NULL;
+	ep = agb_xcalloc(1, sizeof(*ep));
+	agb_name_set(ep->addr, sizeof(ep->addr), addr);
+	ep->sa = sa;
+	ep->used_at = uv_now(c->loop);
+	HASH_ADD_STR(c->endpoints, addr, ep);
+	return ep;
+}
+
+/* Control characters and spaces would end a header line or its parts. */
+static bool
+is_clean(const char *s, bool spaces)
+{
+	for (; *s != '\0'; s++) {
+		if ((unsigned char)*s < ' ' || *s == 0x7f ||
+		    (*s == ' ' && !spaces))
+			return false;
+	}
+	return true;
+}
+
+static bool
+req_is_clean(const struct agb_httpc_req *req)
+{
+	size_t i;
+
+	if (!is_token(req->method, strlen(req->method)) ||
+	    !is_clean(req->path, false))
+		return false;
+	for (i = 0; i < req->headers_len; i++) {
+		if (!is_token(
+			req->headers[i].name, strlen(req->headers[i].name)) ||
+		    !is_clean(req->headers[i].value, true))
+			return false;
+	}
+	return true;
+}
+
+static void
+build_request(struct agb_httpc_call *call, const struct agb_httpc_req *req)
+{
+	const bool with_length = req->body_len > 0 ||
+	    strcmp(req->method, "POST") == 0 || strcmp(req->method, "PUT") == 0;
+	FILE *const f = open_memstream(&call->out, &call->out_len);
+	size_t i;
+
+	if (f == NULL)
+		abort();
+	fprintf(f, "%s %s HTTP/1.1\r\nHost: %s\r\n", req->method, req->path,
+	    req->addr);
+	for (i = 0; i < req->headers_len; i++)
+		fprintf(f, "%s: %s\r\n", req->headers[i].name,
+		    req->headers[i].value);
+	if (with_length)
+		fprintf(f, "Content-Length: %zu\r\n", req->body_len);
+	fputs("\r\n", f);
+	if (req->body_len > 0)
+		fwrite(req->body, 1, req->body_len, f);
+	if (fclose(f) != 0)
+		abort();
+}
+
+struct agb_httpc_call *
+agb_httpc_request(struct agb_httpc *c, const struct agb_httpc_req *req)
+{
+	struct agb_httpc_call *const call = agb_xcalloc(1, sizeof(*call));
+	struct endpoint *ep;
+
+	call->c = c;
+	call->cb = req->cb;
+	call->on_chunk = req->on_chunk;
+	call->arg = req->arg;
+	call->body_max = req->body_max > 0 ? req->body_max : AGB_HTTPC_BODY_MAX;
+	call->is_head = strcmp(req->method, "HEAD") == 0;
+	DL_APPEND2(c->all, call, all_prev, all_next);
+	uv_timer_init(c->loop, &call->timer);
+	call->timer.data = call;
+	if (!req_is_clean(req)) {
+		fail(call, "character not allowed in the request");
+		return call;
+	}
+	ep = endpoint_get(c, req->addr);
+	if (ep == NULL) {
+		fail(call, "not an IP address with a port");
+		return call;
+	}
+	if (ep->queued >= AGB_HTTPC_QUEUE_MAX) {
+		fail(call, "too many requests wait for this endpoint");
+		return call;
+	}
+	call->ep = ep;
+	build_request(call, req);
+	if (req->timeout_ms > 0)
+		uv_timer_start(&call->timer, on_deadline, req->timeout_ms, 0);
+	DL_APPEND(ep->queue, call);
+	ep->queued++;
+	start_queued(c, ep);
+	return call;
+}
+
+bool
+agb_httpc_cancel(struct agb_httpc_call *call)
+{
+	const bool unsent = call->state == CALL_DONE
+	    ? call->res.status == AGB_HTTPC_UNSENT
+	    : !was_sent(call);
+
+	/* on_read() cancels it after its callback. */
+	if (call->in_callback) {
+		call->cancelled = true;
+		return unsent;
+	}
+	uv_timer_stop(&call->timer);
+	if (call->state == CALL_DONE) {
+		DL_DELETE(call->c->done, call);
+	} else if (call->state == CALL_QUEUED) {
+		DL_DELETE(call->ep->queue, call);
+		call->ep->queued--;
+		call->ep = NULL;
+	} else if (call->conn != NULL) {
+		conn_close(call->conn);
+	}
+	leave_endpoint(call);
+	call_free(call);
+	return unsent;
+}
+
+struct agb_httpc *
+agb_httpc_new(uv_loop_t *loop, unsigned per_endpoint_max)
+{
+	struct agb_httpc *const c = agb_xcalloc(1, sizeof(*c));
+
+	c->loop = loop;
+	c->per_endpoint_max = per_endpoint_max > 0 ? per_endpoint_max : 1;
+	uv_check_init(loop, &c->check);
+	uv_check_start(&c->check, flush_done);
+	uv_unref((uv_handle_t *)&c->check);
+	uv_idle_init(loop, &c->idle);
+	uv_timer_init(loop, &c->sweep);
+	uv_timer_start(&c->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+	uv_unref((uv_handle_t *)&c->sweep);
+	c->check.data = c->idle.data = c->sweep.data = c;
+	c->handles = 3;
+	return c;
+}
+
+static void
+on_handle_closed(uv_handle_t *h)
+{
+	struct agb_httpc *const c = h->data;
+
+	if (--c->handles == 0)
+		free(c);
+}
+
+void
+agb_httpc_free(struct agb_httpc *c)
+{
+	struct endpoint *ep, *next_ep;
+	struct agb_httpc_call *call, *next;
+
+	if (c == NULL)
+		return;
+	c->closing = true;
+	/* Ending one call must not start another. */
+	c->per_endpoint_max = 0;
+	for (call = c->all; call != NULL; call = next) {
+		next = call->all_next;
+		if (call->state != CALL_CALLING)
+			agb_httpc_cancel(call);
+		/* One inside its on_chunk ends later, without endpoint. */
+		call->ep = NULL;
+	}
+	for (ep = c->endpoints; ep != NULL; ep = next_ep) {
+		next_ep = ep->hh.next;
+		endpoint_free(c, ep);
+	}
+	uv_close((uv_handle_t *)&c->check, on_handle_closed);
+	uv_close((uv_handle_t *)&c->idle, on_handle_closed);
+	uv_close((uv_handle_t *)&c->sweep, on_handle_closed);
+}
--- /dev/null
+++ b/tests/test_httpc.c
@@ -0,0 +1,367 @@
+#include "httpc.h"
+#include "loop.h"
+#include "suite.h"
+
+/* Answers a scripted server gives, and what the client must conclude. */
+struct answer {
+	const char *name;
+	const char *bytes;
+	bool close;
+	enum agb_httpc_status want;
+	int http_status;
+	const char *body;
+};
+
+struct result {
+	int done;
+	int chunks;
+	struct agb_httpc_res res;
+	char body[256];
+	char echo[64];
+	char error[128];
+	struct agb_httpc_call *cancel;
+};
+
+static void
+on_done(void *arg, const struct agb_httpc_res *res)
+{
+	struct result *const r = arg;
+	size_t i;
+
+	r->done++;
+	r->res = *res;
+	snprintf(r->error, sizeof(r->error), "%s",
+	    res->error != NULL ? res->error : "");
+	if (res->body_len > 0)
+		snprintf(r->body, sizeof(r->body), "%s", res->body);
+	for (i = 0; i < res->headers_len; i++) {
+		if (strcmp(res->headers[i].name, "x-echo") == 0)
+			snprintf(r->echo, sizeof(r->echo), "%s",
+			    res->headers[i].value);
+	}
+}
+
+static void
+on_chunk(void *arg, int http_status, const char *data, size_t len)
+{
+	struct result *const r = arg;
+
+	r->chunks++;
+	strncat(r->body, data, len);
+	if (r->cancel != NULL)
+		agb_httpc_cancel(r->cancel);
+}
+
+/* Answers when the request has come whole. */
+static void
+answer_whole(struct loop_conn *c)
+{
+	const struct answer *const a = c->server->arg;
+
+	if (strstr(c->in, "\r\n\r\nping") == NULL)
+		return;
+	c->in_len = 0;
+	if (a->bytes != NULL)
+		loop_conn_write(c, a->bytes, strlen(a->bytes));
+	if (a->close)
+		loop_conn_close(c);
+}
+
+static struct agb_httpc_req
+ping(const char *addr, struct result *r)
+{
+	struct agb_httpc_req req = {.addr = addr,
+	    .method = "POST",
+	    .path = "/p",
+	    .body = "ping",
+	    .body_len = 4,
+	    .body_max = 64,
+	    .cb = on_done,
+	    .arg = r};
+
+	return req;
+}
+
+static const struct answer answers[] = {
+    {"length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Echo: a b\r\n\r\nabc",
+	false, AGB_HTTPC_WHOLE, 200, "abc"},
+    {"empty", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false,
+	AGB_HTTPC_WHOLE, 503, ""},
+    {"no content", "HTTP/1.1 204 No\r\n\r\n", false, AGB_HTTPC_WHOLE, 204, ""},
+    {"chunked",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+	false, AGB_HTTPC_WHOLE, 200, "abc"},
+    {"interim",
+	"HTTP/1.1 100 Continue\r\n\r\n"
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+	false, AGB_HTTPC_WHOLE, 200, "a"},
+    {"truncated length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+	true, AGB_HTTPC_LOST, 200, NULL},
+    {"no last chunk",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	true, AGB_HTTPC_LOST, 200, NULL},
+    {"bad chunk",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+	false, AGB_HTTPC_LOST, 200, NULL},
+    {"until close", "HTTP/1.1 200 OK\r\n\r\nabc", true, AGB_HTTPC_LOST, 0,
+	NULL},
+    {"closed without answer", NULL, true, AGB_HTTPC_LOST, 0, NULL},
+    {"half a header", "HTTP/1.1 200 OK\r\nContent-", true, AGB_HTTPC_LOST, 0,
+	NULL},
+    {"not http", "hello hello hello\r\n\r\n", false, AGB_HTTPC_LOST, 0, NULL},
+    {"two lengths",
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nabc",
+	false, AGB_HTTPC_LOST, 0, NULL},
+    {"length and chunks",
+	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+	false, AGB_HTTPC_LOST, 0, NULL},
+    {"unknown encoding",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc", true,
+	AGB_HTTPC_LOST, 0, NULL},
+    {"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nabc",
+	true, AGB_HTTPC_LOST, 0, NULL},
+    {"too long by length", "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\nabc",
+	false, AGB_HTTPC_LOST, 0, NULL},
+    {"too long by chunks",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"41\r\n0123456789012345678901234567890123456789012345678901234567890"
+	"1234\r\n0\r\n\r\n",
+	false, AGB_HTTPC_LOST, 200, NULL},
+};
+
+/* Guards against an answer that is cut off, too long, or of unclear length
+ * and passes for a whole one. */
+static void
+test_answers(void)
+{
+	struct loop_server srv;
+	struct agb_httpc_req req;
+	struct agb_httpc *c;
+	struct result r;
+	uv_loop_t loop;
+	size_t i;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 2);
+	loop_listen(&loop, &srv, answer_whole, NULL);
+	for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		memset(&r, 0, sizeof(r));
+		srv.arg = (void *)&answers[i];
+		req = ping(srv.addr, &r);
+		agb_httpc_request(c, &req);
+		CU_ASSERT_EQUAL(r.done, 0);
+		if (!loop_until(&loop, &r.done, 1))
+			break;
+		if (r.res.status != answers[i].want)
+			printf("%s: %s\n", answers[i].name, r.error);
+		CU_ASSERT_EQUAL(r.res.status, answers[i].want);
+		CU_ASSERT_EQUAL(r.res.http_status, answers[i].http_status);
+		if (answers[i].body != NULL)
+			CU_ASSERT_STRING_EQUAL(r.body, answers[i].body);
+		if (i == 0)
+			CU_ASSERT_STRING_EQUAL(r.echo, "a b");
+	}
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
+/* Guards against a request that was never written and counts as sent. */
+static void
+test_unsent(void)
+{
+	static const struct {
+		const char *addr;
+		const char *path;
+	} cases[] = {
+	    {NULL, "/"}, /* refused: nobody listens on the port any more */
+	    {"localhost:80", "/"},
+	    {"127.0.0.1", "/"},
+	    {"127.0.0.1:0", "/"},
+	    {"127.0.0.1:99999", "/"},
+	    {"127.0.0.1:80", "/ HTTP/1.1\r\nX: y"},
+	};
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	struct result r;
+	uv_loop_t loop;
+	size_t i;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 2);
+	loop_listen(&loop, &srv, answer_whole, NULL);
+	loop_unlisten(&srv);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&r, 0, sizeof(r));
+		req =
+		    ping(cases[i].addr != NULL ? cases[i].addr : srv.addr, &r);
+		req.path = cases[i].path;
+		agb_httpc_request(c, &req);
+		CU_ASSERT_EQUAL(r.done, 0);
+		if (!loop_until(&loop, &r.done, 1))
+			break;
+		CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_UNSENT);
+	}
+	agb_httpc_free(c);
+	loop_close(&loop);
+}
+
+/* Guards against a new connection for each request, and against a reused
+ * connection that dies unanswered and counts as not sent. */
+static void
+test_reuse(void)
+{
+	const struct answer closes = {.close = true};
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	struct result r = {0};
+	uv_loop_t loop;
+	int i;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_listen(&loop, &srv, answer_whole, (void *)&answers[0]);
+	req = ping(srv.addr, &r);
+	/* All but the first wait for the one connection. */
+	for (i = 0; i < 5; i++)
+		agb_httpc_request(c, &req);
+	loop_until(&loop, &r.done, 5);
+	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_WHOLE);
+	CU_ASSERT_EQUAL(srv.accepted, 1);
+	srv.arg = (void *)&closes;
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &r.done, 6);
+	CU_ASSERT_EQUAL(srv.accepted, 1);
+	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_LOST);
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
+/* Guards against a deadline that misreports whether the request was sent:
+ * one waits for its answer, the other for a connection. */
+static void
+test_deadline(void)
+{
+	const struct answer silent = {0};
+	struct result sent = {0}, queued = {0};
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_listen(&loop, &srv, answer_whole, (void *)&silent);
+	req = ping(srv.addr, &sent);
+	req.timeout_ms = 100;
+	agb_httpc_request(c, &req);
+	req = ping(srv.addr, &queued);
+	req.timeout_ms = 50;
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &queued.done, 1);
+	CU_ASSERT_EQUAL(queued.res.status, AGB_HTTPC_UNSENT);
+	CU_ASSERT_TRUE(queued.res.timed_out);
+	loop_until(&loop, &sent.done, 1);
+	CU_ASSERT_EQUAL(sent.res.status, AGB_HTTPC_LOST);
+	CU_ASSERT_TRUE(sent.res.timed_out);
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
+/* Guards against a cancelled request that calls back, leaks, or blocks the
+ * requests that wait behind it. */
+static void
+test_cancel(void)
+{
+	const struct answer silent = {0};
+	struct result gone = {0}, next = {0};
+	struct agb_httpc_call *sent, *queued;
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_listen(&loop, &srv, answer_whole, (void *)&silent);
+	req = ping(srv.addr, &gone);
+	sent = agb_httpc_request(c, &req);
+	queued = agb_httpc_request(c, &req);
+	loop_until(&loop, &srv.accepted, 1);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	CU_ASSERT_TRUE(agb_httpc_cancel(queued));
+	CU_ASSERT_FALSE(agb_httpc_cancel(sent));
+	srv.arg = (void *)&answers[0];
+	req.arg = &next;
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &next.done, 1);
+	CU_ASSERT_EQUAL(next.res.status, AGB_HTTPC_WHOLE);
+	CU_ASSERT_EQUAL(gone.done, 0);
+	/* Freed with a request in flight and one waiting. */
+	req.arg = &gone;
+	agb_httpc_request(c, &req);
+	agb_httpc_request(c, &req);
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+	CU_ASSERT_EQUAL(gone.done, 0);
+}
+
+/* Guards against a stream that is held back to its end, and against a
+ * cancellation from inside it. */
+static void
+test_stream(void)
+{
+	static const struct answer part = {
+	    .bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+		     "chunked\r\n\r\n2\r\nab\r\n"};
+	struct agb_httpc_call *call;
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct result r = {0};
+	struct agb_httpc *c;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_listen(&loop, &srv, answer_whole, (void *)&part);
+	req = ping(srv.addr, &r);
+	req.on_chunk = on_chunk;
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &r.chunks, 1);
+	CU_ASSERT_STRING_EQUAL(r.body, "ab");
+	CU_ASSERT_EQUAL(r.done, 0);
+	loop_conn_close(srv.conns[0]);
+	loop_until(&loop, &r.done, 1);
+	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_LOST);
+	call = agb_httpc_request(c, &req);
+	r.cancel = call;
+	loop_until(&loop, &r.chunks, 2);
+	loop_until(&loop, &srv.closed, 2);
+	CU_ASSERT_EQUAL(r.done, 1);
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
+static const struct suite_test tests[] = {
+    {"answers", test_answers},
+    {"unsent", test_unsent},
+    {"reuse", test_reuse},
+    {"deadline", test_deadline},
+    {"cancel", test_cancel},
+    {"stream", test_stream},
+};
+
+int
+main(void)
+{
+	return suite_run("httpc", tests, sizeof(tests) / sizeof(tests[0]));
+}
