--- /dev/null
+++ b/src/agatebeam/daemon.c
@@ -0,0 +1,441 @@
+#include "daemon.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "counters.h"
+#include "edge.h"
+#include "log.h"
+#include "mem.h"
+#include "node.h"
+#include "platform_list.h"
+#include "rpc.h"
+#include "store_etcd.h"
+#include "upstream.h"
+#include "workerc.h"
+
+/* Connections to one runner: those that the deployments' runners take. */
+#define RUNNER_CONNECTIONS 64
+/* Largest answer of a runner that is passed on. */
+#define ANSWER_MAX ((size_t)16 * 1024 * 1024)
+/* Time for the last answers to be written before the loop stops. */
+#define LINGER_MS 20
+#define LINGER_TRIES 250
+
+struct daemon {
+	struct agb_settings settings;
+	uv_loop_t loop;
+	uv_timer_t tick;
+	uv_timer_t linger;
+	uv_signal_t sigterm;
+	uv_signal_t sigint;
+	struct agb_node *node;
+	struct agb_edge *edge;
+	struct agb_rpc *rpc;
+	struct agb_store *store;
+	struct agb_platform_list *list;
+	struct agb_workerc *workerc;
+	struct agb_upstream *upstream;
+	struct agb_log *log;
+	struct agb_counters *counters;
+	unsigned signals;
+	int linger_left;
+	int status;
+};
+
+static void feed(struct daemon *d, const struct agb_event *ev);
+
+/* Time that advances while the process is paused but not when the clock of
+ * the machine is set. */
+static agb_time
+now_us(void)
+{
+	return uv_hrtime() / 1000;
+}
+
+static void
+count(struct daemon *d, const char *name, const char *label)
+{
+	agb_counters_add(d->counters, name, label, 1);
+}
+
+static void
+do_reply(struct daemon *d, const struct agb_effect *ef)
+{
+	count(d, "agatebeam_answers_total",
+	    agb_outcome_name(ef->u.reply.outcome));
+	if (ef->u.reply.reason != AGB_REASON_NONE)
+		count(d, "agatebeam_answer_reasons_total",
+		    agb_reason_name(ef->u.reply.reason));
+	agb_edge_reply(d->edge, ef->call_id, &ef->u.reply);
+}
+
+static void
+do_upstream(struct daemon *d, const struct agb_effect *ef)
+{
+	struct agb_edge_request req;
+	struct agb_event ev = { .type = AGB_EV_UPSTREAM };
+
+	count(d, "agatebeam_attempts_total", "");
+	if (agb_edge_body(d->edge, ef->call_id, &req)) {
+		agb_upstream_send(d->upstream, ef->call_id, &ef->u.upstream,
+		    &req);
+		return;
+	}
+	/* The call ended in the same turn of the loop: nothing was sent. */
+	ev.u.upstream.call_id = ef->call_id;
+	ev.u.upstream.attempt = ef->u.upstream.attempt;
+	ev.u.upstream.result = AGB_RESULT_NOT_STARTED;
+	ev.u.upstream.reason = AGB_REASON_UPSTREAM_LOST;
+	feed(d, &ev);
+}
+
+static void
+drained(uv_timer_t *t)
+{
+	struct daemon *const d = t->data;
+
+	if (agb_edge_active(d->edge) > 0 && --d->linger_left > 0)
+		return;
+	uv_stop(&d->loop);
+}
+
+static void
+do_exit(struct daemon *d, bool clean)
+{
+	if (!clean)
+		d->status = 3;
+	agb_edge_listen_stop(d->edge);
+	d->linger_left = LINGER_TRIES;
+	uv_timer_start(&d->linger, drained, LINGER_MS, LINGER_MS);
+}
+
+static void
+do_rpc_call(struct daemon *d, const struct agb_effect *ef)
+{
+	count(d, "agatebeam_rpc_calls_total", "");
+	agb_rpc_call(d->rpc, ef->tag, ef->peer, &ef->u.rpc_args,
+	    ef->timeout_ms);
+}
+
+static void
+carry_out(struct daemon *d, struct agb_effect *ef)
+{
+	switch (ef->type) {
+	case AGB_EF_REPLY:
+		do_reply(d, ef);
+		break;
+	case AGB_EF_FORWARD:
+		count(d, "agatebeam_answers_total", "forwarded");
+		agb_edge_forward(d->edge, ef->call_id);
+		break;
+	case AGB_EF_UPSTREAM:
+		do_upstream(d, ef);
+		break;
+	case AGB_EF_UPSTREAM_ABORT:
+		agb_upstream_abort(d->upstream, ef->call_id,
+		    &ef->u.upstream.attempt);
+		break;
+	case AGB_EF_STORE:
+		d->store->ops->call(d->store, ef->tag, &ef->u.store,
+		    ef->timeout_ms);
+		break;
+	case AGB_EF_WATCH:
+		d->store->ops->watch(d->store, ef->tag, ef->u.watch.key,
+		    ef->u.watch.range_end, ef->u.watch.from_rev);
+		break;
+	case AGB_EF_UNWATCH:
+		d->store->ops->unwatch(d->store, ef->tag);
+		break;
+	case AGB_EF_LIST:
+		agb_platform_list_read(d->list, ef->since);
+		break;
+	case AGB_EF_SESSION:
+	case AGB_EF_RENEW:
+	case AGB_EF_COMMANDS:
+		count(d, "agatebeam_worker_calls_total", "");
+		agb_workerc_call(d->workerc, ef);
+		break;
+	case AGB_EF_RPC_CALL:
+		do_rpc_call(d, ef);
+		break;
+	case AGB_EF_RPC_REPLY:
+		agb_rpc_reply(d->rpc, ef->token, &ef->u.rpc_res);
+		break;
+	case AGB_EF_LOG:
+		agb_log_write(d->log, ef->u.log.level, ef->u.log.event,
+		    ef->u.log.line);
+		break;
+	case AGB_EF_READY:
+		agb_edge_ready_set(d->edge, ef->ready);
+		break;
+	case AGB_EF_EXIT:
+		do_exit(d, ef->ready);
+		break;
+	}
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+	const struct agb_event ev = { .type = AGB_EV_TICK };
+
+	feed(t->data, &ev);
+}
+
+static void
+plan_tick(struct daemon *d)
+{
+	const agb_time now = now_us();
+	const agb_time at = agb_node_next_tick(d->node, now);
+	agb_time ms;
+
+	if (at == AGB_TIME_MAX) {
+		uv_timer_stop(&d->tick);
+		return;
+	}
+	ms = at > now ? (at - now + AGB_MS - 1) / AGB_MS : 0;
+	/* The loop's own time lags behind while callbacks run. */
+	uv_update_time(&d->loop);
+	uv_timer_start(&d->tick, on_tick, ms > 0 ? ms : 1, 0);
+}
+
+/* Carrying out an effect may raise the next event at once, so that each call
+ * has its own list. */
+static void
+feed(struct daemon *d, const struct agb_event *ev)
+{
+	struct agb_effects out = { 0 };
+	size_t i;
+
+	agb_node_step(d->node, now_us(), ev, &out);
+	for (i = 0; i < out.len; i++)
+		carry_out(d, &out.items[i]);
+	agb_effects_free(&out);
+	plan_tick(d);
+}
+
+static void
+on_edge_event(void *arg, struct agb_event *ev)
+{
+	feed(arg, ev);
+}
+
+static void
+on_upstream(void *arg, struct agb_event *ev, const struct agb_edge_answer *ans)
+{
+	struct daemon *const d = arg;
+
+	if (ans != NULL)
+		agb_edge_answer_set(d->edge, ev->u.upstream.call_id, ans);
+	feed(d, ev);
+}
+
+static void
+on_worker(void *arg, struct agb_event *ev)
+{
+	feed(arg, ev);
+}
+
+static void
+on_list(void *arg, struct agb_event *ev)
+{
+	feed(arg, ev);
+}
+
+static void
+on_store(void *arg, uint64_t tag, struct agb_store_result *res)
+{
+	struct agb_event ev = { .type = AGB_EV_STORE, .tag = tag };
+
+	ev.u.store = *res;
+	feed(arg, &ev);
+	agb_event_free(&ev);
+}
+
+static void
+on_watch(void *arg, uint64_t tag, struct agb_store_kv *kvs, size_t len,
+    uint64_t revision, bool broken)
+{
+	struct agb_event ev = { .type = AGB_EV_WATCH, .tag = tag };
+
+	ev.u.watch.kvs = kvs;
+	ev.u.watch.kvs_len = len;
+	ev.u.watch.revision = revision;
+	ev.u.watch.broken = broken;
+	feed(arg, &ev);
+	agb_event_free(&ev);
+}
+
+static void
+on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+{
+	struct agb_event ev = { .type = AGB_EV_RPC_CALL, .token = token };
+
+	ev.u.rpc_args = *args;
+	feed(arg, &ev);
+}
+
+static void
+on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	struct agb_event ev = { .type = AGB_EV_RPC_REPLY, .tag = tag };
+
+	ev.rpc_ok = ok;
+	ev.rpc_sent = sent;
+	if (ok)
+		ev.u.rpc_res = *res;
+	feed(arg, &ev);
+}
+
+static char *
+metrics(void *arg)
+{
+	struct daemon *const d = arg;
+
+	agb_counters_set(d->counters, "agatebeam_store_calls_total", "",
+	    d->store->ops->calls(d->store));
+	agb_counters_set(d->counters, "agatebeam_shard_owner", "",
+	    agb_node_active(d->node, now_us()) ? 1 : 0);
+	agb_counters_set(d->counters, "agatebeam_env_version", "",
+	    agb_node_env(d->node) != NULL ? agb_node_env(d->node)->version :
+					    0);
+	return agb_counters_text(d->counters);
+}
+
+static void
+on_signal(uv_signal_t *h, int signum)
+{
+	struct daemon *const d = h->data;
+	const struct agb_event ev = { .type = AGB_EV_TERM };
+
+	if (++d->signals > 1) {
+		d->status = 3;
+		uv_stop(&d->loop);
+		return;
+	}
+	feed(d, &ev);
+}
+
+static void
+node_config(const struct agb_settings *s, const char *rpc,
+    struct agb_node_config *cfg)
+{
+	memset(cfg, 0, sizeof(*cfg));
+	memcpy(cfg->instance, s->instance, sizeof(cfg->instance));
+	memcpy(cfg->environment, s->environment, sizeof(cfg->environment));
+	memcpy(cfg->region, s->region, sizeof(cfg->region));
+	memcpy(cfg->domain, s->domain, sizeof(cfg->domain));
+	agb_name_set(cfg->rpc, sizeof(cfg->rpc), rpc);
+	cfg->call_timeout_ms = s->call_timeout_ms;
+	cfg->drain_ms = s->drain_ms;
+	/* Jitter has to differ between instances and between restarts. */
+	if (uv_random(NULL, NULL, &cfg->seed, sizeof(cfg->seed), 0, NULL) != 0)
+		cfg->seed = uv_hrtime();
+}
+
+static bool
+open_clients(struct daemon *d)
+{
+	const struct agb_settings *const s = &d->settings;
+	static const struct agb_edge_cbs edge_cbs = {
+		.on_event = on_edge_event,
+		.metrics = metrics,
+	};
+	static const struct agb_rpc_cbs rpc_cbs = {
+		.on_call = on_rpc_call,
+		.on_reply = on_rpc_reply,
+	};
+
+	d->edge = agb_edge_new(&d->loop, s, &edge_cbs, d);
+	if (d->edge == NULL) {
+		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n",
+		    s->http, strerror(errno));
+		return false;
+	}
+	d->rpc = agb_rpc_new(&d->loop, s->rpc, &rpc_cbs, d);
+	if (d->rpc == NULL) {
+		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n",
+		    s->rpc, strerror(errno));
+		return false;
+	}
+	d->store = agb_store_etcd_new(&d->loop, s->store, s->store_len,
+	    on_store, on_watch, d);
+	d->list = agb_platform_list_new(&d->loop, s->platform, on_list, d);
+	d->workerc = agb_workerc_new(&d->loop, on_worker, d);
+	d->upstream = agb_upstream_new(&d->loop, RUNNER_CONNECTIONS,
+	    ANSWER_MAX, on_upstream, d);
+	return true;
+}
+
+static void
+close_handle(uv_handle_t *h)
+{
+	if (!uv_is_closing(h))
+		uv_close(h, NULL);
+}
+
+static void
+close_clients(struct daemon *d)
+{
+	agb_upstream_free(d->upstream);
+	agb_workerc_free(d->workerc);
+	agb_platform_list_free(d->list);
+	if (d->store != NULL)
+		d->store->ops->close(d->store);
+	agb_rpc_free(d->rpc);
+	agb_edge_free(d->edge);
+	close_handle((uv_handle_t *)&d->tick);
+	close_handle((uv_handle_t *)&d->linger);
+	close_handle((uv_handle_t *)&d->sigterm);
+	close_handle((uv_handle_t *)&d->sigint);
+}
+
+int
+agb_daemon_run(const struct agb_settings *s)
+{
+	const struct agb_event first = { .type = AGB_EV_TICK };
+	struct agb_node_config cfg;
+	struct daemon *const d = agb_xcalloc(1, sizeof(*d));
+	int status;
+
+	d->settings = *s;
+	d->status = 1;
+	uv_loop_init(&d->loop);
+	uv_timer_init(&d->loop, &d->tick);
+	uv_timer_init(&d->loop, &d->linger);
+	uv_signal_init(&d->loop, &d->sigterm);
+	uv_signal_init(&d->loop, &d->sigint);
+	d->tick.data = d->linger.data = d->sigterm.data = d->sigint.data = d;
+	/* A peer that closes its connection must not end the process. */
+	signal(SIGPIPE, SIG_IGN);
+	d->log = agb_log_new(&d->loop, s->log_json, s->log_level);
+	d->counters = agb_counters_new();
+	if (!open_clients(d))
+		goto out;
+	node_config(s, agb_rpc_address(d->rpc), &cfg);
+	d->node = agb_node_new(&cfg);
+	uv_signal_start(&d->sigterm, on_signal, SIGTERM);
+	uv_signal_start(&d->sigint, on_signal, SIGINT);
+	printf("listening http=%s rpc=%s\n", agb_edge_address(d->edge),
+	    agb_rpc_address(d->rpc));
+	fflush(stdout);
+	d->status = 0;
+	feed(d, &first);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+out:
+	close_clients(d);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	agb_log_free(d->log);
+	uv_run(&d->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&d->loop);
+	agb_node_free(d->node);
+	agb_counters_free(d->counters);
+	status = d->status;
+	free(d);
+	return status;
+}
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -304,7 +304,7 @@
 	agb_effects_log(out, late ? AGB_LOG_WARN : AGB_LOG_INFO, "exit",
 	    "pending=%zu reason=%s", agb_route_pending(n->route),
 	    late ? "drain-limit" : "drained");
-	agb_effects_add(out, AGB_EF_EXIT);
+	agb_effects_add(out, AGB_EF_EXIT)->ready = !late;
 }
 
 static void
--- /dev/null
+++ b/tests/history/record.h
@@ -0,0 +1,82 @@
+#ifndef HISTORY_RECORD_H
+#define HISTORY_RECORD_H
+
+/**
+ * DOC: record
+ *
+ * What callers, workers and operators saw of one run, in order of time. The
+ * checker reads nothing else.
+ */
+
+#include "types.h"
+
+enum rec_type {
+	REC_CALL,	/* call, node, job, idempotent, key */
+	REC_ANSWER,	/* call, outcome, reason */
+	REC_FORWARD,	/* call, content, whole: an upstream's answer */
+	REC_BROKEN,	/* call, node: its connection broke */
+	REC_ACCEPTED,	/* call: a job got its id */
+	REC_JOB_DONE,	/* call, outcome, reason: final state as read */
+	REC_RUN,	/* call, task, worker, need: work starts */
+	REC_END,	/* call, task, worker: it has ended */
+	REC_WORKER_DEAD, /* worker: all it ran has ended */
+	REC_CAPACITY,	/* worker, need: what it offers */
+	REC_LEAVING,	/* worker: it has said that it leaves */
+	REC_DOC,	/* version: an operator's change was accepted */
+	REC_IN_FORCE,	/* node, incarnation, version */
+	REC_TERM,	/* node: asked to shut down */
+	REC_EXIT,	/* node: it has shut down by itself */
+	REC_KILL,	/* node: killed, or gone after a limit */
+	REC_QUIET,	/* all faults have healed */
+	REC_FINISH,	/* end of the run */
+};
+
+/**
+ * struct rec - one observation
+ * @call: number of the caller's request; 0 is none
+ * @key: number of its idempotency key; 0 is none
+ * @job: it asks for a job, else for a quick request
+ */
+struct rec {
+	agb_time at;
+	enum rec_type type;
+	uint32_t call;
+	uint32_t task;
+	uint32_t worker;
+	uint32_t node;
+	uint32_t incarnation;
+	uint32_t key;
+	uint32_t content;
+	bool job;
+	bool idempotent;
+	bool whole;
+	enum agb_outcome outcome;
+	enum agb_reason reason;
+	uint64_t version;
+	struct agb_resources need;
+};
+
+struct history {
+	struct rec *items;
+	size_t len;
+	size_t cap;
+};
+
+/**
+ * history_add() - append a zeroed record
+ * Return: the record, valid until the next call.
+ */
+struct rec *history_add(struct history *h, agb_time at, enum rec_type type);
+
+/**
+ * history_free() - free all records
+ */
+void history_free(struct history *h);
+
+/**
+ * history_print() - one line a record, to stdout
+ * @from: index of the first record printed
+ */
+void history_print(const struct history *h, size_t from);
+
+#endif
