--- /dev/null
+++ b/src/agatebeam/sched.c
@@ -0,0 +1,290 @@
+#include "sched.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched_internal.h"
+
+/* Ending tasks handled in one step. */
+#define STOP_SLICE 64
+/* Timers that may fall due in one step. */
+#define TIMER_SLICE 64
+
+struct agb_sched_effect *
+agb_sched_effects_add(
+    struct agb_sched_effects *out, enum agb_sched_effect_type type)
+{
+	struct agb_sched_effect *ef;
+
+	if (out->len == out->cap) {
+		out->cap = out->cap > 0 ? out->cap * 2 : 16;
+		out->items = agb_xreallocarray(
+		    out->items, out->cap, sizeof(*out->items));
+	}
+	ef = &out->items[out->len++];
+	memset(ef, 0, sizeof(*ef));
+	ef->type = type;
+	return ef;
+}
+
+void
+agb_sched_effects_free(struct agb_sched_effects *out)
+{
+	free(out->items);
+	memset(out, 0, sizeof(*out));
+}
+
+struct agb_sched *
+agb_sched_new(uint64_t epoch, const char *domain, uint64_t seed)
+{
+	struct agb_sched *const s = agb_xcalloc(1, sizeof(*s));
+
+	s->epoch = epoch;
+	s->rng = seed;
+	s->domain_index = AGB_ENV_NONE;
+	agb_name_set(s->domain, sizeof(s->domain), domain);
+	return s;
+}
+
+void
+agb_sched_free(struct agb_sched *s)
+{
+	struct sched_att *a, *atmp;
+	struct sched_req *r, *rtmp;
+	uint32_t i;
+
+	if (s == NULL)
+		return;
+	for (i = 0; i < s->jobs_cap; i++) {
+		if (s->jobs[i] != NULL)
+			sched_job_free(s, s->jobs[i]);
+	}
+	a = s->atts;
+	r = s->reqs;
+	HASH_CLEAR(hh, s->atts);
+	HASH_CLEAR(hh, s->reqs);
+	for (; a != NULL; a = atmp) {
+		atmp = a->hh.next;
+		free(a);
+	}
+	for (; r != NULL; r = rtmp) {
+		rtmp = r->hh.next;
+		free(r);
+	}
+	for (i = 0; i < s->racks_len; i++)
+		free(s->racks[i].workers);
+	free(s->racks);
+	free(s->workers);
+	free(s->tree);
+	free(s->dirty);
+	free(s->jobs);
+	free(s->works);
+	free(s->timers);
+	free(s);
+}
+
+static void
+worker_gone(struct agb_sched *s, agb_time now, struct sched_worker *w)
+{
+	struct sched_att *a;
+
+	/* Nothing is placed while its attempts are ended one by one. */
+	w->state = AGB_WORKER_GONE;
+	sched_worker_refresh(s, w);
+	while ((a = w->atts) != NULL) {
+		if (a->quick)
+			sched_quick_done(s, now, a, AGB_RESULT_LOST);
+		else
+			sched_task_ended(s, now, a, AGB_RESULT_LOST);
+	}
+	if (w->info.service < s->works_len)
+		s->works[w->info.service].hosts--;
+	sched_worker_remove(s, w);
+	sched_feasible_changed(s, now);
+}
+
+static void
+worker_state(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	struct sched_worker *const w = sched_worker_get(s, ev->worker);
+
+	if (w == NULL)
+		return;
+	if (ev->state == AGB_WORKER_GONE) {
+		worker_gone(s, now, w);
+		return;
+	}
+	w->state = ev->state;
+	sched_worker_refresh(s, w);
+	sched_feasible_changed(s, now);
+}
+
+static void
+worker_put(struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	struct sched_worker *w = sched_worker_get(s, ev->worker);
+
+	if (ev->state == AGB_WORKER_GONE) {
+		worker_state(s, now, ev);
+		return;
+	}
+	if (w != NULL && w->info.service < s->works_len)
+		s->works[w->info.service].hosts--;
+	w = sched_worker_put(s, ev->worker, ev->info, ev->state);
+	if (w->info.service < s->works_len)
+		s->works[w->info.service].hosts++;
+	sched_feasible_changed(s, now);
+}
+
+static void
+attempt_event(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	struct sched_att *const a = sched_att_find(s, &ev->attempt);
+
+	if (a == NULL)
+		return;
+	switch (ev->type) {
+	case AGB_SCHED_QUICK_DONE:
+		if (a->quick)
+			sched_quick_done(s, now, a, ev->result);
+		break;
+	case AGB_SCHED_TASK_STARTED:
+		if (a->state == ATT_STARTING)
+			sched_att_state(s, a, ATT_RUNNING);
+		break;
+	case AGB_SCHED_TASK_ENDED:
+		if (!a->quick)
+			sched_task_ended(s, now, a, ev->result);
+		break;
+	case AGB_SCHED_USAGE:
+		if (!a->quick)
+			sched_learn_usage(s, now, a, &ev->used);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+take(struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	switch (ev->type) {
+	case AGB_SCHED_ENV:
+		sched_env_set(s, now, ev->env);
+		break;
+	case AGB_SCHED_WORKER:
+		worker_put(s, now, ev);
+		break;
+	case AGB_SCHED_WORKER_STATE:
+		worker_state(s, now, ev);
+		break;
+	case AGB_SCHED_QUICK_ASK:
+		sched_quick_ask(s, now, ev);
+		break;
+	case AGB_SCHED_QUICK_DROP:
+		sched_quick_drop(s, ev->tag);
+		break;
+	case AGB_SCHED_QUICK_ADOPT:
+		sched_quick_adopt(s, now, ev);
+		break;
+	case AGB_SCHED_JOB_ADD:
+		sched_job_add(s, now, ev->job, ev->spec);
+		break;
+	case AGB_SCHED_JOB_CANCEL:
+		sched_job_cancel(s, now, ev->job);
+		break;
+	case AGB_SCHED_TASK_HOLD:
+		sched_task_adopt(s, now, ev, true);
+		break;
+	case AGB_SCHED_TASK_ADOPT:
+		sched_task_adopt(s, now, ev, false);
+		break;
+	case AGB_SCHED_TASK_DONE:
+		sched_task_done(s, now, ev->job, ev->task);
+		break;
+	case AGB_SCHED_TEAM_USAGE:
+		if (ev->team < SCHED_TEAM_NONE) {
+			s->teams[ev->team].other = ev->used;
+			sched_team_shares(s);
+			sched_queue_wake_team(s, ev->team);
+		}
+		break;
+	case AGB_SCHED_USAGE:
+	case AGB_SCHED_QUICK_DONE:
+	case AGB_SCHED_TASK_STARTED:
+	case AGB_SCHED_TASK_ENDED:
+		attempt_event(s, now, ev);
+		break;
+	case AGB_SCHED_TICK:
+		break;
+	}
+}
+
+static void
+timer(struct agb_sched *s, agb_time now, const struct sched_timer *t)
+{
+	struct sched_job *j;
+
+	switch (t->type) {
+	case TIMER_REQ:
+		sched_quick_timer(s, now, t);
+		return;
+	case TIMER_PROBE:
+		sched_health_timer(s, now, t);
+		return;
+	case TIMER_FEASIBLE:
+		sched_feasible_timer(s, now);
+		return;
+	case TIMER_JOB:
+	case TIMER_TASK:
+	case TIMER_GANG:
+	case TIMER_RESV:
+		break;
+	}
+	j = sched_job_get(s, t->a);
+	if (j == NULL || j->serial != t->serial)
+		return;
+	if (t->type == TIMER_JOB)
+		sched_job_timer(s, now, j);
+	else if (t->type == TIMER_TASK)
+		sched_retry_timer(s, now, j, t->b);
+	else
+		sched_gang_timer(s, now, j);
+}
+
+void
+agb_sched_step(struct agb_sched *s, agb_time now,
+    const struct agb_sched_event *ev, struct agb_sched_effects *out)
+{
+	struct sched_timer t;
+	uint32_t n;
+
+	s->out = out;
+	take(s, now, ev);
+	if (s->cancel_deferred) {
+		s->cancel_deferred = false;
+		s->out = NULL;
+		return;
+	}
+	if (ev->type != AGB_SCHED_JOB_CANCEL)
+		s->cancel_inline = 0;
+	for (n = 0; n < TIMER_SLICE && sched_timer_pop(s, now, &t); n++)
+		timer(s, now, &t);
+	sched_quick_dispatch_all(s, now);
+	sched_place_pass(s, now);
+	sched_job_slice(s, now, STOP_SLICE);
+	s->out = NULL;
+}
+
+agb_time
+agb_sched_next_tick(const struct agb_sched *s, agb_time now)
+{
+	if (s->cancel_head != NULL ||
+	    (s->env != NULL && sched_place_work_left(s)))
+		return now;
+	if (s->timers_len == 0)
+		return AGB_TIME_MAX;
+	return s->timers[0].at > now ? s->timers[0].at : now;
+}
--- a/src/agatebeam/sched.h
+++ b/src/agatebeam/sched.h
@@ -113,14 +113,33 @@
 	AGB_SCHED_QUICK_DONE,	/* attempt, result */
 	AGB_SCHED_JOB_ADD,	/* job, spec */
 	AGB_SCHED_JOB_CANCEL,	/* job */
-	AGB_SCHED_TASK_ADOPT,	/* worker, job, task, attempt, used */
-	AGB_SCHED_TASK_DONE,	/* job, task: finished before a takeover */
+	AGB_SCHED_TASK_HOLD,  /* worker, job, task, attempt, used; see below */
+	AGB_SCHED_TASK_ADOPT, /* worker, job, task, attempt, used */
+	AGB_SCHED_TASK_DONE,  /* job, task: finished before a takeover */
 	AGB_SCHED_TASK_STARTED, /* attempt */
 	AGB_SCHED_TASK_ENDED,	/* attempt, result */
 	AGB_SCHED_TEAM_USAGE, /* team, used: use of the team in other shards */
 	AGB_SCHED_TICK,	      /* nothing: time has passed */
 };
 
+/*
+ * Recovery. The caller sends AGB_SCHED_ENV, the workers as JOINING, each
+ * JOB_ADD with the TASK_DONE events of its finished tasks, and a TASK_HOLD
+ * for each start intent without a known end; then for each worker its
+ * TASK_ADOPT and QUICK_ADOPT events and WORKER_STATE LIVE. Nothing starts on
+ * a worker before that.
+ *
+ * TASK_HOLD says that a start of the task was decided before the takeover
+ * and may still be alive. Until TASK_ADOPT or TASK_ENDED comes for that
+ * attempt the task is not started, and @used (its size) is held on @worker;
+ * AGB_SCHED_NONE as the worker holds nothing. TASK_ENDED with NOT_STARTED
+ * lets the task start again, also when it is not idempotent.
+ *
+ * A TASK_ADOPT of a job that is not known, or of a task that already runs
+ * elsewhere or is done, is answered by STOP with the same job and task; its
+ * resources are held until TASK_ENDED comes.
+ */
+
 /**
  * struct agb_sched_event - one input; the comment of the type names the
  * fields that are read
--- /dev/null
+++ b/src/agatebeam/sched_env.c
@@ -0,0 +1,281 @@
+#include "sched_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The document in force. A new document may number its teams and kinds of
+ * work anew, so all that is held is carried over by name.
+ */
+
+static const struct agb_env_class default_class = {
+    .name = "none",
+    .policy = AGB_POLICY_BATCH,
+};
+
+static const struct agb_env_team default_team = {
+    .name = "none",
+    .weight = 1,
+    .borrow = true,
+};
+
+const struct agb_env_class *
+sched_class(const struct agb_sched *s, uint16_t work)
+{
+	if (s->env == NULL || work >= s->env->works_len ||
+	    s->env->works[work].klass >= s->env->classes_len)
+		return &default_class;
+	return &s->env->classes[s->env->works[work].klass];
+}
+
+const struct agb_env_team *
+sched_team_env(const struct agb_sched *s, uint16_t team)
+{
+	if (s->env == NULL || team >= s->env->teams_len)
+		return &default_team;
+	return &s->env->teams[team];
+}
+
+const char *
+sched_work_name(const struct agb_sched *s, uint16_t work)
+{
+	if (s->env == NULL || work >= s->env->works_len)
+		return "none";
+	return s->env->works[work].name;
+}
+
+const char *
+sched_team_name(const struct agb_sched *s, uint16_t team)
+{
+	return sched_team_env(s, team)->name;
+}
+
+static uint16_t
+work_find(const struct agb_env *env, const char *name)
+{
+	uint16_t i;
+
+	for (i = 0; i < env->works_len; i++) {
+		if (strcmp(env->works[i].name, name) == 0)
+			return i;
+	}
+	return AGB_ENV_NONE;
+}
+
+static uint16_t
+team_find(const struct agb_env *env, const char *name)
+{
+	uint16_t i;
+
+	for (i = 0; i < env->teams_len; i++) {
+		if (strcmp(env->teams[i].name, name) == 0)
+			return i;
+	}
+	return AGB_ENV_NONE;
+}
+
+static uint16_t
+domain_find(const struct agb_env *env, const char *name)
+{
+	uint16_t i;
+
+	for (i = 0; i < env->domains_len; i++) {
+		if (strcmp(env->domains[i].name, name) == 0)
+			return i;
+	}
+	return AGB_ENV_NONE;
+}
+
+struct carry {
+	uint16_t *work;
+	uint16_t work_len;
+	uint16_t team[SCHED_TEAMS];
+};
+
+static uint16_t
+carry_work(const struct carry *c, uint16_t work)
+{
+	return work < c->work_len ? c->work[work] : AGB_ENV_NONE;
+}
+
+static uint16_t
+carry_team(const struct carry *c, uint16_t team)
+{
+	return team < SCHED_TEAM_NONE ? c->team[team] : SCHED_TEAM_NONE;
+}
+
+static void
+carry_init(
+    struct carry *c, const struct agb_env *old, const struct agb_env *env)
+{
+	uint16_t i, n;
+
+	c->work_len = old != NULL ? old->works_len : 0;
+	c->work = agb_xcalloc(c->work_len, sizeof(*c->work));
+	for (i = 0; i < c->work_len; i++)
+		c->work[i] = work_find(env, old->works[i].name);
+	for (i = 0; i < SCHED_TEAMS; i++)
+		c->team[i] = SCHED_TEAM_NONE;
+	for (i = 0; old != NULL && i < old->teams_len; i++) {
+		n = team_find(env, old->teams[i].name);
+		if (i < SCHED_TEAM_NONE && n < SCHED_TEAM_NONE)
+			c->team[i] = n;
+	}
+}
+
+/* Jobs were accepted in the order of their serials. */
+static int
+by_serial(const void *a, const void *b)
+{
+	const struct sched_job *const x = *(const struct sched_job *const *)a;
+	const struct sched_job *const y = *(const struct sched_job *const *)b;
+
+	return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+static struct sched_job **
+jobs_take(struct agb_sched *s, uint32_t *len)
+{
+	struct sched_job **list =
+	    agb_xcalloc(s->jobs_len, sizeof(struct sched_job *));
+	uint32_t i, n = 0;
+
+	for (i = 0; i < s->jobs_cap; i++) {
+		if (s->jobs[i] == NULL)
+			continue;
+		sched_queue_remove(s, s->jobs[i]);
+		list[n++] = s->jobs[i];
+	}
+	qsort(list, n, sizeof(struct sched_job *), by_serial);
+	*len = n;
+	return list;
+}
+
+static struct sched_req *
+reqs_take(struct agb_sched *s)
+{
+	struct sched_req *all = NULL;
+	uint16_t w, t;
+
+	for (w = 0; w < s->works_len; w++) {
+		for (t = 0; t < SCHED_TEAMS; t++)
+			DL_CONCAT(all, s->works[w].queue[t]);
+	}
+	return all;
+}
+
+static void
+works_rebuild(struct agb_sched *s, const struct carry *c)
+{
+	struct sched_work *old = s->works, *w;
+	uint16_t i, n;
+
+	s->works_len = s->env->works_len;
+	s->works = agb_xcalloc(s->works_len, sizeof(*s->works));
+	for (i = 0; i < s->works_len; i++)
+		sched_learn_init(&s->works[i]);
+	for (i = 0; i < c->work_len; i++) {
+		n = c->work[i];
+		if (n >= s->works_len)
+			continue;
+		w = &s->works[n];
+		w->run_us = old[i].run_us;
+		w->ratio_cpu = old[i].ratio_cpu;
+		w->ratio_mem = old[i].ratio_mem;
+		w->reports = old[i].reports;
+		w->task_run_ratio = old[i].task_run_ratio;
+		w->retry_tokens = old[i].retry_tokens;
+	}
+	free(old);
+}
+
+static void
+teams_rebuild(struct agb_sched *s, const struct carry *c)
+{
+	struct agb_resources other[SCHED_TEAMS] = {0};
+	struct sched_att *a;
+	uint16_t i;
+
+	for (i = 0; i < SCHED_TEAM_NONE; i++) {
+		if (c->team[i] < SCHED_TEAM_NONE)
+			other[c->team[i]] = s->teams[i].other;
+	}
+	for (i = 0; i < SCHED_TEAMS; i++) {
+		s->teams[i].other = other[i];
+		memset(&s->teams[i].used, 0, sizeof(s->teams[i].used));
+	}
+	for (a = s->atts; a != NULL; a = a->hh.next) {
+		a->work = carry_work(c, a->work);
+		a->team = carry_team(c, a->team);
+		agb_resources_add(&s->teams[a->team].used, &a->held);
+		if (a->quick && a->work < s->works_len &&
+		    a->worker != AGB_SCHED_NONE)
+			s->works[a->work].busy++;
+	}
+}
+
+static void
+workers_rebuild(struct agb_sched *s, const struct carry *c)
+{
+	struct sched_worker *w;
+	uint32_t i;
+
+	for (i = 0; i < s->workers_cap; i++) {
+		w = &s->workers[i];
+		if (!w->known)
+			continue;
+		w->info.service = carry_work(c, w->info.service);
+		w->slot_level = -1;
+		w->tracked_slots = 0;
+		if (w->info.service < s->works_len)
+			s->works[w->info.service].hosts++;
+		sched_worker_refresh(s, w);
+	}
+}
+
+static void
+job_requeue(struct agb_sched *s, agb_time now, struct sched_job *j)
+{
+	if (j->ending)
+		return;
+	if (j->spec.work != AGB_ENV_NONE) {
+		if (j->pending > 0)
+			sched_queue_add(s, j, false);
+	} else if (j->pending > 0 || j->backoff > 0) {
+		sched_job_end(s, now, j, AGB_REASON_NO_SERVICE,
+		    "its kind of work has left the document");
+	}
+}
+
+void
+sched_env_set(struct agb_sched *s, agb_time now, const struct agb_env *env)
+{
+	struct sched_req *reqs, *r, *tmp;
+	struct sched_job **jobs;
+	struct carry c;
+	uint32_t i, len;
+
+	carry_init(&c, s->env, env);
+	jobs = jobs_take(s, &len);
+	reqs = reqs_take(s);
+	s->env = env;
+	s->domain_index = domain_find(env, s->domain);
+	works_rebuild(s, &c);
+	teams_rebuild(s, &c);
+	workers_rebuild(s, &c);
+	sched_team_shares(s);
+	for (i = 0; i < len; i++) {
+		jobs[i]->spec.work = carry_work(&c, jobs[i]->spec.work);
+		jobs[i]->spec.team = carry_team(&c, jobs[i]->spec.team);
+		job_requeue(s, now, jobs[i]);
+	}
+	for (r = reqs; r != NULL; r = tmp) {
+		tmp = r->next;
+		r->work = carry_work(&c, r->work);
+		r->team = carry_team(&c, r->team);
+		sched_quick_requeue(s, now, r);
+	}
+	free(jobs);
+	free(c.work);
+	sched_feasible_changed(s, now);
+}
--- /dev/null
+++ b/src/agatebeam/sched_feasible.c
@@ -0,0 +1,114 @@
+#include "sched_internal.h"
+
+#include <stdio.h>
+
+/*
+ * Work that can never start here, and why. A worker that is silent or not
+ * yet taken over counts: it may come back.
+ */
+
+/* A restarted instance is off the list for about a minute at most; queued
+ * work is not refused for a fleet that is only briefly smaller. */
+#define FEASIBLE_GRACE (60 * AGB_SEC)
+
+static bool
+counts(const struct sched_worker *w)
+{
+	return w->known && w->state != AGB_WORKER_GONE &&
+	    w->state != AGB_WORKER_LEAVING;
+}
+
+static void
+largest_text(struct agb_sched *s, const struct agb_resources *need, char *why,
+    size_t len)
+{
+	struct agb_resources top = {0};
+	const struct sched_worker *w;
+	struct agb_resources r;
+	uint32_t i;
+
+	for (i = 0; i < s->workers_cap; i++) {
+		w = &s->workers[i];
+		if (!counts(w))
+			continue;
+		r = sched_worker_usable(w);
+		if (r.cpu_milli > top.cpu_milli)
+			top.cpu_milli = r.cpu_milli;
+		if (r.mem_mb > top.mem_mb)
+			top.mem_mb = r.mem_mb;
+		if (r.accel > top.accel)
+			top.accel = r.accel;
+	}
+	if (need->cpu_milli > top.cpu_milli)
+		snprintf(why, len,
+		    "needs %g processors; the largest worker has %g",
+		    (double)need->cpu_milli / 1000,
+		    (double)top.cpu_milli / 1000);
+	else if (need->mem_mb > top.mem_mb)
+		snprintf(why, len,
+		    "needs %lld MiB of memory; the largest worker has %lld",
+		    (long long)need->mem_mb, (long long)top.mem_mb);
+	else if (need->accel > top.accel)
+		snprintf(why, len,
+		    "needs %lld accelerators; the largest worker has %lld",
+		    (long long)need->accel, (long long)top.accel);
+	else
+		snprintf(why, len,
+		    "no single worker has %g processors, %lld MiB and %lld "
+		    "accelerators together",
+		    (double)need->cpu_milli / 1000, (long long)need->mem_mb,
+		    (long long)need->accel);
+}
+
+/* Tasks of this size that an empty fleet holds, counted up to @want. */
+static uint32_t
+fleet_units(struct agb_sched *s, const struct agb_resources *need,
+    uint32_t want, bool *any)
+{
+	struct agb_resources r;
+	uint32_t i, n = 0;
+
+	*any = false;
+	for (i = 0; i < s->workers_cap && n < want; i++) {
+		if (!counts(&s->workers[i]))
+			continue;
+		*any = true;
+		r = sched_worker_usable(&s->workers[i]);
+		n += sched_units(&r, need);
+	}
+	return n;
+}
+
+bool
+sched_feasible_job(
+    struct agb_sched *s, const struct sched_job *j, char *why, size_t len)
+{
+	const bool gang =
+	    sched_class(s, j->spec.work)->policy == AGB_POLICY_GANG;
+	const uint32_t want = gang ? j->spec.tasks : 1;
+	uint32_t units;
+	bool any;
+
+	units = fleet_units(s, &j->spec.need, want, &any);
+	/* Without any worker nothing is known of the fleet. */
+	if (!any || units >= want)
+		return true;
+	if (units == 0)
+		largest_text(s, &j->spec.need, why, len);
+	else
+		snprintf(why, len,
+		    "needs %u tasks at once; all workers together hold %u",
+		    want, units);
+	return false;
+}
+
+void
+sched_feasible_changed(struct agb_sched *s, agb_time now)
+{
+	sched_timer_add(s, now + FEASIBLE_GRACE, TIMER_FEASIBLE, 0, 0, 0);
+}
+
+void
+sched_feasible_timer(struct agb_sched *s, agb_time now)
+{
+}
--- /dev/null
+++ b/src/agatebeam/sched_parts.h
@@ -0,0 +1,173 @@
+#ifndef AGB_SCHED_PARTS_H
+#define AGB_SCHED_PARTS_H
+
+/**
+ * DOC: sched_parts
+ *
+ * What the parts of the placement offer each other; included by
+ * sched_internal.h, which has the structures.
+ */
+
+/* sched_timer.c */
+void sched_timer_add(struct agb_sched *s, agb_time at,
+    enum sched_timer_type type, uint32_t a, uint32_t b, uint64_t serial);
+bool sched_timer_pop(
+    struct agb_sched *s, agb_time now, struct sched_timer *out);
+uint64_t sched_random(struct agb_sched *s);
+
+/* sched_worker.c */
+struct sched_worker *sched_worker_get(struct agb_sched *s, uint32_t handle);
+struct sched_worker *sched_worker_put(struct agb_sched *s, uint32_t handle,
+    const struct agb_worker_info *info, enum agb_worker_state state);
+void sched_worker_refresh(struct agb_sched *s, struct sched_worker *w);
+void sched_worker_remove(struct agb_sched *s, struct sched_worker *w);
+bool sched_worker_takes(const struct sched_worker *w);
+struct agb_resources sched_worker_usable(const struct sched_worker *w);
+uint32_t sched_worker_next_fit(
+    const struct agb_sched *s, const struct agb_resources *need, uint32_t from);
+uint32_t sched_worker_dirty_pop(struct agb_sched *s);
+void sched_worker_dirty_push(struct agb_sched *s, struct sched_worker *w);
+struct sched_rack *sched_rack_get(struct agb_sched *s, uint32_t rack);
+uint32_t sched_units(
+    const struct agb_resources *room, const struct agb_resources *need);
+
+/* sched_att.c */
+struct sched_att *sched_att_find(
+    struct agb_sched *s, const struct agb_attempt *id);
+struct sched_att *sched_att_new(struct agb_sched *s,
+    const struct agb_attempt *id, uint32_t worker, uint16_t work, uint16_t team,
+    const struct agb_resources *held, bool quick, agb_time now);
+void sched_att_resize(
+    struct agb_sched *s, struct sched_att *a, const struct agb_resources *held);
+void sched_att_move(struct agb_sched *s, struct sched_att *a, uint32_t worker);
+void sched_att_free(struct agb_sched *s, struct sched_att *a);
+void sched_att_state(
+    struct agb_sched *s, struct sched_att *a, enum sched_att_state state);
+void sched_att_stop(struct agb_sched *s, struct sched_att *a,
+    enum agb_reason reason, const char *why);
+void sched_att_checkpoint(struct agb_sched *s, struct sched_att *a,
+    enum agb_reason reason, const char *why);
+void sched_att_throttle(struct agb_sched *s, struct sched_att *a,
+    const struct agb_resources *held, const char *why);
+
+/* sched_env.c */
+const struct agb_env_class *sched_class(
+    const struct agb_sched *s, uint16_t work);
+const struct agb_env_team *sched_team_env(
+    const struct agb_sched *s, uint16_t team);
+const char *sched_work_name(const struct agb_sched *s, uint16_t work);
+const char *sched_team_name(const struct agb_sched *s, uint16_t team);
+void sched_env_set(
+    struct agb_sched *s, agb_time now, const struct agb_env *env);
+
+/* sched_queue.c */
+void sched_queue_add(struct agb_sched *s, struct sched_job *j, bool front);
+void sched_queue_remove(struct agb_sched *s, struct sched_job *j);
+void sched_queue_fresh(struct agb_sched *s, struct sched_bucket *b, bool fresh);
+void sched_queue_block(
+    struct agb_sched *s, struct sched_bucket *b, enum sched_block cause);
+void sched_queue_wake(struct agb_sched *s, enum sched_block cause);
+void sched_queue_wake_team(struct agb_sched *s, uint16_t team);
+void sched_queue_resize(struct agb_sched *s, uint16_t work);
+unsigned sched_queue_order(const struct agb_sched *s, uint16_t *order);
+void sched_team_use(struct agb_sched *s, uint16_t team,
+    const struct agb_resources *add, const struct agb_resources *sub);
+void sched_team_shares(struct agb_sched *s);
+bool sched_quota_fits(const struct agb_sched *s, uint16_t team,
+    const struct agb_resources *need, uint32_t units);
+
+/* sched_job.c */
+struct sched_job *sched_job_get(struct agb_sched *s, uint32_t handle);
+void sched_job_add(struct agb_sched *s, agb_time now, uint32_t handle,
+    const struct agb_job_spec *spec);
+void sched_job_cancel(struct agb_sched *s, agb_time now, uint32_t handle);
+bool sched_job_slice(struct agb_sched *s, agb_time now, uint32_t budget);
+void sched_job_end(struct agb_sched *s, agb_time now, struct sched_job *j,
+    enum agb_reason reason, const char *fmt, ...)
+    __attribute__((format(printf, 5, 6)));
+void sched_job_settle(struct agb_sched *s, agb_time now, struct sched_job *j);
+void sched_job_free(struct agb_sched *s, struct sched_job *j);
+void sched_job_timer(struct agb_sched *s, agb_time now, struct sched_job *j);
+uint32_t sched_job_next_task(struct sched_job *j);
+
+/* sched_task.c */
+void sched_task_pend(struct agb_sched *s, agb_time now, struct sched_job *j,
+    uint32_t task, bool front);
+void sched_task_unpend(struct agb_sched *s, struct sched_job *j, uint32_t task);
+void sched_task_start(struct agb_sched *s, agb_time now, struct sched_job *j,
+    uint32_t task, struct sched_worker *w, const struct agb_resources *need,
+    uint32_t weighed, const char *why);
+void sched_task_adopt(struct agb_sched *s, agb_time now,
+    const struct agb_sched_event *ev, bool held);
+void sched_task_done(
+    struct agb_sched *s, agb_time now, uint32_t job, uint32_t task);
+void sched_task_ended(struct agb_sched *s, agb_time now, struct sched_att *a,
+    enum agb_result result);
+
+void sched_task_moved(
+    struct agb_sched *s, struct sched_att *a, uint32_t worker);
+
+/* sched_place.c */
+bool sched_place_pass(struct agb_sched *s, agb_time now);
+bool sched_place_work_left(const struct agb_sched *s);
+
+/* sched_spread.c */
+extern const struct sched_policy sched_policy_service;
+void sched_spread_count(
+    struct agb_sched *s, struct sched_job *j, uint32_t worker, int by);
+
+/* sched_gang.c */
+extern const struct sched_policy sched_policy_gang;
+void sched_gang_release(struct agb_sched *s, struct sched_job *j);
+void sched_gang_timer(struct agb_sched *s, agb_time now, struct sched_job *j);
+
+/* sched_health.c */
+void sched_health_ended(struct agb_sched *s, agb_time now, struct sched_job *j,
+    const struct sched_ending *e);
+void sched_health_timer(
+    struct agb_sched *s, agb_time now, const struct sched_timer *t);
+
+/* sched_retry.c */
+void sched_retry_started(
+    struct agb_sched *s, struct sched_job *j, uint32_t task);
+void sched_retry_ended(struct agb_sched *s, agb_time now, struct sched_job *j,
+    const struct sched_ending *e);
+void sched_retry_timer(
+    struct agb_sched *s, agb_time now, struct sched_job *j, uint32_t task);
+
+/* sched_quick.c */
+void sched_quick_ask(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev);
+void sched_quick_drop(struct agb_sched *s, uint64_t tag);
+void sched_quick_adopt(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev);
+void sched_quick_done(struct agb_sched *s, agb_time now, struct sched_att *a,
+    enum agb_result result);
+void sched_quick_dispatch(struct agb_sched *s, agb_time now, uint16_t work);
+void sched_quick_dispatch_all(struct agb_sched *s, agb_time now);
+void sched_quick_timer(
+    struct agb_sched *s, agb_time now, const struct sched_timer *t);
+void sched_quick_requeue(
+    struct agb_sched *s, agb_time now, struct sched_req *r);
+void sched_quick_deny(struct agb_sched *s, agb_time now, struct sched_req *r,
+    enum agb_reason reason, const char *detail);
+void sched_quick_index(struct agb_sched *s, struct sched_worker *w);
+uint32_t sched_quick_wait_us(
+    const struct agb_sched *s, uint16_t work, uint32_t ahead);
+
+/* sched_learn.c */
+void sched_learn_init(struct sched_work *w);
+agb_time sched_learn_end(
+    const struct agb_sched *s, const struct sched_job *j, agb_time now);
+void sched_learn_usage(struct agb_sched *s, agb_time now, struct sched_att *a,
+    const struct agb_resources *used);
+struct agb_resources sched_learn_need(const struct agb_sched *s, uint16_t work,
+    const struct agb_resources *declared);
+
+/* sched_feasible.c */
+bool sched_feasible_job(
+    struct agb_sched *s, const struct sched_job *j, char *why, size_t len);
+void sched_feasible_changed(struct agb_sched *s, agb_time now);
+void sched_feasible_timer(struct agb_sched *s, agb_time now);
+
+#endif
--- /dev/null
+++ b/src/agatebeam/sched_place.c
@@ -0,0 +1,266 @@
+#include "sched_internal.h"
+
+#include <stdio.h>
+
+/*
+ * The placement pass. A job that arrives is tried against all workers; one
+ * that did not fit is tried again only against workers whose room has grown
+ * since. A pass takes a bounded number of decisions.
+ */
+
+/* Fits that batch weighs before it takes the tightest. */
+#define BATCH_FITS 8
+
+enum phase { PHASE_URGENT, PHASE_GUARANTEED, PHASE_BORROW, PHASE_MAX };
+
+static double
+rest(int64_t room, int64_t need, int64_t cap)
+{
+	return cap > 0 ? (double)(room - need) / (double)cap : 0;
+}
+
+/* What a placement would leave free, as a sum of parts of the capacity. */
+static double
+left_over(const struct sched_worker *w, const struct agb_resources *need)
+{
+	const struct agb_resources *const cap = &w->info.capacity;
+
+	return rest(w->room.cpu_milli, need->cpu_milli, cap->cpu_milli) +
+	    rest(w->room.mem_mb, need->mem_mb, cap->mem_mb) +
+	    4 * rest(w->room.accel, need->accel, cap->accel);
+}
+
+static enum sched_block
+batch_place(struct agb_sched *s, agb_time now, struct sched_bucket *b,
+    struct sched_worker *hint)
+{
+	struct sched_worker *w, *best = hint;
+	uint32_t weighed = 1, h = 0;
+	double score, least = 0;
+	char why[64];
+
+	if (hint == NULL) {
+		for (weighed = 0; weighed < BATCH_FITS; h++) {
+			h = sched_worker_next_fit(s, &b->need, h);
+			if (h == AGB_SCHED_NONE)
+				break;
+			w = &s->workers[h];
+			score = left_over(w, &b->need);
+			if (best == NULL || score < least) {
+				best = w;
+				least = score;
+			}
+			weighed++;
+		}
+	}
+	if (best == NULL)
+		return BLOCK_ROOM;
+	snprintf(why, sizeof(why), "tightest of %u", weighed);
+	sched_task_start(s, now, b->jobs, sched_job_next_task(b->jobs), best,
+	    &b->need, weighed, why);
+	return BLOCK_NONE;
+}
+
+static const struct sched_policy policy_batch = {
+    .name = "batch",
+    .place = batch_place,
+};
+
+static const struct sched_policy *
+policy_of(const struct sched_bucket *b)
+{
+	switch (b->policy) {
+	case AGB_POLICY_GANG:
+		return &sched_policy_gang;
+	case AGB_POLICY_SERVICE:
+		return &sched_policy_service;
+	case AGB_POLICY_QUICK:
+	case AGB_POLICY_BATCH:
+		break;
+	}
+	return &policy_batch;
+}
+
+static bool
+keeps(int64_t room, int64_t need, int64_t cap, uint32_t percent)
+{
+	return need == 0 || room - need >= cap * percent / 100;
+}
+
+/* Whether what is kept free for urgent work stays free. */
+static bool
+headroom_left(const struct agb_sched *s, const struct sched_bucket *b)
+{
+	const int64_t units = b->shape.gang > 0 ? b->shape.gang : 1;
+	const uint32_t pct = s->env->headroom_percent;
+
+	if (b->level >= SCHED_URGENT || pct == 0)
+		return true;
+	return keeps(s->free_live.cpu_milli, b->need.cpu_milli * units,
+		   s->cap_live.cpu_milli, pct) &&
+	    keeps(s->free_live.mem_mb, b->need.mem_mb * units,
+		s->cap_live.mem_mb, pct) &&
+	    keeps(s->free_live.accel, b->need.accel * units, s->cap_live.accel,
+		pct);
+}
+
+/* Whether a bucket takes part in a phase, or why it does not. */
+static enum sched_block
+phase_allows(
+    const struct agb_sched *s, const struct sched_bucket *b, enum phase phase)
+{
+	const uint16_t team = b->shape.team;
+	const uint32_t units = b->shape.gang > 0 ? b->shape.gang : 1;
+	const bool within = sched_quota_fits(s, team, &b->need, units);
+
+	if (!within &&
+	    (phase == PHASE_GUARANTEED || !sched_team_env(s, team)->borrow))
+		return BLOCK_QUOTA;
+	if (!headroom_left(s, b))
+		return BLOCK_HEADROOM;
+	return BLOCK_NONE;
+}
+
+static bool
+older(const struct sched_bucket *a, const struct sched_bucket *b)
+{
+	if (a->shape.timed != b->shape.timed)
+		return a->shape.timed > b->shape.timed;
+	if (a->shape.timed)
+		return a->jobs->deadline < b->jobs->deadline;
+	return a->jobs->serial < b->jobs->serial;
+}
+
+/* The bucket of one team and level that comes first. With @w only what fits
+ * there counts, else only what has to be tried. */
+static struct sched_bucket *
+level_first(struct agb_sched *s, struct sched_bucket *list,
+    const struct sched_worker *w, enum phase phase)
+{
+	struct sched_bucket *b, *best = NULL;
+	enum sched_block block;
+
+	for (b = list; b != NULL; b = b->next) {
+		if (w != NULL ? b->policy == AGB_POLICY_GANG ||
+			    !agb_resources_fit(&b->need, &w->room)
+			      : !b->fresh)
+			continue;
+		if (best != NULL && !older(b, best))
+			continue;
+		block = phase_allows(s, b, phase);
+		if (block == BLOCK_NONE)
+			best = b;
+		else if (phase != PHASE_GUARANTEED || block != BLOCK_QUOTA)
+			sched_queue_block(s, b, block);
+	}
+	return best;
+}
+
+static struct sched_bucket *
+bucket_first(struct agb_sched *s, const struct sched_worker *w)
+{
+	const uint32_t urgent = ~0u << SCHED_URGENT;
+	uint16_t order[SCHED_TEAMS];
+	const unsigned n = sched_queue_order(s, order);
+	struct sched_bucket *b;
+	struct sched_team *t;
+	enum phase phase;
+	uint32_t set;
+	unsigned i;
+	int level;
+
+	for (phase = PHASE_URGENT; phase < PHASE_MAX; phase++) {
+		for (i = 0; i < n; i++) {
+			t = &s->teams[order[i]];
+			set = t->levels;
+			set &= phase == PHASE_URGENT ? urgent : ~urgent;
+			while (set != 0) {
+				level = 31 - __builtin_clz(set);
+				set &= ~(1u << level);
+				b = level_first(s, t->buckets[level], w, phase);
+				if (b != NULL)
+					return b;
+			}
+		}
+	}
+	return NULL;
+}
+
+/* Drops jobs that have ended or have nothing to start from the head. */
+static bool
+head_ready(struct agb_sched *s, struct sched_bucket *b)
+{
+	struct sched_job *const j = b->jobs;
+
+	if (!j->ending && sched_job_next_task(j) != SCHED_NO_TASK)
+		return true;
+	if (j->next != NULL)
+		sched_queue_fresh(s, b, true);
+	sched_queue_remove(s, j);
+	return false;
+}
+
+static void
+try_bucket(struct agb_sched *s, agb_time now, struct sched_bucket *b,
+    struct sched_worker *hint)
+{
+	struct sched_job *const j = b->jobs;
+	enum sched_block block;
+
+	if (!head_ready(s, b))
+		return;
+	block = policy_of(b)->place(s, now, b, hint);
+	/* A placement may have emptied and freed the bucket. */
+	if (block != BLOCK_NONE && j->bucket == b)
+		sched_queue_block(s, b, block);
+}
+
+static void
+pass_grown(struct agb_sched *s, agb_time now, uint32_t *budget)
+{
+	struct sched_bucket *b;
+	struct sched_worker *w;
+
+	while (*budget > 0 && s->dirty_len > 0) {
+		w = &s->workers[s->dirty[s->dirty_head]];
+		(*budget)--;
+		b = w->known && sched_worker_takes(w) ? bucket_first(s, w)
+						      : NULL;
+		if (b == NULL)
+			sched_worker_dirty_pop(s);
+		else
+			try_bucket(s, now, b, w);
+	}
+}
+
+static void
+pass_fresh(struct agb_sched *s, agb_time now, uint32_t *budget)
+{
+	struct sched_bucket *b;
+
+	while (*budget > 0 && s->fresh > 0) {
+		(*budget)--;
+		b = bucket_first(s, NULL);
+		if (b == NULL)
+			break;
+		try_bucket(s, now, b, NULL);
+	}
+}
+
+bool
+sched_place_work_left(const struct agb_sched *s)
+{
+	return s->dirty_len > 0 || s->fresh > 0;
+}
+
+bool
+sched_place_pass(struct agb_sched *s, agb_time now)
+{
+	uint32_t budget = SCHED_STEP_BUDGET;
+
+	if (s->env == NULL)
+		return false;
+	pass_grown(s, now, &budget);
+	pass_fresh(s, now, &budget);
+	return sched_place_work_left(s);
+}
--- /dev/null
+++ b/src/agatebeam/sched_queue.c
@@ -0,0 +1,249 @@
+#include "sched_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The fair queue: jobs wait by team, urgency and shape. Teams are served in
+ * the order of their weighted dominant share.
+ */
+
+static double
+part(int64_t used, int64_t cap)
+{
+	if (used <= 0)
+		return 0;
+	return cap > 0 ? (double)used / (double)cap : 1;
+}
+
+static void
+share_set(struct agb_sched *s, struct sched_team *t, uint16_t index)
+{
+	struct agb_resources sum = t->used;
+	double cpu, mem, accel;
+
+	agb_resources_add(&sum, &t->other);
+	cpu = part(sum.cpu_milli, s->cap_live.cpu_milli);
+	mem = part(sum.mem_mb, s->cap_live.mem_mb);
+	accel = part(sum.accel, s->cap_live.accel);
+	t->share = cpu > mem ? cpu : mem;
+	if (accel > t->share)
+		t->share = accel;
+	t->share /= sched_team_env(s, index)->weight;
+}
+
+void
+sched_team_shares(struct agb_sched *s)
+{
+	uint16_t i;
+
+	for (i = 0; i < SCHED_TEAMS; i++)
+		share_set(s, &s->teams[i], i);
+}
+
+void
+sched_team_use(struct agb_sched *s, uint16_t team,
+    const struct agb_resources *add, const struct agb_resources *sub)
+{
+	struct sched_team *const t = &s->teams[team];
+
+	if (add != NULL)
+		agb_resources_add(&t->used, add);
+	if (sub != NULL) {
+		agb_resources_sub(&t->used, sub);
+		sched_queue_wake_team(s, team);
+		sched_queue_wake(s, BLOCK_HEADROOM);
+	}
+	share_set(s, t, team);
+}
+
+bool
+sched_quota_fits(const struct agb_sched *s, uint16_t team,
+    const struct agb_resources *need, uint32_t units)
+{
+	struct agb_resources sum = s->teams[team].used;
+
+	if (team == SCHED_TEAM_NONE)
+		return true;
+	agb_resources_add(&sum, &s->teams[team].other);
+	sum.cpu_milli += need->cpu_milli * units;
+	sum.mem_mb += need->mem_mb * units;
+	sum.accel += need->accel * units;
+	return agb_resources_fit(&sum, &sched_team_env(s, team)->quota);
+}
+
+unsigned
+sched_queue_order(const struct agb_sched *s, uint16_t *order)
+{
+	unsigned n = 0, i;
+	uint16_t t;
+
+	for (t = 0; t < SCHED_TEAMS; t++) {
+		if (s->teams[t].levels == 0)
+			continue;
+		for (i = n++; i > 0; i--) {
+			if (s->teams[order[i - 1]].share <= s->teams[t].share)
+				break;
+			order[i] = order[i - 1];
+		}
+		order[i] = t;
+	}
+	return n;
+}
+
+void
+sched_queue_fresh(struct agb_sched *s, struct sched_bucket *b, bool fresh)
+{
+	if (b->block == BLOCK_HEADROOM)
+		s->headroom_blocked--;
+	b->block = BLOCK_NONE;
+	if (b->fresh == fresh)
+		return;
+	b->fresh = fresh;
+	s->fresh += fresh ? 1 : -1;
+}
+
+void
+sched_queue_block(
+    struct agb_sched *s, struct sched_bucket *b, enum sched_block cause)
+{
+	sched_queue_fresh(s, b, false);
+	b->block = cause;
+	if (cause == BLOCK_HEADROOM)
+		s->headroom_blocked++;
+}
+
+void
+sched_queue_wake(struct agb_sched *s, enum sched_block cause)
+{
+	struct sched_bucket *b;
+
+	if (cause == BLOCK_HEADROOM && s->headroom_blocked == 0)
+		return;
+	for (b = s->buckets; b != NULL; b = b->hh.next) {
+		if (b->block == cause)
+			sched_queue_fresh(s, b, true);
+	}
+}
+
+void
+sched_queue_wake_team(struct agb_sched *s, uint16_t team)
+{
+	uint32_t set = s->teams[team].levels;
+	struct sched_bucket *b;
+
+	while (set != 0) {
+		const int level = __builtin_ctz(set);
+
+		set &= set - 1;
+		for (b = s->teams[team].buckets[level]; b != NULL;
+		     b = b->next) {
+			if (b->block == BLOCK_QUOTA)
+				sched_queue_fresh(s, b, true);
+		}
+	}
+}
+
+static struct sched_bucket *
+bucket_get(struct agb_sched *s, const struct sched_job *j)
+{
+	const struct agb_env_class *const c = sched_class(s, j->spec.work);
+	struct sched_team *const t = &s->teams[j->spec.team];
+	struct sched_shape shape;
+	struct sched_bucket *b;
+
+	memset(&shape, 0, sizeof(shape));
+	shape.team = j->spec.team;
+	shape.work = j->spec.work;
+	shape.gang = c->policy == AGB_POLICY_GANG ? j->pending : 0;
+	shape.timed = j->deadline != AGB_TIME_MAX;
+	shape.need = j->spec.need;
+	HASH_FIND(hh, s->buckets, &shape, sizeof(shape), b);
+	if (b != NULL)
+		return b;
+	b = agb_xcalloc(1, sizeof(*b));
+	b->shape = shape;
+	b->policy = c->policy;
+	b->level = c->urgency < SCHED_LEVELS ? c->urgency : SCHED_LEVELS - 1;
+	b->need = sched_learn_need(s, shape.work, &shape.need);
+	HASH_ADD(hh, s->buckets, shape, sizeof(b->shape), b);
+	DL_APPEND(t->buckets[b->level], b);
+	t->levels |= 1u << b->level;
+	return b;
+}
+
+static void
+insert(struct sched_bucket *b, struct sched_job *j, bool front)
+{
+	struct sched_job *at;
+
+	if (!b->shape.timed) {
+		if (front)
+			DL_PREPEND(b->jobs, j);
+		else
+			DL_APPEND(b->jobs, j);
+		return;
+	}
+	/* By deadline; most come in about this order. */
+	at = b->jobs != NULL ? b->jobs->prev : NULL;
+	while (at != NULL && at->deadline > j->deadline)
+		at = at != b->jobs ? at->prev : NULL;
+	if (at == NULL)
+		DL_PREPEND(b->jobs, j);
+	else
+		DL_APPEND_ELEM(b->jobs, at, j);
+}
+
+void
+sched_queue_add(struct agb_sched *s, struct sched_job *j, bool front)
+{
+	struct sched_bucket *b;
+
+	if (j->bucket != NULL)
+		return;
+	b = bucket_get(s, j);
+	insert(b, j, front);
+	j->bucket = b;
+	/* Behind a job that is blocked it is blocked as well. */
+	if (b->jobs == j)
+		sched_queue_fresh(s, b, true);
+}
+
+void
+sched_queue_remove(struct agb_sched *s, struct sched_job *j)
+{
+	struct sched_bucket *const b = j->bucket;
+	struct sched_team *t;
+
+	if (b == NULL)
+		return;
+	DL_DELETE(b->jobs, j);
+	j->bucket = NULL;
+	if (b->jobs != NULL)
+		return;
+	sched_queue_fresh(s, b, false);
+	t = &s->teams[b->shape.team];
+	DL_DELETE(t->buckets[b->level], b);
+	if (t->buckets[b->level] == NULL)
+		t->levels &= ~(1u << b->level);
+	HASH_DEL(s->buckets, b);
+	free(b);
+}
+
+void
+sched_queue_resize(struct agb_sched *s, uint16_t work)
+{
+	struct sched_bucket *b;
+	struct agb_resources need;
+
+	for (b = s->buckets; b != NULL; b = b->hh.next) {
+		if (b->shape.work != work)
+			continue;
+		need = sched_learn_need(s, work, &b->shape.need);
+		if (memcmp(&need, &b->need, sizeof(need)) == 0)
+			continue;
+		if (!agb_resources_fit(&b->need, &need))
+			sched_queue_fresh(s, b, true);
+		b->need = need;
+	}
+}
--- /dev/null
+++ b/src/agatebeam/sched_quick.c
@@ -0,0 +1,397 @@
+#include "sched_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Quick requests: a slot of a runner at once, or a place in the queue of its
+ * service. Waiting teams are served by weighted share.
+ */
+
+/* Assumed time of a request before the first has ended. */
+#define RUN_US_START 20000.0
+/* Weight of the newest time in the smoothed one. */
+#define RUN_US_GAIN 0.05
+
+static struct agb_sched_effect *
+answer(struct agb_sched *s, enum agb_sched_effect_type type, uint64_t tag)
+{
+	struct agb_sched_effect *const ef = agb_sched_effects_add(s->out, type);
+
+	ef->tag = tag;
+	ef->worker = AGB_SCHED_NONE;
+	ef->job = AGB_SCHED_NONE;
+	return ef;
+}
+
+static uint32_t
+free_slots(const struct sched_worker *w)
+{
+	struct agb_resources all = w->info.capacity;
+
+	/* Tasks placed before a document made the slots larger may use up
+	 * what is set aside for them. */
+	agb_resources_sub(&all, &w->runner);
+	if (!w->known || w->state != AGB_WORKER_LIVE || w->ejected ||
+	    w->slots_busy >= w->slots || !agb_resources_fit(&w->held, &all))
+		return 0;
+	return w->slots - w->slots_busy;
+}
+
+void
+sched_quick_index(struct agb_sched *s, struct sched_worker *w)
+{
+	const uint16_t work = w->info.service;
+	const uint32_t n = free_slots(w);
+	const int level = n < SCHED_SLOT_LEVELS ? (int)n : SCHED_SLOT_LEVELS;
+	struct sched_work *k;
+
+	if (work >= s->works_len)
+		return;
+	k = &s->works[work];
+	if (w->slot_level == level || (w->slot_level < 0 && level == 0))
+		return;
+	if (w->slot_level > 0) {
+		DL_DELETE(k->slot_levels[w->slot_level], w);
+		if (k->slot_levels[w->slot_level] == NULL)
+			k->level_set &= ~(1ull << (w->slot_level - 1));
+	}
+	w->slot_level = level > 0 ? level : -1;
+	if (level == 0)
+		return;
+	DL_APPEND(k->slot_levels[level], w);
+	k->level_set |= 1ull << (level - 1);
+}
+
+uint32_t
+sched_quick_wait_us(const struct agb_sched *s, uint16_t work, uint32_t ahead)
+{
+	const struct sched_work *const k = &s->works[work];
+	const double run = k->run_us > 0 ? k->run_us : RUN_US_START;
+	double wait;
+
+	if (k->level_set != 0 && k->queued == 0)
+		return 0;
+	if (k->slots == 0)
+		return UINT32_MAX;
+	wait = run * (ahead + 1) / k->slots;
+	return wait < (double)UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
+}
+
+static void
+req_unlink(struct agb_sched *s, struct sched_req *r)
+{
+	struct sched_work *const k = &s->works[r->work];
+
+	DL_DELETE(k->queue[r->team], r);
+	if (k->queue[r->team] == NULL && r->team < SCHED_TEAM_NONE)
+		k->waiting &= ~(1ull << r->team);
+	k->queued--;
+	s->quick_queued--;
+}
+
+static void
+req_link(struct agb_sched *s, struct sched_req *r)
+{
+	struct sched_work *const k = &s->works[r->work];
+
+	DL_APPEND(k->queue[r->team], r);
+	if (r->team < SCHED_TEAM_NONE)
+		k->waiting |= 1ull << r->team;
+	k->queued++;
+	s->quick_queued++;
+}
+
+static void
+req_free(struct agb_sched *s, struct sched_req *r)
+{
+	HASH_DEL(s->reqs, r);
+	free(r);
+}
+
+static void
+deny(struct agb_sched *s, uint64_t tag, enum agb_reason reason,
+    uint32_t retry_ms, const char *detail)
+{
+	struct agb_sched_effect *const ef = answer(s, AGB_SCHED_DENY, tag);
+
+	ef->outcome = AGB_NOT_RUN;
+	ef->reason = reason;
+	ef->retry_ms = retry_ms;
+	agb_name_set(ef->detail, sizeof(ef->detail), detail);
+}
+
+void
+sched_quick_deny(struct agb_sched *s, agb_time now, struct sched_req *r,
+    enum agb_reason reason, const char *detail)
+{
+	const uint32_t wait = sched_quick_wait_us(s, r->work, 0);
+
+	deny(s, r->tag, reason, wait == UINT32_MAX ? 1000 : wait / 1000 + 1,
+	    detail);
+	req_unlink(s, r);
+	req_free(s, r);
+}
+
+static bool
+team_may(
+    const struct agb_sched *s, uint16_t team, const struct agb_resources *need)
+{
+	return sched_team_env(s, team)->borrow ||
+	    sched_quota_fits(s, team, need, 1);
+}
+
+/* Waiting team with the least share; teams within their quota first. */
+static struct sched_req *
+next_req(const struct agb_sched *s, const struct sched_work *k,
+    const struct agb_resources *need)
+{
+	uint64_t set = k->waiting;
+	bool within, best_within = false;
+	int best = -1, t;
+
+	while (set != 0) {
+		t = __builtin_ctzll(set);
+		set &= set - 1;
+		within = sched_quota_fits(s, (uint16_t)t, need, 1);
+		if (!within && !sched_team_env(s, (uint16_t)t)->borrow)
+			continue;
+		if (best < 0 || (within && !best_within) ||
+		    (within == best_within &&
+			s->teams[t].share < s->teams[best].share)) {
+			best = t;
+			best_within = within;
+		}
+	}
+	if (best >= 0)
+		return k->queue[best];
+	return k->queue[SCHED_TEAM_NONE];
+}
+
+static void
+grant(struct agb_sched *s, agb_time now, uint64_t tag, uint16_t work,
+    uint16_t team, agb_time asked_at)
+{
+	struct sched_work *const k = &s->works[work];
+	const int level = 64 - __builtin_clzll(k->level_set);
+	struct sched_worker *const w = k->slot_levels[level];
+	const uint32_t free_now = w->slots - w->slots_busy;
+	struct agb_sched_effect *ef;
+	struct sched_att *a;
+
+	a = sched_att_new(
+	    s, NULL, w->self, work, team, &s->env->works[work].need, true, now);
+	a->state = ATT_RUNNING;
+	ef = answer(s, AGB_SCHED_GRANT, tag);
+	ef->attempt = a->id;
+	ef->worker = w->self;
+	ef->need = a->held;
+	ef->weighed = 1;
+	snprintf(ef->detail, sizeof(ef->detail),
+	    "%u of %u slots free, waited_us=%llu", free_now, w->slots,
+	    (unsigned long long)(now - asked_at));
+}
+
+void
+sched_quick_dispatch(struct agb_sched *s, agb_time now, uint16_t work)
+{
+	struct sched_work *k;
+	struct sched_req *r;
+	uint32_t budget = SCHED_STEP_BUDGET;
+
+	if (work >= s->works_len)
+		return;
+	k = &s->works[work];
+	while (k->queued > 0 && k->level_set != 0 && budget-- > 0) {
+		r = next_req(s, k, &s->env->works[work].need);
+		if (r == NULL)
+			return;
+		req_unlink(s, r);
+		grant(s, now, r->tag, work, r->team, r->asked_at);
+		req_free(s, r);
+	}
+}
+
+void
+sched_quick_dispatch_all(struct agb_sched *s, agb_time now)
+{
+	uint16_t w;
+
+	for (w = 0; s->quick_queued > 0 && w < s->works_len; w++)
+		sched_quick_dispatch(s, now, w);
+}
+
+static bool
+ask_allowed(struct agb_sched *s, agb_time now, const struct agb_sched_event *ev,
+    agb_time deadline)
+{
+	char why[AGB_DETAIL_LEN];
+
+	if (s->env == NULL) {
+		deny(s, ev->tag, AGB_REASON_NO_DOCUMENT, 1000,
+		    "no environment document is in force");
+		return false;
+	}
+	if (ev->work >= s->works_len) {
+		deny(s, ev->tag, AGB_REASON_NO_SERVICE, 0,
+		    "the document names no such service");
+		return false;
+	}
+	if (s->works[ev->work].hosts == 0) {
+		snprintf(why, sizeof(why), "no worker of %s hosts %s",
+		    s->domain, s->env->works[ev->work].name);
+		deny(s, ev->tag, AGB_REASON_NEVER_FITS, 1000, why);
+		return false;
+	}
+	if (now >= deadline) {
+		deny(s, ev->tag, AGB_REASON_DEADLINE, 0,
+		    "its deadline has passed");
+		return false;
+	}
+	return true;
+}
+
+static bool
+too_late(const struct agb_sched *s, agb_time now, uint16_t work,
+    agb_time deadline, uint32_t wait)
+{
+	(void)s;
+	(void)work;
+	return deadline != AGB_TIME_MAX && wait != UINT32_MAX &&
+	    now + wait > deadline;
+}
+
+void
+sched_quick_ask(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	const struct agb_env_class *const c = sched_class(s, ev->work);
+	agb_time deadline = ev->deadline > 0 ? ev->deadline : AGB_TIME_MAX;
+	struct sched_work *k;
+	struct sched_req *r;
+	uint32_t wait;
+	uint16_t team;
+
+	if (deadline == AGB_TIME_MAX && c->deadline_ms > 0)
+		deadline = now + c->deadline_ms * AGB_MS;
+	if (!ask_allowed(s, now, ev, deadline))
+		return;
+	k = &s->works[ev->work];
+	team = ev->team < SCHED_TEAM_NONE ? ev->team : SCHED_TEAM_NONE;
+	if (k->queued == 0 && k->level_set != 0 &&
+	    team_may(s, team, &s->env->works[ev->work].need)) {
+		grant(s, now, ev->tag, ev->work, team, now);
+		return;
+	}
+	wait = sched_quick_wait_us(s, ev->work, k->queued);
+	if (too_late(s, now, ev->work, deadline, wait)) {
+		deny(s, ev->tag, AGB_REASON_DEADLINE, wait / 1000 + 1,
+		    "the expected wait is longer than its deadline allows");
+		return;
+	}
+	HASH_FIND(hh, s->reqs, &ev->tag, sizeof(ev->tag), r);
+	if (r != NULL)
+		return;
+	r = agb_xcalloc(1, sizeof(*r));
+	r->tag = ev->tag;
+	r->serial = ++s->serial;
+	r->work = ev->work;
+	r->team = team;
+	r->asked_at = now;
+	r->deadline = deadline;
+	r->expires_at = deadline;
+	if (c->queue_max_ms > 0 && now + c->queue_max_ms * AGB_MS < deadline)
+		r->expires_at = now + c->queue_max_ms * AGB_MS;
+	HASH_ADD(hh, s->reqs, tag, sizeof(r->tag), r);
+	req_link(s, r);
+	sched_timer_add(s, r->expires_at, TIMER_REQ, (uint32_t)r->tag,
+	    (uint32_t)(r->tag >> 32), r->serial);
+	sched_quick_dispatch(s, now, ev->work);
+}
+
+void
+sched_quick_requeue(struct agb_sched *s, agb_time now, struct sched_req *r)
+{
+	s->quick_queued--;
+	if (r->work < s->works_len) {
+		req_link(s, r);
+		return;
+	}
+	deny(s, r->tag, AGB_REASON_NO_SERVICE, 0,
+	    "the service has left the document");
+	req_free(s, r);
+}
+
+void
+sched_quick_drop(struct agb_sched *s, uint64_t tag)
+{
+	struct sched_req *r;
+
+	HASH_FIND(hh, s->reqs, &tag, sizeof(tag), r);
+	if (r == NULL)
+		return;
+	req_unlink(s, r);
+	req_free(s, r);
+}
+
+void
+sched_quick_timer(
+    struct agb_sched *s, agb_time now, const struct sched_timer *t)
+{
+	const uint64_t tag = (uint64_t)t->b << 32 | t->a;
+	struct sched_req *r;
+
+	HASH_FIND(hh, s->reqs, &tag, sizeof(tag), r);
+	if (r == NULL || r->serial != t->serial)
+		return;
+	if (now >= r->deadline)
+		sched_quick_deny(s, now, r, AGB_REASON_DEADLINE,
+		    "its deadline passed in the queue");
+	else
+		sched_quick_deny(s, now, r, AGB_REASON_OVERLOAD,
+		    "waited in the queue up to the limit of its class");
+}
+
+void
+sched_quick_adopt(
+    struct agb_sched *s, agb_time now, const struct agb_sched_event *ev)
+{
+	static const struct agb_resources nothing;
+	const struct agb_resources *need = &nothing;
+	struct sched_att *a;
+
+	if (sched_att_find(s, &ev->attempt) != NULL)
+		return;
+	if (ev->work < s->works_len)
+		need = &s->env->works[ev->work].need;
+	a = sched_att_new(s, &ev->attempt, ev->worker, ev->work,
+	    SCHED_TEAM_NONE, need, true, now);
+	a->state = ATT_RUNNING;
+}
+
+void
+sched_quick_done(struct agb_sched *s, agb_time now, struct sched_att *a,
+    enum agb_result result)
+{
+	const struct sched_ending e = {
+	    .result = result,
+	    .quick = true,
+	    .work = a->work,
+	    .job = AGB_SCHED_NONE,
+	    .worker = a->worker,
+	    .probe = a->probe,
+	    .ran_for = now > a->placed_at ? now - a->placed_at : 0,
+	};
+	struct sched_work *k;
+
+	if (a->work < s->works_len && result == AGB_RESULT_OK) {
+		k = &s->works[a->work];
+		if (k->run_us <= 0)
+			k->run_us = (double)e.ran_for;
+		k->run_us += ((double)e.ran_for - k->run_us) * RUN_US_GAIN;
+	}
+	sched_att_free(s, a);
+	sched_health_ended(s, now, NULL, &e);
+	sched_quick_dispatch(s, now, e.work);
+}
--- /dev/null
+++ b/src/agatebeam/sched_task.c
@@ -0,0 +1,197 @@
+#include "sched_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * Tasks of jobs: waiting, started, adopted after a takeover, ended.
+ */
+
+void
+sched_task_pend(struct agb_sched *s, agb_time now, struct sched_job *j,
+    uint32_t task, bool front)
+{
+	struct sched_task *const t = &j->tasks[task];
+
+	t->state = TASK_PENDING;
+	j->pending++;
+	s->tasks_queued++;
+	if (t->on_list)
+		return;
+	t->on_list = true;
+	t->next = j->pending_head;
+	j->pending_head = task;
+}
+
+void
+sched_task_unpend(struct agb_sched *s, struct sched_job *j, uint32_t task)
+{
+	struct sched_task *const t = &j->tasks[task];
+
+	if (t->state == TASK_PENDING) {
+		j->pending--;
+		s->tasks_queued--;
+		if (j->pending == 0)
+			sched_queue_remove(s, j);
+	} else if (t->state == TASK_BACKOFF) {
+		j->backoff--;
+	}
+}
+
+static void
+activate(struct agb_sched *s, struct sched_job *j, uint32_t task,
+    struct sched_att *a)
+{
+	struct sched_task *const t = &j->tasks[task];
+
+	sched_task_unpend(s, j, task);
+	t->state = TASK_ACTIVE;
+	t->att = a;
+	a->job = j->handle;
+	a->task = task;
+	j->active++;
+	sched_spread_count(s, j, a->worker, 1);
+}
+
+static void
+deactivate(struct agb_sched *s, struct sched_job *j, struct sched_att *a)
+{
+	j->tasks[a->task].att = NULL;
+	j->active--;
+	sched_spread_count(s, j, a->worker, -1);
+}
+
+void
+sched_task_start(struct agb_sched *s, agb_time now, struct sched_job *j,
+    uint32_t task, struct sched_worker *w, const struct agb_resources *need,
+    uint32_t weighed, const char *why)
+{
+	const bool beyond = !sched_quota_fits(s, j->spec.team, need, 1);
+	struct agb_sched_effect *ef;
+	struct sched_att *a;
+
+	a = sched_att_new(
+	    s, NULL, w->self, j->spec.work, j->spec.team, need, false, now);
+	a->declared = j->spec.need;
+	a->borrowed = beyond;
+	a->end_at = sched_learn_end(s, j, now);
+	activate(s, j, task, a);
+	j->started = true;
+	if (j->tasks[task].tries < UINT16_MAX)
+		j->tasks[task].tries++;
+	sched_retry_started(s, j, task);
+	ef = agb_sched_effects_add(s->out, AGB_SCHED_START);
+	ef->job = j->handle;
+	ef->task = task;
+	ef->attempt = a->id;
+	ef->worker = w->self;
+	ef->need = *need;
+	ef->run_ms = j->spec.run_ms;
+	ef->weighed = weighed;
+	snprintf(ef->detail, sizeof(ef->detail),
+	    "%s work=%s team=%s%s waited_ms=%llu", why,
+	    sched_work_name(s, j->spec.work), sched_team_name(s, j->spec.team),
+	    beyond ? " borrowed" : "",
+	    (unsigned long long)((now - j->waiting_since) / AGB_MS));
+}
+
+void
+sched_task_adopt(struct agb_sched *s, agb_time now,
+    const struct agb_sched_event *ev, bool held)
+{
+	struct sched_job *const j = sched_job_get(s, ev->job);
+	const bool known = j != NULL && ev->task < j->spec.tasks;
+	struct agb_resources size = ev->used;
+	struct sched_att *a = sched_att_find(s, &ev->attempt);
+
+	if (known && agb_resources_fit(&size, &j->spec.need))
+		size = j->spec.need;
+	if (a != NULL) {
+		/* The intent's fate is now known. */
+		if (a->worker != ev->worker && !held)
+			sched_task_moved(s, a, ev->worker);
+		if (!held && a->state == ATT_UNKNOWN)
+			sched_att_state(s, a, ATT_RUNNING);
+		return;
+	}
+	a = sched_att_new(s, &ev->attempt, ev->worker,
+	    known ? j->spec.work : AGB_ENV_NONE,
+	    known ? j->spec.team : SCHED_TEAM_NONE, &size, false, now);
+	a->state = held ? ATT_UNKNOWN : ATT_RUNNING;
+	if (known) {
+		a->declared = j->spec.need;
+		a->end_at = sched_learn_end(s, j, now);
+	}
+	if (known && !j->ending && j->tasks[ev->task].att == NULL &&
+	    j->tasks[ev->task].state != TASK_DONE) {
+		activate(s, j, ev->task, a);
+		j->started = true;
+		j->ran = j->ran || !held;
+		return;
+	}
+	/* Work of no job, or a second run of a task: it must not go on. */
+	if (!held) {
+		a->job = ev->job;
+		a->task = ev->task;
+		sched_att_stop(s, a, AGB_REASON_CANCELLED,
+		    known ? "the task already runs or has ended"
+			  : "no such job");
+		a->job = AGB_SCHED_NONE;
+	}
+}
+
+void
+sched_task_moved(struct agb_sched *s, struct sched_att *a, uint32_t worker)
+{
+	struct sched_job *const j = sched_job_get(s, a->job);
+
+	if (j != NULL)
+		sched_spread_count(s, j, a->worker, -1);
+	sched_att_move(s, a, worker);
+	if (j != NULL)
+		sched_spread_count(s, j, a->worker, 1);
+}
+
+void
+sched_task_done(struct agb_sched *s, agb_time now, uint32_t job, uint32_t task)
+{
+	struct sched_job *const j = sched_job_get(s, job);
+
+	if (j == NULL || task >= j->spec.tasks ||
+	    j->tasks[task].state == TASK_DONE ||
+	    j->tasks[task].state == TASK_ACTIVE)
+		return;
+	sched_task_unpend(s, j, task);
+	j->tasks[task].state = TASK_DONE;
+	j->done++;
+	j->started = true;
+	j->ran = true;
+	sched_job_settle(s, now, j);
+}
+
+void
+sched_task_ended(struct agb_sched *s, agb_time now, struct sched_att *a,
+    enum agb_result result)
+{
+	struct sched_job *const j = sched_job_get(s, a->job);
+	struct sched_ending e = {
+	    .result = result,
+	    .work = a->work,
+	    .job = a->job,
+	    .task = a->task,
+	    .worker = a->worker,
+	    .stop_reason = a->stop_reason,
+	    .probe = a->probe,
+	    .ran_for = now > a->placed_at ? now - a->placed_at : 0,
+	};
+
+	if (j != NULL)
+		deactivate(s, j, a);
+	sched_att_free(s, a);
+	sched_health_ended(s, now, j, &e);
+	if (j == NULL)
+		return;
+	if (result != AGB_RESULT_NOT_STARTED)
+		j->ran = true;
+	sched_retry_ended(s, now, j, &e);
+}
--- /dev/null
+++ b/src/agatebeam/sched_worker.c
@@ -0,0 +1,376 @@
+#include "sched_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Worker table and the index of free room: a tree whose leaves are the
+ * workers and whose nodes hold the largest room below them in each
+ * dimension, so that the next worker that fits is found without looking at
+ * those that do not.
+ */
+
+static const struct agb_resources no_room = {-1, -1, -1};
+
+static int64_t
+max64(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static void
+max_of(struct agb_resources *out, const struct agb_resources *a,
+    const struct agb_resources *b)
+{
+	out->cpu_milli = max64(a->cpu_milli, b->cpu_milli);
+	out->mem_mb = max64(a->mem_mb, b->mem_mb);
+	out->accel = max64(a->accel, b->accel);
+}
+
+static void
+tree_set(struct agb_sched *s, uint32_t leaf, const struct agb_resources *room)
+{
+	struct agb_resources m;
+	size_t i = (size_t)s->tree_leaves + leaf;
+
+	s->tree[i] = *room;
+	while (i > 1) {
+		i /= 2;
+		max_of(&m, &s->tree[2 * i], &s->tree[2 * i + 1]);
+		if (memcmp(&m, &s->tree[i], sizeof(m)) == 0)
+			return;
+		s->tree[i] = m;
+	}
+}
+
+static void
+tree_build(struct agb_sched *s)
+{
+	size_t i;
+
+	s->tree_leaves = s->workers_cap;
+	free(s->tree);
+	s->tree = agb_xcalloc((size_t)s->tree_leaves * 2, sizeof(*s->tree));
+	for (i = 0; i < s->tree_leaves; i++)
+		s->tree[s->tree_leaves + i] =
+		    s->workers[i].known ? s->workers[i].room : no_room;
+	for (i = s->tree_leaves - 1; i >= 1; i--)
+		max_of(&s->tree[i], &s->tree[2 * i], &s->tree[2 * i + 1]);
+}
+
+/* Next leaf at or after @from below @node that fits; the leaves below the
+ * node are [lo, lo + span). */
+static uint32_t
+tree_find(const struct agb_sched *s, const struct agb_resources *need,
+    uint32_t node, uint32_t lo, uint32_t span, uint32_t from)
+{
+	uint32_t found;
+
+	if (lo + span <= from || !agb_resources_fit(need, &s->tree[node]))
+		return AGB_SCHED_NONE;
+	if (span == 1)
+		return lo;
+	span /= 2;
+	found = tree_find(s, need, 2 * node, lo, span, from);
+	if (found != AGB_SCHED_NONE)
+		return found;
+	return tree_find(s, need, 2 * node + 1, lo + span, span, from);
+}
+
+uint32_t
+sched_worker_next_fit(
+    const struct agb_sched *s, const struct agb_resources *need, uint32_t from)
+{
+	if (s->tree_leaves == 0)
+		return AGB_SCHED_NONE;
+	return tree_find(s, need, 1, 0, s->tree_leaves, from);
+}
+
+uint32_t
+sched_units(const struct agb_resources *room, const struct agb_resources *need)
+{
+	int64_t n = INT32_MAX;
+
+	if (!agb_resources_fit(need, room))
+		return 0;
+	if (need->cpu_milli > 0 && room->cpu_milli / need->cpu_milli < n)
+		n = room->cpu_milli / need->cpu_milli;
+	if (need->mem_mb > 0 && room->mem_mb / need->mem_mb < n)
+		n = room->mem_mb / need->mem_mb;
+	if (need->accel > 0 && room->accel / need->accel < n)
+		n = room->accel / need->accel;
+	return (uint32_t)n;
+}
+
+struct sched_worker *
+sched_worker_get(struct agb_sched *s, uint32_t handle)
+{
+	if (handle >= s->workers_cap || !s->workers[handle].known)
+		return NULL;
+	return &s->workers[handle];
+}
+
+void
+sched_worker_dirty_push(struct agb_sched *s, struct sched_worker *w)
+{
+	if (w->dirty)
+		return;
+	w->dirty = true;
+	s->dirty[(s->dirty_head + s->dirty_len++) % s->workers_cap] = w->self;
+}
+
+uint32_t
+sched_worker_dirty_pop(struct agb_sched *s)
+{
+	uint32_t h;
+
+	if (s->dirty_len == 0)
+		return AGB_SCHED_NONE;
+	h = s->dirty[s->dirty_head];
+	s->dirty_head = (s->dirty_head + 1) % s->workers_cap;
+	s->dirty_len--;
+	s->workers[h].dirty = false;
+	return h;
+}
+
+static void
+grow(struct agb_sched *s, uint32_t handle)
+{
+	const uint32_t old = s->workers_cap;
+	struct sched_worker *const was = s->workers;
+	uint32_t *dirty;
+	uint32_t i, cap = old > 0 ? old : 64;
+
+	while (cap <= handle)
+		cap *= 2;
+	dirty = agb_xcalloc(cap, sizeof(*dirty));
+	for (i = 0; old > 0 && i < s->dirty_len; i++)
+		dirty[i] = s->dirty[(s->dirty_head + i) % old];
+	free(s->dirty);
+	s->dirty = dirty;
+	s->dirty_head = 0;
+	/* The slot index links workers by pointer: unlink, move, link. */
+	for (i = 0; i < old; i++) {
+		if (was[i].known && was[i].slot_level >= 0) {
+			was[i].known = false;
+			sched_quick_index(s, &was[i]);
+			was[i].known = true;
+		}
+	}
+	s->workers = agb_xreallocarray(s->workers, cap, sizeof(*s->workers));
+	memset(s->workers + old, 0, (size_t)(cap - old) * sizeof(*s->workers));
+	s->workers_cap = cap;
+	tree_build(s);
+	for (i = 0; i < old; i++) {
+		if (s->workers[i].known)
+			sched_quick_index(s, &s->workers[i]);
+	}
+}
+
+static void
+rack_leave(struct agb_sched *s, struct sched_worker *w)
+{
+	struct sched_rack *const r = &s->racks[w->rack];
+	uint32_t i;
+
+	for (i = 0; i < r->len; i++) {
+		if (r->workers[i] == w->self) {
+			r->workers[i] = r->workers[--r->len];
+			break;
+		}
+	}
+	r->stale = true;
+}
+
+static void
+rack_join(struct agb_sched *s, struct sched_worker *w)
+{
+	struct sched_rack *r;
+	uint32_t i;
+
+	for (i = 0; i < s->racks_len; i++) {
+		if (strcmp(s->racks[i].name, w->info.rack) == 0)
+			break;
+	}
+	if (i == s->racks_len) {
+		s->racks = agb_xreallocarray(
+		    s->racks, ++s->racks_len, sizeof(*s->racks));
+		memset(&s->racks[i], 0, sizeof(*s->racks));
+		agb_name_set(s->racks[i].name, sizeof(agb_name), w->info.rack);
+	}
+	r = &s->racks[i];
+	if (r->len == r->cap) {
+		r->cap = r->cap > 0 ? r->cap * 2 : 8;
+		r->workers =
+		    agb_xreallocarray(r->workers, r->cap, sizeof(*r->workers));
+	}
+	r->workers[r->len++] = w->self;
+	r->stale = true;
+	w->rack = i;
+}
+
+struct sched_rack *
+sched_rack_get(struct agb_sched *s, uint32_t rack)
+{
+	struct sched_rack *const r = &s->racks[rack];
+	uint32_t i;
+
+	if (!r->stale)
+		return r;
+	r->room = no_room;
+	for (i = 0; i < r->len; i++)
+		max_of(&r->room, &r->room, &s->workers[r->workers[i]].room);
+	r->stale = false;
+	return r;
+}
+
+bool
+sched_worker_takes(const struct sched_worker *w)
+{
+	if (w->state != AGB_WORKER_LIVE)
+		return false;
+	if (w->ejected)
+		return w->probing && w->starting == 0;
+	/* A worker whose last start failed gets one start at a time. */
+	return w->evidence_len == 0 || w->starting == 0;
+}
+
+struct agb_resources
+sched_worker_usable(const struct sched_worker *w)
+{
+	struct agb_resources r = w->info.capacity;
+
+	agb_resources_sub(&r, &w->runner);
+	return r;
+}
+
+/* Slots that the runner may fill: no more than its connections, and no more
+ * than the worker's capacity holds. */
+static void
+runner_size(struct agb_sched *s, struct sched_worker *w)
+{
+	const uint16_t work = w->info.service;
+	struct agb_resources need;
+	uint32_t n;
+
+	w->slots = 0;
+	memset(&w->runner, 0, sizeof(w->runner));
+	if (s->env == NULL || work >= s->env->works_len)
+		return;
+	need = s->env->works[work].need;
+	w->slots = w->info.slots < w->info.connections ? w->info.slots
+						       : w->info.connections;
+	n = sched_units(&w->info.capacity, &need);
+	if (w->slots > n)
+		w->slots = n;
+	n = w->slots > w->slots_busy ? w->slots : w->slots_busy;
+	w->runner.cpu_milli = need.cpu_milli * n;
+	w->runner.mem_mb = need.mem_mb * n;
+	w->runner.accel = need.accel * n;
+}
+
+static void
+track(struct agb_sched *s, struct sched_worker *w, bool on)
+{
+	const uint16_t work = w->info.service;
+	const bool hosts = work < s->works_len;
+
+	if (w->tracked) {
+		agb_resources_sub(&s->cap_live, &w->tracked_cap);
+		agb_resources_sub(&s->free_live, &w->tracked_free);
+	}
+	if (hosts)
+		s->works[work].slots -= w->tracked_slots;
+	w->tracked = on;
+	w->tracked_slots = 0;
+	if (!on)
+		return;
+	w->tracked_cap = sched_worker_usable(w);
+	w->tracked_free = w->tracked_cap;
+	agb_resources_sub(&w->tracked_free, &w->held);
+	agb_resources_add(&s->cap_live, &w->tracked_cap);
+	agb_resources_add(&s->free_live, &w->tracked_free);
+	if (hosts) {
+		w->tracked_slots = w->slots;
+		s->works[work].slots += w->tracked_slots;
+	}
+}
+
+static bool
+grew(const struct agb_resources *now, const struct agb_resources *was)
+{
+	return now->cpu_milli > was->cpu_milli || now->mem_mb > was->mem_mb ||
+	    now->accel > was->accel;
+}
+
+void
+sched_worker_refresh(struct agb_sched *s, struct sched_worker *w)
+{
+	const struct agb_resources was = w->room;
+
+	runner_size(s, w);
+	track(s, w, w->state == AGB_WORKER_LIVE && !w->ejected);
+	if (sched_worker_takes(w)) {
+		w->room = sched_worker_usable(w);
+		agb_resources_sub(&w->room, &w->held);
+		agb_resources_sub(&w->room, &w->reserved);
+	} else {
+		w->room = no_room;
+	}
+	sched_quick_index(s, w);
+	if (memcmp(&was, &w->room, sizeof(was)) == 0)
+		return;
+	tree_set(s, w->self, &w->room);
+	s->racks[w->rack].stale = true;
+	if (grew(&w->room, &was))
+		sched_worker_dirty_push(s, w);
+}
+
+struct sched_worker *
+sched_worker_put(struct agb_sched *s, uint32_t handle,
+    const struct agb_worker_info *info, enum agb_worker_state state)
+{
+	struct sched_worker *w;
+
+	if (handle >= s->workers_cap)
+		grow(s, handle);
+	w = &s->workers[handle];
+	if (!w->known) {
+		const bool dirty = w->dirty;
+
+		memset(w, 0, sizeof(*w));
+		w->known = true;
+		w->dirty = dirty;
+		w->self = handle;
+		w->slot_level = -1;
+		w->room = no_room;
+		w->info = *info;
+		s->workers_len++;
+		rack_join(s, w);
+	} else {
+		const enum agb_worker_state keep = w->state;
+
+		/* Leave the sums and the slot index under the old facts. */
+		w->state = AGB_WORKER_JOINING;
+		sched_worker_refresh(s, w);
+		w->state = keep;
+		rack_leave(s, w);
+		w->info = *info;
+		rack_join(s, w);
+	}
+	w->state = state;
+	sched_worker_refresh(s, w);
+	return w;
+}
+
+void
+sched_worker_remove(struct agb_sched *s, struct sched_worker *w)
+{
+	w->state = AGB_WORKER_GONE;
+	sched_worker_refresh(s, w);
+	if (w->ejected)
+		s->ejected--;
+	rack_leave(s, w);
+	w->known = false;
+	s->workers_len--;
+}
--- /dev/null
+++ b/tests/sched_fixture.h
@@ -0,0 +1,318 @@
+#ifndef SCHED_FIXTURE_H
+#define SCHED_FIXTURE_H
+
+/**
+ * DOC: sched_fixture
+ *
+ * A document and short forms of the events for tests of the placement.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "sched.h"
+#include "suite.h"
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+enum { W_QUICK, W_BATCH, W_GANG, W_SERVICE, W_URGENT, W_FIRM, W_BATCH2, W_MAX };
+enum { T_A, T_B, T_CAPPED, T_MAX };
+
+struct fixture {
+	struct agb_sched *s;
+	struct agb_sched_effects out;
+	agb_time now;
+	struct agb_env env;
+	struct agb_env_class classes[W_MAX];
+	struct agb_env_work works[W_MAX];
+	struct agb_env_team teams[T_MAX];
+	struct agb_env_domain domains[1];
+	agb_name regions[1];
+};
+
+static inline struct agb_resources
+res(int64_t cpu_milli, int64_t mem_mb, int64_t accel)
+{
+	return (struct agb_resources){cpu_milli, mem_mb, accel};
+}
+
+static inline struct agb_sched_event
+event(enum agb_sched_event_type type)
+{
+	return (struct agb_sched_event){
+	    .type = type,
+	    .worker = AGB_SCHED_NONE,
+	    .job = AGB_SCHED_NONE,
+	    .deadline = AGB_TIME_MAX,
+	};
+}
+
+static inline void
+step(struct fixture *f, const struct agb_sched_event *ev)
+{
+	agb_sched_step(f->s, f->now, ev, &f->out);
+}
+
+static inline void
+fixture_env(struct fixture *f)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_ENV);
+
+	ev.env = &f->env;
+	step(f, &ev);
+}
+
+static inline void
+fixture_init(struct fixture *f)
+{
+	static const struct {
+		const char *name;
+		enum agb_policy policy;
+		uint8_t urgency;
+		bool preemptible;
+		bool checkpoint;
+	} kinds[W_MAX] = {
+	    [W_QUICK] = {"check", AGB_POLICY_QUICK, 6, false, false},
+	    [W_BATCH] = {"sort", AGB_POLICY_BATCH, 3, true, false},
+	    [W_GANG] = {"plan", AGB_POLICY_GANG, 4, false, false},
+	    [W_SERVICE] = {"findings", AGB_POLICY_SERVICE, 5, false, false},
+	    [W_URGENT] = {"alarm", AGB_POLICY_BATCH, 9, false, false},
+	    [W_FIRM] = {"cut", AGB_POLICY_BATCH, 3, false, false},
+	    [W_BATCH2] = {"profile", AGB_POLICY_BATCH, 3, true, true},
+	};
+	size_t i;
+
+	memset(f, 0, sizeof(*f));
+	f->now = 1000 * AGB_SEC;
+	f->s = agb_sched_new(7, "yaba", 1);
+	agb_name_set(f->domains[0].name, sizeof(agb_name), "yaba");
+	for (i = 0; i < W_MAX; i++) {
+		agb_name_set(
+		    f->classes[i].name, sizeof(agb_name), kinds[i].name);
+		f->classes[i].policy = kinds[i].policy;
+		f->classes[i].urgency = kinds[i].urgency;
+		f->classes[i].preemptible = kinds[i].preemptible;
+		f->classes[i].checkpoint = kinds[i].checkpoint;
+		f->classes[i].retries = 5;
+		f->classes[i].retry_budget_percent = 50;
+		agb_name_set(f->works[i].name, sizeof(agb_name), kinds[i].name);
+		f->works[i].klass = (uint16_t)i;
+		f->works[i].need = res(1000, 1000, 0);
+		f->works[i].domains = 1;
+		f->works[i].teams = (1u << T_MAX) - 1;
+	}
+	for (i = 0; i < T_MAX; i++) {
+		agb_name_set(f->teams[i].name, sizeof(agb_name),
+		    ((const char *[]){"a", "b", "capped"})[i]);
+		f->teams[i].weight = 1;
+		f->teams[i].borrow = i != T_CAPPED;
+		f->teams[i].quota =
+		    i == T_CAPPED ? res(2000, 4000, 0) : res(64000, 256000, 16);
+	}
+	f->env = (struct agb_env){
+	    .eject_max_percent = 30,
+	    .regions_len = 1,
+	    .domains_len = 1,
+	    .teams_len = T_MAX,
+	    .classes_len = W_MAX,
+	    .works_len = W_MAX,
+	    .regions = f->regions,
+	    .domains = f->domains,
+	    .teams = f->teams,
+	    .classes = f->classes,
+	    .works = f->works,
+	};
+	fixture_env(f);
+}
+
+static inline void
+fixture_free(struct fixture *f)
+{
+	agb_sched_free(f->s);
+	agb_sched_effects_free(&f->out);
+}
+
+static inline void
+clear(struct fixture *f)
+{
+	f->out.len = 0;
+}
+
+static inline void
+worker_full(struct fixture *f, uint32_t worker, const char *rack,
+    struct agb_resources cap, uint16_t slots, enum agb_worker_state state)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_WORKER);
+	struct agb_worker_info info = {
+	    .capacity = cap,
+	    .service = slots > 0 ? W_QUICK : AGB_ENV_NONE,
+	    .slots = slots,
+	    .connections = (uint16_t)(slots * 2),
+	};
+
+	agb_name_set(info.rack, sizeof(info.rack), rack);
+	ev.worker = worker;
+	ev.info = &info;
+	ev.state = state;
+	step(f, &ev);
+}
+
+/* A live worker of so many cores, with 4000 MiB a core. */
+static inline void
+worker(struct fixture *f, uint32_t handle, int64_t cores)
+{
+	worker_full(f, handle, handle % 2 == 0 ? "r0" : "r1",
+	    res(cores * 1000, cores * 4000, 0), 0, AGB_WORKER_LIVE);
+}
+
+static inline void
+worker_state(struct fixture *f, uint32_t handle, enum agb_worker_state state)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_WORKER_STATE);
+
+	ev.worker = handle;
+	ev.state = state;
+	step(f, &ev);
+}
+
+static inline struct agb_job_spec
+spec(const struct fixture *f, uint16_t work, uint16_t team, uint32_t tasks,
+    int64_t cores)
+{
+	return (struct agb_job_spec){
+	    .work = work,
+	    .team = team,
+	    .tasks = tasks,
+	    .need = res(cores * 1000, cores * 1000, 0),
+	    .deadline = AGB_TIME_MAX,
+	    .accepted_at = f->now,
+	    .idempotent = true,
+	};
+}
+
+static inline void
+job_add(struct fixture *f, uint32_t job, const struct agb_job_spec *sp)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_JOB_ADD);
+
+	ev.job = job;
+	ev.spec = sp;
+	step(f, &ev);
+}
+
+static inline void
+job(struct fixture *f, uint32_t handle, uint16_t work, uint16_t team,
+    uint32_t tasks, int64_t cores)
+{
+	const struct agb_job_spec sp = spec(f, work, team, tasks, cores);
+
+	job_add(f, handle, &sp);
+}
+
+static inline void
+cancel(struct fixture *f, uint32_t handle)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_JOB_CANCEL);
+
+	ev.job = handle;
+	step(f, &ev);
+}
+
+static inline void
+ended(struct fixture *f, struct agb_attempt attempt, enum agb_result result)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_TASK_ENDED);
+
+	ev.attempt = attempt;
+	ev.result = result;
+	step(f, &ev);
+}
+
+static inline void
+ask(struct fixture *f, uint64_t tag, uint16_t team, agb_time deadline)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_QUICK_ASK);
+
+	ev.tag = tag;
+	ev.work = W_QUICK;
+	ev.team = team;
+	ev.deadline = deadline;
+	step(f, &ev);
+}
+
+static inline void
+quick_done(
+    struct fixture *f, struct agb_attempt attempt, enum agb_result result)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_QUICK_DONE);
+
+	ev.attempt = attempt;
+	ev.result = result;
+	step(f, &ev);
+}
+
+static inline void
+usage(struct fixture *f, struct agb_attempt attempt, struct agb_resources used)
+{
+	struct agb_sched_event ev = event(AGB_SCHED_USAGE);
+
+	ev.attempt = attempt;
+	ev.used = used;
+	step(f, &ev);
+}
+
+/* Lets time pass, with each tick that the shard asks for. */
+static inline void
+pass_time(struct fixture *f, agb_time by)
+{
+	const struct agb_sched_event ev = event(AGB_SCHED_TICK);
+	const agb_time end = f->now + by;
+	agb_time at;
+	int n;
+
+	for (n = 0; n < 100000; n++) {
+		at = agb_sched_next_tick(f->s, f->now);
+		if (at > end)
+			break;
+		f->now = at;
+		step(f, &ev);
+	}
+	f->now = end;
+	step(f, &ev);
+}
+
+static inline uint32_t
+count(const struct fixture *f, enum agb_sched_effect_type type)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < f->out.len; i++)
+		n += f->out.items[i].type == type;
+	return n;
+}
+
+/* The @nth effect of a type, or a zeroed one. */
+static inline const struct agb_sched_effect *
+nth(const struct fixture *f, enum agb_sched_effect_type type, uint32_t nth)
+{
+	static const struct agb_sched_effect none;
+	size_t i;
+
+	for (i = 0; i < f->out.len; i++) {
+		if (f->out.items[i].type == type && nth-- == 0)
+			return &f->out.items[i];
+	}
+	return &none;
+}
+
+static inline const struct agb_sched_effect *
+last(const struct fixture *f, enum agb_sched_effect_type type)
+{
+	const uint32_t n = count(f, type);
+
+	return nth(f, type, n > 0 ? n - 1 : 0);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_sched.c
@@ -0,0 +1,283 @@
+#include "sched_fixture.h"
+
+/* Guards against placing more than a worker has in any dimension. */
+static void
+test_capacity(void)
+{
+	static const struct {
+		struct agb_resources need;
+		uint32_t tasks;
+		uint32_t starts;
+	} cases[] = {
+	    {{1000, 100, 0}, 10, 8},
+	    {{1000, 8000, 0}, 10, 4},
+	    {{1000, 100, 1}, 10, 2},
+	    {{8000, 32000, 2}, 2, 1},
+	    {{3000, 0, 0}, 5, 2},
+	};
+	struct agb_job_spec sp;
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		fixture_init(&f);
+		worker_full(
+		    &f, 0, "r", res(8000, 32000, 2), 0, AGB_WORKER_LIVE);
+		sp = spec(&f, W_BATCH, T_A, cases[i].tasks, 1);
+		sp.need = cases[i].need;
+		job_add(&f, 0, &sp);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), cases[i].starts);
+		fixture_free(&f);
+	}
+}
+
+/* Guards against starts on a worker that must take none. */
+static void
+test_worker_states(void)
+{
+	static const struct {
+		enum agb_worker_state state;
+		uint32_t starts;
+	} cases[] = {
+	    {AGB_WORKER_JOINING, 0},
+	    {AGB_WORKER_LIVE, 1},
+	    {AGB_WORKER_SUSPECT, 0},
+	    {AGB_WORKER_LEAVING, 0},
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		fixture_init(&f);
+		worker_full(
+		    &f, 0, "r", res(8000, 32000, 0), 2, AGB_WORKER_LIVE);
+		worker_state(&f, 0, cases[i].state);
+		job(&f, 0, W_BATCH, T_A, 1, 1);
+		ask(&f, 1, T_A, AGB_TIME_MAX);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), cases[i].starts);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_GRANT), cases[i].starts);
+		fixture_free(&f);
+	}
+}
+
+/* Guards against work that waits for ever though it can never run. */
+static void
+test_never_fits(void)
+{
+	static const struct {
+		uint16_t work;
+		uint32_t tasks;
+		int64_t cores;
+		const char *detail;
+	} cases[] = {
+	    {W_BATCH, 1, 48, "needs 48 processors; the largest worker has 32"},
+	    {W_GANG, 9, 8,
+		"needs 9 tasks at once; all workers together hold 8"},
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		fixture_init(&f);
+		worker(&f, 0, 32);
+		worker(&f, 1, 32);
+		job(&f, 0, cases[i].work, T_A, cases[i].tasks, cases[i].cores);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_JOB_DONE), 1);
+		CU_ASSERT_EQUAL(f.out.items[0].reason, AGB_REASON_NEVER_FITS);
+		CU_ASSERT_EQUAL(f.out.items[0].outcome, AGB_NOT_RUN);
+		CU_ASSERT_STRING_EQUAL(f.out.items[0].detail, cases[i].detail);
+		fixture_free(&f);
+	}
+}
+
+/* Guards against a gang that starts in part. */
+static void
+test_gang_whole(void)
+{
+	struct agb_attempt first;
+	struct fixture f;
+
+	fixture_init(&f);
+	worker(&f, 0, 4);
+	worker(&f, 1, 4);
+	job(&f, 0, W_BATCH, T_A, 1, 2);
+	first = last(&f, AGB_SCHED_START)->attempt;
+	job(&f, 1, W_GANG, T_B, 4, 2);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 1);
+	ended(&f, first, AGB_RESULT_OK);
+	pass_time(&f, AGB_SEC);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 5);
+	fixture_free(&f);
+}
+
+/* Guards against a service whose tasks share a rack without need, and one
+ * that is not kept at its count. */
+static void
+test_service(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	worker(&f, 0, 8);
+	worker(&f, 1, 8);
+	worker(&f, 2, 8);
+	job(&f, 0, W_SERVICE, T_A, 2, 1);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 2);
+	CU_ASSERT_NOT_EQUAL(nth(&f, AGB_SCHED_START, 0)->worker % 2,
+	    nth(&f, AGB_SCHED_START, 1)->worker % 2);
+	ended(&f, nth(&f, AGB_SCHED_START, 0)->attempt, AGB_RESULT_OK);
+	pass_time(&f, 60 * AGB_SEC);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 3);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_JOB_DONE), 0);
+	cancel(&f, 0);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_STOP), 2);
+	ended(&f, nth(&f, AGB_SCHED_START, 1)->attempt, AGB_RESULT_STOPPED);
+	ended(&f, nth(&f, AGB_SCHED_START, 2)->attempt, AGB_RESULT_STOPPED);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_JOB_DONE), 1);
+	fixture_free(&f);
+}
+
+/* Guards against a job whose end is told before its tasks have ended, or
+ * with the wrong outcome. */
+static void
+test_job_done(void)
+{
+	static const struct {
+		enum agb_result result;
+		bool idempotent;
+		bool cancelled;
+		enum agb_outcome outcome;
+		enum agb_reason reason;
+	} cases[] = {
+	    {AGB_RESULT_OK, false, false, AGB_RAN, AGB_REASON_NONE},
+	    {AGB_RESULT_FAILED, false, false, AGB_RAN, AGB_REASON_NONE},
+	    {AGB_RESULT_LOST, false, false, AGB_UNKNOWN,
+		AGB_REASON_WORKER_LOST},
+	    {AGB_RESULT_STOPPED, true, true, AGB_RAN, AGB_REASON_CANCELLED},
+	    {AGB_RESULT_NOT_STARTED, true, true, AGB_NOT_RUN,
+		AGB_REASON_CANCELLED},
+	    {AGB_RESULT_LOST, true, true, AGB_UNKNOWN, AGB_REASON_CANCELLED},
+	};
+	struct agb_job_spec sp;
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		fixture_init(&f);
+		worker(&f, 0, 8);
+		sp = spec(&f, W_BATCH, T_A, 1, 1);
+		sp.idempotent = cases[i].idempotent;
+		job_add(&f, 0, &sp);
+		if (cases[i].cancelled)
+			cancel(&f, 0);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_JOB_DONE), 0);
+		ended(
+		    &f, nth(&f, AGB_SCHED_START, 0)->attempt, cases[i].result);
+		CU_ASSERT_EQUAL(count(&f, AGB_SCHED_JOB_DONE), 1);
+		CU_ASSERT_EQUAL(
+		    last(&f, AGB_SCHED_JOB_DONE)->outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(
+		    last(&f, AGB_SCHED_JOB_DONE)->reason, cases[i].reason);
+		fixture_free(&f);
+	}
+}
+
+/* Guards against a slot granted twice, a request forgotten in the queue, and
+ * an answer to a caller that has gone. */
+static void
+test_quick(void)
+{
+	struct fixture f;
+
+	fixture_init(&f);
+	worker_full(&f, 0, "r", res(8000, 32000, 0), 2, AGB_WORKER_LIVE);
+	ask(&f, 1, T_A, AGB_TIME_MAX);
+	ask(&f, 2, T_A, AGB_TIME_MAX);
+	ask(&f, 3, T_A, AGB_TIME_MAX);
+	ask(&f, 4, T_B, f.now + 500 * AGB_MS);
+	ask(&f, 5, T_B, f.now);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_GRANT), 2);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_DENY)->tag, 5);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_DENY)->reason, AGB_REASON_DEADLINE);
+	pass_time(&f, AGB_SEC);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_DENY)->tag, 4);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_DENY)->outcome, AGB_NOT_RUN);
+	quick_done(&f, nth(&f, AGB_SCHED_GRANT, 0)->attempt, AGB_RESULT_OK);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_GRANT), 3);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_GRANT)->tag, 3);
+	fixture_free(&f);
+}
+
+/* Guards against a second run of work whose first run may be alive after a
+ * takeover. */
+static void
+test_recovery(void)
+{
+	struct agb_sched_event ev;
+	struct fixture f;
+
+	fixture_init(&f);
+	worker_full(&f, 0, "r0", res(4000, 16000, 0), 2, AGB_WORKER_JOINING);
+	worker_full(&f, 1, "r1", res(4000, 16000, 0), 0, AGB_WORKER_JOINING);
+	job(&f, 0, W_BATCH, T_A, 4, 1);
+	ev = event(AGB_SCHED_TASK_DONE);
+	ev.job = 0;
+	ev.task = 0;
+	step(&f, &ev);
+	ev = event(AGB_SCHED_TASK_HOLD);
+	ev.job = 0;
+	ev.task = 2;
+	ev.worker = 1;
+	ev.attempt = (struct agb_attempt){5, 2};
+	step(&f, &ev);
+	ev = event(AGB_SCHED_TASK_ADOPT);
+	ev.job = 0;
+	ev.task = 1;
+	ev.worker = 0;
+	ev.attempt = (struct agb_attempt){5, 1};
+	step(&f, &ev);
+	ev = event(AGB_SCHED_QUICK_ADOPT);
+	ev.worker = 0;
+	ev.work = W_QUICK;
+	ev.attempt = (struct agb_attempt){5, 9};
+	step(&f, &ev);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 0);
+	worker_state(&f, 0, AGB_WORKER_LIVE);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 1);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_START)->task, 3);
+	ask(&f, 1, T_A, AGB_TIME_MAX);
+	ask(&f, 2, T_A, AGB_TIME_MAX);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_GRANT), 1);
+	worker_state(&f, 1, AGB_WORKER_LIVE);
+	pass_time(&f, 10 * AGB_SEC);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 1);
+	ended(&f, (struct agb_attempt){5, 2}, AGB_RESULT_NOT_STARTED);
+	pass_time(&f, 10 * AGB_SEC);
+	CU_ASSERT_EQUAL(count(&f, AGB_SCHED_START), 2);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_START)->task, 2);
+	/* A task of a job that is not known must not go on unseen. */
+	ev = event(AGB_SCHED_TASK_ADOPT);
+	ev.job = 77;
+	ev.worker = 0;
+	ev.attempt = (struct agb_attempt){5, 3};
+	step(&f, &ev);
+	CU_ASSERT_EQUAL(last(&f, AGB_SCHED_STOP)->job, 77);
+	fixture_free(&f);
+}
+
+static const struct suite_test tests[] = {
+    {"capacity", test_capacity},
+    {"worker_states", test_worker_states},
+    {"never_fits", test_never_fits},
+    {"gang_whole", test_gang_whole},
+    {"service", test_service},
+    {"job_done", test_job_done},
+    {"quick", test_quick},
+    {"recovery", test_recovery},
+};
+
+int
+main(void)
+{
+	return suite_run("sched", tests, LEN(tests));
+}
