feat(httpc): limit of the time to connect, TCP keep-alive

Cause: an endpoint that drops packets would use up the whole time of a store call, and a waiting watch would not see a silent partition.

Change: connect_timeout_ms in the request; keep-alive probes on each connection (5 s idle, 3 probes 2 s apart).

Conclusion: existing fields keep their meaning.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -79,6 +80,7 @@
 	struct agb_httpc_call *all_prev, *all_next;
 	enum call_state state;
 	uv_timer_t timer;
+	uint64_t deadline; /* on the loop's clock, 0 when there is none */
 	bool in_callback;
 	bool cancelled;
 	bool is_head;
@@ -545,6 +547,27 @@
 	finish(call, AGB_HTTPC_WHOLE, NULL);
 }
 
+static void
+on_deadline(uv_timer_t *t)
+{
+	struct agb_httpc_call *const call = t->data;
+
+	call->res.timed_out = true;
+	fail(call, "no whole answer in time");
+}
+
+/* Only the limit of the whole call holds once the request is written. */
+static void
+start_deadline(struct agb_httpc_call *call)
+{
+	const uint64_t now = uv_now(call->c->loop);
+
+	uv_timer_stop(&call->timer);
+	if (call->deadline > 0)
+		uv_timer_start(&call->timer, on_deadline,
+		    call->deadline > now ? call->deadline - now : 0, 0);
+}
+
 static void
 on_written(uv_write_t *w, int status)
 {
@@ -571,6 +594,7 @@
 	conn->call = call;
 	call->conn = conn;
 	call->state = CALL_SENT;
+	start_deadline(call);
 	if (n > 0) {
 		buf.base += n;
 		buf.len -= (size_t)n;
@@ -600,6 +624,22 @@
 		fail(call, "connection failed");
 }
 
+/* Finds a silent partition under a waiting watch within about 11 s. */
+static void
+conn_options(struct conn *conn)
+{
+	static const int idle_s = 5, interval_s = 2, probes = 3;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_tcp_keepalive(&conn->tcp, 1, (unsigned)idle_s);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0)
+		return;
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 static void
 conn_open(struct agb_httpc *c, struct agb_httpc_call *call)
 {
@@ -618,7 +658,7 @@
 		fail(call, "connection failed");
 		return;
 	}
-	uv_tcp_nodelay(&conn->tcp, 1);
+	conn_options(conn);
 }
 
 /* Starts the calls that wait for a connection, as many as are allowed. */
@@ -680,15 +720,6 @@
 		uv_idle_stop(&c->idle);
 }
 
-static void
-on_deadline(uv_timer_t *t)
-{
-	struct agb_httpc_call *const call = t->data;
-
-	call->res.timed_out = true;
-	fail(call, "no whole answer in time");
-}
-
 static void
 endpoint_free(struct agb_httpc *c, struct endpoint *ep)
 {
@@ -794,6 +825,7 @@
 {
 	struct agb_httpc_call *const call = agb_xcalloc(1, sizeof(*call));
 	struct endpoint *ep;
+	uint32_t first;
 
 	call->c = c;
 	call->cb = req->cb;
@@ -819,8 +851,14 @@
 	}
 	call->ep = ep;
 	build_request(call, req);
+	first = req->timeout_ms;
 	if (req->timeout_ms > 0)
-		uv_timer_start(&call->timer, on_deadline, req->timeout_ms, 0);
+		call->deadline = uv_now(c->loop) + req->timeout_ms;
+	if (req->connect_timeout_ms > 0 &&
+	    (first == 0 || req->connect_timeout_ms < first))
+		first = req->connect_timeout_ms;
+	if (first > 0)
+		uv_timer_start(&call->timer, on_deadline, first, 0);
 	DL_APPEND(ep->queue, call);
 	ep->queued++;
 	start_queued(c, ep);
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -84,6 +84,8 @@
  * @headers: further headers; Host and Content-Length are added
  * @timeout_ms: from now to the end of the answer, waiting for a connection
  *	included; 0 is no limit
+ * @connect_timeout_ms: as @timeout_ms, until the request is written; 0 is no
+ *	separate limit
  * @body_max: largest body of the answer; 0 is AGB_HTTPC_BODY_MAX. A larger
  *	one ends the request with AGB_HTTPC_LOST. Not used with @on_chunk.
  * @on_chunk: gets the body as it arrives instead of @cb; or NULL
@@ -97,6 +99,7 @@
 	const void *body;
 	size_t body_len;
 	uint32_t timeout_ms;
+	uint32_t connect_timeout_ms;
 	size_t body_max;
 	agb_httpc_cb cb;
 	agb_httpc_chunk_cb on_chunk;
--- a/tests/loop.h
+++ b/tests/loop.h
@@ -176,6 +176,23 @@
 	    srv->addr, sizeof(srv->addr), "127.0.0.1:%d", ntohs(sa.sin_port));
 }
 
+/**
+ * loop_bind_dead() - hold a port on which nobody listens
+ * @tcp: closed by the caller
+ */
+static inline void
+loop_bind_dead(uv_loop_t *loop, uv_tcp_t *tcp, char addr[64])
+{
+	struct sockaddr_in sa;
+	int len = sizeof(sa);
+
+	uv_ip4_addr("127.0.0.1", 0, &sa);
+	uv_tcp_init(loop, tcp);
+	uv_tcp_bind(tcp, (struct sockaddr *)&sa, 0);
+	uv_tcp_getsockname(tcp, (struct sockaddr *)&sa, &len);
+	snprintf(addr, 64, "127.0.0.1:%d", ntohs(sa.sin_port));
+}
+
 /**
  * loop_unlisten() - close the server and its connections
  */
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -176,7 +176,7 @@
 		const char *addr;
 		const char *path;
 	} cases[] = {
-	    {NULL, "/"}, /* refused: nobody listens on the port any more */
+	    {NULL, "/"}, /* refused: nobody listens on the port */
 	    {"localhost:80", "/"},
 	    {"127.0.0.1", "/"},
 	    {"127.0.0.1:0", "/"},
@@ -184,21 +184,19 @@
 	    {"127.0.0.1:80", "/ HTTP/1.1\r\nX: y"},
 	};
 	struct agb_httpc_req req;
-	struct loop_server srv;
 	struct agb_httpc *c;
 	struct result r;
 	uv_loop_t loop;
+	uv_tcp_t dead;
+	char addr[64];
 	size_t i;
 
 	uv_loop_init(&loop);
 	c = agb_httpc_new(&loop, 2);
-	loop_listen(&loop, &srv, answer_whole, NULL);
-	loop_unlisten(&srv);
-	uv_run(&loop, UV_RUN_NOWAIT);
+	loop_bind_dead(&loop, &dead, addr);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		memset(&r, 0, sizeof(r));
-		req =
-		    ping(cases[i].addr != NULL ? cases[i].addr : srv.addr, &r);
+		req = ping(cases[i].addr != NULL ? cases[i].addr : addr, &r);
 		req.path = cases[i].path;
 		agb_httpc_request(c, &req);
 		CU_ASSERT_EQUAL(r.done, 0);
@@ -207,6 +205,7 @@
 		CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_UNSENT);
 	}
 	agb_httpc_free(c);
+	uv_close((uv_handle_t *)&dead, NULL);
 	loop_close(&loop);
 }
 
