--- /dev/null
+++ b/tests/standin/http_part.c
@@ -0,0 +1,324 @@
+#include "http_part.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "mem.h"
+
+#define REQUEST_BYTES_MAX ((size_t)4 * 1024 * 1024)
+
+struct http_conn {
+	uv_tcp_t tcp;
+	uv_timer_t delay;
+	struct http_server *server;
+	struct http_conn *prev, *next;
+	int handles;
+	bool closing;
+	bool busy; /* a request waits for its answer */
+	char *in;
+	size_t in_len, in_cap;
+	char *out;
+	size_t out_len;
+	void *user;
+};
+
+struct http_server {
+	uv_tcp_t tcp;
+	char addr[64];
+	http_handler handler;
+	http_closed_cb closed;
+	void *arg;
+	uint64_t bytes_in, bytes_out;
+	struct http_conn *conns;
+};
+
+struct write {
+	uv_write_t req;
+	char *data;
+};
+
+static void take_requests(struct http_conn *c);
+
+static void
+on_handle_closed(uv_handle_t *h)
+{
+	struct http_conn *const c = h->data;
+
+	if (--c->handles > 0)
+		return;
+	free(c->in);
+	free(c->out);
+	free(c);
+}
+
+void
+http_close(struct http_conn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	if (c->user != NULL && c->server->closed != NULL)
+		c->server->closed(c->server->arg, c->user);
+	if (c->prev != NULL)
+		c->prev->next = c->next;
+	else
+		c->server->conns = c->next;
+	if (c->next != NULL)
+		c->next->prev = c->prev;
+	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&c->delay, on_handle_closed);
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	struct write *const w = (struct write *)req;
+
+	free(w->data);
+	free(w);
+}
+
+static void
+send_bytes(struct http_conn *c, const char *data, size_t len)
+{
+	uv_buf_t buf = uv_buf_init((char *)data, (unsigned)len);
+	struct write *w;
+	int n;
+
+	if (c->closing)
+		return;
+	c->server->bytes_out += len;
+	n = uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
+	if (n < 0)
+		n = 0;
+	if ((size_t)n == len)
+		return;
+	w = agb_xcalloc(1, sizeof(*w));
+	w->data = agb_xmemdup(data + n, len - (size_t)n);
+	buf = uv_buf_init(w->data, (unsigned)(len - (size_t)n));
+	uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+}
+
+static void
+send_out(struct http_conn *c)
+{
+	send_bytes(c, c->out, c->out_len);
+	free(c->out);
+	c->out = NULL;
+	c->busy = false;
+}
+
+static void
+on_delay(uv_timer_t *t)
+{
+	struct http_conn *const c = t->data;
+
+	send_out(c);
+	take_requests(c);
+}
+
+void
+http_reply(struct http_conn *c, int status, const char *body, size_t len,
+    uint32_t delay_ms)
+{
+	FILE *const f = open_memstream(&c->out, &c->out_len);
+
+	if (f == NULL)
+		abort();
+	fprintf(f,
+	    "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n"
+	    "Content-Length: %zu\r\n\r\n",
+	    status, len);
+	fwrite(body, 1, len, f);
+	fclose(f);
+	if (delay_ms > 0)
+		uv_timer_start(&c->delay, on_delay, delay_ms, 0);
+	else
+		send_out(c);
+}
+
+void
+http_stream(struct http_conn *c)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n";
+
+	send_bytes(c, head, sizeof(head) - 1);
+}
+
+void
+http_chunk(struct http_conn *c, const char *data, size_t len)
+{
+	char size[32];
+
+	send_bytes(
+	    c, size, (size_t)snprintf(size, sizeof(size), "%zx\r\n", len));
+	send_bytes(c, data, len);
+	send_bytes(c, "\r\n", 2);
+}
+
+void
+http_set_user(struct http_conn *c, void *user)
+{
+	c->user = user;
+}
+
+/* Takes the first whole request out of the input; false when there is none. */
+static bool
+take_request(struct http_conn *c)
+{
+	char *const end = c->in != NULL ? strstr(c->in, "\r\n\r\n") : NULL;
+	char *length, *path, *space;
+	struct http_msg m = {0};
+	size_t used;
+
+	if (end == NULL)
+		return false;
+	length = strcasestr(c->in, "\r\ncontent-length:");
+	if (length != NULL && length < end)
+		m.body_len = strtoul(length + 17, NULL, 10);
+	used = (size_t)(end - c->in) + 4 + m.body_len;
+	if (m.body_len > REQUEST_BYTES_MAX) {
+		http_close(c);
+		return false;
+	}
+	if (c->in_len < used)
+		return false;
+	path = strchr(c->in, ' ');
+	space = path != NULL ? strchr(path + 1, ' ') : NULL;
+	if (space == NULL || space > end) {
+		http_close(c);
+		return false;
+	}
+	*path++ = '\0';
+	*space = '\0';
+	m.method = c->in;
+	m.path = path;
+	m.body = end + 4;
+	c->busy = true;
+	c->server->handler(c->server->arg, c, &m);
+	c->in_len -= used;
+	memmove(c->in, c->in + used, c->in_len + 1);
+	return true;
+}
+
+static void
+take_requests(struct http_conn *c)
+{
+	while (!c->closing && !c->busy && take_request(c))
+		;
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+	struct http_conn *const c = h->data;
+
+	if (c->in_cap - c->in_len < size + 1) {
+		c->in_cap = (c->in_len + size + 1) * 2;
+		c->in = agb_xreallocarray(c->in, c->in_cap, 1);
+	}
+	*buf = uv_buf_init(
+	    c->in + c->in_len, (unsigned)(c->in_cap - c->in_len - 1));
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+	struct http_conn *const c = s->data;
+
+	if (n < 0 || c->in_len > REQUEST_BYTES_MAX + 65536) {
+		http_close(c);
+		return;
+	}
+	c->in_len += (size_t)n;
+	c->in[c->in_len] = '\0';
+	c->server->bytes_in += (uint64_t)n;
+	take_requests(c);
+}
+
+static void
+on_accept(uv_stream_t *s, int status)
+{
+	struct http_server *const srv = s->data;
+	struct http_conn *c;
+
+	if (status < 0)
+		return;
+	c = agb_xcalloc(1, sizeof(*c));
+	c->server = srv;
+	c->handles = 2;
+	uv_tcp_init(s->loop, &c->tcp);
+	uv_timer_init(s->loop, &c->delay);
+	c->tcp.data = c->delay.data = c;
+	c->next = srv->conns;
+	if (c->next != NULL)
+		c->next->prev = c;
+	srv->conns = c;
+	if (uv_accept(s, (uv_stream_t *)&c->tcp) != 0 ||
+	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0)
+		http_close(c);
+}
+
+static void
+on_listener_closed(uv_handle_t *h)
+{
+	free(h->data);
+}
+
+struct http_server *
+http_server_new(uv_loop_t *loop, const char *addr, http_handler handler,
+    http_closed_cb closed, void *arg)
+{
+	struct http_server *const s = agb_xcalloc(1, sizeof(*s));
+	struct sockaddr_in sa;
+	int len = sizeof(sa);
+	char host[48] = "";
+	int port = -1;
+
+	s->handler = handler;
+	s->closed = closed;
+	s->arg = arg;
+	uv_tcp_init(loop, &s->tcp);
+	s->tcp.data = s;
+	if (sscanf(addr, "%47[^:]:%d", host, &port) != 2 ||
+	    uv_ip4_addr(host, port, &sa) != 0 ||
+	    uv_tcp_bind(&s->tcp, (struct sockaddr *)&sa, 0) != 0 ||
+	    uv_listen((uv_stream_t *)&s->tcp, 128, on_accept) != 0 ||
+	    uv_tcp_getsockname(&s->tcp, (struct sockaddr *)&sa, &len) != 0) {
+		uv_close((uv_handle_t *)&s->tcp, on_listener_closed);
+		return NULL;
+	}
+	snprintf(s->addr, sizeof(s->addr), "%s:%d", host, ntohs(sa.sin_port));
+	return s;
+}
+
+const char *
+http_server_addr(const struct http_server *s)
+{
+	return s->addr;
+}
+
+uint64_t
+http_server_bytes_in(const struct http_server *s)
+{
+	return s->bytes_in;
+}
+
+uint64_t
+http_server_bytes_out(const struct http_server *s)
+{
+	return s->bytes_out;
+}
+
+void
+http_server_free(struct http_server *s)
+{
+	while (s->conns != NULL)
+		http_close(s->conns);
+	uv_close((uv_handle_t *)&s->tcp, on_listener_closed);
+}
--- /dev/null
+++ b/tests/standin/platform_part.c
@@ -0,0 +1,961 @@
+#include "platform_part.h"
+
+#include <json-c/json.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "b64.h"
+#include "http_part.h"
+#include "mem.h"
+
+/* Limits of etcd's default configuration. */
+#define TXN_OPS_MAX 128
+#define REQUEST_BYTES_MAX ((size_t)1536 * 1024)
+
+#define HISTORY_MAX 4096
+
+struct kv {
+	char *key, *val;
+	size_t val_len;
+	uint64_t create_rev, mod_rev, version;
+	int64_t lease;
+};
+
+/* A past change; a deletion has no value. */
+struct change {
+	struct kv kv;
+	bool deleted;
+};
+
+struct lease {
+	uv_timer_t timer;
+	struct platform *p;
+	struct lease *next;
+	int64_t id;
+	uint32_t ttl_s;
+};
+
+struct watcher {
+	struct platform *p;
+	struct watcher *next;
+	struct http_conn *conn;
+	char *key, *end;
+};
+
+struct instance {
+	uv_timer_t ttl;
+	uv_timer_t lag;
+	struct platform *p;
+	struct instance *next;
+	struct json_object *posted;  /* last state posted */
+	struct json_object *visible; /* what the list shows */
+	uint64_t version;
+	int handles;
+};
+
+struct platform {
+	uv_loop_t *loop;
+	struct http_server *http;
+	struct kv *kvs; /* sorted by key */
+	size_t kvs_len;
+	uint64_t rev;
+	struct change history[HISTORY_MAX];
+	uint64_t history_len; /* changes ever made */
+	struct lease *leases;
+	int64_t next_lease;
+	struct watcher *watchers;
+	struct instance *instances;
+	uint64_t list_version;
+	uint32_t list_lag_ms;
+	bool down;
+	uint32_t delay_ms;
+	uint32_t lose_answers;
+	struct {
+		uint64_t range, txn, lease, watch, list;
+	} calls;
+};
+
+static void
+free_kv(struct kv *kv)
+{
+	free(kv->key);
+	free(kv->val);
+}
+
+static struct json_object *
+get(struct json_object *obj, const char *name)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(obj, name, &v);
+	return v;
+}
+
+static int64_t
+get_int(struct json_object *obj, const char *name)
+{
+	return json_object_get_int64(get(obj, name));
+}
+
+/* Return: decoded bytes, NULL when the field is absent or malformed. */
+static char *
+get_b64(struct json_object *obj, const char *name, size_t *len)
+{
+	struct json_object *const v = get(obj, name);
+	size_t n = 0;
+	char *out;
+
+	if (v == NULL)
+		return NULL;
+	out = agb_b64_decode(json_object_get_string(v),
+	    (size_t)json_object_get_string_len(v), &n);
+	if (len != NULL)
+		*len = n;
+	return out;
+}
+
+/* Index of the first key that is not before @key. */
+static size_t
+lower_bound(const struct platform *p, const char *key)
+{
+	size_t lo = 0, hi = p->kvs_len, mid;
+
+	while (lo < hi) {
+		mid = (lo + hi) / 2;
+		if (strcmp(p->kvs[mid].key, key) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+static bool
+in_range(const char *k, const char *key, const char *end)
+{
+	if (end == NULL)
+		return strcmp(k, key) == 0;
+	return strcmp(key, k) <= 0 && strcmp(k, end) < 0;
+}
+
+static struct kv *
+find(const struct platform *p, const char *key)
+{
+	const size_t i = lower_bound(p, key);
+
+	if (i < p->kvs_len && strcmp(p->kvs[i].key, key) == 0)
+		return &p->kvs[i];
+	return NULL;
+}
+
+static void
+remember(struct platform *p, const struct kv *kv, bool deleted)
+{
+	struct change *const ch = &p->history[p->history_len++ % HISTORY_MAX];
+
+	free_kv(&ch->kv);
+	ch->kv = *kv;
+	ch->kv.key = agb_xstrdup(kv->key);
+	ch->kv.val = agb_xmemdup(kv->val, kv->val_len);
+	ch->deleted = deleted;
+}
+
+static void
+put(struct platform *p, uint64_t rev, const char *key, const char *val,
+    size_t len, int64_t lease)
+{
+	size_t i = lower_bound(p, key);
+	struct kv *kv = find(p, key);
+
+	if (kv == NULL) {
+		p->kvs =
+		    agb_xreallocarray(p->kvs, p->kvs_len + 1, sizeof(*p->kvs));
+		memmove(&p->kvs[i + 1], &p->kvs[i],
+		    (p->kvs_len++ - i) * sizeof(*p->kvs));
+		kv = &p->kvs[i];
+		memset(kv, 0, sizeof(*kv));
+		kv->key = agb_xstrdup(key);
+		kv->create_rev = rev;
+	}
+	free(kv->val);
+	kv->val = agb_xmemdup(val, len);
+	kv->val_len = len;
+	kv->mod_rev = rev;
+	kv->version++;
+	kv->lease = lease;
+	remember(p, kv, false);
+}
+
+static void
+delete_at(struct platform *p, size_t i, uint64_t rev)
+{
+	struct kv kv = p->kvs[i];
+
+	kv.mod_rev = rev;
+	kv.val_len = 0;
+	remember(p, &kv, true);
+	free_kv(&kv);
+	p->kvs_len--;
+	memmove(&p->kvs[i], &p->kvs[i + 1], (p->kvs_len - i) * sizeof(*p->kvs));
+}
+
+/* The mapping writes 64-bit numbers as strings and leaves out zeros. */
+static void
+put_number(FILE *f, const char *name, int64_t n)
+{
+	if (n != 0)
+		fprintf(f, ",\"%s\":\"%lld\"", name, (long long)n);
+}
+
+static void
+put_kv(FILE *f, const struct kv *kv, bool with_value)
+{
+	char *text = agb_b64_encode(kv->key, strlen(kv->key));
+
+	fprintf(f, "{\"key\":\"%s\"", text);
+	free(text);
+	put_number(f, "create_revision", (int64_t)kv->create_rev);
+	put_number(f, "mod_revision", (int64_t)kv->mod_rev);
+	put_number(f, "version", (int64_t)kv->version);
+	put_number(f, "lease", kv->lease);
+	if (with_value && kv->val_len > 0) {
+		text = agb_b64_encode(kv->val, kv->val_len);
+		fprintf(f, ",\"value\":\"%s\"", text);
+		free(text);
+	}
+	fputc('}', f);
+}
+
+static void
+put_header(FILE *f, const struct platform *p)
+{
+	fprintf(f,
+	    "\"header\":{\"cluster_id\":\"1\",\"member_id\":\"1\","
+	    "\"revision\":\"%llu\",\"raft_term\":\"1\"}",
+	    (unsigned long long)p->rev);
+}
+
+struct reply {
+	FILE *f;
+	char *text;
+	size_t len;
+};
+
+static FILE *
+reply_open(struct reply *r)
+{
+	r->f = open_memstream(&r->text, &r->len);
+	if (r->f == NULL)
+		abort();
+	return r->f;
+}
+
+static void
+reply_send(struct platform *p, struct http_conn *c, struct reply *r, int status)
+{
+	fclose(r->f);
+	http_reply(c, status, r->text, r->len, p->delay_ms);
+	free(r->text);
+}
+
+static void
+reply_error(
+    struct platform *p, struct http_conn *c, int status, const char *text)
+{
+	struct reply r;
+
+	fprintf(reply_open(&r), "{\"error\":\"%s\",\"code\":%d}", text, status);
+	reply_send(p, c, &r, status);
+}
+
+/* Answers a write, or loses its answer by closing the connection. */
+static void
+reply_write(struct platform *p, struct http_conn *c, struct reply *r)
+{
+	if (p->lose_answers == 0) {
+		reply_send(p, c, r, 200);
+		return;
+	}
+	p->lose_answers--;
+	fclose(r->f);
+	free(r->text);
+	http_close(c);
+}
+
+static void
+watch_send(struct watcher *w, uint64_t from, uint64_t to)
+{
+	const struct platform *const p = w->p;
+	const struct change *ch;
+	struct reply r;
+	uint64_t i;
+	int n = 0;
+	FILE *const f = reply_open(&r);
+
+	fputs("{\"result\":{", f);
+	put_header(f, p);
+	fputs(",\"events\":[", f);
+	i = p->history_len > HISTORY_MAX ? p->history_len - HISTORY_MAX : 0;
+	for (; i < p->history_len; i++) {
+		ch = &p->history[i % HISTORY_MAX];
+		if (ch->kv.mod_rev < from || ch->kv.mod_rev > to ||
+		    !in_range(ch->kv.key, w->key, w->end))
+			continue;
+		fprintf(f, "%s{%s\"kv\":", n++ > 0 ? "," : "",
+		    ch->deleted ? "\"type\":\"DELETE\"," : "");
+		put_kv(f, &ch->kv, true);
+		fputc('}', f);
+	}
+	fputs("]}}\n", f);
+	fclose(f);
+	if (n > 0)
+		http_chunk(w->conn, r.text, r.len);
+	free(r.text);
+}
+
+/* Ends a write that made @rev: tells the watchers. */
+static void
+commit(struct platform *p, uint64_t rev)
+{
+	struct watcher *w;
+
+	p->rev = rev;
+	for (w = p->watchers; w != NULL; w = w->next)
+		watch_send(w, rev, rev);
+}
+
+static void
+put_range(FILE *f, const struct platform *p, struct json_object *req)
+{
+	char *const key = get_b64(req, "key", NULL);
+	char *const end = get_b64(req, "range_end", NULL);
+	const bool keys_only = json_object_get_boolean(get(req, "keys_only"));
+	const int64_t limit = get_int(req, "limit");
+	int64_t n = 0;
+	size_t i;
+
+	fputs(",\"kvs\":[", f);
+	for (i = key != NULL ? lower_bound(p, key) : p->kvs_len;
+	     i < p->kvs_len && in_range(p->kvs[i].key, key, end); i++) {
+		if (limit > 0 && n >= limit) {
+			n++;
+			break;
+		}
+		if (n++ > 0)
+			fputc(',', f);
+		put_kv(f, &p->kvs[i], !keys_only);
+	}
+	fputc(']', f);
+	if (limit > 0 && n > limit)
+		fputs(",\"more\":true", f);
+	free(key);
+	free(end);
+}
+
+static void
+do_range(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct reply r;
+	FILE *const f = reply_open(&r);
+
+	p->calls.range++;
+	fputc('{', f);
+	put_header(f, p);
+	put_range(f, p, req);
+	fputc('}', f);
+	reply_send(p, c, &r, 200);
+}
+
+static int
+sign(int64_t a, int64_t b)
+{
+	return (a > b) - (a < b);
+}
+
+static bool
+compare_holds(const struct platform *p, struct json_object *cmp)
+{
+	const char *const target = json_object_get_string(get(cmp, "target"));
+	const char *const result = json_object_get_string(get(cmp, "result"));
+	char *const key = get_b64(cmp, "key", NULL);
+	const struct kv *const kv = key != NULL ? find(p, key) : NULL;
+	char *val;
+	size_t len = 0;
+	int d;
+
+	free(key);
+	if (target != NULL && strcmp(target, "CREATE") == 0) {
+		d = sign(kv != NULL ? (int64_t)kv->create_rev : 0,
+		    get_int(cmp, "create_revision"));
+	} else if (target != NULL && strcmp(target, "MOD") == 0) {
+		d = sign(kv != NULL ? (int64_t)kv->mod_rev : 0,
+		    get_int(cmp, "mod_revision"));
+	} else if (target != NULL && strcmp(target, "VALUE") == 0) {
+		val = get_b64(cmp, "value", &len);
+		d = kv == NULL || val == NULL || kv->val_len != len ||
+		    memcmp(kv->val, val, len) != 0;
+		free(val);
+	} else {
+		d = sign(kv != NULL ? (int64_t)kv->version : 0,
+		    get_int(cmp, "version"));
+	}
+	if (result != NULL && strcmp(result, "GREATER") == 0)
+		return d > 0;
+	if (result != NULL && strcmp(result, "LESS") == 0)
+		return d < 0;
+	if (result != NULL && strcmp(result, "NOT_EQUAL") == 0)
+		return d != 0;
+	return d == 0;
+}
+
+static struct lease *
+find_lease(const struct platform *p, int64_t id)
+{
+	struct lease *l;
+
+	for (l = p->leases; l != NULL && l->id != id; l = l->next)
+		;
+	return l;
+}
+
+/* Return: NULL, or why the whole transaction is refused. */
+static const char *
+check_ops(const struct platform *p, struct json_object *ops, int *status)
+{
+	const size_t n = json_object_array_length(ops);
+	struct json_object *a, *b;
+	size_t i, j;
+
+	*status = 400;
+	if (n > TXN_OPS_MAX)
+		return "etcdserver: too many operations in txn request";
+	for (i = 0; i < n; i++) {
+		a = get(json_object_array_get_idx(ops, i), "request_put");
+		if (a == NULL)
+			continue;
+		if (get(a, "key") == NULL)
+			return "etcdserver: key is not provided";
+		if (get_int(a, "lease") != 0 &&
+		    find_lease(p, get_int(a, "lease")) == NULL) {
+			*status = 404;
+			return "etcdserver: requested lease not found";
+		}
+		for (j = 0; j < i; j++) {
+			b = get(
+			    json_object_array_get_idx(ops, j), "request_put");
+			if (b != NULL &&
+			    json_object_equal(get(a, "key"), get(b, "key")))
+				return "etcdserver: duplicate key given";
+		}
+	}
+	return NULL;
+}
+
+static void
+apply_op(struct platform *p, FILE *f, struct json_object *op, uint64_t rev)
+{
+	struct json_object *const rput = get(op, "request_put");
+	struct json_object *const rdel = get(op, "request_delete_range");
+	struct json_object *const rrange = get(op, "request_range");
+	char *key, *end, *val;
+	size_t i, len = 0;
+	int64_t n = 0;
+
+	if (rput != NULL) {
+		key = get_b64(rput, "key", NULL);
+		val = get_b64(rput, "value", &len);
+		put(p, rev, key, val, len, get_int(rput, "lease"));
+		fputs("{\"response_put\":{}}", f);
+		free(key);
+		free(val);
+	} else if (rdel != NULL) {
+		key = get_b64(rdel, "key", NULL);
+		end = get_b64(rdel, "range_end", NULL);
+		i = lower_bound(p, key);
+		for (; i < p->kvs_len && in_range(p->kvs[i].key, key, end); n++)
+			delete_at(p, i, rev);
+		fputs("{\"response_delete_range\":{", f);
+		put_header(f, p);
+		put_number(f, "deleted", n);
+		fputs("}}", f);
+		free(key);
+		free(end);
+	} else if (rrange != NULL) {
+		fputs("{\"response_range\":{", f);
+		put_header(f, p);
+		put_range(f, p, rrange);
+		fputs("}}", f);
+	}
+}
+
+static void
+do_txn(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct json_object *const cmps = get(req, "compare");
+	const uint64_t changes = p->history_len;
+	struct json_object *ops;
+	const char *error;
+	bool holds = true;
+	struct reply r;
+	size_t i;
+	int status;
+	FILE *f;
+
+	p->calls.txn++;
+	for (i = 0; cmps != NULL && i < json_object_array_length(cmps); i++)
+		holds = holds &&
+		    compare_holds(p, json_object_array_get_idx(cmps, i));
+	ops = get(req, holds ? "success" : "failure");
+	error = ops != NULL ? check_ops(p, ops, &status) : NULL;
+	if (error != NULL) {
+		reply_error(p, c, status, error);
+		return;
+	}
+	f = reply_open(&r);
+	fputs("{\"responses\":[", f);
+	for (i = 0; ops != NULL && i < json_object_array_length(ops); i++) {
+		if (i > 0)
+			fputc(',', f);
+		apply_op(p, f, json_object_array_get_idx(ops, i), p->rev + 1);
+	}
+	if (p->history_len > changes)
+		commit(p, p->rev + 1);
+	fputs("],", f);
+	put_header(f, p);
+	fprintf(f, "%s}", holds ? ",\"succeeded\":true" : "");
+	reply_write(p, c, &r);
+}
+
+static void
+on_lease_closed(uv_handle_t *h)
+{
+	free(h->data);
+}
+
+static void
+lease_end(struct lease *l)
+{
+	struct platform *const p = l->p;
+	const uint64_t changes = p->history_len;
+	struct lease **at;
+	size_t i = 0;
+
+	for (at = &p->leases; *at != l; at = &(*at)->next)
+		;
+	*at = l->next;
+	while (i < p->kvs_len) {
+		if (p->kvs[i].lease == l->id)
+			delete_at(p, i, p->rev + 1);
+		else
+			i++;
+	}
+	if (p->history_len > changes)
+		commit(p, p->rev + 1);
+	uv_close((uv_handle_t *)&l->timer, on_lease_closed);
+}
+
+static void
+on_lease_expired(uv_timer_t *t)
+{
+	lease_end(t->data);
+}
+
+static void
+do_grant(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct lease *const l = agb_xcalloc(1, sizeof(*l));
+	const int64_t ttl = get_int(req, "TTL");
+	struct reply r;
+	FILE *f;
+
+	p->calls.lease++;
+	l->p = p;
+	l->id = ++p->next_lease;
+	l->ttl_s = ttl > 0 ? (uint32_t)ttl : 1;
+	l->next = p->leases;
+	p->leases = l;
+	uv_timer_init(p->loop, &l->timer);
+	l->timer.data = l;
+	uv_timer_start(&l->timer, on_lease_expired, l->ttl_s * 1000ull, 0);
+	f = reply_open(&r);
+	fputc('{', f);
+	put_header(f, p);
+	put_number(f, "ID", l->id);
+	put_number(f, "TTL", l->ttl_s);
+	fputc('}', f);
+	reply_write(p, c, &r);
+}
+
+static void
+do_keepalive(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct lease *const l = find_lease(p, get_int(req, "ID"));
+	struct reply r;
+	FILE *const f = reply_open(&r);
+
+	p->calls.lease++;
+	if (l != NULL)
+		uv_timer_start(
+		    &l->timer, on_lease_expired, l->ttl_s * 1000ull, 0);
+	fputs("{\"result\":{", f);
+	put_header(f, p);
+	put_number(f, "ID", get_int(req, "ID"));
+	put_number(f, "TTL", l != NULL ? l->ttl_s : 0);
+	fputs("}}\n", f);
+	reply_write(p, c, &r);
+}
+
+static void
+do_revoke(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct lease *const l = find_lease(p, get_int(req, "ID"));
+	struct reply r;
+	FILE *f;
+
+	p->calls.lease++;
+	if (l == NULL) {
+		reply_error(p, c, 404, "etcdserver: requested lease not found");
+		return;
+	}
+	lease_end(l);
+	f = reply_open(&r);
+	fputc('{', f);
+	put_header(f, p);
+	fputc('}', f);
+	reply_write(p, c, &r);
+}
+
+static void
+do_watch(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	struct json_object *const create = get(req, "create_request");
+	const uint64_t from = (uint64_t)get_int(create, "start_revision");
+	struct watcher *w;
+	uint64_t oldest = 0;
+	struct reply r;
+	FILE *f;
+
+	p->calls.watch++;
+	if (get(create, "key") == NULL) {
+		reply_error(p, c, 400, "key is not provided");
+		return;
+	}
+	if (p->history_len > HISTORY_MAX)
+		oldest =
+		    p->history[p->history_len % HISTORY_MAX].kv.mod_rev + 1;
+	http_stream(c);
+	f = reply_open(&r);
+	fputs("{\"result\":{", f);
+	put_header(f, p);
+	fputs(",\"created\":true", f);
+	if (from > 0 && from < oldest) {
+		fputs(",\"canceled\":true", f);
+		put_number(f, "compact_revision", (int64_t)oldest);
+	}
+	fputs("}}\n", f);
+	fclose(f);
+	http_chunk(c, r.text, r.len);
+	free(r.text);
+	if (from > 0 && from < oldest)
+		return;
+	w = agb_xcalloc(1, sizeof(*w));
+	w->p = p;
+	w->conn = c;
+	w->key = get_b64(create, "key", NULL);
+	w->end = get_b64(create, "range_end", NULL);
+	w->next = p->watchers;
+	p->watchers = w;
+	http_set_user(c, w);
+	if (from > 0)
+		watch_send(w, from, p->rev);
+}
+
+static void
+on_conn_closed(void *arg, void *user)
+{
+	struct platform *const p = arg;
+	struct watcher *const w = user;
+	struct watcher **at;
+
+	for (at = &p->watchers; *at != w; at = &(*at)->next)
+		;
+	*at = w->next;
+	free(w->key);
+	free(w->end);
+	free(w);
+}
+
+static const char *
+instance_id(struct json_object *obj)
+{
+	const char *const id = json_object_get_string(get(obj, "id"));
+
+	return id != NULL ? id : "";
+}
+
+static void
+on_lag(uv_timer_t *t)
+{
+	struct instance *const in = t->data;
+
+	if (json_object_equal(in->visible, in->posted))
+		return;
+	json_object_put(in->visible);
+	in->visible = json_object_get(in->posted);
+	in->version = ++in->p->list_version;
+}
+
+static void
+instance_change(struct instance *in, struct json_object *now)
+{
+	json_object_put(in->posted);
+	in->posted = now;
+	/* A change that waits already takes this one along. */
+	if (in->p->list_lag_ms == 0)
+		on_lag(&in->lag);
+	else if (!uv_is_active((uv_handle_t *)&in->lag))
+		uv_timer_start(&in->lag, on_lag, in->p->list_lag_ms, 0);
+}
+
+static void
+on_ttl(uv_timer_t *t)
+{
+	struct instance *const in = t->data;
+	struct json_object *gone = NULL;
+
+	json_object_deep_copy(in->posted, &gone, NULL);
+	json_object_object_add(gone, "state", json_object_new_string("gone"));
+	instance_change(in, gone);
+}
+
+static void
+do_instance_post(
+    struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	const int64_t ttl_ms = get_int(req, "ttl_ms");
+	struct instance *in;
+
+	if (instance_id(req)[0] == '\0') {
+		reply_error(p, c, 400, "id is not provided");
+		return;
+	}
+	for (in = p->instances; in != NULL; in = in->next) {
+		if (strcmp(instance_id(in->posted), instance_id(req)) == 0)
+			break;
+	}
+	if (in == NULL) {
+		in = agb_xcalloc(1, sizeof(*in));
+		in->p = p;
+		in->handles = 2;
+		uv_timer_init(p->loop, &in->ttl);
+		uv_timer_init(p->loop, &in->lag);
+		in->ttl.data = in->lag.data = in;
+		in->next = p->instances;
+		p->instances = in;
+	}
+	json_object_object_del(req, "ttl_ms");
+	if (get(req, "state") == NULL)
+		json_object_object_add(
+		    req, "state", json_object_new_string("live"));
+	uv_timer_stop(&in->ttl);
+	if (ttl_ms > 0)
+		uv_timer_start(&in->ttl, on_ttl, (uint64_t)ttl_ms, 0);
+	instance_change(in, json_object_get(req));
+	http_reply(c, 200, "{}", 2, p->delay_ms);
+}
+
+static void
+do_instance_list(struct platform *p, struct http_conn *c, const char *path)
+{
+	const char *const query = strstr(path, "?since=");
+	uint64_t since = query != NULL ? strtoull(query + 7, NULL, 10) : 0;
+	const char *state;
+	struct instance *in;
+	struct reply r;
+	int n = 0;
+	FILE *const f = reply_open(&r);
+
+	p->calls.list++;
+	/* A version from before a restart gets the whole list. */
+	if (since > p->list_version)
+		since = 0;
+	fprintf(f, "{\"version\":%llu,\"instances\":[",
+	    (unsigned long long)p->list_version);
+	for (in = p->instances; in != NULL; in = in->next) {
+		if (in->visible == NULL || in->version <= since)
+			continue;
+		state = json_object_get_string(get(in->visible, "state"));
+		if (since == 0 && strcmp(state, "gone") == 0)
+			continue;
+		fprintf(f, "%s%s", n++ > 0 ? "," : "",
+		    json_object_to_json_string_ext(
+			in->visible, JSON_C_TO_STRING_PLAIN));
+	}
+	fputs("]}", f);
+	reply_send(p, c, &r, 200);
+}
+
+static void
+break_watches(struct platform *p)
+{
+	static const char half[] = "{\"result\":{\"header\":{\"revi";
+
+	while (p->watchers != NULL) {
+		http_chunk(p->watchers->conn, half, sizeof(half) - 1);
+		http_close(p->watchers->conn);
+	}
+}
+
+static void
+do_faults(struct platform *p, struct http_conn *c, struct json_object *req)
+{
+	if (get(req, "down") != NULL)
+		p->down = json_object_get_boolean(get(req, "down"));
+	if (get(req, "delay_ms") != NULL)
+		p->delay_ms = (uint32_t)get_int(req, "delay_ms");
+	if (get(req, "lose_answers") != NULL)
+		p->lose_answers = (uint32_t)get_int(req, "lose_answers");
+	if (p->down || json_object_get_boolean(get(req, "break_watches")))
+		break_watches(p);
+	http_reply(c, 200, "{}", 2, 0);
+}
+
+static void
+do_counters(struct platform *p, struct http_conn *c)
+{
+	struct reply r;
+
+	fprintf(reply_open(&r),
+	    "{\"range\":%llu,\"txn\":%llu,\"lease\":%llu,\"watch\":%llu,"
+	    "\"list\":%llu,\"bytes_in\":%llu,\"bytes_out\":%llu}",
+	    (unsigned long long)p->calls.range,
+	    (unsigned long long)p->calls.txn,
+	    (unsigned long long)p->calls.lease,
+	    (unsigned long long)p->calls.watch,
+	    (unsigned long long)p->calls.list,
+	    (unsigned long long)http_server_bytes_in(p->http),
+	    (unsigned long long)http_server_bytes_out(p->http));
+	reply_send(p, c, &r, 200);
+}
+
+typedef void (*post_fn)(
+    struct platform *p, struct http_conn *c, struct json_object *req);
+
+static const struct {
+	const char *path;
+	post_fn run;
+} posts[] = {
+    {"/v3/kv/range", do_range},
+    {"/v3/kv/txn", do_txn},
+    {"/v3/lease/grant", do_grant},
+    {"/v3/lease/keepalive", do_keepalive},
+    {"/v3/lease/revoke", do_revoke},
+    {"/v3/watch", do_watch},
+    {"/platform/instances", do_instance_post},
+    {"/standin/faults", do_faults},
+};
+
+static void
+handle_post(struct platform *p, struct http_conn *c, const struct http_msg *m)
+{
+	struct json_object *req = NULL;
+	struct json_tokener *tok;
+	size_t i;
+
+	for (i = 0; i < sizeof(posts) / sizeof(posts[0]); i++) {
+		if (strcmp(m->path, posts[i].path) == 0)
+			break;
+	}
+	if (i == sizeof(posts) / sizeof(posts[0])) {
+		reply_error(p, c, 404, "no such path");
+		return;
+	}
+	tok = json_tokener_new();
+	if (m->body_len <= REQUEST_BYTES_MAX * 4 / 3)
+		req = json_tokener_parse_ex(tok, m->body, (int)m->body_len);
+	json_tokener_free(tok);
+	if (json_object_is_type(req, json_type_object))
+		posts[i].run(p, c, req);
+	else
+		reply_error(p, c, 400, "not a JSON object, or too large");
+	json_object_put(req);
+}
+
+static void
+handle(void *arg, struct http_conn *c, const struct http_msg *m)
+{
+	static const char list[] = "/platform/instances";
+	struct platform *const p = arg;
+
+	if (p->down && strncmp(m->path, "/standin/", 9) != 0)
+		http_close(c);
+	else if (strcmp(m->method, "POST") == 0)
+		handle_post(p, c, m);
+	else if (strncmp(m->path, list, sizeof(list) - 1) == 0)
+		do_instance_list(p, c, m->path);
+	else if (strcmp(m->path, "/standin/counters") == 0)
+		do_counters(p, c);
+	else
+		reply_error(p, c, 404, "no such path");
+}
+
+struct platform *
+platform_new(uv_loop_t *loop, const char *addr, uint32_t list_lag_ms)
+{
+	struct platform *const p = agb_xcalloc(1, sizeof(*p));
+
+	p->loop = loop;
+	p->rev = 1;
+	p->list_lag_ms = list_lag_ms;
+	p->http = http_server_new(loop, addr, handle, on_conn_closed, p);
+	if (p->http == NULL) {
+		free(p);
+		return NULL;
+	}
+	return p;
+}
+
+const char *
+platform_addr(const struct platform *p)
+{
+	return http_server_addr(p->http);
+}
+
+static void
+on_instance_closed(uv_handle_t *h)
+{
+	struct instance *const in = h->data;
+
+	if (--in->handles > 0)
+		return;
+	json_object_put(in->posted);
+	json_object_put(in->visible);
+	free(in);
+}
+
+void
+platform_free(struct platform *p)
+{
+	struct instance *in;
+	struct lease *l;
+	size_t i;
+
+	http_server_free(p->http);
+	while ((l = p->leases) != NULL) {
+		p->leases = l->next;
+		uv_close((uv_handle_t *)&l->timer, on_lease_closed);
+	}
+	while ((in = p->instances) != NULL) {
+		p->instances = in->next;
+		uv_close((uv_handle_t *)&in->ttl, on_instance_closed);
+		uv_close((uv_handle_t *)&in->lag, on_instance_closed);
+	}
+	for (i = 0; i < p->kvs_len; i++)
+		free_kv(&p->kvs[i]);
+	for (i = 0; i < HISTORY_MAX; i++)
+		free_kv(&p->history[i].kv);
+	free(p->kvs);
+	free(p);
+}
