--- a/src/agatebeam/edge.h
+++ b/src/agatebeam/edge.h
@@ -84,7 +84,7 @@
 };
 
 /**
- * agb_edge_new() - listen on settings->http
+ * agb_edge_new() - listen on settings->http; SIGPIPE is ignored from then on
  * @s: copied
  * Return: NULL when the address cannot be bound; errno tells why.
  */
