--- a/tests/standin/http_part.c
+++ b/tests/standin/http_part.c
@@ -18,6 +18,7 @@
 	int handles;
 	bool closing;
 	bool busy; /* a request waits for its answer */
+	bool in_handler;
 	char *in;
 	size_t in_len, in_cap;
 	char *out;
@@ -33,6 +34,7 @@
 	void *arg;
 	uint64_t bytes_in, bytes_out;
 	struct http_conn *conns;
+	int conns_len, conns_max;
 };
 
 struct write {
@@ -68,6 +70,7 @@
 		c->server->conns = c->next;
 	if (c->next != NULL)
 		c->next->prev = c->prev;
+	c->server->conns_len--;
 	uv_close((uv_handle_t *)&c->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&c->delay, on_handle_closed);
 }
@@ -140,6 +143,44 @@
 		send_out(c);
 }
 
+void
+http_raw(struct http_conn *c, const char *data, size_t len)
+{
+	send_bytes(c, data, len);
+}
+
+void
+http_done(struct http_conn *c)
+{
+	c->busy = false;
+	if (!c->in_handler)
+		take_requests(c);
+}
+
+void
+http_header(const struct http_msg *m, const char *name, char *buf, size_t len)
+{
+	const size_t n = strlen(name);
+	const char *p;
+
+	buf[0] = '\0';
+	for (p = m->head; p < m->body; p = strchr(p, '\n') + 1) {
+		if (strncasecmp(p, name, n) != 0 || p[n] != ':')
+			continue;
+		p += n + 1;
+		while (*p == ' ')
+			p++;
+		snprintf(buf, len, "%.*s", (int)strcspn(p, "\r"), p);
+		return;
+	}
+}
+
+void
+http_server_limit(struct http_server *s, int connections_max)
+{
+	s->conns_max = connections_max;
+}
+
 void
 http_stream(struct http_conn *c)
 {
@@ -198,9 +239,12 @@
 	*space = '\0';
 	m.method = c->in;
 	m.path = path;
+	m.head = strchr(space + 1, '\n') + 1;
 	m.body = end + 4;
 	c->busy = true;
+	c->in_handler = true;
 	c->server->handler(c->server->arg, c, &m);
+	c->in_handler = false;
 	c->in_len -= used;
 	memmove(c->in, c->in + used, c->in_len + 1);
 	return true;
@@ -259,8 +303,10 @@
 	if (c->next != NULL)
 		c->next->prev = c;
 	srv->conns = c;
+	srv->conns_len++;
 	if (uv_accept(s, (uv_stream_t *)&c->tcp) != 0 ||
-	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0)
+	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read) != 0 ||
+	    (srv->conns_max > 0 && srv->conns_len > srv->conns_max))
 		http_close(c);
 }
 
--- a/tests/standin/http_part.h
+++ b/tests/standin/http_part.h
@@ -19,10 +19,12 @@
 /**
  * struct http_msg - a request, valid during the handler
  * @path: with its query
+ * @head: header lines
  */
 struct http_msg {
 	const char *method;
 	const char *path;
+	const char *head;
 	const char *body;
 	size_t body_len;
 };
@@ -52,6 +54,11 @@
  */
 const char *http_server_addr(const struct http_server *s);
 
+/**
+ * http_server_limit() - close further connections at once
+ */
+void http_server_limit(struct http_server *s, int connections_max);
+
 uint64_t http_server_bytes_in(const struct http_server *s);
 uint64_t http_server_bytes_out(const struct http_server *s);
 
@@ -69,6 +76,22 @@
 void http_reply(struct http_conn *c, int status, const char *body, size_t len,
     uint32_t delay_ms);
 
+/**
+ * http_header() - value of a header line, "" without one
+ */
+void http_header(
+    const struct http_msg *m, const char *name, char *buf, size_t len);
+
+/**
+ * http_raw() - send bytes of an answer as they are
+ */
+void http_raw(struct http_conn *c, const char *data, size_t len);
+
+/**
+ * http_done() - the answer sent with http_raw() is complete
+ */
+void http_done(struct http_conn *c);
+
 /**
  * http_stream() - begin an answer in chunks
  */
