--- a/src/agatebeam/json_strict.c
+++ b/src/agatebeam/json_strict.c
@@ -440,8 +440,8 @@
 }
 
 bool
-agb_json_uint(const struct agb_json_obj *o, const char *key, bool required,
-    uint64_t min, uint64_t max, uint64_t *out)
+agb_json_int(const struct agb_json_obj *o, const char *key, bool required,
+    int64_t min, int64_t max, int64_t *out)
 {
 	struct json_object *v;
 	int64_t n;
@@ -449,12 +449,24 @@
 	if (!get(o, key, required, &v))
 		return false;
 	n = json_object_get_int64(v);
-	if (!json_object_is_type(v, json_type_int) || n < 0 ||
-	    (uint64_t)n < min || (uint64_t)n > max) {
-		add(o, key, "must be an integer from %llu to %llu",
-		    (unsigned long long)min, (unsigned long long)max);
+	if (!json_object_is_type(v, json_type_int) || n < min || n > max) {
+		add(o, key, "must be an integer from %lld to %lld",
+		    (long long)min, (long long)max);
 		return false;
 	}
+	*out = n;
+	return true;
+}
+
+bool
+agb_json_uint(const struct agb_json_obj *o, const char *key, bool required,
+    uint64_t min, uint64_t max, uint64_t *out)
+{
+	int64_t n;
+
+	if (!agb_json_int(o, key, required, (int64_t)min,
+		max < INT64_MAX ? (int64_t)max : INT64_MAX, &n))
+		return false;
 	*out = (uint64_t)n;
 	return true;
 }
@@ -475,13 +487,11 @@
 	return true;
 }
 
-bool
-agb_json_str(const struct agb_json_obj *o, const char *key, bool required,
-    char *dst, size_t len)
+static bool
+get_string(const struct agb_json_obj *o, const char *key, bool required,
+    size_t max, const char **out, size_t *len)
 {
 	struct json_object *v;
-	const char *s;
-	size_t n;
 
 	if (!get(o, key, required, &v))
 		return false;
@@ -489,17 +499,42 @@
 		add(o, key, "must be a string");
 		return false;
 	}
-	s = json_object_get_string(v);
-	n = (size_t)json_object_get_string_len(v);
-	if (n >= len || strlen(s) != n) {
+	*out = json_object_get_string(v);
+	*len = (size_t)json_object_get_string_len(v);
+	if (*len > max || strlen(*out) != *len) {
 		add(o, key, "must have at most %zu bytes, none of them NUL",
-		    len - 1);
+		    max);
 		return false;
 	}
+	return true;
+}
+
+bool
+agb_json_str(const struct agb_json_obj *o, const char *key, bool required,
+    char *dst, size_t len)
+{
+	const char *s;
+	size_t n;
+
+	if (!get_string(o, key, required, len - 1, &s, &n))
+		return false;
 	memcpy(dst, s, n + 1);
 	return true;
 }
 
+bool
+agb_json_text(const struct agb_json_obj *o, const char *key, bool required,
+    size_t max, char **out)
+{
+	const char *s;
+	size_t n;
+
+	if (!get_string(o, key, required, max, &s, &n))
+		return false;
+	*out = agb_xmemdup(s, n);
+	return true;
+}
+
 bool
 agb_json_sub(const struct agb_json_obj *o, const char *key, bool required,
     struct agb_json_obj *out)
--- a/src/agatebeam/json_strict.h
+++ b/src/agatebeam/json_strict.h
@@ -61,6 +61,19 @@
 bool agb_json_uint(const struct agb_json_obj *o, const char *key, bool required,
     uint64_t min, uint64_t max, uint64_t *out);
 
+/**
+ * agb_json_int() - agb_json_uint() for signed integers
+ */
+bool agb_json_int(const struct agb_json_obj *o, const char *key, bool required,
+    int64_t min, int64_t max, int64_t *out);
+
+/**
+ * agb_json_text() - string without NUL of at most @max bytes
+ * @out: to be freed; unchanged unless the key holds a valid value
+ */
+bool agb_json_text(const struct agb_json_obj *o, const char *key, bool required,
+    size_t max, char **out);
+
 /**
  * agb_json_bool() - true or false
  */
--- a/src/agatebeam/upstream.h
+++ b/src/agatebeam/upstream.h
@@ -7,7 +7,9 @@
  * Client of the runners: sends a caller's request as one attempt and tells
  * how the attempt ended. An answer counts as whole only when its body is
  * complete and it echoes the attempt that was sent, so that a truncated or
- * misdirected answer is never passed on.
+ * misdirected answer is never passed on. A refusal counts only with the echo
+ * too: without it the refusal may be that of another request while this one
+ * runs.
  */
 
 #include <uv.h>
--- /dev/null
+++ b/src/agatebeam/workerc.c
@@ -0,0 +1,497 @@
+#include "workerc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "httpc.h"
+#include "json_strict.h"
+#include "mem.h"
+#include "upstream.h"
+
+/* A renewal waits on one connection while commands go over others. */
+#define CONNECTIONS_MAX 4
+/* Upper bounds of what a worker may report; far above any machine. */
+#define CPU_MILLI_MAX 100000000
+#define MEM_MB_MAX 100000000
+#define ACCEL_MAX 10000
+
+/**
+ * struct ask - one call to a worker
+ * @sent: kind and attempt of each command, in order
+ */
+struct ask {
+	struct agb_workerc *w;
+	struct ask *prev, *next;
+	enum agb_effect_type type;
+	uint64_t tag;
+	uint64_t epoch;
+	uint64_t after;
+	agb_name worker;
+	struct agb_command_result *sent;
+	size_t sent_len;
+};
+
+struct agb_workerc {
+	struct agb_httpc *httpc;
+	agb_name owner;
+	agb_workerc_cb cb;
+	void *arg;
+	struct ask *asks;
+	uint64_t rejected;
+};
+
+static const char *const kinds[] = {
+    [AGB_COMMAND_START] = "start",
+    [AGB_COMMAND_STOP] = "stop",
+    [AGB_COMMAND_THROTTLE] = "throttle",
+    [AGB_COMMAND_CHECKPOINT] = "checkpoint",
+    [AGB_COMMAND_REVOKE] = "revoke",
+};
+
+static void
+put_str(struct json_object *o, const char *key, const char *s)
+{
+	json_object_object_add(o, key, json_object_new_string(s));
+}
+
+static void
+put_int(struct json_object *o, const char *key, int64_t n)
+{
+	json_object_object_add(o, key, json_object_new_int64(n));
+}
+
+static struct json_object *
+command_json(const struct agb_command *c)
+{
+	struct json_object *const o = json_object_new_object();
+	char attempt[AGB_ATTEMPT_TEXT_LEN];
+	struct json_object *args;
+
+	agb_attempt_format(&c->attempt, attempt);
+	put_str(o, "kind", kinds[c->kind]);
+	put_str(o, "task", c->task);
+	put_str(o, "attempt", attempt);
+	if (c->kind != AGB_COMMAND_START && c->kind != AGB_COMMAND_THROTTLE)
+		return o;
+	put_int(o, "cpu_milli", c->need.cpu_milli);
+	put_int(o, "mem_mb", c->need.mem_mb);
+	put_int(o, "accel", c->need.accel);
+	if (c->kind == AGB_COMMAND_THROTTLE)
+		return o;
+	put_int(o, "run_ms", c->run_ms);
+	args = c->args_len > 0 ? json_tokener_parse(c->args) : NULL;
+	json_object_object_add(
+	    o, "args", args != NULL ? args : json_object_new_object());
+	put_str(o, "on_isolation",
+	    c->on_isolation == AGB_ISOLATION_KEEP ? "keep" : "stop");
+	put_int(o, "autonomy_ms", c->autonomy_ms);
+	return o;
+}
+
+static struct json_object *
+request_json(const struct agb_workerc *w, const struct agb_effect *ef)
+{
+	const struct agb_ef_worker *const e = &ef->u.worker;
+	struct json_object *const o = json_object_new_object();
+	struct json_object *a;
+	size_t i;
+
+	put_int(o, "epoch", (int64_t)e->epoch);
+	switch (ef->type) {
+	case AGB_EF_SESSION:
+		put_str(o, "owner", w->owner);
+		put_int(o, "ttl_ms", e->ttl_ms);
+		break;
+	case AGB_EF_RENEW:
+		put_int(o, "after", (int64_t)e->after);
+		put_int(o, "wait_ms", e->wait_ms);
+		put_int(o, "ttl_ms", e->ttl_ms);
+		break;
+	default:
+		a = json_object_new_array();
+		for (i = 0; i < e->items_len; i++)
+			json_object_array_add(a, command_json(&e->items[i]));
+		json_object_object_add(o, "commands", a);
+		break;
+	}
+	return o;
+}
+
+static bool
+get_attempt(const struct agb_json_obj *o, struct agb_attempt *out)
+{
+	char text[AGB_ATTEMPT_TEXT_LEN];
+
+	if (!agb_json_str(o, "attempt", true, text, sizeof(text)))
+		return false;
+	if (agb_attempt_parse(text, out))
+		return true;
+	agb_findings_add(
+	    o->f, AGB_FINDING_ERROR, o->place, "attempt is malformed");
+	return false;
+}
+
+static void
+get_resources(
+    const struct agb_json_obj *o, bool accel, struct agb_resources *out)
+{
+	agb_json_int(o, "cpu_milli", true, 0, CPU_MILLI_MAX, &out->cpu_milli);
+	agb_json_int(o, "mem_mb", true, 0, MEM_MB_MAX, &out->mem_mb);
+	if (accel)
+		agb_json_int(o, "accel", true, 0, ACCEL_MAX, &out->accel);
+}
+
+/* Return: array of @size for each item of the list; NULL without one. */
+static void *
+get_list(const struct agb_json_obj *o, const char *key, size_t size,
+    struct json_object **list, size_t *len)
+{
+	*len = 0;
+	*list = agb_json_array(o, key, true, AGB_WORKERC_ITEMS_MAX);
+	if (*list == NULL)
+		return NULL;
+	*len = json_object_array_length(*list);
+	return agb_xcalloc(*len, size);
+}
+
+static void
+read_session(const struct agb_json_obj *o, const struct ask *a,
+    struct agb_ev_session *out)
+{
+	struct json_object *list;
+	struct agb_json_obj it;
+	uint64_t epoch;
+	size_t i;
+
+	/* A worker that grants another epoch than asked for is in error. */
+	agb_json_uint(o, "epoch", true, a->epoch, a->epoch, &epoch);
+	agb_json_str(o, "boot", true, out->boot, sizeof(out->boot));
+	agb_json_uint(o, "seq", true, 0, INT64_MAX, &out->seq);
+	out->tasks =
+	    get_list(o, "tasks", sizeof(*out->tasks), &list, &out->tasks_len);
+	for (i = 0; i < out->tasks_len; i++) {
+		if (!agb_json_item(o, "tasks", list, i, &it))
+			continue;
+		agb_json_str(&it, "task", true, out->tasks[i].task,
+		    sizeof(out->tasks[i].task));
+		get_attempt(&it, &out->tasks[i].attempt);
+		get_resources(&it, true, &out->tasks[i].need);
+	}
+	out->slots =
+	    get_list(o, "slots", sizeof(*out->slots), &list, &out->slots_len);
+	for (i = 0; i < out->slots_len; i++) {
+		if (agb_json_item(o, "slots", list, i, &it))
+			get_attempt(&it, &out->slots[i]);
+	}
+}
+
+static void
+read_event(
+    const struct agb_json_obj *o, uint64_t after, struct agb_worker_event *out)
+{
+	char kind[16] = "";
+	int64_t code;
+
+	agb_json_uint(o, "seq", true, after + 1, INT64_MAX, &out->seq);
+	agb_json_str(o, "task", true, out->task, sizeof(out->task));
+	get_attempt(o, &out->attempt);
+	agb_json_text(o, "result", false, AGB_X_ARGS_MAX, &out->text);
+	code = 0;
+	agb_json_str(o, "kind", true, kind, sizeof(kind));
+	agb_json_int(
+	    o, "exit", strcmp(kind, "ended") == 0, INT32_MIN, INT32_MAX, &code);
+	if (strcmp(kind, "started") == 0)
+		out->started = true;
+	else if (strcmp(kind, "checkpointed") == 0)
+		out->result = AGB_RESULT_CHECKPOINTED;
+	else if (strcmp(kind, "ended") == 0 && code < 0)
+		out->result = AGB_RESULT_STOPPED;
+	else if (strcmp(kind, "ended") == 0)
+		out->result = code == 0 ? AGB_RESULT_OK : AGB_RESULT_FAILED;
+	else
+		agb_findings_add(
+		    o->f, AGB_FINDING_ERROR, o->place, "unknown kind of event");
+}
+
+static void
+read_renew(
+    const struct agb_json_obj *o, const struct ask *a, struct agb_ev_renew *out)
+{
+	struct json_object *list, *v;
+	struct agb_json_obj it;
+	uint64_t after;
+	size_t i;
+
+	agb_json_uint(o, "seq", true, 0, INT64_MAX, &out->seq);
+	agb_json_bool(o, "leaving", true, &out->leaving);
+	out->events = get_list(
+	    o, "events", sizeof(*out->events), &list, &out->events_len);
+	after = a->after;
+	for (i = 0; i < out->events_len; i++) {
+		if (!agb_json_item(o, "events", list, i, &it))
+			continue;
+		read_event(&it, after, &out->events[i]);
+		after = out->events[i].seq;
+	}
+	if (out->seq < after)
+		agb_findings_add(o->f, AGB_FINDING_ERROR, "/seq",
+		    "is below that of an event");
+	out->usage =
+	    get_list(o, "usage", sizeof(*out->usage), &list, &out->usage_len);
+	for (i = 0; i < out->usage_len; i++) {
+		if (!agb_json_item(o, "usage", list, i, &it))
+			continue;
+		agb_json_str(&it, "task", true, out->usage[i].task,
+		    sizeof(out->usage[i].task));
+		get_resources(&it, false, &out->usage[i].used);
+	}
+	out->slots =
+	    get_list(o, "slots", sizeof(*out->slots), &list, &out->slots_len);
+	for (i = 0; i < out->slots_len; i++) {
+		v = json_object_array_get_idx(list, i);
+		if (!json_object_is_type(v, json_type_string) ||
+		    !agb_attempt_parse(
+			json_object_get_string(v), &out->slots[i]))
+			agb_findings_add(o->f, AGB_FINDING_ERROR, "/slots",
+			    "attempt is malformed");
+	}
+}
+
+/* Results stand in the order of the commands, and repeat their attempts. */
+static void
+read_commands(const struct agb_json_obj *o, const struct ask *a,
+    struct agb_ev_commands *out)
+{
+	struct json_object *list;
+	struct agb_json_obj it;
+	struct agb_command_result *r;
+	char text[AGB_DETAIL_LEN];
+	size_t i;
+
+	out->items =
+	    get_list(o, "results", sizeof(*out->items), &list, &out->items_len);
+	if (out->items_len != a->sent_len) {
+		agb_findings_add(o->f, AGB_FINDING_ERROR, "/results",
+		    "has %zu items for %zu commands", out->items_len,
+		    a->sent_len);
+		return;
+	}
+	for (i = 0; i < out->items_len; i++) {
+		r = &out->items[i];
+		if (!agb_json_item(o, "results", list, i, &it))
+			continue;
+		r->kind = a->sent[i].kind;
+		agb_json_bool(&it, "ok", true, &r->ok);
+		agb_json_bool(&it, "busy", false, &r->busy);
+		text[0] = '\0';
+		agb_json_str(&it, "reason", false, text, sizeof(text));
+		agb_name_set(r->reason, sizeof(r->reason), text);
+		if (get_attempt(&it, &r->attempt) &&
+		    (r->attempt.epoch != a->sent[i].attempt.epoch ||
+			r->attempt.seq != a->sent[i].attempt.seq))
+			agb_findings_add(o->f, AGB_FINDING_ERROR, it.place,
+			    "is not the attempt that was sent");
+	}
+}
+
+static void
+read_answer(
+    const struct agb_json_obj *o, const struct ask *a, struct agb_event *ev)
+{
+	switch (a->type) {
+	case AGB_EF_SESSION:
+		read_session(o, a, &ev->u.session);
+		break;
+	case AGB_EF_RENEW:
+		read_renew(o, a, &ev->u.renew);
+		break;
+	default:
+		read_commands(o, a, &ev->u.commands);
+		break;
+	}
+}
+
+static void
+event_init(struct agb_event *ev, const struct ask *a,
+    enum agb_worker_status status, uint64_t epoch)
+{
+	memset(ev, 0, sizeof(*ev));
+	switch (a->type) {
+	case AGB_EF_SESSION:
+		ev->type = AGB_EV_SESSION;
+		memcpy(ev->u.session.worker, a->worker, sizeof(a->worker));
+		ev->u.session.status = status;
+		ev->u.session.epoch = epoch;
+		break;
+	case AGB_EF_RENEW:
+		ev->type = AGB_EV_RENEW;
+		memcpy(ev->u.renew.worker, a->worker, sizeof(a->worker));
+		ev->u.renew.status = status;
+		ev->u.renew.epoch = epoch;
+		break;
+	default:
+		ev->type = AGB_EV_COMMANDS;
+		ev->tag = a->tag;
+		memcpy(ev->u.commands.worker, a->worker, sizeof(a->worker));
+		ev->u.commands.tag = a->tag;
+		ev->u.commands.status = status;
+		ev->u.commands.epoch = epoch;
+		break;
+	}
+}
+
+/*
+ * Return: false when the answer does not pass the checks; the event then
+ * says that nothing is known.
+ */
+static bool
+read_res(const struct ask *a, const struct agb_httpc_res *res,
+    struct agb_findings *f, struct agb_event *ev)
+{
+	struct json_object *root;
+	struct agb_json_obj o;
+	uint64_t epoch;
+	bool ok;
+
+	root = agb_json_strict_parse(
+	    res->body != NULL ? res->body : "", res->body_len, f);
+	ok = root != NULL && agb_json_root(&o, root, f);
+	if (ok && res->http_status == 409) {
+		ok = agb_json_uint(&o, "epoch", true, 0, INT64_MAX, &epoch);
+		/* A worker that has restarted knows a lower epoch; that is no
+		 * sign of another owner. */
+		if (ok && epoch > a->epoch)
+			event_init(ev, a, AGB_WORKER_FENCED, epoch);
+	} else if (ok) {
+		event_init(ev, a, AGB_WORKER_OK, a->epoch);
+		read_answer(&o, a, ev);
+		ok = f->errors == 0;
+		if (!ok) {
+			agb_event_free(ev);
+			event_init(ev, a, AGB_WORKER_LOST, a->epoch);
+		}
+	}
+	json_object_put(root);
+	return ok;
+}
+
+static void
+ask_free(struct ask *a)
+{
+	DL_DELETE(a->w->asks, a);
+	free(a->sent);
+	free(a);
+}
+
+static void
+on_res(void *arg, const struct agb_httpc_res *res)
+{
+	struct ask *const a = arg;
+	struct agb_workerc *const w = a->w;
+	struct agb_findings *f;
+	struct agb_event ev;
+
+	event_init(&ev, a, AGB_WORKER_LOST, a->epoch);
+	if (res->status == AGB_HTTPC_WHOLE &&
+	    (res->http_status == 200 || res->http_status == 409)) {
+		f = agb_xcalloc(1, sizeof(*f));
+		if (!read_res(a, res, f, &ev))
+			w->rejected++;
+		free(f);
+	}
+	ask_free(a);
+	w->cb(w->arg, &ev);
+	agb_event_free(&ev);
+}
+
+static struct ask *
+ask_new(struct agb_workerc *w, const struct agb_effect *ef)
+{
+	const struct agb_ef_worker *const e = &ef->u.worker;
+	struct ask *const a = agb_xcalloc(1, sizeof(*a));
+	size_t i;
+
+	a->w = w;
+	a->type = ef->type;
+	a->tag = ef->tag;
+	a->epoch = e->epoch;
+	a->after = e->after;
+	memcpy(a->worker, e->worker, sizeof(a->worker));
+	if (ef->type == AGB_EF_COMMANDS) {
+		a->sent_len = e->items_len;
+		a->sent = agb_xcalloc(a->sent_len, sizeof(*a->sent));
+		for (i = 0; i < a->sent_len; i++) {
+			a->sent[i].kind = e->items[i].kind;
+			a->sent[i].attempt = e->items[i].attempt;
+		}
+	}
+	DL_APPEND(w->asks, a);
+	return a;
+}
+
+void
+agb_workerc_call(struct agb_workerc *w, const struct agb_effect *ef)
+{
+	static const struct agb_httpc_header headers[] = {
+	    {"content-type", "application/json"}};
+	struct agb_httpc_req r = {
+	    .addr = ef->u.worker.address,
+	    .method = "POST",
+	    .path = "/v1/commands",
+	    .headers = headers,
+	    .headers_len = 1,
+	    .timeout_ms = AGB_WORKERC_TIMEOUT_MS,
+	    .cb = on_res,
+	};
+	struct json_object *o;
+
+	if (ef->type == AGB_EF_SESSION)
+		r.path = "/v1/session";
+	if (ef->type == AGB_EF_RENEW) {
+		r.path = "/v1/renew";
+		r.timeout_ms += ef->u.worker.wait_ms;
+	}
+	o = request_json(w, ef);
+	r.body = json_object_to_json_string_length(o,
+	    JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE,
+	    &r.body_len);
+	r.arg = ask_new(w, ef);
+	(void)agb_httpc_request(w->httpc, &r);
+	json_object_put(o);
+}
+
+struct agb_workerc *
+agb_workerc_new(
+    uv_loop_t *loop, const char *owner, agb_workerc_cb cb, void *arg)
+{
+	struct agb_workerc *const w = agb_xcalloc(1, sizeof(*w));
+
+	w->httpc = agb_httpc_new(loop, CONNECTIONS_MAX);
+	agb_name_set(w->owner, sizeof(w->owner), owner);
+	w->cb = cb;
+	w->arg = arg;
+	return w;
+}
+
+uint64_t
+agb_workerc_rejected(const struct agb_workerc *w)
+{
+	return w->rejected;
+}
+
+void
+agb_workerc_free(struct agb_workerc *w)
+{
+	struct ask *a, *next;
+
+	if (w == NULL)
+		return;
+	agb_httpc_free(w->httpc);
+	for (a = w->asks; a != NULL; a = next) {
+		next = a->next;
+		free(a->sent);
+		free(a);
+	}
+	free(w);
+}
--- a/src/agatebeam/workerc.h
+++ b/src/agatebeam/workerc.h
@@ -29,9 +29,10 @@
 
 /**
  * agb_workerc_new() - client without connections
+ * @owner: name of this instance, told to workers with a session; copied
  */
 struct agb_workerc *agb_workerc_new(
-    uv_loop_t *loop, agb_workerc_cb cb, void *arg);
+    uv_loop_t *loop, const char *owner, agb_workerc_cb cb, void *arg);
 
 /**
  * agb_workerc_call() - execute AGB_EF_SESSION, AGB_EF_RENEW or
