feat(ctl): commands of agatectl

Cause: operators need to check, review, put and promote documents without overwriting changes that they have not seen. Before: no commands.

--- /dev/null
+++ b/src/agatebeam/ctl_args.c
@@ -0,0 +1,283 @@
+#include "ctl_args.h"
+
+#include <argtable2.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+enum {
+	USES_STORE = 1 << 0,
+	USES_ENTRY = 1 << 1,
+	USES_REVIEWED = 1 << 2,	 /* may be given */
+	NEEDS_REVIEWED = 1 << 3, /* must be given */
+};
+
+/*
+ * struct command - a command and its arguments
+ * @group: first word, or NULL when @name is the only one
+ * @env, @other: what to call the arguments; NULL when there is none
+ */
+struct command {
+	const char *group;
+	const char *name;
+	agb_ctl_fn run;
+	unsigned flags;
+	const char *env;
+	const char *other;
+	const char *what;
+};
+
+static const struct command commands[] = {
+    {"env", "check", agb_ctl_env_check, 0, NULL, "FILE",
+	"check a document; changes nothing"},
+    {"env", "show", agb_ctl_env_show, USES_STORE, "ENV", NULL,
+	"print the document of an environment"},
+    {"env", "diff", agb_ctl_env_diff, USES_STORE, "ENV", "FILE|ENV",
+	"compare an environment with a file or another environment"},
+    {"env", "put", agb_ctl_env_put, USES_STORE | USES_REVIEWED, "ENV", "FILE",
+	"put a document in force, if nothing has changed since the review"},
+    {"env", "promote", agb_ctl_env_promote, USES_STORE | NEEDS_REVIEWED, "FROM",
+	"TO", "put the document of one environment in force in another"},
+    {"env", "history", agb_ctl_env_history, USES_STORE, "ENV", NULL,
+	"list the changes of an environment, newest first"},
+    {"env", "status", agb_ctl_env_status, USES_STORE | USES_ENTRY, "ENV", NULL,
+	"tell which version each entry instance has in force"},
+    {NULL, "status", agb_ctl_status, USES_ENTRY, NULL, NULL,
+	"print the status that an entry instance reports"},
+    {NULL, "explain", agb_ctl_explain, USES_ENTRY, NULL, "ID",
+	"tell why a job or request stands where it does"},
+};
+
+static const char exit_text[] =
+    "\nExit status:\n"
+    "  0  done\n"
+    "  1  failed: refused by the other side, or instances lag\n"
+    "  2  bad input: arguments or document refused; nothing was changed\n"
+    "  3  lost a race: changed since the review; nothing was changed\n"
+    "  4  unreachable: no answer; the text tells what may have happened\n";
+
+static void
+print_overview(FILE *f)
+{
+	const struct command *c;
+	char words[64];
+	size_t i;
+
+	fputs("Usage: agatectl COMMAND [--help] ...\n\nCommands:\n", f);
+	for (i = 0; i < LEN(commands); i++) {
+		c = &commands[i];
+		snprintf(words, sizeof(words), "%s%s%s%s%s%s",
+		    c->group != NULL ? "env " : "", c->name,
+		    c->env != NULL ? " " : "", c->env != NULL ? c->env : "",
+		    c->other != NULL ? " " : "",
+		    c->other != NULL ? c->other : "");
+		fprintf(f, "  %-24s  %s\n", words, c->what);
+	}
+	fputs(exit_text, f);
+}
+
+static const struct command *
+find_command(int argc, char **argv)
+{
+	const struct command *c;
+	size_t i;
+
+	for (i = 0; i < LEN(commands); i++) {
+		c = &commands[i];
+		if (c->group == NULL && argc > 1 &&
+		    strcmp(argv[1], c->name) == 0)
+			return c;
+		if (c->group != NULL && argc > 2 &&
+		    strcmp(argv[1], c->group) == 0 &&
+		    strcmp(argv[2], c->name) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * struct table - argtable of one command; what it does not take is NULL
+ */
+struct table {
+	struct arg_str *env;
+	struct arg_str *other;
+	struct arg_str *store;
+	struct arg_str *entry;
+	struct arg_str *reviewed;
+	struct arg_lit *rename;
+	struct arg_lit *json;
+	struct arg_lit *help;
+	struct arg_end *end;
+	void *list[10];
+};
+
+static void
+make_table(struct table *t, const struct command *c)
+{
+	size_t n = 0;
+
+	memset(t, 0, sizeof(*t));
+	if (c->env != NULL)
+		t->list[n++] = t->env =
+		    arg_str1(NULL, NULL, c->env, "environment");
+	if (c->other != NULL)
+		t->list[n++] = t->other = arg_str1(NULL, NULL, c->other,
+		    strcmp(c->other, "TO") == 0	      ? "environment to change"
+			: strcmp(c->other, "ID") == 0 ? "of a job or request"
+			: strcmp(c->other, "FILE") == 0
+			? "document, - for standard input"
+			: "document (a path with / or .), or environment");
+	if (c->flags & USES_STORE)
+		t->list[n++] = t->store = arg_str0(NULL, "store", "ADDR[,ADDR]",
+		    "addresses and ports of the store");
+	if (c->flags & USES_ENTRY)
+		t->list[n++] = t->entry = arg_str0(NULL, "entry", "ADDR",
+		    "address and port of an entry instance");
+	if (c->flags & NEEDS_REVIEWED)
+		t->list[n++] = t->reviewed = arg_str1(NULL, "reviewed",
+		    "VERSION", "number that env diff or env show has printed");
+	if (c->flags & USES_REVIEWED)
+		t->list[n++] = t->reviewed =
+		    arg_str0(NULL, "reviewed", "VERSION",
+			"number that env diff or env show has printed; may be "
+			"left out for the first document");
+	if (c->flags & (USES_REVIEWED | NEEDS_REVIEWED))
+		t->list[n++] = t->rename = arg_lit0(NULL, "rename",
+		    "let the document name another deployment than before");
+	t->list[n++] = t->json = arg_lit0(NULL, "json", "results as JSON");
+	t->list[n++] = t->help = arg_lit0(NULL, "help", "print this and exit");
+	t->list[n] = t->end = arg_end(8);
+}
+
+static void
+print_help(const struct command *c, struct table *t, FILE *f)
+{
+	fprintf(
+	    f, "Usage: agatectl %s%s", c->group != NULL ? "env " : "", c->name);
+	arg_print_syntax(f, t->list, "\n");
+	fprintf(f, "\n%s\n\n", c->what);
+	arg_print_glossary(f, t->list, "  %-24s  %s\n");
+	fputs(exit_text, f);
+}
+
+static bool
+read_addr(
+    const char *option, const char *text, size_t len, char *dst, FILE *err)
+{
+	const char *fault = "is too long";
+
+	if (len < AGB_ADDR_LEN) {
+		memcpy(dst, text, len);
+		dst[len] = '\0';
+		fault = agb_settings_addr_fault(dst);
+		if (fault == NULL)
+			return true;
+	}
+	fprintf(err, "agatectl: %s %.*s %s\n", option, (int)len, text, fault);
+	return false;
+}
+
+static bool
+read_store(const char *list, struct agb_ctl_options *out, FILE *err)
+{
+	size_t len;
+
+	for (;;) {
+		len = strcspn(list, ",");
+		if (out->store_len == AGB_STORE_ENDPOINTS_MAX) {
+			fprintf(err,
+			    "agatectl: --store takes at most %d addresses\n",
+			    AGB_STORE_ENDPOINTS_MAX);
+			return false;
+		}
+		if (!read_addr("--store", list, len,
+			out->store[out->store_len++], err))
+			return false;
+		if (list[len] == '\0')
+			return true;
+		list += len + 1;
+	}
+}
+
+static bool
+read_reviewed(const char *text, struct agb_ctl_options *out, FILE *err)
+{
+	errno = 0;
+	out->args.reviewed = strtoull(text, NULL, 10);
+	out->args.has_reviewed = true;
+	if (errno == 0 && text[0] != '\0' &&
+	    strspn(text, "0123456789") == strlen(text))
+		return true;
+	fprintf(err, "agatectl: --reviewed takes a whole number\n");
+	return false;
+}
+
+static bool
+read_table(const struct table *t, struct agb_ctl_options *out, FILE *err)
+{
+	if (t->env != NULL)
+		out->args.env = t->env->sval[0];
+	if (t->other != NULL)
+		out->args.other = t->other->sval[0];
+	out->json = t->json->count > 0;
+	out->args.rename = t->rename != NULL && t->rename->count > 0;
+	if (t->store != NULL && t->store->count > 0 &&
+	    !read_store(t->store->sval[0], out, err))
+		return false;
+	if (t->entry != NULL && t->entry->count > 0 &&
+	    !read_addr("--entry", t->entry->sval[0], strlen(t->entry->sval[0]),
+		out->entry, err))
+		return false;
+	if (t->reviewed != NULL && t->reviewed->count > 0 &&
+	    !read_reviewed(t->reviewed->sval[0], out, err))
+		return false;
+	return true;
+}
+
+enum agb_ctl_exit
+agb_ctl_args_parse(
+    int argc, char **argv, struct agb_ctl_options *out, FILE *help, FILE *err)
+{
+	const struct command *const c = find_command(argc, argv);
+	enum agb_ctl_exit code = AGB_CTL_BAD_INPUT;
+	const int skip = c != NULL && c->group != NULL ? 2 : 1;
+	struct table t;
+
+	memset(out, 0, sizeof(*out));
+	if (c == NULL) {
+		if (argc > 1 && strcmp(argv[1], "--help") == 0) {
+			print_overview(help);
+			return AGB_CTL_DONE;
+		}
+		if (argc > 1)
+			fprintf(err, "agatectl: unknown command\n\n");
+		print_overview(err);
+		return AGB_CTL_BAD_INPUT;
+	}
+	make_table(&t, c);
+	if (arg_nullcheck(t.list) != 0) {
+		fprintf(err, "agatectl: out of memory\n");
+		goto out;
+	}
+	arg_parse(argc - skip, argv + skip, t.list);
+	if (t.help->count > 0) {
+		print_help(c, &t, help);
+		code = AGB_CTL_DONE;
+		goto out;
+	}
+	if (t.end->count > 0) {
+		arg_print_errors(err, t.end, "agatectl");
+		fprintf(err, "Try: agatectl %s%s --help\n",
+		    c->group != NULL ? "env " : "", c->name);
+		goto out;
+	}
+	if (!read_table(&t, out, err))
+		goto out;
+	out->run = c->run;
+	code = AGB_CTL_DONE;
+out:
+	arg_freetable(t.list, LEN(t.list));
+	return code;
+}
--- a/src/agatebeam/settings.c
+++ b/src/agatebeam/settings.c
@@ -88,6 +88,12 @@
 	return NULL;
 }
 
+const char *
+agb_settings_addr_fault(const char *addr)
+{
+	return addr_fault(addr, ADDR_REACH);
+}
+
 static void
 parse_addr(const struct agb_jsonc_node *root, const char *key,
     enum addr_use use, char *dst)
--- a/src/agatebeam/settings.h
+++ b/src/agatebeam/settings.h
@@ -64,4 +64,11 @@
 bool agb_settings_parse(const char *text, size_t len, struct agb_settings *out,
     struct agb_findings *findings);
 
+/**
+ * agb_settings_addr_fault() - what is wrong with an address to connect to
+ * @addr: expected to be "1.2.3.4:80" or "[::1]:80"
+ * Return: static text such as "has no port; ..."; NULL when it is right.
+ */
+const char *agb_settings_addr_fault(const char *addr);
+
 #endif
