docs(config): pages of the environment document and the settings

Cause: operators need every key with its meaning, unit, default and range. Change: docs/environment.md and docs/settings.md; tests/test_docs.c checks their examples, and that each key has an example of a refusal with the finding that the code gives. Lists of failure domains take 32 names, as many as there can be. Before: no pages. Conclusion: the pages cannot drift from the code unseen.

--- a/src/agatebeam/env_parse.c
+++ b/src/agatebeam/env_parse.c
@@ -399,14 +399,14 @@
  */
 static uint64_t
 parse_set(const struct agb_jsonc_node *node, const char *key, const char *what,
-    const struct agb_env *env, name_fn at, size_t len)
+    const struct agb_env *env, name_fn at, size_t len, size_t len_max)
 {
 	struct agb_jsonc_node list;
 	const char *name;
 	uint64_t set = 0;
 	size_t n, i, k;
 
-	if (!agb_jsonc_array(node, key, false, AGB_ENV_TEAMS_MAX, &list, &n))
+	if (!agb_jsonc_array(node, key, false, len_max, &list, &n))
 		return len >= 64 ? UINT64_MAX : ((uint64_t)1 << len) - 1;
 	for (i = 0; i < n; i++) {
 		name = agb_jsonc_item_str(&list, i, AGB_NAME_LEN - 1);
@@ -487,9 +487,9 @@
 	parse_resources(node, "need_max", false, 0, &w->need_max);
 	agb_jsonc_u32(node, "run_ms", false, &run_times, &w->run_ms);
 	w->domains = (uint32_t)parse_set(node, "domains", "failure domain", env,
-	    domain_name, env->domains_len);
-	w->teams =
-	    parse_set(node, "teams", "team", env, team_name, env->teams_len);
+	    domain_name, env->domains_len, AGB_ENV_DOMAINS_MAX);
+	w->teams = parse_set(node, "teams", "team", env, team_name,
+	    env->teams_len, AGB_ENV_TEAMS_MAX);
 	check_work(node, env, w);
 }
 
--- /dev/null
+++ b/tests/test_docs.c
@@ -0,0 +1,218 @@
+#include <ctype.h>
+#include <json-c/json.h>
+#include <json-c/json_pointer.h>
+
+#include "env.h"
+#include "settings.h"
+#include "suite.h"
+#include "textfile.h"
+
+/* A checker of one kind of document. */
+typedef void (*check_fn)(const char *text, struct agb_findings *f);
+
+static void
+check_env(const char *text, struct agb_findings *f)
+{
+	struct agb_env *env;
+
+	agb_env_parse(text, strlen(text), 1, &env, f);
+	agb_env_free(env);
+}
+
+static void
+check_settings(const char *text, struct agb_findings *f)
+{
+	struct agb_settings s;
+
+	agb_settings_parse(text, strlen(text), &s, f);
+}
+
+/*
+ * struct page - a page of docs/ whose examples are checked
+ * @base: its first JSON example, without comments
+ * @wanted: findings that its refusals gave, one a line
+ * @examples: number of refusals seen
+ */
+struct page {
+	const char *path;
+	check_fn check;
+	char *text;
+	char *base;
+	char *wanted;
+	unsigned examples;
+};
+
+/* Whether a finding is among those of a text; with @lines, its line too. */
+static bool
+finds(const struct page *page, const char *text, const char *want, bool lines)
+{
+	struct agb_findings *const f = agb_xcalloc(1, sizeof(*f));
+	const char *place;
+	bool found = false;
+	char *got;
+	size_t i;
+
+	page->check(text, f);
+	for (i = 0; i < f->len && !found; i++) {
+		place = f->items[i].place;
+		if (!lines && strchr(place, '/') != NULL)
+			place = strchr(place, '/');
+		got = agb_xasprintf("%s: %s: %s", place,
+		    f->items[i].level == AGB_FINDING_ERROR ? "error"
+							   : "warning",
+		    f->items[i].text);
+		found = strcmp(got, want) == 0;
+		free(got);
+	}
+	if (!found) {
+		got = textfile_findings(f, page->path);
+		fprintf(stderr, "not found: %s\n%s", want, got);
+		free(got);
+	}
+	free(f);
+	return found;
+}
+
+/* Applies a line "/pointer = JSON" to a document. */
+static bool
+apply(struct json_object **doc, const char *line)
+{
+	const char *const equals = strstr(line, " = ");
+	char *pointer;
+	bool ok;
+
+	if (equals == NULL)
+		return false;
+	pointer = agb_xmemdup(line, (size_t)(equals - line));
+	ok =
+	    json_pointer_set(doc, pointer, json_tokener_parse(equals + 3)) == 0;
+	free(pointer);
+	return ok;
+}
+
+/* Checks the lines of a block of refusals; the block is changed. */
+static void
+check_refusals(struct page *page, char *block, bool whole_texts)
+{
+	struct json_object *doc = json_tokener_parse(page->base);
+	char *line, *save = NULL, *wanted;
+	const char *text = "";
+
+	for (line = strtok_r(block, "\n", &save); line != NULL;
+	     line = strtok_r(NULL, "\n", &save)) {
+		if (strncmp(line, "=> ", 3) != 0) {
+			if (whole_texts)
+				text = line;
+			else
+				CU_ASSERT_TRUE(apply(&doc, line));
+			continue;
+		}
+		if (!whole_texts)
+			text = json_object_to_json_string(doc);
+		CU_ASSERT_TRUE(finds(page, text, line + 3, whole_texts));
+		wanted = agb_xasprintf("%s%s\n", page->wanted, line + 3);
+		free(page->wanted);
+		page->wanted = wanted;
+		page->examples++;
+		json_object_put(doc);
+		doc = json_tokener_parse(page->base);
+	}
+	json_object_put(doc);
+}
+
+static void
+check_example(struct page *page, const char *block)
+{
+	struct agb_findings *const f = agb_xcalloc(1, sizeof(*f));
+	struct json_object *doc;
+	char *got;
+
+	page->check(block, f);
+	got = textfile_findings(f, page->path);
+	CU_ASSERT_STRING_EQUAL(got, "");
+	if (got[0] != '\0')
+		fputs(got, stderr);
+	free(got);
+	free(f);
+	if (page->base != NULL)
+		return;
+	doc = json_tokener_parse(block);
+	page->base = agb_xstrdup(json_object_to_json_string(doc));
+	json_object_put(doc);
+}
+
+/* Each key in a table has an example of a refusal. */
+static void
+check_tables(const struct page *page)
+{
+	const char *p, *end;
+	char *key;
+
+	for (p = page->text; (p = strstr(p, "\n| `")) != NULL; p = end) {
+		p += strlen("\n| `");
+		end = strchr(p, '`');
+		key = agb_xasprintf("/%.*s: ", (int)(end - p), p);
+		if (strstr(page->wanted, key) == NULL)
+			fprintf(
+			    stderr, "%s: no refusal of %s\n", page->path, key);
+		CU_ASSERT_PTR_NOT_NULL(strstr(page->wanted, key));
+		free(key);
+	}
+}
+
+static void
+check_page(const char *path, check_fn check)
+{
+	struct page page = {.path = path, .check = check};
+	const char *p, *end;
+	char *kind, *block;
+
+	page.text = textfile_need(path, NULL);
+	page.wanted = agb_xstrdup("");
+	for (p = page.text; (p = strstr(p, "\n```")) != NULL; p = end + 4) {
+		p += 4;
+		kind = agb_xmemdup(p, strcspn(p, "\n"));
+		p += strlen(kind) + 1;
+		end = strstr(p, "\n```");
+		block = agb_xmemdup(p, (size_t)(end - p));
+		if (strcmp(kind, "json") == 0)
+			check_example(&page, block);
+		else if (strcmp(kind, "refused") == 0)
+			check_refusals(&page, block, false);
+		else if (strcmp(kind, "refused-text") == 0)
+			check_refusals(&page, block, true);
+		free(kind);
+		free(block);
+	}
+	CU_ASSERT_PTR_NOT_NULL(page.base);
+	CU_ASSERT(page.examples > 10);
+	check_tables(&page);
+	free(page.text);
+	free(page.base);
+	free(page.wanted);
+}
+
+/* Guards against examples in docs/environment.md that do not hold. */
+static void
+test_environment(void)
+{
+	check_page("docs/environment.md", check_env);
+}
+
+/* Guards against examples in docs/settings.md that do not hold. */
+static void
+test_settings(void)
+{
+	check_page("docs/settings.md", check_settings);
+}
+
+static const struct suite_test tests[] = {
+    {"environment", test_environment},
+    {"settings", test_settings},
+};
+
+int
+main(void)
+{
+	return suite_run("docs", tests, sizeof(tests) / sizeof(tests[0]));
+}
