--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -177,7 +177,7 @@
 }
 
 static void
-rpc_call(struct agb_owner *o, agb_time now, const struct agb_event *ev,
+dispatch_call(struct agb_owner *o, agb_time now, const struct agb_event *ev,
     struct agb_effects *out)
 {
 	const agb_x_args *const a = &ev->u.rpc_args;
@@ -288,7 +288,7 @@
 		own_elect_watch(o, now, ev->tag, &ev->u.watch, out);
 		break;
 	case AGB_EV_RPC_CALL:
-		rpc_call(o, now, ev, out);
+		dispatch_call(o, now, ev, out);
 		break;
 	default:
 		break;
--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -93,7 +93,7 @@
 }
 
 static void
-send(struct agb_owner *o, struct own_worker *w, struct agb_effects *out)
+send_batch(struct agb_owner *o, struct own_worker *w, struct agb_effects *out)
 {
 	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_COMMANDS);
 	struct agb_ef_worker *const e = &ef->u.worker;
@@ -136,7 +136,7 @@
 
 		if (w->queue_len > 0 && w->answered && w->commands_tag == 0 &&
 		    now >= w->commands_at)
-			send(o, w, out);
+			send_batch(o, w, out);
 		if (w->queue_len > 0)
 			continue;
 		w->dirty = false;
--- a/src/agatebeam/owner_commit.c
+++ b/src/agatebeam/owner_commit.c
@@ -86,7 +86,7 @@
 }
 
 static void
-send(struct agb_owner *o, agb_time now, struct agb_effects *out)
+write_value(struct agb_owner *o, agb_time now, struct agb_effects *out)
 {
 	struct own_commit *const c = &o->commit;
 	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_STORE);
@@ -163,7 +163,7 @@
 		if (c->lost || c->compared)
 			read_back(o, out);
 		else
-			send(o, now, out);
+			write_value(o, now, out);
 		return;
 	}
 	if (c->pending.len == 0 && c->chunk >= c->chunks_len)
@@ -183,7 +183,7 @@
 	} else {
 		fill(o, now);
 	}
-	send(o, now, out);
+	write_value(o, now, out);
 }
 
 static void
@@ -292,7 +292,7 @@
 	} else {
 		/* Not there, but the lost call may still arrive: the same
 		 * write again settles it. */
-		send(o, now, out);
+		write_value(o, now, out);
 	}
 	return true;
 }
--- a/src/agatebeam/owner_elect.c
+++ b/src/agatebeam/owner_elect.c
@@ -61,7 +61,7 @@
 }
 
 static void
-revoke(struct agb_owner *o, struct agb_effects *out)
+lease_revoke(struct agb_owner *o, struct agb_effects *out)
 {
 	struct agb_effect *ef;
 
@@ -109,7 +109,7 @@
 	own_grant_drop(o, AGB_REASON_NO_OWNER, why, out);
 	own_job_drop_waits(o, why, out);
 	own_reset(o);
-	revoke(o, out);
+	lease_revoke(o, out);
 	o->epoch = 0;
 	o->elect.bound = 0;
 	o->elect.tag_keep = 0;
@@ -121,7 +121,7 @@
 static void
 candidate_stop(struct agb_owner *o, struct agb_effects *out)
 {
-	revoke(o, out);
+	lease_revoke(o, out);
 	o->elect.tag_grant = 0;
 	o->elect.tag_create = 0;
 	o->elect.create_lost = false;
--- a/src/agatebeam/owner_grant.c
+++ b/src/agatebeam/owner_grant.c
@@ -292,7 +292,7 @@
 
 /* Asks the worker to refuse an attempt for good, or to say it is busy. */
 static void
-revoke(struct agb_owner *o, agb_time now, struct own_grant *g,
+ask_revoke(struct agb_owner *o, agb_time now, struct own_grant *g,
     const char *why, struct agb_effects *out)
 {
 	struct agb_command c = {
@@ -332,7 +332,7 @@
 		if (g->dedup != NULL)
 			own_key_resolve(o, now, g->dedup, result);
 		if (g->state == OWN_GRANT_GIVEN)
-			revoke(o, now, g, "the entry instance lost it", out);
+			ask_revoke(o, now, g, "the entry instance lost it", out);
 		return;
 	}
 	if (g->dedup == NULL && k != NULL)
@@ -481,7 +481,7 @@
 		if (g->state != OWN_GRANT_GIVEN)
 			continue;
 		if (now >= g->revoke_at)
-			revoke(o, now, g, "not released in time", out);
+			ask_revoke(o, now, g, "not released in time", out);
 		else
 			own_wake(o, g->revoke_at);
 	}
--- a/src/agatebeam/owner_internal.h
+++ b/src/agatebeam/owner_internal.h
@@ -133,6 +133,7 @@
  * @refs: records on their way that point here
  * @durable: its record is in the store
  * @ended: sched has ended it; @done: and that is durable
+ * @ran: an attempt of it ran; @lost: an attempt of it may have run
  */
 struct own_job {
 	size_t slot;
@@ -156,6 +157,8 @@
 	bool cancelled;
 	bool ended;
 	bool done;
+	bool ran;
+	bool lost;
 	enum agb_outcome outcome;
 	enum agb_reason reason;
 	char detail[AGB_DETAIL_LEN];
@@ -545,6 +548,8 @@
     enum agb_result result, const char *text, struct own_worker *ack,
     struct agb_effects *out);
 void own_task_stop(struct agb_owner *o, const struct own_task *t);
+void own_task_leave(struct own_task *t);
+void own_task_result(struct own_task *t, enum agb_result result);
 void own_task_resume(struct agb_owner *o, agb_time now, struct own_task *t,
     struct agb_effects *out);
 void own_task_adopt(struct agb_owner *o, agb_time now, struct own_worker *w,
--- a/src/agatebeam/owner_job.c
+++ b/src/agatebeam/owner_job.c
@@ -241,6 +241,18 @@
 	submit_new(o, now, token, a, out);
 }
 
+static bool
+ever_placed(const struct own_job *j)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->tasks_len; i++) {
+		if (j->tasks[i].attempt.epoch != 0)
+			return true;
+	}
+	return false;
+}
+
 /* Gives a job to placement, with what is known of its tasks. */
 void
 own_job_schedule(struct agb_owner *o, agb_time now, struct own_job *j,
@@ -269,6 +281,9 @@
 	spec.deadline = j->deadline_ms != 0
 	    ? j->accepted_at + j->deadline_ms * AGB_MS
 	    : AGB_TIME_MAX;
+	/* A deadline is for the first start. */
+	if (ever_placed(j))
+		spec.deadline = AGB_TIME_MAX - 1;
 	spec.idempotent = j->idempotent;
 	ev.job = j->handle;
 	own_sched_feed(o, now, &ev, out);
@@ -476,12 +491,27 @@
     const struct agb_sched_effect *e, struct agb_effects *out)
 {
 	struct own_job *const j = own_handle_get(&o->job_handles, e->job);
+	enum agb_outcome outcome = e->outcome;
+	uint32_t i;
 
 	if (j == NULL)
 		return;
 	own_handle_del(&o->job_handles, j->handle);
 	j->handle = AGB_SCHED_NONE;
-	job_end(o, now, j, e->outcome, e->reason, e->detail, out);
+	for (i = 0; i < j->tasks_len; i++) {
+		struct own_task *const t = &j->tasks[i];
+
+		/* Ended with an attempt still out: whatever the worker says
+		 * of it later, it is stopped there. */
+		if (t->at == NULL)
+			continue;
+		own_task_leave(t);
+		j->lost = true;
+	}
+	/* Placement does not know what ran before a takeover. */
+	if (outcome == AGB_NOT_RUN && (j->ran || j->lost))
+		outcome = j->lost ? AGB_UNKNOWN : AGB_RAN;
+	job_end(o, now, j, outcome, e->reason, e->detail, out);
 }
 
 void
@@ -500,18 +530,6 @@
 	own_wake(o, o->retain_at);
 }
 
-static bool
-ever_placed(const struct own_job *j)
-{
-	uint32_t i;
-
-	for (i = 0; i < j->tasks_len; i++) {
-		if (j->tasks[i].attempt.epoch != 0)
-			return true;
-	}
-	return false;
-}
-
 void
 own_job_cancel(struct agb_owner *o, agb_time now, uint64_t token,
     const agb_x_cancel_args *a, struct agb_effects *out)
--- a/src/agatebeam/owner_recover.c
+++ b/src/agatebeam/owner_recover.c
@@ -127,9 +127,7 @@
 	if (t == NULL || t->attempt.epoch != r->epoch ||
 	    t->attempt.seq != r->seq)
 		return;
-	t->result = (enum agb_result)r->result;
-	t->state = t->result == AGB_RESULT_OK ? OWN_TASK_ENDED
-					      : OWN_TASK_WAITING;
+	own_task_result(t, (enum agb_result)r->result);
 	free(t->text);
 	t->text = r->text.text_len > 0
 	    ? agb_xmemdup(r->text.text_val, r->text.text_len)
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -240,6 +240,29 @@
 				 : AGB_X_ARGS_MAX / 2 / j->tasks_len;
 }
 
+/* Takes a task off its worker, with the commands not sent yet. */
+void
+own_task_leave(struct own_task *t)
+{
+	(void)own_command_unqueue(t->at, AGB_COMMAND_START, &t->attempt);
+	(void)own_command_unqueue(t->at, AGB_COMMAND_STOP, &t->attempt);
+	own_list_del(&t->at->tasks, t);
+	t->at = NULL;
+}
+
+/* Notes how the latest attempt ended. */
+void
+own_task_result(struct own_task *t, enum agb_result result)
+{
+	t->result = result;
+	t->state =
+	    result == AGB_RESULT_OK ? OWN_TASK_ENDED : OWN_TASK_WAITING;
+	if (result == AGB_RESULT_LOST)
+		t->job->lost = true;
+	else if (result != AGB_RESULT_NOT_STARTED)
+		t->job->ran = true;
+}
+
 /*
  * Ends an attempt.
  * @ack: worker whose event told it, acknowledged once the end is durable
@@ -255,13 +278,8 @@
 
 	if (t->at == NULL)
 		return;
-	(void)own_command_unqueue(t->at, AGB_COMMAND_START, &t->attempt);
-	(void)own_command_unqueue(t->at, AGB_COMMAND_STOP, &t->attempt);
-	own_list_del(&t->at->tasks, t);
-	t->at = NULL;
-	t->result = result;
-	t->state =
-	    result == AGB_RESULT_OK ? OWN_TASK_ENDED : OWN_TASK_WAITING;
+	own_task_leave(t);
+	own_task_result(t, result);
 	free(t->text);
 	t->text = NULL;
 	if (text != NULL) {
@@ -302,7 +320,9 @@
 	} else {
 		own_task_started(o, now, t, out);
 	}
-	/* A stop that an earlier answer did not settle is asked for again. */
+	/* Placement asks for a stop once; one that could not be sent while
+	 * the task was held, or that was not settled, is asked for again. */
+	t->stopping = t->stopping || t->job->cancelled;
 	if (t->stopping && t->at == w)
 		own_task_stop(o, t);
 }
@@ -333,16 +353,19 @@
 		if (j->idempotent || t->result == AGB_RESULT_NOT_STARTED ||
 		    t->result == AGB_RESULT_CHECKPOINTED)
 			return;
+		ev.worker = AGB_SCHED_NONE;
 		own_sched_feed(o, now, &ev, out);
 		feed_end(o, now, j, t->n, &t->attempt, t->result, out);
 		return;
 	}
 	if (t->state != OWN_TASK_HELD)
 		return;
-	own_sched_feed(o, now, &ev, out);
 	if (t->at == NULL) {
 		t->at = own_worker_of(o, now, t->worker);
 		own_list_add(&t->at->tasks, t);
 	}
+	ev.worker = t->at->handle;
+	ev.used = j->need;
+	own_sched_feed(o, now, &ev, out);
 	log_task(out, "hold", t, "start intent without an end");
 }
