feat(sched): health, preemption, learned sizes, gangs, budgets, shedding

Change: one part each for reservations and backfill, making room by throttle, checkpoint or stop, sizes learned from usage, bad workers and bad jobs, retries within a budget, shedding, services on leaving workers, and work that can no longer fit. TASK_HOLD reads only job, task and attempt. QUICK_DONE with LOST keeps the slot held.

--- a/src/agatebeam/sched.c
+++ b/src/agatebeam/sched.c
@@ -90,6 +90,7 @@
 
 	/* Nothing is placed while its attempts are ended one by one. */
 	w->state = AGB_WORKER_GONE;
+	sched_resv_lost(s, w);
 	sched_worker_refresh(s, w);
 	while ((a = w->atts) != NULL) {
 		if (a->quick)
@@ -116,7 +117,11 @@
 		return;
 	}
 	w->state = ev->state;
+	if (ev->state != AGB_WORKER_LIVE)
+		sched_resv_lost(s, w);
 	sched_worker_refresh(s, w);
+	if (ev->state == AGB_WORKER_LEAVING && !w->leaving_timer)
+		sched_leave_worker(s, now, w);
 	sched_feasible_changed(s, now);
 }
 
@@ -225,6 +230,7 @@
 static void
 timer(struct agb_sched *s, agb_time now, const struct sched_timer *t)
 {
+	struct sched_worker *w;
 	struct sched_job *j;
 
 	switch (t->type) {
@@ -237,6 +243,11 @@
 	case TIMER_FEASIBLE:
 		sched_feasible_timer(s, now);
 		return;
+	case TIMER_LEAVE:
+		w = sched_worker_get(s, t->a);
+		if (w != NULL)
+			sched_leave_worker(s, now, w);
+		return;
 	case TIMER_JOB:
 	case TIMER_TASK:
 	case TIMER_GANG:
@@ -250,6 +261,8 @@
 		sched_job_timer(s, now, j);
 	else if (t->type == TIMER_TASK)
 		sched_retry_timer(s, now, j, t->b);
+	else if (t->type == TIMER_RESV)
+		sched_resv_timer(s, now, j);
 	else
 		sched_gang_timer(s, now, j);
 }
@@ -262,6 +275,7 @@
 	uint32_t n;
 
 	s->out = out;
+	s->now = now;
 	take(s, now, ev);
 	if (s->cancel_deferred) {
 		s->cancel_deferred = false;
--- a/src/agatebeam/sched.h
+++ b/src/agatebeam/sched.h
@@ -113,9 +113,9 @@
 	AGB_SCHED_QUICK_DONE,	/* attempt, result */
 	AGB_SCHED_JOB_ADD,	/* job, spec */
 	AGB_SCHED_JOB_CANCEL,	/* job */
-	AGB_SCHED_TASK_HOLD,  /* worker, job, task, attempt, used; see below */
-	AGB_SCHED_TASK_ADOPT, /* worker, job, task, attempt, used */
-	AGB_SCHED_TASK_DONE,  /* job, task: finished before a takeover */
+	AGB_SCHED_TASK_HOLD,	/* job, task, attempt; see below */
+	AGB_SCHED_TASK_ADOPT,	/* worker, job, task, attempt, used */
+	AGB_SCHED_TASK_DONE,	/* job, task: finished before a takeover */
 	AGB_SCHED_TASK_STARTED, /* attempt */
 	AGB_SCHED_TASK_ENDED,	/* attempt, result */
 	AGB_SCHED_TEAM_USAGE, /* team, used: use of the team in other shards */
@@ -131,13 +131,20 @@
  *
  * TASK_HOLD says that a start of the task was decided before the takeover
  * and may still be alive. Until TASK_ADOPT or TASK_ENDED comes for that
- * attempt the task is not started, and @used (its size) is held on @worker;
- * AGB_SCHED_NONE as the worker holds nothing. TASK_ENDED with NOT_STARTED
- * lets the task start again, also when it is not idempotent.
+ * attempt the task is not started. TASK_ENDED with NOT_STARTED lets the task
+ * start, also when it is not idempotent; LOST ends a job that is not
+ * idempotent as unknown.
  *
  * A TASK_ADOPT of a job that is not known, or of a task that already runs
  * elsewhere or is done, is answered by STOP with the same job and task; its
  * resources are held until TASK_ENDED comes.
+ *
+ * QUICK_DONE with LOST says that the asker does not know: the slot stays
+ * held until another QUICK_DONE comes for that attempt (for example STOPPED
+ * once the worker has reported the slot free) or the worker is GONE.
+ *
+ * Indexes of works and teams that were given under an earlier document are
+ * carried over by name when AGB_SCHED_ENV comes.
  */
 
 /**
--- a/src/agatebeam/sched_att.c
+++ b/src/agatebeam/sched_att.c
@@ -8,11 +8,12 @@
  * until there is evidence that it has ended.
  */
 
+/* A worker on trial takes one start at a time. */
 static bool
 counts_starting(const struct sched_att *a)
 {
-	return !a->quick &&
-	    (a->state == ATT_STARTING || a->state == ATT_RUNNING) && a->probe;
+	return a->probe &&
+	    (a->state == ATT_STARTING || a->state == ATT_RUNNING);
 }
 
 struct sched_att *
@@ -91,7 +92,7 @@
 	a->declared = *held;
 	a->placed_at = now;
 	/* On trial: a worker with failures gets one start at a time. */
-	a->probe = w != NULL && (w->ejected || w->evidence_len > 0);
+	a->probe = w != NULL && (w->ejected || (!quick && w->evidence_len > 0));
 	HASH_ADD(hh, s->atts, id, sizeof(a->id), a);
 	hold(s, a);
 	sched_team_use(s, team, held, NULL);
@@ -201,5 +202,6 @@
 	ef = effect(s, a, AGB_SCHED_THROTTLE, AGB_REASON_PREEMPTED, why);
 	ef->need = *held;
 	a->throttled = held->cpu_milli < a->full.cpu_milli;
+	a->throttled_at = s->now;
 	sched_att_resize(s, a, held);
 }
--- a/src/agatebeam/sched_env.c
+++ b/src/agatebeam/sched_env.c
@@ -185,6 +185,7 @@
 		w->reports = old[i].reports;
 		w->task_run_ratio = old[i].task_run_ratio;
 		w->retry_tokens = old[i].retry_tokens;
+		w->retry_at = old[i].retry_at;
 	}
 	free(old);
 }
@@ -264,9 +265,12 @@
 	teams_rebuild(s, &c);
 	workers_rebuild(s, &c);
 	sched_team_shares(s);
+	memset(s->level_queued, 0, sizeof(s->level_queued));
 	for (i = 0; i < len; i++) {
 		jobs[i]->spec.work = carry_work(&c, jobs[i]->spec.work);
 		jobs[i]->spec.team = carry_team(&c, jobs[i]->spec.team);
+		s->level_queued[sched_job_level(s, jobs[i])] +=
+		    jobs[i]->pending;
 		job_requeue(s, now, jobs[i]);
 	}
 	for (r = reqs; r != NULL; r = tmp) {
--- a/src/agatebeam/sched_feasible.c
+++ b/src/agatebeam/sched_feasible.c
@@ -11,6 +11,9 @@
  * work is not refused for a fleet that is only briefly smaller. */
 #define FEASIBLE_GRACE (60 * AGB_SEC)
 
+/* Jobs refused in one step when the fleet has changed. */
+#define ENDED_AT_ONCE 16
+
 static bool
 counts(const struct sched_worker *w)
 {
@@ -19,8 +22,8 @@
 }
 
 static void
-largest_text(struct agb_sched *s, const struct agb_resources *need, char *why,
-    size_t len)
+largest_text(const struct agb_sched *s, const struct agb_resources *need,
+    char *why, size_t len)
 {
 	struct agb_resources top = {0};
 	const struct sched_worker *w;
@@ -62,7 +65,7 @@
 
 /* Tasks of this size that an empty fleet holds, counted up to @want. */
 static uint32_t
-fleet_units(struct agb_sched *s, const struct agb_resources *need,
+fleet_units(const struct agb_sched *s, const struct agb_resources *need,
     uint32_t want, bool *any)
 {
 	struct agb_resources r;
@@ -79,6 +82,14 @@
 	return n;
 }
 
+bool
+sched_feasible_size(const struct agb_sched *s, const struct agb_resources *need)
+{
+	bool any;
+
+	return fleet_units(s, need, 1, &any) > 0 || !any;
+}
+
 bool
 sched_feasible_job(
     struct agb_sched *s, const struct sched_job *j, char *why, size_t len)
@@ -105,10 +116,39 @@
 void
 sched_feasible_changed(struct agb_sched *s, agb_time now)
 {
+	if (s->feasible_armed)
+		return;
+	s->feasible_armed = true;
 	sched_timer_add(s, now + FEASIBLE_GRACE, TIMER_FEASIBLE, 0, 0, 0);
 }
 
+/* All jobs of a bucket have the same size; the first tells for all. */
+static struct sched_job *
+first_infeasible(struct agb_sched *s, char *why, size_t len)
+{
+	struct sched_bucket *b;
+
+	for (b = s->buckets; b != NULL; b = b->hh.next) {
+		if (!sched_feasible_job(s, b->jobs, why, len))
+			return b->jobs;
+	}
+	return NULL;
+}
+
 void
 sched_feasible_timer(struct agb_sched *s, agb_time now)
 {
+	char why[AGB_DETAIL_LEN];
+	struct sched_job *j;
+	int n;
+
+	s->feasible_armed = false;
+	for (n = 0; n < ENDED_AT_ONCE; n++) {
+		j = first_infeasible(s, why, sizeof(why));
+		if (j == NULL)
+			return;
+		sched_job_end(s, now, j, AGB_REASON_NEVER_FITS, "%s", why);
+	}
+	s->feasible_armed = true;
+	sched_timer_add(s, now + AGB_MS, TIMER_FEASIBLE, 0, 0, 0);
 }
--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -73,6 +73,7 @@
 	struct agb_resources declared;
 	struct agb_resources used;
 	agb_time placed_at;
+	agb_time throttled_at;
 	agb_time end_at;
 	struct sched_att *prev;
 	struct sched_att *next;
@@ -81,15 +82,27 @@
 
 #define SCHED_EVIDENCE 4
 
+/**
+ * struct sched_evidence - one failure that speaks against a worker
+ * @key: serial of the job, or a mark of the service
+ * @job: handle of the job, or AGB_SCHED_NONE
+ */
+struct sched_evidence {
+	uint64_t key;
+	uint32_t job;
+};
+
 /**
  * struct sched_worker - one worker
  * @held: what tasks hold
  * @runner: set aside for the slots of its runner
  * @reserved: kept for gangs and urgent tasks that wait
+ * @backfill: of that, what short work may use until the gang starts
  * @room: what a new task may take; negative while it takes none
  * @tracked: part of the shard's sums of live capacity
  * @slot_level: list of the slot index it is on, or -1
  * @evidence: distinct failures since the last success
+ * @refused: quick requests refused in a row
  * @ejected: takes nothing but probes
  * @probes: failed probes in a row
  */
@@ -99,11 +112,13 @@
 	bool tracked;
 	bool ejected;
 	bool probing;
+	bool leaving_timer;
 	enum agb_worker_state state;
 	struct agb_worker_info info;
 	struct agb_resources held;
 	struct agb_resources runner;
 	struct agb_resources reserved;
+	struct agb_resources backfill;
 	struct agb_resources room;
 	struct agb_resources tracked_cap;
 	struct agb_resources tracked_free;
@@ -115,8 +130,9 @@
 	uint32_t rack;
 	int slot_level;
 	uint32_t self;
-	uint64_t evidence[SCHED_EVIDENCE];
+	struct sched_evidence evidence[SCHED_EVIDENCE];
 	uint32_t evidence_len;
+	uint32_t refused;
 	uint32_t probes;
 	agb_time probe_at;
 	agb_time silent_at;
@@ -148,6 +164,9 @@
 
 /**
  * struct sched_task - one task of a job
+ * @fails: failed attempts that count against the class's retries
+ * @refusals: attempts lost or refused in a row; only lengthens the delay
+ * @paid: the waiting retry has taken its token from the budget
  * @next: next pending task of the job
  * @att: its attempt while it is active
  */
@@ -155,7 +174,8 @@
 	uint8_t state;
 	bool on_list;
 	uint16_t fails;
-	uint16_t tries;
+	uint16_t refusals;
+	bool paid;
 	uint32_t next;
 	struct sched_att *att;
 };
@@ -166,10 +186,13 @@
 struct sched_resv {
 	uint32_t worker;
 	uint32_t units;
+	bool gang;
 	struct agb_resources amount;
 };
 
 #define SCHED_FAIL_WORKERS 3
+/* A job keeps off the workers it failed on for this long, if need be. */
+#define SCHED_AVOID (30 * AGB_SEC)
 
 /**
  * struct sched_job - one job
@@ -230,14 +253,14 @@
  * struct sched_shape - what makes two queued jobs interchangeable
  * @gang: number of tasks of a gang, else 0
  * @timed: 1 when the jobs have a deadline; they are kept in its order
- * @zero: fills the structure, which is a hash key
+ * @run_class: declared run time, by powers of four; 0 is unknown
  */
 struct sched_shape {
 	uint16_t team;
 	uint16_t work;
 	uint32_t gang;
 	uint32_t timed;
-	uint32_t zero;
+	uint32_t run_class;
 	struct agb_resources need;
 };
 
@@ -321,6 +344,7 @@
 	uint32_t reports;
 	double task_run_ratio;
 	double retry_tokens;
+	agb_time retry_at;
 };
 
 enum sched_timer_type {
@@ -331,6 +355,7 @@
 	TIMER_GANG,
 	TIMER_FEASIBLE,
 	TIMER_RESV,
+	TIMER_LEAVE,
 };
 
 /**
@@ -384,6 +409,7 @@
 	agb_name domain;
 	const struct agb_env *env;
 	struct agb_sched_effects *out;
+	agb_time now;
 
 	struct sched_worker *workers;
 	uint32_t workers_cap;
@@ -411,6 +437,7 @@
 	struct sched_team teams[SCHED_TEAMS];
 	uint32_t tasks_queued;
 	uint32_t tasks_running;
+	uint32_t level_queued[SCHED_LEVELS];
 	double start_rate;
 	agb_time start_rate_at;
 
@@ -423,6 +450,8 @@
 
 	struct sched_job *resv_jobs[SCHED_RESV_JOBS];
 	struct sched_job *gang_holder;
+	agb_time gang_eta;
+	agb_time reclaim_at;
 	uint32_t tree_leaves;
 	uint32_t racks_len;
 	uint32_t quick_queued;
@@ -432,6 +461,7 @@
 	uint16_t domain_index;
 	uint16_t works_len;
 	bool cancel_deferred;
+	bool feasible_armed;
 	bool shedding_quick;
 	bool shedding_jobs;
 };
--- a/src/agatebeam/sched_job.c
+++ b/src/agatebeam/sched_job.c
@@ -51,11 +51,27 @@
 	agb_name_set(ef->detail, sizeof(ef->detail), j->end_detail);
 }
 
+unsigned
+sched_job_level(const struct agb_sched *s, const struct sched_job *j)
+{
+	const unsigned u = sched_class(s, j->spec.work)->urgency;
+
+	return u < SCHED_LEVELS ? u : SCHED_LEVELS - 1;
+}
+
+void
+sched_job_unqueue(struct agb_sched *s, struct sched_job *j, uint32_t tasks)
+{
+	j->pending -= tasks;
+	s->tasks_queued -= tasks;
+	s->level_queued[sched_job_level(s, j)] -= tasks;
+}
+
 void
 sched_job_free(struct agb_sched *s, struct sched_job *j)
 {
 	sched_queue_remove(s, j);
-	s->tasks_queued -= j->pending;
+	sched_job_unqueue(s, j, j->pending);
 	s->jobs[j->handle] = NULL;
 	s->jobs_len--;
 	free(j->tasks);
@@ -74,7 +90,7 @@
 		return;
 	if (j->active > 0 || j->cancel_listed)
 		return;
-	sched_gang_release(s, j);
+	sched_resv_drop(s, j);
 	report(s, j);
 	sched_job_free(s, j);
 }
@@ -106,8 +122,7 @@
 	va_end(ap);
 	if (j->active > 0) {
 		sched_queue_remove(s, j);
-		s->tasks_queued -= j->pending;
-		j->pending = 0;
+		sched_job_unqueue(s, j, j->pending);
 		list_for_stop(s, j);
 		return;
 	}
@@ -142,8 +157,7 @@
 	struct sched_att *a;
 
 	sched_queue_remove(s, j);
-	s->tasks_queued -= j->pending;
-	j->pending = 0;
+	sched_job_unqueue(s, j, j->pending);
 	if (j->active == 0)
 		j->stop_cursor = j->spec.tasks;
 	while (j->stop_cursor < j->spec.tasks && budget > 0) {
@@ -277,8 +291,14 @@
 	put(s, j);
 	if (!allowed(s, now, j))
 		return;
+	if (sched_shed_too_late(s, now, j)) {
+		sched_job_end(s, now, j, AGB_REASON_DEADLINE,
+		    "the expected wait is longer than its deadline allows");
+		return;
+	}
 	for (i = spec->tasks; i-- > 0;)
-		sched_task_pend(s, now, j, i, true);
+		sched_task_pend(s, j, i);
 	sched_queue_add(s, j, false);
 	sched_timer_add(s, expiry(s, j), TIMER_JOB, handle, 0, j->serial);
+	sched_shed_jobs(s, now);
 }
--- a/src/agatebeam/sched_learn.c
+++ b/src/agatebeam/sched_learn.c
@@ -1,36 +1,153 @@
 #include "sched_internal.h"
 
 /*
- * Sizes and run times as observed, by kind of work.
+ * Sizes and run times as observed. A running task holds what it was last
+ * seen to use, or more; a new one gets its declared size times the ratio
+ * learned for its kind of work.
  */
 
+/* Reports before a learned ratio is used. */
+#define REPORTS_MIN 20
+/* The ratio rises fast and falls slowly: too small a size hurts the
+ * neighbours, too large a one only wastes room. */
+#define RISE 0.3
+#define FALL 0.02
+/* Declared sizes are 0.3 to 4 times the actual value. */
+#define RATIO_MIN 0.25
+#define RATIO_MAX 4.0
+/* Kept above what a task was last seen to use, since reports lag. */
+#define MARGIN_PERCENT 10
+/* Part of the excess given back with one report. */
+#define GIVE_BACK 4
+/* Smaller changes are not worth a search of the queue. */
+#define CHANGE_PERCENT 5
+#define RUN_GAIN 0.1
+
 void
 sched_learn_init(struct sched_work *w)
 {
 	w->ratio_cpu = 1;
 	w->ratio_mem = 1;
 	w->task_run_ratio = 1;
+	w->retry_tokens = 10;
+}
+
+static double
+approach(double ratio, int64_t used, int64_t declared)
+{
+	double seen;
+
+	if (declared <= 0)
+		return ratio;
+	seen = (double)used / (double)declared;
+	if (seen < RATIO_MIN)
+		seen = RATIO_MIN;
+	if (seen > RATIO_MAX)
+		seen = RATIO_MAX;
+	return ratio + (seen - ratio) * (seen > ratio ? RISE : FALL);
+}
+
+/* Sizes move in steps, so that the queue's shapes do not change with each
+ * report. */
+static int64_t
+stepped(int64_t declared, double ratio)
+{
+	const int64_t steps = (int64_t)(ratio * 16 + 0.999);
+
+	return declared * steps / 16;
 }
 
 struct agb_resources
 sched_learn_need(const struct agb_sched *s, uint16_t work,
     const struct agb_resources *declared)
 {
-	return *declared;
+	const struct sched_work *k;
+	struct agb_resources need = *declared;
+
+	if (work >= s->works_len || s->works[work].reports < REPORTS_MIN)
+		return need;
+	k = &s->works[work];
+	need.cpu_milli = stepped(declared->cpu_milli, k->ratio_cpu);
+	need.mem_mb = stepped(declared->mem_mb, k->ratio_mem);
+	/* A learned size must not make work impossible that has run. */
+	if (!sched_feasible_size(s, &need))
+		return *declared;
+	return need;
 }
 
 agb_time
 sched_learn_end(
     const struct agb_sched *s, const struct sched_job *j, agb_time now)
 {
+	double ratio = 1;
+
 	if (j->spec.run_ms == 0)
 		return AGB_TIME_MAX;
-	return now + j->spec.run_ms * AGB_MS;
+	if (j->spec.work < s->works_len)
+		ratio = s->works[j->spec.work].task_run_ratio;
+	return now + (agb_time)(ratio * j->spec.run_ms) * AGB_MS;
+}
+
+void
+sched_learn_ended(struct agb_sched *s, const struct sched_job *j,
+    const struct sched_ending *e)
+{
+	struct sched_work *k;
+	double seen;
+
+	if (e->result != AGB_RESULT_OK || j->spec.run_ms == 0 ||
+	    j->spec.work >= s->works_len)
+		return;
+	k = &s->works[j->spec.work];
+	seen = (double)e->ran_for / AGB_MS / j->spec.run_ms;
+	if (seen > RATIO_MAX)
+		seen = RATIO_MAX;
+	k->task_run_ratio += (seen - k->task_run_ratio) * RUN_GAIN;
+}
+
+static int64_t
+next_held(int64_t held, int64_t used, int64_t declared)
+{
+	const int64_t target = used + used * MARGIN_PERCENT / 100;
+
+	if (used > held)
+		return used;
+	if ((held - target) * 100 < declared * CHANGE_PERCENT)
+		return held;
+	return held - (held - target) / GIVE_BACK;
 }
 
 void
 sched_learn_usage(struct agb_sched *s, agb_time now, struct sched_att *a,
     const struct agb_resources *used)
 {
+	struct agb_resources held = a->held;
+	struct sched_worker *w;
+	struct sched_work *k;
+
 	a->used = *used;
+	if (a->state == ATT_UNKNOWN)
+		return;
+	if (a->work < s->works_len && a->job != AGB_SCHED_NONE) {
+		k = &s->works[a->work];
+		if (!a->throttled)
+			k->ratio_cpu = approach(k->ratio_cpu, used->cpu_milli,
+			    a->declared.cpu_milli);
+		k->ratio_mem =
+		    approach(k->ratio_mem, used->mem_mb, a->declared.mem_mb);
+		if (k->reports < REPORTS_MIN)
+			k->reports++;
+		sched_queue_resize(s, a->work);
+	}
+	if (!a->throttled)
+		held.cpu_milli = next_held(
+		    held.cpu_milli, used->cpu_milli, a->declared.cpu_milli);
+	held.mem_mb = next_held(held.mem_mb, used->mem_mb, a->declared.mem_mb);
+	a->full.mem_mb = held.mem_mb;
+	if (!a->throttled)
+		a->full.cpu_milli = held.cpu_milli;
+	sched_att_resize(s, a, &held);
+	w = sched_worker_get(s, a->worker);
+	if (w != NULL)
+		sched_preempt_relieve(s, now, w);
 }
--- a/src/agatebeam/sched_parts.h
+++ b/src/agatebeam/sched_parts.h
@@ -73,6 +73,7 @@
 void sched_team_use(struct agb_sched *s, uint16_t team,
     const struct agb_resources *add, const struct agb_resources *sub);
 void sched_team_shares(struct agb_sched *s);
+bool sched_quota_borrowed(const struct agb_sched *s);
 bool sched_quota_fits(const struct agb_sched *s, uint16_t team,
     const struct agb_resources *need, uint32_t units);
 
@@ -89,10 +90,12 @@
 void sched_job_free(struct agb_sched *s, struct sched_job *j);
 void sched_job_timer(struct agb_sched *s, agb_time now, struct sched_job *j);
 uint32_t sched_job_next_task(struct sched_job *j);
+unsigned sched_job_level(const struct agb_sched *s, const struct sched_job *j);
+void sched_job_unqueue(
+    struct agb_sched *s, struct sched_job *j, uint32_t tasks);
 
 /* sched_task.c */
-void sched_task_pend(struct agb_sched *s, agb_time now, struct sched_job *j,
-    uint32_t task, bool front);
+void sched_task_pend(struct agb_sched *s, struct sched_job *j, uint32_t task);
 void sched_task_unpend(struct agb_sched *s, struct sched_job *j, uint32_t task);
 void sched_task_start(struct agb_sched *s, agb_time now, struct sched_job *j,
     uint32_t task, struct sched_worker *w, const struct agb_resources *need,
@@ -118,11 +121,55 @@
 
 /* sched_gang.c */
 extern const struct sched_policy sched_policy_gang;
-void sched_gang_release(struct agb_sched *s, struct sched_job *j);
+bool sched_gang_reserve(
+    struct agb_sched *s, agb_time now, struct sched_bucket *b);
+bool sched_gang_backfills(const struct agb_sched *s,
+    const struct sched_bucket *b, const struct sched_worker *w);
+void sched_gang_again(struct agb_sched *s, struct sched_bucket *b, agb_time at);
+void sched_gang_task_blocked(
+    struct agb_sched *s, agb_time now, struct sched_bucket *b);
+void sched_gang_decision(
+    struct agb_sched *s, agb_time now, const struct sched_job *j);
 void sched_gang_timer(struct agb_sched *s, agb_time now, struct sched_job *j);
 
+/* sched_resv.c */
+bool sched_resv_add(struct agb_sched *s, struct sched_job *j,
+    struct sched_worker *w, const struct agb_resources *need, uint32_t units,
+    bool gang);
+void sched_resv_drop(struct agb_sched *s, struct sched_job *j);
+bool sched_resv_serve(
+    struct agb_sched *s, agb_time now, struct sched_worker *w);
+void sched_resv_lost(struct agb_sched *s, struct sched_worker *w);
+void sched_resv_timer(struct agb_sched *s, agb_time now, struct sched_job *j);
+
+/* sched_preempt.c */
+bool sched_preempt_for(
+    struct agb_sched *s, agb_time now, struct sched_bucket *b);
+void sched_preempt_clear(struct agb_sched *s, agb_time now,
+    struct sched_worker *w, const struct agb_resources *need,
+    const struct sched_job *j);
+void sched_preempt_relieve(
+    struct agb_sched *s, agb_time now, struct sched_worker *w);
+void sched_preempt_restore(struct agb_sched *s, struct sched_worker *w);
+
+/* sched_leave.c */
+void sched_leave_worker(
+    struct agb_sched *s, agb_time now, struct sched_worker *w);
+
+/* sched_shed.c */
+bool sched_shed_quick(
+    struct agb_sched *s, agb_time now, uint16_t work, uint16_t team);
+void sched_shed_jobs(struct agb_sched *s, agb_time now);
+void sched_shed_started(struct agb_sched *s, agb_time now);
+bool sched_shed_too_late(
+    const struct agb_sched *s, agb_time now, const struct sched_job *j);
+
 /* sched_health.c */
-void sched_health_ended(struct agb_sched *s, agb_time now, struct sched_job *j,
+bool sched_health_allows(const struct agb_sched *s, const struct sched_job *j,
+    const struct sched_worker *w);
+void sched_health_trial(
+    struct agb_sched *s, agb_time now, struct sched_worker *w);
+bool sched_health_ended(struct agb_sched *s, agb_time now, struct sched_job *j,
     const struct sched_ending *e);
 void sched_health_timer(
     struct agb_sched *s, agb_time now, const struct sched_timer *t);
@@ -157,6 +204,8 @@
 
 /* sched_learn.c */
 void sched_learn_init(struct sched_work *w);
+void sched_learn_ended(struct agb_sched *s, const struct sched_job *j,
+    const struct sched_ending *e);
 agb_time sched_learn_end(
     const struct agb_sched *s, const struct sched_job *j, agb_time now);
 void sched_learn_usage(struct agb_sched *s, agb_time now, struct sched_att *a,
@@ -165,6 +214,8 @@
     const struct agb_resources *declared);
 
 /* sched_feasible.c */
+bool sched_feasible_size(
+    const struct agb_sched *s, const struct agb_resources *need);
 bool sched_feasible_job(
     struct agb_sched *s, const struct sched_job *j, char *why, size_t len);
 void sched_feasible_changed(struct agb_sched *s, agb_time now);
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -45,6 +45,8 @@
 			if (h == AGB_SCHED_NONE)
 				break;
 			w = &s->workers[h];
+			if (!sched_health_allows(s, b->jobs, w))
+				continue;
 			score = left_over(w, &b->need);
 			if (best == NULL || score < least) {
 				best = w;
@@ -131,6 +133,20 @@
 	return a->jobs->serial < b->jobs->serial;
 }
 
+static bool
+candidate(const struct agb_sched *s, const struct sched_bucket *b,
+    const struct sched_worker *w)
+{
+	if (w == NULL)
+		return b->fresh;
+	if (b->policy == AGB_POLICY_GANG)
+		return false;
+	if (!agb_resources_fit(&b->need, &w->room) &&
+	    !sched_gang_backfills(s, b, w))
+		return false;
+	return sched_health_allows(s, b->jobs, w);
+}
+
 /* The bucket of one team and level that comes first. With @w only what fits
  * there counts, else only what has to be tried. */
 static struct sched_bucket *
@@ -141,11 +157,7 @@
 	enum sched_block block;
 
 	for (b = list; b != NULL; b = b->next) {
-		if (w != NULL ? b->policy == AGB_POLICY_GANG ||
-			    !agb_resources_fit(&b->need, &w->room)
-			      : !b->fresh)
-			continue;
-		if (best != NULL && !older(b, best))
+		if (!candidate(s, b, w) || (best != NULL && !older(b, best)))
 			continue;
 		block = phase_allows(s, b, phase);
 		if (block == BLOCK_NONE)
@@ -200,7 +212,8 @@
 	return false;
 }
 
-static void
+/* Returns false when nothing has changed. */
+static bool
 try_bucket(struct agb_sched *s, agb_time now, struct sched_bucket *b,
     struct sched_worker *hint)
 {
@@ -208,28 +221,41 @@
 	enum sched_block block;
 
 	if (!head_ready(s, b))
-		return;
+		return true;
 	block = policy_of(b)->place(s, now, b, hint);
-	/* A placement may have emptied and freed the bucket. */
-	if (block != BLOCK_NONE && j->bucket == b)
-		sched_queue_block(s, b, block);
+	if (block == BLOCK_NONE)
+		return true;
+	sched_queue_block(s, b, block);
+	if (block != BLOCK_ROOM || b->policy == AGB_POLICY_GANG)
+		return false;
+	/* A placement may empty and free the bucket. */
+	if (sched_preempt_for(s, now, b))
+		return true;
+	if (j->bucket == b && b->level < SCHED_URGENT)
+		sched_gang_task_blocked(s, now, b);
+	return false;
 }
 
 static void
 pass_grown(struct agb_sched *s, agb_time now, uint32_t *budget)
 {
-	struct sched_bucket *b;
+	struct sched_bucket *b = NULL;
 	struct sched_worker *w;
 
 	while (*budget > 0 && s->dirty_len > 0) {
 		w = &s->workers[s->dirty[s->dirty_head]];
 		(*budget)--;
-		b = w->known && sched_worker_takes(w) ? bucket_first(s, w)
-						      : NULL;
-		if (b == NULL)
+		if (!w->known || !sched_worker_takes(w)) {
 			sched_worker_dirty_pop(s);
-		else
-			try_bucket(s, now, b, w);
+			continue;
+		}
+		if (sched_resv_serve(s, now, w))
+			continue;
+		b = bucket_first(s, w);
+		if (b != NULL && try_bucket(s, now, b, w))
+			continue;
+		sched_worker_dirty_pop(s);
+		sched_preempt_restore(s, w);
 	}
 }
 
--- a/src/agatebeam/sched_queue.c
+++ b/src/agatebeam/sched_queue.c
@@ -57,6 +57,20 @@
 	share_set(s, t, team);
 }
 
+/* Whether any team uses more than its quota. */
+bool
+sched_quota_borrowed(const struct agb_sched *s)
+{
+	static const struct agb_resources none;
+	uint16_t i;
+
+	for (i = 0; i < SCHED_TEAM_NONE && i < s->env->teams_len; i++) {
+		if (!sched_quota_fits(s, i, &none, 0))
+			return true;
+	}
+	return false;
+}
+
 bool
 sched_quota_fits(const struct agb_sched *s, uint16_t team,
     const struct agb_resources *need, uint32_t units)
@@ -157,6 +171,8 @@
 	shape.work = j->spec.work;
 	shape.gang = c->policy == AGB_POLICY_GANG ? j->pending : 0;
 	shape.timed = j->deadline != AGB_TIME_MAX;
+	if (j->spec.run_ms > 0)
+		shape.run_class = 1 + (31 - __builtin_clz(j->spec.run_ms)) / 2;
 	shape.need = j->spec.need;
 	HASH_FIND(hh, s->buckets, &shape, sizeof(shape), b);
 	if (b != NULL)
@@ -166,6 +182,9 @@
 	b->policy = c->policy;
 	b->level = c->urgency < SCHED_LEVELS ? c->urgency : SCHED_LEVELS - 1;
 	b->need = sched_learn_need(s, shape.work, &shape.need);
+	/* A job that waited outside the queue may have become impossible. */
+	if (j->started)
+		sched_feasible_changed(s, s->now);
 	HASH_ADD(hh, s->buckets, shape, sizeof(b->shape), b);
 	DL_APPEND(t->buckets[b->level], b);
 	t->levels |= 1u << b->level;
--- a/src/agatebeam/sched_quick.c
+++ b/src/agatebeam/sched_quick.c
@@ -33,7 +33,10 @@
 	/* Tasks placed before a document made the slots larger may use up
 	 * what is set aside for them. */
 	agb_resources_sub(&all, &w->runner);
-	if (!w->known || w->state != AGB_WORKER_LIVE || w->ejected ||
+	if (w->ejected && w->known && w->state == AGB_WORKER_LIVE)
+		return w->probing && w->starting == 0 &&
+		    w->slots > w->slots_busy;
+	if (!w->known || w->state != AGB_WORKER_LIVE ||
 	    w->slots_busy >= w->slots || !agb_resources_fit(&w->held, &all))
 		return 0;
 	return w->slots - w->slots_busy;
@@ -293,6 +296,11 @@
 	HASH_FIND(hh, s->reqs, &ev->tag, sizeof(ev->tag), r);
 	if (r != NULL)
 		return;
+	if (sched_shed_quick(s, now, ev->work, team)) {
+		deny(s, ev->tag, AGB_REASON_OVERLOAD, wait / 1000 + 1,
+		    "the queue is full and other requests count more");
+		return;
+	}
 	r = agb_xcalloc(1, sizeof(*r));
 	r->tag = ev->tag;
 	r->serial = ++s->serial;
@@ -370,6 +378,14 @@
 	a->state = ATT_RUNNING;
 }
 
+static bool
+gone(struct agb_sched *s, const struct sched_att *a)
+{
+	const struct sched_worker *const w = sched_worker_get(s, a->worker);
+
+	return w == NULL || w->state == AGB_WORKER_GONE;
+}
+
 void
 sched_quick_done(struct agb_sched *s, agb_time now, struct sched_att *a,
     enum agb_result result)
@@ -385,6 +401,11 @@
 	};
 	struct sched_work *k;
 
+	/* Nobody knows: the slot may still be busy. */
+	if (result == AGB_RESULT_LOST && !gone(s, a)) {
+		a->state = ATT_UNKNOWN;
+		return;
+	}
 	if (a->work < s->works_len && result == AGB_RESULT_OK) {
 		k = &s->works[a->work];
 		if (k->run_us <= 0)
--- /dev/null
+++ b/src/agatebeam/sched_shed.c
@@ -0,0 +1,193 @@
+#include "sched_internal.h"
+
+#include <math.h>
+#include <stdio.h>
+
+/*
+ * Overload: when the queue passes its upper mark, the least valuable queued
+ * work is refused until the lower mark is reached; between the marks what
+ * came in stays, so that the shard does not swing between taking and
+ * refusing.
+ */
+
+/* Quick requests that wait, for each live slot, and at least. */
+#define QUICK_PER_SLOT 50
+#define QUICK_MIN 1000
+/* Queued tasks; four times what the target size has queued. */
+#define TASKS_HIGH 40000
+#define LOW_PERCENT 80
+/* Time over which starts are counted for the expected wait of a job. */
+#define RATE_WINDOW (30 * AGB_SEC)
+/* Starts seen before the expected wait is believed. */
+#define RATE_MIN_STARTS 10.0
+/* A job is refused early when even this part of the expected wait passes
+ * its deadline: estimates are off by a factor of about 2. */
+#define EARLY_PART 0.5
+
+static void
+decision(struct agb_sched *s, bool on, const char *what, uint32_t queued)
+{
+	struct agb_sched_effect *const ef =
+	    agb_sched_effects_add(s->out, AGB_SCHED_DECISION);
+
+	ef->worker = AGB_SCHED_NONE;
+	ef->job = AGB_SCHED_NONE;
+	ef->reason = AGB_REASON_OVERLOAD;
+	snprintf(ef->detail, sizeof(ef->detail), "%s shedding %s, queued %u",
+	    on ? "starts" : "ends", what, queued);
+}
+
+static uint32_t
+quick_high(const struct agb_sched *s)
+{
+	uint32_t slots = 0;
+	uint16_t i;
+
+	for (i = 0; i < s->works_len; i++)
+		slots += s->works[i].slots;
+	slots *= QUICK_PER_SLOT;
+	return slots > QUICK_MIN ? slots : QUICK_MIN;
+}
+
+/* Newest request of the team with the largest share, of the service with
+ * the least urgency. */
+static struct sched_req *
+least_req(struct agb_sched *s, uint8_t *urgency)
+{
+	const struct sched_work *k = NULL;
+	uint16_t i, t, top = SCHED_TEAMS;
+	uint8_t u;
+
+	for (i = 0; i < s->works_len; i++) {
+		u = sched_class(s, i)->urgency;
+		if (s->works[i].queued > 0 && (k == NULL || u < *urgency)) {
+			k = &s->works[i];
+			*urgency = u;
+		}
+	}
+	if (k == NULL)
+		return NULL;
+	for (t = 0; t < SCHED_TEAMS; t++) {
+		if (k->queue[t] != NULL &&
+		    (top == SCHED_TEAMS ||
+			s->teams[t].share > s->teams[top].share))
+			top = t;
+	}
+	return k->queue[top]->prev;
+}
+
+/* Returns true when the new request is the one to be refused. */
+bool
+sched_shed_quick(
+    struct agb_sched *s, agb_time now, uint16_t work, uint16_t team)
+{
+	const uint32_t high = quick_high(s);
+	const uint32_t low = high / 100 * LOW_PERCENT;
+	const uint8_t mine = sched_class(s, work)->urgency;
+	struct sched_req *r;
+	uint8_t least = 0;
+	int n;
+
+	if (s->quick_queued < low && s->shedding_quick) {
+		s->shedding_quick = false;
+		decision(s, false, "quick requests", s->quick_queued);
+	}
+	if (s->quick_queued >= high && !s->shedding_quick) {
+		s->shedding_quick = true;
+		decision(s, true, "quick requests", s->quick_queued);
+	}
+	for (n = 0; s->shedding_quick && n < 2; n++) {
+		r = least_req(s, &least);
+		if (r == NULL || mine < least ||
+		    (mine == least &&
+			s->teams[team].share >= s->teams[r->team].share))
+			return true;
+		sched_quick_deny(s, now, r, AGB_REASON_OVERLOAD,
+		    "the queue is full and other requests count more");
+	}
+	return false;
+}
+
+/* Newest unstarted job of the least urgency, of the largest share. */
+static struct sched_job *
+least_job(struct agb_sched *s)
+{
+	const struct sched_bucket *b, *best = NULL;
+	struct sched_job *j;
+	uint16_t t;
+
+	for (t = 0; t < SCHED_TEAMS; t++) {
+		if (s->teams[t].levels == 0)
+			continue;
+		b = s->teams[t].buckets[__builtin_ctz(s->teams[t].levels)];
+		if (best == NULL || b->level < best->level ||
+		    (b->level == best->level &&
+			s->teams[t].share > s->teams[best->shape.team].share))
+			best = b;
+	}
+	if (best == NULL)
+		return NULL;
+	j = best->jobs->prev;
+	return j->started ? NULL : j;
+}
+
+/* Refuses queued jobs while there are too many; the new one is among
+ * them. */
+void
+sched_shed_jobs(struct agb_sched *s, agb_time now)
+{
+	const uint32_t low = TASKS_HIGH / 100 * LOW_PERCENT;
+	struct sched_job *j;
+	int n;
+
+	if (s->tasks_queued >= TASKS_HIGH && !s->shedding_jobs) {
+		s->shedding_jobs = true;
+		decision(s, true, "jobs", s->tasks_queued);
+	}
+	for (n = 0; s->shedding_jobs && n < 2; n++) {
+		if (s->tasks_queued < low) {
+			s->shedding_jobs = false;
+			decision(s, false, "jobs", s->tasks_queued);
+			return;
+		}
+		j = least_job(s);
+		if (j == NULL)
+			return;
+		sched_job_end(s, now, j, AGB_REASON_OVERLOAD,
+		    "%u tasks are queued and others count more",
+		    s->tasks_queued);
+	}
+}
+
+static double
+decayed(const struct agb_sched *s, agb_time now)
+{
+	return s->start_rate *
+	    exp(-(double)(now - s->start_rate_at) / (double)RATE_WINDOW);
+}
+
+void
+sched_shed_started(struct agb_sched *s, agb_time now)
+{
+	s->start_rate = decayed(s, now) + 1;
+	s->start_rate_at = now;
+}
+
+bool
+sched_shed_too_late(
+    const struct agb_sched *s, agb_time now, const struct sched_job *j)
+{
+	const double starts = decayed(s, now);
+	const unsigned level = sched_job_level(s, j);
+	uint32_t ahead = 0;
+	unsigned i;
+	double wait;
+
+	if (j->deadline == AGB_TIME_MAX || starts < RATE_MIN_STARTS ||
+	    level >= SCHED_URGENT)
+		return false;
+	for (i = level; i < SCHED_LEVELS; i++)
+		ahead += s->level_queued[i];
+	wait = ahead / starts * (double)RATE_WINDOW;
+	return wait * EARLY_PART > (double)(j->deadline - now);
+}
--- a/src/agatebeam/sched_spread.c
+++ b/src/agatebeam/sched_spread.c
@@ -42,18 +42,20 @@
 }
 
 static struct sched_worker *
-worker_in(struct agb_sched *s, const struct sched_rack *r, uint32_t job,
-    const struct agb_resources *need, uint32_t *weighed)
+worker_in(struct agb_sched *s, const struct sched_rack *r,
+    const struct sched_job *j, const struct agb_resources *need,
+    uint32_t *weighed)
 {
 	struct sched_worker *w, *best = NULL;
 	uint32_t i, n, least = 0;
 
 	for (i = 0; i < r->len; i++) {
 		w = &s->workers[r->workers[i]];
-		if (!agb_resources_fit(need, &w->room))
+		if (!agb_resources_fit(need, &w->room) ||
+		    !sched_health_allows(s, j, w))
 			continue;
 		(*weighed)++;
-		n = tasks_on(w, job);
+		n = tasks_on(w, j->handle);
 		if (best == NULL || n < least ||
 		    (n == least && w->room.cpu_milli < best->room.cpu_milli)) {
 			best = w;
@@ -82,7 +84,7 @@
 		r = sched_rack_get(s, i);
 		if (n >= least || !agb_resources_fit(&need, &r->room))
 			continue;
-		w = worker_in(s, r, j->handle, &need, &weighed);
+		w = worker_in(s, r, j, &need, &weighed);
 		if (w == NULL)
 			continue;
 		best = w;
--- a/src/agatebeam/sched_task.c
+++ b/src/agatebeam/sched_task.c
@@ -8,14 +8,14 @@
  */
 
 void
-sched_task_pend(struct agb_sched *s, agb_time now, struct sched_job *j,
-    uint32_t task, bool front)
+sched_task_pend(struct agb_sched *s, struct sched_job *j, uint32_t task)
 {
 	struct sched_task *const t = &j->tasks[task];
 
 	t->state = TASK_PENDING;
 	j->pending++;
 	s->tasks_queued++;
+	s->level_queued[sched_job_level(s, j)]++;
 	if (t->on_list)
 		return;
 	t->on_list = true;
@@ -29,8 +29,7 @@
 	struct sched_task *const t = &j->tasks[task];
 
 	if (t->state == TASK_PENDING) {
-		j->pending--;
-		s->tasks_queued--;
+		sched_job_unqueue(s, j, 1);
 		if (j->pending == 0)
 			sched_queue_remove(s, j);
 	} else if (t->state == TASK_BACKOFF) {
@@ -66,6 +65,8 @@
     uint32_t task, struct sched_worker *w, const struct agb_resources *need,
     uint32_t weighed, const char *why)
 {
+	/* The caller's copy may be part of a bucket that is freed here. */
+	const struct agb_resources size = *need;
 	const bool beyond = !sched_quota_fits(s, j->spec.team, need, 1);
 	struct agb_sched_effect *ef;
 	struct sched_att *a;
@@ -77,15 +78,16 @@
 	a->end_at = sched_learn_end(s, j, now);
 	activate(s, j, task, a);
 	j->started = true;
-	if (j->tasks[task].tries < UINT16_MAX)
-		j->tasks[task].tries++;
+	sched_shed_started(s, now);
+	if (a->probe)
+		sched_health_trial(s, now, w);
 	sched_retry_started(s, j, task);
 	ef = agb_sched_effects_add(s->out, AGB_SCHED_START);
 	ef->job = j->handle;
 	ef->task = task;
 	ef->attempt = a->id;
 	ef->worker = w->self;
-	ef->need = *need;
+	ef->need = size;
 	ef->run_ms = j->spec.run_ms;
 	ef->weighed = weighed;
 	snprintf(ef->detail, sizeof(ef->detail),
@@ -95,6 +97,37 @@
 	    (unsigned long long)((now - j->waiting_since) / AGB_MS));
 }
 
+void
+sched_task_moved(struct agb_sched *s, struct sched_att *a, uint32_t worker)
+{
+	struct sched_job *const j = sched_job_get(s, a->job);
+
+	if (j != NULL)
+		sched_spread_count(s, j, a->worker, -1);
+	sched_att_move(s, a, worker);
+	if (j != NULL)
+		sched_spread_count(s, j, a->worker, 1);
+}
+
+/* The fate of an intent is known: it runs. */
+static void
+adopt_known(struct agb_sched *s, struct sched_job *j, struct sched_att *a,
+    const struct agb_sched_event *ev, const struct agb_resources *size)
+{
+	if (a->worker != ev->worker)
+		sched_task_moved(s, a, ev->worker);
+	if (a->state != ATT_UNKNOWN)
+		return;
+	sched_att_resize(s, a, size);
+	a->full = *size;
+	sched_att_state(s, a, ATT_RUNNING);
+	if (j == NULL)
+		return;
+	j->ran = true;
+	if (j->ending)
+		sched_att_stop(s, a, j->end_reason, j->end_detail);
+}
+
 void
 sched_task_adopt(struct agb_sched *s, agb_time now,
     const struct agb_sched_event *ev, bool held)
@@ -104,17 +137,18 @@
 	struct agb_resources size = ev->used;
 	struct sched_att *a = sched_att_find(s, &ev->attempt);
 
-	if (known && agb_resources_fit(&size, &j->spec.need))
+	/* What the worker reports may lag behind what it was given. */
+	if (known && !held && agb_resources_fit(&size, &j->spec.need))
 		size = j->spec.need;
 	if (a != NULL) {
 		/* The intent's fate is now known. */
-		if (a->worker != ev->worker && !held)
-			sched_task_moved(s, a, ev->worker);
-		if (!held && a->state == ATT_UNKNOWN)
-			sched_att_state(s, a, ATT_RUNNING);
+		if (!held)
+			adopt_known(s, j, a, ev, &size);
 		return;
 	}
-	a = sched_att_new(s, &ev->attempt, ev->worker,
+	if (held)
+		size = (struct agb_resources){0};
+	a = sched_att_new(s, &ev->attempt, held ? AGB_SCHED_NONE : ev->worker,
 	    known ? j->spec.work : AGB_ENV_NONE,
 	    known ? j->spec.team : SCHED_TEAM_NONE, &size, false, now);
 	a->state = held ? ATT_UNKNOWN : ATT_RUNNING;
@@ -140,18 +174,6 @@
 	}
 }
 
-void
-sched_task_moved(struct agb_sched *s, struct sched_att *a, uint32_t worker)
-{
-	struct sched_job *const j = sched_job_get(s, a->job);
-
-	if (j != NULL)
-		sched_spread_count(s, j, a->worker, -1);
-	sched_att_move(s, a, worker);
-	if (j != NULL)
-		sched_spread_count(s, j, a->worker, 1);
-}
-
 void
 sched_task_done(struct agb_sched *s, agb_time now, uint32_t job, uint32_t task)
 {
@@ -188,10 +210,9 @@
 	if (j != NULL)
 		deactivate(s, j, a);
 	sched_att_free(s, a);
-	sched_health_ended(s, now, j, &e);
-	if (j == NULL)
+	if (j != NULL && j->tasks[e.task].state == TASK_ACTIVE)
+		sched_learn_ended(s, j, &e);
+	if (!sched_health_ended(s, now, j, &e) || j == NULL)
 		return;
-	if (result != AGB_RESULT_NOT_STARTED)
-		j->ran = true;
 	sched_retry_ended(s, now, j, &e);
 }
--- a/src/agatebeam/sched_worker.c
+++ b/src/agatebeam/sched_worker.c
@@ -370,6 +370,7 @@
 	sched_worker_refresh(s, w);
 	if (w->ejected)
 		s->ejected--;
+	w->ejected = false;
 	rack_leave(s, w);
 	w->known = false;
 	s->workers_len--;
