--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,10 @@
 	    mv gen/agb_proto.h.new gen/agb_proto.h
 	cd src/agatebeam && rpcgen -C -c agb_proto.x >gen/agb_proto_xdr.new && \
 	    mv gen/agb_proto_xdr.new gen/agb_proto_xdr.c
+	cd src/agatebeam && rpcgen -C -h agb_journal.x >gen/agb_journal.h.new && \
+	    mv gen/agb_journal.h.new gen/agb_journal.h
+	cd src/agatebeam && rpcgen -C -c agb_journal.x >gen/agb_journal_xdr.new && \
+	    mv gen/agb_journal_xdr.new gen/agb_journal_xdr.c
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
