--- /dev/null
+++ b/src/agatebeam/owner.c
@@ -0,0 +1,402 @@
+#include "owner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "owner_internal.h"
+
+uint64_t
+own_tag(struct agb_owner *o)
+{
+	return AGB_TAG(AGB_TAG_OWNER, ++o->serial);
+}
+
+uint32_t
+own_random(struct agb_owner *o, uint32_t below)
+{
+	uint64_t z;
+
+	/* splitmix64 */
+	z = (o->rng += 0x9e3779b97f4a7c15);
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+	z ^= z >> 31;
+	return below > 0 ? (uint32_t)(z % below) : 0;
+}
+
+uint32_t
+own_backoff(struct agb_owner *o, uint32_t *retry_ms)
+{
+	const uint32_t ms =
+	    *retry_ms > OWN_RETRY_MIN_MS ? *retry_ms : OWN_RETRY_MIN_MS;
+
+	*retry_ms = ms * 2 < OWN_RETRY_MAX_MS ? ms * 2 : OWN_RETRY_MAX_MS;
+	return ms / 2 + own_random(o, ms / 2 + 1);
+}
+
+void
+own_wake(struct agb_owner *o, agb_time at)
+{
+	if (at < o->wake_at)
+		o->wake_at = at;
+}
+
+bool
+own_serving(const struct agb_owner *o)
+{
+	return o->role == OWN_ACTIVE && o->sched != NULL;
+}
+
+bool
+own_attempt_eq(const struct agb_attempt *a, const struct agb_attempt *b)
+{
+	return a->epoch == b->epoch && a->seq == b->seq;
+}
+
+struct agb_owner *
+agb_owner_new(const struct agb_owner_config *cfg)
+{
+	struct agb_owner *const o = agb_xcalloc(1, sizeof(*o));
+
+	o->cfg = *cfg;
+	o->rng = cfg->seed;
+	o->wake_at = AGB_TIME_MAX;
+	o->past = agb_xcalloc(OWN_PAST_GRANTS, sizeof(*o->past));
+	own_elect_init(o);
+	return o;
+}
+
+/* Forgets all that belongs to the present epoch. */
+void
+own_reset(struct agb_owner *o)
+{
+	size_t i;
+
+	while (o->jobs.len > 0)
+		own_job_delete(o, o->jobs.items[o->jobs.len - 1]);
+	while (o->keys.len > 0)
+		own_key_delete(o, o->keys.items[o->keys.len - 1]);
+	for (i = 0; i < o->grants.len; i++)
+		free(o->grants.items[i]);
+	for (i = 0; i < o->waits.len; i++)
+		free(o->waits.items[i]);
+	own_vec_free(&o->done);
+	o->done_head = 0;
+	for (i = 0; i < o->workers.len; i++)
+		own_worker_reset(o->workers.items[i]);
+	own_vec_free(&o->jobs);
+	own_vec_free(&o->job_handles);
+	own_vec_free(&o->worker_handles);
+	own_vec_free(&o->dirty);
+	own_vec_free(&o->waits);
+	own_vec_free(&o->grants);
+	own_vec_free(&o->keys);
+	own_map_free(&o->job_ids);
+	own_map_free(&o->job_keys);
+	own_map_free(&o->grant_tags);
+	own_map_free(&o->grant_attempts);
+	own_map_free(&o->key_names);
+	own_map_free(&o->key_attempts);
+	own_recover_free(o);
+	agb_sched_free(o->sched);
+	o->sched = NULL;
+	agb_sched_effects_free(&o->effects);
+	o->effects_at = 0;
+	o->job_seq = 0;
+}
+
+void
+agb_owner_free(struct agb_owner *o)
+{
+	struct agb_effects out = {0};
+	size_t i;
+
+	if (o == NULL)
+		return;
+	own_commit_drop(o, 0, &out);
+	agb_effects_free(&out);
+	own_reset(o);
+	for (i = 0; i < o->workers.len; i++)
+		own_worker_free(o->workers.items[i]);
+	own_vec_free(&o->workers);
+	own_map_free(&o->worker_names);
+	free(o->past);
+	own_elect_free(o);
+	free(o);
+}
+
+/* Answers a call that needs the owner while this instance is not it. */
+static void
+refuse_call(struct agb_owner *o, uint64_t token, enum agb_x_proc proc,
+    struct agb_effects *out)
+{
+	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
+	const bool no_env = o->env == NULL;
+	const enum agb_reason reason = o->term ? AGB_REASON_DRAINING
+	    : no_env			       ? AGB_REASON_NO_DOCUMENT
+					       : AGB_REASON_NO_OWNER;
+	const char *const why = "this instance does not own the shard";
+	agb_x_res *const r = &ef->u.rpc_res;
+
+	ef->token = token;
+	r->proc = proc;
+	switch (proc) {
+	case AGB_X_GRANT:
+		r->agb_x_res_u.grant.env_version = no_env ? 0 : o->env->version;
+		r->agb_x_res_u.grant.worker = agb_xstrdup("");
+		r->agb_x_res_u.grant.runner = agb_xstrdup("");
+		r->agb_x_res_u.grant.outcome = AGB_NOT_RUN;
+		r->agb_x_res_u.grant.reason = reason;
+		r->agb_x_res_u.grant.retry_ms = 200;
+		r->agb_x_res_u.grant.detail = agb_xstrdup(why);
+		break;
+	case AGB_X_SUBMIT:
+		r->agb_x_res_u.submit.env_version =
+		    no_env ? 0 : o->env->version;
+		r->agb_x_res_u.submit.job = agb_xstrdup("");
+		r->agb_x_res_u.submit.outcome = AGB_NOT_RUN;
+		r->agb_x_res_u.submit.reason = reason;
+		r->agb_x_res_u.submit.retry_ms = 200;
+		r->agb_x_res_u.submit.detail = agb_xstrdup(why);
+		break;
+	case AGB_X_JOB_GET:
+	case AGB_X_CANCEL:
+		r->agb_x_res_u.job_get.state = agb_xstrdup("");
+		r->agb_x_res_u.job_get.outcome = AGB_UNKNOWN;
+		r->agb_x_res_u.job_get.reason = reason;
+		r->agb_x_res_u.job_get.detail = agb_xstrdup(why);
+		break;
+	case AGB_X_EXPLAIN:
+		r->agb_x_res_u.explain.text = agb_xstrdup(why);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+dispatch_call(struct agb_owner *o, agb_time now, const struct agb_event *ev,
+    struct agb_effects *out)
+{
+	const agb_x_args *const a = &ev->u.rpc_args;
+	struct agb_effect *ef;
+
+	if (a->proc == AGB_X_RELEASE) {
+		if (own_serving(o))
+			own_grant_release(
+			    o, now, &a->agb_x_args_u.release, out);
+		ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
+		ef->token = ev->token;
+		ef->u.rpc_res.proc = a->proc;
+		return;
+	}
+	if (!own_serving(o) ||
+	    (o->term && (a->proc == AGB_X_GRANT || a->proc == AGB_X_SUBMIT))) {
+		refuse_call(o, ev->token, a->proc, out);
+		return;
+	}
+	switch (a->proc) {
+	case AGB_X_GRANT:
+		own_grant_ask(o, now, ev->token, &a->agb_x_args_u.grant, out);
+		break;
+	case AGB_X_SUBMIT:
+		own_job_submit(o, now, ev->token, &a->agb_x_args_u.submit, out);
+		break;
+	case AGB_X_JOB_GET:
+		own_job_get(o, now, ev->token, &a->agb_x_args_u.job_get, out);
+		break;
+	case AGB_X_CANCEL:
+		own_job_cancel(o, now, ev->token, &a->agb_x_args_u.cancel, out);
+		break;
+	case AGB_X_EXPLAIN:
+		own_explain(o, now, ev->token, &a->agb_x_args_u.explain, out);
+		break;
+	default:
+		refuse_call(o, ev->token, a->proc, out);
+		break;
+	}
+}
+
+static void
+store_event(struct agb_owner *o, agb_time now, const struct agb_event *ev,
+    struct agb_effects *out)
+{
+	const struct agb_store_result *const r = &ev->u.store;
+
+	if (AGB_TAG_WHO(ev->tag) != AGB_TAG_OWNER)
+		return;
+	if (own_elect_store(o, now, ev->tag, r, out) ||
+	    own_commit_store(o, now, ev->tag, r, out))
+		return;
+	(void)own_recover_store(o, now, ev->tag, r, out);
+}
+
+/* Does all that has become due; each part is cheap when nothing has. */
+static void
+run_due(struct agb_owner *o, agb_time now, struct agb_effects *out)
+{
+	static const struct agb_sched_event tick = {.type = AGB_SCHED_TICK};
+
+	own_elect_tick(o, now, out);
+	own_recover_tick(o, now, out);
+	if (now >= o->wake_at) {
+		o->wake_at = AGB_TIME_MAX;
+		o->swept_at = now;
+		own_worker_sweep(o, now, out);
+		own_grant_sweep(o, now, out);
+		own_job_sweep(o, now, out);
+	}
+	if (o->sched != NULL && agb_sched_next_tick(o->sched, now) <= now)
+		own_sched_feed(o, now, &tick, out);
+	own_commit_tick(o, now, out);
+	own_command_flush(o, now, out);
+	if (o->term)
+		own_handover(o, now, out);
+}
+
+void
+agb_owner_step(struct agb_owner *o, agb_time now, const struct agb_event *ev,
+    struct agb_effects *out)
+{
+	switch (ev->type) {
+	case AGB_EV_TERM:
+		if (!o->term) {
+			o->term = true;
+			o->term_at = now;
+		}
+		break;
+	case AGB_EV_LIST:
+		own_worker_list(o, now, &ev->u.list, out);
+		break;
+	case AGB_EV_SESSION:
+		own_worker_session(o, now, &ev->u.session, out);
+		break;
+	case AGB_EV_RENEW:
+		own_worker_renew(o, now, &ev->u.renew, out);
+		break;
+	case AGB_EV_COMMANDS:
+		own_command_answer(o, now, &ev->u.commands, out);
+		break;
+	case AGB_EV_STORE:
+		store_event(o, now, ev, out);
+		break;
+	case AGB_EV_WATCH:
+		own_elect_watch(o, now, ev->tag, &ev->u.watch, out);
+		break;
+	case AGB_EV_RPC_CALL:
+		dispatch_call(o, now, ev, out);
+		break;
+	default:
+		break;
+	}
+	run_due(o, now, out);
+}
+
+void
+agb_owner_env_set(struct agb_owner *o, agb_time now, const struct agb_env *env,
+    struct agb_effects *out)
+{
+	struct agb_sched_event ev = {.type = AGB_SCHED_ENV, .env = env};
+	size_t i;
+
+	o->env = env;
+	if (o->sched == NULL)
+		return;
+	own_sched_feed(o, now, &ev, out);
+	/* A worker's service is an index into the document. */
+	for (i = 0; i < o->workers.len; i++) {
+		struct own_worker *const w = o->workers.items[i];
+
+		if (w->handle != AGB_SCHED_NONE)
+			own_sched_worker_info(o, now, w, w->told, out);
+	}
+	for (i = 0; i < o->jobs.len; i++)
+		own_job_schedule(o, now, o->jobs.items[i], out);
+	run_due(o, now, out);
+}
+
+void
+agb_owner_team_usage(struct agb_owner *o, agb_time now, uint16_t team,
+    const struct agb_resources *used, struct agb_effects *out)
+{
+	const struct agb_sched_event ev = {
+	    .type = AGB_SCHED_TEAM_USAGE, .team = team, .used = *used};
+
+	if (o->sched == NULL)
+		return;
+	own_sched_feed(o, now, &ev, out);
+	run_due(o, now, out);
+}
+
+struct agb_resources
+agb_owner_team_used(const struct agb_owner *o, uint16_t team)
+{
+	const struct agb_resources none = {0};
+
+	return o->sched != NULL ? agb_sched_team_usage(o->sched, team) : none;
+}
+
+bool
+agb_owner_active(const struct agb_owner *o, agb_time now)
+{
+	(void)now;
+	return own_serving(o) && !o->term;
+}
+
+const char *
+agb_owner_known(const struct agb_owner *o)
+{
+	return own_serving(o) ? o->cfg.rpc : o->elect.known;
+}
+
+bool
+agb_owner_shard(const struct agb_owner *o, agb_time now, agb_x_shard *out)
+{
+	struct agb_sched_load load;
+
+	memset(out, 0, sizeof(*out));
+	if (!agb_owner_active(o, now))
+		return false;
+	agb_sched_load_get(o->sched, now, AGB_ENV_NONE, &load);
+	out->domain = agb_xstrdup(o->cfg.domain);
+	out->owner_rpc = agb_xstrdup(o->cfg.rpc);
+	out->epoch = o->epoch;
+	out->serial = now;
+	out->slots_free = load.slots_free;
+	out->quick_queued = load.quick_queued;
+	out->tasks_queued = load.tasks_queued;
+	out->wait_ms = load.wait_ms;
+	out->free.cpu_milli = load.free.cpu_milli;
+	out->free.mem_mb = load.free.mem_mb;
+	out->free.accel = load.free.accel;
+	return true;
+}
+
+agb_time
+agb_owner_next_tick(const struct agb_owner *o, agb_time now)
+{
+	agb_time at = own_elect_next(o, now);
+	agb_time t;
+
+	t = own_commit_next(o, now);
+	at = t < at ? t : at;
+	/* Bounds the cost of sweeps when many timers run out one by one. */
+	t = o->wake_at;
+	if (t != AGB_TIME_MAX && t < o->swept_at + 5 * AGB_MS)
+		t = o->swept_at + 5 * AGB_MS;
+	at = t < at ? t : at;
+	if (o->recover.retry_at != 0 && o->recover.retry_at < at)
+		at = o->recover.retry_at;
+	if (o->sched != NULL) {
+		t = agb_sched_next_tick(o->sched, now);
+		at = t < at ? t : at;
+	}
+	return at;
+}
+
+bool
+agb_owner_drained(const struct agb_owner *o)
+{
+	return o->role == OWN_DRAINED;
+}
--- /dev/null
+++ b/src/agatebeam/owner_command.c
@@ -0,0 +1,278 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "owner_internal.h"
+
+/* Commands in one call, and the bytes of arguments that they carry. */
+#define BATCH_MAX 256
+#define BATCH_BYTES_MAX ((size_t)1024 * 1024)
+
+static void
+commands_free(struct agb_command *c, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		free(c[i].args);
+	free(c);
+}
+
+void
+own_command_clear(struct own_worker *w)
+{
+	commands_free(w->queue, w->queue_len);
+	commands_free(w->flight, w->flight_len);
+	w->queue = NULL;
+	w->flight = NULL;
+	w->queue_len = 0;
+	w->flight_len = 0;
+	w->commands_tag = 0;
+	w->commands_at = 0;
+	w->commands_retry_ms = 0;
+}
+
+static void
+mark_dirty(struct agb_owner *o, struct own_worker *w)
+{
+	if (w->dirty)
+		return;
+	w->dirty = true;
+	own_vec_add(&o->dirty, w);
+}
+
+/* Queues a command for the end of this step; copies its arguments. */
+void
+own_command_add(
+    struct agb_owner *o, struct own_worker *w, const struct agb_command *cmd)
+{
+	struct agb_command *c;
+
+	w->queue =
+	    agb_xreallocarray(w->queue, w->queue_len + 1, sizeof(*w->queue));
+	c = &w->queue[w->queue_len++];
+	*c = *cmd;
+	if (cmd->args != NULL)
+		c->args = agb_xmemdup(cmd->args, cmd->args_len);
+	mark_dirty(o, w);
+}
+
+/* Takes a command out of the queue; false when it is not there. */
+bool
+own_command_unqueue(struct own_worker *w, enum agb_command_kind kind,
+    const struct agb_attempt *attempt)
+{
+	size_t i;
+
+	for (i = 0; i < w->queue_len; i++) {
+		if (w->queue[i].kind != kind ||
+		    !own_attempt_eq(&w->queue[i].attempt, attempt))
+			continue;
+		free(w->queue[i].args);
+		memmove(&w->queue[i], &w->queue[i + 1],
+		    (--w->queue_len - i) * sizeof(*w->queue));
+		return true;
+	}
+	return false;
+}
+
+static void
+mark_sent(const struct agb_owner *o, const struct own_worker *w,
+    const struct agb_command *c)
+{
+	struct own_task *t;
+
+	if (c->kind != AGB_COMMAND_START)
+		return;
+	t = own_task_find(o, c->task);
+	if (t == NULL || !own_attempt_eq(&t->attempt, &c->attempt) || t->sent)
+		return;
+	t->sent = true;
+	agb_name_set(t->boot, sizeof(t->boot), w->boot);
+}
+
+static void
+send_batch(struct agb_owner *o, struct own_worker *w, struct agb_effects *out)
+{
+	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_COMMANDS);
+	struct agb_ef_worker *const e = &ef->u.worker;
+	size_t bytes = 0, i, n;
+
+	for (n = 0; n < w->queue_len && n < BATCH_MAX; n++) {
+		bytes += w->queue[n].args_len;
+		if (n > 0 && bytes > BATCH_BYTES_MAX)
+			break;
+	}
+	w->commands_tag = own_tag(o);
+	ef->tag = w->commands_tag;
+	agb_name_set(e->worker, sizeof(e->worker), w->inst.id);
+	agb_name_set(e->address, sizeof(e->address), w->inst.address);
+	e->epoch = o->epoch;
+	e->items = agb_xcalloc(n, sizeof(*e->items));
+	e->items_len = n;
+	w->flight = agb_xcalloc(n, sizeof(*w->flight));
+	w->flight_len = n;
+	for (i = 0; i < n; i++) {
+		mark_sent(o, w, &w->queue[i]);
+		w->flight[i] = w->queue[i];
+		e->items[i] = w->queue[i];
+		if (w->queue[i].args != NULL)
+			e->items[i].args =
+			    agb_xmemdup(w->queue[i].args, w->queue[i].args_len);
+	}
+	w->queue_len -= n;
+	memmove(w->queue, w->queue + n, w->queue_len * sizeof(*w->queue));
+}
+
+/* Sends what was queued in this step, one call a worker at a time. */
+void
+own_command_flush(struct agb_owner *o, agb_time now, struct agb_effects *out)
+{
+	size_t i = o->dirty.len;
+
+	while (i-- > 0) {
+		struct own_worker *const w = o->dirty.items[i];
+
+		if (w->queue_len > 0 && w->answered && w->commands_tag == 0 &&
+		    now >= w->commands_at)
+			send_batch(o, w, out);
+		if (w->queue_len > 0)
+			continue;
+		w->dirty = false;
+		o->dirty.items[i] = o->dirty.items[--o->dirty.len];
+	}
+}
+
+/*
+ * Puts the commands in flight back in front of the queue. They keep their
+ * order, so that a STOP follows the START that it is meant for.
+ */
+static void
+requeue(struct agb_owner *o, struct own_worker *w)
+{
+	struct agb_command *const all =
+	    agb_xcalloc(w->flight_len + w->queue_len, sizeof(*all));
+
+	memcpy(all, w->flight, w->flight_len * sizeof(*all));
+	if (w->queue_len > 0)
+		memcpy(
+		    all + w->flight_len, w->queue, w->queue_len * sizeof(*all));
+	free(w->flight);
+	free(w->queue);
+	w->queue = all;
+	w->queue_len += w->flight_len;
+	w->flight = NULL;
+	w->flight_len = 0;
+	mark_dirty(o, w);
+}
+
+static const struct agb_command_result *
+result_find(const struct agb_ev_commands *c, const struct agb_command *cmd)
+{
+	size_t i;
+
+	for (i = 0; i < c->items_len; i++) {
+		if (c->items[i].kind == cmd->kind &&
+		    own_attempt_eq(&c->items[i].attempt, &cmd->attempt))
+			return &c->items[i];
+	}
+	return NULL;
+}
+
+static void
+start_answered(struct agb_owner *o, agb_time now, struct own_task *t,
+    const struct agb_command_result *r, struct agb_effects *out)
+{
+	if (r->ok) {
+		own_task_started(o, now, t, out);
+		return;
+	}
+	if (t->state != OWN_TASK_STARTING)
+		return;
+	agb_effects_log(out, AGB_LOG_WARN, "start-refused",
+	    "job=%s task=%u worker=%s reason=\"%s\"", t->job->id, t->n,
+	    t->worker, r->reason);
+	own_task_end(o, now, t, AGB_RESULT_NOT_STARTED, NULL, NULL, out);
+}
+
+static void
+stop_answered(struct agb_owner *o, agb_time now, struct own_worker *w,
+    struct own_task *t, const struct agb_command_result *r)
+{
+	if (r->ok || t->state == OWN_TASK_ENDED || t->state == OWN_TASK_WAITING)
+		return;
+	if (r->kind == AGB_COMMAND_CHECKPOINT) {
+		/* It cannot checkpoint; the room is needed all the same. */
+		own_task_stop(o, t);
+		return;
+	}
+	/* The worker's own list tells what became of the task. */
+	if (w->call == OWN_CALL_NONE)
+		w->answered = false;
+	w->call_at = now + AGB_SEC;
+	own_wake(o, w->call_at);
+}
+
+static void
+answered(struct agb_owner *o, agb_time now, struct own_worker *w,
+    const struct agb_command *cmd, const struct agb_command_result *r,
+    struct agb_effects *out)
+{
+	struct own_task *t;
+
+	if (cmd->kind == AGB_COMMAND_REVOKE) {
+		own_grant_revoked(o, now, w, r, out);
+		return;
+	}
+	t = own_task_find(o, cmd->task);
+	if (t == NULL || !own_attempt_eq(&t->attempt, &cmd->attempt))
+		return;
+	if (cmd->kind == AGB_COMMAND_START)
+		start_answered(o, now, t, r, out);
+	else if (cmd->kind == AGB_COMMAND_STOP ||
+	    cmd->kind == AGB_COMMAND_CHECKPOINT)
+		stop_answered(o, now, w, t, r);
+}
+
+void
+own_command_answer(struct agb_owner *o, agb_time now,
+    const struct agb_ev_commands *c, struct agb_effects *out)
+{
+	struct own_worker *const w = own_worker_find(o, c->worker);
+	struct agb_command *sent;
+	size_t len, i;
+
+	if (w == NULL || w->commands_tag == 0 || c->tag != w->commands_tag)
+		return;
+	w->commands_tag = 0;
+	if (c->status == AGB_WORKER_FENCED && c->epoch > o->epoch) {
+		own_drop(o, now, "a worker obeys a newer owner", out);
+		return;
+	}
+	if (c->status != AGB_WORKER_OK) {
+		/* A start keeps its attempt, so that the worker takes it at
+		 * most once. */
+		requeue(o, w);
+		w->commands_at =
+		    now + own_backoff(o, &w->commands_retry_ms) * AGB_MS;
+		own_wake(o, w->commands_at);
+		if (c->status == AGB_WORKER_FENCED && w->call == OWN_CALL_NONE)
+			w->answered = false;
+		return;
+	}
+	w->commands_retry_ms = 0;
+	sent = w->flight;
+	len = w->flight_len;
+	w->flight = NULL;
+	w->flight_len = 0;
+	for (i = 0; i < len; i++) {
+		const struct agb_command_result *const r =
+		    result_find(c, &sent[i]);
+
+		if (r != NULL)
+			answered(o, now, w, &sent[i], r, out);
+		else
+			own_command_add(o, w, &sent[i]);
+	}
+	commands_free(sent, len);
+}
--- /dev/null
+++ b/src/agatebeam/owner_key.c
@@ -0,0 +1,106 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "owner_internal.h"
+
+struct own_key *
+own_key_find(const struct agb_owner *o, const char *team, const char *key)
+{
+	struct own_key *k;
+	size_t len;
+	char *const dedup = own_dedup(team, key, &len);
+
+	k = own_map_get(&o->key_names, dedup, len);
+	free(dedup);
+	return k;
+}
+
+/* Names the attempt that a release will carry. */
+void
+own_key_attempt(
+    struct agb_owner *o, struct own_key *k, const struct agb_attempt *attempt)
+{
+	k->attempt = *attempt;
+	own_map_put(&o->key_attempts, &k->attempt, sizeof(k->attempt), k);
+}
+
+struct own_key *
+own_key_new(struct agb_owner *o, const char *team, const char *key,
+    const struct agb_attempt *attempt)
+{
+	struct own_key *const k = agb_xcalloc(1, sizeof(*k));
+
+	k->dedup = own_dedup(team, key, &k->dedup_len);
+	agb_name_set(k->team, sizeof(k->team), team);
+	agb_name_set(k->key, sizeof(k->key), key);
+	k->outcome = AGB_UNKNOWN;
+	own_list_add(&o->keys, k);
+	own_map_put(&o->key_names, k->dedup, k->dedup_len, k);
+	if (attempt != NULL)
+		own_key_attempt(o, k, attempt);
+	return k;
+}
+
+void
+own_key_delete(struct agb_owner *o, struct own_key *k)
+{
+	own_list_del(&o->keys, k);
+	own_map_del(&o->key_names, k->dedup, k->dedup_len);
+	if (k->attempt.epoch != 0)
+		own_map_del(&o->key_attempts, &k->attempt, sizeof(k->attempt));
+	free(k->dedup);
+	free(k);
+}
+
+void
+own_key_end(struct own_key *k, enum agb_outcome outcome)
+{
+	k->ended = true;
+	k->outcome = outcome;
+}
+
+/* Drops keys after the time for which they are promised to be unique. */
+void
+own_key_retain(struct agb_owner *o, agb_time now)
+{
+	size_t i = o->keys.len;
+
+	while (i-- > 0) {
+		struct own_key *const k = o->keys.items[i];
+
+		if (!k->held && now >= k->at + OWN_KEEP_DONE)
+			own_key_delete(o, k);
+	}
+}
+
+/* The request of a key has ended, as far as is known. */
+void
+own_key_resolve(struct agb_owner *o, agb_time now, struct own_key *k,
+    enum agb_result result)
+{
+	agb_j_record rec = {.type = AGB_J_QUICK_DONE};
+	agb_j_quick_done *const d = &rec.agb_j_record_u.quick_done;
+	enum agb_outcome outcome = AGB_UNKNOWN;
+
+	if (result == AGB_RESULT_OK || result == AGB_RESULT_FAILED)
+		outcome = AGB_RAN;
+	else if (result == AGB_RESULT_NOT_STARTED)
+		outcome = AGB_NOT_RUN;
+	/* An attempt that may have run stays so unless it is heard to have
+	 * run: a late refusal can be about a repeated delivery of it. */
+	if (k->ended && (k->outcome == AGB_RAN || outcome != AGB_RAN))
+		return;
+	d->team = k->team;
+	d->key = k->key;
+	d->epoch = k->attempt.epoch;
+	d->seq = k->attempt.seq;
+	d->outcome = (int)outcome;
+	/* Its intent is on its way once it has an attempt. */
+	if (k->attempt.epoch != 0)
+		own_commit_add(o, now, &rec, OWN_WAIT_NONE, NULL, 0);
+	if (outcome == AGB_NOT_RUN)
+		own_key_delete(o, k);
+	else
+		own_key_end(k, outcome);
+}
--- /dev/null
+++ b/tests/fake_shard.h
@@ -0,0 +1,569 @@
+#ifndef FAKE_SHARD_H
+#define FAKE_SHARD_H
+
+/**
+ * DOC: fake_shard
+ *
+ * Entry instances (owner sub-reducers), workers and the store of one shard,
+ * with messages that take 1 ms and a clock that the test moves on.
+ */
+
+#include <rpc/xdr.h>
+
+#include "fake_store.h"
+#include "fake_worker.h"
+#include "owner.h"
+
+#define SHARD_NODES 2
+#define SHARD_WORKERS 4
+#define SHARD_MSGS 1024
+#define SHARD_REPLIES 512
+#define SHARD_DELAY (1 * AGB_MS)
+/* A call that nobody answers fails after this time. */
+#define SHARD_TIMEOUT (300 * AGB_MS)
+
+/* An event on its way, or a call that has not reached its worker yet. */
+struct shard_msg {
+	agb_time at;
+	unsigned node;
+	unsigned life;
+	bool poll; /* a renewal that the worker holds until @at */
+	struct agb_event ev;
+	struct agb_ef_worker call;
+};
+
+struct shard_reply {
+	uint64_t token;
+	agb_x_res res;
+};
+
+struct shard_node {
+	struct agb_owner *o;
+	unsigned life;
+	bool paused;
+	bool cut; /* the store is out of its reach */
+	uint64_t watch_tag;
+	uint64_t watch_from;
+	char *watch_key;
+	size_t watched;
+};
+
+/**
+ * struct shard - the whole
+ * @cut_worker: node n cannot reach worker w
+ * @log: all log lines, "event line\n", for the test to search
+ */
+struct shard {
+	agb_time now;
+	struct fake_store *store;
+	struct shard_node nodes[SHARD_NODES];
+	struct fake_worker workers[SHARD_WORKERS];
+	bool cut_worker[SHARD_NODES][SHARD_WORKERS];
+	struct shard_msg msgs[SHARD_MSGS];
+	size_t msgs_len;
+	struct shard_reply replies[SHARD_REPLIES];
+	size_t replies_len;
+	uint64_t token;
+	char *log;
+	size_t log_len;
+};
+
+static struct agb_env_class shard_classes[] = {
+    {.name = "quick", .policy = AGB_POLICY_QUICK},
+    {.name = "batch",
+	.policy = AGB_POLICY_BATCH,
+	.on_isolation = AGB_ISOLATION_STOP,
+	.autonomy_ms = 1000},
+    {.name = "kept",
+	.policy = AGB_POLICY_BATCH,
+	.on_isolation = AGB_ISOLATION_KEEP},
+};
+static struct agb_env_work shard_works[] = {
+    {.name = "check",
+	.klass = 0,
+	.need = {100, 10, 0},
+	.run_ms = 10,
+	.domains = 1,
+	.teams = 3},
+    {.name = "plan",
+	.klass = 1,
+	.need = {1000, 100, 0},
+	.run_ms = 1000,
+	.domains = 1,
+	.teams = 3},
+    {.name = "cut",
+	.klass = 2,
+	.need = {1000, 100, 0},
+	.run_ms = 1000,
+	.domains = 1,
+	.teams = 1},
+};
+static struct agb_env_team shard_teams[] = {
+    {.name = "red", .quota = {100000, 100000, 0}, .weight = 1, .borrow = true},
+    {.name = "blue", .quota = {100000, 100000, 0}, .weight = 1, .borrow = true},
+};
+static struct agb_env_domain shard_domains[] = {{.name = "d1"}};
+static agb_name shard_regions[] = {"r1"};
+static const struct agb_env shard_env = {
+    .version = 5,
+    .name = "trial",
+    .weights = {1, 1, 1},
+    .eject_max_percent = 50,
+    .regions_len = 1,
+    .domains_len = 1,
+    .teams_len = 2,
+    .classes_len = 3,
+    .works_len = 3,
+    .regions = shard_regions,
+    .domains = shard_domains,
+    .teams = shard_teams,
+    .classes = shard_classes,
+    .works = shard_works,
+};
+
+static inline void shard_step(
+    struct shard *s, unsigned node, struct agb_event *ev);
+
+static inline struct shard_msg *
+shard_post(struct shard *s, unsigned node, agb_time at,
+    enum agb_event_type type, uint64_t tag)
+{
+	struct shard_msg *const m = &s->msgs[s->msgs_len];
+
+	if (s->msgs_len + 1 >= SHARD_MSGS)
+		abort();
+	s->msgs_len++;
+	memset(m, 0, sizeof(*m));
+	m->at = at;
+	m->node = node;
+	m->life = s->nodes[node].life;
+	m->ev.type = type;
+	m->ev.tag = tag;
+	return m;
+}
+
+static inline int
+shard_worker_index(const struct shard *s, const char *id)
+{
+	int i;
+
+	for (i = 0; i < SHARD_WORKERS; i++) {
+		if (strcmp(s->workers[i].id, id) == 0)
+			return i;
+	}
+	return -1;
+}
+
+static inline void
+shard_worker_call(struct shard *s, unsigned node, struct agb_effect *ef)
+{
+	const int i = shard_worker_index(s, ef->u.worker.worker);
+	struct fake_worker *const w = i >= 0 ? &s->workers[i] : NULL;
+	const bool lost = w == NULL || w->silent || s->cut_worker[node][i];
+	const agb_time at = s->now + (lost ? SHARD_TIMEOUT : SHARD_DELAY);
+	struct shard_msg *m;
+
+	if (ef->type == AGB_EF_SESSION) {
+		m = shard_post(s, node, at, AGB_EV_SESSION, 0);
+		agb_name_set(m->ev.u.session.worker,
+		    sizeof(m->ev.u.session.worker), ef->u.worker.worker);
+		m->ev.u.session.status = AGB_WORKER_LOST;
+		if (!lost)
+			fake_worker_session(w, &ef->u.worker, &m->ev.u.session);
+	} else if (ef->type == AGB_EF_RENEW) {
+		m = shard_post(s, node, at, AGB_EV_RENEW, 0);
+		m->poll = true;
+		m->call = ef->u.worker;
+		m->at = s->now + ef->u.worker.wait_ms * AGB_MS + SHARD_DELAY;
+	} else {
+		m = shard_post(s, node, at, AGB_EV_COMMANDS, ef->tag);
+		agb_name_set(m->ev.u.commands.worker,
+		    sizeof(m->ev.u.commands.worker), ef->u.worker.worker);
+		m->ev.u.commands.tag = ef->tag;
+		m->ev.u.commands.status = AGB_WORKER_LOST;
+		if (lost)
+			return;
+		fake_worker_commands(w, &ef->u.worker, &m->ev.u.commands);
+		if (w->lose_answers > 0) {
+			w->lose_answers--;
+			m->ev.u.commands.status = AGB_WORKER_LOST;
+			m->at = s->now + SHARD_TIMEOUT;
+		}
+	}
+}
+
+static inline void
+shard_effect(struct shard *s, unsigned node, struct agb_effect *ef)
+{
+	struct shard_node *const n = &s->nodes[node];
+	struct shard_msg *m;
+
+	switch (ef->type) {
+	case AGB_EF_STORE:
+		m = shard_post(
+		    s, node, s->now + SHARD_DELAY, AGB_EV_STORE, ef->tag);
+		if (n->cut)
+			m->ev.u.store.status = AGB_STORE_LOST;
+		else
+			m->ev.u.store =
+			    fake_store_call(s->store, s->now, &ef->u.store);
+		if (m->ev.u.store.status == AGB_STORE_LOST)
+			m->at = s->now + SHARD_TIMEOUT;
+		break;
+	case AGB_EF_WATCH:
+		free(n->watch_key);
+		n->watch_tag = ef->tag;
+		n->watch_key = agb_xstrdup(ef->u.watch.key);
+		n->watch_from = ef->u.watch.from_rev;
+		n->watched = 0;
+		break;
+	case AGB_EF_SESSION:
+	case AGB_EF_RENEW:
+	case AGB_EF_COMMANDS:
+		shard_worker_call(s, node, ef);
+		break;
+	case AGB_EF_RPC_REPLY:
+		if (s->replies_len == SHARD_REPLIES)
+			abort();
+		s->replies[s->replies_len].token = ef->token;
+		s->replies[s->replies_len++].res = ef->u.rpc_res;
+		memset(&ef->u.rpc_res, 0, sizeof(ef->u.rpc_res));
+		break;
+	case AGB_EF_LOG:
+		s->log = agb_xreallocarray(
+		    s->log, s->log_len + strlen(ef->u.log.line) + 64, 1);
+		s->log_len += (size_t)sprintf(s->log + s->log_len, "%s %s\n",
+		    ef->u.log.event, ef->u.log.line);
+		break;
+	default:
+		break;
+	}
+}
+
+static inline void
+shard_take(struct shard *s, unsigned node, struct agb_effects *out)
+{
+	size_t i;
+
+	for (i = 0; i < out->len; i++)
+		shard_effect(s, node, &out->items[i]);
+	agb_effects_free(out);
+}
+
+static inline void
+shard_step(struct shard *s, unsigned node, struct agb_event *ev)
+{
+	struct agb_effects out = {0};
+
+	agb_owner_step(s->nodes[node].o, s->now, ev, &out);
+	shard_take(s, node, &out);
+	agb_event_free(ev);
+}
+
+/* Fills in the answer of a renewal that the worker has held. */
+static inline void
+shard_poll(struct shard *s, struct shard_msg *m)
+{
+	struct agb_ev_renew *const r = &m->ev.u.renew;
+	const int i = shard_worker_index(s, m->call.worker);
+
+	m->poll = false;
+	agb_name_set(r->worker, sizeof(r->worker), m->call.worker);
+	r->status = AGB_WORKER_LOST;
+	if (i >= 0 && !s->workers[i].silent && !s->cut_worker[m->node][i])
+		fake_worker_renew(&s->workers[i], &m->call, r);
+}
+
+/* Whether a worker answers a held renewal now. */
+static inline bool
+shard_poll_ready(const struct shard *s, const struct shard_msg *m)
+{
+	const int i = shard_worker_index(s, m->call.worker);
+	const struct fake_worker *const w = i >= 0 ? &s->workers[i] : NULL;
+
+	if (w == NULL || w->silent || s->cut_worker[m->node][i])
+		return false;
+	return w->epoch != m->call.epoch || w->leaving ||
+	    (w->events_len > 0 &&
+		w->events[w->events_len - 1].seq > m->call.after);
+}
+
+static inline void
+shard_watches(struct shard *s)
+{
+	unsigned i;
+
+	for (i = 0; i < SHARD_NODES; i++) {
+		struct shard_node *const n = &s->nodes[i];
+		struct shard_msg *m;
+
+		if (n->o == NULL || n->watch_key == NULL || n->cut ||
+		    s->store->down)
+			continue;
+		for (; n->watched < s->store->changes_len; n->watched++) {
+			const struct agb_store_kv *const kv =
+			    &s->store->changes[n->watched];
+
+			if (strcmp(kv->key, n->watch_key) != 0 ||
+			    kv->mod_rev < n->watch_from)
+				continue;
+			m = shard_post(s, i, s->now + SHARD_DELAY, AGB_EV_WATCH,
+			    n->watch_tag);
+			m->ev.u.watch.kvs =
+			    agb_xcalloc(1, sizeof(*m->ev.u.watch.kvs));
+			m->ev.u.watch.kvs[0] = fake_kv_copy(kv);
+			m->ev.u.watch.kvs_len = 1;
+		}
+	}
+}
+
+static inline void
+shard_deliver(struct shard *s)
+{
+	size_t i = 0;
+
+	while (i < s->msgs_len) {
+		struct shard_msg m = s->msgs[i];
+		const bool dead = s->nodes[m.node].o == NULL ||
+		    s->nodes[m.node].life != m.life;
+
+		if (!dead &&
+		    (s->nodes[m.node].paused ||
+			(s->now < m.at &&
+			    !(m.poll && shard_poll_ready(s, &m))))) {
+			i++;
+			continue;
+		}
+		memmove(&s->msgs[i], &s->msgs[i + 1],
+		    (--s->msgs_len - i) * sizeof(m));
+		if (dead) {
+			agb_event_free(&m.ev);
+			continue;
+		}
+		if (m.poll)
+			shard_poll(s, &m);
+		shard_step(s, m.node, &m.ev);
+		i = 0;
+	}
+}
+
+/* Lets time pass in steps of 1 ms. */
+static inline void
+shard_run(struct shard *s, agb_time span)
+{
+	const agb_time end = s->now + span;
+	struct agb_event tick = {.type = AGB_EV_TICK};
+	unsigned i;
+
+	while (s->now < end) {
+		s->now += AGB_MS;
+		fake_store_expire(s->store, s->now);
+		shard_watches(s);
+		shard_deliver(s);
+		for (i = 0; i < SHARD_NODES; i++) {
+			struct shard_node *const n = &s->nodes[i];
+
+			if (n->o != NULL && !n->paused &&
+			    agb_owner_next_tick(n->o, s->now) <= s->now) {
+				tick.type = AGB_EV_TICK;
+				shard_step(s, i, &tick);
+			}
+		}
+	}
+}
+
+/* Tells a node the list: each worker with the state given. */
+static inline void
+shard_list(struct shard *s, unsigned node, unsigned workers,
+    enum agb_instance_state state)
+{
+	struct agb_event ev = {.type = AGB_EV_LIST};
+	unsigned i;
+
+	ev.u.list.ok = true;
+	ev.u.list.full = true;
+	ev.u.list.items = agb_xcalloc(workers, sizeof(*ev.u.list.items));
+	ev.u.list.items_len = workers;
+	for (i = 0; i < workers; i++) {
+		struct agb_instance *const in = &ev.u.list.items[i];
+
+		agb_name_set(in->id, sizeof(in->id), s->workers[i].id);
+		in->kind = AGB_INSTANCE_WORKER;
+		in->state = i == 0 ? state : AGB_INSTANCE_LIVE;
+		agb_name_set(in->domain, sizeof(in->domain), "d1");
+		snprintf(in->rack, sizeof(in->rack), "rack%u", i);
+		agb_name_set(in->service, sizeof(in->service), "check");
+		snprintf(in->runner, sizeof(in->runner), "10.0.0.%u:80", i);
+		in->slots = 2;
+		in->connections = 8;
+		in->capacity.cpu_milli = 4000;
+		in->capacity.mem_mb = 4000;
+	}
+	shard_step(s, node, &ev);
+}
+
+/* Starts (or restarts with empty memory) an entry instance. */
+static inline void
+shard_node_start(struct shard *s, unsigned node, unsigned workers)
+{
+	struct agb_owner_config cfg = {.seed = node + 1};
+	struct agb_effects out = {0};
+	struct shard_node *const n = &s->nodes[node];
+
+	snprintf(cfg.instance, sizeof(cfg.instance), "entry%u", node);
+	snprintf(cfg.rpc, sizeof(cfg.rpc), "10.0.1.%u:7000", node);
+	agb_name_set(cfg.domain, sizeof(cfg.domain), "d1");
+	agb_name_set(cfg.environment, sizeof(cfg.environment), "trial");
+	n->o = agb_owner_new(&cfg);
+	n->life++;
+	n->paused = false;
+	n->cut = false;
+	agb_owner_env_set(n->o, s->now, &shard_env, &out);
+	shard_take(s, node, &out);
+	shard_list(s, node, workers, AGB_INSTANCE_LIVE);
+}
+
+static inline void
+shard_node_kill(struct shard *s, unsigned node)
+{
+	struct shard_node *const n = &s->nodes[node];
+
+	agb_owner_free(n->o);
+	n->o = NULL;
+	free(n->watch_key);
+	n->watch_key = NULL;
+	shard_deliver(s);
+}
+
+/* A shard whose node 0 owns it and has @workers live workers. */
+static inline struct shard *
+shard_new(unsigned workers)
+{
+	struct shard *const s = agb_xcalloc(1, sizeof(*s));
+	int i;
+
+	s->now = 100 * AGB_SEC;
+	s->store = agb_xcalloc(1, sizeof(*s->store));
+	s->store->revision = 10;
+	s->log = agb_xstrdup("");
+	for (i = 0; i < SHARD_WORKERS; i++)
+		snprintf(
+		    s->workers[i].id, sizeof(s->workers[i].id), "worker%d", i);
+	shard_node_start(s, 0, workers);
+	shard_run(s, 300 * AGB_MS);
+	return s;
+}
+
+static inline void
+shard_free(struct shard *s)
+{
+	unsigned i;
+	size_t k;
+
+	for (i = 0; i < SHARD_NODES; i++)
+		shard_node_kill(s, i);
+	for (k = 0; k < s->replies_len; k++)
+		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)&s->replies[k].res);
+	for (i = 0; i < SHARD_WORKERS; i++)
+		fake_worker_forget(&s->workers[i], UINT64_MAX);
+	fake_store_free(s->store);
+	free(s->log);
+	free(s);
+}
+
+static inline struct agb_event
+shard_rpc(struct shard *s, enum agb_x_proc proc)
+{
+	struct agb_event ev = {.type = AGB_EV_RPC_CALL};
+
+	ev.token = ++s->token;
+	ev.u.rpc_args.proc = proc;
+	return ev;
+}
+
+static inline uint64_t
+shard_submit(struct shard *s, unsigned node, const char *work, uint32_t tasks,
+    bool idempotent, const char *key)
+{
+	struct agb_event ev = shard_rpc(s, AGB_X_SUBMIT);
+	agb_x_submit_args *const a = &ev.u.rpc_args.agb_x_args_u.submit;
+	const uint64_t token = ev.token;
+
+	a->work = agb_xstrdup(work);
+	a->team = agb_xstrdup("red");
+	a->tasks = tasks;
+	a->idempotent = idempotent;
+	a->key = agb_xstrdup(key);
+	shard_step(s, node, &ev);
+	return token;
+}
+
+static inline uint64_t
+shard_grant(
+    struct shard *s, unsigned node, const char *key, uint32_t deadline_ms)
+{
+	struct agb_event ev = shard_rpc(s, AGB_X_GRANT);
+	agb_x_grant_args *const a = &ev.u.rpc_args.agb_x_args_u.grant;
+	const uint64_t token = ev.token;
+
+	a->request = agb_xasprintf("req%llu", (unsigned long long)token);
+	a->work = agb_xstrdup("check");
+	a->team = agb_xstrdup("red");
+	a->instance = agb_xstrdup("entry1");
+	a->deadline_ms = deadline_ms;
+	a->key = agb_xstrdup(key);
+	shard_step(s, node, &ev);
+	return token;
+}
+
+static inline void
+shard_release(struct shard *s, unsigned node, const agb_x_attempt *attempt,
+    enum agb_result result)
+{
+	struct agb_event ev = shard_rpc(s, AGB_X_RELEASE);
+	agb_x_release_args *const a = &ev.u.rpc_args.agb_x_args_u.release;
+
+	a->items.items_val = agb_xcalloc(1, sizeof(*a->items.items_val));
+	a->items.items_len = 1;
+	a->items.items_val[0].attempt = *attempt;
+	a->items.items_val[0].result = (int)result;
+	shard_step(s, node, &ev);
+}
+
+static inline uint64_t
+shard_job_call(struct shard *s, unsigned node, enum agb_x_proc proc,
+    const char *job, const char *team, uint32_t wait_ms)
+{
+	struct agb_event ev = shard_rpc(s, proc);
+	const uint64_t token = ev.token;
+
+	/* CANCEL has the same first members as JOB_GET. */
+	ev.u.rpc_args.agb_x_args_u.job_get.job = agb_xstrdup(job);
+	if (proc != AGB_X_EXPLAIN)
+		ev.u.rpc_args.agb_x_args_u.job_get.team = agb_xstrdup(team);
+	if (proc == AGB_X_JOB_GET)
+		ev.u.rpc_args.agb_x_args_u.job_get.wait_ms = wait_ms;
+	shard_step(s, node, &ev);
+	return token;
+}
+
+/* Answer to a call, or NULL while there is none; *count says how many. */
+static inline agb_x_res *
+shard_reply(struct shard *s, uint64_t token, unsigned *count)
+{
+	agb_x_res *res = NULL;
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < s->replies_len; i++) {
+		if (s->replies[i].token == token) {
+			res = &s->replies[i].res;
+			n++;
+		}
+	}
+	if (count != NULL)
+		*count = n;
+	return res;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_owner.c
@@ -0,0 +1,818 @@
+#include "fake_shard.h"
+#include "suite.h"
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+static agb_x_submit_res *
+submitted(struct shard *s, uint64_t token)
+{
+	unsigned n;
+	agb_x_res *const r = shard_reply(s, token, &n);
+
+	CU_ASSERT_EQUAL_FATAL(n, 1);
+	return &r->agb_x_res_u.submit;
+}
+
+static agb_x_grant_res *
+granted(struct shard *s, uint64_t token)
+{
+	unsigned n;
+	agb_x_res *const r = shard_reply(s, token, &n);
+
+	CU_ASSERT_EQUAL_FATAL(n, 1);
+	return &r->agb_x_res_u.grant;
+}
+
+/* State of a job, asked for now. */
+static agb_x_job_res *
+job(struct shard *s, unsigned node, const char *id)
+{
+	const uint64_t token =
+	    shard_job_call(s, node, AGB_X_JOB_GET, id, "red", 0);
+	agb_x_res *const r = shard_reply(s, token, NULL);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	return &r->agb_x_res_u.job_get;
+}
+
+/* Submits one job and lets it be accepted. */
+static const char *
+accepted(struct shard *s, const char *work, bool idempotent)
+{
+	const uint64_t token = shard_submit(s, 0, work, 1, idempotent, "");
+
+	shard_run(s, 300 * AGB_MS);
+	CU_ASSERT_TRUE_FATAL(submitted(s, token)->accepted);
+	return submitted(s, token)->job;
+}
+
+static unsigned
+starts(const struct shard *s)
+{
+	unsigned n = 0, i;
+
+	for (i = 0; i < SHARD_WORKERS; i++)
+		n += s->workers[i].starts;
+	return n;
+}
+
+static unsigned
+running(const struct shard *s)
+{
+	unsigned n = 0, i;
+
+	for (i = 0; i < SHARD_WORKERS; i++)
+		n += fake_worker_running(&s->workers[i]);
+	return n;
+}
+
+/* The worker that runs the only task. */
+static struct fake_worker *
+busy(struct shard *s)
+{
+	unsigned i;
+
+	for (i = 0; i < SHARD_WORKERS; i++) {
+		if (fake_worker_running(&s->workers[i]) > 0)
+			return &s->workers[i];
+	}
+	CU_FAIL_FATAL("no task runs");
+	return NULL;
+}
+
+static bool
+active(const struct shard *s, unsigned node)
+{
+	return s->nodes[node].o != NULL &&
+	    agb_owner_active(s->nodes[node].o, s->now);
+}
+
+/* Guards against two owners, or none, when the election's answer is lost. */
+static void
+test_election_faults(void)
+{
+	static const enum fake_fault faults[] = {
+	    FAKE_OK, FAKE_LOSE_ANSWER, FAKE_LOSE_CALL, FAKE_REFUSE};
+	size_t i;
+
+	for (i = 0; i < LEN(faults); i++) {
+		struct shard *const s = agb_xcalloc(1, sizeof(*s));
+		const struct agb_store_kv *kv;
+		agb_x_shard sum;
+
+		s->now = 100 * AGB_SEC;
+		s->store = agb_xcalloc(1, sizeof(*s->store));
+		s->store->fault = faults[i];
+		s->store->fault_key = "/owner";
+		s->log = agb_xstrdup("");
+		shard_node_start(s, 0, 0);
+		shard_run(s, 3 * AGB_SEC);
+		CU_ASSERT_TRUE(active(s, 0));
+		CU_ASSERT_STRING_EQUAL(
+		    agb_owner_known(s->nodes[0].o), "10.0.1.0:7000");
+		kv =
+		    fake_store_find(s->store, "agatebeam/trial/shard/d1/owner");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(kv);
+		CU_ASSERT_TRUE(agb_owner_shard(s->nodes[0].o, s->now, &sum));
+		CU_ASSERT_EQUAL(sum.epoch, kv != NULL ? kv->create_rev : 0);
+		xdr_free((xdrproc_t)xdr_agb_x_shard, (char *)&sum);
+		shard_free(s);
+	}
+}
+
+/* Guards against a job that is lost, or run twice, between acceptance and
+ * its result, and against a result that a caller hears before it is safe. */
+static void
+test_job_life(void)
+{
+	struct shard *const s = shard_new(2);
+	const char *const id = accepted(s, "plan", false);
+	uint64_t wait;
+	agb_x_job_res *r;
+
+	CU_ASSERT_EQUAL(starts(s), 1);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "running");
+	wait = shard_job_call(s, 0, AGB_X_JOB_GET, id, "red", 5000);
+	CU_ASSERT_PTR_NULL(shard_reply(s, wait, NULL));
+	fake_worker_finish(busy(s), AGB_RESULT_OK, "{\"n\":1}");
+	shard_run(s, 300 * AGB_MS);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(shard_reply(s, wait, NULL));
+	r = &shard_reply(s, wait, NULL)->agb_x_res_u.job_get;
+	CU_ASSERT_STRING_EQUAL(r->state, "done");
+	CU_ASSERT_EQUAL(r->outcome, AGB_RAN);
+	CU_ASSERT_EQUAL(r->result.result_len, 7);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	/* Another team sees nothing of it. */
+	wait = shard_job_call(s, 0, AGB_X_JOB_GET, id, "blue", 0);
+	r = &shard_reply(s, wait, NULL)->agb_x_res_u.job_get;
+	CU_ASSERT_FALSE(r->found);
+	CU_ASSERT_EQUAL(r->reason, AGB_REASON_NOT_FOUND);
+	shard_free(s);
+}
+
+/* Guards against a second run, or an answer that never comes, when the
+ * store's answer to a journal write is lost. */
+static void
+test_submit_store_faults(void)
+{
+	static const enum fake_fault faults[] = {
+	    FAKE_LOSE_ANSWER, FAKE_LOSE_CALL, FAKE_REFUSE};
+	size_t i;
+
+	for (i = 0; i < LEN(faults); i++) {
+		struct shard *const s = shard_new(1);
+		uint64_t a, b;
+
+		s->store->fault = faults[i];
+		s->store->fault_key = "/journal/";
+		a = shard_submit(s, 0, "plan", 1, false, "key1");
+		b = shard_submit(s, 0, "plan", 1, false, "key1");
+		CU_ASSERT_PTR_NULL(shard_reply(s, a, NULL));
+		shard_run(s, 2 * AGB_SEC);
+		CU_ASSERT_TRUE(submitted(s, a)->accepted);
+		CU_ASSERT_STRING_EQUAL(
+		    submitted(s, a)->job, submitted(s, b)->job);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		a = shard_submit(s, 0, "plan", 1, false, "key1");
+		CU_ASSERT_STRING_EQUAL(
+		    submitted(s, a)->job, submitted(s, b)->job);
+		shard_free(s);
+	}
+}
+
+/* Puts another instance's owner key in place of node 0's. */
+static void
+usurp(struct shard *s)
+{
+	struct agb_store_op op;
+	struct agb_store_result r;
+
+	agb_store_op_init(&op, AGB_STORE_TXN);
+	agb_store_op_delete(&op, "agatebeam/trial/shard/d1/owner", NULL);
+	r = fake_store_call(s->store, s->now, &op);
+	agb_store_result_free(&r);
+	agb_store_op_free(&op);
+	agb_store_op_init(&op, AGB_STORE_TXN);
+	agb_store_op_put(&op, "agatebeam/trial/shard/d1/owner",
+	    "{\"rpc\":\"10.9.9.9:1\"}", 20, 0);
+	r = fake_store_call(s->store, s->now, &op);
+	agb_store_result_free(&r);
+	agb_store_op_free(&op);
+}
+
+/* Guards against a write of an owner that lost its shard, and against a
+ * caller that is told not-run of a write that a new owner has read. */
+static void
+test_fenced_write(void)
+{
+	static const struct {
+		enum fake_fault fault;
+		enum agb_outcome outcome;
+		enum agb_reason reason;
+	} cases[] = {
+	    {FAKE_OK, AGB_NOT_RUN, AGB_REASON_NO_OWNER},
+	    {FAKE_LOSE_ANSWER, AGB_UNKNOWN, AGB_REASON_STORE_UNKNOWN},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(1);
+		uint64_t token;
+
+		/* The watch is slow: the fence is all that protects. */
+		free(s->nodes[0].watch_key);
+		s->nodes[0].watch_key = NULL;
+		if (cases[i].fault == FAKE_OK)
+			usurp(s);
+		s->store->fault = cases[i].fault;
+		s->store->fault_key = "/journal/";
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_run(s, 10 * AGB_MS);
+		if (cases[i].fault != FAKE_OK) {
+			/* The new owner has compacted the value. */
+			usurp(s);
+			fake_store_delete(s->store,
+			    "agatebeam/trial/shard/"
+			    "d1/journal/",
+			    "agatebeam/trial/shard/d1/journal0");
+		}
+		shard_run(s, 2 * AGB_SEC);
+		CU_ASSERT_FALSE(submitted(s, token)->accepted);
+		CU_ASSERT_EQUAL(submitted(s, token)->outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(submitted(s, token)->reason, cases[i].reason);
+		CU_ASSERT_FALSE(active(s, 0));
+		CU_ASSERT_STRING_EQUAL(
+		    agb_owner_known(s->nodes[0].o), "10.9.9.9:1");
+		CU_ASSERT_EQUAL(starts(s), 0);
+		shard_free(s);
+	}
+}
+
+/* Guards against a paused owner that acts on its old lease when it wakes. */
+static void
+test_paused_owner(void)
+{
+	struct shard *const s = shard_new(2);
+	uint64_t token;
+	const char *id;
+
+	shard_node_start(s, 1, 2);
+	shard_run(s, 300 * AGB_MS);
+	CU_ASSERT_FALSE(active(s, 1));
+	id = accepted(s, "plan", false);
+	s->nodes[0].paused = true;
+	shard_run(s, 4 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 1));
+	CU_ASSERT_STRING_EQUAL(job(s, 1, id)->state, "running");
+	/* It wakes with a call before any answer reaches it. */
+	token = shard_submit(s, 0, "plan", 1, false, "");
+	CU_ASSERT_EQUAL(submitted(s, token)->outcome, AGB_NOT_RUN);
+	CU_ASSERT_EQUAL(submitted(s, token)->reason, AGB_REASON_ISOLATED);
+	s->nodes[0].paused = false;
+	shard_run(s, AGB_SEC);
+	CU_ASSERT_FALSE(active(s, 0));
+	CU_ASSERT_TRUE(active(s, 1));
+	CU_ASSERT_EQUAL(starts(s), 1);
+	shard_free(s);
+}
+
+/* Guards against an isolated owner that refuses what it can serve, or that
+ * accepts or starts what only the store can make safe. */
+static void
+test_isolation(void)
+{
+	struct shard *const s = shard_new(2);
+	uint64_t plain, keyed, job_token, queued;
+
+	queued = shard_submit(s, 0, "plan", 1, true, "");
+	s->store->fault = FAKE_OK;
+	s->nodes[0].cut = true;
+	shard_run(s, 3 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 0));
+	plain = shard_grant(s, 0, "", 1000);
+	keyed = shard_grant(s, 0, "k", 1000);
+	job_token = shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 50 * AGB_MS);
+	CU_ASSERT_TRUE(granted(s, plain)->granted);
+	CU_ASSERT_FALSE(granted(s, keyed)->granted);
+	CU_ASSERT_EQUAL(granted(s, keyed)->outcome, AGB_NOT_RUN);
+	CU_ASSERT_EQUAL(granted(s, keyed)->reason, AGB_REASON_ISOLATED);
+	CU_ASSERT_EQUAL(submitted(s, job_token)->outcome, AGB_NOT_RUN);
+	CU_ASSERT_EQUAL(submitted(s, job_token)->reason, AGB_REASON_ISOLATED);
+	CU_ASSERT_EQUAL(starts(s), 0);
+	/* The store is back; its lease has lapsed meanwhile. */
+	s->nodes[0].cut = false;
+	shard_run(s, 6 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 0));
+	job_token = shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_TRUE(submitted(s, job_token)->accepted);
+	CU_ASSERT_PTR_NOT_NULL(shard_reply(s, queued, NULL));
+	shard_free(s);
+}
+
+/* Guards against a task that runs twice because its worker fell silent, and
+ * against one that is never run again although it has certainly stopped. */
+static void
+test_silent_worker(void)
+{
+	static const struct {
+		const char *work;
+		bool gone;	/* the list reports the worker gone */
+		unsigned early; /* starts after 10 s, and after 20 s */
+		unsigned late;
+	} cases[] = {
+	    {"plan", false, 1, 2},
+	    {"cut", false, 1, 1},
+	    {"cut", true, 1, 2},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(1);
+		const char *const id = accepted(s, cases[i].work, true);
+		struct fake_worker *const w = busy(s);
+
+		shard_list(s, 0, 2, AGB_INSTANCE_LIVE);
+		shard_run(s, 100 * AGB_MS);
+		w->silent = true;
+		shard_run(s, 2 * AGB_SEC);
+		if (cases[i].gone)
+			shard_list(s, 0, 2, AGB_INSTANCE_GONE);
+		shard_run(s, 8 * AGB_SEC);
+		CU_ASSERT_EQUAL(starts(s), cases[i].early);
+		CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "running");
+		shard_run(s, 10 * AGB_SEC);
+		CU_ASSERT_EQUAL(starts(s), cases[i].late);
+		shard_free(s);
+	}
+}
+
+/* Guards against an isolated owner that takes a worker's silence towards it
+ * for proof, while a newer owner renews that worker's session. */
+static void
+test_silence_needs_lease(void)
+{
+	struct shard *const s = shard_new(1);
+
+	(void)accepted(s, "plan", true);
+	shard_list(s, 0, 2, AGB_INSTANCE_LIVE);
+	shard_run(s, 100 * AGB_MS);
+	s->cut_worker[0][0] = true;
+	s->nodes[0].cut = true;
+	shard_run(s, 30 * AGB_SEC);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	CU_ASSERT_EQUAL(running(s), 1);
+	shard_free(s);
+}
+
+/* Guards against a cancellation that is forgotten because the start's
+ * answer was still out. */
+static void
+test_cancel_start_in_flight(void)
+{
+	static const unsigned lost[] = {0, 1, 3};
+	size_t i;
+
+	for (i = 0; i < LEN(lost); i++) {
+		struct shard *const s = shard_new(1);
+		uint64_t token, cancel;
+		const char *id;
+		agb_x_job_res *r;
+
+		s->workers[0].lose_answers = lost[i];
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_run(s, 110 * AGB_MS);
+		id = submitted(s, token)->job;
+		CU_ASSERT_EQUAL(starts(s), 1);
+		cancel = shard_job_call(s, 0, AGB_X_CANCEL, id, "red", 0);
+		shard_run(s, 5 * AGB_SEC);
+		CU_ASSERT_PTR_NOT_NULL(shard_reply(s, cancel, NULL));
+		CU_ASSERT_EQUAL(running(s), 0);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		r = job(s, 0, id);
+		CU_ASSERT_STRING_EQUAL(r->state, "done");
+		CU_ASSERT_EQUAL(r->reason, AGB_REASON_CANCELLED);
+		CU_ASSERT_NOT_EQUAL(r->outcome, AGB_NOT_RUN);
+		shard_free(s);
+	}
+}
+
+/* Guards against a cancelled job of which a start is still sent. */
+static void
+test_cancel_before_start(void)
+{
+	struct shard *const s = shard_new(1);
+	uint64_t token;
+	const char *id;
+
+	s->workers[0].silent = true;
+	token = shard_submit(s, 0, "plan", 1, false, "");
+	shard_run(s, 110 * AGB_MS);
+	id = submitted(s, token)->job;
+	(void)shard_job_call(s, 0, AGB_X_CANCEL, id, "red", 0);
+	s->workers[0].silent = false;
+	shard_run(s, 3 * AGB_SEC);
+	CU_ASSERT_EQUAL(running(s), 0);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "done");
+	shard_free(s);
+}
+
+/* Guards against a second run under a key that was used before. */
+static void
+test_duplicate_key(void)
+{
+	static const struct {
+		enum agb_result result;
+		bool granted;
+		enum agb_outcome outcome;
+	} cases[] = {
+	    {AGB_RESULT_OK, false, AGB_RAN},
+	    {AGB_RESULT_FAILED, false, AGB_RAN},
+	    {AGB_RESULT_LOST, false, AGB_UNKNOWN},
+	    {AGB_RESULT_NOT_STARTED, true, AGB_NOT_RUN},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(2);
+		uint64_t a, b;
+
+		a = shard_grant(s, 0, "k", 2000);
+		CU_ASSERT_PTR_NULL(shard_reply(s, a, NULL));
+		shard_run(s, 200 * AGB_MS);
+		CU_ASSERT_TRUE_FATAL(granted(s, a)->granted);
+		b = shard_grant(s, 0, "k", 2000);
+		CU_ASSERT_EQUAL(granted(s, b)->outcome, AGB_UNKNOWN);
+		CU_ASSERT_EQUAL(granted(s, b)->reason, AGB_REASON_DUPLICATE);
+		shard_release(s, 0, &granted(s, a)->attempt, cases[i].result);
+		shard_run(s, 800 * AGB_MS);
+		/* The next owner must know as much. */
+		if (!cases[i].granted) {
+			shard_node_kill(s, 0);
+			shard_node_start(s, 0, 2);
+			shard_run(s, 4 * AGB_SEC);
+		}
+		b = shard_grant(s, 0, "k", 2000);
+		shard_run(s, 200 * AGB_MS);
+		CU_ASSERT_EQUAL(granted(s, b)->granted, cases[i].granted);
+		if (!cases[i].granted) {
+			CU_ASSERT_EQUAL(
+			    granted(s, b)->outcome, cases[i].outcome);
+			CU_ASSERT_EQUAL(
+			    granted(s, b)->reason, AGB_REASON_DUPLICATE);
+		}
+		shard_free(s);
+	}
+}
+
+/* Guards against a slot that is lost for good, or given out while its
+ * runner is still busy, when the entry instance that holds it dies. */
+static void
+test_dead_entry_instance(void)
+{
+	static const bool cases[] = {false, true};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(1);
+		struct fake_worker *const w = &s->workers[0];
+		uint64_t a, b, c;
+
+		a = shard_grant(s, 0, "", 500);
+		b = shard_grant(s, 0, "", 60000);
+		CU_ASSERT_TRUE_FATAL(granted(s, a)->granted);
+		CU_ASSERT_TRUE_FATAL(granted(s, b)->granted);
+		if (cases[i]) {
+			w->slots[0].epoch = granted(s, a)->attempt.epoch;
+			w->slots[0].seq = granted(s, a)->attempt.seq;
+			w->slots_len = 1;
+		}
+		shard_run(s, 2 * AGB_SEC);
+		CU_ASSERT_EQUAL(w->revoked_len, 0);
+		c = shard_grant(s, 0, "", 60000);
+		shard_run(s, 1500 * AGB_MS);
+		CU_ASSERT_EQUAL(w->revoked_len, 1);
+		if (cases[i]) {
+			shard_run(s, 10 * AGB_SEC);
+			CU_ASSERT_PTR_NULL(shard_reply(s, c, NULL));
+			w->slots_len = 0;
+			shard_run(s, 7 * AGB_SEC);
+		}
+		CU_ASSERT_PTR_NOT_NULL_FATAL(shard_reply(s, c, NULL));
+		CU_ASSERT_TRUE(granted(s, c)->granted);
+		shard_free(s);
+	}
+}
+
+/* Guards against work that a takeover starts again or forgets. */
+static void
+test_takeover_adopts(void)
+{
+	struct shard *const s = shard_new(2);
+	const char *const id = accepted(s, "plan", false);
+	struct fake_worker *const w = busy(s);
+	uint64_t token;
+	agb_time died;
+
+	/* A runner is busy under a grant of the old owner. */
+	w->slots[0].epoch = w->epoch;
+	w->slots[0].seq = 999;
+	w->slots_len = 1;
+	shard_node_start(s, 1, 2);
+	shard_run(s, 500 * AGB_MS);
+	shard_node_kill(s, 0);
+	died = s->now;
+	while (!active(s, 1) && s->now < died + 5 * AGB_SEC)
+		shard_run(s, 10 * AGB_MS);
+	shard_run(s, 20 * AGB_MS);
+	token = shard_submit(s, 1, "plan", 1, true, "");
+	while (starts(s) < 2 && s->now < died + 5 * AGB_SEC)
+		shard_run(s, 10 * AGB_MS);
+	CU_ASSERT_TRUE(s->now - died < 3 * AGB_SEC);
+	CU_ASSERT_TRUE(submitted(s, token)->accepted);
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->log, "adopt job="));
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->log, "adopt attempt="));
+	CU_ASSERT_STRING_EQUAL(job(s, 1, id)->state, "running");
+	fake_worker_finish(w, AGB_RESULT_OK, "done");
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_EQUAL(job(s, 1, id)->outcome, AGB_RAN);
+	CU_ASSERT_EQUAL(starts(s), 2);
+	shard_free(s);
+}
+
+/* Guards against a second run of a non-idempotent task whose first start is
+ * only known from its intent, and against one that never runs. */
+static void
+test_intent_without_result(void)
+{
+	static const struct {
+		bool reached; /* the start reached the worker */
+		bool reboot;  /* which then lost its memory */
+		bool ended;   /* or ended the task unheard */
+		enum agb_outcome outcome;
+		unsigned starts;
+	} cases[] = {
+	    {true, true, false, AGB_UNKNOWN, 1},
+	    {false, false, false, AGB_RAN, 1},
+	    {false, true, false, AGB_UNKNOWN, 0},
+	    {true, false, true, AGB_RAN, 1},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(1);
+		struct fake_worker *const w = &s->workers[0];
+		char id[AGB_ID_LEN];
+		uint64_t token;
+
+		w->silent = !cases[i].reached;
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_run(s, 250 * AGB_MS);
+		agb_name_set(id, sizeof(id), submitted(s, token)->job);
+		/* The owner dies before it hears of any end. */
+		s->cut_worker[0][0] = true;
+		if (cases[i].ended)
+			fake_worker_finish(w, AGB_RESULT_OK, "late");
+		shard_node_kill(s, 0);
+		s->cut_worker[0][0] = false;
+		if (cases[i].reboot)
+			fake_worker_reboot(w);
+		w->silent = false;
+		shard_node_start(s, 0, 1);
+		shard_run(s, 4 * AGB_SEC);
+		if (fake_worker_finish(w, AGB_RESULT_OK, "ok") > 0)
+			shard_run(s, 500 * AGB_MS);
+		CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "done");
+		CU_ASSERT_EQUAL(job(s, 0, id)->outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(starts(s), cases[i].starts);
+		shard_free(s);
+	}
+}
+
+/* Guards against an end that the old owner acknowledged to the worker but
+ * never made durable. */
+static void
+test_end_not_durable(void)
+{
+	struct shard *const s = shard_new(1);
+	const char *const got = accepted(s, "plan", false);
+	char id[AGB_ID_LEN];
+
+	agb_name_set(id, sizeof(id), got);
+	s->nodes[0].cut = true;
+	fake_worker_finish(&s->workers[0], AGB_RESULT_OK, "late");
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_STRING_NOT_EQUAL(job(s, 0, id)->state, "done");
+	shard_node_kill(s, 0);
+	shard_node_start(s, 0, 1);
+	shard_run(s, 4 * AGB_SEC);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "done");
+	CU_ASSERT_EQUAL(job(s, 0, id)->outcome, AGB_RAN);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	shard_free(s);
+}
+
+/* Guards against work on a worker that no job owns and nobody stops. */
+static void
+test_orphan_stopped(void)
+{
+	struct shard *const s = shard_new(0);
+	struct agb_command c = {.task = "d1-1-1/0", .attempt = {1, 1}};
+
+	c.need.cpu_milli = 4000;
+	fake_worker_start(&s->workers[0], &c);
+	shard_list(s, 0, 1, AGB_INSTANCE_LIVE);
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_EQUAL(running(s), 0);
+	CU_ASSERT_EQUAL(s->workers[0].stops, 1);
+	(void)accepted(s, "plan", false);
+	CU_ASSERT_EQUAL(starts(s), 2);
+	shard_free(s);
+}
+
+/* Guards against new work on a leaving worker, whoever tells of it first. */
+static void
+test_leaving(void)
+{
+	static const bool by_list[] = {true, false};
+	size_t i;
+
+	for (i = 0; i < LEN(by_list); i++) {
+		struct shard *const s = shard_new(1);
+		uint64_t token;
+
+		if (by_list[i])
+			shard_list(s, 0, 1, AGB_INSTANCE_LEAVING);
+		else
+			s->workers[0].leaving = true;
+		shard_run(s, 100 * AGB_MS);
+		token = shard_grant(s, 0, "", 300);
+		(void)shard_submit(s, 0, "plan", 1, true, "");
+		shard_run(s, AGB_SEC);
+		CU_ASSERT_FALSE(granted(s, token)->granted);
+		CU_ASSERT_EQUAL(starts(s), 0);
+		shard_free(s);
+	}
+}
+
+/* Guards against a shutdown that loses records or leaves the shard without
+ * an owner until the lease lapses, and against one that never ends. */
+static void
+test_term(void)
+{
+	static const bool cut[] = {false, true};
+	size_t i;
+
+	for (i = 0; i < LEN(cut); i++) {
+		struct shard *const s = shard_new(1);
+		struct agb_event ev = {.type = AGB_EV_TERM};
+		uint64_t token;
+
+		shard_node_start(s, 1, 1);
+		shard_run(s, 200 * AGB_MS);
+		s->nodes[0].cut = cut[i];
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_step(s, 0, &ev);
+		CU_ASSERT_FALSE(active(s, 0));
+		shard_run(s, 600 * AGB_MS);
+		CU_ASSERT_EQUAL(agb_owner_drained(s->nodes[0].o), !cut[i]);
+		CU_ASSERT_EQUAL(active(s, 1), !cut[i]);
+		shard_run(s, 5 * AGB_SEC);
+		CU_ASSERT_TRUE(agb_owner_drained(s->nodes[0].o));
+		CU_ASSERT_TRUE(active(s, 1));
+		if (!cut[i]) {
+			CU_ASSERT_TRUE(submitted(s, token)->accepted);
+			CU_ASSERT_EQUAL(starts(s), 1);
+		} else {
+			CU_ASSERT_FALSE(submitted(s, token)->accepted);
+		}
+		shard_free(s);
+	}
+}
+
+/* Guards against a journal that grows without end, jobs that a snapshot
+ * leaves out, and a snapshot that is read before it is whole. */
+static void
+test_compaction(void)
+{
+	enum { JOBS = 80, ARGS = 60000 };
+	struct shard *const s = shard_new(1);
+	char ids[JOBS][AGB_ID_LEN];
+	size_t i, keys = 0, chunks = 0;
+
+	for (i = 0; i < JOBS; i++) {
+		struct agb_event ev = shard_rpc(s, AGB_X_SUBMIT);
+		agb_x_submit_args *const a = &ev.u.rpc_args.agb_x_args_u.submit;
+		const uint64_t token = ev.token;
+
+		a->work = agb_xstrdup("plan");
+		a->team = agb_xstrdup("red");
+		a->key = agb_xstrdup("");
+		a->tasks = 1;
+		a->need.cpu_milli = 3500;
+		a->args.args_val = agb_xcalloc(ARGS, 1);
+		a->args.args_len = ARGS;
+		shard_step(s, 0, &ev);
+		shard_run(s, 120 * AGB_MS);
+		agb_name_set(ids[i], AGB_ID_LEN, submitted(s, token)->job);
+	}
+	shard_run(s, 3 * AGB_SEC);
+	for (i = 0; i < s->store->len; i++) {
+		keys += strstr(s->store->kvs[i].key, "/journal/") != NULL;
+		chunks += strstr(s->store->kvs[i].key, "/snapshot/") != NULL;
+		CU_ASSERT_TRUE(s->store->kvs[i].val_len <= 900000);
+	}
+	CU_ASSERT_TRUE(chunks > 1);
+	CU_ASSERT_TRUE(keys < JOBS / 2);
+	shard_node_kill(s, 0);
+	shard_node_start(s, 0, 1);
+	shard_run(s, 4 * AGB_SEC);
+	for (i = 0; i < JOBS; i++)
+		CU_ASSERT_TRUE(job(s, 0, ids[i])->found);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	shard_free(s);
+}
+
+/* Guards against more writes than the store sustains under load, and
+ * against a wait that load does not excuse when there is none. */
+static void
+test_commit_pace(void)
+{
+	struct shard *const s = shard_new(1);
+	uint64_t token;
+	unsigned before, i;
+
+	token = shard_submit(s, 0, "cut", 1, false, "");
+	shard_run(s, 5 * AGB_MS);
+	CU_ASSERT_PTR_NOT_NULL(shard_reply(s, token, NULL));
+	shard_run(s, AGB_SEC);
+	before = s->store->txns;
+	for (i = 0; i < 100; i++) {
+		(void)shard_submit(s, 0, "cut", 1, false, "");
+		shard_run(s, 10 * AGB_MS);
+	}
+	CU_ASSERT_TRUE(s->store->txns - before <= 11);
+	shard_free(s);
+}
+
+/* Guards against an explanation that leaves out who holds a job and what
+ * it waits for. */
+static void
+test_explain(void)
+{
+	struct shard *const s = shard_new(1);
+	const char *const id = accepted(s, "plan", true);
+	uint64_t token;
+	agb_x_text_res *x;
+	char request[32];
+
+	s->workers[0].silent = true;
+	shard_run(s, 5 * AGB_SEC);
+	token = shard_job_call(s, 0, AGB_X_EXPLAIN, id, "", 0);
+	x = &shard_reply(s, token, NULL)->agb_x_res_u.explain;
+	CU_ASSERT_TRUE(x->found);
+	CU_ASSERT_PTR_NOT_NULL(strstr(x->text, "held by entry0"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(x->text, "task 0 runs"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(x->text, "waits for worker worker0"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(x->text, "session to lapse"));
+	token = shard_grant(s, 0, "", 100);
+	shard_run(s, AGB_SEC);
+	snprintf(
+	    request, sizeof(request), "req%llu", (unsigned long long)token);
+	token = shard_job_call(s, 0, AGB_X_EXPLAIN, request, "", 0);
+	CU_ASSERT_TRUE(shard_reply(s, token, NULL)->agb_x_res_u.explain.found);
+	token = shard_job_call(s, 0, AGB_X_EXPLAIN, "nothing", "", 0);
+	CU_ASSERT_FALSE(shard_reply(s, token, NULL)->agb_x_res_u.explain.found);
+	shard_free(s);
+}
+
+static const struct suite_test tests[] = {
+    {"election_faults", test_election_faults},
+    {"job_life", test_job_life},
+    {"submit_store_faults", test_submit_store_faults},
+    {"fenced_write", test_fenced_write},
+    {"paused_owner", test_paused_owner},
+    {"isolation", test_isolation},
+    {"silent_worker", test_silent_worker},
+    {"silence_needs_lease", test_silence_needs_lease},
+    {"cancel_start_in_flight", test_cancel_start_in_flight},
+    {"cancel_before_start", test_cancel_before_start},
+    {"duplicate_key", test_duplicate_key},
+    {"dead_entry_instance", test_dead_entry_instance},
+    {"takeover_adopts", test_takeover_adopts},
+    {"intent_without_result", test_intent_without_result},
+    {"end_not_durable", test_end_not_durable},
+    {"orphan_stopped", test_orphan_stopped},
+    {"leaving", test_leaving},
+    {"term", test_term},
+    {"compaction", test_compaction},
+    {"commit_pace", test_commit_pace},
+    {"explain", test_explain},
+};
+
+int
+main(void)
+{
+	return suite_run("owner", tests, LEN(tests));
+}
