--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -128,8 +128,7 @@
 
 /* Answers a call that needs the owner while this instance is not it. */
 static void
-refuse_call(
-    struct agb_owner *o, uint64_t token, enum agb_x_proc proc,
+refuse_call(struct agb_owner *o, uint64_t token, enum agb_x_proc proc,
     struct agb_effects *out)
 {
 	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
@@ -199,12 +198,10 @@
 	}
 	switch (a->proc) {
 	case AGB_X_GRANT:
-		own_grant_ask(
-		    o, now, ev->token, &a->agb_x_args_u.grant, out);
+		own_grant_ask(o, now, ev->token, &a->agb_x_args_u.grant, out);
 		break;
 	case AGB_X_SUBMIT:
-		own_job_submit(
-		    o, now, ev->token, &a->agb_x_args_u.submit, out);
+		own_job_submit(o, now, ev->token, &a->agb_x_args_u.submit, out);
 		break;
 	case AGB_X_JOB_GET:
 		own_job_get(o, now, ev->token, &a->agb_x_args_u.job_get, out);
--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -48,8 +48,8 @@
 {
 	struct agb_command *c;
 
-	w->queue = agb_xreallocarray(
-	    w->queue, w->queue_len + 1, sizeof(*w->queue));
+	w->queue =
+	    agb_xreallocarray(w->queue, w->queue_len + 1, sizeof(*w->queue));
 	c = &w->queue[w->queue_len++];
 	*c = *cmd;
 	if (cmd->args != NULL)
@@ -77,8 +77,7 @@
 }
 
 static void
-mark_sent(
-    const struct agb_owner *o, const struct own_worker *w,
+mark_sent(const struct agb_owner *o, const struct own_worker *w,
     const struct agb_command *c)
 {
 	struct own_task *t;
@@ -118,8 +117,8 @@
 		w->flight[i] = w->queue[i];
 		e->items[i] = w->queue[i];
 		if (w->queue[i].args != NULL)
-			e->items[i].args = agb_xmemdup(
-			    w->queue[i].args, w->queue[i].args_len);
+			e->items[i].args =
+			    agb_xmemdup(w->queue[i].args, w->queue[i].args_len);
 	}
 	w->queue_len -= n;
 	memmove(w->queue, w->queue + n, w->queue_len * sizeof(*w->queue));
@@ -151,13 +150,13 @@
 static void
 requeue(struct agb_owner *o, struct own_worker *w)
 {
-	struct agb_command *const all = agb_xcalloc(
-	    w->flight_len + w->queue_len, sizeof(*all));
+	struct agb_command *const all =
+	    agb_xcalloc(w->flight_len + w->queue_len, sizeof(*all));
 
 	memcpy(all, w->flight, w->flight_len * sizeof(*all));
 	if (w->queue_len > 0)
-		memcpy(all + w->flight_len, w->queue,
-		    w->queue_len * sizeof(*all));
+		memcpy(
+		    all + w->flight_len, w->queue, w->queue_len * sizeof(*all));
 	free(w->flight);
 	free(w->queue);
 	w->queue = all;
@@ -200,8 +199,7 @@
 stop_answered(struct agb_owner *o, agb_time now, struct own_worker *w,
     struct own_task *t, const struct agb_command_result *r)
 {
-	if (r->ok || t->state == OWN_TASK_ENDED ||
-	    t->state == OWN_TASK_WAITING)
+	if (r->ok || t->state == OWN_TASK_ENDED || t->state == OWN_TASK_WAITING)
 		return;
 	if (r->kind == AGB_COMMAND_CHECKPOINT) {
 		/* It cannot checkpoint; the room is needed all the same. */
@@ -258,8 +256,7 @@
 		w->commands_at =
 		    now + own_backoff(o, &w->commands_retry_ms) * AGB_MS;
 		own_wake(o, w->commands_at);
-		if (c->status == AGB_WORKER_FENCED &&
-		    w->call == OWN_CALL_NONE)
+		if (c->status == AGB_WORKER_FENCED && w->call == OWN_CALL_NONE)
 			w->answered = false;
 		return;
 	}
--- a/src/agatebeam/owner_commit.c
+++ b/src/agatebeam/owner_commit.c
@@ -99,8 +99,7 @@
 	ef->timeout_ms = OWN_STORE_TIMEOUT_MS * 2;
 	agb_store_op_init(op, AGB_STORE_TXN);
 	/* Fences out an owner that lost its shard. */
-	agb_store_op_cmp(
-	    op, o->elect.key, AGB_STORE_CREATE_REV, o->epoch);
+	agb_store_op_cmp(op, o->elect.key, AGB_STORE_CREATE_REV, o->epoch);
 	/* Makes a repeated write of the same key harmless. */
 	agb_store_op_cmp(op, c->key, AGB_STORE_CREATE_REV, 0);
 	agb_store_op_put(op, c->key, c->value.data, c->value.len, 0);
@@ -178,8 +177,8 @@
 	if (c->chunk_flight) {
 		c->value = c->chunks[c->chunk];
 		memset(&c->chunks[c->chunk], 0, sizeof(*c->chunks));
-		c->key = agb_journal_chunk_key(o->elect.shard, o->epoch,
-		    c->covered, (uint32_t)c->chunk);
+		c->key = agb_journal_chunk_key(
+		    o->elect.shard, o->epoch, c->covered, (uint32_t)c->chunk);
 	} else {
 		fill(o, now);
 	}
@@ -252,8 +251,8 @@
 			continue;
 		j->refs--;
 		if (done.items[i].token != 0)
-			own_job_state(j, AGB_X_CANCEL, done.items[i].token,
-			    NULL, out);
+			own_job_state(
+			    j, AGB_X_CANCEL, done.items[i].token, NULL, out);
 	}
 	records_free(&done);
 	own_snapshot_check(o, now, out);
@@ -302,8 +301,7 @@
     struct agb_effects *out)
 {
 	if (r->kind == OWN_WAIT_SUBMIT && maybe)
-		own_job_refuse(o, r->ref, AGB_UNKNOWN,
-		    AGB_REASON_STORE_UNKNOWN,
+		own_job_refuse(o, r->ref, AGB_UNKNOWN, AGB_REASON_STORE_UNKNOWN,
 		    "the store did not tell whether it took the job", out);
 	else if (r->kind == OWN_WAIT_SUBMIT)
 		own_job_refuse(o, r->ref, AGB_NOT_RUN, AGB_REASON_NO_OWNER,
@@ -322,8 +320,7 @@
 own_commit_drop(struct agb_owner *o, agb_time now, struct agb_effects *out)
 {
 	struct own_commit *const c = &o->commit;
-	const bool maybe =
-	    c->busy && (c->lost || (c->tag != 0 && !c->reading));
+	const bool maybe = c->busy && (c->lost || (c->tag != 0 && !c->reading));
 	size_t i;
 
 	(void)now;
--- a/src/agatebeam/owner_elect.c
+++ b/src/agatebeam/owner_elect.c
@@ -16,8 +16,8 @@
 {
 	struct own_elect *const e = &o->elect;
 
-	e->shard = agb_xasprintf("agatebeam/%s/shard/%s/", o->cfg.environment,
-	    o->cfg.domain);
+	e->shard = agb_xasprintf(
+	    "agatebeam/%s/shard/%s/", o->cfg.environment, o->cfg.domain);
 	e->key = agb_xasprintf("%sowner", e->shard);
 }
 
@@ -99,8 +99,8 @@
 }
 
 void
-own_drop(struct agb_owner *o, agb_time now, const char *why,
-    struct agb_effects *out)
+own_drop(
+    struct agb_owner *o, agb_time now, const char *why, struct agb_effects *out)
 {
 	agb_effects_log(out, AGB_LOG_WARN, "role-lost",
 	    "domain=%s epoch=%llu reason=\"%s\"", o->cfg.domain,
@@ -131,8 +131,8 @@
 }
 
 static void
-elected(struct agb_owner *o, agb_time now, uint64_t epoch,
-    struct agb_effects *out)
+elected(
+    struct agb_owner *o, agb_time now, uint64_t epoch, struct agb_effects *out)
 {
 	struct own_elect *const e = &o->elect;
 
@@ -168,8 +168,7 @@
 	e->absent = true;
 	e->known[0] = '\0';
 	if (o->role == OWN_FOLLOWER && e->campaign_at == 0)
-		e->campaign_at =
-		    (now < e->not_before ? e->not_before : now) +
+		e->campaign_at = (now < e->not_before ? e->not_before : now) +
 		    CAMPAIGN_DELAY_MS * AGB_MS +
 		    own_random(o, CAMPAIGN_JITTER_MS * 1000);
 }
@@ -453,11 +452,10 @@
 	    !own_commit_idle(o))
 		return;
 	o->role = OWN_HANDOVER;
-	agb_effects_log(out, AGB_LOG_INFO, "handover",
-	    "domain=%s epoch=%llu", o->cfg.domain,
-	    (unsigned long long)o->epoch);
-	own_grant_drop(o, AGB_REASON_DRAINING, "the owner is shutting down",
-	    out);
+	agb_effects_log(out, AGB_LOG_INFO, "handover", "domain=%s epoch=%llu",
+	    o->cfg.domain, (unsigned long long)o->epoch);
+	own_grant_drop(
+	    o, AGB_REASON_DRAINING, "the owner is shutting down", out);
 	own_job_drop_waits(o, "the owner is shutting down", out);
 	ef = store_call(o, out, &o->elect.tag_end);
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
--- a/src/agatebeam/owner_explain.c
+++ b/src/agatebeam/owner_explain.c
@@ -16,8 +16,7 @@
 	size_t len;
 };
 
-static void
-say(struct text *t, const char *fmt, ...)
+static void say(struct text *t, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
 static void
@@ -99,8 +98,8 @@
 }
 
 static void
-say_job(struct agb_owner *o, agb_time now, struct text *x,
-    const struct own_job *j)
+say_job(
+    struct agb_owner *o, agb_time now, struct text *x, const struct own_job *j)
 {
 	char *buf;
 	uint32_t i;
@@ -140,16 +139,14 @@
 }
 
 static void
-say_grant(const struct agb_owner *o, struct text *x,
-    const struct own_grant *g)
+say_grant(const struct agb_owner *o, struct text *x, const struct own_grant *g)
 {
 	static const char *const names[] = {
 	    [OWN_GRANT_ASKED] = "waits for a free slot",
 	    [OWN_GRANT_COMMIT] = "has a slot, its key is not durable yet",
 	    [OWN_GRANT_GIVEN] = "has been granted a slot",
 	    [OWN_GRANT_REVOKED] = "is being revoked",
-	    [OWN_GRANT_BUSY] = "keeps its runner busy; waits for the worker "
-			       "to report that it has ended",
+	    [OWN_GRANT_BUSY] = "is busy until the worker reports its end",
 	};
 
 	say(x, "request %s of team %s, service %s, entry instance %s\n",
--- a/src/agatebeam/owner_grant.c
+++ b/src/agatebeam/owner_grant.c
@@ -17,9 +17,8 @@
 
 static void
 grant_reply(const struct agb_owner *o, uint64_t token,
-    const struct own_grant *g, enum agb_outcome outcome,
-    enum agb_reason reason, uint32_t retry_ms, const char *detail,
-    struct agb_effects *out)
+    const struct own_grant *g, enum agb_outcome outcome, enum agb_reason reason,
+    uint32_t retry_ms, const char *detail, struct agb_effects *out)
 {
 	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
 	agb_x_grant_res *const r = &ef->u.rpc_res.agb_x_res_u.grant;
@@ -80,8 +79,7 @@
 		    out);
 	else if (!own_leased(o, now))
 		refuse(o, token, a, AGB_NOT_RUN, AGB_REASON_ISOLATED,
-		    "the store cannot be reached to make the key unique",
-		    out);
+		    "the store cannot be reached to make the key unique", out);
 	else if (o->keys.len >= KEYS_MAX)
 		refuse(o, token, a, AGB_NOT_RUN, AGB_REASON_OVERLOAD,
 		    "too many keys are remembered", out);
@@ -170,9 +168,11 @@
 grant_end(struct agb_owner *o, agb_time now, struct own_grant *g,
     enum agb_result result, const char *why, struct agb_effects *out)
 {
+	/* Placement keeps the slot of a lost attempt; here the slot is free,
+	 * whatever became of the request. */
 	const struct agb_sched_event ev = {.type = AGB_SCHED_QUICK_DONE,
 	    .attempt = g->attempt,
-	    .result = result};
+	    .result = result == AGB_RESULT_LOST ? AGB_RESULT_STOPPED : result};
 	char text[160];
 
 	agb_effects_log(out, AGB_LOG_INFO, "release",
@@ -184,6 +184,7 @@
 	    g->worker->inst.id, why);
 	remember(o, g->request, text);
 	if (g->dedup != NULL) {
+		g->dedup->held = false;
 		own_key_resolve(o, now, g->dedup, result);
 		g->dedup = NULL;
 	}
@@ -202,8 +203,7 @@
 give(struct agb_owner *o, struct own_grant *g, struct agb_effects *out)
 {
 	g->state = OWN_GRANT_GIVEN;
-	grant_reply(
-	    o, g->token, g, AGB_NOT_RUN, AGB_REASON_NONE, 0, "", out);
+	grant_reply(o, g->token, g, AGB_NOT_RUN, AGB_REASON_NONE, 0, "", out);
 	own_wake(o, g->revoke_at);
 }
 
@@ -224,8 +224,7 @@
 	g->worker = w;
 	g->weighed = e->weighed;
 	own_vec_add(&w->grants, g);
-	own_map_put(
-	    &o->grant_attempts, &g->attempt, sizeof(g->attempt), g);
+	own_map_put(&o->grant_attempts, &g->attempt, sizeof(g->attempt), g);
 	agb_effects_log(out, AGB_LOG_INFO, "grant",
 	    "request=%s work=%s team=%s attempt=%" PRIu64 "-%" PRIu64
 	    " worker=%s weighed=%u reason=\"%s\"",
@@ -237,8 +236,7 @@
 	}
 	g->state = OWN_GRANT_COMMIT;
 	own_key_attempt(o, g->dedup, &g->attempt);
-	agb_name_set(
-	    g->dedup->worker, sizeof(g->dedup->worker), w->inst.id);
+	agb_name_set(g->dedup->worker, sizeof(g->dedup->worker), w->inst.id);
 	q->team = g->dedup->team;
 	q->key = g->dedup->key;
 	q->epoch = e->attempt.epoch;
@@ -315,8 +313,7 @@
 	const struct agb_attempt a = {r->attempt.epoch, r->attempt.seq};
 	const enum agb_result result = (enum agb_result)r->result;
 	struct own_grant *const g = grant_of(o, a.epoch, a.seq);
-	struct own_key *const k =
-	    own_map_get(&o->key_attempts, &a, sizeof(a));
+	struct own_key *const k = own_map_get(&o->key_attempts, &a, sizeof(a));
 
 	if (g == NULL || g->dead) {
 		/* A grant of an earlier owner, or one revoked meanwhile. */
@@ -329,10 +326,16 @@
 	if (result == AGB_RESULT_LOST) {
 		/* The runner may still be busy with it: only the worker can
 		 * give the slot back. */
+		const struct agb_sched_event ev = {.type = AGB_SCHED_QUICK_DONE,
+		    .attempt = a,
+		    .result = result};
+
+		own_sched_feed(o, now, &ev, out);
 		if (g->dedup != NULL)
 			own_key_resolve(o, now, g->dedup, result);
 		if (g->state == OWN_GRANT_GIVEN)
-			ask_revoke(o, now, g, "the entry instance lost it", out);
+			ask_revoke(
+			    o, now, g, "the entry instance lost it", out);
 		return;
 	}
 	if (g->dedup == NULL && k != NULL)
@@ -376,8 +379,7 @@
 }
 
 static bool
-in_slots(const struct own_grant *g, const struct agb_attempt *slots,
-    size_t len)
+in_slots(const struct own_grant *g, const struct agb_attempt *slots, size_t len)
 {
 	size_t i;
 
@@ -407,8 +409,7 @@
 	}
 	own_list_add(&o->grants, g);
 	own_vec_add(&w->grants, g);
-	own_map_put(
-	    &o->grant_attempts, &g->attempt, sizeof(g->attempt), g);
+	own_map_put(&o->grant_attempts, &g->attempt, sizeof(g->attempt), g);
 	agb_effects_log(out, AGB_LOG_INFO, "adopt",
 	    "attempt=%" PRIu64 "-%" PRIu64 " worker=%s service=%s", a->epoch,
 	    a->seq, w->inst.id, w->inst.service);
@@ -457,8 +458,7 @@
     struct agb_effects *out)
 {
 	while (w->grants.len > 0) {
-		struct own_grant *const g =
-		    w->grants.items[w->grants.len - 1];
+		struct own_grant *const g = w->grants.items[w->grants.len - 1];
 
 		grant_end(o, now, g,
 		    g->state == OWN_GRANT_COMMIT ? AGB_RESULT_NOT_STARTED
@@ -502,8 +502,8 @@
 			g->state != OWN_GRANT_COMMIT) ||
 		    g->token == 0)
 			continue;
-		grant_reply(o, g->token, NULL, AGB_NOT_RUN, reason, 200, why,
-		    out);
+		grant_reply(
+		    o, g->token, NULL, AGB_NOT_RUN, reason, 200, why, out);
 		g->token = 0;
 	}
 }
--- a/src/agatebeam/owner_key.c
+++ b/src/agatebeam/owner_key.c
@@ -18,12 +18,11 @@
 
 /* Names the attempt that a release will carry. */
 void
-own_key_attempt(struct agb_owner *o, struct own_key *k,
-    const struct agb_attempt *attempt)
+own_key_attempt(
+    struct agb_owner *o, struct own_key *k, const struct agb_attempt *attempt)
 {
 	k->attempt = *attempt;
-	own_map_put(
-	    &o->key_attempts, &k->attempt, sizeof(k->attempt), k);
+	own_map_put(&o->key_attempts, &k->attempt, sizeof(k->attempt), k);
 }
 
 struct own_key *
@@ -49,8 +48,7 @@
 	own_list_del(&o->keys, k);
 	own_map_del(&o->key_names, k->dedup, k->dedup_len);
 	if (k->attempt.epoch != 0)
-		own_map_del(
-		    &o->key_attempts, &k->attempt, sizeof(k->attempt));
+		own_map_del(&o->key_attempts, &k->attempt, sizeof(k->attempt));
 	free(k->dedup);
 	free(k);
 }
@@ -98,7 +96,8 @@
 	d->epoch = k->attempt.epoch;
 	d->seq = k->attempt.seq;
 	d->outcome = (int)outcome;
-	if (k->durable || k->held)
+	/* Its intent is on its way once it has an attempt. */
+	if (k->attempt.epoch != 0)
 		own_commit_add(o, now, &rec, OWN_WAIT_NONE, NULL, 0);
 	if (outcome == AGB_NOT_RUN)
 		own_key_delete(o, k);
--- a/src/agatebeam/owner_recover.c
+++ b/src/agatebeam/owner_recover.c
@@ -22,8 +22,8 @@
 	struct agb_effect *const ef = agb_effects_add(out, AGB_EF_STORE);
 	char *prefix, *end;
 
-	prefix = agb_xasprintf("%s%s", o->elect.shard,
-	    r->journal ? "journal/" : "snapshot/");
+	prefix = agb_xasprintf(
+	    "%s%s", o->elect.shard, r->journal ? "journal/" : "snapshot/");
 	end = agb_store_prefix_end(prefix);
 	r->tag = own_tag(o);
 	ef->tag = r->tag;
@@ -273,8 +273,7 @@
 		} else {
 			c->snapshot_bytes += kv->val_len;
 		}
-		if (!agb_journal_read(
-			kv->val, kv->val_len, replay_record, p))
+		if (!agb_journal_read(kv->val, kv->val_len, replay_record, p))
 			return false;
 	}
 	return true;
@@ -335,8 +334,7 @@
 	r->from = NULL;
 	if (res->more && res->kvs_len > 0) {
 		/* The first key after the last one read. */
-		r->from = agb_xasprintf(
-		    "%s ", res->kvs[res->kvs_len - 1].key);
+		r->from = agb_xasprintf("%s ", res->kvs[res->kvs_len - 1].key);
 	} else if (!r->journal) {
 		r->journal = true;
 		r->snapshot_len = r->kvs_len;
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -109,8 +109,8 @@
 	    " worker=%s weighed=%u cpu=%lld mem=%lld accel=%lld "
 	    "reason=\"%s\"",
 	    t->job->id, t->n, e->attempt.epoch, e->attempt.seq, w->inst.id,
-	    e->weighed, (long long)e->need.cpu_milli,
-	    (long long)e->need.mem_mb, (long long)e->need.accel, e->detail);
+	    e->weighed, (long long)e->need.cpu_milli, (long long)e->need.mem_mb,
+	    (long long)e->need.accel, e->detail);
 	s->job = t->job->id;
 	s->task = t->n;
 	s->epoch = e->attempt.epoch;
@@ -122,8 +122,8 @@
 
 /* The intent is durable. */
 void
-own_task_durable(struct agb_owner *o, struct own_task *t,
-    const struct agb_attempt *attempt)
+own_task_durable(
+    struct agb_owner *o, struct own_task *t, const struct agb_attempt *attempt)
 {
 	struct agb_command c = {.kind = AGB_COMMAND_START};
 	uint16_t work;
@@ -226,8 +226,8 @@
 static const char *
 result_name(enum agb_result r)
 {
-	static const char *const names[] = {"ok", "failed", "not-started",
-	    "lost", "stopped", "checkpointed"};
+	static const char *const names[] = {
+	    "ok", "failed", "not-started", "lost", "stopped", "checkpointed"};
 
 	return (unsigned)r < sizeof(names) / sizeof(names[0]) ? names[r] : "?";
 }
@@ -255,8 +255,7 @@
 own_task_result(struct own_task *t, enum agb_result result)
 {
 	t->result = result;
-	t->state =
-	    result == AGB_RESULT_OK ? OWN_TASK_ENDED : OWN_TASK_WAITING;
+	t->state = result == AGB_RESULT_OK ? OWN_TASK_ENDED : OWN_TASK_WAITING;
 	if (result == AGB_RESULT_LOST)
 		t->job->lost = true;
 	else if (result != AGB_RESULT_NOT_STARTED)
@@ -294,8 +293,8 @@
 	r->epoch = t->attempt.epoch;
 	r->seq = t->attempt.seq;
 	r->result = (int)result;
-	own_commit_add(o, now, &rec,
-	    ack != NULL ? OWN_WAIT_ACK : OWN_WAIT_NONE, ack, 0);
+	own_commit_add(
+	    o, now, &rec, ack != NULL ? OWN_WAIT_ACK : OWN_WAIT_NONE, ack, 0);
 	feed_end(o, now, t->job, t->n, &t->attempt, result, out);
 }
 
--- a/tests/history/check.h
+++ b/tests/history/check.h
@@ -12,18 +12,18 @@
 
 enum violation {
 	V_NONE,
-	V_CAPACITY,	/* 1: more work than an instance has room for */
-	V_TWO_PLACES,	/* 2: a task runs in two places at once */
-	V_ANSWER,	/* 3: an answer that is short or another's */
-	V_NOT_RUN,	/* 4: told not-run, but it ran */
-	V_RAN,		/* 4: told that it ran, but it did not */
-	V_TWICE,	/* 5: non-idempotent work ran twice */
-	V_LEAVING,	/* 6: new work on a leaving upstream */
-	V_SHUTDOWN,	/* 7: a graceful shutdown cut a request off */
-	V_DOC_REVERT,	/* 8: an older document came back into force */
-	V_DOC_LATE,	/* 8: an accepted document is not in force */
-	V_NO_ANSWER,	/* a request without an answer at the end */
-	V_NOT_FINAL,	/* an accepted job without a final outcome */
+	V_CAPACITY,   /* 1: more work than an instance has room for */
+	V_TWO_PLACES, /* 2: a task runs in two places at once */
+	V_ANSWER,     /* 3: an answer that is short or another's */
+	V_NOT_RUN,    /* 4: told not-run, but it ran */
+	V_RAN,	      /* 4: told that it ran, but it did not */
+	V_TWICE,      /* 5: non-idempotent work ran twice */
+	V_LEAVING,    /* 6: new work on a leaving upstream */
+	V_SHUTDOWN,   /* 7: a graceful shutdown cut a request off */
+	V_DOC_REVERT, /* 8: an older document came back into force */
+	V_DOC_LATE,   /* 8: an accepted document is not in force */
+	V_NO_ANSWER,  /* a request without an answer at the end */
+	V_NOT_FINAL,  /* an accepted job without a final outcome */
 	V_MAX
 };
 
--- a/tests/history/record.h
+++ b/tests/history/record.h
@@ -11,24 +11,24 @@
 #include "types.h"
 
 enum rec_type {
-	REC_CALL,	/* call, node, job, idempotent, key */
-	REC_ANSWER,	/* call, outcome, reason */
-	REC_FORWARD,	/* call, content, whole: an upstream's answer */
-	REC_BROKEN,	/* call, node: its connection broke */
-	REC_ACCEPTED,	/* call: a job got its id */
-	REC_JOB_DONE,	/* call, outcome, reason: final state as read */
-	REC_RUN,	/* call, task, worker, need: work starts */
-	REC_END,	/* call, task, worker: it has ended */
+	REC_CALL,	 /* call, node, job, idempotent, key */
+	REC_ANSWER,	 /* call, outcome, reason */
+	REC_FORWARD,	 /* call, content, whole: an upstream's answer */
+	REC_BROKEN,	 /* call, node: its connection broke */
+	REC_ACCEPTED,	 /* call: a job got its id */
+	REC_JOB_DONE,	 /* call, outcome, reason: final state as read */
+	REC_RUN,	 /* call, task, worker, need: work starts */
+	REC_END,	 /* call, task, worker: it has ended */
 	REC_WORKER_DEAD, /* worker: all it ran has ended */
-	REC_CAPACITY,	/* worker, need: what it offers */
-	REC_LEAVING,	/* worker: it has said that it leaves */
-	REC_DOC,	/* version: an operator's change was accepted */
-	REC_IN_FORCE,	/* node, incarnation, version */
-	REC_TERM,	/* node: asked to shut down */
-	REC_EXIT,	/* node: it has shut down by itself */
-	REC_KILL,	/* node: killed, or gone after a limit */
-	REC_QUIET,	/* all faults have healed */
-	REC_FINISH,	/* end of the run */
+	REC_CAPACITY,	 /* worker, need: what it offers */
+	REC_LEAVING,	 /* worker: it has said that it leaves */
+	REC_DOC,	 /* version: an operator's change was accepted */
+	REC_IN_FORCE,	 /* node, incarnation, version */
+	REC_TERM,	 /* node: asked to shut down */
+	REC_EXIT,	 /* node: it has shut down by itself */
+	REC_KILL,	 /* node: killed, or gone after a limit */
+	REC_QUIET,	 /* all faults have healed */
+	REC_FINISH,	 /* end of the run */
 };
 
 /**
