feat(rpc): calls between entry instances over TCP

Cause: HTTP headers alone cost more bytes than the messages, and libtirpc's own clients and servers block a thread.

Change: one connection a peer, pipelined, one write a loop turn, jittered reconnection, limits on records, calls, queued bytes, connections and addresses. A failed call says whether it was written.

Conclusion: test_rpc holds batching (100 calls in one write), 17 forged calls, 9 kinds of forged or lost replies, floods and slow peers.

--- /dev/null
+++ b/src/agatebeam/rpc.c
@@ -0,0 +1,973 @@
+#include "rpc.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "addr.h"
+#include "mem.h"
+
+#define BACKLOG 128
+#define CONNS_PER_IP_MAX 64
+#define CONNECT_TIMEOUT_MS 1000
+#define BACKOFF_MIN_MS 50
+/* A restarted peer is tried again within a second. */
+#define BACKOFF_MAX_MS 1000
+#define SWEEP_MS 1000
+/* Heartbeats come every 500 ms, so that a silent connection is stale. */
+#define IDLE_MS 60000
+/* A record that is not complete after this time is a fault of the peer. */
+#define PARTIAL_MS 10000
+
+struct traffic {
+	struct agb_rpc_peer sum;
+	UT_hash_handle hh;
+};
+
+struct peer;
+
+/* A connection: to a peer that we call, or from one that calls (@peer NULL). */
+struct conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct agb_rpc *r;
+	struct conn *prev, *next;
+	struct peer *peer;
+	agb_addr ip;
+	struct traffic *traffic;
+	struct agb_rpcmsg_reader reader;
+	char *out; /* records of this loop turn */
+	size_t out_len, out_cap;
+	char *writing; /* bytes that uv_write() holds */
+	uint64_t heard_at;
+	bool connected;
+	bool closing;
+	bool paused;
+	struct incoming *incoming;
+	size_t incoming_len;
+};
+
+/* A call from a peer that waits for our reply. */
+struct incoming {
+	uint64_t token;
+	struct conn *conn;
+	uint32_t xid;
+	agb_x_proc proc;
+	struct incoming *prev, *next;
+	UT_hash_handle hh;
+};
+
+struct peer {
+	agb_addr addr;
+	struct sockaddr_storage sa;
+	UT_hash_handle hh;
+	struct agb_rpc *r;
+	struct conn *conn;
+	struct call *calls;	/* unwritten ones at the end */
+	struct call *unwritten; /* first of them */
+	size_t calls_len;
+	size_t unwritten_bytes;
+	uint64_t used_at;
+	uint64_t retry_at;
+	uint32_t backoff_ms;
+};
+
+/* A call of ours that waits for its reply. */
+struct call {
+	uint32_t xid;
+	uint64_t tag;
+	agb_x_proc proc;
+	struct agb_rpc *r;
+	struct peer *peer;
+	struct call *prev, *next;
+	UT_hash_handle hh;
+	uv_timer_t timer;
+	char *rec; /* NULL once written */
+	size_t rec_len;
+	bool sent;
+};
+
+struct agb_rpc {
+	uv_loop_t *loop;
+	struct agb_rpc_cbs cbs;
+	void *arg;
+	uv_tcp_t listener;
+	uv_prepare_t prepare;
+	uv_idle_t idle;
+	uv_timer_t sweep;
+	int handles;
+	bool closing;
+	bool dirty; /* a connection may have something to write */
+	agb_addr addr;
+	agb_addr *allowed;
+	size_t allowed_len;
+	struct conn *conns;
+	size_t conns_len;
+	struct peer *peers;
+	struct call *calls;	   /* by xid */
+	struct call *failed;	   /* wait for their callback */
+	struct incoming *incoming; /* by token */
+	struct traffic *traffic;
+	uint32_t next_xid;
+	uint64_t next_token;
+	uint64_t random;
+	struct agb_rpc_stats stats;
+	char scratch[AGB_RPC_BUF_LEN];
+};
+
+static void __attribute__((format(printf, 4, 5))) log_line(struct agb_rpc *r,
+    enum agb_log_level level, const char *event, const char *fmt, ...)
+{
+	char line[256];
+	va_list ap;
+
+	if (r->cbs.log == NULL)
+		return;
+	va_start(ap, fmt);
+	vsnprintf(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	r->cbs.log(r->arg, level, event, line);
+}
+
+/* Counts the traffic with an address; NULL when there are too many. */
+static struct traffic *
+traffic_get(struct agb_rpc *r, const char *addr)
+{
+	struct traffic *t;
+
+	HASH_FIND_STR(r->traffic, addr, t);
+	if (t != NULL || HASH_COUNT(r->traffic) >= 2 * AGB_RPC_PEERS_MAX)
+		return t;
+	t = agb_xcalloc(1, sizeof(*t));
+	agb_name_set(t->sum.addr, sizeof(t->sum.addr), addr);
+	HASH_ADD_STR(r->traffic, sum.addr, t);
+	return t;
+}
+
+static void
+on_idle(uv_idle_t *h)
+{
+}
+
+static void
+on_call_closed(uv_handle_t *h)
+{
+	struct call *const call = h->data;
+
+	free(call->rec);
+	free(call);
+}
+
+/* Takes a call out of its peer; it is then in no list. */
+static void
+call_detach(struct call *call)
+{
+	struct peer *const p = call->peer;
+
+	uv_timer_stop(&call->timer);
+	HASH_DEL(call->r->calls, call);
+	if (p->unwritten == call)
+		p->unwritten = call->next;
+	if (call->rec != NULL)
+		p->unwritten_bytes -= call->rec_len;
+	DL_DELETE(p->calls, call);
+	p->calls_len--;
+	p->used_at = uv_now(call->r->loop);
+}
+
+static void
+call_free(struct call *call)
+{
+	uv_close((uv_handle_t *)&call->timer, on_call_closed);
+}
+
+/* Ends a detached call without a result, from the next loop turn. */
+static void
+call_fail(struct call *call, bool sent)
+{
+	call->sent = sent;
+	DL_APPEND(call->r->failed, call);
+	uv_idle_start(&call->r->idle, on_idle);
+}
+
+static void
+fail_peer_calls(struct peer *p)
+{
+	struct call *call, *next;
+
+	for (call = p->calls; call != NULL; call = next) {
+		next = call->next;
+		call_detach(call);
+		call_fail(call, call->rec == NULL);
+	}
+}
+
+static void
+on_conn_closed(uv_handle_t *h)
+{
+	struct conn *const conn = h->data;
+
+	agb_rpcmsg_reader_free(&conn->reader);
+	free(conn->out);
+	free(conn->writing);
+	free(conn);
+}
+
+static void
+incoming_free(struct incoming *in)
+{
+	struct conn *const conn = in->conn;
+
+	if (conn->r->incoming != NULL)
+		HASH_DEL(conn->r->incoming, in);
+	DL_DELETE(conn->incoming, in);
+	conn->incoming_len--;
+	free(in);
+}
+
+static void
+conn_close(struct conn *conn)
+{
+	struct agb_rpc *const r = conn->r;
+	struct incoming *in, *next;
+
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	DL_DELETE(r->conns, conn);
+	r->conns_len--;
+	for (in = conn->incoming; in != NULL; in = next) {
+		next = in->next;
+		incoming_free(in);
+	}
+	if (conn->peer != NULL) {
+		conn->peer->conn = NULL;
+		fail_peer_calls(conn->peer);
+	}
+	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void
+conn_malformed(struct conn *conn, const char *cause)
+{
+	conn->r->stats.malformed++;
+	log_line(conn->r, AGB_LOG_WARN, "rpc-malformed", "peer=%s cause=%s",
+	    conn->ip, cause);
+	conn_close(conn);
+}
+
+static void
+count_in(struct conn *conn, size_t n)
+{
+	if (conn->traffic != NULL)
+		conn->traffic->sum.bytes_in += n;
+}
+
+static void
+count_out(struct conn *conn, size_t n)
+{
+	conn->r->stats.writes++;
+	if (conn->traffic != NULL)
+		conn->traffic->sum.bytes_out += n;
+}
+
+/* Adds a record to what the connection writes at the end of the turn. */
+static void
+out_add(struct conn *conn, const char *rec, size_t len)
+{
+	if (conn->out_len + len > AGB_RPC_QUEUE_BYTES_MAX) {
+		conn->r->stats.slow_peers++;
+		log_line(conn->r, AGB_LOG_WARN, "rpc-slow-peer", "peer=%s",
+		    conn->ip);
+		conn_close(conn);
+		return;
+	}
+	if (conn->out_len + len > conn->out_cap) {
+		conn->out_cap = (conn->out_len + len) * 2;
+		conn->out = agb_xreallocarray(conn->out, conn->out_cap, 1);
+	}
+	memcpy(conn->out + conn->out_len, rec, len);
+	conn->out_len += len;
+	conn->r->dirty = true;
+}
+
+static void
+take_reply(struct conn *conn, const char *rec, size_t len)
+{
+	struct agb_rpc *const r = conn->r;
+	enum agb_rpc_verdict verdict;
+	struct call *call;
+	agb_x_res res;
+	uint32_t xid;
+	size_t body = 0;
+
+	verdict = agb_rpcmsg_parse_reply(rec, len, &xid, &body);
+	if (verdict == AGB_RPC_MALFORMED) {
+		conn_malformed(conn, "reply");
+		return;
+	}
+	HASH_FIND(hh, r->calls, &xid, sizeof(xid), call);
+	if (call == NULL || call->peer != conn->peer || call->rec != NULL) {
+		/* Its call has timed out, or never was. */
+		r->stats.unknown_xid++;
+		return;
+	}
+	if (verdict == AGB_RPC_OK &&
+	    !agb_rpcmsg_parse_res(rec + body, len - body, call->proc, &res)) {
+		conn_malformed(conn, "result");
+		return;
+	}
+	call_detach(call);
+	if (verdict == AGB_RPC_OK) {
+		r->cbs.reply(r->arg, call->tag, true, true, &res);
+	} else {
+		log_line(r, AGB_LOG_WARN, "rpc-rejected",
+		    "peer=%s proc=%d verdict=%d", conn->ip, (int)call->proc,
+		    (int)verdict);
+		/* All but a system error precede the procedure. */
+		r->cbs.reply(
+		    r->arg, call->tag, false, verdict == AGB_RPC_SYSTEM, NULL);
+	}
+	call_free(call);
+}
+
+static void
+reply_error(struct conn *conn, uint32_t xid, enum agb_rpc_verdict verdict)
+{
+	struct agb_rpc *const r = conn->r;
+
+	r->stats.rejected++;
+	out_add(
+	    conn, r->scratch, agb_rpcmsg_reply(r->scratch, xid, verdict, NULL));
+}
+
+static void
+take_call(struct conn *conn, const char *rec, size_t len)
+{
+	struct agb_rpc *const r = conn->r;
+	const agb_x_res null_res = {.proc = AGB_X_NULL};
+	enum agb_rpc_verdict verdict;
+	struct incoming *in;
+	agb_x_args args;
+	uint32_t xid;
+
+	verdict = agb_rpcmsg_parse_call(rec, len, &xid, &args);
+	if (verdict == AGB_RPC_MALFORMED) {
+		conn_malformed(conn, "call");
+		return;
+	}
+	if (verdict != AGB_RPC_OK) {
+		log_line(r, AGB_LOG_WARN, "rpc-refused", "peer=%s verdict=%d",
+		    conn->ip, (int)verdict);
+		reply_error(conn, xid, verdict);
+		return;
+	}
+	r->stats.calls_in++;
+	if (args.proc == AGB_X_NULL) {
+		out_add(conn, r->scratch,
+		    agb_rpcmsg_reply(r->scratch, xid, AGB_RPC_OK, &null_res));
+		return;
+	}
+	in = agb_xcalloc(1, sizeof(*in));
+	in->token = ++r->next_token;
+	in->conn = conn;
+	in->xid = xid;
+	in->proc = args.proc;
+	HASH_ADD(hh, r->incoming, token, sizeof(in->token), in);
+	DL_APPEND(conn->incoming, in);
+	if (++conn->incoming_len >= AGB_RPC_CALLS_MAX) {
+		conn->paused = true;
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+	}
+	r->cbs.call(r->arg, in->token, conn->ip, &args);
+}
+
+static void
+take_records(struct conn *conn)
+{
+	const char *rec;
+	size_t len = 0;
+
+	while (!conn->closing && !conn->paused) {
+		if (!agb_rpcmsg_next(&conn->reader, &rec, &len)) {
+			conn_malformed(conn, "record");
+			return;
+		}
+		if (rec == NULL)
+			return;
+		if (conn->peer != NULL)
+			take_reply(conn, rec, len);
+		else
+			take_call(conn, rec, len);
+	}
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
+{
+	struct conn *const conn = h->data;
+	size_t len;
+	char *p;
+
+	p = agb_rpcmsg_reserve(&conn->reader, &len);
+	*buf = uv_buf_init(p, (unsigned)len);
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *const conn = s->data;
+
+	if (n < 0) {
+		conn_close(conn);
+		return;
+	}
+	if (n == 0)
+		return;
+	conn->heard_at = uv_now(conn->r->loop);
+	count_in(conn, (size_t)n);
+	agb_rpcmsg_add(&conn->reader, (size_t)n);
+	take_records(conn);
+}
+
+static void
+on_written(uv_write_t *w, int status)
+{
+	struct conn *const conn = w->data;
+
+	free(conn->writing);
+	conn->writing = NULL;
+	if (status < 0)
+		conn_close(conn);
+	else
+		conn->r->dirty = true;
+}
+
+/* Moves the records of calls into the output; they count as written when
+ * the socket has taken any byte. */
+static void
+gather_calls(struct conn *conn)
+{
+	struct call *call;
+
+	for (call = conn->peer->unwritten; call != NULL && !conn->closing;
+	     call = call->next)
+		out_add(conn, call->rec, call->rec_len);
+}
+
+static void
+calls_written(struct peer *p)
+{
+	struct call *call;
+
+	for (call = p->unwritten; call != NULL; call = call->next) {
+		free(call->rec);
+		call->rec = NULL;
+	}
+	p->unwritten = NULL;
+	p->unwritten_bytes = 0;
+}
+
+static void
+conn_flush(struct conn *conn)
+{
+	uv_stream_t *const s = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buf;
+	int n;
+
+	if (conn->closing || !conn->connected || conn->writing != NULL)
+		return;
+	if (conn->peer != NULL)
+		gather_calls(conn);
+	if (conn->closing || conn->out_len == 0)
+		return;
+	buf = uv_buf_init(conn->out, (unsigned)conn->out_len);
+	n = uv_try_write(s, &buf, 1);
+	if (n < 0 && n != UV_EAGAIN) {
+		conn_close(conn);
+		return;
+	}
+	count_out(conn, conn->out_len);
+	if (conn->peer != NULL)
+		calls_written(conn->peer);
+	if (n < 0)
+		n = 0;
+	if ((size_t)n < conn->out_len) {
+		conn->writing = conn->out;
+		buf.base += n;
+		buf.len -= (size_t)n;
+		conn->out = NULL;
+		conn->out_cap = 0;
+		conn->write.data = conn;
+		if (uv_write(&conn->write, s, &buf, 1, on_written) != 0)
+			conn_close(conn);
+	}
+	conn->out_len = 0;
+}
+
+static void
+conn_resume(struct conn *conn)
+{
+	if (conn->closing || !conn->paused ||
+	    conn->incoming_len > AGB_RPC_CALLS_MAX / 2)
+		return;
+	conn->paused = false;
+	take_records(conn);
+	if (!conn->closing && !conn->paused)
+		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void
+deliver_failed(struct agb_rpc *r)
+{
+	struct call *call;
+	size_t n;
+
+	DL_COUNT(r->failed, call, n);
+	while (n-- > 0 && r->failed != NULL && !r->closing) {
+		call = r->failed;
+		DL_DELETE(r->failed, call);
+		r->cbs.reply(r->arg, call->tag, false, call->sent, NULL);
+		call_free(call);
+	}
+}
+
+/* Runs before the loop sleeps: whatever was called or answered since the
+ * last time goes out in one write for each connection. */
+static void
+on_prepare(uv_prepare_t *h)
+{
+	struct agb_rpc *const r = h->data;
+	struct conn *conn, *next;
+
+	deliver_failed(r);
+	while (r->dirty && !r->closing) {
+		r->dirty = false;
+		for (conn = r->conns; conn != NULL; conn = next) {
+			next = conn->next;
+			conn_resume(conn);
+			conn_flush(conn);
+		}
+	}
+	if (r->failed == NULL && !r->closing)
+		uv_idle_stop(&r->idle);
+}
+
+static struct conn *
+conn_new(struct agb_rpc *r)
+{
+	struct conn *const conn = agb_xcalloc(1, sizeof(*conn));
+
+	conn->r = r;
+	uv_tcp_init(r->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->heard_at = uv_now(r->loop);
+	DL_APPEND(r->conns, conn);
+	r->conns_len++;
+	return conn;
+}
+
+static bool
+may_connect(const struct agb_rpc *r, const struct conn *conn)
+{
+	const struct conn *other;
+	size_t i, same = 0;
+
+	for (i = 0; i < r->allowed_len; i++) {
+		if (strcmp(r->allowed[i], conn->ip) == 0)
+			break;
+	}
+	for (other = r->conns; other != NULL; other = other->next)
+		same += other->peer == NULL && strcmp(other->ip, conn->ip) == 0;
+	return i < r->allowed_len && same <= CONNS_PER_IP_MAX &&
+	    r->conns_len <= AGB_RPC_CONNS_MAX;
+}
+
+static void
+on_accept(uv_stream_t *s, int status)
+{
+	struct agb_rpc *const r = s->data;
+	struct sockaddr_storage sa;
+	int len = sizeof(sa);
+	struct conn *conn;
+
+	if (status < 0)
+		return;
+	conn = conn_new(r);
+	if (uv_accept(s, (uv_stream_t *)&conn->tcp) != 0 ||
+	    uv_tcp_getpeername(&conn->tcp, (struct sockaddr *)&sa, &len) != 0) {
+		conn_close(conn);
+		return;
+	}
+	agb_addr_format(&sa, false, conn->ip);
+	if (!may_connect(r, conn)) {
+		r->stats.refused++;
+		log_line(
+		    r, AGB_LOG_WARN, "rpc-peer-refused", "peer=%s", conn->ip);
+		conn_close(conn);
+		return;
+	}
+	conn->connected = true;
+	conn->traffic = traffic_get(r, conn->ip);
+	uv_tcp_nodelay(&conn->tcp, 1);
+	if (uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0)
+		conn_close(conn);
+}
+
+static uint64_t
+next_random(struct agb_rpc *r)
+{
+	r->random ^= r->random << 13;
+	r->random ^= r->random >> 7;
+	r->random ^= r->random << 17;
+	return r->random;
+}
+
+static void
+connect_failed(struct conn *conn)
+{
+	struct agb_rpc *const r = conn->r;
+	struct peer *const p = conn->peer;
+
+	r->stats.connect_failures++;
+	p->backoff_ms = p->backoff_ms == 0 ? BACKOFF_MIN_MS : p->backoff_ms * 2;
+	if (p->backoff_ms > BACKOFF_MAX_MS)
+		p->backoff_ms = BACKOFF_MAX_MS;
+	/* Half of the wait is random, so that peers do not reconnect at once. */
+	p->retry_at = uv_now(r->loop) + p->backoff_ms / 2 +
+	    next_random(r) % (p->backoff_ms / 2 + 1);
+	log_line(r, AGB_LOG_INFO, "rpc-connect-failed", "peer=%s backoff_ms=%u",
+	    p->addr, p->backoff_ms);
+	conn_close(conn);
+}
+
+static void
+on_connect(uv_connect_t *req, int status)
+{
+	struct conn *const conn = req->data;
+
+	if (conn->closing)
+		return;
+	if (status < 0 ||
+	    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0) {
+		connect_failed(conn);
+		return;
+	}
+	conn->connected = true;
+	conn->peer->backoff_ms = 0;
+	conn->heard_at = uv_now(conn->r->loop);
+	conn->r->stats.connects++;
+	conn->r->dirty = true;
+}
+
+static void
+peer_connect(struct peer *p)
+{
+	struct conn *const conn = conn_new(p->r);
+
+	conn->peer = p;
+	p->conn = conn;
+	agb_name_set(conn->ip, sizeof(conn->ip), p->addr);
+	conn->traffic = traffic_get(p->r, p->addr);
+	conn->connect.data = conn;
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+		(const struct sockaddr *)&p->sa, on_connect) != 0) {
+		connect_failed(conn);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+}
+
+static struct peer *
+peer_get(struct agb_rpc *r, const char *addr)
+{
+	struct sockaddr_storage sa;
+	struct peer *p;
+
+	HASH_FIND_STR(r->peers, addr, p);
+	if (p != NULL)
+		return p;
+	if (strlen(addr) >= AGB_ADDR_LEN || !agb_addr_parse(addr, false, &sa) ||
+	    HASH_COUNT(r->peers) >= AGB_RPC_PEERS_MAX)
+		return NULL;
+	p = agb_xcalloc(1, sizeof(*p));
+	agb_name_set(p->addr, sizeof(p->addr), addr);
+	p->sa = sa;
+	p->r = r;
+	p->used_at = uv_now(r->loop);
+	HASH_ADD_STR(r->peers, addr, p);
+	return p;
+}
+
+static void
+peer_free(struct agb_rpc *r, struct peer *p)
+{
+	HASH_DEL(r->peers, p);
+	free(p);
+}
+
+static void
+on_timeout(uv_timer_t *t)
+{
+	struct call *const call = t->data;
+	struct agb_rpc *const r = call->r;
+
+	call_detach(call);
+	r->cbs.reply(r->arg, call->tag, false, call->rec == NULL, NULL);
+	call_free(call);
+}
+
+/* Encodes a call and hands it to its peer; false when that cannot be. */
+static bool
+call_queue(struct call *call, const char *addr, const agb_x_args *args)
+{
+	struct agb_rpc *const r = call->r;
+	struct peer *const p = peer_get(r, addr);
+
+	call->rec_len = agb_rpcmsg_call(r->scratch, call->xid, args);
+	if (call->rec_len == 0) {
+		log_line(r, AGB_LOG_ERROR, "rpc-encode-failed",
+		    "peer=%s proc=%d", addr, (int)args->proc);
+		return false;
+	}
+	if (p == NULL || p->calls_len >= AGB_RPC_CALLS_MAX ||
+	    p->unwritten_bytes + call->rec_len > AGB_RPC_QUEUE_BYTES_MAX)
+		return false;
+	if (p->conn == NULL && uv_now(r->loop) < p->retry_at)
+		return false;
+	call->rec = agb_xmemdup(r->scratch, call->rec_len);
+	call->peer = p;
+	HASH_ADD(hh, r->calls, xid, sizeof(call->xid), call);
+	DL_APPEND(p->calls, call);
+	p->calls_len++;
+	p->unwritten_bytes += call->rec_len;
+	if (p->unwritten == NULL)
+		p->unwritten = call;
+	r->dirty = true;
+	return true;
+}
+
+void
+agb_rpc_call(struct agb_rpc *r, uint64_t tag, const char *peer,
+    const agb_x_args *args, uint32_t timeout_ms)
+{
+	struct call *const call = agb_xcalloc(1, sizeof(*call));
+
+	r->stats.calls_out++;
+	call->r = r;
+	call->tag = tag;
+	call->xid = ++r->next_xid;
+	call->proc = args->proc;
+	uv_timer_init(r->loop, &call->timer);
+	call->timer.data = call;
+	if (!call_queue(call, peer, args)) {
+		call_fail(call, false);
+		return;
+	}
+	if (timeout_ms > 0)
+		uv_timer_start(&call->timer, on_timeout, timeout_ms, 0);
+	if (call->peer->conn == NULL)
+		peer_connect(call->peer);
+}
+
+void
+agb_rpc_reply(struct agb_rpc *r, uint64_t token, const agb_x_res *res)
+{
+	struct incoming *in;
+	struct conn *conn;
+	size_t len = 0;
+
+	HASH_FIND(hh, r->incoming, &token, sizeof(token), in);
+	if (in == NULL)
+		return;
+	conn = in->conn;
+	if (res->proc == in->proc)
+		len = agb_rpcmsg_reply(r->scratch, in->xid, AGB_RPC_OK, res);
+	if (len > 0) {
+		out_add(conn, r->scratch, len);
+	} else {
+		log_line(r, AGB_LOG_ERROR, "rpc-encode-failed",
+		    "peer=%s proc=%d", conn->ip, (int)in->proc);
+		reply_error(conn, in->xid, AGB_RPC_SYSTEM);
+	}
+	/* A full output queue closes the connection with all its calls. */
+	if (!conn->closing)
+		incoming_free(in);
+}
+
+static void
+sweep_conn(struct conn *conn, uint64_t now)
+{
+	const uint64_t quiet = now - conn->heard_at;
+
+	if (conn->peer != NULL && !conn->connected) {
+		if (quiet >= CONNECT_TIMEOUT_MS)
+			connect_failed(conn);
+	} else if (agb_rpcmsg_partial(&conn->reader) && !conn->paused &&
+	    quiet >= PARTIAL_MS) {
+		conn_malformed(conn, "incomplete-record");
+	} else if (quiet >= IDLE_MS && conn->incoming_len == 0 &&
+	    (conn->peer == NULL || conn->peer->calls_len == 0)) {
+		conn_close(conn);
+	}
+}
+
+static void
+on_sweep(uv_timer_t *t)
+{
+	struct agb_rpc *const r = t->data;
+	const uint64_t now = uv_now(r->loop);
+	struct conn *conn, *next;
+	struct peer *p, *next_peer;
+
+	for (conn = r->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		sweep_conn(conn, now);
+	}
+	for (p = r->peers; p != NULL; p = next_peer) {
+		next_peer = p->hh.next;
+		if (p->conn != NULL || p->calls_len > 0 ||
+		    now - p->used_at < IDLE_MS)
+			continue;
+		peer_free(r, p);
+	}
+}
+
+void
+agb_rpc_allow_set(struct agb_rpc *r, const agb_addr *ips, size_t len)
+{
+	free(r->allowed);
+	r->allowed = agb_xcalloc(len, sizeof(*r->allowed));
+	if (len > 0)
+		memcpy(r->allowed, ips, len * sizeof(*r->allowed));
+	r->allowed_len = len;
+}
+
+const char *
+agb_rpc_addr(const struct agb_rpc *r)
+{
+	return r->addr;
+}
+
+const struct agb_rpc_stats *
+agb_rpc_stats(const struct agb_rpc *r)
+{
+	return &r->stats;
+}
+
+size_t
+agb_rpc_peers(const struct agb_rpc *r, struct agb_rpc_peer *out, size_t max)
+{
+	const struct traffic *t;
+	size_t n = 0;
+
+	for (t = r->traffic; t != NULL && n < max; t = t->hh.next)
+		out[n++] = t->sum;
+	return n;
+}
+
+static void
+on_handle_closed(uv_handle_t *h)
+{
+	struct agb_rpc *const r = h->data;
+
+	if (--r->handles == 0)
+		free(r);
+}
+
+static bool
+start_listening(struct agb_rpc *r, const char *listen_addr)
+{
+	struct sockaddr_storage sa;
+	int len = sizeof(sa);
+
+	if (!agb_addr_parse(listen_addr, true, &sa) ||
+	    uv_tcp_bind(&r->listener, (struct sockaddr *)&sa, 0) != 0 ||
+	    uv_listen((uv_stream_t *)&r->listener, BACKLOG, on_accept) != 0 ||
+	    uv_tcp_getsockname(&r->listener, (struct sockaddr *)&sa, &len) != 0)
+		return false;
+	agb_addr_format(&sa, true, r->addr);
+	return true;
+}
+
+struct agb_rpc *
+agb_rpc_new(uv_loop_t *loop, const char *listen_addr,
+    const struct agb_rpc_cbs *cbs, void *arg)
+{
+	struct agb_rpc *const r = agb_xcalloc(1, sizeof(*r));
+
+	r->loop = loop;
+	r->cbs = *cbs;
+	r->arg = arg;
+	uv_tcp_init(loop, &r->listener);
+	uv_prepare_init(loop, &r->prepare);
+	uv_idle_init(loop, &r->idle);
+	uv_timer_init(loop, &r->sweep);
+	r->listener.data = r->prepare.data = r->idle.data = r->sweep.data = r;
+	r->handles = 4;
+	/* Only spreads reconnections; the xids of a restarted process must
+	 * differ from those that a peer still answers. */
+	r->random = uv_hrtime() | 1;
+	r->next_xid = (uint32_t)next_random(r);
+	if (!start_listening(r, listen_addr)) {
+		agb_rpc_free(r);
+		return NULL;
+	}
+	uv_prepare_start(&r->prepare, on_prepare);
+	uv_unref((uv_handle_t *)&r->prepare);
+	uv_timer_start(&r->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+	uv_unref((uv_handle_t *)&r->sweep);
+	return r;
+}
+
+static void
+free_tables(struct agb_rpc *r)
+{
+	struct call *call, *next_call;
+	struct peer *p = r->peers, *next_peer;
+	struct traffic *t = r->traffic, *next_traffic;
+
+	for (call = r->failed; call != NULL; call = next_call) {
+		next_call = call->next;
+		call_free(call);
+	}
+	r->failed = NULL;
+	/* The items keep their links. */
+	HASH_CLEAR(hh, r->peers);
+	for (; p != NULL; p = next_peer) {
+		next_peer = p->hh.next;
+		free(p);
+	}
+	HASH_CLEAR(hh, r->traffic);
+	for (; t != NULL; t = next_traffic) {
+		next_traffic = t->hh.next;
+		free(t);
+	}
+}
+
+void
+agb_rpc_free(struct agb_rpc *r)
+{
+	struct conn *conn, *next;
+
+	if (r == NULL)
+		return;
+	r->closing = true;
+	/* Calls without a connection have failed already. */
+	for (conn = r->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		conn_close(conn);
+	}
+	free_tables(r);
+	free(r->allowed);
+	uv_close((uv_handle_t *)&r->listener, on_handle_closed);
+	uv_close((uv_handle_t *)&r->prepare, on_handle_closed);
+	uv_close((uv_handle_t *)&r->idle, on_handle_closed);
+	uv_close((uv_handle_t *)&r->sweep, on_handle_closed);
+}
--- a/src/agatebeam/rpcmsg.h
+++ b/src/agatebeam/rpcmsg.h
@@ -45,7 +45,7 @@
  * agb_rpcmsg_call() - write a call with its record mark
  * @buf: AGB_RPC_BUF_LEN bytes
  * Return: bytes written, 0 when @args cannot be encoded (a NULL string, a
- * wrong discriminant, too large).
+ * wrong discriminant, too large). AddressSanitizer stops at a NULL string.
  */
 size_t agb_rpcmsg_call(char *buf, uint32_t xid, const agb_x_args *args);
 
--- /dev/null
+++ b/tests/test_rpc.c
@@ -0,0 +1,582 @@
+#include <poll.h>
+#include <sys/socket.h>
+
+#include "addr.h"
+#include "loop.h"
+#include "mem.h"
+#include "rpc.h"
+#include "suite.h"
+
+#define CALLS_MAX 6000
+
+/* One end with what its callbacks have said. */
+struct side {
+	struct agb_rpc *rpc;
+	bool hold; /* keep tokens instead of answering */
+	int calls;
+	int replies;
+	int ok;
+	int sent;
+	uint64_t tag;
+	uint64_t tokens[CALLS_MAX];
+	agb_x_proc proc;
+	char text[64];
+	char logged[64];
+	uint32_t text_len; /* of the answer to ENV_GET */
+};
+
+static void
+answer(struct side *s, uint64_t token, agb_x_proc proc)
+{
+	agb_x_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = proc;
+	switch (proc) {
+	case AGB_X_ENV_GET:
+		res.agb_x_res_u.env_get.text.text_len = s->text_len;
+		res.agb_x_res_u.env_get.text.text_val =
+		    agb_xcalloc(s->text_len, 1);
+		break;
+	case AGB_X_EXPLAIN:
+		res.agb_x_res_u.explain.text = agb_xstrdup("because");
+		break;
+	default:
+		break;
+	}
+	agb_rpc_reply(s->rpc, token, &res);
+	xdr_free((xdrproc_t)xdr_agb_x_res, (char *)&res);
+}
+
+static void
+on_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+{
+	struct side *const s = arg;
+
+	CU_ASSERT_STRING_EQUAL(peer, "127.0.0.1");
+	CU_ASSERT_FATAL(s->calls < CALLS_MAX);
+	s->proc = args->proc;
+	if (args->proc == AGB_X_EXPLAIN)
+		agb_name_set(
+		    s->text, sizeof(s->text), args->agb_x_args_u.explain.id);
+	s->tokens[s->calls++] = token;
+	if (!s->hold)
+		answer(s, token, args->proc);
+	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
+}
+
+static void
+on_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	struct side *const s = arg;
+
+	s->replies++;
+	s->ok += ok;
+	s->sent += sent;
+	s->tag = tag;
+	CU_ASSERT_EQUAL(ok, res != NULL);
+	if (res == NULL)
+		return;
+	if (res->proc == AGB_X_EXPLAIN)
+		agb_name_set(
+		    s->text, sizeof(s->text), res->agb_x_res_u.explain.text);
+	xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+}
+
+static void
+on_log(void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	struct side *const s = arg;
+
+	agb_name_set(s->logged, sizeof(s->logged), event);
+}
+
+static const struct agb_rpc_cbs cbs = {on_call, on_reply, on_log};
+
+static void
+side_open(struct side *s, uv_loop_t *loop)
+{
+	static const agb_addr allowed = "127.0.0.1";
+
+	memset(s, 0, sizeof(*s));
+	s->rpc = agb_rpc_new(loop, "127.0.0.1:0", &cbs, s);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(s->rpc);
+	agb_rpc_allow_set(s->rpc, &allowed, 1);
+}
+
+static void
+explain(struct side *s, uint64_t tag, const char *peer, const char *id,
+    uint32_t timeout_ms)
+{
+	agb_x_args args = {.proc = AGB_X_EXPLAIN};
+	const int replies = s->replies;
+
+	args.agb_x_args_u.explain.id = (char *)id;
+	agb_rpc_call(s->rpc, tag, peer, &args, timeout_ms);
+	CU_ASSERT_EQUAL(s->replies, replies);
+}
+
+/* Guards against answers that reach the wrong call, and against one write
+ * for each call or reply. */
+static void
+test_round_trip(void)
+{
+	struct agb_rpc_peer peers[4];
+	static struct side a, b;
+	uv_loop_t loop;
+	int i;
+
+	uv_loop_init(&loop);
+	side_open(&a, &loop);
+	side_open(&b, &loop);
+	explain(&a, 42, agb_rpc_addr(b.rpc), "job-1", 10000);
+	loop_until(&loop, &a.replies, 1);
+	CU_ASSERT_EQUAL(a.ok, 1);
+	CU_ASSERT_EQUAL(a.tag, 42);
+	CU_ASSERT_STRING_EQUAL(a.text, "because");
+	CU_ASSERT_STRING_EQUAL(b.text, "job-1");
+	b.hold = true;
+	for (i = 0; i < 100; i++)
+		explain(&a, (uint64_t)i, agb_rpc_addr(b.rpc), "x", 0);
+	loop_until(&loop, &b.calls, 101);
+	for (i = 100; i >= 1; i--)
+		answer(&b, b.tokens[i], AGB_X_EXPLAIN);
+	loop_until(&loop, &a.replies, 101);
+	CU_ASSERT_EQUAL(a.ok, 101);
+	CU_ASSERT_EQUAL(a.tag, 0);
+	CU_ASSERT_EQUAL(agb_rpc_stats(a.rpc)->writes, 2);
+	CU_ASSERT_EQUAL(agb_rpc_stats(b.rpc)->writes, 2);
+	CU_ASSERT_EQUAL(agb_rpc_stats(a.rpc)->connects, 1);
+	CU_ASSERT_EQUAL_FATAL(agb_rpc_peers(a.rpc, peers, 4), 1);
+	CU_ASSERT_STRING_EQUAL(peers[0].addr, agb_rpc_addr(b.rpc));
+	CU_ASSERT_TRUE(peers[0].bytes_out > (uint64_t)101 * 40);
+	CU_ASSERT_TRUE(peers[0].bytes_in > (uint64_t)101 * 24);
+	CU_ASSERT_EQUAL(agb_rpc_peers(b.rpc, peers, 4), 1);
+	CU_ASSERT_STRING_EQUAL(peers[0].addr, "127.0.0.1");
+	agb_rpc_free(a.rpc);
+	agb_rpc_free(b.rpc);
+	loop_close(&loop);
+}
+
+/* Guards against a call that was never sent and counts as sent, and against
+ * a peer that is down and gets a connection for each call. */
+static void
+test_unsent(void)
+{
+	char long_id[AGB_X_ID_MAX + 2];
+	static struct side a;
+	uv_loop_t loop;
+	uv_tcp_t tcp;
+	agb_addr dead;
+	int i;
+
+	uv_loop_init(&loop);
+	side_open(&a, &loop);
+	loop_bind_dead(&loop, &tcp, dead);
+	explain(&a, 1, dead, "x", 0);
+	explain(&a, 2, dead, "x", 0);
+	loop_until(&loop, &a.replies, 2);
+	/* Within the wait after the failure. */
+	explain(&a, 3, dead, "x", 0);
+	loop_until(&loop, &a.replies, 3);
+	CU_ASSERT_EQUAL(agb_rpc_stats(a.rpc)->connect_failures, 1);
+	explain(&a, 4, "not an address", "x", 0);
+	loop_until(&loop, &a.replies, 4);
+	memset(long_id, 'x', sizeof(long_id));
+	long_id[sizeof(long_id) - 1] = '\0';
+	explain(&a, 5, dead, long_id, 0);
+	loop_until(&loop, &a.replies, 5);
+	CU_ASSERT_STRING_EQUAL(a.logged, "rpc-encode-failed");
+	for (i = 0; i <= AGB_RPC_CALLS_MAX; i++)
+		explain(&a, 6, agb_rpc_addr(a.rpc), "x", 0);
+	a.hold = true;
+	loop_until(&loop, &a.replies, 6);
+	CU_ASSERT_EQUAL(a.ok + a.sent, 0);
+	agb_rpc_free(a.rpc);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	loop_close(&loop);
+}
+
+static uint32_t
+word(const char *p, size_t i)
+{
+	uint32_t v;
+
+	memcpy(&v, p + i * 4, 4);
+	return ntohl(v);
+}
+
+static void
+set_word(char *p, size_t i, uint32_t v)
+{
+	v = htonl(v);
+	memcpy(p + i * 4, &v, 4);
+}
+
+/* How a scripted peer answers a call. */
+enum script {
+	SCRIPT_SILENT,
+	SCRIPT_CLOSE,
+	SCRIPT_OTHER_XID,
+	SCRIPT_OTHER_PROC,
+	SCRIPT_NOT_A_REPLY,
+	SCRIPT_OVERSIZED,
+	SCRIPT_TRUNCATED,
+	SCRIPT_PROG,
+	SCRIPT_SYSTEM,
+};
+
+static void
+run_script(struct loop_conn *c)
+{
+	const enum script script = *(const enum script *)c->server->arg;
+	static char buf[AGB_RPC_BUF_LEN];
+	agb_x_res res = {.proc = AGB_X_EXPLAIN};
+	enum agb_rpc_verdict verdict = AGB_RPC_OK;
+	uint32_t xid;
+	size_t len;
+
+	if (c->in_len < 8)
+		return;
+	xid = word(c->in, 1);
+	c->in_len = 0;
+	res.agb_x_res_u.explain.text = "t";
+	if (script == SCRIPT_OTHER_XID)
+		xid += 1000;
+	if (script == SCRIPT_OTHER_PROC)
+		res.proc = AGB_X_RELEASE;
+	if (script == SCRIPT_PROG)
+		verdict = AGB_RPC_PROG;
+	if (script == SCRIPT_SYSTEM)
+		verdict = AGB_RPC_SYSTEM;
+	len = agb_rpcmsg_reply(buf, xid, verdict, &res);
+	if (script == SCRIPT_NOT_A_REPLY)
+		set_word(buf, 2, 7);
+	if (script == SCRIPT_OVERSIZED)
+		set_word(buf, 0, 0xfffffffcu);
+	if (script == SCRIPT_TRUNCATED)
+		len -= 4;
+	if (script != SCRIPT_SILENT && script != SCRIPT_CLOSE)
+		loop_conn_write(c, buf, len);
+	if (script == SCRIPT_CLOSE || script == SCRIPT_TRUNCATED)
+		loop_conn_close(c);
+}
+
+/* Guards against a reply that is forged, cut or late and ends the wrong call
+ * or passes for a result; and against a lost answer that counts as unsent. */
+static void
+test_forged_replies(void)
+{
+	static const struct {
+		enum script script;
+		bool sent;
+		uint64_t malformed;
+		uint64_t unknown;
+	} cases[] = {
+	    {SCRIPT_SILENT, true, 0, 0},
+	    {SCRIPT_CLOSE, true, 0, 0},
+	    {SCRIPT_OTHER_XID, true, 0, 1},
+	    {SCRIPT_OTHER_PROC, true, 1, 0},
+	    {SCRIPT_NOT_A_REPLY, true, 1, 0},
+	    {SCRIPT_OVERSIZED, true, 1, 0},
+	    {SCRIPT_TRUNCATED, true, 0, 0},
+	    {SCRIPT_PROG, false, 0, 0},
+	    {SCRIPT_SYSTEM, true, 0, 0},
+	};
+	struct loop_server srv;
+	static struct side a;
+	uv_loop_t loop;
+	size_t i;
+	bool waits;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uv_loop_init(&loop);
+		side_open(&a, &loop);
+		loop_listen(&loop, &srv, run_script, (void *)&cases[i].script);
+		/* Only these two leave the call waiting. */
+		waits = cases[i].script == SCRIPT_SILENT ||
+		    cases[i].script == SCRIPT_OTHER_XID;
+		explain(&a, 1, srv.addr, "x", waits ? 200 : 0);
+		loop_until(&loop, &a.replies, 1);
+		CU_ASSERT_EQUAL(a.ok, 0);
+		CU_ASSERT_EQUAL(a.sent, cases[i].sent);
+		CU_ASSERT_EQUAL(
+		    agb_rpc_stats(a.rpc)->malformed, cases[i].malformed);
+		CU_ASSERT_EQUAL(
+		    agb_rpc_stats(a.rpc)->unknown_xid, cases[i].unknown);
+		agb_rpc_free(a.rpc);
+		loop_unlisten(&srv);
+		loop_close(&loop);
+	}
+}
+
+/* Connects a plain socket to a side. */
+static int
+raw_connect(const struct side *s)
+{
+	struct sockaddr_storage sa;
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	CU_ASSERT_TRUE_FATAL(agb_addr_parse(agb_rpc_addr(s->rpc), false, &sa));
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(fd, (struct sockaddr *)&sa, sizeof(struct sockaddr_in)), 0);
+	return fd;
+}
+
+/* Runs the loop until the socket has bytes or its end; -1 when neither. */
+static ssize_t
+raw_recv(uv_loop_t *loop, int fd, char *buf, size_t len)
+{
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+	int i;
+
+	for (i = 0; i < 20000; i++) {
+		uv_run(loop, UV_RUN_NOWAIT);
+		if (poll(&p, 1, 1) > 0)
+			return recv(fd, buf, len, MSG_DONTWAIT);
+	}
+	return -1;
+}
+
+/* A change to a good call, and what the server must do. */
+struct call_case {
+	const char *name;
+	size_t at; /* word that is changed, the mark being word 0 */
+	uint32_t value;
+	bool closed;
+	uint32_t reply_stat;
+	uint32_t accept_stat;
+};
+
+static const struct call_case call_cases[] = {
+    {"good", 4, AGB_X_PROG, false, MSG_ACCEPTED, SUCCESS},
+    {"rpc version", 3, 3, false, MSG_DENIED, RPC_MISMATCH},
+    {"program", 4, 7, false, MSG_ACCEPTED, PROG_UNAVAIL},
+    {"program version", 5, 9, false, MSG_ACCEPTED, PROG_MISMATCH},
+    {"procedure", 6, 99, false, MSG_ACCEPTED, PROC_UNAVAIL},
+    {"other discriminant", 6, AGB_X_CANCEL, false, MSG_ACCEPTED, GARBAGE_ARGS},
+    {"unknown discriminant", 11, 99, false, MSG_ACCEPTED, GARBAGE_ARGS},
+    {"string past the end", 12, 60, false, MSG_ACCEPTED, GARBAGE_ARGS},
+    {"string too long", 12, 0x7fffffff, false, MSG_ACCEPTED, GARBAGE_ARGS},
+    {"bytes left over", 12, 0, false, MSG_ACCEPTED, GARBAGE_ARGS},
+    {"not a call", 2, REPLY, true, 0, 0},
+    {"credentials too long", 8, 404, true, 0, 0},
+    {"credentials past the end", 8, 400, true, 0, 0},
+    {"record too large", 0, 0x80200004, true, 0, 0},
+    {"largest length", 0, 0xffffffff, true, 0, 0},
+    {"empty fragment", 0, 0, true, 0, 0},
+    {"odd length", 0, 0x80000033, true, 0, 0},
+};
+
+/* Guards against a forged call that reaches the owner, takes memory for a
+ * length it only claims, or gets no error reply. */
+static void
+test_forged_calls(void)
+{
+	agb_x_args args = {.proc = AGB_X_EXPLAIN};
+	static char buf[AGB_RPC_BUF_LEN];
+	const struct call_case *c;
+	static struct side s;
+	char in[256];
+	uv_loop_t loop;
+	size_t i, len;
+	ssize_t n;
+	int fd;
+
+	args.agb_x_args_u.explain.id = "x";
+	uv_loop_init(&loop);
+	side_open(&s, &loop);
+	for (i = 0; i < sizeof(call_cases) / sizeof(call_cases[0]); i++) {
+		c = &call_cases[i];
+		len = agb_rpcmsg_call(buf, 5, &args);
+		set_word(buf, c->at, c->value);
+		fd = raw_connect(&s);
+		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+		n = raw_recv(&loop, fd, in, sizeof(in));
+		if ((n <= 0) != c->closed)
+			printf("%s: %zd\n", c->name, n);
+		CU_ASSERT_EQUAL(n <= 0, c->closed);
+		if (n >= 28 && !c->closed) {
+			CU_ASSERT_EQUAL(word(in, 1), 5);
+			CU_ASSERT_EQUAL(word(in, 2), REPLY);
+			CU_ASSERT_EQUAL(word(in, 3), c->reply_stat);
+			CU_ASSERT_EQUAL(
+			    word(in, c->reply_stat == MSG_DENIED ? 4 : 6),
+			    c->accept_stat);
+		}
+		close(fd);
+	}
+	CU_ASSERT_EQUAL(s.calls, 1);
+	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->malformed, 7);
+	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->rejected, 9);
+	agb_rpc_free(s.rpc);
+	loop_close(&loop);
+}
+
+/* Guards against calls from addresses that are not in the list. */
+static void
+test_allowed(void)
+{
+	const agb_addr other = "127.0.0.2";
+	static struct side s;
+	uv_loop_t loop;
+	char in[16];
+	int fd;
+
+	uv_loop_init(&loop);
+	side_open(&s, &loop);
+	agb_rpc_allow_set(s.rpc, &other, 1);
+	fd = raw_connect(&s);
+	CU_ASSERT_EQUAL(raw_recv(&loop, fd, in, sizeof(in)), 0);
+	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->refused, 1);
+	close(fd);
+	agb_rpc_free(s.rpc);
+	loop_close(&loop);
+}
+
+/* Guards against a peer that never reads and fills our memory, and against
+ * a caller with more open calls than allowed whose calls get lost. */
+static void
+test_flood(void)
+{
+	agb_x_args args = {.proc = AGB_X_ENV_GET};
+	static char buf[AGB_RPC_BUF_LEN], in[65536];
+	static struct side s;
+	uv_loop_t loop;
+	size_t len;
+	ssize_t n;
+	int i, fd;
+
+	uv_loop_init(&loop);
+	side_open(&s, &loop);
+	s.text_len = AGB_X_TEXT_MAX;
+	len = agb_rpcmsg_call(buf, 5, &args);
+	fd = raw_connect(&s);
+	for (i = 0; i < 64; i++)
+		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+	for (i = 0; i < 20000 && agb_rpc_stats(s.rpc)->slow_peers == 0; i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->slow_peers, 1);
+	close(fd);
+
+	s.hold = true;
+	s.calls = 0;
+	s.text_len = 0;
+	fd = raw_connect(&s);
+	for (i = 0; i < 5000; i++)
+		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+	loop_until(&loop, &s.calls, AGB_RPC_CALLS_MAX);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	CU_ASSERT_EQUAL(s.calls, AGB_RPC_CALLS_MAX);
+	s.hold = false;
+	for (i = 0; i < AGB_RPC_CALLS_MAX; i++)
+		answer(&s, s.tokens[i], AGB_X_ENV_GET);
+	loop_until(&loop, &s.calls, 5000);
+	len = 0;
+	/* An answer of 0 bytes of text is 11 words with its mark. */
+	while (len < (size_t)5000 * 44 &&
+	    (n = raw_recv(&loop, fd, in, sizeof(in))) > 0)
+		len += (size_t)n;
+	CU_ASSERT_EQUAL(len, (size_t)5000 * 44);
+	/* Answering a call whose connection is gone does nothing. */
+	s.hold = true;
+	len = agb_rpcmsg_call(buf, 5, &args);
+	CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+	loop_until(&loop, &s.calls, 5001);
+	close(fd);
+	for (i = 0; i < 10; i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	answer(&s, s.tokens[5000], AGB_X_ENV_GET);
+	agb_rpc_free(s.rpc);
+	loop_close(&loop);
+}
+
+/* Guards against records that change with the way TCP cuts them up. */
+static void
+test_reader(void)
+{
+	static const char stream[] = "\x00\x00\x00\x04"
+				     "abcd"
+				     "\x80\x00\x00\x04"
+				     "efgh"
+				     "\x80\x00\x00\x08"
+				     "ijklmnop";
+	struct agb_rpcmsg_reader r;
+	char all[32];
+	const char *rec;
+	size_t step, at, n, room, len = 0;
+
+	for (step = 1; step < sizeof(stream); step++) {
+		memset(&r, 0, sizeof(r));
+		memset(all, 0, sizeof(all));
+		for (at = 0; at < sizeof(stream) - 1; at += n) {
+			n = sizeof(stream) - 1 - at;
+			if (n > step)
+				n = step;
+			memcpy(agb_rpcmsg_reserve(&r, &room), stream + at, n);
+			agb_rpcmsg_add(&r, n);
+			while (agb_rpcmsg_next(&r, &rec, &len) && rec != NULL) {
+				strncat(all, rec, len);
+				strncat(all, "|", 2);
+			}
+		}
+		CU_ASSERT_STRING_EQUAL(all, "abcdefgh|ijklmnop|");
+		CU_ASSERT_FALSE(agb_rpcmsg_partial(&r));
+		agb_rpcmsg_reader_free(&r);
+	}
+}
+
+/* Guards against addresses that are misread, such as one without port. */
+static void
+test_addr(void)
+{
+	static const struct {
+		const char *text;
+		const char *with_port; /* NULL: refused */
+		const char *ip;
+	} cases[] = {
+	    {"127.0.0.1:80", "127.0.0.1:80", "127.0.0.1"},
+	    {"[::1]:80", "[::1]:80", "::1"},
+	    {"[::ffff:10.0.0.1]:80", "10.0.0.1:80", "10.0.0.1"},
+	    {"::1:80", NULL, NULL},
+	    {"127.0.0.1", NULL, NULL},
+	    {"127.0.0.1:", NULL, NULL},
+	    {"127.0.0.1:0", NULL, NULL},
+	    {"127.0.0.1:65536", NULL, NULL},
+	    {"127.0.0.1:8x", NULL, NULL},
+	    {":80", NULL, NULL},
+	    {"localhost:80", NULL, NULL},
+	};
+	struct sockaddr_storage sa;
+	agb_addr out;
+	size_t i;
+	bool ok;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		ok = agb_addr_parse(cases[i].text, false, &sa);
+		CU_ASSERT_EQUAL(ok, cases[i].with_port != NULL);
+		if (!ok || cases[i].with_port == NULL)
+			continue;
+		agb_addr_format(&sa, true, out);
+		CU_ASSERT_STRING_EQUAL(out, cases[i].with_port);
+		agb_addr_format(&sa, false, out);
+		CU_ASSERT_STRING_EQUAL(out, cases[i].ip);
+	}
+}
+
+static const struct suite_test tests[] = {
+    {"round_trip", test_round_trip},
+    {"unsent", test_unsent},
+    {"forged_replies", test_forged_replies},
+    {"forged_calls", test_forged_calls},
+    {"allowed", test_allowed},
+    {"flood", test_flood},
+    {"reader", test_reader},
+    {"addr", test_addr},
+};
+
+int
+main(void)
+{
+	return suite_run("rpc", tests, sizeof(tests) / sizeof(tests[0]));
+}
