--- /dev/null
+++ b/src/agatebeam/counters.c
@@ -0,0 +1,232 @@
+#include "counters.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+
+struct agb_series {
+	const struct agb_metric *metric;
+	struct agb_series *next;
+	char *value;
+	double sum;
+	uint64_t count;
+	uint64_t *buckets; /* observations up to each bound, not cumulative */
+};
+
+struct family {
+	const struct agb_metric *metric;
+	struct family *next;
+	struct agb_series *series;
+	struct agb_series **end;
+	size_t series_len;
+};
+
+struct agb_counters {
+	struct family *families;
+	struct family **end;
+};
+
+struct agb_counters *
+agb_counters_new(void)
+{
+	struct agb_counters *const c = agb_xcalloc(1, sizeof(*c));
+
+	c->end = &c->families;
+	return c;
+}
+
+static struct family *
+family_get(struct agb_counters *c, const struct agb_metric *m)
+{
+	struct family *f;
+
+	for (f = c->families; f != NULL; f = f->next) {
+		if (f->metric == m)
+			return f;
+	}
+	f = agb_xcalloc(1, sizeof(*f));
+	f->metric = m;
+	f->end = &f->series;
+	*c->end = f;
+	c->end = &f->next;
+	return f;
+}
+
+static struct agb_series *
+series_find(const struct family *f, const char *value)
+{
+	struct agb_series *s;
+
+	for (s = f->series; s != NULL; s = s->next) {
+		if (strcmp(s->value, value) == 0)
+			return s;
+	}
+	return NULL;
+}
+
+struct agb_series *
+agb_counters_get(
+    struct agb_counters *c, const struct agb_metric *m, const char *value)
+{
+	struct family *const f = family_get(c, m);
+	struct agb_series *s;
+
+	if (value == NULL)
+		value = "";
+	s = series_find(f, value);
+	/* A caller must not be able to grow the table by its input. */
+	if (s == NULL && f->series_len >= AGB_COUNTERS_LABELS_MAX) {
+		value = "other";
+		s = series_find(f, value);
+	}
+	if (s != NULL)
+		return s;
+	s = agb_xcalloc(1, sizeof(*s));
+	s->metric = m;
+	s->value = agb_xstrdup(value);
+	s->buckets = agb_xcalloc(m->buckets_len, sizeof(*s->buckets));
+	*f->end = s;
+	f->end = &s->next;
+	f->series_len++;
+	return s;
+}
+
+void
+agb_series_add(struct agb_series *s, double n)
+{
+	s->sum += n;
+}
+
+void
+agb_series_set(struct agb_series *s, double n)
+{
+	s->sum = n;
+}
+
+void
+agb_series_observe(struct agb_series *s, double x)
+{
+	size_t i;
+
+	s->sum += x;
+	s->count++;
+	for (i = 0; i < s->metric->buckets_len; i++) {
+		if (x <= s->metric->buckets[i]) {
+			s->buckets[i]++;
+			return;
+		}
+	}
+}
+
+double
+agb_series_value(const struct agb_series *s)
+{
+	return s->sum;
+}
+
+/* Writes "{label="value",le="bound"}" as far as there is anything in it. */
+static void
+put_labels(FILE *f, const struct agb_series *s, const char *le)
+{
+	const bool label = s->metric->label != NULL;
+	const char *p;
+
+	if (!label && le == NULL)
+		return;
+	fputc('{', f);
+	if (label) {
+		fprintf(f, "%s=\"", s->metric->label);
+		for (p = s->value; *p != '\0'; p++) {
+			if (*p == '\n')
+				fputs("\\n", f);
+			else if (*p == '"' || *p == '\\')
+				fprintf(f, "\\%c", *p);
+			else
+				fputc(*p, f);
+		}
+		fputc('"', f);
+	}
+	if (le != NULL)
+		fprintf(f, "%sle=\"%s\"", label ? "," : "", le);
+	fputc('}', f);
+}
+
+static void
+put_histogram(FILE *f, const struct agb_series *s)
+{
+	const struct agb_metric *const m = s->metric;
+	uint64_t below = 0;
+	char bound[32];
+	size_t i;
+
+	for (i = 0; i <= m->buckets_len; i++) {
+		if (i < m->buckets_len) {
+			below += s->buckets[i];
+			snprintf(bound, sizeof(bound), "%g", m->buckets[i]);
+		} else {
+			below = s->count;
+			snprintf(bound, sizeof(bound), "+Inf");
+		}
+		fprintf(f, "%s_bucket", m->name);
+		put_labels(f, s, bound);
+		fprintf(f, " %llu\n", (unsigned long long)below);
+	}
+	fprintf(f, "%s_sum", m->name);
+	put_labels(f, s, NULL);
+	fprintf(f, " %.17g\n%s_count", s->sum, m->name);
+	put_labels(f, s, NULL);
+	fprintf(f, " %llu\n", (unsigned long long)s->count);
+}
+
+char *
+agb_counters_text(const struct agb_counters *c, size_t *len)
+{
+	static const char *const kinds[] = {"counter", "gauge", "histogram"};
+	const struct family *fam;
+	const struct agb_series *s;
+	char *text = NULL;
+	FILE *const f = open_memstream(&text, len);
+
+	if (f == NULL)
+		abort();
+	for (fam = c->families; fam != NULL; fam = fam->next) {
+		fprintf(f, "# HELP %s %s\n# TYPE %s %s\n", fam->metric->name,
+		    fam->metric->help, fam->metric->name,
+		    kinds[fam->metric->kind]);
+		for (s = fam->series; s != NULL; s = s->next) {
+			if (fam->metric->kind == AGB_HISTOGRAM) {
+				put_histogram(f, s);
+				continue;
+			}
+			fputs(fam->metric->name, f);
+			put_labels(f, s, NULL);
+			fprintf(f, " %.17g\n", s->sum);
+		}
+	}
+	if (fclose(f) != 0)
+		abort();
+	return text;
+}
+
+void
+agb_counters_free(struct agb_counters *c)
+{
+	struct family *f, *next;
+	struct agb_series *s, *next_series;
+
+	if (c == NULL)
+		return;
+	for (f = c->families; f != NULL; f = next) {
+		next = f->next;
+		for (s = f->series; s != NULL; s = next_series) {
+			next_series = s->next;
+			free(s->value);
+			free(s->buckets);
+			free(s);
+		}
+		free(f);
+	}
+	free(c);
+}
