test(upstream): answers, aborts and worker agents over loopback

Change: tables of scripted answers with the result that must follow; the stand-ins on the same loop; a chain of edge, upstream and runner. Before: no tests. Conclusion: cut, crossed and mislabelled answers are never passed on.

--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,486 @@
+#include "upstream.h"
+
+#include "raw_client.h"
+#include "suite.h"
+#include "worker_part.h"
+
+#define SAME "Agatebeam-Attempt: 0000000000000005-0000000000000007\r\n"
+#define OTHER "Agatebeam-Attempt: 0000000000000005-0000000000000008\r\n"
+#define ENDS_MAX 16
+
+struct end {
+	struct agb_ev_upstream ev;
+	bool has_answer;
+	size_t headers_len;
+	char body[256];
+};
+
+/**
+ * struct fixture - a client and how its attempts ended
+ * @script: what the scripted server answers; closes after it with @close
+ */
+struct fixture {
+	uv_loop_t loop;
+	struct agb_upstream *u;
+	struct loop_server server;
+	const char *script;
+	bool close;
+	int requests;
+	char request[2048];
+	int ends;
+	struct end end[ENDS_MAX];
+};
+
+static void
+on_end(void *arg, struct agb_event *ev, const struct agb_edge_answer *ans)
+{
+	struct fixture *const f = arg;
+	struct end *const e = &f->end[f->ends % ENDS_MAX];
+
+	CU_ASSERT_EQUAL(ev->type, AGB_EV_UPSTREAM);
+	CU_ASSERT_EQUAL(ev->call_id, ev->u.upstream.call_id);
+	e->ev = ev->u.upstream;
+	e->has_answer = ans != NULL;
+	e->body[0] = '\0';
+	if (ans != NULL) {
+		e->headers_len = ans->headers_len;
+		snprintf(e->body, sizeof(e->body), "%.*s", (int)ans->body_len,
+		    ans->body != NULL ? (const char *)ans->body : "");
+	}
+	CU_ASSERT_EQUAL(ans != NULL, ev->u.upstream.result == AGB_RESULT_OK);
+	f->ends++;
+}
+
+static void
+on_data(struct loop_conn *c)
+{
+	struct fixture *const f = c->server->arg;
+
+	if (strstr(c->in, "\r\n\r\nhi") == NULL)
+		return;
+	agb_name_set(f->request, sizeof(f->request), c->in);
+	c->in_len = 0;
+	f->requests++;
+	if (f->script != NULL)
+		loop_conn_write(c, f->script, strlen(f->script));
+	if (f->close)
+		loop_conn_close(c);
+}
+
+static void
+setup(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	uv_loop_init(&f->loop);
+	f->u = agb_upstream_new(&f->loop, 4, 1000, on_end, f);
+	loop_listen(&f->loop, &f->server, on_data, f);
+}
+
+static void
+teardown(struct fixture *f)
+{
+	agb_upstream_free(f->u);
+	loop_unlisten(&f->server);
+	loop_close(&f->loop);
+}
+
+static void
+send_body_to(
+    struct fixture *f, const char *addr, uint64_t seq, const char *body)
+{
+	const struct agb_edge_request req = {
+	    "POST", "/v1/services/a/b", NULL, 0, body, strlen(body)};
+	struct agb_ef_upstream ef = {.attempt = {5, seq}};
+
+	agb_name_set(ef.runner, sizeof(ef.runner), addr);
+	agb_upstream_send(f->u, 100 + seq, &ef, &req);
+}
+
+static void
+send_to(struct fixture *f, const char *addr, uint64_t seq, uint32_t timeout_ms)
+{
+	static const struct agb_httpc_header headers[] = {{"x-keep", "1"}};
+	const struct agb_edge_request req = {
+	    "POST", "/v1/services/a/b?ms=1", headers, 1, "hi", 2};
+	struct agb_ef_upstream ef = {
+	    .attempt = {5, seq}, .timeout_ms = timeout_ms};
+
+	agb_name_set(ef.runner, sizeof(ef.runner), addr);
+	agb_upstream_send(f->u, 100 + seq, &ef, &req);
+}
+
+/* Guards against an answer that is cut, crossed or refused and is passed on
+ * as whole, and against a request that may have run and is reported as not
+ * started. */
+static void
+test_answers(void)
+{
+	static const struct {
+		const char *name;
+		const char *script;
+		bool close;
+		enum agb_result result;
+		enum agb_reason reason;
+		int status;
+		const char *body;
+	} cases[] = {
+	    {"whole", "HTTP/1.1 200 OK\r\n" SAME "Content-Length: 2\r\n\r\nab",
+		false, AGB_RESULT_OK, AGB_REASON_NONE, 200, "ab"},
+	    {"chunked",
+		"HTTP/1.1 201 OK\r\n" SAME
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		false, AGB_RESULT_OK, AGB_REASON_NONE, 201, "ab"},
+	    {"the runner's own error",
+		"HTTP/1.1 500 E\r\n" SAME "Content-Length: 1\r\n\r\ne", false,
+		AGB_RESULT_OK, AGB_REASON_NONE, 500, "e"},
+	    {"the runner's own 503",
+		"HTTP/1.1 503 E\r\n" SAME "Content-Length: 1\r\n\r\ne", false,
+		AGB_RESULT_OK, AGB_REASON_NONE, 503, "e"},
+	    {"200 that says not-run",
+		"HTTP/1.1 200 OK\r\n" SAME "Agatebeam-Outcome: not-run\r\n"
+		"Content-Length: 0\r\n\r\n",
+		false, AGB_RESULT_OK, AGB_REASON_NONE, 200, ""},
+	    {"refused",
+		"HTTP/1.1 503 E\r\n" SAME "Agatebeam-Outcome: not-run\r\n"
+		"Content-Length: 0\r\n\r\n",
+		false, AGB_RESULT_NOT_STARTED, AGB_REASON_UPSTREAM_REFUSED, 503,
+		""},
+	    {"refusal of another request",
+		"HTTP/1.1 503 E\r\n" OTHER "Agatebeam-Outcome: not-run\r\n"
+		"Content-Length: 0\r\n\r\n",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 503, ""},
+	    {"refusal without attempt",
+		"HTTP/1.1 503 E\r\nAgatebeam-Outcome: not-run\r\n"
+		"Content-Length: 0\r\n\r\n",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 503, ""},
+	    {"no attempt", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    {"another attempt",
+		"HTTP/1.1 200 OK\r\n" OTHER "Content-Length: 2\r\n\r\nab",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    {"two attempts",
+		"HTTP/1.1 200 OK\r\n" SAME SAME "Content-Length: 2\r\n\r\nab",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    {"cut body",
+		"HTTP/1.1 200 OK\r\n" SAME "Content-Length: 3\r\n\r\nab", true,
+		AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    {"no last chunk",
+		"HTTP/1.1 200 OK\r\n" SAME
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		true, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    {"bad chunk",
+		"HTTP/1.1 200 OK\r\n" SAME
+		"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+		true, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
+	    /* Heads that httpc does not take count as no answer. */
+	    {"no length", "HTTP/1.1 200 OK\r\n" SAME "\r\nab", true,
+		AGB_RESULT_LOST, AGB_REASON_UPSTREAM_LOST, 0, ""},
+	    {"too large",
+		"HTTP/1.1 200 OK\r\n" SAME "Content-Length: 1001\r\n\r\nab",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_LOST, 0, ""},
+	    {"cut head", "HTTP/1.1 200 OK\r\n" SAME, true, AGB_RESULT_LOST,
+		AGB_REASON_UPSTREAM_LOST, 0, ""},
+	    {"no answer", "", true, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_LOST,
+		0, ""},
+	    {"not HTTP", "hello\r\n\r\n", true, AGB_RESULT_LOST,
+		AGB_REASON_UPSTREAM_LOST, 0, ""},
+	};
+	struct fixture f;
+	struct end *e;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		setup(&f);
+		f.script = cases[i].script;
+		f.close = cases[i].close;
+		send_to(&f, f.server.addr, 7, 0);
+		CU_ASSERT_EQUAL(f.ends, 0);
+		loop_until(&f.loop, &f.ends, 1);
+		e = &f.end[0];
+		if (e->ev.result != cases[i].result ||
+		    e->ev.reason != cases[i].reason ||
+		    e->ev.http_status != cases[i].status ||
+		    strcmp(e->body, cases[i].body) != 0)
+			printf("\n%s: result %d reason %s status %d\n",
+			    cases[i].name, e->ev.result,
+			    agb_reason_name(e->ev.reason), e->ev.http_status);
+		CU_ASSERT_EQUAL(e->ev.result, cases[i].result);
+		CU_ASSERT_EQUAL(e->ev.reason, cases[i].reason);
+		CU_ASSERT_EQUAL(e->ev.http_status, cases[i].status);
+		CU_ASSERT_EQUAL(e->ev.attempt.epoch, 5);
+		CU_ASSERT_EQUAL(e->ev.attempt.seq, 7);
+		CU_ASSERT_STRING_EQUAL(e->body, cases[i].body);
+		CU_ASSERT_EQUAL(agb_upstream_active(f.u), 0);
+		teardown(&f);
+	}
+}
+
+/* Guards against a request that reaches the runner changed, and against
+ * headers of this system or of one connection in the answer. */
+static void
+test_headers(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.script = "HTTP/1.1 200 OK\r\n" SAME "X-Keep: 1\r\nX-Hop: 1\r\n"
+		   "Connection: keep-alive, X-Hop\r\nKeep-Alive: 5\r\n"
+		   "Agatebeam-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+	send_to(&f, f.server.addr, 7, 0);
+	loop_until(&f.loop, &f.ends, 1);
+	CU_ASSERT_EQUAL(f.end[0].headers_len, 1);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(f.request, "POST /v1/services/a/b?ms=1 HTTP/1.1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.request, "x-keep: 1\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(strcasestr(f.request, SAME));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strcasestr(f.request, "\r\nagatebeam-epoch: 0000000000000005\r\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+	    strcasestr(f.request, "\r\ncontent-length: 2\r\n"));
+	teardown(&f);
+}
+
+/* Guards against a request that was never sent and is reported as lost, or
+ * the other way round. */
+static void
+test_not_sent(void)
+{
+	const struct agb_attempt a7 = {5, 7}, a8 = {5, 8}, a9 = {5, 9};
+	struct fixture f;
+	char closed[64];
+
+	setup(&f);
+	send_to(&f, "nowhere:80", 1, 0);
+	loop_until(&f.loop, &f.ends, 1);
+	CU_ASSERT_EQUAL(f.end[0].ev.result, AGB_RESULT_NOT_STARTED);
+	agb_name_set(closed, sizeof(closed), f.server.addr);
+	/* Aborted before the loop has run: nothing is written. */
+	send_to(&f, f.server.addr, 7, 0);
+	agb_upstream_abort(f.u, 107, &a7);
+	agb_upstream_abort(f.u, 107, &a7);
+	CU_ASSERT_EQUAL(f.ends, 1);
+	loop_until(&f.loop, &f.ends, 2);
+	CU_ASSERT_EQUAL(f.end[1].ev.result, AGB_RESULT_NOT_STARTED);
+	CU_ASSERT_EQUAL(f.requests, 0);
+	/* Aborted after the runner has got it. */
+	send_to(&f, f.server.addr, 8, 0);
+	agb_upstream_abort(f.u, 108, &a9);
+	loop_until(&f.loop, &f.requests, 1);
+	CU_ASSERT_EQUAL(f.ends, 2);
+	agb_upstream_abort(f.u, 108, &a8);
+	loop_until(&f.loop, &f.ends, 3);
+	CU_ASSERT_EQUAL(f.end[2].ev.result, AGB_RESULT_LOST);
+	/* No answer in time. */
+	send_to(&f, f.server.addr, 9, 20);
+	loop_until(&f.loop, &f.ends, 4);
+	CU_ASSERT_EQUAL(f.end[3].ev.result, AGB_RESULT_LOST);
+	CU_ASSERT_EQUAL(f.end[3].ev.reason, AGB_REASON_DEADLINE);
+	/* Nobody listens any more. */
+	uv_close((uv_handle_t *)&f.server.tcp, NULL);
+	uv_run(&f.loop, UV_RUN_NOWAIT);
+	send_to(&f, closed, 10, 0);
+	loop_until(&f.loop, &f.ends, 5);
+	CU_ASSERT_EQUAL(f.end[4].ev.result, AGB_RESULT_NOT_STARTED);
+	CU_ASSERT_EQUAL(f.end[4].ev.reason, AGB_REASON_UPSTREAM_LOST);
+	/* In flight at the end: no callback. */
+	agb_upstream_free(f.u);
+	uv_run(&f.loop, UV_RUN_DEFAULT);
+	CU_ASSERT_EQUAL(f.ends, 5);
+	CU_ASSERT_EQUAL(uv_loop_close(&f.loop), 0);
+}
+
+/* Guards against attempt ids that are read in more than one form. */
+static void
+test_attempt_text(void)
+{
+	static const char *const bad[] = {"", "5-7",
+	    "0000000000000005_0000000000000007",
+	    "0000000000000005-000000000000000G",
+	    "000000000000000A-0000000000000007",
+	    "0000000000000005-00000000000000070",
+	    "0x00000000000005-0000000000000007"};
+	struct agb_attempt a = {UINT64_MAX, 0x1234}, b;
+	char text[AGB_ATTEMPT_TEXT_LEN];
+	size_t i;
+
+	agb_attempt_format(&a, text);
+	CU_ASSERT_STRING_EQUAL(text, "ffffffffffffffff-0000000000001234");
+	CU_ASSERT_TRUE(agb_attempt_parse(text, &b));
+	CU_ASSERT_TRUE(a.epoch == b.epoch && a.seq == b.seq);
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_FALSE(agb_attempt_parse(bad[i], &b));
+}
+
+/* Guards against trusting a runner that crosses, cuts or mislabels answers,
+ * has no slot, or has seen the attempt before. */
+static void
+test_runner(void)
+{
+	static const struct worker_opts opts = {.name = "w",
+	    .listen = "127.0.0.1",
+	    .platform = "",
+	    .region = "r",
+	    .domain = "d",
+	    .rack = "k",
+	    .service = "a",
+	    .slots = 2,
+	    .connections = 8};
+	static const struct worker_opts one_slot = {
+	    .name = "v", .listen = "127.0.0.1", .slots = 1, .connections = 8};
+	struct fixture f;
+	struct worker *w;
+
+	setup(&f);
+	w = worker_new(&f.loop, &opts);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+	send_to(&f, worker_runner_addr(w), 1, 0);
+	loop_until(&f.loop, &f.ends, 1);
+	CU_ASSERT_EQUAL(f.end[0].ev.result, AGB_RESULT_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(f.end[0].body, "\"body\":\"hi\""));
+	/* The same attempt again. */
+	send_to(&f, worker_runner_addr(w), 1, 0);
+	loop_until(&f.loop, &f.ends, 2);
+	CU_ASSERT_EQUAL(f.end[1].ev.result, AGB_RESULT_NOT_STARTED);
+
+	CU_ASSERT_TRUE(worker_fault(w, "{\"swap_answers\":2}"));
+	send_to(&f, worker_runner_addr(w), 2, 0);
+	send_to(&f, worker_runner_addr(w), 3, 0);
+	loop_until(&f.loop, &f.ends, 4);
+	CU_ASSERT_EQUAL(f.end[2].ev.result, AGB_RESULT_LOST);
+	CU_ASSERT_EQUAL(f.end[3].ev.result, AGB_RESULT_LOST);
+
+	CU_ASSERT_TRUE(worker_fault(w, "{\"truncate\":1}"));
+	send_to(&f, worker_runner_addr(w), 4, 0);
+	loop_until(&f.loop, &f.ends, 5);
+	CU_ASSERT_EQUAL(f.end[4].ev.result, AGB_RESULT_LOST);
+	CU_ASSERT_EQUAL(f.end[4].ev.reason, AGB_REASON_UPSTREAM_SHORT);
+
+	CU_ASSERT_TRUE(worker_fault(w, "{\"wrong_attempt\":1}"));
+	send_to(&f, worker_runner_addr(w), 5, 0);
+	loop_until(&f.loop, &f.ends, 6);
+	CU_ASSERT_EQUAL(f.end[5].ev.result, AGB_RESULT_LOST);
+
+	CU_ASSERT_TRUE(worker_fault(w, "{\"leaving\":true}"));
+	send_to(&f, worker_runner_addr(w), 9, 0);
+	loop_until(&f.loop, &f.ends, 7);
+	CU_ASSERT_EQUAL(f.end[6].ev.result, AGB_RESULT_NOT_STARTED);
+	CU_ASSERT_EQUAL(f.end[6].ev.reason, AGB_REASON_UPSTREAM_REFUSED);
+	CU_ASSERT_PTR_NULL(strstr(worker_history(w), "0000000000000009"));
+	worker_free(w);
+
+	/* One slot: the first request holds it for as long as the test. */
+	w = worker_new(&f.loop, &one_slot);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+	send_body_to(&f, worker_runner_addr(w), 10, "{\"ms\":600000}");
+	while (strstr(worker_history(w), "request-start") == NULL)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	send_to(&f, worker_runner_addr(w), 11, 0);
+	loop_until(&f.loop, &f.ends, 8);
+	CU_ASSERT_EQUAL(f.end[7].ev.attempt.seq, 11);
+	CU_ASSERT_EQUAL(f.end[7].ev.result, AGB_RESULT_NOT_STARTED);
+	CU_ASSERT_EQUAL(worker_violations(w), 1);
+	worker_free(w);
+	teardown(&f);
+}
+
+/**
+ * struct chain - edge, upstream and runner as the daemon connects them
+ */
+struct chain {
+	struct fixture f;
+	struct agb_edge *e;
+	struct worker *w;
+	uint64_t seq;
+};
+
+static void
+chain_call(void *arg, struct agb_event *ev)
+{
+	struct chain *const c = arg;
+	struct agb_ef_upstream ef = {.attempt = {5, ++c->seq}};
+	struct agb_edge_request req;
+
+	CU_ASSERT_EQUAL(ev->type, AGB_EV_CALL);
+	CU_ASSERT_TRUE(agb_edge_body(c->e, ev->call_id, &req));
+	agb_name_set(ef.runner, sizeof(ef.runner), worker_runner_addr(c->w));
+	agb_upstream_send(c->f.u, ev->call_id, &ef, &req);
+}
+
+static void
+chain_end(void *arg, struct agb_event *ev, const struct agb_edge_answer *ans)
+{
+	struct chain *const c = arg;
+	struct agb_ef_reply r = {.http_status = 502,
+	    .outcome = AGB_UNKNOWN,
+	    .reason = ev->u.upstream.reason};
+
+	if (ans == NULL) {
+		CU_ASSERT_TRUE(agb_edge_reply(c->e, ev->call_id, &r));
+		return;
+	}
+	CU_ASSERT_TRUE(agb_edge_answer_set(c->e, ev->call_id, ans));
+	CU_ASSERT_TRUE(agb_edge_forward(c->e, ev->call_id));
+}
+
+/* Guards against losing a request or an answer between edge and runner. */
+static void
+test_chain(void)
+{
+	static const struct worker_opts opts = {
+	    .name = "w", .listen = "127.0.0.1", .slots = 8, .connections = 8};
+	static const struct agb_edge_cbs cbs = {.on_event = chain_call};
+	static const char bytes[] =
+	    "POST /v1/services/a/b?ms=1 HTTP/1.1\r\nHost: a\r\n"
+	    "Content-Length: 4\r\n\r\nping";
+	struct agb_settings s = {.http = "127.0.0.1:0",
+	    .head_max = 1000,
+	    .body_max = 1000,
+	    .connections_max = 10,
+	    .head_timeout_ms = 60000,
+	    .call_timeout_ms = 60000};
+	struct raw_client *r;
+	struct chain c = {0};
+	char buf[64];
+
+	uv_loop_init(&c.f.loop);
+	c.f.u = agb_upstream_new(&c.f.loop, 4, 10000, chain_end, &c);
+	c.e = agb_edge_new(&c.f.loop, &s, &cbs, &c);
+	c.w = worker_new(&c.f.loop, &opts);
+	r = raw_open(
+	    &c.f.loop, agb_edge_address(c.e), bytes, sizeof(bytes) - 1);
+	loop_until(&c.f.loop, &r->answers, 1);
+	CU_ASSERT_EQUAL(raw_status(r), 200);
+	CU_ASSERT_PTR_NOT_NULL(strstr(raw_body(r), "\"body\":\"ping\""));
+	CU_ASSERT_STRING_EQUAL(
+	    raw_header(r->in, "agatebeam-outcome", buf, sizeof(buf)), "");
+	CU_ASSERT_STRING_EQUAL(
+	    raw_header(r->in, "agatebeam-attempt", buf, sizeof(buf)), "");
+	worker_fault(c.w, "{\"truncate\":1}");
+	raw_send(r, bytes);
+	loop_until(&c.f.loop, &r->answers, 2);
+	CU_ASSERT_EQUAL(raw_status(r), 502);
+	CU_ASSERT_STRING_EQUAL(
+	    raw_header(r->in + r->last, "agatebeam-outcome", buf, sizeof(buf)),
+	    "unknown");
+	CU_ASSERT_PTR_NULL(strstr(raw_body(r), "ping"));
+	raw_close(r);
+	agb_upstream_free(c.f.u);
+	agb_edge_free(c.e);
+	worker_free(c.w);
+	loop_close(&c.f.loop);
+}
+
+int
+main(void)
+{
+	static const struct suite_test tests[] = {
+	    {"answers", test_answers},
+	    {"headers", test_headers},
+	    {"not sent", test_not_sent},
+	    {"attempt text", test_attempt_text},
+	    {"runner", test_runner},
+	    {"chain", test_chain},
+	};
+
+	return suite_run("upstream", tests, sizeof(tests) / sizeof(tests[0]));
+}
