fix(workerc): report every refusal by epoch as fenced

Cause: the owner takes a session anew when commands are refused with a lower epoch, but the client reported such a refusal as a lost answer.

--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -359,9 +359,8 @@
 	ok = root != NULL && agb_json_root(&o, root, f);
 	if (ok && res->http_status == 409) {
 		ok = agb_json_uint(&o, "epoch", true, 0, INT64_MAX, &epoch);
-		/* A worker that has restarted knows a lower epoch; that is no
-		 * sign of another owner. */
-		if (ok && epoch > a->epoch)
+		/* Lower than ours when the worker has restarted. */
+		if (ok)
 			event_init(ev, a, AGB_WORKER_FENCED, epoch);
 	} else if (ok) {
 		event_init(ev, a, AGB_WORKER_OK, a->epoch);
--- a/src/agatebeam/workerc.h
+++ b/src/agatebeam/workerc.h
@@ -6,7 +6,9 @@
  *
  * Client of the worker agents' HTTP JSON interface. Each call ends with one
  * event. An answer that fails a check counts as no answer: the worker may
- * have acted, so the event says AGB_WORKER_LOST.
+ * have acted, so the event says AGB_WORKER_LOST. A refusal by epoch is
+ * AGB_WORKER_FENCED with the epoch that the worker names; one below ours
+ * means that the worker has restarted and knows no session.
  */
 
 #include <uv.h>
