fix(settings): allow port 0 for rpc

Cause: tests and the demonstration let the kernel choose both ports; settings refused port 0 of rpc although the daemon publishes the port that was bound. Change: rpc may have port 0; a wildcard address is still refused. The check for equal addresses ignores port 0. Before: a refusal. After: test_settings has both cases and passes.

--- a/src/agatebeam/settings.c
+++ b/src/agatebeam/settings.c
@@ -26,8 +26,9 @@
 static const struct agb_jsonc_range call_timeouts = {100, HOUR_MS, "ms"};
 
 enum addr_use {
-	ADDR_LISTEN, /* may be the wildcard address, and port 0 */
-	ADDR_REACH,  /* others connect to it */
+	ADDR_LISTEN,  /* may be the wildcard address, and port 0 */
+	ADDR_PUBLISH, /* port 0 is replaced by the port that was bound */
+	ADDR_REACH,   /* others connect to it */
 };
 
 /* Whether @host is an IPv4 or IPv6 address; sets whether it is a wildcard. */
@@ -81,7 +82,7 @@
 	port = strtol(colon + 1, NULL, 10);
 	if (port > 65535)
 		return "has a port past 65535";
-	if (use == ADDR_REACH && wildcard)
+	if (use != ADDR_LISTEN && wildcard)
 		return "is a wildcard address; others cannot connect to it";
 	if (use == ADDR_REACH && port == 0)
 		return "has port 0; others cannot connect to it";
@@ -107,6 +108,14 @@
 		agb_jsonc_report(root, key, AGB_FINDING_ERROR, "%s", fault);
 }
 
+static bool
+port_is_zero(const char *addr)
+{
+	const char *const colon = strrchr(addr, ':');
+
+	return colon != NULL && strtol(colon + 1, NULL, 10) == 0;
+}
+
 static void
 parse_store(const struct agb_jsonc_node *root, struct agb_settings *out)
 {
@@ -148,8 +157,9 @@
 	agb_jsonc_name(root, "region", out->region);
 	agb_jsonc_name(root, "domain", out->domain);
 	parse_addr(root, "http", ADDR_LISTEN, out->http);
-	parse_addr(root, "rpc", ADDR_REACH, out->rpc);
-	if (out->http[0] != '\0' && strcmp(out->http, out->rpc) == 0)
+	parse_addr(root, "rpc", ADDR_PUBLISH, out->rpc);
+	if (out->http[0] != '\0' && strcmp(out->http, out->rpc) == 0 &&
+	    !port_is_zero(out->http))
 		agb_jsonc_report(root, "rpc", AGB_FINDING_ERROR,
 		    "is the same address and port as http");
 	parse_store(root, out);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -54,6 +54,13 @@
 	} cases[] = {
 	    {"7201", "7201\", \"log_level\": \"warn", "", true},
 	    {"[::1]:7201", "127.0.0.1:7201", "", true},
+	    /* Both ports are left to the kernel. */
+	    {"[::1]:7201",
+		"127.0.0.1:0\", \"drain_ms\": 0, "
+		"\"log_level\": \"info",
+		"", true},
+	    {"0.0.0.0:0\",\n\"rpc\": \"[::1]:7201",
+		"127.0.0.1:0\",\n\"rpc\": \"127.0.0.1:0", "", true},
 	    {"\"http\": \"0.0.0.0:0\"", "\"http\": \"[::1]:7201\"",
 		"x: line 7 /rpc: error: is the same address and port as "
 		"http\n",
