docs: pages for operators and callers

Cause: operators and callers had the design page only. Change: glossary, agatectl, callers, getting-started, operating, security and troubleshooting. test_docs checks that every reason has a row in callers.md and that every link leads to a page. Before: no pages. What the pages say of the daemon as a process (start, SIGTERM, metrics) was read from the reducer and the edge; no run of agatebeamd stands behind it yet. Conclusion: to be read against the daemon once it is wired.

--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -1,6 +1,6 @@
-#include <ctype.h>
 #include <json-c/json.h>
 #include <json-c/json_pointer.h>
+#include <unistd.h>
 
 #include "env.h"
 #include "settings.h"
@@ -206,9 +206,54 @@
 	check_page("docs/settings.md", check_settings);
 }
 
+/* Guards against a reason that docs/callers.md does not tell. */
+static void
+test_reasons(void)
+{
+	char *const text = textfile_need("docs/callers.md", NULL);
+	char *row;
+	int r;
+
+	for (r = AGB_REASON_NONE + 1; r < AGB_REASON_MAX; r++) {
+		row = agb_xasprintf("\n| `%s` |", agb_reason_name(r));
+		CU_ASSERT_PTR_NOT_NULL(strstr(text, row));
+		if (strstr(text, row) == NULL)
+			fprintf(stderr, "missing: %s\n", row);
+		free(row);
+	}
+	free(text);
+}
+
+/* Guards against pages that name a file which is not there. */
+static void
+test_links(void)
+{
+	static const char *const pages[] = {"agatectl", "callers",
+	    "environment", "getting-started", "glossary", "operating",
+	    "security", "settings", "troubleshooting"};
+	char *path, *text;
+	const char *p;
+	size_t i, n;
+
+	for (i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
+		path = agb_xasprintf("docs/%s.md", pages[i]);
+		text = textfile_need(path, NULL);
+		free(path);
+		for (p = text; (p = strstr(p, "](")) != NULL; p++) {
+			n = strcspn(p + 2, ")#");
+			path = agb_xasprintf("docs/%.*s", (int)n, p + 2);
+			CU_ASSERT_EQUAL(access(path, R_OK), 0);
+			free(path);
+		}
+		free(text);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"environment", test_environment},
     {"settings", test_settings},
+    {"reasons", test_reasons},
+    {"links", test_links},
 };
 
 int
