--- a/src/agatebeam/sched.c
+++ b/src/agatebeam/sched.c
@@ -92,6 +92,9 @@
 	w->state = AGB_WORKER_GONE;
 	sched_resv_lost(s, w);
 	sched_worker_refresh(s, w);
+	/* No commands to a worker that is gone. */
+	for (a = w->atts; a != NULL; a = a->next)
+		sched_att_state(s, a, ATT_STOPPING);
 	while ((a = w->atts) != NULL) {
 		if (a->quick)
 			sched_quick_done(s, now, a, AGB_RESULT_LOST);
--- a/src/agatebeam/sched_job.c
+++ b/src/agatebeam/sched_job.c
@@ -259,6 +259,11 @@
 		    "its deadline passed before it could start");
 		return false;
 	}
+	if (!sched_quota_ever(s, j)) {
+		sched_job_end(s, now, j, AGB_REASON_QUOTA,
+		    "larger than the quota of its team, which may not borrow");
+		return false;
+	}
 	if (!sched_feasible_job(s, j, why, sizeof(why))) {
 		sched_job_end(s, now, j, AGB_REASON_NEVER_FITS, "%s", why);
 		return false;
--- a/src/agatebeam/sched_parts.h
+++ b/src/agatebeam/sched_parts.h
@@ -73,6 +73,7 @@
 void sched_team_use(struct agb_sched *s, uint16_t team,
     const struct agb_resources *add, const struct agb_resources *sub);
 void sched_team_shares(struct agb_sched *s);
+bool sched_quota_ever(const struct agb_sched *s, const struct sched_job *j);
 bool sched_quota_borrowed(const struct agb_sched *s);
 bool sched_quota_fits(const struct agb_sched *s, uint16_t team,
     const struct agb_resources *need, uint32_t units);
--- a/src/agatebeam/sched_preempt.c
+++ b/src/agatebeam/sched_preempt.c
@@ -347,7 +347,9 @@
 		s->reclaim_at = now + RECLAIM_EVERY;
 	for (i = 0; i < PLANS && j->bucket == b && j->resv_len < j->pending;
 	     i++) {
-		if (sched_job_next_task(j) == SCHED_NO_TASK ||
+		if ((!sched_quota_fits(s, b->shape.team, &b->need, 1) &&
+			!sched_team_env(s, b->shape.team)->borrow) ||
+		    sched_job_next_task(j) == SCHED_NO_TASK ||
 		    s->resv_jobs_len == SCHED_RESV_JOBS)
 			break;
 		if (!find_plan(s, b, aim, &plan))
--- a/src/agatebeam/sched_queue.c
+++ b/src/agatebeam/sched_queue.c
@@ -57,6 +57,21 @@
 	share_set(s, t, team);
 }
 
+/* Whether a job could start if its team used nothing else. */
+bool
+sched_quota_ever(const struct agb_sched *s, const struct sched_job *j)
+{
+	const struct agb_env_team *const t = sched_team_env(s, j->spec.team);
+	const int64_t units =
+	    sched_class(s, j->spec.work)->policy == AGB_POLICY_GANG
+	    ? j->spec.tasks
+	    : 1;
+	const struct agb_resources need = {j->spec.need.cpu_milli * units,
+	    j->spec.need.mem_mb * units, j->spec.need.accel * units};
+
+	return t->borrow || agb_resources_fit(&need, &t->quota);
+}
+
 /* Whether any team uses more than its quota. */
 bool
 sched_quota_borrowed(const struct agb_sched *s)
