--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -247,7 +247,7 @@
 		own_grant_sweep(o, now, out);
 		own_job_sweep(o, now, out);
 	}
-	if (o->sched != NULL && agb_sched_next_tick(o->sched, now) <= now)
+	if (own_serving(o) && agb_sched_next_tick(o->sched, now) <= now)
 		own_sched_feed(o, now, &tick, out);
 	own_commit_tick(o, now, out);
 	own_command_flush(o, now, out);
@@ -264,6 +264,8 @@
 		if (!o->term) {
 			o->term = true;
 			o->term_at = now;
+			own_grant_drop(o, AGB_REASON_DRAINING,
+			    "the owner is shutting down", out);
 		}
 		break;
 	case AGB_EV_LIST:
@@ -301,7 +303,7 @@
 	size_t i;
 
 	o->env = env;
-	if (o->sched == NULL)
+	if (!own_serving(o))
 		return;
 	own_sched_feed(o, now, &ev, out);
 	/* A worker's service is an index into the document. */
@@ -323,7 +325,7 @@
 	const struct agb_sched_event ev = {
 	    .type = AGB_SCHED_TEAM_USAGE, .team = team, .used = *used};
 
-	if (o->sched == NULL)
+	if (!own_serving(o))
 		return;
 	own_sched_feed(o, now, &ev, out);
 	run_due(o, now, out);
@@ -388,7 +390,7 @@
 	at = t < at ? t : at;
 	if (o->recover.retry_at != 0 && o->recover.retry_at < at)
 		at = o->recover.retry_at;
-	if (o->sched != NULL) {
+	if (own_serving(o)) {
 		t = agb_sched_next_tick(o->sched, now);
 		at = t < at ? t : at;
 	}
--- a/src/agatebeam/owner.h
+++ b/src/agatebeam/owner.h
@@ -47,6 +47,11 @@
  * tag of AGB_TAG_OWNER, and RPC_CALL of GRANT, RELEASE, SUBMIT, JOB_GET,
  * CANCEL and EXPLAIN. Every such RPC_CALL is answered by exactly one
  * AGB_EF_RPC_REPLY, at once or later.
+ *
+ * While it does not own the shard, GRANT and SUBMIT are answered NOT_RUN, and
+ * JOB_GET and CANCEL with found unset; the reason is then NO_OWNER,
+ * NO_DOCUMENT or DRAINING, and NOT_FOUND only from an owner that knows that
+ * the team has no such job. The outcome of an accepted SUBMIT says nothing.
  */
 void agb_owner_step(struct agb_owner *o, agb_time now,
     const struct agb_event *ev, struct agb_effects *out);
--- a/src/agatebeam/owner_commit.c
+++ b/src/agatebeam/owner_commit.c
@@ -4,6 +4,10 @@
 #include "mem.h"
 #include "owner_internal.h"
 
+/* Callers wait this long for a write whose answer is out before they are
+ * told that its fate is not known. */
+#define FLIGHT_MAX (3 * AGB_SEC)
+
 static void
 records_free(struct own_records *r)
 {
@@ -149,13 +153,70 @@
 	c->key = agb_journal_key(o->elect.shard, o->epoch, c->seq);
 }
 
+/* Answers who waits for a record that may not become durable for long. */
+static void
+record_isolated(struct agb_owner *o, struct own_record *r, bool flight,
+    struct agb_effects *out)
+{
+	struct own_job *const j = r->ref;
+
+	if (r->kind == OWN_WAIT_GRANT) {
+		own_grant_isolated(o, r->ref, out);
+	} else if (r->kind == OWN_WAIT_CANCEL && r->token != 0) {
+		own_job_state(j, AGB_X_CANCEL, r->token,
+		    "being cancelled, but the store cannot be reached to "
+		    "make that durable",
+		    out);
+		r->token = 0;
+	} else if (r->kind == OWN_WAIT_SUBMIT && flight) {
+		own_job_refuse(o, j, AGB_UNKNOWN, AGB_REASON_STORE_UNKNOWN,
+		    "the store did not tell whether it took the job", out);
+		j->tokens_len = 0;
+	}
+}
+
+/*
+ * Past the lease bound: a job whose record has not been sent is refused and
+ * its record taken back, so that the refusal stays true once the store is
+ * back. What has been sent stays open until the store tells.
+ */
+static void
+isolated(struct agb_owner *o, agb_time now, struct agb_effects *out)
+{
+	struct own_commit *const c = &o->commit;
+	size_t i, n = 0;
+
+	for (i = 0; i < c->flight.len && now >= c->begun_at + FLIGHT_MAX; i++)
+		record_isolated(o, &c->flight.items[i], true, out);
+	for (i = 0; i < c->pending.len; i++) {
+		struct own_record *const r = &c->pending.items[i];
+
+		if (r->kind == OWN_WAIT_SUBMIT) {
+			own_job_refuse(o, r->ref, AGB_NOT_RUN,
+			    AGB_REASON_ISOLATED,
+			    "the store cannot be reached to accept the job",
+			    out);
+			own_job_delete(o, r->ref);
+			free(r->bytes);
+			continue;
+		}
+		record_isolated(o, r, false, out);
+		c->pending.items[n++] = *r;
+	}
+	c->pending.len = n;
+}
+
 void
 own_commit_tick(struct agb_owner *o, agb_time now, struct agb_effects *out)
 {
 	struct own_commit *const c = &o->commit;
 
-	if (!own_serving(o) || !own_leased(o, now))
+	if (!own_serving(o))
 		return;
+	if (!own_leased(o, now)) {
+		isolated(o, now, out);
+		return;
+	}
 	if (c->busy) {
 		if (c->tag != 0 || now < c->retry_at)
 			return;
@@ -170,6 +231,7 @@
 	if (now < due_at(o))
 		return;
 	c->busy = true;
+	c->begun_at = now;
 	c->lost = false;
 	c->compared = false;
 	/* Records go first: callers wait for them, nobody for a snapshot. */
@@ -340,8 +402,12 @@
 	const struct own_commit *const c = &o->commit;
 	agb_time at;
 
-	if (!own_serving(o) || !own_leased(o, now))
+	if (!own_serving(o))
 		return AGB_TIME_MAX;
+	if (!own_leased(o, now)) {
+		at = c->begun_at + FLIGHT_MAX;
+		return c->busy && at > now ? at : AGB_TIME_MAX;
+	}
 	if (c->busy)
 		return c->tag != 0 ? AGB_TIME_MAX : c->retry_at;
 	if (c->pending.len == 0 && c->chunk >= c->chunks_len)
--- a/src/agatebeam/owner_grant.c
+++ b/src/agatebeam/owner_grant.c
@@ -230,6 +230,11 @@
 	    " worker=%s weighed=%u reason=\"%s\"",
 	    g->request, g->work, g->team, e->attempt.epoch, e->attempt.seq,
 	    w->inst.id, e->weighed, e->detail);
+	if (g->token == 0) {
+		grant_end(
+		    o, now, g, AGB_RESULT_NOT_STARTED, "never given out", out);
+		return;
+	}
 	if (g->dedup == NULL) {
 		give(o, g, out);
 		return;
@@ -251,7 +256,14 @@
 own_grant_durable(struct agb_owner *o, agb_time now, struct own_grant *g,
     struct agb_effects *out)
 {
-	(void)now;
+	if (!g->dead && g->token == 0) {
+		/* Its caller has been told not-run meanwhile. */
+		g->dedup->durable = true;
+		g->state = OWN_GRANT_GIVEN;
+		grant_end(
+		    o, now, g, AGB_RESULT_NOT_STARTED, "never given out", out);
+		return;
+	}
 	if (g->dead) {
 		if (g->token != 0)
 			grant_reply(o, g->token, NULL, AGB_NOT_RUN,
@@ -281,8 +293,9 @@
 	    g->request, g->work, g->team, agb_outcome_name(e->outcome),
 	    agb_reason_name(e->reason), e->weighed, e->detail);
 	remember(o, g->request, e->detail);
-	grant_reply(o, g->token, NULL, e->outcome, e->reason, e->retry_ms,
-	    e->detail, out);
+	if (g->token != 0)
+		grant_reply(o, g->token, NULL, e->outcome, e->reason,
+		    e->retry_ms, e->detail, out);
 	if (g->dedup != NULL)
 		own_key_delete(o, g->dedup);
 	grant_free(o, g);
@@ -487,6 +500,19 @@
 	}
 }
 
+/* The store cannot be reached to make the key's use durable. The grant has
+ * not been given out, so the request has not run. */
+void
+own_grant_isolated(
+    struct agb_owner *o, struct own_grant *g, struct agb_effects *out)
+{
+	if (g->token == 0)
+		return;
+	grant_reply(o, g->token, NULL, AGB_NOT_RUN, AGB_REASON_ISOLATED, 1000,
+	    "the store cannot be reached to make the key unique", out);
+	g->token = 0;
+}
+
 /* Answers all that wait for a grant when the role ends. None of them has
  * been given a grant, so none can have run. */
 void
--- a/src/agatebeam/owner_internal.h
+++ b/src/agatebeam/owner_internal.h
@@ -203,6 +203,8 @@
     struct own_worker *w, struct agb_effects *out);
 void own_grant_sweep(
     struct agb_owner *o, agb_time now, struct agb_effects *out);
+void own_grant_isolated(
+    struct agb_owner *o, struct own_grant *g, struct agb_effects *out);
 void own_grant_drop(struct agb_owner *o, enum agb_reason reason,
     const char *why, struct agb_effects *out);
 
--- a/src/agatebeam/owner_state.h
+++ b/src/agatebeam/owner_state.h
@@ -315,6 +315,7 @@
 	struct agb_journal_value value;
 	uint64_t seq;
 	uint64_t tag;
+	agb_time begun_at;
 	agb_time sent_at;
 	agb_time first_at;
 	agb_time retry_at;
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -117,7 +117,9 @@
 	s->seq = e->attempt.seq;
 	s->worker = t->worker;
 	s->boot = t->boot;
-	own_commit_add(o, now, &rec, OWN_WAIT_START, t, 0);
+	/* An owner that hands over starts nothing more. */
+	if (!o->term)
+		own_commit_add(o, now, &rec, OWN_WAIT_START, t, 0);
 }
 
 /* The intent is durable. */
@@ -128,7 +130,7 @@
 	struct agb_command c = {.kind = AGB_COMMAND_START};
 	uint16_t work;
 
-	if (t->state != OWN_TASK_INTENT ||
+	if (o->term || t->state != OWN_TASK_INTENT ||
 	    !own_attempt_eq(&t->attempt, attempt))
 		return;
 	t->state = OWN_TASK_STARTING;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -311,6 +311,54 @@
 	shard_free(s);
 }
 
+/* Guards against a caller that waits for ever while the store is away, and
+ * against a job that runs although its caller was told not-run. */
+static void
+test_isolated_submits(void)
+{
+	struct shard *const s = shard_new(1);
+	uint64_t flight, pending, keyed;
+
+	s->nodes[0].cut = true;
+	flight = shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 10 * AGB_MS);
+	pending = shard_submit(s, 0, "plan", 1, true, "");
+	keyed = shard_grant(s, 0, "k", 10000);
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_EQUAL(submitted(s, flight)->outcome, AGB_UNKNOWN);
+	CU_ASSERT_EQUAL(submitted(s, pending)->outcome, AGB_NOT_RUN);
+	CU_ASSERT_EQUAL(submitted(s, pending)->reason, AGB_REASON_ISOLATED);
+	CU_ASSERT_EQUAL(granted(s, keyed)->reason, AGB_REASON_ISOLATED);
+	s->nodes[0].cut = false;
+	shard_run(s, 6 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 0));
+	CU_ASSERT_TRUE(starts(s) == 0);
+	keyed = shard_grant(s, 0, "k", 10000);
+	shard_run(s, 200 * AGB_MS);
+	CU_ASSERT_TRUE(granted(s, keyed)->granted);
+	shard_free(s);
+}
+
+/* Guards against a task held for ever for a worker that the list has
+ * forgotten before the takeover. */
+static void
+test_takeover_worker_gone(void)
+{
+	struct shard *const s = shard_new(1);
+	char id[AGB_ID_LEN];
+
+	agb_name_set(id, sizeof(id), accepted(s, "plan", false));
+	s->workers[0].silent = true;
+	shard_node_kill(s, 0);
+	shard_node_start(s, 0, 0);
+	shard_run(s, 8 * AGB_SEC);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "running");
+	shard_run(s, 12 * AGB_SEC);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "done");
+	CU_ASSERT_EQUAL(job(s, 0, id)->outcome, AGB_UNKNOWN);
+	shard_free(s);
+}
+
 /* Guards against a task that runs twice because its worker fell silent, and
  * against one that is never run again although it has certainly stopped. */
 static void
@@ -794,6 +842,8 @@
     {"fenced_write", test_fenced_write},
     {"paused_owner", test_paused_owner},
     {"isolation", test_isolation},
+    {"isolated_submits", test_isolated_submits},
+    {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
     {"silence_needs_lease", test_silence_needs_lease},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
