test(owner): role lost by a read, silence without lease, lost releases

Change: test_other_owner_seen, one case more in test_dead_entry_instance, one check more in test_silence_needs_lease.

--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -248,6 +248,34 @@
 	}
 }
 
+/* Guards against an idle owner that keeps its role beside another one,
+ * whether the watch or a read after a broken watch tells of it. */
+static void
+test_other_owner_seen(void)
+{
+	static const bool broken[] = {false, true};
+	size_t i;
+
+	for (i = 0; i < LEN(broken); i++) {
+		struct shard *const s = shard_new(1);
+		struct agb_event ev = {.type = AGB_EV_WATCH};
+
+		if (broken[i]) {
+			free(s->nodes[0].watch_key);
+			s->nodes[0].watch_key = NULL;
+			ev.tag = s->nodes[0].watch_tag;
+			ev.u.watch.broken = true;
+			shard_step(s, 0, &ev);
+		}
+		usurp(s);
+		shard_run(s, broken[i] ? 200 * AGB_MS : 10 * AGB_MS);
+		CU_ASSERT_FALSE(active(s, 0));
+		CU_ASSERT_STRING_EQUAL(
+		    agb_owner_known(s->nodes[0].o), "10.9.9.9:1");
+		shard_free(s);
+	}
+}
+
 /* Guards against a paused owner that acts on its old lease when it wakes. */
 static void
 test_paused_owner(void)
@@ -411,6 +439,7 @@
 	shard_run(s, 30 * AGB_SEC);
 	CU_ASSERT_EQUAL(starts(s), 1);
 	CU_ASSERT_EQUAL(running(s), 1);
+	CU_ASSERT_PTR_NULL(strstr(s->log, "evidence "));
 	shard_free(s);
 }
 
@@ -519,7 +548,10 @@
 static void
 test_dead_entry_instance(void)
 {
-	static const bool cases[] = {false, true};
+	static const struct {
+		bool busy;
+		bool told; /* it reported the attempt as lost before */
+	} cases[] = {{false, false}, {true, false}, {true, true}};
 	size_t i;
 
 	for (i = 0; i < LEN(cases); i++) {
@@ -531,17 +563,20 @@
 		b = shard_grant(s, 0, "", 60000);
 		CU_ASSERT_TRUE_FATAL(granted(s, a)->granted);
 		CU_ASSERT_TRUE_FATAL(granted(s, b)->granted);
-		if (cases[i]) {
+		if (cases[i].busy) {
 			w->slots[0].epoch = granted(s, a)->attempt.epoch;
 			w->slots[0].seq = granted(s, a)->attempt.seq;
 			w->slots_len = 1;
 		}
+		if (cases[i].told)
+			shard_release(
+			    s, 0, &granted(s, a)->attempt, AGB_RESULT_LOST);
 		shard_run(s, 2 * AGB_SEC);
-		CU_ASSERT_EQUAL(w->revoked_len, 0);
+		CU_ASSERT_EQUAL(w->revoked_len, cases[i].told);
 		c = shard_grant(s, 0, "", 60000);
 		shard_run(s, 1500 * AGB_MS);
 		CU_ASSERT_EQUAL(w->revoked_len, 1);
-		if (cases[i]) {
+		if (cases[i].busy) {
 			shard_run(s, 10 * AGB_SEC);
 			CU_ASSERT_PTR_NULL(shard_reply(s, c, NULL));
 			w->slots_len = 0;
@@ -840,6 +875,7 @@
     {"job_life", test_job_life},
     {"submit_store_faults", test_submit_store_faults},
     {"fenced_write", test_fenced_write},
+    {"other_owner_seen", test_other_owner_seen},
     {"paused_owner", test_paused_owner},
     {"isolation", test_isolation},
     {"isolated_submits", test_isolated_submits},
