--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -248,6 +248,34 @@
 	}
 }
 
+/* Guards against an idle owner that keeps its role beside another one,
+ * whether the watch or a read after a broken watch tells of it. */
+static void
+test_other_owner_seen(void)
+{
+	static const bool broken[] = {false, true};
+	size_t i;
+
+	for (i = 0; i < LEN(broken); i++) {
+		struct shard *const s = shard_new(1);
+		struct agb_event ev = {.type = AGB_EV_WATCH};
+
+		if (broken[i]) {
+			free(s->nodes[0].watch_key);
+			s->nodes[0].watch_key = NULL;
+			ev.tag = s->nodes[0].watch_tag;
+			ev.u.watch.broken = true;
+			shard_step(s, 0, &ev);
+		}
+		usurp(s);
+		shard_run(s, broken[i] ? 200 * AGB_MS : 10 * AGB_MS);
+		CU_ASSERT_FALSE(active(s, 0));
+		CU_ASSERT_STRING_EQUAL(
+		    agb_owner_known(s->nodes[0].o), "10.9.9.9:1");
+		shard_free(s);
+	}
+}
+
 /* Guards against a paused owner that acts on its old lease when it wakes. */
 static void
 test_paused_owner(void)
@@ -311,6 +339,54 @@
 	shard_free(s);
 }
 
+/* Guards against a caller that waits for ever while the store is away, and
+ * against a job that runs although its caller was told not-run. */
+static void
+test_isolated_submits(void)
+{
+	struct shard *const s = shard_new(1);
+	uint64_t flight, pending, keyed;
+
+	s->nodes[0].cut = true;
+	flight = shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 10 * AGB_MS);
+	pending = shard_submit(s, 0, "plan", 1, true, "");
+	keyed = shard_grant(s, 0, "k", 10000);
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_EQUAL(submitted(s, flight)->outcome, AGB_UNKNOWN);
+	CU_ASSERT_EQUAL(submitted(s, pending)->outcome, AGB_NOT_RUN);
+	CU_ASSERT_EQUAL(submitted(s, pending)->reason, AGB_REASON_ISOLATED);
+	CU_ASSERT_EQUAL(granted(s, keyed)->reason, AGB_REASON_ISOLATED);
+	s->nodes[0].cut = false;
+	shard_run(s, 6 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 0));
+	CU_ASSERT_TRUE(starts(s) == 0);
+	keyed = shard_grant(s, 0, "k", 10000);
+	shard_run(s, 200 * AGB_MS);
+	CU_ASSERT_TRUE(granted(s, keyed)->granted);
+	shard_free(s);
+}
+
+/* Guards against a task held for ever for a worker that the list has
+ * forgotten before the takeover. */
+static void
+test_takeover_worker_gone(void)
+{
+	struct shard *const s = shard_new(1);
+	char id[AGB_ID_LEN];
+
+	agb_name_set(id, sizeof(id), accepted(s, "plan", false));
+	s->workers[0].silent = true;
+	shard_node_kill(s, 0);
+	shard_node_start(s, 0, 0);
+	shard_run(s, 8 * AGB_SEC);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "running");
+	shard_run(s, 12 * AGB_SEC);
+	CU_ASSERT_STRING_EQUAL(job(s, 0, id)->state, "done");
+	CU_ASSERT_EQUAL(job(s, 0, id)->outcome, AGB_UNKNOWN);
+	shard_free(s);
+}
+
 /* Guards against a task that runs twice because its worker fell silent, and
  * against one that is never run again although it has certainly stopped. */
 static void
@@ -363,6 +439,7 @@
 	shard_run(s, 30 * AGB_SEC);
 	CU_ASSERT_EQUAL(starts(s), 1);
 	CU_ASSERT_EQUAL(running(s), 1);
+	CU_ASSERT_PTR_NULL(strstr(s->log, "evidence "));
 	shard_free(s);
 }
 
@@ -471,7 +548,10 @@
 static void
 test_dead_entry_instance(void)
 {
-	static const bool cases[] = {false, true};
+	static const struct {
+		bool busy;
+		bool told; /* it reported the attempt as lost before */
+	} cases[] = {{false, false}, {true, false}, {true, true}};
 	size_t i;
 
 	for (i = 0; i < LEN(cases); i++) {
@@ -483,17 +563,20 @@
 		b = shard_grant(s, 0, "", 60000);
 		CU_ASSERT_TRUE_FATAL(granted(s, a)->granted);
 		CU_ASSERT_TRUE_FATAL(granted(s, b)->granted);
-		if (cases[i]) {
+		if (cases[i].busy) {
 			w->slots[0].epoch = granted(s, a)->attempt.epoch;
 			w->slots[0].seq = granted(s, a)->attempt.seq;
 			w->slots_len = 1;
 		}
+		if (cases[i].told)
+			shard_release(
+			    s, 0, &granted(s, a)->attempt, AGB_RESULT_LOST);
 		shard_run(s, 2 * AGB_SEC);
-		CU_ASSERT_EQUAL(w->revoked_len, 0);
+		CU_ASSERT_EQUAL(w->revoked_len, cases[i].told);
 		c = shard_grant(s, 0, "", 60000);
 		shard_run(s, 1500 * AGB_MS);
 		CU_ASSERT_EQUAL(w->revoked_len, 1);
-		if (cases[i]) {
+		if (cases[i].busy) {
 			shard_run(s, 10 * AGB_SEC);
 			CU_ASSERT_PTR_NULL(shard_reply(s, c, NULL));
 			w->slots_len = 0;
@@ -792,8 +875,11 @@
     {"job_life", test_job_life},
     {"submit_store_faults", test_submit_store_faults},
     {"fenced_write", test_fenced_write},
+    {"other_owner_seen", test_other_owner_seen},
     {"paused_owner", test_paused_owner},
     {"isolation", test_isolation},
+    {"isolated_submits", test_isolated_submits},
+    {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
     {"silence_needs_lease", test_silence_needs_lease},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
