--- a/src/agatebeam/daemon.c
+++ b/src/agatebeam/daemon.c
@@ -5,12 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <uv.h>
 
-#include "counters.h"
 #include "edge.h"
 #include "log.h"
 #include "mem.h"
+#include "metrics.h"
 #include "node.h"
 #include "platform_list.h"
 #include "rpc.h"
@@ -41,7 +42,9 @@
 	struct agb_workerc *workerc;
 	struct agb_upstream *upstream;
 	struct agb_log *log;
-	struct agb_counters *counters;
+	struct agb_metrics *metrics;
+	agb_addr *peers;
+	size_t peers_len;
 	unsigned signals;
 	int linger_left;
 	int status;
@@ -57,33 +60,15 @@
 	return uv_hrtime() / 1000;
 }
 
-static void
-count(struct daemon *d, const char *name, const char *label)
-{
-	agb_counters_add(d->counters, name, label, 1);
-}
-
-static void
-do_reply(struct daemon *d, const struct agb_effect *ef)
-{
-	count(d, "agatebeam_answers_total",
-	    agb_outcome_name(ef->u.reply.outcome));
-	if (ef->u.reply.reason != AGB_REASON_NONE)
-		count(d, "agatebeam_answer_reasons_total",
-		    agb_reason_name(ef->u.reply.reason));
-	agb_edge_reply(d->edge, ef->call_id, &ef->u.reply);
-}
-
 static void
 do_upstream(struct daemon *d, const struct agb_effect *ef)
 {
 	struct agb_edge_request req;
-	struct agb_event ev = { .type = AGB_EV_UPSTREAM };
+	struct agb_event ev = {.type = AGB_EV_UPSTREAM};
 
-	count(d, "agatebeam_attempts_total", "");
 	if (agb_edge_body(d->edge, ef->call_id, &req)) {
-		agb_upstream_send(d->upstream, ef->call_id, &ef->u.upstream,
-		    &req);
+		agb_upstream_send(
+		    d->upstream, ef->call_id, &ef->u.upstream, &req);
 		return;
 	}
 	/* The call ended in the same turn of the loop: nothing was sent. */
@@ -114,35 +99,27 @@
 	uv_timer_start(&d->linger, drained, LINGER_MS, LINGER_MS);
 }
 
-static void
-do_rpc_call(struct daemon *d, const struct agb_effect *ef)
-{
-	count(d, "agatebeam_rpc_calls_total", "");
-	agb_rpc_call(d->rpc, ef->tag, ef->peer, &ef->u.rpc_args,
-	    ef->timeout_ms);
-}
-
 static void
 carry_out(struct daemon *d, struct agb_effect *ef)
 {
+	agb_metrics_effect(d->metrics, ef);
 	switch (ef->type) {
 	case AGB_EF_REPLY:
-		do_reply(d, ef);
+		agb_edge_reply(d->edge, ef->call_id, &ef->u.reply);
 		break;
 	case AGB_EF_FORWARD:
-		count(d, "agatebeam_answers_total", "forwarded");
 		agb_edge_forward(d->edge, ef->call_id);
 		break;
 	case AGB_EF_UPSTREAM:
 		do_upstream(d, ef);
 		break;
 	case AGB_EF_UPSTREAM_ABORT:
-		agb_upstream_abort(d->upstream, ef->call_id,
-		    &ef->u.upstream.attempt);
+		agb_upstream_abort(
+		    d->upstream, ef->call_id, &ef->u.upstream.attempt);
 		break;
 	case AGB_EF_STORE:
-		d->store->ops->call(d->store, ef->tag, &ef->u.store,
-		    ef->timeout_ms);
+		d->store->ops->call(
+		    d->store, ef->tag, &ef->u.store, ef->timeout_ms);
 		break;
 	case AGB_EF_WATCH:
 		d->store->ops->watch(d->store, ef->tag, ef->u.watch.key,
@@ -157,18 +134,18 @@
 	case AGB_EF_SESSION:
 	case AGB_EF_RENEW:
 	case AGB_EF_COMMANDS:
-		count(d, "agatebeam_worker_calls_total", "");
 		agb_workerc_call(d->workerc, ef);
 		break;
 	case AGB_EF_RPC_CALL:
-		do_rpc_call(d, ef);
+		agb_rpc_call(
+		    d->rpc, ef->tag, ef->peer, &ef->u.rpc_args, ef->timeout_ms);
 		break;
 	case AGB_EF_RPC_REPLY:
 		agb_rpc_reply(d->rpc, ef->token, &ef->u.rpc_res);
 		break;
 	case AGB_EF_LOG:
-		agb_log_write(d->log, ef->u.log.level, ef->u.log.event,
-		    ef->u.log.line);
+		agb_log_line(
+		    d->log, ef->u.log.level, ef->u.log.event, ef->u.log.line);
 		break;
 	case AGB_EF_READY:
 		agb_edge_ready_set(d->edge, ef->ready);
@@ -182,7 +159,7 @@
 static void
 on_tick(uv_timer_t *t)
 {
-	const struct agb_event ev = { .type = AGB_EV_TICK };
+	const struct agb_event ev = {.type = AGB_EV_TICK};
 
 	feed(t->data, &ev);
 }
@@ -209,10 +186,12 @@
 static void
 feed(struct daemon *d, const struct agb_event *ev)
 {
-	struct agb_effects out = { 0 };
+	const agb_time now = now_us();
+	struct agb_effects out = {0};
 	size_t i;
 
-	agb_node_step(d->node, now_us(), ev, &out);
+	agb_node_step(d->node, now, ev, &out);
+	agb_metrics_step(d->metrics, now_us() - now);
 	for (i = 0; i < out.len; i++)
 		carry_out(d, &out.items[i]);
 	agb_effects_free(&out);
@@ -241,16 +220,64 @@
 	feed(arg, ev);
 }
 
+/* The address without its port. */
+static void
+ip_of(const char *address, agb_addr ip)
+{
+	const char *const colon = strrchr(address, ':');
+	const char *from;
+	size_t n;
+
+	from = address[0] == '[' ? address + 1 : address;
+	n = colon != NULL ? (size_t)(colon - from) : strlen(from);
+	if (n > 0 && from[n - 1] == ']')
+		n--;
+	if (n >= sizeof(agb_addr))
+		n = 0;
+	memcpy(ip, from, n);
+	ip[n] = '\0';
+}
+
+/* Calls are taken from the entry instances that the platform has listed. An
+ * address stays allowed after its instance has gone: it may still finish
+ * what it has begun. */
+static void
+allow_peer(struct daemon *d, const char *rpc)
+{
+	agb_addr ip;
+	size_t i;
+
+	ip_of(rpc, ip);
+	for (i = 0; i < d->peers_len; i++) {
+		if (strcmp(d->peers[i], ip) == 0)
+			return;
+	}
+	d->peers =
+	    agb_xreallocarray(d->peers, d->peers_len + 1, sizeof(*d->peers));
+	memcpy(d->peers[d->peers_len++], ip, sizeof(ip));
+	agb_rpc_allow_set(d->rpc, d->peers, d->peers_len);
+}
+
 static void
 on_list(void *arg, struct agb_event *ev)
 {
-	feed(arg, ev);
+	struct daemon *const d = arg;
+	const struct agb_instance *it;
+	size_t i;
+
+	for (i = 0; ev->u.list.ok && i < ev->u.list.items_len; i++) {
+		it = &ev->u.list.items[i];
+		if (it->kind == AGB_INSTANCE_ENTRY && it->rpc[0] != '\0' &&
+		    it->state != AGB_INSTANCE_GONE)
+			allow_peer(d, it->rpc);
+	}
+	feed(d, ev);
 }
 
 static void
 on_store(void *arg, uint64_t tag, struct agb_store_result *res)
 {
-	struct agb_event ev = { .type = AGB_EV_STORE, .tag = tag };
+	struct agb_event ev = {.type = AGB_EV_STORE, .tag = tag};
 
 	ev.u.store = *res;
 	feed(arg, &ev);
@@ -261,7 +288,7 @@
 on_watch(void *arg, uint64_t tag, struct agb_store_kv *kvs, size_t len,
     uint64_t revision, bool broken)
 {
-	struct agb_event ev = { .type = AGB_EV_WATCH, .tag = tag };
+	struct agb_event ev = {.type = AGB_EV_WATCH, .tag = tag};
 
 	ev.u.watch.kvs = kvs;
 	ev.u.watch.kvs_len = len;
@@ -274,44 +301,57 @@
 static void
 on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
 {
-	struct agb_event ev = { .type = AGB_EV_RPC_CALL, .token = token };
+	struct agb_event ev = {.type = AGB_EV_RPC_CALL, .token = token};
 
 	ev.u.rpc_args = *args;
 	feed(arg, &ev);
+	agb_event_free(&ev);
 }
 
 static void
 on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
 {
-	struct agb_event ev = { .type = AGB_EV_RPC_REPLY, .tag = tag };
+	struct agb_event ev = {.type = AGB_EV_RPC_REPLY, .tag = tag};
 
 	ev.rpc_ok = ok;
 	ev.rpc_sent = sent;
 	if (ok)
 		ev.u.rpc_res = *res;
 	feed(arg, &ev);
+	agb_event_free(&ev);
+}
+
+static void
+on_rpc_log(
+    void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	struct daemon *const d = arg;
+
+	agb_log_line(d->log, level, event, line);
 }
 
 static char *
 metrics(void *arg)
 {
 	struct daemon *const d = arg;
+	const struct agb_env *const env = agb_node_env(d->node);
+	const struct agb_metrics_input in = {
+	    .edge = d->edge,
+	    .rpc = d->rpc,
+	    .store_calls = d->store->ops->calls(d->store),
+	    .env_version = env != NULL ? env->version : 0,
+	    .log_dropped = agb_log_dropped(d->log),
+	    .owner = agb_node_active(d->node, now_us()),
+	};
 
-	agb_counters_set(d->counters, "agatebeam_store_calls_total", "",
-	    d->store->ops->calls(d->store));
-	agb_counters_set(d->counters, "agatebeam_shard_owner", "",
-	    agb_node_active(d->node, now_us()) ? 1 : 0);
-	agb_counters_set(d->counters, "agatebeam_env_version", "",
-	    agb_node_env(d->node) != NULL ? agb_node_env(d->node)->version :
-					    0);
-	return agb_counters_text(d->counters);
+	return agb_metrics_text(d->metrics, &in);
 }
 
 static void
 on_signal(uv_signal_t *h, int signum)
 {
 	struct daemon *const d = h->data;
-	const struct agb_event ev = { .type = AGB_EV_TERM };
+	const struct agb_event ev = {.type = AGB_EV_TERM};
 
 	if (++d->signals > 1) {
 		d->status = 3;
@@ -322,8 +362,8 @@
 }
 
 static void
-node_config(const struct agb_settings *s, const char *rpc,
-    struct agb_node_config *cfg)
+node_config(
+    const struct agb_settings *s, const char *rpc, struct agb_node_config *cfg)
 {
 	memset(cfg, 0, sizeof(*cfg));
 	memcpy(cfg->instance, s->instance, sizeof(cfg->instance));
@@ -343,12 +383,13 @@
 {
 	const struct agb_settings *const s = &d->settings;
 	static const struct agb_edge_cbs edge_cbs = {
-		.on_event = on_edge_event,
-		.metrics = metrics,
+	    .on_event = on_edge_event,
+	    .metrics = metrics,
 	};
 	static const struct agb_rpc_cbs rpc_cbs = {
-		.on_call = on_rpc_call,
-		.on_reply = on_rpc_reply,
+	    .call = on_rpc_call,
+	    .reply = on_rpc_reply,
+	    .log = on_rpc_log,
 	};
 
 	d->edge = agb_edge_new(&d->loop, s, &edge_cbs, d);
@@ -359,16 +400,16 @@
 	}
 	d->rpc = agb_rpc_new(&d->loop, s->rpc, &rpc_cbs, d);
 	if (d->rpc == NULL) {
-		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n",
-		    s->rpc, strerror(errno));
+		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n", s->rpc,
+		    strerror(errno));
 		return false;
 	}
-	d->store = agb_store_etcd_new(&d->loop, s->store, s->store_len,
-	    on_store, on_watch, d);
+	d->store = agb_store_etcd_new(
+	    &d->loop, s->store, s->store_len, on_store, on_watch, d);
 	d->list = agb_platform_list_new(&d->loop, s->platform, on_list, d);
-	d->workerc = agb_workerc_new(&d->loop, on_worker, d);
-	d->upstream = agb_upstream_new(&d->loop, RUNNER_CONNECTIONS,
-	    ANSWER_MAX, on_upstream, d);
+	d->workerc = agb_workerc_new(&d->loop, s->instance, on_worker, d);
+	d->upstream = agb_upstream_new(
+	    &d->loop, RUNNER_CONNECTIONS, ANSWER_MAX, on_upstream, d);
 	return true;
 }
 
@@ -398,7 +439,7 @@
 int
 agb_daemon_run(const struct agb_settings *s)
 {
-	const struct agb_event first = { .type = AGB_EV_TICK };
+	const struct agb_event first = {.type = AGB_EV_TICK};
 	struct agb_node_config cfg;
 	struct daemon *const d = agb_xcalloc(1, sizeof(*d));
 	int status;
@@ -413,16 +454,17 @@
 	d->tick.data = d->linger.data = d->sigterm.data = d->sigint.data = d;
 	/* A peer that closes its connection must not end the process. */
 	signal(SIGPIPE, SIG_IGN);
-	d->log = agb_log_new(&d->loop, s->log_json, s->log_level);
-	d->counters = agb_counters_new();
+	d->log =
+	    agb_log_new(&d->loop, STDERR_FILENO, s->log_json, s->log_level);
+	d->metrics = agb_metrics_new();
 	if (!open_clients(d))
 		goto out;
-	node_config(s, agb_rpc_address(d->rpc), &cfg);
+	node_config(s, agb_rpc_addr(d->rpc), &cfg);
 	d->node = agb_node_new(&cfg);
 	uv_signal_start(&d->sigterm, on_signal, SIGTERM);
 	uv_signal_start(&d->sigint, on_signal, SIGINT);
 	printf("listening http=%s rpc=%s\n", agb_edge_address(d->edge),
-	    agb_rpc_address(d->rpc));
+	    agb_rpc_addr(d->rpc));
 	fflush(stdout);
 	d->status = 0;
 	feed(d, &first);
@@ -434,7 +476,8 @@
 	uv_run(&d->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&d->loop);
 	agb_node_free(d->node);
-	agb_counters_free(d->counters);
+	agb_metrics_free(d->metrics);
+	free(d->peers);
 	status = d->status;
 	free(d);
 	return status;
--- a/src/agatebeam/daemon_main.c
+++ b/src/agatebeam/daemon_main.c
@@ -25,16 +25,15 @@
 
 	f = fopen(path, "r");
 	if (f == NULL) {
-		fprintf(stderr, "agatebeamd: %s: %s\n", path,
-		    strerror(errno));
+		fprintf(stderr, "agatebeamd: %s: %s\n", path, strerror(errno));
 		return NULL;
 	}
 	text = agb_xcalloc(1, SETTINGS_MAX + 1);
 	*len = fread(text, 1, SETTINGS_MAX + 1, f);
 	fclose(f);
 	if (*len > SETTINGS_MAX) {
-		fprintf(stderr, "agatebeamd: %s: larger than %zu bytes\n",
-		    path, SETTINGS_MAX);
+		fprintf(stderr, "agatebeamd: %s: larger than %zu bytes\n", path,
+		    SETTINGS_MAX);
 		free(text);
 		return NULL;
 	}
@@ -66,13 +65,13 @@
 int
 main(int argc, char **argv)
 {
-	struct arg_file *const file = arg_file1("s", "settings", "FILE",
-	    "settings, JSON with comments");
-	struct arg_lit *const check = arg_lit0(NULL, "check",
-	    "check the settings and exit");
+	struct arg_file *const file =
+	    arg_file1("s", "settings", "FILE", "settings, JSON with comments");
+	struct arg_lit *const check =
+	    arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *const help = arg_lit0("h", "help", "this text");
 	struct arg_end *const end = arg_end(8);
-	void *table[] = { file, check, help, end };
+	void *table[] = {file, check, help, end};
 	struct agb_settings s;
 	int errors, status;
 
--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -10,6 +10,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "addr.h"
 #include "mem.h"
 
 /*
@@ -122,30 +123,7 @@
 bool
 agb_httpc_parse_addr(const char *addr, struct sockaddr_storage *out)
 {
-	char host[AGB_ADDR_LEN];
-	const char *port;
-	size_t len;
-	unsigned long n;
-	char *end;
-
-	memset(out, 0, sizeof(*out));
-	port = strrchr(addr, ':');
-	if (port == NULL || !isdigit((unsigned char)port[1]))
-		return false;
-	n = strtoul(port + 1, &end, 10);
-	if (*end != '\0' || n == 0 || n > UINT16_MAX)
-		return false;
-	len = (size_t)(port - addr);
-	if (len > 1 && addr[0] == '[' && addr[len - 1] == ']') {
-		addr++;
-		len -= 2;
-	}
-	if (len == 0 || len >= sizeof(host))
-		return false;
-	memcpy(host, addr, len);
-	host[len] = '\0';
-	return uv_ip4_addr(host, (int)n, (struct sockaddr_in *)out) == 0 ||
-	    uv_ip6_addr(host, (int)n, (struct sockaddr_in6 *)out) == 0;
+	return agb_addr_parse(addr, false, out);
 }
 
 static void
--- /dev/null
+++ b/src/agatebeam/metrics.c
@@ -0,0 +1,229 @@
+#include "metrics.h"
+
+#include <stdlib.h>
+
+#include "mem.h"
+
+/* Peers whose traffic is listed. */
+#define PEERS_MAX 64
+
+static const double step_buckets[] = {
+    0.00001,
+    0.00005,
+    0.0001,
+    0.0005,
+    0.001,
+    0.005,
+    0.01,
+    0.1,
+};
+
+static const struct agb_metric answers = {
+    .name = "agatebeam_answers_total",
+    .help = "Answers to callers by outcome; forwarded is the upstream's own",
+    .label = "outcome",
+};
+
+static const struct agb_metric reasons = {
+    .name = "agatebeam_answer_reasons_total",
+    .help = "Answers that are not the upstream's own, by reason",
+    .label = "reason",
+};
+
+static const struct agb_metric effects = {
+    .name = "agatebeam_effects_total",
+    .help = "Effects carried out, by kind",
+    .label = "kind",
+};
+
+static const struct agb_metric steps = {
+    .name = "agatebeam_step_seconds",
+    .help = "Time of one step of the reducer",
+    .buckets = step_buckets,
+    .buckets_len = sizeof(step_buckets) / sizeof(step_buckets[0]),
+    .kind = AGB_HISTOGRAM,
+};
+
+static const struct agb_metric store_calls = {
+    .name = "agatebeam_store_calls_total",
+    .help = "Calls of the platform's store, a waiting watch counted as one",
+};
+
+static const struct agb_metric rpc_bytes_in = {
+    .name = "agatebeam_rpc_received_bytes_total",
+    .help = "Bytes from other entry instances, by address",
+    .label = "peer",
+};
+
+static const struct agb_metric rpc_bytes_out = {
+    .name = "agatebeam_rpc_sent_bytes_total",
+    .help = "Bytes to other entry instances, by address",
+    .label = "peer",
+};
+
+static const struct agb_metric rpc_refused = {
+    .name = "agatebeam_rpc_refused_total",
+    .help = "Connections refused: unlisted address, or too many",
+};
+
+static const struct agb_metric rpc_malformed = {
+    .name = "agatebeam_rpc_malformed_total",
+    .help = "Connections closed for a malformed record",
+};
+
+static const struct agb_metric edge_refused = {
+    .name = "agatebeam_refused_total",
+    .help = "Requests refused before they were routed, by limit",
+    .label = "limit",
+};
+
+static const struct agb_metric edge_active = {
+    .name = "agatebeam_requests_active",
+    .help = "Requests in flight",
+    .kind = AGB_GAUGE,
+};
+
+static const struct agb_metric edge_connections = {
+    .name = "agatebeam_connections",
+    .help = "Open connections of callers",
+    .kind = AGB_GAUGE,
+};
+
+static const struct agb_metric env_version = {
+    .name = "agatebeam_env_version",
+    .help = "Store revision of the environment document in force",
+    .kind = AGB_GAUGE,
+};
+
+static const struct agb_metric shard_owner = {
+    .name = "agatebeam_shard_owner",
+    .help = "1 while this instance owns the shard of its failure domain",
+    .kind = AGB_GAUGE,
+};
+
+static const struct agb_metric log_dropped = {
+    .name = "agatebeam_log_dropped_total",
+    .help = "Log lines dropped because the output did not take them",
+};
+
+static const char *const effect_names[] = {
+    [AGB_EF_REPLY] = "reply",
+    [AGB_EF_FORWARD] = "forward",
+    [AGB_EF_UPSTREAM] = "upstream",
+    [AGB_EF_UPSTREAM_ABORT] = "upstream-abort",
+    [AGB_EF_STORE] = "store",
+    [AGB_EF_WATCH] = "watch",
+    [AGB_EF_UNWATCH] = "unwatch",
+    [AGB_EF_LIST] = "list",
+    [AGB_EF_SESSION] = "session",
+    [AGB_EF_RENEW] = "renew",
+    [AGB_EF_COMMANDS] = "commands",
+    [AGB_EF_RPC_CALL] = "rpc-call",
+    [AGB_EF_RPC_REPLY] = "rpc-reply",
+    [AGB_EF_LOG] = "log",
+    [AGB_EF_READY] = "ready",
+    [AGB_EF_EXIT] = "exit",
+};
+
+struct agb_metrics {
+	struct agb_counters *counters;
+	struct agb_series *steps;
+};
+
+struct agb_metrics *
+agb_metrics_new(void)
+{
+	struct agb_metrics *const m = agb_xcalloc(1, sizeof(*m));
+
+	m->counters = agb_counters_new();
+	m->steps = agb_counters_get(m->counters, &steps, NULL);
+	return m;
+}
+
+static void
+count(struct agb_metrics *m, const struct agb_metric *what, const char *value)
+{
+	agb_series_add(agb_counters_get(m->counters, what, value), 1);
+}
+
+static void
+set(struct agb_metrics *m, const struct agb_metric *what, const char *value,
+    double n)
+{
+	agb_series_set(agb_counters_get(m->counters, what, value), n);
+}
+
+void
+agb_metrics_effect(struct agb_metrics *m, const struct agb_effect *ef)
+{
+	count(m, &effects, effect_names[ef->type]);
+	if (ef->type == AGB_EF_FORWARD)
+		count(m, &answers, "forwarded");
+	if (ef->type != AGB_EF_REPLY)
+		return;
+	count(m, &answers, agb_outcome_name(ef->u.reply.outcome));
+	if (ef->u.reply.reason != AGB_REASON_NONE)
+		count(m, &reasons, agb_reason_name(ef->u.reply.reason));
+}
+
+void
+agb_metrics_step(struct agb_metrics *m, uint64_t us)
+{
+	agb_series_observe(m->steps, (double)us / 1e6);
+}
+
+static void
+read_edge(struct agb_metrics *m, const struct agb_edge *e)
+{
+	struct agb_edge_counters c;
+
+	agb_edge_counters(e, &c);
+	set(m, &edge_active, NULL, (double)c.active);
+	set(m, &edge_connections, NULL, (double)c.connections);
+	set(m, &edge_refused, "request", (double)c.refused_request);
+	set(m, &edge_refused, "credential", (double)c.refused_credential);
+	set(m, &edge_refused, "head-size", (double)c.refused_head_size);
+	set(m, &edge_refused, "body-size", (double)c.refused_body_size);
+	set(m, &edge_refused, "head-timeout", (double)c.refused_head_timeout);
+	set(m, &edge_refused, "connections", (double)c.refused_connections);
+}
+
+static void
+read_rpc(struct agb_metrics *m, const struct agb_rpc *rpc)
+{
+	const struct agb_rpc_stats *const s = agb_rpc_stats(rpc);
+	struct agb_rpc_peer peers[PEERS_MAX];
+	size_t i, n;
+
+	set(m, &rpc_refused, NULL, (double)s->refused);
+	set(m, &rpc_malformed, NULL, (double)s->malformed);
+	n = agb_rpc_peers(rpc, peers, PEERS_MAX);
+	for (i = 0; i < n; i++) {
+		set(m, &rpc_bytes_in, peers[i].addr, (double)peers[i].bytes_in);
+		set(m, &rpc_bytes_out, peers[i].addr,
+		    (double)peers[i].bytes_out);
+	}
+}
+
+char *
+agb_metrics_text(struct agb_metrics *m, const struct agb_metrics_input *in)
+{
+	size_t len;
+
+	read_edge(m, in->edge);
+	read_rpc(m, in->rpc);
+	set(m, &store_calls, NULL, (double)in->store_calls);
+	set(m, &env_version, NULL, (double)in->env_version);
+	set(m, &shard_owner, NULL, in->owner ? 1 : 0);
+	set(m, &log_dropped, NULL, (double)in->log_dropped);
+	return agb_counters_text(m->counters, &len);
+}
+
+void
+agb_metrics_free(struct agb_metrics *m)
+{
+	if (m == NULL)
+		return;
+	agb_counters_free(m->counters);
+	free(m);
+}
