--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,19 @@
 format-check:
 	clang-format --dry-run -Werror $(C_FILES)
 
+# Each target runs for SECONDS; new inputs go to BUILD-fuzz, not to the corpus.
+fuzz: deps
+	CC=clang cmake -S . -B $(BUILD)-fuzz -DAGB_FUZZ=ON -DAGB_SANITIZE=ON \
+	    -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS)
+	set -e; for f in tests/fuzz/fuzz_*.c; do \
+	    n=$$(basename $$f .c); n=$${n#fuzz_}; \
+	    mkdir -p $(BUILD)-fuzz/new-$$n; \
+	    $(BUILD)-fuzz/fuzz_$$n -seed=$(SEED) -max_total_time=$(SECONDS) \
+	        -max_len=65536 -print_final_stats=1 -rss_limit_mb=2048 \
+	        $(BUILD)-fuzz/new-$$n tests/fuzz/corpus/$$n; \
+	done
+
 lint: build
 	./scripts/lint $(BUILD)
 
--- /dev/null
+++ b/tests/fuzz/fuzz_rpc.c
@@ -0,0 +1,60 @@
+/*
+ * Guards against bytes from a peer that crash the reader of RPC records or
+ * leave memory behind, and against a call that decodes to something that
+ * cannot be encoded again.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "rpcmsg.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+take_record(const char *rec, size_t len)
+{
+	static char buf[AGB_RPC_BUF_LEN];
+	agb_x_args args;
+	agb_x_res res;
+	uint32_t xid;
+	size_t body = 0;
+	int proc;
+
+	if (agb_rpcmsg_parse_call(rec, len, &xid, &args) == AGB_RPC_OK) {
+		if (agb_rpcmsg_call(buf, xid, &args) == 0)
+			abort();
+		xdr_free((xdrproc_t)xdr_agb_x_args, (char *)&args);
+	}
+	if (agb_rpcmsg_parse_reply(rec, len, &xid, &body) != AGB_RPC_OK)
+		return;
+	for (proc = 0; proc <= AGB_X_STATUS; proc++) {
+		if (agb_rpcmsg_parse_res(
+			rec + body, len - body, (agb_x_proc)proc, &res))
+			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)&res);
+	}
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct agb_rpcmsg_reader r = {0};
+	size_t room, n, len = 0;
+	const char *rec;
+	bool ok = true;
+
+	while (ok && size > 0) {
+		char *const p = agb_rpcmsg_reserve(&r, &room);
+
+		/* Odd pieces, so that records are cut anywhere. */
+		n = size < 97 ? size : 97;
+		memcpy(p, data, n);
+		agb_rpcmsg_add(&r, n);
+		data += n;
+		size -= n;
+		while ((ok = agb_rpcmsg_next(&r, &rec, &len)) && rec != NULL)
+			take_record(rec, len);
+	}
+	agb_rpcmsg_reader_free(&r);
+	return 0;
+}
