test(rpc): send without blocking

Cause: 5,000 calls sent by a blocking socket before the loop reads could fill small socket buffers and hang.

Change: raw_send() runs the loop whenever the socket is full.

--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -323,6 +323,24 @@
 	return fd;
 }
 
+/* Sends all bytes, running the loop whenever the socket is full. */
+static void
+raw_send(uv_loop_t *loop, int fd, const char *buf, size_t len)
+{
+	size_t done = 0;
+	ssize_t n;
+	int i;
+
+	for (i = 0; i < 20000 && done < len; i++) {
+		n = send(fd, buf + done, len - done, MSG_DONTWAIT);
+		if (n > 0)
+			done += (size_t)n;
+		else
+			uv_run(loop, UV_RUN_NOWAIT);
+	}
+	CU_ASSERT_EQUAL(done, len);
+}
+
 /* Runs the loop until the socket has bytes or its end; -1 when neither. */
 static ssize_t
 raw_recv(uv_loop_t *loop, int fd, char *buf, size_t len)
@@ -391,7 +409,7 @@
 		len = agb_rpcmsg_call(buf, 5, &args);
 		set_word(buf, c->at, c->value);
 		fd = raw_connect(&s);
-		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+		raw_send(&loop, fd, buf, len);
 		n = raw_recv(&loop, fd, in, sizeof(in));
 		if ((n <= 0) != c->closed)
 			printf("%s: %zd\n", c->name, n);
@@ -453,7 +471,7 @@
 	len = agb_rpcmsg_call(buf, 5, &args);
 	fd = raw_connect(&s);
 	for (i = 0; i < 64; i++)
-		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+		raw_send(&loop, fd, buf, len);
 	for (i = 0; i < 20000 && agb_rpc_stats(s.rpc)->slow_peers == 0; i++)
 		uv_run(&loop, UV_RUN_NOWAIT);
 	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->slow_peers, 1);
@@ -464,7 +482,7 @@
 	s.text_len = 0;
 	fd = raw_connect(&s);
 	for (i = 0; i < 5000; i++)
-		CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+		raw_send(&loop, fd, buf, len);
 	loop_until(&loop, &s.calls, AGB_RPC_CALLS_MAX);
 	uv_run(&loop, UV_RUN_NOWAIT);
 	CU_ASSERT_EQUAL(s.calls, AGB_RPC_CALLS_MAX);
@@ -481,7 +499,7 @@
 	/* Answering a call whose connection is gone does nothing. */
 	s.hold = true;
 	len = agb_rpcmsg_call(buf, 5, &args);
-	CU_ASSERT_EQUAL(send(fd, buf, len, 0), (ssize_t)len);
+	raw_send(&loop, fd, buf, len);
 	loop_until(&loop, &s.calls, 5001);
 	close(fd);
 	for (i = 0; i < 10; i++)
