test(workerc): isolation and fencing of the stand-in's sessions

Cause: the stop of isolated work on a worker was not tested. Change: one test; loops that wait for the stand-in are bounded. Conclusion: tests of isolation can rely on the stand-in.

--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -7,6 +7,8 @@
 #define SAME "Agatebeam-Attempt: 0000000000000005-0000000000000007\r\n"
 #define OTHER "Agatebeam-Attempt: 0000000000000005-0000000000000008\r\n"
 #define ENDS_MAX 16
+/* Turns of the loop, each up to 20 ms, after which a test has failed. */
+#define TURNS_MAX 1000
 
 struct end {
 	struct agb_ev_upstream ev;
@@ -328,6 +330,7 @@
 	static const struct worker_opts one_slot = {
 	    .name = "v", .listen = "127.0.0.1", .slots = 1, .connections = 8};
 	struct fixture f;
+	int turns;
 	struct worker *w;
 
 	setup(&f);
@@ -372,7 +375,9 @@
 	w = worker_new(&f.loop, &one_slot);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(w);
 	send_body_to(&f, worker_runner_addr(w), 10, "{\"ms\":600000}");
-	while (strstr(worker_history(w), "request-start") == NULL)
+	for (turns = 0; turns < TURNS_MAX &&
+	     strstr(worker_history(w), "request-start") == NULL;
+	     turns++)
 		uv_run(&f.loop, UV_RUN_ONCE);
 	send_to(&f, worker_runner_addr(w), 11, 0);
 	loop_until(&f.loop, &f.ends, 8);
--- a/tests/test_workerc.c
+++ b/tests/test_workerc.c
@@ -11,6 +11,9 @@
 #define A1 "0000000000000005-0000000000000001"
 #define A2 "0000000000000005-0000000000000002"
 
+/* Turns of the loop, each up to 20 ms, after which a test has failed. */
+#define TURNS_MAX 1000
+
 /**
  * struct fixture - clients, a scripted server, and the last event's content
  * @script: body that the server answers with @status
@@ -382,6 +385,72 @@
 	teardown(&f);
 }
 
+/* Guards against a stand-in on which no isolation rule can be tested: work
+ * with "stop" ends by itself once its session has lapsed, "keep" stays. */
+static void
+test_isolation(void)
+{
+	static const struct worker_opts opts = {.name = "w-1",
+	    .listen = "127.0.0.1",
+	    .cpu_milli = 2000,
+	    .mem_mb = 128,
+	    .slots = 1,
+	    .connections = 4};
+	struct agb_command cmds[2] = {{.kind = AGB_COMMAND_START,
+					  .task = "j/0",
+					  .attempt = {5, 1},
+					  .need = {1000, 64, 0},
+					  .on_isolation = AGB_ISOLATION_STOP,
+					  .autonomy_ms = 1},
+	    {.kind = AGB_COMMAND_START,
+		.task = "j/1",
+		.attempt = {5, 2},
+		.need = {1000, 64, 0},
+		.on_isolation = AGB_ISOLATION_KEEP}};
+	struct agb_effect ef = {.type = AGB_EF_SESSION,
+	    .u.worker = {.worker = "w-1",
+		.epoch = 5,
+		.ttl_ms = 1,
+		.items = cmds,
+		.items_len = 2}};
+	struct fixture f;
+	struct worker *w;
+	int turns;
+
+	setup(&f);
+	w = worker_new(&f.loop, &opts);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+	agb_name_set(ef.u.worker.address, sizeof(ef.u.worker.address),
+	    worker_agent_addr(w));
+	agb_workerc_call(f.c, &ef);
+	loop_until(&f.loop, &f.events, 1);
+	ef.type = AGB_EF_COMMANDS;
+	agb_workerc_call(f.c, &ef);
+	loop_until(&f.loop, &f.events, 2);
+	CU_ASSERT_TRUE(f.result[0].ok && f.result[1].ok);
+	for (turns = 0;
+	     turns < TURNS_MAX && strstr(worker_history(w), "isolated") == NULL;
+	     turns++)
+		uv_run(&f.loop, UV_RUN_ONCE);
+	/* The next owner finds the one that stayed. */
+	ef.type = AGB_EF_SESSION;
+	ef.u.worker.epoch = 6;
+	ef.u.worker.ttl_ms = 600000;
+	agb_workerc_call(f.c, &ef);
+	loop_until(&f.loop, &f.events, 3);
+	CU_ASSERT_EQUAL(f.ev.u.session.tasks_len, 1);
+	CU_ASSERT_STRING_EQUAL(f.task.task, "j/1");
+	/* The owner before it is refused. */
+	ef.type = AGB_EF_COMMANDS;
+	ef.u.worker.epoch = 5;
+	agb_workerc_call(f.c, &ef);
+	loop_until(&f.loop, &f.events, 4);
+	CU_ASSERT_EQUAL(f.ev.u.commands.status, AGB_WORKER_FENCED);
+	CU_ASSERT_EQUAL(f.ev.u.commands.epoch, 6);
+	worker_free(w);
+	teardown(&f);
+}
+
 #define INSTANCE(more)                                          \
 	"{\"id\":\"w\",\"kind\":\"worker\",\"state\":\"live\"," \
 	"\"region\":\"r\",\"domain\":\"d\"" more "}"
@@ -496,6 +565,7 @@
 	    {"answers", test_answers},
 	    {"fields", test_fields},
 	    {"worker", test_worker},
+	    {"isolation", test_isolation},
 	    {"list answers", test_list_answers},
 	    {"list of the platform", test_list_platform},
 	};
