--- a/bench/packing.c
+++ b/bench/packing.c
@@ -79,7 +79,7 @@
 	room = calloc(workers, sizeof(*room));
 	tasks = calloc(2000000, sizeof(*tasks));
 	for (i = 0; i < workers; i++)
-		room[i] = (struct agb_resources){CORES * 1000, MEM, 0};
+		room[i] = (struct agb_resources){CORES * 1000L, MEM, 0};
 	next = task_make(rng);
 	for (now = 0; now < SECONDS * AGB_SEC; now += 100 * AGB_MS) {
 		while (s.len > 0 && s.heap[0].at <= now && sim_pop(&s, &e)) {
--- a/src/agatebeam/sched_health.c
+++ b/src/agatebeam/sched_health.c
@@ -225,13 +225,18 @@
 {
 	struct sched_worker *const w = sched_worker_get(s, e->worker);
 	const bool healthy = w != NULL && !w->ejected;
+	const agb_time since = now - e->ran_for;
 
 	if (w == NULL || w->state == AGB_WORKER_GONE)
 		return true;
 	if (e->result == AGB_RESULT_OK) {
-		sound(s, w);
+		if (since > w->bad_since)
+			sound(s, w);
 		return true;
 	}
+	if (e->result != AGB_RESULT_STOPPED &&
+	    e->result != AGB_RESULT_CHECKPOINTED && since > w->bad_since)
+		w->bad_since = since;
 	if (w->ejected && e->probe) {
 		trial_over(s, now, w, e);
 	} else if (e->quick) {
--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -102,6 +102,8 @@
  * @tracked: part of the shard's sums of live capacity
  * @slot_level: list of the slot index it is on, or -1
  * @evidence: distinct failures since the last success
+ * @bad_since: start of the last attempt that failed; the success of an
+ *             older one says nothing of the worker now
  * @refused: quick requests refused in a row
  * @ejected: takes nothing but probes
  * @probes: failed probes in a row
@@ -132,6 +134,7 @@
 	uint32_t self;
 	struct sched_evidence evidence[SCHED_EVIDENCE];
 	uint32_t evidence_len;
+	agb_time bad_since;
 	uint32_t refused;
 	uint32_t probes;
 	agb_time probe_at;
--- a/src/agatebeam/sched_resv.c
+++ b/src/agatebeam/sched_resv.c
@@ -140,25 +140,35 @@
 	return false;
 }
 
+/* Gives up what a job has on a worker; a gang gives up all. */
+static bool
+lose(struct agb_sched *s, struct sched_job *j, const struct sched_worker *w)
+{
+	bool lost = false;
+	uint32_t k;
+
+	for (k = j->resv_len; k-- > 0;) {
+		if (j->resv[k].worker != w->self)
+			continue;
+		lost = true;
+		if (j->resv[k].gang) {
+			sched_resv_drop(s, j);
+			break;
+		}
+		entry_drop(s, j, k);
+	}
+	return lost;
+}
+
 void
 sched_resv_lost(struct agb_sched *s, struct sched_worker *w)
 {
 	struct sched_job *j;
-	uint32_t i, k;
+	uint32_t i;
 
 	for (i = s->resv_jobs_len; i-- > 0;) {
 		j = s->resv_jobs[i];
-		for (k = 0; k < j->resv_len; k++) {
-			if (j->resv[k].worker == w->self)
-				break;
-		}
-		if (k == j->resv_len)
-			continue;
-		if (j->resv[k].gang)
-			sched_resv_drop(s, j);
-		else
-			entry_drop(s, j, k);
-		if (j->bucket != NULL)
+		if (lose(s, j, w) && j->bucket != NULL)
 			sched_queue_fresh(s, j->bucket, true);
 	}
 }
