fix(owner): commands after being elected anew

Forgetting an epoch emptied the list of workers with queued commands but left each worker marked as on it, so an instance that was elected again never sent them another command.

Change: the mark is cleared with the session. test_reelected_commands fails without that line.

--- a/src/agatebeam/owner_worker.c
+++ b/src/agatebeam/owner_worker.c
@@ -61,6 +61,7 @@
 	w->taken = 0;
 	w->acked = 0;
 	w->undurable = 0;
+	w->dirty = false;
 	w->failed_since = 0;
 	w->retry_ms = 0;
 	w->call_at = 0;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -443,6 +443,30 @@
 	shard_free(s);
 }
 
+/* Guards against commands that are never sent again by an instance that is
+ * elected anew while commands of its earlier epoch were queued. */
+static void
+test_reelected_commands(void)
+{
+	struct shard *const s = shard_new(1);
+	uint64_t token;
+
+	s->workers[0].lose_answers = 100;
+	token = shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_TRUE(submitted(s, token)->accepted);
+	s->nodes[0].cut = true;
+	shard_run(s, 3 * AGB_SEC);
+	s->nodes[0].cut = false;
+	s->workers[0].lose_answers = 0;
+	shard_run(s, 4 * AGB_SEC);
+	CU_ASSERT_TRUE(active(s, 0));
+	(void)shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, AGB_SEC);
+	CU_ASSERT_EQUAL(starts(s), 2);
+	shard_free(s);
+}
+
 /* Guards against a cancellation that is forgotten because the start's
  * answer was still out. */
 static void
@@ -882,6 +906,7 @@
     {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
     {"silence_needs_lease", test_silence_needs_lease},
+    {"reelected_commands", test_reelected_commands},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
     {"cancel_before_start", test_cancel_before_start},
     {"duplicate_key", test_duplicate_key},
