fix(sched): gangs that need a worker on trial, or the headroom, do start

Change: after 300 s a gang may use such a worker; evidence is dropped after 600 s without confirmation; work that never fits beside the headroom may use it.

--- a/src/agatebeam/sched_gang.c
+++ b/src/agatebeam/sched_gang.c
@@ -22,6 +22,8 @@
 #define PLAN_AGE (60 * AGB_SEC)
 /* Assumed rest of a task that has passed its expected end. */
 #define OVERDUE (30 * AGB_SEC)
+/* A gang that cannot do without a worker on trial uses it after this. */
+#define TRIAL_WAIT (300 * AGB_SEC)
 /* Attempts of one worker that a plan looks at. */
 #define ENDS 64
 /* Backfill must be expected to end within this part of the time left:
@@ -47,7 +49,8 @@
 		if (h == AGB_SCHED_NONE)
 			break;
 		w = &s->workers[h];
-		if (w->ejected || w->evidence_len > 0)
+		if ((w->ejected || w->evidence_len > 0) &&
+		    s->now - j->waiting_since < TRIAL_WAIT)
 			continue;
 		n = sched_units(&w->room, need);
 		if (n > j->pending - got)
--- a/src/agatebeam/sched_health.c
+++ b/src/agatebeam/sched_health.c
@@ -19,6 +19,8 @@
 #define PROBE_MAX (1800 * AGB_SEC)
 /* A trial that has run this long counts as a success. */
 #define TRIAL_RUN (60 * AGB_SEC)
+/* Evidence that no later start has confirmed is dropped after this. */
+#define EVIDENCE_AGE (600 * AGB_SEC)
 /* Marks of evidence that is not a job's serial. */
 #define KEY_QUICK (1ull << 63)
 
@@ -162,10 +164,12 @@
 	if (w->evidence_len < SCHED_EVIDENCE)
 		w->evidence[w->evidence_len++] =
 		    (struct sched_evidence){key, job};
-	if (w->evidence_len >= EJECT_AT && may_eject(s))
+	if (w->evidence_len >= EJECT_AT && may_eject(s)) {
 		eject(s, now, w);
-	else
-		sched_worker_refresh(s, w);
+		return;
+	}
+	sched_timer_add(s, now + EVIDENCE_AGE, TIMER_PROBE, w->self, 0, 0);
+	sched_worker_refresh(s, w);
 }
 
 /* Returns false when the job is over for failing everywhere. */
@@ -275,6 +279,8 @@
 			return;
 		}
 	}
+	if (!w->ejected && now - w->bad_since >= EVIDENCE_AGE)
+		sound(s, w);
 	if (w->ejected && !w->probing && now >= w->probe_at) {
 		w->probing = true;
 		decision(s, w, "on trial");
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -86,7 +86,10 @@
 static bool
 keeps(int64_t room, int64_t need, int64_t cap, uint32_t percent)
 {
-	return need == 0 || room - need >= cap * percent / 100;
+	const int64_t keep = cap * percent / 100;
+
+	/* Work that never fits beside the headroom may use it. */
+	return need == 0 || room - need >= keep || need > cap - keep;
 }
 
 /* Whether what is kept free for urgent work stays free. */
