--- a/src/agatebeam/envsync.c
+++ b/src/agatebeam/envsync.c
@@ -91,9 +91,12 @@
 		    "action=in-force version=%llu previous=%llu source=%s",
 		    (unsigned long long)version,
 		    (unsigned long long)agb_envsync_version(es), source);
-		/* Two changes within one step leave nobody using the first. */
-		agb_env_free(es->old);
-		es->old = es->env;
+		/* A second change within one step replaces one that nobody
+		 * uses yet; the document in use stays until it is released. */
+		if (es->old != NULL)
+			agb_env_free(es->env);
+		else
+			es->old = es->env;
 		es->env = env;
 	} else {
 		es->bad_version = version;
