test(rpc): oversized record and dead endpoint are seen at once

Change: test_rpc counts records given up for their time; test_store_etcd starts the watch before any call has found the live endpoint.

--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -22,6 +22,7 @@
 	agb_x_proc proc;
 	char text[64];
 	char logged[64];
+	int incomplete;	   /* records given up for their time */
 	uint32_t text_len; /* of the answer to ENV_GET */
 };
 
@@ -89,6 +90,7 @@
 	struct side *const s = arg;
 
 	agb_name_set(s->logged, sizeof(s->logged), event);
+	s->incomplete += strstr(line, "cause=incomplete") != NULL;
 }
 
 static const struct agb_rpc_cbs cbs = {on_call, on_reply, on_log};
@@ -426,6 +428,7 @@
 	}
 	CU_ASSERT_EQUAL(s.calls, 1);
 	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->malformed, 7);
+	CU_ASSERT_EQUAL(s.incomplete, 0);
 	CU_ASSERT_EQUAL(agb_rpc_stats(s.rpc)->rejected, 9);
 	agb_rpc_free(s.rpc);
 	loop_close(&loop);
--- a/tests/test_store_etcd.c
+++ b/tests/test_store_etcd.c
@@ -259,8 +259,9 @@
 	agb_addr dead;
 
 	setup(&x, 1);
-	CU_ASSERT_EQUAL(put(&x, "k", "v")->status, AGB_STORE_OK);
+	/* Both begin at the dead endpoint. */
 	x.store->ops->watch(x.store, 8, "k", NULL, 1);
+	CU_ASSERT_EQUAL(put(&x, "k", "v")->status, AGB_STORE_OK);
 	loop_until(&x.loop, &x.reports, 1);
 	CU_ASSERT_STRING_EQUAL(x.seen, "k=v ");
 	loop_bind_dead(&x.loop, &tcp, dead);
