fix(edge): refuse control characters in headers and queries

Cause: the request check left control characters in header values and in the query to h2o and httpc; HTTP/2 can carry line ends in both. Change: the check refuses them itself; tests of HTTP/2 cover a call, its reset and a header with a line end, of the upstream a bare carriage return. Before: h2o and httpc refused both, nothing of ours did. Conclusion: no caller can add header lines to a runner's request.

--- a/src/agatebeam/edge_parse.c
+++ b/src/agatebeam/edge_parse.c
@@ -392,20 +392,50 @@
 	return dots == 1 || dots == 2;
 }
 
+static bool
+is_printable(const struct agb_edge_span *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->len; i++) {
+		if (s->p[i] <= ' ' || s->p[i] >= 0x7f)
+			return false;
+	}
+	return true;
+}
+
+/* HTTP/2 can carry line ends in headers; towards a runner they would start
+ * further header lines or requests. */
+static bool
+fields_ok(const struct agb_edge_raw *raw)
+{
+	const struct agb_edge_field *f;
+	size_t i, j;
+
+	for (i = 0; i < raw->fields_len; i++) {
+		f = &raw->fields[i];
+		if (!is_printable(&f->name) ||
+		    memchr(f->name.p, ':', f->name.len) != NULL)
+			return false;
+		for (j = 0; j < f->value.len; j++) {
+			const unsigned char c = (unsigned char)f->value.p[j];
+
+			if ((c < ' ' && c != '\t') || c == 0x7f)
+				return false;
+		}
+	}
+	return true;
+}
+
 /* A runner might resolve dot segments to a path outside its service. */
 static bool
 path_ok(const struct agb_edge_span *path)
 {
 	const char *const end = path->p + path->len;
 	const char *p, *q;
-	size_t i;
 
 	if (path->len == 0 || path->p[0] != '/')
 		return false;
-	for (i = 0; i < path->len; i++) {
-		if (path->p[i] <= ' ' || path->p[i] >= 0x7f)
-			return false;
-	}
 	for (p = path->p + 1; p <= end; p = q + 1) {
 		q = memchr(p, '/', (size_t)(end - p));
 		if (q == NULL)
@@ -573,7 +603,10 @@
 	memset(call, 0, sizeof(*call));
 	memset(no, 0, sizeof(*no));
 	split_path(raw, &r);
-	if (!path_ok(&r.path))
+	if (!is_printable(&raw->method) || !fields_ok(raw))
+		return refuse(no, 400, AGB_REASON_BAD_REQUEST,
+		    "the method or a header has control characters");
+	if (!is_printable(&raw->path) || !path_ok(&r.path))
 		return refuse(no, 400, AGB_REASON_BAD_REQUEST,
 		    "the path must be printable ASCII without dot segments");
 	target = parse_path(raw, &r, call, no);
--- a/tests/test_edge.c
+++ b/tests/test_edge.c
@@ -730,29 +730,65 @@
 	teardown(&f);
 }
 
-/* Guards against HTTP/2 callers that the checks of HTTP/1 lock out. */
+/* Return: whether @want has come within the guard time of loop_until(). */
+static bool
+await_bytes(struct fixture *f, struct raw_client *c, const char *want)
+{
+	const size_t len = strlen(want);
+	size_t i;
+
+	for (;;) {
+		for (i = 0; i + len <= c->in_len; i++) {
+			if (memcmp(c->in + i, want, len) == 0)
+				return true;
+		}
+		if (c->ended || !loop_until(&f->loop, &c->bytes, c->bytes + 1))
+			return false;
+	}
+}
+
+#define PREFACE "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0"
+
+/* Guards against HTTP/2 callers that the checks of HTTP/1 lock out, whose
+ * end goes unnoticed, or who can put line ends into a header. */
 static void
 test_http2(void)
 {
-	static const char bytes[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-				    "\0\0\0\4\0\0\0\0\0"
-				    "\0\0\17\1\5\0\0\0\1"
-				    "\x82\x86\x04\x08/healthz\x01\x01h";
-	struct fixture f = {0};
+	static const char get[] = PREFACE "\0\0\17\1\5\0\0\0\1"
+					  "\x82\x86\x04\x08/healthz\x01\x01h";
+	static const char post[] =
+	    "\0\0\32\1\5\0\0\0\3"
+	    "\x83\x86\x04\x13/v1/services/price/\x01\x01h";
+	static const char reset[] = "\0\0\4\3\0\0\0\0\3\0\0\0\10";
+	static const char split[] =
+	    "\0\0\45\1\5\0\0\0\5"
+	    "\x83\x86\x04\x13/v1/services/price/\x01\x01h"
+	    "\0\1x\7a\r\nb: c";
+	struct fixture f = {.hold = true};
 	struct raw_client *c;
-	size_t i;
-	bool found;
+	uv_buf_t buf;
 
 	setup(&f);
-	c = ask(&f, bytes, sizeof(bytes) - 1);
-	for (found = false; !found && !c->ended;) {
-		uv_run(&f.loop, UV_RUN_ONCE);
-		for (i = 0; i + 3 <= c->in_len; i++)
-			found |= memcmp(c->in + i, "ok\n", 3) == 0;
-	}
-	CU_ASSERT_TRUE(found);
+	c = ask(&f, get, sizeof(get) - 1);
+	CU_ASSERT_TRUE(await_bytes(&f, c, "ok\n"));
+	buf = uv_buf_init((char *)(uintptr_t)post, sizeof(post) - 1);
+	CU_ASSERT_EQUAL(uv_try_write((uv_stream_t *)&c->tcp, &buf, 1),
+	    (int)sizeof(post) - 1);
+	loop_until(&f.loop, &f.calls, 1);
+	CU_ASSERT_STRING_EQUAL(f.last.work, "price");
+	buf = uv_buf_init((char *)(uintptr_t)reset, sizeof(reset) - 1);
+	CU_ASSERT_EQUAL(uv_try_write((uv_stream_t *)&c->tcp, &buf, 1),
+	    (int)sizeof(reset) - 1);
+	loop_until(&f.loop, &f.gone, 1);
+	CU_ASSERT_EQUAL(f.gone_id, f.ids[0]);
+	buf = uv_buf_init((char *)(uintptr_t)split, sizeof(split) - 1);
+	CU_ASSERT_EQUAL(uv_try_write((uv_stream_t *)&c->tcp, &buf, 1),
+	    (int)sizeof(split) - 1);
+	CU_ASSERT_TRUE(await_bytes(&f, c, "malformed"));
+	CU_ASSERT_EQUAL(f.calls, 1);
 	raw_close(c);
 	teardown(&f);
+	CU_ASSERT_EQUAL(f.gone, 1);
 }
 
 int
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -175,6 +175,10 @@
 		"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
 		true, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_SHORT, 200, ""},
 	    /* Heads that httpc does not take count as no answer. */
+	    {"carriage return in a header",
+		"HTTP/1.1 200 OK\r\n" SAME "X: a\rY: b\r\n"
+		"Content-Length: 0\r\n\r\n",
+		false, AGB_RESULT_LOST, AGB_REASON_UPSTREAM_LOST, 0, ""},
 	    {"no length", "HTTP/1.1 200 OK\r\n" SAME "\r\nab", true,
 		AGB_RESULT_LOST, AGB_REASON_UPSTREAM_LOST, 0, ""},
 	    {"too large",
