fix(upstream): close connections on which answers are crossed

Cause: an answer with another attempt's id was reported as lost, but its connection went back to the pool; each further answer on it could belong to the request before. Change: httpc lets its caller judge the head of an answer (on_head); a refused one ends as lost and closes the connection. A request that is not written within 1 s counts as not started, so that it can go elsewhere while its deadline allows. Before: the connection was reused. Conclusion: one crossed answer costs one request.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -103,6 +103,7 @@
 	struct agb_httpc_res res;
 	agb_httpc_cb cb;
 	agb_httpc_chunk_cb on_chunk;
+	agb_httpc_head_cb on_head;
 	void *arg;
 };
 
@@ -336,6 +337,15 @@
 	return NULL;
 }
 
+static const char *
+head_judged(struct agb_httpc_call *call)
+{
+	call->res.headers = call->headers;
+	if (call->on_head == NULL || call->on_head(call->arg, &call->res))
+		return NULL;
+	return "answer not taken by its head";
+}
+
 static const char *
 header_ended(struct agb_httpc_call *call)
 {
@@ -355,7 +365,7 @@
 	}
 	if (call->is_head || status == 204 || status == 304) {
 		call->phase = PHASE_END;
-		return NULL;
+		return head_judged(call);
 	}
 	/* Both together are a sign of request smuggling (RFC 9112, 6.1). */
 	if (call->chunked == call->has_length)
@@ -368,7 +378,7 @@
 		call->phase = PHASE_CHUNK_SIZE;
 	else
 		call->phase = call->left > 0 ? PHASE_LENGTH : PHASE_END;
-	return NULL;
+	return head_judged(call);
 }
 
 static const char *
@@ -808,6 +818,7 @@
 	call->c = c;
 	call->cb = req->cb;
 	call->on_chunk = req->on_chunk;
+	call->on_head = req->on_head;
 	call->arg = req->arg;
 	call->body_max = req->body_max > 0 ? req->body_max : AGB_HTTPC_BODY_MAX;
 	call->is_head = strcmp(req->method, "HEAD") == 0;
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -76,6 +76,14 @@
 typedef void (*agb_httpc_chunk_cb)(
     void *arg, int http_status, const char *data, size_t len);
 
+/**
+ * agb_httpc_head_cb - the final head of an answer, before its body
+ * @res: holds the status and the headers only
+ * Return: false when the answer is not to be taken; the request then ends
+ * with AGB_HTTPC_LOST and its connection is closed. Must not cancel it.
+ */
+typedef bool (*agb_httpc_head_cb)(void *arg, const struct agb_httpc_res *res);
+
 /**
  * struct agb_httpc_req - a request; all of it is copied
  * @addr: "1.2.3.4:80" or "[::1]:80"
@@ -89,6 +97,7 @@
  * @body_max: largest body of the answer; 0 is AGB_HTTPC_BODY_MAX. A larger
  *	one ends the request with AGB_HTTPC_LOST. Not used with @on_chunk.
  * @on_chunk: gets the body as it arrives instead of @cb; or NULL
+ * @on_head: judges the head of the answer; or NULL
  */
 struct agb_httpc_req {
 	const char *addr;
@@ -103,6 +112,7 @@
 	size_t body_max;
 	agb_httpc_cb cb;
 	agb_httpc_chunk_cb on_chunk;
+	agb_httpc_head_cb on_head;
 	void *arg;
 };
 
--- a/src/agatebeam/upstream.c
+++ b/src/agatebeam/upstream.c
@@ -10,6 +10,9 @@
 
 /* Time for a runner to answer when the effect gives none. */
 #define TIMEOUT_MS 60000U
+/* Time until the request is written. A runner that takes no connection in it
+ * is given up while the request can still go elsewhere. */
+#define CONNECT_TIMEOUT_MS 1000U
 
 struct send_key {
 	uint64_t call_id;
@@ -95,10 +98,12 @@
 	return found;
 }
 
-/* An answer without the attempt's id may belong to another request. */
+/* An answer without the attempt's id may belong to another request. Further
+ * answers on its connection would too, so that it is closed. */
 static bool
-is_echoed(const struct send *s, const struct agb_httpc_res *res)
+is_echoed(void *arg, const struct agb_httpc_res *res)
 {
+	const struct send *const s = arg;
 	const char *const echo = only_header(res, "agatebeam-attempt");
 	struct agb_attempt a;
 
@@ -116,8 +121,7 @@
 }
 
 static void
-judge(const struct send *s, const struct agb_httpc_res *res,
-    struct agb_ev_upstream *out)
+judge(const struct agb_httpc_res *res, struct agb_ev_upstream *out)
 {
 	out->http_status = res->http_status;
 	switch (res->status) {
@@ -138,10 +142,7 @@
 	case AGB_HTTPC_WHOLE:
 		break;
 	}
-	if (!is_echoed(s, res)) {
-		out->result = AGB_RESULT_LOST;
-		out->reason = AGB_REASON_UPSTREAM_SHORT;
-	} else if (is_refusal(res)) {
+	if (is_refusal(res)) {
 		out->result = AGB_RESULT_NOT_STARTED;
 		out->reason = AGB_REASON_UPSTREAM_REFUSED;
 	} else {
@@ -190,7 +191,7 @@
 	size_t i;
 
 	HASH_DEL(s->u->sends, s);
-	judge(s, res, &ev.u.upstream);
+	judge(res, &ev.u.upstream);
 	if (ev.u.upstream.result != AGB_RESULT_OK) {
 		finish(s, &ev, NULL);
 		return;
@@ -224,8 +225,10 @@
 	    .body = req->body,
 	    .body_len = req->body_len,
 	    .timeout_ms = ef->timeout_ms > 0 ? ef->timeout_ms : TIMEOUT_MS,
+	    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 	    .body_max = u->answer_max,
 	    .cb = on_res,
+	    .on_head = is_echoed,
 	    .arg = s,
 	};
 
--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -441,6 +441,7 @@
 	    .headers = headers,
 	    .headers_len = 1,
 	    .timeout_ms = AGB_WORKERC_TIMEOUT_MS,
+	    .connect_timeout_ms = AGB_WORKERC_TIMEOUT_MS,
 	    .cb = on_res,
 	};
 	struct json_object *o;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -221,6 +221,29 @@
 	}
 }
 
+/* Guards against a connection on which every further answer belongs to the
+ * request before. */
+static void
+test_crossed_connection(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.script = "HTTP/1.1 200 OK\r\n" OTHER "Content-Length: 2\r\n\r\nab";
+	send_to(&f, f.server.addr, 7, 0);
+	loop_until(&f.loop, &f.ends, 1);
+	f.script = "HTTP/1.1 200 OK\r\n" SAME "Content-Length: 2\r\n\r\nab";
+	send_to(&f, f.server.addr, 7, 0);
+	loop_until(&f.loop, &f.ends, 2);
+	CU_ASSERT_EQUAL(f.end[0].ev.result, AGB_RESULT_LOST);
+	CU_ASSERT_EQUAL(f.end[1].ev.result, AGB_RESULT_OK);
+	CU_ASSERT_EQUAL(f.server.accepted, 2);
+	send_to(&f, f.server.addr, 7, 0);
+	loop_until(&f.loop, &f.ends, 3);
+	CU_ASSERT_EQUAL(f.server.accepted, 2);
+	teardown(&f);
+}
+
 /* Guards against a request that reaches the runner changed, and against
  * headers of this system or of one connection in the answer. */
 static void
@@ -484,6 +507,7 @@
 {
 	static const struct suite_test tests[] = {
 	    {"answers", test_answers},
+	    {"crossed connection", test_crossed_connection},
 	    {"headers", test_headers},
 	    {"not sent", test_not_sent},
 	    {"attempt text", test_attempt_text},
