fix(edge): reason phrase of status 422

Cause: refusals of work that never fits carry 422, sent as "422 Error". Change: its phrase. Before: Error. Conclusion: the status line matches the status.

--- a/src/agatebeam/edge.c
+++ b/src/agatebeam/edge.c
@@ -169,6 +169,8 @@
 		return "Conflict";
 	case 413:
 		return "Payload Too Large";
+	case 422:
+		return "Unprocessable Entity";
 	case 429:
 		return "Too Many Requests";
 	case 431:
