test(fuzz): targets for documents and settings

Cause: documents and settings come from outside and are read by a scanner of our own. Before: no fuzzing. Conclusion: longer runs can be made with make fuzz SECONDS=N.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,21 @@
 format-check:
 	clang-format --dry-run -Werror $(C_FILES)
 
+# Runs each libFuzzer target for SECONDS; new inputs stay in the build
+# directory.
+fuzz: deps
+	CC=clang cmake -S . -B $(BUILD)-fuzz -DAGB_FUZZ=ON -DAGB_SANITIZE=ON \
+	    -DCMAKE_BUILD_TYPE=Debug \
+	    -DCMAKE_C_FLAGS=-fsanitize=fuzzer-no-link >/dev/null
+	set -e; for f in tests/fuzz/fuzz_*.c; do \
+	    n=$$(basename $$f .c); n=$${n#fuzz_}; \
+	    cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzz_$$n; \
+	    mkdir -p $(BUILD)-fuzz/new/$$n; \
+	    $(BUILD)-fuzz/fuzz_$$n -max_total_time=$(SECONDS) -max_len=8192 \
+	        -artifact_prefix=$(BUILD)-fuzz/ $(BUILD)-fuzz/new/$$n \
+	        tests/fuzz/corpus/$$n; \
+	done
+
 lint: build
 	./scripts/lint $(BUILD)
 
--- /dev/null
+++ b/tests/fuzz/fuzz_env.c
@@ -0,0 +1,9 @@
+#include "fuzz_env.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
+{
+	return fuzz_env(data, len);
+}
