--- a/Makefile
+++ b/Makefile
@@ -49,19 +49,17 @@
 format-check:
 	clang-format --dry-run -Werror $(C_FILES)
 
-# Runs each libFuzzer target for SECONDS; new inputs stay in the build
-# directory.
+# Each target runs for SECONDS; new inputs go to BUILD-fuzz, not to the corpus.
 fuzz: deps
 	CC=clang cmake -S . -B $(BUILD)-fuzz -DAGB_FUZZ=ON -DAGB_SANITIZE=ON \
-	    -DCMAKE_BUILD_TYPE=Debug \
-	    -DCMAKE_C_FLAGS=-fsanitize=fuzzer-no-link >/dev/null
+	    -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS)
 	set -e; for f in tests/fuzz/fuzz_*.c; do \
 	    n=$$(basename $$f .c); n=$${n#fuzz_}; \
-	    cmake --build $(BUILD)-fuzz -j $(JOBS) --target fuzz_$$n; \
-	    mkdir -p $(BUILD)-fuzz/new/$$n; \
-	    $(BUILD)-fuzz/fuzz_$$n -max_total_time=$(SECONDS) -max_len=8192 \
-	        -artifact_prefix=$(BUILD)-fuzz/ $(BUILD)-fuzz/new/$$n \
-	        tests/fuzz/corpus/$$n; \
+	    mkdir -p $(BUILD)-fuzz/new-$$n; \
+	    $(BUILD)-fuzz/fuzz_$$n -seed=$(SEED) -max_total_time=$(SECONDS) \
+	        -max_len=65536 -print_final_stats=1 -rss_limit_mb=2048 \
+	        $(BUILD)-fuzz/new-$$n tests/fuzz/corpus/$$n; \
 	done
 
 lint: build
@@ -72,6 +70,10 @@
 	    mv gen/agb_proto.h.new gen/agb_proto.h
 	cd src/agatebeam && rpcgen -C -c agb_proto.x >gen/agb_proto_xdr.new && \
 	    mv gen/agb_proto_xdr.new gen/agb_proto_xdr.c
+	cd src/agatebeam && rpcgen -C -h agb_journal.x >gen/agb_journal.h.new && \
+	    mv gen/agb_journal.h.new gen/agb_journal.h
+	cd src/agatebeam && rpcgen -C -c agb_journal.x >gen/agb_journal_xdr.new && \
+	    mv gen/agb_journal_xdr.new gen/agb_journal_xdr.c
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
--- a/src/agatebeam/sched.h
+++ b/src/agatebeam/sched.h
@@ -113,6 +113,7 @@
 	AGB_SCHED_QUICK_DONE,	/* attempt, result */
 	AGB_SCHED_JOB_ADD,	/* job, spec */
 	AGB_SCHED_JOB_CANCEL,	/* job */
+	AGB_SCHED_TASK_HOLD,	/* job, task, attempt; see below */
 	AGB_SCHED_TASK_ADOPT,	/* worker, job, task, attempt, used */
 	AGB_SCHED_TASK_DONE,	/* job, task: finished before a takeover */
 	AGB_SCHED_TASK_STARTED, /* attempt */
@@ -121,6 +122,31 @@
 	AGB_SCHED_TICK,	      /* nothing: time has passed */
 };
 
+/*
+ * Recovery. The caller sends AGB_SCHED_ENV, the workers as JOINING, each
+ * JOB_ADD with the TASK_DONE events of its finished tasks, and a TASK_HOLD
+ * for each start intent without a known end; then for each worker its
+ * TASK_ADOPT and QUICK_ADOPT events and WORKER_STATE LIVE. Nothing starts on
+ * a worker before that.
+ *
+ * TASK_HOLD says that a start of the task was decided before the takeover
+ * and may still be alive. Until TASK_ADOPT or TASK_ENDED comes for that
+ * attempt the task is not started. TASK_ENDED with NOT_STARTED lets the task
+ * start, also when it is not idempotent; LOST ends a job that is not
+ * idempotent as unknown.
+ *
+ * A TASK_ADOPT of a job that is not known, or of a task that already runs
+ * elsewhere or is done, is answered by STOP with the same job and task; its
+ * resources are held until TASK_ENDED comes.
+ *
+ * QUICK_DONE with LOST says that the asker does not know: the slot stays
+ * held until another QUICK_DONE comes for that attempt (for example STOPPED
+ * once the worker has reported the slot free) or the worker is GONE.
+ *
+ * Indexes of works and teams that were given under an earlier document are
+ * carried over by name when AGB_SCHED_ENV comes.
+ */
+
 /**
  * struct agb_sched_event - one input; the comment of the type names the
  * fields that are read
