--- a/src/agatebeam/ctl_entry.c
+++ b/src/agatebeam/ctl_entry.c
@@ -42,23 +42,39 @@
 	return false;
 }
 
-/* Prints a body as it is but for what could steer a terminal. */
+/* Prints a text as it is but for what could steer a terminal. */
 static void
-print_body(struct agb_ctl *ctl, const struct agb_ctl_reply *r)
+print_text(struct agb_ctl *ctl, const char *text, size_t len)
 {
 	size_t i;
 
-	for (i = 0; i < r->body_len; i++)
-		putc((unsigned char)r->body[i] >= ' ' || r->body[i] == '\n' ||
-			    r->body[i] == '\t'
-			? r->body[i]
+	for (i = 0; i < len; i++)
+		putc((unsigned char)text[i] >= ' ' || text[i] == '\n' ||
+			    text[i] == '\t'
+			? text[i]
 			: '?',
 		    ctl->out);
-	if (r->body_len > 0 && r->body[r->body_len - 1] != '\n')
+	if (len > 0 && text[len - 1] != '\n')
 		putc('\n', ctl->out);
 }
 
-/* Prints an answer: JSON indented, or on one line with --json. */
+/* The text of an explanation; NULL when the answer has none. */
+static const char *
+text_of(struct json_object *value)
+{
+	struct json_object *text;
+
+	if (!json_object_is_type(value, json_type_object) ||
+	    !json_object_object_get_ex(value, "text", &text) ||
+	    !json_object_is_type(text, json_type_string))
+		return NULL;
+	return json_object_get_string(text);
+}
+
+/*
+ * Prints an answer: with --json on one line; else the text of an
+ * explanation, or the JSON indented.
+ */
 static enum agb_ctl_exit
 print_answer(struct agb_ctl *ctl, const char *path)
 {
@@ -75,9 +91,12 @@
 		    json_object_new_string_len(r.body, (int)r.body_len));
 	}
 	if (value == NULL) {
-		print_body(ctl, &r);
+		print_text(ctl, r.body, r.body_len);
 	} else if (ctl->json) {
 		agb_ctl_print(ctl, value);
+	} else if (text_of(value) != NULL) {
+		print_text(ctl, text_of(value), strlen(text_of(value)));
+		json_object_put(value);
 	} else {
 		fprintf(ctl->out, "%s\n",
 		    json_object_to_json_string_ext(value,
