perf(sched): keep teams in order of share, visit each team once

Cause: perf showed 20% of the time in sorting the teams for each candidate and 30% in walking all buckets once a phase. Change: the order of shares is kept up to date by moving one team; a walk covers the guaranteed and the borrowing phase at once; teams without a fresh bucket and phases without urgent work are skipped; the headroom wakes only what it now admits.

--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -297,12 +297,16 @@
  * @other: what it uses in other shards
  * @share: weighted dominant share
  * @levels: set of non-empty entries of @buckets
+ * @fresh: of these buckets, those that have to be tried
+ * @place: where the team stands in the order of shares
  */
 struct sched_team {
 	struct agb_resources used;
 	struct agb_resources other;
 	double share;
 	uint32_t levels;
+	uint32_t fresh;
+	uint16_t place;
 	struct sched_bucket *buckets[SCHED_LEVELS];
 };
 
@@ -438,6 +442,8 @@
 	uint32_t fresh;
 	uint32_t headroom_blocked;
 	struct sched_team teams[SCHED_TEAMS];
+	uint16_t order[SCHED_TEAMS];
+	uint32_t level_teams[SCHED_LEVELS];
 	uint32_t tasks_queued;
 	uint32_t tasks_running;
 	uint32_t level_queued[SCHED_LEVELS];
--- a/src/agatebeam/sched_parts.h
+++ b/src/agatebeam/sched_parts.h
@@ -69,7 +69,7 @@
 void sched_queue_wake(struct agb_sched *s, enum sched_block cause);
 void sched_queue_wake_team(struct agb_sched *s, uint16_t team);
 void sched_queue_resize(struct agb_sched *s, uint16_t work);
-unsigned sched_queue_order(const struct agb_sched *s, uint16_t *order);
+void sched_queue_init(struct agb_sched *s);
 void sched_team_use(struct agb_sched *s, uint16_t team,
     const struct agb_resources *add, const struct agb_resources *sub);
 void sched_team_shares(struct agb_sched *s);
@@ -112,6 +112,8 @@
     struct agb_sched *s, struct sched_att *a, uint32_t worker);
 
 /* sched_place.c */
+bool sched_place_headroom(
+    const struct agb_sched *s, const struct sched_bucket *b);
 bool sched_place_pass(struct agb_sched *s, agb_time now);
 bool sched_place_work_left(const struct agb_sched *s);
 
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -93,8 +93,8 @@
 }
 
 /* Whether what is kept free for urgent work stays free. */
-static bool
-headroom_left(const struct agb_sched *s, const struct sched_bucket *b)
+bool
+sched_place_headroom(const struct agb_sched *s, const struct sched_bucket *b)
 {
 	const int64_t units = b->shape.gang > 0 ? b->shape.gang : 1;
 	const uint32_t pct = s->env->headroom_percent;
@@ -121,7 +121,7 @@
 	if (!within &&
 	    (phase == PHASE_GUARANTEED || !sched_team_env(s, team)->borrow))
 		return BLOCK_QUOTA;
-	if (!headroom_left(s, b))
+	if (!sched_place_headroom(s, b))
 		return BLOCK_HEADROOM;
 	return BLOCK_NONE;
 }
@@ -172,35 +172,54 @@
 }
 
 static struct sched_bucket *
-bucket_first(struct agb_sched *s, const struct sched_worker *w)
+team_first(struct agb_sched *s, struct sched_team *t,
+    const struct sched_worker *w, uint32_t levels, enum phase phase)
 {
-	const uint32_t urgent = ~0u << SCHED_URGENT;
-	uint16_t order[SCHED_TEAMS];
-	const unsigned n = sched_queue_order(s, order);
 	struct sched_bucket *b;
-	struct sched_team *t;
-	enum phase phase;
-	uint32_t set;
-	unsigned i;
 	int level;
 
-	for (phase = PHASE_URGENT; phase < PHASE_MAX; phase++) {
-		for (i = 0; i < n; i++) {
-			t = &s->teams[order[i]];
-			set = t->levels;
-			set &= phase == PHASE_URGENT ? urgent : ~urgent;
-			while (set != 0) {
-				level = 31 - __builtin_clz(set);
-				set &= ~(1u << level);
-				b = level_first(s, t->buckets[level], w, phase);
-				if (b != NULL)
-					return b;
-			}
-		}
+	levels &= t->levels;
+	while (levels != 0) {
+		level = 31 - __builtin_clz(levels);
+		levels &= ~(1u << level);
+		b = level_first(s, t->buckets[level], w, phase);
+		if (b != NULL)
+			return b;
 	}
 	return NULL;
 }
 
+/* Urgent work first, then that of teams within their quota, then the rest;
+ * teams in the order of their shares. */
+static struct sched_bucket *
+bucket_first(struct agb_sched *s, const struct sched_worker *w)
+{
+	const uint32_t urgent = ~0u << SCHED_URGENT;
+	const bool any = s->level_teams[SCHED_URGENT] > 0 ||
+	    s->level_teams[SCHED_URGENT + 1] > 0;
+	struct sched_bucket *b, *borrow = NULL;
+	struct sched_team *t;
+	uint32_t i;
+
+	for (i = 0; any && i < SCHED_TEAMS; i++) {
+		b = team_first(
+		    s, &s->teams[s->order[i]], w, urgent, PHASE_URGENT);
+		if (b != NULL)
+			return b;
+	}
+	for (i = 0; i < SCHED_TEAMS; i++) {
+		t = &s->teams[s->order[i]];
+		if (t->levels == 0 || (w == NULL && t->fresh == 0))
+			continue;
+		b = team_first(s, t, w, ~urgent, PHASE_GUARANTEED);
+		if (b != NULL)
+			return b;
+		if (borrow == NULL)
+			borrow = team_first(s, t, w, ~urgent, PHASE_BORROW);
+	}
+	return borrow;
+}
+
 /* Drops jobs that have ended or have nothing to start from the head. */
 static bool
 head_ready(struct agb_sched *s, struct sched_bucket *b)
--- a/src/agatebeam/sched_queue.c
+++ b/src/agatebeam/sched_queue.c
@@ -32,13 +32,44 @@
 	t->share /= sched_team_env(s, index)->weight;
 }
 
+/* Moves a team to its place in the order of shares. */
+static void
+order_fix(struct agb_sched *s, uint16_t team)
+{
+	const double share = s->teams[team].share;
+	uint32_t i = s->teams[team].place;
+
+	for (; i > 0 && s->teams[s->order[i - 1]].share > share; i--) {
+		s->order[i] = s->order[i - 1];
+		s->teams[s->order[i]].place = (uint16_t)i;
+	}
+	for (; i + 1 < SCHED_TEAMS && s->teams[s->order[i + 1]].share < share;
+	     i++) {
+		s->order[i] = s->order[i + 1];
+		s->teams[s->order[i]].place = (uint16_t)i;
+	}
+	s->order[i] = team;
+	s->teams[team].place = (uint16_t)i;
+}
+
 void
-sched_team_shares(struct agb_sched *s)
+sched_queue_init(struct agb_sched *s)
 {
 	uint16_t i;
 
 	for (i = 0; i < SCHED_TEAMS; i++)
+		s->order[i] = s->teams[i].place = i;
+}
+
+void
+sched_team_shares(struct agb_sched *s)
+{
+	uint16_t i;
+
+	for (i = 0; i < SCHED_TEAMS; i++) {
 		share_set(s, &s->teams[i], i);
+		order_fix(s, i);
+	}
 }
 
 void
@@ -55,6 +86,7 @@
 		sched_queue_wake(s, BLOCK_HEADROOM);
 	}
 	share_set(s, t, team);
+	order_fix(s, team);
 }
 
 /* Whether a job could start if its team used nothing else. */
@@ -101,25 +133,6 @@
 	return agb_resources_fit(&sum, &sched_team_env(s, team)->quota);
 }
 
-unsigned
-sched_queue_order(const struct agb_sched *s, uint16_t *order)
-{
-	unsigned n = 0, i;
-	uint16_t t;
-
-	for (t = 0; t < SCHED_TEAMS; t++) {
-		if (s->teams[t].levels == 0)
-			continue;
-		for (i = n++; i > 0; i--) {
-			if (s->teams[order[i - 1]].share <= s->teams[t].share)
-				break;
-			order[i] = order[i - 1];
-		}
-		order[i] = t;
-	}
-	return n;
-}
-
 void
 sched_queue_fresh(struct agb_sched *s, struct sched_bucket *b, bool fresh)
 {
@@ -130,6 +143,7 @@
 		return;
 	b->fresh = fresh;
 	s->fresh += fresh ? 1 : -1;
+	s->teams[b->shape.team].fresh += fresh ? 1 : -1;
 }
 
 void
@@ -150,7 +164,8 @@
 	if (cause == BLOCK_HEADROOM && s->headroom_blocked == 0)
 		return;
 	for (b = s->buckets; b != NULL; b = b->hh.next) {
-		if (b->block == cause)
+		if (b->block == cause &&
+		    (cause != BLOCK_HEADROOM || sched_place_headroom(s, b)))
 			sched_queue_fresh(s, b, true);
 	}
 }
@@ -202,6 +217,8 @@
 		sched_feasible_changed(s, s->now);
 	HASH_ADD(hh, s->buckets, shape, sizeof(b->shape), b);
 	DL_APPEND(t->buckets[b->level], b);
+	if ((t->levels & (1u << b->level)) == 0)
+		s->level_teams[b->level]++;
 	t->levels |= 1u << b->level;
 	return b;
 }
@@ -258,8 +275,10 @@
 	sched_queue_fresh(s, b, false);
 	t = &s->teams[b->shape.team];
 	DL_DELETE(t->buckets[b->level], b);
-	if (t->buckets[b->level] == NULL)
+	if (t->buckets[b->level] == NULL) {
 		t->levels &= ~(1u << b->level);
+		s->level_teams[b->level]--;
+	}
 	HASH_DEL(s->buckets, b);
 	free(b);
 }
