--- a/bench/bench.c
+++ b/bench/bench.c
@@ -163,29 +163,44 @@
 	bench_step(b, &ev);
 }
 
+static const struct {
+	const char *name;
+	void (*run)(unsigned long seed, bool quick);
+} parts[] = {
+    {"decide", bench_decide},
+    {"wait", bench_wait},
+    {"urgent", bench_urgent},
+    {"packing", bench_packing},
+    {"cancel", bench_cancel},
+    {"bad_worker", bench_bad_worker},
+};
+
 int
 main(int argc, char **argv)
 {
+	const char *only = NULL;
 	unsigned long seed = 1;
 	bool quick = false;
+	size_t k;
 	int i;
 
 	for (i = 1; i < argc; i++) {
 		if (strcmp(argv[i], "--seed") == 0 && i + 1 < argc) {
 			seed = strtoul(argv[++i], NULL, 10);
+		} else if (strcmp(argv[i], "--only") == 0 && i + 1 < argc) {
+			only = argv[++i];
 		} else if (strcmp(argv[i], "--quick") == 0) {
 			quick = true;
 		} else {
-			fputs(
-			    "usage: agb-bench [--seed N] [--quick]\n", stderr);
+			fputs("usage: agb-bench [--seed N] [--quick] "
+			      "[--only PART]\n",
+			    stderr);
 			return 2;
 		}
 	}
-	bench_decide(seed, quick);
-	bench_wait(seed, quick);
-	bench_urgent(seed, quick);
-	bench_packing(seed, quick);
-	bench_cancel(seed, quick);
-	bench_bad_worker(seed, quick);
+	for (k = 0; k < sizeof(parts) / sizeof(parts[0]); k++) {
+		if (only == NULL || strcmp(only, parts[k].name) == 0)
+			parts[k].run(seed, quick);
+	}
 	return 0;
 }
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -142,7 +142,9 @@
 {
 	if (w == NULL)
 		return b->fresh;
-	if (b->policy == AGB_POLICY_GANG)
+	/* What quota or headroom holds back becomes fresh when they allow. */
+	if (b->policy == AGB_POLICY_GANG || b->block == BLOCK_HEADROOM ||
+	    b->block == BLOCK_QUOTA)
 		return false;
 	if (!agb_resources_fit(&b->need, &w->room) &&
 	    !sched_gang_backfills(s, b, w))
