perf(sched): skip teams that quota or headroom holds back as a whole

Cause: on a shard at its headroom nearly all buckets are held back, and each was visited for each worker that had grown; the headroom was divided out anew for each bucket. Change: teams count the buckets held back; the amount to keep is computed when capacity changes; workers count their throttled tasks.

--- a/src/agatebeam/sched_att.c
+++ b/src/agatebeam/sched_att.c
@@ -43,6 +43,7 @@
 	}
 	if (counts_starting(a))
 		w->starting++;
+	w->throttled += a->throttled;
 	sched_worker_refresh(s, w);
 }
 
@@ -64,6 +65,7 @@
 	}
 	if (counts_starting(a))
 		w->starting--;
+	w->throttled -= a->throttled;
 	sched_worker_refresh(s, w);
 }
 
@@ -197,11 +199,16 @@
 sched_att_throttle(struct agb_sched *s, struct sched_att *a,
     const struct agb_resources *held, const char *why)
 {
+	struct sched_worker *const w = sched_worker_get(s, a->worker);
 	struct agb_sched_effect *ef;
 
+	if (w != NULL)
+		w->throttled -= a->throttled;
 	ef = effect(s, a, AGB_SCHED_THROTTLE, AGB_REASON_PREEMPTED, why);
 	ef->need = *held;
 	a->throttled = held->cpu_milli < a->full.cpu_milli;
 	a->throttled_at = s->now;
+	if (w != NULL)
+		w->throttled += a->throttled;
 	sched_att_resize(s, a, held);
 }
--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -129,6 +129,7 @@
 	uint32_t slots_busy;
 	uint32_t starting;
 	uint32_t tasks;
+	uint32_t throttled;
 	uint32_t rack;
 	int slot_level;
 	uint32_t self;
@@ -298,6 +299,8 @@
  * @share: weighted dominant share
  * @levels: set of non-empty entries of @buckets
  * @fresh: of these buckets, those that have to be tried
+ * @len: number of its buckets; @held_back: of these, those that wait for
+ *       quota or headroom
  * @place: where the team stands in the order of shares
  */
 struct sched_team {
@@ -306,6 +309,8 @@
 	double share;
 	uint32_t levels;
 	uint32_t fresh;
+	uint32_t len;
+	uint32_t held_back;
 	uint16_t place;
 	struct sched_bucket *buckets[SCHED_LEVELS];
 };
@@ -423,6 +428,7 @@
 	uint32_t workers_len;
 	struct agb_resources cap_live;
 	struct agb_resources free_live;
+	struct agb_resources keep;
 	struct agb_resources *tree;
 	struct sched_rack *racks;
 	uint32_t *dirty;
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -84,10 +84,8 @@
 }
 
 static bool
-keeps(int64_t room, int64_t need, int64_t cap, uint32_t percent)
+keeps(int64_t room, int64_t need, int64_t cap, int64_t keep)
 {
-	const int64_t keep = cap * percent / 100;
-
 	/* Work that never fits beside the headroom may use it. */
 	return need == 0 || room - need >= keep || need > cap - keep;
 }
@@ -97,16 +95,15 @@
 sched_place_headroom(const struct agb_sched *s, const struct sched_bucket *b)
 {
 	const int64_t units = b->shape.gang > 0 ? b->shape.gang : 1;
-	const uint32_t pct = s->env->headroom_percent;
 
-	if (b->level >= SCHED_URGENT || pct == 0)
+	if (b->level >= SCHED_URGENT || s->env->headroom_percent == 0)
 		return true;
 	return keeps(s->free_live.cpu_milli, b->need.cpu_milli * units,
-		   s->cap_live.cpu_milli, pct) &&
+		   s->cap_live.cpu_milli, s->keep.cpu_milli) &&
 	    keeps(s->free_live.mem_mb, b->need.mem_mb * units,
-		s->cap_live.mem_mb, pct) &&
+		s->cap_live.mem_mb, s->keep.mem_mb) &&
 	    keeps(s->free_live.accel, b->need.accel * units, s->cap_live.accel,
-		pct);
+		s->keep.accel);
 }
 
 /* Whether a bucket takes part in a phase, or why it does not. */
@@ -211,7 +208,7 @@
 	}
 	for (i = 0; i < SCHED_TEAMS; i++) {
 		t = &s->teams[s->order[i]];
-		if (t->levels == 0 || (w == NULL && t->fresh == 0))
+		if (t->held_back == t->len || (w == NULL && t->fresh == 0))
 			continue;
 		b = team_first(s, t, w, ~urgent, PHASE_GUARANTEED);
 		if (b != NULL)
--- a/src/agatebeam/sched_preempt.c
+++ b/src/agatebeam/sched_preempt.c
@@ -426,7 +426,7 @@
 	struct agb_resources more;
 	struct sched_att *a;
 
-	for (a = w->atts; a != NULL; a = a->next) {
+	for (a = w->throttled > 0 ? w->atts : NULL; a != NULL; a = a->next) {
 		if (!a->throttled || a->state == ATT_STOPPING ||
 		    s->now - a->throttled_at < THROTTLE_HOLD)
 			continue;
--- a/src/agatebeam/sched_queue.c
+++ b/src/agatebeam/sched_queue.c
@@ -138,6 +138,8 @@
 {
 	if (b->block == BLOCK_HEADROOM)
 		s->headroom_blocked--;
+	if (b->block == BLOCK_HEADROOM || b->block == BLOCK_QUOTA)
+		s->teams[b->shape.team].held_back--;
 	b->block = BLOCK_NONE;
 	if (b->fresh == fresh)
 		return;
@@ -152,6 +154,8 @@
 {
 	sched_queue_fresh(s, b, false);
 	b->block = cause;
+	if (cause == BLOCK_HEADROOM || cause == BLOCK_QUOTA)
+		s->teams[b->shape.team].held_back++;
 	if (cause == BLOCK_HEADROOM)
 		s->headroom_blocked++;
 }
@@ -220,6 +224,7 @@
 	if ((t->levels & (1u << b->level)) == 0)
 		s->level_teams[b->level]++;
 	t->levels |= 1u << b->level;
+	t->len++;
 	return b;
 }
 
@@ -274,6 +279,7 @@
 		return;
 	sched_queue_fresh(s, b, false);
 	t = &s->teams[b->shape.team];
+	t->len--;
 	DL_DELETE(t->buckets[b->level], b);
 	if (t->buckets[b->level] == NULL) {
 		t->levels &= ~(1u << b->level);
--- a/src/agatebeam/sched_worker.c
+++ b/src/agatebeam/sched_worker.c
@@ -269,6 +269,17 @@
 	w->runner.accel = need.accel * n;
 }
 
+/* What is kept free for urgent work. */
+static void
+keep_set(struct agb_sched *s)
+{
+	const int64_t pct = s->env != NULL ? s->env->headroom_percent : 0;
+
+	s->keep.cpu_milli = s->cap_live.cpu_milli * pct / 100;
+	s->keep.mem_mb = s->cap_live.mem_mb * pct / 100;
+	s->keep.accel = s->cap_live.accel * pct / 100;
+}
+
 static void
 track(struct agb_sched *s, struct sched_worker *w, bool on)
 {
@@ -281,6 +292,7 @@
 	}
 	if (hosts)
 		s->works[work].slots -= w->tracked_slots;
+	keep_set(s);
 	w->tracked = on;
 	w->tracked_slots = 0;
 	if (!on)
@@ -289,6 +301,7 @@
 	w->tracked_free = w->tracked_cap;
 	agb_resources_sub(&w->tracked_free, &w->held);
 	agb_resources_add(&s->cap_live, &w->tracked_cap);
+	keep_set(s);
 	agb_resources_add(&s->free_live, &w->tracked_free);
 	if (hosts) {
 		w->tracked_slots = w->slots;
