perf(sched): second trial of a bad worker after 30 minutes

Cause: of the 5 attempts that a bad worker cost, 3 led to its ejection and 2 were trials within 8 minutes. Change: the first trial stays at 60 s, later ones wait 1800 s.

--- a/src/agatebeam/sched_health.c
+++ b/src/agatebeam/sched_health.c
@@ -15,8 +15,10 @@
 /* Refusals of quick requests in a row. A dead entry instance has at most a
  * runner's slots, commonly 8, revoked on one worker. */
 #define REFUSED_AT 10
+/* The first trial is soon, for a worker that was ejected wrongly. One that
+ * fails it has failed four of four: each further trial costs an attempt. */
 #define PROBE_FIRST (60 * AGB_SEC)
-#define PROBE_MAX (1800 * AGB_SEC)
+#define PROBE_AGAIN (1800 * AGB_SEC)
 /* A trial that has run this long counts as a success. */
 #define TRIAL_RUN (60 * AGB_SEC)
 /* Evidence that no later start has confirmed is dropped after this. */
@@ -108,14 +110,9 @@
 static void
 eject(struct agb_sched *s, agb_time now, struct sched_worker *w)
 {
-	agb_time wait = PROBE_FIRST;
+	agb_time wait = w->probes == 0 ? PROBE_FIRST : PROBE_AGAIN;
 	char text[96];
-	uint32_t i;
 
-	for (i = 0; i < w->probes && wait < PROBE_MAX; i++)
-		wait *= 4;
-	if (wait > PROBE_MAX)
-		wait = PROBE_MAX;
 	wait += sched_random(s) % (wait / 4);
 	if (!w->ejected) {
 		w->ejected = true;
