fix(owner): starts that are repeated after a lost answer

A start whose answer was lost was sent again although its task had ended and the worker, told that the end was stored, had forgotten the attempt; or it arrived after the session that followed a restart of the worker.

Change: a start whose task is no longer being started is not repeated; an end is not acknowledged while such a start is out; no session call goes out while commands are. The worker fake forgets acknowledged ends.

Conclusion: a repeated start cannot run a task again.

--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -143,6 +143,34 @@
 	}
 }
 
+/* A start whose task has ended meanwhile must not be sent again: a worker
+ * that has forgotten the attempt would run it a second time. */
+static bool
+outdated(const struct agb_owner *o, const struct agb_command *c)
+{
+	const struct own_task *t;
+
+	if (c->kind != AGB_COMMAND_START)
+		return false;
+	t = own_task_find(o, c->task);
+	return t == NULL || t->state != OWN_TASK_STARTING ||
+	    !own_attempt_eq(&t->attempt, &c->attempt);
+}
+
+/* Whether a start is out whose task has ended: until it is answered, the
+ * worker must go on remembering that attempt. */
+bool
+own_command_outdated(const struct agb_owner *o, const struct own_worker *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->flight_len; i++) {
+		if (outdated(o, &w->flight[i]))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Puts the commands in flight back in front of the queue. They keep their
  * order, so that a STOP follows the START that it is meant for.
@@ -152,15 +180,20 @@
 {
 	struct agb_command *const all =
 	    agb_xcalloc(w->flight_len + w->queue_len, sizeof(*all));
+	size_t i, n = 0;
 
-	memcpy(all, w->flight, w->flight_len * sizeof(*all));
+	for (i = 0; i < w->flight_len; i++) {
+		if (outdated(o, &w->flight[i]))
+			free(w->flight[i].args);
+		else
+			all[n++] = w->flight[i];
+	}
 	if (w->queue_len > 0)
-		memcpy(
-		    all + w->flight_len, w->queue, w->queue_len * sizeof(*all));
+		memcpy(all + n, w->queue, w->queue_len * sizeof(*all));
 	free(w->flight);
 	free(w->queue);
 	w->queue = all;
-	w->queue_len += w->flight_len;
+	w->queue_len += n;
 	w->flight = NULL;
 	w->flight_len = 0;
 	mark_dirty(o, w);
@@ -245,6 +278,7 @@
 	if (w == NULL || w->commands_tag == 0 || c->tag != w->commands_tag)
 		return;
 	w->commands_tag = 0;
+	own_wake(o, now);
 	if (c->status == AGB_WORKER_FENCED && c->epoch > o->epoch) {
 		own_drop(o, now, "a worker obeys a newer owner", out);
 		return;
@@ -271,7 +305,7 @@
 
 		if (r != NULL)
 			answered(o, now, w, &sent[i], r, out);
-		else
+		else if (!outdated(o, &sent[i]))
 			own_command_add(o, w, &sent[i]);
 	}
 	commands_free(sent, len);
--- a/src/agatebeam/owner_internal.h
+++ b/src/agatebeam/owner_internal.h
@@ -130,6 +130,8 @@
     struct agb_owner *o, agb_time now, struct agb_effects *out);
 void own_command_answer(struct agb_owner *o, agb_time now,
     const struct agb_ev_commands *c, struct agb_effects *out);
+bool own_command_outdated(
+    const struct agb_owner *o, const struct own_worker *w);
 void own_command_clear(struct own_worker *w);
 
 /* owner_task.c: start, stop and end of tasks */
--- a/src/agatebeam/owner_session.c
+++ b/src/agatebeam/owner_session.c
@@ -278,7 +278,7 @@
 	}
 	/* An end is acknowledged only once it is durable, so that the next
 	 * owner hears of it again if this one dies before. */
-	if (w->undurable == 0)
+	if (w->undurable == 0 && !own_command_outdated(o, w))
 		w->acked = w->taken;
 	else
 		w->call_at = now + RENEW_UNDURABLE;
@@ -288,7 +288,7 @@
 void
 own_worker_acked(struct agb_owner *o, agb_time now, struct own_worker *w)
 {
-	if (--w->undurable > 0)
+	if (--w->undurable > 0 || own_command_outdated(o, w))
 		return;
 	w->acked = w->taken;
 	if (w->call == OWN_CALL_NONE && w->answered) {
--- a/src/agatebeam/owner_worker.c
+++ b/src/agatebeam/owner_worker.c
@@ -232,6 +232,10 @@
 	if (w->call != OWN_CALL_NONE ||
 	    (w->answered ? w->stale_renew : w->stale_session))
 		return;
+	/* A start that is out must not arrive after the session that follows
+	 * a restart: the worker would take it for a new one. */
+	if (!w->answered && w->commands_tag != 0)
+		return;
 	quiet = own_quiet_until(o, now, w);
 	if (quiet > w->call_at)
 		w->call_at = quiet;
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -21,7 +21,7 @@
 struct fake_task {
 	struct agb_worker_task t;
 	bool running;
-	bool started; /* ever, in this memory */
+	uint64_t ended; /* number of the event that told of its end */
 };
 
 /**
@@ -84,6 +84,7 @@
 			continue;
 		w->tasks[i].running = false;
 		fake_worker_event(w, &w->tasks[i].t, false, result, text);
+		w->tasks[i].ended = w->seq;
 		n++;
 	}
 	return n;
@@ -112,6 +113,12 @@
 			w->events[n++] = w->events[i];
 	}
 	w->events_len = n;
+	n = 0;
+	for (i = 0; i < w->tasks_len; i++) {
+		if (w->tasks[i].running || w->tasks[i].ended > after)
+			w->tasks[n++] = w->tasks[i];
+	}
+	w->tasks_len = n;
 }
 
 /* Restarts it with empty memory. */
@@ -214,6 +221,7 @@
 			w->stops++;
 			fake_worker_event(
 			    w, &w->tasks[i].t, false, AGB_RESULT_STOPPED, NULL);
+			w->tasks[i].ended = w->seq;
 		}
 		return true;
 	}
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -443,6 +443,40 @@
 	shard_free(s);
 }
 
+/* Guards against a second run by a start that is repeated after its answer
+ * was lost: to a worker that has forgotten the acknowledged end, and to one
+ * that restarts at any moment meanwhile. */
+static void
+test_start_repeated(void)
+{
+	struct shard *s = shard_new(1);
+	unsigned ms;
+
+	s->workers[0].lose_answers = 5;
+	(void)shard_submit(s, 0, "plan", 1, false, "");
+	shard_run(s, 110 * AGB_MS);
+	CU_ASSERT_EQUAL(
+	    fake_worker_finish(&s->workers[0], AGB_RESULT_OK, "r"), 1);
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	CU_ASSERT_EQUAL(s->workers[0].tasks_len, 0);
+	shard_free(s);
+	for (ms = 50; ms < 1500; ms += 50) {
+		uint64_t token;
+
+		s = shard_new(1);
+		s->workers[0].lose_answers = 3;
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_run(s, ms * AGB_MS);
+		fake_worker_reboot(&s->workers[0]);
+		shard_run(s, 5 * AGB_SEC);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		CU_ASSERT_EQUAL(
+		    job(s, 0, submitted(s, token)->job)->outcome, AGB_UNKNOWN);
+		shard_free(s);
+	}
+}
+
 /* Guards against commands that are never sent again by an instance that is
  * elected anew while commands of its earlier epoch were queued. */
 static void
@@ -906,6 +940,7 @@
     {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
     {"silence_needs_lease", test_silence_needs_lease},
+    {"start_repeated", test_start_repeated},
     {"reelected_commands", test_reelected_commands},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
     {"cancel_before_start", test_cancel_before_start},
