fix(owner): TERM during recovery

Change: the hand-over ends the recovery, and revokes only a lease it has.

Before: test_term_while_recovering, which sends TERM at each of 159 moments, failed. After: it passes.

Conclusion: the role is handed over once.

--- a/src/agatebeam/owner_elect.c
+++ b/src/agatebeam/owner_elect.c
@@ -452,6 +452,7 @@
 	    !own_commit_idle(o))
 		return;
 	o->role = OWN_HANDOVER;
+	own_recover_free(o);
 	agb_effects_log(out, AGB_LOG_INFO, "handover", "domain=%s epoch=%llu",
 	    o->cfg.domain, (unsigned long long)o->epoch);
 	own_grant_drop(
@@ -462,6 +463,8 @@
 	agb_store_op_cmp(
 	    &ef->u.store, o->elect.key, AGB_STORE_CREATE_REV, o->epoch);
 	agb_store_op_delete(&ef->u.store, o->elect.key, NULL);
+	if (o->elect.lease == 0)
+		return;
 	ef = agb_effects_add(out, AGB_EF_STORE);
 	ef->tag = own_tag(o);
 	ef->timeout_ms = OWN_STORE_TIMEOUT_MS;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -832,6 +832,36 @@
 	}
 }
 
+/* Guards against a recovery that goes on after the role was handed over, at
+ * each moment at which TERM can come. */
+static void
+test_term_while_recovering(void)
+{
+	unsigned ms;
+
+	for (ms = 1; ms < 160; ms++) {
+		struct shard *const s = shard_new(1);
+		struct agb_event ev = {.type = AGB_EV_TERM};
+		char id[AGB_ID_LEN];
+
+		agb_name_set(id, sizeof(id), accepted(s, "plan", false));
+		shard_node_kill(s, 0);
+		shard_run(s, 3 * AGB_SEC);
+		shard_node_start(s, 1, 1);
+		shard_run(s, ms * AGB_MS);
+		shard_step(s, 1, &ev);
+		shard_run(s, 200 * AGB_MS);
+		CU_ASSERT_TRUE(agb_owner_drained(s->nodes[1].o));
+		CU_ASSERT_FALSE(active(s, 1));
+		shard_node_start(s, 0, 1);
+		shard_run(s, 3 * AGB_SEC);
+		CU_ASSERT_TRUE(active(s, 0));
+		CU_ASSERT_TRUE(job(s, 0, id)->found);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		shard_free(s);
+	}
+}
+
 /* Guards against a journal that grows without end, jobs that a snapshot
  * leaves out, and a snapshot that is read before it is whole. */
 static void
@@ -952,6 +982,7 @@
     {"orphan_stopped", test_orphan_stopped},
     {"leaving", test_leaving},
     {"term", test_term},
+    {"term_while_recovering", test_term_while_recovering},
     {"compaction", test_compaction},
     {"commit_pace", test_commit_pace},
     {"explain", test_explain},
