--- /dev/null
+++ b/tests/test_history.c
@@ -0,0 +1,71 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "check.h"
+#include "mem.h"
+#include "suite.h"
+#include "world.h"
+
+/* Seeds that have shown a fault before, and what it was. */
+static const struct {
+	uint64_t seed;
+	const char *fault;
+} found[] = {
+    {105, "asked itself for a newer document without end"},
+    {11, "a doubled submit made two jobs"},
+    {297, "two jobs of one submit ran in two places"},
+    {241, "two jobs of one non-idempotent submit ran twice"},
+    {352, "a document was freed while in use"},
+};
+
+#define FIXED_FROM 1
+#define FIXED_COUNT 150
+
+static bool
+run(uint64_t seed)
+{
+	struct world *const w = agb_xcalloc(1, sizeof(*w));
+	struct check_result res;
+	bool ok;
+
+	w->seed = seed;
+	world_run(w);
+	ok = check_history(&w->hist, &res);
+	if (!ok)
+		printf("seed %llu violation %s: %s\n", (unsigned long long)seed,
+		    check_name(res.violation), res.text);
+	world_free(w);
+	free(w);
+	return ok;
+}
+
+/* Guards against the return of faults that the checker has found. */
+static void
+test_found(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(found) / sizeof(found[0]); i++)
+		CU_ASSERT_TRUE(run(found[i].seed));
+}
+
+/* Guards against violations of the invariants under faults. */
+static void
+test_fixed_seeds(void)
+{
+	uint64_t seed;
+
+	for (seed = FIXED_FROM; seed < FIXED_FROM + FIXED_COUNT; seed++)
+		CU_ASSERT_TRUE(run(seed));
+}
+
+static const struct suite_test tests[] = {
+    {"found", test_found},
+    {"fixed_seeds", test_fixed_seeds},
+};
+
+int
+main(void)
+{
+	return suite_run("history", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,317 @@
+#include "route.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "suite.h"
+
+#define NOW (100 * AGB_SEC)
+/* SHA-256 of "demo". */
+#define CREDENTIAL \
+	"2a97516c354b68848cdbd8f54a226a0a55b21ed138e207ad6c5cbb9c00aa5aea"
+#define UNKNOWN_CREDENTIAL \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+static const char doc[] =
+    "{\"name\":\"x\",\"regions\":[{\"name\":\"r\",\"domains\":[\"a\"]},"
+    "{\"name\":\"far\",\"domains\":[\"b\"]}],"
+    "\"classes\":[{\"name\":\"q\",\"policy\":\"quick\",\"retries\":1,"
+    "\"retry_budget_percent\":100,\"deadline_ms\":1000},"
+    "{\"name\":\"j\",\"policy\":\"batch\"}],"
+    "\"teams\":[{\"name\":\"t\",\"credential_sha256\":\"" CREDENTIAL "\","
+    "\"quota\":{\"cpu_milli\":1,\"mem_mb\":1}},"
+    "{\"name\":\"u\",\"credential_sha256\":"
+    "\"bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\","
+    "\"quota\":{\"cpu_milli\":1,\"mem_mb\":1}}],"
+    "\"work\":[{\"name\":\"w\",\"class\":\"q\","
+    "\"need\":{\"cpu_milli\":1,\"mem_mb\":1}},"
+    "{\"name\":\"closed\",\"class\":\"q\",\"teams\":[\"u\"],"
+    "\"need\":{\"cpu_milli\":1,\"mem_mb\":1}},"
+    "{\"name\":\"job\",\"class\":\"j\","
+    "\"need\":{\"cpu_milli\":1,\"mem_mb\":1}}]}";
+
+/* One entry instance's route module with the owner of its own domain. */
+struct fixture {
+	struct agb_env *env;
+	struct agb_member *member;
+	struct agb_route *route;
+	struct agb_route_input in;
+	struct agb_effects out;
+};
+
+static void
+set_up(struct fixture *f)
+{
+	static const struct agb_member_config mcfg = {
+	    .instance = "i", .region = "r", .domain = "a", .rpc = "self:1"};
+	static const struct agb_route_config rcfg = {.instance = "i",
+	    .region = "r",
+	    .domain = "a",
+	    .call_timeout_ms = 5000,
+	    .seed = 1};
+	struct agb_findings *const findings = agb_xcalloc(1, sizeof(*findings));
+
+	memset(f, 0, sizeof(*f));
+	agb_env_parse(doc, strlen(doc), 3, &f->env, findings);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->env);
+	free(findings);
+	f->member = agb_member_new(&mcfg);
+	f->route = agb_route_new(&rcfg);
+	f->in.env = f->env;
+	f->in.member = f->member;
+	f->in.owner = "owner:1";
+}
+
+static void
+tear_down(struct fixture *f)
+{
+	agb_route_free(f->route);
+	agb_member_free(f->member);
+	agb_env_free(f->env);
+	agb_effects_free(&f->out);
+}
+
+static struct agb_effect *
+effect(struct fixture *f, enum agb_effect_type type)
+{
+	size_t i;
+
+	for (i = f->out.len; i > 0; i--) {
+		if (f->out.items[i - 1].type == type)
+			return &f->out.items[i - 1];
+	}
+	return NULL;
+}
+
+static void
+step(struct fixture *f, agb_time now, const struct agb_event *ev)
+{
+	agb_effects_clear(&f->out);
+	agb_route_step(f->route, now, ev, &f->in, &f->out);
+}
+
+static void
+call(struct fixture *f, const char *work, bool idempotent,
+    const char *credential)
+{
+	struct agb_event ev = {.type = AGB_EV_CALL};
+
+	ev.u.call.id = 7;
+	ev.u.call.kind = AGB_CALL_QUICK;
+	ev.u.call.idempotent = idempotent;
+	agb_name_set(ev.u.call.work, AGB_NAME_LEN, work);
+	agb_name_set(
+	    ev.u.call.credential, sizeof(ev.u.call.credential), credential);
+	step(f, NOW, &ev);
+}
+
+/* Answers the pending GRANT. */
+static void
+grant(struct fixture *f, bool granted, enum agb_reason reason)
+{
+	struct agb_event ev = {.type = AGB_EV_RPC_REPLY, .rpc_ok = true};
+	const struct agb_effect *const ask = effect(f, AGB_EF_RPC_CALL);
+	agb_x_grant_res *const g = &ev.u.rpc_res.agb_x_res_u.grant;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ask);
+	CU_ASSERT_EQUAL(ask->u.rpc_args.proc, AGB_X_GRANT);
+	ev.tag = ask->tag;
+	ev.u.rpc_res.proc = AGB_X_GRANT;
+	g->granted = granted;
+	g->attempt.epoch = 4;
+	g->attempt.seq = 1;
+	g->worker = agb_xstrdup("w0");
+	g->runner = agb_xstrdup("runner:1");
+	g->detail = agb_xstrdup("told");
+	g->outcome = AGB_NOT_RUN;
+	g->reason = (int)reason;
+	step(f, NOW, &ev);
+	agb_event_free(&ev);
+}
+
+static void
+upstream(struct fixture *f, agb_time now, enum agb_result result)
+{
+	struct agb_event ev = {.type = AGB_EV_UPSTREAM};
+
+	ev.u.upstream.call_id = 7;
+	ev.u.upstream.attempt.epoch = 4;
+	ev.u.upstream.attempt.seq = 1;
+	ev.u.upstream.result = result;
+	ev.u.upstream.reason = AGB_REASON_UPSTREAM_LOST;
+	ev.u.upstream.http_status = 200;
+	step(f, now, &ev);
+}
+
+/* Guards against requests that get past the document, or are refused without
+ * their true cause. */
+static void
+test_authorize(void)
+{
+	static const struct {
+		const char *work;
+		const char *credential;
+		bool no_document;
+		int status;
+		enum agb_reason reason;
+	} cases[] = {
+	    {"w", CREDENTIAL, true, 503, AGB_REASON_NO_DOCUMENT},
+	    {"w", UNKNOWN_CREDENTIAL, false, 401, AGB_REASON_BAD_CREDENTIAL},
+	    {"w", "", false, 401, AGB_REASON_BAD_CREDENTIAL},
+	    {"none", CREDENTIAL, false, 404, AGB_REASON_NO_SERVICE},
+	    {"job", CREDENTIAL, false, 404, AGB_REASON_NO_SERVICE},
+	    {"closed", CREDENTIAL, false, 403, AGB_REASON_NOT_ALLOWED},
+	};
+	const struct agb_effect *ef;
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		set_up(&f);
+		if (cases[i].no_document)
+			f.in.env = NULL;
+		call(&f, cases[i].work, false, cases[i].credential);
+		ef = effect(&f, AGB_EF_REPLY);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		CU_ASSERT_EQUAL(ef->u.reply.http_status, cases[i].status);
+		CU_ASSERT_EQUAL(ef->u.reply.reason, cases[i].reason);
+		CU_ASSERT_EQUAL(ef->u.reply.outcome, AGB_NOT_RUN);
+		CU_ASSERT_EQUAL(agb_route_pending(f.route), 0);
+		tear_down(&f);
+	}
+}
+
+/* Guards against a second attempt of what may not run twice, and against
+ * not-run for what may have run. */
+static void
+test_attempts(void)
+{
+	static const struct {
+		bool idempotent;
+		enum agb_result result;
+		bool retried;
+		bool forwarded;
+		enum agb_outcome outcome;
+	} cases[] = {
+	    {false, AGB_RESULT_OK, false, true, AGB_RAN},
+	    {false, AGB_RESULT_LOST, false, false, AGB_UNKNOWN},
+	    {true, AGB_RESULT_LOST, true, false, AGB_UNKNOWN},
+	    {false, AGB_RESULT_NOT_STARTED, true, false, AGB_NOT_RUN},
+	    {true, AGB_RESULT_NOT_STARTED, true, false, AGB_NOT_RUN},
+	};
+	const struct agb_event tick = {.type = AGB_EV_TICK};
+	const struct agb_effect *ef;
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		set_up(&f);
+		call(&f, "w", cases[i].idempotent, CREDENTIAL);
+		grant(&f, true, AGB_REASON_NONE);
+		ef = effect(&f, AGB_EF_UPSTREAM);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		CU_ASSERT_STRING_EQUAL(ef->u.upstream.runner, "runner:1");
+		upstream(&f, NOW, cases[i].result);
+		ef = effect(&f, AGB_EF_RPC_CALL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		CU_ASSERT_EQUAL(ef->u.rpc_args.proc, AGB_X_RELEASE);
+		CU_ASSERT_EQUAL(
+		    effect(&f, AGB_EF_FORWARD) != NULL, cases[i].forwarded);
+		ef = effect(&f, AGB_EF_REPLY);
+		CU_ASSERT_EQUAL(
+		    ef == NULL, cases[i].retried || cases[i].forwarded);
+		if (!cases[i].retried) {
+			if (ef != NULL)
+				CU_ASSERT_EQUAL(
+				    ef->u.reply.outcome, cases[i].outcome);
+			tear_down(&f);
+			continue;
+		}
+		/* The second ask is refused: what is told then depends on
+		 * what the first attempt may have done. */
+		step(&f, NOW + 900 * AGB_MS, &tick);
+		grant(&f, false, AGB_REASON_DEADLINE);
+		ef = effect(&f, AGB_EF_REPLY);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		CU_ASSERT_EQUAL(ef->u.reply.outcome, cases[i].outcome);
+		tear_down(&f);
+	}
+}
+
+/* Guards against slots that stay busy: a grant that comes after the caller
+ * has gone is given back unused, and a release is sent until it is taken. */
+static void
+test_grant_returned(void)
+{
+	const struct agb_event tick = {.type = AGB_EV_TICK};
+	struct agb_event gone = {.type = AGB_EV_CALL_GONE, .call_id = 7};
+	struct agb_event lost = {.type = AGB_EV_RPC_REPLY};
+	struct agb_effect ask;
+	const struct agb_effect *ef;
+	struct fixture f;
+	struct agb_event ev = {.type = AGB_EV_RPC_REPLY, .rpc_ok = true};
+
+	set_up(&f);
+	call(&f, "w", false, CREDENTIAL);
+	ask = *effect(&f, AGB_EF_RPC_CALL);
+	step(&f, NOW, &gone);
+	ev.tag = ask.tag;
+	ev.u.rpc_res.proc = AGB_X_GRANT;
+	ev.u.rpc_res.agb_x_res_u.grant.granted = true;
+	step(&f, NOW, &ev);
+	ef = effect(&f, AGB_EF_RPC_CALL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	CU_ASSERT_EQUAL(ef->u.rpc_args.proc, AGB_X_RELEASE);
+	CU_ASSERT_EQUAL(
+	    ef->u.rpc_args.agb_x_args_u.release.items.items_val[0].result,
+	    AGB_RESULT_NOT_STARTED);
+	lost.tag = ef->tag;
+	step(&f, NOW, &lost);
+	CU_ASSERT_EQUAL(agb_route_pending(f.route), 1);
+	step(&f, NOW + AGB_SEC, &tick);
+	ef = effect(&f, AGB_EF_RPC_CALL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	lost.tag = ef->tag;
+	lost.rpc_ok = true;
+	lost.u.rpc_res.proc = AGB_X_RELEASE;
+	step(&f, NOW + AGB_SEC, &lost);
+	CU_ASSERT_EQUAL(agb_route_pending(f.route), 0);
+	tear_down(&f);
+}
+
+/* Guards against a request that waits for ever, or is refused at once, while
+ * a shard changes its owner. */
+static void
+test_no_owner(void)
+{
+	const struct agb_event tick = {.type = AGB_EV_TICK};
+	const struct agb_effect *ef;
+	struct fixture f;
+
+	set_up(&f);
+	f.in.owner = "";
+	call(&f, "w", false, CREDENTIAL);
+	CU_ASSERT_PTR_NULL(effect(&f, AGB_EF_REPLY));
+	step(&f, NOW + 500 * AGB_MS, &tick);
+	CU_ASSERT_PTR_NULL(effect(&f, AGB_EF_REPLY));
+	f.in.owner = "owner:2";
+	step(&f, NOW + 700 * AGB_MS, &tick);
+	ef = effect(&f, AGB_EF_RPC_CALL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	CU_ASSERT_STRING_EQUAL(ef->peer, "owner:2");
+	tear_down(&f);
+}
+
+static const struct suite_test tests[] = {
+    {"authorize", test_authorize},
+    {"attempts", test_attempts},
+    {"grant_returned", test_grant_returned},
+    {"no_owner", test_no_owner},
+};
+
+int
+main(void)
+{
+	return suite_run("route", tests, sizeof(tests) / sizeof(tests[0]));
+}
