fix(sched): a job does not wait on an idle shard for a worker to try next

Cause: a job that had failed on every live worker but a leaving one, or work that may not run twice on workers with one failure each, waited for ever ("no worker has the room now"); a shard handed over kept a freed document. Change: a worker is avoided only while another live one is not; the document is replaced in a shard that no longer serves too.

--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -300,11 +300,19 @@
     struct agb_effects *out)
 {
 	struct agb_sched_event ev = {.type = AGB_SCHED_ENV, .env = env};
+	struct agb_sched_effects none = {0};
 	size_t i;
 
 	o->env = env;
-	if (!own_serving(o))
+	if (o->sched == NULL)
+		return;
+	if (!own_serving(o)) {
+		/* A shard that is handed over does nothing more, but must not
+		 * look at a document that is freed after this call. */
+		agb_sched_step(o->sched, now, &ev, &none);
+		agb_sched_effects_free(&none);
 		return;
+	}
 	own_sched_feed(o, now, &ev, out);
 	/* A worker's service is an index into the document. */
 	for (i = 0; i < o->workers.len; i++) {
--- a/src/agatebeam/sched_health.c
+++ b/src/agatebeam/sched_health.c
@@ -38,23 +38,52 @@
 	agb_name_set(ef->detail, sizeof(ef->detail), text);
 }
 
-bool
-sched_health_allows(const struct agb_sched *s, const struct sched_job *j,
-    const struct sched_worker *w)
+static bool
+failed_on(const struct sched_job *j, const struct sched_worker *w)
 {
 	uint32_t i;
 
-	/* A trial is no place for work that cannot be run again. */
-	if ((w->ejected || w->evidence_len > 0) && !j->spec.idempotent)
-		return s->workers_len == 1;
-	if (s->workers_len <= j->fail_workers_len ||
-	    s->now - j->waiting_since >= SCHED_AVOID)
-		return true;
 	for (i = 0; i < j->fail_workers_len; i++) {
 		if (j->fail_workers[i] == w->self)
-			return false;
+			return true;
+	}
+	return false;
+}
+
+/* A trial is no place for work that cannot be run again; other work goes
+ * elsewhere after it has failed on a worker. */
+static bool
+avoids(const struct sched_job *j, const struct sched_worker *w)
+{
+	if (!j->spec.idempotent)
+		return w->ejected || w->evidence_len > 0;
+	return failed_on(j, w);
+}
+
+static bool
+has_other(const struct agb_sched *s, const struct sched_job *j)
+{
+	const struct sched_worker *w;
+	uint32_t i;
+
+	for (i = 0; i < s->workers_cap; i++) {
+		w = &s->workers[i];
+		if (w->known && w->state == AGB_WORKER_LIVE && !w->ejected &&
+		    !avoids(j, w))
+			return true;
 	}
-	return true;
+	return false;
+}
+
+/* A worker is avoided only while there is another one, and not for ever: a
+ * job must not wait on an idle shard. */
+bool
+sched_health_allows(const struct agb_sched *s, const struct sched_job *j,
+    const struct sched_worker *w)
+{
+	if (!avoids(j, w) || s->now - j->waiting_since >= SCHED_AVOID)
+		return true;
+	return !has_other(s, j);
 }
 
 static void
@@ -176,10 +205,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < j->fail_workers_len; i++) {
-		if (j->fail_workers[i] == w->self)
-			return true;
-	}
+	if (failed_on(j, w))
+		return true;
 	if (j->fail_workers_len < SCHED_FAIL_WORKERS)
 		j->fail_workers[j->fail_workers_len++] = w->self;
 	if (j->fail_workers_len < 2)
