fix(sched): a gang uses workers with a failure when no others are left

Cause: a gang whose tasks had failed waited 300 s for the worker on which they failed, on an idle shard. Change: workers without failures first, then those with some at once; only a worker on trial is waited for.

--- a/src/agatebeam/sched_gang.c
+++ b/src/agatebeam/sched_gang.c
@@ -36,9 +36,21 @@
 	agb_time at;
 };
 
+/* Whether a gang may be placed on a worker: at first on none with a failure,
+ * then on all but those on trial. */
+static bool
+takes_gang(const struct agb_sched *s, const struct sched_job *j,
+    const struct sched_worker *w, bool failures)
+{
+	if (w->ejected)
+		return s->now - j->waiting_since >= TRIAL_WAIT;
+	return failures || w->evidence_len == 0;
+}
+
 static uint32_t
-find_places(struct agb_sched *s, const struct sched_job *j,
-    const struct agb_resources *need, struct place *places, uint32_t *len)
+find_places_on(struct agb_sched *s, const struct sched_job *j,
+    const struct agb_resources *need, bool failures, struct place *places,
+    uint32_t *len)
 {
 	uint32_t h = 0, n, got = 0;
 	struct sched_worker *w;
@@ -49,8 +61,7 @@
 		if (h == AGB_SCHED_NONE)
 			break;
 		w = &s->workers[h];
-		if ((w->ejected || w->evidence_len > 0) &&
-		    s->now - j->waiting_since < TRIAL_WAIT)
+		if (!takes_gang(s, j, w, failures))
 			continue;
 		n = sched_units(&w->room, need);
 		if (n > j->pending - got)
@@ -61,6 +72,18 @@
 	return got;
 }
 
+static uint32_t
+find_places(struct agb_sched *s, const struct sched_job *j,
+    const struct agb_resources *need, struct place *places, uint32_t *len)
+{
+	uint32_t got;
+
+	got = find_places_on(s, j, need, false, places, len);
+	if (got < j->pending)
+		got = find_places_on(s, j, need, true, places, len);
+	return got;
+}
+
 static void
 start_all(struct agb_sched *s, agb_time now, struct sched_job *j,
     const struct agb_resources *need, const struct place *places, uint32_t len)
