--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -84,26 +84,26 @@
 }
 
 static bool
-keeps(int64_t room, int64_t need, int64_t cap, uint32_t percent)
+keeps(int64_t room, int64_t need, int64_t cap, int64_t keep)
 {
-	return need == 0 || room - need >= cap * percent / 100;
+	/* Work that never fits beside the headroom may use it. */
+	return need == 0 || room - need >= keep || need > cap - keep;
 }
 
 /* Whether what is kept free for urgent work stays free. */
-static bool
-headroom_left(const struct agb_sched *s, const struct sched_bucket *b)
+bool
+sched_place_headroom(const struct agb_sched *s, const struct sched_bucket *b)
 {
 	const int64_t units = b->shape.gang > 0 ? b->shape.gang : 1;
-	const uint32_t pct = s->env->headroom_percent;
 
-	if (b->level >= SCHED_URGENT || pct == 0)
+	if (b->level >= SCHED_URGENT || s->env->headroom_percent == 0)
 		return true;
 	return keeps(s->free_live.cpu_milli, b->need.cpu_milli * units,
-		   s->cap_live.cpu_milli, pct) &&
+		   s->cap_live.cpu_milli, s->keep.cpu_milli) &&
 	    keeps(s->free_live.mem_mb, b->need.mem_mb * units,
-		s->cap_live.mem_mb, pct) &&
+		s->cap_live.mem_mb, s->keep.mem_mb) &&
 	    keeps(s->free_live.accel, b->need.accel * units, s->cap_live.accel,
-		pct);
+		s->keep.accel);
 }
 
 /* Whether a bucket takes part in a phase, or why it does not. */
@@ -118,7 +118,7 @@
 	if (!within &&
 	    (phase == PHASE_GUARANTEED || !sched_team_env(s, team)->borrow))
 		return BLOCK_QUOTA;
-	if (!headroom_left(s, b))
+	if (!sched_place_headroom(s, b))
 		return BLOCK_HEADROOM;
 	return BLOCK_NONE;
 }
@@ -139,7 +139,9 @@
 {
 	if (w == NULL)
 		return b->fresh;
-	if (b->policy == AGB_POLICY_GANG)
+	/* What quota or headroom holds back becomes fresh when they allow. */
+	if (b->policy == AGB_POLICY_GANG || b->block == BLOCK_HEADROOM ||
+	    b->block == BLOCK_QUOTA)
 		return false;
 	if (!agb_resources_fit(&b->need, &w->room) &&
 	    !sched_gang_backfills(s, b, w))
@@ -169,35 +171,54 @@
 }
 
 static struct sched_bucket *
-bucket_first(struct agb_sched *s, const struct sched_worker *w)
+team_first(struct agb_sched *s, struct sched_team *t,
+    const struct sched_worker *w, uint32_t levels, enum phase phase)
 {
-	const uint32_t urgent = ~0u << SCHED_URGENT;
-	uint16_t order[SCHED_TEAMS];
-	const unsigned n = sched_queue_order(s, order);
 	struct sched_bucket *b;
-	struct sched_team *t;
-	enum phase phase;
-	uint32_t set;
-	unsigned i;
 	int level;
 
-	for (phase = PHASE_URGENT; phase < PHASE_MAX; phase++) {
-		for (i = 0; i < n; i++) {
-			t = &s->teams[order[i]];
-			set = t->levels;
-			set &= phase == PHASE_URGENT ? urgent : ~urgent;
-			while (set != 0) {
-				level = 31 - __builtin_clz(set);
-				set &= ~(1u << level);
-				b = level_first(s, t->buckets[level], w, phase);
-				if (b != NULL)
-					return b;
-			}
-		}
+	levels &= t->levels;
+	while (levels != 0) {
+		level = 31 - __builtin_clz(levels);
+		levels &= ~(1u << level);
+		b = level_first(s, t->buckets[level], w, phase);
+		if (b != NULL)
+			return b;
 	}
 	return NULL;
 }
 
+/* Urgent work first, then that of teams within their quota, then the rest;
+ * teams in the order of their shares. */
+static struct sched_bucket *
+bucket_first(struct agb_sched *s, const struct sched_worker *w)
+{
+	const uint32_t urgent = ~0u << SCHED_URGENT;
+	const bool any = s->level_teams[SCHED_URGENT] > 0 ||
+	    s->level_teams[SCHED_URGENT + 1] > 0;
+	struct sched_bucket *b, *borrow = NULL;
+	struct sched_team *t;
+	uint32_t i;
+
+	for (i = 0; any && i < SCHED_TEAMS; i++) {
+		b = team_first(
+		    s, &s->teams[s->order[i]], w, urgent, PHASE_URGENT);
+		if (b != NULL)
+			return b;
+	}
+	for (i = 0; i < SCHED_TEAMS; i++) {
+		t = &s->teams[s->order[i]];
+		if (t->held_back == t->len || (w == NULL && t->fresh == 0))
+			continue;
+		b = team_first(s, t, w, ~urgent, PHASE_GUARANTEED);
+		if (b != NULL)
+			return b;
+		if (borrow == NULL)
+			borrow = team_first(s, t, w, ~urgent, PHASE_BORROW);
+	}
+	return borrow;
+}
+
 /* Drops jobs that have ended or have nothing to start from the head. */
 static bool
 head_ready(struct agb_sched *s, struct sched_bucket *b)
