fix(owner): a leaving worker gets no start that waited for the store

Change: starts that no call has carried are taken back when their worker leaves, and placed elsewhere.

--- a/src/agatebeam/owner_internal.h
+++ b/src/agatebeam/owner_internal.h
@@ -139,6 +139,8 @@
 struct own_task *own_task_find(const struct agb_owner *o, const char *id);
 void own_task_place(struct agb_owner *o, agb_time now,
     const struct agb_sched_effect *e, struct agb_effects *out);
+void own_task_unsent(struct agb_owner *o, agb_time now, struct own_worker *w,
+    struct agb_effects *out);
 void own_task_durable(
     struct agb_owner *o, struct own_task *t, const struct agb_attempt *attempt);
 void own_task_control(struct agb_owner *o, agb_time now,
--- a/src/agatebeam/owner_sched.c
+++ b/src/agatebeam/owner_sched.c
@@ -95,6 +95,8 @@
 	    names[w->told]);
 	w->told = state;
 	own_sched_feed(o, now, &ev, out);
+	if (state == AGB_WORKER_LEAVING)
+		own_task_unsent(o, now, w, out);
 	if (state == AGB_WORKER_GONE) {
 		own_handle_del(&o->worker_handles, w->handle);
 		w->handle = AGB_SCHED_NONE;
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -208,6 +208,26 @@
 		own_task_stop(o, t);
 }
 
+/* Takes back the starts that no call has carried: a worker that leaves gets
+ * nothing new, however long its starts waited for the store or for it. */
+void
+own_task_unsent(struct agb_owner *o, agb_time now, struct own_worker *w,
+    struct agb_effects *out)
+{
+	struct own_task *t;
+	size_t i;
+
+	for (i = w->tasks.len; i-- > 0;) {
+		if (i >= w->tasks.len)
+			continue;
+		t = w->tasks.items[i];
+		if (t->state == OWN_TASK_INTENT ||
+		    (t->state == OWN_TASK_STARTING && !t->sent))
+			own_task_end(o, now, t, AGB_RESULT_NOT_STARTED, NULL,
+			    NULL, out);
+	}
+}
+
 void
 own_task_started(struct agb_owner *o, agb_time now, struct own_task *t,
     struct agb_effects *out)
