fix(owner): messages to a worker name the boot that they are meant for

Change: renewals and commands carry the boot; a worker that has restarted refuses others. Conclusion: the same holds for requests on their way to a runner; next.

--- a/src/agatebeam/effect.h
+++ b/src/agatebeam/effect.h
@@ -75,12 +75,15 @@
  * @worker: instance id, returned in the event
  * @address: HTTP address of the agent
  * @epoch: epoch of the shard owner
+ * @boot: boot that RENEW and COMMANDS are meant for; a worker that has
+ *	restarted since refuses them, so that a late one does nothing
  * @after: number of the last event taken
  */
 struct agb_ef_worker {
 	agb_name worker;
 	agb_addr address;
 	uint64_t epoch;
+	agb_name boot;
 	uint64_t after;
 	uint32_t wait_ms;
 	uint32_t ttl_ms;
--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -108,6 +108,7 @@
 	agb_name_set(e->worker, sizeof(e->worker), w->inst.id);
 	agb_name_set(e->address, sizeof(e->address), w->inst.address);
 	e->epoch = o->epoch;
+	agb_name_set(e->boot, sizeof(e->boot), w->boot);
 	e->items = agb_xcalloc(n, sizeof(*e->items));
 	e->items_len = n;
 	w->flight = agb_xcalloc(n, sizeof(*w->flight));
--- a/src/agatebeam/owner_session.c
+++ b/src/agatebeam/owner_session.c
@@ -42,6 +42,8 @@
 	if (renew) {
 		w->call = OWN_CALL_RENEW;
 		w->renews++;
+		agb_name_set(
+		    ef->u.worker.boot, sizeof(ef->u.worker.boot), w->boot);
 		ef->u.worker.after = w->acked;
 		/* The first report after a takeover settles what became of
 		 * tasks that the worker no longer runs. */
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -223,8 +223,8 @@
 		t = w->tasks.items[i];
 		if (t->state == OWN_TASK_INTENT ||
 		    (t->state == OWN_TASK_STARTING && !t->sent))
-			own_task_end(o, now, t, AGB_RESULT_NOT_STARTED, NULL,
-			    NULL, out);
+			own_task_end(
+			    o, now, t, AGB_RESULT_NOT_STARTED, NULL, NULL, out);
 	}
 }
 
--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -89,6 +89,13 @@
 	return o;
 }
 
+static void
+put_boot(struct json_object *o, const struct agb_ef_worker *e)
+{
+	if (e->boot[0] != '\0')
+		put_str(o, "boot", e->boot);
+}
+
 static struct json_object *
 request_json(const struct agb_workerc *w, const struct agb_effect *ef)
 {
@@ -104,11 +111,13 @@
 		put_int(o, "ttl_ms", e->ttl_ms);
 		break;
 	case AGB_EF_RENEW:
+		put_boot(o, e);
 		put_int(o, "after", (int64_t)e->after);
 		put_int(o, "wait_ms", e->wait_ms);
 		put_int(o, "ttl_ms", e->ttl_ms);
 		break;
 	default:
+		put_boot(o, e);
 		a = json_object_new_array();
 		for (i = 0; i < e->items_len; i++)
 			json_object_array_add(a, command_json(&e->items[i]));
