fix(env): one limit of a document's size for check and put

Cause: env check took documents of up to 1 MiB that env put then refused, since a history entry has to fit one value of the store with its head. Change: AGB_ENV_TEXT_MAX is 1020 KiB; a static assertion ties it to the store's limit, and the check of its own in env put is gone. Before: two limits. Conclusion: what env check takes, env put takes.

--- a/src/agatebeam/ctl_change.c
+++ b/src/agatebeam/ctl_change.c
@@ -135,6 +135,9 @@
 	return agb_ctl_key(env, name);
 }
 
+_Static_assert(AGB_ENV_TEXT_MAX + AGB_CTL_HEAD_MAX <= AGB_STORE_VALUE_MAX,
+    "a history entry fits one value of the store");
+
 /* One transaction: document and history entry, or neither. */
 static void
 make_txn(
@@ -326,12 +329,6 @@
 		}
 		goto out;
 	}
-	if (c->next.text_len + AGB_CTL_HEAD_MAX > AGB_STORE_VALUE_MAX) {
-		code = agb_ctl_fail(ctl, AGB_CTL_BAD_INPUT,
-		    "%s has %zu bytes; the store takes at most %zu", name,
-		    c->next.text_len, AGB_STORE_VALUE_MAX - AGB_CTL_HEAD_MAX);
-		goto out;
-	}
 	if (c->now.version == 0 || args->rename)
 		goto out;
 	if (agb_env_parse(c->now.text, c->now.text_len, 1, &now, f) &&
--- a/src/agatebeam/env.h
+++ b/src/agatebeam/env.h
@@ -12,8 +12,11 @@
 #include "finding.h"
 #include "types.h"
 
-/* A document may be as large as one value of the store. */
-#define AGB_ENV_TEXT_MAX ((size_t)1024 * 1024)
+/*
+ * A document has to fit one value of the store, 1 MiB, together with the head
+ * of its entry in the history, for which 4 KiB are left.
+ */
+#define AGB_ENV_TEXT_MAX ((size_t)1020 * 1024)
 /* Bit sets of domains and teams have 32 and 64 bits. */
 #define AGB_ENV_DOMAINS_MAX 32
 #define AGB_ENV_TEAMS_MAX 64
