--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -443,6 +443,40 @@
 	shard_free(s);
 }
 
+/* Guards against a second run by a start that is repeated after its answer
+ * was lost: to a worker that has forgotten the acknowledged end, and to one
+ * that restarts at any moment meanwhile. */
+static void
+test_start_repeated(void)
+{
+	struct shard *s = shard_new(1);
+	unsigned ms;
+
+	s->workers[0].lose_answers = 5;
+	(void)shard_submit(s, 0, "plan", 1, false, "");
+	shard_run(s, 110 * AGB_MS);
+	CU_ASSERT_EQUAL(
+	    fake_worker_finish(&s->workers[0], AGB_RESULT_OK, "r"), 1);
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_EQUAL(starts(s), 1);
+	CU_ASSERT_EQUAL(s->workers[0].tasks_len, 0);
+	shard_free(s);
+	for (ms = 50; ms < 1500; ms += 50) {
+		uint64_t token;
+
+		s = shard_new(1);
+		s->workers[0].lose_answers = 3;
+		token = shard_submit(s, 0, "plan", 1, false, "");
+		shard_run(s, ms * AGB_MS);
+		fake_worker_reboot(&s->workers[0]);
+		shard_run(s, 5 * AGB_SEC);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		CU_ASSERT_EQUAL(
+		    job(s, 0, submitted(s, token)->job)->outcome, AGB_UNKNOWN);
+		shard_free(s);
+	}
+}
+
 /* Guards against commands that are never sent again by an instance that is
  * elected anew while commands of its earlier epoch were queued. */
 static void
@@ -798,6 +832,36 @@
 	}
 }
 
+/* Guards against a recovery that goes on after the role was handed over, at
+ * each moment at which TERM can come. */
+static void
+test_term_while_recovering(void)
+{
+	unsigned ms;
+
+	for (ms = 1; ms < 160; ms++) {
+		struct shard *const s = shard_new(1);
+		struct agb_event ev = {.type = AGB_EV_TERM};
+		char id[AGB_ID_LEN];
+
+		agb_name_set(id, sizeof(id), accepted(s, "plan", false));
+		shard_node_kill(s, 0);
+		shard_run(s, 3 * AGB_SEC);
+		shard_node_start(s, 1, 1);
+		shard_run(s, ms * AGB_MS);
+		shard_step(s, 1, &ev);
+		shard_run(s, 200 * AGB_MS);
+		CU_ASSERT_TRUE(agb_owner_drained(s->nodes[1].o));
+		CU_ASSERT_FALSE(active(s, 1));
+		shard_node_start(s, 0, 1);
+		shard_run(s, 3 * AGB_SEC);
+		CU_ASSERT_TRUE(active(s, 0));
+		CU_ASSERT_TRUE(job(s, 0, id)->found);
+		CU_ASSERT_EQUAL(starts(s), 1);
+		shard_free(s);
+	}
+}
+
 /* Guards against a journal that grows without end, jobs that a snapshot
  * leaves out, and a snapshot that is read before it is whole. */
 static void
@@ -906,6 +970,7 @@
     {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
     {"silence_needs_lease", test_silence_needs_lease},
+    {"start_repeated", test_start_repeated},
     {"reelected_commands", test_reelected_commands},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
     {"cancel_before_start", test_cancel_before_start},
@@ -917,6 +982,7 @@
     {"orphan_stopped", test_orphan_stopped},
     {"leaving", test_leaving},
     {"term", test_term},
+    {"term_while_recovering", test_term_while_recovering},
     {"compaction", test_compaction},
     {"commit_pace", test_commit_pace},
     {"explain", test_explain},
