--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -6,6 +6,10 @@
 #include "mem.h"
 #include "owner_internal.h"
 
+/* Sweeps look at every worker and grant; at 960 workers this bounds them to
+ * about 200 a second however many timers run out one by one. */
+#define SWEEP_EVERY (5 * AGB_MS)
+
 uint64_t
 own_tag(struct agb_owner *o)
 {
@@ -240,7 +244,7 @@
 
 	own_elect_tick(o, now, out);
 	own_recover_tick(o, now, out);
-	if (now >= o->wake_at) {
+	if (now >= o->wake_at && now >= o->swept_at + SWEEP_EVERY) {
 		o->wake_at = AGB_TIME_MAX;
 		o->swept_at = now;
 		own_worker_sweep(o, now, out);
@@ -383,10 +387,9 @@
 
 	t = own_commit_next(o, now);
 	at = t < at ? t : at;
-	/* Bounds the cost of sweeps when many timers run out one by one. */
 	t = o->wake_at;
-	if (t != AGB_TIME_MAX && t < o->swept_at + 5 * AGB_MS)
-		t = o->swept_at + 5 * AGB_MS;
+	if (t != AGB_TIME_MAX && t < o->swept_at + SWEEP_EVERY)
+		t = o->swept_at + SWEEP_EVERY;
 	at = t < at ? t : at;
 	if (o->recover.retry_at != 0 && o->recover.retry_at < at)
 		at = o->recover.retry_at;
