feat(metrics): count the HTTP bytes of store, workers, upstreams and list

The bytes between instances were counted, those to the store and to workers were not, so that what a shard owner costs the network could not be measured.

agatebeam_http_sent_bytes_total and agatebeam_http_received_bytes_total have the service asked as their label; heads are included.

--- a/src/agatebeam/daemon.c
+++ b/src/agatebeam/daemon.c
@@ -338,6 +338,10 @@
 	const struct agb_metrics_input in = {
 	    .edge = d->edge,
 	    .rpc = d->rpc,
+	    .store = agb_store_etcd_bytes(d->store),
+	    .workers = agb_workerc_bytes(d->workerc),
+	    .upstreams = agb_upstream_bytes(d->upstream),
+	    .list = agb_platform_list_bytes(d->list),
 	    .store_calls = d->store->ops->calls(d->store),
 	    .env_version = env != NULL ? env->version : 0,
 	    .log_dropped = agb_log_dropped(d->log),
--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -109,6 +109,7 @@
 
 struct agb_httpc {
 	uv_loop_t *loop;
+	struct agb_httpc_bytes bytes;
 	unsigned per_endpoint_max;
 	struct endpoint *endpoints;
 	struct agb_httpc_call *done;
@@ -503,6 +504,8 @@
 
 	if (n == 0)
 		return;
+	if (n > 0)
+		conn->c->bytes.received += (uint64_t)n;
 	if (call == NULL) {
 		/* An idle connection was closed, or says something unasked. */
 		conn_close_idle(conn);
@@ -579,6 +582,7 @@
 	n = uv_try_write(s, &buf, 1);
 	if (n < 0 && n != UV_EAGAIN)
 		return false;
+	conn->c->bytes.sent += call->out_len;
 	conn->call = call;
 	call->conn = conn;
 	call->state = CALL_SENT;
@@ -881,6 +885,12 @@
 	return unsent;
 }
 
+struct agb_httpc_bytes
+agb_httpc_bytes(const struct agb_httpc *c)
+{
+	return c->bytes;
+}
+
 struct agb_httpc *
 agb_httpc_new(uv_loop_t *loop, unsigned per_endpoint_max)
 {
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -140,6 +140,20 @@
  */
 bool agb_httpc_cancel(struct agb_httpc_call *call);
 
+/**
+ * struct agb_httpc_bytes - traffic of a client, heads included
+ * @sent: handed to the system or waiting to be
+ */
+struct agb_httpc_bytes {
+	uint64_t sent;
+	uint64_t received;
+};
+
+/**
+ * agb_httpc_bytes() - bytes of all requests and answers so far
+ */
+struct agb_httpc_bytes agb_httpc_bytes(const struct agb_httpc *c);
+
 /**
  * agb_httpc_free() - cancel all requests and close all connections; the
  * loop must run on until its closed handles are gone
--- a/src/agatebeam/metrics.c
+++ b/src/agatebeam/metrics.c
@@ -49,6 +49,18 @@
     .help = "Calls of the platform's store, a waiting watch counted as one",
 };
 
+static const struct agb_metric http_bytes_in = {
+    .name = "agatebeam_http_received_bytes_total",
+    .help = "Bytes of HTTP answers to this instance, by the service asked",
+    .label = "service",
+};
+
+static const struct agb_metric http_bytes_out = {
+    .name = "agatebeam_http_sent_bytes_total",
+    .help = "Bytes of HTTP requests of this instance, by the service asked",
+    .label = "service",
+};
+
 static const struct agb_metric rpc_bytes_in = {
     .name = "agatebeam_rpc_received_bytes_total",
     .help = "Bytes from other entry instances, by address",
@@ -205,6 +217,14 @@
 	}
 }
 
+static void
+set_http(
+    struct agb_metrics *m, const char *service, const struct agb_httpc_bytes *b)
+{
+	set(m, &http_bytes_in, service, (double)b->received);
+	set(m, &http_bytes_out, service, (double)b->sent);
+}
+
 char *
 agb_metrics_text(struct agb_metrics *m, const struct agb_metrics_input *in)
 {
@@ -212,6 +232,10 @@
 
 	read_edge(m, in->edge);
 	read_rpc(m, in->rpc);
+	set_http(m, "store", &in->store);
+	set_http(m, "workers", &in->workers);
+	set_http(m, "upstreams", &in->upstreams);
+	set_http(m, "list", &in->list);
 	set(m, &store_calls, NULL, (double)in->store_calls);
 	set(m, &env_version, NULL, (double)in->env_version);
 	set(m, &shard_owner, NULL, in->owner ? 1 : 0);
--- a/src/agatebeam/metrics.h
+++ b/src/agatebeam/metrics.h
@@ -11,6 +11,7 @@
 #include "counters.h"
 #include "edge.h"
 #include "effect.h"
+#include "httpc.h"
 #include "rpc.h"
 
 struct agb_metrics;
@@ -36,6 +37,10 @@
 struct agb_metrics_input {
 	const struct agb_edge *edge;
 	const struct agb_rpc *rpc;
+	struct agb_httpc_bytes store;
+	struct agb_httpc_bytes workers;
+	struct agb_httpc_bytes upstreams;
+	struct agb_httpc_bytes list;
 	uint64_t store_calls;
 	uint64_t env_version;
 	uint64_t log_dropped;
--- a/src/agatebeam/platform_list.c
+++ b/src/agatebeam/platform_list.c
@@ -176,6 +176,12 @@
 	(void)agb_httpc_request(p->httpc, &r);
 }
 
+struct agb_httpc_bytes
+agb_platform_list_bytes(const struct agb_platform_list *p)
+{
+	return agb_httpc_bytes(p->httpc);
+}
+
 struct agb_platform_list *
 agb_platform_list_new(
     uv_loop_t *loop, const char *addr, agb_platform_list_cb cb, void *arg)
--- a/src/agatebeam/platform_list.h
+++ b/src/agatebeam/platform_list.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "event.h"
+#include "httpc.h"
 
 /* Longest time for the list to arrive. */
 #define AGB_PLATFORM_LIST_TIMEOUT_MS 2000
@@ -39,6 +40,12 @@
  */
 void agb_platform_list_read(struct agb_platform_list *p, uint64_t since);
 
+/**
+ * agb_platform_list_bytes() - HTTP traffic so far
+ */
+struct agb_httpc_bytes agb_platform_list_bytes(
+    const struct agb_platform_list *p);
+
 /**
  * agb_platform_list_free() - end a read without an event
  * @p: may be NULL
--- a/src/agatebeam/store_etcd.c
+++ b/src/agatebeam/store_etcd.c
@@ -761,6 +761,12 @@
     .close = etcd_close,
 };
 
+struct agb_httpc_bytes
+agb_store_etcd_bytes(const struct agb_store *s)
+{
+	return agb_httpc_bytes(((const struct etcd *)s)->http);
+}
+
 struct agb_store *
 agb_store_etcd_new(uv_loop_t *loop, const agb_addr *endpoints, size_t len,
     agb_store_cb cb, agb_store_watch_cb watch_cb, void *arg)
--- a/src/agatebeam/store_etcd.h
+++ b/src/agatebeam/store_etcd.h
@@ -19,6 +19,7 @@
 
 #include <uv.h>
 
+#include "httpc.h"
 #include "store.h"
 
 /**
@@ -62,4 +63,10 @@
 bool agb_store_etcd_parse_watch(
     struct json_object *msg, struct agb_store_etcd_event *out);
 
+/**
+ * agb_store_etcd_bytes() - HTTP traffic so far
+ * @s: made by agb_store_etcd_new()
+ */
+struct agb_httpc_bytes agb_store_etcd_bytes(const struct agb_store *s);
+
 #endif
--- a/src/agatebeam/upstream.c
+++ b/src/agatebeam/upstream.c
@@ -294,6 +294,12 @@
 	uv_timer_start(&u->later, on_later, 0, 0);
 }
 
+struct agb_httpc_bytes
+agb_upstream_bytes(const struct agb_upstream *u)
+{
+	return agb_httpc_bytes(u->httpc);
+}
+
 struct agb_upstream *
 agb_upstream_new(uv_loop_t *loop, unsigned connections_max, size_t answer_max,
     agb_upstream_cb cb, void *arg)
--- a/src/agatebeam/upstream.h
+++ b/src/agatebeam/upstream.h
@@ -15,6 +15,7 @@
 #include <uv.h>
 
 #include "edge.h"
+#include "httpc.h"
 
 /* Length of an attempt id on the wire, "%016llx-%016llx", with the NUL. */
 #define AGB_ATTEMPT_TEXT_LEN 34
@@ -59,6 +60,11 @@
  */
 size_t agb_upstream_active(const struct agb_upstream *u);
 
+/**
+ * agb_upstream_bytes() - HTTP traffic so far
+ */
+struct agb_httpc_bytes agb_upstream_bytes(const struct agb_upstream *u);
+
 /**
  * agb_upstream_free() - end all attempts without a callback
  * @u: may be NULL
--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -461,6 +461,12 @@
 	json_object_put(o);
 }
 
+struct agb_httpc_bytes
+agb_workerc_bytes(const struct agb_workerc *w)
+{
+	return agb_httpc_bytes(w->httpc);
+}
+
 struct agb_workerc *
 agb_workerc_new(
     uv_loop_t *loop, const char *owner, agb_workerc_cb cb, void *arg)
--- a/src/agatebeam/workerc.h
+++ b/src/agatebeam/workerc.h
@@ -14,6 +14,7 @@
 #include <uv.h>
 
 #include "effect.h"
+#include "httpc.h"
 
 /* Longest time for an answer, beyond the wait that a renewal asks for. */
 #define AGB_WORKERC_TIMEOUT_MS 2000
@@ -48,6 +49,11 @@
  */
 uint64_t agb_workerc_rejected(const struct agb_workerc *w);
 
+/**
+ * agb_workerc_bytes() - HTTP traffic so far
+ */
+struct agb_httpc_bytes agb_workerc_bytes(const struct agb_workerc *w);
+
 /**
  * agb_workerc_free() - end all calls without an event
  * @w: may be NULL
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -232,6 +232,11 @@
 	loop_until(&loop, &r.done, 5);
 	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_WHOLE);
 	CU_ASSERT_EQUAL(srv.accepted, 1);
+	/* A count that misses reused connections would hide their cost. */
+	CU_ASSERT(agb_httpc_bytes(c).sent >= 5 * 4);
+	CU_ASSERT_EQUAL(agb_httpc_bytes(c).sent % 5, 0);
+	CU_ASSERT_EQUAL(
+	    agb_httpc_bytes(c).received, 5 * strlen(answers[0].bytes));
 	srv.arg = (void *)&closes;
 	agb_httpc_request(c, &req);
 	loop_until(&loop, &r.done, 6);
