--- a/tests/test_sched_property.c
+++ b/tests/test_sched_property.c
@@ -250,7 +250,7 @@
 static void
 put_worker(struct model *m, uint32_t w)
 {
-	m->cap[w] = res((4 + 4 * (w % 3)) * 1000, 16000, w % 2);
+	m->cap[w] = res((4 + 4 * (int64_t)(w % 3)) * 1000, 16000, w % 2);
 	m->slots[w] = w < 3 ? 3 : 0;
 	m->state[w] = AGB_WORKER_LIVE;
 	worker_full(&m->f, w, w % 2 ? "r1" : "r0", m->cap[w], m->slots[w],
