perf(sched): wake one bucket at a time when headroom comes back

Cause: each end of a task made all buckets fresh that the headroom admitted; the first that started held most of them back again. perf: level_first 23%, sched_queue_wake 11%, sched_place_headroom 7%. Also, a worker that joined woke none of them. Change: a flag says that free room has grown; the pass takes the first admissible bucket in fair order until there is none.

--- a/bench/packing.c
+++ b/bench/packing.c
@@ -116,7 +116,8 @@
 			tasks[n] = next;
 			sim_add(&s,
 			    (struct sim_event){
-				.at = now + next.run, .n = n++, .worker = w});
+				.at = now + next.run, .n = n, .worker = w});
+			n++;
 			next = task_make(rng);
 		}
 		if (now > SECONDS / 2 * AGB_SEC && now % AGB_SEC == 0)
--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -476,6 +476,7 @@
 	uint16_t domain_index;
 	uint16_t works_len;
 	bool cancel_deferred;
+	bool headroom_grew;
 	bool feasible_armed;
 	bool shedding_quick;
 	bool shedding_jobs;
--- a/src/agatebeam/sched_parts.h
+++ b/src/agatebeam/sched_parts.h
@@ -66,7 +66,7 @@
 void sched_queue_fresh(struct agb_sched *s, struct sched_bucket *b, bool fresh);
 void sched_queue_block(
     struct agb_sched *s, struct sched_bucket *b, enum sched_block cause);
-void sched_queue_wake(struct agb_sched *s, enum sched_block cause);
+bool sched_queue_wake_one(struct agb_sched *s);
 void sched_queue_wake_team(struct agb_sched *s, uint16_t team);
 void sched_queue_resize(struct agb_sched *s, uint16_t work);
 void sched_queue_init(struct agb_sched *s);
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -285,7 +285,7 @@
 {
 	struct sched_bucket *b;
 
-	while (*budget > 0 && s->fresh > 0) {
+	while (*budget > 0 && (s->fresh > 0 || sched_queue_wake_one(s))) {
 		(*budget)--;
 		b = bucket_first(s, NULL);
 		if (b == NULL)
@@ -297,7 +297,8 @@
 bool
 sched_place_work_left(const struct agb_sched *s)
 {
-	return s->dirty_len > 0 || s->fresh > 0;
+	return s->dirty_len > 0 || s->fresh > 0 ||
+	    (s->headroom_grew && s->headroom_blocked > 0);
 }
 
 bool
--- a/src/agatebeam/sched_queue.c
+++ b/src/agatebeam/sched_queue.c
@@ -83,7 +83,6 @@
 	if (sub != NULL) {
 		agb_resources_sub(&t->used, sub);
 		sched_queue_wake_team(s, team);
-		sched_queue_wake(s, BLOCK_HEADROOM);
 	}
 	share_set(s, t, team);
 	order_fix(s, team);
@@ -160,18 +159,55 @@
 		s->headroom_blocked++;
 }
 
-void
-sched_queue_wake(struct agb_sched *s, enum sched_block cause)
+/* First bucket of a team that the headroom now admits. */
+static struct sched_bucket *
+admitted(const struct agb_sched *s, const struct sched_team *t)
 {
+	uint32_t set = t->levels;
 	struct sched_bucket *b;
+	int level;
 
-	if (cause == BLOCK_HEADROOM && s->headroom_blocked == 0)
-		return;
-	for (b = s->buckets; b != NULL; b = b->hh.next) {
-		if (b->block == cause &&
-		    (cause != BLOCK_HEADROOM || sched_place_headroom(s, b)))
+	while (set != 0) {
+		level = 31 - __builtin_clz(set);
+		set &= ~(1u << level);
+		for (b = t->buckets[level]; b != NULL; b = b->next) {
+			if (b->block == BLOCK_HEADROOM &&
+			    sched_place_headroom(s, b))
+				return b;
+		}
+	}
+	return NULL;
+}
+
+/* Makes one bucket fresh that waited for headroom: waking all of them at
+ * once only has most of them held back again by the first that starts. */
+bool
+sched_queue_wake_one(struct agb_sched *s)
+{
+	struct sched_bucket *b, *borrow = NULL;
+	const struct sched_team *t;
+	uint32_t i;
+
+	if (!s->headroom_grew || s->headroom_blocked == 0)
+		return false;
+	for (i = 0; i < SCHED_TEAMS; i++) {
+		t = &s->teams[s->order[i]];
+		if (t->held_back == 0)
+			continue;
+		b = admitted(s, t);
+		if (b != NULL &&
+		    sched_quota_fits(s, b->shape.team, &b->need, 1)) {
 			sched_queue_fresh(s, b, true);
+			return true;
+		}
+		if (borrow == NULL)
+			borrow = b;
 	}
+	if (borrow != NULL)
+		sched_queue_fresh(s, borrow, true);
+	else
+		s->headroom_grew = false;
+	return borrow != NULL;
 }
 
 void
--- a/src/agatebeam/sched_worker.c
+++ b/src/agatebeam/sched_worker.c
@@ -269,6 +269,13 @@
 	w->runner.accel = need.accel * n;
 }
 
+static bool
+grew(const struct agb_resources *now, const struct agb_resources *was)
+{
+	return now->cpu_milli > was->cpu_milli || now->mem_mb > was->mem_mb ||
+	    now->accel > was->accel;
+}
+
 /* What is kept free for urgent work. */
 static void
 keep_set(struct agb_sched *s)
@@ -285,6 +292,7 @@
 {
 	const uint16_t work = w->info.service;
 	const bool hosts = work < s->works_len;
+	const struct agb_resources was = s->free_live;
 
 	if (w->tracked) {
 		agb_resources_sub(&s->cap_live, &w->tracked_cap);
@@ -303,19 +311,13 @@
 	agb_resources_add(&s->cap_live, &w->tracked_cap);
 	keep_set(s);
 	agb_resources_add(&s->free_live, &w->tracked_free);
+	s->headroom_grew = s->headroom_grew || grew(&s->free_live, &was);
 	if (hosts) {
 		w->tracked_slots = w->slots;
 		s->works[work].slots += w->tracked_slots;
 	}
 }
 
-static bool
-grew(const struct agb_resources *now, const struct agb_resources *was)
-{
-	return now->cpu_milli > was->cpu_milli || now->mem_mb > was->mem_mb ||
-	    now->accel > was->accel;
-}
-
 void
 sched_worker_refresh(struct agb_sched *s, struct sched_worker *w)
 {
