fix(owner): placement outlives its document after a hand-over

Change: the hand-over forgets all that belongs to the epoch.

Before: test_term_then_document reads freed memory under AddressSanitizer. After: it passes.

Conclusion: no placement exists outside the time of ownership.

--- a/src/agatebeam/owner_elect.c
+++ b/src/agatebeam/owner_elect.c
@@ -314,8 +314,10 @@
 			kept(o, now, r, out);
 	} else if (tag == e->tag_end) {
 		e->tag_end = 0;
-		if (o->role == OWN_HANDOVER)
+		if (o->role == OWN_HANDOVER) {
 			o->role = OWN_DRAINED;
+			o->epoch = 0;
+		}
 	} else {
 		return false;
 	}
@@ -452,12 +454,14 @@
 	    !own_commit_idle(o))
 		return;
 	o->role = OWN_HANDOVER;
-	own_recover_free(o);
 	agb_effects_log(out, AGB_LOG_INFO, "handover", "domain=%s epoch=%llu",
 	    o->cfg.domain, (unsigned long long)o->epoch);
 	own_grant_drop(
 	    o, AGB_REASON_DRAINING, "the owner is shutting down", out);
 	own_job_drop_waits(o, "the owner is shutting down", out);
+	/* Nothing is left to serve, and placement must not outlive the
+	 * document that it was last told. */
+	own_reset(o);
 	ef = store_call(o, out, &o->elect.tag_end);
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
 	agb_store_op_cmp(
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -832,6 +832,36 @@
 	}
 }
 
+/* Guards against use of a document that was replaced after the role had been
+ * handed over. */
+static void
+test_term_then_document(void)
+{
+	struct shard *const s = shard_new(1);
+	struct agb_env *const env = agb_xcalloc(1, sizeof(*env));
+	struct agb_event ev = {.type = AGB_EV_TERM};
+	struct agb_effects out = {0};
+
+	*env = shard_env;
+	agb_owner_env_set(s->nodes[0].o, s->now, env, &out);
+	agb_effects_clear(&out);
+	s->workers[0].silent = true;
+	shard_run(s, 5 * AGB_SEC);
+	(void)shard_submit(s, 0, "plan", 1, true, "");
+	shard_run(s, 500 * AGB_MS);
+	/* No watch tells that the own key is gone. */
+	free(s->nodes[0].watch_key);
+	s->nodes[0].watch_key = NULL;
+	shard_step(s, 0, &ev);
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_TRUE(agb_owner_drained(s->nodes[0].o));
+	agb_owner_env_set(s->nodes[0].o, s->now, &shard_env, &out);
+	agb_effects_free(&out);
+	memset(env, 0xff, sizeof(*env));
+	free(env);
+	shard_free(s);
+}
+
 /* Guards against a recovery that goes on after the role was handed over, at
  * each moment at which TERM can come. */
 static void
@@ -982,6 +1012,7 @@
     {"orphan_stopped", test_orphan_stopped},
     {"leaving", test_leaving},
     {"term", test_term},
+    {"term_then_document", test_term_then_document},
     {"term_while_recovering", test_term_while_recovering},
     {"compaction", test_compaction},
     {"commit_pace", test_commit_pace},
