--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,9 @@
 bench: build
 	$(BUILD)/agb-bench --seed $(SEED)
 
+capacity: build
+	AGB_BIN=$(BUILD) ./scripts/measure-capacity
+
 history: build
 	$(BUILD)/agb-history --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
 
