--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -233,7 +233,7 @@
 	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_WHOLE);
 	CU_ASSERT_EQUAL(srv.accepted, 1);
 	/* A count that misses reused connections would hide their cost. */
-	CU_ASSERT(agb_httpc_bytes(c).sent >= 5 * 4);
+	CU_ASSERT(agb_httpc_bytes(c).sent >= 20);
 	CU_ASSERT_EQUAL(agb_httpc_bytes(c).sent % 5, 0);
 	CU_ASSERT_EQUAL(
 	    agb_httpc_bytes(c).received, 5 * strlen(answers[0].bytes));
