--- a/tests/history/world_net.c
+++ b/tests/history/world_net.c
@@ -407,8 +407,7 @@
 	size_t i;
 
 	ev->type = AGB_EV_LIST;
-	m = w_push(w, w->now + w_delay(w) + (fails ? 2 * AGB_SEC : 0),
-	    M_EVENT);
+	m = w_push(w, w->now + w_delay(w) + (fails ? 2 * AGB_SEC : 0), M_EVENT);
 	m->node = n;
 	m->incarnation = w->nodes[n].incarnation;
 	m->ev = ev;
--- a/tests/test_history_check.c
+++ b/tests/test_history_check.c
@@ -18,43 +18,43 @@
 	{                                        \
 		.cpu_milli = 1000, .mem_mb = 100 \
 	}
-#define CALL(c, ...)                                                \
-	{                                                           \
-		.type = REC_CALL, .call = c, .node = 1, __VA_ARGS__ \
+#define CALL(c, ...)                                                  \
+	{                                                             \
+		.type = REC_CALL, .call = (c), .node = 1, __VA_ARGS__ \
 	}
-#define RUN(c, w, ...)                                                 \
-	{                                                              \
-		.type = REC_RUN, .call = c, .worker = w, .need = CORE, \
-		__VA_ARGS__                                            \
+#define RUN(c, w, ...)                                                     \
+	{                                                                  \
+		.type = REC_RUN, .call = (c), .worker = (w), .need = CORE, \
+		__VA_ARGS__                                                \
 	}
-#define END(c, w, ...)                                                 \
-	{                                                              \
-		.type = REC_END, .call = c, .worker = w, .need = CORE, \
-		__VA_ARGS__                                            \
+#define END(c, w, ...)                                                     \
+	{                                                                  \
+		.type = REC_END, .call = (c), .worker = (w), .need = CORE, \
+		__VA_ARGS__                                                \
 	}
-#define TOLD(c, o)                                          \
-	{                                                   \
-		.type = REC_ANSWER, .call = c, .outcome = o \
+#define TOLD(c, o)                                              \
+	{                                                       \
+		.type = REC_ANSWER, .call = (c), .outcome = (o) \
 	}
-#define DONE(c, o)                                            \
-	{                                                     \
-		.type = REC_JOB_DONE, .call = c, .outcome = o \
+#define DONE(c, o)                                                \
+	{                                                         \
+		.type = REC_JOB_DONE, .call = (c), .outcome = (o) \
 	}
-#define ROOM(w, n)                                           \
-	{                                                    \
-		.type = REC_CAPACITY, .worker = w, .need = { \
-			.cpu_milli = (n)*1000,               \
-			.mem_mb = (n)*100                    \
-		}                                            \
+#define ROOM(w, n)                                             \
+	{                                                      \
+		.type = REC_CAPACITY, .worker = (w), .need = { \
+			.cpu_milli = (n)*1000LL,               \
+			.mem_mb = (n)*100LL                    \
+		}                                              \
 	}
-#define FORCE(n, i, v)                                             \
-	{                                                          \
-		.type = REC_IN_FORCE, .node = n, .incarnation = i, \
-		.version = v                                       \
+#define FORCE(n, i, v)                                                 \
+	{                                                              \
+		.type = REC_IN_FORCE, .node = (n), .incarnation = (i), \
+		.version = (v)                                         \
 	}
-#define FINISH(t)                           \
-	{                                   \
-		.type = REC_FINISH, .at = t \
+#define FINISH(t)                             \
+	{                                     \
+		.type = REC_FINISH, .at = (t) \
 	}
 
 static const struct history_case cases[] = {
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -55,6 +55,8 @@
 	memset(f, 0, sizeof(*f));
 	agb_env_parse(doc, strlen(doc), 3, &f->env, findings);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->env);
+	if (f->env == NULL)
+		abort();
 	free(findings);
 	f->member = agb_member_new(&mcfg);
 	f->route = agb_route_new(&rcfg);
@@ -84,6 +86,18 @@
 	return NULL;
 }
 
+/* The latest effect of a kind; the test ends without one. */
+static const struct agb_effect *
+must(struct fixture *f, enum agb_effect_type type)
+{
+	const struct agb_effect *const ef = effect(f, type);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	if (ef == NULL)
+		abort();
+	return ef;
+}
+
 static void
 step(struct fixture *f, agb_time now, const struct agb_event *ev)
 {
@@ -111,10 +125,9 @@
 grant(struct fixture *f, bool granted, enum agb_reason reason)
 {
 	struct agb_event ev = {.type = AGB_EV_RPC_REPLY, .rpc_ok = true};
-	const struct agb_effect *const ask = effect(f, AGB_EF_RPC_CALL);
+	const struct agb_effect *const ask = must(f, AGB_EF_RPC_CALL);
 	agb_x_grant_res *const g = &ev.u.rpc_res.agb_x_res_u.grant;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ask);
 	CU_ASSERT_EQUAL(ask->u.rpc_args.proc, AGB_X_GRANT);
 	ev.tag = ask->tag;
 	ev.u.rpc_res.proc = AGB_X_GRANT;
@@ -172,8 +185,7 @@
 		if (cases[i].no_document)
 			f.in.env = NULL;
 		call(&f, cases[i].work, false, cases[i].credential);
-		ef = effect(&f, AGB_EF_REPLY);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		ef = must(&f, AGB_EF_REPLY);
 		CU_ASSERT_EQUAL(ef->u.reply.http_status, cases[i].status);
 		CU_ASSERT_EQUAL(ef->u.reply.reason, cases[i].reason);
 		CU_ASSERT_EQUAL(ef->u.reply.outcome, AGB_NOT_RUN);
@@ -209,12 +221,10 @@
 		set_up(&f);
 		call(&f, "w", cases[i].idempotent, CREDENTIAL);
 		grant(&f, true, AGB_REASON_NONE);
-		ef = effect(&f, AGB_EF_UPSTREAM);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		ef = must(&f, AGB_EF_UPSTREAM);
 		CU_ASSERT_STRING_EQUAL(ef->u.upstream.runner, "runner:1");
 		upstream(&f, NOW, cases[i].result);
-		ef = effect(&f, AGB_EF_RPC_CALL);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		ef = must(&f, AGB_EF_RPC_CALL);
 		CU_ASSERT_EQUAL(ef->u.rpc_args.proc, AGB_X_RELEASE);
 		CU_ASSERT_EQUAL(
 		    effect(&f, AGB_EF_FORWARD) != NULL, cases[i].forwarded);
@@ -232,8 +242,7 @@
 		 * what the first attempt may have done. */
 		step(&f, NOW + 900 * AGB_MS, &tick);
 		grant(&f, false, AGB_REASON_DEADLINE);
-		ef = effect(&f, AGB_EF_REPLY);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+		ef = must(&f, AGB_EF_REPLY);
 		CU_ASSERT_EQUAL(ef->u.reply.outcome, cases[i].outcome);
 		tear_down(&f);
 	}
@@ -247,21 +256,20 @@
 	const struct agb_event tick = {.type = AGB_EV_TICK};
 	struct agb_event gone = {.type = AGB_EV_CALL_GONE, .call_id = 7};
 	struct agb_event lost = {.type = AGB_EV_RPC_REPLY};
-	struct agb_effect ask;
+	uint64_t ask_tag;
 	const struct agb_effect *ef;
 	struct fixture f;
 	struct agb_event ev = {.type = AGB_EV_RPC_REPLY, .rpc_ok = true};
 
 	set_up(&f);
 	call(&f, "w", false, CREDENTIAL);
-	ask = *effect(&f, AGB_EF_RPC_CALL);
+	ask_tag = must(&f, AGB_EF_RPC_CALL)->tag;
 	step(&f, NOW, &gone);
-	ev.tag = ask.tag;
+	ev.tag = ask_tag;
 	ev.u.rpc_res.proc = AGB_X_GRANT;
 	ev.u.rpc_res.agb_x_res_u.grant.granted = true;
 	step(&f, NOW, &ev);
-	ef = effect(&f, AGB_EF_RPC_CALL);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	ef = must(&f, AGB_EF_RPC_CALL);
 	CU_ASSERT_EQUAL(ef->u.rpc_args.proc, AGB_X_RELEASE);
 	CU_ASSERT_EQUAL(
 	    ef->u.rpc_args.agb_x_args_u.release.items.items_val[0].result,
@@ -270,8 +278,7 @@
 	step(&f, NOW, &lost);
 	CU_ASSERT_EQUAL(agb_route_pending(f.route), 1);
 	step(&f, NOW + AGB_SEC, &tick);
-	ef = effect(&f, AGB_EF_RPC_CALL);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	ef = must(&f, AGB_EF_RPC_CALL);
 	lost.tag = ef->tag;
 	lost.rpc_ok = true;
 	lost.u.rpc_res.proc = AGB_X_RELEASE;
@@ -297,8 +304,7 @@
 	CU_ASSERT_PTR_NULL(effect(&f, AGB_EF_REPLY));
 	f.in.owner = "owner:2";
 	step(&f, NOW + 700 * AGB_MS, &tick);
-	ef = effect(&f, AGB_EF_RPC_CALL);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	ef = must(&f, AGB_EF_RPC_CALL);
 	CU_ASSERT_STRING_EQUAL(ef->peer, "owner:2");
 	tear_down(&f);
 }
