fix(owner): no second attempt of a quick request beside a lost one

Cause: when a connection to a runner broke while the runner went on, an idempotent request was granted again and ran in two places. Change: a grant names the lost attempt and its worker; the owner grants no other before that one has ended, and the entry instance asks again. Conclusion: retries of quick requests keep to one place.

--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -103,6 +103,8 @@
 	unsigned hyper env_version;
 };
 
+/* previous: attempt of the same request that was lost, with its worker; an
+ * epoch of 0 is none. No other attempt is granted before it has ended. */
 struct agb_x_grant_args {
 	unsigned hyper env_version;
 	agb_x_id request;
@@ -112,6 +114,8 @@
 	unsigned int deadline_ms;
 	bool idempotent;
 	agb_x_key key;
+	agb_x_attempt previous;
+	agb_x_name previous_worker;
 };
 
 struct agb_x_grant_res {
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -138,6 +138,8 @@
 	u_int deadline_ms;
 	bool_t idempotent;
 	agb_x_key key;
+	agb_x_attempt previous;
+	agb_x_name previous_worker;
 };
 typedef struct agb_x_grant_args agb_x_grant_args;
 
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -292,6 +292,10 @@
 		 return FALSE;
 	 if (!xdr_agb_x_key (xdrs, &objp->key))
 		 return FALSE;
+	 if (!xdr_agb_x_attempt (xdrs, &objp->previous))
+		 return FALSE;
+	 if (!xdr_agb_x_name (xdrs, &objp->previous_worker))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/agatebeam/owner_grant.c
+++ b/src/agatebeam/owner_grant.c
@@ -88,6 +88,41 @@
 	return false;
 }
 
+static struct own_grant *
+grant_of(const struct agb_owner *o, uint64_t epoch, uint64_t seq)
+{
+	const struct agb_attempt a = {epoch, seq};
+
+	return own_map_get(&o->grant_attempts, &a, sizeof(a));
+}
+
+static void release_one(struct agb_owner *o, agb_time now,
+    const agb_x_release *r, struct agb_effects *out);
+
+/*
+ * Whether the lost attempt of a request has certainly ended, so that the next
+ * one does not run beside it. An attempt of an older epoch that its worker has
+ * not named at the takeover can no longer start.
+ */
+static bool
+previous_ended(struct agb_owner *o, agb_time now, const agb_x_grant_args *a,
+    struct agb_effects *out)
+{
+	const agb_x_release lost = {a->previous, AGB_RESULT_LOST};
+	const struct own_worker *w;
+
+	if (a->previous.epoch == 0)
+		return true;
+	if (grant_of(o, a->previous.epoch, a->previous.seq) != NULL) {
+		release_one(o, now, &lost, out);
+		return false;
+	}
+	if (a->previous.epoch == o->epoch)
+		return true;
+	w = own_worker_find(o, a->previous_worker);
+	return w == NULL || w->answered;
+}
+
 void
 own_grant_ask(struct agb_owner *o, agb_time now, uint64_t token,
     const agb_x_grant_args *a, struct agb_effects *out)
@@ -109,6 +144,11 @@
 		    "the team may not use this service", out);
 		return;
 	}
+	if (!previous_ended(o, now, a, out)) {
+		refuse(o, token, a, AGB_UNKNOWN, AGB_REASON_UPSTREAM_LOST,
+		    "its lost attempt may still run", out);
+		return;
+	}
 	if (a->key[0] != '\0' && !a->idempotent &&
 	    !key_admits(o, now, token, a, out))
 		return;
@@ -141,14 +181,6 @@
 	own_sched_feed(o, now, &ev, out);
 }
 
-static struct own_grant *
-grant_of(const struct agb_owner *o, uint64_t epoch, uint64_t seq)
-{
-	const struct agb_attempt a = {epoch, seq};
-
-	return own_map_get(&o->grant_attempts, &a, sizeof(a));
-}
-
 static void
 grant_free(struct agb_owner *o, struct own_grant *g)
 {
--- a/src/agatebeam/route.c
+++ b/src/agatebeam/route.c
@@ -11,6 +11,8 @@
 /* First pause before a retry; it doubles with each attempt. */
 #define RETRY_BASE (10 * AGB_MS)
 #define RETRY_MAX (1 * AGB_SEC)
+/* Pause before it is asked again whether a lost attempt has ended. */
+#define LOST_RETRY (50 * AGB_MS)
 /* Retries that a kind of work can save up for a bad moment. */
 #define BUDGET_MAX 20.0
 /* Retries after a runner refused; such a request has certainly not run. */
@@ -264,6 +266,9 @@
 	a->deadline_ms = left;
 	a->idempotent = c->idempotent;
 	a->key = agb_xstrdup(c->key);
+	a->previous.epoch = c->lost.epoch;
+	a->previous.seq = c->lost.seq;
+	a->previous_worker = agb_xstrdup(c->lost_worker);
 }
 
 static bool
@@ -379,6 +384,10 @@
 			break;
 		wait_for_owner(r, now, c, out);
 		return;
+	case AGB_REASON_UPSTREAM_LOST:
+		/* The lost attempt may still run. */
+		route_backoff(r, c, now + LOST_RETRY);
+		return;
 	case AGB_REASON_NEVER_FITS:
 	case AGB_REASON_QUOTA:
 	case AGB_REASON_OVERLOAD:
@@ -404,6 +413,7 @@
 	c->phase = ROUTE_RUNNING;
 	c->attempt = agb_proto_attempt_get(g->attempt);
 	c->attempts++;
+	agb_name_set(c->worker, sizeof(c->worker), g->worker);
 	agb_effects_log(out, AGB_LOG_INFO, "send",
 	    "request=%s attempt=%016llx-%016llx domain=%s worker=%s "
 	    "runner=%s",
@@ -527,6 +537,8 @@
 		 * it has ended, so that no second one runs beside it. */
 		agb_name_set(c->pinned, sizeof(c->pinned), c->domain);
 		c->may_have_run = true;
+		c->lost = c->attempt;
+		memcpy(c->lost_worker, c->worker, sizeof(c->lost_worker));
 		c->denied = true;
 		c->deny_outcome = AGB_UNKNOWN;
 		c->deny_reason = u->reason;
--- a/src/agatebeam/route_internal.h
+++ b/src/agatebeam/route_internal.h
@@ -36,6 +36,7 @@
  * @domain: name of the domain asked last
  * @may_have_run: an attempt or a submit was lost, so that no later refusal
  *	can say that it did not run
+ * @lost: the attempt that was lost last, on worker @lost_worker
  * @denied: a shard has refused; @deny_* tell how
  * @asks: owners asked so far; the tag of the latest is @ask_tag
  * @attempts: attempts sent to runners so far
@@ -61,6 +62,9 @@
 	agb_name pinned;
 	agb_name domain;
 	bool may_have_run;
+	struct agb_attempt lost;
+	agb_name lost_worker;
+	agb_name worker;
 	bool denied;
 	enum agb_outcome deny_outcome;
 	enum agb_reason deny_reason;
--- a/tests/history/world_work.c
+++ b/tests/history/world_work.c
@@ -678,6 +678,12 @@
 	    M_UP_END);
 	m->x = id;
 	m->incarnation = k->boots;
+	if (w->loss == 0 || w_draw(w) > 3 * w->loss)
+		return;
+	/* The connection breaks while the runner goes on. */
+	m = w_push(w, w->now + 1 * AGB_MS + (agb_time)(w_draw(w) * 50e3),
+	    M_UP_LOST);
+	m->x = id;
 }
 
 static void
@@ -728,7 +734,7 @@
 	u->done = true;
 	if (m->kind == M_UP_LOST) {
 		ev.u.upstream.result = AGB_RESULT_LOST;
-		ev.u.upstream.reason = AGB_REASON_DEADLINE;
+		ev.u.upstream.reason = AGB_REASON_UPSTREAM_LOST;
 	} else {
 		ev.u.upstream = m->ev->u.upstream;
 	}
