fix(owner): a start sent again to a leaving worker is refused there

Change: a REVOKE of the attempt goes before such a start, so that a worker that has not taken it refuses it. Conclusion: the repeated start is settled by the worker's own word.

--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -172,6 +172,19 @@
 	return false;
 }
 
+/* A start that may be new to a worker that leaves follows a REVOKE: the worker
+ * then refuses it, unless it has taken it before. */
+static bool
+needs_revoke(const struct own_worker *w, size_t i)
+{
+	const struct agb_command *const c = &w->flight[i];
+
+	if (c->kind != AGB_COMMAND_START || w->told != AGB_WORKER_LEAVING)
+		return false;
+	return i == 0 || w->flight[i - 1].kind != AGB_COMMAND_REVOKE ||
+	    !own_attempt_eq(&w->flight[i - 1].attempt, &c->attempt);
+}
+
 /*
  * Puts the commands in flight back in front of the queue. They keep their
  * order, so that a STOP follows the START that it is meant for.
@@ -180,14 +193,22 @@
 requeue(struct agb_owner *o, struct own_worker *w)
 {
 	struct agb_command *const all =
-	    agb_xcalloc(w->flight_len + w->queue_len, sizeof(*all));
+	    agb_xcalloc(2 * w->flight_len + w->queue_len, sizeof(*all));
 	size_t i, n = 0;
 
 	for (i = 0; i < w->flight_len; i++) {
-		if (outdated(o, &w->flight[i]))
+		if (outdated(o, &w->flight[i])) {
 			free(w->flight[i].args);
-		else
-			all[n++] = w->flight[i];
+			continue;
+		}
+		if (needs_revoke(w, i)) {
+			all[n].kind = AGB_COMMAND_REVOKE;
+			all[n].attempt = w->flight[i].attempt;
+			memcpy(all[n].task, w->flight[i].task,
+			    sizeof(all[n].task));
+			n++;
+		}
+		all[n++] = w->flight[i];
 	}
 	if (w->queue_len > 0)
 		memcpy(all + n, w->queue, w->queue_len * sizeof(*all));
--- a/tests/history/world_work.c
+++ b/tests/history/world_work.c
@@ -263,6 +263,18 @@
 	m->x = id;
 }
 
+static bool
+is_revoked(const struct wworker *k, const struct agb_attempt *a)
+{
+	size_t i;
+
+	for (i = 0; i < k->revoked_len; i++) {
+		if (same(&k->revoked[i], a))
+			return true;
+	}
+	return false;
+}
+
 static void
 start(struct world *w, uint32_t i, const struct agb_command *c)
 {
@@ -298,18 +310,6 @@
 	add_event(w, i, r, true, AGB_RESULT_OK);
 }
 
-static bool
-is_revoked(const struct wworker *k, const struct agb_attempt *a)
-{
-	size_t i;
-
-	for (i = 0; i < k->revoked_len; i++) {
-		if (same(&k->revoked[i], a))
-			return true;
-	}
-	return false;
-}
-
 static void
 revoke_attempt(struct wworker *k, const struct agb_command *c,
     struct agb_command_result *res)
@@ -350,7 +350,9 @@
 		r->items[j].ok = true;
 		switch (c->kind) {
 		case AGB_COMMAND_START:
-			start(w, i, c);
+			r->items[j].ok = !is_revoked(k, &c->attempt);
+			if (r->items[j].ok)
+				start(w, i, c);
 			break;
 		case AGB_COMMAND_STOP:
 		case AGB_COMMAND_CHECKPOINT:
