--- a/src/agatebeam/event.h
+++ b/src/agatebeam/event.h
@@ -186,6 +186,7 @@
  * @boot: changes when the worker has restarted with empty memory
  * @slots: attempts that its runner is busy with
  * @seq: number of its last event
+ * @leaving: it takes no new work
  */
 struct agb_ev_session {
 	agb_name worker;
@@ -197,6 +198,7 @@
 	struct agb_attempt *slots;
 	size_t slots_len;
 	uint64_t seq;
+	bool leaving;
 };
 
 /**
--- a/src/agatebeam/owner_session.c
+++ b/src/agatebeam/owner_session.c
@@ -176,6 +176,8 @@
 		w->acked = 0;
 	}
 	agb_name_set(w->boot, sizeof(w->boot), s->boot);
+	if (s->leaving)
+		w->leaving = true;
 	w->answered = true;
 	w->checked = false;
 	w->met = true;
--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -181,6 +181,7 @@
 	agb_json_uint(o, "epoch", true, a->epoch, a->epoch, &epoch);
 	agb_json_str(o, "boot", true, out->boot, sizeof(out->boot));
 	agb_json_uint(o, "seq", true, 0, INT64_MAX, &out->seq);
+	agb_json_bool(o, "leaving", false, &out->leaving);
 	out->tasks =
 	    get_list(o, "tasks", sizeof(*out->tasks), &list, &out->tasks_len);
 	for (i = 0; i < out->tasks_len; i++) {
--- a/tests/history/world_work.c
+++ b/tests/history/world_work.c
@@ -215,6 +215,7 @@
 	memcpy(s->worker, k->name, sizeof(s->worker));
 	s->epoch = k->epoch;
 	s->seq = k->seq;
+	s->leaving = k->leaving;
 	snprintf(s->boot, sizeof(s->boot), "boot-%u", k->boots);
 	s->tasks = agb_xcalloc(k->runs_len + 1, sizeof(*s->tasks));
 	for (j = 0; j < k->runs_len; j++) {
--- a/tests/standin/worker_part.c
+++ b/tests/standin/worker_part.c
@@ -502,6 +502,8 @@
 	o = json_object_new_object();
 	add_int(o, "epoch", (int64_t)w->epoch);
 	add_str(o, "boot", w->boot);
+	json_object_object_add(
+	    o, "leaving", json_object_new_boolean(w->f.leaving));
 	json_object_object_add(o, "tasks", tasks_json(w));
 	json_object_object_add(o, "slots", slots_json(w, false));
 	add_int(o, "seq", (int64_t)w->seq);
