--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -228,20 +228,22 @@
 static void
 test_links(void)
 {
-	static const char *const pages[] = {"agatectl", "callers",
-	    "environment", "getting-started", "glossary", "operating",
-	    "security", "settings", "troubleshooting"};
+	static const char *const pages[] = {"README.md", "docs/agatectl.md",
+	    "docs/architecture.md", "docs/callers.md", "docs/environment.md",
+	    "docs/failures.md", "docs/getting-started.md", "docs/glossary.md",
+	    "docs/operating.md", "docs/security.md", "docs/settings.md",
+	    "docs/troubleshooting.md"};
 	char *path, *text;
 	const char *p;
 	size_t i, n;
 
 	for (i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
-		path = agb_xasprintf("docs/%s.md", pages[i]);
-		text = textfile_need(path, NULL);
-		free(path);
+		text = textfile_need(pages[i], NULL);
 		for (p = text; (p = strstr(p, "](")) != NULL; p++) {
 			n = strcspn(p + 2, ")#");
-			path = agb_xasprintf("docs/%.*s", (int)n, p + 2);
+			path = agb_xasprintf("%s%.*s",
+			    strchr(pages[i], '/') != NULL ? "docs/" : "",
+			    (int)n, p + 2);
 			CU_ASSERT_EQUAL(access(path, R_OK), 0);
 			free(path);
 		}
