--- a/tests/measure/load.c
+++ b/tests/measure/load.c
@@ -15,7 +15,7 @@
 
 #define TIMEOUT_MS 20000
 #define CONNECTIONS 64
-#define ADDRS_MAX 16
+#define ADDRS_MAX 32
 
 struct load {
 	uv_loop_t loop;
