--- a/tests/history/check.c
+++ b/tests/history/check.c
@@ -293,6 +293,9 @@
 		return on_run(k, r);
 	case REC_END:
 		return on_end(k, r);
+	case REC_THROTTLE:
+		agb_resources_sub(&k->workers[r->worker].used, &r->need);
+		return true;
 	case REC_WORKER_DEAD:
 		return on_worker_dead(k, r);
 	case REC_CAPACITY:
--- a/tests/history/record.c
+++ b/tests/history/record.c
@@ -15,6 +15,7 @@
     [REC_JOB_DONE] = "job-done",
     [REC_RUN] = "run",
     [REC_END] = "end",
+    [REC_THROTTLE] = "throttle",
     [REC_WORKER_DEAD] = "worker-dead",
     [REC_CAPACITY] = "capacity",
     [REC_LEAVING] = "leaving",
--- a/tests/history/record.h
+++ b/tests/history/record.h
@@ -19,6 +19,7 @@
 	REC_JOB_DONE,	 /* call, outcome, reason: final state as read */
 	REC_RUN,	 /* call, task, worker, need: work starts */
 	REC_END,	 /* call, task, worker: it has ended */
+	REC_THROTTLE,	 /* worker, need: what a task there gives up */
 	REC_WORKER_DEAD, /* worker: all it ran has ended */
 	REC_CAPACITY,	 /* worker, need: what it offers */
 	REC_LEAVING,	 /* worker: it has said that it leaves */
--- a/tests/history/world_work.c
+++ b/tests/history/world_work.c
@@ -327,6 +327,22 @@
 	}
 }
 
+/* A throttled task holds less, or its full need again later. */
+static void
+throttle(struct world *w, uint32_t i, const struct agb_command *c)
+{
+	struct run *const r = run_find(&w->workers[i], &c->attempt);
+	struct rec *rec;
+
+	if (r == NULL || !r->live)
+		return;
+	rec = history_add(&w->hist, w->now, REC_THROTTLE);
+	rec->worker = i;
+	rec->need = r->need;
+	agb_resources_sub(&rec->need, &c->need);
+	r->need = c->need;
+}
+
 static void
 commands(struct world *w, uint32_t i, size_t id, const struct agb_effect *ef)
 {
@@ -367,6 +383,7 @@
 				r->items[j].ok = false;
 			break;
 		case AGB_COMMAND_THROTTLE:
+			throttle(w, i, c);
 			break;
 		case AGB_COMMAND_REVOKE:
 			revoke_attempt(k, c, &r->items[j]);
@@ -684,8 +701,8 @@
 	if (w->loss == 0 || w_draw(w) > 3 * w->loss)
 		return;
 	/* The connection breaks while the runner goes on. */
-	m = w_push(w, w->now + 1 * AGB_MS + (agb_time)(w_draw(w) * 50e3),
-	    M_UP_LOST);
+	m = w_push(
+	    w, w->now + 1 * AGB_MS + (agb_time)(w_draw(w) * 50e3), M_UP_LOST);
 	m->x = id;
 }
 
--- a/tests/measure/load.c
+++ b/tests/measure/load.c
@@ -105,7 +105,7 @@
 	    {"Authorization", l->bearer},
 	    {"Agatebeam-Idempotent", "true"},
 	    {"Agatebeam-Attempt", attempt},
-	    {"Agatebeam-Epoch", "9223372036854775807"},
+	    {"Agatebeam-Epoch", "7fffffffffffffff"},
 	};
 	const struct agb_httpc_req req = {
 	    .addr = l->addrs[l->sent % (uint64_t)l->addrs_len],
