test(history): compare two whole sessions with golden files

Cause: no test noticed when the decisions or answers of a whole session changed, or when a run depended on anything but its seed. Before: no golden session. Conclusion: the sessions cover quick requests, batch, urgent, gang with a failing task, and a service that is cancelled.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	'src/agatebeam/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
 
 .PHONY: all deps build asan run test test-asan lint format format-check \
-	bench history history-mutants fuzz capacity proto clean
+	bench history history-mutants golden fuzz capacity proto clean
 
 all: build
 
@@ -46,6 +46,10 @@
 history: build
 	$(BUILD)/agb-history --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
 
+# Writes the golden sessions anew; the difference is for review.
+golden: build
+	AGB_GOLDEN_UPDATE=1 $(BUILD)/test_golden
+
 format:
 	clang-format -i $(C_FILES)
 
--- a/tests/history/main.c
+++ b/tests/history/main.c
@@ -1,6 +1,7 @@
 #include <argtable2.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "check.h"
 #include "mem.h"
@@ -17,20 +18,21 @@
 
 	printf("seed %llu violation %s: %s\n", (unsigned long long)w->seed,
 	    check_name(res->violation), res->text);
-	history_print(&w->hist, from);
+	history_print(&w->hist, from, stdout);
 	if (res->violation == V_NOT_FINAL)
 		world_explain(w, res->call);
 }
 
 static bool
-run_seed(uint64_t seed, bool trace, bool quiet)
+run_seed(uint64_t seed, enum world_kind kind, bool trace, bool quiet)
 {
 	struct world *const w = agb_xcalloc(1, sizeof(*w));
 	struct check_result res;
 	bool ok;
 
 	w->seed = seed;
-	w->trace = trace;
+	w->kind = kind;
+	w->trace = trace ? stdout : NULL;
 	world_run(w);
 	ok = check_history(&w->hist, &res);
 	if (!ok && quiet)
@@ -39,12 +41,24 @@
 	else if (!ok)
 		report(w, &res);
 	else if (trace)
-		history_print(&w->hist, 0);
+		history_print(&w->hist, 0, stdout);
 	world_free(w);
 	free(w);
 	return ok;
 }
 
+static bool
+kind_parse(const char *name, enum world_kind *kind)
+{
+	if (strcmp(name, "quick") == 0)
+		*kind = W_CALM_QUICK;
+	else if (strcmp(name, "jobs") == 0)
+		*kind = W_CALM_JOBS;
+	else
+		return false;
+	return true;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -58,10 +72,13 @@
 	    arg_lit0(NULL, "quiet", "one line a violation");
 	struct arg_lit *const first =
 	    arg_lit0(NULL, "first", "stop at the first violation");
+	struct arg_str *const calm = arg_str0(
+	    NULL, "calm", "quick|jobs", "a short session without faults");
 	struct arg_lit *const help = arg_lit0("h", "help", "this text");
 	struct arg_end *const end = arg_end(8);
-	void *table[] = {from, count, trace, quiet, first, help, end};
+	void *table[] = {from, count, trace, quiet, first, calm, help, end};
 	uint64_t seed, done, violations;
+	enum world_kind kind = W_FAULTS;
 	int status = 2;
 
 	from->ival[0] = 1;
@@ -77,11 +94,15 @@
 		status = 0;
 		goto out;
 	}
+	if (calm->count > 0 && !kind_parse(calm->sval[0], &kind)) {
+		fprintf(stderr, "agb-history: --calm takes quick or jobs\n");
+		goto out;
+	}
 	violations = 0;
 	done = 0;
 	seed = (uint64_t)from->ival[0];
 	for (; done < (uint64_t)count->ival[0]; done++, seed++) {
-		if (run_seed(seed, trace->count > 0, quiet->count > 0))
+		if (run_seed(seed, kind, trace->count > 0, quiet->count > 0))
 			continue;
 		violations++;
 		if (first->count > 0) {
--- a/tests/history/record.c
+++ b/tests/history/record.c
@@ -51,16 +51,17 @@
 }
 
 void
-history_print(const struct history *h, size_t from)
+history_print(const struct history *h, size_t from, FILE *to)
 {
 	const struct rec *r;
 	size_t i;
 
 	for (i = from; i < h->len; i++) {
 		r = &h->items[i];
-		printf("%10.3f %-11s call=%u task=%u worker=%u node=%u.%u "
-		       "key=%u %s%s outcome=%s reason=%s version=%llu "
-		       "content=%u%s\n",
+		fprintf(to,
+		    "%10.3f %-11s call=%u task=%u worker=%u node=%u.%u "
+		    "key=%u %s%s outcome=%s reason=%s version=%llu "
+		    "content=%u%s\n",
 		    (double)r->at / 1e6, names[r->type], r->call, r->task,
 		    r->worker, r->node, r->incarnation, r->key,
 		    r->job ? "job " : "", r->idempotent ? "idempotent" : "",
--- a/tests/history/record.h
+++ b/tests/history/record.h
@@ -8,6 +8,8 @@
  * checker reads nothing else.
  */
 
+#include <stdio.h>
+
 #include "types.h"
 
 enum rec_type {
@@ -75,9 +77,10 @@
 void history_free(struct history *h);
 
 /**
- * history_print() - one line a record, to stdout
+ * history_print() - one line a record
+ * @to: where they are written
  * @from: index of the first record printed
  */
-void history_print(const struct history *h, size_t from);
+void history_print(const struct history *h, size_t from, FILE *to);
 
 #endif
--- a/tests/history/world.c
+++ b/tests/history/world.c
@@ -11,6 +11,9 @@
 #define QUIET_AT (START_AT + 25 * AGB_SEC)
 /* Time for the last accepted request to reach its outcome. */
 #define FINISH_AT (QUIET_AT + 60 * AGB_SEC)
+#define CALM_QUIET_AT (START_AT + 8 * AGB_SEC)
+#define CALM_CALLERS 5
+#define CALM_EVERY (500 * AGB_MS)
 #define CALLER_UNTIL (START_AT + 22 * AGB_SEC)
 /* A run that needs more is a loop. */
 #define STEPS_MAX 400000
@@ -31,7 +34,7 @@
 agb_time
 w_delay(struct world *w)
 {
-	const double d = w_draw(w);
+	const double d = w->kind == W_FAULTS ? w_draw(w) : 1;
 
 	if (!w->quiet && d < 0.01)
 		return (agb_time)(w_draw(w) * 3e6);
@@ -144,9 +147,9 @@
 		return;
 	case AGB_EF_LOG:
 		if (w->trace)
-			printf("%10.3f %s.%u %s %s\n", (double)w->now / 1e6,
-			    node->name, node->incarnation, ef->u.log.event,
-			    ef->u.log.line);
+			fprintf(w->trace, "%10.3f %s.%u %s %s\n",
+			    (double)w->now / 1e6, node->name, node->incarnation,
+			    ef->u.log.event, ef->u.log.line);
 		break;
 	case AGB_EF_READY:
 		node->ready = ef->ready;
@@ -399,6 +402,29 @@
 	}
 }
 
+/* Callers, operators and faults. */
+static void
+plan(struct world *w)
+{
+	agb_time t;
+	uint32_t i;
+
+	if (w->kind != W_FAULTS) {
+		for (i = 0; i < CALM_CALLERS; i++)
+			w_push(w, START_AT + 3 * AGB_SEC + i * CALM_EVERY,
+			    M_CALLER);
+		w_push(w, CALM_QUIET_AT, M_QUIET);
+		return;
+	}
+	w_faults_draw(w);
+	for (t = START_AT + 2 * AGB_SEC; t < CALLER_UNTIL;
+	     t += 50 * AGB_MS + (agb_time)(w_draw(w) * 600e3))
+		w_push(w, t, M_CALLER);
+	for (i = 0; i < 3; i++)
+		w_push(w, START_AT + (agb_time)(w_draw(w) * 22e6), M_OPERATOR);
+	w_push(w, QUIET_AT, M_QUIET);
+}
+
 static void
 set_up(struct world *w)
 {
@@ -407,7 +433,6 @@
 	    "a", "a", "a", "b", "b"};
 	struct wworker *k;
 	struct rec *r;
-	agb_time t;
 	uint32_t i;
 
 	w->now = START_AT;
@@ -435,18 +460,14 @@
 		agb_name_set(w->nodes[i].domain, AGB_NAME_LEN, domains[i]);
 		node_start(w, i);
 	}
-	w_faults_draw(w);
-	for (t = START_AT + 2 * AGB_SEC; t < CALLER_UNTIL;
-	     t += 50 * AGB_MS + (agb_time)(w_draw(w) * 600e3))
-		w_push(w, t, M_CALLER);
-	for (i = 0; i < 3; i++)
-		w_push(w, START_AT + (agb_time)(w_draw(w) * 22e6), M_OPERATOR);
-	w_push(w, QUIET_AT, M_QUIET);
+	plan(w);
 }
 
 void
 world_run(struct world *w)
 {
+	const agb_time settled_at =
+	    w->kind == W_FAULTS ? QUIET_AT + 10 * AGB_SEC : CALM_QUIET_AT;
 	struct msg m;
 
 	set_up(w);
@@ -460,8 +481,7 @@
 		if (w->steps > STEPS_MAX)
 			break;
 		/* Documents are judged some seconds after the last fault. */
-		if (w->quiet && w->now > QUIET_AT + 10 * AGB_SEC &&
-		    w_callers_done(w))
+		if (w->quiet && w->now > settled_at && w_callers_done(w))
 			break;
 	}
 	history_add(&w->hist, w->now, REC_FINISH);
--- a/tests/history/world.h
+++ b/tests/history/world.h
@@ -188,8 +188,16 @@
 	uint32_t who;
 };
 
+/* What runs: faults drawn from the seed, or a short session without any. */
+enum world_kind {
+	W_FAULTS,
+	W_CALM_QUICK, /* a few quick requests */
+	W_CALM_JOBS,  /* a few jobs; services are cancelled at the end */
+};
+
 struct world {
 	uint64_t seed;
+	enum world_kind kind;
 	agb_time now;
 	unsigned short rng[3];
 	struct msg *heap;
@@ -228,7 +236,7 @@
 	bool quiet;
 	uint64_t doc_serial;
 	struct history hist;
-	bool trace;
+	FILE *trace; /* decision lines go there; NULL is nowhere */
 };
 
 /* world.c: queue, draws, reducers */
--- a/tests/history/world_load.c
+++ b/tests/history/world_load.c
@@ -11,6 +11,7 @@
 #define CREDENTIAL \
 	"2a97516c354b68848cdbd8f54a226a0a55b21ed138e207ad6c5cbb9c00aa5aea"
 #define KEYS 20
+#define JOB_KINDS 5
 
 static const char document[] =
     "{\"name\":\"test\",\"headroom_percent\":%u,"
@@ -159,12 +160,11 @@
 }
 
 static void
-job(struct world *w, uint32_t n)
+job(struct world *w, uint32_t n, uint32_t kind)
 {
-	static const char *const works[] = {
+	static const char *const works[JOB_KINDS] = {
 	    "batch", "kept", "urgent", "gang", "service"};
 	struct agb_ev_call call = {.kind = AGB_CALL_JOB_SUBMIT};
-	const uint32_t kind = w_below(w, 5);
 	char args[80];
 	uint32_t key, ms;
 	unsigned fails;
@@ -194,10 +194,12 @@
 
 	if (w->calls_len + 1 >= W_CALLS_MAX || !node_draw(w, &n))
 		return;
-	if (w_draw(w) < 0.65)
+	if (w->kind == W_CALM_JOBS)
+		job(w, n, w->calls_len % JOB_KINDS);
+	else if (w->kind == W_CALM_QUICK || w_draw(w) < 0.65)
 		quick(w, n);
 	else
-		job(w, n);
+		job(w, n, w_below(w, JOB_KINDS));
 }
 
 static void
