--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	'src/agatebeam/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
 
 .PHONY: all deps build asan run test test-asan lint format format-check \
-	bench history history-mutants fuzz capacity proto clean
+	bench history history-mutants golden fuzz capacity proto clean
 
 all: build
 
@@ -46,6 +46,14 @@
 history: build
 	$(BUILD)/agb-history --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
 
+# Each planted fault has to be caught; it builds in a temporary folder.
+history-mutants: deps
+	JOBS=$(JOBS) ./scripts/history-mutants
+
+# Writes the golden sessions anew; the difference is for review.
+golden: build
+	AGB_GOLDEN_UPDATE=1 $(BUILD)/test_golden
+
 format:
 	clang-format -i $(C_FILES)
 
