refactor(jsonc): one strict reader of JSON for files and the wire

Cause: json_strict and jsonc were two strict readers of JSON with two scanners and two sets of getters.

Change: agb_jsonc_parse_wire() reads JSON from callers, workers and the platform with the scanner and the getters of jsonc. New getters: agb_jsonc_text() and agb_jsonc_u64(); agb_jsonc_bool() has the argument for required keys. The table that finds duplicate keys gets a random seed for texts from the wire, so that a sender cannot make its keys collide.

One rule is stricter: \u0000 and halves of surrogate pairs are refused in keys, because json-c would cut or replace them there and merge keys that differ. In values they stay allowed.

Conclusion: one reader, with the strictness of both.

--- a/src/agatebeam/edge_parse.c
+++ b/src/agatebeam/edge_parse.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "json_strict.h"
+#include "jsonc.h"
 #include "mem.h"
 
 /* Longest bearer credential; longer ones are refused before hashing. */
@@ -256,18 +256,18 @@
 }
 
 static void
-parse_args(const struct agb_json_obj *o, struct agb_ev_call *call)
+parse_args(const struct agb_jsonc_node *o, struct agb_ev_call *call)
 {
-	struct agb_json_obj args;
+	struct agb_jsonc_node args;
 	const char *text;
 	size_t len;
 
-	if (!agb_json_sub(o, "args", false, &args))
+	if (!agb_jsonc_object(o, "args", false, &args))
 		return;
 	text = json_object_to_json_string_length(args.obj,
 	    JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &len);
 	if (len > AGB_X_ARGS_MAX) {
-		agb_findings_add(o->f, AGB_FINDING_ERROR, "/args",
+		agb_jsonc_report(o, "args", AGB_FINDING_ERROR,
 		    "must have at most %d bytes", AGB_X_ARGS_MAX);
 		return;
 	}
@@ -276,59 +276,58 @@
 }
 
 static void
-parse_need(const struct agb_json_obj *o, struct agb_ev_call *call)
+parse_need(const struct agb_jsonc_node *o, struct agb_ev_call *call)
 {
-	static const char *const keys[] = {
-	    "cpu_milli", "mem_mb", "accel", NULL};
-	struct agb_json_obj need;
-	uint64_t cpu, mem, accel;
+	static const char *const keys[] = {"cpu_milli", "mem_mb", "accel"};
+	struct agb_jsonc_node need;
 
-	if (!agb_json_sub(o, "need", false, &need))
+	if (!agb_jsonc_object(o, "need", false, &need))
 		return;
-	agb_json_only(&need, keys);
-	cpu = mem = accel = 0;
-	agb_json_uint(
-	    &need, "cpu_milli", true, 1, AGB_EDGE_CPU_MILLI_MAX, &cpu);
-	agb_json_uint(&need, "mem_mb", true, 1, AGB_EDGE_MEM_MB_MAX, &mem);
-	agb_json_uint(&need, "accel", false, 0, AGB_EDGE_ACCEL_MAX, &accel);
-	call->need.cpu_milli = (int64_t)cpu;
-	call->need.mem_mb = (int64_t)mem;
-	call->need.accel = (int64_t)accel;
+	agb_jsonc_known(&need, keys, sizeof(keys) / sizeof(keys[0]));
+	agb_jsonc_int(&need, "cpu_milli", true,
+	    &(const struct agb_jsonc_range){1, AGB_EDGE_CPU_MILLI_MAX, ""},
+	    &call->need.cpu_milli);
+	agb_jsonc_int(&need, "mem_mb", true,
+	    &(const struct agb_jsonc_range){1, AGB_EDGE_MEM_MB_MAX, ""},
+	    &call->need.mem_mb);
+	agb_jsonc_int(&need, "accel", false,
+	    &(const struct agb_jsonc_range){0, AGB_EDGE_ACCEL_MAX, ""},
+	    &call->need.accel);
 }
 
 static void
-parse_job(const struct agb_json_obj *o, struct agb_ev_call *call,
+parse_job(const struct agb_jsonc_node *o, struct agb_ev_call *call,
     bool idempotent_given)
 {
 	static const char *const keys[] = {"work", "tasks", "need", "run_ms",
-	    "deadline_ms", "idempotent", "args", NULL};
-	uint64_t tasks, run, deadline;
+	    "deadline_ms", "idempotent", "args"};
+	uint32_t deadline;
 	bool idempotent;
 
-	agb_json_only(o, keys);
-	if (agb_json_str(o, "work", true, call->work, sizeof(call->work)) &&
+	agb_jsonc_known(o, keys, sizeof(keys) / sizeof(keys[0]));
+	if (agb_jsonc_str(o, "work", true, call->work, sizeof(call->work)) &&
 	    !is_work_name(call->work, strlen(call->work)))
-		agb_findings_add(o->f, AGB_FINDING_ERROR, "/work",
+		agb_jsonc_report(o, "work", AGB_FINDING_ERROR,
 		    "must be a name of letters, digits, '-', '_' and '.'");
-	tasks = 1;
-	agb_json_uint(o, "tasks", false, 1, AGB_EDGE_TASKS_MAX, &tasks);
-	call->tasks = (uint32_t)tasks;
+	call->tasks = 1;
+	agb_jsonc_u32(o, "tasks", false,
+	    &(const struct agb_jsonc_range){1, AGB_EDGE_TASKS_MAX, ""},
+	    &call->tasks);
 	parse_need(o, call);
-	run = 0;
-	agb_json_uint(o, "run_ms", false, 0, AGB_EDGE_MS_MAX, &run);
-	call->run_ms = (uint32_t)run;
-	deadline = 0;
-	if (agb_json_uint(
-		o, "deadline_ms", false, 1, AGB_EDGE_MS_MAX, &deadline)) {
+	agb_jsonc_u32(o, "run_ms", false,
+	    &(const struct agb_jsonc_range){0, AGB_EDGE_MS_MAX, ""},
+	    &call->run_ms);
+	if (agb_jsonc_u32(o, "deadline_ms", false,
+		&(const struct agb_jsonc_range){1, AGB_EDGE_MS_MAX, ""},
+		&deadline)) {
 		if (call->deadline_ms != 0 && call->deadline_ms != deadline)
-			agb_findings_add(o->f, AGB_FINDING_ERROR,
-			    "/deadline_ms",
+			agb_jsonc_report(o, "deadline_ms", AGB_FINDING_ERROR,
 			    "differs from the header Agatebeam-Deadline-Ms");
-		call->deadline_ms = (uint32_t)deadline;
+		call->deadline_ms = deadline;
 	}
-	if (agb_json_bool(o, "idempotent", false, &idempotent)) {
+	if (agb_jsonc_bool(o, "idempotent", false, &idempotent)) {
 		if (idempotent_given && call->idempotent != idempotent)
-			agb_findings_add(o->f, AGB_FINDING_ERROR, "/idempotent",
+			agb_jsonc_report(o, "idempotent", AGB_FINDING_ERROR,
 			    "differs from the header Agatebeam-Idempotent");
 		call->idempotent = idempotent;
 	}
@@ -339,17 +338,16 @@
 parse_submit(const struct agb_edge_raw *raw, struct agb_ev_call *call,
     struct agb_findings *f)
 {
-	struct json_object *root;
 	struct agb_edge_span s;
-	struct agb_json_obj o;
-	const size_t errors = f->errors;
+	struct agb_jsonc *doc;
+	struct agb_jsonc_node o;
 
-	root = agb_json_strict_parse(raw->body.p, raw->body.len, f);
-	if (root == NULL && f->errors != errors)
+	doc = agb_jsonc_parse_wire(raw->body.p, raw->body.len, f);
+	if (doc == NULL)
 		return;
-	if (agb_json_root(&o, root, f))
+	if (agb_jsonc_root(doc, &o))
 		parse_job(&o, call, field(raw, "agatebeam-idempotent", &s) > 0);
-	json_object_put(root);
+	agb_jsonc_free(doc);
 }
 
 static void
--- a/src/agatebeam/env_parse.c
+++ b/src/agatebeam/env_parse.c
@@ -269,8 +269,8 @@
 		c->policy = (enum agb_policy)n;
 	agb_jsonc_u16(node, "urgency", false, &urgencies, &urgency);
 	c->urgency = (uint8_t)urgency;
-	agb_jsonc_bool(node, "preemptible", &c->preemptible);
-	agb_jsonc_bool(node, "checkpoint", &c->checkpoint);
+	agb_jsonc_bool(node, "preemptible", false, &c->preemptible);
+	agb_jsonc_bool(node, "checkpoint", false, &c->checkpoint);
 	n = AGB_ISOLATION_KEEP;
 	agb_jsonc_choice(
 	    node, "on_isolation", false, isolations, LEN(isolations), &n);
@@ -348,7 +348,7 @@
 		    "accelerators; check the units");
 	t->weight = 1;
 	agb_jsonc_u32(node, "weight", false, &team_weights, &t->weight);
-	agb_jsonc_bool(node, "borrow", &t->borrow);
+	agb_jsonc_bool(node, "borrow", false, &t->borrow);
 }
 
 static void
--- a/src/agatebeam/jsonc.c
+++ b/src/agatebeam/jsonc.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 
 #include "jsonc_scan.h"
 #include "mem.h"
@@ -14,6 +15,7 @@
 struct agb_jsonc {
 	struct json_object *root;
 	struct agb_findings *findings;
+	bool wire;
 	struct agb_jsonc_lines lines;
 };
 
@@ -27,10 +29,11 @@
 	dst[i] = '\0';
 }
 
-struct agb_jsonc *
-agb_jsonc_parse(
-    const char *text, size_t len, size_t len_max, struct agb_findings *findings)
+static struct agb_jsonc *
+parse(const char *text, size_t len, size_t len_max, bool wire,
+    struct agb_findings *findings)
 {
+	const size_t errors = findings->errors;
 	struct json_tokener *tok = NULL;
 	struct agb_jsonc *doc = NULL;
 	char *copy = NULL;
@@ -44,11 +47,19 @@
 	copy = agb_xmemdup(text, len);
 	doc = agb_xcalloc(1, sizeof(*doc));
 	doc->findings = findings;
-	if (!agb_jsonc_scan(copy, len, &doc->lines, findings))
+	doc->wire = wire;
+	/* Unknown to a sender, who could make all keys collide without it. */
+	if (wire &&
+	    getrandom(&doc->lines.seed, sizeof(doc->lines.seed), 0) !=
+		(ssize_t)sizeof(doc->lines.seed))
+		abort();
+	if (!agb_jsonc_scan(copy, len, wire, &doc->lines, findings) ||
+	    (wire && findings->errors != errors))
 		goto fail;
-	tok = json_tokener_new_ex(AGB_JSONC_DEPTH_MAX + 2);
+	tok = json_tokener_new_ex(
+	    wire ? AGB_JSONC_WIRE_DEPTH_MAX + 2 : AGB_JSONC_DEPTH_MAX + 2);
 	if (tok == NULL)
-		goto fail;
+		abort();
 	json_tokener_set_flags(tok, JSON_TOKENER_STRICT);
 	/* With its NUL, so that a number at the end is seen as ended. */
 	doc->root = json_tokener_parse_ex(tok, copy, (int)len + 1);
@@ -69,6 +80,21 @@
 	return NULL;
 }
 
+struct agb_jsonc *
+agb_jsonc_parse(
+    const char *text, size_t len, size_t len_max, struct agb_findings *findings)
+{
+	return parse(text, len, len_max, false, findings);
+}
+
+struct agb_jsonc *
+agb_jsonc_parse_wire(
+    const char *text, size_t len, struct agb_findings *findings)
+{
+	/* json-c takes the length, and the NUL after it, as an int. */
+	return parse(text, len, INT32_MAX - 1, true, findings);
+}
+
 void
 agb_jsonc_free(struct agb_jsonc *doc)
 {
@@ -160,8 +186,11 @@
 	char text[192];
 
 	put_pointer(pointer, sizeof(pointer), node);
-	snprintf(place, sizeof(place), "line %u%s%s", line_of(node),
-	    pointer[0] != '\0' ? " " : "", pointer);
+	if (node->doc->wire)
+		snprintf(place, sizeof(place), "%s", pointer);
+	else
+		snprintf(place, sizeof(place), "line %u%s%s", line_of(node),
+		    pointer[0] != '\0' ? " " : "", pointer);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	agb_findings_add(node->doc->findings, level, place, "%s", text);
 }
@@ -347,7 +376,7 @@
 	    !has_type(out, json_type_array, "an array"))
 		return false;
 	*len = json_object_array_length(out->obj);
-	if (*len == 0)
+	if (*len == 0 && !node->doc->wire)
 		report(out, AGB_FINDING_ERROR,
 		    "is empty; expected 1 to %zu items", len_max);
 	if (*len > len_max) {
@@ -370,12 +399,13 @@
 static const char *
 string_of(const struct agb_jsonc_node *node, size_t len_max)
 {
+	const char *s;
 	size_t len;
 
 	if (!has_type(node, json_type_string, "a string"))
 		return NULL;
 	len = (size_t)json_object_get_string_len(node->obj);
-	if (len == 0) {
+	if (len == 0 && !node->doc->wire) {
 		report(node, AGB_FINDING_ERROR, "is empty");
 		return NULL;
 	}
@@ -384,7 +414,11 @@
 		    "has %zu bytes; at most %zu are allowed", len, len_max);
 		return NULL;
 	}
-	return json_object_get_string(node->obj);
+	s = json_object_get_string(node->obj);
+	if (strlen(s) == len)
+		return s;
+	report(node, AGB_FINDING_ERROR, "\\u0000 is not allowed here");
+	return NULL;
 }
 
 const char *
@@ -409,6 +443,22 @@
 	return s != NULL && agb_name_set(dst, size, s);
 }
 
+bool
+agb_jsonc_text(const struct agb_jsonc_node *node, const char *key,
+    bool required, size_t len_max, char **dst)
+{
+	struct agb_jsonc_node child;
+	const char *s;
+
+	if (!find(node, key, required, &child))
+		return false;
+	s = string_of(&child, len_max);
+	if (s == NULL)
+		return false;
+	*dst = agb_xstrdup(s);
+	return true;
+}
+
 bool
 agb_jsonc_name_valid(const char *s)
 {
@@ -462,6 +512,18 @@
 	return true;
 }
 
+bool
+agb_jsonc_u64(const struct agb_jsonc_node *node, const char *key, bool required,
+    const struct agb_jsonc_range *range, uint64_t *dst)
+{
+	int64_t v;
+
+	if (!agb_jsonc_int(node, key, required, range, &v))
+		return false;
+	*dst = (uint64_t)v;
+	return true;
+}
+
 bool
 agb_jsonc_u32(const struct agb_jsonc_node *node, const char *key, bool required,
     const struct agb_jsonc_range *range, uint32_t *dst)
@@ -509,11 +571,12 @@
 }
 
 bool
-agb_jsonc_bool(const struct agb_jsonc_node *node, const char *key, bool *dst)
+agb_jsonc_bool(const struct agb_jsonc_node *node, const char *key,
+    bool required, bool *dst)
 {
 	struct agb_jsonc_node child;
 
-	if (!find(node, key, false, &child) ||
+	if (!find(node, key, required, &child) ||
 	    !has_type(&child, json_type_boolean, "true or false"))
 		return false;
 	*dst = json_object_get_boolean(child.obj) != 0;
--- a/src/agatebeam/jsonc.h
+++ b/src/agatebeam/jsonc.h
@@ -12,6 +12,10 @@
  *
  * All readers record findings and go on, so that one pass reports every
  * problem. The place of a finding is "line N" or "line N /json/pointer".
+ *
+ * JSON from the wire takes the same path with agb_jsonc_parse_wire(): it has
+ * no comments, its strings and arrays may be empty, and findings at its
+ * values have the pointer alone as their place.
  */
 
 #include <json-c/json.h>
@@ -22,6 +26,9 @@
 /* Deeper documents are refused; ours need a depth of 5. */
 #define AGB_JSONC_DEPTH_MAX 24
 
+/* The same for JSON from the wire, where arguments nest as callers like. */
+#define AGB_JSONC_WIRE_DEPTH_MAX 32
+
 struct agb_jsonc;
 
 /**
@@ -57,6 +64,15 @@
 struct agb_jsonc *agb_jsonc_parse(const char *text, size_t len, size_t len_max,
     struct agb_findings *findings);
 
+/**
+ * agb_jsonc_parse_wire() - check and read JSON from another process
+ * @text: need not be NUL-terminated
+ *
+ * Return: the document; NULL after any finding in its text.
+ */
+struct agb_jsonc *agb_jsonc_parse_wire(
+    const char *text, size_t len, struct agb_findings *findings);
+
 /**
  * agb_jsonc_free() - free a document; nodes and strings of it end with it
  * @doc: may be NULL
@@ -104,7 +120,8 @@
  * @len_max: a longer array is a finding; items past it are not read
  * @out: set when true is returned
  * @len: items to read
- * Return: true when it is there and an array. An empty one is a finding.
+ * Return: true when it is there and an array. An empty one is a finding,
+ * but not in JSON from the wire.
  */
 bool agb_jsonc_array(const struct agb_jsonc_node *node, const char *key,
     bool required, size_t len_max, struct agb_jsonc_node *out, size_t *len);
@@ -131,6 +148,13 @@
 bool agb_jsonc_str(const struct agb_jsonc_node *node, const char *key,
     bool required, char *dst, size_t size);
 
+/**
+ * agb_jsonc_text() - a string of at most @len_max bytes
+ * @dst: to be freed; unchanged when the key is absent or wrong
+ */
+bool agb_jsonc_text(const struct agb_jsonc_node *node, const char *key,
+    bool required, size_t len_max, char **dst);
+
 /**
  * agb_jsonc_name_valid() - whether a string is a name as documents and
  * settings use them
@@ -170,6 +194,12 @@
 bool agb_jsonc_int(const struct agb_jsonc_node *node, const char *key,
     bool required, const struct agb_jsonc_range *range, int64_t *dst);
 
+/**
+ * agb_jsonc_u64() - agb_jsonc_int() for unsigned fields of 64 bits
+ */
+bool agb_jsonc_u64(const struct agb_jsonc_node *node, const char *key,
+    bool required, const struct agb_jsonc_range *range, uint64_t *dst);
+
 /**
  * agb_jsonc_u32() - agb_jsonc_int() for fields of 32 bits
  */
@@ -191,8 +221,8 @@
 /**
  * agb_jsonc_bool() - true or false
  */
-bool agb_jsonc_bool(
-    const struct agb_jsonc_node *node, const char *key, bool *dst);
+bool agb_jsonc_bool(const struct agb_jsonc_node *node, const char *key,
+    bool required, bool *dst);
 
 /**
  * agb_jsonc_choice() - one of a list of words
--- a/src/agatebeam/jsonc_scan.c
+++ b/src/agatebeam/jsonc_scan.c
@@ -14,6 +14,7 @@
  * struct scan - state of one scan
  * @at: next byte
  * @line: line of @at, from 1
+ * @wire: comments are refused
  * @strict: the text as overwritten so far is strict JSON
  * @stop: the structure is lost; nothing more can be told
  */
@@ -22,6 +23,7 @@
 	size_t len;
 	size_t at;
 	uint32_t line;
+	bool wire;
 	bool strict;
 	bool stop;
 	struct agb_jsonc_lines *lines;
@@ -196,8 +198,9 @@
 		case '\r':
 			break;
 		case '/':
-			if (s->text[s->at + 1] != '/' &&
-			    s->text[s->at + 1] != '*')
+			if (s->wire ||
+			    (s->text[s->at + 1] != '/' &&
+				s->text[s->at + 1] != '*'))
 				return;
 			skip_comment(s);
 			s->at--;
@@ -286,13 +289,17 @@
 
 /*
  * Reads the escape at @at into @out, where it takes at most 4 bytes. A bad
- * one is reported and read as '?'.
+ * one is reported and read as '?'. Values from the wire may have NULs and
+ * halves of surrogate pairs, so that one odd result does not make all of a
+ * worker's answer unreadable. Keys may not: json-c cuts them at a NUL and
+ * reads each half as U+FFFD, and would merge keys that differ.
  */
 static size_t
-scan_escape(struct scan *s, char *out)
+scan_escape(struct scan *s, bool key, char *out)
 {
 	static const char from[] = "\"\\/bfnrt";
 	static const char to[] = "\"\\/\b\f\n\r\t";
+	const bool lax = s->wire && !key;
 	const char *p;
 	int c, low;
 
@@ -315,7 +322,7 @@
 		return 1;
 	}
 	s->at += 4;
-	if (c == 0) {
+	if (c == 0 && !lax) {
 		fault(s, "\\u0000 is not allowed in a string");
 		return 1;
 	}
@@ -326,6 +333,8 @@
 	    ? hex4(s, s->at + 2)
 	    : -1;
 	if (c >= 0xdc00 || low < 0xdc00 || low >= 0xe000) {
+		if (lax)
+			return utf8_put(out, 0xfffd);
 		fault(s, "\\u escape is half of a surrogate pair");
 		return 1;
 	}
@@ -364,7 +373,7 @@
 			break;
 		}
 		if (c == '\\') {
-			n = scan_escape(s, buf);
+			n = scan_escape(s, out != NULL, buf);
 		} else if (c < 0x20) {
 			fault(s, "control character in a string");
 			buf[0] = '?';
@@ -476,6 +485,9 @@
 		}
 		return;
 	}
+	/* json-c keeps the digits of a caller's number as they were given. */
+	if (s->wire)
+		return;
 	d = strtod(s->text + from, NULL);
 	if (isinf(d)) {
 		report(s, s->line, "number is larger than a double can hold");
@@ -614,7 +626,8 @@
 		item = agb_jsonc_hash_index(hash, i);
 		n = snprintf(token, sizeof(token), "%zu", i++);
 		path_push(s, token, (size_t)n);
-		lines_add(s->lines, item, s->line);
+		if (!s->wire)
+			lines_add(s->lines, item, s->line);
 		scan_value(s, item, depth);
 		path_pop(s, path_len);
 	} while (scan_next(s, ']', "expected a comma or ]"));
@@ -623,13 +636,15 @@
 static void
 scan_value(struct scan *s, uint64_t hash, unsigned depth)
 {
+	const unsigned depth_max =
+	    s->wire ? AGB_JSONC_WIRE_DEPTH_MAX : AGB_JSONC_DEPTH_MAX;
 	int c;
 
 	skip_space(s);
 	if (s->stop)
 		return;
 	c = peek(s);
-	if ((c == '{' || c == '[') && depth == AGB_JSONC_DEPTH_MAX) {
+	if ((c == '{' || c == '[') && depth == depth_max) {
 		lost(s, "nested too deeply");
 		return;
 	}
@@ -650,13 +665,14 @@
 }
 
 bool
-agb_jsonc_scan(char *text, size_t len, struct agb_jsonc_lines *lines,
+agb_jsonc_scan(char *text, size_t len, bool wire, struct agb_jsonc_lines *lines,
     struct agb_findings *findings)
 {
 	struct scan s = {
 	    .text = text,
 	    .len = len,
 	    .line = 1,
+	    .wire = wire,
 	    .strict = true,
 	    .lines = lines,
 	    .findings = findings,
@@ -666,7 +682,7 @@
 		report(&s, 1, "text starts with a byte order mark");
 		blank(&s, 0, 3);
 	}
-	scan_value(&s, 0, 0);
+	scan_value(&s, lines->seed, 0);
 	skip_space(&s);
 	if (!s.stop && s.at < s.len)
 		lost(&s, "text goes on after the end of the document");
--- a/src/agatebeam/jsonc_scan.h
+++ b/src/agatebeam/jsonc_scan.h
@@ -20,11 +20,13 @@
  * struct agb_jsonc_lines - line of each value by the hash of its pointer
  * @items: open-addressed; a line of 0 marks an empty place
  * @cap: a power of two
+ * @seed: hash of the root
  */
 struct agb_jsonc_lines {
 	struct agb_jsonc_line *items;
 	size_t len;
 	size_t cap;
+	uint64_t seed;
 };
 
 /**
@@ -48,10 +50,14 @@
  * agb_jsonc_scan() - check a text
  * @text: NUL-terminated copy; comments and what can be mended are
  *	overwritten by blanks
- * @lines: filled in; its items are freed by the caller
+ * @wire: no comments, as for agb_jsonc_parse_wire(); values may have
+ *	\u0000, halves of surrogate pairs and numbers past a double, and
+ *	only keys get a line
+ * @lines: empty but for its seed; filled in; its items are freed by the
+ *	caller
  * Return: true when the text now is strict JSON.
  */
-bool agb_jsonc_scan(char *text, size_t len, struct agb_jsonc_lines *lines,
-    struct agb_findings *findings);
+bool agb_jsonc_scan(char *text, size_t len, bool wire,
+    struct agb_jsonc_lines *lines, struct agb_findings *findings);
 
 #endif
--- a/src/agatebeam/platform_list.c
+++ b/src/agatebeam/platform_list.c
@@ -6,7 +6,7 @@
 #include <utlist.h>
 
 #include "httpc.h"
-#include "json_strict.h"
+#include "jsonc.h"
 #include "mem.h"
 
 #define CPU_MILLI_MAX 100000000
@@ -28,65 +28,68 @@
 };
 
 static size_t
-get_choice(const struct agb_json_obj *o, const char *key,
+get_choice(const struct agb_jsonc_node *o, const char *key,
     const char *const *words, size_t len)
 {
 	char text[16];
 	size_t i;
 
-	if (!agb_json_str(o, key, true, text, sizeof(text)))
+	if (!agb_jsonc_str(o, key, true, text, sizeof(text)))
 		return 0;
 	for (i = 0; i < len; i++) {
 		if (strcmp(words[i], text) == 0)
 			return i;
 	}
-	agb_findings_add(o->f, AGB_FINDING_ERROR, o->place, "unknown %s", key);
+	agb_jsonc_report(o, NULL, AGB_FINDING_ERROR, "unknown %s", key);
 	return 0;
 }
 
 static void
-get_addr(const struct agb_json_obj *o, const char *key, agb_addr dst)
+get_addr(const struct agb_jsonc_node *o, const char *key, agb_addr dst)
 {
 	struct sockaddr_storage ss;
 
-	if (agb_json_str(o, key, false, dst, AGB_ADDR_LEN) && dst[0] != '\0' &&
+	if (agb_jsonc_str(o, key, false, dst, AGB_ADDR_LEN) && dst[0] != '\0' &&
 	    !agb_httpc_parse_addr(dst, &ss))
-		agb_findings_add(o->f, AGB_FINDING_ERROR, o->place,
+		agb_jsonc_report(o, NULL, AGB_FINDING_ERROR,
 		    "%s is no IP address with a port", key);
 }
 
 static void
-read_instance(const struct agb_json_obj *o, struct agb_instance *out)
+read_instance(const struct agb_jsonc_node *o, struct agb_instance *out)
 {
 	static const char *const kinds[] = {"entry", "worker"};
 	static const char *const states[] = {"live", "leaving", "gone"};
-	uint64_t slots, connections;
 	bool live;
 
-	agb_json_str(o, "id", true, out->id, sizeof(out->id));
+	agb_jsonc_str(o, "id", true, out->id, sizeof(out->id));
 	if (out->id[0] == '\0')
-		agb_findings_add(
-		    o->f, AGB_FINDING_ERROR, o->place, "id is empty");
+		agb_jsonc_report(o, NULL, AGB_FINDING_ERROR, "id is empty");
 	out->state = (enum agb_instance_state)get_choice(o, "state", states, 3);
 	out->kind = (enum agb_instance_kind)get_choice(o, "kind", kinds, 2);
 	/* The platform may forget the rest of an instance that is gone. */
 	live = out->state != AGB_INSTANCE_GONE;
-	agb_json_str(o, "region", live, out->region, sizeof(out->region));
-	agb_json_str(o, "domain", live, out->domain, sizeof(out->domain));
-	agb_json_str(o, "rack", false, out->rack, sizeof(out->rack));
-	agb_json_str(o, "service", false, out->service, sizeof(out->service));
+	agb_jsonc_str(o, "region", live, out->region, sizeof(out->region));
+	agb_jsonc_str(o, "domain", live, out->domain, sizeof(out->domain));
+	agb_jsonc_str(o, "rack", false, out->rack, sizeof(out->rack));
+	agb_jsonc_str(o, "service", false, out->service, sizeof(out->service));
 	get_addr(o, "address", out->address);
 	get_addr(o, "rpc", out->rpc);
 	get_addr(o, "runner", out->runner);
-	slots = connections = 0;
-	agb_json_uint(o, "slots", false, 0, UINT16_MAX, &slots);
-	agb_json_uint(o, "connections", false, 0, UINT16_MAX, &connections);
-	out->slots = (uint16_t)slots;
-	out->connections = (uint16_t)connections;
-	agb_json_int(
-	    o, "cpu_milli", false, 0, CPU_MILLI_MAX, &out->capacity.cpu_milli);
-	agb_json_int(o, "mem_mb", false, 0, MEM_MB_MAX, &out->capacity.mem_mb);
-	agb_json_int(o, "accel", false, 0, ACCEL_MAX, &out->capacity.accel);
+	agb_jsonc_u16(o, "slots", false,
+	    &(const struct agb_jsonc_range){0, UINT16_MAX, ""}, &out->slots);
+	agb_jsonc_u16(o, "connections", false,
+	    &(const struct agb_jsonc_range){0, UINT16_MAX, ""},
+	    &out->connections);
+	agb_jsonc_int(o, "cpu_milli", false,
+	    &(const struct agb_jsonc_range){0, CPU_MILLI_MAX, ""},
+	    &out->capacity.cpu_milli);
+	agb_jsonc_int(o, "mem_mb", false,
+	    &(const struct agb_jsonc_range){0, MEM_MB_MAX, ""},
+	    &out->capacity.mem_mb);
+	agb_jsonc_int(o, "accel", false,
+	    &(const struct agb_jsonc_range){0, ACCEL_MAX, ""},
+	    &out->capacity.accel);
 }
 
 /*
@@ -94,32 +97,33 @@
  * so that one bad entry does not hide the others and is read again.
  */
 static void
-read_list(const struct agb_json_obj *o, uint64_t since, struct agb_ev_list *out)
+read_list(const struct agb_jsonc_node *o, const struct agb_findings *f,
+    uint64_t since, struct agb_ev_list *out)
 {
-	struct json_object *list;
-	struct agb_json_obj it;
+	struct agb_jsonc_node list, it;
 	size_t errors, i, len;
 
-	errors = o->f->errors;
-	list = agb_json_array(o, "instances", true, AGB_PLATFORM_LIST_MAX);
-	agb_json_uint(o, "version", true, 0, INT64_MAX, &out->version);
-	if (o->f->errors != errors)
+	errors = f->errors;
+	agb_jsonc_array(
+	    o, "instances", true, AGB_PLATFORM_LIST_MAX, &list, &len);
+	agb_jsonc_u64(o, "version", true,
+	    &(const struct agb_jsonc_range){0, INT64_MAX, ""}, &out->version);
+	if (f->errors != errors)
 		return;
 	out->ok = true;
 	/* A platform that has restarted counts from the start again. */
 	out->full = since == 0 || out->version < since;
-	len = json_object_array_length(list);
 	out->items = agb_xcalloc(len, sizeof(*out->items));
 	for (i = 0; i < len; i++) {
-		errors = o->f->errors;
+		errors = f->errors;
 		memset(&out->items[out->items_len], 0, sizeof(*out->items));
-		if (!agb_json_item(o, "instances", list, i, &it))
+		if (!agb_jsonc_item_object(&list, i, &it))
 			continue;
 		read_instance(&it, &out->items[out->items_len]);
-		if (o->f->errors == errors)
+		if (f->errors == errors)
 			out->items_len++;
 	}
-	if (o->f->errors > 0)
+	if (f->errors > 0)
 		out->version = out->full ? 0 : since;
 }
 
@@ -136,17 +140,17 @@
 	struct ask *const a = arg;
 	struct agb_platform_list *const p = a->p;
 	struct agb_event ev = {.type = AGB_EV_LIST};
-	struct json_object *root;
+	struct agb_jsonc *doc;
 	struct agb_findings *f;
-	struct agb_json_obj o;
+	struct agb_jsonc_node o;
 
 	if (res->status == AGB_HTTPC_WHOLE && res->http_status == 200) {
 		f = agb_xcalloc(1, sizeof(*f));
-		root = agb_json_strict_parse(
+		doc = agb_jsonc_parse_wire(
 		    res->body != NULL ? res->body : "", res->body_len, f);
-		if (root != NULL && agb_json_root(&o, root, f))
-			read_list(&o, a->since, &ev.u.list);
-		json_object_put(root);
+		if (doc != NULL && agb_jsonc_root(doc, &o))
+			read_list(&o, f, a->since, &ev.u.list);
+		agb_jsonc_free(doc);
 		free(f);
 	}
 	ask_free(a);
--- a/src/agatebeam/settings.c
+++ b/src/agatebeam/settings.c
@@ -178,7 +178,7 @@
 		    "is %u ms, shorter than call_timeout_ms of %u ms; a stop "
 		    "may cut off requests",
 		    out->drain_ms, out->call_timeout_ms);
-	agb_jsonc_bool(root, "log_json", &out->log_json);
+	agb_jsonc_bool(root, "log_json", false, &out->log_json);
 	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
 	out->log_level = (enum agb_log_level)level;
 }
--- a/src/agatebeam/workerc.c
+++ b/src/agatebeam/workerc.c
@@ -5,7 +5,7 @@
 #include <utlist.h>
 
 #include "httpc.h"
-#include "json_strict.h"
+#include "jsonc.h"
 #include "mem.h"
 #include "upstream.h"
 
@@ -132,61 +132,65 @@
 }
 
 static bool
-get_attempt(const struct agb_json_obj *o, struct agb_attempt *out)
+get_attempt(const struct agb_jsonc_node *o, struct agb_attempt *out)
 {
 	char text[AGB_ATTEMPT_TEXT_LEN];
 
-	if (!agb_json_str(o, "attempt", true, text, sizeof(text)))
+	if (!agb_jsonc_str(o, "attempt", true, text, sizeof(text)))
 		return false;
 	if (agb_attempt_parse(text, out))
 		return true;
-	agb_findings_add(
-	    o->f, AGB_FINDING_ERROR, o->place, "attempt is malformed");
+	agb_jsonc_report(o, NULL, AGB_FINDING_ERROR, "attempt is malformed");
 	return false;
 }
 
 static void
 get_resources(
-    const struct agb_json_obj *o, bool accel, struct agb_resources *out)
+    const struct agb_jsonc_node *o, bool accel, struct agb_resources *out)
 {
-	agb_json_int(o, "cpu_milli", true, 0, CPU_MILLI_MAX, &out->cpu_milli);
-	agb_json_int(o, "mem_mb", true, 0, MEM_MB_MAX, &out->mem_mb);
+	agb_jsonc_int(o, "cpu_milli", true,
+	    &(const struct agb_jsonc_range){0, CPU_MILLI_MAX, ""},
+	    &out->cpu_milli);
+	agb_jsonc_int(o, "mem_mb", true,
+	    &(const struct agb_jsonc_range){0, MEM_MB_MAX, ""}, &out->mem_mb);
 	if (accel)
-		agb_json_int(o, "accel", true, 0, ACCEL_MAX, &out->accel);
+		agb_jsonc_int(o, "accel", true,
+		    &(const struct agb_jsonc_range){0, ACCEL_MAX, ""},
+		    &out->accel);
 }
 
 /* Return: array of @size for each item of the list; NULL without one. */
 static void *
-get_list(const struct agb_json_obj *o, const char *key, size_t size,
-    struct json_object **list, size_t *len)
+get_list(const struct agb_jsonc_node *o, const char *key, size_t size,
+    struct agb_jsonc_node *list, size_t *len)
 {
-	*len = 0;
-	*list = agb_json_array(o, key, true, AGB_WORKERC_ITEMS_MAX);
-	if (*list == NULL)
+	if (!agb_jsonc_array(o, key, true, AGB_WORKERC_ITEMS_MAX, list, len))
 		return NULL;
-	*len = json_object_array_length(*list);
 	return agb_xcalloc(*len, size);
 }
 
 static void
-read_session(const struct agb_json_obj *o, const struct ask *a,
+read_session(const struct agb_jsonc_node *o, const struct ask *a,
     struct agb_ev_session *out)
 {
-	struct json_object *list;
-	struct agb_json_obj it;
+	struct agb_jsonc_node list, it;
 	uint64_t epoch;
 	size_t i;
 
 	/* A worker that grants another epoch than asked for is in error. */
-	agb_json_uint(o, "epoch", true, a->epoch, a->epoch, &epoch);
-	agb_json_str(o, "boot", true, out->boot, sizeof(out->boot));
-	agb_json_uint(o, "seq", true, 0, INT64_MAX, &out->seq);
+	agb_jsonc_u64(o, "epoch", true,
+	    &(const struct agb_jsonc_range){
+		(int64_t)a->epoch, (int64_t)a->epoch, ""},
+	    &epoch);
+	agb_jsonc_str(o, "boot", true, out->boot, sizeof(out->boot));
+	agb_jsonc_u64(o, "seq", true,
+	    &(const struct agb_jsonc_range){0, INT64_MAX, ""}, &out->seq);
 	out->tasks =
 	    get_list(o, "tasks", sizeof(*out->tasks), &list, &out->tasks_len);
 	for (i = 0; i < out->tasks_len; i++) {
-		if (!agb_json_item(o, "tasks", list, i, &it))
+		if (!agb_jsonc_item_object(&list, i, &it))
 			continue;
-		agb_json_str(&it, "task", true, out->tasks[i].task,
+		agb_jsonc_str(&it, "task", true, out->tasks[i].task,
 		    sizeof(out->tasks[i].task));
 		get_attempt(&it, &out->tasks[i].attempt);
 		get_resources(&it, true, &out->tasks[i].need);
@@ -194,26 +198,29 @@
 	out->slots =
 	    get_list(o, "slots", sizeof(*out->slots), &list, &out->slots_len);
 	for (i = 0; i < out->slots_len; i++) {
-		if (agb_json_item(o, "slots", list, i, &it))
+		if (agb_jsonc_item_object(&list, i, &it))
 			get_attempt(&it, &out->slots[i]);
 	}
 }
 
 static void
-read_event(
-    const struct agb_json_obj *o, uint64_t after, struct agb_worker_event *out)
+read_event(const struct agb_jsonc_node *o, uint64_t after,
+    struct agb_worker_event *out)
 {
 	char kind[16] = "";
 	int64_t code;
 
-	agb_json_uint(o, "seq", true, after + 1, INT64_MAX, &out->seq);
-	agb_json_str(o, "task", true, out->task, sizeof(out->task));
+	agb_jsonc_u64(o, "seq", true,
+	    &(const struct agb_jsonc_range){
+		(int64_t)(after + 1), INT64_MAX, ""},
+	    &out->seq);
+	agb_jsonc_str(o, "task", true, out->task, sizeof(out->task));
 	get_attempt(o, &out->attempt);
-	agb_json_text(o, "result", false, AGB_X_ARGS_MAX, &out->text);
+	agb_jsonc_text(o, "result", false, AGB_X_ARGS_MAX, &out->text);
 	code = 0;
-	agb_json_str(o, "kind", true, kind, sizeof(kind));
-	agb_json_int(
-	    o, "exit", strcmp(kind, "ended") == 0, INT32_MIN, INT32_MAX, &code);
+	agb_jsonc_str(o, "kind", true, kind, sizeof(kind));
+	agb_jsonc_int(o, "exit", strcmp(kind, "ended") == 0,
+	    &(const struct agb_jsonc_range){INT32_MIN, INT32_MAX, ""}, &code);
 	if (strcmp(kind, "started") == 0)
 		out->started = true;
 	else if (strcmp(kind, "checkpointed") == 0)
@@ -223,61 +230,59 @@
 	else if (strcmp(kind, "ended") == 0)
 		out->result = code == 0 ? AGB_RESULT_OK : AGB_RESULT_FAILED;
 	else
-		agb_findings_add(
-		    o->f, AGB_FINDING_ERROR, o->place, "unknown kind of event");
+		agb_jsonc_report(
+		    o, NULL, AGB_FINDING_ERROR, "unknown kind of event");
 }
 
 static void
-read_renew(
-    const struct agb_json_obj *o, const struct ask *a, struct agb_ev_renew *out)
+read_renew(const struct agb_jsonc_node *o, const struct ask *a,
+    struct agb_ev_renew *out)
 {
-	struct json_object *list, *v;
-	struct agb_json_obj it;
+	struct agb_jsonc_node list, it;
+	const char *text;
 	uint64_t after;
 	size_t i;
 
-	agb_json_uint(o, "seq", true, 0, INT64_MAX, &out->seq);
-	agb_json_bool(o, "leaving", true, &out->leaving);
+	agb_jsonc_u64(o, "seq", true,
+	    &(const struct agb_jsonc_range){0, INT64_MAX, ""}, &out->seq);
+	agb_jsonc_bool(o, "leaving", true, &out->leaving);
 	out->events = get_list(
 	    o, "events", sizeof(*out->events), &list, &out->events_len);
 	after = a->after;
 	for (i = 0; i < out->events_len; i++) {
-		if (!agb_json_item(o, "events", list, i, &it))
+		if (!agb_jsonc_item_object(&list, i, &it))
 			continue;
 		read_event(&it, after, &out->events[i]);
 		after = out->events[i].seq;
 	}
 	if (out->seq < after)
-		agb_findings_add(o->f, AGB_FINDING_ERROR, "/seq",
-		    "is below that of an event");
+		agb_jsonc_report(
+		    o, "seq", AGB_FINDING_ERROR, "is below that of an event");
 	out->usage =
 	    get_list(o, "usage", sizeof(*out->usage), &list, &out->usage_len);
 	for (i = 0; i < out->usage_len; i++) {
-		if (!agb_json_item(o, "usage", list, i, &it))
+		if (!agb_jsonc_item_object(&list, i, &it))
 			continue;
-		agb_json_str(&it, "task", true, out->usage[i].task,
+		agb_jsonc_str(&it, "task", true, out->usage[i].task,
 		    sizeof(out->usage[i].task));
 		get_resources(&it, false, &out->usage[i].used);
 	}
 	out->slots =
 	    get_list(o, "slots", sizeof(*out->slots), &list, &out->slots_len);
 	for (i = 0; i < out->slots_len; i++) {
-		v = json_object_array_get_idx(list, i);
-		if (!json_object_is_type(v, json_type_string) ||
-		    !agb_attempt_parse(
-			json_object_get_string(v), &out->slots[i]))
-			agb_findings_add(o->f, AGB_FINDING_ERROR, "/slots",
+		text = agb_jsonc_item_str(&list, i, AGB_ATTEMPT_TEXT_LEN - 1);
+		if (text != NULL && !agb_attempt_parse(text, &out->slots[i]))
+			agb_jsonc_report_item(&list, i, AGB_FINDING_ERROR,
 			    "attempt is malformed");
 	}
 }
 
 /* Results stand in the order of the commands, and repeat their attempts. */
 static void
-read_commands(const struct agb_json_obj *o, const struct ask *a,
+read_commands(const struct agb_jsonc_node *o, const struct ask *a,
     struct agb_ev_commands *out)
 {
-	struct json_object *list;
-	struct agb_json_obj it;
+	struct agb_jsonc_node list, it;
 	struct agb_command_result *r;
 	char text[AGB_DETAIL_LEN];
 	size_t i;
@@ -285,32 +290,32 @@
 	out->items =
 	    get_list(o, "results", sizeof(*out->items), &list, &out->items_len);
 	if (out->items_len != a->sent_len) {
-		agb_findings_add(o->f, AGB_FINDING_ERROR, "/results",
+		agb_jsonc_report(o, "results", AGB_FINDING_ERROR,
 		    "has %zu items for %zu commands", out->items_len,
 		    a->sent_len);
 		return;
 	}
 	for (i = 0; i < out->items_len; i++) {
 		r = &out->items[i];
-		if (!agb_json_item(o, "results", list, i, &it))
+		if (!agb_jsonc_item_object(&list, i, &it))
 			continue;
 		r->kind = a->sent[i].kind;
-		agb_json_bool(&it, "ok", true, &r->ok);
-		agb_json_bool(&it, "busy", false, &r->busy);
+		agb_jsonc_bool(&it, "ok", true, &r->ok);
+		agb_jsonc_bool(&it, "busy", false, &r->busy);
 		text[0] = '\0';
-		agb_json_str(&it, "reason", false, text, sizeof(text));
+		agb_jsonc_str(&it, "reason", false, text, sizeof(text));
 		agb_name_set(r->reason, sizeof(r->reason), text);
 		if (get_attempt(&it, &r->attempt) &&
 		    (r->attempt.epoch != a->sent[i].attempt.epoch ||
 			r->attempt.seq != a->sent[i].attempt.seq))
-			agb_findings_add(o->f, AGB_FINDING_ERROR, it.place,
+			agb_jsonc_report(&it, NULL, AGB_FINDING_ERROR,
 			    "is not the attempt that was sent");
 	}
 }
 
 static void
 read_answer(
-    const struct agb_json_obj *o, const struct ask *a, struct agb_event *ev)
+    const struct agb_jsonc_node *o, const struct ask *a, struct agb_event *ev)
 {
 	switch (a->type) {
 	case AGB_EF_SESSION:
@@ -362,16 +367,17 @@
 read_res(const struct ask *a, const struct agb_httpc_res *res,
     struct agb_findings *f, struct agb_event *ev)
 {
-	struct json_object *root;
-	struct agb_json_obj o;
+	struct agb_jsonc *doc;
+	struct agb_jsonc_node o;
 	uint64_t epoch;
 	bool ok;
 
-	root = agb_json_strict_parse(
+	doc = agb_jsonc_parse_wire(
 	    res->body != NULL ? res->body : "", res->body_len, f);
-	ok = root != NULL && agb_json_root(&o, root, f);
+	ok = doc != NULL && agb_jsonc_root(doc, &o);
 	if (ok && res->http_status == 409) {
-		ok = agb_json_uint(&o, "epoch", true, 0, INT64_MAX, &epoch);
+		ok = agb_jsonc_u64(&o, "epoch", true,
+		    &(const struct agb_jsonc_range){0, INT64_MAX, ""}, &epoch);
 		/* Lower than ours when the worker has restarted. */
 		if (ok)
 			event_init(ev, a, AGB_WORKER_FENCED, epoch);
@@ -384,7 +390,7 @@
 			event_init(ev, a, AGB_WORKER_LOST, a->epoch);
 		}
 	}
-	json_object_put(root);
+	agb_jsonc_free(doc);
 	return ok;
 }
 
--- a/tests/test_jsonc.c
+++ b/tests/test_jsonc.c
@@ -18,6 +18,16 @@
 	return got;
 }
 
+/* Compares the findings of a text and frees them. */
+static void
+check_findings(const char *text, char *got, const char *want)
+{
+	if (strcmp(got, want) != 0)
+		fprintf(stderr, "%s\n%s", text, got);
+	CU_ASSERT_STRING_EQUAL(got, want);
+	free(got);
+}
+
 #define E(place, text) ": " place ": error: " text "\n"
 
 /*
@@ -121,11 +131,8 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		got =
 		    findings_of(cases[i].text, strlen(cases[i].text), &usable);
-		if (strcmp(got, cases[i].want) != 0)
-			fprintf(stderr, "%s\n%s", cases[i].text, got);
-		CU_ASSERT_STRING_EQUAL(got, cases[i].want);
+		check_findings(cases[i].text, got, cases[i].want);
 		CU_ASSERT_EQUAL(usable, cases[i].usable);
-		free(got);
 	}
 }
 
@@ -180,7 +187,7 @@
 {
 	bool v;
 
-	agb_jsonc_bool(n, "v", &v);
+	agb_jsonc_bool(n, "v", false, &v);
 }
 
 static void
@@ -295,7 +302,6 @@
 	struct agb_findings *const f = agb_xcalloc(1, sizeof(*f));
 	struct agb_jsonc_node root;
 	struct agb_jsonc *doc;
-	char *got;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -306,12 +312,88 @@
 		CU_ASSERT_TRUE_FATAL(agb_jsonc_root(doc, &root));
 		cases[i].get(&root);
 		agb_jsonc_free(doc);
-		got = textfile_findings(f, "");
-		if (strcmp(got, cases[i].want) != 0)
-			fprintf(stderr, "%s\n%s", cases[i].text, got);
-		CU_ASSERT_STRING_EQUAL(got, cases[i].want);
-		free(got);
+		check_findings(
+		    cases[i].text, textfile_findings(f, ""), cases[i].want);
+	}
+	free(f);
+}
+
+/*
+ * Guards against JSON from the wire that is read as if it were a settings
+ * file, and against keys that json-c would merge in silence.
+ */
+static void
+test_wire(void)
+{
+	static const struct {
+		const char *text;
+		const char *want;
+	} cases[] = {
+	    {"{\"a\":[],\"s\":\"\"}", ""},
+	    {"{\"b\":[\"\\u0000\"],\"a\":[],\"s\":\"\"}", ""},
+	    {"{\"a\":[1,2],\"s\":\"abc\"}",
+		E("/a", "has 2 items; at most 1 are allowed")
+		    E("/s", "has 3 bytes; at most 2 are allowed")},
+	    {"{\"s\":\"\\u0000\"}",
+		E("/a", "is missing") E("/s", "\\u0000 is not allowed here")},
+	    {"{}", E("/a", "is missing") E("/s", "is missing")},
+	    {"null", E("", "is null; expected an object")},
+	    {"{\"a\":[], // c\n\"s\":\"\"}",
+		E("line 1", "expected a key in double quotes")},
+	    {"/* c */ {}", E("line 1", "expected a value")},
+	    {"{} // c",
+		E("line 1", "text goes on after the end of the document")},
+	    {"{\"a\":[],}", E("line 1", "trailing comma")},
+	    {"{\"a\":[],\n\"\\u0061\":1}",
+		E("line 2 /a", "duplicate key; first given on line 1")},
+	    {"{\"a\\u0000b\":1,\"a\":[]}",
+		E("line 1", "\\u0000 is not allowed in a string")},
+	    {"{\"\\ud83d\":1,\"a\":[]}",
+		E("line 1", "\\u escape is half of a surrogate pair")},
+	    {"{\"b\":[\"\\ud83d\",1e999],\"a\":[],\"s\":\"\"}", ""},
+	};
+	struct agb_findings *const f = agb_xcalloc(1, sizeof(*f));
+	struct agb_jsonc_node root, list;
+	struct agb_jsonc *doc;
+	char *text;
+	size_t i, len;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(f, 0, sizeof(*f));
+		doc = agb_jsonc_parse_wire(
+		    cases[i].text, strlen(cases[i].text), f);
+		CU_ASSERT_EQUAL(doc != NULL, f->errors == 0);
+		if (doc != NULL && agb_jsonc_root(doc, &root)) {
+			agb_jsonc_array(&root, "a", true, 1, &list, &len);
+			text = NULL;
+			agb_jsonc_text(&root, "s", true, 2, &text);
+			free(text);
+		}
+		agb_jsonc_free(doc);
+		check_findings(
+		    cases[i].text, textfile_findings(f, ""), cases[i].want);
+	}
+	free(f);
+}
+
+/* Guards against a text from the wire that exhausts the stack. */
+static void
+test_wire_depth(void)
+{
+	struct agb_findings *const f = agb_xcalloc(1, sizeof(*f));
+	char text[2 * (AGB_JSONC_WIRE_DEPTH_MAX + 1)];
+	struct agb_jsonc *doc;
+	size_t depth;
+
+	for (depth = AGB_JSONC_WIRE_DEPTH_MAX;
+	     depth <= AGB_JSONC_WIRE_DEPTH_MAX + 1; depth++) {
+		memset(text, '[', depth);
+		memset(text + depth, ']', depth);
+		doc = agb_jsonc_parse_wire(text, 2 * depth, f);
+		CU_ASSERT_EQUAL(doc != NULL, depth == AGB_JSONC_WIRE_DEPTH_MAX);
+		agb_jsonc_free(doc);
 	}
+	CU_ASSERT_EQUAL(f->errors, 1);
 	free(f);
 }
 
@@ -319,6 +401,8 @@
     {"strict", test_strict},
     {"bounds", test_bounds},
     {"getters", test_getters},
+    {"wire", test_wire},
+    {"wire depth", test_wire_depth},
 };
 
 int
