refactor(fuzz): one driver for all corpora

Cause: tests/fuzz/replay.c and tests/test_fuzz_corpus.c both ran fuzz targets over files, each over a part of the corpora and with other checks.

Change: replay.c runs every target and has the checks of both: exact-size copies, each start of files under 2048 bytes, a least number of files for each directory, and failure when a file was not run.

--- a/tests/fuzz/replay.c
+++ b/tests/fuzz/replay.c
@@ -1,15 +1,22 @@
 /*
- * Runs a fuzz target once over each file of a directory, in the order of
- * their names; needs no fuzzer runtime. Fails when there is no file.
+ * Runs a fuzz target over the files of directories, in the order of their
+ * names; needs no fuzzer runtime. Guards against inputs that once broke a
+ * reader. Each file, and each start of the small ones, is given in a copy of
+ * exactly that size, so that AddressSanitizer sees a read past its end.
+ * Fails when a file cannot be read or a directory has too few of them.
  */
 
 #include <dirent.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define FILE_BYTES_MAX ((size_t)4 * 1024 * 1024)
 
+/* Larger files are only run whole; their starts would take too long. */
+#define STARTS_BYTES_MAX ((size_t)2048)
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static int
@@ -17,7 +24,8 @@
 {
 	static uint8_t buf[FILE_BYTES_MAX];
 	char path[4096];
-	size_t n;
+	uint8_t *copy;
+	size_t len, n;
 	FILE *f;
 
 	snprintf(path, sizeof(path), "%s/%s", dir, name);
@@ -26,30 +34,56 @@
 		perror(path);
 		return 0;
 	}
-	n = fread(buf, 1, sizeof(buf), f);
+	len = fread(buf, 1, sizeof(buf), f);
 	fclose(f);
-	LLVMFuzzerTestOneInput(buf, n);
+	for (n = len < STARTS_BYTES_MAX ? 0 : len; n <= len; n++) {
+		copy = malloc(n > 0 ? n : 1);
+		if (copy == NULL)
+			abort();
+		memcpy(copy, buf, n);
+		LLVMFuzzerTestOneInput(copy, n);
+		free(copy);
+	}
 	return 1;
 }
 
-int
-main(int argc, char **argv)
+/* Return: whether at least @least files were there, and all were run. */
+static int
+replay_dir(const char *dir, int least)
 {
 	struct dirent **names;
 	int i, n, files = 0, ran = 0;
 
-	if (argc != 2 || (n = scandir(argv[1], &names, NULL, alphasort)) < 0) {
-		fprintf(stderr, "usage: %s DIRECTORY\n", argv[0]);
-		return 2;
+	n = scandir(dir, &names, NULL, alphasort);
+	if (n < 0) {
+		perror(dir);
+		return 0;
 	}
 	for (i = 0; i < n; i++) {
 		if (names[i]->d_name[0] != '.') {
 			files++;
-			ran += replay(argv[1], names[i]->d_name);
+			ran += replay(dir, names[i]->d_name);
 		}
 		free(names[i]);
 	}
 	free(names);
-	printf("%d inputs\n", ran);
-	return ran > 0 && ran == files ? 0 : 1;
+	printf("%s: %d inputs, at least %d expected\n", dir, ran, least);
+	return ran >= least && ran == files;
+}
+
+int
+main(int argc, char **argv)
+{
+	int i, least, ok = 1;
+
+	if (argc < 3 || argc % 2 == 0) {
+		fprintf(stderr, "usage: %s DIRECTORY LEAST...\n", argv[0]);
+		return 2;
+	}
+	for (i = 1; i < argc; i += 2) {
+		least = atoi(argv[i + 1]);
+		if (least < 1 || !replay_dir(argv[i], least))
+			ok = 0;
+	}
+	return ok ? 0 : 1;
 }
