refactor(ctl): check the review of put and promote in one place

Change: write_reviewed() and change_free() have them once. The order of the checks and their messages stay as they were.

Conclusion: a change of the rule for reviews has one place.

--- a/src/agatebeam/ctl_change.c
+++ b/src/agatebeam/ctl_change.c
@@ -344,6 +344,30 @@
 	return code;
 }
 
+/* Writes a change unless a document it rests on is newer than the review. */
+static enum agb_ctl_exit
+write_reviewed(struct agb_ctl *ctl, uint64_t reviewed, struct change *c)
+{
+	if (reviewed > c->now.revision)
+		return agb_ctl_fail(ctl, AGB_CTL_BAD_INPUT,
+		    "--reviewed %llu is no revision yet; the store is at %llu",
+		    (unsigned long long)reviewed,
+		    (unsigned long long)c->now.revision);
+	if (c->from != NULL && c->from_version > reviewed)
+		return tell_race(ctl, c->from, reviewed);
+	if (c->now.version > reviewed)
+		return tell_race(ctl, c->env, reviewed);
+	return write_change(ctl, c);
+}
+
+static void
+change_free(struct change *c)
+{
+	agb_ctl_doc_free(&c->now);
+	agb_ctl_doc_free(&c->next);
+	free(c->findings);
+}
+
 enum agb_ctl_exit
 agb_ctl_env_put(struct agb_ctl *ctl, const struct agb_ctl_args *args)
 {
@@ -366,19 +390,10 @@
 		    "%s\" and give --reviewed with the number it prints",
 		    args->env, (unsigned long long)c.now.version, args->env,
 		    args->other);
-	else if (args->reviewed > c.now.revision)
-		code = agb_ctl_fail(ctl, AGB_CTL_BAD_INPUT,
-		    "--reviewed %llu is no revision yet; the store is at %llu",
-		    (unsigned long long)args->reviewed,
-		    (unsigned long long)c.now.revision);
-	else if (c.now.version > args->reviewed)
-		code = tell_race(ctl, args->env, args->reviewed);
 	else
-		code = write_change(ctl, &c);
+		code = write_reviewed(ctl, args->reviewed, &c);
 out:
-	agb_ctl_doc_free(&c.now);
-	agb_ctl_doc_free(&c.next);
-	free(c.findings);
+	change_free(&c);
 	return code;
 }
 
@@ -407,20 +422,8 @@
 	code = check_change(ctl, args, args->env, &c);
 	if (code != AGB_CTL_DONE)
 		goto out;
-	if (args->reviewed > c.now.revision)
-		code = agb_ctl_fail(ctl, AGB_CTL_BAD_INPUT,
-		    "--reviewed %llu is no revision yet; the store is at %llu",
-		    (unsigned long long)args->reviewed,
-		    (unsigned long long)c.now.revision);
-	else if (c.from_version > args->reviewed)
-		code = tell_race(ctl, args->env, args->reviewed);
-	else if (c.now.version > args->reviewed)
-		code = tell_race(ctl, args->other, args->reviewed);
-	else
-		code = write_change(ctl, &c);
+	code = write_reviewed(ctl, args->reviewed, &c);
 out:
-	agb_ctl_doc_free(&c.now);
-	agb_ctl_doc_free(&c.next);
-	free(c.findings);
+	change_free(&c);
 	return code;
 }
