test(history): a broken connection is no passed deadline

Cause: the driver told every lost attempt as a broken connection. Change: only what breaks early is; the rest is told as a passed deadline.

--- a/tests/history/world.h
+++ b/tests/history/world.h
@@ -38,14 +38,14 @@
 	M_UP_REQ,	/* x: attempt at a runner */
 	M_UP_END,	/* x: the runner has finished it */
 	M_UP_RES,	/* x, flag: the answer is whole */
-	M_UP_LOST,	/* x: given up by the client */
-	M_CALLER,	/* a caller acts */
-	M_POLL,		/* call: a caller asks for its job */
-	M_FAULT,	/* x: a fault begins */
-	M_HEAL,		/* x: it ends */
-	M_QUIET,	/* all faults have ended */
-	M_WAVE,		/* callers cancel many jobs */
-	M_OPERATOR,	/* operators change the document */
+	M_UP_LOST,  /* x: given up by the client; call: its connection broke */
+	M_CALLER,   /* a caller acts */
+	M_POLL,	    /* call: a caller asks for its job */
+	M_FAULT,    /* x: a fault begins */
+	M_HEAL,	    /* x: it ends */
+	M_QUIET,    /* all faults have ended */
+	M_WAVE,	    /* callers cancel many jobs */
+	M_OPERATOR, /* operators change the document */
 };
 
 struct msg {
--- a/tests/history/world_work.c
+++ b/tests/history/world_work.c
@@ -704,6 +704,7 @@
 	m = w_push(
 	    w, w->now + 1 * AGB_MS + (agb_time)(w_draw(w) * 50e3), M_UP_LOST);
 	m->x = id;
+	m->call = w->ups[id].call;
 }
 
 static void
@@ -754,7 +755,8 @@
 	u->done = true;
 	if (m->kind == M_UP_LOST) {
 		ev.u.upstream.result = AGB_RESULT_LOST;
-		ev.u.upstream.reason = AGB_REASON_UPSTREAM_LOST;
+		ev.u.upstream.reason = m->call != 0 ? AGB_REASON_UPSTREAM_LOST
+						    : AGB_REASON_DEADLINE;
 	} else {
 		ev.u.upstream = m->ev->u.upstream;
 	}
