--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,10 @@
 history: build
 	$(BUILD)/agb-history --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
 
+# Each planted fault has to be caught; it builds in a temporary folder.
+history-mutants: deps
+	JOBS=$(JOBS) ./scripts/history-mutants
+
 # Writes the golden sessions anew; the difference is for review.
 golden: build
 	AGB_GOLDEN_UPDATE=1 $(BUILD)/test_golden
