fix(owner): the REVOKE before a repeated start is decided when it is sent

Cause: it was decided when the start was queued again, at a time when the worker was silent and not known to leave (history seed 654). Change: starts to a leaving worker are guarded when they are sent; the seeds that have shown faults are kept as a regression test.

--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -91,6 +91,36 @@
 	agb_name_set(t->boot, sizeof(t->boot), w->boot);
 }
 
+/*
+ * Puts a REVOKE before each start for a worker that leaves: a start whose
+ * answer was lost is sent again, and the worker then refuses it unless it has
+ * taken it before.
+ */
+static void
+guard_starts(struct own_worker *w)
+{
+	struct agb_command *const all =
+	    agb_xcalloc(2 * w->queue_len, sizeof(*all));
+	const struct agb_command *c;
+	size_t i, n = 0;
+
+	for (i = 0; i < w->queue_len; i++) {
+		c = &w->queue[i];
+		if (c->kind == AGB_COMMAND_START &&
+		    (n == 0 || all[n - 1].kind != AGB_COMMAND_REVOKE ||
+			!own_attempt_eq(&all[n - 1].attempt, &c->attempt))) {
+			all[n].kind = AGB_COMMAND_REVOKE;
+			all[n].attempt = c->attempt;
+			memcpy(all[n].task, c->task, sizeof(all[n].task));
+			n++;
+		}
+		all[n++] = *c;
+	}
+	free(w->queue);
+	w->queue = all;
+	w->queue_len = n;
+}
+
 static void
 send_batch(struct agb_owner *o, struct own_worker *w, struct agb_effects *out)
 {
@@ -98,6 +128,8 @@
 	struct agb_ef_worker *const e = &ef->u.worker;
 	size_t bytes = 0, i, n;
 
+	if (w->told == AGB_WORKER_LEAVING)
+		guard_starts(w);
 	for (n = 0; n < w->queue_len && n < BATCH_MAX; n++) {
 		bytes += w->queue[n].args_len;
 		if (n > 0 && bytes > BATCH_BYTES_MAX)
@@ -172,19 +204,6 @@
 	return false;
 }
 
-/* A start that may be new to a worker that leaves follows a REVOKE: the worker
- * then refuses it, unless it has taken it before. */
-static bool
-needs_revoke(const struct own_worker *w, size_t i)
-{
-	const struct agb_command *const c = &w->flight[i];
-
-	if (c->kind != AGB_COMMAND_START || w->told != AGB_WORKER_LEAVING)
-		return false;
-	return i == 0 || w->flight[i - 1].kind != AGB_COMMAND_REVOKE ||
-	    !own_attempt_eq(&w->flight[i - 1].attempt, &c->attempt);
-}
-
 /*
  * Puts the commands in flight back in front of the queue. They keep their
  * order, so that a STOP follows the START that it is meant for.
@@ -193,7 +212,7 @@
 requeue(struct agb_owner *o, struct own_worker *w)
 {
 	struct agb_command *const all =
-	    agb_xcalloc(2 * w->flight_len + w->queue_len, sizeof(*all));
+	    agb_xcalloc(w->flight_len + w->queue_len, sizeof(*all));
 	size_t i, n = 0;
 
 	for (i = 0; i < w->flight_len; i++) {
@@ -201,13 +220,6 @@
 			free(w->flight[i].args);
 			continue;
 		}
-		if (needs_revoke(w, i)) {
-			all[n].kind = AGB_COMMAND_REVOKE;
-			all[n].attempt = w->flight[i].attempt;
-			memcpy(all[n].task, w->flight[i].task,
-			    sizeof(all[n].task));
-			n++;
-		}
 		all[n++] = w->flight[i];
 	}
 	if (w->queue_len > 0)
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -16,6 +16,11 @@
     {297, "two jobs of one submit ran in two places"},
     {241, "two jobs of one non-idempotent submit ran twice"},
     {352, "a document was freed while in use"},
+    {46, "a second attempt ran beside a lost one"},
+    {188, "a takeover did not learn that a worker leaves"},
+    {654, "a repeated start reached a leaving worker"},
+    {800, "a start waited for the store while its worker left"},
+    {2284, "a start sent before a worker restarted ran after it"},
 };
 
 #define FIXED_FROM 1
