--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 C_FILES = $(shell git ls-files --cached --others --exclude-standard \
 	'src/agatebeam/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
 
-.PHONY: all deps build asan run test test-asan lint format format-check \
+.PHONY: all deps build asan run run-valgrind test test-asan lint format format-check \
 	bench history history-mutants golden fuzz capacity proto clean
 
 all: build
@@ -31,6 +31,13 @@
 run: build
 	AGB_BIN=$(BUILD) ./scripts/demo
 
+# The demonstration with each daemon under valgrind (needs the package
+# valgrind): a leak or an error ends it with status 1.
+run-valgrind: build
+	AGB_BIN=$(BUILD) AGB_WRAP="valgrind --quiet --leak-check=full \
+	    --errors-for-leak-kinds=definite,indirect --error-exitcode=99" \
+	    ./scripts/demo
+
 test: build
 	cd $(BUILD) && ctest --output-on-failure -j 4
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -54,7 +54,8 @@
 	"drain_ms": 20000, "call_timeout_ms": 15000
 }
 SETTINGS
-	start "$4" "$bin/agatebeamd" --settings "$dir/$4.json"
+	# shellcheck disable=SC2086
+	start "$4" ${AGB_WRAP:-} "$bin/agatebeamd" --settings "$dir/$4.json"
 	curl -sS -o /dev/null -X POST "http://$1/platform/instances" -d "{
 	    \"id\": \"$4\", \"kind\": \"entry\", \"region\": \"$2\",
 	    \"domain\": \"$3\", \"address\": \"$(address "$4" http)\",
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -14,7 +14,8 @@
 	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 
 static const char doc[] =
-    "{\"name\":\"x\",\"regions\":[{\"name\":\"r\",\"domains\":[\"a\"]},"
+    "{\"name\":\"x\",\"weights\":{\"wait\":1,\"cross_region_kb\":10},"
+    "\"regions\":[{\"name\":\"r\",\"domains\":[\"a\",\"c\"]},"
     "{\"name\":\"far\",\"domains\":[\"b\"]}],"
     "\"classes\":[{\"name\":\"q\",\"policy\":\"quick\",\"retries\":1,"
     "\"retry_budget_percent\":100,\"deadline_ms\":1000},"
@@ -309,11 +310,73 @@
 	tear_down(&f);
 }
 
+/* Makes another shard known by its owner's summary. */
+static void
+shard_known(struct fixture *f, const char *domain, uint32_t wait_ms)
+{
+	static const struct agb_member_input in = {.owner = "owner:1"};
+	struct agb_event ev = {.type = AGB_EV_RPC_CALL};
+	agb_x_shard *const s = &ev.u.rpc_args.agb_x_args_u.summary.shard;
+
+	ev.u.rpc_args.proc = AGB_X_SUMMARY;
+	s->domain = agb_xstrdup(domain);
+	s->owner_rpc = agb_xasprintf("owner-%s:1", domain);
+	s->epoch = 9;
+	s->serial = 1;
+	s->wait_ms = wait_ms;
+	agb_member_step(f->member, NOW, &ev, &in, &f->out);
+	agb_event_free(&ev);
+}
+
+/* Guards against requests that leave their domain, or cross the paid link,
+ * for less waiting than the way costs. Weights: 1 a millisecond, 10 a KiB. */
+static void
+test_choice(void)
+{
+	static const struct {
+		uint32_t own_ms;
+		uint32_t near_ms;
+		uint32_t far_ms;
+		uint64_t bytes;
+		const char *owner;
+	} cases[] = {
+	    {0, 0, 0, 100, "owner:1"},
+	    {2, 0, 0, 100, "owner:1"},
+	    {3, 0, 0, 100, "owner-c:1"},
+	    {20, 20, 0, 100, "owner:1"},
+	    {27, 27, 0, 100, "owner-b:1"},
+	    {27, 27, 0, 4096, "owner:1"},
+	    {60, 60, 0, 4096, "owner-b:1"},
+	};
+	struct agb_event ev = {.type = AGB_EV_CALL};
+	agb_x_shard own = {.domain = "a", .owner_rpc = "owner:1"};
+	struct fixture f;
+	size_t i;
+
+	ev.u.call.id = 7;
+	agb_name_set(ev.u.call.work, AGB_NAME_LEN, "w");
+	agb_name_set(
+	    ev.u.call.credential, sizeof(ev.u.call.credential), CREDENTIAL);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		set_up(&f);
+		own.wait_ms = cases[i].own_ms;
+		f.in.shard = &own;
+		shard_known(&f, "c", cases[i].near_ms);
+		shard_known(&f, "b", cases[i].far_ms);
+		ev.u.call.body_bytes = cases[i].bytes;
+		step(&f, NOW, &ev);
+		CU_ASSERT_STRING_EQUAL(
+		    must(&f, AGB_EF_RPC_CALL)->peer, cases[i].owner);
+		tear_down(&f);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"authorize", test_authorize},
     {"attempts", test_attempts},
     {"grant_returned", test_grant_returned},
     {"no_owner", test_no_owner},
+    {"choice", test_choice},
 };
 
 int
