fix(owner): no work on what was known before a pause; no "ran" without a run

Change: after 2 s without a step workers take new work again once they have answered a renewal sent afterwards; a lost attempt alone makes the outcome unknown.

--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -6,6 +6,9 @@
 #include "mem.h"
 #include "owner_internal.h"
 
+/* Time without any step after which the process has been paused. */
+#define PAUSE_MIN (2 * AGB_SEC)
+
 /* Sweeps look at every worker and grant; at 960 workers this bounds them to
  * about 200 a second however many timers run out one by one. */
 #define SWEEP_EVERY (5 * AGB_MS)
@@ -259,10 +262,37 @@
 		own_handover(o, now, out);
 }
 
+/*
+ * After a pause of the process nothing that is known of the workers is fresh:
+ * they take new work again once they have answered a renewal that was sent
+ * afterwards. An owner steps at least with each keep-alive of its lease.
+ */
+static void
+after_pause(struct agb_owner *o, agb_time now, struct agb_effects *out)
+{
+	const agb_time last = o->stepped_at;
+	size_t i;
+
+	o->stepped_at = now;
+	if (last == 0 || now - last < PAUSE_MIN || !own_serving(o))
+		return;
+	agb_effects_log(out, AGB_LOG_WARN, "paused", "ms=%llu",
+	    (unsigned long long)((now - last) / AGB_MS));
+	for (i = 0; i < o->workers.len; i++) {
+		struct own_worker *const w = o->workers.items[i];
+
+		w->stale_renews = w->renews;
+		if (w->told == AGB_WORKER_LIVE)
+			own_sched_worker_state(
+			    o, now, w, AGB_WORKER_SUSPECT, out);
+	}
+}
+
 void
 agb_owner_step(struct agb_owner *o, agb_time now, const struct agb_event *ev,
     struct agb_effects *out)
 {
+	after_pause(o, now, out);
 	switch (ev->type) {
 	case AGB_EV_TERM:
 		if (!o->term) {
--- a/src/agatebeam/owner_job.c
+++ b/src/agatebeam/owner_job.c
@@ -319,9 +319,12 @@
 		own_task_leave(t);
 		j->lost = true;
 	}
-	/* Placement does not know what ran before a takeover. */
+	/* Placement does not know what ran before a takeover, and counts a
+	 * lost attempt as one that ran, though it may never have started. */
 	if (outcome == AGB_NOT_RUN && (j->ran || j->lost))
 		outcome = j->lost ? AGB_UNKNOWN : AGB_RAN;
+	else if (outcome == AGB_RAN && j->lost && !j->ran)
+		outcome = AGB_UNKNOWN;
 	job_end(o, now, j, outcome, e->reason, e->detail, out);
 }
 
--- a/src/agatebeam/owner_session.c
+++ b/src/agatebeam/owner_session.c
@@ -267,10 +267,11 @@
 	call_answered(w, now);
 	/* Before the events: an end frees room that a leaving worker must
 	 * not be given again. */
-	if (r->leaving) {
+	if (r->leaving)
 		w->leaving = true;
+	if (r->leaving ||
+	    (w->told == AGB_WORKER_SUSPECT && w->renews > w->stale_renews))
 		live_again(o, now, w, out);
-	}
 	for (i = 0; i < r->events_len; i++)
 		renew_event(o, now, w, &r->events[i], out);
 	for (i = 0; i < r->usage_len; i++)
--- a/src/agatebeam/owner_state.h
+++ b/src/agatebeam/owner_state.h
@@ -232,6 +232,7 @@
  * @failed_since: first failure since the last answer, or 0
  * @call_at: when the next call is due
  * @renews: renewals sent so far
+ * @stale_renews: those sent before the process was last paused
  * @orphans: tasks it runs that no job of ours knows
  */
 struct own_worker {
@@ -257,6 +258,7 @@
 	agb_time call_at;
 	uint32_t retry_ms;
 	uint64_t renews;
+	uint64_t stale_renews;
 	struct own_vec orphans;
 	struct own_vec tasks;
 	struct own_vec grants;
@@ -391,6 +393,7 @@
 	agb_time since;
 	agb_time wake_at;
 	agb_time swept_at;
+	agb_time stepped_at;
 	const struct agb_env *env;
 	struct agb_sched *sched;
 	struct agb_sched_effects effects;
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -21,6 +21,8 @@
     {654, "a repeated start reached a leaving worker"},
     {800, "a start waited for the store while its worker left"},
     {2284, "a start sent before a worker restarted ran after it"},
+    {3122, "a job was told to have run after a lost start"},
+    {4887, "an owner placed on what it knew before a pause"},
 };
 
 #define FIXED_FROM 1
