--- a/tests/history/world_fault.c
+++ b/tests/history/world_fault.c
@@ -1,3 +1,4 @@
+#include "mem.h"
 #include "world.h"
 
 #define FAULTS_FROM (12 * AGB_SEC)
@@ -69,16 +70,22 @@
 		w_watches_break(w);
 }
 
+/* The signal arrives like a message, so that a paused instance takes it, and
+ * what came before it, when it wakes up. */
 static void
 term(struct world *w, uint32_t n)
 {
-	struct agb_event ev = {.type = AGB_EV_TERM};
+	struct msg *m;
 
 	if (!w->nodes[n].up || w->nodes[n].term)
 		return;
 	w->nodes[n].term = true;
 	history_add(&w->hist, w->now, REC_TERM)->node = n;
-	w_event(w, n, &ev);
+	m = w_push(w, w->now, M_EVENT);
+	m->node = n;
+	m->incarnation = w->nodes[n].incarnation;
+	m->ev = agb_xcalloc(1, sizeof(*m->ev));
+	m->ev->type = AGB_EV_TERM;
 }
 
 void
--- a/tests/history/world_load.c
+++ b/tests/history/world_load.c
@@ -132,14 +132,22 @@
 	return id;
 }
 
+/* A call arrives like any message, so that a paused instance takes it later. */
 static void
 call_send(struct world *w, uint32_t n, struct agb_ev_call *call)
 {
-	struct agb_event ev = {.type = AGB_EV_CALL};
+	struct agb_event *const ev = agb_xcalloc(1, sizeof(*ev));
+	struct msg *m;
 
 	agb_name_set(call->credential, sizeof(call->credential), CREDENTIAL);
-	ev.u.call = *call;
-	w_event(w, n, &ev);
+	ev->type = AGB_EV_CALL;
+	ev->u.call = *call;
+	if (call->args != NULL)
+		ev->u.call.args = agb_xmemdup(call->args, call->args_len);
+	m = w_push(w, w->now, M_EVENT);
+	m->node = n;
+	m->incarnation = w->nodes[n].incarnation;
+	m->ev = ev;
 }
 
 static void
