refactor(route,member): admission, retries and status in files of their own

Change: route_admit.c, route_retry.c, member_status.c and member_internal.h; the history driver multiplies in 64 bits, as the linter asks.

--- a/src/agatebeam/member.c
+++ b/src/agatebeam/member.c
@@ -1,4 +1,4 @@
-#include "member.h"
+#include "member_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,8 +18,6 @@
 #define TEAMS_INTERVAL (4 * AGB_SEC)
 /* Age at which a view of a shard is no longer used for routing. */
 #define VIEW_MAX_AGE (10 * AGB_SEC)
-/* Age at which a member is no longer reported. */
-#define MEMBER_MAX_AGE (30 * AGB_SEC)
 /* Silence after which the owner is not counted on to relay documents. */
 #define RELAY_MAX_SILENCE (3 * AGB_SEC)
 #define RPC_TIMEOUT_MS 2000
@@ -30,51 +28,6 @@
 	TAG_PROBE = 3,
 };
 
-/* An entry instance, from the list or from its own heartbeat. */
-struct peer {
-	agb_name instance;
-	agb_name region;
-	agb_name domain;
-	agb_addr rpc;
-	enum agb_instance_state state;
-	uint64_t env_version;
-	agb_time heard_at;
-	UT_hash_handle hh;
-};
-
-struct view {
-	struct agb_shard_view v;
-	agb_time next_summary;
-	agb_time next_teams;
-	uint64_t told_epoch; /* of the owner that was told of teams */
-	UT_hash_handle hh;
-};
-
-/* Use of each team in one other shard, as its owner last told. */
-struct team_uses {
-	agb_name domain;
-	uint64_t epoch;
-	uint64_t serial;
-	agb_x_team_use *items;
-	u_int len;
-	UT_hash_handle hh;
-};
-
-struct agb_member {
-	struct agb_member_config cfg;
-	struct peer *peers;
-	struct view *views;
-	struct team_uses *uses;
-	uint64_t serial;
-	uint64_t seen_version;
-	agb_addr seen_peer;
-	agb_time next_heartbeat;
-	agb_time next_summary;
-	agb_time owner_heard_at;
-	bool owner_heard;
-	unsigned short rng[3];
-};
-
 struct agb_member *
 agb_member_new(const struct agb_member_config *cfg)
 {
@@ -305,14 +258,6 @@
 	a->leaving = in->leaving;
 }
 
-static uint32_t
-age_ms(agb_time now, agb_time at)
-{
-	const agb_time ms = now > at ? (now - at) / AGB_MS : 0;
-
-	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
-}
-
 /* Members of the own domain that were heard of, for the other owners. */
 static void
 fill_members(const struct agb_member *m, agb_time now,
@@ -336,7 +281,7 @@
 		x->domain = agb_xstrdup(p->domain);
 		x->rpc = agb_xstrdup(p->rpc);
 		x->env_version = p->env_version;
-		x->age_ms = age_ms(now, p->heard_at);
+		x->age_ms = member_age_ms(now, p->heard_at);
 	}
 }
 
@@ -444,21 +389,6 @@
 	}
 }
 
-static void
-fill_shard(const struct agb_shard_view *v, agb_time now, agb_x_shard *x)
-{
-	x->domain = agb_xstrdup(v->domain);
-	x->owner_rpc = agb_xstrdup(v->owner);
-	x->epoch = v->epoch;
-	x->serial = v->serial;
-	x->age_ms = age_ms(now, v->measured_at);
-	x->slots_free = v->slots_free;
-	x->quick_queued = v->quick_queued;
-	x->tasks_queued = v->tasks_queued;
-	x->wait_ms = v->wait_ms;
-	x->free = agb_proto_resources(&v->free);
-}
-
 static void
 answer_heartbeat(struct agb_member *m, agb_time now, const struct agb_event *ev,
     const struct agb_member_input *in, struct agb_effects *out)
@@ -491,7 +421,7 @@
 		    r->shards.shards_len == AGB_X_SHARDS_MAX ||
 		    (in->active && strcmp(w->v.domain, m->cfg.domain) == 0))
 			continue;
-		fill_shard(
+		member_fill_shard(
 		    &w->v, now, &r->shards.shards_val[r->shards.shards_len++]);
 	}
 }
@@ -608,75 +538,6 @@
 	return m->seen_version;
 }
 
-static json_object *
-shard_json(const agb_x_shard *s)
-{
-	json_object *const o = json_object_new_object();
-
-	json_object_object_add(o, "domain", json_object_new_string(s->domain));
-	json_object_object_add(
-	    o, "owner", json_object_new_string(s->owner_rpc));
-	json_object_object_add(o, "epoch", json_object_new_uint64(s->epoch));
-	json_object_object_add(o, "age_ms", json_object_new_int64(s->age_ms));
-	json_object_object_add(
-	    o, "slots_free", json_object_new_int64(s->slots_free));
-	json_object_object_add(
-	    o, "quick_queued", json_object_new_int64(s->quick_queued));
-	json_object_object_add(
-	    o, "tasks_queued", json_object_new_int64(s->tasks_queued));
-	json_object_object_add(o, "wait_ms", json_object_new_int64(s->wait_ms));
-	return o;
-}
-
-static json_object *
-member_json(
-    const char *instance, const char *domain, uint64_t version, uint32_t age)
-{
-	json_object *const o = json_object_new_object();
-
-	json_object_object_add(o, "instance", json_object_new_string(instance));
-	json_object_object_add(o, "domain", json_object_new_string(domain));
-	json_object_object_add(
-	    o, "env_version", json_object_new_uint64(version));
-	json_object_object_add(o, "age_ms", json_object_new_int64(age));
-	return o;
-}
-
-void
-agb_member_status(const struct agb_member *m, agb_time now,
-    const struct agb_member_input *in, json_object *to)
-{
-	json_object *const shards = json_object_new_array();
-	json_object *const members = json_object_new_array();
-	const struct view *w;
-	const struct peer *p;
-	agb_x_shard s;
-
-	if (in->active)
-		json_object_array_add(shards, shard_json(in->shard));
-	for (w = m->views; w != NULL; w = w->hh.next) {
-		if (w->v.owner[0] == '\0' ||
-		    (in->active && strcmp(w->v.domain, m->cfg.domain) == 0))
-			continue;
-		memset(&s, 0, sizeof(s));
-		fill_shard(&w->v, now, &s);
-		json_object_array_add(shards, shard_json(&s));
-		xdr_free((xdrproc_t)xdr_agb_x_shard, (char *)&s);
-	}
-	json_object_array_add(members,
-	    member_json(m->cfg.instance, m->cfg.domain, in->env_version, 0));
-	for (p = m->peers; p != NULL; p = p->hh.next) {
-		if (strcmp(p->instance, m->cfg.instance) == 0 ||
-		    p->heard_at == 0 || now - p->heard_at > MEMBER_MAX_AGE)
-			continue;
-		json_object_array_add(members,
-		    member_json(p->instance, p->domain, p->env_version,
-			age_ms(now, p->heard_at)));
-	}
-	json_object_object_add(to, "shards", shards);
-	json_object_object_add(to, "members", members);
-}
-
 agb_time
 agb_member_next_tick(const struct agb_member *m)
 {
--- a/src/agatebeam/route.c
+++ b/src/agatebeam/route.c
@@ -8,15 +8,8 @@
 #include "proto.h"
 #include "route_internal.h"
 
-/* First pause before a retry; it doubles with each attempt. */
-#define RETRY_BASE (10 * AGB_MS)
-#define RETRY_MAX (1 * AGB_SEC)
 /* Pause before it is asked again whether a lost attempt has ended. */
 #define LOST_RETRY (50 * AGB_MS)
-/* Retries that a kind of work can save up for a bad moment. */
-#define BUDGET_MAX 20.0
-/* Retries after a runner refused; such a request has certainly not run. */
-#define REFUSED_RETRIES 5
 /* An owner answers within the deadline; the margin covers the way back. */
 #define ASK_MARGIN_MS 250
 
@@ -33,20 +26,6 @@
 	return r;
 }
 
-static void
-call_free(struct route_call *c)
-{
-	free(c->args);
-	free(c);
-}
-
-void
-route_call_end(struct agb_route *r, struct route_call *c)
-{
-	HASH_DEL(r->calls, c);
-	call_free(c);
-}
-
 void
 agb_route_free(struct agb_route *r)
 {
@@ -60,7 +39,7 @@
 	HASH_CLEAR(hh, r->calls);
 	for (; c != NULL; c = cnext) {
 		cnext = c->hh.next;
-		call_free(c);
+		route_call_free(c);
 	}
 	a = r->asks;
 	HASH_CLEAR(hh, r->asks);
@@ -158,72 +137,6 @@
 		r->next_wake = c->wake_at;
 }
 
-static struct route_budget *
-budget_get(struct agb_route *r, const char *work)
-{
-	struct route_budget *b;
-
-	HASH_FIND_STR(r->budgets, work, b);
-	if (b == NULL) {
-		b = agb_xcalloc(1, sizeof(*b));
-		agb_name_set(b->work, sizeof(b->work), work);
-		b->tokens = BUDGET_MAX / 2;
-		HASH_ADD_STR(r->budgets, work, b);
-	}
-	return b;
-}
-
-static const struct agb_env_class *
-class_of(const struct route_call *c, const struct agb_route_input *in)
-{
-	uint16_t w;
-
-	if (in->env == NULL)
-		return NULL;
-	w = agb_env_work_find(in->env, c->work);
-	if (w == AGB_ENV_NONE)
-		return NULL;
-	return &in->env->classes[in->env->works[w].klass];
-}
-
-/* Each first attempt earns a part of a retry, so that retries add at most
- * that part to the load, whatever fails. */
-static void
-budget_earn(struct agb_route *r, const struct route_call *c,
-    const struct agb_route_input *in)
-{
-	struct route_budget *const b = budget_get(r, c->work);
-	const struct agb_env_class *const k = class_of(c, in);
-
-	b->tokens += k != NULL ? k->retry_budget_percent / 100.0 : 0;
-	if (b->tokens > BUDGET_MAX)
-		b->tokens = BUDGET_MAX;
-}
-
-static bool
-budget_take(struct agb_route *r, const struct route_call *c)
-{
-	struct route_budget *const b = budget_get(r, c->work);
-
-	if (b->tokens < 1.0)
-		return false;
-	b->tokens -= 1.0;
-	return true;
-}
-
-static agb_time
-retry_at(struct agb_route *r, agb_time now, uint32_t attempt)
-{
-	agb_time pause;
-
-	pause = RETRY_BASE << (attempt < 7 ? attempt : 7);
-	if (pause > RETRY_MAX)
-		pause = RETRY_MAX;
-	/* Full jitter keeps callers that failed together from returning
-	 * together. */
-	return now + (agb_time)(erand48(r->rng) * (double)pause) + 1;
-}
-
 struct agb_effect *
 route_ask_send(struct agb_route *r, struct route_call *c,
     const struct route_target *t, agb_x_proc proc, uint32_t timeout_ms,
@@ -438,7 +351,7 @@
 	if (!ev->rpc_ok || ev->u.rpc_res.proc != AGB_X_GRANT) {
 		/* Nothing has been sent to a runner, so nothing has run. The
 		 * owner takes back a grant that got lost. */
-		route_backoff(r, c, retry_at(r, now, c->asks));
+		route_backoff(r, c, route_retry_at(r, now, c->asks));
 		return;
 	}
 	g = &ev->u.rpc_res.agb_x_res_u.grant;
@@ -490,19 +403,6 @@
 	free(a);
 }
 
-static bool
-may_retry(struct agb_route *r, struct route_call *c,
-    const struct agb_ev_upstream *u, const struct agb_route_input *in)
-{
-	const struct agb_env_class *const k = class_of(c, in);
-
-	if (u->result == AGB_RESULT_NOT_STARTED)
-		return c->attempts <= REFUSED_RETRIES;
-	if (!c->idempotent || k == NULL || c->attempts > k->retries)
-		return false;
-	return budget_take(r, c);
-}
-
 static void
 on_upstream(struct agb_route *r, agb_time now, const struct agb_ev_upstream *u,
     const struct agb_route_input *in, struct agb_effects *out)
@@ -546,8 +446,8 @@
 		agb_name_set(c->deny_detail, sizeof(c->deny_detail),
 		    "the runner's answer did not arrive whole");
 	}
-	if (now < c->deadline && may_retry(r, c, u, in))
-		route_backoff(r, c, retry_at(r, now, c->attempts));
+	if (now < c->deadline && route_may_retry(r, c, u, in))
+		route_backoff(r, c, route_retry_at(r, now, c->attempts));
 	else
 		route_refuse(r, c, c->deny_outcome, c->deny_reason,
 		    c->deny_retry_ms, c->deny_detail, out);
@@ -575,107 +475,6 @@
 	route_call_end(r, c);
 }
 
-static bool
-authorize(struct agb_route *r, struct route_call *c,
-    const struct agb_ev_call *call, const struct agb_route_input *in,
-    struct agb_effects *out)
-{
-	const struct agb_env *const env = in->env;
-	uint16_t team, work;
-
-	if (env == NULL) {
-		route_refuse(r, c, AGB_NOT_RUN, AGB_REASON_NO_DOCUMENT, 1000,
-		    "no environment document is known yet", out);
-		return false;
-	}
-	if (call->kind == AGB_CALL_EXPLAIN)
-		return true;
-	team = agb_env_team_by_credential(env, call->credential);
-	if (team == AGB_ENV_NONE) {
-		route_refuse(r, c, AGB_NOT_RUN, AGB_REASON_BAD_CREDENTIAL, 0,
-		    "no team has this credential", out);
-		return false;
-	}
-	agb_name_set(c->team, sizeof(c->team), env->teams[team].name);
-	if (call->kind != AGB_CALL_QUICK && call->kind != AGB_CALL_JOB_SUBMIT)
-		return true;
-	work = agb_env_work_find(env, call->work);
-	if (work == AGB_ENV_NONE ||
-	    (env->classes[env->works[work].klass].policy == AGB_POLICY_QUICK) !=
-		(call->kind == AGB_CALL_QUICK)) {
-		route_refuse(r, c, AGB_NOT_RUN, AGB_REASON_NO_SERVICE, 0,
-		    "the document names no such service or kind of job", out);
-		return false;
-	}
-	if ((env->works[work].teams & UINT64_C(1) << team) == 0) {
-		route_refuse(r, c, AGB_NOT_RUN, AGB_REASON_NOT_ALLOWED, 0,
-		    "the team may not ask for this work", out);
-		return false;
-	}
-	return true;
-}
-
-static agb_time
-call_deadline(const struct agb_route *r, agb_time now,
-    const struct route_call *c, const struct agb_ev_call *call,
-    const struct agb_route_input *in)
-{
-	const struct agb_env_class *k;
-	uint32_t ms;
-
-	ms = call->deadline_ms;
-	if (c->kind == AGB_CALL_QUICK && ms == 0) {
-		k = class_of(c, in);
-		ms = k != NULL ? k->deadline_ms : 0;
-	}
-	/* The deadline of a job holds for its start, not for this request. */
-	if (c->kind == AGB_CALL_JOB_SUBMIT)
-		ms = 0;
-	if (c->kind == AGB_CALL_JOB_GET)
-		ms = call->wait_ms + r->cfg.call_timeout_ms;
-	if (ms == 0)
-		ms = r->cfg.call_timeout_ms;
-	return now + ms * AGB_MS;
-}
-
-static void
-on_call(struct agb_route *r, agb_time now, const struct agb_ev_call *call,
-    const struct agb_route_input *in, struct agb_effects *out)
-{
-	struct route_call *const c = agb_xcalloc(1, sizeof(*c));
-
-	c->id = call->id;
-	c->kind = call->kind;
-	/* The seed tells a restarted instance from its predecessor. */
-	snprintf(c->request, sizeof(c->request), "%.40s.%x.%llx",
-	    r->cfg.instance, (unsigned)(r->cfg.seed & 0xffffffff),
-	    (unsigned long long)++r->next_request);
-	agb_name_set(c->work, sizeof(c->work), call->work);
-	agb_name_set(c->job, sizeof(c->job), call->job);
-	agb_name_set(c->key, sizeof(c->key), call->key);
-	c->idempotent = call->idempotent;
-	c->accepted_at = now;
-	c->wait_ms = call->wait_ms;
-	c->body_bytes = call->body_bytes;
-	c->tasks = call->tasks;
-	c->need = call->need;
-	c->run_ms = call->run_ms;
-	if (call->args != NULL) {
-		c->args = agb_xmemdup(call->args, call->args_len);
-		c->args_len = call->args_len;
-	}
-	HASH_ADD(hh, r->calls, id, sizeof(c->id), c);
-	if (!authorize(r, c, call, in, out))
-		return;
-	c->deadline = call_deadline(r, now, c, call, in);
-	c->owner_deadline = now + ROUTE_OWNER_WAIT;
-	if (c->kind == AGB_CALL_JOB_SUBMIT)
-		c->wait_ms = call->deadline_ms;
-	if (c->kind == AGB_CALL_QUICK)
-		budget_earn(r, c, in);
-	route_ask_start(r, now, c, in, out);
-}
-
 static void
 on_tick(struct agb_route *r, agb_time now, const struct agb_route_input *in,
     struct agb_effects *out)
@@ -726,7 +525,7 @@
 		on_term(r, now, in, out);
 		break;
 	case AGB_EV_CALL:
-		on_call(r, now, &ev->u.call, in, out);
+		route_admit(r, now, &ev->u.call, in, out);
 		break;
 	case AGB_EV_CALL_GONE:
 		on_call_gone(r, now, ev->call_id, in, out);
--- a/src/agatebeam/route_internal.h
+++ b/src/agatebeam/route_internal.h
@@ -4,9 +4,10 @@
 /**
  * DOC: route_internal
  *
- * State shared by the files of the route module: the table of requests, the
- * choice of a shard (route_choose.c) and the releases that owners still have
- * to take (route_release.c).
+ * State shared by the files of the route module: requests (route.c), their
+ * admission (route_admit.c), the choice of a shard (route_choose.c), jobs
+ * (route_job.c), retries and their budget (route_retry.c), and the releases
+ * that owners still have to take (route_release.c).
  */
 
 #include <uthash.h>
@@ -214,6 +215,11 @@
  */
 uint64_t route_tag(struct agb_route *r);
 
+/**
+ * route_call_free() - free a request that is in no table
+ */
+void route_call_free(struct route_call *c);
+
 /**
  * route_call_end() - drop an answered request
  */
@@ -288,4 +294,37 @@
  */
 int route_status_code(enum agb_reason reason);
 
+/**
+ * route_admit() - check a caller's request and begin with it, or refuse it
+ */
+void route_admit(struct agb_route *r, agb_time now,
+    const struct agb_ev_call *call, const struct agb_route_input *in,
+    struct agb_effects *out);
+
+/**
+ * route_class() - class of a request's work
+ * Return: NULL when the document in force does not name it.
+ */
+const struct agb_env_class *route_class(
+    const struct route_call *c, const struct agb_route_input *in);
+
+/**
+ * route_budget_earn() - count a first attempt towards the retry budget
+ */
+void route_budget_earn(struct agb_route *r, const struct route_call *c,
+    const struct agb_route_input *in);
+
+/**
+ * route_may_retry() - whether a request may be tried again after an attempt
+ * @u: how the attempt ended; a retry after a lost one is paid from the budget
+ */
+bool route_may_retry(struct agb_route *r, struct route_call *c,
+    const struct agb_ev_upstream *u, const struct agb_route_input *in);
+
+/**
+ * route_retry_at() - time of the next try, jittered
+ * @attempt: attempts or asks so far
+ */
+agb_time route_retry_at(struct agb_route *r, agb_time now, uint32_t attempt);
+
 #endif
--- a/tests/history/world_load.c
+++ b/tests/history/world_load.c
@@ -352,7 +352,7 @@
 	c->accepted = !known;
 	c->cancel = c->cancel || (c->service && w->quiet);
 	if (c->accepted && w->kind == W_FAULTS &&
-	    (call * 7919 + w->seed) % 12 == 0) {
+	    (call * UINT64_C(7919) + w->seed) % 12 == 0) {
 		/* Some callers give up at once, while a start is under way. */
 		c->cancel = true;
 		poll_plan(w, call, (agb_time)(w_draw(w) * 200e3));
