fix(owner): what no worker of the shard can hold is refused before it is accepted

Cause: a job larger than every worker of its shard was accepted with 202 and then ended as never-fits, without another shard having been asked. Change: the owner checks the size against the empty fleet before it accepts; the entry instance then asks the next shard, and tells never-fits only when all say so. Before: 202 for 32 processors where the largest worker offers 28. Conclusion: callers hear it at once.

--- a/src/agatebeam/owner_submit.c
+++ b/src/agatebeam/owner_submit.c
@@ -4,6 +4,7 @@
 
 #include "mem.h"
 #include "owner_internal.h"
+#include "proto.h"
 
 static void
 submit_reply(const struct agb_owner *o, uint64_t token, const char *job,
@@ -53,10 +54,27 @@
 	return need < 0 || (max > 0 && need > max);
 }
 
+/* The need of each task: the work's own when the caller gave none. */
+static struct agb_resources
+need_of(const agb_x_submit_args *a, const struct agb_env_work *k)
+{
+	const struct agb_resources need = agb_proto_resources_get(&a->need);
+
+	if (need.cpu_milli == 0 && need.mem_mb == 0 && need.accel == 0)
+		return k->need;
+	return need;
+}
+
+/*
+ * Whether a job may be accepted here. What no worker of the shard can hold is
+ * refused before it is accepted, so that the entry instance asks another one.
+ * @why: room for a detail that is made up here
+ */
 static enum agb_reason
-submit_check(
-    const struct agb_owner *o, const agb_x_submit_args *a, const char **detail)
+submit_check(const struct agb_owner *o, const agb_x_submit_args *a,
+    char why[AGB_DETAIL_LEN], const char **detail)
 {
+	struct agb_resources need;
 	const uint16_t work = agb_env_work_find(o->env, a->work);
 	const uint16_t team = agb_env_team_find(o->env, a->team);
 	const struct agb_env_work *k;
@@ -79,6 +97,11 @@
 	    over(a->need.mem_mb, k->need_max.mem_mb) ||
 	    over(a->need.accel, k->need_max.accel))
 		return AGB_REASON_BAD_REQUEST;
+	need = need_of(a, k);
+	*detail = why;
+	if (!agb_sched_feasible(
+		o->sched, work, a->tasks, &need, why, AGB_DETAIL_LEN))
+		return AGB_REASON_NEVER_FITS;
 	return AGB_REASON_NONE;
 }
 
@@ -88,6 +111,7 @@
 {
 	const struct agb_env_work *const k =
 	    &o->env->works[agb_env_work_find(o->env, a->work)];
+	const struct agb_resources need = need_of(a, k);
 	agb_j_record rec = {.type = AGB_J_JOB};
 	agb_j_job *const r = &rec.agb_j_record_u.job;
 	struct own_job *j;
@@ -108,15 +132,9 @@
 	r->team = a->team;
 	r->key = a->key;
 	r->tasks = a->tasks;
-	r->cpu_milli = a->need.cpu_milli;
-	r->mem_mb = a->need.mem_mb;
-	r->accel = a->need.accel;
-	if (a->need.cpu_milli == 0 && a->need.mem_mb == 0 &&
-	    a->need.accel == 0) {
-		r->cpu_milli = k->need.cpu_milli;
-		r->mem_mb = k->need.mem_mb;
-		r->accel = k->need.accel;
-	}
+	r->cpu_milli = need.cpu_milli;
+	r->mem_mb = need.mem_mb;
+	r->accel = need.accel;
 	r->run_ms = a->run_ms != 0 ? a->run_ms : k->run_ms;
 	r->deadline_ms = a->deadline_ms != 0
 	    ? a->deadline_ms
@@ -134,6 +152,7 @@
 own_job_submit(struct agb_owner *o, agb_time now, uint64_t token,
     const agb_x_submit_args *a, struct agb_effects *out)
 {
+	char why[AGB_DETAIL_LEN];
 	const char *detail;
 	enum agb_reason reason;
 	struct own_job *j = NULL;
@@ -154,7 +173,7 @@
 		token_add(j, token);
 		return;
 	}
-	reason = submit_check(o, a, &detail);
+	reason = submit_check(o, a, why, &detail);
 	if (reason == AGB_REASON_NONE && !own_leased(o, now)) {
 		reason = AGB_REASON_ISOLATED;
 		detail = "the store cannot be reached to accept the job";
--- a/src/agatebeam/sched.h
+++ b/src/agatebeam/sched.h
@@ -287,6 +287,19 @@
 struct agb_resources agb_sched_team_usage(
     const struct agb_sched *s, uint16_t team);
 
+/**
+ * agb_sched_feasible() - whether the fleet could hold a job were it empty
+ * @s: the shard
+ * @work: kind of job; all tasks of a gang are held at once
+ * @tasks: its number of tasks
+ * @need: need of each task
+ * @why: set to the reason when it could not, NUL-terminated
+ * @len: size of @why in bytes, at least 1
+ * Return: true also while no worker is known.
+ */
+bool agb_sched_feasible(const struct agb_sched *s, uint16_t work,
+    uint32_t tasks, const struct agb_resources *need, char *why, size_t len);
+
 /**
  * agb_sched_explain() - why a job stands where it does
  * @s: the shard
--- a/src/agatebeam/sched_feasible.c
+++ b/src/agatebeam/sched_feasible.c
@@ -91,21 +91,20 @@
 }
 
 bool
-sched_feasible_job(
-    struct agb_sched *s, const struct sched_job *j, char *why, size_t len)
+agb_sched_feasible(const struct agb_sched *s, uint16_t work, uint32_t tasks,
+    const struct agb_resources *need, char *why, size_t len)
 {
-	const bool gang =
-	    sched_class(s, j->spec.work)->policy == AGB_POLICY_GANG;
-	const uint32_t want = gang ? j->spec.tasks : 1;
+	const bool gang = sched_class(s, work)->policy == AGB_POLICY_GANG;
+	const uint32_t want = gang ? tasks : 1;
 	uint32_t units;
 	bool any;
 
-	units = fleet_units(s, &j->spec.need, want, &any);
+	units = fleet_units(s, need, want, &any);
 	/* Without any worker nothing is known of the fleet. */
 	if (!any || units >= want)
 		return true;
 	if (units == 0)
-		largest_text(s, &j->spec.need, why, len);
+		largest_text(s, need, why, len);
 	else
 		snprintf(why, len,
 		    "needs %u tasks at once; all workers together hold %u",
@@ -113,6 +112,14 @@
 	return false;
 }
 
+bool
+sched_feasible_job(
+    struct agb_sched *s, const struct sched_job *j, char *why, size_t len)
+{
+	return agb_sched_feasible(
+	    s, j->spec.work, j->spec.tasks, &j->spec.need, why, len);
+}
+
 void
 sched_feasible_changed(struct agb_sched *s, agb_time now)
 {
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -501,6 +501,45 @@
 	shard_free(s);
 }
 
+/* Guards against a job accepted that no worker of the shard can ever hold:
+ * the entry instance would not ask another shard. */
+static void
+test_never_fits(void)
+{
+	static const struct {
+		int64_t cpu_milli;
+		bool accepted;
+		enum agb_reason reason;
+	} cases[] = {
+	    {1000, true, AGB_REASON_NONE},
+	    {5000, false, AGB_REASON_NEVER_FITS},
+	};
+	const agb_x_submit_res *res;
+	struct agb_event ev;
+	struct shard *s;
+	uint64_t token;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		s = shard_new(1);
+		ev = shard_rpc(s, AGB_X_SUBMIT);
+		token = ev.token;
+		ev.u.rpc_args.agb_x_args_u.submit.work = agb_xstrdup("plan");
+		ev.u.rpc_args.agb_x_args_u.submit.team = agb_xstrdup("red");
+		ev.u.rpc_args.agb_x_args_u.submit.key = agb_xstrdup("");
+		ev.u.rpc_args.agb_x_args_u.submit.tasks = 1;
+		ev.u.rpc_args.agb_x_args_u.submit.need.cpu_milli =
+		    cases[i].cpu_milli;
+		shard_step(s, 0, &ev);
+		shard_run(s, 500 * AGB_MS);
+		res = submitted(s, token);
+		CU_ASSERT_EQUAL(res->accepted, cases[i].accepted);
+		CU_ASSERT_EQUAL(res->reason, cases[i].reason);
+		CU_ASSERT_EQUAL(res->outcome, AGB_NOT_RUN);
+		shard_free(s);
+	}
+}
+
 /* Guards against a cancellation that is forgotten because the start's
  * answer was still out. */
 static void
@@ -996,6 +1035,7 @@
     {"other_owner_seen", test_other_owner_seen},
     {"paused_owner", test_paused_owner},
     {"isolation", test_isolation},
+    {"never_fits", test_never_fits},
     {"isolated_submits", test_isolated_submits},
     {"takeover_worker_gone", test_takeover_worker_gone},
     {"silent_worker", test_silent_worker},
