perf(member): members are listed to other owners every 4 seconds

Cause: an owner's bytes are over their limit at the target size, and every summary listed the members of the domain. Change: they go with the lists of team usage, every 4 s.

--- a/src/agatebeam/member.c
+++ b/src/agatebeam/member.c
@@ -13,9 +13,10 @@
 #define SUMMARY_INTERVAL_NEAR (1 * AGB_SEC)
 /* The link between regions is paid by volume. */
 #define SUMMARY_INTERVAL_FAR (2 * AGB_SEC)
-/* Least time between lists of team usage to one domain: in every summary the
- * lists of 39 teams were 60% of what an owner exchanges with 8 others. */
-#define TEAMS_INTERVAL (4 * AGB_SEC)
+/* Least time between lists of team usage and of members to one domain: in
+ * every summary the lists of 39 teams were 60% of what an owner exchanges with
+ * 8 others. The load of the shard goes with every summary. */
+#define LISTS_INTERVAL (4 * AGB_SEC)
 /* Age at which a view of a shard is no longer used for routing. */
 #define VIEW_MAX_AGE (10 * AGB_SEC)
 /* Silence after which the owner is not counted on to relay documents. */
@@ -317,13 +318,13 @@
 	agb_proto_clone(
 	    (xdrproc_t)xdr_agb_x_shard, &a->shard, in->shard, sizeof(a->shard));
 	a->shard.serial = m->serial;
-	if (now >= w->next_teams || w->told_epoch != w->v.epoch) {
-		w->next_teams = now + TEAMS_INTERVAL;
+	if (now >= w->next_lists || w->told_epoch != w->v.epoch) {
+		w->next_lists = now + LISTS_INTERVAL;
 		w->told_epoch = w->v.epoch;
 		a->has_teams = TRUE;
 		fill_teams(in, a);
+		fill_members(m, now, in, a);
 	}
-	fill_members(m, now, in, a);
 }
 
 /* A live entry instance of a domain, drawn at random, to ask who owns its
--- a/src/agatebeam/member_internal.h
+++ b/src/agatebeam/member_internal.h
@@ -30,7 +30,7 @@
 struct view {
 	struct agb_shard_view v;
 	agb_time next_summary;
-	agb_time next_teams;
+	agb_time next_lists;
 	uint64_t told_epoch; /* of the owner that was told of teams */
 	UT_hash_handle hh;
 };
