perf(node): use of each team is read with a tick only

Cause: every event read the use of all teams, which only the summaries that go out with a tick need. Change: it is read at the start of a tick. Conclusion: the summary of the shard is still made for every event; route and member would have to ask for it to spare that.

--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -106,7 +106,6 @@
 view_open(struct agb_node *n, agb_time now, struct view *v)
 {
 	const struct agb_env *const env = agb_envsync_env(n->envsync);
-	uint16_t i;
 
 	memset(v, 0, sizeof(*v));
 	v->has_shard = agb_owner_shard(n->owner, now, &v->shard);
@@ -117,10 +116,6 @@
 	v->member.leaving = n->term;
 	v->member.shard = v->has_shard ? &v->shard : NULL;
 	v->member.team_used = n->team_used;
-	if (v->has_shard && env != NULL) {
-		for (i = 0; i < env->teams_len; i++)
-			n->team_used[i] = agb_owner_team_used(n->owner, i);
-	}
 	v->route.env = env;
 	v->route.member = n->member;
 	v->route.owner = v->member.owner;
@@ -307,10 +302,24 @@
 	agb_effects_add(out, AGB_EF_EXIT)->ready = !late;
 }
 
+/* Summaries go out with a tick only, so that no other event needs the use of
+ * each team. */
+static void
+team_used_read(struct agb_node *n, const struct view *v)
+{
+	uint16_t i;
+
+	if (!v->has_shard || v->member.env == NULL)
+		return;
+	for (i = 0; i < v->member.env->teams_len; i++)
+		n->team_used[i] = agb_owner_team_used(n->owner, i);
+}
+
 static void
 on_tick(struct agb_node *n, agb_time now, const struct agb_event *ev,
     const struct view *v, struct agb_effects *out)
 {
+	team_used_read(n, v);
 	poll_list(n, now, out);
 	agb_owner_step(n->owner, now, ev, out);
 	agb_envsync_step(n->envsync, now, ev, out);
