refactor(route,history): drop a field, a type and an assignment without use

Cause: accepted_at of a request, struct wevent and an assignment were written or declared and never read. Change: they are gone. Before and after: 33 of 33 test programs pass.

--- a/src/agatebeam/route_admit.c
+++ b/src/agatebeam/route_admit.c
@@ -98,7 +98,6 @@
 	agb_name_set(c->job, sizeof(c->job), call->job);
 	agb_name_set(c->key, sizeof(c->key), call->key);
 	c->idempotent = call->idempotent;
-	c->accepted_at = now;
 	c->wait_ms = call->wait_ms;
 	c->body_bytes = call->body_bytes;
 	c->tasks = call->tasks;
--- a/src/agatebeam/route_internal.h
+++ b/src/agatebeam/route_internal.h
@@ -47,7 +47,6 @@
 	uint64_t ask_tag;
 	uint64_t body_bytes;
 	uint64_t tried_version;
-	agb_time accepted_at;
 	agb_time deadline;
 	agb_time owner_deadline;
 	agb_time wake_at;
--- a/tests/history/world.c
+++ b/tests/history/world.c
@@ -277,7 +277,6 @@
 	snprintf(it.id, sizeof(it.id), "%s-%u", node->name, node->incarnation);
 	memcpy(it.domain, node->domain, sizeof(it.domain));
 	w_list_add(w, &it);
-	r = NULL;
 	w_push(w, w->now + 100 * AGB_MS + (agb_time)(w_draw(w) * 2e6), M_START)
 	    ->node = n;
 }
--- a/tests/history/world.h
+++ b/tests/history/world.h
@@ -92,10 +92,6 @@
 	bool fails;
 };
 
-struct wevent {
-	struct agb_worker_event ev;
-};
-
 struct wworker {
 	agb_name name;
 	agb_name domain;
