--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SECONDS ?= 60
 
 C_FILES = $(shell git ls-files --cached --others --exclude-standard \
-	'src/agatebeam/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
+	'src/agatebeam/*.[ch]' 'src/workflow/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
 
 .PHONY: all deps build asan run run-valgrind test test-asan lint format format-check \
 	bench history history-mutants golden fuzz capacity proto clean
@@ -92,6 +92,10 @@
 	    mv gen/agb_journal.h.new gen/agb_journal.h
 	cd src/agatebeam && rpcgen -C -c agb_journal.x >gen/agb_journal_xdr.new && \
 	    mv gen/agb_journal_xdr.new gen/agb_journal_xdr.c
+	cd src/workflow && rpcgen -C -h wf_record.x >gen/wf_record.h.new && \
+	    mv gen/wf_record.h.new gen/wf_record.h
+	cd src/workflow && rpcgen -C -c wf_record.x >gen/wf_record_xdr.new && \
+	    mv gen/wf_record_xdr.new gen/wf_record_xdr.c
 
 clean:
 	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -17,6 +17,7 @@
 const AGB_X_TEAMS_MAX = 64;
 const AGB_X_RELEASES_MAX = 1024;
 const AGB_X_ITEMS_MAX = 1024;
+const AGB_X_ADVICE_MAX = 100;
 
 typedef string agb_x_name<AGB_X_NAME_MAX>;
 typedef string agb_x_id<AGB_X_ID_MAX>;
@@ -35,7 +36,8 @@
 	AGB_X_CANCEL = 7,
 	AGB_X_ENV_GET = 8,
 	AGB_X_EXPLAIN = 9,
-	AGB_X_STATUS = 10
+	AGB_X_STATUS = 10,
+	AGB_X_ADVISE = 11
 };
 
 struct agb_x_resources {
@@ -206,6 +208,28 @@
 	string text<AGB_X_TEXT_MAX>;
 };
 
+/* Asks an instance to call the advice service: which of the runners may run
+ * a step. The service takes the calls of one instance one after the other. */
+struct agb_x_advise_args {
+	agb_x_id job;
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int timeout_ms;
+	agb_x_id runners<AGB_X_ADVICE_MAX>;
+};
+
+struct agb_x_ticket {
+	agb_x_id runner;
+	agb_x_id ticket;
+};
+
+struct agb_x_advise_res {
+	bool ok;
+	bool busy;
+	unsigned int valid_ms;
+	agb_x_ticket tickets<AGB_X_ADVICE_MAX>;
+};
+
 union agb_x_args switch (agb_x_proc proc) {
 case AGB_X_NULL:
 	void;
@@ -229,6 +253,8 @@
 	agb_x_explain_args explain;
 case AGB_X_STATUS:
 	void;
+case AGB_X_ADVISE:
+	agb_x_advise_args advise;
 };
 
 /* AGB_X_CANCEL and AGB_X_JOB_GET both answer with the state of the job. */
@@ -255,4 +281,6 @@
 	agb_x_text_res explain;
 case AGB_X_STATUS:
 	agb_x_text_res status;
+case AGB_X_ADVISE:
+	agb_x_advise_res advise;
 };
--- a/src/agatebeam/daemon_main.c
+++ b/src/agatebeam/daemon_main.c
@@ -12,7 +12,9 @@
 
 #include "daemon.h"
 #include "mem.h"
+#include "platform.h"
 #include "settings.h"
+#include "wf_daemon.h"
 
 #define SETTINGS_MAX ((size_t)256 * 1024)
 #define EXIT_BAD_INPUT 2
@@ -62,16 +64,33 @@
 	return ok;
 }
 
+static int
+run_on_platform(const struct arg_file *file)
+{
+	const char *const path = file->count > 0
+	    ? file->filename[0]
+	    : getenv(PLATFORM_SETTINGS_ENV);
+
+	if (path == NULL) {
+		fprintf(stderr, "agatebeamd: no settings file is named\n");
+		return EXIT_BAD_INPUT;
+	}
+	return wf_daemon_run(path, &platform_ops);
+}
+
 int
 main(int argc, char **argv)
 {
 	struct arg_file *const file =
-	    arg_file1("s", "settings", "FILE", "settings, JSON with comments");
+	    arg_file0("s", "settings", "FILE", "settings, JSON with comments");
+	struct arg_lit *const on_platform = arg_lit0("p", "platform",
+	    "run on the platform; its settings file is named by the "
+	    "environment when no FILE is given");
 	struct arg_lit *const check =
 	    arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *const help = arg_lit0("h", "help", "this text");
 	struct arg_end *const end = arg_end(8);
-	void *table[] = {file, check, help, end};
+	void *table[] = {file, on_platform, check, help, end};
 	struct agb_settings s;
 	int errors, status;
 
@@ -88,6 +107,14 @@
 		arg_print_errors(stderr, end, "agatebeamd");
 		goto out;
 	}
+	if (on_platform->count > 0) {
+		status = run_on_platform(file);
+		goto out;
+	}
+	if (file->count == 0) {
+		fprintf(stderr, "agatebeamd: missing option -s|--settings\n");
+		goto out;
+	}
 	if (!load(file->filename[0], &s))
 		goto out;
 	status = check->count > 0 ? 0 : agb_daemon_run(&s);
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -26,6 +26,7 @@
 #define AGB_X_TEAMS_MAX 64
 #define AGB_X_RELEASES_MAX 1024
 #define AGB_X_ITEMS_MAX 1024
+#define AGB_X_ADVICE_MAX 100
 
 typedef char *agb_x_name;
 
@@ -49,6 +50,7 @@
 	AGB_X_ENV_GET = 8,
 	AGB_X_EXPLAIN = 9,
 	AGB_X_STATUS = 10,
+	AGB_X_ADVISE = 11,
 };
 typedef enum agb_x_proc agb_x_proc;
 
@@ -253,6 +255,35 @@
 };
 typedef struct agb_x_text_res agb_x_text_res;
 
+struct agb_x_advise_args {
+	agb_x_id job;
+	u_int occurrence;
+	u_int step;
+	u_int timeout_ms;
+	struct {
+		u_int runners_len;
+		agb_x_id *runners_val;
+	} runners;
+};
+typedef struct agb_x_advise_args agb_x_advise_args;
+
+struct agb_x_ticket {
+	agb_x_id runner;
+	agb_x_id ticket;
+};
+typedef struct agb_x_ticket agb_x_ticket;
+
+struct agb_x_advise_res {
+	bool_t ok;
+	bool_t busy;
+	u_int valid_ms;
+	struct {
+		u_int tickets_len;
+		agb_x_ticket *tickets_val;
+	} tickets;
+};
+typedef struct agb_x_advise_res agb_x_advise_res;
+
 struct agb_x_args {
 	agb_x_proc proc;
 	union {
@@ -265,6 +296,7 @@
 		agb_x_cancel_args cancel;
 		agb_x_env_get_args env_get;
 		agb_x_explain_args explain;
+		agb_x_advise_args advise;
 	} agb_x_args_u;
 };
 typedef struct agb_x_args agb_x_args;
@@ -281,6 +313,7 @@
 		agb_x_env_get_res env_get;
 		agb_x_text_res explain;
 		agb_x_text_res status;
+		agb_x_advise_res advise;
 	} agb_x_res_u;
 };
 typedef struct agb_x_res agb_x_res;
@@ -316,6 +349,9 @@
 extern  bool_t xdr_agb_x_env_get_res (XDR *, agb_x_env_get_res*);
 extern  bool_t xdr_agb_x_explain_args (XDR *, agb_x_explain_args*);
 extern  bool_t xdr_agb_x_text_res (XDR *, agb_x_text_res*);
+extern  bool_t xdr_agb_x_advise_args (XDR *, agb_x_advise_args*);
+extern  bool_t xdr_agb_x_ticket (XDR *, agb_x_ticket*);
+extern  bool_t xdr_agb_x_advise_res (XDR *, agb_x_advise_res*);
 extern  bool_t xdr_agb_x_args (XDR *, agb_x_args*);
 extern  bool_t xdr_agb_x_res (XDR *, agb_x_res*);
 
@@ -348,6 +384,9 @@
 extern bool_t xdr_agb_x_env_get_res ();
 extern bool_t xdr_agb_x_explain_args ();
 extern bool_t xdr_agb_x_text_res ();
+extern bool_t xdr_agb_x_advise_args ();
+extern bool_t xdr_agb_x_ticket ();
+extern bool_t xdr_agb_x_advise_res ();
 extern bool_t xdr_agb_x_args ();
 extern bool_t xdr_agb_x_res ();
 
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -732,6 +732,140 @@
 	return TRUE;
 }
 
+bool_t
+xdr_agb_x_advise_args (XDR *xdrs, agb_x_advise_args *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_agb_x_id (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->occurrence);
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->timeout_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, AGB_X_ADVICE_MAX,
+			sizeof (agb_x_id), (xdrproc_t) xdr_agb_x_id))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_agb_x_id (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+
+		} else {
+		objp->occurrence = IXDR_GET_U_LONG(buf);
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->timeout_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, AGB_X_ADVICE_MAX,
+			sizeof (agb_x_id), (xdrproc_t) xdr_agb_x_id))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_agb_x_id (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, AGB_X_ADVICE_MAX,
+		sizeof (agb_x_id), (xdrproc_t) xdr_agb_x_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_ticket (XDR *xdrs, agb_x_ticket *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_id (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_agb_x_id (xdrs, &objp->ticket))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_advise_res (XDR *xdrs, agb_x_advise_res *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->ok))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->busy))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->ok);
+		IXDR_PUT_BOOL(buf, objp->busy);
+		IXDR_PUT_U_LONG(buf, objp->valid_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->tickets.tickets_val, (u_int *) &objp->tickets.tickets_len, AGB_X_ADVICE_MAX,
+			sizeof (agb_x_ticket), (xdrproc_t) xdr_agb_x_ticket))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->ok))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->busy))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+
+		} else {
+		objp->ok = IXDR_GET_BOOL(buf);
+		objp->busy = IXDR_GET_BOOL(buf);
+		objp->valid_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->tickets.tickets_val, (u_int *) &objp->tickets.tickets_len, AGB_X_ADVICE_MAX,
+			sizeof (agb_x_ticket), (xdrproc_t) xdr_agb_x_ticket))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_bool (xdrs, &objp->ok))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->busy))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tickets.tickets_val, (u_int *) &objp->tickets.tickets_len, AGB_X_ADVICE_MAX,
+		sizeof (agb_x_ticket), (xdrproc_t) xdr_agb_x_ticket))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_agb_x_args (XDR *xdrs, agb_x_args *objp)
 {
@@ -780,6 +914,10 @@
 		break;
 	case AGB_X_STATUS:
 		break;
+	case AGB_X_ADVISE:
+		 if (!xdr_agb_x_advise_args (xdrs, &objp->agb_x_args_u.advise))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -834,6 +972,10 @@
 		 if (!xdr_agb_x_text_res (xdrs, &objp->agb_x_res_u.status))
 			 return FALSE;
 		break;
+	case AGB_X_ADVISE:
+		 if (!xdr_agb_x_advise_res (xdrs, &objp->agb_x_res_u.advise))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -186,6 +186,8 @@
 		break;
 	case AGB_X_NULL:
 	case AGB_X_STATUS:
+	case AGB_X_ADVISE:
+		/* Advice is for the workflow reducer; here it is refused. */
 		ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
 		ef->token = ev->token;
 		ef->u.rpc_res.proc = ev->u.rpc_args.proc;
--- a/src/agatebeam/store.h
+++ b/src/agatebeam/store.h
@@ -71,6 +71,7 @@
 	size_t puts_len;
 	int64_t lease;
 	uint32_t ttl_s;
+	uint32_t ttl_ms; /* finer than ttl_s where the store has it; or 0 */
 };
 
 /**
@@ -187,6 +188,8 @@
  *	watch callback gets changes until it is called with broken set, after
  *	which the watch is gone. The callee owns the keys.
  * @unwatch: ends a watch without a further callback
+ * @pace: least time between two deliveries of a watch, so that changes come
+ *	in batches; NULL where the store sends changes by itself
  * @calls: number of calls made so far, a waiting watch counted as one
  * @close: ends all, without further callbacks, and frees the client
  */
@@ -196,6 +199,7 @@
 	void (*watch)(struct agb_store *s, uint64_t tag, const char *key,
 	    const char *range_end, uint64_t from_rev);
 	void (*unwatch)(struct agb_store *s, uint64_t tag);
+	void (*pace)(struct agb_store *s, uint64_t tag, uint32_t gap_ms);
 	uint64_t (*calls)(const struct agb_store *s);
 	void (*close)(struct agb_store *s);
 };
--- /dev/null
+++ b/src/workflow/wf_advice.c
@@ -0,0 +1,379 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "wf_leader.h"
+
+/* Runners named in the first call for a step. */
+#define NAMED_FIRST 30
+/* The service takes one call of an instance at a time. Calls longer than
+ * this go to one half of the instances, so that short ones do not wait
+ * behind them. */
+#define LONG_MS 200
+/* An instance that is busy for longer gets no further call. */
+#define BACKLOG_LONG_MS 1600
+#define BACKLOG_SHORT_MS 250
+/* Beyond its expected time a call waits this long for its answer. */
+#define ANSWER_SLACK_MS 1500
+#define ADVISOR_BAD_MS 2000
+#define ASK_RETRY_MS 40
+/* Time between the service's answer and the arrival of a start. */
+#define TICKET_MARGIN_MS 120
+/* A unit that has waited this long asks about further runners. */
+#define WIDEN_AFTER_MS 1000
+
+const struct wf_approval *
+wf_advice_of(const struct wf_unit *u, uint32_t runner)
+{
+	size_t i;
+
+	for (i = 0; i < u->approvals_len; i++) {
+		if (u->approvals[i].runner == runner)
+			return &u->approvals[i];
+	}
+	return NULL;
+}
+
+static bool
+advisor_keep(const struct wf_leader *l, struct wf_advisor *a, size_t n,
+    const char *name, struct wf_advisor *out)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(a[i].name, name) == 0) {
+			*out = a[i];
+			return true;
+		}
+	}
+	return false;
+}
+
+static int
+advisor_order(const void *a, const void *b)
+{
+	return strcmp(((const struct wf_advisor *)a)->name,
+	    ((const struct wf_advisor *)b)->name);
+}
+
+void
+wf_advice_peers(struct wf_leader *l)
+{
+	struct wf_advisor *const old = l->advisors;
+	const size_t old_len = l->advisors_len;
+	struct wf_peer *p, *p2;
+	struct wf_advisor *a;
+	size_t i, n;
+
+	n = HASH_COUNT(l->table->peers) + 1;
+	l->advisors = agb_xcalloc(n, sizeof(*l->advisors));
+	l->advisors_len = 0;
+	HASH_ITER(hh, l->table->peers, p, p2) {
+		if (strcmp(p->name, l->self) == 0)
+			continue;
+		a = &l->advisors[l->advisors_len++];
+		advisor_keep(l, old, old_len, p->name, a);
+		agb_name_set(a->name, sizeof(a->name), p->name);
+		agb_name_set(a->peer, sizeof(a->peer), p->rpc);
+	}
+	qsort(l->advisors, l->advisors_len, sizeof(*l->advisors),
+	    advisor_order);
+	/* The leader's own calls come last: it has the most to do. */
+	a = &l->advisors[l->advisors_len++];
+	advisor_keep(l, old, old_len, l->self, a);
+	agb_name_set(a->name, sizeof(a->name), l->self);
+	a->peer[0] = '\0';
+	for (i = 0; i < l->asks_len; i++)
+		l->asks[i].advisor = WF_NONE;
+	free(old);
+}
+
+void
+wf_advice_free(struct wf_leader *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->asks_len; i++) {
+		free(l->asks[i].runners);
+		free(l->asks[i].lives);
+	}
+	free(l->asks);
+	free(l->advisors);
+}
+
+static uint32_t
+advisor_choose(const struct wf_leader *l, agb_time now, uint32_t est_ms)
+{
+	const bool is_long = est_ms > LONG_MS;
+	const size_t split = l->advisors_len / 2;
+	const agb_time limit = now +
+	    (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
+	uint32_t best;
+	size_t i;
+
+	best = WF_NONE;
+	for (i = 0; i < l->advisors_len; i++) {
+		if (l->advisors_len > 1 && (i < split) != is_long)
+			continue;
+		if (now < l->advisors[i].bad_until ||
+		    l->advisors[i].busy_until > limit)
+			continue;
+		if (best == WF_NONE ||
+		    l->advisors[i].busy_until < l->advisors[best].busy_until)
+			best = (uint32_t)i;
+	}
+	return best;
+}
+
+static void
+ask_send(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    const uint32_t *runners, size_t len, struct wf_effects *out)
+{
+	const struct wf_queue *const q = wf_unit_queue(l, u);
+	struct wf_advisor *adv;
+	struct wf_ask_out *ask;
+	struct wf_effect *ef;
+	uint32_t est, ai;
+	size_t i;
+
+	est = (uint32_t)(q->advice_ms + q->advice_each_ms * (double)len) + 1;
+	ai = advisor_choose(l, now->mono, est);
+	if (ai == WF_NONE) {
+		u->ask_after = now->mono + ASK_RETRY_MS * AGB_MS;
+		return;
+	}
+	adv = &l->advisors[ai];
+	if (adv->busy_until < now->mono)
+		adv->busy_until = now->mono;
+	adv->busy_until += est * AGB_MS;
+	l->asks = agb_xreallocarray(
+	    l->asks, l->asks_len + 1, sizeof(*l->asks));
+	ask = &l->asks[l->asks_len++];
+	memset(ask, 0, sizeof(*ask));
+	ask->tag = ++l->next_tag;
+	ask->advisor = ai;
+	agb_name_set(ask->job, sizeof(ask->job), u->exec->job->id);
+	ask->unit = (uint32_t)(u - u->exec->units);
+	ask->sent_at = now->mono;
+	ask->est_ms = est;
+	ask->runners = agb_xcalloc(len, sizeof(*ask->runners));
+	ask->lives = agb_xcalloc(len, sizeof(*ask->lives));
+	ask->runners_len = len;
+	u->asking = true;
+	u->ask_tag = ask->tag;
+	ef = wf_effects_add(
+	    out, adv->peer[0] != '\0' ? WF_EF_PEER_ASK : WF_EF_ADVISE);
+	ef->tag = ask->tag;
+	agb_name_set(ef->peer, sizeof(ef->peer), adv->peer);
+	wf_exec_ref(u, 0, &ef->u.ask.step);
+	ef->u.ask.est_ms = est;
+	ef->u.ask.timeout_ms =
+	    (uint32_t)((adv->busy_until - now->mono) / AGB_MS) +
+	    ANSWER_SLACK_MS;
+	ef->timeout_ms = ef->u.ask.timeout_ms;
+	ef->u.ask.runners = agb_xcalloc(len, sizeof(agb_id));
+	ef->u.ask.runners_len = len;
+	for (i = 0; i < len; i++) {
+		ask->runners[i] = runners[i];
+		ask->lives[i] = l->runners[runners[i]].life;
+		agb_name_set(ef->u.ask.runners[i], sizeof(agb_id),
+		    l->runners[runners[i]].info.id);
+	}
+	wf_effects_log(out, AGB_LOG_INFO, "ask",
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
+	    " runners=%zu through=%s expected_ms=%" PRIu32,
+	    ask->job, u->occurrence, u->step, len, adv->name, est);
+}
+
+void
+wf_advice_again(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, const uint32_t *runners, size_t len,
+    struct wf_effects *out)
+{
+	if (u->asking || now->mono < u->ask_after || len == 0)
+		return;
+	if (len > WF_ADVICE_MAX)
+		len = WF_ADVICE_MAX;
+	ask_send(l, now, u, runners, len, out);
+}
+
+struct choice {
+	uint32_t runner;
+	int64_t free_cpu;
+};
+
+static int
+choice_order(const void *a, const void *b)
+{
+	const int64_t x = ((const struct choice *)a)->free_cpu;
+	const int64_t y = ((const struct choice *)b)->free_cpu;
+
+	return x < y ? 1 : x > y ? -1 : 0;
+}
+
+/* Runners not asked about that could run the step, the emptiest first. */
+static size_t
+unasked(const struct wf_leader *l, const struct wf_now *now,
+    const struct wf_unit *u, const char *service, uint32_t *runners,
+    size_t max)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const struct wf_approval *a;
+	const struct wf_runner *r;
+	struct choice *list;
+	size_t len, i;
+	uint32_t ri;
+
+	list = agb_xcalloc(l->runners_len + 1, sizeof(*list));
+	len = 0;
+	for (ri = 0; ri < l->runners_len; ri++) {
+		r = &l->runners[ri];
+		if (!wf_fleet_usable(r, now->mono) ||
+		    strcmp(r->info.service, service) != 0 ||
+		    !wf_runner_has_label(&r->info, step->label) ||
+		    !agb_resources_fit(&step->need, &r->info.capacity))
+			continue;
+		a = wf_advice_of(u, ri);
+		if (a != NULL && a->life == r->life)
+			continue;
+		list[len].runner = ri;
+		list[len++].free_cpu = wf_fleet_free(r).cpu_milli;
+	}
+	qsort(list, len, sizeof(*list), choice_order);
+	if (len > max)
+		len = max;
+	for (i = 0; i < len; i++)
+		runners[i] = list[i].runner;
+	free(list);
+	return len;
+}
+
+void
+wf_advice_want(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_effects *out)
+{
+	const struct wf_queue *const q = wf_unit_queue(l, u);
+	uint32_t runners[WF_ADVICE_MAX];
+	size_t len;
+
+	if (u->asking || now->mono < u->ask_after || q == NULL)
+		return;
+	if (u->approvals_len > 0 &&
+	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS)
+		return;
+	len = unasked(l, now, u, q->service, runners, NAMED_FIRST);
+	if (len > 0)
+		ask_send(l, now, u, runners, len, out);
+}
+
+static struct wf_approval *
+approval_slot(struct wf_unit *u, uint32_t runner)
+{
+	struct wf_approval *a;
+
+	a = (struct wf_approval *)(uintptr_t)wf_advice_of(u, runner);
+	if (a != NULL)
+		return a;
+	u->approvals = agb_xreallocarray(
+	    u->approvals, u->approvals_len + 1, sizeof(*u->approvals));
+	a = &u->approvals[u->approvals_len++];
+	memset(a, 0, sizeof(*a));
+	a->runner = runner;
+	return a;
+}
+
+static const struct wf_ticket *
+ticket_of(const struct wf_advice *a, const char *runner)
+{
+	size_t i;
+
+	for (i = 0; i < a->items_len; i++) {
+		if (strcmp(a->items[i].runner, runner) == 0)
+			return &a->items[i];
+	}
+	return NULL;
+}
+
+static void
+take_answer(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    const struct wf_ask_out *ask, const struct wf_advice *advice,
+    struct wf_effects *out)
+{
+	const struct wf_ticket *t;
+	struct wf_approval *a;
+	size_t i, n;
+
+	n = 0;
+	for (i = 0; i < ask->runners_len; i++) {
+		if (l->runners[ask->runners[i]].life != ask->lives[i])
+			continue;
+		t = ticket_of(
+		    advice, l->runners[ask->runners[i]].info.id);
+		a = approval_slot(u, ask->runners[i]);
+		a->life = ask->lives[i];
+		a->ok = t != NULL;
+		a->until = 0;
+		if (t == NULL)
+			continue;
+		n++;
+		agb_name_set(a->ticket, sizeof(a->ticket), t->ticket);
+		if (advice->valid_ms > TICKET_MARGIN_MS)
+			a->until = now->mono +
+			    (advice->valid_ms - TICKET_MARGIN_MS) * AGB_MS;
+	}
+	wf_effects_log(out, AGB_LOG_INFO, "advice",
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
+	    " asked=%zu approved=%zu took_ms=%" PRIu64 " expected_ms=%" PRIu32,
+	    ask->job, u->occurrence, u->step, ask->runners_len, n,
+	    (now->mono - ask->sent_at) / AGB_MS, ask->est_ms);
+}
+
+void
+wf_advice_answer(struct wf_leader *l, const struct wf_now *now,
+    uint64_t tag, const struct wf_advice *advice, struct wf_effects *out)
+{
+	struct wf_ask_out ask;
+	struct wf_advisor *adv;
+	struct wf_unit *u;
+	struct wf_job *j;
+	size_t i;
+
+	for (i = 0; i < l->asks_len; i++) {
+		if (l->asks[i].tag == tag)
+			break;
+	}
+	if (i == l->asks_len)
+		return;
+	ask = l->asks[i];
+	l->asks[i] = l->asks[--l->asks_len];
+	adv = ask.advisor < l->advisors_len ? &l->advisors[ask.advisor] : NULL;
+	if (adv != NULL && !advice->ok) {
+		adv->bad_until = now->mono +
+		    (adv->peer[0] != '\0' ? ADVISOR_BAD_MS : ASK_RETRY_MS) *
+			AGB_MS;
+		adv->busy_until = now->mono;
+	}
+	j = wf_table_job(l->table, ask.job);
+	if (j == NULL || j->exec == NULL)
+		goto out;
+	u = &j->exec->units[ask.unit];
+	if (u->ask_tag != tag)
+		goto out;
+	u->asking = false;
+	if (advice->ok) {
+		take_answer(l, now, u, &ask, advice, out);
+	} else {
+		u->ask_after = now->mono + ASK_RETRY_MS * AGB_MS;
+		wf_effects_log(out, AGB_LOG_WARN, "advice",
+		    "job=%s step=%" PRIu32 " outcome=%s through=%s"
+		    " took_ms=%" PRIu64,
+		    ask.job, u->step, advice->busy ? "busy" : "lost",
+		    adv != NULL ? adv->name : "?",
+		    (now->mono - ask.sent_at) / AGB_MS);
+	}
+	l->changed = true;
+out:
+	free(ask.runners);
+	free(ask.lives);
+}
--- /dev/null
+++ b/src/workflow/wf_commit.c
@@ -0,0 +1,404 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "mem.h"
+#include "wf_leader.h"
+
+/* The store takes 32 entries a transaction: one for the leader's key, then
+ * an expectation and a write for each job. */
+#define JOBS_A_WRITE 15
+#define REMOVES_A_WRITE 10
+/* Writes under way at once. */
+#define WRITES_MAX 4
+/* Least time between two writes, so that changes come in batches. */
+#define FLUSH_GAP_MS 12
+#define WRITE_TIMEOUT_MS 1500
+#define WRITE_RETRY_MS 60
+#define COLLECT_EVERY_MS 2000
+/* Jobs stay known this much longer than promised. */
+#define COLLECT_SLACK_MS 10000
+
+static void
+write_free(struct wf_leader *l, struct wf_write *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->jobs_len; i++)
+		free(w->jobs[i].raw);
+	free(w->jobs);
+	agb_store_op_free(&w->op);
+	DL_DELETE(l->writes, w);
+	l->writes_len--;
+	free(w);
+}
+
+void
+wf_commit_free(struct wf_leader *l)
+{
+	while (l->writes != NULL)
+		write_free(l, l->writes);
+	free(l->acks);
+}
+
+void
+wf_commit_ack(struct wf_leader *l, uint32_t runner, uint64_t seq)
+{
+	struct wf_ack *a;
+
+	if (l->acks_len == l->acks_cap) {
+		l->acks_cap = l->acks_cap > 0 ? 2 * l->acks_cap : 64;
+		l->acks = agb_xreallocarray(
+		    l->acks, l->acks_cap, sizeof(*l->acks));
+	}
+	a = &l->acks[l->acks_len++];
+	a->gen = l->gen;
+	a->runner = runner;
+	a->life = l->runners[runner].life;
+	a->seq = seq;
+}
+
+/* Lets runners forget the ends whose changes are all durable. */
+static void
+release_acks(struct wf_leader *l, agb_time now)
+{
+	const struct wf_exec *e;
+	const struct wf_write *w;
+	struct wf_runner *r;
+	uint64_t safe;
+	size_t i, n;
+
+	safe = l->gen;
+	DL_FOREACH(l->execs, e) {
+		if (e->dirty && e->gen <= safe)
+			safe = e->gen - 1;
+	}
+	DL_FOREACH(l->writes, w) {
+		for (i = 0; i < w->jobs_len; i++) {
+			if (w->jobs[i].gen <= safe)
+				safe = w->jobs[i].gen - 1;
+		}
+	}
+	for (n = 0; n < l->acks_len && l->acks[n].gen <= safe; n++) {
+		r = &l->runners[l->acks[n].runner];
+		if (r->life != l->acks[n].life)
+			continue;
+		r->observed = l->acks[n].seq;
+		if (r->observed == r->processed && !r->hold_out)
+			r->hold_next = now;
+	}
+	l->acks_len -= n;
+	if (n > 0 && l->acks_len > 0)
+		memmove(l->acks, l->acks + n, l->acks_len * sizeof(*l->acks));
+}
+
+static void
+op_copy(struct agb_store_op *dst, const struct agb_store_op *src)
+{
+	size_t i;
+
+	agb_store_op_init(dst, src->kind);
+	for (i = 0; i < src->cmps_len; i++)
+		agb_store_op_cmp(dst, src->cmps[i].key, src->cmps[i].what,
+		    src->cmps[i].rev);
+	for (i = 0; i < src->puts_len; i++) {
+		if (src->puts[i].is_delete)
+			agb_store_op_delete(dst, src->puts[i].key, NULL);
+		else
+			agb_store_op_put(dst, src->puts[i].key,
+			    src->puts[i].val, src->puts[i].val_len,
+			    src->puts[i].lease);
+	}
+}
+
+static void
+write_send(struct wf_leader *l, struct wf_write *w, struct wf_effects *out)
+{
+	struct wf_effect *ef;
+
+	w->retry_at = 0;
+	w->tag = ++l->next_tag;
+	ef = wf_effects_add(out, WF_EF_STORE);
+	ef->tag = w->tag;
+	ef->timeout_ms = WRITE_TIMEOUT_MS;
+	op_copy(&ef->u.store, &w->op);
+}
+
+static struct wf_write *
+write_new(struct wf_leader *l)
+{
+	struct wf_write *const w = agb_xcalloc(1, sizeof(*w));
+
+	agb_store_op_init(&w->op, AGB_STORE_TXN);
+	agb_store_op_cmp(&w->op, WF_KEY_LEADER, AGB_STORE_MOD_REV, l->fence);
+	DL_APPEND(l->writes, w);
+	l->writes_len++;
+	return w;
+}
+
+static void
+write_add(struct wf_leader *l, struct wf_write *w, struct wf_exec *e)
+{
+	struct wf_write_job *const wj = &w->jobs[w->jobs_len++];
+	char key[WF_KEY_MAX];
+	uint32_t i;
+
+	agb_name_set(wj->id, sizeof(wj->id), e->job->id);
+	wj->expect = e->job->state_rev;
+	wj->gen = e->gen;
+	wj->raw = wf_exec_encode(l, e, &wj->len);
+	wf_table_key(key, 's', wj->id);
+	agb_store_op_cmp(&w->op, key, AGB_STORE_MOD_REV, wj->expect);
+	agb_store_op_put(&w->op, key, wj->raw, wj->len, 0);
+	e->dirty = false;
+	e->in_flight = true;
+	for (i = 0; i < e->tasks_len; i++) {
+		if (e->tasks[i].state == WF_TASK_INTENT)
+			e->tasks[i].flushing = true;
+	}
+}
+
+/* Removes jobs that have ended longer ago than their state must be known. */
+static void
+collect(struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	const int64_t before = now->unix_ms -
+	    (int64_t)l->limits.status_s * 1000 - COLLECT_SLACK_MS;
+	char key[WF_KEY_MAX];
+	struct wf_write *w;
+	struct wf_job *j, *j2;
+	size_t n;
+
+	w = NULL;
+	n = 0;
+	HASH_ITER(hh, l->table->jobs, j, j2) {
+		if (n == REMOVES_A_WRITE)
+			break;
+		if (!wf_job_final(j->state) || j->exec != NULL ||
+		    j->ended_ms > before)
+			continue;
+		if (w == NULL)
+			w = write_new(l);
+		wf_table_key(key, 'j', j->id);
+		agb_store_op_delete(&w->op, key, NULL);
+		wf_table_key(key, 'c', j->id);
+		if (j->cancel_rev > 0)
+			agb_store_op_delete(&w->op, key, NULL);
+		wf_table_key(key, 's', j->id);
+		agb_store_op_delete(&w->op, key, NULL);
+		n++;
+	}
+	if (w == NULL)
+		return;
+	w->collect = true;
+	write_send(l, w, out);
+	wf_effects_log(out, AGB_LOG_INFO, "collect", "jobs=%zu", n);
+}
+
+static void
+free_ended(struct wf_leader *l)
+{
+	struct wf_exec *e, *e2;
+	uint32_t i;
+
+	DL_FOREACH_SAFE(l->execs, e, e2) {
+		if (!wf_job_final(e->state) || e->dirty || e->in_flight)
+			continue;
+		for (i = 0; i < e->tasks_len; i++) {
+			if (e->tasks[i].holds)
+				break;
+		}
+		if (i == e->tasks_len)
+			wf_exec_free(l, e);
+	}
+}
+
+static void
+flush_one(struct wf_leader *l, struct wf_effects *out)
+{
+	struct wf_write *w;
+	struct wf_exec *e;
+
+	w = NULL;
+	DL_FOREACH(l->execs, e) {
+		if (!e->dirty || e->in_flight)
+			continue;
+		if (w == NULL) {
+			w = write_new(l);
+			w->jobs =
+			    agb_xcalloc(JOBS_A_WRITE, sizeof(*w->jobs));
+		}
+		write_add(l, w, e);
+		if (w->jobs_len == JOBS_A_WRITE)
+			break;
+	}
+	if (w != NULL)
+		write_send(l, w, out);
+}
+
+static bool
+has_dirty(const struct wf_leader *l)
+{
+	const struct wf_exec *e;
+
+	DL_FOREACH(l->execs, e) {
+		if (e->dirty && !e->in_flight)
+			return true;
+	}
+	return false;
+}
+
+agb_time
+wf_commit_flush(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	struct wf_write *w;
+	agb_time next;
+
+	next = AGB_TIME_MAX;
+	DL_FOREACH(l->writes, w) {
+		if (w->retry_at == 0)
+			continue;
+		if (now->mono >= w->retry_at)
+			write_send(l, w, out);
+		else if (w->retry_at < next)
+			next = w->retry_at;
+	}
+	while (has_dirty(l) && l->writes_len < WRITES_MAX) {
+		if (now->mono < l->flush_at) {
+			if (l->flush_at < next)
+				next = l->flush_at;
+			break;
+		}
+		flush_one(l, out);
+		if (!has_dirty(l))
+			l->flush_at = now->mono + FLUSH_GAP_MS * AGB_MS;
+	}
+	free_ended(l);
+	if (now->mono >= l->next_collect && l->writes_len < WRITES_MAX) {
+		l->next_collect = now->mono + COLLECT_EVERY_MS * AGB_MS;
+		collect(l, now, out);
+	}
+	return next;
+}
+
+void
+wf_commit_starts(struct wf_leader *l, const struct wf_now *now,
+    struct wf_exec *e, struct wf_effects *out)
+{
+	struct wf_unit *u;
+	struct wf_task *t;
+	uint32_t i, k;
+
+	for (i = 0; i < e->units_len; i++) {
+		u = &e->units[i];
+		for (k = 0; k < wf_unit_step(u)->count; k++) {
+			t = &e->tasks[u->first + k];
+			if (t->state != WF_TASK_INTENT || !t->flushing)
+				continue;
+			t->flushing = false;
+			wf_fleet_start(l, now, u, t, out);
+		}
+	}
+}
+
+static void
+committed(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
+    uint64_t revision, struct wf_effects *out)
+{
+	struct wf_job *j;
+	size_t i;
+
+	for (i = 0; i < w->jobs_len; i++) {
+		j = wf_table_job(l->table, w->jobs[i].id);
+		if (j == NULL)
+			continue;
+		wf_table_put_state(
+		    j, revision, w->jobs[i].raw, w->jobs[i].len);
+		if (j->exec == NULL)
+			continue;
+		j->exec->in_flight = false;
+		if (wf_leader_may_order(l, now->mono))
+			wf_commit_starts(l, now, j->exec, out);
+		else
+			l->starts_held = true;
+	}
+	write_free(l, w);
+	release_acks(l, now->mono);
+}
+
+/* A write whose answer was lost has been sent again, and its conditions do
+ * not hold any more: that is so because it had been carried out the first
+ * time if all keys hold what it wrote. */
+static uint64_t
+carried_out(const struct wf_leader *l, const struct wf_write *w,
+    const struct agb_store_result *res)
+{
+	const struct agb_store_kv *kv;
+	char key[WF_KEY_MAX];
+	uint64_t revision;
+	size_t i, k;
+
+	revision = 0;
+	for (i = 0; i < w->jobs_len; i++) {
+		wf_table_key(key, 's', w->jobs[i].id);
+		for (k = 0; k < res->kvs_len; k++) {
+			if (strcmp(res->kvs[k].key, key) == 0)
+				break;
+		}
+		if (k == res->kvs_len)
+			return 0;
+		kv = &res->kvs[k];
+		if (kv->val_len != w->jobs[i].len || kv->val == NULL ||
+		    memcmp(kv->val, w->jobs[i].raw, kv->val_len) != 0 ||
+		    kv->mod_rev == w->jobs[i].expect)
+			return 0;
+		revision = kv->mod_rev;
+	}
+	for (k = 0; k < res->kvs_len; k++) {
+		if (strcmp(res->kvs[k].key, WF_KEY_LEADER) == 0 &&
+		    res->kvs[k].mod_rev != l->fence)
+			return 0;
+	}
+	return revision;
+}
+
+bool
+wf_commit_done(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	struct wf_write *w;
+	uint64_t revision;
+
+	DL_FOREACH(l->writes, w) {
+		if (w->tag == tag && w->retry_at == 0)
+			break;
+	}
+	if (w == NULL)
+		return false;
+	if (res->status != AGB_STORE_OK) {
+		wf_effects_log(out, AGB_LOG_WARN, "commit",
+		    "jobs=%zu outcome=%s retry_ms=%d", w->jobs_len,
+		    res->status == AGB_STORE_LOST ? "unknown" : "refused",
+		    WRITE_RETRY_MS);
+		w->retry_at = now->mono + WRITE_RETRY_MS * AGB_MS;
+		return true;
+	}
+	if (w->collect) {
+		write_free(l, w);
+		return true;
+	}
+	revision = res->succeeded ? res->revision : carried_out(l, w, res);
+	if (revision > 0) {
+		committed(l, now, w, revision, out);
+		return true;
+	}
+	/* Another instance leads, or has written: what is kept here is not
+	 * what holds. */
+	wf_effects_log(out, AGB_LOG_WARN, "commit",
+	    "jobs=%zu outcome=conflict fence=%" PRIu64, w->jobs_len,
+	    l->fence);
+	l->lost = true;
+	return true;
+}
--- /dev/null
+++ b/src/workflow/wf_core.c
@@ -0,0 +1,725 @@
+#include "wf_core.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "mem.h"
+#include "wf_front.h"
+#include "wf_leader.h"
+
+/* Lease of an instance. A leader that has died is replaced after it. */
+#define LEASE_MS 2000
+#define RENEW_MS 400
+#define RENEW_RETRY_MS 150
+#define STORE_TIMEOUT_MS 1000
+/* An instance further from the store waits longer before it stands for
+ * election, so that the leader is near the store when it can be. */
+#define ELECT_MS 10
+#define ELECT_RTT_FACTOR 4
+#define ELECT_JITTER_MS 20
+#define ELECT_RETRY_MS 200
+/* How often the copy of the store is brought up to date. */
+#define PACE_LEADER_MS 12
+#define PACE_OTHER_MS 150
+/* Without an answer of the store for this long, new requests are better
+ * served elsewhere. */
+#define READY_STORE_MS 1800
+/* After SIGTERM: connections leave within this time when they can, and the
+ * process ends this much before it would be killed. */
+#define DRAIN_MS 3500
+#define DRAIN_MARGIN_MS 600
+#define PEER_ASKS_MAX 32
+
+#define CORE_TAG ((uint64_t)1 << 62)
+#define PEER_TAG ((uint64_t)1 << 61)
+#define LEADER_TAG_SHIFT 20
+
+enum core_op {
+	OP_GRANT = 1,
+	OP_JOIN,
+	OP_RENEW,
+	OP_ELECT,
+	OP_END,
+};
+
+struct peer_ask {
+	uint64_t tag;
+	uint64_t token;
+};
+
+struct wf_core {
+	struct wf_config cfg;
+	struct wf_table table;
+	struct wf_front *front;
+	struct wf_leader *leader;
+	struct wf_doc *doc;
+	uint64_t random;
+	bool synced;
+	bool ready;
+	bool ready_known;
+	bool draining;
+	bool exiting;
+	agb_time term_at;
+	int64_t lease;
+	bool op_out;
+	agb_time op_sent;
+	agb_time op_next;
+	agb_time valid_until;
+	agb_time heard_at;
+	agb_time rtt;
+	bool joined;
+	bool electing;
+	agb_time elect_at;
+	bool store_lost;
+	bool registry_on;
+	uint32_t pace;
+	agb_time next;
+	uint64_t next_tag;
+	struct peer_ask *asks;
+	size_t asks_len;
+};
+
+struct wf_core *
+wf_core_new(const struct wf_config *cfg)
+{
+	struct wf_core *const c = agb_xcalloc(1, sizeof(*c));
+
+	c->cfg = *cfg;
+	c->random = cfg->seed | 1;
+	c->front = wf_front_new(&c->table);
+	return c;
+}
+
+void
+wf_core_free(struct wf_core *c)
+{
+	if (c == NULL)
+		return;
+	wf_leader_free(c->leader);
+	wf_front_free(c->front);
+	wf_table_free(&c->table);
+	wf_doc_free(c->doc);
+	free(c->asks);
+	free(c);
+}
+
+agb_time
+wf_core_next_tick(const struct wf_core *c)
+{
+	return c->next;
+}
+
+static uint32_t
+jitter(struct wf_core *c, uint32_t max)
+{
+	c->random ^= c->random << 13;
+	c->random ^= c->random >> 7;
+	c->random ^= c->random << 17;
+	return (uint32_t)(c->random % max);
+}
+
+static struct agb_store_op *
+store(struct wf_core *c, enum core_op op, enum agb_store_kind kind,
+    struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_STORE);
+
+	ef->tag = CORE_TAG | op;
+	ef->timeout_ms = STORE_TIMEOUT_MS;
+	agb_store_op_init(&ef->u.store, kind);
+	return &ef->u.store;
+}
+
+static void
+set_pace(struct wf_core *c, uint32_t ms, struct wf_effects *out)
+{
+	if (c->pace == ms)
+		return;
+	c->pace = ms;
+	wf_effects_add(out, WF_EF_FEED_PACE)->gap_ms = ms;
+}
+
+static void
+step_down(struct wf_core *c, const char *why, struct wf_effects *out)
+{
+	struct wf_effect *ef;
+
+	if (c->leader == NULL)
+		return;
+	wf_effects_log(out, AGB_LOG_WARN, "lead",
+	    "change=stepped-down fence=%" PRIu64
+	    " reason=\"%s\" leader=%s leader_revision=%" PRIu64,
+	    c->leader->fence, why, c->table.leader, c->table.leader_rev);
+	wf_leader_free(c->leader);
+	c->leader = NULL;
+	c->registry_on = false;
+	ef = wf_effects_add(out, WF_EF_REGISTRY);
+	ef->on = false;
+}
+
+/* Gives the lease back, so that the next leader need not wait for its end. */
+static void
+end_lease(struct wf_core *c, struct wf_effects *out)
+{
+	if (c->lease == 0)
+		return;
+	store(c, OP_END, AGB_STORE_LEASE_REVOKE, out)->lease = c->lease;
+	c->lease = 0;
+	c->joined = false;
+	c->valid_until = 0;
+	c->op_out = false;
+}
+
+static void
+grant(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	struct agb_store_op *const op =
+	    store(c, OP_GRANT, AGB_STORE_LEASE_GRANT, out);
+
+	op->ttl_s = (LEASE_MS + 999) / 1000;
+	op->ttl_ms = LEASE_MS;
+	c->op_out = true;
+	c->op_sent = now->mono;
+}
+
+static void
+renew(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	store(c, OP_RENEW, AGB_STORE_LEASE_KEEPALIVE, out)->lease = c->lease;
+	c->op_out = true;
+	c->op_sent = now->mono;
+}
+
+static void
+join(struct wf_core *c, struct wf_effects *out)
+{
+	struct wf_x_peer x;
+	struct agb_store_op *op;
+	char key[WF_KEY_MAX];
+	size_t len;
+	char *raw;
+
+	memset(&x, 0, sizeof(x));
+	x.rpc = c->cfg.rpc;
+	x.domain = c->cfg.domain;
+	x.region = c->cfg.region;
+	raw = wf_table_encode((xdrproc_t)xdr_wf_x_peer, &x, &len);
+	op = store(c, OP_JOIN, AGB_STORE_TXN, out);
+	wf_table_key(key, 'n', c->cfg.name);
+	agb_store_op_put(op, key, raw, len, c->lease);
+	free(raw);
+}
+
+static void
+elect(struct wf_core *c, struct wf_effects *out)
+{
+	struct agb_store_op *const op = store(c, OP_ELECT, AGB_STORE_TXN, out);
+
+	agb_store_op_cmp(op, WF_KEY_LEADER, AGB_STORE_MOD_REV, 0);
+	agb_store_op_put(op, WF_KEY_LEADER, c->cfg.name, strlen(c->cfg.name),
+	    c->lease);
+	c->electing = true;
+}
+
+static void
+lease_lost(struct wf_core *c, const struct wf_now *now, const char *why,
+    struct wf_effects *out)
+{
+	wf_effects_log(out, AGB_LOG_WARN, "lease",
+	    "change=lost lease=%" PRId64 " reason=\"%s\"", c->lease, why);
+	step_down(c, why, out);
+	c->lease = 0;
+	c->joined = false;
+	c->valid_until = 0;
+	c->op_out = false;
+	c->op_next = now->mono;
+}
+
+static void
+heard(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	if (c->store_lost)
+		wf_effects_log(out, AGB_LOG_INFO, "dependency",
+		    "name=store change=regained away_ms=%" PRIu64,
+		    (now->mono - c->heard_at) / AGB_MS);
+	c->store_lost = false;
+	c->heard_at = now->mono;
+}
+
+static void
+granted(struct wf_core *c, const struct wf_now *now,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	if (res->lease == 0)
+		return;
+	c->lease = res->lease;
+	c->valid_until = c->op_sent + LEASE_MS * AGB_MS;
+	c->op_next = now->mono + RENEW_MS * AGB_MS;
+	c->rtt = now->mono - c->op_sent;
+	wf_effects_log(out, AGB_LOG_INFO, "lease",
+	    "change=granted lease=%" PRId64 " ttl_ms=%d rtt_us=%" PRIu64,
+	    c->lease, LEASE_MS, c->rtt);
+	join(c, out);
+}
+
+static void
+renewed(struct wf_core *c, const struct wf_now *now,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	if (res->ttl_s == 0) {
+		lease_lost(c, now, "the store has ended it", out);
+		return;
+	}
+	c->valid_until = c->op_sent + LEASE_MS * AGB_MS;
+	c->op_next = c->op_sent + RENEW_MS * AGB_MS;
+	c->rtt = now->mono - c->op_sent;
+	if (!c->joined)
+		join(c, out);
+}
+
+static void
+on_core_store(struct wf_core *c, const struct wf_now *now, enum core_op op,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	const bool ok = res->status == AGB_STORE_OK;
+
+	switch (op) {
+	case OP_GRANT:
+	case OP_RENEW:
+		/* An answer to an earlier lease. */
+		if (!c->op_out)
+			return;
+		c->op_out = false;
+		c->op_next = now->mono + RENEW_RETRY_MS * AGB_MS;
+		if (!ok)
+			return;
+		heard(c, now, out);
+		if (op == OP_GRANT)
+			granted(c, now, res, out);
+		else
+			renewed(c, now, res, out);
+		break;
+	case OP_JOIN:
+		c->joined = ok && res->succeeded;
+		break;
+	case OP_ELECT:
+		/* A success shows in the feed. */
+		c->electing = false;
+		c->elect_at = now->mono + ELECT_RETRY_MS * AGB_MS;
+		break;
+	case OP_END:
+		break;
+	}
+}
+
+static void
+try_lead(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	if (c->leader != NULL || strcmp(c->table.leader, c->cfg.name) != 0 ||
+	    now->mono >= c->valid_until || c->draining)
+		return;
+	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
+	    &(struct wf_limits){.status_s = c->cfg.status_s,
+		.remote_x = c->cfg.remote_x},
+	    &c->table, c->doc, now, out);
+	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
+	c->leader->valid_until = c->valid_until;
+	wf_effects_add(out, WF_EF_REGISTRY)->on = true;
+	c->registry_on = true;
+}
+
+static void
+leader_changed(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
+
+	wf_effects_log(out, AGB_LOG_INFO, "leader",
+	    "leader=%s revision=%" PRIu64,
+	    c->table.leader[0] != '\0' ? c->table.leader : "-",
+	    c->table.leader_rev);
+	if (c->leader != NULL &&
+	    (!mine || c->leader->fence != c->table.leader_rev))
+		step_down(c, "another instance has been elected", out);
+	if (c->table.leader[0] == '\0')
+		c->elect_at = now->mono +
+		    (ELECT_MS + jitter(c, ELECT_JITTER_MS)) * AGB_MS +
+		    ELECT_RTT_FACTOR * c->rtt;
+	try_lead(c, now, out);
+}
+
+static void
+allow_peers(struct wf_core *c, struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_ALLOW_PEERS);
+	struct wf_peer *p, *p2;
+
+	ef->peers = agb_xcalloc(
+	    HASH_COUNT(c->table.peers) + 1, sizeof(agb_addr));
+	HASH_ITER(hh, c->table.peers, p, p2)
+		agb_name_set(ef->peers[ef->peers_len++], sizeof(agb_addr),
+		    p->rpc);
+	if (c->leader != NULL)
+		wf_advice_peers(c->leader);
+}
+
+static void
+job_dropped(void *arg, struct wf_job *j)
+{
+	struct wf_core *const c = arg;
+
+	if (c->leader != NULL && j->exec != NULL)
+		wf_exec_free(c->leader, j->exec);
+}
+
+static void
+on_feed(struct wf_core *c, const struct wf_now *now,
+    const struct wf_feed *feed, struct wf_effects *out)
+{
+	struct wf_table_change ch;
+	bool peers, leader;
+	size_t i;
+
+	peers = feed->full;
+	leader = false;
+	if (feed->full)
+		wf_table_mark_all(&c->table);
+	for (i = 0; i < feed->items_len; i++) {
+		ch = wf_table_apply(&c->table, &feed->items[i]);
+		peers = peers || ch.peers;
+		leader = leader || ch.leader;
+		if (ch.malformed)
+			wf_effects_log(out, AGB_LOG_ERROR, "record",
+			    "key=%s malformed=yes revision=%" PRIu64,
+			    feed->items[i].key, feed->items[i].mod_rev);
+		if (ch.job != NULL && c->leader != NULL)
+			wf_leader_job(c->leader, now, ch.job, out);
+	}
+	if (feed->full) {
+		wf_table_sweep(&c->table, feed->revision, job_dropped, c);
+		leader = true;
+		c->synced = true;
+		wf_effects_log(out, AGB_LOG_INFO, "sync",
+		    "revision=%" PRIu64 " keys=%zu jobs=%u", feed->revision,
+		    feed->items_len, HASH_COUNT(c->table.jobs));
+	}
+	c->table.revision = feed->revision;
+	if (peers)
+		allow_peers(c, out);
+	if (leader)
+		leader_changed(c, now, out);
+}
+
+static void
+on_doc(struct wf_core *c, struct wf_doc *doc, struct wf_effects *out)
+{
+	struct wf_doc *const old = c->doc;
+
+	if (old != NULL && doc->version <= old->version) {
+		wf_doc_free(doc);
+		return;
+	}
+	wf_effects_log(out, AGB_LOG_INFO, "document",
+	    "version=%" PRIu64 " before=%" PRIu64
+	    " queues=%zu services=%zu",
+	    doc->version, old != NULL ? old->version : 0, doc->queues_len,
+	    doc->services_len);
+	c->doc = doc;
+	if (c->leader != NULL)
+		wf_leader_doc(c->leader, doc);
+	wf_doc_free(old);
+}
+
+static void
+on_term(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	if (c->draining)
+		return;
+	c->draining = true;
+	c->term_at = now->mono;
+	wf_effects_log(out, AGB_LOG_INFO, "drain",
+	    "requests=%zu leads=%s", wf_front_open(c->front),
+	    c->leader != NULL ? "yes" : "no");
+	step_down(c, "this instance is shutting down", out);
+	end_lease(c, out);
+}
+
+static void
+on_store(struct wf_core *c, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	struct wf_job *job;
+
+	if (res->status == AGB_STORE_OK)
+		heard(c, now, out);
+	if (wf_front_store(c->front, now, tag, res, &job, out)) {
+		if (job != NULL && c->leader != NULL)
+			wf_leader_job(c->leader, now, job, out);
+		return;
+	}
+	if (tag & CORE_TAG) {
+		on_core_store(
+		    c, now, (enum core_op)(tag & ~CORE_TAG), res, out);
+		return;
+	}
+	if (c->leader != NULL)
+		wf_commit_done(c->leader, now, tag, res, out);
+}
+
+static void
+on_peer_ask(struct wf_core *c, uint64_t token, const struct wf_ask *ask,
+    struct wf_effects *out)
+{
+	struct wf_effect *ef;
+
+	if (c->asks_len >= PEER_ASKS_MAX) {
+		ef = wf_effects_add(out, WF_EF_PEER_ANSWER);
+		ef->tag = token;
+		ef->u.advice.busy = true;
+		return;
+	}
+	c->asks = agb_xreallocarray(
+	    c->asks, c->asks_len + 1, sizeof(*c->asks));
+	c->asks[c->asks_len].tag = PEER_TAG | ++c->next_tag;
+	c->asks[c->asks_len].token = token;
+	ef = wf_effects_add(out, WF_EF_ADVISE);
+	ef->tag = c->asks[c->asks_len++].tag;
+	ef->timeout_ms = ask->timeout_ms;
+	ef->u.ask = *ask;
+	ef->u.ask.runners = agb_xcalloc(ask->runners_len + 1, sizeof(agb_id));
+	memcpy(ef->u.ask.runners, ask->runners,
+	    ask->runners_len * sizeof(agb_id));
+}
+
+static void
+on_advice(struct wf_core *c, const struct wf_now *now, uint64_t tag,
+    const struct wf_advice *a, struct wf_effects *out)
+{
+	struct wf_effect *ef;
+	size_t i;
+
+	if ((tag & PEER_TAG) == 0) {
+		if (c->leader != NULL)
+			wf_advice_answer(c->leader, now, tag, a, out);
+		return;
+	}
+	for (i = 0; i < c->asks_len; i++) {
+		if (c->asks[i].tag == tag)
+			break;
+	}
+	if (i == c->asks_len)
+		return;
+	ef = wf_effects_add(out, WF_EF_PEER_ANSWER);
+	ef->tag = c->asks[i].token;
+	ef->u.advice = *a;
+	ef->u.advice.items =
+	    agb_xcalloc(a->items_len + 1, sizeof(struct wf_ticket));
+	memcpy(ef->u.advice.items, a->items,
+	    a->items_len * sizeof(struct wf_ticket));
+	c->asks[i] = c->asks[--c->asks_len];
+}
+
+static agb_time
+sooner(agb_time a, agb_time b)
+{
+	return a < b ? a : b;
+}
+
+static void
+tick_lease(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	if (c->draining)
+		return;
+	if (!c->op_out && now->mono >= c->op_next) {
+		if (c->lease == 0)
+			grant(c, now, out);
+		else
+			renew(c, now, out);
+	}
+	if (!c->op_out)
+		c->next = sooner(c->next, c->op_next);
+	if (!c->store_lost && c->heard_at > 0 &&
+	    now->mono - c->heard_at > LEASE_MS * AGB_MS) {
+		c->store_lost = true;
+		wf_effects_log(out, AGB_LOG_WARN, "dependency",
+		    "name=store change=lost silent_ms=%" PRIu64,
+		    (now->mono - c->heard_at) / AGB_MS);
+	}
+}
+
+static void
+tick_election(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	if (c->leader != NULL && c->leader->lost) {
+		step_down(c, "its orders or writes are refused", out);
+		end_lease(c, out);
+		c->op_next = now->mono;
+	}
+	try_lead(c, now, out);
+	if (c->leader != NULL || c->draining || !c->synced ||
+	    c->doc == NULL || c->table.leader[0] != '\0')
+		return;
+	if (c->electing || c->lease == 0 || now->mono >= c->valid_until)
+		return;
+	if (now->mono >= c->elect_at)
+		elect(c, out);
+	else
+		c->next = sooner(c->next, c->elect_at);
+}
+
+static void
+tick_ready(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	const bool ready = !c->draining && c->doc != NULL && c->synced &&
+	    c->heard_at > 0 &&
+	    now->mono - c->heard_at < READY_STORE_MS * AGB_MS;
+
+	if (c->ready_known && ready == c->ready)
+		return;
+	c->ready = ready;
+	c->ready_known = true;
+	wf_effects_add(out, WF_EF_READY)->on = ready;
+	wf_effects_log(out, AGB_LOG_INFO, "ready",
+	    "ready=%s document=%" PRIu64 " synced=%s store_ms_ago=%" PRIu64,
+	    ready ? "yes" : "no", c->doc != NULL ? c->doc->version : 0,
+	    c->synced ? "yes" : "no",
+	    c->heard_at > 0 ? (now->mono - c->heard_at) / AGB_MS : 0);
+}
+
+static void
+tick_drain(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	const agb_time last = c->term_at +
+	    (c->cfg.grace_ms > DRAIN_MARGIN_MS
+		    ? c->cfg.grace_ms - DRAIN_MARGIN_MS
+		    : 0) * AGB_MS;
+	const agb_time early =
+	    sooner(c->term_at + DRAIN_MS * AGB_MS, last);
+
+	if (!c->draining || c->exiting)
+		return;
+	if (now->mono < early) {
+		c->next = sooner(c->next, early);
+		return;
+	}
+	if (wf_front_open(c->front) > 0 && now->mono < last) {
+		c->next = sooner(c->next, now->mono + 50 * AGB_MS);
+		return;
+	}
+	c->exiting = true;
+	wf_effects_add(out, WF_EF_EXIT);
+}
+
+static void
+tick(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	c->next = now->mono + AGB_SEC;
+	tick_lease(c, now, out);
+	tick_election(c, now, out);
+	if (c->leader != NULL) {
+		c->leader->valid_until = c->valid_until;
+		c->next = sooner(
+		    c->next, wf_leader_tick(c->leader, now, out));
+	}
+	set_pace(c,
+	    c->leader != NULL || c->table.leader[0] == '\0'
+		? PACE_LEADER_MS
+		: PACE_OTHER_MS,
+	    out);
+	c->next = sooner(c->next, wf_front_tick(c->front, now, out));
+	tick_ready(c, now, out);
+	tick_drain(c, now, out);
+}
+
+void
+wf_core_step(struct wf_core *c, const struct wf_now *now,
+    struct wf_event *ev, struct wf_effects *out)
+{
+	switch (ev->type) {
+	case WF_EV_TICK:
+		break;
+	case WF_EV_TERM:
+		on_term(c, now, out);
+		break;
+	case WF_EV_DOC:
+		on_doc(c, ev->u.doc, out);
+		break;
+	case WF_EV_FEED:
+		on_feed(c, now, &ev->u.feed, out);
+		break;
+	case WF_EV_RUNNERS:
+		if (c->leader != NULL)
+			wf_fleet_change(
+			    c->leader, now, &ev->u.runners, out);
+		break;
+	case WF_EV_STORE:
+		on_store(c, now, ev->tag, ev->u.store, out);
+		break;
+	case WF_EV_CALL:
+		wf_front_call(c->front, now, c->doc, ev->u.call, out);
+		break;
+	case WF_EV_CALL_GONE:
+		wf_front_gone(c->front, ev->call_id);
+		break;
+	case WF_EV_ORDER:
+		if (c->leader != NULL)
+			wf_fleet_answer(c->leader, now, ev->u.order, out);
+		break;
+	case WF_EV_ADVICE:
+	case WF_EV_PEER_ANSWER:
+		on_advice(c, now, ev->tag, ev->u.advice, out);
+		break;
+	case WF_EV_PEER_ASK:
+		on_peer_ask(c, ev->tag, ev->u.ask, out);
+		break;
+	}
+	tick(c, now, out);
+}
+
+void
+wf_core_gauges(
+    const struct wf_core *c, agb_time now, struct wf_gauges *out)
+{
+	const struct wf_job *j;
+	const struct wf_task *t;
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->document = c->doc != NULL ? c->doc->version : 0;
+	out->store_revision = c->table.revision;
+	out->ready = c->ready;
+	out->jobs = HASH_COUNT(c->table.jobs);
+	for (j = c->table.jobs; j != NULL; j = j->hh.next)
+		out->jobs_open += !wf_job_final(j->state);
+	if (c->leader == NULL)
+		return;
+	out->leads = true;
+	out->fence = c->leader->fence;
+	out->units_waiting = c->leader->queue_len;
+	out->asks = (unsigned)c->leader->asks_len;
+	out->writes = (unsigned)c->leader->writes_len;
+	for (i = 0; i < c->leader->runners_len; i++) {
+		if (!c->leader->runners[i].used)
+			continue;
+		out->runners++;
+		out->runners_usable +=
+		    wf_fleet_usable(&c->leader->runners[i], now);
+		DL_FOREACH(c->leader->runners[i].tasks, t)
+			out->tasks_held++;
+	}
+}
+
+const char *
+wf_core_state(struct wf_core *c, const char *job)
+{
+	const struct wf_job *const j = wf_table_job(&c->table, job);
+
+	return j != NULL ? wf_job_state_name(j->state) : NULL;
+}
--- /dev/null
+++ b/src/workflow/wf_event.c
@@ -0,0 +1,82 @@
+#include "wf_event.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+
+/* Longest text of a log line, without its time and event. */
+#define LOG_TEXT_MAX 768
+
+struct wf_effect *
+wf_effects_add(struct wf_effects *out, enum wf_effect_type type)
+{
+	struct wf_effect *ef;
+
+	if (out->len == out->cap) {
+		out->cap = out->cap > 0 ? 2 * out->cap : 16;
+		out->items = agb_xreallocarray(
+		    out->items, out->cap, sizeof(*out->items));
+	}
+	ef = &out->items[out->len++];
+	memset(ef, 0, sizeof(*ef));
+	ef->type = type;
+	return ef;
+}
+
+void
+wf_effects_log(struct wf_effects *out, enum agb_log_level level,
+    const char *event, const char *fmt, ...)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_LOG);
+	char text[LOG_TEXT_MAX];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	ef->u.log.level = level;
+	ef->u.log.event = event;
+	ef->u.log.line = agb_xstrdup(text);
+}
+
+static void
+effect_free(struct wf_effect *ef)
+{
+	switch (ef->type) {
+	case WF_EF_STORE:
+		agb_store_op_free(&ef->u.store);
+		break;
+	case WF_EF_ORDER:
+		free(ef->u.order.text);
+		break;
+	case WF_EF_ADVISE:
+	case WF_EF_PEER_ASK:
+		free(ef->u.ask.runners);
+		break;
+	case WF_EF_PEER_ANSWER:
+		free(ef->u.advice.items);
+		break;
+	case WF_EF_ALLOW_PEERS:
+		free(ef->peers);
+		break;
+	case WF_EF_LOG:
+		free(ef->u.log.line);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+wf_effects_free(struct wf_effects *out)
+{
+	size_t i;
+
+	for (i = 0; i < out->len; i++)
+		effect_free(&out->items[i]);
+	free(out->items);
+	memset(out, 0, sizeof(*out));
+}
--- /dev/null
+++ b/src/workflow/wf_event.h
@@ -0,0 +1,331 @@
+#ifndef WF_EVENT_H
+#define WF_EVENT_H
+
+/**
+ * DOC: wf_event
+ *
+ * Inputs and outputs of the workflow reducer, as data.
+ */
+
+#include "effect.h"
+#include "store.h"
+#include "wf_types.h"
+
+/* Runners named in one call for advice. */
+#define WF_ADVICE_MAX 100
+
+enum wf_event_type {
+	WF_EV_TICK,	   /* time has passed */
+	WF_EV_TERM,	   /* SIGTERM */
+	WF_EV_DOC,	   /* doc: taken over by the reducer */
+	WF_EV_FEED,	   /* feed: the instances' own keys */
+	WF_EV_RUNNERS,	   /* runners: the registry */
+	WF_EV_STORE,	   /* tag, store */
+	WF_EV_CALL,	   /* call: a caller's request */
+	WF_EV_CALL_GONE,   /* call_id */
+	WF_EV_ORDER,	   /* order: a runner's answer */
+	WF_EV_ADVICE,	   /* tag, advice: answer of the advice service */
+	WF_EV_PEER_ASK,	   /* tag, ask: a peer wants advice fetched */
+	WF_EV_PEER_ANSWER, /* tag, advice: what a peer fetched */
+};
+
+enum wf_call_kind {
+	WF_CALL_SUBMIT,
+	WF_CALL_GET,
+	WF_CALL_CANCEL,
+	WF_CALL_QUEUE,
+};
+
+/**
+ * struct wf_call - a caller's request
+ * @id: handle of the connection's request
+ * @fault: why its body is not taken, or ""
+ * @spec: of a submission; taken over by the reducer
+ * @deadline_ms: how long the caller waits; 0 when it did not say
+ */
+struct wf_call {
+	uint64_t id;
+	enum wf_call_kind kind;
+	char host[WF_HOST_LEN];
+	char path[WF_HOST_LEN];
+	char fault[AGB_DETAIL_LEN];
+	struct wf_spec *spec;
+	uint32_t deadline_ms;
+};
+
+/**
+ * struct wf_feed - what lies under a prefix of the store
+ * @full: the items are all there is at @revision, else changes up to it
+ */
+struct wf_feed {
+	bool full;
+	uint64_t revision;
+	const struct agb_store_kv *items;
+	size_t items_len;
+};
+
+/**
+ * struct wf_runner_change - an entry of the registry that changed
+ * @gone: the entry was removed; only @info.id holds
+ */
+struct wf_runner_change {
+	bool gone;
+	struct wf_runner_info info;
+};
+
+struct wf_runners {
+	bool full;
+	const struct wf_runner_change *items;
+	size_t items_len;
+};
+
+/**
+ * struct wf_task_ref - identity of a task
+ */
+struct wf_task_ref {
+	wf_job_id job;
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+enum wf_order_kind {
+	WF_ORDER_START,
+	WF_ORDER_STOP,
+	WF_ORDER_HOLD,
+};
+
+/**
+ * enum wf_order_status - what is known of an order to a runner
+ * @WF_ORDER_OK: carried out
+ * @WF_ORDER_UNSENT: certainly did not reach it
+ * @WF_ORDER_LOST: no answer; it may have been, or may still be, carried out
+ * @WF_ORDER_BUSY: an unhealthy runner has done nothing
+ * @WF_ORDER_FENCED: a higher fence token has been seen there
+ * @WF_ORDER_OLD: that run or a later one has ended or been stopped there
+ * @WF_ORDER_LATE: its deadline had passed
+ * @WF_ORDER_NO_ROOM: the runner refuses for want of room
+ * @WF_ORDER_TICKET: the approval has expired
+ * @WF_ORDER_OTHER_LIFE: another life of the runner answered
+ * @WF_ORDER_INVALID: the runner does not take this order at all
+ */
+enum wf_order_status {
+	WF_ORDER_OK,
+	WF_ORDER_UNSENT,
+	WF_ORDER_LOST,
+	WF_ORDER_BUSY,
+	WF_ORDER_FENCED,
+	WF_ORDER_OLD,
+	WF_ORDER_LATE,
+	WF_ORDER_NO_ROOM,
+	WF_ORDER_TICKET,
+	WF_ORDER_OTHER_LIFE,
+	WF_ORDER_INVALID,
+};
+
+enum wf_end {
+	WF_END_DONE,
+	WF_END_FAILED,
+	WF_END_STOPPED,
+	WF_END_LAPSED,
+	WF_END_BROKEN,
+	WF_END_ALONE,
+};
+
+/**
+ * struct wf_active - a run that a runner lists as present
+ * @load: rough figure of the last half second: response time in ms of a
+ *	task that lasts, else thousandths of a core in use
+ */
+struct wf_active {
+	struct wf_task_ref task;
+	uint32_t run;
+	uint32_t percent;
+	uint32_t load;
+	char saved[WF_SAVED_MAX + 1];
+};
+
+/**
+ * struct wf_finished - a run that a runner lists as ended
+ * @seq: its number in this life of the runner
+ */
+struct wf_finished {
+	uint64_t seq;
+	struct wf_task_ref task;
+	uint32_t run;
+	enum wf_end how;
+	char saved[WF_SAVED_MAX + 1];
+};
+
+/**
+ * struct wf_order_result - a runner's answer
+ * @runner, @life: handle of the runner and its life when the order was sent
+ * @task, @run, @sent_at: of the order
+ * @born_ms: start of the life that answered; 0 when it did not say
+ * @clock_ms: its steady clock; 0 when it did not say
+ */
+struct wf_order_result {
+	enum wf_order_kind kind;
+	enum wf_order_status status;
+	uint32_t runner;
+	uint32_t life;
+	struct wf_task_ref task;
+	uint32_t run;
+	agb_time sent_at;
+	int64_t born_ms;
+	int64_t clock_ms;
+	struct wf_active *active;
+	size_t active_len;
+	struct wf_finished *finished;
+	size_t finished_len;
+};
+
+/**
+ * struct wf_ask - a call for advice
+ * @step: the step, as job id, occurrence and step
+ * @est_ms: how long the service takes
+ */
+struct wf_ask {
+	struct wf_task_ref step;
+	uint32_t est_ms;
+	uint32_t timeout_ms;
+	agb_id *runners;
+	size_t runners_len;
+};
+
+struct wf_ticket {
+	agb_id runner;
+	agb_id ticket;
+};
+
+/**
+ * struct wf_advice - answer to a call for advice
+ * @ok: the service has answered
+ * @busy: it refused for too many waiting calls
+ */
+struct wf_advice {
+	bool ok;
+	bool busy;
+	uint32_t valid_ms;
+	struct wf_ticket *items;
+	size_t items_len;
+};
+
+struct wf_event {
+	enum wf_event_type type;
+	uint64_t tag;
+	uint64_t call_id;
+	union {
+		struct wf_doc *doc;
+		struct wf_feed feed;
+		struct wf_runners runners;
+		struct agb_store_result *store;
+		struct wf_call *call;
+		struct wf_order_result *order;
+		struct wf_advice *advice;
+		struct wf_ask *ask;
+	} u;
+};
+
+enum wf_effect_type {
+	WF_EF_STORE,	    /* tag, store, timeout_ms */
+	WF_EF_REPLY,	    /* call_id, reply */
+	WF_EF_ORDER,	    /* order */
+	WF_EF_ADVISE,	    /* tag, ask: call the advice service */
+	WF_EF_PEER_ASK,	    /* tag, peer, ask: let a peer call it */
+	WF_EF_PEER_ANSWER,  /* tag, advice: answer a peer */
+	WF_EF_REGISTRY,	    /* on: follow the registry of runners */
+	WF_EF_FEED_PACE,    /* gap_ms between deliveries of the feed */
+	WF_EF_ALLOW_PEERS,  /* peers: addresses that may call */
+	WF_EF_READY,	    /* on */
+	WF_EF_LOG,	    /* log */
+	WF_EF_EXIT,
+};
+
+/**
+ * struct wf_reply - answer to a caller
+ * @retry_s: seconds after which a refused caller may come back; 0 is none
+ */
+struct wf_reply {
+	enum wf_call_kind kind;
+	int http_status;
+	uint32_t retry_s;
+	enum wf_job_state state;
+	uint32_t pending;
+	char detail[AGB_DETAIL_LEN];
+};
+
+/**
+ * struct wf_order - an order to a runner
+ * @deadline_ms: on the runner's clock; 0 leaves its lease as it is
+ * @observed: ends up to this number may be forgotten
+ * @text: spec of the job, owned
+ */
+struct wf_order {
+	enum wf_order_kind kind;
+	uint32_t runner;
+	uint32_t life;
+	agb_time sent_at;
+	agb_id runner_id;
+	agb_addr addr;
+	uint64_t fence;
+	int64_t deadline_ms;
+	uint32_t timeout_ms;
+	struct wf_task_ref task;
+	uint32_t run;
+	uint64_t observed;
+	uint32_t wait_ms;
+	char saved[WF_SAVED_MAX + 1];
+	agb_id ticket;
+	char *text;
+	size_t text_len;
+};
+
+struct wf_effect {
+	enum wf_effect_type type;
+	uint64_t tag;
+	uint64_t call_id;
+	uint32_t timeout_ms;
+	uint32_t gap_ms;
+	bool on;
+	agb_addr peer;
+	agb_addr *peers;
+	size_t peers_len;
+	union {
+		struct agb_store_op store;
+		struct wf_reply reply;
+		struct wf_order order;
+		struct wf_ask ask;
+		struct wf_advice advice;
+		struct agb_ef_log log;
+	} u;
+};
+
+struct wf_effects {
+	struct wf_effect *items;
+	size_t len;
+	size_t cap;
+};
+
+/**
+ * wf_effects_add() - append one zeroed effect
+ * Return: the new effect, valid until the next call.
+ */
+struct wf_effect *wf_effects_add(
+    struct wf_effects *out, enum wf_effect_type type);
+
+/**
+ * wf_effects_log() - append a log line
+ * @event: static string
+ * @fmt: printf format of the "key=value" text
+ */
+void wf_effects_log(struct wf_effects *out, enum agb_log_level level,
+    const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+
+/**
+ * wf_effects_free() - free all effects and the array
+ */
+void wf_effects_free(struct wf_effects *out);
+
+#endif
--- /dev/null
+++ b/src/workflow/wf_fleet.c
@@ -0,0 +1,821 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "mem.h"
+#include "wf_leader.h"
+
+/* Lease given to a runner with each hold. A runner that is cut off works on
+ * for this long, and its tasks cannot be placed elsewhere before. */
+#define HOLD_MS 6000
+/* The runner's clock may be 2% slow; the rest covers rounding. */
+#define LEASE_SLOW_PERMILLE 1021
+#define LEASE_MARGIN_MS 50
+/* A start that is not carried out by then is refused by its deadline. */
+#define START_MS 1500
+#define START_TIMEOUT_MS 600
+#define STOP_TIMEOUT_MS 600
+#define STOP_REPEAT_MS 400
+/* Longest wait of a hold for an end. */
+#define HOLD_WAIT_MS 500
+#define HOLD_TIMEOUT_MS 1100
+#define HOLD_GAP_MS 10
+/* A hold would return at once while ends are listed that are not durable. */
+#define HOLD_ACK_GAP_MS 80
+#define HOLD_RETRY_MS 200
+/* A runner that has not answered takes no new tasks for this long. */
+#define SHUN_LOST_MS 1000
+#define SHUN_BUSY_MS 500
+/* Failed ends in a row, without a success, after which a runner is taken as
+ * faulty, and for how long. */
+#define FAIL_STREAK_MAX 2
+#define SHUN_FAULTY_MS 5000
+/* A runner that is not listed and has no tasks is forgotten after this. */
+#define FORGET_MS 30000
+
+bool
+wf_fleet_usable(const struct wf_runner *r, agb_time now)
+{
+	return r->used && r->listed && r->met && !r->info.draining &&
+	    now >= r->shun_until;
+}
+
+struct agb_resources
+wf_fleet_free(const struct wf_runner *r)
+{
+	struct agb_resources room = r->info.capacity;
+
+	agb_resources_sub(&room, &r->held);
+	return room;
+}
+
+uint32_t
+wf_fleet_find(const struct wf_leader *l, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->runners_len; i++) {
+		if (l->runners[i].used &&
+		    strcmp(l->runners[i].info.id, id) == 0)
+			return i;
+	}
+	return WF_NONE;
+}
+
+static uint32_t
+runner_slot(struct wf_leader *l)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->runners_len; i++) {
+		if (!l->runners[i].used)
+			return i;
+	}
+	l->runners = agb_xreallocarray(
+	    l->runners, l->runners_len + 1, sizeof(*l->runners));
+	memset(&l->runners[l->runners_len], 0, sizeof(*l->runners));
+	return l->runners_len++;
+}
+
+uint32_t
+wf_fleet_get(struct wf_leader *l, const char *id, agb_time now)
+{
+	struct wf_runner *r;
+	uint32_t i, life;
+
+	i = wf_fleet_find(l, id);
+	if (i != WF_NONE)
+		return i;
+	i = runner_slot(l);
+	r = &l->runners[i];
+	life = r->life;
+	memset(r, 0, sizeof(*r));
+	r->used = true;
+	r->life = life + 1;
+	r->gone_at = now;
+	r->hold_next = now;
+	/* An earlier leader may have extended leases until its own right to
+	 * do so ended. */
+	r->lease_until = l->elected_at +
+	    (agb_time)(l->limits.hold_ms + HOLD_MS) * LEASE_SLOW_PERMILLE;
+	agb_name_set(r->info.id, sizeof(r->info.id), id);
+	return i;
+}
+
+/* All tasks that are counted at a runner are certainly not there any more. */
+static void
+requeue_all(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const char *why, struct wf_effects *out)
+{
+	struct wf_task *t;
+
+	while ((t = l->runners[ri].tasks) != NULL) {
+		if (t->state == WF_TASK_DONE)
+			wf_task_release(l, t->unit, t);
+		else
+			wf_task_requeue(l, now, t->unit, t, why, out);
+	}
+}
+
+static void
+strays_clear(struct wf_runner *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->strays_len; i++)
+		agb_resources_sub(&r->held, &r->strays[i].need);
+	free(r->strays);
+	r->strays = NULL;
+	r->strays_len = 0;
+}
+
+/* The runner has started again: it holds and knows nothing of before. */
+static void
+new_life(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    int64_t born_ms, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+
+	wf_effects_log(out, AGB_LOG_INFO, "runner",
+	    "runner=%s change=restarted born_ms=%" PRId64
+	    " born_before_ms=%" PRId64,
+	    r->info.id, born_ms, r->info.born_ms);
+	requeue_all(l, now, ri, "runner restarted", out);
+	strays_clear(r);
+	r->life++;
+	r->info.born_ms = born_ms;
+	r->met = false;
+	r->hold_out = false;
+	r->hold_next = now->mono;
+	r->processed = 0;
+	r->observed = 0;
+	r->clock_ms = 0;
+	r->fail_streak = 0;
+	r->lease_until = now->mono;
+	l->changed = true;
+}
+
+static void
+runner_gone(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+
+	if (!r->listed)
+		return;
+	r->listed = false;
+	r->gone_at = now->mono;
+	wf_effects_log(out, AGB_LOG_INFO, "runner",
+	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64, r->info.id,
+	    (now->mono - r->heard_at) / AGB_MS);
+}
+
+static void
+runner_entry(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_runner_info *info, struct wf_effects *out)
+{
+	const uint32_t ri = wf_fleet_get(l, info->id, now->mono);
+	struct wf_runner *const r = &l->runners[ri];
+	const bool was_listed = r->listed;
+	const bool was_draining = r->info.draining;
+
+	/* An entry may be older than what the runner has said itself. */
+	if (info->born_ms < r->info.born_ms)
+		return;
+	if (r->info.born_ms != 0 && info->born_ms != r->info.born_ms)
+		new_life(l, now, ri, info->born_ms, out);
+	r->info = *info;
+	r->listed = true;
+	if (!was_listed) {
+		r->hold_next = now->mono;
+		wf_effects_log(out, AGB_LOG_INFO, "runner",
+		    "runner=%s change=listed service=%s domain=%s"
+		    " cpu_milli=%" PRId64 " mem_mb=%" PRId64
+		    " born_ms=%" PRId64 " draining=%d",
+		    info->id, info->service, info->domain,
+		    info->capacity.cpu_milli, info->capacity.mem_mb,
+		    info->born_ms, info->draining);
+	}
+	if (info->draining && !was_draining)
+		wf_effects_log(out, AGB_LOG_INFO, "runner",
+		    "runner=%s change=draining remaining_ms=%" PRId64,
+		    info->id, info->remaining_ms);
+	if (!was_listed || info->draining != was_draining)
+		l->changed = true;
+}
+
+void
+wf_fleet_change(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_runners *rs, struct wf_effects *out)
+{
+	uint32_t ri;
+	size_t i;
+
+	if (rs->full) {
+		for (ri = 0; ri < l->runners_len; ri++) {
+			for (i = 0; i < rs->items_len; i++) {
+				if (strcmp(rs->items[i].info.id,
+					l->runners[ri].info.id) == 0)
+					break;
+			}
+			if (i == rs->items_len && l->runners[ri].used)
+				runner_gone(l, now, ri, out);
+		}
+	}
+	for (i = 0; i < rs->items_len; i++) {
+		if (!rs->items[i].gone) {
+			runner_entry(l, now, &rs->items[i].info, out);
+			continue;
+		}
+		ri = wf_fleet_find(l, rs->items[i].info.id);
+		if (ri != WF_NONE)
+			runner_gone(l, now, ri, out);
+	}
+	l->registry_seen = true;
+}
+
+static int64_t
+clock_now(const struct wf_runner *r, agb_time now)
+{
+	return r->clock_ms + (int64_t)((now - r->clock_at) / AGB_MS);
+}
+
+static struct wf_order *
+order_new(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    enum wf_order_kind kind, uint32_t timeout_ms, struct wf_effects *out)
+{
+	const struct wf_runner *const r = &l->runners[ri];
+	struct wf_order *const o = &wf_effects_add(out, WF_EF_ORDER)->u.order;
+
+	o->kind = kind;
+	o->runner = ri;
+	o->life = r->life;
+	o->sent_at = now->mono;
+	agb_name_set(o->runner_id, sizeof(o->runner_id), r->info.id);
+	agb_name_set(o->addr, sizeof(o->addr), r->info.addr);
+	o->fence = l->fence;
+	o->timeout_ms = timeout_ms;
+	return o;
+}
+
+static void
+lease_extend(struct wf_runner *r, agb_time now, uint32_t ms)
+{
+	const agb_time until = now + (agb_time)ms * LEASE_SLOW_PERMILLE +
+	    LEASE_MARGIN_MS * AGB_MS;
+
+	if (until > r->lease_until)
+		r->lease_until = until;
+}
+
+void
+wf_fleet_start(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_task *t, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[t->runner];
+	const struct wf_spec *const spec = &u->exec->job->spec;
+	const struct wf_approval *a;
+	struct wf_order *o;
+
+	t->state = WF_TASK_SENT;
+	t->sent_at = now->mono;
+	t->start_ms = clock_now(r, now->mono) + START_MS;
+	lease_extend(r, now->mono, START_MS);
+	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS, out);
+	wf_exec_ref(u, (uint32_t)(t - u->exec->tasks) - u->first, &o->task);
+	o->run = t->run;
+	o->deadline_ms = t->start_ms;
+	o->text = agb_xmemdup(spec->text, spec->text_len);
+	o->text_len = spec->text_len;
+	if (t->saved != NULL)
+		agb_name_set(o->saved, sizeof(o->saved), t->saved);
+	a = wf_advice_of(u, t->runner);
+	if (a != NULL && a->ok)
+		agb_name_set(o->ticket, sizeof(o->ticket), a->ticket);
+	wf_effects_log(out, AGB_LOG_INFO, "start",
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
+	    " run=%" PRIu32 " runner=%s fence=%" PRIu64
+	    " document=%" PRIu64 " waited_ms=%" PRIu64 " free_cpu=%" PRId64,
+	    u->exec->job->id, u->occurrence, u->step, o->task.index, t->run,
+	    r->info.id, l->fence, l->doc != NULL ? l->doc->version : 0,
+	    (now->mono - u->ready_at) / AGB_MS,
+	    wf_fleet_free(r).cpu_milli);
+}
+
+static void
+send_stop(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_task_ref *ref, uint32_t run, struct wf_effects *out)
+{
+	struct wf_order *const o =
+	    order_new(l, now, ri, WF_ORDER_STOP, STOP_TIMEOUT_MS, out);
+
+	o->task = *ref;
+	o->run = run;
+}
+
+static void
+send_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	struct wf_order *const o =
+	    order_new(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS, out);
+
+	r->hold_out = true;
+	r->hold_sent = now->mono;
+	o->observed = r->observed;
+	/* The first one only reads the lists and the clock. */
+	if (!r->met || r->clock_ms == 0)
+		return;
+	o->wait_ms = r->processed > r->observed ? 0 : HOLD_WAIT_MS;
+	o->deadline_ms = clock_now(r, now->mono) + HOLD_MS;
+	lease_extend(r, now->mono, HOLD_MS);
+}
+
+static void
+shun(struct wf_runner *r, agb_time now, uint32_t ms)
+{
+	const agb_time until = now + (agb_time)ms * AGB_MS;
+
+	if (until > r->shun_until)
+		r->shun_until = until;
+}
+
+static void
+note_end(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    enum wf_end how, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+
+	if (how == WF_END_DONE)
+		r->fail_streak = 0;
+	if (how != WF_END_FAILED)
+		return;
+	if (++r->fail_streak < FAIL_STREAK_MAX)
+		return;
+	shun(r, now->mono, SHUN_FAULTY_MS);
+	wf_effects_log(out, AGB_LOG_WARN, "runner",
+	    "runner=%s change=faulty failures_in_a_row=%" PRIu32
+	    " shunned_ms=%d",
+	    r->info.id, r->fail_streak, SHUN_FAULTY_MS);
+}
+
+static void
+stray_drop(struct wf_runner *r, size_t i)
+{
+	agb_resources_sub(&r->held, &r->strays[i].need);
+	r->strays[i] = r->strays[--r->strays_len];
+}
+
+static bool
+same_task(const struct wf_task_ref *a, const struct wf_task_ref *b)
+{
+	return a->occurrence == b->occurrence && a->step == b->step &&
+	    a->index == b->index && strcmp(a->job, b->job) == 0;
+}
+
+static struct wf_stray *
+stray_find(
+    struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run)
+{
+	size_t i;
+
+	for (i = 0; i < r->strays_len; i++) {
+		if (r->strays[i].run == run &&
+		    same_task(&r->strays[i].task, ref))
+			return &r->strays[i];
+	}
+	return NULL;
+}
+
+static void
+stray_add(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_active *a, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	const struct wf_job *const j = wf_table_job(l->table, a->task.job);
+	struct wf_stray *s;
+
+	s = stray_find(r, &a->task, a->run);
+	if (s == NULL) {
+		r->strays = agb_xreallocarray(
+		    r->strays, r->strays_len + 1, sizeof(*r->strays));
+		s = &r->strays[r->strays_len++];
+		memset(s, 0, sizeof(*s));
+		s->task = a->task;
+		s->run = a->run;
+		if (j != NULL && j->spec_rev > 0 &&
+		    a->task.step < j->spec.steps_len)
+			s->need = j->spec.steps[a->task.step].need;
+		agb_resources_add(&r->held, &s->need);
+		wf_effects_log(out, AGB_LOG_WARN, "stray",
+		    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
+		    " task=%" PRIu32 " run=%" PRIu32
+		    " runner=%s reason=\"not meant to run here\"",
+		    a->task.job, a->task.occurrence, a->task.step,
+		    a->task.index, a->run, r->info.id);
+	}
+	s->seen = true;
+	if (now->mono < s->stop_at)
+		return;
+	s->stop_at = now->mono + STOP_REPEAT_MS * AGB_MS;
+	send_stop(l, now, ri, &a->task, a->run, out);
+}
+
+/* An end of a run that had been given up: when it is done and no other run
+ * has been, the task is done all the same. */
+static void
+late_end(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, const struct wf_finished *f, struct wf_effects *out)
+{
+	if (f->how != WF_END_DONE || t->state == WF_TASK_DONE ||
+	    wf_unit_step(u)->lasts || wf_unit_step(u)->gang ||
+	    wf_job_final(u->exec->state))
+		return;
+	wf_effects_log(out, AGB_LOG_INFO, "end",
+	    "job=%s task=%" PRIu32 " run=%" PRIu32
+	    " how=done reason=\"an earlier run has finished the task\"",
+	    f->task.job, f->task.index, f->run);
+	if (t->holds)
+		wf_task_stop(
+		    l, now, u, t, "an earlier run has finished it", out);
+	if (t->state == WF_TASK_WAIT || t->holds)
+		wf_task_ended_elsewhere(l, now, u, t, out);
+}
+
+static const char *
+end_name(enum wf_end how)
+{
+	static const char *const names[] = {
+	    [WF_END_DONE] = "done",
+	    [WF_END_FAILED] = "failed",
+	    [WF_END_STOPPED] = "stopped",
+	    [WF_END_LAPSED] = "lapsed",
+	    [WF_END_BROKEN] = "broken",
+	    [WF_END_ALONE] = "alone",
+	};
+
+	return names[how];
+}
+
+static void
+take_end(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_finished *f, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	struct wf_stray *s;
+	struct wf_unit *u;
+	struct wf_task *t;
+
+	s = stray_find(r, &f->task, f->run);
+	if (s != NULL)
+		stray_drop(r, (size_t)(s - r->strays));
+	t = wf_exec_task(l, &f->task, &u);
+	if (t == NULL)
+		return;
+	if (!t->holds || t->runner != ri || t->run != f->run) {
+		late_end(l, now, u, t, f, out);
+		return;
+	}
+	wf_effects_log(out, AGB_LOG_INFO, "end",
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
+	    " run=%" PRIu32 " runner=%s how=%s seq=%" PRIu64
+	    " ran_ms=%" PRIu64 " estimate_ms=%" PRIu32,
+	    f->task.job, f->task.occurrence, f->task.step, f->task.index,
+	    f->run, r->info.id, end_name(f->how), f->seq,
+	    (now->mono - t->sent_at) / AGB_MS, wf_unit_step(u)->estimate_ms);
+	note_end(l, now, ri, f->how, out);
+	wf_task_ended(l, now, u, t, f->how, f->saved, out);
+}
+
+static void
+take_active(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_active *a, struct wf_effects *out)
+{
+	struct wf_unit *u;
+	struct wf_task *t;
+
+	t = wf_exec_task(l, &a->task, &u);
+	if (t == NULL || !t->holds || t->runner != ri || t->run != a->run) {
+		stray_add(l, now, ri, a, out);
+		return;
+	}
+	t->listed = true;
+	t->recovered = false;
+	if (t->state == WF_TASK_SENT) {
+		t->state = WF_TASK_RUN;
+		if (t->answered_at == 0)
+			t->answered_at = now->mono;
+	}
+	if (a->saved[0] != '\0' &&
+	    (t->saved == NULL || strcmp(t->saved, a->saved) != 0)) {
+		free(t->saved);
+		t->saved = agb_xstrdup(a->saved);
+	}
+}
+
+/* Whether a runner's list, read by a hold sent at @sent, proves that a task
+ * which it does not name is not there and will not be. */
+static bool
+proves_absent(const struct wf_runner *r, const struct wf_task *t,
+    agb_time sent, int64_t clock_ms)
+{
+	if (t->state == WF_TASK_INTENT)
+		return false;
+	/* Orders of earlier leaders have a lower fence and do nothing. */
+	if (t->recovered)
+		return true;
+	if (t->state == WF_TASK_DONE)
+		return sent > t->sent_at;
+	if (t->answered_at > 0)
+		return sent > t->answered_at;
+	return t->start_ms > 0 && clock_ms > t->start_ms;
+}
+
+static void
+take_absent(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_task *t;
+	bool again;
+
+	do {
+		again = false;
+		DL_FOREACH(l->runners[ri].tasks, t) {
+			if (t->listed ||
+			    !proves_absent(&l->runners[ri], t, res->sent_at,
+				res->clock_ms))
+				continue;
+			if (t->state == WF_TASK_DONE)
+				wf_task_release(l, t->unit, t);
+			else
+				wf_task_requeue(l, now, t->unit, t,
+				    t->recovered ? "not there at takeover"
+						 : "not at its runner",
+				    out);
+			again = true;
+			break;
+		}
+	} while (again);
+}
+
+static void
+sweep_strays(struct wf_runner *r)
+{
+	size_t i;
+
+	for (i = r->strays_len; i > 0; i--) {
+		if (!r->strays[i - 1].seen)
+			stray_drop(r, i - 1);
+	}
+}
+
+static void
+take_lists(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	const uint64_t before = l->runners[ri].processed;
+	struct wf_runner *const r = &l->runners[ri];
+	struct wf_task *t;
+	size_t i;
+
+	DL_FOREACH(r->tasks, t)
+		t->listed = false;
+	for (i = 0; i < r->strays_len; i++)
+		r->strays[i].seen = false;
+	for (i = 0; i < res->active_len; i++)
+		take_active(l, now, ri, &res->active[i], out);
+	for (i = 0; i < res->finished_len; i++) {
+		if (res->finished[i].seq <= r->processed)
+			continue;
+		r->processed = res->finished[i].seq;
+		take_end(l, now, ri, &res->finished[i], out);
+	}
+	if (r->processed > before)
+		wf_commit_ack(l, ri, r->processed);
+	take_absent(l, now, ri, res, out);
+	sweep_strays(r);
+	if (!r->met) {
+		r->met = true;
+		r->lease_until = now->mono;
+		lease_extend(r, now->mono, HOLD_MS);
+		l->changed = true;
+	}
+}
+
+static void
+hold_answer(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[res->runner];
+
+	r->hold_out = false;
+	if (res->status != WF_ORDER_OK) {
+		r->hold_next = now->mono + HOLD_RETRY_MS * AGB_MS;
+		shun(r, now->mono, SHUN_LOST_MS);
+		return;
+	}
+	if (r->heard_at == 0 || now->mono - r->heard_at > 2 * AGB_SEC)
+		wf_effects_log(out, AGB_LOG_INFO, "runner",
+		    "runner=%s change=reached active=%zu ended=%zu",
+		    r->info.id, res->active_len, res->finished_len);
+	r->heard_at = res->sent_at;
+	take_lists(l, now, res->runner, res, out);
+	r->hold_next = now->mono +
+	    (r->processed > r->observed ? HOLD_ACK_GAP_MS : HOLD_GAP_MS) *
+		AGB_MS;
+}
+
+static void
+start_refused(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_task *t, const struct wf_order_result *res,
+    struct wf_effects *out)
+{
+	static const char *const why[] = {
+	    [WF_ORDER_UNSENT] = "runner not reached",
+	    [WF_ORDER_BUSY] = "runner refused as unhealthy",
+	    [WF_ORDER_FENCED] = "runner has seen a higher fence",
+	    [WF_ORDER_OLD] = "runner knows a later run",
+	    [WF_ORDER_LATE] = "start came too late",
+	    [WF_ORDER_NO_ROOM] = "runner has no room",
+	    [WF_ORDER_TICKET] = "approval has expired",
+	    [WF_ORDER_OTHER_LIFE] = "runner restarted",
+	    [WF_ORDER_INVALID] = "runner does not take the start",
+	};
+	struct wf_runner *const r = &l->runners[t->runner];
+	struct wf_approval *a;
+
+	if (res->status == WF_ORDER_TICKET) {
+		a = (struct wf_approval *)(uintptr_t)wf_advice_of(
+		    u, t->runner);
+		if (a != NULL)
+			a->until = 0;
+	} else if (res->status == WF_ORDER_BUSY ||
+	    res->status == WF_ORDER_UNSENT ||
+	    res->status == WF_ORDER_NO_ROOM) {
+		shun(r, now->mono, SHUN_BUSY_MS);
+	} else if (res->status == WF_ORDER_INVALID) {
+		shun(r, now->mono, SHUN_LOST_MS);
+	}
+	wf_task_requeue(l, now, u, t, why[res->status], out);
+}
+
+static void
+start_answer(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_unit *u;
+	struct wf_task *t;
+
+	t = wf_exec_task(l, &res->task, &u);
+	if (t == NULL || !t->holds || t->run != res->run ||
+	    t->runner != res->runner || t->life != res->life)
+		return;
+	if (res->status == WF_ORDER_OK) {
+		if (t->state == WF_TASK_SENT)
+			t->state = WF_TASK_RUN;
+		if (t->answered_at == 0)
+			t->answered_at = now->mono;
+		return;
+	}
+	/* A list may have shown it at work before the answer was lost. */
+	if (t->state != WF_TASK_SENT)
+		return;
+	if (res->status != WF_ORDER_LOST) {
+		start_refused(l, now, u, t, res, out);
+		return;
+	}
+	shun(&l->runners[t->runner], now->mono, SHUN_LOST_MS);
+	wf_task_stop(l, now, u, t, "start was not answered", out);
+}
+
+static void
+stop_answer(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res)
+{
+	struct wf_unit *u;
+	struct wf_task *t;
+
+	t = wf_exec_task(l, &res->task, &u);
+	if (t == NULL || !t->holds || t->run != res->run ||
+	    t->runner != res->runner || t->life != res->life)
+		return;
+	/* From now on a list without the run proves that it is not there. */
+	if (res->status == WF_ORDER_OK && t->answered_at == 0)
+		t->answered_at = now->mono;
+}
+
+void
+wf_fleet_answer(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_runner *r;
+
+	if (res->runner >= l->runners_len)
+		return;
+	r = &l->runners[res->runner];
+	if (!r->used || r->life != res->life)
+		return;
+	if (res->status == WF_ORDER_FENCED) {
+		wf_effects_log(out, AGB_LOG_WARN, "fenced",
+		    "runner=%s fence=%" PRIu64, r->info.id, l->fence);
+		l->lost = true;
+		return;
+	}
+	if (res->born_ms != 0 && r->info.born_ms != 0 &&
+	    res->born_ms != r->info.born_ms) {
+		new_life(l, now, res->runner, res->born_ms, out);
+		return;
+	}
+	if (res->born_ms != 0)
+		r->info.born_ms = res->born_ms;
+	if (res->clock_ms > 0 && res->status == WF_ORDER_OK) {
+		r->clock_ms = res->clock_ms;
+		r->clock_at = now->mono;
+	}
+	switch (res->kind) {
+	case WF_ORDER_START:
+		start_answer(l, now, res, out);
+		break;
+	case WF_ORDER_STOP:
+		stop_answer(l, now, res);
+		break;
+	case WF_ORDER_HOLD:
+		hold_answer(l, now, res, out);
+		break;
+	}
+}
+
+static void
+tick_stops(struct wf_leader *l, const struct wf_now *now, agb_time *next,
+    struct wf_effects *out)
+{
+	struct wf_task_ref ref;
+	struct wf_task *t;
+	uint32_t ri;
+
+	for (ri = 0; l->stops > 0 && ri < l->runners_len; ri++) {
+		DL_FOREACH(l->runners[ri].tasks, t) {
+			if (!t->stopping)
+				continue;
+			if (now->mono >= t->stop_at) {
+				t->stop_at =
+				    now->mono + STOP_REPEAT_MS * AGB_MS;
+				wf_exec_ref(t->unit,
+				    (uint32_t)(t - t->unit->exec->tasks) -
+					t->unit->first,
+				    &ref);
+				send_stop(l, now, ri, &ref, t->run, out);
+			}
+			if (t->stop_at < *next)
+				*next = t->stop_at;
+		}
+	}
+}
+
+static void
+tick_runner(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    agb_time *next, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+
+	if (r->tasks != NULL && now->mono > r->lease_until &&
+	    now->mono - r->heard_at > HOLD_MS * AGB_MS) {
+		requeue_all(l, now, ri, "its lease has run out", out);
+		r->met = false;
+	}
+	if (!r->listed && r->tasks == NULL &&
+	    now->mono - r->gone_at > FORGET_MS * AGB_MS) {
+		strays_clear(r);
+		r->used = false;
+		return;
+	}
+	if (r->hold_out || r->info.addr[0] == '\0')
+		return;
+	/* A runner that has left the registry is asked while tasks may be
+	 * there. */
+	if (!r->listed && r->tasks == NULL)
+		return;
+	if (now->mono >= r->hold_next && now->mono < l->hold_until)
+		send_hold(l, now, ri, out);
+	else if (r->hold_next < *next)
+		*next = r->hold_next;
+}
+
+agb_time
+wf_fleet_tick(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	agb_time next;
+	uint32_t ri;
+
+	next = now->mono + AGB_SEC;
+	for (ri = 0; ri < l->runners_len; ri++) {
+		if (l->runners[ri].used)
+			tick_runner(l, now, ri, &next, out);
+	}
+	tick_stops(l, now, &next, out);
+	return next;
+}
--- /dev/null
+++ b/src/workflow/wf_follow.c
@@ -0,0 +1,119 @@
+#include "wf_follow.h"
+
+#include <stdlib.h>
+
+#include "mem.h"
+#include "types.h"
+
+#define READ_TIMEOUT_MS 1500
+#define READ_RETRY_MS 150
+
+struct wf_follow {
+	uv_timer_t timer;
+	struct agb_store *store;
+	uint64_t tag;
+	char *prefix;
+	char *end;
+	wf_follow_cb cb;
+	void *arg;
+	uint32_t gap_ms;
+	bool watching;
+	bool reading;
+	bool freed;
+};
+
+static void
+read_all(struct wf_follow *f)
+{
+	struct agb_store_op op;
+
+	agb_store_op_range(&op, f->prefix, f->end, 0);
+	f->reading = true;
+	f->store->ops->call(f->store, f->tag, &op, READ_TIMEOUT_MS);
+}
+
+static void
+on_timer(uv_timer_t *t)
+{
+	read_all(t->data);
+}
+
+static void
+read_later(struct wf_follow *f)
+{
+	uv_timer_start(&f->timer, on_timer, READ_RETRY_MS, 0);
+}
+
+struct wf_follow *
+wf_follow_new(uv_loop_t *loop, struct agb_store *store, uint64_t tag,
+    const char *prefix, wf_follow_cb cb, void *arg)
+{
+	struct wf_follow *const f = agb_xcalloc(1, sizeof(*f));
+
+	uv_timer_init(loop, &f->timer);
+	f->timer.data = f;
+	f->store = store;
+	f->tag = tag;
+	f->prefix = agb_xstrdup(prefix);
+	f->end = agb_store_prefix_end(prefix);
+	f->cb = cb;
+	f->arg = arg;
+	read_all(f);
+	return f;
+}
+
+static void
+timer_closed(uv_handle_t *h)
+{
+	struct wf_follow *const f = h->data;
+
+	free(f->prefix);
+	free(f->end);
+	free(f);
+}
+
+void
+wf_follow_free(struct wf_follow *f)
+{
+	if (f == NULL)
+		return;
+	if (f->watching)
+		f->store->ops->unwatch(f->store, f->tag);
+	uv_close((uv_handle_t *)&f->timer, timer_closed);
+}
+
+void
+wf_follow_result(struct wf_follow *f, struct agb_store_result *res)
+{
+	f->reading = false;
+	if (res->status != AGB_STORE_OK || res->revision == 0) {
+		read_later(f);
+		return;
+	}
+	f->watching = true;
+	f->store->ops->watch(
+	    f->store, f->tag, f->prefix, f->end, res->revision + 1);
+	if (f->store->ops->pace != NULL)
+		f->store->ops->pace(f->store, f->tag, f->gap_ms);
+	f->cb(f->arg, true, res->revision, res->kvs, res->kvs_len);
+}
+
+void
+wf_follow_watch(struct wf_follow *f, const struct agb_store_kv *kvs,
+    size_t len, uint64_t revision, bool broken)
+{
+	if (broken) {
+		f->watching = false;
+		read_later(f);
+		return;
+	}
+	f->cb(f->arg, false, revision, kvs, len);
+}
+
+void
+wf_follow_pace(struct wf_follow *f, uint32_t gap_ms)
+{
+	f->gap_ms = gap_ms;
+	if (f->watching && f->store->ops->pace != NULL)
+		f->store->ops->pace(f->store, f->tag, gap_ms);
+}
--- /dev/null
+++ b/src/workflow/wf_front.c
@@ -0,0 +1,445 @@
+#include "wf_front.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "mem.h"
+
+/* How long a call of the store may take before it is made again. */
+#define STORE_TIMEOUT_MS 900
+#define RETRY_MS 50
+/* Time of a caller that did not say how long it waits. */
+#define CALL_MS 3000
+/* The answer has to reach the caller before it gives up. */
+#define ANSWER_MARGIN_MS 100
+/* When a refused caller may come back. */
+#define RETRY_AFTER_S 1
+
+/**
+ * struct waiting - a request that waits for the store
+ * @unknown: a write whose fate is not known has been sent
+ */
+struct waiting {
+	struct waiting *prev, *next;
+	uint64_t tag;
+	uint64_t call_id;
+	enum wf_call_kind kind;
+	wf_job_id job;
+	struct wf_spec *spec;
+	char *raw;
+	size_t len;
+	agb_time began;
+	agb_time until;
+	agb_time retry_at;
+	bool reading;
+	bool unknown;
+	bool gone;
+};
+
+struct wf_front {
+	struct wf_table *table;
+	struct waiting *calls;
+	size_t len;
+	uint64_t next_tag;
+};
+
+/* Tags of the front and of the leader differ in the top bit. */
+#define FRONT_TAG ((uint64_t)1 << 63)
+
+struct wf_front *
+wf_front_new(struct wf_table *table)
+{
+	struct wf_front *const f = agb_xcalloc(1, sizeof(*f));
+
+	f->table = table;
+	return f;
+}
+
+static void
+waiting_free(struct wf_front *f, struct waiting *w)
+{
+	DL_DELETE(f->calls, w);
+	f->len--;
+	if (w->spec != NULL) {
+		wf_spec_free(w->spec);
+		free(w->spec);
+	}
+	free(w->raw);
+	free(w);
+}
+
+void
+wf_front_free(struct wf_front *f)
+{
+	while (f->calls != NULL)
+		waiting_free(f, f->calls);
+	free(f);
+}
+
+size_t
+wf_front_open(const struct wf_front *f)
+{
+	return f->len;
+}
+
+static struct wf_reply *
+reply(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
+    int http_status)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_REPLY);
+
+	ef->call_id = call_id;
+	ef->u.reply.kind = kind;
+	ef->u.reply.http_status = http_status;
+	return &ef->u.reply;
+}
+
+static void
+refuse(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
+    int http_status, const char *job, const char *why)
+{
+	struct wf_reply *const r = reply(out, call_id, kind, http_status);
+
+	if (http_status == 503 || http_status == 429)
+		r->retry_s = RETRY_AFTER_S;
+	agb_name_set(r->detail, sizeof(r->detail), why);
+	wf_effects_log(out, AGB_LOG_INFO, "answer",
+	    "job=%s status=%d outcome=%s reason=\"%s\"", job, http_status,
+	    http_status == 504 ? "unknown" : "not-run", why);
+}
+
+/* The last part of a path, when it is a job id. */
+static bool
+job_of(const struct wf_queue *q, const char *path, wf_job_id id)
+{
+	const char *const rest = path + strlen(q->prefix);
+
+	if (strlen(rest) != WF_JOB_ID_LEN - 1 ||
+	    strspn(rest, "0123456789abcdefABCDEF") != WF_JOB_ID_LEN - 1)
+		return false;
+	agb_name_set(id, WF_JOB_ID_LEN, rest);
+	return true;
+}
+
+static void
+store_send(struct wf_front *f, struct waiting *w, struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_STORE);
+	char key[WF_KEY_MAX];
+
+	w->tag = FRONT_TAG | ++f->next_tag;
+	w->retry_at = 0;
+	ef->tag = w->tag;
+	ef->timeout_ms = STORE_TIMEOUT_MS;
+	if (w->reading) {
+		wf_table_key(key, 'j', w->job);
+		agb_store_op_range(&ef->u.store, key, NULL, 1);
+		return;
+	}
+	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
+	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	agb_store_op_cmp(&ef->u.store, key, AGB_STORE_MOD_REV, 0);
+	agb_store_op_put(&ef->u.store, key,
+	    w->raw != NULL ? w->raw : "", w->len, 0);
+}
+
+static struct waiting *
+wait_new(struct wf_front *f, const struct wf_now *now,
+    const struct wf_call *call, const struct wf_queue *q, const char *job)
+{
+	struct waiting *const w = agb_xcalloc(1, sizeof(*w));
+	uint32_t ms;
+
+	ms = call->deadline_ms > 0 ? call->deadline_ms
+	    : q->timeout_ms > 0	   ? q->timeout_ms
+				   : CALL_MS;
+	ms = ms > 2 * ANSWER_MARGIN_MS ? ms - ANSWER_MARGIN_MS : ms;
+	w->call_id = call->id;
+	w->kind = call->kind;
+	agb_name_set(w->job, sizeof(w->job), job);
+	w->began = now->mono;
+	w->until = now->mono + ms * AGB_MS;
+	DL_APPEND(f->calls, w);
+	f->len++;
+	return w;
+}
+
+static void
+accepted_reply(struct wf_effects *out, uint64_t call_id,
+    enum wf_call_kind kind, const char *job, const char *how,
+    uint64_t revision, agb_time took)
+{
+	reply(out, call_id, kind, 200)->state = WF_JOB_QUEUED;
+	wf_effects_log(out, AGB_LOG_INFO, "answer",
+	    "job=%s status=200 call=%s how=%s revision=%" PRIu64
+	    " took_ms=%" PRIu64,
+	    job, kind == WF_CALL_SUBMIT ? "submit" : "cancel", how, revision,
+	    took / AGB_MS);
+}
+
+static void
+call_submit(struct wf_front *f, const struct wf_now *now,
+    const struct wf_queue *q, struct wf_call *call, const char *job,
+    struct wf_effects *out)
+{
+	const struct wf_job *const known = wf_table_job(f->table, job);
+	struct waiting *w;
+
+	if (known != NULL && known->spec_rev > 0) {
+		accepted_reply(out, call->id, call->kind, job, "known",
+		    known->spec_rev, 0);
+		return;
+	}
+	if (call->spec == NULL) {
+		refuse(out, call->id, call->kind, 400, job, call->fault);
+		return;
+	}
+	w = wait_new(f, now, call, q, job);
+	w->spec = call->spec;
+	call->spec = NULL;
+	agb_name_set(w->spec->queue, sizeof(w->spec->queue), q->name);
+	w->spec->submitted_ms = now->unix_ms;
+	w->raw = wf_table_encode_spec(w->spec, &w->len);
+	if (w->raw == NULL) {
+		refuse(out, call->id, call->kind, 400, job,
+		    "the job is too large to be stored");
+		waiting_free(f, w);
+		return;
+	}
+	store_send(f, w, out);
+}
+
+static void
+reply_state(struct wf_effects *out, uint64_t call_id, const struct wf_job *j)
+{
+	struct wf_reply *const r = reply(out, call_id, WF_CALL_GET, 200);
+
+	r->state = j->state;
+	if (j->cancel_rev > 0 && !wf_job_final(j->state))
+		r->state = WF_JOB_CANCELLED;
+}
+
+static void
+call_get(struct wf_front *f, const struct wf_now *now,
+    const struct wf_queue *q, struct wf_call *call, const char *job,
+    struct wf_effects *out)
+{
+	const struct wf_job *const j = wf_table_job(f->table, job);
+	struct waiting *w;
+
+	if (j != NULL && j->spec_rev > 0) {
+		reply_state(out, call->id, j);
+		return;
+	}
+	/* Another instance may have accepted it a moment ago. */
+	w = wait_new(f, now, call, q, job);
+	w->reading = true;
+	store_send(f, w, out);
+}
+
+static void
+call_cancel(struct wf_front *f, const struct wf_now *now,
+    const struct wf_queue *q, struct wf_call *call, const char *job,
+    struct wf_effects *out)
+{
+	const struct wf_job *const j = wf_table_job(f->table, job);
+	struct waiting *w;
+
+	if (j != NULL && (j->cancel_rev > 0 || wf_job_final(j->state))) {
+		accepted_reply(out, call->id, call->kind, job, "known",
+		    j->cancel_rev, 0);
+		return;
+	}
+	w = wait_new(f, now, call, q, job);
+	w->reading = j == NULL || j->spec_rev == 0;
+	store_send(f, w, out);
+}
+
+static void
+call_queue(struct wf_front *f, const struct wf_queue *q, uint64_t call_id,
+    struct wf_effects *out)
+{
+	struct wf_reply *const r = reply(out, call_id, WF_CALL_QUEUE, 200);
+	struct wf_job *j, *j2;
+
+	HASH_ITER(hh, f->table->jobs, j, j2) {
+		if (j->spec_rev > 0 && j->state == WF_JOB_QUEUED &&
+		    j->cancel_rev == 0 && strcmp(j->spec.queue, q->name) == 0)
+			r->pending++;
+	}
+}
+
+void
+wf_front_call(struct wf_front *f, const struct wf_now *now,
+    const struct wf_doc *doc, struct wf_call *call, struct wf_effects *out)
+{
+	const struct wf_queue *q;
+	wf_job_id job;
+
+	if (doc == NULL) {
+		refuse(out, call->id, call->kind, 503, call->path,
+		    "no document is known yet");
+		return;
+	}
+	q = wf_doc_route(doc, call->host, call->path);
+	if (q == NULL) {
+		refuse(out, call->id, call->kind, 404, call->path,
+		    "no queue has this host and path");
+		return;
+	}
+	if (call->kind == WF_CALL_GET && strcmp(call->path, q->prefix) == 0) {
+		call_queue(f, q, call->id, out);
+		return;
+	}
+	if (!job_of(q, call->path, job)) {
+		refuse(out, call->id, call->kind,
+		    call->kind == WF_CALL_SUBMIT ? 400 : 410, call->path,
+		    "the path does not end with a job id of 16 digits");
+		return;
+	}
+	if (call->kind == WF_CALL_SUBMIT)
+		call_submit(f, now, q, call, job, out);
+	else if (call->kind == WF_CALL_GET)
+		call_get(f, now, q, call, job, out);
+	else
+		call_cancel(f, now, q, call, job, out);
+}
+
+void
+wf_front_gone(struct wf_front *f, uint64_t call_id)
+{
+	struct waiting *w;
+
+	DL_FOREACH(f->calls, w) {
+		if (w->call_id == call_id) {
+			w->gone = true;
+			return;
+		}
+	}
+}
+
+static void
+wrote(struct wf_front *f, const struct wf_now *now, struct waiting *w,
+    const struct agb_store_result *res, struct wf_job **accepted,
+    struct wf_effects *out)
+{
+	struct wf_job *j;
+
+	j = NULL;
+	if (w->kind == WF_CALL_SUBMIT && res->succeeded) {
+		j = wf_table_put_spec(
+		    f->table, w->job, res->revision, w->spec);
+		w->spec = NULL;
+	} else if (w->kind == WF_CALL_CANCEL && res->succeeded) {
+		j = wf_table_job(f->table, w->job);
+		if (j != NULL)
+			j->cancel_rev = res->revision;
+	}
+	*accepted = j;
+	accepted_reply(out, w->call_id, w->kind, w->job,
+	    res->succeeded ? "stored" : "stored-before", res->revision,
+	    now->mono - w->began);
+	waiting_free(f, w);
+}
+
+static void
+read_key(struct wf_front *f, struct waiting *w,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	const struct wf_job *j;
+
+	if (res->kvs_len == 0) {
+		refuse(out, w->call_id, w->kind, 410, w->job,
+		    "no such job is known");
+		waiting_free(f, w);
+		return;
+	}
+	if (w->kind == WF_CALL_GET) {
+		wf_table_apply(f->table, &res->kvs[0]);
+		j = wf_table_job(f->table, w->job);
+		if (j != NULL && j->spec_rev > 0)
+			reply_state(out, w->call_id, j);
+		else
+			refuse(out, w->call_id, w->kind, 503, w->job,
+			    "its record cannot be read");
+		waiting_free(f, w);
+		return;
+	}
+	w->reading = false;
+	store_send(f, w, out);
+}
+
+static void
+give_up(struct wf_front *f, struct waiting *w, struct wf_effects *out)
+{
+	if (w->unknown)
+		refuse(out, w->call_id, w->kind, 504, w->job,
+		    "the store has not answered; it may have been stored");
+	else
+		refuse(out, w->call_id, w->kind, 503, w->job,
+		    "the store cannot be reached; nothing was stored");
+	waiting_free(f, w);
+}
+
+bool
+wf_front_store(struct wf_front *f, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_job **accepted,
+    struct wf_effects *out)
+{
+	struct waiting *w;
+
+	*accepted = NULL;
+	if ((tag & FRONT_TAG) == 0)
+		return false;
+	DL_FOREACH(f->calls, w) {
+		if (w->tag == tag)
+			break;
+	}
+	if (w == NULL)
+		return true;
+	if (res->status == AGB_STORE_OK) {
+		if (w->reading)
+			read_key(f, w, res, out);
+		else
+			wrote(f, now, w, res, accepted, out);
+		return true;
+	}
+	if (res->status == AGB_STORE_LOST && !w->reading)
+		w->unknown = true;
+	/* What certainly is not stored is refused at once, so that the caller
+	 * can turn to another instance. */
+	if (!w->unknown || now->mono + RETRY_MS * AGB_MS >= w->until) {
+		give_up(f, w, out);
+		return true;
+	}
+	w->retry_at = now->mono + RETRY_MS * AGB_MS;
+	return true;
+}
+
+agb_time
+wf_front_tick(
+    struct wf_front *f, const struct wf_now *now, struct wf_effects *out)
+{
+	struct waiting *w, *w2;
+	agb_time next;
+
+	next = AGB_TIME_MAX;
+	DL_FOREACH_SAFE(f->calls, w, w2) {
+		if (now->mono >= w->until) {
+			/* The call under way may still have an effect. */
+			if (!w->reading && w->retry_at == 0)
+				w->unknown = true;
+			give_up(f, w, out);
+			continue;
+		}
+		if (w->retry_at != 0 && now->mono >= w->retry_at)
+			store_send(f, w, out);
+		if (w->until < next)
+			next = w->until;
+		if (w->retry_at != 0 && w->retry_at < next)
+			next = w->retry_at;
+	}
+	return next;
+}
--- /dev/null
+++ b/src/workflow/wf_front.h
@@ -0,0 +1,54 @@
+#ifndef WF_FRONT_H
+#define WF_FRONT_H
+
+/**
+ * DOC: wf_front
+ *
+ * Requests of callers. A submission is accepted once it lies in the store;
+ * when the store's answer is lost it is written again, and never refused as
+ * not run. States are answered from this instance's copy of the store.
+ */
+
+#include "wf_event.h"
+#include "wf_table.h"
+
+struct wf_front;
+
+struct wf_front *wf_front_new(struct wf_table *table);
+
+void wf_front_free(struct wf_front *f);
+
+/**
+ * wf_front_call() - take a request
+ * @doc: document in force, or NULL
+ */
+void wf_front_call(struct wf_front *f, const struct wf_now *now,
+    const struct wf_doc *doc, struct wf_call *call, struct wf_effects *out);
+
+/**
+ * wf_front_gone() - the caller has closed its connection
+ */
+void wf_front_gone(struct wf_front *f, uint64_t call_id);
+
+/**
+ * wf_front_store() - the store has answered
+ * @accepted: set to a job that has just been accepted or cancelled, or NULL
+ * Return: false when the tag is none of the front's.
+ */
+bool wf_front_store(struct wf_front *f, const struct wf_now *now,
+    uint64_t tag, const struct agb_store_result *res,
+    struct wf_job **accepted, struct wf_effects *out);
+
+/**
+ * wf_front_tick() - writes to repeat, callers whose time is over
+ * Return: when to call again.
+ */
+agb_time wf_front_tick(
+    struct wf_front *f, const struct wf_now *now, struct wf_effects *out);
+
+/**
+ * wf_front_open() - requests that wait
+ */
+size_t wf_front_open(const struct wf_front *f);
+
+#endif
--- /dev/null
+++ b/src/workflow/wf_httpd.c
@@ -0,0 +1,283 @@
+#include "wf_httpd.h"
+
+#include <errno.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "httpc.h"
+#include "mem.h"
+
+#define BACKLOG 1024
+/* Longer than callers keep a channel without a request. */
+#define IDLE_MS 60000
+
+struct handler {
+	h2o_handler_t super;
+	struct wf_httpd *s;
+};
+
+/* A request until its answer or the end of its connection. */
+struct call {
+	struct call *prev, *next;
+	struct wf_httpd *s;
+	uint64_t id;
+	h2o_req_t *req;
+};
+
+/* Lives in the request's pool and tells when the request is over. */
+struct guard {
+	struct wf_httpd *s;
+	uint64_t id;
+};
+
+struct conn {
+	uv_tcp_t tcp;
+	struct wf_httpd *s;
+};
+
+struct wf_httpd {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	h2o_globalconf_t config;
+	h2o_context_t ctx;
+	h2o_accept_ctx_t accept;
+	struct wf_httpd_cbs cbs;
+	void *arg;
+	const char *deadline_header;
+	struct call *calls;
+	size_t calls_len;
+	size_t conns_len;
+	uint64_t next_id;
+	bool draining;
+	bool stopped;
+};
+
+static struct call *
+call_find(struct wf_httpd *s, uint64_t id)
+{
+	struct call *c;
+
+	DL_FOREACH(s->calls, c) {
+		if (c->id == id)
+			return c;
+	}
+	return NULL;
+}
+
+static void
+call_free(struct call *c)
+{
+	DL_DELETE(c->s->calls, c);
+	c->s->calls_len--;
+	free(c);
+}
+
+static void
+guard_dispose(void *p)
+{
+	const struct guard *const g = p;
+	struct call *const c = call_find(g->s, g->id);
+
+	if (c == NULL)
+		return;
+	call_free(c);
+	g->s->cbs.gone(g->s->arg, g->id);
+}
+
+static void
+copy_text(char *dst, size_t size, h2o_iovec_t src)
+{
+	const size_t n = src.len < size ? src.len : size - 1;
+
+	memcpy(dst, src.base, n);
+	dst[n] = '\0';
+}
+
+/* Host without its port. */
+static void
+copy_host(struct wf_http_req *out, h2o_iovec_t authority)
+{
+	char *colon;
+
+	copy_text(out->host, sizeof(out->host), authority);
+	colon = strrchr(out->host, ':');
+	if (colon != NULL && strchr(colon, ']') == NULL)
+		*colon = '\0';
+}
+
+static void
+copy_deadline(
+    const struct wf_httpd *s, struct wf_http_req *out, h2o_req_t *req)
+{
+	const ssize_t i = h2o_find_header_by_str(&req->headers,
+	    s->deadline_header, strlen(s->deadline_header), -1);
+
+	if (i >= 0)
+		copy_text(out->deadline, sizeof(out->deadline),
+		    req->headers.entries[i].value);
+}
+
+static int
+on_req(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct wf_httpd *const s = ((struct handler *)self)->s;
+	struct wf_http_req out;
+	struct guard *g;
+	struct call *c;
+
+	memset(&out, 0, sizeof(out));
+	c = agb_xcalloc(1, sizeof(*c));
+	c->s = s;
+	c->id = ++s->next_id;
+	c->req = req;
+	DL_APPEND(s->calls, c);
+	s->calls_len++;
+	g = h2o_mem_alloc_shared(&req->pool, sizeof(*g), guard_dispose);
+	g->s = s;
+	g->id = c->id;
+	out.id = c->id;
+	copy_text(out.method, sizeof(out.method), req->method);
+	copy_host(&out, req->authority);
+	copy_text(out.path, sizeof(out.path), req->path);
+	copy_deadline(s, &out, req);
+	out.body = req->entity.base;
+	out.body_len = req->entity.len;
+	s->cbs.request(s->arg, &out);
+	return 0;
+}
+
+void
+wf_httpd_reply(struct wf_httpd *s, uint64_t id, int status, const char *type,
+    uint32_t retry_s, const char *body, size_t len)
+{
+	struct call *const c = call_find(s, id);
+	h2o_req_t *req;
+	char *text;
+	int n;
+
+	if (c == NULL)
+		return;
+	req = c->req;
+	call_free(c);
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Refused";
+	req->res.content_length = len;
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+	    NULL, type, strlen(type));
+	if (retry_s > 0) {
+		text = h2o_mem_alloc_pool(&req->pool, 16);
+		n = snprintf(text, 16, "%u", retry_s);
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+		    H2O_STRLIT("retry-after"), 1, NULL, text, (size_t)n);
+	}
+	if (s->draining)
+		req->http1_is_persistent = 0;
+	h2o_send_inline(req, body, len);
+}
+
+static void
+conn_closed(uv_handle_t *h)
+{
+	struct conn *const c = (struct conn *)h;
+
+	c->s->conns_len--;
+	free(c);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	struct wf_httpd *const s = listener->data;
+	h2o_socket_t *sock;
+	struct conn *c;
+
+	if (status != 0)
+		return;
+	c = agb_xcalloc(1, sizeof(*c));
+	c->s = s;
+	uv_tcp_init(s->loop, &c->tcp);
+	s->conns_len++;
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+		uv_close((uv_handle_t *)&c->tcp, conn_closed);
+		return;
+	}
+	uv_tcp_nodelay(&c->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&c->tcp, conn_closed);
+	h2o_accept(&s->accept, sock);
+}
+
+struct wf_httpd *
+wf_httpd_new(uv_loop_t *loop, const char *addr, const char *deadline_header,
+    size_t body_max, const struct wf_httpd_cbs *cbs, void *arg)
+{
+	struct wf_httpd *const s = agb_xcalloc(1, sizeof(*s));
+	struct sockaddr_storage ss;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct handler *handler;
+	int rc;
+
+	s->loop = loop;
+	s->cbs = *cbs;
+	s->arg = arg;
+	s->deadline_header = deadline_header;
+	uv_tcp_init(loop, &s->listener);
+	s->listener.data = s;
+	rc = agb_httpc_parse_addr(addr, &ss) ? 0 : UV_EINVAL;
+	if (rc == 0)
+		rc = uv_tcp_bind(&s->listener, (struct sockaddr *)&ss, 0);
+	if (rc == 0)
+		rc = uv_listen(
+		    (uv_stream_t *)&s->listener, BACKLOG, on_connection);
+	if (rc != 0) {
+		uv_close((uv_handle_t *)&s->listener, NULL);
+		errno = -rc;
+		return NULL;
+	}
+	h2o_config_init(&s->config);
+	s->config.server_name = h2o_iovec_init(H2O_STRLIT("agatebeam"));
+	s->config.max_request_entity_size = body_max;
+	s->config.http1.req_timeout = IDLE_MS;
+	host = h2o_config_register_host(
+	    &s->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_req;
+	handler->s = s;
+	h2o_context_init(&s->ctx, loop, &s->config);
+	s->accept.ctx = &s->ctx;
+	s->accept.hosts = s->config.hosts;
+	return s;
+}
+
+void
+wf_httpd_drain(struct wf_httpd *s)
+{
+	s->draining = true;
+}
+
+void
+wf_httpd_stop(struct wf_httpd *s)
+{
+	if (s->stopped)
+		return;
+	s->stopped = true;
+	uv_close((uv_handle_t *)&s->listener, NULL);
+	h2o_context_request_shutdown(&s->ctx);
+}
+
+size_t
+wf_httpd_open(const struct wf_httpd *s)
+{
+	return s->calls_len;
+}
+
+size_t
+wf_httpd_connections(const struct wf_httpd *s)
+{
+	return s->conns_len;
+}
--- /dev/null
+++ b/src/workflow/wf_leader.c
@@ -0,0 +1,144 @@
+#include "wf_leader.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "mem.h"
+
+/* Leases of runners are extended for this long after the last certain sign
+ * of leadership: runners refuse orders of a leader that has been replaced. */
+#define HOLD_GRACE_MS 8000
+/* An order has to arrive before the lease ends. */
+#define ORDER_MARGIN_MS 100
+
+bool
+wf_leader_may_order(const struct wf_leader *l, agb_time now)
+{
+	return now + ORDER_MARGIN_MS * AGB_MS < l->valid_until;
+}
+
+struct wf_leader *
+wf_leader_new(uint64_t fence, const char *self,
+    const struct wf_limits *limits, struct wf_table *table,
+    const struct wf_doc *doc, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	struct wf_leader *const l = agb_xcalloc(1, sizeof(*l));
+	struct wf_job *j, *j2;
+	size_t n;
+
+	l->fence = fence;
+	agb_name_set(l->self, sizeof(l->self), self);
+	l->limits = *limits;
+	/* Runners reached by earlier leaders only: see wf_fleet_get(). */
+	l->limits.hold_ms = HOLD_GRACE_MS;
+	l->table = table;
+	l->doc = doc;
+	l->elected_at = now->mono;
+	l->next_collect = now->mono + AGB_SEC;
+	l->changed = true;
+	wf_advice_peers(l);
+	n = 0;
+	HASH_ITER(hh, table->jobs, j, j2) {
+		if (j->spec_rev == 0 || wf_job_final(j->state))
+			continue;
+		wf_exec_new(l, now, j, out);
+		n++;
+	}
+	wf_effects_log(out, AGB_LOG_INFO, "lead",
+	    "change=elected fence=%" PRIu64 " jobs=%zu known=%u"
+	    " store_revision=%" PRIu64,
+	    fence, n, HASH_COUNT(table->jobs), table->revision);
+	return l;
+}
+
+void
+wf_leader_free(struct wf_leader *l)
+{
+	uint32_t i;
+
+	if (l == NULL)
+		return;
+	wf_commit_free(l);
+	while (l->execs != NULL)
+		wf_exec_free(l, l->execs);
+	wf_advice_free(l);
+	for (i = 0; i < l->runners_len; i++)
+		free(l->runners[i].strays);
+	free(l->runners);
+	free(l);
+}
+
+void
+wf_leader_job(struct wf_leader *l, const struct wf_now *now,
+    struct wf_job *j, struct wf_effects *out)
+{
+	if (j->spec_rev == 0)
+		return;
+	if (j->exec != NULL)
+		wf_exec_advance(l, now, j->exec, out);
+	else if (!wf_job_final(j->state))
+		wf_exec_new(l, now, j, out);
+}
+
+void
+wf_leader_doc(struct wf_leader *l, const struct wf_doc *doc)
+{
+	l->doc = doc;
+	l->changed = true;
+}
+
+static agb_time
+sooner(agb_time a, agb_time b)
+{
+	return a < b ? a : b;
+}
+
+/* Starts whose intents became durable while the lease was in doubt. */
+static void
+late_starts(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	struct wf_exec *e;
+
+	if (!l->starts_held || !wf_leader_may_order(l, now->mono))
+		return;
+	l->starts_held = false;
+	DL_FOREACH(l->execs, e) {
+		if (!e->in_flight)
+			wf_commit_starts(l, now, e, out);
+	}
+}
+
+static agb_time
+due_occurrences(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	struct wf_exec *e, *e2;
+	agb_time next;
+
+	next = wf_exec_next(l, now);
+	if (now->mono < l->due_at)
+		return sooner(next, l->due_at);
+	DL_FOREACH_SAFE(l->execs, e, e2) {
+		if (e->job->spec.first_ms > 0)
+			wf_exec_advance(l, now, e, out);
+	}
+	l->due_at = next;
+	return next;
+}
+
+agb_time
+wf_leader_tick(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	agb_time next;
+
+	l->hold_until = l->valid_until + HOLD_GRACE_MS * AGB_MS;
+	next = due_occurrences(l, now, out);
+	next = sooner(next, wf_fleet_tick(l, now, out));
+	next = sooner(next, wf_dispatch(l, now, out));
+	late_starts(l, now, out);
+	return sooner(next, wf_commit_flush(l, now, out));
+}
--- /dev/null
+++ b/src/workflow/wf_settings.c
@@ -0,0 +1,94 @@
+#include "wf_settings.h"
+
+#include <string.h>
+
+#include "jsonc.h"
+#include "settings.h"
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+#define TEXT_MAX ((size_t)64 * 1024)
+
+static const char *const keys[] = {
+    "instance",
+    "domain",
+    "region",
+    "http",
+    "ready",
+    "metrics",
+    "rpc",
+    "store",
+    "advice",
+    "fleet",
+    "grace_s",
+    "status_s",
+    "remote_factor",
+    "body_max",
+    "log_json",
+    "log_level",
+};
+static const char *const levels[] = {"debug", "info", "warn", "error"};
+
+static void
+parse_addr(const struct agb_jsonc_node *root, const char *key, bool required,
+    char *dst)
+{
+	const char *fault;
+
+	if (!agb_jsonc_str(root, key, required, dst, AGB_ADDR_LEN) ||
+	    dst[0] == '\0')
+		return;
+	fault = agb_settings_addr_fault(dst);
+	if (fault != NULL)
+		agb_jsonc_report(root, key, AGB_FINDING_ERROR, "%s", fault);
+}
+
+static void
+parse_root(const struct agb_jsonc_node *root, struct wf_settings *out)
+{
+	static const struct agb_jsonc_range bodies = {
+	    .min = 1024, .max = 16 * 1024 * 1024, .unit = "bytes"};
+	double grace_s = 10, status_s = 120;
+	size_t level = AGB_LOG_INFO;
+
+	agb_jsonc_known(root, keys, LEN(keys));
+	agb_jsonc_str(
+	    root, "instance", true, out->instance, sizeof(out->instance));
+	agb_jsonc_str(root, "domain", true, out->domain, sizeof(out->domain));
+	agb_jsonc_str(root, "region", true, out->region, sizeof(out->region));
+	parse_addr(root, "http", true, out->http);
+	parse_addr(root, "ready", true, out->ready);
+	parse_addr(root, "metrics", true, out->metrics);
+	parse_addr(root, "rpc", true, out->rpc);
+	parse_addr(root, "store", true, out->store);
+	parse_addr(root, "advice", false, out->advice);
+	parse_addr(root, "fleet", false, out->fleet);
+	agb_jsonc_num(root, "grace_s", false, 1, 3600, &grace_s);
+	agb_jsonc_num(root, "status_s", false, 1, 86400, &status_s);
+	agb_jsonc_num(root, "remote_factor", false, 1, 100, &out->remote_x);
+	agb_jsonc_u32(root, "body_max", false, &bodies, &out->body_max);
+	agb_jsonc_bool(root, "log_json", false, &out->log_json);
+	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
+	out->grace_ms = (uint32_t)(grace_s * 1000);
+	out->status_s = (uint32_t)status_s;
+	out->log_level = (enum agb_log_level)level;
+}
+
+bool
+wf_settings_parse(const char *text, size_t len, struct wf_settings *out,
+    struct agb_findings *findings)
+{
+	const size_t errors = findings->errors;
+	struct agb_jsonc_node root;
+	struct agb_jsonc *doc;
+
+	memset(out, 0, sizeof(*out));
+	out->remote_x = 1;
+	out->body_max = 1024 * 1024;
+	doc = agb_jsonc_parse(text, len, TEXT_MAX, findings);
+	if (doc == NULL)
+		return false;
+	if (agb_jsonc_root(doc, &root))
+		parse_root(&root, out);
+	agb_jsonc_free(doc);
+	return findings->errors == errors;
+}
--- /dev/null
+++ b/src/workflow/wf_settings.h
@@ -0,0 +1,56 @@
+#ifndef WF_SETTINGS_H
+#define WF_SETTINGS_H
+
+/**
+ * DOC: wf_settings
+ *
+ * Settings of an instance on a platform that keeps its state: JSON with
+ * comments, read at the start and after SIGHUP.
+ */
+
+#include "effect.h"
+#include "finding.h"
+#include "types.h"
+
+/**
+ * struct wf_settings - checked settings
+ * @instance: name of this instance
+ * @http: where callers reach it
+ * @ready: where the platform asks whether it is ready
+ * @metrics: where its metrics are served
+ * @rpc: where other instances reach it
+ * @store: address of the platform's store
+ * @advice: address of the advice service, or ""
+ * @fleet: address of the list of machines, or ""
+ * @grace_ms: time from SIGTERM to the end of the process
+ * @status_s: how long the state of an ended job stays known
+ * @remote_x: factor on run times away from data
+ * @body_max: largest request body in bytes
+ */
+struct wf_settings {
+	agb_id instance;
+	agb_id domain;
+	agb_id region;
+	agb_addr http;
+	agb_addr ready;
+	agb_addr metrics;
+	agb_addr rpc;
+	agb_addr store;
+	agb_addr advice;
+	agb_addr fleet;
+	uint32_t grace_ms;
+	uint32_t status_s;
+	double remote_x;
+	uint32_t body_max;
+	bool log_json;
+	enum agb_log_level log_level;
+};
+
+/**
+ * wf_settings_parse() - parse and check settings
+ * Return: false when @findings has an error; @out is then not usable.
+ */
+bool wf_settings_parse(const char *text, size_t len, struct wf_settings *out,
+    struct agb_findings *findings);
+
+#endif
--- /dev/null
+++ b/src/workflow/wf_table.c
@@ -0,0 +1,437 @@
+#include "wf_table.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+
+static const struct {
+	unsigned flag;
+	size_t at;
+} step_flags[] = {
+    {WF_X_GANG, offsetof(struct wf_step, gang)},
+    {WF_X_RACK_BOUND, offsetof(struct wf_step, rack_bound)},
+    {WF_X_SAVES, offsetof(struct wf_step, saves)},
+    {WF_X_COPIES, offsetof(struct wf_step, copies)},
+    {WF_X_LASTS, offsetof(struct wf_step, lasts)},
+    {WF_X_FILLS, offsetof(struct wf_step, fills)},
+};
+
+#define STEP_FLAGS_LEN (sizeof(step_flags) / sizeof(step_flags[0]))
+
+void
+wf_table_key(char key[WF_KEY_MAX], char kind, const char *id)
+{
+	snprintf(key, WF_KEY_MAX, WF_KEY_PREFIX "%c/%s", kind, id);
+}
+
+char *
+wf_table_encode(xdrproc_t proc, void *rec, size_t *len)
+{
+	const size_t size = xdr_sizeof(proc, rec);
+	char *buf;
+	XDR x;
+
+	buf = agb_xcalloc(1, size + 1);
+	xdrmem_create(&x, buf, (u_int)size, XDR_ENCODE);
+	if (!proc(&x, rec)) {
+		free(buf);
+		buf = NULL;
+	}
+	xdr_destroy(&x);
+	*len = size;
+	return buf;
+}
+
+static bool
+decode(xdrproc_t proc, const char *raw, size_t len, void *out)
+{
+	bool ok;
+	XDR x;
+
+	xdrmem_create(&x, (char *)(uintptr_t)raw, (u_int)len, XDR_DECODE);
+	ok = proc(&x, out);
+	xdr_destroy(&x);
+	return ok;
+}
+
+bool
+wf_table_decode_state(const char *raw, size_t len, struct wf_x_state *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (raw != NULL && decode((xdrproc_t)xdr_wf_x_state, raw, len, out))
+		return true;
+	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)out);
+	memset(out, 0, sizeof(*out));
+	return false;
+}
+
+static void
+step_to_x(const struct wf_step *s, struct wf_x_step *x)
+{
+	size_t i;
+
+	x->count = s->count;
+	x->cpu_milli = (unsigned)s->need.cpu_milli;
+	x->mem_mb = (unsigned)s->need.mem_mb;
+	x->accel = (unsigned)s->need.accel;
+	x->estimate_ms = s->estimate_ms;
+	x->after = s->after;
+	x->spread_max = s->spread_max;
+	x->target_ms = s->target_ms;
+	x->may_miss = s->may_miss;
+	x->label = (char *)(uintptr_t)s->label;
+	x->rack = (char *)(uintptr_t)s->rack;
+	x->image = (char *)(uintptr_t)s->image;
+	for (i = 0; i < STEP_FLAGS_LEN; i++) {
+		if (*(const bool *)((const char *)s + step_flags[i].at))
+			x->flags |= step_flags[i].flag;
+	}
+}
+
+static void
+step_from_x(const struct wf_x_step *x, struct wf_step *s)
+{
+	size_t i;
+
+	s->count = x->count;
+	s->need.cpu_milli = x->cpu_milli;
+	s->need.mem_mb = x->mem_mb;
+	s->need.accel = x->accel;
+	s->estimate_ms = x->estimate_ms;
+	s->after = x->after;
+	s->spread_max = x->spread_max;
+	s->target_ms = x->target_ms;
+	s->may_miss = x->may_miss;
+	agb_name_set(s->label, sizeof(s->label), x->label);
+	agb_name_set(s->rack, sizeof(s->rack), x->rack);
+	agb_name_set(s->image, sizeof(s->image), x->image);
+	for (i = 0; i < STEP_FLAGS_LEN; i++)
+		*(bool *)((char *)s + step_flags[i].at) =
+		    (x->flags & step_flags[i].flag) != 0;
+}
+
+char *
+wf_table_encode_spec(const struct wf_spec *s, size_t *len)
+{
+	struct wf_x_job x;
+	char *raw;
+	uint32_t i;
+
+	memset(&x, 0, sizeof(x));
+	x.queue = (char *)(uintptr_t)s->queue;
+	x.submitted_ms = s->submitted_ms;
+	x.first_ms = s->first_ms;
+	x.period_ms = s->period_ms;
+	x.times = s->times;
+	x.spec.spec_val = s->text;
+	x.spec.spec_len = (u_int)s->text_len;
+	x.steps.steps_len = s->steps_len;
+	x.steps.steps_val = agb_xcalloc(s->steps_len, sizeof(struct wf_x_step));
+	for (i = 0; i < s->steps_len; i++)
+		step_to_x(&s->steps[i], &x.steps.steps_val[i]);
+	raw = wf_table_encode((xdrproc_t)xdr_wf_x_job, &x, len);
+	free(x.steps.steps_val);
+	return raw;
+}
+
+/* Checks what later code takes for granted of a stored submission. */
+static bool
+spec_usable(const struct wf_spec *s)
+{
+	uint64_t tasks;
+	uint32_t i;
+
+	if (s->steps_len == 0 || s->steps_len > WF_STEPS_MAX || s->times == 0)
+		return false;
+	tasks = 0;
+	for (i = 0; i < s->steps_len; i++) {
+		if (s->steps[i].count == 0 ||
+		    s->steps[i].after >> i != 0)
+			return false;
+		tasks += s->steps[i].count;
+	}
+	return tasks * s->times <= WF_TASKS_MAX;
+}
+
+static bool
+decode_spec(const char *raw, size_t len, struct wf_spec *s)
+{
+	struct wf_x_job x;
+	uint32_t i;
+	bool ok;
+
+	memset(&x, 0, sizeof(x));
+	memset(s, 0, sizeof(*s));
+	ok = raw != NULL && decode((xdrproc_t)xdr_wf_x_job, raw, len, &x);
+	if (!ok)
+		goto out;
+	agb_name_set(s->queue, sizeof(s->queue), x.queue);
+	s->submitted_ms = x.submitted_ms;
+	s->first_ms = x.first_ms;
+	s->period_ms = x.period_ms;
+	s->times = x.times;
+	s->text = agb_xmemdup(x.spec.spec_val, x.spec.spec_len);
+	s->text_len = x.spec.spec_len;
+	s->steps_len = x.steps.steps_len;
+	s->steps = agb_xcalloc(s->steps_len, sizeof(*s->steps));
+	for (i = 0; i < s->steps_len; i++)
+		step_from_x(&x.steps.steps_val[i], &s->steps[i]);
+	ok = spec_usable(s);
+	if (!ok)
+		wf_spec_free(s);
+out:
+	xdr_free((xdrproc_t)xdr_wf_x_job, (char *)&x);
+	return ok;
+}
+
+static void
+job_free(struct wf_table *t, struct wf_job *j)
+{
+	HASH_DEL(t->jobs, j);
+	wf_spec_free(&j->spec);
+	free(j->state_raw);
+	free(j);
+}
+
+void
+wf_table_free(struct wf_table *t)
+{
+	struct wf_job *j, *j2;
+	struct wf_peer *p, *p2;
+
+	HASH_ITER(hh, t->jobs, j, j2)
+		job_free(t, j);
+	HASH_ITER(hh, t->peers, p, p2) {
+		HASH_DEL(t->peers, p);
+		free(p);
+	}
+}
+
+struct wf_job *
+wf_table_job(struct wf_table *t, const char *id)
+{
+	struct wf_job *j;
+
+	HASH_FIND_STR(t->jobs, id, j);
+	return j;
+}
+
+static struct wf_job *
+job_get(struct wf_table *t, const char *id)
+{
+	struct wf_job *j;
+
+	j = wf_table_job(t, id);
+	if (j != NULL)
+		return j;
+	j = agb_xcalloc(1, sizeof(*j));
+	agb_name_set(j->id, sizeof(j->id), id);
+	HASH_ADD_STR(t->jobs, id, j);
+	return j;
+}
+
+struct wf_job *
+wf_table_put_spec(struct wf_table *t, const char *id, uint64_t revision,
+    struct wf_spec *spec)
+{
+	struct wf_job *const j = job_get(t, id);
+
+	if (j->spec_rev == 0) {
+		j->spec_rev = revision;
+		j->spec = *spec;
+	} else {
+		wf_spec_free(spec);
+	}
+	j->marked = true;
+	free(spec);
+	return j;
+}
+
+void
+wf_table_put_state(
+    struct wf_job *j, uint64_t revision, const char *raw, size_t len)
+{
+	struct wf_x_state x;
+
+	if (revision <= j->state_rev)
+		return;
+	j->state_rev = revision;
+	free(j->state_raw);
+	j->state_raw = agb_xmemdup(raw, len);
+	j->state_len = len;
+	if (!wf_table_decode_state(raw, len, &x))
+		return;
+	j->state = (enum wf_job_state)x.state;
+	j->ended_ms = x.ended_ms;
+	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+}
+
+static void
+apply_spec(struct wf_table *t, const char *id, const struct agb_store_kv *kv,
+    struct wf_table_change *ch)
+{
+	struct wf_spec *spec;
+	struct wf_job *j;
+
+	j = wf_table_job(t, id);
+	if (j != NULL && j->spec_rev == kv->mod_rev) {
+		j->marked = true;
+		ch->job = j;
+		return;
+	}
+	spec = agb_xcalloc(1, sizeof(*spec));
+	if (!decode_spec(kv->val, kv->val_len, spec)) {
+		free(spec);
+		ch->malformed = true;
+		return;
+	}
+	ch->job = wf_table_put_spec(t, id, kv->mod_rev, spec);
+}
+
+static void
+apply_peer(struct wf_table *t, const char *name, const struct agb_store_kv *kv,
+    struct wf_table_change *ch)
+{
+	struct wf_x_peer x;
+	struct wf_peer *p;
+
+	HASH_FIND_STR(t->peers, name, p);
+	ch->peers = true;
+	if (kv->deleted) {
+		if (p != NULL) {
+			HASH_DEL(t->peers, p);
+			free(p);
+		}
+		return;
+	}
+	memset(&x, 0, sizeof(x));
+	if (!decode((xdrproc_t)xdr_wf_x_peer, kv->val, kv->val_len, &x)) {
+		ch->malformed = true;
+		goto out;
+	}
+	if (p == NULL) {
+		p = agb_xcalloc(1, sizeof(*p));
+		agb_name_set(p->name, sizeof(p->name), name);
+		HASH_ADD_STR(t->peers, name, p);
+	}
+	p->marked = true;
+	agb_name_set(p->rpc, sizeof(p->rpc), x.rpc);
+	agb_name_set(p->domain, sizeof(p->domain), x.domain);
+	agb_name_set(p->region, sizeof(p->region), x.region);
+out:
+	xdr_free((xdrproc_t)xdr_wf_x_peer, (char *)&x);
+}
+
+static void
+apply_leader(struct wf_table *t, const struct agb_store_kv *kv)
+{
+	char name[AGB_ID_LEN];
+
+	if (kv->deleted) {
+		t->leader[0] = '\0';
+		t->leader_rev = 0;
+		return;
+	}
+	snprintf(name, sizeof(name), "%.*s", (int)kv->val_len, kv->val);
+	agb_name_set(t->leader, sizeof(t->leader), name);
+	t->leader_rev = kv->create_rev;
+}
+
+static void
+apply_deleted(struct wf_table *t, char kind, const char *id,
+    struct wf_table_change *ch)
+{
+	struct wf_job *const j = wf_table_job(t, id);
+
+	if (j == NULL || kind != 'j')
+		return;
+	/* Only the leader removes jobs, all keys of one at once. */
+	if (j->exec == NULL)
+		job_free(t, j);
+	else
+		ch->job = j;
+}
+
+struct wf_table_change
+wf_table_apply(struct wf_table *t, const struct agb_store_kv *kv)
+{
+	const size_t skip = strlen(WF_KEY_PREFIX);
+	struct wf_table_change ch = {0};
+	const char *id;
+	char kind;
+
+	if (strcmp(kv->key, WF_KEY_LEADER) == 0) {
+		apply_leader(t, kv);
+		ch.leader = true;
+		return ch;
+	}
+	if (strlen(kv->key) < skip + 3 || kv->key[skip + 1] != '/')
+		return ch;
+	kind = kv->key[skip];
+	id = kv->key + skip + 2;
+	if (kind == 'n') {
+		apply_peer(t, id, kv, &ch);
+		return ch;
+	}
+	if (strlen(id) >= WF_JOB_ID_LEN) {
+		ch.malformed = true;
+		return ch;
+	}
+	if (kv->deleted) {
+		apply_deleted(t, kind, id, &ch);
+		return ch;
+	}
+	switch (kind) {
+	case 'j':
+		apply_spec(t, id, kv, &ch);
+		break;
+	case 'c':
+		ch.job = job_get(t, id);
+		ch.job->cancel_rev = kv->mod_rev;
+		break;
+	case 's':
+		ch.job = job_get(t, id);
+		wf_table_put_state(ch.job, kv->mod_rev, kv->val, kv->val_len);
+		break;
+	default:
+		ch.malformed = true;
+	}
+	return ch;
+}
+
+void
+wf_table_mark_all(struct wf_table *t)
+{
+	struct wf_job *j, *j2;
+	struct wf_peer *p, *p2;
+
+	HASH_ITER(hh, t->jobs, j, j2)
+		j->marked = false;
+	HASH_ITER(hh, t->peers, p, p2)
+		p->marked = false;
+	t->leader[0] = '\0';
+	t->leader_rev = 0;
+}
+
+void
+wf_table_sweep(struct wf_table *t, uint64_t revision,
+    void (*dropped)(void *arg, struct wf_job *j), void *arg)
+{
+	struct wf_job *j, *j2;
+	struct wf_peer *p, *p2;
+
+	HASH_ITER(hh, t->jobs, j, j2) {
+		if (j->marked || j->spec_rev > revision)
+			continue;
+		dropped(arg, j);
+		job_free(t, j);
+	}
+	HASH_ITER(hh, t->peers, p, p2) {
+		if (p->marked)
+			continue;
+		HASH_DEL(t->peers, p);
+		free(p);
+	}
+}
--- /dev/null
+++ b/src/workflow/wf_table.h
@@ -0,0 +1,158 @@
+#ifndef WF_TABLE_H
+#define WF_TABLE_H
+
+/**
+ * DOC: wf_table
+ *
+ * Copy of what the instances keep in the store: submitted jobs, their
+ * cancellations, how far they are, and the addresses of the instances. Each
+ * instance follows the store, so that any of them answers callers, and the
+ * next leader starts from its own copy.
+ */
+
+#include <uthash.h>
+
+#include "gen/wf_record.h"
+#include "store.h"
+#include "wf_types.h"
+
+#define WF_KEY_PREFIX "ab/"
+#define WF_KEY_LEADER "ab/leader"
+/* Longest key, with the NUL. */
+#define WF_KEY_MAX 128
+
+struct wf_exec;
+
+/**
+ * struct wf_job - a job as far as this instance knows it
+ * @spec_rev: revision of its submission; 0 while only other keys are known
+ * @cancel_rev: revision of its cancellation, or 0
+ * @state_rev: revision of @state_raw, or 0
+ * @state: as the state record says
+ * @detail: why it failed, or ""
+ * @exec: what the leader keeps of it, or NULL
+ * @marked: seen in the read that is going on
+ */
+struct wf_job {
+	wf_job_id id;
+	struct wf_spec spec;
+	uint64_t spec_rev;
+	uint64_t cancel_rev;
+	uint64_t state_rev;
+	char *state_raw;
+	size_t state_len;
+	enum wf_job_state state;
+	int64_t ended_ms;
+	struct wf_exec *exec;
+	bool marked;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct wf_peer - another instance
+ */
+struct wf_peer {
+	agb_id name;
+	agb_addr rpc;
+	agb_id domain;
+	agb_id region;
+	bool marked;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct wf_table_change - what a feed event meant
+ * @job: the job whose keys changed, or NULL
+ * @peers: the set of instances changed
+ * @leader: the leader's key changed
+ */
+struct wf_table_change {
+	struct wf_job *job;
+	bool peers;
+	bool leader;
+	bool malformed;
+};
+
+/**
+ * struct wf_table - the copy
+ * @revision: state of the store that it shows
+ * @leader: name of the leader, or ""
+ * @leader_rev: revision in which it was elected
+ */
+struct wf_table {
+	struct wf_job *jobs;
+	struct wf_peer *peers;
+	uint64_t revision;
+	agb_id leader;
+	uint64_t leader_rev;
+};
+
+/**
+ * wf_table_free() - free all entries
+ */
+void wf_table_free(struct wf_table *t);
+
+/**
+ * wf_table_job() - job by id, or NULL
+ */
+struct wf_job *wf_table_job(struct wf_table *t, const char *id);
+
+/**
+ * wf_table_put_spec() - enter a submission that the store has taken
+ * @spec: taken over
+ */
+struct wf_job *wf_table_put_spec(struct wf_table *t, const char *id,
+    uint64_t revision, struct wf_spec *spec);
+
+/**
+ * wf_table_put_state() - enter a state record that the store has taken
+ * @raw: copied
+ */
+void wf_table_put_state(
+    struct wf_job *j, uint64_t revision, const char *raw, size_t len);
+
+/**
+ * wf_table_apply() - take one key of the feed
+ * @kv: as read or changed
+ */
+struct wf_table_change wf_table_apply(
+    struct wf_table *t, const struct agb_store_kv *kv);
+
+/**
+ * wf_table_mark_all() - begin a full read
+ */
+void wf_table_mark_all(struct wf_table *t);
+
+/**
+ * wf_table_sweep() - end a full read at a revision: drop what was not in it
+ * @dropped: called for each job before it is freed
+ */
+void wf_table_sweep(struct wf_table *t, uint64_t revision,
+    void (*dropped)(void *arg, struct wf_job *j), void *arg);
+
+/**
+ * wf_table_key() - key of a record
+ * @kind: 'j' submission, 'c' cancellation, 's' state, 'n' instance
+ */
+void wf_table_key(char key[WF_KEY_MAX], char kind, const char *id);
+
+/**
+ * wf_table_encode_spec() - bytes of a submission
+ * Return: new bytes, freed by the caller; NULL when it cannot be encoded.
+ */
+char *wf_table_encode_spec(const struct wf_spec *s, size_t *len);
+
+/**
+ * wf_table_encode() - bytes of a record
+ * Return: as above.
+ */
+char *wf_table_encode(xdrproc_t proc, void *rec, size_t *len);
+
+/**
+ * wf_table_decode_state() - state record of a job
+ * @out: freed by xdr_free()
+ */
+bool wf_table_decode_state(
+    const char *raw, size_t len, struct wf_x_state *out);
+
+#endif
--- /dev/null
+++ b/src/workflow/wf_types.h
@@ -0,0 +1,218 @@
+#ifndef WF_TYPES_H
+#define WF_TYPES_H
+
+/**
+ * DOC: wf_types
+ *
+ * Values that the modules of the workflow scheduler share: what a job asks
+ * for, what the document says of queues and services, what a runner offers.
+ */
+
+#include "types.h"
+
+/* Handle that names nothing. */
+#define WF_NONE UINT32_MAX
+#define WF_STEPS_MAX 64
+/* Tasks of one job over all its occurrences. */
+#define WF_TASKS_MAX 65536
+#define WF_LABELS_MAX 8
+/* Job ids are 16 hexadecimal digits. */
+#define WF_JOB_ID_LEN 17
+#define WF_SAVED_MAX 255
+#define WF_HOST_LEN 256
+
+typedef char wf_job_id[WF_JOB_ID_LEN];
+
+/**
+ * struct wf_now - the present time
+ * @mono: of a clock that also counts while the machine is suspended
+ * @unix_ms: time of day, which may jump
+ */
+struct wf_now {
+	agb_time mono;
+	int64_t unix_ms;
+};
+
+/**
+ * struct wf_step - tasks of a job that become ready together
+ * @after: bit set of the steps that must be done first
+ * @gang: the tasks run at the same time or not at all
+ * @rack_bound: slower when its tasks are on more than one rack
+ * @saves: makes checkpoints
+ * @copies: a second copy of a running task is allowed
+ * @lasts: runs until the job is cancelled; restarted however it ends
+ * @fills: uses only capacity that other tasks leave
+ * @spread_max: most tasks on one runner; 0 is no limit
+ * @target_ms: bound of the response times of a task that lasts, or 0
+ * @may_miss: tasks of a step that lasts that may be away at once
+ * @label: label that the runner must have, or ""
+ * @rack: rack that holds the data, or ""
+ */
+struct wf_step {
+	uint32_t count;
+	struct agb_resources need;
+	uint32_t estimate_ms;
+	uint64_t after;
+	bool gang;
+	bool rack_bound;
+	bool saves;
+	bool copies;
+	bool lasts;
+	bool fills;
+	uint32_t spread_max;
+	uint32_t target_ms;
+	uint32_t may_miss;
+	agb_id label;
+	agb_id rack;
+	agb_id image;
+};
+
+/**
+ * struct wf_spec - a job as its caller submitted it
+ * @submitted_ms: Unix time of its acceptance
+ * @first_ms: Unix time of its first occurrence; 0 is at once
+ * @times: number of occurrences, at least 1
+ * @text: bytes handed to each task
+ */
+struct wf_spec {
+	agb_id queue;
+	int64_t submitted_ms;
+	int64_t first_ms;
+	uint32_t period_ms;
+	uint32_t times;
+	char *text;
+	size_t text_len;
+	struct wf_step *steps;
+	uint32_t steps_len;
+};
+
+/**
+ * struct wf_queue - a queue of the document
+ * @target_ms: latency objective beyond the work itself
+ * @slack: factor on the longest chain of work in that objective
+ * @priority: 0 comes first
+ * @attempts: failed runs after which a job has failed
+ * @advised: placements need approvals of the advice service
+ * @advice_ms: time of a call for advice, and @advice_each_ms a runner named
+ * @advice_valid_ms: life of a ticket
+ */
+struct wf_queue {
+	agb_id name;
+	agb_id service;
+	char host[WF_HOST_LEN];
+	char prefix[WF_HOST_LEN];
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t priority;
+	uint32_t attempts;
+	double slack;
+	bool advised;
+	double advice_ms;
+	double advice_each_ms;
+	uint32_t advice_valid_ms;
+};
+
+/**
+ * struct wf_service - a pool of runners
+ * @guards: its runners refuse what does not fit
+ */
+struct wf_service {
+	agb_id name;
+	bool guards;
+	bool standby;
+};
+
+/**
+ * struct wf_doc - the document in force
+ */
+struct wf_doc {
+	uint64_t version;
+	struct wf_queue *queues;
+	size_t queues_len;
+	struct wf_service *services;
+	size_t services_len;
+	size_t body_max;
+};
+
+/**
+ * struct wf_runner_info - a runner as the registry lists it
+ * @born_ms: start of this life
+ * @clock_ms: its steady clock when the entry was written
+ * @remaining_ms: least time until it leaves; -1 when not known
+ */
+struct wf_runner_info {
+	agb_id id;
+	agb_id service;
+	agb_addr addr;
+	agb_id domain;
+	agb_id labels[WF_LABELS_MAX];
+	uint32_t labels_len;
+	struct agb_resources capacity;
+	int64_t born_ms;
+	int64_t clock_ms;
+	int64_t remaining_ms;
+	uint32_t cold_ms;
+	bool draining;
+};
+
+/**
+ * enum wf_job_state - state of a job as its caller sees it
+ */
+enum wf_job_state {
+	WF_JOB_QUEUED,
+	WF_JOB_RUNNING,
+	WF_JOB_COMPLETED,
+	WF_JOB_FAILED,
+	WF_JOB_CANCELLED,
+};
+
+#define wf_job_final(s) ((s) >= WF_JOB_COMPLETED)
+
+/**
+ * wf_job_state_name() - text of a state
+ */
+const char *wf_job_state_name(enum wf_job_state s);
+
+/**
+ * wf_spec_free() - free what a job description owns
+ */
+void wf_spec_free(struct wf_spec *s);
+
+/**
+ * wf_spec_tasks() - tasks of one occurrence
+ */
+uint32_t wf_spec_tasks(const struct wf_spec *s);
+
+/**
+ * wf_doc_free() - free a document
+ * @doc: may be NULL
+ */
+void wf_doc_free(struct wf_doc *doc);
+
+/**
+ * wf_doc_queue() - queue by name
+ * Return: NULL when the document has none.
+ */
+const struct wf_queue *wf_doc_queue(const struct wf_doc *doc, const char *name);
+
+/**
+ * wf_doc_route() - queue of a request: the longest prefix of its path at
+ * its host
+ * Return: NULL when the document has none.
+ */
+const struct wf_queue *wf_doc_route(
+    const struct wf_doc *doc, const char *host, const char *path);
+
+/**
+ * wf_doc_service() - service by name, or NULL
+ */
+const struct wf_service *wf_doc_service(
+    const struct wf_doc *doc, const char *name);
+
+/**
+ * wf_runner_has_label() - whether a runner has a label
+ * @label: "" is had by all
+ */
+bool wf_runner_has_label(const struct wf_runner_info *r, const char *label);
+
+#endif
