--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -329,6 +329,8 @@
 	if (l->queue_len == 0 || l->doc == NULL ||
 	    !wf_leader_may_order(l, now->mono))
 		return AGB_TIME_MAX;
+	if (!wf_fleet_met(l, now->mono))
+		return now->mono + PASS_GAP_MS * AGB_MS;
 	if (!l->changed &&
 	    now->mono < l->dispatch_at + PASS_IDLE_MS * AGB_MS)
 		return l->dispatch_at + PASS_IDLE_MS * AGB_MS;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -32,6 +32,11 @@
  * faulty, and for how long. */
 #define FAIL_STREAK_MAX 2
 #define SHUN_FAULTY_MS 5000
+/* Heartbeats have to be missing for longer before an entry lapses. */
+#define LEFT_HEARD_MS 2500
+/* After an election, time for the runners to show what they hold. */
+#define MEET_MS 300
+#define MEET_SHARE_PERCENT 85
 /* A runner that is not listed and has no tasks is forgotten after this. */
 #define FORGET_MS 30000
 
@@ -51,6 +56,24 @@
 	return room;
 }
 
+bool
+wf_fleet_met(const struct wf_leader *l, agb_time now)
+{
+	uint32_t i, listed, met;
+
+	if (!l->registry_seen)
+		return false;
+	if (now > l->elected_at + MEET_MS * AGB_MS)
+		return true;
+	listed = 0;
+	met = 0;
+	for (i = 0; i < l->runners_len; i++) {
+		listed += l->runners[i].used && l->runners[i].listed;
+		met += l->runners[i].used && l->runners[i].met;
+	}
+	return met * 100 >= listed * MEET_SHARE_PERCENT;
+}
+
 uint32_t
 wf_fleet_find(const struct wf_leader *l, const char *id)
 {
@@ -167,9 +190,14 @@
 		return;
 	r->listed = false;
 	r->gone_at = now->mono;
+	/* An entry lapses after a long silence only; one that was draining and
+	 * has answered lately was removed because it has left. */
+	r->has_left = r->info.draining && r->heard_at > 0 &&
+	    now->mono - r->heard_at < LEFT_HEARD_MS * AGB_MS;
 	wf_effects_log(out, AGB_LOG_INFO, "runner",
-	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64, r->info.id,
-	    (now->mono - r->heard_at) / AGB_MS);
+	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64 " left=%s",
+	    r->info.id, (now->mono - r->heard_at) / AGB_MS,
+	    r->has_left ? "yes" : "no");
 }
 
 static void
@@ -326,8 +354,10 @@
 	r->hold_out = true;
 	r->hold_sent = now->mono;
 	o->observed = r->observed;
-	/* The first one only reads the lists and the clock. */
-	if (!r->met || r->clock_ms == 0)
+	/* The first one only reads the lists and the clock. One to a runner
+	 * that does not answer must not extend its lease, which has to run out
+	 * before its tasks start elsewhere. */
+	if (!r->met || r->clock_ms == 0 || r->silent)
 		return;
 	o->wait_ms = r->processed > r->observed ? 0 : HOLD_WAIT_MS;
 	o->deadline_ms = clock_now(r, now->mono) + HOLD_MS;
@@ -614,9 +644,17 @@
 	r->hold_out = false;
 	if (res->status != WF_ORDER_OK) {
 		r->hold_next = now->mono + HOLD_RETRY_MS * AGB_MS;
+		r->silent = true;
 		shun(r, now->mono, SHUN_LOST_MS);
+		if (r->has_left) {
+			requeue_all(
+			    l, now, res->runner, "its runner has left", out);
+			r->met = false;
+		}
 		return;
 	}
+	r->silent = false;
+	r->has_left = false;
 	if (r->heard_at == 0 || now->mono - r->heard_at > 2 * AGB_SEC)
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
 		    "runner=%s change=reached active=%zu ended=%zu",
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -161,6 +161,8 @@
  * @listed: the registry has it
  * @life: counts its lives
  * @met: its lists have been seen under this leader's fence in this life
+ * @silent: the last hold was not answered
+ * @has_left: its entry was removed as a draining runner's is that exits
  * @hold_out: a hold is under way, sent at @hold_sent
  * @hold_next: when the next one is due
  * @heard_at: sending time of the last hold that was answered
@@ -179,6 +181,8 @@
 	bool listed;
 	uint32_t life;
 	bool met;
+	bool silent;
+	bool has_left;
 	bool hold_out;
 	agb_time hold_sent;
 	agb_time hold_next;
@@ -471,6 +475,11 @@
  */
 bool wf_fleet_usable(const struct wf_runner *r, agb_time now);
 
+/**
+ * wf_fleet_met() - whether enough runners have shown what they hold
+ */
+bool wf_fleet_met(const struct wf_leader *l, agb_time now);
+
 struct agb_resources wf_fleet_free(const struct wf_runner *r);
 
 /* ---- wf_commit.c ---- */
