test(workflow): the reducer in simulated time with random faults; lives of runners in records

Cause: found by the simulation. Records of two lives of one runner were compared with the first life read, and an end of a gang's earlier run was dropped: the task started again after it was done.

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -62,7 +62,10 @@
 void
 wf_exec_change(struct wf_leader *l, struct wf_exec *e)
 {
-	e->gen = ++l->gen;
+	l->gen++;
+	/* The oldest change that is not durable counts. */
+	if (!e->dirty)
+		e->gen = l->gen;
 	e->dirty = true;
 }
 
@@ -153,8 +156,6 @@
 restore_task(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, const struct wf_x_task *x, const struct wf_x_state *st)
 {
-	struct wf_runner *r;
-
 	t->run = x->run;
 	t->failures = x->failures;
 	if (x->saved.saved_len > 0) {
@@ -175,12 +176,9 @@
 		return;
 	t->runner = wf_fleet_get(
 	    l, st->runners.runners_val[x->runner].id, now->mono);
-	r = &l->runners[t->runner];
-	if (r->info.born_ms == 0)
-		r->info.born_ms = st->runners.runners_val[x->runner].born_ms;
-	if (r->info.born_ms != st->runners.runners_val[x->runner].born_ms)
-		return;
-	t->life = r->life;
+	/* Whether that life of the runner still goes on shows when it is met. */
+	t->born_ms = st->runners.runners_val[x->runner].born_ms;
+	t->life = l->runners[t->runner].life;
 	t->state = WF_TASK_SENT;
 	t->recovered = true;
 	t->sent_at = now->mono;
@@ -407,16 +405,17 @@
 }
 
 static uint32_t
-record_runner(struct wf_x_state *x, const struct wf_runner *r)
+record_runner(struct wf_x_state *x, const struct wf_runner *r, int64_t born_ms)
 {
 	uint32_t i;
 
 	for (i = 0; i < x->runners.runners_len; i++) {
-		if (strcmp(x->runners.runners_val[i].id, r->info.id) == 0)
+		if (x->runners.runners_val[i].born_ms == born_ms &&
+		    strcmp(x->runners.runners_val[i].id, r->info.id) == 0)
 			return i;
 	}
 	x->runners.runners_val[i].id = (char *)(uintptr_t)r->info.id;
-	x->runners.runners_val[i].born_ms = r->info.born_ms;
+	x->runners.runners_val[i].born_ms = born_ms;
 	x->runners.runners_len++;
 	return i;
 }
@@ -436,7 +435,8 @@
 		xt->state = REC_DONE;
 	} else if (t->holds) {
 		xt->state = REC_ACTIVE;
-		xt->runner = record_runner(x, &l->runners[t->runner]);
+		xt->runner =
+		    record_runner(x, &l->runners[t->runner], t->born_ms);
 	}
 	if (t->saved != NULL && t->state != WF_TASK_DONE) {
 		xt->saved.saved_val = t->saved;
@@ -480,6 +480,7 @@
 	t->run = run;
 	t->runner = runner;
 	t->life = l->runners[runner].life;
+	t->born_ms = l->runners[runner].info.born_ms;
 	t->recovered = false;
 	t->flushing = false;
 	t->answered_at = 0;
@@ -605,7 +606,12 @@
 wf_task_ended_elsewhere(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_task *t, struct wf_effects *out)
 {
-	unit_done(l, now, u, t, out);
+	if (wf_unit_step(u)->gang)
+		gang_stop(l, now, u, out);
+	else if (t->holds)
+		wf_task_stop(
+		    l, now, u, t, "an earlier run has finished it", out);
+	task_done(l, now, u, t, out);
 	if (u->waiting == 0)
 		unit_dequeue(l, u);
 }
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -127,19 +127,43 @@
 	return i;
 }
 
+static void
+task_gone(struct wf_leader *l, const struct wf_now *now, struct wf_task *t,
+    const char *why, struct wf_effects *out)
+{
+	if (t->state == WF_TASK_DONE)
+		wf_task_release(l, t->unit, t);
+	else
+		wf_task_requeue(l, now, t->unit, t, why, out);
+}
+
 /* All tasks that are counted at a runner are certainly not there any more. */
 static void
 requeue_all(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     const char *why, struct wf_effects *out)
+{
+	while (l->runners[ri].tasks != NULL)
+		task_gone(l, now, l->runners[ri].tasks, why, out);
+}
+
+/* The same for the tasks of earlier lives. */
+static void
+requeue_earlier(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    int64_t born_ms, struct wf_effects *out)
 {
 	struct wf_task *t;
+	bool again;
 
-	while ((t = l->runners[ri].tasks) != NULL) {
-		if (t->state == WF_TASK_DONE)
-			wf_task_release(l, t->unit, t);
-		else
-			wf_task_requeue(l, now, t->unit, t, why, out);
-	}
+	do {
+		again = false;
+		DL_FOREACH(l->runners[ri].tasks, t) {
+			if (t->born_ms == born_ms)
+				continue;
+			task_gone(l, now, t, "runner restarted", out);
+			again = true;
+			break;
+		}
+	} while (again);
 }
 
 static void
@@ -165,7 +189,7 @@
 	    "runner=%s change=restarted born_ms=%" PRId64
 	    " born_before_ms=%" PRId64,
 	    r->info.id, born_ms, r->info.born_ms);
-	requeue_all(l, now, ri, "runner restarted", out);
+	requeue_earlier(l, now, ri, born_ms, out);
 	strays_clear(r);
 	r->life++;
 	r->info.born_ms = born_ms;
@@ -176,7 +200,8 @@
 	r->observed = 0;
 	r->clock_ms = 0;
 	r->fail_streak = 0;
-	r->lease_until = now->mono;
+	if (r->tasks == NULL)
+		r->lease_until = now->mono;
 	l->changed = true;
 }
 
@@ -212,7 +237,7 @@
 	/* An entry may be older than what the runner has said itself. */
 	if (info->born_ms < r->info.born_ms)
 		return;
-	if (r->info.born_ms != 0 && info->born_ms != r->info.born_ms)
+	if (info->born_ms != r->info.born_ms)
 		new_life(l, now, ri, info->born_ms, out);
 	r->info = *info;
 	r->listed = true;
@@ -461,18 +486,13 @@
     struct wf_task *t, const struct wf_finished *f, struct wf_effects *out)
 {
 	if (f->how != WF_END_DONE || t->state == WF_TASK_DONE ||
-	    wf_unit_step(u)->lasts || wf_unit_step(u)->gang ||
-	    wf_job_final(u->exec->state))
+	    wf_unit_step(u)->lasts || wf_job_final(u->exec->state))
 		return;
 	wf_effects_log(out, AGB_LOG_INFO, "end",
 	    "job=%s task=%" PRIu32 " run=%" PRIu32
 	    " how=done reason=\"an earlier run has finished the task\"",
 	    f->task.job, f->task.index, f->run);
-	if (t->holds)
-		wf_task_stop(
-		    l, now, u, t, "an earlier run has finished it", out);
-	if (t->state == WF_TASK_WAIT || t->holds)
-		wf_task_ended_elsewhere(l, now, u, t, out);
+	wf_task_ended_elsewhere(l, now, u, t, out);
 }
 
 static const char *
@@ -762,13 +782,10 @@
 		l->lost = true;
 		return;
 	}
-	if (res->born_ms != 0 && r->info.born_ms != 0 &&
-	    res->born_ms != r->info.born_ms) {
+	if (res->born_ms != 0 && res->born_ms != r->info.born_ms) {
 		new_life(l, now, res->runner, res->born_ms, out);
 		return;
 	}
-	if (res->born_ms != 0)
-		r->info.born_ms = res->born_ms;
 	if (res->clock_ms > 0 && res->status == WF_ORDER_OK) {
 		r->clock_ms = res->clock_ms;
 		r->clock_at = now->mono;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -48,6 +48,7 @@
  * struct wf_task - a task
  * @run: number of its latest start
  * @failures: runs that failed by its own fault or its runner's
+ * @born_ms: start of the life of @runner in which it was placed
  * @holds: its need is counted at @runner; after DONE until the end is listed
  * @recovered: started by an earlier leader, not yet seen by this one
  * @stopping: a stop has been decided; repeated until there is evidence
@@ -65,6 +66,7 @@
 	uint32_t failures;
 	uint32_t runner;
 	uint32_t life;
+	int64_t born_ms;
 	bool holds;
 	bool recovered;
 	bool stopping;
@@ -128,7 +130,7 @@
 
 /**
  * struct wf_exec - a job that the leader works on
- * @gen: generation of its latest change that is not durable; 0 when clean
+ * @gen: generation of its oldest change that is not in a write
  * @in_flight: a write of its record is under way
  */
 struct wf_exec {
--- /dev/null
+++ b/tests/wfsim/wfsim.h
@@ -0,0 +1,118 @@
+#ifndef WFSIM_H
+#define WFSIM_H
+
+/**
+ * DOC: wfsim
+ *
+ * Instances of the workflow reducer in simulated time, without sockets: a
+ * store, runners and an advice service in memory, and faults at set times.
+ * The promises are checked from what the runners and callers see.
+ */
+
+#include "wf_core.h"
+
+#define SIM_CORES_MAX 8
+#define SIM_RUNNERS_MAX 64
+#define SIM_MS AGB_MS
+
+struct sim;
+
+/**
+ * struct sim_options - what is simulated
+ * @latency_ms: one way to store, runners and advice
+ * @advised: placements need approvals
+ * @fail_percent: share of the runs that fail
+ * @lost_percent: share of the orders whose answer is lost
+ * @late_percent: share of the orders that are carried out seconds later
+ * @store_lost_percent: share of the writes whose answer is lost
+ */
+struct sim_options {
+	uint64_t seed;
+	unsigned cores;
+	unsigned runners;
+	int64_t cpu_milli;
+	unsigned latency_ms;
+	bool advised;
+	unsigned attempts;
+	unsigned fail_percent;
+	unsigned lost_percent;
+	unsigned late_percent;
+	unsigned store_lost_percent;
+	unsigned jobs_per_s;
+	unsigned load_ms;
+	unsigned fault_gap_ms;
+};
+
+enum sim_store_mode {
+	SIM_STORE_UP,
+	SIM_STORE_REFUSES,
+	SIM_STORE_SILENT,
+};
+
+struct sim *sim_new(const struct sim_options *o);
+void sim_free(struct sim *s);
+
+/**
+ * sim_run() - let time pass
+ */
+void sim_run(struct sim *s, unsigned ms);
+
+unsigned sim_now_ms(const struct sim *s);
+
+/**
+ * sim_submit() - hand a job in at an instance; the sim takes over @spec
+ * @id: 16 hexadecimal digits
+ */
+void sim_submit(struct sim *s, unsigned core, const char *id,
+    struct wf_spec *spec);
+void sim_cancel(struct sim *s, unsigned core, const char *id);
+
+/**
+ * sim_spec() - a job of one step
+ */
+struct wf_spec *sim_spec(uint32_t count, uint32_t cpu, uint32_t ms);
+
+/**
+ * sim_then() - add a step after the last one
+ */
+struct wf_step *sim_then(struct wf_spec *spec, uint32_t count, uint32_t cpu,
+    uint32_t ms);
+
+/* Faults. */
+void sim_kill(struct sim *s, unsigned core, unsigned back_ms);
+void sim_freeze(struct sim *s, unsigned core, unsigned ms);
+void sim_term(struct sim *s, unsigned core);
+void sim_store(struct sim *s, enum sim_store_mode mode);
+void sim_core_store(struct sim *s, unsigned core, enum sim_store_mode mode);
+void sim_forget_history(struct sim *s);
+void sim_runner_cut(struct sim *s, unsigned runner, bool cut);
+void sim_runner_crash(struct sim *s, unsigned runner, unsigned back_ms);
+void sim_runner_drain(struct sim *s, unsigned runner, unsigned leave_ms);
+void sim_runner_hang(struct sim *s, unsigned runner, bool on);
+void sim_runner_faulty(struct sim *s, unsigned runner, bool on);
+
+/* What was seen. */
+int sim_leader(const struct sim *s);
+const char *sim_state(struct sim *s, const char *id);
+unsigned sim_starts(const struct sim *s, const char *id);
+unsigned sim_started_at(const struct sim *s, const char *id);
+unsigned sim_running(const struct sim *s, const char *id);
+unsigned sim_runner_of(const struct sim *s, const char *id);
+unsigned sim_submit_status(const struct sim *s, const char *id);
+unsigned sim_store_calls(const struct sim *s);
+unsigned sim_jobs(const struct sim *s);
+unsigned sim_jobs_final(struct sim *s);
+
+/**
+ * sim_violations() - broken promises, with the first one described
+ */
+unsigned sim_violations(const struct sim *s);
+const char *sim_violation(const struct sim *s);
+
+/**
+ * sim_random_day() - a load of mixed jobs with faults at random times, then
+ * time to finish; what is not finished is a violation
+ */
+void sim_random_day(struct sim *s);
+
+#endif
