--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -159,6 +159,7 @@
 
 /**
  * struct wf_order_result - a runner's answer
+ * @fence: of the leader that sent the order
  * @runner, @life: handle of the runner and its life when the order was sent
  * @task, @run, @sent_at: of the order
  * @born_ms: start of the life that answered; 0 when it did not say
@@ -167,6 +168,7 @@
 struct wf_order_result {
 	enum wf_order_kind kind;
 	enum wf_order_status status;
+	uint64_t fence;
 	uint32_t runner;
 	uint32_t life;
 	struct wf_task_ref task;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -771,7 +771,8 @@
 {
 	struct wf_runner *r;
 
-	if (res->runner >= l->runners_len)
+	/* Handles of an earlier time as leader mean nothing now. */
+	if (res->fence != l->fence || res->runner >= l->runners_len)
 		return;
 	r = &l->runners[res->runner];
 	if (!r->used || r->life != res->life)
@@ -782,7 +783,7 @@
 		l->lost = true;
 		return;
 	}
-	if (res->born_ms != 0 && res->born_ms != r->info.born_ms) {
+	if (res->born_ms > r->info.born_ms) {
 		new_life(l, now, res->runner, res->born_ms, out);
 		return;
 	}
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1157,6 +1157,7 @@
 	c->o = ef->u.order;
 	ef->u.order.text = NULL;
 	c->res.kind = c->o.kind;
+	c->res.fence = c->o.fence;
 	c->res.runner = c->o.runner;
 	c->res.life = c->o.life;
 	c->res.task = c->o.task;
