--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -146,6 +146,15 @@
 		task_gone(l, now, l->runners[ri].tasks, why, out);
 }
 
+/* A start without an answer may have reached the new life: only a stop that
+ * is answered there tells. */
+static bool
+may_be_in_new_life(const struct wf_task *t)
+{
+	return t->state == WF_TASK_INTENT ||
+	    (t->state == WF_TASK_SENT && !t->recovered && t->answered_at == 0);
+}
+
 /* The same for the tasks of earlier lives. */
 static void
 requeue_earlier(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
@@ -159,8 +168,16 @@
 		DL_FOREACH(l->runners[ri].tasks, t) {
 			if (t->born_ms == born_ms)
 				continue;
-			task_gone(l, now, t, "runner restarted", out);
 			again = true;
+			if (may_be_in_new_life(t)) {
+				t->born_ms = born_ms;
+				t->life = l->runners[ri].life + 1;
+				t->start_ms = 0;
+				wf_task_stop(l, now, t->unit, t,
+				    "runner restarted", out);
+				break;
+			}
+			task_gone(l, now, t, "runner restarted", out);
 			break;
 		}
 	} while (again);
