--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -70,6 +70,7 @@
 	agb_time valid_until;
 	agb_time heard_at;
 	agb_time rtt;
+	uint64_t lost_rev; /* election whose orders have been refused */
 	bool joined;
 	bool electing;
 	agb_time elect_at;
@@ -319,7 +320,8 @@
 try_lead(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	if (c->leader != NULL || strcmp(c->table.leader, c->cfg.name) != 0 ||
-	    now->mono >= c->valid_until || c->draining)
+	    now->mono >= c->valid_until || c->draining ||
+	    c->table.leader_rev == c->lost_rev)
 		return;
 	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
 	    &(struct wf_limits){.status_s = c->cfg.status_s,
@@ -556,6 +558,7 @@
     struct wf_effects *out)
 {
 	if (c->leader != NULL && c->leader->lost) {
+		c->lost_rev = c->leader->fence;
 		step_down(c, "its orders or writes are refused", out);
 		end_lease(c, out);
 		c->op_next = now->mono;
