perf(front,core): jobs shown to the leader at once, writes through peers, shorter lease

Change: lease of 1.2 s, renewed every 0.3 s; accepted jobs go to the leader over RPC; an instance without an answer of the store lets a peer write.

--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -37,7 +37,9 @@
 	AGB_X_ENV_GET = 8,
 	AGB_X_EXPLAIN = 9,
 	AGB_X_STATUS = 10,
-	AGB_X_ADVISE = 11
+	AGB_X_ADVISE = 11,
+	AGB_X_PUSH = 12,
+	AGB_X_PUT = 13
 };
 
 struct agb_x_resources {
@@ -230,6 +232,28 @@
 	agb_x_ticket tickets<AGB_X_ADVICE_MAX>;
 };
 
+/* A record that the sender has stored, shown to an instance that needs it
+ * before it reads the store. */
+struct agb_x_push_args {
+	agb_x_key key;
+	unsigned hyper revision;
+	opaque value<AGB_X_TEXT_MAX>;
+};
+
+/* Asks an instance to store a record under a key that does not exist. */
+struct agb_x_put_args {
+	agb_x_key key;
+	unsigned int timeout_ms;
+	opaque value<AGB_X_TEXT_MAX>;
+};
+
+/* status is that of the store client: answered, refused or lost. */
+struct agb_x_put_res {
+	int status;
+	bool stored;
+	unsigned hyper revision;
+};
+
 union agb_x_args switch (agb_x_proc proc) {
 case AGB_X_NULL:
 	void;
@@ -255,6 +279,10 @@
 	void;
 case AGB_X_ADVISE:
 	agb_x_advise_args advise;
+case AGB_X_PUSH:
+	agb_x_push_args push;
+case AGB_X_PUT:
+	agb_x_put_args put;
 };
 
 /* AGB_X_CANCEL and AGB_X_JOB_GET both answer with the state of the job. */
@@ -283,4 +311,8 @@
 	agb_x_text_res status;
 case AGB_X_ADVISE:
 	agb_x_advise_res advise;
+case AGB_X_PUSH:
+	void;
+case AGB_X_PUT:
+	agb_x_put_res put;
 };
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -51,6 +51,8 @@
 	AGB_X_EXPLAIN = 9,
 	AGB_X_STATUS = 10,
 	AGB_X_ADVISE = 11,
+	AGB_X_PUSH = 12,
+	AGB_X_PUT = 13,
 };
 typedef enum agb_x_proc agb_x_proc;
 
@@ -284,6 +286,33 @@
 };
 typedef struct agb_x_advise_res agb_x_advise_res;
 
+struct agb_x_push_args {
+	agb_x_key key;
+	u_quad_t revision;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct agb_x_push_args agb_x_push_args;
+
+struct agb_x_put_args {
+	agb_x_key key;
+	u_int timeout_ms;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct agb_x_put_args agb_x_put_args;
+
+struct agb_x_put_res {
+	int status;
+	bool_t stored;
+	u_quad_t revision;
+};
+typedef struct agb_x_put_res agb_x_put_res;
+
 struct agb_x_args {
 	agb_x_proc proc;
 	union {
@@ -297,6 +326,8 @@
 		agb_x_env_get_args env_get;
 		agb_x_explain_args explain;
 		agb_x_advise_args advise;
+		agb_x_push_args push;
+		agb_x_put_args put;
 	} agb_x_args_u;
 };
 typedef struct agb_x_args agb_x_args;
@@ -314,6 +345,7 @@
 		agb_x_text_res explain;
 		agb_x_text_res status;
 		agb_x_advise_res advise;
+		agb_x_put_res put;
 	} agb_x_res_u;
 };
 typedef struct agb_x_res agb_x_res;
@@ -352,6 +384,9 @@
 extern  bool_t xdr_agb_x_advise_args (XDR *, agb_x_advise_args*);
 extern  bool_t xdr_agb_x_ticket (XDR *, agb_x_ticket*);
 extern  bool_t xdr_agb_x_advise_res (XDR *, agb_x_advise_res*);
+extern  bool_t xdr_agb_x_push_args (XDR *, agb_x_push_args*);
+extern  bool_t xdr_agb_x_put_args (XDR *, agb_x_put_args*);
+extern  bool_t xdr_agb_x_put_res (XDR *, agb_x_put_res*);
 extern  bool_t xdr_agb_x_args (XDR *, agb_x_args*);
 extern  bool_t xdr_agb_x_res (XDR *, agb_x_res*);
 
@@ -387,6 +422,9 @@
 extern bool_t xdr_agb_x_advise_args ();
 extern bool_t xdr_agb_x_ticket ();
 extern bool_t xdr_agb_x_advise_res ();
+extern bool_t xdr_agb_x_push_args ();
+extern bool_t xdr_agb_x_put_args ();
+extern bool_t xdr_agb_x_put_res ();
 extern bool_t xdr_agb_x_args ();
 extern bool_t xdr_agb_x_res ();
 
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -866,6 +866,48 @@
 	return TRUE;
 }
 
+bool_t
+xdr_agb_x_push_args (XDR *xdrs, agb_x_push_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, AGB_X_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_put_args (XDR *xdrs, agb_x_put_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, AGB_X_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_put_res (XDR *xdrs, agb_x_put_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stored))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_agb_x_args (XDR *xdrs, agb_x_args *objp)
 {
@@ -918,6 +960,14 @@
 		 if (!xdr_agb_x_advise_args (xdrs, &objp->agb_x_args_u.advise))
 			 return FALSE;
 		break;
+	case AGB_X_PUSH:
+		 if (!xdr_agb_x_push_args (xdrs, &objp->agb_x_args_u.push))
+			 return FALSE;
+		break;
+	case AGB_X_PUT:
+		 if (!xdr_agb_x_put_args (xdrs, &objp->agb_x_args_u.put))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -976,6 +1026,12 @@
 		 if (!xdr_agb_x_advise_res (xdrs, &objp->agb_x_res_u.advise))
 			 return FALSE;
 		break;
+	case AGB_X_PUSH:
+		break;
+	case AGB_X_PUT:
+		 if (!xdr_agb_x_put_res (xdrs, &objp->agb_x_res_u.put))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -187,7 +187,9 @@
 	case AGB_X_NULL:
 	case AGB_X_STATUS:
 	case AGB_X_ADVISE:
-		/* Advice is for the workflow reducer; here it is refused. */
+	case AGB_X_PUSH:
+	case AGB_X_PUT:
+		/* These are for the workflow reducer; here they do nothing. */
 		ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
 		ef->token = ev->token;
 		ef->u.rpc_res.proc = ev->u.rpc_args.proc;
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -13,7 +13,7 @@
 /* Writes under way at once. */
 #define WRITES_MAX 4
 /* Least time between two writes, so that changes come in batches. */
-#define FLUSH_GAP_MS 12
+#define FLUSH_GAP_MS 20
 #define WRITE_TIMEOUT_MS 1500
 #define WRITE_RETRY_MS 60
 #define COLLECT_EVERY_MS 2000
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -11,9 +11,9 @@
 #include "wf_leader.h"
 
 /* Lease of an instance. A leader that has died is replaced after it. */
-#define LEASE_MS 2000
-#define RENEW_MS 400
-#define RENEW_RETRY_MS 150
+#define LEASE_MS 1200
+#define RENEW_MS 300
+#define RENEW_RETRY_MS 100
 #define STORE_TIMEOUT_MS 1000
 /* An instance further from the store waits longer before it stands for
  * election, so that the leader is near the store when it can be. */
@@ -22,19 +22,22 @@
 #define ELECT_JITTER_MS 20
 #define ELECT_RETRY_MS 200
 /* How often the copy of the store is brought up to date. */
-#define PACE_LEADER_MS 12
-#define PACE_OTHER_MS 150
+#define PACE_ELECTION_MS 10
+#define PACE_LEADER_MS 100
+#define PACE_OTHER_MS 250
 /* Without an answer of the store for this long, new requests are better
  * served elsewhere. */
-#define READY_STORE_MS 1800
+#define READY_STORE_MS 1500
 /* After SIGTERM: connections leave within this time when they can, and the
  * process ends this much before it would be killed. */
 #define DRAIN_MS 3500
 #define DRAIN_MARGIN_MS 600
 #define PEER_ASKS_MAX 32
+#define PEER_PUTS_MAX 512
 
 #define CORE_TAG ((uint64_t)1 << 62)
 #define PEER_TAG ((uint64_t)1 << 61)
+#define PUT_TAG ((uint64_t)1 << 60)
 #define LEADER_TAG_SHIFT 20
 
 enum core_op {
@@ -45,6 +48,7 @@
 	OP_END,
 };
 
+/* What a peer has asked for, until it is answered. */
 struct peer_ask {
 	uint64_t tag;
 	uint64_t token;
@@ -81,6 +85,8 @@
 	uint64_t next_tag;
 	struct peer_ask *asks;
 	size_t asks_len;
+	struct peer_ask *puts;
+	size_t puts_len;
 };
 
 struct wf_core *
@@ -90,7 +96,7 @@
 
 	c->cfg = *cfg;
 	c->random = cfg->seed | 1;
-	c->front = wf_front_new(&c->table);
+	c->front = wf_front_new(&c->table, c->cfg.name);
 	return c;
 }
 
@@ -104,6 +110,7 @@
 	wf_table_free(&c->table);
 	wf_doc_free(c->doc);
 	free(c->asks);
+	free(c->puts);
 	free(c);
 }
 
@@ -449,6 +456,76 @@
 	end_lease(c, out);
 }
 
+static void
+put_answer(uint64_t token, const struct wf_put_res *res,
+    struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PUT_ANSWER);
+
+	ef->tag = token;
+	ef->u.put_res = *res;
+}
+
+static void
+on_peer_put(struct wf_core *c, uint64_t token, const struct wf_put *put,
+    struct wf_effects *out)
+{
+	const struct wf_put_res refused = {.status = AGB_STORE_REFUSED};
+	struct wf_effect *ef;
+
+	if (c->puts_len >= PEER_PUTS_MAX || c->store_lost ||
+	    strncmp(put->key, WF_KEY_PREFIX, strlen(WF_KEY_PREFIX)) != 0) {
+		put_answer(token, &refused, out);
+		return;
+	}
+	c->puts = agb_xreallocarray(
+	    c->puts, c->puts_len + 1, sizeof(*c->puts));
+	c->puts[c->puts_len].tag = PUT_TAG | ++c->next_tag;
+	c->puts[c->puts_len].token = token;
+	ef = wf_effects_add(out, WF_EF_STORE);
+	ef->tag = c->puts[c->puts_len++].tag;
+	ef->timeout_ms = put->timeout_ms;
+	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
+	agb_store_op_cmp(&ef->u.store, put->key, AGB_STORE_MOD_REV, 0);
+	agb_store_op_put(&ef->u.store, put->key, put->val, put->len, 0);
+}
+
+static void
+on_put_done(struct wf_core *c, uint64_t tag,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	const struct wf_put_res answer = {
+	    .status = res->status,
+	    .stored = res->succeeded,
+	    .revision = res->revision,
+	};
+	size_t i;
+
+	for (i = 0; i < c->puts_len; i++) {
+		if (c->puts[i].tag == tag)
+			break;
+	}
+	if (i == c->puts_len)
+		return;
+	put_answer(c->puts[i].token, &answer, out);
+	c->puts[i] = c->puts[--c->puts_len];
+}
+
+/* A record that a peer has just stored; the feed brings it again. */
+static void
+on_push(struct wf_core *c, const struct wf_now *now,
+    const struct wf_feed *feed, struct wf_effects *out)
+{
+	struct wf_table_change ch;
+	size_t i;
+
+	for (i = 0; i < feed->items_len; i++) {
+		ch = wf_table_apply(&c->table, &feed->items[i]);
+		if (ch.job != NULL && c->leader != NULL)
+			wf_leader_job(c->leader, now, ch.job, out);
+	}
+}
+
 static void
 on_store(struct wf_core *c, const struct wf_now *now, uint64_t tag,
     const struct agb_store_result *res, struct wf_effects *out)
@@ -462,6 +539,10 @@
 			wf_leader_job(c->leader, now, job, out);
 		return;
 	}
+	if (tag & PUT_TAG) {
+		on_put_done(c, tag, res, out);
+		return;
+	}
 	if (tag & CORE_TAG) {
 		on_core_store(
 		    c, now, (enum core_op)(tag & ~CORE_TAG), res, out);
@@ -682,6 +763,12 @@
 	case WF_EV_PEER_ASK:
 		on_peer_ask(c, ev->tag, ev->u.ask, out);
 		break;
+	case WF_EV_PEER_PUSH:
+		on_push(c, now, &ev->u.feed, out);
+		break;
+	case WF_EV_PEER_PUT:
+		on_peer_put(c, ev->tag, &ev->u.put, out);
+		break;
 	}
 	tick(c, now, out);
 }
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -23,6 +23,9 @@
 #define EXIT_BAD_INPUT 2
 /* Time for the last answers to be written before the loop stops. */
 #define LINGER_MS 100
+#define LINGER_TRIES 3
+/* Least time between two reads of the registry's changes. */
+#define REGISTRY_GAP_MS 200
 
 /* Tags of what is followed; all others belong to the reducer. */
 #define FOLLOW_TAG ((uint64_t)7 << 60)
@@ -30,6 +33,12 @@
 #define TAG_DOCUMENT (FOLLOW_TAG | 2)
 #define TAG_REGISTRY (FOLLOW_TAG | 16)
 
+/* Tags of calls to peers: pushes need no answer, puts carry the front's tag,
+ * whose top bit is set; all others ask for advice. */
+#define TAG_PUSH (FOLLOW_TAG | 3)
+#define TAG_PUT ((uint64_t)1 << 63)
+#define PUSH_TIMEOUT_MS 1000
+
 struct daemon {
 	const struct wf_adapter_ops *ops;
 	const char *path;
@@ -55,6 +64,7 @@
 	agb_addr *allowed;
 	size_t allowed_len;
 	bool ready;
+	int linger_left;
 };
 
 static void feed(struct daemon *d, struct wf_event *ev);
@@ -287,22 +297,13 @@
 /* ---- calls between instances ---- */
 
 static void
-on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+rpc_advise(struct daemon *d, uint64_t token, const agb_x_advise_args *x)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_ASK, .tag = token};
-	const agb_x_advise_args *const x = &args->agb_x_args_u.advise;
-	struct daemon *const d = arg;
-	agb_x_res res;
 	struct wf_ask ask;
 	size_t i;
 
 	memset(&ask, 0, sizeof(ask));
-	if (args->proc != AGB_X_ADVISE) {
-		memset(&res, 0, sizeof(res));
-		res.proc = AGB_X_NULL;
-		agb_rpc_reply(d->rpc, token, &res);
-		goto out;
-	}
 	agb_name_set(ask.step.job, sizeof(ask.step.job), x->job);
 	ask.step.occurrence = x->occurrence;
 	ask.step.step = x->step;
@@ -315,18 +316,114 @@
 	ev.u.ask = &ask;
 	feed(d, &ev);
 	free(ask.runners);
-out:
+}
+
+static void
+on_rpc_log(
+    void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	struct daemon *const d = arg;
+
+	agb_log_line(d->log, level, event, line);
+}
+
+static void
+rpc_push(struct daemon *d, uint64_t token, const agb_x_push_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUSH};
+	struct agb_store_kv kv;
+	agb_x_res res;
+
+	memset(&kv, 0, sizeof(kv));
+	kv.key = x->key;
+	kv.val = x->value.value_val;
+	kv.val_len = x->value.value_len;
+	kv.mod_rev = x->revision;
+	kv.create_rev = x->revision;
+	ev.u.feed.items = &kv;
+	ev.u.feed.items_len = 1;
+	feed(d, &ev);
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_PUSH;
+	agb_rpc_reply(d->rpc, token, &res);
+}
+
+static void
+rpc_put(struct daemon *d, uint64_t token, const agb_x_put_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUT, .tag = token};
+
+	ev.u.put.key = x->key;
+	ev.u.put.val = x->value.value_val;
+	ev.u.put.len = x->value.value_len;
+	ev.u.put.timeout_ms = x->timeout_ms;
+	feed(d, &ev);
+}
+
+static void
+on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+{
+	struct daemon *const d = arg;
+	agb_x_res res;
+
+	switch (args->proc) {
+	case AGB_X_ADVISE:
+		rpc_advise(d, token, &args->agb_x_args_u.advise);
+		break;
+	case AGB_X_PUSH:
+		rpc_push(d, token, &args->agb_x_args_u.push);
+		break;
+	case AGB_X_PUT:
+		rpc_put(d, token, &args->agb_x_args_u.put);
+		break;
+	default:
+		/* Calls of the shard owners mean nothing here. */
+		memset(&res, 0, sizeof(res));
+		res.proc = AGB_X_NULL;
+		agb_rpc_reply(d->rpc, token, &res);
+	}
 	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
 }
 
+/* A relayed write ends like one of this instance's own. */
+static void
+put_replied(struct daemon *d, uint64_t tag, bool sent, const agb_x_res *res)
+{
+	struct wf_event ev = {.type = WF_EV_STORE, .tag = tag};
+	struct agb_store_result r;
+
+	memset(&r, 0, sizeof(r));
+	r.status = sent ? AGB_STORE_LOST : AGB_STORE_REFUSED;
+	if (res != NULL) {
+		r.status =
+		    (enum agb_store_status)res->agb_x_res_u.put.status;
+		r.succeeded = res->agb_x_res_u.put.stored;
+		r.revision = res->agb_x_res_u.put.revision;
+	}
+	ev.u.store = &r;
+	feed(d, &ev);
+}
+
 static void
 on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_ANSWER, .tag = tag};
 	const agb_x_advise_res *x;
+	struct daemon *const d = arg;
 	struct wf_advice a;
 	size_t i;
 
+	if ((tag & TAG_PUSH) == TAG_PUSH) {
+		if (ok)
+			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+		return;
+	}
+	if (tag & TAG_PUT) {
+		put_replied(d, tag, sent, ok ? res : NULL);
+		if (ok)
+			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+		return;
+	}
 	memset(&a, 0, sizeof(a));
 	ev.u.advice = &a;
 	if (!ok) {
@@ -352,15 +449,6 @@
 	xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
 }
 
-static void
-on_rpc_log(
-    void *arg, enum agb_log_level level, const char *event, const char *line)
-{
-	struct daemon *const d = arg;
-
-	agb_log_line(d->log, level, event, line);
-}
-
 /* ---- effects ---- */
 
 static void
@@ -410,6 +498,49 @@
 	free(list);
 }
 
+static void
+do_push(struct daemon *d, const struct wf_effect *ef)
+{
+	const struct wf_record *const r = &ef->u.record;
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_PUSH;
+	args.agb_x_args_u.push.key = (char *)(uintptr_t)r->key;
+	args.agb_x_args_u.push.revision = r->revision;
+	args.agb_x_args_u.push.value.value_val = r->val;
+	args.agb_x_args_u.push.value.value_len = (u_int)r->len;
+	agb_rpc_call(d->rpc, TAG_PUSH, ef->peer, &args, PUSH_TIMEOUT_MS);
+}
+
+static void
+do_put(struct daemon *d, const struct wf_effect *ef)
+{
+	const struct wf_record *const r = &ef->u.record;
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_PUT;
+	args.agb_x_args_u.put.key = (char *)(uintptr_t)r->key;
+	args.agb_x_args_u.put.timeout_ms = ef->timeout_ms;
+	args.agb_x_args_u.put.value.value_val = r->val;
+	args.agb_x_args_u.put.value.value_len = (u_int)r->len;
+	agb_rpc_call(d->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+}
+
+static void
+do_put_answer(struct daemon *d, const struct wf_effect *ef)
+{
+	agb_x_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_PUT;
+	res.agb_x_res_u.put.status = (int)ef->u.put_res.status;
+	res.agb_x_res_u.put.stored = ef->u.put_res.stored;
+	res.agb_x_res_u.put.revision = ef->u.put_res.revision;
+	agb_rpc_reply(d->rpc, ef->tag, &res);
+}
+
 static void
 do_reply(struct daemon *d, const struct wf_effect *ef)
 {
@@ -436,7 +567,7 @@
 	d->registry_tag++;
 	d->registry = wf_follow_new(&d->loop, d->store, d->registry_tag,
 	    d->ops->registry_prefix, on_registry, d);
-	wf_follow_pace(d->registry, 100);
+	wf_follow_pace(d->registry, REGISTRY_GAP_MS);
 }
 
 /* Calls are taken from the instances that the store lists. An address stays
@@ -471,7 +602,7 @@
 {
 	struct daemon *const d = t->data;
 
-	if (wf_httpd_open(d->http) == 0)
+	if (wf_httpd_open(d->http) == 0 || --d->linger_left == 0)
 		uv_stop(&d->loop);
 }
 
@@ -479,6 +610,7 @@
 do_exit(struct daemon *d)
 {
 	wf_httpd_stop(d->http);
+	d->linger_left = LINGER_TRIES;
 	uv_timer_start(&d->linger, on_linger, LINGER_MS, LINGER_MS);
 }
 
@@ -506,6 +638,15 @@
 	case WF_EF_PEER_ANSWER:
 		do_peer_answer(d, ef);
 		break;
+	case WF_EF_PEER_PUSH:
+		do_push(d, ef);
+		break;
+	case WF_EF_PEER_PUT:
+		do_put(d, ef);
+		break;
+	case WF_EF_PUT_ANSWER:
+		do_put_answer(d, ef);
+		break;
 	case WF_EF_REGISTRY:
 		do_registry(d, ef->on);
 		break;
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -59,6 +59,10 @@
 	case WF_EF_PEER_ANSWER:
 		free(ef->u.advice.items);
 		break;
+	case WF_EF_PEER_PUSH:
+	case WF_EF_PEER_PUT:
+		free(ef->u.record.val);
+		break;
 	case WF_EF_ALLOW_PEERS:
 		free(ef->peers);
 		break;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -27,6 +27,8 @@
 	WF_EV_ADVICE,	   /* tag, advice: answer of the advice service */
 	WF_EV_PEER_ASK,	   /* tag, ask: a peer wants advice fetched */
 	WF_EV_PEER_ANSWER, /* tag, advice: what a peer fetched */
+	WF_EV_PEER_PUSH,   /* feed: a record that a peer has stored */
+	WF_EV_PEER_PUT,	   /* tag, put: a peer wants a record stored */
 };
 
 enum wf_call_kind {
@@ -213,6 +215,16 @@
 	size_t items_len;
 };
 
+/**
+ * struct wf_put - a record that another instance cannot store itself
+ */
+struct wf_put {
+	const char *key;
+	const char *val;
+	size_t len;
+	uint32_t timeout_ms;
+};
+
 struct wf_event {
 	enum wf_event_type type;
 	uint64_t tag;
@@ -226,6 +238,7 @@
 		struct wf_order_result *order;
 		struct wf_advice *advice;
 		struct wf_ask *ask;
+		struct wf_put put;
 	} u;
 };
 
@@ -236,6 +249,9 @@
 	WF_EF_ADVISE,	    /* tag, ask: call the advice service */
 	WF_EF_PEER_ASK,	    /* tag, peer, ask: let a peer call it */
 	WF_EF_PEER_ANSWER,  /* tag, advice: answer a peer */
+	WF_EF_PEER_PUSH,    /* peer, record */
+	WF_EF_PEER_PUT,	    /* tag, peer, record; ends as WF_EV_STORE */
+	WF_EF_PUT_ANSWER,   /* tag, put_res: answer a peer */
 	WF_EF_REGISTRY,	    /* on: follow the registry of runners */
 	WF_EF_FEED_PACE,    /* gap_ms between deliveries of the feed */
 	WF_EF_ALLOW_PEERS,  /* peers: addresses that may call */
@@ -283,6 +299,26 @@
 	size_t text_len;
 };
 
+/**
+ * struct wf_record - a record for a peer
+ * @val: owned
+ */
+struct wf_record {
+	char key[AGB_X_KEY_MAX + 1];
+	uint64_t revision;
+	char *val;
+	size_t len;
+};
+
+/**
+ * struct wf_put_res - what became of a record that a peer has sent
+ */
+struct wf_put_res {
+	enum agb_store_status status;
+	bool stored;
+	uint64_t revision;
+};
+
 struct wf_effect {
 	enum wf_effect_type type;
 	uint64_t tag;
@@ -299,6 +335,8 @@
 		struct wf_order order;
 		struct wf_ask ask;
 		struct wf_advice advice;
+		struct wf_record record;
+		struct wf_put_res put_res;
 		struct agb_ef_log log;
 	} u;
 };
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -10,6 +10,11 @@
 /* How long a call of the store may take before it is made again. */
 #define STORE_TIMEOUT_MS 900
 #define RETRY_MS 50
+/* An instance that the store does not answer lets another one write after
+ * this; one more is tried this long after that. */
+#define RELAY_MS 250
+#define RELAY_NEXT_MS 400
+#define RELAY_TIMEOUT_MS 1000
 /* Time of a caller that did not say how long it waits. */
 #define CALL_MS 3000
 /* The answer has to reach the caller before it gives up. */
@@ -19,7 +24,10 @@
 
 /**
  * struct waiting - a request that waits for the store
+ * @tag: of the call under way, or 0
  * @unknown: a write whose fate is not known has been sent
+ * @relay_tag: of the write that another instance makes, or 0
+ * @relays: instances that have been asked
  */
 struct waiting {
 	struct waiting *prev, *next;
@@ -33,6 +41,9 @@
 	agb_time began;
 	agb_time until;
 	agb_time retry_at;
+	agb_time relay_at;
+	uint64_t relay_tag;
+	uint32_t relays;
 	bool reading;
 	bool unknown;
 	bool gone;
@@ -40,6 +51,7 @@
 
 struct wf_front {
 	struct wf_table *table;
+	agb_id self;
 	struct waiting *calls;
 	size_t len;
 	uint64_t next_tag;
@@ -49,11 +61,12 @@
 #define FRONT_TAG ((uint64_t)1 << 63)
 
 struct wf_front *
-wf_front_new(struct wf_table *table)
+wf_front_new(struct wf_table *table, const char *self)
 {
 	struct wf_front *const f = agb_xcalloc(1, sizeof(*f));
 
 	f->table = table;
+	agb_name_set(f->self, sizeof(f->self), self);
 	return f;
 }
 
@@ -145,6 +158,73 @@
 	    w->raw != NULL ? w->raw : "", w->len, 0);
 }
 
+/* The leader, which the store answers, comes first; then the others. */
+static const struct wf_peer *
+relay_peer(const struct wf_front *f, uint32_t skip)
+{
+	struct wf_peer *p, *p2, *leader;
+
+	HASH_FIND_STR(f->table->peers, f->table->leader, leader);
+	if (leader != NULL && strcmp(leader->name, f->self) != 0 &&
+	    skip-- == 0)
+		return leader;
+	HASH_ITER(hh, f->table->peers, p, p2) {
+		if (p == leader || strcmp(p->name, f->self) == 0)
+			continue;
+		if (skip-- == 0)
+			return p;
+	}
+	return NULL;
+}
+
+/* Lets another instance write the record: whoever writes it, it is the same
+ * record under the same key. Returns false when none is left. */
+static bool
+relay_send(struct wf_front *f, const struct wf_now *now, struct waiting *w,
+    struct wf_effects *out)
+{
+	const struct wf_peer *const p = relay_peer(f, w->relays);
+	struct wf_effect *ef;
+
+	if (w->reading || p == NULL)
+		return false;
+	w->relays++;
+	w->relay_tag = FRONT_TAG | ++f->next_tag;
+	w->relay_at = now->mono + RELAY_NEXT_MS * AGB_MS;
+	ef = wf_effects_add(out, WF_EF_PEER_PUT);
+	ef->tag = w->relay_tag;
+	ef->timeout_ms = RELAY_TIMEOUT_MS;
+	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
+	wf_table_key(ef->u.record.key,
+	    w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
+	ef->u.record.len = w->len;
+	wf_effects_log(out, AGB_LOG_INFO, "relay",
+	    "job=%s through=%s waited_ms=%" PRIu64, w->job, p->name,
+	    (now->mono - w->began) / AGB_MS);
+	return true;
+}
+
+/* Shows a stored record to the leader, which reads the store less often. */
+static void
+push_to_leader(const struct wf_front *f, const struct waiting *w,
+    uint64_t revision, struct wf_effects *out)
+{
+	struct wf_effect *ef;
+	struct wf_peer *p;
+
+	HASH_FIND_STR(f->table->peers, f->table->leader, p);
+	if (p == NULL || strcmp(p->name, f->self) == 0)
+		return;
+	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
+	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
+	wf_table_key(ef->u.record.key,
+	    w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	ef->u.record.revision = revision;
+	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
+	ef->u.record.len = w->len;
+}
+
 static struct waiting *
 wait_new(struct wf_front *f, const struct wf_now *now,
     const struct wf_call *call, const struct wf_queue *q, const char *job)
@@ -161,6 +241,7 @@
 	agb_name_set(w->job, sizeof(w->job), job);
 	w->began = now->mono;
 	w->until = now->mono + ms * AGB_MS;
+	w->relay_at = now->mono + RELAY_MS * AGB_MS;
 	DL_APPEND(f->calls, w);
 	f->len++;
 	return w;
@@ -328,6 +409,8 @@
 	struct wf_job *j;
 
 	j = NULL;
+	if (res->succeeded)
+		push_to_leader(f, w, res->revision, out);
 	if (w->kind == WF_CALL_SUBMIT && res->succeeded) {
 		j = wf_table_put_spec(
 		    f->table, w->job, res->revision, w->spec);
@@ -383,6 +466,25 @@
 	waiting_free(f, w);
 }
 
+/* A call has ended without effect, or without an answer. */
+static void
+failed(struct wf_front *f, const struct wf_now *now, struct waiting *w,
+    struct wf_effects *out)
+{
+	if (w->relay_tag == 0 && relay_send(f, now, w, out))
+		return;
+	if (w->tag != 0 || w->relay_tag != 0)
+		return;
+	/* What certainly is not stored is refused at once, so that the caller
+	 * can turn to another instance. */
+	if (!w->unknown || now->mono + RETRY_MS * AGB_MS >= w->until) {
+		give_up(f, w, out);
+		return;
+	}
+	w->relays = 0;
+	w->retry_at = now->mono + RETRY_MS * AGB_MS;
+}
+
 bool
 wf_front_store(struct wf_front *f, const struct wf_now *now, uint64_t tag,
     const struct agb_store_result *res, struct wf_job **accepted,
@@ -394,11 +496,15 @@
 	if ((tag & FRONT_TAG) == 0)
 		return false;
 	DL_FOREACH(f->calls, w) {
-		if (w->tag == tag)
+		if (w->tag == tag || w->relay_tag == tag)
 			break;
 	}
 	if (w == NULL)
 		return true;
+	if (w->tag == tag)
+		w->tag = 0;
+	else
+		w->relay_tag = 0;
 	if (res->status == AGB_STORE_OK) {
 		if (w->reading)
 			read_key(f, w, res, out);
@@ -408,13 +514,7 @@
 	}
 	if (res->status == AGB_STORE_LOST && !w->reading)
 		w->unknown = true;
-	/* What certainly is not stored is refused at once, so that the caller
-	 * can turn to another instance. */
-	if (!w->unknown || now->mono + RETRY_MS * AGB_MS >= w->until) {
-		give_up(f, w, out);
-		return true;
-	}
-	w->retry_at = now->mono + RETRY_MS * AGB_MS;
+	failed(f, now, w, out);
 	return true;
 }
 
@@ -428,14 +528,20 @@
 	next = AGB_TIME_MAX;
 	DL_FOREACH_SAFE(f->calls, w, w2) {
 		if (now->mono >= w->until) {
-			/* The call under way may still have an effect. */
-			if (!w->reading && w->retry_at == 0)
+			/* A call under way may still have an effect. */
+			if (!w->reading && (w->tag != 0 || w->relay_tag != 0))
 				w->unknown = true;
 			give_up(f, w, out);
 			continue;
 		}
 		if (w->retry_at != 0 && now->mono >= w->retry_at)
 			store_send(f, w, out);
+		if (!w->reading && now->mono >= w->relay_at) {
+			w->relay_at = w->until;
+			(void)relay_send(f, now, w, out);
+		}
+		if (w->relay_at < next)
+			next = w->relay_at;
 		if (w->until < next)
 			next = w->until;
 		if (w->retry_at != 0 && w->retry_at < next)
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -14,7 +14,11 @@
 
 struct wf_front;
 
-struct wf_front *wf_front_new(struct wf_table *table);
+/**
+ * wf_front_new() - no requests yet
+ * @self: name of this instance
+ */
+struct wf_front *wf_front_new(struct wf_table *table, const char *self);
 
 void wf_front_free(struct wf_front *f);
 
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -131,7 +131,12 @@
 	struct simrunner runners[SIM_RUNNERS_MAX];
 	struct simjob *jobs;
 	size_t jobs_len;
-	uint64_t next_call;
+	struct {
+		unsigned core;
+		unsigned gen;
+		uint64_t tag;
+	} *puts;
+	size_t puts_len;
 	unsigned violations;
 	char violation[512];
 };
@@ -1335,6 +1340,116 @@
 	feed(s, e->core, &ev);
 }
 
+/* Index of the instance that an address names. */
+static unsigned
+core_of(const char *rpc)
+{
+	return (unsigned)strtoul(rpc + strlen("10.0.0."), NULL, 10);
+}
+
+struct peercall {
+	struct wf_record r;
+	unsigned from;
+	unsigned from_gen;
+	uint64_t tag;
+	uint32_t timeout_ms;
+};
+
+static void
+peer_push(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUSH};
+	struct peercall *const c = e->p;
+	struct agb_store_kv kv;
+
+	if (reaches(s, e, peer_push)) {
+		memset(&kv, 0, sizeof(kv));
+		kv.key = c->r.key;
+		kv.val = c->r.val;
+		kv.val_len = c->r.len;
+		kv.mod_rev = c->r.revision;
+		ev.u.feed.items = &kv;
+		ev.u.feed.items_len = 1;
+		feed(s, e->core, &ev);
+	} else if (e->p == NULL) {
+		return;
+	}
+	free(c->r.val);
+	free(c);
+}
+
+/* Puts that wait for an answer, by their token. */
+static void
+peer_put(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUT};
+	struct peercall *const c = e->p;
+
+	if (!reaches(s, e, peer_put)) {
+		if (e->p == NULL)
+			return;
+		free(c->r.val);
+		free(c);
+		return;
+	}
+	s->puts = agb_xreallocarray(
+	    s->puts, s->puts_len + 1, sizeof(*s->puts));
+	s->puts[s->puts_len].core = c->from;
+	s->puts[s->puts_len].gen = c->from_gen;
+	s->puts[s->puts_len++].tag = c->tag;
+	ev.tag = s->puts_len;
+	ev.u.put.key = c->r.key;
+	ev.u.put.val = c->r.val;
+	ev.u.put.len = c->r.len;
+	ev.u.put.timeout_ms = c->timeout_ms;
+	feed(s, e->core, &ev);
+	free(c->r.val);
+	free(c);
+}
+
+static void
+send_peer(struct sim *s, unsigned ci, struct wf_effect *ef,
+    void (*fn)(struct sim *, struct ev *))
+{
+	struct peercall *const c = agb_xcalloc(1, sizeof(*c));
+	const unsigned to = core_of(ef->peer);
+	struct ev *e;
+
+	c->r = ef->u.record;
+	ef->u.record.val = NULL;
+	c->from = ci;
+	c->from_gen = s->cores[ci].gen;
+	c->tag = ef->tag;
+	c->timeout_ms = ef->timeout_ms;
+	e = later_core(s, to, s->o.latency_ms * SIM_MS, fn);
+	e->p = c;
+	if (fn != peer_put)
+		return;
+	/* Without an answer by then the fate of the put is not known. */
+	e = later_core(s, ci, ef->timeout_ms * SIM_MS, store_answer);
+	e->tag = ef->tag;
+	e->p = agb_xcalloc(1, sizeof(struct storecall));
+	((struct storecall *)e->p)->res.status = AGB_STORE_LOST;
+}
+
+static void
+put_answered(struct sim *s, const struct wf_effect *ef)
+{
+	const size_t i = (size_t)ef->tag - 1;
+	struct storecall *c;
+	struct ev *e;
+
+	e = later(s, s->o.latency_ms * SIM_MS, store_answer);
+	e->core = s->puts[i].core;
+	e->gen = s->puts[i].gen;
+	e->tag = s->puts[i].tag;
+	c = agb_xcalloc(1, sizeof(*c));
+	c->res.status = ef->u.put_res.status;
+	c->res.succeeded = ef->u.put_res.stored;
+	c->res.revision = ef->u.put_res.revision;
+	e->p = c;
+}
+
 static void
 carry_out(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
@@ -1355,6 +1470,15 @@
 		/* The way over a peer is not simulated. */
 		send_advice(s, ci, ef);
 		break;
+	case WF_EF_PEER_PUSH:
+		send_peer(s, ci, ef, peer_push);
+		break;
+	case WF_EF_PEER_PUT:
+		send_peer(s, ci, ef, peer_put);
+		break;
+	case WF_EF_PUT_ANSWER:
+		put_answered(s, ef);
+		break;
 	case WF_EF_REGISTRY:
 		c->registry = ef->on;
 		if (ef->on)
@@ -1513,7 +1637,10 @@
 		else if (e->fn == order_answer || e->fn == order_arrives ||
 		    e->fn == hold_poll || e->fn == order_late)
 			ordercall_free(e->p);
-		else if (e->fn == advice_answer) {
+		else if (e->fn == peer_push || e->fn == peer_put) {
+			free(((struct peercall *)e->p)->r.val);
+			free(e->p);
+		} else if (e->fn == advice_answer) {
 			free(((struct wf_advice *)e->p)->items);
 			free(e->p);
 		}
@@ -1542,6 +1669,7 @@
 	free(s->items);
 	free(s->log);
 	free(s->leases);
+	free(s->puts);
 	free(s->jobs);
 	free(s);
 }
