--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -15,7 +15,7 @@
 #define BACKLOG_LONG_MS 1600
 #define BACKLOG_SHORT_MS 250
 /* Beyond its expected time a call waits this long for its answer. */
-#define ANSWER_SLACK_MS 1500
+#define ANSWER_SLACK_MS 350
 #define ADVISOR_BAD_MS 2000
 #define ASK_RETRY_MS 40
 /* Time between the service's answer and the arrival of a start. */
@@ -102,22 +102,39 @@
 	free(l->advisors);
 }
 
+static bool
+advisor_ok(const struct wf_leader *l, const struct wf_advisor *a, agb_time now)
+{
+	struct wf_peer *p;
+
+	if (now < a->bad_until)
+		return false;
+	if (a->peer[0] == '\0')
+		return true;
+	HASH_FIND_STR(l->table->peers, a->name, p);
+	return p != NULL && wf_peer_ok(p, now);
+}
+
 static uint32_t
 advisor_choose(const struct wf_leader *l, agb_time now, uint32_t est_ms)
 {
 	const bool is_long = est_ms > LONG_MS;
-	const size_t split = l->advisors_len / 2;
 	const agb_time limit = now +
 	    (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
+	size_t i, n, at;
 	uint32_t best;
-	size_t i;
 
+	n = 0;
+	for (i = 0; i < l->advisors_len; i++)
+		n += advisor_ok(l, &l->advisors[i], now);
 	best = WF_NONE;
+	at = 0;
 	for (i = 0; i < l->advisors_len; i++) {
-		if (l->advisors_len > 1 && (i < split) != is_long)
+		if (!advisor_ok(l, &l->advisors[i], now))
+			continue;
+		if (n > 1 && (at++ < n / 2) != is_long)
 			continue;
-		if (now < l->advisors[i].bad_until ||
-		    l->advisors[i].busy_until > limit)
+		if (l->advisors[i].busy_until > limit)
 			continue;
 		if (best == WF_NONE ||
 		    l->advisors[i].busy_until < l->advisors[best].busy_until)
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -33,11 +33,20 @@
 #define DRAIN_MS 3500
 #define DRAIN_MARGIN_MS 600
 #define PEER_ASKS_MAX 32
+/* Instances ask each other whether they answer. A leader that most of them
+ * do not answer gives its place up, but not again within the pause. */
+#define PING_MS 800
+#define PING_TIMEOUT_MS 700
+#define ISOLATED_MS 900
+#define RESIGN_PAUSE_MS 15000
+/* An instance stands for election later for each peer it cannot reach. */
+#define ELECT_SILENT_MS 100
 #define PEER_PUTS_MAX 512
 
 #define CORE_TAG ((uint64_t)1 << 62)
 #define PEER_TAG ((uint64_t)1 << 61)
 #define PUT_TAG ((uint64_t)1 << 60)
+#define PING_TAG ((uint64_t)1 << 59)
 #define LEADER_TAG_SHIFT 20
 
 enum core_op {
@@ -79,6 +88,9 @@
 	bool electing;
 	agb_time elect_at;
 	bool store_lost;
+	agb_time ping_at;
+	agb_time isolated_at;
+	agb_time resigned_at;
 	bool registry_on;
 	uint32_t pace;
 	agb_time next;
@@ -340,6 +352,18 @@
 	c->registry_on = true;
 }
 
+static uint32_t
+peers_silent(const struct wf_core *c, agb_time now)
+{
+	const struct wf_peer *p;
+	uint32_t n;
+
+	n = 0;
+	for (p = c->table.peers; p != NULL; p = p->hh.next)
+		n += strcmp(p->name, c->cfg.name) != 0 && !wf_peer_ok(p, now);
+	return n;
+}
+
 static void
 leader_changed(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
@@ -355,7 +379,9 @@
 		step_down(c, "another instance has been elected", out);
 	if (c->table.leader[0] == '\0')
 		c->elect_at = now->mono +
-		    (ELECT_MS + jitter(c, ELECT_JITTER_MS)) * AGB_MS +
+		    (ELECT_MS + jitter(c, ELECT_JITTER_MS) +
+			ELECT_SILENT_MS * peers_silent(c, now->mono)) *
+			AGB_MS +
 		    ELECT_RTT_FACTOR * c->rtt;
 	try_lead(c, now, out);
 }
@@ -634,6 +660,82 @@
 	}
 }
 
+static void
+ping_peers(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	struct wf_effect *ef;
+	struct wf_peer *p;
+
+	if (now->mono < c->ping_at) {
+		c->next = sooner(c->next, c->ping_at);
+		return;
+	}
+	c->ping_at = now->mono + PING_MS * AGB_MS;
+	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		if (p->since == 0)
+			p->since = now->mono;
+		if (p->ping_tag != 0 || strcmp(p->name, c->cfg.name) == 0)
+			continue;
+		p->ping_tag = PING_TAG | ++c->next_tag;
+		ef = wf_effects_add(out, WF_EF_PEER_PING);
+		ef->tag = p->ping_tag;
+		ef->timeout_ms = PING_TIMEOUT_MS;
+		agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
+	}
+}
+
+static void
+on_pong(struct wf_core *c, const struct wf_now *now, uint64_t tag, bool ok,
+    struct wf_effects *out)
+{
+	struct wf_peer *p;
+	bool was;
+
+	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		if (p->ping_tag == tag)
+			break;
+	}
+	if (p == NULL)
+		return;
+	p->ping_tag = 0;
+	was = wf_peer_ok(p, now->mono);
+	if (ok)
+		p->heard_at = now->mono;
+	if (was != wf_peer_ok(p, now->mono))
+		wf_effects_log(out, AGB_LOG_WARN, "dependency",
+		    "name=%s change=%s", p->name, ok ? "regained" : "lost");
+}
+
+/* A leader that most instances do not answer cannot have advice fetched. */
+static void
+check_isolated(struct wf_core *c, const struct wf_now *now,
+    struct wf_effects *out)
+{
+	const uint32_t others = HASH_COUNT(c->table.peers) > 0
+	    ? HASH_COUNT(c->table.peers) - 1
+	    : 0;
+	const uint32_t silent = peers_silent(c, now->mono);
+
+	if (c->leader == NULL || others < 2 || silent * 2 <= others) {
+		c->isolated_at = 0;
+		return;
+	}
+	if (c->isolated_at == 0)
+		c->isolated_at = now->mono;
+	if (now->mono - c->isolated_at < ISOLATED_MS * AGB_MS ||
+	    (c->resigned_at != 0 &&
+		now->mono - c->resigned_at < RESIGN_PAUSE_MS * AGB_MS))
+		return;
+	wf_effects_log(out, AGB_LOG_WARN, "lead",
+	    "change=resigning silent_peers=%" PRIu32 " peers=%" PRIu32, silent,
+	    others);
+	c->resigned_at = now->mono;
+	step_down(c, "most instances do not answer", out);
+	end_lease(c, out);
+	c->op_next = now->mono;
+}
+
 static void
 tick_election(struct wf_core *c, const struct wf_now *now,
     struct wf_effects *out)
@@ -706,6 +808,8 @@
 {
 	c->next = now->mono + AGB_SEC;
 	tick_lease(c, now, out);
+	ping_peers(c, now, out);
+	check_isolated(c, now, out);
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
 		c->leader->valid_until = c->valid_until;
@@ -763,6 +867,9 @@
 	case WF_EV_PEER_ASK:
 		on_peer_ask(c, ev->tag, ev->u.ask, out);
 		break;
+	case WF_EV_PEER_PONG:
+		on_pong(c, now, ev->tag, ev->on, out);
+		break;
 	case WF_EV_PEER_PUSH:
 		on_push(c, now, &ev->u.feed, out);
 		break;
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -37,6 +37,7 @@
  * whose top bit is set; all others ask for advice. */
 #define TAG_PUSH (FOLLOW_TAG | 3)
 #define TAG_PUT ((uint64_t)1 << 63)
+#define TAG_PING ((uint64_t)1 << 59)
 #define PUSH_TIMEOUT_MS 1000
 
 struct daemon {
@@ -424,6 +425,14 @@
 			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
 		return;
 	}
+	if (tag & TAG_PING) {
+		ev.type = WF_EV_PEER_PONG;
+		ev.on = ok;
+		feed(d, &ev);
+		if (ok)
+			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+		return;
+	}
 	memset(&a, 0, sizeof(a));
 	ev.u.advice = &a;
 	if (!ok) {
@@ -498,6 +507,16 @@
 	free(list);
 }
 
+static void
+do_ping(struct daemon *d, const struct wf_effect *ef)
+{
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_NULL;
+	agb_rpc_call(d->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+}
+
 static void
 do_push(struct daemon *d, const struct wf_effect *ef)
 {
@@ -644,6 +663,9 @@
 	case WF_EF_PEER_PUT:
 		do_put(d, ef);
 		break;
+	case WF_EF_PEER_PING:
+		do_ping(d, ef);
+		break;
 	case WF_EF_PUT_ANSWER:
 		do_put_answer(d, ef);
 		break;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -29,6 +29,7 @@
 	WF_EV_PEER_ANSWER, /* tag, advice: what a peer fetched */
 	WF_EV_PEER_PUSH,   /* feed: a record that a peer has stored */
 	WF_EV_PEER_PUT,	   /* tag, put: a peer wants a record stored */
+	WF_EV_PEER_PONG,   /* tag, on: whether a peer has answered */
 };
 
 enum wf_call_kind {
@@ -229,6 +230,7 @@
 	enum wf_event_type type;
 	uint64_t tag;
 	uint64_t call_id;
+	bool on;
 	union {
 		struct wf_doc *doc;
 		struct wf_feed feed;
@@ -251,6 +253,7 @@
 	WF_EF_PEER_ANSWER,  /* tag, advice: answer a peer */
 	WF_EF_PEER_PUSH,    /* peer, record */
 	WF_EF_PEER_PUT,	    /* tag, peer, record; ends as WF_EV_STORE */
+	WF_EF_PEER_PING,    /* tag, peer */
 	WF_EF_PUT_ANSWER,   /* tag, put_res: answer a peer */
 	WF_EF_REGISTRY,	    /* on: follow the registry of runners */
 	WF_EF_FEED_PACE,    /* gap_ms between deliveries of the feed */
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -19,8 +19,9 @@
 #define CALL_MS 3000
 /* The answer has to reach the caller before it gives up. */
 #define ANSWER_MARGIN_MS 100
-/* When a refused caller may come back. */
-#define RETRY_AFTER_S 1
+/* When a refused caller may come back: after an outage of the store of a few
+ * seconds it still has tries left. */
+#define RETRY_AFTER_S 2
 
 /**
  * struct waiting - a request that waits for the store
@@ -160,16 +161,17 @@
 
 /* The leader, which the store answers, comes first; then the others. */
 static const struct wf_peer *
-relay_peer(const struct wf_front *f, uint32_t skip)
+relay_peer(const struct wf_front *f, agb_time now, uint32_t skip)
 {
 	struct wf_peer *p, *p2, *leader;
 
 	HASH_FIND_STR(f->table->peers, f->table->leader, leader);
 	if (leader != NULL && strcmp(leader->name, f->self) != 0 &&
-	    skip-- == 0)
+	    wf_peer_ok(leader, now) && skip-- == 0)
 		return leader;
 	HASH_ITER(hh, f->table->peers, p, p2) {
-		if (p == leader || strcmp(p->name, f->self) == 0)
+		if (p == leader || strcmp(p->name, f->self) == 0 ||
+		    !wf_peer_ok(p, now))
 			continue;
 		if (skip-- == 0)
 			return p;
@@ -183,7 +185,7 @@
 relay_send(struct wf_front *f, const struct wf_now *now, struct waiting *w,
     struct wf_effects *out)
 {
-	const struct wf_peer *const p = relay_peer(f, w->relays);
+	const struct wf_peer *const p = relay_peer(f, now->mono, w->relays);
 	struct wf_effect *ef;
 
 	if (w->reading || p == NULL)
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -6,6 +6,9 @@
 
 #include "mem.h"
 
+/* An instance that has not answered for this long is not called. */
+#define PEER_SILENT_MS 1700
+
 static const struct {
 	unsigned flag;
 	size_t at;
@@ -401,6 +404,14 @@
 	return ch;
 }
 
+bool
+wf_peer_ok(const struct wf_peer *p, agb_time now)
+{
+	const agb_time last = p->heard_at > 0 ? p->heard_at : p->since;
+
+	return last == 0 || now - last < PEER_SILENT_MS * AGB_MS;
+}
+
 void
 wf_table_mark_all(struct wf_table *t)
 {
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -50,9 +50,15 @@
 
 /**
  * struct wf_peer - another instance
+ * @since: when it was first seen here
+ * @heard_at: when it last answered, or 0
+ * @ping_tag: of the call that asks whether it answers; 0 when none is out
  */
 struct wf_peer {
 	agb_id name;
+	agb_time since;
+	agb_time heard_at;
+	uint64_t ping_tag;
 	agb_addr rpc;
 	agb_id domain;
 	agb_id region;
@@ -118,6 +124,11 @@
 struct wf_table_change wf_table_apply(
     struct wf_table *t, const struct agb_store_kv *kv);
 
+/**
+ * wf_peer_ok() - whether an instance answers, as far as is known
+ */
+bool wf_peer_ok(const struct wf_peer *p, agb_time now);
+
 /**
  * wf_table_mark_all() - begin a full read
  */
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1432,6 +1432,30 @@
 	((struct storecall *)e->p)->res.status = AGB_STORE_LOST;
 }
 
+static void
+ping_answer(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PONG, .tag = e->tag};
+
+	if (!reaches(s, e, ping_answer))
+		return;
+	ev.on = e->a != 0;
+	feed(s, e->core, &ev);
+}
+
+static void
+send_ping(struct sim *s, unsigned ci, const struct wf_effect *ef)
+{
+	const struct simcore *const to = &s->cores[core_of(ef->peer)];
+	const bool ok = to->up && s->now >= to->frozen_until;
+	struct ev *const e = later_core(s, ci,
+	    (ok ? 2 * s->o.latency_ms : ef->timeout_ms) * SIM_MS,
+	    ping_answer);
+
+	e->tag = ef->tag;
+	e->a = ok;
+}
+
 static void
 put_answered(struct sim *s, const struct wf_effect *ef)
 {
@@ -1476,6 +1500,9 @@
 	case WF_EF_PEER_PUT:
 		send_peer(s, ci, ef, peer_put);
 		break;
+	case WF_EF_PEER_PING:
+		send_ping(s, ci, ef);
+		break;
 	case WF_EF_PUT_ANSWER:
 		put_answered(s, ef);
 		break;
