--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -232,14 +232,18 @@
 	agb_x_ticket tickets<AGB_X_ADVICE_MAX>;
 };
 
-/* A record that the sender has stored, shown to an instance that needs it
+/* Records that the sender has stored, shown to an instance that needs them
  * before it reads the store. */
-struct agb_x_push_args {
+struct agb_x_record {
 	agb_x_key key;
 	unsigned hyper revision;
 	opaque value<AGB_X_TEXT_MAX>;
 };
 
+struct agb_x_push_args {
+	agb_x_record records<AGB_X_ITEMS_MAX>;
+};
+
 /* Asks an instance to store a record under a key that does not exist. */
 struct agb_x_put_args {
 	agb_x_key key;
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -286,7 +286,7 @@
 };
 typedef struct agb_x_advise_res agb_x_advise_res;
 
-struct agb_x_push_args {
+struct agb_x_record {
 	agb_x_key key;
 	u_quad_t revision;
 	struct {
@@ -294,6 +294,14 @@
 		char *value_val;
 	} value;
 };
+typedef struct agb_x_record agb_x_record;
+
+struct agb_x_push_args {
+	struct {
+		u_int records_len;
+		agb_x_record *records_val;
+	} records;
+};
 typedef struct agb_x_push_args agb_x_push_args;
 
 struct agb_x_put_args {
@@ -384,6 +392,7 @@
 extern  bool_t xdr_agb_x_advise_args (XDR *, agb_x_advise_args*);
 extern  bool_t xdr_agb_x_ticket (XDR *, agb_x_ticket*);
 extern  bool_t xdr_agb_x_advise_res (XDR *, agb_x_advise_res*);
+extern  bool_t xdr_agb_x_record (XDR *, agb_x_record*);
 extern  bool_t xdr_agb_x_push_args (XDR *, agb_x_push_args*);
 extern  bool_t xdr_agb_x_put_args (XDR *, agb_x_put_args*);
 extern  bool_t xdr_agb_x_put_res (XDR *, agb_x_put_res*);
@@ -422,6 +431,7 @@
 extern bool_t xdr_agb_x_advise_args ();
 extern bool_t xdr_agb_x_ticket ();
 extern bool_t xdr_agb_x_advise_res ();
+extern bool_t xdr_agb_x_record ();
 extern bool_t xdr_agb_x_push_args ();
 extern bool_t xdr_agb_x_put_args ();
 extern bool_t xdr_agb_x_put_res ();
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -867,7 +867,7 @@
 }
 
 bool_t
-xdr_agb_x_push_args (XDR *xdrs, agb_x_push_args *objp)
+xdr_agb_x_record (XDR *xdrs, agb_x_record *objp)
 {
 	register int32_t *buf;
 
@@ -880,6 +880,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_agb_x_push_args (XDR *xdrs, agb_x_push_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, AGB_X_ITEMS_MAX,
+		sizeof (agb_x_record), (xdrproc_t) xdr_agb_x_record))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_agb_x_put_args (XDR *xdrs, agb_x_put_args *objp)
 {
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -318,6 +318,11 @@
 		    j, revision, w->jobs[i].raw, w->jobs[i].len);
 		if (j->exec == NULL)
 			continue;
+		if (!j->exec->shown || j->exec->shown_state != j->state) {
+			j->exec->shown = true;
+			j->exec->shown_state = j->state;
+			wf_leader_show(l, j->id, j->state);
+		}
 		j->exec->in_flight = false;
 		if (wf_leader_may_order(l, now->mono))
 			wf_commit_starts(l, now, j->exec, out);
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -28,6 +28,9 @@
 /* Without an answer of the store for this long, new requests are better
  * served elsewhere. */
 #define READY_STORE_MS 1500
+/* Renewals come every RENEW_MS: a store without an answer for this long does
+ * not answer this instance. */
+#define SILENT_STORE_MS 700
 /* After SIGTERM: connections leave within this time when they can, and the
  * process ends this much before it would be killed. */
 #define DRAIN_MS 3500
@@ -821,6 +824,8 @@
 		? PACE_LEADER_MS
 		: PACE_OTHER_MS,
 	    out);
+	wf_front_store_silent(
+	    c->front, now->mono - c->heard_at > SILENT_STORE_MS * AGB_MS);
 	c->next = sooner(c->next, wf_front_tick(c->front, now, out));
 	tick_ready(c, now, out);
 	tick_drain(c, now, out);
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -332,18 +332,24 @@
 rpc_push(struct daemon *d, uint64_t token, const agb_x_push_args *x)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_PUSH};
-	struct agb_store_kv kv;
+	const agb_x_record *r;
+	struct agb_store_kv *kvs;
 	agb_x_res res;
+	size_t i;
 
-	memset(&kv, 0, sizeof(kv));
-	kv.key = x->key;
-	kv.val = x->value.value_val;
-	kv.val_len = x->value.value_len;
-	kv.mod_rev = x->revision;
-	kv.create_rev = x->revision;
-	ev.u.feed.items = &kv;
-	ev.u.feed.items_len = 1;
+	kvs = agb_xcalloc(x->records.records_len + 1, sizeof(*kvs));
+	for (i = 0; i < x->records.records_len; i++) {
+		r = &x->records.records_val[i];
+		kvs[i].key = r->key;
+		kvs[i].val = r->value.value_val;
+		kvs[i].val_len = r->value.value_len;
+		kvs[i].mod_rev = r->revision;
+		kvs[i].create_rev = r->revision;
+	}
+	ev.u.feed.items = kvs;
+	ev.u.feed.items_len = x->records.records_len;
 	feed(d, &ev);
+	free(kvs);
 	memset(&res, 0, sizeof(res));
 	res.proc = AGB_X_PUSH;
 	agb_rpc_reply(d->rpc, token, &res);
@@ -520,16 +526,24 @@
 static void
 do_push(struct daemon *d, const struct wf_effect *ef)
 {
-	const struct wf_record *const r = &ef->u.record;
+	const struct wf_push *const p = &ef->u.push;
+	agb_x_record *list;
 	agb_x_args args;
+	size_t i;
 
+	list = agb_xcalloc(p->len + 1, sizeof(*list));
+	for (i = 0; i < p->len; i++) {
+		list[i].key = (char *)(uintptr_t)p->items[i].key;
+		list[i].revision = p->items[i].revision;
+		list[i].value.value_val = p->items[i].val;
+		list[i].value.value_len = (u_int)p->items[i].len;
+	}
 	memset(&args, 0, sizeof(args));
 	args.proc = AGB_X_PUSH;
-	args.agb_x_args_u.push.key = (char *)(uintptr_t)r->key;
-	args.agb_x_args_u.push.revision = r->revision;
-	args.agb_x_args_u.push.value.value_val = r->val;
-	args.agb_x_args_u.push.value.value_len = (u_int)r->len;
+	args.agb_x_args_u.push.records.records_val = list;
+	args.agb_x_args_u.push.records.records_len = (u_int)p->len;
 	agb_rpc_call(d->rpc, TAG_PUSH, ef->peer, &args, PUSH_TIMEOUT_MS);
+	free(list);
 }
 
 static void
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -42,6 +42,16 @@
 	ef->u.log.line = agb_xstrdup(text);
 }
 
+static void
+push_free(struct wf_push *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->len; i++)
+		free(p->items[i].val);
+	free(p->items);
+}
+
 static void
 effect_free(struct wf_effect *ef)
 {
@@ -60,6 +70,8 @@
 		free(ef->u.advice.items);
 		break;
 	case WF_EF_PEER_PUSH:
+		push_free(&ef->u.push);
+		break;
 	case WF_EF_PEER_PUT:
 		free(ef->u.record.val);
 		break;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -251,7 +251,7 @@
 	WF_EF_ADVISE,	    /* tag, ask: call the advice service */
 	WF_EF_PEER_ASK,	    /* tag, peer, ask: let a peer call it */
 	WF_EF_PEER_ANSWER,  /* tag, advice: answer a peer */
-	WF_EF_PEER_PUSH,    /* peer, record */
+	WF_EF_PEER_PUSH,    /* peer, push */
 	WF_EF_PEER_PUT,	    /* tag, peer, record; ends as WF_EV_STORE */
 	WF_EF_PEER_PING,    /* tag, peer */
 	WF_EF_PUT_ANSWER,   /* tag, put_res: answer a peer */
@@ -313,6 +313,14 @@
 	size_t len;
 };
 
+/* Records shown to a peer in one call. */
+#define WF_PUSH_MAX 512
+
+struct wf_push {
+	struct wf_record *items;
+	size_t len;
+};
+
 /**
  * struct wf_put_res - what became of a record that a peer has sent
  */
@@ -339,6 +347,7 @@
 		struct wf_ask ask;
 		struct wf_advice advice;
 		struct wf_record record;
+		struct wf_push push;
 		struct wf_put_res put_res;
 		struct agb_ef_log log;
 	} u;
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -52,6 +52,7 @@
 
 struct wf_front {
 	struct wf_table *table;
+	bool store_silent;
 	agb_id self;
 	struct waiting *calls;
 	size_t len;
@@ -92,6 +93,12 @@
 	free(f);
 }
 
+void
+wf_front_store_silent(struct wf_front *f, bool silent)
+{
+	f->store_silent = silent;
+}
+
 size_t
 wf_front_open(const struct wf_front *f)
 {
@@ -212,6 +219,7 @@
 push_to_leader(const struct wf_front *f, const struct waiting *w,
     uint64_t revision, struct wf_effects *out)
 {
+	struct wf_record *r;
 	struct wf_effect *ef;
 	struct wf_peer *p;
 
@@ -220,11 +228,13 @@
 		return;
 	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
-	wf_table_key(ef->u.record.key,
-	    w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
-	ef->u.record.revision = revision;
-	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
-	ef->u.record.len = w->len;
+	r = agb_xcalloc(1, sizeof(*r));
+	wf_table_key(r->key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	r->revision = revision;
+	r->val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
+	r->len = w->len;
+	ef->u.push.items = r;
+	ef->u.push.len = 1;
 }
 
 static struct waiting *
@@ -243,7 +253,9 @@
 	agb_name_set(w->job, sizeof(w->job), job);
 	w->began = now->mono;
 	w->until = now->mono + ms * AGB_MS;
-	w->relay_at = now->mono + RELAY_MS * AGB_MS;
+	/* While the store does not answer, others write at once. */
+	w->relay_at =
+	    now->mono + (f->store_silent ? 0 : RELAY_MS * AGB_MS);
 	DL_APPEND(f->calls, w);
 	f->len++;
 	return w;
@@ -312,7 +324,7 @@
 	const struct wf_job *const j = wf_table_job(f->table, job);
 	struct waiting *w;
 
-	if (j != NULL && j->spec_rev > 0) {
+	if (j != NULL && (j->spec_rev > 0 || j->state_known)) {
 		reply_state(out, call->id, j);
 		return;
 	}
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -50,6 +50,11 @@
 agb_time wf_front_tick(
     struct wf_front *f, const struct wf_now *now, struct wf_effects *out);
 
+/**
+ * wf_front_store_silent() - whether the store has stopped to answer
+ */
+void wf_front_store_silent(struct wf_front *f, bool silent);
+
 /**
  * wf_front_open() - requests that wait
  */
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 #include <utlist.h>
 
 #include "mem.h"
@@ -11,6 +12,8 @@
 #define HOLD_GRACE_MS 8000
 /* An order has to arrive before the lease ends. */
 #define ORDER_MARGIN_MS 100
+/* States for other instances are collected for this long. */
+#define SHOW_GAP_MS 40
 
 bool
 wf_leader_may_order(const struct wf_leader *l, agb_time now)
@@ -67,6 +70,7 @@
 	for (i = 0; i < l->runners_len; i++)
 		free(l->runners[i].strays);
 	free(l->runners);
+	free(l->shows);
 	free(l);
 }
 
@@ -78,8 +82,10 @@
 		return;
 	if (j->exec != NULL)
 		wf_exec_advance(l, now, j->exec, out);
-	else if (!wf_job_final(j->state))
+	else if (!wf_job_final(j->state)) {
 		wf_exec_new(l, now, j, out);
+		wf_leader_show(l, j->id, j->state);
+	}
 }
 
 void
@@ -89,6 +95,64 @@
 	l->changed = true;
 }
 
+void
+wf_leader_show(struct wf_leader *l, const char *job, enum wf_job_state state)
+{
+	struct wf_show *s;
+
+	if (l->shows_len == l->shows_cap) {
+		l->shows_cap = l->shows_cap > 0 ? 2 * l->shows_cap : 64;
+		l->shows = agb_xreallocarray(
+		    l->shows, l->shows_cap, sizeof(*l->shows));
+	}
+	s = &l->shows[l->shows_len++];
+	agb_name_set(s->job, sizeof(s->job), job);
+	s->state = state;
+}
+
+static void
+show_to(const struct wf_leader *l, const struct wf_peer *p, size_t len,
+    struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PEER_PUSH);
+	struct wf_record *r;
+	size_t i;
+
+	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
+	ef->u.push.items = agb_xcalloc(len, sizeof(*ef->u.push.items));
+	ef->u.push.len = len;
+	for (i = 0; i < len; i++) {
+		r = &ef->u.push.items[i];
+		wf_table_key(r->key, 'v', l->shows[i].job);
+		r->val = agb_xcalloc(1, 1);
+		r->val[0] = (char)l->shows[i].state;
+		r->len = 1;
+	}
+}
+
+/* Instances that the store does not answer learn states from here only, and
+ * the others earlier than from the store. */
+static agb_time
+show_states(struct wf_leader *l, agb_time now, struct wf_effects *out)
+{
+	const struct wf_peer *p;
+	size_t len;
+
+	if (l->shows_len == 0)
+		return AGB_TIME_MAX;
+	if (now < l->show_at)
+		return l->show_at;
+	l->show_at = now + SHOW_GAP_MS * AGB_MS;
+	len = l->shows_len < WF_PUSH_MAX ? l->shows_len : WF_PUSH_MAX;
+	for (p = l->table->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->name, l->self) != 0 && wf_peer_ok(p, now))
+			show_to(l, p, len, out);
+	}
+	l->shows_len -= len;
+	memmove(l->shows, l->shows + len, l->shows_len * sizeof(*l->shows));
+	return l->shows_len > 0 ? l->show_at : AGB_TIME_MAX;
+}
+
 static agb_time
 sooner(agb_time a, agb_time b)
 {
@@ -140,5 +204,6 @@
 	next = sooner(next, wf_fleet_tick(l, now, out));
 	next = sooner(next, wf_dispatch(l, now, out));
 	late_starts(l, now, out);
+	next = sooner(next, show_states(l, now->mono, out));
 	return sooner(next, wf_commit_flush(l, now, out));
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -146,6 +146,8 @@
 	uint64_t gen;
 	bool dirty;
 	bool in_flight;
+	bool shown;
+	enum wf_job_state shown_state;
 	struct wf_exec *prev, *next;
 };
 
@@ -236,6 +238,12 @@
 	size_t runners_len;
 };
 
+/* A state that other instances have to be shown. */
+struct wf_show {
+	wf_job_id job;
+	enum wf_job_state state;
+};
+
 /* One write of records under way. */
 struct wf_write {
 	uint64_t tag;
@@ -297,6 +305,10 @@
 	struct wf_ask_out *asks;
 	size_t asks_len;
 	agb_time next_collect;
+	struct wf_show *shows;
+	size_t shows_len;
+	size_t shows_cap;
+	agb_time show_at;
 	agb_time due_at;
 	bool starts_held;
 	bool lost;
@@ -337,6 +349,12 @@
 agb_time wf_leader_tick(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out);
 
+/**
+ * wf_leader_show() - tell other instances the durable state of a job
+ */
+void wf_leader_show(struct wf_leader *l, const char *job,
+    enum wf_job_state state);
+
 /**
  * wf_leader_may_order() - whether the lease certainly holds
  */
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -252,6 +252,16 @@
 	return j;
 }
 
+static void
+state_show(struct wf_job *j, unsigned state)
+{
+	if (state > WF_JOB_CANCELLED)
+		return;
+	j->state_known = true;
+	if ((enum wf_job_state)state > j->state)
+		j->state = (enum wf_job_state)state;
+}
+
 void
 wf_table_put_state(
     struct wf_job *j, uint64_t revision, const char *raw, size_t len)
@@ -266,7 +276,7 @@
 	j->state_len = len;
 	if (!wf_table_decode_state(raw, len, &x))
 		return;
-	j->state = (enum wf_job_state)x.state;
+	state_show(j, x.state);
 	j->ended_ms = x.ended_ms;
 	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
 }
@@ -398,6 +408,11 @@
 		ch.job = job_get(t, id);
 		wf_table_put_state(ch.job, kv->mod_rev, kv->val, kv->val_len);
 		break;
+	case 'v':
+		ch.job = job_get(t, id);
+		if (kv->val_len == 1)
+			state_show(ch.job, (unsigned char)kv->val[0]);
+		break;
 	default:
 		ch.malformed = true;
 	}
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -28,7 +28,8 @@
  * @spec_rev: revision of its submission; 0 while only other keys are known
  * @cancel_rev: revision of its cancellation, or 0
  * @state_rev: revision of @state_raw, or 0
- * @state: as the state record says
+ * @state: what callers are told; it never goes back
+ * @state_known: a state record, or the leader, has told @state
  * @detail: why it failed, or ""
  * @exec: what the leader keeps of it, or NULL
  * @marked: seen in the read that is going on
@@ -42,6 +43,7 @@
 	char *state_raw;
 	size_t state_len;
 	enum wf_job_state state;
+	bool state_known;
 	int64_t ended_ms;
 	struct wf_exec *exec;
 	bool marked;
@@ -143,7 +145,8 @@
 
 /**
  * wf_table_key() - key of a record
- * @kind: 'j' submission, 'c' cancellation, 's' state, 'n' instance
+ * @kind: 'j' submission, 'c' cancellation, 's' state, 'n' instance; 'v' is
+ *	not stored: what the leader shows others of a durable state
  */
 void wf_table_key(char key[WF_KEY_MAX], char kind, const char *id);
 
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1355,27 +1355,57 @@
 	uint32_t timeout_ms;
 };
 
+struct pushcall {
+	struct wf_push push;
+};
+
+static void
+pushcall_free(struct pushcall *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->push.len; i++)
+		free(c->push.items[i].val);
+	free(c->push.items);
+	free(c);
+}
+
 static void
 peer_push(struct sim *s, struct ev *e)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_PUSH};
-	struct peercall *const c = e->p;
-	struct agb_store_kv kv;
-
-	if (reaches(s, e, peer_push)) {
-		memset(&kv, 0, sizeof(kv));
-		kv.key = c->r.key;
-		kv.val = c->r.val;
-		kv.val_len = c->r.len;
-		kv.mod_rev = c->r.revision;
-		ev.u.feed.items = &kv;
-		ev.u.feed.items_len = 1;
-		feed(s, e->core, &ev);
-	} else if (e->p == NULL) {
+	struct pushcall *const c = e->p;
+	struct agb_store_kv *kvs;
+	size_t i;
+
+	if (!reaches(s, e, peer_push)) {
+		if (e->p != NULL)
+			pushcall_free(c);
 		return;
 	}
-	free(c->r.val);
-	free(c);
+	kvs = agb_xcalloc(c->push.len + 1, sizeof(*kvs));
+	for (i = 0; i < c->push.len; i++) {
+		kvs[i].key = c->push.items[i].key;
+		kvs[i].val = c->push.items[i].val;
+		kvs[i].val_len = c->push.items[i].len;
+		kvs[i].mod_rev = c->push.items[i].revision;
+	}
+	ev.u.feed.items = kvs;
+	ev.u.feed.items_len = c->push.len;
+	feed(s, e->core, &ev);
+	free(kvs);
+	pushcall_free(c);
+}
+
+static void
+send_push(struct sim *s, struct wf_effect *ef)
+{
+	struct pushcall *const c = agb_xcalloc(1, sizeof(*c));
+
+	c->push = ef->u.push;
+	memset(&ef->u.push, 0, sizeof(ef->u.push));
+	later_core(s, core_of(ef->peer), s->o.latency_ms * SIM_MS, peer_push)
+	    ->p = c;
 }
 
 /* Puts that wait for an answer, by their token. */
@@ -1408,8 +1438,7 @@
 }
 
 static void
-send_peer(struct sim *s, unsigned ci, struct wf_effect *ef,
-    void (*fn)(struct sim *, struct ev *))
+send_put(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
 	struct peercall *const c = agb_xcalloc(1, sizeof(*c));
 	const unsigned to = core_of(ef->peer);
@@ -1421,10 +1450,8 @@
 	c->from_gen = s->cores[ci].gen;
 	c->tag = ef->tag;
 	c->timeout_ms = ef->timeout_ms;
-	e = later_core(s, to, s->o.latency_ms * SIM_MS, fn);
+	e = later_core(s, to, s->o.latency_ms * SIM_MS, peer_put);
 	e->p = c;
-	if (fn != peer_put)
-		return;
 	/* Without an answer by then the fate of the put is not known. */
 	e = later_core(s, ci, ef->timeout_ms * SIM_MS, store_answer);
 	e->tag = ef->tag;
@@ -1495,10 +1522,10 @@
 		send_advice(s, ci, ef);
 		break;
 	case WF_EF_PEER_PUSH:
-		send_peer(s, ci, ef, peer_push);
+		send_push(s, ef);
 		break;
 	case WF_EF_PEER_PUT:
-		send_peer(s, ci, ef, peer_put);
+		send_put(s, ci, ef);
 		break;
 	case WF_EF_PEER_PING:
 		send_ping(s, ci, ef);
@@ -1664,7 +1691,9 @@
 		else if (e->fn == order_answer || e->fn == order_arrives ||
 		    e->fn == hold_poll || e->fn == order_late)
 			ordercall_free(e->p);
-		else if (e->fn == peer_push || e->fn == peer_put) {
+		else if (e->fn == peer_push)
+			pushcall_free(e->p);
+		else if (e->fn == peer_put) {
 			free(((struct peercall *)e->p)->r.val);
 			free(e->p);
 		} else if (e->fn == advice_answer) {
