--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -14,6 +14,18 @@
  * is later still earns nothing for its caller. */
 #define LATE_FACTOR 3
 
+/* Gangs for which room is kept in one pass, and how long they wait first. */
+#define RESERVE_MAX 6
+#define RESERVE_AFTER_MS 150
+/* Run times exceed their estimates by this on average. */
+#define ESTIMATE_PERCENT 120
+/* A task that is past its estimate is expected to end within this. */
+#define OVERDUE_MS 300
+/* Time between the decision to renew tickets and the starts. */
+#define RENEW_MARGIN_MS 150
+/* Ends at one runner that are looked at when room is planned. */
+#define ENDS_MAX 32
+
 /* Classes of urgency, best first. */
 enum {
 	CLASS_IN_TIME,
@@ -28,15 +40,40 @@
 	agb_time due;
 };
 
-/* A runner that may take tasks of a unit, and how many it can hold. */
+/**
+ * struct cand - a runner that may take tasks of a unit
+ * @fit: how many it can hold
+ * @left: free processors
+ * @near: it is on the rack of the data
+ * @kept: room on it is kept for another unit
+ */
 struct cand {
 	uint32_t runner;
 	uint32_t fit;
 	int64_t left;
 	bool near;
+	bool kept;
 	const char *rack;
 };
 
+/* Room that is kept at a runner for a gang that is expected to start at
+ * @from. */
+struct keep {
+	struct agb_resources need;
+	agb_time from;
+};
+
+/* What one pass over the queue works with. */
+struct pass {
+	struct wf_leader *l;
+	const struct wf_now *now;
+	struct cand *cands;
+	uint32_t *stale;
+	struct keep *keeps;
+	uint32_t reserved;
+	struct wf_effects *out;
+};
+
 static int
 entry_order(const void *a, const void *b)
 {
@@ -105,9 +142,8 @@
 }
 
 static uint32_t
-fit_of(const struct wf_runner *r, const struct wf_step *step)
+fit_in(struct agb_resources room, const struct wf_step *step)
 {
-	const struct agb_resources room = wf_fleet_free(r);
 	uint32_t n, k;
 
 	n = div_fit(room.cpu_milli, step->need.cpu_milli);
@@ -117,6 +153,25 @@
 	return k < n ? k : n;
 }
 
+static agb_time
+expected_run(const struct wf_step *step)
+{
+	return (agb_time)step->estimate_ms * ESTIMATE_PERCENT / 100 * AGB_MS;
+}
+
+/* Free room of a runner, without what is kept for a gang, unless the task
+ * will have ended when the gang starts. */
+static struct agb_resources
+room_at(const struct pass *p, const struct wf_step *step, uint32_t ri)
+{
+	struct agb_resources room = wf_fleet_free(&p->l->runners[ri]);
+
+	if (p->keeps[ri].from > 0 &&
+	    p->now->mono + expected_run(step) > p->keeps[ri].from)
+		agb_resources_sub(&room, &p->keeps[ri].need);
+	return room;
+}
+
 /* Tasks of a unit that are counted at a runner. */
 static uint32_t
 unit_at(const struct wf_unit *u, const struct wf_runner *r)
@@ -132,30 +187,46 @@
 	return n;
 }
 
-static bool
-cand_make(const struct wf_leader *l, agb_time now, const struct wf_unit *u,
-    const char *service, uint32_t ri, struct cand *c)
+static uint32_t
+spread_cap(const struct wf_unit *u, const struct wf_runner *r, uint32_t fit)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	const struct wf_runner *const r = &l->runners[ri];
 	uint32_t at;
 
-	if (!wf_fleet_usable(r, now) ||
-	    strcmp(r->info.service, service) != 0 ||
-	    !wf_runner_has_label(&r->info, step->label))
+	if (step->spread_max == 0 || fit == 0)
+		return fit;
+	at = unit_at(u, r);
+	if (at >= step->spread_max)
+		return 0;
+	return fit < step->spread_max - at ? fit : step->spread_max - at;
+}
+
+static bool
+eligible(const struct pass *p, const struct wf_unit *u, const char *service,
+    uint32_t ri)
+{
+	const struct wf_runner *const r = &p->l->runners[ri];
+
+	return wf_fleet_usable(r, p->now->mono) &&
+	    strcmp(r->info.service, service) == 0 &&
+	    wf_runner_has_label(&r->info, wf_unit_step(u)->label);
+}
+
+static bool
+cand_make(const struct pass *p, const struct wf_unit *u, const char *service,
+    uint32_t ri, struct cand *c)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const struct wf_runner *const r = &p->l->runners[ri];
+
+	if (!eligible(p, u, service, ri))
 		return false;
-	c->fit = fit_of(r, step);
-	if (step->spread_max > 0 && c->fit > 0) {
-		at = unit_at(u, r);
-		if (at >= step->spread_max)
-			c->fit = 0;
-		else if (c->fit > step->spread_max - at)
-			c->fit = step->spread_max - at;
-	}
+	c->fit = spread_cap(u, r, fit_in(room_at(p, step, ri), step));
 	if (c->fit == 0)
 		return false;
 	c->runner = ri;
 	c->left = wf_fleet_free(r).cpu_milli;
+	c->kept = r->kept;
 	c->near = step->rack[0] == '\0' ||
 	    wf_runner_has_label(&r->info, step->rack);
 	c->rack = r->info.labels_len > 0
@@ -165,12 +236,12 @@
 }
 
 /* Runners that have room for the unit. Approved ones whose ticket has run
- * out go to @stale instead. */
+ * out go to the list of stale ones instead. */
 static size_t
-candidates(const struct wf_leader *l, agb_time now, const struct wf_unit *u,
-    const struct wf_queue *q, struct cand *list, uint32_t *stale,
-    size_t *stale_len)
+candidates(const struct pass *p, const struct wf_unit *u,
+    const struct wf_queue *q, size_t *stale_len)
 {
+	const struct wf_leader *const l = p->l;
 	const struct wf_approval *a;
 	struct cand c;
 	uint32_t ri;
@@ -180,20 +251,20 @@
 	*stale_len = 0;
 	if (!q->advised) {
 		for (ri = 0; ri < l->runners_len; ri++) {
-			if (cand_make(l, now, u, q->service, ri, &c))
-				list[n++] = c;
+			if (cand_make(p, u, q->service, ri, &c))
+				p->cands[n++] = c;
 		}
 		return n;
 	}
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
 		if (!a->ok || a->life != l->runners[a->runner].life ||
-		    !cand_make(l, now, u, q->service, a->runner, &c))
+		    !cand_make(p, u, q->service, a->runner, &c))
 			continue;
-		if (a->until > now)
-			list[n++] = c;
+		if (a->until > p->now->mono)
+			p->cands[n++] = c;
 		else
-			stale[(*stale_len)++] = a->runner;
+			p->stale[(*stale_len)++] = a->runner;
 	}
 	return n;
 }
@@ -205,6 +276,8 @@
 
 	if (x->near != y->near)
 		return x->near ? -1 : 1;
+	if (x->kept != y->kept)
+		return x->kept ? 1 : -1;
 	return x->left < y->left ? -1 : x->left > y->left ? 1 : 0;
 }
 
@@ -283,47 +356,278 @@
 	}
 }
 
+/* ---- room for gangs ---- */
+
+struct ending {
+	agb_time at;
+	struct agb_resources need;
+};
+
+static int
+ending_order(const void *a, const void *b)
+{
+	const agb_time x = ((const struct ending *)a)->at;
+	const agb_time y = ((const struct ending *)b)->at;
+
+	return x < y ? -1 : x > y ? 1 : 0;
+}
+
+/* When the tasks at a runner are expected to end. */
+static size_t
+endings(const struct pass *p, uint32_t ri, struct ending *list)
+{
+	const agb_time soon = p->now->mono + OVERDUE_MS * AGB_MS;
+	const struct wf_task *t;
+	size_t n;
+
+	n = 0;
+	DL_FOREACH(p->l->runners[ri].tasks, t) {
+		const struct wf_step *const step = wf_unit_step(t->unit);
+
+		if (n == ENDS_MAX || step->lasts || step->fills)
+			continue;
+		list[n].at = t->sent_at + expected_run(step);
+		if (list[n].at < soon)
+			list[n].at = soon;
+		list[n++].need = step->need;
+	}
+	qsort(list, n, sizeof(*list), ending_order);
+	return n;
+}
+
+/* How many tasks of the unit a runner is expected to hold at a time. */
+static uint32_t
+fit_by(const struct pass *p, const struct wf_unit *u, uint32_t ri,
+    agb_time when)
+{
+	struct agb_resources room = wf_fleet_free(&p->l->runners[ri]);
+	struct ending list[ENDS_MAX];
+	size_t i, n;
+
+	agb_resources_sub(&room, &p->keeps[ri].need);
+	n = endings(p, ri, list);
+	for (i = 0; i < n && list[i].at <= when; i++)
+		agb_resources_add(&room, &list[i].need);
+	return spread_cap(
+	    u, &p->l->runners[ri], fit_in(room, wf_unit_step(u)));
+}
+
+/* Runners on which the unit may run, whatever their tickets. */
+static size_t
+possible(const struct pass *p, const struct wf_unit *u,
+    const struct wf_queue *q, uint32_t *list)
+{
+	uint32_t ri;
+	size_t i, n;
+
+	n = 0;
+	if (!q->advised) {
+		for (ri = 0; ri < p->l->runners_len; ri++) {
+			if (eligible(p, u, q->service, ri))
+				list[n++] = ri;
+		}
+		return n;
+	}
+	for (i = 0; i < u->approvals_len; i++) {
+		ri = u->approvals[i].runner;
+		if (u->approvals[i].ok &&
+		    u->approvals[i].life == p->l->runners[ri].life &&
+		    eligible(p, u, q->service, ri))
+			list[n++] = ri;
+	}
+	return n;
+}
+
+static uint64_t
+room_by(const struct pass *p, const struct wf_unit *u, const uint32_t *list,
+    size_t len, agb_time when)
+{
+	uint64_t room;
+	size_t i;
+
+	room = 0;
+	for (i = 0; i < len; i++)
+		room += fit_by(p, u, list[i], when);
+	return room;
+}
+
+/* Earliest time, of some steps apart, at which the whole unit is expected to
+ * find room; AGB_TIME_MAX when that is not in sight. */
+static agb_time
+room_from(const struct pass *p, const struct wf_unit *u,
+    const uint32_t *list, size_t len)
+{
+	static const uint32_t steps_ms[] = {0, 300, 600, 1000, 1500, 2000, 3000,
+	    4000, 6000, 8000, 12000};
+	size_t i;
+
+	for (i = 0; i < sizeof(steps_ms) / sizeof(steps_ms[0]); i++) {
+		const agb_time when = p->now->mono + steps_ms[i] * AGB_MS;
+
+		if (room_by(p, u, list, len, when) >= u->waiting)
+			return when;
+	}
+	return AGB_TIME_MAX;
+}
+
+static void
+keep_at(const struct pass *p, const struct wf_step *step, uint32_t ri,
+    uint32_t tasks, agb_time from)
+{
+	struct keep *const k = &p->keeps[ri];
+
+	for (; tasks > 0; tasks--)
+		agb_resources_add(&k->need, &step->need);
+	if (k->from == 0 || from < k->from)
+		k->from = from;
+	p->l->runners[ri].kept = true;
+}
+
+/* Keeps room for a gang that does not fit now: small tasks that take what
+ * comes free would hold it up for ever. Returns when it is expected to
+ * start. */
+static agb_time
+reserve(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	uint32_t list[WF_ADVICE_MAX * 4];
+	uint32_t fit, left, most;
+	size_t len, i, best;
+	agb_time from;
+
+	if (p->l->runners_len > WF_ADVICE_MAX * 4)
+		return AGB_TIME_MAX;
+	len = possible(p, u, q, list);
+	from = room_from(p, u, list, len);
+	if (from == AGB_TIME_MAX)
+		return from;
+	p->reserved++;
+	left = u->waiting;
+	while (left > 0) {
+		best = len;
+		most = 0;
+		for (i = 0; i < len; i++) {
+			fit = list[i] == WF_NONE
+			    ? 0
+			    : fit_by(p, u, list[i], from);
+			if (fit > most) {
+				most = fit;
+				best = i;
+			}
+		}
+		if (best == len)
+			break;
+		most = most < left ? most : left;
+		keep_at(p, step, list[best], most, from);
+		left -= most;
+		list[best] = WF_NONE;
+	}
+	return from;
+}
+
+/* ---- one unit ---- */
+
+/* A gang starts as a whole, once nothing of an earlier run is left. */
+static bool
+gang_blocked(const struct wf_unit *u)
+{
+	uint32_t i;
+
+	if (u->active > 0)
+		return true;
+	for (i = 0; i < wf_unit_step(u)->count; i++) {
+		if (u->exec->tasks[u->first + i].holds)
+			return true;
+	}
+	return false;
+}
+
+/* Approvals that are missing, and tickets that have run out. */
+static void
+ask(struct pass *p, struct wf_unit *u, const struct wf_queue *q,
+    size_t stale_len, agb_time from)
+{
+	const agb_time lead =
+	    (agb_time)(q->advice_ms +
+		q->advice_each_ms * (double)stale_len + RENEW_MARGIN_MS) *
+	    AGB_MS;
+
+	if (!q->advised)
+		return;
+	if (stale_len > 0 && (from <= p->now->mono + lead))
+		wf_advice_again(
+		    p->l, p->now, u, p->stale, stale_len, p->out);
+	wf_advice_want(p->l, p->now, u, p->out);
+}
+
+/* All approved runners, whether they have room now or not. */
+static size_t
+all_approved(const struct pass *p, const struct wf_unit *u,
+    const struct wf_queue *q)
+{
+	return possible(p, u, q, p->stale);
+}
+
 static void
-place_unit(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    struct cand *list, uint32_t *stale, struct wf_effects *out)
+place_gang(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
-	const struct wf_queue *const q = wf_unit_queue(l, u);
 	const struct wf_step *const step = wf_unit_step(u);
 	size_t len, stale_len, i;
+	agb_time from;
 	uint64_t room;
 
-	if (step->gang && u->active > 0)
+	if (gang_blocked(u))
 		return;
-	if (step->gang) {
-		/* Members that are done hold until their end is listed. */
-		for (i = 0; i < step->count; i++) {
-			if (u->exec->tasks[u->first + i].holds)
-				return;
-		}
-	}
-	len = candidates(l, now->mono, u, q, list, stale, &stale_len);
+	len = candidates(p, u, q, &stale_len);
 	if (step->rack_bound)
-		len = keep_one_rack(list, len, u->waiting);
-	qsort(list, len, sizeof(*list), cand_order);
+		len = keep_one_rack(p->cands, len, u->waiting);
+	qsort(p->cands, len, sizeof(*p->cands), cand_order);
 	room = 0;
 	for (i = 0; i < len; i++)
-		room += list[i].fit;
-	if (room > 0 && (!step->gang || room >= u->waiting))
-		place_on(l, now, u, list, len);
-	if (u->waiting == 0 || !q->advised)
+		room += p->cands[i].fit;
+	if (room >= u->waiting) {
+		place_on(p->l, p->now, u, p->cands, len);
 		return;
+	}
+	from = AGB_TIME_MAX;
+	if (p->reserved < RESERVE_MAX &&
+	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
+		from = reserve(p, u, q);
+	if (from != AGB_TIME_MAX && stale_len == 0 && q->advised) {
+		/* Tickets have to be fresh when the room is there. */
+		stale_len = 0;
+		for (i = 0; i < u->approvals_len; i++) {
+			if (u->approvals[i].ok && u->approvals[i].until < from)
+				stale_len++;
+		}
+	}
 	if (stale_len > 0)
-		wf_advice_again(l, now, u, stale, stale_len, out);
-	wf_advice_want(l, now, u, out);
+		stale_len = all_approved(p, u, q);
+	ask(p, u, q, stale_len, from);
+}
+
+static void
+place_tasks(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
+{
+	size_t len, stale_len;
+
+	len = candidates(p, u, q, &stale_len);
+	if (wf_unit_step(u)->rack_bound)
+		len = keep_one_rack(p->cands, len, u->waiting);
+	qsort(p->cands, len, sizeof(*p->cands), cand_order);
+	if (len > 0)
+		place_on(p->l, p->now, u, p->cands, len);
+	if (u->waiting > 0)
+		ask(p, u, q, stale_len, p->now->mono);
 }
 
 agb_time
 wf_dispatch(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
+	struct pass p = {.l = l, .now = now, .out = out};
+	const struct wf_queue *q;
 	struct entry *list;
-	struct cand *cands;
-	uint32_t *stale;
 	size_t len, i;
 
 	if (l->queue_len == 0 || l->doc == NULL ||
@@ -339,12 +643,22 @@
 	l->dispatch_at = now->mono;
 	l->changed = false;
 	len = sort_queue(l, now->mono, &list);
-	cands = agb_xcalloc(l->runners_len + 1, sizeof(*cands));
-	stale = agb_xcalloc(l->runners_len + 1, sizeof(*stale));
-	for (i = 0; i < len; i++)
-		place_unit(l, now, list[i].u, cands, stale, out);
-	free(stale);
-	free(cands);
+	p.cands = agb_xcalloc(l->runners_len + 1, sizeof(*p.cands));
+	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
+	p.keeps = agb_xcalloc(l->runners_len + 1, sizeof(*p.keeps));
+	for (i = 0; i < len; i++) {
+		q = wf_unit_queue(l, list[i].u);
+		if (wf_unit_step(list[i].u)->gang)
+			place_gang(&p, list[i].u, q);
+		else
+			place_tasks(&p, list[i].u, q);
+	}
+	/* What is kept now steers the choices of the next pass. */
+	for (i = 0; i < l->runners_len; i++)
+		l->runners[i].kept = p.keeps[i].from > 0;
+	free(p.keeps);
+	free(p.stale);
+	free(p.cands);
 	free(list);
 	return now->mono + PASS_IDLE_MS * AGB_MS;
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -167,6 +167,7 @@
  * @met: its lists have been seen under this leader's fence in this life
  * @silent: the last hold was not answered
  * @has_left: its entry was removed as a draining runner's is that exits
+ * @kept: room is kept there for a gang
  * @hold_out: a hold is under way, sent at @hold_sent
  * @hold_next: when the next one is due
  * @heard_at: sending time of the last hold that was answered
@@ -187,6 +188,7 @@
 	bool met;
 	bool silent;
 	bool has_left;
+	bool kept;
 	bool hold_out;
 	agb_time hold_sent;
 	agb_time hold_next;
