feat(fleet): a lost start is looked up at once, a gang's missing member starts elsewhere

Now the runner's list is read after 0.3 s, the start is stopped, and the member joins the same run on another runner. Leases of runners 6 s -> 4 s. The end of a leader is watched by itself.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -31,6 +31,7 @@
 #define FOLLOW_TAG ((uint64_t)7 << 60)
 #define TAG_STATE (FOLLOW_TAG | 1)
 #define TAG_DOCUMENT (FOLLOW_TAG | 2)
+#define TAG_LEADER (FOLLOW_TAG | 4)
 #define TAG_REGISTRY (FOLLOW_TAG | 16)
 
 /* Tags of calls to peers: pushes need no answer, puts carry the front's tag,
@@ -60,6 +61,7 @@
 	struct wf_adapter *adapter;
 	struct wf_follow *state;
 	struct wf_follow *document;
+	struct wf_follow *leader;
 	struct wf_follow *registry;
 	uint64_t registry_tag;
 	agb_addr *allowed;
@@ -108,6 +110,18 @@
 	feed(arg, &ev);
 }
 
+/* The copy of the state is read in batches; the end of a leader is not left
+ * to wait for the next one. */
+static void
+on_leader(void *arg, bool full, uint64_t revision,
+    const struct agb_store_kv *kvs, size_t len)
+{
+	struct daemon *const d = arg;
+
+	if (!full && d->state != NULL)
+		wf_follow_poke(d->state);
+}
+
 static void
 on_document(void *arg, bool full, uint64_t revision,
     const struct agb_store_kv *kvs, size_t len)
@@ -172,6 +186,8 @@
 		return d->state;
 	if (tag == TAG_DOCUMENT)
 		return d->document;
+	if (tag == TAG_LEADER)
+		return d->leader;
 	return tag == d->registry_tag ? d->registry : NULL;
 }
 
@@ -893,6 +909,8 @@
 	    ops->document_prefix, on_document, d);
 	d->state = wf_follow_new(
 	    &d->loop, d->store, TAG_STATE, WF_KEY_PREFIX, on_state, d);
+	d->leader = wf_follow_new(
+	    &d->loop, d->store, TAG_LEADER, WF_KEY_LEADER, on_leader, d);
 	uv_signal_start(&d->sigterm, on_term, SIGTERM);
 	uv_signal_start(&d->sighup, on_hup, SIGHUP);
 	feed(d, &first);
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -338,7 +338,8 @@
     struct cand *list, size_t len)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	const uint32_t gang_run = u->run + 1;
+	/* Members that are placed anew join the run of the others. */
+	const uint32_t gang_run = u->active > 0 ? u->run : u->run + 1;
 	struct wf_task *t;
 	struct cand *c;
 	uint32_t i;
@@ -527,14 +528,15 @@
 
 /* ---- one unit ---- */
 
-/* A gang starts as a whole, once nothing of an earlier run is left. */
+/* A gang starts as a whole, once nothing of an earlier run is left; only
+ * members whose start has failed are placed later. */
 static bool
-gang_blocked(const struct wf_unit *u)
+gang_blocked(const struct wf_unit *u, agb_time now)
 {
 	uint32_t i;
 
 	if (u->active > 0)
-		return true;
+		return now >= u->repair_until;
 	for (i = 0; i < wf_unit_step(u)->count; i++) {
 		if (u->exec->tasks[u->first + i].holds)
 			return true;
@@ -576,7 +578,12 @@
 	agb_time from;
 	uint64_t room;
 
-	if (gang_blocked(u))
+	if (u->active > 0 && u->repair_until > 0 &&
+	    p->now->mono >= u->repair_until) {
+		u->repair_until = 0;
+		wf_unit_restart(p->l, p->now, u, p->out);
+	}
+	if (gang_blocked(u, p->now->mono))
 		return;
 	len = candidates(p, u, q, &stale_len);
 	if (step->rack_bound)
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -164,7 +164,7 @@
  * struct wf_order_result - a runner's answer
  * @fence: of the leader that sent the order
  * @runner, @life: handle of the runner and its life when the order was sent
- * @task, @run, @sent_at: of the order
+ * @task, @run, @beside, @sent_at: of the order
  * @born_ms: start of the life that answered; 0 when it did not say
  * @clock_ms: its steady clock; 0 when it did not say
  */
@@ -176,6 +176,7 @@
 	uint32_t life;
 	struct wf_task_ref task;
 	uint32_t run;
+	bool beside;
 	agb_time sent_at;
 	int64_t born_ms;
 	int64_t clock_ms;
@@ -280,6 +281,7 @@
  * struct wf_order - an order to a runner
  * @deadline_ms: on the runner's clock; 0 leaves its lease as it is
  * @observed: ends up to this number may be forgotten
+ * @beside: a look at the lists that does not replace the regular hold
  * @text: spec of the job, owned
  */
 struct wf_order {
@@ -296,6 +298,7 @@
 	uint32_t run;
 	uint64_t observed;
 	uint32_t wait_ms;
+	bool beside;
 	char saved[WF_SAVED_MAX + 1];
 	agb_id ticket;
 	char *text;
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -11,6 +11,10 @@
  * clocks of two instances may differ by seconds. */
 #define AGE_MAX_MS 60000
 
+/* Members of a gang wait for each other; one whose start has failed is placed
+ * anew within this time. */
+#define REPAIR_MS 1800
+
 /* Values of wf_x_task.state. */
 enum {
 	REC_WAIT,
@@ -482,6 +486,7 @@
 	t->life = l->runners[runner].life;
 	t->born_ms = l->runners[runner].info.born_ms;
 	t->recovered = false;
+	t->unanswered = false;
 	t->flushing = false;
 	t->answered_at = 0;
 	t->start_ms = 0;
@@ -552,11 +557,41 @@
 	}
 }
 
+void
+wf_unit_restart(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_effects *out)
+{
+	gang_stop(l, now, u, out);
+}
+
+/* A member that certainly has not begun, in a gang that still waits for it,
+ * can begin elsewhere in the same run. */
+static bool
+gang_may_repair(
+    const struct wf_now *now, const struct wf_unit *u, const struct wf_task *t)
+{
+	const struct wf_task *m;
+	uint32_t i;
+
+	if (!wf_unit_step(u)->gang || t->state != WF_TASK_SENT ||
+	    t->recovered || now->mono > t->sent_at + REPAIR_MS * AGB_MS)
+		return false;
+	for (i = 0; i < wf_unit_step(u)->count; i++) {
+		m = &u->exec->tasks[u->first + i];
+		if (m != t && m->holds && m->stopping && !m->unanswered)
+			return false;
+	}
+	return true;
+}
+
 void
 wf_task_requeue(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_task *t, const char *why,
     struct wf_effects *out)
 {
+	const uint32_t runner = t->runner;
+	bool repair;
+
 	wf_effects_log(out, AGB_LOG_INFO, "requeue",
 	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
 	    " run=%" PRIu32 " runner=%s reason=\"%s\" since_ms=%" PRIu64,
@@ -564,9 +599,14 @@
 	    (uint32_t)(t - u->exec->tasks) - u->first, t->run,
 	    l->runners[t->runner].info.id, why,
 	    (now->mono - t->sent_at) / AGB_MS);
+	repair = gang_may_repair(now, u, t);
 	task_wait(l, u, t);
 	wf_exec_change(l, u->exec);
-	if (wf_unit_step(u)->gang)
+	/* That run cannot start any more where it has been stopped. */
+	t->avoid = repair ? runner : t->avoid;
+	if (repair)
+		u->repair_until = t->sent_at + REPAIR_MS * AGB_MS;
+	else if (wf_unit_step(u)->gang)
 		gang_stop(l, now, u, out);
 }
 
@@ -649,6 +689,7 @@
 	const uint32_t runner = t->runner;
 	uint32_t i;
 
+	u->repair_until = 0;
 	if (how == WF_END_DONE && !step->lasts) {
 		wf_task_release(l, u, t);
 		task_done(l, now, u, t, out);
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -9,15 +9,15 @@
 
 /* Lease given to a runner with each hold. A runner that is cut off works on
  * for this long, and its tasks cannot be placed elsewhere before. */
-#define HOLD_MS 6000
+#define HOLD_MS 4000
 /* The runner's clock may be 2% slow; the rest covers rounding. */
 #define LEASE_SLOW_PERMILLE 1021
 #define LEASE_MARGIN_MS 50
 /* A start that is not carried out by then is refused by its deadline. */
 #define START_MS 1500
-#define START_TIMEOUT_MS 600
-#define STOP_TIMEOUT_MS 600
-#define STOP_REPEAT_MS 400
+#define START_TIMEOUT_MS 300
+#define STOP_TIMEOUT_MS 400
+#define STOP_REPEAT_MS 350
 /* Longest wait of a hold for an end. */
 #define HOLD_WAIT_MS 500
 #define HOLD_TIMEOUT_MS 1100
@@ -385,6 +385,18 @@
 	o->run = run;
 }
 
+/* A look at the lists beside the hold that waits for an end. */
+static void
+send_look(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    struct wf_effects *out)
+{
+	struct wf_order *const o =
+	    order_new(l, now, ri, WF_ORDER_HOLD, START_TIMEOUT_MS, out);
+
+	o->observed = l->runners[ri].observed;
+	o->beside = true;
+}
+
 static void
 send_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     struct wf_effects *out)
@@ -576,6 +588,7 @@
 		if (t->answered_at == 0)
 			t->answered_at = now->mono;
 	}
+	t->unanswered = false;
 	if (a->saved[0] != '\0' &&
 	    (t->saved == NULL || strcmp(t->saved, a->saved) != 0)) {
 		free(t->saved);
@@ -601,6 +614,17 @@
 	return t->start_ms > 0 && clock_ms > t->start_ms;
 }
 
+/* A start without an answer that the runner does not show may be carried out
+ * later: a stop keeps it from that. */
+static void
+stop_unanswered(struct wf_leader *l, const struct wf_now *now,
+    struct wf_task *t, struct wf_effects *out)
+{
+	if (t->state == WF_TASK_SENT && t->unanswered && !t->stopping)
+		wf_task_stop(
+		    l, now, t->unit, t, "start was not answered", out);
+}
+
 static void
 take_absent(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -611,10 +635,13 @@
 	do {
 		again = false;
 		DL_FOREACH(l->runners[ri].tasks, t) {
-			if (t->listed ||
-			    !proves_absent(&l->runners[ri], t, res->sent_at,
-				res->clock_ms))
+			if (t->listed)
+				continue;
+			if (!proves_absent(&l->runners[ri], t, res->sent_at,
+				res->clock_ms)) {
+				stop_unanswered(l, now, t, out);
 				continue;
+			}
 			if (t->state == WF_TASK_DONE)
 				wf_task_release(l, t->unit, t);
 			else
@@ -678,6 +705,11 @@
 {
 	struct wf_runner *const r = &l->runners[res->runner];
 
+	if (res->beside) {
+		if (res->status == WF_ORDER_OK)
+			take_lists(l, now, res->runner, res, out);
+		return;
+	}
 	r->hold_out = false;
 	if (res->status != WF_ORDER_OK) {
 		r->hold_next = now->mono + HOLD_RETRY_MS * AGB_MS;
@@ -763,12 +795,19 @@
 		return;
 	}
 	shun(&l->runners[t->runner], now->mono, SHUN_LOST_MS);
-	wf_task_stop(l, now, u, t, "start was not answered", out);
+	t->unanswered = true;
+	wf_effects_log(out, AGB_LOG_INFO, "unanswered",
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
+	    " run=%" PRIu32 " runner=%s",
+	    u->exec->job->id, u->occurrence, u->step,
+	    (uint32_t)(t - u->exec->tasks) - u->first, t->run,
+	    l->runners[t->runner].info.id);
+	send_look(l, now, t->runner, out);
 }
 
 static void
 stop_answer(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res)
+    const struct wf_order_result *res, struct wf_effects *out)
 {
 	struct wf_unit *u;
 	struct wf_task *t;
@@ -778,8 +817,10 @@
 	    t->runner != res->runner || t->life != res->life)
 		return;
 	/* From now on a list without the run proves that it is not there. */
-	if (res->status == WF_ORDER_OK && t->answered_at == 0)
-		t->answered_at = now->mono;
+	if (res->status != WF_ORDER_OK || t->answered_at != 0)
+		return;
+	t->answered_at = now->mono;
+	send_look(l, now, t->runner, out);
 }
 
 void
@@ -813,7 +854,7 @@
 		start_answer(l, now, res, out);
 		break;
 	case WF_ORDER_STOP:
-		stop_answer(l, now, res);
+		stop_answer(l, now, res, out);
 		break;
 	case WF_ORDER_HOLD:
 		hold_answer(l, now, res, out);
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -52,6 +52,7 @@
  * @holds: its need is counted at @runner; after DONE until the end is listed
  * @recovered: started by an earlier leader, not yet seen by this one
  * @stopping: a stop has been decided; repeated until there is evidence
+ * @unanswered: the answer to its start was lost
  * @flushing: its intent is part of a write that is under way
  * @sent_at: when the start was sent, or the intent made
  * @answered_at: when the runner took it; 0 while that is open
@@ -70,6 +71,7 @@
 	bool holds;
 	bool recovered;
 	bool stopping;
+	bool unanswered;
 	bool flushing;
 	agb_time sent_at;
 	agb_time answered_at;
@@ -100,6 +102,7 @@
  * @waiting, @active, @done: tasks by state
  * @failures: failed runs of a gang, the last of them @failed_run
  * @run: run of a gang
+ * @repair_until: members whose start failed are placed anew in the same run
  * @due: when the job should be finished
  * @queued: member of the list of units that wait
  * @asking: a call for advice is under way, with tag @ask_tag
@@ -121,6 +124,7 @@
 	bool asking;
 	uint64_t ask_tag;
 	agb_time ask_after;
+	agb_time repair_until;
 	agb_time ready_at;
 	agb_time due;
 	struct wf_approval *approvals;
@@ -451,6 +455,12 @@
 void wf_task_ended_elsewhere(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_task *t, struct wf_effects *out);
 
+/**
+ * wf_unit_restart() - stop what is left of a gang, so that it starts anew
+ */
+void wf_unit_restart(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_effects *out);
+
 /**
  * wf_task_stop() - decide that a task has to stop where it is
  */
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1176,6 +1176,7 @@
 	c->res.life = c->o.life;
 	c->res.task = c->o.task;
 	c->res.run = c->o.run;
+	c->res.beside = c->o.beside;
 	c->res.sent_at = c->o.sent_at;
 	e->p = c;
 }
