--- a/src/agatebeam/daemon_main.c
+++ b/src/agatebeam/daemon_main.c
@@ -67,9 +67,8 @@
 static int
 run_on_platform(const struct arg_file *file)
 {
-	const char *const path = file->count > 0
-	    ? file->filename[0]
-	    : getenv(PLATFORM_SETTINGS_ENV);
+	const char *const path =
+	    file->count > 0 ? file->filename[0] : getenv(PLATFORM_SETTINGS_ENV);
 
 	if (path == NULL) {
 		fprintf(stderr, "agatebeamd: no settings file is named\n");
--- a/src/workflow/wf_adapter.h
+++ b/src/workflow/wf_adapter.h
@@ -48,9 +48,8 @@
 	const char *deadline_header;
 	struct agb_store *(*store)(uv_loop_t *loop, const char *addr,
 	    agb_store_cb cb, agb_store_watch_cb watch_cb, void *arg);
-	struct wf_adapter *(*open)(uv_loop_t *loop,
-	    const struct wf_settings *s, const struct wf_adapter_cbs *cbs,
-	    void *arg);
+	struct wf_adapter *(*open)(uv_loop_t *loop, const struct wf_settings *s,
+	    const struct wf_adapter_cbs *cbs, void *arg);
 	bool (*runner_get)(const struct agb_store_kv *kv,
 	    struct wf_runner_info *out, char fault[AGB_DETAIL_LEN]);
 	struct wf_doc *(*document_get)(
--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -69,7 +69,8 @@
 	n = HASH_COUNT(l->table->peers) + 1;
 	l->advisors = agb_xcalloc(n, sizeof(*l->advisors));
 	l->advisors_len = 0;
-	HASH_ITER(hh, l->table->peers, p, p2) {
+	HASH_ITER(hh, l->table->peers, p, p2)
+	{
 		if (strcmp(p->name, l->self) == 0)
 			continue;
 		a = &l->advisors[l->advisors_len++];
@@ -77,8 +78,8 @@
 		agb_name_set(a->name, sizeof(a->name), p->name);
 		agb_name_set(a->peer, sizeof(a->peer), p->rpc);
 	}
-	qsort(l->advisors, l->advisors_len, sizeof(*l->advisors),
-	    advisor_order);
+	qsort(
+	    l->advisors, l->advisors_len, sizeof(*l->advisors), advisor_order);
 	/* The leader's own calls come last: it has the most to do. */
 	a = &l->advisors[l->advisors_len++];
 	advisor_keep(l, old, old_len, l->self, a);
@@ -119,8 +120,8 @@
 advisor_choose(const struct wf_leader *l, agb_time now, uint32_t est_ms)
 {
 	const bool is_long = est_ms > LONG_MS;
-	const agb_time limit = now +
-	    (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
+	const agb_time limit =
+	    now + (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
 	size_t i, n, at;
 	uint32_t best;
 
@@ -164,8 +165,7 @@
 	if (adv->busy_until < now->mono)
 		adv->busy_until = now->mono;
 	adv->busy_until += est * AGB_MS;
-	l->asks = agb_xreallocarray(
-	    l->asks, l->asks_len + 1, sizeof(*l->asks));
+	l->asks = agb_xreallocarray(l->asks, l->asks_len + 1, sizeof(*l->asks));
 	ask = &l->asks[l->asks_len++];
 	memset(ask, 0, sizeof(*ask));
 	ask->tag = ++l->next_tag;
@@ -232,8 +232,7 @@
 /* Runners not asked about that could run the step, the emptiest first. */
 static size_t
 unasked(const struct wf_leader *l, const struct wf_now *now,
-    const struct wf_unit *u, const char *service, uint32_t *runners,
-    size_t max)
+    const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	const struct wf_approval *a;
@@ -267,8 +266,8 @@
 }
 
 void
-wf_advice_want(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_effects *out)
+wf_advice_want(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_effects *out)
 {
 	const struct wf_queue *const q = wf_unit_queue(l, u);
 	uint32_t runners[WF_ADVICE_MAX];
@@ -325,8 +324,7 @@
 	for (i = 0; i < ask->runners_len; i++) {
 		if (l->runners[ask->runners[i]].life != ask->lives[i])
 			continue;
-		t = ticket_of(
-		    advice, l->runners[ask->runners[i]].info.id);
+		t = ticket_of(advice, l->runners[ask->runners[i]].info.id);
 		a = approval_slot(u, ask->runners[i]);
 		a->life = ask->lives[i];
 		a->ok = t != NULL;
@@ -347,8 +345,8 @@
 }
 
 void
-wf_advice_answer(struct wf_leader *l, const struct wf_now *now,
-    uint64_t tag, const struct wf_advice *advice, struct wf_effects *out)
+wf_advice_answer(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
+    const struct wf_advice *advice, struct wf_effects *out)
 {
 	struct wf_ask_out ask;
 	struct wf_advisor *adv;
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -49,8 +49,8 @@
 
 	if (l->acks_len == l->acks_cap) {
 		l->acks_cap = l->acks_cap > 0 ? 2 * l->acks_cap : 64;
-		l->acks = agb_xreallocarray(
-		    l->acks, l->acks_cap, sizeof(*l->acks));
+		l->acks =
+		    agb_xreallocarray(l->acks, l->acks_cap, sizeof(*l->acks));
 	}
 	a = &l->acks[l->acks_len++];
 	a->gen = l->gen;
@@ -70,11 +70,13 @@
 	size_t i, n;
 
 	safe = l->gen;
-	DL_FOREACH(l->execs, e) {
+	DL_FOREACH(l->execs, e)
+	{
 		if (e->dirty && e->gen <= safe)
 			safe = e->gen - 1;
 	}
-	DL_FOREACH(l->writes, w) {
+	DL_FOREACH(l->writes, w)
+	{
 		for (i = 0; i < w->jobs_len; i++) {
 			if (w->jobs[i].gen <= safe)
 				safe = w->jobs[i].gen - 1;
@@ -100,8 +102,8 @@
 
 	agb_store_op_init(dst, src->kind);
 	for (i = 0; i < src->cmps_len; i++)
-		agb_store_op_cmp(dst, src->cmps[i].key, src->cmps[i].what,
-		    src->cmps[i].rev);
+		agb_store_op_cmp(
+		    dst, src->cmps[i].key, src->cmps[i].what, src->cmps[i].rev);
 	for (i = 0; i < src->puts_len; i++) {
 		if (src->puts[i].is_delete)
 			agb_store_op_delete(dst, src->puts[i].key, NULL);
@@ -172,7 +174,8 @@
 
 	w = NULL;
 	n = 0;
-	HASH_ITER(hh, l->table->jobs, j, j2) {
+	HASH_ITER(hh, l->table->jobs, j, j2)
+	{
 		if (n == REMOVES_A_WRITE)
 			break;
 		if (!wf_job_final(j->state) || j->exec != NULL ||
@@ -202,7 +205,8 @@
 	struct wf_exec *e, *e2;
 	uint32_t i;
 
-	DL_FOREACH_SAFE(l->execs, e, e2) {
+	DL_FOREACH_SAFE(l->execs, e, e2)
+	{
 		if (!wf_job_final(e->state) || e->dirty || e->in_flight)
 			continue;
 		for (i = 0; i < e->tasks_len; i++) {
@@ -221,13 +225,13 @@
 	struct wf_exec *e;
 
 	w = NULL;
-	DL_FOREACH(l->execs, e) {
+	DL_FOREACH(l->execs, e)
+	{
 		if (!e->dirty || e->in_flight)
 			continue;
 		if (w == NULL) {
 			w = write_new(l);
-			w->jobs =
-			    agb_xcalloc(JOBS_A_WRITE, sizeof(*w->jobs));
+			w->jobs = agb_xcalloc(JOBS_A_WRITE, sizeof(*w->jobs));
 		}
 		write_add(l, w, e);
 		if (w->jobs_len == JOBS_A_WRITE)
@@ -242,7 +246,8 @@
 {
 	const struct wf_exec *e;
 
-	DL_FOREACH(l->execs, e) {
+	DL_FOREACH(l->execs, e)
+	{
 		if (e->dirty && !e->in_flight)
 			return true;
 	}
@@ -257,7 +262,8 @@
 	agb_time next;
 
 	next = AGB_TIME_MAX;
-	DL_FOREACH(l->writes, w) {
+	DL_FOREACH(l->writes, w)
+	{
 		if (w->retry_at == 0)
 			continue;
 		if (now->mono >= w->retry_at)
@@ -314,8 +320,7 @@
 		j = wf_table_job(l->table, w->jobs[i].id);
 		if (j == NULL)
 			continue;
-		wf_table_put_state(
-		    j, revision, w->jobs[i].raw, w->jobs[i].len);
+		wf_table_put_state(j, revision, w->jobs[i].raw, w->jobs[i].len);
 		if (j->exec == NULL)
 			continue;
 		if (!j->exec->shown || j->exec->shown_state != j->state) {
@@ -376,7 +381,8 @@
 	struct wf_write *w;
 	uint64_t revision;
 
-	DL_FOREACH(l->writes, w) {
+	DL_FOREACH(l->writes, w)
+	{
 		if (w->tag == tag && w->retry_at == 0)
 			break;
 	}
@@ -402,8 +408,7 @@
 	/* Another instance leads, or has written: what is kept here is not
 	 * what holds. */
 	wf_effects_log(out, AGB_LOG_WARN, "commit",
-	    "jobs=%zu outcome=conflict fence=%" PRIu64, w->jobs_len,
-	    l->fence);
+	    "jobs=%zu outcome=conflict fence=%" PRIu64, w->jobs_len, l->fence);
 	l->lost = true;
 	return true;
 }
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -242,8 +242,8 @@
 	struct agb_store_op *const op = store(c, OP_ELECT, AGB_STORE_TXN, out);
 
 	agb_store_op_cmp(op, WF_KEY_LEADER, AGB_STORE_MOD_REV, 0);
-	agb_store_op_put(op, WF_KEY_LEADER, c->cfg.name, strlen(c->cfg.name),
-	    c->lease);
+	agb_store_op_put(
+	    op, WF_KEY_LEADER, c->cfg.name, strlen(c->cfg.name), c->lease);
 	c->electing = true;
 }
 
@@ -346,8 +346,8 @@
 	    c->table.leader_rev == c->lost_rev)
 		return;
 	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
-	    &(struct wf_limits){.status_s = c->cfg.status_s,
-		.remote_x = c->cfg.remote_x},
+	    &(struct wf_limits){
+		.status_s = c->cfg.status_s, .remote_x = c->cfg.remote_x},
 	    &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
 	c->leader->valid_until = c->valid_until;
@@ -395,11 +395,10 @@
 	struct wf_effect *const ef = wf_effects_add(out, WF_EF_ALLOW_PEERS);
 	struct wf_peer *p, *p2;
 
-	ef->peers = agb_xcalloc(
-	    HASH_COUNT(c->table.peers) + 1, sizeof(agb_addr));
+	ef->peers =
+	    agb_xcalloc(HASH_COUNT(c->table.peers) + 1, sizeof(agb_addr));
 	HASH_ITER(hh, c->table.peers, p, p2)
-		agb_name_set(ef->peers[ef->peers_len++], sizeof(agb_addr),
-		    p->rpc);
+	agb_name_set(ef->peers[ef->peers_len++], sizeof(agb_addr), p->rpc);
 	if (c->leader != NULL)
 		wf_advice_peers(c->leader);
 }
@@ -414,8 +413,8 @@
 }
 
 static void
-on_feed(struct wf_core *c, const struct wf_now *now,
-    const struct wf_feed *feed, struct wf_effects *out)
+on_feed(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
+    struct wf_effects *out)
 {
 	struct wf_table_change ch;
 	bool peers, leader;
@@ -461,8 +460,7 @@
 		return;
 	}
 	wf_effects_log(out, AGB_LOG_INFO, "document",
-	    "version=%" PRIu64 " before=%" PRIu64
-	    " queues=%zu services=%zu",
+	    "version=%" PRIu64 " before=%" PRIu64 " queues=%zu services=%zu",
 	    doc->version, old != NULL ? old->version : 0, doc->queues_len,
 	    doc->services_len);
 	c->doc = doc;
@@ -478,16 +476,14 @@
 		return;
 	c->draining = true;
 	c->term_at = now->mono;
-	wf_effects_log(out, AGB_LOG_INFO, "drain",
-	    "requests=%zu leads=%s", wf_front_open(c->front),
-	    c->leader != NULL ? "yes" : "no");
+	wf_effects_log(out, AGB_LOG_INFO, "drain", "requests=%zu leads=%s",
+	    wf_front_open(c->front), c->leader != NULL ? "yes" : "no");
 	step_down(c, "this instance is shutting down", out);
 	end_lease(c, out);
 }
 
 static void
-put_answer(uint64_t token, const struct wf_put_res *res,
-    struct wf_effects *out)
+put_answer(uint64_t token, const struct wf_put_res *res, struct wf_effects *out)
 {
 	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PUT_ANSWER);
 
@@ -507,8 +503,7 @@
 		put_answer(token, &refused, out);
 		return;
 	}
-	c->puts = agb_xreallocarray(
-	    c->puts, c->puts_len + 1, sizeof(*c->puts));
+	c->puts = agb_xreallocarray(c->puts, c->puts_len + 1, sizeof(*c->puts));
 	c->puts[c->puts_len].tag = PUT_TAG | ++c->next_tag;
 	c->puts[c->puts_len].token = token;
 	ef = wf_effects_add(out, WF_EF_STORE);
@@ -520,8 +515,8 @@
 }
 
 static void
-on_put_done(struct wf_core *c, uint64_t tag,
-    const struct agb_store_result *res, struct wf_effects *out)
+on_put_done(struct wf_core *c, uint64_t tag, const struct agb_store_result *res,
+    struct wf_effects *out)
 {
 	const struct wf_put_res answer = {
 	    .status = res->status,
@@ -542,8 +537,8 @@
 
 /* A record that a peer has just stored; the feed brings it again. */
 static void
-on_push(struct wf_core *c, const struct wf_now *now,
-    const struct wf_feed *feed, struct wf_effects *out)
+on_push(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
+    struct wf_effects *out)
 {
 	struct wf_table_change ch;
 	size_t i;
@@ -593,8 +588,7 @@
 		ef->u.advice.busy = true;
 		return;
 	}
-	c->asks = agb_xreallocarray(
-	    c->asks, c->asks_len + 1, sizeof(*c->asks));
+	c->asks = agb_xreallocarray(c->asks, c->asks_len + 1, sizeof(*c->asks));
 	c->asks[c->asks_len].tag = PEER_TAG | ++c->next_tag;
 	c->asks[c->asks_len].token = token;
 	ef = wf_effects_add(out, WF_EF_ADVISE);
@@ -602,8 +596,8 @@
 	ef->timeout_ms = ask->timeout_ms;
 	ef->u.ask = *ask;
 	ef->u.ask.runners = agb_xcalloc(ask->runners_len + 1, sizeof(agb_id));
-	memcpy(ef->u.ask.runners, ask->runners,
-	    ask->runners_len * sizeof(agb_id));
+	memcpy(
+	    ef->u.ask.runners, ask->runners, ask->runners_len * sizeof(agb_id));
 }
 
 static void
@@ -641,8 +635,7 @@
 }
 
 static void
-tick_lease(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+tick_lease(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	if (c->draining)
 		return;
@@ -664,8 +657,7 @@
 }
 
 static void
-ping_peers(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+ping_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	struct wf_effect *ef;
 	struct wf_peer *p;
@@ -712,12 +704,11 @@
 
 /* A leader that most instances do not answer cannot have advice fetched. */
 static void
-check_isolated(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+check_isolated(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	const uint32_t others = HASH_COUNT(c->table.peers) > 0
-	    ? HASH_COUNT(c->table.peers) - 1
-	    : 0;
+	const uint32_t others =
+	    HASH_COUNT(c->table.peers) > 0 ? HASH_COUNT(c->table.peers) - 1 : 0;
 	const uint32_t silent = peers_silent(c, now->mono);
 
 	if (c->leader == NULL || others < 2 || silent * 2 <= others) {
@@ -740,8 +731,8 @@
 }
 
 static void
-tick_election(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+tick_election(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	if (c->leader != NULL && c->leader->lost) {
 		c->lost_rev = c->leader->fence;
@@ -750,8 +741,8 @@
 		c->op_next = now->mono;
 	}
 	try_lead(c, now, out);
-	if (c->leader != NULL || c->draining || !c->synced ||
-	    c->doc == NULL || c->table.leader[0] != '\0')
+	if (c->leader != NULL || c->draining || !c->synced || c->doc == NULL ||
+	    c->table.leader[0] != '\0')
 		return;
 	if (c->electing || c->lease == 0 || now->mono >= c->valid_until)
 		return;
@@ -762,8 +753,7 @@
 }
 
 static void
-tick_ready(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+tick_ready(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool ready = !c->draining && c->doc != NULL && c->synced &&
 	    c->heard_at > 0 &&
@@ -782,15 +772,14 @@
 }
 
 static void
-tick_drain(struct wf_core *c, const struct wf_now *now,
-    struct wf_effects *out)
+tick_drain(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const agb_time last = c->term_at +
 	    (c->cfg.grace_ms > DRAIN_MARGIN_MS
 		    ? c->cfg.grace_ms - DRAIN_MARGIN_MS
-		    : 0) * AGB_MS;
-	const agb_time early =
-	    sooner(c->term_at + DRAIN_MS * AGB_MS, last);
+		    : 0) *
+		AGB_MS;
+	const agb_time early = sooner(c->term_at + DRAIN_MS * AGB_MS, last);
 
 	if (!c->draining || c->exiting)
 		return;
@@ -816,13 +805,11 @@
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
 		c->leader->valid_until = c->valid_until;
-		c->next = sooner(
-		    c->next, wf_leader_tick(c->leader, now, out));
+		c->next = sooner(c->next, wf_leader_tick(c->leader, now, out));
 	}
 	set_pace(c,
-	    c->leader != NULL || c->table.leader[0] == '\0'
-		? PACE_LEADER_MS
-		: PACE_OTHER_MS,
+	    c->leader != NULL || c->table.leader[0] == '\0' ? PACE_LEADER_MS
+							    : PACE_OTHER_MS,
 	    out);
 	wf_front_store_silent(
 	    c->front, now->mono - c->heard_at > SILENT_STORE_MS * AGB_MS);
@@ -832,8 +819,8 @@
 }
 
 void
-wf_core_step(struct wf_core *c, const struct wf_now *now,
-    struct wf_event *ev, struct wf_effects *out)
+wf_core_step(struct wf_core *c, const struct wf_now *now, struct wf_event *ev,
+    struct wf_effects *out)
 {
 	switch (ev->type) {
 	case WF_EV_TICK:
@@ -849,8 +836,7 @@
 		break;
 	case WF_EV_RUNNERS:
 		if (c->leader != NULL)
-			wf_fleet_change(
-			    c->leader, now, &ev->u.runners, out);
+			wf_fleet_change(c->leader, now, &ev->u.runners, out);
 		break;
 	case WF_EV_STORE:
 		on_store(c, now, ev->tag, ev->u.store, out);
@@ -886,8 +872,7 @@
 }
 
 void
-wf_core_gauges(
-    const struct wf_core *c, agb_time now, struct wf_gauges *out)
+wf_core_gauges(const struct wf_core *c, agb_time now, struct wf_gauges *out)
 {
 	const struct wf_job *j;
 	const struct wf_task *t;
@@ -914,7 +899,7 @@
 		out->runners_usable +=
 		    wf_fleet_usable(&c->leader->runners[i], now);
 		DL_FOREACH(c->leader->runners[i].tasks, t)
-			out->tasks_held++;
+		out->tasks_held++;
 	}
 }
 
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -81,8 +81,8 @@
 	clock_gettime(CLOCK_BOOTTIME, &boot);
 	clock_gettime(CLOCK_REALTIME, &real);
 	return (struct wf_now){
-	    .mono = (agb_time)boot.tv_sec * AGB_SEC +
-		(agb_time)boot.tv_nsec / 1000,
+	    .mono =
+		(agb_time)boot.tv_sec * AGB_SEC + (agb_time)boot.tv_nsec / 1000,
 	    .unix_ms = (int64_t)real.tv_sec * 1000 + real.tv_nsec / 1000000,
 	};
 }
@@ -219,7 +219,7 @@
 	if (broken)
 		agb_log_printf(d->log, AGB_LOG_WARN, "sync",
 		    "followed=%s change=history-gone",
-		    tag == TAG_STATE	     ? "state"
+		    tag == TAG_STATE	      ? "state"
 			: tag == TAG_DOCUMENT ? "document"
 					      : "registry");
 	if (f != NULL)
@@ -239,8 +239,7 @@
 static void
 on_advice(void *arg, uint64_t tag, struct wf_advice *a)
 {
-	struct wf_event ev = {
-	    .type = WF_EV_ADVICE, .tag = tag, .u.advice = a};
+	struct wf_event ev = {.type = WF_EV_ADVICE, .tag = tag, .u.advice = a};
 
 	feed(arg, &ev);
 }
@@ -254,8 +253,7 @@
 
 	memset(&call, 0, sizeof(call));
 	if (!d->ops->call_get(req, &call)) {
-		wf_httpd_reply(
-		    d->http, req->id, 405, "text/plain", 0, "", 0);
+		wf_httpd_reply(d->http, req->id, 405, "text/plain", 0, "", 0);
 		return;
 	}
 	wf_metrics_call(d->metrics, &call, now_get().mono);
@@ -328,8 +326,8 @@
 	ask.runners_len = x->runners.runners_len;
 	ask.runners = agb_xcalloc(ask.runners_len + 1, sizeof(agb_id));
 	for (i = 0; i < ask.runners_len; i++)
-		agb_name_set(ask.runners[i], sizeof(agb_id),
-		    x->runners.runners_val[i]);
+		agb_name_set(
+		    ask.runners[i], sizeof(agb_id), x->runners.runners_val[i]);
 	ev.u.ask = &ask;
 	feed(d, &ev);
 	free(ask.runners);
@@ -418,8 +416,7 @@
 	memset(&r, 0, sizeof(r));
 	r.status = sent ? AGB_STORE_LOST : AGB_STORE_REFUSED;
 	if (res != NULL) {
-		r.status =
-		    (enum agb_store_status)res->agb_x_res_u.put.status;
+		r.status = (enum agb_store_status)res->agb_x_res_u.put.status;
 		r.succeeded = res->agb_x_res_u.put.stored;
 		r.revision = res->agb_x_res_u.put.revision;
 	}
@@ -597,8 +594,7 @@
 	size_t len;
 	char *body;
 
-	wf_metrics_reply(
-	    d->metrics, ef->call_id, &ef->u.reply, now_get().mono);
+	wf_metrics_reply(d->metrics, ef->call_id, &ef->u.reply, now_get().mono);
 	body = d->ops->reply_put(&ef->u.reply, &len, &type);
 	wf_httpd_reply(d->http, ef->call_id, ef->u.reply.http_status, type,
 	    ef->u.reply.retry_s, body, len);
@@ -678,8 +674,7 @@
 		d->ops->order(d->adapter, &ef->u.order);
 		break;
 	case WF_EF_ADVISE:
-		d->ops->advise(
-		    d->adapter, ef->tag, &ef->u.ask, ef->timeout_ms);
+		d->ops->advise(d->adapter, ef->tag, &ef->u.ask, ef->timeout_ms);
 		break;
 	case WF_EF_PEER_ASK:
 		do_peer_ask(d, ef);
@@ -854,8 +849,8 @@
 	if (uv_random(NULL, NULL, &cfg.seed, sizeof(cfg.seed), 0, NULL) != 0)
 		cfg.seed = uv_hrtime();
 	/* Each start is an instance of its own to the others. */
-	snprintf(cfg.name, sizeof(cfg.name), "%.40s.%08x",
-	    d->settings.instance, (unsigned)(cfg.seed >> 32));
+	snprintf(cfg.name, sizeof(cfg.name), "%.40s.%08x", d->settings.instance,
+	    (unsigned)(cfg.seed >> 32));
 	agb_name_set(cfg.rpc, sizeof(cfg.rpc), d->settings.rpc);
 	agb_name_set(cfg.domain, sizeof(cfg.domain), d->settings.domain);
 	agb_name_set(cfg.region, sizeof(cfg.region), d->settings.region);
@@ -881,8 +876,8 @@
 	/* A peer that closes its connection must not end the process, and a
 	 * reader of the log that stops must not hold it up. */
 	signal(SIGPIPE, SIG_IGN);
-	(void)fcntl(STDOUT_FILENO, F_SETFL,
-	    fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+	(void)fcntl(
+	    STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 	d->log = agb_log_new(&d->loop, STDOUT_FILENO, d->settings.log_json,
 	    d->settings.log_level);
 	d->metrics = wf_metrics_new();
@@ -915,8 +910,8 @@
 	uv_signal_start(&d->sighup, on_hup, SIGHUP);
 	feed(d, &first);
 	uv_run(&d->loop, UV_RUN_DEFAULT);
-	agb_log_printf(d->log, AGB_LOG_INFO, "stop", "instance=%s",
-	    d->settings.instance);
+	agb_log_printf(
+	    d->log, AGB_LOG_INFO, "stop", "instance=%s", d->settings.instance);
 	agb_log_flush(d->log);
 	/* The process ends here; what it holds ends with it. */
 	return 0;
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -117,7 +117,8 @@
 
 	*list = agb_xcalloc(l->queue_len + 1, sizeof(**list));
 	n = 0;
-	DL_FOREACH(l->queue, u) {
+	DL_FOREACH(l->queue, u)
+	{
 		q = wf_unit_queue(l, u);
 		if (q == NULL)
 			continue;
@@ -180,7 +181,8 @@
 	uint32_t n;
 
 	n = 0;
-	DL_FOREACH(r->tasks, t) {
+	DL_FOREACH(r->tasks, t)
+	{
 		if (t->unit == u)
 			n++;
 	}
@@ -227,8 +229,8 @@
 	c->runner = ri;
 	c->left = wf_fleet_free(r).cpu_milli;
 	c->kept = r->kept;
-	c->near = step->rack[0] == '\0' ||
-	    wf_runner_has_label(&r->info, step->rack);
+	c->near =
+	    step->rack[0] == '\0' || wf_runner_has_label(&r->info, step->rack);
 	c->rack = r->info.labels_len > 0
 	    ? r->info.labels[r->info.labels_len - 1]
 	    : "";
@@ -382,7 +384,8 @@
 	size_t n;
 
 	n = 0;
-	DL_FOREACH(p->l->runners[ri].tasks, t) {
+	DL_FOREACH(p->l->runners[ri].tasks, t)
+	{
 		const struct wf_step *const step = wf_unit_step(t->unit);
 
 		if (n == ENDS_MAX || step->lasts || step->fills)
@@ -398,8 +401,8 @@
 
 /* How many tasks of the unit a runner is expected to hold at a time. */
 static uint32_t
-fit_by(const struct pass *p, const struct wf_unit *u, uint32_t ri,
-    agb_time when)
+fit_by(
+    const struct pass *p, const struct wf_unit *u, uint32_t ri, agb_time when)
 {
 	struct agb_resources room = wf_fleet_free(&p->l->runners[ri]);
 	struct ending list[ENDS_MAX];
@@ -409,8 +412,7 @@
 	n = endings(p, ri, list);
 	for (i = 0; i < n && list[i].at <= when; i++)
 		agb_resources_add(&room, &list[i].need);
-	return spread_cap(
-	    u, &p->l->runners[ri], fit_in(room, wf_unit_step(u)));
+	return spread_cap(u, &p->l->runners[ri], fit_in(room, wf_unit_step(u)));
 }
 
 /* Runners on which the unit may run, whatever their tickets. */
@@ -455,11 +457,11 @@
 /* Earliest time, of some steps apart, at which the whole unit is expected to
  * find room; AGB_TIME_MAX when that is not in sight. */
 static agb_time
-room_from(const struct pass *p, const struct wf_unit *u,
-    const uint32_t *list, size_t len)
+room_from(const struct pass *p, const struct wf_unit *u, const uint32_t *list,
+    size_t len)
 {
-	static const uint32_t steps_ms[] = {0, 300, 600, 1000, 1500, 2000, 3000,
-	    4000, 6000, 8000, 12000};
+	static const uint32_t steps_ms[] = {
+	    0, 300, 600, 1000, 1500, 2000, 3000, 4000, 6000, 8000, 12000};
 	size_t i;
 
 	for (i = 0; i < sizeof(steps_ms) / sizeof(steps_ms[0]); i++) {
@@ -508,9 +510,8 @@
 		best = len;
 		most = 0;
 		for (i = 0; i < len; i++) {
-			fit = list[i] == WF_NONE
-			    ? 0
-			    : fit_by(p, u, list[i], from);
+			fit = list[i] == WF_NONE ? 0
+						 : fit_by(p, u, list[i], from);
 			if (fit > most) {
 				most = fit;
 				best = i;
@@ -550,22 +551,21 @@
     size_t stale_len, agb_time from)
 {
 	const agb_time lead =
-	    (agb_time)(q->advice_ms +
-		q->advice_each_ms * (double)stale_len + RENEW_MARGIN_MS) *
+	    (agb_time)(q->advice_ms + q->advice_each_ms * (double)stale_len +
+		RENEW_MARGIN_MS) *
 	    AGB_MS;
 
 	if (!q->advised)
 		return;
 	if (stale_len > 0 && (from <= p->now->mono + lead))
-		wf_advice_again(
-		    p->l, p->now, u, p->stale, stale_len, p->out);
+		wf_advice_again(p->l, p->now, u, p->stale, stale_len, p->out);
 	wf_advice_want(p->l, p->now, u, p->out);
 }
 
 /* All approved runners, whether they have room now or not. */
 static size_t
-all_approved(const struct pass *p, const struct wf_unit *u,
-    const struct wf_queue *q)
+all_approved(
+    const struct pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
 	return possible(p, u, q, p->stale);
 }
@@ -642,8 +642,7 @@
 		return AGB_TIME_MAX;
 	if (!wf_fleet_met(l, now->mono))
 		return now->mono + PASS_GAP_MS * AGB_MS;
-	if (!l->changed &&
-	    now->mono < l->dispatch_at + PASS_IDLE_MS * AGB_MS)
+	if (!l->changed && now->mono < l->dispatch_at + PASS_IDLE_MS * AGB_MS)
 		return l->dispatch_at + PASS_IDLE_MS * AGB_MS;
 	if (now->mono < l->dispatch_at + PASS_GAP_MS * AGB_MS)
 		return l->dispatch_at + PASS_GAP_MS * AGB_MS;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -246,21 +246,21 @@
 };
 
 enum wf_effect_type {
-	WF_EF_STORE,	    /* tag, store, timeout_ms */
-	WF_EF_REPLY,	    /* call_id, reply */
-	WF_EF_ORDER,	    /* order */
-	WF_EF_ADVISE,	    /* tag, ask: call the advice service */
-	WF_EF_PEER_ASK,	    /* tag, peer, ask: let a peer call it */
-	WF_EF_PEER_ANSWER,  /* tag, advice: answer a peer */
-	WF_EF_PEER_PUSH,    /* peer, push */
-	WF_EF_PEER_PUT,	    /* tag, peer, record; ends as WF_EV_STORE */
-	WF_EF_PEER_PING,    /* tag, peer */
-	WF_EF_PUT_ANSWER,   /* tag, put_res: answer a peer */
-	WF_EF_REGISTRY,	    /* on: follow the registry of runners */
-	WF_EF_FEED_PACE,    /* gap_ms between deliveries of the feed */
-	WF_EF_ALLOW_PEERS,  /* peers: addresses that may call */
-	WF_EF_READY,	    /* on */
-	WF_EF_LOG,	    /* log */
+	WF_EF_STORE,	   /* tag, store, timeout_ms */
+	WF_EF_REPLY,	   /* call_id, reply */
+	WF_EF_ORDER,	   /* order */
+	WF_EF_ADVISE,	   /* tag, ask: call the advice service */
+	WF_EF_PEER_ASK,	   /* tag, peer, ask: let a peer call it */
+	WF_EF_PEER_ANSWER, /* tag, advice: answer a peer */
+	WF_EF_PEER_PUSH,   /* peer, push */
+	WF_EF_PEER_PUT,	   /* tag, peer, record; ends as WF_EV_STORE */
+	WF_EF_PEER_PING,   /* tag, peer */
+	WF_EF_PUT_ANSWER,  /* tag, put_res: answer a peer */
+	WF_EF_REGISTRY,	   /* on: follow the registry of runners */
+	WF_EF_FEED_PACE,   /* gap_ms between deliveries of the feed */
+	WF_EF_ALLOW_PEERS, /* peers: addresses that may call */
+	WF_EF_READY,	   /* on */
+	WF_EF_LOG,	   /* log */
 	WF_EF_EXIT,
 };
 
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -45,8 +45,8 @@
 }
 
 struct wf_task *
-wf_exec_task(struct wf_leader *l, const struct wf_task_ref *ref,
-    struct wf_unit **unit)
+wf_exec_task(
+    struct wf_leader *l, const struct wf_task_ref *ref, struct wf_unit **unit)
 {
 	struct wf_job *const j = wf_table_job(l->table, ref->job);
 	const struct wf_spec *spec;
@@ -178,8 +178,8 @@
 	}
 	if (x->state != REC_ACTIVE || x->runner >= st->runners.runners_len)
 		return;
-	t->runner = wf_fleet_get(
-	    l, st->runners.runners_val[x->runner].id, now->mono);
+	t->runner =
+	    wf_fleet_get(l, st->runners.runners_val[x->runner].id, now->mono);
 	/* Whether that life of the runner still goes on shows when it is met. */
 	t->born_ms = st->runners.runners_val[x->runner].born_ms;
 	t->life = l->runners[t->runner].life;
@@ -216,7 +216,8 @@
 			u++;
 		while (k < u->first)
 			u--;
-		restore_task(l, now, u, &e->tasks[k], &x.tasks.tasks_val[i], &x);
+		restore_task(
+		    l, now, u, &e->tasks[k], &x.tasks.tasks_val[i], &x);
 	}
 	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
 }
@@ -317,9 +318,8 @@
 }
 
 void
-wf_exec_finish(struct wf_leader *l, const struct wf_now *now,
-    struct wf_exec *e, enum wf_job_state state, const char *why,
-    struct wf_effects *out)
+wf_exec_finish(struct wf_leader *l, const struct wf_now *now, struct wf_exec *e,
+    enum wf_job_state state, const char *why, struct wf_effects *out)
 {
 	uint32_t i, k;
 
@@ -335,8 +335,7 @@
 			    &e->tasks[e->units[i].first + k];
 
 			if (t->holds && t->state != WF_TASK_DONE)
-				wf_task_stop(
-				    l, now, &e->units[i], t, why, out);
+				wf_task_stop(l, now, &e->units[i], t, why, out);
 		}
 	}
 	wf_exec_change(l, e);
@@ -359,8 +358,8 @@
 	if (wf_job_final(e->state))
 		return;
 	if (e->job->cancel_rev > 0) {
-		wf_exec_finish(
-		    l, now, e, WF_JOB_CANCELLED, "cancelled by its caller", out);
+		wf_exec_finish(l, now, e, WF_JOB_CANCELLED,
+		    "cancelled by its caller", out);
 		return;
 	}
 	done = 0;
@@ -391,7 +390,8 @@
 	uint32_t i;
 
 	next = INT64_MAX;
-	DL_FOREACH(l->execs, e) {
+	DL_FOREACH(l->execs, e)
+	{
 		if (e->job->spec.first_ms == 0 || wf_job_final(e->state))
 			continue;
 		for (i = 0; i < e->units_len; i++) {
@@ -429,8 +429,7 @@
     struct wf_x_state *x)
 {
 	const struct wf_task *const t = &e->tasks[i];
-	struct wf_x_task *const xt =
-	    &x->tasks.tasks_val[x->tasks.tasks_len++];
+	struct wf_x_task *const xt = &x->tasks.tasks_val[x->tasks.tasks_len++];
 
 	xt->index = i;
 	xt->run = t->run;
@@ -477,8 +476,8 @@
 }
 
 void
-wf_task_assign(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, uint32_t runner, uint32_t run)
+wf_task_assign(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, uint32_t runner, uint32_t run)
 {
 	t->state = WF_TASK_INTENT;
 	t->run = run;
@@ -681,8 +680,8 @@
 }
 
 void
-wf_task_ended(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, enum wf_end how, const char *saved,
+wf_task_ended(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, enum wf_end how, const char *saved,
     struct wf_effects *out)
 {
 	const struct wf_step *const step = wf_unit_step(u);
@@ -713,9 +712,8 @@
 }
 
 void
-wf_task_stop(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, const char *why,
-    struct wf_effects *out)
+wf_task_stop(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, const char *why, struct wf_effects *out)
 {
 	if (!t->holds || t->stopping)
 		return;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -165,7 +165,8 @@
 
 	do {
 		again = false;
-		DL_FOREACH(l->runners[ri].tasks, t) {
+		DL_FOREACH(l->runners[ri].tasks, t)
+		{
 			if (t->born_ms == born_ms)
 				continue;
 			again = true;
@@ -262,16 +263,16 @@
 		r->hold_next = now->mono;
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
 		    "runner=%s change=listed service=%s domain=%s"
-		    " cpu_milli=%" PRId64 " mem_mb=%" PRId64
-		    " born_ms=%" PRId64 " draining=%d",
+		    " cpu_milli=%" PRId64 " mem_mb=%" PRId64 " born_ms=%" PRId64
+		    " draining=%d",
 		    info->id, info->service, info->domain,
 		    info->capacity.cpu_milli, info->capacity.mem_mb,
 		    info->born_ms, info->draining);
 	}
 	if (info->draining && !was_draining)
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=draining remaining_ms=%" PRId64,
-		    info->id, info->remaining_ms);
+		    "runner=%s change=draining remaining_ms=%" PRId64, info->id,
+		    info->remaining_ms);
 	if (!was_listed || info->draining != was_draining)
 		l->changed = true;
 }
@@ -333,16 +334,16 @@
 static void
 lease_extend(struct wf_runner *r, agb_time now, uint32_t ms)
 {
-	const agb_time until = now + (agb_time)ms * LEASE_SLOW_PERMILLE +
-	    LEASE_MARGIN_MS * AGB_MS;
+	const agb_time until =
+	    now + (agb_time)ms * LEASE_SLOW_PERMILLE + LEASE_MARGIN_MS * AGB_MS;
 
 	if (until > r->lease_until)
 		r->lease_until = until;
 }
 
 void
-wf_fleet_start(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, struct wf_effects *out)
+wf_fleet_start(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, struct wf_effects *out)
 {
 	struct wf_runner *const r = &l->runners[t->runner];
 	const struct wf_spec *const spec = &u->exec->job->spec;
@@ -366,12 +367,11 @@
 		agb_name_set(o->ticket, sizeof(o->ticket), a->ticket);
 	wf_effects_log(out, AGB_LOG_INFO, "start",
 	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s fence=%" PRIu64
-	    " document=%" PRIu64 " waited_ms=%" PRIu64 " free_cpu=%" PRId64,
+	    " run=%" PRIu32 " runner=%s fence=%" PRIu64 " document=%" PRIu64
+	    " waited_ms=%" PRIu64 " free_cpu=%" PRId64,
 	    u->exec->job->id, u->occurrence, u->step, o->task.index, t->run,
 	    r->info.id, l->fence, l->doc != NULL ? l->doc->version : 0,
-	    (now->mono - u->ready_at) / AGB_MS,
-	    wf_fleet_free(r).cpu_milli);
+	    (now->mono - u->ready_at) / AGB_MS, wf_fleet_free(r).cpu_milli);
 }
 
 static void
@@ -461,8 +461,7 @@
 }
 
 static struct wf_stray *
-stray_find(
-    struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run)
+stray_find(struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run)
 {
 	size_t i;
 
@@ -560,8 +559,8 @@
 	}
 	wf_effects_log(out, AGB_LOG_INFO, "end",
 	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s how=%s seq=%" PRIu64
-	    " ran_ms=%" PRIu64 " estimate_ms=%" PRIu32,
+	    " run=%" PRIu32 " runner=%s how=%s seq=%" PRIu64 " ran_ms=%" PRIu64
+	    " estimate_ms=%" PRIu32,
 	    f->task.job, f->task.occurrence, f->task.step, f->task.index,
 	    f->run, r->info.id, end_name(f->how), f->seq,
 	    (now->mono - t->sent_at) / AGB_MS, wf_unit_step(u)->estimate_ms);
@@ -599,8 +598,8 @@
 /* Whether a runner's list, read by a hold sent at @sent, proves that a task
  * which it does not name is not there and will not be. */
 static bool
-proves_absent(const struct wf_runner *r, const struct wf_task *t,
-    agb_time sent, int64_t clock_ms)
+proves_absent(const struct wf_runner *r, const struct wf_task *t, agb_time sent,
+    int64_t clock_ms)
 {
 	if (t->state == WF_TASK_INTENT)
 		return false;
@@ -610,7 +609,7 @@
 	if (t->state == WF_TASK_DONE)
 		return sent > t->sent_at;
 	if (t->answered_at > 0)
-		return sent > t->answered_at;
+		return sent >= t->answered_at;
 	return t->start_ms > 0 && clock_ms > t->start_ms;
 }
 
@@ -621,8 +620,7 @@
     struct wf_task *t, struct wf_effects *out)
 {
 	if (t->state == WF_TASK_SENT && t->unanswered && !t->stopping)
-		wf_task_stop(
-		    l, now, t->unit, t, "start was not answered", out);
+		wf_task_stop(l, now, t->unit, t, "start was not answered", out);
 }
 
 static void
@@ -634,7 +632,8 @@
 
 	do {
 		again = false;
-		DL_FOREACH(l->runners[ri].tasks, t) {
+		DL_FOREACH(l->runners[ri].tasks, t)
+		{
 			if (t->listed)
 				continue;
 			if (!proves_absent(&l->runners[ri], t, res->sent_at,
@@ -676,7 +675,7 @@
 	size_t i;
 
 	DL_FOREACH(r->tasks, t)
-		t->listed = false;
+	t->listed = false;
 	for (i = 0; i < r->strays_len; i++)
 		r->strays[i].seen = false;
 	for (i = 0; i < res->active_len; i++)
@@ -726,8 +725,8 @@
 	r->has_left = false;
 	if (r->heard_at == 0 || now->mono - r->heard_at > 2 * AGB_SEC)
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=reached active=%zu ended=%zu",
-		    r->info.id, res->active_len, res->finished_len);
+		    "runner=%s change=reached active=%zu ended=%zu", r->info.id,
+		    res->active_len, res->finished_len);
 	r->heard_at = res->sent_at;
 	take_lists(l, now, res->runner, res, out);
 	r->hold_next = now->mono +
@@ -736,8 +735,8 @@
 }
 
 static void
-start_refused(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, const struct wf_order_result *res,
+start_refused(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, const struct wf_order_result *res,
     struct wf_effects *out)
 {
 	static const char *const why[] = {
@@ -755,13 +754,11 @@
 	struct wf_approval *a;
 
 	if (res->status == WF_ORDER_TICKET) {
-		a = (struct wf_approval *)(uintptr_t)wf_advice_of(
-		    u, t->runner);
+		a = (struct wf_approval *)(uintptr_t)wf_advice_of(u, t->runner);
 		if (a != NULL)
 			a->until = 0;
 	} else if (res->status == WF_ORDER_BUSY ||
-	    res->status == WF_ORDER_UNSENT ||
-	    res->status == WF_ORDER_NO_ROOM) {
+	    res->status == WF_ORDER_UNSENT || res->status == WF_ORDER_NO_ROOM) {
 		shun(r, now->mono, SHUN_BUSY_MS);
 	} else if (res->status == WF_ORDER_INVALID) {
 		shun(r, now->mono, SHUN_LOST_MS);
@@ -871,7 +868,8 @@
 	uint32_t ri;
 
 	for (ri = 0; l->stops > 0 && ri < l->runners_len; ri++) {
-		DL_FOREACH(l->runners[ri].tasks, t) {
+		DL_FOREACH(l->runners[ri].tasks, t)
+		{
 			if (!t->stopping)
 				continue;
 			if (now->mono >= t->stop_at) {
--- a/src/workflow/wf_follow.c
+++ b/src/workflow/wf_follow.c
@@ -99,8 +99,8 @@
 }
 
 void
-wf_follow_watch(struct wf_follow *f, const struct agb_store_kv *kvs,
-    size_t len, uint64_t revision, bool broken)
+wf_follow_watch(struct wf_follow *f, const struct agb_store_kv *kvs, size_t len,
+    uint64_t revision, bool broken)
 {
 	if (broken) {
 		f->watching = false;
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -88,8 +88,10 @@
 void
 wf_front_free(struct wf_front *f)
 {
-	while (f->calls != NULL)
-		waiting_free(f, f->calls);
+	struct waiting *w, *w2;
+
+	DL_FOREACH_SAFE(f->calls, w, w2)
+	waiting_free(f, w);
 	free(f);
 }
 
@@ -162,8 +164,8 @@
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
 	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
 	agb_store_op_cmp(&ef->u.store, key, AGB_STORE_MOD_REV, 0);
-	agb_store_op_put(&ef->u.store, key,
-	    w->raw != NULL ? w->raw : "", w->len, 0);
+	agb_store_op_put(
+	    &ef->u.store, key, w->raw != NULL ? w->raw : "", w->len, 0);
 }
 
 /* The leader, which the store answers, comes first; then the others. */
@@ -176,7 +178,8 @@
 	if (leader != NULL && strcmp(leader->name, f->self) != 0 &&
 	    wf_peer_ok(leader, now) && skip-- == 0)
 		return leader;
-	HASH_ITER(hh, f->table->peers, p, p2) {
+	HASH_ITER(hh, f->table->peers, p, p2)
+	{
 		if (p == leader || strcmp(p->name, f->self) == 0 ||
 		    !wf_peer_ok(p, now))
 			continue;
@@ -204,8 +207,8 @@
 	ef->tag = w->relay_tag;
 	ef->timeout_ms = RELAY_TIMEOUT_MS;
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
-	wf_table_key(ef->u.record.key,
-	    w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	wf_table_key(
+	    ef->u.record.key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
 	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
 	ef->u.record.len = w->len;
 	wf_effects_log(out, AGB_LOG_INFO, "relay",
@@ -254,17 +257,15 @@
 	w->began = now->mono;
 	w->until = now->mono + ms * AGB_MS;
 	/* While the store does not answer, others write at once. */
-	w->relay_at =
-	    now->mono + (f->store_silent ? 0 : RELAY_MS * AGB_MS);
+	w->relay_at = now->mono + (f->store_silent ? 0 : RELAY_MS * AGB_MS);
 	DL_APPEND(f->calls, w);
 	f->len++;
 	return w;
 }
 
 static void
-accepted_reply(struct wf_effects *out, uint64_t call_id,
-    enum wf_call_kind kind, const char *job, const char *how,
-    uint64_t revision, agb_time took)
+accepted_reply(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
+    const char *job, const char *how, uint64_t revision, agb_time took)
 {
 	reply(out, call_id, kind, 200)->state = WF_JOB_QUEUED;
 	wf_effects_log(out, AGB_LOG_INFO, "answer",
@@ -317,9 +318,8 @@
 }
 
 static void
-call_get(struct wf_front *f, const struct wf_now *now,
-    const struct wf_queue *q, struct wf_call *call, const char *job,
-    struct wf_effects *out)
+call_get(struct wf_front *f, const struct wf_now *now, const struct wf_queue *q,
+    struct wf_call *call, const char *job, struct wf_effects *out)
 {
 	const struct wf_job *const j = wf_table_job(f->table, job);
 	struct waiting *w;
@@ -343,8 +343,8 @@
 	struct waiting *w;
 
 	if (j != NULL && (j->cancel_rev > 0 || wf_job_final(j->state))) {
-		accepted_reply(out, call->id, call->kind, job, "known",
-		    j->cancel_rev, 0);
+		accepted_reply(
+		    out, call->id, call->kind, job, "known", j->cancel_rev, 0);
 		return;
 	}
 	w = wait_new(f, now, call, q, job);
@@ -359,7 +359,8 @@
 	struct wf_reply *const r = reply(out, call_id, WF_CALL_QUEUE, 200);
 	struct wf_job *j, *j2;
 
-	HASH_ITER(hh, f->table->jobs, j, j2) {
+	HASH_ITER(hh, f->table->jobs, j, j2)
+	{
 		if (j->spec_rev > 0 && j->state == WF_JOB_QUEUED &&
 		    j->cancel_rev == 0 && strcmp(j->spec.queue, q->name) == 0)
 			r->pending++;
@@ -407,7 +408,8 @@
 {
 	struct waiting *w;
 
-	DL_FOREACH(f->calls, w) {
+	DL_FOREACH(f->calls, w)
+	{
 		if (w->call_id == call_id) {
 			w->gone = true;
 			return;
@@ -426,8 +428,7 @@
 	if (res->succeeded)
 		push_to_leader(f, w, res->revision, out);
 	if (w->kind == WF_CALL_SUBMIT && res->succeeded) {
-		j = wf_table_put_spec(
-		    f->table, w->job, res->revision, w->spec);
+		j = wf_table_put_spec(f->table, w->job, res->revision, w->spec);
 		w->spec = NULL;
 	} else if (w->kind == WF_CALL_CANCEL && res->succeeded) {
 		j = wf_table_job(f->table, w->job);
@@ -509,7 +510,8 @@
 	*accepted = NULL;
 	if ((tag & FRONT_TAG) == 0)
 		return false;
-	DL_FOREACH(f->calls, w) {
+	DL_FOREACH(f->calls, w)
+	{
 		if (w->tag == tag || w->relay_tag == tag)
 			break;
 	}
@@ -540,7 +542,8 @@
 	agb_time next;
 
 	next = AGB_TIME_MAX;
-	DL_FOREACH_SAFE(f->calls, w, w2) {
+	DL_FOREACH_SAFE(f->calls, w, w2)
+	{
 		if (now->mono >= w->until) {
 			/* A call under way may still have an effect. */
 			if (!w->reading && (w->tag != 0 || w->relay_tag != 0))
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -39,9 +39,9 @@
  * @accepted: set to a job that has just been accepted or cancelled, or NULL
  * Return: false when the tag is none of the front's.
  */
-bool wf_front_store(struct wf_front *f, const struct wf_now *now,
-    uint64_t tag, const struct agb_store_result *res,
-    struct wf_job **accepted, struct wf_effects *out);
+bool wf_front_store(struct wf_front *f, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_job **accepted,
+    struct wf_effects *out);
 
 /**
  * wf_front_tick() - writes to repeat, callers whose time is over
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -61,7 +61,8 @@
 {
 	struct call *c;
 
-	DL_FOREACH(s->calls, c) {
+	DL_FOREACH(s->calls, c)
+	{
 		if (c->id == id)
 			return c;
 	}
@@ -110,11 +111,10 @@
 }
 
 static void
-copy_deadline(
-    const struct wf_httpd *s, struct wf_http_req *out, h2o_req_t *req)
+copy_deadline(const struct wf_httpd *s, struct wf_http_req *out, h2o_req_t *req)
 {
-	const ssize_t i = h2o_find_header_by_str(&req->headers,
-	    s->deadline_header, strlen(s->deadline_header), -1);
+	const ssize_t i = h2o_find_header_by_str(
+	    &req->headers, s->deadline_header, strlen(s->deadline_header), -1);
 
 	if (i >= 0)
 		copy_text(out->deadline, sizeof(out->deadline),
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -22,9 +22,8 @@
 }
 
 struct wf_leader *
-wf_leader_new(uint64_t fence, const char *self,
-    const struct wf_limits *limits, struct wf_table *table,
-    const struct wf_doc *doc, const struct wf_now *now,
+wf_leader_new(uint64_t fence, const char *self, const struct wf_limits *limits,
+    struct wf_table *table, const struct wf_doc *doc, const struct wf_now *now,
     struct wf_effects *out)
 {
 	struct wf_leader *const l = agb_xcalloc(1, sizeof(*l));
@@ -43,7 +42,8 @@
 	l->changed = true;
 	wf_advice_peers(l);
 	n = 0;
-	HASH_ITER(hh, table->jobs, j, j2) {
+	HASH_ITER(hh, table->jobs, j, j2)
+	{
 		if (j->spec_rev == 0 || wf_job_final(j->state))
 			continue;
 		wf_exec_new(l, now, j, out);
@@ -75,8 +75,8 @@
 }
 
 void
-wf_leader_job(struct wf_leader *l, const struct wf_now *now,
-    struct wf_job *j, struct wf_effects *out)
+wf_leader_job(struct wf_leader *l, const struct wf_now *now, struct wf_job *j,
+    struct wf_effects *out)
 {
 	if (j->spec_rev == 0)
 		return;
@@ -169,7 +169,8 @@
 	if (!l->starts_held || !wf_leader_may_order(l, now->mono))
 		return;
 	l->starts_held = false;
-	DL_FOREACH(l->execs, e) {
+	DL_FOREACH(l->execs, e)
+	{
 		if (!e->in_flight)
 			wf_commit_starts(l, now, e, out);
 	}
@@ -183,9 +184,12 @@
 	agb_time next;
 
 	next = wf_exec_next(l, now);
-	if (now->mono < l->due_at)
-		return sooner(next, l->due_at);
-	DL_FOREACH_SAFE(l->execs, e, e2) {
+	if (now->mono < l->due_at) {
+		l->due_at = sooner(next, l->due_at);
+		return l->due_at;
+	}
+	DL_FOREACH_SAFE(l->execs, e, e2)
+	{
 		if (e->job->spec.first_ms > 0)
 			wf_exec_advance(l, now, e, out);
 	}
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -262,7 +262,7 @@
 		uint64_t gen;
 		char *raw;
 		size_t len;
-	} *jobs;
+	} * jobs;
 	size_t jobs_len;
 	struct wf_write *prev, *next;
 };
@@ -328,8 +328,7 @@
  */
 struct wf_leader *wf_leader_new(uint64_t fence, const char *self,
     const struct wf_limits *limits, struct wf_table *table,
-    const struct wf_doc *doc, const struct wf_now *now,
-    struct wf_effects *out);
+    const struct wf_doc *doc, const struct wf_now *now, struct wf_effects *out);
 
 /**
  * wf_leader_free() - stop leading; orders under way are left to their fate
@@ -358,8 +357,8 @@
 /**
  * wf_leader_show() - tell other instances the durable state of a job
  */
-void wf_leader_show(struct wf_leader *l, const char *job,
-    enum wf_job_state state);
+void wf_leader_show(
+    struct wf_leader *l, const char *job, enum wf_job_state state);
 
 /**
  * wf_leader_may_order() - whether the lease certainly holds
@@ -381,11 +380,11 @@
  * @unit: set to its unit
  * Return: NULL when no job that is worked on has it.
  */
-struct wf_task *wf_exec_task(struct wf_leader *l,
-    const struct wf_task_ref *ref, struct wf_unit **unit);
+struct wf_task *wf_exec_task(
+    struct wf_leader *l, const struct wf_task_ref *ref, struct wf_unit **unit);
 
-void wf_exec_ref(const struct wf_unit *u, uint32_t task,
-    struct wf_task_ref *ref);
+void wf_exec_ref(
+    const struct wf_unit *u, uint32_t task, struct wf_task_ref *ref);
 
 const struct wf_step *wf_unit_step(const struct wf_unit *u);
 
@@ -418,8 +417,7 @@
 /**
  * wf_exec_encode() - bytes of the state record
  */
-char *wf_exec_encode(
-    struct wf_leader *l, const struct wf_exec *e, size_t *len);
+char *wf_exec_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len);
 
 /**
  * wf_task_assign() - place a task: count its need at the runner
@@ -430,8 +428,7 @@
 /**
  * wf_task_release() - the task is certainly not at its runner any more
  */
-void wf_task_release(
-    struct wf_leader *l, struct wf_unit *u, struct wf_task *t);
+void wf_task_release(struct wf_leader *l, struct wf_unit *u, struct wf_task *t);
 
 /**
  * wf_task_requeue() - release a task that has not ended done, and let it
@@ -527,8 +524,8 @@
  * wf_commit_done() - a write has been answered
  * Return: false when the tag is none of a write.
  */
-bool wf_commit_done(struct wf_leader *l, const struct wf_now *now,
-    uint64_t tag, const struct agb_store_result *res, struct wf_effects *out);
+bool wf_commit_done(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_effects *out);
 
 /**
  * wf_commit_ack() - ends up to @seq wait for the writes decided so far
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -46,7 +46,6 @@
     .kind = AGB_COUNTER,
 };
 
-
 struct wf_metrics {
 	struct agb_counters *counters;
 	struct {
@@ -72,8 +71,7 @@
 }
 
 void
-wf_metrics_call(
-    struct wf_metrics *m, const struct wf_call *call, agb_time now)
+wf_metrics_call(struct wf_metrics *m, const struct wf_call *call, agb_time now)
 {
 	m->calls[call->id % CALLS_MAX].id = call->id;
 	m->calls[call->id % CALLS_MAX].began = now;
@@ -86,13 +84,13 @@
 	const size_t i = call_id % CALLS_MAX;
 	char label[48];
 
-	snprintf(label, sizeof(label), "%s_%d", call_names[r->kind],
-	    r->http_status);
+	snprintf(
+	    label, sizeof(label), "%s_%d", call_names[r->kind], r->http_status);
 	agb_series_add(agb_counters_get(m->counters, &requests, label), 1);
 	if (m->calls[i].id != call_id)
 		return;
-	agb_series_observe(agb_counters_get(m->counters, &request_time,
-			       call_names[r->kind]),
+	agb_series_observe(
+	    agb_counters_get(m->counters, &request_time, call_names[r->kind]),
 	    (double)(now - m->calls[i].began) / (double)AGB_SEC);
 }
 
@@ -143,60 +141,119 @@
 	agb_series_add(agb_counters_get(m->counters, &decisions, event), 1);
 }
 
-static void
-gauge(struct wf_metrics *m, const struct agb_metric *g, double value)
-{
-	agb_series_set(agb_counters_get(m->counters, g, NULL), value);
-}
-
-#define GAUGE(m, n, h, v)                                                      \
-	do {                                                                   \
-		static const struct agb_metric metric_ = {                     \
-		    .name = "agatebeam_" n, .help = h, .kind = AGB_GAUGE};     \
-		gauge(m, &metric_, (double)(v));                               \
-	} while (0)
+enum value {
+	VAL_DOCUMENT,
+	VAL_REVISION,
+	VAL_READY,
+	VAL_LEADER,
+	VAL_FENCE,
+	VAL_JOBS,
+	VAL_JOBS_OPEN,
+	VAL_WAITING,
+	VAL_RUNNERS,
+	VAL_USABLE,
+	VAL_TASKS,
+	VAL_ASKS,
+	VAL_WRITES,
+	VAL_CONNECTIONS,
+	VAL_REQUESTS,
+	VAL_STORE_CALLS,
+	VAL_LOG_DROPPED,
+	VAL_BYTES_SENT,
+	VAL_BYTES_RECEIVED,
+	VAL_MAX,
+};
 
-#define COUNT(m, n, h, v)                                                      \
-	do {                                                                   \
-		static const struct agb_metric metric_ = {                     \
-		    .name = "agatebeam_" n, .help = h, .kind = AGB_COUNTER};   \
-		gauge(m, &metric_, (double)(v));                               \
-	} while (0)
+static const struct agb_metric values[VAL_MAX] = {
+    [VAL_DOCUMENT] = {.name = "agatebeam_document_version",
+	.help = "Document in force.",
+	.kind = AGB_GAUGE},
+    [VAL_REVISION] = {.name = "agatebeam_store_revision",
+	.help = "Revision of the store that is known.",
+	.kind = AGB_GAUGE},
+    [VAL_READY] = {.name = "agatebeam_ready",
+	.help = "Whether it takes new callers.",
+	.kind = AGB_GAUGE},
+    [VAL_LEADER] = {.name = "agatebeam_leader",
+	.help = "Whether it places tasks.",
+	.kind = AGB_GAUGE},
+    [VAL_FENCE] = {.name = "agatebeam_fence",
+	.help = "Token of its orders while it leads.",
+	.kind = AGB_GAUGE},
+    [VAL_JOBS] = {.name = "agatebeam_jobs",
+	.help = "Jobs that are known.",
+	.kind = AGB_GAUGE},
+    [VAL_JOBS_OPEN] = {.name = "agatebeam_jobs_open",
+	.help = "Jobs that have not ended.",
+	.kind = AGB_GAUGE},
+    [VAL_WAITING] = {.name = "agatebeam_steps_waiting",
+	.help = "Steps with tasks that wait for a start.",
+	.kind = AGB_GAUGE},
+    [VAL_RUNNERS] = {.name = "agatebeam_runners",
+	.help = "Runners that are known.",
+	.kind = AGB_GAUGE},
+    [VAL_USABLE] = {.name = "agatebeam_runners_usable",
+	.help = "Runners that take new tasks.",
+	.kind = AGB_GAUGE},
+    [VAL_TASKS] = {.name = "agatebeam_tasks_held",
+	.help = "Tasks whose need is counted at a runner.",
+	.kind = AGB_GAUGE},
+    [VAL_ASKS] = {.name = "agatebeam_advice_calls",
+	.help = "Calls for advice under way.",
+	.kind = AGB_GAUGE},
+    [VAL_WRITES] = {.name = "agatebeam_store_writes",
+	.help = "Writes of job states under way.",
+	.kind = AGB_GAUGE},
+    [VAL_CONNECTIONS] = {.name = "agatebeam_connections",
+	.help = "Connections of callers.",
+	.kind = AGB_GAUGE},
+    [VAL_REQUESTS] = {.name = "agatebeam_requests_open",
+	.help = "Requests not answered yet.",
+	.kind = AGB_GAUGE},
+    [VAL_STORE_CALLS] = {.name = "agatebeam_store_calls_total",
+	.help = "Calls of the store.",
+	.kind = AGB_COUNTER},
+    [VAL_LOG_DROPPED] = {.name = "agatebeam_log_dropped_total",
+	.help = "Log lines that were dropped.",
+	.kind = AGB_COUNTER},
+    [VAL_BYTES_SENT] = {.name = "agatebeam_runner_sent_bytes_total",
+	.help = "Bytes sent to runners.",
+	.kind = AGB_COUNTER},
+    [VAL_BYTES_RECEIVED] = {.name = "agatebeam_runner_received_bytes_total",
+	.help = "Bytes received from runners.",
+	.kind = AGB_COUNTER},
+};
 
 char *
 wf_metrics_text(
     struct wf_metrics *m, const struct wf_metrics_input *in, size_t *len)
 {
 	const struct wf_gauges *const g = &in->gauges;
+	const double now[VAL_MAX] = {
+	    [VAL_DOCUMENT] = (double)g->document,
+	    [VAL_REVISION] = (double)g->store_revision,
+	    [VAL_READY] = g->ready,
+	    [VAL_LEADER] = g->leads,
+	    [VAL_FENCE] = (double)g->fence,
+	    [VAL_JOBS] = g->jobs,
+	    [VAL_JOBS_OPEN] = g->jobs_open,
+	    [VAL_WAITING] = g->units_waiting,
+	    [VAL_RUNNERS] = g->runners,
+	    [VAL_USABLE] = g->runners_usable,
+	    [VAL_TASKS] = g->tasks_held,
+	    [VAL_ASKS] = g->asks,
+	    [VAL_WRITES] = g->writes,
+	    [VAL_CONNECTIONS] = (double)in->connections,
+	    [VAL_REQUESTS] = (double)in->requests_open,
+	    [VAL_STORE_CALLS] = (double)in->store_calls,
+	    [VAL_LOG_DROPPED] = (double)in->log_dropped,
+	    [VAL_BYTES_SENT] = (double)in->runner_bytes.sent,
+	    [VAL_BYTES_RECEIVED] = (double)in->runner_bytes.received,
+	};
+	size_t i;
 
-	GAUGE(m, "document_version", "Document in force.", g->document);
-	GAUGE(m, "store_revision", "Revision of the store that is known.",
-	    g->store_revision);
-	GAUGE(m, "ready", "Whether it takes new callers.", g->ready);
-	GAUGE(m, "leader", "Whether it places tasks.", g->leads);
-	GAUGE(m, "fence", "Token of its orders while it leads.", g->fence);
-	GAUGE(m, "jobs", "Jobs that are known.", g->jobs);
-	GAUGE(m, "jobs_open", "Jobs that have not ended.", g->jobs_open);
-	GAUGE(m, "steps_waiting", "Steps with tasks that wait for a start.",
-	    g->units_waiting);
-	GAUGE(m, "runners", "Runners that are known.", g->runners);
-	GAUGE(m, "runners_usable", "Runners that take new tasks.",
-	    g->runners_usable);
-	GAUGE(m, "tasks_held", "Tasks whose need is counted at a runner.",
-	    g->tasks_held);
-	GAUGE(m, "advice_calls", "Calls for advice under way.", g->asks);
-	GAUGE(m, "store_writes", "Writes of job states under way.",
-	    g->writes);
-	GAUGE(m, "connections", "Connections of callers.", in->connections);
-	GAUGE(m, "requests_open", "Requests not answered yet.",
-	    in->requests_open);
-	COUNT(m, "store_calls_total", "Calls of the store.",
-	    in->store_calls);
-	COUNT(m, "log_dropped_total", "Log lines that were dropped.",
-	    in->log_dropped);
-	COUNT(m, "runner_sent_bytes_total", "Bytes sent to runners.",
-	    in->runner_bytes.sent);
-	COUNT(m, "runner_received_bytes_total", "Bytes received from runners.",
-	    in->runner_bytes.received);
+	for (i = 0; i < VAL_MAX; i++)
+		agb_series_set(
+		    agb_counters_get(m->counters, &values[i], NULL), now[i]);
 	return agb_counters_text(m->counters, len);
 }
--- a/src/workflow/wf_metrics.h
+++ b/src/workflow/wf_metrics.h
@@ -33,8 +33,7 @@
 void wf_metrics_reply(struct wf_metrics *m, uint64_t call_id,
     const struct wf_reply *r, agb_time now);
 
-void wf_metrics_order(
-    struct wf_metrics *m, const struct wf_order_result *res);
+void wf_metrics_order(struct wf_metrics *m, const struct wf_order_result *res);
 
 void wf_metrics_store(struct wf_metrics *m, enum agb_store_status status);
 
@@ -47,7 +46,7 @@
  * wf_metrics_text() - all metrics in the Prometheus text format
  * Return: a new string, freed by the caller.
  */
-char *wf_metrics_text(struct wf_metrics *m,
-    const struct wf_metrics_input *in, size_t *len);
+char *wf_metrics_text(
+    struct wf_metrics *m, const struct wf_metrics_input *in, size_t *len);
 
 #endif
--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -6,6 +6,7 @@
 #include "settings.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
+#define BODY_MAX_LIMIT 16777216 /* bytes */
 #define TEXT_MAX ((size_t)64 * 1024)
 
 static const char *const keys[] = {
@@ -46,7 +47,7 @@
 parse_root(const struct agb_jsonc_node *root, struct wf_settings *out)
 {
 	static const struct agb_jsonc_range bodies = {
-	    .min = 1024, .max = 16 * 1024 * 1024, .unit = "bytes"};
+	    .min = 1024, .max = BODY_MAX_LIMIT, .unit = "bytes"};
 	double grace_s = 10, status_s = 120;
 	size_t level = AGB_LOG_INFO;
 
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -150,8 +150,7 @@
 		return false;
 	tasks = 0;
 	for (i = 0; i < s->steps_len; i++) {
-		if (s->steps[i].count == 0 ||
-		    s->steps[i].after >> i != 0)
+		if (s->steps[i].count == 0 || s->steps[i].after >> i != 0)
 			return false;
 		tasks += s->steps[i].count;
 	}
@@ -201,13 +200,21 @@
 void
 wf_table_free(struct wf_table *t)
 {
-	struct wf_job *j, *j2;
-	struct wf_peer *p, *p2;
-
-	HASH_ITER(hh, t->jobs, j, j2)
-		job_free(t, j);
-	HASH_ITER(hh, t->peers, p, p2) {
-		HASH_DEL(t->peers, p);
+	struct wf_job *j, *j_next;
+	struct wf_peer *p, *p_next;
+
+	for (j = t->jobs; j != NULL; j = j_next) {
+		j_next = j->hh.next;
+		wf_spec_free(&j->spec);
+		free(j->state_raw);
+		if (j_next == NULL)
+			HASH_CLEAR(hh, t->jobs);
+		free(j);
+	}
+	for (p = t->peers; p != NULL; p = p_next) {
+		p_next = p->hh.next;
+		if (p_next == NULL)
+			HASH_CLEAR(hh, t->peers);
 		free(p);
 	}
 }
@@ -236,8 +243,8 @@
 }
 
 struct wf_job *
-wf_table_put_spec(struct wf_table *t, const char *id, uint64_t revision,
-    struct wf_spec *spec)
+wf_table_put_spec(
+    struct wf_table *t, const char *id, uint64_t revision, struct wf_spec *spec)
 {
 	struct wf_job *const j = job_get(t, id);
 
@@ -353,8 +360,8 @@
 }
 
 static void
-apply_deleted(struct wf_table *t, char kind, const char *id,
-    struct wf_table_change *ch)
+apply_deleted(
+    struct wf_table *t, char kind, const char *id, struct wf_table_change *ch)
 {
 	struct wf_job *const j = wf_table_job(t, id);
 
@@ -434,30 +441,39 @@
 	struct wf_peer *p, *p2;
 
 	HASH_ITER(hh, t->jobs, j, j2)
-		j->marked = false;
+	j->marked = false;
 	HASH_ITER(hh, t->peers, p, p2)
-		p->marked = false;
+	p->marked = false;
 	t->leader[0] = '\0';
 	t->leader_rev = 0;
 }
 
+static void
+peers_sweep(struct wf_table *t)
+{
+	struct wf_peer *p, *next;
+
+	for (p = t->peers; p != NULL; p = next) {
+		next = p->hh.next;
+		if (p->marked)
+			continue;
+		HASH_DEL(t->peers, p);
+		free(p);
+	}
+}
+
 void
 wf_table_sweep(struct wf_table *t, uint64_t revision,
     void (*dropped)(void *arg, struct wf_job *j), void *arg)
 {
 	struct wf_job *j, *j2;
-	struct wf_peer *p, *p2;
 
-	HASH_ITER(hh, t->jobs, j, j2) {
+	HASH_ITER(hh, t->jobs, j, j2)
+	{
 		if (j->marked || j->spec_rev > revision)
 			continue;
 		dropped(arg, j);
 		job_free(t, j);
 	}
-	HASH_ITER(hh, t->peers, p, p2) {
-		if (p->marked)
-			continue;
-		HASH_DEL(t->peers, p);
-		free(p);
-	}
+	peers_sweep(t);
 }
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -166,7 +166,6 @@
  * wf_table_decode_state() - state record of a job
  * @out: freed by xdr_free()
  */
-bool wf_table_decode_state(
-    const char *raw, size_t len, struct wf_x_state *out);
+bool wf_table_decode_state(const char *raw, size_t len, struct wf_x_state *out);
 
 #endif
--- /dev/null
+++ b/tests/test_wf_core.c
@@ -0,0 +1,501 @@
+/**
+ * DOC: test_wf_core
+ *
+ * Scenarios of the workflow reducer in simulated time. Each case names the
+ * failure or the load that it guards against.
+ */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "wfsim.h"
+
+#define JOB "00000000000000aa"
+#define JOB2 "00000000000000bb"
+
+static const struct sim_options plain = {
+    .seed = 1, .cores = 3, .runners = 6, .cpu_milli = 16000};
+
+static struct sim *
+start(const struct sim_options *o)
+{
+	struct sim *const s = sim_new(o);
+
+	sim_run(s, 500);
+	CU_ASSERT(sim_leader(s) >= 0);
+	return s;
+}
+
+static void
+finish(struct sim *s)
+{
+	if (sim_violations(s) > 0)
+		printf("\n%s\n", sim_violation(s));
+	CU_ASSERT_EQUAL(sim_violations(s), 0);
+	sim_free(s);
+}
+
+static unsigned
+leader(const struct sim *s)
+{
+	return (unsigned)sim_leader(s);
+}
+
+/* Runs until the job has the state; returns the time that took. */
+static unsigned
+until(struct sim *s, const char *id, const char *state, unsigned max_ms)
+{
+	const unsigned from = sim_now_ms(s);
+
+	while (strcmp(sim_state(s, id), state) != 0 &&
+	    sim_now_ms(s) - from < max_ms)
+		sim_run(s, 20);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, id), state);
+	return sim_now_ms(s) - from;
+}
+
+static void
+completes(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 1, JOB, sim_spec(4, 2000, 300));
+	CU_ASSERT(until(s, JOB, "completed", 2000) < 900);
+	CU_ASSERT_EQUAL(sim_submit_status(s, JOB), 200);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 4);
+	finish(s);
+}
+
+static void
+steps_in_order(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *const spec = sim_spec(3, 1000, 200);
+
+	sim_then(spec, 2, 1000, 200);
+	sim_then(spec, 1, 1000, 200);
+	sim_submit(s, 0, JOB, spec);
+	until(s, JOB, "completed", 4000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 6);
+	finish(s);
+}
+
+static void
+occurrences(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *const spec = sim_spec(1, 1000, 100);
+
+	/* The clock of the simulation begins at this time of day. */
+	spec->first_ms = 1700000000000LL + sim_now_ms(s) + 1000;
+	spec->period_ms = 500;
+	spec->times = 3;
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 900);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 0);
+	until(s, JOB, "completed", 4000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 3);
+	finish(s);
+}
+
+static void
+lasting_task_starts_again(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *const spec = sim_spec(2, 1000, 60000);
+
+	spec->steps[0].lasts = true;
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 500);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 2);
+	sim_runner_crash(s, sim_runner_of(s, JOB), 600);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 2);
+	sim_cancel(s, 1, JOB);
+	sim_run(s, 2000);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 0);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "cancelled");
+	finish(s);
+}
+
+static void
+fails_after_attempts(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+
+	o.fail_percent = 100;
+	o.attempts = 2;
+	s = start(&o);
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 100));
+	until(s, JOB, "failed", 20000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+static void
+cancel_stops(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(5, 1000, 10000));
+	sim_run(s, 1000);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 5);
+	sim_cancel(s, 2, JOB);
+	sim_run(s, 1500);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 0);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "cancelled");
+	finish(s);
+}
+
+/* Ends were told to be forgotten before both were durable, when a second
+ * change of the same job came while the store was away; after a takeover the
+ * task started again. */
+static void
+ends_durable_before_forgotten(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *const spec = sim_spec(1, 1000, 300);
+	struct wf_step *step;
+
+	step = sim_then(spec, 1, 1000, 600);
+	step->after = 0;
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 200);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 2);
+	sim_store(s, SIM_STORE_REFUSES);
+	sim_run(s, 900);
+	sim_kill(s, leader(s), 0);
+	sim_store(s, SIM_STORE_UP);
+	until(s, JOB, "completed", 8000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+/* Each hold to a silent runner moved the end of its lease on, so that its
+ * tasks waited for ever. */
+static void
+lease_of_silent_runner_ends(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 3000));
+	sim_run(s, 500);
+	sim_runner_cut(s, sim_runner_of(s, JOB), true);
+	CU_ASSERT(until(s, JOB, "completed", 20000) < 9500);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+/* A task that an earlier leader had started on a runner that left was
+ * never placed again. */
+static void
+runner_leaves_during_takeover(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 4000));
+	sim_run(s, 500);
+	sim_runner_drain(s, sim_runner_of(s, JOB), 2000);
+	sim_run(s, 200);
+	sim_kill(s, leader(s), 0);
+	CU_ASSERT(until(s, JOB, "completed", 30000) < 20000);
+	finish(s);
+}
+
+static void
+leader_killed(void)
+{
+	struct sim *const s = start(&plain);
+	const unsigned old = leader(s);
+
+	sim_submit(s, (old + 1) % 3, JOB, sim_spec(2, 1000, 3000));
+	sim_run(s, 300);
+	sim_kill(s, old, 0);
+	sim_submit(s, (old + 1) % 3, JOB2, sim_spec(1, 1000, 100));
+	/* Target: the next start within 2 s of the leader's death. */
+	CU_ASSERT(until(s, JOB2, "completed", 5000) < 2100);
+	until(s, JOB, "completed", 5000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+static void
+all_killed(void)
+{
+	struct sim *const s = start(&plain);
+	unsigned i;
+
+	sim_submit(s, 0, JOB, sim_spec(6, 4000, 1500));
+	sim_run(s, 300);
+	for (i = 0; i < 3; i++)
+		sim_kill(s, i, 800);
+	/* Target: all accepted work known and going on within 6 s. */
+	CU_ASSERT(until(s, JOB, "completed", 8000) < 6000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 6);
+	finish(s);
+}
+
+static void
+leader_frozen(void)
+{
+	struct sim *const s = start(&plain);
+	const unsigned old = leader(s);
+
+	sim_submit(s, (old + 1) % 3, JOB, sim_spec(3, 1000, 2500));
+	sim_run(s, 200);
+	sim_freeze(s, old, 4000);
+	sim_run(s, 2500);
+	CU_ASSERT(leader(s) != old || sim_leader(s) < 0);
+	until(s, JOB, "completed", 6000);
+	sim_run(s, 3000);
+	finish(s);
+}
+
+/* An instance that the store turns away lets another one write. */
+static void
+store_refuses_one_instance(void)
+{
+	static const enum sim_store_mode modes[] = {
+	    SIM_STORE_REFUSES, SIM_STORE_SILENT};
+	unsigned away;
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		s = start(&plain);
+		away = (leader(s) + 1) % 3;
+		sim_core_store(s, away, modes[i]);
+		sim_run(s, 300);
+		sim_submit(s, away, JOB, sim_spec(1, 1000, 100));
+		until(s, JOB, "completed", 2500);
+		CU_ASSERT_EQUAL(sim_submit_status(s, JOB), 200);
+		finish(s);
+	}
+}
+
+/* Nothing is accepted that is not durable, and the caller hears at once. */
+static void
+store_away(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_store(s, SIM_STORE_REFUSES);
+	sim_run(s, 50);
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 100));
+	sim_run(s, 300);
+	CU_ASSERT_EQUAL(sim_submit_status(s, JOB), 503);
+	sim_run(s, 4000);
+	sim_store(s, SIM_STORE_UP);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 0);
+	sim_submit(s, 0, JOB2, sim_spec(1, 1000, 100));
+	until(s, JOB2, "completed", 2000);
+	finish(s);
+}
+
+/* Running work goes on while the store is away for 4.5 s. */
+static void
+store_away_work_goes_on(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(8, 2000, 4000));
+	sim_run(s, 300);
+	sim_store(s, SIM_STORE_SILENT);
+	sim_run(s, 4500);
+	sim_store(s, SIM_STORE_UP);
+	until(s, JOB, "completed", 4000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 8);
+	finish(s);
+}
+
+/* Small tasks took each core that came free, and a wide gang waited for
+ * tens of seconds. */
+static void
+gang_among_small_tasks(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *gang;
+	char id[17];
+	unsigned i;
+
+	for (i = 0; i < 60; i++) {
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		sim_submit(s, 0, id, sim_spec(2, 3000, 900));
+		if (i == 30) {
+			gang = sim_spec(8, 8000, 500);
+			gang->steps[0].gang = true;
+			sim_submit(s, 0, JOB, gang);
+		}
+		sim_run(s, 70);
+	}
+	until(s, JOB, "completed", 6000);
+	/* 30 such jobs a second need 54 of 96 cores. */
+	CU_ASSERT(sim_started_at(s, JOB) < 500 + 31 * 70 + 3000);
+	finish(s);
+}
+
+/* One lost start broke its whole gang. */
+static void
+gang_member_start_lost(void)
+{
+	struct sim *const s = start(&plain);
+	struct wf_spec *const gang = sim_spec(5, 10000, 800);
+
+	gang->steps[0].gang = true;
+	sim_runner_deaf(s, 0, true);
+	sim_submit(s, 0, JOB, gang);
+	sim_run(s, 600);
+	/* The others are not started a second time. */
+	until(s, JOB, "completed", 4000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 5);
+	/* The member is elsewhere half a second after it was placed. */
+	CU_ASSERT(sim_now_ms(s) < 500 + 600 + 800 + 200);
+	finish(s);
+}
+
+/* A runner that comes back under its id knows nothing of before. */
+static void
+runner_restarts_under_its_id(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 2000));
+	sim_run(s, 500);
+	sim_runner_crash(s, sim_runner_of(s, JOB), 300);
+	CU_ASSERT(until(s, JOB, "completed", 10000) < 3800);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+/* A runner that fails all it starts used up the attempts of many jobs. */
+static void
+faulty_runner_is_avoided(void)
+{
+	struct sim *const s = start(&plain);
+	unsigned i, failed;
+	char id[17];
+
+	sim_runner_faulty(s, 0, true);
+	for (i = 0; i < 40; i++) {
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		sim_submit(s, 0, id, sim_spec(1, 4000, 300));
+		sim_run(s, 100);
+	}
+	sim_run(s, 3000);
+	failed = 0;
+	for (i = 0; i < 40; i++) {
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		failed += strcmp(sim_state(s, id), "failed") == 0;
+	}
+	CU_ASSERT_EQUAL(failed, 0);
+	CU_ASSERT_EQUAL(sim_jobs_final(s), 40);
+	finish(s);
+}
+
+static void
+history_forgotten(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_submit(s, 0, JOB, sim_spec(2, 1000, 1500));
+	sim_run(s, 300);
+	sim_forget_history(s);
+	sim_kill(s, leader(s), 500);
+	until(s, JOB, "completed", 6000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	finish(s);
+}
+
+static void
+terminated_leader_hands_over(void)
+{
+	struct sim *const s = start(&plain);
+	const unsigned old = leader(s);
+
+	sim_term(s, old);
+	sim_submit(s, (old + 1) % 3, JOB, sim_spec(1, 1000, 100));
+	CU_ASSERT(until(s, JOB, "completed", 3000) < 900);
+	finish(s);
+}
+
+/* Random days that once broke a promise, with the cause. */
+static void
+kept_seeds(void)
+{
+	static const struct {
+		unsigned seed;
+		const char *cause;
+	} cases[] = {
+	    {340, "an answer to an order of an earlier time as leader"},
+	    {378, "records of two lives of one runner"},
+	    {420, "a start that reached the runner's next life"},
+	    {444, "an answer to an order of an earlier time as leader"},
+	    {721, "a second term under an election that had ended"},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		if (sim_run_seed(cases[i].seed, stdout) > 0)
+			printf("once caused by: %s\n", cases[i].cause);
+		CU_ASSERT_EQUAL(sim_run_seed(cases[i].seed, NULL), 0);
+	}
+}
+
+static void
+some_seeds(void)
+{
+	unsigned seed;
+
+	for (seed = 1; seed <= 60; seed++)
+		CU_ASSERT_EQUAL(sim_run_seed(seed, stdout), 0);
+}
+
+static const struct {
+	const char *name;
+	void (*fn)(void);
+} cases[] = {
+    {"completes", completes},
+    {"steps in order", steps_in_order},
+    {"occurrences", occurrences},
+    {"a lasting task starts again", lasting_task_starts_again},
+    {"fails after its attempts", fails_after_attempts},
+    {"a cancel stops", cancel_stops},
+    {"ends are durable before forgotten", ends_durable_before_forgotten},
+    {"lease of a silent runner ends", lease_of_silent_runner_ends},
+    {"runner leaves during a takeover", runner_leaves_during_takeover},
+    {"leader killed", leader_killed},
+    {"all killed", all_killed},
+    {"leader frozen", leader_frozen},
+    {"store refuses one instance", store_refuses_one_instance},
+    {"store away: refused at once", store_away},
+    {"store away: work goes on", store_away_work_goes_on},
+    {"gang among small tasks", gang_among_small_tasks},
+    {"gang member's start lost", gang_member_start_lost},
+    {"runner restarts under its id", runner_restarts_under_its_id},
+    {"faulty runner is avoided", faulty_runner_is_avoided},
+    {"history forgotten", history_forgotten},
+    {"terminated leader hands over", terminated_leader_hands_over},
+    {"kept seeds", kept_seeds},
+    {"random days", some_seeds},
+};
+
+int
+main(void)
+{
+	CU_pSuite suite;
+	size_t i;
+
+	if (CU_initialize_registry() != CUE_SUCCESS)
+		return CU_get_error();
+	suite = CU_add_suite("wf_core", NULL, NULL);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_add_test(suite, cases[i].name, cases[i].fn);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	i = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return i > 0 ? 1 : 0;
+}
