--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -200,6 +200,9 @@
 
 	if (w->reading || p == NULL)
 		return false;
+	/* What became of a write that is left behind is not known. */
+	if (w->relay_tag != 0)
+		w->unknown = true;
 	w->relays++;
 	w->relay_tag = FRONT_TAG | ++f->next_tag;
 	w->relay_at = now->mono + RELAY_NEXT_MS * AGB_MS;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -433,6 +433,7 @@
 	    {378, "records of two lives of one runner"},
 	    {420, "a start that reached the runner's next life"},
 	    {444, "an answer to an order of an earlier time as leader"},
+	    {5034, "a write through a peer that was left behind and refused"},
 	    {721, "a second term under an election that had ended"},
 	};
 	size_t i;
