--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	'src/agatebeam/*.[ch]' 'src/workflow/*.[ch]' 'platform/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | grep -v /gen/)
 
 .PHONY: all deps build asan run run-valgrind test test-asan lint format format-check \
-	bench history history-mutants golden fuzz capacity proto clean
+	bench history history-mutants wfsim soak golden fuzz capacity proto clean
 
 all: build
 
@@ -57,6 +57,15 @@
 history-mutants: deps
 	JOBS=$(JOBS) ./scripts/history-mutants
 
+# Random days of the workflow reducer in simulated time.
+wfsim: build
+	$(BUILD)/agb-wfsim --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT)
+
+# Instances as processes under faults; about 30 s a seed.
+soak: build
+	$(BUILD)/agb-soak --seed-from $(SEED_FROM) --seed-count $(SEED_COUNT) \
+	    --bin $(BUILD) --logs $(BUILD)/soak-logs
+
 # Writes the golden sessions anew; the difference is for review.
 golden: build
 	AGB_GOLDEN_UPDATE=1 $(BUILD)/test_golden
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,81 @@
+/**
+ * DOC: main
+ *
+ * Fault soak by seed. The last line tells the number of seeds and of broken
+ * promises; logs of a seed stay in the folder that is named.
+ */
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *const from =
+	    arg_int0(NULL, "seed-from", "N", "first seed (1)");
+	struct arg_int *const count =
+	    arg_int0(NULL, "seed-count", "N", "number of seeds (1)");
+	struct arg_int *const instances =
+	    arg_int0(NULL, "instances", "N", "instances (by seed)");
+	struct arg_int *const load =
+	    arg_int0(NULL, "load-ms", "N", "time of load and faults (20000)");
+	struct arg_str *const bin =
+	    arg_str0(NULL, "bin", "DIR", "where the programs are (build)");
+	struct arg_str *const logs =
+	    arg_str0(NULL, "logs", "DIR", "folder for logs (/tmp/agb-soak)");
+	struct arg_lit *const verbose = arg_lit0("v", "verbose", "each fault");
+	struct arg_end *const end = arg_end(4);
+	void *table[] = {from, count, instances, load, bin, logs, verbose, end};
+	struct soak_options o = {0};
+	unsigned first, n, bad, i;
+	char dir[512];
+	const char *base;
+	pid_t pid;
+	int status;
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "agb-soak");
+		return 2;
+	}
+	first = from->count > 0 ? (unsigned)from->ival[0] : 1;
+	n = count->count > 0 ? (unsigned)count->ival[0] : 1;
+	base = logs->count > 0 ? logs->sval[0] : "/tmp/agb-soak";
+	(void)mkdir(base, 0755);
+	bad = 0;
+	for (i = 0; i < n; i++) {
+		o.seed = first + i;
+		snprintf(dir, sizeof(dir), "%s/%u", base, o.seed);
+		(void)mkdir(dir, 0755);
+		o.instances = instances->count > 0
+		    ? (unsigned)instances->ival[0]
+		    : 3 + o.seed % 3;
+		o.runners = 6 + o.seed % 5;
+		o.jobs_per_s = 6 + o.seed % 6;
+		o.load_ms = load->count > 0 ? (unsigned)load->ival[0] : 20000;
+		o.finish_ms = 30000;
+		o.fault_gap_ms = 1200 + 300 * (o.seed % 4);
+		o.bin = bin->count > 0 ? bin->sval[0] : "build";
+		o.log_dir = dir;
+		o.verbose = verbose->count > 0;
+		/* A run leaves handles behind: each has its own process. */
+		fflush(stdout);
+		pid = fork();
+		if (pid == 0) {
+			const unsigned v = soak_run(&o);
+
+			fflush(stdout);
+			_exit(v > 250 ? 250 : (int)v);
+		}
+		waitpid(pid, &status, 0);
+		bad += WIFEXITED(status) ? (unsigned)WEXITSTATUS(status) : 1;
+	}
+	printf("soak %u seeds %u violations\n", n, bad);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return bad > 0 ? 1 : 0;
+}
