fix(sched): a failure before an ejection is no failed trial; the last worker goes on trial

Cause (history, rule not-final): both tasks of a gang failed on one worker; the first ejected it, the second was taken for a failed trial of 1800 s. With the other worker gone the gang waited on an idle shard. Ruled out: room held by the old attempt (explain shows only its history). The test fails on the code before. Trials end after 30 s, not 60 s.

--- a/src/agatebeam/sched.c
+++ b/src/agatebeam/sched.c
@@ -105,6 +105,7 @@
 	if (w->info.service < s->works_len)
 		s->works[w->info.service].hosts--;
 	sched_worker_remove(s, w);
+	sched_health_last(s);
 	sched_feasible_changed(s, now);
 }
 
--- a/src/agatebeam/sched_gang.c
+++ b/src/agatebeam/sched_gang.c
@@ -39,11 +39,12 @@
 /* Whether a gang may be placed on a worker: at first on none with a failure,
  * then on all but those on trial. */
 static bool
-takes_gang(const struct agb_sched *s, const struct sched_job *j,
+takes_gang(struct agb_sched *s, const struct sched_job *j,
     const struct sched_worker *w, bool failures)
 {
 	if (w->ejected)
-		return s->now - j->waiting_since >= TRIAL_WAIT;
+		return s->now - j->waiting_since >= TRIAL_WAIT ||
+		    sched_health_last(s);
 	return failures || w->evidence_len == 0;
 }
 
--- a/src/agatebeam/sched_health.c
+++ b/src/agatebeam/sched_health.c
@@ -20,7 +20,7 @@
 #define PROBE_FIRST (60 * AGB_SEC)
 #define PROBE_AGAIN (1800 * AGB_SEC)
 /* A trial that has run this long counts as a success. */
-#define TRIAL_RUN (60 * AGB_SEC)
+#define TRIAL_RUN (30 * AGB_SEC)
 /* Evidence that no later start has confirmed is dropped after this. */
 #define EVIDENCE_AGE (600 * AGB_SEC)
 /* Marks of evidence that is not a job's serial. */
@@ -136,6 +136,40 @@
 	return s->ejected < most;
 }
 
+/* Whether no worker is left that is not ejected. */
+static bool
+none_left(const struct agb_sched *s)
+{
+	const struct sched_worker *w;
+	uint32_t i;
+
+	for (i = 0; i < s->workers_cap; i++) {
+		w = &s->workers[i];
+		if (w->known && w->state == AGB_WORKER_LIVE && !w->ejected)
+			return false;
+	}
+	return true;
+}
+
+bool
+sched_health_last(struct agb_sched *s)
+{
+	struct sched_worker *w;
+	uint32_t i;
+
+	if (s->ejected == 0 || !none_left(s))
+		return false;
+	for (i = 0; i < s->workers_cap; i++) {
+		w = &s->workers[i];
+		if (!w->known || !w->ejected || w->probing)
+			continue;
+		w->probing = true;
+		decision(s, w, "on trial, no other worker is left");
+		sched_worker_refresh(s, w);
+	}
+	return true;
+}
+
 static void
 eject(struct agb_sched *s, agb_time now, struct sched_worker *w)
 {
@@ -145,6 +179,7 @@
 	wait += sched_random(s) % (wait / 4);
 	if (!w->ejected) {
 		w->ejected = true;
+		w->ejected_at = now;
 		s->ejected++;
 		clear_jobs(s, w);
 	}
@@ -155,6 +190,7 @@
 	decision(s, w, text);
 	sched_timer_add(s, w->probe_at, TIMER_PROBE, w->self, 0, 0);
 	sched_worker_refresh(s, w);
+	sched_health_last(s);
 }
 
 static void
@@ -265,7 +301,8 @@
 	if (e->result != AGB_RESULT_STOPPED &&
 	    e->result != AGB_RESULT_CHECKPOINTED && since > w->bad_since)
 		w->bad_since = since;
-	if (w->ejected && e->probe) {
+	/* Started before it was ejected, an attempt is no trial. */
+	if (w->ejected && e->probe && since >= w->ejected_at) {
 		trial_over(s, now, w, e);
 	} else if (e->quick) {
 		quick_ended(s, now, w, e);
--- a/src/agatebeam/sched_internal.h
+++ b/src/agatebeam/sched_internal.h
@@ -105,7 +105,7 @@
  * @bad_since: start of the last attempt that failed; the success of an
  *             older one says nothing of the worker now
  * @refused: quick requests refused in a row
- * @ejected: takes nothing but probes
+ * @ejected: takes nothing but probes, since @ejected_at
  * @probes: failed probes in a row
  */
 struct sched_worker {
@@ -138,6 +138,7 @@
 	agb_time bad_since;
 	uint32_t refused;
 	uint32_t probes;
+	agb_time ejected_at;
 	agb_time probe_at;
 	agb_time silent_at;
 	struct sched_att *atts;
--- a/src/agatebeam/sched_parts.h
+++ b/src/agatebeam/sched_parts.h
@@ -170,6 +170,8 @@
 /* sched_health.c */
 bool sched_health_allows(const struct agb_sched *s, const struct sched_job *j,
     const struct sched_worker *w);
+/* Puts ejected workers on trial when no other is left. */
+bool sched_health_last(struct agb_sched *s);
 void sched_health_trial(
     struct agb_sched *s, agb_time now, struct sched_worker *w);
 bool sched_health_ended(struct agb_sched *s, agb_time now, struct sched_job *j,
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,291 @@
+/**
+ * DOC: test_platform
+ *
+ * What the adapter reads of the platform and writes to it, as tables.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "front.h"
+#include "manifest.h"
+#include "mem.h"
+#include "registry.h"
+#include "runner.h"
+#include "suite.h"
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct agb_store_kv
+kv(const char *key, const char *val)
+{
+	return (struct agb_store_kv){.key = (char *)(uintptr_t)key,
+	    .val = (char *)(uintptr_t)val,
+	    .val_len = strlen(val),
+	    .mod_rev = 7};
+}
+
+#define RUNNER(more)                                                           \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","          \
+	"\"slots\":8,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,"            \
+	"\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":5,\"seq\":4" more \
+	"}"
+
+/* Entries of other writers name no runner to use and must not harm the
+ * reading of the others. */
+static void
+registry(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		bool draining;
+	} cases[] = {
+	    {RUNNER(",\"state\":\"ready\""), true, false},
+	    {RUNNER(",\"state\":\"draining\",\"remaining_ms\":900"), true,
+		true},
+	    {RUNNER(",\"state\":\"ready\",\"new_field\":[1]"), true, false},
+	    {RUNNER(",\"state\":\"asleep\""), false, false},
+	    {RUNNER(""), false, false},
+	    {"{\"state\":\"ready\"}", false, false},
+	    {"[1,2]", false, false},
+	    {"\xff\xfe garbage", false, false},
+	    {"", false, false},
+	    {"{\"service\":7,\"addr\":\"10.0.0.9:80\",\"state\":\"ready\"}",
+		false, false},
+	};
+	struct wf_runner_info info;
+	char fault[AGB_DETAIL_LEN];
+	struct agb_store_kv item;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		item = kv("servers/i-1", cases[i].text);
+		fault[0] = '\0';
+		CU_ASSERT_EQUAL(
+		    platform_registry_get(&item, &info, fault), cases[i].ok);
+		CU_ASSERT_EQUAL(fault[0] == '\0', cases[i].ok);
+		if (!cases[i].ok)
+			continue;
+		CU_ASSERT_EQUAL(info.draining, cases[i].draining);
+		CU_ASSERT_EQUAL(info.capacity.cpu_milli, 16000);
+		CU_ASSERT_STRING_EQUAL(info.labels[1], "r1-3");
+		CU_ASSERT_STRING_EQUAL(info.domain, "z");
+	}
+}
+
+#define ROUTE                                                            \
+	"{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/p/\",\"service\":" \
+	"\"s\",\"priority\":1,\"max_attempts\":2,\"slack_factor\":2.2,"  \
+	"\"target_latency_ms\":1200,\"timeout_ms\":3000,"                \
+	"\"recommendation\":{\"decision_ms\":510.0,\"interval_ms\":7.3," \
+	"\"validity_ms\":2000}}"
+
+static void
+manifest(void)
+{
+	static const struct {
+		const char *key;
+		const char *text;
+		size_t queues; /* SIZE_MAX: no document */
+		bool fault;
+	} cases[] = {
+	    {"op/config", "{\"version\":7,\"routes\":[" ROUTE "]}", 1, false},
+	    {"op/config", "{\"version\":7,\"routes\":[]}", 0, false},
+	    {"op/config", "{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
+		SIZE_MAX, true},
+	    {"op/config", "{\"routes\":[]}", SIZE_MAX, true},
+	    {"op/config", "no json", SIZE_MAX, true},
+	    {"op/wave/1", "{\"cohort\":1}", SIZE_MAX, false},
+	};
+	char fault[AGB_DETAIL_LEN];
+	struct agb_store_kv item;
+	struct wf_doc *doc;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		item = kv(cases[i].key, cases[i].text);
+		doc = platform_manifest_get(&item, fault);
+		CU_ASSERT_EQUAL(doc == NULL, cases[i].queues == SIZE_MAX);
+		CU_ASSERT_EQUAL(fault[0] != '\0', cases[i].fault);
+		if (doc == NULL)
+			continue;
+		CU_ASSERT_EQUAL(doc->queues_len, cases[i].queues);
+		CU_ASSERT_EQUAL(doc->version, 7);
+		if (doc->queues_len > 0) {
+			CU_ASSERT_EQUAL(doc->queues[0].attempts, 2);
+			CU_ASSERT_DOUBLE_EQUAL(
+			    doc->queues[0].advice_each_ms, 7.3, 1e-9);
+			CU_ASSERT_EQUAL(doc->queues[0].advice_valid_ms, 2000);
+			CU_ASSERT(doc->queues[0].advised);
+		}
+		wf_doc_free(doc);
+	}
+}
+
+/* The longest prefix of a path at its host selects the queue. */
+static void
+routes(void)
+{
+	static const struct {
+		const char *host;
+		const char *path;
+		const char *queue;
+	} cases[] = {
+	    {"h", "/a/1", "a"},
+	    {"H", "/a/1", "a"},
+	    {"h", "/a/b/1", "ab"},
+	    {"h", "/b/1", NULL},
+	    {"other", "/a/1", NULL},
+	};
+	struct wf_queue queues[2];
+	const struct wf_doc doc = {.queues = queues, .queues_len = 2};
+	const struct wf_queue *q;
+	size_t i;
+
+	memset(queues, 0, sizeof(queues));
+	strcpy(queues[0].name, "a");
+	strcpy(queues[0].host, "h");
+	strcpy(queues[0].prefix, "/a/");
+	strcpy(queues[1].name, "ab");
+	strcpy(queues[1].host, "h");
+	strcpy(queues[1].prefix, "/a/b/");
+	for (i = 0; i < LEN(cases); i++) {
+		q = wf_doc_route(&doc, cases[i].host, cases[i].path);
+		CU_ASSERT_EQUAL(q == NULL, cases[i].queue == NULL);
+		if (q != NULL && cases[i].queue != NULL)
+			CU_ASSERT_STRING_EQUAL(q->name, cases[i].queue);
+	}
+}
+
+/* Malformed jobs are refused with the place of the fault. */
+static void
+jobs(void)
+{
+	static const struct {
+		const char *body;
+		const char *fault; /* NULL: taken */
+	} cases[] = {
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":2,\"cpu\":500}]}", NULL},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":3,"
+	     "\"after\":[0],\"gang\":true,\"checkpointing\":true}]}",
+		NULL},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],\"unknown\":1}", NULL},
+	    {"not json", "the body"},
+	    {"{\"phases\":[{\"count\":1}]}", "/spec"},
+	    {"{\"spec\":\"x\",\"phases\":[]}", "/phases"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":0}]}", "/phases/0/count"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1.5}]}",
+		"/phases/0/count"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1,\"cpu\":-3}]}",
+		"/phases/0/cpu"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1,\"after\":[0]}]}",
+		"/phases/0/after/0"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1,\"affinity\":4}]}",
+		"/phases/0/affinity"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":60000}],"
+	     "\"repeat_count\":2}",
+		"/phases"},
+	};
+	struct wf_http_req req;
+	struct wf_call call;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(&req, 0, sizeof(req));
+		memset(&call, 0, sizeof(call));
+		strcpy(req.method, "POST");
+		strcpy(req.host, "h");
+		strcpy(req.path, "/p/00112233445566aa?x=1");
+		strcpy(req.deadline, "2500");
+		req.body = cases[i].body;
+		req.body_len = strlen(cases[i].body);
+		CU_ASSERT(platform_front_call(&req, &call));
+		CU_ASSERT_EQUAL(call.kind, WF_CALL_SUBMIT);
+		CU_ASSERT_EQUAL(call.deadline_ms, 2500);
+		CU_ASSERT_STRING_EQUAL(call.path, "/p/00112233445566aa");
+		CU_ASSERT_EQUAL(call.spec != NULL, cases[i].fault == NULL);
+		if (cases[i].fault != NULL)
+			CU_ASSERT_EQUAL(strncmp(call.fault, cases[i].fault,
+					    strlen(cases[i].fault)),
+			    0);
+		if (call.spec != NULL) {
+			wf_spec_free(call.spec);
+			free(call.spec);
+		}
+	}
+}
+
+static void
+answers(void)
+{
+	static const struct {
+		struct wf_reply reply;
+		const char *body;
+	} cases[] = {
+	    {{.kind = WF_CALL_GET,
+		 .http_status = 200,
+		 .state = WF_JOB_COMPLETED},
+		"{\"state\":\"completed\"}"},
+	    {{.kind = WF_CALL_QUEUE, .http_status = 200, .pending = 12},
+		"{\"pending\":12}"},
+	    {{.kind = WF_CALL_SUBMIT, .http_status = 200}, "{}"},
+	    {{.kind = WF_CALL_GET, .http_status = 410, .detail = "gone"},
+		"{\"error\":\"gone\"}"},
+	};
+	const char *type;
+	char *text;
+	size_t i, len;
+
+	for (i = 0; i < LEN(cases); i++) {
+		text = platform_front_reply(&cases[i].reply, &len, &type);
+		CU_ASSERT_STRING_EQUAL(text, cases[i].body);
+		CU_ASSERT_EQUAL(len, strlen(cases[i].body));
+		CU_ASSERT_STRING_EQUAL(type, "application/json");
+		free(text);
+	}
+}
+
+static void
+task_names(void)
+{
+	static const struct {
+		const char *name;
+		bool ok;
+	} cases[] = {
+	    {"5c0e7a21d94b36f8.0.1.17", true},
+	    {"5c0e7a21d94b36f8.3.0.0", true},
+	    {"5c0e7a21d94b36f8.0.1", false},
+	    {"5c0e7a21d94b36f8.0.1.17.2", false},
+	    {"5c0e7a21d94b36f8", false},
+	    {"5c0e7a21d94b36f85c0e7a21d94b36f8.0.0.0", false},
+	    {"", false},
+	};
+	struct wf_task_ref ref;
+	char name[96];
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		CU_ASSERT_EQUAL(
+		    platform_task_parse(cases[i].name, &ref), cases[i].ok);
+		if (!cases[i].ok)
+			continue;
+		platform_task_name(&ref, name, sizeof(name));
+		CU_ASSERT_STRING_EQUAL(name, cases[i].name);
+	}
+}
+
+static const struct suite_test tests[] = {
+    {"registry", registry},
+    {"manifest", manifest},
+    {"routes", routes},
+    {"jobs", jobs},
+    {"answers", answers},
+    {"task names", task_names},
+};
+
+int
+main(void)
+{
+	return suite_run("platform", tests, LEN(tests));
+}
--- a/tests/test_sched_faults.c
+++ b/tests/test_sched_faults.c
@@ -386,6 +386,54 @@
 	fixture_free(&f);
 }
 
+/* Guards against a gang that waits for ever: a worker was ejected when its
+ * first task failed, the failure of the second was taken for a failed trial
+ * half an hour long, and the last other worker was gone. */
+static void
+test_gang_on_last_worker(void)
+{
+	const struct agb_sched_effect *ef;
+	struct fixture f;
+	uint32_t i, k, seen, ok;
+
+	fixture_init(&f);
+	for (i = 1; i < 4; i++)
+		worker(&f, i, 1);
+	for (i = 1; i < 4; i++)
+		job(&f, 200 + i, W_FIRM, T_A, 1, 1);
+	/* Two of the three failures that eject a worker. */
+	worker(&f, 0, 2);
+	for (i = 0; i < 2; i++) {
+		job(&f, 100 + i, W_BATCH, T_A, 1, 1);
+		ef = last(&f, AGB_SCHED_START);
+		CU_ASSERT_EQUAL(ef->worker, 0);
+		ended(&f, ef->attempt, AGB_RESULT_FAILED);
+	}
+	job(&f, 0, W_GANG, T_A, 2, 1);
+	pass_time(&f, 6 * AGB_SEC);
+	/* Both tasks of its first start fail, then the others leave. */
+	seen = count(&f, AGB_SCHED_START);
+	CU_ASSERT(seen >= 5);
+	for (k = 0; k < seen; k++) {
+		ef = nth(&f, AGB_SCHED_START, k);
+		if (ef->job == 0)
+			ended(&f, ef->attempt, AGB_RESULT_FAILED);
+	}
+	for (i = 1; i < 4; i++)
+		worker_state(&f, i, AGB_WORKER_GONE);
+	ok = 0;
+	for (i = 0; i < 120; i++) {
+		pass_time(&f, AGB_SEC);
+		for (; seen < count(&f, AGB_SCHED_START); seen++) {
+			ef = nth(&f, AGB_SCHED_START, seen);
+			ended(&f, ef->attempt, AGB_RESULT_OK);
+			ok += ef->job == 0;
+		}
+	}
+	CU_ASSERT_EQUAL(ok, 2);
+	fixture_free(&f);
+}
+
 /* Guards against a rule that ejects the fleet: of ten that fail everything
  * only the part that the document allows is ejected. */
 static void
@@ -631,6 +679,7 @@
     {"overcommit_is_relieved", test_overcommit_is_relieved},
     {"fleet_shrinks", test_fleet_shrinks},
     {"bad_worker", test_bad_worker},
+    {"gang_on_last_worker", test_gang_on_last_worker},
     {"eject_cap", test_eject_cap},
     {"bad_job", test_bad_job},
     {"retry_budget", test_retry_budget},
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -5,10 +5,10 @@
  * failure or the load that it guards against.
  */
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "suite.h"
 #include "wfsim.h"
 
 #define JOB "00000000000000aa"
@@ -454,10 +454,7 @@
 		CU_ASSERT_EQUAL(sim_run_seed(seed, stdout), 0);
 }
 
-static const struct {
-	const char *name;
-	void (*fn)(void);
-} cases[] = {
+static const struct suite_test tests[] = {
     {"completes", completes},
     {"steps in order", steps_in_order},
     {"occurrences", occurrences},
@@ -486,17 +483,5 @@
 int
 main(void)
 {
-	CU_pSuite suite;
-	size_t i;
-
-	if (CU_initialize_registry() != CUE_SUCCESS)
-		return CU_get_error();
-	suite = CU_add_suite("wf_core", NULL, NULL);
-	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
-		CU_add_test(suite, cases[i].name, cases[i].fn);
-	CU_basic_set_mode(CU_BRM_VERBOSE);
-	CU_basic_run_tests();
-	i = CU_get_number_of_failures();
-	CU_cleanup_registry();
-	return i > 0 ? 1 : 0;
+	return suite_run("wf_core", tests, sizeof(tests) / sizeof(tests[0]));
 }
