--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -19,6 +19,7 @@
 #define WF_X_STEPS_MAX 64
 #define WF_X_TASKS_MAX 65536
 #define WF_X_RUNNERS_MAX 4096
+#define WF_X_DONE_MAX 8192
 #define WF_X_GANG 1
 #define WF_X_RACK_BOUND 2
 #define WF_X_SAVES 4
@@ -83,6 +84,10 @@
 	u_int state;
 	quad_t ended_ms;
 	char *detail;
+	struct {
+		u_int done_len;
+		char *done_val;
+	} done;
 	struct {
 		u_int runners_len;
 		wf_x_runner *runners_val;
@@ -95,6 +100,7 @@
 typedef struct wf_x_state wf_x_state;
 
 struct wf_x_peer {
+	int score;
 	char *rpc;
 	char *domain;
 	char *region;
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -253,6 +253,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->detail, WF_X_SAVED_MAX))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->done.done_val, (u_int *) &objp->done.done_len, WF_X_DONE_MAX))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, WF_X_RUNNERS_MAX,
 		sizeof (wf_x_runner), (xdrproc_t) xdr_wf_x_runner))
 		 return FALSE;
@@ -267,6 +269,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_int (xdrs, &objp->score))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->rpc, WF_X_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->domain, WF_X_NAME_MAX))
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -154,6 +154,7 @@
 	agb_store_op_cmp(&w->op, key, AGB_STORE_MOD_REV, wj->expect);
 	agb_store_op_put(&w->op, key, wj->raw, wj->len, 0);
 	e->dirty = false;
+	l->dirty--;
 	e->in_flight = true;
 	for (i = 0; i < e->tasks_len; i++) {
 		if (e->tasks[i].state == WF_TASK_INTENT)
@@ -218,7 +219,7 @@
 	}
 }
 
-static void
+static bool
 flush_one(struct wf_leader *l, struct wf_effects *out)
 {
 	struct wf_write *w;
@@ -237,21 +238,10 @@
 		if (w->jobs_len == JOBS_A_WRITE)
 			break;
 	}
-	if (w != NULL)
-		write_send(l, w, out);
-}
-
-static bool
-has_dirty(const struct wf_leader *l)
-{
-	const struct wf_exec *e;
-
-	DL_FOREACH(l->execs, e)
-	{
-		if (e->dirty && !e->in_flight)
-			return true;
-	}
-	return false;
+	if (w == NULL)
+		return false;
+	write_send(l, w, out);
+	return true;
 }
 
 agb_time
@@ -271,17 +261,19 @@
 		else if (w->retry_at < next)
 			next = w->retry_at;
 	}
-	while (has_dirty(l) && l->writes_len < WRITES_MAX) {
-		if (now->mono < l->flush_at) {
-			if (l->flush_at < next)
-				next = l->flush_at;
+	if (l->dirty > 0 && now->mono < l->flush_at && l->flush_at < next)
+		next = l->flush_at;
+	while (l->dirty > 0 && now->mono >= l->flush_at &&
+	    l->writes_len < WRITES_MAX) {
+		if (!flush_one(l, out))
 			break;
-		}
-		flush_one(l, out);
-		if (!has_dirty(l))
+		if (l->dirty == 0)
 			l->flush_at = now->mono + FLUSH_GAP_MS * AGB_MS;
 	}
-	free_ended(l);
+	if (l->ended) {
+		l->ended = false;
+		free_ended(l);
+	}
 	if (now->mono >= l->next_collect && l->writes_len < WRITES_MAX) {
 		l->next_collect = now->mono + COLLECT_EVERY_MS * AGB_MS;
 		collect(l, now, out);
@@ -329,6 +321,7 @@
 			wf_leader_show(l, j->id, j->state);
 		}
 		j->exec->in_flight = false;
+		l->ended = l->ended || wf_job_final(j->exec->state);
 		if (wf_leader_may_order(l, now->mono))
 			wf_commit_starts(l, now, j->exec, out);
 		else
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -8,6 +8,8 @@
 
 /* Least time between two passes over the queue. */
 #define PASS_GAP_MS 8
+/* The gap grows by 1 ms for each so many units that wait. */
+#define PASS_GAP_UNITS 12
 /* A pass comes at least this often while units wait. */
 #define PASS_IDLE_MS 50
 /* An objective is out of reach after this multiple of its time; a job that
@@ -399,20 +401,35 @@
 	return n;
 }
 
+/* A runner whose room is planned: what is free, and what will be. */
+struct plan {
+	uint32_t runner;
+	struct agb_resources room;
+	struct ending ends[ENDS_MAX];
+	size_t ends_len;
+};
+
+static void
+plan_make(const struct pass *p, uint32_t ri, struct plan *pl)
+{
+	pl->runner = ri;
+	pl->room = wf_fleet_free(&p->l->runners[ri]);
+	agb_resources_sub(&pl->room, &p->keeps[ri].need);
+	pl->ends_len = endings(p, ri, pl->ends);
+}
+
 /* How many tasks of the unit a runner is expected to hold at a time. */
 static uint32_t
-fit_by(
-    const struct pass *p, const struct wf_unit *u, uint32_t ri, agb_time when)
+fit_by(const struct pass *p, const struct wf_unit *u, const struct plan *pl,
+    agb_time when)
 {
-	struct agb_resources room = wf_fleet_free(&p->l->runners[ri]);
-	struct ending list[ENDS_MAX];
-	size_t i, n;
+	struct agb_resources room = pl->room;
+	size_t i;
 
-	agb_resources_sub(&room, &p->keeps[ri].need);
-	n = endings(p, ri, list);
-	for (i = 0; i < n && list[i].at <= when; i++)
-		agb_resources_add(&room, &list[i].need);
-	return spread_cap(u, &p->l->runners[ri], fit_in(room, wf_unit_step(u)));
+	for (i = 0; i < pl->ends_len && pl->ends[i].at <= when; i++)
+		agb_resources_add(&room, &pl->ends[i].need);
+	return spread_cap(u, &p->l->runners[pl->runner],
+	    fit_in(room, wf_unit_step(u)));
 }
 
 /* Runners on which the unit may run, whatever their tickets. */
@@ -442,23 +459,23 @@
 }
 
 static uint64_t
-room_by(const struct pass *p, const struct wf_unit *u, const uint32_t *list,
-    size_t len, agb_time when)
+room_by(const struct pass *p, const struct wf_unit *u,
+    const struct plan *plans, size_t len, agb_time when)
 {
 	uint64_t room;
 	size_t i;
 
 	room = 0;
 	for (i = 0; i < len; i++)
-		room += fit_by(p, u, list[i], when);
+		room += fit_by(p, u, &plans[i], when);
 	return room;
 }
 
 /* Earliest time, of some steps apart, at which the whole unit is expected to
  * find room; AGB_TIME_MAX when that is not in sight. */
 static agb_time
-room_from(const struct pass *p, const struct wf_unit *u, const uint32_t *list,
-    size_t len)
+room_from(const struct pass *p, const struct wf_unit *u,
+    const struct plan *plans, size_t len)
 {
 	static const uint32_t steps_ms[] = {
 	    0, 300, 600, 1000, 1500, 2000, 3000, 4000, 6000, 8000, 12000};
@@ -467,7 +484,7 @@
 	for (i = 0; i < sizeof(steps_ms) / sizeof(steps_ms[0]); i++) {
 		const agb_time when = p->now->mono + steps_ms[i] * AGB_MS;
 
-		if (room_by(p, u, list, len, when) >= u->waiting)
+		if (room_by(p, u, plans, len, when) >= u->waiting)
 			return when;
 	}
 	return AGB_TIME_MAX;
@@ -493,25 +510,25 @@
 reserve(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	uint32_t list[WF_ADVICE_MAX * 4];
+	struct plan *plans;
 	uint32_t fit, left, most;
 	size_t len, i, best;
 	agb_time from;
 
-	if (p->l->runners_len > WF_ADVICE_MAX * 4)
-		return AGB_TIME_MAX;
-	len = possible(p, u, q, list);
-	from = room_from(p, u, list, len);
-	if (from == AGB_TIME_MAX)
-		return from;
-	p->reserved++;
-	left = u->waiting;
+	len = possible(p, u, q, p->stale);
+	plans = agb_xcalloc(len + 1, sizeof(*plans));
+	for (i = 0; i < len; i++)
+		plan_make(p, p->stale[i], &plans[i]);
+	from = room_from(p, u, plans, len);
+	p->reserved += from != AGB_TIME_MAX;
+	left = from != AGB_TIME_MAX ? u->waiting : 0;
 	while (left > 0) {
 		best = len;
 		most = 0;
 		for (i = 0; i < len; i++) {
-			fit = list[i] == WF_NONE ? 0
-						 : fit_by(p, u, list[i], from);
+			fit = plans[i].runner == WF_NONE
+			    ? 0
+			    : fit_by(p, u, &plans[i], from);
 			if (fit > most) {
 				most = fit;
 				best = i;
@@ -520,10 +537,11 @@
 		if (best == len)
 			break;
 		most = most < left ? most : left;
-		keep_at(p, step, list[best], most, from);
+		keep_at(p, step, plans[best].runner, most, from);
 		left -= most;
-		list[best] = WF_NONE;
+		plans[best].runner = WF_NONE;
 	}
+	free(plans);
 	return from;
 }
 
@@ -635,6 +653,7 @@
 	struct pass p = {.l = l, .now = now, .out = out};
 	const struct wf_queue *q;
 	struct entry *list;
+	agb_time gap;
 	size_t len, i;
 
 	if (l->queue_len == 0 || l->doc == NULL ||
@@ -644,8 +663,9 @@
 		return now->mono + PASS_GAP_MS * AGB_MS;
 	if (!l->changed && now->mono < l->dispatch_at + PASS_IDLE_MS * AGB_MS)
 		return l->dispatch_at + PASS_IDLE_MS * AGB_MS;
-	if (now->mono < l->dispatch_at + PASS_GAP_MS * AGB_MS)
-		return l->dispatch_at + PASS_GAP_MS * AGB_MS;
+	gap = (PASS_GAP_MS + l->queue_len / PASS_GAP_UNITS) * AGB_MS;
+	if (now->mono < l->dispatch_at + gap)
+		return l->dispatch_at + gap;
 	l->dispatch_at = now->mono;
 	l->changed = false;
 	len = sort_queue(l, now->mono, &list);
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -19,7 +19,6 @@
 enum {
 	REC_WAIT,
 	REC_ACTIVE,
-	REC_DONE,
 };
 
 const struct wf_step *
@@ -68,8 +67,10 @@
 {
 	l->gen++;
 	/* The oldest change that is not durable counts. */
-	if (!e->dirty)
+	if (!e->dirty) {
 		e->gen = l->gen;
+		l->dirty++;
+	}
 	e->dirty = true;
 }
 
@@ -170,12 +171,6 @@
 		u->run = x->run;
 	if (wf_unit_step(u)->gang && x->failures > u->failures)
 		u->failures = x->failures;
-	if (x->state == REC_DONE) {
-		t->state = WF_TASK_DONE;
-		u->done++;
-		u->waiting--;
-		return;
-	}
 	if (x->state != REC_ACTIVE || x->runner >= st->runners.runners_len)
 		return;
 	t->runner =
@@ -191,6 +186,31 @@
 	count_at(l, u, t);
 }
 
+static bool
+is_done(const struct wf_x_state *x, uint32_t task)
+{
+	return task / 8 < x->done.done_len &&
+	    ((unsigned char)x->done.done_val[task / 8] >> (task % 8) & 1) != 0;
+}
+
+static void
+restore_done(struct wf_exec *e, const struct wf_x_state *x)
+{
+	struct wf_unit *u;
+	uint32_t i, k;
+
+	for (i = 0; i < e->units_len; i++) {
+		u = &e->units[i];
+		for (k = 0; k < wf_unit_step(u)->count; k++) {
+			if (!is_done(x, u->first + k))
+				continue;
+			e->tasks[u->first + k].state = WF_TASK_DONE;
+			u->done++;
+			u->waiting--;
+		}
+	}
+}
+
 static void
 restore(struct wf_leader *l, const struct wf_now *now, struct wf_exec *e,
     struct wf_effects *out)
@@ -207,6 +227,7 @@
 		return;
 	}
 	e->state = (enum wf_job_state)x.state;
+	restore_done(e, &x);
 	u = e->units;
 	for (i = 0; i < x.tasks.tasks_len; i++) {
 		k = x.tasks.tasks_val[i].index;
@@ -255,6 +276,8 @@
 		e->tasks[i].avoid = WF_NONE;
 	}
 	DL_APPEND(l->execs, e);
+	if (s->first_ms > 0)
+		l->timed++;
 	restore(l, now, e, out);
 	wf_effects_log(out, AGB_LOG_INFO, "job",
 	    "job=%s queue=%s steps=%" PRIu32 " tasks=%" PRIu32
@@ -284,8 +307,11 @@
 		free(e->tasks[i].saved);
 	}
 	DL_DELETE(l->execs, e);
-	if (e->job != NULL)
-		e->job->exec = NULL;
+	if (e->dirty)
+		l->dirty--;
+	if (e->job->spec.first_ms > 0)
+		l->timed--;
+	e->job->exec = NULL;
 	free(e->units);
 	free(e->tasks);
 	free(e);
@@ -325,6 +351,7 @@
 
 	if (wf_job_final(e->state))
 		return;
+	l->ended = true;
 	e->state = state;
 	e->ended_ms = now->unix_ms;
 	agb_name_set(e->detail, sizeof(e->detail), why);
@@ -389,6 +416,8 @@
 	int64_t at, next;
 	uint32_t i;
 
+	if (l->timed == 0)
+		return AGB_TIME_MAX;
 	next = INT64_MAX;
 	DL_FOREACH(l->execs, e)
 	{
@@ -434,14 +463,12 @@
 	xt->index = i;
 	xt->run = t->run;
 	xt->failures = t->failures;
-	if (t->state == WF_TASK_DONE) {
-		xt->state = REC_DONE;
-	} else if (t->holds) {
+	if (t->holds) {
 		xt->state = REC_ACTIVE;
 		xt->runner =
 		    record_runner(x, &l->runners[t->runner], t->born_ms);
 	}
-	if (t->saved != NULL && t->state != WF_TASK_DONE) {
+	if (t->saved != NULL) {
 		xt->saved.saved_val = t->saved;
 		xt->saved.saved_len = (u_int)strlen(t->saved);
 	}
@@ -462,16 +489,22 @@
 	    agb_xcalloc(e->tasks_len + 1, sizeof(struct wf_x_runner));
 	x.tasks.tasks_val =
 	    agb_xcalloc(e->tasks_len + 1, sizeof(struct wf_x_task));
+	x.done.done_len = (e->tasks_len + 7) / 8;
+	x.done.done_val = agb_xcalloc(x.done.done_len + 1, 1);
 	for (i = 0; i < e->tasks_len; i++) {
 		/* A later leader stops what it finds of an ended job. */
 		if (wf_job_final(e->state))
 			break;
-		if (e->tasks[i].run > 0 || e->tasks[i].state != WF_TASK_WAIT)
+		if (e->tasks[i].state == WF_TASK_DONE)
+			x.done.done_val[i / 8] = (char)(x.done.done_val[i / 8] |
+			    1 << (i % 8));
+		else if (e->tasks[i].run > 0)
 			record_task(l, e, i, &x);
 	}
 	raw = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, len);
 	free(x.runners.runners_val);
 	free(x.tasks.tasks_val);
+	free(x.done.done_val);
 	return raw;
 }
 
@@ -518,6 +551,7 @@
 		l->stops--;
 	}
 	l->changed = true;
+	l->ended = l->ended || wf_job_final(u->exec->state);
 }
 
 /* A task is not at its runner any more and has not ended done. */
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -22,6 +22,7 @@
 #define HOLD_WAIT_MS 500
 #define HOLD_TIMEOUT_MS 1100
 #define HOLD_GAP_MS 10
+#define TICK_GAP_MS 3
 /* A hold would return at once while ends are listed that are not durable. */
 #define HOLD_ACK_GAP_MS 80
 #define HOLD_RETRY_MS 200
@@ -923,6 +924,10 @@
 	agb_time next;
 	uint32_t ri;
 
+	/* Many events come within one such gap on a large fleet. */
+	if (now->mono < l->fleet_at)
+		return l->fleet_at;
+	l->fleet_at = now->mono + TICK_GAP_MS * AGB_MS;
 	next = now->mono + AGB_SEC;
 	for (ri = 0; ri < l->runners_len; ri++) {
 		if (l->runners[ri].used)
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -278,6 +278,9 @@
  * @due_at: when an occurrence falls due
  * @starts_held: intents became durable while the lease was in doubt
  * @lost: another instance leads
+ * @dirty: jobs whose record has to be written
+ * @timed: jobs with a time of their first occurrence
+ * @ended: a job may have ended and have nothing left at runners
  * @changed: something that placement depends on has changed
  */
 struct wf_leader {
@@ -296,6 +299,9 @@
 	struct wf_unit *queue;
 	uint32_t queue_len;
 	uint32_t stops;
+	uint32_t dirty;
+	uint32_t timed;
+	bool ended;
 	bool changed;
 	agb_time dispatch_at;
 	uint64_t gen;
@@ -315,6 +321,8 @@
 	size_t shows_len;
 	size_t shows_cap;
 	agb_time show_at;
+	agb_time count_at;
+	agb_time fleet_at;
 	agb_time due_at;
 	bool starts_held;
 	bool lost;
--- a/src/workflow/wf_record.x
+++ b/src/workflow/wf_record.x
@@ -9,6 +9,7 @@
 const WF_X_STEPS_MAX = 64;
 const WF_X_TASKS_MAX = 65536;
 const WF_X_RUNNERS_MAX = 4096;
+const WF_X_DONE_MAX = 8192;
 
 /* Values of wf_x_step.flags. */
 const WF_X_GANG = 1;
@@ -45,7 +46,7 @@
 	wf_x_step steps<WF_X_STEPS_MAX>;
 };
 
-/* A task that has been started at least once. runner indexes runners of its
+/* A task that has been started and is not done. runner indexes runners of its
  * state; it holds while the task may run there. */
 struct wf_x_task {
 	unsigned int index;
@@ -65,11 +66,14 @@
 	unsigned int state;
 	hyper ended_ms;
 	string detail<WF_X_SAVED_MAX>;
+	opaque done<WF_X_DONE_MAX>; /* bit set of the tasks that are done */
 	wf_x_runner runners<WF_X_RUNNERS_MAX>;
 	wf_x_task tasks<WF_X_TASKS_MAX>;
 };
 
+/* score: the higher, the sooner it stands for election. */
 struct wf_x_peer {
+	int score;
 	string rpc<WF_X_NAME_MAX>;
 	string domain<WF_X_NAME_MAX>;
 	string region<WF_X_NAME_MAX>;
