--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -186,7 +186,7 @@
 			w = write_new(l);
 		wf_table_key(key, 'j', j->id);
 		agb_store_op_delete(&w->op, key, NULL);
-		wf_table_key(key, 'c', j->id);
+		wf_table_key(key, 'k', j->id);
 		if (j->cancel_rev > 0)
 			agb_store_op_delete(&w->op, key, NULL);
 		wf_table_key(key, 's', j->id);
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -15,16 +15,32 @@
 #define RENEW_MS 300
 #define RENEW_RETRY_MS 100
 #define STORE_TIMEOUT_MS 1000
-/* An instance further from the store waits longer before it stands for
- * election, so that the leader is near the store when it can be. */
-#define ELECT_MS 10
-#define ELECT_RTT_FACTOR 4
-#define ELECT_JITTER_MS 20
+/* Instances stand for election in the order of their scores: the leader does
+ * the most work and is best near the store. */
+#define ELECT_MS 5
+#define ELECT_RANK_MS 40
+#define ELECT_JITTER_MS 10
 #define ELECT_RETRY_MS 200
+/* The score of an instance is its share of a processor in permille, less this
+ * for each millisecond to the store. */
+#define SCORE_RTT 8
+/* Instances that follow all jobs, so that one of them can lead at once. When
+ * none of them does, the others read the jobs after this. */
+#define STANDBYS 3
+#define LEADERLESS_MS 350
 /* How often the copy of the store is brought up to date. */
 #define PACE_ELECTION_MS 10
 #define PACE_LEADER_MS 100
 #define PACE_OTHER_MS 250
+/* The leader tells states and counts; without a word for this long what is
+ * known here may be old. */
+#define PUSH_SILENT_MS 1300
+/* Ended jobs that only this instance still shows are dropped after their
+ * time, and looked for this often. */
+#define EXPIRE_MS 5000
+#define EXPIRE_SLACK_MS 20000
+/* Peers that an instance asks, beside the leader: the next ones by name. */
+#define PING_RING 5
 /* Without an answer of the store for this long, new requests are better
  * served elsewhere. */
 #define READY_STORE_MS 1500
@@ -73,7 +89,6 @@
 	struct wf_leader *leader;
 	struct wf_doc *doc;
 	uint64_t random;
-	bool synced;
 	bool ready;
 	bool ready_known;
 	bool draining;
@@ -95,7 +110,18 @@
 	agb_time isolated_at;
 	agb_time resigned_at;
 	bool registry_on;
-	uint32_t pace;
+	struct {
+		bool on;
+		bool synced;
+		uint32_t pace;
+		uint64_t revision;
+	} feeds[WF_FEEDS];
+	uint64_t barrier_jobs;
+	uint64_t barrier_states;
+	uint32_t rank;
+	agb_time leaderless_at;
+	agb_time push_at;
+	agb_time expire_at;
 	agb_time next;
 	uint64_t next_tag;
 	struct peer_ask *asks;
@@ -157,12 +183,32 @@
 }
 
 static void
-set_pace(struct wf_core *c, uint32_t ms, struct wf_effects *out)
+set_pace(
+    struct wf_core *c, enum wf_feed_id id, uint32_t ms, struct wf_effects *out)
 {
-	if (c->pace == ms)
+	struct wf_effect *ef;
+
+	if (!c->feeds[id].on || c->feeds[id].pace == ms)
 		return;
-	c->pace = ms;
-	wf_effects_add(out, WF_EF_FEED_PACE)->gap_ms = ms;
+	c->feeds[id].pace = ms;
+	ef = wf_effects_add(out, WF_EF_FEED_PACE);
+	ef->feed = id;
+	ef->gap_ms = ms;
+}
+
+static void
+follow(struct wf_core *c, enum wf_feed_id id, bool on, struct wf_effects *out)
+{
+	struct wf_effect *ef;
+
+	if (c->feeds[id].on == on)
+		return;
+	c->feeds[id].on = on;
+	c->feeds[id].synced = false;
+	c->feeds[id].pace = 0;
+	ef = wf_effects_add(out, WF_EF_FOLLOW);
+	ef->feed = id;
+	ef->on = on;
 }
 
 static void
@@ -226,6 +272,7 @@
 	char *raw;
 
 	memset(&x, 0, sizeof(x));
+	x.score = (int)c->cfg.cpu_permille - (int)(c->rtt / AGB_MS) * SCORE_RTT;
 	x.rpc = c->cfg.rpc;
 	x.domain = c->cfg.domain;
 	x.region = c->cfg.region;
@@ -244,6 +291,10 @@
 	agb_store_op_cmp(op, WF_KEY_LEADER, AGB_STORE_MOD_REV, 0);
 	agb_store_op_put(
 	    op, WF_KEY_LEADER, c->cfg.name, strlen(c->cfg.name), c->lease);
+	agb_store_op_put(
+	    op, WF_KEY_BARRIER_JOBS, c->cfg.name, strlen(c->cfg.name), 0);
+	agb_store_op_put(
+	    op, WF_KEY_BARRIER_STATES, c->cfg.name, strlen(c->cfg.name), 0);
 	c->electing = true;
 }
 
@@ -345,6 +396,14 @@
 	    now->mono >= c->valid_until || c->draining ||
 	    c->table.leader_rev == c->lost_rev)
 		return;
+	/* The copy has to show all that earlier leaders have written. */
+	if (!c->feeds[WF_FEED_JOBS].synced ||
+	    !c->feeds[WF_FEED_STATES].synced ||
+	    (c->barrier_jobs < c->table.leader_rev &&
+		c->feeds[WF_FEED_JOBS].revision < c->table.leader_rev) ||
+	    (c->barrier_states < c->table.leader_rev &&
+		c->feeds[WF_FEED_STATES].revision < c->table.leader_rev))
+		return;
 	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
 	    &(struct wf_limits){
 		.status_s = c->cfg.status_s, .remote_x = c->cfg.remote_x},
@@ -367,11 +426,34 @@
 	return n;
 }
 
+/* Instances that stand for election before this one. */
+static void
+rank_peers(struct wf_core *c)
+{
+	const struct wf_peer *p, *self;
+	uint32_t n;
+
+	for (self = c->table.peers; self != NULL; self = self->hh.next) {
+		if (strcmp(self->name, c->cfg.name) == 0)
+			break;
+	}
+	n = 0;
+	for (p = c->table.peers; self != NULL && p != NULL; p = p->hh.next) {
+		if (strcmp(p->name, c->table.leader) == 0 || p == self)
+			continue;
+		n += p->score > self->score ||
+		    (p->score == self->score &&
+			strcmp(p->name, self->name) < 0);
+	}
+	c->rank = self != NULL ? n : UINT32_MAX;
+}
+
 static void
 leader_changed(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
+	uint32_t rank;
 
 	wf_effects_log(out, AGB_LOG_INFO, "leader",
 	    "leader=%s revision=%" PRIu64,
@@ -380,12 +462,16 @@
 	if (c->leader != NULL &&
 	    (!mine || c->leader->fence != c->table.leader_rev))
 		step_down(c, "another instance has been elected", out);
-	if (c->table.leader[0] == '\0')
+	rank_peers(c);
+	if (c->table.leader[0] == '\0') {
+		c->leaderless_at = now->mono;
+		rank = c->rank < STANDBYS ? c->rank : STANDBYS;
 		c->elect_at = now->mono +
-		    (ELECT_MS + jitter(c, ELECT_JITTER_MS) +
+		    (ELECT_MS + ELECT_RANK_MS * rank +
+			jitter(c, ELECT_JITTER_MS) +
 			ELECT_SILENT_MS * peers_silent(c, now->mono)) *
-			AGB_MS +
-		    ELECT_RTT_FACTOR * c->rtt;
+			AGB_MS;
+	}
 	try_lead(c, now, out);
 }
 
@@ -412,6 +498,33 @@
 		wf_exec_free(c->leader, j->exec);
 }
 
+static void
+feed_begin(struct wf_core *c, const struct wf_feed *feed)
+{
+	if (!feed->full)
+		return;
+	if (feed->id == WF_FEED_CONTROL)
+		wf_table_mark_control(&c->table);
+	else if (feed->id == WF_FEED_JOBS)
+		wf_table_mark_jobs(&c->table);
+}
+
+static void
+feed_end(struct wf_core *c, const struct wf_feed *feed, struct wf_effects *out)
+{
+	c->feeds[feed->id].revision = feed->revision;
+	if (!feed->full)
+		return;
+	if (feed->id == WF_FEED_CONTROL)
+		wf_table_sweep_control(&c->table);
+	else if (feed->id == WF_FEED_JOBS)
+		wf_table_sweep_jobs(&c->table, feed->revision, job_dropped, c);
+	c->feeds[feed->id].synced = true;
+	wf_effects_log(out, AGB_LOG_INFO, "sync",
+	    "feed=%d revision=%" PRIu64 " keys=%zu jobs=%u", (int)feed->id,
+	    feed->revision, feed->items_len, HASH_COUNT(c->table.jobs));
+}
+
 static void
 on_feed(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
     struct wf_effects *out)
@@ -420,14 +533,19 @@
 	bool peers, leader;
 	size_t i;
 
-	peers = feed->full;
-	leader = false;
-	if (feed->full)
-		wf_table_mark_all(&c->table);
+	/* A delivery that was on its way when its feed was given up. */
+	if (!c->feeds[feed->id].on)
+		return;
+	peers = leader = feed->full && feed->id == WF_FEED_CONTROL;
+	feed_begin(c, feed);
 	for (i = 0; i < feed->items_len; i++) {
 		ch = wf_table_apply(&c->table, &feed->items[i]);
 		peers = peers || ch.peers;
 		leader = leader || ch.leader;
+		if (ch.barrier_jobs > 0)
+			c->barrier_jobs = ch.barrier_jobs;
+		if (ch.barrier_states > 0)
+			c->barrier_states = ch.barrier_states;
 		if (ch.malformed)
 			wf_effects_log(out, AGB_LOG_ERROR, "record",
 			    "key=%s malformed=yes revision=%" PRIu64,
@@ -435,17 +553,11 @@
 		if (ch.job != NULL && c->leader != NULL)
 			wf_leader_job(c->leader, now, ch.job, out);
 	}
-	if (feed->full) {
-		wf_table_sweep(&c->table, feed->revision, job_dropped, c);
-		leader = true;
-		c->synced = true;
-		wf_effects_log(out, AGB_LOG_INFO, "sync",
-		    "revision=%" PRIu64 " keys=%zu jobs=%u", feed->revision,
-		    feed->items_len, HASH_COUNT(c->table.jobs));
-	}
-	c->table.revision = feed->revision;
+	feed_end(c, feed, out);
 	if (peers)
 		allow_peers(c, out);
+	if (peers && !leader)
+		rank_peers(c);
 	if (leader)
 		leader_changed(c, now, out);
 }
@@ -543,6 +655,7 @@
 	struct wf_table_change ch;
 	size_t i;
 
+	c->push_at = now->mono;
 	for (i = 0; i < feed->items_len; i++) {
 		ch = wf_table_apply(&c->table, &feed->items[i]);
 		if (ch.job != NULL && c->leader != NULL)
@@ -656,6 +769,43 @@
 	}
 }
 
+/* Peers whose name follows that of another among all instances, in a ring. */
+static uint32_t
+ring_distance(const struct wf_core *c, const struct wf_peer *to)
+{
+	const struct wf_peer *p;
+	uint32_t before_self, before_to, n;
+
+	before_self = before_to = n = 0;
+	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		n++;
+		before_self += strcmp(p->name, c->cfg.name) < 0;
+		before_to += strcmp(p->name, to->name) < 0;
+	}
+	return n > 0 ? (before_to + n - before_self) % n : 0;
+}
+
+/* The leader asks all others, the rest only some: all pairs of a large
+ * deployment would cost small machines too much. */
+static void
+choose_pinged(struct wf_core *c)
+{
+	struct wf_peer *p;
+	bool pinged;
+
+	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		pinged = strcmp(p->name, c->cfg.name) != 0 &&
+		    (c->leader != NULL ||
+			strcmp(p->name, c->table.leader) == 0 ||
+			ring_distance(c, p) <= PING_RING);
+		if (pinged && !p->pinged)
+			p->since = 0;
+		if (pinged != p->pinged)
+			p->heard_at = 0;
+		p->pinged = pinged;
+	}
+}
+
 static void
 ping_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
@@ -667,11 +817,12 @@
 		return;
 	}
 	c->ping_at = now->mono + PING_MS * AGB_MS;
+	choose_pinged(c);
 	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		if (!p->pinged || p->ping_tag != 0)
+			continue;
 		if (p->since == 0)
 			p->since = now->mono;
-		if (p->ping_tag != 0 || strcmp(p->name, c->cfg.name) == 0)
-			continue;
 		p->ping_tag = PING_TAG | ++c->next_tag;
 		ef = wf_effects_add(out, WF_EF_PEER_PING);
 		ef->tag = p->ping_tag;
@@ -741,8 +892,10 @@
 		c->op_next = now->mono;
 	}
 	try_lead(c, now, out);
-	if (c->leader != NULL || c->draining || !c->synced || c->doc == NULL ||
-	    c->table.leader[0] != '\0')
+	if (c->leader != NULL || c->draining || c->doc == NULL ||
+	    !c->feeds[WF_FEED_CONTROL].synced ||
+	    !c->feeds[WF_FEED_JOBS].synced ||
+	    !c->feeds[WF_FEED_STATES].synced || c->table.leader[0] != '\0')
 		return;
 	if (c->electing || c->lease == 0 || now->mono >= c->valid_until)
 		return;
@@ -755,8 +908,8 @@
 static void
 tick_ready(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	const bool ready = !c->draining && c->doc != NULL && c->synced &&
-	    c->heard_at > 0 &&
+	const bool ready = !c->draining && c->doc != NULL &&
+	    c->feeds[WF_FEED_CONTROL].synced && c->heard_at > 0 &&
 	    now->mono - c->heard_at < READY_STORE_MS * AGB_MS;
 
 	if (c->ready_known && ready == c->ready)
@@ -767,7 +920,7 @@
 	wf_effects_log(out, AGB_LOG_INFO, "ready",
 	    "ready=%s document=%" PRIu64 " synced=%s store_ms_ago=%" PRIu64,
 	    ready ? "yes" : "no", c->doc != NULL ? c->doc->version : 0,
-	    c->synced ? "yes" : "no",
+	    c->feeds[WF_FEED_CONTROL].synced ? "yes" : "no",
 	    c->heard_at > 0 ? (now->mono - c->heard_at) / AGB_MS : 0);
 }
 
@@ -795,6 +948,60 @@
 	wf_effects_add(out, WF_EF_EXIT);
 }
 
+/* Who leads follows what callers hand in; those who may lead next follow how
+ * far it is, too. */
+static void
+tick_feeds(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	const bool leaderless = c->table.leader[0] == '\0';
+	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
+	bool jobs, states;
+	uint32_t pace;
+
+	follow(c, WF_FEED_CONTROL, true, out);
+	if (!c->feeds[WF_FEED_CONTROL].synced)
+		return;
+	states = c->rank < STANDBYS || (mine && c->leader == NULL) ||
+	    (leaderless &&
+		(c->feeds[WF_FEED_STATES].on ||
+		    now->mono >= c->leaderless_at + LEADERLESS_MS * AGB_MS));
+	states = states && !c->draining && c->leader == NULL;
+	jobs = states || c->leader != NULL;
+	follow(c, WF_FEED_JOBS, jobs, out);
+	follow(c, WF_FEED_STATES, states, out);
+	if (leaderless && !states)
+		c->next =
+		    sooner(c->next, c->leaderless_at + LEADERLESS_MS * AGB_MS);
+	pace = leaderless || (mine && c->leader == NULL) ? PACE_ELECTION_MS
+	    : c->leader != NULL				 ? PACE_LEADER_MS
+							 : PACE_OTHER_MS;
+	set_pace(c, WF_FEED_JOBS, pace, out);
+	set_pace(c, WF_FEED_STATES, pace, out);
+}
+
+static void
+tick_front(struct wf_core *c, const struct wf_now *now)
+{
+	const bool store = now->mono - c->heard_at <= SILENT_STORE_MS * AGB_MS;
+	const bool whole = c->leader != NULL ||
+	    (c->feeds[WF_FEED_JOBS].synced && c->feeds[WF_FEED_STATES].synced &&
+		store);
+
+	wf_front_fresh(c->front,
+	    whole ||
+		(c->push_at > 0 &&
+		    now->mono - c->push_at < PUSH_SILENT_MS * AGB_MS),
+	    whole);
+	if (now->mono < c->expire_at)
+		return;
+	c->expire_at = now->mono + EXPIRE_MS * AGB_MS;
+	if (!c->feeds[WF_FEED_JOBS].on &&
+	    now->mono > c->cfg.status_s * AGB_SEC + EXPIRE_SLACK_MS * AGB_MS)
+		wf_table_expire(&c->table, now->mono,
+		    now->mono - c->cfg.status_s * AGB_SEC -
+			EXPIRE_SLACK_MS * AGB_MS);
+}
+
 static void
 tick(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
@@ -807,10 +1014,8 @@
 		c->leader->valid_until = c->valid_until;
 		c->next = sooner(c->next, wf_leader_tick(c->leader, now, out));
 	}
-	set_pace(c,
-	    c->leader != NULL || c->table.leader[0] == '\0' ? PACE_LEADER_MS
-							    : PACE_OTHER_MS,
-	    out);
+	tick_feeds(c, now, out);
+	tick_front(c, now);
 	wf_front_store_silent(
 	    c->front, now->mono - c->heard_at > SILENT_STORE_MS * AGB_MS);
 	c->next = sooner(c->next, wf_front_tick(c->front, now, out));
@@ -880,7 +1085,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->document = c->doc != NULL ? c->doc->version : 0;
-	out->store_revision = c->table.revision;
+	out->store_revision = c->feeds[WF_FEED_CONTROL].revision;
 	out->ready = c->ready;
 	out->jobs = HASH_COUNT(c->table.jobs);
 	for (j = c->table.jobs; j != NULL; j = j->hh.next)
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -17,6 +17,7 @@
  * @name: unique name of this start of the instance
  * @rpc: where other instances reach it
  * @seed: of the jitter of its waits
+ * @cpu_permille: its share of a processor
  * @grace_ms: longest time from WF_EV_TERM to WF_EF_EXIT
  * @status_s: how long the state of an ended job stays known
  * @remote_x: factor on run times away from data
@@ -27,6 +28,7 @@
 	agb_id domain;
 	agb_id region;
 	uint64_t seed;
+	uint32_t cpu_permille;
 	uint32_t grace_ms;
 	uint32_t status_s;
 	double remote_x;
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -29,10 +29,12 @@
 
 /* Tags of what is followed; all others belong to the reducer. */
 #define FOLLOW_TAG ((uint64_t)7 << 60)
-#define TAG_STATE (FOLLOW_TAG | 1)
+#define TAG_FEEDS (FOLLOW_TAG | 64)
 #define TAG_DOCUMENT (FOLLOW_TAG | 2)
-#define TAG_LEADER (FOLLOW_TAG | 4)
-#define TAG_REGISTRY (FOLLOW_TAG | 16)
+/* Each start of a registry or a feed has a tag of its own: answers to an
+ * earlier one are told apart. Registries count from here, feeds from
+ * TAG_FEEDS. */
+#define TAG_REGISTRY (FOLLOW_TAG | (uint64_t)1 << 32)
 
 /* Tags of calls to peers: pushes need no answer, puts carry the front's tag,
  * whose top bit is set; all others ask for advice. */
@@ -59,9 +61,12 @@
 	struct agb_rpc *rpc;
 	struct agb_store *store;
 	struct wf_adapter *adapter;
-	struct wf_follow *state;
+	struct {
+		uint64_t tag;
+		struct wf_follow *follow;
+	} feeds[WF_FEEDS];
+	uint64_t feed_starts;
 	struct wf_follow *document;
-	struct wf_follow *leader;
 	struct wf_follow *registry;
 	uint64_t registry_tag;
 	agb_addr *allowed;
@@ -98,28 +103,38 @@
 }
 
 static void
-on_state(void *arg, bool full, uint64_t revision,
+on_own(struct daemon *d, enum wf_feed_id id, bool full, uint64_t revision,
     const struct agb_store_kv *kvs, size_t len)
 {
 	struct wf_event ev = {.type = WF_EV_FEED};
 
+	ev.u.feed.id = id;
 	ev.u.feed.full = full;
 	ev.u.feed.revision = revision;
 	ev.u.feed.items = kvs;
 	ev.u.feed.items_len = len;
-	feed(arg, &ev);
+	feed(d, &ev);
 }
 
-/* The copy of the state is read in batches; the end of a leader is not left
- * to wait for the next one. */
 static void
-on_leader(void *arg, bool full, uint64_t revision,
+on_control(void *arg, bool full, uint64_t revision,
     const struct agb_store_kv *kvs, size_t len)
 {
-	struct daemon *const d = arg;
+	on_own(arg, WF_FEED_CONTROL, full, revision, kvs, len);
+}
 
-	if (!full && d->state != NULL)
-		wf_follow_poke(d->state);
+static void
+on_jobs(void *arg, bool full, uint64_t revision, const struct agb_store_kv *kvs,
+    size_t len)
+{
+	on_own(arg, WF_FEED_JOBS, full, revision, kvs, len);
+}
+
+static void
+on_states(void *arg, bool full, uint64_t revision,
+    const struct agb_store_kv *kvs, size_t len)
+{
+	on_own(arg, WF_FEED_STATES, full, revision, kvs, len);
 }
 
 static void
@@ -182,12 +197,14 @@
 static struct wf_follow *
 follow_of(struct daemon *d, uint64_t tag)
 {
-	if (tag == TAG_STATE)
-		return d->state;
+	size_t i;
+
 	if (tag == TAG_DOCUMENT)
 		return d->document;
-	if (tag == TAG_LEADER)
-		return d->leader;
+	for (i = 0; i < WF_FEEDS; i++) {
+		if (d->feeds[i].tag == tag)
+			return d->feeds[i].follow;
+	}
 	return tag == d->registry_tag ? d->registry : NULL;
 }
 
@@ -219,9 +236,9 @@
 	if (broken)
 		agb_log_printf(d->log, AGB_LOG_WARN, "sync",
 		    "followed=%s change=history-gone",
-		    tag == TAG_STATE	      ? "state"
-			: tag == TAG_DOCUMENT ? "document"
-					      : "registry");
+		    tag == TAG_DOCUMENT	      ? "document"
+			: tag >= TAG_REGISTRY ? "registry"
+					      : "own-keys");
 	if (f != NULL)
 		wf_follow_watch(f, kvs, len, revision, broken);
 }
@@ -601,6 +618,28 @@
 	free(body);
 }
 
+static void
+do_follow(struct daemon *d, const struct wf_effect *ef)
+{
+	static const struct {
+		const char *prefix;
+		wf_follow_cb cb;
+	} parts[WF_FEEDS] = {
+	    [WF_FEED_CONTROL] = {WF_PREFIX_CONTROL, on_control},
+	    [WF_FEED_JOBS] = {WF_PREFIX_JOBS, on_jobs},
+	    [WF_FEED_STATES] = {WF_PREFIX_STATES, on_states},
+	};
+
+	wf_follow_free(d->feeds[ef->feed].follow);
+	d->feeds[ef->feed].follow = NULL;
+	if (!ef->on)
+		return;
+	d->feeds[ef->feed].tag = TAG_FEEDS + ++d->feed_starts;
+	d->feeds[ef->feed].follow =
+	    wf_follow_new(&d->loop, d->store, d->feeds[ef->feed].tag,
+		parts[ef->feed].prefix, parts[ef->feed].cb, d);
+}
+
 static void
 do_registry(struct daemon *d, bool on)
 {
@@ -697,8 +736,12 @@
 	case WF_EF_REGISTRY:
 		do_registry(d, ef->on);
 		break;
+	case WF_EF_FOLLOW:
+		do_follow(d, ef);
+		break;
 	case WF_EF_FEED_PACE:
-		wf_follow_pace(d->state, ef->gap_ms);
+		if (d->feeds[ef->feed].follow != NULL)
+			wf_follow_pace(d->feeds[ef->feed].follow, ef->gap_ms);
 		break;
 	case WF_EF_ALLOW_PEERS:
 		do_allow(d, ef);
@@ -854,6 +897,7 @@
 	agb_name_set(cfg.rpc, sizeof(cfg.rpc), d->settings.rpc);
 	agb_name_set(cfg.domain, sizeof(cfg.domain), d->settings.domain);
 	agb_name_set(cfg.region, sizeof(cfg.region), d->settings.region);
+	cfg.cpu_permille = (uint32_t)(d->settings.cpu_share * 1000);
 	cfg.grace_ms = d->settings.grace_ms;
 	cfg.status_s = d->settings.status_s;
 	cfg.remote_x = d->settings.remote_x;
@@ -902,10 +946,6 @@
 	core_new(d);
 	d->document = wf_follow_new(&d->loop, d->store, TAG_DOCUMENT,
 	    ops->document_prefix, on_document, d);
-	d->state = wf_follow_new(
-	    &d->loop, d->store, TAG_STATE, WF_KEY_PREFIX, on_state, d);
-	d->leader = wf_follow_new(
-	    &d->loop, d->store, TAG_LEADER, WF_KEY_LEADER, on_leader, d);
 	uv_signal_start(&d->sigterm, on_term, SIGTERM);
 	uv_signal_start(&d->sighup, on_hup, SIGHUP);
 	feed(d, &first);
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -428,8 +428,8 @@
 
 	for (i = 0; i < pl->ends_len && pl->ends[i].at <= when; i++)
 		agb_resources_add(&room, &pl->ends[i].need);
-	return spread_cap(u, &p->l->runners[pl->runner],
-	    fit_in(room, wf_unit_step(u)));
+	return spread_cap(
+	    u, &p->l->runners[pl->runner], fit_in(room, wf_unit_step(u)));
 }
 
 /* Runners on which the unit may run, whatever their tickets. */
@@ -459,8 +459,8 @@
 }
 
 static uint64_t
-room_by(const struct pass *p, const struct wf_unit *u,
-    const struct plan *plans, size_t len, agb_time when)
+room_by(const struct pass *p, const struct wf_unit *u, const struct plan *plans,
+    size_t len, agb_time when)
 {
 	uint64_t room;
 	size_t i;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -56,11 +56,22 @@
 	uint32_t deadline_ms;
 };
 
+/**
+ * enum wf_feed_id - parts of the instances' keys that are followed apart
+ */
+enum wf_feed_id {
+	WF_FEED_CONTROL,
+	WF_FEED_JOBS,
+	WF_FEED_STATES,
+	WF_FEEDS,
+};
+
 /**
  * struct wf_feed - what lies under a prefix of the store
  * @full: the items are all there is at @revision, else changes up to it
  */
 struct wf_feed {
+	enum wf_feed_id id;
 	bool full;
 	uint64_t revision;
 	const struct agb_store_kv *items;
@@ -257,7 +268,8 @@
 	WF_EF_PEER_PING,   /* tag, peer */
 	WF_EF_PUT_ANSWER,  /* tag, put_res: answer a peer */
 	WF_EF_REGISTRY,	   /* on: follow the registry of runners */
-	WF_EF_FEED_PACE,   /* gap_ms between deliveries of the feed */
+	WF_EF_FOLLOW,	   /* feed, on: follow a part of the own keys */
+	WF_EF_FEED_PACE,   /* feed, gap_ms between its deliveries */
 	WF_EF_ALLOW_PEERS, /* peers: addresses that may call */
 	WF_EF_READY,	   /* on */
 	WF_EF_LOG,	   /* log */
@@ -339,6 +351,7 @@
 	uint64_t call_id;
 	uint32_t timeout_ms;
 	uint32_t gap_ms;
+	enum wf_feed_id feed;
 	bool on;
 	agb_addr peer;
 	agb_addr *peers;
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -496,8 +496,8 @@
 		if (wf_job_final(e->state))
 			break;
 		if (e->tasks[i].state == WF_TASK_DONE)
-			x.done.done_val[i / 8] = (char)(x.done.done_val[i / 8] |
-			    1 << (i % 8));
+			x.done.done_val[i / 8] =
+			    (char)(x.done.done_val[i / 8] | 1 << (i % 8));
 		else if (e->tasks[i].run > 0)
 			record_task(l, e, i, &x);
 	}
--- a/src/workflow/wf_follow.c
+++ b/src/workflow/wf_follow.c
@@ -117,12 +117,3 @@
 	if (f->watching && f->store->ops->pace != NULL)
 		f->store->ops->pace(f->store, f->tag, gap_ms);
 }
-
-void
-wf_follow_poke(struct wf_follow *f)
-{
-	if (!f->watching || f->store->ops->pace == NULL)
-		return;
-	f->store->ops->pace(f->store, f->tag, 0);
-	f->store->ops->pace(f->store, f->tag, f->gap_ms);
-}
--- a/src/workflow/wf_follow.h
+++ b/src/workflow/wf_follow.h
@@ -39,11 +39,6 @@
  */
 void wf_follow_pace(struct wf_follow *f, uint32_t gap_ms);
 
-/**
- * wf_follow_poke() - read the changes now
- */
-void wf_follow_poke(struct wf_follow *f);
-
 /**
  * wf_follow_free() - end without a further callback
  * @f: may be NULL
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -26,6 +26,7 @@
 /**
  * struct waiting - a request that waits for the store
  * @tag: of the call under way, or 0
+ * @reading: it reads the submission, or with @read_state the state
  * @unknown: a write whose fate is not known has been sent
  * @relay_tag: of the write that another instance makes, or 0
  * @relays: instances that have been asked
@@ -46,6 +47,7 @@
 	uint64_t relay_tag;
 	uint32_t relays;
 	bool reading;
+	bool read_state;
 	bool unknown;
 	bool gone;
 };
@@ -53,6 +55,8 @@
 struct wf_front {
 	struct wf_table *table;
 	bool store_silent;
+	bool fresh;
+	bool whole;
 	agb_id self;
 	struct waiting *calls;
 	size_t len;
@@ -95,6 +99,13 @@
 	free(f);
 }
 
+void
+wf_front_fresh(struct wf_front *f, bool fresh, bool whole)
+{
+	f->fresh = fresh;
+	f->whole = whole;
+}
+
 void
 wf_front_store_silent(struct wf_front *f, bool silent)
 {
@@ -157,12 +168,12 @@
 	ef->tag = w->tag;
 	ef->timeout_ms = STORE_TIMEOUT_MS;
 	if (w->reading) {
-		wf_table_key(key, 'j', w->job);
+		wf_table_key(key, w->read_state ? 's' : 'j', w->job);
 		agb_store_op_range(&ef->u.store, key, NULL, 1);
 		return;
 	}
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
-	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
 	agb_store_op_cmp(&ef->u.store, key, AGB_STORE_MOD_REV, 0);
 	agb_store_op_put(
 	    &ef->u.store, key, w->raw != NULL ? w->raw : "", w->len, 0);
@@ -211,7 +222,7 @@
 	ef->timeout_ms = RELAY_TIMEOUT_MS;
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
 	wf_table_key(
-	    ef->u.record.key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	    ef->u.record.key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
 	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
 	ef->u.record.len = w->len;
 	wf_effects_log(out, AGB_LOG_INFO, "relay",
@@ -235,7 +246,7 @@
 	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
 	r = agb_xcalloc(1, sizeof(*r));
-	wf_table_key(r->key, w->kind == WF_CALL_SUBMIT ? 'j' : 'c', w->job);
+	wf_table_key(r->key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
 	r->revision = revision;
 	r->val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
 	r->len = w->len;
@@ -327,13 +338,16 @@
 	const struct wf_job *const j = wf_table_job(f->table, job);
 	struct waiting *w;
 
-	if (j != NULL && (j->spec_rev > 0 || j->state_known)) {
+	if (j != NULL && (j->spec_rev > 0 || j->state_known) &&
+	    (f->fresh || f->store_silent || wf_job_final(j->state))) {
 		reply_state(out, call->id, j);
 		return;
 	}
-	/* Another instance may have accepted it a moment ago. */
+	/* Another instance may have accepted it, and what is known here may
+	 * be old. */
 	w = wait_new(f, now, call, q, job);
 	w->reading = true;
+	w->read_state = true;
 	store_send(f, w, out);
 }
 
@@ -360,13 +374,12 @@
     struct wf_effects *out)
 {
 	struct wf_reply *const r = reply(out, call_id, WF_CALL_QUEUE, 200);
-	struct wf_job *j, *j2;
+	size_t i;
 
-	HASH_ITER(hh, f->table->jobs, j, j2)
-	{
-		if (j->spec_rev > 0 && j->state == WF_JOB_QUEUED &&
-		    j->cancel_rev == 0 && strcmp(j->spec.queue, q->name) == 0)
-			r->pending++;
+	r->pending = wf_table_pending(f->table, q->name);
+	for (i = 0; !f->whole && i < f->table->counts_len; i++) {
+		if (strcmp(f->table->counts[i].queue, q->name) == 0)
+			r->pending = f->table->counts[i].pending;
 	}
 }
 
@@ -445,12 +458,20 @@
 	waiting_free(f, w);
 }
 
+/* The state lies under its own key; without one the job may still wait. */
 static void
 read_key(struct wf_front *f, struct waiting *w,
     const struct agb_store_result *res, struct wf_effects *out)
 {
 	const struct wf_job *j;
 
+	if (res->kvs_len > 0)
+		wf_table_apply(f->table, &res->kvs[0]);
+	if (w->read_state && res->kvs_len == 0) {
+		w->read_state = false;
+		store_send(f, w, out);
+		return;
+	}
 	if (res->kvs_len == 0) {
 		refuse(out, w->call_id, w->kind, 410, w->job,
 		    "no such job is known");
@@ -458,9 +479,8 @@
 		return;
 	}
 	if (w->kind == WF_CALL_GET) {
-		wf_table_apply(f->table, &res->kvs[0]);
 		j = wf_table_job(f->table, w->job);
-		if (j != NULL && j->spec_rev > 0)
+		if (j != NULL && (j->spec_rev > 0 || j->state_known))
 			reply_state(out, w->call_id, j);
 		else
 			refuse(out, w->call_id, w->kind, 503, w->job,
@@ -489,6 +509,17 @@
 failed(struct wf_front *f, const struct wf_now *now, struct waiting *w,
     struct wf_effects *out)
 {
+	const struct wf_job *j;
+
+	if (w->kind == WF_CALL_GET) {
+		/* An old answer is better than none. */
+		j = wf_table_job(f->table, w->job);
+		if (j != NULL && (j->spec_rev > 0 || j->state_known)) {
+			reply_state(out, w->call_id, j);
+			waiting_free(f, w);
+			return;
+		}
+	}
 	if (w->relay_tag == 0 && relay_send(f, now, w, out))
 		return;
 	if (w->tag != 0 || w->relay_tag != 0)
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -50,6 +50,12 @@
 agb_time wf_front_tick(
     struct wf_front *f, const struct wf_now *now, struct wf_effects *out);
 
+/**
+ * wf_front_fresh() - whether the table shows the states of all jobs
+ * @whole: it also counts those that wait
+ */
+void wf_front_fresh(struct wf_front *f, bool fresh, bool whole);
+
 /**
  * wf_front_store_silent() - whether the store has stopped to answer
  */
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -14,6 +14,9 @@
 #define ORDER_MARGIN_MS 100
 /* States for other instances are collected for this long. */
 #define SHOW_GAP_MS 40
+#define SHOW_GAP_PEER_MS 3
+/* Counts of the queues, which also tell that the leader is there. */
+#define COUNT_MS 400
 
 bool
 wf_leader_may_order(const struct wf_leader *l, agb_time now)
@@ -50,9 +53,8 @@
 		n++;
 	}
 	wf_effects_log(out, AGB_LOG_INFO, "lead",
-	    "change=elected fence=%" PRIu64 " jobs=%zu known=%u"
-	    " store_revision=%" PRIu64,
-	    fence, n, HASH_COUNT(table->jobs), table->revision);
+	    "change=elected fence=%" PRIu64 " jobs=%zu known=%u", fence, n,
+	    HASH_COUNT(table->jobs));
 	return l;
 }
 
@@ -111,46 +113,75 @@
 }
 
 static void
-show_to(const struct wf_leader *l, const struct wf_peer *p, size_t len,
+record_state(struct wf_record *r, const struct wf_show *s)
+{
+	wf_table_key(r->key, 'v', s->job);
+	r->val = agb_xcalloc(1, 1);
+	r->val[0] = (char)s->state;
+	r->len = 1;
+}
+
+static void
+record_count(
+    const struct wf_leader *l, struct wf_record *r, const struct wf_queue *q)
+{
+	const uint32_t n = wf_table_pending(l->table, q->name);
+
+	wf_table_key(r->key, 'q', q->name);
+	r->val = agb_xmemdup(&n, sizeof(n));
+	r->len = sizeof(n);
+}
+
+static void
+show_to(const struct wf_peer *p, const struct wf_record *list, size_t len,
     struct wf_effects *out)
 {
 	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PEER_PUSH);
-	struct wf_record *r;
 	size_t i;
 
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
-	ef->u.push.items = agb_xcalloc(len, sizeof(*ef->u.push.items));
+	ef->u.push.items = agb_xcalloc(len + 1, sizeof(*ef->u.push.items));
 	ef->u.push.len = len;
 	for (i = 0; i < len; i++) {
-		r = &ef->u.push.items[i];
-		wf_table_key(r->key, 'v', l->shows[i].job);
-		r->val = agb_xcalloc(1, 1);
-		r->val[0] = (char)l->shows[i].state;
-		r->len = 1;
+		ef->u.push.items[i] = list[i];
+		ef->u.push.items[i].val = agb_xmemdup(list[i].val, list[i].len);
 	}
 }
 
-/* Instances that the store does not answer learn states from here only, and
- * the others earlier than from the store. */
+/* Instances learn states from here, and those that the store does not answer
+ * only from here. */
 static agb_time
 show_states(struct wf_leader *l, agb_time now, struct wf_effects *out)
 {
+	const unsigned peers = HASH_COUNT(l->table->peers);
+	struct wf_record *list;
 	const struct wf_peer *p;
-	size_t len;
+	size_t len, n, i;
 
-	if (l->shows_len == 0)
-		return AGB_TIME_MAX;
-	if (now < l->show_at)
-		return l->show_at;
-	l->show_at = now + SHOW_GAP_MS * AGB_MS;
+	if (now < l->show_at || (l->shows_len == 0 && now < l->count_at))
+		return l->shows_len > 0 ? l->show_at : l->count_at;
+	l->show_at = now + (SHOW_GAP_MS + SHOW_GAP_PEER_MS * peers) * AGB_MS;
 	len = l->shows_len < WF_PUSH_MAX ? l->shows_len : WF_PUSH_MAX;
+	n = 0;
+	list = agb_xcalloc(
+	    len + (l->doc != NULL ? l->doc->queues_len : 0) + 1, sizeof(*list));
+	for (i = 0; i < len; i++)
+		record_state(&list[n++], &l->shows[i]);
+	if (now >= l->count_at) {
+		l->count_at = now + COUNT_MS * AGB_MS;
+		for (i = 0; l->doc != NULL && i < l->doc->queues_len; i++)
+			record_count(l, &list[n++], &l->doc->queues[i]);
+	}
 	for (p = l->table->peers; p != NULL; p = p->hh.next) {
 		if (strcmp(p->name, l->self) != 0 && wf_peer_ok(p, now))
-			show_to(l, p, len, out);
+			show_to(p, list, n, out);
 	}
+	for (i = 0; i < n; i++)
+		free(list[i].val);
+	free(list);
 	l->shows_len -= len;
 	memmove(l->shows, l->shows + len, l->shows_len * sizeof(*l->shows));
-	return l->shows_len > 0 ? l->show_at : AGB_TIME_MAX;
+	return l->shows_len > 0 ? l->show_at : l->count_at;
 }
 
 static agb_time
--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -23,6 +23,7 @@
     "grace_s",
     "status_s",
     "remote_factor",
+    "cpu_share",
     "body_max",
     "log_json",
     "log_level",
@@ -66,6 +67,7 @@
 	agb_jsonc_num(root, "grace_s", false, 1, 3600, &grace_s);
 	agb_jsonc_num(root, "status_s", false, 1, 86400, &status_s);
 	agb_jsonc_num(root, "remote_factor", false, 1, 100, &out->remote_x);
+	agb_jsonc_num(root, "cpu_share", false, 0, 1024, &out->cpu_share);
 	agb_jsonc_u32(root, "body_max", false, &bodies, &out->body_max);
 	agb_jsonc_bool(root, "log_json", false, &out->log_json);
 	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
@@ -84,6 +86,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->remote_x = 1;
+	out->cpu_share = 1;
 	out->body_max = 1024 * 1024;
 	doc = agb_jsonc_parse(text, len, TEXT_MAX, findings);
 	if (doc == NULL)
--- a/src/workflow/wf_settings.h
+++ b/src/workflow/wf_settings.h
@@ -25,6 +25,7 @@
  * @grace_ms: time from SIGTERM to the end of the process
  * @status_s: how long the state of an ended job stays known
  * @remote_x: factor on run times away from data
+ * @cpu_share: share of a processor that the machine gives
  * @body_max: largest request body in bytes
  */
 struct wf_settings {
@@ -41,6 +42,7 @@
 	uint32_t grace_ms;
 	uint32_t status_s;
 	double remote_x;
+	double cpu_share;
 	uint32_t body_max;
 	bool log_json;
 	enum agb_log_level log_level;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -23,10 +23,53 @@
 
 #define STEP_FLAGS_LEN (sizeof(step_flags) / sizeof(step_flags[0]))
 
+static const struct {
+	char kind;
+	const char *prefix;
+	const char *suffix;
+} key_kinds[] = {
+    {'n', WF_PREFIX_CONTROL "n/", ""},
+    {'k', WF_PREFIX_JOBS, ".c"},
+    {'j', WF_PREFIX_JOBS, ""},
+    {'s', WF_PREFIX_STATES, ""},
+    {'v', WF_KEY_PREFIX "v/", ""},
+    {'q', WF_KEY_PREFIX "q/", ""},
+};
+
+#define KEY_KINDS_LEN (sizeof(key_kinds) / sizeof(key_kinds[0]))
+
 void
 wf_table_key(char key[WF_KEY_MAX], char kind, const char *id)
 {
-	snprintf(key, WF_KEY_MAX, WF_KEY_PREFIX "%c/%s", kind, id);
+	size_t i;
+
+	key[0] = '\0';
+	for (i = 0; i < KEY_KINDS_LEN; i++) {
+		if (key_kinds[i].kind == kind)
+			snprintf(key, WF_KEY_MAX, "%s%s%s", key_kinds[i].prefix,
+			    id, key_kinds[i].suffix);
+	}
+}
+
+/* The parts of a key; returns 0 when it has no kind. */
+static char
+key_parse(const char *key, char id[AGB_ID_LEN])
+{
+	const size_t len = strlen(key);
+	size_t i, skip, tail;
+
+	for (i = 0; i < KEY_KINDS_LEN; i++) {
+		skip = strlen(key_kinds[i].prefix);
+		tail = strlen(key_kinds[i].suffix);
+		if (len <= skip + tail || len - skip - tail >= AGB_ID_LEN ||
+		    strncmp(key, key_kinds[i].prefix, skip) != 0 ||
+		    strcmp(key + len - tail, key_kinds[i].suffix) != 0)
+			continue;
+		memcpy(id, key + skip, len - skip - tail);
+		id[len - skip - tail] = '\0';
+		return key_kinds[i].kind;
+	}
+	return 0;
 }
 
 char *
@@ -217,6 +260,7 @@
 			HASH_CLEAR(hh, t->peers);
 		free(p);
 	}
+	free(t->counts);
 }
 
 struct wf_job *
@@ -337,6 +381,7 @@
 		HASH_ADD_STR(t->peers, name, p);
 	}
 	p->marked = true;
+	p->score = x.score;
 	agb_name_set(p->rpc, sizeof(p->rpc), x.rpc);
 	agb_name_set(p->domain, sizeof(p->domain), x.domain);
 	agb_name_set(p->region, sizeof(p->region), x.region);
@@ -374,12 +419,55 @@
 		ch->job = j;
 }
 
+static void
+apply_count(
+    struct wf_table *t, const char *queue, const struct agb_store_kv *kv)
+{
+	size_t i;
+
+	if (kv->val_len != sizeof(uint32_t))
+		return;
+	for (i = 0; i < t->counts_len; i++) {
+		if (strcmp(t->counts[i].queue, queue) == 0)
+			break;
+	}
+	if (i == t->counts_len) {
+		t->counts = agb_xreallocarray(
+		    t->counts, t->counts_len + 1, sizeof(*t->counts));
+		t->counts_len++;
+		agb_name_set(t->counts[i].queue, sizeof(agb_id), queue);
+	}
+	memcpy(&t->counts[i].pending, kv->val, sizeof(uint32_t));
+}
+
+static void
+apply_job(struct wf_table *t, char kind, const char *id,
+    const struct agb_store_kv *kv, struct wf_table_change *ch)
+{
+	switch (kind) {
+	case 'j':
+		apply_spec(t, id, kv, ch);
+		break;
+	case 'k':
+		ch->job = job_get(t, id);
+		ch->job->cancel_rev = kv->mod_rev;
+		break;
+	case 's':
+		ch->job = job_get(t, id);
+		wf_table_put_state(ch->job, kv->mod_rev, kv->val, kv->val_len);
+		break;
+	default:
+		ch->job = job_get(t, id);
+		if (kv->val_len == 1)
+			state_show(ch->job, (unsigned char)kv->val[0]);
+	}
+}
+
 struct wf_table_change
 wf_table_apply(struct wf_table *t, const struct agb_store_kv *kv)
 {
-	const size_t skip = strlen(WF_KEY_PREFIX);
 	struct wf_table_change ch = {0};
-	const char *id;
+	char id[AGB_ID_LEN];
 	char kind;
 
 	if (strcmp(kv->key, WF_KEY_LEADER) == 0) {
@@ -387,42 +475,25 @@
 		ch.leader = true;
 		return ch;
 	}
-	if (strlen(kv->key) < skip + 3 || kv->key[skip + 1] != '/')
-		return ch;
-	kind = kv->key[skip];
-	id = kv->key + skip + 2;
-	if (kind == 'n') {
-		apply_peer(t, id, kv, &ch);
-		return ch;
-	}
-	if (strlen(id) >= WF_JOB_ID_LEN) {
-		ch.malformed = true;
+	if (strcmp(kv->key, WF_KEY_BARRIER_JOBS) == 0) {
+		ch.barrier_jobs = kv->mod_rev;
 		return ch;
 	}
-	if (kv->deleted) {
-		apply_deleted(t, kind, id, &ch);
+	if (strcmp(kv->key, WF_KEY_BARRIER_STATES) == 0) {
+		ch.barrier_states = kv->mod_rev;
 		return ch;
 	}
-	switch (kind) {
-	case 'j':
-		apply_spec(t, id, kv, &ch);
-		break;
-	case 'c':
-		ch.job = job_get(t, id);
-		ch.job->cancel_rev = kv->mod_rev;
-		break;
-	case 's':
-		ch.job = job_get(t, id);
-		wf_table_put_state(ch.job, kv->mod_rev, kv->val, kv->val_len);
-		break;
-	case 'v':
-		ch.job = job_get(t, id);
-		if (kv->val_len == 1)
-			state_show(ch.job, (unsigned char)kv->val[0]);
-		break;
-	default:
+	kind = key_parse(kv->key, id);
+	if (kind == 'n')
+		apply_peer(t, id, kv, &ch);
+	else if (kind == 'q')
+		apply_count(t, id, kv);
+	else if (kind == 0 || strlen(id) >= WF_JOB_ID_LEN)
 		ch.malformed = true;
-	}
+	else if (kv->deleted)
+		apply_deleted(t, kind, id, &ch);
+	else
+		apply_job(t, kind, id, kv, &ch);
 	return ch;
 }
 
@@ -431,25 +502,22 @@
 {
 	const agb_time last = p->heard_at > 0 ? p->heard_at : p->since;
 
-	return last == 0 || now - last < PEER_SILENT_MS * AGB_MS;
+	return !p->pinged || last == 0 || now - last < PEER_SILENT_MS * AGB_MS;
 }
 
 void
-wf_table_mark_all(struct wf_table *t)
+wf_table_mark_control(struct wf_table *t)
 {
-	struct wf_job *j, *j2;
-	struct wf_peer *p, *p2;
+	struct wf_peer *p;
 
-	HASH_ITER(hh, t->jobs, j, j2)
-	j->marked = false;
-	HASH_ITER(hh, t->peers, p, p2)
-	p->marked = false;
+	for (p = t->peers; p != NULL; p = p->hh.next)
+		p->marked = false;
 	t->leader[0] = '\0';
 	t->leader_rev = 0;
 }
 
-static void
-peers_sweep(struct wf_table *t)
+void
+wf_table_sweep_control(struct wf_table *t)
 {
 	struct wf_peer *p, *next;
 
@@ -463,17 +531,54 @@
 }
 
 void
-wf_table_sweep(struct wf_table *t, uint64_t revision,
+wf_table_mark_jobs(struct wf_table *t)
+{
+	struct wf_job *j;
+
+	for (j = t->jobs; j != NULL; j = j->hh.next)
+		j->marked = false;
+}
+
+void
+wf_table_sweep_jobs(struct wf_table *t, uint64_t revision,
     void (*dropped)(void *arg, struct wf_job *j), void *arg)
 {
-	struct wf_job *j, *j2;
+	struct wf_job *j, *next;
 
-	HASH_ITER(hh, t->jobs, j, j2)
-	{
+	for (j = t->jobs; j != NULL; j = next) {
+		next = j->hh.next;
 		if (j->marked || j->spec_rev > revision)
 			continue;
 		dropped(arg, j);
 		job_free(t, j);
 	}
-	peers_sweep(t);
+}
+
+void
+wf_table_expire(struct wf_table *t, agb_time now, agb_time before)
+{
+	struct wf_job *j, *next;
+
+	for (j = t->jobs; j != NULL; j = next) {
+		next = j->hh.next;
+		if (!wf_job_final(j->state) || j->exec != NULL)
+			continue;
+		if (j->final_at == 0)
+			j->final_at = now;
+		else if (j->final_at < before)
+			job_free(t, j);
+	}
+}
+
+uint32_t
+wf_table_pending(const struct wf_table *t, const char *queue)
+{
+	const struct wf_job *j;
+	uint32_t n;
+
+	n = 0;
+	for (j = t->jobs; j != NULL; j = j->hh.next)
+		n += j->spec_rev > 0 && j->state == WF_JOB_QUEUED &&
+		    j->cancel_rev == 0 && strcmp(j->spec.queue, queue) == 0;
+	return n;
 }
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -16,8 +16,16 @@
 #include "store.h"
 #include "wf_types.h"
 
+/* All keys of the instances, and the parts that are followed apart: who leads
+ * and who is there; what callers have handed in; how far that is. */
 #define WF_KEY_PREFIX "ab/"
-#define WF_KEY_LEADER "ab/leader"
+#define WF_PREFIX_CONTROL "ab/c/"
+#define WF_PREFIX_JOBS "ab/j/"
+#define WF_PREFIX_STATES "ab/s/"
+#define WF_KEY_LEADER "ab/c/leader"
+/* Written with each election, so that a feed shows when it has reached it. */
+#define WF_KEY_BARRIER_JOBS "ab/j/!"
+#define WF_KEY_BARRIER_STATES "ab/s/!"
 /* Longest key, with the NUL. */
 #define WF_KEY_MAX 128
 
@@ -31,6 +39,7 @@
  * @state: what callers are told; it never goes back
  * @state_known: a state record, or the leader, has told @state
  * @detail: why it failed, or ""
+ * @final_at: when this instance first looked at it as ended, or 0
  * @exec: what the leader keeps of it, or NULL
  * @marked: seen in the read that is going on
  */
@@ -45,6 +54,7 @@
 	enum wf_job_state state;
 	bool state_known;
 	int64_t ended_ms;
+	agb_time final_at;
 	struct wf_exec *exec;
 	bool marked;
 	UT_hash_handle hh;
@@ -52,12 +62,16 @@
 
 /**
  * struct wf_peer - another instance
- * @since: when it was first seen here
+ * @score: the highest stands for election first
+ * @pinged: it is asked whether it answers
+ * @since: when it was first asked
  * @heard_at: when it last answered, or 0
  * @ping_tag: of the call that asks whether it answers; 0 when none is out
  */
 struct wf_peer {
 	agb_id name;
+	int32_t score;
+	bool pinged;
 	agb_time since;
 	agb_time heard_at;
 	uint64_t ping_tag;
@@ -73,24 +87,37 @@
  * @job: the job whose keys changed, or NULL
  * @peers: the set of instances changed
  * @leader: the leader's key changed
+ * @barrier_jobs, @barrier_states: revision of an election that the feed of
+ *	jobs or of states has reached, or 0
  */
 struct wf_table_change {
 	struct wf_job *job;
 	bool peers;
 	bool leader;
 	bool malformed;
+	uint64_t barrier_jobs;
+	uint64_t barrier_states;
+};
+
+/**
+ * struct wf_count - accepted jobs of a queue that have not begun, as the
+ * leader has told
+ */
+struct wf_count {
+	agb_id queue;
+	uint32_t pending;
 };
 
 /**
  * struct wf_table - the copy
- * @revision: state of the store that it shows
  * @leader: name of the leader, or ""
  * @leader_rev: revision in which it was elected
  */
 struct wf_table {
 	struct wf_job *jobs;
 	struct wf_peer *peers;
-	uint64_t revision;
+	struct wf_count *counts;
+	size_t counts_len;
 	agb_id leader;
 	uint64_t leader_rev;
 };
@@ -132,21 +159,43 @@
 bool wf_peer_ok(const struct wf_peer *p, agb_time now);
 
 /**
- * wf_table_mark_all() - begin a full read
+ * wf_table_mark_control() - begin a full read of who leads and who is there
+ */
+void wf_table_mark_control(struct wf_table *t);
+
+/**
+ * wf_table_sweep_control() - end it: drop what was not in it
+ */
+void wf_table_sweep_control(struct wf_table *t);
+
+/**
+ * wf_table_mark_jobs() - begin a full read of jobs
  */
-void wf_table_mark_all(struct wf_table *t);
+void wf_table_mark_jobs(struct wf_table *t);
 
 /**
- * wf_table_sweep() - end a full read at a revision: drop what was not in it
+ * wf_table_sweep_jobs() - end it at a revision: drop what was not in it
  * @dropped: called for each job before it is freed
  */
-void wf_table_sweep(struct wf_table *t, uint64_t revision,
+void wf_table_sweep_jobs(struct wf_table *t, uint64_t revision,
     void (*dropped)(void *arg, struct wf_job *j), void *arg);
 
+/**
+ * wf_table_expire() - drop jobs that were seen as ended before a time
+ * @now: noted for those seen as ended for the first time
+ */
+void wf_table_expire(struct wf_table *t, agb_time now, agb_time before);
+
+/**
+ * wf_table_pending() - jobs of a queue that have not begun
+ */
+uint32_t wf_table_pending(const struct wf_table *t, const char *queue);
+
 /**
  * wf_table_key() - key of a record
- * @kind: 'j' submission, 'c' cancellation, 's' state, 'n' instance; 'v' is
- *	not stored: what the leader shows others of a durable state
+ * @kind: 'j' submission, 'k' cancellation, 's' state, 'n' instance; not
+ *	stored, but shown to others by the leader: 'v' a durable state, 'q' the
+ *	count of a queue
  */
 void wf_table_key(char key[WF_KEY_MAX], char kind, const char *id);
 
