--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -220,13 +220,20 @@
 	int64_t free_cpu;
 };
 
-static int
-choice_order(const void *a, const void *b)
+/* Enters a runner into a list of the emptiest ones, in order. */
+static void
+choice_add(struct choice *list, size_t *len, size_t max, uint32_t runner,
+    int64_t free_cpu)
 {
-	const int64_t x = ((const struct choice *)a)->free_cpu;
-	const int64_t y = ((const struct choice *)b)->free_cpu;
+	size_t i;
 
-	return x < y ? 1 : x > y ? -1 : 0;
+	if (*len == max && free_cpu <= list[max - 1].free_cpu)
+		return;
+	i = *len < max ? (*len)++ : max - 1;
+	for (; i > 0 && list[i - 1].free_cpu < free_cpu; i--)
+		list[i] = list[i - 1];
+	list[i].runner = runner;
+	list[i].free_cpu = free_cpu;
 }
 
 /* Runners not asked about that could run the step, the emptiest first. */
@@ -237,31 +244,25 @@
 	const struct wf_step *const step = wf_unit_step(u);
 	const struct wf_approval *a;
 	const struct wf_runner *r;
-	struct choice *list;
+	struct choice list[WF_ADVICE_MAX];
 	size_t len, i;
 	uint32_t ri;
 
-	list = agb_xcalloc(l->runners_len + 1, sizeof(*list));
 	len = 0;
 	for (ri = 0; ri < l->runners_len; ri++) {
 		r = &l->runners[ri];
 		if (!wf_fleet_usable(r, now->mono) ||
+		    !agb_resources_fit(&step->need, &r->info.capacity) ||
 		    strcmp(r->info.service, service) != 0 ||
-		    !wf_runner_has_label(&r->info, step->label) ||
-		    !agb_resources_fit(&step->need, &r->info.capacity))
+		    !wf_runner_has_label(&r->info, step->label))
 			continue;
 		a = wf_advice_of(u, ri);
 		if (a != NULL && a->life == r->life)
 			continue;
-		list[len].runner = ri;
-		list[len++].free_cpu = wf_fleet_free(r).cpu_milli;
+		choice_add(list, &len, max, ri, wf_fleet_free(r).cpu_milli);
 	}
-	qsort(list, len, sizeof(*list), choice_order);
-	if (len > max)
-		len = max;
 	for (i = 0; i < len; i++)
 		runners[i] = list[i].runner;
-	free(list);
 	return len;
 }
 
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -50,7 +50,7 @@
 /* After SIGTERM: connections leave within this time when they can, and the
  * process ends this much before it would be killed. */
 #define DRAIN_MS 3500
-#define DRAIN_MARGIN_MS 600
+#define DRAIN_MARGIN_MS 1200
 #define PEER_ASKS_MAX 32
 /* Instances ask each other whether they answer. A leader that most of them
  * do not answer gives its place up, but not again within the pause. */
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -23,6 +23,9 @@
 #define ESTIMATE_PERCENT 120
 /* A task that is past its estimate is expected to end within this. */
 #define OVERDUE_MS 300
+/* Advice that comes this soon is not asked for before there is room: its
+ * tickets would run out while the unit waits. */
+#define ADVICE_SOON_MS 150
 /* Time between the decision to renew tickets and the starts. */
 #define RENEW_MARGIN_MS 150
 /* Ends at one runner that are looked at when room is planned. */
@@ -65,7 +68,8 @@
 	agb_time from;
 };
 
-/* What one pass over the queue works with. */
+/* What one pass over the queue works with. @no_room: a need for which no
+ * runner has room, zero while none is known. */
 struct pass {
 	struct wf_leader *l;
 	const struct wf_now *now;
@@ -73,6 +77,7 @@
 	uint32_t *stale;
 	struct keep *keeps;
 	uint32_t reserved;
+	struct agb_resources no_room;
 	struct wf_effects *out;
 };
 
@@ -563,6 +568,28 @@
 	return false;
 }
 
+/* Whether any runner has room for one task of the unit now. */
+static bool
+has_room(struct pass *p, const struct wf_unit *u, const char *service)
+{
+	const struct agb_resources *const need = &wf_unit_step(u)->need;
+	uint32_t ri;
+
+	if (p->no_room.cpu_milli > 0 &&
+	    agb_resources_fit(&p->no_room, need))
+		return false;
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		const struct agb_resources room =
+		    wf_fleet_free(&p->l->runners[ri]);
+
+		if (agb_resources_fit(need, &room) &&
+		    eligible(p, u, service, ri))
+			return true;
+	}
+	p->no_room = *need;
+	return false;
+}
+
 /* Approvals that are missing, and tickets that have run out. */
 static void
 ask(struct pass *p, struct wf_unit *u, const struct wf_queue *q,
@@ -577,7 +604,8 @@
 		return;
 	if (stale_len > 0 && (from <= p->now->mono + lead))
 		wf_advice_again(p->l, p->now, u, p->stale, stale_len, p->out);
-	wf_advice_want(p->l, p->now, u, p->out);
+	if (q->advice_ms > ADVICE_SOON_MS || has_room(p, u, q->service))
+		wf_advice_want(p->l, p->now, u, p->out);
 }
 
 /* All approved runners, whether they have room now or not. */
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -19,8 +19,8 @@
 #define STOP_TIMEOUT_MS 400
 #define STOP_REPEAT_MS 350
 /* Longest wait of a hold for an end. */
-#define HOLD_WAIT_MS 500
-#define HOLD_TIMEOUT_MS 1100
+#define HOLD_WAIT_MS 1000
+#define HOLD_TIMEOUT_MS 1600
 #define HOLD_GAP_MS 10
 #define TICK_GAP_MS 3
 /* A hold would return at once while ends are listed that are not durable. */
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -14,7 +14,7 @@
 #include "wf_core.h"
 
 #define SIM_CORES_MAX 8
-#define SIM_RUNNERS_MAX 64
+#define SIM_RUNNERS_MAX 512
 #define SIM_MS AGB_MS
 
 struct sim;
