--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -7,6 +7,9 @@
 
 /* Runners named in the first call for a step. */
 #define NAMED_FIRST 30
+/* Of the runners named about this share is approved at least; for a wide gang
+ * more are named. */
+#define APPROVED_PERCENT 28
 /* The service takes one call of an instance at a time. Calls longer than
  * this go to one half of the instances, so that short ones do not wait
  * behind them. */
@@ -266,6 +269,67 @@
 	return len;
 }
 
+static uint32_t
+tasks_when_empty(const struct wf_runner *r, const struct wf_step *step)
+{
+	struct agb_resources room = r->info.capacity;
+	uint32_t n;
+
+	for (n = 0; n < step->count; n++) {
+		if (!agb_resources_fit(&step->need, &room))
+			break;
+		agb_resources_sub(&room, &step->need);
+	}
+	if (step->spread_max > 0 && n > step->spread_max)
+		n = step->spread_max;
+	return n;
+}
+
+/* Whether the approved runners could ever hold what has to start at once. */
+static bool
+enough_approved(const struct wf_leader *l, const struct wf_unit *u)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const uint32_t need = step->gang ? step->count : 1;
+	uint32_t n;
+	size_t i;
+
+	n = 0;
+	for (i = 0; i < u->approvals_len && n < need; i++) {
+		const struct wf_runner *const r =
+		    &l->runners[u->approvals[i].runner];
+
+		if (u->approvals[i].ok && u->approvals[i].life == r->life &&
+		    r->listed && !r->info.draining)
+			n += tasks_when_empty(r, step);
+	}
+	return n >= need;
+}
+
+/* Runners to name so that enough of them are approved. */
+static size_t
+named(const struct wf_leader *l, const struct wf_unit *u, const char *service)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	uint32_t ri, each;
+	size_t n;
+
+	if (!step->gang)
+		return NAMED_FIRST;
+	each = 0;
+	for (ri = 0; ri < l->runners_len && each == 0; ri++) {
+		if (l->runners[ri].listed &&
+		    strcmp(l->runners[ri].info.service, service) == 0)
+			each = tasks_when_empty(&l->runners[ri], step);
+	}
+	if (each == 0)
+		return NAMED_FIRST;
+	n = (step->count + each - 1) / each * 100 / APPROVED_PERCENT;
+	return n < NAMED_FIRST ? NAMED_FIRST
+	    : n < WF_ADVICE_MAX ? n
+				: WF_ADVICE_MAX;
+}
+
 void
 wf_advice_want(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_effects *out)
@@ -277,9 +341,11 @@
 	if (u->asking || now->mono < u->ask_after || q == NULL)
 		return;
 	if (u->approvals_len > 0 &&
-	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS)
+	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS &&
+	    enough_approved(l, u))
 		return;
-	len = unasked(l, now, u, q->service, runners, NAMED_FIRST);
+	len = unasked(
+	    l, now, u, q->service, runners, named(l, u, q->service));
 	if (len > 0)
 		ask_send(l, now, u, runners, len, out);
 }
