--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -28,6 +28,7 @@
 #define HOLD_RETRY_MS 200
 /* A runner that has not answered takes no new tasks for this long. */
 #define SHUN_LOST_MS 1000
+#define FENCED_MS 3000
 #define SHUN_BUSY_MS 500
 /* Failed ends in a row, without a success, after which a runner is taken as
  * faulty, and for how long. */
@@ -821,6 +822,17 @@
 	send_look(l, now, t->runner, out);
 }
 
+/* An order that the runner has not carried out. */
+static void
+order_undone(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	if (res->kind == WF_ORDER_START)
+		start_answer(l, now, res, out);
+	else if (res->kind == WF_ORDER_HOLD)
+		hold_answer(l, now, res, out);
+}
+
 void
 wf_fleet_answer(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -836,7 +848,15 @@
 	if (res->status == WF_ORDER_FENCED) {
 		wf_effects_log(out, AGB_LOG_WARN, "fenced",
 		    "runner=%s fence=%" PRIu64, r->info.id, l->fence);
-		l->lost = true;
+		shun(r, now->mono, SHUN_LOST_MS);
+		/* One faulty runner may say so; another leader shows at
+		 * several. */
+		if (l->fenced_at > 0 && l->fenced_by != res->runner &&
+		    now->mono - l->fenced_at < FENCED_MS * AGB_MS)
+			l->lost = true;
+		l->fenced_at = now->mono;
+		l->fenced_by = res->runner;
+		order_undone(l, now, res, out);
 		return;
 	}
 	if (res->born_ms > r->info.born_ms) {
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -325,6 +325,8 @@
 	agb_time fleet_at;
 	agb_time due_at;
 	bool starts_held;
+	uint32_t fenced_by;
+	agb_time fenced_at;
 	bool lost;
 };
 
