--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -325,7 +325,7 @@
 	if (each == 0)
 		return NAMED_FIRST;
 	n = (step->count + each - 1) / each * 100 / APPROVED_PERCENT;
-	return n < NAMED_FIRST ? NAMED_FIRST
+	return n < NAMED_FIRST	? NAMED_FIRST
 	    : n < WF_ADVICE_MAX ? n
 				: WF_ADVICE_MAX;
 }
@@ -344,8 +344,7 @@
 	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS &&
 	    enough_approved(l, u))
 		return;
-	len = unasked(
-	    l, now, u, q->service, runners, named(l, u, q->service));
+	len = unasked(l, now, u, q->service, runners, named(l, u, q->service));
 	if (len > 0)
 		ask_send(l, now, u, runners, len, out);
 }
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -16,8 +16,10 @@
  * is later still earns nothing for its caller. */
 #define LATE_FACTOR 3
 
-/* Gangs for which room is kept in one pass, and how long they wait first. */
-#define RESERVE_MAX 6
+/* Gangs for which room is kept in one pass: at least so many, and one more
+ * for so many runners; and how long they wait first. */
+#define RESERVE_MIN 6
+#define RESERVE_RUNNERS 30
 #define RESERVE_AFTER_MS 150
 /* Run times exceed their estimates by this on average. */
 #define ESTIMATE_PERCENT 120
@@ -575,8 +577,7 @@
 	const struct agb_resources *const need = &wf_unit_step(u)->need;
 	uint32_t ri;
 
-	if (p->no_room.cpu_milli > 0 &&
-	    agb_resources_fit(&p->no_room, need))
+	if (p->no_room.cpu_milli > 0 && agb_resources_fit(&p->no_room, need))
 		return false;
 	for (ri = 0; ri < p->l->runners_len; ri++) {
 		const struct agb_resources room =
@@ -643,7 +644,7 @@
 		return;
 	}
 	from = AGB_TIME_MAX;
-	if (p->reserved < RESERVE_MAX &&
+	if (p->reserved < RESERVE_MIN + p->l->runners_len / RESERVE_RUNNERS &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
 		from = reserve(p, u, q);
 	if (from != AGB_TIME_MAX && stale_len == 0 && q->advised) {
