--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -44,9 +44,9 @@
 /* Without an answer of the store for this long, new requests are better
  * served elsewhere. */
 #define READY_STORE_MS 1500
-/* Renewals come every RENEW_MS: a store without an answer for this long does
- * not answer this instance. */
-#define SILENT_STORE_MS 700
+/* A renewal that has waited this long, with no other answer meanwhile, tells
+ * that the store does not answer; a slow store takes half of it. */
+#define SILENT_STORE_MS 500
 /* After SIGTERM: connections leave within this time when they can, and the
  * process ends this much before it would be killed. */
 #define DRAIN_MS 3500
@@ -413,6 +413,17 @@
 	wf_effects_add(out, WF_EF_REGISTRY)->on = true;
 }
 
+static bool
+store_silent(const struct wf_core *c, agb_time now)
+{
+	const agb_time limit = SILENT_STORE_MS * AGB_MS;
+
+	return c->heard_at == 0 ||
+	    (now - c->heard_at > limit && c->op_out &&
+		now - c->op_sent > limit) ||
+	    now - c->heard_at > 2 * limit;
+}
+
 static uint32_t
 peers_silent(const struct wf_core *c, agb_time now)
 {
@@ -606,13 +617,13 @@
 }
 
 static void
-on_peer_put(struct wf_core *c, uint64_t token, const struct wf_put *put,
-    struct wf_effects *out)
+on_peer_put(struct wf_core *c, const struct wf_now *now, uint64_t token,
+    const struct wf_put *put, struct wf_effects *out)
 {
 	const struct wf_put_res refused = {.status = AGB_STORE_REFUSED};
 	struct wf_effect *ef;
 
-	if (c->puts_len >= PEER_PUTS_MAX || c->store_lost ||
+	if (c->puts_len >= PEER_PUTS_MAX || store_silent(c, now->mono) ||
 	    strncmp(put->key, WF_KEY_PREFIX, strlen(WF_KEY_PREFIX)) != 0) {
 		put_answer(token, &refused, out);
 		return;
@@ -984,7 +995,7 @@
 static void
 tick_front(struct wf_core *c, const struct wf_now *now)
 {
-	const bool store = now->mono - c->heard_at <= SILENT_STORE_MS * AGB_MS;
+	const bool store = !store_silent(c, now->mono);
 	const bool whole = c->leader != NULL ||
 	    (c->feeds[WF_FEED_JOBS].synced && c->feeds[WF_FEED_STATES].synced &&
 		store);
@@ -1018,8 +1029,7 @@
 	}
 	tick_feeds(c, now, out);
 	tick_front(c, now);
-	wf_front_store_silent(
-	    c->front, now->mono - c->heard_at > SILENT_STORE_MS * AGB_MS);
+	wf_front_store_silent(c->front, store_silent(c, now->mono));
 	c->next = sooner(c->next, wf_front_tick(c->front, now, out));
 	tick_ready(c, now, out);
 	tick_drain(c, now, out);
@@ -1072,7 +1082,7 @@
 		on_push(c, now, &ev->u.feed, out);
 		break;
 	case WF_EV_PEER_PUT:
-		on_peer_put(c, ev->tag, &ev->u.put, out);
+		on_peer_put(c, now, ev->tag, &ev->u.put, out);
 		break;
 	}
 	tick(c, now, out);
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -15,6 +15,8 @@
 #define RELAY_MS 250
 #define RELAY_NEXT_MS 400
 #define RELAY_TIMEOUT_MS 1000
+/* Peers that are asked while the store does not answer this instance. */
+#define RELAYS_MAX 3
 /* Time of a caller that did not say how long it waits. */
 #define CALL_MS 3000
 /* The answer has to reach the caller before it gives up. */
@@ -298,6 +300,33 @@
 	    took / AGB_MS);
 }
 
+static void
+give_up(struct wf_front *f, struct waiting *w, struct wf_effects *out)
+{
+	if (w->unknown)
+		refuse(out, w->call_id, w->kind, 504, w->job,
+		    "the store has not answered; it may have been stored");
+	else
+		refuse(out, w->call_id, w->kind, 503, w->job,
+		    "the store cannot be reached; nothing was stored");
+	waiting_free(f, w);
+}
+
+/* Sends the write; while the store does not answer, only through a peer that
+ * it does answer: a write into the void could neither be refused nor tried
+ * again. */
+static void
+write_first(struct wf_front *f, const struct wf_now *now, struct waiting *w,
+    struct wf_effects *out)
+{
+	if (!f->store_silent) {
+		store_send(f, w, out);
+		return;
+	}
+	if (!relay_send(f, now, w, out))
+		give_up(f, w, out);
+}
+
 static void
 call_submit(struct wf_front *f, const struct wf_now *now,
     const struct wf_queue *q, struct wf_call *call, const char *job,
@@ -327,7 +356,7 @@
 		waiting_free(f, w);
 		return;
 	}
-	store_send(f, w, out);
+	write_first(f, now, w, out);
 }
 
 static void
@@ -352,6 +381,11 @@
 		reply_state(out, call->id, j);
 		return;
 	}
+	if (f->store_silent) {
+		refuse(out, call->id, call->kind, 503, job,
+		    "the job is not known here and the store is silent");
+		return;
+	}
 	/* Another instance may have accepted it, and what is known here may
 	 * be old. */
 	w = wait_new(f, now, call, q, job);
@@ -375,7 +409,10 @@
 	}
 	w = wait_new(f, now, call, q, job);
 	w->reading = j == NULL || j->spec_rev == 0;
-	store_send(f, w, out);
+	if (w->reading)
+		store_send(f, w, out);
+	else
+		write_first(f, now, w, out);
 }
 
 static void
@@ -500,18 +537,6 @@
 	store_send(f, w, out);
 }
 
-static void
-give_up(struct wf_front *f, struct waiting *w, struct wf_effects *out)
-{
-	if (w->unknown)
-		refuse(out, w->call_id, w->kind, 504, w->job,
-		    "the store has not answered; it may have been stored");
-	else
-		refuse(out, w->call_id, w->kind, 503, w->job,
-		    "the store cannot be reached; nothing was stored");
-	waiting_free(f, w);
-}
-
 /* A call has ended without effect, or without an answer. */
 static void
 failed(struct wf_front *f, const struct wf_now *now, struct waiting *w,
@@ -528,7 +553,8 @@
 			return;
 		}
 	}
-	if (w->relay_tag == 0 && relay_send(f, now, w, out))
+	if (w->relay_tag == 0 && (!f->store_silent || w->relays < RELAYS_MAX) &&
+	    relay_send(f, now, w, out))
 		return;
 	if (w->tag != 0 || w->relay_tag != 0)
 		return;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -295,6 +295,25 @@
 	finish(s);
 }
 
+/* A store that is silent for all: writes into the void ended as "may have been
+ * stored" after the caller's whole time, and could not be tried again. */
+static void
+store_silent_refused_at_once(void)
+{
+	struct sim *const s = start(&plain);
+
+	sim_store(s, SIM_STORE_SILENT);
+	sim_run(s, 1500);
+	sim_submit(s, 0, JOB, sim_spec(1, 1000, 100));
+	sim_run(s, 300);
+	CU_ASSERT_EQUAL(sim_submit_status(s, JOB), 503);
+	sim_run(s, 3000);
+	sim_store(s, SIM_STORE_UP);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 0);
+	finish(s);
+}
+
 /* Running work goes on while the store is away for 4.5 s. */
 static void
 store_away_work_goes_on(void)
@@ -469,6 +488,7 @@
     {"leader frozen", leader_frozen},
     {"store refuses one instance", store_refuses_one_instance},
     {"store away: refused at once", store_away},
+    {"silent store: refused at once", store_silent_refused_at_once},
     {"store away: work goes on", store_away_work_goes_on},
     {"gang among small tasks", gang_among_small_tasks},
     {"gang member's start lost", gang_member_start_lost},
