--- a/src/agatebeam/ctl.h
+++ b/src/agatebeam/ctl.h
@@ -149,6 +149,14 @@
 enum agb_ctl_exit agb_ctl_explain(
     struct agb_ctl *ctl, const struct agb_ctl_args *args);
 
+/**
+ * agb_ctl_trace() - lines of several logs about one job, in causal order,
+ * and what they say in words
+ * @args: env holds the job's id, other the file
+ */
+enum agb_ctl_exit agb_ctl_trace(
+    struct agb_ctl *ctl, const struct agb_ctl_args *args);
+
 /**
  * agb_ctl_init() - connect a store client to the commands
  * @ctl: its other fields are set by the caller before
--- a/src/agatebeam/ctl_args.c
+++ b/src/agatebeam/ctl_args.c
@@ -48,6 +48,8 @@
 	"print the status that an entry instance reports"},
     {NULL, "explain", agb_ctl_explain, USES_ENTRY, NULL, "ID",
 	"tell why a job or request stands where it does"},
+    {NULL, "trace", agb_ctl_trace, 0, "JOB", "LOG",
+	"put the lines of logs about a job in order and say what they tell"},
 };
 
 static const char exit_text[] =
@@ -120,12 +122,15 @@
 
 	memset(t, 0, sizeof(*t));
 	if (c->env != NULL)
-		t->list[n++] = t->env =
-		    arg_str1(NULL, NULL, c->env, "environment");
+		t->list[n++] = t->env = arg_str1(NULL, NULL, c->env,
+		    strcmp(c->env, "JOB") == 0 ? "id of the job"
+					       : "environment");
 	if (c->other != NULL)
 		t->list[n++] = t->other = arg_str1(NULL, NULL, c->other,
 		    strcmp(c->other, "TO") == 0	      ? "environment to change"
 			: strcmp(c->other, "ID") == 0 ? "of a job or request"
+			: strcmp(c->other, "LOG") == 0
+			? "logs one after the other, - for standard input"
 			: strcmp(c->other, "FILE") == 0
 			? "document, - for standard input"
 			: "document (a path with / or .), or environment");
