feat(fleet): tasks on runners that stand still start elsewhere

Cause: runners that hold all their tasks still look idle and healthy; they took new tasks, and what they held waited for them. Change: progress as listed, on the runner's clock. A runner on which no task outside a gang has moved for 0.7 s and a quarter of the estimate takes nothing new; a task is stopped after 1.2 s, or as long as the work took that the stop throws away (twice that with a gang). Tasks ten times too slow go on. Ruled out: gangs as witnesses, since their members stand still together.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -34,6 +34,19 @@
  * faulty, and for how long. */
 #define FAIL_STREAK_MAX 2
 #define SHUN_FAULTY_MS 5000
+/* A task that shows the same progress for this long and for a quarter of its
+ * estimate stands still; one that is ten times too slow does not. */
+#define STILL_MS 700
+#define STILL_LISTS 2
+#define STILL_ESTIMATE_SHARE 4
+/* Before its first progress a task loads its data or its checkpoint. */
+#define STILL_BEGIN_MS 1500
+#define SHUN_STILL_MS 1500
+/* A task that stands still is stopped no sooner, and not before it has stood
+ * for as long as the work that a stop throws away has taken. */
+#define STILL_STOP_MS 1200
+/* Work since the last checkpoint, at most. */
+#define STILL_SAVED_MS 1000
 /* Heartbeats have to be missing for longer before an entry lapses. */
 #define LEFT_HEARD_MS 2500
 /* After an election, time for the runners to show what they hold. */
@@ -353,6 +366,7 @@
 
 	t->state = WF_TASK_SENT;
 	t->sent_at = now->mono;
+	t->moved_run = 0;
 	t->start_ms = clock_now(r, now->mono) + START_MS;
 	lease_extend(r, now->mono, START_MS);
 	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS, out);
@@ -569,6 +583,93 @@
 	wf_task_ended(l, now, u, t, f->how, f->saved, out);
 }
 
+/* How long a task has shown no progress, on its runner's clock; 0 when that
+ * tells nothing. */
+static int64_t
+still_ms(const struct wf_runner *r, const struct wf_task *t)
+{
+	const struct wf_step *const step = wf_unit_step(t->unit);
+	int64_t ms, least;
+
+	if (t->state != WF_TASK_RUN || t->still < STILL_LISTS ||
+	    t->percent >= 100 || step->lasts || step->fills ||
+	    (step->gang && t->percent == 0))
+		return 0;
+	ms = r->clock_ms - t->moved_ms;
+	least = step->estimate_ms / STILL_ESTIMATE_SHARE;
+	least = least > STILL_MS ? least : STILL_MS;
+	if (t->percent == 0)
+		least += STILL_BEGIN_MS;
+	return ms >= least ? ms : 0;
+}
+
+static bool
+still_too_long(const struct wf_task *t, int64_t ms)
+{
+	const struct wf_step *const step = wf_unit_step(t->unit);
+	int64_t lost;
+
+	lost = (int64_t)step->estimate_ms * t->percent / 100;
+	if (step->saves && lost > STILL_SAVED_MS)
+		lost = STILL_SAVED_MS;
+	lost = lost > STILL_STOP_MS ? lost : STILL_STOP_MS;
+	/* With a member of a gang the work of all is thrown away. */
+	return ms >= (step->gang ? 2 * lost : lost);
+}
+
+/* A runner on which nothing makes progress takes no new tasks, and what has
+ * stood still for too long starts elsewhere. The members of a gang stand
+ * still together, so that they say nothing of their runner. */
+static void
+judge_progress(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	unsigned still = 0, moving = 0;
+	struct wf_task *t;
+	int64_t ms;
+
+	for (t = r->tasks; t != NULL; t = t->next) {
+		if (!t->listed || wf_unit_step(t->unit)->gang)
+			continue;
+		if (still_ms(r, t) > 0)
+			still++;
+		else if (t->still == 0)
+			moving++;
+	}
+	if (r->stalled != (still > 0 && moving == 0)) {
+		r->stalled = !r->stalled;
+		wf_effects_log(out, AGB_LOG_INFO, "runner",
+		    "runner=%s change=%s tasks=%u", r->info.id,
+		    r->stalled ? "stalled" : "moving", still + moving);
+	}
+	if (!r->stalled)
+		return;
+	shun(r, now->mono, SHUN_STILL_MS);
+	for (t = r->tasks; t != NULL; t = t->next) {
+		ms = t->listed && !t->stopping ? still_ms(r, t) : 0;
+		if (ms == 0 || !still_too_long(t, ms))
+			continue;
+		t->avoid = ri;
+		wf_task_stop(
+		    l, now, t->unit, t, "it makes no progress there", out);
+	}
+}
+
+static void
+take_progress(
+    const struct wf_runner *r, struct wf_task *t, const struct wf_active *a)
+{
+	if (t->moved_run != a->run || a->percent != t->percent) {
+		t->moved_run = a->run;
+		t->percent = a->percent;
+		t->moved_ms = r->clock_ms;
+		t->still = 0;
+		return;
+	}
+	t->still++;
+}
+
 static void
 take_active(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     const struct wf_active *a, struct wf_effects *out)
@@ -589,6 +690,7 @@
 			t->answered_at = now->mono;
 	}
 	t->unanswered = false;
+	take_progress(&l->runners[ri], t, a);
 	if (a->saved[0] != '\0' &&
 	    (t->saved == NULL || strcmp(t->saved, a->saved) != 0)) {
 		free(t->saved);
@@ -689,6 +791,7 @@
 	if (r->processed > before)
 		wf_commit_ack(l, ri, r->processed);
 	take_absent(l, now, ri, res, out);
+	judge_progress(l, now, ri, out);
 	sweep_strays(r);
 	if (!r->met) {
 		r->met = true;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -60,6 +60,9 @@
  * @avoid: runner on which it failed last
  * @prev, @next: others that are counted at the same runner
  * @listed: scratch of the reading of a runner's list
+ * @percent: progress that its runner has listed last, of run @moved_run
+ * @moved_ms: when a list showed that progress first, on the runner's clock
+ * @still: later lists that showed the same
  */
 struct wf_task {
 	enum wf_task_state state;
@@ -82,6 +85,10 @@
 	struct wf_unit *unit;
 	struct wf_task *prev, *next;
 	bool listed;
+	uint32_t percent;
+	uint32_t moved_run;
+	int64_t moved_ms;
+	uint32_t still;
 };
 
 /**
@@ -182,6 +189,7 @@
  * @held: needs of all that may be there
  * @tasks: tasks that are counted there
  * @fail_streak: failed ends since the last success
+ * @stalled: none of its tasks makes progress
  * @shun_until: takes no new tasks before
  */
 struct wf_runner {
@@ -206,6 +214,7 @@
 	struct agb_resources held;
 	struct wf_task *tasks;
 	uint32_t fail_streak;
+	bool stalled;
 	agb_time shun_until;
 	struct wf_stray *strays;
 	size_t strays_len;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -441,6 +441,67 @@
 }
 
 /* Random days that once broke a promise, with the cause. */
+/* A task whose runner stands still starts elsewhere, and the runner takes no
+ * new ones, long before it works again. */
+static void
+stalled_runner(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+	unsigned ri;
+
+	o.stalls = true;
+	s = start(&o);
+	sim_submit(s, 0, JOB, sim_spec(1, 2000, 1000));
+	sim_run(s, 400);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 1);
+	ri = sim_runner_of(s, JOB);
+	sim_runner_hang(s, ri, true);
+	until(s, JOB, "completed", 5500);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 2);
+	sim_runner_hang(s, ri, false);
+	finish(s);
+}
+
+/* Nothing new goes to a runner on which all tasks stand still. */
+static void
+stalled_runner_takes_nothing(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+	unsigned ri;
+
+	o.stalls = true;
+	o.runners = 2;
+	s = start(&o);
+	sim_submit(s, 0, JOB, sim_spec(1, 2000, 8000));
+	sim_run(s, 500);
+	ri = sim_runner_of(s, JOB);
+	sim_runner_hang(s, ri, true);
+	sim_run(s, 3500);
+	sim_submit(s, 0, JOB2, sim_spec(6, 2000, 200));
+	until(s, JOB2, "completed", 700);
+	sim_runner_hang(s, ri, false);
+	until(s, JOB, "completed", 20000);
+	finish(s);
+}
+
+/* Tasks that take far longer than estimated are not stopped as stalled. */
+static void
+slow_tasks_go_on(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+
+	o.stalls = true;
+	o.stretch = 8;
+	s = start(&o);
+	sim_submit(s, 0, JOB, sim_spec(4, 2000, 1500));
+	until(s, JOB, "completed", 14000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 4);
+	finish(s);
+}
+
 static void
 kept_seeds(void)
 {
@@ -471,6 +532,9 @@
 
 	for (seed = 1; seed <= 60; seed++)
 		CU_ASSERT_EQUAL(sim_run_seed(seed, stdout), 0);
+	for (seed = 1; seed <= 30; seed++)
+		CU_ASSERT_EQUAL(
+		    sim_run_seed(SIM_STALL_SEEDS + seed, stdout), 0);
 }
 
 static const struct suite_test tests[] = {
@@ -496,6 +560,9 @@
     {"faulty runner is avoided", faulty_runner_is_avoided},
     {"history forgotten", history_forgotten},
     {"terminated leader hands over", terminated_leader_hands_over},
+    {"stalled runner", stalled_runner},
+    {"stalled runner takes nothing", stalled_runner_takes_nothing},
+    {"slow tasks go on", slow_tasks_go_on},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -43,6 +43,8 @@
 	struct agb_resources need;
 	agb_time began;
 	agb_time ends; /* 0 while it hangs or waits for its gang */
+	agb_time works; /* since when it makes progress */
+	uint32_t percent;
 	bool stopping;
 	bool waits;
 	enum wf_end how;
@@ -763,6 +765,7 @@
 member_begin(struct sim *s, struct run *x, uint64_t ends)
 {
 	x->waits = false;
+	x->works = s->now;
 	x->ends = ends;
 	x->how = WF_END_DONE;
 }
@@ -777,6 +780,25 @@
 	}
 }
 
+/* A runner that stands still holds its tasks where they are. */
+static void
+run_progress(struct sim *s, const struct simrunner *r, struct run *x)
+{
+	const agb_time step = 5 * SIM_MS;
+
+	if (x->waits || x->ends <= x->works || x->stopping)
+		return;
+	if (r->hang) {
+		x->works += step;
+		x->ends += step;
+		return;
+	}
+	if (s->now >= x->ends)
+		return;
+	x->percent =
+	    (uint32_t)((s->now - x->works) * 100 / (x->ends - x->works));
+}
+
 static void
 run_remove(struct simrunner *r, size_t i)
 {
@@ -793,6 +815,8 @@
 	if (!r->up)
 		return;
 	for (i = r->runs_len; i > 0; i--) {
+		if (s->o.stalls)
+			run_progress(s, r, &r->runs[i - 1]);
 		x = r->runs[i - 1];
 		if (r->lease_until <= s->now) {
 			run_remove(r, i - 1);
@@ -935,6 +959,7 @@
 static enum wf_order_status
 do_start(struct sim *s, struct simrunner *r, const struct wf_order *o)
 {
+	const unsigned stretch = s->o.stretch > 0 ? s->o.stretch : 1;
 	struct simjob *const j = job_find(s, o->task.job);
 	const struct wf_step *step;
 	struct run *x;
@@ -973,10 +998,13 @@
 		x->waits = true;
 		if (gang_present(s, x) == step->count)
 			gang_each(s, x, member_begin,
-			    s->now + step->estimate_ms * SIM_MS);
+			    s->now + step->estimate_ms * stretch * SIM_MS);
 	} else {
+		x->works = s->now;
 		x->ends = s->now +
-		    (x->how == WF_END_FAILED ? 50 : step->estimate_ms) * SIM_MS;
+		    (x->how == WF_END_FAILED ? 50
+					     : step->estimate_ms * stretch) *
+			SIM_MS;
 	}
 	return WF_ORDER_OK;
 }
@@ -1034,6 +1062,8 @@
 	for (i = 0; i < r->runs_len; i++) {
 		c->res.active[i].task = r->runs[i].task;
 		c->res.active[i].run = r->runs[i].run;
+		c->res.active[i].percent =
+		    s->o.stalls ? r->runs[i].percent : 100;
 	}
 	c->res.active_len = r->runs_len;
 	c->res.finished =
@@ -2192,6 +2222,11 @@
 							 : rnd(s, s->o.cores);
 	unsigned i;
 
+	if (s->o.stalls && chance(s, 30)) {
+		sim_runner_hang(s, ri, true);
+		later(s, (1000 + rnd(s, 6000)) * SIM_MS, runner_heal)->a = ri;
+		return;
+	}
 	switch (rnd(s, 11)) {
 	case 0:
 		sim_kill(s, ci, 500 + rnd(s, 3000));
@@ -2278,6 +2313,8 @@
 unsigned
 sim_run_seed(unsigned seed, FILE *report)
 {
+	const unsigned stretch =
+	    seed >= SIM_STALL_SEEDS && seed % 6 == 0 ? 4 : 1;
 	const struct sim_options o = {
 	    .seed = seed,
 	    .cores = 2 + seed % 4,
@@ -2290,7 +2327,9 @@
 	    .lost_percent = seed % 3 == 0 ? 3 : 0,
 	    .late_percent = seed % 4 == 0 ? 2 : 0,
 	    .store_lost_percent = seed % 7 == 0 ? 15 : 0,
-	    .jobs_per_s = 4 + seed % 8,
+	    .stretch = stretch,
+	    .stalls = seed >= SIM_STALL_SEEDS,
+	    .jobs_per_s = 1 + (3 + seed % 8) / stretch,
 	    .load_ms = 25000,
 	    .fault_gap_ms = 800 + 400 * (seed % 6),
 	};
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -16,6 +16,7 @@
 #define SIM_CORES_MAX 8
 #define SIM_RUNNERS_MAX 512
 #define SIM_MS AGB_MS
+#define SIM_STALL_SEEDS 1000000
 
 struct sim;
 
@@ -27,6 +28,8 @@
  * @lost_percent: share of the orders whose answer is lost
  * @late_percent: share of the orders that are carried out seconds later
  * @store_lost_percent: share of the writes whose answer is lost
+ * @stretch: factor on the run times beyond the estimate; 0 is 1
+ * @stalls: runners also stand still on random days
  */
 struct sim_options {
 	uint64_t seed;
@@ -40,6 +43,8 @@
 	unsigned lost_percent;
 	unsigned late_percent;
 	unsigned store_lost_percent;
+	unsigned stretch;
+	bool stalls;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -119,7 +124,8 @@
 void sim_random_day(struct sim *s);
 
 /**
- * sim_run_seed() - a random day whose sizes and faults come from the seed
+ * sim_run_seed() - a random day whose sizes and faults come from the seed;
+ * from seed SIM_STALL_SEEDS on, runners also stand still
  * @report: gets a line when a promise is broken; may be NULL
  * Return: number of broken promises.
  */
