fix(fleet): no acknowledgement of ends to a runner that may have restarted

A hold sent after a runner had crashed acknowledged the ends of its earlier life. It was carried out seconds later by the next life, which counts anew, and removed ends that no leader had read; their tasks started again. Change: holds acknowledge only to a runner that answered the last one, looks beside a hold never. Ruled out: the new rule on stalled runners; no task had been stopped.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -400,7 +400,8 @@
 	o->run = run;
 }
 
-/* A look at the lists beside the hold that waits for an end. */
+/* A look at the lists beside the hold that waits for an end. It acknowledges
+ * none: it follows a lost answer, and the runner may have restarted. */
 static void
 send_look(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     struct wf_effects *out)
@@ -408,7 +409,6 @@
 	struct wf_order *const o =
 	    order_new(l, now, ri, WF_ORDER_HOLD, START_TIMEOUT_MS, out);
 
-	o->observed = l->runners[ri].observed;
 	o->beside = true;
 }
 
@@ -422,12 +422,14 @@
 
 	r->hold_out = true;
 	r->hold_sent = now->mono;
-	o->observed = r->observed;
 	/* The first one only reads the lists and the clock. One to a runner
 	 * that does not answer must not extend its lease, which has to run out
-	 * before its tasks start elsewhere. */
+	 * before its tasks start elsewhere. Nor does it acknowledge ends: the
+	 * runner may have restarted and count them anew, and an order that is
+	 * carried out late would remove ends that nobody has read. */
 	if (!r->met || r->clock_ms == 0 || r->silent)
 		return;
+	o->observed = r->observed;
 	o->wait_ms = r->processed > r->observed ? 0 : HOLD_WAIT_MS;
 	o->deadline_ms = clock_now(r, now->mono) + HOLD_MS;
 	lease_extend(r, now->mono, HOLD_MS);
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -515,6 +515,7 @@
 	    {444, "an answer to an order of an earlier time as leader"},
 	    {5034, "a write through a peer that was left behind and refused"},
 	    {721, "a second term under an election that had ended"},
+	    {1001228, "ends acknowledged to a runner's next life"},
 	};
 	size_t i;
 
