fix: sanitizer findings in the workflow reducer and two tests

Cause: memmove, memcpy and qsort got null pointers with length 0, at which the sanitizer build ends the process; test_sched_faults kept a pointer into a list of effects that the next step moves. Change: no call with length 0; the effect is read before the step.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -81,8 +81,9 @@
 		agb_name_set(a->name, sizeof(a->name), p->name);
 		agb_name_set(a->peer, sizeof(a->peer), p->rpc);
 	}
-	qsort(
-	    l->advisors, l->advisors_len, sizeof(*l->advisors), advisor_order);
+	if (l->advisors_len > 1)
+		qsort(l->advisors, l->advisors_len, sizeof(*l->advisors),
+		    advisor_order);
 	/* The leader's own calls come last: it has the most to do. */
 	a = &l->advisors[l->advisors_len++];
 	advisor_keep(l, old, old_len, l->self, a);
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -722,8 +722,9 @@
 	ef->timeout_ms = ask->timeout_ms;
 	ef->u.ask = *ask;
 	ef->u.ask.runners = agb_xcalloc(ask->runners_len + 1, sizeof(agb_id));
-	memcpy(
-	    ef->u.ask.runners, ask->runners, ask->runners_len * sizeof(agb_id));
+	if (ask->runners_len > 0)
+		memcpy(ef->u.ask.runners, ask->runners,
+		    ask->runners_len * sizeof(agb_id));
 }
 
 static void
@@ -749,8 +750,9 @@
 	ef->u.advice = *a;
 	ef->u.advice.items =
 	    agb_xcalloc(a->items_len + 1, sizeof(struct wf_ticket));
-	memcpy(ef->u.advice.items, a->items,
-	    a->items_len * sizeof(struct wf_ticket));
+	if (a->items_len > 0)
+		memcpy(ef->u.advice.items, a->items,
+		    a->items_len * sizeof(struct wf_ticket));
 	c->asks[i] = c->asks[--c->asks_len];
 }
 
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -136,7 +136,8 @@
 		(*list)[n].due = u->due;
 		n++;
 	}
-	qsort(*list, n, sizeof(**list), entry_order);
+	if (n > 1)
+		qsort(*list, n, sizeof(**list), entry_order);
 	return n;
 }
 
@@ -401,7 +402,8 @@
 			list[n].at = soon;
 		list[n++].need = step->need;
 	}
-	qsort(list, n, sizeof(*list), ending_order);
+	if (n > 1)
+		qsort(list, n, sizeof(*list), ending_order);
 	return n;
 }
 
@@ -632,7 +634,8 @@
 	len = candidates(p, u, q, &stale_len);
 	if (step->rack_bound)
 		len = keep_one_rack(p->cands, len, u->waiting);
-	qsort(p->cands, len, sizeof(*p->cands), cand_order);
+	if (len > 1)
+		qsort(p->cands, len, sizeof(*p->cands), cand_order);
 	room = 0;
 	for (i = 0; i < len; i++)
 		room += p->cands[i].fit;
@@ -665,7 +668,8 @@
 	len = candidates(p, u, q, &stale_len);
 	if (wf_unit_step(u)->rack_bound)
 		len = keep_one_rack(p->cands, len, u->waiting);
-	qsort(p->cands, len, sizeof(*p->cands), cand_order);
+	if (len > 1)
+		qsort(p->cands, len, sizeof(*p->cands), cand_order);
 	if (len > 0)
 		place_on(p->l, p->now, u, p->cands, len);
 	if (u->waiting > 0)
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -93,7 +93,8 @@
 {
 	const size_t n = src.len < size ? src.len : size - 1;
 
-	memcpy(dst, src.base, n);
+	if (n > 0)
+		memcpy(dst, src.base, n);
 	dst[n] = '\0';
 }
 
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -180,7 +180,9 @@
 		free(list[i].val);
 	free(list);
 	l->shows_len -= len;
-	memmove(l->shows, l->shows + len, l->shows_len * sizeof(*l->shows));
+	if (l->shows_len > 0)
+		memmove(l->shows, l->shows + len,
+		    l->shows_len * sizeof(*l->shows));
 	return l->shows_len > 0 ? l->show_at : l->count_at;
 }
 
--- a/tests/test_sched_faults.c
+++ b/tests/test_sched_faults.c
@@ -425,9 +425,10 @@
 	for (i = 0; i < 120; i++) {
 		pass_time(&f, AGB_SEC);
 		for (; seen < count(&f, AGB_SCHED_START); seen++) {
+			/* Effects move when a step adds to them. */
 			ef = nth(&f, AGB_SCHED_START, seen);
-			ended(&f, ef->attempt, AGB_RESULT_OK);
 			ok += ef->job == 0;
+			ended(&f, ef->attempt, AGB_RESULT_OK);
 		}
 	}
 	CU_ASSERT_EQUAL(ok, 2);
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1068,7 +1068,9 @@
 	c->res.active_len = r->runs_len;
 	c->res.finished =
 	    agb_xcalloc(r->ends_len + 1, sizeof(*c->res.finished));
-	memcpy(c->res.finished, r->ends, r->ends_len * sizeof(*r->ends));
+	if (r->ends_len > 0)
+		memcpy(c->res.finished, r->ends,
+		    r->ends_len * sizeof(*r->ends));
 	c->res.finished_len = r->ends_len;
 }
 
