docs: operations, incidents and settings on a platform; silent runners are logged

Cause: operators had neither the way from an id to its cause nor the page of settings; a runner that stopped answering left no line until its lease ended. Measured: test_docs checks the page of settings, the metrics that alerts name, and the links.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -817,6 +817,14 @@
 	r->hold_out = false;
 	if (res->status != WF_ORDER_OK) {
 		r->hold_next = now->mono + HOLD_RETRY_MS * AGB_MS;
+		if (!r->silent)
+			wf_effects_log(out, AGB_LOG_WARN, "runner",
+			    "runner=%s change=silent heard_ms_ago=%" PRIu64
+			    " lease_left_ms=%" PRIu64,
+			    r->info.id, (now->mono - r->heard_at) / AGB_MS,
+			    r->lease_until > now->mono
+				? (r->lease_until - now->mono) / AGB_MS
+				: 0);
 		r->silent = true;
 		shun(r, now->mono, SHUN_LOST_MS);
 		if (r->has_left) {
@@ -826,12 +834,13 @@
 		}
 		return;
 	}
-	r->silent = false;
-	r->has_left = false;
-	if (r->heard_at == 0 || now->mono - r->heard_at > 2 * AGB_SEC)
+	if (r->heard_at == 0 || r->silent ||
+	    now->mono - r->heard_at > 2 * AGB_SEC)
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
 		    "runner=%s change=reached active=%zu ended=%zu", r->info.id,
 		    res->active_len, res->finished_len);
+	r->silent = false;
+	r->has_left = false;
 	r->heard_at = res->sent_at;
 	take_lists(l, now, res->runner, res, out);
 	r->hold_next = now->mono +
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -181,8 +181,8 @@
 	free(list);
 	l->shows_len -= len;
 	if (l->shows_len > 0)
-		memmove(l->shows, l->shows + len,
-		    l->shows_len * sizeof(*l->shows));
+		memmove(
+		    l->shows, l->shows + len, l->shows_len * sizeof(*l->shows));
 	return l->shows_len > 0 ? l->show_at : l->count_at;
 }
 
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -6,6 +6,7 @@
 #include "settings.h"
 #include "suite.h"
 #include "textfile.h"
+#include "wf_settings.h"
 
 /* A checker of one kind of document. */
 typedef void (*check_fn)(const char *text, struct agb_findings *f);
@@ -27,6 +28,14 @@
 	agb_settings_parse(text, strlen(text), &s, f);
 }
 
+static void
+check_platform_settings(const char *text, struct agb_findings *f)
+{
+	struct wf_settings s;
+
+	wf_settings_parse(text, strlen(text), &s, f);
+}
+
 /*
  * struct page - a page of docs/ whose examples are checked
  * @base: its first JSON example, without comments
@@ -206,6 +215,36 @@
 	check_page("docs/settings.md", check_settings);
 }
 
+/* The same of the settings on a platform. */
+static void
+test_platform_settings(void)
+{
+	check_page("docs/settings-platform.md", check_platform_settings);
+}
+
+/* Guards against alerts on metrics that are not served. */
+static void
+test_alerts(void)
+{
+	char *const page = textfile_need("docs/OPERATIONS.md", NULL);
+	char *const code = textfile_need("src/workflow/wf_metrics.c", NULL);
+	unsigned named = 0;
+	const char *p;
+	char *name;
+
+	for (p = page; (p = strstr(p, "agatebeam_")) != NULL; p++) {
+		name = agb_xmemdup(p, strspn(p, "abcdefghijklmnopqrstuvwxyz_"));
+		if (strstr(code, name) == NULL)
+			fprintf(stderr, "no metric %s\n", name);
+		CU_ASSERT_PTR_NOT_NULL(strstr(code, name));
+		free(name);
+		named++;
+	}
+	CU_ASSERT(named > 5);
+	free(code);
+	free(page);
+}
+
 /* Guards against a reason that docs/callers.md does not tell. */
 static void
 test_reasons(void)
@@ -232,6 +271,7 @@
 	    "docs/architecture.md", "docs/callers.md", "docs/environment.md",
 	    "docs/failures.md", "docs/getting-started.md", "docs/glossary.md",
 	    "docs/operating.md", "docs/security.md", "docs/settings.md",
+	    "docs/settings-platform.md", "docs/OPERATIONS.md",
 	    "docs/troubleshooting.md"};
 	char *path, *text;
 	const char *p;
@@ -254,6 +294,8 @@
 static const struct suite_test tests[] = {
     {"environment", test_environment},
     {"settings", test_settings},
+    {"platform settings", test_platform_settings},
+    {"alerts", test_alerts},
     {"reasons", test_reasons},
     {"links", test_links},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -42,7 +42,7 @@
 	uint32_t run;
 	struct agb_resources need;
 	agb_time began;
-	agb_time ends; /* 0 while it hangs or waits for its gang */
+	agb_time ends;	/* 0 while it hangs or waits for its gang */
 	agb_time works; /* since when it makes progress */
 	uint32_t percent;
 	bool stopping;
@@ -1069,8 +1069,8 @@
 	c->res.finished =
 	    agb_xcalloc(r->ends_len + 1, sizeof(*c->res.finished));
 	if (r->ends_len > 0)
-		memcpy(c->res.finished, r->ends,
-		    r->ends_len * sizeof(*r->ends));
+		memcpy(
+		    c->res.finished, r->ends, r->ends_len * sizeof(*r->ends));
 	c->res.finished_len = r->ends_len;
 }
 
