feat(fleet): tasks that fill are paced, and their memory is counted

Cause: a task that fills was not counted at its runner at all, so that its memory could go beyond the capacity, and several were placed on the same free processor. The response times of tasks beside it were read and not used. Change: all but the processor is counted; the processor of filling tasks is counted among them. When a tail is over 85% of its bound they work at half the share, and again after 0.7 s; under 60% they gain 20% each 2 s. Ruled out: stopping them, which throws their work away.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -141,6 +141,10 @@
 	return n;
 }
 
+/* A runner whose filling tasks work at less than this share takes no more of
+ * them. */
+#define FILL_PACE_MIN 50
+
 static uint32_t
 div_fit(int64_t room, int64_t need)
 {
@@ -174,8 +178,11 @@
 static struct agb_resources
 room_at(const struct pass *p, const struct wf_step *step, uint32_t ri)
 {
-	struct agb_resources room = wf_fleet_free(&p->l->runners[ri]);
+	const struct wf_runner *const r = &p->l->runners[ri];
+	struct agb_resources room = wf_fleet_free(r);
 
+	if (step->fills)
+		room.cpu_milli -= r->filled;
 	if (p->keeps[ri].from > 0 &&
 	    p->now->mono + expected_run(step) > p->keeps[ri].from)
 		agb_resources_sub(&room, &p->keeps[ri].need);
@@ -229,7 +236,8 @@
 	const struct wf_step *const step = wf_unit_step(u);
 	const struct wf_runner *const r = &p->l->runners[ri];
 
-	if (!eligible(p, u, service, ri))
+	if (!eligible(p, u, service, ri) ||
+	    (step->fills && r->pace < FILL_PACE_MIN))
 		return false;
 	c->fit = spread_cap(u, r, fit_in(room_at(p, step, ri), step));
 	if (c->fit == 0)
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -107,6 +107,7 @@
 	WF_ORDER_START,
 	WF_ORDER_STOP,
 	WF_ORDER_HOLD,
+	WF_ORDER_PACE,
 };
 
 /**
@@ -309,6 +310,7 @@
 	struct wf_task_ref task;
 	uint32_t run;
 	uint64_t observed;
+	uint32_t percent; /* WF_ORDER_PACE: share at which the task works */
 	uint32_t wait_ms;
 	bool beside;
 	char saved[WF_SAVED_MAX + 1];
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -143,6 +143,20 @@
 	t->saved = agb_xstrdup(saved);
 }
 
+void
+wf_runner_count(struct wf_runner *r, const struct wf_step *step, bool there)
+{
+	const struct agb_resources need = wf_step_held(step);
+
+	if (there)
+		agb_resources_add(&r->held, &need);
+	else
+		agb_resources_sub(&r->held, &need);
+	if (step->fills)
+		r->filled +=
+		    there ? step->need.cpu_milli : -step->need.cpu_milli;
+}
+
 static void
 count_at(struct wf_leader *l, struct wf_unit *u, struct wf_task *t)
 {
@@ -151,8 +165,7 @@
 	t->holds = true;
 	t->unit = u;
 	DL_APPEND(r->tasks, t);
-	if (!wf_unit_step(u)->fills)
-		agb_resources_add(&r->held, &wf_unit_step(u)->need);
+	wf_runner_count(r, wf_unit_step(u), true);
 }
 
 /* Takes over a task of the state record; what may be running is counted at
@@ -543,8 +556,7 @@
 		return;
 	t->holds = false;
 	DL_DELETE(r->tasks, t);
-	if (!wf_unit_step(u)->fills)
-		agb_resources_sub(&r->held, &wf_unit_step(u)->need);
+	wf_runner_count(r, wf_unit_step(u), false);
 	if (t->stopping) {
 		t->stopping = false;
 		l->stops--;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -47,6 +47,18 @@
 #define STILL_STOP_MS 1200
 /* Work since the last checkpoint, at most. */
 #define STILL_SAVED_MS 1000
+/* Tasks that fill are slowed when the response times of a task beside them
+ * are over this share of their bound, and work faster again when they are
+ * under the lower one. A change shows after about half a second. */
+#define TAIL_HIGH_PERCENT 85
+#define TAIL_LOW_PERCENT 60
+#define PACE_DOWN_MS 700
+#define PACE_UP_MS 2000
+#define PACE_UP_PERCENT 20
+#define PACE_LEAST_PERCENT 10
+#define PACE_TIMEOUT_MS 400
+/* Not a share: the order to set it was not answered. */
+#define PACE_UNKNOWN UINT32_MAX
 /* Heartbeats have to be missing for longer before an entry lapses. */
 #define LEFT_HEARD_MS 2500
 /* After an election, time for the runners to show what they hold. */
@@ -130,6 +142,7 @@
 	r = &l->runners[i];
 	life = r->life;
 	memset(r, 0, sizeof(*r));
+	r->pace = 100;
 	r->used = true;
 	r->life = life + 1;
 	r->gone_at = now;
@@ -232,6 +245,7 @@
 	r->observed = 0;
 	r->clock_ms = 0;
 	r->fail_streak = 0;
+	r->pace = 100;
 	if (r->tasks == NULL)
 		r->lease_until = now->mono;
 	l->changed = true;
@@ -367,6 +381,7 @@
 	t->state = WF_TASK_SENT;
 	t->sent_at = now->mono;
 	t->moved_run = 0;
+	t->paced = 100;
 	t->start_ms = clock_now(r, now->mono) + START_MS;
 	lease_extend(r, now->mono, START_MS);
 	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS, out);
@@ -508,7 +523,7 @@
 		s->run = a->run;
 		if (j != NULL && j->spec_rev > 0 &&
 		    a->task.step < j->spec.steps_len)
-			s->need = j->spec.steps[a->task.step].need;
+			s->need = wf_step_held(&j->spec.steps[a->task.step]);
 		agb_resources_add(&r->held, &s->need);
 		wf_effects_log(out, AGB_LOG_WARN, "stray",
 		    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
@@ -658,10 +673,89 @@
 	}
 }
 
+/* Worst response time beside the bound of its task, in percent; 0 when there
+ * is no such task. */
+static uint32_t
+worst_tail(const struct wf_runner *r)
+{
+	const struct wf_step *step;
+	const struct wf_task *t;
+	uint32_t worst = 0, share;
+
+	for (t = r->tasks; t != NULL; t = t->next) {
+		step = wf_unit_step(t->unit);
+		if (!t->listed || !step->lasts || step->target_ms == 0)
+			continue;
+		share = (uint32_t)((uint64_t)t->load * 100 / step->target_ms);
+		worst = share > worst ? share : worst;
+	}
+	return worst;
+}
+
+static uint32_t
+next_pace(const struct wf_runner *r, agb_time now, uint32_t tail)
+{
+	const agb_time since = now - r->pace_at;
+
+	if (tail >= TAIL_HIGH_PERCENT && since >= PACE_DOWN_MS * AGB_MS)
+		return r->pace / 2 < PACE_LEAST_PERCENT ? 0 : r->pace / 2;
+	if (tail < TAIL_LOW_PERCENT && since >= PACE_UP_MS * AGB_MS)
+		return r->pace + PACE_UP_PERCENT < 100
+		    ? r->pace + PACE_UP_PERCENT
+		    : 100;
+	return r->pace;
+}
+
+/* Slows the tasks that fill as far as the tasks beside them need it. */
+static void
+judge_pace(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	const uint32_t tail = worst_tail(r);
+	const uint32_t pace = next_pace(r, now->mono, tail);
+	struct wf_order *o;
+	struct wf_task *t;
+
+	if (pace != r->pace) {
+		wf_effects_log(out, AGB_LOG_INFO, "pace",
+		    "runner=%s percent=%" PRIu32 " before=%" PRIu32
+		    " tail_percent=%" PRIu32,
+		    r->info.id, pace, r->pace, tail);
+		r->pace = pace;
+		r->pace_at = now->mono;
+	}
+	for (t = r->tasks; t != NULL; t = t->next) {
+		if (!t->listed || !wf_unit_step(t->unit)->fills ||
+		    t->paced == r->pace || t->stopping)
+			continue;
+		t->paced = r->pace;
+		o = order_new(l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS, out);
+		wf_exec_ref(t->unit,
+		    (uint32_t)(t - t->unit->exec->tasks) - t->unit->first,
+		    &o->task);
+		o->run = t->run;
+		o->percent = t->paced;
+	}
+}
+
+static void
+pace_answer(struct wf_leader *l, const struct wf_order_result *res)
+{
+	struct wf_unit *u;
+	struct wf_task *t;
+
+	t = wf_exec_task(l, &res->task, &u);
+	if (t != NULL && t->holds && t->run == res->run &&
+	    t->runner == res->runner && res->status != WF_ORDER_OK)
+		t->paced = PACE_UNKNOWN;
+}
+
 static void
 take_progress(
     const struct wf_runner *r, struct wf_task *t, const struct wf_active *a)
 {
+	t->load = a->load;
 	if (t->moved_run != a->run || a->percent != t->percent) {
 		t->moved_run = a->run;
 		t->percent = a->percent;
@@ -794,6 +888,7 @@
 		wf_commit_ack(l, ri, r->processed);
 	take_absent(l, now, ri, res, out);
 	judge_progress(l, now, ri, out);
+	judge_pace(l, now, ri, out);
 	sweep_strays(r);
 	if (!r->met) {
 		r->met = true;
@@ -943,6 +1038,8 @@
 		start_answer(l, now, res, out);
 	else if (res->kind == WF_ORDER_HOLD)
 		hold_answer(l, now, res, out);
+	else if (res->kind == WF_ORDER_PACE)
+		pace_answer(l, res);
 }
 
 void
@@ -989,6 +1086,9 @@
 	case WF_ORDER_HOLD:
 		hold_answer(l, now, res, out);
 		break;
+	case WF_ORDER_PACE:
+		pace_answer(l, res);
+		break;
 	}
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -63,6 +63,8 @@
  * @percent: progress that its runner has listed last, of run @moved_run
  * @moved_ms: when a list showed that progress first, on the runner's clock
  * @still: later lists that showed the same
+ * @load: load that its runner has listed last
+ * @paced: share at which it was told to work, in percent
  */
 struct wf_task {
 	enum wf_task_state state;
@@ -89,6 +91,8 @@
 	uint32_t moved_run;
 	int64_t moved_ms;
 	uint32_t still;
+	uint32_t load;
+	uint32_t paced;
 };
 
 /**
@@ -187,6 +191,8 @@
  * @processed: number of the last end that was taken
  * @observed: number of the last end that is durable
  * @held: needs of all that may be there
+ * @filled: processor that tasks which fill may use there, not in @held
+ * @pace: share at which these work, in percent, set at @pace_at
  * @tasks: tasks that are counted there
  * @fail_streak: failed ends since the last success
  * @stalled: none of its tasks makes progress
@@ -212,6 +218,9 @@
 	uint64_t processed;
 	uint64_t observed;
 	struct agb_resources held;
+	int64_t filled;
+	uint32_t pace;
+	agb_time pace_at;
 	struct wf_task *tasks;
 	uint32_t fail_streak;
 	bool stalled;
@@ -394,6 +403,12 @@
 
 void wf_exec_free(struct wf_leader *l, struct wf_exec *e);
 
+/**
+ * wf_runner_count() - count a task at a runner, or no longer
+ */
+void wf_runner_count(
+    struct wf_runner *r, const struct wf_step *step, bool there);
+
 /**
  * wf_exec_task() - task that an order or a list names
  * @unit: set to its unit
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -101,6 +101,7 @@
 	    [WF_ORDER_START] = "start",
 	    [WF_ORDER_STOP] = "stop",
 	    [WF_ORDER_HOLD] = "hold",
+	    [WF_ORDER_PACE] = "pace",
 	};
 	static const char *const answers[] = {
 	    [WF_ORDER_OK] = "ok",
--- a/src/workflow/wf_types.c
+++ b/src/workflow/wf_types.c
@@ -91,6 +91,16 @@
 	return NULL;
 }
 
+struct agb_resources
+wf_step_held(const struct wf_step *step)
+{
+	struct agb_resources need = step->need;
+
+	if (step->fills)
+		need.cpu_milli = 0;
+	return need;
+}
+
 bool
 wf_runner_has_label(const struct wf_runner_info *r, const char *label)
 {
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -209,6 +209,12 @@
 const struct wf_service *wf_doc_service(
     const struct wf_doc *doc, const char *name);
 
+/**
+ * wf_step_held() - what a task of a step takes of its runner's capacity; the
+ * processor of one that fills is not counted
+ */
+struct agb_resources wf_step_held(const struct wf_step *step);
+
 /**
  * wf_runner_has_label() - whether a runner has a label
  * @label: "" is had by all
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -276,7 +276,72 @@
 	}
 }
 
+/* Guards against fields of orders that a runner does not read or takes for
+ * others. */
+static void
+orders(void)
+{
+	static const struct {
+		struct wf_order order;
+		const char *path;
+		const char *body;
+	} cases[] = {
+	    {{.kind = WF_ORDER_START,
+		 .fence = 7,
+		 .deadline_ms = 90,
+		 .task = {.job = "00000000000000aa", .step = 1, .index = 17},
+		 .run = 2,
+		 .saved = "c1",
+		 .ticket = "t\"1",
+		 .text = (char *)(uintptr_t) "x",
+		 .text_len = 1},
+		"/run-start",
+		"{\"fence_token\":7,\"deadline_ms\":90,"
+		"\"task\":\"00000000000000aa.0.1.17\",\"run_id\":2,"
+		"\"spec\":\"x\",\"checkpoint\":\"c1\","
+		"\"ticket\":\"t\\\"1\"}"},
+	    {{.kind = WF_ORDER_STOP,
+		 .fence = 7,
+		 .task = {.job = "00000000000000aa", .occurrence = 3},
+		 .run = 5},
+		"/run-stop",
+		"{\"fence_token\":7,\"task\":\"00000000000000aa.3.0.0\","
+		"\"run_id\":5}"},
+	    {{.kind = WF_ORDER_PACE,
+		 .fence = 8,
+		 .percent = 25,
+		 .task = {.job = "00000000000000aa"},
+		 .run = 1},
+		"/pace",
+		"{\"fence_token\":8,\"task\":\"00000000000000aa.0.0.0\","
+		"\"run_id\":1,\"percent\":25}"},
+	    {{.kind = WF_ORDER_HOLD,
+		 .fence = 8,
+		 .deadline_ms = 91,
+		 .observed = 57,
+		 .wait_ms = 1000},
+		"/hold",
+		"{\"fence_token\":8,\"deadline_ms\":91,\"observed\":57,"
+		"\"wait_ms\":1000}"},
+	};
+	const char *path;
+	char *body;
+	size_t len, i;
+	FILE *f;
+
+	for (i = 0; i < LEN(cases); i++) {
+		f = open_memstream(&body, &len);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+		path = platform_runner_order(f, &cases[i].order);
+		fclose(f);
+		CU_ASSERT_STRING_EQUAL(path, cases[i].path);
+		CU_ASSERT_STRING_EQUAL(body, cases[i].body);
+		free(body);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"orders", orders},
     {"registry", registry},
     {"manifest", manifest},
     {"routes", routes},
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -502,6 +502,59 @@
 	finish(s);
 }
 
+/* Tasks that fill are slowed, not stopped, while the response times of the
+ * task beside them are over their bound. */
+static void
+filling_tasks_are_paced(void)
+{
+	struct sim_options o = plain;
+	struct wf_spec *spec;
+	struct sim *s;
+
+	o.runners = 1;
+	s = start(&o);
+	spec = sim_spec(1, 4000, 60000);
+	spec->steps[0].lasts = true;
+	spec->steps[0].target_ms = 100;
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 500);
+	spec = sim_spec(2, 4000, 8000);
+	spec->steps[0].fills = true;
+	sim_submit(s, 0, JOB2, spec);
+	sim_run(s, 500);
+	CU_ASSERT_EQUAL(sim_running(s, JOB2), 2);
+	CU_ASSERT(sim_tail(s, JOB) > 100);
+	sim_run(s, 3500);
+	CU_ASSERT(sim_tail(s, JOB) < 100);
+	CU_ASSERT_EQUAL(sim_running(s, JOB2), 2);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB2), 2);
+	until(s, JOB2, "completed", 12000);
+	sim_cancel(s, 0, JOB);
+	finish(s);
+}
+
+/* The processor of filling tasks is free for others, their memory is not. */
+static void
+filling_tasks_leave_room(void)
+{
+	struct sim_options o = plain;
+	struct wf_spec *spec;
+	struct sim *s;
+
+	o.runners = 1;
+	s = start(&o);
+	spec = sim_spec(6, 4000, 4000);
+	spec->steps[0].fills = true;
+	spec->steps[0].need.mem_mb = 20000;
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 500);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 3);
+	sim_submit(s, 0, JOB2, sim_spec(1, 16000, 200));
+	until(s, JOB2, "completed", 600);
+	until(s, JOB, "completed", 12000);
+	finish(s);
+}
+
 static void
 kept_seeds(void)
 {
@@ -564,6 +617,8 @@
     {"stalled runner", stalled_runner},
     {"stalled runner takes nothing", stalled_runner_takes_nothing},
     {"slow tasks go on", slow_tasks_go_on},
+    {"filling tasks are paced", filling_tasks_are_paced},
+    {"filling tasks leave room", filling_tasks_leave_room},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
