--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -966,7 +966,7 @@
 static enum wf_order_status
 do_start(struct sim *s, struct simrunner *r, const struct wf_order *o)
 {
-	const unsigned stretch = s->o.stretch > 0 ? s->o.stretch : 1;
+	const uint64_t stretch = s->o.stretch > 0 ? s->o.stretch : 1;
 	struct simjob *const j = job_find(s, o->task.job);
 	const struct wf_step *step;
 	struct run *x;
