fix(core): at a start of all, small instances wait for larger ones

An instance with 0.12 cores had seen no other yet and was elected after 5 ms; under load its lists and approvals ran out before they were used, and the backlog outlived it. Change: soon after its start an instance with less than a quarter of a core waits 3 ms for each thousandth that it lacks before it stands for election.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -21,6 +21,12 @@
 #define ELECT_RANK_MS 40
 #define ELECT_JITTER_MS 10
 #define ELECT_RETRY_MS 200
+/* When all start together, an instance with less than this share of a
+ * processor waits three milliseconds for each permille that it lacks, so that a
+ * larger one that starts later is elected. */
+#define ELECT_FULL_PERMILLE 250
+#define ELECT_LACK_MS 3
+#define ELECT_MEET_MS 1500
 /* The score of an instance is its share of a processor in permille, less this
  * for each millisecond to the store. */
 #define SCORE_RTT 8
@@ -99,6 +105,7 @@
 	agb_time heard_at;
 	agb_time rtt;
 	uint64_t lost_rev; /* election whose orders have been refused */
+	agb_time born;
 	agb_time elect_at;
 	agb_time leaderless_at;
 	agb_time isolated_at;
@@ -458,6 +465,16 @@
 	c->rank = self != NULL ? n : UINT32_MAX;
 }
 
+/* Time for larger instances to come, soon after the start. */
+static uint32_t
+meet_ms(const struct wf_core *c, agb_time now)
+{
+	if (now - c->born > ELECT_MEET_MS * AGB_MS ||
+	    c->cfg.cpu_permille >= ELECT_FULL_PERMILLE)
+		return 0;
+	return (ELECT_FULL_PERMILLE - c->cfg.cpu_permille) * ELECT_LACK_MS;
+}
+
 static void
 leader_changed(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
@@ -478,7 +495,7 @@
 		rank = c->rank < STANDBYS ? c->rank : STANDBYS;
 		c->elect_at = now->mono +
 		    (ELECT_MS + ELECT_RANK_MS * rank +
-			jitter(c, ELECT_JITTER_MS) +
+			jitter(c, ELECT_JITTER_MS) + meet_ms(c, now->mono) +
 			ELECT_SILENT_MS * peers_silent(c, now->mono)) *
 			AGB_MS;
 	}
@@ -1041,6 +1058,8 @@
 wf_core_step(struct wf_core *c, const struct wf_now *now, struct wf_event *ev,
     struct wf_effects *out)
 {
+	if (c->born == 0)
+		c->born = now->mono;
 	switch (ev->type) {
 	case WF_EV_TICK:
 		break;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -555,6 +555,28 @@
 	finish(s);
 }
 
+/* When all start together, a small instance does not take the lead before a
+ * larger one that starts a little later: it could not carry the load. */
+static void
+small_instance_waits_for_larger(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+	unsigned i;
+
+	o.small_cores = 2;
+	s = start(&o);
+	CU_ASSERT_EQUAL(leader(s), 2);
+	for (i = 0; i < o.cores; i++)
+		sim_kill(s, i, 500 + 40 * i);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(leader(s), 2);
+	sim_kill(s, 2, 60000);
+	sim_run(s, 1600);
+	CU_ASSERT(sim_leader(s) >= 0);
+	finish(s);
+}
+
 static void
 kept_seeds(void)
 {
@@ -619,6 +641,7 @@
     {"slow tasks go on", slow_tasks_go_on},
     {"filling tasks are paced", filling_tasks_are_paced},
     {"filling tasks leave room", filling_tasks_leave_room},
+    {"small instance waits for larger", small_instance_waits_for_larger},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1723,7 +1723,7 @@
 	snprintf(cfg.name, sizeof(cfg.name), "core-%u.%u", e->core, ++c->gen);
 	snprintf(cfg.rpc, sizeof(cfg.rpc), "10.0.0.%u:1", e->core);
 	cfg.seed = s->o.seed * 31 + (uint64_t)e->core * 7 + c->gen;
-	cfg.cpu_permille = 250;
+	cfg.cpu_permille = e->core < s->o.small_cores ? 125 : 250;
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
 	cfg.remote_x = 2;
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -28,6 +28,7 @@
  * @lost_percent: share of the orders whose answer is lost
  * @late_percent: share of the orders that are carried out seconds later
  * @store_lost_percent: share of the writes whose answer is lost
+ * @small_cores: instances that start first, with half the processor
  * @stretch: factor on the run times beyond the estimate; 0 is 1
  * @stalls: runners also stand still on random days
  */
@@ -43,6 +44,7 @@
 	unsigned lost_percent;
 	unsigned late_percent;
 	unsigned store_lost_percent;
+	unsigned small_cores;
 	unsigned stretch;
 	bool stalls;
 	unsigned jobs_per_s;
