test(soak): ports of instances lie below those that the system gives out

The log of instance i3 has 27 times 'cannot listen on 127.0.0.1:33843: Address already in use': its ports came from bind to port 0, were let go, and another program was given one of them. Change: ports come from 20000 to 31999, tried by bind, each run from another place on. Ruled out: the sanitizer (no report in the logs of that run) and the change under test (the tree before had the same code).

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -24,6 +24,11 @@
 #define CALL_MS 3500
 /* An instance that did not come up is a finding of its own. */
 #define START_MS 8000
+/* Ports of instances; Linux gives out those from 32768 on by itself. Runs
+ * beside each other begin this far apart. */
+#define PORTS_FROM 20000
+#define PORTS_LEN 12000
+#define PORTS_APART 64
 
 enum job_state {
 	JOB_ASKED,
@@ -164,21 +169,31 @@
 	return sscanf(line, "listening %63s %63s", s->store, s->advice) == 2;
 }
 
-/* A port that was free a moment ago. */
+/* A port that is free, below those that the system gives out by itself: an
+ * instance keeps its ports while it is down, and programs that run beside
+ * would be given them meanwhile. */
 static int
 free_port(void)
 {
+	static unsigned tried;
 	struct sockaddr_in sa = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sa);
-	int fd;
+	const unsigned first = (unsigned)getpid() * PORTS_APART;
+	bool is_free;
+	int fd, port, left;
 
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sa, &len) != 0)
-		abort();
-	close(fd);
-	return ntohs(sa.sin_port);
+	for (left = PORTS_LEN; left > 0; left--) {
+		port = (int)(PORTS_FROM + (first + tried++) % PORTS_LEN);
+		sa.sin_port = htons((uint16_t)port);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (fd < 0)
+			abort();
+		is_free = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+		close(fd);
+		if (is_free)
+			return port;
+	}
+	abort();
 }
 
 static void
