--- a/src/agatebeam/ctl_trace.c
+++ b/src/agatebeam/ctl_trace.c
@@ -234,10 +234,7 @@
 	}
 	json_object_object_add(o, "lines", lines);
 	json_object_object_add(o, "summary", says);
-	fprintf(ctl->out, "%s\n",
-	    json_object_to_json_string_ext(
-		o, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
-	json_object_put(o);
+	agb_ctl_print(ctl, o);
 }
 
 static void
--- a/src/agatebeam/mem.c
+++ b/src/agatebeam/mem.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Items of an array that grows, at first. */
+#define GROW_FIRST 16
+
 static void *
 checked(void *p)
 {
@@ -30,6 +33,13 @@
 	return checked(reallocarray(p, n, size));
 }
 
+void *
+agb_xgrow(void *p, size_t *cap, size_t size)
+{
+	*cap = *cap > 0 ? 2 * *cap : GROW_FIRST;
+	return agb_xreallocarray(p, *cap, size);
+}
+
 char *
 agb_xstrdup(const char *s)
 {
--- a/src/agatebeam/mem.h
+++ b/src/agatebeam/mem.h
@@ -23,6 +23,13 @@
  */
 void *agb_xreallocarray(void *p, size_t n, size_t size);
 
+/**
+ * agb_xgrow() - double the capacity of an array that is full
+ * @cap: its items; 0 for an array that is not there yet
+ * Return: never NULL.
+ */
+void *agb_xgrow(void *p, size_t *cap, size_t size);
+
 /**
  * agb_xstrdup() - copy of a string
  * @s: NULL counts as ""
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -421,11 +421,8 @@
 {
 	struct agb_event ev = {.type = AGB_EV_RPC_CALL};
 
-	if (n->self_len == n->self_cap) {
-		n->self_cap = n->self_cap > 0 ? n->self_cap * 2 : 16;
-		n->self =
-		    agb_xreallocarray(n->self, n->self_cap, sizeof(*n->self));
-	}
+	if (n->self_len == n->self_cap)
+		n->self = agb_xgrow(n->self, &n->self_cap, sizeof(*n->self));
 	ev.token = TOKEN_SELF | ++n->next_token;
 	n->self[n->self_len].token = ev.token;
 	n->self[n->self_len].tag = ef->tag;
@@ -505,23 +502,17 @@
 	n->work.len = 0;
 }
 
-static agb_time
-earlier(agb_time a, agb_time b)
-{
-	return a < b ? a : b;
-}
-
 agb_time
 agb_node_next_tick(const struct agb_node *n, agb_time now)
 {
 	agb_time t;
 
-	t = earlier(n->next_list, agb_member_next_tick(n->member));
-	t = earlier(t, agb_envsync_next_tick(n->envsync));
-	t = earlier(t, agb_owner_next_tick(n->owner, now));
-	t = earlier(t, agb_route_next_tick(n->route));
+	t = agb_time_min(n->next_list, agb_member_next_tick(n->member));
+	t = agb_time_min(t, agb_envsync_next_tick(n->envsync));
+	t = agb_time_min(t, agb_owner_next_tick(n->owner, now));
+	t = agb_time_min(t, agb_route_next_tick(n->route));
 	if (n->term && !n->exited)
-		t = earlier(t, now + 50 * AGB_MS);
+		t = agb_time_min(t, now + 50 * AGB_MS);
 	return t;
 }
 
--- a/src/agatebeam/owner_commit.c
+++ b/src/agatebeam/owner_commit.c
@@ -22,11 +22,8 @@
 static struct own_record *
 records_add(struct own_records *r)
 {
-	if (r->len == r->cap) {
-		r->cap = r->cap > 0 ? r->cap * 2 : 16;
-		r->items =
-		    agb_xreallocarray(r->items, r->cap, sizeof(*r->items));
-	}
+	if (r->len == r->cap)
+		r->items = agb_xgrow(r->items, &r->cap, sizeof(*r->items));
 	memset(&r->items[r->len], 0, sizeof(*r->items));
 	return &r->items[r->len++];
 }
--- a/src/agatebeam/owner_map.c
+++ b/src/agatebeam/owner_map.c
@@ -95,11 +95,8 @@
 void
 own_vec_add(struct own_vec *v, void *p)
 {
-	if (v->len == v->cap) {
-		v->cap = v->cap > 0 ? v->cap * 2 : 8;
-		v->items =
-		    agb_xreallocarray(v->items, v->cap, sizeof(*v->items));
-	}
+	if (v->len == v->cap)
+		v->items = agb_xgrow(v->items, &v->cap, sizeof(*v->items));
 	v->items[v->len++] = p;
 }
 
--- a/src/agatebeam/route_release.c
+++ b/src/agatebeam/route_release.c
@@ -70,10 +70,8 @@
 		drop_front(b, 1);
 	if (b->len == OUTBOX_MAX)
 		return;
-	if (b->len == b->cap) {
-		b->cap = b->cap > 0 ? b->cap * 2 : 16;
-		b->items = agb_xreallocarray(b->items, b->cap, sizeof(*x));
-	}
+	if (b->len == b->cap)
+		b->items = agb_xgrow(b->items, &b->cap, sizeof(*x));
 	x = &b->items[b->len++];
 	x->attempt.epoch = attempt.epoch;
 	x->attempt.seq = attempt.seq;
--- a/src/agatebeam/sched.c
+++ b/src/agatebeam/sched.c
@@ -16,11 +16,9 @@
 {
 	struct agb_sched_effect *ef;
 
-	if (out->len == out->cap) {
-		out->cap = out->cap > 0 ? out->cap * 2 : 16;
-		out->items = agb_xreallocarray(
-		    out->items, out->cap, sizeof(*out->items));
-	}
+	if (out->len == out->cap)
+		out->items =
+		    agb_xgrow(out->items, &out->cap, sizeof(*out->items));
 	ef = &out->items[out->len++];
 	memset(ef, 0, sizeof(*ef));
 	ef->type = type;
--- a/src/agatebeam/types.h
+++ b/src/agatebeam/types.h
@@ -19,6 +19,12 @@
 #define AGB_SEC ((agb_time)1000000)
 #define AGB_TIME_MAX UINT64_MAX
 
+static inline agb_time
+agb_time_min(agb_time a, agb_time b)
+{
+	return a < b ? a : b;
+}
+
 /* Names of instances, domains, teams, classes and services, with the NUL. */
 #define AGB_NAME_LEN 48
 /* Job, task and request ids as callers see them, with the NUL. */
