--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -38,19 +38,23 @@
 	return NULL;
 }
 
-static bool
-advisor_keep(const struct wf_leader *l, struct wf_advisor *a, size_t n,
-    const char *name, struct wf_advisor *out)
+bool
+wf_advice_holds(const struct wf_leader *l, const struct wf_approval *a)
+{
+	return a->ok && a->life == l->runners[a->runner].life;
+}
+
+/* What is known of an adviser that was there before. */
+static void
+advisor_keep(const struct wf_advisor *a, size_t n, const char *name,
+    struct wf_advisor *out)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (strcmp(a[i].name, name) == 0) {
+		if (strcmp(a[i].name, name) == 0)
 			*out = a[i];
-			return true;
-		}
 	}
-	return false;
 }
 
 static int
@@ -77,7 +81,7 @@
 		if (strcmp(p->name, l->self) == 0)
 			continue;
 		a = &l->advisors[l->advisors_len++];
-		advisor_keep(l, old, old_len, p->name, a);
+		advisor_keep(old, old_len, p->name, a);
 		agb_name_set(a->name, sizeof(a->name), p->name);
 		agb_name_set(a->peer, sizeof(a->peer), p->rpc);
 	}
@@ -86,7 +90,7 @@
 		    advisor_order);
 	/* The leader's own calls come last: it has the most to do. */
 	a = &l->advisors[l->advisors_len++];
-	advisor_keep(l, old, old_len, l->self, a);
+	advisor_keep(old, old_len, l->self, a);
 	agb_name_set(a->name, sizeof(a->name), l->self);
 	a->peer[0] = '\0';
 	for (i = 0; i < l->asks_len; i++)
@@ -255,10 +259,8 @@
 	len = 0;
 	for (ri = 0; ri < l->runners_len; ri++) {
 		r = &l->runners[ri];
-		if (!wf_fleet_usable(r, now->mono) ||
-		    !agb_resources_fit(&step->need, &r->info.capacity) ||
-		    strcmp(r->info.service, service) != 0 ||
-		    !wf_runner_has_label(&r->info, step->label))
+		if (!wf_fleet_eligible(r, step, service, now->mono) ||
+		    !agb_resources_fit(&step->need, &r->info.capacity))
 			continue;
 		a = wf_advice_of(u, ri);
 		if (a != NULL && a->life == r->life)
@@ -273,14 +275,10 @@
 static uint32_t
 tasks_when_empty(const struct wf_runner *r, const struct wf_step *step)
 {
-	struct agb_resources room = r->info.capacity;
 	uint32_t n;
 
-	for (n = 0; n < step->count; n++) {
-		if (!agb_resources_fit(&step->need, &room))
-			break;
-		agb_resources_sub(&room, &step->need);
-	}
+	n = wf_step_fit(step, r->info.capacity);
+	n = n < step->count ? n : step->count;
 	if (step->spread_max > 0 && n > step->spread_max)
 		n = step->spread_max;
 	return n;
@@ -300,8 +298,8 @@
 		const struct wf_runner *const r =
 		    &l->runners[u->approvals[i].runner];
 
-		if (u->approvals[i].ok && u->approvals[i].life == r->life &&
-		    r->listed && !r->info.draining)
+		if (wf_advice_holds(l, &u->approvals[i]) && r->listed &&
+		    !r->info.draining)
 			n += tasks_when_empty(r, step);
 	}
 	return n >= need;
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -47,11 +47,8 @@
 {
 	struct wf_ack *a;
 
-	if (l->acks_len == l->acks_cap) {
-		l->acks_cap = l->acks_cap > 0 ? 2 * l->acks_cap : 64;
-		l->acks =
-		    agb_xreallocarray(l->acks, l->acks_cap, sizeof(*l->acks));
-	}
+	if (l->acks_len == l->acks_cap)
+		l->acks = agb_xgrow(l->acks, &l->acks_cap, sizeof(*l->acks));
 	a = &l->acks[l->acks_len++];
 	a->gen = l->gen;
 	a->runner = runner;
@@ -164,8 +161,8 @@
 static void
 collect(struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
-	const int64_t before = now->unix_ms -
-	    (int64_t)l->limits.status_s * 1000 - COLLECT_SLACK_MS;
+	const int64_t before =
+	    now->unix_ms - (int64_t)l->status_s * 1000 - COLLECT_SLACK_MS;
 	char key[WF_KEY_MAX];
 	struct wf_write *w;
 	struct wf_job *j, *j2;
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -82,10 +82,14 @@
 	OP_END,
 };
 
-/* What a peer has asked for, until it is answered. */
-struct peer_ask {
-	uint64_t tag;
-	uint64_t token;
+/* What peers have asked for, until they are answered. */
+struct peer_calls {
+	struct {
+		uint64_t tag;
+		uint64_t token;
+	} * items;
+	size_t len;
+	size_t cap;
 };
 
 struct wf_core {
@@ -117,10 +121,8 @@
 	agb_time push_at;
 	agb_time expire_at;
 	agb_time term_at;
-	struct peer_ask *asks;
-	size_t asks_len;
-	struct peer_ask *puts;
-	size_t puts_len;
+	struct peer_calls asks;
+	struct peer_calls puts;
 	struct {
 		uint64_t revision;
 		uint32_t pace;
@@ -158,8 +160,8 @@
 	wf_front_free(c->front);
 	wf_table_free(&c->table);
 	wf_doc_free(c->doc);
-	free(c->asks);
-	free(c->puts);
+	free(c->asks.items);
+	free(c->puts.items);
 	free(c);
 }
 
@@ -412,9 +414,7 @@
 		c->feeds[WF_FEED_STATES].revision < c->table.leader_rev))
 		return;
 	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
-	    &(struct wf_limits){
-		.status_s = c->cfg.status_s, .remote_x = c->cfg.remote_x},
-	    &c->table, c->doc, now, out);
+	    c->cfg.status_s, &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
 	c->leader->valid_until = c->valid_until;
 	wf_effects_add(out, WF_EF_REGISTRY)->on = true;
@@ -624,6 +624,30 @@
 	end_lease(c, out);
 }
 
+static void
+peer_call_add(struct peer_calls *p, uint64_t tag, uint64_t token)
+{
+	if (p->len == p->cap)
+		p->items = agb_xgrow(p->items, &p->cap, sizeof(*p->items));
+	p->items[p->len].tag = tag;
+	p->items[p->len++].token = token;
+}
+
+static bool
+peer_call_take(struct peer_calls *p, uint64_t tag, uint64_t *token)
+{
+	size_t i;
+
+	for (i = 0; i < p->len; i++) {
+		if (p->items[i].tag != tag)
+			continue;
+		*token = p->items[i].token;
+		p->items[i] = p->items[--p->len];
+		return true;
+	}
+	return false;
+}
+
 static void
 put_answer(uint64_t token, const struct wf_put_res *res, struct wf_effects *out)
 {
@@ -640,16 +664,14 @@
 	const struct wf_put_res refused = {.status = AGB_STORE_REFUSED};
 	struct wf_effect *ef;
 
-	if (c->puts_len >= PEER_PUTS_MAX || store_silent(c, now->mono) ||
+	if (c->puts.len >= PEER_PUTS_MAX || store_silent(c, now->mono) ||
 	    strncmp(put->key, WF_KEY_PREFIX, strlen(WF_KEY_PREFIX)) != 0) {
 		put_answer(token, &refused, out);
 		return;
 	}
-	c->puts = agb_xreallocarray(c->puts, c->puts_len + 1, sizeof(*c->puts));
-	c->puts[c->puts_len].tag = PUT_TAG | ++c->next_tag;
-	c->puts[c->puts_len].token = token;
 	ef = wf_effects_add(out, WF_EF_STORE);
-	ef->tag = c->puts[c->puts_len++].tag;
+	ef->tag = PUT_TAG | ++c->next_tag;
+	peer_call_add(&c->puts, ef->tag, token);
 	ef->timeout_ms = put->timeout_ms;
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
 	agb_store_op_cmp(&ef->u.store, put->key, AGB_STORE_MOD_REV, 0);
@@ -665,16 +687,10 @@
 	    .stored = res->succeeded,
 	    .revision = res->revision,
 	};
-	size_t i;
+	uint64_t token;
 
-	for (i = 0; i < c->puts_len; i++) {
-		if (c->puts[i].tag == tag)
-			break;
-	}
-	if (i == c->puts_len)
-		return;
-	put_answer(c->puts[i].token, &answer, out);
-	c->puts[i] = c->puts[--c->puts_len];
+	if (peer_call_take(&c->puts, tag, &token))
+		put_answer(token, &answer, out);
 }
 
 /* A record that a peer has just stored; the feed brings it again. */
@@ -725,17 +741,15 @@
 {
 	struct wf_effect *ef;
 
-	if (c->asks_len >= PEER_ASKS_MAX) {
+	if (c->asks.len >= PEER_ASKS_MAX) {
 		ef = wf_effects_add(out, WF_EF_PEER_ANSWER);
 		ef->tag = token;
 		ef->u.advice.busy = true;
 		return;
 	}
-	c->asks = agb_xreallocarray(c->asks, c->asks_len + 1, sizeof(*c->asks));
-	c->asks[c->asks_len].tag = PEER_TAG | ++c->next_tag;
-	c->asks[c->asks_len].token = token;
 	ef = wf_effects_add(out, WF_EF_ADVISE);
-	ef->tag = c->asks[c->asks_len++].tag;
+	ef->tag = PEER_TAG | ++c->next_tag;
+	peer_call_add(&c->asks, ef->tag, token);
 	ef->timeout_ms = ask->timeout_ms;
 	ef->u.ask = *ask;
 	ef->u.ask.runners = agb_xcalloc(ask->runners_len + 1, sizeof(agb_id));
@@ -749,34 +763,23 @@
     const struct wf_advice *a, struct wf_effects *out)
 {
 	struct wf_effect *ef;
-	size_t i;
+	uint64_t token;
 
 	if ((tag & PEER_TAG) == 0) {
 		if (c->leader != NULL)
 			wf_advice_answer(c->leader, now, tag, a, out);
 		return;
 	}
-	for (i = 0; i < c->asks_len; i++) {
-		if (c->asks[i].tag == tag)
-			break;
-	}
-	if (i == c->asks_len)
+	if (!peer_call_take(&c->asks, tag, &token))
 		return;
 	ef = wf_effects_add(out, WF_EF_PEER_ANSWER);
-	ef->tag = c->asks[i].token;
+	ef->tag = token;
 	ef->u.advice = *a;
 	ef->u.advice.items =
 	    agb_xcalloc(a->items_len + 1, sizeof(struct wf_ticket));
 	if (a->items_len > 0)
 		memcpy(ef->u.advice.items, a->items,
 		    a->items_len * sizeof(struct wf_ticket));
-	c->asks[i] = c->asks[--c->asks_len];
-}
-
-static agb_time
-sooner(agb_time a, agb_time b)
-{
-	return a < b ? a : b;
 }
 
 static void
@@ -791,7 +794,7 @@
 			renew(c, now, out);
 	}
 	if (!c->op_out)
-		c->next = sooner(c->next, c->op_next);
+		c->next = agb_time_min(c->next, c->op_next);
 	if (!c->store_lost && c->heard_at > 0 &&
 	    now->mono - c->heard_at > LEASE_MS * AGB_MS) {
 		c->store_lost = true;
@@ -845,7 +848,7 @@
 	struct wf_peer *p;
 
 	if (now->mono < c->ping_at) {
-		c->next = sooner(c->next, c->ping_at);
+		c->next = agb_time_min(c->next, c->ping_at);
 		return;
 	}
 	c->ping_at = now->mono + PING_MS * AGB_MS;
@@ -934,7 +937,7 @@
 	if (now->mono >= c->elect_at)
 		elect(c, out);
 	else
-		c->next = sooner(c->next, c->elect_at);
+		c->next = agb_time_min(c->next, c->elect_at);
 }
 
 static void
@@ -964,16 +967,17 @@
 		    ? c->cfg.grace_ms - DRAIN_MARGIN_MS
 		    : 0) *
 		AGB_MS;
-	const agb_time early = sooner(c->term_at + DRAIN_MS * AGB_MS, last);
+	const agb_time early =
+	    agb_time_min(c->term_at + DRAIN_MS * AGB_MS, last);
 
 	if (!c->draining || c->exiting)
 		return;
 	if (now->mono < early) {
-		c->next = sooner(c->next, early);
+		c->next = agb_time_min(c->next, early);
 		return;
 	}
 	if (wf_front_open(c->front) > 0 && now->mono < last) {
-		c->next = sooner(c->next, now->mono + 50 * AGB_MS);
+		c->next = agb_time_min(c->next, now->mono + 50 * AGB_MS);
 		return;
 	}
 	c->exiting = true;
@@ -1002,8 +1006,8 @@
 	follow(c, WF_FEED_JOBS, jobs, out);
 	follow(c, WF_FEED_STATES, states, out);
 	if (leaderless && !states)
-		c->next =
-		    sooner(c->next, c->leaderless_at + LEADERLESS_MS * AGB_MS);
+		c->next = agb_time_min(
+		    c->next, c->leaderless_at + LEADERLESS_MS * AGB_MS);
 	pace = leaderless || (mine && c->leader == NULL) ? PACE_ELECTION_MS
 	    : c->leader != NULL				 ? PACE_LEADER_MS
 							 : PACE_OTHER_MS;
@@ -1044,12 +1048,13 @@
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
 		c->leader->valid_until = c->valid_until;
-		c->next = sooner(c->next, wf_leader_tick(c->leader, now, out));
+		c->next =
+		    agb_time_min(c->next, wf_leader_tick(c->leader, now, out));
 	}
 	tick_feeds(c, now, out);
 	tick_front(c, now);
 	wf_front_store_silent(c->front, store_silent(c, now->mono));
-	c->next = sooner(c->next, wf_front_tick(c->front, now, out));
+	c->next = agb_time_min(c->next, wf_front_tick(c->front, now, out));
 	tick_ready(c, now, out);
 	tick_drain(c, now, out);
 }
@@ -1082,9 +1087,6 @@
 	case WF_EV_CALL:
 		wf_front_call(c->front, now, c->doc, ev->u.call, out);
 		break;
-	case WF_EV_CALL_GONE:
-		wf_front_gone(c->front, ev->call_id);
-		break;
 	case WF_EV_ORDER:
 		if (c->leader != NULL)
 			wf_fleet_answer(c->leader, now, ev->u.order, out);
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -20,7 +20,6 @@
  * @cpu_permille: its share of a processor
  * @grace_ms: longest time from WF_EV_TERM to WF_EF_EXIT
  * @status_s: how long the state of an ended job stays known
- * @remote_x: factor on run times away from data
  */
 struct wf_config {
 	agb_id name;
@@ -31,7 +30,6 @@
 	uint32_t cpu_permille;
 	uint32_t grace_ms;
 	uint32_t status_s;
-	double remote_x;
 };
 
 struct wf_core;
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -21,6 +21,8 @@
 
 #define SETTINGS_MAX ((size_t)64 * 1024)
 #define EXIT_BAD_INPUT 2
+/* Requests for readiness and metrics have no body that matters, in bytes. */
+#define SMALL_BODY_MAX 1024
 /* Time for the last answers to be written before the loop stops. */
 #define LINGER_MS 100
 #define LINGER_TRIES 3
@@ -282,14 +284,6 @@
 	}
 }
 
-static void
-on_gone(void *arg, uint64_t id)
-{
-	struct wf_event ev = {.type = WF_EV_CALL_GONE, .call_id = id};
-
-	feed(arg, &ev);
-}
-
 static void
 on_ready_request(void *arg, const struct wf_http_req *req)
 {
@@ -321,11 +315,6 @@
 	free(text);
 }
 
-static void
-ignore_gone(void *arg, uint64_t id)
-{
-}
-
 /* ---- calls between instances ---- */
 
 static void
@@ -442,40 +431,23 @@
 }
 
 static void
-on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+ponged(struct daemon *d, uint64_t tag, bool ok)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PONG, .tag = tag, .on = ok};
+
+	feed(d, &ev);
+}
+
+static void
+advised(struct daemon *d, uint64_t tag, const agb_x_res *res)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_ANSWER, .tag = tag};
 	const agb_x_advise_res *x;
-	struct daemon *const d = arg;
 	struct wf_advice a;
 	size_t i;
 
-	if ((tag & TAG_PUSH) == TAG_PUSH) {
-		if (ok)
-			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
-		return;
-	}
-	if (tag & TAG_PUT) {
-		put_replied(d, tag, sent, ok ? res : NULL);
-		if (ok)
-			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
-		return;
-	}
-	if (tag & TAG_PING) {
-		ev.type = WF_EV_PEER_PONG;
-		ev.on = ok;
-		feed(d, &ev);
-		if (ok)
-			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
-		return;
-	}
 	memset(&a, 0, sizeof(a));
-	ev.u.advice = &a;
-	if (!ok) {
-		feed(arg, &ev);
-		return;
-	}
-	if (res->proc == AGB_X_ADVISE) {
+	if (res != NULL && res->proc == AGB_X_ADVISE) {
 		x = &res->agb_x_res_u.advise;
 		a.ok = x->ok;
 		a.busy = x->busy;
@@ -489,9 +461,28 @@
 			    x->tickets.tickets_val[i].ticket);
 		}
 	}
-	feed(arg, &ev);
+	ev.u.advice = &a;
+	feed(d, &ev);
 	free(a.items);
-	xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+}
+
+static void
+on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	const agb_x_res *const answer = ok ? res : NULL;
+	struct daemon *const d = arg;
+
+	if ((tag & TAG_PUSH) == TAG_PUSH)
+		goto out;
+	if (tag & TAG_PUT)
+		put_replied(d, tag, sent, answer);
+	else if (tag & TAG_PING)
+		ponged(d, tag, ok);
+	else
+		advised(d, tag, answer);
+out:
+	if (ok)
+		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
 }
 
 /* ---- effects ---- */
@@ -824,10 +815,9 @@
 	struct wf_settings s;
 	bool ok;
 
-	/* Addresses hold until the next start: callers and peers use them. */
+	/* Settings hold until the next start: callers and peers use the
+	 * addresses. */
 	ok = settings_read(d->path, &s, stderr);
-	if (ok)
-		d->settings.log_level = s.log_level;
 	agb_log_printf(d->log, ok ? AGB_LOG_INFO : AGB_LOG_ERROR, "reload",
 	    "settings=%s outcome=%s", d->path, ok ? "taken" : "refused");
 }
@@ -843,11 +833,10 @@
 }
 
 static struct wf_httpd *
-listen_on(struct daemon *d, const char *addr, size_t body_max,
-    const struct wf_httpd_cbs *cbs)
+listen_on(struct daemon *d, const char *addr, size_t body_max, wf_httpd_cb cb)
 {
 	struct wf_httpd *const s = wf_httpd_new(
-	    &d->loop, addr, d->ops->deadline_header, body_max, cbs, d);
+	    &d->loop, addr, d->ops->deadline_header, body_max, cb, d);
 
 	if (s == NULL)
 		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n", addr,
@@ -858,20 +847,17 @@
 static bool
 open_clients(struct daemon *d)
 {
-	static const struct wf_httpd_cbs calls = {on_request, on_gone};
-	static const struct wf_httpd_cbs ready = {
-	    on_ready_request, ignore_gone};
-	static const struct wf_httpd_cbs metrics = {
-	    on_metrics_request, ignore_gone};
 	static const struct agb_rpc_cbs rpc = {
 	    .call = on_rpc_call, .reply = on_rpc_reply, .log = on_rpc_log};
 	static const struct wf_adapter_cbs adapter = {
 	    .order = on_order, .advice = on_advice};
 	const struct wf_settings *const s = &d->settings;
 
-	d->http = listen_on(d, s->http, s->body_max, &calls);
-	d->ready_http = listen_on(d, s->ready, 1024, &ready);
-	d->metrics_http = listen_on(d, s->metrics, 1024, &metrics);
+	d->http = listen_on(d, s->http, s->body_max, on_request);
+	d->ready_http =
+	    listen_on(d, s->ready, SMALL_BODY_MAX, on_ready_request);
+	d->metrics_http =
+	    listen_on(d, s->metrics, SMALL_BODY_MAX, on_metrics_request);
 	d->rpc = agb_rpc_new(&d->loop, s->rpc, &rpc, d);
 	if (d->rpc == NULL)
 		fprintf(stderr, "agatebeamd: cannot listen on %s\n", s->rpc);
@@ -900,7 +886,6 @@
 	cfg.cpu_permille = (uint32_t)(d->settings.cpu_share * 1000);
 	cfg.grace_ms = d->settings.grace_ms;
 	cfg.status_s = d->settings.status_s;
-	cfg.remote_x = d->settings.remote_x;
 	d->core = wf_core_new(&cfg);
 	agb_log_printf(d->log, AGB_LOG_INFO, "start",
 	    "instance=%s domain=%s http=%s rpc=%s metrics=%s store=%s",
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -32,6 +32,9 @@
 #define RENEW_MARGIN_MS 150
 /* Ends at one runner that are looked at when room is planned. */
 #define ENDS_MAX 32
+/* A runner whose filling tasks work at less than this share, in percent, takes
+ * no more of them. */
+#define FILL_PACE_MIN 50
 
 /* Classes of urgency, best first. */
 enum {
@@ -42,6 +45,7 @@
 
 struct entry {
 	struct wf_unit *u;
+	const struct wf_queue *q;
 	int class;
 	uint32_t priority;
 	agb_time due;
@@ -97,17 +101,11 @@
 	return 0;
 }
 
-/* Work that is left on the longest chain from a unit on, by estimate. */
-static agb_time
-left_of(const struct wf_unit *u)
-{
-	return (agb_time)wf_unit_step(u)->estimate_ms * AGB_MS;
-}
-
 static int
 class_of(const struct wf_unit *u, agb_time now)
 {
-	const agb_time end = now + left_of(u);
+	const agb_time end =
+	    now + (agb_time)wf_unit_step(u)->estimate_ms * AGB_MS;
 	const agb_time born = u->exec->accepted_at;
 
 	if (end <= u->due)
@@ -131,6 +129,7 @@
 		if (q == NULL)
 			continue;
 		(*list)[n].u = u;
+		(*list)[n].q = q;
 		(*list)[n].class = class_of(u, now);
 		(*list)[n].priority = q->priority;
 		(*list)[n].due = u->due;
@@ -141,32 +140,6 @@
 	return n;
 }
 
-/* A runner whose filling tasks work at less than this share takes no more of
- * them. */
-#define FILL_PACE_MIN 50
-
-static uint32_t
-div_fit(int64_t room, int64_t need)
-{
-	if (need <= 0)
-		return UINT32_MAX;
-	if (room < need)
-		return 0;
-	return (uint32_t)(room / need);
-}
-
-static uint32_t
-fit_in(struct agb_resources room, const struct wf_step *step)
-{
-	uint32_t n, k;
-
-	n = div_fit(room.cpu_milli, step->need.cpu_milli);
-	k = div_fit(room.mem_mb, step->need.mem_mb);
-	n = k < n ? k : n;
-	k = div_fit(room.accel, step->need.accel);
-	return k < n ? k : n;
-}
-
 static agb_time
 expected_run(const struct wf_step *step)
 {
@@ -222,11 +195,8 @@
 eligible(const struct pass *p, const struct wf_unit *u, const char *service,
     uint32_t ri)
 {
-	const struct wf_runner *const r = &p->l->runners[ri];
-
-	return wf_fleet_usable(r, p->now->mono) &&
-	    strcmp(r->info.service, service) == 0 &&
-	    wf_runner_has_label(&r->info, wf_unit_step(u)->label);
+	return wf_fleet_eligible(
+	    &p->l->runners[ri], wf_unit_step(u), service, p->now->mono);
 }
 
 static bool
@@ -239,7 +209,7 @@
 	if (!eligible(p, u, service, ri) ||
 	    (step->fills && r->pace < FILL_PACE_MIN))
 		return false;
-	c->fit = spread_cap(u, r, fit_in(room_at(p, step, ri), step));
+	c->fit = spread_cap(u, r, wf_step_fit(step, room_at(p, step, ri)));
 	if (c->fit == 0)
 		return false;
 	c->runner = ri;
@@ -276,7 +246,7 @@
 	}
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
-		if (!a->ok || a->life != l->runners[a->runner].life ||
+		if (!wf_advice_holds(l, a) ||
 		    !cand_make(p, u, q->service, a->runner, &c))
 			continue;
 		if (a->until > p->now->mono)
@@ -443,7 +413,7 @@
 	for (i = 0; i < pl->ends_len && pl->ends[i].at <= when; i++)
 		agb_resources_add(&room, &pl->ends[i].need);
 	return spread_cap(
-	    u, &p->l->runners[pl->runner], fit_in(room, wf_unit_step(u)));
+	    u, &p->l->runners[pl->runner], wf_step_fit(wf_unit_step(u), room));
 }
 
 /* Runners on which the unit may run, whatever their tickets. */
@@ -464,8 +434,7 @@
 	}
 	for (i = 0; i < u->approvals_len; i++) {
 		ri = u->approvals[i].runner;
-		if (u->approvals[i].ok &&
-		    u->approvals[i].life == p->l->runners[ri].life &&
+		if (wf_advice_holds(p->l, &u->approvals[i]) &&
 		    eligible(p, u, q->service, ri))
 			list[n++] = ri;
 	}
@@ -616,14 +585,6 @@
 		wf_advice_want(p->l, p->now, u, p->out);
 }
 
-/* All approved runners, whether they have room now or not. */
-static size_t
-all_approved(
-    const struct pass *p, const struct wf_unit *u, const struct wf_queue *q)
-{
-	return possible(p, u, q, p->stale);
-}
-
 static void
 place_gang(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
@@ -635,7 +596,7 @@
 	if (u->active > 0 && u->repair_until > 0 &&
 	    p->now->mono >= u->repair_until) {
 		u->repair_until = 0;
-		wf_unit_restart(p->l, p->now, u, p->out);
+		wf_gang_stop(p->l, p->now, u, p->out);
 	}
 	if (gang_blocked(u, p->now->mono))
 		return;
@@ -657,14 +618,14 @@
 		from = reserve(p, u, q);
 	if (from != AGB_TIME_MAX && stale_len == 0 && q->advised) {
 		/* Tickets have to be fresh when the room is there. */
-		stale_len = 0;
 		for (i = 0; i < u->approvals_len; i++) {
 			if (u->approvals[i].ok && u->approvals[i].until < from)
 				stale_len++;
 		}
 	}
+	/* All approved runners, whether they have room now or not. */
 	if (stale_len > 0)
-		stale_len = all_approved(p, u, q);
+		stale_len = possible(p, u, q, p->stale);
 	ask(p, u, q, stale_len, from);
 }
 
@@ -689,7 +650,6 @@
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
 	struct pass p = {.l = l, .now = now, .out = out};
-	const struct wf_queue *q;
 	struct entry *list;
 	agb_time gap;
 	size_t len, i;
@@ -711,11 +671,10 @@
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.keeps = agb_xcalloc(l->runners_len + 1, sizeof(*p.keeps));
 	for (i = 0; i < len; i++) {
-		q = wf_unit_queue(l, list[i].u);
 		if (wf_unit_step(list[i].u)->gang)
-			place_gang(&p, list[i].u, q);
+			place_gang(&p, list[i].u, list[i].q);
 		else
-			place_tasks(&p, list[i].u, q);
+			place_tasks(&p, list[i].u, list[i].q);
 	}
 	/* What is kept now steers the choices of the next pass. */
 	for (i = 0; i < l->runners_len; i++)
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -1,5 +1,6 @@
 #include "wf_event.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,11 +16,9 @@
 {
 	struct wf_effect *ef;
 
-	if (out->len == out->cap) {
-		out->cap = out->cap > 0 ? 2 * out->cap : 16;
-		out->items = agb_xreallocarray(
-		    out->items, out->cap, sizeof(*out->items));
-	}
+	if (out->len == out->cap)
+		out->items =
+		    agb_xgrow(out->items, &out->cap, sizeof(*out->items));
 	ef = &out->items[out->len++];
 	memset(ef, 0, sizeof(*ef));
 	ef->type = type;
@@ -42,6 +41,31 @@
 	ef->u.log.line = agb_xstrdup(text);
 }
 
+void
+wf_effects_log_run(struct wf_effects *out, enum agb_log_level level,
+    const char *event, const struct wf_task_ref *task, uint32_t run,
+    const char *runner, const char *fmt, ...)
+{
+	char text[LOG_TEXT_MAX];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	wf_effects_log(out, level, event,
+	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
+	    " run=%" PRIu32 " runner=%s%s%s",
+	    task->job, task->occurrence, task->step, task->index, run, runner,
+	    text[0] != '\0' ? " " : "", text);
+}
+
+bool
+wf_task_ref_same(const struct wf_task_ref *a, const struct wf_task_ref *b)
+{
+	return a->occurrence == b->occurrence && a->step == b->step &&
+	    a->index == b->index && strcmp(a->job, b->job) == 0;
+}
+
 static void
 push_free(struct wf_push *p)
 {
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -22,7 +22,6 @@
 	WF_EV_RUNNERS,	   /* runners: the registry */
 	WF_EV_STORE,	   /* tag, store */
 	WF_EV_CALL,	   /* call: a caller's request */
-	WF_EV_CALL_GONE,   /* call_id */
 	WF_EV_ORDER,	   /* order: a runner's answer */
 	WF_EV_ADVICE,	   /* tag, advice: answer of the advice service */
 	WF_EV_PEER_ASK,	   /* tag, ask: a peer wants advice fetched */
@@ -103,6 +102,8 @@
 	uint32_t index;
 };
 
+bool wf_task_ref_same(const struct wf_task_ref *a, const struct wf_task_ref *b);
+
 enum wf_order_kind {
 	WF_ORDER_START,
 	WF_ORDER_STOP,
@@ -393,6 +394,15 @@
     const char *event, const char *fmt, ...)
     __attribute__((format(printf, 4, 5)));
 
+/**
+ * wf_effects_log_run() - the same of a run of a task at a runner, whose
+ * identity comes first in the line
+ */
+void wf_effects_log_run(struct wf_effects *out, enum agb_log_level level,
+    const char *event, const struct wf_task_ref *task, uint32_t run,
+    const char *runner, const char *fmt, ...)
+    __attribute__((format(printf, 7, 8)));
+
 /**
  * wf_effects_free() - free all effects and the array
  */
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -43,6 +43,14 @@
 	ref->index = task;
 }
 
+void
+wf_task_ref(const struct wf_task *t, struct wf_task_ref *ref)
+{
+	const struct wf_unit *const u = t->unit;
+
+	wf_exec_ref(u, (uint32_t)(t - u->exec->tasks) - u->first, ref);
+}
+
 struct wf_task *
 wf_exec_task(
     struct wf_leader *l, const struct wf_task_ref *ref, struct wf_unit **unit)
@@ -133,8 +141,8 @@
 	l->queue_len--;
 }
 
-static void
-task_set_saved(struct wf_task *t, const char *saved)
+void
+wf_task_save(struct wf_task *t, const char *saved)
 {
 	if (saved[0] == '\0' ||
 	    (t->saved != NULL && strcmp(t->saved, saved) == 0))
@@ -586,8 +594,8 @@
 
 /* Members of a gang only work together: when one has to start again, the
  * others stop, also those whose start is still under way. */
-static void
-gang_stop(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+void
+wf_gang_stop(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_effects *out)
 {
 	struct wf_task *t;
@@ -601,13 +609,6 @@
 	}
 }
 
-void
-wf_unit_restart(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_effects *out)
-{
-	gang_stop(l, now, u, out);
-}
-
 /* A member that certainly has not begun, in a gang that still waits for it,
  * can begin elsewhere in the same run. */
 static bool
@@ -634,14 +635,12 @@
     struct wf_effects *out)
 {
 	const uint32_t runner = t->runner;
+	struct wf_task_ref ref;
 	bool repair;
 
-	wf_effects_log(out, AGB_LOG_INFO, "requeue",
-	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s reason=\"%s\" since_ms=%" PRIu64,
-	    u->exec->job->id, u->occurrence, u->step,
-	    (uint32_t)(t - u->exec->tasks) - u->first, t->run,
-	    l->runners[t->runner].info.id, why,
+	wf_task_ref(t, &ref);
+	wf_effects_log_run(out, AGB_LOG_INFO, "requeue", &ref, t->run,
+	    l->runners[runner].info.id, "reason=\"%s\" since_ms=%" PRIu64, why,
 	    (now->mono - t->sent_at) / AGB_MS);
 	repair = gang_may_repair(now, u, t);
 	task_wait(l, u, t);
@@ -651,7 +650,7 @@
 	if (repair)
 		u->repair_until = t->sent_at + REPAIR_MS * AGB_MS;
 	else if (wf_unit_step(u)->gang)
-		gang_stop(l, now, u, out);
+		wf_gang_stop(l, now, u, out);
 }
 
 static void
@@ -691,7 +690,7 @@
     struct wf_unit *u, struct wf_task *t, struct wf_effects *out)
 {
 	if (wf_unit_step(u)->gang)
-		gang_stop(l, now, u, out);
+		wf_gang_stop(l, now, u, out);
 	else if (t->holds)
 		wf_task_stop(
 		    l, now, u, t, "an earlier run has finished it", out);
@@ -747,10 +746,10 @@
 	wf_exec_change(l, u->exec);
 	if (step->gang) {
 		for (i = 0; i < step->count; i++)
-			task_set_saved(&u->exec->tasks[u->first + i], saved);
-		gang_stop(l, now, u, out);
+			wf_task_save(&u->exec->tasks[u->first + i], saved);
+		wf_gang_stop(l, now, u, out);
 	} else {
-		task_set_saved(t, saved);
+		wf_task_save(t, saved);
 	}
 	if (how == WF_END_FAILED)
 		task_failed(l, now, u, t, runner, out);
@@ -760,6 +759,8 @@
 wf_task_stop(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, const char *why, struct wf_effects *out)
 {
+	struct wf_task_ref ref;
+
 	if (!t->holds || t->stopping)
 		return;
 	if (t->state == WF_TASK_INTENT) {
@@ -767,12 +768,9 @@
 		wf_exec_change(l, u->exec);
 		return;
 	}
-	wf_effects_log(out, AGB_LOG_INFO, "stop",
-	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s reason=\"%s\"",
-	    u->exec->job->id, u->occurrence, u->step,
-	    (uint32_t)(t - u->exec->tasks) - u->first, t->run,
-	    l->runners[t->runner].info.id, why);
+	wf_task_ref(t, &ref);
+	wf_effects_log_run(out, AGB_LOG_INFO, "stop", &ref, t->run,
+	    l->runners[t->runner].info.id, "reason=\"%s\"", why);
 	t->stopping = true;
 	t->stop_at = now->mono;
 	l->stops++;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -83,6 +83,15 @@
 	return room;
 }
 
+bool
+wf_fleet_eligible(const struct wf_runner *r, const struct wf_step *step,
+    const char *service, agb_time now)
+{
+	return wf_fleet_usable(r, now) &&
+	    strcmp(r->info.service, service) == 0 &&
+	    wf_runner_has_label(&r->info, step->label);
+}
+
 bool
 wf_fleet_met(const struct wf_leader *l, agb_time now)
 {
@@ -150,7 +159,7 @@
 	/* An earlier leader may have extended leases until its own right to
 	 * do so ended. */
 	r->lease_until = l->elected_at +
-	    (agb_time)(l->limits.hold_ms + HOLD_MS) * LEASE_SLOW_PERMILLE;
+	    (agb_time)(WF_HOLD_GRACE_MS + HOLD_MS) * LEASE_SLOW_PERMILLE;
 	agb_name_set(r->info.id, sizeof(r->info.id), id);
 	return i;
 }
@@ -385,7 +394,7 @@
 	t->start_ms = clock_now(r, now->mono) + START_MS;
 	lease_extend(r, now->mono, START_MS);
 	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS, out);
-	wf_exec_ref(u, (uint32_t)(t - u->exec->tasks) - u->first, &o->task);
+	wf_task_ref(t, &o->task);
 	o->run = t->run;
 	o->deadline_ms = t->start_ms;
 	o->text = agb_xmemdup(spec->text, spec->text_len);
@@ -395,12 +404,11 @@
 	a = wf_advice_of(u, t->runner);
 	if (a != NULL && a->ok)
 		agb_name_set(o->ticket, sizeof(o->ticket), a->ticket);
-	wf_effects_log(out, AGB_LOG_INFO, "start",
-	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s fence=%" PRIu64 " document=%" PRIu64
-	    " waited_ms=%" PRIu64 " free_cpu=%" PRId64,
-	    u->exec->job->id, u->occurrence, u->step, o->task.index, t->run,
-	    r->info.id, l->fence, l->doc != NULL ? l->doc->version : 0,
+	wf_effects_log_run(out, AGB_LOG_INFO, "start", &o->task, t->run,
+	    r->info.id,
+	    "fence=%" PRIu64 " document=%" PRIu64 " waited_ms=%" PRIu64
+	    " free_cpu=%" PRId64,
+	    l->fence, l->doc != NULL ? l->doc->version : 0,
 	    (now->mono - u->ready_at) / AGB_MS, wf_fleet_free(r).cpu_milli);
 }
 
@@ -436,7 +444,6 @@
 	    order_new(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS, out);
 
 	r->hold_out = true;
-	r->hold_sent = now->mono;
 	/* The first one only reads the lists and the clock. One to a runner
 	 * that does not answer must not extend its lease, which has to run out
 	 * before its tasks start elsewhere. Nor does it acknowledge ends: the
@@ -485,13 +492,6 @@
 	r->strays[i] = r->strays[--r->strays_len];
 }
 
-static bool
-same_task(const struct wf_task_ref *a, const struct wf_task_ref *b)
-{
-	return a->occurrence == b->occurrence && a->step == b->step &&
-	    a->index == b->index && strcmp(a->job, b->job) == 0;
-}
-
 static struct wf_stray *
 stray_find(struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run)
 {
@@ -499,7 +499,7 @@
 
 	for (i = 0; i < r->strays_len; i++) {
 		if (r->strays[i].run == run &&
-		    same_task(&r->strays[i].task, ref))
+		    wf_task_ref_same(&r->strays[i].task, ref))
 			return &r->strays[i];
 	}
 	return NULL;
@@ -525,12 +525,8 @@
 		    a->task.step < j->spec.steps_len)
 			s->need = wf_step_held(&j->spec.steps[a->task.step]);
 		agb_resources_add(&r->held, &s->need);
-		wf_effects_log(out, AGB_LOG_WARN, "stray",
-		    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
-		    " task=%" PRIu32 " run=%" PRIu32
-		    " runner=%s reason=\"not meant to run here\"",
-		    a->task.job, a->task.occurrence, a->task.step,
-		    a->task.index, a->run, r->info.id);
+		wf_effects_log_run(out, AGB_LOG_WARN, "stray", &a->task, a->run,
+		    r->info.id, "reason=\"not meant to run here\"");
 	}
 	s->seen = true;
 	if (now->mono < s->stop_at)
@@ -589,13 +585,11 @@
 		late_end(l, now, u, t, f, out);
 		return;
 	}
-	wf_effects_log(out, AGB_LOG_INFO, "end",
-	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s how=%s seq=%" PRIu64 " ran_ms=%" PRIu64
-	    " estimate_ms=%" PRIu32,
-	    f->task.job, f->task.occurrence, f->task.step, f->task.index,
-	    f->run, r->info.id, end_name(f->how), f->seq,
-	    (now->mono - t->sent_at) / AGB_MS, wf_unit_step(u)->estimate_ms);
+	wf_effects_log_run(out, AGB_LOG_INFO, "end", &f->task, f->run,
+	    r->info.id,
+	    "how=%s seq=%" PRIu64 " ran_ms=%" PRIu64 " estimate_ms=%" PRIu32,
+	    end_name(f->how), f->seq, (now->mono - t->sent_at) / AGB_MS,
+	    wf_unit_step(u)->estimate_ms);
 	note_end(l, now, ri, f->how, out);
 	wf_task_ended(l, now, u, t, f->how, f->saved, out);
 }
@@ -731,9 +725,7 @@
 			continue;
 		t->paced = r->pace;
 		o = order_new(l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS, out);
-		wf_exec_ref(t->unit,
-		    (uint32_t)(t - t->unit->exec->tasks) - t->unit->first,
-		    &o->task);
+		wf_task_ref(t, &o->task);
 		o->run = t->run;
 		o->percent = t->paced;
 	}
@@ -787,11 +779,7 @@
 	}
 	t->unanswered = false;
 	take_progress(&l->runners[ri], t, a);
-	if (a->saved[0] != '\0' &&
-	    (t->saved == NULL || strcmp(t->saved, a->saved) != 0)) {
-		free(t->saved);
-		t->saved = agb_xstrdup(a->saved);
-	}
+	wf_task_save(t, a->saved);
 }
 
 /* Whether a runner's list, read by a hold sent at @sent, proves that a task
@@ -839,13 +827,10 @@
 				stop_unanswered(l, now, t, out);
 				continue;
 			}
-			if (t->state == WF_TASK_DONE)
-				wf_task_release(l, t->unit, t);
-			else
-				wf_task_requeue(l, now, t->unit, t,
-				    t->recovered ? "not there at takeover"
-						 : "not at its runner",
-				    out);
+			task_gone(l, now, t,
+			    t->recovered ? "not there at takeover"
+					 : "not at its runner",
+			    out);
 			again = true;
 			break;
 		}
@@ -1002,12 +987,8 @@
 	}
 	shun(&l->runners[t->runner], now->mono, SHUN_LOST_MS);
 	t->unanswered = true;
-	wf_effects_log(out, AGB_LOG_INFO, "unanswered",
-	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32 " task=%" PRIu32
-	    " run=%" PRIu32 " runner=%s",
-	    u->exec->job->id, u->occurrence, u->step,
-	    (uint32_t)(t - u->exec->tasks) - u->first, t->run,
-	    l->runners[t->runner].info.id);
+	wf_effects_log_run(out, AGB_LOG_INFO, "unanswered", &res->task, t->run,
+	    l->runners[t->runner].info.id, "%s", "");
 	send_look(l, now, t->runner, out);
 }
 
@@ -1029,17 +1010,24 @@
 	send_look(l, now, t->runner, out);
 }
 
-/* An order that the runner has not carried out. */
 static void
-order_undone(struct wf_leader *l, const struct wf_now *now,
+order_answer(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
 {
-	if (res->kind == WF_ORDER_START)
+	switch (res->kind) {
+	case WF_ORDER_START:
 		start_answer(l, now, res, out);
-	else if (res->kind == WF_ORDER_HOLD)
+		break;
+	case WF_ORDER_STOP:
+		stop_answer(l, now, res, out);
+		break;
+	case WF_ORDER_HOLD:
 		hold_answer(l, now, res, out);
-	else if (res->kind == WF_ORDER_PACE)
+		break;
+	case WF_ORDER_PACE:
 		pace_answer(l, res);
+		break;
+	}
 }
 
 void
@@ -1065,7 +1053,7 @@
 			l->lost = true;
 		l->fenced_at = now->mono;
 		l->fenced_by = res->runner;
-		order_undone(l, now, res, out);
+		order_answer(l, now, res, out);
 		return;
 	}
 	if (res->born_ms > r->info.born_ms) {
@@ -1076,20 +1064,7 @@
 		r->clock_ms = res->clock_ms;
 		r->clock_at = now->mono;
 	}
-	switch (res->kind) {
-	case WF_ORDER_START:
-		start_answer(l, now, res, out);
-		break;
-	case WF_ORDER_STOP:
-		stop_answer(l, now, res, out);
-		break;
-	case WF_ORDER_HOLD:
-		hold_answer(l, now, res, out);
-		break;
-	case WF_ORDER_PACE:
-		pace_answer(l, res);
-		break;
-	}
+	order_answer(l, now, res, out);
 }
 
 static void
@@ -1107,10 +1082,7 @@
 			if (now->mono >= t->stop_at) {
 				t->stop_at =
 				    now->mono + STOP_REPEAT_MS * AGB_MS;
-				wf_exec_ref(t->unit,
-				    (uint32_t)(t - t->unit->exec->tasks) -
-					t->unit->first,
-				    &ref);
+				wf_task_ref(t, &ref);
 				send_stop(l, now, ri, &ref, t->run, out);
 			}
 			if (t->stop_at < *next)
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -51,7 +51,6 @@
 	bool reading;
 	bool read_state;
 	bool unknown;
-	bool gone;
 };
 
 struct wf_front {
@@ -168,6 +167,27 @@
 	return true;
 }
 
+/* The record that a submission or a cancellation writes. */
+static void
+record_key(const struct waiting *w, char key[WF_KEY_MAX])
+{
+	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
+}
+
+static void
+record_of(const struct waiting *w, struct wf_record *r)
+{
+	record_key(w, r->key);
+	r->val = agb_xmemdup(w->raw, w->len);
+	r->len = w->len;
+}
+
+static bool
+state_is_known(const struct wf_job *j)
+{
+	return j != NULL && (j->spec_rev > 0 || j->state_known);
+}
+
 static void
 store_send(struct wf_front *f, struct waiting *w, struct wf_effects *out)
 {
@@ -184,7 +204,7 @@
 		return;
 	}
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
-	wf_table_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
+	record_key(w, key);
 	agb_store_op_cmp(&ef->u.store, key, AGB_STORE_MOD_REV, 0);
 	agb_store_op_put(
 	    &ef->u.store, key, w->raw != NULL ? w->raw : "", w->len, 0);
@@ -232,10 +252,7 @@
 	ef->tag = w->relay_tag;
 	ef->timeout_ms = RELAY_TIMEOUT_MS;
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
-	wf_table_key(
-	    ef->u.record.key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
-	ef->u.record.val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
-	ef->u.record.len = w->len;
+	record_of(w, &ef->u.record);
 	wf_effects_log(out, AGB_LOG_INFO, "relay",
 	    "job=%s through=%s waited_ms=%" PRIu64, w->job, p->name,
 	    (now->mono - w->began) / AGB_MS);
@@ -257,10 +274,8 @@
 	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
 	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
 	r = agb_xcalloc(1, sizeof(*r));
-	wf_table_key(r->key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
+	record_of(w, r);
 	r->revision = revision;
-	r->val = agb_xmemdup(w->raw != NULL ? w->raw : "", w->len);
-	r->len = w->len;
 	ef->u.push.items = r;
 	ef->u.push.len = 1;
 }
@@ -376,7 +391,7 @@
 	const struct wf_job *const j = wf_table_job(f->table, job);
 	struct waiting *w;
 
-	if (j != NULL && (j->spec_rev > 0 || j->state_known) &&
+	if (state_is_known(j) &&
 	    (f->fresh || f->store_silent || wf_job_final(j->state))) {
 		reply_state(out, call->id, j);
 		return;
@@ -465,19 +480,6 @@
 		call_cancel(f, now, q, call, job, out);
 }
 
-void
-wf_front_gone(struct wf_front *f, uint64_t call_id)
-{
-	struct waiting *w;
-
-	for (w = f->calls; w != NULL; w = w->next) {
-		if (w->call_id == call_id) {
-			w->gone = true;
-			return;
-		}
-	}
-}
-
 static void
 wrote(struct wf_front *f, const struct wf_now *now, struct waiting *w,
     const struct agb_store_result *res, struct wf_job **accepted,
@@ -525,7 +527,7 @@
 	}
 	if (w->kind == WF_CALL_GET) {
 		j = wf_table_job(f->table, w->job);
-		if (j != NULL && (j->spec_rev > 0 || j->state_known))
+		if (state_is_known(j))
 			reply_state(out, w->call_id, j);
 		else
 			refuse(out, w->call_id, w->kind, 503, w->job,
@@ -547,7 +549,7 @@
 	if (w->kind == WF_CALL_GET) {
 		/* An old answer is better than none. */
 		j = wf_table_job(f->table, w->job);
-		if (j != NULL && (j->spec_rev > 0 || j->state_known)) {
+		if (state_is_known(j)) {
 			reply_state(out, w->call_id, j);
 			waiting_free(f, w);
 			return;
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -29,11 +29,6 @@
 void wf_front_call(struct wf_front *f, const struct wf_now *now,
     const struct wf_doc *doc, struct wf_call *call, struct wf_effects *out);
 
-/**
- * wf_front_gone() - the caller has closed its connection
- */
-void wf_front_gone(struct wf_front *f, uint64_t call_id);
-
 /**
  * wf_front_store() - the store has answered
  * @accepted: set to a job that has just been accepted or cancelled, or NULL
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -45,7 +45,7 @@
 	h2o_globalconf_t config;
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept;
-	struct wf_httpd_cbs cbs;
+	wf_httpd_cb cb;
 	void *arg;
 	const char *deadline_header;
 	struct call *calls;
@@ -82,10 +82,8 @@
 	const struct guard *const g = p;
 	struct call *const c = call_find(g->s, g->id);
 
-	if (c == NULL)
-		return;
-	call_free(c);
-	g->s->cbs.gone(g->s->arg, g->id);
+	if (c != NULL)
+		call_free(c);
 }
 
 static void
@@ -146,7 +144,7 @@
 	copy_deadline(s, &out, req);
 	out.body = req->entity.base;
 	out.body_len = req->entity.len;
-	s->cbs.request(s->arg, &out);
+	s->cb(s->arg, &out);
 	return 0;
 }
 
@@ -212,7 +210,7 @@
 
 struct wf_httpd *
 wf_httpd_new(uv_loop_t *loop, const char *addr, const char *deadline_header,
-    size_t body_max, const struct wf_httpd_cbs *cbs, void *arg)
+    size_t body_max, wf_httpd_cb cb, void *arg)
 {
 	struct wf_httpd *const s = agb_xcalloc(1, sizeof(*s));
 	struct sockaddr_storage ss;
@@ -222,7 +220,7 @@
 	int rc;
 
 	s->loop = loop;
-	s->cbs = *cbs;
+	s->cb = cb;
 	s->arg = arg;
 	s->deadline_header = deadline_header;
 	uv_tcp_init(loop, &s->listener);
--- a/src/workflow/wf_httpd.h
+++ b/src/workflow/wf_httpd.h
@@ -29,15 +29,8 @@
 	size_t body_len;
 };
 
-/**
- * struct wf_httpd_cbs - what happens
- * @request: a request; may be answered before the return
- * @gone: the connection of a request that has not been answered has closed
- */
-struct wf_httpd_cbs {
-	void (*request)(void *arg, const struct wf_http_req *req);
-	void (*gone)(void *arg, uint64_t id);
-};
+/* A request; may be answered before the return. */
+typedef void (*wf_httpd_cb)(void *arg, const struct wf_http_req *req);
 
 /**
  * wf_httpd_new() - listen
@@ -48,8 +41,7 @@
  * Return: NULL when the address cannot be bound; errno tells why.
  */
 struct wf_httpd *wf_httpd_new(uv_loop_t *loop, const char *addr,
-    const char *deadline_header, size_t body_max,
-    const struct wf_httpd_cbs *cbs, void *arg);
+    const char *deadline_header, size_t body_max, wf_httpd_cb cb, void *arg);
 
 /**
  * wf_httpd_reply() - answer a request; does nothing when it has gone
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -7,9 +7,6 @@
 
 #include "mem.h"
 
-/* Leases of runners are extended for this long after the last certain sign
- * of leadership: runners refuse orders of a leader that has been replaced. */
-#define HOLD_GRACE_MS 8000
 /* An order has to arrive before the lease ends. */
 #define ORDER_MARGIN_MS 100
 /* States for other instances are collected for this long. */
@@ -25,7 +22,7 @@
 }
 
 struct wf_leader *
-wf_leader_new(uint64_t fence, const char *self, const struct wf_limits *limits,
+wf_leader_new(uint64_t fence, const char *self, uint32_t status_s,
     struct wf_table *table, const struct wf_doc *doc, const struct wf_now *now,
     struct wf_effects *out)
 {
@@ -35,9 +32,7 @@
 
 	l->fence = fence;
 	agb_name_set(l->self, sizeof(l->self), self);
-	l->limits = *limits;
-	/* Runners reached by earlier leaders only: see wf_fleet_get(). */
-	l->limits.hold_ms = HOLD_GRACE_MS;
+	l->status_s = status_s;
 	l->table = table;
 	l->doc = doc;
 	l->elected_at = now->mono;
@@ -102,11 +97,9 @@
 {
 	struct wf_show *s;
 
-	if (l->shows_len == l->shows_cap) {
-		l->shows_cap = l->shows_cap > 0 ? 2 * l->shows_cap : 64;
-		l->shows = agb_xreallocarray(
-		    l->shows, l->shows_cap, sizeof(*l->shows));
-	}
+	if (l->shows_len == l->shows_cap)
+		l->shows =
+		    agb_xgrow(l->shows, &l->shows_cap, sizeof(*l->shows));
 	s = &l->shows[l->shows_len++];
 	agb_name_set(s->job, sizeof(s->job), job);
 	s->state = state;
@@ -186,12 +179,6 @@
 	return l->shows_len > 0 ? l->show_at : l->count_at;
 }
 
-static agb_time
-sooner(agb_time a, agb_time b)
-{
-	return a < b ? a : b;
-}
-
 /* Starts whose intents became durable while the lease was in doubt. */
 static void
 late_starts(
@@ -217,7 +204,7 @@
 
 	next = wf_exec_next(l, now);
 	if (now->mono < l->due_at) {
-		l->due_at = sooner(next, l->due_at);
+		l->due_at = agb_time_min(next, l->due_at);
 		return l->due_at;
 	}
 	for (e = l->execs; e != NULL; e = e2) {
@@ -235,11 +222,11 @@
 {
 	agb_time next;
 
-	l->hold_until = l->valid_until + HOLD_GRACE_MS * AGB_MS;
+	l->hold_until = l->valid_until + WF_HOLD_GRACE_MS * AGB_MS;
 	next = due_occurrences(l, now, out);
-	next = sooner(next, wf_fleet_tick(l, now, out));
-	next = sooner(next, wf_dispatch(l, now, out));
+	next = agb_time_min(next, wf_fleet_tick(l, now, out));
+	next = agb_time_min(next, wf_dispatch(l, now, out));
 	late_starts(l, now, out);
-	next = sooner(next, show_states(l, now->mono, out));
-	return sooner(next, wf_commit_flush(l, now, out));
+	next = agb_time_min(next, show_states(l, now->mono, out));
+	return agb_time_min(next, wf_commit_flush(l, now, out));
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -16,17 +16,9 @@
 #include "wf_event.h"
 #include "wf_table.h"
 
-/**
- * struct wf_limits - bounds of the deployment
- * @hold_ms: how long an earlier leader may have extended leases of runners
- * @status_s: how long the state of an ended job stays known
- * @remote_x: factor on run times away from data, or over several racks
- */
-struct wf_limits {
-	uint32_t hold_ms;
-	uint32_t status_s;
-	double remote_x;
-};
+/* Leases of runners are extended for this long after the last certain sign
+ * of leadership: runners refuse orders of a leader that has been replaced. */
+#define WF_HOLD_GRACE_MS 8000
 
 /**
  * enum wf_task_state - what the leader knows of a task
@@ -183,7 +175,7 @@
  * @silent: the last hold was not answered
  * @has_left: its entry was removed as a draining runner's is that exits
  * @kept: room is kept there for a gang
- * @hold_out: a hold is under way, sent at @hold_sent
+ * @hold_out: a hold is under way
  * @hold_next: when the next one is due
  * @heard_at: sending time of the last hold that was answered
  * @lease_until: nothing can run there later, unless granted anew
@@ -208,7 +200,6 @@
 	bool has_left;
 	bool kept;
 	bool hold_out;
-	agb_time hold_sent;
 	agb_time hold_next;
 	agb_time heard_at;
 	agb_time gone_at;
@@ -247,7 +238,6 @@
 	agb_addr peer;
 	agb_time busy_until;
 	agb_time bad_until;
-	uint32_t calls;
 };
 
 struct wf_ask_out {
@@ -289,6 +279,7 @@
  * struct wf_leader - what a leader keeps
  * @fence: revision of its election, the token of its orders
  * @self: its name
+ * @status_s: how long the state of an ended job stays known
  * @doc: the document in force; owned by the core
  * @valid_until: end of its lease as far as it is certain
  * @hold_until: until when leases of runners may be extended
@@ -304,7 +295,7 @@
 struct wf_leader {
 	uint64_t fence;
 	agb_id self;
-	struct wf_limits limits;
+	uint32_t status_s;
 	const struct wf_doc *doc;
 	struct wf_table *table;
 	agb_time elected_at;
@@ -355,8 +346,8 @@
  * @fence: revision of the election
  */
 struct wf_leader *wf_leader_new(uint64_t fence, const char *self,
-    const struct wf_limits *limits, struct wf_table *table,
-    const struct wf_doc *doc, const struct wf_now *now, struct wf_effects *out);
+    uint32_t status_s, struct wf_table *table, const struct wf_doc *doc,
+    const struct wf_now *now, struct wf_effects *out);
 
 /**
  * wf_leader_free() - stop leading; orders under way are left to their fate
@@ -420,6 +411,17 @@
 void wf_exec_ref(
     const struct wf_unit *u, uint32_t task, struct wf_task_ref *ref);
 
+/**
+ * wf_task_ref() - identity of a task that is counted at a runner
+ */
+void wf_task_ref(const struct wf_task *t, struct wf_task_ref *ref);
+
+/**
+ * wf_task_save() - keep the newest checkpoint of a task
+ * @saved: "" keeps what there is
+ */
+void wf_task_save(struct wf_task *t, const char *saved);
+
 const struct wf_step *wf_unit_step(const struct wf_unit *u);
 
 const struct wf_queue *wf_unit_queue(
@@ -487,9 +489,9 @@
     struct wf_unit *u, struct wf_task *t, struct wf_effects *out);
 
 /**
- * wf_unit_restart() - stop what is left of a gang, so that it starts anew
+ * wf_gang_stop() - stop what is left of a gang, so that it starts anew
  */
-void wf_unit_restart(struct wf_leader *l, const struct wf_now *now,
+void wf_gang_stop(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_effects *out);
 
 /**
@@ -538,6 +540,12 @@
  */
 bool wf_fleet_usable(const struct wf_runner *r, agb_time now);
 
+/**
+ * wf_fleet_eligible() - whether a runner takes new tasks of a step
+ */
+bool wf_fleet_eligible(const struct wf_runner *r, const struct wf_step *step,
+    const char *service, agb_time now);
+
 /**
  * wf_fleet_met() - whether enough runners have shown what they hold
  */
@@ -610,6 +618,12 @@
 const struct wf_approval *wf_advice_of(
     const struct wf_unit *u, uint32_t runner);
 
+/**
+ * wf_advice_holds() - whether a runner, in its present life, is approved;
+ * its ticket may have run out
+ */
+bool wf_advice_holds(const struct wf_leader *l, const struct wf_approval *a);
+
 void wf_advice_free(struct wf_leader *l);
 
 #endif
--- a/src/workflow/wf_types.c
+++ b/src/workflow/wf_types.c
@@ -101,6 +101,28 @@
 	return need;
 }
 
+static uint32_t
+div_fit(int64_t room, int64_t need)
+{
+	if (need <= 0)
+		return UINT32_MAX;
+	if (room < need)
+		return 0;
+	return (uint32_t)(room / need);
+}
+
+uint32_t
+wf_step_fit(const struct wf_step *step, struct agb_resources room)
+{
+	uint32_t n, k;
+
+	n = div_fit(room.cpu_milli, step->need.cpu_milli);
+	k = div_fit(room.mem_mb, step->need.mem_mb);
+	n = k < n ? k : n;
+	k = div_fit(room.accel, step->need.accel);
+	return k < n ? k : n;
+}
+
 bool
 wf_runner_has_label(const struct wf_runner_info *r, const char *label)
 {
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -215,6 +215,11 @@
  */
 struct agb_resources wf_step_held(const struct wf_step *step);
 
+/**
+ * wf_step_fit() - how many tasks of a step fit into a room
+ */
+uint32_t wf_step_fit(const struct wf_step *step, struct agb_resources room);
+
 /**
  * wf_runner_has_label() - whether a runner has a label
  * @label: "" is had by all
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -719,13 +719,6 @@
 		task_find(j, &run->task)->failed++;
 }
 
-static bool
-same(const struct wf_task_ref *a, const struct wf_task_ref *b)
-{
-	return a->occurrence == b->occurrence && a->step == b->step &&
-	    a->index == b->index && strcmp(a->job, b->job) == 0;
-}
-
 /* Members of a gang at work, by their step and run. */
 static unsigned
 gang_present(struct sim *s, const struct run *g)
@@ -900,7 +893,8 @@
 	for (ri = 0; ri < s->o.runners; ri++) {
 		for (i = 0; s->runners[ri].up && i < s->runners[ri].runs_len;
 		     i++) {
-			if (same(&s->runners[ri].runs[i].task, &o->task))
+			if (wf_task_ref_same(
+				&s->runners[ri].runs[i].task, &o->task))
 				violate(s, "twice: %s.%u.%u on %s and %s",
 				    j->id, o->task.step, o->task.index,
 				    s->runners[ri].info.id, r->info.id);
@@ -942,7 +936,7 @@
 	size_t i;
 
 	for (i = 0; i < r->stopped_len; i++) {
-		if (same(&r->stopped[i].task, &o->task) &&
+		if (wf_task_ref_same(&r->stopped[i].task, &o->task) &&
 		    o->run <= r->stopped[i].run)
 			return true;
 	}
@@ -980,7 +974,7 @@
 		return WF_ORDER_LATE;
 	lease_take(s, r, o->deadline_ms);
 	for (i = 0; i < r->runs_len; i++) {
-		if (same(&r->runs[i].task, &o->task) &&
+		if (wf_task_ref_same(&r->runs[i].task, &o->task) &&
 		    r->runs[i].run == o->run)
 			return WF_ORDER_OK;
 	}
@@ -1023,7 +1017,7 @@
 	size_t i;
 
 	for (i = 0; i < r->runs_len; i++) {
-		if (!same(&r->runs[i].task, &o->task) ||
+		if (!wf_task_ref_same(&r->runs[i].task, &o->task) ||
 		    r->runs[i].run > o->run)
 			continue;
 		if (!r->runs[i].stopping) {
@@ -1084,7 +1078,7 @@
 	size_t i;
 
 	for (i = 0; i < r->runs_len; i++) {
-		if (same(&r->runs[i].task, &o->task) &&
+		if (wf_task_ref_same(&r->runs[i].task, &o->task) &&
 		    r->runs[i].run == o->run)
 			r->runs[i].pace = o->percent;
 	}
@@ -1726,7 +1720,6 @@
 	cfg.cpu_permille = e->core < s->o.small_cores ? 125 : 250;
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
-	cfg.remote_x = 2;
 	wf_core_free(c->core);
 	c->core = wf_core_new(&cfg);
 	c->up = true;
