fix(advice): advice is asked only for units that will find room

The leader made 39,802 calls, its processor went into their answers, tickets ran out while intents were written ("approval has expired", 640 in 4 s), and the units asked again.

Change: a pass counts what the units before a unit will take once their calls are answered, and asks only while room is left beyond that. A start whose ticket ran out while its intent was written is placed anew instead of being sent.

Ruled out: fewer runners named in a call; that changes what one call costs, not that all units ask.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -21,8 +21,10 @@
 #define ANSWER_SLACK_MS 350
 #define ADVISOR_BAD_MS 2000
 #define ASK_RETRY_MS 40
-/* Time between the service's answer and the arrival of a start. */
+/* Time between the service's answer and the arrival of a start; once the
+ * start is on its way only the second. */
 #define TICKET_MARGIN_MS 120
+#define TICKET_WAY_MS 20
 /* A unit that has waited this long asks about further runners. */
 #define WIDEN_AFTER_MS 1000
 
@@ -44,6 +46,15 @@
 	return a->ok && a->life == l->runners[a->runner].life;
 }
 
+bool
+wf_advice_lasts(const struct wf_unit *u, uint32_t runner, agb_time now)
+{
+	const struct wf_approval *const a = wf_advice_of(u, runner);
+
+	return a != NULL && a->ok &&
+	    now < a->until + (TICKET_MARGIN_MS - TICKET_WAY_MS) * AGB_MS;
+}
+
 /* What is known of an adviser that was there before. */
 static void
 advisor_keep(const struct wf_advisor *a, size_t n, const char *name,
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -274,16 +274,38 @@
 	return next;
 }
 
+/* A start whose ticket ran out while its intent was written would be refused.
+ * With one member of a gang all that are not sent yet are placed anew. */
+static void
+drop_expired(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_effects *out)
+{
+	struct wf_task *t;
+	uint32_t i;
+
+	for (i = 0; i < wf_unit_step(u)->count; i++) {
+		t = &u->exec->tasks[u->first + i];
+		if (t->state == WF_TASK_INTENT && t->flushing &&
+		    !wf_advice_lasts(u, t->runner, now->mono))
+			wf_task_requeue(l, now, u, t,
+			    "approval ran out before the start", out);
+	}
+}
+
 void
 wf_commit_starts(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out)
 {
+	const struct wf_queue *q;
 	struct wf_unit *u;
 	struct wf_task *t;
 	uint32_t i, k;
 
 	for (i = 0; i < e->units_len; i++) {
 		u = &e->units[i];
+		q = wf_unit_queue(l, u);
+		if (q != NULL && q->advised)
+			drop_expired(l, now, u, out);
 		for (k = 0; k < wf_unit_step(u)->count; k++) {
 			t = &e->tasks[u->first + k];
 			if (t->state != WF_TASK_INTENT || !t->flushing)
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -74,8 +74,8 @@
 	agb_time from;
 };
 
-/* What one pass over the queue works with. @no_room: a need for which no
- * runner has room, zero while none is known. */
+/* What one pass over the queue works with. @claimed: processors that units
+ * earlier in the queue will take once their calls for advice are answered. */
 struct pass {
 	struct wf_leader *l;
 	const struct wf_now *now;
@@ -83,7 +83,7 @@
 	uint32_t *stale;
 	struct keep *keeps;
 	uint32_t reserved;
-	struct agb_resources no_room;
+	int64_t claimed;
 	struct wf_effects *out;
 };
 
@@ -546,25 +546,33 @@
 	return false;
 }
 
-/* Whether any runner has room for one task of the unit now. */
+/* Whether there is room for one task of the unit beyond what units before it
+ * have claimed. */
 static bool
-has_room(struct pass *p, const struct wf_unit *u, const char *service)
+has_room(const struct pass *p, const struct wf_unit *u, const char *service)
 {
-	const struct agb_resources *const need = &wf_unit_step(u)->need;
+	const struct wf_step *const step = wf_unit_step(u);
+	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
+	int64_t room;
 	uint32_t ri;
 
-	if (p->no_room.cpu_milli > 0 && agb_resources_fit(&p->no_room, need))
-		return false;
-	for (ri = 0; ri < p->l->runners_len; ri++) {
-		const struct agb_resources room =
-		    wf_fleet_free(&p->l->runners[ri]);
-
-		if (agb_resources_fit(need, &room) &&
-		    eligible(p, u, service, ri))
-			return true;
+	room = -p->claimed;
+	for (ri = 0; ri < p->l->runners_len && room <= 0; ri++) {
+		if (!eligible(p, u, service, ri))
+			continue;
+		room += cpu *
+		    wf_step_fit(step, wf_fleet_free(&p->l->runners[ri]));
 	}
-	p->no_room = *need;
-	return false;
+	return room > 0;
+}
+
+/* Units that need long for their advice ask before there is room; of the
+ * others only as many as will find room: the answers take the leader's time,
+ * and their tickets run out while the unit waits. */
+static bool
+may_ask(const struct pass *p, const struct wf_unit *u, const struct wf_queue *q)
+{
+	return q->advice_ms > ADVICE_SOON_MS || has_room(p, u, q->service);
 }
 
 /* Approvals that are missing, and tickets that have run out. */
@@ -579,10 +587,15 @@
 
 	if (!q->advised)
 		return;
-	if (stale_len > 0 && (from <= p->now->mono + lead))
-		wf_advice_again(p->l, p->now, u, p->stale, stale_len, p->out);
-	if (q->advice_ms > ADVICE_SOON_MS || has_room(p, u, q->service))
+	if (!u->asking && may_ask(p, u, q)) {
+		if (stale_len > 0 && from <= p->now->mono + lead)
+			wf_advice_again(
+			    p->l, p->now, u, p->stale, stale_len, p->out);
 		wf_advice_want(p->l, p->now, u, p->out);
+	}
+	if (u->asking && q->advice_ms <= ADVICE_SOON_MS)
+		p->claimed +=
+		    u->waiting * wf_unit_step(u)->need.cpu_milli;
 }
 
 static void
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -624,6 +624,11 @@
  */
 bool wf_advice_holds(const struct wf_leader *l, const struct wf_approval *a);
 
+/**
+ * wf_advice_lasts() - whether a start sent now arrives with a valid ticket
+ */
+bool wf_advice_lasts(const struct wf_unit *u, uint32_t runner, agb_time now);
+
 void wf_advice_free(struct wf_leader *l);
 
 #endif
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -577,6 +577,33 @@
 	finish(s);
 }
 
+/* Pattern: many small jobs at once, more than there is room for. Calls for
+ * jobs that find no room took the leader's time until tickets ran out before
+ * their starts (hunt-9455-3 of the grown LAMTOI, 39,802 calls). */
+static void
+advice_follows_room(void)
+{
+	const struct sim_options o = {.seed = 1,
+	    .cores = 8,
+	    .runners = 40,
+	    .cpu_milli = 16000,
+	    .advised = true};
+	const unsigned jobs = 1500;
+	struct sim *const s = start(&o);
+	char id[17];
+	unsigned i;
+
+	for (i = 0; i < jobs; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x1000 + i);
+		sim_submit(s, i % o.cores, id,
+		    sim_spec(2, 2000, 300 + i * 131 % 1200));
+	}
+	sim_run(s, 12000);
+	CU_ASSERT_EQUAL(sim_jobs_final(s), jobs);
+	CU_ASSERT(sim_advice_calls(s) * 4 <= jobs * 5);
+	finish(s);
+}
+
 static void
 kept_seeds(void)
 {
@@ -642,6 +669,7 @@
     {"filling tasks are paced", filling_tasks_are_paced},
     {"filling tasks leave room", filling_tasks_leave_room},
     {"small instance waits for larger", small_instance_waits_for_larger},
+    {"advice follows room", advice_follows_room},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -141,6 +141,7 @@
 	int64_t next_lease;
 	enum sim_store_mode store;
 	unsigned store_calls;
+	unsigned advice_calls;
 	struct simcore cores[SIM_CORES_MAX];
 	struct simrunner runners[SIM_RUNNERS_MAX];
 	struct simjob *jobs;
@@ -1385,6 +1386,7 @@
 	    s, ci, (2 * s->o.latency_ms + 10) * SIM_MS, advice_answer);
 	size_t i;
 
+	s->advice_calls++;
 	a->ok = true;
 	a->valid_ms = 2000;
 	a->items = agb_xcalloc(ef->u.ask.runners_len + 1, sizeof(*a->items));
@@ -2180,6 +2182,12 @@
 	return s->store_calls;
 }
 
+unsigned
+sim_advice_calls(const struct sim *s)
+{
+	return s->advice_calls;
+}
+
 unsigned
 sim_jobs(const struct sim *s)
 {
