fix(exec): a job is told to run once a runner has taken a start of it

When starts were refused or approvals ran out first, jobs of which nothing had begun left the count of those that wait: 141 were told where 540 waited.

Change: the state follows the first start that a runner has taken, and is shown to the other instances at once. The record is not written for it: a later leader sees it in the lists of the runners.

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -207,6 +207,22 @@
 	count_at(l, u, t);
 }
 
+void
+wf_exec_begun(struct wf_leader *l, struct wf_exec *e)
+{
+	struct wf_job *const j = e->job;
+
+	if (e->state != WF_JOB_QUEUED)
+		return;
+	e->state = WF_JOB_RUNNING;
+	if (wf_job_final(j->state))
+		return;
+	j->state = WF_JOB_RUNNING;
+	e->shown = true;
+	e->shown_state = j->state;
+	wf_leader_show(l, j->id, j->state);
+}
+
 static bool
 is_done(const struct wf_x_state *x, uint32_t task)
 {
@@ -548,8 +564,6 @@
 	u->waiting--;
 	u->active++;
 	count_at(l, u, t);
-	if (u->exec->state == WF_JOB_QUEUED)
-		u->exec->state = WF_JOB_RUNNING;
 	if (u->waiting == 0)
 		unit_dequeue(l, u);
 	wf_exec_change(l, u->exec);
@@ -733,6 +747,7 @@
 	uint32_t i;
 
 	u->repair_until = 0;
+	wf_exec_begun(l, u->exec);
 	if (how == WF_END_DONE && !step->lasts) {
 		wf_task_release(l, u, t);
 		task_done(l, now, u, t, out);
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -772,6 +772,7 @@
 	}
 	t->listed = true;
 	t->recovered = false;
+	wf_exec_begun(l, u->exec);
 	if (t->state == WF_TASK_SENT) {
 		t->state = WF_TASK_RUN;
 		if (t->answered_at == 0)
@@ -972,6 +973,7 @@
 	    t->runner != res->runner || t->life != res->life)
 		return;
 	if (res->status == WF_ORDER_OK) {
+		wf_exec_begun(l, u->exec);
 		if (t->state == WF_TASK_SENT)
 			t->state = WF_TASK_RUN;
 		if (t->answered_at == 0)
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -444,6 +444,12 @@
  */
 void wf_exec_change(struct wf_leader *l, struct wf_exec *e);
 
+/**
+ * wf_exec_begun() - a runner has taken a start of the job, so that it does not
+ * wait any more
+ */
+void wf_exec_begun(struct wf_leader *l, struct wf_exec *e);
+
 /**
  * wf_exec_advance() - look which units are ready and whether the job ended
  */
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -604,6 +604,26 @@
 	finish(s);
 }
 
+/* Guards against a job that is told to run when no runner has taken a start
+ * of it: callers who ask how many jobs wait were told 141 of 540. */
+static void
+waits_until_a_runner_takes_it(void)
+{
+	struct sim *const s = start(&plain);
+	unsigned i;
+
+	for (i = 0; i < plain.runners; i++)
+		sim_runner_deaf(s, i, true);
+	sim_submit(s, 1, JOB, sim_spec(2, 2000, 300));
+	sim_run(s, 900);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "queued");
+	for (i = 0; i < plain.runners; i++)
+		sim_runner_deaf(s, i, false);
+	until(s, JOB, "running", 3000);
+	until(s, JOB, "completed", 3000);
+	finish(s);
+}
+
 /* Jobs that end within the time when @jobs come over it. */
 static unsigned
 done_within(struct sim *s, unsigned jobs, unsigned ms)
@@ -723,6 +743,7 @@
     {"advice follows room", advice_follows_room},
     {"store loses answers", store_loses_answers},
     {"store is slow", store_is_slow},
+    {"waits until a runner takes it", waits_until_a_runner_takes_it},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
