perf(dispatch): the ends of a runner's tasks are read once a pass; room is kept for more gangs

The expected ends of the tasks at a runner were collected and sorted for each gang that planned room there; with 35 gangs instead of 17 on 350 runners that would double the work of a pass. They are kept for the pass and read again where something was placed.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -19,7 +19,7 @@
 /* Gangs for which room is kept in one pass: at least so many, and one more
  * for so many runners; and how long they wait first. */
 #define RESERVE_MIN 6
-#define RESERVE_RUNNERS 30
+#define RESERVE_RUNNERS 12
 #define RESERVE_AFTER_MS 150
 /* Run times exceed their estimates by this on average. */
 #define ESTIMATE_PERCENT 120
@@ -74,6 +74,20 @@
 	agb_time from;
 };
 
+/* When a task is expected to end, and what comes free then. */
+struct ending {
+	agb_time at;
+	struct agb_resources need;
+};
+
+/* The tasks of a runner in the order of their expected ends; made when first
+ * asked for, and again after something was placed there. */
+struct endings {
+	bool made;
+	size_t len;
+	struct ending items[ENDS_MAX];
+};
+
 /* What one pass over the queue works with. @claimed: processors that units
  * earlier in the queue will take once their calls for advice are answered. */
 struct pass {
@@ -82,6 +96,7 @@
 	struct cand *cands;
 	uint32_t *stale;
 	struct keep *keeps;
+	struct endings **endings;
 	uint32_t reserved;
 	int64_t claimed;
 	struct wf_effects *out;
@@ -322,8 +337,7 @@
 }
 
 static void
-place_on(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    struct cand *list, size_t len)
+place_on(const struct pass *p, struct wf_unit *u, struct cand *list, size_t len)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	/* Members that are placed anew join the run of the others. */
@@ -340,18 +354,15 @@
 		if (c == NULL)
 			break;
 		c->fit--;
-		wf_task_assign(l, now, u, t, c->runner,
+		wf_task_assign(p->l, p->now, u, t, c->runner,
 		    step->gang ? gang_run : t->run + 1);
+		if (p->endings[c->runner] != NULL)
+			p->endings[c->runner]->made = false;
 	}
 }
 
 /* ---- room for gangs ---- */
 
-struct ending {
-	agb_time at;
-	struct agb_resources need;
-};
-
 static int
 ending_order(const void *a, const void *b)
 {
@@ -362,35 +373,40 @@
 }
 
 /* When the tasks at a runner are expected to end. */
-static size_t
-endings(const struct pass *p, uint32_t ri, struct ending *list)
+static const struct endings *
+endings_of(const struct pass *p, uint32_t ri)
 {
 	const agb_time soon = p->now->mono + OVERDUE_MS * AGB_MS;
 	const struct wf_task *t;
-	size_t n;
-
-	n = 0;
+	struct endings *e;
+
+	if (p->endings[ri] == NULL)
+		p->endings[ri] = agb_xcalloc(1, sizeof(**p->endings));
+	e = p->endings[ri];
+	if (e->made)
+		return e;
+	e->made = true;
+	e->len = 0;
 	for (t = p->l->runners[ri].tasks; t != NULL; t = t->next) {
 		const struct wf_step *const step = wf_unit_step(t->unit);
 
-		if (n == ENDS_MAX || step->lasts || step->fills)
+		if (e->len == ENDS_MAX || step->lasts || step->fills)
 			continue;
-		list[n].at = t->sent_at + expected_run(step);
-		if (list[n].at < soon)
-			list[n].at = soon;
-		list[n++].need = step->need;
+		e->items[e->len].at = t->sent_at + expected_run(step);
+		if (e->items[e->len].at < soon)
+			e->items[e->len].at = soon;
+		e->items[e->len++].need = step->need;
 	}
-	if (n > 1)
-		qsort(list, n, sizeof(*list), ending_order);
-	return n;
+	if (e->len > 1)
+		qsort(e->items, e->len, sizeof(*e->items), ending_order);
+	return e;
 }
 
 /* A runner whose room is planned: what is free, and what will be. */
 struct plan {
 	uint32_t runner;
 	struct agb_resources room;
-	struct ending ends[ENDS_MAX];
-	size_t ends_len;
+	const struct endings *ends;
 };
 
 static void
@@ -399,7 +415,7 @@
 	pl->runner = ri;
 	pl->room = wf_fleet_free(&p->l->runners[ri]);
 	agb_resources_sub(&pl->room, &p->keeps[ri].need);
-	pl->ends_len = endings(p, ri, pl->ends);
+	pl->ends = endings_of(p, ri);
 }
 
 /* How many tasks of the unit a runner is expected to hold at a time. */
@@ -410,8 +426,8 @@
 	struct agb_resources room = pl->room;
 	size_t i;
 
-	for (i = 0; i < pl->ends_len && pl->ends[i].at <= when; i++)
-		agb_resources_add(&room, &pl->ends[i].need);
+	for (i = 0; i < pl->ends->len && pl->ends->items[i].at <= when; i++)
+		agb_resources_add(&room, &pl->ends->items[i].need);
 	return spread_cap(
 	    u, &p->l->runners[pl->runner], wf_step_fit(wf_unit_step(u), room));
 }
@@ -621,7 +637,7 @@
 	for (i = 0; i < len; i++)
 		room += p->cands[i].fit;
 	if (room >= u->waiting) {
-		place_on(p->l, p->now, u, p->cands, len);
+		place_on(p, u, p->cands, len);
 		return;
 	}
 	from = AGB_TIME_MAX;
@@ -652,7 +668,7 @@
 	if (len > 1)
 		qsort(p->cands, len, sizeof(*p->cands), cand_order);
 	if (len > 0)
-		place_on(p->l, p->now, u, p->cands, len);
+		place_on(p, u, p->cands, len);
 	if (u->waiting > 0)
 		ask(p, u, q, stale_len, p->now->mono);
 }
@@ -683,6 +699,7 @@
 	p.cands = agb_xcalloc(l->runners_len + 1, sizeof(*p.cands));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.keeps = agb_xcalloc(l->runners_len + 1, sizeof(*p.keeps));
+	p.endings = agb_xcalloc(l->runners_len + 1, sizeof(*p.endings));
 	for (i = 0; i < len; i++) {
 		if (wf_unit_step(list[i].u)->gang)
 			place_gang(&p, list[i].u, list[i].q);
@@ -690,8 +707,11 @@
 			place_tasks(&p, list[i].u, list[i].q);
 	}
 	/* What is kept now steers the choices of the next pass. */
-	for (i = 0; i < l->runners_len; i++)
+	for (i = 0; i < l->runners_len; i++) {
 		l->runners[i].kept = p.keeps[i].from > 0;
+		free(p.endings[i]);
+	}
+	free(p.endings);
 	free(p.keeps);
 	free(p.stale);
 	free(p.cands);
