fix(core): few instances read all jobs when all have started

The link between the regions was full for six seconds, and the leader could open no connection to a runner of the other region.

Change: instances behind the first three read in groups of three, 200 ms apart, after five round trips more; one far from the store waits 200 ms, so that those near it come first; one that becomes a successor while another leads waits for a second.

Ruled out: the connection limit of the runners; all runners of one region were out of reach at once, those of the other none.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -39,9 +39,20 @@
  * for each millisecond to the store. */
 #define SCORE_RTT 8
 /* Instances that follow all jobs, so that one of them can lead at once. When
- * none of them does, the others read the jobs after this. */
+ * none of them leads, the others read the jobs too, in groups of that size one
+ * after the other: all at once they would fill the link between regions. */
 #define STANDBYS 3
 #define LEADERLESS_MS 350
+#define LEADERLESS_GROUP_MS 200
+/* Round trips to the store until an instance that has started has joined, has
+ * read all and stands for election. */
+#define LEADERLESS_RTTS 5
+/* After a start of all, an instance with a longer round trip to the store than
+ * the first of these waits for the second, so that those near it come first. */
+#define STANDBY_NEAR_MS 10
+#define STANDBY_FAR_MS 200
+/* While another instance leads, the set of successors settles first. */
+#define STANDBY_SETTLE_MS 1000
 /* How often the copy of the store is brought up to date. */
 #define PACE_ELECTION_MS 10
 #define PACE_LEADER_MS 100
@@ -146,6 +157,7 @@
 		bool synced;
 	} feeds[WF_FEEDS];
 	uint32_t rank;
+	agb_time standby_at;
 	bool ready;
 	bool ready_known;
 	bool draining;
@@ -509,7 +521,7 @@
 
 /* Instances that stand for election before this one. */
 static void
-rank_peers(struct wf_core *c)
+rank_peers(struct wf_core *c, agb_time now)
 {
 	const struct wf_peer *p, *self;
 	uint32_t n;
@@ -526,7 +538,10 @@
 		    (p->score == self->score &&
 			strcmp(p->name, self->name) < 0);
 	}
-	c->rank = self != NULL ? n : UINT32_MAX;
+	n = self != NULL ? n : UINT32_MAX;
+	if (n < STANDBYS && (c->rank >= STANDBYS || c->standby_at == 0))
+		c->standby_at = now;
+	c->rank = n;
 }
 
 /* Time for larger instances to come, soon after the start. */
@@ -553,7 +568,7 @@
 	if (c->leader != NULL &&
 	    (!mine || c->leader->fence != c->table.leader_rev))
 		step_down(c, "another instance has been elected", out);
-	rank_peers(c);
+	rank_peers(c, now->mono);
 	if (c->table.leader[0] == '\0') {
 		c->leaderless_at = now->mono;
 		rank = c->rank < STANDBYS ? c->rank : STANDBYS;
@@ -651,7 +666,7 @@
 	if (peers)
 		allow_peers(c, out);
 	if (peers && !leader)
-		rank_peers(c);
+		rank_peers(c, now->mono);
 	if (leader)
 		leader_changed(c, now, out);
 }
@@ -1045,6 +1060,28 @@
 	wf_effects_add(out, WF_EF_EXIT);
 }
 
+/* When this instance, which may lead next, begins to read all jobs and states;
+ * AGB_TIME_MAX when it need not. */
+static agb_time
+read_from(const struct wf_core *c, bool leaderless)
+{
+	const agb_time far =
+	    c->rtt > STANDBY_NEAR_MS * AGB_MS ? STANDBY_FAR_MS * AGB_MS : 0;
+
+	if (c->rank == UINT32_MAX)
+		return AGB_TIME_MAX;
+	if (!leaderless)
+		return c->rank < STANDBYS
+		    ? c->standby_at + STANDBY_SETTLE_MS * AGB_MS
+		    : AGB_TIME_MAX;
+	if (c->rank < STANDBYS)
+		return c->standby_at + far;
+	return c->leaderless_at + far + LEADERLESS_RTTS * c->rtt +
+	    (LEADERLESS_MS +
+		(agb_time)LEADERLESS_GROUP_MS * (c->rank / STANDBYS)) *
+	    AGB_MS;
+}
+
 /* Who leads follows what callers hand in; those who may lead next follow how
  * far it is, too. */
 static void
@@ -1053,22 +1090,21 @@
 	const bool leaderless = c->table.leader[0] == '\0';
 	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
 	bool jobs, states;
+	agb_time from;
 	uint32_t pace;
 
 	follow(c, WF_FEED_CONTROL, true, out);
 	if (!c->feeds[WF_FEED_CONTROL].synced)
 		return;
-	states = c->rank < STANDBYS || (mine && c->leader == NULL) ||
-	    (leaderless &&
-		(c->feeds[WF_FEED_STATES].on ||
-		    now->mono >= c->leaderless_at + LEADERLESS_MS * AGB_MS));
+	from = read_from(c, leaderless);
+	states = (mine && c->leader == NULL) || now->mono >= from ||
+	    (c->feeds[WF_FEED_STATES].on && from != AGB_TIME_MAX);
 	states = states && !c->draining && c->leader == NULL;
 	jobs = states || c->leader != NULL;
 	follow(c, WF_FEED_JOBS, jobs, out);
 	follow(c, WF_FEED_STATES, states, out);
-	if (leaderless && !states)
-		c->next = agb_time_min(
-		    c->next, c->leaderless_at + LEADERLESS_MS * AGB_MS);
+	if (!states && c->leader == NULL)
+		c->next = agb_time_min(c->next, from);
 	pace = leaderless || (mine && c->leader == NULL) ? PACE_ELECTION_MS
 	    : c->leader != NULL				 ? PACE_LEADER_MS
 							 : PACE_OTHER_MS;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -634,6 +634,34 @@
 	finish(s);
 }
 
+/* Guards against a start of all at which each instance reads all jobs: that
+ * filled the link between the regions for six seconds, and the leader reached
+ * no runner of the other one (trouble-1 of the grown LAMTOI, 2,975 starts not
+ * sent). */
+static void
+few_read_all_jobs(void)
+{
+	const struct sim_options o = {.seed = 5,
+	    .cores = 8,
+	    .runners = 6,
+	    .cpu_milli = 16000,
+	    .latency_ms = 8};
+	struct sim *const s = start(&o);
+	unsigned i, before;
+
+	sim_submit(s, 1, JOB, sim_spec(4, 2000, 300));
+	sim_run(s, 2000);
+	before = sim_full_reads(s);
+	sim_store_slow(s, 250);
+	for (i = 0; i < o.cores; i++)
+		sim_kill(s, i, 1600 + 30 * i);
+	sim_run(s, 6000);
+	sim_store_slow(s, 0);
+	CU_ASSERT(sim_leader(s) >= 0);
+	CU_ASSERT(sim_full_reads(s) - before <= 4);
+	finish(s);
+}
+
 /* Guards against a job that is told to run when no runner has taken a start
  * of it: callers who ask how many jobs wait were told 141 of 540. */
 static void
@@ -778,6 +806,7 @@
     {"store is slow", store_is_slow},
     {"waits until a runner takes it", waits_until_a_runner_takes_it},
     {"jobs name different runners", jobs_name_different_runners},
+    {"few read all jobs", few_read_all_jobs},
     {"kept seeds", kept_seeds},
     {"random days", some_seeds},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -9,6 +9,8 @@
 #include "mem.h"
 #include "wf_table.h"
 
+/* Answers of a slow store until all jobs or states are read. */
+#define FULL_READ_PAGES 4
 #define HISTORY_MAX 65536
 #define JOBS_MAX 4096
 #define KILL_MS 300
@@ -141,6 +143,7 @@
 	int64_t next_lease;
 	enum sim_store_mode store;
 	unsigned store_calls;
+	unsigned full_reads;
 	unsigned relays;
 	unsigned store_loses;
 	unsigned store_slow_ms;
@@ -663,7 +666,13 @@
 	c->feeds[ef->feed].starts++;
 	if (!ef->on)
 		return;
-	e = later_core(s, ci, 5 * SIM_MS, poll_feed);
+	s->full_reads += ef->feed == WF_FEED_JOBS;
+	e = later_core(s, ci,
+	    (5 +
+		s->store_slow_ms *
+		    (ef->feed == WF_FEED_CONTROL ? 1 : FULL_READ_PAGES)) *
+		SIM_MS,
+	    poll_feed);
 	e->a = ef->feed;
 	e->b = c->feeds[ef->feed].starts;
 }
@@ -2205,6 +2214,12 @@
 	return s->relays;
 }
 
+unsigned
+sim_full_reads(const struct sim *s)
+{
+	return s->full_reads;
+}
+
 unsigned
 sim_advice_calls(const struct sim *s)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -116,6 +116,8 @@
 unsigned sim_submit_status(const struct sim *s, const char *id);
 unsigned sim_store_calls(const struct sim *s);
 unsigned sim_relays(const struct sim *s);
+/* Full reads of the jobs that instances have begun. */
+unsigned sim_full_reads(const struct sim *s);
 unsigned sim_advice_calls(const struct sim *s);
 unsigned sim_jobs(const struct sim *s);
 unsigned sim_jobs_final(struct sim *s);
