fix(dispatch): advice is asked for room that comes free soon

And units with valid tickets that waited claimed nothing, so that the bound did not hold for them.

Change: 6% of all room, which comes free while a call is under way, counts as room; units with valid tickets claim what they wait for.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -61,6 +61,18 @@
 	    now < a->until + (TICKET_MARGIN_MS - TICKET_WAY_MS) * AGB_MS;
 }
 
+bool
+wf_advice_fresh(const struct wf_unit *u, agb_time now)
+{
+	size_t i;
+
+	for (i = 0; i < u->approvals_len; i++) {
+		if (u->approvals[i].until > now)
+			return true;
+	}
+	return false;
+}
+
 /* What is known of an adviser that was there before. */
 static void
 advisor_keep(const struct wf_advisor *a, size_t n, const char *name,
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -28,6 +28,9 @@
 /* Advice that comes this soon is not asked for before there is room: its
  * tickets would run out while the unit waits. */
 #define ADVICE_SOON_MS 150
+/* Room that comes free while advice is on its way, in percent of all room:
+ * tasks run for some seconds, calls take up to 0.2 of one. */
+#define AHEAD_PERCENT 6
 /* Time between the decision to renew tickets and the starts. */
 #define RENEW_MARGIN_MS 150
 /* Ends at one runner that are looked at when room is planned. */
@@ -562,8 +565,8 @@
 	return false;
 }
 
-/* Whether there is room for one task of the unit beyond what units before it
- * have claimed. */
+/* Whether there is, or will soon be, room for one task of the unit beyond what
+ * units before it have claimed. */
 static bool
 has_room(const struct pass *p, const struct wf_unit *u, const char *service)
 {
@@ -609,7 +612,8 @@
 			    p->l, p->now, u, p->stale, stale_len, p->out);
 		wf_advice_want(p->l, p->now, u, p->out);
 	}
-	if (u->asking && q->advice_ms <= ADVICE_SOON_MS)
+	if (q->advice_ms <= ADVICE_SOON_MS &&
+	    (u->asking || wf_advice_fresh(u, p->now->mono)))
 		p->claimed += u->waiting * wf_unit_step(u)->need.cpu_milli;
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -648,6 +648,11 @@
  */
 bool wf_advice_holds(const struct wf_leader *l, const struct wf_approval *a);
 
+/**
+ * wf_advice_fresh() - whether a unit has a valid ticket
+ */
+bool wf_advice_fresh(const struct wf_unit *u, agb_time now);
+
 /**
  * wf_advice_claims() - count what waiting units may take at each runner
  */
