--- a/src/agatebeam/log.c
+++ b/src/agatebeam/log.c
@@ -1,6 +1,7 @@
 #include "log.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,8 +19,13 @@
 	char *buf;
 	size_t len, cap;
 	uint64_t dropped;
+	uint64_t dropped_told;
 };
 
+/* A gap is told of once the buffer has emptied to this share of its bound, so
+ * that one line tells of many. */
+#define TELL_BELOW (AGB_LOG_BUFFER_MAX / 2)
+
 static const char *const level_names[] = {
     [AGB_LOG_DEBUG] = "debug",
     [AGB_LOG_INFO] = "info",
@@ -154,32 +160,58 @@
 	return line;
 }
 
-void
-agb_log_line(struct agb_log *l, enum agb_log_level level, const char *event,
+static bool
+append(struct agb_log *l, enum agb_log_level level, const char *event,
     const char *fields)
 {
 	struct timespec now;
 	char *line;
 	size_t n;
+	bool fits;
 
-	if (level < l->level)
-		return;
 	clock_gettime(CLOCK_REALTIME, &now);
 	line = agb_log_format(l->json,
 	    (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000, level, event,
 	    fields);
 	n = strlen(line);
-	if (l->len + n > AGB_LOG_BUFFER_MAX) {
-		l->dropped++;
-	} else {
-		if (l->len + n > l->cap) {
-			l->cap = (l->len + n) * 2;
-			l->buf = agb_xreallocarray(l->buf, l->cap, 1);
-		}
+	fits = l->len + n <= AGB_LOG_BUFFER_MAX;
+	if (fits && l->len + n > l->cap) {
+		l->cap = (l->len + n) * 2;
+		l->buf = agb_xreallocarray(l->buf, l->cap, 1);
+	}
+	if (fits) {
 		memcpy(l->buf + l->len, line, n);
 		l->len += n;
 	}
 	free(line);
+	return fits;
+}
+
+/* Tells where lines are missing and how many. */
+static void
+tell_dropped(struct agb_log *l)
+{
+	char fields[96];
+
+	if (l->dropped == l->dropped_told || l->len > TELL_BELOW)
+		return;
+	snprintf(fields, sizeof(fields),
+	    "lines=%" PRIu64 " total=%" PRIu64
+	    " reason=\"the reader was too slow\"",
+	    l->dropped - l->dropped_told, l->dropped);
+	l->dropped_told = l->dropped;
+	append(l, AGB_LOG_WARN, "log_dropped", fields);
+}
+
+void
+agb_log_line(struct agb_log *l, enum agb_log_level level, const char *event,
+    const char *fields)
+{
+	if (level < l->level)
+		return;
+	tell_dropped(l);
+	if (!append(l, level, event, fields))
+		l->dropped++;
 }
 
 void
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -50,8 +50,9 @@
 	}
 }
 
-/* Guards against lines below the level, lines lost at the end, and a full
- * output that blocks or grows the buffer without end. */
+/* Guards against lines below the level, lines lost at the end, a full output
+ * that blocks or grows the buffer without end, and a gap that the log does not
+ * tell of. */
 static void
 test_output(void)
 {
@@ -59,6 +60,8 @@
 	struct agb_log *l;
 	uv_loop_t loop;
 	const int turns = 0;
+	char gap[80];
+	const char *at;
 	int fds[2], i;
 	ssize_t n;
 
@@ -83,12 +86,18 @@
 	CU_ASSERT_TRUE(agb_log_dropped(l) < 300);
 	while (read(fds[0], buf, sizeof(buf)) > 0)
 		agb_log_flush(l);
+	snprintf(gap, sizeof(gap), "event=log_dropped lines=%d total=%d ",
+	    (int)agb_log_dropped(l), (int)agb_log_dropped(l));
 	agb_log_line(l, AGB_LOG_ERROR, "last", "");
+	agb_log_line(l, AGB_LOG_ERROR, "end", "");
 	agb_log_free(l);
 	n = read(fds[0], buf, sizeof(buf) - 1);
 	CU_ASSERT_FATAL(n > 0);
 	buf[n] = '\0';
+	CU_ASSERT_PTR_NOT_NULL(strstr(buf, gap));
 	CU_ASSERT_PTR_NOT_NULL(strstr(buf, "event=last\n"));
+	at = strstr(buf, "log_dropped");
+	CU_ASSERT_TRUE(at == NULL || strstr(at + 1, "log_dropped") == NULL);
 	loop_close(&loop);
 	close(fds[0]);
 	close(fds[1]);
