--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -703,7 +703,7 @@
 	p.cands = agb_xcalloc(l->runners_len + 1, sizeof(*p.cands));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.keeps = agb_xcalloc(l->runners_len + 1, sizeof(*p.keeps));
-	p.endings = agb_xcalloc(l->runners_len + 1, sizeof(*p.endings));
+	p.endings = agb_xcalloc(l->runners_len + 1, sizeof(void *));
 	for (i = 0; i < len; i++) {
 		if (wf_unit_step(list[i].u)->gang)
 			place_gang(&p, list[i].u, list[i].q);
