--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -28,9 +28,6 @@
 /* Advice that comes this soon is not asked for before there is room: its
  * tickets would run out while the unit waits. */
 #define ADVICE_SOON_MS 150
-/* Room that comes free while advice is on its way, in percent of all room:
- * tasks run for some seconds, calls take up to 0.2 of one. */
-#define AHEAD_PERCENT 6
 /* Time between the decision to renew tickets and the starts. */
 #define RENEW_MARGIN_MS 150
 /* Ends at one runner that are looked at when room is planned. */
@@ -92,7 +89,8 @@
 };
 
 /* What one pass over the queue works with. @claimed: processors that units
- * earlier in the queue will take once their calls for advice are answered. */
+ * earlier in the queue will take with their tickets, or once their calls for
+ * advice are answered. */
 struct pass {
 	struct wf_leader *l;
 	const struct wf_now *now;
@@ -565,8 +563,8 @@
 	return false;
 }
 
-/* Whether there is, or will soon be, room for one task of the unit beyond what
- * units before it have claimed. */
+/* Whether there is room for one task of the unit beyond what units before it
+ * have claimed. */
 static bool
 has_room(const struct pass *p, const struct wf_unit *u, const char *service)
 {
