--- a/src/agatebeam/types.h
+++ b/src/agatebeam/types.h
@@ -25,6 +25,12 @@
 	return a < b ? a : b;
 }
 
+static inline agb_time
+agb_time_max(agb_time a, agb_time b)
+{
+	return a > b ? a : b;
+}
+
 /* Names of instances, domains, teams, classes and services, with the NUL. */
 #define AGB_NAME_LEN 48
 /* Job, task and request ids as callers see them, with the NUL. */
--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -167,7 +167,7 @@
 	if (share > 100 - SHARE_LEAST_PERCENT)
 		share = 100 - SHARE_LEAST_PERCENT;
 	share = (share * n + 50) / 100;
-	return share < 1 ? 1 : share > n - 1 ? n - 1 : share;
+	return share < 1 || n < 2 ? 1 : share > n - 1 ? n - 1 : share;
 }
 
 static void
@@ -192,18 +192,19 @@
 	const bool is_long = est_ms > LONG_MS;
 	const agb_time limit =
 	    now + (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
-	size_t i, n, at;
+	size_t i, n, at, longs;
 	uint32_t best;
 
 	n = 0;
 	for (i = 0; i < l->advisors_len; i++)
 		n += advisor_ok(l, &l->advisors[i], now);
+	longs = long_part(l, n);
 	best = WF_NONE;
 	at = 0;
 	for (i = 0; i < l->advisors_len; i++) {
 		if (!advisor_ok(l, &l->advisors[i], now))
 			continue;
-		if (n > 1 && (at++ < long_part(l, n)) != is_long)
+		if (n > 1 && (at++ < longs) != is_long)
 			continue;
 		if (l->advisors[i].busy_until > limit)
 			continue;
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -120,10 +120,8 @@
 static agb_time
 again_after(const struct wf_leader *l)
 {
-	const agb_time usual = WRITE_AGAIN_TIMES * l->store_us;
-
-	return usual > WRITE_AGAIN_MS * AGB_MS ? usual
-					       : WRITE_AGAIN_MS * AGB_MS;
+	return agb_time_max(
+	    WRITE_AGAIN_TIMES * l->store_us, WRITE_AGAIN_MS * AGB_MS);
 }
 
 static size_t
@@ -364,11 +362,7 @@
 		wf_table_put_state(j, revision, w->jobs[i].raw, w->jobs[i].len);
 		if (j->exec == NULL)
 			continue;
-		if (!j->exec->shown || j->exec->shown_state != j->state) {
-			j->exec->shown = true;
-			j->exec->shown_state = j->state;
-			wf_leader_show(l, j->id, j->state);
-		}
+		wf_exec_show(l, j->exec);
 		j->exec->in_flight = false;
 		l->ended = l->ended || wf_job_final(j->exec->state);
 		if (wf_leader_may_order(l, now->mono))
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -296,7 +296,6 @@
 renew(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const uint64_t n = ++c->renewals;
-	const agb_time again = RENEW_AGAIN_RTTS * c->rtt;
 	struct wf_effect *ef;
 
 	store(c, OP_RENEW, AGB_STORE_LEASE_KEEPALIVE, out)->lease = c->lease;
@@ -308,7 +307,7 @@
 		c->op_sent = now->mono;
 	c->op_out = true;
 	c->op_next = now->mono +
-	    (again > RENEW_AGAIN_MS * AGB_MS ? again : RENEW_AGAIN_MS * AGB_MS);
+	    agb_time_max(RENEW_AGAIN_RTTS * c->rtt, RENEW_AGAIN_MS * AGB_MS);
 }
 
 static void
@@ -392,13 +391,11 @@
 renewed(struct wf_core *c, const struct wf_now *now, agb_time sent,
     const struct agb_store_result *res, struct wf_effects *out)
 {
-	const agb_time until = sent + LEASE_MS * AGB_MS;
-
 	if (res->ttl_s == 0) {
 		lease_lost(c, now, "the store has ended it", out);
 		return;
 	}
-	c->valid_until = until > c->valid_until ? until : c->valid_until;
+	c->valid_until = agb_time_max(c->valid_until, sent + LEASE_MS * AGB_MS);
 	c->op_next = sent + RENEW_MS * AGB_MS;
 	c->rtt = now->mono - sent;
 	if (!c->joined)
@@ -491,15 +488,14 @@
 {
 	const agb_time open = c->op_out ? now - c->op_sent : 0;
 
-	return open > c->rtt ? open : c->rtt;
+	return agb_time_max(open, c->rtt);
 }
 
 static bool
 store_silent(const struct wf_core *c, agb_time now)
 {
-	const agb_time slow = 2 * c->rtt;
 	const agb_time limit =
-	    slow > SILENT_STORE_MS * AGB_MS ? slow : SILENT_STORE_MS * AGB_MS;
+	    agb_time_max(2 * c->rtt, SILENT_STORE_MS * AGB_MS);
 
 	return c->heard_at == 0 ||
 	    (now - c->heard_at > limit && c->op_out &&
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -207,6 +207,16 @@
 	count_at(l, u, t);
 }
 
+void
+wf_exec_show(struct wf_leader *l, struct wf_exec *e)
+{
+	if (e->shown && e->shown_state == e->job->state)
+		return;
+	e->shown = true;
+	e->shown_state = e->job->state;
+	wf_leader_show(l, e->job->id, e->job->state);
+}
+
 void
 wf_exec_begun(struct wf_leader *l, struct wf_exec *e)
 {
@@ -218,9 +228,7 @@
 	if (wf_job_final(j->state))
 		return;
 	j->state = WF_JOB_RUNNING;
-	e->shown = true;
-	e->shown_state = j->state;
-	wf_leader_show(l, j->id, j->state);
+	wf_exec_show(l, e);
 }
 
 static bool
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -135,12 +135,10 @@
 static agb_time
 relay_after(const struct wf_front *f)
 {
-	const agb_time usual = RELAY_TIMES * f->store_takes;
-
 	/* While the store does not answer, others write at once. */
 	if (f->store_silent)
 		return 0;
-	return usual > RELAY_MS * AGB_MS ? usual : RELAY_MS * AGB_MS;
+	return agb_time_max(RELAY_TIMES * f->store_takes, RELAY_MS * AGB_MS);
 }
 
 size_t
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -81,9 +81,7 @@
 		wf_exec_advance(l, now, j->exec, out);
 	else if (!wf_job_final(j->state)) {
 		wf_exec_new(l, now, j, out);
-		j->exec->shown = true;
-		j->exec->shown_state = j->state;
-		wf_leader_show(l, j->id, j->state);
+		wf_exec_show(l, j->exec);
 	}
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -450,6 +450,12 @@
  */
 void wf_exec_change(struct wf_leader *l, struct wf_exec *e);
 
+/**
+ * wf_exec_show() - tell other instances the state of a job if they have not
+ * been told
+ */
+void wf_exec_show(struct wf_leader *l, struct wf_exec *e);
+
 /**
  * wf_exec_begun() - a runner has taken a start of the job, so that it does not
  * wait any more
