--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -18,6 +18,11 @@
 const AGB_X_RELEASES_MAX = 1024;
 const AGB_X_ITEMS_MAX = 1024;
 const AGB_X_ADVICE_MAX = 100;
+const AGB_X_SAVED_MAX = 255;
+const AGB_X_SPEC_MAX = 4000;
+const AGB_X_JOB_LEN = 16;
+const AGB_X_ORDERS_MAX = 4096;
+const AGB_X_RUNS_MAX = 8192;
 
 typedef string agb_x_name<AGB_X_NAME_MAX>;
 typedef string agb_x_id<AGB_X_ID_MAX>;
@@ -39,7 +44,10 @@
 	AGB_X_STATUS = 10,
 	AGB_X_ADVISE = 11,
 	AGB_X_PUSH = 12,
-	AGB_X_PUT = 13
+	AGB_X_PUT = 13,
+	AGB_X_ORDERS = 14,
+	AGB_X_RESULTS = 15,
+	AGB_X_TEXT = 16
 };
 
 struct agb_x_resources {
@@ -240,7 +248,9 @@
 	opaque value<AGB_X_TEXT_MAX>;
 };
 
+/* forward: the receiver shows them to the other instances of its domain. */
 struct agb_x_push_args {
+	bool forward;
 	agb_x_record records<AGB_X_ITEMS_MAX>;
 };
 
@@ -258,6 +268,137 @@
 	unsigned hyper revision;
 };
 
+/* A task of a job; job is not terminated. */
+struct agb_x_task {
+	opaque job[AGB_X_JOB_LEN];
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int index;
+};
+
+/* Where a runner is, which orders name by a number of their sender. */
+struct agb_x_card {
+	unsigned int runner;
+	unsigned int life;
+	agb_x_id id;
+	agb_x_addr addr;
+};
+
+/* An order about a run. Without its text the receiver gets that of the job
+ * from the instance at home. */
+struct agb_x_run_order {
+	agb_x_task task;
+	unsigned int run;
+	unsigned int percent;
+	string saved<AGB_X_SAVED_MAX>;
+	string ticket<AGB_X_ID_MAX>;
+	agb_x_addr home;
+	opaque text<AGB_X_SPEC_MAX>;
+};
+
+/* A hold. seen is the list of active runs that the sender has; ends up to
+ * taken are known to it. */
+struct agb_x_hold_order {
+	unsigned hyper observed;
+	unsigned hyper taken;
+	unsigned int wait_ms;
+	bool beside;
+	unsigned int seen;
+};
+
+enum agb_x_order_kind {
+	AGB_X_START = 0,
+	AGB_X_STOP = 1,
+	AGB_X_HOLD = 2,
+	AGB_X_PACE = 3
+};
+
+union agb_x_order_body switch (agb_x_order_kind kind) {
+case AGB_X_HOLD:
+	agb_x_hold_order hold;
+default:
+	agb_x_run_order run;
+};
+
+/* An order that the receiver carries out at a runner. not_after_us is a time
+ * on the receiver's clock, deadline_ms one on the runner's. */
+struct agb_x_order {
+	unsigned hyper number;
+	unsigned int runner;
+	unsigned int life;
+	unsigned hyper not_after_us;
+	hyper deadline_ms;
+	unsigned int timeout_ms;
+	agb_x_order_body body;
+};
+
+/* reply_to: where the results go. */
+struct agb_x_orders_args {
+	unsigned hyper fence;
+	agb_x_addr reply_to;
+	agb_x_card cards<AGB_X_ORDERS_MAX>;
+	agb_x_order orders<AGB_X_ORDERS_MAX>;
+};
+
+/* taken: false when nothing of the call is carried out. */
+struct agb_x_orders_res {
+	bool taken;
+	unsigned hyper clock_us;
+};
+
+struct agb_x_active {
+	agb_x_task task;
+	unsigned int run;
+	unsigned int percent;
+	unsigned int load;
+	string saved<AGB_X_SAVED_MAX>;
+};
+
+struct agb_x_finished {
+	unsigned hyper seq;
+	agb_x_task task;
+	unsigned int run;
+	unsigned int how;
+	string saved<AGB_X_SAVED_MAX>;
+};
+
+/* A new checkpoint of the run at a place of the list that is referred to. */
+struct agb_x_saved {
+	unsigned int at;
+	string saved<AGB_X_SAVED_MAX>;
+};
+
+/* What a runner answered. The active runs are those of the list base that
+ * kept names, packed as place, percent and load, and the fresh ones; they make
+ * up the list seen. */
+struct agb_x_result {
+	unsigned hyper number;
+	unsigned int status;
+	hyper born_ms;
+	hyper clock_ms;
+	unsigned int base;
+	unsigned int seen;
+	unsigned hyper kept<AGB_X_RUNS_MAX>;
+	agb_x_saved saved<AGB_X_RUNS_MAX>;
+	agb_x_active fresh<AGB_X_RUNS_MAX>;
+	agb_x_finished finished<AGB_X_RUNS_MAX>;
+};
+
+struct agb_x_results_args {
+	unsigned hyper fence;
+	agb_x_result results<AGB_X_ORDERS_MAX>;
+};
+
+/* Asks the instance that accepted a job for its text. */
+struct agb_x_text_args {
+	agb_x_id job;
+};
+
+struct agb_x_job_text_res {
+	bool known;
+	opaque text<AGB_X_SPEC_MAX>;
+};
+
 union agb_x_args switch (agb_x_proc proc) {
 case AGB_X_NULL:
 	void;
@@ -287,6 +428,12 @@
 	agb_x_push_args push;
 case AGB_X_PUT:
 	agb_x_put_args put;
+case AGB_X_ORDERS:
+	agb_x_orders_args orders;
+case AGB_X_RESULTS:
+	agb_x_results_args results;
+case AGB_X_TEXT:
+	agb_x_text_args text;
 };
 
 /* AGB_X_CANCEL and AGB_X_JOB_GET both answer with the state of the job. */
@@ -319,4 +466,10 @@
 	void;
 case AGB_X_PUT:
 	agb_x_put_res put;
+case AGB_X_ORDERS:
+	agb_x_orders_res orders;
+case AGB_X_RESULTS:
+	void;
+case AGB_X_TEXT:
+	agb_x_job_text_res text;
 };
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -27,6 +27,11 @@
 #define AGB_X_RELEASES_MAX 1024
 #define AGB_X_ITEMS_MAX 1024
 #define AGB_X_ADVICE_MAX 100
+#define AGB_X_SAVED_MAX 255
+#define AGB_X_SPEC_MAX 4000
+#define AGB_X_JOB_LEN 16
+#define AGB_X_ORDERS_MAX 4096
+#define AGB_X_RUNS_MAX 8192
 
 typedef char *agb_x_name;
 
@@ -53,6 +58,9 @@
 	AGB_X_ADVISE = 11,
 	AGB_X_PUSH = 12,
 	AGB_X_PUT = 13,
+	AGB_X_ORDERS = 14,
+	AGB_X_RESULTS = 15,
+	AGB_X_TEXT = 16,
 };
 typedef enum agb_x_proc agb_x_proc;
 
@@ -297,6 +305,7 @@
 typedef struct agb_x_record agb_x_record;
 
 struct agb_x_push_args {
+	bool_t forward;
 	struct {
 		u_int records_len;
 		agb_x_record *records_val;
@@ -321,6 +330,166 @@
 };
 typedef struct agb_x_put_res agb_x_put_res;
 
+struct agb_x_task {
+	char job[AGB_X_JOB_LEN];
+	u_int occurrence;
+	u_int step;
+	u_int index;
+};
+typedef struct agb_x_task agb_x_task;
+
+struct agb_x_card {
+	u_int runner;
+	u_int life;
+	agb_x_id id;
+	agb_x_addr addr;
+};
+typedef struct agb_x_card agb_x_card;
+
+struct agb_x_run_order {
+	agb_x_task task;
+	u_int run;
+	u_int percent;
+	char *saved;
+	char *ticket;
+	agb_x_addr home;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct agb_x_run_order agb_x_run_order;
+
+struct agb_x_hold_order {
+	u_quad_t observed;
+	u_quad_t taken;
+	u_int wait_ms;
+	bool_t beside;
+	u_int seen;
+};
+typedef struct agb_x_hold_order agb_x_hold_order;
+
+enum agb_x_order_kind {
+	AGB_X_START = 0,
+	AGB_X_STOP = 1,
+	AGB_X_HOLD = 2,
+	AGB_X_PACE = 3,
+};
+typedef enum agb_x_order_kind agb_x_order_kind;
+
+struct agb_x_order_body {
+	agb_x_order_kind kind;
+	union {
+		agb_x_hold_order hold;
+		agb_x_run_order run;
+	} agb_x_order_body_u;
+};
+typedef struct agb_x_order_body agb_x_order_body;
+
+struct agb_x_order {
+	u_quad_t number;
+	u_int runner;
+	u_int life;
+	u_quad_t not_after_us;
+	quad_t deadline_ms;
+	u_int timeout_ms;
+	agb_x_order_body body;
+};
+typedef struct agb_x_order agb_x_order;
+
+struct agb_x_orders_args {
+	u_quad_t fence;
+	agb_x_addr reply_to;
+	struct {
+		u_int cards_len;
+		agb_x_card *cards_val;
+	} cards;
+	struct {
+		u_int orders_len;
+		agb_x_order *orders_val;
+	} orders;
+};
+typedef struct agb_x_orders_args agb_x_orders_args;
+
+struct agb_x_orders_res {
+	bool_t taken;
+	u_quad_t clock_us;
+};
+typedef struct agb_x_orders_res agb_x_orders_res;
+
+struct agb_x_active {
+	agb_x_task task;
+	u_int run;
+	u_int percent;
+	u_int load;
+	char *saved;
+};
+typedef struct agb_x_active agb_x_active;
+
+struct agb_x_finished {
+	u_quad_t seq;
+	agb_x_task task;
+	u_int run;
+	u_int how;
+	char *saved;
+};
+typedef struct agb_x_finished agb_x_finished;
+
+struct agb_x_saved {
+	u_int at;
+	char *saved;
+};
+typedef struct agb_x_saved agb_x_saved;
+
+struct agb_x_result {
+	u_quad_t number;
+	u_int status;
+	quad_t born_ms;
+	quad_t clock_ms;
+	u_int base;
+	u_int seen;
+	struct {
+		u_int kept_len;
+		u_quad_t *kept_val;
+	} kept;
+	struct {
+		u_int saved_len;
+		agb_x_saved *saved_val;
+	} saved;
+	struct {
+		u_int fresh_len;
+		agb_x_active *fresh_val;
+	} fresh;
+	struct {
+		u_int finished_len;
+		agb_x_finished *finished_val;
+	} finished;
+};
+typedef struct agb_x_result agb_x_result;
+
+struct agb_x_results_args {
+	u_quad_t fence;
+	struct {
+		u_int results_len;
+		agb_x_result *results_val;
+	} results;
+};
+typedef struct agb_x_results_args agb_x_results_args;
+
+struct agb_x_text_args {
+	agb_x_id job;
+};
+typedef struct agb_x_text_args agb_x_text_args;
+
+struct agb_x_job_text_res {
+	bool_t known;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+typedef struct agb_x_job_text_res agb_x_job_text_res;
+
 struct agb_x_args {
 	agb_x_proc proc;
 	union {
@@ -336,6 +505,9 @@
 		agb_x_advise_args advise;
 		agb_x_push_args push;
 		agb_x_put_args put;
+		agb_x_orders_args orders;
+		agb_x_results_args results;
+		agb_x_text_args text;
 	} agb_x_args_u;
 };
 typedef struct agb_x_args agb_x_args;
@@ -354,6 +526,8 @@
 		agb_x_text_res status;
 		agb_x_advise_res advise;
 		agb_x_put_res put;
+		agb_x_orders_res orders;
+		agb_x_job_text_res text;
 	} agb_x_res_u;
 };
 typedef struct agb_x_res agb_x_res;
@@ -396,6 +570,22 @@
 extern  bool_t xdr_agb_x_push_args (XDR *, agb_x_push_args*);
 extern  bool_t xdr_agb_x_put_args (XDR *, agb_x_put_args*);
 extern  bool_t xdr_agb_x_put_res (XDR *, agb_x_put_res*);
+extern  bool_t xdr_agb_x_task (XDR *, agb_x_task*);
+extern  bool_t xdr_agb_x_card (XDR *, agb_x_card*);
+extern  bool_t xdr_agb_x_run_order (XDR *, agb_x_run_order*);
+extern  bool_t xdr_agb_x_hold_order (XDR *, agb_x_hold_order*);
+extern  bool_t xdr_agb_x_order_kind (XDR *, agb_x_order_kind*);
+extern  bool_t xdr_agb_x_order_body (XDR *, agb_x_order_body*);
+extern  bool_t xdr_agb_x_order (XDR *, agb_x_order*);
+extern  bool_t xdr_agb_x_orders_args (XDR *, agb_x_orders_args*);
+extern  bool_t xdr_agb_x_orders_res (XDR *, agb_x_orders_res*);
+extern  bool_t xdr_agb_x_active (XDR *, agb_x_active*);
+extern  bool_t xdr_agb_x_finished (XDR *, agb_x_finished*);
+extern  bool_t xdr_agb_x_saved (XDR *, agb_x_saved*);
+extern  bool_t xdr_agb_x_result (XDR *, agb_x_result*);
+extern  bool_t xdr_agb_x_results_args (XDR *, agb_x_results_args*);
+extern  bool_t xdr_agb_x_text_args (XDR *, agb_x_text_args*);
+extern  bool_t xdr_agb_x_job_text_res (XDR *, agb_x_job_text_res*);
 extern  bool_t xdr_agb_x_args (XDR *, agb_x_args*);
 extern  bool_t xdr_agb_x_res (XDR *, agb_x_res*);
 
@@ -435,6 +625,22 @@
 extern bool_t xdr_agb_x_push_args ();
 extern bool_t xdr_agb_x_put_args ();
 extern bool_t xdr_agb_x_put_res ();
+extern bool_t xdr_agb_x_task ();
+extern bool_t xdr_agb_x_card ();
+extern bool_t xdr_agb_x_run_order ();
+extern bool_t xdr_agb_x_hold_order ();
+extern bool_t xdr_agb_x_order_kind ();
+extern bool_t xdr_agb_x_order_body ();
+extern bool_t xdr_agb_x_order ();
+extern bool_t xdr_agb_x_orders_args ();
+extern bool_t xdr_agb_x_orders_res ();
+extern bool_t xdr_agb_x_active ();
+extern bool_t xdr_agb_x_finished ();
+extern bool_t xdr_agb_x_saved ();
+extern bool_t xdr_agb_x_result ();
+extern bool_t xdr_agb_x_results_args ();
+extern bool_t xdr_agb_x_text_args ();
+extern bool_t xdr_agb_x_job_text_res ();
 extern bool_t xdr_agb_x_args ();
 extern bool_t xdr_agb_x_res ();
 
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -885,6 +885,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->forward))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, AGB_X_ITEMS_MAX,
 		sizeof (agb_x_record), (xdrproc_t) xdr_agb_x_record))
 		 return FALSE;
@@ -919,6 +921,319 @@
 	return TRUE;
 }
 
+bool_t
+xdr_agb_x_task (XDR *xdrs, agb_x_task *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->job, AGB_X_JOB_LEN))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_card (XDR *xdrs, agb_x_card *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->life))
+		 return FALSE;
+	 if (!xdr_agb_x_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_agb_x_addr (xdrs, &objp->addr))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_run_order (XDR *xdrs, agb_x_run_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_task (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->percent))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ticket, AGB_X_ID_MAX))
+		 return FALSE;
+	 if (!xdr_agb_x_addr (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, AGB_X_SPEC_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_hold_order (XDR *xdrs, agb_x_hold_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->observed))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->beside))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seen))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_order_kind (XDR *xdrs, agb_x_order_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_order_body (XDR *xdrs, agb_x_order_body *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_order_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case AGB_X_HOLD:
+		 if (!xdr_agb_x_hold_order (xdrs, &objp->agb_x_order_body_u.hold))
+			 return FALSE;
+		break;
+	default:
+		 if (!xdr_agb_x_run_order (xdrs, &objp->agb_x_order_body_u.run))
+			 return FALSE;
+		break;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_order (XDR *xdrs, agb_x_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->runner))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->life))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->not_after_us))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_agb_x_order_body (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_orders_args (XDR *xdrs, agb_x_orders_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_agb_x_addr (xdrs, &objp->reply_to))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->cards.cards_val, (u_int *) &objp->cards.cards_len, AGB_X_ORDERS_MAX,
+		sizeof (agb_x_card), (xdrproc_t) xdr_agb_x_card))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->orders.orders_val, (u_int *) &objp->orders.orders_len, AGB_X_ORDERS_MAX,
+		sizeof (agb_x_order), (xdrproc_t) xdr_agb_x_order))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_orders_res (XDR *xdrs, agb_x_orders_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_active (XDR *xdrs, agb_x_active *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_agb_x_task (xdrs, &objp->task))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->load))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->percent);
+		IXDR_PUT_U_LONG(buf, objp->load);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_agb_x_task (xdrs, &objp->task))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->load))
+				 return FALSE;
+
+		} else {
+		objp->run = IXDR_GET_U_LONG(buf);
+		objp->percent = IXDR_GET_U_LONG(buf);
+		objp->load = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_agb_x_task (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->percent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_finished (XDR *xdrs, agb_x_finished *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_agb_x_task (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_saved (XDR *xdrs, agb_x_saved *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->at))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_result (XDR *xdrs, agb_x_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seen))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, AGB_X_RUNS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, AGB_X_RUNS_MAX,
+		sizeof (agb_x_saved), (xdrproc_t) xdr_agb_x_saved))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->fresh.fresh_val, (u_int *) &objp->fresh.fresh_len, AGB_X_RUNS_MAX,
+		sizeof (agb_x_active), (xdrproc_t) xdr_agb_x_active))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->finished.finished_val, (u_int *) &objp->finished.finished_len, AGB_X_RUNS_MAX,
+		sizeof (agb_x_finished), (xdrproc_t) xdr_agb_x_finished))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_results_args (XDR *xdrs, agb_x_results_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, AGB_X_ORDERS_MAX,
+		sizeof (agb_x_result), (xdrproc_t) xdr_agb_x_result))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_text_args (XDR *xdrs, agb_x_text_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_agb_x_id (xdrs, &objp->job))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_agb_x_job_text_res (XDR *xdrs, agb_x_job_text_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, AGB_X_SPEC_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_agb_x_args (XDR *xdrs, agb_x_args *objp)
 {
@@ -979,6 +1294,18 @@
 		 if (!xdr_agb_x_put_args (xdrs, &objp->agb_x_args_u.put))
 			 return FALSE;
 		break;
+	case AGB_X_ORDERS:
+		 if (!xdr_agb_x_orders_args (xdrs, &objp->agb_x_args_u.orders))
+			 return FALSE;
+		break;
+	case AGB_X_RESULTS:
+		 if (!xdr_agb_x_results_args (xdrs, &objp->agb_x_args_u.results))
+			 return FALSE;
+		break;
+	case AGB_X_TEXT:
+		 if (!xdr_agb_x_text_args (xdrs, &objp->agb_x_args_u.text))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1043,6 +1370,16 @@
 		 if (!xdr_agb_x_put_res (xdrs, &objp->agb_x_res_u.put))
 			 return FALSE;
 		break;
+	case AGB_X_ORDERS:
+		 if (!xdr_agb_x_orders_res (xdrs, &objp->agb_x_res_u.orders))
+			 return FALSE;
+		break;
+	case AGB_X_RESULTS:
+		break;
+	case AGB_X_TEXT:
+		 if (!xdr_agb_x_job_text_res (xdrs, &objp->agb_x_res_u.text))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <time.h>
 #include <uthash.h>
 #include <utlist.h>
 
@@ -81,6 +82,7 @@
 	struct agb_httpc_call *all_prev, *all_next;
 	enum call_state state;
 	uv_timer_t timer;
+	agb_time not_after;
 	uint64_t deadline; /* on the loop's clock, 0 when there is none */
 	bool in_callback;
 	bool cancelled;
@@ -571,6 +573,20 @@
 		fail(conn->call, "connection broke while sending");
 }
 
+/* Checked as the bytes go out: a process that was stopped meanwhile must not
+ * act on a permission that has run out. */
+static bool
+too_late(const struct agb_httpc_call *call)
+{
+	struct timespec now;
+
+	if (call->not_after == 0)
+		return false;
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (agb_time)now.tv_sec * AGB_SEC + (agb_time)now.tv_nsec / 1000 >
+	    call->not_after;
+}
+
 /* Writes the request; false when nothing could be written at all. */
 static bool
 conn_send(struct conn *conn, struct agb_httpc_call *call)
@@ -610,6 +626,10 @@
 
 	if (call == NULL)
 		return;
+	if (too_late(call)) {
+		fail(call, "its time to be sent has passed");
+		return;
+	}
 	if (status < 0 ||
 	    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0 ||
 	    !conn_send(conn, call))
@@ -666,6 +686,10 @@
 		ep->queued--;
 		ep->active++;
 		call->state = CALL_CONNECTING;
+		if (too_late(call)) {
+			fail(call, "its time to be sent has passed");
+			continue;
+		}
 		while (call->state == CALL_CONNECTING && ep->idle != NULL) {
 			conn = ep->idle;
 			DL_DELETE(ep->idle, conn);
@@ -825,6 +849,7 @@
 	call->on_head = req->on_head;
 	call->arg = req->arg;
 	call->body_max = req->body_max > 0 ? req->body_max : AGB_HTTPC_BODY_MAX;
+	call->not_after = req->not_after;
 	call->is_head = strcmp(req->method, "HEAD") == 0;
 	DL_APPEND2(c->all, call, all_prev, all_next);
 	uv_timer_init(c->loop, &call->timer);
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -94,6 +94,8 @@
  *	included; 0 is no limit
  * @connect_timeout_ms: as @timeout_ms, until the request is written; 0 is no
  *	separate limit
+ * @not_after: time of the clock that also counts while the machine is
+ *	suspended, after which the request is not sent any more; 0 is no limit
  * @body_max: largest body of the answer; 0 is AGB_HTTPC_BODY_MAX. A larger
  *	one ends the request with AGB_HTTPC_LOST. Not used with @on_chunk.
  * @on_chunk: gets the body as it arrives instead of @cb; or NULL
@@ -109,6 +111,7 @@
 	size_t body_len;
 	uint32_t timeout_ms;
 	uint32_t connect_timeout_ms;
+	agb_time not_after;
 	size_t body_max;
 	agb_httpc_cb cb;
 	agb_httpc_chunk_cb on_chunk;
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -189,6 +189,9 @@
 	case AGB_X_ADVISE:
 	case AGB_X_PUSH:
 	case AGB_X_PUT:
+	case AGB_X_ORDERS:
+	case AGB_X_RESULTS:
+	case AGB_X_TEXT:
 		/* These are for the workflow reducer; here they do nothing. */
 		ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
 		ef->token = ev->token;
--- a/src/agatebeam/rpcmsg.c
+++ b/src/agatebeam/rpcmsg.c
@@ -166,7 +166,7 @@
 		return AGB_RPC_PROG;
 	if (vers != AGB_X_VERS)
 		return AGB_RPC_PROG_VERSION;
-	if (proc > AGB_X_PUT)
+	if (proc > AGB_X_TEXT)
 		return AGB_RPC_PROC;
 	if (!decode(rec + c.pos, len - c.pos, (xdrproc_t)xdr_agb_x_args, args))
 		return AGB_RPC_ARGS;
--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -20,6 +20,11 @@
 #define WF_X_TASKS_MAX 65536
 #define WF_X_RUNNERS_MAX 4096
 #define WF_X_DONE_MAX 8192
+#define WF_X_INDEX_BITS 16
+#define WF_X_FAILURES_BITS 8
+#define WF_X_ACTIVE_BITS 1
+#define WF_X_RUNNER_BITS 12
+#define WF_X_RUN_BITS 27
 #define WF_X_GANG 1
 #define WF_X_RACK_BOUND 2
 #define WF_X_SAVES 4
@@ -58,21 +63,18 @@
 		u_int steps_len;
 		wf_x_step *steps_val;
 	} steps;
+	char *home;
 };
 typedef struct wf_x_job wf_x_job;
 
-struct wf_x_task {
+struct wf_x_saved {
 	u_int index;
-	u_int state;
-	u_int run;
-	u_int failures;
-	u_int runner;
 	struct {
 		u_int saved_len;
 		char *saved_val;
 	} saved;
 };
-typedef struct wf_x_task wf_x_task;
+typedef struct wf_x_saved wf_x_saved;
 
 struct wf_x_runner {
 	char *id;
@@ -94,13 +96,18 @@
 	} runners;
 	struct {
 		u_int tasks_len;
-		wf_x_task *tasks_val;
+		u_quad_t *tasks_val;
 	} tasks;
+	struct {
+		u_int saved_len;
+		wf_x_saved *saved_val;
+	} saved;
 };
 typedef struct wf_x_state wf_x_state;
 
 struct wf_x_peer {
 	int score;
+	u_int capacity;
 	char *rpc;
 	char *domain;
 	char *region;
@@ -112,7 +119,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wf_x_step (XDR *, wf_x_step*);
 extern  bool_t xdr_wf_x_job (XDR *, wf_x_job*);
-extern  bool_t xdr_wf_x_task (XDR *, wf_x_task*);
+extern  bool_t xdr_wf_x_saved (XDR *, wf_x_saved*);
 extern  bool_t xdr_wf_x_runner (XDR *, wf_x_runner*);
 extern  bool_t xdr_wf_x_state (XDR *, wf_x_state*);
 extern  bool_t xdr_wf_x_peer (XDR *, wf_x_peer*);
@@ -120,7 +127,7 @@
 #else /* K&R C */
 extern bool_t xdr_wf_x_step ();
 extern bool_t xdr_wf_x_job ();
-extern bool_t xdr_wf_x_task ();
+extern bool_t xdr_wf_x_saved ();
 extern bool_t xdr_wf_x_runner ();
 extern bool_t xdr_wf_x_state ();
 extern bool_t xdr_wf_x_peer ();
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -156,75 +156,18 @@
 	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, WF_X_STEPS_MAX,
 		sizeof (wf_x_step), (xdrproc_t) xdr_wf_x_step))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->home, WF_X_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_wf_x_task (XDR *xdrs, wf_x_task *objp)
+xdr_wf_x_saved (XDR *xdrs, wf_x_saved *objp)
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->index))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->state))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->run))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->failures))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->runner))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->index);
-		IXDR_PUT_U_LONG(buf, objp->state);
-		IXDR_PUT_U_LONG(buf, objp->run);
-		IXDR_PUT_U_LONG(buf, objp->failures);
-		IXDR_PUT_U_LONG(buf, objp->runner);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, WF_X_SAVED_MAX))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->index))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->state))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->run))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->failures))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->runner))
-				 return FALSE;
-
-		} else {
-		objp->index = IXDR_GET_U_LONG(buf);
-		objp->state = IXDR_GET_U_LONG(buf);
-		objp->run = IXDR_GET_U_LONG(buf);
-		objp->failures = IXDR_GET_U_LONG(buf);
-		objp->runner = IXDR_GET_U_LONG(buf);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, WF_X_SAVED_MAX))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->state))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->run))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->failures))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->runner))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, WF_X_SAVED_MAX))
 		 return FALSE;
 	return TRUE;
@@ -259,7 +202,10 @@
 		sizeof (wf_x_runner), (xdrproc_t) xdr_wf_x_runner))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, WF_X_TASKS_MAX,
-		sizeof (wf_x_task), (xdrproc_t) xdr_wf_x_task))
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, WF_X_TASKS_MAX,
+		sizeof (wf_x_saved), (xdrproc_t) xdr_wf_x_saved))
 		 return FALSE;
 	return TRUE;
 }
@@ -271,6 +217,8 @@
 
 	 if (!xdr_int (xdrs, &objp->score))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->rpc, WF_X_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->domain, WF_X_NAME_MAX))
--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -107,7 +107,7 @@
 	l->advisors_len = 0;
 	for (p = l->table->peers; p != NULL; p = p2) {
 		p2 = p->hh.next;
-		if (strcmp(p->name, l->self) == 0)
+		if (strcmp(p->name, l->cfg->name) == 0)
 			continue;
 		a = &l->advisors[l->advisors_len++];
 		advisor_keep(old, old_len, p->name, a);
@@ -119,8 +119,8 @@
 		    advisor_order);
 	/* The leader's own calls come last: it has the most to do. */
 	a = &l->advisors[l->advisors_len++];
-	advisor_keep(old, old_len, l->self, a);
-	agb_name_set(a->name, sizeof(a->name), l->self);
+	advisor_keep(old, old_len, l->cfg->name, a);
+	agb_name_set(a->name, sizeof(a->name), l->cfg->name);
 	a->peer[0] = '\0';
 	for (i = 0; i < l->asks_len; i++)
 		l->asks[i].advisor = WF_NONE;
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -178,7 +178,7 @@
 	agb_name_set(wj->id, sizeof(wj->id), e->job->id);
 	wj->expect = e->job->state_rev;
 	wj->gen = e->gen;
-	wj->raw = wf_exec_encode(l, e, &wj->len);
+	wj->raw = wf_state_encode(l, e, &wj->len);
 	wf_table_key(key, 's', wj->id);
 	agb_store_op_cmp(&w->op, key, AGB_STORE_MOD_REV, wj->expect);
 	agb_store_op_put(&w->op, key, wj->raw, wj->len, 0);
@@ -196,7 +196,7 @@
 collect(struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
 	const int64_t before =
-	    now->unix_ms - (int64_t)l->status_s * 1000 - COLLECT_SLACK_MS;
+	    now->unix_ms - (int64_t)l->cfg->status_s * 1000 - COLLECT_SLACK_MS;
 	char key[WF_KEY_MAX];
 	struct wf_write *w;
 	struct wf_job *j, *j2;
@@ -256,7 +256,7 @@
 
 	w = NULL;
 	for (e = l->execs; e != NULL; e = e->next) {
-		if (!e->dirty || e->in_flight)
+		if (!e->dirty || e->in_flight || now->mono < e->write_at)
 			continue;
 		if (w == NULL) {
 			w = write_new(l);
@@ -278,6 +278,7 @@
 {
 	struct wf_write *w;
 	agb_time next;
+	bool wrote;
 
 	next = AGB_TIME_MAX;
 	for (w = l->writes; w != NULL; w = w->next) {
@@ -288,13 +289,14 @@
 	}
 	if (l->dirty > 0 && now->mono < l->flush_at && l->flush_at < next)
 		next = l->flush_at;
+	else if (l->dirty > 0)
+		next = agb_time_min(next, now->mono + FLUSH_GAP_MS * AGB_MS);
+	wrote = false;
 	while (l->dirty > 0 && now->mono >= l->flush_at &&
-	    l->writes_len < WRITES_MAX) {
-		if (!flush_one(l, now, out))
-			break;
-		if (l->dirty == 0)
-			l->flush_at = now->mono + FLUSH_GAP_MS * AGB_MS;
-	}
+	    l->writes_len < WRITES_MAX && flush_one(l, now, out))
+		wrote = true;
+	if (wrote)
+		l->flush_at = now->mono + FLUSH_GAP_MS * AGB_MS;
 	if (l->ended) {
 		l->ended = false;
 		free_ended(l);
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -9,6 +9,7 @@
 #include "mem.h"
 #include "wf_front.h"
 #include "wf_leader.h"
+#include "wf_relay.h"
 
 /* Lease of an instance. A leader that has died is replaced after it. */
 #define LEASE_MS 1200
@@ -38,6 +39,8 @@
 /* The score of an instance is its share of a processor in permille, less this
  * for each millisecond to the store. */
 #define SCORE_RTT 8
+/* Bandwidth that the work of one permille of a processor takes. */
+#define LINK_KBPS_A_PERMILLE 40
 /* Instances that follow all jobs, so that one of them can lead at once. When
  * none of them leads, the others read the jobs too, in groups of that size one
  * after the other: all at once they would fill the link between regions. */
@@ -119,6 +122,7 @@
 	struct wf_table table;
 	struct wf_front *front;
 	struct wf_leader *leader;
+	struct wf_relay *relay;
 	struct wf_doc *doc;
 	uint64_t random;
 	uint64_t next_tag;
@@ -175,7 +179,8 @@
 
 	c->cfg = *cfg;
 	c->random = cfg->seed | 1;
-	c->front = wf_front_new(&c->table, c->cfg.name);
+	c->front = wf_front_new(&c->table, &c->cfg);
+	c->relay = wf_relay_new(&c->table);
 	return c;
 }
 
@@ -185,6 +190,7 @@
 	if (c == NULL)
 		return;
 	wf_leader_free(c->leader);
+	wf_relay_free(c->relay);
 	wf_front_free(c->front);
 	wf_table_free(&c->table);
 	wf_doc_free(c->doc);
@@ -310,6 +316,18 @@
 	    agb_time_max(RENEW_AGAIN_RTTS * c->rtt, RENEW_AGAIN_MS * AGB_MS);
 }
 
+/* Work for others that a machine can take: what is less of its processor and
+ * its link. */
+static uint32_t
+capacity(const struct wf_config *cfg)
+{
+	const uint32_t by_link = cfg->link_kbps / LINK_KBPS_A_PERMILLE;
+
+	return cfg->link_kbps == 0 || cfg->cpu_permille < by_link
+	    ? cfg->cpu_permille
+	    : by_link;
+}
+
 static void
 join(struct wf_core *c, struct wf_effects *out)
 {
@@ -321,6 +339,7 @@
 
 	memset(&x, 0, sizeof(x));
 	x.score = (int)c->cfg.cpu_permille - (int)(c->rtt / AGB_MS) * SCORE_RTT;
+	x.capacity = capacity(&c->cfg);
 	x.rpc = c->cfg.rpc;
 	x.domain = c->cfg.domain;
 	x.region = c->cfg.region;
@@ -475,8 +494,8 @@
 	    (c->barrier_states < c->table.leader_rev &&
 		c->feeds[WF_FEED_STATES].revision < c->table.leader_rev))
 		return;
-	c->leader = wf_leader_new(c->table.leader_rev, c->cfg.name,
-	    c->cfg.status_s, &c->table, c->doc, now, out);
+	c->leader = wf_leader_new(
+	    c->table.leader_rev, &c->cfg, &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
 	c->leader->valid_until = c->valid_until;
 	wf_effects_add(out, WF_EF_REGISTRY)->on = true;
@@ -591,7 +610,7 @@
 		    ef->peers[ef->peers_len++], sizeof(agb_addr), p->rpc);
 	}
 	if (c->leader != NULL)
-		wf_advice_peers(c->leader);
+		wf_leader_peers(c->leader);
 }
 
 static void
@@ -768,15 +787,54 @@
 		put_answer(token, &answer, out);
 }
 
+static void
+push_to(
+    const struct wf_peer *p, const struct wf_feed *feed, struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PEER_PUSH);
+	struct wf_record *r;
+	size_t i;
+
+	agb_name_set(ef->peer, sizeof(ef->peer), p->rpc);
+	ef->u.push.items =
+	    agb_xcalloc(feed->items_len + 1, sizeof(*ef->u.push.items));
+	ef->u.push.len = feed->items_len;
+	for (i = 0; i < feed->items_len; i++) {
+		r = &ef->u.push.items[i];
+		agb_name_set(r->key, sizeof(r->key), feed->items[i].key);
+		r->revision = feed->items[i].mod_rev;
+		r->val =
+		    agb_xmemdup(feed->items[i].val, feed->items[i].val_len);
+		r->len = feed->items[i].val_len;
+	}
+}
+
+/* The leader tells one instance of a domain, which tells the others. */
+static void
+forward_push(
+    struct wf_core *c, const struct wf_feed *feed, struct wf_effects *out)
+{
+	const struct wf_peer *p;
+
+	for (p = c->table.peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->name, c->cfg.name) != 0 &&
+		    strcmp(p->name, c->table.leader) != 0 &&
+		    strcmp(p->domain, c->cfg.domain) == 0)
+			push_to(p, feed, out);
+	}
+}
+
 /* A record that a peer has just stored; the feed brings it again. */
 static void
 on_push(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
-    struct wf_effects *out)
+    bool forward, struct wf_effects *out)
 {
 	struct wf_table_change ch;
 	size_t i;
 
 	c->push_at = now->mono;
+	if (forward)
+		forward_push(c, feed, out);
 	for (i = 0; i < feed->items_len; i++) {
 		ch = wf_table_apply(&c->table, &feed->items[i]);
 		if (ch.job != NULL && c->leader != NULL)
@@ -809,6 +867,22 @@
 		wf_commit_done(c->leader, now, tag, res, out);
 }
 
+/* A relay needs the text of a job that was accepted here. */
+static void
+on_text_ask(
+    struct wf_core *c, uint64_t token, const char *job, struct wf_effects *out)
+{
+	const struct wf_job *const j = wf_table_job(&c->table, job);
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_TEXT_ANSWER);
+
+	ef->tag = token;
+	ef->on = j != NULL && j->spec_rev > 0;
+	if (!ef->on)
+		return;
+	ef->u.text.text = agb_xmemdup(j->spec.text, j->spec.text_len);
+	ef->u.text.len = j->spec.text_len;
+}
+
 static void
 on_peer_ask(struct wf_core *c, uint64_t token, const struct wf_ask *ask,
     struct wf_effects *out)
@@ -1149,6 +1223,7 @@
 	wf_front_store_silent(c->front, store_silent(c, now->mono));
 	wf_front_store_takes(c->front, store_takes(c, now->mono));
 	c->next = agb_time_min(c->next, wf_front_tick(c->front, now, out));
+	c->next = agb_time_min(c->next, wf_relay_tick(c->relay, now, out));
 	tick_ready(c, now, out);
 	tick_drain(c, now, out);
 }
@@ -1182,9 +1257,31 @@
 		wf_front_call(c->front, now, c->doc, ev->u.call, out);
 		break;
 	case WF_EV_ORDER:
-		if (c->leader != NULL)
+		if (ev->u.order->number > 0)
+			wf_relay_result(c->relay, ev->u.order);
+		else if (c->leader != NULL)
 			wf_fleet_answer(c->leader, now, ev->u.order, out);
 		break;
+	case WF_EV_ORDERS:
+		wf_relay_orders(
+		    c->relay, now, ev->tag, ev->u.orders, !c->draining, out);
+		break;
+	case WF_EV_ORDERS_DONE:
+		if (c->leader != NULL)
+			wf_outbox_taken(
+			    c->leader, now, ev->tag, &ev->u.taken, out);
+		break;
+	case WF_EV_TEXT_ASK:
+		on_text_ask(c, ev->tag, ev->u.text.job, out);
+		break;
+	case WF_EV_TEXT:
+		wf_relay_text(
+		    c->relay, now, ev->tag, ev->on ? &ev->u.text : NULL, out);
+		break;
+	case WF_EV_RESULTS:
+		if (c->leader != NULL)
+			wf_outbox_results(c->leader, now, ev->u.results, out);
+		break;
 	case WF_EV_ADVICE:
 	case WF_EV_PEER_ANSWER:
 		on_advice(c, now, ev->tag, ev->u.advice, out);
@@ -1193,10 +1290,13 @@
 		on_peer_ask(c, ev->tag, ev->u.ask, out);
 		break;
 	case WF_EV_PEER_PONG:
-		on_pong(c, now, ev->tag, ev->on, out);
+		if ((ev->tag & WF_SHOW_TAG) == 0)
+			on_pong(c, now, ev->tag, ev->on, out);
+		else if (c->leader != NULL)
+			wf_show_done(c->leader, now, ev->tag, ev->on, out);
 		break;
 	case WF_EV_PEER_PUSH:
-		on_push(c, now, &ev->u.feed, out);
+		on_push(c, now, &ev->u.feed, ev->on, out);
 		break;
 	case WF_EV_PEER_PUT:
 		on_peer_put(c, now, ev->tag, &ev->u.put, out);
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -12,26 +12,6 @@
 
 #include "wf_event.h"
 
-/**
- * struct wf_config - fixed facts of this instance
- * @name: unique name of this start of the instance
- * @rpc: where other instances reach it
- * @seed: of the jitter of its waits
- * @cpu_permille: its share of a processor
- * @grace_ms: longest time from WF_EV_TERM to WF_EF_EXIT
- * @status_s: how long the state of an ended job stays known
- */
-struct wf_config {
-	agb_id name;
-	agb_addr rpc;
-	agb_id domain;
-	agb_id region;
-	uint64_t seed;
-	uint32_t cpu_permille;
-	uint32_t grace_ms;
-	uint32_t status_s;
-};
-
 struct wf_core;
 
 /**
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -13,10 +13,10 @@
 #include "httpc.h"
 #include "log.h"
 #include "mem.h"
-#include "rpc.h"
 #include "wf_core.h"
 #include "wf_follow.h"
 #include "wf_metrics.h"
+#include "wf_rpc.h"
 #include "wf_table.h"
 
 #define SETTINGS_MAX ((size_t)64 * 1024)
@@ -38,13 +38,6 @@
  * TAG_FEEDS. */
 #define TAG_REGISTRY (FOLLOW_TAG | (uint64_t)1 << 32)
 
-/* Tags of calls to peers: pushes need no answer, puts carry the front's tag,
- * whose top bit is set; all others ask for advice. */
-#define TAG_PUSH (FOLLOW_TAG | 3)
-#define TAG_PUT ((uint64_t)1 << 63)
-#define TAG_PING ((uint64_t)1 << 59)
-#define PUSH_TIMEOUT_MS 1000
-
 struct daemon {
 	const struct wf_adapter_ops *ops;
 	const char *path;
@@ -60,7 +53,7 @@
 	struct wf_httpd *http;
 	struct wf_httpd *ready_http;
 	struct wf_httpd *metrics_http;
-	struct agb_rpc *rpc;
+	struct wf_rpc *rpc;
 	struct agb_store *store;
 	struct wf_adapter *adapter;
 	struct {
@@ -71,8 +64,6 @@
 	struct wf_follow *document;
 	struct wf_follow *registry;
 	uint64_t registry_tag;
-	agb_addr *allowed;
-	size_t allowed_len;
 	bool ready;
 	int linger_left;
 };
@@ -315,28 +306,10 @@
 	free(text);
 }
 
-/* ---- calls between instances ---- */
-
 static void
-rpc_advise(struct daemon *d, uint64_t token, const agb_x_advise_args *x)
+on_peer_event(void *arg, struct wf_event *ev)
 {
-	struct wf_event ev = {.type = WF_EV_PEER_ASK, .tag = token};
-	struct wf_ask ask;
-	size_t i;
-
-	memset(&ask, 0, sizeof(ask));
-	agb_name_set(ask.step.job, sizeof(ask.step.job), x->job);
-	ask.step.occurrence = x->occurrence;
-	ask.step.step = x->step;
-	ask.timeout_ms = x->timeout_ms;
-	ask.runners_len = x->runners.runners_len;
-	ask.runners = agb_xcalloc(ask.runners_len + 1, sizeof(agb_id));
-	for (i = 0; i < ask.runners_len; i++)
-		agb_name_set(
-		    ask.runners[i], sizeof(agb_id), x->runners.runners_val[i]);
-	ev.u.ask = &ask;
-	feed(d, &ev);
-	free(ask.runners);
+	feed(arg, ev);
 }
 
 static void
@@ -348,253 +321,8 @@
 	agb_log_line(d->log, level, event, line);
 }
 
-static void
-rpc_push(struct daemon *d, uint64_t token, const agb_x_push_args *x)
-{
-	struct wf_event ev = {.type = WF_EV_PEER_PUSH};
-	const agb_x_record *r;
-	struct agb_store_kv *kvs;
-	agb_x_res res;
-	size_t i;
-
-	kvs = agb_xcalloc(x->records.records_len + 1, sizeof(*kvs));
-	for (i = 0; i < x->records.records_len; i++) {
-		r = &x->records.records_val[i];
-		kvs[i].key = r->key;
-		kvs[i].val = r->value.value_val;
-		kvs[i].val_len = r->value.value_len;
-		kvs[i].mod_rev = r->revision;
-		kvs[i].create_rev = r->revision;
-	}
-	ev.u.feed.items = kvs;
-	ev.u.feed.items_len = x->records.records_len;
-	feed(d, &ev);
-	free(kvs);
-	memset(&res, 0, sizeof(res));
-	res.proc = AGB_X_PUSH;
-	agb_rpc_reply(d->rpc, token, &res);
-}
-
-static void
-rpc_put(struct daemon *d, uint64_t token, const agb_x_put_args *x)
-{
-	struct wf_event ev = {.type = WF_EV_PEER_PUT, .tag = token};
-
-	ev.u.put.key = x->key;
-	ev.u.put.val = x->value.value_val;
-	ev.u.put.len = x->value.value_len;
-	ev.u.put.timeout_ms = x->timeout_ms;
-	feed(d, &ev);
-}
-
-static void
-on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
-{
-	struct daemon *const d = arg;
-	agb_x_res res;
-
-	switch (args->proc) {
-	case AGB_X_ADVISE:
-		rpc_advise(d, token, &args->agb_x_args_u.advise);
-		break;
-	case AGB_X_PUSH:
-		rpc_push(d, token, &args->agb_x_args_u.push);
-		break;
-	case AGB_X_PUT:
-		rpc_put(d, token, &args->agb_x_args_u.put);
-		break;
-	default:
-		/* Calls of the shard owners mean nothing here. */
-		memset(&res, 0, sizeof(res));
-		res.proc = AGB_X_NULL;
-		agb_rpc_reply(d->rpc, token, &res);
-	}
-	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
-}
-
-/* A relayed write ends like one of this instance's own. */
-static void
-put_replied(struct daemon *d, uint64_t tag, bool sent, const agb_x_res *res)
-{
-	struct wf_event ev = {.type = WF_EV_STORE, .tag = tag};
-	struct agb_store_result r;
-
-	memset(&r, 0, sizeof(r));
-	r.status = sent ? AGB_STORE_LOST : AGB_STORE_REFUSED;
-	if (res != NULL) {
-		r.status = (enum agb_store_status)res->agb_x_res_u.put.status;
-		r.succeeded = res->agb_x_res_u.put.stored;
-		r.revision = res->agb_x_res_u.put.revision;
-	}
-	ev.u.store = &r;
-	feed(d, &ev);
-}
-
-static void
-ponged(struct daemon *d, uint64_t tag, bool ok)
-{
-	struct wf_event ev = {.type = WF_EV_PEER_PONG, .tag = tag, .on = ok};
-
-	feed(d, &ev);
-}
-
-static void
-advised(struct daemon *d, uint64_t tag, const agb_x_res *res)
-{
-	struct wf_event ev = {.type = WF_EV_PEER_ANSWER, .tag = tag};
-	const agb_x_advise_res *x;
-	struct wf_advice a;
-	size_t i;
-
-	memset(&a, 0, sizeof(a));
-	if (res != NULL && res->proc == AGB_X_ADVISE) {
-		x = &res->agb_x_res_u.advise;
-		a.ok = x->ok;
-		a.busy = x->busy;
-		a.valid_ms = x->valid_ms;
-		a.items_len = x->tickets.tickets_len;
-		a.items = agb_xcalloc(a.items_len + 1, sizeof(*a.items));
-		for (i = 0; i < a.items_len; i++) {
-			agb_name_set(a.items[i].runner, sizeof(agb_id),
-			    x->tickets.tickets_val[i].runner);
-			agb_name_set(a.items[i].ticket, sizeof(agb_id),
-			    x->tickets.tickets_val[i].ticket);
-		}
-	}
-	ev.u.advice = &a;
-	feed(d, &ev);
-	free(a.items);
-}
-
-static void
-on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
-{
-	const agb_x_res *const answer = ok ? res : NULL;
-	struct daemon *const d = arg;
-
-	if ((tag & TAG_PUSH) == TAG_PUSH)
-		goto out;
-	if (tag & TAG_PUT)
-		put_replied(d, tag, sent, answer);
-	else if (tag & TAG_PING)
-		ponged(d, tag, ok);
-	else
-		advised(d, tag, answer);
-out:
-	if (ok)
-		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
-}
-
 /* ---- effects ---- */
 
-static void
-do_peer_ask(struct daemon *d, const struct wf_effect *ef)
-{
-	const struct wf_ask *const ask = &ef->u.ask;
-	agb_x_args args;
-	size_t i;
-
-	memset(&args, 0, sizeof(args));
-	args.proc = AGB_X_ADVISE;
-	args.agb_x_args_u.advise.job = (char *)(uintptr_t)ask->step.job;
-	args.agb_x_args_u.advise.occurrence = ask->step.occurrence;
-	args.agb_x_args_u.advise.step = ask->step.step;
-	args.agb_x_args_u.advise.timeout_ms = ask->timeout_ms;
-	args.agb_x_args_u.advise.runners.runners_len = (u_int)ask->runners_len;
-	args.agb_x_args_u.advise.runners.runners_val =
-	    agb_xcalloc(ask->runners_len + 1, sizeof(char *));
-	for (i = 0; i < ask->runners_len; i++)
-		args.agb_x_args_u.advise.runners.runners_val[i] =
-		    ask->runners[i];
-	agb_rpc_call(d->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
-	free(args.agb_x_args_u.advise.runners.runners_val);
-}
-
-static void
-do_peer_answer(struct daemon *d, const struct wf_effect *ef)
-{
-	const struct wf_advice *const a = &ef->u.advice;
-	agb_x_ticket *list;
-	agb_x_res res;
-	size_t i;
-
-	memset(&res, 0, sizeof(res));
-	res.proc = AGB_X_ADVISE;
-	list = agb_xcalloc(a->items_len + 1, sizeof(*list));
-	for (i = 0; i < a->items_len; i++) {
-		list[i].runner = a->items[i].runner;
-		list[i].ticket = a->items[i].ticket;
-	}
-	res.agb_x_res_u.advise.ok = a->ok;
-	res.agb_x_res_u.advise.busy = a->busy;
-	res.agb_x_res_u.advise.valid_ms = a->valid_ms;
-	res.agb_x_res_u.advise.tickets.tickets_len = (u_int)a->items_len;
-	res.agb_x_res_u.advise.tickets.tickets_val = list;
-	agb_rpc_reply(d->rpc, ef->tag, &res);
-	free(list);
-}
-
-static void
-do_ping(struct daemon *d, const struct wf_effect *ef)
-{
-	agb_x_args args;
-
-	memset(&args, 0, sizeof(args));
-	args.proc = AGB_X_NULL;
-	agb_rpc_call(d->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
-}
-
-static void
-do_push(struct daemon *d, const struct wf_effect *ef)
-{
-	const struct wf_push *const p = &ef->u.push;
-	agb_x_record *list;
-	agb_x_args args;
-	size_t i;
-
-	list = agb_xcalloc(p->len + 1, sizeof(*list));
-	for (i = 0; i < p->len; i++) {
-		list[i].key = (char *)(uintptr_t)p->items[i].key;
-		list[i].revision = p->items[i].revision;
-		list[i].value.value_val = p->items[i].val;
-		list[i].value.value_len = (u_int)p->items[i].len;
-	}
-	memset(&args, 0, sizeof(args));
-	args.proc = AGB_X_PUSH;
-	args.agb_x_args_u.push.records.records_val = list;
-	args.agb_x_args_u.push.records.records_len = (u_int)p->len;
-	agb_rpc_call(d->rpc, TAG_PUSH, ef->peer, &args, PUSH_TIMEOUT_MS);
-	free(list);
-}
-
-static void
-do_put(struct daemon *d, const struct wf_effect *ef)
-{
-	const struct wf_record *const r = &ef->u.record;
-	agb_x_args args;
-
-	memset(&args, 0, sizeof(args));
-	args.proc = AGB_X_PUT;
-	args.agb_x_args_u.put.key = (char *)(uintptr_t)r->key;
-	args.agb_x_args_u.put.timeout_ms = ef->timeout_ms;
-	args.agb_x_args_u.put.value.value_val = r->val;
-	args.agb_x_args_u.put.value.value_len = (u_int)r->len;
-	agb_rpc_call(d->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
-}
-
-static void
-do_put_answer(struct daemon *d, const struct wf_effect *ef)
-{
-	agb_x_res res;
-
-	memset(&res, 0, sizeof(res));
-	res.proc = AGB_X_PUT;
-	res.agb_x_res_u.put.status = (int)ef->u.put_res.status;
-	res.agb_x_res_u.put.stored = ef->u.put_res.stored;
-	res.agb_x_res_u.put.revision = ef->u.put_res.revision;
-	agb_rpc_reply(d->rpc, ef->tag, &res);
-}
-
 static void
 do_reply(struct daemon *d, const struct wf_effect *ef)
 {
@@ -645,33 +373,6 @@
 	wf_follow_pace(d->registry, REGISTRY_GAP_MS);
 }
 
-/* Calls are taken from the instances that the store lists. An address stays
- * allowed after its instance has gone: it may finish what it has begun. */
-static void
-do_allow(struct daemon *d, const struct wf_effect *ef)
-{
-	agb_addr ip;
-	char *colon;
-	size_t i, k;
-
-	for (i = 0; i < ef->peers_len; i++) {
-		agb_name_set(ip, sizeof(ip), ef->peers[i]);
-		colon = strrchr(ip, ':');
-		if (colon != NULL)
-			*colon = '\0';
-		for (k = 0; k < d->allowed_len; k++) {
-			if (strcmp(d->allowed[k], ip) == 0)
-				break;
-		}
-		if (k < d->allowed_len)
-			continue;
-		d->allowed = agb_xreallocarray(
-		    d->allowed, d->allowed_len + 1, sizeof(*d->allowed));
-		memcpy(d->allowed[d->allowed_len++], ip, sizeof(ip));
-	}
-	agb_rpc_allow_set(d->rpc, d->allowed, d->allowed_len);
-}
-
 static void
 on_linger(uv_timer_t *t)
 {
@@ -706,24 +407,6 @@
 	case WF_EF_ADVISE:
 		d->ops->advise(d->adapter, ef->tag, &ef->u.ask, ef->timeout_ms);
 		break;
-	case WF_EF_PEER_ASK:
-		do_peer_ask(d, ef);
-		break;
-	case WF_EF_PEER_ANSWER:
-		do_peer_answer(d, ef);
-		break;
-	case WF_EF_PEER_PUSH:
-		do_push(d, ef);
-		break;
-	case WF_EF_PEER_PUT:
-		do_put(d, ef);
-		break;
-	case WF_EF_PEER_PING:
-		do_ping(d, ef);
-		break;
-	case WF_EF_PUT_ANSWER:
-		do_put_answer(d, ef);
-		break;
 	case WF_EF_REGISTRY:
 		do_registry(d, ef->on);
 		break;
@@ -734,9 +417,6 @@
 		if (d->feeds[ef->feed].follow != NULL)
 			wf_follow_pace(d->feeds[ef->feed].follow, ef->gap_ms);
 		break;
-	case WF_EF_ALLOW_PEERS:
-		do_allow(d, ef);
-		break;
 	case WF_EF_READY:
 		d->ready = ef->on;
 		break;
@@ -748,6 +428,8 @@
 	case WF_EF_EXIT:
 		do_exit(d);
 		break;
+	default:
+		(void)wf_rpc_effect(d->rpc, ef);
 	}
 }
 
@@ -847,8 +529,8 @@
 static bool
 open_clients(struct daemon *d)
 {
-	static const struct agb_rpc_cbs rpc = {
-	    .call = on_rpc_call, .reply = on_rpc_reply, .log = on_rpc_log};
+	static const struct wf_rpc_cbs rpc = {
+	    .event = on_peer_event, .log = on_rpc_log};
 	static const struct wf_adapter_cbs adapter = {
 	    .order = on_order, .advice = on_advice};
 	const struct wf_settings *const s = &d->settings;
@@ -858,7 +540,7 @@
 	    listen_on(d, s->ready, SMALL_BODY_MAX, on_ready_request);
 	d->metrics_http =
 	    listen_on(d, s->metrics, SMALL_BODY_MAX, on_metrics_request);
-	d->rpc = agb_rpc_new(&d->loop, s->rpc, &rpc, d);
+	d->rpc = wf_rpc_new(&d->loop, s->rpc, &rpc, d);
 	if (d->rpc == NULL)
 		fprintf(stderr, "agatebeamd: cannot listen on %s\n", s->rpc);
 	if (d->http == NULL || d->ready_http == NULL ||
@@ -884,6 +566,7 @@
 	agb_name_set(cfg.domain, sizeof(cfg.domain), d->settings.domain);
 	agb_name_set(cfg.region, sizeof(cfg.region), d->settings.region);
 	cfg.cpu_permille = (uint32_t)(d->settings.cpu_share * 1000);
+	cfg.link_kbps = (uint32_t)(d->settings.link_mbps * 1000);
 	cfg.grace_ms = d->settings.grace_ms;
 	cfg.status_s = d->settings.status_s;
 	d->core = wf_core_new(&cfg);
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -76,6 +76,33 @@
 	free(p->items);
 }
 
+void
+wf_orders_free(struct wf_orders *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->len; i++)
+		free(o->items[i].text);
+	free(o->items);
+	free(o->cards);
+	memset(o, 0, sizeof(*o));
+}
+
+void
+wf_results_free(struct wf_results *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->len; i++) {
+		free(r->items[i].kept);
+		free(r->items[i].saved);
+		free(r->items[i].fresh);
+		free(r->items[i].finished);
+	}
+	free(r->items);
+	memset(r, 0, sizeof(*r));
+}
+
 static void
 effect_free(struct wf_effect *ef)
 {
@@ -99,6 +126,16 @@
 	case WF_EF_PEER_PUT:
 		free(ef->u.record.val);
 		break;
+	case WF_EF_ORDERS:
+		wf_orders_free(&ef->u.orders);
+		break;
+	case WF_EF_TEXT_ASK:
+	case WF_EF_TEXT_ANSWER:
+		free(ef->u.text.text);
+		break;
+	case WF_EF_RESULTS:
+		wf_results_free(&ef->u.results);
+		break;
 	case WF_EF_ALLOW_PEERS:
 		free(ef->peers);
 		break;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -29,6 +29,11 @@
 	WF_EV_PEER_PUSH,   /* feed: a record that a peer has stored */
 	WF_EV_PEER_PUT,	   /* tag, put: a peer wants a record stored */
 	WF_EV_PEER_PONG,   /* tag, on: whether a peer has answered */
+	WF_EV_ORDERS,	   /* tag, orders: a leader's, to be carried out */
+	WF_EV_ORDERS_DONE, /* tag, taken: whether a peer took orders */
+	WF_EV_RESULTS,	   /* results: of orders that a peer carried out */
+	WF_EV_TEXT_ASK,	   /* tag, text: a peer needs the text of a job */
+	WF_EV_TEXT,	   /* tag, on, text: what a peer knows of it */
 };
 
 enum wf_call_kind {
@@ -124,6 +129,8 @@
  * @WF_ORDER_TICKET: the approval has expired
  * @WF_ORDER_OTHER_LIFE: another life of the runner answered
  * @WF_ORDER_INVALID: the runner does not take this order at all
+ * @WF_ORDER_UNRELAYED: the instance that should have sent it certainly did not
+ * @WF_ORDER_NO_TEXT: the same, because it does not have the job's text
  */
 enum wf_order_status {
 	WF_ORDER_OK,
@@ -137,6 +144,8 @@
 	WF_ORDER_TICKET,
 	WF_ORDER_OTHER_LIFE,
 	WF_ORDER_INVALID,
+	WF_ORDER_UNRELAYED,
+	WF_ORDER_NO_TEXT,
 };
 
 enum wf_end {
@@ -178,12 +187,16 @@
  * @fence: of the leader that sent the order
  * @runner, @life: handle of the runner and its life when the order was sent
  * @task, @run, @beside, @sent_at: of the order
+ * @number: of the order, when it was carried out for another instance
+ * @relay: handle of the instance that carried it out, WF_NONE for this one
  * @born_ms: start of the life that answered; 0 when it did not say
  * @clock_ms: its steady clock; 0 when it did not say
  */
 struct wf_order_result {
 	enum wf_order_kind kind;
 	enum wf_order_status status;
+	uint64_t number;
+	uint32_t relay;
 	uint64_t fence;
 	uint32_t runner;
 	uint32_t life;
@@ -240,24 +253,6 @@
 	uint32_t timeout_ms;
 };
 
-struct wf_event {
-	enum wf_event_type type;
-	uint64_t tag;
-	uint64_t call_id;
-	bool on;
-	union {
-		struct wf_doc *doc;
-		struct wf_feed feed;
-		struct wf_runners runners;
-		struct agb_store_result *store;
-		struct wf_call *call;
-		struct wf_order_result *order;
-		struct wf_advice *advice;
-		struct wf_ask *ask;
-		struct wf_put put;
-	} u;
-};
-
 enum wf_effect_type {
 	WF_EF_STORE,	   /* tag, store, timeout_ms */
 	WF_EF_REPLY,	   /* call_id, reply */
@@ -265,16 +260,21 @@
 	WF_EF_ADVISE,	   /* tag, ask: call the advice service */
 	WF_EF_PEER_ASK,	   /* tag, peer, ask: let a peer call it */
 	WF_EF_PEER_ANSWER, /* tag, advice: answer a peer */
-	WF_EF_PEER_PUSH,   /* peer, push */
+	WF_EF_PEER_PUSH,   /* peer, push; with a tag, ends as WF_EV_PEER_PONG */
 	WF_EF_PEER_PUT,	   /* tag, peer, record; ends as WF_EV_STORE */
 	WF_EF_PEER_PING,   /* tag, peer */
 	WF_EF_PUT_ANSWER,  /* tag, put_res: answer a peer */
-	WF_EF_REGISTRY,	   /* on: follow the registry of runners */
-	WF_EF_FOLLOW,	   /* feed, on: follow a part of the own keys */
-	WF_EF_FEED_PACE,   /* feed, gap_ms between its deliveries */
-	WF_EF_ALLOW_PEERS, /* peers: addresses that may call */
-	WF_EF_READY,	   /* on */
-	WF_EF_LOG,	   /* log */
+	WF_EF_ORDERS,	   /* tag, peer, orders: let a peer carry them out */
+	WF_EF_ORDERS_TAKEN, /* tag, on, clock: answer a leader's orders */
+	WF_EF_RESULTS,	    /* peer, results */
+	WF_EF_TEXT_ASK,	    /* tag, peer, text: ends as WF_EV_TEXT */
+	WF_EF_TEXT_ANSWER,  /* tag, on, text: answer a peer */
+	WF_EF_REGISTRY,	    /* on: follow the registry of runners */
+	WF_EF_FOLLOW,	    /* feed, on: follow a part of the own keys */
+	WF_EF_FEED_PACE,    /* feed, gap_ms between its deliveries */
+	WF_EF_ALLOW_PEERS,  /* peers: addresses that may call */
+	WF_EF_READY,	    /* on */
+	WF_EF_LOG,	    /* log */
 	WF_EF_EXIT,
 };
 
@@ -293,13 +293,21 @@
 
 /**
  * struct wf_order - an order to a runner
+ * @number: of an order that is carried out for another instance, else 0
+ * @not_after: when it may be sent at the latest, on the clock of the instance
+ *	that sends it; 0 is no limit
  * @deadline_ms: on the runner's clock; 0 leaves its lease as it is
+ * @taken: ends up to this number are known already
+ * @seen: list of active runs that the leader has; 0 is none
  * @observed: ends up to this number may be forgotten
  * @beside: a look at the lists that does not replace the regular hold
- * @text: spec of the job, owned
+ * @home: instance that has the text, for an order without it
+ * @text: spec of the job, owned; NULL when another instance has to get it
  */
 struct wf_order {
 	enum wf_order_kind kind;
+	uint64_t number;
+	agb_time not_after;
 	uint32_t runner;
 	uint32_t life;
 	agb_time sent_at;
@@ -311,15 +319,111 @@
 	struct wf_task_ref task;
 	uint32_t run;
 	uint64_t observed;
+	uint64_t taken;
+	uint32_t seen;
 	uint32_t percent; /* WF_ORDER_PACE: share at which the task works */
 	uint32_t wait_ms;
 	bool beside;
 	char saved[WF_SAVED_MAX + 1];
 	agb_id ticket;
+	agb_addr home;
 	char *text;
 	size_t text_len;
 };
 
+/**
+ * struct wf_card - where a runner is, which orders name by a handle of the
+ * leader
+ */
+struct wf_card {
+	uint32_t runner;
+	uint32_t life;
+	agb_id id;
+	agb_addr addr;
+};
+
+/**
+ * struct wf_orders - orders for another instance to carry out
+ * @fence: of the leader that sends them
+ * @reply_to: where their results go
+ */
+struct wf_orders {
+	uint64_t fence;
+	agb_addr reply_to;
+	struct wf_card *cards;
+	size_t cards_len;
+	struct wf_order *items;
+	size_t len;
+};
+
+/**
+ * struct wf_orders_done - what became of a call that hands over orders
+ * @ok: it was answered
+ * @sent: the other instance may have read it
+ * @taken: the orders are carried out
+ * @clock: of the other instance
+ */
+struct wf_orders_done {
+	bool ok;
+	bool sent;
+	bool taken;
+	agb_time clock;
+};
+
+/* A run of an earlier list that is still active. */
+struct wf_kept {
+	uint32_t at;
+	uint32_t percent;
+	uint32_t load;
+};
+
+/* A new checkpoint of the run at a place of an earlier list. */
+struct wf_saved {
+	uint32_t at;
+	char saved[WF_SAVED_MAX + 1];
+};
+
+/**
+ * struct wf_relayed - result of an order that another instance carried out
+ * @base: list of active runs that @kept and @saved refer to; 0 is none
+ * @seen: list that they and @fresh make up; 0 when it is not kept
+ */
+struct wf_relayed {
+	uint64_t number;
+	enum wf_order_status status;
+	int64_t born_ms;
+	int64_t clock_ms;
+	uint32_t base;
+	uint32_t seen;
+	struct wf_kept *kept;
+	size_t kept_len;
+	struct wf_saved *saved;
+	size_t saved_len;
+	struct wf_active *fresh;
+	size_t fresh_len;
+	struct wf_finished *finished;
+	size_t finished_len;
+};
+
+/**
+ * struct wf_text - text of a job
+ * @job: of the question; not set in the answer
+ */
+struct wf_text {
+	wf_job_id job;
+	char *text;
+	size_t len;
+};
+
+/**
+ * struct wf_results - results for the leader with a fence
+ */
+struct wf_results {
+	uint64_t fence;
+	struct wf_relayed *items;
+	size_t len;
+};
+
 /**
  * struct wf_record - a record for a peer
  * @val: owned
@@ -334,7 +438,12 @@
 /* Records shown to a peer in one call. */
 #define WF_PUSH_MAX 512
 
+/**
+ * struct wf_push - records that a peer is shown
+ * @forward: it shows them to the other instances of its domain
+ */
 struct wf_push {
+	bool forward;
 	struct wf_record *items;
 	size_t len;
 };
@@ -348,6 +457,28 @@
 	uint64_t revision;
 };
 
+struct wf_event {
+	enum wf_event_type type;
+	uint64_t tag;
+	uint64_t call_id;
+	bool on;
+	union {
+		struct wf_doc *doc;
+		struct wf_feed feed;
+		struct wf_runners runners;
+		struct agb_store_result *store;
+		struct wf_call *call;
+		struct wf_order_result *order;
+		struct wf_advice *advice;
+		struct wf_ask *ask;
+		struct wf_put put;
+		struct wf_orders *orders;
+		struct wf_orders_done taken;
+		struct wf_results *results;
+		struct wf_text text;
+	} u;
+};
+
 struct wf_effect {
 	enum wf_effect_type type;
 	uint64_t tag;
@@ -356,6 +487,7 @@
 	uint32_t gap_ms;
 	enum wf_feed_id feed;
 	bool on;
+	agb_time clock;
 	agb_addr peer;
 	agb_addr *peers;
 	size_t peers_len;
@@ -368,6 +500,9 @@
 		struct wf_record record;
 		struct wf_push push;
 		struct wf_put_res put_res;
+		struct wf_orders orders;
+		struct wf_results results;
+		struct wf_text text;
 		struct agb_ef_log log;
 	} u;
 };
@@ -403,6 +538,16 @@
     const char *runner, const char *fmt, ...)
     __attribute__((format(printf, 7, 8)));
 
+/**
+ * wf_orders_free() - free what a list of orders owns
+ */
+void wf_orders_free(struct wf_orders *o);
+
+/**
+ * wf_results_free() - free what a list of results owns
+ */
+void wf_results_free(struct wf_results *r);
+
 /**
  * wf_effects_free() - free all effects and the array
  */
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -14,12 +14,8 @@
 /* Members of a gang wait for each other; one whose start has failed is placed
  * anew within this time. */
 #define REPAIR_MS 1800
-
-/* Values of wf_x_task.state. */
-enum {
-	REC_WAIT,
-	REC_ACTIVE,
-};
+/* A wide step writes its record once for the ends of this time. */
+#define END_WAIT_MS 80
 
 const struct wf_step *
 wf_unit_step(const struct wf_unit *u)
@@ -70,16 +66,24 @@
 	return &j->exec->tasks[u->first + ref->index];
 }
 
-void
-wf_exec_change(struct wf_leader *l, struct wf_exec *e)
+static void
+change(struct wf_leader *l, struct wf_exec *e, agb_time write_at)
 {
 	l->gen++;
 	/* The oldest change that is not durable counts. */
 	if (!e->dirty) {
 		e->gen = l->gen;
 		l->dirty++;
+		e->write_at = write_at;
 	}
 	e->dirty = true;
+	e->write_at = agb_time_min(e->write_at, write_at);
+}
+
+void
+wf_exec_change(struct wf_leader *l, struct wf_exec *e)
+{
+	change(l, e, 0);
 }
 
 /* Longest chain of estimates through the steps. */
@@ -165,8 +169,8 @@
 		    there ? step->need.cpu_milli : -step->need.cpu_milli;
 }
 
-static void
-count_at(struct wf_leader *l, struct wf_unit *u, struct wf_task *t)
+void
+wf_task_count(struct wf_leader *l, struct wf_unit *u, struct wf_task *t)
 {
 	struct wf_runner *const r = &l->runners[t->runner];
 
@@ -176,37 +180,6 @@
 	wf_runner_count(r, wf_unit_step(u), true);
 }
 
-/* Takes over a task of the state record; what may be running is counted at
- * its runner until that runner's lists or its lease tell. */
-static void
-restore_task(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    struct wf_task *t, const struct wf_x_task *x, const struct wf_x_state *st)
-{
-	t->run = x->run;
-	t->failures = x->failures;
-	if (x->saved.saved_len > 0) {
-		free(t->saved);
-		t->saved = agb_xmemdup(x->saved.saved_val, x->saved.saved_len);
-	}
-	if (x->run > u->run)
-		u->run = x->run;
-	if (wf_unit_step(u)->gang && x->failures > u->failures)
-		u->failures = x->failures;
-	if (x->state != REC_ACTIVE || x->runner >= st->runners.runners_len)
-		return;
-	t->runner =
-	    wf_fleet_get(l, st->runners.runners_val[x->runner].id, now->mono);
-	/* Whether that life of the runner still goes on shows when it is met. */
-	t->born_ms = st->runners.runners_val[x->runner].born_ms;
-	t->life = l->runners[t->runner].life;
-	t->state = WF_TASK_SENT;
-	t->recovered = true;
-	t->sent_at = now->mono;
-	u->waiting--;
-	u->active++;
-	count_at(l, u, t);
-}
-
 void
 wf_exec_show(struct wf_leader *l, struct wf_exec *e)
 {
@@ -214,7 +187,7 @@
 		return;
 	e->shown = true;
 	e->shown_state = e->job->state;
-	wf_leader_show(l, e->job->id, e->job->state);
+	wf_show_state(l, e->job->id, e->job->state);
 }
 
 void
@@ -231,63 +204,6 @@
 	wf_exec_show(l, e);
 }
 
-static bool
-is_done(const struct wf_x_state *x, uint32_t task)
-{
-	return task / 8 < x->done.done_len &&
-	    ((unsigned char)x->done.done_val[task / 8] >> (task % 8) & 1) != 0;
-}
-
-static void
-restore_done(struct wf_exec *e, const struct wf_x_state *x)
-{
-	struct wf_unit *u;
-	uint32_t i, k;
-
-	for (i = 0; i < e->units_len; i++) {
-		u = &e->units[i];
-		for (k = 0; k < wf_unit_step(u)->count; k++) {
-			if (!is_done(x, u->first + k))
-				continue;
-			e->tasks[u->first + k].state = WF_TASK_DONE;
-			u->done++;
-			u->waiting--;
-		}
-	}
-}
-
-static void
-restore(struct wf_leader *l, const struct wf_now *now, struct wf_exec *e,
-    struct wf_effects *out)
-{
-	struct wf_x_state x;
-	struct wf_unit *u;
-	uint32_t i, k;
-
-	if (!wf_table_decode_state(e->job->state_raw, e->job->state_len, &x)) {
-		if (e->job->state_raw != NULL)
-			wf_effects_log(out, AGB_LOG_ERROR, "record",
-			    "job=%s malformed=state revision=%" PRIu64,
-			    e->job->id, e->job->state_rev);
-		return;
-	}
-	e->state = (enum wf_job_state)x.state;
-	restore_done(e, &x);
-	u = e->units;
-	for (i = 0; i < x.tasks.tasks_len; i++) {
-		k = x.tasks.tasks_val[i].index;
-		if (k >= e->tasks_len)
-			continue;
-		while (k >= u->first + wf_unit_step(u)->count)
-			u++;
-		while (k < u->first)
-			u--;
-		restore_task(
-		    l, now, u, &e->tasks[k], &x.tasks.tasks_val[i], &x);
-	}
-	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
-}
-
 struct wf_exec *
 wf_exec_new(struct wf_leader *l, const struct wf_now *now, struct wf_job *j,
     struct wf_effects *out)
@@ -323,7 +239,7 @@
 	DL_APPEND(l->execs, e);
 	if (s->first_ms > 0)
 		l->timed++;
-	restore(l, now, e, out);
+	wf_state_restore(l, now, e, out);
 	wf_effects_log(out, AGB_LOG_INFO, "job",
 	    "job=%s queue=%s steps=%" PRIu32 " tasks=%" PRIu32
 	    " state=%s age_ms=%" PRId64 " spec_revision=%" PRIu64
@@ -481,77 +397,6 @@
 	return now->mono + (agb_time)(next - now->unix_ms) * AGB_MS;
 }
 
-static uint32_t
-record_runner(struct wf_x_state *x, const struct wf_runner *r, int64_t born_ms)
-{
-	uint32_t i;
-
-	for (i = 0; i < x->runners.runners_len; i++) {
-		if (x->runners.runners_val[i].born_ms == born_ms &&
-		    strcmp(x->runners.runners_val[i].id, r->info.id) == 0)
-			return i;
-	}
-	x->runners.runners_val[i].id = (char *)(uintptr_t)r->info.id;
-	x->runners.runners_val[i].born_ms = born_ms;
-	x->runners.runners_len++;
-	return i;
-}
-
-static void
-record_task(struct wf_leader *l, const struct wf_exec *e, uint32_t i,
-    struct wf_x_state *x)
-{
-	const struct wf_task *const t = &e->tasks[i];
-	struct wf_x_task *const xt = &x->tasks.tasks_val[x->tasks.tasks_len++];
-
-	xt->index = i;
-	xt->run = t->run;
-	xt->failures = t->failures;
-	if (t->holds) {
-		xt->state = REC_ACTIVE;
-		xt->runner =
-		    record_runner(x, &l->runners[t->runner], t->born_ms);
-	}
-	if (t->saved != NULL) {
-		xt->saved.saved_val = t->saved;
-		xt->saved.saved_len = (u_int)strlen(t->saved);
-	}
-}
-
-char *
-wf_exec_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len)
-{
-	struct wf_x_state x;
-	char *raw;
-	uint32_t i;
-
-	memset(&x, 0, sizeof(x));
-	x.state = (u_int)e->state;
-	x.ended_ms = e->ended_ms;
-	x.detail = (char *)(uintptr_t)e->detail;
-	x.runners.runners_val =
-	    agb_xcalloc(e->tasks_len + 1, sizeof(struct wf_x_runner));
-	x.tasks.tasks_val =
-	    agb_xcalloc(e->tasks_len + 1, sizeof(struct wf_x_task));
-	x.done.done_len = (e->tasks_len + 7) / 8;
-	x.done.done_val = agb_xcalloc(x.done.done_len + 1, 1);
-	for (i = 0; i < e->tasks_len; i++) {
-		/* A later leader stops what it finds of an ended job. */
-		if (wf_job_final(e->state))
-			break;
-		if (e->tasks[i].state == WF_TASK_DONE)
-			x.done.done_val[i / 8] =
-			    (char)(x.done.done_val[i / 8] | 1 << (i % 8));
-		else if (e->tasks[i].run > 0)
-			record_task(l, e, i, &x);
-	}
-	raw = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, len);
-	free(x.runners.runners_val);
-	free(x.tasks.tasks_val);
-	free(x.done.done_val);
-	return raw;
-}
-
 void
 wf_task_assign(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, uint32_t runner, uint32_t run)
@@ -571,7 +416,7 @@
 		u->run = run;
 	u->waiting--;
 	u->active++;
-	count_at(l, u, t);
+	wf_task_count(l, u, t);
 	if (u->waiting == 0)
 		unit_dequeue(l, u);
 	wf_exec_change(l, u->exec);
@@ -687,9 +532,12 @@
 		u->active--;
 	t->state = WF_TASK_DONE;
 	u->done++;
-	wf_exec_change(l, u->exec);
-	if (u->done == wf_unit_step(u)->count)
+	/* Ends that nothing waits for share a write with others of the job. */
+	change(l, u->exec, now->mono + END_WAIT_MS * AGB_MS);
+	if (u->done == wf_unit_step(u)->count) {
+		wf_exec_change(l, u->exec);
 		wf_exec_advance(l, now, u->exec, out);
+	}
 }
 
 /* One done member stands for the whole gang. */
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -24,7 +24,7 @@
 #define HOLD_GAP_MS 10
 #define TICK_GAP_MS 3
 /* A hold would return at once while ends are listed that are not durable. */
-#define HOLD_ACK_GAP_MS 80
+#define HOLD_ACK_GAP_MS 120
 #define HOLD_RETRY_MS 200
 /* A runner that has not answered takes no new tasks for this long. */
 #define SHUN_LOST_MS 1000
@@ -150,6 +150,7 @@
 	i = runner_slot(l);
 	r = &l->runners[i];
 	life = r->life;
+	wf_seen_free(&r->route.seen);
 	memset(r, 0, sizeof(*r));
 	r->pace = 100;
 	r->used = true;
@@ -342,6 +343,9 @@
 			runner_gone(l, now, ri, out);
 	}
 	l->registry_seen = true;
+	/* Relays are chosen for the runners that are there. */
+	if (rs->full)
+		l->outbox.check_at = 0;
 }
 
 static int64_t
@@ -352,10 +356,10 @@
 
 static struct wf_order *
 order_new(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    enum wf_order_kind kind, uint32_t timeout_ms, struct wf_effects *out)
+    enum wf_order_kind kind, uint32_t timeout_ms)
 {
 	const struct wf_runner *const r = &l->runners[ri];
-	struct wf_order *const o = &wf_effects_add(out, WF_EF_ORDER)->u.order;
+	struct wf_order *const o = wf_outbox_add(l);
 
 	o->kind = kind;
 	o->runner = ri;
@@ -378,22 +382,18 @@
 		r->lease_until = until;
 }
 
-void
-wf_fleet_start(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    struct wf_task *t, struct wf_effects *out)
+static void
+send_start(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t)
 {
 	struct wf_runner *const r = &l->runners[t->runner];
 	const struct wf_spec *const spec = &u->exec->job->spec;
 	const struct wf_approval *a;
 	struct wf_order *o;
 
-	t->state = WF_TASK_SENT;
-	t->sent_at = now->mono;
-	t->moved_run = 0;
-	t->paced = 100;
 	t->start_ms = clock_now(r, now->mono) + START_MS;
 	lease_extend(r, now->mono, START_MS);
-	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS, out);
+	o = order_new(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS);
 	wf_task_ref(t, &o->task);
 	o->run = t->run;
 	o->deadline_ms = t->start_ms;
@@ -404,8 +404,22 @@
 	a = wf_advice_of(u, t->runner);
 	if (a != NULL && a->ok)
 		agb_name_set(o->ticket, sizeof(o->ticket), a->ticket);
-	wf_effects_log_run(out, AGB_LOG_INFO, "start", &o->task, t->run,
-	    r->info.id,
+}
+
+void
+wf_fleet_start(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, struct wf_effects *out)
+{
+	const struct wf_runner *const r = &l->runners[t->runner];
+	struct wf_task_ref ref;
+
+	t->state = WF_TASK_SENT;
+	t->sent_at = now->mono;
+	t->moved_run = 0;
+	t->paced = 100;
+	send_start(l, now, u, t);
+	wf_task_ref(t, &ref);
+	wf_effects_log_run(out, AGB_LOG_INFO, "start", &ref, t->run, r->info.id,
 	    "fence=%" PRIu64 " document=%" PRIu64 " waited_ms=%" PRIu64
 	    " free_cpu=%" PRId64,
 	    l->fence, l->doc != NULL ? l->doc->version : 0,
@@ -414,10 +428,10 @@
 
 static void
 send_stop(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    const struct wf_task_ref *ref, uint32_t run, struct wf_effects *out)
+    const struct wf_task_ref *ref, uint32_t run)
 {
 	struct wf_order *const o =
-	    order_new(l, now, ri, WF_ORDER_STOP, STOP_TIMEOUT_MS, out);
+	    order_new(l, now, ri, WF_ORDER_STOP, STOP_TIMEOUT_MS);
 
 	o->task = *ref;
 	o->run = run;
@@ -426,22 +440,20 @@
 /* A look at the lists beside the hold that waits for an end. It acknowledges
  * none: it follows a lost answer, and the runner may have restarted. */
 static void
-send_look(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    struct wf_effects *out)
+send_look(struct wf_leader *l, const struct wf_now *now, uint32_t ri)
 {
 	struct wf_order *const o =
-	    order_new(l, now, ri, WF_ORDER_HOLD, START_TIMEOUT_MS, out);
+	    order_new(l, now, ri, WF_ORDER_HOLD, START_TIMEOUT_MS);
 
 	o->beside = true;
 }
 
 static void
-send_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    struct wf_effects *out)
+send_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri)
 {
 	struct wf_runner *const r = &l->runners[ri];
 	struct wf_order *const o =
-	    order_new(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS, out);
+	    order_new(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS);
 
 	r->hold_out = true;
 	/* The first one only reads the lists and the clock. One to a runner
@@ -452,6 +464,7 @@
 	if (!r->met || r->clock_ms == 0 || r->silent)
 		return;
 	o->observed = r->observed;
+	o->taken = r->processed;
 	o->wait_ms = r->processed > r->observed ? 0 : HOLD_WAIT_MS;
 	o->deadline_ms = clock_now(r, now->mono) + HOLD_MS;
 	lease_extend(r, now->mono, HOLD_MS);
@@ -532,7 +545,7 @@
 	if (now->mono < s->stop_at)
 		return;
 	s->stop_at = now->mono + STOP_REPEAT_MS * AGB_MS;
-	send_stop(l, now, ri, &a->task, a->run, out);
+	send_stop(l, now, ri, &a->task, a->run);
 }
 
 /* An end of a run that had been given up: when it is done and no other run
@@ -724,7 +737,7 @@
 		    t->paced == r->pace || t->stopping)
 			continue;
 		t->paced = r->pace;
-		o = order_new(l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS, out);
+		o = order_new(l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS);
 		wf_task_ref(t, &o->task);
 		o->run = t->run;
 		o->percent = t->paced;
@@ -884,6 +897,25 @@
 	}
 }
 
+/* An order through another instance was lost on the way or at the runner: that
+ * tells nothing of the runner until a second way has failed, too. */
+static bool
+second_way(struct wf_runner *r, const struct wf_now *now,
+    enum wf_order_status status, uint32_t relay)
+{
+	const bool lost = status == WF_ORDER_LOST || status == WF_ORDER_UNSENT;
+
+	if (relay == WF_NONE || (!lost && status != WF_ORDER_UNRELAYED))
+		return false;
+	if (lost || r->retried)
+		wf_outbox_avoid(r, relay);
+	if (r->retried)
+		return false;
+	r->retried = true;
+	r->hold_next = now->mono;
+	return true;
+}
+
 static void
 hold_answer(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -896,6 +928,8 @@
 		return;
 	}
 	r->hold_out = false;
+	if (second_way(r, now, res->status, res->relay))
+		return;
 	if (res->status != WF_ORDER_OK) {
 		r->hold_next = now->mono + HOLD_RETRY_MS * AGB_MS;
 		if (!r->silent)
@@ -921,6 +955,7 @@
 		    "runner=%s change=reached active=%zu ended=%zu", r->info.id,
 		    res->active_len, res->finished_len);
 	r->silent = false;
+	r->retried = false;
 	r->has_left = false;
 	r->heard_at = res->sent_at;
 	take_lists(l, now, res->runner, res, out);
@@ -944,6 +979,7 @@
 	    [WF_ORDER_TICKET] = "approval has expired",
 	    [WF_ORDER_OTHER_LIFE] = "runner restarted",
 	    [WF_ORDER_INVALID] = "runner does not take the start",
+	    [WF_ORDER_UNRELAYED] = "its relay did not send the start",
 	};
 	struct wf_runner *const r = &l->runners[t->runner];
 	struct wf_approval *a;
@@ -983,15 +1019,21 @@
 	/* A list may have shown it at work before the answer was lost. */
 	if (t->state != WF_TASK_SENT)
 		return;
+	if (res->status == WF_ORDER_NO_TEXT) {
+		wf_outbox_text_lost(u->exec, res->relay);
+		send_start(l, now, u, t);
+		return;
+	}
 	if (res->status != WF_ORDER_LOST) {
 		start_refused(l, now, u, t, res, out);
 		return;
 	}
+	wf_outbox_avoid(&l->runners[t->runner], res->relay);
 	shun(&l->runners[t->runner], now->mono, SHUN_LOST_MS);
 	t->unanswered = true;
 	wf_effects_log_run(out, AGB_LOG_INFO, "unanswered", &res->task, t->run,
 	    l->runners[t->runner].info.id, "%s", "");
-	send_look(l, now, t->runner, out);
+	send_look(l, now, t->runner);
 }
 
 static void
@@ -1009,7 +1051,7 @@
 	if (res->status != WF_ORDER_OK || t->answered_at != 0)
 		return;
 	t->answered_at = now->mono;
-	send_look(l, now, t->runner, out);
+	send_look(l, now, t->runner);
 }
 
 static void
@@ -1085,7 +1127,7 @@
 				t->stop_at =
 				    now->mono + STOP_REPEAT_MS * AGB_MS;
 				wf_task_ref(t, &ref);
-				send_stop(l, now, ri, &ref, t->run, out);
+				send_stop(l, now, ri, &ref, t->run);
 			}
 			if (t->stop_at < *next)
 				*next = t->stop_at;
@@ -1116,8 +1158,9 @@
 	 * there. */
 	if (!r->listed && r->tasks == NULL)
 		return;
-	if (now->mono >= r->hold_next && now->mono < l->hold_until)
-		send_hold(l, now, ri, out);
+	if (now->mono >= r->hold_next && now->mono < l->hold_until &&
+	    !wf_outbox_waits(l, r, now->mono))
+		send_hold(l, now, ri);
 	else if (r->hold_next < *next)
 		*next = r->hold_next;
 }
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -63,6 +63,7 @@
 	bool fresh;
 	bool whole;
 	agb_id self;
+	agb_addr rpc;
 	struct waiting *calls;
 	size_t len;
 	uint64_t next_tag;
@@ -72,12 +73,13 @@
 #define FRONT_TAG ((uint64_t)1 << 63)
 
 struct wf_front *
-wf_front_new(struct wf_table *table, const char *self)
+wf_front_new(struct wf_table *table, const struct wf_config *cfg)
 {
 	struct wf_front *const f = agb_xcalloc(1, sizeof(*f));
 
 	f->table = table;
-	agb_name_set(f->self, sizeof(f->self), self);
+	agb_name_set(f->self, sizeof(f->self), cfg->name);
+	agb_name_set(f->rpc, sizeof(f->rpc), cfg->rpc);
 	return f;
 }
 
@@ -382,6 +384,7 @@
 	call->spec = NULL;
 	agb_name_set(w->spec->queue, sizeof(w->spec->queue), q->name);
 	w->spec->submitted_ms = now->unix_ms;
+	agb_name_set(w->spec->home, sizeof(w->spec->home), f->rpc);
 	w->raw = wf_table_encode_spec(w->spec, &w->len);
 	if (w->raw == NULL) {
 		refuse(out, call->id, call->kind, 400, job,
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -16,9 +16,10 @@
 
 /**
  * wf_front_new() - no requests yet
- * @self: name of this instance
+ * @cfg: this instance
  */
-struct wf_front *wf_front_new(struct wf_table *table, const char *self);
+struct wf_front *wf_front_new(
+    struct wf_table *table, const struct wf_config *cfg);
 
 void wf_front_free(struct wf_front *f);
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -14,6 +14,8 @@
  */
 
 #include "wf_event.h"
+#include "wf_outbox.h"
+#include "wf_show.h"
 #include "wf_table.h"
 
 /* Leases of runners are extended for this long after the last certain sign
@@ -138,7 +140,9 @@
 /**
  * struct wf_exec - a job that the leader works on
  * @gen: generation of its oldest change that is not in a write
+ * @write_at: when its change has to be written at the latest
  * @in_flight: a write of its record is under way
+ * @texts: relays that could not get its text, as a bit set
  */
 struct wf_exec {
 	struct wf_job *job;
@@ -150,7 +154,9 @@
 	int64_t ended_ms;
 	char detail[AGB_DETAIL_LEN];
 	agb_time accepted_at;
+	uint64_t texts[WF_RELAYS_MAX / 64];
 	uint64_t gen;
+	agb_time write_at;
 	bool dirty;
 	bool in_flight;
 	bool shown;
@@ -173,6 +179,8 @@
  * @life: counts its lives
  * @met: its lists have been seen under this leader's fence in this life
  * @silent: the last hold was not answered
+ * @retried: nor was one through the relay before it
+ * @route: how it is reached
  * @has_left: its entry was removed as a draining runner's is that exits
  * @kept: room is kept there for a gang
  * @hold_out: a hold is under way
@@ -198,6 +206,7 @@
 	uint32_t life;
 	bool met;
 	bool silent;
+	bool retried;
 	bool has_left;
 	bool kept;
 	bool hold_out;
@@ -220,6 +229,7 @@
 	agb_time shun_until;
 	struct wf_stray *strays;
 	size_t strays_len;
+	struct wf_route route;
 };
 
 /* Ends up to @seq of @runner are durable once generation @gen is. */
@@ -254,12 +264,6 @@
 	size_t runners_len;
 };
 
-/* A state that other instances have to be shown. */
-struct wf_show {
-	wf_job_id job;
-	enum wf_job_state state;
-};
-
 /* Attempts at one write that may be under way at once. */
 #define WF_WRITE_TRIES 4
 
@@ -290,8 +294,7 @@
 /**
  * struct wf_leader - what a leader keeps
  * @fence: revision of its election, the token of its orders
- * @self: its name
- * @status_s: how long the state of an ended job stays known
+ * @cfg: the instance that leads
  * @doc: the document in force; owned by the core
  * @valid_until: end of its lease as far as it is certain
  * @hold_until: until when leases of runners may be extended
@@ -308,8 +311,7 @@
  */
 struct wf_leader {
 	uint64_t fence;
-	agb_id self;
-	uint32_t status_s;
+	const struct wf_config *cfg;
 	const struct wf_doc *doc;
 	struct wf_table *table;
 	agb_time elected_at;
@@ -317,6 +319,7 @@
 	agb_time hold_until;
 	struct wf_runner *runners;
 	uint32_t runners_len;
+	struct wf_outbox outbox;
 	bool registry_seen;
 	struct wf_exec *execs;
 	struct wf_unit *queue;
@@ -344,11 +347,7 @@
 	uint64_t short_work_ms;
 	agb_time work_halve_at;
 	agb_time next_collect;
-	struct wf_show *shows;
-	size_t shows_len;
-	size_t shows_cap;
-	agb_time show_at;
-	agb_time count_at;
+	struct wf_show show;
 	agb_time fleet_at;
 	agb_time due_at;
 	bool starts_held;
@@ -363,9 +362,9 @@
  * wf_leader_new() - begin to lead
  * @fence: revision of the election
  */
-struct wf_leader *wf_leader_new(uint64_t fence, const char *self,
-    uint32_t status_s, struct wf_table *table, const struct wf_doc *doc,
-    const struct wf_now *now, struct wf_effects *out);
+struct wf_leader *wf_leader_new(uint64_t fence, const struct wf_config *cfg,
+    struct wf_table *table, const struct wf_doc *doc, const struct wf_now *now,
+    struct wf_effects *out);
 
 /**
  * wf_leader_free() - stop leading; orders under way are left to their fate
@@ -384,6 +383,11 @@
  */
 void wf_leader_doc(struct wf_leader *l, const struct wf_doc *doc);
 
+/**
+ * wf_leader_peers() - the set of instances has changed
+ */
+void wf_leader_peers(struct wf_leader *l);
+
 /**
  * wf_leader_tick() - do what is due
  * Return: when to call again.
@@ -391,12 +395,6 @@
 agb_time wf_leader_tick(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out);
 
-/**
- * wf_leader_show() - tell other instances the durable state of a job
- */
-void wf_leader_show(
-    struct wf_leader *l, const char *job, enum wf_job_state state);
-
 /**
  * wf_leader_may_order() - whether the lease certainly holds
  */
@@ -480,11 +478,6 @@
  */
 agb_time wf_exec_next(const struct wf_leader *l, const struct wf_now *now);
 
-/**
- * wf_exec_encode() - bytes of the state record
- */
-char *wf_exec_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len);
-
 /**
  * wf_task_assign() - place a task: count its need at the runner
  */
@@ -531,6 +524,26 @@
     struct wf_unit *u, struct wf_task *t, const char *why,
     struct wf_effects *out);
 
+/**
+ * wf_task_count() - count a task that is placed at its runner
+ */
+void wf_task_count(struct wf_leader *l, struct wf_unit *u, struct wf_task *t);
+
+/* ---- wf_state.c ---- */
+
+/**
+ * wf_state_encode() - bytes of the state record
+ */
+char *wf_state_encode(
+    struct wf_leader *l, const struct wf_exec *e, size_t *len);
+
+/**
+ * wf_state_restore() - take over what the state record says; what may be
+ * running is counted at its runner until that one tells, or its lease ends
+ */
+void wf_state_restore(struct wf_leader *l, const struct wf_now *now,
+    struct wf_exec *e, struct wf_effects *out);
+
 /* ---- wf_fleet.c ---- */
 
 uint32_t wf_fleet_find(const struct wf_leader *l, const char *id);
--- /dev/null
+++ b/src/workflow/wf_rpc.c
@@ -0,0 +1,801 @@
+#include "wf_rpc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "rpc.h"
+#include "wf_outbox.h"
+#include "wf_relay.h"
+#include "wf_show.h"
+
+/* Tags of calls: 0 needs no answer, a put carries the front's tag, whose top
+ * bit is set, and the others say by a bit which reply they wait for; all that
+ * have none of them ask for advice. */
+#define TAG_PUT ((uint64_t)1 << 63)
+#define TAG_PING ((uint64_t)1 << 59)
+#define PUSH_TIMEOUT_MS 1000
+#define RESULTS_TIMEOUT_MS 1000
+/* A kept run as it is sent: place, percent and load in one number. */
+#define KEPT_AT_SHIFT 40
+#define KEPT_PERCENT_SHIFT 32
+#define KEPT_PERCENT_MASK 0xff
+#define KEPT_AT_MASK 0xffffff
+
+struct wf_rpc {
+	struct wf_rpc_cbs cbs;
+	void *arg;
+	struct agb_rpc *rpc;
+	agb_addr *allowed;
+	size_t allowed_len;
+};
+
+/* ---- forms of orders and results ---- */
+
+static void
+task_put(const struct wf_task_ref *t, agb_x_task *x)
+{
+	memcpy(x->job, t->job, sizeof(x->job));
+	x->occurrence = t->occurrence;
+	x->step = t->step;
+	x->index = t->index;
+}
+
+static void
+task_get(const agb_x_task *x, struct wf_task_ref *t)
+{
+	memset(t, 0, sizeof(*t));
+	memcpy(t->job, x->job, sizeof(x->job));
+	t->occurrence = x->occurrence;
+	t->step = x->step;
+	t->index = x->index;
+}
+
+static void
+order_put(const struct wf_order *o, agb_x_order *x)
+{
+	agb_x_hold_order *const hold = &x->body.agb_x_order_body_u.hold;
+	agb_x_run_order *const run = &x->body.agb_x_order_body_u.run;
+
+	memset(x, 0, sizeof(*x));
+	x->number = o->number;
+	x->runner = o->runner;
+	x->life = o->life;
+	x->not_after_us = o->not_after;
+	x->deadline_ms = o->deadline_ms;
+	x->timeout_ms = o->timeout_ms;
+	x->body.kind = (agb_x_order_kind)o->kind;
+	if (o->kind == WF_ORDER_HOLD) {
+		hold->observed = o->observed;
+		hold->taken = o->taken;
+		hold->wait_ms = o->wait_ms;
+		hold->beside = o->beside;
+		hold->seen = o->seen;
+		return;
+	}
+	task_put(&o->task, &run->task);
+	run->run = o->run;
+	run->percent = o->percent;
+	run->saved = (char *)(uintptr_t)o->saved;
+	run->ticket = (char *)(uintptr_t)o->ticket;
+	run->home = (char *)(uintptr_t)o->home;
+	run->text.text_len = (u_int)o->text_len;
+	run->text.text_val = o->text;
+}
+
+static void
+order_get(const agb_x_order *x, struct wf_order *o)
+{
+	const agb_x_hold_order *const hold = &x->body.agb_x_order_body_u.hold;
+	const agb_x_run_order *const run = &x->body.agb_x_order_body_u.run;
+
+	memset(o, 0, sizeof(*o));
+	o->number = x->number;
+	o->kind = (enum wf_order_kind)x->body.kind;
+	o->runner = x->runner;
+	o->life = x->life;
+	o->not_after = x->not_after_us;
+	o->deadline_ms = x->deadline_ms;
+	o->timeout_ms = x->timeout_ms;
+	if (o->kind == WF_ORDER_HOLD) {
+		o->observed = hold->observed;
+		o->taken = hold->taken;
+		o->wait_ms = hold->wait_ms;
+		o->beside = hold->beside;
+		o->seen = hold->seen;
+		return;
+	}
+	task_get(&run->task, &o->task);
+	o->run = run->run;
+	o->percent = run->percent;
+	agb_name_set(o->saved, sizeof(o->saved), run->saved);
+	agb_name_set(o->ticket, sizeof(o->ticket), run->ticket);
+	agb_name_set(o->home, sizeof(o->home), run->home);
+	if (run->text.text_len == 0)
+		return;
+	o->text = agb_xmemdup(run->text.text_val, run->text.text_len);
+	o->text_len = run->text.text_len;
+}
+
+static void
+active_put(const struct wf_active *a, agb_x_active *x)
+{
+	task_put(&a->task, &x->task);
+	x->run = a->run;
+	x->percent = a->percent;
+	x->load = a->load;
+	x->saved = (char *)(uintptr_t)a->saved;
+}
+
+static void
+active_get(const agb_x_active *x, struct wf_active *a)
+{
+	task_get(&x->task, &a->task);
+	a->run = x->run;
+	a->percent = x->percent;
+	a->load = x->load;
+	agb_name_set(a->saved, sizeof(a->saved), x->saved);
+}
+
+static void
+finished_put(const struct wf_finished *f, agb_x_finished *x)
+{
+	x->seq = f->seq;
+	task_put(&f->task, &x->task);
+	x->run = f->run;
+	x->how = f->how;
+	x->saved = (char *)(uintptr_t)f->saved;
+}
+
+static bool
+finished_get(const agb_x_finished *x, struct wf_finished *f)
+{
+	f->seq = x->seq;
+	task_get(&x->task, &f->task);
+	f->run = x->run;
+	f->how = (enum wf_end)x->how;
+	agb_name_set(f->saved, sizeof(f->saved), x->saved);
+	return x->how <= WF_END_ALONE;
+}
+
+static uint64_t
+kept_put(const struct wf_kept *k)
+{
+	return (uint64_t)(k->at & KEPT_AT_MASK) << KEPT_AT_SHIFT |
+	    (uint64_t)(k->percent & KEPT_PERCENT_MASK) << KEPT_PERCENT_SHIFT |
+	    k->load;
+}
+
+static void
+kept_get(uint64_t x, struct wf_kept *k)
+{
+	k->at = (uint32_t)(x >> KEPT_AT_SHIFT) & KEPT_AT_MASK;
+	k->percent = (uint32_t)(x >> KEPT_PERCENT_SHIFT) & KEPT_PERCENT_MASK;
+	k->load = (uint32_t)x;
+}
+
+static void
+result_put(const struct wf_relayed *r, agb_x_result *x)
+{
+	size_t i;
+
+	memset(x, 0, sizeof(*x));
+	x->number = r->number;
+	x->status = r->status;
+	x->born_ms = r->born_ms;
+	x->clock_ms = r->clock_ms;
+	x->base = r->base;
+	x->seen = r->seen;
+	x->kept.kept_len = (u_int)r->kept_len;
+	x->kept.kept_val =
+	    agb_xcalloc(r->kept_len + 1, sizeof(*x->kept.kept_val));
+	for (i = 0; i < r->kept_len; i++)
+		x->kept.kept_val[i] = kept_put(&r->kept[i]);
+	x->saved.saved_len = (u_int)r->saved_len;
+	x->saved.saved_val =
+	    agb_xcalloc(r->saved_len + 1, sizeof(*x->saved.saved_val));
+	for (i = 0; i < r->saved_len; i++) {
+		x->saved.saved_val[i].at = r->saved[i].at;
+		x->saved.saved_val[i].saved = r->saved[i].saved;
+	}
+	x->fresh.fresh_len = (u_int)r->fresh_len;
+	x->fresh.fresh_val =
+	    agb_xcalloc(r->fresh_len + 1, sizeof(*x->fresh.fresh_val));
+	for (i = 0; i < r->fresh_len; i++)
+		active_put(&r->fresh[i], &x->fresh.fresh_val[i]);
+	x->finished.finished_len = (u_int)r->finished_len;
+	x->finished.finished_val =
+	    agb_xcalloc(r->finished_len + 1, sizeof(*x->finished.finished_val));
+	for (i = 0; i < r->finished_len; i++)
+		finished_put(&r->finished[i], &x->finished.finished_val[i]);
+}
+
+static bool
+result_get(const agb_x_result *x, struct wf_relayed *r)
+{
+	bool ok = x->status <= WF_ORDER_NO_TEXT;
+	size_t i;
+
+	memset(r, 0, sizeof(*r));
+	r->number = x->number;
+	r->status = (enum wf_order_status)x->status;
+	r->born_ms = x->born_ms;
+	r->clock_ms = x->clock_ms;
+	r->base = x->base;
+	r->seen = x->seen;
+	r->kept_len = x->kept.kept_len;
+	r->kept = agb_xcalloc(r->kept_len + 1, sizeof(*r->kept));
+	for (i = 0; i < r->kept_len; i++)
+		kept_get(x->kept.kept_val[i], &r->kept[i]);
+	r->saved_len = x->saved.saved_len;
+	r->saved = agb_xcalloc(r->saved_len + 1, sizeof(*r->saved));
+	for (i = 0; i < r->saved_len; i++) {
+		r->saved[i].at = x->saved.saved_val[i].at;
+		agb_name_set(r->saved[i].saved, sizeof(r->saved[i].saved),
+		    x->saved.saved_val[i].saved);
+	}
+	r->fresh_len = x->fresh.fresh_len;
+	r->fresh = agb_xcalloc(r->fresh_len + 1, sizeof(*r->fresh));
+	for (i = 0; i < r->fresh_len; i++)
+		active_get(&x->fresh.fresh_val[i], &r->fresh[i]);
+	r->finished_len = x->finished.finished_len;
+	r->finished = agb_xcalloc(r->finished_len + 1, sizeof(*r->finished));
+	for (i = 0; i < r->finished_len; i++)
+		ok = finished_get(
+			 &x->finished.finished_val[i], &r->finished[i]) &&
+		    ok;
+	return ok;
+}
+
+/* ---- calls of others, and their answers to ours ---- */
+
+static void
+rpc_advise(struct wf_rpc *r, uint64_t token, const agb_x_advise_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_ASK, .tag = token};
+	struct wf_ask ask;
+	size_t i;
+
+	memset(&ask, 0, sizeof(ask));
+	agb_name_set(ask.step.job, sizeof(ask.step.job), x->job);
+	ask.step.occurrence = x->occurrence;
+	ask.step.step = x->step;
+	ask.timeout_ms = x->timeout_ms;
+	ask.runners_len = x->runners.runners_len;
+	ask.runners = agb_xcalloc(ask.runners_len + 1, sizeof(agb_id));
+	for (i = 0; i < ask.runners_len; i++)
+		agb_name_set(
+		    ask.runners[i], sizeof(agb_id), x->runners.runners_val[i]);
+	ev.u.ask = &ask;
+	r->cbs.event(r->arg, &ev);
+	free(ask.runners);
+}
+
+static void
+rpc_push(struct wf_rpc *r, uint64_t token, const agb_x_push_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUSH, .on = x->forward};
+	const agb_x_record *rec;
+	struct agb_store_kv *kvs;
+	agb_x_res res;
+	size_t i;
+
+	kvs = agb_xcalloc(x->records.records_len + 1, sizeof(*kvs));
+	for (i = 0; i < x->records.records_len; i++) {
+		rec = &x->records.records_val[i];
+		kvs[i].key = rec->key;
+		kvs[i].val = rec->value.value_val;
+		kvs[i].val_len = rec->value.value_len;
+		kvs[i].mod_rev = rec->revision;
+		kvs[i].create_rev = rec->revision;
+	}
+	ev.u.feed.items = kvs;
+	ev.u.feed.items_len = x->records.records_len;
+	r->cbs.event(r->arg, &ev);
+	free(kvs);
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_PUSH;
+	agb_rpc_reply(r->rpc, token, &res);
+}
+
+static void
+rpc_put(struct wf_rpc *r, uint64_t token, const agb_x_put_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PUT, .tag = token};
+
+	ev.u.put.key = x->key;
+	ev.u.put.val = x->value.value_val;
+	ev.u.put.len = x->value.value_len;
+	ev.u.put.timeout_ms = x->timeout_ms;
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+rpc_orders(struct wf_rpc *r, uint64_t token, const agb_x_orders_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_ORDERS, .tag = token};
+	struct wf_orders o;
+	size_t i;
+
+	memset(&o, 0, sizeof(o));
+	o.fence = x->fence;
+	agb_name_set(o.reply_to, sizeof(o.reply_to), x->reply_to);
+	o.cards_len = x->cards.cards_len;
+	o.cards = agb_xcalloc(o.cards_len + 1, sizeof(*o.cards));
+	for (i = 0; i < o.cards_len; i++) {
+		o.cards[i].runner = x->cards.cards_val[i].runner;
+		o.cards[i].life = x->cards.cards_val[i].life;
+		agb_name_set(o.cards[i].id, sizeof(o.cards[i].id),
+		    x->cards.cards_val[i].id);
+		agb_name_set(o.cards[i].addr, sizeof(o.cards[i].addr),
+		    x->cards.cards_val[i].addr);
+	}
+	o.items = agb_xcalloc(x->orders.orders_len + 1, sizeof(*o.items));
+	for (i = 0; i < x->orders.orders_len; i++)
+		order_get(&x->orders.orders_val[i], &o.items[o.len++]);
+	ev.u.orders = &o;
+	r->cbs.event(r->arg, &ev);
+	wf_orders_free(&o);
+}
+
+static void
+rpc_results(struct wf_rpc *r, uint64_t token, const agb_x_results_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_RESULTS};
+	struct wf_results list;
+	agb_x_res res;
+	size_t i;
+
+	memset(&list, 0, sizeof(list));
+	list.fence = x->fence;
+	list.len = x->results.results_len;
+	list.items = agb_xcalloc(list.len + 1, sizeof(*list.items));
+	for (i = 0; i < list.len; i++) {
+		if (result_get(&x->results.results_val[i], &list.items[i]))
+			continue;
+		/* What cannot be read proves nothing. */
+		list.items[i].status = WF_ORDER_LOST;
+		r->cbs.log(
+		    r->arg, AGB_LOG_ERROR, "relay", "change=malformed-result");
+	}
+	ev.u.results = &list;
+	r->cbs.event(r->arg, &ev);
+	wf_results_free(&list);
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_RESULTS;
+	agb_rpc_reply(r->rpc, token, &res);
+}
+
+static void
+rpc_text(struct wf_rpc *r, uint64_t token, const agb_x_text_args *x)
+{
+	struct wf_event ev = {.type = WF_EV_TEXT_ASK, .tag = token};
+
+	agb_name_set(ev.u.text.job, sizeof(ev.u.text.job), x->job);
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+on_rpc_call(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+{
+	struct wf_rpc *const r = arg;
+	agb_x_res res;
+
+	switch (args->proc) {
+	case AGB_X_ADVISE:
+		rpc_advise(r, token, &args->agb_x_args_u.advise);
+		break;
+	case AGB_X_PUSH:
+		rpc_push(r, token, &args->agb_x_args_u.push);
+		break;
+	case AGB_X_PUT:
+		rpc_put(r, token, &args->agb_x_args_u.put);
+		break;
+	case AGB_X_ORDERS:
+		rpc_orders(r, token, &args->agb_x_args_u.orders);
+		break;
+	case AGB_X_RESULTS:
+		rpc_results(r, token, &args->agb_x_args_u.results);
+		break;
+	case AGB_X_TEXT:
+		rpc_text(r, token, &args->agb_x_args_u.text);
+		break;
+	default:
+		/* Calls of the shard owners mean nothing here. */
+		memset(&res, 0, sizeof(res));
+		res.proc = AGB_X_NULL;
+		agb_rpc_reply(r->rpc, token, &res);
+	}
+	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
+}
+
+/* A relayed write ends like one of this instance's own. */
+static void
+put_replied(struct wf_rpc *r, uint64_t tag, bool sent, const agb_x_res *res)
+{
+	struct wf_event ev = {.type = WF_EV_STORE, .tag = tag};
+	struct agb_store_result store;
+
+	memset(&store, 0, sizeof(store));
+	store.status = sent ? AGB_STORE_LOST : AGB_STORE_REFUSED;
+	if (res != NULL) {
+		store.status =
+		    (enum agb_store_status)res->agb_x_res_u.put.status;
+		store.succeeded = res->agb_x_res_u.put.stored;
+		store.revision = res->agb_x_res_u.put.revision;
+	}
+	ev.u.store = &store;
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+ponged(struct wf_rpc *r, uint64_t tag, bool ok)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_PONG, .tag = tag, .on = ok};
+
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+advised(struct wf_rpc *r, uint64_t tag, const agb_x_res *res)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_ANSWER, .tag = tag};
+	const agb_x_advise_res *x;
+	struct wf_advice a;
+	size_t i;
+
+	memset(&a, 0, sizeof(a));
+	if (res != NULL && res->proc == AGB_X_ADVISE) {
+		x = &res->agb_x_res_u.advise;
+		a.ok = x->ok;
+		a.busy = x->busy;
+		a.valid_ms = x->valid_ms;
+		a.items_len = x->tickets.tickets_len;
+		a.items = agb_xcalloc(a.items_len + 1, sizeof(*a.items));
+		for (i = 0; i < a.items_len; i++) {
+			agb_name_set(a.items[i].runner, sizeof(agb_id),
+			    x->tickets.tickets_val[i].runner);
+			agb_name_set(a.items[i].ticket, sizeof(agb_id),
+			    x->tickets.tickets_val[i].ticket);
+		}
+	}
+	ev.u.advice = &a;
+	r->cbs.event(r->arg, &ev);
+	free(a.items);
+}
+
+static void
+orders_done(struct wf_rpc *r, uint64_t tag, bool sent, const agb_x_res *res)
+{
+	struct wf_event ev = {.type = WF_EV_ORDERS_DONE, .tag = tag};
+
+	ev.u.taken.ok = res != NULL;
+	ev.u.taken.sent = sent;
+	if (res != NULL) {
+		ev.u.taken.taken = res->agb_x_res_u.orders.taken;
+		ev.u.taken.clock = res->agb_x_res_u.orders.clock_us;
+	}
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+text_told(struct wf_rpc *r, uint64_t tag, const agb_x_res *res)
+{
+	struct wf_event ev = {.type = WF_EV_TEXT, .tag = tag};
+
+	if (res != NULL) {
+		ev.on = res->agb_x_res_u.text.known;
+		ev.u.text.text = res->agb_x_res_u.text.text.text_val;
+		ev.u.text.len = res->agb_x_res_u.text.text.text_len;
+	}
+	r->cbs.event(r->arg, &ev);
+}
+
+static void
+on_rpc_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	const agb_x_res *const answer = ok ? res : NULL;
+	struct wf_rpc *const r = arg;
+
+	if (tag == 0)
+		goto out;
+	if (tag & TAG_PUT)
+		put_replied(r, tag, sent, answer);
+	else if (tag & (TAG_PING | WF_SHOW_TAG))
+		ponged(r, tag, ok);
+	else if (tag & WF_ORDERS_TAG)
+		orders_done(r, tag, sent, answer);
+	else if (tag & WF_TEXT_TAG)
+		text_told(r, tag, answer);
+	else
+		advised(r, tag, answer);
+out:
+	if (ok)
+		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+}
+
+/* ---- effects ---- */
+
+static void
+do_peer_ask(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_ask *const ask = &ef->u.ask;
+	agb_x_args args;
+	size_t i;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_ADVISE;
+	args.agb_x_args_u.advise.job = (char *)(uintptr_t)ask->step.job;
+	args.agb_x_args_u.advise.occurrence = ask->step.occurrence;
+	args.agb_x_args_u.advise.step = ask->step.step;
+	args.agb_x_args_u.advise.timeout_ms = ask->timeout_ms;
+	args.agb_x_args_u.advise.runners.runners_len = (u_int)ask->runners_len;
+	args.agb_x_args_u.advise.runners.runners_val =
+	    agb_xcalloc(ask->runners_len + 1, sizeof(char *));
+	for (i = 0; i < ask->runners_len; i++)
+		args.agb_x_args_u.advise.runners.runners_val[i] =
+		    ask->runners[i];
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+	free(args.agb_x_args_u.advise.runners.runners_val);
+}
+
+static void
+do_peer_answer(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_advice *const a = &ef->u.advice;
+	agb_x_ticket *list;
+	agb_x_res res;
+	size_t i;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_ADVISE;
+	list = agb_xcalloc(a->items_len + 1, sizeof(*list));
+	for (i = 0; i < a->items_len; i++) {
+		list[i].runner = a->items[i].runner;
+		list[i].ticket = a->items[i].ticket;
+	}
+	res.agb_x_res_u.advise.ok = a->ok;
+	res.agb_x_res_u.advise.busy = a->busy;
+	res.agb_x_res_u.advise.valid_ms = a->valid_ms;
+	res.agb_x_res_u.advise.tickets.tickets_len = (u_int)a->items_len;
+	res.agb_x_res_u.advise.tickets.tickets_val = list;
+	agb_rpc_reply(r->rpc, ef->tag, &res);
+	free(list);
+}
+
+static void
+do_ping(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_NULL;
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+}
+
+static void
+do_push(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_push *const p = &ef->u.push;
+	agb_x_record *list;
+	agb_x_args args;
+	size_t i;
+
+	list = agb_xcalloc(p->len + 1, sizeof(*list));
+	for (i = 0; i < p->len; i++) {
+		list[i].key = (char *)(uintptr_t)p->items[i].key;
+		list[i].revision = p->items[i].revision;
+		list[i].value.value_val = p->items[i].val;
+		list[i].value.value_len = (u_int)p->items[i].len;
+	}
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_PUSH;
+	args.agb_x_args_u.push.forward = p->forward;
+	args.agb_x_args_u.push.records.records_val = list;
+	args.agb_x_args_u.push.records.records_len = (u_int)p->len;
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args,
+	    ef->timeout_ms > 0 ? ef->timeout_ms : PUSH_TIMEOUT_MS);
+	free(list);
+}
+
+static void
+do_put(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_record *const rec = &ef->u.record;
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_PUT;
+	args.agb_x_args_u.put.key = (char *)(uintptr_t)rec->key;
+	args.agb_x_args_u.put.timeout_ms = ef->timeout_ms;
+	args.agb_x_args_u.put.value.value_val = rec->val;
+	args.agb_x_args_u.put.value.value_len = (u_int)rec->len;
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+}
+
+static void
+do_put_answer(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_x_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_PUT;
+	res.agb_x_res_u.put.status = (int)ef->u.put_res.status;
+	res.agb_x_res_u.put.stored = ef->u.put_res.stored;
+	res.agb_x_res_u.put.revision = ef->u.put_res.revision;
+	agb_rpc_reply(r->rpc, ef->tag, &res);
+}
+
+static void
+do_orders(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_orders *const o = &ef->u.orders;
+	agb_x_card *cards;
+	agb_x_order *list;
+	agb_x_args args;
+	size_t i;
+
+	cards = agb_xcalloc(o->cards_len + 1, sizeof(*cards));
+	for (i = 0; i < o->cards_len; i++) {
+		cards[i].runner = o->cards[i].runner;
+		cards[i].life = o->cards[i].life;
+		cards[i].id = o->cards[i].id;
+		cards[i].addr = o->cards[i].addr;
+	}
+	list = agb_xcalloc(o->len + 1, sizeof(*list));
+	for (i = 0; i < o->len; i++)
+		order_put(&o->items[i], &list[i]);
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_ORDERS;
+	args.agb_x_args_u.orders.fence = o->fence;
+	args.agb_x_args_u.orders.reply_to = (char *)(uintptr_t)o->reply_to;
+	args.agb_x_args_u.orders.cards.cards_len = (u_int)o->cards_len;
+	args.agb_x_args_u.orders.cards.cards_val = cards;
+	args.agb_x_args_u.orders.orders.orders_len = (u_int)o->len;
+	args.agb_x_args_u.orders.orders.orders_val = list;
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+	free(list);
+	free(cards);
+}
+
+static void
+do_orders_taken(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_x_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_ORDERS;
+	res.agb_x_res_u.orders.taken = ef->on;
+	res.agb_x_res_u.orders.clock_us = ef->clock;
+	agb_rpc_reply(r->rpc, ef->tag, &res);
+}
+
+static void
+do_text_ask(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_x_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_TEXT;
+	args.agb_x_args_u.text.job = (char *)(uintptr_t)ef->u.text.job;
+	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
+}
+
+static void
+do_text_answer(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_x_res res;
+
+	memset(&res, 0, sizeof(res));
+	res.proc = AGB_X_TEXT;
+	res.agb_x_res_u.text.known = ef->on;
+	res.agb_x_res_u.text.text.text_val = ef->u.text.text;
+	res.agb_x_res_u.text.text.text_len = (u_int)ef->u.text.len;
+	agb_rpc_reply(r->rpc, ef->tag, &res);
+}
+
+static void
+do_results(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	const struct wf_results *const list = &ef->u.results;
+	agb_x_result *xs;
+	agb_x_args args;
+	size_t i;
+
+	xs = agb_xcalloc(list->len + 1, sizeof(*xs));
+	for (i = 0; i < list->len; i++)
+		result_put(&list->items[i], &xs[i]);
+	memset(&args, 0, sizeof(args));
+	args.proc = AGB_X_RESULTS;
+	args.agb_x_args_u.results.fence = list->fence;
+	args.agb_x_args_u.results.results.results_len = (u_int)list->len;
+	args.agb_x_args_u.results.results.results_val = xs;
+	agb_rpc_call(r->rpc, 0, ef->peer, &args, RESULTS_TIMEOUT_MS);
+	for (i = 0; i < list->len; i++) {
+		free(xs[i].kept.kept_val);
+		free(xs[i].saved.saved_val);
+		free(xs[i].fresh.fresh_val);
+		free(xs[i].finished.finished_val);
+	}
+	free(xs);
+}
+
+/* Calls are taken from the instances that the store lists. An address stays
+ * allowed after its instance has gone: it may finish what it has begun. */
+static void
+do_allow(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	agb_addr ip;
+	char *colon;
+	size_t i, k;
+
+	for (i = 0; i < ef->peers_len; i++) {
+		agb_name_set(ip, sizeof(ip), ef->peers[i]);
+		colon = strrchr(ip, ':');
+		if (colon != NULL)
+			*colon = '\0';
+		for (k = 0; k < r->allowed_len; k++) {
+			if (strcmp(r->allowed[k], ip) == 0)
+				break;
+		}
+		if (k < r->allowed_len)
+			continue;
+		r->allowed = agb_xreallocarray(
+		    r->allowed, r->allowed_len + 1, sizeof(*r->allowed));
+		memcpy(r->allowed[r->allowed_len++], ip, sizeof(ip));
+	}
+	agb_rpc_allow_set(r->rpc, r->allowed, r->allowed_len);
+}
+
+bool
+wf_rpc_effect(struct wf_rpc *r, const struct wf_effect *ef)
+{
+	static void (*const carry[])(
+	    struct wf_rpc *, const struct wf_effect *) = {
+	    [WF_EF_PEER_ASK] = do_peer_ask,
+	    [WF_EF_PEER_ANSWER] = do_peer_answer,
+	    [WF_EF_PEER_PUSH] = do_push,
+	    [WF_EF_PEER_PUT] = do_put,
+	    [WF_EF_PEER_PING] = do_ping,
+	    [WF_EF_PUT_ANSWER] = do_put_answer,
+	    [WF_EF_ORDERS] = do_orders,
+	    [WF_EF_ORDERS_TAKEN] = do_orders_taken,
+	    [WF_EF_RESULTS] = do_results,
+	    [WF_EF_TEXT_ASK] = do_text_ask,
+	    [WF_EF_TEXT_ANSWER] = do_text_answer,
+	    [WF_EF_ALLOW_PEERS] = do_allow,
+	};
+
+	if ((size_t)ef->type >= sizeof(carry) / sizeof(carry[0]) ||
+	    carry[ef->type] == NULL)
+		return false;
+	carry[ef->type](r, ef);
+	return true;
+}
+
+static void
+on_rpc_log(
+    void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	struct wf_rpc *const r = arg;
+
+	r->cbs.log(r->arg, level, event, line);
+}
+
+struct wf_rpc *
+wf_rpc_new(
+    uv_loop_t *loop, const char *addr, const struct wf_rpc_cbs *cbs, void *arg)
+{
+	static const struct agb_rpc_cbs rpc = {
+	    .call = on_rpc_call, .reply = on_rpc_reply, .log = on_rpc_log};
+	struct wf_rpc *const r = agb_xcalloc(1, sizeof(*r));
+
+	r->cbs = *cbs;
+	r->arg = arg;
+	r->rpc = agb_rpc_new(loop, addr, &rpc, r);
+	if (r->rpc == NULL) {
+		free(r);
+		return NULL;
+	}
+	return r;
+}
--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -24,6 +24,7 @@
     "status_s",
     "remote_factor",
     "cpu_share",
+    "link_mbps",
     "body_max",
     "log_json",
     "log_level",
@@ -68,6 +69,7 @@
 	agb_jsonc_num(root, "status_s", false, 1, 86400, &status_s);
 	agb_jsonc_num(root, "remote_factor", false, 1, 100, &out->remote_x);
 	agb_jsonc_num(root, "cpu_share", false, 0, 1024, &out->cpu_share);
+	agb_jsonc_num(root, "link_mbps", false, 0, 1e6, &out->link_mbps);
 	agb_jsonc_u32(root, "body_max", false, &bodies, &out->body_max);
 	agb_jsonc_bool(root, "log_json", false, &out->log_json);
 	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
--- a/src/workflow/wf_settings.h
+++ b/src/workflow/wf_settings.h
@@ -26,6 +26,7 @@
  * @status_s: how long the state of an ended job stays known
  * @remote_x: factor on run times away from data
  * @cpu_share: share of a processor that the machine gives
+ * @link_mbps: bandwidth of the machine's link; 0 is not known
  * @body_max: largest request body in bytes
  */
 struct wf_settings {
@@ -43,6 +44,7 @@
 	uint32_t status_s;
 	double remote_x;
 	double cpu_share;
+	double link_mbps;
 	uint32_t body_max;
 	bool log_json;
 	enum agb_log_level log_level;
--- /dev/null
+++ b/src/workflow/wf_show.c
@@ -0,0 +1,289 @@
+#include "wf_show.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "wf_leader.h"
+
+/* States for other instances are collected for this long. */
+#define GAP_MS 40
+#define GAP_PEER_MS 4
+/* The counts of the queues are looked at this often, and one that has not
+ * changed is told again after this. */
+#define COUNT_MS 400
+#define COUNT_AGAIN_MS 1600
+/* With more instances than this, one of each domain tells the others. */
+#define DIRECT_MAX 12
+#define CALL_TIMEOUT_MS 500
+/* Calls without an answer that are kept to be made again. */
+#define CALLS_MAX 64
+
+static void
+records_free(struct wf_record *items, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		free(items[i].val);
+	free(items);
+}
+
+static struct wf_record *
+records_copy(const struct wf_record *items, size_t len)
+{
+	struct wf_record *const copy = agb_xcalloc(len + 1, sizeof(*copy));
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		copy[i] = items[i];
+		copy[i].val = agb_xmemdup(items[i].val, items[i].len);
+	}
+	return copy;
+}
+
+void
+wf_show_free(struct wf_leader *l)
+{
+	struct wf_show *const s = &l->show;
+	size_t i;
+
+	for (i = 0; i < s->calls_len; i++)
+		records_free(s->calls[i].items, s->calls[i].len);
+	free(s->calls);
+	free(s->counts);
+	free(s->states);
+	memset(s, 0, sizeof(*s));
+}
+
+void
+wf_show_state(struct wf_leader *l, const char *job, enum wf_job_state state)
+{
+	struct wf_show *const s = &l->show;
+	struct wf_show_state *x;
+
+	if (s->states_len == s->states_cap)
+		s->states =
+		    agb_xgrow(s->states, &s->states_cap, sizeof(*s->states));
+	x = &s->states[s->states_len++];
+	agb_name_set(x->job, sizeof(x->job), job);
+	x->state = state;
+}
+
+static void
+record_state(struct wf_record *r, const struct wf_show_state *s)
+{
+	wf_table_key(r->key, 'v', s->job);
+	r->val = agb_xcalloc(1, 1);
+	r->val[0] = (char)s->state;
+	r->len = 1;
+}
+
+static struct wf_show_count *
+count_of(struct wf_show *s, const char *queue)
+{
+	struct wf_show_count *c;
+	size_t i;
+
+	for (i = 0; i < s->counts_len; i++) {
+		if (strcmp(s->counts[i].queue, queue) == 0)
+			return &s->counts[i];
+	}
+	s->counts =
+	    agb_xreallocarray(s->counts, s->counts_len + 1, sizeof(*s->counts));
+	c = &s->counts[s->counts_len++];
+	memset(c, 0, sizeof(*c));
+	agb_name_set(c->queue, sizeof(c->queue), queue);
+	return c;
+}
+
+/* Return: false when the others have been told the same lately. */
+static bool
+record_count(struct wf_leader *l, agb_time now, const struct wf_queue *q,
+    struct wf_record *r)
+{
+	struct wf_show_count *const c = count_of(&l->show, q->name);
+	const uint32_t n = wf_table_pending(l->table, q->name);
+
+	if (c->told_at > 0 && c->pending == n &&
+	    now - c->told_at < COUNT_AGAIN_MS * AGB_MS)
+		return false;
+	c->pending = n;
+	c->told_at = now;
+	wf_table_key(r->key, 'q', q->name);
+	r->val = agb_xmemdup(&n, sizeof(n));
+	r->len = sizeof(n);
+	return true;
+}
+
+static struct wf_effect *
+tell(const char *peer, const struct wf_record *items, size_t len,
+    struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PEER_PUSH);
+
+	agb_name_set(ef->peer, sizeof(ef->peer), peer);
+	ef->u.push.items = records_copy(items, len);
+	ef->u.push.len = len;
+	return ef;
+}
+
+static bool
+answers(const struct wf_leader *l, const char *name, agb_time now)
+{
+	struct wf_peer *p;
+
+	HASH_FIND_STR(l->table->peers, name, p);
+	return p != NULL && wf_peer_ok(p, now);
+}
+
+/* The instance of a domain that tells the others: the largest that answers.
+ * WF_NONE when there is none. */
+static uint32_t
+teller_of(const struct wf_leader *l, const char *domain, agb_time now)
+{
+	const struct wf_relay_peer *const relays = l->outbox.relays;
+	uint32_t i, best = WF_NONE;
+
+	for (i = 0; i < l->outbox.relays_len; i++) {
+		if (!relays[i].listed || now < relays[i].bad_until ||
+		    strcmp(relays[i].domain, domain) != 0 ||
+		    !answers(l, relays[i].name, now))
+			continue;
+		if (best == WF_NONE ||
+		    relays[i].capacity > relays[best].capacity)
+			best = i;
+	}
+	return best;
+}
+
+static void
+tell_domain(struct wf_leader *l, const struct wf_now *now, const char *domain,
+    const struct wf_record *items, size_t len, struct wf_effects *out)
+{
+	const uint32_t relay = teller_of(l, domain, now->mono);
+	struct wf_show *const s = &l->show;
+	struct wf_show_call *c;
+	struct wf_effect *ef;
+
+	if (relay == WF_NONE)
+		return;
+	ef = tell(l->outbox.relays[relay].peer, items, len, out);
+	ef->u.push.forward = true;
+	if (len == 0 || s->calls_len == CALLS_MAX)
+		return;
+	ef->tag = WF_SHOW_TAG | ++s->next_tag;
+	ef->timeout_ms = CALL_TIMEOUT_MS;
+	s->calls =
+	    agb_xreallocarray(s->calls, s->calls_len + 1, sizeof(*s->calls));
+	c = &s->calls[s->calls_len++];
+	c->tag = ef->tag;
+	c->relay = relay;
+	c->items = records_copy(items, len);
+	c->len = len;
+}
+
+void
+wf_show_done(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
+    bool ok, struct wf_effects *out)
+{
+	struct wf_show *const s = &l->show;
+	struct wf_show_call c;
+	agb_id domain;
+	size_t i;
+
+	for (i = 0; i < s->calls_len && s->calls[i].tag != tag; i++)
+		continue;
+	if (i == s->calls_len)
+		return;
+	c = s->calls[i];
+	s->calls[i] = s->calls[--s->calls_len];
+	if (!ok && c.relay < l->outbox.relays_len) {
+		agb_name_set(
+		    domain, sizeof(domain), l->outbox.relays[c.relay].domain);
+		wf_outbox_lost(l, now, c.relay, "did not take states", out);
+		tell_domain(l, now, domain, c.items, c.len, out);
+	}
+	records_free(c.items, c.len);
+}
+
+/* Each domain in which there is another instance, once. */
+static void
+tell_domains(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_record *items, size_t len, struct wf_effects *out)
+{
+	const struct wf_relay_peer *const relays = l->outbox.relays;
+	uint32_t i, k;
+
+	for (i = 0; i < l->outbox.relays_len; i++) {
+		if (!relays[i].listed)
+			continue;
+		for (k = 0; k < i; k++) {
+			if (relays[k].listed &&
+			    strcmp(relays[k].domain, relays[i].domain) == 0)
+				break;
+		}
+		if (k == i)
+			tell_domain(l, now, relays[i].domain, items, len, out);
+	}
+}
+
+static void
+tell_all(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_record *items, size_t len, struct wf_effects *out)
+{
+	const struct wf_peer *p;
+
+	if (HASH_COUNT(l->table->peers) > DIRECT_MAX) {
+		tell_domains(l, now, items, len, out);
+		return;
+	}
+	for (p = l->table->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->name, l->cfg->name) != 0 &&
+		    wf_peer_ok(p, now->mono))
+			tell(p->rpc, items, len, out);
+	}
+}
+
+static agb_time
+gap(const struct wf_leader *l)
+{
+	const unsigned peers = HASH_COUNT(l->table->peers);
+
+	return (GAP_MS +
+		   GAP_PEER_MS * (peers < DIRECT_MAX ? peers : DIRECT_MAX)) *
+	    AGB_MS;
+}
+
+agb_time
+wf_show_tick(
+    struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	const size_t queues = l->doc != NULL ? l->doc->queues_len : 0;
+	struct wf_show *const s = &l->show;
+	struct wf_record *list;
+	size_t len, n, i;
+
+	if (now->mono < s->tell_at ||
+	    (s->states_len == 0 && now->mono < s->count_at))
+		return s->states_len > 0 ? s->tell_at : s->count_at;
+	s->tell_at = now->mono + gap(l);
+	len = s->states_len < WF_PUSH_MAX ? s->states_len : WF_PUSH_MAX;
+	list = agb_xcalloc(len + queues + 1, sizeof(*list));
+	n = 0;
+	for (i = 0; i < len; i++)
+		record_state(&list[n++], &s->states[i]);
+	if (now->mono >= s->count_at) {
+		s->count_at = now->mono + COUNT_MS * AGB_MS;
+		for (i = 0; i < queues; i++)
+			n += record_count(
+			    l, now->mono, &l->doc->queues[i], &list[n]);
+	}
+	tell_all(l, now, list, n, out);
+	records_free(list, n);
+	s->states_len -= len;
+	if (s->states_len > 0)
+		memmove(s->states, s->states + len,
+		    s->states_len * sizeof(*s->states));
+	return s->states_len > 0 ? s->tell_at : s->count_at;
+}
--- /dev/null
+++ b/src/workflow/wf_state.c
@@ -0,0 +1,226 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "wf_leader.h"
+
+#define FAILURES_SHIFT WF_X_INDEX_BITS
+#define ACTIVE_SHIFT (FAILURES_SHIFT + WF_X_FAILURES_BITS)
+#define RUNNER_SHIFT (ACTIVE_SHIFT + WF_X_ACTIVE_BITS)
+#define RUN_SHIFT (RUNNER_SHIFT + WF_X_RUNNER_BITS)
+
+/* A task of the state record. */
+struct packed {
+	uint32_t index;
+	uint32_t failures;
+	uint32_t runner;
+	uint32_t run;
+	bool active;
+};
+
+/* What is larger than its bits stays at their largest value. */
+static uint64_t
+part(uint64_t value, unsigned bits)
+{
+	const uint64_t most = ((uint64_t)1 << bits) - 1;
+
+	return value < most ? value : most;
+}
+
+static uint64_t
+pack(const struct packed *p)
+{
+	return part(p->index, WF_X_INDEX_BITS) |
+	    part(p->failures, WF_X_FAILURES_BITS) << FAILURES_SHIFT |
+	    (uint64_t)p->active << ACTIVE_SHIFT |
+	    part(p->runner, WF_X_RUNNER_BITS) << RUNNER_SHIFT |
+	    part(p->run, WF_X_RUN_BITS) << RUN_SHIFT;
+}
+
+static void
+unpack(uint64_t x, struct packed *p)
+{
+	p->index = x & (((uint64_t)1 << WF_X_INDEX_BITS) - 1);
+	p->failures =
+	    (x >> FAILURES_SHIFT) & (((uint64_t)1 << WF_X_FAILURES_BITS) - 1);
+	p->active = (x >> ACTIVE_SHIFT) & 1;
+	p->runner =
+	    (x >> RUNNER_SHIFT) & (((uint64_t)1 << WF_X_RUNNER_BITS) - 1);
+	p->run = (uint32_t)(x >> RUN_SHIFT);
+}
+
+/* Takes over a task of the state record; what may be running is counted at
+ * its runner until that runner's lists or its lease tell. */
+static void
+restore_task(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    struct wf_task *t, const struct packed *x, const struct wf_x_state *st)
+{
+	t->run = x->run;
+	t->failures = x->failures;
+	if (x->run > u->run)
+		u->run = x->run;
+	if (wf_unit_step(u)->gang && x->failures > u->failures)
+		u->failures = x->failures;
+	if (!x->active || x->runner >= st->runners.runners_len)
+		return;
+	t->runner =
+	    wf_fleet_get(l, st->runners.runners_val[x->runner].id, now->mono);
+	/* Whether that life of the runner still goes on shows when it is met. */
+	t->born_ms = st->runners.runners_val[x->runner].born_ms;
+	t->life = l->runners[t->runner].life;
+	t->state = WF_TASK_SENT;
+	t->recovered = true;
+	t->sent_at = now->mono;
+	u->waiting--;
+	u->active++;
+	wf_task_count(l, u, t);
+}
+
+static bool
+is_done(const struct wf_x_state *x, uint32_t task)
+{
+	return task / 8 < x->done.done_len &&
+	    ((unsigned char)x->done.done_val[task / 8] >> (task % 8) & 1) != 0;
+}
+
+static void
+restore_done(struct wf_exec *e, const struct wf_x_state *x)
+{
+	struct wf_unit *u;
+	uint32_t i, k;
+
+	for (i = 0; i < e->units_len; i++) {
+		u = &e->units[i];
+		for (k = 0; k < wf_unit_step(u)->count; k++) {
+			if (!is_done(x, u->first + k))
+				continue;
+			e->tasks[u->first + k].state = WF_TASK_DONE;
+			u->done++;
+			u->waiting--;
+		}
+	}
+}
+
+static void
+restore_saved(struct wf_exec *e, const struct wf_x_state *x)
+{
+	const wf_x_saved *s;
+	u_int i;
+
+	for (i = 0; i < x->saved.saved_len; i++) {
+		s = &x->saved.saved_val[i];
+		if (s->index >= e->tasks_len)
+			continue;
+		free(e->tasks[s->index].saved);
+		e->tasks[s->index].saved =
+		    agb_xmemdup(s->saved.saved_val, s->saved.saved_len);
+	}
+}
+
+void
+wf_state_restore(struct wf_leader *l, const struct wf_now *now,
+    struct wf_exec *e, struct wf_effects *out)
+{
+	struct wf_x_state x;
+	struct wf_unit *u;
+	struct packed p;
+	uint32_t i, k;
+
+	if (!wf_table_decode_state(e->job->state_raw, e->job->state_len, &x)) {
+		if (e->job->state_raw != NULL)
+			wf_effects_log(out, AGB_LOG_ERROR, "record",
+			    "job=%s malformed=state revision=%" PRIu64,
+			    e->job->id, e->job->state_rev);
+		return;
+	}
+	e->state = (enum wf_job_state)x.state;
+	restore_done(e, &x);
+	u = e->units;
+	for (i = 0; i < x.tasks.tasks_len; i++) {
+		unpack(x.tasks.tasks_val[i], &p);
+		k = p.index;
+		if (k >= e->tasks_len)
+			continue;
+		while (k >= u->first + wf_unit_step(u)->count)
+			u++;
+		while (k < u->first)
+			u--;
+		restore_task(l, now, u, &e->tasks[k], &p, &x);
+	}
+	restore_saved(e, &x);
+	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+}
+
+static uint32_t
+record_runner(struct wf_x_state *x, const struct wf_runner *r, int64_t born_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < x->runners.runners_len; i++) {
+		if (x->runners.runners_val[i].born_ms == born_ms &&
+		    strcmp(x->runners.runners_val[i].id, r->info.id) == 0)
+			return i;
+	}
+	x->runners.runners_val[i].id = (char *)(uintptr_t)r->info.id;
+	x->runners.runners_val[i].born_ms = born_ms;
+	x->runners.runners_len++;
+	return i;
+}
+
+static void
+record_task(struct wf_leader *l, const struct wf_exec *e, uint32_t i,
+    struct wf_x_state *x)
+{
+	const struct wf_task *const t = &e->tasks[i];
+	struct packed p = {.index = i, .failures = t->failures, .run = t->run};
+	wf_x_saved *s;
+
+	p.active = t->holds;
+	if (t->holds)
+		p.runner = record_runner(x, &l->runners[t->runner], t->born_ms);
+	x->tasks.tasks_val[x->tasks.tasks_len++] = pack(&p);
+	if (t->saved == NULL)
+		return;
+	s = &x->saved.saved_val[x->saved.saved_len++];
+	s->index = i;
+	s->saved.saved_val = t->saved;
+	s->saved.saved_len = (u_int)strlen(t->saved);
+}
+
+char *
+wf_state_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len)
+{
+	struct wf_x_state x;
+	char *raw;
+	uint32_t i;
+
+	memset(&x, 0, sizeof(x));
+	x.state = (u_int)e->state;
+	x.ended_ms = e->ended_ms;
+	x.detail = (char *)(uintptr_t)e->detail;
+	x.runners.runners_val =
+	    agb_xcalloc(e->tasks_len + 1, sizeof(struct wf_x_runner));
+	x.tasks.tasks_val =
+	    agb_xcalloc(e->tasks_len + 1, sizeof(*x.tasks.tasks_val));
+	x.saved.saved_val =
+	    agb_xcalloc(e->tasks_len + 1, sizeof(*x.saved.saved_val));
+	x.done.done_len = (e->tasks_len + 7) / 8;
+	x.done.done_val = agb_xcalloc(x.done.done_len + 1, 1);
+	for (i = 0; i < e->tasks_len; i++) {
+		/* A later leader stops what it finds of an ended job. */
+		if (wf_job_final(e->state))
+			break;
+		if (e->tasks[i].state == WF_TASK_DONE)
+			x.done.done_val[i / 8] =
+			    (char)(x.done.done_val[i / 8] | 1 << (i % 8));
+		else if (e->tasks[i].run > 0)
+			record_task(l, e, i, &x);
+	}
+	raw = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, len);
+	free(x.runners.runners_val);
+	free(x.tasks.tasks_val);
+	free(x.saved.saved_val);
+	free(x.done.done_val);
+	return raw;
+}
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -171,6 +171,7 @@
 	x.first_ms = s->first_ms;
 	x.period_ms = s->period_ms;
 	x.times = s->times;
+	x.home = (char *)(uintptr_t)s->home;
 	x.spec.spec_val = s->text;
 	x.spec.spec_len = (u_int)s->text_len;
 	x.steps.steps_len = s->steps_len;
@@ -217,6 +218,7 @@
 	s->first_ms = x.first_ms;
 	s->period_ms = x.period_ms;
 	s->times = x.times;
+	agb_name_set(s->home, sizeof(s->home), x.home);
 	s->text = agb_xmemdup(x.spec.spec_val, x.spec.spec_len);
 	s->text_len = x.spec.spec_len;
 	s->steps_len = x.steps.steps_len;
@@ -383,6 +385,7 @@
 	}
 	p->marked = true;
 	p->score = x.score;
+	p->capacity = x.capacity;
 	agb_name_set(p->rpc, sizeof(p->rpc), x.rpc);
 	agb_name_set(p->domain, sizeof(p->domain), x.domain);
 	agb_name_set(p->region, sizeof(p->region), x.region);
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -63,6 +63,7 @@
 /**
  * struct wf_peer - another instance
  * @score: the highest stands for election first
+ * @capacity: work for others that it can take, in permille of a processor
  * @pinged: it is asked whether it answers
  * @since: when it was first asked
  * @heard_at: when it last answered, or 0
@@ -71,6 +72,7 @@
 struct wf_peer {
 	agb_id name;
 	int32_t score;
+	uint32_t capacity;
 	bool pinged;
 	agb_time since;
 	agb_time heard_at;
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -33,6 +33,28 @@
 	int64_t unix_ms;
 };
 
+/**
+ * struct wf_config - fixed facts of this instance
+ * @name: unique name of this start of the instance
+ * @rpc: where other instances reach it
+ * @seed: of the jitter of its waits
+ * @cpu_permille: its share of a processor
+ * @link_kbps: bandwidth of its link; 0 is not known
+ * @grace_ms: longest time from SIGTERM to its exit
+ * @status_s: how long the state of an ended job stays known
+ */
+struct wf_config {
+	agb_id name;
+	agb_addr rpc;
+	agb_id domain;
+	agb_id region;
+	uint64_t seed;
+	uint32_t cpu_permille;
+	uint32_t link_kbps;
+	uint32_t grace_ms;
+	uint32_t status_s;
+};
+
 /**
  * struct wf_step - tasks of a job that become ready together
  * @after: bit set of the steps that must be done first
@@ -72,6 +94,7 @@
  * @submitted_ms: Unix time of its acceptance
  * @first_ms: Unix time of its first occurrence; 0 is at once
  * @times: number of occurrences, at least 1
+ * @home: address of the instance that accepted it, which has @text
  * @text: bytes handed to each task
  */
 struct wf_spec {
@@ -80,6 +103,7 @@
 	int64_t first_ms;
 	uint32_t period_ms;
 	uint32_t times;
+	agb_addr home;
 	char *text;
 	size_t text_len;
 	struct wf_step *steps;
--- /dev/null
+++ b/tests/test_wf_relay.c
@@ -0,0 +1,481 @@
+/**
+ * DOC: test_wf_relay
+ *
+ * Orders that other instances carry out for the leader. Each case names the
+ * failure or the load that it guards against.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "suite.h"
+#include "wf_delta.h"
+#include "wf_relay.h"
+#include "wfsim.h"
+
+#define JOB "00000000000000aa"
+#define FAR_MS 100000
+
+static const struct sim_options plain = {
+    .seed = 1, .cores = 5, .runners = 12, .cpu_milli = 16000, .relays = true};
+
+/* ---- lists as differences ---- */
+
+static struct wf_active
+run_of(const char *name)
+{
+	struct wf_active a;
+
+	memset(&a, 0, sizeof(a));
+	agb_name_set(a.task.job, sizeof(a.task.job), JOB);
+	a.task.index = (uint32_t)name[0];
+	a.run = 1;
+	a.percent = (uint32_t)(name[1] - '0');
+	agb_name_set(a.saved, sizeof(a.saved), name + 2);
+	return a;
+}
+
+/* A list as words: name, progress, checkpoint. */
+static size_t
+list_of(const char *text, struct wf_active *out)
+{
+	char copy[128], *word, *rest;
+	size_t n = 0;
+
+	agb_name_set(copy, sizeof(copy), text);
+	for (word = strtok_r(copy, " ", &rest); word != NULL;
+	     word = strtok_r(NULL, " ", &rest))
+		out[n++] = run_of(word);
+	return n;
+}
+
+static bool
+same_run(const struct wf_active *a, const struct wf_active *b)
+{
+	return wf_task_ref_same(&a->task, &b->task) && a->run == b->run &&
+	    a->percent == b->percent && a->load == b->load &&
+	    strcmp(a->saved, b->saved) == 0;
+}
+
+static bool
+same_runs(const struct wf_active *a, size_t a_len, const struct wf_active *b,
+    size_t b_len)
+{
+	size_t i, k;
+
+	for (i = 0; i < a_len; i++) {
+		for (k = 0; k < b_len; k++) {
+			if (same_run(&a[i], &b[k]))
+				break;
+		}
+		if (k == b_len)
+			return false;
+	}
+	return a_len == b_len;
+}
+
+static void
+lists_survive_the_way(void)
+{
+	static const struct {
+		const char *before, *after;
+		size_t fresh, saved;
+	} cases[] = {
+	    {"", "", 0, 0},
+	    {"", "a0 b0", 2, 0},
+	    {"a0 b0", "a5 b7", 0, 0},
+	    {"a0 b0 c0", "c1 a1", 0, 0},
+	    {"a0 b0", "x0 b1 y0", 2, 0},
+	    {"a0s b0s", "b1t a1s", 0, 1},
+	    {"a0", "", 0, 0},
+	};
+	struct wf_active before[8], after[8], *list;
+	struct wf_relayed d;
+	struct wf_seen seen;
+	size_t i, n, len;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&seen, 0, sizeof(seen));
+		memset(&d, 0, sizeof(d));
+		wf_seen_set(&seen, 7, before, list_of(cases[i].before, before));
+		n = list_of(cases[i].after, after);
+		wf_delta_make(&seen, after, n, &d);
+		CU_ASSERT_EQUAL(d.fresh_len, cases[i].fresh);
+		CU_ASSERT_EQUAL(d.saved_len, cases[i].saved);
+		CU_ASSERT(wf_delta_apply(&seen, &d, &list, &len));
+		CU_ASSERT(same_runs(list, len, after, n));
+		free(list);
+		free(d.kept);
+		free(d.saved);
+		free(d.fresh);
+		wf_seen_free(&seen);
+	}
+}
+
+/* A list that refers to another one than this side has must not be taken: runs
+ * would be taken for ended ones. */
+static void
+lists_of_others_are_not_taken(void)
+{
+	static const struct {
+		uint32_t has, base, at;
+		bool ok;
+	} cases[] = {
+	    {7, 7, 1, true},
+	    {7, 6, 1, false},
+	    {0, 7, 0, false},
+	    {7, 7, 2, false},
+	    {7, 0, 0, false},
+	};
+	struct wf_active before[2], *list;
+	struct wf_kept kept;
+	struct wf_relayed d;
+	struct wf_seen seen;
+	size_t i, len;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&seen, 0, sizeof(seen));
+		memset(&d, 0, sizeof(d));
+		memset(&kept, 0, sizeof(kept));
+		wf_seen_set(
+		    &seen, cases[i].has, before, list_of("a0 b0", before));
+		kept.at = cases[i].at;
+		d.base = cases[i].base;
+		d.kept = &kept;
+		d.kept_len = 1;
+		CU_ASSERT_EQUAL(
+		    wf_delta_apply(&seen, &d, &list, &len), cases[i].ok);
+		free(list);
+		wf_seen_free(&seen);
+	}
+}
+
+/* ---- one relay ---- */
+
+/* Hands over a stop in the name of a leader. Return: whether it was sent. */
+static bool
+hand_over(struct wf_relay *y, uint64_t fence, agb_time at, agb_time not_after,
+    bool open, bool *taken)
+{
+	const struct wf_now now = {.mono = at};
+	struct wf_card card = {
+	    .runner = 3, .life = 1, .id = "r-3", .addr = "a"};
+	struct wf_order order = {
+	    .kind = WF_ORDER_STOP,
+	    .number = 1,
+	    .not_after = not_after,
+	    .runner = 3,
+	    .life = 1,
+	};
+	struct wf_orders orders = {
+	    .fence = fence,
+	    .reply_to = "leader",
+	    .cards = &card,
+	    .cards_len = 1,
+	    .items = &order,
+	    .len = 1,
+	};
+	struct wf_effects out = {0};
+	bool sent = false;
+	size_t i;
+
+	wf_relay_orders(y, &now, 1, &orders, open, &out);
+	for (i = 0; i < out.len; i++) {
+		if (out.items[i].type == WF_EF_ORDERS_TAKEN)
+			*taken = out.items[i].on;
+		sent = sent || out.items[i].type == WF_EF_ORDER;
+	}
+	wf_effects_free(&out);
+	return sent;
+}
+
+/* Around a change of leaders both hand orders over; a relay that was paused
+ * has some whose time is over; one that shuts down takes none. */
+static void
+orders_out_of_turn(void)
+{
+	static const struct {
+		uint64_t fence;
+		agb_time at, not_after;
+		bool open, taken, sent;
+	} cases[] = {
+	    {5, 100, 200, true, true, true},
+	    {4, 100, 200, true, false, false},
+	    {5, 200, 200, true, true, true},
+	    {5, 201, 200, true, true, false},
+	    {6, 100, 200, true, true, true},
+	    {5, 100, 200, true, false, false},
+	    {6, 100, 200, false, false, false},
+	};
+	struct wf_table table = {0};
+	struct wf_relay *const y = wf_relay_new(&table);
+	bool taken = false;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT_EQUAL(hand_over(y, cases[i].fence, cases[i].at,
+				    cases[i].not_after, cases[i].open, &taken),
+		    cases[i].sent);
+		CU_ASSERT_EQUAL(taken, cases[i].taken);
+	}
+	wf_relay_free(y);
+}
+
+/* ---- instances in simulated time ---- */
+
+static struct sim *
+start(const struct sim_options *o)
+{
+	struct sim *const s = sim_new(o);
+
+	sim_run(s, 2000);
+	CU_ASSERT(sim_leader(s) >= 0);
+	return s;
+}
+
+static void
+finish(struct sim *s)
+{
+	if (sim_violations(s) > 0)
+		printf("\n%s\n", sim_violation(s));
+	CU_ASSERT_EQUAL(sim_violations(s), 0);
+	sim_free(s);
+}
+
+static unsigned
+leader(const struct sim *s)
+{
+	return (unsigned)sim_leader(s);
+}
+
+/* Hands in jobs of one task each, from an instance that does not lead. */
+static void
+load(struct sim *s, unsigned jobs, unsigned ms, unsigned gap_ms)
+{
+	char id[WF_JOB_ID_LEN];
+	unsigned i;
+
+	for (i = 0; i < jobs; i++) {
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		sim_submit(s, (leader(s) + 1) % 5, id, sim_spec(1, 1000, ms));
+		sim_run(s, gap_ms);
+	}
+}
+
+/* The instance that carries the orders for the runner of a job: the only one
+ * besides the leader whose loss the runner notices is not known from outside,
+ * so that a fault is done to all others of its domain in turn. */
+static void
+each_other(struct sim *s, void (*fault)(struct sim *s, unsigned ci))
+{
+	const unsigned lead = leader(s);
+	unsigned ci;
+
+	for (ci = 0; ci < 5; ci++) {
+		if (ci != lead)
+			fault(s, ci);
+		sim_run(s, 3000);
+	}
+}
+
+static void
+freeze(struct sim *s, unsigned ci)
+{
+	sim_freeze(s, ci, 2500);
+}
+
+static void
+restart(struct sim *s, unsigned ci)
+{
+	sim_kill(s, ci, 500);
+}
+
+static void
+lose_runners(struct sim *s, unsigned ci)
+{
+	sim_core_cut(s, ci, true);
+	sim_run(s, 2500);
+	sim_core_cut(s, ci, false);
+}
+
+static void
+lose_leader(struct sim *s, unsigned ci)
+{
+	sim_core_alone(s, ci, true);
+	sim_run(s, 2500);
+	sim_core_alone(s, ci, false);
+}
+
+/* The leader's machine cannot speak with all runners: it sends nothing to them
+ * itself, and no text of a job either. */
+static void
+small_leader_hands_orders_over(void)
+{
+	struct sim *const s = start(&plain);
+
+	load(s, 200, 300, 20);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(sim_jobs_final(s), 200);
+	CU_ASSERT(sim_relayed(s) > 200);
+	CU_ASSERT_EQUAL(sim_direct(s), 0);
+	CU_ASSERT_EQUAL(sim_text_bytes(s), 0);
+	finish(s);
+}
+
+/* A machine that has room for all runners needs nobody in between. */
+static void
+large_leader_sends_itself(void)
+{
+	struct sim_options o = plain;
+	struct sim *s;
+
+	o.relays = false;
+	s = start(&o);
+	load(s, 50, 300, 20);
+	sim_run(s, 3000);
+	CU_ASSERT_EQUAL(sim_jobs_final(s), 50);
+	CU_ASSERT_EQUAL(sim_relayed(s), 0);
+	finish(s);
+}
+
+/* Work at a runner goes on while its relay is away: the runner was only not
+ * heard of through it. */
+static void
+work_outlives_relays(void)
+{
+	static void (*const faults[])(struct sim *, unsigned) = {
+	    freeze, restart, lose_runners, lose_leader};
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		s = start(&plain);
+		sim_submit(s, leader(s), JOB, sim_spec(12, 4000, 40000));
+		sim_run(s, 1000);
+		CU_ASSERT_EQUAL(sim_running(s, JOB), 12);
+		each_other(s, faults[i]);
+		CU_ASSERT_EQUAL(sim_running(s, JOB), 12);
+		CU_ASSERT_EQUAL(sim_starts(s, JOB), 12);
+		sim_run(s, 40000);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		finish(s);
+	}
+}
+
+/* The same while the leader changes: the next one finds the work through
+ * relays that still have orders of the one before. */
+static void
+work_outlives_leader(void)
+{
+	static void (*const faults[])(struct sim *, unsigned) = {
+	    freeze, restart, lose_leader};
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		s = start(&plain);
+		sim_submit(
+		    s, (leader(s) + 1) % 5, JOB, sim_spec(12, 4000, 20000));
+		sim_run(s, 1000);
+		faults[i](s, leader(s));
+		sim_run(s, 4000);
+		CU_ASSERT_EQUAL(sim_running(s, JOB), 12);
+		CU_ASSERT_EQUAL(sim_starts(s, JOB), 12);
+		sim_run(s, 20000);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		finish(s);
+	}
+}
+
+/* Starts go on through the relays that are left. */
+static void
+starts_go_round_lost_relays(void)
+{
+	static void (*const faults[])(struct sim *, unsigned) = {
+	    freeze, restart, lose_runners, lose_leader};
+	char id[WF_JOB_ID_LEN];
+	struct sim *s;
+	unsigned n, ci;
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		s = start(&plain);
+		ci = (leader(s) + 1) % 5;
+		faults[i](s, ci);
+		for (n = 0; n < 30; n++) {
+			snprintf(id, sizeof(id), "%016x", n + 1);
+			sim_submit(s, leader(s), id, sim_spec(1, 1000, 200));
+			sim_run(s, 50);
+		}
+		sim_run(s, 4000);
+		CU_ASSERT_EQUAL(sim_jobs_final(s), 30);
+		finish(s);
+	}
+}
+
+/* The instance that accepted a job is gone before any relay has its text. */
+static void
+text_after_its_instance_died(void)
+{
+	struct sim *const s = start(&plain);
+	const unsigned ci = (leader(s) + 1) % 5;
+
+	sim_submit(s, ci, JOB, sim_spec(12, 4000, 500));
+	sim_run(s, 12);
+	sim_kill(s, ci, 20000);
+	sim_run(s, 4000);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+	CU_ASSERT(sim_text_bytes(s) > 0);
+	finish(s);
+}
+
+/* All instances lose power at once and come back. */
+static void
+all_killed(void)
+{
+	struct sim *const s = start(&plain);
+	unsigned ci;
+
+	sim_submit(s, leader(s), JOB, sim_spec(12, 4000, 12000));
+	sim_run(s, 1000);
+	for (ci = 0; ci < 5; ci++)
+		sim_kill(s, ci, 800);
+	sim_run(s, 4000);
+	CU_ASSERT_EQUAL(sim_starts(s, JOB), 12);
+	CU_ASSERT_EQUAL(sim_running(s, JOB), 12);
+	sim_run(s, 12000);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+	finish(s);
+}
+
+static void
+some_seeds(void)
+{
+	unsigned seed;
+
+	for (seed = 1; seed <= 80; seed++)
+		CU_ASSERT_EQUAL(
+		    sim_run_seed(SIM_RELAY_SEEDS + seed, stdout), 0);
+}
+
+static const struct suite_test tests[] = {
+    {"lists survive the way", lists_survive_the_way},
+    {"lists of others are not taken", lists_of_others_are_not_taken},
+    {"orders out of turn", orders_out_of_turn},
+    {"small leader hands orders over", small_leader_hands_orders_over},
+    {"large leader sends itself", large_leader_sends_itself},
+    {"work outlives relays", work_outlives_relays},
+    {"work outlives the leader", work_outlives_leader},
+    {"starts go round lost relays", starts_go_round_lost_relays},
+    {"text after its instance died", text_after_its_instance_died},
+    {"all killed", all_killed},
+    {"random days", some_seeds},
+};
+
+int
+main(void)
+{
+	return suite_run("wf_relay", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -21,6 +21,8 @@
 /* Three missed heartbeats. */
 #define LAPSE_MS 4500
 #define UNIX_BASE_MS 1700000000000LL
+/* A link that is too small for the holds of a single runner. */
+#define RELAYS_LINK_KBPS 80
 
 struct item {
 	char *key;
@@ -83,6 +85,8 @@
 	unsigned gen;
 	bool up;
 	agb_time frozen_until;
+	bool cut;
+	bool alone;
 	bool registry;
 	struct {
 		bool on;
@@ -125,6 +129,14 @@
 	uint64_t a, b;
 };
 
+/* A question for the text of a job. */
+struct textcall {
+	unsigned from;
+	unsigned from_gen;
+	uint64_t tag;
+	wf_job_id job;
+};
+
 struct sim {
 	struct sim_options o;
 	uint64_t random;
@@ -145,6 +157,12 @@
 	unsigned store_calls;
 	unsigned full_reads;
 	unsigned relays;
+	unsigned relayed;
+	unsigned direct;
+	unsigned text_bytes;
+	unsigned text_calls;
+	struct textcall *texts;
+	size_t texts_len;
 	unsigned store_loses;
 	unsigned store_slow_ms;
 	unsigned advice_calls;
@@ -158,6 +176,13 @@
 		uint64_t tag;
 	} * puts;
 	size_t puts_len;
+	struct {
+		unsigned core;
+		unsigned gen;
+		uint64_t tag;
+		bool answered;
+	} * calls;
+	size_t calls_len;
 	unsigned violations;
 	char violation[512];
 };
@@ -1231,7 +1256,7 @@
 	struct ordercall *copy;
 	struct ev *l;
 
-	if (r == NULL || !r->up || r->cut) {
+	if (r == NULL || !r->up || r->cut || s->cores[e->core].cut) {
 		c->res.status = r != NULL && !r->up && !r->cut ? WF_ORDER_UNSENT
 							       : WF_ORDER_LOST;
 		answer(s, e, c,
@@ -1278,7 +1303,11 @@
 
 	c->o = ef->u.order;
 	ef->u.order.text = NULL;
+	s->relayed += c->o.number > 0;
+	s->direct += c->o.number == 0;
 	c->res.kind = c->o.kind;
+	c->res.number = c->o.number;
+	c->res.relay = WF_NONE;
 	c->res.fence = c->o.fence;
 	c->res.runner = c->o.runner;
 	c->res.life = c->o.life;
@@ -1568,6 +1597,8 @@
 	((struct storecall *)e->p)->res.status = AGB_STORE_LOST;
 }
 
+static bool linked(const struct sim *s, unsigned a, unsigned b);
+
 static void
 ping_answer(struct sim *s, struct ev *e)
 {
@@ -1583,7 +1614,8 @@
 send_ping(struct sim *s, unsigned ci, const struct wf_effect *ef)
 {
 	const struct simcore *const to = &s->cores[core_of(ef->peer)];
-	const bool ok = to->up && s->now >= to->frozen_until;
+	const bool ok = to->up && s->now >= to->frozen_until &&
+	    linked(s, ci, core_of(ef->peer));
 	struct ev *const e = later_core(s, ci,
 	    (ok ? 2 * s->o.latency_ms : ef->timeout_ms) * SIM_MS, ping_answer);
 
@@ -1591,6 +1623,234 @@
 	e->a = ok;
 }
 
+/* ---- orders through other instances ---- */
+
+/* Whether a call between two instances arrives. */
+static bool
+linked(const struct sim *s, unsigned a, unsigned b)
+{
+	return a == b || (!s->cores[a].alone && !s->cores[b].alone);
+}
+
+struct orderscall {
+	struct wf_orders o;
+	unsigned from;
+	unsigned from_gen;
+	uint64_t tag;
+	bool answered;
+};
+
+static void
+orderscall_free(struct orderscall *c)
+{
+	wf_orders_free(&c->o);
+	free(c);
+}
+
+static void
+orders_done(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_ORDERS_DONE, .tag = e->tag};
+
+	if (!reaches(s, e, orders_done))
+		return;
+	ev.u.taken.ok = e->a != 0;
+	ev.u.taken.sent = e->a != 0 || e->p != NULL;
+	ev.u.taken.taken = e->a == 2;
+	ev.u.taken.clock = e->b;
+	feed(s, e->core, &ev);
+}
+
+static void
+orders_timeout(struct sim *s, struct ev *e)
+{
+	size_t i;
+
+	for (i = 0; i < s->calls_len; i++) {
+		if (s->calls[i].core == e->core && s->calls[i].gen == e->gen &&
+		    s->calls[i].tag == e->tag && s->calls[i].answered)
+			return;
+	}
+	e->a = 0;
+	e->p = s;
+	orders_done(s, e);
+}
+
+static void
+orders_arrive(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_ORDERS};
+	struct orderscall *const c = e->p;
+
+	if (!reaches(s, e, orders_arrive)) {
+		if (e->p != NULL)
+			orderscall_free(c);
+		return;
+	}
+	s->calls =
+	    agb_xreallocarray(s->calls, s->calls_len + 1, sizeof(*s->calls));
+	s->calls[s->calls_len].core = c->from;
+	s->calls[s->calls_len].gen = c->from_gen;
+	s->calls[s->calls_len++].tag = c->tag;
+	ev.tag = s->calls_len;
+	ev.u.orders = &c->o;
+	feed(s, e->core, &ev);
+	orderscall_free(c);
+}
+
+static void
+send_orders(struct sim *s, unsigned ci, struct wf_effect *ef)
+{
+	const unsigned to = core_of(ef->peer);
+	struct orderscall *c;
+	struct ev *e;
+	size_t i;
+
+	for (i = 0; i < ef->u.orders.len; i++)
+		s->text_bytes += (unsigned)ef->u.orders.items[i].text_len;
+	if (!s->cores[to].up || !linked(s, ci, to)) {
+		e = later_core(s, ci,
+		    (s->cores[to].up ? ef->timeout_ms : s->o.latency_ms) *
+			SIM_MS,
+		    orders_done);
+		e->tag = ef->tag;
+		return;
+	}
+	c = agb_xcalloc(1, sizeof(*c));
+	c->o = ef->u.orders;
+	memset(&ef->u.orders, 0, sizeof(ef->u.orders));
+	c->from = ci;
+	c->from_gen = s->cores[ci].gen;
+	c->tag = ef->tag;
+	e = later_core(s, to, s->o.latency_ms * SIM_MS, orders_arrive);
+	e->p = c;
+	/* Without an answer by then the fate of the call is not known; one that
+	 * was answered has no effect any more. */
+	e = later_core(s, ci, ef->timeout_ms * SIM_MS, orders_timeout);
+	e->tag = ef->tag;
+}
+
+static void
+orders_taken(struct sim *s, unsigned ci, const struct wf_effect *ef)
+{
+	const size_t i = (size_t)ef->tag - 1;
+	struct ev *e;
+
+	if (!linked(s, ci, s->calls[i].core))
+		return;
+	s->calls[i].answered = true;
+	e = later(s, s->o.latency_ms * SIM_MS, orders_done);
+	e->core = s->calls[i].core;
+	e->gen = s->calls[i].gen;
+	e->tag = s->calls[i].tag;
+	e->a = ef->on ? 2 : 1;
+	e->b = ef->clock;
+}
+
+struct resultscall {
+	struct wf_results r;
+};
+
+static void
+results_arrive(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_RESULTS};
+	struct resultscall *const c = e->p;
+
+	if (reaches(s, e, results_arrive)) {
+		ev.u.results = &c->r;
+		feed(s, e->core, &ev);
+	} else if (e->p == NULL) {
+		return;
+	}
+	wf_results_free(&c->r);
+	free(c);
+}
+
+static void
+send_results(struct sim *s, unsigned ci, struct wf_effect *ef)
+{
+	const unsigned to = core_of(ef->peer);
+	struct resultscall *c;
+
+	if (!s->cores[to].up || !linked(s, ci, to))
+		return;
+	c = agb_xcalloc(1, sizeof(*c));
+	c->r = ef->u.results;
+	memset(&ef->u.results, 0, sizeof(ef->u.results));
+	later_core(s, to, s->o.latency_ms * SIM_MS, results_arrive)->p = c;
+}
+
+static void
+text_told(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_TEXT, .tag = e->tag};
+
+	if (!reaches(s, e, text_told))
+		return;
+	ev.on = e->a != 0;
+	ev.u.text.text = "x";
+	ev.u.text.len = 1;
+	feed(s, e->core, &ev);
+}
+
+static void
+text_asked(struct sim *s, struct ev *e)
+{
+	struct wf_event ev = {.type = WF_EV_TEXT_ASK};
+	struct textcall *const c = e->p;
+
+	if (!reaches(s, e, text_asked)) {
+		if (e->p != NULL)
+			free(c);
+		return;
+	}
+	s->texts =
+	    agb_xreallocarray(s->texts, s->texts_len + 1, sizeof(*s->texts));
+	s->texts[s->texts_len++] = *c;
+	ev.tag = s->texts_len;
+	agb_name_set(ev.u.text.job, sizeof(ev.u.text.job), c->job);
+	free(c);
+	feed(s, e->core, &ev);
+}
+
+static void
+text_ask(struct sim *s, unsigned ci, const struct wf_effect *ef)
+{
+	const unsigned to = core_of(ef->peer);
+	struct textcall *c;
+	struct ev *e;
+
+	/* Without an answer by then it counts as not known; a later event of
+	 * the same tag means nothing. */
+	e = later_core(s, ci, ef->timeout_ms * SIM_MS, text_told);
+	e->tag = ef->tag;
+	if (!s->cores[to].up || !linked(s, ci, to))
+		return;
+	c = agb_xcalloc(1, sizeof(*c));
+	c->from = ci;
+	c->from_gen = s->cores[ci].gen;
+	c->tag = ef->tag;
+	agb_name_set(c->job, sizeof(c->job), ef->u.text.job);
+	later_core(s, to, s->o.latency_ms * SIM_MS, text_asked)->p = c;
+}
+
+static void
+text_answer(struct sim *s, unsigned ci, const struct wf_effect *ef)
+{
+	const struct textcall *const c = &s->texts[ef->tag - 1];
+	struct ev *e;
+
+	if (!linked(s, ci, c->from))
+		return;
+	s->text_calls++;
+	e = later(s, s->o.latency_ms * SIM_MS, text_told);
+	e->core = c->from;
+	e->gen = c->from_gen;
+	e->tag = c->tag;
+	e->a = ef->on;
+}
+
 static void
 put_answered(struct sim *s, const struct wf_effect *ef)
 {
@@ -1641,6 +1901,21 @@
 	case WF_EF_PUT_ANSWER:
 		put_answered(s, ef);
 		break;
+	case WF_EF_ORDERS:
+		send_orders(s, ci, ef);
+		break;
+	case WF_EF_ORDERS_TAKEN:
+		orders_taken(s, ci, ef);
+		break;
+	case WF_EF_TEXT_ASK:
+		text_ask(s, ci, ef);
+		break;
+	case WF_EF_TEXT_ANSWER:
+		text_answer(s, ci, ef);
+		break;
+	case WF_EF_RESULTS:
+		send_results(s, ci, ef);
+		break;
 	case WF_EF_REGISTRY:
 		c->registry = ef->on;
 		if (ef->on)
@@ -1720,6 +1995,13 @@
 	return d;
 }
 
+/* With relays there are two failure domains. */
+static const char *
+domain_of(const struct sim *s, unsigned i)
+{
+	return s->o.relays && i % 2 == 1 ? "d2" : "d";
+}
+
 static void
 core_start(struct sim *s, struct ev *e)
 {
@@ -1734,12 +2016,16 @@
 	snprintf(cfg.rpc, sizeof(cfg.rpc), "10.0.0.%u:1", e->core);
 	cfg.seed = s->o.seed * 31 + (uint64_t)e->core * 7 + c->gen;
 	cfg.cpu_permille = e->core < s->o.small_cores ? 125 : 250;
+	cfg.link_kbps = s->o.relays ? RELAYS_LINK_KBPS : 0;
+	agb_name_set(cfg.domain, sizeof(cfg.domain), domain_of(s, e->core));
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
 	wf_core_free(c->core);
 	c->core = wf_core_new(&cfg);
 	c->up = true;
 	memset(c->feeds, 0, sizeof(c->feeds));
+	c->cut = false;
+	c->alone = false;
 	c->registry = false;
 	c->tick_at = 0;
 	c->frozen_until = 0;
@@ -1767,7 +2053,7 @@
 		snprintf(r->info.id, sizeof(r->info.id), "r-%u", i);
 		snprintf(r->info.addr, sizeof(r->info.addr), "10.1.0.%u:1", i);
 		agb_name_set(r->info.service, sizeof(agb_id), "svc");
-		agb_name_set(r->info.domain, sizeof(agb_id), "d");
+		agb_name_set(r->info.domain, sizeof(agb_id), domain_of(s, i));
 		r->info.capacity.cpu_milli = o->cpu_milli;
 		r->info.capacity.mem_mb = 65536;
 		r->info.born_ms = 1;
@@ -1801,7 +2087,14 @@
 			ordercall_free(e->p);
 		else if (e->fn == peer_push)
 			pushcall_free(e->p);
-		else if (e->fn == peer_put) {
+		else if (e->fn == text_asked)
+			free(e->p);
+		else if (e->fn == orders_arrive)
+			orderscall_free(e->p);
+		else if (e->fn == results_arrive) {
+			wf_results_free(&((struct resultscall *)e->p)->r);
+			free(e->p);
+		} else if (e->fn == peer_put) {
 			free(((struct peercall *)e->p)->r.val);
 			free(e->p);
 		} else if (e->fn == advice_answer) {
@@ -1834,6 +2127,8 @@
 	free(s->log);
 	free(s->leases);
 	free(s->puts);
+	free(s->calls);
+	free(s->texts);
 	free(s->jobs);
 	free(s);
 }
@@ -1962,6 +2257,18 @@
 	s->cores[ci].frozen_until = s->now + ms * SIM_MS;
 }
 
+void
+sim_core_cut(struct sim *s, unsigned ci, bool cut)
+{
+	s->cores[ci].cut = cut;
+}
+
+void
+sim_core_alone(struct sim *s, unsigned ci, bool alone)
+{
+	s->cores[ci].alone = alone;
+}
+
 void
 sim_term(struct sim *s, unsigned ci)
 {
@@ -2214,6 +2521,24 @@
 	return s->relays;
 }
 
+unsigned
+sim_relayed(const struct sim *s)
+{
+	return s->relayed;
+}
+
+unsigned
+sim_direct(const struct sim *s)
+{
+	return s->direct;
+}
+
+unsigned
+sim_text_bytes(const struct sim *s)
+{
+	return s->text_bytes;
+}
+
 unsigned
 sim_full_reads(const struct sim *s)
 {
@@ -2304,6 +2629,24 @@
 	s->runners[e->a].faulty = false;
 }
 
+static void
+core_heal(struct sim *s, struct ev *e)
+{
+	s->cores[e->a].cut = false;
+	s->cores[e->a].alone = false;
+}
+
+/* An instance loses the runners, or the other instances. */
+static void
+day_relay_fault(struct sim *s, unsigned ci)
+{
+	if (chance(s, 50))
+		sim_core_cut(s, ci, true);
+	else
+		sim_core_alone(s, ci, true);
+	later(s, (500 + rnd(s, 4000)) * SIM_MS, core_heal)->a = ci;
+}
+
 static void
 day_fault(struct sim *s)
 {
@@ -2318,6 +2661,10 @@
 		later(s, (1000 + rnd(s, 6000)) * SIM_MS, runner_heal)->a = ri;
 		return;
 	}
+	if (s->o.relays && chance(s, 25)) {
+		day_relay_fault(s, ci);
+		return;
+	}
 	switch (rnd(s, 11)) {
 	case 0:
 		sim_kill(s, ci, 500 + rnd(s, 3000));
@@ -2420,6 +2767,7 @@
 	    .store_lost_percent = seed % 7 == 0 ? 15 : 0,
 	    .stretch = stretch,
 	    .stalls = seed >= SIM_STALL_SEEDS,
+	    .relays = seed >= SIM_RELAY_SEEDS,
 	    .jobs_per_s = 1 + (3 + seed % 8) / stretch,
 	    .load_ms = 25000,
 	    .fault_gap_ms = 800 + 400 * (seed % 6),
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -17,6 +17,7 @@
 #define SIM_RUNNERS_MAX 512
 #define SIM_MS AGB_MS
 #define SIM_STALL_SEEDS 1000000
+#define SIM_RELAY_SEEDS 2000000
 
 struct sim;
 
@@ -31,6 +32,7 @@
  * @small_cores: instances that start first, with half the processor
  * @stretch: factor on the run times beyond the estimate; 0 is 1
  * @stalls: runners also stand still on random days
+ * @relays: the machines are too small to speak with all runners themselves
  */
 struct sim_options {
 	uint64_t seed;
@@ -47,6 +49,7 @@
 	unsigned small_cores;
 	unsigned stretch;
 	bool stalls;
+	bool relays;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -90,6 +93,9 @@
 /* Faults. */
 void sim_kill(struct sim *s, unsigned ci, unsigned back_ms);
 void sim_freeze(struct sim *s, unsigned ci, unsigned ms);
+/* An instance reaches no runner; or no other instance, and they not it. */
+void sim_core_cut(struct sim *s, unsigned ci, bool cut);
+void sim_core_alone(struct sim *s, unsigned ci, bool alone);
 void sim_term(struct sim *s, unsigned ci);
 void sim_store(struct sim *s, enum sim_store_mode mode);
 /* Share of the writes and renewals whose answer is lost, carried out at once or
@@ -116,6 +122,12 @@
 unsigned sim_submit_status(const struct sim *s, const char *id);
 unsigned sim_store_calls(const struct sim *s);
 unsigned sim_relays(const struct sim *s);
+/* Orders that instances carried out for the leader, and those that it sent
+ * itself. */
+unsigned sim_relayed(const struct sim *s);
+unsigned sim_direct(const struct sim *s);
+/* Bytes of job texts that the leader handed to relays. */
+unsigned sim_text_bytes(const struct sim *s);
 /* Full reads of the jobs that instances have begun. */
 unsigned sim_full_reads(const struct sim *s);
 unsigned sim_advice_calls(const struct sim *s);
@@ -136,7 +148,8 @@
 
 /**
  * sim_run_seed() - a random day whose sizes and faults come from the seed;
- * from seed SIM_STALL_SEEDS on, runners also stand still
+ * from seed SIM_STALL_SEEDS on, runners also stand still, and from
+ * SIM_RELAY_SEEDS on orders go through relays
  * @report: gets a line when a promise is broken; may be NULL
  * Return: number of broken promises.
  */
