perf(dispatch): plans for wide gangs and answers to calls for advice take time in proportion to their runners

Change: each runner's room is planned once for all times, offers are sorted once, candidates are sorted by rack, approvals are marked by runner, and the sum of free processors answers most questions for room. A process that was held up reads its input before it judges a time-out (RPC, HTTP, orders). A lost result loses only its order unless its relay says nothing; a connection that is silent past a time-out is closed. A runner's clock is taken as slow as it may be between two answers. Runners that a new leader finds are told in one line of the log.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -25,6 +25,8 @@
 #define SWEEP_MS 1000
 /* Endpoints without requests are forgotten after this time. */
 #define ENDPOINT_IDLE_MS 30000
+/* Time to read what has come when a request's time is over. */
+#define OVERDUE_MS 5
 #define READ_BYTES ((size_t)64 * 1024)
 /* Header, chunk and trailer lines of one answer together. */
 #define LINES_BYTES_MAX ((size_t)256 * 1024)
@@ -84,6 +86,7 @@
 	uv_timer_t timer;
 	agb_time not_after;
 	uint64_t deadline; /* on the loop's clock, 0 when there is none */
+	bool overdue;
 	bool in_callback;
 	bool cancelled;
 	bool is_head;
@@ -545,6 +548,12 @@
 {
 	struct agb_httpc_call *const call = t->data;
 
+	/* A process that was held up reads what has come before it judges. */
+	if (!call->overdue) {
+		call->overdue = true;
+		uv_timer_start(t, on_deadline, OVERDUE_MS, 0);
+		return;
+	}
 	call->res.timed_out = true;
 	fail(call, "no whole answer in time");
 }
@@ -556,6 +565,7 @@
 	const uint64_t now = uv_now(call->c->loop);
 
 	uv_timer_stop(&call->timer);
+	call->overdue = false;
 	if (call->deadline > 0)
 		uv_timer_start(&call->timer, on_deadline,
 		    call->deadline > now ? call->deadline - now : 0, 0);
--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -19,6 +19,8 @@
 /* A restarted peer is tried again within a second. */
 #define BACKOFF_MAX_MS 1000
 #define SWEEP_MS 1000
+/* Time to read what has come when a call's time is over. */
+#define OVERDUE_MS 5
 /* Heartbeats come every 500 ms, so that a silent connection is stale. */
 #define IDLE_MS 60000
 /* A record that is not complete after this time is a fault of the peer. */
@@ -90,6 +92,8 @@
 	uv_timer_t timer;
 	char *rec; /* NULL once written */
 	size_t rec_len;
+	uint64_t sent_at;
+	bool overdue;
 	bool sent;
 };
 
@@ -717,10 +721,22 @@
 {
 	struct call *const call = t->data;
 	struct agb_rpc *const r = call->r;
+	struct conn *const conn = call->peer->conn;
+	const uint64_t sent_at = call->sent_at;
 
+	/* A process that was held up reads what has come before it judges. */
+	if (!call->overdue) {
+		call->overdue = true;
+		uv_timer_start(t, on_timeout, OVERDUE_MS, 0);
+		return;
+	}
 	call_detach(call);
 	r->cbs.reply(r->arg, call->tag, false, call->rec == NULL, NULL);
 	call_free(call);
+	/* A connection can go silent for good while new ones work. */
+	if (conn != NULL && !conn->closing && conn->connected &&
+	    conn->heard_at < sent_at)
+		conn_close(conn);
 }
 
 /* Encodes a call and hands it to its peer; false when that cannot be. */
@@ -763,6 +779,7 @@
 	call->r = r;
 	call->tag = tag;
 	call->xid = ++r->next_xid;
+	call->sent_at = uv_now(r->loop);
 	call->proc = args->proc;
 	uv_timer_init(r->loop, &call->timer);
 	call->timer.data = call;
--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -373,20 +373,26 @@
 	const struct wf_runner *r;
 	struct choice list[WF_ADVICE_MAX];
 	size_t len, i;
+	bool *asked;
 	uint32_t ri;
 
+	asked = agb_xcalloc(l->runners_len + 1, sizeof(*asked));
+	for (i = 0; i < u->approvals_len; i++) {
+		a = &u->approvals[i];
+		asked[a->runner] = a->life == l->runners[a->runner].life;
+	}
 	len = 0;
 	for (ri = 0; ri < l->runners_len; ri++) {
 		r = &l->runners[ri];
 		if (!wf_fleet_eligible(r, step, service, now->mono) ||
 		    !agb_resources_fit(&step->need, &r->info.capacity))
 			continue;
-		a = wf_advice_of(u, ri);
-		if (a != NULL && a->life == r->life)
+		if (asked[ri])
 			continue;
 		choice_add(list, &len, max, ri,
 		    wf_fleet_free(r).cpu_milli - r->claimed);
 	}
+	free(asked);
 	for (i = 0; i < len; i++)
 		runners[i] = list[i].runner;
 	return len;
@@ -469,14 +475,15 @@
 		ask_send(l, now, u, runners, len, out);
 }
 
+/* @places: place of each runner's approval and one, 0 where there is none */
 static struct wf_approval *
-approval_slot(struct wf_unit *u, uint32_t runner)
+approval_slot(struct wf_unit *u, uint32_t runner, uint32_t *places)
 {
 	struct wf_approval *a;
 
-	a = (struct wf_approval *)(uintptr_t)wf_advice_of(u, runner);
-	if (a != NULL)
-		return a;
+	if (places[runner] > 0)
+		return &u->approvals[places[runner] - 1];
+	places[runner] = (uint32_t)u->approvals_len + 1;
 	u->approvals = agb_xreallocarray(
 	    u->approvals, u->approvals_len + 1, sizeof(*u->approvals));
 	a = &u->approvals[u->approvals_len++];
@@ -485,14 +492,19 @@
 	return a;
 }
 
+/* @from: where the last one was found; tickets mostly come in the order in
+ * which their runners were named */
 static const struct wf_ticket *
-ticket_of(const struct wf_advice *a, const char *runner)
+ticket_of(const struct wf_advice *a, const char *runner, size_t *from)
 {
-	size_t i;
+	size_t i, k;
 
 	for (i = 0; i < a->items_len; i++) {
-		if (strcmp(a->items[i].runner, runner) == 0)
-			return &a->items[i];
+		k = (*from + i) % a->items_len;
+		if (strcmp(a->items[k].runner, runner) != 0)
+			continue;
+		*from = k + 1;
+		return &a->items[k];
 	}
 	return NULL;
 }
@@ -504,14 +516,19 @@
 {
 	const struct wf_ticket *t;
 	struct wf_approval *a;
-	size_t i, n;
+	size_t i, n, from = 0;
+	uint32_t *places;
 
+	places = agb_xcalloc(l->runners_len + 1, sizeof(*places));
+	for (i = 0; i < u->approvals_len; i++)
+		places[u->approvals[i].runner] = (uint32_t)i + 1;
 	n = 0;
 	for (i = 0; i < ask->runners_len; i++) {
 		if (l->runners[ask->runners[i]].life != ask->lives[i])
 			continue;
-		t = ticket_of(advice, l->runners[ask->runners[i]].info.id);
-		a = approval_slot(u, ask->runners[i]);
+		t = ticket_of(
+		    advice, l->runners[ask->runners[i]].info.id, &from);
+		a = approval_slot(u, ask->runners[i], places);
 		a->life = ask->lives[i];
 		a->ok = t != NULL;
 		a->until = 0;
@@ -523,6 +540,7 @@
 			a->until = now->mono +
 			    (advice->valid_ms - TICKET_MARGIN_MS) * AGB_MS;
 	}
+	free(places);
 	wf_effects_log(out, AGB_LOG_INFO, "advice",
 	    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
 	    " asked=%zu approved=%zu took_ms=%" PRIu64 " expected_ms=%" PRIu32,
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -90,7 +90,8 @@
 
 /* What one pass over the queue works with. @claimed: processors that units
  * earlier in the queue will take with their tickets, or once their calls for
- * advice are answered. */
+ * advice are answered. @service_free: processors that were free at the runners
+ * of @service when that was asked for first. */
 struct pass {
 	struct wf_leader *l;
 	const struct wf_now *now;
@@ -100,6 +101,8 @@
 	struct endings **endings;
 	uint32_t reserved;
 	int64_t claimed;
+	const char *service;
+	int64_t service_free;
 	struct wf_effects *out;
 };
 
@@ -285,36 +288,40 @@
 	return x->left < y->left ? -1 : x->left > y->left ? 1 : 0;
 }
 
+static int
+rack_order(const void *a, const void *b)
+{
+	return strcmp(
+	    ((const struct cand *)a)->rack, ((const struct cand *)b)->rack);
+}
+
 /* For a unit that is slower over several racks: keeps only the candidates
  * of the fullest rack that holds all of it, if there is one. */
 static size_t
 keep_one_rack(struct cand *list, size_t len, uint32_t count)
 {
+	size_t i, k, best, best_len;
 	uint64_t room, best_room;
-	const char *best;
-	size_t i, k, n;
 
-	best = NULL;
+	if (len > 1)
+		qsort(list, len, sizeof(*list), rack_order);
+	best = best_len = 0;
 	best_room = UINT64_MAX;
-	for (i = 0; i < len; i++) {
+	for (i = 0; i < len; i = k) {
 		room = 0;
-		for (k = 0; k < len; k++) {
-			if (strcmp(list[k].rack, list[i].rack) == 0)
-				room += list[k].fit;
-		}
+		for (k = i; k < len && strcmp(list[k].rack, list[i].rack) == 0;
+		     k++)
+			room += list[k].fit;
 		if (room >= count && room < best_room) {
-			best = list[i].rack;
+			best = i;
+			best_len = k - i;
 			best_room = room;
 		}
 	}
-	if (best == NULL)
+	if (best_len == 0)
 		return len;
-	n = 0;
-	for (i = 0; i < len; i++) {
-		if (strcmp(list[i].rack, best) == 0)
-			list[n++] = list[i];
-	}
-	return n;
+	memmove(list, list + best, best_len * sizeof(*list));
+	return best_len;
 }
 
 /* First candidate with room; one on which the task has failed only when no
@@ -403,34 +410,39 @@
 	return e;
 }
 
-/* A runner whose room is planned: what is free, and what will be. */
+/* Times from now at which room is planned. */
+static const uint32_t plan_ms[] = {
+    0, 300, 600, 1000, 1500, 2000, 3000, 4000, 6000, 8000, 12000};
+#define PLAN_TIMES (sizeof(plan_ms) / sizeof(plan_ms[0]))
+
+/**
+ * struct plan - a runner whose room is planned
+ * @fit: tasks of the unit that it is expected to hold at each time
+ */
 struct plan {
 	uint32_t runner;
-	struct agb_resources room;
-	const struct endings *ends;
+	uint32_t fit[PLAN_TIMES];
 };
 
 static void
-plan_make(const struct pass *p, uint32_t ri, struct plan *pl)
+plan_make(
+    const struct pass *p, const struct wf_unit *u, uint32_t ri, struct plan *pl)
 {
-	pl->runner = ri;
-	pl->room = wf_fleet_free(&p->l->runners[ri]);
-	agb_resources_sub(&pl->room, &p->keeps[ri].need);
-	pl->ends = endings_of(p, ri);
-}
-
-/* How many tasks of the unit a runner is expected to hold at a time. */
-static uint32_t
-fit_by(const struct pass *p, const struct wf_unit *u, const struct plan *pl,
-    agb_time when)
-{
-	struct agb_resources room = pl->room;
-	size_t i;
+	const struct wf_runner *const r = &p->l->runners[ri];
+	const struct endings *const ends = endings_of(p, ri);
+	struct agb_resources room = wf_fleet_free(r);
+	size_t i, k = 0;
+	agb_time when;
 
-	for (i = 0; i < pl->ends->len && pl->ends->items[i].at <= when; i++)
-		agb_resources_add(&room, &pl->ends->items[i].need);
-	return spread_cap(
-	    u, &p->l->runners[pl->runner], wf_step_fit(wf_unit_step(u), room));
+	agb_resources_sub(&room, &p->keeps[ri].need);
+	pl->runner = ri;
+	for (i = 0; i < PLAN_TIMES; i++) {
+		when = p->now->mono + plan_ms[i] * AGB_MS;
+		for (; k < ends->len && ends->items[k].at <= when; k++)
+			agb_resources_add(&room, &ends->items[k].need);
+		pl->fit[i] =
+		    spread_cap(u, r, wf_step_fit(wf_unit_step(u), room));
+	}
 }
 
 /* Runners on which the unit may run, whatever their tickets. */
@@ -458,36 +470,36 @@
 	return n;
 }
 
-static uint64_t
-room_by(const struct pass *p, const struct wf_unit *u, const struct plan *plans,
-    size_t len, agb_time when)
+/* Earliest of the planned times at which the whole unit is expected to find
+ * room; PLAN_TIMES when that is not in sight. */
+static size_t
+room_from(const struct wf_unit *u, const struct plan *plans, size_t len)
 {
 	uint64_t room;
-	size_t i;
+	size_t i, k;
 
-	room = 0;
-	for (i = 0; i < len; i++)
-		room += fit_by(p, u, &plans[i], when);
-	return room;
+	for (i = 0; i < PLAN_TIMES; i++) {
+		room = 0;
+		for (k = 0; k < len; k++)
+			room += plans[k].fit[i];
+		if (room >= u->waiting)
+			break;
+	}
+	return i;
 }
 
-/* Earliest time, of some steps apart, at which the whole unit is expected to
- * find room; AGB_TIME_MAX when that is not in sight. */
-static agb_time
-room_from(const struct pass *p, const struct wf_unit *u,
-    const struct plan *plans, size_t len)
-{
-	static const uint32_t steps_ms[] = {
-	    0, 300, 600, 1000, 1500, 2000, 3000, 4000, 6000, 8000, 12000};
-	size_t i;
+/* A runner and the tasks that it is expected to hold. */
+struct offer {
+	uint32_t fit;
+	uint32_t runner;
+};
 
-	for (i = 0; i < sizeof(steps_ms) / sizeof(steps_ms[0]); i++) {
-		const agb_time when = p->now->mono + steps_ms[i] * AGB_MS;
+static int
+offer_order(const void *a, const void *b)
+{
+	const struct offer *const x = a, *const y = b;
 
-		if (room_by(p, u, plans, len, when) >= u->waiting)
-			return when;
-	}
-	return AGB_TIME_MAX;
+	return x->fit > y->fit ? -1 : x->fit < y->fit ? 1 : 0;
 }
 
 static void
@@ -510,37 +522,37 @@
 reserve(struct pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
+	struct offer *offers;
 	struct plan *plans;
-	uint32_t fit, left, most;
-	size_t len, i, best;
+	uint32_t left, most;
+	size_t len, i, at;
 	agb_time from;
 
 	len = possible(p, u, q, p->stale);
 	plans = agb_xcalloc(len + 1, sizeof(*plans));
 	for (i = 0; i < len; i++)
-		plan_make(p, p->stale[i], &plans[i]);
-	from = room_from(p, u, plans, len);
-	p->reserved += from != AGB_TIME_MAX;
-	left = from != AGB_TIME_MAX ? u->waiting : 0;
-	while (left > 0) {
-		best = len;
-		most = 0;
-		for (i = 0; i < len; i++) {
-			fit = plans[i].runner == WF_NONE
-			    ? 0
-			    : fit_by(p, u, &plans[i], from);
-			if (fit > most) {
-				most = fit;
-				best = i;
-			}
-		}
-		if (best == len)
-			break;
-		most = most < left ? most : left;
-		keep_at(p, step, plans[best].runner, most, from);
+		plan_make(p, u, p->stale[i], &plans[i]);
+	at = room_from(u, plans, len);
+	if (at == PLAN_TIMES) {
+		free(plans);
+		return AGB_TIME_MAX;
+	}
+	p->reserved++;
+	from = p->now->mono + plan_ms[at] * AGB_MS;
+	offers = agb_xcalloc(len + 1, sizeof(*offers));
+	for (i = 0; i < len; i++) {
+		offers[i].fit = plans[i].fit[at];
+		offers[i].runner = plans[i].runner;
+	}
+	if (len > 1)
+		qsort(offers, len, sizeof(*offers), offer_order);
+	left = u->waiting;
+	for (i = 0; i < len && left > 0 && offers[i].fit > 0; i++) {
+		most = offers[i].fit < left ? offers[i].fit : left;
+		keep_at(p, step, offers[i].runner, most, from);
 		left -= most;
-		plans[best].runner = WF_NONE;
 	}
+	free(offers);
 	free(plans);
 	return from;
 }
@@ -563,16 +575,41 @@
 	return false;
 }
 
+/* Processors that the runners of a service had free in this pass, at most. */
+static int64_t
+service_free(struct pass *p, const char *service)
+{
+	const struct wf_runner *r;
+	struct agb_resources room;
+	uint32_t ri;
+
+	if (p->service != NULL && strcmp(p->service, service) == 0)
+		return p->service_free;
+	p->service = service;
+	p->service_free = 0;
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		r = &p->l->runners[ri];
+		if (!wf_fleet_usable(r, p->now->mono) ||
+		    strcmp(r->info.service, service) != 0)
+			continue;
+		room = wf_fleet_free(r);
+		p->service_free += room.cpu_milli > 0 ? room.cpu_milli : 0;
+	}
+	return p->service_free;
+}
+
 /* Whether there is room for one task of the unit beyond what units before it
- * have claimed. */
+ * have claimed. With many units that wait, the sum tells it of most. */
 static bool
-has_room(const struct pass *p, const struct wf_unit *u, const char *service)
+has_room(struct pass *p, const struct wf_unit *u, const char *service)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
 	int64_t room;
 	uint32_t ri;
 
+	if (step->need.cpu_milli > 0 && service_free(p, service) <= p->claimed)
+		return false;
 	room = -p->claimed;
 	for (ri = 0; ri < p->l->runners_len && room <= 0; ri++) {
 		if (!eligible(p, u, service, ri))
@@ -587,7 +624,7 @@
  * others only as many as will find room: the answers take the leader's time,
  * and their tickets run out while the unit waits. */
 static bool
-may_ask(const struct pass *p, const struct wf_unit *u, const struct wf_queue *q)
+may_ask(struct pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
 	return q->advice_ms > ADVICE_SOON_MS || has_room(p, u, q->service);
 }
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -240,10 +240,11 @@
 {
 	struct wf_runner *const r = &l->runners[ri];
 
-	wf_effects_log(out, AGB_LOG_INFO, "runner",
-	    "runner=%s change=restarted born_ms=%" PRId64
-	    " born_before_ms=%" PRId64,
-	    r->info.id, born_ms, r->info.born_ms);
+	if (r->info.born_ms > 0)
+		wf_effects_log(out, AGB_LOG_INFO, "runner",
+		    "runner=%s change=restarted born_ms=%" PRId64
+		    " born_before_ms=%" PRId64,
+		    r->info.id, born_ms, r->info.born_ms);
 	requeue_earlier(l, now, ri, born_ms, out);
 	strays_clear(r);
 	r->life++;
@@ -289,6 +290,7 @@
 	struct wf_runner *const r = &l->runners[ri];
 	const bool was_listed = r->listed;
 	const bool was_draining = r->info.draining;
+	const bool is_new = r->info.addr[0] == '\0';
 
 	/* An entry may be older than what the runner has said itself. */
 	if (info->born_ms < r->info.born_ms)
@@ -297,8 +299,10 @@
 		new_life(l, now, ri, info->born_ms, out);
 	r->info = *info;
 	r->listed = true;
-	if (!was_listed) {
+	if (!was_listed)
 		r->hold_next = now->mono;
+	/* Those that were there before this leader are counted in one line. */
+	if (!was_listed && (l->registry_seen || !is_new)) {
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
 		    "runner=%s change=listed service=%s domain=%s"
 		    " cpu_milli=%" PRId64 " mem_mb=%" PRId64 " born_ms=%" PRId64
@@ -342,16 +346,24 @@
 		if (ri != WF_NONE)
 			runner_gone(l, now, ri, out);
 	}
+	if (rs->full)
+		wf_effects_log(out, AGB_LOG_INFO, "fleet",
+		    "runners=%zu first=%s", rs->items_len,
+		    l->registry_seen ? "no" : "yes");
 	l->registry_seen = true;
 	/* Relays are chosen for the runners that are there. */
 	if (rs->full)
 		l->outbox.check_at = 0;
 }
 
+/* A runner's clock, at least: it may be slow since it was read, and a lease
+ * must not end later than the leader believes. */
 static int64_t
 clock_now(const struct wf_runner *r, agb_time now)
 {
-	return r->clock_ms + (int64_t)((now - r->clock_at) / AGB_MS);
+	const agb_time since = (now - r->clock_at) / AGB_MS;
+
+	return r->clock_ms + (int64_t)(since * 1000 / LEASE_SLOW_PERMILLE);
 }
 
 static struct wf_order *
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -27,6 +27,9 @@
 #define BAD_MS 2000
 #define CHECK_MS 50
 #define EXPIRE_MS 20
+#define HELD_UP_MS 40
+/* A relay with orders that says nothing for this long is away. */
+#define SILENT_MS 800
 /* An instance that was sent nothing is asked for its clock this often, and one
  * whose clock was learnt longer ago is not used. */
 #define HELLO_MS 2000
@@ -720,6 +723,7 @@
 	if (s == NULL || s->res.runner >= l->runners_len)
 		return;
 	res = s->res;
+	l->outbox.relays[s->relay].heard_at = now->mono;
 	HASH_DEL(l->outbox.sent, s);
 	free(s);
 	res.status = x->status;
@@ -751,16 +755,32 @@
 
 /* ---- time ---- */
 
+/* One result may be lost alone; a relay that says nothing at all is away. */
+static bool
+relay_silent(const struct wf_relay_peer *p, agb_time now)
+{
+	return now - p->heard_at > SILENT_MS * AGB_MS;
+}
+
 static void
 expire(struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
+	const bool held_up =
+	    now->mono > l->outbox.expire_at + HELD_UP_MS * AGB_MS;
 	struct wf_sent *s, *next;
 
 	l->outbox.expire_at = now->mono + EXPIRE_MS * AGB_MS;
+	/* A leader that was held up reads what has come before it judges. */
+	if (held_up)
+		return;
 	for (s = l->outbox.sent; s != NULL; s = next) {
 		next = s->hh.next;
 		if (now->mono < s->expires)
 			continue;
+		if (!relay_silent(&l->outbox.relays[s->relay], now->mono)) {
+			report(l, now, s, WF_ORDER_LOST, out);
+			continue;
+		}
 		/* It ends all orders of that relay, @next among them. */
 		wf_outbox_lost(l, now, s->relay, "no result", out);
 		next = l->outbox.sent;
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -50,11 +50,14 @@
 	size_t waiting_len;
 	size_t waiting_cap;
 	UT_hash_handle hh;
+	UT_hash_handle by_tag;
 };
 
 /**
  * struct wf_relay - what is known of the leader's orders
  * @table: jobs that this instance knows itself
+ * @texts: texts by job
+ * @asked: those that have been asked for, by tag
  * @fence: highest that has been seen; orders of lower ones are not taken
  * @leader: where results go
  * @lists: numbers the lists that were sent
@@ -67,6 +70,7 @@
 	agb_addr leader;
 	struct relay_runner *runners;
 	struct relay_text *texts;
+	struct relay_text *asked;
 	size_t texts_bytes;
 	uint32_t lists;
 	uint64_t next_tag;
@@ -121,6 +125,7 @@
 		return;
 	forget_runners(y);
 	t = y->texts;
+	HASH_CLEAR(by_tag, y->asked);
 	HASH_CLEAR(hh, y->texts);
 	for (; t != NULL; t = next) {
 		next = t->hh.next;
@@ -156,6 +161,7 @@
 		next = t->hh.next;
 		if (t->tag == 0)
 			continue;
+		HASH_DELETE(by_tag, y->asked, t);
 		HASH_DEL(y->texts, t);
 		text_free(t);
 	}
@@ -294,6 +300,7 @@
 	if (t == NULL) {
 		t = text_new(y, o->task.job);
 		t->tag = WF_TEXT_TAG | ++y->next_tag;
+		HASH_ADD(by_tag, y->asked, tag, sizeof(t->tag), t);
 		ef = wf_effects_add(out, WF_EF_TEXT_ASK);
 		ef->tag = t->tag;
 		ef->timeout_ms = TEXT_TIMEOUT_MS;
@@ -334,10 +341,10 @@
 	struct relay_text *t;
 	size_t i;
 
-	for (t = y->texts; t != NULL && t->tag != tag; t = t->hh.next)
-		continue;
+	HASH_FIND(by_tag, y->asked, &tag, sizeof(tag), t);
 	if (t == NULL)
 		return;
+	HASH_DELETE(by_tag, y->asked, t);
 	for (i = 0; i < t->waiting_len; i++) {
 		if (text != NULL)
 			order_send_with(
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1174,13 +1174,9 @@
 static struct simrunner *
 runner_at(struct sim *s, const char *id)
 {
-	unsigned ri;
+	const unsigned long ri = strtoul(id + strlen("r-"), NULL, 10);
 
-	for (ri = 0; ri < s->o.runners; ri++) {
-		if (strcmp(s->runners[ri].info.id, id) == 0)
-			return &s->runners[ri];
-	}
-	return NULL;
+	return ri < s->o.runners ? &s->runners[ri] : NULL;
 }
 
 static void
@@ -1689,6 +1685,7 @@
 	}
 	s->calls =
 	    agb_xreallocarray(s->calls, s->calls_len + 1, sizeof(*s->calls));
+	s->calls[s->calls_len].answered = false;
 	s->calls[s->calls_len].core = c->from;
 	s->calls[s->calls_len].gen = c->from_gen;
 	s->calls[s->calls_len++].tag = c->tag;
