fix(rpc): an instance takes connections of all others; work of a runner that is listed waits longer

Change: the limit is two connections for each peer that is known at most. A runner that the registry lists is alive: its work starts elsewhere 3 s after its lease has ended, not at once.

--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -20,7 +20,8 @@
 #define AGB_RPC_CALLS_MAX 4096
 /* Bytes that wait for one connection; a slower peer loses it. */
 #define AGB_RPC_QUEUE_BYTES_MAX ((size_t)8 * 1024 * 1024)
-#define AGB_RPC_CONNS_MAX 256
+/* Connections in both directions: two for each peer. */
+#define AGB_RPC_CONNS_MAX (2 * AGB_RPC_PEERS_MAX)
 #define AGB_RPC_PEERS_MAX 512
 
 struct agb_rpc;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -59,6 +59,7 @@
 #define PACE_TIMEOUT_MS 400
 /* Not a share: the order to set it was not answered. */
 #define PACE_UNKNOWN UINT32_MAX
+#define LISTED_WAIT_MS 3000
 /* Heartbeats have to be missing for longer before an entry lapses. */
 #define LEFT_HEARD_MS 2500
 /* After an election, time for the runners to show what they hold. */
@@ -1147,13 +1148,22 @@
 	}
 }
 
+/* How long after its lease the work of a runner starts elsewhere. One that the
+ * registry lists is alive and only not reached: what it has finished in time
+ * would be done twice. */
+static agb_time
+lost_after(const struct wf_runner *r)
+{
+	return r->listed ? LISTED_WAIT_MS * AGB_MS : 0;
+}
+
 static void
 tick_runner(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     agb_time *next, struct wf_effects *out)
 {
 	struct wf_runner *const r = &l->runners[ri];
 
-	if (r->tasks != NULL && now->mono > r->lease_until &&
+	if (r->tasks != NULL && now->mono > r->lease_until + lost_after(r) &&
 	    now->mono - r->heard_at > HOLD_MS * AGB_MS) {
 		requeue_all(l, now, ri, "its lease has run out", out);
 		r->met = false;
