perf(rpc): states of jobs are told in short form; the second way is a relay, not the leader

Change: 20 bytes a state; the second way of a runner whose domain has one relay is a relay of another domain.

--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -248,9 +248,16 @@
 	opaque value<AGB_X_TEXT_MAX>;
 };
 
+/* A durable state of a job; job is not terminated. */
+struct agb_x_told {
+	opaque job[AGB_X_JOB_LEN];
+	unsigned int state;
+};
+
 /* forward: the receiver shows them to the other instances of its domain. */
 struct agb_x_push_args {
 	bool forward;
+	agb_x_told states<AGB_X_ITEMS_MAX>;
 	agb_x_record records<AGB_X_ITEMS_MAX>;
 };
 
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -304,8 +304,18 @@
 };
 typedef struct agb_x_record agb_x_record;
 
+struct agb_x_told {
+	char job[AGB_X_JOB_LEN];
+	u_int state;
+};
+typedef struct agb_x_told agb_x_told;
+
 struct agb_x_push_args {
 	bool_t forward;
+	struct {
+		u_int states_len;
+		agb_x_told *states_val;
+	} states;
 	struct {
 		u_int records_len;
 		agb_x_record *records_val;
@@ -567,6 +577,7 @@
 extern  bool_t xdr_agb_x_ticket (XDR *, agb_x_ticket*);
 extern  bool_t xdr_agb_x_advise_res (XDR *, agb_x_advise_res*);
 extern  bool_t xdr_agb_x_record (XDR *, agb_x_record*);
+extern  bool_t xdr_agb_x_told (XDR *, agb_x_told*);
 extern  bool_t xdr_agb_x_push_args (XDR *, agb_x_push_args*);
 extern  bool_t xdr_agb_x_put_args (XDR *, agb_x_put_args*);
 extern  bool_t xdr_agb_x_put_res (XDR *, agb_x_put_res*);
@@ -622,6 +633,7 @@
 extern bool_t xdr_agb_x_ticket ();
 extern bool_t xdr_agb_x_advise_res ();
 extern bool_t xdr_agb_x_record ();
+extern bool_t xdr_agb_x_told ();
 extern bool_t xdr_agb_x_push_args ();
 extern bool_t xdr_agb_x_put_args ();
 extern bool_t xdr_agb_x_put_res ();
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -880,6 +880,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_agb_x_told (XDR *xdrs, agb_x_told *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->job, AGB_X_JOB_LEN))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_agb_x_push_args (XDR *xdrs, agb_x_push_args *objp)
 {
@@ -887,6 +900,9 @@
 
 	 if (!xdr_bool (xdrs, &objp->forward))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, AGB_X_ITEMS_MAX,
+		sizeof (agb_x_told), (xdrproc_t) xdr_agb_x_told))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, AGB_X_ITEMS_MAX,
 		sizeof (agb_x_record), (xdrproc_t) xdr_agb_x_record))
 		 return FALSE;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -24,7 +24,8 @@
 #define HOLD_GAP_MS 10
 #define TICK_GAP_MS 3
 /* A hold would return at once while ends are listed that are not durable. */
-#define HOLD_ACK_GAP_MS 120
+#define HOLD_ACK_GAP_MS 80
+#define HOLD_ACK_GAP_RELAYED_MS 120
 #define HOLD_RETRY_MS 200
 /* A runner that has not answered takes no new tasks for this long. */
 #define SHUN_LOST_MS 1000
@@ -929,6 +930,14 @@
 	return true;
 }
 
+static agb_time
+hold_gap(const struct wf_leader *l, const struct wf_runner *r)
+{
+	if (r->processed == r->observed)
+		return HOLD_GAP_MS;
+	return l->outbox.through ? HOLD_ACK_GAP_RELAYED_MS : HOLD_ACK_GAP_MS;
+}
+
 static void
 hold_answer(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -972,9 +981,7 @@
 	r->has_left = false;
 	r->heard_at = res->sent_at;
 	take_lists(l, now, res->runner, res, out);
-	r->hold_next = now->mono +
-	    (r->processed > r->observed ? HOLD_ACK_GAP_MS : HOLD_GAP_MS) *
-		AGB_MS;
+	r->hold_next = now->mono + hold_gap(l, r) * AGB_MS;
 }
 
 static void
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -19,7 +19,6 @@
 /* A failure domain has one relay for so many runners, and at least two. */
 #define RUNNERS_A_RELAY 24
 #define RELAYS_LEAST 2
-#define ZONE_RELAYS_MAX 16
 /* Beyond the time-out of its order a relay's result takes this long. */
 #define RESULT_SLACK_MS 300
 #define CALL_TIMEOUT_MS 500
@@ -54,16 +53,6 @@
 	UT_hash_handle hh;
 };
 
-/**
- * struct wf_relay_zone - relays of a failure domain
- */
-struct wf_relay_zone {
-	agb_id domain;
-	uint32_t runners;
-	uint32_t relays[ZONE_RELAYS_MAX];
-	uint32_t relays_len;
-};
-
 /* Whether a relay could not get the text of a job by itself. */
 static bool
 needs_text(const struct wf_exec *e, uint32_t relay)
@@ -239,9 +228,9 @@
 {
 	const uint32_t n = (runners + RUNNERS_A_RELAY - 1) / RUNNERS_A_RELAY;
 
-	return n < RELAYS_LEAST	  ? RELAYS_LEAST
-	    : n < ZONE_RELAYS_MAX ? n
-				  : ZONE_RELAYS_MAX;
+	return n < RELAYS_LEAST	     ? RELAYS_LEAST
+	    : n < WF_ZONE_RELAYS_MAX ? n
+				     : WF_ZONE_RELAYS_MAX;
 }
 
 /* Enters an instance into the relays of a domain, which are in order. */
@@ -320,6 +309,9 @@
 	}
 	b->through = needs_relays(l, n);
 	sum = b->through;
+	b->all.runners = n;
+	b->all.relays_len = 0;
+	zone_add(b, &b->all, ANY_DOMAIN);
 	for (i = 0; i < b->zones_len; i++) {
 		zone_fill(b, &b->zones[i]);
 		sum = XXH64(b->zones[i].relays,
@@ -346,7 +338,7 @@
 relay_at(const struct wf_outbox *b, const struct wf_relay_zone *z,
     const char *runner, uint32_t skip)
 {
-	double w[ZONE_RELAYS_MAX];
+	double w[WF_ZONE_RELAYS_MAX];
 	uint32_t i, best;
 
 	for (i = 0; i < z->relays_len; i++)
@@ -369,13 +361,16 @@
 {
 	const struct wf_relay_zone *const z = zone_find(b, r->info.domain);
 
-	uint32_t places;
+	const uint32_t detour = r->route.detour;
 
 	if (!b->through || z == NULL || z->relays_len == 0)
 		return WF_NONE;
-	/* The leader is the second way only where there is no second relay. */
-	places = z->relays_len > 1 ? z->relays_len : 2;
-	return relay_at(b, z, r->info.id, r->route.detour % places);
+	if (z->relays_len > 1)
+		return relay_at(b, z, r->info.id, detour % z->relays_len);
+	/* The second way is a relay of another domain: the leader would take the
+	 * load of all that have lost theirs. */
+	return detour % 2 == 0 ? z->relays[0]
+			       : relay_at(b, &b->all, r->info.id, 0);
 }
 
 static uint32_t
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -73,11 +73,24 @@
 };
 
 struct wf_sent;
-struct wf_relay_zone;
+
+/* Relays of one failure domain at most. */
+#define WF_ZONE_RELAYS_MAX 16
+
+/**
+ * struct wf_relay_zone - relays of a failure domain
+ */
+struct wf_relay_zone {
+	agb_id domain;
+	uint32_t runners;
+	uint32_t relays[WF_ZONE_RELAYS_MAX];
+	uint32_t relays_len;
+};
 
 /**
  * struct wf_outbox - orders that are not answered
  * @through: runners are reached through relays
+ * @all: relays of any domain
  * @queue: orders of this step, which wf_outbox_flush() sends
  * @sent: orders with relays, by their number
  */
@@ -88,6 +101,7 @@
 	uint32_t relays_len;
 	struct wf_relay_zone *zones;
 	size_t zones_len;
+	struct wf_relay_zone all;
 	struct wf_order *queue;
 	size_t queue_len;
 	size_t queue_cap;
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -8,6 +8,7 @@
 #include "wf_outbox.h"
 #include "wf_relay.h"
 #include "wf_show.h"
+#include "wf_table.h"
 
 /* Tags of calls: 0 needs no answer, a put carries the front's tag, whose top
  * bit is set, and the others say by a bit which reply they wait for; all that
@@ -271,17 +272,40 @@
 	free(ask.runners);
 }
 
+/* A state in the form of a record. */
+struct told {
+	char key[WF_KEY_MAX];
+	char state;
+};
+
+static void
+told_get(const agb_x_told *x, struct told *t, struct agb_store_kv *kv)
+{
+	wf_job_id job;
+
+	memcpy(job, x->job, sizeof(x->job));
+	job[sizeof(x->job)] = '\0';
+	wf_table_key(t->key, 'v', job);
+	t->state = (char)x->state;
+	kv->key = t->key;
+	kv->val = &t->state;
+	kv->val_len = 1;
+}
+
 static void
 rpc_push(struct wf_rpc *r, uint64_t token, const agb_x_push_args *x)
 {
 	struct wf_event ev = {.type = WF_EV_PEER_PUSH, .on = x->forward};
 	const agb_x_record *rec;
 	struct agb_store_kv *kvs;
+	struct told *told;
 	agb_x_res res;
-	size_t i;
+	size_t i, n;
 
-	kvs = agb_xcalloc(x->records.records_len + 1, sizeof(*kvs));
-	for (i = 0; i < x->records.records_len; i++) {
+	n = x->records.records_len;
+	kvs = agb_xcalloc(n + x->states.states_len + 1, sizeof(*kvs));
+	told = agb_xcalloc(x->states.states_len + 1, sizeof(*told));
+	for (i = 0; i < n; i++) {
 		rec = &x->records.records_val[i];
 		kvs[i].key = rec->key;
 		kvs[i].val = rec->value.value_val;
@@ -289,9 +313,12 @@
 		kvs[i].mod_rev = rec->revision;
 		kvs[i].create_rev = rec->revision;
 	}
+	for (i = 0; i < x->states.states_len; i++)
+		told_get(&x->states.states_val[i], &told[i], &kvs[n++]);
 	ev.u.feed.items = kvs;
-	ev.u.feed.items_len = x->records.records_len;
+	ev.u.feed.items_len = n;
 	r->cbs.event(r->arg, &ev);
+	free(told);
 	free(kvs);
 	memset(&res, 0, sizeof(res));
 	res.proc = AGB_X_PUSH;
@@ -573,28 +600,53 @@
 	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args, ef->timeout_ms);
 }
 
+/* States of jobs are most of what instances tell each other, and go in short
+ * form. */
+static bool
+told_put(const struct wf_record *rec, agb_x_told *x)
+{
+	wf_job_id job;
+
+	if (rec->len != 1 || !wf_table_shown(rec->key, job) ||
+	    strlen(job) != sizeof(x->job))
+		return false;
+	memcpy(x->job, job, sizeof(x->job));
+	x->state = (unsigned char)rec->val[0];
+	return true;
+}
+
 static void
 do_push(struct wf_rpc *r, const struct wf_effect *ef)
 {
 	const struct wf_push *const p = &ef->u.push;
 	agb_x_record *list;
+	size_t i, n, told_len;
+	agb_x_told *told;
 	agb_x_args args;
-	size_t i;
 
 	list = agb_xcalloc(p->len + 1, sizeof(*list));
+	told = agb_xcalloc(p->len + 1, sizeof(*told));
+	n = told_len = 0;
 	for (i = 0; i < p->len; i++) {
-		list[i].key = (char *)(uintptr_t)p->items[i].key;
-		list[i].revision = p->items[i].revision;
-		list[i].value.value_val = p->items[i].val;
-		list[i].value.value_len = (u_int)p->items[i].len;
+		if (told_put(&p->items[i], &told[told_len])) {
+			told_len++;
+			continue;
+		}
+		list[n].key = (char *)(uintptr_t)p->items[i].key;
+		list[n].revision = p->items[i].revision;
+		list[n].value.value_val = p->items[i].val;
+		list[n++].value.value_len = (u_int)p->items[i].len;
 	}
 	memset(&args, 0, sizeof(args));
 	args.proc = AGB_X_PUSH;
 	args.agb_x_args_u.push.forward = p->forward;
 	args.agb_x_args_u.push.records.records_val = list;
-	args.agb_x_args_u.push.records.records_len = (u_int)p->len;
+	args.agb_x_args_u.push.records.records_len = (u_int)n;
+	args.agb_x_args_u.push.states.states_val = told;
+	args.agb_x_args_u.push.states.states_len = (u_int)told_len;
 	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args,
 	    ef->timeout_ms > 0 ? ef->timeout_ms : PUSH_TIMEOUT_MS);
+	free(told);
 	free(list);
 }
 
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -72,6 +72,17 @@
 	return 0;
 }
 
+bool
+wf_table_shown(const char *key, wf_job_id job)
+{
+	char id[AGB_ID_LEN];
+
+	if (key_parse(key, id) != 'v')
+		return false;
+	agb_name_set(job, WF_JOB_ID_LEN, id);
+	return strlen(id) < WF_JOB_ID_LEN;
+}
+
 char *
 wf_table_encode(xdrproc_t proc, void *rec, size_t *len)
 {
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -201,6 +201,12 @@
  */
 void wf_table_key(char key[WF_KEY_MAX], char kind, const char *id);
 
+/**
+ * wf_table_shown() - job of the key of a durable state that is shown
+ * Return: false when the key is another one.
+ */
+bool wf_table_shown(const char *key, wf_job_id job);
+
 /**
  * wf_table_encode_spec() - bytes of a submission
  * Return: new bytes, freed by the caller; NULL when it cannot be encoded.
