--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -88,10 +88,15 @@
 	struct ending items[ENDS_MAX];
 };
 
+/* A runner and its free processors. */
+struct room {
+	uint32_t runner;
+	int64_t cpu;
+};
+
 /* What one pass over the queue works with. @claimed: processors that units
  * earlier in the queue will take with their tickets, or once their calls for
- * advice are answered. @service_free: processors that were free at the runners
- * of @service when that was asked for first. */
+ * advice are answered. @rooms: runners of @service, which have @free_cpu free. */
 struct pass {
 	struct wf_leader *l;
 	const struct wf_now *now;
@@ -102,7 +107,9 @@
 	uint32_t reserved;
 	int64_t claimed;
 	const char *service;
-	int64_t service_free;
+	struct room *rooms;
+	size_t rooms_len;
+	int64_t free_cpu;
 	struct wf_effects *out;
 };
 
@@ -575,47 +582,63 @@
 	return false;
 }
 
-/* Processors that the runners of a service had free in this pass, at most. */
-static int64_t
-service_free(struct pass *p, const char *service)
+static int
+room_order(const void *a, const void *b)
+{
+	const struct room *const x = a, *const y = b;
+
+	return x->cpu > y->cpu ? -1 : x->cpu < y->cpu ? 1 : 0;
+}
+
+/* The usable runners of a service as they were when this pass came to it
+ * first, the emptiest first: placements since then only take room. */
+static void
+rooms_make(struct pass *p, const char *service)
 {
 	const struct wf_runner *r;
-	struct agb_resources room;
 	uint32_t ri;
+	int64_t cpu;
 
 	if (p->service != NULL && strcmp(p->service, service) == 0)
-		return p->service_free;
+		return;
 	p->service = service;
-	p->service_free = 0;
+	p->rooms_len = 0;
+	p->free_cpu = 0;
 	for (ri = 0; ri < p->l->runners_len; ri++) {
 		r = &p->l->runners[ri];
-		if (!wf_fleet_usable(r, p->now->mono) ||
+		cpu = wf_fleet_free(r).cpu_milli;
+		if (!wf_fleet_usable(r, p->now->mono) || cpu <= 0 ||
 		    strcmp(r->info.service, service) != 0)
 			continue;
-		room = wf_fleet_free(r);
-		p->service_free += room.cpu_milli > 0 ? room.cpu_milli : 0;
+		p->rooms[p->rooms_len].runner = ri;
+		p->rooms[p->rooms_len++].cpu = cpu;
+		p->free_cpu += cpu;
 	}
-	return p->service_free;
+	if (p->rooms_len > 1)
+		qsort(p->rooms, p->rooms_len, sizeof(*p->rooms), room_order);
 }
 
 /* Whether there is room for one task of the unit beyond what units before it
- * have claimed. With many units that wait, the sum tells it of most. */
+ * have claimed. */
 static bool
 has_room(struct pass *p, const struct wf_unit *u, const char *service)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
+	const struct wf_runner *r;
 	int64_t room;
-	uint32_t ri;
+	size_t i;
 
-	if (step->need.cpu_milli > 0 && service_free(p, service) <= p->claimed)
+	rooms_make(p, service);
+	if (p->free_cpu <= p->claimed)
 		return false;
 	room = -p->claimed;
-	for (ri = 0; ri < p->l->runners_len && room <= 0; ri++) {
-		if (!eligible(p, u, service, ri))
-			continue;
-		room +=
-		    cpu * wf_step_fit(step, wf_fleet_free(&p->l->runners[ri]));
+	for (i = 0; i < p->rooms_len && room <= 0; i++) {
+		if (p->rooms[i].cpu < step->need.cpu_milli)
+			break;
+		r = &p->l->runners[p->rooms[i].runner];
+		if (wf_runner_has_label(&r->info, step->label))
+			room += cpu * wf_step_fit(step, wf_fleet_free(r));
 	}
 	return room > 0;
 }
@@ -737,6 +760,7 @@
 	wf_advice_claims(l, now->mono);
 	p.cands = agb_xcalloc(l->runners_len + 1, sizeof(*p.cands));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
+	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
 	p.keeps = agb_xcalloc(l->runners_len + 1, sizeof(*p.keeps));
 	p.endings = agb_xcalloc(l->runners_len + 1, sizeof(void *));
 	for (i = 0; i < len; i++) {
@@ -753,6 +777,7 @@
 	free(p.endings);
 	free(p.keeps);
 	free(p.stale);
+	free(p.rooms);
 	free(p.cands);
 	free(list);
 	return now->mono + PASS_IDLE_MS * AGB_MS;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -115,14 +115,32 @@
 uint32_t
 wf_fleet_find(const struct wf_leader *l, const char *id)
 {
-	uint32_t i;
+	const struct wf_runner_id *x;
 
-	for (i = 0; i < l->runners_len; i++) {
-		if (l->runners[i].used &&
-		    strcmp(l->runners[i].info.id, id) == 0)
-			return i;
-	}
-	return WF_NONE;
+	HASH_FIND_STR(l->runner_ids, id, x);
+	return x != NULL ? x->runner : WF_NONE;
+}
+
+static void
+id_add(struct wf_leader *l, const char *id, uint32_t runner)
+{
+	struct wf_runner_id *const x = agb_xcalloc(1, sizeof(*x));
+
+	agb_name_set(x->id, sizeof(x->id), id);
+	x->runner = runner;
+	HASH_ADD_STR(l->runner_ids, id, x);
+}
+
+static void
+id_drop(struct wf_leader *l, const char *id)
+{
+	struct wf_runner_id *x;
+
+	HASH_FIND_STR(l->runner_ids, id, x);
+	if (x == NULL)
+		return;
+	HASH_DEL(l->runner_ids, x);
+	free(x);
 }
 
 static uint32_t
@@ -164,6 +182,7 @@
 	r->lease_until = l->elected_at +
 	    (agb_time)(WF_HOLD_GRACE_MS + HOLD_MS) * LEASE_SLOW_PERMILLE;
 	agb_name_set(r->info.id, sizeof(r->info.id), id);
+	id_add(l, id, i);
 	return i;
 }
 
@@ -235,6 +254,23 @@
 	r->strays_len = 0;
 }
 
+void
+wf_fleet_free_all(struct wf_leader *l)
+{
+	struct wf_runner_id *x, *next;
+	uint32_t i;
+
+	for (i = 0; i < l->runners_len; i++)
+		free(l->runners[i].strays);
+	free(l->runners);
+	x = l->runner_ids;
+	HASH_CLEAR(hh, l->runner_ids);
+	for (; x != NULL; x = next) {
+		next = x->hh.next;
+		free(x);
+	}
+}
+
 /* The runner has started again: it holds and knows nothing of before. */
 static void
 new_life(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
@@ -1178,6 +1214,7 @@
 	if (!r->listed && r->tasks == NULL &&
 	    now->mono - r->gone_at > FORGET_MS * AGB_MS) {
 		strays_clear(r);
+		id_drop(l, r->info.id);
 		r->used = false;
 		return;
 	}
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -57,8 +57,6 @@
 void
 wf_leader_free(struct wf_leader *l)
 {
-	uint32_t i;
-
 	if (l == NULL)
 		return;
 	wf_commit_free(l);
@@ -66,9 +64,7 @@
 		wf_exec_free(l, l->execs);
 	wf_advice_free(l);
 	wf_outbox_free(l);
-	for (i = 0; i < l->runners_len; i++)
-		free(l->runners[i].strays);
-	free(l->runners);
+	wf_fleet_free_all(l);
 	wf_show_free(l);
 	free(l);
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -232,6 +232,13 @@
 	struct wf_route route;
 };
 
+/* Place of a runner by its id. */
+struct wf_runner_id {
+	agb_id id;
+	uint32_t runner;
+	UT_hash_handle hh;
+};
+
 /* Ends up to @seq of @runner are durable once generation @gen is. */
 struct wf_ack {
 	uint64_t gen;
@@ -319,6 +326,7 @@
 	agb_time hold_until;
 	struct wf_runner *runners;
 	uint32_t runners_len;
+	struct wf_runner_id *runner_ids;
 	struct wf_outbox outbox;
 	bool registry_seen;
 	struct wf_exec *execs;
@@ -548,6 +556,11 @@
 
 uint32_t wf_fleet_find(const struct wf_leader *l, const char *id);
 
+/**
+ * wf_fleet_free_all() - drop all runners
+ */
+void wf_fleet_free_all(struct wf_leader *l);
+
 /**
  * wf_fleet_get() - handle of a runner, which is entered when not known
  */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -63,6 +63,7 @@
 		o.bin = bin->count > 0 ? bin->sval[0] : "build";
 		o.log_dir = dir;
 		o.verbose = verbose->count > 0;
+		o.relays = o.seed % 2 == 0;
 		/* A run leaves handles behind: each has its own process. */
 		fflush(stdout);
 		pid = fork();
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,6 +16,8 @@
 #include "mem.h"
 #include "proxy.h"
 
+/* A machine on which a leader hands its orders to relays. */
+#define SMALL_CPU_SHARE "0.01"
 #define INSTANCES_MAX 64
 #define JOBS_MAX 20000
 #define TRIES_MAX 6
@@ -228,9 +230,10 @@
 	    "\"http\":\"%s\",\"ready\":\"127.0.0.1:%d\","
 	    "\"rpc\":\"127.0.0.1:%d\",\"metrics\":\"127.0.0.1:%d\","
 	    "\"store\":\"127.0.0.1:%d\",\"advice\":\"%s\",\"grace_s\":5,"
-	    "\"status_s\":600,\"remote_factor\":2}\n",
+	    "\"status_s\":600,\"remote_factor\":2,\"cpu_share\":%s}\n",
 	    i, in->http, free_port(), free_port(), free_port(),
-	    proxy_port(in->proxy), s->advice);
+	    proxy_port(in->proxy), s->advice,
+	    s->o->relays ? SMALL_CPU_SHARE : "1");
 	fclose(f);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -17,6 +17,7 @@
  * @load_ms: time of load and faults; finishing takes up to @finish_ms more
  * @fault_gap_ms: mean time between faults; 0 is none
  * @log_dir: where logs of the processes go
+ * @relays: the machines are too small to speak with all runners themselves
  */
 struct soak_options {
 	unsigned seed;
@@ -29,6 +30,7 @@
 	const char *bin;
 	const char *log_dir;
 	bool verbose;
+	bool relays;
 };
 
 /**
