fix(log): only whole lines go out

Change: each write ends with a line and is at most what a pipe takes at once or not at all. test_log failed before and passes now.

--- a/src/agatebeam/log.c
+++ b/src/agatebeam/log.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -231,21 +232,37 @@
 	free(fields);
 }
 
+/* Whole lines that a pipe takes at once or not at all; a longer line alone. */
+static size_t
+whole_lines(const char *buf, size_t len)
+{
+	const char *end;
+
+	end = memrchr(buf, '\n', len < PIPE_BUF ? len : PIPE_BUF);
+	if (end == NULL)
+		end = memchr(buf, '\n', len);
+	return end != NULL ? (size_t)(end - buf) + 1 : len;
+}
+
 void
 agb_log_flush(struct agb_log *l)
 {
+	size_t done = 0;
 	ssize_t n;
 
-	while (l->len > 0) {
-		n = write(l->fd, l->buf, l->len);
+	while (done < l->len) {
+		n = write(l->fd, l->buf + done,
+		    whole_lines(l->buf + done, l->len - done));
 		if (n < 0 && errno == EINTR)
 			continue;
 		/* The rest waits for the next turn. */
 		if (n <= 0)
-			return;
-		l->len -= (size_t)n;
-		memmove(l->buf, l->buf + n, l->len);
+			break;
+		done += (size_t)n;
 	}
+	l->len -= done;
+	if (done > 0 && l->len > 0)
+		memmove(l->buf, l->buf + done, l->len);
 }
 
 static void
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -103,9 +103,37 @@
 	close(fds[1]);
 }
 
+/* Guards against a line that is cut where the output was full: another writer
+ * or the end of the process would leave it torn. */
+static void
+test_lines_are_whole(void)
+{
+	static char buf[256 * 1024];
+	struct agb_log *l;
+	uv_loop_t loop;
+	ssize_t n, len = 0;
+	int fds[2], i;
+
+	CU_ASSERT_EQUAL_FATAL(pipe2(fds, O_NONBLOCK), 0);
+	uv_loop_init(&loop);
+	l = agb_log_new(&loop, fds[1], false, AGB_LOG_INFO);
+	for (i = 0; i < 3000; i++)
+		agb_log_printf(l, AGB_LOG_INFO, "line", "number=%d", i);
+	agb_log_flush(l);
+	while ((n = read(fds[0], buf + len, sizeof(buf) - (size_t)len)) > 0)
+		len += n;
+	CU_ASSERT_FATAL(len > 0 && len < 3000 * 60);
+	CU_ASSERT_EQUAL(buf[len - 1], '\n');
+	agb_log_free(l);
+	loop_close(&loop);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 static const struct suite_test tests[] = {
     {"format", test_format},
     {"output", test_output},
+    {"lines are whole", test_lines_are_whole},
 };
 
 int
