--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -693,12 +693,12 @@
 	len = candidates(p, u, q, &stale_len);
 	if (step->rack_bound)
 		len = keep_one_rack(p->cands, len, u->waiting);
-	if (len > 1)
-		qsort(p->cands, len, sizeof(*p->cands), cand_order);
 	room = 0;
 	for (i = 0; i < len; i++)
 		room += p->cands[i].fit;
 	if (room >= u->waiting) {
+		if (len > 1)
+			qsort(p->cands, len, sizeof(*p->cands), cand_order);
 		place_on(p, u, p->cands, len);
 		return;
 	}
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -24,7 +24,7 @@
 #define CALL_TIMEOUT_MS 500
 /* An instance that did not answer carries no orders for this long. */
 #define BAD_MS 2000
-#define CHECK_MS 50
+#define CHECK_MS 150
 #define EXPIRE_MS 20
 #define HELD_UP_MS 40
 /* A relay with orders that says nothing for this long is away. */
