--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -628,8 +628,8 @@
 	struct wf_sent *s, *next;
 
 	if (now->mono >= p->bad_until)
-		wf_effects_log(out, AGB_LOG_WARN, "relay",
-		    "relay=%s change=lost reason=\"%s\"", p->name, why);
+		wf_effects_log(out, AGB_LOG_WARN, "orders",
+		    "through=%s change=lost reason=\"%s\"", p->name, why);
 	p->bad_until = now->mono + BAD_MS * AGB_MS;
 	p->usable = false;
 	l->outbox.check_at = 0;
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -172,7 +172,7 @@
 leader_changed(
     struct wf_relay *y, const struct wf_orders *o, struct wf_effects *out)
 {
-	wf_effects_log(out, AGB_LOG_INFO, "relay",
+	wf_effects_log(out, AGB_LOG_INFO, "orders",
 	    "change=leader fence=%" PRIu64 " before=%" PRIu64 " leader=%s",
 	    o->fence, y->fence, o->reply_to);
 	forget_runners(y);
@@ -376,7 +376,7 @@
 	ef->on = open && orders->fence >= y->fence;
 	ef->clock = now->mono;
 	if (!ef->on) {
-		wf_effects_log(out, AGB_LOG_WARN, "relay",
+		wf_effects_log(out, AGB_LOG_WARN, "orders",
 		    "change=refused orders=%zu fence=%" PRIu64
 		    " fence_seen=%" PRIu64 " open=%s",
 		    orders->len, orders->fence, y->fence, open ? "yes" : "no");
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -383,7 +383,7 @@
 		/* What cannot be read proves nothing. */
 		list.items[i].status = WF_ORDER_LOST;
 		r->cbs.log(
-		    r->arg, AGB_LOG_ERROR, "relay", "change=malformed-result");
+		    r->arg, AGB_LOG_ERROR, "orders", "change=malformed-result");
 	}
 	ev.u.results = &list;
 	r->cbs.event(r->arg, &ev);
