--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -8,6 +8,7 @@
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 #define BODY_MAX_LIMIT 16777216 /* bytes */
 #define TEXT_MAX ((size_t)64 * 1024)
+#define LINK_MBPS_MAX 100000
 
 static const char *const keys[] = {
     "instance",
@@ -69,7 +70,8 @@
 	agb_jsonc_num(root, "status_s", false, 1, 86400, &status_s);
 	agb_jsonc_num(root, "remote_factor", false, 1, 100, &out->remote_x);
 	agb_jsonc_num(root, "cpu_share", false, 0, 1024, &out->cpu_share);
-	agb_jsonc_num(root, "link_mbps", false, 0, 1e6, &out->link_mbps);
+	agb_jsonc_num(
+	    root, "link_mbps", false, 0, LINK_MBPS_MAX, &out->link_mbps);
 	agb_jsonc_u32(root, "body_max", false, &bodies, &out->body_max);
 	agb_jsonc_bool(root, "log_json", false, &out->log_json);
 	agb_jsonc_choice(root, "log_level", false, levels, LEN(levels), &level);
