--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -21,7 +21,7 @@
 /* Bytes that wait for one connection; a slower peer loses it. */
 #define AGB_RPC_QUEUE_BYTES_MAX ((size_t)8 * 1024 * 1024)
 /* Connections in both directions: two for each peer. */
-#define AGB_RPC_CONNS_MAX (2 * AGB_RPC_PEERS_MAX)
+#define AGB_RPC_CONNS_MAX ((size_t)2 * AGB_RPC_PEERS_MAX)
 #define AGB_RPC_PEERS_MAX 512
 
 struct agb_rpc;
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -5,6 +5,7 @@
 #include "loop.h"
 #include "suite.h"
 
+#define LINES 3000
 #define STAMP "2026-12-04T05:33:23.000042Z"
 
 /* Guards against a value that forges a line or a field, and against JSON
@@ -117,12 +118,12 @@
 	CU_ASSERT_EQUAL_FATAL(pipe2(fds, O_NONBLOCK), 0);
 	uv_loop_init(&loop);
 	l = agb_log_new(&loop, fds[1], false, AGB_LOG_INFO);
-	for (i = 0; i < 3000; i++)
+	for (i = 0; i < LINES; i++)
 		agb_log_printf(l, AGB_LOG_INFO, "line", "number=%d", i);
 	agb_log_flush(l);
 	while ((n = read(fds[0], buf + len, sizeof(buf) - (size_t)len)) > 0)
 		len += n;
-	CU_ASSERT_FATAL(len > 0 && len < 3000 * 60);
+	CU_ASSERT_FATAL(len > 0 && len < (ssize_t)LINES * 60);
 	CU_ASSERT_EQUAL(buf[len - 1], '\n');
 	agb_log_free(l);
 	loop_close(&loop);
