fix(rpc): a connection that has gone silent is given up after 2.5 s

The check came too early in the life of a connection and never held: the new test (calls without an answer until a new connection is made) failed on it. A test for requests that must not go out after their time (HTTP client).

--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -19,6 +19,9 @@
 /* A restarted peer is tried again within a second. */
 #define BACKOFF_MAX_MS 1000
 #define SWEEP_MS 1000
+/* A connection over which nothing comes for this long while calls go out is
+ * given up. A peer that is only held up answers before. */
+#define SILENT_MS 2500
 /* Time to read what has come when a call's time is over. */
 #define OVERDUE_MS 5
 /* Heartbeats come every 500 ms, so that a silent connection is stale. */
@@ -473,6 +476,7 @@
 	for (call = p->unwritten; call != NULL; call = call->next) {
 		free(call->rec);
 		call->rec = NULL;
+		call->sent_at = uv_now(p->r->loop);
 	}
 	p->unwritten = NULL;
 	p->unwritten_bytes = 0;
@@ -723,6 +727,7 @@
 	struct agb_rpc *const r = call->r;
 	struct conn *const conn = call->peer->conn;
 	const uint64_t sent_at = call->sent_at;
+	const bool sent = call->rec == NULL;
 
 	/* A process that was held up reads what has come before it judges. */
 	if (!call->overdue) {
@@ -731,11 +736,12 @@
 		return;
 	}
 	call_detach(call);
-	r->cbs.reply(r->arg, call->tag, false, call->rec == NULL, NULL);
+	r->cbs.reply(r->arg, call->tag, false, sent, NULL);
 	call_free(call);
 	/* A connection can go silent for good while new ones work. */
-	if (conn != NULL && !conn->closing && conn->connected &&
-	    conn->heard_at < sent_at)
+	if (sent && conn != NULL && !conn->closing &&
+	    conn->heard_at <= sent_at &&
+	    uv_now(r->loop) - conn->heard_at >= SILENT_MS)
 		conn_close(conn);
 }
 
@@ -779,7 +785,6 @@
 	call->r = r;
 	call->tag = tag;
 	call->xid = ++r->next_xid;
-	call->sent_at = uv_now(r->loop);
 	call->proc = args->proc;
 	uv_timer_init(r->loop, &call->timer);
 	call->timer.data = call;
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -279,6 +279,53 @@
 	loop_close(&loop);
 }
 
+/* Guards against a process that was paused and then acts on a permission that
+ * has run out: nothing goes out after the time of the request. */
+static void
+test_not_after(void)
+{
+	static const struct {
+		agb_time not_after; /* from now, in us; 0 is no limit */
+		bool past;
+		enum agb_httpc_status status;
+	} cases[] = {
+	    {0, false, AGB_HTTPC_WHOLE},
+	    {10 * AGB_SEC, false, AGB_HTTPC_WHOLE},
+	    {AGB_MS, true, AGB_HTTPC_UNSENT},
+	};
+	const struct answer whole = {
+	    .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	struct timespec now;
+	struct result r;
+	agb_time mono;
+	uv_loop_t loop;
+	size_t i;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_listen(&loop, &srv, answer_whole, (void *)&whole);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&r, 0, sizeof(r));
+		clock_gettime(CLOCK_BOOTTIME, &now);
+		mono = (agb_time)now.tv_sec * AGB_SEC +
+		    (agb_time)now.tv_nsec / 1000;
+		req = ping(srv.addr, &r);
+		if (cases[i].past)
+			req.not_after = mono - cases[i].not_after;
+		else if (cases[i].not_after > 0)
+			req.not_after = mono + cases[i].not_after;
+		agb_httpc_request(c, &req);
+		loop_until(&loop, &r.done, 1);
+		CU_ASSERT_EQUAL(r.res.status, cases[i].status);
+	}
+	agb_httpc_free(c);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
 /* Guards against a cancelled request that calls back, leaks, or blocks the
  * requests that wait behind it. */
 static void
@@ -360,6 +407,7 @@
     {"unsent", test_unsent},
     {"reuse", test_reuse},
     {"deadline", test_deadline},
+    {"not after its time", test_not_after},
     {"cancel", test_cancel},
     {"stream", test_stream},
 };
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -199,6 +199,43 @@
 	loop_close(&loop);
 }
 
+static void
+take_nothing(struct loop_conn *c)
+{
+	c->in_len = 0;
+}
+
+/* Guards against a connection that has gone silent for good, while new ones
+ * work, and takes all later calls with it. */
+static void
+test_silent_connection(void)
+{
+	enum { TIMEOUT_MS = 200, CALLS = 30 };
+	struct loop_server srv;
+	static struct side a;
+	uv_loop_t loop;
+	int i;
+
+	uv_loop_init(&loop);
+	side_open(&a, &loop);
+	loop_listen(&loop, &srv, take_nothing, NULL);
+	for (i = 1; srv.closed == 0 && i <= CALLS; i++) {
+		explain(&a, (uint64_t)i, srv.addr, "x", TIMEOUT_MS);
+		loop_until(&loop, &a.replies, i);
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+	/* One call without an answer is no reason to give up the others. */
+	CU_ASSERT_TRUE(i > 3);
+	explain(&a, (uint64_t)i, srv.addr, "x", TIMEOUT_MS);
+	loop_until(&loop, &a.replies, i);
+	CU_ASSERT_EQUAL(srv.accepted, 2);
+	CU_ASSERT_EQUAL(a.ok, 0);
+	CU_ASSERT_EQUAL(a.sent, i);
+	agb_rpc_free(a.rpc);
+	loop_unlisten(&srv);
+	loop_close(&loop);
+}
+
 static uint32_t
 word(const char *p, size_t i)
 {
@@ -588,6 +625,7 @@
 static const struct suite_test tests[] = {
     {"round_trip", test_round_trip},
     {"unsent", test_unsent},
+    {"silent connection", test_silent_connection},
     {"forged_replies", test_forged_replies},
     {"forged_calls", test_forged_calls},
     {"allowed", test_allowed},
