--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -84,13 +84,16 @@
 	run->text.text_val = o->text;
 }
 
-static void
+/* The decoder lets any number through as a kind. */
+static bool
 order_get(const agb_x_order *x, struct wf_order *o)
 {
 	const agb_x_hold_order *const hold = &x->body.agb_x_order_body_u.hold;
 	const agb_x_run_order *const run = &x->body.agb_x_order_body_u.run;
 
 	memset(o, 0, sizeof(*o));
+	if ((unsigned)x->body.kind > AGB_X_PACE)
+		return false;
 	o->number = x->number;
 	o->kind = (enum wf_order_kind)x->body.kind;
 	o->runner = x->runner;
@@ -104,7 +107,7 @@
 		o->wait_ms = hold->wait_ms;
 		o->beside = hold->beside;
 		o->seen = hold->seen;
-		return;
+		return true;
 	}
 	task_get(&run->task, &o->task);
 	o->run = run->run;
@@ -113,9 +116,10 @@
 	agb_name_set(o->ticket, sizeof(o->ticket), run->ticket);
 	agb_name_set(o->home, sizeof(o->home), run->home);
 	if (run->text.text_len == 0)
-		return;
+		return true;
 	o->text = agb_xmemdup(run->text.text_val, run->text.text_len);
 	o->text_len = run->text.text_len;
+	return true;
 }
 
 static void
@@ -358,8 +362,13 @@
 		    x->cards.cards_val[i].addr);
 	}
 	o.items = agb_xcalloc(x->orders.orders_len + 1, sizeof(*o.items));
-	for (i = 0; i < x->orders.orders_len; i++)
-		order_get(&x->orders.orders_val[i], &o.items[o.len++]);
+	for (i = 0; i < x->orders.orders_len; i++) {
+		if (order_get(&x->orders.orders_val[i], &o.items[o.len]))
+			o.len++;
+		else
+			r->cbs.log(r->arg, AGB_LOG_ERROR, "orders",
+			    "change=malformed-order");
+	}
 	ev.u.orders = &o;
 	r->cbs.event(r->arg, &ev);
 	wf_orders_free(&o);
@@ -851,3 +860,13 @@
 	}
 	return r;
 }
+
+void
+wf_rpc_free(struct wf_rpc *r)
+{
+	if (r == NULL)
+		return;
+	agb_rpc_free(r->rpc);
+	free(r->allowed);
+	free(r);
+}
--- a/src/workflow/wf_rpc.h
+++ b/src/workflow/wf_rpc.h
@@ -38,4 +38,11 @@
  */
 bool wf_rpc_effect(struct wf_rpc *r, const struct wf_effect *ef);
 
+/**
+ * wf_rpc_free() - close all; the loop must run on until its closed handles are
+ * gone
+ * @r: may be NULL
+ */
+void wf_rpc_free(struct wf_rpc *r);
+
 #endif
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -5,14 +5,18 @@
  * failure or the load that it guards against.
  */
 
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "loop.h"
 #include "mem.h"
+#include "rpc.h"
 #include "suite.h"
 #include "wf_delta.h"
 #include "wf_relay.h"
+#include "wf_rpc.h"
 #include "wfsim.h"
 
 #define JOB "00000000000000aa"
@@ -223,6 +227,90 @@
 	wf_relay_free(y);
 }
 
+/* ---- orders as messages ---- */
+
+struct inbox {
+	struct wf_rpc *rpc;
+	size_t orders;
+	int calls;
+	int logged;
+	int replies;
+};
+
+static void
+on_event(void *arg, struct wf_event *ev)
+{
+	struct wf_effect answer = {.type = WF_EF_ORDERS_TAKEN, .tag = ev->tag};
+	struct inbox *const in = arg;
+
+	in->orders += ev->u.orders->len;
+	in->calls++;
+	(void)wf_rpc_effect(in->rpc, &answer);
+}
+
+static void
+on_log(void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	struct inbox *const in = arg;
+
+	in->logged += strcmp(line, "change=malformed-order") == 0;
+}
+
+static void
+on_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	struct inbox *const in = arg;
+
+	in->replies++;
+	if (ok)
+		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+}
+
+/* Guards against a message with an order of a kind that there is not: it must
+ * not become another order, and the others of the call are taken. */
+static void
+unknown_orders_are_not_taken(void)
+{
+	static const struct wf_rpc_cbs cbs = {.event = on_event, .log = on_log};
+	static const struct agb_rpc_cbs client_cbs = {.reply = on_reply};
+	agb_addr self = "127.0.0.1:1";
+	struct wf_effect allow = {
+	    .type = WF_EF_ALLOW_PEERS, .peers = &self, .peers_len = 1};
+	agb_x_args args = {.proc = AGB_X_ORDERS};
+	struct inbox in = {0};
+	struct agb_rpc *client;
+	agb_x_order orders[2];
+	agb_addr addr;
+	uv_loop_t loop;
+	uv_tcp_t tcp;
+
+	uv_loop_init(&loop);
+	loop_bind_dead(&loop, &tcp, addr);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	in.rpc = wf_rpc_new(&loop, addr, &cbs, &in);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(in.rpc);
+	(void)wf_rpc_effect(in.rpc, &allow);
+	client = agb_rpc_new(&loop, "127.0.0.1:0", &client_cbs, &in);
+	memset(orders, 0, sizeof(orders));
+	orders[0].body.kind = AGB_X_HOLD;
+	orders[1].body.kind = (agb_x_order_kind)9;
+	orders[1].body.agb_x_order_body_u.run.saved = "";
+	orders[1].body.agb_x_order_body_u.run.ticket = "";
+	orders[1].body.agb_x_order_body_u.run.home = "";
+	args.agb_x_args_u.orders.reply_to = "x";
+	args.agb_x_args_u.orders.orders.orders_len = 2;
+	args.agb_x_args_u.orders.orders.orders_val = orders;
+	agb_rpc_call(client, 1, addr, &args, 2000);
+	loop_until(&loop, &in.replies, 1);
+	CU_ASSERT_EQUAL(in.calls, 1);
+	CU_ASSERT_EQUAL(in.orders, 1);
+	CU_ASSERT_EQUAL(in.logged, 1);
+	agb_rpc_free(client);
+	wf_rpc_free(in.rpc);
+	loop_close(&loop);
+}
+
 /* ---- instances in simulated time ---- */
 
 static struct sim *
@@ -464,6 +552,7 @@
     {"lists survive the way", lists_survive_the_way},
     {"lists of others are not taken", lists_of_others_are_not_taken},
     {"orders out of turn", orders_out_of_turn},
+    {"unknown orders are not taken", unknown_orders_are_not_taken},
     {"small leader hands orders over", small_leader_hands_orders_over},
     {"large leader sends itself", large_leader_sends_itself},
     {"work outlives relays", work_outlives_relays},
