--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -1036,6 +1036,7 @@
 	    [WF_ORDER_OTHER_LIFE] = "runner restarted",
 	    [WF_ORDER_INVALID] = "runner does not take the start",
 	    [WF_ORDER_UNRELAYED] = "its relay did not send the start",
+	    [WF_ORDER_NO_TEXT] = "its relay could not get the text",
 	};
 	struct wf_runner *const r = &l->runners[t->runner];
 	struct wf_approval *a;
@@ -1075,7 +1076,7 @@
 	/* A list may have shown it at work before the answer was lost. */
 	if (t->state != WF_TASK_SENT)
 		return;
-	if (res->status == WF_ORDER_NO_TEXT) {
+	if (res->status == WF_ORDER_NO_TEXT && !t->stopping) {
 		wf_outbox_text_lost(u->exec, res->relay);
 		send_start(l, now, u, t);
 		return;
