--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -351,6 +351,9 @@
 			    y, now, &t->waiting[i], text->text, text->len, out);
 		else
 			result_add(y, t->waiting[i].number, WF_ORDER_NO_TEXT);
+		/* It keeps the text when its time has passed meanwhile. */
+		free(t->waiting[i].text);
+		t->waiting[i].text = NULL;
 	}
 	if (text == NULL) {
 		HASH_DEL(y->texts, t);
