--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -76,6 +76,22 @@
 	free(p->items);
 }
 
+void
+wf_order_result_init(struct wf_order_result *res, const struct wf_order *o)
+{
+	memset(res, 0, sizeof(*res));
+	res->kind = o->kind;
+	res->number = o->number;
+	res->relay = WF_NONE;
+	res->fence = o->fence;
+	res->runner = o->runner;
+	res->life = o->life;
+	res->task = o->task;
+	res->run = o->run;
+	res->beside = o->beside;
+	res->sent_at = o->sent_at;
+}
+
 void
 wf_orders_free(struct wf_orders *o)
 {
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -538,6 +538,12 @@
     const char *runner, const char *fmt, ...)
     __attribute__((format(printf, 7, 8)));
 
+/**
+ * wf_order_result_init() - result of an order, as far as the order tells
+ */
+void wf_order_result_init(
+    struct wf_order_result *res, const struct wf_order *o);
+
 /**
  * wf_orders_free() - free what a list of orders owns
  */
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -360,7 +360,6 @@
 choose(const struct wf_outbox *b, const struct wf_runner *r)
 {
 	const struct wf_relay_zone *const z = zone_find(b, r->info.domain);
-
 	const uint32_t detour = r->route.detour;
 
 	if (!b->through || z == NULL || z->relays_len == 0)
@@ -460,14 +459,7 @@
 	s->number = o->number = ++l->outbox.next_number;
 	s->relay = relay;
 	s->expires = now + (o->timeout_ms + RESULT_SLACK_MS) * AGB_MS;
-	s->res.kind = o->kind;
-	s->res.fence = o->fence;
-	s->res.runner = o->runner;
-	s->res.life = o->life;
-	s->res.task = o->task;
-	s->res.run = o->run;
-	s->res.beside = o->beside;
-	s->res.sent_at = o->sent_at;
+	wf_order_result_init(&s->res, o);
 	s->res.relay = relay;
 	HASH_ADD(hh, l->outbox.sent, number, sizeof(s->number), s);
 }
