fix(workflow): a peer's write is no answer of the store

Cause: the reply to a write made through a peer entered the reducer like a result of the store, and made the store count as heard. Change: such replies are marked; only the instance's own calls count. Ruled out: the delay before a peer is asked; with the store known to be silent it is zero already.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -907,11 +907,14 @@
 
 static void
 on_store(struct wf_core *c, const struct wf_now *now, uint64_t tag,
-    const struct agb_store_result *res, struct wf_effects *out)
+    bool made_by_peer, const struct agb_store_result *res,
+    struct wf_effects *out)
 {
 	struct wf_job *job;
 
-	if (res->status == AGB_STORE_OK)
+	/* A write that a peer has made proves nothing about the path from this
+	 * instance to the store. */
+	if (res->status == AGB_STORE_OK && !made_by_peer)
 		note_store_answer(c, now, out);
 	if (wf_front_handle_store_result(c->front, now, tag, res, &job, out)) {
 		if (job != NULL && c->leader != NULL)
@@ -1325,7 +1328,7 @@
 			    c->leader, now, &ev->u.runners, out);
 		break;
 	case WF_EV_STORE:
-		on_store(c, now, ev->tag, ev->u.store, out);
+		on_store(c, now, ev->tag, ev->flag, ev->u.store, out);
 		break;
 	case WF_EV_CALL:
 		wf_front_handle_call(c->front, now, c->doc, ev->u.call, out);
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -21,7 +21,7 @@
 	WF_EV_DOC,	    /* doc: the reducer takes ownership */
 	WF_EV_FEED,	    /* feed: keys written by the instances */
 	WF_EV_RUNNERS,	    /* runners: changes of the registry */
-	WF_EV_STORE,	    /* tag, store: result of a store operation */
+	WF_EV_STORE,	    /* tag, store: result; flag: a peer made the call */
 	WF_EV_CALL,	    /* call: request of a client */
 	WF_EV_ORDER_RESULT, /* order: result of an order to a runner */
 	WF_EV_ADVICE,	    /* tag, advice: reply of the advice service */
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -461,7 +461,7 @@
 handle_put_reply(
     struct wf_rpc *r, uint64_t tag, bool sent, const agb_x_res *res)
 {
-	struct wf_event ev = {.type = WF_EV_STORE, .tag = tag};
+	struct wf_event ev = {.type = WF_EV_STORE, .tag = tag, .flag = true};
 	struct agb_store_result store;
 
 	memset(&store, 0, sizeof(store));
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -320,6 +320,30 @@
 	finish_sim(s);
 }
 
+/* Guards against an instance that takes a write made by a peer for an answer of
+ * the store: while it was cut off from the store, it sent every second
+ * submission to the store first, and each took close to a second. */
+static void
+cut_instance_writes_through_peers(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	const unsigned ci = (leader(s) + 1) % default_options.cores;
+	char id[17];
+	unsigned i;
+
+	sim_set_core_store_mode(s, ci, SIM_STORE_SILENT);
+	sim_run(s, 2000);
+	for (i = 0; i < 12; i++) {
+		snprintf(id, sizeof(id), "%016x", 0xc0 + i);
+		sim_submit(s, ci, id, sim_new_spec(1, 1000, 100));
+		sim_run(s, 150);
+		CU_ASSERT_EQUAL(sim_submit_status(s, id), 200);
+	}
+	sim_set_core_store_mode(s, ci, SIM_STORE_UP);
+	sim_run(s, 2000);
+	finish_sim(s);
+}
+
 /* Running tasks continue while the store does not answer for 4.5 s. */
 static void
 store_down_tasks_keep_running(void)
@@ -804,6 +828,8 @@
     {"store refuses one instance", store_unavailable_to_one_instance},
     {"store away: refused at once", store_down_refuses_submit},
     {"silent store: refused at once", store_silent_refuses_submit},
+    {"one instance cut off from the store: peers write",
+	cut_instance_writes_through_peers},
     {"store away: work goes on", store_down_tasks_keep_running},
     {"gang is not starved by small tasks", gang_not_starved_by_small_tasks},
     {"gang member's start lost", gang_survives_lost_start},
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -533,6 +533,7 @@
 struct store_call {
 	struct agb_store_op op;
 	struct agb_store_result res;
+	bool made_by_peer;
 };
 
 static void
@@ -554,6 +555,7 @@
 			store_call_free(c);
 		return;
 	}
+	ev.flag = c->made_by_peer;
 	ev.u.store = &c->res;
 	handle_event(s, e->core, &ev);
 	store_call_free(c);
@@ -1911,6 +1913,7 @@
 	c->res.status = ef->u.put_result.status;
 	c->res.succeeded = ef->u.put_result.stored;
 	c->res.revision = ef->u.put_result.revision;
+	c->made_by_peer = true;
 	e->data = c;
 }
 
