feat(workflow): an instance that is not ready closes client connections

Change: while an instance reports that it is not ready, it closes each client connection after its response, as it did on SIGTERM already.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -439,6 +439,9 @@
 		break;
 	case WF_EF_READY:
 		d->ready = ef->flag;
+		/* Clients with an open connection would not notice that other
+		 * instances serve them better, and go on using it. */
+		wf_httpd_set_keep_alive(d->http, ef->flag);
 		break;
 	case WF_EF_LOG:
 		wf_metrics_count_event(d->metrics, ef->u.log.event);
@@ -533,7 +536,6 @@
 	struct wf_event ev = {.type = WF_EV_TERM};
 	struct daemon *const d = h->data;
 
-	wf_httpd_drain(d->http);
 	handle_event(d, &ev);
 }
 
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -54,7 +54,7 @@
 	size_t request_count;
 	size_t connection_count;
 	uint64_t next_id;
-	bool draining;
+	bool keep_alive;
 	bool stopped;
 };
 
@@ -174,7 +174,7 @@
 		h2o_add_header_by_str(&req->pool, &req->res.headers,
 		    H2O_STRLIT("retry-after"), 1, NULL, text, (size_t)n);
 	}
-	if (s->draining)
+	if (!s->keep_alive)
 		req->http1_is_persistent = 0;
 	h2o_send_inline(req, body, len);
 }
@@ -226,6 +226,7 @@
 	s->cb = cb;
 	s->arg = arg;
 	s->deadline_header = deadline_header;
+	s->keep_alive = true;
 	uv_tcp_init(loop, &s->listener);
 	s->listener.data = s;
 	rc = agb_httpc_parse_addr(addr, &ss) ? 0 : UV_EINVAL;
@@ -256,9 +257,9 @@
 }
 
 void
-wf_httpd_drain(struct wf_httpd *s)
+wf_httpd_set_keep_alive(struct wf_httpd *s, bool on)
 {
-	s->draining = true;
+	s->keep_alive = on;
 }
 
 void
--- a/src/workflow/wf_httpd.h
+++ b/src/workflow/wf_httpd.h
@@ -53,9 +53,10 @@
     const char *type, uint32_t retry_s, const char *body, size_t len);
 
 /**
- * wf_httpd_drain() - close each connection after its next response
+ * wf_httpd_set_keep_alive() - set whether connections stay open after a
+ * response, as they do at first
  */
-void wf_httpd_drain(struct wf_httpd *s);
+void wf_httpd_set_keep_alive(struct wf_httpd *s, bool on);
 
 /**
  * wf_httpd_stop_listening() - stop accepting connections and shut down
