feat(workflow): a probe follows a hold whose answer is overdue

Cause: while a hold waits at a runner, the leader learns of no end there. Change: wf_poll decides what goes to a runner: a hold, or, 150 ms after the latest time at which the runner should have answered, a probe. A probe that is answered gives the hold up. It renews no lease and acknowledges no ends, as other probes. The failure of a hold that was given up is no evidence. Ruled out: slow runners and wrong estimates; two tasks of one step on the same runner took 0.78 and 2.63 s.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -97,8 +97,8 @@
 		if (r->incarnation != l->acks[n].incarnation)
 			continue;
 		r->durable_seq = l->acks[n].seq;
-		if (r->durable_seq == r->processed_seq && !r->hold_pending)
-			r->next_hold_at = now;
+		if (r->durable_seq == r->processed_seq && !r->poll.pending)
+			r->poll.next_at = now;
 	}
 	l->acks_len -= n;
 	if (n > 0 && l->acks_len > 0)
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -188,7 +188,7 @@
 	r->used = true;
 	r->incarnation = incarnation + 1;
 	r->unlisted_at = now;
-	r->next_hold_at = now;
+	r->poll.next_at = now;
 	/* The previous leader may have extended leases until its own right to
 	 * do so expired. */
 	r->lease_until = l->elected_at +
@@ -304,8 +304,8 @@
 	r->incarnation++;
 	r->info.started_ms = started_ms;
 	r->reported = false;
-	r->hold_pending = false;
-	r->next_hold_at = now->mono;
+	r->poll.pending = false;
+	r->poll.next_at = now->mono;
 	r->processed_seq = 0;
 	r->durable_seq = 0;
 	r->clock_ms = 0;
@@ -354,7 +354,7 @@
 	r->info = *info;
 	r->listed = true;
 	if (!was_listed)
-		r->next_hold_at = now->mono;
+		r->poll.next_at = now->mono;
 	/* Runners that were listed before this leader was elected are not
 	 * logged one by one; a single line gives their number. */
 	if (!was_listed && (l->registry_seen || !is_new)) {
@@ -526,7 +526,7 @@
 	struct wf_order *const o =
 	    add_order(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS);
 
-	r->hold_pending = true;
+	wf_poll_hold_sent(&r->poll, now->mono, 0);
 	/* The first hold only reads the lists and the clock. A hold to a runner
 	 * that does not answer must not extend its lease, which has to expire
 	 * before its tasks start elsewhere. It must not acknowledge ends
@@ -538,6 +538,7 @@
 	o->forget_seq = r->durable_seq;
 	o->known_seq = r->processed_seq;
 	o->wait_ms = r->processed_seq > r->durable_seq ? 0 : HOLD_WAIT_MS;
+	r->poll.wait_ms = o->wait_ms;
 	o->deadline_ms = runner_clock_ms(r, now->mono) + RUNNER_LEASE_MS;
 	extend_lease(r, now->mono, RUNNER_LEASE_MS);
 }
@@ -1002,7 +1003,7 @@
 	if (r->relay_retried)
 		return false;
 	r->relay_retried = true;
-	r->next_hold_at = now->mono;
+	r->poll.next_at = now->mono;
 	return true;
 }
 
@@ -1022,15 +1023,22 @@
 	struct wf_runner *const r = &l->runners[res->runner];
 
 	if (res->is_probe) {
+		if (res->status != WF_ORDER_OK)
+			return;
+		r->heard_at = agb_time_max(r->heard_at, res->sent_at);
+		handle_lists(l, now, res->runner, res, out);
+		wf_poll_probe_answered(&r->poll, now->mono);
+		return;
+	}
+	if (!wf_poll_hold_ended(&r->poll, res->sent_at)) {
 		if (res->status == WF_ORDER_OK)
 			handle_lists(l, now, res->runner, res, out);
 		return;
 	}
-	r->hold_pending = false;
 	if (retry_hold(r, now, res->status, res->relay))
 		return;
 	if (res->status != WF_ORDER_OK) {
-		r->next_hold_at = now->mono + HOLD_RETRY_MS * AGB_MS;
+		r->poll.next_at = now->mono + HOLD_RETRY_MS * AGB_MS;
 		if (!r->silent)
 			wf_effects_log(out, AGB_LOG_WARN, "runner",
 			    "runner=%s change=silent heard_ms_ago=%" PRIu64
@@ -1058,7 +1066,7 @@
 	r->has_left = false;
 	r->heard_at = res->sent_at;
 	handle_lists(l, now, res->runner, res, out);
-	r->next_hold_at = now->mono + hold_interval_ms(l, r) * AGB_MS;
+	r->poll.next_at = now->mono + hold_interval_ms(l, r) * AGB_MS;
 }
 
 static void
@@ -1247,6 +1255,32 @@
 	return r->listed ? LISTED_REQUEUE_DELAY_MS * AGB_MS : 0;
 }
 
+static void
+poll_runner(
+    struct wf_leader *l, const struct wf_now *now, uint32_t ri, agb_time *next)
+{
+	struct wf_runner *const r = &l->runners[ri];
+	enum wf_poll_action action;
+	agb_time when;
+
+	/* A runner that is no longer in the registry is polled as long as tasks
+	 * may run there. */
+	if (r->info.addr[0] == '\0' || (!r->listed && r->tasks == NULL))
+		return;
+	action = wf_poll_next(&r->poll, now->mono, &when);
+	if (now->mono >= l->extend_until ||
+	    wf_outbox_must_wait(l, r, now->mono))
+		action = WF_POLL_NOTHING;
+	if (action == WF_POLL_HOLD)
+		send_hold(l, now, ri);
+	if (action == WF_POLL_PROBE) {
+		r->poll.probed = true;
+		send_extra_hold(l, now, ri);
+	}
+	if (action == WF_POLL_NOTHING)
+		*next = agb_time_min(*next, when);
+}
+
 static void
 tick_runner(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     agb_time *next, struct wf_effects *out)
@@ -1265,17 +1299,7 @@
 		r->used = false;
 		return;
 	}
-	if (r->hold_pending || r->info.addr[0] == '\0')
-		return;
-	/* A runner that is no longer in the registry is polled as long as tasks
-	 * may run there. */
-	if (!r->listed && r->tasks == NULL)
-		return;
-	if (now->mono >= r->next_hold_at && now->mono < l->extend_until &&
-	    !wf_outbox_must_wait(l, r, now->mono))
-		send_hold(l, now, ri);
-	else if (r->next_hold_at < *next)
-		*next = r->next_hold_at;
+	poll_runner(l, now, ri, next);
 }
 
 agb_time
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -21,6 +21,7 @@
 
 #include "wf_event.h"
 #include "wf_outbox.h"
+#include "wf_poll.h"
 #include "wf_show.h"
 #include "wf_table.h"
 
@@ -215,8 +216,7 @@
  * @has_left: its registry entry was removed while it was draining and
  *	answering, so that it has exited
  * @reserved: room on it is reserved for a gang
- * @hold_pending: a hold is pending
- * @next_hold_at: when the next hold is due
+ * @poll: its holds
  * @heard_at: sending time of the last hold that was answered
  * @unlisted_at: when it left the registry, or was entered without being listed
  * @lease_until: its tasks stop by then unless the lease is extended
@@ -246,8 +246,7 @@
 	bool relay_retried;
 	bool has_left;
 	bool reserved;
-	bool hold_pending;
-	agb_time next_hold_at;
+	struct wf_poll poll;
 	agb_time heard_at;
 	agb_time unlisted_at;
 	agb_time lease_until;
