feat(workflow): end the lease of a leader whose process is gone

Cause: a killed leader is replaced when its lease of 1.2 s has expired. Change: wf_failover ends that lease on certain evidence: the instance runs at the leader's address itself, or a connection to that address was refused; then only the possible successors act. The RPC layer reports connections that a peer has closed or refused, and a connection closed by the leader is followed by a ping at once. Ending the lease of a living leader would do no harm but for an election: its writes and orders carry its fence token.

--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -471,6 +471,13 @@
 	*buf = uv_buf_init(p, (unsigned)len);
 }
 
+static void
+report_lost(struct agb_rpc *r, const char *peer, bool refused)
+{
+	if (r->cbs.lost != NULL && !r->closing)
+		r->cbs.lost(r->arg, peer, refused);
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -478,6 +485,8 @@
 
 	if (n < 0) {
 		conn_close(conn);
+		if (conn->peer != NULL)
+			report_lost(conn->r, conn->addr, false);
 		return;
 	}
 	if (n == 0)
@@ -712,6 +721,8 @@
 	if (status < 0 ||
 	    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0) {
 		connect_failed(conn);
+		if (status == UV_ECONNREFUSED)
+			report_lost(conn->r, conn->addr, true);
 		return;
 	}
 	conn->connected = true;
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -37,6 +37,8 @@
  *	call. If @ok, @res is the result, owned like @args above. Otherwise @res
  *	is NULL, and @sent tells whether the peer may have carried out the call.
  * @log: writes a log line of the form "key=value ..."; may be NULL
+ * @lost: a connection to a peer was closed by the peer or, with @refused,
+ *	rejected because no process listens there; may be NULL
  */
 struct agb_rpc_cbs {
 	void (*call)(
@@ -45,6 +47,7 @@
 	    void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res);
 	void (*log)(void *arg, enum agb_log_level level, const char *event,
 	    const char *line);
+	void (*lost)(void *arg, const char *peer, bool refused);
 };
 
 /**
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 
 #include "mem.h"
+#include "wf_failover.h"
 #include "wf_front.h"
 #include "wf_leader.h"
 #include "wf_relay.h"
@@ -144,6 +145,7 @@
  * @store_rtt: last round trip to the store
  * @rejected_rev: revision of this instance's last election that ended because
  *	orders or writes were refused; it does not lead with it again
+ * @failover: evidence that the leader's process is gone
  * @leaderless_at: when the last leader was lost
  * @barrier_jobs, @barrier_states: revision of the last election that the feed
  *	of jobs or of states has delivered
@@ -177,6 +179,7 @@
 	agb_time store_heard_at;
 	agb_time store_rtt;
 	uint64_t rejected_rev;
+	struct wf_failover failover;
 	agb_time started_at;
 	agb_time elect_at;
 	agb_time leaderless_at;
@@ -1056,9 +1059,23 @@
 }
 
 static void
-ping_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+ping_peer(struct wf_core *c, const struct wf_now *now, struct wf_peer *p,
+    struct wf_effects *out)
 {
 	struct wf_effect *ef;
+
+	if (p->pinged_since == 0)
+		p->pinged_since = now->mono;
+	p->ping_tag = PING_TAG | ++c->next_tag;
+	ef = wf_effects_add(out, WF_EF_PEER_PING);
+	ef->tag = p->ping_tag;
+	ef->timeout_ms = PING_TIMEOUT_MS;
+	agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
+}
+
+static void
+ping_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
 	struct wf_peer *p;
 
 	if (now->mono < c->ping_at) {
@@ -1068,16 +1085,46 @@
 	c->ping_at = now->mono + PING_INTERVAL_MS * AGB_MS;
 	choose_ping_targets(c);
 	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		if (!p->pinged || p->ping_tag != 0)
-			continue;
-		if (p->pinged_since == 0)
-			p->pinged_since = now->mono;
-		p->ping_tag = PING_TAG | ++c->next_tag;
-		ef = wf_effects_add(out, WF_EF_PEER_PING);
-		ef->tag = p->ping_tag;
-		ef->timeout_ms = PING_TIMEOUT_MS;
-		agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
+		if (p->pinged && p->ping_tag == 0)
+			ping_peer(c, now, p, out);
+	}
+}
+
+/* A peer has closed a connection or refused one. When the leader has closed it,
+ * a ping finds out at once whether its process is gone. */
+static void
+on_peer_lost(struct wf_core *c, const struct wf_now *now, const char *rpc,
+    bool refused, struct wf_effects *out)
+{
+	struct wf_peer *p;
+
+	if (refused) {
+		wf_failover_note_refused(&c->failover, &c->table, rpc);
+		return;
 	}
+	HASH_FIND_STR(c->table.peers, c->table.leader, p);
+	if (p != NULL && strcmp(p->rpc, rpc) == 0)
+		ping_peer(c, now, p, out);
+}
+
+/* Ends the lease of a leader that is certainly gone. */
+static void
+tick_failover(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	int64_t lease;
+
+	if (c->draining || !c->feeds[WF_FEED_CONTROL].synced)
+		return;
+	lease = wf_failover_lease(&c->failover, &c->table, c->cfg.name,
+	    c->cfg.rpc, c->rank < STANDBY_COUNT, now->mono);
+	if (lease == 0)
+		return;
+	add_store_op(c, OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
+	    lease;
+	wf_effects_log(out, AGB_LOG_WARN, "leader",
+	    "leader=%s revision=%" PRIu64 " change=gone lease=%" PRId64,
+	    c->table.leader, c->table.leader_rev, lease);
 }
 
 static void
@@ -1286,6 +1333,7 @@
 	tick_lease(c, now, out);
 	ping_peers(c, now, out);
 	check_isolated(c, now, out);
+	tick_failover(c, now, out);
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
 		c->leader->valid_until = c->lease_valid_until;
@@ -1375,6 +1423,9 @@
 			wf_show_push_done(
 			    c->leader, now, ev->tag, ev->flag, out);
 		break;
+	case WF_EV_PEER_LOST:
+		on_peer_lost(c, now, ev->u.peer, ev->flag, out);
+		break;
 	case WF_EV_PEER_PUSH:
 		on_push(c, now, &ev->u.feed, ev->flag, out);
 		break;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -35,6 +35,7 @@
 	WF_EV_RESULTS,	  /* results: of orders that a relay has sent */
 	WF_EV_PAYLOAD_REQUEST, /* tag, payload: a peer needs a job's payload */
 	WF_EV_PAYLOAD, /* tag, flag, payload: reply; flag is false without it */
+	WF_EV_PEER_LOST, /* peer: it closed or (flag) refused a connection */
 };
 
 enum wf_call_kind {
@@ -519,6 +520,7 @@
 		struct wf_orders_ack orders_ack;
 		struct wf_result_batch *results;
 		struct wf_payload payload;
+		const char *peer;
 	} u;
 };
 
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -848,6 +848,16 @@
 	return true;
 }
 
+static void
+on_rpc_lost(void *arg, const char *peer, bool refused)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_LOST, .flag = refused};
+	struct wf_rpc *const r = arg;
+
+	ev.u.peer = peer;
+	r->cbs.event(r->arg, &ev);
+}
+
 static void
 on_rpc_log(
     void *arg, enum agb_log_level level, const char *event, const char *line)
@@ -861,8 +871,10 @@
 wf_rpc_new(
     uv_loop_t *loop, const char *addr, const struct wf_rpc_cbs *cbs, void *arg)
 {
-	static const struct agb_rpc_cbs rpc = {
-	    .call = on_rpc_call, .reply = on_rpc_reply, .log = on_rpc_log};
+	static const struct agb_rpc_cbs rpc = {.call = on_rpc_call,
+	    .reply = on_rpc_reply,
+	    .log = on_rpc_log,
+	    .lost = on_rpc_lost};
 	struct wf_rpc *const r = agb_xcalloc(1, sizeof(*r));
 
 	r->cbs = *cbs;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -414,11 +414,13 @@
 	if (kv->deleted) {
 		t->leader[0] = '\0';
 		t->leader_rev = 0;
+		t->leader_lease = 0;
 		return;
 	}
 	snprintf(name, sizeof(name), "%.*s", (int)kv->val_len, kv->val);
 	agb_str_copy(t->leader, sizeof(t->leader), name);
 	t->leader_rev = kv->create_rev;
+	t->leader_lease = kv->lease;
 }
 
 static void
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -118,6 +118,7 @@
  * @counts: pushed by the leader
  * @leader: name of the leader, or ""
  * @leader_rev: store revision at which it was elected
+ * @leader_lease: lease that its key is attached to
  */
 struct wf_table {
 	struct wf_job *jobs;
@@ -126,6 +127,7 @@
 	size_t counts_len;
 	agb_id leader;
 	uint64_t leader_rev;
+	int64_t leader_lease;
 };
 
 /**
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -102,7 +102,7 @@
 	s->incomplete_records += strstr(line, "cause=incomplete") != NULL;
 }
 
-static const struct agb_rpc_cbs cbs = {on_call, on_reply, on_log};
+static const struct agb_rpc_cbs cbs = {on_call, on_reply, on_log, NULL};
 
 static void
 endpoint_open(struct endpoint *s, uv_loop_t *loop)
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -344,6 +344,59 @@
 	finish_sim(s);
 }
 
+/* Guards against a leader that learns of no end at a runner while it waits for a
+ * hold whose answer was lost: ends were seen up to 1.8 s late. */
+static void
+end_seen_despite_lost_hold(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	unsigned ri;
+
+	for (ri = 0; ri < default_options.runners; ri++)
+		sim_runner_lose_hold(s, ri);
+	sim_run(s, 1050);
+	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 300));
+	/* A hold waits for 1 s at most, and is overdue 150 ms later. */
+	CU_ASSERT(run_until_state(s, JOB, "completed", 5000) < 1200);
+	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 1);
+	finish_sim(s);
+}
+
+/* Guards against waiting for the lease of a leader whose process was killed:
+ * its address refuses connections at once, its lease ends 1.2 s later. */
+static void
+killed_leader_is_replaced_at_once(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	const unsigned old = leader(s);
+
+	/* The possible successors have read all jobs by then. */
+	sim_run(s, 2000);
+	sim_kill_process(s, old, 0);
+	sim_submit(s, (old + 1) % 3, JOB, sim_new_spec(1, 1000, 100));
+	CU_ASSERT(run_until_state(s, JOB, "completed", 5000) < 800);
+	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 1);
+	finish_sim(s);
+}
+
+/* Guards against waiting for the lease of a leader that was killed together with
+ * all others: the process that runs at its address afterwards knows that the
+ * leader is gone. */
+static void
+lease_of_killed_leader_ends_after_restart(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	unsigned i;
+
+	for (i = 0; i < default_options.cores; i++)
+		sim_kill(s, i, 200);
+	sim_run(s, 210);
+	CU_ASSERT_EQUAL(sim_leader(s), -1);
+	sim_run(s, 400);
+	CU_ASSERT(sim_leader(s) >= 0);
+	finish_sim(s);
+}
+
 /* Running tasks continue while the store does not answer for 4.5 s. */
 static void
 store_down_tasks_keep_running(void)
@@ -830,6 +883,11 @@
     {"silent store: refused at once", store_silent_refuses_submit},
     {"one instance cut off from the store: peers write",
 	cut_instance_writes_through_peers},
+    {"lost hold: the end is seen in time", end_seen_despite_lost_hold},
+    {"leader's process killed: replaced at once",
+	killed_leader_is_replaced_at_once},
+    {"all killed: the leader's lease ends at once",
+	lease_of_killed_leader_ends_after_restart},
     {"store away: work goes on", store_down_tasks_keep_running},
     {"gang is not starved by small tasks", gang_not_starved_by_small_tasks},
     {"gang member's start lost", gang_survives_lost_start},
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -69,6 +69,7 @@
 	bool stalled;
 	bool faulty;
 	bool ignores_starts; /* starts are lost without an effect */
+	bool loses_hold;     /* the answer to the next hold is lost */
 	bool listed;
 	agb_time started_at;
 	agb_time lease_until;
@@ -1317,7 +1318,9 @@
 		return;
 	}
 	do_order(s, r, c);
-	if (chance(s, s->o.answer_lost_percent)) {
+	if (chance(s, s->o.answer_lost_percent) ||
+	    (r->loses_hold && c->o.kind == WF_ORDER_HOLD)) {
+		r->loses_hold = false;
 		c->res.status = WF_ORDER_LOST;
 		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
 		return;
@@ -2304,6 +2307,33 @@
 	 * events may be in progress. */
 }
 
+static void
+refusal_arrives(struct sim *s, struct sim_event *e)
+{
+	struct wf_event ev = {.type = WF_EV_PEER_LOST, .flag = true};
+	char rpc[32];
+
+	if (!deliver_or_postpone(s, e, refusal_arrives))
+		return;
+	snprintf(rpc, sizeof(rpc), "10.0.0.%u:1", (unsigned)e->a);
+	ev.u.peer = rpc;
+	handle_event(s, e->core, &ev);
+}
+
+void
+sim_kill_process(struct sim *s, unsigned ci, unsigned back_ms)
+{
+	unsigned i;
+
+	sim_kill(s, ci, back_ms);
+	for (i = 0; i < s->o.cores; i++) {
+		if (i != ci && s->cores[i].up && linked(s, i, ci))
+			schedule_core(
+			    s, i, 2 * s->o.latency_ms * SIM_MS, refusal_arrives)
+			    ->a = ci;
+	}
+}
+
 void
 sim_freeze(struct sim *s, unsigned ci, unsigned ms)
 {
@@ -2453,6 +2483,12 @@
 	s->runners[ri].stalled = on;
 }
 
+void
+sim_runner_lose_hold(struct sim *s, unsigned ri)
+{
+	s->runners[ri].loses_hold = true;
+}
+
 void
 sim_runner_faulty(struct sim *s, unsigned ri, bool on)
 {
@@ -2723,7 +2759,10 @@
 	}
 	switch (rnd(s, 11)) {
 	case 0:
-		sim_kill(s, ci, 500 + rnd(s, 3000));
+		if (s->now / SIM_MS % 2 == 0)
+			sim_kill(s, ci, 500 + rnd(s, 3000));
+		else
+			sim_kill_process(s, ci, 500 + rnd(s, 3000));
 		break;
 	case 1:
 		sim_freeze(s, ci, 1000 + rnd(s, 4000));
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -95,7 +95,10 @@
     struct wf_spec *spec, uint32_t count, uint32_t cpu, uint32_t ms);
 
 /* Faults. ci is the index of an instance, ri that of a runner. */
+/* The machine of an instance loses power, or only the process is killed: then
+ * its address refuses connections. */
 void sim_kill(struct sim *s, unsigned ci, unsigned back_ms);
+void sim_kill_process(struct sim *s, unsigned ci, unsigned back_ms);
 void sim_freeze(struct sim *s, unsigned ci, unsigned ms);
 /* Cuts an instance off from all runners, or from all other instances. */
 void sim_core_cut_runners(struct sim *s, unsigned ci, bool cut);
@@ -119,6 +122,8 @@
 void sim_runner_stall(struct sim *s, unsigned ri, bool on);
 /* Starts are lost at the runner without a reply. */
 void sim_runner_ignore_starts(struct sim *s, unsigned ri, bool on);
+/* The next hold at a runner is carried out, but not answered. */
+void sim_runner_lose_hold(struct sim *s, unsigned ri);
 /* All tasks fail at a faulty runner. */
 void sim_runner_faulty(struct sim *s, unsigned ri, bool on);
 
