feat(workflow): expected run times are learned from ended runs

Cause: urgency, due times and reservations for gangs used the callers' estimates. Change: wf_estimate learns a line through the logarithms of estimates and run times for each queue and predicts from it; once a run has progressed, its progress tells when it ends. Runs that were resumed, or started by an earlier leader, are left out. Calls for advice of a wide gang name three times as many runners as it needs at the least share approved, before twice: in a loaded fleet more approved runners are more places. Tests: run_time_is_learned_from_ended_runs, progress_tells_when_a_run_ends.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -11,7 +11,7 @@
  * for a wide gang name as many as are needed at this share, times a factor, as
  * the runners approved may not all be empty. */
 #define APPROVED_MIN_PERCENT 28
-#define GANG_SPARE_FACTOR 2
+#define GANG_SPARE_FACTOR 3
 /* The service handles one call of an instance at a time. Calls expected to
  * take longer than LONG_CALL_MS are made by a subset of the instances, so that
  * short ones do not wait behind them. The size of the subset follows the time
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -23,8 +23,9 @@
 #define RESERVATIONS_MIN 6
 #define RUNNERS_PER_RESERVATION 12
 #define RESERVE_AFTER_MS 150
-/* Average run time relative to its estimate. */
-#define ESTIMATE_PERCENT 120
+/* Room is planned with this share of the expected run times, as the longest of
+ * several tasks counts. */
+#define RUN_TIME_PERCENT 120
 /* A task that has run for longer than expected is assumed to end within this
  * time. */
 #define OVERDUE_END_MS 300
@@ -146,8 +147,7 @@
 static int
 urgency_of(const struct wf_unit *u, agb_time now)
 {
-	const agb_time end =
-	    now + (agb_time)wf_unit_step(u)->estimate_ms * AGB_MS;
+	const agb_time end = now + (agb_time)u->expected_ms * AGB_MS;
 	const agb_time accepted_at = u->exec->accepted_at;
 
 	if (end <= u->due_at)
@@ -159,7 +159,7 @@
 }
 
 static size_t
-sort_queue(const struct wf_leader *l, agb_time now, struct queued_unit **list)
+sort_queue(struct wf_leader *l, agb_time now, struct queued_unit **list)
 {
 	const struct wf_queue *q;
 	struct wf_unit *u;
@@ -171,6 +171,7 @@
 		q = wf_unit_queue(l, u);
 		if (q == NULL)
 			continue;
+		wf_unit_update_times(l, u, now);
 		(*list)[n].unit = u;
 		(*list)[n].queue = q;
 		(*list)[n].urgency = urgency_of(u, now);
@@ -184,25 +185,25 @@
 }
 
 static agb_time
-expected_run_time(const struct wf_step *step)
+expected_run_time(const struct wf_unit *u)
 {
-	return (agb_time)step->estimate_ms * ESTIMATE_PERCENT / 100 * AGB_MS;
+	return (agb_time)u->expected_ms * RUN_TIME_PERCENT / 100 * AGB_MS;
 }
 
 /* Free resources of a runner for a task of the step. Those reserved for a gang
  * are left out, unless the task is expected to end before the gang starts. */
 static struct agb_resources
-room_for_step(
-    const struct dispatch_pass *p, const struct wf_step *step, uint32_t ri)
+room_for_unit(
+    const struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri)
 {
+	const struct wf_step *const step = wf_unit_step(u);
 	const struct wf_runner *const r = &p->l->runners[ri];
 	struct agb_resources room = wf_runner_free_resources(r);
 
 	if (step->best_effort)
 		room.cpu_milli -= r->fill_cpu_milli;
 	if (p->reservations[ri].start_at > 0 &&
-	    p->now->mono + expected_run_time(step) >
-		p->reservations[ri].start_at)
+	    p->now->mono + expected_run_time(u) > p->reservations[ri].start_at)
 		agb_resources_sub(&room, &p->reservations[ri].need);
 	return room;
 }
@@ -255,7 +256,7 @@
 	    (step->best_effort && r->pace_percent < FILL_PACE_MIN_PERCENT))
 		return false;
 	c->fit = limit_spread(
-	    u, r, wf_step_fit_count(step, room_for_step(p, step, ri)));
+	    u, r, wf_step_fit_count(step, room_for_unit(p, u, ri)));
 	if (c->fit == 0)
 		return false;
 	c->runner = ri;
@@ -411,6 +412,22 @@
 	return x < y ? -1 : x > y ? 1 : 0;
 }
 
+static agb_time
+expected_end(const struct wf_runner *r, const struct wf_task *t)
+{
+	const uint32_t expected_ms =
+	    (uint32_t)(expected_run_time(t->unit) / AGB_MS);
+	/* The runner's clock is known as it was read last. */
+	const agb_time seen_at =
+	    r->clock_at - (agb_time)(r->clock_ms - t->progress_ms) * AGB_MS;
+	const bool known = t->state == WF_TASK_RUNNING &&
+	    t->progress_run == t->run && r->clock_ms >= t->progress_ms &&
+	    wf_task_run_time_known(t);
+
+	return wf_estimate_end(
+	    t->sent_at, expected_ms, known ? t->progress_percent : 0, seen_at);
+}
+
 /* Expected ends of the tasks on a runner. */
 static const struct run_ends *
 run_ends_on_runner(const struct dispatch_pass *p, uint32_t ri)
@@ -432,7 +449,7 @@
 		if (e->len == RUN_ENDS_MAX || step->long_running ||
 		    step->best_effort)
 			continue;
-		e->items[e->len].at = t->sent_at + expected_run_time(step);
+		e->items[e->len].at = expected_end(&p->l->runners[ri], t);
 		if (e->items[e->len].at < soon)
 			e->items[e->len].at = soon;
 		e->items[e->len++].need = step->need;
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -17,6 +17,8 @@
 /* Ends of tasks of an unfinished step within this time share one write of the
  * state record. */
 #define END_BATCH_MS 80
+/* The times of a unit follow what is learned after this time. */
+#define TIMES_MAX_AGE_MS 500
 
 const struct wf_step *
 wf_unit_step(const struct wf_unit *u)
@@ -90,9 +92,50 @@
 	mark_dirty(l, e, 0);
 }
 
-/* Length of the critical path through the steps, by their estimates. */
+static struct wf_estimator *
+queue_estimator(struct wf_leader *l, const char *queue)
+{
+	struct wf_queue_times *x;
+
+	HASH_FIND_STR(l->queue_times, queue, x);
+	if (x != NULL)
+		return &x->estimator;
+	x = agb_xcalloc(1, sizeof(*x));
+	agb_str_copy(x->queue, sizeof(x->queue), queue);
+	HASH_ADD_STR(l->queue_times, queue, x);
+	return &x->estimator;
+}
+
+bool
+wf_task_run_time_known(const struct wf_task *t)
+{
+	return t->start_deadline_ms > 0 && !t->resumed;
+}
+
+void
+wf_exec_learn_run_time(
+    struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms)
+{
+	wf_estimator_add(queue_estimator(l, u->exec->job->spec.queue),
+	    wf_unit_step(u)->estimate_ms, run_ms);
+}
+
+void
+wf_exec_forget_run_times(struct wf_leader *l)
+{
+	struct wf_queue_times *x, *next;
+
+	x = l->queue_times;
+	HASH_CLEAR(hh, l->queue_times);
+	for (; x != NULL; x = next) {
+		next = x->hh.next;
+		free(x);
+	}
+}
+
+/* Length of the critical path through the steps, by their expected run times. */
 static uint64_t
-critical_path_ms(const struct wf_spec *s)
+critical_path_ms(const struct wf_spec *s, const struct wf_estimator *times)
 {
 	uint64_t path_ms[WF_STEPS_MAX], longest;
 	uint32_t i, k;
@@ -105,7 +148,8 @@
 			    path_ms[k] > path_ms[i])
 				path_ms[i] = path_ms[k];
 		}
-		path_ms[i] += s->steps[i].estimate_ms;
+		path_ms[i] +=
+		    wf_estimator_predict(times, s->steps[i].estimate_ms);
 		if (path_ms[i] > longest)
 			longest = path_ms[i];
 	}
@@ -115,11 +159,12 @@
 /* When an occurrence should be finished: its start, plus the length of the
  * critical path times the slack factor of its queue, plus the queue's target. */
 static agb_time
-unit_due_time(
-    const struct wf_leader *l, const struct wf_exec *e, uint32_t occurrence)
+unit_due_time(struct wf_leader *l, const struct wf_exec *e, uint32_t occurrence)
 {
 	const struct wf_spec *const s = &e->job->spec;
 	const struct wf_queue *const q = wf_doc_queue(l->doc, s->queue);
+	const uint64_t path_ms =
+	    critical_path_ms(s, queue_estimator(l, s->queue));
 	agb_time due;
 
 	due = e->accepted_at;
@@ -127,12 +172,24 @@
 		due += (agb_time)(s->start_at_ms - s->submitted_ms) * AGB_MS;
 	due += (agb_time)occurrence * s->period_ms * AGB_MS;
 	if (q == NULL)
-		return due + critical_path_ms(s) * AGB_MS;
-	due +=
-	    (agb_time)((double)critical_path_ms(s) * q->slack_factor) * AGB_MS;
+		return due + path_ms * AGB_MS;
+	due += (agb_time)((double)path_ms * q->slack_factor) * AGB_MS;
 	return due + (agb_time)q->target_ms * AGB_MS;
 }
 
+void
+wf_unit_update_times(struct wf_leader *l, struct wf_unit *u, agb_time now)
+{
+	if (u->due_computed_at > 0 &&
+	    now - u->due_computed_at < TIMES_MAX_AGE_MS * AGB_MS)
+		return;
+	u->due_computed_at = now;
+	u->due_at = unit_due_time(l, u->exec, u->occurrence);
+	u->expected_ms =
+	    wf_estimator_predict(queue_estimator(l, u->exec->job->spec.queue),
+		wf_unit_step(u)->estimate_ms);
+}
+
 static void
 unit_enqueue(struct wf_leader *l, struct wf_unit *u)
 {
@@ -239,7 +296,7 @@
 		e->units[i].step = i % s->steps_len;
 		e->units[i].first_task = first;
 		e->units[i].waiting = s->steps[i % s->steps_len].count;
-		e->units[i].due_at = unit_due_time(l, e, i / s->steps_len);
+		wf_unit_update_times(l, &e->units[i], now->mono);
 		first += e->units[i].waiting;
 	}
 	for (i = 0; i < e->tasks_len; i++) {
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -486,6 +486,7 @@
 	t->sent_at = now->mono;
 	t->progress_run = 0;
 	t->pace_percent = 100;
+	t->resumed = t->checkpoint != NULL;
 	send_start(l, now, u, t);
 	wf_task_ref(t, &ref);
 	wf_effects_log_run(out, AGB_LOG_INFO, "start", &ref, t->run, r->info.id,
@@ -684,6 +685,10 @@
 	    end_name(f->end), f->seq, (now->mono - t->sent_at) / AGB_MS,
 	    wf_unit_step(u)->estimate_ms);
 	count_failures(l, now, ri, f->end, out);
+	if (f->end == WF_END_DONE && wf_task_run_time_known(t) &&
+	    !wf_unit_step(u)->long_running)
+		wf_exec_learn_run_time(
+		    l, u, (uint32_t)((now->mono - t->sent_at) / AGB_MS));
 	wf_task_handle_end(l, now, u, t, f->end, f->checkpoint, out);
 }
 
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -64,6 +64,7 @@
 	while (l->execs != NULL)
 		wf_exec_free(l, l->execs);
 	wf_advice_free(l);
+	wf_exec_forget_run_times(l);
 	wf_outbox_free(l);
 	wf_fleet_clear(l);
 	wf_show_free(l);
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -19,6 +19,7 @@
  * before it is acknowledged to the runner, which then forgets it.
  */
 
+#include "wf_estimate.h"
 #include "wf_event.h"
 #include "wf_outbox.h"
 #include "wf_poll.h"
@@ -75,6 +76,8 @@
  * @progress_percent: latest reported progress of run @progress_run
  * @progress_ms: when it was first reported, on the runner's clock
  * @unchanged_lists: number of later lists that reported the same progress
+ * @resumed: started from a checkpoint, so that its progress did not begin at
+ *	zero
  * @load: latest reported load, see struct wf_active_run
  * @pace_percent: share of full speed at which the runner was ordered to
  *	run it
@@ -104,6 +107,7 @@
 	uint32_t progress_run;
 	int64_t progress_ms;
 	uint32_t unchanged_lists;
+	bool resumed;
 	uint32_t load;
 	uint32_t pace_percent;
 };
@@ -134,7 +138,9 @@
  * @advice_retry_at: no call for advice before this time
  * @repair_deadline: until then gang members whose start failed may be placed
  *	again in the same run; 0 when there are none
- * @due_at: when its occurrence of the job should be finished
+ * @due_at: when its occurrence of the job should be finished, as computed at
+ *	@due_computed_at
+ * @expected_ms: expected run time of its tasks
  */
 struct wf_unit {
 	struct wf_exec *exec;
@@ -155,6 +161,8 @@
 	agb_time repair_deadline;
 	agb_time ready_at;
 	agb_time due_at;
+	agb_time due_computed_at;
+	uint32_t expected_ms;
 	struct wf_approval *approvals;
 	size_t approvals_len;
 	struct wf_unit *prev, *next;
@@ -319,6 +327,13 @@
 	size_t runners_len;
 };
 
+/* Run times of the tasks of a queue. */
+struct wf_queue_times {
+	agb_id queue;
+	struct wf_estimator estimator;
+	UT_hash_handle hh;
+};
+
 /* Maximum number of pending attempts at one write. */
 #define WF_WRITE_ATTEMPTS_MAX 4
 
@@ -369,6 +384,7 @@
  * @acks: acknowledgements that wait for their changes to become durable
  * @write_time_us: moving average of the time from an attempt at a write to
  *	its answer
+ * @queue_times: learned run times by queue
  * @long_calls_ms, @short_calls_ms: expected time of the recent long and short
  *	calls for advice, halved regularly
  * @next_occurrence_at: when the next occurrence is due
@@ -414,6 +430,7 @@
 	size_t advice_clients_len;
 	struct wf_advice_call *advice_calls;
 	size_t advice_calls_len;
+	struct wf_queue_times *queue_times;
 	uint64_t long_calls_ms;
 	uint64_t short_calls_ms;
 	agb_time next_halving_at;
@@ -560,6 +577,30 @@
     struct wf_exec *e, enum wf_job_state state, const char *why,
     struct wf_effects *out);
 
+/**
+ * wf_unit_update_times() - update the expected run time and the due time of a
+ * unit, if that was not done recently
+ */
+void wf_unit_update_times(struct wf_leader *l, struct wf_unit *u, agb_time now);
+
+/**
+ * wf_task_run_time_known() - whether this leader has started the current run of
+ * a task, and from the beginning, so that the time since @sent_at is its run
+ * time
+ */
+bool wf_task_run_time_known(const struct wf_task *t);
+
+/**
+ * wf_exec_learn_run_time() - learn from a run that has ended successfully
+ */
+void wf_exec_learn_run_time(
+    struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms);
+
+/**
+ * wf_exec_forget_run_times() - free what was learned
+ */
+void wf_exec_forget_run_times(struct wf_leader *l);
+
 /**
  * wf_exec_next_occurrence() - when the next occurrence of any job is due
  */
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -5,11 +5,12 @@
  * tables of inputs and the decisions expected for them.
  */
 
-#include <stdlib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "mem.h"
 #include "suite.h"
+#include "wf_estimate.h"
 #include "wf_failover.h"
 #include "wf_poll.h"
 
@@ -138,11 +139,89 @@
 	}
 }
 
+/* Ended runs of a queue, by estimate and run time, and what is expected for a
+ * further estimate afterwards. Guards against jobs that are taken for late, and
+ * put behind all others, since their caller's estimate was too low. */
+static void
+run_time_is_learned_from_ended_runs(void)
+{
+	static const struct {
+		const char *what;
+		uint32_t runs;
+		uint32_t pairs[4][2];
+		uint32_t pairs_len;
+		uint32_t estimate_ms;
+		uint32_t at_least_ms;
+		uint32_t at_most_ms;
+	} cases[] = {
+	    {"nothing is known", 0, {{1, 1}}, 1, 1000, 1000, 1000},
+	    {"one odd run tells little", 1, {{1000, 8000}}, 1, 1000, 1000,
+		1300},
+	    {"estimates are right", 200,
+		{{500, 500}, {1000, 1000}, {4000, 4000}}, 3, 2000, 1900, 2100},
+	    {"all take three times as long", 200,
+		{{500, 1500}, {1000, 3000}, {4000, 12000}}, 3, 2000, 5500,
+		6100},
+	    {"run times do not follow the estimates", 400,
+		{{500, 2000}, {1000, 2000}, {4000, 2000}, {8000, 2000}}, 4,
+		1000, 1800, 2200},
+	    {"the correction is limited", 400, {{100, 60000}}, 1, 100, 700,
+		800},
+	    {"an estimate of zero", 10, {{0, 100}}, 1, 0, 1, 8},
+	};
+	struct wf_estimator e;
+	size_t i, k;
+	uint32_t ms;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&e, 0, sizeof(e));
+		for (k = 0; k < cases[i].runs; k++)
+			wf_estimator_add(&e,
+			    cases[i].pairs[k % cases[i].pairs_len][0],
+			    cases[i].pairs[k % cases[i].pairs_len][1]);
+		ms = wf_estimator_predict(&e, cases[i].estimate_ms);
+		if (ms < cases[i].at_least_ms || ms > cases[i].at_most_ms)
+			printf("\n%s: %u ms\n", cases[i].what, ms);
+		CU_ASSERT(ms >= cases[i].at_least_ms);
+		CU_ASSERT(ms <= cases[i].at_most_ms);
+	}
+}
+
+/* A run that started at 10 s and should take 2 s. Guards against room that is
+ * reserved for the time at which a slow run was estimated to end. */
+static void
+progress_tells_when_a_run_ends(void)
+{
+	static const struct {
+		uint32_t percent;
+		uint32_t seen_ms;
+		uint32_t end_ms;
+	} cases[] = {
+	    {0, 0, 12000},
+	    {0, 15000, 12000},
+	    {4, 10400, 12000},
+	    {50, 11000, 12000},
+	    {10, 11000, 20000},
+	    {80, 10800, 11000},
+	    /* The clock of the runner was read wrongly. */
+	    {50, 9000, 12000},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(
+		    wf_estimate_end(10 * AGB_SEC, 2000, cases[i].percent,
+			cases[i].seen_ms * AGB_MS),
+		    cases[i].end_ms * AGB_MS);
+}
+
 static const struct suite_test tests[] = {
     {"overdue hold: a probe follows", overdue_hold_is_followed_by_probe},
     {"overdue hold: given up when a probe is answered",
 	answered_probe_gives_up_overdue_hold},
     {"gone leader: its lease is ended", lease_of_gone_leader_is_ended},
+    {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
+    {"run times: progress tells the end", progress_tells_when_a_run_ends},
 };
 
 int
