fix(workflow): the instance that writes for a peer tells the leader

Cause: an instance that is cut off from the store has a peer write what it accepts, and told the leader itself: the one that it knew before the cut. Change: the peer that has written a record pushes it to the leader that it knows; the leader takes over at once what it writes for a peer. Test: new_leader_learns_of_jobs_from_cut_instance failed before.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -123,12 +123,13 @@
  * and the number of a renewal above them. */
 #define OP_BITS 8
 
-/* Calls of peers that have not been answered: the tag of the effect and the
- * token of the reply. */
+/* Calls of peers that have not been answered: the tag of the effect, the token
+ * of the reply, and for a put the record, which is owned. */
 struct peer_calls {
-	struct {
+	struct peer_call {
 		uint64_t tag;
 		uint64_t token;
+		struct wf_record record;
 	} * items;
 	size_t len;
 	size_t cap;
@@ -227,6 +228,8 @@
 void
 wf_core_free(struct wf_core *c)
 {
+	size_t i;
+
 	if (c == NULL)
 		return;
 	wf_leader_free(c->leader);
@@ -235,6 +238,8 @@
 	wf_table_free(&c->table);
 	wf_doc_free(c->doc);
 	free(c->advice_calls.items);
+	for (i = 0; i < c->put_calls.len; i++)
+		free(c->put_calls.items[i].record.val);
 	free(c->put_calls.items);
 	free(c);
 }
@@ -780,24 +785,29 @@
 	revoke_lease(c, out);
 }
 
-static void
+static struct peer_call *
 peer_call_add(struct peer_calls *p, uint64_t tag, uint64_t token)
 {
+	struct peer_call *call;
+
 	if (p->len == p->cap)
 		p->items = agb_xgrow(p->items, &p->cap, sizeof(*p->items));
-	p->items[p->len].tag = tag;
-	p->items[p->len++].token = token;
+	call = &p->items[p->len++];
+	memset(call, 0, sizeof(*call));
+	call->tag = tag;
+	call->token = token;
+	return call;
 }
 
 static bool
-peer_call_take(struct peer_calls *p, uint64_t tag, uint64_t *token)
+peer_call_take(struct peer_calls *p, uint64_t tag, struct peer_call *call)
 {
 	size_t i;
 
 	for (i = 0; i < p->len; i++) {
 		if (p->items[i].tag != tag)
 			continue;
-		*token = p->items[i].token;
+		*call = p->items[i];
 		p->items[i] = p->items[--p->len];
 		return true;
 	}
@@ -819,6 +829,7 @@
     const struct wf_put_request *put, struct wf_effects *out)
 {
 	const struct wf_put_result refused = {.status = AGB_STORE_REFUSED};
+	struct peer_call *call;
 	struct wf_effect *ef;
 
 	if (c->put_calls.len >= PEER_PUTS_MAX ||
@@ -829,28 +840,16 @@
 	}
 	ef = wf_effects_add(out, WF_EF_STORE);
 	ef->tag = PUT_TAG | ++c->next_tag;
-	peer_call_add(&c->put_calls, ef->tag, token);
+	call = peer_call_add(&c->put_calls, ef->tag, token);
+	agb_str_copy(call->record.key, sizeof(call->record.key), put->key);
+	call->record.val = agb_xmemdup(put->val, put->len);
+	call->record.len = put->len;
 	ef->timeout_ms = put->timeout_ms;
 	agb_store_op_init(&ef->u.store, AGB_STORE_TXN);
 	agb_store_op_add_cmp(&ef->u.store, put->key, AGB_STORE_CMP_MOD_REV, 0);
 	agb_store_op_add_put(&ef->u.store, put->key, put->val, put->len, 0);
 }
 
-static void
-on_put_done(struct wf_core *c, uint64_t tag, const struct agb_store_result *res,
-    struct wf_effects *out)
-{
-	const struct wf_put_result answer = {
-	    .status = res->status,
-	    .stored = res->succeeded,
-	    .revision = res->revision,
-	};
-	uint64_t token;
-
-	if (peer_call_take(&c->put_calls, tag, &token))
-		reply_to_put(token, &answer, out);
-}
-
 static void
 push_records(
     const struct wf_peer *p, const struct wf_feed *feed, struct wf_effects *out)
@@ -873,6 +872,51 @@
 	}
 }
 
+/* Tells the leader of a record that was stored for a peer. The peer cannot: it
+ * is cut off from the store and may not know who leads by now. */
+static void
+push_stored_record(struct wf_core *c, const struct wf_now *now,
+    const struct wf_record *rec, uint64_t revision, struct wf_effects *out)
+{
+	const struct agb_store_kv kv = {.key = (char *)(uintptr_t)rec->key,
+	    .val = rec->val,
+	    .val_len = rec->len,
+	    .create_rev = revision,
+	    .mod_rev = revision};
+	const struct wf_feed feed = {.items = &kv, .items_len = 1};
+	struct wf_table_change ch;
+	struct wf_peer *p;
+
+	if (c->leader != NULL) {
+		ch = wf_table_apply(&c->table, &kv);
+		if (ch.job != NULL)
+			wf_leader_update_job(c->leader, now, ch.job, out);
+		return;
+	}
+	HASH_FIND_STR(c->table.peers, c->table.leader, p);
+	if (p != NULL && strcmp(p->name, c->cfg.name) != 0)
+		push_records(p, &feed, out);
+}
+
+static void
+on_put_done(struct wf_core *c, const struct wf_now *now, uint64_t tag,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	const struct wf_put_result answer = {
+	    .status = res->status,
+	    .stored = res->succeeded,
+	    .revision = res->revision,
+	};
+	struct peer_call call;
+
+	if (!peer_call_take(&c->put_calls, tag, &call))
+		return;
+	reply_to_put(call.token, &answer, out);
+	if (res->status == AGB_STORE_OK && res->succeeded)
+		push_stored_record(c, now, &call.record, res->revision, out);
+	free(call.record.val);
+}
+
 /* With many instances, the leader pushes to one instance of each failure
  * domain, which forwards to the others there. */
 static void
@@ -925,7 +969,7 @@
 		return;
 	}
 	if (tag & PUT_TAG) {
-		on_put_done(c, tag, res, out);
+		on_put_done(c, now, tag, res, out);
 		return;
 	}
 	if (tag & CORE_TAG) {
@@ -980,18 +1024,18 @@
 on_advice(struct wf_core *c, const struct wf_now *now, uint64_t tag,
     const struct wf_advice *a, struct wf_effects *out)
 {
+	struct peer_call call;
 	struct wf_effect *ef;
-	uint64_t token;
 
 	if ((tag & PEER_TAG) == 0) {
 		if (c->leader != NULL)
 			wf_advice_handle_answer(c->leader, now, tag, a, out);
 		return;
 	}
-	if (!peer_call_take(&c->advice_calls, tag, &token))
+	if (!peer_call_take(&c->advice_calls, tag, &call))
 		return;
 	ef = wf_effects_add(out, WF_EF_PEER_ADVICE_REPLY);
-	ef->tag = token;
+	ef->tag = call.token;
 	ef->u.advice = *a;
 	ef->u.advice.items =
 	    agb_xcalloc(a->items_len + 1, sizeof(struct wf_ticket));
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -525,13 +525,14 @@
 
 static void
 on_written(struct wf_front *f, const struct wf_now *now, struct waiting_call *w,
-    const struct agb_store_result *res, struct wf_job **changed_job,
-    struct wf_effects *out)
+    bool written_by_peer, const struct agb_store_result *res,
+    struct wf_job **changed_job, struct wf_effects *out)
 {
 	struct wf_job *j;
 
 	j = NULL;
-	if (res->succeeded)
+	/* A peer that has written the record tells the leader itself. */
+	if (res->succeeded && !written_by_peer)
 		push_to_leader(f, w, res->revision, out);
 	if (w->kind == WF_CALL_SUBMIT && res->succeeded) {
 		j = wf_table_put_spec(f->table, w->job, res->revision, w->spec);
@@ -622,6 +623,7 @@
     struct wf_job **changed_job, struct wf_effects *out)
 {
 	struct waiting_call *w;
+	bool by_peer;
 
 	*changed_job = NULL;
 	if ((tag & FRONT_TAG) == 0)
@@ -632,15 +634,16 @@
 	}
 	if (w == NULL)
 		return true;
-	if (w->tag == tag)
-		w->tag = 0;
-	else
+	by_peer = w->tag != tag;
+	if (by_peer)
 		w->relay_tag = 0;
+	else
+		w->tag = 0;
 	if (res->status == AGB_STORE_OK) {
 		if (w->reading)
 			on_read(f, w, res, out);
 		else
-			on_written(f, now, w, res, changed_job, out);
+			on_written(f, now, w, by_peer, res, changed_job, out);
 		return true;
 	}
 	if (res->status == AGB_STORE_LOST && !w->reading)
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -344,6 +344,27 @@
 	finish_sim(s);
 }
 
+/* Guards against a leader that learns of a job only from its feed: an instance
+ * that is cut off from the store told the leader that it knew, after another
+ * one had been elected. */
+static void
+new_leader_learns_of_jobs_from_cut_instance(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	const unsigned old = leader(s);
+	const unsigned cut = (old + 1) % default_options.cores;
+
+	sim_run(s, 2000);
+	sim_set_core_store_mode(s, cut, SIM_STORE_SILENT);
+	sim_run(s, 1000);
+	sim_kill_process(s, old, 300);
+	sim_run(s, 3000);
+	CU_ASSERT(sim_leader(s) >= 0);
+	sim_submit(s, cut, JOB, sim_new_spec(1, 1000, 50));
+	CU_ASSERT(run_until_state(s, JOB, "completed", 5000) < 250);
+	finish_sim(s);
+}
+
 /* Guards against a leader that learns of no end at a runner while it waits for a
  * hold whose answer was lost: ends were seen up to 1.8 s late. */
 static void
@@ -883,6 +904,8 @@
     {"silent store: refused at once", store_silent_refuses_submit},
     {"one instance cut off from the store: peers write",
 	cut_instance_writes_through_peers},
+    {"cut instance: the new leader learns of its jobs",
+	new_leader_learns_of_jobs_from_cut_instance},
     {"lost hold: the end is seen in time", end_seen_despite_lost_hold},
     {"leader's process killed: replaced at once",
 	killed_leader_is_replaced_at_once},
