feat(workflow): a leader that shuts down hands the leadership over

Cause: on SIGTERM the leader gave its lease back and the others elected a successor. Change: the leader goes on leading until one transaction, conditional on its own election, has made a successor the leader. wf_handover chooses it among those that follow all jobs: one that answers, has a lease and has had time to read the jobs; one that was restarted lately first, as it is not stopped again soon. If that fails or takes more than 0.9 s the lease is given back as before. The fence token is the revision of the leader's key, not that of its creation; both were the same before. In the simulation a slow store now delivers watches late, too.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -9,6 +9,7 @@
 #include "mem.h"
 #include "wf_failover.h"
 #include "wf_front.h"
+#include "wf_handover.h"
 #include "wf_leader.h"
 #include "wf_relay.h"
 
@@ -90,6 +91,9 @@
  * it would be killed. */
 #define DRAIN_MS 3500
 #define DRAIN_MARGIN_MS 1200
+/* A leader that shuts down and has not handed over the leadership after this
+ * time gives its lease back, so that the others elect one. */
+#define HAND_OVER_MAX_MS 900
 /* Maximum number of unanswered calls to the advice service that this instance
  * makes for peers. */
 #define PEER_ADVICE_CALLS_MAX 32
@@ -117,6 +121,7 @@
 	OP_LEASE_RENEW,
 	OP_CAMPAIGN,
 	OP_LEASE_REVOKE,
+	OP_HAND_OVER,
 };
 
 /* Tags of the core's own store operations hold the operation in the low bits
@@ -152,6 +157,7 @@
  *	of jobs or of states has delivered
  * @pushed_at: last push of the leader or of another peer
  * @term_at: when SIGTERM was received
+ * @hand_over_until: until then the leadership is being handed over, or 0
  * @feeds: @synced is set once a full read has been delivered
  * @rank: number of instances that stand for election before this one;
  *	UINT32_MAX while it is not registered
@@ -193,6 +199,7 @@
 	agb_time pushed_at;
 	agb_time expire_at;
 	agb_time term_at;
+	agb_time hand_over_until;
 	struct peer_calls advice_calls;
 	struct peer_calls put_calls;
 	struct {
@@ -401,6 +408,15 @@
 	free(raw);
 }
 
+/* Adds what makes an instance the leader. */
+static void
+add_election(struct agb_store_op *op, const char *name, int64_t lease)
+{
+	agb_store_op_add_put(op, WF_KEY_LEADER, name, strlen(name), lease);
+	agb_store_op_add_put(op, WF_KEY_BARRIER_JOBS, name, strlen(name), 0);
+	agb_store_op_add_put(op, WF_KEY_BARRIER_STATES, name, strlen(name), 0);
+}
+
 static void
 campaign(struct wf_core *c, struct wf_effects *out)
 {
@@ -408,12 +424,7 @@
 	    add_store_op(c, OP_CAMPAIGN, AGB_STORE_TXN, out);
 
 	agb_store_op_add_cmp(op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, 0);
-	agb_store_op_add_put(
-	    op, WF_KEY_LEADER, c->cfg.name, strlen(c->cfg.name), c->lease_id);
-	agb_store_op_add_put(
-	    op, WF_KEY_BARRIER_JOBS, c->cfg.name, strlen(c->cfg.name), 0);
-	agb_store_op_add_put(
-	    op, WF_KEY_BARRIER_STATES, c->cfg.name, strlen(c->cfg.name), 0);
+	add_election(op, c->cfg.name, c->lease_id);
 	c->campaigning = true;
 }
 
@@ -531,6 +542,11 @@
 		c->campaigning = false;
 		c->elect_at = now->mono + ELECT_RETRY_MS * AGB_MS;
 		break;
+	case OP_HAND_OVER:
+		/* After a lost answer the feed tells who leads. */
+		if (c->hand_over_until > 0 && res->status != AGB_STORE_LOST)
+			c->hand_over_until = now->mono;
+		break;
 	case OP_LEASE_REVOKE:
 		break;
 	}
@@ -772,6 +788,54 @@
 	wf_doc_free(old);
 }
 
+/* Stops leading, and gives the lease back. */
+static void
+end_hand_over(struct wf_core *c, struct wf_effects *out)
+{
+	c->hand_over_until = 0;
+	step_down(c, "this instance is shutting down", out);
+	revoke_lease(c, out);
+}
+
+/* Makes another instance the leader in one transaction. This one leads until
+ * the store has carried it out; from then on its writes and orders are refused.
+ * Return: false when there is no other instance that can lead at once. */
+static bool
+begin_hand_over(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	const struct wf_peer *p;
+	struct agb_store_op *op;
+
+	if (c->leader == NULL || store_is_silent(c, now->mono))
+		return false;
+	p = wf_handover_choose(
+	    &c->table, c->cfg.name, STANDBY_COUNT, now->mono);
+	if (p == NULL)
+		return false;
+	op = add_store_op(c, OP_HAND_OVER, AGB_STORE_TXN, out);
+	agb_store_op_add_cmp(
+	    op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, c->leader->fence);
+	add_election(op, p->name, p->lease);
+	c->hand_over_until = now->mono + HAND_OVER_MAX_MS * AGB_MS;
+	wf_effects_log(out, AGB_LOG_INFO, "lead",
+	    "change=handing-over fence=%" PRIu64 " to=%s", c->leader->fence,
+	    p->name);
+	return true;
+}
+
+static void
+tick_hand_over(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+{
+	if (c->hand_over_until == 0)
+		return;
+	if (c->leader == NULL || now->mono >= c->hand_over_until)
+		end_hand_over(c, out);
+	else
+		c->next_tick = agb_time_min(c->next_tick, c->hand_over_until);
+}
+
 static void
 on_term(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
@@ -781,8 +845,8 @@
 	c->term_at = now->mono;
 	wf_effects_log(out, AGB_LOG_INFO, "drain", "requests=%zu leads=%s",
 	    wf_front_open_count(c->front), c->leader != NULL ? "yes" : "no");
-	step_down(c, "this instance is shutting down", out);
-	revoke_lease(c, out);
+	if (!begin_hand_over(c, now, out))
+		end_hand_over(c, out);
 }
 
 static struct peer_call *
@@ -1047,7 +1111,7 @@
 static void
 tick_lease(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	if (c->draining)
+	if (c->draining && c->leader == NULL)
 		return;
 	if (c->lease_id != 0 && now->mono >= c->lease_op_at)
 		renew_lease(c, now, out);
@@ -1377,6 +1441,7 @@
 	tick_lease(c, now, out);
 	ping_peers(c, now, out);
 	check_isolated(c, now, out);
+	tick_hand_over(c, now, out);
 	tick_failover(c, now, out);
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -399,6 +399,7 @@
 	p->found_in_read = true;
 	p->score = x.score;
 	p->relay_capacity = x.capacity;
+	p->lease = kv->lease;
 	agb_str_copy(p->rpc, sizeof(p->rpc), x.rpc);
 	agb_str_copy(p->domain, sizeof(p->domain), x.domain);
 	agb_str_copy(p->region, sizeof(p->region), x.region);
@@ -419,7 +420,7 @@
 	}
 	snprintf(name, sizeof(name), "%.*s", (int)kv->val_len, kv->val);
 	agb_str_copy(t->leader, sizeof(t->leader), name);
-	t->leader_rev = kv->create_rev;
+	t->leader_rev = kv->mod_rev;
 	t->leader_lease = kv->lease;
 }
 
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -69,6 +69,7 @@
  * @pinged_since: when it was first pinged
  * @heard_at: when it last answered, or 0
  * @ping_tag: tag of the ping that is in flight, or 0
+ * @lease: lease that its key is attached to
  * @found_in_read: found in the full read that is in progress
  */
 struct wf_peer {
@@ -82,6 +83,7 @@
 	agb_addr rpc;
 	agb_id domain;
 	agb_id region;
+	int64_t lease;
 	bool found_in_read;
 	UT_hash_handle hh;
 };
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -365,6 +365,33 @@
 	finish_sim(s);
 }
 
+/* Guards against a time without a leader when it shuts down while the store is
+ * slow: it gave its lease back, and the election took four round trips. */
+static void
+leader_hands_over_before_it_leaves(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	const unsigned old = leader(s);
+	unsigned i, without;
+
+	sim_run(s, 4000);
+	sim_set_store_delay(s, 200);
+	sim_run(s, 1000);
+	sim_sigterm(s, old);
+	without = 0;
+	for (i = 0; i < 200; i++) {
+		sim_run(s, 10);
+		without += sim_leader(s) < 0 ? 10 : 0;
+	}
+	CU_ASSERT(sim_leader(s) >= 0);
+	CU_ASSERT(leader(s) != old);
+	/* Less than one answer of the store. */
+	CU_ASSERT(without < 200);
+	sim_submit(s, leader(s), JOB, sim_new_spec(1, 1000, 100));
+	run_until_state(s, JOB, "completed", 3000);
+	finish_sim(s);
+}
+
 /* Guards against a leader that learns of no end at a runner while it waits for a
  * hold whose answer was lost: ends were seen up to 1.8 s late. */
 static void
@@ -906,6 +933,8 @@
 	cut_instance_writes_through_peers},
     {"cut instance: the new leader learns of its jobs",
 	new_leader_learns_of_jobs_from_cut_instance},
+    {"leader shuts down: hands over before",
+	leader_hands_over_before_it_leaves},
     {"lost hold: the end is seen in time", end_seen_despite_lost_hold},
     {"leader's process killed: replaced at once",
 	killed_leader_is_replaced_at_once},
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -12,6 +12,7 @@
 #include "suite.h"
 #include "wf_estimate.h"
 #include "wf_failover.h"
+#include "wf_handover.h"
 #include "wf_poll.h"
 
 /* A hold that was sent at 10 s and waits 1 s at the runner: when a probe
@@ -215,11 +216,82 @@
 		    cases[i].end_ms * AGB_MS);
 }
 
+/* The leader "a" and three others, at 60 s; two of them can lead at once. Guards
+ * against a leadership that moves to an instance that is cut off, has not read
+ * the jobs, or is stopped next. */
+static void
+successor_of_leader_is_chosen(void)
+{
+	static const struct {
+		const char *what;
+		struct {
+			int score;
+			uint32_t seen_ms;
+			uint32_t heard_ms;
+			int64_t lease;
+		} peers[3];
+		const char *successor;
+	} cases[] = {
+	    {"the highest score",
+		{{200, 1000, 60000, 1}, {250, 1000, 60000, 2},
+		    {100, 1000, 60000, 3}},
+		"c"},
+	    {"restarted lately",
+		{{200, 40000, 60000, 1}, {250, 1000, 60000, 2},
+		    {100, 1000, 60000, 3}},
+		"b"},
+	    {"has not read the jobs",
+		{{200, 59000, 60000, 1}, {250, 1000, 60000, 2},
+		    {100, 1000, 60000, 3}},
+		"c"},
+	    {"does not answer",
+		{{200, 1000, 60000, 1}, {250, 1000, 50000, 2},
+		    {100, 1000, 60000, 3}},
+		"b"},
+	    {"has no lease",
+		{{200, 1000, 60000, 1}, {250, 1000, 60000, 0},
+		    {100, 1000, 60000, 3}},
+		"b"},
+	    {"only those that follow all jobs",
+		{{200, 1000, 50000, 1}, {250, 1000, 50000, 2},
+		    {100, 1000, 60000, 3}},
+		NULL},
+	};
+	static const char *const names[] = {"b", "c", "d"};
+	const struct wf_peer *found;
+	struct wf_table t;
+	struct wf_peer *p;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&t, 0, sizeof(t));
+		add_peer(&t, "a", "10.0.0.1:1");
+		for (k = 0; k < 3; k++) {
+			add_peer(&t, names[k], "10.0.0.2:1");
+			HASH_FIND_STR(t.peers, names[k], p);
+			p->score = cases[i].peers[k].score;
+			p->pinged = true;
+			p->pinged_since = cases[i].peers[k].seen_ms * AGB_MS;
+			p->heard_at = cases[i].peers[k].heard_ms * AGB_MS;
+			p->lease = cases[i].peers[k].lease;
+		}
+		found = wf_handover_choose(&t, "a", 2, 60 * AGB_SEC);
+		if (cases[i].successor == NULL) {
+			CU_ASSERT_PTR_NULL(found);
+		} else {
+			CU_ASSERT_PTR_NOT_NULL_FATAL(found);
+			CU_ASSERT_STRING_EQUAL(found->name, cases[i].successor);
+		}
+		wf_table_free(&t);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"overdue hold: a probe follows", overdue_hold_is_followed_by_probe},
     {"overdue hold: given up when a probe is answered",
 	answered_probe_gives_up_overdue_hold},
     {"gone leader: its lease is ended", lease_of_gone_leader_is_ended},
+    {"hand-over: the successor is chosen", successor_of_leader_is_chosen},
     {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
     {"run times: progress tells the end", progress_tells_when_a_run_ends},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -674,6 +674,7 @@
 	const enum wf_feed_id id = (enum wf_feed_id)e->a;
 	struct sim_event *again;
 	uint64_t generation;
+	uint32_t wait_ms;
 
 	if (!deliver_or_postpone(s, e, poll_feed))
 		return;
@@ -690,10 +691,10 @@
 	if (!c->up || !c->feeds[id].watched ||
 	    c->feeds[id].generation != generation)
 		return;
-	again = schedule_core(s, e->core,
-	    (c->feeds[id].interval_ms > 5 ? c->feeds[id].interval_ms : 5) *
-		SIM_MS,
-	    poll_feed);
+	wait_ms = c->feeds[id].interval_ms > 5 ? c->feeds[id].interval_ms : 5;
+	/* A slow store answers a watch as late as any other call. */
+	wait_ms = wait_ms > s->store_slow_ms ? wait_ms : s->store_slow_ms;
+	again = schedule_core(s, e->core, wait_ms * SIM_MS, poll_feed);
 	again->a = e->a;
 	again->b = generation;
 }
