--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -526,20 +526,21 @@
 	struct wf_runner *const r = &l->runners[ri];
 	struct wf_order *const o =
 	    add_order(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS);
-
-	wf_poll_hold_sent(&r->poll, now->mono, 0);
 	/* The first hold only reads the lists and the clock. A hold to a runner
 	 * that does not answer must not extend its lease, which has to expire
 	 * before its tasks start elsewhere. It must not acknowledge ends
 	 * either: the runner may have restarted and number its ends from the
 	 * beginning, and a hold carried out late would remove ends that nobody
 	 * has read. */
-	if (!r->reported || r->clock_ms == 0 || r->silent)
+	const bool only_reads = !r->reported || r->clock_ms == 0 || r->silent;
+
+	o->wait_ms =
+	    only_reads || r->processed_seq > r->durable_seq ? 0 : HOLD_WAIT_MS;
+	wf_poll_hold_sent(&r->poll, now->mono, o->wait_ms);
+	if (only_reads)
 		return;
 	o->forget_seq = r->durable_seq;
 	o->known_seq = r->processed_seq;
-	o->wait_ms = r->processed_seq > r->durable_seq ? 0 : HOLD_WAIT_MS;
-	r->poll.wait_ms = o->wait_ms;
 	o->deadline_ms = runner_clock_ms(r, now->mono) + RUNNER_LEASE_MS;
 	extend_lease(r, now->mono, RUNNER_LEASE_MS);
 }
@@ -1279,7 +1280,7 @@
 	if (action == WF_POLL_HOLD)
 		send_hold(l, now, ri);
 	if (action == WF_POLL_PROBE) {
-		r->poll.probed = true;
+		wf_poll_probe_sent(&r->poll);
 		send_extra_hold(l, now, ri);
 	}
 	if (action == WF_POLL_NOTHING)
--- a/src/workflow/wf_poll.c
+++ b/src/workflow/wf_poll.c
@@ -32,6 +32,12 @@
 	p->wait_ms = wait_ms;
 }
 
+void
+wf_poll_probe_sent(struct wf_poll *p)
+{
+	p->probed = true;
+}
+
 bool
 wf_poll_hold_ended(struct wf_poll *p, agb_time sent_at)
 {
--- a/src/workflow/wf_poll.h
+++ b/src/workflow/wf_poll.h
@@ -50,6 +50,11 @@
  */
 void wf_poll_hold_sent(struct wf_poll *p, agb_time now, uint32_t wait_ms);
 
+/**
+ * wf_poll_probe_sent() - note that a probe follows the pending hold
+ */
+void wf_poll_probe_sent(struct wf_poll *p);
+
 /**
  * wf_poll_hold_ended() - note that a hold was answered or has failed
  * @sent_at: when it was sent
