--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -766,7 +766,7 @@
 
 /* Stops leading, and gives the lease back. */
 static void
-end_hand_over(struct wf_core *c, struct wf_effects *out)
+resign_at_shutdown(struct wf_core *c, struct wf_effects *out)
 {
 	c->hand_over_until = 0;
 	step_down(c, "this instance is shutting down", out);
@@ -807,7 +807,7 @@
 	if (c->hand_over_until == 0)
 		return;
 	if (c->leader == NULL || now->mono >= c->hand_over_until)
-		end_hand_over(c, out);
+		resign_at_shutdown(c, out);
 	else
 		c->next_tick = agb_time_min(c->next_tick, c->hand_over_until);
 }
@@ -822,7 +822,7 @@
 	wf_effects_log(out, AGB_LOG_INFO, "drain", "requests=%zu leads=%s",
 	    wf_front_open_count(c->front), c->leader != NULL ? "yes" : "no");
 	if (!begin_hand_over(c, now, out))
-		end_hand_over(c, out);
+		resign_at_shutdown(c, out);
 }
 
 static void
