refactor(workflow): one look-up of the leader, one rank, one critical path a job

The leader's entry was looked up in five places: wf_table_leader() serves them. wf_handover counted the instances that come before another as the election does: wf_table_rank() serves both. The record that was stored for a peer was applied like a pushed one: apply_pushed() serves both. A new job computed its critical path, with the logarithms of the learned run times, once for each unit, in the path of every submission and takeover; it is computed once a job now, and the queue's estimator is found once. No change of behaviour.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -104,6 +104,7 @@
 /* Added to the election delay of an instance for each peer that does not answer
  * it. */
 #define ELECT_DELAY_PER_SILENT_MS 100
+
 #define CORE_TAG ((uint64_t)1 << 62)
 #define PING_TAG ((uint64_t)1 << 59)
 #define LEADER_TAG_SHIFT 20
@@ -592,22 +593,15 @@
 static void
 rank_peers(struct wf_core *c, agb_time now)
 {
-	const struct wf_peer *p, *self;
+	const struct wf_peer *self;
 	uint32_t n;
 
 	for (self = c->table.peers; self != NULL; self = self->hh.next) {
 		if (strcmp(self->name, c->cfg.name) == 0)
 			break;
 	}
-	n = 0;
-	for (p = c->table.peers; self != NULL && p != NULL; p = p->hh.next) {
-		if (strcmp(p->name, c->table.leader) == 0 || p == self)
-			continue;
-		n += p->score > self->score ||
-		    (p->score == self->score &&
-			strcmp(p->name, self->name) < 0);
-	}
-	n = self != NULL ? n : UINT32_MAX;
+	n = self != NULL ? wf_table_rank(&c->table, self, c->table.leader)
+			 : UINT32_MAX;
 	if (n < STANDBY_COUNT &&
 	    (c->rank >= STANDBY_COUNT || c->standby_at == 0))
 		c->standby_at = now;
@@ -847,6 +841,20 @@
 	}
 }
 
+static void
+apply_pushed(struct wf_core *c, const struct wf_now *now,
+    const struct wf_feed *feed, struct wf_effects *out)
+{
+	struct wf_table_change ch;
+	size_t i;
+
+	for (i = 0; i < feed->items_len; i++) {
+		ch = wf_table_apply(&c->table, &feed->items[i]);
+		if (ch.job != NULL && c->leader != NULL)
+			wf_leader_update_job(c->leader, now, ch.job, out);
+	}
+}
+
 /* Tells the leader of a record that was stored for a peer. The peer cannot: it
  * is cut off from the store and may not know who leads by now. */
 static void
@@ -859,18 +867,12 @@
 	    .create_rev = rec->revision,
 	    .mod_rev = rec->revision};
 	const struct wf_feed feed = {.items = &kv, .items_len = 1};
-	struct wf_table_change ch;
-	struct wf_peer *p;
+	const struct wf_peer *const leader = wf_table_leader(&c->table);
 
-	if (c->leader != NULL) {
-		ch = wf_table_apply(&c->table, &kv);
-		if (ch.job != NULL)
-			wf_leader_update_job(c->leader, now, ch.job, out);
-		return;
-	}
-	HASH_FIND_STR(c->table.peers, c->table.leader, p);
-	if (p != NULL && strcmp(p->name, c->cfg.name) != 0)
-		push_records(p, &feed, out);
+	if (c->leader != NULL)
+		apply_pushed(c, now, &feed, out);
+	else if (leader != NULL && strcmp(leader->name, c->cfg.name) != 0)
+		push_records(leader, &feed, out);
 }
 
 /* With many instances, the leader pushes to one instance of each failure
@@ -895,17 +897,10 @@
 on_push(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
     bool forward, struct wf_effects *out)
 {
-	struct wf_table_change ch;
-	size_t i;
-
 	c->pushed_at = now->mono;
 	if (forward)
 		forward_push(c, feed, out);
-	for (i = 0; i < feed->items_len; i++) {
-		ch = wf_table_apply(&c->table, &feed->items[i]);
-		if (ch.job != NULL && c->leader != NULL)
-			wf_leader_update_job(c->leader, now, ch.job, out);
-	}
+	apply_pushed(c, now, feed, out);
 }
 
 static void
@@ -1062,13 +1057,12 @@
 on_peer_lost(struct wf_core *c, const struct wf_now *now, const char *rpc,
     bool refused, struct wf_effects *out)
 {
-	struct wf_peer *p;
+	struct wf_peer *const p = wf_table_leader(&c->table);
 
 	if (refused) {
 		wf_failover_note_refused(&c->failover, &c->table, rpc);
 		return;
 	}
-	HASH_FIND_STR(c->table.peers, c->table.leader, p);
 	if (p != NULL && strcmp(p->rpc, rpc) == 0)
 		ping_peer(c, now, p, out);
 }
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -156,38 +156,40 @@
 	return longest;
 }
 
-/* When an occurrence should be finished: its start, plus the length of the
- * critical path times the slack factor of its queue, plus the queue's target. */
-static agb_time
-unit_due_time(struct wf_leader *l, const struct wf_exec *e, uint32_t occurrence)
+/* Sets when a unit should be finished: the start of its occurrence, plus the
+ * length of the critical path times the slack factor of the queue, plus the
+ * queue's target. */
+static void
+unit_set_times(const struct wf_leader *l, struct wf_unit *u, agb_time now,
+    const struct wf_estimator *times, uint64_t path_ms)
 {
+	const struct wf_exec *const e = u->exec;
 	const struct wf_spec *const s = &e->job->spec;
-	const struct wf_queue *const q = wf_doc_queue(l->doc, s->queue);
-	const uint64_t path_ms =
-	    critical_path_ms(s, queue_estimator(l, s->queue));
+	const struct wf_queue *const q = wf_unit_queue(l, u);
+	const double slack_factor = q != NULL ? q->slack_factor : 1;
 	agb_time due;
 
 	due = e->accepted_at;
 	if (s->start_at_ms > 0 && s->start_at_ms > s->submitted_ms)
 		due += (agb_time)(s->start_at_ms - s->submitted_ms) * AGB_MS;
-	due += (agb_time)occurrence * s->period_ms * AGB_MS;
-	if (q == NULL)
-		return due + path_ms * AGB_MS;
-	due += (agb_time)((double)path_ms * q->slack_factor) * AGB_MS;
-	return due + (agb_time)q->target_ms * AGB_MS;
+	due += (agb_time)u->occurrence * s->period_ms * AGB_MS;
+	due += (agb_time)((double)path_ms * slack_factor) * AGB_MS;
+	u->due_at = due + (agb_time)(q != NULL ? q->target_ms : 0) * AGB_MS;
+	u->due_computed_at = now;
+	u->expected_ms =
+	    wf_estimator_predict(times, wf_unit_step(u)->estimate_ms);
 }
 
 void
 wf_unit_update_times(struct wf_leader *l, struct wf_unit *u, agb_time now)
 {
-	if (u->due_computed_at > 0 &&
-	    now - u->due_computed_at < TIMES_MAX_AGE_MS * AGB_MS)
+	const struct wf_spec *const s = &u->exec->job->spec;
+	const struct wf_estimator *times;
+
+	if (now - u->due_computed_at < TIMES_MAX_AGE_MS * AGB_MS)
 		return;
-	u->due_computed_at = now;
-	u->due_at = unit_due_time(l, u->exec, u->occurrence);
-	u->expected_ms =
-	    wf_estimator_predict(queue_estimator(l, u->exec->job->spec.queue),
-		wf_unit_step(u)->estimate_ms);
+	times = queue_estimator(l, s->queue);
+	unit_set_times(l, u, now, times, critical_path_ms(s, times));
 }
 
 static void
@@ -276,6 +278,8 @@
     struct wf_effects *out)
 {
 	const struct wf_spec *const s = &j->spec;
+	const struct wf_estimator *const times = queue_estimator(l, s->queue);
+	const uint64_t path_ms = critical_path_ms(s, times);
 	struct wf_exec *const e = agb_xcalloc(1, sizeof(*e));
 	int64_t age;
 	uint32_t i, first;
@@ -296,7 +300,7 @@
 		e->units[i].step = i % s->steps_len;
 		e->units[i].first_task = first;
 		e->units[i].waiting = s->steps[i % s->steps_len].count;
-		wf_unit_update_times(l, &e->units[i], now->mono);
+		unit_set_times(l, &e->units[i], now->mono, times, path_ms);
 		first += e->units[i].waiting;
 	}
 	for (i = 0; i < e->tasks_len; i++) {
--- a/src/workflow/wf_failover.c
+++ b/src/workflow/wf_failover.c
@@ -4,20 +4,11 @@
  * lost. */
 #define REVOKE_RETRY_MS 300
 
-static const struct wf_peer *
-find_leader(const struct wf_table *t)
-{
-	const struct wf_peer *p;
-
-	HASH_FIND_STR(t->peers, t->leader, p);
-	return p;
-}
-
 void
 wf_failover_note_refused(
     struct wf_failover *f, const struct wf_table *t, const char *rpc)
 {
-	const struct wf_peer *const leader = find_leader(t);
+	const struct wf_peer *const leader = wf_table_leader(t);
 
 	if (leader != NULL && strcmp(leader->rpc, rpc) == 0)
 		f->refused_rev = t->leader_rev;
@@ -27,7 +18,7 @@
 leader_is_gone(const struct wf_failover *f, const struct wf_table *t,
     const char *self, const char *rpc, bool may_succeed)
 {
-	const struct wf_peer *const leader = find_leader(t);
+	const struct wf_peer *const leader = wf_table_leader(t);
 
 	if (leader == NULL || strcmp(t->leader, self) == 0)
 		return false;
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -251,9 +251,9 @@
 static const struct wf_peer *
 choose_relay(const struct wf_front *f, agb_time now, uint32_t skip)
 {
-	struct wf_peer *p, *p2, *leader;
+	const struct wf_peer *const leader = wf_table_leader(f->table);
+	struct wf_peer *p, *p2;
 
-	HASH_FIND_STR(f->table->peers, f->table->leader, leader);
 	if (leader != NULL && strcmp(leader->name, f->self) != 0 &&
 	    wf_peer_responds(leader, now) && skip-- == 0)
 		return leader;
@@ -303,11 +303,10 @@
 push_to_leader(const struct wf_front *f, const struct waiting_call *w,
     uint64_t revision, struct wf_effects *out)
 {
+	const struct wf_peer *const p = wf_table_leader(f->table);
 	struct wf_record *r;
 	struct wf_effect *ef;
-	struct wf_peer *p;
 
-	HASH_FIND_STR(f->table->peers, f->table->leader, p);
 	if (p == NULL || strcmp(p->name, f->self) == 0)
 		return;
 	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
--- a/src/workflow/wf_handover.c
+++ b/src/workflow/wf_handover.c
@@ -6,23 +6,6 @@
 /* Instances that were first seen within this time count as equally old. */
 #define SAME_AGE_MS 2000
 
-/* Number of instances, other than @self, that come before @p in order of their
- * scores. */
-static unsigned
-rank_of(const struct wf_table *t, const char *self, const struct wf_peer *p)
-{
-	const struct wf_peer *q;
-	unsigned n = 0;
-
-	for (q = t->peers; q != NULL; q = q->hh.next) {
-		if (q == p || strcmp(q->name, self) == 0)
-			continue;
-		n += q->score > p->score ||
-		    (q->score == p->score && strcmp(q->name, p->name) < 0);
-	}
-	return n;
-}
-
 static bool
 may_succeed(const struct wf_table *t, const char *self, unsigned candidates,
     const struct wf_peer *p, agb_time now)
@@ -30,7 +13,7 @@
 	return strcmp(p->name, self) != 0 && p->lease != 0 &&
 	    wf_peer_responds(p, now) && p->pinged_since > 0 &&
 	    now - p->pinged_since >= READ_JOBS_MS * AGB_MS &&
-	    rank_of(t, self, p) < candidates;
+	    wf_table_rank(t, p, self) < candidates;
 }
 
 static bool
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -518,6 +518,31 @@
 	return ch;
 }
 
+struct wf_peer *
+wf_table_leader(const struct wf_table *t)
+{
+	struct wf_peer *p;
+
+	HASH_FIND_STR(t->peers, t->leader, p);
+	return p;
+}
+
+uint32_t
+wf_table_rank(
+    const struct wf_table *t, const struct wf_peer *p, const char *except)
+{
+	const struct wf_peer *q;
+	uint32_t n = 0;
+
+	for (q = t->peers; q != NULL; q = q->hh.next) {
+		if (q == p || strcmp(q->name, except) == 0)
+			continue;
+		n += q->score > p->score ||
+		    (q->score == p->score && strcmp(q->name, p->name) < 0);
+	}
+	return n;
+}
+
 bool
 wf_peer_responds(const struct wf_peer *p, agb_time now)
 {
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -163,6 +163,19 @@
 struct wf_table_change wf_table_apply(
     struct wf_table *t, const struct agb_store_kv *kv);
 
+/**
+ * wf_table_leader() - the leader's entry among the instances
+ * Return: NULL when nobody leads or the leader is not listed.
+ */
+struct wf_peer *wf_table_leader(const struct wf_table *t);
+
+/**
+ * wf_table_rank() - number of instances that stand for election before one
+ * @except: name of an instance that does not count, as it leads
+ */
+uint32_t wf_table_rank(
+    const struct wf_table *t, const struct wf_peer *p, const char *except);
+
 /**
  * wf_peer_responds() - check whether an instance answers pings; true while it
  * is not pinged
