--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -21,7 +21,20 @@
 #define HEARTBEAT_MS 1500
 /* Three missed heartbeats. */
 #define REGISTRY_LAPSE_MS 4500
+/* Time that a call for advice takes by default. */
+#define ADVICE_MS 10
 #define UNIX_BASE_MS 1700000000000LL
+/* Approximate sizes of messages between instances and to the store, without
+ * the values of records, in bytes. */
+#define START_BYTES 250
+#define ORDER_BYTES 120
+#define RESULT_BYTES 60
+#define RUN_BYTES 40
+#define CALL_BYTES 100
+#define ADVICE_RUNNER_BYTES 24
+#define RECORD_BYTES 60
+#define STORE_CALL_BYTES 300
+#define STORE_WRITE_BYTES 120
 /* Link bandwidth at which the leader cannot even send one runner its holds, the
  * orders that renew the runner's lease, so that all orders are relayed. */
 #define RELAYS_LINK_KBPS 80
@@ -101,6 +114,9 @@
 	} feeds[WF_FEEDS];
 	enum sim_store_mode store;
 	agb_time tick_at;
+	unsigned link_kbps;
+	agb_time link_free_at; /* when its link has sent what is queued */
+	uint64_t bytes_sent;
 	bool ready;
 };
 
@@ -611,12 +627,38 @@
 	r->data = c;
 }
 
+/* Queues a message on the link of an instance.
+ * Return: the time until it arrives. */
+static agb_time
+link_send(struct sim *s, unsigned ci, size_t bytes)
+{
+	struct sim_core *const c = &s->cores[ci];
+
+	c->bytes_sent += bytes;
+	if (c->link_free_at < s->now)
+		c->link_free_at = s->now;
+	if (c->link_kbps > 0)
+		c->link_free_at += bytes * 8 * SIM_MS / c->link_kbps;
+	return c->link_free_at - s->now + s->o.latency_ms * SIM_MS;
+}
+
+/* Values travel as base64 text. */
+static size_t
+store_op_bytes(const struct agb_store_op *op)
+{
+	size_t i, n = STORE_CALL_BYTES;
+
+	for (i = 0; i < op->writes_len; i++)
+		n += STORE_WRITE_BYTES + op->writes[i].val_len * 4 / 3;
+	return n;
+}
+
 static void
 send_store(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
 	struct store_call *const c = agb_xcalloc(1, sizeof(*c));
-	struct sim_event *const e =
-	    schedule_core(s, ci, s->o.latency_ms * SIM_MS, store_arrives);
+	struct sim_event *const e = schedule_core(s, ci,
+	    link_send(s, ci, store_op_bytes(&ef->u.store)), store_arrives);
 
 	c->op = ef->u.store;
 	memset(&ef->u.store, 0, sizeof(ef->u.store));
@@ -1338,8 +1380,12 @@
 send_order(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
 	struct order_call *const c = agb_xcalloc(1, sizeof(*c));
-	struct sim_event *const e =
-	    schedule_core(s, ci, s->o.latency_ms * SIM_MS, order_arrives);
+	struct sim_event *const e = schedule_core(s, ci,
+	    link_send(s, ci,
+		ef->u.order.kind == WF_ORDER_START
+		    ? START_BYTES + ef->u.order.payload_len
+		    : ORDER_BYTES),
+	    order_arrives);
 
 	c->o = ef->u.order;
 	ef->u.order.payload = NULL;
@@ -1466,8 +1512,14 @@
 send_advice(struct sim *s, unsigned ci, const struct wf_effect *ef)
 {
 	struct wf_advice *const a = agb_xcalloc(1, sizeof(*a));
-	struct sim_event *const e = schedule_core(
-	    s, ci, (2 * s->o.latency_ms + 10) * SIM_MS, advice_answer_arrives);
+	const size_t runners = ef->u.advice_request.runners_len;
+	const agb_time took = s->o.advice_ms == 0
+	    ? ADVICE_MS * SIM_MS
+	    : (s->o.advice_ms + s->o.advice_per_runner_ms * runners) * SIM_MS;
+	struct sim_event *const e = schedule_core(s, ci,
+	    link_send(s, ci, CALL_BYTES + ADVICE_RUNNER_BYTES * runners) +
+		s->o.latency_ms * SIM_MS + took,
+	    advice_answer_arrives);
 	size_t i;
 
 	s->advice_calls++;
@@ -1580,14 +1632,15 @@
 }
 
 static void
-send_push(struct sim *s, struct wf_effect *ef)
+send_push(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
 	struct push_call *const c = agb_xcalloc(1, sizeof(*c));
 
 	c->push = ef->u.push;
 	memset(&ef->u.push, 0, sizeof(ef->u.push));
-	schedule_core(
-	    s, core_by_addr(ef->peer), s->o.latency_ms * SIM_MS, push_arrives)
+	schedule_core(s, core_by_addr(ef->peer),
+	    link_send(s, ci, CALL_BYTES + RECORD_BYTES * c->push.len),
+	    push_arrives)
 	    ->data = c;
 }
 
@@ -1746,6 +1799,18 @@
 	batch_call_free(c);
 }
 
+static size_t
+batch_bytes(const struct wf_order_batch *o)
+{
+	size_t i, n = CALL_BYTES + ORDER_BYTES * o->runners_len;
+
+	for (i = 0; i < o->len; i++)
+		n += o->items[i].kind == WF_ORDER_START
+		    ? START_BYTES + o->items[i].payload_len
+		    : ORDER_BYTES;
+	return n;
+}
+
 static void
 send_orders(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
@@ -1770,7 +1835,8 @@
 	c->from = ci;
 	c->from_gen = s->cores[ci].gen;
 	c->tag = ef->tag;
-	e = schedule_core(s, to, s->o.latency_ms * SIM_MS, orders_arrive);
+	e = schedule_core(
+	    s, to, link_send(s, ci, batch_bytes(&c->o)), orders_arrive);
 	e->data = c;
 	/* Without a reply before this event, the outcome is unknown. The
 	 * timeout of a call that was answered has no effect. */
@@ -1815,6 +1881,18 @@
 	free(c);
 }
 
+static size_t
+results_bytes(const struct wf_result_batch *r)
+{
+	size_t i, n = CALL_BYTES;
+
+	for (i = 0; i < r->len; i++)
+		n += RESULT_BYTES +
+		    RUN_BYTES *
+			(r->items[i].new_runs_len + r->items[i].finished_len);
+	return n;
+}
+
 static void
 send_results(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
@@ -1826,8 +1904,9 @@
 	c = agb_xcalloc(1, sizeof(*c));
 	c->r = ef->u.results;
 	memset(&ef->u.results, 0, sizeof(ef->u.results));
-	schedule_core(s, to, s->o.latency_ms * SIM_MS, results_arrive)->data =
-	    c;
+	schedule_core(
+	    s, to, link_send(s, ci, results_bytes(&c->r)), results_arrive)
+	    ->data = c;
 }
 
 static void
@@ -1942,7 +2021,7 @@
 		send_advice(s, ci, ef);
 		break;
 	case WF_EF_PEER_PUSH:
-		send_push(s, ef);
+		send_push(s, ci, ef);
 		break;
 	case WF_EF_PEER_PUT:
 		send_put(s, ci, ef);
@@ -2042,7 +2121,8 @@
 	q->max_attempts = s->o.max_attempts;
 	q->slack_factor = 2;
 	q->advice_required = s->o.advice_required;
-	q->advice_base_ms = 10;
+	q->advice_base_ms = s->o.advice_ms > 0 ? s->o.advice_ms : ADVICE_MS;
+	q->advice_per_runner_ms = s->o.advice_per_runner_ms;
 	q->ticket_valid_ms = 2000;
 	return d;
 }
@@ -2068,7 +2148,9 @@
 	snprintf(cfg.rpc, sizeof(cfg.rpc), "10.0.0.%u:1", e->core);
 	cfg.seed = s->o.seed * 31 + (uint64_t)e->core * 7 + c->gen;
 	cfg.cpu_permille = e->core < s->o.small_cores ? 125 : 250;
-	cfg.link_kbps = s->o.relays ? RELAYS_LINK_KBPS : 0;
+	cfg.link_kbps = s->o.link_kbps > 0 ? s->o.link_kbps
+	    : s->o.relays		   ? RELAYS_LINK_KBPS
+					   : 0;
 	agb_str_copy(cfg.domain, sizeof(cfg.domain), domain_of(s, e->core));
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
@@ -2081,6 +2163,7 @@
 	c->watches_registry = false;
 	c->tick_at = 0;
 	c->frozen_until = 0;
+	c->link_free_at = 0;
 	doc.u.doc = doc_new(s);
 	handle_event(s, e->core, &doc);
 }
@@ -2113,9 +2196,11 @@
 		r->up = true;
 		r->listed = true;
 	}
-	for (i = 0; i < o->cores; i++)
+	for (i = 0; i < o->cores; i++) {
+		s->cores[i].link_kbps = o->link_kbps;
 		schedule(s, (agb_time)(i + 1) * 10 * SIM_MS, core_start)->core =
 		    i;
+	}
 	schedule(s, SIM_MS, expire_leases);
 	schedule(s, SIM_MS, step_runners);
 	schedule(s, SIM_MS, update_registry);
@@ -2353,6 +2438,12 @@
 	s->cores[ci].isolated = isolated;
 }
 
+void
+sim_core_set_link(struct sim *s, unsigned ci, unsigned kbps)
+{
+	s->cores[ci].link_kbps = kbps;
+}
+
 void
 sim_sigterm(struct sim *s, unsigned ci)
 {
@@ -2546,6 +2637,23 @@
 	return j != NULL ? j->starts : 0;
 }
 
+unsigned
+sim_total_start_count(const struct sim *s)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < s->jobs_len; i++)
+		n += s->jobs[i].starts;
+	return n;
+}
+
+uint64_t
+sim_bytes_sent(const struct sim *s, unsigned ci)
+{
+	return s->cores[ci].bytes_sent;
+}
+
 unsigned
 sim_started_at_ms(const struct sim *s, const char *id)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -35,6 +35,9 @@
  * @run_time_factor: run times as a multiple of the estimate; 0 means 1
  * @runner_stalls: runners may also stall in randomized runs
  * @relays: the instances are too small to call all runners themselves
+ * @link_kbps: bandwidth at which each instance sends; 0 for no limit
+ * @advice_ms: time that a call for advice takes
+ * @advice_per_runner_ms: added to @advice_ms for each runner named
  * @fault_gap_ms: mean time between two faults in randomized runs; 0 for none
  */
 struct sim_options {
@@ -53,6 +56,9 @@
 	unsigned run_time_factor;
 	bool runner_stalls;
 	bool relays;
+	unsigned link_kbps;
+	unsigned advice_ms;
+	unsigned advice_per_runner_ms;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -104,6 +110,9 @@
 void sim_core_cut_runners(struct sim *s, unsigned ci, bool cut);
 void sim_core_isolate(struct sim *s, unsigned ci, bool isolated);
 void sim_sigterm(struct sim *s, unsigned ci);
+/* Bandwidth at which an instance sends; 0 for no limit. What is sent already
+ * keeps the time at which it arrives. */
+void sim_core_set_link(struct sim *s, unsigned ci, unsigned kbps);
 void sim_set_store_mode(struct sim *s, enum sim_store_mode mode);
 /* Share of the writes and renewals whose reply is lost; they are carried out at
  * once or later. */
@@ -133,6 +142,10 @@
 /* Most advanced state of a job that an instance reports. */
 const char *sim_state(struct sim *s, const char *id);
 unsigned sim_start_count(const struct sim *s, const char *id);
+/* Starts of all jobs at runners. */
+unsigned sim_total_start_count(const struct sim *s);
+/* Order batches, writes and other messages that instances have sent. */
+uint64_t sim_bytes_sent(const struct sim *s, unsigned ci);
 unsigned sim_started_at_ms(const struct sim *s, const char *id);
 unsigned sim_running_count(const struct sim *s, const char *id);
 /* Index of a runner that runs a task of the job, or UINT32_MAX. */
