fix(workflow): limit the starts in flight by the time that messages take

The leader now counts tasks that are assigned and not confirmed. The limit of that number falls by three tenths when most calls to relays are answered after more than 100 ms, and rises by an eighth while it holds tasks back and answers come in time. What is beyond the limit waits in the queue without cost. While starts are held back, advice is requested only for as many tasks as can start before their tickets expire.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -109,6 +109,8 @@
  *	all eligible runners, for the unit being placed
  * @reservations, @run_ends: by runner index
  * @reservations_made: number of gangs for which room was reserved
+ * @advised_tasks: waiting tasks of units earlier in the queue that have tickets
+ *	or pending calls for advice
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
  *	their tickets, or once their calls for advice are answered
  * @rooms: usable runners of @service
@@ -122,6 +124,7 @@
 	struct reservation *reservations;
 	struct run_ends **run_ends;
 	uint32_t reservations_made;
+	uint64_t advised_tasks;
 	int64_t claimed_cpu_milli;
 	const char *service;
 	struct runner_room *rooms;
@@ -390,6 +393,9 @@
 		t = &u->exec->tasks[u->first_task + i];
 		if (t->state != WF_TASK_WAITING || t->allocated)
 			continue;
+		/* A gang starts as a whole, even beyond the limit. */
+		if (!step->gang && wf_flow_room(&p->l->flow) == 0)
+			break;
 		c = pick_candidate(list, len, t);
 		if (c == NULL)
 			break;
@@ -699,6 +705,11 @@
 may_request_advice(
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
+	/* Tickets of tasks that the limit of starts holds back would expire. */
+	if (p->advised_tasks > 0 &&
+	    p->advised_tasks >= wf_flow_starts_within(&p->l->flow, p->now->mono,
+				    q->ticket_valid_ms / 2))
+		return false;
 	return q->advice_base_ms > ADVICE_FAST_MS || has_room(p, u, q->service);
 }
 
@@ -722,8 +733,10 @@
 			    p->l, p->now, u, p->stale, stale_len, p->out);
 		wf_advice_request(p->l, p->now, u, p->out);
 	}
-	if (q->advice_base_ms <= ADVICE_FAST_MS &&
-	    (u->advice_pending || wf_advice_has_ticket(u, p->now->mono)))
+	if (!u->advice_pending && !wf_advice_has_ticket(u, p->now->mono))
+		return;
+	p->advised_tasks += u->waiting;
+	if (q->advice_base_ms <= ADVICE_FAST_MS)
 		p->claimed_cpu_milli +=
 		    u->waiting * wf_unit_step(u)->need.cpu_milli;
 }
@@ -825,12 +838,14 @@
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
 	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(void *));
-	for (i = 0; i < len; i++) {
+	for (i = 0; i < len && wf_flow_room(&l->flow) > 0; i++) {
 		if (wf_unit_step(list[i].unit)->gang)
 			place_gang(&p, list[i].unit, list[i].queue);
 		else
 			place_tasks(&p, list[i].unit, list[i].queue);
 	}
+	if (wf_flow_room(&l->flow) == 0)
+		wf_flow_hold_back(&l->flow);
 	/* The next pass prefers runners without reservations made in this
 	 * one. */
 	for (i = 0; i < l->runners_len; i++) {
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -470,6 +470,24 @@
 	return now->mono + (agb_time)(next - now->unix_ms) * AGB_MS;
 }
 
+/* Ends the time for which a task counts as in flight. */
+static void
+task_leave_flight(struct wf_leader *l, struct wf_task *t)
+{
+	l->flow.in_flight -= t->in_flight;
+	t->in_flight = false;
+}
+
+void
+wf_task_confirm(struct wf_leader *l, struct wf_task *t, agb_time now)
+{
+	if (t->start_accepted_at == 0)
+		t->start_accepted_at = now;
+	if (t->in_flight)
+		wf_flow_note_confirmed(&l->flow);
+	task_leave_flight(l, t);
+}
+
 void
 wf_task_assign(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, uint32_t runner, uint32_t run)
@@ -485,6 +503,8 @@
 	t->start_accepted_at = 0;
 	t->start_deadline_ms = 0;
 	t->sent_at = now->mono;
+	t->in_flight = true;
+	l->flow.in_flight++;
 	if (run > u->run)
 		u->run = run;
 	u->waiting--;
@@ -503,6 +523,7 @@
 	if (!t->allocated)
 		return;
 	t->allocated = false;
+	task_leave_flight(l, t);
 	DL_DELETE(r->tasks, t);
 	wf_runner_account_task(r, wf_unit_step(u), false);
 	if (t->stopping) {
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -883,8 +883,7 @@
 	wf_exec_mark_running(l, u->exec);
 	if (t->state == WF_TASK_SENT) {
 		t->state = WF_TASK_RUNNING;
-		if (t->start_accepted_at == 0)
-			t->start_accepted_at = now->mono;
+		wf_task_confirm(l, t, now->mono);
 	}
 	t->start_unanswered = false;
 	update_progress(&l->runners[ri], t, a);
@@ -1125,8 +1124,7 @@
 		wf_exec_mark_running(l, u->exec);
 		if (t->state == WF_TASK_SENT)
 			t->state = WF_TASK_RUNNING;
-		if (t->start_accepted_at == 0)
-			t->start_accepted_at = now->mono;
+		wf_task_confirm(l, t, now->mono);
 		return;
 	}
 	/* The runner may have listed the task as active before the answer was
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -40,6 +40,7 @@
 	l->elected_at = now->mono;
 	l->next_collect_at = now->mono + AGB_SEC;
 	l->placement_changed = true;
+	wf_flow_init(&l->flow, now->mono);
 	wf_leader_update_peers(l);
 	n = 0;
 	for (j = table->jobs; j != NULL; j = j2) {
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -21,6 +21,7 @@
 
 #include "wf_estimate.h"
 #include "wf_event.h"
+#include "wf_flow.h"
 #include "wf_outbox.h"
 #include "wf_poll.h"
 #include "wf_show.h"
@@ -62,6 +63,8 @@
  * @recovered: started by an earlier leader; its runner has not listed it to
  *	this leader yet
  * @stopping: has to stop; the order is repeated until the end is confirmed
+ * @in_flight: assigned, and neither confirmed by its runner nor released; see
+ *	struct wf_flow
  * @start_unanswered: the answer to its start order was lost
  * @intent_in_write: a pending write contains its intent
  * @sent_at: when the start was sent, or the task assigned
@@ -92,6 +95,7 @@
 	bool allocated;
 	bool recovered;
 	bool stopping;
+	bool in_flight;
 	bool start_unanswered;
 	bool intent_in_write;
 	agb_time sent_at;
@@ -372,6 +376,7 @@
  * @doc: the document in force, owned by the core, or NULL
  * @valid_until: its lease does not end before this time
  * @extend_until: it may extend leases of runners before this time
+ * @flow: limit of the starts in flight
  * @registry_seen: the list of runners has been read
  * @queue: units that are ready and have waiting tasks
  * @stops_pending: tasks that have to stop and are not known to have ended
@@ -406,6 +411,7 @@
 	uint32_t runners_len;
 	struct wf_runner_by_id *runners_by_id;
 	struct wf_outbox outbox;
+	struct wf_flow flow;
 	bool registry_seen;
 	struct wf_exec *execs;
 	struct wf_unit *queue;
@@ -660,6 +666,11 @@
     struct wf_unit *u, struct wf_task *t, const char *why,
     struct wf_effects *out);
 
+/**
+ * wf_task_confirm() - note that a task's runner has carried out its start
+ */
+void wf_task_confirm(struct wf_leader *l, struct wf_task *t, agb_time now);
+
 /**
  * wf_task_allocate() - allocate the resources of a task on its runner
  */
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -510,14 +510,15 @@
 batch_send(struct wf_leader *l, const struct wf_now *now, uint32_t relay,
     struct wf_effects *out)
 {
-	struct wf_relay_peer *const p = &l->outbox.relays[relay];
+	struct wf_outbox *const b = &l->outbox;
+	struct wf_relay_peer *const p = &b->relays[relay];
 	struct wf_effect *const ef = wf_effects_add(out, WF_EF_ORDERS);
 	struct wf_pending_order *order;
 	size_t i;
 
 	ef->tag = WF_ORDERS_TAG | (uint64_t)relay << TAG_RELAY_SHIFT |
-	    (++l->outbox.last_call_number &
-		(((uint64_t)1 << TAG_RELAY_SHIFT) - 1));
+	    (++b->last_call_number & (((uint64_t)1 << TAG_RELAY_SHIFT) - 1));
+	b->call_sent_at[b->last_call_number % WF_OUTBOX_CALLS_MAX] = now->mono;
 	ef->timeout_ms = CALL_TIMEOUT_MS;
 	agb_str_copy(ef->peer, sizeof(ef->peer), p->addr);
 	ef->u.orders = p->batch;
@@ -707,6 +708,9 @@
 
 	if (relay >= b->relays_len)
 		return;
+	if (done->answered || done->may_have_arrived)
+		wf_flow_note_answer(&l->flow, now->mono,
+		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
 			b->check_at = 0;
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -22,6 +22,9 @@
 /* Capacity of the table of relays. */
 #define WF_RELAYS_MAX 256
 
+/* Number of recent calls whose sending times are kept. */
+#define WF_OUTBOX_CALLS_MAX 1024
+
 /* Tag bit of calls that carry orders; the tag also holds the relay's handle. */
 #define WF_ORDERS_TAG ((uint64_t)1 << 58)
 
@@ -105,6 +108,8 @@
  * @all_relays: relays selected without regard to domains
  * @queue: orders added since the last wf_outbox_flush(), which sends them
  * @pending: orders sent to relays, by order number
+ * @call_sent_at: sending times of recent calls, by their number modulo the
+ *	length
  * @domains_hash: hash of @domains, to detect a change of the relays
  * @check_at: when to select the usable relays again
  * @expire_at: when to look for orders that have timed out
@@ -123,6 +128,7 @@
 	struct wf_pending_order *pending;
 	uint64_t last_order_number;
 	uint64_t last_call_number;
+	agb_time call_sent_at[WF_OUTBOX_CALLS_MAX];
 	uint64_t domains_hash;
 	agb_time check_at;
 	agb_time expire_at;
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -12,6 +12,7 @@
 #include "suite.h"
 #include "wf_estimate.h"
 #include "wf_failover.h"
+#include "wf_flow.h"
 #include "wf_handover.h"
 #include "wf_poll.h"
 
@@ -282,7 +283,101 @@
 	}
 }
 
+/* ---- flow control of starts ---- */
+
+/* Guards against a limit that stays high while messages are late, that falls
+ * for each of the messages which waited in one queue, that single late messages
+ * lower, or that does not rise again: then a full link carries only repetitions,
+ * or tasks wait though the link is free. */
+static void
+limit_follows_the_delay_of_answers(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t limit, in_flight, late, on_time;
+		bool held_back, sent_before_reduction;
+		uint32_t limit_after;
+	} cases[] = {
+	    {"most answers are late", 400, 200, 9, 1, false, false, 140},
+	    {"as many are in time", 400, 200, 5, 5, false, false, 400},
+	    {"too few to judge", 400, 200, 2, 0, false, false, 400},
+	    {"sent before the last reduction", 400, 200, 9, 0, false, true,
+		400},
+	    {"not below the minimum", 20, 20, 9, 0, true, false, 16},
+	    {"tasks are held back", 80, 80, 0, 9, true, false, 90},
+	    {"no task is held back", 80, 10, 0, 9, false, false, 80},
+	};
+	const agb_time start = 10 * AGB_SEC, now = start + AGB_SEC;
+	struct wf_flow f;
+	uint32_t n;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		wf_flow_init(&f, start);
+		f.limit = cases[i].limit;
+		f.in_flight = cases[i].in_flight;
+		if (cases[i].sent_before_reduction)
+			f.reduced_at = now;
+		if (cases[i].held_back)
+			wf_flow_hold_back(&f);
+		/* The last answer closes the interval. */
+		f.interval_start = now;
+		for (n = 0; n + 1 < cases[i].late + cases[i].on_time; n++)
+			wf_flow_note_answer(&f, now,
+			    n < cases[i].late ? now - 300 * AGB_MS
+					      : now - 20 * AGB_MS);
+		f.interval_start = start;
+		wf_flow_note_answer(&f, now,
+		    cases[i].on_time > 0 ? now - 20 * AGB_MS
+					 : now - 300 * AGB_MS);
+		if (f.limit != cases[i].limit_after)
+			printf("\n  %s: limit %u\n", cases[i].name, f.limit);
+		CU_ASSERT_EQUAL(f.limit, cases[i].limit_after);
+	}
+}
+
+/* Guards against more tickets than the limited rate of starts can use before
+ * they expire, and against a rate that still limits when nothing is held back
+ * any more. */
+static void
+starts_within_a_time_follow_the_rate(void)
+{
+	static const struct {
+		uint32_t confirmed, later_ms, within_ms, starts;
+		bool held_back;
+	} cases[] = {
+	    {100, 0, 1000, 100, true},
+	    {100, 0, 500, 50, true},
+	    {100, 499, 1000, 100, true},
+	    {100, 501, 1000, UINT32_MAX, true},
+	    {100, 0, 1000, UINT32_MAX, false},
+	};
+	const agb_time start = 10 * AGB_SEC, now = start + AGB_SEC;
+	struct wf_flow f;
+	uint32_t n;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		wf_flow_init(&f, start);
+		f.limit = 50;
+		for (n = 0; n < cases[i].confirmed; n++)
+			wf_flow_note_confirmed(&f);
+		if (cases[i].held_back)
+			wf_flow_hold_back(&f);
+		f.on_time = 10;
+		wf_flow_note_answer(&f, now, now - 20 * AGB_MS);
+		CU_ASSERT_EQUAL(
+		    wf_flow_starts_within(&f, now + cases[i].later_ms * AGB_MS,
+			cases[i].within_ms),
+		    cases[i].starts);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"flow: the limit follows the delay of answers",
+	limit_follows_the_delay_of_answers},
+    {"flow: starts within a time follow the rate",
+	starts_within_a_time_follow_the_rate},
     {"overdue hold: a probe follows", overdue_hold_is_followed_by_probe},
     {"overdue hold: given up when a probe is answered",
 	answered_probe_gives_up_overdue_hold},
