fix(workflow): polls and pushes give way while starts are held back

While writes took long, a runner whose ends are not durable yet was asked for its lists each 80 or 120 ms and listed the same ends again, and states went to all instances as often as ever. On a full link these messages took what the starts needed.

Tried and left out: sending a start again that its relay did not send, instead of starting over.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -1013,12 +1013,17 @@
 }
 
 static agb_time
-hold_interval_ms(const struct wf_leader *l, const struct wf_runner *r)
+hold_interval(const struct wf_leader *l, const struct wf_runner *r)
 {
+	const agb_time least = l->outbox.use_relays
+	    ? HOLD_ACK_INTERVAL_RELAYED_MS * AGB_MS
+	    : HOLD_ACK_INTERVAL_MS * AGB_MS;
+
 	if (r->processed_seq == r->durable_seq)
-		return HOLD_INTERVAL_MS;
-	return l->outbox.use_relays ? HOLD_ACK_INTERVAL_RELAYED_MS
-				    : HOLD_ACK_INTERVAL_MS;
+		return HOLD_INTERVAL_MS * AGB_MS;
+	/* Until the write is answered, the runner can only list the same ends
+	 * again. */
+	return agb_time_max(least, l->write_time_us);
 }
 
 static void
@@ -1071,7 +1076,7 @@
 	r->has_left = false;
 	r->heard_at = res->sent_at;
 	handle_lists(l, now, res->runner, res, out);
-	r->poll.next_at = now->mono + hold_interval_ms(l, r) * AGB_MS;
+	r->poll.next_at = now->mono + hold_interval(l, r);
 }
 
 static void
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -10,6 +10,9 @@
  * each peer. */
 #define PUSH_INTERVAL_MS 40
 #define PUSH_INTERVAL_PER_PEER_MS 4
+/* Factor of that time while starts are held back: they matter more than how soon
+ * callers see a state. */
+#define PUSH_HELD_BACK_FACTOR 4
 /* How often the pending jobs are counted, and how often a count that has not
  * changed is pushed again. */
 #define COUNT_INTERVAL_MS 400
@@ -265,13 +268,15 @@
 }
 
 static agb_time
-push_interval(const struct wf_leader *l)
+push_interval(const struct wf_leader *l, agb_time now)
 {
 	const unsigned peers = HASH_COUNT(l->table->peers);
+	const unsigned ms = PUSH_INTERVAL_MS +
+	    PUSH_INTERVAL_PER_PEER_MS *
+		(peers < DIRECT_PEERS_MAX ? peers : DIRECT_PEERS_MAX);
 
-	return (PUSH_INTERVAL_MS +
-		   PUSH_INTERVAL_PER_PEER_MS *
-		       (peers < DIRECT_PEERS_MAX ? peers : DIRECT_PEERS_MAX)) *
+	return ms *
+	    (wf_flow_limits(&l->flow, now) ? PUSH_HELD_BACK_FACTOR : 1) *
 	    AGB_MS;
 }
 
@@ -286,7 +291,7 @@
 	if (now->mono < s->push_at ||
 	    (s->states_len == 0 && now->mono < s->count_at))
 		return s->states_len > 0 ? s->push_at : s->count_at;
-	s->push_at = now->mono + push_interval(l);
+	s->push_at = now->mono + push_interval(l, now->mono);
 	len = s->states_len < WF_PUSH_RECORDS_MAX ? s->states_len
 						  : WF_PUSH_RECORDS_MAX;
 	counts = 0;
