refactor(workflow): module for the lease of an instance

Cause: wf_core.c had 1,440 lines and several jobs; the state of the lease was spread over fields that any function could change. Change: wf_lease holds grant, hedged renewals, validity and revocation, and whether the store answers. Only it changes struct wf_lease; a result tells wf_core by enum wf_lease_change what to do. wf_core_op makes the reducer's own store operations, with the same tags as before. wf_core.c has 1,241 lines.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -7,29 +7,15 @@
 #include <utlist.h>
 
 #include "mem.h"
+#include "wf_core_op.h"
 #include "wf_failover.h"
 #include "wf_front.h"
 #include "wf_handover.h"
 #include "wf_leader.h"
+#include "wf_lease.h"
 #include "wf_proxy.h"
 #include "wf_relay.h"
 
-/* Lease of an instance. When a leader dies, a successor is elected after its
- * lease has expired. */
-#define LEASE_MS 1200
-#define RENEW_MS 300
-#define RENEW_RETRY_MS 100
-/* A renewal without an answer is followed by another one after this time, or
- * after three times the last round trip if that is longer. An answer to any of
- * them extends the lease. */
-#define RENEW_HEDGE_MS 120
-#define RENEW_HEDGE_RTTS 3
-/* Number of recent renewals whose answers are still accepted. */
-#define RENEWALS_MAX 8
-#define STORE_TIMEOUT_MS 1000
-/* Time limit of a lease grant. A lease whose grant was not answered is never
- * renewed and expires by itself. */
-#define GRANT_TIMEOUT_MS 600
 /* Instances stand for election in descending order of their scores, because the
  * leader does most of the work and should be close to the store. */
 #define ELECT_DELAY_MS 5
@@ -83,10 +69,6 @@
 /* An instance without an answer of the store for this long reports that it is
  * not ready, because other instances serve new requests better. */
 #define READY_STORE_MS 1500
-/* The store counts as silent when a renewal has waited this long and no other
- * answer has arrived in the meantime. A slow store takes up to
- * half of this time to answer. */
-#define STORE_SILENT_MS 500
 /* After SIGTERM, clients have this long to move their connections. Then the
  * process exits once no request is open, and at the latest this margin before
  * it would be killed. */
@@ -105,32 +87,12 @@
  * it. */
 #define ELECT_DELAY_PER_SILENT_MS 100
 
-#define CORE_TAG ((uint64_t)1 << 62)
 #define PING_TAG ((uint64_t)1 << 59)
 #define LEADER_TAG_SHIFT 20
 
-enum core_op {
-	OP_LEASE_GRANT = 1,
-	OP_REGISTER,
-	OP_LEASE_RENEW,
-	OP_CAMPAIGN,
-	OP_LEASE_REVOKE,
-	OP_HAND_OVER,
-};
-
-/* Tags of the core's own store operations hold the operation in the low bits
- * and the number of a renewal above them. */
-#define OP_BITS 8
-
 /**
  * struct wf_core - state of the reducer
  * @random: state of the random number generator
- * @lease_op_at: when the next grant or renewal of the lease is due
- * @lease_op_pending: a grant or renewal has not been answered
- * @renewal: recent renewals, indexed by their number modulo RENEWALS_MAX
- * @lease_valid_until: the lease certainly exists until then
- * @store_heard_at: last answer of the store, or 0
- * @store_rtt: last round trip to the store
  * @rejected_rev: revision of this instance's last election that ended because
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
@@ -157,17 +119,7 @@
 	uint64_t next_tag;
 	agb_time next_tick;
 	/* lease and election */
-	int64_t lease_id;
-	agb_time lease_op_sent_at;
-	agb_time lease_op_at;
-	uint64_t renewals_sent;
-	struct {
-		int64_t lease;
-		agb_time sent_at;
-	} renewal[RENEWALS_MAX];
-	agb_time lease_valid_until;
-	agb_time store_heard_at;
-	agb_time store_rtt;
+	struct wf_lease lease;
 	uint64_t rejected_rev;
 	struct wf_failover failover;
 	agb_time started_at;
@@ -195,10 +147,8 @@
 	bool ready_known;
 	bool draining;
 	bool exiting;
-	bool lease_op_pending;
 	bool registered;
 	bool campaigning;
-	bool store_lost;
 };
 
 struct wf_core *
@@ -243,18 +193,6 @@
 	return (uint32_t)(c->random % max);
 }
 
-static struct agb_store_op *
-add_store_op(struct wf_core *c, enum core_op op, enum agb_store_op_kind kind,
-    struct wf_effects *out)
-{
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_STORE);
-
-	ef->tag = CORE_TAG | op;
-	ef->timeout_ms = STORE_TIMEOUT_MS;
-	agb_store_op_init(&ef->u.store, kind);
-	return &ef->u.store;
-}
-
 static void
 set_feed_interval(
     struct wf_core *c, enum wf_feed_id id, uint32_t ms, struct wf_effects *out)
@@ -302,52 +240,14 @@
 	ef->flag = false;
 }
 
-/* Revokes the lease, so that the next election need not wait for its expiry. */
+/* Revokes the lease; the registration ends with it. */
 static void
-revoke_lease(struct wf_core *c, struct wf_effects *out)
-{
-	if (c->lease_id == 0)
-		return;
-	add_store_op(c, OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
-	    c->lease_id;
-	c->lease_id = 0;
-	c->registered = false;
-	c->lease_valid_until = 0;
-	c->lease_op_pending = false;
-}
-
-static void
-request_lease(
+revoke_lease(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	struct agb_store_op *const op =
-	    add_store_op(c, OP_LEASE_GRANT, AGB_STORE_LEASE_GRANT, out);
-
-	out->items[out->len - 1].timeout_ms = GRANT_TIMEOUT_MS;
-	op->ttl_s = (LEASE_MS + 999) / 1000;
-	op->ttl_ms = LEASE_MS;
-	c->lease_op_pending = true;
-	c->lease_op_sent_at = now->mono;
-}
-
-static void
-renew_lease(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
-{
-	const uint64_t n = ++c->renewals_sent;
-	struct wf_effect *ef;
-
-	add_store_op(c, OP_LEASE_RENEW, AGB_STORE_LEASE_KEEPALIVE, out)->lease =
-	    c->lease_id;
-	ef = &out->items[out->len - 1];
-	ef->tag |= n << OP_BITS;
-	c->renewal[n % RENEWALS_MAX].lease = c->lease_id;
-	c->renewal[n % RENEWALS_MAX].sent_at = now->mono;
-	if (!c->lease_op_pending)
-		c->lease_op_sent_at = now->mono;
-	c->lease_op_pending = true;
-	c->lease_op_at = now->mono +
-	    agb_time_max(
-		RENEW_HEDGE_RTTS * c->store_rtt, RENEW_HEDGE_MS * AGB_MS);
+	if (c->lease.id != 0)
+		c->registered = false;
+	wf_lease_revoke(&c->lease, now->mono, out);
 }
 
 /* Capacity for relaying orders: limited by the CPU share or by the network
@@ -373,15 +273,15 @@
 
 	memset(&x, 0, sizeof(x));
 	x.score = (int)c->cfg.cpu_permille -
-	    (int)(c->store_rtt / AGB_MS) * SCORE_PER_RTT_MS;
+	    (int)(c->lease.store_rtt / AGB_MS) * SCORE_PER_RTT_MS;
 	x.capacity = relay_capacity(&c->cfg);
 	x.rpc = c->cfg.rpc;
 	x.domain = c->cfg.domain;
 	x.region = c->cfg.region;
 	raw = wf_table_encode((xdrproc_t)xdr_wf_x_peer, &x, &len);
-	op = add_store_op(c, OP_REGISTER, AGB_STORE_TXN, out);
+	op = wf_core_op_add(WF_OP_REGISTER, AGB_STORE_TXN, out);
 	wf_table_make_key(key, 'n', c->cfg.name);
-	agb_store_op_add_put(op, key, raw, len, c->lease_id);
+	agb_store_op_add_put(op, key, raw, len, c->lease.id);
 	free(raw);
 }
 
@@ -398,133 +298,65 @@
 campaign(struct wf_core *c, struct wf_effects *out)
 {
 	struct agb_store_op *const op =
-	    add_store_op(c, OP_CAMPAIGN, AGB_STORE_TXN, out);
+	    wf_core_op_add(WF_OP_CAMPAIGN, AGB_STORE_TXN, out);
 
 	agb_store_op_add_cmp(op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, 0);
-	add_election(op, c->cfg.name, c->lease_id);
+	add_election(op, c->cfg.name, c->lease.id);
 	c->campaigning = true;
 }
 
 static void
-on_lease_lost(struct wf_core *c, const struct wf_now *now, const char *why,
-    struct wf_effects *out)
-{
-	wf_effects_log(out, AGB_LOG_WARN, "lease",
-	    "change=lost lease=%" PRId64 " reason=\"%s\"", c->lease_id, why);
-	step_down(c, why, out);
-	c->lease_id = 0;
-	c->registered = false;
-	c->lease_valid_until = 0;
-	c->lease_op_pending = false;
-	c->lease_op_at = now->mono;
-}
-
-static void
-note_store_answer(
-    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
-{
-	if (c->store_lost)
-		wf_effects_log(out, AGB_LOG_INFO, "dependency",
-		    "name=store change=regained away_ms=%" PRIu64,
-		    (now->mono - c->store_heard_at) / AGB_MS);
-	c->store_lost = false;
-	c->store_heard_at = now->mono;
-}
-
-static void
-on_lease_granted(struct wf_core *c, const struct wf_now *now,
-    const struct agb_store_result *res, struct wf_effects *out)
-{
-	if (res->lease == 0)
-		return;
-	c->lease_id = res->lease;
-	c->lease_valid_until = c->lease_op_sent_at + LEASE_MS * AGB_MS;
-	c->lease_op_at = now->mono + RENEW_MS * AGB_MS;
-	c->store_rtt = now->mono - c->lease_op_sent_at;
-	wf_effects_log(out, AGB_LOG_INFO, "lease",
-	    "change=granted lease=%" PRId64 " ttl_ms=%d rtt_us=%" PRIu64,
-	    c->lease_id, LEASE_MS, c->store_rtt);
-	register_instance(c, out);
-}
-
-static void
-on_lease_renewed(struct wf_core *c, const struct wf_now *now, agb_time sent,
-    const struct agb_store_result *res, struct wf_effects *out)
+on_lease_change(
+    struct wf_core *c, enum wf_lease_change change, struct wf_effects *out)
 {
-	if (res->ttl_s == 0) {
-		on_lease_lost(
-		    c, now, "the store reports that it has expired", out);
-		return;
-	}
-	c->lease_valid_until =
-	    agb_time_max(c->lease_valid_until, sent + LEASE_MS * AGB_MS);
-	c->lease_op_at = sent + RENEW_MS * AGB_MS;
-	c->store_rtt = now->mono - sent;
-	if (!c->registered)
+	switch (change) {
+	case WF_LEASE_UNCHANGED:
+		break;
+	case WF_LEASE_GRANTED:
 		register_instance(c, out);
-}
-
-/* Several renewals may be in flight. The first answer counts; when one is lost,
- * the next is already scheduled. */
-static void
-on_renewal_result(struct wf_core *c, const struct wf_now *now, uint64_t n,
-    const struct agb_store_result *res, struct wf_effects *out)
-{
-	const agb_time sent = c->renewal[n % RENEWALS_MAX].sent_at;
-
-	if (c->lease_id == 0 ||
-	    c->renewal[n % RENEWALS_MAX].lease != c->lease_id ||
-	    c->renewals_sent - n >= RENEWALS_MAX)
-		return;
-	if (res->status == AGB_STORE_REFUSED && n == c->renewals_sent)
-		c->lease_op_at = now->mono + RENEW_RETRY_MS * AGB_MS;
-	if (res->status != AGB_STORE_OK) {
-		c->lease_op_pending =
-		    c->lease_op_pending && n != c->renewals_sent;
-		return;
+		break;
+	case WF_LEASE_RENEWED:
+		if (!c->registered)
+			register_instance(c, out);
+		break;
+	case WF_LEASE_LOST:
+		step_down(c, WF_LEASE_LOST_REASON, out);
+		c->registered = false;
+		break;
 	}
-	c->lease_op_pending = false;
-	note_store_answer(c, now, out);
-	on_lease_renewed(c, now, sent, res, out);
 }
 
 static void
 on_core_store_result(struct wf_core *c, const struct wf_now *now, uint64_t tag,
     const struct agb_store_result *res, struct wf_effects *out)
 {
-	const enum core_op op =
-	    (enum core_op)(tag & (((uint64_t)1 << OP_BITS) - 1));
-	const bool ok = res->status == AGB_STORE_OK;
-
-	switch (op) {
-	case OP_LEASE_GRANT:
-		/* Late answer to an earlier call. */
-		if (!c->lease_op_pending || c->lease_id != 0)
-			return;
-		c->lease_op_pending = false;
-		c->lease_op_at = now->mono + RENEW_RETRY_MS * AGB_MS;
-		if (!ok)
-			return;
-		note_store_answer(c, now, out);
-		on_lease_granted(c, now, res, out);
+	uint64_t number;
+
+	switch (wf_core_op_from_tag(tag, &number)) {
+	case WF_OP_LEASE_GRANT:
+		on_lease_change(c,
+		    wf_lease_grant_done(&c->lease, now->mono, res, out), out);
 		break;
-	case OP_LEASE_RENEW:
-		on_renewal_result(c, now, tag >> OP_BITS, res, out);
+	case WF_OP_LEASE_RENEW:
+		on_lease_change(c,
+		    wf_lease_renewal_done(
+			&c->lease, now->mono, number, res, out),
+		    out);
 		break;
-	case OP_REGISTER:
-		c->registered = ok && res->succeeded;
+	case WF_OP_REGISTER:
+		c->registered = res->status == AGB_STORE_OK && res->succeeded;
 		break;
-	case OP_CAMPAIGN:
+	case WF_OP_CAMPAIGN:
 		/* Whether this instance won is learned from the feed. */
 		c->campaigning = false;
 		c->elect_at = now->mono + ELECT_RETRY_MS * AGB_MS;
 		break;
-	case OP_HAND_OVER:
+	case WF_OP_HAND_OVER:
 		/* After a lost answer the feed tells who leads. */
 		if (c->hand_over_until > 0 && res->status != AGB_STORE_LOST)
 			c->hand_over_until = now->mono;
 		break;
-	case OP_LEASE_REVOKE:
+	case WF_OP_LEASE_REVOKE:
 		break;
 	}
 }
@@ -534,7 +366,7 @@
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	if (c->leader != NULL || strcmp(c->table.leader, c->cfg.name) != 0 ||
-	    now->mono >= c->lease_valid_until || c->draining ||
+	    now->mono >= c->lease.valid_until || c->draining ||
 	    c->table.leader_rev == c->rejected_rev)
 		return;
 	/* The local copy must include everything that earlier leaders wrote. */
@@ -548,33 +380,10 @@
 	c->leader = wf_leader_new(
 	    c->table.leader_rev, &c->cfg, &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
-	c->leader->valid_until = c->lease_valid_until;
+	c->leader->valid_until = c->lease.valid_until;
 	wf_effects_add(out, WF_EF_WATCH_REGISTRY)->flag = true;
 }
 
-/* Current latency of the store: the last round trip of a renewal, or the time
- * that the open one has waited if that is longer. */
-static agb_time
-store_latency(const struct wf_core *c, agb_time now)
-{
-	const agb_time open =
-	    c->lease_op_pending ? now - c->lease_op_sent_at : 0;
-
-	return agb_time_max(open, c->store_rtt);
-}
-
-static bool
-store_is_silent(const struct wf_core *c, agb_time now)
-{
-	const agb_time limit =
-	    agb_time_max(2 * c->store_rtt, STORE_SILENT_MS * AGB_MS);
-
-	return c->store_heard_at == 0 ||
-	    (now - c->store_heard_at > limit && c->lease_op_pending &&
-		now - c->lease_op_sent_at > limit) ||
-	    now - c->store_heard_at > 2 * limit;
-}
-
 static uint32_t
 count_silent_peers(const struct wf_core *c, agb_time now)
 {
@@ -760,11 +569,12 @@
 
 /* Stops leading, and gives the lease back. */
 static void
-resign_at_shutdown(struct wf_core *c, struct wf_effects *out)
+resign_at_shutdown(
+    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	c->hand_over_until = 0;
 	step_down(c, "this instance is shutting down", out);
-	revoke_lease(c, out);
+	revoke_lease(c, now, out);
 }
 
 /* Makes another instance the leader in one transaction. This one leads until
@@ -777,13 +587,13 @@
 	const struct wf_peer *p;
 	struct agb_store_op *op;
 
-	if (c->leader == NULL || store_is_silent(c, now->mono))
+	if (c->leader == NULL || wf_lease_store_silent(&c->lease, now->mono))
 		return false;
 	p = wf_handover_choose(
 	    &c->table, c->cfg.name, STANDBY_COUNT, now->mono);
 	if (p == NULL)
 		return false;
-	op = add_store_op(c, OP_HAND_OVER, AGB_STORE_TXN, out);
+	op = wf_core_op_add(WF_OP_HAND_OVER, AGB_STORE_TXN, out);
 	agb_store_op_add_cmp(
 	    op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, c->leader->fence);
 	add_election(op, p->name, p->lease);
@@ -801,7 +611,7 @@
 	if (c->hand_over_until == 0)
 		return;
 	if (c->leader == NULL || now->mono >= c->hand_over_until)
-		resign_at_shutdown(c, out);
+		resign_at_shutdown(c, now, out);
 	else
 		c->next_tick = agb_time_min(c->next_tick, c->hand_over_until);
 }
@@ -816,7 +626,7 @@
 	wf_effects_log(out, AGB_LOG_INFO, "drain", "requests=%zu leads=%s",
 	    wf_front_open_count(c->front), c->leader != NULL ? "yes" : "no");
 	if (!begin_hand_over(c, now, out))
-		resign_at_shutdown(c, out);
+		resign_at_shutdown(c, now, out);
 }
 
 static void
@@ -914,7 +724,7 @@
 	/* A write that a peer has made proves nothing about the path from this
 	 * instance to the store. */
 	if (res->status == AGB_STORE_OK && !made_by_peer)
-		note_store_answer(c, now, out);
+		wf_lease_store_answered(&c->lease, now->mono, out);
 	if (wf_front_handle_store_result(c->front, now, tag, res, &job, out)) {
 		if (job != NULL && c->leader != NULL)
 			wf_leader_update_job(c->leader, now, job, out);
@@ -927,8 +737,8 @@
 		}
 		return;
 	}
-	if (tag & CORE_TAG) {
-		on_core_store_result(c, now, tag & ~CORE_TAG, res, out);
+	if (tag & WF_CORE_TAG) {
+		on_core_store_result(c, now, tag, res, out);
 		return;
 	}
 	if (c->leader != NULL)
@@ -964,22 +774,12 @@
 static void
 tick_lease(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
+	agb_time next;
+
 	if (c->draining && c->leader == NULL)
 		return;
-	if (c->lease_id != 0 && now->mono >= c->lease_op_at)
-		renew_lease(c, now, out);
-	else if (c->lease_id == 0 && !c->lease_op_pending &&
-	    now->mono >= c->lease_op_at)
-		request_lease(c, now, out);
-	if (c->lease_id != 0 || !c->lease_op_pending)
-		c->next_tick = agb_time_min(c->next_tick, c->lease_op_at);
-	if (!c->store_lost && c->store_heard_at > 0 &&
-	    now->mono - c->store_heard_at > LEASE_MS * AGB_MS) {
-		c->store_lost = true;
-		wf_effects_log(out, AGB_LOG_WARN, "dependency",
-		    "name=store change=lost silent_ms=%" PRIu64,
-		    (now->mono - c->store_heard_at) / AGB_MS);
-	}
+	next = wf_lease_tick(&c->lease, now->mono, out);
+	c->next_tick = agb_time_min(c->next_tick, next);
 }
 
 /* Distance from this instance to another one in the ring of all names. */
@@ -1080,7 +880,7 @@
 	    c->cfg.rpc, c->rank < STANDBY_COUNT, now->mono);
 	if (lease == 0)
 		return;
-	add_store_op(c, OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
+	wf_core_op_add(WF_OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
 	    lease;
 	wf_effects_log(out, AGB_LOG_WARN, "leader",
 	    "leader=%s revision=%" PRIu64 " change=gone lease=%" PRId64,
@@ -1134,8 +934,7 @@
 	    others);
 	c->resigned_at = now->mono;
 	step_down(c, "most instances do not answer", out);
-	revoke_lease(c, out);
-	c->lease_op_at = now->mono;
+	revoke_lease(c, now, out);
 }
 
 static void
@@ -1145,8 +944,7 @@
 	if (c->leader != NULL && c->leader->leadership_lost) {
 		c->rejected_rev = c->leader->fence;
 		step_down(c, "its orders or writes are refused", out);
-		revoke_lease(c, out);
-		c->lease_op_at = now->mono;
+		revoke_lease(c, now, out);
 	}
 	try_start_leading(c, now, out);
 	if (c->leader != NULL || c->draining || c->doc == NULL ||
@@ -1154,8 +952,8 @@
 	    !c->feeds[WF_FEED_JOBS].synced ||
 	    !c->feeds[WF_FEED_STATES].synced || c->table.leader[0] != '\0')
 		return;
-	if (c->campaigning || c->lease_id == 0 ||
-	    now->mono >= c->lease_valid_until)
+	if (c->campaigning || c->lease.id == 0 ||
+	    now->mono >= c->lease.valid_until)
 		return;
 	if (now->mono >= c->elect_at)
 		campaign(c, out);
@@ -1167,8 +965,8 @@
 tick_ready(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool ready = !c->draining && c->doc != NULL &&
-	    c->feeds[WF_FEED_CONTROL].synced && c->store_heard_at > 0 &&
-	    now->mono - c->store_heard_at < READY_STORE_MS * AGB_MS;
+	    c->feeds[WF_FEED_CONTROL].synced && c->lease.store_heard_at > 0 &&
+	    now->mono - c->lease.store_heard_at < READY_STORE_MS * AGB_MS;
 
 	if (c->ready_known && ready == c->ready)
 		return;
@@ -1179,8 +977,9 @@
 	    "ready=%s document=%" PRIu64 " synced=%s store_ms_ago=%" PRIu64,
 	    ready ? "yes" : "no", c->doc != NULL ? c->doc->version : 0,
 	    c->feeds[WF_FEED_CONTROL].synced ? "yes" : "no",
-	    c->store_heard_at > 0 ? (now->mono - c->store_heard_at) / AGB_MS
-				  : 0);
+	    c->lease.store_heard_at > 0
+		? (now->mono - c->lease.store_heard_at) / AGB_MS
+		: 0);
 }
 
 static void
@@ -1214,7 +1013,7 @@
 static agb_time
 standby_read_at(const struct wf_core *c, bool leaderless)
 {
-	const agb_time far = c->store_rtt > STANDBY_NEAR_RTT_MS * AGB_MS
+	const agb_time far = c->lease.store_rtt > STANDBY_NEAR_RTT_MS * AGB_MS
 	    ? STANDBY_FAR_DELAY_MS * AGB_MS
 	    : 0;
 
@@ -1226,7 +1025,7 @@
 		    : AGB_TIME_MAX;
 	if (c->rank < STANDBY_COUNT)
 		return c->standby_at + far;
-	return c->leaderless_at + far + LEADERLESS_RTTS * c->store_rtt +
+	return c->leaderless_at + far + LEADERLESS_RTTS * c->lease.store_rtt +
 	    (LEADERLESS_READ_MS +
 		(agb_time)LEADERLESS_GROUP_MS * (c->rank / STANDBY_COUNT)) *
 	    AGB_MS;
@@ -1266,7 +1065,7 @@
 static void
 tick_front(struct wf_core *c, const struct wf_now *now)
 {
-	const bool store = !store_is_silent(c, now->mono);
+	const bool store = !wf_lease_store_silent(&c->lease, now->mono);
 	const bool complete = c->leader != NULL ||
 	    (c->feeds[WF_FEED_JOBS].synced && c->feeds[WF_FEED_STATES].synced &&
 		store);
@@ -1297,14 +1096,16 @@
 	tick_failover(c, now, out);
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
-		c->leader->valid_until = c->lease_valid_until;
+		c->leader->valid_until = c->lease.valid_until;
 		c->next_tick = agb_time_min(
 		    c->next_tick, wf_leader_tick(c->leader, now, out));
 	}
 	tick_feeds(c, now, out);
 	tick_front(c, now);
-	wf_front_set_store_silent(c->front, store_is_silent(c, now->mono));
-	wf_front_set_store_latency(c->front, store_latency(c, now->mono));
+	wf_front_set_store_silent(
+	    c->front, wf_lease_store_silent(&c->lease, now->mono));
+	wf_front_set_store_latency(
+	    c->front, wf_lease_store_latency(&c->lease, now->mono));
 	c->next_tick =
 	    agb_time_min(c->next_tick, wf_front_tick(c->front, now, out));
 	c->next_tick =
@@ -1393,7 +1194,7 @@
 		break;
 	case WF_EV_PEER_PUT:
 		wf_proxy_put(c->proxy, ev->tag, &ev->u.put,
-		    store_is_silent(c, now->mono), out);
+		    wf_lease_store_silent(&c->lease, now->mono), out);
 		break;
 	}
 	tick(c, now, out);
