refactor(workflow): module for the pings of peers

Cause: the pings, the choice of their targets and the resignation of an isolated leader were spread over wf_core.c, as was their state.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -13,6 +13,7 @@
 #include "wf_handover.h"
 #include "wf_leader.h"
 #include "wf_lease.h"
+#include "wf_peers.h"
 #include "wf_proxy.h"
 #include "wf_relay.h"
 
@@ -63,9 +64,6 @@
  * how long it keeps them beyond the time that their state can be queried. */
 #define EXPIRE_INTERVAL_MS 5000
 #define EXPIRE_SLACK_MS 20000
-/* Besides the leader, an instance pings this many peers that follow it in the
- * order of names. */
-#define PING_NEIGHBORS 5
 /* An instance without an answer of the store for this long reports that it is
  * not ready, because other instances serve new requests better. */
 #define READY_STORE_MS 1500
@@ -77,17 +75,10 @@
 /* A leader that shuts down and has not handed over the leadership after this
  * time gives its lease back, so that the others elect one. */
 #define HAND_OVER_MAX_MS 900
-/* Instances ping each other. A leader that most of them do not answer resigns,
- * but not again within the pause. */
-#define PING_INTERVAL_MS 800
-#define PING_TIMEOUT_MS 700
-#define ISOLATED_MS 900
-#define RESIGN_PAUSE_MS 15000
 /* Added to the election delay of an instance for each peer that does not answer
  * it. */
 #define ELECT_DELAY_PER_SILENT_MS 100
 
-#define PING_TAG ((uint64_t)1 << 59)
 #define LEADER_TAG_SHIFT 20
 
 /**
@@ -116,7 +107,6 @@
 	struct wf_proxy *proxy;
 	struct wf_doc *doc;
 	uint64_t random;
-	uint64_t next_tag;
 	agb_time next_tick;
 	/* lease and election */
 	struct wf_lease lease;
@@ -125,12 +115,9 @@
 	agb_time started_at;
 	agb_time elect_at;
 	agb_time leaderless_at;
-	agb_time isolated_at;
-	agb_time resigned_at;
 	uint64_t barrier_jobs;
 	uint64_t barrier_states;
-	/* peers */
-	agb_time ping_at;
+	struct wf_peers peers;
 	agb_time pushed_at;
 	agb_time expire_at;
 	agb_time term_at;
@@ -158,6 +145,7 @@
 
 	c->cfg = *cfg;
 	c->random = cfg->seed | 1;
+	wf_peers_init(&c->peers, cfg->name);
 	c->front = wf_front_new(&c->table, &c->cfg);
 	c->relay = wf_relay_new(&c->table);
 	c->proxy = wf_proxy_new();
@@ -384,19 +372,6 @@
 	wf_effects_add(out, WF_EF_WATCH_REGISTRY)->flag = true;
 }
 
-static uint32_t
-count_silent_peers(const struct wf_core *c, agb_time now)
-{
-	const struct wf_peer *p;
-	uint32_t n;
-
-	n = 0;
-	for (p = c->table.peers; p != NULL; p = p->hh.next)
-		n += strcmp(p->name, c->cfg.name) != 0 &&
-		    !wf_peer_responds(p, now);
-	return n;
-}
-
 /* Counts the instances that stand for election before this one, without the
  * present leader. */
 static void
@@ -451,7 +426,8 @@
 			random_below(c, ELECT_JITTER_MS) +
 			startup_delay_ms(c, now->mono) +
 			ELECT_DELAY_PER_SILENT_MS *
-			    count_silent_peers(c, now->mono)) *
+			    wf_peers_count_silent(
+				&c->peers, &c->table, now->mono)) *
 			AGB_MS;
 	}
 	try_start_leading(c, now, out);
@@ -782,73 +758,18 @@
 	c->next_tick = agb_time_min(c->next_tick, next);
 }
 
-/* Distance from this instance to another one in the ring of all names. */
-static uint32_t
-ring_distance(const struct wf_core *c, const struct wf_peer *to)
-{
-	const struct wf_peer *p;
-	uint32_t before_self, before_to, n;
-
-	before_self = before_to = n = 0;
-	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		n++;
-		before_self += strcmp(p->name, c->cfg.name) < 0;
-		before_to += strcmp(p->name, to->name) < 0;
-	}
-	return n > 0 ? (before_to + n - before_self) % n : 0;
-}
-
-/* The leader pings all instances and the others ping only a few, because pings
- * between all pairs of a large deployment would overload small machines. */
-static void
-choose_ping_targets(struct wf_core *c)
-{
-	struct wf_peer *p;
-	bool pinged;
-
-	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		pinged = strcmp(p->name, c->cfg.name) != 0 &&
-		    (c->leader != NULL ||
-			strcmp(p->name, c->table.leader) == 0 ||
-			ring_distance(c, p) <= PING_NEIGHBORS);
-		if (pinged && !p->pinged)
-			p->pinged_since = 0;
-		if (pinged != p->pinged)
-			p->heard_at = 0;
-		p->pinged = pinged;
-	}
-}
-
-static void
-ping_peer(struct wf_core *c, const struct wf_now *now, struct wf_peer *p,
-    struct wf_effects *out)
-{
-	struct wf_effect *ef;
-
-	if (p->pinged_since == 0)
-		p->pinged_since = now->mono;
-	p->ping_tag = PING_TAG | ++c->next_tag;
-	ef = wf_effects_add(out, WF_EF_PEER_PING);
-	ef->tag = p->ping_tag;
-	ef->timeout_ms = PING_TIMEOUT_MS;
-	agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
-}
-
 static void
-ping_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
+tick_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	struct wf_peer *p;
+	const bool leads = c->leader != NULL;
+	agb_time next;
 
-	if (now->mono < c->ping_at) {
-		c->next_tick = agb_time_min(c->next_tick, c->ping_at);
+	next = wf_peers_tick(&c->peers, &c->table, leads, now->mono, out);
+	c->next_tick = agb_time_min(c->next_tick, next);
+	if (!wf_peers_isolated(&c->peers, &c->table, leads, now->mono, out))
 		return;
-	}
-	c->ping_at = now->mono + PING_INTERVAL_MS * AGB_MS;
-	choose_ping_targets(c);
-	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		if (p->pinged && p->ping_tag == 0)
-			ping_peer(c, now, p, out);
-	}
+	step_down(c, "most instances do not answer", out);
+	revoke_lease(c, now, out);
 }
 
 /* A peer has closed a connection or refused one. When the leader has closed it,
@@ -864,7 +785,7 @@
 		return;
 	}
 	if (p != NULL && strcmp(p->rpc, rpc) == 0)
-		ping_peer(c, now, p, out);
+		wf_peers_ping(&c->peers, p, now->mono, out);
 }
 
 /* Ends the lease of a leader that is certainly gone. */
@@ -887,56 +808,6 @@
 	    c->table.leader, c->table.leader_rev, lease);
 }
 
-static void
-on_ping_result(struct wf_core *c, const struct wf_now *now, uint64_t tag,
-    bool ok, struct wf_effects *out)
-{
-	struct wf_peer *p;
-	bool responded;
-
-	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		if (p->ping_tag == tag)
-			break;
-	}
-	if (p == NULL)
-		return;
-	p->ping_tag = 0;
-	responded = wf_peer_responds(p, now->mono);
-	if (ok)
-		p->heard_at = now->mono;
-	if (responded != wf_peer_responds(p, now->mono))
-		wf_effects_log(out, AGB_LOG_WARN, "dependency",
-		    "name=%s change=%s", p->name, ok ? "regained" : "lost");
-}
-
-/* A leader that most instances do not answer resigns, because it cannot have
- * advice fetched through them. */
-static void
-check_isolated(
-    struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
-{
-	const uint32_t others =
-	    HASH_COUNT(c->table.peers) > 0 ? HASH_COUNT(c->table.peers) - 1 : 0;
-	const uint32_t silent = count_silent_peers(c, now->mono);
-
-	if (c->leader == NULL || others < 2 || silent * 2 <= others) {
-		c->isolated_at = 0;
-		return;
-	}
-	if (c->isolated_at == 0)
-		c->isolated_at = now->mono;
-	if (now->mono - c->isolated_at < ISOLATED_MS * AGB_MS ||
-	    (c->resigned_at != 0 &&
-		now->mono - c->resigned_at < RESIGN_PAUSE_MS * AGB_MS))
-		return;
-	wf_effects_log(out, AGB_LOG_WARN, "lead",
-	    "change=resigning silent_peers=%" PRIu32 " peers=%" PRIu32, silent,
-	    others);
-	c->resigned_at = now->mono;
-	step_down(c, "most instances do not answer", out);
-	revoke_lease(c, now, out);
-}
-
 static void
 tick_election(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
@@ -1090,8 +961,7 @@
 {
 	c->next_tick = now->mono + AGB_SEC;
 	tick_lease(c, now, out);
-	ping_peers(c, now, out);
-	check_isolated(c, now, out);
+	tick_peers(c, now, out);
 	tick_hand_over(c, now, out);
 	tick_failover(c, now, out);
 	tick_election(c, now, out);
@@ -1181,7 +1051,8 @@
 		break;
 	case WF_EV_PEER_ACK:
 		if ((ev->tag & WF_SHOW_TAG) == 0)
-			on_ping_result(c, now, ev->tag, ev->flag, out);
+			wf_peers_ping_done(
+			    &c->table, ev->tag, ev->flag, now->mono, out);
 		else if (c->leader != NULL)
 			wf_show_push_done(
 			    c->leader, now, ev->tag, ev->flag, out);
