--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -15,6 +15,7 @@
 #include "wf_lease.h"
 #include "wf_peers.h"
 #include "wf_proxy.h"
+#include "wf_push.h"
 #include "wf_relay.h"
 
 /* Instances stand for election in descending order of their scores, because the
@@ -605,28 +606,6 @@
 		resign_at_shutdown(c, now, out);
 }
 
-static void
-push_records(
-    const struct wf_peer *p, const struct wf_feed *feed, struct wf_effects *out)
-{
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PEER_PUSH);
-	struct wf_record *r;
-	size_t i;
-
-	agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
-	ef->u.push.items =
-	    agb_xcalloc(feed->items_len + 1, sizeof(*ef->u.push.items));
-	ef->u.push.len = feed->items_len;
-	for (i = 0; i < feed->items_len; i++) {
-		r = &ef->u.push.items[i];
-		agb_str_copy(r->key, sizeof(r->key), feed->items[i].key);
-		r->revision = feed->items[i].mod_rev;
-		r->val =
-		    agb_xmemdup(feed->items[i].val, feed->items[i].val_len);
-		r->len = feed->items[i].val_len;
-	}
-}
-
 static void
 apply_pushed(struct wf_core *c, const struct wf_now *now,
     const struct wf_feed *feed, struct wf_effects *out)
@@ -658,23 +637,7 @@
 	if (c->leader != NULL)
 		apply_pushed(c, now, &feed, out);
 	else if (leader != NULL && strcmp(leader->name, c->cfg.name) != 0)
-		push_records(leader, &feed, out);
-}
-
-/* With many instances, the leader pushes to one instance of each failure
- * domain, which forwards to the others there. */
-static void
-forward_push(
-    struct wf_core *c, const struct wf_feed *feed, struct wf_effects *out)
-{
-	const struct wf_peer *p;
-
-	for (p = c->table.peers; p != NULL; p = p->hh.next) {
-		if (strcmp(p->name, c->cfg.name) != 0 &&
-		    strcmp(p->name, c->table.leader) != 0 &&
-		    strcmp(p->domain, c->cfg.domain) == 0)
-			push_records(p, feed, out);
-	}
+		wf_push_records(leader, &feed, out);
 }
 
 /* Applies records that the leader or another peer has pushed. Those that are
@@ -685,7 +648,7 @@
 {
 	c->pushed_at = now->mono;
 	if (forward)
-		forward_push(c, feed, out);
+		wf_push_forward(&c->table, &c->cfg, feed, out);
 	apply_pushed(c, now, feed, out);
 }
 
