refactor(workflow): module for the election of the leader

Cause: registration, rank, delays and campaign of an instance were functions of wf_core.c between those of other jobs, with seven fields in its state. Change: wf_election holds them.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -8,6 +8,7 @@
 
 #include "mem.h"
 #include "wf_core_op.h"
+#include "wf_election.h"
 #include "wf_failover.h"
 #include "wf_front.h"
 #include "wf_handover.h"
@@ -18,29 +19,9 @@
 #include "wf_push.h"
 #include "wf_relay.h"
 
-/* Instances stand for election in descending order of their scores, because the
- * leader does most of the work and should be close to the store. */
-#define ELECT_DELAY_MS 5
-#define ELECT_DELAY_PER_RANK_MS 40
-#define ELECT_JITTER_MS 10
-#define ELECT_RETRY_MS 200
-/* When all instances start together, one with less CPU than this share waits
- * three milliseconds for each permille below it, so that a larger one that
- * starts slightly later is elected. */
-#define ELECT_NO_DELAY_PERMILLE 250
-#define ELECT_DELAY_PER_PERMILLE_MS 3
-#define ELECT_STARTUP_MS 1500
-/* The score of an instance is its CPU share in permille, minus this value for
- * each millisecond of round trip to the store. */
-#define SCORE_PER_RTT_MS 8
-/* Network bandwidth needed by the orders that one permille of a core can
- * relay. */
-#define LINK_KBPS_PER_PERMILLE 40
-/* Number of instances that follow all jobs, so that one of them can take over
- * immediately. When none of them does, the others also read all jobs, in groups
- * of this size one after the other: reading at the same time would saturate the
- * link between regions. */
-#define STANDBY_COUNT 3
+/* When no standby follows all jobs, the others also read them, in groups of
+ * WF_STANDBY_COUNT one after the other: reading at the same time would saturate
+ * the link between regions. */
 #define LEADERLESS_READ_MS 350
 #define LEADERLESS_GROUP_MS 200
 /* Round trips to the store that a newly started instance needs to register,
@@ -76,28 +57,19 @@
 /* A leader that shuts down and has not handed over the leadership after this
  * time gives its lease back, so that the others elect one. */
 #define HAND_OVER_MAX_MS 900
-/* Added to the election delay of an instance for each peer that does not answer
- * it. */
-#define ELECT_DELAY_PER_SILENT_MS 100
-
 #define LEADER_TAG_SHIFT 20
 
 /**
  * struct wf_core - state of the reducer
- * @random: state of the random number generator
  * @rejected_rev: revision of this instance's last election that ended because
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
- * @leaderless_at: when the last leader was lost
  * @barrier_jobs, @barrier_states: revision of the last election that the feed
  *	of jobs or of states has delivered
  * @pushed_at: last push of the leader or of another peer
  * @term_at: when SIGTERM was received
  * @hand_over_until: until then the leadership is being handed over, or 0
  * @feeds: @synced is set once a full read has been delivered
- * @rank: number of instances that stand for election before this one;
- *	UINT32_MAX while it is not registered
- * @standby_at: when it became one of the first STANDBY_COUNT by rank
  */
 struct wf_core {
 	struct wf_config cfg;
@@ -107,15 +79,13 @@
 	struct wf_relay *relay;
 	struct wf_proxy *proxy;
 	struct wf_doc *doc;
-	uint64_t random;
 	agb_time next_tick;
 	/* lease and election */
 	struct wf_lease lease;
+	struct wf_election election;
 	uint64_t rejected_rev;
 	struct wf_failover failover;
 	agb_time started_at;
-	agb_time elect_at;
-	agb_time leaderless_at;
 	uint64_t barrier_jobs;
 	uint64_t barrier_states;
 	struct wf_peers peers;
@@ -129,14 +99,10 @@
 		bool watched;
 		bool synced;
 	} feeds[WF_FEEDS];
-	uint32_t rank;
-	agb_time standby_at;
 	bool ready;
 	bool ready_known;
 	bool draining;
 	bool exiting;
-	bool registered;
-	bool campaigning;
 };
 
 struct wf_core *
@@ -145,7 +111,7 @@
 	struct wf_core *const c = agb_xcalloc(1, sizeof(*c));
 
 	c->cfg = *cfg;
-	c->random = cfg->seed | 1;
+	wf_election_init(&c->election, cfg->seed);
 	wf_peers_init(&c->peers, cfg->name);
 	c->front = wf_front_new(&c->table, &c->cfg);
 	c->relay = wf_relay_new(&c->table);
@@ -173,15 +139,6 @@
 	return c->next_tick;
 }
 
-static uint32_t
-random_below(struct wf_core *c, uint32_t max)
-{
-	c->random ^= c->random << 13;
-	c->random ^= c->random >> 7;
-	c->random ^= c->random << 17;
-	return (uint32_t)(c->random % max);
-}
-
 static void
 set_feed_interval(
     struct wf_core *c, enum wf_feed_id id, uint32_t ms, struct wf_effects *out)
@@ -234,66 +191,10 @@
 revoke_lease(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	if (c->lease.id != 0)
-		c->registered = false;
+	wf_election_unregister(&c->election);
 	wf_lease_revoke(&c->lease, now->mono, out);
 }
 
-/* Capacity for relaying orders: limited by the CPU share or by the network
- * link, whichever is smaller. */
-static uint32_t
-relay_capacity(const struct wf_config *cfg)
-{
-	const uint32_t by_link = cfg->link_kbps / LINK_KBPS_PER_PERMILLE;
-
-	return cfg->link_kbps == 0 || cfg->cpu_permille < by_link
-	    ? cfg->cpu_permille
-	    : by_link;
-}
-
-static void
-register_instance(struct wf_core *c, struct wf_effects *out)
-{
-	struct wf_x_peer x;
-	struct agb_store_op *op;
-	char key[WF_KEY_MAX];
-	size_t len;
-	char *raw;
-
-	memset(&x, 0, sizeof(x));
-	x.score = (int)c->cfg.cpu_permille -
-	    (int)(c->lease.store_rtt / AGB_MS) * SCORE_PER_RTT_MS;
-	x.capacity = relay_capacity(&c->cfg);
-	x.rpc = c->cfg.rpc;
-	x.domain = c->cfg.domain;
-	x.region = c->cfg.region;
-	raw = wf_table_encode((xdrproc_t)xdr_wf_x_peer, &x, &len);
-	op = wf_core_op_add(WF_OP_REGISTER, AGB_STORE_TXN, out);
-	wf_table_make_key(key, 'n', c->cfg.name);
-	agb_store_op_add_put(op, key, raw, len, c->lease.id);
-	free(raw);
-}
-
-/* Adds what makes an instance the leader. */
-static void
-add_election(struct agb_store_op *op, const char *name, int64_t lease)
-{
-	agb_store_op_add_put(op, WF_KEY_LEADER, name, strlen(name), lease);
-	agb_store_op_add_put(op, WF_KEY_BARRIER_JOBS, name, strlen(name), 0);
-	agb_store_op_add_put(op, WF_KEY_BARRIER_STATES, name, strlen(name), 0);
-}
-
-static void
-campaign(struct wf_core *c, struct wf_effects *out)
-{
-	struct agb_store_op *const op =
-	    wf_core_op_add(WF_OP_CAMPAIGN, AGB_STORE_TXN, out);
-
-	agb_store_op_add_cmp(op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, 0);
-	add_election(op, c->cfg.name, c->lease.id);
-	c->campaigning = true;
-}
-
 static void
 on_lease_change(
     struct wf_core *c, enum wf_lease_change change, struct wf_effects *out)
@@ -302,15 +203,15 @@
 	case WF_LEASE_UNCHANGED:
 		break;
 	case WF_LEASE_GRANTED:
-		register_instance(c, out);
+		wf_election_register(&c->cfg, &c->lease, out);
 		break;
 	case WF_LEASE_RENEWED:
-		if (!c->registered)
-			register_instance(c, out);
+		if (!c->election.registered)
+			wf_election_register(&c->cfg, &c->lease, out);
 		break;
 	case WF_LEASE_LOST:
 		step_down(c, WF_LEASE_LOST_REASON, out);
-		c->registered = false;
+		wf_election_unregister(&c->election);
 		break;
 	}
 }
@@ -333,12 +234,11 @@
 		    out);
 		break;
 	case WF_OP_REGISTER:
-		c->registered = res->status == AGB_STORE_OK && res->succeeded;
+		wf_election_register_done(&c->election, res);
 		break;
 	case WF_OP_CAMPAIGN:
 		/* Whether this instance won is learned from the feed. */
-		c->campaigning = false;
-		c->elect_at = now->mono + ELECT_RETRY_MS * AGB_MS;
+		wf_election_campaign_done(&c->election, now->mono);
 		break;
 	case WF_OP_HAND_OVER:
 		/* After a lost answer the feed tells who leads. */
@@ -373,43 +273,12 @@
 	wf_effects_add(out, WF_EF_WATCH_REGISTRY)->flag = true;
 }
 
-/* Counts the instances that stand for election before this one, without the
- * present leader. */
-static void
-rank_peers(struct wf_core *c, agb_time now)
-{
-	const struct wf_peer *self;
-	uint32_t n;
-
-	for (self = c->table.peers; self != NULL; self = self->hh.next) {
-		if (strcmp(self->name, c->cfg.name) == 0)
-			break;
-	}
-	n = self != NULL ? wf_table_rank(&c->table, self, c->table.leader)
-			 : UINT32_MAX;
-	if (n < STANDBY_COUNT &&
-	    (c->rank >= STANDBY_COUNT || c->standby_at == 0))
-		c->standby_at = now;
-	c->rank = n;
-}
-
-/* Delay of a small instance soon after its start, to let larger ones start. */
-static uint32_t
-startup_delay_ms(const struct wf_core *c, agb_time now)
-{
-	if (now - c->started_at > ELECT_STARTUP_MS * AGB_MS ||
-	    c->cfg.cpu_permille >= ELECT_NO_DELAY_PERMILLE)
-		return 0;
-	return (ELECT_NO_DELAY_PERMILLE - c->cfg.cpu_permille) *
-	    ELECT_DELAY_PER_PERMILLE_MS;
-}
-
 static void
 on_leader_changed(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
-	uint32_t rank;
+	uint32_t silent;
 
 	wf_effects_log(out, AGB_LOG_INFO, "leader",
 	    "leader=%s revision=%" PRIu64,
@@ -418,18 +287,12 @@
 	if (c->leader != NULL &&
 	    (!mine || c->leader->fence != c->table.leader_rev))
 		step_down(c, "another instance has been elected", out);
-	rank_peers(c, now->mono);
+	wf_election_update_rank(
+	    &c->election, &c->table, c->cfg.name, now->mono);
 	if (c->table.leader[0] == '\0') {
-		c->leaderless_at = now->mono;
-		rank = c->rank < STANDBY_COUNT ? c->rank : STANDBY_COUNT;
-		c->elect_at = now->mono +
-		    (ELECT_DELAY_MS + ELECT_DELAY_PER_RANK_MS * rank +
-			random_below(c, ELECT_JITTER_MS) +
-			startup_delay_ms(c, now->mono) +
-			ELECT_DELAY_PER_SILENT_MS *
-			    wf_peers_count_silent(
-				&c->peers, &c->table, now->mono)) *
-			AGB_MS;
+		silent = wf_peers_count_silent(&c->peers, &c->table, now->mono);
+		wf_election_schedule(&c->election, &c->cfg,
+		    now->mono - c->started_at, silent, now->mono);
 	}
 	try_start_leading(c, now, out);
 }
@@ -520,7 +383,8 @@
 	if (peers)
 		on_peers_changed(c, out);
 	if (peers && !leader)
-		rank_peers(c, now->mono);
+		wf_election_update_rank(
+		    &c->election, &c->table, c->cfg.name, now->mono);
 	if (leader)
 		on_leader_changed(c, now, out);
 }
@@ -562,18 +426,14 @@
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const struct wf_peer *p;
-	struct agb_store_op *op;
 
 	if (c->leader == NULL || wf_lease_store_silent(&c->lease, now->mono))
 		return false;
 	p = wf_handover_choose(
-	    &c->table, c->cfg.name, STANDBY_COUNT, now->mono);
+	    &c->table, c->cfg.name, WF_STANDBY_COUNT, now->mono);
 	if (p == NULL)
 		return false;
-	op = wf_core_op_add(WF_OP_HAND_OVER, AGB_STORE_TXN, out);
-	agb_store_op_add_cmp(
-	    op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, c->leader->fence);
-	add_election(op, p->name, p->lease);
+	wf_election_hand_over(p, c->leader->fence, out);
 	c->hand_over_until = now->mono + HAND_OVER_MAX_MS * AGB_MS;
 	wf_effects_log(out, AGB_LOG_INFO, "lead",
 	    "change=handing-over fence=%" PRIu64 " to=%s", c->leader->fence,
@@ -761,7 +621,7 @@
 	if (c->draining || !c->feeds[WF_FEED_CONTROL].synced)
 		return;
 	lease = wf_failover_lease(&c->failover, &c->table, c->cfg.name,
-	    c->cfg.rpc, c->rank < STANDBY_COUNT, now->mono);
+	    c->cfg.rpc, wf_election_is_standby(&c->election), now->mono);
 	if (lease == 0)
 		return;
 	wf_core_op_add(WF_OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
@@ -775,6 +635,8 @@
 tick_election(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
+	agb_time next;
+
 	if (c->leader != NULL && c->leader->leadership_lost) {
 		c->rejected_rev = c->leader->fence;
 		step_down(c, "its orders or writes are refused", out);
@@ -786,13 +648,9 @@
 	    !c->feeds[WF_FEED_JOBS].synced ||
 	    !c->feeds[WF_FEED_STATES].synced || c->table.leader[0] != '\0')
 		return;
-	if (c->campaigning || c->lease.id == 0 ||
-	    now->mono >= c->lease.valid_until)
-		return;
-	if (now->mono >= c->elect_at)
-		campaign(c, out);
-	else
-		c->next_tick = agb_time_min(c->next_tick, c->elect_at);
+	next =
+	    wf_election_tick(&c->election, &c->cfg, &c->lease, now->mono, out);
+	c->next_tick = agb_time_min(c->next_tick, next);
 }
 
 static void
@@ -851,17 +709,19 @@
 	    ? STANDBY_FAR_DELAY_MS * AGB_MS
 	    : 0;
 
-	if (c->rank == UINT32_MAX)
+	if (c->election.rank == UINT32_MAX)
 		return AGB_TIME_MAX;
 	if (!leaderless)
-		return c->rank < STANDBY_COUNT
-		    ? c->standby_at + STANDBY_SETTLE_MS * AGB_MS
+		return wf_election_is_standby(&c->election)
+		    ? c->election.standby_at + STANDBY_SETTLE_MS * AGB_MS
 		    : AGB_TIME_MAX;
-	if (c->rank < STANDBY_COUNT)
-		return c->standby_at + far;
-	return c->leaderless_at + far + LEADERLESS_RTTS * c->lease.store_rtt +
+	if (wf_election_is_standby(&c->election))
+		return c->election.standby_at + far;
+	return c->election.leaderless_at + far +
+	    LEADERLESS_RTTS * c->lease.store_rtt +
 	    (LEADERLESS_READ_MS +
-		(agb_time)LEADERLESS_GROUP_MS * (c->rank / STANDBY_COUNT)) *
+		(agb_time)LEADERLESS_GROUP_MS *
+		    (c->election.rank / WF_STANDBY_COUNT)) *
 	    AGB_MS;
 }
 
