refactor(workflow): module for the feeds of the store

Cause: which feeds are watched, when a standby reads all jobs and how far the local copy is complete were decided in wf_core.c by one long function.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -10,6 +10,7 @@
 #include "wf_core_op.h"
 #include "wf_election.h"
 #include "wf_failover.h"
+#include "wf_feeds.h"
 #include "wf_front.h"
 #include "wf_handover.h"
 #include "wf_leader.h"
@@ -19,26 +20,6 @@
 #include "wf_push.h"
 #include "wf_relay.h"
 
-/* When no standby follows all jobs, the others also read them, in groups of
- * WF_STANDBY_COUNT one after the other: reading at the same time would saturate
- * the link between regions. */
-#define LEADERLESS_READ_MS 350
-#define LEADERLESS_GROUP_MS 200
-/* Round trips to the store that a newly started instance needs to register,
- * read all keys and stand for election. */
-#define LEADERLESS_RTTS 5
-/* When all instances have just started, one whose round trip to the store
- * exceeds the first value waits for the second, so that closer ones are elected
- * first. */
-#define STANDBY_NEAR_RTT_MS 10
-#define STANDBY_FAR_DELAY_MS 200
-/* While another instance leads, a new standby waits this long before it reads
- * all jobs, so that the set of standbys can settle. */
-#define STANDBY_SETTLE_MS 1000
-/* Intervals at which the local copy of the store is updated. */
-#define FEED_ELECTION_MS 10
-#define FEED_LEADER_MS 300
-#define FEED_FOLLOWER_MS 600
 /* The leader regularly pushes states and counts. Without a push for this long,
  * the local states may be outdated. */
 #define PUSH_STALE_MS 1300
@@ -64,12 +45,9 @@
  * @rejected_rev: revision of this instance's last election that ended because
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
- * @barrier_jobs, @barrier_states: revision of the last election that the feed
- *	of jobs or of states has delivered
  * @pushed_at: last push of the leader or of another peer
  * @term_at: when SIGTERM was received
  * @hand_over_until: until then the leadership is being handed over, or 0
- * @feeds: @synced is set once a full read has been delivered
  */
 struct wf_core {
 	struct wf_config cfg;
@@ -86,19 +64,12 @@
 	uint64_t rejected_rev;
 	struct wf_failover failover;
 	agb_time started_at;
-	uint64_t barrier_jobs;
-	uint64_t barrier_states;
 	struct wf_peers peers;
 	agb_time pushed_at;
 	agb_time expire_at;
 	agb_time term_at;
 	agb_time hand_over_until;
-	struct {
-		uint64_t revision;
-		uint32_t interval_ms;
-		bool watched;
-		bool synced;
-	} feeds[WF_FEEDS];
+	struct wf_feeds feeds;
 	bool ready;
 	bool ready_known;
 	bool draining;
@@ -139,36 +110,6 @@
 	return c->next_tick;
 }
 
-static void
-set_feed_interval(
-    struct wf_core *c, enum wf_feed_id id, uint32_t ms, struct wf_effects *out)
-{
-	struct wf_effect *ef;
-
-	if (!c->feeds[id].watched || c->feeds[id].interval_ms == ms)
-		return;
-	c->feeds[id].interval_ms = ms;
-	ef = wf_effects_add(out, WF_EF_FEED_INTERVAL);
-	ef->feed = id;
-	ef->interval_ms = ms;
-}
-
-static void
-watch_feed(
-    struct wf_core *c, enum wf_feed_id id, bool on, struct wf_effects *out)
-{
-	struct wf_effect *ef;
-
-	if (c->feeds[id].watched == on)
-		return;
-	c->feeds[id].watched = on;
-	c->feeds[id].synced = false;
-	c->feeds[id].interval_ms = 0;
-	ef = wf_effects_add(out, WF_EF_WATCH_FEED);
-	ef->feed = id;
-	ef->flag = on;
-}
-
 static void
 step_down(struct wf_core *c, const char *why, struct wf_effects *out)
 {
@@ -259,12 +200,7 @@
 	    c->table.leader_rev == c->rejected_rev)
 		return;
 	/* The local copy must include everything that earlier leaders wrote. */
-	if (!c->feeds[WF_FEED_JOBS].synced ||
-	    !c->feeds[WF_FEED_STATES].synced ||
-	    (c->barrier_jobs < c->table.leader_rev &&
-		c->feeds[WF_FEED_JOBS].revision < c->table.leader_rev) ||
-	    (c->barrier_states < c->table.leader_rev &&
-		c->feeds[WF_FEED_STATES].revision < c->table.leader_rev))
+	if (!wf_feeds_reach_election(&c->feeds, c->table.leader_rev))
 		return;
 	c->leader = wf_leader_new(
 	    c->table.leader_rev, &c->cfg, &c->table, c->doc, now, out);
@@ -337,18 +273,12 @@
 static void
 feed_end(struct wf_core *c, const struct wf_feed *feed, struct wf_effects *out)
 {
-	c->feeds[feed->id].revision = feed->revision;
-	if (!feed->full)
-		return;
-	if (feed->id == WF_FEED_CONTROL)
+	if (feed->full && feed->id == WF_FEED_CONTROL)
 		wf_table_sweep_control(&c->table);
-	else if (feed->id == WF_FEED_JOBS)
+	else if (feed->full && feed->id == WF_FEED_JOBS)
 		wf_table_sweep_jobs(
 		    &c->table, feed->revision, on_job_dropped, c);
-	c->feeds[feed->id].synced = true;
-	wf_effects_log(out, AGB_LOG_INFO, "sync",
-	    "feed=%d revision=%" PRIu64 " keys=%zu jobs=%u", (int)feed->id,
-	    feed->revision, feed->items_len, HASH_COUNT(c->table.jobs));
+	wf_feeds_delivered(&c->feeds, feed, HASH_COUNT(c->table.jobs), out);
 }
 
 static void
@@ -360,7 +290,7 @@
 	size_t i;
 
 	/* A delivery that was in flight when its feed was closed. */
-	if (!c->feeds[feed->id].watched)
+	if (!c->feeds.feed[feed->id].watched)
 		return;
 	peers = leader = feed->full && feed->id == WF_FEED_CONTROL;
 	feed_begin(c, feed);
@@ -368,10 +298,7 @@
 		ch = wf_table_apply(&c->table, &feed->items[i]);
 		peers = peers || ch.peers_changed;
 		leader = leader || ch.leader_changed;
-		if (ch.barrier_jobs > 0)
-			c->barrier_jobs = ch.barrier_jobs;
-		if (ch.barrier_states > 0)
-			c->barrier_states = ch.barrier_states;
+		wf_feeds_note_change(&c->feeds, &ch);
 		if (ch.malformed)
 			wf_effects_log(out, AGB_LOG_ERROR, "record",
 			    "key=%s malformed=yes revision=%" PRIu64,
@@ -618,7 +545,7 @@
 {
 	int64_t lease;
 
-	if (c->draining || !c->feeds[WF_FEED_CONTROL].synced)
+	if (c->draining || !c->feeds.feed[WF_FEED_CONTROL].synced)
 		return;
 	lease = wf_failover_lease(&c->failover, &c->table, c->cfg.name,
 	    c->cfg.rpc, wf_election_is_standby(&c->election), now->mono);
@@ -644,9 +571,8 @@
 	}
 	try_start_leading(c, now, out);
 	if (c->leader != NULL || c->draining || c->doc == NULL ||
-	    !c->feeds[WF_FEED_CONTROL].synced ||
-	    !c->feeds[WF_FEED_JOBS].synced ||
-	    !c->feeds[WF_FEED_STATES].synced || c->table.leader[0] != '\0')
+	    !c->feeds.feed[WF_FEED_CONTROL].synced ||
+	    !wf_feeds_all_jobs_synced(&c->feeds) || c->table.leader[0] != '\0')
 		return;
 	next =
 	    wf_election_tick(&c->election, &c->cfg, &c->lease, now->mono, out);
@@ -657,7 +583,8 @@
 tick_ready(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool ready = !c->draining && c->doc != NULL &&
-	    c->feeds[WF_FEED_CONTROL].synced && c->lease.store_heard_at > 0 &&
+	    c->feeds.feed[WF_FEED_CONTROL].synced &&
+	    c->lease.store_heard_at > 0 &&
 	    now->mono - c->lease.store_heard_at < READY_STORE_MS * AGB_MS;
 
 	if (c->ready_known && ready == c->ready)
@@ -668,7 +595,7 @@
 	wf_effects_log(out, AGB_LOG_INFO, "ready",
 	    "ready=%s document=%" PRIu64 " synced=%s store_ms_ago=%" PRIu64,
 	    ready ? "yes" : "no", c->doc != NULL ? c->doc->version : 0,
-	    c->feeds[WF_FEED_CONTROL].synced ? "yes" : "no",
+	    c->feeds.feed[WF_FEED_CONTROL].synced ? "yes" : "no",
 	    c->lease.store_heard_at > 0
 		? (now->mono - c->lease.store_heard_at) / AGB_MS
 		: 0);
@@ -700,69 +627,28 @@
 	wf_effects_add(out, WF_EF_EXIT);
 }
 
-/* Returns when this instance, as a possible successor, starts to read all jobs
- * and states; AGB_TIME_MAX when it does not need to. */
-static agb_time
-standby_read_at(const struct wf_core *c, bool leaderless)
-{
-	const agb_time far = c->lease.store_rtt > STANDBY_NEAR_RTT_MS * AGB_MS
-	    ? STANDBY_FAR_DELAY_MS * AGB_MS
-	    : 0;
-
-	if (c->election.rank == UINT32_MAX)
-		return AGB_TIME_MAX;
-	if (!leaderless)
-		return wf_election_is_standby(&c->election)
-		    ? c->election.standby_at + STANDBY_SETTLE_MS * AGB_MS
-		    : AGB_TIME_MAX;
-	if (wf_election_is_standby(&c->election))
-		return c->election.standby_at + far;
-	return c->election.leaderless_at + far +
-	    LEADERLESS_RTTS * c->lease.store_rtt +
-	    (LEADERLESS_READ_MS +
-		(agb_time)LEADERLESS_GROUP_MS *
-		    (c->election.rank / WF_STANDBY_COUNT)) *
-	    AGB_MS;
-}
-
-/* The leader watches the submissions. Standbys watch the submissions and the
- * progress of jobs. */
 static void
 tick_feeds(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	const bool leaderless = c->table.leader[0] == '\0';
-	const bool mine = strcmp(c->table.leader, c->cfg.name) == 0;
-	bool jobs, states;
-	agb_time from;
-	uint32_t interval_ms;
+	const struct wf_feeds_role role = {
+	    .leads = c->leader != NULL,
+	    .elected = strcmp(c->table.leader, c->cfg.name) == 0,
+	    .leaderless = c->table.leader[0] == '\0',
+	    .draining = c->draining,
+	};
+	agb_time next;
 
-	watch_feed(c, WF_FEED_CONTROL, true, out);
-	if (!c->feeds[WF_FEED_CONTROL].synced)
-		return;
-	from = standby_read_at(c, leaderless);
-	states = (mine && c->leader == NULL) || now->mono >= from ||
-	    (c->feeds[WF_FEED_STATES].watched && from != AGB_TIME_MAX);
-	states = states && !c->draining && c->leader == NULL;
-	jobs = states || c->leader != NULL;
-	watch_feed(c, WF_FEED_JOBS, jobs, out);
-	watch_feed(c, WF_FEED_STATES, states, out);
-	if (!states && c->leader == NULL)
-		c->next_tick = agb_time_min(c->next_tick, from);
-	interval_ms = leaderless || (mine && c->leader == NULL)
-	    ? FEED_ELECTION_MS
-	    : c->leader != NULL ? FEED_LEADER_MS
-				: FEED_FOLLOWER_MS;
-	set_feed_interval(c, WF_FEED_JOBS, interval_ms, out);
-	set_feed_interval(c, WF_FEED_STATES, interval_ms, out);
+	next = wf_feeds_tick(
+	    &c->feeds, &role, &c->election, c->lease.store_rtt, now->mono, out);
+	c->next_tick = agb_time_min(c->next_tick, next);
 }
 
 static void
 tick_front(struct wf_core *c, const struct wf_now *now)
 {
 	const bool store = !wf_lease_store_silent(&c->lease, now->mono);
-	const bool complete = c->leader != NULL ||
-	    (c->feeds[WF_FEED_JOBS].synced && c->feeds[WF_FEED_STATES].synced &&
-		store);
+	const bool complete =
+	    c->leader != NULL || (wf_feeds_all_jobs_synced(&c->feeds) && store);
 
 	wf_front_set_current(c->front,
 	    complete ||
@@ -772,7 +658,7 @@
 	if (now->mono < c->expire_at)
 		return;
 	c->expire_at = now->mono + EXPIRE_INTERVAL_MS * AGB_MS;
-	if (!c->feeds[WF_FEED_JOBS].watched &&
+	if (!c->feeds.feed[WF_FEED_JOBS].watched &&
 	    now->mono > c->cfg.status_s * AGB_SEC + EXPIRE_SLACK_MS * AGB_MS)
 		wf_table_expire(&c->table, now->mono,
 		    now->mono - c->cfg.status_s * AGB_SEC -
@@ -903,7 +789,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->document_version = c->doc != NULL ? c->doc->version : 0;
-	out->store_revision = c->feeds[WF_FEED_CONTROL].revision;
+	out->store_revision = c->feeds.feed[WF_FEED_CONTROL].revision;
 	out->ready = c->ready;
 	out->jobs = HASH_COUNT(c->table.jobs);
 	for (j = c->table.jobs; j != NULL; j = j->hh.next)
