--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -18,6 +18,7 @@
 #include "wf_peers.h"
 #include "wf_proxy.h"
 #include "wf_push.h"
+#include "wf_ready.h"
 #include "wf_relay.h"
 
 /* The leader regularly pushes states and counts. Without a push for this long,
@@ -27,14 +28,6 @@
  * how long it keeps them beyond the time that their state can be queried. */
 #define EXPIRE_INTERVAL_MS 5000
 #define EXPIRE_SLACK_MS 20000
-/* An instance without an answer of the store for this long reports that it is
- * not ready, because other instances serve new requests better. */
-#define READY_STORE_MS 1500
-/* After SIGTERM, clients have this long to move their connections. Then the
- * process exits once no request is open, and at the latest this margin before
- * it would be killed. */
-#define DRAIN_MS 3500
-#define DRAIN_MARGIN_MS 1200
 /* A leader that shuts down and has not handed over the leadership after this
  * time gives its lease back, so that the others elect one. */
 #define HAND_OVER_MAX_MS 900
@@ -46,7 +39,6 @@
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
  * @pushed_at: last push of the leader or of another peer
- * @term_at: when SIGTERM was received
  * @hand_over_until: until then the leadership is being handed over, or 0
  */
 struct wf_core {
@@ -67,13 +59,9 @@
 	struct wf_peers peers;
 	agb_time pushed_at;
 	agb_time expire_at;
-	agb_time term_at;
 	agb_time hand_over_until;
 	struct wf_feeds feeds;
-	bool ready;
-	bool ready_known;
-	bool draining;
-	bool exiting;
+	struct wf_ready ready;
 };
 
 struct wf_core *
@@ -196,7 +184,7 @@
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	if (c->leader != NULL || strcmp(c->table.leader, c->cfg.name) != 0 ||
-	    now->mono >= c->lease.valid_until || c->draining ||
+	    now->mono >= c->lease.valid_until || c->ready.draining ||
 	    c->table.leader_rev == c->rejected_rev)
 		return;
 	/* The local copy must include everything that earlier leaders wrote. */
@@ -383,10 +371,9 @@
 static void
 on_term(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	if (c->draining)
+	if (c->ready.draining)
 		return;
-	c->draining = true;
-	c->term_at = now->mono;
+	wf_ready_drain(&c->ready, now->mono);
 	wf_effects_log(out, AGB_LOG_INFO, "drain", "requests=%zu leads=%s",
 	    wf_front_open_count(c->front), c->leader != NULL ? "yes" : "no");
 	if (!begin_hand_over(c, now, out))
@@ -502,7 +489,7 @@
 {
 	agb_time next;
 
-	if (c->draining && c->leader == NULL)
+	if (c->ready.draining && c->leader == NULL)
 		return;
 	next = wf_lease_tick(&c->lease, now->mono, out);
 	c->next_tick = agb_time_min(c->next_tick, next);
@@ -545,7 +532,7 @@
 {
 	int64_t lease;
 
-	if (c->draining || !c->feeds.feed[WF_FEED_CONTROL].synced)
+	if (c->ready.draining || !c->feeds.feed[WF_FEED_CONTROL].synced)
 		return;
 	lease = wf_failover_lease(&c->failover, &c->table, c->cfg.name,
 	    c->cfg.rpc, wf_election_is_standby(&c->election), now->mono);
@@ -570,7 +557,7 @@
 		revoke_lease(c, now, out);
 	}
 	try_start_leading(c, now, out);
-	if (c->leader != NULL || c->draining || c->doc == NULL ||
+	if (c->leader != NULL || c->ready.draining || c->doc == NULL ||
 	    !c->feeds.feed[WF_FEED_CONTROL].synced ||
 	    !wf_feeds_all_jobs_synced(&c->feeds) || c->table.leader[0] != '\0')
 		return;
@@ -582,49 +569,17 @@
 static void
 tick_ready(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	const bool ready = !c->draining && c->doc != NULL &&
-	    c->feeds.feed[WF_FEED_CONTROL].synced &&
-	    c->lease.store_heard_at > 0 &&
-	    now->mono - c->lease.store_heard_at < READY_STORE_MS * AGB_MS;
-
-	if (c->ready_known && ready == c->ready)
-		return;
-	c->ready = ready;
-	c->ready_known = true;
-	wf_effects_add(out, WF_EF_READY)->flag = ready;
-	wf_effects_log(out, AGB_LOG_INFO, "ready",
-	    "ready=%s document=%" PRIu64 " synced=%s store_ms_ago=%" PRIu64,
-	    ready ? "yes" : "no", c->doc != NULL ? c->doc->version : 0,
-	    c->feeds.feed[WF_FEED_CONTROL].synced ? "yes" : "no",
-	    c->lease.store_heard_at > 0
-		? (now->mono - c->lease.store_heard_at) / AGB_MS
-		: 0);
-}
-
-static void
-tick_drain(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
-{
-	const agb_time last = c->term_at +
-	    (c->cfg.grace_ms > DRAIN_MARGIN_MS
-		    ? c->cfg.grace_ms - DRAIN_MARGIN_MS
-		    : 0) *
-		AGB_MS;
-	const agb_time early =
-	    agb_time_min(c->term_at + DRAIN_MS * AGB_MS, last);
+	const struct wf_ready_needs needs = {
+	    .has_document = c->doc != NULL,
+	    .document = c->doc != NULL ? c->doc->version : 0,
+	    .synced = c->feeds.feed[WF_FEED_CONTROL].synced,
+	    .store_heard_at = c->lease.store_heard_at,
+	};
+	agb_time next;
 
-	if (!c->draining || c->exiting)
-		return;
-	if (now->mono < early) {
-		c->next_tick = agb_time_min(c->next_tick, early);
-		return;
-	}
-	if (wf_front_open_count(c->front) > 0 && now->mono < last) {
-		c->next_tick =
-		    agb_time_min(c->next_tick, now->mono + 50 * AGB_MS);
-		return;
-	}
-	c->exiting = true;
-	wf_effects_add(out, WF_EF_EXIT);
+	next = wf_ready_tick(&c->ready, &needs, c->cfg.grace_ms,
+	    wf_front_open_count(c->front), now->mono, out);
+	c->next_tick = agb_time_min(c->next_tick, next);
 }
 
 static void
@@ -634,7 +589,7 @@
 	    .leads = c->leader != NULL,
 	    .elected = strcmp(c->table.leader, c->cfg.name) == 0,
 	    .leaderless = c->table.leader[0] == '\0',
-	    .draining = c->draining,
+	    .draining = c->ready.draining,
 	};
 	agb_time next;
 
@@ -690,7 +645,6 @@
 	c->next_tick =
 	    agb_time_min(c->next_tick, wf_relay_tick(c->relay, now, out));
 	tick_ready(c, now, out);
-	tick_drain(c, now, out);
 }
 
 void
@@ -730,8 +684,8 @@
 			    c->leader, now, ev->u.order, out);
 		break;
 	case WF_EV_ORDERS:
-		wf_relay_handle_orders(
-		    c->relay, now, ev->tag, ev->u.orders, !c->draining, out);
+		wf_relay_handle_orders(c->relay, now, ev->tag, ev->u.orders,
+		    !c->ready.draining, out);
 		break;
 	case WF_EV_ORDERS_ACK:
 		if (c->leader != NULL)
@@ -790,7 +744,7 @@
 	memset(out, 0, sizeof(*out));
 	out->document_version = c->doc != NULL ? c->doc->version : 0;
 	out->store_revision = c->feeds.feed[WF_FEED_CONTROL].revision;
-	out->ready = c->ready;
+	out->ready = c->ready.ready;
 	out->jobs = HASH_COUNT(c->table.jobs);
 	for (j = c->table.jobs; j != NULL; j = j->hh.next)
 		out->jobs_open += !wf_job_state_is_final(j->state);
