--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -737,33 +737,13 @@
 void
 wf_core_get_gauges(const struct wf_core *c, agb_time now, struct wf_gauges *out)
 {
-	const struct wf_job *j;
-	const struct wf_task *t;
-	uint32_t i;
-
 	memset(out, 0, sizeof(*out));
 	out->document_version = c->doc != NULL ? c->doc->version : 0;
 	out->store_revision = c->feeds.feed[WF_FEED_CONTROL].revision;
 	out->ready = c->ready.ready;
-	out->jobs = HASH_COUNT(c->table.jobs);
-	for (j = c->table.jobs; j != NULL; j = j->hh.next)
-		out->jobs_open += !wf_job_state_is_final(j->state);
-	if (c->leader == NULL)
-		return;
-	out->is_leader = true;
-	out->fence = c->leader->fence;
-	out->steps_waiting = c->leader->queue_len;
-	out->advice_calls = (unsigned)c->leader->advice_calls_len;
-	out->writes = (unsigned)c->leader->writes_len;
-	for (i = 0; i < c->leader->runners_len; i++) {
-		if (!c->leader->runners[i].used)
-			continue;
-		out->runners++;
-		out->runners_usable +=
-		    wf_fleet_usable(&c->leader->runners[i], now);
-		for (t = c->leader->runners[i].tasks; t != NULL; t = t->next)
-			out->tasks_allocated++;
-	}
+	wf_gauges_count_jobs(out, &c->table);
+	if (c->leader != NULL)
+		wf_gauges_read_leader(out, c->leader, now);
 }
 
 const char *
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -11,28 +11,10 @@
  */
 
 #include "wf_event.h"
+#include "wf_gauges.h"
 
 struct wf_core;
 
-/**
- * struct wf_gauges - values for the metrics page
- */
-struct wf_gauges {
-	uint64_t document_version;
-	uint64_t store_revision;
-	uint64_t fence;
-	unsigned jobs;
-	unsigned jobs_open;
-	unsigned steps_waiting;
-	unsigned runners;
-	unsigned runners_usable;
-	unsigned tasks_allocated;
-	unsigned advice_calls;
-	unsigned writes;
-	bool is_leader;
-	bool ready;
-};
-
 struct wf_core *wf_core_new(const struct wf_config *cfg);
 
 /**
