refactor(workflow): hand-over in wf_election, allowed peers in wf_peers

Cause: wf_core.c still built the transaction that hands the leadership over and the list of addresses that may call.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -1,10 +1,8 @@
 #include "wf_core.h"
 
 #include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
 
 #include "mem.h"
 #include "wf_core_op.h"
@@ -12,7 +10,6 @@
 #include "wf_failover.h"
 #include "wf_feeds.h"
 #include "wf_front.h"
-#include "wf_handover.h"
 #include "wf_leader.h"
 #include "wf_lease.h"
 #include "wf_peers.h"
@@ -28,9 +25,6 @@
  * how long it keeps them beyond the time that their state can be queried. */
 #define EXPIRE_INTERVAL_MS 5000
 #define EXPIRE_SLACK_MS 20000
-/* A leader that shuts down and has not handed over the leadership after this
- * time gives its lease back, so that the others elect one. */
-#define HAND_OVER_MAX_MS 900
 #define LEADER_TAG_SHIFT 20
 
 /**
@@ -39,7 +33,6 @@
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
  * @pushed_at: last push of the leader or of another peer
- * @hand_over_until: until then the leadership is being handed over, or 0
  */
 struct wf_core {
 	struct wf_config cfg;
@@ -59,7 +52,6 @@
 	struct wf_peers peers;
 	agb_time pushed_at;
 	agb_time expire_at;
-	agb_time hand_over_until;
 	struct wf_feeds feeds;
 	struct wf_ready ready;
 };
@@ -170,9 +162,7 @@
 		wf_election_campaign_done(&c->election, now->mono);
 		break;
 	case WF_OP_HAND_OVER:
-		/* After a lost answer the feed tells who leads. */
-		if (c->hand_over_until > 0 && res->status != AGB_STORE_LOST)
-			c->hand_over_until = now->mono;
+		wf_election_hand_over_done(&c->election, now->mono, res);
 		break;
 	case WF_OP_LEASE_REVOKE:
 		break;
@@ -221,23 +211,6 @@
 	try_start_leading(c, now, out);
 }
 
-static void
-on_peers_changed(struct wf_core *c, struct wf_effects *out)
-{
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_ALLOW_PEERS);
-	struct wf_peer *p, *p2;
-
-	ef->peers =
-	    agb_xcalloc(HASH_COUNT(c->table.peers) + 1, sizeof(agb_addr));
-	for (p = c->table.peers; p != NULL; p = p2) {
-		p2 = p->hh.next;
-		agb_str_copy(
-		    ef->peers[ef->peers_len++], sizeof(agb_addr), p->rpc);
-	}
-	if (c->leader != NULL)
-		wf_leader_update_peers(c->leader);
-}
-
 static void
 on_job_dropped(void *arg, struct wf_job *j)
 {
@@ -296,7 +269,9 @@
 	}
 	feed_end(c, feed, out);
 	if (peers)
-		on_peers_changed(c, out);
+		wf_peers_allow(&c->table, out);
+	if (peers && c->leader != NULL)
+		wf_leader_update_peers(c->leader);
 	if (peers && !leader)
 		wf_election_update_rank(
 		    &c->election, &c->table, c->cfg.name, now->mono);
@@ -328,44 +303,33 @@
 resign_at_shutdown(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	c->hand_over_until = 0;
+	wf_election_end_hand_over(&c->election);
 	step_down(c, "this instance is shutting down", out);
 	revoke_lease(c, now, out);
 }
 
-/* Makes another instance the leader in one transaction. This one leads until
- * the store has carried it out; from then on its writes and orders are refused.
- * Return: false when there is no other instance that can lead at once. */
+/* Return: false when there is no other instance that can lead at once. */
 static bool
 begin_hand_over(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	const struct wf_peer *p;
-
 	if (c->leader == NULL || wf_lease_store_silent(&c->lease, now->mono))
 		return false;
-	p = wf_handover_choose(
-	    &c->table, c->cfg.name, WF_STANDBY_COUNT, now->mono);
-	if (p == NULL)
-		return false;
-	wf_election_hand_over(p, c->leader->fence, out);
-	c->hand_over_until = now->mono + HAND_OVER_MAX_MS * AGB_MS;
-	wf_effects_log(out, AGB_LOG_INFO, "lead",
-	    "change=handing-over fence=%" PRIu64 " to=%s", c->leader->fence,
-	    p->name);
-	return true;
+	return wf_election_hand_over(&c->election, &c->table, c->cfg.name,
+	    c->leader->fence, now->mono, out);
 }
 
 static void
 tick_hand_over(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	if (c->hand_over_until == 0)
+	if (c->election.hand_over_until == 0)
 		return;
-	if (c->leader == NULL || now->mono >= c->hand_over_until)
+	if (c->leader == NULL || now->mono >= c->election.hand_over_until)
 		resign_at_shutdown(c, now, out);
 	else
-		c->next_tick = agb_time_min(c->next_tick, c->hand_over_until);
+		c->next_tick =
+		    agb_time_min(c->next_tick, c->election.hand_over_until);
 }
 
 static void
--- a/src/workflow/wf_election.c
+++ b/src/workflow/wf_election.c
@@ -1,9 +1,11 @@
 #include "wf_election.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "wf_core_op.h"
+#include "wf_handover.h"
 
 /* Instances stand for election in descending order of their scores, because the
  * leader does most of the work and should be close to the store. */
@@ -26,6 +28,9 @@
 /* Network bandwidth needed by the orders that one permille of a core can
  * relay. */
 #define LINK_KBPS_PER_PERMILLE 40
+/* A leader that shuts down and has not handed over the leadership after this
+ * time gives its lease back, so that the others elect one. */
+#define HAND_OVER_MAX_MS 900
 
 void
 wf_election_init(struct wf_election *e, uint64_t seed)
@@ -176,13 +181,36 @@
 	e->elect_at = now + RETRY_MS * AGB_MS;
 }
 
-void
-wf_election_hand_over(
-    const struct wf_peer *to, uint64_t fence, struct wf_effects *out)
+bool
+wf_election_hand_over(struct wf_election *e, const struct wf_table *t,
+    const char *self, uint64_t fence, agb_time now, struct wf_effects *out)
 {
-	struct agb_store_op *const op =
-	    wf_core_op_add(WF_OP_HAND_OVER, AGB_STORE_TXN, out);
+	const struct wf_peer *const to =
+	    wf_handover_choose(t, self, WF_STANDBY_COUNT, now);
+	struct agb_store_op *op;
 
+	if (to == NULL)
+		return false;
+	op = wf_core_op_add(WF_OP_HAND_OVER, AGB_STORE_TXN, out);
 	agb_store_op_add_cmp(op, WF_KEY_LEADER, AGB_STORE_CMP_MOD_REV, fence);
 	add_election(op, to->name, to->lease);
+	e->hand_over_until = now + HAND_OVER_MAX_MS * AGB_MS;
+	wf_effects_log(out, AGB_LOG_INFO, "lead",
+	    "change=handing-over fence=%" PRIu64 " to=%s", fence, to->name);
+	return true;
+}
+
+void
+wf_election_hand_over_done(
+    struct wf_election *e, agb_time now, const struct agb_store_result *res)
+{
+	/* After a lost answer the feed tells who leads. */
+	if (e->hand_over_until > 0 && res->status != AGB_STORE_LOST)
+		e->hand_over_until = now;
+}
+
+void
+wf_election_end_hand_over(struct wf_election *e)
+{
+	e->hand_over_until = 0;
 }
--- a/src/workflow/wf_election.h
+++ b/src/workflow/wf_election.h
@@ -24,6 +24,7 @@
  * @rank: number of instances that stand for election before this one;
  *	UINT32_MAX while it is not registered
  * @standby_at: when it became one of the first WF_STANDBY_COUNT by rank
+ * @hand_over_until: until then the leadership is being handed over, or 0
  * @registered: its entry is stored, attached to its lease
  * @campaigning: the result of its campaign is not known yet
  */
@@ -33,6 +34,7 @@
 	agb_time leaderless_at;
 	uint32_t rank;
 	agb_time standby_at;
+	agb_time hand_over_until;
 	bool registered;
 	bool campaigning;
 };
@@ -98,10 +100,26 @@
 void wf_election_campaign_done(struct wf_election *e, agb_time now);
 
 /**
- * wf_election_hand_over() - make another instance the leader
- * @fence: revision of the present election
+ * wf_election_hand_over() - make another instance the leader in one transaction
+ * @self: name of this instance, the leader
+ * @fence: revision of its election
+ *
+ * This instance leads until the store has carried the transaction out; from
+ * then on its writes and orders are refused.
+ * Return: false when there is no other instance that can lead at once.
+ */
+bool wf_election_hand_over(struct wf_election *e, const struct wf_table *t,
+    const char *self, uint64_t fence, agb_time now, struct wf_effects *out);
+
+/**
+ * wf_election_hand_over_done() - handle the result of the transaction
+ */
+void wf_election_hand_over_done(
+    struct wf_election *e, agb_time now, const struct agb_store_result *res);
+
+/**
+ * wf_election_end_hand_over() - note that this instance has resigned
  */
-void wf_election_hand_over(
-    const struct wf_peer *to, uint64_t fence, struct wf_effects *out);
+void wf_election_end_hand_over(struct wf_election *e);
 
 #endif
--- a/src/workflow/wf_peers.c
+++ b/src/workflow/wf_peers.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "mem.h"
+
 /* Instances ping each other. A leader that most of them do not answer resigns,
  * but not again within the pause. */
 #define PING_INTERVAL_MS 800
@@ -22,6 +24,18 @@
 	agb_str_copy(ps->self, sizeof(ps->self), self);
 }
 
+void
+wf_peers_allow(const struct wf_table *t, struct wf_effects *out)
+{
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_ALLOW_PEERS);
+	const struct wf_peer *p;
+
+	ef->peers = agb_xcalloc(HASH_COUNT(t->peers) + 1, sizeof(agb_addr));
+	for (p = t->peers; p != NULL; p = p->hh.next)
+		agb_str_copy(
+		    ef->peers[ef->peers_len++], sizeof(agb_addr), p->rpc);
+}
+
 /* Distance from this instance to another one in the ring of all names. */
 static uint32_t
 ring_distance(
--- a/src/workflow/wf_peers.h
+++ b/src/workflow/wf_peers.h
@@ -41,6 +41,11 @@
 agb_time wf_peers_tick(struct wf_peers *ps, struct wf_table *t, bool leads,
     agb_time now, struct wf_effects *out);
 
+/**
+ * wf_peers_allow() - accept calls from the instances in the table only
+ */
+void wf_peers_allow(const struct wf_table *t, struct wf_effects *out);
+
 /**
  * wf_peers_ping() - ping one peer now
  */
