--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -43,7 +43,6 @@
 	struct wf_proxy *proxy;
 	struct wf_doc *doc;
 	agb_time next_tick;
-	/* lease and election */
 	struct wf_lease lease;
 	struct wf_election election;
 	uint64_t rejected_rev;
@@ -90,6 +89,13 @@
 	return c->next_tick;
 }
 
+/* Moves the next tick to a time if that is earlier. */
+static void
+schedule_tick(struct wf_core *c, agb_time at)
+{
+	c->next_tick = agb_time_min(c->next_tick, at);
+}
+
 static void
 step_down(struct wf_core *c, const char *why, struct wf_effects *out)
 {
@@ -328,8 +334,7 @@
 	if (c->leader == NULL || now->mono >= c->election.hand_over_until)
 		resign_at_shutdown(c, now, out);
 	else
-		c->next_tick =
-		    agb_time_min(c->next_tick, c->election.hand_over_until);
+		schedule_tick(c, c->election.hand_over_until);
 }
 
 static void
@@ -422,22 +427,6 @@
 		wf_commit_handle_result(c->leader, now, tag, res, out);
 }
 
-/* Answers a relay that needs the payload of a job accepted by this instance. */
-static void
-on_payload_request(
-    struct wf_core *c, uint64_t token, const char *job, struct wf_effects *out)
-{
-	const struct wf_job *const j = wf_table_job(&c->table, job);
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PAYLOAD_REPLY);
-
-	ef->tag = token;
-	ef->flag = j != NULL && j->spec_rev > 0;
-	if (!ef->flag)
-		return;
-	ef->u.payload.data = agb_xmemdup(j->spec.payload, j->spec.payload_len);
-	ef->u.payload.len = j->spec.payload_len;
-}
-
 static void
 on_advice(struct wf_core *c, const struct wf_now *now, uint64_t tag,
     const struct wf_advice *a, struct wf_effects *out)
@@ -451,22 +440,18 @@
 static void
 tick_lease(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	agb_time next;
-
 	if (c->ready.draining && c->leader == NULL)
 		return;
-	next = wf_lease_tick(&c->lease, now->mono, out);
-	c->next_tick = agb_time_min(c->next_tick, next);
+	schedule_tick(c, wf_lease_tick(&c->lease, now->mono, out));
 }
 
 static void
 tick_peers(struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
 	const bool leads = c->leader != NULL;
-	agb_time next;
 
-	next = wf_peers_tick(&c->peers, &c->table, leads, now->mono, out);
-	c->next_tick = agb_time_min(c->next_tick, next);
+	schedule_tick(
+	    c, wf_peers_tick(&c->peers, &c->table, leads, now->mono, out));
 	if (!wf_peers_isolated(&c->peers, &c->table, leads, now->mono, out))
 		return;
 	step_down(c, "most instances do not answer", out);
@@ -513,8 +498,6 @@
 tick_election(
     struct wf_core *c, const struct wf_now *now, struct wf_effects *out)
 {
-	agb_time next;
-
 	if (c->leader != NULL && c->leader->leadership_lost) {
 		c->rejected_rev = c->leader->fence;
 		step_down(c, "its orders or writes are refused", out);
@@ -525,9 +508,8 @@
 	    !c->feeds.feed[WF_FEED_CONTROL].synced ||
 	    !wf_feeds_all_jobs_synced(&c->feeds) || c->table.leader[0] != '\0')
 		return;
-	next =
-	    wf_election_tick(&c->election, &c->cfg, &c->lease, now->mono, out);
-	c->next_tick = agb_time_min(c->next_tick, next);
+	schedule_tick(c,
+	    wf_election_tick(&c->election, &c->cfg, &c->lease, now->mono, out));
 }
 
 static void
@@ -539,11 +521,10 @@
 	    .synced = c->feeds.feed[WF_FEED_CONTROL].synced,
 	    .store_heard_at = c->lease.store_heard_at,
 	};
-	agb_time next;
 
-	next = wf_ready_tick(&c->ready, &needs, c->cfg.grace_ms,
-	    wf_front_open_count(c->front), now->mono, out);
-	c->next_tick = agb_time_min(c->next_tick, next);
+	schedule_tick(c,
+	    wf_ready_tick(&c->ready, &needs, c->cfg.grace_ms,
+		wf_front_open_count(c->front), now->mono, out));
 }
 
 static void
@@ -555,11 +536,10 @@
 	    .leaderless = c->table.leader[0] == '\0',
 	    .draining = c->ready.draining,
 	};
-	agb_time next;
 
-	next = wf_feeds_tick(
-	    &c->feeds, &role, &c->election, c->lease.store_rtt, now->mono, out);
-	c->next_tick = agb_time_min(c->next_tick, next);
+	schedule_tick(c,
+	    wf_feeds_tick(&c->feeds, &role, &c->election, c->lease.store_rtt,
+		now->mono, out));
 }
 
 static void
@@ -595,8 +575,7 @@
 	tick_election(c, now, out);
 	if (c->leader != NULL) {
 		c->leader->valid_until = c->lease.valid_until;
-		c->next_tick = agb_time_min(
-		    c->next_tick, wf_leader_tick(c->leader, now, out));
+		schedule_tick(c, wf_leader_tick(c->leader, now, out));
 	}
 	tick_feeds(c, now, out);
 	tick_front(c, now);
@@ -604,10 +583,8 @@
 	    c->front, wf_lease_store_silent(&c->lease, now->mono));
 	wf_front_set_store_latency(
 	    c->front, wf_lease_store_latency(&c->lease, now->mono));
-	c->next_tick =
-	    agb_time_min(c->next_tick, wf_front_tick(c->front, now, out));
-	c->next_tick =
-	    agb_time_min(c->next_tick, wf_relay_tick(c->relay, now, out));
+	schedule_tick(c, wf_front_tick(c->front, now, out));
+	schedule_tick(c, wf_relay_tick(c->relay, now, out));
 	tick_ready(c, now, out);
 }
 
@@ -657,7 +634,8 @@
 			    c->leader, now, ev->tag, &ev->u.orders_ack, out);
 		break;
 	case WF_EV_PAYLOAD_REQUEST:
-		on_payload_request(c, ev->tag, ev->u.payload.job, out);
+		wf_front_send_payload(
+		    c->front, ev->tag, ev->u.payload.job, out);
 		break;
 	case WF_EV_PAYLOAD:
 		wf_relay_handle_text(c->relay, now, ev->tag,
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -683,3 +683,18 @@
 	}
 	return next;
 }
+
+void
+wf_front_send_payload(const struct wf_front *f, uint64_t token, const char *job,
+    struct wf_effects *out)
+{
+	const struct wf_job *const j = wf_table_job(f->table, job);
+	struct wf_effect *const ef = wf_effects_add(out, WF_EF_PAYLOAD_REPLY);
+
+	ef->tag = token;
+	ef->flag = j != NULL && j->spec_rev > 0;
+	if (!ef->flag)
+		return;
+	ef->u.payload.data = agb_xmemdup(j->spec.payload, j->spec.payload_len);
+	ef->u.payload.len = j->spec.payload_len;
+}
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -67,6 +67,14 @@
  */
 void wf_front_set_store_latency(struct wf_front *f, agb_time latency);
 
+/**
+ * wf_front_send_payload() - answer a relay that needs the payload of a job
+ * accepted by this instance
+ * @token: identifies the request
+ */
+void wf_front_send_payload(const struct wf_front *f, uint64_t token,
+    const char *job, struct wf_effects *out);
+
 /**
  * wf_front_open_count() - number of requests that have not been answered
  */
