feat(rpc): count bytes that wait for peers, and bytes by procedure

Bytes that a socket has not taken could not be seen: agb_rpc_traffic() counts what was handed to the socket. A full link therefore looked the same as a slow peer.

agb_rpc_backlog() sums the bytes queued per connection, including those in the write queue of libuv and those of a connection that is being opened; agb_rpc_stats has the queued bytes by procedure. agb_series_set_histogram() shows a histogram that another module maintains.

--- a/src/agatebeam/counters.c
+++ b/src/agatebeam/counters.c
@@ -121,6 +121,16 @@
 	}
 }
 
+void
+agb_series_set_histogram(
+    struct agb_series *s, const uint64_t *buckets, uint64_t count, double sum)
+{
+	memcpy(
+	    s->buckets, buckets, s->metric->buckets_len * sizeof(*s->buckets));
+	s->count = count;
+	s->sum = sum;
+}
+
 double
 agb_series_value(const struct agb_series *s)
 {
--- a/src/agatebeam/counters.h
+++ b/src/agatebeam/counters.h
@@ -67,6 +67,15 @@
  */
 void agb_series_observe(struct agb_series *s, double x);
 
+/**
+ * agb_series_set_histogram() - set a histogram that is maintained elsewhere
+ * @buckets: observations per bucket, not cumulative; as many as the metric has
+ * @count: number of all observations
+ * @sum: their sum
+ */
+void agb_series_set_histogram(
+    struct agb_series *s, const uint64_t *buckets, uint64_t count, double sum);
+
 /**
  * agb_series_value() - value of a counter or gauge, sum of a histogram
  */
--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -825,6 +825,7 @@
 		return false;
 	if (p->conn == NULL && uv_now(r->loop) < p->retry_at_ms)
 		return false;
+	r->stats.queued_bytes[args->proc] += call->rec_len;
 	call->rec = agb_xmemdup(r->scratch, call->rec_len);
 	call->peer = p;
 	HASH_ADD(hh, r->calls, xid, sizeof(call->xid), call);
@@ -875,6 +876,7 @@
 		len = agb_rpcmsg_encode_reply(
 		    r->scratch, in->xid, AGB_RPC_OK, res);
 	if (len > 0) {
+		r->stats.queued_bytes[in->proc] += len;
 		conn_queue_record(conn, r->scratch, len);
 	} else {
 		log_line(r, AGB_LOG_ERROR, "rpc-encode-failed",
@@ -947,6 +949,30 @@
 	return &r->stats;
 }
 
+static size_t
+conn_backlog(const struct conn *conn)
+{
+	return conn->out_len +
+	    uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) +
+	    (conn->peer != NULL ? conn->peer->unwritten_bytes : 0);
+}
+
+void
+agb_rpc_backlog(const struct agb_rpc *r, size_t *bytes, size_t *largest)
+{
+	const struct conn *conn;
+	size_t n;
+
+	*bytes = *largest = 0;
+	for (conn = r->conns; conn != NULL; conn = conn->next) {
+		if (conn->closing)
+			continue;
+		n = conn_backlog(conn);
+		*bytes += n;
+		*largest = n > *largest ? n : *largest;
+	}
+}
+
 size_t
 agb_rpc_traffic(
     const struct agb_rpc *r, struct agb_rpc_traffic *out, size_t max)
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -25,6 +25,8 @@
 /* Maximum number of connections: an outbound and an inbound one per peer. */
 #define AGB_RPC_CONNS_MAX ((size_t)2 * AGB_RPC_PEERS_MAX)
 #define AGB_RPC_PEERS_MAX 512
+/* Number of values of agb_x_proc. */
+#define AGB_RPC_PROCS (AGB_X_TEXT + 1)
 
 struct agb_rpc;
 
@@ -59,6 +61,7 @@
  * @rejected_calls: inbound calls answered with an RPC error
  * @unknown_xid: replies that match no open call
  * @slow_peers: connections closed because too many bytes were queued
+ * @queued_bytes: bytes of calls and replies queued for peers, by procedure
  */
 struct agb_rpc_stats {
 	uint64_t calls_out;
@@ -71,6 +74,7 @@
 	uint64_t rejected_calls;
 	uint64_t unknown_xid;
 	uint64_t slow_peers;
+	uint64_t queued_bytes[AGB_RPC_PROCS];
 };
 
 /**
@@ -127,6 +131,13 @@
 
 const struct agb_rpc_stats *agb_rpc_stats(const struct agb_rpc *r);
 
+/**
+ * agb_rpc_backlog() - count the bytes that the sockets have not taken yet
+ * @bytes: set to the sum over the connections, also those being established
+ * @largest: set to the largest value of a connection
+ */
+void agb_rpc_backlog(const struct agb_rpc *r, size_t *bytes, size_t *largest);
+
 /**
  * agb_rpc_traffic() - read the traffic counters of all addresses
  * Return: number of entries written to @out, at most @max.
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -169,6 +169,43 @@
 	loop_close(&loop);
 }
 
+/* Guards against bytes that are not counted while the connection is being
+ * opened, and against bytes that are counted as waiting after they were
+ * sent. */
+static void
+test_backlog(void)
+{
+	const struct agb_rpc_stats *stats;
+	struct agb_rpc_traffic traffic;
+	static struct endpoint a, b;
+	size_t waiting, largest;
+	uv_loop_t loop;
+	uint64_t bytes;
+
+	uv_loop_init(&loop);
+	endpoint_open(&a, &loop);
+	endpoint_open(&b, &loop);
+	stats = agb_rpc_stats(a.rpc);
+	call_explain(&a, 1, agb_rpc_addr(b.rpc), "job-1", 10000);
+	call_explain(&a, 2, agb_rpc_addr(b.rpc), "job-2", 10000);
+	bytes = stats->queued_bytes[AGB_X_EXPLAIN];
+	CU_ASSERT(bytes > 0);
+	agb_rpc_backlog(a.rpc, &waiting, &largest);
+	CU_ASSERT_EQUAL(waiting, bytes);
+	CU_ASSERT_EQUAL(largest, bytes);
+	loop_until(&loop, &a.replies, 2);
+	agb_rpc_backlog(a.rpc, &waiting, &largest);
+	CU_ASSERT_EQUAL(waiting, 0);
+	CU_ASSERT_EQUAL(agb_rpc_traffic(a.rpc, &traffic, 1), 1);
+	CU_ASSERT_EQUAL(traffic.bytes_out, bytes);
+	CU_ASSERT_EQUAL(agb_rpc_traffic(b.rpc, &traffic, 1), 1);
+	CU_ASSERT_EQUAL(traffic.bytes_out,
+	    agb_rpc_stats(b.rpc)->queued_bytes[AGB_X_EXPLAIN]);
+	agb_rpc_free(a.rpc);
+	agb_rpc_free(b.rpc);
+	loop_close(&loop);
+}
+
 /* Guards against a call that was not sent but is reported as sent, and against
  * a connection attempt per call to a peer that is down. */
 static void
@@ -569,6 +606,40 @@
 	loop_close(&loop);
 }
 
+/* A peer that sends calls and reads no replies. Guards against bytes that the
+ * socket has not taken and that are not counted. */
+static void
+test_backlog_of_slow_peer(void)
+{
+	agb_x_args args = {.proc = AGB_X_ENV_GET};
+	static char buf[AGB_RPC_BUF_LEN];
+	size_t waiting, largest;
+	static struct endpoint s;
+	uv_loop_t loop;
+	uint64_t bytes;
+	size_t len;
+	int i, fd;
+
+	uv_loop_init(&loop);
+	endpoint_open(&s, &loop);
+	s.text_len = AGB_X_TEXT_MAX;
+	len = agb_rpcmsg_encode_call(buf, 5, &args);
+	fd = raw_connect(&s);
+	agb_rpc_backlog(s.rpc, &waiting, &largest);
+	for (i = 0; i < 64 && waiting == 0; i++) {
+		raw_send(&loop, fd, buf, len);
+		loop_until(&loop, &s.calls, i + 1);
+		uv_run(&loop, UV_RUN_NOWAIT);
+		agb_rpc_backlog(s.rpc, &waiting, &largest);
+	}
+	bytes = agb_rpc_stats(s.rpc)->queued_bytes[AGB_X_ENV_GET];
+	CU_ASSERT(waiting > 0 && waiting <= bytes);
+	CU_ASSERT_EQUAL(largest, waiting);
+	close(fd);
+	agb_rpc_free(s.rpc);
+	loop_close(&loop);
+}
+
 /* Guards against a reader whose records depend on how TCP splits the stream. */
 static void
 test_reader(void)
@@ -647,6 +718,8 @@
 
 static const struct suite_test tests[] = {
     {"round_trip", test_round_trip},
+    {"backlog", test_backlog},
+    {"backlog: slow peer", test_backlog_of_slow_peer},
     {"unsent", test_unsent},
     {"silent connection", test_silent_connection},
     {"forged_replies", test_forged_replies},
