feat(workflow): measure turns, starts and approvals of the leader

Results of relayed starts were not counted at all, only those of the instance's own orders.

Change: wf_meter measures the time of each part of a turn, the age of start orders at their result and of approvals at their use, results of starts by outcome, and counts tasks assigned, confirmed and requeued and approvals received, expired and refused. The daemon hands the reducer a clock and the bytes unsent to peers through struct wf_meter_ops; without them, as in the simulation, no time is measured. A leader with an open job logs a line "load" each second.

The cost of the measurement itself was not measured; it is one clock read for each part of a turn and for each queued step in a dispatch pass.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -566,6 +566,8 @@
 		if (t == NULL)
 			continue;
 		n++;
+		a->received_at = now->mono;
+		wf_meter_count(l->meter, WF_TALLY_APPROVALS);
 		agb_str_copy(a->ticket, sizeof(a->ticket), t->ticket);
 		if (advice->valid_ms > TICKET_MARGIN_MS)
 			a->valid_until = now->mono +
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -336,9 +336,11 @@
 	for (i = 0; i < wf_unit_step(u)->count; i++) {
 		t = &u->exec->tasks[u->first_task + i];
 		if (t->state == WF_TASK_INTENT && t->intent_in_write &&
-		    !wf_advice_ticket_lasts(u, t->runner, now->mono))
+		    !wf_advice_ticket_lasts(u, t->runner, now->mono)) {
+			wf_meter_count(l->meter, WF_TALLY_EXPIRED);
 			wf_task_requeue(l, now, u, t,
 			    "approval expired before the start", out);
+		}
 	}
 }
 
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -153,6 +153,7 @@
 	struct wf_relay *relay;
 	struct wf_proxy *proxy;
 	struct wf_doc *doc;
+	struct wf_meter meter;
 	uint64_t random;
 	uint64_t next_tag;
 	agb_time next_tick;
@@ -211,6 +212,7 @@
 	c->front = wf_front_new(&c->table, &c->cfg);
 	c->relay = wf_relay_new(&c->table);
 	c->proxy = wf_proxy_new();
+	wf_meter_init(&c->meter, cfg->meter_ops, cfg->meter_arg);
 	return c;
 }
 
@@ -545,8 +547,8 @@
 	    (c->barrier_states < c->table.leader_rev &&
 		c->feeds[WF_FEED_STATES].revision < c->table.leader_rev))
 		return;
-	c->leader = wf_leader_new(
-	    c->table.leader_rev, &c->cfg, &c->table, c->doc, now, out);
+	c->leader = wf_leader_new(c->table.leader_rev, &c->cfg, &c->meter,
+	    &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
 	c->leader->valid_until = c->lease_valid_until;
 	wf_effects_add(out, WF_EF_WATCH_REGISTRY)->flag = true;
@@ -1397,6 +1399,7 @@
 		break;
 	}
 	tick(c, now, out);
+	wf_meter_lap(&c->meter, WF_PART_EVENT);
 }
 
 void
@@ -1420,6 +1423,7 @@
 	out->steps_waiting = c->leader->queue_len;
 	out->advice_calls = (unsigned)c->leader->advice_calls_len;
 	out->writes = (unsigned)c->leader->writes_len;
+	wf_leader_get_load(c->leader, &out->load);
 	for (i = 0; i < c->leader->runners_len; i++) {
 		if (!c->leader->runners[i].used)
 			continue;
@@ -1431,6 +1435,12 @@
 	}
 }
 
+struct wf_meter *
+wf_core_meter(struct wf_core *c)
+{
+	return &c->meter;
+}
+
 const char *
 wf_core_job_state(struct wf_core *c, const char *job)
 {
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -11,6 +11,7 @@
  */
 
 #include "wf_event.h"
+#include "wf_meter.h"
 
 struct wf_core;
 
@@ -29,6 +30,7 @@
 	unsigned tasks_allocated;
 	unsigned advice_calls;
 	unsigned writes;
+	struct wf_load load;
 	bool is_leader;
 	bool ready;
 };
@@ -57,6 +59,11 @@
 void wf_core_get_gauges(
     const struct wf_core *c, agb_time now, struct wf_gauges *out);
 
+/**
+ * wf_core_meter() - measurements of this instance, valid until wf_core_free()
+ */
+struct wf_meter *wf_core_meter(struct wf_core *c);
+
 /**
  * wf_core_job_state() - state that this instance would report for a job
  * Return: NULL when it does not know the job.
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -97,6 +97,22 @@
 	};
 }
 
+/* ---- measurements ---- */
+
+static agb_time
+read_meter_clock(void *arg)
+{
+	return uv_hrtime() / 1000;
+}
+
+static void
+read_backlog(void *arg, struct wf_backlog *out)
+{
+	const struct daemon *const d = arg;
+
+	agb_rpc_backlog(wf_rpc_endpoint(d->rpc), &out->bytes, &out->largest);
+}
+
 /* ---- events ---- */
 
 static void
@@ -314,6 +330,9 @@
 	in.store_calls = d->store->ops->call_count(d->store);
 	in.log_dropped = agb_log_dropped(d->log);
 	in.runner_bytes = d->ops->runner_bytes(d->adapter);
+	in.meter = wf_core_meter(d->core);
+	in.rpc = agb_rpc_stats(wf_rpc_endpoint(d->rpc));
+	read_backlog(d, &in.backlog);
 	text = wf_metrics_format(d->metrics, &in, &len);
 	wf_httpd_reply(d->metrics_http, req->id, 200,
 	    "text/plain; version=0.0.4", 0, text, len);
@@ -478,10 +497,12 @@
 	struct wf_effects out = {0};
 	size_t i;
 
+	wf_meter_begin_turn(wf_core_meter(d->core));
 	wf_core_handle(d->core, &now, ev, &out);
 	for (i = 0; i < out.len; i++)
 		perform_effect(d, &out.items[i]);
 	wf_effects_free(&out);
+	wf_meter_end_turn(wf_core_meter(d->core));
 	schedule_tick(d, now.mono);
 }
 
@@ -581,6 +602,8 @@
 static void
 create_core(struct daemon *d)
 {
+	static const struct wf_meter_ops meter = {
+	    .clock = read_meter_clock, .backlog = read_backlog};
 	struct wf_config cfg;
 
 	memset(&cfg, 0, sizeof(cfg));
@@ -596,6 +619,8 @@
 	cfg.link_kbps = (uint32_t)(d->settings.link_mbps * 1000);
 	cfg.grace_ms = d->settings.shutdown_grace_ms;
 	cfg.status_s = d->settings.status_retention_s;
+	cfg.meter_ops = &meter;
+	cfg.meter_arg = d;
 	d->core = wf_core_new(&cfg);
 	agb_log_printf(d->log, AGB_LOG_INFO, "start",
 	    "instance=%s domain=%s http=%s rpc=%s metrics=%s store=%s",
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -825,11 +825,15 @@
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
 	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(void *));
+	wf_meter_lap(l->meter, WF_PART_SORT);
 	for (i = 0; i < len; i++) {
-		if (wf_unit_step(list[i].unit)->gang)
+		if (wf_unit_step(list[i].unit)->gang) {
 			place_gang(&p, list[i].unit, list[i].queue);
-		else
+			wf_meter_lap(l->meter, WF_PART_GANGS);
+		} else {
 			place_tasks(&p, list[i].unit, list[i].queue);
+			wf_meter_lap(l->meter, WF_PART_TASKS);
+		}
 	}
 	/* The next pass prefers runners without reservations made in this
 	 * one. */
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -492,6 +492,7 @@
 	wf_task_allocate(l, u, t);
 	if (u->waiting == 0)
 		unit_dequeue(l, u);
+	wf_meter_count(l->meter, WF_TALLY_ASSIGNED);
 	wf_exec_mark_dirty(l, u->exec);
 }
 
@@ -586,6 +587,7 @@
 	wf_effects_log_run(out, AGB_LOG_INFO, "requeue", &ref, t->run,
 	    l->runners[runner].info.id, "reason=\"%s\" since_ms=%" PRIu64, why,
 	    (now->mono - t->sent_at) / AGB_MS);
+	wf_meter_count(l->meter, WF_TALLY_REQUEUED);
 	repair = may_replace_member(now, u, t);
 	task_return_to_queue(l, u, t);
 	wf_exec_mark_dirty(l, u->exec);
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -471,8 +471,10 @@
 		agb_str_copy(
 		    o->checkpoint, sizeof(o->checkpoint), t->checkpoint);
 	a = wf_advice_find(u, t->runner);
-	if (a != NULL && a->approved)
+	if (a != NULL && a->approved) {
 		agb_str_copy(o->ticket, sizeof(o->ticket), a->ticket);
+		wf_meter_add_approval_age(l->meter, now->mono - a->received_at);
+	}
 }
 
 void
@@ -882,6 +884,7 @@
 	t->recovered = false;
 	wf_exec_mark_running(l, u->exec);
 	if (t->state == WF_TASK_SENT) {
+		wf_meter_count(l->meter, WF_TALLY_CONFIRMED);
 		t->state = WF_TASK_RUNNING;
 		if (t->start_accepted_at == 0)
 			t->start_accepted_at = now->mono;
@@ -1123,8 +1126,10 @@
 		return;
 	if (res->status == WF_ORDER_OK) {
 		wf_exec_mark_running(l, u->exec);
-		if (t->state == WF_TASK_SENT)
+		if (t->state == WF_TASK_SENT) {
+			wf_meter_count(l->meter, WF_TALLY_CONFIRMED);
 			t->state = WF_TASK_RUNNING;
+		}
 		if (t->start_accepted_at == 0)
 			t->start_accepted_at = now->mono;
 		return;
@@ -1199,6 +1204,7 @@
 	/* Handles from an earlier term as leader are not valid. */
 	if (res->fence != l->fence || res->runner >= l->runners_len)
 		return;
+	wf_meter_add_result(l->meter, res, now->mono);
 	r = &l->runners[res->runner];
 	if (!r->used || r->incarnation != res->incarnation)
 		return;
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -26,8 +26,8 @@
 
 struct wf_leader *
 wf_leader_new(uint64_t fence, const struct wf_config *cfg,
-    struct wf_table *table, const struct wf_doc *doc, const struct wf_now *now,
-    struct wf_effects *out)
+    struct wf_meter *meter, struct wf_table *table, const struct wf_doc *doc,
+    const struct wf_now *now, struct wf_effects *out)
 {
 	struct wf_leader *const l = agb_xcalloc(1, sizeof(*l));
 	struct wf_job *j, *j2;
@@ -35,11 +35,13 @@
 
 	l->fence = fence;
 	l->cfg = cfg;
+	l->meter = meter;
 	l->table = table;
 	l->doc = doc;
 	l->elected_at = now->mono;
 	l->next_collect_at = now->mono + AGB_SEC;
 	l->placement_changed = true;
+	wf_meter_restart_line(meter, now->mono);
 	wf_leader_update_peers(l);
 	n = 0;
 	for (j = table->jobs; j != NULL; j = j2) {
@@ -131,6 +133,54 @@
 	return next;
 }
 
+void
+wf_leader_get_load(const struct wf_leader *l, struct wf_load *out)
+{
+	const struct wf_unit *u;
+	const struct wf_task *t;
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->queue = l->queue_len;
+	out->orders = wf_outbox_pending_count(&l->outbox);
+	for (u = l->queue; u != NULL; u = u->next)
+		out->gangs += wf_unit_step(u)->gang;
+	for (i = 0; i < l->runners_len; i++) {
+		for (t = l->runners[i].tasks; t != NULL; t = t->next)
+			out->in_flight += t->state == WF_TASK_INTENT ||
+			    t->state == WF_TASK_SENT;
+	}
+}
+
+static bool
+has_open_job(const struct wf_leader *l)
+{
+	const struct wf_exec *e;
+
+	for (e = l->execs; e != NULL; e = e->next) {
+		if (!wf_job_state_is_final(e->state))
+			return true;
+	}
+	return false;
+}
+
+static void
+log_load(
+    const struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
+{
+	char text[WF_METER_LINE_MAX];
+	struct wf_load load;
+
+	if (!wf_meter_line_due(l->meter, now->mono))
+		return;
+	if (has_open_job(l)) {
+		wf_leader_get_load(l, &load);
+		wf_meter_format_line(l->meter, &load, now->mono, text);
+		wf_effects_log(out, AGB_LOG_INFO, "load", "%s", text);
+	}
+	wf_meter_restart_line(l->meter, now->mono);
+}
+
 agb_time
 wf_leader_tick(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
@@ -138,12 +188,22 @@
 	agb_time next;
 
 	l->extend_until = l->valid_until + WF_EXTEND_GRACE_MS * AGB_MS;
+	log_load(l, now, out);
 	next = advance_due_occurrences(l, now, out);
+	wf_meter_lap(l->meter, WF_PART_EVENT);
 	next = agb_time_min(next, wf_outbox_tick(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_OUTBOX);
 	next = agb_time_min(next, wf_fleet_tick(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_FLEET);
 	next = agb_time_min(next, wf_dispatch(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_SORT);
 	send_deferred_starts(l, now, out);
+	wf_meter_lap(l->meter, WF_PART_COMMIT);
 	next = agb_time_min(next, wf_show_tick(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_SHOW);
 	next = agb_time_min(next, wf_commit_flush(l, now, out));
-	return agb_time_min(next, wf_outbox_flush(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_COMMIT);
+	next = agb_time_min(next, wf_outbox_flush(l, now, out));
+	wf_meter_lap(l->meter, WF_PART_OUTBOX);
+	return next;
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -21,6 +21,7 @@
 
 #include "wf_estimate.h"
 #include "wf_event.h"
+#include "wf_meter.h"
 #include "wf_outbox.h"
 #include "wf_poll.h"
 #include "wf_show.h"
@@ -116,12 +117,14 @@
  * struct wf_approval - answer of the advice service for one runner
  * @incarnation: incarnation of the runner that the answer is for
  * @valid_until: when the ticket has to be renewed; 0 when not approved
+ * @received_at: when the ticket was received
  */
 struct wf_approval {
 	uint32_t runner;
 	uint32_t incarnation;
 	bool approved;
 	agb_time valid_until;
+	agb_time received_at;
 	agb_id ticket;
 };
 
@@ -369,6 +372,7 @@
  * @fence: store revision at which it was elected, which is the fence token of
  *	its orders
  * @cfg: configuration of this instance
+ * @meter: measurements of this instance
  * @doc: the document in force, owned by the core, or NULL
  * @valid_until: its lease does not end before this time
  * @extend_until: it may extend leases of runners before this time
@@ -397,6 +401,7 @@
 struct wf_leader {
 	uint64_t fence;
 	const struct wf_config *cfg;
+	struct wf_meter *meter;
 	const struct wf_doc *doc;
 	struct wf_table *table;
 	agb_time elected_at;
@@ -452,8 +457,8 @@
  *	its orders
  */
 struct wf_leader *wf_leader_new(uint64_t fence, const struct wf_config *cfg,
-    struct wf_table *table, const struct wf_doc *doc, const struct wf_now *now,
-    struct wf_effects *out);
+    struct wf_meter *meter, struct wf_table *table, const struct wf_doc *doc,
+    const struct wf_now *now, struct wf_effects *out);
 
 /**
  * wf_leader_free() - free the state; pending orders are not awaited
@@ -484,6 +489,11 @@
 agb_time wf_leader_tick(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out);
 
+/**
+ * wf_leader_get_load() - count the work that waits or is being started
+ */
+void wf_leader_get_load(const struct wf_leader *l, struct wf_load *out);
+
 /**
  * wf_leader_may_order() - whether orders may be sent: one sent now
  * arrives while the lease is certainly valid
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -47,6 +47,53 @@
     .type = AGB_METRIC_COUNTER,
 };
 
+static const struct agb_metric turn_time = {
+    .name = "agatebeam_turn_seconds",
+    .help = "Time to handle one event and to carry out its effects.",
+    .buckets = wf_meter_bounds_s,
+    .buckets_len = WF_METER_BOUNDS,
+    .type = AGB_METRIC_HISTOGRAM,
+};
+static const struct agb_metric part_time = {
+    .name = "agatebeam_turn_part_seconds_total",
+    .help = "Time of all turns by part.",
+    .label = "part",
+    .type = AGB_METRIC_COUNTER,
+};
+static const struct agb_metric start_age = {
+    .name = "agatebeam_start_age_seconds",
+    .help = "Time from a start order to its result.",
+    .buckets = wf_meter_bounds_s,
+    .buckets_len = WF_METER_BOUNDS,
+    .type = AGB_METRIC_HISTOGRAM,
+};
+static const struct agb_metric start_results = {
+    .name = "agatebeam_start_results_total",
+    .help = "Results of the leader's start orders by outcome.",
+    .label = "outcome",
+    .type = AGB_METRIC_COUNTER,
+};
+static const struct agb_metric approval_age = {
+    .name = "agatebeam_approval_age_seconds",
+    .help = "Time from an approval to the start order that uses it.",
+    .buckets = wf_meter_bounds_s,
+    .buckets_len = WF_METER_BOUNDS,
+    .type = AGB_METRIC_HISTOGRAM,
+};
+static const struct agb_metric task_decisions = {
+    .name = "agatebeam_task_decisions_total",
+    .help = "Tasks assigned, confirmed and requeued; approvals received, "
+	    "expired before the start, and refused by the runner.",
+    .label = "decision",
+    .type = AGB_METRIC_COUNTER,
+};
+static const struct agb_metric peer_bytes = {
+    .name = "agatebeam_peer_queued_bytes_total",
+    .help = "Bytes queued for other instances by kind of message.",
+    .label = "message",
+    .type = AGB_METRIC_COUNTER,
+};
+
 struct wf_metrics {
 	struct agb_counters *counters;
 	struct {
@@ -62,6 +109,22 @@
     [WF_CALL_QUEUE] = "queue",
 };
 
+static const char *const outcome_labels[WF_ORDER_STATUSES] = {
+    [WF_ORDER_OK] = "ok",
+    [WF_ORDER_UNSENT] = "unsent",
+    [WF_ORDER_LOST] = "lost",
+    [WF_ORDER_BUSY] = "busy",
+    [WF_ORDER_FENCED] = "fenced",
+    [WF_ORDER_OLD] = "old",
+    [WF_ORDER_LATE] = "late",
+    [WF_ORDER_NO_ROOM] = "no_room",
+    [WF_ORDER_TICKET_EXPIRED] = "ticket",
+    [WF_ORDER_OTHER_INCARNATION] = "other_life",
+    [WF_ORDER_INVALID] = "invalid",
+    [WF_ORDER_UNRELAYED] = "unrelayed",
+    [WF_ORDER_NO_PAYLOAD] = "no_payload",
+};
+
 struct wf_metrics *
 wf_metrics_new(void)
 {
@@ -71,6 +134,15 @@
 	return m;
 }
 
+void
+wf_metrics_free(struct wf_metrics *m)
+{
+	if (m == NULL)
+		return;
+	agb_counters_free(m->counters);
+	free(m);
+}
+
 void
 wf_metrics_record_call(
     struct wf_metrics *m, const struct wf_call *call, agb_time now)
@@ -105,23 +177,10 @@
 	    [WF_ORDER_HOLD] = "hold",
 	    [WF_ORDER_PACE] = "pace",
 	};
-	static const char *const outcomes[] = {
-	    [WF_ORDER_OK] = "ok",
-	    [WF_ORDER_UNSENT] = "unsent",
-	    [WF_ORDER_LOST] = "lost",
-	    [WF_ORDER_BUSY] = "busy",
-	    [WF_ORDER_FENCED] = "fenced",
-	    [WF_ORDER_OLD] = "old",
-	    [WF_ORDER_LATE] = "late",
-	    [WF_ORDER_NO_ROOM] = "no_room",
-	    [WF_ORDER_TICKET_EXPIRED] = "ticket",
-	    [WF_ORDER_OTHER_INCARNATION] = "other_life",
-	    [WF_ORDER_INVALID] = "invalid",
-	};
 	char label[48];
 
 	snprintf(label, sizeof(label), "%s_%s", kinds[res->kind],
-	    outcomes[res->status]);
+	    outcome_labels[res->status]);
 	agb_series_add(agb_counters_get(m->counters, &orders, label), 1);
 }
 
@@ -166,6 +225,12 @@
 	VAL_LOG_DROPPED,
 	VAL_BYTES_SENT,
 	VAL_BYTES_RECEIVED,
+	VAL_GANGS_WAITING,
+	VAL_STARTS_IN_FLIGHT,
+	VAL_ORDERS_PENDING,
+	VAL_LONGEST_TURN,
+	VAL_UNSENT_BYTES,
+	VAL_UNSENT_LARGEST,
 	VAL_COUNT,
 };
 
@@ -227,8 +292,88 @@
     [VAL_BYTES_RECEIVED] = {.name = "agatebeam_runner_received_bytes_total",
 	.help = "Bytes received from runners.",
 	.type = AGB_METRIC_COUNTER},
+    [VAL_GANGS_WAITING] = {.name = "agatebeam_gangs_waiting",
+	.help = "Gangs that wait for a start.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_STARTS_IN_FLIGHT] = {.name = "agatebeam_starts_in_flight",
+	.help = "Tasks assigned to a runner that has not confirmed the start.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_ORDERS_PENDING] = {.name = "agatebeam_relayed_orders_pending",
+	.help = "Orders whose relay has not reported a result.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_LONGEST_TURN] = {.name = "agatebeam_longest_turn_seconds",
+	.help = "Longest turn since the start.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_UNSENT_BYTES] = {.name = "agatebeam_peer_unsent_bytes",
+	.help = "Bytes that the sockets to other instances have not taken.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_UNSENT_LARGEST] = {.name = "agatebeam_peer_unsent_largest_bytes",
+	.help = "Largest number of such bytes on one connection.",
+	.type = AGB_METRIC_GAUGE},
 };
 
+static double
+seconds(agb_time t)
+{
+	return (double)t / (double)AGB_SEC;
+}
+
+static void
+set_histogram(struct wf_metrics *m, const struct agb_metric *metric,
+    const struct wf_histogram *h)
+{
+	agb_series_set_histogram(agb_counters_get(m->counters, metric, NULL),
+	    h->buckets, h->count, seconds(h->sum));
+}
+
+static void
+set_counter(struct wf_metrics *m, const struct agb_metric *metric,
+    const char *label, double value)
+{
+	agb_series_set(agb_counters_get(m->counters, metric, label), value);
+}
+
+static void
+set_meter(struct wf_metrics *m, const struct wf_meter *meter)
+{
+	size_t i;
+
+	set_histogram(m, &turn_time, &meter->turn_time);
+	set_histogram(m, &start_age, &meter->start_age);
+	set_histogram(m, &approval_age, &meter->approval_age);
+	for (i = 0; i < WF_PARTS; i++)
+		set_counter(m, &part_time, wf_part_name(i),
+		    seconds(meter->total.parts[i]));
+	for (i = 0; i < WF_TALLIES; i++)
+		set_counter(m, &task_decisions, wf_tally_name(i),
+		    (double)meter->total.tallies[i]);
+	for (i = 0; i < WF_ORDER_STATUSES; i++)
+		set_counter(m, &start_results, outcome_labels[i],
+		    (double)meter->start_results[i]);
+}
+
+static void
+set_peer_bytes(struct wf_metrics *m, const struct agb_rpc_stats *stats)
+{
+	static const struct {
+		agb_x_proc proc;
+		const char *label;
+	} messages[] = {
+	    {AGB_X_NULL, "ping"},
+	    {AGB_X_ADVISE, "advise"},
+	    {AGB_X_PUSH, "push"},
+	    {AGB_X_PUT, "put"},
+	    {AGB_X_ORDERS, "orders"},
+	    {AGB_X_RESULTS, "results"},
+	    {AGB_X_TEXT, "text"},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(messages) / sizeof(messages[0]); i++)
+		set_counter(m, &peer_bytes, messages[i].label,
+		    (double)stats->queued_bytes[messages[i].proc]);
+}
+
 char *
 wf_metrics_format(
     struct wf_metrics *m, const struct wf_metrics_sample *in, size_t *len)
@@ -254,11 +399,19 @@
 	    [VAL_LOG_DROPPED] = (double)in->log_dropped,
 	    [VAL_BYTES_SENT] = (double)in->runner_bytes.sent,
 	    [VAL_BYTES_RECEIVED] = (double)in->runner_bytes.received,
+	    [VAL_GANGS_WAITING] = g->load.gangs,
+	    [VAL_STARTS_IN_FLIGHT] = g->load.in_flight,
+	    [VAL_ORDERS_PENDING] = g->load.orders,
+	    [VAL_LONGEST_TURN] = seconds(in->meter->longest_turn),
+	    [VAL_UNSENT_BYTES] = (double)in->backlog.bytes,
+	    [VAL_UNSENT_LARGEST] = (double)in->backlog.largest,
 	};
 	size_t i;
 
 	for (i = 0; i < VAL_COUNT; i++)
 		agb_series_set(agb_counters_get(m->counters, &scalars[i], NULL),
 		    current[i]);
+	set_meter(m, in->meter);
+	set_peer_bytes(m, in->rpc);
 	return agb_counters_format(m->counters, len);
 }
--- a/src/workflow/wf_metrics.h
+++ b/src/workflow/wf_metrics.h
@@ -9,6 +9,7 @@
  */
 
 #include "httpc.h"
+#include "rpc.h"
 #include "wf_core.h"
 
 struct wf_metrics;
@@ -19,6 +20,9 @@
  * @requests_open: client requests without a response
  * @store_calls: calls made to the store since the start
  * @log_dropped: log lines dropped since the start
+ * @meter: times of turns, ages of orders and approvals
+ * @rpc: calls between instances
+ * @backlog: bytes that other instances have not been sent yet
  */
 struct wf_metrics_sample {
 	struct wf_gauges gauges;
@@ -27,10 +31,19 @@
 	uint64_t store_calls;
 	uint64_t log_dropped;
 	struct agb_httpc_bytes runner_bytes;
+	const struct wf_meter *meter;
+	const struct agb_rpc_stats *rpc;
+	struct wf_backlog backlog;
 };
 
 struct wf_metrics *wf_metrics_new(void);
 
+/**
+ * wf_metrics_free() - free the metrics
+ * @m: may be NULL
+ */
+void wf_metrics_free(struct wf_metrics *m);
+
 /**
  * wf_metrics_record_call() - note the start time of a client request
  */
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -163,6 +163,12 @@
 	b->check_at = 0;
 }
 
+uint32_t
+wf_outbox_pending_count(const struct wf_outbox *b)
+{
+	return HASH_COUNT(b->pending);
+}
+
 /* ---- choice of relays ---- */
 
 static struct wf_domain_relays *
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -175,6 +175,12 @@
 void wf_outbox_handle_results(struct wf_leader *l, const struct wf_now *now,
     const struct wf_result_batch *results, struct wf_effects *out);
 
+/**
+ * wf_outbox_pending_count() - number of orders whose relay has not reported a
+ * result
+ */
+uint32_t wf_outbox_pending_count(const struct wf_outbox *b);
+
 /**
  * wf_outbox_must_wait() - whether to delay orders to a runner because none of
  * its possible relays has answered yet since the election
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -887,6 +887,12 @@
 	return r;
 }
 
+const struct agb_rpc *
+wf_rpc_endpoint(const struct wf_rpc *r)
+{
+	return r->rpc;
+}
+
 void
 wf_rpc_free(struct wf_rpc *r)
 {
--- a/src/workflow/wf_rpc.h
+++ b/src/workflow/wf_rpc.h
@@ -11,6 +11,7 @@
 
 #include <uv.h>
 
+#include "rpc.h"
 #include "wf_event.h"
 
 struct wf_rpc;
@@ -40,6 +41,11 @@
  */
 bool wf_rpc_perform(struct wf_rpc *r, const struct wf_effect *ef);
 
+/**
+ * wf_rpc_endpoint() - connections to the other instances, for their counters
+ */
+const struct agb_rpc *wf_rpc_endpoint(const struct wf_rpc *r);
+
 /**
  * wf_rpc_free() - close all connections and the listener
  * @r: may be NULL
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -34,6 +34,8 @@
 	int64_t unix_ms;
 };
 
+struct wf_meter_ops;
+
 /**
  * struct wf_config - settings of this instance that do not change while it runs
  * @name: instance name, unique to this start of the process
@@ -43,6 +45,8 @@
  * @link_kbps: bandwidth of its network link; 0 when unknown
  * @grace_ms: maximum time from SIGTERM to process exit
  * @status_s: how long the state of a finished job can be queried
+ * @meter_ops: what measurements read; NULL measures no times
+ * @meter_arg: argument of @meter_ops
  */
 struct wf_config {
 	agb_id name;
@@ -54,6 +58,8 @@
 	uint32_t link_kbps;
 	uint32_t grace_ms;
 	uint32_t status_s;
+	const struct wf_meter_ops *meter_ops;
+	void *meter_arg;
 };
 
 /**
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -172,6 +172,7 @@
 	unsigned store_loss_percent;
 	unsigned store_slow_ms;
 	unsigned advice_calls;
+	unsigned load_lines;
 	struct sim_core cores[SIM_CORES_MAX];
 	struct sim_runner runners[SIM_RUNNERS_MAX];
 	struct sim_job *jobs;
@@ -1983,6 +1984,7 @@
 		c->ready = ef->flag;
 		break;
 	case WF_EF_LOG:
+		s->load_lines += strcmp(ef->u.log.event, "load") == 0;
 		if (getenv("SIM_LOG") != NULL)
 			printf("%7u %u %s %s\n", sim_now_ms(s), ci,
 			    ef->u.log.event, ef->u.log.line);
@@ -2636,6 +2638,12 @@
 	return s->full_reads;
 }
 
+unsigned
+sim_load_lines(const struct sim *s)
+{
+	return s->load_lines;
+}
+
 unsigned
 sim_advice_calls(const struct sim *s)
 {
