--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -42,6 +42,7 @@
 	struct wf_relay *relay;
 	struct wf_proxy *proxy;
 	struct wf_doc *doc;
+	struct wf_meter meter;
 	agb_time next_tick;
 	struct wf_lease lease;
 	struct wf_election election;
@@ -66,6 +67,7 @@
 	c->front = wf_front_new(&c->table, &c->cfg);
 	c->relay = wf_relay_new(&c->table);
 	c->proxy = wf_proxy_new();
+	wf_meter_init(&c->meter, cfg->meter_ops, cfg->meter_arg);
 	return c;
 }
 
@@ -186,8 +188,8 @@
 	/* The local copy must include everything that earlier leaders wrote. */
 	if (!wf_feeds_reach_election(&c->feeds, c->table.leader_rev))
 		return;
-	c->leader = wf_leader_new(
-	    c->table.leader_rev, &c->cfg, &c->table, c->doc, now, out);
+	c->leader = wf_leader_new(c->table.leader_rev, &c->cfg, &c->meter,
+	    &c->table, c->doc, now, out);
 	c->leader->next_tag = c->table.leader_rev << LEADER_TAG_SHIFT;
 	c->leader->valid_until = c->lease.valid_until;
 	wf_effects_add(out, WF_EF_WATCH_REGISTRY)->flag = true;
@@ -674,6 +676,7 @@
 		break;
 	}
 	tick(c, now, out);
+	wf_meter_lap(&c->meter, WF_PART_EVENT);
 }
 
 void
@@ -688,6 +691,12 @@
 		wf_gauges_read_leader(out, c->leader, now);
 }
 
+struct wf_meter *
+wf_core_meter(struct wf_core *c)
+{
+	return &c->meter;
+}
+
 const char *
 wf_core_job_state(struct wf_core *c, const char *job)
 {
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -813,8 +813,10 @@
 {
 	struct dispatch_pass p = {.l = l, .now = now, .out = out};
 	struct queued_unit *list;
+	enum wf_part part;
 	agb_time interval;
 	size_t len, i;
+	bool gang;
 
 	if (l->queue_len == 0 || l->doc == NULL ||
 	    !wf_leader_may_order(l, now->mono))
@@ -838,12 +840,19 @@
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
 	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(void *));
+	part = WF_PART_SORT;
 	for (i = 0; i < len && wf_flow_room(&l->flow) > 0; i++) {
-		if (wf_unit_step(list[i].unit)->gang)
+		gang = wf_unit_step(list[i].unit)->gang;
+		if (part != (gang ? WF_PART_GANGS : WF_PART_TASKS)) {
+			wf_meter_lap(l->meter, part);
+			part = gang ? WF_PART_GANGS : WF_PART_TASKS;
+		}
+		if (gang)
 			place_gang(&p, list[i].unit, list[i].queue);
 		else
 			place_tasks(&p, list[i].unit, list[i].queue);
 	}
+	wf_meter_lap(l->meter, part);
 	if (wf_flow_room(&l->flow) == 0)
 		wf_flow_hold_back(&l->flow);
 	/* The next pass prefers runners without reservations made in this
--- a/src/workflow/wf_gauges.c
+++ b/src/workflow/wf_gauges.c
@@ -35,6 +35,7 @@
 	g->steps_waiting = l->queue_len;
 	g->advice_calls = (unsigned)l->advice_calls_len;
 	g->writes = (unsigned)l->writes_len;
+	wf_leader_get_load(l, &g->load);
 	for (i = 0; i < l->runners_len; i++) {
 		if (l->runners[i].used)
 			count_runner(g, &l->runners[i], now);
--- a/src/workflow/wf_gauges.h
+++ b/src/workflow/wf_gauges.h
@@ -7,7 +7,7 @@
  * Values of the metrics page that are read from the state of an instance.
  */
 
-#include "types.h"
+#include "wf_meter.h"
 
 struct wf_leader;
 struct wf_table;
@@ -27,6 +27,7 @@
 	unsigned tasks_allocated;
 	unsigned advice_calls;
 	unsigned writes;
+	struct wf_load load;
 	bool is_leader;
 	bool ready;
 };
