--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -195,6 +195,23 @@
 	    {"{\"spec\":\"x\",\"phases\":[{\"count\":60000}],"
 	     "\"repeat_count\":2}",
 		"/phases"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],"
+	     "\"repeat_count\":3,\"period_ms\":1000,"
+	     "\"start_at_ms\":1796000000000}",
+		NULL},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],"
+	     "\"repeat_count\":4294967296}",
+		"/start_at_ms, /repeat_count"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],"
+	     "\"repeat_count\":4294967298}",
+		"/start_at_ms, /repeat_count"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],"
+	     "\"repeat_count\":3,\"period_ms\":1000,"
+	     "\"start_at_ms\":9223372036854775807}",
+		"/start_at_ms, /repeat_count"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1}],"
+	     "\"start_at_ms\":\"tomorrow\"}",
+		"/start_at_ms, /repeat_count"},
 	};
 	struct wf_http_req req;
 	struct wf_call call;
