fix(httpc): a timeout counts from its request

Cause: timers count from the cached time of the loop. A process that had worked for 0.3 s in one callback and then sent a start gave the runner almost no time to answer: the start counted as lost, the runner got no tasks for a second, and a start that it did not list was stopped. Change: the time of the loop is updated before the timeout of a request is set.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -881,6 +881,9 @@
 	struct endpoint *ep;
 	uint32_t first_timeout_ms;
 
+	/* The loop caches its time. The timeout must not include the time that
+	 * the caller has spent in this iteration of the loop. */
+	uv_update_time(c->loop);
 	call->c = c;
 	call->cb = req->cb;
 	call->on_chunk = req->on_chunk;
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -282,6 +282,67 @@
 	loop_close(&loop);
 }
 
+/* A client whose callback first occupies the loop and then sends a request. */
+struct busy_client {
+	struct agb_httpc *c;
+	struct agb_httpc_req req;
+	unsigned busy_ms;
+};
+
+static void
+send_after_work(uv_timer_t *t)
+{
+	const struct busy_client *const b = t->data;
+
+	uv_sleep(b->busy_ms);
+	agb_httpc_request(b->c, &b->req);
+}
+
+static void
+respond_later(struct loop_conn *c)
+{
+	if (strstr(c->in, "\r\n\r\nping") == NULL)
+		return;
+	/* Longer than the time that an expired timeout waits for data. */
+	uv_sleep(20);
+	respond_to_request(c);
+}
+
+/* Guards against a server that is reported as silent because this process was
+ * busy before it sent the request: the time before the request does not count
+ * towards its timeout. */
+static void
+test_deadline_of_busy_process(void)
+{
+	static const unsigned busy_ms[] = {0, 150, 400};
+	struct busy_client b;
+	struct loop_server srv;
+	uv_timer_t timer;
+	struct result r;
+	uv_loop_t loop;
+	size_t i;
+
+	for (i = 0; i < sizeof(busy_ms) / sizeof(busy_ms[0]); i++) {
+		uv_loop_init(&loop);
+		memset(&r, 0, sizeof(r));
+		b.c = agb_httpc_new(&loop, 1);
+		b.busy_ms = busy_ms[i];
+		loop_server_start(
+		    &loop, &srv, respond_later, (void *)&responses[0]);
+		b.req = ping_request(srv.addr, &r);
+		b.req.timeout_ms = 120;
+		uv_timer_init(&loop, &timer);
+		timer.data = &b;
+		uv_timer_start(&timer, send_after_work, 1, 0);
+		loop_until(&loop, &r.done, 1);
+		CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_COMPLETE);
+		uv_close((uv_handle_t *)&timer, NULL);
+		agb_httpc_free(b.c);
+		loop_server_close(&srv);
+		loop_close(&loop);
+	}
+}
+
 /* Guards against acting on an expired permission after the process has been
  * suspended: a request must not be sent after its send deadline. */
 static void
@@ -410,6 +471,7 @@
     {"unsent", test_unsent},
     {"reuse", test_reuse},
     {"deadline", test_deadline},
+    {"deadline of a busy process", test_deadline_of_busy_process},
     {"send deadline", test_send_deadline},
     {"cancel", test_cancel},
     {"stream", test_stream},
