fix(rpc): a busy process does not count a peer as silent

Cause: the timeout of a call counted from the cached time of the loop, and went on until the end of the iteration, when the call is written. A leader that was busy for more than 0.5 s wrote its orders and 5 ms later counted all of their relays as lost, with all orders that were pending there. Change: the time of the loop is updated before the timeout is set. A call whose connection could take it at once, but which was written later, gets its whole timeout from then on. Calls that wait for a connection or behind other data keep theirs.

--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -109,7 +109,10 @@
 /**
  * struct call - call to a peer without a reply so far
  * @rec: encoded record; NULL once it has been written
+ * @timeout_ms: 0 for none
+ * @queued_at_ms: loop time when the call was made
  * @sent_at_ms: loop time when the record was written
+ * @write_ready: the connection could take the record when the call was made
  * @in_read_grace: the call has expired and waits READ_GRACE_MS
  * @sent: set for a failed call: the peer may have carried it out
  */
@@ -124,7 +127,10 @@
 	uv_timer_t timer;
 	char *rec;
 	size_t rec_len;
+	uint32_t timeout_ms;
+	uint64_t queued_at_ms;
 	uint64_t sent_at_ms;
+	bool write_ready;
 	bool in_read_grace;
 	bool sent;
 };
@@ -522,15 +528,31 @@
 		conn_queue_record(conn, call->rec, call->rec_len);
 }
 
+static void on_timeout(uv_timer_t *t);
+
+static void
+start_timeout(struct call *call)
+{
+	call->in_read_grace = false;
+	if (call->timeout_ms > 0)
+		uv_timer_start(&call->timer, on_timeout, call->timeout_ms, 0);
+}
+
 static void
 mark_calls_written(struct peer *p)
 {
+	const uint64_t now = uv_now(p->r->loop);
 	struct call *call;
 
 	for (call = p->unwritten; call != NULL; call = call->next) {
 		free(call->rec);
 		call->rec = NULL;
-		call->sent_at_ms = uv_now(p->r->loop);
+		call->sent_at_ms = now;
+		/* Only this process has delayed the call. The peer gets the
+		 * whole time to answer. */
+		if (call->write_ready &&
+		    now - call->queued_at_ms > READ_GRACE_MS)
+			start_timeout(call);
 	}
 	p->unwritten = NULL;
 	p->unwritten_bytes = 0;
@@ -827,6 +849,9 @@
 		return false;
 	call->rec = agb_xmemdup(r->scratch, call->rec_len);
 	call->peer = p;
+	call->queued_at_ms = uv_now(r->loop);
+	call->write_ready =
+	    p->conn != NULL && p->conn->connected && p->conn->write_buf == NULL;
 	HASH_ADD(hh, r->calls, xid, sizeof(call->xid), call);
 	DL_APPEND(p->calls, call);
 	p->calls_len++;
@@ -843,9 +868,13 @@
 {
 	struct call *const call = agb_xcalloc(1, sizeof(*call));
 
+	/* The loop caches its time. The timeout must not include the time that
+	 * the caller has spent in this iteration of the loop. */
+	uv_update_time(r->loop);
 	r->stats.calls_out++;
 	call->r = r;
 	call->tag = tag;
+	call->timeout_ms = timeout_ms;
 	call->xid = ++r->next_xid;
 	call->proc = args->proc;
 	uv_timer_init(r->loop, &call->timer);
@@ -854,8 +883,7 @@
 		call_queue_failure(call, false);
 		return;
 	}
-	if (timeout_ms > 0)
-		uv_timer_start(&call->timer, on_timeout, timeout_ms, 0);
+	start_timeout(call);
 	if (call->peer->conn == NULL)
 		peer_connect(call->peer);
 }
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -645,10 +645,83 @@
 	}
 }
 
+/* Calls that a callback makes between two pieces of work. */
+struct busy_caller {
+	struct endpoint *from;
+	const char *peer;
+	unsigned before_ms;
+	unsigned after_ms;
+};
+
+static void
+call_between_work(uv_timer_t *t)
+{
+	const struct busy_caller *const b = t->data;
+
+	uv_sleep(b->before_ms);
+	call_explain(b->from, 1, b->peer, "x", 100);
+	uv_sleep(b->after_ms);
+}
+
+static void
+answer_late(uv_timer_t *t)
+{
+	struct endpoint *const s = t->data;
+
+	if (s->calls == 0)
+		return;
+	uv_timer_stop(t);
+	send_reply(s, s->tokens[0], s->proc);
+}
+
+/* Guards against a peer that counts as silent because this process was busy:
+ * the time before a call is written does not count towards its timeout. */
+static void
+test_timeout_of_busy_process(void)
+{
+	static const struct {
+		unsigned before_ms, after_ms;
+	} cases[] = {{0, 0}, {150, 0}, {0, 150}, {400, 400}};
+	static struct endpoint a, b;
+	struct busy_caller caller;
+	uv_timer_t timer, answer;
+	uv_loop_t loop;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uv_loop_init(&loop);
+		endpoint_open(&a, &loop);
+		endpoint_open(&b, &loop);
+		/* The connection exists before the call. */
+		call_explain(&a, 9, agb_rpc_addr(b.rpc), "y", 5000);
+		loop_until(&loop, &a.replies, 1);
+		b.calls = 0;
+		b.defer_replies = true;
+		caller.from = &a;
+		caller.peer = agb_rpc_addr(b.rpc);
+		caller.before_ms = cases[i].before_ms;
+		caller.after_ms = cases[i].after_ms;
+		uv_timer_init(&loop, &timer);
+		uv_timer_init(&loop, &answer);
+		timer.data = &caller;
+		answer.data = &b;
+		uv_timer_start(&timer, call_between_work, 1, 0);
+		uv_timer_start(&answer, answer_late, 20, 20);
+		loop_until(&loop, &a.replies, 2);
+		CU_ASSERT_EQUAL(a.ok, 2);
+		uv_close((uv_handle_t *)&timer, NULL);
+		uv_close((uv_handle_t *)&answer, NULL);
+		agb_rpc_free(a.rpc);
+		agb_rpc_free(b.rpc);
+		loop_close(&loop);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"round_trip", test_round_trip},
     {"unsent", test_unsent},
     {"silent connection", test_silent_connection},
+    {"timeout of a busy process", test_timeout_of_busy_process},
     {"forged_replies", test_forged_replies},
     {"forged_calls", test_forged_calls},
     {"allowed", test_allowed},
