perf(workflow): choose the instance of a call for advice before its runners

Under a backlog most waiting units find no instance that may make their call, and had selected runners from the whole fleet before. The instances that can be given calls are determined once a pass, not twice for each unit.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -154,7 +154,7 @@
 }
 
 static bool
-client_usable(
+client_is_usable(
     const struct wf_leader *l, const struct wf_advice_client *a, agb_time now)
 {
 	struct wf_peer *p;
@@ -167,6 +167,20 @@
 	return p != NULL && wf_peer_responds(p, now);
 }
 
+void
+wf_advice_update_clients(struct wf_leader *l, agb_time now)
+{
+	struct wf_advice_client *a;
+	size_t i;
+
+	l->advice_clients_usable = 0;
+	for (i = 0; i < l->advice_clients_len; i++) {
+		a = &l->advice_clients[i];
+		a->usable = client_is_usable(l, a, now);
+		l->advice_clients_usable += a->usable;
+	}
+}
+
 /* Number of instances, of @n usable ones, that make the long calls. */
 static size_t
 count_long_call_clients(const struct wf_leader *l, size_t n)
@@ -206,17 +220,15 @@
 	const bool is_long = est_ms > LONG_CALL_MS;
 	const agb_time limit =
 	    now + (is_long ? BACKLOG_LONG_MS : BACKLOG_SHORT_MS) * AGB_MS;
-	size_t i, n, at, long_clients;
+	const size_t n = l->advice_clients_usable;
+	const size_t long_clients = count_long_call_clients(l, n);
 	uint32_t best;
+	size_t i, at;
 
-	n = 0;
-	for (i = 0; i < l->advice_clients_len; i++)
-		n += client_usable(l, &l->advice_clients[i], now);
-	long_clients = count_long_call_clients(l, n);
 	best = WF_NO_HANDLE;
 	at = 0;
 	for (i = 0; i < l->advice_clients_len; i++) {
-		if (!client_usable(l, &l->advice_clients[i], now))
+		if (!l->advice_clients[i].usable)
 			continue;
 		if (n > 1 && (at++ < long_clients) != is_long)
 			continue;
@@ -285,26 +297,37 @@
 	}
 }
 
+static uint32_t
+estimate_call_ms(const struct wf_queue *q, size_t runners_len)
+{
+	return (uint32_t)(q->advice_base_ms +
+		   q->advice_per_runner_ms * (double)runners_len) +
+	    1;
+}
+
+/* Chooses the instance that makes a call for a unit. When there is none, the
+ * call is put off and WF_NO_HANDLE returned. */
+static uint32_t
+reserve_client(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    uint32_t est_ms)
+{
+	const uint32_t client = choose_client(l, now->mono, est_ms);
+
+	if (client == WF_NO_HANDLE)
+		u->advice_retry_at = now->mono + CALL_RETRY_MS * AGB_MS;
+	return client;
+}
+
 static void
 send_call(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    const uint32_t *runners, size_t len, struct wf_effects *out)
+    uint32_t ci, uint32_t est_ms, const uint32_t *runners, size_t len,
+    struct wf_effects *out)
 {
-	const struct wf_queue *const q = wf_unit_queue(l, u);
-	struct wf_advice_client *client;
+	struct wf_advice_client *const client = &l->advice_clients[ci];
 	struct wf_advice_call *call;
 	struct wf_effect *ef;
-	uint32_t est_ms, ci;
 	size_t i;
 
-	est_ms = (uint32_t)(q->advice_base_ms +
-		     q->advice_per_runner_ms * (double)len) +
-	    1;
-	ci = choose_client(l, now->mono, est_ms);
-	if (ci == WF_NO_HANDLE) {
-		u->advice_retry_at = now->mono + CALL_RETRY_MS * AGB_MS;
-		return;
-	}
-	client = &l->advice_clients[ci];
 	if (client->busy_until < now->mono)
 		client->busy_until = now->mono;
 	client->busy_until += est_ms * AGB_MS;
@@ -355,11 +378,17 @@
     struct wf_unit *u, const uint32_t *runners, size_t len,
     struct wf_effects *out)
 {
+	const struct wf_queue *const q = wf_unit_queue(l, u);
+	uint32_t est_ms, client;
+
 	if (u->advice_pending || now->mono < u->advice_retry_at || len == 0)
 		return;
 	if (len > WF_ADVICE_RUNNERS_MAX)
 		len = WF_ADVICE_RUNNERS_MAX;
-	send_call(l, now, u, runners, len, out);
+	est_ms = estimate_call_ms(q, len);
+	client = reserve_client(l, now, u, est_ms);
+	if (client != WF_NO_HANDLE)
+		send_call(l, now, u, client, est_ms, runners, len, out);
 }
 
 struct runner_candidate {
@@ -384,17 +413,15 @@
 	list[i].free_cpu = free_cpu;
 }
 
-/* Selects runners that could run the step and were not asked about in their
- * current incarnation, those first that have the most free processors after the
- * claims of other units. */
+/* Lists the runners that could run the step and were not asked about in their
+ * current incarnation, in the order of their indexes, up to @max of them. */
 static size_t
-select_unasked_runners(const struct wf_leader *l, const struct wf_now *now,
-    const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
+list_unasked_runners(const struct wf_leader *l, agb_time now,
+    const struct wf_unit *u, const char *service, uint32_t *list, size_t max)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	const struct wf_approval *a;
 	const struct wf_runner *r;
-	struct runner_candidate list[WF_ADVICE_RUNNERS_MAX];
 	size_t len, i;
 	bool *asked;
 	uint32_t ri;
@@ -406,18 +433,38 @@
 		    a->incarnation == l->runners[a->runner].incarnation;
 	}
 	len = 0;
-	for (ri = 0; ri < l->runners_len; ri++) {
+	for (ri = 0; ri < l->runners_len && len < max; ri++) {
 		r = &l->runners[ri];
-		if (!wf_fleet_eligible(r, step, service, now->mono) ||
-		    !agb_resources_fit(&step->need, &r->info.capacity))
-			continue;
-		if (asked[ri])
-			continue;
-		candidate_insert(list, &len, max, ri,
+		if (!asked[ri] && wf_fleet_eligible(r, step, service, now) &&
+		    agb_resources_fit(&step->need, &r->info.capacity))
+			list[len++] = ri;
+	}
+	free(asked);
+	return len;
+}
+
+/* Selects from the runners that were not asked about those that have the most
+ * free processors after the claims of other units. */
+static size_t
+select_unasked_runners(const struct wf_leader *l, const struct wf_now *now,
+    const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
+{
+	struct runner_candidate list[WF_ADVICE_RUNNERS_MAX];
+	const struct wf_runner *r;
+	size_t len, unasked_len, i;
+	uint32_t *unasked;
+
+	unasked = agb_xcalloc(l->runners_len + 1, sizeof(*unasked));
+	unasked_len = list_unasked_runners(
+	    l, now->mono, u, service, unasked, l->runners_len);
+	len = 0;
+	for (i = 0; i < unasked_len; i++) {
+		r = &l->runners[unasked[i]];
+		candidate_insert(list, &len, max, unasked[i],
 		    wf_runner_free_resources(r).cpu_milli -
 			r->claimed_cpu_milli);
 	}
-	free(asked);
+	free(unasked);
 	for (i = 0; i < len; i++)
 		runners[i] = list[i].runner;
 	return len;
@@ -489,7 +536,8 @@
 {
 	const struct wf_queue *const q = wf_unit_queue(l, u);
 	uint32_t runners[WF_ADVICE_RUNNERS_MAX];
-	size_t len;
+	uint32_t est_ms, client;
+	size_t len, max;
 
 	if (u->advice_pending || now->mono < u->advice_retry_at || q == NULL)
 		return;
@@ -497,10 +545,19 @@
 	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS &&
 	    enough_approved(l, u))
 		return;
-	len = select_unasked_runners(
-	    l, now, u, q->service, runners, runners_per_call(l, u, q->service));
-	if (len > 0)
-		send_call(l, now, u, runners, len, out);
+	/* Under a backlog most units find no instance for their call, so the
+	 * costly choice of the runners comes after that of the instance. The
+	 * length of the call needs only the number of runners. */
+	max = runners_per_call(l, u, q->service);
+	len = list_unasked_runners(l, now->mono, u, q->service, runners, max);
+	if (len == 0)
+		return;
+	est_ms = estimate_call_ms(q, len);
+	client = reserve_client(l, now, u, est_ms);
+	if (client == WF_NO_HANDLE)
+		return;
+	select_unasked_runners(l, now, u, q->service, runners, max);
+	send_call(l, now, u, client, est_ms, runners, len, out);
 }
 
 /* Approval of a runner, which is added when there is none. @places: for each
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -819,6 +819,7 @@
 	l->placement_changed = false;
 	len = sort_queue(l, now->mono, &list);
 	wf_advice_update_claims(l, now->mono);
+	wf_advice_update_clients(l, now->mono);
 	p.candidates = agb_xcalloc(l->runners_len + 1, sizeof(*p.candidates));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -298,12 +298,14 @@
  * @address: its address, "" for the leader itself
  * @busy_until: when its pending calls are expected to be answered
  * @excluded_until: gets no calls before this time, as one has failed
+ * @usable: may be given calls, as of the latest wf_advice_update_clients()
  */
 struct wf_advice_client {
 	agb_id name;
 	agb_addr address;
 	agb_time busy_until;
 	agb_time excluded_until;
+	bool usable;
 };
 
 /**
@@ -384,6 +386,7 @@
  * @acks: acknowledgements that wait for their changes to become durable
  * @write_time_us: moving average of the time from an attempt at a write to
  *	its answer
+ * @advice_clients_usable: number of usable entries of @advice_clients
  * @queue_times: learned run times by queue
  * @long_calls_ms, @short_calls_ms: expected time of the recent long and short
  *	calls for advice, halved regularly
@@ -428,6 +431,7 @@
 	uint64_t next_tag;
 	struct wf_advice_client *advice_clients;
 	size_t advice_clients_len;
+	size_t advice_clients_usable;
 	struct wf_advice_call *advice_calls;
 	size_t advice_calls_len;
 	struct wf_queue_times *queue_times;
@@ -801,6 +805,13 @@
  */
 void wf_advice_update_peers(struct wf_leader *l);
 
+/**
+ * wf_advice_update_clients() - determine which instances can be given calls
+ *
+ * Called once before the requests and renewals of a dispatch pass.
+ */
+void wf_advice_update_clients(struct wf_leader *l, agb_time now);
+
 /**
  * wf_advice_request() - request approvals of further runners for a unit unless it
  * has enough or a call is pending
