perf(workflow): plan the room of a gang from one array of expected ends

Each gang without room read the expected ends of all its runners from one allocation a runner, computed the number of tasks that fit for eleven times although it changes at an end only, and sorted runners without room.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -88,12 +88,13 @@
 	struct agb_resources need;
 };
 
-/* Expected ends of the tasks of a runner, earliest first. Computed when needed,
- * and again after a task was assigned to the runner. */
+/* Expected ends of the tasks of a runner, earliest first: @len items of the
+ * pass's @ends from @first on. Computed when needed, and again after a task was
+ * assigned to the runner. */
 struct run_ends {
 	bool valid;
-	size_t len;
-	struct run_end items[RUN_ENDS_MAX];
+	uint32_t len;
+	size_t first;
 };
 
 /* A runner and its free processors, in thousandths. */
@@ -108,6 +109,8 @@
  * @stale: scratch list of the approved runners whose ticket has expired, or of
  *	all eligible runners, for the unit being placed
  * @reservations, @run_ends: by runner index
+ * @ends: expected ends that @run_ends refers to, in one array, as each gang
+ *	without room reads those of all its runners
  * @reservations_made: number of gangs for which room was reserved
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
  *	their tickets, or once their calls for advice are answered
@@ -120,7 +123,10 @@
 	struct candidate *candidates;
 	uint32_t *stale;
 	struct reservation *reservations;
-	struct run_ends **run_ends;
+	struct run_ends *run_ends;
+	struct run_end *ends;
+	size_t ends_len;
+	size_t ends_cap;
 	uint32_t reservations_made;
 	int64_t claimed_cpu_milli;
 	const char *service;
@@ -396,8 +402,7 @@
 		c->fit--;
 		wf_task_assign(p->l, p->now, u, t, c->runner,
 		    step->gang ? gang_run : t->run + 1);
-		if (p->run_ends[c->runner] != NULL)
-			p->run_ends[c->runner]->valid = false;
+		p->run_ends[c->runner].valid = false;
 	}
 }
 
@@ -428,34 +433,45 @@
 	    t->sent_at, expected_ms, known ? t->progress_percent : 0, seen_at);
 }
 
+/* Appends an expected end to the list @e, which is the last one in @ends. */
+static void
+run_ends_add(
+    struct dispatch_pass *p, struct run_ends *e, const struct run_end *item)
+{
+	if (p->ends_len == p->ends_cap)
+		p->ends = agb_xgrow(p->ends, &p->ends_cap, sizeof(*p->ends));
+	p->ends[p->ends_len++] = *item;
+	e->len++;
+}
+
 /* Expected ends of the tasks on a runner. */
 static const struct run_ends *
-run_ends_on_runner(const struct dispatch_pass *p, uint32_t ri)
+run_ends_on_runner(struct dispatch_pass *p, uint32_t ri)
 {
 	const agb_time soon = p->now->mono + OVERDUE_END_MS * AGB_MS;
+	struct run_ends *const e = &p->run_ends[ri];
 	const struct wf_task *t;
-	struct run_ends *e;
+	struct run_end item;
 
-	if (p->run_ends[ri] == NULL)
-		p->run_ends[ri] = agb_xcalloc(1, sizeof(**p->run_ends));
-	e = p->run_ends[ri];
 	if (e->valid)
 		return e;
 	e->valid = true;
 	e->len = 0;
+	e->first = p->ends_len;
 	for (t = p->l->runners[ri].tasks; t != NULL; t = t->next) {
 		const struct wf_step *const step = wf_unit_step(t->unit);
 
 		if (e->len == RUN_ENDS_MAX || step->long_running ||
 		    step->best_effort)
 			continue;
-		e->items[e->len].at = expected_end(&p->l->runners[ri], t);
-		if (e->items[e->len].at < soon)
-			e->items[e->len].at = soon;
-		e->items[e->len++].need = step->need;
+		item.at =
+		    agb_time_max(expected_end(&p->l->runners[ri], t), soon);
+		item.need = step->need;
+		run_ends_add(p, e, &item);
 	}
 	if (e->len > 1)
-		qsort(e->items, e->len, sizeof(*e->items), compare_run_ends);
+		qsort(p->ends + e->first, e->len, sizeof(*p->ends),
+		    compare_run_ends);
 	return e;
 }
 
@@ -474,23 +490,28 @@
 };
 
 static void
-room_plan_init(const struct dispatch_pass *p, const struct wf_unit *u,
-    uint32_t ri, struct room_plan *plan)
+room_plan_init(struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri,
+    struct room_plan *plan)
 {
 	const struct wf_runner *const r = &p->l->runners[ri];
-	const struct run_ends *const ends = run_ends_on_runner(p, ri);
+	const struct run_ends *const e = run_ends_on_runner(p, ri);
+	const struct run_end *const ends = p->ends + e->first;
 	struct agb_resources room = wf_runner_free_resources(r);
-	size_t i, k = 0;
+	const struct wf_step *const step = wf_unit_step(u);
+	size_t i, k = 0, known = SIZE_MAX;
 	agb_time when;
 
 	agb_resources_sub(&room, &p->reservations[ri].need);
 	plan->runner = ri;
 	for (i = 0; i < PLAN_TIMES; i++) {
 		when = p->now->mono + plan_offsets_ms[i] * AGB_MS;
-		for (; k < ends->len && ends->items[k].at <= when; k++)
-			agb_resources_add(&room, &ends->items[k].need);
-		plan->fit[i] = limit_spread(
-		    u, r, wf_step_fit_count(wf_unit_step(u), room));
+		for (; k < e->len && ends[k].at <= when; k++)
+			agb_resources_add(&room, &ends[k].need);
+		/* The room stays the same between two ends. */
+		plan->fit[i] = k == known
+		    ? plan->fit[i - 1]
+		    : limit_spread(u, r, wf_step_fit_count(step, room));
+		known = k;
 	}
 }
 
@@ -576,7 +597,7 @@
 	struct runner_offer *offers;
 	struct room_plan *plans;
 	uint32_t left, count;
-	size_t len, i, at;
+	size_t len, n, i, at;
 	agb_time start_at;
 
 	len = list_eligible_runners(p, u, q, p->stale);
@@ -591,14 +612,17 @@
 	p->reservations_made++;
 	start_at = p->now->mono + plan_offsets_ms[at] * AGB_MS;
 	offers = agb_xcalloc(len + 1, sizeof(*offers));
+	n = 0;
 	for (i = 0; i < len; i++) {
-		offers[i].fit = plans[i].fit[at];
-		offers[i].runner = plans[i].runner;
+		if (plans[i].fit[at] == 0)
+			continue;
+		offers[n].fit = plans[i].fit[at];
+		offers[n++].runner = plans[i].runner;
 	}
-	if (len > 1)
-		qsort(offers, len, sizeof(*offers), compare_offers);
+	if (n > 1)
+		qsort(offers, n, sizeof(*offers), compare_offers);
 	left = u->waiting;
-	for (i = 0; i < len && left > 0 && offers[i].fit > 0; i++) {
+	for (i = 0; i < n && left > 0; i++) {
 		count = offers[i].fit < left ? offers[i].fit : left;
 		reserve_on_runner(p, step, offers[i].runner, count, start_at);
 		left -= count;
@@ -825,7 +849,9 @@
 	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
-	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(void *));
+	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(*p.run_ends));
+	p.ends_cap = l->runners_len + 1;
+	p.ends = agb_xcalloc(p.ends_cap, sizeof(*p.ends));
 	for (i = 0; i < len; i++) {
 		if (wf_unit_step(list[i].unit)->gang)
 			place_gang(&p, list[i].unit, list[i].queue);
@@ -834,11 +860,10 @@
 	}
 	/* The next pass prefers runners without reservations made in this
 	 * one. */
-	for (i = 0; i < l->runners_len; i++) {
+	for (i = 0; i < l->runners_len; i++)
 		l->runners[i].reserved = p.reservations[i].start_at > 0;
-		free(p.run_ends[i]);
-	}
 	free(p.run_ends);
+	free(p.ends);
 	free(p.reservations);
 	free(p.stale);
 	free(p.rooms);
