perf(workflow): count the allocated tasks of a unit

Each pass looked at all tasks of each waiting gang to find one that an earlier run still has on a runner.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -640,15 +640,7 @@
 static bool
 gang_blocked(const struct wf_unit *u, agb_time now)
 {
-	uint32_t i;
-
-	if (u->active > 0)
-		return now >= u->repair_deadline;
-	for (i = 0; i < wf_unit_step(u)->count; i++) {
-		if (u->exec->tasks[u->first_task + i].allocated)
-			return true;
-	}
-	return false;
+	return u->active > 0 ? now >= u->repair_deadline : u->allocated > 0;
 }
 
 static int
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -244,6 +244,7 @@
 	struct wf_runner *const r = &l->runners[t->runner];
 
 	t->allocated = true;
+	u->allocated++;
 	t->unit = u;
 	DL_APPEND(r->tasks, t);
 	wf_runner_account_task(r, wf_unit_step(u), true);
@@ -503,6 +504,7 @@
 	if (!t->allocated)
 		return;
 	t->allocated = false;
+	u->allocated--;
 	DL_DELETE(r->tasks, t);
 	wf_runner_account_task(r, wf_unit_step(u), false);
 	if (t->stopping) {
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -129,6 +129,7 @@
  * struct wf_unit - one step of one occurrence of a job
  * @first_task: index of its first task in @exec
  * @waiting, @active, @done: number of tasks by state
+ * @allocated: number of tasks that are allocated on a runner
  * @failures: failed runs of a gang
  * @failed_run: number of the latest failed run of a gang
  * @run: highest run number of its tasks; the members of a gang share it
@@ -150,6 +151,7 @@
 	uint32_t waiting;
 	uint32_t active;
 	uint32_t done;
+	uint32_t allocated;
 	uint32_t failures;
 	uint32_t failed_run;
 	uint32_t run;
