--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -136,6 +136,7 @@
  * struct wf_unit - one step of one occurrence of a job
  * @first_task: index of its first task in @exec
  * @waiting, @active, @done: number of tasks by state
+ * @allocated: number of tasks that are allocated on a runner
  * @failures: failed runs of a gang
  * @failed_run: number of the latest failed run of a gang
  * @run: highest run number of its tasks; the members of a gang share it
@@ -157,6 +158,7 @@
 	uint32_t waiting;
 	uint32_t active;
 	uint32_t done;
+	uint32_t allocated;
 	uint32_t failures;
 	uint32_t failed_run;
 	uint32_t run;
@@ -305,12 +307,14 @@
  * @address: its address, "" for the leader itself
  * @busy_until: when its pending calls are expected to be answered
  * @excluded_until: gets no calls before this time, as one has failed
+ * @usable: may be given calls, as of the latest wf_advice_update_clients()
  */
 struct wf_advice_client {
 	agb_id name;
 	agb_addr address;
 	agb_time busy_until;
 	agb_time excluded_until;
+	bool usable;
 };
 
 /**
@@ -393,6 +397,7 @@
  * @acks: acknowledgements that wait for their changes to become durable
  * @write_time_us: moving average of the time from an attempt at a write to
  *	its answer
+ * @advice_clients_usable: number of usable entries of @advice_clients
  * @queue_times: learned run times by queue
  * @long_calls_ms, @short_calls_ms: expected time of the recent long and short
  *	calls for advice, halved regularly
@@ -439,6 +444,7 @@
 	uint64_t next_tag;
 	struct wf_advice_client *advice_clients;
 	size_t advice_clients_len;
+	size_t advice_clients_usable;
 	struct wf_advice_call *advice_calls;
 	size_t advice_calls_len;
 	struct wf_queue_times *queue_times;
@@ -822,6 +828,13 @@
  */
 void wf_advice_update_peers(struct wf_leader *l);
 
+/**
+ * wf_advice_update_clients() - determine which instances can be given calls
+ *
+ * Called once before the requests and renewals of a dispatch pass.
+ */
+void wf_advice_update_clients(struct wf_leader *l, agb_time now);
+
 /**
  * wf_advice_request() - request approvals of further runners for a unit unless it
  * has enough or a call is pending
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -23,7 +23,7 @@
 #define WF_METER_LINE_MS 1000
 
 /* Maximum length of the text of the log line "load", with its final 0. */
-#define WF_METER_LINE_MAX 400
+#define WF_METER_LINE_MAX 448
 
 /**
  * enum wf_part - parts of a turn
