perf(workflow): passes over the queue take at most a third of the leader's time

Under a backlog a pass took 8 to 90 ms of processor time on a full core, and the next one followed 8 ms later plus 1 ms for each 12 queued steps. On half a core passes then left too little time for orders and answers, which wait until they are out of date. The time of a pass is measured by the meter; the next one begins after three times that time, 400 ms at most. A table of cases in test_wf_policy.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -13,6 +13,12 @@
 /* While units are queued a pass is made after this time even if nothing has
  * changed. */
 #define PASS_INTERVAL_MAX_MS 50
+/* Passes take at most one part in PASS_TIME_FACTOR of the leader's time, which
+ * also has to send orders and handle answers before they are out of date. A
+ * single long pass, such as the first one after an election, delays the next
+ * by no more than PASS_DELAY_MAX_MS. */
+#define PASS_TIME_FACTOR 3
+#define PASS_DELAY_MAX_MS 400
 /* A job that ends later than this multiple of the time from its acceptance to
  * its due time is of no use to its caller any more. */
 #define HOPELESS_FACTOR 3
@@ -823,6 +829,17 @@
 		request_advice(p, u, q, stale_len, p->now->mono);
 }
 
+agb_time
+wf_dispatch_interval(uint32_t queue_len, agb_time pass_time)
+{
+	const agb_time by_queue =
+	    (PASS_INTERVAL_MS + queue_len / PASS_UNITS_PER_MS) * AGB_MS;
+	const agb_time by_time = agb_time_min(
+	    PASS_TIME_FACTOR * pass_time, PASS_DELAY_MAX_MS * AGB_MS);
+
+	return agb_time_max(by_queue, by_time);
+}
+
 agb_time
 wf_dispatch(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
@@ -830,7 +847,7 @@
 	struct dispatch_pass p = {.l = l, .now = now, .out = out};
 	struct queued_unit *list;
 	enum wf_part part;
-	agb_time interval;
+	agb_time interval, dispatch_time;
 	size_t len, i;
 	bool gang;
 
@@ -842,12 +859,12 @@
 	if (!l->placement_changed &&
 	    now->mono < l->last_dispatch_at + PASS_INTERVAL_MAX_MS * AGB_MS)
 		return l->last_dispatch_at + PASS_INTERVAL_MAX_MS * AGB_MS;
-	interval =
-	    (PASS_INTERVAL_MS + l->queue_len / PASS_UNITS_PER_MS) * AGB_MS;
+	interval = wf_dispatch_interval(l->queue_len, l->pass_time);
 	if (now->mono < l->last_dispatch_at + interval)
 		return l->last_dispatch_at + interval;
 	l->last_dispatch_at = now->mono;
 	l->placement_changed = false;
+	dispatch_time = wf_meter_dispatch_time(l->meter);
 	len = sort_queue(l, now->mono, &list);
 	wf_advice_update_claims(l, now->mono);
 	wf_advice_update_clients(l, now->mono);
@@ -872,6 +889,7 @@
 			place_tasks(&p, list[i].unit, list[i].queue);
 	}
 	wf_meter_lap(l->meter, part);
+	l->pass_time = wf_meter_dispatch_time(l->meter) - dispatch_time;
 	if (wf_flow_room(&l->flow) == 0)
 		wf_flow_hold_back(&l->flow);
 	/* The next pass prefers runners without reservations made in this
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -393,6 +393,7 @@
  * @reap_pending: an ended job may have no task left on a runner
  * @placement_changed: something that placement depends on has changed since
  *	the last dispatch pass
+ * @pass_time: time that the last dispatch pass took; 0 when it is not measured
  * @gen: number of changes to state records so far
  * @acks: acknowledgements that wait for their changes to become durable
  * @write_time_us: moving average of the time from an attempt at a write to
@@ -432,6 +433,7 @@
 	bool reap_pending;
 	bool placement_changed;
 	agb_time last_dispatch_at;
+	agb_time pass_time;
 	uint64_t gen;
 	struct wf_ack *acks;
 	size_t acks_len;
@@ -820,6 +822,13 @@
 agb_time wf_dispatch(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out);
 
+/**
+ * wf_dispatch_interval() - minimum time between the beginnings of two passes
+ * @queue_len: number of queued units
+ * @pass_time: time that the last pass took
+ */
+agb_time wf_dispatch_interval(uint32_t queue_len, agb_time pass_time);
+
 /* ---- wf_advice.c ---- */
 
 /**
--- a/src/workflow/wf_meter.c
+++ b/src/workflow/wf_meter.c
@@ -197,3 +197,10 @@
 	m->recent_longest_turn = 0;
 	m->recent_start_age = 0;
 }
+
+agb_time
+wf_meter_dispatch_time(const struct wf_meter *m)
+{
+	return m->total.parts[WF_PART_SORT] + m->total.parts[WF_PART_GANGS] +
+	    m->total.parts[WF_PART_TASKS];
+}
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -209,6 +209,11 @@
  */
 bool wf_meter_line_due(const struct wf_meter *m, agb_time now);
 
+/**
+ * wf_meter_dispatch_time() - time that all dispatch passes have taken
+ */
+agb_time wf_meter_dispatch_time(const struct wf_meter *m);
+
 /**
  * wf_meter_format_line() - format the log line for the time since the last one
  * @text: buffer of WF_METER_LINE_MAX bytes
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -14,6 +14,7 @@
 #include "wf_failover.h"
 #include "wf_flow.h"
 #include "wf_handover.h"
+#include "wf_leader.h"
 #include "wf_poll.h"
 
 /* A hold that was sent at 10 s and waits 1 s at the runner: when a probe
@@ -373,7 +374,33 @@
 	}
 }
 
+/* Guards against a leader that makes passes over a long queue one after the
+ * other: orders and answers then wait until they are out of date. */
+static void
+passes_leave_time_for_other_work(void)
+{
+	static const struct {
+		uint32_t queue_len, pass_ms, interval_ms;
+	} cases[] = {
+	    {0, 0, 8},
+	    {1200, 0, 108},
+	    {0, 2, 8},
+	    {0, 20, 60},
+	    {1200, 20, 108},
+	    {1200, 60, 180},
+	    {1200, 900, 400},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(wf_dispatch_interval(cases[i].queue_len,
+				    cases[i].pass_ms * AGB_MS),
+		    cases[i].interval_ms * AGB_MS);
+}
+
 static const struct suite_test tests[] = {
+    {"passes: they leave time for other work",
+	passes_leave_time_for_other_work},
     {"flow: the limit follows the delay of answers",
 	limit_follows_the_delay_of_answers},
     {"flow: starts within a time follow the rate",
