fix(workflow): a full list of ends is no proof that a run is gone

A runner lists at most 500 ends at a time. After an outage of the store it can have more, and a task whose end was left out of the list counted as gone and was started again.

Absent tasks are now released only by a list that is shorter than the maximum, WF_ENDS_PER_LIST. Relays no longer leave processed ends out of a full list, because the leader recognizes it by its length. The simulated runners limit their lists in the same way.

The test "more ends than a list holds" failed before: 1,300 starts for 900 tasks at one runner, 14,896 for 10,800 tasks at 12 runners through relays; now 900 and 10,800. "full lists of ends stay full" failed without the change of the relay.

--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -195,6 +195,10 @@
 	char checkpoint[WF_CHECKPOINT_MAX + 1];
 };
 
+/* A runner lists at most this many ends in one reply. A list of this length may
+ * leave out further ends, so a run that it does not name may have ended. */
+#define WF_ENDS_PER_LIST 500
+
 /**
  * struct wf_finished_run - run that a runner reports as ended
  * @seq: sequence number, counted since the runner process started
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -982,7 +982,9 @@
 	}
 	if (r->processed_seq > before)
 		wf_commit_queue_ack(l, ri, r->processed_seq);
-	release_absent_tasks(l, now, ri, res, out);
+	/* The end of an absent run may be among those that a full list omits. */
+	if (res->finished_len < WF_ENDS_PER_LIST)
+		release_absent_tasks(l, now, ri, res, out);
 	check_progress(l, now, ri, out);
 	adjust_pace(l, now, ri, out);
 	remove_unlisted_orphan_runs(r);
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -415,16 +415,19 @@
 }
 
 /* The runner lists finished runs until the leader acknowledges them. Those that
- * the leader has already processed are left out. */
+ * the leader has already processed are left out, except from a list of the
+ * maximum length: the leader recognizes by its length that ends may be missing.
+ */
 static void
 encode_ends(struct wf_relayed_result *x, const struct wf_order_result *res,
     uint64_t known_seq)
 {
+	const bool full = res->finished_len >= WF_ENDS_PER_LIST;
 	size_t i;
 
 	x->finished = agb_xcalloc(res->finished_len + 1, sizeof(*x->finished));
 	for (i = 0; i < res->finished_len; i++) {
-		if (res->finished[i].seq > known_seq)
+		if (full || res->finished[i].seq > known_seq)
 			x->finished[x->finished_len++] = res->finished[i];
 	}
 }
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -235,6 +235,88 @@
 	wf_relay_free(relay);
 }
 
+/* Relays a hold by which the leader has processed the ends up to @known_seq, and
+ * the runner's reply, which lists the ends from 1 to @ends.
+ * Return: number of ends that the leader gets. */
+static size_t
+relay_ends(struct wf_relay *relay, uint64_t known_seq, size_t ends)
+{
+	static struct wf_finished_run finished[WF_ENDS_PER_LIST];
+	const struct wf_now now = {.mono = AGB_SEC};
+	struct wf_runner_addr card = {
+	    .runner = 3, .incarnation = 1, .id = "r-3", .addr = "a"};
+	struct wf_order order = {
+	    .kind = WF_ORDER_HOLD,
+	    .number = 1,
+	    .send_by = FAR_MS * AGB_MS,
+	    .runner = 3,
+	    .incarnation = 1,
+	    .known_seq = known_seq,
+	};
+	struct wf_order_batch orders = {
+	    .fence = 5,
+	    .reply_to = "leader",
+	    .runners = &card,
+	    .runners_len = 1,
+	    .items = &order,
+	    .len = 1,
+	};
+	struct wf_order_result res = {.kind = WF_ORDER_HOLD,
+	    .status = WF_ORDER_OK,
+	    .number = 1,
+	    .fence = 5,
+	    .runner = 3,
+	    .incarnation = 1,
+	    .finished = finished,
+	    .finished_len = ends};
+	const struct wf_now later = {.mono = 2 * AGB_SEC};
+	struct wf_effects out = {0};
+	size_t i, n;
+
+	for (i = 0; i < ends; i++)
+		finished[i].seq = i + 1;
+	wf_relay_handle_orders(relay, &now, 1, &orders, true, &out);
+	wf_relay_handle_result(relay, &res);
+	(void)wf_relay_tick(relay, &now, &out);
+	(void)wf_relay_tick(relay, &later, &out);
+	n = SIZE_MAX;
+	for (i = 0; i < out.len; i++) {
+		if (out.items[i].type == WF_EF_RESULTS)
+			n = out.items[i].u.results.items[0].finished_len;
+	}
+	wf_effects_free(&out);
+	return n;
+}
+
+/* A relay must not shorten a list of ends that has the maximum length. The
+ * leader would take the list for complete and start again the tasks whose ends
+ * the runner could not list. */
+static void
+full_lists_of_ends_stay_full(void)
+{
+	static const struct {
+		uint64_t known_seq;
+		size_t ends, relayed;
+	} cases[] = {
+	    {0, 2, 2},
+	    {1, 2, 1},
+	    {WF_ENDS_PER_LIST - 1, WF_ENDS_PER_LIST - 1, 0},
+	    {WF_ENDS_PER_LIST, WF_ENDS_PER_LIST, WF_ENDS_PER_LIST},
+	    {1, WF_ENDS_PER_LIST, WF_ENDS_PER_LIST},
+	};
+	struct wf_table table = {0};
+	struct wf_relay *relay;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		relay = wf_relay_new(&table);
+		CU_ASSERT_EQUAL(
+		    relay_ends(relay, cases[i].known_seq, cases[i].ends),
+		    cases[i].relayed);
+		wf_relay_free(relay);
+	}
+}
+
 /* ---- order messages ---- */
 
 /* RPC endpoint under test, with counts of what it and its client received. */
@@ -464,6 +546,41 @@
 	}
 }
 
+/* Tasks that have ended must not be started again because a runner leaves their
+ * ends out of a list: after an outage of the store it has more ends to report
+ * than a list holds. */
+static void
+more_ends_than_a_list_holds(void)
+{
+	static const struct {
+		bool relays;
+		unsigned runners;
+	} cases[] = {{false, 1}, {true, 12}};
+	struct sim_options o = default_options;
+	struct sim *s;
+	unsigned tasks;
+	size_t i;
+
+	o.cpu_milli = 100000;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.relays = cases[i].relays;
+		o.runners = cases[i].runners;
+		tasks = 900 * o.runners;
+		s = start_sim(&o);
+		sim_submit(s, leader(s), JOB, sim_new_spec(tasks, 100, 6000));
+		sim_run(s, 5500);
+		CU_ASSERT_EQUAL(sim_running_count(s, JOB), tasks);
+		sim_set_store_mode(s, SIM_STORE_SILENT);
+		sim_run(s, 2500);
+		CU_ASSERT_EQUAL(sim_running_count(s, JOB), 0);
+		sim_set_store_mode(s, SIM_STORE_UP);
+		sim_run(s, 6000);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		CU_ASSERT_EQUAL(sim_start_count(s, JOB), tasks);
+		finish_sim(s);
+	}
+}
+
 /* Tasks must keep running and must not be started again while the leader fails:
  * the next leader finds the running tasks through relays that still hold orders
  * of the previous leader. */
@@ -572,10 +689,12 @@
     {"deltas of other baselines are rejected",
 	deltas_of_other_baselines_are_rejected},
     {"stale orders are rejected", stale_orders_are_rejected},
+    {"full lists of ends stay full", full_lists_of_ends_stay_full},
     {"unknown order kinds are rejected", unknown_order_kinds_are_rejected},
     {"small leader uses relays", small_leader_uses_relays},
     {"large leader sends directly", large_leader_sends_directly},
     {"tasks survive relay faults", tasks_survive_relay_faults},
+    {"more ends than a list holds", more_ends_than_a_list_holds},
     {"tasks survive a leader change", tasks_survive_leader_change},
     {"starts avoid lost relays", starts_avoid_lost_relays},
     {"text after the accepting instance dies",
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -1220,10 +1220,12 @@
 	c->res.active_len = r->runs_len;
 	c->res.finished =
 	    agb_xcalloc(r->finished_len + 1, sizeof(*c->res.finished));
+	c->res.finished_len = r->finished_len < WF_ENDS_PER_LIST
+	    ? r->finished_len
+	    : WF_ENDS_PER_LIST;
 	if (r->finished_len > 0)
 		memcpy(c->res.finished, r->finished,
-		    r->finished_len * sizeof(*r->finished));
-	c->res.finished_len = r->finished_len;
+		    c->res.finished_len * sizeof(*r->finished));
 }
 
 static void
