fix(workflow): orders time out only after a late leader has read the results

A leader that had paused for 0.8 s or more put the check for expired orders off by 20 ms. While it was still reading other sockets, relays whose results were unread counted as lost, and all their pending orders ended without an answer.

The check is now put off for as long as it was late, at most 500 ms. Time in which no order is pending does not count as a delay of the check.

The test "pause of the leader is no silence of relays" failed before in three of its eight cases: results that are read 100 or 480 ms after a pause of 1.5 or 4 s. A result that is read 600 ms afterwards still counts as lost.

--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -28,8 +28,11 @@
 #define RELAY_EXCLUDE_MS 2000
 #define CHECK_INTERVAL_MS 150
 #define EXPIRE_INTERVAL_MS 20
-/* A check for expired orders that runs this much late is skipped once. */
+/* A check for expired orders that runs this much late is put off for as long as
+ * it was late, up to a limit. A shorter delay ends before a slow process has
+ * read what arrived during its pause. */
 #define LATE_TICK_MS 40
+#define LATE_DELAY_MAX_MS 500
 /* A relay that has pending orders and sends nothing for this long is treated as
  * lost. */
 #define RELAY_SILENT_MS 800
@@ -806,15 +809,17 @@
 expire_orders(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
-	const bool late =
-	    now->mono > l->outbox.expire_at + LATE_TICK_MS * AGB_MS;
+	const agb_time late = now->mono - l->outbox.expire_at;
 	struct wf_pending_order *order, *next;
 
-	l->outbox.expire_at = now->mono + EXPIRE_INTERVAL_MS * AGB_MS;
 	/* After a delay of this process, results may be waiting in the socket:
 	 * they are read before any order is timed out. */
-	if (late)
+	if (late > LATE_TICK_MS * AGB_MS) {
+		l->outbox.expire_at =
+		    now->mono + agb_time_min(late, LATE_DELAY_MAX_MS * AGB_MS);
 		return;
+	}
+	l->outbox.expire_at = now->mono + EXPIRE_INTERVAL_MS * AGB_MS;
 	for (order = l->outbox.pending; order != NULL; order = next) {
 		next = order->hh.next;
 		if (now->mono < order->expires_at)
@@ -872,8 +877,10 @@
 
 	if (now->mono >= b->check_at)
 		check_relays(l, now, out);
-	if (b->pending == NULL)
+	if (b->pending == NULL) {
+		b->expire_at = now->mono + EXPIRE_INTERVAL_MS * AGB_MS;
 		return b->check_at;
+	}
 	if (now->mono >= b->expire_at)
 		expire_orders(l, now, out);
 	return agb_time_min(b->check_at, b->expire_at);
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -6,6 +6,7 @@
  */
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "mem.h"
@@ -14,6 +15,7 @@
 #include "wf_failover.h"
 #include "wf_flow.h"
 #include "wf_handover.h"
+#include "wf_leader.h"
 #include "wf_poll.h"
 
 /* A hold that was sent at 10 s and waits 1 s at the runner: when a probe
@@ -283,6 +285,94 @@
 	}
 }
 
+/* ---- orders without a result ---- */
+
+#define TICK_MS 20
+
+/* Runs the ticks of a leader from @from_ms until before @to_ms. */
+static void
+tick_outbox(struct wf_leader *l, uint32_t from_ms, uint32_t to_ms,
+    struct wf_effects *out)
+{
+	struct wf_now now;
+	uint32_t ms;
+
+	for (ms = from_ms; ms < to_ms; ms += TICK_MS) {
+		now = (struct wf_now){.mono = ms * AGB_MS};
+		(void)wf_outbox_tick(l, &now, out);
+	}
+}
+
+/* A leader sends an order through a relay at 1 s, pauses from 1.2 s on, and then
+ * takes some time to read the result. Guards against a relay and its runners
+ * that count as silent because the leader itself was, and against a relay that
+ * never counts as silent. */
+static void
+pause_of_leader_is_no_silence_of_relays(void)
+{
+	static const struct {
+		uint32_t pause_ms, read_after_ms;
+		bool lost;
+	} cases[] = {
+	    {0, 200, false},
+	    {0, 4000, true},
+	    {1500, 0, false},
+	    {1500, 100, false},
+	    {1500, 480, false},
+	    {1500, 600, true},
+	    {4000, 480, false},
+	    {4000, 600, true},
+	};
+	struct wf_config cfg;
+	struct wf_table table;
+	struct wf_relay_peer *relay;
+	struct wf_relayed_result x = {.number = 1, .status = WF_ORDER_OK};
+	struct wf_result_batch results = {.fence = 5, .items = &x, .len = 1};
+	struct wf_effects out;
+	struct wf_leader l;
+	struct wf_now now;
+	struct wf_order *o;
+	uint32_t resumed_ms, read_ms;
+	size_t i;
+
+	memset(&cfg, 0, sizeof(cfg));
+	memset(&table, 0, sizeof(table));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&l, 0, sizeof(l));
+		memset(&out, 0, sizeof(out));
+		l.fence = results.fence;
+		l.cfg = &cfg;
+		l.table = &table;
+		l.registry_seen = true;
+		l.runners = agb_xcalloc(1, sizeof(*l.runners));
+		l.runners_len = 1;
+		l.runners[0].route.chosen = true;
+		l.outbox.check_at = AGB_TIME_MAX;
+		l.outbox.relays = relay = agb_xcalloc(1, sizeof(*relay));
+		l.outbox.relays_len = 1;
+		relay->last_reply_at = AGB_SEC;
+		/* The order is not one of this term, so that its end reaches no
+		 * other part of the leader. */
+		o = wf_outbox_add(&l);
+		o->kind = WF_ORDER_STOP;
+		o->timeout_ms = 600;
+		now = (struct wf_now){.mono = AGB_SEC};
+		(void)wf_outbox_tick(&l, &now, &out);
+		(void)wf_outbox_flush(&l, &now, &out);
+		tick_outbox(&l, 1000 + TICK_MS, 1200, &out);
+		resumed_ms = 1200 + cases[i].pause_ms;
+		read_ms = resumed_ms + cases[i].read_after_ms;
+		tick_outbox(&l, resumed_ms, read_ms + 1, &out);
+		CU_ASSERT_EQUAL(relay->excluded_until > 0, cases[i].lost);
+		now = (struct wf_now){.mono = read_ms * AGB_MS};
+		wf_outbox_handle_results(&l, &now, &results, &out);
+		CU_ASSERT_PTR_NULL(l.outbox.pending);
+		wf_outbox_free(&l);
+		wf_effects_free(&out);
+		free(l.runners);
+	}
+}
+
 /* ---- flow control of starts ---- */
 
 /* Guards against a limit that stays high while messages are late, that falls
@@ -374,6 +464,8 @@
 }
 
 static const struct suite_test tests[] = {
+    {"pause of the leader is no silence of relays",
+	pause_of_leader_is_no_silence_of_relays},
     {"flow: the limit follows the delay of answers",
 	limit_follows_the_delay_of_answers},
     {"flow: starts within a time follow the rate",
