fix(workflow): the number of tasks of a stored job cannot wrap

The check of a job's record multiplied its tasks by its occurrences in 64 bits. A corrupt record whose product wraps to a small number passed, and each leader would have allocated memory for all its tasks. The check now divides.

The test "records: too many tasks are malformed" failed before in the case of 64 steps of 2^31 tasks and 2^27 occurrences.

--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -211,7 +211,8 @@
 			return false;
 		tasks += s->steps[i].count;
 	}
-	return tasks * s->repeat_count <= WF_TASKS_MAX;
+	/* The product of a corrupt record can exceed 64 bits. */
+	return tasks <= WF_TASKS_MAX / s->repeat_count;
 }
 
 static bool
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -285,6 +285,56 @@
 	}
 }
 
+/* ---- records of the store ---- */
+
+/* Guards against a corrupt record of a job whose number of tasks wraps around
+ * to a valid one: each leader would allocate memory for all of them. */
+static void
+jobs_with_too_many_tasks_are_malformed(void)
+{
+	static const struct {
+		uint32_t steps, count, repeat_count;
+		bool ok;
+	} cases[] = {
+	    {1, 1, 1, true},
+	    {1, 1, 0, false},
+	    {1, 0, 1, false},
+	    {1, WF_TASKS_MAX, 1, true},
+	    {1, WF_TASKS_MAX + 1, 1, false},
+	    {64, 1024, 1, true},
+	    {64, 1024, 2, false},
+	    {1, 1, WF_TASKS_MAX, true},
+	    {1, 1, WF_TASKS_MAX + 1, false},
+	    {1, UINT32_MAX, UINT32_MAX, false},
+	    /* 2^6 * 2^31 * 2^27 = 2^64 */
+	    {64, (uint32_t)1 << 31, (uint32_t)1 << 27, false},
+	};
+	char key[WF_KEY_MAX];
+	struct wf_step steps[WF_STEPS_MAX];
+	struct wf_spec spec;
+	struct wf_table t;
+	struct agb_store_kv kv;
+	size_t i, k;
+
+	wf_table_make_key(key, 'j', "00000000000000aa");
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&t, 0, sizeof(t));
+		memset(&spec, 0, sizeof(spec));
+		memset(steps, 0, sizeof(steps));
+		for (k = 0; k < cases[i].steps; k++)
+			steps[k].count = cases[i].count;
+		spec.repeat_count = cases[i].repeat_count;
+		spec.steps = steps;
+		spec.steps_len = cases[i].steps;
+		kv = (struct agb_store_kv){.key = key, .mod_rev = 7};
+		kv.val = wf_table_encode_spec(&spec, &kv.val_len);
+		CU_ASSERT_EQUAL(
+		    wf_table_apply(&t, &kv).malformed, !cases[i].ok);
+		free(kv.val);
+		wf_table_free(&t);
+	}
+}
+
 /* ---- orders without a result ---- */
 
 #define TICK_MS 20
@@ -474,6 +524,8 @@
     {"overdue hold: given up when a probe is answered",
 	answered_probe_gives_up_overdue_hold},
     {"gone leader: its lease is ended", lease_of_gone_leader_is_ended},
+    {"records: too many tasks are malformed",
+	jobs_with_too_many_tasks_are_malformed},
     {"hand-over: the successor is chosen", successor_of_leader_is_chosen},
     {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
     {"run times: progress tells the end", progress_tells_when_a_run_ends},
