--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "front.h"
+#include "loop.h"
 #include "manifest.h"
 #include "mem.h"
 #include "registry.h"
@@ -369,8 +370,105 @@
 	}
 }
 
+struct hold_result {
+	int done;
+	enum wf_order_status status;
+	size_t finished_len;
+	uint64_t last_seq;
+};
+
+static void
+on_hold_result(void *arg, struct wf_order_result *res)
+{
+	struct hold_result *const h = arg;
+
+	h->done++;
+	h->status = res->status;
+	h->finished_len = res->finished_len;
+	if (res->finished_len > 0)
+		h->last_seq = res->finished[res->finished_len - 1].seq;
+}
+
+static void
+respond_to_hold(struct loop_conn *c)
+{
+	char text[512];
+	const char *const body = c->server->arg;
+
+	if (strstr(c->in, "\"observed\"") == NULL)
+		return;
+	c->in_len = 0;
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body),
+	    body);
+	loop_conn_write(c, text, strlen(text));
+}
+
+#define ENDS(rows) "{\"clock_ms\":5,\"active\":[],\"finished\":[" rows "]}"
+#define END(seq) "[" seq ",\"00000000000000aa.0.0.0\",1,\"done\",\"\"]"
+
+/* Guards against an end whose number is malformed. A negative number would
+ * become a huge one: the runner would be told to forget ends that were never
+ * read, and all later ends would be ignored. */
+static void
+test_hold_results(void)
+{
+	static const struct {
+		const char *body;
+		enum wf_order_status status;
+		size_t finished;
+		uint64_t last_seq;
+	} cases[] = {
+	    {ENDS(""), WF_ORDER_OK, 0, 0},
+	    {ENDS(END("1") "," END("58")), WF_ORDER_OK, 2, 58},
+	    {ENDS(END("58.0")), WF_ORDER_OK, 1, 58},
+	    {ENDS(END("9007199254740993")), WF_ORDER_OK, 1, 9007199254740993},
+	    {ENDS(END("-1")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("1") "," END("-9")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("0")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("1.5")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("-1e300")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("1e300")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("99999999999999999999")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("\"7\"")), WF_ORDER_LOST, 0, 0},
+	    {ENDS(END("null")), WF_ORDER_LOST, 0, 0},
+	    {ENDS("[1]"), WF_ORDER_LOST, 0, 0},
+	    {"{\"clock_ms\":5}", WF_ORDER_LOST, 0, 0},
+	};
+	struct platform_runner_client *p;
+	struct wf_order order;
+	struct hold_result h;
+	struct loop_server srv;
+	uv_loop_t loop;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(&h, 0, sizeof(h));
+		uv_loop_init(&loop);
+		loop_server_start(&loop, &srv, respond_to_hold,
+		    (void *)(uintptr_t)cases[i].body);
+		p = platform_runner_client_new(&loop, on_hold_result, &h);
+		memset(&order, 0, sizeof(order));
+		order.kind = WF_ORDER_HOLD;
+		order.timeout_ms = 5000;
+		order.send_by = AGB_TIME_MAX;
+		agb_str_copy(order.addr, sizeof(order.addr), srv.addr);
+		platform_runner_client_send(p, &order);
+		loop_until(&loop, &h.done, 1);
+		CU_ASSERT_EQUAL(h.status, cases[i].status);
+		if (h.status == WF_ORDER_OK) {
+			CU_ASSERT_EQUAL(h.finished_len, cases[i].finished);
+			CU_ASSERT_EQUAL(h.last_seq, cases[i].last_seq);
+		}
+		platform_runner_client_free(p);
+		loop_server_close(&srv);
+		loop_close(&loop);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"order requests", test_order_requests},
+    {"hold results", test_hold_results},
     {"registry entries", test_registry_entries},
     {"manifest", test_manifest_document},
     {"queue selection", test_queue_selection},
