--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -6,6 +6,7 @@
  */
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "mem.h"
@@ -285,6 +286,144 @@
 	}
 }
 
+/* ---- records of the store ---- */
+
+/* Guards against a corrupt record of a job whose number of tasks wraps around
+ * to a valid one: each leader would allocate memory for all of them. */
+static void
+jobs_with_too_many_tasks_are_malformed(void)
+{
+	static const struct {
+		uint32_t steps, count, repeat_count;
+		bool ok;
+	} cases[] = {
+	    {1, 1, 1, true},
+	    {1, 1, 0, false},
+	    {1, 0, 1, false},
+	    {1, WF_TASKS_MAX, 1, true},
+	    {1, WF_TASKS_MAX + 1, 1, false},
+	    {64, 1024, 1, true},
+	    {64, 1024, 2, false},
+	    {1, 1, WF_TASKS_MAX, true},
+	    {1, 1, WF_TASKS_MAX + 1, false},
+	    {1, UINT32_MAX, UINT32_MAX, false},
+	    /* 2^6 * 2^31 * 2^27 = 2^64 */
+	    {64, (uint32_t)1 << 31, (uint32_t)1 << 27, false},
+	};
+	char key[WF_KEY_MAX];
+	struct wf_step steps[WF_STEPS_MAX];
+	struct wf_spec spec;
+	struct wf_table t;
+	struct agb_store_kv kv;
+	size_t i, k;
+
+	wf_table_make_key(key, 'j', "00000000000000aa");
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&t, 0, sizeof(t));
+		memset(&spec, 0, sizeof(spec));
+		memset(steps, 0, sizeof(steps));
+		for (k = 0; k < cases[i].steps; k++)
+			steps[k].count = cases[i].count;
+		spec.repeat_count = cases[i].repeat_count;
+		spec.steps = steps;
+		spec.steps_len = cases[i].steps;
+		kv = (struct agb_store_kv){.key = key, .mod_rev = 7};
+		kv.val = wf_table_encode_spec(&spec, &kv.val_len);
+		CU_ASSERT_EQUAL(
+		    wf_table_apply(&t, &kv).malformed, !cases[i].ok);
+		free(kv.val);
+		wf_table_free(&t);
+	}
+}
+
+/* ---- orders without a result ---- */
+
+#define TICK_MS 20
+
+/* Runs the ticks of a leader from @from_ms until before @to_ms. */
+static void
+tick_outbox(struct wf_leader *l, uint32_t from_ms, uint32_t to_ms,
+    struct wf_effects *out)
+{
+	struct wf_now now;
+	uint32_t ms;
+
+	for (ms = from_ms; ms < to_ms; ms += TICK_MS) {
+		now = (struct wf_now){.mono = ms * AGB_MS};
+		(void)wf_outbox_tick(l, &now, out);
+	}
+}
+
+/* A leader sends an order through a relay at 1 s, pauses from 1.2 s on, and then
+ * takes some time to read the result. Guards against a relay and its runners
+ * that count as silent because the leader itself was, and against a relay that
+ * never counts as silent. */
+static void
+pause_of_leader_is_no_silence_of_relays(void)
+{
+	static const struct {
+		uint32_t pause_ms, read_after_ms;
+		bool lost;
+	} cases[] = {
+	    {0, 200, false},
+	    {0, 4000, true},
+	    {1500, 0, false},
+	    {1500, 100, false},
+	    {1500, 480, false},
+	    {1500, 600, true},
+	    {4000, 480, false},
+	    {4000, 600, true},
+	};
+	struct wf_config cfg;
+	struct wf_table table;
+	struct wf_relay_peer *relay;
+	struct wf_relayed_result x = {.number = 1, .status = WF_ORDER_OK};
+	struct wf_result_batch results = {.fence = 5, .items = &x, .len = 1};
+	struct wf_effects out;
+	struct wf_leader l;
+	struct wf_now now;
+	struct wf_order *o;
+	uint32_t resumed_ms, read_ms;
+	size_t i;
+
+	memset(&cfg, 0, sizeof(cfg));
+	memset(&table, 0, sizeof(table));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&l, 0, sizeof(l));
+		memset(&out, 0, sizeof(out));
+		l.fence = results.fence;
+		l.cfg = &cfg;
+		l.table = &table;
+		l.registry_seen = true;
+		l.runners = agb_xcalloc(1, sizeof(*l.runners));
+		l.runners_len = 1;
+		l.runners[0].route.chosen = true;
+		l.outbox.check_at = AGB_TIME_MAX;
+		l.outbox.relays = relay = agb_xcalloc(1, sizeof(*relay));
+		l.outbox.relays_len = 1;
+		relay->last_reply_at = AGB_SEC;
+		/* The order is not one of this term, so that its end reaches no
+		 * other part of the leader. */
+		o = wf_outbox_add(&l);
+		o->kind = WF_ORDER_STOP;
+		o->timeout_ms = 600;
+		now = (struct wf_now){.mono = AGB_SEC};
+		(void)wf_outbox_tick(&l, &now, &out);
+		(void)wf_outbox_flush(&l, &now, &out);
+		tick_outbox(&l, 1000 + TICK_MS, 1200, &out);
+		resumed_ms = 1200 + cases[i].pause_ms;
+		read_ms = resumed_ms + cases[i].read_after_ms;
+		tick_outbox(&l, resumed_ms, read_ms + 1, &out);
+		CU_ASSERT_EQUAL(relay->excluded_until > 0, cases[i].lost);
+		now = (struct wf_now){.mono = read_ms * AGB_MS};
+		wf_outbox_handle_results(&l, &now, &results, &out);
+		CU_ASSERT_PTR_NULL(l.outbox.pending);
+		wf_outbox_free(&l);
+		wf_effects_free(&out);
+		free(l.runners);
+	}
+}
+
 /* ---- flow control of starts ---- */
 
 /* Guards against a limit that stays high while messages are late, that falls
@@ -472,6 +611,8 @@
 	unknown_pending_count_is_refused},
     {"passes: they leave time for other work",
 	passes_leave_time_for_other_work},
+    {"pause of the leader is no silence of relays",
+	pause_of_leader_is_no_silence_of_relays},
     {"flow: the limit follows the delay of answers",
 	limit_follows_the_delay_of_answers},
     {"flow: starts within a time follow the rate",
@@ -480,6 +621,8 @@
     {"overdue hold: given up when a probe is answered",
 	answered_probe_gives_up_overdue_hold},
     {"gone leader: its lease is ended", lease_of_gone_leader_is_ended},
+    {"records: too many tasks are malformed",
+	jobs_with_too_many_tasks_are_malformed},
     {"hand-over: the successor is chosen", successor_of_leader_is_chosen},
     {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
     {"run times: progress tells the end", progress_tells_when_a_run_ends},
