fix(workflow): late answers are judged by distance and are no loss of a relay

Late is now what takes 100 ms longer than an undelayed answer of the same relay.

While starts are held back there are no probes, ends are collected four times as long, runners whose ends are not durable are polled each 400 ms, and a late call or push counts only for itself. Members of a gang whose start failed are placed beyond the limit, as the others wait for them; the limit is lifted when no relays are used any more; a confirmed start lets the next pass begin.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -118,7 +118,7 @@
  * @ends: expected ends that @run_ends refers to, in one array, as each gang
  *	without room reads those of all its runners
  * @reservations_made: number of gangs for which room was reserved
- * @advised_tasks: waiting tasks of units earlier in the queue that have tickets
+ * @tasks_with_advice: waiting tasks of units earlier in the queue that have tickets
  *	or pending calls for advice
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
  *	their tickets, or once their calls for advice are answered
@@ -136,7 +136,7 @@
 	size_t ends_len;
 	size_t ends_cap;
 	uint32_t reservations_made;
-	uint64_t advised_tasks;
+	uint64_t tasks_with_advice;
 	int64_t claimed_cpu_milli;
 	const char *service;
 	struct runner_room *rooms;
@@ -728,9 +728,9 @@
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
 	/* Tickets of tasks that the limit of starts holds back would expire. */
-	if (p->advised_tasks > 0 &&
-	    p->advised_tasks >= wf_flow_starts_within(&p->l->flow, p->now->mono,
-				    q->ticket_valid_ms / 2))
+	if (p->tasks_with_advice > 0 &&
+	    p->tasks_with_advice >= wf_flow_starts_within(&p->l->flow,
+					p->now->mono, q->ticket_valid_ms / 2))
 		return false;
 	return q->advice_base_ms > ADVICE_FAST_MS || has_room(p, u, q->service);
 }
@@ -757,7 +757,7 @@
 	}
 	if (!u->advice_pending && !wf_advice_has_ticket(u, p->now->mono))
 		return;
-	p->advised_tasks += u->waiting;
+	p->tasks_with_advice += u->waiting;
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
 		p->claimed_cpu_milli +=
 		    u->waiting * wf_unit_step(u)->need.cpu_milli;
@@ -877,7 +877,12 @@
 	p.ends_cap = l->runners_len + 1;
 	p.ends = agb_xcalloc(p.ends_cap, sizeof(*p.ends));
 	part = WF_PART_SORT;
-	for (i = 0; i < len && wf_flow_room(&l->flow) > 0; i++) {
+	for (i = 0; i < len; i++) {
+		/* The other members of a gang wait for those whose start has
+		 * failed. */
+		if (wf_flow_room(&l->flow) == 0 &&
+		    list[i].unit->repair_deadline == 0)
+			continue;
 		gang = wf_unit_step(list[i].unit)->gang;
 		if (part != (gang ? WF_PART_GANGS : WF_PART_TASKS)) {
 			wf_meter_lap(l->meter, part);
@@ -891,7 +896,7 @@
 	wf_meter_lap(l->meter, part);
 	l->pass_time = wf_meter_dispatch_time(l->meter) - dispatch_time;
 	if (wf_flow_room(&l->flow) == 0)
-		wf_flow_hold_back(&l->flow);
+		wf_flow_note_held_back(&l->flow);
 	/* The next pass prefers runners without reservations made in this
 	 * one. */
 	for (i = 0; i < l->runners_len; i++)
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -17,6 +17,9 @@
 /* Ends of tasks of an unfinished step within this time share one write of the
  * state record. */
 #define END_BATCH_MS 80
+/* Factor of that time while starts are held back: each write holds the states of
+ * all tasks of the job, and takes from the link what the starts need. */
+#define END_BATCH_HELD_BACK_FACTOR 4
 /* The times of a unit follow what is learned after this time. */
 #define TIMES_MAX_AGE_MS 500
 
@@ -486,6 +489,8 @@
 		t->start_accepted_at = now;
 	if (t->in_flight)
 		wf_flow_note_confirmed(&l->flow);
+	if (wf_flow_is_limiting(&l->flow, now))
+		l->placement_changed = true;
 	task_leave_flight(l, t);
 }
 
@@ -622,6 +627,15 @@
 		wf_gang_stop(l, now, u, out);
 }
 
+static agb_time
+end_batch_time(const struct wf_leader *l, agb_time now)
+{
+	const unsigned factor =
+	    wf_flow_is_limiting(&l->flow, now) ? END_BATCH_HELD_BACK_FACTOR : 1;
+
+	return factor * END_BATCH_MS * AGB_MS;
+}
+
 static void
 mark_task_done(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, struct wf_effects *out)
@@ -638,7 +652,8 @@
 	 * through relays, as the leader's machine is small for their number,
 	 * this end shares a write with other ends of the job. */
 	mark_dirty(l, u->exec,
-	    l->outbox.use_relays ? now->mono + END_BATCH_MS * AGB_MS : 0);
+	    l->outbox.use_relays ? now->mono + end_batch_time(l, now->mono)
+				 : 0);
 	if (u->done == wf_unit_step(u)->count) {
 		wf_exec_mark_dirty(l, u->exec);
 		wf_exec_advance(l, now, u->exec, out);
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -28,6 +28,9 @@
  * holds return at once instead of waiting. */
 #define HOLD_ACK_INTERVAL_MS 80
 #define HOLD_ACK_INTERVAL_RELAYED_MS 120
+/* The same while starts are held back, and at most. */
+#define HOLD_ACK_INTERVAL_HELD_BACK_MS 400
+#define HOLD_ACK_INTERVAL_MAX_MS 500
 #define HOLD_RETRY_MS 200
 /* How long no new tasks are placed on a runner that did not answer or rejected
  * an order, and on one that was unhealthy, unreachable or full. */
@@ -1018,17 +1021,20 @@
 }
 
 static agb_time
-hold_interval(const struct wf_leader *l, const struct wf_runner *r)
+hold_interval(
+    const struct wf_leader *l, const struct wf_runner *r, agb_time now)
 {
-	const agb_time least = l->outbox.use_relays
-	    ? HOLD_ACK_INTERVAL_RELAYED_MS * AGB_MS
-	    : HOLD_ACK_INTERVAL_MS * AGB_MS;
+	const agb_time least = wf_flow_is_limiting(&l->flow, now)
+	    ? HOLD_ACK_INTERVAL_HELD_BACK_MS * AGB_MS
+	    : l->outbox.use_relays ? HOLD_ACK_INTERVAL_RELAYED_MS * AGB_MS
+				   : HOLD_ACK_INTERVAL_MS * AGB_MS;
 
 	if (r->processed_seq == r->durable_seq)
 		return HOLD_INTERVAL_MS * AGB_MS;
 	/* Until the write is answered, the runner can only list the same ends
 	 * again. */
-	return agb_time_max(least, l->write_time_us);
+	return agb_time_max(least,
+	    agb_time_min(l->write_time_us, HOLD_ACK_INTERVAL_MAX_MS * AGB_MS));
 }
 
 static void
@@ -1081,7 +1087,7 @@
 	r->has_left = false;
 	r->heard_at = res->sent_at;
 	handle_lists(l, now, res->runner, res, out);
-	r->poll.next_at = now->mono + hold_interval(l, r);
+	r->poll.next_at = now->mono + hold_interval(l, r, now->mono);
 }
 
 static void
@@ -1288,6 +1294,13 @@
 	if (now->mono >= l->extend_until ||
 	    wf_outbox_must_wait(l, r, now->mono))
 		action = WF_POLL_NOTHING;
+	/* While most messages are late, a late answer is no sign of a lost
+	 * one. */
+	if (action == WF_POLL_PROBE &&
+	    wf_flow_is_limiting(&l->flow, now->mono)) {
+		action = WF_POLL_NOTHING;
+		when = now->mono + HOLD_RETRY_MS * AGB_MS;
+	}
 	if (action == WF_POLL_HOLD)
 		send_hold(l, now, ri);
 	if (action == WF_POLL_PROBE) {
--- a/src/workflow/wf_flow.c
+++ b/src/workflow/wf_flow.c
@@ -1,11 +1,10 @@
 #include "wf_flow.h"
 
-/* Bounds of the limit. The upper one is more than a leader has in flight when
- * nothing is late. */
+/* Bounds of the limit. */
 #define LIMIT_MIN 16
 #define LIMIT_MAX 4096
-/* An answer that takes longer is late. Orders are given up after twice this
- * time. */
+/* An answer is late that takes this much longer than one which nothing delays.
+ * It is a third of the time after which a start is given up. */
 #define LATE_MS 100
 /* The limit changes at most once in this time, and not before this number of
  * answers. */
@@ -34,7 +33,7 @@
 }
 
 void
-wf_flow_hold_back(struct wf_flow *f)
+wf_flow_note_held_back(struct wf_flow *f)
 {
 	f->held_back = true;
 }
@@ -48,12 +47,13 @@
 static void
 update_rate(struct wf_flow *f, agb_time now)
 {
-	const uint32_t per_s =
+	const uint32_t starts_per_s =
 	    (uint32_t)(f->confirmed * AGB_SEC / (now - f->interval_start));
 
-	f->per_s = f->held_back_at == 0
-	    ? per_s
-	    : f->per_s - f->per_s / RATE_SMOOTHING + per_s / RATE_SMOOTHING;
+	f->starts_per_s = f->held_back_at == 0
+	    ? starts_per_s
+	    : f->starts_per_s - f->starts_per_s / RATE_SMOOTHING +
+		starts_per_s / RATE_SMOOTHING;
 	f->held_back_at = now;
 }
 
@@ -76,13 +76,20 @@
 }
 
 void
-wf_flow_note_answer(struct wf_flow *f, agb_time now, agb_time sent_at)
+wf_flow_lift(struct wf_flow *f)
+{
+	f->limit = LIMIT_MAX;
+}
+
+void
+wf_flow_note_answer(
+    struct wf_flow *f, agb_time now, agb_time sent_at, agb_time base)
 {
 	/* Messages sent before the last reduction waited behind what was in
 	 * flight then. */
 	if (sent_at < f->reduced_at)
 		return;
-	if (now - sent_at > LATE_MS * AGB_MS)
+	if (now - sent_at > base + LATE_MS * AGB_MS)
 		f->late++;
 	else
 		f->on_time++;
@@ -103,7 +110,7 @@
 }
 
 bool
-wf_flow_limits(const struct wf_flow *f, agb_time now)
+wf_flow_is_limiting(const struct wf_flow *f, agb_time now)
 {
 	return f->held_back_at > 0 &&
 	    now - f->held_back_at < HELD_BACK_MS * AGB_MS;
@@ -112,7 +119,7 @@
 uint32_t
 wf_flow_starts_within(const struct wf_flow *f, agb_time now, uint32_t ms)
 {
-	if (!wf_flow_limits(f, now))
+	if (!wf_flow_is_limiting(f, now))
 		return UINT32_MAX;
-	return (uint32_t)((uint64_t)f->per_s * ms / 1000);
+	return (uint32_t)((uint64_t)f->starts_per_s * ms / 1000);
 }
--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -8,9 +8,12 @@
  * not yet confirmed by their runners. The limit follows the time that its
  * messages take: it falls when most of them are answered late, and rises while
  * it holds tasks back and answers come in time. Tasks beyond the limit wait in
- * the queue, where they cost nothing. Without a limit, orders that wait on a
+ * the queue, where they send nothing. Without a limit, orders that wait on a
  * full link are given up and given again, and the repetitions keep the link
  * full.
+ *
+ * Only calls to relays are measured. A leader that sends its orders to the
+ * runners itself has no limit.
  */
 
 #include "types.h"
@@ -25,7 +28,7 @@
  * @confirmed: starts that were confirmed in the current interval
  * @held_back: @limit held tasks back in the current interval
  * @held_back_at: end of the last interval in which it did, or 0
- * @per_s: starts confirmed a second, as a moving average over such intervals
+ * @starts_per_s: starts confirmed a second, as a moving average over such intervals
  */
 struct wf_flow {
 	uint32_t limit;
@@ -37,7 +40,7 @@
 	uint32_t confirmed;
 	bool held_back;
 	agb_time held_back_at;
-	uint32_t per_s;
+	uint32_t starts_per_s;
 };
 
 /**
@@ -51,15 +54,23 @@
 uint32_t wf_flow_room(const struct wf_flow *f);
 
 /**
- * wf_flow_hold_back() - note that tasks wait because of the limit
+ * wf_flow_note_held_back() - note that tasks wait because of the limit
+ */
+void wf_flow_note_held_back(struct wf_flow *f);
+
+/**
+ * wf_flow_lift() - set the limit to one that holds nothing back, as nothing is
+ * measured any more
  */
-void wf_flow_hold_back(struct wf_flow *f);
+void wf_flow_lift(struct wf_flow *f);
 
 /**
  * wf_flow_note_answer() - note that a message was answered, or given up
  * @sent_at: when it was sent
+ * @base: time that an answer of the same peer takes when nothing delays it
  */
-void wf_flow_note_answer(struct wf_flow *f, agb_time now, agb_time sent_at);
+void wf_flow_note_answer(
+    struct wf_flow *f, agb_time now, agb_time sent_at, agb_time base);
 
 /**
  * wf_flow_note_confirmed() - note that a runner has confirmed a start
@@ -67,9 +78,9 @@
 void wf_flow_note_confirmed(struct wf_flow *f);
 
 /**
- * wf_flow_limits() - whether the limit has held tasks back recently
+ * wf_flow_is_limiting() - whether the limit has held tasks back recently
  */
-bool wf_flow_limits(const struct wf_flow *f, agb_time now);
+bool wf_flow_is_limiting(const struct wf_flow *f, agb_time now);
 
 /**
  * wf_flow_starts_within() - number of tasks that can be started within a time
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -24,6 +24,9 @@
 /* A result from a relay may arrive this long after the timeout of its order. */
 #define RESULT_MARGIN_MS 300
 #define CALL_TIMEOUT_MS 500
+/* Share of the difference by which an answer that takes longer raises the time
+ * of an undelayed one: after a change of the route it is learned anew. */
+#define ANSWER_TIME_DIVISOR 256
 /* An instance that did not answer is sent no orders for this long. */
 #define RELAY_EXCLUDE_MS 2000
 #define CHECK_INTERVAL_MS 150
@@ -334,6 +337,8 @@
 		n++;
 	}
 	b->use_relays = needs_relays(l, n);
+	if (!b->use_relays)
+		wf_flow_lift(&l->flow);
 	hash = b->use_relays;
 	b->all_relays.runners = n;
 	b->all_relays.relays_len = 0;
@@ -707,6 +712,19 @@
 	p->last_reply_at = now;
 }
 
+static void
+note_answer(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
+    agb_time sent_at)
+{
+	const agb_time took = now - sent_at;
+
+	if (p->answer_time == 0 || took < p->answer_time)
+		p->answer_time = took;
+	else
+		p->answer_time += (took - p->answer_time) / ANSWER_TIME_DIVISOR;
+	wf_flow_note_answer(&l->flow, now, sent_at, p->answer_time);
+}
+
 void
 wf_outbox_call_done(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
     const struct wf_orders_ack *done, struct wf_effects *out)
@@ -718,7 +736,7 @@
 	if (relay >= b->relays_len)
 		return;
 	if (done->answered || done->may_have_arrived)
-		wf_flow_note_answer(&l->flow, now->mono,
+		note_answer(l, now->mono, &b->relays[relay],
 		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
@@ -729,6 +747,10 @@
 	}
 	if (done->answered || !done->may_have_arrived)
 		end_call_orders(l, now, tag, out);
+	else if (wf_flow_is_limiting(&l->flow, now->mono))
+		/* Most calls are late at present, so that this one tells
+		 * nothing about the relay. */
+		return;
 	wf_outbox_relay_lost(
 	    l, now, relay, done->answered ? "refused" : "no answer", out);
 }
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -37,6 +37,8 @@
  *	units of agb_time; valid when @clock_read_at is not 0
  * @clock_read_at: when @clock_offset was last set
  * @last_reply_at: when it last answered a call or reported a result
+ * @answer_time: time that it takes to answer a call when nothing delays it;
+ *	0 while unknown
  * @last_call_at: when the last call was sent to it
  * @excluded_until: it is sent no orders before this time
  * @usable: it can be sent orders now
@@ -53,6 +55,7 @@
 	int64_t clock_offset;
 	agb_time clock_read_at;
 	agb_time last_reply_at;
+	agb_time answer_time;
 	agb_time last_call_at;
 	agb_time excluded_until;
 	bool usable;
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -221,8 +221,11 @@
 	if (!ok && c.relay < l->outbox.relays_len) {
 		agb_str_copy(
 		    domain, sizeof(domain), l->outbox.relays[c.relay].domain);
-		wf_outbox_relay_lost(
-		    l, now, c.relay, "did not acknowledge pushed states", out);
+		/* While most messages are late, a late acknowledgement tells
+		 * nothing about the relay. */
+		if (!wf_flow_is_limiting(&l->flow, now->mono))
+			wf_outbox_relay_lost(l, now, c.relay,
+			    "did not acknowledge pushed states", out);
 		push_to_domain(l, now, domain, c.items, c.len, out);
 	}
 	records_free(c.items, c.len);
@@ -276,7 +279,7 @@
 		(peers < DIRECT_PEERS_MAX ? peers : DIRECT_PEERS_MAX);
 
 	return ms *
-	    (wf_flow_limits(&l->flow, now) ? PUSH_HELD_BACK_FACTOR : 1) *
+	    (wf_flow_is_limiting(&l->flow, now) ? PUSH_HELD_BACK_FACTOR : 1) *
 	    AGB_MS;
 }
 
--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -96,15 +96,19 @@
 {
 	static const struct {
 		uint64_t seed;
-		unsigned load_percent, link_kbps;
+		unsigned load_percent, link_kbps, latency_ms;
 	} cases[] = {
-	    {1, 150, 0}, /* unlimited: the runners and the advice suffice */
-	    {1, 250, 0},
-	    {1, 150, 1000},
-	    {2, 150, 1000},
-	    {3, 150, 1000},
-	    {1, 250, 2000},
-	    {2, 250, 2000},
+	    {1, 150, 0, 0}, /* unlimited: the runners and the advice suffice */
+	    {1, 250, 0, 0},
+	    {1, 150, 0, 60}, /* far instances: late answers, but no overload */
+	    {1, 150, 1000, 0},
+	    {2, 150, 1000, 0},
+	    {3, 150, 1000, 0},
+	    {1, 150, 1000, 5},
+	    {1, 150, 1000, 10},
+	    {1, 250, 2000, 0},
+	    {2, 250, 2000, 0},
+	    {1, 250, 2000, 10},
 	};
 	struct sim_options o = small_links;
 	struct sim *s;
@@ -113,6 +117,7 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		o.seed = cases[i].seed;
 		o.link_kbps = cases[i].link_kbps;
+		o.latency_ms = cases[i].latency_ms;
 		s = sim_new(&o);
 		sim_run(s, WARM_UP_MS);
 		run_load(s, LOAD_MS, cases[i].load_percent);
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -437,16 +437,17 @@
 		const char *name;
 		uint32_t limit, in_flight, late, on_time;
 		bool held_back, sent_before_reduction;
-		uint32_t limit_after;
+		uint32_t limit_after, base_ms;
 	} cases[] = {
-	    {"most answers are late", 400, 200, 9, 1, false, false, 140},
-	    {"as many are in time", 400, 200, 5, 5, false, false, 400},
-	    {"too few to judge", 400, 200, 2, 0, false, false, 400},
+	    {"most answers are late", 400, 200, 9, 1, false, false, 140, 20},
+	    {"the peer is far away", 400, 200, 9, 1, false, false, 400, 250},
+	    {"as many are in time", 400, 200, 5, 5, false, false, 400, 0},
+	    {"too few to judge", 400, 200, 2, 0, false, false, 400, 0},
 	    {"sent before the last reduction", 400, 200, 9, 0, false, true,
 		400},
-	    {"not below the minimum", 20, 20, 9, 0, true, false, 16},
-	    {"tasks are held back", 80, 80, 0, 9, true, false, 90},
-	    {"no task is held back", 80, 10, 0, 9, false, false, 80},
+	    {"not below the minimum", 20, 20, 9, 0, true, false, 16, 0},
+	    {"tasks are held back", 80, 80, 0, 9, true, false, 90, 0},
+	    {"no task is held back", 80, 10, 0, 9, false, false, 80, 0},
 	};
 	const agb_time start = 10 * AGB_SEC, now = start + AGB_SEC;
 	struct wf_flow f;
@@ -460,17 +461,19 @@
 		if (cases[i].sent_before_reduction)
 			f.reduced_at = now;
 		if (cases[i].held_back)
-			wf_flow_hold_back(&f);
+			wf_flow_note_held_back(&f);
 		/* The last answer closes the interval. */
 		f.interval_start = now;
 		for (n = 0; n + 1 < cases[i].late + cases[i].on_time; n++)
 			wf_flow_note_answer(&f, now,
 			    n < cases[i].late ? now - 300 * AGB_MS
-					      : now - 20 * AGB_MS);
+					      : now - 20 * AGB_MS,
+			    cases[i].base_ms * AGB_MS);
 		f.interval_start = start;
 		wf_flow_note_answer(&f, now,
 		    cases[i].on_time > 0 ? now - 20 * AGB_MS
-					 : now - 300 * AGB_MS);
+					 : now - 300 * AGB_MS,
+		    cases[i].base_ms * AGB_MS);
 		if (f.limit != cases[i].limit_after)
 			printf("\n  %s: limit %u\n", cases[i].name, f.limit);
 		CU_ASSERT_EQUAL(f.limit, cases[i].limit_after);
@@ -504,9 +507,9 @@
 		for (n = 0; n < cases[i].confirmed; n++)
 			wf_flow_note_confirmed(&f);
 		if (cases[i].held_back)
-			wf_flow_hold_back(&f);
+			wf_flow_note_held_back(&f);
 		f.on_time = 10;
-		wf_flow_note_answer(&f, now, now - 20 * AGB_MS);
+		wf_flow_note_answer(&f, now, now - 20 * AGB_MS, 0);
 		CU_ASSERT_EQUAL(
 		    wf_flow_starts_within(&f, now + cases[i].later_ms * AGB_MS,
 			cases[i].within_ms),
