fix(workflow): a write with an unknown outcome at a peer counts as lost

A status that this release does not know, in the reply of a peer to a write, was passed on as it was. It is not the status of a lost write, so that a client could have been told 503 for a job that is stored.

The test "unknown statuses of writes are lost" failed before in three of its six cases.

--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -455,6 +455,15 @@
 	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
 }
 
+/* A write with an unknown outcome may have been carried out. */
+static enum agb_store_status
+decode_store_status(int status)
+{
+	return status == AGB_STORE_OK || status == AGB_STORE_REFUSED
+	    ? (enum agb_store_status)status
+	    : AGB_STORE_LOST;
+}
+
 /* The reply to a write made through another instance is reported like the
  * result of a write to the store. */
 static void
@@ -467,8 +476,7 @@
 	memset(&store, 0, sizeof(store));
 	store.status = sent ? AGB_STORE_LOST : AGB_STORE_REFUSED;
 	if (res != NULL) {
-		store.status =
-		    (enum agb_store_status)res->agb_x_res_u.put.status;
+		store.status = decode_store_status(res->agb_x_res_u.put.status);
 		store.succeeded = res->agb_x_res_u.put.stored;
 		store.revision = res->agb_x_res_u.put.revision;
 	}
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -2,8 +2,9 @@
  * DOC: test_wf_relay
  *
  * Relaying of a leader's orders through other instances: delta encoding of run
- * lists, acceptance of orders by a relay, decoding of order messages, and
- * clusters with failing relays and leaders in simulated time.
+ * lists, acceptance of orders by a relay, decoding of order messages and of
+ * replies to writes, and clusters with failing relays and leaders in simulated
+ * time.
  */
 
 #include <stdbool.h>
@@ -403,6 +404,85 @@
 	loop_close(&loop);
 }
 
+/* ---- writes through another instance ---- */
+
+/* A peer that answers each write with @status, and the outcome that the
+ * instance under test reports. */
+struct put_peer {
+	struct agb_rpc *rpc;
+	int status;
+	int results;
+	enum agb_store_status outcome;
+};
+
+static void
+answer_put(void *arg, uint64_t token, const char *peer, agb_x_args *args)
+{
+	struct put_peer *const p = arg;
+	agb_x_res res = {.proc = AGB_X_PUT};
+
+	res.agb_x_res_u.put.status = p->status;
+	agb_rpc_reply(p->rpc, token, &res);
+	xdr_free((xdrproc_t)xdr_agb_x_args, (char *)args);
+}
+
+static void
+on_put_result(void *arg, struct wf_event *ev)
+{
+	struct put_peer *const p = arg;
+
+	p->results++;
+	if (ev->type == WF_EV_STORE)
+		p->outcome = ev->u.store->status;
+}
+
+/* A write that a peer answers with an unknown status may have been carried out
+ * and must count as lost. Otherwise a client could be told that its job was
+ * refused although it is stored. */
+static void
+unknown_statuses_of_writes_are_lost(void)
+{
+	static const struct {
+		int status;
+		enum agb_store_status outcome;
+	} cases[] = {
+	    {AGB_STORE_OK, AGB_STORE_OK},
+	    {AGB_STORE_REFUSED, AGB_STORE_REFUSED},
+	    {AGB_STORE_LOST, AGB_STORE_LOST},
+	    {AGB_STORE_LOST + 1, AGB_STORE_LOST},
+	    {-1, AGB_STORE_LOST},
+	    {INT32_MAX, AGB_STORE_LOST},
+	};
+	static const struct wf_rpc_cbs cbs = {.event = on_put_result};
+	static const struct agb_rpc_cbs peer_cbs = {.call = answer_put};
+	agb_addr ip = "127.0.0.1";
+	struct wf_effect put = {.type = WF_EF_PEER_PUT,
+	    .tag = (uint64_t)1 << 63,
+	    .timeout_ms = 2000,
+	    .u.record = {.key = "k", .val = (char *)(uintptr_t) "v", .len = 1}};
+	struct put_peer p;
+	struct wf_rpc *rpc;
+	uv_loop_t loop;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&p, 0, sizeof(p));
+		p.status = cases[i].status;
+		uv_loop_init(&loop);
+		p.rpc = agb_rpc_new(&loop, "127.0.0.1:0", &peer_cbs, &p);
+		agb_rpc_set_allowed_ips(p.rpc, &ip, 1);
+		rpc = wf_rpc_new(&loop, "127.0.0.1:0", &cbs, &p);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(rpc);
+		agb_str_copy(put.peer, sizeof(put.peer), agb_rpc_addr(p.rpc));
+		(void)wf_rpc_perform(rpc, &put);
+		loop_until(&loop, &p.results, 1);
+		CU_ASSERT_EQUAL(p.outcome, cases[i].outcome);
+		wf_rpc_free(rpc);
+		agb_rpc_free(p.rpc);
+		loop_close(&loop);
+	}
+}
+
 /* ---- clusters in simulated time ---- */
 
 static struct sim *
@@ -691,6 +771,8 @@
     {"stale orders are rejected", stale_orders_are_rejected},
     {"full lists of ends stay full", full_lists_of_ends_stay_full},
     {"unknown order kinds are rejected", unknown_order_kinds_are_rejected},
+    {"unknown statuses of writes are lost",
+	unknown_statuses_of_writes_are_lost},
     {"small leader uses relays", small_leader_uses_relays},
     {"large leader sends directly", large_leader_sends_directly},
     {"tasks survive relay faults", tasks_survive_relay_faults},
