--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -630,7 +630,7 @@
 static agb_time
 end_batch_time(const struct wf_leader *l, agb_time now)
 {
-	const unsigned factor =
+	const agb_time factor =
 	    wf_flow_is_limiting(&l->flow, now) ? END_BATCH_HELD_BACK_FACTOR : 1;
 
 	return factor * END_BATCH_MS * AGB_MS;
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -274,8 +274,8 @@
 push_interval(const struct wf_leader *l, agb_time now)
 {
 	const unsigned peers = HASH_COUNT(l->table->peers);
-	const unsigned ms = PUSH_INTERVAL_MS +
-	    PUSH_INTERVAL_PER_PEER_MS *
+	const agb_time ms = PUSH_INTERVAL_MS +
+	    (agb_time)PUSH_INTERVAL_PER_PEER_MS *
 		(peers < DIRECT_PEERS_MAX ? peers : DIRECT_PEERS_MAX);
 
 	return ms *
