fix(workflow): a wide gang renews the tickets of runners with room

Callers saw accepted jobs that never ran, although most of the room was free: gangs of 55 to 92 tasks. One call for advice names at most 100 runners. A gang that has waited has more approved runners than that, and its renewals named the 100 that were approved first, while room was reserved on those with the most room. The tickets of the reserved runners stayed expired, so that the gang did not start, kept the room from others, and called the advice service again as soon as an answer came.

A renewal now names the runners with the most room at the planned start.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -598,21 +598,41 @@
 	p->l->runners[ri].reserved = true;
 }
 
+/* Sorts the runners of the plans by their room at the planned time @at, most
+ * first. */
+static void
+sort_by_room(const struct room_plan *plans, size_t len, size_t at,
+    struct runner_offer *o)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		o[i].fit = plans[i].fit[at];
+		o[i].runner = plans[i].runner;
+	}
+	if (len > 1)
+		qsort(o, len, sizeof(*o), compare_offers);
+}
+
 /* Reserves room for a gang that does not fit now. Otherwise small tasks would
- * take all resources as they become free, and the gang would starve.
+ * take all resources as they become free, and the gang would starve. Leaves the
+ * eligible runners in the pass's list @stale, those with the most room first, as
+ * one call cannot renew the tickets of more than WF_ADVICE_RUNNERS_MAX of them;
+ * @listed is set to their number.
  * Return: when it is expected to start. */
 static agb_time
-reserve_for_gang(
-    struct dispatch_pass *p, struct wf_unit *u, const struct wf_queue *q)
+reserve_for_gang(struct dispatch_pass *p, struct wf_unit *u,
+    const struct wf_queue *q, size_t *listed)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	struct runner_offer *offers;
 	struct room_plan *plans;
 	uint32_t left, count;
-	size_t len, n, i, at;
+	size_t len, i, at;
 	agb_time start_at;
 
 	len = list_eligible_runners(p, u, q, p->stale);
+	*listed = len;
 	plans = agb_xcalloc(len + 1, sizeof(*plans));
 	for (i = 0; i < len; i++)
 		room_plan_init(p, u, p->stale[i], &plans[i]);
@@ -624,19 +644,14 @@
 	p->reservations_made++;
 	start_at = p->now->mono + plan_offsets_ms[at] * AGB_MS;
 	offers = agb_xcalloc(len + 1, sizeof(*offers));
-	n = 0;
-	for (i = 0; i < len; i++) {
-		if (plans[i].fit[at] == 0)
-			continue;
-		offers[n].fit = plans[i].fit[at];
-		offers[n++].runner = plans[i].runner;
-	}
-	if (n > 1)
-		qsort(offers, n, sizeof(*offers), compare_offers);
+	sort_by_room(plans, len, at, offers);
 	left = u->waiting;
-	for (i = 0; i < n && left > 0; i++) {
+	for (i = 0; i < len; i++) {
+		p->stale[i] = offers[i].runner;
 		count = offers[i].fit < left ? offers[i].fit : left;
-		reserve_on_runner(p, step, offers[i].runner, count, start_at);
+		if (count > 0)
+			reserve_on_runner(
+			    p, step, offers[i].runner, count, start_at);
 		left -= count;
 	}
 	free(offers);
@@ -767,7 +782,7 @@
 place_gang(struct dispatch_pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	size_t len, stale_len, i;
+	size_t len, stale_len, listed, i;
 	agb_time start_at;
 	uint64_t room;
 
@@ -792,10 +807,11 @@
 		return;
 	}
 	start_at = AGB_TIME_MAX;
+	listed = 0;
 	if (p->reservations_made < RESERVATIONS_MIN +
 		    p->l->runners_len / RUNNERS_PER_RESERVATION &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
-		start_at = reserve_for_gang(p, u, q);
+		start_at = reserve_for_gang(p, u, q, &listed);
 	if (start_at != AGB_TIME_MAX && stale_len == 0 && q->advice_required) {
 		/* Tickets have to be valid when there is room. */
 		for (i = 0; i < u->approvals_len; i++) {
@@ -804,10 +820,12 @@
 				stale_len++;
 		}
 	}
-	/* Renews the tickets of all approved runners, also of those without
-	 * room now. */
+	/* Renews the tickets of as many approved runners as one call may name,
+	 * also of those without room now. */
 	if (stale_len > 0)
-		stale_len = list_eligible_runners(p, u, q, p->stale);
+		stale_len = listed < WF_ADVICE_RUNNERS_MAX
+		    ? listed
+		    : WF_ADVICE_RUNNERS_MAX;
 	request_advice(p, u, q, stale_len, start_at);
 }
 
