fix(workflow): a gang that starts over waits for the limit of starts

A gang was placed beyond the limit while it had a repair deadline. The deadline is also set when the last of its members is returned to the queue: then nothing waits for them, and the whole gang was assigned again at once, however full the link was. Starts of gangs that came too late so went on without a limit.

Beyond the limit go only the members that others of the gang, which are assigned, wait for.

New test test_wf_flow; the case with all starts not sent failed before (4 of 4 tasks assigned with no room, 0 expected).

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -655,6 +655,14 @@
 	return u->active > 0 ? now >= u->repair_deadline : u->allocated > 0;
 }
 
+/* Whether tasks that are assigned wait for the rest of the unit: members of a
+ * gang, for those whose start has failed. */
+static bool
+is_awaited(const struct wf_unit *u)
+{
+	return wf_unit_step(u)->gang && u->active > 0;
+}
+
 static int
 compare_rooms(const void *a, const void *b)
 {
@@ -878,10 +886,7 @@
 	p.ends = agb_xcalloc(p.ends_cap, sizeof(*p.ends));
 	part = WF_PART_SORT;
 	for (i = 0; i < len; i++) {
-		/* The other members of a gang wait for those whose start has
-		 * failed. */
-		if (wf_flow_room(&l->flow) == 0 &&
-		    list[i].unit->repair_deadline == 0)
+		if (wf_flow_room(&l->flow) == 0 && !is_awaited(list[i].unit))
 			continue;
 		gang = wf_unit_step(list[i].unit)->gang;
 		if (part != (gang ? WF_PART_GANGS : WF_PART_TASKS)) {
--- /dev/null
+++ b/tests/test_wf_flow.c
@@ -0,0 +1,189 @@
+/**
+ * DOC: test_wf_flow
+ *
+ * The limit of the starts in flight at a leader: what counts as in flight, and
+ * what may go beyond the limit.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "suite.h"
+#include "wf_leader.h"
+
+#define JOB "00000000000000aa"
+#define TASKS 4
+#define RUNNERS 6
+#define FENCE 5
+
+/**
+ * struct fixture - a leader of RUNNERS runners and one job
+ * @e: the job, one step of TASKS tasks that are assigned
+ */
+struct fixture {
+	struct wf_config cfg;
+	struct wf_meter meter;
+	struct wf_table table;
+	struct wf_queue queue;
+	struct wf_doc doc;
+	struct wf_now now;
+	struct wf_effects out;
+	struct wf_leader *l;
+	struct wf_exec *e;
+};
+
+static void
+add_runners(struct fixture *f)
+{
+	struct wf_runner_change items[RUNNERS];
+	const struct wf_registry_update update = {
+	    .full = true, .items = items, .items_len = RUNNERS};
+	size_t i;
+
+	memset(items, 0, sizeof(items));
+	for (i = 0; i < RUNNERS; i++) {
+		struct wf_runner_info *const info = &items[i].info;
+
+		snprintf(info->id, sizeof(info->id), "r-%zu", i);
+		agb_str_copy(info->service, sizeof(info->service), "svc");
+		agb_str_copy(info->addr, sizeof(info->addr), "10.1.0.1:1");
+		info->capacity.cpu_milli = 1000;
+		info->started_ms = 1;
+	}
+	wf_fleet_apply_changes(f->l, &f->now, &update, &f->out);
+	for (i = 0; i < f->l->runners_len; i++)
+		f->l->runners[i].reported = true;
+}
+
+static void
+add_job(struct fixture *f, bool gang)
+{
+	struct wf_spec *const spec = agb_xcalloc(1, sizeof(*spec));
+	struct wf_job *j;
+
+	spec->repeat_count = 1;
+	spec->payload = agb_xstrdup("x");
+	spec->payload_len = 1;
+	spec->steps_len = 1;
+	spec->steps = agb_xcalloc(1, sizeof(*spec->steps));
+	spec->steps[0].count = TASKS;
+	spec->steps[0].need.cpu_milli = 1000;
+	spec->steps[0].estimate_ms = 1000;
+	spec->steps[0].gang = gang;
+	agb_str_copy(spec->queue, sizeof(spec->queue), "q");
+	j = wf_table_put_spec(&f->table, JOB, 1, spec);
+	wf_leader_update_job(f->l, &f->now, j, &f->out);
+	f->e = j->exec;
+}
+
+static void
+dispatch(struct fixture *f)
+{
+	f->now.mono += AGB_SEC;
+	(void)wf_dispatch(f->l, &f->now, &f->out);
+}
+
+/* Sends the starts of all tasks that are assigned. */
+static void
+send_starts(struct fixture *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < TASKS; i++)
+		f->e->tasks[i].intent_in_write =
+		    f->e->tasks[i].state == WF_TASK_INTENT;
+	wf_commit_send_starts(f->l, &f->now, f->e, &f->out);
+}
+
+static void
+fixture_init(struct fixture *f, bool gang)
+{
+	memset(f, 0, sizeof(*f));
+	f->now = (struct wf_now){.mono = 10 * AGB_SEC, .unix_ms = 10000};
+	wf_meter_init(&f->meter, NULL, NULL);
+	agb_str_copy(f->queue.name, sizeof(f->queue.name), "q");
+	agb_str_copy(f->queue.service, sizeof(f->queue.service), "svc");
+	f->doc.queues = &f->queue;
+	f->doc.queues_len = 1;
+	f->l = wf_leader_new(
+	    FENCE, &f->cfg, &f->meter, &f->table, &f->doc, &f->now, &f->out);
+	f->l->valid_until = 1000 * AGB_SEC;
+	add_runners(f);
+	add_job(f, gang);
+	dispatch(f);
+	send_starts(f);
+}
+
+static void
+fixture_free(struct fixture *f)
+{
+	wf_leader_free(f->l);
+	wf_table_free(&f->table);
+	wf_effects_free(&f->out);
+}
+
+/* Hands the leader the result of the start of a task. */
+static void
+end_start(struct fixture *f, uint32_t task, enum wf_order_status status)
+{
+	const struct wf_task *const t = &f->e->tasks[task];
+	struct wf_order_result res = {.kind = WF_ORDER_START,
+	    .status = status,
+	    .relay = WF_NO_HANDLE,
+	    .fence = FENCE,
+	    .runner = t->runner,
+	    .incarnation = t->incarnation,
+	    .run = t->run,
+	    .sent_at = t->sent_at};
+
+	wf_unit_task_ref(&f->e->units[0], task, &res.task);
+	wf_fleet_handle_result(f->l, &f->now, &res, &f->out);
+}
+
+/* The limit has no room when the starts of some members of a gang were not
+ * sent. Guards against gangs that go beyond the limit for each start of all
+ * their members: on a full link they fail, and are given again, at once. */
+static void
+only_the_rest_of_a_gang_goes_beyond_the_limit(void)
+{
+	static const struct {
+		uint32_t failed, waiting_after;
+	} cases[] = {
+	    {1, 0},
+	    {TASKS - 1, 0},
+	    {TASKS, TASKS},
+	};
+	struct fixture f;
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, true);
+		CU_ASSERT_EQUAL(f.l->flow.in_flight, TASKS);
+		f.now.mono += 300 * AGB_MS;
+		for (k = 0; k < cases[i].failed; k++)
+			end_start(&f, k, WF_ORDER_UNRELAYED);
+		CU_ASSERT_EQUAL(f.e->units[0].waiting, cases[i].failed);
+		f.l->flow.limit = f.l->flow.in_flight;
+		dispatch(&f);
+		CU_ASSERT_EQUAL(f.e->units[0].waiting, cases[i].waiting_after);
+		/* With room it starts. */
+		f.l->flow.limit = f.l->flow.in_flight + 1;
+		dispatch(&f);
+		CU_ASSERT_EQUAL(f.e->units[0].waiting, 0);
+		fixture_free(&f);
+	}
+}
+
+static const struct suite_test tests[] = {
+    {"gangs: only the rest of one goes beyond the limit",
+	only_the_rest_of_a_gang_goes_beyond_the_limit},
+};
+
+int
+main(void)
+{
+	return suite_run("wf_flow", tests, sizeof(tests) / sizeof(tests[0]));
+}
