fix(workflow): an unanswered start is not in flight any more

The start of a task whose runner does not answer counted as in flight until the task was requeued, up to 7 s later when the runner is cut off. Such starts are on no link any more, but they took the room of others: 16 of them stop all starts while the limit is at its minimum.

A start leaves the flight when its order is given up as unanswered.

test_wf_flow, table of the results of a start: the unanswered one failed before (4 in flight, 3 expected).

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -494,6 +494,13 @@
 	task_leave_flight(l, t);
 }
 
+void
+wf_task_mark_unanswered(struct wf_leader *l, struct wf_task *t)
+{
+	t->start_unanswered = true;
+	task_leave_flight(l, t);
+}
+
 void
 wf_task_assign(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_task *t, uint32_t runner, uint32_t run)
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -1161,7 +1161,7 @@
 	wf_outbox_avoid_relay(&l->runners[t->runner], res->relay);
 	exclude_runner(
 	    &l->runners[t->runner], now->mono, EXCLUDE_UNANSWERED_MS);
-	t->start_unanswered = true;
+	wf_task_mark_unanswered(l, t);
 	wf_effects_log_run(out, AGB_LOG_INFO, "unanswered", &res->task, t->run,
 	    l->runners[t->runner].info.id, "%s", "");
 	send_extra_hold(l, now, t->runner);
--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -21,7 +21,8 @@
 /**
  * struct wf_flow - flow control of a leader
  * @limit: starts that may be in flight
- * @in_flight: tasks that are assigned and not confirmed or given up
+ * @in_flight: tasks that are assigned and whose start is neither answered nor
+ *	given up
  * @interval_start: when the current interval of measurement began
  * @reduced_at: when @limit was reduced last; messages sent before do not count
  * @on_time, @late: answers in the current interval
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -64,8 +64,8 @@
  * @recovered: started by an earlier leader; its runner has not listed it to
  *	this leader yet
  * @stopping: has to stop; the order is repeated until the end is confirmed
- * @in_flight: assigned, and neither confirmed by its runner nor released; see
- *	struct wf_flow
+ * @in_flight: assigned, and its start neither answered nor given up; see struct
+ *	wf_flow
  * @start_unanswered: the answer to its start order was lost
  * @intent_in_write: a pending write contains its intent
  * @sent_at: when the start was sent, or the task assigned
@@ -689,6 +689,12 @@
  */
 void wf_task_confirm(struct wf_leader *l, struct wf_task *t, agb_time now);
 
+/**
+ * wf_task_mark_unanswered() - note that a task's start was not answered in time,
+ * so that its order and the answer are not on their way any more
+ */
+void wf_task_mark_unanswered(struct wf_leader *l, struct wf_task *t);
+
 /**
  * wf_task_allocate() - allocate the resources of a task on its runner
  */
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -177,7 +177,43 @@
 	}
 }
 
+/* Guards against starts to runners that do not answer which count as in flight
+ * until the leases of the runners have ended: they leave no room for other
+ * starts, and a limit at its minimum lets none pass. */
+static void
+start_is_in_flight_until_it_ends(void)
+{
+	static const struct {
+		enum wf_order_status status;
+		uint32_t in_flight_after;
+	} cases[] = {
+	    {WF_ORDER_OK, TASKS - 1},
+	    {WF_ORDER_LOST, TASKS - 1},
+	    {WF_ORDER_UNSENT, TASKS - 1},
+	    {WF_ORDER_UNRELAYED, TASKS - 1},
+	    {WF_ORDER_TICKET_EXPIRED, TASKS - 1},
+	    /* It is sent again, with the payload. */
+	    {WF_ORDER_NO_PAYLOAD, TASKS},
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, false);
+		CU_ASSERT_EQUAL(f.l->flow.in_flight, TASKS);
+		f.now.mono += 300 * AGB_MS;
+		end_start(&f, 0, cases[i].status);
+		CU_ASSERT_EQUAL(f.l->flow.in_flight, cases[i].in_flight_after);
+		wf_exec_finish(f.l, &f.now, f.e, WF_JOB_CANCELLED, "", &f.out);
+		while (f.l->execs != NULL)
+			wf_exec_free(f.l, f.l->execs);
+		CU_ASSERT_EQUAL(f.l->flow.in_flight, 0);
+		fixture_free(&f);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"starts: in flight until they end", start_is_in_flight_until_it_ends},
     {"gangs: only the rest of one goes beyond the limit",
 	only_the_rest_of_a_gang_goes_beyond_the_limit},
 };
