fix(workflow): a delay that lasts some seconds does not count as distance

The time of an undelayed answer rose by a 256th of the difference with each answer. With 100 calls a second to a relay, answers that took 400 ms in place of 20 ms counted as in time after less than 4 s: the limit of starts rose again although each start came too late, which the limit is there to prevent. The time now rises by the time that has passed, with a constant of 30 s.

test_wf_flow, table of delays: 10 s of 400 ms at 100 and 500 calls a second, and 2 s of 180 ms at 100, were not late before. A way that is longer for good still counts as distance after 40 s.

--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -24,9 +24,11 @@
 /* A result from a relay may arrive this long after the timeout of its order. */
 #define RESULT_MARGIN_MS 300
 #define CALL_TIMEOUT_MS 500
-/* Share of the difference by which an answer that takes longer raises the time
- * of an undelayed one: after a change of the route it is learned anew. */
-#define ANSWER_TIME_DIVISOR 256
+/* Time in which answers that all take longer raise the time of an undelayed one
+ * by two thirds of the difference: after a change of the route it is learned
+ * anew. It is longer than an overload lasts, so that the delay of one does not
+ * count as distance. */
+#define ANSWER_TIME_MS 30000
 /* An instance that did not answer is sent no orders for this long. */
 #define RELAY_EXCLUDE_MS 2000
 #define CHECK_INTERVAL_MS 150
@@ -717,11 +719,14 @@
     agb_time sent_at)
 {
 	const agb_time took = now - sent_at;
+	const agb_time period = ANSWER_TIME_MS * AGB_MS;
+	const agb_time since = agb_time_min(now - p->answer_time_at, period);
 
 	if (p->answer_time == 0 || took < p->answer_time)
 		p->answer_time = took;
 	else
-		p->answer_time += (took - p->answer_time) / ANSWER_TIME_DIVISOR;
+		p->answer_time += (took - p->answer_time) * since / period;
+	p->answer_time_at = now;
 	wf_flow_note_answer(&l->flow, now, sent_at, p->answer_time);
 }
 
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -39,6 +39,7 @@
  * @last_reply_at: when it last answered a call or reported a result
  * @answer_time: time that it takes to answer a call when nothing delays it;
  *	0 while unknown
+ * @answer_time_at: when @answer_time was updated
  * @last_call_at: when the last call was sent to it
  * @excluded_until: it is sent no orders before this time
  * @usable: it can be sent orders now
@@ -56,6 +57,7 @@
 	agb_time clock_read_at;
 	agb_time last_reply_at;
 	agb_time answer_time;
+	agb_time answer_time_at;
 	agb_time last_call_at;
 	agb_time excluded_until;
 	bool usable;
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -212,7 +212,65 @@
 	}
 }
 
+/* Ends calls to a relay for a while, each of which took the same time. */
+static void
+end_calls(struct fixture *f, uint32_t ms, uint32_t per_s, uint32_t took_ms)
+{
+	const struct wf_orders_ack ack = {
+	    .answered = true, .may_have_arrived = true, .accepted = true};
+	const agb_time end = f->now.mono + ms * AGB_MS;
+	uint64_t number;
+
+	for (number = 1; f->now.mono < end; number++) {
+		f->now.mono += AGB_SEC / per_s;
+		f->l->outbox.call_sent_at[number % WF_OUTBOX_CALLS_MAX] =
+		    f->now.mono - took_ms * AGB_MS;
+		wf_outbox_call_done(
+		    f->l, &f->now, WF_ORDERS_TAG | number, &ack, &f->out);
+	}
+}
+
+/* A relay answers at once, and then each time later. Guards against a delay that
+ * counts as distance after a few seconds of many calls, so that the limit rises
+ * while the links are full, and against a longer way to a relay that counts as a
+ * delay for ever. */
+static void
+lasting_delay_is_no_distance(void)
+{
+	static const struct {
+		uint32_t took_ms, per_s, for_ms;
+		bool late;
+	} cases[] = {
+	    {400, 20, 10000, true},
+	    {400, 100, 10000, true},
+	    {400, 500, 10000, true},
+	    {90, 100, 10000, false},
+	    {180, 100, 2000, true},
+	    {180, 5, 40000, false},
+	    {180, 100, 40000, false},
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, false);
+		f.l->outbox.relays =
+		    agb_xcalloc(1, sizeof(*f.l->outbox.relays));
+		f.l->outbox.relays_len = 1;
+		end_calls(&f, 1000, cases[i].per_s, 20);
+		end_calls(
+		    &f, cases[i].for_ms, cases[i].per_s, cases[i].took_ms);
+		f.l->flow.limit = f.l->flow.in_flight = 400;
+		end_calls(&f, 1000, cases[i].per_s, cases[i].took_ms);
+		if ((f.l->flow.limit < 400) != cases[i].late)
+			printf("\n  case %zu: limit %u\n", i, f.l->flow.limit);
+		CU_ASSERT_EQUAL(f.l->flow.limit < 400, cases[i].late);
+		fixture_free(&f);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"answers: a lasting delay is no distance", lasting_delay_is_no_distance},
     {"starts: in flight until they end", start_is_in_flight_until_it_ends},
     {"gangs: only the rest of one goes beyond the limit",
 	only_the_rest_of_a_gang_goes_beyond_the_limit},
