fix(workflow): repeated pushes of states wait longer while messages are late

While starts are held back, a push that was not acknowledged within 0.5 s was sent to the same instance again at once, and so on for as long as acknowledgements took longer; the instance forwards each repetition to its whole failure domain. Up to 64 pushes did so at the same time. Each repetition now waits twice as long as the one before, up to 4 s, so that a late acknowledgement ends them.

test_wf_flow, table of times to the acknowledgement: one push with 600 ms was sent 20 times in 10 s before, now twice; one that is never acknowledged 20 and 5 times. Without the limit a repetition goes to another instance as before.

--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -21,6 +21,9 @@
  * domain, which forwards them. */
 #define DIRECT_PEERS_MAX 12
 #define PUSH_TIMEOUT_MS 500
+/* While most messages are late, each repetition of a push waits twice as long,
+ * up to this time, so that a late acknowledgement ends the repetitions. */
+#define PUSH_TIMEOUT_MAX_MS 4000
 /* Maximum number of unacknowledged pushes that are kept for a repetition. */
 #define PUSHES_MAX 64
 
@@ -179,7 +182,7 @@
 static void
 push_to_domain(struct wf_leader *l, const struct wf_now *now,
     const char *domain, const struct wf_record *items, size_t len,
-    struct wf_effects *out)
+    uint32_t timeout_ms, struct wf_effects *out)
 {
 	const uint32_t relay = choose_forwarder(l, domain, now->mono);
 	struct wf_show *const s = &l->show;
@@ -193,23 +196,44 @@
 	if (len == 0 || s->pushes_len == PUSHES_MAX)
 		return;
 	ef->tag = WF_SHOW_TAG | ++s->next_tag;
-	ef->timeout_ms = PUSH_TIMEOUT_MS;
+	ef->timeout_ms = timeout_ms;
 	s->pushes =
 	    agb_xreallocarray(s->pushes, s->pushes_len + 1, sizeof(*s->pushes));
 	c = &s->pushes[s->pushes_len++];
 	c->tag = ef->tag;
 	c->relay = relay;
+	c->timeout_ms = timeout_ms;
 	c->items = records_copy(items, len);
 	c->len = len;
 }
 
+/* Repeats a push that was not acknowledged: to another instance of the domain,
+ * or with more time. While most messages are late, a late acknowledgement tells
+ * nothing about the instance. */
+static void
+repeat_push(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_show_push *c, struct wf_effects *out)
+{
+	uint32_t timeout_ms = PUSH_TIMEOUT_MS;
+	agb_id domain;
+
+	agb_str_copy(domain, sizeof(domain), l->outbox.relays[c->relay].domain);
+	if (!wf_flow_is_limiting(&l->flow, now->mono))
+		wf_outbox_relay_lost(
+		    l, now, c->relay, "did not acknowledge pushed states", out);
+	else
+		timeout_ms = c->timeout_ms * 2 < PUSH_TIMEOUT_MAX_MS
+		    ? c->timeout_ms * 2
+		    : PUSH_TIMEOUT_MAX_MS;
+	push_to_domain(l, now, domain, c->items, c->len, timeout_ms, out);
+}
+
 void
 wf_show_push_done(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
     bool ok, struct wf_effects *out)
 {
 	struct wf_show *const s = &l->show;
 	struct wf_show_push c;
-	agb_id domain;
 	size_t i;
 
 	for (i = 0; i < s->pushes_len && s->pushes[i].tag != tag; i++)
@@ -218,16 +242,8 @@
 		return;
 	c = s->pushes[i];
 	s->pushes[i] = s->pushes[--s->pushes_len];
-	if (!ok && c.relay < l->outbox.relays_len) {
-		agb_str_copy(
-		    domain, sizeof(domain), l->outbox.relays[c.relay].domain);
-		/* While most messages are late, a late acknowledgement tells
-		 * nothing about the relay. */
-		if (!wf_flow_is_limiting(&l->flow, now->mono))
-			wf_outbox_relay_lost(l, now, c.relay,
-			    "did not acknowledge pushed states", out);
-		push_to_domain(l, now, domain, c.items, c.len, out);
-	}
+	if (!ok && c.relay < l->outbox.relays_len)
+		repeat_push(l, now, &c, out);
 	records_free(c.items, c.len);
 }
 
@@ -248,8 +264,8 @@
 				break;
 		}
 		if (k == i)
-			push_to_domain(
-			    l, now, relays[i].domain, items, len, out);
+			push_to_domain(l, now, relays[i].domain, items, len,
+			    PUSH_TIMEOUT_MS, out);
 	}
 }
 
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -34,11 +34,13 @@
 /**
  * struct wf_show_push - push that has not been acknowledged
  * @relay: handle of the instance that forwards it in its failure domain
+ * @timeout_ms: how long it waits for the acknowledgement
  * @items: copies of the records, to be sent again when the push fails
  */
 struct wf_show_push {
 	uint64_t tag;
 	uint32_t relay;
+	uint32_t timeout_ms;
 	struct wf_record *items;
 	size_t len;
 };
@@ -79,7 +81,7 @@
 
 /**
  * wf_show_push_done() - process the outcome of a push
- * @ok: the peer acknowledged it; otherwise it is sent to another instance of
+ * @ok: the peer acknowledged it; otherwise it is sent again to an instance of
  *	the same failure domain
  */
 void wf_show_push_done(struct wf_leader *l, const struct wf_now *now,
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -269,7 +269,105 @@
 	}
 }
 
+/* More than the leader pushes to itself. */
+#define PEERS 13
+
+/* Adds enough instances of one failure domain for pushes to go through one of
+ * them. */
+static void
+add_peers(struct fixture *f)
+{
+	struct wf_peer *p;
+	size_t i;
+
+	for (i = 0; i < PEERS; i++) {
+		p = agb_xcalloc(1, sizeof(*p));
+		snprintf(p->name, sizeof(p->name), "i-%zu", i);
+		snprintf(p->rpc, sizeof(p->rpc), "10.0.0.%zu:1", i);
+		HASH_ADD_STR(f->table.peers, name, p);
+	}
+	wf_leader_update_peers(f->l);
+}
+
+/* Finds a push that expects an acknowledgement among the effects from @from
+ * on. */
+static const struct wf_effect *
+find_push(const struct fixture *f, size_t from)
+{
+	size_t i;
+
+	for (i = from; i < f->out.len; i++) {
+		if (f->out.items[i].type == WF_EF_PEER_PUSH &&
+		    f->out.items[i].tag != 0)
+			return &f->out.items[i];
+	}
+	return NULL;
+}
+
+/* Acknowledges a push and its repetitions after some time, or never.
+ * Return: how often it was sent within @ms. */
+static uint32_t
+count_pushes(struct fixture *f, uint32_t ms, uint32_t ack_ms, bool limiting)
+{
+	const agb_time end = f->now.mono + ms * AGB_MS;
+	const struct wf_effect *push;
+	uint32_t n;
+	bool ok;
+	size_t from;
+
+	from = f->out.len;
+	(void)wf_show_tick(f->l, &f->now, &f->out);
+	for (n = 0; f->now.mono < end; n++) {
+		push = find_push(f, from);
+		if (push == NULL)
+			break;
+		from = f->out.len;
+		ok = ack_ms <= push->timeout_ms;
+		f->now.mono += (ok ? ack_ms : push->timeout_ms) * AGB_MS;
+		f->l->flow.held_back_at = limiting ? f->now.mono : 0;
+		wf_show_push_done(f->l, &f->now, push->tag, ok, &f->out);
+	}
+	return n;
+}
+
+/* Guards against states that are pushed again and again, each time before the
+ * acknowledgement can arrive, so that the repetitions keep the links full. */
+static void
+late_acknowledgement_ends_a_push(void)
+{
+	static const struct {
+		uint32_t ack_ms;
+		bool limiting;
+		uint32_t pushes;
+	} cases[] = {
+	    {100, false, 1},
+	    {100, true, 1},
+	    {600, true, 2},
+	    {1800, true, 3},
+	    {UINT32_MAX, true, 5},
+	    /* Each repetition goes to another instance. */
+	    {600, false, 20},
+	};
+	struct fixture f;
+	uint32_t n;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, false);
+		add_peers(&f);
+		f.now.mono += AGB_SEC;
+		wf_show_add_state(f.l, JOB, WF_JOB_RUNNING);
+		n = count_pushes(&f, 10000, cases[i].ack_ms, cases[i].limiting);
+		if (n != cases[i].pushes)
+			printf("\n  case %zu: %u pushes\n", i, n);
+		CU_ASSERT_EQUAL(n, cases[i].pushes);
+		fixture_free(&f);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"pushes: a late acknowledgement ends one",
+	late_acknowledgement_ends_a_push},
     {"answers: a lasting delay is no distance", lasting_delay_is_no_distance},
     {"starts: in flight until they end", start_is_in_flight_until_it_ends},
     {"gangs: only the rest of one goes beyond the limit",
