fix(owner): a lost attempt at an unknown worker counts as ended only after its session

Cause: an entry instance that has lost the answer of a runner asks for the next attempt of the idempotent request and names the lost one. A new owner took an attempt of an older epoch for ended when it did not know its worker: one that was missing from the instance list, or was removed from the table as soon as the list reported it gone. The runner could still be working, and a second runner got the request beside it.

Change: such an attempt has ended once its worker has been missing for as long as its session can last (10 s and the margin of 3 s), as for tasks. Gone workers stay in the table until then. Before that the entry instance asks again, and the caller is told that the request may have run when its deadline passes.

--- a/src/agatebeam/owner_grant.c
+++ b/src/agatebeam/owner_grant.c
@@ -105,18 +105,37 @@
 static void release_attempt(struct agb_owner *o, agb_time now,
     const agb_x_release *r, struct agb_effects *out);
 
+/*
+ * Whether a lost attempt that an older owner granted has certainly ended. When
+ * its worker accepts this epoch, it reports the attempts that its runner is busy
+ * with; others cannot start any more. Without that report, the worker has to be
+ * missing from the instance list until its session has expired. The worker of
+ * an attempt that is not known here was missing since the election: a worker
+ * that leaves the list stays known until its session has expired.
+ */
+static bool
+older_attempt_ended(
+    const struct agb_owner *o, agb_time now, const char *worker_id)
+{
+	const struct own_worker *const w = own_worker_find(o, worker_id);
+
+	if (w == NULL)
+		return o->have_list &&
+		    now >= o->elected_at + OWN_SESSION_TTL_MS * AGB_MS +
+			OWN_SESSION_MARGIN;
+	return w->session_open || own_worker_expired(w, now);
+}
+
 /*
  * Releases the previous, lost attempt of a request if it still has a grant.
  * Returns whether that attempt has certainly ended, so that the next one cannot
- * run at the same time. An attempt of an older epoch that its worker did not
- * report when it accepted this epoch cannot start any more.
+ * run at the same time.
  */
 static bool
 release_previous_attempt(struct agb_owner *o, agb_time now,
     const agb_x_grant_args *a, struct agb_effects *out)
 {
 	const agb_x_release lost = {a->previous, AGB_RESULT_LOST};
-	const struct own_worker *w;
 
 	if (a->previous.epoch == 0)
 		return true;
@@ -124,10 +143,8 @@
 		release_attempt(o, now, &lost, out);
 		return false;
 	}
-	if (a->previous.epoch == o->epoch)
-		return true;
-	w = own_worker_find(o, a->previous_worker);
-	return w == NULL || w->session_open;
+	return a->previous.epoch == o->epoch ||
+	    older_attempt_ended(o, now, a->previous_worker);
 }
 
 void
--- a/src/agatebeam/owner_internal.h
+++ b/src/agatebeam/owner_internal.h
@@ -96,6 +96,7 @@
 struct own_worker *own_worker_find(const struct agb_owner *o, const char *id);
 struct own_worker *own_worker_ensure(
     struct agb_owner *o, agb_time now, const char *id);
+bool own_worker_expired(const struct own_worker *w, agb_time now);
 void own_worker_reset(struct own_worker *w);
 void own_worker_free(struct own_worker *w);
 void own_orphans_clear(struct own_worker *w);
--- a/src/agatebeam/owner_worker.c
+++ b/src/agatebeam/owner_worker.c
@@ -40,6 +40,15 @@
 	return w;
 }
 
+/* Whether a worker is missing from the instance list and its session has
+ * expired, so that nothing runs there any more. */
+bool
+own_worker_expired(const struct own_worker *w, agb_time now)
+{
+	return w->instance.state == AGB_INSTANCE_GONE &&
+	    now >= w->session_ends_by + OWN_SESSION_MARGIN;
+}
+
 void
 own_orphans_clear(struct own_worker *w)
 {
@@ -197,10 +206,8 @@
 sweep_gone(struct agb_owner *o, agb_time now, struct own_worker *w,
     struct agb_effects *out)
 {
-	const agb_time at = w->session_ends_by + OWN_SESSION_MARGIN;
-
-	if (w->tasks.len + w->grants.len > 0 && now < at) {
-		own_wake_at(o, at);
+	if (w->tasks.len + w->grants.len > 0 && !own_worker_expired(w, now)) {
+		own_wake_at(o, w->session_ends_by + OWN_SESSION_MARGIN);
 		return;
 	}
 	own_evidence_on_gone(o, now, w, out);
@@ -211,11 +218,13 @@
 	own_sched_worker_state(o, now, w, AGB_WORKER_GONE, out);
 }
 
-/* Whether a worker is gone and nothing refers to it any more. */
+/* Whether a worker is gone and nothing refers to it any more. It is kept until
+ * its session has expired: before that, a lost attempt of an older owner may
+ * still run there. */
 static bool
-can_remove(const struct own_worker *w)
+can_remove(const struct own_worker *w, agb_time now)
 {
-	return w->instance.state == AGB_INSTANCE_GONE &&
+	return own_worker_expired(w, now) &&
 	    w->sched_handle == AGB_SCHED_NONE && w->tasks.len == 0 &&
 	    w->grants.len == 0 && w->undurable_events == 0 &&
 	    w->pending_call == OWN_CALL_NONE && !w->stale_session &&
@@ -263,7 +272,7 @@
 		struct own_worker *const w = o->workers.items[i];
 
 		sweep_worker(o, now, w, out);
-		if (can_remove(w)) {
+		if (can_remove(w, now)) {
 			own_map_del(&o->worker_names, w->instance.id,
 			    strlen(w->instance.id));
 			own_indexed_del(&o->workers, w);
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -701,6 +701,89 @@
 	}
 }
 
+/* Requests a grant for a request whose earlier attempt was lost. */
+static uint64_t
+grant_after(struct shard *s, unsigned node, const struct agb_attempt *lost,
+    const char *worker)
+{
+	struct agb_event ev = shard_rpc_event(s, AGB_X_GRANT);
+	agb_x_grant_args *const a = &ev.u.rpc_args.agb_x_args_u.grant;
+	const uint64_t token = ev.token;
+
+	a->request = agb_xstrdup("lost");
+	a->work = agb_xstrdup("check");
+	a->team = agb_xstrdup("red");
+	a->instance = agb_xstrdup("entry1");
+	a->key = agb_xstrdup("");
+	a->idempotent = true;
+	a->previous.epoch = lost->epoch;
+	a->previous.seq = lost->seq;
+	a->previous_worker = agb_xstrdup(worker);
+	shard_send_event(s, node, &ev);
+	return token;
+}
+
+/* The answer of worker 0 to a quick request is lost, and its owner dies. Guards
+ * against an owner that grants the next attempt while the first one may still
+ * run, and against one that never grants it. */
+static void
+test_lost_attempt_after_takeover(void)
+{
+	static const struct {
+		const char *what;
+		bool known;   /* the new owner has seen worker 0 in the list */
+		bool gone;    /* the instance list reports it as gone */
+		bool silent;  /* it does not answer the new owner */
+		bool busy;    /* its runner still works on the attempt */
+		bool at_once; /* granted as soon as the new owner is active */
+		bool later;   /* granted 15 s later */
+	} cases[] = {
+	    {"answers without it", true, false, false, false, true, true},
+	    {"answers with it", true, false, false, true, false, false},
+	    {"silent", true, false, true, true, false, false},
+	    {"gone after it was seen", true, true, true, true, false, true},
+	    {"never seen", false, true, true, true, false, true},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct shard *const s = shard_new(1);
+		struct fake_worker *const w = &s->workers[0];
+		struct agb_attempt lost;
+		uint64_t a;
+
+		a = shard_grant(s, 0, "", 60000);
+		CU_ASSERT_TRUE_FATAL(grant_result(s, a)->granted);
+		lost.epoch = grant_result(s, a)->attempt.epoch;
+		lost.seq = grant_result(s, a)->attempt.seq;
+		if (cases[i].busy)
+			w->slots[w->slots_len++] = lost;
+		w->unreachable = cases[i].silent;
+		shard_node_kill(s, 0);
+		shard_node_start(s, 1, cases[i].known ? 2 : 0);
+		shard_send_list(s, 1, 2,
+		    cases[i].gone ? AGB_INSTANCE_GONE : AGB_INSTANCE_LIVE);
+		while (!is_active(s, 1) && s->now < 110 * AGB_SEC)
+			shard_run(s, 10 * AGB_MS);
+		shard_run(s, 100 * AGB_MS);
+		a = grant_after(s, 1, &lost, w->id);
+		shard_run(s, 100 * AGB_MS);
+		if (grant_result(s, a)->granted != cases[i].at_once)
+			printf("\n%s: at once\n", cases[i].what);
+		CU_ASSERT_EQUAL(grant_result(s, a)->granted, cases[i].at_once);
+		if (!cases[i].at_once)
+			CU_ASSERT_EQUAL(
+			    grant_result(s, a)->outcome, AGB_OUTCOME_UNKNOWN);
+		shard_run(s, 15 * AGB_SEC);
+		a = grant_after(s, 1, &lost, w->id);
+		shard_run(s, 100 * AGB_MS);
+		if (grant_result(s, a)->granted != cases[i].later)
+			printf("\n%s: later\n", cases[i].what);
+		CU_ASSERT_EQUAL(grant_result(s, a)->granted, cases[i].later);
+		shard_free(s);
+	}
+}
+
 /* Guards against work that a new owner starts a second time or loses, and against
  * a failover that takes too long. */
 static void
@@ -1069,6 +1152,7 @@
     {"duplicate_key", test_duplicate_key},
     {"dead_entry_instance", test_dead_entry_instance},
     {"takeover_adopts", test_takeover_adopts},
+    {"lost_attempt_after_takeover", test_lost_attempt_after_takeover},
     {"intent_without_result", test_intent_without_result},
     {"end_not_durable", test_end_not_durable},
     {"orphan_stopped", test_orphan_stopped},
