fix(owner): a re-elected owner waits for the session of a worker that is gone

Cause: an instance that loses its role resets the end of all sessions. Elected again, it took the session of a worker that the instance list reports as gone for long expired, and started the worker's tasks elsewhere at once, although they could run there for up to 13 s more.

Change: an election sets the end of the session of each gone worker to at least 10 s after it, as the older owner may have extended it until then.

--- a/src/agatebeam/owner_worker.c
+++ b/src/agatebeam/owner_worker.c
@@ -94,11 +94,18 @@
 	free(w);
 }
 
-/* Adds a worker to the scheduler as joining. The session call is next. */
+/* Adds a worker to the scheduler as joining. The session call is next. Until the
+ * election an older owner may have extended the session of one that is gone. */
 void
 own_worker_join(struct agb_owner *o, agb_time now, struct own_worker *w,
     struct agb_effects *out)
 {
+	const agb_time session_end =
+	    o->elected_at + OWN_SESSION_TTL_MS * AGB_MS;
+
+	if (w->instance.state == AGB_INSTANCE_GONE &&
+	    w->session_ends_by < session_end)
+		w->session_ends_by = session_end;
 	if (!w->listed || w->instance.state == AGB_INSTANCE_GONE ||
 	    w->sched_handle != AGB_SCHED_NONE)
 		return;
--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -513,6 +513,31 @@
 	shard_free(s);
 }
 
+/* Guards against an instance that forgets, when it is elected again, until when
+ * the session of a worker that is gone can last: tasks that may still run there
+ * would be started elsewhere at once. */
+static void
+test_reelected_worker_gone(void)
+{
+	struct shard *const s = shard_new(1);
+
+	(void)submit_accepted(s, "cut", true);
+	shard_send_list(s, 0, 2, AGB_INSTANCE_LIVE);
+	shard_run(s, 100 * AGB_MS);
+	s->worker_unreachable[0][0] = true;
+	shard_send_list(s, 0, 2, AGB_INSTANCE_GONE);
+	s->nodes[0].store_unreachable = true;
+	shard_run(s, 3 * AGB_SEC);
+	s->nodes[0].store_unreachable = false;
+	shard_run(s, 5 * AGB_SEC);
+	CU_ASSERT_PTR_NOT_NULL(strstr(s->log, "role-lost "));
+	CU_ASSERT_TRUE(is_active(s, 0));
+	CU_ASSERT_EQUAL(count_starts(s), 1);
+	shard_run(s, 13 * AGB_SEC);
+	CU_ASSERT_EQUAL(count_starts(s), 2);
+	shard_free(s);
+}
+
 /* Guards against the acceptance of a job that no worker of the shard can ever
  * hold: the entry instance would not ask another shard. */
 static void
@@ -1147,6 +1172,7 @@
     {"silence_needs_lease", test_silence_needs_lease},
     {"start_repeated", test_start_repeated},
     {"reelected_commands", test_reelected_commands},
+    {"reelected_worker_gone", test_reelected_worker_gone},
     {"cancel_start_in_flight", test_cancel_start_in_flight},
     {"cancel_before_start", test_cancel_before_start},
     {"duplicate_key", test_duplicate_key},
