--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -35,7 +35,8 @@
 
 /* Guards against a malformed registry entry that is taken for a usable runner,
  * or a valid one that is rejected. Other programs write to the registry too;
- * their entries must not prevent the valid ones from being read. */
+ * their entries must not prevent the valid ones from being read. Without its
+ * start time, a restarted runner would pass for the process before. */
 static void
 test_registry_entries(void)
 {
@@ -49,6 +50,15 @@
 		true},
 	    {RUNNER_ENTRY(",\"state\":\"ready\",\"new_field\":[1]"), true,
 		false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":1790000000123"), true,
+		false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":\"1790000000123\""),
+		false, false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":1790000000123.5"),
+		false, false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":null"), false, false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":-1"), false, false},
+	    {RUNNER_ENTRY(",\"state\":\"ready\",\"born\":1e300"), false, false},
 	    {RUNNER_ENTRY(",\"state\":\"asleep\""), false, false},
 	    {RUNNER_ENTRY(""), false, false},
 	    {"{\"state\":\"ready\"}", false, false},
@@ -405,11 +415,15 @@
 }
 
 #define ENDS(rows) "{\"clock_ms\":5,\"active\":[],\"finished\":[" rows "]}"
+#define BORN(time) \
+	"{\"clock_ms\":5,\"born\":" time ",\"active\":[],\"finished\":[]}"
 #define END(seq) "[" seq ",\"00000000000000aa.0.0.0\",1,\"done\",\"\"]"
 
 /* Guards against an end whose number is malformed. A negative number would
  * become a huge one: the runner would be told to forget ends that were never
- * read, and all later ends would be ignored. */
+ * read, and all later ends would be ignored. Guards against lists whose process
+ * is not known, too: an empty one of a restarted runner would count as that of
+ * the process before. */
 static void
 test_hold_results(void)
 {
@@ -434,6 +448,12 @@
 	    {ENDS(END("null")), WF_ORDER_LOST, 0, 0},
 	    {ENDS("[1]"), WF_ORDER_LOST, 0, 0},
 	    {"{\"clock_ms\":5}", WF_ORDER_LOST, 0, 0},
+	    {BORN("1790000000123"), WF_ORDER_OK, 0, 0},
+	    {BORN("1790000000123.0"), WF_ORDER_OK, 0, 0},
+	    {BORN("\"1790000000123\""), WF_ORDER_LOST, 0, 0},
+	    {BORN("null"), WF_ORDER_LOST, 0, 0},
+	    {BORN("0"), WF_ORDER_LOST, 0, 0},
+	    {BORN("[1790000000123]"), WF_ORDER_LOST, 0, 0},
 	};
 	struct platform_runner_client *p;
 	struct wf_order order;
