--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -299,6 +299,11 @@
 	    {"5c0e7a21d94b36f8.0.1", false},
 	    {"5c0e7a21d94b36f8.0.1.17.2", false},
 	    {"5c0e7a21d94b36f8", false},
+	    {"5c0e7a21d94b36f8.0.1.-1", false},
+	    {"5c0e7a21d94b36f8.0. 1.17", false},
+	    {"5c0e7a21d94b36f8.0.1.+17", false},
+	    {"5c0e7a21d94b36f8.0.1.4294967313", false},
+	    {"5c0e7a21d94b36f8.0.1.017", false},
 	    {"5c0e7a21d94b36f85c0e7a21d94b36f8.0.0.0", false},
 	    {"", false},
 	};
@@ -385,6 +390,7 @@
 	enum wf_order_status status;
 	size_t finished_len;
 	uint64_t last_seq;
+	size_t checkpoint_len;
 };
 
 static void
@@ -397,12 +403,14 @@
 	h->finished_len = res->finished_len;
 	if (res->finished_len > 0)
 		h->last_seq = res->finished[res->finished_len - 1].seq;
+	if (res->active_len > 0)
+		h->checkpoint_len = strlen(res->active[0].checkpoint);
 }
 
 static void
 respond_to_hold(struct loop_conn *c)
 {
-	char text[512];
+	char text[1024];
 	const char *const body = c->server->arg;
 
 	if (strstr(c->in, "\"observed\"") == NULL)
@@ -414,7 +422,37 @@
 	loop_conn_write(c, text, strlen(text));
 }
 
+/* Sends a hold to a runner that answers with @body. */
+static void
+hold_once(const char *body, struct hold_result *h)
+{
+	struct platform_runner_client *p;
+	struct wf_order order;
+	struct loop_server srv;
+	uv_loop_t loop;
+
+	memset(h, 0, sizeof(*h));
+	uv_loop_init(&loop);
+	loop_server_start(
+	    &loop, &srv, respond_to_hold, (void *)(uintptr_t)body);
+	p = platform_runner_client_new(&loop, on_hold_result, h);
+	memset(&order, 0, sizeof(order));
+	order.kind = WF_ORDER_HOLD;
+	order.timeout_ms = 5000;
+	order.send_by = AGB_TIME_MAX;
+	agb_str_copy(order.addr, sizeof(order.addr), srv.addr);
+	platform_runner_client_send(p, &order);
+	loop_until(&loop, &h->done, 1);
+	platform_runner_client_free(p);
+	loop_server_close(&srv);
+	loop_close(&loop);
+}
+
 #define ENDS(rows) "{\"clock_ms\":5,\"active\":[],\"finished\":[" rows "]}"
+#define RUN(run) ENDS("[1,\"00000000000000aa.0.0.0\"," run ",\"done\",\"\"]")
+#define ACTIVE(run)                                                    \
+	"{\"clock_ms\":5,\"active\":[[\"00000000000000aa.0.0.0\"," run \
+	",\"\",41.5,0.3]],\"finished\":[]}"
 #define BORN(time) \
 	"{\"clock_ms\":5,\"born\":" time ",\"active\":[],\"finished\":[]}"
 #define END(seq) "[" seq ",\"00000000000000aa.0.0.0\",1,\"done\",\"\"]"
@@ -423,7 +461,8 @@
  * become a huge one: the runner would be told to forget ends that were never
  * read, and all later ends would be ignored. Guards against lists whose process
  * is not known, too: an empty one of a restarted runner would count as that of
- * the process before. */
+ * the process before. And against runs whose number is malformed: the run that
+ * is there would count as missing, and its task would start elsewhere. */
 static void
 test_hold_results(void)
 {
@@ -454,41 +493,64 @@
 	    {BORN("null"), WF_ORDER_LOST, 0, 0},
 	    {BORN("0"), WF_ORDER_LOST, 0, 0},
 	    {BORN("[1790000000123]"), WF_ORDER_LOST, 0, 0},
+	    {RUN("1"), WF_ORDER_OK, 1, 1},
+	    {RUN("\"1\""), WF_ORDER_LOST, 0, 0},
+	    {RUN("0"), WF_ORDER_LOST, 0, 0},
+	    {RUN("4294967297"), WF_ORDER_LOST, 0, 0},
+	    {ACTIVE("1"), WF_ORDER_OK, 0, 0},
+	    {ACTIVE("null"), WF_ORDER_LOST, 0, 0},
+	    {ACTIVE("1.5"), WF_ORDER_LOST, 0, 0},
+	    {ACTIVE("4294967297"), WF_ORDER_LOST, 0, 0},
 	};
-	struct platform_runner_client *p;
-	struct wf_order order;
 	struct hold_result h;
-	struct loop_server srv;
-	uv_loop_t loop;
 	size_t i;
 
 	for (i = 0; i < LEN(cases); i++) {
-		memset(&h, 0, sizeof(h));
-		uv_loop_init(&loop);
-		loop_server_start(&loop, &srv, respond_to_hold,
-		    (void *)(uintptr_t)cases[i].body);
-		p = platform_runner_client_new(&loop, on_hold_result, &h);
-		memset(&order, 0, sizeof(order));
-		order.kind = WF_ORDER_HOLD;
-		order.timeout_ms = 5000;
-		order.send_by = AGB_TIME_MAX;
-		agb_str_copy(order.addr, sizeof(order.addr), srv.addr);
-		platform_runner_client_send(p, &order);
-		loop_until(&loop, &h.done, 1);
+		hold_once(cases[i].body, &h);
 		CU_ASSERT_EQUAL(h.status, cases[i].status);
 		if (h.status == WF_ORDER_OK) {
 			CU_ASSERT_EQUAL(h.finished_len, cases[i].finished);
 			CU_ASSERT_EQUAL(h.last_seq, cases[i].last_seq);
 		}
-		platform_runner_client_free(p);
-		loop_server_close(&srv);
-		loop_close(&loop);
+	}
+}
+
+/* Guards against a checkpoint that is cut: the next start would carry one that
+ * is not the task's. */
+static void
+test_long_checkpoints(void)
+{
+	static const struct {
+		size_t len, kept;
+	} cases[] = {
+	    {0, 0},
+	    {16, 16},
+	    {WF_CHECKPOINT_MAX, WF_CHECKPOINT_MAX},
+	    {WF_CHECKPOINT_MAX + 1, 0},
+	};
+	char checkpoint[WF_CHECKPOINT_MAX + 2], *body;
+	struct hold_result h;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(checkpoint, 'c', cases[i].len);
+		checkpoint[cases[i].len] = '\0';
+		body =
+		    agb_xasprintf("{\"clock_ms\":5,\"active\":"
+				  "[[\"00000000000000aa.0.0.0\",1,\"%s\",5]],"
+				  "\"finished\":[]}",
+			checkpoint);
+		hold_once(body, &h);
+		CU_ASSERT_EQUAL(h.status, WF_ORDER_OK);
+		CU_ASSERT_EQUAL(h.checkpoint_len, cases[i].kept);
+		free(body);
 	}
 }
 
 static const struct suite_test tests[] = {
     {"order requests", test_order_requests},
     {"hold results", test_hold_results},
+    {"long checkpoints", test_long_checkpoints},
     {"registry entries", test_registry_entries},
     {"manifest", test_manifest_document},
     {"queue selection", test_queue_selection},
