fix(workflow): answers of a former relay are not those of the next one

Cause: a leader whose table of relays has seen 256 instances gives the entry of one that has left to the next one. An answer to a call that the former relay was sent then set the clock of the new one: orders carry a time on that clock after which they are not sent, so that a clock that is ahead let them go out after they had ended here. Runners of the former relay counted as announced to the new one, with the number of the former's list: a new relay that has a list of that number, as it relayed for this leader before under another entry, would send a difference from a list that the leader does not have. Silence and refusals of the former relay excluded the new one.

Change: an entry keeps the numbers of the first order and of the first call that can be meant for its instance. Earlier answers end their orders only, and a runner is announced again, without a list.

--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -51,6 +51,7 @@
  * directly. */
 #define RELAYS_WAIT_MS 250
 #define TAG_RELAY_SHIFT 40
+#define TAG_CALL_MASK (((uint64_t)1 << TAG_RELAY_SHIFT) - 1)
 
 /**
  * struct wf_pending_order - an order that was sent to a relay and has no
@@ -140,6 +141,8 @@
 	batch_free(unused);
 	memset(unused, 0, sizeof(*unused));
 	agb_str_copy(unused->name, sizeof(unused->name), name);
+	unused->first_order = b->last_order_number + 1;
+	unused->first_call = b->last_call_number + 1;
 	return unused;
 }
 
@@ -531,7 +534,7 @@
 	size_t i;
 
 	ef->tag = WF_ORDERS_TAG | (uint64_t)relay << TAG_RELAY_SHIFT |
-	    (++b->last_call_number & (((uint64_t)1 << TAG_RELAY_SHIFT) - 1));
+	    (++b->last_call_number & TAG_CALL_MASK);
 	b->call_sent_at[b->last_call_number % WF_OUTBOX_CALLS_MAX] = now->mono;
 	ef->timeout_ms = CALL_TIMEOUT_MS;
 	agb_str_copy(ef->peer, sizeof(ef->peer), p->addr);
@@ -576,10 +579,12 @@
 	struct wf_route *const route = &r->route;
 
 	if (!route->announced ||
-	    route->announced_incarnation != r->incarnation) {
+	    route->announced_incarnation != r->incarnation ||
+	    route->announced_order < p->first_order) {
 		batch_add_runner(p, r, o->runner);
 		route->announced = true;
 		route->announced_incarnation = r->incarnation;
+		route->announced_order = l->outbox.last_order_number + 1;
 		wf_baseline_free(&route->baseline);
 	}
 	o->known_list = o->kind == WF_ORDER_HOLD && !o->is_probe
@@ -660,6 +665,16 @@
 	wf_fleet_handle_result(l, now, &res, out);
 }
 
+/* Relay that an order was sent to, NULL when its entry has another instance by
+ * now. */
+static struct wf_relay_peer *
+order_relay(const struct wf_outbox *b, const struct wf_pending_order *order)
+{
+	struct wf_relay_peer *const p = &b->relays[order->relay];
+
+	return order->number >= p->first_order ? p : NULL;
+}
+
 /* The relay may have carried out its orders without reporting the results, so
  * they end as lost rather than as not relayed. */
 void
@@ -677,22 +692,22 @@
 	l->outbox.check_at = 0;
 	for (order = l->outbox.pending; order != NULL; order = next) {
 		next = order->hh.next;
-		if (order->relay == relay)
+		if (order_relay(&l->outbox, order) == p)
 			end_order(l, now, order, WF_ORDER_LOST, out);
 	}
 }
 
-/* Ends the orders of a call that the relay certainly did not accept. */
+/* Ends the orders of a call. */
 static void
 end_call_orders(struct wf_leader *l, const struct wf_now *now, uint64_t tag,
-    struct wf_effects *out)
+    enum wf_order_status status, struct wf_effects *out)
 {
 	struct wf_pending_order *order, *next;
 
 	for (order = l->outbox.pending; order != NULL; order = next) {
 		next = order->hh.next;
 		if (order->tag == tag)
-			end_order(l, now, order, WF_ORDER_UNRELAYED, out);
+			end_order(l, now, order, status, out);
 	}
 }
 
@@ -735,6 +750,15 @@
 
 	if (relay >= b->relays_len)
 		return;
+	if ((tag & TAG_CALL_MASK) < b->relays[relay].first_call) {
+		/* The entry has another instance by now, of which this answer
+		 * tells nothing. */
+		if (!done->answered && done->may_have_arrived)
+			end_call_orders(l, now, tag, WF_ORDER_LOST, out);
+		else if (!done->answered || !done->accepted)
+			end_call_orders(l, now, tag, WF_ORDER_UNRELAYED, out);
+		return;
+	}
 	if (done->answered || done->may_have_arrived)
 		note_answer(l, now->mono, &b->relays[relay],
 		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
@@ -746,7 +770,8 @@
 		return;
 	}
 	if (done->answered || !done->may_have_arrived)
-		end_call_orders(l, now, tag, out);
+		/* The relay certainly did not accept them. */
+		end_call_orders(l, now, tag, WF_ORDER_UNRELAYED, out);
 	else if (wf_flow_is_limiting(&l->flow, now->mono))
 		/* Most calls are late at present, so that this one tells
 		 * nothing about the relay. */
@@ -762,6 +787,7 @@
 	struct wf_runner *const r = &l->runners[res->runner];
 	static const struct wf_baseline none;
 	const bool same = r->route.chosen && r->route.relay == res->relay &&
+	    x->number >= r->route.announced_order &&
 	    r->incarnation == res->incarnation;
 
 	if (!wf_delta_apply(same ? &r->route.baseline : &none, x, &res->active,
@@ -781,12 +807,15 @@
 {
 	struct wf_order_result res;
 	struct wf_pending_order *order;
+	struct wf_relay_peer *p;
 
 	HASH_FIND(hh, l->outbox.pending, &x->number, sizeof(x->number), order);
 	if (order == NULL || order->res.runner >= l->runners_len)
 		return;
 	res = order->res;
-	l->outbox.relays[order->relay].last_reply_at = now->mono;
+	p = order_relay(&l->outbox, order);
+	if (p != NULL)
+		p->last_reply_at = now->mono;
 	HASH_DEL(l->outbox.pending, order);
 	free(order);
 	res.status = x->status;
@@ -833,6 +862,7 @@
 {
 	const agb_time late = now->mono - l->outbox.expire_at;
 	struct wf_pending_order *order, *next;
+	const struct wf_relay_peer *p;
 
 	/* After a delay of this process, results may be waiting in the socket:
 	 * they are read before any order is timed out. */
@@ -846,7 +876,8 @@
 		next = order->hh.next;
 		if (now->mono < order->expires_at)
 			continue;
-		if (!relay_silent(&l->outbox.relays[order->relay], now->mono)) {
+		p = order_relay(&l->outbox, order);
+		if (p == NULL || !relay_silent(p, now->mono)) {
 			end_order(l, now, order, WF_ORDER_LOST, out);
 			continue;
 		}
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -33,6 +33,9 @@
  * @addr: RPC address; "" in an unused entry
  * @capacity: its capacity for relaying orders, in thousandths of a core
  * @listed: the table of instances contains it
+ * @first_order: number of the first order that can be meant for it; earlier
+ *	ones went to another instance that had the entry
+ * @first_call: the same for calls
  * @clock_offset: lower bound of its clock minus this instance's clock, in
  *	units of agb_time; valid when @clock_read_at is not 0
  * @clock_read_at: when @clock_offset was last set
@@ -52,6 +55,8 @@
 	agb_id domain;
 	uint32_t capacity;
 	bool listed;
+	uint64_t first_order;
+	uint64_t first_call;
 	int64_t clock_offset;
 	agb_time clock_read_at;
 	agb_time last_reply_at;
@@ -74,6 +79,7 @@
  * @chosen: @relay is set; otherwise the next order chooses a relay
  * @announced: the relay has been sent the runner's address and incarnation
  * @announced_incarnation: incarnation of the runner that was announced
+ * @announced_order: number of the first order after the announcement
  * @baseline: last list of active runs that both the leader and the relay hold
  */
 struct wf_route {
@@ -83,6 +89,7 @@
 	bool chosen;
 	bool announced;
 	uint32_t announced_incarnation;
+	uint64_t announced_order;
 	struct wf_baseline baseline;
 };
 
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -424,6 +424,171 @@
 	}
 }
 
+/* A leader whose table of relays is full, and which has sent a hold through the
+ * first one, "b". */
+struct outbox_fixture {
+	struct wf_config cfg;
+	struct wf_table table;
+	struct wf_leader l;
+	struct wf_effects out;
+	struct wf_now now;
+};
+
+static void
+send_hold_through_relay(struct outbox_fixture *f)
+{
+	struct wf_order *const o = wf_outbox_add(&f->l);
+
+	/* It is not of this term, so that its end reaches no other part of the
+	 * leader. */
+	o->kind = WF_ORDER_HOLD;
+	o->timeout_ms = 600;
+	(void)wf_outbox_flush(&f->l, &f->now, &f->out);
+	f->now.mono += 25 * AGB_MS;
+	(void)wf_outbox_flush(&f->l, &f->now, &f->out);
+}
+
+static void
+outbox_fixture_open(struct outbox_fixture *f)
+{
+	char name[16];
+	uint32_t i;
+
+	memset(f, 0, sizeof(*f));
+	agb_str_copy(f->cfg.name, sizeof(f->cfg.name), "a");
+	f->l.cfg = &f->cfg;
+	f->l.table = &f->table;
+	f->l.fence = 5;
+	f->l.registry_seen = true;
+	f->l.runners = agb_xcalloc(1, sizeof(*f->l.runners));
+	f->l.runners_len = 1;
+	f->l.runners[0].route.chosen = true;
+	f->now.mono = AGB_SEC;
+	add_peer(&f->table, "b", "10.0.0.2:1");
+	for (i = 1; i < WF_RELAYS_MAX; i++) {
+		snprintf(name, sizeof(name), "other-%u", i);
+		add_peer(&f->table, name, "10.0.0.9:1");
+	}
+	wf_outbox_update_peers(&f->l);
+	f->l.outbox.check_at = AGB_TIME_MAX;
+	(void)wf_outbox_tick(&f->l, &f->now, &f->out);
+	send_hold_through_relay(f);
+}
+
+/* The relay leaves, and "c" gets its entry. */
+static void
+replace_relay(struct outbox_fixture *f)
+{
+	struct wf_peer *p;
+
+	HASH_FIND_STR(f->table.peers, "b", p);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+	HASH_DEL(f->table.peers, p);
+	free(p);
+	wf_outbox_update_peers(&f->l);
+	add_peer(&f->table, "c", "10.0.0.3:1");
+	wf_outbox_update_peers(&f->l);
+	f->l.outbox.check_at = AGB_TIME_MAX;
+	CU_ASSERT_EQUAL_FATAL(f->l.outbox.relays_len, WF_RELAYS_MAX);
+	CU_ASSERT_STRING_EQUAL(f->l.outbox.relays[0].name, "c");
+}
+
+static void
+outbox_fixture_close(struct outbox_fixture *f)
+{
+	wf_outbox_free(&f->l);
+	wf_effects_free(&f->out);
+	wf_table_free(&f->table);
+	free(f->l.runners);
+}
+
+/* An answer of a relay arrives after its entry has gone to another instance.
+ * Guards against the clock of the former one, by which orders to the new one
+ * could be sent after they have ended here, and against a new one that is
+ * avoided for the silence of the former. */
+static void
+late_answers_are_not_of_the_next_relay(void)
+{
+	static const struct {
+		const char *what;
+		struct wf_orders_ack ack;
+		bool call_ends, result, pending;
+		uint32_t silent_ms;
+	} cases[] = {
+	    {"accepted", {true, true, true, 5000 * AGB_SEC}, true, false, true,
+		0},
+	    {"refused", {true, true, false, 0}, true, false, false, 0},
+	    {"not sent", {false, false, false, 0}, true, false, false, 0},
+	    {"no answer", {false, true, false, 0}, true, false, false, 0},
+	    {"a result", {false, false, false, 0}, false, true, false, 0},
+	    {"silent", {false, false, false, 0}, false, false, false, 4000},
+	};
+	struct wf_relayed_result x = {
+	    .number = 1, .status = WF_ORDER_OK, .list = 7};
+	struct wf_result_batch results = {.fence = 5, .items = &x, .len = 1};
+	const struct wf_relay_peer *c;
+	struct outbox_fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		outbox_fixture_open(&f);
+		CU_ASSERT_EQUAL_FATAL(f.out.items[0].type, WF_EF_ORDERS);
+		replace_relay(&f);
+		if (cases[i].call_ends)
+			wf_outbox_call_done(&f.l, &f.now, f.out.items[0].tag,
+			    &cases[i].ack, &f.out);
+		if (cases[i].result)
+			wf_outbox_handle_results(
+			    &f.l, &f.now, &results, &f.out);
+		tick_outbox(&f.l, 1040, 1040 + cases[i].silent_ms, &f.out);
+		c = &f.l.outbox.relays[0];
+		if (c->clock_read_at != 0 || c->excluded_until != 0)
+			printf("\n%s\n", cases[i].what);
+		CU_ASSERT_EQUAL(c->clock_read_at, 0);
+		CU_ASSERT_EQUAL(c->last_reply_at, 0);
+		CU_ASSERT_EQUAL(c->excluded_until, 0);
+		CU_ASSERT_EQUAL(f.l.outbox.pending != NULL, cases[i].pending);
+		outbox_fixture_close(&f);
+	}
+}
+
+/* Guards against a list that is rebuilt from one of the relay that had the entry
+ * before: runs that are there would count as missing. */
+static void
+runners_are_announced_to_the_next_relay(void)
+{
+	struct wf_relayed_result x = {
+	    .number = 1, .status = WF_ORDER_OK, .list = 7};
+	struct wf_result_batch results = {.fence = 5, .items = &x, .len = 1};
+	const struct wf_order_batch *orders;
+	struct outbox_fixture f;
+	size_t len;
+
+	outbox_fixture_open(&f);
+	wf_outbox_handle_results(&f.l, &f.now, &results, &f.out);
+	CU_ASSERT_EQUAL(f.l.runners[0].route.baseline.number, 7);
+	/* The same relay is told the runner's address once. */
+	len = f.out.len;
+	send_hold_through_relay(&f);
+	CU_ASSERT_EQUAL_FATAL(f.out.len, len + 1);
+	orders = &f.out.items[len].u.orders;
+	CU_ASSERT_EQUAL(orders->runners_len, 0);
+	CU_ASSERT_EQUAL(orders->items[0].known_list, 7);
+	replace_relay(&f);
+	len = f.out.len;
+	send_hold_through_relay(&f);
+	CU_ASSERT_EQUAL_FATAL(f.out.len, len + 1);
+	orders = &f.out.items[len].u.orders;
+	CU_ASSERT_EQUAL(orders->runners_len, 1);
+	CU_ASSERT_EQUAL(orders->items[0].known_list, 0);
+	/* The former relay answers the hold that it was sent. */
+	x.number = 2;
+	x.list = 8;
+	wf_outbox_handle_results(&f.l, &f.now, &results, &f.out);
+	CU_ASSERT_EQUAL(f.l.runners[0].route.baseline.number, 0);
+	outbox_fixture_close(&f);
+}
+
 /* ---- flow control of starts ---- */
 
 /* Guards against a limit that stays high while messages are late, that falls
@@ -616,6 +781,10 @@
 	passes_leave_time_for_other_work},
     {"pause of the leader is no silence of relays",
 	pause_of_leader_is_no_silence_of_relays},
+    {"entry of a relay: late answers are not of the next one",
+	late_answers_are_not_of_the_next_relay},
+    {"entry of a relay: runners are announced to the next one",
+	runners_are_announced_to_the_next_relay},
     {"flow: the limit follows the delay of answers",
 	limit_follows_the_delay_of_answers},
     {"flow: starts within a time follow the rate",
