refactor(sched): names of the document are looked up by env

sched_env.c had its own copies of agb_env_work_find(), agb_env_team_find() and agb_env_domain_find().

--- a/src/agatebeam/sched_env.c
+++ b/src/agatebeam/sched_env.c
@@ -1,7 +1,6 @@
 #include "sched_internal.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 /*
  * The environment document in force. A new document may assign other indexes to
@@ -51,42 +50,6 @@
 	return sched_team_env(s, team)->name;
 }
 
-static uint16_t
-find_work(const struct agb_env *env, const char *name)
-{
-	uint16_t i;
-
-	for (i = 0; i < env->works_len; i++) {
-		if (strcmp(env->works[i].name, name) == 0)
-			return i;
-	}
-	return AGB_ENV_NONE;
-}
-
-static uint16_t
-find_team(const struct agb_env *env, const char *name)
-{
-	uint16_t i;
-
-	for (i = 0; i < env->teams_len; i++) {
-		if (strcmp(env->teams[i].name, name) == 0)
-			return i;
-	}
-	return AGB_ENV_NONE;
-}
-
-static uint16_t
-find_domain(const struct agb_env *env, const char *name)
-{
-	uint16_t i;
-
-	for (i = 0; i < env->domains_len; i++) {
-		if (strcmp(env->domains[i].name, name) == 0)
-			return i;
-	}
-	return AGB_ENV_NONE;
-}
-
 /* New indexes of the works and teams of the previous document. */
 struct index_map {
 	uint16_t *work;
@@ -115,11 +78,11 @@
 	c->work_len = old != NULL ? old->works_len : 0;
 	c->work = agb_xcalloc(c->work_len, sizeof(*c->work));
 	for (i = 0; i < c->work_len; i++)
-		c->work[i] = find_work(env, old->works[i].name);
+		c->work[i] = agb_env_work_find(env, old->works[i].name);
 	for (i = 0; i < SCHED_TEAMS; i++)
 		c->team[i] = SCHED_TEAM_NONE;
 	for (i = 0; old != NULL && i < old->teams_len; i++) {
-		n = find_team(env, old->teams[i].name);
+		n = agb_env_team_find(env, old->teams[i].name);
 		if (i < SCHED_TEAM_NONE && n < SCHED_TEAM_NONE)
 			c->team[i] = n;
 	}
@@ -262,7 +225,7 @@
 	jobs = dequeue_jobs(s, &len);
 	reqs = dequeue_requests(s);
 	s->env = env;
-	s->domain_index = find_domain(env, s->domain);
+	s->domain_index = agb_env_domain_find(env, s->domain);
 	rebuild_works(s, &c);
 	rebuild_teams(s, &c);
 	rebuild_workers(s, &c);
