--- a/src/agatebeam/edge_parse.c
+++ b/src/agatebeam/edge_parse.c
@@ -564,26 +564,6 @@
 	return refuse(refusal, 404, AGB_REASON_NOT_FOUND, "no such path");
 }
 
-static void
-join_findings(const struct agb_findings *f, char *buf, size_t len)
-{
-	const struct agb_finding *it;
-	size_t used, i;
-	int n;
-
-	used = 0;
-	buf[0] = '\0';
-	for (i = 0; i < f->len && used + 1 < len; i++) {
-		it = &f->items[i];
-		n = snprintf(buf + used, len - used, "%s%s%s%s",
-		    i > 0 ? "; " : "", it->location,
-		    it->location[0] ? ": " : "", it->text);
-		used += (size_t)n < len - used ? (size_t)n : len - used - 1;
-	}
-	if (f->dropped > 0 && used + 1 < len)
-		snprintf(buf + used, len - used, "; %zu more", f->dropped);
-}
-
 static uint64_t
 request_bytes(const struct agb_edge_raw_request *raw)
 {
@@ -631,7 +611,7 @@
 		    f, AGB_FINDING_ERROR, "query", "this path takes no query");
 	if (f->errors > 0) {
 		target = refuse(refusal, 400, AGB_REASON_BAD_REQUEST, "%s", "");
-		join_findings(f, refusal->detail, sizeof(refusal->detail));
+		agb_findings_join(f, refusal->detail, sizeof(refusal->detail));
 		free((char *)(uintptr_t)call->args);
 		memset(call, 0, sizeof(*call));
 	}
--- a/src/agatebeam/finding.h
+++ b/src/agatebeam/finding.h
@@ -68,4 +68,11 @@
 size_t agb_findings_format(
     const struct agb_findings *f, const char *file, char *buf, size_t len);
 
+/**
+ * agb_findings_join() - write the findings on one line, separated by "; "
+ * @buf: destination; the text is truncated to fit and NUL-terminated
+ * @len: size of @buf in bytes, at least 1
+ */
+void agb_findings_join(const struct agb_findings *f, char *buf, size_t len);
+
 #endif
