refactor(sched): one function stops an attempt, with or without checkpoint

sched_attempt_stop() and sched_attempt_checkpoint() differed in the effect only. sched_env.c includes string.h again, which its memset() needs.

Run: make build, ctest (42 of 42 passed).

--- a/src/agatebeam/sched_att.c
+++ b/src/agatebeam/sched_att.c
@@ -174,26 +174,30 @@
 	return ef;
 }
 
-void
-sched_attempt_stop(struct agb_sched *s, struct sched_attempt *a,
-    enum agb_reason reason, const char *why)
+/* Ends an attempt by @type, a stop or a checkpoint before the stop. */
+static void
+end_attempt(struct agb_sched *s, struct sched_attempt *a,
+    enum agb_sched_effect_type type, enum agb_reason reason, const char *why)
 {
 	if (a->state == ATTEMPT_STOPPING)
 		return;
-	add_effect(s, a, AGB_SCHED_STOP, reason, why);
+	add_effect(s, a, type, reason, why);
 	a->stop_reason = reason;
 	sched_attempt_set_state(s, a, ATTEMPT_STOPPING);
 }
 
+void
+sched_attempt_stop(struct agb_sched *s, struct sched_attempt *a,
+    enum agb_reason reason, const char *why)
+{
+	end_attempt(s, a, AGB_SCHED_STOP, reason, why);
+}
+
 void
 sched_attempt_checkpoint(struct agb_sched *s, struct sched_attempt *a,
     enum agb_reason reason, const char *why)
 {
-	if (a->state == ATTEMPT_STOPPING)
-		return;
-	add_effect(s, a, AGB_SCHED_CHECKPOINT, reason, why);
-	a->stop_reason = reason;
-	sched_attempt_set_state(s, a, ATTEMPT_STOPPING);
+	end_attempt(s, a, AGB_SCHED_CHECKPOINT, reason, why);
 }
 
 void
--- a/src/agatebeam/sched_env.c
+++ b/src/agatebeam/sched_env.c
@@ -1,6 +1,7 @@
 #include "sched_internal.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /*
  * The environment document in force. A new document may assign other indexes to
