refactor(mem): zeroed items are appended by one function

The three lists of effects, the calls of wf_proxy and the results of wf_relay grew their array, took its last item and cleared it each by themselves. They use agb_xappend().

--- a/src/agatebeam/mem.c
+++ b/src/agatebeam/mem.c
@@ -40,6 +40,16 @@
 	return agb_xreallocarray(p, *cap, size);
 }
 
+void *
+agb_xappend(void *p, size_t *len, size_t *cap, size_t size)
+{
+	if (*len == *cap)
+		p = agb_xgrow(p, cap, size);
+	memset((char *)p + *len * size, 0, size);
+	++*len;
+	return p;
+}
+
 char *
 agb_xstrdup(const char *s)
 {
--- a/src/agatebeam/mem.h
+++ b/src/agatebeam/mem.h
@@ -29,6 +29,14 @@
  */
 void *agb_xgrow(void *p, size_t *cap, size_t size);
 
+/**
+ * agb_xappend() - append a zeroed item to an array
+ * @len: number of items, incremented
+ * @cap: capacity in items, updated; 0 for an array not yet allocated
+ * Return: the array, never NULL.
+ */
+void *agb_xappend(void *p, size_t *len, size_t *cap, size_t size);
+
 /**
  * agb_xstrdup() - copy a string
  * @s: NULL is copied as ""
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -16,11 +16,9 @@
 {
 	struct wf_effect *ef;
 
-	if (out->len == out->cap)
-		out->items =
-		    agb_xgrow(out->items, &out->cap, sizeof(*out->items));
-	ef = &out->items[out->len++];
-	memset(ef, 0, sizeof(*ef));
+	out->items =
+	    agb_xappend(out->items, &out->len, &out->cap, sizeof(*out->items));
+	ef = &out->items[out->len - 1];
 	ef->type = type;
 	return ef;
 }
--- a/src/workflow/wf_proxy.c
+++ b/src/workflow/wf_proxy.c
@@ -54,10 +54,8 @@
 {
 	struct peer_call *call;
 
-	if (p->len == p->cap)
-		p->items = agb_xgrow(p->items, &p->cap, sizeof(*p->items));
-	call = &p->items[p->len++];
-	memset(call, 0, sizeof(*call));
+	p->items = agb_xappend(p->items, &p->len, &p->cap, sizeof(*p->items));
+	call = &p->items[p->len - 1];
 	call->tag = tag;
 	call->token = token;
 	return call;
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -148,11 +148,10 @@
 {
 	struct wf_relayed_result *r;
 
-	if (relay->results.len == relay->results_cap)
-		relay->results.items = agb_xgrow(relay->results.items,
-		    &relay->results_cap, sizeof(*relay->results.items));
-	r = &relay->results.items[relay->results.len++];
-	memset(r, 0, sizeof(*r));
+	relay->results.items =
+	    agb_xappend(relay->results.items, &relay->results.len,
+		&relay->results_cap, sizeof(*relay->results.items));
+	r = &relay->results.items[relay->results.len - 1];
 	r->number = number;
 	r->status = status;
 	relay->urgent = relay->urgent || status != WF_ORDER_OK;
