fix(workflow): a gang asks for as many runners as it needs at the same time

A gang that needs more runners than one call for advice names (100) never started once its first tickets had expired: renewals got tickets for 100 runners at a time, and those of one call expired before the next one was answered. Gangs that need fewer runners collected their approvals in calls one after the other, each of 1.2 s, while tickets are valid for 2 s.

The runners that are named for a gang, up to 400 of them, are shared out to several calls of different instances at the same time, so that their tickets are valid together. A renewal names the reserved runners, and as many others as the same number of calls can name.

test_wf_core, 'wide gang has tickets where there is room', second case: 200 tasks of one a runner; queued after 20 s before, completed now.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -7,6 +7,9 @@
 
 /* Runners that a call for the first approvals of a step names. */
 #define FIRST_CALL_RUNNERS 30
+/* Maximum number of runners that are named for a gang at the same time, in
+ * several calls. */
+#define NAMED_RUNNERS_MAX (4 * WF_ADVICE_RUNNERS_MAX)
 /* The service approves at least about this share of the runners named. Calls
  * for a wide gang name as many as are needed at this share, times a factor, as
  * the runners approved may not all be empty. */
@@ -242,14 +245,15 @@
 	return best;
 }
 
-/* A waiting unit is expected to spread its tasks over the runners that it has
- * named. Counting them there makes other units name different runners. */
+/* A waiting unit is expected to spread its tasks over the @named runners that
+ * it has named, of which @runners are a part. Counting them there makes other
+ * units name different runners. */
 static void
 add_claim(struct wf_leader *l, const struct wf_unit *u, const uint32_t *runners,
-    size_t len)
+    size_t len, size_t named)
 {
 	const int64_t each =
-	    u->waiting * wf_unit_step(u)->need.cpu_milli / (int64_t)len;
+	    u->waiting * wf_unit_step(u)->need.cpu_milli / (int64_t)named;
 	size_t i;
 
 	for (i = 0; i < len; i++)
@@ -271,7 +275,7 @@
 			runners[n++] = u->approvals[i].runner;
 	}
 	if (n > 0)
-		add_claim(l, u, runners, n);
+		add_claim(l, u, runners, n, n);
 }
 
 void
@@ -285,7 +289,7 @@
 	for (ri = 0; ri < l->runners_len; ri++)
 		l->runners[ri].claimed_cpu_milli = 0;
 	for (u = l->queue; u != NULL; u = u->next) {
-		if (!u->advice_pending)
+		if (u->calls_pending == 0)
 			claim_by_tickets(l, u, now);
 	}
 	for (i = 0; i < l->advice_calls_len; i++) {
@@ -293,7 +297,8 @@
 		if (j != NULL && j->exec != NULL)
 			add_claim(l, &j->exec->units[l->advice_calls[i].unit],
 			    l->advice_calls[i].runners,
-			    l->advice_calls[i].runners_len);
+			    l->advice_calls[i].runners_len,
+			    l->advice_calls[i].named);
 	}
 }
 
@@ -321,7 +326,7 @@
 static void
 send_call(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     uint32_t ci, uint32_t est_ms, const uint32_t *runners, size_t len,
-    struct wf_effects *out)
+    size_t named, struct wf_effects *out)
 {
 	struct wf_advice_client *const client = &l->advice_clients[ci];
 	struct wf_advice_call *call;
@@ -345,9 +350,10 @@
 	call->runners = agb_xcalloc(len, sizeof(*call->runners));
 	call->incarnations = agb_xcalloc(len, sizeof(*call->incarnations));
 	call->runners_len = len;
-	add_claim(l, u, runners, len);
-	u->advice_pending = true;
-	u->advice_tag = call->tag;
+	call->named = named;
+	add_claim(l, u, runners, len, named);
+	if (u->calls_pending++ == 0)
+		u->first_call_tag = call->tag;
 	ef = wf_effects_add(out,
 	    client->address[0] != '\0' ? WF_EF_PEER_ADVICE_REQUEST
 				       : WF_EF_ADVICE_REQUEST);
@@ -373,22 +379,63 @@
 	    call->job, u->occurrence, u->step, len, client->name, est_ms);
 }
 
+/* Number of calls that name @len runners. */
+static size_t
+call_count(size_t len)
+{
+	return (len + WF_ADVICE_RUNNERS_MAX - 1) / WF_ADVICE_RUNNERS_MAX;
+}
+
+/* Number of runners that each of these calls names at most. */
+static size_t
+call_share(size_t len)
+{
+	const size_t calls = call_count(len);
+
+	return calls > 0 ? (len + calls - 1) / calls : 0;
+}
+
+/* Asks for runners that one call cannot name by several calls at the same time,
+ * so that their tickets are valid together. Calls for which no instance is free
+ * are left out. */
+static void
+send_calls(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
+    const uint32_t *runners, size_t len, struct wf_effects *out)
+{
+	const size_t share = call_share(len);
+	uint32_t est_ms, client;
+	size_t i, n;
+
+	for (i = 0; i < len; i += n) {
+		n = len - i < share ? len - i : share;
+		est_ms = estimate_call_ms(wf_unit_queue(l, u), n);
+		client = reserve_client(l, now, u, est_ms);
+		if (client == WF_NO_HANDLE)
+			break;
+		send_call(l, now, u, client, est_ms, runners + i, n, len, out);
+	}
+}
+
 void
 wf_advice_renew(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, const uint32_t *runners, size_t len,
     struct wf_effects *out)
 {
-	const struct wf_queue *const q = wf_unit_queue(l, u);
-	uint32_t est_ms, client;
-
-	if (u->advice_pending || now->mono < u->advice_retry_at || len == 0)
+	if (u->calls_pending > 0 || now->mono < u->advice_retry_at)
 		return;
-	if (len > WF_ADVICE_RUNNERS_MAX)
-		len = WF_ADVICE_RUNNERS_MAX;
-	est_ms = estimate_call_ms(q, len);
-	client = reserve_client(l, now, u, est_ms);
-	if (client != WF_NO_HANDLE)
-		send_call(l, now, u, client, est_ms, runners, len, out);
+	send_calls(l, now, u, runners, len, out);
+}
+
+size_t
+wf_advice_call_capacity(size_t len)
+{
+	return call_count(len) * WF_ADVICE_RUNNERS_MAX;
+}
+
+uint32_t
+wf_advice_call_ms(const struct wf_queue *q, size_t runners_len)
+{
+	return estimate_call_ms(q, call_share(runners_len));
 }
 
 struct runner_candidate {
@@ -449,7 +496,7 @@
 select_unasked_runners(const struct wf_leader *l, const struct wf_now *now,
     const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
 {
-	struct runner_candidate list[WF_ADVICE_RUNNERS_MAX];
+	struct runner_candidate list[NAMED_RUNNERS_MAX];
 	const struct wf_runner *r;
 	size_t len, unasked_len, i;
 	uint32_t *unasked;
@@ -506,7 +553,7 @@
 
 /* Number of runners to name so that enough of them are approved. */
 static size_t
-runners_per_call(
+runners_to_name(
     const struct wf_leader *l, const struct wf_unit *u, const char *service)
 {
 	const struct wf_step *const step = wf_unit_step(u);
@@ -525,9 +572,9 @@
 		return FIRST_CALL_RUNNERS;
 	n = (step->count + each - 1) / each * 100 * GANG_SPARE_FACTOR /
 	    APPROVED_MIN_PERCENT;
-	return n < FIRST_CALL_RUNNERS	? FIRST_CALL_RUNNERS
-	    : n < WF_ADVICE_RUNNERS_MAX ? n
-					: WF_ADVICE_RUNNERS_MAX;
+	return n < FIRST_CALL_RUNNERS ? FIRST_CALL_RUNNERS
+	    : n < NAMED_RUNNERS_MAX   ? n
+				      : NAMED_RUNNERS_MAX;
 }
 
 void
@@ -535,11 +582,10 @@
     struct wf_unit *u, struct wf_effects *out)
 {
 	const struct wf_queue *const q = wf_unit_queue(l, u);
-	uint32_t runners[WF_ADVICE_RUNNERS_MAX];
-	uint32_t est_ms, client;
+	uint32_t runners[NAMED_RUNNERS_MAX];
 	size_t len, max;
 
-	if (u->advice_pending || now->mono < u->advice_retry_at || q == NULL)
+	if (u->calls_pending > 0 || now->mono < u->advice_retry_at || q == NULL)
 		return;
 	if (u->approvals_len > 0 &&
 	    now->mono - u->ready_at < WIDEN_AFTER_MS * AGB_MS &&
@@ -548,16 +594,14 @@
 	/* Under a backlog most units find no instance for their call, so the
 	 * costly choice of the runners comes after that of the instance. The
 	 * length of the call needs only the number of runners. */
-	max = runners_per_call(l, u, q->service);
+	max = runners_to_name(l, u, q->service);
 	len = list_unasked_runners(l, now->mono, u, q->service, runners, max);
-	if (len == 0)
-		return;
-	est_ms = estimate_call_ms(q, len);
-	client = reserve_client(l, now, u, est_ms);
-	if (client == WF_NO_HANDLE)
+	if (len == 0 ||
+	    reserve_client(l, now, u, wf_advice_call_ms(q, len)) ==
+		WF_NO_HANDLE)
 		return;
-	select_unasked_runners(l, now, u, q->service, runners, max);
-	send_call(l, now, u, client, est_ms, runners, len, out);
+	len = select_unasked_runners(l, now, u, q->service, runners, max);
+	send_calls(l, now, u, runners, len, out);
 }
 
 /* Approval of a runner, which is added when there is none. @places: for each
@@ -670,9 +714,9 @@
 	if (j == NULL || j->exec == NULL)
 		goto out;
 	u = &j->exec->units[call.unit];
-	if (u->advice_tag != tag)
+	if (u->calls_pending == 0 || tag < u->first_call_tag)
 		goto out;
-	u->advice_pending = false;
+	u->calls_pending--;
 	if (advice->answered) {
 		record_answer(l, now, u, &call, advice, out);
 	} else {
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -616,13 +616,13 @@
 
 /* Reserves room for a gang that does not fit now. Otherwise small tasks would
  * take all resources as they become free, and the gang would starve. Leaves the
- * eligible runners in the pass's list @stale, those with the most room first, as
- * one call cannot renew the tickets of more than WF_ADVICE_RUNNERS_MAX of them;
- * @listed is set to their number.
+ * runners whose tickets the gang needs in the pass's list @stale, those with the
+ * most room first: the reserved ones, and as many others as the same number of
+ * calls can name. @to_renew is set to their number.
  * Return: when it is expected to start. */
 static agb_time
 reserve_for_gang(struct dispatch_pass *p, struct wf_unit *u,
-    const struct wf_queue *q, size_t *listed)
+    const struct wf_queue *q, size_t *to_renew)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	struct runner_offer *offers;
@@ -632,7 +632,7 @@
 	agb_time start_at;
 
 	len = list_eligible_runners(p, u, q, p->stale);
-	*listed = len;
+	*to_renew = 0;
 	plans = agb_xcalloc(len + 1, sizeof(*plans));
 	for (i = 0; i < len; i++)
 		room_plan_init(p, u, p->stale[i], &plans[i]);
@@ -648,12 +648,16 @@
 	left = u->waiting;
 	for (i = 0; i < len; i++) {
 		p->stale[i] = offers[i].runner;
+		if (left == 0)
+			continue;
 		count = offers[i].fit < left ? offers[i].fit : left;
-		if (count > 0)
-			reserve_on_runner(
-			    p, step, offers[i].runner, count, start_at);
+		reserve_on_runner(p, step, offers[i].runner, count, start_at);
 		left -= count;
+		*to_renew = i + 1;
 	}
+	*to_renew = wf_advice_call_capacity(*to_renew);
+	if (*to_renew > len)
+		*to_renew = len;
 	free(offers);
 	free(plans);
 	return start_at;
@@ -766,19 +770,17 @@
     const struct wf_queue *q, size_t stale_len, agb_time start_at)
 {
 	const agb_time lead_time =
-	    (agb_time)(q->advice_base_ms +
-		q->advice_per_runner_ms * (double)stale_len + RENEW_MARGIN_MS) *
-	    AGB_MS;
+	    (wf_advice_call_ms(q, stale_len) + RENEW_MARGIN_MS) * AGB_MS;
 
 	if (!q->advice_required)
 		return;
-	if (!u->advice_pending && may_request_advice(p, u, q)) {
+	if (u->calls_pending == 0 && may_request_advice(p, u, q)) {
 		if (stale_len > 0 && start_at <= p->now->mono + lead_time)
 			wf_advice_renew(
 			    p->l, p->now, u, p->stale, stale_len, p->out);
 		wf_advice_request(p->l, p->now, u, p->out);
 	}
-	if (!u->advice_pending && !wf_advice_has_ticket(u, p->now->mono))
+	if (u->calls_pending == 0 && !wf_advice_has_ticket(u, p->now->mono))
 		return;
 	p->tasks_with_advice += u->waiting;
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
@@ -790,7 +792,7 @@
 place_gang(struct dispatch_pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	size_t len, stale_len, listed, i;
+	size_t len, stale_len, to_renew, i;
 	agb_time start_at;
 	uint64_t room;
 
@@ -815,11 +817,11 @@
 		return;
 	}
 	start_at = AGB_TIME_MAX;
-	listed = 0;
+	to_renew = 0;
 	if (p->reservations_made < RESERVATIONS_MIN +
 		    p->l->runners_len / RUNNERS_PER_RESERVATION &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
-		start_at = reserve_for_gang(p, u, q, &listed);
+		start_at = reserve_for_gang(p, u, q, &to_renew);
 	if (start_at != AGB_TIME_MAX && stale_len == 0 && q->advice_required) {
 		/* Tickets have to be valid when there is room. */
 		for (i = 0; i < u->approvals_len; i++) {
@@ -828,12 +830,10 @@
 				stale_len++;
 		}
 	}
-	/* Renews the tickets of as many approved runners as one call may name,
-	 * also of those without room now. */
+	/* Renews also the tickets of runners without room now, which may have
+	 * it when the gang starts. */
 	if (stale_len > 0)
-		stale_len = listed < WF_ADVICE_RUNNERS_MAX
-		    ? listed
-		    : WF_ADVICE_RUNNERS_MAX;
+		stale_len = to_renew;
 	request_advice(p, u, q, stale_len, start_at);
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -142,7 +142,8 @@
  * @run: highest run number of its tasks; the members of a gang share it
  * @ready: its occurrence is due and the steps it depends on are done
  * @queued: linked into the leader's queue
- * @advice_pending: a call for advice is pending, with tag @advice_tag
+ * @calls_pending: number of pending calls for advice
+ * @first_call_tag: tag of the first of them, which were made at the same time
  * @advice_retry_at: no call for advice before this time
  * @repair_deadline: until then gang members whose start failed may be placed
  *	again in the same run; 0 when there are none
@@ -164,8 +165,8 @@
 	uint32_t run;
 	bool ready;
 	bool queued;
-	bool advice_pending;
-	uint64_t advice_tag;
+	uint32_t calls_pending;
+	uint64_t first_call_tag;
 	agb_time advice_retry_at;
 	agb_time repair_deadline;
 	agb_time ready_at;
@@ -325,6 +326,7 @@
  * @est_ms: expected time to the answer
  * @runners: indexes of the runners that it asks for
  * @incarnations: their incarnations when it was sent
+ * @named: number of runners in all calls that were made for the unit together
  */
 struct wf_advice_call {
 	uint64_t tag;
@@ -336,6 +338,7 @@
 	uint32_t *runners;
 	uint32_t *incarnations;
 	size_t runners_len;
+	size_t named;
 };
 
 /* Run times of the tasks of a queue. */
@@ -865,6 +868,18 @@
     struct wf_unit *u, const uint32_t *runners, size_t len,
     struct wf_effects *out);
 
+/**
+ * wf_advice_call_capacity() - maximum number of runners that can be named in as
+ * many calls as @len of them need
+ */
+size_t wf_advice_call_capacity(size_t len);
+
+/**
+ * wf_advice_call_ms() - expected time to the answers of calls that name this
+ * many runners together
+ */
+uint32_t wf_advice_call_ms(const struct wf_queue *q, size_t runners_len);
+
 /**
  * wf_advice_handle_answer() - handle the answer to a call for advice
  */
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -488,32 +488,47 @@
 }
 
 /* Guards against a wide gang that never starts although there is room for it: a
- * renewal names at most WF_ADVICE_RUNNERS_MAX runners, and it named those that
- * were approved first, which long tasks occupied. */
+ * call names at most WF_ADVICE_RUNNERS_MAX runners. Renewals named those that
+ * were approved first, which long tasks occupied; and a gang that needs more
+ * runners had tickets for one call's runners at a time. */
 static void
-gang_renews_tickets_of_runners_with_room(void)
+wide_gang_has_tickets_where_there_is_room(void)
 {
+	static const struct {
+		unsigned occupied;
+		uint32_t count, cpu_milli;
+	} cases[] = {
+	    {110, 67, 15000}, /* two tasks a runner */
+	    {20, 200, 20000}, /* one task a runner */
+	};
 	static const struct sim_options o = {
 	    .seed = 1,
-	    .cores = 3,
+	    .cores = 5,
 	    .runners = 300,
 	    .cpu_milli = 32000,
 	    .advice_required = true,
-	    .advice_ms = 40,
-	    .advice_per_runner_ms = 1,
+	    .advice_ms = 490,
+	    .advice_per_runner_ms = 7,
 	};
-	struct sim *const s = start_sim(&o);
-	struct wf_spec *const gang = sim_new_spec(67, 15000, 500);
+	struct wf_spec *gang;
+	struct sim *s;
+	size_t i;
 
-	/* The runners that are free first are occupied longest. */
-	sim_submit(s, 0, "00000000000000a1", sim_new_spec(110, 20000, 60000));
-	sim_run(s, 1500);
-	sim_submit(s, 0, "00000000000000a2", sim_new_spec(190, 20000, 5000));
-	sim_run(s, 1500);
-	gang->steps[0].gang = true;
-	sim_submit(s, 0, JOB, gang);
-	run_until_state(s, JOB, "completed", 10000);
-	finish_sim(s);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		s = start_sim(&o);
+		/* The runners that are free first are occupied longest. */
+		sim_submit(s, 0, "00000000000000a1",
+		    sim_new_spec(cases[i].occupied, 20000, 60000));
+		sim_run(s, 5000);
+		sim_submit(s, 0, "00000000000000a2",
+		    sim_new_spec(300 - cases[i].occupied, 20000, 12000));
+		sim_run(s, 5000);
+		gang = sim_new_spec(cases[i].count, cases[i].cpu_milli, 500);
+		gang->steps[0].gang = true;
+		sim_submit(s, 0, JOB, gang);
+		run_until_state(s, JOB, "completed", 20000);
+		finish_sim(s);
+	}
 }
 
 /* Guards against a lost start order that makes the whole gang start again. */
@@ -971,8 +986,8 @@
 	lease_of_killed_leader_ends_after_restart},
     {"store away: work goes on", store_down_tasks_keep_running},
     {"gang is not starved by small tasks", gang_not_starved_by_small_tasks},
-    {"gang renews tickets of runners with room",
-	gang_renews_tickets_of_runners_with_room},
+    {"wide gang has tickets where there is room",
+	wide_gang_has_tickets_where_there_is_room},
     {"gang member's start lost", gang_survives_lost_start},
     {"runner restarts with the same id", runner_restarts_with_same_id},
     {"faulty runner is avoided", faulty_runner_is_avoided},
