fix(workflow): a runner is asked before its tasks start again

Cause: when a runner's lease had ended and the runner had not answered for 4 s, its tasks were requeued. After a pause of the leader of over 7 s, or while the store was down for so long that the leader might not extend leases, no hold had been sent in that time: the silence was the leader's own. With a lease that the store had paused, the leader then started tasks again which their runner had ended in time and would have reported.

Change: the tasks are requeued when the runner has missed two holds in a row, the last of which was sent within 5 s, or when its address is not known. A hold that a relay did not pass on does not count.

Measured: the new test "runner is asked after its lease" failed before in both cases (a task that had ended started a second time) and passes now. The simulation gets sim_restart_leases(), for a store that pauses leases while it is down.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -77,6 +77,12 @@
  * disappeared has exited: the entry of a runner that merely stopped answering
  * expires only after its heartbeats have been missing for longer. */
 #define DEPARTED_REPLY_AGE_MS 2500
+/* A runner counts as silent when it has missed this many holds in a row, and the
+ * last one was sent within this time: two holds, each with its time limit and
+ * the wait before the next. Older ones say nothing after a pause of this process
+ * or a time in which it may not extend leases. */
+#define MISSED_HOLDS_MIN 2
+#define MISSED_HOLD_AGE_MS 5000
 /* After an election, placement waits this long at most, or until this share of
  * the runners has listed its tasks. */
 #define RECOVERY_WAIT_MS 300
@@ -1020,6 +1026,15 @@
 	return true;
 }
 
+static void
+note_missed_hold(struct wf_runner *r, agb_time now, agb_time sent_at)
+{
+	if (now - r->missed_at > MISSED_HOLD_AGE_MS * AGB_MS)
+		r->missed_holds = 0;
+	r->missed_holds++;
+	r->missed_at = sent_at;
+}
+
 static agb_time
 hold_interval(
     const struct wf_leader *l, const struct wf_runner *r, agb_time now)
@@ -1056,6 +1071,8 @@
 			handle_lists(l, now, res->runner, res, out);
 		return;
 	}
+	if (res->status != WF_ORDER_OK && res->status != WF_ORDER_UNRELAYED)
+		note_missed_hold(r, now->mono, res->sent_at);
 	if (retry_hold(r, now, res->status, res->relay))
 		return;
 	if (res->status != WF_ORDER_OK) {
@@ -1083,6 +1100,7 @@
 		    "runner=%s change=reached active=%zu ended=%zu", r->info.id,
 		    res->active_len, res->finished_len);
 	r->silent = false;
+	r->missed_holds = 0;
 	r->relay_retried = false;
 	r->has_left = false;
 	r->heard_at = res->sent_at;
@@ -1278,6 +1296,17 @@
 	return r->listed ? LISTED_REQUEUE_DELAY_MS * AGB_MS : 0;
 }
 
+/* Whether the runner was asked for its runs until now without an answer, or
+ * cannot be asked as its address is not known. A task that it ended in time
+ * would be repeated otherwise. */
+static bool
+does_not_answer(const struct wf_runner *r, agb_time now)
+{
+	return r->info.addr[0] == '\0' ||
+	    (r->missed_holds >= MISSED_HOLDS_MIN &&
+		now - r->missed_at <= MISSED_HOLD_AGE_MS * AGB_MS);
+}
+
 static void
 poll_runner(
     struct wf_leader *l, const struct wf_now *now, uint32_t ri, agb_time *next)
@@ -1318,7 +1347,8 @@
 	struct wf_runner *const r = &l->runners[ri];
 
 	if (r->tasks != NULL && now->mono > r->lease_until + requeue_delay(r) &&
-	    now->mono - r->heard_at > RUNNER_LEASE_MS * AGB_MS) {
+	    now->mono - r->heard_at > RUNNER_LEASE_MS * AGB_MS &&
+	    does_not_answer(r, now->mono)) {
 		requeue_runner_tasks(l, now, ri, "its lease has run out", out);
 		r->reported = false;
 	}
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -228,6 +228,8 @@
  *	table entry
  * @reported: has reported its runs to this leader in this incarnation
  * @silent: the last hold was not answered
+ * @missed_holds: number of holds since the last answer that were not answered
+ * @missed_at: sending time of the last one of them
  * @relay_retried: a hold that failed through a relay was retried; reset when a
  *	hold is answered
  * @has_left: its registry entry was removed while it was draining and
@@ -260,6 +262,8 @@
 	uint32_t incarnation;
 	bool reported;
 	bool silent;
+	uint32_t missed_holds;
+	agb_time missed_at;
 	bool relay_retried;
 	bool has_left;
 	bool reserved;
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -191,6 +191,43 @@
 	finish_sim(s);
 }
 
+/* A leader that asks no runner for more than 8 s, since it is paused or since
+ * the store is down for so long that it may not extend leases. It keeps its own
+ * lease, as the store pauses it, and the first hold afterwards is lost. Guards against starting a task again that its runner has ended in time,
+ * before the runner is asked. */
+static void
+runner_is_asked_after_its_lease(void)
+{
+	static const struct {
+		unsigned paused_ms, store_down_ms, task_ms;
+	} cases[] = {
+	    {9000, 8990, 3000},
+	    {0, 20000, 11500},
+	};
+	struct sim *s;
+	unsigned ri;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		s = start_sim(&default_options);
+		sim_submit(s, 0, JOB, sim_new_spec(1, 1000, cases[i].task_ms));
+		sim_run(s, 500);
+		ri = sim_runner_of(s, JOB);
+		CU_ASSERT(ri < default_options.runners);
+		sim_set_store_mode(s, SIM_STORE_SILENT);
+		sim_freeze(s, leader(s), cases[i].paused_ms);
+		sim_run(s, cases[i].store_down_ms);
+		sim_restart_leases(s);
+		sim_set_store_mode(s, SIM_STORE_UP);
+		sim_runner_cut(s, ri, true);
+		sim_run(s, 500);
+		sim_runner_cut(s, ri, false);
+		run_until_state(s, JOB, "completed", 5000);
+		CU_ASSERT_EQUAL(sim_start_count(s, JOB), 1);
+		finish_sim(s);
+	}
+}
+
 /* Guards against losing a task that an earlier leader had started on a runner
  * that has left since: it was never assigned again. */
 static void
@@ -922,6 +959,7 @@
     {"a cancel stops", cancel_stops_tasks},
     {"ends are durable before forgotten", ends_durable_before_acknowledged},
     {"lease of a silent runner ends", lease_of_unreachable_runner_expires},
+    {"runner is asked after its lease", runner_is_asked_after_its_lease},
     {"runner leaves during a takeover", runner_leaves_during_failover},
     {"leader killed", leader_killed},
     {"all killed", all_killed},
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -2475,6 +2475,15 @@
 	s->store_slow_ms = ms;
 }
 
+void
+sim_restart_leases(struct sim *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->leases_len; i++)
+		s->leases[i].until = s->now + s->leases[i].ttl_ms * SIM_MS;
+}
+
 void
 sim_set_core_store_mode(struct sim *s, unsigned ci, enum sim_store_mode mode)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -118,6 +118,9 @@
  * once or later. */
 void sim_set_store_loss(struct sim *s, unsigned percent);
 void sim_set_store_delay(struct sim *s, unsigned ms);
+/* Lets all leases run anew from now on, like a store that was down and has paused
+ * them. */
+void sim_restart_leases(struct sim *s);
 void sim_set_core_store_mode(
     struct sim *s, unsigned ci, enum sim_store_mode mode);
 /* Discards the history, so that feeds that lag behind read everything again. */
