fix(workflow): late starts at a restarted runner run no task twice

Cause: when a runner restarted, the tasks of an earlier leader were requeued at once, as that leader's orders have a lower fence. The runner's next process knows no fence, though, until an order of the present leader has reached it; the restart may be known from the registry only. In the same way, a stop that the earlier process had answered counted for the next one. A start that was carried out late then ran the task a second time.

Change: such tasks stay assigned to the next process. Those of an earlier leader until it has answered a hold of this one, the others until it has answered a stop, which is sent again.

Cost: at a takeover, tasks on a runner that has restarted and that the new leader cannot reach wait for the end of the lease that the earlier leader may have extended, 12.3 s plus 3 s while it is listed.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -229,13 +229,29 @@
 }
 
 /* Whether the start of a task may still reach the restarted runner because the
- * start order was not answered. Only an answered stop rules that out. */
+ * start order was not answered. A stop that the earlier incarnation has answered
+ * does not rule that out. */
 static bool
 may_start_after_restart(const struct wf_task *t)
 {
-	return t->state == WF_TASK_INTENT ||
-	    (t->state == WF_TASK_SENT && !t->recovered &&
-		t->start_accepted_at == 0);
+	return t->state == WF_TASK_INTENT || t->state == WF_TASK_SENT;
+}
+
+/* Assigns a task whose start may still reach the restarted runner to its new
+ * incarnation, until that has answered a stop or, for a start by an earlier
+ * leader, an order of this one. */
+static void
+keep_task_after_restart(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, struct wf_task *t, int64_t started_ms, struct wf_effects *out)
+{
+	t->started_ms = started_ms;
+	t->incarnation = l->runners[ri].incarnation + 1;
+	if (t->recovered)
+		return;
+	t->start_deadline_ms = 0;
+	t->start_accepted_at = 0;
+	t->next_stop_at = now->mono;
+	wf_task_stop(l, now, t->unit, t, "runner restarted", out);
 }
 
 /* Requeues the tasks that were assigned to a runner before it restarted. */
@@ -252,15 +268,12 @@
 			if (t->started_ms == started_ms)
 				continue;
 			again = true;
-			if (may_start_after_restart(t)) {
-				t->started_ms = started_ms;
-				t->incarnation = l->runners[ri].incarnation + 1;
-				t->start_deadline_ms = 0;
-				wf_task_stop(l, now, t->unit, t,
-				    "runner restarted", out);
-				break;
-			}
-			release_or_requeue(l, now, t, "runner restarted", out);
+			if (may_start_after_restart(t))
+				keep_task_after_restart(
+				    l, now, ri, t, started_ms, out);
+			else
+				release_or_requeue(
+				    l, now, t, "runner restarted", out);
 			break;
 		}
 	} while (again);
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -244,6 +244,69 @@
 	finish_sim(s);
 }
 
+/* A start is carried out late by the next process of its runner, while the leader
+ * that sent it is gone. The new leader learns of the restart from the registry
+ * and cannot reach the runner yet, so that the runner does not refuse the start.
+ * Guards against a task that runs twice. */
+static void
+late_start_reaches_restarted_runner(void)
+{
+	struct sim_options o = default_options;
+	struct sim *s;
+	unsigned i;
+
+	o.runners = 2;
+	s = start_sim(&o);
+	/* The possible successors have read all jobs by then. */
+	sim_run(s, 2000);
+	for (i = 0; i < o.runners; i++)
+		sim_runner_delay_starts(s, i, 1300);
+	sim_submit(s, (leader(s) + 1) % 3, JOB, sim_new_spec(1, 1000, 3000));
+	sim_run(s, 50);
+	for (i = 0; i < o.runners; i++) {
+		sim_runner_delay_starts(s, i, 0);
+		sim_runner_crash(s, i, 150);
+	}
+	sim_kill_process(s, leader(s), 0);
+	sim_run(s, 200);
+	sim_runner_cut(s, 0, true);
+	sim_run(s, 1000);
+	CU_ASSERT(sim_leader(s) >= 0);
+	sim_runner_cut(s, 0, false);
+	run_until_state(s, JOB, "completed", 20000);
+	finish_sim(s);
+}
+
+/* A start that is not answered is stopped after 300 ms. The stop is answered, but
+ * not the hold that follows it; then the runner restarts, and the start is
+ * carried out by its next process. Guards against relying on a stop that only
+ * the earlier process has answered: the task ran twice. */
+static void
+restarted_runner_is_asked_to_stop_again(void)
+{
+	struct sim_options o = default_options;
+	unsigned i, crash_ms;
+	struct sim *s;
+
+	o.runners = 2;
+	for (crash_ms = 320; crash_ms <= 600; crash_ms += 40) {
+		s = start_sim(&o);
+		for (i = 0; i < o.runners; i++)
+			sim_runner_delay_starts(s, i, 1300);
+		sim_submit(s, leader(s), JOB, sim_new_spec(1, 1000, 3000));
+		sim_run(s, 100);
+		for (i = 0; i < o.runners; i++)
+			sim_runner_delay_starts(s, i, 0);
+		/* The stop arrives at 312 ms, the hold at 316 ms. */
+		sim_run(s, 314 - 100);
+		sim_runner_lose_hold(s, 0);
+		sim_run(s, crash_ms - 314);
+		sim_runner_crash(s, 0, 100);
+		run_until_state(s, JOB, "completed", 20000);
+		finish_sim(s);
+	}
+}
+
 static void
 leader_killed(void)
 {
@@ -961,6 +1024,10 @@
     {"lease of a silent runner ends", lease_of_unreachable_runner_expires},
     {"runner is asked after its lease", runner_is_asked_after_its_lease},
     {"runner leaves during a takeover", runner_leaves_during_failover},
+    {"late start reaches a restarted runner",
+	late_start_reaches_restarted_runner},
+    {"restarted runner is asked to stop again",
+	restarted_runner_is_asked_to_stop_again},
     {"leader killed", leader_killed},
     {"all killed", all_killed},
     {"leader frozen", leader_frozen},
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -83,6 +83,7 @@
 	bool faulty;
 	bool ignores_starts; /* starts are lost without an effect */
 	bool loses_hold;     /* the answer to the next hold is lost */
+	unsigned start_delay_ms;
 	bool listed;
 	agb_time started_at;
 	agb_time lease_until;
@@ -1328,6 +1329,19 @@
 	order_call_free(c);
 }
 
+/* Carries out a start whose answer is lost, in the present incarnation of its
+ * runner. */
+static void
+apply_delayed_start(struct sim *s, struct sim_event *e)
+{
+	struct order_call *const c = e->data;
+	struct sim_runner *const r = runner_by_id(s, c->o.runner_id);
+
+	if (r->up && !r->unreachable)
+		do_order(s, r, c);
+	order_call_free(c);
+}
+
 static void
 order_arrives(struct sim *s, struct sim_event *e)
 {
@@ -1351,6 +1365,16 @@
 		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
 		return;
 	}
+	if (r->start_delay_ms > 0 && c->o.kind == WF_ORDER_START) {
+		copy = agb_xcalloc(1, sizeof(*copy));
+		copy->o = c->o;
+		copy->o.payload = NULL;
+		schedule(s, r->start_delay_ms * SIM_MS, apply_delayed_start)
+		    ->data = copy;
+		c->res.status = WF_ORDER_LOST;
+		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
+		return;
+	}
 	if (chance(s, s->o.order_late_percent)) {
 		copy = agb_xcalloc(1, sizeof(*copy));
 		copy->o = c->o;
@@ -2227,7 +2251,7 @@
 			store_call_free(e->data);
 		else if (e->fn == order_result_arrives ||
 		    e->fn == order_arrives || e->fn == poll_hold ||
-		    e->fn == apply_late_order)
+		    e->fn == apply_late_order || e->fn == apply_delayed_start)
 			order_call_free(e->data);
 		else if (e->fn == push_arrives)
 			push_call_free(e->data);
@@ -2606,6 +2630,12 @@
 	s->runners[ri].ignores_starts = on;
 }
 
+void
+sim_runner_delay_starts(struct sim *s, unsigned ri, unsigned ms)
+{
+	s->runners[ri].start_delay_ms = ms;
+}
+
 int
 sim_leader(const struct sim *s)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -134,6 +134,9 @@
 void sim_runner_stall(struct sim *s, unsigned ri, bool on);
 /* Starts are lost at the runner without a reply. */
 void sim_runner_ignore_starts(struct sim *s, unsigned ri, bool on);
+/* Starts that arrive at a runner are carried out after @ms, by whichever process
+ * runs there then, and are not answered; 0 for none. */
+void sim_runner_delay_starts(struct sim *s, unsigned ri, unsigned ms);
 /* The next hold at a runner is carried out, but not answered. */
 void sim_runner_lose_hold(struct sim *s, unsigned ri);
 /* All tasks fail at a faulty runner. */
