fix(workflow): a leader's key has to carry its present lease

Cause: an instance led under any key that named it while its own lease was valid. When it had given back a lease, the call was lost and a new lease was granted, the key ended with the earlier one while the instance counted on the new one, for up to 1.2 s after another could be elected. Its writes and orders would have been refused by then, as the fence is lower.

Change: an instance leads only under a key that carries its present lease. When the key names it with another one, it ends that lease, so that the election need not wait for it.

Measured: "leader's key carries its lease" failed before (it led with an earlier lease and with none, and ended none) and passes now. "gone leader: its lease is ended" gets the instance's lease and two more cases; the others expect what they did.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -187,6 +187,10 @@
 	    now->mono >= c->lease.valid_until || c->ready.draining ||
 	    c->table.leader_rev == c->rejected_rev)
 		return;
+	/* The key ends with the lease that it carries, perhaps an earlier one
+	 * which was given back and whose end is not known. */
+	if (c->table.leader_lease != c->lease.id)
+		return;
 	/* The local copy must include everything that earlier leaders wrote. */
 	if (!wf_feeds_reach_election(&c->feeds, c->table.leader_rev))
 		return;
@@ -487,8 +491,9 @@
 
 	if (c->ready.draining || !c->feeds.feed[WF_FEED_CONTROL].synced)
 		return;
-	lease = wf_failover_lease(&c->failover, &c->table, c->cfg.name,
-	    c->cfg.rpc, wf_election_is_standby(&c->election), now->mono);
+	lease =
+	    wf_failover_lease(&c->failover, &c->table, c->cfg.name, c->cfg.rpc,
+		c->lease.id, wf_election_is_standby(&c->election), now->mono);
 	if (lease == 0)
 		return;
 	wf_core_op_add(WF_OP_LEASE_REVOKE, AGB_STORE_LEASE_REVOKE, out)->lease =
--- a/src/workflow/wf_failover.c
+++ b/src/workflow/wf_failover.c
@@ -16,11 +16,13 @@
 
 static bool
 leader_is_gone(const struct wf_failover *f, const struct wf_table *t,
-    const char *self, const char *rpc, bool may_succeed)
+    const char *self, const char *rpc, int64_t own_lease, bool may_succeed)
 {
 	const struct wf_peer *const leader = wf_table_leader(t);
 
-	if (leader == NULL || strcmp(t->leader, self) == 0)
+	if (strcmp(t->leader, self) == 0)
+		return own_lease != 0 && t->leader_lease != own_lease;
+	if (leader == NULL)
 		return false;
 	if (strcmp(leader->rpc, rpc) == 0)
 		return true;
@@ -29,10 +31,11 @@
 
 int64_t
 wf_failover_lease(struct wf_failover *f, const struct wf_table *t,
-    const char *self, const char *rpc, bool may_succeed, agb_time now)
+    const char *self, const char *rpc, int64_t own_lease, bool may_succeed,
+    agb_time now)
 {
 	if (t->leader_rev == 0 || t->leader_lease == 0 ||
-	    !leader_is_gone(f, t, self, rpc, may_succeed))
+	    !leader_is_gone(f, t, self, rpc, own_lease, may_succeed))
 		return 0;
 	if (f->revoked_rev == t->leader_rev && now < f->retry_at)
 		return 0;
--- a/src/workflow/wf_failover.h
+++ b/src/workflow/wf_failover.h
@@ -35,14 +35,17 @@
 /**
  * wf_failover_lease() - lease to end now
  * @self, @rpc: name and address of this instance
+ * @own_lease: its lease, or 0
  * @may_succeed: this instance is one of the possible successors
  *
  * A leader is certainly gone when this instance runs at its address, or when a
  * connection to that address was refused. Only the successors act on the latter,
- * as all instances notice it at the same time.
+ * as all instances notice it at the same time. An instance does not lead itself
+ * under a key that carries an earlier lease of it.
  * Return: 0 when there is none.
  */
 int64_t wf_failover_lease(struct wf_failover *f, const struct wf_table *t,
-    const char *self, const char *rpc, bool may_succeed, agb_time now);
+    const char *self, const char *rpc, int64_t own_lease, bool may_succeed,
+    agb_time now);
 
 #endif
--- /dev/null
+++ b/tests/test_wf_election.c
@@ -0,0 +1,305 @@
+/**
+ * DOC: test_wf_election
+ *
+ * When an instance leads and what a leader sends, told from the effects of one
+ * instance. The store, the runner and the other instances are tables of events.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+#include "suite.h"
+#include "wf_core.h"
+#include "wf_table.h"
+
+#define SELF "a"
+#define JOB "00000000000000aa"
+#define LEASE 7
+#define EARLIER_LEASE 5
+#define ELECTION_REV 5
+/* Longer than a leader waits between two passes over its runners. */
+#define STEP_MS 5
+
+/* One instance at @now, and all effects that it has returned so far. */
+struct instance {
+	struct wf_core *core;
+	struct wf_effects out;
+	agb_time now;
+};
+
+static void
+deliver(struct instance *x, struct wf_event *ev)
+{
+	const struct wf_now now = {
+	    .mono = x->now, .unix_ms = (int64_t)(x->now / AGB_MS)};
+
+	wf_core_handle(x->core, &now, ev, &x->out);
+}
+
+static void
+tick(struct instance *x)
+{
+	struct wf_event ev = {.type = WF_EV_TICK};
+
+	deliver(x, &ev);
+}
+
+/* Latest store operation of a kind, or NULL. */
+static const struct wf_effect *
+last_op(const struct instance *x, enum agb_store_op_kind kind)
+{
+	size_t i;
+
+	for (i = x->out.len; i > 0; i--) {
+		if (x->out.items[i - 1].type == WF_EF_STORE &&
+		    x->out.items[i - 1].u.store.kind == kind)
+			return &x->out.items[i - 1];
+	}
+	return NULL;
+}
+
+static unsigned
+count_orders(const struct instance *x, enum wf_order_kind kind)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++)
+		n += x->out.items[i].type == WF_EF_ORDER &&
+		    x->out.items[i].u.order.kind == kind;
+	return n;
+}
+
+static void
+answer_op(struct instance *x, const struct wf_effect *op,
+    struct agb_store_result *res)
+{
+	struct wf_event ev = {.type = WF_EV_STORE, .u.store = res};
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(op);
+	ev.tag = op->tag;
+	deliver(x, &ev);
+}
+
+static void
+answer_renewal(struct instance *x, bool exists)
+{
+	struct agb_store_result res = {
+	    .status = AGB_STORE_OK, .ttl_s = exists ? 1 : 0};
+
+	answer_op(x, last_op(x, AGB_STORE_LEASE_KEEPALIVE), &res);
+}
+
+static void
+deliver_feed(struct instance *x, enum wf_feed_id id,
+    const struct agb_store_kv *items, size_t len)
+{
+	struct wf_event ev = {.type = WF_EV_FEED,
+	    .u.feed = {.id = id,
+		.full = true,
+		.revision = ELECTION_REV,
+		.items = items,
+		.items_len = len}};
+
+	deliver(x, &ev);
+}
+
+static struct wf_doc *
+new_doc(void)
+{
+	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
+
+	doc->version = 1;
+	doc->queues = agb_xcalloc(1, sizeof(*doc->queues));
+	doc->queues_len = 1;
+	agb_str_copy(doc->queues->name, sizeof(agb_id), "q");
+	agb_str_copy(doc->queues->service, sizeof(agb_id), "svc");
+	doc->queues->max_attempts = 3;
+	doc->queues->slack_factor = 2;
+	return doc;
+}
+
+static void
+deliver_jobs(struct instance *x)
+{
+	char key[WF_KEY_MAX];
+	struct wf_step step = {.count = 1, .need.cpu_milli = 1000};
+	struct wf_spec spec = {
+	    .repeat_count = 1, .steps = &step, .steps_len = 1};
+	struct agb_store_kv kv = {.key = key, .mod_rev = 3};
+
+	agb_str_copy(spec.queue, sizeof(spec.queue), "q");
+	wf_table_make_key(key, 'j', JOB);
+	kv.val = wf_table_encode_spec(&spec, &kv.val_len);
+	deliver_feed(x, WF_FEED_JOBS, &kv, 1);
+	free(kv.val);
+}
+
+/* Gives an instance its lease, and the key of the leader, which names it. */
+static void
+start(struct instance *x, int64_t key_lease)
+{
+	const struct wf_config cfg = {
+	    .name = SELF, .rpc = "10.0.0.1:1", .seed = 1, .status_s = 120};
+	const struct agb_store_kv leader = {.key = (char[]){WF_KEY_LEADER},
+	    .val = (char[]){SELF},
+	    .val_len = strlen(SELF),
+	    .mod_rev = ELECTION_REV,
+	    .lease = key_lease};
+	struct agb_store_result granted = {
+	    .status = AGB_STORE_OK, .lease = LEASE, .ttl_s = 1};
+	struct wf_event doc = {.type = WF_EV_DOC, .u.doc = new_doc()};
+
+	memset(x, 0, sizeof(*x));
+	x->now = 10 * AGB_SEC;
+	x->core = wf_core_new(&cfg);
+	deliver(x, &doc);
+	answer_op(x, last_op(x, AGB_STORE_LEASE_GRANT), &granted);
+	deliver_feed(x, WF_FEED_CONTROL, &leader, 1);
+	deliver_jobs(x);
+	deliver_feed(x, WF_FEED_STATES, NULL, 0);
+	tick(x);
+}
+
+static void
+stop(struct instance *x)
+{
+	wf_core_free(x->core);
+	wf_effects_free(&x->out);
+}
+
+static bool
+leads(const struct instance *x)
+{
+	struct wf_gauges g;
+
+	wf_core_get_gauges(x->core, x->now, &g);
+	return g.is_leader;
+}
+
+/* An instance has given back a lease, the call was lost, and it has a new lease.
+ * The key of the leader names it, with either lease. Guards against a leader
+ * that counts on its new lease when its key ends with the earlier one, so that
+ * another instance is elected while it leads; and against waiting for the end of
+ * the earlier lease. */
+static void
+leader_needs_its_key_to_carry_its_lease(void)
+{
+	static const struct {
+		int64_t key_lease;
+		bool leads;
+		int64_t ended;
+	} cases[] = {
+	    {LEASE, true, 0},
+	    {EARLIER_LEASE, false, EARLIER_LEASE},
+	    {0, false, 0},
+	};
+	const struct wf_effect *op;
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, cases[i].key_lease);
+		CU_ASSERT_EQUAL(leads(&x), cases[i].leads);
+		op = last_op(&x, AGB_STORE_LEASE_REVOKE);
+		CU_ASSERT_EQUAL(
+		    op != NULL ? op->u.store.lease : 0, cases[i].ended);
+		stop(&x);
+	}
+}
+
+static void
+deliver_registry(struct instance *x)
+{
+	struct wf_runner_change change = {
+	    .info = {.started_ms = 1,
+		.remaining_ms = -1,
+		.capacity = {.cpu_milli = 8000, .mem_mb = 8000}}};
+	struct wf_event ev = {.type = WF_EV_RUNNERS,
+	    .u.runners = {.full = true, .items = &change, .items_len = 1}};
+
+	agb_str_copy(change.info.id, sizeof(change.info.id), "r-0");
+	agb_str_copy(change.info.addr, sizeof(change.info.addr), "10.1.0.1:1");
+	agb_str_copy(change.info.service, sizeof(agb_id), "svc");
+	deliver(x, &ev);
+}
+
+/* Answers the last order with empty lists. */
+static void
+answer_hold(struct instance *x)
+{
+	struct wf_order_result res;
+	struct wf_event ev = {.type = WF_EV_ORDER_RESULT, .u.order = &res};
+	size_t i;
+
+	for (i = x->out.len; i > 0; i--) {
+		if (x->out.items[i - 1].type == WF_EF_ORDER)
+			break;
+	}
+	CU_ASSERT_FATAL(i > 0);
+	wf_order_result_init(&res, &x->out.items[i - 1].u.order);
+	CU_ASSERT_EQUAL(res.kind, WF_ORDER_HOLD);
+	res.status = WF_ORDER_OK;
+	res.started_ms = 1;
+	res.clock_ms = 1000;
+	deliver(x, &ev);
+}
+
+/* A leader pauses while it writes the intent to start a task, and reads the
+ * answer first when it resumes. The lease of 1.2 s counts from the request;
+ * orders need 100 ms of it. Guards against a start that is sent on a lease which
+ * has run out meanwhile, and against one that is forgotten. */
+static void
+starts_wait_for_the_lease_after_a_pause(void)
+{
+	static const struct {
+		unsigned pause_ms;
+		bool lease_exists;
+		unsigned starts_before, starts_after;
+	} cases[] = {
+	    {10, true, 1, 1},
+	    {1090, true, 1, 1},
+	    {1100, true, 0, 1},
+	    {1300, true, 0, 1},
+	    {1300, false, 0, 0},
+	    {7000, true, 0, 1},
+	    {7000, false, 0, 0},
+	    {60000, true, 0, 1},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, LEASE);
+		deliver_registry(&x);
+		x.now += STEP_MS * AGB_MS;
+		tick(&x);
+		answer_hold(&x);
+		x.now += cases[i].pause_ms * AGB_MS;
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_START), cases[i].starts_before);
+		if (cases[i].pause_ms >= 1100)
+			answer_renewal(&x, cases[i].lease_exists);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_START), cases[i].starts_after);
+		CU_ASSERT_EQUAL(leads(&x), cases[i].lease_exists);
+		stop(&x);
+	}
+}
+
+static const struct suite_test tests[] = {
+    {"leader's key carries its lease", leader_needs_its_key_to_carry_its_lease},
+    {"starts wait for the lease after a pause",
+	starts_wait_for_the_lease_after_a_pause},
+};
+
+int
+main(void)
+{
+	return suite_run(
+	    "wf_election", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -98,18 +98,22 @@
 		const char *refused;
 		bool may_succeed;
 		int64_t lease;
+		int64_t own_lease;
 	} cases[] = {
 	    /* Nothing speaks against the leader. */
-	    {"a", "10.0.0.1:1", NULL, true, 0},
+	    {"a", "10.0.0.1:1", NULL, true, 0, 9},
 	    /* This instance runs at the leader's address. */
-	    {"b2", "10.0.0.2:1", NULL, false, 7},
+	    {"b2", "10.0.0.2:1", NULL, false, 7, 9},
 	    /* The leader's address refuses connections. */
-	    {"a", "10.0.0.1:1", "10.0.0.2:1", true, 7},
-	    {"a", "10.0.0.1:1", "10.0.0.2:1", false, 0},
+	    {"a", "10.0.0.1:1", "10.0.0.2:1", true, 7, 9},
+	    {"a", "10.0.0.1:1", "10.0.0.2:1", false, 0, 9},
 	    /* Another instance is gone. */
-	    {"a", "10.0.0.1:1", "10.0.0.3:1", true, 0},
+	    {"a", "10.0.0.1:1", "10.0.0.3:1", true, 0, 9},
 	    /* The leader itself. */
-	    {"b", "10.0.0.2:1", NULL, true, 0},
+	    {"b", "10.0.0.2:1", NULL, true, 0, 7},
+	    /* The leader itself, with no lease yet and with a later one. */
+	    {"b", "10.0.0.2:1", NULL, true, 0, 0},
+	    {"b", "10.0.0.2:1", NULL, true, 7, 8},
 	};
 	struct wf_failover f;
 	struct wf_table t;
@@ -127,19 +131,19 @@
 			wf_failover_note_refused(&f, &t, cases[i].refused);
 		CU_ASSERT_EQUAL(
 		    wf_failover_lease(&f, &t, cases[i].self, cases[i].rpc,
-			cases[i].may_succeed, AGB_SEC),
+			cases[i].own_lease, cases[i].may_succeed, AGB_SEC),
 		    cases[i].lease);
 		/* Not again at once. */
 		CU_ASSERT_EQUAL(
 		    wf_failover_lease(&f, &t, cases[i].self, cases[i].rpc,
-			cases[i].may_succeed, AGB_SEC),
+			cases[i].own_lease, cases[i].may_succeed, AGB_SEC),
 		    0);
 		/* A refusal says nothing about the next leader. */
 		t.leader_rev = 6;
 		if (cases[i].refused != NULL)
-			CU_ASSERT_EQUAL(
-			    wf_failover_lease(&f, &t, cases[i].self,
-				cases[i].rpc, cases[i].may_succeed, AGB_SEC),
+			CU_ASSERT_EQUAL(wf_failover_lease(&f, &t, cases[i].self,
+					    cases[i].rpc, cases[i].own_lease,
+					    cases[i].may_succeed, AGB_SEC),
 			    0);
 		wf_table_free(&t);
 	}
