--- a/tests/test_platform_kv.c
+++ b/tests/test_platform_kv.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "json.h"
 #include "kv.h"
 #include "loop.h"
 #include "mem.h"
@@ -216,6 +217,75 @@
 	}
 }
 
+static void
+check_key(const char *key, const char *query)
+{
+	struct json_object *obj, *list;
+	struct store_fixture f;
+	const char *body;
+	size_t len;
+
+	fixture_open(&f);
+	f.answers[0].status = 404;
+	f.answers[0].body = "{}";
+	call_store(&f, READ_KEY, key);
+	body = strstr(f.request, "?key=");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
+	CU_ASSERT_EQUAL(
+	    strncmp(body + strlen("?key="), query, strlen(query)), 0);
+	call_store(&f, READ_PREFIX, key);
+	body = strstr(f.request, "?prefix=");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
+	CU_ASSERT_EQUAL(
+	    strncmp(body + strlen("?prefix="), query, strlen(query)), 0);
+	call_store(&f, WRITE, key);
+	body = strstr(f.request, "\r\n\r\n");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
+	obj = platform_json_parse(body + 4, strlen(body + 4));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(obj);
+	list = platform_json_array(obj, "expect", &len);
+	CU_ASSERT_EQUAL_FATAL(len, 1);
+	CU_ASSERT_STRING_EQUAL(
+	    platform_json_str(json_object_array_get_idx(list, 0), "key"), key);
+	list = platform_json_array(obj, "writes", &len);
+	CU_ASSERT_EQUAL_FATAL(len, 1);
+	CU_ASSERT_STRING_EQUAL(
+	    platform_json_str(json_object_array_get_idx(list, 0), "key"), key);
+	list = platform_json_array(obj, "remove", &len);
+	CU_ASSERT_EQUAL_FATAL(len, 1);
+	CU_ASSERT_STRING_EQUAL(
+	    json_object_get_string(json_object_array_get_idx(list, 0)), key);
+	json_object_put(obj);
+	fixture_close(&f);
+}
+
+/* Guards against a key that is cut, or that changes the meaning of the request:
+ * another key would be read or written. */
+static void
+keys_are_encoded_whole(void)
+{
+	static const struct {
+		const char *key;
+		const char *query;
+	} cases[] = {
+	    {"ab/j/00aa-_.~", "ab/j/00aa-_.~ "},
+	    {"a&prefix=b", "a%26prefix%3Db "},
+	    {"a\"b\\c\n", "a%22b%5Cc%0A "},
+	    {"a\"},\"b", "a%22%7D%2C%22b "},
+	};
+	char key[301], query[3 * sizeof(key)];
+	size_t i, k;
+
+	for (i = 0; i < LEN(cases); i++)
+		check_key(cases[i].key, cases[i].query);
+	for (k = 0; k < sizeof(key) - 1; k++) {
+		key[k] = '%';
+		snprintf(query + 3 * k, sizeof(query) - 3 * k, "%%25");
+	}
+	key[k] = '\0';
+	check_key(key, query);
+}
+
 /* Guards against a watch that stops, or starts again from the beginning, after
  * an answer without a revision, and against one that goes on after the store
  * tells of an older revision than before: what was withdrawn since would be
@@ -257,6 +327,7 @@
 
 static const struct suite_test tests[] = {
     {"store: malformed answers are lost", malformed_answers_are_lost},
+    {"store: keys are encoded whole", keys_are_encoded_whole},
     {"store: revisions of a watch only rise", watch_revisions_only_rise},
 };
 
