fix(workflow): a damaged state record ends no leader and starts no task again

Cause: a state record was decoded without a check of its contents. A state that is none made each leader in turn read past a table and end. A record that could not be decoded, or that named no runner or task for an entry, counted as one without started tasks: work that had run, or still ran, was started again.

Change: the state, and the tasks of a record (each once, in range, not done, on a runner of the record), are checked. The tasks of a job whose record is malformed are not started, those that runners list are stopped, and the job can be cancelled. The log names it (event=record malformed=state).

Measured: test_wf_core, 'damaged state record', six kinds of damage. Before, a cut record was started again, an unknown state ended the process with SIGSEGV, and of the others three of four failed (one with two runs of a task at once).

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -314,7 +314,7 @@
 	DL_APPEND(l->execs, e);
 	if (s->start_at_ms > 0)
 		l->timed_jobs++;
-	wf_state_restore(l, now, e, out);
+	e->unreadable = !wf_state_restore(l, now, e, out);
 	wf_effects_log(out, AGB_LOG_INFO, "job",
 	    "job=%s queue=%s steps=%" PRIu32 " tasks=%" PRIu32
 	    " state=%s age_ms=%" PRId64 " spec_revision=%" PRIu64
@@ -426,6 +426,8 @@
 		    "cancelled by its caller", out);
 		return;
 	}
+	if (e->unreadable)
+		return;
 	done = 0;
 	for (i = 0; i < e->units_len; i++) {
 		u = &e->units[i];
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -641,7 +641,7 @@
     struct wf_effects *out)
 {
 	if (f->end != WF_END_DONE || t->state == WF_TASK_DONE ||
-	    wf_unit_step(u)->long_running ||
+	    wf_unit_step(u)->long_running || u->exec->unreadable ||
 	    wf_job_state_is_final(u->exec->state))
 		return;
 	wf_effects_log(out, AGB_LOG_INFO, "end",
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -187,6 +187,8 @@
  * @write_at: its state record is not written before this time
  * @dirty: has changes that no write contains
  * @in_flight: a write of its state record is pending
+ * @unreadable: its state record is malformed; its tasks are not started, since
+ *	they may have run
  * @published: @published_state was sent to the other instances
  */
 struct wf_exec {
@@ -204,6 +206,7 @@
 	agb_time write_at;
 	bool dirty;
 	bool in_flight;
+	bool unreadable;
 	bool published;
 	enum wf_job_state published_state;
 	struct wf_exec *prev, *next;
@@ -709,8 +712,10 @@
  *
  * A task that may be running stays allocated on its runner until the runner
  * reports, or its lease ends.
+ *
+ * Return: false when the record is malformed; nothing is restored then.
  */
-void wf_state_restore(struct wf_leader *l, const struct wf_now *now,
+bool wf_state_restore(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out);
 
 /* ---- wf_fleet.c ---- */
--- a/src/workflow/wf_state.c
+++ b/src/workflow/wf_state.c
@@ -64,7 +64,7 @@
 		u->run = x->run;
 	if (wf_unit_step(u)->gang && x->failures > u->failures)
 		u->failures = x->failures;
-	if (!x->active || x->runner >= st->runners.runners_len)
+	if (!x->active)
 		return;
 	t->runner = wf_fleet_find_or_add(
 	    l, st->runners.runners_val[x->runner].id, now->mono);
@@ -87,6 +87,26 @@
 	    ((unsigned char)x->done.done_val[task / 8] >> (task % 8) & 1) != 0;
 }
 
+/* Whether the tasks of a record are those of the job, each once, and none of
+ * them is done. */
+static bool
+tasks_valid(const struct wf_exec *e, const struct wf_x_state *x)
+{
+	struct packed_task p;
+	uint32_t next = 0;
+	u_int i;
+
+	for (i = 0; i < x->tasks.tasks_len; i++) {
+		unpack_task(x->tasks.tasks_val[i], &p);
+		if (p.index < next || p.index >= e->tasks_len ||
+		    is_task_done(x, p.index) ||
+		    (p.active && p.runner >= x->runners.runners_len))
+			return false;
+		next = p.index + 1;
+	}
+	return true;
+}
+
 static void
 restore_done(struct wf_exec *e, const struct wf_x_state *x)
 {
@@ -121,7 +141,7 @@
 	}
 }
 
-void
+bool
 wf_state_restore(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out)
 {
@@ -130,13 +150,16 @@
 	struct packed_task p;
 	uint32_t i, k;
 
+	if (e->job->state_record == NULL)
+		return true;
 	if (!wf_table_decode_state(
-		e->job->state_record, e->job->state_record_len, &x)) {
-		if (e->job->state_record != NULL)
-			wf_effects_log(out, AGB_LOG_ERROR, "record",
-			    "job=%s malformed=state revision=%" PRIu64,
-			    e->job->id, e->job->state_rev);
-		return;
+		e->job->state_record, e->job->state_record_len, &x) ||
+	    !tasks_valid(e, &x)) {
+		xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+		wf_effects_log(out, AGB_LOG_ERROR, "record",
+		    "job=%s malformed=state revision=%" PRIu64, e->job->id,
+		    e->job->state_rev);
+		return false;
 	}
 	e->state = (enum wf_job_state)x.state;
 	restore_done(e, &x);
@@ -144,8 +167,6 @@
 	for (i = 0; i < x.tasks.tasks_len; i++) {
 		unpack_task(x.tasks.tasks_val[i], &p);
 		k = p.index;
-		if (k >= e->tasks_len)
-			continue;
 		while (k >= u->first_task + wf_unit_step(u)->count)
 			u++;
 		while (k < u->first_task)
@@ -154,6 +175,7 @@
 	}
 	restore_checkpoints(e, &x);
 	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+	return true;
 }
 
 static uint32_t
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -118,7 +118,8 @@
 wf_table_decode_state(const char *raw, size_t len, struct wf_x_state *out)
 {
 	memset(out, 0, sizeof(*out));
-	if (raw != NULL && decode((xdrproc_t)xdr_wf_x_state, raw, len, out))
+	if (raw != NULL && decode((xdrproc_t)xdr_wf_x_state, raw, len, out) &&
+	    out->state <= WF_JOB_CANCELLED)
 		return true;
 	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)out);
 	memset(out, 0, sizeof(*out));
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -6,9 +6,11 @@
  */
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "suite.h"
+#include "wf_table.h"
 #include "wfsim.h"
 
 #define JOB "00000000000000aa"
@@ -241,6 +243,70 @@
 	finish_sim(s);
 }
 
+/* All instances lose power, and the state record of a job with two tasks that
+ * run is damaged. Guards against a record that ends every leader that reads it,
+ * and against tasks that are started again although they may have run. */
+static void
+damaged_state_record(void)
+{
+	enum damage {
+		CUT,
+		UNKNOWN_STATE,
+		TASK_TWICE,
+		TASK_OUT_OF_RANGE,
+		TASK_DONE,
+		RUNNER_OUT_OF_RANGE,
+		DAMAGES,
+	};
+	struct wf_x_state x;
+	struct sim *s;
+	char *raw, *damaged;
+	size_t len;
+	unsigned i, starts;
+	enum damage d;
+
+	for (d = CUT; d < DAMAGES; d++) {
+		s = start_sim(&default_options);
+		sim_submit(s, 0, JOB, sim_new_spec(2, 1000, 3000));
+		sim_run(s, 600);
+		starts = sim_start_count(s, JOB);
+		CU_ASSERT_EQUAL(starts, 2);
+		for (i = 0; i < 3; i++)
+			sim_kill(s, i, 800);
+		raw = sim_state_record(s, JOB, &len);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(raw);
+		CU_ASSERT_FATAL(wf_table_decode_state(raw, len, &x));
+		free(raw);
+		CU_ASSERT_EQUAL_FATAL(x.tasks.tasks_len, 2);
+		if (d == UNKNOWN_STATE)
+			x.state = 1000000;
+		else if (d == TASK_TWICE)
+			x.tasks.tasks_val[1] = x.tasks.tasks_val[0];
+		else if (d == TASK_OUT_OF_RANGE)
+			x.tasks.tasks_val[1] |= 0xffff;
+		else if (d == TASK_DONE)
+			x.done.done_val[0] = 1;
+		else if (d == RUNNER_OUT_OF_RANGE)
+			x.tasks.tasks_val[1] |= (uint64_t)0xfff
+			    << (WF_X_INDEX_BITS + WF_X_FAILURES_BITS +
+				   WF_X_ACTIVE_BITS);
+		damaged = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, &len);
+		sim_set_state_record(s, JOB, damaged, d == CUT ? len - 4 : len);
+		free(damaged);
+		xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+		sim_run(s, 3000);
+		sim_submit(s, 0, JOB2, sim_new_spec(1, 1000, 100));
+		run_until_state(s, JOB2, "completed", 10000);
+		sim_run(s, 10000);
+		if (sim_start_count(s, JOB) != starts)
+			printf("\ndamage %d: started again\n", d);
+		CU_ASSERT_EQUAL(sim_start_count(s, JOB), starts);
+		sim_cancel(s, 0, JOB);
+		run_until_state(s, JOB, "cancelled", 2000);
+		finish_sim(s);
+	}
+}
+
 static void
 leader_frozen(void)
 {
@@ -925,6 +991,7 @@
     {"runner leaves during a takeover", runner_leaves_during_failover},
     {"leader killed", leader_killed},
     {"all killed", all_killed},
+    {"damaged state record", damaged_state_record},
     {"leader frozen", leader_frozen},
     {"store refuses one instance", store_unavailable_to_one_instance},
     {"store away: refused at once", store_down_refuses_submit},
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -2487,6 +2487,30 @@
 	s->compacted_rev = s->rev;
 }
 
+char *
+sim_state_record(struct sim *s, const char *id, size_t *len)
+{
+	const struct sim_kv *it;
+	char key[WF_KEY_MAX];
+
+	wf_table_make_key(key, 's', id);
+	it = kv_find(s, key);
+	if (it == NULL)
+		return NULL;
+	*len = it->len;
+	return agb_xmemdup(it->val, it->len);
+}
+
+void
+sim_set_state_record(struct sim *s, const char *id, const char *val, size_t len)
+{
+	char key[WF_KEY_MAX];
+
+	wf_table_make_key(key, 's', id);
+	s->rev++;
+	kv_put(s, key, val, len, 0);
+}
+
 void
 sim_runner_cut(struct sim *s, unsigned ri, bool cut)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -122,6 +122,11 @@
     struct sim *s, unsigned ci, enum sim_store_mode mode);
 /* Discards the history, so that feeds that lag behind read everything again. */
 void sim_compact_store(struct sim *s);
+/* State record of a job in the store; NULL when there is none. The caller frees
+ * the copy. */
+char *sim_state_record(struct sim *s, const char *id, size_t *len);
+void sim_set_state_record(
+    struct sim *s, const char *id, const char *val, size_t len);
 /* Cuts a runner off from all instances. */
 void sim_runner_cut(struct sim *s, unsigned ri, bool cut);
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
