--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -254,6 +254,38 @@
 	}
 }
 
+/* Guards against a client with a long deadline that is answered as if it had
+ * named none. */
+static void
+test_deadlines(void)
+{
+	static const struct {
+		const char *text;
+		uint32_t ms;
+	} cases[] = {
+	    {"", 0},
+	    {"0", 0},
+	    {"2500", 2500},
+	    {"600000", 600000},
+	    {"600001", 600000},
+	    {"99999999999999999999999999", 600000},
+	    {"-5", 0},
+	    {"soon", 0},
+	};
+	struct wf_http_req req;
+	struct wf_call call;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(&req, 0, sizeof(req));
+		memset(&call, 0, sizeof(call));
+		agb_str_copy(req.method, sizeof(req.method), "GET");
+		agb_str_copy(req.deadline, sizeof(req.deadline), cases[i].text);
+		CU_ASSERT(platform_front_parse_call(&req, &call));
+		CU_ASSERT_EQUAL(call.deadline_ms, cases[i].ms);
+	}
+}
+
 static void
 test_reply_bodies(void)
 {
@@ -555,6 +587,7 @@
     {"manifest", test_manifest_document},
     {"queue selection", test_queue_selection},
     {"job requests", test_job_requests},
+    {"deadlines", test_deadlines},
     {"reply bodies", test_reply_bodies},
     {"task names", test_task_names},
 };
