--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -201,6 +201,21 @@
 		"/phases/0/cpu"},
 	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1,\"after\":[0]}]}",
 		"/phases/0/after/0"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":1,"
+	     "\"after\":0}]}",
+		"/phases/1/after"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":1},"
+	     "{\"count\":1,\"after\":[\"1\"]}]}",
+		"/phases/2/after/0"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":1,"
+	     "\"after\":[null]}]}",
+		"/phases/1/after/0"},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":1,"
+	     "\"after\":[0.0]}]}",
+		NULL},
+	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1},{\"count\":1,"
+	     "\"after\":[0.5]}]}",
+		"/phases/1/after/0"},
 	    {"{\"spec\":\"x\",\"phases\":[{\"count\":1,\"affinity\":4}]}",
 		"/phases/0/affinity"},
 	    {"{\"spec\":\"x\",\"phases\":[{\"count\":60000}],"
