fix(ctl): a trace prints no bytes that are not of the log

Cause: the summary printed buffers that were never set when a job_end line lacks its state or reason, as at the end of a truncated log. Events were found by the beginning of their name, so that event=start_refused counted as a start.

Change: a missing field is said to be missing, and names of events are compared whole.

Measured: test_ctl_trace, 'incomplete' (new), fails before (5 assertions) and passes.

--- a/src/agatebeam/ctl_trace.c
+++ b/src/agatebeam/ctl_trace.c
@@ -120,18 +120,26 @@
 	return x->position < y->position ? -1 : 1;
 }
 
+/* Whether a line is of an event; the names of others may begin in the same
+ * way. */
+static bool
+is_event(const struct log_line *l, const char *event)
+{
+	char value[32];
+
+	return log_field(l->text, "event", value, sizeof(value)) &&
+	    strcmp(value, event) == 0;
+}
+
 /* Counts the lines of an event and sets @last to the last one, if any. */
 static size_t
 count_events(const struct trace *t, const char *event, const char **last)
 {
-	char value[32];
 	size_t i, n;
 
 	n = 0;
 	for (i = 0; i < t->len; i++) {
-		if (!log_field(
-			t->lines[i].text, "event", value, sizeof(value)) ||
-		    strcmp(value, event) != 0)
+		if (!is_event(&t->lines[i], event))
 			continue;
 		n++;
 		*last = t->lines[i].text;
@@ -149,14 +157,14 @@
 
 	ms = 0;
 	for (i = 0; i < t->len; i++) {
-		if (strstr(t->lines[i].text, "event=advice") != NULL &&
+		if (is_event(&t->lines[i], "advice") &&
 		    log_field(t->lines[i].text, "took_ms", took, sizeof(took)))
 			ms += strtoull(took, NULL, 10);
 	}
 	if (ms > 0)
 		fprintf(f, "advice: %" PRIu64 " ms in all\n", ms);
 	for (i = 0; i < t->len; i++) {
-		if (strstr(t->lines[i].text, "event=requeue") != NULL &&
+		if (is_event(&t->lines[i], "requeue") &&
 		    log_field(
 			t->lines[i].text, "reason", reason, sizeof(reason)))
 			fprintf(f, "started again: %s\n", reason);
@@ -170,8 +178,10 @@
 	const char *last = NULL;
 
 	if (count_events(t, "job_end", &last) > 0) {
-		log_field(last, "state", state, sizeof(state));
-		log_field(last, "reason", value, sizeof(value));
+		if (!log_field(last, "state", state, sizeof(state)))
+			agb_str_copy(state, sizeof(state), "state not logged");
+		if (!log_field(last, "reason", value, sizeof(value)))
+			agb_str_copy(value, sizeof(value), "reason not logged");
 		fprintf(f, "ended: %s, %s\n", state, value);
 	} else if (count_events(t, "start", &last) > 0) {
 		fprintf(f,
@@ -206,7 +216,7 @@
 	else if (count_events(t, "start", &last) == 0)
 		fprintf(f, "never started\n");
 	for (i = 0; i < t->len; i++) {
-		if (strstr(t->lines[i].text, "event=start") == NULL ||
+		if (!is_event(&t->lines[i], "start") ||
 		    !log_field(
 			t->lines[i].text, "waited_ms", value, sizeof(value)))
 			continue;
--- a/tests/test_ctl_trace.c
+++ b/tests/test_ctl_trace.c
@@ -125,10 +125,59 @@
 	free(text);
 }
 
+/* Guards against a summary with bytes that are not of the log when a line lacks
+ * a field, as at the end of a truncated log, and against events that are taken
+ * for another one whose name they begin with. */
+static void
+test_incomplete_lines(void)
+{
+	static const struct {
+		const char *log;
+		const char *summary;
+		bool listed; /* it is in the summary */
+	} lines[] = {
+	    {"event=job job=e871caa6236513d7\n"
+	     "event=job_end job=e871caa6236513d7\n",
+		"ended: state not logged, reason not logged\n", true},
+	    {"event=job_end job=e871caa6236513d7 state=failed\n",
+		"ended: failed, reason not logged\n", true},
+	    {"event=start_refused job=e871caa6236513d7 waited_ms=5\n"
+	     "event=advice_late job=e871caa6236513d7 took_ms=7\n"
+	     "event=requeued job=e871caa6236513d7 reason=\"x\"\n",
+		"first start", false},
+	    {"event=start job=e871caa6236513d7 waited_ms=5\n",
+		"first start after 5 ms\n", true},
+	};
+	char path[] = "/tmp/agb-trace-XXXXXX";
+	char *out;
+	size_t i;
+	FILE *f;
+	int fd;
+
+	fd = mkstemp(path);
+	CU_ASSERT_TRUE_FATAL(fd >= 0);
+	close(fd);
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+		f = fopen(path, "w");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+		fputs(lines[i].log, f);
+		fclose(f);
+		CU_ASSERT_EQUAL(
+		    run_trace(cases[0].job, path, false, &out), AGB_CTL_OK);
+		CU_ASSERT_EQUAL(
+		    strstr(out, lines[i].summary) != NULL, lines[i].listed);
+		CU_ASSERT_PTR_NULL(strstr(out, "started again"));
+		CU_ASSERT_PTR_NULL(strstr(out, "advice:"));
+		free(out);
+	}
+	unlink(path);
+}
+
 static const struct suite_test tests[] = {
     {"causes", test_causal_order},
     {"json", test_json},
     {"bad", test_bad_input},
+    {"incomplete", test_incomplete_lines},
 };
 
 int
