fix(httpc): the limit of a response's head holds for chunked responses

Cause: once a response had named a chunked body, neither its further headers nor its trailers counted against the limit of 256 KB: up to 1 MB of headers was kept, and trailers were read without end by a call without a time-out.

Change: status line, headers and trailers count, the lines of chunks do not.

Measured: test_httpc, 'head limit' (new), fails before (2 of 3 cases) and passes.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -30,8 +30,7 @@
 /* Time after an expired timeout to read data that has already arrived. */
 #define DEADLINE_GRACE_MS 5
 #define READ_BYTES ((size_t)64 * 1024)
-/* Limit of the status line and all headers together. A chunked response is
- * exempt once its Transfer-Encoding header has been read. */
+/* Limit of the status line, all headers and all trailers together. */
 #define HEAD_BYTES_MAX ((size_t)256 * 1024)
 #define LINE_BYTES_MAX ((size_t)16 * 1024)
 
@@ -446,9 +445,11 @@
 	size_t i;
 
 	*used = nl != NULL ? (size_t)(nl - data) + 1 : len;
-	call->head_bytes += *used;
+	if (call->parse_state != PARSE_CHUNK_SIZE &&
+	    call->parse_state != PARSE_CHUNK_END)
+		call->head_bytes += *used;
 	if (call->line_len + *used > LINE_BYTES_MAX ||
-	    (call->head_bytes > HEAD_BYTES_MAX && !call->chunked))
+	    call->head_bytes > HEAD_BYTES_MAX)
 		return "response head or line too long";
 	if (call->line_len + *used + 1 > call->line_cap) {
 		call->line_cap = (call->line_len + *used + 1) * 2;
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -466,6 +466,83 @@
 	loop_close(&loop);
 }
 
+#define LONG_LINE_BYTES 16000
+#define LONG_LINES 40
+
+struct long_response {
+	const char *head;
+	const char *end;
+	char bytes[(LONG_LINES + 1) * LONG_LINE_BYTES];
+	uv_write_t write;
+};
+
+/* Sends a response with LONG_LINES header lines. */
+static void
+respond_with_long_lines(struct loop_conn *c)
+{
+	struct long_response *const a = c->server->arg;
+	uv_buf_t buf;
+	size_t len, i;
+
+	if (strstr(c->in, "\r\n\r\nping") == NULL)
+		return;
+	c->in_len = 0;
+	len = (size_t)snprintf(a->bytes, sizeof(a->bytes), "%s", a->head);
+	for (i = 0; i < LONG_LINES; i++) {
+		memset(a->bytes + len, 'x', LONG_LINE_BYTES);
+		memcpy(a->bytes + len, "a:", 2);
+		len += LONG_LINE_BYTES;
+		memcpy(a->bytes + len - 2, "\r\n", 2);
+	}
+	len += (size_t)snprintf(
+	    a->bytes + len, sizeof(a->bytes) - len, "%s", a->end);
+	buf = uv_buf_init(a->bytes, (unsigned)len);
+	uv_write(&a->write, (uv_stream_t *)&c->tcp, &buf, 1, NULL);
+}
+
+/* Guards against a server that makes a client read, and keep, headers without
+ * end: a chunked body must not lift the limit. */
+static void
+test_head_limit(void)
+{
+	static const struct {
+		const char *head;
+		const char *end;
+	} cases[] = {
+	    {"HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"\r\n0\r\n\r\n"},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		"\r\n"},
+	};
+	struct long_response *const a = calloc(1, sizeof(*a));
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	struct result r;
+	uv_loop_t loop;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&r, 0, sizeof(r));
+		a->head = cases[i].head;
+		a->end = cases[i].end;
+		uv_loop_init(&loop);
+		loop_server_start(&loop, &srv, respond_with_long_lines, a);
+		c = agb_httpc_new(&loop, 1);
+		req = ping_request(srv.addr, &r);
+		agb_httpc_request(c, &req);
+		loop_until(&loop, &r.done, 1);
+		CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_LOST);
+		CU_ASSERT_STRING_EQUAL(
+		    r.error, "response head or line too long");
+		agb_httpc_free(c);
+		loop_server_close(&srv);
+		loop_close(&loop);
+	}
+	free(a);
+}
+
 static const struct suite_test tests[] = {
     {"responses", test_responses},
     {"unsent", test_unsent},
@@ -475,6 +552,7 @@
     {"send deadline", test_send_deadline},
     {"cancel", test_cancel},
     {"stream", test_stream},
+    {"head limit", test_head_limit},
 };
 
 int
