feat(workflow): count what dispatch passes examine

Change: the meter counts queued steps, and runners for them, that passes look at; the line "load" shows the count as examined=.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -440,6 +440,7 @@
 			list[len++] = ri;
 	}
 	free(asked);
+	wf_meter_add_examined(l->meter, ri + u->approvals_len);
 	return len;
 }
 
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -300,12 +300,14 @@
 	n = 0;
 	*stale_len = 0;
 	if (!q->advice_required) {
+		wf_meter_add_examined(l->meter, l->runners_len);
 		for (ri = 0; ri < l->runners_len; ri++) {
 			if (candidate_init(p, u, q->service, ri, &c))
 				p->candidates[n++] = c;
 		}
 		return n;
 	}
+	wf_meter_add_examined(l->meter, u->approvals_len);
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
 		if (!wf_advice_is_current(l, a) ||
@@ -538,12 +540,14 @@
 
 	n = 0;
 	if (!q->advice_required) {
+		wf_meter_add_examined(p->l->meter, p->l->runners_len);
 		for (ri = 0; ri < p->l->runners_len; ri++) {
 			if (eligible(p, u, q->service, ri))
 				list[n++] = ri;
 		}
 		return n;
 	}
+	wf_meter_add_examined(p->l->meter, u->approvals_len);
 	for (i = 0; i < u->approvals_len; i++) {
 		ri = u->approvals[i].runner;
 		if (wf_advice_is_current(p->l, &u->approvals[i]) &&
@@ -866,6 +870,7 @@
 	l->placement_changed = false;
 	dispatch_time = wf_meter_dispatch_time(l->meter);
 	len = sort_queue(l, now->mono, &list);
+	wf_meter_add_examined(l->meter, len);
 	wf_advice_update_claims(l, now->mono);
 	wf_advice_update_clients(l, now->mono);
 	p.candidates = agb_xcalloc(l->runners_len + 1, sizeof(*p.candidates));
--- a/src/workflow/wf_meter.c
+++ b/src/workflow/wf_meter.c
@@ -114,6 +114,12 @@
 	m->total.tallies[tally]++;
 }
 
+void
+wf_meter_add_examined(struct wf_meter *m, uint64_t n)
+{
+	m->total.examined += n;
+}
+
 void
 wf_meter_add_result(
     struct wf_meter *m, const struct wf_order_result *res, agb_time now)
@@ -178,8 +184,9 @@
 		append(text, &len, " %s=%" PRIu64, wf_tally_name(i),
 		    m->total.tallies[i] - m->logged.tallies[i]);
 	append(text, &len,
-	    " start_age_ms=%" PRIu64 " turns=%" PRIu64
+	    " examined=%" PRIu64 " start_age_ms=%" PRIu64 " turns=%" PRIu64
 	    " longest_turn_ms=%" PRIu64,
+	    m->total.examined - m->logged.examined,
 	    m->recent_start_age / AGB_MS, m->total.turns - m->logged.turns,
 	    m->recent_longest_turn / AGB_MS);
 	for (i = 0; i < WF_PARTS; i++)
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -102,9 +102,12 @@
 
 /**
  * struct wf_meter_totals - sums since the start of the process
+ * @examined: queued steps, and runners for them, that dispatch passes have
+ *	looked at: the size of the passes, whatever the speed of the machine
  */
 struct wf_meter_totals {
 	uint64_t turns;
+	uint64_t examined;
 	agb_time parts[WF_PARTS];
 	uint64_t tallies[WF_TALLIES];
 };
@@ -190,6 +193,11 @@
 
 void wf_meter_count(struct wf_meter *m, enum wf_tally tally);
 
+/**
+ * wf_meter_add_examined() - count steps or runners that a dispatch pass looks at
+ */
+void wf_meter_add_examined(struct wf_meter *m, uint64_t n);
+
 /**
  * wf_meter_add_result() - count the result of an order, if it is a start
  */
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -227,17 +227,20 @@
 	wf_meter_init(&m, &fake_ops, &p);
 	turn(&m, &p, 90);
 	wf_meter_count(&m, WF_TALLY_EXPIRED);
+	wf_meter_add_examined(&m, 500);
 	wf_meter_restart_line(&m, 20 * AGB_SEC);
 	CU_ASSERT(!wf_meter_line_due(&m, 20999 * AGB_MS));
 	CU_ASSERT(wf_meter_line_due(&m, 21000 * AGB_MS));
 	turn(&m, &p, 3);
 	turn(&m, &p, 4);
 	wf_meter_count(&m, WF_TALLY_ASSIGNED);
+	wf_meter_add_examined(&m, 40);
 	wf_meter_format_line(&m, &load, 21100 * AGB_MS, text);
 	check_text(text,
 	    "span_ms=1100 queue=7 gangs=2 in_flight=30 limit=50 orders=40");
 	check_text(text, " assigned=1 confirmed=0 ");
 	check_text(text, " expired=0 ");
+	check_text(text, " examined=40 ");
 	check_text(text, " turns=2 longest_turn_ms=4 ");
 	check_text(text, " tasks_ms=7 ");
 	check_text(text, " unsent_bytes=5000 unsent_largest_bytes=4000");
@@ -255,6 +258,7 @@
 
 	wf_meter_init(&m, &fake_ops, &p);
 	m.total.turns = 99999;
+	m.total.examined = 99999999;
 	for (i = 0; i < WF_TALLIES; i++)
 		m.total.tallies[i] = 99999;
 	for (i = 0; i < WF_PARTS; i++)
