test(wfsim): processors of instances, and timeouts of orders to runners

Cause: the simulation let an instance handle any number of events at once, so that no scenario could show a leader whose processor falls behind; and the sender of an order waited for its answer however long it was on its way.

While an instance works on an event, others wait in the order of their arrival, and what it sends leaves when its turn has come that far. The meter reads this time, so that the time of passes limits their number as on a machine. The speed is an option and can be changed during a run; 0, as before, lets work take no time. An order whose answer comes after its timeout ends as lost then, and is carried out when it arrives.

--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "mem.h"
+#include "processor.h"
 #include "wf_table.h"
 
 /* Round trips that a full read of all jobs or states takes with a slow
@@ -98,7 +99,12 @@
 };
 
 struct sim_core {
+	const struct sim *s;
 	struct wf_core *core;
+	struct sim_processor cpu;
+	struct sim_event *waiting; /* events that wait until it is free */
+	struct sim_event **waiting_end;
+	bool takes_waiting;
 	unsigned gen; /* incremented when the process ends and when it starts */
 	bool up;
 	agb_time frozen_until;
@@ -149,6 +155,7 @@
 	uint64_t tag;
 	void *data;
 	uint64_t a, b;
+	struct sim_event *next; /* in the list of a busy instance */
 };
 
 /* Request for the payload of a job. */
@@ -316,9 +323,85 @@
 	return e;
 }
 
+/* ---- processors ---- */
+
+/* Time that the instance has worked on its current event. What it sends now
+ * leaves it that much later. */
+static agb_time
+turn_time(const struct sim_core *c)
+{
+	return sim_processor_turn_time(&c->cpu, wf_core_meter(c->core));
+}
+
+static agb_time
+read_meter_clock(void *arg)
+{
+	const struct sim_core *const c = arg;
+
+	return c->core == NULL ? 0 : c->s->now + turn_time(c);
+}
+
+static void
+read_backlog(void *arg, struct wf_backlog *out)
+{
+}
+
+static const struct wf_meter_ops meter_ops = {
+    .clock = read_meter_clock, .backlog = read_backlog};
+
+/* Whether an event has to wait because the instance works on another one, or
+ * because others wait already. */
+static bool
+is_busy(const struct sim *s, const struct sim_core *c)
+{
+	return s->now < c->cpu.busy_until ||
+	    (c->waiting != NULL && !c->takes_waiting);
+}
+
+/* Delivers events that waited, in the order of their arrival, until the
+ * instance is busy again. */
+static void
+deliver_waiting(struct sim *s, struct sim_event *e)
+{
+	struct sim_core *const c = &s->cores[e->core];
+	struct sim_event *w;
+
+	while (c->waiting != NULL && s->now >= c->cpu.busy_until) {
+		w = c->waiting;
+		c->waiting = w->next;
+		c->takes_waiting = true;
+		w->fn(s, w);
+		c->takes_waiting = false;
+		free(w);
+	}
+	if (c->waiting != NULL)
+		schedule(s, c->cpu.busy_until - s->now, deliver_waiting)->core =
+		    e->core;
+}
+
+static void
+append_waiting(struct sim *s, const struct sim_event *e,
+    void (*fn)(struct sim *, struct sim_event *))
+{
+	struct sim_core *const c = &s->cores[e->core];
+	struct sim_event *const w = agb_xcalloc(1, sizeof(*w));
+
+	*w = *e;
+	w->fn = fn;
+	w->next = NULL;
+	if (c->waiting == NULL) {
+		c->waiting_end = &c->waiting;
+		schedule(s, c->cpu.busy_until - s->now, deliver_waiting)->core =
+		    e->core;
+	}
+	*c->waiting_end = w;
+	c->waiting_end = &w->next;
+}
+
 /* Return: true when the process that the event is for can handle it now. If the
- * process is frozen, the event is scheduled again for when it resumes, and the
- * new event owns the data. If the process has ended, the event is dropped. */
+ * process is frozen, the event is scheduled again for when it resumes; if it is
+ * busy, the event waits until it is free. Then the new event owns the data. If
+ * the process has ended, the event is dropped. */
 static bool
 deliver_or_postpone(struct sim *s, struct sim_event *e,
     void (*fn)(struct sim *, struct sim_event *))
@@ -328,8 +411,13 @@
 
 	if (!c->up || c->gen != e->gen)
 		return false;
-	if (s->now >= c->frozen_until)
-		return true;
+	if (s->now >= c->frozen_until) {
+		if (!is_busy(s, c))
+			return true;
+		append_waiting(s, e, fn);
+		e->data = NULL;
+		return false;
+	}
 	again = schedule_core(s, e->core, c->frozen_until - s->now, fn);
 	again->tag = e->tag;
 	again->data = e->data;
@@ -628,16 +716,32 @@
 	r->data = c;
 }
 
+/* Time until a small message of an instance arrives, which no other message
+ * delays. */
+static agb_time
+message_delay(const struct sim *s, unsigned ci)
+{
+	return turn_time(&s->cores[ci]) + s->o.latency_ms * SIM_MS;
+}
+
+/* Time until the timer of a call of an instance ends. */
+static agb_time
+call_timeout(const struct sim *s, unsigned ci, uint32_t timeout_ms)
+{
+	return turn_time(&s->cores[ci]) + timeout_ms * SIM_MS;
+}
+
 /* Queues a message on the link of an instance.
  * Return: the time until it arrives. */
 static agb_time
 link_send(struct sim *s, unsigned ci, size_t bytes)
 {
 	struct sim_core *const c = &s->cores[ci];
+	const agb_time sent_at = s->now + turn_time(c);
 
 	c->bytes_sent += bytes;
-	if (c->link_free_at < s->now)
-		c->link_free_at = s->now;
+	if (c->link_free_at < sent_at)
+		c->link_free_at = sent_at;
 	if (c->link_kbps > 0)
 		c->link_free_at += bytes * 8 * SIM_MS / c->link_kbps;
 	return c->link_free_at - s->now + s->o.latency_ms * SIM_MS;
@@ -957,10 +1061,12 @@
 	schedule(s, 5 * SIM_MS, step_runners);
 }
 
+/* @gives_up_at: time at which the sender gives the order up as lost */
 struct order_call {
 	struct wf_order o;
 	struct wf_order_result res;
 	agb_time wait_until;
+	agb_time gives_up_at;
 };
 
 static void
@@ -1275,6 +1381,11 @@
 		send_order_result(s, e, c, 600 * SIM_MS);
 		return;
 	}
+	if (s->now + s->o.latency_ms * SIM_MS > c->gives_up_at) {
+		c->res.status = WF_ORDER_LOST;
+		send_order_result(s, e, c, 0);
+		return;
+	}
 	if (r->finished_len == 0 && s->now < c->wait_until) {
 		again = schedule(s, 5 * SIM_MS, poll_hold);
 		again->core = e->core;
@@ -1379,32 +1490,46 @@
 	send_order_result(s, e, c, s->o.latency_ms * SIM_MS);
 }
 
+/* Has an order carried out whose sender does not wait for the answer any
+ * more. */
+static void
+send_unanswered(struct sim *s, const struct order_call *c, agb_time in)
+{
+	const struct sim_runner *const r = runner_by_id(s, c->o.runner_id);
+	struct order_call *const copy = agb_xcalloc(1, sizeof(*copy));
+	struct sim_event *const e = schedule(s, in, apply_late_order);
+
+	copy->o = c->o;
+	copy->o.payload = NULL;
+	e->data = copy;
+	e->a = (uint64_t)r->info.started_ms;
+}
+
 static void
 send_order(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
+	const agb_time in = link_send(s, ci,
+	    ef->u.order.kind == WF_ORDER_START
+		? START_BYTES + ef->u.order.payload_len
+		: ORDER_BYTES);
+	const agb_time timeout = call_timeout(s, ci, ef->u.order.timeout_ms);
 	struct order_call *const c = agb_xcalloc(1, sizeof(*c));
-	struct sim_event *const e = schedule_core(s, ci,
-	    link_send(s, ci,
-		ef->u.order.kind == WF_ORDER_START
-		    ? START_BYTES + ef->u.order.payload_len
-		    : ORDER_BYTES),
-	    order_arrives);
+	const bool late = in + s->o.latency_ms * SIM_MS > timeout;
+	struct sim_event *e;
 
 	c->o = ef->u.order;
 	ef->u.order.payload = NULL;
 	s->relayed_orders += c->o.number > 0;
 	s->direct_orders += c->o.number == 0;
-	c->res.kind = c->o.kind;
-	c->res.number = c->o.number;
-	c->res.relay = WF_NO_HANDLE;
-	c->res.fence = c->o.fence;
-	c->res.runner = c->o.runner;
-	c->res.incarnation = c->o.incarnation;
-	c->res.task = c->o.task;
-	c->res.run = c->o.run;
-	c->res.is_probe = c->o.is_probe;
-	c->res.sent_at = c->o.sent_at;
+	wf_order_result_init(&c->res, &c->o);
+	c->gives_up_at = s->now + timeout;
+	e = schedule_core(s, ci, late ? timeout : in,
+	    late ? order_result_arrives : order_arrives);
 	e->data = c;
+	if (!late)
+		return;
+	c->res.status = WF_ORDER_LOST;
+	send_unanswered(s, c, in);
 }
 
 static void
@@ -1429,6 +1554,14 @@
 	handle_event(s, ci, &ev);
 }
 
+static void
+registry_change_arrives(struct sim *s, struct sim_event *e)
+{
+	if (deliver_or_postpone(s, e, registry_change_arrives) &&
+	    s->cores[e->core].watches_registry)
+		send_registry(s, e->core, false);
+}
+
 static void
 send_first_registry(struct sim *s, struct sim_event *e)
 {
@@ -1445,8 +1578,12 @@
 	if (s->store != SIM_STORE_UP)
 		return;
 	for (ci = 0; ci < s->o.cores; ci++) {
-		if (s->cores[ci].up && s->cores[ci].watches_registry &&
-		    s->now >= s->cores[ci].frozen_until)
+		if (!s->cores[ci].up || !s->cores[ci].watches_registry ||
+		    s->now < s->cores[ci].frozen_until)
+			continue;
+		if (is_busy(s, &s->cores[ci]))
+			schedule_core(s, ci, 0, registry_change_arrives);
+		else
 			send_registry(s, ci, false);
 	}
 }
@@ -1689,11 +1826,12 @@
 	c->from_gen = s->cores[ci].gen;
 	c->tag = ef->tag;
 	c->timeout_ms = ef->timeout_ms;
-	e = schedule_core(s, to, s->o.latency_ms * SIM_MS, put_arrives);
+	e = schedule_core(s, to, message_delay(s, ci), put_arrives);
 	e->data = c;
 	/* Without a reply before this event, the outcome of the put is
 	 * unknown. */
-	e = schedule_core(s, ci, ef->timeout_ms * SIM_MS, store_answer_arrives);
+	e = schedule_core(
+	    s, ci, call_timeout(s, ci, ef->timeout_ms), store_answer_arrives);
 	e->tag = ef->tag;
 	e->data = agb_xcalloc(1, sizeof(struct store_call));
 	((struct store_call *)e->data)->res.status = AGB_STORE_LOST;
@@ -1716,11 +1854,15 @@
 send_ping(struct sim *s, unsigned ci, const struct wf_effect *ef)
 {
 	const struct sim_core *const to = &s->cores[core_by_addr(ef->peer)];
+	const agb_time arrives_at = s->now + message_delay(s, ci);
+	const agb_time answer_in =
+	    agb_time_max(arrives_at, to->cpu.busy_until) - s->now +
+	    s->o.latency_ms * SIM_MS;
+	const agb_time timeout = call_timeout(s, ci, ef->timeout_ms);
 	const bool ok = to->up && s->now >= to->frozen_until &&
-	    linked(s, ci, core_by_addr(ef->peer));
-	struct sim_event *const e = schedule_core(s, ci,
-	    (ok ? 2 * s->o.latency_ms : ef->timeout_ms) * SIM_MS,
-	    ping_result_arrives);
+	    linked(s, ci, core_by_addr(ef->peer)) && answer_in <= timeout;
+	struct sim_event *const e =
+	    schedule_core(s, ci, ok ? answer_in : timeout, ping_result_arrives);
 
 	e->tag = ef->tag;
 	e->a = ok;
@@ -1826,8 +1968,8 @@
 		s->payload_bytes += (unsigned)ef->u.orders.items[i].payload_len;
 	if (!s->cores[to].up || !linked(s, ci, to)) {
 		e = schedule_core(s, ci,
-		    (s->cores[to].up ? ef->timeout_ms : s->o.latency_ms) *
-			SIM_MS,
+		    s->cores[to].up ? call_timeout(s, ci, ef->timeout_ms)
+				    : message_delay(s, ci),
 		    orders_ack_arrives);
 		e->tag = ef->tag;
 		return;
@@ -1843,7 +1985,8 @@
 	e->data = c;
 	/* Without a reply before this event, the outcome is unknown. The
 	 * timeout of a call that was answered has no effect. */
-	e = schedule_core(s, ci, ef->timeout_ms * SIM_MS, orders_timeout);
+	e = schedule_core(
+	    s, ci, call_timeout(s, ci, ef->timeout_ms), orders_timeout);
 	e->tag = ef->tag;
 }
 
@@ -1856,7 +1999,7 @@
 	if (!linked(s, ci, s->calls[i].core))
 		return;
 	s->calls[i].answered = true;
-	e = schedule(s, s->o.latency_ms * SIM_MS, orders_ack_arrives);
+	e = schedule(s, message_delay(s, ci), orders_ack_arrives);
 	e->core = s->calls[i].core;
 	e->gen = s->calls[i].gen;
 	e->tag = s->calls[i].tag;
@@ -1954,7 +2097,8 @@
 
 	/* Without a reply before this event, the payload counts as
 	 * unavailable. A later event with the same tag is ignored. */
-	e = schedule_core(s, ci, ef->timeout_ms * SIM_MS, payload_arrives);
+	e = schedule_core(
+	    s, ci, call_timeout(s, ci, ef->timeout_ms), payload_arrives);
 	e->tag = ef->tag;
 	if (!s->cores[to].up || !linked(s, ci, to))
 		return;
@@ -1963,7 +2107,7 @@
 	c->from_gen = s->cores[ci].gen;
 	c->tag = ef->tag;
 	agb_str_copy(c->job, sizeof(c->job), ef->u.payload.job);
-	schedule_core(s, to, s->o.latency_ms * SIM_MS, payload_request_arrives)
+	schedule_core(s, to, message_delay(s, ci), payload_request_arrives)
 	    ->data = c;
 }
 
@@ -1977,7 +2121,7 @@
 	if (!linked(s, ci, c->from))
 		return;
 	s->payload_calls++;
-	e = schedule(s, s->o.latency_ms * SIM_MS, payload_arrives);
+	e = schedule(s, message_delay(s, ci), payload_arrives);
 	e->core = c->from;
 	e->gen = c->from_gen;
 	e->tag = c->tag;
@@ -1985,13 +2129,13 @@
 }
 
 static void
-send_put_reply(struct sim *s, const struct wf_effect *ef)
+send_put_reply(struct sim *s, unsigned ci, const struct wf_effect *ef)
 {
 	const size_t i = (size_t)ef->tag - 1;
 	struct store_call *c;
 	struct sim_event *e;
 
-	e = schedule(s, s->o.latency_ms * SIM_MS, store_answer_arrives);
+	e = schedule(s, message_delay(s, ci), store_answer_arrives);
 	e->core = s->puts[i].core;
 	e->gen = s->puts[i].gen;
 	e->tag = s->puts[i].tag;
@@ -2033,7 +2177,7 @@
 		send_ping(s, ci, ef);
 		break;
 	case WF_EF_PUT_REPLY:
-		send_put_reply(s, ef);
+		send_put_reply(s, ci, ef);
 		break;
 	case WF_EF_ORDERS:
 		send_orders(s, ci, ef);
@@ -2078,26 +2222,41 @@
 	}
 }
 
+/* A tick that is due may wait until the instance is free. */
+static bool
+is_tick_pending(const struct sim *s, const struct sim_core *c)
+{
+	return c->tick_at > s->now ||
+	    (c->tick_at > 0 && c->cpu.speed_percent > 0);
+}
+
 static void
 handle_event(struct sim *s, unsigned ci, struct wf_event *ev)
 {
 	const struct wf_now now = {.mono = s->now + AGB_SEC,
 	    .unix_ms = UNIX_BASE_MS + (int64_t)(s->now / SIM_MS)};
 	struct sim_core *const c = &s->cores[ci];
+	struct wf_meter *const meter = wf_core_meter(c->core);
 	struct wf_effects out = {0};
 	agb_time next;
 	size_t i;
 
+	wf_meter_begin_turn(meter);
+	sim_processor_begin_turn(&c->cpu, meter, ev);
 	wf_core_handle(c->core, &now, ev, &out);
-	for (i = 0; i < out.len; i++)
+	for (i = 0; i < out.len; i++) {
+		sim_processor_add_effect(&c->cpu, &out.items[i]);
 		apply_effect(s, ci, &out.items[i]);
+	}
 	wf_effects_free(&out);
+	wf_meter_end_turn(meter);
+	sim_processor_end_turn(&c->cpu, meter, s->now);
 	if (!c->up)
 		return;
 	next = wf_core_next_tick(c->core);
 	next = next > now.mono ? next - now.mono : SIM_MS;
 	next = (next + SIM_MS - 1) / SIM_MS * SIM_MS;
-	if (c->tick_at > s->now && c->tick_at <= s->now + next)
+	if (is_tick_pending(s, c) && c->tick_at <= s->now + next)
 		return;
 	c->tick_at = s->now + next;
 	schedule_core(s, ci, next, on_tick);
@@ -2158,9 +2317,12 @@
 	agb_str_copy(cfg.domain, sizeof(cfg.domain), domain_of(s, e->core));
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
+	cfg.meter_ops = &meter_ops;
+	cfg.meter_arg = c;
 	wf_core_free(c->core);
 	c->core = wf_core_new(&cfg);
 	c->up = true;
+	c->cpu.busy_until = 0;
 	memset(c->feeds, 0, sizeof(c->feeds));
 	c->runners_unreachable = false;
 	c->isolated = false;
@@ -2201,6 +2363,8 @@
 		r->listed = true;
 	}
 	for (i = 0; i < o->cores; i++) {
+		s->cores[i].s = s;
+		s->cores[i].cpu.speed_percent = o->processor_percent;
 		s->cores[i].link_kbps = o->link_kbps;
 		schedule(s, (agb_time)(i + 1) * 10 * SIM_MS, core_start)->core =
 		    i;
@@ -2211,6 +2375,68 @@
 	return s;
 }
 
+/* Request of a client. */
+struct client_call {
+	struct wf_call call;
+};
+
+static void
+client_call_free(struct client_call *c)
+{
+	if (c->call.spec != NULL) {
+		wf_spec_free(c->call.spec);
+		free(c->call.spec);
+	}
+	free(c);
+}
+
+static void
+client_call_arrives(struct sim *s, struct sim_event *e)
+{
+	struct wf_event ev = {.type = WF_EV_CALL};
+	struct client_call *const c = e->data;
+
+	if (deliver_or_postpone(s, e, client_call_arrives)) {
+		ev.u.call = &c->call;
+		handle_event(s, e->core, &ev);
+	} else if (e->data == NULL) {
+		return;
+	}
+	client_call_free(c);
+}
+
+/* Frees an event that is dropped; the type of its data follows from its
+ * function. */
+static void
+event_free(struct sim_event *e)
+{
+	if (e->fn == store_answer_arrives || e->fn == store_arrives ||
+	    e->fn == apply_late_store_op)
+		store_call_free(e->data);
+	else if (e->fn == order_result_arrives || e->fn == order_arrives ||
+	    e->fn == poll_hold || e->fn == apply_late_order)
+		order_call_free(e->data);
+	else if (e->fn == push_arrives)
+		push_call_free(e->data);
+	else if (e->fn == payload_request_arrives)
+		free(e->data);
+	else if (e->fn == orders_arrive)
+		batch_call_free(e->data);
+	else if (e->fn == results_arrive) {
+		wf_results_free(&((struct results_call *)e->data)->r);
+		free(e->data);
+	} else if (e->fn == put_arrives) {
+		free(((struct put_call *)e->data)->r.val);
+		free(e->data);
+	} else if (e->fn == advice_answer_arrives) {
+		free(((struct wf_advice *)e->data)->items);
+		free(e->data);
+	} else if (e->fn == client_call_arrives) {
+		client_call_free(e->data);
+	}
+	free(e);
+}
+
 void
 sim_free(struct sim *s)
 {
@@ -2218,34 +2444,13 @@
 	unsigned i;
 	size_t k;
 
-	/* Events that are still queued are dropped; the type of their data
-	 * follows from the function. */
-	while (s->heap_len > 0) {
-		e = pop_event(s);
-		if (e->fn == store_answer_arrives || e->fn == store_arrives ||
-		    e->fn == apply_late_store_op)
-			store_call_free(e->data);
-		else if (e->fn == order_result_arrives ||
-		    e->fn == order_arrives || e->fn == poll_hold ||
-		    e->fn == apply_late_order)
-			order_call_free(e->data);
-		else if (e->fn == push_arrives)
-			push_call_free(e->data);
-		else if (e->fn == payload_request_arrives)
-			free(e->data);
-		else if (e->fn == orders_arrive)
-			batch_call_free(e->data);
-		else if (e->fn == results_arrive) {
-			wf_results_free(&((struct results_call *)e->data)->r);
-			free(e->data);
-		} else if (e->fn == put_arrives) {
-			free(((struct put_call *)e->data)->r.val);
-			free(e->data);
-		} else if (e->fn == advice_answer_arrives) {
-			free(((struct wf_advice *)e->data)->items);
-			free(e->data);
+	while (s->heap_len > 0)
+		event_free(pop_event(s));
+	for (i = 0; i < s->o.cores; i++) {
+		while ((e = s->cores[i].waiting) != NULL) {
+			s->cores[i].waiting = e->next;
+			event_free(e);
 		}
-		free(e);
 	}
 	free(s->heap);
 	for (i = 0; i < s->o.cores; i++)
@@ -2342,22 +2547,22 @@
 send_call(struct sim *s, unsigned ci, uint64_t id, enum wf_call_kind kind,
     const char *job, struct wf_spec *spec)
 {
-	struct wf_event ev = {.type = WF_EV_CALL};
-	struct wf_call call;
-
-	memset(&call, 0, sizeof(call));
-	call.id = id;
-	call.kind = kind;
-	call.spec = spec;
-	agb_str_copy(call.host, sizeof(call.host), "h");
-	snprintf(call.path, sizeof(call.path), "/q/%s", job);
-	ev.u.call = &call;
-	if (s->cores[ci].up && s->now >= s->cores[ci].frozen_until)
+	struct client_call *const c = agb_xcalloc(1, sizeof(*c));
+	struct wf_event ev = {.type = WF_EV_CALL, .u.call = &c->call};
+
+	c->call.id = id;
+	c->call.kind = kind;
+	c->call.spec = spec;
+	agb_str_copy(c->call.host, sizeof(c->call.host), "h");
+	snprintf(c->call.path, sizeof(c->call.path), "/q/%s", job);
+	if (s->cores[ci].up && s->now >= s->cores[ci].frozen_until) {
+		if (is_busy(s, &s->cores[ci])) {
+			schedule_core(s, ci, 0, client_call_arrives)->data = c;
+			return;
+		}
 		handle_event(s, ci, &ev);
-	if (call.spec != NULL) {
-		wf_spec_free(call.spec);
-		free(call.spec);
 	}
+	client_call_free(c);
 }
 
 void
@@ -2442,18 +2647,37 @@
 	s->cores[ci].isolated = isolated;
 }
 
+void
+sim_core_set_processor(struct sim *s, unsigned ci, unsigned percent)
+{
+	s->cores[ci].cpu.speed_percent = percent;
+}
+
 void
 sim_core_set_link(struct sim *s, unsigned ci, unsigned kbps)
 {
 	s->cores[ci].link_kbps = kbps;
 }
 
+static void
+sigterm_arrives(struct sim *s, struct sim_event *e)
+{
+	struct wf_event ev = {.type = WF_EV_TERM};
+
+	if (deliver_or_postpone(s, e, sigterm_arrives))
+		handle_event(s, e->core, &ev);
+}
+
 void
 sim_sigterm(struct sim *s, unsigned ci)
 {
 	struct wf_event ev = {.type = WF_EV_TERM};
 
-	if (s->cores[ci].up && s->now >= s->cores[ci].frozen_until)
+	if (!s->cores[ci].up || s->now < s->cores[ci].frozen_until)
+		return;
+	if (is_busy(s, &s->cores[ci]))
+		schedule_core(s, ci, 0, sigterm_arrives);
+	else
 		handle_event(s, ci, &ev);
 }
 
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -36,6 +36,8 @@
  * @runner_stalls: runners may also stall in randomized runs
  * @relays: the instances are too small to call all runners themselves
  * @link_kbps: bandwidth at which each instance sends; 0 for no limit
+ * @processor_percent: speed of each instance's processor, in percent of a full
+ *	core; 0 when work takes no time
  * @advice_ms: time that a call for advice takes
  * @advice_per_runner_ms: added to @advice_ms for each runner named
  * @fault_gap_ms: mean time between two faults in randomized runs; 0 for none
@@ -57,6 +59,7 @@
 	bool runner_stalls;
 	bool relays;
 	unsigned link_kbps;
+	unsigned processor_percent;
 	unsigned advice_ms;
 	unsigned advice_per_runner_ms;
 	unsigned jobs_per_s;
@@ -113,6 +116,8 @@
 /* Bandwidth at which an instance sends; 0 for no limit. What is sent already
  * keeps the time at which it arrives. */
 void sim_core_set_link(struct sim *s, unsigned ci, unsigned kbps);
+/* Speed of the processor of an instance, from its next event on; not 0. */
+void sim_core_set_processor(struct sim *s, unsigned ci, unsigned percent);
 void sim_set_store_mode(struct sim *s, enum sim_store_mode mode);
 /* Share of the writes and renewals whose reply is lost; they are carried out at
  * once or later. */
