--- a/src/agatebeam/ctl.c
+++ b/src/agatebeam/ctl.c
@@ -202,6 +202,18 @@
 	return list;
 }
 
+struct json_object *
+agb_ctl_env_to_json(const char *env, uint64_t version)
+{
+	struct json_object *const value = json_object_new_object();
+
+	json_object_object_add(
+	    value, "environment", json_object_new_string(env));
+	json_object_object_add(
+	    value, "version", json_object_new_uint64(version));
+	return value;
+}
+
 enum agb_ctl_exit
 agb_ctl_history_list(
     struct agb_ctl *ctl, const char *env, uint64_t **seqs, size_t *len)
--- a/src/agatebeam/ctl.h
+++ b/src/agatebeam/ctl.h
@@ -197,6 +197,12 @@
  */
 void agb_ctl_print_json(struct agb_ctl *ctl, struct json_object *value);
 
+/**
+ * agb_ctl_env_to_json() - create the JSON value that tells a version of an
+ * environment, as {"environment", "version"}
+ */
+struct json_object *agb_ctl_env_to_json(const char *env, uint64_t version);
+
 /**
  * agb_ctl_store_call() - execute a store operation and wait for its result
  * @op: consumed by this call
--- a/src/agatebeam/ctl_change.c
+++ b/src/agatebeam/ctl_change.c
@@ -263,11 +263,7 @@
 		    (unsigned long long)version);
 		return AGB_CTL_OK;
 	}
-	value = json_object_new_object();
-	json_object_object_add(
-	    value, "environment", json_object_new_string(c->env));
-	json_object_object_add(
-	    value, "version", json_object_new_uint64(version));
+	value = agb_ctl_env_to_json(c->env, version);
 	json_object_object_add(
 	    value, "id", json_object_new_string(ctl->change_id));
 	json_object_object_add(
--- a/src/agatebeam/ctl_entry.c
+++ b/src/agatebeam/ctl_entry.c
@@ -236,11 +236,7 @@
 		    json_object_new_boolean((uint64_t)m[i].version < version));
 		json_object_array_add(list, item);
 	}
-	value = json_object_new_object();
-	json_object_object_add(
-	    value, "environment", json_object_new_string(env));
-	json_object_object_add(
-	    value, "version", json_object_new_uint64(version));
+	value = agb_ctl_env_to_json(env, version);
 	json_object_object_add(
 	    value, "lagging", json_object_new_uint64(lagging));
 	json_object_object_add(value, "members", list);
--- a/src/agatebeam/ctl_env.c
+++ b/src/agatebeam/ctl_env.c
@@ -78,11 +78,7 @@
 		code = agb_ctl_fail(ctl, AGB_CTL_FAILED,
 		    "environment \"%s\" has no document", args->env);
 	} else if (ctl->json) {
-		value = json_object_new_object();
-		json_object_object_add(
-		    value, "environment", json_object_new_string(args->env));
-		json_object_object_add(
-		    value, "version", json_object_new_uint64(doc.version));
+		value = agb_ctl_env_to_json(args->env, doc.version);
 		json_object_object_add(
 		    value, "revision", json_object_new_uint64(doc.revision));
 		json_object_object_add(
@@ -134,11 +130,7 @@
 	reviewed = a.revision;
 	diff = agb_textdiff(a.text, a.text_len, b.text, b.text_len);
 	if (ctl->json) {
-		value = json_object_new_object();
-		json_object_object_add(
-		    value, "environment", json_object_new_string(args->env));
-		json_object_object_add(
-		    value, "version", json_object_new_uint64(a.version));
+		value = agb_ctl_env_to_json(args->env, a.version);
 		json_object_object_add(
 		    value, "other", json_object_new_string(args->operand));
 		if (b.version > 0)
