style: comment lines within 80 columns

Also comments behind values of two enums. clang-format does not reflow comments, so that it did not report them.

--- a/src/agatebeam/edge_internal.h
+++ b/src/agatebeam/edge_internal.h
@@ -170,7 +170,8 @@
 void agb_edge_conn_close_all(struct agb_edge *e);
 
 /**
- * agb_edge_free_when_closed() - free a closing server once all connections are closed
+ * agb_edge_free_when_closed() - free a closing server once all connections are
+ * closed
  */
 void agb_edge_free_when_closed(struct agb_edge *e);
 
--- a/src/agatebeam/edge_parse.h
+++ b/src/agatebeam/edge_parse.h
@@ -111,7 +111,8 @@
 };
 
 /**
- * struct agb_edge_refusal - response to a refused request; its outcome is not-run
+ * struct agb_edge_refusal - response to a refused request; its outcome is
+ * not-run
  * @allow: methods that the path allows for status 405, else NULL
  */
 struct agb_edge_refusal {
@@ -123,7 +124,8 @@
 
 /**
  * agb_edge_parse_request() - validate a request
- * @call: set for AGB_TARGET_CALL, except for its id; the caller frees call->args
+ * @call: set for AGB_TARGET_CALL, except for its id; the caller frees
+ *	call->args
  * @refusal: set for AGB_TARGET_REFUSED
  */
 enum agb_edge_target agb_edge_parse_request(
--- a/src/agatebeam/event.h
+++ b/src/agatebeam/event.h
@@ -15,8 +15,8 @@
 
 /*
  * A tag identifies a pending operation of the reducer and is returned with
- * the result. The top byte selects the sub-reducer (see node.h) that started the
- * operation; the remaining bytes are private to that sub-reducer.
+ * the result. The top byte selects the sub-reducer (see node.h) that started
+ * the operation; the remaining bytes are private to that sub-reducer.
  */
 enum agb_tag_module {
 	AGB_TAG_ROUTE = 1,
--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -604,9 +604,9 @@
 }
 
 /*
- * Called immediately before the request is written. If the process was suspended
- * after it created the request, the time until which the caller may send it can
- * have passed.
+ * Called immediately before the request is written. If the process was
+ * suspended after it created the request, the time until which the caller may
+ * send it can have passed.
  */
 static bool
 send_deadline_passed(const struct agb_httpc_call *call)
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -130,8 +130,8 @@
     uv_loop_t *loop, unsigned endpoint_connections_max);
 
 /**
- * agb_httpc_request() - start a request, or queue it until a connection is free;
- * req->cb receives the result
+ * agb_httpc_request() - start a request, or queue it until a connection is
+ * free; req->cb receives the result
  * Return: handle for agb_httpc_cancel(), valid until req->cb has been called;
  * never NULL. An invalid address and a full queue are reported through req->cb
  * as AGB_HTTPC_UNSENT.
--- a/src/agatebeam/owner.c
+++ b/src/agatebeam/owner.c
@@ -10,9 +10,9 @@
  * steps at least with each keep-alive of its lease. */
 #define PAUSE_MIN (2 * AGB_SEC)
 
-/* A sweep examines the timers of all workers, grants and waiting calls. With 960
- * workers these expire one by one; this interval limits the sweeps to about 200
- * a second. */
+/* A sweep examines the timers of all workers, grants and waiting calls. With
+ * 960 workers these expire one by one; this interval limits the sweeps to about
+ * 200 a second. */
 #define SWEEP_INTERVAL (5 * AGB_MS)
 
 /* Returns a tag for a new call to the store or a worker. */
--- a/src/agatebeam/platform_list.h
+++ b/src/agatebeam/platform_list.h
@@ -20,8 +20,8 @@
 struct agb_platform_list;
 
 /**
- * agb_platform_list_cb - called with the AGB_EV_INSTANCES of each read, never from
- * inside agb_platform_list_fetch()
+ * agb_platform_list_cb - called with the AGB_EV_INSTANCES of each read, never
+ * from inside agb_platform_list_fetch()
  * @ev: freed by the client when the callback returns
  */
 typedef void (*agb_platform_list_cb)(void *arg, struct agb_event *ev);
@@ -34,8 +34,8 @@
     uv_loop_t *loop, const char *addr, agb_platform_list_cb cb, void *arg);
 
 /**
- * agb_platform_list_fetch() - execute AGB_EF_LIST_INSTANCES: read the list once and
- * report it by one AGB_EV_INSTANCES
+ * agb_platform_list_fetch() - execute AGB_EF_LIST_INSTANCES: read the list once
+ * and report it by one AGB_EV_INSTANCES
  * @since: version of the list that the caller already has; only later changes
  *	are read. 0 reads the whole list.
  */
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -32,9 +32,9 @@
 
 /**
  * struct agb_rpc_cbs - callbacks
- * @call: a call from a peer has arrived. The callback owns what @args points to,
- *	which it takes by copying the structure, and must answer exactly once by
- *	agb_rpc_reply(). @peer is the IP address of the caller.
+ * @call: a call from a peer has arrived. The callback owns what @args points
+ *	to, which it takes by copying the structure, and must answer exactly
+ *	once by agb_rpc_reply(). @peer is the IP address of the caller.
  * @reply: a call made by agb_rpc_call() has ended; invoked exactly once per
  *	call. If @ok, @res is the result, owned like @args above. Otherwise @res
  *	is NULL, and @sent tells whether the peer may have carried out the call.
--- a/src/agatebeam/rpcmsg.h
+++ b/src/agatebeam/rpcmsg.h
@@ -22,9 +22,11 @@
 #define AGB_RPC_BUF_LEN (AGB_RPC_RECORD_MAX + AGB_RPC_RECORD_OVERHEAD)
 
 /**
- * enum agb_rpcmsg_status - outcome of parsing a record; most are RFC 5531 errors
+ * enum agb_rpcmsg_status - outcome of parsing a record; most are RFC 5531
+ * errors
  * @AGB_RPC_OK: a well-formed call or a successful reply
- * @AGB_RPC_MALFORMED: not a well-formed call or reply; the connection is unusable
+ * @AGB_RPC_MALFORMED: not a well-formed call or reply; the connection is
+ *	unusable
  * @AGB_RPC_VERSION_MISMATCH: the RPC protocol version is not supported
  * @AGB_RPC_PROG_UNAVAIL: the program number is not that of agb_proto.x
  * @AGB_RPC_PROG_MISMATCH: the program version is not supported
--- a/src/agatebeam/sched.h
+++ b/src/agatebeam/sched.h
@@ -176,12 +176,12 @@
 };
 
 enum agb_sched_effect_type {
-	AGB_SCHED_GRANT, /* tag, attempt, worker */
-	AGB_SCHED_DENY,	 /* tag, outcome, reason, retry_ms, detail */
-	AGB_SCHED_START, /* job, task, attempt, worker, need, run_ms */
-	AGB_SCHED_STOP,	 /* job, task, attempt, worker, reason */
-	AGB_SCHED_CHECKPOINT, /* job, task, attempt, worker, reason: checkpoint, then stop */
-	AGB_SCHED_THROTTLE, /* job, task, attempt, worker, need */
+	AGB_SCHED_GRANT,      /* tag, attempt, worker */
+	AGB_SCHED_DENY,	      /* tag, outcome, reason, retry_ms, detail */
+	AGB_SCHED_START,      /* job, task, attempt, worker, need, run_ms */
+	AGB_SCHED_STOP,	      /* job, task, attempt, worker, reason */
+	AGB_SCHED_CHECKPOINT, /* as AGB_SCHED_STOP, after a checkpoint */
+	AGB_SCHED_THROTTLE,   /* job, task, attempt, worker, need */
 	AGB_SCHED_JOB_DONE, /* job, outcome, reason, detail; all tasks ended */
 	AGB_SCHED_DECISION, /* detail: text for the decision log */
 };
--- a/src/agatebeam/sched_gang.c
+++ b/src/agatebeam/sched_gang.c
@@ -40,8 +40,8 @@
 };
 
 /* Whether a gang may be placed on a worker. Workers with failures are used only
- * if @failures is set, ejected ones only if there is no alternative. If all live
- * workers are ejected, this also allows probes on them. */
+ * if @failures is set, ejected ones only if there is no alternative. If all
+ * live workers are ejected, this also allows probes on them. */
 static bool
 accepts_gang(struct agb_sched *s, const struct sched_job *j,
     const struct sched_worker *w, bool failures)
--- a/src/agatebeam/sched_place.c
+++ b/src/agatebeam/sched_place.c
@@ -242,8 +242,8 @@
 	return false;
 }
 
-/* Places the first job of a bucket, if necessary by preemption. Returns false if
- * nothing has changed. */
+/* Places the first job of a bucket, if necessary by preemption. Returns false
+ * if nothing has changed. */
 static bool
 try_bucket(struct agb_sched *s, agb_time now, struct sched_bucket *b,
     struct sched_worker *hint)
--- a/src/agatebeam/store.c
+++ b/src/agatebeam/store.c
@@ -114,8 +114,8 @@
 	char *const end = agb_xstrdup(prefix);
 	size_t n = strlen(end);
 
-	/* A 0xff byte cannot be incremented: drop those at the end and increment
-	 * the byte before them. */
+	/* A 0xff byte cannot be incremented: drop those at the end and
+	 * increment the byte before them. */
 	while (n > 1 && (unsigned char)end[n - 1] == 0xff)
 		n--;
 	end[n - 1]++;
--- a/src/agatebeam/store_etcd.c
+++ b/src/agatebeam/store_etcd.c
@@ -368,7 +368,8 @@
 get_result(const struct agb_store_op *op, struct json_object *obj,
     struct agb_store_result *out)
 {
-	/* A keep-alive is answered by a stream, of which one message is read. */
+	/* A keep-alive is answered by a stream, of which one message is
+	 * read. */
 	if (op->kind == AGB_STORE_LEASE_KEEPALIVE)
 		obj = get_member(obj, "result", json_type_object);
 	if (obj == NULL || !get_revision(obj, &out->revision))
--- a/src/agatebeam/upstream.h
+++ b/src/agatebeam/upstream.h
@@ -49,9 +49,9 @@
 
 /**
  * agb_upstream_abort() - abort an attempt (AGB_EF_UPSTREAM_ABORT) and close its
- * connection. The callback follows later, with AGB_RESULT_NOT_STARTED if no byte
- * had been sent, else with AGB_RESULT_LOST. Does nothing if the attempt has
- * already ended.
+ * connection. The callback follows later, with AGB_RESULT_NOT_STARTED if no
+ * byte had been sent, else with AGB_RESULT_LOST. Does nothing if the attempt
+ * has already ended.
  */
 void agb_upstream_abort(
     struct agb_upstream *u, uint64_t call_id, const struct agb_attempt *a);
--- a/src/agatebeam/workerc.h
+++ b/src/agatebeam/workerc.h
@@ -48,7 +48,8 @@
 void agb_workerc_call(struct agb_workerc *w, const struct agb_effect *ef);
 
 /**
- * agb_workerc_rejected_responses() - number of invalid responses since the start
+ * agb_workerc_rejected_responses() - number of invalid responses since the
+ * start
  */
 uint64_t agb_workerc_rejected_responses(const struct agb_workerc *w);
 
--- a/src/workflow/wf_estimate.h
+++ b/src/workflow/wf_estimate.h
@@ -4,10 +4,11 @@
 /**
  * DOC: wf_estimate
  *
- * Expected run times. The estimates that callers submit are off by a factor that
- * differs by queue, and small ones are more often too low, large ones too high.
- * An estimator learns from ended runs how the run time follows the estimate: a
- * line through the logarithms of both, with newer runs weighted higher.
+ * Expected run times. The estimates that callers submit are off by a factor
+ * that differs by queue, and small ones are more often too low, large ones too
+ * high. An estimator learns from ended runs how the run time follows the
+ * estimate: a line through the logarithms of both, with newer runs weighted
+ * higher.
  */
 
 #include "types.h"
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -298,7 +298,7 @@
 	WF_EF_PEER_PING,    /* tag, peer; WF_EV_PEER_ACK follows */
 	WF_EF_PUT_REPLY,    /* tag, put_result: reply to a peer */
 	WF_EF_ORDERS,	    /* tag, peer, orders: have a peer send them */
-	WF_EF_ORDERS_REPLY, /* tag, flag (accepted), clock: reply to the leader */
+	WF_EF_ORDERS_REPLY, /* tag, flag (accepted), clock: reply to a peer */
 	WF_EF_RESULTS,	    /* peer, results */
 	WF_EF_PAYLOAD_REQUEST, /* tag, peer, payload; WF_EV_PAYLOAD follows */
 	WF_EF_PAYLOAD_REPLY,   /* tag, flag (found), payload: reply to a peer */
--- a/src/workflow/wf_failover.h
+++ b/src/workflow/wf_failover.h
@@ -38,8 +38,8 @@
  * @may_succeed: this instance is one of the possible successors
  *
  * A leader is certainly gone when this instance runs at its address, or when a
- * connection to that address was refused. Only the successors act on the latter,
- * as all instances notice it at the same time.
+ * connection to that address was refused. Only the successors act on the
+ * latter, as all instances notice it at the same time.
  * Return: 0 when there is none.
  */
 int64_t wf_failover_lease(struct wf_failover *f, const struct wf_table *t,
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -244,8 +244,8 @@
  * @allocated: resources of all runs that may be on it
  * @fill_cpu_milli: processors that its fill tasks may use, in thousandths; not
  *	part of @allocated
- * @claimed_cpu_milli: processors, in thousandths, that units with pending calls or unused
- *	tickets may take on it
+ * @claimed_cpu_milli: processors, in thousandths, that units with pending calls
+ *	or unused tickets may take on it
  * @pace_percent: share of full speed of its fill tasks, set at @pace_set_at
  * @tasks: tasks allocated on it
  * @fail_streak: failed ends since the last success
@@ -845,8 +845,8 @@
 void wf_advice_update_clients(struct wf_leader *l, agb_time now);
 
 /**
- * wf_advice_request() - request approvals of further runners for a unit unless it
- * has enough or a call is pending
+ * wf_advice_request() - request approvals of further runners for a unit unless
+ * it has enough or a call is pending
  */
 void wf_advice_request(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_effects *out);
--- a/src/workflow/wf_proxy.h
+++ b/src/workflow/wf_proxy.h
@@ -5,8 +5,8 @@
  * DOC: wf_proxy
  *
  * Calls that this instance makes on behalf of peers: writes of records for
- * instances that cannot reach the store, and calls to the advice service for the
- * leader. Each is answered once, by the token of the peer's request.
+ * instances that cannot reach the store, and calls to the advice service for
+ * the leader. Each is answered once, by the token of the peer's request.
  */
 
 #include "wf_event.h"
@@ -28,8 +28,8 @@
 
 /**
  * wf_proxy_put() - write a record for a peer, if its key does not exist
- * @store_silent: the store does not answer this instance, so that the request is
- *	rejected
+ * @store_silent: the store does not answer this instance, so that the request
+ *	is rejected
  */
 void wf_proxy_put(struct wf_proxy *p, uint64_t token,
     const struct wf_put_request *put, bool store_silent,
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -300,8 +300,8 @@
 	send_order(relay, now, o, out);
 }
 
-/* Queues a start until its text has been fetched from the instance that accepted
- * the job. */
+/* Queues a start until its text has been fetched from the instance that
+ * accepted the job. */
 static void
 request_text(struct wf_relay *relay, struct wf_order *o, struct wf_effects *out)
 {
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -11,8 +11,9 @@
 #include "wf_show.h"
 
 /* The tag of a call selects the handler of its reply. Replies to tag 0 are
- * ignored. A put uses the tag of the front end, which has the top bit set. Other
- * calls set one of the tag bits; a tag without any is a call for advice. */
+ * ignored. A put uses the tag of the front end, which has the top bit set.
+ * Other calls set one of the tag bits; a tag without any is a call for
+ * advice. */
 #define TAG_PUT ((uint64_t)1 << 63)
 #define TAG_PING ((uint64_t)1 << 59)
 #define PUSH_TIMEOUT_MS 1000
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -10,8 +10,8 @@
  * each peer. */
 #define PUSH_INTERVAL_MS 40
 #define PUSH_INTERVAL_PER_PEER_MS 4
-/* Factor of that time while starts are held back: they matter more than how soon
- * callers see a state. */
+/* Factor of that time while starts are held back: they matter more than how
+ * soon callers see a state. */
 #define PUSH_HELD_BACK_FACTOR 4
 /* How often the pending jobs are counted, and how often a count that has not
  * changed is pushed again. */
