--- a/src/agatebeam/agb_proto.x
+++ b/src/agatebeam/agb_proto.x
@@ -18,7 +18,7 @@
 const AGB_X_RELEASES_MAX = 1024;
 const AGB_X_ITEMS_MAX = 1024;
 const AGB_X_ADVICE_MAX = 100;
-const AGB_X_SAVED_MAX = 255;
+const AGB_X_CHECKPOINT_MAX = 255;
 const AGB_X_SPEC_MAX = 4000;
 const AGB_X_JOB_LEN = 16;
 const AGB_X_ORDERS_MAX = 4096;
@@ -47,7 +47,7 @@
 	AGB_X_PUT = 13,
 	AGB_X_ORDERS = 14,
 	AGB_X_RESULTS = 15,
-	AGB_X_TEXT = 16
+	AGB_X_PAYLOAD = 16
 };
 
 struct agb_x_resources {
@@ -238,7 +238,7 @@
 };
 
 struct agb_x_advise_res {
-	bool ok;
+	bool answered;
 	bool busy;
 	unsigned int valid_ms;
 	agb_x_ticket tickets<AGB_X_ADVICE_MAX>;
@@ -253,7 +253,7 @@
 };
 
 /* A state of a job that is in the store. job has no terminating NUL. */
-struct agb_x_told {
+struct agb_x_job_state {
 	opaque job[AGB_X_JOB_LEN];
 	unsigned int state;
 };
@@ -261,7 +261,7 @@
 /* forward: the receiver pushes them to the other instances of its domain. */
 struct agb_x_push_args {
 	bool forward;
-	agb_x_told states<AGB_X_ITEMS_MAX>;
+	agb_x_job_state states<AGB_X_ITEMS_MAX>;
 	agb_x_record records<AGB_X_ITEMS_MAX>;
 };
 
@@ -288,38 +288,38 @@
 };
 
 /* Address and id of a runner. Orders refer to it by runner, a number that the
- * sender assigned. life tells apart successive processes of that runner. */
-struct agb_x_card {
+ * sender assigned. incarnation tells apart successive processes of that
+ * runner. */
+struct agb_x_runner_addr {
 	unsigned int runner;
-	unsigned int life;
+	unsigned int incarnation;
 	agb_x_id id;
 	agb_x_addr addr;
 };
 
-/* An order to start, stop or pace a run. saved is its checkpoint. When text is
- * empty, the receiver fetches the text of the job from the instance at address
- * home. */
+/* An order to start, stop or pace a run. When payload is empty, the receiver
+ * fetches the payload of the job from the instance at address origin. */
 struct agb_x_run_order {
 	agb_x_task task;
 	unsigned int run;
 	unsigned int percent;
-	string saved<AGB_X_SAVED_MAX>;
+	string checkpoint<AGB_X_CHECKPOINT_MAX>;
 	string ticket<AGB_X_ID_MAX>;
-	agb_x_addr home;
-	opaque text<AGB_X_SPEC_MAX>;
+	agb_x_addr origin;
+	opaque payload<AGB_X_SPEC_MAX>;
 };
 
 /* A hold renews the runner's lease and fetches its lists of runs. The runner
- * may drop finished runs up to sequence number observed, and need not report
- * those up to taken. wait_ms is how long it may wait for changes to report.
- * beside marks an extra hold that does not replace the regular one. seen is
- * the number of the list of active runs that the sender has. */
+ * may drop finished runs up to sequence number forget_seq, and need not report
+ * those up to known_seq. wait_ms is how long it may wait for changes to report.
+ * is_probe marks an extra hold that does not replace the regular one.
+ * known_list is the number of the list of active runs that the sender has. */
 struct agb_x_hold_order {
-	unsigned hyper observed;
-	unsigned hyper taken;
+	unsigned hyper forget_seq;
+	unsigned hyper known_seq;
 	unsigned int wait_ms;
-	bool beside;
-	unsigned int seen;
+	bool is_probe;
+	unsigned int known_list;
 };
 
 enum agb_x_order_kind {
@@ -336,13 +336,13 @@
 	agb_x_run_order run;
 };
 
-/* An order that the receiver sends to a runner. not_after_us, the latest time
+/* An order that the receiver sends to a runner. send_by_us, the latest time
  * to send it, is on the receiver's clock; deadline_ms is on the runner's. */
 struct agb_x_order {
 	unsigned hyper number;
 	unsigned int runner;
-	unsigned int life;
-	unsigned hyper not_after_us;
+	unsigned int incarnation;
+	unsigned hyper send_by_us;
 	hyper deadline_ms;
 	unsigned int timeout_ms;
 	agb_x_order_body body;
@@ -352,54 +352,54 @@
 struct agb_x_orders_args {
 	unsigned hyper fence;
 	agb_x_addr reply_to;
-	agb_x_card cards<AGB_X_ORDERS_MAX>;
+	agb_x_runner_addr runners<AGB_X_ORDERS_MAX>;
 	agb_x_order orders<AGB_X_ORDERS_MAX>;
 };
 
-/* taken: false when the receiver rejects the call and sends none of its orders.
- * clock_us is the receiver's clock. */
+/* accepted: false when the receiver rejects the call and sends none of its
+ * orders. clock_us is the receiver's clock. */
 struct agb_x_orders_res {
-	bool taken;
+	bool accepted;
 	unsigned hyper clock_us;
 };
 
-struct agb_x_active {
+struct agb_x_active_run {
 	agb_x_task task;
 	unsigned int run;
 	unsigned int percent;
 	unsigned int load;
-	string saved<AGB_X_SAVED_MAX>;
+	string checkpoint<AGB_X_CHECKPOINT_MAX>;
 };
 
-struct agb_x_finished {
+struct agb_x_finished_run {
 	unsigned hyper seq;
 	agb_x_task task;
 	unsigned int run;
-	unsigned int how;
-	string saved<AGB_X_SAVED_MAX>;
+	unsigned int end;
+	string checkpoint<AGB_X_CHECKPOINT_MAX>;
 };
 
-/* New checkpoint of the run at index at of the base list. */
-struct agb_x_saved {
-	unsigned int at;
-	string saved<AGB_X_SAVED_MAX>;
+/* New checkpoint of the run at a position of the base list. */
+struct agb_x_checkpoint {
+	unsigned int index;
+	string checkpoint<AGB_X_CHECKPOINT_MAX>;
 };
 
 /* Result of an order. The active runs are encoded as a delta: the entries of
- * list base that kept names, each packed as index, percent and load, and the
- * runs in fresh. Together they form the list numbered seen. born_ms is the
- * start time of the runner's process, clock_ms the time on its clock. */
+ * base_list that kept names, each packed as index, percent and load, and
+ * new_runs. Together they form the list numbered list. started_ms is the start
+ * time of the runner's process, clock_ms the time on its clock. */
 struct agb_x_result {
 	unsigned hyper number;
 	unsigned int status;
-	hyper born_ms;
+	hyper started_ms;
 	hyper clock_ms;
-	unsigned int base;
-	unsigned int seen;
+	unsigned int base_list;
+	unsigned int list;
 	unsigned hyper kept<AGB_X_RUNS_MAX>;
-	agb_x_saved saved<AGB_X_RUNS_MAX>;
-	agb_x_active fresh<AGB_X_RUNS_MAX>;
-	agb_x_finished finished<AGB_X_RUNS_MAX>;
+	agb_x_checkpoint checkpoints<AGB_X_RUNS_MAX>;
+	agb_x_active_run new_runs<AGB_X_RUNS_MAX>;
+	agb_x_finished_run finished<AGB_X_RUNS_MAX>;
 };
 
 struct agb_x_results_args {
@@ -407,14 +407,14 @@
 	agb_x_result results<AGB_X_ORDERS_MAX>;
 };
 
-/* Asks the instance that accepted a job for its text. */
-struct agb_x_text_args {
+/* Asks the instance that accepted a job for its payload. */
+struct agb_x_payload_args {
 	agb_x_id job;
 };
 
-struct agb_x_job_text_res {
+struct agb_x_payload_res {
 	bool known;
-	opaque text<AGB_X_SPEC_MAX>;
+	opaque payload<AGB_X_SPEC_MAX>;
 };
 
 union agb_x_args switch (agb_x_proc proc) {
@@ -450,8 +450,8 @@
 	agb_x_orders_args orders;
 case AGB_X_RESULTS:
 	agb_x_results_args results;
-case AGB_X_TEXT:
-	agb_x_text_args text;
+case AGB_X_PAYLOAD:
+	agb_x_payload_args payload;
 };
 
 /* AGB_X_CANCEL and AGB_X_JOB_GET both answer with the state of the job. */
@@ -488,6 +488,6 @@
 	agb_x_orders_res orders;
 case AGB_X_RESULTS:
 	void;
-case AGB_X_TEXT:
-	agb_x_job_text_res text;
+case AGB_X_PAYLOAD:
+	agb_x_payload_res payload;
 };
--- a/src/agatebeam/gen/agb_proto.h
+++ b/src/agatebeam/gen/agb_proto.h
@@ -27,7 +27,7 @@
 #define AGB_X_RELEASES_MAX 1024
 #define AGB_X_ITEMS_MAX 1024
 #define AGB_X_ADVICE_MAX 100
-#define AGB_X_SAVED_MAX 255
+#define AGB_X_CHECKPOINT_MAX 255
 #define AGB_X_SPEC_MAX 4000
 #define AGB_X_JOB_LEN 16
 #define AGB_X_ORDERS_MAX 4096
@@ -60,7 +60,7 @@
 	AGB_X_PUT = 13,
 	AGB_X_ORDERS = 14,
 	AGB_X_RESULTS = 15,
-	AGB_X_TEXT = 16,
+	AGB_X_PAYLOAD = 16,
 };
 typedef enum agb_x_proc agb_x_proc;
 
@@ -284,7 +284,7 @@
 typedef struct agb_x_ticket agb_x_ticket;
 
 struct agb_x_advise_res {
-	bool_t ok;
+	bool_t answered;
 	bool_t busy;
 	u_int valid_ms;
 	struct {
@@ -304,17 +304,17 @@
 };
 typedef struct agb_x_record agb_x_record;
 
-struct agb_x_told {
+struct agb_x_job_state {
 	char job[AGB_X_JOB_LEN];
 	u_int state;
 };
-typedef struct agb_x_told agb_x_told;
+typedef struct agb_x_job_state agb_x_job_state;
 
 struct agb_x_push_args {
 	bool_t forward;
 	struct {
 		u_int states_len;
-		agb_x_told *states_val;
+		agb_x_job_state *states_val;
 	} states;
 	struct {
 		u_int records_len;
@@ -348,34 +348,34 @@
 };
 typedef struct agb_x_task agb_x_task;
 
-struct agb_x_card {
+struct agb_x_runner_addr {
 	u_int runner;
-	u_int life;
+	u_int incarnation;
 	agb_x_id id;
 	agb_x_addr addr;
 };
-typedef struct agb_x_card agb_x_card;
+typedef struct agb_x_runner_addr agb_x_runner_addr;
 
 struct agb_x_run_order {
 	agb_x_task task;
 	u_int run;
 	u_int percent;
-	char *saved;
+	char *checkpoint;
 	char *ticket;
-	agb_x_addr home;
+	agb_x_addr origin;
 	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
+		u_int payload_len;
+		char *payload_val;
+	} payload;
 };
 typedef struct agb_x_run_order agb_x_run_order;
 
 struct agb_x_hold_order {
-	u_quad_t observed;
-	u_quad_t taken;
+	u_quad_t forget_seq;
+	u_quad_t known_seq;
 	u_int wait_ms;
-	bool_t beside;
-	u_int seen;
+	bool_t is_probe;
+	u_int known_list;
 };
 typedef struct agb_x_hold_order agb_x_hold_order;
 
@@ -399,8 +399,8 @@
 struct agb_x_order {
 	u_quad_t number;
 	u_int runner;
-	u_int life;
-	u_quad_t not_after_us;
+	u_int incarnation;
+	u_quad_t send_by_us;
 	quad_t deadline_ms;
 	u_int timeout_ms;
 	agb_x_order_body body;
@@ -411,9 +411,9 @@
 	u_quad_t fence;
 	agb_x_addr reply_to;
 	struct {
-		u_int cards_len;
-		agb_x_card *cards_val;
-	} cards;
+		u_int runners_len;
+		agb_x_runner_addr *runners_val;
+	} runners;
 	struct {
 		u_int orders_len;
 		agb_x_order *orders_val;
@@ -422,57 +422,57 @@
 typedef struct agb_x_orders_args agb_x_orders_args;
 
 struct agb_x_orders_res {
-	bool_t taken;
+	bool_t accepted;
 	u_quad_t clock_us;
 };
 typedef struct agb_x_orders_res agb_x_orders_res;
 
-struct agb_x_active {
+struct agb_x_active_run {
 	agb_x_task task;
 	u_int run;
 	u_int percent;
 	u_int load;
-	char *saved;
+	char *checkpoint;
 };
-typedef struct agb_x_active agb_x_active;
+typedef struct agb_x_active_run agb_x_active_run;
 
-struct agb_x_finished {
+struct agb_x_finished_run {
 	u_quad_t seq;
 	agb_x_task task;
 	u_int run;
-	u_int how;
-	char *saved;
+	u_int end;
+	char *checkpoint;
 };
-typedef struct agb_x_finished agb_x_finished;
+typedef struct agb_x_finished_run agb_x_finished_run;
 
-struct agb_x_saved {
-	u_int at;
-	char *saved;
+struct agb_x_checkpoint {
+	u_int index;
+	char *checkpoint;
 };
-typedef struct agb_x_saved agb_x_saved;
+typedef struct agb_x_checkpoint agb_x_checkpoint;
 
 struct agb_x_result {
 	u_quad_t number;
 	u_int status;
-	quad_t born_ms;
+	quad_t started_ms;
 	quad_t clock_ms;
-	u_int base;
-	u_int seen;
+	u_int base_list;
+	u_int list;
 	struct {
 		u_int kept_len;
 		u_quad_t *kept_val;
 	} kept;
 	struct {
-		u_int saved_len;
-		agb_x_saved *saved_val;
-	} saved;
+		u_int checkpoints_len;
+		agb_x_checkpoint *checkpoints_val;
+	} checkpoints;
 	struct {
-		u_int fresh_len;
-		agb_x_active *fresh_val;
-	} fresh;
+		u_int new_runs_len;
+		agb_x_active_run *new_runs_val;
+	} new_runs;
 	struct {
 		u_int finished_len;
-		agb_x_finished *finished_val;
+		agb_x_finished_run *finished_val;
 	} finished;
 };
 typedef struct agb_x_result agb_x_result;
@@ -486,19 +486,19 @@
 };
 typedef struct agb_x_results_args agb_x_results_args;
 
-struct agb_x_text_args {
+struct agb_x_payload_args {
 	agb_x_id job;
 };
-typedef struct agb_x_text_args agb_x_text_args;
+typedef struct agb_x_payload_args agb_x_payload_args;
 
-struct agb_x_job_text_res {
+struct agb_x_payload_res {
 	bool_t known;
 	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
+		u_int payload_len;
+		char *payload_val;
+	} payload;
 };
-typedef struct agb_x_job_text_res agb_x_job_text_res;
+typedef struct agb_x_payload_res agb_x_payload_res;
 
 struct agb_x_args {
 	agb_x_proc proc;
@@ -517,7 +517,7 @@
 		agb_x_put_args put;
 		agb_x_orders_args orders;
 		agb_x_results_args results;
-		agb_x_text_args text;
+		agb_x_payload_args payload;
 	} agb_x_args_u;
 };
 typedef struct agb_x_args agb_x_args;
@@ -537,7 +537,7 @@
 		agb_x_advise_res advise;
 		agb_x_put_res put;
 		agb_x_orders_res orders;
-		agb_x_job_text_res text;
+		agb_x_payload_res payload;
 	} agb_x_res_u;
 };
 typedef struct agb_x_res agb_x_res;
@@ -577,12 +577,12 @@
 extern  bool_t xdr_agb_x_ticket (XDR *, agb_x_ticket*);
 extern  bool_t xdr_agb_x_advise_res (XDR *, agb_x_advise_res*);
 extern  bool_t xdr_agb_x_record (XDR *, agb_x_record*);
-extern  bool_t xdr_agb_x_told (XDR *, agb_x_told*);
+extern  bool_t xdr_agb_x_job_state (XDR *, agb_x_job_state*);
 extern  bool_t xdr_agb_x_push_args (XDR *, agb_x_push_args*);
 extern  bool_t xdr_agb_x_put_args (XDR *, agb_x_put_args*);
 extern  bool_t xdr_agb_x_put_res (XDR *, agb_x_put_res*);
 extern  bool_t xdr_agb_x_task (XDR *, agb_x_task*);
-extern  bool_t xdr_agb_x_card (XDR *, agb_x_card*);
+extern  bool_t xdr_agb_x_runner_addr (XDR *, agb_x_runner_addr*);
 extern  bool_t xdr_agb_x_run_order (XDR *, agb_x_run_order*);
 extern  bool_t xdr_agb_x_hold_order (XDR *, agb_x_hold_order*);
 extern  bool_t xdr_agb_x_order_kind (XDR *, agb_x_order_kind*);
@@ -590,13 +590,13 @@
 extern  bool_t xdr_agb_x_order (XDR *, agb_x_order*);
 extern  bool_t xdr_agb_x_orders_args (XDR *, agb_x_orders_args*);
 extern  bool_t xdr_agb_x_orders_res (XDR *, agb_x_orders_res*);
-extern  bool_t xdr_agb_x_active (XDR *, agb_x_active*);
-extern  bool_t xdr_agb_x_finished (XDR *, agb_x_finished*);
-extern  bool_t xdr_agb_x_saved (XDR *, agb_x_saved*);
+extern  bool_t xdr_agb_x_active_run (XDR *, agb_x_active_run*);
+extern  bool_t xdr_agb_x_finished_run (XDR *, agb_x_finished_run*);
+extern  bool_t xdr_agb_x_checkpoint (XDR *, agb_x_checkpoint*);
 extern  bool_t xdr_agb_x_result (XDR *, agb_x_result*);
 extern  bool_t xdr_agb_x_results_args (XDR *, agb_x_results_args*);
-extern  bool_t xdr_agb_x_text_args (XDR *, agb_x_text_args*);
-extern  bool_t xdr_agb_x_job_text_res (XDR *, agb_x_job_text_res*);
+extern  bool_t xdr_agb_x_payload_args (XDR *, agb_x_payload_args*);
+extern  bool_t xdr_agb_x_payload_res (XDR *, agb_x_payload_res*);
 extern  bool_t xdr_agb_x_args (XDR *, agb_x_args*);
 extern  bool_t xdr_agb_x_res (XDR *, agb_x_res*);
 
@@ -633,12 +633,12 @@
 extern bool_t xdr_agb_x_ticket ();
 extern bool_t xdr_agb_x_advise_res ();
 extern bool_t xdr_agb_x_record ();
-extern bool_t xdr_agb_x_told ();
+extern bool_t xdr_agb_x_job_state ();
 extern bool_t xdr_agb_x_push_args ();
 extern bool_t xdr_agb_x_put_args ();
 extern bool_t xdr_agb_x_put_res ();
 extern bool_t xdr_agb_x_task ();
-extern bool_t xdr_agb_x_card ();
+extern bool_t xdr_agb_x_runner_addr ();
 extern bool_t xdr_agb_x_run_order ();
 extern bool_t xdr_agb_x_hold_order ();
 extern bool_t xdr_agb_x_order_kind ();
@@ -646,13 +646,13 @@
 extern bool_t xdr_agb_x_order ();
 extern bool_t xdr_agb_x_orders_args ();
 extern bool_t xdr_agb_x_orders_res ();
-extern bool_t xdr_agb_x_active ();
-extern bool_t xdr_agb_x_finished ();
-extern bool_t xdr_agb_x_saved ();
+extern bool_t xdr_agb_x_active_run ();
+extern bool_t xdr_agb_x_finished_run ();
+extern bool_t xdr_agb_x_checkpoint ();
 extern bool_t xdr_agb_x_result ();
 extern bool_t xdr_agb_x_results_args ();
-extern bool_t xdr_agb_x_text_args ();
-extern bool_t xdr_agb_x_job_text_res ();
+extern bool_t xdr_agb_x_payload_args ();
+extern bool_t xdr_agb_x_payload_res ();
 extern bool_t xdr_agb_x_args ();
 extern bool_t xdr_agb_x_res ();
 
--- a/src/agatebeam/gen/agb_proto_xdr.c
+++ b/src/agatebeam/gen/agb_proto_xdr.c
@@ -817,7 +817,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->ok))
+			 if (!xdr_bool (xdrs, &objp->answered))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->busy))
 				 return FALSE;
@@ -825,7 +825,7 @@
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_BOOL(buf, objp->ok);
+		IXDR_PUT_BOOL(buf, objp->answered);
 		IXDR_PUT_BOOL(buf, objp->busy);
 		IXDR_PUT_U_LONG(buf, objp->valid_ms);
 		}
@@ -836,7 +836,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_bool (xdrs, &objp->ok))
+			 if (!xdr_bool (xdrs, &objp->answered))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->busy))
 				 return FALSE;
@@ -844,7 +844,7 @@
 				 return FALSE;
 
 		} else {
-		objp->ok = IXDR_GET_BOOL(buf);
+		objp->answered = IXDR_GET_BOOL(buf);
 		objp->busy = IXDR_GET_BOOL(buf);
 		objp->valid_ms = IXDR_GET_U_LONG(buf);
 		}
@@ -854,7 +854,7 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_bool (xdrs, &objp->ok))
+	 if (!xdr_bool (xdrs, &objp->answered))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->busy))
 		 return FALSE;
@@ -881,7 +881,7 @@
 }
 
 bool_t
-xdr_agb_x_told (XDR *xdrs, agb_x_told *objp)
+xdr_agb_x_job_state (XDR *xdrs, agb_x_job_state *objp)
 {
 	register int32_t *buf;
 
@@ -901,7 +901,7 @@
 	 if (!xdr_bool (xdrs, &objp->forward))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, AGB_X_ITEMS_MAX,
-		sizeof (agb_x_told), (xdrproc_t) xdr_agb_x_told))
+		sizeof (agb_x_job_state), (xdrproc_t) xdr_agb_x_job_state))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, AGB_X_ITEMS_MAX,
 		sizeof (agb_x_record), (xdrproc_t) xdr_agb_x_record))
@@ -955,13 +955,13 @@
 }
 
 bool_t
-xdr_agb_x_card (XDR *xdrs, agb_x_card *objp)
+xdr_agb_x_runner_addr (XDR *xdrs, agb_x_runner_addr *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_int (xdrs, &objp->runner))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->life))
+	 if (!xdr_u_int (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_agb_x_id (xdrs, &objp->id))
 		 return FALSE;
@@ -981,13 +981,13 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->percent))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->ticket, AGB_X_ID_MAX))
 		 return FALSE;
-	 if (!xdr_agb_x_addr (xdrs, &objp->home))
+	 if (!xdr_agb_x_addr (xdrs, &objp->origin))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, AGB_X_SPEC_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, AGB_X_SPEC_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -997,15 +997,15 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->observed))
+	 if (!xdr_u_quad_t (xdrs, &objp->forget_seq))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->taken))
+	 if (!xdr_u_quad_t (xdrs, &objp->known_seq))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->beside))
+	 if (!xdr_bool (xdrs, &objp->is_probe))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->seen))
+	 if (!xdr_u_int (xdrs, &objp->known_list))
 		 return FALSE;
 	return TRUE;
 }
@@ -1049,9 +1049,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->runner))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->life))
+	 if (!xdr_u_int (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->not_after_us))
+	 if (!xdr_u_quad_t (xdrs, &objp->send_by_us))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->deadline_ms))
 		 return FALSE;
@@ -1071,8 +1071,8 @@
 		 return FALSE;
 	 if (!xdr_agb_x_addr (xdrs, &objp->reply_to))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->cards.cards_val, (u_int *) &objp->cards.cards_len, AGB_X_ORDERS_MAX,
-		sizeof (agb_x_card), (xdrproc_t) xdr_agb_x_card))
+	 if (!xdr_array (xdrs, (char **)&objp->runners.runners_val, (u_int *) &objp->runners.runners_len, AGB_X_ORDERS_MAX,
+		sizeof (agb_x_runner_addr), (xdrproc_t) xdr_agb_x_runner_addr))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->orders.orders_val, (u_int *) &objp->orders.orders_len, AGB_X_ORDERS_MAX,
 		sizeof (agb_x_order), (xdrproc_t) xdr_agb_x_order))
@@ -1085,7 +1085,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->taken))
+	 if (!xdr_bool (xdrs, &objp->accepted))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
 		 return FALSE;
@@ -1093,7 +1093,7 @@
 }
 
 bool_t
-xdr_agb_x_active (XDR *xdrs, agb_x_active *objp)
+xdr_agb_x_active_run (XDR *xdrs, agb_x_active_run *objp)
 {
 	register int32_t *buf;
 
@@ -1115,7 +1115,7 @@
 		IXDR_PUT_U_LONG(buf, objp->percent);
 		IXDR_PUT_U_LONG(buf, objp->load);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -1135,7 +1135,7 @@
 		objp->percent = IXDR_GET_U_LONG(buf);
 		objp->load = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -1148,13 +1148,13 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->load))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_agb_x_finished (XDR *xdrs, agb_x_finished *objp)
+xdr_agb_x_finished_run (XDR *xdrs, agb_x_finished_run *objp)
 {
 	register int32_t *buf;
 
@@ -1164,21 +1164,21 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->how))
+	 if (!xdr_u_int (xdrs, &objp->end))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_agb_x_saved (XDR *xdrs, agb_x_saved *objp)
+xdr_agb_x_checkpoint (XDR *xdrs, agb_x_checkpoint *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->at))
+	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, AGB_X_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, AGB_X_CHECKPOINT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -1192,25 +1192,25 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+	 if (!xdr_quad_t (xdrs, &objp->started_ms))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->base))
+	 if (!xdr_u_int (xdrs, &objp->base_list))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->seen))
+	 if (!xdr_u_int (xdrs, &objp->list))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, AGB_X_RUNS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->saved.saved_val, (u_int *) &objp->saved.saved_len, AGB_X_RUNS_MAX,
-		sizeof (agb_x_saved), (xdrproc_t) xdr_agb_x_saved))
+	 if (!xdr_array (xdrs, (char **)&objp->checkpoints.checkpoints_val, (u_int *) &objp->checkpoints.checkpoints_len, AGB_X_RUNS_MAX,
+		sizeof (agb_x_checkpoint), (xdrproc_t) xdr_agb_x_checkpoint))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->fresh.fresh_val, (u_int *) &objp->fresh.fresh_len, AGB_X_RUNS_MAX,
-		sizeof (agb_x_active), (xdrproc_t) xdr_agb_x_active))
+	 if (!xdr_array (xdrs, (char **)&objp->new_runs.new_runs_val, (u_int *) &objp->new_runs.new_runs_len, AGB_X_RUNS_MAX,
+		sizeof (agb_x_active_run), (xdrproc_t) xdr_agb_x_active_run))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->finished.finished_val, (u_int *) &objp->finished.finished_len, AGB_X_RUNS_MAX,
-		sizeof (agb_x_finished), (xdrproc_t) xdr_agb_x_finished))
+		sizeof (agb_x_finished_run), (xdrproc_t) xdr_agb_x_finished_run))
 		 return FALSE;
 	return TRUE;
 }
@@ -1229,7 +1229,7 @@
 }
 
 bool_t
-xdr_agb_x_text_args (XDR *xdrs, agb_x_text_args *objp)
+xdr_agb_x_payload_args (XDR *xdrs, agb_x_payload_args *objp)
 {
 	register int32_t *buf;
 
@@ -1239,13 +1239,13 @@
 }
 
 bool_t
-xdr_agb_x_job_text_res (XDR *xdrs, agb_x_job_text_res *objp)
+xdr_agb_x_payload_res (XDR *xdrs, agb_x_payload_res *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, AGB_X_SPEC_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, AGB_X_SPEC_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -1318,8 +1318,8 @@
 		 if (!xdr_agb_x_results_args (xdrs, &objp->agb_x_args_u.results))
 			 return FALSE;
 		break;
-	case AGB_X_TEXT:
-		 if (!xdr_agb_x_text_args (xdrs, &objp->agb_x_args_u.text))
+	case AGB_X_PAYLOAD:
+		 if (!xdr_agb_x_payload_args (xdrs, &objp->agb_x_args_u.payload))
 			 return FALSE;
 		break;
 	default:
@@ -1392,8 +1392,8 @@
 		break;
 	case AGB_X_RESULTS:
 		break;
-	case AGB_X_TEXT:
-		 if (!xdr_agb_x_job_text_res (xdrs, &objp->agb_x_res_u.text))
+	case AGB_X_PAYLOAD:
+		 if (!xdr_agb_x_payload_res (xdrs, &objp->agb_x_res_u.payload))
 			 return FALSE;
 		break;
 	default:
--- a/src/agatebeam/node.c
+++ b/src/agatebeam/node.c
@@ -201,7 +201,7 @@
 	case AGB_X_PUT:
 	case AGB_X_ORDERS:
 	case AGB_X_RESULTS:
-	case AGB_X_TEXT:
+	case AGB_X_PAYLOAD:
 		/* Handled by the workflow reducer. Here they get an empty
 		 * reply. */
 		ef = agb_effects_add(out, AGB_EF_RPC_REPLY);
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -26,7 +26,7 @@
 #define AGB_RPC_CONNS_MAX ((size_t)2 * AGB_RPC_PEERS_MAX)
 #define AGB_RPC_PEERS_MAX 512
 /* Number of values of agb_x_proc. */
-#define AGB_RPC_PROCS (AGB_X_TEXT + 1)
+#define AGB_RPC_PROCS (AGB_X_PAYLOAD + 1)
 
 struct agb_rpc;
 
--- a/src/agatebeam/rpcmsg.c
+++ b/src/agatebeam/rpcmsg.c
@@ -174,7 +174,7 @@
 		return AGB_RPC_PROG_UNAVAIL;
 	if (vers != AGB_X_VERS)
 		return AGB_RPC_PROG_MISMATCH;
-	if (proc > AGB_X_TEXT)
+	if (proc > AGB_X_PAYLOAD)
 		return AGB_RPC_PROC_UNAVAIL;
 	if (!decode_body(
 		rec + c.pos, len - c.pos, (xdrproc_t)xdr_agb_x_args, args))
--- a/src/workflow/wf_codec.c
+++ b/src/workflow/wf_codec.c
@@ -24,19 +24,19 @@
 void
 wf_codec_encode_payload_request(const struct wf_effect *ef, agb_x_args *args)
 {
-	wf_codec_init_args(args, AGB_X_TEXT);
-	args->agb_x_args_u.text.job = (char *)(uintptr_t)ef->u.payload.job;
+	wf_codec_init_args(args, AGB_X_PAYLOAD);
+	args->agb_x_args_u.payload.job = (char *)(uintptr_t)ef->u.payload.job;
 }
 
 void
 wf_codec_encode_payload(const struct wf_effect *ef, agb_x_res *res)
 {
-	agb_x_job_text_res *const x = &res->agb_x_res_u.text;
+	agb_x_payload_res *const x = &res->agb_x_res_u.payload;
 
-	wf_codec_init_res(res, AGB_X_TEXT);
+	wf_codec_init_res(res, AGB_X_PAYLOAD);
 	x->known = ef->flag;
-	x->text.text_val = ef->u.payload.data;
-	x->text.text_len = (u_int)ef->u.payload.len;
+	x->payload.payload_val = ef->u.payload.data;
+	x->payload.payload_len = (u_int)ef->u.payload.len;
 }
 
 bool
@@ -45,9 +45,9 @@
 	memset(p, 0, sizeof(*p));
 	if (res == NULL)
 		return false;
-	p->data = res->agb_x_res_u.text.text.text_val;
-	p->len = res->agb_x_res_u.text.text.text_len;
-	return res->agb_x_res_u.text.known;
+	p->data = res->agb_x_res_u.payload.payload.payload_val;
+	p->len = res->agb_x_res_u.payload.payload.payload_len;
+	return res->agb_x_res_u.payload.known;
 }
 
 /* ---- advice ---- */
@@ -103,7 +103,7 @@
 		tickets[i].ticket = a->items[i].ticket;
 	}
 	wf_codec_init_res(res, AGB_X_ADVISE);
-	x->ok = a->answered;
+	x->answered = a->answered;
 	x->busy = a->busy;
 	x->valid_ms = a->valid_ms;
 	x->tickets.tickets_len = (u_int)a->items_len;
@@ -120,7 +120,7 @@
 	if (res == NULL || res->proc != AGB_X_ADVISE)
 		return;
 	x = &res->agb_x_res_u.advise;
-	a->answered = x->ok;
+	a->answered = x->answered;
 	a->busy = x->busy;
 	a->valid_ms = x->valid_ms;
 	a->items_len = x->tickets.tickets_len;
@@ -138,7 +138,7 @@
 /* Encodes a record as a job state, if it is one. Job states are most of the
  * records that instances send each other, so they have a compact encoding. */
 static bool
-encode_state(const struct wf_record *rec, agb_x_told *x)
+encode_state(const struct wf_record *rec, agb_x_job_state *x)
 {
 	wf_job_id job;
 
@@ -152,7 +152,7 @@
 
 static void
 decode_state(
-    const agb_x_told *x, struct wf_codec_state *t, struct agb_store_kv *kv)
+    const agb_x_job_state *x, struct wf_codec_state *t, struct agb_store_kv *kv)
 {
 	wf_job_id job;
 
@@ -172,7 +172,7 @@
 	agb_x_push_args *const x = &args->agb_x_args_u.push;
 	size_t i, records_len = 0, states_len = 0;
 	agb_x_record *records;
-	agb_x_told *states;
+	agb_x_job_state *states;
 
 	records = agb_xcalloc(p->len + 1, sizeof(*records));
 	states = agb_xcalloc(p->len + 1, sizeof(*states));
@@ -302,7 +302,7 @@
 		free(args->agb_x_args_u.push.states.states_val);
 		break;
 	case AGB_X_ORDERS:
-		free(args->agb_x_args_u.orders.cards.cards_val);
+		free(args->agb_x_args_u.orders.runners.runners_val);
 		free(args->agb_x_args_u.orders.orders.orders_val);
 		break;
 	case AGB_X_RESULTS:
--- a/src/workflow/wf_codec_order.c
+++ b/src/workflow/wf_codec_order.c
@@ -41,27 +41,27 @@
 	memset(x, 0, sizeof(*x));
 	x->number = o->number;
 	x->runner = o->runner;
-	x->life = o->incarnation;
-	x->not_after_us = o->send_by;
+	x->incarnation = o->incarnation;
+	x->send_by_us = o->send_by;
 	x->deadline_ms = o->deadline_ms;
 	x->timeout_ms = o->timeout_ms;
 	x->body.kind = (agb_x_order_kind)o->kind;
 	if (o->kind == WF_ORDER_HOLD) {
-		hold->observed = o->forget_seq;
-		hold->taken = o->known_seq;
+		hold->forget_seq = o->forget_seq;
+		hold->known_seq = o->known_seq;
 		hold->wait_ms = o->wait_ms;
-		hold->beside = o->is_probe;
-		hold->seen = o->known_list;
+		hold->is_probe = o->is_probe;
+		hold->known_list = o->known_list;
 		return;
 	}
 	encode_task(&o->task, &run->task);
 	run->run = o->run;
 	run->percent = o->percent;
-	run->saved = (char *)(uintptr_t)o->checkpoint;
+	run->checkpoint = (char *)(uintptr_t)o->checkpoint;
 	run->ticket = (char *)(uintptr_t)o->ticket;
-	run->home = (char *)(uintptr_t)o->origin;
-	run->text.text_len = (u_int)o->payload_len;
-	run->text.text_val = o->payload;
+	run->origin = (char *)(uintptr_t)o->origin;
+	run->payload.payload_len = (u_int)o->payload_len;
+	run->payload.payload_val = o->payload;
 }
 
 /* Returns false for an unknown kind of order, which the XDR decoder does not
@@ -78,28 +78,29 @@
 	o->number = x->number;
 	o->kind = (enum wf_order_kind)x->body.kind;
 	o->runner = x->runner;
-	o->incarnation = x->life;
-	o->send_by = x->not_after_us;
+	o->incarnation = x->incarnation;
+	o->send_by = x->send_by_us;
 	o->deadline_ms = x->deadline_ms;
 	o->timeout_ms = x->timeout_ms;
 	if (o->kind == WF_ORDER_HOLD) {
-		o->forget_seq = hold->observed;
-		o->known_seq = hold->taken;
+		o->forget_seq = hold->forget_seq;
+		o->known_seq = hold->known_seq;
 		o->wait_ms = hold->wait_ms;
-		o->is_probe = hold->beside;
-		o->known_list = hold->seen;
+		o->is_probe = hold->is_probe;
+		o->known_list = hold->known_list;
 		return true;
 	}
 	decode_task(&run->task, &o->task);
 	o->run = run->run;
 	o->percent = run->percent;
-	agb_str_copy(o->checkpoint, sizeof(o->checkpoint), run->saved);
+	agb_str_copy(o->checkpoint, sizeof(o->checkpoint), run->checkpoint);
 	agb_str_copy(o->ticket, sizeof(o->ticket), run->ticket);
-	agb_str_copy(o->origin, sizeof(o->origin), run->home);
-	if (run->text.text_len == 0)
+	agb_str_copy(o->origin, sizeof(o->origin), run->origin);
+	if (run->payload.payload_len == 0)
 		return true;
-	o->payload = agb_xmemdup(run->text.text_val, run->text.text_len);
-	o->payload_len = run->text.text_len;
+	o->payload =
+	    agb_xmemdup(run->payload.payload_val, run->payload.payload_len);
+	o->payload_len = run->payload.payload_len;
 	return true;
 }
 
@@ -108,16 +109,16 @@
 {
 	const struct wf_order_batch *const o = &ef->u.orders;
 	agb_x_orders_args *const x = &args->agb_x_args_u.orders;
-	agb_x_card *cards;
+	agb_x_runner_addr *runners;
 	agb_x_order *orders;
 	size_t i;
 
-	cards = agb_xcalloc(o->runners_len + 1, sizeof(*cards));
+	runners = agb_xcalloc(o->runners_len + 1, sizeof(*runners));
 	for (i = 0; i < o->runners_len; i++) {
-		cards[i].runner = o->runners[i].runner;
-		cards[i].life = o->runners[i].incarnation;
-		cards[i].id = o->runners[i].id;
-		cards[i].addr = o->runners[i].addr;
+		runners[i].runner = o->runners[i].runner;
+		runners[i].incarnation = o->runners[i].incarnation;
+		runners[i].id = o->runners[i].id;
+		runners[i].addr = o->runners[i].addr;
 	}
 	orders = agb_xcalloc(o->len + 1, sizeof(*orders));
 	for (i = 0; i < o->len; i++)
@@ -125,8 +126,8 @@
 	wf_codec_init_args(args, AGB_X_ORDERS);
 	x->fence = o->fence;
 	x->reply_to = (char *)(uintptr_t)o->reply_to;
-	x->cards.cards_len = (u_int)o->runners_len;
-	x->cards.cards_val = cards;
+	x->runners.runners_len = (u_int)o->runners_len;
+	x->runners.runners_val = runners;
 	x->orders.orders_len = (u_int)o->len;
 	x->orders.orders_val = orders;
 }
@@ -139,15 +140,16 @@
 	memset(o, 0, sizeof(*o));
 	o->fence = x->fence;
 	agb_str_copy(o->reply_to, sizeof(o->reply_to), x->reply_to);
-	o->runners_len = x->cards.cards_len;
+	o->runners_len = x->runners.runners_len;
 	o->runners = agb_xcalloc(o->runners_len + 1, sizeof(*o->runners));
 	for (i = 0; i < o->runners_len; i++) {
-		o->runners[i].runner = x->cards.cards_val[i].runner;
-		o->runners[i].incarnation = x->cards.cards_val[i].life;
+		o->runners[i].runner = x->runners.runners_val[i].runner;
+		o->runners[i].incarnation =
+		    x->runners.runners_val[i].incarnation;
 		agb_str_copy(o->runners[i].id, sizeof(o->runners[i].id),
-		    x->cards.cards_val[i].id);
+		    x->runners.runners_val[i].id);
 		agb_str_copy(o->runners[i].addr, sizeof(o->runners[i].addr),
-		    x->cards.cards_val[i].addr);
+		    x->runners.runners_val[i].addr);
 	}
 	o->items = agb_xcalloc(x->orders.orders_len + 1, sizeof(*o->items));
 	for (i = 0; i < x->orders.orders_len; i++) {
@@ -161,7 +163,7 @@
 wf_codec_encode_orders_ack(const struct wf_effect *ef, agb_x_res *res)
 {
 	wf_codec_init_res(res, AGB_X_ORDERS);
-	res->agb_x_res_u.orders.taken = ef->flag;
+	res->agb_x_res_u.orders.accepted = ef->flag;
 	res->agb_x_res_u.orders.clock_us = ef->clock;
 }
 
@@ -174,51 +176,51 @@
 	ack->may_have_arrived = sent;
 	if (res == NULL)
 		return;
-	ack->accepted = res->agb_x_res_u.orders.taken;
+	ack->accepted = res->agb_x_res_u.orders.accepted;
 	ack->peer_clock = res->agb_x_res_u.orders.clock_us;
 }
 
 /* ---- results of orders ---- */
 
 static void
-encode_active(const struct wf_active_run *a, agb_x_active *x)
+encode_active(const struct wf_active_run *a, agb_x_active_run *x)
 {
 	encode_task(&a->task, &x->task);
 	x->run = a->run;
 	x->percent = a->percent;
 	x->load = a->load;
-	x->saved = (char *)(uintptr_t)a->checkpoint;
+	x->checkpoint = (char *)(uintptr_t)a->checkpoint;
 }
 
 static void
-decode_active(const agb_x_active *x, struct wf_active_run *a)
+decode_active(const agb_x_active_run *x, struct wf_active_run *a)
 {
 	decode_task(&x->task, &a->task);
 	a->run = x->run;
 	a->percent = x->percent;
 	a->load = x->load;
-	agb_str_copy(a->checkpoint, sizeof(a->checkpoint), x->saved);
+	agb_str_copy(a->checkpoint, sizeof(a->checkpoint), x->checkpoint);
 }
 
 static void
-encode_finished(const struct wf_finished_run *f, agb_x_finished *x)
+encode_finished(const struct wf_finished_run *f, agb_x_finished_run *x)
 {
 	x->seq = f->seq;
 	encode_task(&f->task, &x->task);
 	x->run = f->run;
-	x->how = f->end;
-	x->saved = (char *)(uintptr_t)f->checkpoint;
+	x->end = f->end;
+	x->checkpoint = (char *)(uintptr_t)f->checkpoint;
 }
 
 static bool
-decode_finished(const agb_x_finished *x, struct wf_finished_run *f)
+decode_finished(const agb_x_finished_run *x, struct wf_finished_run *f)
 {
 	f->seq = x->seq;
 	decode_task(&x->task, &f->task);
 	f->run = x->run;
-	f->end = (enum wf_run_end)x->how;
-	agb_str_copy(f->checkpoint, sizeof(f->checkpoint), x->saved);
-	return x->how <= WF_END_GANG_TIMEOUT;
+	f->end = (enum wf_run_end)x->end;
+	agb_str_copy(f->checkpoint, sizeof(f->checkpoint), x->checkpoint);
+	return x->end <= WF_END_GANG_TIMEOUT;
 }
 
 static uint64_t
@@ -245,27 +247,29 @@
 	memset(x, 0, sizeof(*x));
 	x->number = r->number;
 	x->status = r->status;
-	x->born_ms = r->started_ms;
+	x->started_ms = r->started_ms;
 	x->clock_ms = r->clock_ms;
-	x->base = r->base_list;
-	x->seen = r->list;
+	x->base_list = r->base_list;
+	x->list = r->list;
 	x->kept.kept_len = (u_int)r->kept_len;
 	x->kept.kept_val =
 	    agb_xcalloc(r->kept_len + 1, sizeof(*x->kept.kept_val));
 	for (i = 0; i < r->kept_len; i++)
 		x->kept.kept_val[i] = encode_kept(&r->kept[i]);
-	x->saved.saved_len = (u_int)r->checkpoints_len;
-	x->saved.saved_val =
-	    agb_xcalloc(r->checkpoints_len + 1, sizeof(*x->saved.saved_val));
+	x->checkpoints.checkpoints_len = (u_int)r->checkpoints_len;
+	x->checkpoints.checkpoints_val = agb_xcalloc(
+	    r->checkpoints_len + 1, sizeof(*x->checkpoints.checkpoints_val));
 	for (i = 0; i < r->checkpoints_len; i++) {
-		x->saved.saved_val[i].at = r->checkpoints[i].index;
-		x->saved.saved_val[i].saved = r->checkpoints[i].checkpoint;
+		x->checkpoints.checkpoints_val[i].index =
+		    r->checkpoints[i].index;
+		x->checkpoints.checkpoints_val[i].checkpoint =
+		    r->checkpoints[i].checkpoint;
 	}
-	x->fresh.fresh_len = (u_int)r->new_runs_len;
-	x->fresh.fresh_val =
-	    agb_xcalloc(r->new_runs_len + 1, sizeof(*x->fresh.fresh_val));
+	x->new_runs.new_runs_len = (u_int)r->new_runs_len;
+	x->new_runs.new_runs_val =
+	    agb_xcalloc(r->new_runs_len + 1, sizeof(*x->new_runs.new_runs_val));
 	for (i = 0; i < r->new_runs_len; i++)
-		encode_active(&r->new_runs[i], &x->fresh.fresh_val[i]);
+		encode_active(&r->new_runs[i], &x->new_runs.new_runs_val[i]);
 	x->finished.finished_len = (u_int)r->finished_len;
 	x->finished.finished_val =
 	    agb_xcalloc(r->finished_len + 1, sizeof(*x->finished.finished_val));
@@ -282,27 +286,28 @@
 	memset(r, 0, sizeof(*r));
 	r->number = x->number;
 	r->status = (enum wf_order_status)x->status;
-	r->started_ms = x->born_ms;
+	r->started_ms = x->started_ms;
 	r->clock_ms = x->clock_ms;
-	r->base_list = x->base;
-	r->list = x->seen;
+	r->base_list = x->base_list;
+	r->list = x->list;
 	r->kept_len = x->kept.kept_len;
 	r->kept = agb_xcalloc(r->kept_len + 1, sizeof(*r->kept));
 	for (i = 0; i < r->kept_len; i++)
 		decode_kept(x->kept.kept_val[i], &r->kept[i]);
-	r->checkpoints_len = x->saved.saved_len;
+	r->checkpoints_len = x->checkpoints.checkpoints_len;
 	r->checkpoints =
 	    agb_xcalloc(r->checkpoints_len + 1, sizeof(*r->checkpoints));
 	for (i = 0; i < r->checkpoints_len; i++) {
-		r->checkpoints[i].index = x->saved.saved_val[i].at;
+		r->checkpoints[i].index =
+		    x->checkpoints.checkpoints_val[i].index;
 		agb_str_copy(r->checkpoints[i].checkpoint,
 		    sizeof(r->checkpoints[i].checkpoint),
-		    x->saved.saved_val[i].saved);
+		    x->checkpoints.checkpoints_val[i].checkpoint);
 	}
-	r->new_runs_len = x->fresh.fresh_len;
+	r->new_runs_len = x->new_runs.new_runs_len;
 	r->new_runs = agb_xcalloc(r->new_runs_len + 1, sizeof(*r->new_runs));
 	for (i = 0; i < r->new_runs_len; i++)
-		decode_active(&x->fresh.fresh_val[i], &r->new_runs[i]);
+		decode_active(&x->new_runs.new_runs_val[i], &r->new_runs[i]);
 	r->finished_len = x->finished.finished_len;
 	r->finished = agb_xcalloc(r->finished_len + 1, sizeof(*r->finished));
 	for (i = 0; i < r->finished_len; i++)
@@ -358,8 +363,8 @@
 	for (i = 0; i < x->results.results_len; i++) {
 		result = &x->results.results_val[i];
 		free(result->kept.kept_val);
-		free(result->saved.saved_val);
-		free(result->fresh.fresh_val);
+		free(result->checkpoints.checkpoints_val);
+		free(result->new_runs.new_runs_val);
 		free(result->finished.finished_val);
 	}
 	free(x->results.results_val);
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -369,7 +369,7 @@
 	    {AGB_X_PUT, "put"},
 	    {AGB_X_ORDERS, "orders"},
 	    {AGB_X_RESULTS, "results"},
-	    {AGB_X_TEXT, "text"},
+	    {AGB_X_PAYLOAD, "text"},
 	};
 	size_t i;
 
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -116,7 +116,7 @@
 
 static void
 handle_payload_request(
-    struct wf_rpc *r, uint64_t token, const agb_x_text_args *x)
+    struct wf_rpc *r, uint64_t token, const agb_x_payload_args *x)
 {
 	struct wf_event ev = {.type = WF_EV_PAYLOAD_REQUEST, .tag = token};
 
@@ -145,8 +145,8 @@
 	case AGB_X_RESULTS:
 		handle_results(r, token, &args->agb_x_args_u.results);
 		break;
-	case AGB_X_TEXT:
-		handle_payload_request(r, token, &args->agb_x_args_u.text);
+	case AGB_X_PAYLOAD:
+		handle_payload_request(r, token, &args->agb_x_args_u.payload);
 		break;
 	default:
 		/* Calls between shard owners are not used by the workflow
--- a/tests/fuzz/fuzz_rpc.c
+++ b/tests/fuzz/fuzz_rpc.c
@@ -28,7 +28,7 @@
 	}
 	if (agb_rpcmsg_parse_reply(rec, len, &xid, &body) != AGB_RPC_OK)
 		return;
-	for (proc = 0; proc <= AGB_X_TEXT; proc++) {
+	for (proc = 0; proc <= AGB_X_PAYLOAD; proc++) {
 		if (agb_rpcmsg_parse_res(
 			rec + body, len - body, (agb_x_proc)proc, &res))
 			xdr_free((xdrproc_t)xdr_agb_x_res, (char *)&res);
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -388,9 +388,9 @@
 	memset(orders, 0, sizeof(orders));
 	orders[0].body.kind = AGB_X_HOLD;
 	orders[1].body.kind = (agb_x_order_kind)9;
-	orders[1].body.agb_x_order_body_u.run.saved = "";
+	orders[1].body.agb_x_order_body_u.run.checkpoint = "";
 	orders[1].body.agb_x_order_body_u.run.ticket = "";
-	orders[1].body.agb_x_order_body_u.run.home = "";
+	orders[1].body.agb_x_order_body_u.run.origin = "";
 	args.agb_x_args_u.orders.reply_to = "x";
 	args.agb_x_args_u.orders.orders.orders_len = 2;
 	args.agb_x_args_u.orders.orders.orders_val = orders;
