docs(workflow): the term ticket is defined; names in wf_show say what they hold

wf_leader.h used the ticket of an approval without saying what it is. wf_show_job and wf_show_queue are a state and a count to push, and are named so.

--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -256,6 +256,7 @@
 	size_t runners_len;
 };
 
+/* Approval of the advice service that a unit is started on a runner. */
 struct wf_ticket {
 	agb_id runner;
 	agb_id ticket;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -122,6 +122,11 @@
  * @incarnation: incarnation of the runner that the answer is for
  * @valid_until: when the ticket has to be renewed; 0 when not approved
  * @received_at: when the ticket was received
+ * @ticket: as issued by the service; passed to the runner unread
+ *
+ * An approval comes with a ticket, which the service issues for one unit and
+ * one runner. The start of a task carries it, and the runner rejects the start
+ * when the ticket has expired.
  */
 struct wf_approval {
 	uint32_t runner;
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -65,18 +65,18 @@
 wf_show_add_state(struct wf_leader *l, const char *job, enum wf_job_state state)
 {
 	struct wf_show *const s = &l->show;
-	struct wf_show_job *x;
+	struct wf_show_state *entry;
 
 	if (s->states_len == s->states_cap)
 		s->states =
 		    agb_xgrow(s->states, &s->states_cap, sizeof(*s->states));
-	x = &s->states[s->states_len++];
-	agb_str_copy(x->job, sizeof(x->job), job);
-	x->state = state;
+	entry = &s->states[s->states_len++];
+	agb_str_copy(entry->job, sizeof(entry->job), job);
+	entry->state = state;
 }
 
 static void
-make_state_record(struct wf_record *r, const struct wf_show_job *s)
+make_state_record(struct wf_record *r, const struct wf_show_state *s)
 {
 	wf_table_make_key(r->key, 'v', s->job);
 	r->val = agb_xcalloc(1, 1);
@@ -84,10 +84,10 @@
 	r->len = 1;
 }
 
-static struct wf_show_queue *
-get_queue(struct wf_show *s, const char *queue)
+static struct wf_show_count *
+get_count(struct wf_show *s, const char *queue)
 {
-	struct wf_show_queue *c;
+	struct wf_show_count *c;
 	size_t i;
 
 	for (i = 0; i < s->counts_len; i++) {
@@ -111,18 +111,18 @@
 	size_t i;
 
 	for (i = 0; l->doc != NULL && i < l->doc->queues_len; i++)
-		get_queue(s, l->doc->queues[i].name);
+		get_count(s, l->doc->queues[i].name);
 	for (i = 0; i < s->counts_len; i++)
 		s->counts[i].pending = 0;
 	for (j = l->table->jobs; j != NULL; j = j->hh.next) {
 		if (wf_job_pending(j))
-			get_queue(s, j->spec.queue)->pending++;
+			get_count(s, j->spec.queue)->pending++;
 	}
 }
 
 /* Returns false when the same count was pushed recently. */
 static bool
-make_count_record(struct wf_show_queue *c, agb_time now, struct wf_record *r)
+make_count_record(struct wf_show_count *c, agb_time now, struct wf_record *r)
 {
 	if (c->sent_at > 0 && c->pending == c->sent_pending &&
 	    now - c->sent_at < COUNT_RESEND_MS * AGB_MS)
@@ -183,7 +183,7 @@
 {
 	const uint32_t relay = choose_forwarder(l, domain, now->mono);
 	struct wf_show *const s = &l->show;
-	struct wf_show_push *c;
+	struct wf_show_push *p;
 	struct wf_effect *ef;
 
 	if (relay == WF_NO_HANDLE)
@@ -196,11 +196,11 @@
 	ef->timeout_ms = PUSH_TIMEOUT_MS;
 	s->pushes =
 	    agb_xreallocarray(s->pushes, s->pushes_len + 1, sizeof(*s->pushes));
-	c = &s->pushes[s->pushes_len++];
-	c->tag = ef->tag;
-	c->relay = relay;
-	c->items = records_copy(items, len);
-	c->len = len;
+	p = &s->pushes[s->pushes_len++];
+	p->tag = ef->tag;
+	p->relay = relay;
+	p->items = records_copy(items, len);
+	p->len = len;
 }
 
 void
@@ -208,7 +208,7 @@
     bool ok, struct wf_effects *out)
 {
 	struct wf_show *const s = &l->show;
-	struct wf_show_push c;
+	struct wf_show_push p;
 	agb_id domain;
 	size_t i;
 
@@ -216,19 +216,19 @@
 		continue;
 	if (i == s->pushes_len)
 		return;
-	c = s->pushes[i];
+	p = s->pushes[i];
 	s->pushes[i] = s->pushes[--s->pushes_len];
-	if (!ok && c.relay < l->outbox.relays_len) {
+	if (!ok && p.relay < l->outbox.relays_len) {
 		agb_str_copy(
-		    domain, sizeof(domain), l->outbox.relays[c.relay].domain);
+		    domain, sizeof(domain), l->outbox.relays[p.relay].domain);
 		/* While most messages are late, a late acknowledgement tells
 		 * nothing about the relay. */
 		if (!wf_flow_is_limiting(&l->flow, now->mono))
-			wf_outbox_relay_lost(l, now, c.relay,
+			wf_outbox_relay_lost(l, now, p.relay,
 			    "did not acknowledge pushed states", out);
-		push_to_domain(l, now, domain, c.items, c.len, out);
+		push_to_domain(l, now, domain, p.items, p.len, out);
 	}
-	records_free(c.items, c.len);
+	records_free(p.items, p.len);
 }
 
 /* Pushes once to each failure domain that has another instance. */
@@ -288,7 +288,7 @@
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
 	struct wf_show *const s = &l->show;
-	struct wf_record *list;
+	struct wf_record *records;
 	size_t len, counts, n, i;
 
 	if (now->mono < s->push_at ||
@@ -303,14 +303,14 @@
 		count_pending_jobs(l);
 		counts = s->counts_len;
 	}
-	list = agb_xcalloc(len + counts + 1, sizeof(*list));
+	records = agb_xcalloc(len + counts + 1, sizeof(*records));
 	n = 0;
 	for (i = 0; i < len; i++)
-		make_state_record(&list[n++], &s->states[i]);
+		make_state_record(&records[n++], &s->states[i]);
 	for (i = 0; i < counts; i++)
-		n += make_count_record(&s->counts[i], now->mono, &list[n]);
-	push_to_all(l, now, list, n, out);
-	records_free(list, n);
+		n += make_count_record(&s->counts[i], now->mono, &records[n]);
+	push_to_all(l, now, records, n, out);
+	records_free(records, n);
 	s->states_len -= len;
 	if (s->states_len > 0)
 		memmove(s->states, s->states + len,
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -18,13 +18,13 @@
 #define WF_SHOW_TAG ((uint64_t)1 << 57)
 
 /* State of a job that has to be pushed. */
-struct wf_show_job {
+struct wf_show_state {
 	wf_job_id job;
 	enum wf_job_state state;
 };
 
 /* Number of pending jobs in a queue, and the value that was pushed last. */
-struct wf_show_queue {
+struct wf_show_count {
 	agb_id queue;
 	uint32_t pending;
 	uint32_t sent_pending;
@@ -50,10 +50,10 @@
  *	the leader's heartbeat
  */
 struct wf_show {
-	struct wf_show_job *states;
+	struct wf_show_state *states;
 	size_t states_len;
 	size_t states_cap;
-	struct wf_show_queue *counts;
+	struct wf_show_count *counts;
 	size_t counts_len;
 	struct wf_show_push *pushes;
 	size_t pushes_len;
