--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -256,6 +256,7 @@
 	size_t runners_len;
 };
 
+/* Approval of the advice service that a unit is started on a runner. */
 struct wf_ticket {
 	agb_id runner;
 	agb_id ticket;
@@ -298,7 +299,7 @@
 	WF_EF_PEER_PING,    /* tag, peer; WF_EV_PEER_ACK follows */
 	WF_EF_PUT_REPLY,    /* tag, put_result: reply to a peer */
 	WF_EF_ORDERS,	    /* tag, peer, orders: have a peer send them */
-	WF_EF_ORDERS_REPLY, /* tag, flag (accepted), clock: reply to the leader */
+	WF_EF_ORDERS_REPLY, /* tag, flag (accepted), clock: reply to a peer */
 	WF_EF_RESULTS,	    /* peer, results */
 	WF_EF_PAYLOAD_REQUEST, /* tag, peer, payload; WF_EV_PAYLOAD follows */
 	WF_EF_PAYLOAD_REPLY,   /* tag, flag (found), payload: reply to a peer */
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -11,8 +11,9 @@
 #include "wf_show.h"
 
 /* The tag of a call selects the handler of its reply. Replies to tag 0 are
- * ignored. A put uses the tag of the front end, which has the top bit set. Other
- * calls set one of the tag bits; a tag without any is a call for advice. */
+ * ignored. A put uses the tag of the front end, which has the top bit set.
+ * Other calls set one of the tag bits; a tag without any is a call for
+ * advice. */
 #define TAG_PUT ((uint64_t)1 << 63)
 #define TAG_PING ((uint64_t)1 << 59)
 #define PUSH_TIMEOUT_MS 1000
@@ -115,7 +116,7 @@
 
 static void
 handle_payload_request(
-    struct wf_rpc *r, uint64_t token, const agb_x_text_args *x)
+    struct wf_rpc *r, uint64_t token, const agb_x_payload_args *x)
 {
 	struct wf_event ev = {.type = WF_EV_PAYLOAD_REQUEST, .tag = token};
 
@@ -144,8 +145,8 @@
 	case AGB_X_RESULTS:
 		handle_results(r, token, &args->agb_x_args_u.results);
 		break;
-	case AGB_X_TEXT:
-		handle_payload_request(r, token, &args->agb_x_args_u.text);
+	case AGB_X_PAYLOAD:
+		handle_payload_request(r, token, &args->agb_x_args_u.payload);
 		break;
 	default:
 		/* Calls between shard owners are not used by the workflow
