fix(workflow): late answers make messages give way also when nothing starts

What a leader leaves out on a full link (probes, the loss of a relay for a late call, frequent polls, pushes and writes of ends) it left out only while starts were held back. When the polls of the runners alone fill the link, no runner counts as reachable, so nothing starts and nothing is held back: late answers were taken for lost ones, and each runner was polled and probed more than twice as often as usual, each time through another relay, which is told its address. This kept the link full after its reason had gone, until the end.

Measured in simulation on a link of 700 kbit/s that had 300 kbit/s for 6 s: in 2 s the leader sent 480 polls, 360 to 480 probes, 480 addresses and no start (160 to 174 kB of orders) for as long as it was watched; before the link was slow it was 181 polls, 170 starts and none of the others (70 kB).

The links now count as congested for 2 s after an interval in which most answers were late, whether or not starts are held back.

New table in test_wf_overload.

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -17,9 +17,9 @@
 /* Ends of tasks of an unfinished step within this time share one write of the
  * state record. */
 #define END_BATCH_MS 80
-/* Factor of that time while starts are held back: each write holds the states of
+/* Factor of that time while links are congested: each write holds the states of
  * all tasks of the job, and takes from the link what the starts need. */
-#define END_BATCH_HELD_BACK_FACTOR 4
+#define END_BATCH_CONGESTED_FACTOR 4
 /* The times of a unit follow what is learned after this time. */
 #define TIMES_MAX_AGE_MS 500
 
@@ -637,8 +637,9 @@
 static agb_time
 end_batch_time(const struct wf_leader *l, agb_time now)
 {
-	const agb_time factor =
-	    wf_flow_is_limiting(&l->flow, now) ? END_BATCH_HELD_BACK_FACTOR : 1;
+	const agb_time factor = wf_flow_is_congested(&l->flow, now)
+	    ? END_BATCH_CONGESTED_FACTOR
+	    : 1;
 
 	return factor * END_BATCH_MS * AGB_MS;
 }
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -28,8 +28,8 @@
  * holds return at once instead of waiting. */
 #define HOLD_ACK_INTERVAL_MS 80
 #define HOLD_ACK_INTERVAL_RELAYED_MS 120
-/* The same while starts are held back, and at most. */
-#define HOLD_ACK_INTERVAL_HELD_BACK_MS 400
+/* The same while links are congested, and at most. */
+#define HOLD_ACK_INTERVAL_CONGESTED_MS 400
 #define HOLD_ACK_INTERVAL_MAX_MS 500
 #define HOLD_RETRY_MS 200
 /* How long no new tasks are placed on a runner that did not answer or rejected
@@ -1024,8 +1024,8 @@
 hold_interval(
     const struct wf_leader *l, const struct wf_runner *r, agb_time now)
 {
-	const agb_time least = wf_flow_is_limiting(&l->flow, now)
-	    ? HOLD_ACK_INTERVAL_HELD_BACK_MS * AGB_MS
+	const agb_time least = wf_flow_is_congested(&l->flow, now)
+	    ? HOLD_ACK_INTERVAL_CONGESTED_MS * AGB_MS
 	    : l->outbox.use_relays ? HOLD_ACK_INTERVAL_RELAYED_MS * AGB_MS
 				   : HOLD_ACK_INTERVAL_MS * AGB_MS;
 
@@ -1297,7 +1297,7 @@
 	/* While most messages are late, a late answer is no sign of a lost
 	 * one. */
 	if (action == WF_POLL_PROBE &&
-	    wf_flow_is_limiting(&l->flow, now->mono)) {
+	    wf_flow_is_congested(&l->flow, now->mono)) {
 		action = WF_POLL_NOTHING;
 		when = now->mono + HOLD_RETRY_MS * AGB_MS;
 	}
--- a/src/workflow/wf_flow.c
+++ b/src/workflow/wf_flow.c
@@ -19,6 +19,10 @@
 #define RATE_SMOOTHING 4
 /* The limit holds starts back until it has not done so for this long. */
 #define HELD_BACK_MS 500
+/* Links are congested until this long after most answers were late. With few
+ * calls, each of which is given up, the answers of one interval take up to half
+ * of it. */
+#define CONGESTED_MS 2000
 
 void
 wf_flow_init(struct wf_flow *f, agb_time now)
@@ -96,10 +100,12 @@
 	if (now - f->interval_start < INTERVAL_MS * AGB_MS ||
 	    f->on_time + f->late < ANSWERS_MIN)
 		return;
-	if (f->late > f->on_time)
+	if (f->late > f->on_time) {
+		f->late_at = now;
 		reduce(f, now);
-	else if (f->held_back)
+	} else if (f->held_back) {
 		raise_limit(f);
+	}
 	if (f->held_back)
 		update_rate(f, now);
 	f->interval_start = now;
@@ -116,6 +122,13 @@
 	    now - f->held_back_at < HELD_BACK_MS * AGB_MS;
 }
 
+bool
+wf_flow_is_congested(const struct wf_flow *f, agb_time now)
+{
+	return wf_flow_is_limiting(f, now) ||
+	    (f->late_at > 0 && now - f->late_at < CONGESTED_MS * AGB_MS);
+}
+
 uint32_t
 wf_flow_starts_within(const struct wf_flow *f, agb_time now, uint32_t ms)
 {
--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -25,6 +25,7 @@
  *	given up
  * @interval_start: when the current interval of measurement began
  * @reduced_at: when @limit was reduced last; messages sent before do not count
+ * @late_at: end of the last interval in which most answers were late, or 0
  * @on_time, @late: answers in the current interval
  * @confirmed: starts that were confirmed in the current interval
  * @held_back: @limit held tasks back in the current interval
@@ -36,6 +37,7 @@
 	uint32_t in_flight;
 	agb_time interval_start;
 	agb_time reduced_at;
+	agb_time late_at;
 	uint32_t on_time;
 	uint32_t late;
 	uint32_t confirmed;
@@ -83,6 +85,15 @@
  */
 bool wf_flow_is_limiting(const struct wf_flow *f, agb_time now);
 
+/**
+ * wf_flow_is_congested() - whether messages are late, or would be without the
+ * limit
+ *
+ * A message that is not answered in time is late rather than lost then. What is
+ * sent in its place would make the next ones late, also when nothing starts.
+ */
+bool wf_flow_is_congested(const struct wf_flow *f, agb_time now);
+
 /**
  * wf_flow_starts_within() - number of tasks that can be started within a time
  * Return: UINT32_MAX while the limit holds nothing back.
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -752,7 +752,7 @@
 	}
 	if (done->answered || !done->may_have_arrived)
 		end_call_orders(l, now, tag, out);
-	else if (wf_flow_is_limiting(&l->flow, now->mono))
+	else if (wf_flow_is_congested(&l->flow, now->mono))
 		/* Most calls are late at present, so that this one tells
 		 * nothing about the relay. */
 		return;
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -10,9 +10,9 @@
  * each peer. */
 #define PUSH_INTERVAL_MS 40
 #define PUSH_INTERVAL_PER_PEER_MS 4
-/* Factor of that time while starts are held back: they matter more than how soon
- * callers see a state. */
-#define PUSH_HELD_BACK_FACTOR 4
+/* Factor of that time while links are congested: starts matter more than how
+ * soon callers see a state. */
+#define PUSH_CONGESTED_FACTOR 4
 /* How often the pending jobs are counted, and how often a count that has not
  * changed is pushed again. */
 #define COUNT_INTERVAL_MS 400
@@ -218,7 +218,7 @@
 	agb_id domain;
 
 	agb_str_copy(domain, sizeof(domain), l->outbox.relays[c->relay].domain);
-	if (!wf_flow_is_limiting(&l->flow, now->mono))
+	if (!wf_flow_is_congested(&l->flow, now->mono))
 		wf_outbox_relay_lost(
 		    l, now, c->relay, "did not acknowledge pushed states", out);
 	else
@@ -295,7 +295,7 @@
 		(peers < DIRECT_PEERS_MAX ? peers : DIRECT_PEERS_MAX);
 
 	return ms *
-	    (wf_flow_is_limiting(&l->flow, now) ? PUSH_HELD_BACK_FACTOR : 1) *
+	    (wf_flow_is_congested(&l->flow, now) ? PUSH_CONGESTED_FACTOR : 1) *
 	    AGB_MS;
 }
 
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -269,7 +269,47 @@
 	}
 }
 
-/* More than the leader pushes to itself. */
+/* Answers that came after the last interval of measurement. Guards against late
+ * answers that count as lost ones as long as no start is held back: what is
+ * sent in their place keeps the links full. */
+static void
+late_answers_tell_of_congestion(void)
+{
+	static const struct {
+		uint32_t late, on_time, later_ms;
+		bool held_back, congested;
+	} cases[] = {
+	    {4, 0, 0, false, true},
+	    {4, 0, 1900, false, true},
+	    {4, 0, 2100, false, false},
+	    {4, 3, 0, false, true},
+	    {3, 4, 0, false, false},
+	    {3, 0, 0, false, false},
+	    {0, 4, 400, true, true},
+	    {0, 4, 600, true, false},
+	};
+	const agb_time now = 10 * AGB_SEC;
+	struct wf_flow f;
+	uint32_t n;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		wf_flow_init(&f, now);
+		if (cases[i].held_back)
+			wf_flow_note_held_back(&f);
+		for (n = 0; n < cases[i].late + cases[i].on_time; n++) {
+			if (n + 1 == cases[i].late + cases[i].on_time)
+				f.interval_start = now - AGB_SEC;
+			wf_flow_note_answer(&f, now,
+			    now - (n < cases[i].late ? 500 : 20) * AGB_MS, 0);
+		}
+		CU_ASSERT_EQUAL(
+		    wf_flow_is_congested(&f, now + cases[i].later_ms * AGB_MS),
+		    cases[i].congested);
+	}
+}
+
+/* More than the leader pushes to directly. */
 #define PEERS 13
 
 /* Adds enough instances of one failure domain for pushes to go through one of
@@ -366,6 +406,7 @@
 }
 
 static const struct suite_test tests[] = {
+    {"answers: late ones tell of congestion", late_answers_tell_of_congestion},
     {"pushes: a late acknowledgement ends one",
 	late_acknowledgement_ends_a_push},
     {"answers: a lasting delay is no distance", lasting_delay_is_no_distance},
--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -7,6 +7,7 @@
  */
 
 #include <stdio.h>
+#include <string.h>
 
 #include "suite.h"
 #include "wfsim.h"
@@ -173,7 +174,62 @@
 	}
 }
 
+/* Whether a job was accepted and has not finished. */
+static bool
+unfinished(struct sim *s, unsigned job)
+{
+	char id[17];
+
+	snprintf(id, sizeof(id), "%016x", 0x1000 + job);
+	return sim_submit_status(s, id) == 200 &&
+	    strcmp(sim_state(s, id), wf_job_state_name(WF_JOB_COMPLETED)) != 0;
+}
+
+/* Guards against polls of runners that keep a link full after the reason has
+ * gone: late answers were taken for lost ones, so that each runner was polled
+ * and probed four times as often, each time through another relay, which is
+ * told its address. No runner counted as reachable, and nothing started. */
+static void
+polls_leave_a_slow_link(void)
+{
+	static const struct {
+		unsigned link_kbps, slow_kbps, slow_ms, load_percent;
+	} cases[] = {
+	    {700, 300, 6000, 60},
+	    {650, 250, 6000, 60},
+	    {600, 150, 8000, 60},
+	    /* The polls after the election take more than this. */
+	    {520, 520, 1000, 40},
+	    {400, 400, 1000, 40},
+	};
+	struct sim_options o = small_links;
+	unsigned job, left;
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.link_kbps = cases[i].link_kbps;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, 4000, cases[i].load_percent);
+		set_links(s, cases[i].slow_kbps);
+		run_load(s, cases[i].slow_ms, cases[i].load_percent);
+		set_links(s, cases[i].link_kbps);
+		run_load(s, 4000, cases[i].load_percent);
+		sim_run(s, FINISH_MS);
+		for (left = job = 0; job < sim_job_count(s); job++)
+			left += unfinished(s, job);
+		if (left > 0)
+			printf("\n  case %zu: %u of %u jobs unfinished\n", i,
+			    left, sim_job_count(s));
+		CU_ASSERT_EQUAL(left, 0);
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"overload: polls leave a slow link", polls_leave_a_slow_link},
     {"overload: the queue drains afterwards", queue_drains_after_overload},
     {"overload: starts go on while a link is slow",
 	starts_go_on_while_a_link_is_slow},
