fix(workflow): a call that is given up is late, whatever the distance

A leader that is elected while its link is full knows no time of an undelayed answer. It took the timeout of its first calls for that time, so that no call counted as late, and neither the limit of starts nor what is left out on a congested link came into force. Only calls that are answered now tell the distance, and those that are given up count as late.

test_wf_flow, table of a new leader's calls: those given up failed before.

--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -715,10 +715,8 @@
 }
 
 static void
-note_answer(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
-    agb_time sent_at)
+update_answer_time(struct wf_relay_peer *p, agb_time now, agb_time took)
 {
-	const agb_time took = now - sent_at;
 	const agb_time period = ANSWER_TIME_MS * AGB_MS;
 	const agb_time since = agb_time_min(now - p->answer_time_at, period);
 
@@ -727,7 +725,18 @@
 	else
 		p->answer_time += (took - p->answer_time) * since / period;
 	p->answer_time_at = now;
-	wf_flow_note_answer(&l->flow, now, sent_at, p->answer_time);
+}
+
+/* A call that was given up is late, however long answers take: it tells nothing
+ * about the distance of the relay. */
+static void
+note_call_end(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
+    agb_time sent_at, bool answered)
+{
+	if (answered)
+		update_answer_time(p, now, now - sent_at);
+	wf_flow_note_answer(
+	    &l->flow, now, sent_at, answered ? p->answer_time : 0);
 }
 
 void
@@ -741,8 +750,8 @@
 	if (relay >= b->relays_len)
 		return;
 	if (done->answered || done->may_have_arrived)
-		note_answer(l, now->mono, &b->relays[relay],
-		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
+		note_call_end(l, now->mono, &b->relays[relay],
+		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX], done->answered);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
 			b->check_at = 0;
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -212,12 +212,17 @@
 	}
 }
 
-/* Ends calls to a relay for a while, each of which took the same time. */
+#define CALL_TIMEOUT_MS 500
+
+/* Ends calls to a relay for a while, each of which took the same time or was
+ * given up. */
 static void
 end_calls(struct fixture *f, uint32_t ms, uint32_t per_s, uint32_t took_ms)
 {
-	const struct wf_orders_ack ack = {
-	    .answered = true, .may_have_arrived = true, .accepted = true};
+	const bool answered = took_ms < CALL_TIMEOUT_MS;
+	const struct wf_orders_ack ack = {.answered = answered,
+	    .may_have_arrived = true,
+	    .accepted = answered};
 	const agb_time end = f->now.mono + ms * AGB_MS;
 	uint64_t number;
 
@@ -269,6 +274,34 @@
 	}
 }
 
+/* All calls of a new leader end after the same time. Guards against a leader
+ * that is elected while its link is full and takes the delay for distance. */
+static void
+calls_given_up_are_late(void)
+{
+	static const struct {
+		uint32_t took_ms;
+		bool congested;
+	} cases[] = {
+	    {20, false},
+	    {120, false},
+	    {CALL_TIMEOUT_MS, true},
+	};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, false);
+		f.l->outbox.relays =
+		    agb_xcalloc(1, sizeof(*f.l->outbox.relays));
+		f.l->outbox.relays_len = 1;
+		end_calls(&f, 3000, 10, cases[i].took_ms);
+		CU_ASSERT_EQUAL(wf_flow_is_congested(&f.l->flow, f.now.mono),
+		    cases[i].congested);
+		fixture_free(&f);
+	}
+}
+
 /* Answers that came after the last interval of measurement. Guards against late
  * answers that count as lost ones as long as no start is held back: what is
  * sent in their place keeps the links full. */
@@ -406,6 +439,7 @@
 }
 
 static const struct suite_test tests[] = {
+    {"answers: calls given up are late", calls_given_up_are_late},
     {"answers: late ones tell of congestion", late_answers_tell_of_congestion},
     {"pushes: a late acknowledgement ends one",
 	late_acknowledgement_ends_a_push},
