test(workflow): places of reported faults that had only been read

Relays that reach no runner, starts that wait for the text of their job, hand-overs with a slow or lossy store or a paused leader, late starts of an earlier leader, the condition of a leader's writes, and tickets that expire while an intent is written. No fault was found.

Each test was seen to fail: "runners outlast a relay that cannot reach them" without retry_hold(); "starts with late texts are rejected" without the check of the deadline and when texts outlive a change of leaders; "writes depend on the election" without that condition, which no other test needs; "starts with expired tickets are not sent" without requeue_expired(). "late start of an earlier leader" replaces "late start reaches a restarted runner": the same case, two more, and the number of starts. No single change was found that only "hand-over starts no task twice" catches.

--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -244,37 +244,50 @@
 	finish_sim(s);
 }
 
-/* A start is carried out late by the next process of its runner, while the leader
- * that sent it is gone. The new leader learns of the restart from the registry
- * and cannot reach the runner yet, so that the runner does not refuse the start.
- * Guards against a task that runs twice. */
+/* A start is carried out late, when the leader that sent it is gone. The runner
+ * refuses it for its fence once the new leader has reached it. It may have
+ * restarted, which the new leader learns from the registry, and be out of reach
+ * until then, so that it knows no fence. Guards against a task that runs twice. */
 static void
-late_start_reaches_restarted_runner(void)
+late_start_of_earlier_leader(void)
 {
+	static const struct {
+		bool restarts, out_of_reach;
+	} cases[] = {
+	    {false, false},
+	    {true, false},
+	    {true, true},
+	};
 	struct sim_options o = default_options;
 	struct sim *s;
-	unsigned i;
+	unsigned ri;
+	size_t i;
 
 	o.runners = 2;
-	s = start_sim(&o);
-	/* The possible successors have read all jobs by then. */
-	sim_run(s, 2000);
-	for (i = 0; i < o.runners; i++)
-		sim_runner_delay_starts(s, i, 1300);
-	sim_submit(s, (leader(s) + 1) % 3, JOB, sim_new_spec(1, 1000, 3000));
-	sim_run(s, 50);
-	for (i = 0; i < o.runners; i++) {
-		sim_runner_delay_starts(s, i, 0);
-		sim_runner_crash(s, i, 150);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		s = start_sim(&o);
+		/* The possible successors have read all jobs by then. */
+		sim_run(s, 2000);
+		for (ri = 0; ri < o.runners; ri++)
+			sim_runner_delay_starts(s, ri, 1300);
+		sim_submit(
+		    s, (leader(s) + 1) % 3, JOB, sim_new_spec(1, 1000, 3000));
+		sim_run(s, 50);
+		for (ri = 0; ri < o.runners; ri++) {
+			sim_runner_delay_starts(s, ri, 0);
+			if (cases[i].restarts)
+				sim_runner_crash(s, ri, 150);
+		}
+		sim_kill_process(s, leader(s), 0);
+		sim_run(s, 200);
+		sim_runner_cut(s, 0, cases[i].out_of_reach);
+		sim_run(s, 1000);
+		CU_ASSERT(sim_leader(s) >= 0);
+		sim_runner_cut(s, 0, false);
+		run_until_state(s, JOB, "completed", 20000);
+		CU_ASSERT_EQUAL(sim_start_count(s, JOB), 1);
+		finish_sim(s);
 	}
-	sim_kill_process(s, leader(s), 0);
-	sim_run(s, 200);
-	sim_runner_cut(s, 0, true);
-	sim_run(s, 1000);
-	CU_ASSERT(sim_leader(s) >= 0);
-	sim_runner_cut(s, 0, false);
-	run_until_state(s, JOB, "completed", 20000);
-	finish_sim(s);
 }
 
 /* A start that is not answered is stopped after 300 ms. The stop is answered, but
@@ -492,6 +505,63 @@
 	finish_sim(s);
 }
 
+/* A leader hands over while it places jobs: the store is slow, loses the answers
+ * and carries writes out late, or the leader is paused once it has sent the
+ * transaction, and its orders and writes come after those of its successor.
+ * Guards against two leaders that both start a task. */
+static void
+hand_over_starts_no_task_twice(void)
+{
+	static const struct {
+		unsigned store_delay_ms, store_loss_percent, paused_ms;
+	} cases[] = {
+	    {0, 0, 0},
+	    {200, 0, 0},
+	    {0, 100, 0},
+	    {0, 0, 700},
+	    {0, 0, 4000},
+	    {200, 0, 4000},
+	    {0, 100, 4000},
+	};
+	const unsigned before = 10, jobs = 20;
+	struct sim *s;
+	unsigned i, old;
+	char id[17];
+	size_t k;
+
+	for (k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
+		s = start_sim(&default_options);
+		/* The possible successors have read all jobs by then. */
+		sim_run(s, 4000);
+		old = leader(s);
+		sim_set_store_delay(s, cases[k].store_delay_ms);
+		for (i = 0; i < jobs; i++) {
+			if (i == before) {
+				sim_set_store_loss(
+				    s, cases[k].store_loss_percent);
+				sim_sigterm(s, old);
+				sim_run(s, 1);
+				sim_freeze(s, old, cases[k].paused_ms);
+				sim_run(s, 2);
+				sim_set_store_loss(s, 0);
+			}
+			snprintf(id, sizeof(id), "%016x", 0x4000 + i);
+			sim_submit(s, (old + 1 + i % 2) % 3, id,
+			    sim_new_spec(2, 1000, 1500));
+			sim_run(s, 7);
+		}
+		sim_run(s, 15000);
+		CU_ASSERT(sim_leader(s) >= 0);
+		CU_ASSERT(leader(s) != old);
+		CU_ASSERT_EQUAL(sim_final_job_count(s), jobs);
+		for (i = 0; i < jobs; i++) {
+			snprintf(id, sizeof(id), "%016x", 0x4000 + i);
+			CU_ASSERT_EQUAL(sim_start_count(s, id), 2);
+		}
+		finish_sim(s);
+	}
+}
+
 /* Guards against a leader that learns of no end at a runner while it waits for a
  * hold whose answer was lost: ends were seen up to 1.8 s late. */
 static void
@@ -1024,8 +1094,7 @@
     {"lease of a silent runner ends", lease_of_unreachable_runner_expires},
     {"runner is asked after its lease", runner_is_asked_after_its_lease},
     {"runner leaves during a takeover", runner_leaves_during_failover},
-    {"late start reaches a restarted runner",
-	late_start_reaches_restarted_runner},
+    {"late start of an earlier leader", late_start_of_earlier_leader},
     {"restarted runner is asked to stop again",
 	restarted_runner_is_asked_to_stop_again},
     {"leader killed", leader_killed},
@@ -1040,6 +1109,7 @@
 	new_leader_learns_of_jobs_from_cut_instance},
     {"leader shuts down: hands over before",
 	leader_hands_over_before_it_leaves},
+    {"hand-over starts no task twice", hand_over_starts_no_task_twice},
     {"lost hold: the end is seen in time", end_seen_despite_lost_hold},
     {"leader's process killed: replaced at once",
 	killed_leader_is_replaced_at_once},
--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -20,6 +20,8 @@
 #define ELECTION_REV 5
 /* Longer than a leader waits between two passes over its runners. */
 #define STEP_MS 5
+/* Longer than it waits between two passes that place tasks. */
+#define PASS_MS 20
 
 /* One instance at @now, and all effects that it has returned so far. */
 struct instance {
@@ -106,7 +108,7 @@
 }
 
 static struct wf_doc *
-new_doc(void)
+new_doc(bool advice_required)
 {
 	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
 
@@ -117,6 +119,8 @@
 	agb_str_copy(doc->queues->service, sizeof(agb_id), "svc");
 	doc->queues->max_attempts = 3;
 	doc->queues->slack_factor = 2;
+	doc->queues->advice_required = advice_required;
+	doc->queues->advice_base_ms = 10;
 	return doc;
 }
 
@@ -138,7 +142,7 @@
 
 /* Gives an instance its lease, and the key of the leader, which names it. */
 static void
-start(struct instance *x, int64_t key_lease)
+start(struct instance *x, int64_t key_lease, bool advice_required)
 {
 	const struct wf_config cfg = {
 	    .name = SELF, .rpc = "10.0.0.1:1", .seed = 1, .status_s = 120};
@@ -149,7 +153,8 @@
 	    .lease = key_lease};
 	struct agb_store_result granted = {
 	    .status = AGB_STORE_OK, .lease = LEASE, .ttl_s = 1};
-	struct wf_event doc = {.type = WF_EV_DOC, .u.doc = new_doc()};
+	struct wf_event doc = {
+	    .type = WF_EV_DOC, .u.doc = new_doc(advice_required)};
 
 	memset(x, 0, sizeof(*x));
 	x->now = 10 * AGB_SEC;
@@ -200,7 +205,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, cases[i].key_lease);
+		start(&x, cases[i].key_lease, false);
 		CU_ASSERT_EQUAL(leads(&x), cases[i].leads);
 		op = last_op(&x, AGB_STORE_LEASE_REVOKE);
 		CU_ASSERT_EQUAL(
@@ -246,6 +251,43 @@
 	deliver(x, &ev);
 }
 
+/* Makes an instance the leader, with one runner that has listed its runs. */
+static void
+start_with_runner(struct instance *x, bool advice_required)
+{
+	start(x, LEASE, advice_required);
+	deliver_registry(x);
+	x->now += STEP_MS * AGB_MS;
+	tick(x);
+	answer_hold(x);
+}
+
+/* Guards against a write of a leader that is carried out late, when another
+ * instance has been elected: the state of a job that it creates would hide the
+ * starts of the new leader. */
+static void
+writes_depend_on_the_election(void)
+{
+	const struct agb_store_op *op;
+	const struct wf_effect *ef;
+	struct instance x;
+	unsigned found = 0;
+	size_t i;
+
+	start_with_runner(&x, false);
+	ef = last_op(&x, AGB_STORE_TXN);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	op = &ef->u.store;
+	CU_ASSERT_EQUAL_FATAL(op->writes_len, 1);
+	CU_ASSERT_STRING_EQUAL(op->writes[0].key, WF_PREFIX_STATES JOB);
+	for (i = 0; i < op->cmps_len; i++)
+		found += strcmp(op->cmps[i].key, WF_KEY_LEADER) == 0 &&
+		    op->cmps[i].target == AGB_STORE_CMP_MOD_REV &&
+		    op->cmps[i].rev == ELECTION_REV;
+	CU_ASSERT_EQUAL(found, 1);
+	stop(&x);
+}
+
 /* A leader pauses while it writes the intent to start a task, and reads the
  * answer first when it resumes. The lease of 1.2 s counts from the request;
  * orders need 100 ms of it. Guards against a start that is sent on a lease which
@@ -273,11 +315,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, LEASE);
-		deliver_registry(&x);
-		x.now += STEP_MS * AGB_MS;
-		tick(&x);
-		answer_hold(&x);
+		start_with_runner(&x, false);
 		x.now += cases[i].pause_ms * AGB_MS;
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
 		CU_ASSERT_EQUAL(
@@ -291,10 +329,80 @@
 	}
 }
 
+static unsigned
+count_effects(const struct instance *x, enum wf_effect_type type)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++)
+		n += x->out.items[i].type == type;
+	return n;
+}
+
+/* Answers the only call for advice with a ticket for the runner. */
+static void
+answer_advice(struct instance *x, uint32_t valid_ms)
+{
+	struct wf_ticket ticket = {.runner = "r-0", .ticket = "t"};
+	struct wf_advice advice = {.answered = true,
+	    .valid_ms = valid_ms,
+	    .items = &ticket,
+	    .items_len = 1};
+	struct wf_event ev = {.type = WF_EV_ADVICE, .u.advice = &advice};
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++) {
+		if (x->out.items[i].type == WF_EF_ADVICE_REQUEST)
+			ev.tag = x->out.items[i].tag;
+	}
+	CU_ASSERT_NOT_EQUAL(ev.tag, 0);
+	deliver(x, &ev);
+}
+
+/* A leader pauses while it writes the intent of a start that needs a ticket of
+ * the advice service. Guards against a start whose ticket has expired meanwhile,
+ * and against a task that waits then without a new call for advice. */
+static void
+starts_with_expired_tickets_are_not_sent(void)
+{
+	static const struct {
+		unsigned valid_ms, pause_ms, starts, calls;
+	} cases[] = {
+	    {1000, 10, 1, 1},
+	    {1000, 950, 1, 1},
+	    {1000, 970, 0, 2},
+	    {500, 1000, 0, 2},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start_with_runner(&x, true);
+		answer_advice(&x, cases[i].valid_ms);
+		x.now += PASS_MS * AGB_MS;
+		tick(&x);
+		x.now += cases[i].pause_ms * AGB_MS;
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		x.now += STEP_MS * AGB_MS;
+		tick(&x);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_START), cases[i].starts);
+		CU_ASSERT_EQUAL(
+		    count_effects(&x, WF_EF_ADVICE_REQUEST), cases[i].calls);
+		stop(&x);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"leader's key carries its lease", leader_needs_its_key_to_carry_its_lease},
+    {"writes depend on the election", writes_depend_on_the_election},
     {"starts wait for the lease after a pause",
 	starts_wait_for_the_lease_after_a_pause},
+    {"starts with expired tickets are not sent",
+	starts_with_expired_tickets_are_not_sent},
 };
 
 int
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -289,6 +289,90 @@
 	return n;
 }
 
+/* Delivers a start without its text, which may be sent until @send_by, to a relay
+ * at time 100, and the text at @at; a leader with a higher fence may send an order
+ * before that.
+ * Return: the fence of the start that the relay sent to the runner, or 0. */
+static uint64_t
+deliver_start_and_text(struct wf_relay *relay, agb_time send_by, agb_time at,
+    bool next_leader, bool found)
+{
+	const struct wf_payload text = {.data = "x", .len = 1};
+	struct wf_now now = {.mono = 100};
+	struct wf_runner_addr card = {
+	    .runner = 3, .incarnation = 1, .id = "r-3", .addr = "a"};
+	struct wf_order order = {
+	    .kind = WF_ORDER_START,
+	    .task.job = JOB,
+	    .number = 1,
+	    .send_by = send_by,
+	    .runner = 3,
+	    .incarnation = 1,
+	    .origin = "b",
+	};
+	struct wf_order_batch orders = {
+	    .fence = 5,
+	    .reply_to = "leader",
+	    .runners = &card,
+	    .runners_len = 1,
+	    .items = &order,
+	    .len = 1,
+	};
+	struct wf_effects out = {0};
+	uint64_t tag = 0, fence = 0;
+	bool taken;
+	size_t i;
+
+	wf_relay_handle_orders(relay, &now, 1, &orders, true, &out);
+	for (i = 0; i < out.len; i++) {
+		CU_ASSERT_NOT_EQUAL(out.items[i].type, WF_EF_ORDER);
+		if (out.items[i].type == WF_EF_PAYLOAD_REQUEST)
+			tag = out.items[i].tag;
+	}
+	wf_effects_free(&out);
+	CU_ASSERT_NOT_EQUAL(tag, 0);
+	if (next_leader)
+		(void)deliver_stop(relay, 6, at, FAR_MS, true, &taken);
+	now.mono = at;
+	wf_relay_handle_text(relay, &now, tag, found ? &text : NULL, &out);
+	for (i = 0; i < out.len; i++) {
+		if (out.items[i].type == WF_EF_ORDER)
+			fence = out.items[i].u.order.fence;
+	}
+	wf_effects_free(&out);
+	return fence;
+}
+
+/* Guards against a start that a relay sends after its deadline, or under the
+ * fence of the next leader, since it waited for the text of the job. */
+static void
+starts_with_late_texts_are_rejected(void)
+{
+	static const struct {
+		agb_time send_by, at;
+		bool next_leader, found;
+		uint64_t fence;
+	} cases[] = {
+	    {200, 150, false, true, 5},
+	    {200, 200, false, true, 5},
+	    {200, 201, false, true, 0},
+	    {200, 150, false, false, 0},
+	    {200, 150, true, true, 0},
+	};
+	struct wf_table table = {0};
+	struct wf_relay *relay;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		relay = wf_relay_new(&table);
+		CU_ASSERT_EQUAL(
+		    deliver_start_and_text(relay, cases[i].send_by, cases[i].at,
+			cases[i].next_leader, cases[i].found),
+		    cases[i].fence);
+		wf_relay_free(relay);
+	}
+}
+
 /* A relay must not shorten a list of ends that has the maximum length. The
  * leader would take the list for complete and start again the tasks whose ends
  * the runner could not list. */
@@ -626,6 +710,32 @@
 	}
 }
 
+/* A relay reaches no runner for longer than the runners' leases last, but answers
+ * the leader. Guards against taking the runners for silent: their leases ended,
+ * and their tasks started again elsewhere. */
+static void
+runners_outlast_relay_that_cannot_reach_them(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	const unsigned lead = leader(s);
+	unsigned ci;
+
+	sim_submit(s, lead, JOB, sim_new_spec(12, 4000, 60000));
+	sim_run(s, 1000);
+	CU_ASSERT_EQUAL(sim_running_count(s, JOB), 12);
+	for (ci = 0; ci < default_options.cores; ci++) {
+		if (ci == lead)
+			continue;
+		sim_core_cut_runners(s, ci, true);
+		sim_run(s, 9000);
+		CU_ASSERT_EQUAL(sim_running_count(s, JOB), 12);
+		CU_ASSERT_EQUAL(sim_start_count(s, JOB), 12);
+		sim_core_cut_runners(s, ci, false);
+		sim_run(s, 2000);
+	}
+	finish_sim(s);
+}
+
 /* Tasks that have ended must not be started again because a runner leaves their
  * ends out of a list: after an outage of the store it has more ends to report
  * than a list holds. */
@@ -769,6 +879,8 @@
     {"deltas of other baselines are rejected",
 	deltas_of_other_baselines_are_rejected},
     {"stale orders are rejected", stale_orders_are_rejected},
+    {"starts with late texts are rejected",
+	starts_with_late_texts_are_rejected},
     {"full lists of ends stay full", full_lists_of_ends_stay_full},
     {"unknown order kinds are rejected", unknown_order_kinds_are_rejected},
     {"unknown statuses of writes are lost",
@@ -776,6 +888,8 @@
     {"small leader uses relays", small_leader_uses_relays},
     {"large leader sends directly", large_leader_sends_directly},
     {"tasks survive relay faults", tasks_survive_relay_faults},
+    {"runners outlast a relay that cannot reach them",
+	runners_outlast_relay_that_cannot_reach_them},
     {"more ends than a list holds", more_ends_than_a_list_holds},
     {"tasks survive a leader change", tasks_survive_leader_change},
     {"starts avoid lost relays", starts_avoid_lost_relays},
