fix(workflow): a done task is stopped until its start is ruled out

Cause: when a silent runner came back and listed that it had ended a task which had been started again, the second start was given up as soon as the second runner listed no run, whether or not that start had been answered. No stop was sent when the two lists came within 3 ms, and a lost one was not repeated. A start that was carried out after the list ran a task that was done.

Change: for such a task a list counts only as for others: after the answer to the start or to a stop, or after the deadline of the start.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -926,10 +926,12 @@
 	/* Starts sent by earlier leaders have a lower fence and are refused. */
 	if (t->recovered)
 		return true;
-	if (t->state == WF_TASK_DONE)
-		return sent > t->sent_at;
 	if (t->start_accepted_at > 0)
 		return sent >= t->start_accepted_at;
+	/* Its gang was done before its start was sent. */
+	if (t->state == WF_TASK_DONE && t->start_deadline_ms == 0 &&
+	    !t->stopping)
+		return sent > t->sent_at;
 	return t->start_deadline_ms > 0 && clock_ms > t->start_deadline_ms;
 }
 
--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -5,6 +5,7 @@
  * instance. The store, the runner and the other instances are tables of events.
  */
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,10 +19,16 @@
 #define LEASE 7
 #define EARLIER_LEASE 5
 #define ELECTION_REV 5
-/* Longer than a leader waits between two passes over its runners. */
-#define STEP_MS 5
-/* Longer than it waits between two passes that place tasks. */
+/* Longer than a leader waits between two passes over its runners, and between
+ * two that place tasks. */
 #define PASS_MS 20
+#define RUNNERS_MAX 2
+/* Longer than it waits until it repeats a stop. */
+#define STOP_AGAIN_MS 400
+/* Clocks of the runners, which the tests let stand still. */
+#define CLOCK_MS 1000
+/* Longer than the deadline of a start. */
+#define LATE_CLOCK_MS 10000
 
 /* One instance at @now, and all effects that it has returned so far. */
 struct instance {
@@ -47,6 +54,14 @@
 	deliver(x, &ev);
 }
 
+/* Lets enough time pass for all that is due. */
+static void
+pass(struct instance *x)
+{
+	x->now += PASS_MS * AGB_MS;
+	tick(x);
+}
+
 /* Latest store operation of a kind, or NULL. */
 static const struct wf_effect *
 last_op(const struct instance *x, enum agb_store_op_kind kind)
@@ -215,51 +230,83 @@
 }
 
 static void
-deliver_registry(struct instance *x)
+deliver_registry(struct instance *x, size_t runners)
 {
-	struct wf_runner_change change = {
-	    .info = {.started_ms = 1,
-		.remaining_ms = -1,
-		.capacity = {.cpu_milli = 8000, .mem_mb = 8000}}};
+	struct wf_runner_change changes[RUNNERS_MAX];
 	struct wf_event ev = {.type = WF_EV_RUNNERS,
-	    .u.runners = {.full = true, .items = &change, .items_len = 1}};
+	    .u.runners = {
+		.full = true, .items = changes, .items_len = runners}};
+	size_t i;
 
-	agb_str_copy(change.info.id, sizeof(change.info.id), "r-0");
-	agb_str_copy(change.info.addr, sizeof(change.info.addr), "10.1.0.1:1");
-	agb_str_copy(change.info.service, sizeof(agb_id), "svc");
+	memset(changes, 0, sizeof(changes));
+	for (i = 0; i < runners; i++) {
+		changes[i].info.started_ms = 1;
+		changes[i].info.remaining_ms = -1;
+		changes[i].info.capacity.cpu_milli = 8000;
+		changes[i].info.capacity.mem_mb = 8000;
+		snprintf(changes[i].info.id, sizeof(agb_id), "r-%zu", i);
+		snprintf(
+		    changes[i].info.addr, sizeof(agb_addr), "10.1.0.%zu:1", i);
+		agb_str_copy(changes[i].info.service, sizeof(agb_id), "svc");
+	}
 	deliver(x, &ev);
 }
 
-/* Answers the last order with empty lists. */
+/* Latest order of a kind, to @runner unless that is NULL, or NULL. */
+static const struct wf_order *
+last_order(
+    const struct instance *x, enum wf_order_kind kind, const char *runner)
+{
+	const struct wf_order *o;
+	size_t i;
+
+	for (i = x->out.len; i > 0; i--) {
+		o = &x->out.items[i - 1].u.order;
+		if (x->out.items[i - 1].type == WF_EF_ORDER &&
+		    o->kind == kind && !o->is_probe &&
+		    (runner == NULL || strcmp(o->runner_id, runner) == 0))
+			return o;
+	}
+	return NULL;
+}
+
+/* Answers an order; @ended is the only end that a hold lists, or NULL. */
 static void
-answer_hold(struct instance *x)
+answer_order(struct instance *x, const struct wf_order *o,
+    enum wf_order_status status, int64_t clock_ms,
+    struct wf_finished_run *ended)
 {
 	struct wf_order_result res;
 	struct wf_event ev = {.type = WF_EV_ORDER_RESULT, .u.order = &res};
-	size_t i;
 
-	for (i = x->out.len; i > 0; i--) {
-		if (x->out.items[i - 1].type == WF_EF_ORDER)
-			break;
+	CU_ASSERT_PTR_NOT_NULL_FATAL(o);
+	wf_order_result_init(&res, o);
+	res.status = status;
+	if (status == WF_ORDER_OK) {
+		res.started_ms = 1;
+		res.clock_ms = clock_ms;
+		res.finished = ended;
+		res.finished_len = ended != NULL;
 	}
-	CU_ASSERT_FATAL(i > 0);
-	wf_order_result_init(&res, &x->out.items[i - 1].u.order);
-	CU_ASSERT_EQUAL(res.kind, WF_ORDER_HOLD);
-	res.status = WF_ORDER_OK;
-	res.started_ms = 1;
-	res.clock_ms = 1000;
 	deliver(x, &ev);
 }
 
+/* Answers the last hold of a runner with empty lists. */
+static void
+answer_hold(struct instance *x, const char *runner, int64_t clock_ms)
+{
+	answer_order(x, last_order(x, WF_ORDER_HOLD, runner), WF_ORDER_OK,
+	    clock_ms, NULL);
+}
+
 /* Makes an instance the leader, with one runner that has listed its runs. */
 static void
 start_with_runner(struct instance *x, bool advice_required)
 {
 	start(x, LEASE, advice_required);
-	deliver_registry(x);
-	x->now += STEP_MS * AGB_MS;
-	tick(x);
-	answer_hold(x);
+	deliver_registry(x, 1);
+	pass(x);
+	answer_hold(x, "r-0", CLOCK_MS);
 }
 
 /* Guards against a write of a leader that is carried out late, when another
@@ -301,8 +348,8 @@
 		unsigned starts_before, starts_after;
 	} cases[] = {
 	    {10, true, 1, 1},
-	    {1090, true, 1, 1},
-	    {1100, true, 0, 1},
+	    {1070, true, 1, 1},
+	    {1080, true, 0, 1},
 	    {1300, true, 0, 1},
 	    {1300, false, 0, 0},
 	    {7000, true, 0, 1},
@@ -320,7 +367,7 @@
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
 		CU_ASSERT_EQUAL(
 		    count_orders(&x, WF_ORDER_START), cases[i].starts_before);
-		if (cases[i].pause_ms >= 1100)
+		if (cases[i].pause_ms >= 1080)
 			answer_renewal(&x, cases[i].lease_exists);
 		CU_ASSERT_EQUAL(
 		    count_orders(&x, WF_ORDER_START), cases[i].starts_after);
@@ -382,12 +429,10 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		start_with_runner(&x, true);
 		answer_advice(&x, cases[i].valid_ms);
-		x.now += PASS_MS * AGB_MS;
-		tick(&x);
+		pass(&x);
 		x.now += cases[i].pause_ms * AGB_MS;
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
-		x.now += STEP_MS * AGB_MS;
-		tick(&x);
+		pass(&x);
 		CU_ASSERT_EQUAL(
 		    count_orders(&x, WF_ORDER_START), cases[i].starts);
 		CU_ASSERT_EQUAL(
@@ -396,6 +441,93 @@
 	}
 }
 
+/* Answers what a leader has sent, until the lease of the runner @silent has ended
+ * and the leader has started its task on the other one. */
+static void
+start_again_elsewhere(struct instance *x, const char *silent, const char *other)
+{
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true};
+	unsigned i;
+
+	for (i = 0; i < 20 && count_orders(x, WF_ORDER_START) < 2; i++) {
+		x->now += AGB_SEC / 2;
+		tick(x);
+		answer_renewal(x, true);
+		answer_order(x, last_order(x, WF_ORDER_HOLD, silent),
+		    WF_ORDER_LOST, 0, NULL);
+		answer_hold(x, other, CLOCK_MS);
+		pass(x);
+		written.revision = 20 + i;
+		answer_op(x, last_op(x, AGB_STORE_TXN), &written);
+	}
+	CU_ASSERT_PTR_NOT_NULL(last_order(x, WF_ORDER_START, other));
+}
+
+/* A task was started again, as its runner was silent, which then lists that the
+ * task has ended. The second start is not answered, and the second runner lists
+ * no run, at once or when the stop was lost or answered. Guards against giving up
+ * the stop: the start could be carried out late, so that the task ran again
+ * though it was done. */
+static void
+done_task_is_stopped_until_its_start_is_ruled_out(void)
+{
+	static const struct {
+		int64_t clock_ms;
+		bool list_at_once;
+		enum wf_order_status stop_status;
+		unsigned stops;
+	} cases[] = {
+	    {CLOCK_MS, true, WF_ORDER_LOST, 2},
+	    {LATE_CLOCK_MS, true, WF_ORDER_LOST, 0},
+	    {CLOCK_MS, false, WF_ORDER_LOST, 2},
+	    {LATE_CLOCK_MS, false, WF_ORDER_LOST, 1},
+	    {CLOCK_MS, false, WF_ORDER_OK, 1},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	struct wf_finished_run ended = {.seq = 1, .end = WF_END_DONE};
+	const struct wf_order *started;
+	const char *silent, *other;
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, LEASE, false);
+		deliver_registry(&x, RUNNERS_MAX);
+		pass(&x);
+		answer_hold(&x, "r-0", CLOCK_MS);
+		answer_hold(&x, "r-1", CLOCK_MS);
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		started = last_order(&x, WF_ORDER_START, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		silent = strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
+		other = strcmp(silent, "r-0") == 0 ? "r-1" : "r-0";
+		ended.task = started->task;
+		ended.run = started->run;
+		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
+		start_again_elsewhere(&x, silent, other);
+		pass(&x);
+		answer_order(&x, last_order(&x, WF_ORDER_HOLD, silent),
+		    WF_ORDER_OK, CLOCK_MS, &ended);
+		if (!cases[i].list_at_once) {
+			pass(&x);
+			answer_order(&x, last_order(&x, WF_ORDER_STOP, other),
+			    cases[i].stop_status, CLOCK_MS, NULL);
+			/* The next hold is sent after that answer. */
+			answer_hold(&x, other, CLOCK_MS);
+			pass(&x);
+		}
+		answer_hold(&x, other, cases[i].clock_ms);
+		pass(&x);
+		x.now += STOP_AGAIN_MS * AGB_MS;
+		tick(&x);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_STOP), cases[i].stops);
+		stop(&x);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"leader's key carries its lease", leader_needs_its_key_to_carry_its_lease},
     {"writes depend on the election", writes_depend_on_the_election},
@@ -403,6 +535,8 @@
 	starts_wait_for_the_lease_after_a_pause},
     {"starts with expired tickets are not sent",
 	starts_with_expired_tickets_are_not_sent},
+    {"done task is stopped until its start is ruled out",
+	done_task_is_stopped_until_its_start_is_ruled_out},
 };
 
 int
