fix(workflow): a leaving runner that misses a hold may still work

Cause: when the registry entry of a leaving runner was removed within 2.5 s of its last answer, the next failed hold of any kind counted as its exit and its tasks were requeued at once. The entry also expires when the runner does not reach the store, or while the store is down; a lost answer, a connection that timed out or a runner that answered "unhealthy" then started its tasks a second time while they ran.

Change: it has exited when its address refuses a connection, which shows within 300 ms, or another runner answers there. After the first missed hold it is asked again after 10 ms. Otherwise its tasks wait for the end of its lease.

Measured: "leaving runner without an entry keeps its tasks" failed before with "duplicate: ... runs on r-0 and r-1", and "tasks of a leaving runner start again when it is gone" in four of its six cases; both pass now.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -74,9 +74,12 @@
 #define PACE_UNKNOWN UINT32_MAX
 #define LISTED_REQUEUE_DELAY_MS 3000
 /* A draining runner that answered within this time before its registry entry
- * disappeared has exited: the entry of a runner that merely stopped answering
+ * disappeared has probably exited: the entry of a runner that merely stopped answering
  * expires only after its heartbeats have been missing for longer. */
 #define DEPARTED_REPLY_AGE_MS 2500
+/* An order that fails unsent within this time was refused a connection. One that
+ * could not connect in time fails later. */
+#define CONNECTION_REFUSED_MS 300
 /* A runner counts as silent when it has missed this many holds in a row, and the
  * last one was sent within this time: two holds, each with its time limit and
  * the wait before the next. Older ones say nothing after a pause of this process
@@ -349,7 +352,8 @@
 	r->listed = false;
 	r->unlisted_at = now->mono;
 	/* An entry expires only after a long silence. When a draining runner
-	 * has answered recently, its entry was removed because it exited. */
+	 * has answered recently, its entry was probably removed because it
+	 * exited. */
 	r->has_left = r->info.draining && r->heard_at > 0 &&
 	    now->mono - r->heard_at < DEPARTED_REPLY_AGE_MS * AGB_MS;
 	wf_effects_log(out, AGB_LOG_INFO, "runner",
@@ -1067,6 +1071,34 @@
 	    agb_time_min(l->write_time_us, HOLD_ACK_INTERVAL_MAX_MS * AGB_MS));
 }
 
+/* Whether a failed hold shows that no process of the runner exists any more. An
+ * answer that is lost and a connection that times out show only that the network
+ * does not reach it, and other refusals come from the runner itself. */
+static bool
+shows_exit(const struct wf_order_result *res, agb_time now)
+{
+	return res->status == WF_ORDER_OTHER_INCARNATION ||
+	    (res->status == WF_ORDER_UNSENT &&
+		now - res->sent_at < CONNECTION_REFUSED_MS * AGB_MS);
+}
+
+/* Handles a failed hold of a runner that is leaving and whose registry entry is
+ * gone: it has exited, or cannot reach the store. */
+static void
+check_exit(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[res->runner];
+
+	if (shows_exit(res, now->mono)) {
+		requeue_runner_tasks(
+		    l, now, res->runner, "runner has exited", out);
+		r->reported = false;
+	} else if (r->missed_holds == 1) {
+		r->poll.next_at = now->mono + HOLD_INTERVAL_MS * AGB_MS;
+	}
+}
+
 static void
 handle_hold_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -1102,11 +1134,8 @@
 				: 0);
 		r->silent = true;
 		exclude_runner(r, now->mono, EXCLUDE_UNANSWERED_MS);
-		if (r->has_left) {
-			requeue_runner_tasks(
-			    l, now, res->runner, "runner has exited", out);
-			r->reported = false;
-		}
+		if (r->has_left)
+			check_exit(l, now, res, out);
 		return;
 	}
 	if (r->heard_at == 0 || r->silent ||
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -233,7 +233,7 @@
  * @relay_retried: a hold that failed through a relay was retried; reset when a
  *	hold is answered
  * @has_left: its registry entry was removed while it was draining and
- *	answering, so that it has exited
+ *	answering, so that it has probably exited
  * @reserved: room on it is reserved for a gang
  * @poll: its holds
  * @heard_at: sending time of the last hold that was answered
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -228,6 +228,47 @@
 	}
 }
 
+/* A runner that is to be shut down does not reach the store, so that its entry in
+ * the registry expires, and does not answer the leader for the next second. It
+ * goes on working. Guards against taking it for gone: its tasks were started
+ * again while they ran. */
+static void
+leaving_runner_without_entry_keeps_tasks(void)
+{
+	struct sim *const s = start_sim(&default_options);
+	unsigned ri;
+
+	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 12000));
+	sim_run(s, 500);
+	ri = sim_runner_of(s, JOB);
+	CU_ASSERT(ri < default_options.runners);
+	sim_runner_drain(s, ri, 60000);
+	sim_runner_cut_registry(s, ri, true);
+	/* Its entry expires after three heartbeats. */
+	sim_run(s, 5000);
+	sim_runner_cut(s, ri, true);
+	sim_run(s, 1000);
+	sim_runner_cut(s, ri, false);
+	run_until_state(s, JOB, "completed", 12000);
+	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 1);
+	finish_sim(s);
+}
+
+/* A runner that has been shut down, as announced, has lost its tasks. Guards
+ * against waiting for the end of its lease, 4 s, until they start elsewhere. */
+static void
+tasks_of_runner_that_left_start_again(void)
+{
+	struct sim *const s = start_sim(&default_options);
+
+	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 3000));
+	sim_run(s, 500);
+	sim_runner_drain(s, sim_runner_of(s, JOB), 1000);
+	CU_ASSERT(run_until_state(s, JOB, "completed", 12000) < 5200);
+	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 2);
+	finish_sim(s);
+}
+
 /* Guards against losing a task that an earlier leader had started on a runner
  * that has left since: it was never assigned again. */
 static void
@@ -1093,6 +1134,10 @@
     {"ends are durable before forgotten", ends_durable_before_acknowledged},
     {"lease of a silent runner ends", lease_of_unreachable_runner_expires},
     {"runner is asked after its lease", runner_is_asked_after_its_lease},
+    {"leaving runner without an entry keeps its tasks",
+	leaving_runner_without_entry_keeps_tasks},
+    {"tasks of a runner that left start again",
+	tasks_of_runner_that_left_start_again},
     {"runner leaves during a takeover", runner_leaves_during_failover},
     {"late start of an earlier leader", late_start_of_earlier_leader},
     {"restarted runner is asked to stop again",
--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -464,6 +464,91 @@
 	CU_ASSERT_PTR_NOT_NULL(last_order(x, WF_ORDER_START, other));
 }
 
+static void
+deliver_change(struct instance *x, const char *runner, bool removed)
+{
+	struct wf_runner_change change = {.removed = removed,
+	    .info = {.started_ms = 1,
+		.remaining_ms = 60000,
+		.draining = true,
+		.capacity = {.cpu_milli = 8000, .mem_mb = 8000}}};
+	struct wf_event ev = {.type = WF_EV_RUNNERS,
+	    .u.runners = {.items = &change, .items_len = 1}};
+
+	agb_str_copy(change.info.id, sizeof(agb_id), runner);
+	agb_str_copy(change.info.addr, sizeof(agb_addr), "10.1.0.0:1");
+	agb_str_copy(change.info.service, sizeof(agb_id), "svc");
+	deliver(x, &ev);
+}
+
+static unsigned
+count_state_writes(const struct instance *x)
+{
+	const struct wf_effect *ef;
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++) {
+		ef = &x->out.items[i];
+		n += ef->type == WF_EF_STORE &&
+		    ef->u.store.kind == AGB_STORE_TXN &&
+		    strcmp(ef->u.store.writes[0].key, WF_PREFIX_STATES JOB) ==
+			0;
+	}
+	return n;
+}
+
+/* The entry of a runner that is leaving is removed from the registry, and its
+ * next hold fails. Guards against tasks that are started again while their runner
+ * lives and only the network or the registry does not reach it, and against
+ * waiting for its lease when its process is gone. */
+static void
+tasks_of_leaving_runner_start_again_when_it_is_gone(void)
+{
+	static const struct {
+		enum wf_order_status status;
+		unsigned after_ms;
+		bool gone;
+	} cases[] = {
+	    {WF_ORDER_UNSENT, 10, true},
+	    {WF_ORDER_OTHER_INCARNATION, 10, true},
+	    {WF_ORDER_UNSENT, 500, false},
+	    {WF_ORDER_LOST, 10, false},
+	    {WF_ORDER_LOST, 1600, false},
+	    {WF_ORDER_BUSY, 10, false},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	const struct wf_order *started;
+	const char *leaving;
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, LEASE, false);
+		deliver_registry(&x, RUNNERS_MAX);
+		pass(&x);
+		answer_hold(&x, "r-0", CLOCK_MS);
+		answer_hold(&x, "r-1", CLOCK_MS);
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		started = last_order(&x, WF_ORDER_START, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		leaving =
+		    strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
+		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
+		pass(&x);
+		deliver_change(&x, leaving, false);
+		deliver_change(&x, leaving, true);
+		x.now += cases[i].after_ms * AGB_MS;
+		answer_order(&x, last_order(&x, WF_ORDER_HOLD, leaving),
+		    cases[i].status, 0, NULL);
+		pass(&x);
+		/* The second one assigns the task to the other runner. */
+		CU_ASSERT_EQUAL(count_state_writes(&x), cases[i].gone ? 2 : 1);
+		stop(&x);
+	}
+}
+
 /* A task was started again, as its runner was silent, which then lists that the
  * task has ended. The second start is not answered, and the second runner lists
  * no run, at once or when the stop was lost or answered. Guards against giving up
@@ -535,6 +620,8 @@
 	starts_wait_for_the_lease_after_a_pause},
     {"starts with expired tickets are not sent",
 	starts_with_expired_tickets_are_not_sent},
+    {"tasks of a leaving runner start again when it is gone",
+	tasks_of_leaving_runner_start_again_when_it_is_gone},
     {"done task is stopped until its start is ruled out",
 	done_task_is_stopped_until_its_start_is_ruled_out},
 };
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -84,6 +84,7 @@
 	bool ignores_starts; /* starts are lost without an effect */
 	bool loses_hold;     /* the answer to the next hold is lost */
 	unsigned start_delay_ms;
+	bool unregistered;
 	bool listed;
 	agb_time started_at;
 	agb_time lease_until;
@@ -1486,7 +1487,7 @@
 
 	for (ri = 0; ri < s->o.runners; ri++) {
 		r = &s->runners[ri];
-		seen = r->up && !r->unreachable;
+		seen = r->up && !r->unreachable && !r->unregistered;
 		if (seen) {
 			r->listed = true;
 			r->delist_at = 0;
@@ -2526,6 +2527,12 @@
 	s->runners[ri].unreachable = cut;
 }
 
+void
+sim_runner_cut_registry(struct sim *s, unsigned ri, bool cut)
+{
+	s->runners[ri].unregistered = cut;
+}
+
 static void
 runner_clear(struct sim_runner *r)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -128,6 +128,8 @@
 /* Cuts a runner off from all instances. */
 void sim_runner_cut(struct sim *s, unsigned ri, bool cut);
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
+/* Cuts a runner off from the registry only, where it expires. */
+void sim_runner_cut_registry(struct sim *s, unsigned ri, bool cut);
 /* Marks a runner as leaving; it stops after the time and later restarts. */
 void sim_runner_drain(struct sim *s, unsigned ri, unsigned leave_ms);
 /* The tasks of a stalled runner make no progress. */
