--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "advise.h"
 #include "front.h"
 #include "loop.h"
 #include "manifest.h"
@@ -594,6 +595,67 @@
 	}
 }
 
+static void
+ignore_request(struct loop_conn *c)
+{
+	c->in_len = 0;
+}
+
+static void
+fail_on_result(void *arg, struct wf_order_result *res)
+{
+	(void)arg;
+	(void)res;
+	CU_FAIL("result after the client was freed");
+}
+
+static void
+fail_on_advice(void *arg, uint64_t tag, struct wf_advice *a)
+{
+	(void)arg;
+	(void)tag;
+	(void)a;
+	CU_FAIL("advice after the client was freed");
+}
+
+/* Guards against calls without an answer that are leaked, or reported, when
+ * their client is freed; the leak shows in a build with AddressSanitizer. */
+static void
+test_free_with_calls(void)
+{
+	struct platform_advice_client *advice;
+	struct platform_runner_client *runners;
+	struct wf_advice_request ask;
+	struct wf_order order;
+	struct loop_server srv;
+	uv_loop_t loop;
+	agb_id id = "i-1";
+	int i;
+
+	uv_loop_init(&loop);
+	loop_server_start(&loop, &srv, ignore_request, NULL);
+	advice =
+	    platform_advice_client_new(&loop, srv.addr, fail_on_advice, NULL);
+	runners = platform_runner_client_new(&loop, fail_on_result, NULL);
+	memset(&ask, 0, sizeof(ask));
+	ask.runners = &id;
+	ask.runners_len = 1;
+	memset(&order, 0, sizeof(order));
+	order.kind = WF_ORDER_HOLD;
+	order.timeout_ms = 5000;
+	order.send_by = AGB_TIME_MAX;
+	agb_str_copy(order.addr, sizeof(order.addr), srv.addr);
+	for (i = 0; i < 2; i++) {
+		platform_advice_client_request(advice, 1, &ask, 5000);
+		platform_runner_client_send(runners, &order);
+	}
+	loop_until(&loop, &srv.accepted, 4);
+	platform_advice_client_free(advice);
+	platform_runner_client_free(runners);
+	loop_server_close(&srv);
+	loop_close(&loop);
+}
+
 static const struct suite_test tests[] = {
     {"order requests", test_order_requests},
     {"hold results", test_hold_results},
@@ -605,6 +667,7 @@
     {"deadlines", test_deadlines},
     {"reply bodies", test_reply_bodies},
     {"task names", test_task_names},
+    {"free with calls", test_free_with_calls},
 };
 
 int
