--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -1,3 +1,6 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "httpc.h"
 #include "loop.h"
 #include "suite.h"
@@ -466,6 +469,46 @@
 	loop_close(&loop);
 }
 
+/* Guards against a shortage of file descriptors that ends the process, or that
+ * leaves a request without a result. */
+static void
+test_no_descriptors(void)
+{
+	static const struct scripted_response ok = {"ok",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false,
+	    AGB_HTTPC_COMPLETE, 200, ""};
+	struct rlimit old, limit;
+	struct agb_httpc_req req;
+	struct loop_server srv;
+	struct agb_httpc *c;
+	struct result r = {0};
+	uv_loop_t loop;
+	int next;
+
+	uv_loop_init(&loop);
+	loop_server_start(
+	    &loop, &srv, respond_to_request, (void *)(uintptr_t)&ok);
+	c = agb_httpc_new(&loop, 1);
+	req = ping_request(srv.addr, &r);
+	next = dup(0);
+	CU_ASSERT_FATAL(next >= 0);
+	close(next);
+	CU_ASSERT_EQUAL_FATAL(getrlimit(RLIMIT_NOFILE, &old), 0);
+	limit = old;
+	limit.rlim_cur = (rlim_t)next;
+	CU_ASSERT_EQUAL_FATAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &r.done, 1);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &old), 0);
+	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_UNSENT);
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &r.done, 2);
+	CU_ASSERT_EQUAL(r.res.status, AGB_HTTPC_COMPLETE);
+	agb_httpc_free(c);
+	loop_server_close(&srv);
+	loop_close(&loop);
+}
+
 #define LONG_LINE_BYTES 16000
 #define LONG_LINES 40
 
@@ -553,6 +596,7 @@
     {"cancel", test_cancel},
     {"stream", test_stream},
     {"head limit", test_head_limit},
+    {"no descriptors", test_no_descriptors},
 };
 
 int
