fix(workflow): a runner whose entry has become malformed is not used further

Cause: a changed entry of the registry that could not be read was skipped, so that the runner stayed in use with what its last good entry had said, such as ready, or the start time before a restart, until the whole registry was read again. An id of over 63 bytes was cut and could be that of another runner.

Change: such an entry removes the runner until a good one comes, as in a full read. Unlike a deletion it does not show that a draining runner has left, so that its tasks wait for its lists or the end of its lease. An entry with a long id is skipped.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -16,6 +16,7 @@
 #include "wf_core.h"
 #include "wf_follow.h"
 #include "wf_metrics.h"
+#include "wf_registry.h"
 #include "wf_rpc.h"
 #include "wf_table.h"
 
@@ -182,14 +183,12 @@
 	}
 }
 
-/* Malformed entries are logged and skipped. */
 static void
 on_registry(void *arg, bool full, uint64_t revision,
     const struct agb_store_kv *kvs, size_t len)
 {
 	struct wf_event ev = {.type = WF_EV_RUNNERS};
 	struct daemon *const d = arg;
-	const size_t skip = strlen(d->ops->registry_prefix);
 	struct wf_runner_change *items;
 	char fault[AGB_DETAIL_LEN];
 	size_t i, n;
@@ -197,18 +196,11 @@
 	items = agb_xcalloc(len + 1, sizeof(*items));
 	n = 0;
 	for (i = 0; i < len; i++) {
-		fault[0] = '\0';
-		items[n].removed = kvs[i].deleted;
-		if (!kvs[i].deleted &&
-		    !d->ops->parse_runner(&kvs[i], &items[n].info, fault)) {
+		n += wf_registry_read(d->ops, &kvs[i], &items[n], fault);
+		if (fault[0] != '\0')
 			agb_log_printf(d->log, AGB_LOG_WARN, "registry",
 			    "key=%s revision=%" PRIu64 " fault=\"%s\"",
 			    kvs[i].key, kvs[i].mod_rev, fault);
-			continue;
-		}
-		agb_str_copy(items[n].info.id, sizeof(items[n].info.id),
-		    kvs[i].key + skip);
-		n++;
 	}
 	ev.u.runners.full = full;
 	ev.u.runners.items = items;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -87,10 +87,12 @@
 
 /**
  * struct wf_runner_change - change of a registry entry
- * @removed: the entry was deleted; only @info.id is valid
+ * @removed: the entry was deleted or is malformed; only @info.id is valid
+ * @malformed: it is malformed, which does not show that the runner has left
  */
 struct wf_runner_change {
 	bool removed;
+	bool malformed;
 	struct wf_runner_info info;
 };
 
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -319,9 +319,10 @@
 	l->placement_changed = true;
 }
 
+/* @deleted: its entry is gone, not only malformed */
 static void
 handle_runner_unlisted(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, struct wf_effects *out)
+    uint32_t ri, bool deleted, struct wf_effects *out)
 {
 	struct wf_runner *const r = &l->runners[ri];
 
@@ -331,7 +332,7 @@
 	r->unlisted_at = now->mono;
 	/* An entry expires only after a long silence. When a draining runner
 	 * has answered recently, its entry was removed because it exited. */
-	r->has_left = r->info.draining && r->heard_at > 0 &&
+	r->has_left = deleted && r->info.draining && r->heard_at > 0 &&
 	    now->mono - r->heard_at < DEPARTED_REPLY_AGE_MS * AGB_MS;
 	wf_effects_log(out, AGB_LOG_INFO, "runner",
 	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64 " left=%s",
@@ -392,7 +393,7 @@
 					break;
 			}
 			if (i == rs->items_len && l->runners[ri].used)
-				handle_runner_unlisted(l, now, ri, out);
+				handle_runner_unlisted(l, now, ri, true, out);
 		}
 	}
 	for (i = 0; i < rs->items_len; i++) {
@@ -402,7 +403,8 @@
 		}
 		ri = wf_fleet_find(l, rs->items[i].info.id);
 		if (ri != WF_NO_HANDLE)
-			handle_runner_unlisted(l, now, ri, out);
+			handle_runner_unlisted(
+			    l, now, ri, !rs->items[i].malformed, out);
 	}
 	if (rs->full)
 		wf_effects_log(out, AGB_LOG_INFO, "fleet",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -13,9 +13,11 @@
 #include "loop.h"
 #include "manifest.h"
 #include "mem.h"
+#include "platform.h"
 #include "registry.h"
 #include "runner.h"
 #include "suite.h"
+#include "wf_registry.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
@@ -89,6 +91,56 @@
 	}
 }
 
+/* Guards against a runner that stays in use although its entry has become
+ * malformed, until the whole registry is read again, and against a long id that
+ * is taken for that of another runner. */
+static void
+test_registry_changes(void)
+{
+	static const char long_id[] =
+	    "servers/0123456789012345678901234567890123456789"
+	    "012345678901234567890123";
+	static const struct {
+		const char *key;
+		const char *text; /* NULL when the entry was deleted */
+		bool used;
+		bool removed;
+		bool fault;
+	} cases[] = {
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"ready\""), true, false,
+		false},
+	    {"servers/i-1", NULL, true, true, false},
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"asleep\""), true, true,
+		true},
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"ready\",\"born\":\"7\""),
+		true, true, true},
+	    {"servers/i-1", "\xff\xfe garbage", true, true, true},
+	    {"servers/", RUNNER_ENTRY(",\"state\":\"ready\""), false, false,
+		true},
+	    {long_id, RUNNER_ENTRY(",\"state\":\"ready\""), false, false, true},
+	    {long_id, NULL, false, false, true},
+	};
+	struct wf_runner_change change;
+	char fault[AGB_DETAIL_LEN];
+	struct agb_store_kv item;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		item = make_kv(
+		    cases[i].key, cases[i].text != NULL ? cases[i].text : "");
+		item.deleted = cases[i].text == NULL;
+		CU_ASSERT_EQUAL(
+		    wf_registry_read(&platform_ops, &item, &change, fault),
+		    cases[i].used);
+		CU_ASSERT_EQUAL(fault[0] != '\0', cases[i].fault);
+		if (!cases[i].used)
+			continue;
+		CU_ASSERT_EQUAL(change.removed, cases[i].removed);
+		CU_ASSERT_EQUAL(change.malformed, cases[i].fault);
+		CU_ASSERT_STRING_EQUAL(change.info.id, "i-1");
+	}
+}
+
 #define ROUTE                                                            \
 	"{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/p/\",\"service\":" \
 	"\"s\",\"priority\":1,\"max_attempts\":2,\"slack_factor\":2.2,"  \
@@ -661,6 +713,7 @@
     {"hold results", test_hold_results},
     {"long checkpoints", test_long_checkpoints},
     {"registry entries", test_registry_entries},
+    {"registry changes", test_registry_changes},
     {"manifest", test_manifest_document},
     {"queue selection", test_queue_selection},
     {"job requests", test_job_requests},
