fix(workflow): SIGHUP does not end a process that is starting

Cause: the handler of SIGHUP, by which the platform tells that the settings have changed, was installed only after the settings had been read and the endpoints opened; before that the signal's default action ended the process.

Change: the signal is ignored until its handler is installed. The settings are read after that.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -647,6 +647,8 @@
 	struct wf_event first = {.type = WF_EV_TICK};
 	struct daemon *const d = agb_xcalloc(1, sizeof(*d));
 
+	/* Its default action ends a process that does not handle it yet. */
+	signal(SIGHUP, SIG_IGN);
 	d->settings_path = path;
 	d->ops = ops;
 	d->registry_tag = TAG_REGISTRY_BASE;
