test(owner): the largest fields of callers and workers can be recorded

An owner ends when it cannot encode a record. The test submits a job and a quick request with the longest key and arguments, and a worker returns results of twice the limit; the job is known to the next owner.

--- a/tests/test_owner.c
+++ b/tests/test_owner.c
@@ -1157,6 +1157,49 @@
 	shard_free(s);
 }
 
+/* Guards against a field that a caller or a worker makes too large for a record:
+ * an owner ends when it cannot encode one, and so would each that follows. */
+static void
+test_largest_fields(void)
+{
+	const size_t result = (size_t)2 * AGB_X_ARGS_MAX;
+	struct shard *const s = shard_new(1);
+	struct agb_event ev = shard_rpc_event(s, AGB_X_SUBMIT);
+	agb_x_submit_args *const a = &ev.u.rpc_args.agb_x_args_u.submit;
+	const uint64_t token = ev.token;
+	char key[AGB_X_KEY_MAX + 1], *text;
+	agb_x_job_res *job;
+	uint64_t grant;
+
+	memset(key, 'k', sizeof(key) - 1);
+	key[sizeof(key) - 1] = '\0';
+	text = agb_xcalloc(result + 1, 1);
+	memset(text, '\n', result);
+	a->work = agb_xstrdup("plan");
+	a->team = agb_xstrdup("red");
+	a->key = agb_xstrdup(key);
+	a->tasks = 2;
+	a->args.args_val = agb_xcalloc(AGB_X_ARGS_MAX, 1);
+	a->args.args_len = AGB_X_ARGS_MAX;
+	shard_send_event(s, 0, &ev);
+	grant = shard_grant(s, 0, key, 2000);
+	shard_run(s, 500 * AGB_MS);
+	CU_ASSERT_TRUE_FATAL(submit_result(s, token)->accepted);
+	CU_ASSERT_TRUE(grant_result(s, grant)->granted);
+	CU_ASSERT_EQUAL(count_running(s), 2);
+	fake_worker_finish_tasks(&s->workers[0], AGB_RESULT_OK, text);
+	free(text);
+	shard_run(s, AGB_SEC);
+	shard_node_kill(s, 0);
+	shard_node_start(s, 0, 1);
+	shard_run(s, 4 * AGB_SEC);
+	job = job_state(s, 0, submit_result(s, token)->job);
+	CU_ASSERT_STRING_EQUAL(job->state, "done");
+	CU_ASSERT_EQUAL(job->outcome, AGB_OUTCOME_RAN);
+	CU_ASSERT_TRUE(job->result.result_len <= AGB_X_ARGS_MAX);
+	shard_free(s);
+}
+
 static const struct suite_test tests[] = {
     {"election_faults", test_election_faults},
     {"job_life", test_job_life},
@@ -1189,6 +1232,7 @@
     {"compaction", test_compaction},
     {"commit_pace", test_commit_pace},
     {"explain", test_explain},
+    {"largest_fields", test_largest_fields},
 };
 
 int
