--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -8,13 +8,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "advise.h"
 #include "front.h"
 #include "loop.h"
 #include "manifest.h"
 #include "mem.h"
+#include "platform.h"
 #include "registry.h"
 #include "runner.h"
 #include "suite.h"
+#include "wf_registry.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
@@ -88,6 +91,56 @@
 	}
 }
 
+/* Guards against a runner that stays in use although its entry has become
+ * malformed, until the whole registry is read again, and against a long id that
+ * is taken for that of another runner. */
+static void
+test_registry_changes(void)
+{
+	static const char long_id[] =
+	    "servers/0123456789012345678901234567890123456789"
+	    "012345678901234567890123";
+	static const struct {
+		const char *key;
+		const char *text; /* NULL when the entry was deleted */
+		bool used;
+		bool removed;
+		bool fault;
+	} cases[] = {
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"ready\""), true, false,
+		false},
+	    {"servers/i-1", NULL, true, true, false},
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"asleep\""), true, true,
+		true},
+	    {"servers/i-1", RUNNER_ENTRY(",\"state\":\"ready\",\"born\":\"7\""),
+		true, true, true},
+	    {"servers/i-1", "\xff\xfe garbage", true, true, true},
+	    {"servers/", RUNNER_ENTRY(",\"state\":\"ready\""), false, false,
+		true},
+	    {long_id, RUNNER_ENTRY(",\"state\":\"ready\""), false, false, true},
+	    {long_id, NULL, false, false, true},
+	};
+	struct wf_runner_change change;
+	char fault[AGB_DETAIL_LEN];
+	struct agb_store_kv item;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		item = make_kv(
+		    cases[i].key, cases[i].text != NULL ? cases[i].text : "");
+		item.deleted = cases[i].text == NULL;
+		CU_ASSERT_EQUAL(
+		    wf_registry_read(&platform_ops, &item, &change, fault),
+		    cases[i].used);
+		CU_ASSERT_EQUAL(fault[0] != '\0', cases[i].fault);
+		if (!cases[i].used)
+			continue;
+		CU_ASSERT_EQUAL(change.removed, cases[i].removed);
+		CU_ASSERT_EQUAL(change.malformed, cases[i].fault);
+		CU_ASSERT_STRING_EQUAL(change.info.id, "i-1");
+	}
+}
+
 #define ROUTE                                                            \
 	"{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/p/\",\"service\":" \
 	"\"s\",\"priority\":1,\"max_attempts\":2,\"slack_factor\":2.2,"  \
@@ -594,17 +647,80 @@
 	}
 }
 
+static void
+ignore_request(struct loop_conn *c)
+{
+	c->in_len = 0;
+}
+
+static void
+fail_on_result(void *arg, struct wf_order_result *res)
+{
+	(void)arg;
+	(void)res;
+	CU_FAIL("result after the client was freed");
+}
+
+static void
+fail_on_advice(void *arg, uint64_t tag, struct wf_advice *a)
+{
+	(void)arg;
+	(void)tag;
+	(void)a;
+	CU_FAIL("advice after the client was freed");
+}
+
+/* Guards against calls without an answer that are leaked, or reported, when
+ * their client is freed; the leak shows in a build with AddressSanitizer. */
+static void
+test_free_with_calls(void)
+{
+	struct platform_advice_client *advice;
+	struct platform_runner_client *runners;
+	struct wf_advice_request ask;
+	struct wf_order order;
+	struct loop_server srv;
+	uv_loop_t loop;
+	agb_id id = "i-1";
+	int i;
+
+	uv_loop_init(&loop);
+	loop_server_start(&loop, &srv, ignore_request, NULL);
+	advice =
+	    platform_advice_client_new(&loop, srv.addr, fail_on_advice, NULL);
+	runners = platform_runner_client_new(&loop, fail_on_result, NULL);
+	memset(&ask, 0, sizeof(ask));
+	ask.runners = &id;
+	ask.runners_len = 1;
+	memset(&order, 0, sizeof(order));
+	order.kind = WF_ORDER_HOLD;
+	order.timeout_ms = 5000;
+	order.send_by = AGB_TIME_MAX;
+	agb_str_copy(order.addr, sizeof(order.addr), srv.addr);
+	for (i = 0; i < 2; i++) {
+		platform_advice_client_request(advice, 1, &ask, 5000);
+		platform_runner_client_send(runners, &order);
+	}
+	loop_until(&loop, &srv.accepted, 4);
+	platform_advice_client_free(advice);
+	platform_runner_client_free(runners);
+	loop_server_close(&srv);
+	loop_close(&loop);
+}
+
 static const struct suite_test tests[] = {
     {"order requests", test_order_requests},
     {"hold results", test_hold_results},
     {"long checkpoints", test_long_checkpoints},
     {"registry entries", test_registry_entries},
+    {"registry changes", test_registry_changes},
     {"manifest", test_manifest_document},
     {"queue selection", test_queue_selection},
     {"job requests", test_job_requests},
     {"deadlines", test_deadlines},
     {"reply bodies", test_reply_bodies},
     {"task names", test_task_names},
+    {"free with calls", test_free_with_calls},
 };
 
 int
