--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -77,12 +77,16 @@
 	struct agb_rpc *const r = t->data;
 	const uint64_t now = uv_now(r->loop);
 	struct agb_rpc_conn *conn, *next;
+	struct agb_rpc_peer *p, *next_peer;
 
 	for (conn = r->conns; conn != NULL; conn = next) {
 		next = conn->next;
 		agb_rpc_conn_sweep(conn, now);
 	}
-	agb_rpc_peer_sweep(r, now);
+	for (p = r->peers; p != NULL; p = next_peer) {
+		next_peer = p->hh.next;
+		agb_rpc_peer_sweep(p, now);
+	}
 }
 
 void
--- a/src/agatebeam/rpc_call.c
+++ b/src/agatebeam/rpc_call.c
@@ -221,18 +221,13 @@
 }
 
 void
-agb_rpc_peer_sweep(struct agb_rpc *r, uint64_t now)
+agb_rpc_peer_sweep(struct agb_rpc_peer *p, uint64_t now)
 {
-	struct agb_rpc_peer *p, *next;
-
-	for (p = r->peers; p != NULL; p = next) {
-		next = p->hh.next;
-		if (p->conn != NULL || p->calls_len > 0 ||
-		    now - p->last_used_ms < AGB_RPC_IDLE_TIMEOUT_MS)
-			continue;
-		HASH_DEL(r->peers, p);
-		free(p);
-	}
+	if (p->conn != NULL || p->calls_len > 0 ||
+	    now - p->last_used_ms < AGB_RPC_IDLE_TIMEOUT_MS)
+		return;
+	HASH_DEL(p->r->peers, p);
+	free(p);
 }
 
 /* Encodes a call and queues it for its peer. Returns false when the call cannot
--- a/src/agatebeam/rpc_internal.h
+++ b/src/agatebeam/rpc_internal.h
@@ -275,10 +275,10 @@
 void agb_rpc_peer_mark_calls_written(struct agb_rpc_peer *p);
 
 /**
- * agb_rpc_peer_sweep() - forget the peers that are no longer called
+ * agb_rpc_peer_sweep() - free a peer that has not been called for some time
  * @now: loop time in milliseconds
  */
-void agb_rpc_peer_sweep(struct agb_rpc *r, uint64_t now);
+void agb_rpc_peer_sweep(struct agb_rpc_peer *p, uint64_t now);
 
 /**
  * agb_rpc_server_handle_call() - pass a call of a peer to the callback, or
