--- a/src/agatebeam/ctl.c
+++ b/src/agatebeam/ctl.c
@@ -99,21 +99,28 @@
 	    "the store does not answer; nothing was changed");
 }
 
+/* Reads the key @name of an environment. */
+static const struct agb_store_result *
+read_key(struct agb_ctl *ctl, const char *env, const char *name)
+{
+	char *const key = agb_ctl_store_key(env, name);
+	struct agb_store_op op;
+
+	agb_store_op_init_range(&op, key, NULL, 1);
+	free(key);
+	return agb_ctl_store_call(ctl, &op);
+}
+
 enum agb_ctl_exit
 agb_ctl_read_env(struct agb_ctl *ctl, const char *env, struct agb_ctl_doc *out)
 {
 	const struct agb_store_result *res;
-	struct agb_store_op op;
-	char *key;
 
 	memset(out, 0, sizeof(*out));
 	if (!agb_jsonc_name_valid(env) || strlen(env) >= AGB_NAME_LEN)
 		return agb_ctl_fail(ctl, AGB_CTL_BAD_INPUT,
 		    "environment names have a-z, 0-9 and inner hyphens");
-	key = agb_ctl_store_key(env, "env");
-	agb_store_op_init_range(&op, key, NULL, 1);
-	free(key);
-	res = agb_ctl_store_call(ctl, &op);
+	res = read_key(ctl, env, "env");
 	if (res->status != AGB_STORE_OK)
 		return report_no_store_answer(ctl);
 	out->revision = res->revision;
@@ -247,18 +254,14 @@
 {
 	const struct agb_store_result *res;
 	const struct agb_store_kv *kv;
-	struct agb_store_op op;
 	const char *newline;
 	char name[64];
-	char *key, *metadata;
+	char *metadata;
 
 	memset(out, 0, sizeof(*out));
 	snprintf(
 	    name, sizeof(name), "env-history/%016llx", (unsigned long long)seq);
-	key = agb_ctl_store_key(env, name);
-	agb_store_op_init_range(&op, key, NULL, 1);
-	free(key);
-	res = agb_ctl_store_call(ctl, &op);
+	res = read_key(ctl, env, name);
 	if (res->status != AGB_STORE_OK)
 		return report_no_store_answer(ctl);
 	if (res->kvs_len == 0 || res->kvs[0].val == NULL)
