test(workflow): a leader whose processor falls behind

Change: test_wf_overload has four tests more: load beyond what the leader's processor carries, a processor that is slow for 4 or 6 s and then as fast as before, the starts that go on meanwhile, and passes over a long queue, which may take a third of the leader's time. The simulation finds jobs by hash and computes the response time of a runner once a list: with few runners the tests took most of their time there.

--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -2,8 +2,9 @@
  * DOC: test_wf_overload
  *
  * Recovery from overload, in simulated time: jobs come faster than the links
- * of the instances carry their starts, for a while or all the time. Work must
- * go on at the rate that the links carry, and what waits must run afterwards.
+ * or the processors of the instances carry their starts, for a while or all the
+ * time. Work must go on at the rate that they carry, and what waits must run
+ * afterwards.
  */
 
 #include <stdio.h>
@@ -18,6 +19,10 @@
  * users' platform checks it. */
 #define FINISH_MS 14000
 #define LOAD_STEP_MS 20
+/* Load after a link or a processor is as fast as before. */
+#define LOAD_AFTER_MS 5000
+/* Time of one dispatch pass in the scenario of long passes, at most. */
+#define PASS_MS 100
 
 /* The links carry the orders of the usual load with some room to spare. */
 static const struct sim_options small_links = {
@@ -87,6 +92,18 @@
 		sim_core_set_link(s, i, kbps);
 }
 
+/* Lets the rest of the queue run and checks that all jobs have finished. */
+static void
+check_drained(struct sim *s, size_t i)
+{
+	sim_run(s, FINISH_MS);
+	if (sim_final_job_count(s) != sim_job_count(s))
+		printf("\n  case %zu: %u of %u jobs finished\n", i,
+		    sim_final_job_count(s), sim_job_count(s));
+	CU_ASSERT_EQUAL(sim_final_job_count(s), sim_job_count(s));
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+}
+
 /* Guards against orders that wait so long on a full link that they are given
  * up and given again: the repetitions filled the link, so that hardly any task
  * started, and it stayed so after the load had ended (users' rule LOST, small
@@ -121,12 +138,7 @@
 		s = sim_new(&o);
 		sim_run(s, WARM_UP_MS);
 		run_load(s, LOAD_MS, cases[i].load_percent);
-		sim_run(s, FINISH_MS);
-		if (sim_final_job_count(s) != sim_job_count(s))
-			printf("\n  case %zu: %u of %u jobs finished\n", i,
-			    sim_final_job_count(s), sim_job_count(s));
-		CU_ASSERT_EQUAL(sim_final_job_count(s), sim_job_count(s));
-		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		check_drained(s, i);
 		sim_free(s);
 	}
 }
@@ -173,10 +185,161 @@
 	}
 }
 
+/* Guards against a leader whose processor is too slow for the load: events and
+ * orders wait for it until they are out of date, and what is asked for, approved
+ * and ordered again keeps it busy after the load has ended. */
+static void
+queue_drains_after_load_beyond_the_processor(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned load_percent, processor_percent, latency_ms;
+	} cases[] = {
+	    {1, 50, 2, 0}, /* the processor suffices */
+	    {1, 150, 2, 0},
+	    {2, 150, 2, 0},
+	    {1, 150, 2, 20},
+	    {1, 250, 3, 0},
+	};
+	struct sim_options o = small_links;
+	struct sim *s;
+	size_t i;
+
+	o.link_kbps = 0;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		o.latency_ms = cases[i].latency_ms;
+		o.processor_percent = cases[i].processor_percent;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, LOAD_MS, cases[i].load_percent);
+		check_drained(s, i);
+		sim_free(s);
+	}
+}
+
+/* Guards against a leader that does not come back after its processor was slow
+ * for some seconds (users' rule LOST, large deployment, scale-2: turns of up to
+ * 0.9 s until the end of the day). */
+static void
+queue_drains_after_a_slow_processor(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned load_percent, processor_percent, slow_percent, slow_ms;
+	} cases[] = {
+	    {1, 50, 2, 1, 4000},
+	    {2, 50, 2, 1, 4000},
+	    {1, 100, 3, 1, 4000},
+	    {1, 120, 3, 1, 6000},
+	};
+	struct sim_options o = small_links;
+	unsigned leader;
+	struct sim *s;
+	size_t i;
+
+	o.link_kbps = 0;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		o.processor_percent = cases[i].processor_percent;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
+		leader = (unsigned)sim_leader(s);
+		sim_core_set_processor(s, leader, cases[i].slow_percent);
+		run_load(s, cases[i].slow_ms, cases[i].load_percent);
+		sim_core_set_processor(s, leader, cases[i].processor_percent);
+		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
+		check_drained(s, i);
+		sim_free(s);
+	}
+}
+
+/* Guards against the same while the processor is slow: it still carries a part
+ * of the starts, and that part has to run. It keeps two fifths of its speed; a
+ * quarter of the starts is asked for. */
+static void
+starts_go_on_while_the_processor_is_slow(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned starts_min_percent;
+	} cases[] = {{1, 25}, {2, 25}};
+	const unsigned percent = 5, slow_percent = 2, span_ms = 4000;
+	struct sim_options o = small_links;
+	unsigned before, during, leader;
+	struct sim *s;
+	size_t i;
+
+	o.link_kbps = 0;
+	o.processor_percent = percent;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, span_ms, 200);
+		before = sim_total_start_count(s);
+		leader = (unsigned)sim_leader(s);
+		sim_core_set_processor(s, leader, slow_percent);
+		run_load(s, span_ms, 200);
+		during = sim_total_start_count(s) - before;
+		sim_core_set_processor(s, leader, percent);
+		if (during * 100 < before * cases[i].starts_min_percent)
+			printf(
+			    "\n  case %zu: %u starts before, %u while slow\n",
+			    i, before, during);
+		CU_ASSERT(during * 100 >= before * cases[i].starts_min_percent);
+		check_drained(s, i);
+		sim_free(s);
+	}
+}
+
+/* Guards against passes over a long queue that take most of the leader's time.
+ * The runners are full, so that no limit of starts keeps the passes short: they
+ * would follow each other without a pause. */
+static void
+passes_leave_time_for_orders(void)
+{
+	const unsigned task_ms = 8000, span_ms = 5000;
+	const struct sim_options o = {.seed = 1,
+	    .cores = CORES,
+	    .runners = 400,
+	    .cpu_milli = 8000,
+	    .relays = true,
+	    .processor_percent = 10};
+	/* Each takes two runners, so that half of them wait. */
+	const struct job_kind kind = {0, 2, 8000, task_ms, false};
+	struct sim *const s = sim_new(&o);
+	unsigned i, leader, passes_ms;
+
+	sim_run(s, WARM_UP_MS);
+	for (i = 0; i < o.runners; i++) {
+		submit(s, &kind);
+		sim_run(s, LOAD_STEP_MS / 4);
+	}
+	sim_run(s, WARM_UP_MS);
+	leader = (unsigned)sim_leader(s);
+	passes_ms = sim_dispatch_ms(s, leader);
+	sim_run(s, span_ms);
+	passes_ms = sim_dispatch_ms(s, leader) - passes_ms;
+	CU_ASSERT(passes_ms >= span_ms / 4);
+	CU_ASSERT(passes_ms <= span_ms / 3 + PASS_MS);
+	sim_run(s, task_ms);
+	check_drained(s, 0);
+	sim_free(s);
+}
+
 static const struct suite_test tests[] = {
     {"overload: the queue drains afterwards", queue_drains_after_overload},
     {"overload: starts go on while a link is slow",
 	starts_go_on_while_a_link_is_slow},
+    {"overload: the queue drains after load beyond the processor",
+	queue_drains_after_load_beyond_the_processor},
+    {"overload: the queue drains after a slow processor",
+	queue_drains_after_a_slow_processor},
+    {"overload: starts go on while the processor is slow",
+	starts_go_on_while_the_processor_is_slow},
+    {"overload: passes leave time for orders", passes_leave_time_for_orders},
 };
 
 int
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #include "mem.h"
 #include "processor.h"
@@ -142,6 +143,7 @@
 	agb_time cancel_at;
 	bool cancel_acked;
 	struct sim_task *tasks;
+	UT_hash_handle hh;
 };
 
 /* Event of the simulation; fn interprets tag, data, a and b. An event for an
@@ -200,6 +202,7 @@
 	struct sim_runner runners[SIM_RUNNERS_MAX];
 	struct sim_job *jobs;
 	size_t jobs_len;
+	struct sim_job *jobs_by_id;
 	/* Callers of puts and of order batches, by token minus one. */
 	struct {
 		unsigned core;
@@ -874,13 +877,10 @@
 static struct sim_job *
 job_find(const struct sim *s, const char *id)
 {
-	size_t i;
+	struct sim_job *j;
 
-	for (i = 0; i < s->jobs_len; i++) {
-		if (strcmp(s->jobs[i].id, id) == 0)
-			return &s->jobs[i];
-	}
-	return NULL;
+	HASH_FIND_STR(s->jobs_by_id, id, j);
+	return j;
 }
 
 static struct sim_task *
@@ -1313,6 +1313,7 @@
 static void
 fill_lists(struct sim *s, struct sim_runner *r, struct order_call *c)
 {
+	const uint32_t load = response_ms(s, r);
 	size_t i;
 
 	c->res.active = agb_xcalloc(r->runs_len + 1, sizeof(*c->res.active));
@@ -1321,7 +1322,7 @@
 		c->res.active[i].run = r->runs[i].run;
 		c->res.active[i].percent =
 		    s->o.runner_stalls ? r->runs[i].percent : 100;
-		c->res.active[i].load = response_ms(s, r);
+		c->res.active[i].load = load;
 	}
 	c->res.active_len = r->runs_len;
 	c->res.finished =
@@ -2460,6 +2461,7 @@
 		free(s->runners[i].finished);
 		free(s->runners[i].barred);
 	}
+	HASH_CLEAR(hh, s->jobs_by_id);
 	for (k = 0; k < s->jobs_len; k++) {
 		wf_spec_free(&s->jobs[k].spec);
 		free(s->jobs[k].tasks);
@@ -2571,6 +2573,7 @@
 	struct sim_job *const j = &s->jobs[s->jobs_len++];
 
 	agb_str_copy(j->id, sizeof(j->id), id);
+	HASH_ADD_STR(s->jobs_by_id, id, j);
 	spec_copy(spec, &j->spec);
 	j->tasks =
 	    agb_xcalloc((size_t)spec->repeat_count * wf_spec_task_count(spec),
@@ -2972,6 +2975,14 @@
 	return s->full_reads;
 }
 
+unsigned
+sim_dispatch_ms(const struct sim *s, unsigned ci)
+{
+	return (
+	    unsigned)(wf_meter_dispatch_time(wf_core_meter(s->cores[ci].core)) /
+	    SIM_MS);
+}
+
 unsigned
 sim_load_lines(const struct sim *s)
 {
