fix(workflow): starts that the leader sends itself are limited, too

Cause: only calls to relays were measured, and the limit of starts in flight was lifted while none are used. A leader of few runners, which sends its orders itself, had no limit: orders that wait on its full link, or answers that wait for its processor, end as lost; each is followed by a probe, a stop and a new start, and these fill the link.

Change: a runner's answer to an order that it answers at once (a start, a stop, a probe or a hold without a wait) is measured like the answer of a relay, by the distance of that runner. Runners that are silent already, and orders that were not sent, tell nothing about the way to the others. The limit is no longer lifted, as there is always a measurement.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -1206,6 +1206,19 @@
 	}
 }
 
+/* Whether the time to the result of an order is that of the messages alone: the
+ * leader has sent it itself, and the runner answers at once. A silent runner
+ * tells nothing about the way to the others. */
+static bool
+tells_answer_time(const struct wf_runner *r, const struct wf_order_result *res)
+{
+	if (res->relay != WF_NO_HANDLE || r->silent ||
+	    res->status == WF_ORDER_UNSENT)
+		return false;
+	return res->kind != WF_ORDER_HOLD || res->is_probe ||
+	    wf_poll_is_immediate(&r->poll, res->sent_at);
+}
+
 void
 wf_fleet_handle_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -1219,6 +1232,8 @@
 	r = &l->runners[res->runner];
 	if (!r->used || r->incarnation != res->incarnation)
 		return;
+	if (tells_answer_time(r, res))
+		wf_outbox_note_direct_answer(l, now->mono, r, res->sent_at);
 	if (res->status == WF_ORDER_FENCED) {
 		wf_effects_log(out, AGB_LOG_WARN, "fenced",
 		    "runner=%s fence=%" PRIu64, r->info.id, l->fence);
--- a/src/workflow/wf_flow.c
+++ b/src/workflow/wf_flow.c
@@ -75,12 +75,6 @@
 	f->limit += step < LIMIT_MAX - f->limit ? step : LIMIT_MAX - f->limit;
 }
 
-void
-wf_flow_lift(struct wf_flow *f)
-{
-	f->limit = LIMIT_MAX;
-}
-
 void
 wf_flow_note_answer(
     struct wf_flow *f, agb_time now, agb_time sent_at, agb_time base)
--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -12,8 +12,8 @@
  * full link are given up and given again, and the repetitions keep the link
  * full.
  *
- * Only calls to relays are measured. A leader that sends its orders to the
- * runners itself has no limit.
+ * Measured are calls to relays and, where the leader sends its orders to the
+ * runners itself, orders that they answer at once.
  */
 
 #include "types.h"
@@ -58,12 +58,6 @@
  */
 void wf_flow_note_held_back(struct wf_flow *f);
 
-/**
- * wf_flow_lift() - set the limit to one that holds nothing back, as nothing is
- * measured any more
- */
-void wf_flow_lift(struct wf_flow *f);
-
 /**
  * wf_flow_note_answer() - note that a message was answered, or given up
  * @sent_at: when it was sent
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -337,8 +337,6 @@
 		n++;
 	}
 	b->use_relays = needs_relays(l, n);
-	if (!b->use_relays)
-		wf_flow_lift(&l->flow);
 	hash = b->use_relays;
 	b->all_relays.runners = n;
 	b->all_relays.relays_len = 0;
@@ -712,17 +710,25 @@
 	p->last_reply_at = now;
 }
 
+/* @answer_time: of the relay or runner that has answered */
 static void
-note_answer(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
-    agb_time sent_at)
+note_answer(
+    struct wf_leader *l, agb_time now, agb_time *answer_time, agb_time sent_at)
 {
 	const agb_time took = now - sent_at;
 
-	if (p->answer_time == 0 || took < p->answer_time)
-		p->answer_time = took;
+	if (*answer_time == 0 || took < *answer_time)
+		*answer_time = took;
 	else
-		p->answer_time += (took - p->answer_time) / ANSWER_TIME_DIVISOR;
-	wf_flow_note_answer(&l->flow, now, sent_at, p->answer_time);
+		*answer_time += (took - *answer_time) / ANSWER_TIME_DIVISOR;
+	wf_flow_note_answer(&l->flow, now, sent_at, *answer_time);
+}
+
+void
+wf_outbox_note_direct_answer(
+    struct wf_leader *l, agb_time now, struct wf_runner *r, agb_time sent_at)
+{
+	note_answer(l, now, &r->route.answer_time, sent_at);
 }
 
 void
@@ -736,7 +742,7 @@
 	if (relay >= b->relays_len)
 		return;
 	if (done->answered || done->may_have_arrived)
-		note_answer(l, now->mono, &b->relays[relay],
+		note_answer(l, now->mono, &b->relays[relay].answer_time,
 		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -75,6 +75,8 @@
  * @announced: the relay has been sent the runner's address and incarnation
  * @announced_incarnation: incarnation of the runner that was announced
  * @baseline: last list of active runs that both the leader and the relay hold
+ * @answer_time: time that the runner takes to answer the leader itself when
+ *	nothing delays it; 0 while unknown
  */
 struct wf_route {
 	uint32_t relay;
@@ -84,6 +86,7 @@
 	bool announced;
 	uint32_t announced_incarnation;
 	struct wf_baseline baseline;
+	agb_time answer_time;
 };
 
 struct wf_pending_order;
@@ -178,6 +181,15 @@
 void wf_outbox_call_done(struct wf_leader *l, const struct wf_now *now,
     uint64_t tag, const struct wf_orders_ack *done, struct wf_effects *out);
 
+/**
+ * wf_outbox_note_direct_answer() - note that a runner has answered an order that
+ * the leader sent itself, or that its answer was given up
+ *
+ * Only for orders that are answered at once.
+ */
+void wf_outbox_note_direct_answer(
+    struct wf_leader *l, agb_time now, struct wf_runner *r, agb_time sent_at);
+
 /**
  * wf_outbox_handle_results() - handle results reported by a relay
  */
--- a/src/workflow/wf_poll.c
+++ b/src/workflow/wf_poll.c
@@ -38,6 +38,12 @@
 	p->probed = true;
 }
 
+bool
+wf_poll_is_immediate(const struct wf_poll *p, agb_time sent_at)
+{
+	return p->sent_at == sent_at && p->wait_ms == 0;
+}
+
 bool
 wf_poll_hold_ended(struct wf_poll *p, agb_time sent_at)
 {
--- a/src/workflow/wf_poll.h
+++ b/src/workflow/wf_poll.h
@@ -55,6 +55,12 @@
  */
 void wf_poll_probe_sent(struct wf_poll *p);
 
+/**
+ * wf_poll_is_immediate() - whether the latest hold is the one sent at @sent_at,
+ * and its runner answers at once
+ */
+bool wf_poll_is_immediate(const struct wf_poll *p, agb_time sent_at);
+
 /**
  * wf_poll_hold_ended() - note that a hold was answered or has failed
  * @sent_at: when it was sent
--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -23,6 +23,10 @@
 #define LOAD_AFTER_MS 5000
 /* Time of one dispatch pass in the scenario of long passes, at most. */
 #define PASS_MS 100
+/* Runners that a leader with small links speaks with itself, and capacity of
+ * all runners. */
+#define DIRECT_RUNNERS 10
+#define ALL_RUNNERS_CPU_MILLI 5760000
 
 /* The links carry the orders of the usual load with some room to spare. */
 static const struct sim_options small_links = {
@@ -37,6 +41,18 @@
     .link_kbps = 2000,
 };
 
+/* The leader sends its orders to the runners itself. */
+static const struct sim_options few_runners = {
+    .seed = 1,
+    .cores = CORES,
+    .runners = DIRECT_RUNNERS,
+    .cpu_milli = ALL_RUNNERS_CPU_MILLI / DIRECT_RUNNERS,
+    .advice_required = true,
+    .advice_ms = 40,
+    .advice_per_runner_ms = 1,
+    .link_kbps = 1000,
+};
+
 /* Kinds of jobs in the load, and how many of each come in ten seconds. */
 static const struct job_kind {
 	unsigned per_10_s;
@@ -329,6 +345,75 @@
 	sim_free(s);
 }
 
+/* Guards against the same where the leader sends its orders to the runners
+ * itself: those that wait on its link end as lost, and stops, probes and new
+ * starts fill the link. */
+static void
+direct_orders_drain_after_overload(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned runners, load_percent, link_kbps, processor_percent,
+		    latency_ms;
+	} cases[] = {
+	    {1, 10, 200, 0, 0, 0}, /* unlimited */
+	    {1, 10, 200, 0, 0, 60},
+	    {1, 10, 200, 1000, 0, 0},
+	    {2, 10, 200, 1000, 0, 0},
+	    {1, 10, 200, 1000, 0, 20},
+	    {1, 10, 200, 1000, 0, 60},
+	    {1, 40, 110, 0, 2, 0},
+	    {2, 40, 110, 0, 2, 0},
+	};
+	struct sim_options o = few_runners;
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		o.runners = cases[i].runners;
+		o.cpu_milli = ALL_RUNNERS_CPU_MILLI / cases[i].runners;
+		o.link_kbps = cases[i].link_kbps;
+		o.processor_percent = cases[i].processor_percent;
+		o.latency_ms = cases[i].latency_ms;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, LOAD_MS, cases[i].load_percent);
+		check_drained(s, i);
+		CU_ASSERT_EQUAL(sim_relayed_orders(s), 0);
+		sim_free(s);
+	}
+}
+
+static void
+direct_orders_drain_after_a_slow_link(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned load_percent, slow_kbps, slow_ms;
+	} cases[] = {
+	    {1, 150, 300, 4000},
+	    {1, 170, 300, 6000},
+	    {2, 170, 300, 6000},
+	};
+	struct sim_options o = few_runners;
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
+		set_links(s, cases[i].slow_kbps);
+		run_load(s, cases[i].slow_ms, cases[i].load_percent);
+		set_links(s, few_runners.link_kbps);
+		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
+		check_drained(s, i);
+		sim_free(s);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"overload: the queue drains afterwards", queue_drains_after_overload},
     {"overload: starts go on while a link is slow",
@@ -340,6 +425,10 @@
     {"overload: starts go on while the processor is slow",
 	starts_go_on_while_the_processor_is_slow},
     {"overload: passes leave time for orders", passes_leave_time_for_orders},
+    {"overload: direct orders drain afterwards",
+	direct_orders_drain_after_overload},
+    {"overload: direct orders drain after a slow link",
+	direct_orders_drain_after_a_slow_link},
 };
 
 int
