test(workflow): the queue drains after a loss of power under load

Change: three cases, two with a slow processor and one with small links, in which all instances are killed after 8 s of load, start again and get 5 s more of it. All accepted jobs have to finish within 14 s after the load.

--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -8,6 +8,7 @@
  */
 
 #include <stdio.h>
+#include <string.h>
 
 #include "suite.h"
 #include "wfsim.h"
@@ -66,6 +67,14 @@
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
 
+#define FIRST_JOB 0x1000
+
+static void
+format_job_id(char id[17], unsigned n)
+{
+	snprintf(id, 17, "%016x", FIRST_JOB + n);
+}
+
 static void
 submit(struct sim *s, const struct job_kind *kind)
 {
@@ -75,7 +84,7 @@
 	char id[17];
 
 	spec->steps[0].gang = kind->gang;
-	snprintf(id, sizeof(id), "%016x", 0x1000 + n);
+	format_job_id(id, n);
 	sim_submit(s, n % CORES, id, spec);
 }
 
@@ -414,6 +423,59 @@
 	}
 }
 
+/* Number of accepted jobs that have not finished. */
+static unsigned
+count_unfinished(struct sim *s)
+{
+	const char *state;
+	unsigned i, n = 0;
+	char id[17];
+
+	for (i = 0; i < sim_job_count(s); i++) {
+		format_job_id(id, i);
+		state = sim_state(s, id);
+		n += sim_submit_status(s, id) == 200 &&
+		    strcmp(state, "completed") != 0;
+	}
+	return n;
+}
+
+/* Guards against the same after all instances have lost power while jobs wait:
+ * the next leader reads them all, asks all runners for their lists, and the load
+ * goes on (incident of the large deployment). */
+static void
+queue_drains_after_a_loss_of_power(void)
+{
+	static const struct {
+		uint64_t seed;
+		unsigned load_percent, link_kbps, processor_percent;
+	} cases[] = {{1, 150, 0, 2}, {1, 250, 0, 3}, {1, 150, 1000, 0}};
+	const unsigned before_ms = 8000, down_ms = 500, apart_ms = 50;
+	struct sim_options o = small_links;
+	struct sim *s;
+	unsigned ci;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.seed = cases[i].seed;
+		o.link_kbps = cases[i].link_kbps;
+		o.processor_percent = cases[i].processor_percent;
+		s = sim_new(&o);
+		sim_run(s, WARM_UP_MS);
+		run_load(s, before_ms, cases[i].load_percent);
+		for (ci = 0; ci < CORES; ci++)
+			sim_kill(s, ci, down_ms + ci * apart_ms);
+		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
+		sim_run(s, FINISH_MS);
+		if (count_unfinished(s) > 0)
+			printf("\n  case %zu: %u of %u jobs not finished\n", i,
+			    count_unfinished(s), sim_job_count(s));
+		CU_ASSERT_EQUAL(count_unfinished(s), 0);
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"overload: the queue drains afterwards", queue_drains_after_overload},
     {"overload: starts go on while a link is slow",
@@ -429,6 +491,8 @@
 	direct_orders_drain_after_overload},
     {"overload: direct orders drain after a slow link",
 	direct_orders_drain_after_a_slow_link},
+    {"overload: the queue drains after a loss of power",
+	queue_drains_after_a_loss_of_power},
 };
 
 int
