--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -342,8 +342,6 @@
 		n++;
 	}
 	b->use_relays = needs_relays(l, n);
-	if (!b->use_relays)
-		wf_flow_lift(&l->flow);
 	hash = b->use_relays;
 	b->all_relays.runners = n;
 	b->all_relays.relays_len = 0;
@@ -730,28 +728,35 @@
 }
 
 static void
-update_answer_time(struct wf_relay_peer *p, agb_time now, agb_time took)
+update_answer_time(struct wf_answer_time *t, agb_time now, agb_time took)
 {
 	const agb_time period = ANSWER_TIME_MS * AGB_MS;
-	const agb_time since = agb_time_min(now - p->answer_time_at, period);
+	const agb_time since = agb_time_min(now - t->updated_at, period);
 
-	if (p->answer_time == 0 || took < p->answer_time)
-		p->answer_time = took;
+	if (t->undelayed == 0 || took < t->undelayed)
+		t->undelayed = took;
 	else
-		p->answer_time += (took - p->answer_time) * since / period;
-	p->answer_time_at = now;
+		t->undelayed += (took - t->undelayed) * since / period;
+	t->updated_at = now;
 }
 
-/* A call that was given up is late, however long answers take: it tells nothing
- * about the distance of the relay. */
+/* A message that was given up is late, however long answers take: it tells
+ * nothing about the distance. */
 static void
-note_call_end(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
+note_message_end(struct wf_leader *l, agb_time now, struct wf_answer_time *t,
     agb_time sent_at, bool answered)
 {
 	if (answered)
-		update_answer_time(p, now, now - sent_at);
+		update_answer_time(t, now, now - sent_at);
 	wf_flow_note_answer(
-	    &l->flow, now, sent_at, answered ? p->answer_time : 0);
+	    &l->flow, now, sent_at, answered ? t->undelayed : 0);
+}
+
+void
+wf_outbox_note_direct_answer(struct wf_leader *l, agb_time now,
+    struct wf_runner *r, agb_time sent_at, bool answered)
+{
+	note_message_end(l, now, &r->route.answer_time, sent_at, answered);
 }
 
 void
@@ -774,7 +779,7 @@
 		return;
 	}
 	if (done->answered || done->may_have_arrived)
-		note_call_end(l, now->mono, &b->relays[relay],
+		note_message_end(l, now->mono, &b->relays[relay].answer_time,
 		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX], done->answered);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
