--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -28,8 +28,8 @@
  * holds return at once instead of waiting. */
 #define HOLD_ACK_INTERVAL_MS 80
 #define HOLD_ACK_INTERVAL_RELAYED_MS 120
-/* The same while starts are held back, and at most. */
-#define HOLD_ACK_INTERVAL_HELD_BACK_MS 400
+/* The same while links are congested, and at most. */
+#define HOLD_ACK_INTERVAL_CONGESTED_MS 400
 #define HOLD_ACK_INTERVAL_MAX_MS 500
 #define HOLD_RETRY_MS 200
 /* How long no new tasks are placed on a runner that did not answer or rejected
@@ -74,9 +74,12 @@
 #define PACE_UNKNOWN UINT32_MAX
 #define LISTED_REQUEUE_DELAY_MS 3000
 /* A draining runner that answered within this time before its registry entry
- * disappeared has exited: the entry of a runner that merely stopped answering
+ * disappeared has probably exited: the entry of a runner that merely stopped answering
  * expires only after its heartbeats have been missing for longer. */
 #define DEPARTED_REPLY_AGE_MS 2500
+/* An order that fails unsent within this time was refused a connection. One that
+ * could not connect in time fails later. */
+#define CONNECTION_REFUSED_MS 300
 /* A runner counts as silent when it has missed this many holds in a row, and the
  * last one was sent within this time: two holds, each with its time limit and
  * the wait before the next. Older ones say nothing after a pause of this process
@@ -338,9 +341,10 @@
 	l->placement_changed = true;
 }
 
+/* @deleted: its entry is gone, not only malformed */
 static void
 handle_runner_unlisted(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, struct wf_effects *out)
+    uint32_t ri, bool deleted, struct wf_effects *out)
 {
 	struct wf_runner *const r = &l->runners[ri];
 
@@ -349,8 +353,9 @@
 	r->listed = false;
 	r->unlisted_at = now->mono;
 	/* An entry expires only after a long silence. When a draining runner
-	 * has answered recently, its entry was removed because it exited. */
-	r->has_left = r->info.draining && r->heard_at > 0 &&
+	 * has answered recently, its entry was probably removed because it
+	 * exited. */
+	r->has_left = deleted && r->info.draining && r->heard_at > 0 &&
 	    now->mono - r->heard_at < DEPARTED_REPLY_AGE_MS * AGB_MS;
 	wf_effects_log(out, AGB_LOG_INFO, "runner",
 	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64 " left=%s",
@@ -411,7 +416,7 @@
 					break;
 			}
 			if (i == rs->items_len && l->runners[ri].used)
-				handle_runner_unlisted(l, now, ri, out);
+				handle_runner_unlisted(l, now, ri, true, out);
 		}
 	}
 	for (i = 0; i < rs->items_len; i++) {
@@ -421,7 +426,8 @@
 		}
 		ri = wf_fleet_find(l, rs->items[i].info.id);
 		if (ri != WF_NO_HANDLE)
-			handle_runner_unlisted(l, now, ri, out);
+			handle_runner_unlisted(
+			    l, now, ri, !rs->items[i].malformed, out);
 	}
 	if (rs->full)
 		wf_effects_log(out, AGB_LOG_INFO, "fleet",
@@ -926,10 +932,12 @@
 	/* Starts sent by earlier leaders have a lower fence and are refused. */
 	if (t->recovered)
 		return true;
-	if (t->state == WF_TASK_DONE)
-		return sent > t->sent_at;
 	if (t->start_accepted_at > 0)
 		return sent >= t->start_accepted_at;
+	/* Its gang was done before its start was sent. */
+	if (t->state == WF_TASK_DONE && t->start_deadline_ms == 0 &&
+	    !t->stopping)
+		return sent > t->sent_at;
 	return t->start_deadline_ms > 0 && clock_ms > t->start_deadline_ms;
 }
 
@@ -1052,8 +1060,8 @@
 hold_interval(
     const struct wf_leader *l, const struct wf_runner *r, agb_time now)
 {
-	const agb_time least = wf_flow_is_limiting(&l->flow, now)
-	    ? HOLD_ACK_INTERVAL_HELD_BACK_MS * AGB_MS
+	const agb_time least = wf_flow_is_congested(&l->flow, now)
+	    ? HOLD_ACK_INTERVAL_CONGESTED_MS * AGB_MS
 	    : l->outbox.use_relays ? HOLD_ACK_INTERVAL_RELAYED_MS * AGB_MS
 				   : HOLD_ACK_INTERVAL_MS * AGB_MS;
 
@@ -1065,6 +1073,34 @@
 	    agb_time_min(l->write_time_us, HOLD_ACK_INTERVAL_MAX_MS * AGB_MS));
 }
 
+/* Whether a failed hold shows that no process of the runner exists any more. An
+ * answer that is lost and a connection that times out show only that the network
+ * does not reach it, and other refusals come from the runner itself. */
+static bool
+shows_exit(const struct wf_order_result *res, agb_time now)
+{
+	return res->status == WF_ORDER_OTHER_INCARNATION ||
+	    (res->status == WF_ORDER_UNSENT &&
+		now - res->sent_at < CONNECTION_REFUSED_MS * AGB_MS);
+}
+
+/* Handles a failed hold of a runner that is leaving and whose registry entry is
+ * gone: it has exited, or cannot reach the store. */
+static void
+check_exit(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out)
+{
+	struct wf_runner *const r = &l->runners[res->runner];
+
+	if (shows_exit(res, now->mono)) {
+		requeue_runner_tasks(
+		    l, now, res->runner, "runner has exited", out);
+		r->reported = false;
+	} else if (r->missed_holds == 1) {
+		r->poll.next_at = now->mono + HOLD_INTERVAL_MS * AGB_MS;
+	}
+}
+
 static void
 handle_hold_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -1100,11 +1136,8 @@
 				: 0);
 		r->silent = true;
 		exclude_runner(r, now->mono, EXCLUDE_UNANSWERED_MS);
-		if (r->has_left) {
-			requeue_runner_tasks(
-			    l, now, res->runner, "runner has exited", out);
-			r->reported = false;
-		}
+		if (r->has_left)
+			check_exit(l, now, res, out);
 		return;
 	}
 	if (r->heard_at == 0 || r->silent ||
@@ -1237,6 +1270,19 @@
 	}
 }
 
+/* Whether the time to the result of an order is that of the messages alone: the
+ * leader has sent it itself, and the runner answers at once. A silent runner
+ * tells nothing about the way to the others. */
+static bool
+tells_answer_time(const struct wf_runner *r, const struct wf_order_result *res)
+{
+	if (res->relay != WF_NO_HANDLE || r->silent ||
+	    res->status == WF_ORDER_UNSENT)
+		return false;
+	return res->kind != WF_ORDER_HOLD || res->is_probe ||
+	    wf_poll_is_immediate(&r->poll, res->sent_at);
+}
+
 void
 wf_fleet_handle_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -1250,6 +1296,9 @@
 	r = &l->runners[res->runner];
 	if (!r->used || r->incarnation != res->incarnation)
 		return;
+	if (tells_answer_time(r, res))
+		wf_outbox_note_direct_answer(l, now->mono, r, res->sent_at,
+		    res->status != WF_ORDER_LOST);
 	if (res->status == WF_ORDER_FENCED) {
 		wf_effects_log(out, AGB_LOG_WARN, "fenced",
 		    "runner=%s fence=%" PRIu64, r->info.id, l->fence);
@@ -1339,7 +1388,7 @@
 	/* While most messages are late, a late answer is no sign of a lost
 	 * one. */
 	if (action == WF_POLL_PROBE &&
-	    wf_flow_is_limiting(&l->flow, now->mono)) {
+	    wf_flow_is_congested(&l->flow, now->mono)) {
 		action = WF_POLL_NOTHING;
 		when = now->mono + HOLD_RETRY_MS * AGB_MS;
 	}
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -342,8 +342,6 @@
 		n++;
 	}
 	b->use_relays = needs_relays(l, n);
-	if (!b->use_relays)
-		wf_flow_lift(&l->flow);
 	hash = b->use_relays;
 	b->all_relays.runners = n;
 	b->all_relays.relays_len = 0;
@@ -730,19 +728,35 @@
 }
 
 static void
-note_answer(struct wf_leader *l, agb_time now, struct wf_relay_peer *p,
-    agb_time sent_at)
+update_answer_time(struct wf_answer_time *t, agb_time now, agb_time took)
 {
-	const agb_time took = now - sent_at;
 	const agb_time period = ANSWER_TIME_MS * AGB_MS;
-	const agb_time since = agb_time_min(now - p->answer_time_at, period);
+	const agb_time since = agb_time_min(now - t->updated_at, period);
 
-	if (p->answer_time == 0 || took < p->answer_time)
-		p->answer_time = took;
+	if (t->undelayed == 0 || took < t->undelayed)
+		t->undelayed = took;
 	else
-		p->answer_time += (took - p->answer_time) * since / period;
-	p->answer_time_at = now;
-	wf_flow_note_answer(&l->flow, now, sent_at, p->answer_time);
+		t->undelayed += (took - t->undelayed) * since / period;
+	t->updated_at = now;
+}
+
+/* A message that was given up is late, however long answers take: it tells
+ * nothing about the distance. */
+static void
+note_message_end(struct wf_leader *l, agb_time now, struct wf_answer_time *t,
+    agb_time sent_at, bool answered)
+{
+	if (answered)
+		update_answer_time(t, now, now - sent_at);
+	wf_flow_note_answer(
+	    &l->flow, now, sent_at, answered ? t->undelayed : 0);
+}
+
+void
+wf_outbox_note_direct_answer(struct wf_leader *l, agb_time now,
+    struct wf_runner *r, agb_time sent_at, bool answered)
+{
+	note_message_end(l, now, &r->route.answer_time, sent_at, answered);
 }
 
 void
@@ -765,8 +779,8 @@
 		return;
 	}
 	if (done->answered || done->may_have_arrived)
-		note_answer(l, now->mono, &b->relays[relay],
-		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX]);
+		note_message_end(l, now->mono, &b->relays[relay].answer_time,
+		    b->call_sent_at[tag % WF_OUTBOX_CALLS_MAX], done->answered);
 	if (done->answered && done->accepted) {
 		if (!b->relays[relay].usable)
 			b->check_at = 0;
@@ -777,7 +791,7 @@
 	if (done->answered || !done->may_have_arrived)
 		/* The relay certainly did not accept them. */
 		end_call_orders(l, now, tag, WF_ORDER_UNRELAYED, out);
-	else if (wf_flow_is_limiting(&l->flow, now->mono))
+	else if (wf_flow_is_congested(&l->flow, now->mono))
 		/* Most calls are late at present, so that this one tells
 		 * nothing about the relay. */
 		return;
--- a/src/workflow/wf_outbox.h
+++ b/src/workflow/wf_outbox.h
@@ -28,6 +28,16 @@
 /* Tag bit of calls that carry orders; the tag also holds the relay's handle. */
 #define WF_ORDERS_TAG ((uint64_t)1 << 58)
 
+/**
+ * struct wf_answer_time - learned time between a message and its answer
+ * @undelayed: that time when nothing delays either; 0 while unknown
+ * @updated_at: when it was updated
+ */
+struct wf_answer_time {
+	agb_time undelayed;
+	agb_time updated_at;
+};
+
 /**
  * struct wf_relay_peer - an instance that can relay orders
  * @addr: RPC address; "" in an unused entry
@@ -40,9 +50,7 @@
  *	units of agb_time; valid when @clock_read_at is not 0
  * @clock_read_at: when @clock_offset was last set
  * @last_reply_at: when it last answered a call or reported a result
- * @answer_time: time that it takes to answer a call when nothing delays it;
- *	0 while unknown
- * @answer_time_at: when @answer_time was updated
+ * @answer_time: of its answers to calls
  * @last_call_at: when the last call was sent to it
  * @excluded_until: it is sent no orders before this time
  * @usable: it can be sent orders now
@@ -61,8 +69,7 @@
 	int64_t clock_offset;
 	agb_time clock_read_at;
 	agb_time last_reply_at;
-	agb_time answer_time;
-	agb_time answer_time_at;
+	struct wf_answer_time answer_time;
 	agb_time last_call_at;
 	agb_time excluded_until;
 	bool usable;
@@ -83,6 +90,7 @@
  * @announced_incarnation: incarnation of the runner that was announced
  * @announced_order: number of the first order after the announcement
  * @baseline: last list of active runs that both the leader and the relay hold
+ * @answer_time: of the runner's answers to orders of the leader itself
  */
 struct wf_route {
 	uint32_t relay;
@@ -93,6 +101,7 @@
 	uint32_t announced_incarnation;
 	uint64_t announced_order;
 	struct wf_baseline baseline;
+	struct wf_answer_time answer_time;
 };
 
 struct wf_pending_order;
@@ -187,6 +196,16 @@
 void wf_outbox_call_done(struct wf_leader *l, const struct wf_now *now,
     uint64_t tag, const struct wf_orders_ack *done, struct wf_effects *out);
 
+/**
+ * wf_outbox_note_direct_answer() - note that a runner has answered an order that
+ * the leader sent itself, or that its answer was given up
+ * @answered: it was not given up
+ *
+ * Only for orders that are answered at once.
+ */
+void wf_outbox_note_direct_answer(struct wf_leader *l, agb_time now,
+    struct wf_runner *r, agb_time sent_at, bool answered);
+
 /**
  * wf_outbox_handle_results() - handle results reported by a relay
  */
--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -5,6 +5,7 @@
  * instance. The store, the runner and the other instances are tables of events.
  */
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,8 +19,16 @@
 #define LEASE 7
 #define EARLIER_LEASE 5
 #define ELECTION_REV 5
-/* Longer than a leader waits between two passes over its runners. */
-#define STEP_MS 5
+/* Longer than a leader waits between two passes over its runners, and between
+ * two that place tasks. */
+#define PASS_MS 20
+#define RUNNERS_MAX 2
+/* Longer than it waits until it repeats a stop. */
+#define STOP_AGAIN_MS 400
+/* Clocks of the runners, which the tests let stand still. */
+#define CLOCK_MS 1000
+/* Longer than the deadline of a start. */
+#define LATE_CLOCK_MS 10000
 
 /* One instance at @now, and all effects that it has returned so far. */
 struct instance {
@@ -45,6 +54,14 @@
 	deliver(x, &ev);
 }
 
+/* Lets enough time pass for all that is due. */
+static void
+pass(struct instance *x)
+{
+	x->now += PASS_MS * AGB_MS;
+	tick(x);
+}
+
 /* Latest store operation of a kind, or NULL. */
 static const struct wf_effect *
 last_op(const struct instance *x, enum agb_store_op_kind kind)
@@ -106,7 +123,7 @@
 }
 
 static struct wf_doc *
-new_doc(void)
+new_doc(bool advice_required)
 {
 	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
 
@@ -117,6 +134,8 @@
 	agb_str_copy(doc->queues->service, sizeof(agb_id), "svc");
 	doc->queues->max_attempts = 3;
 	doc->queues->slack_factor = 2;
+	doc->queues->advice_required = advice_required;
+	doc->queues->advice_base_ms = 10;
 	return doc;
 }
 
@@ -138,7 +157,7 @@
 
 /* Gives an instance its lease, and the key of the leader, which names it. */
 static void
-start(struct instance *x, int64_t key_lease)
+start(struct instance *x, int64_t key_lease, bool advice_required)
 {
 	const struct wf_config cfg = {
 	    .name = SELF, .rpc = "10.0.0.1:1", .seed = 1, .status_s = 120};
@@ -149,7 +168,8 @@
 	    .lease = key_lease};
 	struct agb_store_result granted = {
 	    .status = AGB_STORE_OK, .lease = LEASE, .ttl_s = 1};
-	struct wf_event doc = {.type = WF_EV_DOC, .u.doc = new_doc()};
+	struct wf_event doc = {
+	    .type = WF_EV_DOC, .u.doc = new_doc(advice_required)};
 
 	memset(x, 0, sizeof(*x));
 	x->now = 10 * AGB_SEC;
@@ -200,7 +220,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, cases[i].key_lease);
+		start(&x, cases[i].key_lease, false);
 		CU_ASSERT_EQUAL(leads(&x), cases[i].leads);
 		op = last_op(&x, AGB_STORE_LEASE_REVOKE);
 		CU_ASSERT_EQUAL(
@@ -210,42 +230,111 @@
 }
 
 static void
-deliver_registry(struct instance *x)
+deliver_registry(struct instance *x, size_t runners)
 {
-	struct wf_runner_change change = {
-	    .info = {.started_ms = 1,
-		.remaining_ms = -1,
-		.capacity = {.cpu_milli = 8000, .mem_mb = 8000}}};
+	struct wf_runner_change changes[RUNNERS_MAX];
 	struct wf_event ev = {.type = WF_EV_RUNNERS,
-	    .u.runners = {.full = true, .items = &change, .items_len = 1}};
+	    .u.runners = {
+		.full = true, .items = changes, .items_len = runners}};
+	size_t i;
 
-	agb_str_copy(change.info.id, sizeof(change.info.id), "r-0");
-	agb_str_copy(change.info.addr, sizeof(change.info.addr), "10.1.0.1:1");
-	agb_str_copy(change.info.service, sizeof(agb_id), "svc");
+	memset(changes, 0, sizeof(changes));
+	for (i = 0; i < runners; i++) {
+		changes[i].info.started_ms = 1;
+		changes[i].info.remaining_ms = -1;
+		changes[i].info.capacity.cpu_milli = 8000;
+		changes[i].info.capacity.mem_mb = 8000;
+		snprintf(changes[i].info.id, sizeof(agb_id), "r-%zu", i);
+		snprintf(
+		    changes[i].info.addr, sizeof(agb_addr), "10.1.0.%zu:1", i);
+		agb_str_copy(changes[i].info.service, sizeof(agb_id), "svc");
+	}
 	deliver(x, &ev);
 }
 
-/* Answers the last order with empty lists. */
+/* Latest order of a kind, to @runner unless that is NULL, or NULL. */
+static const struct wf_order *
+last_order(
+    const struct instance *x, enum wf_order_kind kind, const char *runner)
+{
+	const struct wf_order *o;
+	size_t i;
+
+	for (i = x->out.len; i > 0; i--) {
+		o = &x->out.items[i - 1].u.order;
+		if (x->out.items[i - 1].type == WF_EF_ORDER &&
+		    o->kind == kind && !o->is_probe &&
+		    (runner == NULL || strcmp(o->runner_id, runner) == 0))
+			return o;
+	}
+	return NULL;
+}
+
+/* Answers an order; @ended is the only end that a hold lists, or NULL. */
 static void
-answer_hold(struct instance *x)
+answer_order(struct instance *x, const struct wf_order *o,
+    enum wf_order_status status, int64_t clock_ms,
+    struct wf_finished_run *ended)
 {
 	struct wf_order_result res;
 	struct wf_event ev = {.type = WF_EV_ORDER_RESULT, .u.order = &res};
-	size_t i;
 
-	for (i = x->out.len; i > 0; i--) {
-		if (x->out.items[i - 1].type == WF_EF_ORDER)
-			break;
+	CU_ASSERT_PTR_NOT_NULL_FATAL(o);
+	wf_order_result_init(&res, o);
+	res.status = status;
+	if (status == WF_ORDER_OK) {
+		res.started_ms = 1;
+		res.clock_ms = clock_ms;
+		res.finished = ended;
+		res.finished_len = ended != NULL;
 	}
-	CU_ASSERT_FATAL(i > 0);
-	wf_order_result_init(&res, &x->out.items[i - 1].u.order);
-	CU_ASSERT_EQUAL(res.kind, WF_ORDER_HOLD);
-	res.status = WF_ORDER_OK;
-	res.started_ms = 1;
-	res.clock_ms = 1000;
 	deliver(x, &ev);
 }
 
+/* Answers the last hold of a runner with empty lists. */
+static void
+answer_hold(struct instance *x, const char *runner, int64_t clock_ms)
+{
+	answer_order(x, last_order(x, WF_ORDER_HOLD, runner), WF_ORDER_OK,
+	    clock_ms, NULL);
+}
+
+/* Makes an instance the leader, with one runner that has listed its runs. */
+static void
+start_with_runner(struct instance *x, bool advice_required)
+{
+	start(x, LEASE, advice_required);
+	deliver_registry(x, 1);
+	pass(x);
+	answer_hold(x, "r-0", CLOCK_MS);
+}
+
+/* Guards against a write of a leader that is carried out late, when another
+ * instance has been elected: the state of a job that it creates would hide the
+ * starts of the new leader. */
+static void
+writes_depend_on_the_election(void)
+{
+	const struct agb_store_op *op;
+	const struct wf_effect *ef;
+	struct instance x;
+	unsigned found = 0;
+	size_t i;
+
+	start_with_runner(&x, false);
+	ef = last_op(&x, AGB_STORE_TXN);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	op = &ef->u.store;
+	CU_ASSERT_EQUAL_FATAL(op->writes_len, 1);
+	CU_ASSERT_STRING_EQUAL(op->writes[0].key, WF_PREFIX_STATES JOB);
+	for (i = 0; i < op->cmps_len; i++)
+		found += strcmp(op->cmps[i].key, WF_KEY_LEADER) == 0 &&
+		    op->cmps[i].target == AGB_STORE_CMP_MOD_REV &&
+		    op->cmps[i].rev == ELECTION_REV;
+	CU_ASSERT_EQUAL(found, 1);
+	stop(&x);
+}
+
 /* A leader pauses while it writes the intent to start a task, and reads the
  * answer first when it resumes. The lease of 1.2 s counts from the request;
  * orders need 100 ms of it. Guards against a start that is sent on a lease which
@@ -259,8 +348,8 @@
 		unsigned starts_before, starts_after;
 	} cases[] = {
 	    {10, true, 1, 1},
-	    {1090, true, 1, 1},
-	    {1100, true, 0, 1},
+	    {1070, true, 1, 1},
+	    {1080, true, 0, 1},
 	    {1300, true, 0, 1},
 	    {1300, false, 0, 0},
 	    {7000, true, 0, 1},
@@ -273,16 +362,12 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, LEASE);
-		deliver_registry(&x);
-		x.now += STEP_MS * AGB_MS;
-		tick(&x);
-		answer_hold(&x);
+		start_with_runner(&x, false);
 		x.now += cases[i].pause_ms * AGB_MS;
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
 		CU_ASSERT_EQUAL(
 		    count_orders(&x, WF_ORDER_START), cases[i].starts_before);
-		if (cases[i].pause_ms >= 1100)
+		if (cases[i].pause_ms >= 1080)
 			answer_renewal(&x, cases[i].lease_exists);
 		CU_ASSERT_EQUAL(
 		    count_orders(&x, WF_ORDER_START), cases[i].starts_after);
@@ -291,10 +376,254 @@
 	}
 }
 
+static unsigned
+count_effects(const struct instance *x, enum wf_effect_type type)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++)
+		n += x->out.items[i].type == type;
+	return n;
+}
+
+/* Answers the only call for advice with a ticket for the runner. */
+static void
+answer_advice(struct instance *x, uint32_t valid_ms)
+{
+	struct wf_ticket ticket = {.runner = "r-0", .ticket = "t"};
+	struct wf_advice advice = {.answered = true,
+	    .valid_ms = valid_ms,
+	    .items = &ticket,
+	    .items_len = 1};
+	struct wf_event ev = {.type = WF_EV_ADVICE, .u.advice = &advice};
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++) {
+		if (x->out.items[i].type == WF_EF_ADVICE_REQUEST)
+			ev.tag = x->out.items[i].tag;
+	}
+	CU_ASSERT_NOT_EQUAL(ev.tag, 0);
+	deliver(x, &ev);
+}
+
+/* A leader pauses while it writes the intent of a start that needs a ticket of
+ * the advice service. Guards against a start whose ticket has expired meanwhile,
+ * and against a task that waits then without a new call for advice. */
+static void
+starts_with_expired_tickets_are_not_sent(void)
+{
+	static const struct {
+		unsigned valid_ms, pause_ms, starts, calls;
+	} cases[] = {
+	    {1000, 10, 1, 1},
+	    {1000, 950, 1, 1},
+	    {1000, 970, 0, 2},
+	    {500, 1000, 0, 2},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start_with_runner(&x, true);
+		answer_advice(&x, cases[i].valid_ms);
+		pass(&x);
+		x.now += cases[i].pause_ms * AGB_MS;
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		pass(&x);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_START), cases[i].starts);
+		CU_ASSERT_EQUAL(
+		    count_effects(&x, WF_EF_ADVICE_REQUEST), cases[i].calls);
+		stop(&x);
+	}
+}
+
+/* Answers what a leader has sent, until the lease of the runner @silent has ended
+ * and the leader has started its task on the other one. */
+static void
+start_again_elsewhere(struct instance *x, const char *silent, const char *other)
+{
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true};
+	unsigned i;
+
+	for (i = 0; i < 20 && count_orders(x, WF_ORDER_START) < 2; i++) {
+		x->now += AGB_SEC / 2;
+		tick(x);
+		answer_renewal(x, true);
+		answer_order(x, last_order(x, WF_ORDER_HOLD, silent),
+		    WF_ORDER_LOST, 0, NULL);
+		answer_hold(x, other, CLOCK_MS);
+		pass(x);
+		written.revision = 20 + i;
+		answer_op(x, last_op(x, AGB_STORE_TXN), &written);
+	}
+	CU_ASSERT_PTR_NOT_NULL(last_order(x, WF_ORDER_START, other));
+}
+
+static void
+deliver_change(struct instance *x, const char *runner, bool removed)
+{
+	struct wf_runner_change change = {.removed = removed,
+	    .info = {.started_ms = 1,
+		.remaining_ms = 60000,
+		.draining = true,
+		.capacity = {.cpu_milli = 8000, .mem_mb = 8000}}};
+	struct wf_event ev = {.type = WF_EV_RUNNERS,
+	    .u.runners = {.items = &change, .items_len = 1}};
+
+	agb_str_copy(change.info.id, sizeof(agb_id), runner);
+	agb_str_copy(change.info.addr, sizeof(agb_addr), "10.1.0.0:1");
+	agb_str_copy(change.info.service, sizeof(agb_id), "svc");
+	deliver(x, &ev);
+}
+
+static unsigned
+count_state_writes(const struct instance *x)
+{
+	const struct wf_effect *ef;
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < x->out.len; i++) {
+		ef = &x->out.items[i];
+		n += ef->type == WF_EF_STORE &&
+		    ef->u.store.kind == AGB_STORE_TXN &&
+		    strcmp(ef->u.store.writes[0].key, WF_PREFIX_STATES JOB) ==
+			0;
+	}
+	return n;
+}
+
+/* The entry of a runner that is leaving is removed from the registry, and its
+ * next hold fails. Guards against tasks that are started again while their runner
+ * lives and only the network or the registry does not reach it, and against
+ * waiting for its lease when its process is gone. */
+static void
+tasks_of_leaving_runner_start_again_when_it_is_gone(void)
+{
+	static const struct {
+		enum wf_order_status status;
+		unsigned after_ms;
+		bool gone;
+	} cases[] = {
+	    {WF_ORDER_UNSENT, 10, true},
+	    {WF_ORDER_OTHER_INCARNATION, 10, true},
+	    {WF_ORDER_UNSENT, 500, false},
+	    {WF_ORDER_LOST, 10, false},
+	    {WF_ORDER_LOST, 1600, false},
+	    {WF_ORDER_BUSY, 10, false},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	const struct wf_order *started;
+	const char *leaving;
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, LEASE, false);
+		deliver_registry(&x, RUNNERS_MAX);
+		pass(&x);
+		answer_hold(&x, "r-0", CLOCK_MS);
+		answer_hold(&x, "r-1", CLOCK_MS);
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		started = last_order(&x, WF_ORDER_START, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		leaving =
+		    strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
+		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
+		pass(&x);
+		deliver_change(&x, leaving, false);
+		deliver_change(&x, leaving, true);
+		x.now += cases[i].after_ms * AGB_MS;
+		answer_order(&x, last_order(&x, WF_ORDER_HOLD, leaving),
+		    cases[i].status, 0, NULL);
+		pass(&x);
+		/* The second one assigns the task to the other runner. */
+		CU_ASSERT_EQUAL(count_state_writes(&x), cases[i].gone ? 2 : 1);
+		stop(&x);
+	}
+}
+
+/* A task was started again, as its runner was silent, which then lists that the
+ * task has ended. The second start is not answered, and the second runner lists
+ * no run, at once or when the stop was lost or answered. Guards against giving up
+ * the stop: the start could be carried out late, so that the task ran again
+ * though it was done. */
+static void
+done_task_is_stopped_until_its_start_is_ruled_out(void)
+{
+	static const struct {
+		int64_t clock_ms;
+		bool list_at_once;
+		enum wf_order_status stop_status;
+		unsigned stops;
+	} cases[] = {
+	    {CLOCK_MS, true, WF_ORDER_LOST, 2},
+	    {LATE_CLOCK_MS, true, WF_ORDER_LOST, 0},
+	    {CLOCK_MS, false, WF_ORDER_LOST, 2},
+	    {LATE_CLOCK_MS, false, WF_ORDER_LOST, 1},
+	    {CLOCK_MS, false, WF_ORDER_OK, 1},
+	};
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	struct wf_finished_run ended = {.seq = 1, .end = WF_END_DONE};
+	const struct wf_order *started;
+	const char *silent, *other;
+	struct instance x;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		start(&x, LEASE, false);
+		deliver_registry(&x, RUNNERS_MAX);
+		pass(&x);
+		answer_hold(&x, "r-0", CLOCK_MS);
+		answer_hold(&x, "r-1", CLOCK_MS);
+		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
+		started = last_order(&x, WF_ORDER_START, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		silent = strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
+		other = strcmp(silent, "r-0") == 0 ? "r-1" : "r-0";
+		ended.task = started->task;
+		ended.run = started->run;
+		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
+		start_again_elsewhere(&x, silent, other);
+		pass(&x);
+		answer_order(&x, last_order(&x, WF_ORDER_HOLD, silent),
+		    WF_ORDER_OK, CLOCK_MS, &ended);
+		if (!cases[i].list_at_once) {
+			pass(&x);
+			answer_order(&x, last_order(&x, WF_ORDER_STOP, other),
+			    cases[i].stop_status, CLOCK_MS, NULL);
+			/* The next hold is sent after that answer. */
+			answer_hold(&x, other, CLOCK_MS);
+			pass(&x);
+		}
+		answer_hold(&x, other, cases[i].clock_ms);
+		pass(&x);
+		x.now += STOP_AGAIN_MS * AGB_MS;
+		tick(&x);
+		CU_ASSERT_EQUAL(
+		    count_orders(&x, WF_ORDER_STOP), cases[i].stops);
+		stop(&x);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"leader's key carries its lease", leader_needs_its_key_to_carry_its_lease},
+    {"writes depend on the election", writes_depend_on_the_election},
     {"starts wait for the lease after a pause",
 	starts_wait_for_the_lease_after_a_pause},
+    {"starts with expired tickets are not sent",
+	starts_with_expired_tickets_are_not_sent},
+    {"tasks of a leaving runner start again when it is gone",
+	tasks_of_leaving_runner_start_again_when_it_is_gone},
+    {"done task is stopped until its start is ruled out",
+	done_task_is_stopped_until_its_start_is_ruled_out},
 };
 
 int
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -138,6 +138,8 @@
 /* Cuts a runner off from all instances. */
 void sim_runner_cut(struct sim *s, unsigned ri, bool cut);
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
+/* Cuts a runner off from the registry only, where it expires. */
+void sim_runner_cut_registry(struct sim *s, unsigned ri, bool cut);
 /* Marks a runner as leaving; it stops after the time and later restarts. */
 void sim_runner_drain(struct sim *s, unsigned ri, unsigned leave_ms);
 /* The tasks of a stalled runner make no progress. */
@@ -180,6 +182,8 @@
 /* Full reads of all jobs that instances have started. */
 unsigned sim_full_reads(const struct sim *s);
 unsigned sim_advice_calls(const struct sim *s);
+/* Time that the dispatch passes of an instance have taken. */
+unsigned sim_dispatch_ms(const struct sim *s, unsigned ci);
 /* Log lines "load" of all instances. */
 unsigned sim_load_lines(const struct sim *s);
 unsigned sim_job_count(const struct sim *s);
