fix(workflow): no member joins a gang that is being stopped

A member whose start was not sent may join the others in the same run until its repair deadline. When the run of another member was lost meanwhile, the gang was stopped, but the deadline stayed: the waiting members were placed, and their starts recorded and ordered, in a run whose members were being stopped. Stopping a gang now ends the time for repairs.

test_wf_flow: with a lost run both waiting members were placed before.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -780,10 +780,8 @@
 	uint64_t room;
 
 	if (u->active > 0 && u->repair_deadline > 0 &&
-	    p->now->mono >= u->repair_deadline) {
-		u->repair_deadline = 0;
+	    p->now->mono >= u->repair_deadline)
 		wf_gang_stop(p->l, p->now, u, p->out);
-	}
 	if (gang_blocked(u, p->now->mono))
 		return;
 	len = collect_candidates(p, u, q, &stale_len);
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -571,7 +571,8 @@
 }
 
 /* The members of a gang only work together: when one has to start again, the
- * others are stopped, including those whose start is still pending. */
+ * others are stopped, including those whose start is still pending. No member
+ * joins them any more. */
 void
 wf_gang_stop(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
     struct wf_effects *out)
@@ -579,6 +580,7 @@
 	struct wf_task *t;
 	uint32_t i;
 
+	u->repair_deadline = 0;
 	for (i = 0; i < wf_unit_step(u)->count; i++) {
 		t = &u->exec->tasks[u->first_task + i];
 		if (t->allocated && t->state != WF_TASK_DONE && !t->stopping)
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -177,6 +177,38 @@
 	}
 }
 
+/* The start of one member of a gang was not sent, so that it may join the others
+ * on another runner; then the run of another one is lost. Guards against members
+ * that are started to join a run which is being stopped. */
+static void
+stopped_gang_gets_no_new_members(void)
+{
+	static const struct {
+		bool run_lost;
+		uint32_t waiting_after;
+	} cases[] = {
+	    {false, 0},
+	    {true, 2},
+	};
+	struct fixture f;
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, true);
+		f.now.mono += 300 * AGB_MS;
+		end_start(&f, 0, WF_ORDER_UNRELAYED);
+		for (k = 1; k < TASKS; k++)
+			end_start(&f, k, WF_ORDER_OK);
+		if (cases[i].run_lost)
+			wf_task_requeue(f.l, &f.now, &f.e->units[0],
+			    &f.e->tasks[1], "not at its runner", &f.out);
+		dispatch(&f);
+		CU_ASSERT_EQUAL(f.e->units[0].waiting, cases[i].waiting_after);
+		fixture_free(&f);
+	}
+}
+
 /* Guards against starts to runners that do not answer which count as in flight
  * until the leases of the runners have ended: they leave no room for other
  * starts, and a limit at its minimum lets none pass. */
@@ -439,6 +471,8 @@
 }
 
 static const struct suite_test tests[] = {
+    {"gangs: a stopped one gets no new members",
+	stopped_gang_gets_no_new_members},
     {"answers: calls given up are late", calls_given_up_are_late},
     {"answers: late ones tell of congestion", late_answers_tell_of_congestion},
     {"pushes: a late acknowledgement ends one",
