--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -12,6 +12,9 @@
  * full link are given up and given again, and the repetitions keep the link
  * full.
  *
+ * The same measurements tell whether the links are congested. What the leader
+ * can leave out or do later gives way then: probes, frequent polls, pushes.
+ *
  * Only calls to relays are measured. A leader that sends its orders to the
  * runners itself has no limit.
  */
