style(tests): test_wf_election ends where an effect is missing

clang-tidy does not know that CUnit's fatal assertions do not return, and reported dereferences of null pointers. The same conditions end the test; no check is dropped.

--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -62,6 +62,17 @@
 	tick(x);
 }
 
+/* Ends the test when an effect is missing. CUnit does not return from this; the
+ * static analyzer does not know that. */
+static void
+require(bool found)
+{
+	if (found)
+		return;
+	CU_FAIL_FATAL("an effect is missing");
+	abort();
+}
+
 /* Latest store operation of a kind, or NULL. */
 static const struct wf_effect *
 last_op(const struct instance *x, enum agb_store_op_kind kind)
@@ -94,7 +105,7 @@
 {
 	struct wf_event ev = {.type = WF_EV_STORE, .u.store = res};
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(op);
+	require(op != NULL);
 	ev.tag = op->tag;
 	deliver(x, &ev);
 }
@@ -279,7 +290,7 @@
 	struct wf_order_result res;
 	struct wf_event ev = {.type = WF_EV_ORDER_RESULT, .u.order = &res};
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(o);
+	require(o != NULL);
 	wf_order_result_init(&res, o);
 	res.status = status;
 	if (status == WF_ORDER_OK) {
@@ -323,7 +334,7 @@
 
 	start_with_runner(&x, false);
 	ef = last_op(&x, AGB_STORE_TXN);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(ef);
+	require(ef != NULL);
 	op = &ef->u.store;
 	CU_ASSERT_EQUAL_FATAL(op->writes_len, 1);
 	CU_ASSERT_STRING_EQUAL(op->writes[0].key, WF_PREFIX_STATES JOB);
@@ -532,7 +543,7 @@
 		answer_hold(&x, "r-1", CLOCK_MS);
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
 		started = last_order(&x, WF_ORDER_START, NULL);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		require(started != NULL);
 		leaving =
 		    strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
 		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
@@ -585,7 +596,7 @@
 		answer_hold(&x, "r-1", CLOCK_MS);
 		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
 		started = last_order(&x, WF_ORDER_START, NULL);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(started);
+		require(started != NULL);
 		silent = strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
 		other = strcmp(silent, "r-0") == 0 ? "r-1" : "r-0";
 		ended.task = started->task;
