test(workflow): malformed results of a relay count as lost

A result with an unknown status, or with an unknown kind of end, must neither be read past a table nor tell that its order was not carried out.

--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -404,6 +404,101 @@
 	loop_close(&loop);
 }
 
+/* Results as they were received by an endpoint. */
+struct results {
+	int calls;
+	int replies;
+	size_t len;
+	enum wf_order_status status[8];
+};
+
+static void
+on_results(void *arg, struct wf_event *ev)
+{
+	struct results *const r = arg;
+	size_t i;
+
+	r->calls++;
+	CU_ASSERT_EQUAL_FATAL(ev->type, WF_EV_RESULTS);
+	r->len = ev->u.results->len;
+	for (i = 0; i < r->len && i < 8; i++)
+		r->status[i] = ev->u.results->items[i].status;
+}
+
+static void
+on_results_reply(void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	struct results *const r = arg;
+
+	r->replies++;
+	if (ok)
+		xdr_free((xdrproc_t)xdr_agb_x_res, (char *)res);
+}
+
+static void
+ignore_log(
+    void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+}
+
+/* Guards against a result with an unknown status or kind of end, which would be
+ * read past the end of a table, or would tell that an order was not carried
+ * out. */
+static void
+malformed_results_are_lost(void)
+{
+	static const struct wf_rpc_cbs cbs = {
+	    .event = on_results, .log = ignore_log};
+	static const struct agb_rpc_cbs client_cbs = {
+	    .reply = on_results_reply};
+	static char task[] = "00000000000000aa";
+	agb_addr self = "127.0.0.1:1";
+	struct wf_effect allow = {
+	    .type = WF_EF_ALLOW_PEERS, .peers = &self, .peers_len = 1};
+	agb_x_args args = {.proc = AGB_X_RESULTS};
+	agb_x_result items[4];
+	agb_x_finished end;
+	struct results r = {0};
+	struct agb_rpc *client;
+	struct wf_rpc *rpc;
+	agb_addr addr;
+	uv_loop_t loop;
+	uv_tcp_t tcp;
+	size_t i;
+
+	uv_loop_init(&loop);
+	loop_bind_closed_port(&loop, &tcp, addr);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	rpc = wf_rpc_new(&loop, addr, &cbs, &r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rpc);
+	(void)wf_rpc_perform(rpc, &allow);
+	client = agb_rpc_new(&loop, "127.0.0.1:0", &client_cbs, &r);
+	memset(items, 0, sizeof(items));
+	memset(&end, 0, sizeof(end));
+	memcpy(end.task.job, task, sizeof(end.task.job));
+	end.saved = "";
+	end.how = 77;
+	items[0].status = WF_ORDER_OK;
+	items[1].status = WF_ORDER_NO_PAYLOAD + 1;
+	items[2].status = UINT32_MAX;
+	items[3].status = WF_ORDER_OK;
+	items[3].finished.finished_len = 1;
+	items[3].finished.finished_val = &end;
+	args.agb_x_args_u.results.results.results_len = 4;
+	args.agb_x_args_u.results.results.results_val = items;
+	agb_rpc_call(client, 1, addr, &args, 2000);
+	loop_until(&loop, &r.replies, 1);
+	CU_ASSERT_EQUAL(r.calls, 1);
+	CU_ASSERT_EQUAL_FATAL(r.len, 4);
+	CU_ASSERT_EQUAL(r.status[0], WF_ORDER_OK);
+	for (i = 1; i < r.len; i++)
+		CU_ASSERT_EQUAL(r.status[i], WF_ORDER_LOST);
+	agb_rpc_free(client);
+	wf_rpc_free(rpc);
+	loop_close(&loop);
+}
+
 /* ---- writes through another instance ---- */
 
 /* A peer that answers each write with @status, and the outcome that the
@@ -771,6 +866,7 @@
     {"stale orders are rejected", stale_orders_are_rejected},
     {"full lists of ends stay full", full_lists_of_ends_stay_full},
     {"unknown order kinds are rejected", unknown_order_kinds_are_rejected},
+    {"malformed results are lost", malformed_results_are_lost},
     {"unknown statuses of writes are lost",
 	unknown_statuses_of_writes_are_lost},
     {"small leader uses relays", small_leader_uses_relays},
