--- a/tests/test_platform_kv.c
+++ b/tests/test_platform_kv.c
@@ -217,6 +217,16 @@
 	}
 }
 
+/* The part of @text after @mark; "" with a failed assertion without it. */
+static const char *
+after(const char *text, const char *mark)
+{
+	const char *const p = strstr(text, mark);
+
+	CU_ASSERT_PTR_NOT_NULL(p);
+	return p != NULL ? p + strlen(mark) : "";
+}
+
 static void
 check_key(const char *key, const char *query)
 {
@@ -229,19 +239,14 @@
 	f.answers[0].status = 404;
 	f.answers[0].body = "{}";
 	call_store(&f, READ_KEY, key);
-	body = strstr(f.request, "?key=");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
 	CU_ASSERT_EQUAL(
-	    strncmp(body + strlen("?key="), query, strlen(query)), 0);
+	    strncmp(after(f.request, "?key="), query, strlen(query)), 0);
 	call_store(&f, READ_PREFIX, key);
-	body = strstr(f.request, "?prefix=");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
 	CU_ASSERT_EQUAL(
-	    strncmp(body + strlen("?prefix="), query, strlen(query)), 0);
+	    strncmp(after(f.request, "?prefix="), query, strlen(query)), 0);
 	call_store(&f, WRITE, key);
-	body = strstr(f.request, "\r\n\r\n");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(body);
-	obj = platform_json_parse(body + 4, strlen(body + 4));
+	body = after(f.request, "\r\n\r\n");
+	obj = platform_json_parse(body, strlen(body));
 	CU_ASSERT_PTR_NOT_NULL_FATAL(obj);
 	list = platform_json_array(obj, "expect", &len);
 	CU_ASSERT_EQUAL_FATAL(len, 1);
