--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -479,12 +479,11 @@
 static void
 replace_relay(struct outbox_fixture *f)
 {
-	struct wf_peer *p;
+	char key[WF_KEY_MAX];
+	struct agb_store_kv gone = {.key = key, .deleted = true};
 
-	HASH_FIND_STR(f->table.peers, "b", p);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(p);
-	HASH_DEL(f->table.peers, p);
-	free(p);
+	wf_table_make_key(key, 'n', "b");
+	CU_ASSERT(wf_table_apply(&f->table, &gone).peers_changed);
 	wf_outbox_update_peers(&f->l);
 	add_peer(&f->table, "c", "10.0.0.3:1");
 	wf_outbox_update_peers(&f->l);
