refactor(wfsim): an event tells how its data is freed

Cause: the end of a simulation derived the type of the data of events that are dropped from a list of all functions that handle events, which each new message had to be added to. Change: the function that frees the data is part of the event.

--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -156,6 +156,7 @@
 	unsigned gen;
 	uint64_t tag;
 	void *data;
+	void (*free_data)(void *data); /* for an event that is dropped */
 	uint64_t a, b;
 	struct sim_event *next; /* in the list of a busy instance */
 };
@@ -326,6 +327,13 @@
 	return e;
 }
 
+static void
+attach(struct sim_event *e, void *data, void (*free_data)(void *data))
+{
+	e->data = data;
+	e->free_data = free_data;
+}
+
 /* ---- processors ---- */
 
 /* Time that the instance has worked on its current event. What it sends now
@@ -423,7 +431,7 @@
 	}
 	again = schedule_core(s, e->core, c->frozen_until - s->now, fn);
 	again->tag = e->tag;
-	again->data = e->data;
+	attach(again, e->data, e->free_data);
 	again->a = e->a;
 	again->b = e->b;
 	e->data = NULL;
@@ -646,8 +654,10 @@
 };
 
 static void
-store_call_free(struct store_call *c)
+store_call_free(void *data)
 {
+	struct store_call *const c = data;
+
 	agb_store_op_free(&c->op);
 	agb_store_result_free(&c->res);
 	free(c);
@@ -704,9 +714,9 @@
 		copy = agb_xcalloc(1, sizeof(*copy));
 		copy->op = c->op;
 		memset(&c->op, 0, sizeof(c->op));
-		schedule(s, chance(s, 50) ? 0 : rnd(s, 4000) * SIM_MS,
-		    apply_late_store_op)
-		    ->data = copy;
+		attach(schedule(s, chance(s, 50) ? 0 : rnd(s, 4000) * SIM_MS,
+			   apply_late_store_op),
+		    copy, store_call_free);
 		c->res.status = AGB_STORE_LOST;
 		back = e->a * SIM_MS;
 	} else {
@@ -716,7 +726,7 @@
 	r->core = e->core;
 	r->gen = e->gen;
 	r->tag = e->tag;
-	r->data = c;
+	attach(r, c, store_call_free);
 }
 
 /* Time until a small message of an instance arrives, which no other message
@@ -772,7 +782,7 @@
 	memset(&ef->u.store, 0, sizeof(ef->u.store));
 	e->tag = ef->tag;
 	e->a = ef->timeout_ms;
-	e->data = c;
+	attach(e, c, store_call_free);
 }
 
 static bool
@@ -1070,8 +1080,10 @@
 };
 
 static void
-order_call_free(struct order_call *c)
+order_call_free(void *data)
 {
+	struct order_call *const c = data;
+
 	free(c->o.payload);
 	free(c->res.active);
 	free(c->res.finished);
@@ -1359,7 +1371,7 @@
 
 	r->core = e->core;
 	r->gen = e->gen;
-	r->data = c;
+	attach(r, c, order_call_free);
 }
 
 static struct sim_runner *
@@ -1391,7 +1403,7 @@
 		again = schedule(s, 5 * SIM_MS, poll_hold);
 		again->core = e->core;
 		again->gen = e->gen;
-		again->data = c;
+		attach(again, c, order_call_free);
 		return;
 	}
 	c->res.clock_ms = runner_clock(s, r);
@@ -1469,7 +1481,7 @@
 		copy->o.payload = NULL;
 		l = schedule(
 		    s, (2000 + rnd(s, 8000)) * SIM_MS, apply_late_order);
-		l->data = copy;
+		attach(l, copy, order_call_free);
 		l->a = (uint64_t)r->info.started_ms;
 		c->res.status = WF_ORDER_LOST;
 		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
@@ -1502,7 +1514,7 @@
 
 	copy->o = c->o;
 	copy->o.payload = NULL;
-	e->data = copy;
+	attach(e, copy, order_call_free);
 	e->a = (uint64_t)r->info.started_ms;
 }
 
@@ -1526,7 +1538,7 @@
 	c->gives_up_at = s->now + timeout;
 	e = schedule_core(s, ci, late ? timeout : in,
 	    late ? order_result_arrives : order_arrives);
-	e->data = c;
+	attach(e, c, order_call_free);
 	if (!late)
 		return;
 	c->res.status = WF_ORDER_LOST;
@@ -1616,6 +1628,15 @@
 
 /* ---- advice ---- */
 
+static void
+advice_free(void *data)
+{
+	struct wf_advice *const a = data;
+
+	free(a->items);
+	free(a);
+}
+
 static void
 advice_answer_arrives(struct sim *s, struct sim_event *e)
 {
@@ -1628,8 +1649,7 @@
 	} else if (e->data == NULL) {
 		return;
 	}
-	free(a->items);
-	free(a);
+	advice_free(a);
 }
 
 /* For each step, seven of eight runners are approved, always the same ones. */
@@ -1678,7 +1698,7 @@
 		    a->items[a->items_len++].ticket, sizeof(agb_id), "t");
 	}
 	e->tag = ef->tag;
-	e->data = a;
+	attach(e, a, advice_free);
 }
 
 /* ---- instances ---- */
@@ -1735,8 +1755,9 @@
 };
 
 static void
-push_call_free(struct push_call *c)
+push_call_free(void *data)
 {
+	struct push_call *const c = data;
 	size_t i;
 
 	for (i = 0; i < c->push.len; i++)
@@ -1776,13 +1797,23 @@
 send_push(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
 	struct push_call *const c = agb_xcalloc(1, sizeof(*c));
+	struct sim_event *e;
 
 	c->push = ef->u.push;
 	memset(&ef->u.push, 0, sizeof(ef->u.push));
-	schedule_core(s, core_by_addr(ef->peer),
+	e = schedule_core(s, core_by_addr(ef->peer),
 	    link_send(s, ci, CALL_BYTES + RECORD_BYTES * c->push.len),
-	    push_arrives)
-	    ->data = c;
+	    push_arrives);
+	attach(e, c, push_call_free);
+}
+
+static void
+put_call_free(void *data)
+{
+	struct put_call *const c = data;
+
+	free(c->r.val);
+	free(c);
 }
 
 /* Delivers a put to a peer. */
@@ -1793,10 +1824,8 @@
 	struct put_call *const c = e->data;
 
 	if (!deliver_or_postpone(s, e, put_arrives)) {
-		if (e->data == NULL)
-			return;
-		free(c->r.val);
-		free(c);
+		if (e->data != NULL)
+			put_call_free(c);
 		return;
 	}
 	s->puts = agb_xreallocarray(s->puts, s->puts_len + 1, sizeof(*s->puts));
@@ -1809,8 +1838,7 @@
 	ev.u.put.len = c->r.len;
 	ev.u.put.timeout_ms = c->timeout_ms;
 	handle_event(s, e->core, &ev);
-	free(c->r.val);
-	free(c);
+	put_call_free(c);
 }
 
 static void
@@ -1828,13 +1856,13 @@
 	c->tag = ef->tag;
 	c->timeout_ms = ef->timeout_ms;
 	e = schedule_core(s, to, message_delay(s, ci), put_arrives);
-	e->data = c;
+	attach(e, c, put_call_free);
 	/* Without a reply before this event, the outcome of the put is
 	 * unknown. */
 	e = schedule_core(
 	    s, ci, call_timeout(s, ci, ef->timeout_ms), store_answer_arrives);
 	e->tag = ef->tag;
-	e->data = agb_xcalloc(1, sizeof(struct store_call));
+	attach(e, agb_xcalloc(1, sizeof(struct store_call)), store_call_free);
 	((struct store_call *)e->data)->res.status = AGB_STORE_LOST;
 }
 
@@ -1887,8 +1915,10 @@
 };
 
 static void
-batch_call_free(struct batch_call *c)
+batch_call_free(void *data)
 {
+	struct batch_call *const c = data;
+
 	wf_orders_free(&c->o);
 	free(c);
 }
@@ -1983,7 +2013,7 @@
 	c->tag = ef->tag;
 	e = schedule_core(
 	    s, to, link_send(s, ci, batch_bytes(&c->o)), orders_arrive);
-	e->data = c;
+	attach(e, c, batch_call_free);
 	/* Without a reply before this event, the outcome is unknown. The
 	 * timeout of a call that was answered has no effect. */
 	e = schedule_core(
@@ -2012,6 +2042,15 @@
 	struct wf_result_batch r;
 };
 
+static void
+results_call_free(void *data)
+{
+	struct results_call *const c = data;
+
+	wf_results_free(&c->r);
+	free(c);
+}
+
 static void
 results_arrive(struct sim *s, struct sim_event *e)
 {
@@ -2024,8 +2063,7 @@
 	} else if (e->data == NULL) {
 		return;
 	}
-	wf_results_free(&c->r);
-	free(c);
+	results_call_free(c);
 }
 
 static size_t
@@ -2045,15 +2083,16 @@
 {
 	const unsigned to = core_by_addr(ef->peer);
 	struct results_call *c;
+	struct sim_event *e;
 
 	if (!s->cores[to].up || !linked(s, ci, to))
 		return;
 	c = agb_xcalloc(1, sizeof(*c));
 	c->r = ef->u.results;
 	memset(&ef->u.results, 0, sizeof(ef->u.results));
-	schedule_core(
-	    s, to, link_send(s, ci, results_bytes(&c->r)), results_arrive)
-	    ->data = c;
+	e = schedule_core(
+	    s, to, link_send(s, ci, results_bytes(&c->r)), results_arrive);
+	attach(e, c, results_call_free);
 }
 
 static void
@@ -2108,8 +2147,8 @@
 	c->from_gen = s->cores[ci].gen;
 	c->tag = ef->tag;
 	agb_str_copy(c->job, sizeof(c->job), ef->u.payload.job);
-	schedule_core(s, to, message_delay(s, ci), payload_request_arrives)
-	    ->data = c;
+	e = schedule_core(s, to, message_delay(s, ci), payload_request_arrives);
+	attach(e, c, free);
 }
 
 static void
@@ -2145,7 +2184,7 @@
 	c->res.succeeded = ef->u.put_result.stored;
 	c->res.revision = ef->u.put_result.revision;
 	c->made_by_peer = true;
-	e->data = c;
+	attach(e, c, store_call_free);
 }
 
 static void
@@ -2382,8 +2421,10 @@
 };
 
 static void
-client_call_free(struct client_call *c)
+client_call_free(void *data)
 {
+	struct client_call *const c = data;
+
 	if (c->call.spec != NULL) {
 		wf_spec_free(c->call.spec);
 		free(c->call.spec);
@@ -2406,35 +2447,12 @@
 	client_call_free(c);
 }
 
-/* Frees an event that is dropped; the type of its data follows from its
- * function. */
+/* Frees an event that is dropped. */
 static void
 event_free(struct sim_event *e)
 {
-	if (e->fn == store_answer_arrives || e->fn == store_arrives ||
-	    e->fn == apply_late_store_op)
-		store_call_free(e->data);
-	else if (e->fn == order_result_arrives || e->fn == order_arrives ||
-	    e->fn == poll_hold || e->fn == apply_late_order)
-		order_call_free(e->data);
-	else if (e->fn == push_arrives)
-		push_call_free(e->data);
-	else if (e->fn == payload_request_arrives)
-		free(e->data);
-	else if (e->fn == orders_arrive)
-		batch_call_free(e->data);
-	else if (e->fn == results_arrive) {
-		wf_results_free(&((struct results_call *)e->data)->r);
-		free(e->data);
-	} else if (e->fn == put_arrives) {
-		free(((struct put_call *)e->data)->r.val);
-		free(e->data);
-	} else if (e->fn == advice_answer_arrives) {
-		free(((struct wf_advice *)e->data)->items);
-		free(e->data);
-	} else if (e->fn == client_call_arrives) {
-		client_call_free(e->data);
-	}
+	if (e->free_data != NULL && e->data != NULL)
+		e->free_data(e->data);
 	free(e);
 }
 
@@ -2559,7 +2577,8 @@
 	snprintf(c->call.path, sizeof(c->call.path), "/q/%s", job);
 	if (s->cores[ci].up && s->now >= s->cores[ci].frozen_until) {
 		if (is_busy(s, &s->cores[ci])) {
-			schedule_core(s, ci, 0, client_call_arrives)->data = c;
+			attach(schedule_core(s, ci, 0, client_call_arrives), c,
+			    client_call_free);
 			return;
 		}
 		handle_event(s, ci, &ev);
