refactor(wfsim): files with one job each

Change: events, delivery (processors and frozen instances), link, store, runner, check (rules), order, registry, advice, peer, relay, instance, client, observe, random_run and wfsim (start, end and time); world.h has the state and what they share, whose names begin with sim_ now.

--- /dev/null
+++ b/tests/wfsim/advice.c
@@ -0,0 +1,82 @@
+/* Stand-in of the advice service. */
+
+#include <stdlib.h>
+
+#include "mem.h"
+#include "world.h"
+
+/* Approximate size of the name of a runner in a call, in bytes. */
+#define ADVICE_RUNNER_BYTES 24
+
+static void
+advice_free(void *data)
+{
+	struct wf_advice *const a = data;
+
+	free(a->items);
+	free(a);
+}
+
+static void
+advice_answer_arrives(struct sim *s, struct sim_event *e)
+{
+	struct wf_event ev = {.type = WF_EV_ADVICE, .tag = e->tag};
+	struct wf_advice *const a = e->data;
+
+	if (sim_deliver_or_postpone(s, e, advice_answer_arrives)) {
+		ev.u.advice = a;
+		sim_handle_event(s, e->core, &ev);
+	} else if (e->data == NULL) {
+		return;
+	}
+	advice_free(a);
+}
+
+/* For each step, seven of eight runners are approved, always the same ones. */
+static bool
+is_approved(const struct wf_task_ref *ref, const char *runner)
+{
+	const char *p;
+	uint32_t h;
+
+	h = 2166136261U + ref->step;
+	for (p = ref->job; *p != '\0'; p++)
+		h = (h ^ (unsigned char)*p) * 16777619U;
+	for (p = runner; *p != '\0'; p++)
+		h = (h ^ (unsigned char)*p) * 16777619U;
+	h = (h ^ (h >> 16)) * 0x85ebca6bU;
+	h = (h ^ (h >> 13)) * 0xc2b2ae35U;
+	return (h >> 16) % 8 != 0;
+}
+
+void
+sim_send_advice(struct sim *s, unsigned ci, const struct wf_effect *ef)
+{
+	struct wf_advice *const a = agb_xcalloc(1, sizeof(*a));
+	const size_t runners = ef->u.advice_request.runners_len;
+	const agb_time took = s->o.advice_ms == 0
+	    ? ADVICE_MS * SIM_MS
+	    : (s->o.advice_ms + s->o.advice_per_runner_ms * runners) * SIM_MS;
+	struct sim_event *const e = sim_schedule_core(s, ci,
+	    sim_link_send(s, ci, CALL_BYTES + ADVICE_RUNNER_BYTES * runners) +
+		s->o.latency_ms * SIM_MS + took,
+	    advice_answer_arrives);
+	size_t i;
+
+	s->advice_calls++;
+	a->answered = true;
+	a->valid_ms = 2000;
+	a->items = agb_xcalloc(
+	    ef->u.advice_request.runners_len + 1, sizeof(*a->items));
+	for (i = 0; i < ef->u.advice_request.runners_len; i++) {
+		if (!is_approved(&ef->u.advice_request.step,
+			ef->u.advice_request.runners[i]))
+			continue;
+		agb_str_copy(a->items[a->items_len].runner, sizeof(agb_id),
+		    ef->u.advice_request.runners[i]);
+		agb_str_copy(
+		    a->items[a->items_len++].ticket, sizeof(agb_id), "t");
+	}
+	e->tag = ef->tag;
+	sim_attach(e, a, advice_free);
+}
--- /dev/null
+++ b/tests/wfsim/check.c
@@ -0,0 +1,106 @@
+/* Checks of the guarantees by what the runners observe. */
+
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "world.h"
+
+void
+sim_report_violation(struct sim *s, const char *fmt, ...)
+{
+	char text[448];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (s->violations++ == 0)
+		snprintf(s->violation, sizeof(s->violation), "%u ms: %s",
+		    sim_now_ms(s), text);
+}
+
+void
+sim_check_start(struct sim *s, const struct sim_runner *r, struct sim_job *j,
+    const struct wf_order *o)
+{
+	struct sim_task *const t = sim_task_find(j, &o->task);
+	const struct wf_step *const step = &j->spec.steps[o->task.step];
+	struct agb_resources held = wf_step_reserved(step);
+	struct agb_resources need;
+	unsigned ri;
+	size_t i;
+	uint32_t k;
+
+	for (i = 0; i < r->runs_len; i++) {
+		const struct sim_job *const other =
+		    sim_job_find(s, r->runs[i].task.job);
+
+		if (other == NULL)
+			continue;
+		need =
+		    wf_step_reserved(&other->spec.steps[r->runs[i].task.step]);
+		agb_resources_add(&held, &need);
+	}
+	if (!agb_resources_fit(&held, &r->info.capacity))
+		sim_report_violation(s,
+		    "capacity: %s starts %s.%u beyond its capacity", r->info.id,
+		    j->id, o->task.index);
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; s->runners[ri].up && i < s->runners[ri].runs_len;
+		     i++) {
+			if (wf_task_ref_same(
+				&s->runners[ri].runs[i].task, &o->task))
+				sim_report_violation(s,
+				    "duplicate: %s.%u.%u runs on %s and %s",
+				    j->id, o->task.step, o->task.index,
+				    s->runners[ri].info.id, r->info.id);
+		}
+	}
+	if (t->done_observed)
+		sim_report_violation(s,
+		    "duplicate: %s.%u.%u starts after it was done", j->id,
+		    o->task.step, o->task.index);
+	if (t->failed >= s->o.max_attempts)
+		sim_report_violation(s,
+		    "attempts: %s.%u.%u starts after %u failures", j->id,
+		    o->task.step, o->task.index, t->failed);
+	if (j->cancel_acked && s->now > j->cancel_at + 3000 * SIM_MS)
+		sim_report_violation(s,
+		    "cancelled: %s.%u starts after its cancellation", j->id,
+		    o->task.index);
+	if (j->status == 503 || j->status == 429)
+		sim_report_violation(s,
+		    "rejected: %s starts although its submission was rejected",
+		    j->id);
+	for (k = 0; k < o->task.step; k++) {
+		struct wf_task_ref ref = o->task;
+		bool done = true, any = false;
+
+		if ((step->after >> k & 1) == 0)
+			continue;
+		ref.step = k;
+		for (ref.index = 0; ref.index < j->spec.steps[k].count;
+		     ref.index++) {
+			done = done && sim_task_find(j, &ref)->done;
+			any = any || sim_task_find(j, &ref)->done;
+		}
+		/* A gang counts as done when one member is done. */
+		if (!(j->spec.steps[k].gang ? any : done))
+			sim_report_violation(s,
+			    "dependency: %s step %u starts before step %u is "
+			    "done",
+			    j->id, o->task.step, k);
+	}
+}
+
+unsigned
+sim_violation_count(const struct sim *s)
+{
+	return s->violations;
+}
+
+const char *
+sim_first_violation(const struct sim *s)
+{
+	return s->violation;
+}
--- /dev/null
+++ b/tests/wfsim/observe.c
@@ -0,0 +1,200 @@
+/* What a test can observe. */
+
+#include <string.h>
+
+#include "world.h"
+
+int
+sim_leader(const struct sim *s)
+{
+	struct wf_gauges g;
+	unsigned i;
+
+	for (i = 0; i < s->o.cores; i++) {
+		if (!s->cores[i].up || s->now < s->cores[i].frozen_until)
+			continue;
+		wf_core_get_gauges(s->cores[i].core, s->now + AGB_SEC, &g);
+		if (g.is_leader)
+			return (int)i;
+	}
+	return -1;
+}
+
+const char *
+sim_state(struct sim *s, const char *id)
+{
+	const char *state, *best;
+	unsigned i;
+
+	best = NULL;
+	for (i = 0; i < s->o.cores; i++) {
+		if (!s->cores[i].up)
+			continue;
+		state = wf_core_job_state(s->cores[i].core, id);
+		if (state != NULL &&
+		    (best == NULL || strcmp(state, "queued") != 0) &&
+		    (best == NULL || strcmp(best, "queued") == 0 ||
+			strcmp(state, "running") != 0))
+			best = state;
+	}
+	return best != NULL ? best : "unknown";
+}
+
+unsigned
+sim_start_count(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->starts : 0;
+}
+
+unsigned
+sim_total_start_count(const struct sim *s)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < s->jobs_len; i++)
+		n += s->jobs[i].starts;
+	return n;
+}
+
+uint64_t
+sim_bytes_sent(const struct sim *s, unsigned ci)
+{
+	return s->cores[ci].bytes_sent;
+}
+
+unsigned
+sim_started_at_ms(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? (unsigned)(j->started_at / SIM_MS) : 0;
+}
+
+unsigned
+sim_running_count(const struct sim *s, const char *id)
+{
+	unsigned ri, n;
+	size_t i;
+
+	n = 0;
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; s->runners[ri].up && i < s->runners[ri].runs_len;
+		     i++)
+			n += strcmp(s->runners[ri].runs[i].task.job, id) == 0;
+	}
+	return n;
+}
+
+unsigned
+sim_runner_of(const struct sim *s, const char *id)
+{
+	unsigned ri;
+	size_t i;
+
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; i < s->runners[ri].runs_len; i++) {
+			if (strcmp(s->runners[ri].runs[i].task.job, id) == 0)
+				return ri;
+		}
+	}
+	return UINT32_MAX;
+}
+
+unsigned
+sim_response_ms(struct sim *s, const char *id)
+{
+	const unsigned ri = sim_runner_of(s, id);
+
+	return ri == UINT32_MAX ? 0
+				: sim_runner_response_ms(s, &s->runners[ri]);
+}
+
+unsigned
+sim_submit_status(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->status : 0;
+}
+
+unsigned
+sim_store_calls(const struct sim *s)
+{
+	return s->store_calls;
+}
+
+unsigned
+sim_relayed_writes(const struct sim *s)
+{
+	return s->relayed_writes;
+}
+
+unsigned
+sim_relayed_orders(const struct sim *s)
+{
+	return s->relayed_orders;
+}
+
+unsigned
+sim_direct_orders(const struct sim *s)
+{
+	return s->direct_orders;
+}
+
+unsigned
+sim_payload_bytes(const struct sim *s)
+{
+	return s->payload_bytes;
+}
+
+unsigned
+sim_full_reads(const struct sim *s)
+{
+	return s->full_reads;
+}
+
+unsigned
+sim_dispatch_ms(const struct sim *s, unsigned ci)
+{
+	return (
+	    unsigned)(wf_meter_dispatch_time(wf_core_meter(s->cores[ci].core)) /
+	    SIM_MS);
+}
+
+unsigned
+sim_load_lines(const struct sim *s)
+{
+	return s->load_lines;
+}
+
+unsigned
+sim_advice_calls(const struct sim *s)
+{
+	return s->advice_calls;
+}
+
+unsigned
+sim_job_count(const struct sim *s)
+{
+	return (unsigned)s->jobs_len;
+}
+
+unsigned
+sim_final_job_count(struct sim *s)
+{
+	const char *state;
+	unsigned n;
+	size_t i;
+
+	n = 0;
+	for (i = 0; i < s->jobs_len; i++) {
+		state = sim_state(s, s->jobs[i].id);
+		n += strcmp(state, "completed") == 0 ||
+		    strcmp(state, "failed") == 0 ||
+		    strcmp(state, "cancelled") == 0;
+	}
+	return n;
+}
--- /dev/null
+++ b/tests/wfsim/runner.c
@@ -0,0 +1,503 @@
+/* Stand-in of the runners: runs of tasks, gangs, leases, effects of orders. */
+
+#include <string.h>
+
+#include "mem.h"
+#include "world.h"
+
+#define KILL_MS 300
+#define GANG_WAIT_MS 3000
+#define HOLD_MAX_MS 10000
+/* Response time of a long-running task, and what each best-effort task on the
+ * same runner adds to it. */
+#define RESPONSE_ALONE_MS 20
+#define RESPONSE_BEST_EFFORT_MS 100
+
+int64_t
+sim_runner_clock(const struct sim *s, const struct sim_runner *r)
+{
+	return (int64_t)((s->now - r->started_at) / SIM_MS) + 1000;
+}
+
+static void
+finish_run(struct sim *s, struct sim_runner *r, const struct task_run *run,
+    enum wf_run_end how)
+{
+	struct sim_job *const j = sim_job_find(s, run->task.job);
+	struct wf_finished_run *f;
+
+	r->finished = agb_xreallocarray(
+	    r->finished, r->finished_len + 1, sizeof(*r->finished));
+	f = &r->finished[r->finished_len++];
+	memset(f, 0, sizeof(*f));
+	f->seq = ++r->seq;
+	f->task = run->task;
+	f->run = run->run;
+	f->end = how;
+	r->barred =
+	    agb_xreallocarray(r->barred, r->barred_len + 1, sizeof(*r->barred));
+	r->barred[r->barred_len++] = *f;
+	if (j == NULL)
+		return;
+	if (how == WF_END_DONE)
+		sim_task_find(j, &run->task)->done = true;
+	if (how == WF_END_FAILED)
+		sim_task_find(j, &run->task)->failed++;
+}
+
+/* Counts the active members of a gang, which share their step and run
+ * number. */
+static unsigned
+gang_members_present(struct sim *s, const struct task_run *g)
+{
+	unsigned ri, n;
+	size_t i;
+
+	n = 0;
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; i < s->runners[ri].runs_len; i++) {
+			const struct task_run *const x =
+			    &s->runners[ri].runs[i];
+
+			if (x->run == g->run && x->task.step == g->task.step &&
+			    x->task.occurrence == g->task.occurrence &&
+			    strcmp(x->task.job, g->task.job) == 0)
+				n++;
+		}
+	}
+	return n;
+}
+
+static void
+for_gang_members(struct sim *s, const struct task_run *g,
+    void (*fn)(struct sim *s, struct task_run *x, uint64_t a), uint64_t a)
+{
+	unsigned ri;
+	size_t i;
+
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; i < s->runners[ri].runs_len; i++) {
+			struct task_run *const x = &s->runners[ri].runs[i];
+
+			if (x->run == g->run && x->task.step == g->task.step &&
+			    x->task.occurrence == g->task.occurrence &&
+			    strcmp(x->task.job, g->task.job) == 0)
+				fn(s, x, a);
+		}
+	}
+}
+
+static void
+start_member(struct sim *s, struct task_run *x, uint64_t ends)
+{
+	x->awaits_gang = false;
+	x->works_since = s->now;
+	x->ends_at = ends;
+	x->end = WF_END_DONE;
+}
+
+static void
+break_member(struct sim *s, struct task_run *x, uint64_t a)
+{
+	if (x->ends_at > s->now || x->awaits_gang || x->ends_at == 0) {
+		x->ends_at = s->now;
+		x->awaits_gang = false;
+		x->end = WF_END_GANG_BROKEN;
+	}
+}
+
+/* The tasks of a stalled runner make no progress. */
+static void
+update_progress(struct sim *s, const struct sim_runner *r, struct task_run *x)
+{
+	const agb_time step = 5 * SIM_MS;
+
+	if (x->awaits_gang || x->ends_at <= x->works_since || x->stopping)
+		return;
+	if (r->stalled) {
+		x->works_since += step;
+		x->ends_at += step;
+		return;
+	}
+	if (s->now >= x->ends_at)
+		return;
+	x->percent = (uint32_t)((s->now - x->works_since) * 100 /
+	    (x->ends_at - x->works_since));
+}
+
+static void
+run_remove(struct sim_runner *r, size_t i)
+{
+	r->runs[i] = r->runs[--r->runs_len];
+}
+
+/* Ends the runs whose end time has come. */
+static void
+runner_step(struct sim *s, struct sim_runner *r)
+{
+	struct task_run x;
+	size_t i;
+
+	if (!r->up)
+		return;
+	for (i = r->runs_len; i > 0; i--) {
+		if (s->o.runner_stalls)
+			update_progress(s, r, &r->runs[i - 1]);
+		x = r->runs[i - 1];
+		if (r->lease_until <= s->now) {
+			run_remove(r, i - 1);
+			finish_run(s, r, &x, WF_END_LEASE_EXPIRED);
+			for_gang_members(s, &x, break_member, 0);
+			continue;
+		}
+		if (x.awaits_gang &&
+		    s->now - x.started_at > GANG_WAIT_MS * SIM_MS) {
+			run_remove(r, i - 1);
+			finish_run(s, r, &x, WF_END_GANG_TIMEOUT);
+			continue;
+		}
+		if (x.awaits_gang || x.ends_at == 0 || s->now < x.ends_at ||
+		    (r->stalled && !x.stopping))
+			continue;
+		run_remove(r, i - 1);
+		finish_run(s, r, &x, x.end);
+		if (x.end != WF_END_DONE) {
+			const struct sim_job *const j =
+			    sim_job_find(s, x.task.job);
+
+			if (j != NULL && j->spec.steps[x.task.step].gang)
+				for_gang_members(s, &x, break_member, 0);
+		}
+	}
+}
+
+void
+sim_step_runners(struct sim *s, struct sim_event *e)
+{
+	unsigned ri;
+
+	for (ri = 0; ri < s->o.runners; ri++)
+		runner_step(s, &s->runners[ri]);
+	sim_schedule(s, 5 * SIM_MS, sim_step_runners);
+}
+
+static bool
+run_is_barred(const struct sim_runner *r, const struct wf_order *o)
+{
+	size_t i;
+
+	for (i = 0; i < r->barred_len; i++) {
+		if (wf_task_ref_same(&r->barred[i].task, &o->task) &&
+		    o->run <= r->barred[i].run)
+			return true;
+	}
+	return false;
+}
+
+static void
+extend_runner_lease(struct sim *s, struct sim_runner *r, int64_t deadline_ms)
+{
+	int64_t ms;
+
+	if (deadline_ms == 0)
+		return;
+	ms = deadline_ms - sim_runner_clock(s, r);
+	if (ms > HOLD_MAX_MS)
+		ms = HOLD_MAX_MS;
+	if (ms > 0 && s->now + (agb_time)ms * SIM_MS > r->lease_until)
+		r->lease_until = s->now + (agb_time)ms * SIM_MS;
+}
+
+static enum wf_order_status
+do_start(struct sim *s, struct sim_runner *r, const struct wf_order *o)
+{
+	const uint64_t stretch =
+	    s->o.run_time_factor > 0 ? s->o.run_time_factor : 1;
+	struct sim_job *const j = sim_job_find(s, o->task.job);
+	const struct wf_step *step;
+	struct task_run *x;
+	size_t i;
+
+	if (j == NULL) {
+		sim_report_violation(
+		    s, "unknown: %s was never submitted", o->task.job);
+		return WF_ORDER_INVALID;
+	}
+	if (o->deadline_ms < sim_runner_clock(s, r))
+		return WF_ORDER_LATE;
+	extend_runner_lease(s, r, o->deadline_ms);
+	for (i = 0; i < r->runs_len; i++) {
+		if (wf_task_ref_same(&r->runs[i].task, &o->task) &&
+		    r->runs[i].run == o->run)
+			return WF_ORDER_OK;
+	}
+	if (run_is_barred(r, o))
+		return WF_ORDER_OLD;
+	sim_check_start(s, r, j, o);
+	step = &j->spec.steps[o->task.step];
+	j->starts++;
+	if (j->started_at == 0)
+		j->started_at = s->now;
+	sim_task_find(j, &o->task)->starts++;
+	r->runs = agb_xreallocarray(r->runs, r->runs_len + 1, sizeof(*r->runs));
+	x = &r->runs[r->runs_len++];
+	memset(x, 0, sizeof(*x));
+	x->task = o->task;
+	x->run = o->run;
+	x->need = step->need;
+	x->started_at = s->now;
+	x->pace = 100;
+	x->end = r->faulty || sim_chance(s, s->o.fail_percent) ? WF_END_FAILED
+							       : WF_END_DONE;
+	if (step->gang && step->count > 1) {
+		x->awaits_gang = true;
+		if (gang_members_present(s, x) == step->count)
+			for_gang_members(s, x, start_member,
+			    s->now + step->estimate_ms * stretch * SIM_MS);
+	} else {
+		x->works_since = s->now;
+		x->ends_at = s->now +
+		    (x->end == WF_END_FAILED ? 50
+					     : step->estimate_ms * stretch) *
+			SIM_MS;
+	}
+	return WF_ORDER_OK;
+}
+
+static enum wf_order_status
+do_stop(struct sim *s, struct sim_runner *r, const struct wf_order *o)
+{
+	size_t i;
+
+	for (i = 0; i < r->runs_len; i++) {
+		if (!wf_task_ref_same(&r->runs[i].task, &o->task) ||
+		    r->runs[i].run > o->run)
+			continue;
+		if (!r->runs[i].stopping) {
+			r->runs[i].stopping = true;
+			r->runs[i].awaits_gang = false;
+			r->runs[i].end = WF_END_STOPPED;
+			r->runs[i].ends_at =
+			    s->now + sim_rnd(s, KILL_MS) * SIM_MS;
+		}
+		return WF_ORDER_OK;
+	}
+	r->barred =
+	    agb_xreallocarray(r->barred, r->barred_len + 1, sizeof(*r->barred));
+	memset(&r->barred[r->barred_len], 0, sizeof(*r->barred));
+	r->barred[r->barred_len].task = o->task;
+	r->barred[r->barred_len++].run = o->run;
+	return WF_ORDER_OK;
+}
+
+static void
+forget_ends(struct sim *s, struct sim_runner *r, uint64_t upto)
+{
+	struct sim_job *j;
+	size_t i, n;
+
+	n = 0;
+	for (i = 0; i < r->finished_len; i++) {
+		if (r->finished[i].seq > upto) {
+			r->finished[n++] = r->finished[i];
+			continue;
+		}
+		j = sim_job_find(s, r->finished[i].task.job);
+		if (j != NULL && r->finished[i].end == WF_END_DONE)
+			sim_task_find(j, &r->finished[i].task)->done_observed =
+			    true;
+	}
+	r->finished_len = n;
+}
+
+uint32_t
+sim_runner_response_ms(struct sim *s, const struct sim_runner *r)
+{
+	const struct sim_job *j;
+	uint32_t ms = RESPONSE_ALONE_MS;
+	size_t i;
+
+	for (i = 0; i < r->runs_len; i++) {
+		j = sim_job_find(s, r->runs[i].task.job);
+		if (j != NULL &&
+		    j->spec.steps[r->runs[i].task.step].best_effort)
+			ms += RESPONSE_BEST_EFFORT_MS * r->runs[i].pace / 100;
+	}
+	return ms;
+}
+
+static void
+do_pace(struct sim_runner *r, const struct wf_order *o)
+{
+	size_t i;
+
+	for (i = 0; i < r->runs_len; i++) {
+		if (wf_task_ref_same(&r->runs[i].task, &o->task) &&
+		    r->runs[i].run == o->run)
+			r->runs[i].pace = o->percent;
+	}
+}
+
+void
+sim_fill_lists(struct sim *s, struct sim_runner *r, struct order_call *c)
+{
+	const uint32_t load = sim_runner_response_ms(s, r);
+	size_t i;
+
+	c->res.active = agb_xcalloc(r->runs_len + 1, sizeof(*c->res.active));
+	for (i = 0; i < r->runs_len; i++) {
+		c->res.active[i].task = r->runs[i].task;
+		c->res.active[i].run = r->runs[i].run;
+		c->res.active[i].percent =
+		    s->o.runner_stalls ? r->runs[i].percent : 100;
+		c->res.active[i].load = load;
+	}
+	c->res.active_len = r->runs_len;
+	c->res.finished =
+	    agb_xcalloc(r->finished_len + 1, sizeof(*c->res.finished));
+	c->res.finished_len = r->finished_len < WF_ENDS_PER_LIST
+	    ? r->finished_len
+	    : WF_ENDS_PER_LIST;
+	if (r->finished_len > 0)
+		memcpy(c->res.finished, r->finished,
+		    c->res.finished_len * sizeof(*r->finished));
+}
+
+void
+sim_do_order(struct sim *s, struct sim_runner *r, struct order_call *c)
+{
+	if (c->o.fence < r->fence) {
+		c->res.status = WF_ORDER_FENCED;
+		return;
+	}
+	r->fence = c->o.fence;
+	switch (c->o.kind) {
+	case WF_ORDER_START:
+		c->res.status = do_start(s, r, &c->o);
+		break;
+	case WF_ORDER_STOP:
+		c->res.status = do_stop(s, r, &c->o);
+		break;
+	case WF_ORDER_PACE:
+		do_pace(r, &c->o);
+		c->res.status = WF_ORDER_OK;
+		break;
+	case WF_ORDER_HOLD:
+		extend_runner_lease(s, r, c->o.deadline_ms);
+		forget_ends(s, r, c->o.forget_seq);
+		c->res.status = WF_ORDER_OK;
+		break;
+	}
+	c->res.clock_ms = sim_runner_clock(s, r);
+	c->res.started_ms = r->info.started_ms;
+}
+
+void
+sim_runner_cut(struct sim *s, unsigned ri, bool cut)
+{
+	s->runners[ri].unreachable = cut;
+}
+
+static void
+runner_clear(struct sim_runner *r)
+{
+	r->runs_len = 0;
+	r->finished_len = 0;
+	r->barred_len = 0;
+	r->seq = 0;
+	r->fence = 0;
+	r->lease_until = 0;
+}
+
+static void
+restart_runner(struct sim *s, struct sim_event *e)
+{
+	struct sim_runner *const r = &s->runners[e->a];
+
+	r->up = true;
+	r->info.started_ms = UNIX_BASE_MS + (int64_t)(s->now / SIM_MS);
+	r->started_at = s->now;
+	r->info.draining = false;
+	r->info.remaining_ms = -1;
+}
+
+static void
+break_lost_gangs(struct sim *s, struct sim_runner *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->runs_len; i++) {
+		const struct sim_job *const j =
+		    sim_job_find(s, r->runs[i].task.job);
+
+		if (j != NULL && j->spec.steps[r->runs[i].task.step].gang)
+			for_gang_members(s, &r->runs[i], break_member, 0);
+	}
+}
+
+void
+sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms)
+{
+	struct sim_runner *const r = &s->runners[ri];
+
+	if (!r->up)
+		return;
+	r->up = false;
+	break_lost_gangs(s, r);
+	runner_clear(r);
+	if (back_ms > 0)
+		sim_schedule(s, back_ms * SIM_MS, restart_runner)->a = ri;
+}
+
+static void
+stop_drained_runner(struct sim *s, struct sim_event *e)
+{
+	struct sim_runner *const r = &s->runners[e->a];
+
+	if (!r->up || !r->info.draining)
+		return;
+	r->up = false;
+	r->listed = false;
+	break_lost_gangs(s, r);
+	runner_clear(r);
+	sim_send_registry_to_all(s);
+	if (e->b > 0)
+		sim_schedule(s, e->b * SIM_MS, restart_runner)->a = e->a;
+}
+
+void
+sim_runner_drain(struct sim *s, unsigned ri, unsigned leave_ms)
+{
+	struct sim_event *e;
+
+	s->runners[ri].info.draining = true;
+	s->runners[ri].info.remaining_ms = leave_ms;
+	sim_send_registry_to_all(s);
+	e = sim_schedule(s, leave_ms * SIM_MS, stop_drained_runner);
+	e->a = ri;
+	e->b = 3000;
+}
+
+void
+sim_runner_stall(struct sim *s, unsigned ri, bool on)
+{
+	s->runners[ri].stalled = on;
+}
+
+void
+sim_runner_lose_hold(struct sim *s, unsigned ri)
+{
+	s->runners[ri].loses_hold = true;
+}
+
+void
+sim_runner_faulty(struct sim *s, unsigned ri, bool on)
+{
+	s->runners[ri].faulty = on;
+}
+
+void
+sim_runner_ignore_starts(struct sim *s, unsigned ri, bool on)
+{
+	s->runners[ri].ignores_starts = on;
+}
