--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -541,7 +541,7 @@
 	    .type = WF_EF_ALLOW_PEERS, .peers = &self, .peers_len = 1};
 	agb_x_args args = {.proc = AGB_X_RESULTS};
 	agb_x_result items[4];
-	agb_x_finished end;
+	agb_x_finished_run end;
 	struct results r = {0};
 	struct agb_rpc *client;
 	struct wf_rpc *rpc;
@@ -561,8 +561,8 @@
 	memset(items, 0, sizeof(items));
 	memset(&end, 0, sizeof(end));
 	memcpy(end.task.job, task, sizeof(end.task.job));
-	end.saved = "";
-	end.how = 77;
+	end.checkpoint = "";
+	end.end = 77;
 	items[0].status = WF_ORDER_OK;
 	items[1].status = WF_ORDER_NO_PAYLOAD + 1;
 	items[2].status = UINT32_MAX;
