--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -13,7 +13,9 @@
  * full.
  *
  * Measured are calls to relays and, where the leader sends its orders to the
- * runners itself, orders that they answer at once.
+ * runners itself, orders that they answer at once. The same measurements tell
+ * whether the links are congested. What the leader can leave out or do later
+ * gives way then: probes, frequent polls, pushes.
  */
 
 #include "types.h"
