fix(workflow): a restarted instance replaces its predecessor

Cause: an instance that has restarted has a new name, and the key of the earlier one remains until its lease ends. Both counted as instances that answer, as the new process answers at the address of both. Orders and the hand-over of the leadership could go to the earlier name, too.

Change: of the instances at one address only the one whose key was created last counts as one that answers.

--- a/src/workflow/wf_peers.c
+++ b/src/workflow/wf_peers.c
@@ -145,8 +145,8 @@
 
 	n = 0;
 	for (p = t->peers; p != NULL; p = p->hh.next)
-		n +=
-		    strcmp(p->name, ps->self) != 0 && !wf_peer_responds(p, now);
+		n += strcmp(p->name, ps->self) != 0 && !p->replaced &&
+		    !wf_peer_responds(p, now);
 	return n;
 }
 
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -372,6 +372,26 @@
 	ch->job = wf_table_put_spec(t, id, kv->mod_rev, spec);
 }
 
+/* An instance that has restarted has a new name. Of the instances at one address
+ * only the latest can run, although the keys of the others remain until their
+ * leases end. */
+static void
+mark_replaced_peers(struct wf_table *t, const struct wf_peer *changed)
+{
+	const struct wf_peer *latest = changed;
+	struct wf_peer *p;
+
+	for (p = t->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->rpc, changed->rpc) == 0 &&
+		    p->create_rev > latest->create_rev)
+			latest = p;
+	}
+	for (p = t->peers; p != NULL; p = p->hh.next) {
+		if (strcmp(p->rpc, changed->rpc) == 0)
+			p->replaced = p != latest;
+	}
+}
+
 static void
 apply_peer(struct wf_table *t, const char *name, const struct agb_store_kv *kv,
     struct wf_table_change *ch)
@@ -405,6 +425,8 @@
 	agb_str_copy(p->rpc, sizeof(p->rpc), x.rpc);
 	agb_str_copy(p->domain, sizeof(p->domain), x.domain);
 	agb_str_copy(p->region, sizeof(p->region), x.region);
+	p->create_rev = kv->create_rev;
+	mark_replaced_peers(t, p);
 out:
 	xdr_free((xdrproc_t)xdr_wf_x_peer, (char *)&x);
 }
@@ -550,7 +572,8 @@
 {
 	const agb_time last = p->heard_at > 0 ? p->heard_at : p->pinged_since;
 
-	return !p->pinged || last == 0 || now - last < PEER_SILENT_MS * AGB_MS;
+	return !p->replaced &&
+	    (!p->pinged || last == 0 || now - last < PEER_SILENT_MS * AGB_MS);
 }
 
 void
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -70,6 +70,8 @@
  * @heard_at: when it last answered, or 0
  * @ping_tag: tag of the ping that is in flight, or 0
  * @lease: lease that its key is attached to
+ * @create_rev: revision at which its key was created
+ * @replaced: another instance has been started at its address since
  * @found_in_read: found in the full read that is in progress
  */
 struct wf_peer {
@@ -84,6 +86,8 @@
 	agb_id domain;
 	agb_id region;
 	int64_t lease;
+	uint64_t create_rev;
+	bool replaced;
 	bool found_in_read;
 	UT_hash_handle hh;
 };
@@ -178,7 +182,7 @@
 
 /**
  * wf_peer_responds() - check whether an instance answers pings; true while it
- * is not pinged
+ * is not pinged, false when another one answers at its address
  */
 bool wf_peer_responds(const struct wf_peer *p, agb_time now);
 
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -340,6 +340,70 @@
 	}
 }
 
+static void
+apply_peer_record(
+    struct wf_table *t, const char *name, const char *rpc, uint64_t create_rev)
+{
+	struct wf_x_peer x = {
+	    .rpc = (char *)(uintptr_t)rpc, .domain = "d", .region = "r"};
+	char key[WF_KEY_MAX];
+	struct agb_store_kv kv = {.key = key, .create_rev = create_rev};
+
+	wf_table_make_key(key, 'n', name);
+	kv.val = wf_table_encode((xdrproc_t)xdr_wf_x_peer, &x, &kv.val_len);
+	CU_ASSERT(!wf_table_apply(t, &kv).malformed);
+	free(kv.val);
+}
+
+/* Guards against the use of an instance that has restarted under its earlier
+ * name, whose key remains until its lease ends: its address got orders and calls
+ * for advice for two, and the leadership could be handed over to it. */
+static void
+restarted_instance_replaces_its_predecessor(void)
+{
+	static const struct {
+		struct {
+			const char *name, *rpc;
+			uint64_t create_rev;
+		} records[4];
+		const char *responding;
+	} cases[] = {
+	    {{{"a1", "10.0.0.1:1", 5}, {"b1", "10.0.0.2:1", 6}}, "a1 b1 "},
+	    {{{"a1", "10.0.0.1:1", 5}, {"b1", "10.0.0.2:1", 6},
+		 {"a2", "10.0.0.1:1", 9}},
+		"b1 a2 "},
+	    /* In the order of a full read. */
+	    {{{"a2", "10.0.0.1:1", 9}, {"a3", "10.0.0.1:1", 12},
+		 {"a1", "10.0.0.1:1", 5}},
+		"a3 "},
+	    /* A late write of the earlier one. */
+	    {{{"a1", "10.0.0.1:1", 5}, {"a2", "10.0.0.1:1", 9},
+		 {"a1", "10.0.0.1:1", 5}},
+		"a2 "},
+	};
+	const struct wf_peer *p;
+	struct wf_table t;
+	char names[256];
+	size_t i, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&t, 0, sizeof(t));
+		for (k = 0; k < 4 && cases[i].records[k].name != NULL; k++)
+			apply_peer_record(&t, cases[i].records[k].name,
+			    cases[i].records[k].rpc,
+			    cases[i].records[k].create_rev);
+		names[0] = '\0';
+		for (p = t.peers; p != NULL; p = p->hh.next) {
+			if (wf_peer_responds(p, AGB_SEC))
+				snprintf(names + strlen(names),
+				    sizeof(names) - strlen(names), "%s ",
+				    p->name);
+		}
+		CU_ASSERT_STRING_EQUAL(names, cases[i].responding);
+		wf_table_free(&t);
+	}
+}
+
 /* ---- orders without a result ---- */
 
 #define TICK_MS 20
@@ -798,6 +862,8 @@
     {"gone leader: its lease is ended", lease_of_gone_leader_is_ended},
     {"records: too many tasks are malformed",
 	jobs_with_too_many_tasks_are_malformed},
+    {"peers: a restarted instance replaces its predecessor",
+	restarted_instance_replaces_its_predecessor},
     {"hand-over: the successor is chosen", successor_of_leader_is_chosen},
     {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
     {"run times: progress tells the end", progress_tells_when_a_run_ends},
