refactor(workflow): batches of orders and results are freed by their names

wf_orders_free() and wf_results_free() were not named after struct wf_order_batch and struct wf_result_batch. No change of behaviour; test_wf_relay and test_wf_meter pass.

--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -91,7 +91,7 @@
 }
 
 void
-wf_orders_free(struct wf_order_batch *o)
+wf_order_batch_free(struct wf_order_batch *o)
 {
 	size_t i;
 
@@ -103,7 +103,7 @@
 }
 
 void
-wf_results_free(struct wf_result_batch *r)
+wf_result_batch_free(struct wf_result_batch *r)
 {
 	size_t i;
 
@@ -141,14 +141,14 @@
 		free(ef->u.record.val);
 		break;
 	case WF_EF_ORDERS:
-		wf_orders_free(&ef->u.orders);
+		wf_order_batch_free(&ef->u.orders);
 		break;
 	case WF_EF_PAYLOAD_REQUEST:
 	case WF_EF_PAYLOAD_REPLY:
 		free(ef->u.payload.data);
 		break;
 	case WF_EF_RESULTS:
-		wf_results_free(&ef->u.results);
+		wf_result_batch_free(&ef->u.results);
 		break;
 	case WF_EF_ALLOW_PEERS:
 		free(ef->peers);
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -598,14 +598,14 @@
     struct wf_order_result *res, const struct wf_order *o);
 
 /**
- * wf_orders_free() - free the memory owned by a batch of orders
+ * wf_order_batch_free() - free the memory owned by a batch of orders
  */
-void wf_orders_free(struct wf_order_batch *o);
+void wf_order_batch_free(struct wf_order_batch *o);
 
 /**
- * wf_results_free() - free the memory owned by a batch of results
+ * wf_result_batch_free() - free the memory owned by a batch of results
  */
-void wf_results_free(struct wf_result_batch *r);
+void wf_result_batch_free(struct wf_result_batch *r);
 
 /**
  * wf_effects_free() - free all effects and the array
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -89,7 +89,7 @@
 static void
 batch_free(struct wf_relay_peer *p)
 {
-	wf_orders_free(&p->batch);
+	wf_order_batch_free(&p->batch);
 	p->batch_cap = 0;
 	p->runners_cap = 0;
 }
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -139,7 +139,7 @@
 		next = t->hh.next;
 		text_free(t);
 	}
-	wf_results_free(&relay->results);
+	wf_result_batch_free(&relay->results);
 	free(relay);
 }
 
@@ -185,7 +185,7 @@
 	    o->fence, relay->fence, o->reply_to);
 	free_runners(relay);
 	free_pending_texts(relay);
-	wf_results_free(&relay->results);
+	wf_result_batch_free(&relay->results);
 	relay->results_cap = 0;
 	relay->fence = o->fence;
 	agb_str_copy(relay->leader, sizeof(relay->leader), o->reply_to);
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -97,7 +97,7 @@
 	    r, wf_codec_decode_orders(x, &o), "change=malformed-order");
 	ev.u.orders = &o;
 	r->cbs.event(r->arg, &ev);
-	wf_orders_free(&o);
+	wf_order_batch_free(&o);
 }
 
 static void
@@ -110,7 +110,7 @@
 	    r, wf_codec_decode_results(x, &results), "change=malformed-result");
 	ev.u.results = &results;
 	r->cbs.event(r->arg, &ev);
-	wf_results_free(&results);
+	wf_result_batch_free(&results);
 	reply_empty(r, token, AGB_X_RESULTS);
 }
 
--- a/tests/measure/leader_turn.c
+++ b/tests/measure/leader_turn.c
@@ -282,7 +282,7 @@
 	timer_start(m);
 	wf_outbox_handle_results(m->l, &m->now, &batch, &m->out);
 	timer_stop(m, PART_RESULTS);
-	wf_results_free(&batch);
+	wf_result_batch_free(&batch);
 }
 
 static struct wf_relayed_result *
@@ -468,7 +468,7 @@
 		else if (b->items[i].kind == WF_ORDER_HOLD)
 			hold_arrives(m, r, &b->items[i]);
 	}
-	wf_orders_free(b);
+	wf_order_batch_free(b);
 	free(b);
 }
 
@@ -884,7 +884,7 @@
 	for (k = 0; k < m->heap_len; k++) {
 		data = m->heap[k].data;
 		if (m->heap[k].fn == orders_arrive) {
-			wf_orders_free(data);
+			wf_order_batch_free(data);
 			free(data);
 		} else if (m->heap[k].fn == advice_arrives) {
 			free(((struct wf_advice *)data)->items);
@@ -892,7 +892,7 @@
 		}
 	}
 	free(m->heap);
-	wf_results_free(&m->collected);
+	wf_result_batch_free(&m->collected);
 	wf_leader_free(m->l);
 	wf_table_free(&m->table);
 	free(m->doc.queues);
--- a/tests/wfsim/relay.c
+++ b/tests/wfsim/relay.c
@@ -28,7 +28,7 @@
 {
 	struct batch_call *const c = data;
 
-	wf_orders_free(&c->o);
+	wf_order_batch_free(&c->o);
 	free(c);
 }
 
@@ -152,7 +152,7 @@
 {
 	struct results_call *const c = data;
 
-	wf_results_free(&c->r);
+	wf_result_batch_free(&c->r);
 	free(c);
 }
 
