--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -9,7 +9,7 @@
 #define FIRST_CALL_RUNNERS 30
 /* Maximum number of runners that are named for a gang at the same time, in
  * several calls. */
-#define NAMED_RUNNERS_MAX (4 * WF_ADVICE_RUNNERS_MAX)
+#define NAMED_RUNNERS_MAX ((size_t)4 * WF_ADVICE_RUNNERS_MAX)
 /* The service approves at least about this share of the runners named. Calls
  * for a wide gang name as many as are needed at this share, times a factor, as
  * the runners approved may not all be empty. */
