--- a/src/agatebeam/owner_command.c
+++ b/src/agatebeam/owner_command.c
@@ -197,7 +197,8 @@
 }
 
 /* Whether a START is in flight whose attempt has ended. Until it is answered,
- * the end must not be acknowledged, so that the worker remembers the attempt. */
+ * the end must not be acknowledged, so that the worker remembers the
+ * attempt. */
 bool
 own_command_stale_in_flight(
     const struct agb_owner *o, const struct own_worker *w)
--- a/src/agatebeam/owner_job.c
+++ b/src/agatebeam/owner_job.c
@@ -9,8 +9,8 @@
 /* Interval of the checks for expired jobs and keys, which need not be exact. */
 #define EXPIRE_INTERVAL (1 * AGB_SEC)
 
-/* Returns "<team>\0<key>" as a new string, so that equal keys of different teams
- * differ. */
+/* Returns "<team>\0<key>" as a new string, so that equal keys of different
+ * teams differ. */
 char *
 own_dedup_key(const char *team, const char *key, size_t *len)
 {
--- a/src/agatebeam/owner_session.c
+++ b/src/agatebeam/owner_session.c
@@ -4,8 +4,8 @@
 #include "mem.h"
 #include "owner_internal.h"
 
-/* Minimum interval of renewals, for a worker agent that answers at once although
- * it has nothing to report. */
+/* Minimum interval of renewals, for a worker agent that answers at once
+ * although it has nothing to report. */
 #define RENEW_INTERVAL_MIN (20 * AGB_MS)
 /* Interval of renewals while events of the worker cannot be acknowledged yet.
  * It is well under the session TTL. */
@@ -48,7 +48,8 @@
 		    ef->u.worker.boot, sizeof(ef->u.worker.boot), w->boot_id);
 		ef->u.worker.after_seq = w->acked_seq;
 		/* The first renewal of a session is answered at once: it shows
-		 * what became of tasks that the worker does not run any more. */
+		 * what became of tasks that the worker does not run any
+		 * more. */
 		ef->u.worker.wait_ms =
 		    w->first_report_seen ? OWN_RENEW_WAIT_MS : 0;
 		w->next_call_at = now + RENEW_INTERVAL_MIN;
--- a/src/agatebeam/owner_task.c
+++ b/src/agatebeam/owner_task.c
@@ -210,8 +210,8 @@
 		own_task_stop(o, t);
 }
 
-/* Cancels the starts that have not been sent, because they wait for the store or
- * for the worker: a worker that is leaving gets no new tasks. */
+/* Cancels the starts that have not been sent, because they wait for the store
+ * or for the worker: a worker that is leaving gets no new tasks. */
 void
 own_task_recall_unsent(struct agb_owner *o, agb_time now, struct own_worker *w,
     struct agb_effects *out)
@@ -344,9 +344,9 @@
 	} else {
 		own_task_started(o, now, t, out);
 	}
-	/* The scheduler asks for a stop only once. A STOP that could not be sent
-	 * while the task was unconfirmed, or that has had no effect, is sent
-	 * again here. */
+	/* The scheduler asks for a stop only once. A STOP that could not be
+	 * sent while the task was unconfirmed, or that has had no effect, is
+	 * sent again here. */
 	t->stopping = t->stopping || t->job->cancelled;
 	if (t->stopping && t->worker == w)
 		own_task_stop(o, t);
--- a/src/agatebeam/owner_worker.c
+++ b/src/agatebeam/owner_worker.c
@@ -94,8 +94,9 @@
 	free(w);
 }
 
-/* Adds a worker to the scheduler as joining. The session call is next. Until the
- * election an older owner may have extended the session of one that is gone. */
+/* Adds a worker to the scheduler as joining. The session call is next. Until
+ * the election an older owner may have extended the session of one that is
+ * gone. */
 void
 own_worker_join(struct agb_owner *o, agb_time now, struct own_worker *w,
     struct agb_effects *out)
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -118,8 +118,8 @@
  * @ends: expected ends that @run_ends refers to, in one array, as each gang
  *	without room reads those of all its runners
  * @reservations_made: number of gangs for which room was reserved
- * @tasks_with_advice: waiting tasks of units earlier in the queue that have tickets
- *	or pending calls for advice
+ * @tasks_with_advice: waiting tasks of units earlier in the queue that have
+ *	tickets or pending calls for advice
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
  *	their tickets, or once their calls for advice are answered
  * @rooms: usable runners of @service
@@ -620,9 +620,9 @@
 
 /* Reserves room for a gang that does not fit now. Otherwise small tasks would
  * take all resources as they become free, and the gang would starve. Leaves the
- * runners whose tickets the gang needs in the pass's list @stale, those with the
- * most room first: the reserved ones, and as many others as the same number of
- * calls can name. @to_renew is set to their number.
+ * runners whose tickets the gang needs in the pass's list @stale, those with
+ * the most room first: the reserved ones, and as many others as the same number
+ * of calls can name. @to_renew is set to their number.
  * Return: when it is expected to start. */
 static agb_time
 reserve_for_gang(struct dispatch_pass *p, struct wf_unit *u,
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -7,8 +7,9 @@
 #include "mem.h"
 #include "wf_leader.h"
 
-/* Lease that each hold grants to a runner. A runner that is cut off continues to
- * work for this long, and its tasks cannot be placed elsewhere before then. */
+/* Lease that each hold grants to a runner. A runner that is cut off continues
+ * to work for this long, and its tasks cannot be placed elsewhere before
+ * then. */
 #define RUNNER_LEASE_MS 4000
 /* The runner's clock may run 2% slow, so that a lease lasts up to 1/0.98 of its
  * time; the rest covers rounding. */
@@ -74,16 +75,16 @@
 #define PACE_UNKNOWN UINT32_MAX
 #define LISTED_REQUEUE_DELAY_MS 3000
 /* A draining runner that answered within this time before its registry entry
- * disappeared has probably exited: the entry of a runner that merely stopped answering
- * expires only after its heartbeats have been missing for longer. */
+ * disappeared has probably exited: the entry of a runner that merely stopped
+ * answering expires only after its heartbeats have been missing for longer. */
 #define DEPARTED_REPLY_AGE_MS 2500
-/* An order that fails unsent within this time was refused a connection. One that
- * could not connect in time fails later. */
+/* An order that fails unsent within this time was refused a connection. One
+ * that could not connect in time fails later. */
 #define CONNECTION_REFUSED_MS 300
-/* A runner counts as silent when it has missed this many holds in a row, and the
- * last one was sent within this time: two holds, each with its time limit and
- * the wait before the next. Older ones say nothing after a pause of this process
- * or a time in which it may not extend leases. */
+/* A runner counts as silent when it has missed this many holds in a row, and
+ * the last one was sent within this time: two holds, each with its time limit
+ * and the wait before the next. Older ones say nothing after a pause of this
+ * process or a time in which it may not extend leases. */
 #define MISSED_HOLDS_MIN 2
 #define MISSED_HOLD_AGE_MS 5000
 /* After an election, placement waits this long at most, or until this share of
@@ -221,8 +222,8 @@
 		wf_task_requeue(l, now, t->unit, t, why, out);
 }
 
-/* Requeues all tasks assigned to a runner. Called when they certainly do not run
- * there any more. */
+/* Requeues all tasks assigned to a runner. Called when they certainly do not
+ * run there any more. */
 static void
 requeue_runner_tasks(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     const char *why, struct wf_effects *out)
@@ -232,8 +233,8 @@
 }
 
 /* Whether the start of a task may still reach the restarted runner because the
- * start order was not answered. A stop that the earlier incarnation has answered
- * does not rule that out. */
+ * start order was not answered. A stop that the earlier incarnation has
+ * answered does not rule that out. */
 static bool
 may_start_after_restart(const struct wf_task *t)
 {
@@ -311,8 +312,8 @@
 	}
 }
 
-/* Resets the state of a runner that has restarted: it has no tasks and no memory
- * of earlier orders. */
+/* Resets the state of a runner that has restarted: it has no tasks and no
+ * memory of earlier orders. */
 static void
 handle_runner_restart(struct wf_leader *l, const struct wf_now *now,
     uint32_t ri, int64_t started_ms, struct wf_effects *out)
@@ -760,9 +761,9 @@
 	return ms >= (step->gang ? 2 * lost_ms : lost_ms);
 }
 
-/* A runner on which no task makes progress is given no new tasks, and tasks that
- * have been stalled for too long are restarted elsewhere. Members of a gang
- * stall together, so they are no evidence about their runner. */
+/* A runner on which no task makes progress is given no new tasks, and tasks
+ * that have been stalled for too long are restarted elsewhere. Members of a
+ * gang stall together, so they are no evidence about their runner. */
 static void
 check_progress(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     struct wf_effects *out)
@@ -1074,8 +1075,8 @@
 }
 
 /* Whether a failed hold shows that no process of the runner exists any more. An
- * answer that is lost and a connection that times out show only that the network
- * does not reach it, and other refusals come from the runner itself. */
+ * answer that is lost and a connection that times out show only that the
+ * network does not reach it, and other refusals come from the runner itself. */
 static bool
 shows_exit(const struct wf_order_result *res, agb_time now)
 {
--- a/src/workflow/wf_flow.h
+++ b/src/workflow/wf_flow.h
@@ -32,7 +32,8 @@
  * @confirmed: starts that were confirmed in the current interval
  * @held_back: @limit held tasks back in the current interval
  * @held_back_at: end of the last interval in which it did, or 0
- * @starts_per_s: starts confirmed a second, as a moving average over such intervals
+ * @starts_per_s: starts confirmed a second, as a moving average over such
+ *	intervals
  */
 struct wf_flow {
 	uint32_t limit;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -372,9 +372,9 @@
 	ch->job = wf_table_put_spec(t, id, kv->mod_rev, spec);
 }
 
-/* An instance that has restarted has a new name. Of the instances at one address
- * only the latest can run, although the keys of the others remain until their
- * leases end. */
+/* An instance that has restarted has a new name. Of the instances at one
+ * address only the latest can run, although the keys of the others remain until
+ * their leases end. */
 static void
 mark_replaced_peers(struct wf_table *t, const struct wf_peer *changed)
 {
