refactor(tests): overload and election tests share their beginnings and ends

Cause: two new overload tests had the same check of accepted jobs, written twice, and two new election tests the same nine lines up to the start order.

Change: check_accepted_finished() and start_with_task(). Cases, bounds and conditions are the same.

--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -509,6 +509,26 @@
 	return n;
 }
 
+/* Starts an instance that leads, and its only task on one of two runners.
+ * Returns the order that starts it, which is not answered yet. */
+static const struct wf_order *
+start_with_task(struct instance *x)
+{
+	struct agb_store_result written = {
+	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
+	const struct wf_order *started;
+
+	start(x, LEASE, false);
+	deliver_registry(x, RUNNERS_MAX);
+	pass(x);
+	answer_hold(x, "r-0", CLOCK_MS);
+	answer_hold(x, "r-1", CLOCK_MS);
+	answer_op(x, last_op(x, AGB_STORE_TXN), &written);
+	started = last_order(x, WF_ORDER_START, NULL);
+	require(started != NULL);
+	return started;
+}
+
 /* The entry of a runner that is leaving is removed from the registry, and its
  * next hold fails. Guards against tasks that are started again while their runner
  * lives and only the network or the registry does not reach it, and against
@@ -528,22 +548,13 @@
 	    {WF_ORDER_LOST, 1600, false},
 	    {WF_ORDER_BUSY, 10, false},
 	};
-	struct agb_store_result written = {
-	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
 	const struct wf_order *started;
 	const char *leaving;
 	struct instance x;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, LEASE, false);
-		deliver_registry(&x, RUNNERS_MAX);
-		pass(&x);
-		answer_hold(&x, "r-0", CLOCK_MS);
-		answer_hold(&x, "r-1", CLOCK_MS);
-		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
-		started = last_order(&x, WF_ORDER_START, NULL);
-		require(started != NULL);
+		started = start_with_task(&x);
 		leaving =
 		    strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
 		answer_order(&x, started, WF_ORDER_OK, CLOCK_MS, NULL);
@@ -580,8 +591,6 @@
 	    {LATE_CLOCK_MS, false, WF_ORDER_LOST, 1},
 	    {CLOCK_MS, false, WF_ORDER_OK, 1},
 	};
-	struct agb_store_result written = {
-	    .status = AGB_STORE_OK, .succeeded = true, .revision = 9};
 	struct wf_finished_run ended = {.seq = 1, .end = WF_END_DONE};
 	const struct wf_order *started;
 	const char *silent, *other;
@@ -589,14 +598,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		start(&x, LEASE, false);
-		deliver_registry(&x, RUNNERS_MAX);
-		pass(&x);
-		answer_hold(&x, "r-0", CLOCK_MS);
-		answer_hold(&x, "r-1", CLOCK_MS);
-		answer_op(&x, last_op(&x, AGB_STORE_TXN), &written);
-		started = last_order(&x, WF_ORDER_START, NULL);
-		require(started != NULL);
+		started = start_with_task(&x);
 		silent = strcmp(started->runner_id, "r-0") == 0 ? "r-0" : "r-1";
 		other = strcmp(silent, "r-0") == 0 ? "r-1" : "r-0";
 		ended.task = started->task;
--- a/tests/test_wf_overload.c
+++ b/tests/test_wf_overload.c
@@ -440,6 +440,21 @@
 	return n;
 }
 
+/* As check_drained(), for loads of which some jobs may be rejected. */
+static void
+check_accepted_finished(struct sim *s, size_t i)
+{
+	unsigned left;
+
+	sim_run(s, FINISH_MS);
+	left = count_unfinished(s);
+	if (left > 0)
+		printf("\n  case %zu: %u of %u jobs not finished\n", i, left,
+		    sim_job_count(s));
+	CU_ASSERT_EQUAL(left, 0);
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+}
+
 /* Guards against the same after all instances have lost power while jobs wait:
  * the next leader reads them all, asks all runners for their lists, and the load
  * goes on (incident of the large deployment). */
@@ -466,12 +481,7 @@
 		for (ci = 0; ci < CORES; ci++)
 			sim_kill(s, ci, down_ms + ci * apart_ms);
 		run_load(s, LOAD_AFTER_MS, cases[i].load_percent);
-		sim_run(s, FINISH_MS);
-		if (count_unfinished(s) > 0)
-			printf("\n  case %zu: %u of %u jobs not finished\n", i,
-			    count_unfinished(s), sim_job_count(s));
-		CU_ASSERT_EQUAL(count_unfinished(s), 0);
-		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		check_accepted_finished(s, i);
 		sim_free(s);
 	}
 }
@@ -494,7 +504,6 @@
 	    {400, 400, 1000, 40},
 	};
 	struct sim_options o = small_links;
-	unsigned left;
 	struct sim *s;
 	size_t i;
 
@@ -507,13 +516,7 @@
 		run_load(s, cases[i].slow_ms, cases[i].load_percent);
 		set_links(s, cases[i].link_kbps);
 		run_load(s, 4000, cases[i].load_percent);
-		sim_run(s, FINISH_MS);
-		left = count_unfinished(s);
-		if (left > 0)
-			printf("\n  case %zu: %u of %u jobs unfinished\n", i,
-			    left, sim_job_count(s));
-		CU_ASSERT_EQUAL(left, 0);
-		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		check_accepted_finished(s, i);
 		sim_free(s);
 	}
 }
