feat(workflow): lookups in the document count the queues they compare

What operators saw: a leader that spends its turns on lookups in a document of thousands of queues looked like any other slow leader.

Change: struct wf_meter counts the queues that lookups by name or by route have compared; the metric is agatebeam_queues_compared_total.

Measured: test_wf_meter, 'metrics: text', has the new line and passes.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -306,6 +306,7 @@
 	    "version=%" PRIu64 " before=%" PRIu64 " queues=%zu services=%zu",
 	    doc->version, old != NULL ? old->version : 0, doc->queues_len,
 	    doc->services_len);
+	doc->compared = &c->meter.total.queues_compared;
 	c->doc = doc;
 	if (c->leader != NULL)
 		wf_leader_set_doc(c->leader, doc);
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -104,10 +104,13 @@
  * struct wf_meter_totals - sums since the start of the process
  * @examined: queued steps, and runners for them, that dispatch passes have
  *	looked at: the size of the passes, whatever the speed of the machine
+ * @queues_compared: queues of the document that lookups by name or by route have
+ *	compared
  */
 struct wf_meter_totals {
 	uint64_t turns;
 	uint64_t examined;
+	uint64_t queues_compared;
 	agb_time parts[WF_PARTS];
 	uint64_t tallies[WF_TALLIES];
 };
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -207,6 +207,7 @@
 /* Metrics that have a single value without labels. */
 enum scalar_id {
 	VAL_DOCUMENT_VERSION,
+	VAL_QUEUES_COMPARED,
 	VAL_STORE_REVISION,
 	VAL_READY,
 	VAL_LEADER,
@@ -239,6 +240,9 @@
     [VAL_DOCUMENT_VERSION] = {.name = "agatebeam_document_version",
 	.help = "Document in force.",
 	.type = AGB_METRIC_GAUGE},
+    [VAL_QUEUES_COMPARED] = {.name = "agatebeam_queues_compared_total",
+	.help = "Queues that lookups in the document have compared.",
+	.type = AGB_METRIC_COUNTER},
     [VAL_STORE_REVISION] = {.name = "agatebeam_store_revision",
 	.help = "Revision of the store that is known.",
 	.type = AGB_METRIC_GAUGE},
@@ -385,6 +389,7 @@
 	const struct wf_gauges *const g = &in->gauges;
 	const double current[VAL_COUNT] = {
 	    [VAL_DOCUMENT_VERSION] = (double)g->document_version,
+	    [VAL_QUEUES_COMPARED] = (double)in->meter->total.queues_compared,
 	    [VAL_STORE_REVISION] = (double)g->store_revision,
 	    [VAL_READY] = g->ready,
 	    [VAL_LEADER] = g->is_leader,
--- a/src/workflow/wf_types.c
+++ b/src/workflow/wf_types.c
@@ -46,12 +46,20 @@
 	free(doc);
 }
 
+static void
+count_compared(const struct wf_doc *doc)
+{
+	if (doc->compared != NULL)
+		(*doc->compared)++;
+}
+
 const struct wf_queue *
 wf_doc_queue(const struct wf_doc *doc, const char *name)
 {
 	size_t i;
 
 	for (i = 0; doc != NULL && i < doc->queues_len; i++) {
+		count_compared(doc);
 		if (strcmp(doc->queues[i].name, name) == 0)
 			return &doc->queues[i];
 	}
@@ -67,6 +75,7 @@
 	best = NULL;
 	best_len = 0;
 	for (i = 0; doc != NULL && i < doc->queues_len; i++) {
+		count_compared(doc);
 		q = &doc->queues[i];
 		len = strlen(q->path_prefix);
 		if (strcasecmp(q->host, host) != 0 ||
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -162,6 +162,8 @@
 
 /**
  * struct wf_doc - configuration document in force
+ * @compared: incremented for each queue that a lookup compares; NULL when
+ *	nothing is counted
  */
 struct wf_doc {
 	uint64_t version;
@@ -170,6 +172,7 @@
 	struct wf_service *services;
 	size_t services_len;
 	size_t body_max;
+	uint64_t *compared;
 };
 
 /**
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -273,6 +273,7 @@
 metrics_show_measurements(void)
 {
 	static const char *const lines[] = {
+	    "agatebeam_queues_compared_total 9\n",
 	    "agatebeam_gangs_waiting 2\n",
 	    "agatebeam_starts_in_flight 30\n",
 	    "agatebeam_starts_limit 50\n",
@@ -309,6 +310,7 @@
 	turn(&m, &p, 250);
 	wf_meter_add_result(&m, &res, 8 * AGB_SEC);
 	wf_meter_add_approval_age(&m, AGB_SEC);
+	m.total.queues_compared = 9;
 	rpc.queued_bytes[AGB_X_ORDERS] = 600;
 	in.gauges.load = (struct wf_load){7, 2, 30, 50, 40};
 	in.meter = &m;
