--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -788,11 +788,93 @@
 	}
 }
 
+/* An endpoint that repeats a call as soon as it has failed. */
+struct repeating_caller {
+	struct agb_rpc *rpc;
+	const char *peer;
+	const char *id;
+	int calls;
+	int sent;
+};
+
+static void
+repeat_call(struct repeating_caller *c)
+{
+	agb_x_args args = {.proc = AGB_X_EXPLAIN};
+
+	c->calls++;
+	args.agb_x_args_u.explain.id = (char *)(uintptr_t)c->id;
+	agb_rpc_call(c->rpc, 1, c->peer, &args, 5000);
+}
+
+static void
+on_repeated_call_failed(
+    void *arg, uint64_t tag, bool ok, bool sent, agb_x_res *res)
+{
+	struct repeating_caller *const c = arg;
+
+	CU_ASSERT_FALSE(ok);
+	c->sent += sent;
+	repeat_call(c);
+}
+
+/* Guards against a process that does nothing but repeat a call which fails
+ * before it is sent, since it cannot be encoded or its peer cannot be reached.
+ */
+static void
+test_repeated_unsent_calls(void)
+{
+	static const struct agb_rpc_cbs repeating_cbs = {
+	    .reply = on_repeated_call_failed};
+	static const struct {
+		bool closed_port;
+		size_t id_len;
+	} cases[] = {
+	    {false, AGB_X_ID_MAX + 1},
+	    {true, 1},
+	    {false, 1},
+	};
+	const int run_ms = 300, interval_ms = 5;
+	struct repeating_caller c;
+	char id[AGB_X_ID_MAX + 2];
+	agb_addr closed;
+	uint64_t until;
+	uv_loop_t loop;
+	uv_tcp_t tcp;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&c, 0, sizeof(c));
+		memset(id, 'x', sizeof(id));
+		id[cases[i].id_len] = '\0';
+		uv_loop_init(&loop);
+		loop_bind_closed_port(&loop, &tcp, closed);
+		c.rpc = agb_rpc_new(&loop, "127.0.0.1:0", &repeating_cbs, &c);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(c.rpc);
+		c.id = id;
+		c.peer = cases[i].closed_port ? closed
+		    : cases[i].id_len > 1     ? "127.0.0.1:1"
+					      : "no address";
+		repeat_call(&c);
+		CU_ASSERT_EQUAL(c.calls, 1);
+		until = uv_hrtime() + (uint64_t)run_ms * 1000000;
+		while (uv_hrtime() < until)
+			uv_run(&loop, UV_RUN_ONCE);
+		CU_ASSERT(c.calls > 5);
+		CU_ASSERT(c.calls <= run_ms / interval_ms);
+		CU_ASSERT_EQUAL(c.sent, 0);
+		uv_close((uv_handle_t *)&tcp, NULL);
+		agb_rpc_free(c.rpc);
+		loop_close(&loop);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"round_trip", test_round_trip},
     {"backlog", test_backlog},
     {"backlog: slow peer", test_backlog_of_slow_peer},
     {"unsent", test_unsent},
+    {"repeated unsent calls", test_repeated_unsent_calls},
     {"silent connection", test_silent_connection},
     {"timeout of a busy process", test_timeout_of_busy_process},
     {"forged_replies", test_forged_replies},
