test(wfsim): queues with approvals of their own, and an advice service that is away

All jobs of a simulation were in one queue, whose approvals cost nothing but time. The options can name several queues with their times of calls and shares of approved runners, and the service can handle the calls of an instance one after the other. It can be away for a while. Up to 40 instances.

--- a/tests/wfsim/client.c
+++ b/tests/wfsim/client.c
@@ -129,7 +129,10 @@
 	c->call.kind = kind;
 	c->call.spec = spec;
 	agb_str_copy(c->call.host, sizeof(c->call.host), "h");
-	snprintf(c->call.path, sizeof(c->call.path), "/q/%s", job);
+	snprintf(c->call.path, sizeof(c->call.path), "/%s/%s",
+	    s->o.queues_len > 0 ? s->o.queues[sim_job_find(s, job)->queue].name
+				: "q",
+	    job);
 	if (s->cores[ci].up && s->now >= s->cores[ci].frozen_until) {
 		if (sim_is_busy(s, &s->cores[ci])) {
 			sim_attach(
@@ -144,9 +147,17 @@
 
 void
 sim_submit(struct sim *s, unsigned ci, const char *id, struct wf_spec *spec)
+{
+	sim_submit_to(s, ci, 0, id, spec);
+}
+
+void
+sim_submit_to(struct sim *s, unsigned ci, size_t queue, const char *id,
+    struct wf_spec *spec)
 {
 	struct sim_job *const j = &s->jobs[s->jobs_len++];
 
+	j->queue = queue;
 	agb_str_copy(j->id, sizeof(j->id), id);
 	HASH_ADD_STR(s->jobs_by_id, id, j);
 	spec_copy(spec, &j->spec);
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -140,23 +140,13 @@
 	sim_schedule_core(s, ci, next, on_tick);
 }
 
-static struct wf_doc *
-doc_new(const struct sim *s)
+static void
+queue_init(const struct sim *s, struct wf_queue *q, const char *name)
 {
-	struct wf_doc *const d = agb_xcalloc(1, sizeof(*d));
-	struct wf_queue *q;
-
-	d->version = 1;
-	d->queues = agb_xcalloc(1, sizeof(*d->queues));
-	d->queues_len = 1;
-	d->services = agb_xcalloc(1, sizeof(*d->services));
-	d->services_len = 1;
-	q = d->queues;
-	agb_str_copy(q->name, sizeof(q->name), "q");
+	agb_str_copy(q->name, sizeof(q->name), name);
 	agb_str_copy(q->service, sizeof(q->service), "svc");
 	agb_str_copy(q->host, sizeof(q->host), "h");
-	agb_str_copy(q->path_prefix, sizeof(q->path_prefix), "/q/");
-	agb_str_copy(d->services[0].name, sizeof(agb_id), "svc");
+	snprintf(q->path_prefix, sizeof(q->path_prefix), "/%s/", name);
 	q->timeout_ms = 3000;
 	q->target_ms = 1000;
 	q->max_attempts = s->o.max_attempts;
@@ -164,7 +154,37 @@
 	q->advice_required = s->o.advice_required;
 	q->advice_base_ms = s->o.advice_ms > 0 ? s->o.advice_ms : ADVICE_MS;
 	q->advice_per_runner_ms = s->o.advice_per_runner_ms;
-	q->ticket_valid_ms = 2000;
+	q->ticket_valid_ms = s->o.ticket_ms;
+}
+
+static void
+queue_init_as(
+    const struct sim *s, struct wf_queue *q, const struct sim_queue *sq)
+{
+	queue_init(s, q, sq->name);
+	q->priority = sq->priority;
+	q->target_ms = sq->target_ms;
+	q->slack_factor = sq->slack_factor;
+	q->advice_required = true;
+	q->advice_base_ms = sq->advice_ms;
+	q->advice_per_runner_ms = sq->advice_per_runner_us / 1000.0;
+}
+
+static struct wf_doc *
+doc_new(const struct sim *s)
+{
+	struct wf_doc *const d = agb_xcalloc(1, sizeof(*d));
+	size_t i;
+
+	d->version = 1;
+	d->queues_len = s->o.queues_len > 0 ? s->o.queues_len : 1;
+	d->queues = agb_xcalloc(d->queues_len, sizeof(*d->queues));
+	d->services = agb_xcalloc(1, sizeof(*d->services));
+	d->services_len = 1;
+	agb_str_copy(d->services[0].name, sizeof(agb_id), "svc");
+	queue_init(s, &d->queues[0], "q");
+	for (i = 0; i < s->o.queues_len; i++)
+		queue_init_as(s, &d->queues[i], &s->o.queues[i]);
 	return d;
 }
 
@@ -207,6 +227,7 @@
 	c->tick_at = 0;
 	c->frozen_until = 0;
 	c->link_free_at = 0;
+	c->advice_free_at = 0;
 	doc.u.doc = doc_new(s);
 	sim_handle_event(s, e->core, &doc);
 }
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -59,6 +59,21 @@
 	return n;
 }
 
+int64_t
+sim_running_cpu_milli(const struct sim *s)
+{
+	int64_t sum = 0;
+	unsigned ri;
+	size_t i;
+
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; s->runners[ri].up && i < s->runners[ri].runs_len;
+		     i++)
+			sum += s->runners[ri].runs[i].need.cpu_milli;
+	}
+	return sum;
+}
+
 uint64_t
 sim_bytes_sent(const struct sim *s, unsigned ci)
 {
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -14,6 +14,8 @@
 	s->o = *o;
 	if (s->o.max_attempts == 0)
 		s->o.max_attempts = 3;
+	if (s->o.ticket_ms == 0)
+		s->o.ticket_ms = TICKET_MS;
 	if (s->o.latency_ms == 0)
 		s->o.latency_ms = 2;
 	s->random = o->seed * 2654435761U + 88172645463325252ULL;
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -14,7 +14,7 @@
 
 #include "wf_core.h"
 
-#define SIM_CORES_MAX 8
+#define SIM_CORES_MAX 40
 #define SIM_RUNNERS_MAX 512
 #define SIM_MS AGB_MS
 #define SIM_FIRST_STALL_SEED 1000000
@@ -22,6 +22,22 @@
 
 struct sim;
 
+/**
+ * struct sim_queue - a queue that needs approval by the advice service
+ * @advice_ms: time that a call for advice takes
+ * @advice_per_runner_us: added to @advice_ms for each runner named
+ * @approved_percent: share of the runners that are approved for a step
+ */
+struct sim_queue {
+	const char *name;
+	uint32_t priority;
+	uint32_t target_ms;
+	double slack_factor;
+	unsigned advice_ms;
+	unsigned advice_per_runner_us;
+	unsigned approved_percent;
+};
+
 /**
  * struct sim_options - parameters of a simulation
  * @latency_ms: one-way latency to the store, the runners and the advice service
@@ -40,6 +56,9 @@
  *	core; 0 when work takes no time
  * @advice_ms: time that a call for advice takes
  * @advice_per_runner_ms: added to @advice_ms for each runner named
+ * @advice_in_turn: the advice service handles one call of an instance at a time
+ * @ticket_ms: lifetime of an approval; 0 means 2000
+ * @queues: queues for sim_submit_to(), in place of the single default one
  * @fault_gap_ms: mean time between two faults in randomized runs; 0 for none
  */
 struct sim_options {
@@ -62,6 +81,10 @@
 	unsigned processor_percent;
 	unsigned advice_ms;
 	unsigned advice_per_runner_ms;
+	bool advice_in_turn;
+	unsigned ticket_ms;
+	const struct sim_queue *queues;
+	size_t queues_len;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -92,6 +115,13 @@
     struct sim *s, unsigned ci, const char *id, struct wf_spec *spec);
 void sim_cancel(struct sim *s, unsigned ci, const char *id);
 
+/**
+ * sim_submit_to() - as sim_submit(), to a queue of the options
+ * @queue: its index
+ */
+void sim_submit_to(struct sim *s, unsigned ci, size_t queue, const char *id,
+    struct wf_spec *spec);
+
 /**
  * sim_new_spec() - create a job with one step
  */
@@ -135,6 +165,8 @@
 char *sim_state_record(struct sim *s, const char *id, size_t *len);
 void sim_set_state_record(
     struct sim *s, const char *id, const char *val, size_t len);
+/* While the advice service is away, calls to it are not answered. */
+void sim_set_advice(struct sim *s, bool up);
 /* Cuts a runner off from all instances. */
 void sim_runner_cut(struct sim *s, unsigned ri, bool cut);
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
@@ -162,6 +194,8 @@
 unsigned sim_start_count(const struct sim *s, const char *id);
 /* Starts of all jobs at runners. */
 unsigned sim_total_start_count(const struct sim *s);
+/* Processors of all running tasks, in thousandths. */
+int64_t sim_running_cpu_milli(const struct sim *s);
 /* Order batches, writes and other messages that instances have sent. */
 uint64_t sim_bytes_sent(const struct sim *s, unsigned ci);
 unsigned sim_started_at_ms(const struct sim *s, const char *id);
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -13,8 +13,10 @@
 #include "wfsim.h"
 
 #define JOBS_MAX 4096
-/* Time that a call for advice takes by default. */
+/* Time that a call for advice takes, and lifetime of an approval, by default.
+ */
 #define ADVICE_MS 10
+#define TICKET_MS 2000
 #define UNIX_BASE_MS 1700000000000LL
 /* Approximate sizes of a start without the payload of its job, of another
  * order, and of a call between instances without its content, in bytes. */
@@ -100,7 +102,8 @@
 	enum sim_store_mode store;
 	agb_time tick_at;
 	unsigned link_kbps;
-	agb_time link_free_at; /* when its link has sent what is queued */
+	agb_time advice_free_at; /* when its calls for advice are answered */
+	agb_time link_free_at;	 /* when its link has sent what is queued */
 	uint64_t bytes_sent;
 	bool ready;
 };
@@ -115,6 +118,7 @@
 struct sim_job {
 	wf_job_id id;
 	struct wf_spec spec;
+	size_t queue;
 	unsigned status;
 	unsigned starts;
 	agb_time started_at;
@@ -176,6 +180,7 @@
 	unsigned store_loss_percent;
 	unsigned store_slow_ms;
 	unsigned advice_calls;
+	bool advice_away;
 	unsigned load_lines;
 	struct sim_core cores[SIM_CORES_MAX];
 	struct sim_runner runners[SIM_RUNNERS_MAX];
