fix(workflow): counts of pending jobs go out in messages of bounded size

Callers saw: with more than 1,024 queues in the document no instance but the leader knew the number of pending jobs any more, nor a state that was to be pushed with the counts; the leader spent its time on pushes that could not be encoded. Idle queues took 27 KB a second at each 1,000 queues.

Cause: the counts of all queues went out in one message, which holds 1,024 records, and all were repeated every 1.6 s although nearly all were 0. Queues were found by comparing names one after the other, at the leader and at the others, and were kept after they had left the document.

Change: a push holds at most 256 counts and 512 states. Counts are pushed when they have changed; those that are not 0 are repeated in rounds. The record ab/q! tells the position of a push in its round, and an instance that has all pushes of a round takes the other queues for empty. So a lost push, a queue that is gone and a new leader need no zeros to be pushed, and an instance that has just started answers 503 until it has a whole round. Queues are found by hash.

--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -114,6 +114,14 @@
 };
 typedef struct wf_x_peer wf_x_peer;
 
+struct wf_x_round {
+	u_quad_t fence;
+	u_quad_t round;
+	u_int index;
+	u_int total;
+};
+typedef struct wf_x_round wf_x_round;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -123,6 +131,7 @@
 extern  bool_t xdr_wf_x_runner (XDR *, wf_x_runner*);
 extern  bool_t xdr_wf_x_state (XDR *, wf_x_state*);
 extern  bool_t xdr_wf_x_peer (XDR *, wf_x_peer*);
+extern  bool_t xdr_wf_x_round (XDR *, wf_x_round*);
 
 #else /* K&R C */
 extern bool_t xdr_wf_x_step ();
@@ -131,6 +140,7 @@
 extern bool_t xdr_wf_x_runner ();
 extern bool_t xdr_wf_x_state ();
 extern bool_t xdr_wf_x_peer ();
+extern bool_t xdr_wf_x_round ();
 
 #endif /* K&R C */
 
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -227,3 +227,19 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wf_x_round (XDR *xdrs, wf_x_round *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -23,6 +23,9 @@
 #define PUSH_STALE_MS 1300
 /* The same for the counts of pending jobs, which are pushed less often. */
 #define COUNTS_STALE_MS 3000
+/* A change of a count may be lost until all counts are received again. That takes
+ * about 6 s when thousands of queues have jobs and links are congested. */
+#define COUNTS_UNREPAIRED_MS 8000
 /* How often an instance that does not watch all jobs removes finished ones, and
  * how long it keeps them beyond the time that their state can be queried. */
 #define EXPIRE_INTERVAL_MS 5000
@@ -35,6 +38,7 @@
  *	orders or writes were refused; it does not lead with it again
  * @failover: evidence that the leader's process is gone
  * @pushed_at: last push of the leader or of another peer
+ * @counts_at: when all counts of pending jobs had been received; 0 for never
  */
 struct wf_core {
 	struct wf_config cfg;
@@ -53,6 +57,7 @@
 	agb_time started_at;
 	struct wf_peers peers;
 	agb_time pushed_at;
+	agb_time counts_at;
 	agb_time expire_at;
 	struct wf_feeds feeds;
 	struct wf_ready ready;
@@ -397,10 +402,15 @@
 on_push(struct wf_core *c, const struct wf_now *now, const struct wf_feed *feed,
     bool forward, struct wf_effects *out)
 {
+	const uint64_t completed = c->table.counts.completed;
+
 	c->pushed_at = now->mono;
 	if (forward)
 		wf_push_forward(&c->table, &c->cfg, feed, out);
+	wf_known_counts_begin_push(&c->table.counts);
 	apply_pushed(c, now, feed, out);
+	if (c->table.counts.completed != completed)
+		c->counts_at = now->mono;
 }
 
 static void
@@ -563,8 +573,9 @@
 	known.states_current = complete ||
 	    (c->pushed_at > 0 &&
 		now->mono - c->pushed_at < PUSH_STALE_MS * AGB_MS);
-	known.counts_current = c->table.counts_len > 0 &&
-	    now->mono - c->pushed_at < COUNTS_STALE_MS * AGB_MS;
+	known.counts_current = c->counts_at > 0 &&
+	    now->mono - c->pushed_at < COUNTS_STALE_MS * AGB_MS &&
+	    now->mono - c->counts_at < COUNTS_UNREPAIRED_MS * AGB_MS;
 	wf_front_set_knowledge(c->front, &known);
 	if (now->mono < c->expire_at)
 		return;
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -485,8 +485,10 @@
 	size_t len;
 };
 
-/* Maximum number of records in one push to a peer. */
-#define WF_PUSH_RECORDS_MAX 512
+/* Maximum number of job states, and of other records, in one push to a peer. A
+ * message holds twice as many of each, as a job state may also be encoded as a
+ * record. */
+#define WF_PUSH_RECORDS_MAX (AGB_X_ITEMS_MAX / 2)
 
 /**
  * struct wf_push - records pushed to a peer
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -474,7 +474,6 @@
     struct wf_effects *out)
 {
 	struct wf_reply *r;
-	size_t i;
 
 	if (!f->known.jobs_complete && !f->known.counts_current) {
 		refuse(out, call_id, WF_CALL_QUEUE, 503, q->path_prefix,
@@ -482,11 +481,9 @@
 		return;
 	}
 	r = add_reply(out, call_id, WF_CALL_QUEUE, 200);
-	r->pending = wf_table_pending_count(f->table, q->name);
-	for (i = 0; !f->known.jobs_complete && i < f->table->counts_len; i++) {
-		if (strcmp(f->table->counts[i].queue, q->name) == 0)
-			r->pending = f->table->counts[i].pending;
-	}
+	r->pending = f->known.jobs_complete
+	    ? wf_table_pending_count(f->table, q->name)
+	    : wf_known_counts_get(&f->table->counts, q->name);
 }
 
 void
--- a/src/workflow/wf_record.x
+++ b/src/workflow/wf_record.x
@@ -86,3 +86,13 @@
 	string domain<WF_X_NAME_MAX>;
 	string region<WF_X_NAME_MAX>;
 };
+
+/* Position of a push with counts of pending jobs among those of its round, in
+ * which the leader pushes all counts that are not 0. total is the number of
+ * pushes in the round, or 0 while it is not known. */
+struct wf_x_round {
+	unsigned hyper fence;
+	unsigned hyper round;
+	unsigned int index;
+	unsigned int total;
+};
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -13,10 +13,8 @@
 /* Factor of that time while links are congested: starts matter more than how
  * soon callers see a state. */
 #define PUSH_CONGESTED_FACTOR 4
-/* How often the pending jobs are counted, and how often a count that has not
- * changed is pushed again. */
+/* How often the pending jobs are counted. */
 #define COUNT_INTERVAL_MS 400
-#define COUNT_RESEND_MS 1600
 /* With more instances than this, pushes go to one instance of each failure
  * domain, which forwards them. */
 #define DIRECT_PEERS_MAX 12
@@ -59,7 +57,7 @@
 	for (i = 0; i < s->pushes_len; i++)
 		records_free(s->pushes[i].items, s->pushes[i].len);
 	free(s->pushes);
-	free(s->counts);
+	wf_counts_free(&s->counts);
 	free(s->states);
 	memset(s, 0, sizeof(*s));
 }
@@ -87,57 +85,6 @@
 	r->len = 1;
 }
 
-static struct wf_show_count *
-get_count(struct wf_show *s, const char *queue)
-{
-	struct wf_show_count *c;
-	size_t i;
-
-	for (i = 0; i < s->counts_len; i++) {
-		if (strcmp(s->counts[i].queue, queue) == 0)
-			return &s->counts[i];
-	}
-	s->counts =
-	    agb_xreallocarray(s->counts, s->counts_len + 1, sizeof(*s->counts));
-	c = &s->counts[s->counts_len++];
-	memset(c, 0, sizeof(*c));
-	agb_str_copy(c->queue, sizeof(c->queue), queue);
-	return c;
-}
-
-/* Counts the pending jobs of all queues in one pass over the jobs. */
-static void
-count_pending_jobs(struct wf_leader *l)
-{
-	struct wf_show *const s = &l->show;
-	const struct wf_job *j;
-	size_t i;
-
-	for (i = 0; l->doc != NULL && i < l->doc->queues_len; i++)
-		get_count(s, l->doc->queues[i].name);
-	for (i = 0; i < s->counts_len; i++)
-		s->counts[i].pending = 0;
-	for (j = l->table->jobs; j != NULL; j = j->hh.next) {
-		if (wf_job_pending(j))
-			get_count(s, j->spec.queue)->pending++;
-	}
-}
-
-/* Returns false when the same count was pushed recently. */
-static bool
-make_count_record(struct wf_show_count *c, agb_time now, struct wf_record *r)
-{
-	if (c->sent_at > 0 && c->pending == c->sent_pending &&
-	    now - c->sent_at < COUNT_RESEND_MS * AGB_MS)
-		return false;
-	c->sent_pending = c->pending;
-	c->sent_at = now;
-	wf_table_make_key(r->key, 'q', c->queue);
-	r->val = agb_xmemdup(&c->pending, sizeof(c->pending));
-	r->len = sizeof(c->pending);
-	return true;
-}
-
 static struct wf_effect *
 push_records(const char *peer, const struct wf_record *items, size_t len,
     struct wf_effects *out)
@@ -299,37 +246,56 @@
 	    AGB_MS;
 }
 
+static agb_time
+next_push_at(const struct wf_show *s)
+{
+	return s->states_len > 0 || s->counts.due
+	    ? s->push_at
+	    : agb_time_max(s->push_at, s->count_at);
+}
+
+/* Makes the records of the next push. Return: their number. */
+static size_t
+take_records(struct wf_leader *l, struct wf_record *records)
+{
+	struct wf_show *const s = &l->show;
+	const size_t len = s->states_len < WF_PUSH_RECORDS_MAX
+	    ? s->states_len
+	    : WF_PUSH_RECORDS_MAX;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		make_state_record(&records[i], &s->states[i]);
+	s->states_len -= len;
+	if (s->states_len > 0)
+		memmove(s->states, s->states + len,
+		    s->states_len * sizeof(*s->states));
+	return len + wf_counts_take(&s->counts, l->fence, records + len);
+}
+
 agb_time
 wf_show_tick(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
 	struct wf_show *const s = &l->show;
+	const bool count = now->mono >= s->count_at;
 	struct wf_record *records;
-	size_t len, counts, n, i;
+	size_t len;
 
 	if (now->mono < s->push_at ||
-	    (s->states_len == 0 && now->mono < s->count_at))
-		return s->states_len > 0 ? s->push_at : s->count_at;
+	    (s->states_len == 0 && !s->counts.due && !count))
+		return next_push_at(s);
 	s->push_at = now->mono + push_interval(l, now->mono);
-	len = s->states_len < WF_PUSH_RECORDS_MAX ? s->states_len
-						  : WF_PUSH_RECORDS_MAX;
-	counts = 0;
-	if (now->mono >= s->count_at) {
+	if (count) {
 		s->count_at = now->mono + COUNT_INTERVAL_MS * AGB_MS;
-		count_pending_jobs(l);
-		counts = s->counts_len;
+		wf_counts_update(&s->counts, l->table, l->doc, now->mono);
 	}
-	records = agb_xcalloc(len + counts + 1, sizeof(*records));
-	n = 0;
-	for (i = 0; i < len; i++)
-		make_state_record(&records[n++], &s->states[i]);
-	for (i = 0; i < counts; i++)
-		n += make_count_record(&s->counts[i], now->mono, &records[n]);
-	push_to_all(l, now, records, n, out);
-	records_free(records, n);
-	s->states_len -= len;
-	if (s->states_len > 0)
-		memmove(s->states, s->states + len,
-		    s->states_len * sizeof(*s->states));
-	return s->states_len > 0 ? s->push_at : s->count_at;
+	records = agb_xcalloc(
+	    WF_PUSH_RECORDS_MAX + WF_COUNTS_PER_PUSH + 1, sizeof(*records));
+	len = take_records(l, records);
+	/* Without records, it is still the leader's sign of life. */
+	if (len > 0 || count)
+		push_to_all(l, now, records, len, out);
+	records_free(records, len);
+	return next_push_at(s);
 }
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -10,6 +10,7 @@
  * others there.
  */
 
+#include "wf_counts.h"
 #include "wf_event.h"
 
 struct wf_leader;
@@ -23,14 +24,6 @@
 	enum wf_job_state state;
 };
 
-/* Number of pending jobs in a queue, and the value that was pushed last. */
-struct wf_show_count {
-	agb_id queue;
-	uint32_t pending;
-	uint32_t sent_pending;
-	agb_time sent_at;
-};
-
 /**
  * struct wf_show_push - push that has not been acknowledged
  * @relay: handle of the instance that forwards it in its failure domain
@@ -55,8 +48,7 @@
 	struct wf_show_state *states;
 	size_t states_len;
 	size_t states_cap;
-	struct wf_show_count *counts;
-	size_t counts_len;
+	struct wf_counts counts;
 	struct wf_show_push *pushes;
 	size_t pushes_len;
 	uint64_t next_tag;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -278,7 +278,7 @@
 		p_next = p->hh.next;
 		free(p);
 	}
-	free(t->counts);
+	wf_known_counts_free(&t->counts);
 }
 
 struct wf_job *
@@ -464,27 +464,6 @@
 		ch->job = j;
 }
 
-static void
-apply_count(
-    struct wf_table *t, const char *queue, const struct agb_store_kv *kv)
-{
-	size_t i;
-
-	if (kv->val_len != sizeof(uint32_t))
-		return;
-	for (i = 0; i < t->counts_len; i++) {
-		if (strcmp(t->counts[i].queue, queue) == 0)
-			break;
-	}
-	if (i == t->counts_len) {
-		t->counts = agb_xreallocarray(
-		    t->counts, t->counts_len + 1, sizeof(*t->counts));
-		t->counts_len++;
-		agb_str_copy(t->counts[i].queue, sizeof(agb_id), queue);
-	}
-	memcpy(&t->counts[i].pending, kv->val, sizeof(uint32_t));
-}
-
 static void
 apply_job(struct wf_table *t, char kind, const char *id,
     const struct agb_store_kv *kv, struct wf_table_change *ch)
@@ -528,11 +507,17 @@
 		ch.barrier_states = kv->mod_rev;
 		return ch;
 	}
+	if (strcmp(kv->key, WF_KEY_COUNTS_ROUND) == 0) {
+		ch.malformed = !wf_known_counts_set_round(
+		    &t->counts, kv->val, kv->val_len);
+		return ch;
+	}
 	kind = parse_key(kv->key, id);
 	if (kind == 'n')
 		apply_peer(t, id, kv, &ch);
 	else if (kind == 'q')
-		apply_count(t, id, kv);
+		ch.malformed =
+		    !wf_known_counts_set(&t->counts, id, kv->val, kv->val_len);
 	else if (kind == 0 || strlen(id) >= WF_JOB_ID_LEN)
 		ch.malformed = true;
 	else if (kv->deleted)
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -14,6 +14,7 @@
 
 #include "gen/wf_record.h"
 #include "store.h"
+#include "wf_counts.h"
 #include "wf_types.h"
 
 /* Prefix of all keys of the instances, and the prefixes that are watched
@@ -110,15 +111,6 @@
 	uint64_t barrier_states;
 };
 
-/**
- * struct wf_queue_count - number of pending jobs in a queue, as pushed by the
- * leader
- */
-struct wf_queue_count {
-	agb_id queue;
-	uint32_t pending;
-};
-
 /**
  * struct wf_table - local copy of the store
  * @counts: pushed by the leader
@@ -129,8 +121,7 @@
 struct wf_table {
 	struct wf_job *jobs;
 	struct wf_peer *peers;
-	struct wf_queue_count *counts;
-	size_t counts_len;
+	struct wf_known_counts counts;
 	agb_id leader;
 	uint64_t leader_rev;
 	int64_t leader_lease;
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -825,20 +825,21 @@
 	    {{.states_current = true}, 503, 0},
 	    {{0}, 503, 0},
 	};
-	struct wf_queue_count count = {.queue = "q", .pending = 326};
+	const uint32_t count = 326;
 	struct wf_table t;
 	uint32_t pending;
 	size_t i;
 
 	memset(&t, 0, sizeof(t));
-	t.counts = &count;
-	t.counts_len = 1;
+	CU_ASSERT(wf_known_counts_set(
+	    &t.counts, "q", (const char *)&count, sizeof(count)));
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		pending = 0;
 		CU_ASSERT_EQUAL(ask_pending(&t, &cases[i].known, &pending),
 		    cases[i].status);
 		CU_ASSERT_EQUAL(pending, cases[i].pending);
 	}
+	wf_known_counts_free(&t.counts);
 }
 
 static const struct suite_test tests[] = {
--- a/tests/test_wf_push.c
+++ b/tests/test_wf_push.c
@@ -768,6 +768,52 @@
 	}
 }
 
+/* Changes the number of pending jobs of each queue. */
+static void
+toggle_jobs(struct fleet *f)
+{
+	struct wf_job *j;
+
+	for (j = f->table.jobs; j != NULL; j = j->hh.next) {
+		if (strcmp(j->id + 8, "00000000") == 0)
+			j->state = j->state == WF_JOB_QUEUED ? WF_JOB_COMPLETED
+							     : WF_JOB_QUEUED;
+	}
+}
+
+/* Guards against counts that change all the time and keep others from being
+ * pushed. */
+static void
+changing_counts_leave_none_behind(void)
+{
+	static const struct {
+		size_t instances, queues;
+	} cases[] = {
+	    {FEW, 20},
+	    {FEW, QUEUES_SEEN},
+	    {MANY, QUEUES_SEEN},
+	};
+	struct fleet *f;
+	uint32_t pending;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		f = fleet_new(cases[i].instances, cases[i].queues);
+		add_jobs(f);
+		for (k = 0; k < 30; k++) {
+			toggle_jobs(f);
+			run(f, 400);
+		}
+		/* The last ones are known at all. */
+		for (k = cases[i].queues - 10; k < cases[i].queues; k++)
+			CU_ASSERT_EQUAL(ask_pending(f, 0, k, &pending), 200);
+		run(f, 2000);
+		check_at_most(
+		    "counts unknown", i, unknown_counts(f, 0, false), 0);
+		fleet_free(f);
+	}
+}
+
 /* Guards against counts of an earlier leader that stay: the jobs ended while
  * another instance was elected, so that no push told of the change. */
 static void
@@ -886,6 +932,7 @@
     {"idle queues cause no traffic", idle_queues_cause_no_traffic},
     {"counts of an earlier leader do not stay",
 	counts_of_earlier_leader_do_not_stay},
+    {"changing counts leave none behind", changing_counts_leave_none_behind},
     {"missed counts are repaired", missed_counts_are_repaired},
     {"a new follower answers when it knows",
 	new_follower_answers_when_it_knows},
