fix(platform): a response of the store that makes progress is waited for

What callers saw: after a document of a megabyte was stored, the 20 instances of a region with one link of 60 Mbit/s never got it.

Cause: the limit of a poll (2.5 s) and that of a full read covered the whole response, so "slow" counted as "no progress", and what followed repeated the whole transfer.

Change: a request of httpc may have a stall timeout. Its timeout then ends with the first byte of the response; after that the request ends when no byte has arrived for the stall timeout, or at a total limit. Reads of a single key, writes and leases keep their limits, and so do all other users of httpc.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -87,8 +87,10 @@
 	enum call_state state;
 	uv_timer_t timer;
 	agb_time send_deadline;
-	uint64_t deadline_ms; /* loop time; 0 is no deadline */
-	bool deadline_grace;  /* the timer runs for DEADLINE_GRACE_MS */
+	uint64_t deadline_ms;	    /* loop time; 0 is no deadline */
+	uint64_t total_deadline_ms; /* limits @deadline_ms; 0 is no limit */
+	uint32_t stall_timeout_ms;
+	bool deadline_grace; /* the timer runs for DEADLINE_GRACE_MS */
 	bool in_chunk_cb;
 	bool cancelled;
 	bool is_head_request;
@@ -507,6 +509,67 @@
 	return error;
 }
 
+static void
+on_deadline(uv_timer_t *t)
+{
+	static const char *const errors[] = {
+	    [AGB_HTTPC_TIMEOUT_RESPONSE] =
+		"timed out before the response was complete",
+	    [AGB_HTTPC_TIMEOUT_STALL] = "response stopped before its end",
+	    [AGB_HTTPC_TIMEOUT_TOTAL] =
+		"timed out before the response was complete",
+	};
+	struct agb_httpc_call *const call = t->data;
+
+	/* If this process was delayed, the response may already be in the
+	 * socket buffer: read it before reporting a timeout. */
+	if (!call->deadline_grace) {
+		call->deadline_grace = true;
+		uv_timer_start(t, on_deadline, DEADLINE_GRACE_MS, 0);
+		return;
+	}
+	if (call->res.received == 0)
+		call->res.timeout = AGB_HTTPC_TIMEOUT_RESPONSE;
+	else if (call->stall_timeout_ms == 0 ||
+	    call->deadline_ms == call->total_deadline_ms)
+		call->res.timeout = AGB_HTTPC_TIMEOUT_TOTAL;
+	else
+		call->res.timeout = AGB_HTTPC_TIMEOUT_STALL;
+	call->res.timed_out = true;
+	call_fail(call, errors[call->res.timeout]);
+}
+
+/* Once the request is written, only the timeout of the whole call applies. */
+static void
+start_deadline(struct agb_httpc_call *call)
+{
+	const uint64_t now = uv_now(call->c->loop);
+
+	uv_timer_stop(&call->timer);
+	call->deadline_grace = false;
+	if (call->deadline_ms > 0)
+		uv_timer_start(&call->timer, on_deadline,
+		    call->deadline_ms > now ? call->deadline_ms - now : 0, 0);
+}
+
+/* Called when bytes of the response have arrived. The total limit is left as it
+ * is once it applies: bytes that keep arriving must not restart its grace. */
+static void
+extend_deadline(struct agb_httpc_call *call)
+{
+	uint64_t ms;
+
+	if (call->stall_timeout_ms == 0)
+		return;
+	ms = uv_now(call->c->loop) + call->stall_timeout_ms;
+	if (call->total_deadline_ms > 0 && ms > call->total_deadline_ms)
+		ms = call->total_deadline_ms;
+	if (ms == call->deadline_ms)
+		return;
+	call->deadline_ms = ms;
+	start_deadline(call);
+}
+
 static void
 on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf)
 {
@@ -540,6 +603,8 @@
 			: "connection error while reading the response");
 		return;
 	}
+	call->res.received += (uint64_t)n;
+	extend_deadline(call);
 	error = parse_response(call, buf->base, (size_t)n, &used);
 	if (call->cancelled) {
 		agb_httpc_cancel(call);
@@ -562,35 +627,6 @@
 	call_finish(call, AGB_HTTPC_COMPLETE, NULL);
 }
 
-static void
-on_deadline(uv_timer_t *t)
-{
-	struct agb_httpc_call *const call = t->data;
-
-	/* If this process was delayed, the response may already be in the
-	 * socket buffer: read it before reporting a timeout. */
-	if (!call->deadline_grace) {
-		call->deadline_grace = true;
-		uv_timer_start(t, on_deadline, DEADLINE_GRACE_MS, 0);
-		return;
-	}
-	call->res.timed_out = true;
-	call_fail(call, "timed out before the response was complete");
-}
-
-/* Once the request is written, only the timeout of the whole call applies. */
-static void
-start_deadline(struct agb_httpc_call *call)
-{
-	const uint64_t now = uv_now(call->c->loop);
-
-	uv_timer_stop(&call->timer);
-	call->deadline_grace = false;
-	if (call->deadline_ms > 0)
-		uv_timer_start(&call->timer, on_deadline,
-		    call->deadline_ms > now ? call->deadline_ms - now : 0, 0);
-}
-
 static void
 on_written(uv_write_t *w, int status)
 {
@@ -914,6 +950,10 @@
 	first_timeout_ms = req->timeout_ms;
 	if (req->timeout_ms > 0)
 		call->deadline_ms = uv_now(c->loop) + req->timeout_ms;
+	call->stall_timeout_ms = req->stall_timeout_ms;
+	if (req->total_timeout_ms > 0)
+		call->total_deadline_ms =
+		    uv_now(c->loop) + req->total_timeout_ms;
 	if (req->connect_timeout_ms > 0 &&
 	    (first_timeout_ms == 0 ||
 		req->connect_timeout_ms < first_timeout_ms))
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -38,6 +38,19 @@
 	AGB_HTTPC_LOST,
 };
 
+/**
+ * enum agb_httpc_timeout - time limit that ended a request
+ * @AGB_HTTPC_TIMEOUT_RESPONSE: no byte of the response arrived in time
+ * @AGB_HTTPC_TIMEOUT_STALL: part of the response arrived, then nothing more
+ * @AGB_HTTPC_TIMEOUT_TOTAL: the response was still arriving
+ */
+enum agb_httpc_timeout {
+	AGB_HTTPC_TIMEOUT_NONE,
+	AGB_HTTPC_TIMEOUT_RESPONSE,
+	AGB_HTTPC_TIMEOUT_STALL,
+	AGB_HTTPC_TIMEOUT_TOTAL,
+};
+
 struct agb_httpc_header {
 	const char *name;
 	const char *value;
@@ -51,6 +64,8 @@
  * @error: error message (a static string) unless @status is
  *	AGB_HTTPC_COMPLETE, else NULL
  * @timed_out: the request ended because a timeout expired
+ * @timeout: which one, if @timed_out
+ * @received: bytes of the response so far, including its head
  */
 struct agb_httpc_res {
 	enum agb_httpc_status status;
@@ -61,6 +76,8 @@
 	size_t body_len;
 	const char *error;
 	bool timed_out;
+	enum agb_httpc_timeout timeout;
+	uint64_t received;
 };
 
 /**
@@ -93,7 +110,13 @@
  * @path: path and query
  * @headers: additional headers; Host and Content-Length are added
  * @timeout_ms: time until the response is complete, including the wait for a
- *	connection; 0 is no limit
+ *	connection; 0 is no limit. With @stall_timeout_ms, time until its first
+ *	byte.
+ * @stall_timeout_ms: longest time without a byte once the response has begun,
+ *	so that a slow response is not given up as long as it makes progress; 0
+ *	makes @timeout_ms the limit of the whole response
+ * @total_timeout_ms: time until the response is complete if @stall_timeout_ms
+ *	is set; 0 is no limit
  * @connect_timeout_ms: time until the request is written, including the wait
  *	for a connection; 0 is no separate limit
  * @send_deadline: CLOCK_BOOTTIME, which also advances while the machine is
@@ -112,6 +135,8 @@
 	const void *body;
 	size_t body_len;
 	uint32_t timeout_ms;
+	uint32_t stall_timeout_ms;
+	uint32_t total_timeout_ms;
 	uint32_t connect_timeout_ms;
 	agb_time send_deadline;
 	size_t body_max;
--- a/src/agatebeam/store.h
+++ b/src/agatebeam/store.h
@@ -211,6 +211,9 @@
  * struct agb_store_ops - operations of a store client
  * @call: carries out @op, whose contents it takes over; the result callback is
  *	called once, after this function has returned
+ *	For a range with an end, @timeout_ms limits the time until the answer
+ *	begins and the time for which it makes no progress, as all keys together
+ *	can take long on a slow link; for other calls, the whole time.
  * @watch: watches the keys in [key, range_end) from revision @from_rev on, or
  *	from the present one if it is 0. The watch callback is called until
  *	@unwatch, or until it reports that the watch is broken.
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -285,6 +285,147 @@
 	loop_close(&loop);
 }
 
+/**
+ * struct paced_response - response that a server sends in steps of a byte, and
+ * how a request with these limits must end
+ * @body_len: as in the head of the response
+ * @steps: number of bytes that are sent, after the head; 0 sends nothing
+ * @busy_ms: time for which each step occupies the process
+ */
+struct paced_response {
+	const char *name;
+	uint32_t timeout_ms;
+	uint32_t stall_ms;
+	uint32_t total_ms;
+	unsigned body_len;
+	unsigned steps;
+	unsigned interval_ms;
+	unsigned busy_ms;
+	enum agb_httpc_status want;
+	enum agb_httpc_timeout timeout;
+	uint64_t from_ms;
+	uint64_t to_ms;
+};
+
+static const struct paced_response paced[] = {
+    {"limit of the whole response", 120, 0, 0, 10, 10, 30, 0, AGB_HTTPC_LOST,
+	AGB_HTTPC_TIMEOUT_TOTAL, 120, 250},
+    {"slow", 120, 80, 0, 10, 10, 30, 0, AGB_HTTPC_COMPLETE,
+	AGB_HTTPC_TIMEOUT_NONE, 270, 1000},
+    {"slow without another limit", 0, 80, 0, 10, 10, 30, 0, AGB_HTTPC_COMPLETE,
+	AGB_HTTPC_TIMEOUT_NONE, 270, 1000},
+    {"stops", 120, 80, 0, 10, 4, 30, 0, AGB_HTTPC_LOST, AGB_HTTPC_TIMEOUT_STALL,
+	170, 400},
+    {"stops early", 2000, 80, 0, 10, 1, 30, 0, AGB_HTTPC_LOST,
+	AGB_HTTPC_TIMEOUT_STALL, 80, 400},
+    {"silent", 120, 80, 1000, 10, 0, 30, 0, AGB_HTTPC_LOST,
+	AGB_HTTPC_TIMEOUT_RESPONSE, 120, 250},
+    {"too slow", 120, 80, 200, 10, 10, 50, 0, AGB_HTTPC_LOST,
+	AGB_HTTPC_TIMEOUT_TOTAL, 200, 400},
+    {"endless without pause", 120, 80, 200, 100000, 100000, 1, 0,
+	AGB_HTTPC_LOST, AGB_HTTPC_TIMEOUT_TOTAL, 200, 400},
+    {"process busy for longer than the limit", 120, 80, 0, 10, 10, 1, 100,
+	AGB_HTTPC_COMPLETE, AGB_HTTPC_TIMEOUT_NONE, 900, 3000},
+};
+
+struct paced_server {
+	struct loop_server srv;
+	const struct paced_response *response;
+	struct loop_conn *conn;
+	uv_timer_t timer;
+	unsigned sent;
+};
+
+static void
+send_step(uv_timer_t *t)
+{
+	struct paced_server *const s = t->data;
+
+	if (s->sent == s->response->steps) {
+		uv_timer_stop(t);
+		return;
+	}
+	loop_conn_write(s->conn, "x", 1);
+	s->sent++;
+	uv_sleep(s->response->busy_ms);
+}
+
+static void
+respond_in_steps(struct loop_conn *c)
+{
+	struct paced_server *const s = c->server->arg;
+	char head[64];
+
+	if (strstr(c->in, "\r\n\r\nping") == NULL)
+		return;
+	c->in_len = 0;
+	s->conn = c;
+	if (s->response->steps == 0)
+		return;
+	snprintf(head, sizeof(head),
+	    "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n",
+	    s->response->body_len);
+	loop_conn_write(c, head, strlen(head));
+	uv_timer_start(&s->timer, send_step, s->response->interval_ms,
+	    s->response->interval_ms);
+}
+
+static void
+check_paced(const struct paced_response *p)
+{
+	struct paced_server s = {.response = p};
+	struct result r = {0};
+	struct agb_httpc_req req;
+	struct agb_httpc *c;
+	uint64_t begun_ms, ms;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	c = agb_httpc_new(&loop, 1);
+	loop_server_start(&loop, &s.srv, respond_in_steps, &s);
+	uv_timer_init(&loop, &s.timer);
+	s.timer.data = &s;
+	req = ping_request(s.srv.addr, &r);
+	req.timeout_ms = p->timeout_ms;
+	req.stall_timeout_ms = p->stall_ms;
+	req.total_timeout_ms = p->total_ms;
+	req.body_max = p->body_len;
+	uv_update_time(&loop);
+	begun_ms = uv_now(&loop);
+	agb_httpc_request(c, &req);
+	loop_until(&loop, &r.done, 1);
+	ms = uv_now(&loop) - begun_ms;
+	if (r.res.status != p->want || r.res.timeout != p->timeout ||
+	    ms < p->from_ms || ms > p->to_ms)
+		printf("\n%s: status %d, timeout %d after %d ms: %s", p->name,
+		    r.res.status, r.res.timeout, (int)ms, r.error);
+	CU_ASSERT_EQUAL(r.res.status, p->want);
+	CU_ASSERT_EQUAL(r.res.timeout, p->timeout);
+	CU_ASSERT_EQUAL(r.res.timed_out, p->timeout != AGB_HTTPC_TIMEOUT_NONE);
+	CU_ASSERT(ms >= p->from_ms);
+	CU_ASSERT(ms <= p->to_ms);
+	if (p->want == AGB_HTTPC_COMPLETE)
+		CU_ASSERT_EQUAL(r.res.received,
+		    strlen("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n") +
+			p->body_len);
+	uv_close((uv_handle_t *)&s.timer, NULL);
+	agb_httpc_free(c);
+	loop_server_close(&s.srv);
+	loop_close(&loop);
+}
+
+/* Guards against limits that end a response while it makes progress, that a
+ * response without progress or an endless one outlasts, or that count time for
+ * which this process was busy. */
+static void
+test_paced_responses(void)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(paced) / sizeof(paced[0]); i++)
+		check_paced(&paced[i]);
+}
+
 /* A client whose callback first occupies the loop and then sends a request. */
 struct busy_client {
 	struct agb_httpc *c;
@@ -591,6 +732,7 @@
     {"unsent", test_unsent},
     {"reuse", test_reuse},
     {"deadline", test_deadline},
+    {"paced responses", test_paced_responses},
     {"deadline of a busy process", test_deadline_of_busy_process},
     {"send deadline", test_send_deadline},
     {"cancel", test_cancel},
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -390,11 +390,13 @@
  * @timeout_ms: limit that the caller gives, except for a watch
  * @from_ms, @to_ms: when the last delivery must happen
  * @repeated: number of equal requests
+ * @total_ms: limit of the client for a poll or page; 0 is the default
  */
 struct slow_case {
 	const char *name;
 	enum call_kind kind;
 	uint32_t timeout_ms;
+	uint32_t total_ms;
 	unsigned pages;
 	struct answer answers[ANSWERS_MAX];
 	unsigned deliveries;
@@ -427,6 +429,14 @@
 	.from_ms = 3400,
 	.to_ms = 3700 + LATE_MS,
 	.repeated = 2},
+    {.name = "watch: a response that trickles is given up",
+	.kind = WATCH,
+	.total_ms = 1000,
+	.answers = {{200, 600000, 0}, {200, 0, 0}},
+	.deliveries = 1,
+	.from_ms = 1000,
+	.to_ms = 1300 + LATE_MS,
+	.repeated = 2},
     {.name = "watch: no response",
 	.kind = WATCH,
 	.answers = {{0, 0, 0}, {200, 0, 0}},
@@ -463,6 +473,17 @@
 	.to_ms = 1500 + LATE_MS,
 	.repeated = 1,
 	.status = AGB_STORE_LOST},
+    {.name = "full read: a page that trickles ends it",
+	.kind = READ_PREFIX,
+	.timeout_ms = 600,
+	.total_ms = 1000,
+	.pages = 2,
+	.answers = {{200, 600000, 0}},
+	.deliveries = 1,
+	.from_ms = 1000,
+	.to_ms = 1000 + LATE_MS,
+	.repeated = 1,
+	.status = AGB_STORE_LOST},
     {.name = "full read: no response",
 	.kind = READ_PREFIX,
 	.timeout_ms = 600,
@@ -528,6 +549,17 @@
 	c->store->ops->call(c->store, 1, &op, timeout_ms);
 }
 
+static void
+start_slow_case(const struct slow_case *sc, struct client *c)
+{
+	struct platform_kv_limits limits = platform_kv_default_limits;
+
+	if (sc->total_ms > 0)
+		limits.total_ms = sc->total_ms;
+	platform_kv_set_limits(c->store, &limits);
+	start_call(c, sc->kind, sc->timeout_ms);
+}
+
 static void
 check_slow_case(const struct slow_case *sc, const struct client *c)
 {
@@ -567,8 +599,7 @@
 		deliveries[i] = slow_cases[i].deliveries;
 		link_open(&links[i], &loop);
 		client_open(&clients[i], &loop, &links[i]);
-		start_call(
-		    &clients[i], slow_cases[i].kind, slow_cases[i].timeout_ms);
+		start_slow_case(&slow_cases[i], &clients[i]);
 	}
 	run_clients(&loop, clients, LEN(clients), deliveries, 6000);
 	for (i = 0; i < LEN(slow_cases); i++) {
