fix(platform): polls and full reads that fail are repeated at growing intervals

What callers saw: while the store refused or lost its answers, each instance repeated each poll and each full read every 150 ms, all of them at the same time. A read whose response was lost, or after which the history was gone already, repeated its whole transfer at that rate.

Cause: a constant delay after a failure, whatever came before.

Change: the limit of the delay is 200 ms, doubles with each failure to 800 ms, and half of it is random (src/agatebeam/backoff.c). A poll that is answered ends the growth; for a full read the watch after it must have reported.

--- a/src/workflow/wf_follow.c
+++ b/src/workflow/wf_follow.c
@@ -2,11 +2,15 @@
 
 #include <stdlib.h>
 
+#include "backoff.h"
 #include "mem.h"
 #include "types.h"
 
 #define READ_TIMEOUT_MS 1500
-#define READ_RETRY_MS 150
+
+/* A read repeats a whole transfer, and may take longer than the store keeps its
+ * history, so that the watch after it is broken at once. */
+static const struct agb_backoff read_retry = {.first_ms = 200, .max_ms = 800};
 
 struct wf_follow {
 	uv_timer_t timer;
@@ -17,6 +21,7 @@
 	wf_follow_cb cb;
 	void *arg;
 	uint32_t min_interval_ms;
+	unsigned failures; /* reads in vain since the watch last reported */
 	bool watching;
 	bool reading;
 	bool freed;
@@ -41,7 +46,10 @@
 static void
 schedule_read(struct wf_follow *f)
 {
-	uv_timer_start(&f->timer, on_timer, READ_RETRY_MS, 0);
+	uv_timer_start(&f->timer, on_timer,
+	    agb_backoff_delay_ms(
+		&read_retry, ++f->failures, agb_backoff_random()),
+	    0);
 }
 
 struct wf_follow *
@@ -108,6 +116,7 @@
 		schedule_read(f);
 		return;
 	}
+	f->failures = 0;
 	f->cb(f->arg, false, revision, kvs, len);
 }
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "backoff.h"
 #include "effect.h"
 #include "finding.h"
 #include "mem.h"
@@ -105,12 +106,50 @@
 	CU_ASSERT_EQUAL(out.len, 0);
 }
 
+/* Guards against delays that do not grow, that grow without a limit or overflow,
+ * and that are the same for all instances. */
+static void
+test_backoff_delays(void)
+{
+	static const struct agb_backoff b = {.first_ms = 200, .max_ms = 800};
+	static const struct {
+		unsigned failures;
+		uint32_t random;
+		uint32_t want_ms;
+	} cases[] = {
+	    {0, 0, 100},
+	    {1, 0, 100},
+	    {1, 100, 200},
+	    {1, 101, 100},
+	    {2, 0, 200},
+	    {2, 200, 400},
+	    {3, 0, 400},
+	    {3, 400, 800},
+	    {4, 0, 400},
+	    {4, 400, 800},
+	    {UINT32_MAX, 400, 800},
+	    {UINT32_MAX, UINT32_MAX, 400 + UINT32_MAX % 401},
+	};
+	static const struct agb_backoff none = {0, 0};
+	static const struct agb_backoff longest = {1, UINT32_MAX};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(agb_backoff_delay_ms(
+				    &b, cases[i].failures, cases[i].random),
+		    cases[i].want_ms);
+	CU_ASSERT_EQUAL(agb_backoff_delay_ms(&none, 5, 7), 0);
+	CU_ASSERT_EQUAL(agb_backoff_delay_ms(&longest, 100, 0),
+	    UINT32_MAX - UINT32_MAX / 2);
+}
+
 static const struct suite_test tests[] = {
     {"str_copy", test_str_copy},
     {"reason_names", test_reason_names},
     {"findings_overflow", test_findings_overflow},
     {"prefix_end", test_prefix_end},
     {"effects_own", test_effects_own},
+    {"backoff_delays", test_backoff_delays},
 };
 
 int
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -22,7 +22,8 @@
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
 #define TICK_MS 10
-#define ANSWERS_MAX 6
+#define ANSWERS_MAX 10
+#define DELIVERIES_MAX 4
 /* Tolerance of the measured times, for a busy machine. */
 #define LATE_MS 700
 /* Revision before the first event of a watch. */
@@ -103,7 +104,7 @@
 	unsigned repeated;
 	uint64_t repeated_ms[64];
 	unsigned deliveries;
-	uint64_t delivered_ms[2];
+	uint64_t delivered_ms[DELIVERIES_MAX];
 	enum agb_store_status status;
 	size_t kvs;
 };
@@ -389,6 +390,8 @@
  * struct slow_case - one client, whose server answers slowly
  * @timeout_ms: limit that the caller gives, except for a watch
  * @from_ms, @to_ms: when the last delivery must happen
+ * @apart_ms: longest time between the first delivery and the last; 0 does not
+ *	matter
  * @repeated: number of equal requests
  * @total_ms: limit of the client for a poll or page; 0 is the default
  */
@@ -402,6 +405,7 @@
 	unsigned deliveries;
 	uint64_t from_ms;
 	uint64_t to_ms;
+	uint64_t apart_ms;
 	unsigned repeated;
 	enum agb_store_status status;
 	size_t kvs;
@@ -447,10 +451,12 @@
     {.name = "watch: a success ends the growth of the delays",
 	.kind = WATCH,
 	.answers = {{503, 0, 0}, {503, 0, 0}, {503, 0, 0}, {200, 0, 0},
-	    {503, 0, 0}, {200, 0, 0}},
-	.deliveries = 2,
+	    {503, 0, 0}, {200, 0, 0}, {503, 0, 0}, {200, 0, 0}, {503, 0, 0},
+	    {200, 0, 0}},
+	.deliveries = 4,
 	.from_ms = 0,
 	.to_ms = 2000 + LATE_MS,
+	.apart_ms = 1000,
 	.repeated = 4},
     {.name = "full read: slow pages are waited for",
 	.kind = READ_PREFIX,
@@ -571,6 +577,8 @@
 	CU_ASSERT_EQUAL(c->deliveries, sc->deliveries);
 	CU_ASSERT(ms >= sc->from_ms);
 	CU_ASSERT(ms <= sc->to_ms);
+	if (sc->apart_ms > 0)
+		CU_ASSERT(ms - c->delivered_ms[0] <= sc->apart_ms);
 	CU_ASSERT_EQUAL(c->repeated, sc->repeated);
 	if (sc->kind == WATCH)
 		return;
