--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -22,7 +22,8 @@
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
 #define TICK_MS 10
-#define ANSWERS_MAX 6
+#define ANSWERS_MAX 10
+#define DELIVERIES_MAX 4
 /* Tolerance of the measured times, for a busy machine. */
 #define LATE_MS 700
 /* Revision before the first event of a watch. */
@@ -103,7 +104,7 @@
 	unsigned repeated;
 	uint64_t repeated_ms[64];
 	unsigned deliveries;
-	uint64_t delivered_ms[2];
+	uint64_t delivered_ms[DELIVERIES_MAX];
 	enum agb_store_status status;
 	size_t kvs;
 };
@@ -389,17 +390,22 @@
  * struct slow_case - one client, whose server answers slowly
  * @timeout_ms: limit that the caller gives, except for a watch
  * @from_ms, @to_ms: when the last delivery must happen
+ * @apart_ms: longest time between the first delivery and the last; 0 does not
+ *	matter
  * @repeated: number of equal requests
+ * @total_ms: limit of the client for a poll or page; 0 is the default
  */
 struct slow_case {
 	const char *name;
 	enum call_kind kind;
 	uint32_t timeout_ms;
+	uint32_t total_ms;
 	unsigned pages;
 	struct answer answers[ANSWERS_MAX];
 	unsigned deliveries;
 	uint64_t from_ms;
 	uint64_t to_ms;
+	uint64_t apart_ms;
 	unsigned repeated;
 	enum agb_store_status status;
 	size_t kvs;
@@ -427,6 +433,14 @@
 	.from_ms = 3400,
 	.to_ms = 3700 + LATE_MS,
 	.repeated = 2},
+    {.name = "watch: a response that trickles is given up",
+	.kind = WATCH,
+	.total_ms = 1000,
+	.answers = {{200, 600000, 0}, {200, 0, 0}},
+	.deliveries = 1,
+	.from_ms = 1000,
+	.to_ms = 1300 + LATE_MS,
+	.repeated = 2},
     {.name = "watch: no response",
 	.kind = WATCH,
 	.answers = {{0, 0, 0}, {200, 0, 0}},
@@ -437,10 +451,12 @@
     {.name = "watch: a success ends the growth of the delays",
 	.kind = WATCH,
 	.answers = {{503, 0, 0}, {503, 0, 0}, {503, 0, 0}, {200, 0, 0},
-	    {503, 0, 0}, {200, 0, 0}},
-	.deliveries = 2,
+	    {503, 0, 0}, {200, 0, 0}, {503, 0, 0}, {200, 0, 0}, {503, 0, 0},
+	    {200, 0, 0}},
+	.deliveries = 4,
 	.from_ms = 0,
 	.to_ms = 2000 + LATE_MS,
+	.apart_ms = 1000,
 	.repeated = 4},
     {.name = "full read: slow pages are waited for",
 	.kind = READ_PREFIX,
@@ -463,6 +479,17 @@
 	.to_ms = 1500 + LATE_MS,
 	.repeated = 1,
 	.status = AGB_STORE_LOST},
+    {.name = "full read: a page that trickles ends it",
+	.kind = READ_PREFIX,
+	.timeout_ms = 600,
+	.total_ms = 1000,
+	.pages = 2,
+	.answers = {{200, 600000, 0}},
+	.deliveries = 1,
+	.from_ms = 1000,
+	.to_ms = 1000 + LATE_MS,
+	.repeated = 1,
+	.status = AGB_STORE_LOST},
     {.name = "full read: no response",
 	.kind = READ_PREFIX,
 	.timeout_ms = 600,
@@ -528,6 +555,17 @@
 	c->store->ops->call(c->store, 1, &op, timeout_ms);
 }
 
+static void
+start_slow_case(const struct slow_case *sc, struct client *c)
+{
+	struct platform_kv_limits limits = platform_kv_default_limits;
+
+	if (sc->total_ms > 0)
+		limits.total_ms = sc->total_ms;
+	platform_kv_set_limits(c->store, &limits);
+	start_call(c, sc->kind, sc->timeout_ms);
+}
+
 static void
 check_slow_case(const struct slow_case *sc, const struct client *c)
 {
@@ -539,6 +577,8 @@
 	CU_ASSERT_EQUAL(c->deliveries, sc->deliveries);
 	CU_ASSERT(ms >= sc->from_ms);
 	CU_ASSERT(ms <= sc->to_ms);
+	if (sc->apart_ms > 0)
+		CU_ASSERT(ms - c->delivered_ms[0] <= sc->apart_ms);
 	CU_ASSERT_EQUAL(c->repeated, sc->repeated);
 	if (sc->kind == WATCH)
 		return;
@@ -567,8 +607,7 @@
 		deliveries[i] = slow_cases[i].deliveries;
 		link_open(&links[i], &loop);
 		client_open(&clients[i], &loop, &links[i]);
-		start_call(
-		    &clients[i], slow_cases[i].kind, slow_cases[i].timeout_ms);
+		start_slow_case(&slow_cases[i], &clients[i]);
 	}
 	run_clients(&loop, clients, LEN(clients), deliveries, 6000);
 	for (i = 0; i < LEN(slow_cases); i++) {
