--- a/tests/measure/leader_turn.c
+++ b/tests/measure/leader_turn.c
@@ -39,6 +39,8 @@
 #define GANG_PERCENT 15
 #define ACTIVE_MAX 64
 #define QUEUE_RANGES 5
+/* Queues that jobs are submitted to. */
+#define USED_QUEUES 4
 
 /* Lower bounds of the ranges of queue lengths. */
 static const uint32_t queue_ranges[QUEUE_RANGES] = {0, 100, 500, 1000, 2000};
@@ -122,12 +124,14 @@
  * struct model - the leader and what surrounds it
  * @services: number of services that the runners and the queues are divided
  *	among
+ * @queues: number of queues of the document; those in use are spread over it
  * @collected: results that are sent to the leader at the next COLLECT_MS
  * @digest: hash of all effects so far
  */
 struct model {
 	uint32_t runners_len;
 	uint32_t services;
+	uint32_t queues;
 	struct model_runner *runners;
 	struct wf_config cfg;
 	struct wf_meter meter;
@@ -714,6 +718,13 @@
 
 /* ---- load ---- */
 
+/* Position of a queue in use, the last of its share of the document. */
+static size_t
+queue_position(const struct model *m, size_t i)
+{
+	return (i + 1) * m->queues / USED_QUEUES - 1;
+}
+
 static struct wf_spec *
 spec_new(struct model *m)
 {
@@ -721,7 +732,8 @@
 	const bool gang = draw(m, 100) < GANG_PERCENT;
 
 	agb_str_copy(s->queue, sizeof(s->queue),
-	    m->doc.queues[gang ? draw(m, 2) : 2 + draw(m, 2)].name);
+	    m->doc.queues[queue_position(m, gang ? draw(m, 2) : 2 + draw(m, 2))]
+		.name);
 	s->submitted_ms = m->now.unix_ms;
 	s->repeat_count = 1;
 	agb_str_copy(s->origin, sizeof(s->origin), "10.0.0.1:1");
@@ -760,26 +772,30 @@
 static void
 doc_init(const struct model *m, struct wf_doc *doc)
 {
-	static const struct wf_queue queues[] = {
+	static const struct wf_queue used[USED_QUEUES] = {
 	    {.name = "train", .priority = 2, .advice_base_ms = 180},
 	    {.name = "solve", .priority = 1, .advice_base_ms = 220},
 	    {.name = "check", .priority = 0, .advice_base_ms = 15},
 	    {.name = "render", .priority = 1, .advice_base_ms = 60},
 	};
+	struct wf_queue *q;
 	size_t i;
 
 	doc->version = 1;
-	doc->queues_len = sizeof(queues) / sizeof(queues[0]);
+	doc->queues_len = m->queues;
 	doc->queues = agb_xcalloc(doc->queues_len, sizeof(*doc->queues));
-	memcpy(doc->queues, queues, sizeof(queues));
-	for (i = 0; i < doc->queues_len; i++) {
-		service_name(m, i, doc->queues[i].service);
-		doc->queues[i].target_ms = 2000;
-		doc->queues[i].max_attempts = 3;
-		doc->queues[i].slack_factor = 2;
-		doc->queues[i].advice_required = true;
-		doc->queues[i].advice_per_runner_ms = i < 2 ? 4 : 0.5;
-		doc->queues[i].ticket_valid_ms = TICKET_VALID_MS;
+	for (i = 0; i < doc->queues_len; i++)
+		snprintf(doc->queues[i].name, sizeof(agb_id), "queue-%06zu", i);
+	for (i = 0; i < USED_QUEUES; i++) {
+		q = &doc->queues[queue_position(m, i)];
+		*q = used[i];
+		service_name(m, i, q->service);
+		q->target_ms = 2000;
+		q->max_attempts = 3;
+		q->slack_factor = 2;
+		q->advice_required = true;
+		q->advice_per_runner_ms = i < 2 ? 4 : 0.5;
+		q->ticket_valid_ms = TICKET_VALID_MS;
 	}
 	doc->services_len = m->services;
 	doc->services = agb_xcalloc(m->services, sizeof(*doc->services));
@@ -923,12 +939,14 @@
 	    arg_int0(NULL, "rate", "N", "further jobs a second (160)");
 	struct arg_int *const services =
 	    arg_int0(NULL, "services", "N", "services (1)");
+	struct arg_int *const queues = arg_int0(
+	    NULL, "queues", "N", "queues of the document, at least 4 (4)");
 	struct arg_int *const seconds =
 	    arg_int0(NULL, "seconds", "N", "virtual time (10)");
 	struct arg_int *const seed = arg_int0(NULL, "seed", "N", "seed (1)");
 	struct arg_end *const end = arg_end(4);
-	void *table[] = {
-	    runners, peers, backlog, rate, services, seconds, seed, end};
+	void *table[] = {runners, peers, backlog, rate, services, queues,
+	    seconds, seed, end};
 	struct model m;
 	int i, left;
 
@@ -939,6 +957,9 @@
 	memset(&m, 0, sizeof(m));
 	m.runners_len = (uint32_t)int_option(runners, 1100);
 	m.services = (uint32_t)int_option(services, 1);
+	m.queues = (uint32_t)int_option(queues, USED_QUEUES);
+	if (m.queues < USED_QUEUES)
+		m.queues = USED_QUEUES;
 	model_init(&m, (uint32_t)int_option(peers, 147),
 	    (uint64_t)int_option(seed, 1));
 	for (i = 0; i < int_option(backlog, 2000); i++)
