--- /dev/null
+++ b/src/workflow/wf_doc.h
@@ -0,0 +1,95 @@
+#ifndef WF_DOC_H
+#define WF_DOC_H
+
+/**
+ * DOC: wf_doc
+ *
+ * The configuration document with its queues and services, and lookups in it.
+ */
+
+#include "types.h"
+
+#define WF_HOST_LEN 256
+
+/**
+ * struct wf_queue - queue of the configuration document
+ * @host, @path_prefix: requests to this host and path belong to the queue
+ * @target_ms: latency objective on top of the run time
+ * @slack_factor: factor applied to the critical path of the job in the latency
+ *	objective
+ * @priority: lower values are placed first; 0 is the highest priority
+ * @max_attempts: failed runs of one task after which the job fails
+ * @advice_required: placements need approval by the advice service
+ * @advice_base_ms: expected duration of a call to the advice service
+ * @advice_per_runner_ms: added to @advice_base_ms for each runner in the call
+ * @ticket_valid_ms: lifetime of an approval ticket
+ */
+struct wf_queue {
+	agb_id name;
+	agb_id service;
+	char host[WF_HOST_LEN];
+	char path_prefix[WF_HOST_LEN];
+	uint32_t timeout_ms;
+	uint32_t target_ms;
+	uint32_t priority;
+	uint32_t max_attempts;
+	double slack_factor;
+	bool advice_required;
+	double advice_base_ms;
+	double advice_per_runner_ms;
+	uint32_t ticket_valid_ms;
+};
+
+/**
+ * struct wf_service - pool of runners
+ * @enforces_capacity: its runners reject tasks that exceed their free capacity
+ */
+struct wf_service {
+	agb_id name;
+	bool enforces_capacity;
+	bool standby;
+};
+
+/**
+ * struct wf_doc - configuration document in force
+ * @compared: incremented for each queue that a lookup compares; NULL when
+ *	nothing is counted
+ */
+struct wf_doc {
+	uint64_t version;
+	struct wf_queue *queues;
+	size_t queues_len;
+	struct wf_service *services;
+	size_t services_len;
+	size_t body_max;
+	uint64_t *compared;
+};
+
+/**
+ * wf_doc_free() - free a document
+ * @doc: may be NULL
+ */
+void wf_doc_free(struct wf_doc *doc);
+
+/**
+ * wf_doc_queue() - find a queue by name
+ * Return: NULL when the document has no such queue.
+ */
+const struct wf_queue *wf_doc_queue(const struct wf_doc *doc, const char *name);
+
+/**
+ * wf_doc_route() - find the queue of a request, which is the one with the
+ * longest matching path prefix at the host
+ * Return: NULL when no queue matches.
+ */
+const struct wf_queue *wf_doc_route(
+    const struct wf_doc *doc, const char *host, const char *path);
+
+/**
+ * wf_doc_service() - find a service by name
+ * Return: NULL when the document has no such service.
+ */
+const struct wf_service *wf_doc_service(
+    const struct wf_doc *doc, const char *name);
+
+#endif
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -10,6 +10,7 @@
 
 #include "effect.h"
 #include "store.h"
+#include "wf_doc.h"
 #include "wf_types.h"
 
 /* Maximum number of runners in one request to the advice service. */
