fix(workflow): lookups in the document do not compare all queues

What callers saw: with thousands of queues a leader with a backlog used all of its processor share, and starts were late.

Cause: a queue was found by comparing names one after the other, once for each queued step and dispatch pass, and by comparing hosts and prefixes of all queues for each request.

Change: a complete document has an index: its queues sorted by name, and its routes sorted by host and prefix. The longest matching prefix is the last route not sorted after the path, or one of those that it begins with, which are linked. Who builds a document by hand calls wf_doc_build_index().

--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "mem.h"
+
 void
 wf_doc_free(struct wf_doc *doc)
 {
@@ -10,9 +12,130 @@
 		return;
 	free(doc->queues);
 	free(doc->services);
+	free(doc->names);
+	free(doc->routes);
 	free(doc);
 }
 
+/* ---- index ---- */
+
+static int
+compare_positions(const struct wf_queue *a, const struct wf_queue *b)
+{
+	return (a > b) - (a < b);
+}
+
+static int
+compare_names(const void *pa, const void *pb)
+{
+	const struct wf_queue *const a = *(const struct wf_queue *const *)pa;
+	const struct wf_queue *const b = *(const struct wf_queue *const *)pb;
+	const int order = strcmp(a->name, b->name);
+
+	return order != 0 ? order : compare_positions(a, b);
+}
+
+/* Order of a queue's route and a host and path. */
+static int
+compare_route(const struct wf_queue *q, const char *host, const char *path)
+{
+	const int order = strcasecmp(q->host, host);
+
+	return order != 0 ? order : strcmp(q->path_prefix, path);
+}
+
+static int
+compare_routes(const void *pa, const void *pb)
+{
+	const struct wf_queue *const a =
+	    ((const struct wf_doc_route *)pa)->queue;
+	const struct wf_queue *const b =
+	    ((const struct wf_doc_route *)pb)->queue;
+	const int order = compare_route(a, b->host, b->path_prefix);
+
+	return order != 0 ? order : compare_positions(a, b);
+}
+
+static void
+index_names(struct wf_doc *doc)
+{
+	size_t i, n;
+
+	doc->names = agb_xcalloc(doc->queues_len, sizeof(*doc->names));
+	for (i = 0; i < doc->queues_len; i++)
+		doc->names[i] = &doc->queues[i];
+	if (doc->queues_len > 1)
+		qsort(doc->names, doc->queues_len, sizeof(*doc->names),
+		    compare_names);
+	n = 0;
+	for (i = 0; i < doc->queues_len; i++) {
+		if (n == 0 ||
+		    strcmp(doc->names[n - 1]->name, doc->names[i]->name) != 0)
+			doc->names[n++] = doc->names[i];
+	}
+	doc->names_len = n;
+}
+
+/* Whether a route's prefix begins a path; the host is the same. */
+static bool
+begins(const struct wf_doc_route *r, const char *path)
+{
+	return strncmp(r->queue->path_prefix, path,
+		   strlen(r->queue->path_prefix)) == 0;
+}
+
+/* The prefixes that a route's prefix begins with are those of the preceding
+ * route and of its parents, as far as they match. */
+static const struct wf_doc_route *
+find_parent(const struct wf_doc_route *preceding, const struct wf_queue *q)
+{
+	const struct wf_doc_route *r;
+
+	if (strcasecmp(preceding->queue->host, q->host) != 0)
+		return NULL;
+	for (r = preceding; r != NULL && !begins(r, q->path_prefix);
+	     r = r->parent)
+		continue;
+	return r;
+}
+
+static void
+index_routes(struct wf_doc *doc)
+{
+	const struct wf_queue *q;
+	struct wf_doc_route *last;
+	size_t i, n;
+
+	doc->routes = agb_xcalloc(doc->queues_len, sizeof(*doc->routes));
+	for (i = 0; i < doc->queues_len; i++)
+		doc->routes[i].queue = &doc->queues[i];
+	if (doc->queues_len > 1)
+		qsort(doc->routes, doc->queues_len, sizeof(*doc->routes),
+		    compare_routes);
+	n = 0;
+	for (i = 0; i < doc->queues_len; i++) {
+		q = doc->routes[i].queue;
+		last = n > 0 ? &doc->routes[n - 1] : NULL;
+		if (last != NULL &&
+		    compare_route(last->queue, q->host, q->path_prefix) == 0)
+			continue;
+		doc->routes[n].queue = q;
+		doc->routes[n].parent =
+		    last != NULL ? find_parent(last, q) : NULL;
+		n++;
+	}
+	doc->routes_len = n;
+}
+
+void
+wf_doc_build_index(struct wf_doc *doc)
+{
+	index_names(doc);
+	index_routes(doc);
+}
+
+/* ---- lookups ---- */
+
 static void
 count_compared(const struct wf_doc *doc)
 {
@@ -23,36 +146,61 @@
 const struct wf_queue *
 wf_doc_queue(const struct wf_doc *doc, const char *name)
 {
-	size_t i;
+	size_t low, high, mid;
+	int order;
 
-	for (i = 0; doc != NULL && i < doc->queues_len; i++) {
+	low = 0;
+	high = doc != NULL ? doc->names_len : 0;
+	while (low < high) {
+		mid = low + (high - low) / 2;
 		count_compared(doc);
-		if (strcmp(doc->queues[i].name, name) == 0)
-			return &doc->queues[i];
+		order = strcmp(doc->names[mid]->name, name);
+		if (order == 0)
+			return doc->names[mid];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
 	}
 	return NULL;
 }
 
+/* Last route that is not sorted after a host and path. */
+static const struct wf_doc_route *
+last_route_up_to(const struct wf_doc *doc, const char *host, const char *path)
+{
+	size_t low, high, mid;
+
+	low = 0;
+	high = doc->routes_len;
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		count_compared(doc);
+		if (compare_route(doc->routes[mid].queue, host, path) <= 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low > 0 ? &doc->routes[low - 1] : NULL;
+}
+
 const struct wf_queue *
 wf_doc_route(const struct wf_doc *doc, const char *host, const char *path)
 {
-	const struct wf_queue *best, *q;
-	size_t best_len, len, i;
+	const struct wf_doc_route *r;
 
-	best = NULL;
-	best_len = 0;
-	for (i = 0; doc != NULL && i < doc->queues_len; i++) {
+	/* All routes sorted between the longest matching prefix and the path
+	 * begin with that prefix, so that it is the last of them or one of its
+	 * parents. */
+	r = doc != NULL ? last_route_up_to(doc, host, path) : NULL;
+	if (r == NULL || strcasecmp(r->queue->host, host) != 0)
+		return NULL;
+	for (; r != NULL; r = r->parent) {
 		count_compared(doc);
-		q = &doc->queues[i];
-		len = strlen(q->path_prefix);
-		if (strcasecmp(q->host, host) != 0 ||
-		    strncmp(q->path_prefix, path, len) != 0 ||
-		    (best != NULL && len <= best_len))
-			continue;
-		best = q;
-		best_len = len;
+		if (begins(r, path))
+			return r->queue;
 	}
-	return best;
+	return NULL;
 }
 
 const struct wf_service *
--- a/src/workflow/wf_doc.h
+++ b/src/workflow/wf_doc.h
@@ -50,8 +50,21 @@
 	bool standby;
 };
 
+/**
+ * struct wf_doc_route - host and path prefix of a queue, in sorted order
+ * @parent: route at the same host with the longest shorter prefix that this
+ *	one begins with, or NULL
+ */
+struct wf_doc_route {
+	const struct wf_queue *queue;
+	const struct wf_doc_route *parent;
+};
+
 /**
  * struct wf_doc - configuration document in force
+ * @names: queues sorted by name; of those with one name the first
+ * @routes: sorted by host in any case, then by prefix; of queues with the same
+ *	host and prefix the first
  * @compared: incremented for each queue that a lookup compares; NULL when
  *	nothing is counted
  */
@@ -62,6 +75,10 @@
 	struct wf_service *services;
 	size_t services_len;
 	size_t body_max;
+	const struct wf_queue **names;
+	size_t names_len;
+	struct wf_doc_route *routes;
+	size_t routes_len;
 	uint64_t *compared;
 };
 
@@ -72,14 +89,22 @@
 void wf_doc_free(struct wf_doc *doc);
 
 /**
- * wf_doc_queue() - find a queue by name
+ * wf_doc_build_index() - prepare lookups in a document whose queues are complete
+ *
+ * Without it no queue is found. Queues must not be moved or changed afterwards.
+ */
+void wf_doc_build_index(struct wf_doc *doc);
+
+/**
+ * wf_doc_queue() - find a queue by name, the first of the document with it
  * Return: NULL when the document has no such queue.
  */
 const struct wf_queue *wf_doc_queue(const struct wf_doc *doc, const char *name);
 
 /**
  * wf_doc_route() - find the queue of a request, which is the one with the
- * longest matching path prefix at the host
+ * longest matching path prefix at the host; of queues with the same host and
+ * prefix the first of the document
  * Return: NULL when no queue matches.
  */
 const struct wf_queue *wf_doc_route(
--- a/tests/measure/leader_turn.c
+++ b/tests/measure/leader_turn.c
@@ -135,7 +135,7 @@
 	struct model_runner *runners;
 	struct wf_config cfg;
 	struct wf_meter meter;
-	struct wf_doc doc;
+	struct wf_doc *doc;
 	struct wf_table table;
 	struct wf_leader *l;
 	struct wf_now now;
@@ -732,7 +732,8 @@
 	const bool gang = draw(m, 100) < GANG_PERCENT;
 
 	agb_str_copy(s->queue, sizeof(s->queue),
-	    m->doc.queues[queue_position(m, gang ? draw(m, 2) : 2 + draw(m, 2))]
+	    m->doc
+		->queues[queue_position(m, gang ? draw(m, 2) : 2 + draw(m, 2))]
 		.name);
 	s->submitted_ms = m->now.unix_ms;
 	s->repeat_count = 1;
@@ -769,8 +770,8 @@
 	snprintf(name, sizeof(agb_id), "service-%zu", i % m->services);
 }
 
-static void
-doc_init(const struct model *m, struct wf_doc *doc)
+static struct wf_doc *
+doc_new(const struct model *m)
 {
 	static const struct wf_queue used[USED_QUEUES] = {
 	    {.name = "train", .priority = 2, .advice_base_ms = 180},
@@ -778,6 +779,7 @@
 	    {.name = "check", .priority = 0, .advice_base_ms = 15},
 	    {.name = "render", .priority = 1, .advice_base_ms = 60},
 	};
+	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
 	struct wf_queue *q;
 	size_t i;
 
@@ -801,6 +803,8 @@
 	doc->services = agb_xcalloc(m->services, sizeof(*doc->services));
 	for (i = 0; i < m->services; i++)
 		service_name(m, i, doc->services[i].name);
+	wf_doc_build_index(doc);
+	return doc;
 }
 
 static void
@@ -860,11 +864,11 @@
 	agb_str_copy(m->cfg.rpc, sizeof(m->cfg.rpc), "10.0.0.0:1");
 	m->cfg.cpu_permille = LEADER_CPU_PERMILLE;
 	m->cfg.status_s = 120;
-	doc_init(m, &m->doc);
+	m->doc = doc_new(m);
 	add_peers(m, peers);
 	wf_meter_init(&m->meter, NULL, NULL);
 	m->l = wf_leader_new(
-	    1, &m->cfg, &m->meter, &m->table, &m->doc, &m->now, &m->out);
+	    1, &m->cfg, &m->meter, &m->table, m->doc, &m->now, &m->out);
 	list_runners(m);
 }
 
@@ -911,8 +915,7 @@
 	wf_result_batch_free(&m->collected);
 	wf_leader_free(m->l);
 	wf_table_free(&m->table);
-	free(m->doc.queues);
-	free(m->doc.services);
+	wf_doc_free(m->doc);
 	for (i = 0; i < m->runners_len; i++) {
 		free(m->runners[i].ended);
 		wf_baseline_free(&m->runners[i].baseline);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -208,12 +208,13 @@
 	    {"h", "/b/1", NULL},
 	    {"other", "/a/1", NULL},
 	};
-	struct wf_queue queues[2];
-	const struct wf_doc doc = {.queues = queues, .queues_len = 2};
+	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
+	struct wf_queue *const queues = agb_xcalloc(2, sizeof(*queues));
 	const struct wf_queue *q;
 	size_t i;
 
-	memset(queues, 0, sizeof(queues));
+	doc->queues = queues;
+	doc->queues_len = 2;
 	agb_str_copy(queues[0].name, sizeof(queues[0].name), "a");
 	agb_str_copy(queues[0].host, sizeof(queues[0].host), "h");
 	agb_str_copy(
@@ -222,12 +223,14 @@
 	agb_str_copy(queues[1].host, sizeof(queues[1].host), "h");
 	agb_str_copy(
 	    queues[1].path_prefix, sizeof(queues[1].path_prefix), "/a/b/");
+	wf_doc_build_index(doc);
 	for (i = 0; i < LEN(cases); i++) {
-		q = wf_doc_route(&doc, cases[i].host, cases[i].path);
+		q = wf_doc_route(doc, cases[i].host, cases[i].path);
 		CU_ASSERT_EQUAL(q == NULL, cases[i].queue == NULL);
 		if (q != NULL && cases[i].queue != NULL)
 			CU_ASSERT_STRING_EQUAL(q->name, cases[i].queue);
 	}
+	wf_doc_free(doc);
 }
 
 /* Guards against a malformed job that is accepted or rejected without the path
--- a/tests/test_wf_election.c
+++ b/tests/test_wf_election.c
@@ -147,6 +147,7 @@
 	doc->queues->slack_factor = 2;
 	doc->queues->advice_required = advice_required;
 	doc->queues->advice_base_ms = 10;
+	wf_doc_build_index(doc);
 	return doc;
 }
 
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -26,8 +26,7 @@
 	struct wf_config cfg;
 	struct wf_meter meter;
 	struct wf_table table;
-	struct wf_queue queue;
-	struct wf_doc doc;
+	struct wf_doc *doc;
 	struct wf_now now;
 	struct wf_effects out;
 	struct wf_leader *l;
@@ -103,12 +102,14 @@
 	memset(f, 0, sizeof(*f));
 	f->now = (struct wf_now){.mono = 10 * AGB_SEC, .unix_ms = 10000};
 	wf_meter_init(&f->meter, NULL, NULL);
-	agb_str_copy(f->queue.name, sizeof(f->queue.name), "q");
-	agb_str_copy(f->queue.service, sizeof(f->queue.service), "svc");
-	f->doc.queues = &f->queue;
-	f->doc.queues_len = 1;
+	f->doc = agb_xcalloc(1, sizeof(*f->doc));
+	f->doc->queues = agb_xcalloc(1, sizeof(*f->doc->queues));
+	f->doc->queues_len = 1;
+	agb_str_copy(f->doc->queues->name, sizeof(agb_id), "q");
+	agb_str_copy(f->doc->queues->service, sizeof(agb_id), "svc");
+	wf_doc_build_index(f->doc);
 	f->l = wf_leader_new(
-	    FENCE, &f->cfg, &f->meter, &f->table, &f->doc, &f->now, &f->out);
+	    FENCE, &f->cfg, &f->meter, &f->table, f->doc, &f->now, &f->out);
 	f->l->valid_until = 1000 * AGB_SEC;
 	add_runners(f);
 	add_job(f, gang);
@@ -120,6 +121,7 @@
 fixture_free(struct fixture *f)
 {
 	wf_leader_free(f->l);
+	wf_doc_free(f->doc);
 	wf_table_free(&f->table);
 	wf_effects_free(&f->out);
 }
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -783,19 +783,24 @@
 {
 	const struct wf_config cfg = {.name = "a"};
 	const struct wf_now now = {.mono = 10 * AGB_SEC};
-	struct wf_queue queue = {
-	    .name = "q", .host = "h", .path_prefix = "/q/"};
-	const struct wf_doc doc = {.queues = &queue, .queues_len = 1};
+	struct wf_doc *const doc = agb_xcalloc(1, sizeof(*doc));
 	struct wf_call call = {.id = 1, .kind = WF_CALL_GET};
 	struct wf_front *const f = wf_front_new(t, &cfg);
 	struct wf_effects out = {0};
 	int status = 0;
 	size_t i;
 
+	doc->queues = agb_xcalloc(1, sizeof(*doc->queues));
+	doc->queues_len = 1;
+	agb_str_copy(doc->queues->name, sizeof(agb_id), "q");
+	agb_str_copy(doc->queues->host, sizeof(doc->queues->host), "h");
+	agb_str_copy(
+	    doc->queues->path_prefix, sizeof(doc->queues->path_prefix), "/q/");
+	wf_doc_build_index(doc);
 	agb_str_copy(call.host, sizeof(call.host), "h");
 	agb_str_copy(call.path, sizeof(call.path), "/q/");
 	wf_front_set_knowledge(f, known);
-	wf_front_handle_call(f, &now, &doc, &call, &out);
+	wf_front_handle_call(f, &now, doc, &call, &out);
 	for (i = 0; i < out.len; i++) {
 		if (out.items[i].type != WF_EF_REPLY)
 			continue;
@@ -804,6 +809,7 @@
 	}
 	wf_effects_free(&out);
 	wf_front_free(f);
+	wf_doc_free(doc);
 	return status;
 }
 
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -165,6 +165,7 @@
 	q->advice_base_ms = s->o.advice_ms > 0 ? s->o.advice_ms : ADVICE_MS;
 	q->advice_per_runner_ms = s->o.advice_per_runner_ms;
 	q->ticket_valid_ms = 2000;
+	wf_doc_build_index(d);
 	return d;
 }
 
