--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -185,6 +185,7 @@
 	queue_init(s, &d->queues[0], "q");
 	for (i = 0; i < s->o.queues_len; i++)
 		queue_init_as(s, &d->queues[i], &s->o.queues[i]);
+	wf_doc_build_index(d);
 	return d;
 }
 
