fix(rpc): a call that cannot be queued fails after a delay

A call that cannot be encoded, whose peer is in its backoff or whose queue is full was reported as failed in the next turn of the loop.

Such a failure is now reported after 10 ms, at most 100 times a second for one caller. Calls that were queued fail as before: connection attempts and the backoff pace them.

--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -179,18 +179,26 @@
 	return r;
 }
 
+static void
+free_calls(struct agb_rpc_outbound_call **list)
+{
+	struct agb_rpc_outbound_call *call, *next;
+
+	for (call = *list; call != NULL; call = next) {
+		next = call->next;
+		agb_rpc_call_free(call);
+	}
+	*list = NULL;
+}
+
 static void
 free_tables(struct agb_rpc *r)
 {
-	struct agb_rpc_outbound_call *call, *next_call;
 	struct agb_rpc_peer *p = r->peers, *next_peer;
 	struct agb_rpc_traffic_entry *t = r->traffic, *next_traffic;
 
-	for (call = r->failed; call != NULL; call = next_call) {
-		next_call = call->next;
-		agb_rpc_call_free(call);
-	}
-	r->failed = NULL;
+	free_calls(&r->failed);
+	free_calls(&r->unqueued);
 	/* HASH_CLEAR() does not change the links of the items. */
 	HASH_CLEAR(hh, r->peers);
 	for (; p != NULL; p = next_peer) {
@@ -212,8 +220,8 @@
 	if (r == NULL)
 		return;
 	r->closing = true;
-	/* Closing a connection moves its calls to the list of failed calls,
-	 * where calls without a connection already are. */
+	/* Closing a connection moves its calls to the list of failed calls. Calls
+	 * without a connection are in that list or in that of unqueued ones. */
 	for (conn = r->conns; conn != NULL; conn = next) {
 		next = conn->next;
 		agb_rpc_conn_close(conn);
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -9,7 +9,9 @@
  * one write.
  *
  * After a failed connection attempt, calls fail as not sent until a jittered
- * backoff has passed; the first call after the backoff connects again.
+ * backoff has passed; the first call after the backoff connects again. A call
+ * that fails before it is queued is reported some milliseconds later, so that a
+ * caller that repeats it does not occupy the process.
  */
 
 #include <uv.h>
--- a/src/agatebeam/rpc_call.c
+++ b/src/agatebeam/rpc_call.c
@@ -14,6 +14,10 @@
 /* How long an expired call waits for replies that have already arrived in the
  * socket to be read. */
 #define READ_GRACE_MS 5
+/* A call that fails before it is queued is reported after this time. The caller
+ * may repeat it at once, and without a delay the process would do nothing
+ * else. */
+#define UNQUEUED_DELAY_MS 10
 
 static void
 on_call_closed(uv_handle_t *h)
@@ -62,6 +66,23 @@
 	uv_idle_start(&call->r->idle, on_idle);
 }
 
+static void
+on_unqueued(uv_timer_t *t)
+{
+	struct agb_rpc_outbound_call *const call = t->data;
+
+	DL_DELETE(call->r->unqueued, call);
+	call_queue_failure(call, false);
+}
+
+/* Reports the failure of a call that was not queued, after a delay. */
+static void
+call_delay_failure(struct agb_rpc_outbound_call *call)
+{
+	DL_APPEND(call->r->unqueued, call);
+	uv_timer_start(&call->timer, on_unqueued, UNQUEUED_DELAY_MS, 0);
+}
+
 void
 agb_rpc_peer_fail_calls(struct agb_rpc_peer *p)
 {
@@ -286,7 +307,7 @@
 	uv_timer_init(r->loop, &call->timer);
 	call->timer.data = call;
 	if (!call_queue(call, peer, args)) {
-		call_queue_failure(call, false);
+		call_delay_failure(call);
 		return;
 	}
 	start_timeout(call);
--- a/src/agatebeam/rpc_internal.h
+++ b/src/agatebeam/rpc_internal.h
@@ -136,6 +136,7 @@
  * @dirty: a connection may have data to write
  * @calls: open calls by xid
  * @failed: calls whose failure has to be reported to the callback
+ * @unqueued: calls that could not be queued, and whose failure is not due yet
  * @inbound_calls: by token
  * @traffic: by address
  * @scratch: buffer in which records are encoded
@@ -159,6 +160,7 @@
 	struct agb_rpc_peer *peers;
 	struct agb_rpc_outbound_call *calls;
 	struct agb_rpc_outbound_call *failed;
+	struct agb_rpc_outbound_call *unqueued;
 	struct agb_rpc_inbound_call *inbound_calls;
 	struct agb_rpc_traffic_entry *traffic;
 	uint32_t next_xid;
