fix(relay): calls with results are split by their size

A relay collected up to 256 results into a call, whatever their size. The answers of 256 runners with 40 ends and 10 active runs each, or of 48 with 200 active runs, all with checkpoints, do not fit into a message: the call was not sent, and none of the results reached the leader. The leader gave the orders up, and the relay with them if nothing else arrived from it; the next relay collected the same results. This occurs after an election, when all lists are sent in full, and after the store was away, when runners list the ends of that time.

A call now holds results of up to 256 KiB, or one.

test_wf_limits: all results of nine loads arrive, of which four sent none of theirs, and three a part. The test waits five seconds for the largest, 40 MB, which takes 160 calls or more.

--- a/src/workflow/wf_codec.h
+++ b/src/workflow/wf_codec.h
@@ -65,6 +65,12 @@
 
 void wf_codec_encode_results(const struct wf_effect *ef, agb_x_args *args);
 
+/**
+ * wf_codec_result_size() - bytes that a result takes in the call that carries it
+ * Return: 0 when no message can hold the result.
+ */
+size_t wf_codec_result_size(const struct wf_relayed_result *r);
+
 /**
  * wf_codec_decode_results() - decode results; malformed ones get the status
  * WF_ORDER_LOST
--- a/src/workflow/wf_codec_order.c
+++ b/src/workflow/wf_codec_order.c
@@ -10,6 +10,8 @@
 #define KEPT_PERCENT_SHIFT 32
 #define KEPT_PERCENT_MASK 0xff
 #define KEPT_INDEX_MASK 0xffffff
+/* Upper bound of the bytes of a call with results beyond the results. */
+#define RESULTS_OVERHEAD (AGB_RPC_RECORD_OVERHEAD + 64)
 
 /* ---- orders ---- */
 
@@ -277,6 +279,28 @@
 		encode_finished(&r->finished[i], &x->finished.finished_val[i]);
 }
 
+static void
+result_free(agb_x_result *x)
+{
+	free(x->kept.kept_val);
+	free(x->checkpoints.checkpoints_val);
+	free(x->new_runs.new_runs_val);
+	free(x->finished.finished_val);
+}
+
+size_t
+wf_codec_result_size(const struct wf_relayed_result *r)
+{
+	agb_x_result x;
+	size_t size;
+
+	encode_result(r, &x);
+	/* It is 0 when a list is longer than the protocol allows. */
+	size = xdr_sizeof((xdrproc_t)xdr_agb_x_result, &x);
+	result_free(&x);
+	return size + RESULTS_OVERHEAD <= AGB_RPC_RECORD_MAX ? size : 0;
+}
+
 static bool
 decode_result(const agb_x_result *x, struct wf_relayed_result *r)
 {
@@ -357,15 +381,9 @@
 void
 wf_codec_results_free(agb_x_results_args *x)
 {
-	agb_x_result *result;
 	size_t i;
 
-	for (i = 0; i < x->results.results_len; i++) {
-		result = &x->results.results_val[i];
-		free(result->kept.kept_val);
-		free(result->checkpoints.checkpoints_val);
-		free(result->new_runs.new_runs_val);
-		free(result->finished.finished_val);
-	}
+	for (i = 0; i < x->results.results_len; i++)
+		result_free(&x->results.results_val[i]);
 	free(x->results.results_val);
 }
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "mem.h"
+#include "wf_codec.h"
 #include "wf_delta.h"
 
 /* Results are collected for this long so that one call carries many of them.
@@ -14,6 +15,9 @@
 #define RESULTS_DELAY_MS 50
 /* Maximum number of results in one call. */
 #define RESULTS_PER_CALL_MAX 256
+/* A call with several results is not larger than this. A link of 2 Mbit/s needs
+ * a second for it, after which calls with results are given up. */
+#define RESULTS_BYTES_MAX ((size_t)256 * 1024)
 /* Timeout for fetching a job's text from the instance that accepted the job. */
 #define TEXT_TIMEOUT_MS 200
 /* Size limit of the cached texts of jobs; the oldest are evicted first. */
@@ -71,6 +75,8 @@
  * @results: results that have not been sent yet
  * @send_at: when to send @results; valid when @send_scheduled is set
  * @urgent: @results contains one that requires action by the leader
+ * @oversized: number of results that no message can hold and that the log does
+ *	not name yet
  */
 struct wf_relay {
 	struct wf_table *table;
@@ -87,6 +93,7 @@
 	agb_time send_at;
 	bool urgent;
 	bool send_scheduled;
+	uint32_t oversized;
 };
 
 struct wf_relay *
@@ -459,6 +466,21 @@
 	free(list);
 }
 
+/* Replaces the lists of a result that no message can hold by a lost answer: the
+ * leader learns that the order was sent, and that the runs are unknown. */
+static void
+drop_oversized_lists(struct wf_relay *relay, struct wf_relayed_result *x)
+{
+	if (wf_codec_result_size(x) > 0)
+		return;
+	relay->oversized++;
+	relay->urgent = true;
+	x->status = WF_ORDER_LOST;
+	x->list = x->base_list = 0;
+	x->kept_len = x->checkpoints_len = 0;
+	x->new_runs_len = x->finished_len = 0;
+}
+
 void
 wf_relay_handle_result(
     struct wf_relay *relay, const struct wf_order_result *res)
@@ -481,9 +503,24 @@
 		return;
 	}
 	encode_lists(relay, r, x, res);
+	drop_oversized_lists(relay, x);
 	relay->urgent = relay->urgent || res->is_probe || x->finished_len > 0;
 }
 
+/* Number of the next results that one call holds, at least 1. */
+static size_t
+next_call_len(const struct wf_relay *relay)
+{
+	size_t n, bytes = 0;
+
+	for (n = 0; n < relay->results.len && n < RESULTS_PER_CALL_MAX; n++) {
+		bytes += wf_codec_result_size(&relay->results.items[n]);
+		if (n > 0 && bytes > RESULTS_BYTES_MAX)
+			break;
+	}
+	return n;
+}
+
 agb_time
 wf_relay_tick(
     struct wf_relay *relay, const struct wf_now *now, struct wf_effects *out)
@@ -502,8 +539,12 @@
 	if (now->mono < relay->send_at &&
 	    relay->results.len < RESULTS_PER_CALL_MAX)
 		return relay->send_at;
-	n = relay->results.len < RESULTS_PER_CALL_MAX ? relay->results.len
-						      : RESULTS_PER_CALL_MAX;
+	if (relay->oversized > 0)
+		wf_effects_log(out, AGB_LOG_ERROR, "orders",
+		    "change=result-too-large results=%" PRIu32,
+		    relay->oversized);
+	relay->oversized = 0;
+	n = next_call_len(relay);
 	ef = wf_effects_add(out, WF_EF_RESULTS);
 	agb_str_copy(ef->peer, sizeof(ef->peer), relay->leader);
 	ef->u.results.fence = relay->fence;
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -110,7 +110,7 @@
 }
 
 /* Hands a relay the answers of all runners at the same time.
- * Return: what it sends to the leader within a second. */
+ * Return: what it sends to the leader within five seconds. */
 static struct sent_results
 relay_answers(uint32_t runners, size_t ends, size_t active)
 {
@@ -149,7 +149,7 @@
 		res.number = ri + 1;
 		wf_relay_handle_result(relay, &res);
 	}
-	for (i = 0; i < 1000; i++) {
+	for (i = 0; i < 5000; i++) {
 		(void)wf_relay_tick(relay, &now, &out);
 		now.mono += AGB_MS;
 	}
