fix(state): checkpoints do not make a record too large for the store

A state record held the checkpoints of all tasks that were started and are not done. 4,000 tasks with checkpoints of 255 bytes make a record of 1.1 MB, and a job of the maximum of 65,536 tasks one of 17 MB, while the store takes 1 MiB. The store refuses such a record each time: the job does not advance, nor do the other jobs of the same write, and no runner may forget the ends that it reports, since acknowledgements wait for all earlier changes.

Checkpoints are now added up to 768 KiB, those of tasks on no runner first. A task whose checkpoint is left out starts anew if the leader changes and its run then fails before its runner has reported the checkpoint again.

test_wf_limits: the records of eleven jobs, among them the largest, are no longer than 1 MiB and hold all tasks; four were longer before.

--- a/src/workflow/wf_state.c
+++ b/src/workflow/wf_state.c
@@ -10,6 +10,13 @@
 #define RUNNER_SHIFT (ACTIVE_SHIFT + WF_X_ACTIVE_BITS)
 #define RUN_SHIFT (RUNNER_SHIFT + WF_X_RUNNER_BITS)
 
+/* Checkpoints are added to a record up to this size, which the store takes also
+ * if its limit applies to the value in base64. Further ones are left out: a task
+ * without one starts anew when its run fails under the next leader, while a
+ * record that the store refuses stops its job. Those of tasks on no runner come
+ * first, as runners report the checkpoints of theirs. */
+#define CHECKPOINT_RECORD_MAX (AGB_STORE_VALUE_MAX / 4 * 3)
+
 /* Fields of a task that the state record packs into one integer. @runner is an
  * index into the record's list of runners. */
 struct packed_task {
@@ -202,25 +209,57 @@
 	const struct wf_task *const t = &e->tasks[i];
 	struct packed_task p = {
 	    .index = i, .failures = t->failures, .run = t->run};
-	wf_x_saved *s;
 
 	p.active = t->allocated;
 	if (t->allocated)
 		p.runner =
 		    encode_runner(x, &l->runners[t->runner], t->started_ms);
 	x->tasks.tasks_val[x->tasks.tasks_len++] = pack_task(&p);
-	if (t->checkpoint == NULL)
-		return;
-	s = &x->saved.saved_val[x->saved.saved_len++];
-	s->index = i;
-	s->saved.saved_val = t->checkpoint;
-	s->saved.saved_len = (u_int)strlen(t->checkpoint);
+}
+
+/* Whether the record lists a task as started and not done. */
+static bool
+is_recorded(const struct wf_exec *e, const struct wf_task *t)
+{
+	return !wf_job_state_is_final(e->state) && t->state != WF_TASK_DONE &&
+	    t->run > 0;
+}
+
+/* Adds the checkpoints of the tasks that are, or are not, on a runner, as long
+ * as the record does not exceed CHECKPOINT_RECORD_MAX.
+ * Return: size of the record. */
+static size_t
+add_checkpoints(
+    const struct wf_exec *e, struct wf_x_state *x, size_t size, bool on_runner)
+{
+	const struct wf_task *t;
+	wf_x_saved *s;
+	size_t need;
+	uint32_t i;
+
+	for (i = 0; i < e->tasks_len; i++) {
+		t = &e->tasks[i];
+		if (t->checkpoint == NULL || t->allocated != on_runner ||
+		    !is_recorded(e, t))
+			continue;
+		s = &x->saved.saved_val[x->saved.saved_len];
+		s->index = i;
+		s->saved.saved_val = t->checkpoint;
+		s->saved.saved_len = (u_int)strlen(t->checkpoint);
+		need = xdr_sizeof((xdrproc_t)xdr_wf_x_saved, s);
+		if (size + need > CHECKPOINT_RECORD_MAX)
+			break;
+		size += need;
+		x->saved.saved_len++;
+	}
+	return size;
 }
 
 char *
 wf_state_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len)
 {
 	struct wf_x_state x;
+	size_t size;
 	char *raw;
 	uint32_t i;
 
@@ -247,6 +286,9 @@
 		else if (e->tasks[i].run > 0)
 			encode_task(l, e, i, &x);
 	}
+	size = xdr_sizeof((xdrproc_t)xdr_wf_x_state, &x);
+	size = add_checkpoints(e, &x, size, false);
+	(void)add_checkpoints(e, &x, size, true);
 	raw = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, len);
 	free(x.runners.runners_val);
 	free(x.tasks.tasks_val);
