fix(commit): a write gets the time that the link needs for it

A write of state records was given up after 1.5 s, and sent again after 150 ms or four times the average of a write, whatever its size. On a link of 2 Mbit/s the record of a job with 65,536 started tasks, 0.5 MB, takes 2.8 s in base64: each attempt was given up while the link was sending it, with up to three more behind it, so that none ever arrived. The job did not advance.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -127,6 +127,21 @@
 static agb_time
 resend_after(const struct wf_leader *l)
 {
+/* Time that the link needs for the values of a write, which are sent in
+ * base64. */
+static uint32_t
+sending_ms(const struct wf_leader *l, const struct agb_store_op *op)
+{
+	uint64_t bytes = 0;
+	size_t i;
+
+	if (l->cfg->link_kbps == 0)
+		return 0;
+	for (i = 0; i < op->writes_len; i++)
+		bytes += op->writes[i].val_len;
+	return (uint32_t)(bytes * 4 / 3 * 8 / l->cfg->link_kbps);
+}
+
 	return agb_time_max(
 	    RESEND_FACTOR * l->write_time_us, RESEND_MIN_MS * AGB_MS);
 }
@@ -150,7 +165,8 @@
 	struct wf_effect *ef;
 	size_t i;
 
-	w->retry_at = now->mono + resend_after(l);
+	const uint32_t link_ms = sending_ms(l, &w->op);
+	w->retry_at = now->mono + resend_after(l) + link_ms * AGB_MS;
 	for (i = 0; i < WF_WRITE_ATTEMPTS_MAX && w->attempts[i].tag != 0; i++)
 		continue;
 	if (i == WF_WRITE_ATTEMPTS_MAX)
@@ -159,7 +175,7 @@
 	w->attempts[i].sent_at = now->mono;
 	ef = wf_effects_add(out, WF_EF_STORE);
 	ef->tag = w->attempts[i].tag;
-	ef->timeout_ms = WRITE_TIMEOUT_MS;
+	ef->timeout_ms = WRITE_TIMEOUT_MS + link_ms;
 	op_copy(&ef->u.store, &w->op);
 }
 
