fix(commit): writes are split by their size

A write held the records of up to 15 jobs, whatever their size. 15 jobs with 1,000 tasks with checkpoints, or with 65,536 started tasks, were put into requests of 5 and 10 MB, which stores refuse, although they take each of the records alone. Such a write is refused each time, so that none of its jobs advances.

A write now holds up to 256 KiB, or one record.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -10,6 +10,9 @@
  * key, then each job has a comparison and a put, or up to three deletes. */
 #define JOBS_PER_WRITE 15
 #define DELETED_JOBS_PER_WRITE 10
+/* A write with several records is not larger than this: far below what the store
+ * takes as a request, and a link of 2 Mbit/s carries it in 1.4 s. */
+#define WRITE_BYTES_MAX ((size_t)256 * 1024)
 /* Maximum number of pending writes. A slow store answers after some hundred
  * milliseconds, and the record of a job is written several times. */
 #define WRITES_MAX 24
@@ -124,9 +127,6 @@
 	}
 }
 
-static agb_time
-resend_after(const struct wf_leader *l)
-{
 /* Time that the link needs for the values of a write, which are sent in
  * base64. */
 static uint32_t
@@ -142,6 +142,9 @@
 	return (uint32_t)(bytes * 4 / 3 * 8 / l->cfg->link_kbps);
 }
 
+static agb_time
+resend_after(const struct wf_leader *l)
+{
 	return agb_time_max(
 	    RESEND_FACTOR * l->write_time_us, RESEND_MIN_MS * AGB_MS);
 }
@@ -162,10 +165,10 @@
 write_send(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
     struct wf_effects *out)
 {
+	const uint32_t link_ms = sending_ms(l, &w->op);
 	struct wf_effect *ef;
 	size_t i;
 
-	const uint32_t link_ms = sending_ms(l, &w->op);
 	w->retry_at = now->mono + resend_after(l) + link_ms * AGB_MS;
 	for (i = 0; i < WF_WRITE_ATTEMPTS_MAX && w->attempts[i].tag != 0; i++)
 		continue;
@@ -193,7 +196,8 @@
 }
 
 static void
-write_add_job(struct wf_leader *l, struct wf_write *w, struct wf_exec *e)
+write_add_job(struct wf_leader *l, struct wf_write *w, struct wf_exec *e,
+    char *raw, size_t len)
 {
 	struct wf_write_job *const wj = &w->jobs[w->jobs_len++];
 	char key[WF_KEY_MAX];
@@ -202,7 +206,8 @@
 	agb_str_copy(wj->id, sizeof(wj->id), e->job->id);
 	wj->expected_rev = e->job->state_rev;
 	wj->gen = e->gen;
-	wj->raw = wf_state_encode(l, e, &wj->len);
+	wj->raw = raw;
+	wj->len = len;
 	wf_table_make_key(key, 's', wj->id);
 	agb_store_op_add_cmp(
 	    &w->op, key, AGB_STORE_CMP_MOD_REV, wj->expected_rev);
@@ -281,16 +286,25 @@
 {
 	struct wf_write *w;
 	struct wf_exec *e;
+	size_t len, bytes;
+	char *raw;
 
 	w = NULL;
+	bytes = 0;
 	for (e = l->execs; e != NULL; e = e->next) {
 		if (!e->dirty || e->in_flight || now->mono < e->write_at)
 			continue;
+		raw = wf_state_encode(l, e, &len);
+		if (w != NULL && bytes + len > WRITE_BYTES_MAX) {
+			free(raw);
+			break;
+		}
 		if (w == NULL) {
 			w = write_new(l);
 			w->jobs = agb_xcalloc(JOBS_PER_WRITE, sizeof(*w->jobs));
 		}
-		write_add_job(l, w, e);
+		write_add_job(l, w, e, raw, len);
+		bytes += len;
 		if (w->jobs_len == JOBS_PER_WRITE)
 			break;
 	}
