fix(rpc): failures to encode are logged once a second and counted

Operators saw: 245 equal lines rpc-encode-failed within 0.5 s, which pushed out all other lines of the leader's log, and no metric that showed the failure.

Cause: each message that cannot be encoded wrote a line.

--- a/src/agatebeam/rpc.c
+++ b/src/agatebeam/rpc.c
@@ -1,5 +1,6 @@
 #include "rpc.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,9 @@
 #include "rpc_internal.h"
 
 #define SWEEP_INTERVAL_MS 1000
+/* Messages that cannot be encoded are logged at most this often: they may be made
+ * as fast as the loop runs. */
+#define ENCODE_LOG_INTERVAL_MS 1000
 
 void
 agb_rpc_log(struct agb_rpc *r, enum agb_log_level level, const char *event,
@@ -27,6 +31,24 @@
 	r->cbs.log(r->arg, level, event, line);
 }
 
+void
+agb_rpc_note_encode_failure(
+    struct agb_rpc *r, const char *peer, agb_x_proc proc)
+{
+	const uint64_t now = uv_now(r->loop);
+
+	r->stats.encode_failures++;
+	if (now < r->encode_log_at_ms) {
+		r->encode_unlogged++;
+		return;
+	}
+	agb_rpc_log(r, AGB_LOG_ERROR, "rpc-encode-failed",
+	    "peer=%s proc=%d suppressed=%" PRIu64, peer, (int)proc,
+	    r->encode_unlogged);
+	r->encode_log_at_ms = now + ENCODE_LOG_INTERVAL_MS;
+	r->encode_unlogged = 0;
+}
+
 uint64_t
 agb_rpc_random(struct agb_rpc *r)
 {
--- a/src/agatebeam/rpc.h
+++ b/src/agatebeam/rpc.h
@@ -63,6 +63,7 @@
  * @rejected_calls: inbound calls answered with an RPC error
  * @unknown_xid: replies that match no open call
  * @slow_peers: connections closed because too many bytes were queued
+ * @encode_failures: calls and replies that could not be encoded
  * @queued_bytes: bytes of calls and replies queued for peers, by procedure
  */
 struct agb_rpc_stats {
@@ -76,6 +77,7 @@
 	uint64_t rejected_calls;
 	uint64_t unknown_xid;
 	uint64_t slow_peers;
+	uint64_t encode_failures;
 	uint64_t queued_bytes[AGB_RPC_PROCS];
 };
 
@@ -120,8 +122,11 @@
  * @peer: "address:port"
  * @args: not used after the function returns
  * @timeout_ms: time limit for the reply, from now on; 0 for none
+ *
+ * Return: false when @args cannot be encoded, so that repeating the call cannot
+ * succeed. The callback is told that it was not sent.
  */
-void agb_rpc_call(struct agb_rpc *r, uint64_t tag, const char *peer,
+bool agb_rpc_call(struct agb_rpc *r, uint64_t tag, const char *peer,
     const agb_x_args *args, uint32_t timeout_ms);
 
 /**
--- a/src/agatebeam/rpc_call.c
+++ b/src/agatebeam/rpc_call.c
@@ -252,8 +252,8 @@
 }
 
 /* Encodes a call and queues it for its peer. Returns false when the call cannot
- * be encoded, the peer's address is invalid, a limit is reached, or the peer is
- * in its connection backoff. */
+ * be encoded, its length then being 0, the peer's address is invalid, a limit is
+ * reached, or the peer is in its connection backoff. */
 static bool
 call_queue(struct agb_rpc_outbound_call *call, const char *addr,
     const agb_x_args *args)
@@ -263,8 +263,7 @@
 
 	call->rec_len = agb_rpcmsg_encode_call(r->scratch, call->xid, args);
 	if (call->rec_len == 0) {
-		agb_rpc_log(r, AGB_LOG_ERROR, "rpc-encode-failed",
-		    "peer=%s proc=%d", addr, (int)args->proc);
+		agb_rpc_note_encode_failure(r, addr, args->proc);
 		return false;
 	}
 	if (p == NULL || p->calls_len >= AGB_RPC_CALLS_MAX ||
@@ -288,12 +287,13 @@
 	return true;
 }
 
-void
+bool
 agb_rpc_call(struct agb_rpc *r, uint64_t tag, const char *peer,
     const agb_x_args *args, uint32_t timeout_ms)
 {
 	struct agb_rpc_outbound_call *const call =
 	    agb_xcalloc(1, sizeof(*call));
+	bool encoded;
 
 	/* The loop caches its time. The timeout must not include the time that
 	 * the caller has spent in this iteration of the loop. */
@@ -307,10 +307,12 @@
 	uv_timer_init(r->loop, &call->timer);
 	call->timer.data = call;
 	if (!call_queue(call, peer, args)) {
+		encoded = call->rec_len > 0;
 		call_delay_failure(call);
-		return;
+		return encoded;
 	}
 	start_timeout(call);
 	if (call->peer->conn == NULL)
 		agb_rpc_conn_connect(call->peer);
+	return true;
 }
--- a/src/agatebeam/rpc_internal.h
+++ b/src/agatebeam/rpc_internal.h
@@ -139,6 +139,8 @@
  * @unqueued: calls that could not be queued, and whose failure is not due yet
  * @inbound_calls: by token
  * @traffic: by address
+ * @encode_log_at_ms: loop time from which on a failure to encode is logged
+ * @encode_unlogged: number of those that were not logged since the last line
  * @scratch: buffer in which records are encoded
  */
 struct agb_rpc {
@@ -166,6 +168,8 @@
 	uint32_t next_xid;
 	uint64_t next_token;
 	uint64_t rng_state;
+	uint64_t encode_log_at_ms;
+	uint64_t encode_unlogged;
 	struct agb_rpc_stats stats;
 	char scratch[AGB_RPC_BUF_LEN];
 };
@@ -176,6 +180,14 @@
 void agb_rpc_log(struct agb_rpc *r, enum agb_log_level level, const char *event,
     const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
+/**
+ * agb_rpc_note_encode_failure() - count and log a message that cannot be encoded
+ *
+ * Writes at most one line a second, which tells how many were left out.
+ */
+void agb_rpc_note_encode_failure(
+    struct agb_rpc *r, const char *peer, agb_x_proc proc);
+
 /**
  * agb_rpc_random() - next value of the endpoint's pseudo-random sequence
  */
--- a/src/agatebeam/rpc_server.c
+++ b/src/agatebeam/rpc_server.c
@@ -100,8 +100,7 @@
 		r->stats.queued_bytes[in->proc] += len;
 		agb_rpc_conn_queue_record(conn, r->scratch, len);
 	} else {
-		agb_rpc_log(r, AGB_LOG_ERROR, "rpc-encode-failed",
-		    "peer=%s proc=%d", conn->addr, (int)in->proc);
+		agb_rpc_note_encode_failure(r, conn->addr, in->proc);
 		reply_error(conn, in->xid, AGB_RPC_SYSTEM_ERR);
 	}
 	/* If the output queue was full, the connection has been closed and its
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -233,6 +233,7 @@
 	VAL_LONGEST_TURN,
 	VAL_UNSENT_BYTES,
 	VAL_UNSENT_LARGEST,
+	VAL_ENCODE_FAILURES,
 	VAL_COUNT,
 };
 
@@ -318,6 +319,9 @@
     [VAL_UNSENT_LARGEST] = {.name = "agatebeam_peer_unsent_largest_bytes",
 	.help = "Largest number of such bytes on one connection.",
 	.type = AGB_METRIC_GAUGE},
+    [VAL_ENCODE_FAILURES] = {.name = "agatebeam_peer_encode_failures_total",
+	.help = "Messages to other instances that could not be encoded.",
+	.type = AGB_METRIC_COUNTER},
 };
 
 static double
@@ -415,6 +419,7 @@
 	    [VAL_LONGEST_TURN] = seconds(in->meter->longest_turn),
 	    [VAL_UNSENT_BYTES] = (double)in->backlog.bytes,
 	    [VAL_UNSENT_LARGEST] = (double)in->backlog.largest,
+	    [VAL_ENCODE_FAILURES] = (double)in->rpc->encode_failures,
 	};
 	size_t i;
 
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -15,7 +15,8 @@
  * @ok, @sent: number of replies with that flag set
  * @tag: that of the last reply
  * @text: id or text of the last AGB_X_EXPLAIN call or result
- * @last_event: event of the last log line
+ * @last_event, @last_line: the last log line
+ * @lines: number of log lines
  * @incomplete_records: connections closed because a record stayed incomplete
  * @text_len: length of the text in replies to AGB_X_ENV_GET
  */
@@ -31,6 +32,8 @@
 	agb_x_proc proc;
 	char text[64];
 	char last_event[64];
+	char last_line[256];
+	int lines;
 	int incomplete_records;
 	uint32_t text_len;
 };
@@ -99,6 +102,8 @@
 	struct endpoint *const s = arg;
 
 	agb_str_copy(s->last_event, sizeof(s->last_event), event);
+	agb_str_copy(s->last_line, sizeof(s->last_line), line);
+	s->lines++;
 	s->incomplete_records += strstr(line, "cause=incomplete") != NULL;
 }
 
@@ -246,6 +251,46 @@
 	loop_close(&loop);
 }
 
+/* Guards against a log that is full of messages which cannot be encoded: a leader
+ * wrote a thousand lines a second. Guards against a call that cannot succeed but
+ * looks like one that may be repeated. */
+static void
+test_encode_failures(void)
+{
+	enum { CALLS = 50, INTERVAL_MS = 1000 };
+	char id[AGB_X_ID_MAX + 2];
+	static struct endpoint a;
+	agb_x_args args = {.proc = AGB_X_EXPLAIN};
+	uv_loop_t loop;
+	int i;
+
+	uv_loop_init(&loop);
+	endpoint_open(&a, &loop);
+	memset(id, 'x', sizeof(id));
+	id[sizeof(id) - 1] = '\0';
+	args.agb_x_args_u.explain.id = id;
+	for (i = 0; i < CALLS; i++) {
+		CU_ASSERT_FALSE(
+		    agb_rpc_call(a.rpc, 1, agb_rpc_addr(a.rpc), &args, 0));
+	}
+	loop_until(&loop, &a.replies, CALLS);
+	CU_ASSERT_EQUAL(a.lines, 1);
+	CU_ASSERT_PTR_NOT_NULL(strstr(a.last_line, "suppressed=0"));
+	CU_ASSERT_EQUAL(agb_rpc_stats(a.rpc)->encode_failures, CALLS);
+	uv_sleep(INTERVAL_MS);
+	(void)agb_rpc_call(a.rpc, 1, agb_rpc_addr(a.rpc), &args, 0);
+	loop_until(&loop, &a.replies, CALLS + 1);
+	CU_ASSERT_EQUAL(a.lines, 2);
+	CU_ASSERT_PTR_NOT_NULL(strstr(a.last_line, "suppressed=49"));
+	CU_ASSERT_EQUAL(a.ok + a.sent, 0);
+	/* Other failures may be of the moment. */
+	args.agb_x_args_u.explain.id = (char *)"x";
+	CU_ASSERT(agb_rpc_call(a.rpc, 1, "not an address", &args, 0));
+	loop_until(&loop, &a.replies, CALLS + 2);
+	agb_rpc_free(a.rpc);
+	loop_close(&loop);
+}
+
 static void
 discard_input(struct loop_conn *c)
 {
@@ -875,6 +920,7 @@
     {"backlog: slow peer", test_backlog_of_slow_peer},
     {"unsent", test_unsent},
     {"repeated unsent calls", test_repeated_unsent_calls},
+    {"encode failures", test_encode_failures},
     {"silent connection", test_silent_connection},
     {"timeout of a busy process", test_timeout_of_busy_process},
     {"forged_replies", test_forged_replies},
