fix(workflow): a failed push is repeated by time, and blames no relay unsent

Callers saw: when pushes failed at once, the leader repeated them as fast as its loop ran, gave up all instances of each failure domain as relays one after the other, and sent starts late; no instance got a state.

Cause: a failed push was sent again at once, unchanged, to the next instance. The outcome told neither whether the push had been sent nor whether it could be sent at all, so that a failure at the leader was taken for a silent relay.

Change: WF_EV_PUSH_DONE carries the outcome: acknowledged, lost, not sent, or not encodable. States of a failed push wait in a backlog of their failure domain and are sent one message at a time. A push that cannot be encoded is not repeated; a line push change=dropped tells of its states, at most one a second. A backlog keeps up to 16,384 states.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -679,12 +679,13 @@
 		    c->proxy, ev->tag, ev->u.advice_request, out);
 		break;
 	case WF_EV_PEER_ACK:
-		if ((ev->tag & WF_SHOW_TAG) == 0)
-			wf_peers_ping_done(
-			    &c->table, ev->tag, ev->flag, now->mono, out);
-		else if (c->leader != NULL)
+		wf_peers_ping_done(
+		    &c->table, ev->tag, ev->flag, now->mono, out);
+		break;
+	case WF_EV_PUSH_DONE:
+		if (c->leader != NULL)
 			wf_show_push_done(
-			    c->leader, now, ev->tag, ev->flag, out);
+			    c->leader, now, ev->tag, ev->u.push_outcome, out);
 		break;
 	case WF_EV_PEER_LOST:
 		on_peer_lost(c, now, ev->u.peer, ev->flag, out);
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -30,7 +30,8 @@
 	WF_EV_PEER_ADVICE, /* tag, advice: a peer's reply to a request */
 	WF_EV_PEER_PUSH, /* feed: a peer's push; flag: forward to the domain */
 	WF_EV_PEER_PUT,	 /* tag, put: a peer asks to store a record */
-	WF_EV_PEER_ACK,	 /* tag, flag: whether a peer answered a ping or push */
+	WF_EV_PEER_ACK,	 /* tag, flag: whether a peer answered a ping */
+	WF_EV_PUSH_DONE, /* tag, push_outcome: of a push with a tag */
 	WF_EV_ORDERS, /* tag, orders: from the leader, to be sent to runners */
 	WF_EV_ORDERS_ACK, /* tag, orders_ack: whether a relay accepted orders */
 	WF_EV_RESULTS,	  /* results: of orders that a relay has sent */
@@ -297,11 +298,11 @@
 	WF_EF_ADVICE_REQUEST, /* tag, advice_request: call the advice service */
 	WF_EF_PEER_ADVICE_REQUEST, /* tag, peer, advice_request */
 	WF_EF_PEER_ADVICE_REPLY,   /* tag, advice: reply to a peer */
-	WF_EF_PEER_PUSH,    /* peer, push; with a tag, WF_EV_PEER_ACK follows */
-	WF_EF_PEER_PUT,	    /* tag, peer, record; WF_EV_STORE follows */
-	WF_EF_PEER_PING,    /* tag, peer; WF_EV_PEER_ACK follows */
-	WF_EF_PUT_REPLY,    /* tag, put_result: reply to a peer */
-	WF_EF_ORDERS,	    /* tag, peer, orders: have a peer send them */
+	WF_EF_PEER_PUSH, /* peer, push; with a tag, WF_EV_PUSH_DONE follows */
+	WF_EF_PEER_PUT,	 /* tag, peer, record; WF_EV_STORE follows */
+	WF_EF_PEER_PING, /* tag, peer; WF_EV_PEER_ACK follows */
+	WF_EF_PUT_REPLY, /* tag, put_result: reply to a peer */
+	WF_EF_ORDERS,	 /* tag, peer, orders: have a peer send them */
 	WF_EF_ORDERS_REPLY, /* tag, flag (accepted), clock: reply to a peer */
 	WF_EF_RESULTS,	    /* peer, results */
 	WF_EF_PAYLOAD_REQUEST, /* tag, peer, payload; WF_EV_PAYLOAD follows */
@@ -501,6 +502,20 @@
 	size_t len;
 };
 
+/**
+ * enum wf_push_outcome - outcome of a push
+ * @WF_PUSH_ACKED: the peer has received it
+ * @WF_PUSH_LOST: it was sent, but not acknowledged
+ * @WF_PUSH_UNSENT: it was certainly not sent, which tells nothing about the peer
+ * @WF_PUSH_UNENCODABLE: no message can hold it, so that it must not be repeated
+ */
+enum wf_push_outcome {
+	WF_PUSH_ACKED,
+	WF_PUSH_LOST,
+	WF_PUSH_UNSENT,
+	WF_PUSH_UNENCODABLE,
+};
+
 /**
  * struct wf_put_result - outcome of a put on behalf of a peer
  * @stored: false when the key already existed
@@ -526,6 +541,7 @@
 		struct wf_advice *advice;
 		struct wf_advice_request *advice_request;
 		struct wf_put_request put;
+		enum wf_push_outcome push_outcome;
 		struct wf_order_batch *orders;
 		struct wf_orders_ack orders_ack;
 		struct wf_result_batch *results;
--- a/src/workflow/wf_rpc.c
+++ b/src/workflow/wf_rpc.c
@@ -24,6 +24,8 @@
 /**
  * struct wf_rpc - RPC endpoint of an instance
  * @allowed: IP addresses that may call
+ * @unencodable: tags of pushes that could not be encoded and whose outcome has
+ *	not been reported
  */
 struct wf_rpc {
 	struct wf_rpc_cbs cbs;
@@ -31,6 +33,8 @@
 	struct agb_rpc *rpc;
 	agb_addr *allowed;
 	size_t allowed_len;
+	uint64_t *unencodable;
+	size_t unencodable_len;
 };
 
 /* ---- incoming calls and replies ---- */
@@ -178,6 +182,34 @@
 	r->cbs.event(r->arg, &ev);
 }
 
+/* Return: whether the push could not be encoded. */
+static bool
+take_unencodable(struct wf_rpc *r, uint64_t tag)
+{
+	size_t i;
+
+	for (i = 0; i < r->unencodable_len; i++) {
+		if (r->unencodable[i] != tag)
+			continue;
+		r->unencodable[i] = r->unencodable[--r->unencodable_len];
+		return true;
+	}
+	return false;
+}
+
+static void
+handle_push_done(struct wf_rpc *r, uint64_t tag, bool ok, bool sent)
+{
+	const bool unencodable = take_unencodable(r, tag);
+	struct wf_event ev = {.type = WF_EV_PUSH_DONE, .tag = tag};
+
+	ev.u.push_outcome = ok ? WF_PUSH_ACKED
+	    : sent	       ? WF_PUSH_LOST
+	    : unencodable      ? WF_PUSH_UNENCODABLE
+			       : WF_PUSH_UNSENT;
+	r->cbs.event(r->arg, &ev);
+}
+
 static void
 handle_advice(struct wf_rpc *r, uint64_t tag, const agb_x_res *res)
 {
@@ -219,8 +251,10 @@
 		goto out;
 	if (tag & TAG_PUT)
 		handle_put_reply(r, tag, sent, answer);
-	else if (tag & (TAG_PING | WF_SHOW_TAG))
+	else if (tag & TAG_PING)
 		handle_ack(r, tag, ok);
+	else if (tag & WF_SHOW_TAG)
+		handle_push_done(r, tag, ok, sent);
 	else if (tag & WF_ORDERS_TAG)
 		handle_orders_ack(r, tag, sent, answer);
 	else if (tag & WF_PAYLOAD_TAG)
@@ -271,15 +305,26 @@
 	uint32_t timeout_ms;
 };
 
+static void
+note_unencodable(struct wf_rpc *r, uint64_t tag)
+{
+	r->unencodable = agb_xreallocarray(
+	    r->unencodable, r->unencodable_len + 1, sizeof(*r->unencodable));
+	r->unencodable[r->unencodable_len++] = tag;
+}
+
 static void
 send_call(
     struct wf_rpc *r, const struct wf_effect *ef, const struct call_kind *kind)
 {
 	agb_x_args args;
+	bool encoded;
 
 	kind->encode(ef, &args);
-	agb_rpc_call(r->rpc, ef->tag, ef->peer, &args,
+	encoded = agb_rpc_call(r->rpc, ef->tag, ef->peer, &args,
 	    ef->timeout_ms > 0 ? ef->timeout_ms : kind->timeout_ms);
+	if (!encoded && ef->type == WF_EF_PEER_PUSH && ef->tag != 0)
+		note_unencodable(r, ef->tag);
 	wf_codec_args_free(&args);
 }
 
@@ -379,5 +424,6 @@
 		return;
 	agb_rpc_free(r->rpc);
 	free(r->allowed);
+	free(r->unencodable);
 	free(r);
 }
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -12,6 +12,7 @@
 
 #include "wf_counts.h"
 #include "wf_event.h"
+#include "wf_outbox.h"
 
 struct wf_leader;
 
@@ -25,17 +26,43 @@
 };
 
 /**
- * struct wf_show_push - push that has not been acknowledged
+ * struct wf_show_push - push whose outcome is not known
  * @relay: handle of the instance that forwards it in its failure domain
+ * @domain: index of that failure domain
  * @timeout_ms: how long it waits for the acknowledgement
- * @items: copies of the records, to be sent again when the push fails
+ * @states: its states, to be sent again when it fails; counts are not kept, as
+ *	they are repeated anyway
  */
 struct wf_show_push {
 	uint64_t tag;
 	uint32_t relay;
+	uint32_t domain;
 	uint32_t timeout_ms;
-	struct wf_record *items;
-	size_t len;
+	agb_time sent_at;
+	struct wf_show_state *states;
+	size_t states_len;
+};
+
+/**
+ * struct wf_show_domain - failure domain that is pushed to
+ * @backlog: states to send again, oldest first
+ * @retry_at: when to send some of them
+ * @timeout_ms: how long the next push waits for its acknowledgement
+ * @unsent: number of pushes in a row that were not sent; while it is not 0, there
+ *	is one push at a time
+ * @unsent_at: when the last of them failed
+ * @in_flight: number of pushes whose outcome is not known
+ */
+struct wf_show_domain {
+	agb_id domain;
+	struct wf_show_state *backlog;
+	size_t backlog_len;
+	size_t backlog_cap;
+	agb_time retry_at;
+	uint32_t timeout_ms;
+	uint32_t unsent;
+	agb_time unsent_at;
+	uint32_t in_flight;
 };
 
 /**
@@ -43,6 +70,10 @@
  * @push_at: time of the next push
  * @count_at: time of the next check of the counts; their push also serves as
  *	the leader's heartbeat
+ * @unsent_at: when a push to a relay last failed without having been sent, by the
+ *	relay's handle; 0 when a later one was acknowledged
+ * @dropped: number of states that were given up since the last log line
+ * @drop_log_at: when the next such line may be written
  */
 struct wf_show {
 	struct wf_show_state *states;
@@ -51,9 +82,14 @@
 	struct wf_counts counts;
 	struct wf_show_push *pushes;
 	size_t pushes_len;
+	struct wf_show_domain *domains;
+	size_t domains_len;
 	uint64_t next_tag;
 	agb_time push_at;
 	agb_time count_at;
+	agb_time unsent_at[WF_RELAYS_MAX];
+	size_t dropped;
+	agb_time drop_log_at;
 };
 
 void wf_show_free(struct wf_leader *l);
@@ -73,10 +109,12 @@
 
 /**
  * wf_show_push_done() - process the outcome of a push
- * @ok: the peer acknowledged it; otherwise it is sent again to an instance of
- *	the same failure domain
+ *
+ * The states of one that failed are sent again later, to an instance of the same
+ * failure domain. Only an instance that did not acknowledge what it was sent is
+ * given up as a relay.
  */
 void wf_show_push_done(struct wf_leader *l, const struct wf_now *now,
-    uint64_t tag, bool ok, struct wf_effects *out);
+    uint64_t tag, enum wf_push_outcome outcome, struct wf_effects *out);
 
 #endif
--- a/tests/measure/leader_turn.c
+++ b/tests/measure/leader_turn.c
@@ -554,7 +554,7 @@
 {
 	(void)data;
 	timer_start(m);
-	wf_show_push_done(m->l, &m->now, tag, true, &m->out);
+	wf_show_push_done(m->l, &m->now, tag, WF_PUSH_ACKED, &m->out);
 	timer_stop(m, PART_PUSHED);
 }
 
--- a/tests/test_wf_flow.c
+++ b/tests/test_wf_flow.c
@@ -432,7 +432,8 @@
 		ok = ack_ms <= push->timeout_ms;
 		f->now.mono += (ok ? ack_ms : push->timeout_ms) * AGB_MS;
 		f->l->flow.held_back_at = limiting ? f->now.mono : 0;
-		wf_show_push_done(f->l, &f->now, push->tag, ok, &f->out);
+		wf_show_push_done(f->l, &f->now, push->tag,
+		    ok ? WF_PUSH_ACKED : WF_PUSH_LOST, &f->out);
 	}
 	return n;
 }
--- a/tests/test_wf_push.c
+++ b/tests/test_wf_push.c
@@ -8,16 +8,20 @@
  */
 
 #include <inttypes.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "loop.h"
 #include "mem.h"
+#include "rpc.h"
 #include "rpcmsg.h"
 #include "suite.h"
 #include "wf_codec.h"
 #include "wf_core.h"
 #include "wf_leader.h"
+#include "wf_rpc.h"
 
 #define FENCE 5
 #define STEP_MS 5
@@ -36,12 +40,14 @@
  * @UNSENT: they fail at once and were certainly not sent
  * @CLOSED: they are sent, and fail at once without an answer
  * @SILENT: they are sent and never answered
+ * @UNENCODABLE: no message can hold them
  */
 enum fault {
 	NO_FAULT,
 	UNSENT,
 	CLOSED,
 	SILENT,
+	UNENCODABLE,
 };
 
 /**
@@ -68,6 +74,7 @@
 /**
  * struct fleet - a leader and its followers
  * @unencodable: messages that could not be encoded
+ * @error_lines: log lines of the leader at that level
  */
 struct fleet {
 	struct wf_config cfg;
@@ -82,6 +89,7 @@
 	struct ack acks[ACKS_MAX];
 	size_t acks_len;
 	unsigned unencodable;
+	unsigned error_lines;
 };
 
 static char buf[AGB_RPC_BUF_LEN];
@@ -201,6 +209,7 @@
 	ev.u.doc->version = 1;
 	ev.u.doc->queues = make_queues(f->doc.queues_len);
 	ev.u.doc->queues_len = f->doc.queues_len;
+	wf_doc_build_index(ev.u.doc);
 	wf_core_handle(f->followers[i].core, &f->now, &ev, &out);
 	wf_effects_free(&out);
 }
@@ -410,8 +419,16 @@
 static void
 end_push(struct fleet *f, const struct ack *ack)
 {
+	static const enum wf_push_outcome outcomes[] = {
+	    [NO_FAULT] = WF_PUSH_ACKED,
+	    [UNSENT] = WF_PUSH_UNSENT,
+	    [CLOSED] = WF_PUSH_LOST,
+	    [SILENT] = WF_PUSH_LOST,
+	    [UNENCODABLE] = WF_PUSH_UNENCODABLE,
+	};
+
 	wf_show_push_done(
-	    f->l, &f->now, ack->tag, ack->fault == NO_FAULT, &f->out);
+	    f->l, &f->now, ack->tag, outcomes[ack->fault], &f->out);
 }
 
 /* Carries out the effects of the leader. */
@@ -425,6 +442,8 @@
 	for (i = 0; i < out.len; i++) {
 		if (out.items[i].type == WF_EF_PEER_PUSH)
 			call(f, &out.items[i]);
+		f->error_lines += out.items[i].type == WF_EF_LOG &&
+		    out.items[i].u.log.level == AGB_LOG_ERROR;
 	}
 	wf_effects_free(&out);
 }
@@ -573,8 +592,116 @@
 	CU_ASSERT(value <= max);
 }
 
+/* ---- outcomes of calls ---- */
+
+/* An instance that pushes to itself and to others, and the outcomes it has
+ * learned. */
+struct endpoint {
+	struct wf_rpc *rpc;
+	int done;
+	enum wf_push_outcome outcome;
+};
+
+static void
+on_event(void *arg, struct wf_event *ev)
+{
+	struct endpoint *const ep = arg;
+
+	if (ev->type != WF_EV_PUSH_DONE)
+		return;
+	CU_ASSERT_EQUAL(ev->tag, WF_SHOW_TAG | (uint64_t)(ep->done + 1));
+	ep->outcome = ev->u.push_outcome;
+	ep->done++;
+}
+
+static void
+ignore_log(
+    void *arg, enum agb_log_level level, const char *event, const char *line)
+{
+	(void)arg;
+	(void)level;
+	(void)event;
+	(void)line;
+}
+
+static void
+discard_input(struct loop_conn *c)
+{
+	c->in_len = 0;
+}
+
+/* Makes a push of counts. */
+static void
+make_push(struct wf_effect *ef, size_t records, const char *peer, uint64_t tag)
+{
+	size_t i;
+
+	memset(ef, 0, sizeof(*ef));
+	ef->type = WF_EF_PEER_PUSH;
+	ef->tag = WF_SHOW_TAG | tag;
+	ef->timeout_ms = 100;
+	agb_str_copy(ef->peer, sizeof(ef->peer), peer);
+	ef->u.push.items = agb_xcalloc(records, sizeof(struct wf_record));
+	ef->u.push.len = records;
+	for (i = 0; i < records; i++)
+		wf_table_make_key(ef->u.push.items[i].key, 'q', "queue");
+}
+
 /* ---- cases ---- */
 
+/* Guards against outcomes that look the same: a relay was given up for a message
+ * that was never sent, and one that cannot be encoded was repeated. */
+static void
+outcomes_are_told_apart(void)
+{
+	enum peer { ITSELF, CLOSED_PORT, NO_ANSWER, PEERS };
+	static const struct {
+		enum peer peer;
+		size_t records;
+		enum wf_push_outcome outcome;
+	} cases[] = {
+	    {ITSELF, 1, WF_PUSH_ACKED},
+	    {ITSELF, AGB_X_ITEMS_MAX, WF_PUSH_ACKED},
+	    {ITSELF, AGB_X_ITEMS_MAX + 1, WF_PUSH_UNENCODABLE},
+	    {CLOSED_PORT, 1, WF_PUSH_UNSENT},
+	    {CLOSED_PORT, AGB_X_ITEMS_MAX + 1, WF_PUSH_UNENCODABLE},
+	    {NO_ANSWER, 1, WF_PUSH_LOST},
+	};
+	static const struct wf_rpc_cbs cbs = {
+	    .event = on_event, .log = ignore_log};
+	agb_addr self = "127.0.0.1:1", addrs[PEERS];
+	struct wf_effect allow = {
+	    .type = WF_EF_ALLOW_PEERS, .peers = &self, .peers_len = 1};
+	struct wf_effects out = {0};
+	struct endpoint ep = {0};
+	struct loop_server silent;
+	uv_tcp_t tcp;
+	uv_loop_t loop;
+	size_t i;
+
+	uv_loop_init(&loop);
+	loop_bind_closed_port(&loop, &tcp, addrs[CLOSED_PORT]);
+	loop_server_start(&loop, &silent, discard_input, NULL);
+	agb_str_copy(addrs[NO_ANSWER], sizeof(agb_addr), silent.addr);
+	ep.rpc = wf_rpc_new(&loop, "127.0.0.1:0", &cbs, &ep);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(ep.rpc);
+	agb_str_copy(addrs[ITSELF], sizeof(agb_addr),
+	    agb_rpc_addr(wf_rpc_endpoint(ep.rpc)));
+	(void)wf_rpc_perform(ep.rpc, &allow);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		make_push(wf_effects_add(&out, WF_EF_PEER_PUSH),
+		    cases[i].records, addrs[cases[i].peer], i + 1);
+		CU_ASSERT(wf_rpc_perform(ep.rpc, &out.items[i]));
+		loop_until(&loop, &ep.done, (int)i + 1);
+		CU_ASSERT_EQUAL(ep.outcome, cases[i].outcome);
+	}
+	wf_effects_free(&out);
+	wf_rpc_free(ep.rpc);
+	loop_server_close(&silent);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	loop_close(&loop);
+}
+
 /* Guards against pushes that no message can hold: with 4,246 queues in the
  * document no instance got a state or a count any more (LOST, grown urn
  * deployment). */
@@ -635,6 +762,7 @@
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		f = fleet_new(MANY, 10);
+		add_jobs(f);
 		run(f, 1000);
 		set_domain_fault(f, 1, cases[i].fault);
 		reset_counters(f);
@@ -654,44 +782,110 @@
 		for (k = 0; k < f->followers_len; k += 2)
 			check_at_most("states unknown afterwards", i,
 			    unknown_states(f, k, 0, states), 0);
+		check_at_most("counts unknown afterwards", i,
+		    unknown_counts(f, 0, false), 0);
 		fleet_free(f);
 	}
 }
 
-/* Guards against instances that get no states while the one that forwards them
- * is away. */
+/* Guards against instances that get no states while some that could forward them
+ * are away. */
 static void
 lost_push_goes_through_another_instance(void)
 {
 	static const struct {
 		enum fault fault;
-		size_t relays_given_up;
+		size_t faulty, relays_given_up;
 	} cases[] = {
-	    {UNSENT, 0},
-	    {CLOSED, 1},
-	    {SILENT, 1},
+	    {UNSENT, 1, 0},
+	    {UNSENT, 3, 0},
+	    {CLOSED, 1, 1},
+	    {CLOSED, 2, 2},
+	    {SILENT, 1, 1},
+	    {SILENT, 2, 2},
 	};
 	struct fleet *f;
-	size_t i;
+	size_t i, k;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		f = fleet_new(MANY, 10);
 		run(f, 1000);
-		/* Of domain 1, the first follower has the highest capacity. */
-		f->followers[0].fault = cases[i].fault;
+		/* Those of domain 1 that have the highest capacity. */
+		for (k = 0; k < cases[i].faulty; k++)
+			f->followers[2 * k].fault = cases[i].fault;
 		add_jobs(f);
 		add_states(f, 0, 10);
-		run(f, 1200);
-		check_at_most(
-		    "states unknown", i, unknown_states(f, 2, 0, 10), 0);
 		run(f, 1300);
 		check_at_most(
-		    "counts unknown", i, unknown_counts(f, 2, false), 0);
+		    "states unknown", i, unknown_states(f, 12, 0, 10), 0);
+		run(f, 1700);
+		check_at_most(
+		    "counts unknown", i, unknown_counts(f, 12, false), 0);
 		CU_ASSERT_EQUAL(excluded_relays(f), cases[i].relays_given_up);
 		fleet_free(f);
 	}
 }
 
+/* Guards against a push that no message can hold and that is sent again, which
+ * can only fail again. What comes after it arrives. */
+static void
+unencodable_push_is_reported_once(void)
+{
+	struct fleet *const f = fleet_new(MANY, 10);
+
+	run(f, 1000);
+	set_domain_fault(f, 1, UNENCODABLE);
+	add_states(f, 0, 10);
+	run(f, 200);
+	set_domain_fault(f, 1, NO_FAULT);
+	add_states(f, 10, 10);
+	run(f, 3000);
+	CU_ASSERT_EQUAL(unknown_states(f, 2, 0, 10), 10);
+	CU_ASSERT_EQUAL(unknown_states(f, 2, 10, 10), 0);
+	CU_ASSERT_EQUAL(unknown_states(f, 1, 0, 20), 0);
+	CU_ASSERT_EQUAL(excluded_relays(f), 0);
+	CU_ASSERT_EQUAL(f->error_lines, 1);
+	fleet_free(f);
+}
+
+/* Guards against states that pile up for a domain which cannot be reached, and
+ * against a burst when it is back: one message of 512 states at a time. */
+static void
+states_for_unreachable_domain_are_bounded(void)
+{
+	enum {
+		STATES = 25000,
+		PER_STEP = 500,
+		KEPT_MAX = 16384,
+		PER_CALL = 512
+	};
+	struct fleet *const f = fleet_new(MANY, 10);
+	size_t i, kept;
+
+	run(f, 1000);
+	set_domain_fault(f, 1, UNSENT);
+	for (i = 0; i < STATES; i += PER_STEP) {
+		add_states(f, i, PER_STEP);
+		run(f, 100);
+	}
+	kept = f->l->show.domains[0].backlog_len +
+	    f->l->show.domains[1].backlog_len;
+	check_at_most("states kept", 0, kept, KEPT_MAX);
+	CU_ASSERT(kept >= KEPT_MAX - PER_CALL);
+	CU_ASSERT(f->error_lines > 0);
+	check_at_most("error lines", 0, f->error_lines, 5);
+	set_domain_fault(f, 1, NO_FAULT);
+	run(f, 2100);
+	reset_counters(f);
+	run(f, 1000);
+	check_at_most("calls to the domain", 0, domain_calls(f, 1), 18);
+	run(f, 4000);
+	/* States that were being collected may have displaced one message. */
+	kept -= PER_CALL;
+	CU_ASSERT_EQUAL(unknown_states(f, 2, STATES - kept, kept), 0);
+	fleet_free(f);
+}
+
 /* Return: number of queues of the leader's counts. */
 static size_t
 pushed_queues(struct fleet *f, unsigned ms)
@@ -928,6 +1122,10 @@
     {"failed pushes are paced", failed_pushes_are_paced},
     {"a lost push goes through another instance",
 	lost_push_goes_through_another_instance},
+    {"states for an unreachable domain are bounded",
+	states_for_unreachable_domain_are_bounded},
+    {"an unencodable push is reported once", unencodable_push_is_reported_once},
+    {"outcomes are told apart", outcomes_are_told_apart},
     {"removed queues are not pushed", removed_queues_are_not_pushed},
     {"idle queues cause no traffic", idle_queues_cause_no_traffic},
     {"counts of an earlier leader do not stay",
