--- a/src/workflow/wf_push.h
+++ b/src/workflow/wf_push.h
@@ -13,6 +13,10 @@
 
 /**
  * wf_push_records() - push records to an instance
+ *
+ * Records that no single message can hold are split, in their order. A push of
+ * the leader fits into one message, so that forwarding it keeps its counts
+ * together with their position in the round.
  */
 void wf_push_records(const struct wf_peer *p, const struct wf_feed *feed,
     struct wf_effects *out);
--- a/tests/test_wf_push.c
+++ b/tests/test_wf_push.c
@@ -21,6 +21,7 @@
 #include "wf_codec.h"
 #include "wf_core.h"
 #include "wf_leader.h"
+#include "wf_push.h"
 #include "wf_rpc.h"
 
 #define FENCE 5
@@ -1117,7 +1118,83 @@
 	}
 }
 
+/* Makes a feed of job states and of other records with values of some length. */
+static void
+fill_feed(struct wf_feed *feed, char (*keys)[WF_KEY_MAX], char *val,
+    size_t states, size_t others, size_t val_len)
+{
+	struct agb_store_kv *const kvs =
+	    agb_xcalloc(states + others + 1, sizeof(*kvs));
+	char id[WF_JOB_ID_LEN];
+	size_t i;
+
+	for (i = 0; i < states + others; i++) {
+		job_id(id, 1, i);
+		wf_table_make_key(keys[i], i < states ? 'v' : 'j', id);
+		kvs[i].key = keys[i];
+		kvs[i].val = val;
+		kvs[i].val_len = i < states ? 1 : val_len;
+	}
+	feed->items = kvs;
+	feed->items_len = states + others;
+}
+
+/* Return: number of records in messages that can be encoded. */
+static size_t
+encodable_records(const struct wf_effects *out)
+{
+	agb_x_args args;
+	size_t i, n = 0;
+
+	for (i = 0; i < out->len; i++) {
+		wf_codec_encode_push(&out->items[i], &args);
+		if (agb_rpcmsg_encode_call(buf, 1, &args) > 0)
+			n += out->items[i].u.push.len;
+		wf_codec_args_free(&args);
+	}
+	return n;
+}
+
+/* Guards against records that are forwarded, or were stored for a peer, and that
+ * no single message can hold: all of them were dropped. */
+static void
+large_feed_is_split(void)
+{
+	static const struct {
+		size_t states, others, val_len, messages_max;
+	} cases[] = {
+	    {0, 0, 4, 1},
+	    {1, 0, 4, 1},
+	    {512, 257, 4, 1},
+	    {1024, 0, 4, 1},
+	    {0, 1025, 4, 2},
+	    {1024, 1024, 4, 2},
+	    {5000, 5000, 4, 10},
+	    {0, 1, AGB_X_TEXT_MAX, 1},
+	    {0, 5, AGB_X_TEXT_MAX, 5},
+	    {0, 1000, 4000, 5},
+	};
+	static char val[AGB_X_TEXT_MAX], keys[10000][WF_KEY_MAX];
+	const struct wf_peer peer = {.rpc = "10.0.0.1:1"};
+	struct wf_feed feed = {.id = WF_FEED_JOBS};
+	struct wf_effects out;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&out, 0, sizeof(out));
+		fill_feed(&feed, keys, val, cases[i].states, cases[i].others,
+		    cases[i].val_len);
+		wf_push_records(&peer, &feed, &out);
+		check_at_most("messages", i, out.len, cases[i].messages_max);
+		CU_ASSERT(out.len > 0);
+		CU_ASSERT_EQUAL(encodable_records(&out), feed.items_len);
+		wf_effects_free(&out);
+		free((void *)(uintptr_t)feed.items);
+	}
+}
+
 static const struct suite_test tests[] = {
+    {"a large feed is split", large_feed_is_split},
     {"all records arrive within 2 s", all_records_arrive_within_two_seconds},
     {"failed pushes are paced", failed_pushes_are_paced},
     {"a lost push goes through another instance",
