fix(commit): a refused record does not hold back other jobs

A write that the store refuses was repeated every 60 ms with the same records. When the store refuses one of them for good, for instance since its limit for values is lower than the usual 1 MiB, the other jobs of the write, up to 14, did not advance either, and the write was sent without end.

When the store refuses a write five times, but renews the leader's lease meanwhile, its records are written one by one. This is not done when an attempt was not answered, since it may still be carried out. After ten refusals the time between two attempts doubles up to 500 ms, also while the store is down. The log names the first job of a failed write.

What remains: the ends that were reported after the change which cannot be written are not acknowledged, since acknowledgements are released in the order of the changes.

While the store is down, no write is split.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -19,8 +19,17 @@
 /* Minimum time between two flushes, so that changes are written in batches. */
 #define FLUSH_INTERVAL_MS 40
 #define WRITE_TIMEOUT_MS 1500
-/* Delay before a write that has failed is sent again. */
+/* Delay before a write that has failed is sent again. It doubles up to
+ * WRITE_RETRY_MAX_MS once the store has refused the write
+ * WRITE_QUICK_RETRIES times: the refusals of a short outage have ended by then,
+ * and a record that the store refuses for good would be sent for ever. */
 #define WRITE_RETRY_MS 60
+#define WRITE_QUICK_RETRIES 10
+#define WRITE_RETRY_MAX_MS 500
+/* After this many refusals, the records of a write are written one by one if
+ * the store has renewed the leader's lease meanwhile: then the refusals are due
+ * to one of the records and not to the store. */
+#define REFUSALS_TO_SPLIT 5
 /* An unanswered write is sent again after RESEND_MIN_MS, or after
  * RESEND_FACTOR times the present average time of a write if that is longer.
  * Only the attempt that arrives first is executed, as the revisions that the
@@ -292,7 +301,8 @@
 	w = NULL;
 	bytes = 0;
 	for (e = l->execs; e != NULL; e = e->next) {
-		if (!e->dirty || e->in_flight || now->mono < e->write_at)
+		if (!e->dirty || e->in_flight || now->mono < e->write_at ||
+		    (w != NULL && e->write_alone))
 			continue;
 		raw = wf_state_encode(l, e, &len);
 		if (w != NULL && bytes + len > WRITE_BYTES_MAX) {
@@ -305,7 +315,7 @@
 		}
 		write_add_job(l, w, e, raw, len);
 		bytes += len;
-		if (w->jobs_len == JOBS_PER_WRITE)
+		if (w->jobs_len == JOBS_PER_WRITE || e->write_alone)
 			break;
 	}
 	if (w == NULL)
@@ -414,6 +424,7 @@
 			continue;
 		wf_exec_publish_state(l, j->exec);
 		j->exec->in_flight = false;
+		j->exec->write_alone = false;
 		l->reap_pending =
 		    l->reap_pending || wf_job_state_is_final(j->exec->state);
 		if (wf_leader_may_order(l, now->mono))
@@ -482,6 +493,80 @@
 	return NULL;
 }
 
+/* Takes a job out of a write that was certainly not carried out, so that its
+ * record is written anew and alone. */
+static void
+rewrite_alone(struct wf_leader *l, struct wf_exec *e, uint64_t gen)
+{
+	uint32_t i;
+
+	e->in_flight = false;
+	e->write_alone = true;
+	e->write_at = 0;
+	l->dirty_jobs += !e->dirty;
+	e->dirty = true;
+	e->gen = gen;
+	for (i = 0; i < e->tasks_len; i++)
+		e->tasks[i].intent_in_write = false;
+}
+
+static void
+split_write(struct wf_leader *l, struct wf_write *w, struct wf_effects *out)
+{
+	const struct wf_job *j;
+	size_t i;
+
+	wf_effects_log(out, AGB_LOG_ERROR, "commit",
+	    "jobs=%zu outcome=split refusals=%" PRIu32, w->jobs_len,
+	    w->refusals);
+	for (i = 0; i < w->jobs_len; i++) {
+		j = wf_table_job(l->table, w->jobs[i].id);
+		if (j != NULL && j->exec != NULL)
+			rewrite_alone(l, j->exec, w->jobs[i].gen);
+	}
+	write_free(l, w);
+}
+
+static agb_time
+refused_retry_delay(const struct wf_write *w)
+{
+	uint32_t ms = WRITE_RETRY_MS, i;
+
+	for (i = WRITE_QUICK_RETRIES; i < w->refusals; i++) {
+		ms *= 2;
+		if (ms >= WRITE_RETRY_MAX_MS)
+			return WRITE_RETRY_MAX_MS * AGB_MS;
+	}
+	return ms * AGB_MS;
+}
+
+/* Handles the failure of an attempt at a write. */
+static void
+write_failed(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
+    enum agb_store_status status, struct wf_effects *out)
+{
+	const size_t pending = attempts_pending(w);
+
+	wf_effects_log(out, AGB_LOG_WARN, "commit",
+	    "jobs=%zu first=%s outcome=%s refusals=%" PRIu32
+	    " attempts_out=%zu",
+	    w->jobs_len, w->jobs_len > 0 ? w->jobs[0].id : "",
+	    status == AGB_STORE_LOST ? "unknown" : "refused", w->refusals,
+	    pending);
+	if (status == AGB_STORE_REFUSED && w->refusals++ == 0)
+		w->lease_at_refusal = l->valid_until;
+	w->maybe_stored = w->maybe_stored || status != AGB_STORE_REFUSED;
+	if (status != AGB_STORE_REFUSED || pending > 0) {
+		w->retry_at = agb_time_min(
+		    w->retry_at, now->mono + WRITE_RETRY_MS * AGB_MS);
+		return;
+	}
+	w->retry_at = now->mono + refused_retry_delay(w);
+	if (w->jobs_len > 1 && w->refusals >= REFUSALS_TO_SPLIT &&
+	    !w->maybe_stored && l->valid_until > w->lease_at_refusal)
+		split_write(l, w, out);
+}
+
 bool
 wf_commit_handle_result(struct wf_leader *l, const struct wf_now *now,
     uint64_t tag, const struct agb_store_result *res, struct wf_effects *out)
@@ -493,13 +578,7 @@
 	if (w == NULL)
 		return false;
 	if (res->status != AGB_STORE_OK) {
-		wf_effects_log(out, AGB_LOG_WARN, "commit",
-		    "jobs=%zu outcome=%s retry_ms=%d attempts_out=%zu",
-		    w->jobs_len,
-		    res->status == AGB_STORE_LOST ? "unknown" : "refused",
-		    WRITE_RETRY_MS, attempts_pending(w));
-		w->retry_at = agb_time_min(
-		    w->retry_at, now->mono + WRITE_RETRY_MS * AGB_MS);
+		write_failed(l, now, w, res->status, out);
 		return true;
 	}
 	l->write_time_us -= l->write_time_us / WRITE_TIME_SMOOTHING;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -193,6 +193,8 @@
  * @write_at: its state record is not written before this time
  * @dirty: has changes that no write contains
  * @in_flight: a write of its state record is pending
+ * @write_alone: its state record is written without those of other jobs, since
+ *	the store has refused a write that contained it
  * @unreadable: its state record is malformed; its tasks are not started, since
  *	they may have run
  * @published: @published_state was sent to the other instances
@@ -212,6 +214,7 @@
 	agb_time write_at;
 	bool dirty;
 	bool in_flight;
+	bool write_alone;
 	bool unreadable;
 	bool published;
 	enum wf_job_state published_state;
@@ -368,6 +371,10 @@
  * @attempts: attempts that are not answered yet; tag 0 marks a free slot
  * @deletes_jobs: deletes ended jobs; @jobs is empty
  * @retry_at: when it is sent again if there is no answer by then
+ * @refusals: number of times that the store has refused it
+ * @maybe_stored: an attempt was not answered, so that it may have been or may
+ *	still be carried out
+ * @lease_at_refusal: @valid_until of the leader at the first refusal
  * @jobs: jobs whose records it stores, the revisions that it expects to
  *	replace, and the oldest changes that it contains
  */
@@ -378,6 +385,9 @@
 	} attempts[WF_WRITE_ATTEMPTS_MAX];
 	bool deletes_jobs;
 	agb_time retry_at;
+	uint32_t refusals;
+	bool maybe_stored;
+	agb_time lease_at_refusal;
 	struct agb_store_op op;
 	struct wf_write_job {
 		wf_job_id id;
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -254,8 +254,7 @@
 	struct wf_config cfg;
 	struct wf_meter meter;
 	struct wf_table table;
-	struct wf_queue queue;
-	struct wf_doc doc;
+	struct wf_doc *doc;
 	struct wf_now now;
 	struct wf_effects out;
 	struct wf_leader *l;
@@ -270,12 +269,14 @@
 	agb_str_copy(f->cfg.name, sizeof(f->cfg.name), "self");
 	agb_str_copy(f->cfg.rpc, sizeof(f->cfg.rpc), "10.0.0.1:1");
 	wf_meter_init(&f->meter, NULL, NULL);
-	agb_str_copy(f->queue.name, sizeof(f->queue.name), "q");
-	agb_str_copy(f->queue.service, sizeof(f->queue.service), "svc");
-	f->doc.queues = &f->queue;
-	f->doc.queues_len = 1;
+	f->doc = agb_xcalloc(1, sizeof(*f->doc));
+	f->doc->queues = agb_xcalloc(1, sizeof(*f->doc->queues));
+	f->doc->queues_len = 1;
+	agb_str_copy(f->doc->queues->name, sizeof(agb_id), "q");
+	agb_str_copy(f->doc->queues->service, sizeof(agb_id), "svc");
+	wf_doc_build_index(f->doc);
 	f->l = wf_leader_new(
-	    FENCE, &f->cfg, &f->meter, &f->table, &f->doc, &f->now, &f->out);
+	    FENCE, &f->cfg, &f->meter, &f->table, f->doc, &f->now, &f->out);
 	f->l->valid_until = 1000 * AGB_SEC;
 }
 
@@ -283,6 +284,7 @@
 fixture_free(struct fixture *f)
 {
 	wf_leader_free(f->l);
+	wf_doc_free(f->doc);
 	wf_table_free(&f->table);
 	wf_effects_free(&f->out);
 }
@@ -587,6 +589,23 @@
 	return false;
 }
 
+/* Whether a task counts as having its intent in a write though its job is in
+ * none. Its start could be sent without a record of it. */
+static bool
+intent_without_write(const struct wf_leader *l)
+{
+	const struct wf_exec *e;
+	uint32_t i;
+
+	for (e = l->execs; e != NULL; e = e->next) {
+		for (i = 0; i < e->tasks_len; i++) {
+			if (e->tasks[i].intent_in_write && !e->in_flight)
+				return true;
+		}
+	}
+	return false;
+}
+
 /* Runs the writes of a leader for @ms. The store refuses a write that contains
  * the record of job @refused, or all of them when it is down, in which case it
  * does not renew the leader's lease either.
@@ -616,6 +635,7 @@
 			}
 			(void)wf_commit_handle_result(f->l, &f->now,
 			    f->out.items[seen].tag, &res, &f->out);
+			CU_ASSERT_FALSE(intent_without_write(f->l));
 		}
 		f->now.mono += AGB_MS;
 	}
@@ -650,8 +670,11 @@
 	make_job_id(refused, 1);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		fixture_init(&f, 0);
+		add_runners(&f, 1);
 		for (n = 0; n < cases[i].jobs; n++)
-			wf_exec_mark_dirty(f.l, add_job(&f, n + 1, 1));
+			(void)add_job(&f, n + 1, 1);
+		f.now.mono += AGB_SEC;
+		(void)wf_dispatch(f.l, &f.now, &f.out);
 		CU_ASSERT(run_writes(&f, refused, cases[i].down, run_ms) <=
 		    cases[i].refusals_max);
 		pending = 0;
@@ -666,6 +689,8 @@
 		for (e = f.l->execs; e != NULL; e = e->next)
 			CU_ASSERT(!e->dirty && !e->in_flight);
 		CU_ASSERT_EQUAL(f.l->writes_len, 0);
+		for (e = f.l->execs; e != NULL; e = e->next)
+			CU_ASSERT_EQUAL(e->tasks[0].state, WF_TASK_SENT);
 		fixture_free(&f);
 	}
 }
