fix(dispatch): a job uses no more runners than its record can name

The state record of a job names up to 4,096 runners. The record of a job with tasks on more of them cannot be encoded, and an empty one was written in its place. Its starts were sent nevertheless. The next leader cannot read an empty record, and does not start the tasks of the job again.

In fleets with more runners than that, placement now leaves out further runners once a job uses 4,096. A record that cannot be encoded all the same is not written, with an error in the log every second; it does not hold back those of other jobs, and no start is sent without it.

test_wf_limits: a job of 4,097 tasks, one per runner, gets 4,096 runners; a gang of that size does not start.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -39,6 +39,8 @@
 /* The newest write has a weight of 1/WRITE_TIME_SMOOTHING in the average time
  * of a write. */
 #define WRITE_TIME_SMOOTHING 4
+/* Time after which a record that could not be encoded is tried again. */
+#define ENCODE_RETRY_MS 1000
 /* Minimum time between two deletions of the records of ended jobs. */
 #define COLLECT_INTERVAL_MS 2000
 /* Minimum time between two searches for ended jobs that can be freed. */
@@ -305,6 +307,12 @@
 		    (w != NULL && e->write_alone))
 			continue;
 		raw = wf_state_encode(l, e, &len);
+		if (raw == NULL) {
+			e->write_at = now->mono + ENCODE_RETRY_MS * AGB_MS;
+			wf_effects_log(out, AGB_LOG_ERROR, "commit",
+			    "job=%s outcome=unencodable", e->job->id);
+			continue;
+		}
 		if (w != NULL && bytes + len > WRITE_BYTES_MAX) {
 			free(raw);
 			break;
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -285,6 +285,36 @@
 	return true;
 }
 
+/* Removes candidates so that the job does not use more runners than its state
+ * record can name. Only fleets with more runners than that are affected.
+ * Return: number of candidates that are left. */
+static size_t
+limit_runners_of_job(const struct dispatch_pass *p, const struct wf_exec *e,
+    struct candidate *list, size_t len)
+{
+	uint32_t i, runners = 0;
+	size_t k, n = 0;
+	bool *used;
+
+	if (p->l->runners_len <= WF_X_RUNNERS_MAX)
+		return len;
+	used = agb_xcalloc(p->l->runners_len, sizeof(*used));
+	for (i = 0; i < e->tasks_len; i++) {
+		if (!e->tasks[i].allocated)
+			continue;
+		runners += !used[e->tasks[i].runner];
+		used[e->tasks[i].runner] = true;
+	}
+	for (k = 0; k < len; k++) {
+		if (!used[list[k].runner] && runners == WF_X_RUNNERS_MAX)
+			continue;
+		runners += !used[list[k].runner];
+		list[n++] = list[k];
+	}
+	free(used);
+	return n;
+}
+
 /* Collects the runners that have room for the unit. Approved ones whose ticket
  * has expired go to the list @stale of the pass instead. */
 static size_t
@@ -305,7 +335,7 @@
 			if (candidate_init(p, u, q->service, ri, &c))
 				p->candidates[n++] = c;
 		}
-		return n;
+		return limit_runners_of_job(p, u->exec, p->candidates, n);
 	}
 	wf_meter_add_examined(l->meter, u->approvals_len);
 	for (i = 0; i < u->approvals_len; i++) {
@@ -318,7 +348,7 @@
 		else
 			p->stale[(*stale_len)++] = a->runner;
 	}
-	return n;
+	return limit_runners_of_job(p, u->exec, p->candidates, n);
 }
 
 static int
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -730,7 +730,8 @@
 
 /**
  * wf_state_encode() - encode the state record of a job
- * Return: the record, owned by the caller.
+ * Return: the record, owned by the caller; NULL when a limit of the record is
+ * exceeded.
  */
 char *wf_state_encode(
     struct wf_leader *l, const struct wf_exec *e, size_t *len);
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -465,6 +465,87 @@
 	fixture_free(&f);
 }
 
+/* Guards against a job on more runners than its record can name. The record
+ * cannot be encoded, and the next leader would not know the tasks. */
+static void
+jobs_use_no_more_runners_than_records_hold(void)
+{
+	static const struct {
+		uint32_t runners, tasks, spread_max;
+		bool gang;
+		uint32_t assigned;
+	} cases[] = {
+	    {WF_X_RUNNERS_MAX, WF_X_RUNNERS_MAX, 1, false, WF_X_RUNNERS_MAX},
+	    {WF_X_RUNNERS_MAX + 1, WF_X_RUNNERS_MAX + 1, 1, false,
+		WF_X_RUNNERS_MAX},
+	    {WF_X_RUNNERS_MAX, WF_X_RUNNERS_MAX, 1, true, WF_X_RUNNERS_MAX},
+	    {WF_X_RUNNERS_MAX + 1, WF_X_RUNNERS_MAX + 1, 1, true, 0},
+	    {WF_X_RUNNERS_MAX, 3 * WF_X_RUNNERS_MAX, 0, true,
+		3 * WF_X_RUNNERS_MAX},
+	};
+	struct fixture f;
+	struct wf_exec *e;
+	uint32_t n, assigned;
+	size_t i, len;
+	char *raw;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, 0);
+		add_runners(&f, cases[i].runners);
+		e = add_job(&f, 1, cases[i].tasks);
+		e->job->spec.steps[0].spread_max = cases[i].spread_max;
+		e->job->spec.steps[0].gang = cases[i].gang;
+		f.l->flow.limit = UINT32_MAX;
+		f.now.mono += AGB_SEC;
+		(void)wf_dispatch(f.l, &f.now, &f.out);
+		assigned = 0;
+		for (n = 0; n < e->tasks_len; n++)
+			assigned += e->tasks[n].allocated;
+		CU_ASSERT_EQUAL(assigned, cases[i].assigned);
+		raw = wf_state_encode(f.l, e, &len);
+		CU_ASSERT_PTR_NOT_NULL(raw);
+		free(raw);
+		fixture_free(&f);
+	}
+}
+
+/* Guards against an empty record that is written in place of one that cannot be
+ * encoded, and against such a record holding back those of other jobs. */
+static void
+unencodable_records_are_left_out(void)
+{
+	const uint32_t runners = WF_X_RUNNERS_MAX + 1;
+	struct fixture f;
+	struct wf_exec *large, *small;
+	size_t i, puts = 0, errors = 0;
+	uint32_t k;
+
+	fixture_init(&f, 0);
+	add_runners(&f, runners);
+	large = add_job(&f, 1, runners);
+	small = add_job(&f, 2, 1);
+	let_tasks_run(large, runners, 0);
+	wf_exec_mark_dirty(f.l, large);
+	wf_exec_mark_dirty(f.l, small);
+	for (k = 0; k < 5000; k++) {
+		(void)wf_commit_flush(f.l, &f.now, &f.out);
+		f.now.mono += AGB_MS;
+	}
+	for (i = 0; i < f.out.len; i++) {
+		if (f.out.items[i].type == WF_EF_LOG)
+			errors += f.out.items[i].u.log.level == AGB_LOG_ERROR;
+		else if (puts == 0 && f.out.items[i].type == WF_EF_STORE)
+			puts = f.out.items[i].u.store.writes_len;
+	}
+	CU_ASSERT_EQUAL(puts, 1);
+	CU_ASSERT(large->dirty && !large->in_flight);
+	CU_ASSERT(small->in_flight);
+	CU_ASSERT(errors > 0);
+	CU_ASSERT(errors <= 6);
+	forget_tasks(large);
+	fixture_free(&f);
+}
+
 /* Size of the request that carries a write. */
 static size_t
 request_size(const struct agb_store_op *op)
@@ -789,6 +870,9 @@
     {"state records fit into the store", state_records_fit_into_store},
     {"checkpoints of waiting tasks come first",
 	checkpoints_of_waiting_tasks_come_first},
+    {"jobs use no more runners than records hold",
+	jobs_use_no_more_runners_than_records_hold},
+    {"unencodable records are left out", unencodable_records_are_left_out},
     {"writes fit into requests", writes_fit_into_requests},
     {"writes have time on slow links", writes_have_time_on_slow_links},
     {"refused records hold back no others",
