refactor(workflow): orders to runners have a file of their own

Building and sending starts, stops and holds, and the leases that they extend, move to wf_fleet_order.c; what the files share is in wf_fleet_internal.h. No change of behaviour.

--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -5,24 +5,9 @@
 #include <utlist.h>
 
 #include "mem.h"
-#include "wf_leader.h"
-
-/* Lease that each hold grants to a runner. A runner that is cut off continues
- * to work for this long, and its tasks cannot be placed elsewhere before
- * then. */
-#define RUNNER_LEASE_MS 4000
-/* The runner's clock may run 2% slow, so that a lease lasts up to 1/0.98 of its
- * time; the rest covers rounding. */
-#define LEASE_SLOW_PERMILLE 1021
-#define LEASE_MARGIN_MS 50
-/* Deadline of a start. A runner refuses a start that arrives later. */
-#define START_DEADLINE_MS 1500
-#define START_TIMEOUT_MS 300
-#define STOP_TIMEOUT_MS 400
+#include "wf_fleet_internal.h"
+
 #define STOP_RETRY_MS 350
-/* Longest time for which a hold waits at the runner for a run to end. */
-#define HOLD_WAIT_MS 1000
-#define HOLD_TIMEOUT_MS 1600
 #define HOLD_INTERVAL_MS 10
 #define TICK_INTERVAL_MS 3
 /* Interval of holds while the runner lists ends that are not durable yet: such
@@ -212,8 +197,8 @@
 	return i;
 }
 
-static void
-release_or_requeue(struct wf_leader *l, const struct wf_now *now,
+void
+wf_fleet_release_or_requeue(struct wf_leader *l, const struct wf_now *now,
     struct wf_task *t, const char *why, struct wf_effects *out)
 {
 	if (t->state == WF_TASK_DONE)
@@ -224,12 +209,13 @@
 
 /* Requeues all tasks assigned to a runner. Called when they certainly do not
  * run there any more. */
-static void
-requeue_runner_tasks(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    const char *why, struct wf_effects *out)
+void
+wf_fleet_requeue_tasks(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, const char *why, struct wf_effects *out)
 {
 	while (l->runners[ri].tasks != NULL)
-		release_or_requeue(l, now, l->runners[ri].tasks, why, out);
+		wf_fleet_release_or_requeue(
+		    l, now, l->runners[ri].tasks, why, out);
 }
 
 /* Whether the start of a task may still reach the restarted runner because the
@@ -276,7 +262,7 @@
 				keep_task_after_restart(
 				    l, now, ri, t, started_ms, out);
 			else
-				release_or_requeue(
+				wf_fleet_release_or_requeue(
 				    l, now, t, "runner restarted", out);
 			break;
 		}
@@ -440,144 +426,8 @@
 		l->outbox.check_at = 0;
 }
 
-/* Lower bound of a runner's clock. The clock may have run slow since it was
- * read, and a lease must not end later than the leader assumes. */
-static int64_t
-runner_clock_ms(const struct wf_runner *r, agb_time now)
-{
-	const agb_time since = (now - r->clock_at) / AGB_MS;
-
-	return r->clock_ms + (int64_t)(since * 1000 / LEASE_SLOW_PERMILLE);
-}
-
-static struct wf_order *
-add_order(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    enum wf_order_kind kind, uint32_t timeout_ms)
-{
-	const struct wf_runner *const r = &l->runners[ri];
-	struct wf_order *const o = wf_outbox_add(l);
-
-	o->kind = kind;
-	o->runner = ri;
-	o->incarnation = r->incarnation;
-	o->sent_at = now->mono;
-	agb_str_copy(o->runner_id, sizeof(o->runner_id), r->info.id);
-	agb_str_copy(o->addr, sizeof(o->addr), r->info.addr);
-	o->fence = l->fence;
-	o->timeout_ms = timeout_ms;
-	return o;
-}
-
-static void
-extend_lease(struct wf_runner *r, agb_time now, uint32_t ms)
-{
-	const agb_time until =
-	    now + (agb_time)ms * LEASE_SLOW_PERMILLE + LEASE_MARGIN_MS * AGB_MS;
-
-	if (until > r->lease_until)
-		r->lease_until = until;
-}
-
-static void
-send_start(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    struct wf_task *t)
-{
-	struct wf_runner *const r = &l->runners[t->runner];
-	const struct wf_spec *const spec = &u->exec->job->spec;
-	const struct wf_approval *a;
-	struct wf_order *o;
-
-	t->start_deadline_ms =
-	    runner_clock_ms(r, now->mono) + START_DEADLINE_MS;
-	extend_lease(r, now->mono, START_DEADLINE_MS);
-	o = add_order(l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS);
-	wf_task_ref(t, &o->task);
-	o->run = t->run;
-	o->deadline_ms = t->start_deadline_ms;
-	o->payload = agb_xmemdup(spec->payload, spec->payload_len);
-	o->payload_len = spec->payload_len;
-	if (t->checkpoint != NULL)
-		agb_str_copy(
-		    o->checkpoint, sizeof(o->checkpoint), t->checkpoint);
-	a = wf_advice_find(u, t->runner);
-	if (a != NULL && a->approved) {
-		agb_str_copy(o->ticket, sizeof(o->ticket), a->ticket);
-		wf_meter_add_approval_age(l->meter, now->mono - a->received_at);
-	}
-}
-
 void
-wf_fleet_send_start(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, struct wf_effects *out)
-{
-	const struct wf_runner *const r = &l->runners[t->runner];
-	struct wf_task_ref ref;
-
-	t->state = WF_TASK_SENT;
-	t->sent_at = now->mono;
-	t->progress_run = 0;
-	t->pace_percent = 100;
-	t->resumed = t->checkpoint != NULL;
-	send_start(l, now, u, t);
-	wf_task_ref(t, &ref);
-	wf_effects_log_run(out, AGB_LOG_INFO, "start", &ref, t->run, r->info.id,
-	    "fence=%" PRIu64 " document=%" PRIu64 " waited_ms=%" PRIu64
-	    " free_cpu=%" PRId64,
-	    l->fence, l->doc != NULL ? l->doc->version : 0,
-	    (now->mono - u->ready_at) / AGB_MS,
-	    wf_runner_free_resources(r).cpu_milli);
-}
-
-static void
-send_stop(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    const struct wf_task_ref *ref, uint32_t run)
-{
-	struct wf_order *const o =
-	    add_order(l, now, ri, WF_ORDER_STOP, STOP_TIMEOUT_MS);
-
-	o->task = *ref;
-	o->run = run;
-}
-
-/* Sends a hold that returns the runner's lists at once, in addition to the
- * regular hold that waits for a run to end. It acknowledges no ends, because it
- * follows a lost answer and the runner may have restarted. */
-static void
-send_extra_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri)
-{
-	struct wf_order *const o =
-	    add_order(l, now, ri, WF_ORDER_HOLD, START_TIMEOUT_MS);
-
-	o->is_probe = true;
-}
-
-static void
-send_hold(struct wf_leader *l, const struct wf_now *now, uint32_t ri)
-{
-	struct wf_runner *const r = &l->runners[ri];
-	struct wf_order *const o =
-	    add_order(l, now, ri, WF_ORDER_HOLD, HOLD_TIMEOUT_MS);
-	/* The first hold only reads the lists and the clock. A hold to a runner
-	 * that does not answer must not extend its lease, which has to expire
-	 * before its tasks start elsewhere. It must not acknowledge ends
-	 * either: the runner may have restarted and number its ends from the
-	 * beginning, and a hold carried out late would remove ends that nobody
-	 * has read. */
-	const bool only_reads = !r->reported || r->clock_ms == 0 || r->silent;
-
-	o->wait_ms =
-	    only_reads || r->processed_seq > r->durable_seq ? 0 : HOLD_WAIT_MS;
-	wf_poll_hold_sent(&r->poll, now->mono, o->wait_ms);
-	if (only_reads)
-		return;
-	o->forget_seq = r->durable_seq;
-	o->known_seq = r->processed_seq;
-	o->deadline_ms = runner_clock_ms(r, now->mono) + RUNNER_LEASE_MS;
-	extend_lease(r, now->mono, RUNNER_LEASE_MS);
-}
-
-static void
-exclude_runner(struct wf_runner *r, agb_time now, uint32_t ms)
+wf_fleet_exclude(struct wf_runner *r, agb_time now, uint32_t ms)
 {
 	const agb_time until = now + (agb_time)ms * AGB_MS;
 
@@ -597,7 +447,7 @@
 		return;
 	if (++r->fail_streak < FAULTY_FAILURES)
 		return;
-	exclude_runner(r, now->mono, EXCLUDE_FAULTY_MS);
+	wf_fleet_exclude(r, now->mono, EXCLUDE_FAULTY_MS);
 	wf_effects_log(out, AGB_LOG_WARN, "runner",
 	    "runner=%s change=faulty failures_in_a_row=%" PRIu32
 	    " shunned_ms=%d",
@@ -656,7 +506,7 @@
 	if (now->mono < s->next_stop_at)
 		return;
 	s->next_stop_at = now->mono + STOP_RETRY_MS * AGB_MS;
-	send_stop(l, now, ri, &a->task, a->run);
+	wf_fleet_order_stop(l, now, ri, &a->task, a->run);
 }
 
 /* Handles the end of a run that had been given up. If it succeeded and no other
@@ -789,7 +639,7 @@
 	}
 	if (!r->stalled)
 		return;
-	exclude_runner(r, now->mono, EXCLUDE_STALLED_MS);
+	wf_fleet_exclude(r, now->mono, EXCLUDE_STALLED_MS);
 	for (t = r->tasks; t != NULL; t = t->next) {
 		ms = t->seen_in_list && !t->stopping ? stalled_ms(r, t) : 0;
 		if (ms == 0 || !must_stop_stalled(t, ms))
@@ -863,7 +713,8 @@
 		    t->pace_percent == r->pace_percent || t->stopping)
 			continue;
 		t->pace_percent = r->pace_percent;
-		o = add_order(l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS);
+		o = wf_fleet_add_order(
+		    l, now, ri, WF_ORDER_PACE, PACE_TIMEOUT_MS);
 		wf_task_ref(t, &o->task);
 		o->run = t->run;
 		o->percent = t->pace_percent;
@@ -969,7 +820,7 @@
 				stop_unanswered_start(l, now, t, out);
 				continue;
 			}
-			release_or_requeue(l, now, t,
+			wf_fleet_release_or_requeue(l, now, t,
 			    t->recovered ? "not at its runner at takeover"
 					 : "not at its runner",
 			    out);
@@ -1022,7 +873,7 @@
 	if (!r->reported) {
 		r->reported = true;
 		r->lease_until = now->mono;
-		extend_lease(r, now->mono, RUNNER_LEASE_MS);
+		wf_fleet_extend_lease(r, now->mono, RUNNER_LEASE_MS);
 		l->placement_changed = true;
 	}
 }
@@ -1094,7 +945,7 @@
 	struct wf_runner *const r = &l->runners[res->runner];
 
 	if (shows_exit(res, now->mono)) {
-		requeue_runner_tasks(
+		wf_fleet_requeue_tasks(
 		    l, now, res->runner, "runner has exited", out);
 		r->reported = false;
 	} else if (r->missed_holds == 1) {
@@ -1136,7 +987,7 @@
 				? (r->lease_until - now->mono) / AGB_MS
 				: 0);
 		r->silent = true;
-		exclude_runner(r, now->mono, EXCLUDE_UNANSWERED_MS);
+		wf_fleet_exclude(r, now->mono, EXCLUDE_UNANSWERED_MS);
 		if (r->has_left)
 			check_exit(l, now, res, out);
 		return;
@@ -1183,9 +1034,9 @@
 			a->valid_until = 0;
 	} else if (res->status == WF_ORDER_BUSY ||
 	    res->status == WF_ORDER_UNSENT || res->status == WF_ORDER_NO_ROOM) {
-		exclude_runner(r, now->mono, EXCLUDE_BUSY_MS);
+		wf_fleet_exclude(r, now->mono, EXCLUDE_BUSY_MS);
 	} else if (res->status == WF_ORDER_INVALID) {
-		exclude_runner(r, now->mono, EXCLUDE_UNANSWERED_MS);
+		wf_fleet_exclude(r, now->mono, EXCLUDE_UNANSWERED_MS);
 	}
 	wf_task_requeue(l, now, u, t, why[res->status], out);
 }
@@ -1216,7 +1067,7 @@
 		return;
 	if (res->status == WF_ORDER_NO_PAYLOAD && !t->stopping) {
 		wf_outbox_mark_payload_missing(u->exec, res->relay);
-		send_start(l, now, u, t);
+		wf_fleet_order_start(l, now, u, t);
 		return;
 	}
 	if (res->status != WF_ORDER_LOST) {
@@ -1224,12 +1075,12 @@
 		return;
 	}
 	wf_outbox_avoid_relay(&l->runners[t->runner], res->relay);
-	exclude_runner(
+	wf_fleet_exclude(
 	    &l->runners[t->runner], now->mono, EXCLUDE_UNANSWERED_MS);
 	wf_task_mark_unanswered(l, t);
 	wf_effects_log_run(out, AGB_LOG_INFO, "unanswered", &res->task, t->run,
 	    l->runners[t->runner].info.id, "%s", "");
-	send_extra_hold(l, now, t->runner);
+	wf_fleet_order_extra_hold(l, now, t->runner);
 }
 
 static void
@@ -1248,7 +1099,7 @@
 	if (res->status != WF_ORDER_OK || t->start_accepted_at != 0)
 		return;
 	t->start_accepted_at = now->mono;
-	send_extra_hold(l, now, t->runner);
+	wf_fleet_order_extra_hold(l, now, t->runner);
 }
 
 static void
@@ -1303,7 +1154,7 @@
 	if (res->status == WF_ORDER_FENCED) {
 		wf_effects_log(out, AGB_LOG_WARN, "fenced",
 		    "runner=%s fence=%" PRIu64, r->info.id, l->fence);
-		exclude_runner(r, now->mono, EXCLUDE_UNANSWERED_MS);
+		wf_fleet_exclude(r, now->mono, EXCLUDE_UNANSWERED_MS);
 		/* A single report may come from a faulty runner. Another leader
 		 * is assumed when a second runner reports it, too. */
 		if (l->fenced_at > 0 && l->fenced_by != res->runner &&
@@ -1342,7 +1193,7 @@
 				t->next_stop_at =
 				    now->mono + STOP_RETRY_MS * AGB_MS;
 				wf_task_ref(t, &ref);
-				send_stop(l, now, ri, &ref, t->run);
+				wf_fleet_order_stop(l, now, ri, &ref, t->run);
 			}
 			if (t->next_stop_at < *next)
 				*next = t->next_stop_at;
@@ -1394,10 +1245,10 @@
 		when = now->mono + HOLD_RETRY_MS * AGB_MS;
 	}
 	if (action == WF_POLL_HOLD)
-		send_hold(l, now, ri);
+		wf_fleet_order_hold(l, now, ri);
 	if (action == WF_POLL_PROBE) {
 		wf_poll_probe_sent(&r->poll);
-		send_extra_hold(l, now, ri);
+		wf_fleet_order_extra_hold(l, now, ri);
 	}
 	if (action == WF_POLL_NOTHING)
 		*next = agb_time_min(*next, when);
@@ -1412,7 +1263,8 @@
 	if (r->tasks != NULL && now->mono > r->lease_until + requeue_delay(r) &&
 	    now->mono - r->heard_at > RUNNER_LEASE_MS * AGB_MS &&
 	    does_not_answer(r, now->mono)) {
-		requeue_runner_tasks(l, now, ri, "its lease has run out", out);
+		wf_fleet_requeue_tasks(
+		    l, now, ri, "its lease has run out", out);
 		r->reported = false;
 	}
 	if (!r->listed && r->tasks == NULL &&
--- /dev/null
+++ b/src/workflow/wf_fleet_internal.h
@@ -0,0 +1,87 @@
+#ifndef WF_FLEET_INTERNAL_H
+#define WF_FLEET_INTERNAL_H
+
+/**
+ * DOC: wf_fleet_internal
+ *
+ * Functions and constants that the wf_fleet*.c files share.
+ */
+
+#include "wf_leader.h"
+
+/* Lease that each hold grants to a runner. A runner that is cut off continues
+ * to work for this long, and its tasks cannot be placed elsewhere before
+ * then. */
+#define RUNNER_LEASE_MS 4000
+/* The runner's clock may run 2% slow, so that a lease lasts up to 1/0.98 of its
+ * time; the rest covers rounding. */
+#define LEASE_SLOW_PERMILLE 1021
+#define LEASE_MARGIN_MS 50
+
+/* ---- wf_fleet.c ---- */
+
+/**
+ * wf_fleet_exclude() - place no new tasks on a runner for a time
+ */
+void wf_fleet_exclude(struct wf_runner *r, agb_time now, uint32_t ms);
+
+/**
+ * wf_fleet_release_or_requeue() - release a task that is certainly not on its
+ * runner any more, and queue it again unless it is done
+ * @why: reason for the log
+ */
+void wf_fleet_release_or_requeue(struct wf_leader *l, const struct wf_now *now,
+    struct wf_task *t, const char *why, struct wf_effects *out);
+
+/**
+ * wf_fleet_requeue_tasks() - requeue all tasks assigned to a runner, which
+ * certainly do not run there any more
+ * @why: reason for the log
+ */
+void wf_fleet_requeue_tasks(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, const char *why, struct wf_effects *out);
+
+/* ---- wf_fleet_order.c ---- */
+
+/**
+ * wf_fleet_add_order() - add an order to a runner to those that are sent next
+ */
+struct wf_order *wf_fleet_add_order(struct wf_leader *l,
+    const struct wf_now *now, uint32_t ri, enum wf_order_kind kind,
+    uint32_t timeout_ms);
+
+/**
+ * wf_fleet_extend_lease() - note that an order sent now may extend the lease of
+ * a runner by @ms on the runner's clock
+ */
+void wf_fleet_extend_lease(struct wf_runner *r, agb_time now, uint32_t ms);
+
+/**
+ * wf_fleet_order_start() - send the start order of a task, possibly again
+ */
+void wf_fleet_order_start(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_task *t);
+
+/**
+ * wf_fleet_order_stop() - send the order to stop a run
+ */
+void wf_fleet_order_stop(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, const struct wf_task_ref *ref, uint32_t run);
+
+/**
+ * wf_fleet_order_extra_hold() - send a hold that returns the runner's lists at
+ * once, in addition to the regular hold that waits for a run to end
+ *
+ * It acknowledges no ends, because it follows a lost answer and the runner may
+ * have restarted.
+ */
+void wf_fleet_order_extra_hold(
+    struct wf_leader *l, const struct wf_now *now, uint32_t ri);
+
+/**
+ * wf_fleet_order_hold() - send the regular hold
+ */
+void wf_fleet_order_hold(
+    struct wf_leader *l, const struct wf_now *now, uint32_t ri);
+
+#endif
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -736,7 +736,7 @@
 bool wf_state_restore(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out);
 
-/* ---- wf_fleet.c ---- */
+/* ---- wf_fleet*.c ---- */
 
 /**
  * wf_fleet_find() - index of a runner
