--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -7,7 +7,6 @@
 #include "mem.h"
 #include "wf_fleet_internal.h"
 
-#define STOP_RETRY_MS 350
 #define HOLD_INTERVAL_MS 10
 #define TICK_INTERVAL_MS 3
 /* Interval of holds while the runner lists ends that are not durable yet: such
@@ -269,18 +268,6 @@
 	} while (again);
 }
 
-static void
-clear_orphan_runs(struct wf_runner *r)
-{
-	size_t i;
-
-	for (i = 0; i < r->orphan_runs_len; i++)
-		agb_resources_sub(&r->allocated, &r->orphan_runs[i].need);
-	free(r->orphan_runs);
-	r->orphan_runs = NULL;
-	r->orphan_runs_len = 0;
-}
-
 void
 wf_fleet_clear(struct wf_leader *l)
 {
@@ -312,7 +299,7 @@
 		    " born_before_ms=%" PRId64,
 		    r->info.id, started_ms, r->info.started_ms);
 	requeue_tasks_from_before_restart(l, now, ri, started_ms, out);
-	clear_orphan_runs(r);
+	wf_fleet_clear_orphan_runs(r);
 	r->incarnation++;
 	r->info.started_ms = started_ms;
 	r->reported = false;
@@ -454,61 +441,6 @@
 	    r->info.id, r->fail_streak, EXCLUDE_FAULTY_MS);
 }
 
-static void
-remove_orphan_run(struct wf_runner *r, size_t i)
-{
-	agb_resources_sub(&r->allocated, &r->orphan_runs[i].need);
-	r->orphan_runs[i] = r->orphan_runs[--r->orphan_runs_len];
-}
-
-static struct wf_orphan_run *
-find_orphan_run(
-    struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run)
-{
-	size_t i;
-
-	for (i = 0; i < r->orphan_runs_len; i++) {
-		if (r->orphan_runs[i].run == run &&
-		    wf_task_ref_same(&r->orphan_runs[i].task, ref))
-			return &r->orphan_runs[i];
-	}
-	return NULL;
-}
-
-/* Records and stops an orphan run, which a runner lists but which is not
- * assigned to it. Its resources count as used until it is no longer listed. */
-static void
-stop_orphan_run(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    const struct wf_active_run *a, struct wf_effects *out)
-{
-	struct wf_runner *const r = &l->runners[ri];
-	const struct wf_job *const j = wf_table_job(l->table, a->task.job);
-	struct wf_orphan_run *s;
-
-	s = find_orphan_run(r, &a->task, a->run);
-	if (s == NULL) {
-		r->orphan_runs = agb_xreallocarray(r->orphan_runs,
-		    r->orphan_runs_len + 1, sizeof(*r->orphan_runs));
-		s = &r->orphan_runs[r->orphan_runs_len++];
-		memset(s, 0, sizeof(*s));
-		s->task = a->task;
-		s->run = a->run;
-		if (j != NULL && j->spec_rev > 0 &&
-		    a->task.step < j->spec.steps_len)
-			s->need =
-			    wf_step_reserved(&j->spec.steps[a->task.step]);
-		agb_resources_add(&r->allocated, &s->need);
-		wf_effects_log_run(out, AGB_LOG_WARN, "stray", &a->task, a->run,
-		    r->info.id,
-		    "reason=\"run is not assigned to this runner\"");
-	}
-	s->seen = true;
-	if (now->mono < s->next_stop_at)
-		return;
-	s->next_stop_at = now->mono + STOP_RETRY_MS * AGB_MS;
-	wf_fleet_order_stop(l, now, ri, &a->task, a->run);
-}
-
 /* Handles the end of a run that had been given up. If it succeeded and no other
  * run of the task has, the task is done. */
 static void
@@ -551,9 +483,9 @@
 	struct wf_unit *u;
 	struct wf_task *t;
 
-	s = find_orphan_run(r, &f->task, f->run);
+	s = wf_fleet_find_orphan_run(r, &f->task, f->run);
 	if (s != NULL)
-		remove_orphan_run(r, (size_t)(s - r->orphan_runs));
+		wf_fleet_remove_orphan_run(r, (size_t)(s - r->orphan_runs));
 	t = wf_exec_find_task(l, &f->task, &u);
 	if (t == NULL)
 		return;
@@ -757,7 +689,7 @@
 
 	t = wf_exec_find_task(l, &a->task, &u);
 	if (t == NULL || !t->allocated || t->runner != ri || t->run != a->run) {
-		stop_orphan_run(l, now, ri, a, out);
+		wf_fleet_stop_orphan_run(l, now, ri, a, out);
 		return;
 	}
 	t->seen_in_list = true;
@@ -830,17 +762,6 @@
 	} while (again);
 }
 
-static void
-remove_unlisted_orphan_runs(struct wf_runner *r)
-{
-	size_t i;
-
-	for (i = r->orphan_runs_len; i > 0; i--) {
-		if (!r->orphan_runs[i - 1].seen)
-			remove_orphan_run(r, i - 1);
-	}
-}
-
 static void
 handle_lists(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -869,7 +790,7 @@
 		release_absent_tasks(l, now, ri, res, out);
 	check_progress(l, now, ri, out);
 	adjust_pace(l, now, ri, out);
-	remove_unlisted_orphan_runs(r);
+	wf_fleet_remove_unlisted_orphan_runs(r);
 	if (!r->reported) {
 		r->reported = true;
 		r->lease_until = now->mono;
@@ -1269,7 +1190,7 @@
 	}
 	if (!r->listed && r->tasks == NULL &&
 	    now->mono - r->unlisted_at > RUNNER_FORGET_MS * AGB_MS) {
-		clear_orphan_runs(r);
+		wf_fleet_clear_orphan_runs(r);
 		index_remove(l, r->info.id);
 		r->used = false;
 		return;
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -18,6 +18,8 @@
 #define LEASE_SLOW_PERMILLE 1021
 #define LEASE_MARGIN_MS 50
 
+#define STOP_RETRY_MS 350
+
 /* ---- wf_fleet.c ---- */
 
 /**
@@ -84,4 +86,39 @@
 void wf_fleet_order_hold(
     struct wf_leader *l, const struct wf_now *now, uint32_t ri);
 
+/* ---- wf_fleet_orphan.c ---- */
+
+/**
+ * wf_fleet_find_orphan_run() - find an orphan run of a runner
+ * Return: NULL when it is not recorded.
+ */
+struct wf_orphan_run *wf_fleet_find_orphan_run(
+    struct wf_runner *r, const struct wf_task_ref *ref, uint32_t run);
+
+/**
+ * wf_fleet_remove_orphan_run() - forget an orphan run and its resources
+ * @i: its index
+ */
+void wf_fleet_remove_orphan_run(struct wf_runner *r, size_t i);
+
+/**
+ * wf_fleet_stop_orphan_run() - record and stop an orphan run, which a runner
+ * lists but which is not assigned to it
+ *
+ * Its resources count as used until it is no longer listed.
+ */
+void wf_fleet_stop_orphan_run(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, const struct wf_active_run *a, struct wf_effects *out);
+
+/**
+ * wf_fleet_remove_unlisted_orphan_runs() - forget the orphan runs that the
+ * latest list of a runner does not contain
+ */
+void wf_fleet_remove_unlisted_orphan_runs(struct wf_runner *r);
+
+/**
+ * wf_fleet_clear_orphan_runs() - forget all orphan runs of a runner
+ */
+void wf_fleet_clear_orphan_runs(struct wf_runner *r);
+
 #endif
