--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -121,4 +121,23 @@
  */
 void wf_fleet_clear_orphan_runs(struct wf_runner *r);
 
+/* ---- wf_fleet_progress.c ---- */
+
+/**
+ * wf_fleet_update_progress() - record the progress of a task as listed by its
+ * runner
+ */
+void wf_fleet_update_progress(const struct wf_runner *r, struct wf_task *t,
+    const struct wf_active_run *a);
+
+/**
+ * wf_fleet_check_progress() - place no new tasks on a runner on which no task
+ * makes progress, and restart tasks elsewhere that have been stalled for too
+ * long
+ *
+ * Members of a gang stall together, so they are no evidence about their runner.
+ */
+void wf_fleet_check_progress(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, struct wf_effects *out);
+
 #endif
