--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -140,4 +140,20 @@
 void wf_fleet_check_progress(struct wf_leader *l, const struct wf_now *now,
     uint32_t ri, struct wf_effects *out);
 
+/* ---- wf_fleet_pace.c ---- */
+
+/**
+ * wf_fleet_adjust_pace() - set the pace of the best-effort tasks on a runner so
+ * that the other tasks there meet their response time targets
+ */
+void wf_fleet_adjust_pace(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, struct wf_effects *out);
+
+/**
+ * wf_fleet_handle_pace_result() - handle the answer to an order that sets a
+ * pace, or its absence
+ */
+void wf_fleet_handle_pace_result(
+    struct wf_leader *l, const struct wf_order_result *res);
+
 #endif
