--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -156,4 +156,13 @@
 void wf_fleet_handle_pace_result(
     struct wf_leader *l, const struct wf_order_result *res);
 
+/* ---- wf_fleet_list.c ---- */
+
+/**
+ * wf_fleet_handle_lists() - handle the lists of active and ended runs that a
+ * hold has returned
+ */
+void wf_fleet_handle_lists(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, const struct wf_order_result *res, struct wf_effects *out);
+
 #endif
