--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -17,10 +17,6 @@
 #define HOLD_ACK_INTERVAL_CONGESTED_MS 400
 #define HOLD_ACK_INTERVAL_MAX_MS 500
 #define HOLD_RETRY_MS 200
-/* How long no new tasks are placed on a runner that did not answer or rejected
- * an order, and on one that was unhealthy, unreachable or full. */
-#define EXCLUDE_UNANSWERED_MS 1000
-#define EXCLUDE_BUSY_MS 500
 /* The leader steps down when two runners report a higher fence within this
  * time. */
 #define FENCED_WINDOW_MS 3000
@@ -517,112 +513,16 @@
 	r->poll.next_at = now->mono + hold_interval(l, r, now->mono);
 }
 
-static void
-handle_start_refused(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, const struct wf_order_result *res,
-    struct wf_effects *out)
-{
-	static const char *const why[] = {
-	    [WF_ORDER_UNSENT] = "runner not reached",
-	    [WF_ORDER_BUSY] = "runner is unhealthy",
-	    [WF_ORDER_FENCED] = "runner has seen a higher fence",
-	    [WF_ORDER_OLD] = "runner knows a later run",
-	    [WF_ORDER_LATE] = "deadline of the start has passed",
-	    [WF_ORDER_NO_ROOM] = "runner has no room",
-	    [WF_ORDER_TICKET_EXPIRED] = "approval has expired",
-	    [WF_ORDER_OTHER_INCARNATION] = "runner restarted",
-	    [WF_ORDER_INVALID] = "runner rejected the start as invalid",
-	    [WF_ORDER_UNRELAYED] = "relay did not send the start",
-	    [WF_ORDER_NO_PAYLOAD] = "relay could not fetch the text of the job",
-	};
-	struct wf_runner *const r = &l->runners[t->runner];
-	struct wf_approval *a;
-
-	if (res->status == WF_ORDER_TICKET_EXPIRED) {
-		a = (struct wf_approval *)(uintptr_t)wf_advice_find(
-		    u, t->runner);
-		if (a != NULL)
-			a->valid_until = 0;
-	} else if (res->status == WF_ORDER_BUSY ||
-	    res->status == WF_ORDER_UNSENT || res->status == WF_ORDER_NO_ROOM) {
-		wf_fleet_exclude(r, now->mono, EXCLUDE_BUSY_MS);
-	} else if (res->status == WF_ORDER_INVALID) {
-		wf_fleet_exclude(r, now->mono, EXCLUDE_UNANSWERED_MS);
-	}
-	wf_task_requeue(l, now, u, t, why[res->status], out);
-}
-
-static void
-handle_start_result(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res, struct wf_effects *out)
-{
-	struct wf_unit *u;
-	struct wf_task *t;
-
-	t = wf_exec_find_task(l, &res->task, &u);
-	if (t == NULL || !t->allocated || t->run != res->run ||
-	    t->runner != res->runner || t->incarnation != res->incarnation)
-		return;
-	if (res->status == WF_ORDER_OK) {
-		wf_exec_mark_running(l, u->exec);
-		if (t->state == WF_TASK_SENT) {
-			wf_meter_count(l->meter, WF_TALLY_CONFIRMED);
-			t->state = WF_TASK_RUNNING;
-		}
-		wf_task_confirm(l, t, now->mono);
-		return;
-	}
-	/* The runner may have listed the task as active before the answer was
-	 * given up. */
-	if (t->state != WF_TASK_SENT)
-		return;
-	if (res->status == WF_ORDER_NO_PAYLOAD && !t->stopping) {
-		wf_outbox_mark_payload_missing(u->exec, res->relay);
-		wf_fleet_order_start(l, now, u, t);
-		return;
-	}
-	if (res->status != WF_ORDER_LOST) {
-		handle_start_refused(l, now, u, t, res, out);
-		return;
-	}
-	wf_outbox_avoid_relay(&l->runners[t->runner], res->relay);
-	wf_fleet_exclude(
-	    &l->runners[t->runner], now->mono, EXCLUDE_UNANSWERED_MS);
-	wf_task_mark_unanswered(l, t);
-	wf_effects_log_run(out, AGB_LOG_INFO, "unanswered", &res->task, t->run,
-	    l->runners[t->runner].info.id, "%s", "");
-	wf_fleet_order_extra_hold(l, now, t->runner);
-}
-
-static void
-handle_stop_result(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res, struct wf_effects *out)
-{
-	struct wf_unit *u;
-	struct wf_task *t;
-
-	t = wf_exec_find_task(l, &res->task, &u);
-	if (t == NULL || !t->allocated || t->run != res->run ||
-	    t->runner != res->runner || t->incarnation != res->incarnation)
-		return;
-	/* A list read from now on that does not contain the run proves that it
-	 * is not there. */
-	if (res->status != WF_ORDER_OK || t->start_accepted_at != 0)
-		return;
-	t->start_accepted_at = now->mono;
-	wf_fleet_order_extra_hold(l, now, t->runner);
-}
-
 static void
 handle_order_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
 {
 	switch (res->kind) {
 	case WF_ORDER_START:
-		handle_start_result(l, now, res, out);
+		wf_fleet_handle_start_result(l, now, res, out);
 		break;
 	case WF_ORDER_STOP:
-		handle_stop_result(l, now, res, out);
+		wf_fleet_handle_stop_result(l, now, res, out);
 		break;
 	case WF_ORDER_HOLD:
 		handle_hold_result(l, now, res, out);
@@ -688,30 +588,6 @@
 	handle_order_result(l, now, res, out);
 }
 
-static void
-retry_stops(struct wf_leader *l, const struct wf_now *now, agb_time *next,
-    struct wf_effects *out)
-{
-	struct wf_task_ref ref;
-	struct wf_task *t;
-	uint32_t ri;
-
-	for (ri = 0; l->stops_pending > 0 && ri < l->runners_len; ri++) {
-		for (t = l->runners[ri].tasks; t != NULL; t = t->next) {
-			if (!t->stopping)
-				continue;
-			if (now->mono >= t->next_stop_at) {
-				t->next_stop_at =
-				    now->mono + STOP_RETRY_MS * AGB_MS;
-				wf_task_ref(t, &ref);
-				wf_fleet_order_stop(l, now, ri, &ref, t->run);
-			}
-			if (t->next_stop_at < *next)
-				*next = t->next_stop_at;
-		}
-	}
-}
-
 /* How long after the end of a runner's lease its tasks are requeued. A runner
  * that is listed in the registry is alive but cannot be reached; the delay
  * avoids repeating runs that it finished in time but could not report. */
@@ -805,6 +681,6 @@
 		if (l->runners[ri].used)
 			tick_runner(l, now, ri, &next, out);
 	}
-	retry_stops(l, now, &next, out);
+	wf_fleet_retry_stops(l, now, &next, out);
 	return next;
 }
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -20,6 +20,10 @@
 
 #define STOP_RETRY_MS 350
 
+/* How long no new tasks are placed on a runner that did not answer or rejected
+ * an order. */
+#define EXCLUDE_UNANSWERED_MS 1000
+
 /* ---- wf_fleet.c ---- */
 
 /**
@@ -165,4 +169,25 @@
 void wf_fleet_handle_lists(struct wf_leader *l, const struct wf_now *now,
     uint32_t ri, const struct wf_order_result *res, struct wf_effects *out);
 
+/* ---- wf_fleet_start.c ---- */
+
+/**
+ * wf_fleet_handle_start_result() - handle the answer to a start, or its absence
+ */
+void wf_fleet_handle_start_result(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out);
+
+/**
+ * wf_fleet_handle_stop_result() - handle the answer to a stop, or its absence
+ */
+void wf_fleet_handle_stop_result(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out);
+
+/**
+ * wf_fleet_retry_stops() - repeat the stops that are due
+ * @next: set to the time of the next one, if that is earlier
+ */
+void wf_fleet_retry_stops(struct wf_leader *l, const struct wf_now *now,
+    agb_time *next, struct wf_effects *out);
+
 #endif
