--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -17,9 +17,8 @@
  * time; the rest covers rounding. */
 #define LEASE_SLOW_PERMILLE 1021
 #define LEASE_MARGIN_MS 50
-
+/* A stop is repeated after this time until its run is known to have ended. */
 #define STOP_RETRY_MS 350
-
 /* How long no new tasks are placed on a runner that did not answer or rejected
  * an order. */
 #define EXCLUDE_UNANSWERED_MS 1000
@@ -190,4 +189,27 @@
 void wf_fleet_retry_stops(struct wf_leader *l, const struct wf_now *now,
     agb_time *next, struct wf_effects *out);
 
+/* ---- wf_fleet_hold.c ---- */
+
+/**
+ * wf_fleet_handle_hold_result() - handle the answer to a hold, or its absence
+ */
+void wf_fleet_handle_hold_result(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out);
+
+/**
+ * wf_fleet_does_not_answer() - whether a runner was asked for its runs until now
+ * without an answer, or cannot be asked as its address is not known
+ *
+ * A task that it ended in time would be repeated otherwise.
+ */
+bool wf_fleet_does_not_answer(const struct wf_runner *r, agb_time now);
+
+/**
+ * wf_fleet_poll() - send the hold of a runner that is due
+ * @next: set to the time of the next one, if that is earlier
+ */
+void wf_fleet_poll(
+    struct wf_leader *l, const struct wf_now *now, uint32_t ri, agb_time *next);
+
 #endif
