--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -10,10 +10,6 @@
  * time. */
 #define FENCED_WINDOW_MS 3000
 #define LISTED_REQUEUE_DELAY_MS 3000
-/* A draining runner that answered within this time before its registry entry
- * disappeared has probably exited: the entry of a runner that merely stopped
- * answering expires only after its heartbeats have been missing for longer. */
-#define DEPARTED_REPLY_AGE_MS 2500
 /* After an election, placement waits this long at most, or until this share of
  * the runners has listed its tasks. */
 #define RECOVERY_WAIT_MS 300
@@ -160,57 +156,6 @@
 		    l, now, l->runners[ri].tasks, why, out);
 }
 
-/* Whether the start of a task may still reach the restarted runner because the
- * start order was not answered. A stop that the earlier incarnation has
- * answered does not rule that out. */
-static bool
-may_start_after_restart(const struct wf_task *t)
-{
-	return t->state == WF_TASK_INTENT || t->state == WF_TASK_SENT;
-}
-
-/* Assigns a task whose start may still reach the restarted runner to its new
- * incarnation, until that has answered a stop or, for a start by an earlier
- * leader, an order of this one. */
-static void
-keep_task_after_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, struct wf_task *t, int64_t started_ms, struct wf_effects *out)
-{
-	t->started_ms = started_ms;
-	t->incarnation = l->runners[ri].incarnation + 1;
-	if (t->recovered)
-		return;
-	t->start_deadline_ms = 0;
-	t->start_accepted_at = 0;
-	t->next_stop_at = now->mono;
-	wf_task_stop(l, now, t->unit, t, "runner restarted", out);
-}
-
-/* Requeues the tasks that were assigned to a runner before it restarted. */
-static void
-requeue_tasks_from_before_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, int64_t started_ms, struct wf_effects *out)
-{
-	struct wf_task *t;
-	bool again;
-
-	do {
-		again = false;
-		for (t = l->runners[ri].tasks; t != NULL; t = t->next) {
-			if (t->started_ms == started_ms)
-				continue;
-			again = true;
-			if (may_start_after_restart(t))
-				keep_task_after_restart(
-				    l, now, ri, t, started_ms, out);
-			else
-				wf_fleet_release_or_requeue(
-				    l, now, t, "runner restarted", out);
-			break;
-		}
-	} while (again);
-}
-
 void
 wf_fleet_clear(struct wf_leader *l)
 {
@@ -228,134 +173,6 @@
 	}
 }
 
-/* Resets the state of a runner that has restarted: it has no tasks and no
- * memory of earlier orders. */
-static void
-handle_runner_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, int64_t started_ms, struct wf_effects *out)
-{
-	struct wf_runner *const r = &l->runners[ri];
-
-	if (r->info.started_ms > 0)
-		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=restarted born_ms=%" PRId64
-		    " born_before_ms=%" PRId64,
-		    r->info.id, started_ms, r->info.started_ms);
-	requeue_tasks_from_before_restart(l, now, ri, started_ms, out);
-	wf_fleet_clear_orphan_runs(r);
-	r->incarnation++;
-	r->info.started_ms = started_ms;
-	r->reported = false;
-	r->poll.pending = false;
-	r->poll.next_at = now->mono;
-	r->processed_seq = 0;
-	r->durable_seq = 0;
-	r->clock_ms = 0;
-	r->fail_streak = 0;
-	r->pace_percent = 100;
-	if (r->tasks == NULL)
-		r->lease_until = now->mono;
-	l->placement_changed = true;
-}
-
-/* @deleted: its entry is gone, not only malformed */
-static void
-handle_runner_unlisted(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, bool deleted, struct wf_effects *out)
-{
-	struct wf_runner *const r = &l->runners[ri];
-
-	if (!r->listed)
-		return;
-	r->listed = false;
-	r->unlisted_at = now->mono;
-	/* An entry expires only after a long silence. When a draining runner
-	 * has answered recently, its entry was probably removed because it
-	 * exited. */
-	r->has_left = deleted && r->info.draining && r->heard_at > 0 &&
-	    now->mono - r->heard_at < DEPARTED_REPLY_AGE_MS * AGB_MS;
-	wf_effects_log(out, AGB_LOG_INFO, "runner",
-	    "runner=%s change=unlisted heard_ms_ago=%" PRIu64 " left=%s",
-	    r->info.id, (now->mono - r->heard_at) / AGB_MS,
-	    r->has_left ? "yes" : "no");
-}
-
-static void
-handle_registry_entry(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_runner_info *info, struct wf_effects *out)
-{
-	const uint32_t ri = wf_fleet_find_or_add(l, info->id, now->mono);
-	struct wf_runner *const r = &l->runners[ri];
-	const bool was_listed = r->listed;
-	const bool was_draining = r->info.draining;
-	const bool is_new = r->info.addr[0] == '\0';
-
-	/* The registry may lag behind what the runner has reported itself. */
-	if (info->started_ms < r->info.started_ms)
-		return;
-	if (info->started_ms != r->info.started_ms)
-		handle_runner_restart(l, now, ri, info->started_ms, out);
-	r->info = *info;
-	r->listed = true;
-	if (!was_listed)
-		r->poll.next_at = now->mono;
-	/* Runners that were listed before this leader was elected are not
-	 * logged one by one; a single line gives their number. */
-	if (!was_listed && (l->registry_seen || !is_new)) {
-		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=listed service=%s domain=%s"
-		    " cpu_milli=%" PRId64 " mem_mb=%" PRId64 " born_ms=%" PRId64
-		    " draining=%d",
-		    info->id, info->service, info->domain,
-		    info->capacity.cpu_milli, info->capacity.mem_mb,
-		    info->started_ms, info->draining);
-	}
-	if (info->draining && !was_draining)
-		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=draining remaining_ms=%" PRId64, info->id,
-		    info->remaining_ms);
-	if (!was_listed || info->draining != was_draining)
-		l->placement_changed = true;
-}
-
-void
-wf_fleet_apply_changes(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_registry_update *rs, struct wf_effects *out)
-{
-	uint32_t ri;
-	size_t i;
-
-	if (rs->full) {
-		for (ri = 0; ri < l->runners_len; ri++) {
-			for (i = 0; i < rs->items_len; i++) {
-				if (strcmp(rs->items[i].info.id,
-					l->runners[ri].info.id) == 0)
-					break;
-			}
-			if (i == rs->items_len && l->runners[ri].used)
-				handle_runner_unlisted(l, now, ri, true, out);
-		}
-	}
-	for (i = 0; i < rs->items_len; i++) {
-		if (!rs->items[i].removed) {
-			handle_registry_entry(l, now, &rs->items[i].info, out);
-			continue;
-		}
-		ri = wf_fleet_find(l, rs->items[i].info.id);
-		if (ri != WF_NO_HANDLE)
-			handle_runner_unlisted(
-			    l, now, ri, !rs->items[i].malformed, out);
-	}
-	if (rs->full)
-		wf_effects_log(out, AGB_LOG_INFO, "fleet",
-		    "runners=%zu first=%s", rs->items_len,
-		    l->registry_seen ? "no" : "yes");
-	l->registry_seen = true;
-	/* The choice of relays depends on the set of runners. */
-	if (rs->full)
-		l->outbox.check_at = 0;
-}
-
 void
 wf_fleet_exclude(struct wf_runner *r, agb_time now, uint32_t ms)
 {
@@ -429,7 +246,7 @@
 		return;
 	}
 	if (res->started_ms > r->info.started_ms) {
-		handle_runner_restart(
+		wf_fleet_handle_restart(
 		    l, now, res->runner, res->started_ms, out);
 		return;
 	}
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -212,4 +212,13 @@
 void wf_fleet_poll(
     struct wf_leader *l, const struct wf_now *now, uint32_t ri, agb_time *next);
 
+/* ---- wf_fleet_registry.c ---- */
+
+/**
+ * wf_fleet_handle_restart() - reset the state of a runner that has restarted: it
+ * has no tasks and no memory of earlier orders
+ */
+void wf_fleet_handle_restart(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, int64_t started_ms, struct wf_effects *out);
+
 #endif
