fix(test): documents that tests build have their index

Since lookups use an index, the queues of the documents in test_wf_push and test_wf_limits were not found: all calls were answered 404 and no job was placed. A document can be indexed again when its queues have changed, and wf_doc_free_index() frees the index of one whose queues the test owns.

Measured: test_wf_push, 9 of 9 tests fail before, 2 after ('failed pushes are paced' and 'a lost push goes through another instance'); test_wf_limits, 'refused records hold back no others' still fails.

--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -12,8 +12,7 @@
 		return;
 	free(doc->queues);
 	free(doc->services);
-	free(doc->names);
-	free(doc->routes);
+	wf_doc_free_index(doc);
 	free(doc);
 }
 
@@ -127,9 +126,21 @@
 	doc->routes_len = n;
 }
 
+void
+wf_doc_free_index(struct wf_doc *doc)
+{
+	free(doc->names);
+	free(doc->routes);
+	doc->names = NULL;
+	doc->names_len = 0;
+	doc->routes = NULL;
+	doc->routes_len = 0;
+}
+
 void
 wf_doc_build_index(struct wf_doc *doc)
 {
+	wf_doc_free_index(doc);
 	index_names(doc);
 	index_routes(doc);
 }
--- a/src/workflow/wf_doc.h
+++ b/src/workflow/wf_doc.h
@@ -91,10 +91,17 @@
 /**
  * wf_doc_build_index() - prepare lookups in a document whose queues are complete
  *
- * Without it no queue is found. Queues must not be moved or changed afterwards.
+ * Without it no queue is found. Queues must not be moved or changed afterwards
+ * unless it is called again.
  */
 void wf_doc_build_index(struct wf_doc *doc);
 
+/**
+ * wf_doc_free_index() - free the index alone, of a document whose queues are
+ * freed by the caller
+ */
+void wf_doc_free_index(struct wf_doc *doc);
+
 /**
  * wf_doc_queue() - find a queue by name, the first of the document with it
  * Return: NULL when the document has no such queue.
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -274,6 +274,7 @@
 	agb_str_copy(f->queue.service, sizeof(f->queue.service), "svc");
 	f->doc.queues = &f->queue;
 	f->doc.queues_len = 1;
+	wf_doc_build_index(&f->doc);
 	f->l = wf_leader_new(
 	    FENCE, &f->cfg, &f->meter, &f->table, &f->doc, &f->now, &f->out);
 	f->l->valid_until = 1000 * AGB_SEC;
@@ -283,6 +284,7 @@
 fixture_free(struct fixture *f)
 {
 	wf_leader_free(f->l);
+	wf_doc_free_index(&f->doc);
 	wf_table_free(&f->table);
 	wf_effects_free(&f->out);
 }
--- a/tests/test_wf_push.c
+++ b/tests/test_wf_push.c
@@ -201,6 +201,7 @@
 	ev.u.doc->version = 1;
 	ev.u.doc->queues = make_queues(f->doc.queues_len);
 	ev.u.doc->queues_len = f->doc.queues_len;
+	wf_doc_build_index(ev.u.doc);
 	wf_core_handle(f->followers[i].core, &f->now, &ev, &out);
 	wf_effects_free(&out);
 }
@@ -229,6 +230,7 @@
 	f->doc.version = 1;
 	f->doc.queues = make_queues(queues);
 	f->doc.queues_len = queues;
+	wf_doc_build_index(&f->doc);
 	f->followers_len = instances - 1;
 	for (i = 0; i < instances; i++) {
 		p = agb_xcalloc(1, sizeof(*p));
@@ -251,6 +253,7 @@
 	wf_leader_free(f->l);
 	wf_table_free(&f->table);
 	wf_effects_free(&f->out);
+	wf_doc_free_index(&f->doc);
 	free(f->doc.queues);
 	free(f);
 }
@@ -715,6 +718,7 @@
 		add_jobs(f);
 		run(f, 4000);
 		f->doc.queues_len = kept[i];
+		wf_doc_build_index(&f->doc);
 		f->doc.version++;
 		wf_leader_set_doc(f->l, &f->doc);
 		run(f, 2500);
@@ -723,6 +727,7 @@
 		    "records", i, pushed_queues(f, 4800), 4 * (kept[i] + 2));
 		/* They are counted again when they return. */
 		f->doc.queues_len = 900;
+		wf_doc_build_index(&f->doc);
 		f->doc.version++;
 		wf_leader_set_doc(f->l, &f->doc);
 		run(f, 2500);
