--- a/tests/measure/leader_turn.c
+++ b/tests/measure/leader_turn.c
@@ -47,6 +47,7 @@
 
 enum part {
 	PART_SUBMIT,
+	PART_DOCUMENT,
 	PART_RESULTS,
 	PART_ACK,
 	PART_ADVICE,
@@ -63,6 +64,7 @@
 
 static const char *const part_names[PARTS] = {
     [PART_SUBMIT] = "submission",
+    [PART_DOCUMENT] = "document",
     [PART_RESULTS] = "results",
     [PART_ACK] = "orders_ack",
     [PART_ADVICE] = "advice_answer",
@@ -807,6 +809,20 @@
 	return doc;
 }
 
+/* Puts a new version of the document in force, with the same queues. */
+static void
+replace_document(struct model *m)
+{
+	struct wf_doc *const old = m->doc;
+
+	m->doc = doc_new(m);
+	m->doc->version = old->version + 1;
+	timer_start(m);
+	wf_leader_set_doc(m->l, m->doc);
+	wf_doc_free(old);
+	timer_stop(m, PART_DOCUMENT);
+}
+
 static void
 add_peers(struct model *m, uint32_t n)
 {
@@ -944,14 +960,16 @@
 	    arg_int0(NULL, "services", "N", "services (1)");
 	struct arg_int *const queues = arg_int0(
 	    NULL, "queues", "N", "queues of the document, at least 4 (4)");
+	struct arg_int *const documents = arg_int0(NULL, "documents", "N",
+	    "new versions of the document a second, at most 100 (0)");
 	struct arg_int *const seconds =
 	    arg_int0(NULL, "seconds", "N", "virtual time (10)");
 	struct arg_int *const seed = arg_int0(NULL, "seed", "N", "seed (1)");
 	struct arg_end *const end = arg_end(4);
 	void *table[] = {runners, peers, backlog, rate, services, queues,
-	    seconds, seed, end};
+	    documents, seconds, seed, end};
 	struct model m;
-	int i, left;
+	int i, left, new_docs;
 
 	if (arg_parse(argc, argv, table) > 0) {
 		arg_print_errors(stderr, end, "measure_leader_turn");
@@ -968,9 +986,15 @@
 	for (i = 0; i < int_option(backlog, 2000); i++)
 		submit(&m);
 	left = 0;
+	new_docs = 0;
 	for (i = 0; i < int_option(seconds, 10) * 100; i++) {
 		for (left += int_option(rate, 160); left >= 100; left -= 100)
 			submit(&m);
+		new_docs += int_option(documents, 0);
+		if (new_docs >= 100) {
+			new_docs -= 100;
+			replace_document(&m);
+		}
 		run_until(&m, m.now.mono + 10 * AGB_MS);
 	}
 	print_times(&m);
