fix(commit): small writes are repeated as before

 added the time on the link to the time after which any write is sent again, also for the small ones, of which the average time of a write contains it.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -138,19 +138,21 @@
 	}
 }
 
-/* Time that the link needs for the values of a write, which are sent in
- * base64. */
+/* Time that the link needs for the values of a write, which are sent in base64.
+ * It is 0 when that is less than the time after which each write is repeated,
+ * which covers it. */
 static uint32_t
 sending_ms(const struct wf_leader *l, const struct agb_store_op *op)
 {
-	uint64_t bytes = 0;
+	uint64_t bytes = 0, ms;
 	size_t i;
 
 	if (l->cfg->link_kbps == 0)
 		return 0;
 	for (i = 0; i < op->writes_len; i++)
 		bytes += op->writes[i].val_len;
-	return (uint32_t)(bytes * 4 / 3 * 8 / l->cfg->link_kbps);
+	ms = bytes * 4 / 3 * 8 / l->cfg->link_kbps;
+	return ms > RESEND_MIN_MS ? (uint32_t)ms : 0;
 }
 
 static agb_time
