style: lint of the document's index, its test and its measurement

clang-tidy reported the sizes of pointers to queues, a document that could be NULL after a CUnit check, and a division by the number of queues. No change of behaviour: test_wf_doc passes; clang-tidy has nothing more on these files.

--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -60,12 +60,13 @@
 {
 	size_t i, n;
 
-	doc->names = agb_xcalloc(doc->queues_len, sizeof(*doc->names));
+	doc->names =
+	    agb_xcalloc(doc->queues_len, sizeof(const struct wf_queue *));
 	for (i = 0; i < doc->queues_len; i++)
 		doc->names[i] = &doc->queues[i];
 	if (doc->queues_len > 1)
-		qsort(doc->names, doc->queues_len, sizeof(*doc->names),
-		    compare_names);
+		qsort(doc->names, doc->queues_len,
+		    sizeof(const struct wf_queue *), compare_names);
 	n = 0;
 	for (i = 0; i < doc->queues_len; i++) {
 		if (n == 0 ||
--- a/tests/measure/document.c
+++ b/tests/measure/document.c
@@ -119,6 +119,8 @@
 	uint64_t began;
 	size_t i, found;
 
+	if (doc->queues_len == 0)
+		return;
 	found = 0;
 	began = thread_ns();
 	for (i = 0; i < doc->queues_len; i++)
--- a/tests/test_wf_doc.c
+++ b/tests/test_wf_doc.c
@@ -74,7 +74,10 @@
 	kv.val = t->buf;
 	kv.val_len = t->len;
 	doc = platform_manifest_parse(&kv, fault);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(doc);
+	if (doc == NULL) {
+		fprintf(stderr, "document of the test: %s\n", fault);
+		abort();
+	}
 	doc->compared = compared;
 	free(t->buf);
 	return doc;
