feat(platform): polls and full reads that are given up tell why

An operator could not tell a store that does not answer from a link that is too slow for what is read over it: both were a lost call without a line.

A poll or full read that a time limit ends is now reported with its reason (no byte in time, stalled, too slow), the elapsed time and the bytes received. The daemon writes a line event=store change=given-up at most once a second, with the number of those omitted, and counts all in agatebeam_store_given_up_total. The cases of test_kv_slow check the reports.

--- a/src/agatebeam/store.h
+++ b/src/agatebeam/store.h
@@ -207,6 +207,43 @@
 typedef void (*agb_store_watch_cb)(void *arg, uint64_t tag,
     struct agb_store_kv *kvs, size_t kvs_len, uint64_t revision, bool broken);
 
+/* Calls whose answers can be large. */
+enum agb_store_read {
+	AGB_STORE_POLL,	     /* of a watch */
+	AGB_STORE_FULL_READ, /* a page of a range with an end */
+};
+
+/**
+ * enum agb_store_give_up_reason - why a poll or read was given up
+ * @AGB_STORE_NO_RESPONSE: no byte of the answer arrived in time
+ * @AGB_STORE_STALLED: the answer began, and made no progress any more
+ * @AGB_STORE_TOO_SLOW: the answer was still arriving at the limit of the call
+ */
+enum agb_store_give_up_reason {
+	AGB_STORE_NO_RESPONSE = 1,
+	AGB_STORE_STALLED,
+	AGB_STORE_TOO_SLOW,
+};
+
+/**
+ * struct agb_store_give_up - a poll or read that was given up
+ * @received: bytes of the answer that had arrived
+ */
+struct agb_store_give_up {
+	enum agb_store_read read;
+	enum agb_store_give_up_reason reason;
+	const char *prefix;
+	uint64_t elapsed_ms;
+	uint64_t received;
+};
+
+/**
+ * agb_store_give_up_cb - called when a poll or read is given up, before its
+ * result is reported or it is repeated
+ */
+typedef void (*agb_store_give_up_cb)(
+    void *arg, const struct agb_store_give_up *g);
+
 /**
  * struct agb_store_ops - operations of a store client
  * @call: carries out @op, whose contents it takes over; the result callback is
@@ -239,11 +276,13 @@
 /**
  * struct agb_store - base of a store client
  * @ops: must stay the first member
+ * @give_up_cb: NULL until the owner sets it
  */
 struct agb_store {
 	const struct agb_store_ops *ops;
 	agb_store_cb cb;
 	agb_store_watch_cb watch_cb;
+	agb_store_give_up_cb give_up_cb;
 	void *arg;
 };
 
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -15,6 +15,7 @@
 #include "mem.h"
 #include "wf_core.h"
 #include "wf_follow.h"
+#include "wf_giveup.h"
 #include "wf_metrics.h"
 #include "wf_registry.h"
 #include "wf_rpc.h"
@@ -29,6 +30,7 @@
  * at the first check that finds no pending request, or at the last check. */
 #define EXIT_POLL_MS 100
 #define EXIT_POLLS_MAX 3
+#define GIVE_UP_LINE_LEN 320
 /* Minimum time between two deliveries of registry changes. */
 #define REGISTRY_INTERVAL_MS 200
 
@@ -68,6 +70,7 @@
 	struct wf_httpd *metrics_http;
 	struct wf_rpc *rpc;
 	struct agb_store *store;
+	struct wf_giveup_log give_ups;
 	struct wf_adapter *adapter;
 	struct {
 		uint64_t tag;
@@ -337,6 +340,18 @@
 	handle_event(arg, ev);
 }
 
+static void
+on_store_give_up(void *arg, const struct agb_store_give_up *g)
+{
+	struct daemon *const d = arg;
+	char line[GIVE_UP_LINE_LEN];
+
+	wf_metrics_count_give_up(d->metrics, g);
+	if (wf_giveup_format(
+		&d->give_ups, g, get_now().mono, line, sizeof(line)))
+		agb_log_line(d->log, AGB_LOG_WARN, "store", line);
+}
+
 static void
 on_rpc_log(
     void *arg, enum agb_log_level level, const char *event, const char *line)
@@ -587,6 +602,7 @@
 		return false;
 	d->store =
 	    d->ops->open_store(&d->loop, s->store_addr, on_store, on_watch, d);
+	d->store->give_up_cb = on_store_give_up;
 	d->adapter = d->ops->open(&d->loop, s, &adapter, d);
 	return true;
 }
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -6,6 +6,7 @@
 
 #include "counters.h"
 #include "mem.h"
+#include "wf_giveup.h"
 
 /* Slots for the start times of calls, indexed by call id; a call whose slot has
  * been reused is counted without its duration. */
@@ -40,6 +41,12 @@
     .label = "outcome",
     .type = AGB_METRIC_COUNTER,
 };
+static const struct agb_metric store_given_up = {
+    .name = "agatebeam_store_given_up_total",
+    .help = "Polls and full reads of the store given up, by call and reason.",
+    .label = "call_reason",
+    .type = AGB_METRIC_COUNTER,
+};
 static const struct agb_metric decisions = {
     .name = "agatebeam_decisions_total",
     .help = "Lines of the decision log by event.",
@@ -198,6 +205,18 @@
 	    agb_counters_get(m->counters, &store_answers, names[status]), 1);
 }
 
+void
+wf_metrics_count_give_up(
+    struct wf_metrics *m, const struct agb_store_give_up *g)
+{
+	char label[48];
+
+	snprintf(label, sizeof(label), "%s_%s", wf_giveup_call_name(g->read),
+	    wf_giveup_reason_name(g->reason));
+	agb_series_add(
+	    agb_counters_get(m->counters, &store_given_up, label), 1);
+}
+
 void
 wf_metrics_count_event(struct wf_metrics *m, const char *event)
 {
--- a/src/workflow/wf_metrics.h
+++ b/src/workflow/wf_metrics.h
@@ -68,6 +68,13 @@
 void wf_metrics_count_store_result(
     struct wf_metrics *m, enum agb_store_status status);
 
+/**
+ * wf_metrics_count_give_up() - count a poll or read of the store that was given
+ * up
+ */
+void wf_metrics_count_give_up(
+    struct wf_metrics *m, const struct agb_store_give_up *g);
+
 /**
  * wf_metrics_count_event() - count a line of the decision log by event name
  */
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -18,6 +18,7 @@
 #include "mem.h"
 #include "suite.h"
 #include "wf_follow.h"
+#include "wf_giveup.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
@@ -86,6 +87,8 @@
  *	@begun_ms
  * @deliveries: deliveries with events, or results, so far
  * @delivered_ms: times of the deliveries, since @begun_ms
+ * @give_ups: polls and reads given up before the first delivery, of which
+ *	@give_up is the last
  */
 struct client {
 	uv_loop_t *loop;
@@ -107,6 +110,8 @@
 	uint64_t delivered_ms[DELIVERIES_MAX];
 	enum agb_store_status status;
 	size_t kvs;
+	unsigned give_ups;
+	struct agb_store_give_up give_up;
 };
 
 static size_t
@@ -323,6 +328,18 @@
 		note_delivery(c);
 }
 
+static void
+on_give_up(void *arg, const struct agb_store_give_up *g)
+{
+	struct client *const c = arg;
+
+	CU_ASSERT_STRING_EQUAL(g->prefix, "a");
+	if (c->deliveries > 0)
+		return;
+	c->give_ups++;
+	c->give_up = *g;
+}
+
 static void
 client_open(struct client *c, uv_loop_t *loop, struct link *l)
 {
@@ -334,6 +351,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(c->server);
 	c->store = platform_kv_new(
 	    loop, http_server_addr(c->server), on_result, on_changes, c);
+	c->store->give_up_cb = on_give_up;
 }
 
 static void
@@ -393,6 +411,8 @@
  * @apart_ms: longest time between the first delivery and the last; 0 does not
  *	matter
  * @repeated: number of equal requests
+ * @give_up: reason for which one poll or read is reported as given up; 0 is
+ *	none
  * @total_ms: limit of the client for a poll or page; 0 is the default
  */
 struct slow_case {
@@ -407,6 +427,7 @@
 	uint64_t to_ms;
 	uint64_t apart_ms;
 	unsigned repeated;
+	enum agb_store_give_up_reason give_up;
 	enum agb_store_status status;
 	size_t kvs;
 };
@@ -425,14 +446,16 @@
 	.deliveries = 1,
 	.from_ms = 1500,
 	.to_ms = 1800 + LATE_MS,
-	.repeated = 2},
+	.repeated = 2,
+	.give_up = AGB_STORE_STALLED},
     {.name = "watch: a response that stops late is given up 1.5 s later",
 	.kind = WATCH,
 	.answers = {{200, 4000, 50}, {200, 0, 0}},
 	.deliveries = 1,
 	.from_ms = 3400,
 	.to_ms = 3700 + LATE_MS,
-	.repeated = 2},
+	.repeated = 2,
+	.give_up = AGB_STORE_STALLED},
     {.name = "watch: a response that trickles is given up",
 	.kind = WATCH,
 	.total_ms = 1000,
@@ -440,14 +463,16 @@
 	.deliveries = 1,
 	.from_ms = 1000,
 	.to_ms = 1300 + LATE_MS,
-	.repeated = 2},
+	.repeated = 2,
+	.give_up = AGB_STORE_TOO_SLOW},
     {.name = "watch: no response",
 	.kind = WATCH,
 	.answers = {{0, 0, 0}, {200, 0, 0}},
 	.deliveries = 1,
 	.from_ms = 2500,
 	.to_ms = 2700 + LATE_MS,
-	.repeated = 2},
+	.repeated = 2,
+	.give_up = AGB_STORE_NO_RESPONSE},
     {.name = "watch: a success ends the growth of the delays",
 	.kind = WATCH,
 	.answers = {{503, 0, 0}, {503, 0, 0}, {503, 0, 0}, {200, 0, 0},
@@ -478,6 +503,7 @@
 	.from_ms = 1300,
 	.to_ms = 1500 + LATE_MS,
 	.repeated = 1,
+	.give_up = AGB_STORE_STALLED,
 	.status = AGB_STORE_LOST},
     {.name = "full read: a page that trickles ends it",
 	.kind = READ_PREFIX,
@@ -489,6 +515,7 @@
 	.from_ms = 1000,
 	.to_ms = 1000 + LATE_MS,
 	.repeated = 1,
+	.give_up = AGB_STORE_TOO_SLOW,
 	.status = AGB_STORE_LOST},
     {.name = "full read: no response",
 	.kind = READ_PREFIX,
@@ -498,6 +525,7 @@
 	.from_ms = 600,
 	.to_ms = 600 + LATE_MS,
 	.repeated = 1,
+	.give_up = AGB_STORE_NO_RESPONSE,
 	.status = AGB_STORE_LOST},
     {.name = "one key: the limit covers the whole response",
 	.kind = READ_KEY,
@@ -566,6 +594,21 @@
 	start_call(c, sc->kind, sc->timeout_ms);
 }
 
+static void
+check_give_up(const struct slow_case *sc, const struct client *c)
+{
+	const struct agb_store_give_up *const g = &c->give_up;
+
+	CU_ASSERT_EQUAL(c->give_ups, sc->give_up != 0);
+	if (sc->give_up == 0 || c->give_ups == 0)
+		return;
+	CU_ASSERT_EQUAL(g->reason, sc->give_up);
+	CU_ASSERT_EQUAL(g->read == AGB_STORE_POLL, sc->kind == WATCH);
+	CU_ASSERT_EQUAL(g->received > 0, g->reason != AGB_STORE_NO_RESPONSE);
+	CU_ASSERT(g->elapsed_ms >= 600);
+	CU_ASSERT(g->elapsed_ms <= c->delivered_ms[0]);
+}
+
 static void
 check_slow_case(const struct slow_case *sc, const struct client *c)
 {
@@ -580,6 +623,7 @@
 	if (sc->apart_ms > 0)
 		CU_ASSERT(ms - c->delivered_ms[0] <= sc->apart_ms);
 	CU_ASSERT_EQUAL(c->repeated, sc->repeated);
+	check_give_up(sc, c);
 	if (sc->kind == WATCH)
 		return;
 	CU_ASSERT_EQUAL(c->status, sc->status);
@@ -770,10 +814,48 @@
 	loop_close(&loop);
 }
 
+/* Guards against a line for each of many calls, against a line that does not
+ * tell an answer that was slow from one that never began, and against calls
+ * that no line counts. */
+static void
+give_ups_are_logged(void)
+{
+	static const struct {
+		agb_time at_ms;
+		struct agb_store_give_up g;
+		const char *line; /* NULL if it is omitted */
+	} cases[] = {
+	    {0, {AGB_STORE_POLL, AGB_STORE_NO_RESPONSE, "op/", 2505, 0},
+		"change=given-up call=poll prefix=\"op/\" reason=no-response "
+		"elapsed_ms=2505 received=0 omitted=0"},
+	    {1, {AGB_STORE_POLL, AGB_STORE_STALLED, "op/", 1, 1}, NULL},
+	    {999, {AGB_STORE_POLL, AGB_STORE_STALLED, "op/", 1, 1}, NULL},
+	    {1000, {AGB_STORE_FULL_READ, AGB_STORE_STALLED, "s/", 1900, 64000},
+		"change=given-up call=read prefix=\"s/\" reason=stalled "
+		"elapsed_ms=1900 received=64000 omitted=2"},
+	    {5000, {AGB_STORE_POLL, AGB_STORE_TOO_SLOW, "op/", 20005, 9000},
+		"change=given-up call=poll prefix=\"op/\" reason=too-slow "
+		"elapsed_ms=20005 received=9000 omitted=0"},
+	};
+	struct wf_giveup_log l = {0};
+	char line[320];
+	bool written;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		written = wf_giveup_format(&l, &cases[i].g,
+		    cases[i].at_ms * AGB_MS, line, sizeof(line));
+		CU_ASSERT_EQUAL(written, cases[i].line != NULL);
+		if (written && cases[i].line != NULL)
+			CU_ASSERT_STRING_EQUAL(line, cases[i].line);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"slow store: slow is not stalled", slow_is_not_stalled},
     {"slow store: a shared link serves all", shared_link_serves_all},
     {"slow store: failures back off", failures_back_off},
+    {"slow store: give-ups are logged", give_ups_are_logged},
 };
 
 int
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -295,9 +295,15 @@
 	    "agatebeam_approval_age_seconds_count 1\n",
 	    "agatebeam_task_decisions_total{decision=\"refused\"} 1\n",
 	    "agatebeam_peer_queued_bytes_total{message=\"orders\"} 600\n",
+	    "agatebeam_store_given_up_total{call_reason=\"poll_stalled\"} 2\n",
+	    "agatebeam_store_given_up_total{call_reason=\"read_too-slow\"} 1\n",
 	};
 	const struct wf_order_result res = {
 	    .kind = WF_ORDER_START, .status = WF_ORDER_TICKET_EXPIRED};
+	const struct agb_store_give_up poll = {
+	    .read = AGB_STORE_POLL, .reason = AGB_STORE_STALLED};
+	const struct agb_store_give_up read = {
+	    .read = AGB_STORE_FULL_READ, .reason = AGB_STORE_TOO_SLOW};
 	struct wf_metrics *const metrics = wf_metrics_new();
 	struct agb_rpc_stats rpc = {0};
 	struct wf_metrics_sample in = {0};
@@ -316,6 +322,9 @@
 	in.meter = &m;
 	in.rpc = &rpc;
 	in.backlog = (struct wf_backlog){5000, 4000};
+	wf_metrics_count_give_up(metrics, &poll);
+	wf_metrics_count_give_up(metrics, &poll);
+	wf_metrics_count_give_up(metrics, &read);
 	text = wf_metrics_format(metrics, &in, &len);
 	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++)
 		check_text(text, lines[i]);
