fix(platform): a watch with more changes than an answer holds reads all keys

What callers saw: an instance that had missed more than 8 MB of changes (some versions of a large document, or the jobs of a minute) asked for them again and again and never got them, as long as the store kept its history.

Cause: a poll has no pages, its response was over the limit of the client each time, and a response over the limit was repeated like a lost one.

Change: httpc reports that the body was too large, and such a poll ends the watch as broken, as after a loss of history. The follower then reads all keys, which comes in pages, each of at most a megabyte or one item.

--- a/src/agatebeam/httpc.c
+++ b/src/agatebeam/httpc.c
@@ -34,6 +34,9 @@
 #define HEAD_BYTES_MAX ((size_t)256 * 1024)
 #define LINE_BYTES_MAX ((size_t)16 * 1024)
 
+/* Compared by its address. */
+static const char body_too_large[] = "response body exceeds the limit";
+
 enum call_state {
 	CALL_QUEUED,
 	CALL_CONNECTING,
@@ -208,6 +211,7 @@
 		call->res.http_status = 0;
 	call->res.status = status;
 	call->res.error = error;
+	call->res.too_large = error == body_too_large;
 	call->res.headers = call->headers;
 	call->res.body = call->body;
 	DL_APPEND(call->c->done, call);
@@ -261,9 +265,7 @@
 deliver_body(struct agb_httpc_call *call, const char *data, size_t len)
 {
 	if (call->on_chunk == NULL)
-		return body_append(call, data, len)
-		    ? NULL
-		    : "response body exceeds the limit";
+		return body_append(call, data, len) ? NULL : body_too_large;
 	call->in_chunk_cb = true;
 	call->on_chunk(call->arg, call->res.http_status, data, len);
 	call->in_chunk_cb = false;
@@ -388,7 +390,7 @@
 		    : "neither Content-Length nor Transfer-Encoding";
 	if (call->on_chunk == NULL && call->has_length &&
 	    call->remaining > call->body_max)
-		return "response body exceeds the limit";
+		return body_too_large;
 	if (call->chunked)
 		call->parse_state = PARSE_CHUNK_SIZE;
 	else
--- a/src/agatebeam/httpc.h
+++ b/src/agatebeam/httpc.h
@@ -65,6 +65,8 @@
  *	AGB_HTTPC_COMPLETE, else NULL
  * @timed_out: the request ended because a timeout expired
  * @timeout: which one, if @timed_out
+ * @too_large: the response body exceeds the limit of the request, so that a
+ *	repetition would fail, too
  * @received: bytes of the response so far, including its head
  */
 struct agb_httpc_res {
@@ -77,6 +79,7 @@
 	const char *error;
 	bool timed_out;
 	enum agb_httpc_timeout timeout;
+	bool too_large;
 	uint64_t received;
 };
 
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -162,6 +162,8 @@
 			printf("%s: %s\n", responses[i].name, r.error);
 		CU_ASSERT_EQUAL(r.res.status, responses[i].want);
 		CU_ASSERT_EQUAL(r.res.http_status, responses[i].http_status);
+		CU_ASSERT_EQUAL(r.res.too_large,
+		    strncmp(responses[i].name, "too long", 8) == 0);
 		if (responses[i].body != NULL)
 			CU_ASSERT_STRING_EQUAL(r.body, responses[i].body);
 		if (i == 0)
--- a/tests/test_platform_kv.c
+++ b/tests/test_platform_kv.c
@@ -330,10 +330,39 @@
 	}
 }
 
+static void
+announce_large_answer(struct loop_conn *c)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 Answer\r\nContent-Length: 100000000\r\n\r\n";
+
+	if (strstr(c->in, "\r\n\r\n") == NULL)
+		return;
+	c->in_len = 0;
+	loop_conn_write(c, head, strlen(head));
+}
+
+/* Guards against a watch that asks for ever for changes that are too many for
+ * one answer: only a read of all keys, which comes in pages, makes progress. */
+static void
+too_many_changes_break_a_watch(void)
+{
+	struct store_fixture f;
+
+	fixture_open(&f);
+	f.server.on_data = announce_large_answer;
+	f.store->ops->watch(f.store, 2, "a", "b", 9);
+	loop_until(&f.loop, &f.watches, 1);
+	CU_ASSERT_TRUE(f.broken);
+	CU_ASSERT_EQUAL(f.server.accepted, 1);
+	fixture_close(&f);
+}
+
 static const struct suite_test tests[] = {
     {"store: malformed answers are lost", malformed_answers_are_lost},
     {"store: keys are encoded whole", keys_are_encoded_whole},
     {"store: revisions of a watch only rise", watch_revisions_only_rise},
+    {"store: too many changes break a watch", too_many_changes_break_a_watch},
 };
 
 int
