--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -98,21 +98,21 @@
 	struct agb_store *store;
 	struct wf_follow *follow;
 	const struct answer *answers;
-	bool repeats;
-	int watch_status;
 	size_t value_len;
-	unsigned pages;
 	uint64_t begun_ms;
+	uint64_t repeated_ms[64];
+	uint64_t delivered_ms[DELIVERIES_MAX];
+	size_t kvs;
+	struct agb_store_give_up give_up;
 	char first_path[128];
+	unsigned pages;
 	unsigned requests;
 	unsigned repeated;
-	uint64_t repeated_ms[64];
 	unsigned deliveries;
-	uint64_t delivered_ms[DELIVERIES_MAX];
-	enum agb_store_status status;
-	size_t kvs;
 	unsigned give_ups;
-	struct agb_store_give_up give_up;
+	int watch_status;
+	enum agb_store_status status;
+	bool repeats;
 };
 
 static size_t
@@ -418,19 +418,19 @@
  */
 struct slow_case {
 	const char *name;
+	uint64_t from_ms;
+	uint64_t to_ms;
+	uint64_t apart_ms;
+	size_t kvs;
 	enum call_kind kind;
 	uint32_t timeout_ms;
 	uint32_t total_ms;
 	unsigned pages;
-	struct answer answers[ANSWERS_MAX];
 	unsigned deliveries;
-	uint64_t from_ms;
-	uint64_t to_ms;
-	uint64_t apart_ms;
 	unsigned repeated;
 	enum agb_store_give_up_reason give_up;
 	enum agb_store_status status;
-	size_t kvs;
+	struct answer answers[ANSWERS_MAX];
 };
 
 static const struct slow_case slow_cases[] = {
