--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -731,15 +731,14 @@
 {
 	static const struct {
 		uint32_t jobs;
-		bool down;
+		bool down, others_stored;
 		size_t refusals_max;
-		bool others_stored;
 	} cases[] = {
-	    {1, false, 80, true},
-	    {10, false, 80, true},
-	    {40, false, 80, true},
+	    {1, false, true, 80},
+	    {10, false, true, 80},
+	    {40, false, true, 80},
 	    /* All writes stay as they are while the store is down. */
-	    {30, true, 160, false},
+	    {30, true, false, 160},
 	};
 	const uint32_t run_ms = 30000;
 	struct fixture f;
