fix(workflow): counts of pending jobs give way on congested links

On a slow link, jobs that wait are drained later since counts are pushed in rounds: a push of counts has one record more, and it is made every 400 ms whether links are congested or not. Counts are now made half as often while links are congested, within the 2 s that a count may be old; the push that serves as heartbeat stays at 400 ms.

--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -13,8 +13,13 @@
 /* Factor of that time while links are congested: starts matter more than how
  * soon callers see a state. */
 #define PUSH_CONGESTED_FACTOR 4
-/* How often the pending jobs are counted. */
+/* Longest time between two pushes, which also serve as the leader's
+ * heartbeat. */
+#define HEARTBEAT_INTERVAL_MS 400
+/* How often the pending jobs are counted, and the factor of that time while
+ * links are congested: a count may be 2 s old. */
 #define COUNT_INTERVAL_MS 400
+#define COUNT_CONGESTED_FACTOR 2
 /* With more instances than this, pushes go to one instance of each failure
  * domain, which forwards them. */
 #define DIRECT_PEERS_MAX 12
@@ -473,12 +478,21 @@
 	}
 }
 
+static agb_time
+count_interval(const struct wf_leader *l, agb_time now)
+{
+	const agb_time factor =
+	    wf_flow_is_congested(&l->flow, now) ? COUNT_CONGESTED_FACTOR : 1;
+
+	return factor * COUNT_INTERVAL_MS * AGB_MS;
+}
+
 static agb_time
 next_push_at(const struct wf_show *s)
 {
 	return s->states_len > 0 || s->counts.due
 	    ? s->push_at
-	    : agb_time_max(s->push_at, s->count_at);
+	    : agb_time_max(s->push_at, s->heartbeat_at);
 }
 
 /* Pushes the next states and counts. */
@@ -511,17 +525,19 @@
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
 {
 	struct wf_show *const s = &l->show;
-	const bool count = now->mono >= s->count_at;
+	const bool heartbeat = now->mono >= s->heartbeat_at;
 	const agb_time retry_at = retry_domains(l, now, out);
 
 	if (now->mono < s->push_at ||
-	    (s->states_len == 0 && !s->counts.due && !count))
+	    (s->states_len == 0 && !s->counts.due && !heartbeat))
 		return agb_time_min(retry_at, next_push_at(s));
 	s->push_at = now->mono + push_interval(l, now->mono);
-	if (count) {
-		s->count_at = now->mono + COUNT_INTERVAL_MS * AGB_MS;
+	if (heartbeat)
+		s->heartbeat_at = now->mono + HEARTBEAT_INTERVAL_MS * AGB_MS;
+	if (now->mono >= s->count_at) {
+		s->count_at = now->mono + count_interval(l, now->mono);
 		wf_counts_update(&s->counts, l->table, l->doc, now->mono);
 	}
-	push_next(l, now, count, out);
+	push_next(l, now, heartbeat, out);
 	return agb_time_min(retry_domains(l, now, out), next_push_at(s));
 }
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -68,8 +68,8 @@
 /**
  * struct wf_show - records to push and pushes without an acknowledgement
  * @push_at: time of the next push
- * @count_at: time of the next check of the counts; their push also serves as
- *	the leader's heartbeat
+ * @heartbeat_at: when a push is sent even if there is nothing to push
+ * @count_at: time of the next check of the counts
  * @unsent_at: when a push to a relay last failed without having been sent, by the
  *	relay's handle; 0 when a later one was acknowledged
  * @dropped: number of states that were given up since the last log line
@@ -86,6 +86,7 @@
 	size_t domains_len;
 	uint64_t next_tag;
 	agb_time push_at;
+	agb_time heartbeat_at;
 	agb_time count_at;
 	agb_time unsent_at[WF_RELAYS_MAX];
 	size_t dropped;
