--- a/tests/test_wf_gangs.c
+++ b/tests/test_wf_gangs.c
@@ -194,7 +194,8 @@
 		if (j->queue != BATCH || j->started)
 			continue;
 		j->started = sim_start_count(sc->s, j->id) >= j->count;
-		if (j->started || 2 * j->count * j->cpu_milli > free_cpu)
+		if (j->started ||
+		    2 * (int64_t)j->count * j->cpu_milli > free_cpu)
 			j->waits_ms = 0;
 		else
 			j->waits_ms += SAMPLE_MS;
