feat(workflow): measurements of calls for advice, their tickets and reserved room

A leader whose gangs wait beside idle processors did not show why: approvals were counted, but not whether a step used them, and neither the kinds of the calls nor the room that reservations keep free. The line load and the metrics now show calls by kind, sets of tickets used and expired, free and reserved processors, and steps that only reservations keep out.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -400,7 +400,8 @@
  * are left out. */
 static void
 send_calls(struct wf_leader *l, const struct wf_now *now, struct wf_unit *u,
-    const uint32_t *runners, size_t len, struct wf_effects *out)
+    const uint32_t *runners, size_t len, enum wf_tally kind,
+    struct wf_effects *out)
 {
 	const size_t share = call_share(len);
 	uint32_t est_ms, client;
@@ -413,6 +414,7 @@
 		if (client == WF_NO_HANDLE)
 			break;
 		send_call(l, now, u, client, est_ms, runners + i, n, len, out);
+		wf_meter_count(l->meter, kind);
 	}
 }
 
@@ -423,7 +425,7 @@
 {
 	if (u->calls_pending > 0 || now->mono < u->advice_retry_at)
 		return;
-	send_calls(l, now, u, runners, len, out);
+	send_calls(l, now, u, runners, len, WF_TALLY_CALLS_RENEWED, out);
 }
 
 size_t
@@ -602,7 +604,10 @@
 		WF_NO_HANDLE)
 		return;
 	len = select_unasked_runners(l, now, u, q->service, runners, max);
-	send_calls(l, now, u, runners, len, out);
+	send_calls(l, now, u, runners, len,
+	    u->approvals_len == 0 ? WF_TALLY_CALLS_FIRST
+				  : WF_TALLY_CALLS_FURTHER,
+	    out);
 }
 
 /* Approval of a runner, which is added when there is none. @places: for each
@@ -651,6 +656,10 @@
 	size_t i, n, from = 0;
 	uint32_t *places;
 
+	if (u->tickets_until > 0 && u->tickets_until <= now->mono) {
+		wf_meter_count(l->meter, WF_TALLY_SETS_EXPIRED);
+		u->tickets_until = 0;
+	}
 	places = agb_xcalloc(l->runners_len + 1, sizeof(*places));
 	for (i = 0; i < u->approvals_len; i++)
 		places[u->approvals[i].runner] = (uint32_t)i + 1;
@@ -674,6 +683,8 @@
 		if (advice->valid_ms > TICKET_MARGIN_MS)
 			a->valid_until = now->mono +
 			    (advice->valid_ms - TICKET_MARGIN_MS) * AGB_MS;
+		u->tickets_until =
+		    agb_time_max(u->tickets_until, a->valid_until);
 	}
 	free(places);
 	wf_effects_log(out, AGB_LOG_INFO, "advice",
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -124,6 +124,9 @@
  *	their tickets, or once their calls for advice are answered
  * @rooms: usable runners of @service
  * @free_cpu: sum of the free processors of @rooms, in thousandths
+ * @fit_reserved: tasks of the unit being placed for which only reserved room was
+ *	found
+ * @kept_out: see struct wf_pass_room
  */
 struct dispatch_pass {
 	struct wf_leader *l;
@@ -142,6 +145,8 @@
 	struct runner_room *rooms;
 	size_t rooms_len;
 	int64_t free_cpu;
+	uint64_t fit_reserved;
+	uint32_t kept_out;
 	struct wf_effects *out;
 };
 
@@ -205,24 +210,6 @@
 	return (agb_time)u->expected_ms * RUN_TIME_PERCENT / 100 * AGB_MS;
 }
 
-/* Free resources of a runner for a task of the step. Those reserved for a gang
- * are left out, unless the task is expected to end before the gang starts. */
-static struct agb_resources
-room_for_unit(
-    const struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri)
-{
-	const struct wf_step *const step = wf_unit_step(u);
-	const struct wf_runner *const r = &p->l->runners[ri];
-	struct agb_resources room = wf_runner_free_resources(r);
-
-	if (step->best_effort)
-		room.cpu_milli -= r->fill_cpu_milli;
-	if (p->reservations[ri].start_at > 0 &&
-	    p->now->mono + expected_run_time(u) > p->reservations[ri].start_at)
-		agb_resources_sub(&room, &p->reservations[ri].need);
-	return room;
-}
-
 /* Number of tasks of a unit that are allocated on a runner. */
 static uint32_t
 unit_tasks_on_runner(const struct wf_unit *u, const struct wf_runner *r)
@@ -252,6 +239,29 @@
 	return fit < step->spread_max - at ? fit : step->spread_max - at;
 }
 
+/* Number of tasks of a unit that a runner has room for. Room that is reserved for
+ * a gang is left out, unless the task is expected to end before the gang
+ * starts. */
+static uint32_t
+fit_count(struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const struct wf_runner *const r = &p->l->runners[ri];
+	struct agb_resources room = wf_runner_free_resources(r);
+	uint32_t fit, fit_all;
+
+	if (step->best_effort)
+		room.cpu_milli -= r->fill_cpu_milli;
+	fit_all = limit_spread(u, r, wf_step_fit_count(step, room));
+	if (fit_all == 0 || p->reservations[ri].start_at == 0 ||
+	    p->now->mono + expected_run_time(u) <= p->reservations[ri].start_at)
+		return fit_all;
+	agb_resources_sub(&room, &p->reservations[ri].need);
+	fit = limit_spread(u, r, wf_step_fit_count(step, room));
+	p->fit_reserved += fit_all - fit;
+	return fit;
+}
+
 static bool
 eligible(const struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri)
@@ -261,7 +271,7 @@
 }
 
 static bool
-candidate_init(const struct dispatch_pass *p, const struct wf_unit *u,
+candidate_init(struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri, struct candidate *c)
 {
 	const struct wf_step *const step = wf_unit_step(u);
@@ -270,8 +280,7 @@
 	if (!eligible(p, u, service, ri) ||
 	    (step->best_effort && r->pace_percent < FILL_PACE_MIN_PERCENT))
 		return false;
-	c->fit = limit_spread(
-	    u, r, wf_step_fit_count(step, room_for_unit(p, u, ri)));
+	c->fit = fit_count(p, u, ri);
 	if (c->fit == 0)
 		return false;
 	c->runner = ri;
@@ -318,17 +327,20 @@
 /* Collects the runners that have room for the unit. Approved ones whose ticket
  * has expired go to the list @stale of the pass instead. */
 static size_t
-collect_candidates(const struct dispatch_pass *p, const struct wf_unit *u,
+collect_candidates(struct dispatch_pass *p, const struct wf_unit *u,
     const struct wf_queue *q, size_t *stale_len)
 {
 	const struct wf_leader *const l = p->l;
 	const struct wf_approval *a;
+	uint64_t fit_reserved;
 	struct candidate c;
 	uint32_t ri;
 	size_t i, n;
+	bool has_room;
 
 	n = 0;
 	*stale_len = 0;
+	p->fit_reserved = 0;
 	if (!q->advice_required) {
 		wf_meter_add_examined(l->meter, l->runners_len);
 		for (ri = 0; ri < l->runners_len; ri++) {
@@ -340,8 +352,12 @@
 	wf_meter_add_examined(l->meter, u->approvals_len);
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
-		if (!wf_advice_is_current(l, a) ||
-		    !candidate_init(p, u, q->service, a->runner, &c))
+		fit_reserved = p->fit_reserved;
+		has_room = wf_advice_is_current(l, a) &&
+		    candidate_init(p, u, q->service, a->runner, &c);
+		if (a->valid_until <= p->now->mono)
+			p->fit_reserved = fit_reserved;
+		if (!has_room)
 			continue;
 		if (a->valid_until > p->now->mono)
 			p->candidates[n++] = c;
@@ -848,6 +864,7 @@
 		place_waiting_tasks(p, u, p->candidates, len);
 		return;
 	}
+	p->kept_out += room + p->fit_reserved >= u->waiting;
 	start_at = AGB_TIME_MAX;
 	to_renew = 0;
 	if (p->reservations_made < RESERVATIONS_MIN +
@@ -883,6 +900,8 @@
 		    compare_candidates);
 	if (len > 0)
 		place_waiting_tasks(p, u, p->candidates, len);
+	else
+		p->kept_out += p->fit_reserved > 0;
 	if (u->waiting > 0)
 		request_advice(p, u, q, stale_len, p->now->mono);
 }
@@ -898,6 +917,25 @@
 	return agb_time_max(by_queue, by_time);
 }
 
+/* Records for the log and the metrics how much room the pass has left. */
+static void
+record_room(const struct dispatch_pass *p)
+{
+	struct wf_pass_room *const room = &p->l->pass_room;
+	int64_t cpu, reserved;
+	uint32_t ri;
+
+	*room = (struct wf_pass_room){.kept_out = p->kept_out};
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		cpu = wf_runner_free_resources(&p->l->runners[ri]).cpu_milli;
+		reserved = p->reservations[ri].need.cpu_milli;
+		if (!wf_fleet_usable(&p->l->runners[ri], p->now->mono))
+			continue;
+		room->free_cpu_milli += cpu;
+		room->reserved_cpu_milli += reserved < cpu ? reserved : cpu;
+	}
+}
+
 agb_time
 wf_dispatch(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
@@ -957,6 +995,7 @@
 	 * one. */
 	for (i = 0; i < l->runners_len; i++)
 		l->runners[i].reserved = p.reservations[i].start_at > 0;
+	record_room(&p);
 	free(p.run_ends);
 	free(p.ends);
 	free(p.reservations);
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -528,6 +528,10 @@
 	if (u->waiting == 0)
 		unit_dequeue(l, u);
 	wf_meter_count(l->meter, WF_TALLY_ASSIGNED);
+	if (u->tickets_until > 0) {
+		wf_meter_count(l->meter, WF_TALLY_SETS_USED);
+		u->tickets_until = 0;
+	}
 	wf_exec_mark_dirty(l, u->exec);
 }
 
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -144,6 +144,7 @@
 	out->in_flight = l->flow.in_flight;
 	out->limit = l->flow.limit;
 	out->orders = wf_outbox_pending_count(&l->outbox);
+	out->room = l->pass_room;
 	for (u = l->queue; u != NULL; u = u->next)
 		out->gangs += wf_unit_step(u)->gang;
 }
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -155,6 +155,8 @@
  * @due_at: when its occurrence of the job should be finished, as computed at
  *	@due_computed_at
  * @expected_ms: expected run time of its tasks
+ * @tickets_until: when its last ticket expires; 0 when it has none, or when a
+ *	task was assigned since
  */
 struct wf_unit {
 	struct wf_exec *exec;
@@ -178,6 +180,7 @@
 	agb_time due_at;
 	agb_time due_computed_at;
 	uint32_t expected_ms;
+	agb_time tickets_until;
 	struct wf_approval *approvals;
 	size_t approvals_len;
 	struct wf_unit *prev, *next;
@@ -419,6 +422,7 @@
  * @placement_changed: something that placement depends on has changed since
  *	the last dispatch pass
  * @pass_time: time that the last dispatch pass took; 0 when it is not measured
+ * @pass_room: processors as the last dispatch pass left them
  * @gen: number of changes to state records so far
  * @acks: acknowledgements that wait for their changes to become durable
  * @write_time_us: moving average of the time from an attempt at a write to
@@ -459,6 +463,7 @@
 	bool placement_changed;
 	agb_time last_dispatch_at;
 	agb_time pass_time;
+	struct wf_pass_room pass_room;
 	uint64_t gen;
 	struct wf_ack *acks;
 	size_t acks_len;
--- a/src/workflow/wf_meter.c
+++ b/src/workflow/wf_meter.c
@@ -36,6 +36,11 @@
 	    [WF_TALLY_APPROVALS] = "approvals",
 	    [WF_TALLY_EXPIRED] = "expired",
 	    [WF_TALLY_REFUSED] = "refused",
+	    [WF_TALLY_CALLS_FIRST] = "calls_first",
+	    [WF_TALLY_CALLS_FURTHER] = "calls_further",
+	    [WF_TALLY_CALLS_RENEWED] = "calls_renewed",
+	    [WF_TALLY_SETS_USED] = "sets_used",
+	    [WF_TALLY_SETS_EXPIRED] = "sets_expired",
 	};
 
 	return names[tally];
@@ -180,6 +185,11 @@
 	    " in_flight=%" PRIu32 " limit=%" PRIu32 " orders=%" PRIu32,
 	    (now - m->logged_at) / AGB_MS, load->queue, load->gangs,
 	    load->in_flight, load->limit, load->orders);
+	append(text, &len,
+	    " free_cores=%" PRId64 " reserved_cores=%" PRId64
+	    " kept_out=%" PRIu32,
+	    load->room.free_cpu_milli / 1000,
+	    load->room.reserved_cpu_milli / 1000, load->room.kept_out);
 	for (i = 0; i < WF_TALLIES; i++)
 		append(text, &len, " %s=%" PRIu64, wf_tally_name(i),
 		    m->total.tallies[i] - m->logged.tallies[i]);
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -23,7 +23,7 @@
 #define WF_METER_LINE_MS 1000
 
 /* Maximum length of the text of the log line "load", with its final 0. */
-#define WF_METER_LINE_MAX 448
+#define WF_METER_LINE_MAX 640
 
 /**
  * enum wf_part - parts of a turn
@@ -58,6 +58,12 @@
  * @WF_TALLY_APPROVALS: approvals received
  * @WF_TALLY_EXPIRED: tasks whose approval expired before their start was sent
  * @WF_TALLY_REFUSED: starts refused by the runner as their approval had expired
+ * @WF_TALLY_CALLS_FIRST: calls for the first approvals of a step
+ * @WF_TALLY_CALLS_FURTHER: calls for approvals of further runners
+ * @WF_TALLY_CALLS_RENEWED: calls for new tickets of approved runners
+ * @WF_TALLY_SETS_USED: sets of approvals, those of one step that are valid
+ *	together, by which a task was assigned
+ * @WF_TALLY_SETS_EXPIRED: sets of approvals that expired before that
  */
 enum wf_tally {
 	WF_TALLY_ASSIGNED,
@@ -66,6 +72,11 @@
 	WF_TALLY_APPROVALS,
 	WF_TALLY_EXPIRED,
 	WF_TALLY_REFUSED,
+	WF_TALLY_CALLS_FIRST,
+	WF_TALLY_CALLS_FURTHER,
+	WF_TALLY_CALLS_RENEWED,
+	WF_TALLY_SETS_USED,
+	WF_TALLY_SETS_EXPIRED,
 	WF_TALLIES,
 };
 
@@ -146,6 +157,18 @@
 	uint64_t start_results[WF_ORDER_STATUSES];
 };
 
+/**
+ * struct wf_pass_room - processors as the last dispatch pass left them
+ * @free_cpu_milli: free on usable runners, in thousandths
+ * @reserved_cpu_milli: the part of them that is reserved for gangs
+ * @kept_out: steps that had room and approvals, if it were not for reservations
+ */
+struct wf_pass_room {
+	int64_t free_cpu_milli;
+	int64_t reserved_cpu_milli;
+	uint32_t kept_out;
+};
+
 /**
  * struct wf_load - state of the leader that the log line "load" reports
  * @queue: steps with waiting tasks
@@ -160,6 +183,7 @@
 	uint32_t in_flight;
 	uint32_t limit;
 	uint32_t orders;
+	struct wf_pass_room room;
 };
 
 /* Upper bounds of the buckets of all histograms, in seconds. */
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -219,7 +219,8 @@
 static void
 line_reports_the_time_since_the_last_one(void)
 {
-	static const struct wf_load load = {7, 2, 30, 50, 40};
+	static const struct wf_load load = {
+	    7, 2, 30, 50, 40, {64900, 18000, 3}};
 	struct fake_process p = {.backlog = {5000, 4000}};
 	char text[WF_METER_LINE_MAX];
 	struct wf_meter m;
@@ -238,6 +239,7 @@
 	wf_meter_format_line(&m, &load, 21100 * AGB_MS, text);
 	check_text(text,
 	    "span_ms=1100 queue=7 gangs=2 in_flight=30 limit=50 orders=40");
+	check_text(text, " free_cores=64 reserved_cores=18 kept_out=3 ");
 	check_text(text, " assigned=1 confirmed=0 ");
 	check_text(text, " expired=0 ");
 	check_text(text, " examined=40 ");
@@ -250,7 +252,8 @@
 static void
 line_of_large_figures_is_whole(void)
 {
-	static const struct wf_load load = {99999, 99999, 99999, 99999, 99999};
+	static const struct wf_load load = {
+	    99999, 99999, 99999, 99999, 99999, {999999999, 999999999, 99999}};
 	struct fake_process p = {.backlog = {999999999, 9999999}};
 	char text[WF_METER_LINE_MAX];
 	struct wf_meter m;
@@ -275,6 +278,9 @@
 	static const char *const lines[] = {
 	    "agatebeam_queues_compared_total 9\n",
 	    "agatebeam_gangs_waiting 2\n",
+	    "agatebeam_free_cores 64.5\n",
+	    "agatebeam_reserved_cores 18\n",
+	    "agatebeam_steps_kept_out 3\n",
 	    "agatebeam_starts_in_flight 30\n",
 	    "agatebeam_starts_limit 50\n",
 	    "agatebeam_relayed_orders_pending 40\n",
@@ -318,7 +324,7 @@
 	wf_meter_add_approval_age(&m, AGB_SEC);
 	m.total.queues_compared = 9;
 	rpc.queued_bytes[AGB_X_ORDERS] = 600;
-	in.gauges.load = (struct wf_load){7, 2, 30, 50, 40};
+	in.gauges.load = (struct wf_load){7, 2, 30, 50, 40, {64500, 18000, 3}};
 	in.meter = &m;
 	in.rpc = &rpc;
 	in.backlog = (struct wf_backlog){5000, 4000};
