fix(workflow): as many gangs ask for advice as will have room

Each waiting gang asked for advice and renewed its tickets, whether or not there was room for all of them, so that most sets of tickets expired unused.

In the order of the queue, gangs whose advice takes long now ask only while the room that is expected when the advice is there covers them and the gangs before them that have tickets or calls pending. The first may always ask.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -141,6 +141,7 @@
 	uint32_t reservations_made;
 	uint64_t tasks_with_advice;
 	int64_t claimed_cpu_milli;
+	int64_t awaited_cpu_milli;
 	const char *service;
 	struct runner_room *rooms;
 	size_t rooms_len;
@@ -336,7 +337,7 @@
 	struct candidate c;
 	uint32_t ri;
 	size_t i, n;
-	bool has_room;
+	bool fits;
 
 	n = 0;
 	*stale_len = 0;
@@ -353,11 +354,11 @@
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
 		fit_reserved = p->fit_reserved;
-		has_room = wf_advice_is_current(l, a) &&
+		fits = wf_advice_is_current(l, a) &&
 		    candidate_init(p, u, q->service, a->runner, &c);
 		if (a->valid_until <= p->now->mono)
 			p->fit_reserved = fit_reserved;
-		if (!has_room)
+		if (!fits)
 			continue;
 		if (a->valid_until > p->now->mono)
 			p->candidates[n++] = c;
@@ -809,6 +810,39 @@
 	return room > 0;
 }
 
+/* As has_room(), for a unit whose advice takes long: whether all tasks that start
+ * together will have room when the advice is there. */
+static bool
+has_room_soon(
+    struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
+	const agb_time when = p->now->mono +
+	    (wf_advice_call_ms(q, WF_ADVICE_RUNNERS_MAX) + RENEW_MARGIN_MS) *
+		AGB_MS;
+	const struct wf_runner *r;
+	const struct run_ends *e;
+	struct agb_resources room;
+	uint32_t ri, i;
+	int64_t left;
+
+	left = p->awaited_cpu_milli + (step->gang ? u->waiting : 1) * cpu;
+	if (p->awaited_cpu_milli == 0)
+		return true;
+	for (ri = 0; ri < p->l->runners_len && left > 0; ri++) {
+		r = &p->l->runners[ri];
+		if (!wf_fleet_eligible(r, step, q->service, p->now->mono))
+			continue;
+		e = run_ends_on_runner(p, ri);
+		room = wf_runner_free_resources(r);
+		for (i = 0; i < e->len && p->ends[e->first + i].at <= when; i++)
+			agb_resources_add(&room, &p->ends[e->first + i].need);
+		left -= cpu * wf_step_fit_count(step, room);
+	}
+	return left <= 0;
+}
+
 /* Whether a unit may request advice now. Units whose advice takes long request
  * it before there is room. Of the others only as many do as will find room:
  * handling the answers takes the leader's time, and the tickets would expire
@@ -822,7 +856,8 @@
 	    p->tasks_with_advice >= wf_flow_starts_within(&p->l->flow,
 					p->now->mono, q->ticket_valid_ms / 2))
 		return false;
-	return q->advice_base_ms > ADVICE_FAST_MS || has_room(p, u, q->service);
+	return q->advice_base_ms > ADVICE_FAST_MS ? has_room_soon(p, u, q)
+						  : has_room(p, u, q->service);
 }
 
 /* Whether a unit has tickets, or will get some. */
@@ -858,6 +893,9 @@
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
 		p->claimed_cpu_milli +=
 		    u->waiting * wf_unit_step(u)->need.cpu_milli;
+	else
+		p->awaited_cpu_milli +=
+		    u->waiting * wf_unit_step(u)->need.cpu_milli;
 }
 
 static void
