fix(workflow): long calls for advice wait at the leader

An instance got calls for up to 1.6 s of work ahead. A gang that was more urgent than those waited behind them, and tickets came for gangs whose room had gone.

An instance now gets its next long call when it is about to be free, so that the most urgent gang of that moment asks.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -27,9 +27,10 @@
 /* The sums of the time that calls have taken are halved at this interval. */
 #define HALVING_INTERVAL_MS 1000
 /* An instance whose pending calls are expected to take longer than this gets
- * no further call. The limit depends on whether it makes long or short
- * calls. */
-#define BACKLOG_LONG_MS 1600
+ * no further call. The limit depends on whether it makes long or short calls: a
+ * long one is sent only when the instance is about to be free, so that it is for
+ * the unit that is the most urgent then. */
+#define BACKLOG_LONG_MS 100
 #define BACKLOG_SHORT_MS 250
 /* Time that a call waits for its answer beyond the expected time. */
 #define ANSWER_SLACK_MS 350
