perf(workflow): gangs that get no tickets are not planned

Since only gangs with tickets reserve room, the limit of reservations no longer bounded the plans that a pass makes. A gang that has no tickets, no calls pending and may not ask is left out before. Same decisions in the scenario of test_wf_gangs.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -851,6 +851,9 @@
 may_request_advice(
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
+	if (!q->advice_required || u->calls_pending > 0 ||
+	    p->now->mono < u->advice_retry_at)
+		return false;
 	/* Tickets of tasks that the limit of starts holds back would expire. */
 	if (p->tasks_with_advice > 0 &&
 	    p->tasks_with_advice >= wf_flow_starts_within(&p->l->flow,
@@ -869,8 +872,8 @@
 	    wf_advice_has_ticket(u, p->now->mono);
 }
 
-/* Requests missing approvals of a unit that is expected to start at @start_at.
- * Requests also new tickets for the first @stale_len runners in the pass's list
+/* Requests missing approvals of a unit that may request them and is expected to
+ * start at @start_at. Requests also new tickets for the first @stale_len runners in the pass's list
  * @stale, unless the start is so far off that this can wait. */
 static void
 request_advice(struct dispatch_pass *p, struct wf_unit *u,
@@ -879,15 +882,17 @@
 	const agb_time lead_time =
 	    (wf_advice_call_ms(q, stale_len) + RENEW_MARGIN_MS) * AGB_MS;
 
-	if (!q->advice_required)
-		return;
-	if (u->calls_pending == 0 && may_request_advice(p, u, q)) {
-		if (stale_len > 0 && start_at <= p->now->mono + lead_time)
-			wf_advice_renew(
-			    p->l, p->now, u, p->stale, stale_len, p->out);
-		wf_advice_request(p->l, p->now, u, p->out);
-	}
-	if (!gets_tickets(p, u, q))
+	if (stale_len > 0 && start_at <= p->now->mono + lead_time)
+		wf_advice_renew(p->l, p->now, u, p->stale, stale_len, p->out);
+	wf_advice_request(p->l, p->now, u, p->out);
+}
+
+/* Counts what the unit will take with its tickets, if it gets any. */
+static void
+claim_with_tickets(
+    struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
+{
+	if (!q->advice_required || !gets_tickets(p, u, q))
 		return;
 	p->tasks_with_advice += u->waiting;
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
@@ -905,6 +910,7 @@
 	struct gang_plan plan = {.start_at = AGB_TIME_MAX};
 	size_t len, stale_len, i;
 	uint64_t room;
+	bool may_request;
 
 	if (u->active > 0 && u->repair_deadline > 0 &&
 	    p->now->mono >= u->repair_deadline)
@@ -925,6 +931,9 @@
 		return;
 	}
 	p->kept_out += room + p->fit_reserved >= u->waiting;
+	may_request = may_request_advice(p, u, q);
+	if (!may_request && !gets_tickets(p, u, q))
+		return;
 	if (p->reservations_made < RESERVATIONS_MIN +
 		    p->l->runners_len / RUNNERS_PER_RESERVATION &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
@@ -945,7 +954,9 @@
 		for (i = 0; i < stale_len; i++)
 			p->stale[i] = plan.offers[i].runner;
 	}
-	request_advice(p, u, q, stale_len, plan.start_at);
+	if (may_request)
+		request_advice(p, u, q, stale_len, plan.start_at);
+	claim_with_tickets(p, u, q);
 	/* Room would stand idle for a gang that cannot get tickets now. */
 	if (plan.start_at != AGB_TIME_MAX && gets_tickets(p, u, q))
 		reserve_for_gang(p, u, &plan);
@@ -968,8 +979,11 @@
 		place_waiting_tasks(p, u, p->candidates, len);
 	else
 		p->kept_out += p->fit_reserved > 0;
-	if (u->waiting > 0)
+	if (u->waiting == 0)
+		return;
+	if (may_request_advice(p, u, q))
 		request_advice(p, u, q, stale_len, p->now->mono);
+	claim_with_tickets(p, u, q);
 }
 
 agb_time
