feat(workflow): gangs name as many runners as have room

A gang named three times the runners that it needs if they are empty, by a fixed share of approvals. When most are empty that is too many, and takes as long.

The share that is approved is measured for each queue. A gang names runners, most room first, until enough of them are expected to be approved, with two standard deviations to spare; the old number is the upper limit.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,10 +11,17 @@
 /* Maximum number of runners that are named for a gang at the same time, in
  * several calls. */
 #define NAMED_RUNNERS_MAX ((size_t)4 * WF_ADVICE_RUNNERS_MAX)
-/* The service approves at least about this share of the runners named. Calls
- * for a wide gang name as many as are needed at this share, times a factor, as
- * the runners approved may not all be empty. */
-#define APPROVED_MIN_PERCENT 28
+/* Share of the runners named that the service is expected to approve before its
+ * answers tell; it counts like the answers for PRIOR_NAMED runners. */
+#define PRIOR_APPROVED 0.28
+#define PRIOR_NAMED 50
+/* Weight that an answer for one runner keeps when the next one comes. */
+#define APPROVED_DECAY 0.9995
+/* A gang names as many runners that enough of them are approved except in one
+ * case of 40, if each answer is a matter of chance. */
+#define APPROVED_DEVIATIONS 2
+/* When there is not as much room, it names as many as would be enough if they
+ * were empty, times this factor. */
 #define GANG_SPARE_FACTOR 3
 /* The service handles one call of an instance at a time. Calls expected to
  * take longer than LONG_CALL_MS are made by a subset of the instances, so that
@@ -555,10 +563,29 @@
 	return n >= need;
 }
 
-/* Number of runners to name so that enough of them are approved. */
+/* Share of the runners named that are approved, as far as the answers tell. */
+static double
+approved_share(struct wf_leader *l, const char *queue)
+{
+	const struct wf_queue_times *const x = wf_exec_queue_times(l, queue);
+
+	return (x->approved + PRIOR_APPROVED * PRIOR_NAMED) /
+	    (x->named + PRIOR_NAMED);
+}
+
+static void
+learn_approved(struct wf_leader *l, const char *queue, bool approved)
+{
+	struct wf_queue_times *const x = wf_exec_queue_times(l, queue);
+
+	x->named = x->named * APPROVED_DECAY + 1;
+	x->approved = x->approved * APPROVED_DECAY + approved;
+}
+
+/* Maximum number of runners to name for a unit. */
 static size_t
 runners_to_name(
-    const struct wf_leader *l, const struct wf_unit *u, const char *service)
+    struct wf_leader *l, const struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	uint32_t ri, each;
@@ -569,18 +596,47 @@
 	each = 0;
 	for (ri = 0; ri < l->runners_len && each == 0; ri++) {
 		if (l->runners[ri].listed &&
-		    strcmp(l->runners[ri].info.service, service) == 0)
+		    strcmp(l->runners[ri].info.service, q->service) == 0)
 			each = tasks_on_empty_runner(&l->runners[ri], step);
 	}
 	if (each == 0)
 		return FIRST_CALL_RUNNERS;
-	n = (step->count + each - 1) / each * 100 * GANG_SPARE_FACTOR /
-	    APPROVED_MIN_PERCENT;
+	n = (step->count + each - 1) / each * GANG_SPARE_FACTOR;
+	n = (size_t)((double)n / approved_share(l, q->name));
 	return n < FIRST_CALL_RUNNERS ? FIRST_CALL_RUNNERS
 	    : n < NAMED_RUNNERS_MAX   ? n
 				      : NAMED_RUNNERS_MAX;
 }
 
+/* Number of the runners, those with the most room first, that a gang needs to
+ * name so that it has room on those approved; @len when there is not enough. */
+static size_t
+runners_with_room(struct wf_leader *l, const struct wf_unit *u,
+    const struct wf_queue *q, const uint32_t *runners, size_t len)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const double share = approved_share(l, q->name);
+	struct agb_resources room;
+	double fit, sum = 0, squares = 0;
+	size_t i;
+
+	if (!step->gang)
+		return len;
+	for (i = 0; i < len; i++) {
+		room = wf_runner_free_resources(&l->runners[runners[i]]);
+		room.cpu_milli -= l->runners[runners[i]].claimed_cpu_milli;
+		fit = wf_step_fit_count(step, room);
+		sum += fit;
+		squares += fit * fit;
+		if (share * sum -
+			APPROVED_DEVIATIONS *
+			    sqrt(share * (1 - share) * squares) >=
+		    u->waiting)
+			return i + 1;
+	}
+	return len;
+}
+
 void
 wf_advice_request(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_effects *out)
@@ -598,13 +654,14 @@
 	/* Under a backlog most units find no instance for their call, so the
 	 * costly choice of the runners comes after that of the instance. The
 	 * length of the call needs only the number of runners. */
-	max = runners_to_name(l, u, q->service);
+	max = runners_to_name(l, u, q);
 	len = list_unasked_runners(l, now->mono, u, q->service, runners, max);
 	if (len == 0 ||
 	    reserve_client(l, now, u, wf_advice_call_ms(q, len)) ==
 		WF_NO_HANDLE)
 		return;
 	len = select_unasked_runners(l, now, u, q->service, runners, max);
+	len = runners_with_room(l, u, q, runners, len);
 	send_calls(l, now, u, runners, len,
 	    u->approvals_len == 0 ? WF_TALLY_CALLS_FIRST
 				  : WF_TALLY_CALLS_FURTHER,
@@ -656,6 +713,7 @@
 	struct wf_approval *a;
 	size_t i, n, from = 0;
 	uint32_t *places;
+	bool is_new;
 
 	if (u->tickets_until > 0 && u->tickets_until <= now->mono) {
 		wf_meter_count(l->meter, WF_TALLY_SETS_EXPIRED);
@@ -671,7 +729,10 @@
 			continue;
 		t = find_ticket(
 		    advice, l->runners[call->runners[i]].info.id, &from);
+		is_new = places[call->runners[i]] == 0;
 		a = find_or_add_approval(u, call->runners[i], places);
+		if (is_new)
+			learn_approved(l, u->exec->job->spec.queue, t != NULL);
 		a->incarnation = call->incarnations[i];
 		a->approved = t != NULL;
 		a->valid_until = 0;
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -95,18 +95,18 @@
 	mark_dirty(l, e, 0);
 }
 
-static struct wf_estimator *
-queue_estimator(struct wf_leader *l, const char *queue)
+struct wf_queue_times *
+wf_exec_queue_times(struct wf_leader *l, const char *queue)
 {
 	struct wf_queue_times *x;
 
 	HASH_FIND_STR(l->queue_times, queue, x);
 	if (x != NULL)
-		return &x->estimator;
+		return x;
 	x = agb_xcalloc(1, sizeof(*x));
 	agb_str_copy(x->queue, sizeof(x->queue), queue);
 	HASH_ADD_STR(l->queue_times, queue, x);
-	return &x->estimator;
+	return x;
 }
 
 bool
@@ -119,7 +119,8 @@
 wf_exec_learn_run_time(
     struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms)
 {
-	wf_estimator_add(queue_estimator(l, u->exec->job->spec.queue),
+	wf_estimator_add(
+	    &wf_exec_queue_times(l, u->exec->job->spec.queue)->estimator,
 	    wf_unit_step(u)->estimate_ms, run_ms);
 }
 
@@ -191,7 +192,7 @@
 
 	if (now - u->due_computed_at < TIMES_MAX_AGE_MS * AGB_MS)
 		return;
-	times = queue_estimator(l, s->queue);
+	times = &wf_exec_queue_times(l, s->queue)->estimator;
 	unit_set_times(l, u, now, times, critical_path_ms(s, times));
 }
 
@@ -282,7 +283,8 @@
     struct wf_effects *out)
 {
 	const struct wf_spec *const s = &j->spec;
-	const struct wf_estimator *const times = queue_estimator(l, s->queue);
+	const struct wf_estimator *const times =
+	    &wf_exec_queue_times(l, s->queue)->estimator;
 	const uint64_t path_ms = critical_path_ms(s, times);
 	struct wf_exec *const e = agb_xcalloc(1, sizeof(*e));
 	int64_t age;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -359,10 +359,17 @@
 	size_t named;
 };
 
-/* Run times of the tasks of a queue. */
+/**
+ * struct wf_queue_times - what was learned from the tasks of a queue
+ * @estimator: run times
+ * @named, @approved: runners that the advice service was asked about for the
+ *	first time, and approved; the older ones count less
+ */
 struct wf_queue_times {
 	agb_id queue;
 	struct wf_estimator estimator;
+	double named;
+	double approved;
 	UT_hash_handle hh;
 };
 
@@ -650,6 +657,12 @@
 void wf_exec_learn_run_time(
     struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms);
 
+/**
+ * wf_exec_queue_times() - what was learned from the tasks of a queue
+ */
+struct wf_queue_times *wf_exec_queue_times(
+    struct wf_leader *l, const char *queue);
+
 /**
  * wf_exec_forget_run_times() - free what was learned
  */
