--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -121,7 +121,11 @@
  * @tasks_with_advice: waiting tasks of units earlier in the queue that have
  *	tickets or pending calls for advice
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
- *	their tickets, or once their calls for advice are answered
+ *	their tickets, or once their calls for advice are answered; of units whose
+ *	advice takes no longer than ADVICE_FAST_MS
+ * @awaited_cpu_milli: the same for the other units
+ * @soon_queue, @rooms_soon, @soon_cpu_milli: see update_rooms_soon(); the rooms by
+ *	runner index, and the sum of their processors
  * @rooms: usable runners of @service
  * @free_cpu: sum of the free processors of @rooms, in thousandths
  * @fit_reserved: tasks of the unit being placed for which only reserved room was
@@ -142,6 +146,9 @@
 	uint64_t tasks_with_advice;
 	int64_t claimed_cpu_milli;
 	int64_t awaited_cpu_milli;
+	const struct wf_queue *soon_queue;
+	struct agb_resources *rooms_soon;
+	int64_t soon_cpu_milli;
 	const char *service;
 	struct runner_room *rooms;
 	size_t rooms_len;
@@ -810,36 +817,72 @@
 	return room > 0;
 }
 
+/* Resources of a runner that will be free at a time. */
+static struct agb_resources
+room_at(struct dispatch_pass *p, uint32_t ri, agb_time when)
+{
+	const struct run_ends *const e = run_ends_on_runner(p, ri);
+	struct agb_resources room;
+	uint32_t i;
+
+	room = wf_runner_free_resources(&p->l->runners[ri]);
+	for (i = 0; i < e->len && p->ends[e->first + i].at <= when; i++)
+		agb_resources_add(&room, &p->ends[e->first + i].need);
+	return room;
+}
+
+/* Computes the room that the runners of a queue's service will have when calls
+ * for advice that begin now are answered. It is kept for the pass: tasks
+ * assigned since then take of it. */
+static void
+update_rooms_soon(struct dispatch_pass *p, const struct wf_queue *q)
+{
+	const agb_time when = p->now->mono +
+	    (wf_advice_call_ms(q, WF_ADVICE_RUNNERS_MAX) + RENEW_MARGIN_MS) *
+		AGB_MS;
+	const struct wf_runner *r;
+	uint32_t ri;
+
+	if (p->soon_queue == q)
+		return;
+	p->soon_queue = q;
+	p->soon_cpu_milli = 0;
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		r = &p->l->runners[ri];
+		p->rooms_soon[ri] = (struct agb_resources){0};
+		if (!wf_fleet_usable(r, p->now->mono) ||
+		    strcmp(r->info.service, q->service) != 0)
+			continue;
+		p->rooms_soon[ri] = room_at(p, ri, when);
+		p->soon_cpu_milli += p->rooms_soon[ri].cpu_milli;
+	}
+	wf_meter_add_examined(p->l->meter, p->l->runners_len);
+}
+
 /* As has_room(), for a unit whose advice takes long: whether all tasks that start
- * together will have room when the advice is there. */
+ * together will have room when the advice is there. The first one need not, so
+ * that a gang that is wider than the room asks in the end. */
 static bool
 has_room_soon(
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
-	const agb_time when = p->now->mono +
-	    (wf_advice_call_ms(q, WF_ADVICE_RUNNERS_MAX) + RENEW_MARGIN_MS) *
-		AGB_MS;
-	const struct wf_runner *r;
-	const struct run_ends *e;
-	struct agb_resources room;
-	uint32_t ri, i;
+	uint32_t ri;
 	int64_t left;
 
-	left = p->awaited_cpu_milli + (step->gang ? u->waiting : 1) * cpu;
 	if (p->awaited_cpu_milli == 0)
 		return true;
+	update_rooms_soon(p, q);
+	left = p->awaited_cpu_milli + (step->gang ? u->waiting : 1) * cpu;
+	if (left > p->soon_cpu_milli)
+		return false;
 	for (ri = 0; ri < p->l->runners_len && left > 0; ri++) {
-		r = &p->l->runners[ri];
-		if (!wf_fleet_eligible(r, step, q->service, p->now->mono))
-			continue;
-		e = run_ends_on_runner(p, ri);
-		room = wf_runner_free_resources(r);
-		for (i = 0; i < e->len && p->ends[e->first + i].at <= when; i++)
-			agb_resources_add(&room, &p->ends[e->first + i].need);
-		left -= cpu * wf_step_fit_count(step, room);
+		if (wf_runner_has_label(&p->l->runners[ri].info, step->label))
+			left -=
+			    cpu * wf_step_fit_count(step, p->rooms_soon[ri]);
 	}
+	wf_meter_add_examined(p->l->meter, ri);
 	return left <= 0;
 }
 
@@ -1048,6 +1091,7 @@
 	p.candidates = agb_xcalloc(l->runners_len + 1, sizeof(*p.candidates));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
+	p.rooms_soon = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms_soon));
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
 	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(*p.run_ends));
@@ -1081,6 +1125,7 @@
 	free(p.reservations);
 	free(p.stale);
 	free(p.rooms);
+	free(p.rooms_soon);
 	free(p.candidates);
 	free(list);
 	return now->mono + PASS_INTERVAL_MAX_MS * AGB_MS;
