test(workflow): runners named by a gang, and a wide gang in a loaded fleet

A gang on an empty fleet names at most twice the runners that it needs in the mean, and nine of ten start by their first call.

--- a/tests/test_wf_gangs.c
+++ b/tests/test_wf_gangs.c
@@ -299,7 +299,82 @@
 	free(sc);
 }
 
+/* Guards against calls that name many more runners than a gang needs while the
+ * runners are empty: they take longer, and the service has less time for others.
+ * In the mean a quarter is approved and each has room for three tasks; twice as
+ * many are allowed, and nine gangs of ten start by their first call. */
+static void
+gang_names_few_runners_while_they_are_empty(void)
+{
+	static const uint32_t widths[] = {14, 28, 47};
+	const unsigned seeds = 10;
+	struct sim_options o = fleet;
+	unsigned named_max, started;
+	struct wf_spec *spec;
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(widths) / sizeof(widths[0]); i++) {
+		named_max = 2 * (widths[i] + 2) / 3 * 4;
+		started = 0;
+		for (o.seed = 1; o.seed <= seeds; o.seed++) {
+			s = sim_new(&o);
+			sim_run(s, WARM_UP_MS);
+			spec = sim_new_spec(widths[i], 18000, 2000);
+			spec->steps[0].gang = true;
+			sim_submit_to(s, 0, GANGS, "00000000000000a1", spec);
+			sim_run(s, 1000);
+			CU_ASSERT(sim_advice_runners(s) > 0);
+			CU_ASSERT(sim_advice_runners(s) <= named_max);
+			started +=
+			    sim_start_count(s, "00000000000000a1") == widths[i];
+			sim_free(s);
+		}
+		CU_ASSERT(started * 10 >= seeds * 9);
+		if (started * 10 < seeds * 9)
+			printf("\n  %u tasks: %u of %u gangs started",
+			    widths[i], started, seeds);
+	}
+}
+
+/* Guards against a wide gang that starves because narrow ones take the room as
+ * it becomes free. It is among the first of the queue when its time is nearly
+ * over: twice its run time and the objective of the queue. */
+static void
+wide_gang_starts_in_a_loaded_fleet(void)
+{
+	static const struct {
+		uint64_t seed;
+		uint32_t width;
+	} cases[] = {{1, 35}, {2, 40}, {3, 47}};
+	struct scenario *const sc = calloc(1, sizeof(*sc));
+	const char *const id = "00000000000000a1";
+	struct sim_options o = fleet;
+	struct wf_spec *spec;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(sc, 0, sizeof(*sc));
+		o.seed = cases[i].seed;
+		sc->random = RANDOM_BASE + cases[i].seed;
+		sc->s = sim_new(&o);
+		sim_run(sc->s, WARM_UP_MS);
+		run_load(sc, LOAD_BEFORE_MS, 115, 115);
+		spec = sim_new_spec(cases[i].width, 24000, 4000);
+		spec->steps[0].gang = true;
+		sim_submit_to(sc->s, 0, GANGS, id, spec);
+		run_load(sc, 2 * 4000 + queues[GANGS].target_ms, 115, 115);
+		CU_ASSERT_EQUAL(sim_start_count(sc->s, id), cases[i].width);
+		sim_free(sc->s);
+	}
+	free(sc);
+}
+
 static const struct suite_test tests[] = {
+    {"gangs: few runners are named while they are empty",
+	gang_names_few_runners_while_they_are_empty},
+    {"gangs: a wide one starts in a loaded fleet",
+	wide_gang_starts_in_a_loaded_fleet},
     {"gangs: the backlog shrinks after a trouble",
 	backlog_shrinks_after_a_trouble},
 };
--- a/tests/wfsim/advice.c
+++ b/tests/wfsim/advice.c
@@ -111,6 +111,7 @@
 	size_t i;
 
 	s->advice_calls++;
+	s->advice_runners += (unsigned)runners;
 	e->tag = ef->tag;
 	sim_attach(e, a, advice_free);
 	if (s->advice_away)
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -191,6 +191,12 @@
 	return s->advice_calls;
 }
 
+unsigned
+sim_advice_runners(const struct sim *s)
+{
+	return s->advice_runners;
+}
+
 unsigned
 sim_job_count(const struct sim *s)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -216,6 +216,8 @@
 /* Full reads of all jobs that instances have started. */
 unsigned sim_full_reads(const struct sim *s);
 unsigned sim_advice_calls(const struct sim *s);
+/* Runners named in these calls. */
+unsigned sim_advice_runners(const struct sim *s);
 /* Time that the dispatch passes of an instance have taken. */
 unsigned sim_dispatch_ms(const struct sim *s, unsigned ci);
 /* Log lines "load" of all instances. */
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -180,6 +180,7 @@
 	unsigned store_loss_percent;
 	unsigned store_slow_ms;
 	unsigned advice_calls;
+	unsigned advice_runners;
 	bool advice_away;
 	unsigned load_lines;
 	struct sim_core cores[SIM_CORES_MAX];
