--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -121,9 +121,16 @@
  * @tasks_with_advice: waiting tasks of units earlier in the queue that have
  *	tickets or pending calls for advice
  * @claimed_cpu_milli: processors that units earlier in the queue will take with
- *	their tickets, or once their calls for advice are answered
+ *	their tickets, or once their calls for advice are answered; of units whose
+ *	advice takes no longer than ADVICE_FAST_MS
+ * @awaited_cpu_milli: the same for the other units
+ * @soon_queue, @rooms_soon, @soon_cpu_milli: see update_rooms_soon(); the rooms by
+ *	runner index, and the sum of their processors
  * @rooms: usable runners of @service
  * @free_cpu: sum of the free processors of @rooms, in thousandths
+ * @fit_reserved: tasks of the unit being placed for which only reserved room was
+ *	found
+ * @kept_out: see struct wf_pass_room
  */
 struct dispatch_pass {
 	struct wf_leader *l;
@@ -138,10 +145,16 @@
 	uint32_t reservations_made;
 	uint64_t tasks_with_advice;
 	int64_t claimed_cpu_milli;
+	int64_t awaited_cpu_milli;
+	const struct wf_queue *soon_queue;
+	struct agb_resources *rooms_soon;
+	int64_t soon_cpu_milli;
 	const char *service;
 	struct runner_room *rooms;
 	size_t rooms_len;
 	int64_t free_cpu;
+	uint64_t fit_reserved;
+	uint32_t kept_out;
 	struct wf_effects *out;
 };
 
@@ -205,24 +218,6 @@
 	return (agb_time)u->expected_ms * RUN_TIME_PERCENT / 100 * AGB_MS;
 }
 
-/* Free resources of a runner for a task of the step. Those reserved for a gang
- * are left out, unless the task is expected to end before the gang starts. */
-static struct agb_resources
-room_for_unit(
-    const struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri)
-{
-	const struct wf_step *const step = wf_unit_step(u);
-	const struct wf_runner *const r = &p->l->runners[ri];
-	struct agb_resources room = wf_runner_free_resources(r);
-
-	if (step->best_effort)
-		room.cpu_milli -= r->fill_cpu_milli;
-	if (p->reservations[ri].start_at > 0 &&
-	    p->now->mono + expected_run_time(u) > p->reservations[ri].start_at)
-		agb_resources_sub(&room, &p->reservations[ri].need);
-	return room;
-}
-
 /* Number of tasks of a unit that are allocated on a runner. */
 static uint32_t
 unit_tasks_on_runner(const struct wf_unit *u, const struct wf_runner *r)
@@ -252,6 +247,29 @@
 	return fit < step->spread_max - at ? fit : step->spread_max - at;
 }
 
+/* Number of tasks of a unit that a runner has room for. Room that is reserved for
+ * a gang is left out, unless the task is expected to end before the gang
+ * starts. */
+static uint32_t
+fit_count(struct dispatch_pass *p, const struct wf_unit *u, uint32_t ri)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const struct wf_runner *const r = &p->l->runners[ri];
+	struct agb_resources room = wf_runner_free_resources(r);
+	uint32_t fit, fit_all;
+
+	if (step->best_effort)
+		room.cpu_milli -= r->fill_cpu_milli;
+	fit_all = limit_spread(u, r, wf_step_fit_count(step, room));
+	if (fit_all == 0 || p->reservations[ri].start_at == 0 ||
+	    p->now->mono + expected_run_time(u) <= p->reservations[ri].start_at)
+		return fit_all;
+	agb_resources_sub(&room, &p->reservations[ri].need);
+	fit = limit_spread(u, r, wf_step_fit_count(step, room));
+	p->fit_reserved += fit_all - fit;
+	return fit;
+}
+
 static bool
 eligible(const struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri)
@@ -261,7 +279,7 @@
 }
 
 static bool
-candidate_init(const struct dispatch_pass *p, const struct wf_unit *u,
+candidate_init(struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri, struct candidate *c)
 {
 	const struct wf_step *const step = wf_unit_step(u);
@@ -270,8 +288,7 @@
 	if (!eligible(p, u, service, ri) ||
 	    (step->best_effort && r->pace_percent < FILL_PACE_MIN_PERCENT))
 		return false;
-	c->fit = limit_spread(
-	    u, r, wf_step_fit_count(step, room_for_unit(p, u, ri)));
+	c->fit = fit_count(p, u, ri);
 	if (c->fit == 0)
 		return false;
 	c->runner = ri;
@@ -318,17 +335,20 @@
 /* Collects the runners that have room for the unit. Approved ones whose ticket
  * has expired go to the list @stale of the pass instead. */
 static size_t
-collect_candidates(const struct dispatch_pass *p, const struct wf_unit *u,
+collect_candidates(struct dispatch_pass *p, const struct wf_unit *u,
     const struct wf_queue *q, size_t *stale_len)
 {
 	const struct wf_leader *const l = p->l;
 	const struct wf_approval *a;
+	uint64_t fit_reserved;
 	struct candidate c;
 	uint32_t ri;
 	size_t i, n;
+	bool fits;
 
 	n = 0;
 	*stale_len = 0;
+	p->fit_reserved = 0;
 	if (!q->advice_required) {
 		wf_meter_add_examined(l->meter, l->runners_len);
 		for (ri = 0; ri < l->runners_len; ri++) {
@@ -340,8 +360,12 @@
 	wf_meter_add_examined(l->meter, u->approvals_len);
 	for (i = 0; i < u->approvals_len; i++) {
 		a = &u->approvals[i];
-		if (!wf_advice_is_current(l, a) ||
-		    !candidate_init(p, u, q->service, a->runner, &c))
+		fit_reserved = p->fit_reserved;
+		fits = wf_advice_is_current(l, a) &&
+		    candidate_init(p, u, q->service, a->runner, &c);
+		if (a->valid_until <= p->now->mono)
+			p->fit_reserved = fit_reserved;
+		if (!fits)
 			continue;
 		if (a->valid_until > p->now->mono)
 			p->candidates[n++] = c;
@@ -648,53 +672,66 @@
 		qsort(o, len, sizeof(*o), compare_offers);
 }
 
-/* Reserves room for a gang that does not fit now. Otherwise small tasks would
- * take all resources as they become free, and the gang would starve. Leaves the
- * runners whose tickets the gang needs in the pass's list @stale, those with
- * the most room first: the reserved ones, and as many others as the same number
- * of calls can name. @to_renew is set to their number.
- * Return: when it is expected to start. */
-static agb_time
-reserve_for_gang(struct dispatch_pass *p, struct wf_unit *u,
-    const struct wf_queue *q, size_t *to_renew)
-{
-	const struct wf_step *const step = wf_unit_step(u);
-	struct runner_offer *offers;
-	struct room_plan *plans;
-	uint32_t left, count;
-	size_t len, i, at;
+/**
+ * struct gang_plan - when and where a gang that does not fit now can start
+ * @start_at: expected time; AGB_TIME_MAX when it is not known
+ * @offers: runners that it may use and their room at that time, most first
+ * @to_renew: number of the first of these that may be named in one round of
+ *	calls: those that it needs, and as many others as the same number of calls
+ *	can name
+ */
+struct gang_plan {
 	agb_time start_at;
+	struct runner_offer *offers;
+	size_t len;
+	size_t to_renew;
+};
 
-	len = list_eligible_runners(p, u, q, p->stale);
-	*to_renew = 0;
-	plans = agb_xcalloc(len + 1, sizeof(*plans));
-	for (i = 0; i < len; i++)
-		room_plan_init(p, u, p->stale[i], &plans[i]);
-	at = earliest_fit(u, plans, len);
-	if (at == PLAN_TIMES) {
-		free(plans);
-		return AGB_TIME_MAX;
+static void
+plan_gang(struct dispatch_pass *p, const struct wf_unit *u,
+    const struct wf_queue *q, struct gang_plan *plan)
+{
+	struct room_plan *rooms;
+	uint64_t fit;
+	size_t i, at;
+
+	plan->len = list_eligible_runners(p, u, q, p->stale);
+	rooms = agb_xcalloc(plan->len + 1, sizeof(*rooms));
+	for (i = 0; i < plan->len; i++)
+		room_plan_init(p, u, p->stale[i], &rooms[i]);
+	at = earliest_fit(u, rooms, plan->len);
+	if (at < PLAN_TIMES) {
+		plan->start_at = p->now->mono + plan_offsets_ms[at] * AGB_MS;
+		plan->offers =
+		    agb_xcalloc(plan->len + 1, sizeof(*plan->offers));
+		sort_by_room(rooms, plan->len, at, plan->offers);
+		fit = 0;
+		for (i = 0; i < plan->len && fit < u->waiting; i++)
+			fit += plan->offers[i].fit;
+		plan->to_renew = wf_advice_call_capacity(i);
+		if (plan->to_renew > plan->len)
+			plan->to_renew = plan->len;
 	}
+	free(rooms);
+}
+
+/* Reserves the room that a gang is expected to start in. Otherwise small tasks
+ * would take all resources as they become free, and the gang would starve. */
+static void
+reserve_for_gang(struct dispatch_pass *p, const struct wf_unit *u,
+    const struct gang_plan *plan)
+{
+	uint32_t left, count;
+	size_t i;
+
 	p->reservations_made++;
-	start_at = p->now->mono + plan_offsets_ms[at] * AGB_MS;
-	offers = agb_xcalloc(len + 1, sizeof(*offers));
-	sort_by_room(plans, len, at, offers);
 	left = u->waiting;
-	for (i = 0; i < len; i++) {
-		p->stale[i] = offers[i].runner;
-		if (left == 0)
-			continue;
-		count = offers[i].fit < left ? offers[i].fit : left;
-		reserve_on_runner(p, step, offers[i].runner, count, start_at);
+	for (i = 0; i < plan->len && left > 0; i++) {
+		count = plan->offers[i].fit < left ? plan->offers[i].fit : left;
+		reserve_on_runner(p, wf_unit_step(u), plan->offers[i].runner,
+		    count, plan->start_at);
 		left -= count;
-		*to_renew = i + 1;
 	}
-	*to_renew = wf_advice_call_capacity(*to_renew);
-	if (*to_renew > len)
-		*to_renew = len;
-	free(offers);
-	free(plans);
-	return start_at;
 }
 
 /* ---- placing one unit ---- */
@@ -780,6 +817,75 @@
 	return room > 0;
 }
 
+/* Resources of a runner that will be free at a time. */
+static struct agb_resources
+room_at(struct dispatch_pass *p, uint32_t ri, agb_time when)
+{
+	const struct run_ends *const e = run_ends_on_runner(p, ri);
+	struct agb_resources room;
+	uint32_t i;
+
+	room = wf_runner_free_resources(&p->l->runners[ri]);
+	for (i = 0; i < e->len && p->ends[e->first + i].at <= when; i++)
+		agb_resources_add(&room, &p->ends[e->first + i].need);
+	return room;
+}
+
+/* Computes the room that the runners of a queue's service will have when calls
+ * for advice that begin now are answered. It is kept for the pass: tasks
+ * assigned since then take of it. */
+static void
+update_rooms_soon(struct dispatch_pass *p, const struct wf_queue *q)
+{
+	const agb_time when = p->now->mono +
+	    (wf_advice_call_ms(q, WF_ADVICE_RUNNERS_MAX) + RENEW_MARGIN_MS) *
+		AGB_MS;
+	const struct wf_runner *r;
+	uint32_t ri;
+
+	if (p->soon_queue == q)
+		return;
+	p->soon_queue = q;
+	p->soon_cpu_milli = 0;
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		r = &p->l->runners[ri];
+		p->rooms_soon[ri] = (struct agb_resources){0};
+		if (!wf_fleet_usable(r, p->now->mono) ||
+		    strcmp(r->info.service, q->service) != 0)
+			continue;
+		p->rooms_soon[ri] = room_at(p, ri, when);
+		p->soon_cpu_milli += p->rooms_soon[ri].cpu_milli;
+	}
+	wf_meter_add_examined(p->l->meter, p->l->runners_len);
+}
+
+/* As has_room(), for a unit whose advice takes long: whether all tasks that start
+ * together will have room when the advice is there. The first one need not, so
+ * that a gang that is wider than the room asks in the end. */
+static bool
+has_room_soon(
+    struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	const int64_t cpu = step->need.cpu_milli > 0 ? step->need.cpu_milli : 1;
+	uint32_t ri;
+	int64_t left;
+
+	if (p->awaited_cpu_milli == 0)
+		return true;
+	update_rooms_soon(p, q);
+	left = p->awaited_cpu_milli + (step->gang ? u->waiting : 1) * cpu;
+	if (left > p->soon_cpu_milli)
+		return false;
+	for (ri = 0; ri < p->l->runners_len && left > 0; ri++) {
+		if (wf_runner_has_label(&p->l->runners[ri].info, step->label))
+			left -=
+			    cpu * wf_step_fit_count(step, p->rooms_soon[ri]);
+	}
+	wf_meter_add_examined(p->l->meter, ri);
+	return left <= 0;
+}
+
 /* Whether a unit may request advice now. Units whose advice takes long request
  * it before there is room. Of the others only as many do as will find room:
  * handling the answers takes the leader's time, and the tickets would expire
@@ -788,16 +894,29 @@
 may_request_advice(
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
+	if (!q->advice_required || u->calls_pending > 0 ||
+	    p->now->mono < u->advice_retry_at)
+		return false;
 	/* Tickets of tasks that the limit of starts holds back would expire. */
 	if (p->tasks_with_advice > 0 &&
 	    p->tasks_with_advice >= wf_flow_starts_within(&p->l->flow,
 					p->now->mono, q->ticket_valid_ms / 2))
 		return false;
-	return q->advice_base_ms > ADVICE_FAST_MS || has_room(p, u, q->service);
+	return q->advice_base_ms > ADVICE_FAST_MS ? has_room_soon(p, u, q)
+						  : has_room(p, u, q->service);
 }
 
-/* Requests missing approvals of a unit that is expected to start at @start_at.
- * Requests also new tickets for the first @stale_len runners in the pass's list
+/* Whether a unit has tickets, or will get some. */
+static bool
+gets_tickets(const struct dispatch_pass *p, const struct wf_unit *u,
+    const struct wf_queue *q)
+{
+	return !q->advice_required || u->calls_pending > 0 ||
+	    wf_advice_has_ticket(u, p->now->mono);
+}
+
+/* Requests missing approvals of a unit that may request them and is expected to
+ * start at @start_at. Requests also new tickets for the first @stale_len runners in the pass's list
  * @stale, unless the start is so far off that this can wait. */
 static void
 request_advice(struct dispatch_pass *p, struct wf_unit *u,
@@ -806,29 +925,35 @@
 	const agb_time lead_time =
 	    (wf_advice_call_ms(q, stale_len) + RENEW_MARGIN_MS) * AGB_MS;
 
-	if (!q->advice_required)
-		return;
-	if (u->calls_pending == 0 && may_request_advice(p, u, q)) {
-		if (stale_len > 0 && start_at <= p->now->mono + lead_time)
-			wf_advice_renew(
-			    p->l, p->now, u, p->stale, stale_len, p->out);
-		wf_advice_request(p->l, p->now, u, p->out);
-	}
-	if (u->calls_pending == 0 && !wf_advice_has_ticket(u, p->now->mono))
+	if (stale_len > 0 && start_at <= p->now->mono + lead_time)
+		wf_advice_renew(p->l, p->now, u, p->stale, stale_len, p->out);
+	wf_advice_request(p->l, p->now, u, p->out);
+}
+
+/* Counts what the unit will take with its tickets, if it gets any. */
+static void
+claim_with_tickets(
+    struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
+{
+	if (!q->advice_required || !gets_tickets(p, u, q))
 		return;
 	p->tasks_with_advice += u->waiting;
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
 		p->claimed_cpu_milli +=
 		    u->waiting * wf_unit_step(u)->need.cpu_milli;
+	else
+		p->awaited_cpu_milli +=
+		    u->waiting * wf_unit_step(u)->need.cpu_milli;
 }
 
 static void
 place_gang(struct dispatch_pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
 	const struct wf_step *const step = wf_unit_step(u);
-	size_t len, stale_len, to_renew, i;
-	agb_time start_at;
+	struct gang_plan plan = {.start_at = AGB_TIME_MAX};
+	size_t len, stale_len, i;
 	uint64_t room;
+	bool may_request;
 
 	if (u->active > 0 && u->repair_deadline > 0 &&
 	    p->now->mono >= u->repair_deadline)
@@ -848,25 +973,37 @@
 		place_waiting_tasks(p, u, p->candidates, len);
 		return;
 	}
-	start_at = AGB_TIME_MAX;
-	to_renew = 0;
+	p->kept_out += room + p->fit_reserved >= u->waiting;
+	may_request = may_request_advice(p, u, q);
+	if (!may_request && !gets_tickets(p, u, q))
+		return;
 	if (p->reservations_made < RESERVATIONS_MIN +
 		    p->l->runners_len / RUNNERS_PER_RESERVATION &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
-		start_at = reserve_for_gang(p, u, q, &to_renew);
-	if (start_at != AGB_TIME_MAX && stale_len == 0 && q->advice_required) {
+		plan_gang(p, u, q, &plan);
+	if (plan.start_at != AGB_TIME_MAX && stale_len == 0 &&
+	    q->advice_required) {
 		/* Tickets have to be valid when there is room. */
 		for (i = 0; i < u->approvals_len; i++) {
 			if (u->approvals[i].approved &&
-			    u->approvals[i].valid_until < start_at)
+			    u->approvals[i].valid_until < plan.start_at)
 				stale_len++;
 		}
 	}
 	/* Renews also the tickets of runners without room now, which may have
 	 * it when the gang starts. */
-	if (stale_len > 0)
-		stale_len = to_renew;
-	request_advice(p, u, q, stale_len, start_at);
+	if (stale_len > 0) {
+		stale_len = plan.to_renew;
+		for (i = 0; i < stale_len; i++)
+			p->stale[i] = plan.offers[i].runner;
+	}
+	if (may_request)
+		request_advice(p, u, q, stale_len, plan.start_at);
+	claim_with_tickets(p, u, q);
+	/* Room would stand idle for a gang that cannot get tickets now. */
+	if (plan.start_at != AGB_TIME_MAX && gets_tickets(p, u, q))
+		reserve_for_gang(p, u, &plan);
+	free(plan.offers);
 }
 
 static void
@@ -883,8 +1020,13 @@
 		    compare_candidates);
 	if (len > 0)
 		place_waiting_tasks(p, u, p->candidates, len);
-	if (u->waiting > 0)
+	else
+		p->kept_out += p->fit_reserved > 0;
+	if (u->waiting == 0)
+		return;
+	if (may_request_advice(p, u, q))
 		request_advice(p, u, q, stale_len, p->now->mono);
+	claim_with_tickets(p, u, q);
 }
 
 agb_time
@@ -898,6 +1040,25 @@
 	return agb_time_max(by_queue, by_time);
 }
 
+/* Records for the log and the metrics how much room the pass has left. */
+static void
+record_room(const struct dispatch_pass *p)
+{
+	struct wf_pass_room *const room = &p->l->pass_room;
+	int64_t cpu, reserved;
+	uint32_t ri;
+
+	*room = (struct wf_pass_room){.kept_out = p->kept_out};
+	for (ri = 0; ri < p->l->runners_len; ri++) {
+		cpu = wf_runner_free_resources(&p->l->runners[ri]).cpu_milli;
+		reserved = p->reservations[ri].need.cpu_milli;
+		if (!wf_fleet_usable(&p->l->runners[ri], p->now->mono))
+			continue;
+		room->free_cpu_milli += cpu;
+		room->reserved_cpu_milli += reserved < cpu ? reserved : cpu;
+	}
+}
+
 agb_time
 wf_dispatch(
     struct wf_leader *l, const struct wf_now *now, struct wf_effects *out)
@@ -930,6 +1091,7 @@
 	p.candidates = agb_xcalloc(l->runners_len + 1, sizeof(*p.candidates));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
+	p.rooms_soon = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms_soon));
 	p.reservations =
 	    agb_xcalloc(l->runners_len + 1, sizeof(*p.reservations));
 	p.run_ends = agb_xcalloc(l->runners_len + 1, sizeof(*p.run_ends));
@@ -957,11 +1119,13 @@
 	 * one. */
 	for (i = 0; i < l->runners_len; i++)
 		l->runners[i].reserved = p.reservations[i].start_at > 0;
+	record_room(&p);
 	free(p.run_ends);
 	free(p.ends);
 	free(p.reservations);
 	free(p.stale);
 	free(p.rooms);
+	free(p.rooms_soon);
 	free(p.candidates);
 	free(list);
 	return now->mono + PASS_INTERVAL_MAX_MS * AGB_MS;
