fix(counts): a late push does not replace a newer count

Pushes that go through different instances of a failure domain can arrive in another order than they were made. A count of an earlier push replaced that of a later one. If it was of an earlier round, it was also dropped at the end of the round in progress: the queue counted as empty although its count had been received in that round.

Each count keeps the position of its push in the round, and records of earlier positions do not replace it.

"late pushes replace no newer counts" (test_wf_push): before, the known count was 3 instead of 9 (same round) and 0 instead of 7 (earlier round); after, all 6 cases and the 13 other tests of the file pass.

--- a/src/workflow/wf_counts.c
+++ b/src/workflow/wf_counts.c
@@ -174,6 +174,7 @@
 wf_known_counts_begin_push(struct wf_known_counts *k)
 {
 	k->push_round = 0;
+	k->push_index = 0;
 	k->push_outdated = false;
 }
 
@@ -215,6 +216,7 @@
 		set_leader(k, x->fence);
 	k->push_outdated = x->fence < k->fence || x->round < k->complete;
 	k->push_round = x->round;
+	k->push_index = x->index;
 	if (k->push_outdated || x->round < k->round)
 		return;
 	if (x->round > k->round) {
@@ -243,6 +245,16 @@
 	return ok;
 }
 
+/* Whether a count came with a later push than the one that is being applied.
+ * Pushes that go through different instances may overtake each other. */
+static bool
+is_newer(const struct wf_known_counts *k, const struct wf_known_count *q)
+{
+	return k->push_round > 0 &&
+	    (q->round > k->push_round ||
+		(q->round == k->push_round && q->index > k->push_index));
+}
+
 bool
 wf_known_counts_set(
     struct wf_known_counts *k, const char *queue, const char *raw, size_t len)
@@ -258,9 +270,12 @@
 		q = agb_xcalloc(1, sizeof(*q));
 		agb_str_copy(q->queue, sizeof(q->queue), queue);
 		HASH_ADD_STR(k->queues, queue, q);
+	} else if (is_newer(k, q)) {
+		return true;
 	}
 	memcpy(&q->pending, raw, sizeof(q->pending));
 	q->round = k->push_round > 0 ? k->push_round : k->round;
+	q->index = k->push_index;
 	/* A leader of an earlier version pushes all counts together. */
 	if (k->push_round == 0)
 		k->completed++;
--- a/src/workflow/wf_counts.h
+++ b/src/workflow/wf_counts.h
@@ -92,11 +92,13 @@
  * struct wf_known_count - pending jobs of a queue, as received
  * @round: round of the push that it came with; 0 when that was of another
  *	leader
+ * @index: position of that push in the round
  */
 struct wf_known_count {
 	agb_id queue;
 	uint32_t pending;
 	uint64_t round;
+	uint32_t index;
 	UT_hash_handle hh;
 };
 
@@ -108,6 +110,7 @@
  * @received: number of its pushes that were received without a gap
  * @complete: last round that was received as a whole; 0 for none
  * @push_round: round of the push that is being applied; 0 when it has none
+ * @push_index: its position in the round
  * @push_outdated: that push is of an earlier leader or of an earlier round
  * @completed: number of rounds that were received as a whole, of all leaders
  */
@@ -118,6 +121,7 @@
 	uint32_t received;
 	uint64_t complete;
 	uint64_t push_round;
+	uint32_t push_index;
 	bool push_outdated;
 	uint64_t completed;
 };
--- a/tests/test_wf_push.c
+++ b/tests/test_wf_push.c
@@ -1122,6 +1122,63 @@
 	}
 }
 
+/* Guards against a count that replaces a newer one: pushes that two instances
+ * forward may arrive in another order than they were made. */
+static void
+late_pushes_replace_no_newer_counts(void)
+{
+	enum { PUSHES = 3 };
+	static const struct {
+		struct {
+			uint64_t fence, round;
+			uint32_t index, total, pending;
+		} pushes[PUSHES];
+		uint32_t known;
+	} cases[] = {
+	    /* In their order. */
+	    {{{1, 1, 0, 0, 3}, {1, 1, 1, 2, 7}, {1, 2, 0, 1, 8}}, 8},
+	    /* Within a round. */
+	    {{{1, 1, 1, 0, 7}, {1, 1, 0, 0, 3}, {1, 1, 2, 3, 9}}, 9},
+	    {{{1, 1, 1, 0, 7}, {1, 1, 2, 3, 9}, {1, 1, 0, 0, 3}}, 9},
+	    /* Of an earlier round, while the next one is received. The count
+	     * must not be dropped at the end of that one either. */
+	    {{{1, 2, 0, 0, 7}, {1, 1, 1, 2, 3}, {1, 2, 2, 3, 7}}, 7},
+	    {{{1, 2, 0, 2, 7}, {1, 1, 1, 2, 3}, {1, 2, 1, 2, UINT32_MAX}}, 7},
+	    /* Of another leader. */
+	    {{{1, 5, 4, 0, 7}, {2, 1, 0, 0, 3}, {1, 5, 5, 6, 9}}, 3},
+	};
+	struct wf_known_counts k;
+	struct wf_x_round x;
+	uint32_t pending;
+	size_t i, n, len;
+	char *raw;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&k, 0, sizeof(k));
+		for (n = 0; n < PUSHES; n++) {
+			x.fence = cases[i].pushes[n].fence;
+			x.round = cases[i].pushes[n].round;
+			x.index = cases[i].pushes[n].index;
+			x.total = cases[i].pushes[n].total;
+			pending = cases[i].pushes[n].pending;
+			raw = wf_table_encode(
+			    (xdrproc_t)xdr_wf_x_round, &x, &len);
+			wf_known_counts_begin_push(&k);
+			CU_ASSERT(wf_known_counts_set_round(&k, raw, len));
+			free(raw);
+			/* The last push of a round may have no count. */
+			if (pending != UINT32_MAX)
+				CU_ASSERT(wf_known_counts_set(&k, "a",
+				    (const char *)&pending, sizeof(pending)));
+		}
+		if (wf_known_counts_get(&k, "a") != cases[i].known)
+			printf("\n  case %zu: %" PRIu32 "\n", i,
+			    wf_known_counts_get(&k, "a"));
+		CU_ASSERT_EQUAL(wf_known_counts_get(&k, "a"), cases[i].known);
+		wf_known_counts_free(&k);
+	}
+}
+
 /* Makes a feed of job states and of other records with values of some length. */
 static void
 fill_feed(struct wf_feed *feed, char (*keys)[WF_KEY_MAX], char *val,
@@ -1213,6 +1270,8 @@
 	counts_of_earlier_leader_do_not_stay},
     {"changing counts leave none behind", changing_counts_leave_none_behind},
     {"missed counts are repaired", missed_counts_are_repaired},
+    {"late pushes replace no newer counts",
+	late_pushes_replace_no_newer_counts},
     {"a new follower answers when it knows",
 	new_follower_answers_when_it_knows},
 };
