--- a/tests/test_platform_kv.c
+++ b/tests/test_platform_kv.c
@@ -191,6 +191,9 @@
 	    {WRITE, 404, "{}", AGB_STORE_LOST, 0},
 	    {WRITE, 500, "{}", AGB_STORE_LOST, 0},
 	    {WRITE, 503, "{}", AGB_STORE_REFUSED, 0},
+	    /* Else a write that is too large counts as perhaps carried out,
+	     * and is never split. */
+	    {WRITE, 413, "{}", AGB_STORE_REFUSED, 0},
 	    {WRITE_WITH_LEASE, 404, "{}", AGB_STORE_OK, 0},
 	    {GRANT, 200, "{\"lease_id\":7,\"ttl_ms\":1200}", AGB_STORE_OK, 0},
 	    {GRANT, 200, "{\"lease_id\":null,\"ttl_ms\":1200}", AGB_STORE_LOST,
