fix(commit): attempts at a write that are lost at once back off too

The delay before a failed write is sent again grew after refusals only.

The delay now grows with all failures of a write that has no other attempt under way. The first 10 are repeated after 60 ms as before.

Once the store takes the write, it is stored within 600 ms.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -20,9 +20,10 @@
 #define FLUSH_INTERVAL_MS 40
 #define WRITE_TIMEOUT_MS 1500
 /* Delay before a write that has failed is sent again. It doubles up to
- * WRITE_RETRY_MAX_MS once the store has refused the write
- * WRITE_QUICK_RETRIES times: the refusals of a short outage have ended by then,
- * and a record that the store refuses for good would be sent for ever. */
+ * WRITE_RETRY_MAX_MS once the write has failed WRITE_QUICK_RETRIES times: the
+ * failures of a short outage have ended by then, and a record that the store
+ * refuses for good, or on which it closes the connection, would be sent for
+ * ever. */
 #define WRITE_RETRY_MS 60
 #define WRITE_QUICK_RETRIES 10
 #define WRITE_RETRY_MAX_MS 500
@@ -538,11 +539,11 @@
 }
 
 static agb_time
-refused_retry_delay(const struct wf_write *w)
+retry_delay(const struct wf_write *w)
 {
 	uint32_t ms = WRITE_RETRY_MS, i;
 
-	for (i = WRITE_QUICK_RETRIES; i < w->refusals; i++) {
+	for (i = WRITE_QUICK_RETRIES; i < w->failures; i++) {
 		ms *= 2;
 		if (ms >= WRITE_RETRY_MAX_MS)
 			return WRITE_RETRY_MAX_MS * AGB_MS;
@@ -565,13 +566,14 @@
 	    pending);
 	if (status == AGB_STORE_REFUSED && w->refusals++ == 0)
 		w->lease_at_refusal = l->valid_until;
+	w->failures++;
 	w->maybe_stored = w->maybe_stored || status != AGB_STORE_REFUSED;
-	if (status != AGB_STORE_REFUSED || pending > 0) {
-		w->retry_at = agb_time_min(
-		    w->retry_at, now->mono + WRITE_RETRY_MS * AGB_MS);
+	if (pending > 0) {
+		w->retry_at =
+		    agb_time_min(w->retry_at, now->mono + retry_delay(w));
 		return;
 	}
-	w->retry_at = now->mono + refused_retry_delay(w);
+	w->retry_at = now->mono + retry_delay(w);
 	if (w->jobs_len > 1 && w->refusals >= REFUSALS_TO_SPLIT &&
 	    !w->maybe_stored && l->valid_until > w->lease_at_refusal)
 		split_write(l, w, out);
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -371,6 +371,7 @@
  * @attempts: attempts that are not answered yet; tag 0 marks a free slot
  * @deletes_jobs: deletes ended jobs; @jobs is empty
  * @retry_at: when it is sent again if there is no answer by then
+ * @failures: number of its attempts that have failed
  * @refusals: number of times that the store has refused it
  * @maybe_stored: an attempt was not answered, so that it may have been or may
  *	still be carried out
@@ -385,6 +386,7 @@
 	} attempts[WF_WRITE_ATTEMPTS_MAX];
 	bool deletes_jobs;
 	agb_time retry_at;
+	uint32_t failures;
 	uint32_t refusals;
 	bool maybe_stored;
 	agb_time lease_at_refusal;
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -776,6 +776,51 @@
 	}
 }
 
+/* Guards against a write whose attempts fail at once, as the store closes the
+ * connection on it, and that is repeated at the same short interval for ever:
+ * the link of a small machine carries nothing else. It is stored soon after the
+ * store takes it. */
+static void
+lost_writes_back_off(void)
+{
+	static const enum agb_store_status cases[] = {
+	    AGB_STORE_REFUSED, AGB_STORE_LOST};
+	const uint32_t run_ms = 30000;
+	struct agb_store_result res;
+	struct fixture f;
+	size_t i, seen, attempts;
+	uint32_t k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, 0);
+		add_runners(&f, 1);
+		(void)add_job(&f, 1, 1);
+		f.now.mono += AGB_SEC;
+		(void)wf_dispatch(f.l, &f.now, &f.out);
+		attempts = 0;
+		for (k = 0, seen = 0; k < run_ms; k++) {
+			f.l->valid_until = f.now.mono + AGB_SEC;
+			(void)wf_commit_flush(f.l, &f.now, &f.out);
+			for (; seen < f.out.len; seen++) {
+				if (f.out.items[seen].type != WF_EF_STORE)
+					continue;
+				memset(&res, 0, sizeof(res));
+				res.status = cases[i];
+				(void)wf_commit_handle_result(f.l, &f.now,
+				    f.out.items[seen].tag, &res, &f.out);
+				attempts++;
+			}
+			f.now.mono += AGB_MS;
+		}
+		if (attempts > 80)
+			printf("\n  case %zu: %zu attempts\n", i, attempts);
+		CU_ASSERT(attempts <= 80);
+		(void)run_writes(&f, "", false, 600);
+		CU_ASSERT_EQUAL(f.l->writes_len, 0);
+		fixture_free(&f);
+	}
+}
+
 /* ---- orders and submissions ---- */
 
 /* Guards against batches of orders that no message can hold: orders of the
@@ -877,6 +922,7 @@
     {"writes have time on slow links", writes_have_time_on_slow_links},
     {"refused records hold back no others",
 	refused_records_hold_back_no_others},
+    {"lost writes back off", lost_writes_back_off},
     {"order batches fit into messages", order_batches_fit_into_messages},
     {"the largest submission fits", largest_submission_fits},
 };
