fix(commit): large writes under way together have time to share the link

The time limit of a write and the time after which it is repeated counted the bytes of that write alone. Two writes of 200 KB at the same time on a link of 2 Mbit/s were both given up before the link had sent them, repeated, and given up again, for ever.

Both times now include the attempts at the other pending writes, each up to the size of the write itself, as connections share the link equally; small writes wait as briefly as before. A repetition that is due is put off while the link may still be sending the last attempt.

"large writes share slow links" (test_wf_limits): with 2, 6 and 24 writes of 200 KB none was stored within ten times the time that the link needs; after, all are stored within three times that time and a second.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -139,20 +139,51 @@
 	}
 }
 
-/* Time that the link needs for the values of a write, which are sent in base64.
- * It is 0 when that is less than the time after which each write is repeated,
- * which covers it. */
-static uint32_t
-sending_ms(const struct wf_leader *l, const struct agb_store_op *op)
+static size_t
+attempts_pending(const struct wf_write *w)
+{
+	size_t i, n;
+
+	n = 0;
+	for (i = 0; i < WF_WRITE_ATTEMPTS_MAX; i++)
+		n += w->attempts[i].tag != 0;
+	return n;
+}
+
+/* Time that the link needs for the values of a write, which are sent in
+ * base64. */
+static uint64_t
+link_time_ms(const struct wf_leader *l, const struct agb_store_op *op)
 {
-	uint64_t bytes = 0, ms;
+	uint64_t bytes = 0;
 	size_t i;
 
-	if (l->cfg->link_kbps == 0)
-		return 0;
 	for (i = 0; i < op->writes_len; i++)
 		bytes += op->writes[i].val_len;
-	ms = bytes * 4 / 3 * 8 / l->cfg->link_kbps;
+	return bytes * 4 / 3 * 8 / l->cfg->link_kbps;
+}
+
+/* Time in which the link sends a number of attempts at a write besides those at
+ * the other pending ones, with which it shares the link equally: small ones do
+ * not wait for large ones. It is 0 when that is less than the time after which
+ * each write is repeated, which covers it. */
+static uint32_t
+sending_ms(const struct wf_leader *l, const struct wf_write *w, size_t attempts)
+{
+	const struct wf_write *other;
+	uint64_t own_ms, other_ms, ms;
+
+	if (l->cfg->link_kbps == 0)
+		return 0;
+	own_ms = link_time_ms(l, &w->op);
+	ms = attempts * own_ms;
+	for (other = l->writes; other != NULL; other = other->next) {
+		if (other == w)
+			continue;
+		other_ms = link_time_ms(l, &other->op);
+		ms += attempts_pending(other) *
+		    (other_ms < own_ms ? other_ms : own_ms);
+	}
 	return ms > RESEND_MIN_MS ? (uint32_t)ms : 0;
 }
 
@@ -163,23 +194,12 @@
 	    RESEND_FACTOR * l->write_time_us, RESEND_MIN_MS * AGB_MS);
 }
 
-static size_t
-attempts_pending(const struct wf_write *w)
-{
-	size_t i, n;
-
-	n = 0;
-	for (i = 0; i < WF_WRITE_ATTEMPTS_MAX; i++)
-		n += w->attempts[i].tag != 0;
-	return n;
-}
-
 /* Sends a write, or sends it again while earlier attempts are pending. */
 static void
 write_send(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
     struct wf_effects *out)
 {
-	const uint32_t link_ms = sending_ms(l, &w->op);
+	const uint32_t link_ms = sending_ms(l, w, attempts_pending(w) + 1);
 	struct wf_effect *ef;
 	size_t i;
 
@@ -196,6 +216,27 @@
 	op_copy(&ef->u.store, &w->op);
 }
 
+/* Sends a write again, unless the link may still be sending the last attempt
+ * because of writes that were added after it. */
+static void
+write_resend(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
+    struct wf_effects *out)
+{
+	const uint32_t link_ms = sending_ms(l, w, attempts_pending(w));
+	const agb_time expected = resend_after(l) + link_ms * AGB_MS;
+	agb_time sent_at = 0;
+	size_t i;
+
+	for (i = 0; i < WF_WRITE_ATTEMPTS_MAX; i++) {
+		if (w->attempts[i].tag != 0)
+			sent_at = agb_time_max(sent_at, w->attempts[i].sent_at);
+	}
+	if (link_ms > 0 && sent_at > 0 && now->mono < sent_at + expected)
+		w->retry_at = sent_at + expected;
+	else
+		write_send(l, now, w, out);
+}
+
 static struct wf_write *
 write_new(struct wf_leader *l)
 {
@@ -346,7 +387,7 @@
 	next = AGB_TIME_MAX;
 	for (w = l->writes; w != NULL; w = w->next) {
 		if (now->mono >= w->retry_at)
-			write_send(l, now, w, out);
+			write_resend(l, now, w, out);
 		if (w->retry_at < next)
 			next = w->retry_at;
 	}
--- a/tests/test_wf_limits.c
+++ b/tests/test_wf_limits.c
@@ -6,6 +6,7 @@
  * refused for good must not hold back the rest.
  */
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -654,6 +655,95 @@
 	}
 }
 
+/* Attempt at a write that a link is sending. */
+struct sending {
+	uint64_t tag;
+	size_t left;
+	agb_time expires_at;
+};
+
+/* Sends writes over a link that all of them share equally, for one millisecond.
+ * Those that are not sent in time are lost, the others are stored.
+ * Return: number of attempts that are left. */
+static size_t
+share_link(struct fixture *f, struct sending *list, size_t len)
+{
+	const size_t bytes = f->cfg.link_kbps / 8 / (len > 0 ? len : 1) + 1;
+	struct agb_store_result res;
+	size_t i;
+
+	for (i = 0; i < len;) {
+		list[i].left -= list[i].left < bytes ? list[i].left : bytes;
+		if (list[i].left > 0 && f->now.mono < list[i].expires_at) {
+			i++;
+			continue;
+		}
+		memset(&res, 0, sizeof(res));
+		res.status = list[i].left > 0 ? AGB_STORE_LOST : AGB_STORE_OK;
+		res.succeeded = true;
+		res.revision = f->now.mono;
+		(void)wf_commit_handle_result(
+		    f->l, &f->now, list[i].tag, &res, &f->out);
+		list[i] = list[--len];
+	}
+	return len;
+}
+
+/* Guards against large writes under way at the same time, each of which has as
+ * much time as if it had the link for itself: all are given up and repeated, and
+ * none ever arrives. */
+static void
+large_writes_share_slow_links(void)
+{
+	enum { SENDING_MAX = 256, TASKS = 800 };
+	static const uint32_t cases[] = {1, 2, 6, 24};
+	static struct sending list[SENDING_MAX];
+	const uint32_t link_kbps = 2000;
+	const struct wf_effect *ef;
+	struct fixture f;
+	struct wf_exec *e;
+	size_t i, seen, len, bytes;
+	uint64_t ms, ideal_ms;
+	uint32_t n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fixture_init(&f, link_kbps);
+		bytes = 0;
+		for (n = 0; n < cases[i]; n++) {
+			e = add_job(&f, n + 1, TASKS);
+			let_tasks_run(e, 0, AGB_X_CHECKPOINT_MAX);
+			wf_exec_mark_dirty(f.l, e);
+			bytes += (size_t)TASKS * AGB_X_CHECKPOINT_MAX * 4 / 3;
+		}
+		ideal_ms = bytes * 8 / link_kbps;
+		len = 0;
+		seen = 0;
+		for (ms = 0; ms < 10 * ideal_ms; ms++) {
+			(void)wf_commit_flush(f.l, &f.now, &f.out);
+			for (; seen < f.out.len; seen++) {
+				ef = &f.out.items[seen];
+				if (ef->type != WF_EF_STORE)
+					continue;
+				CU_ASSERT_FATAL(len < SENDING_MAX);
+				list[len].tag = ef->tag;
+				list[len].left = request_size(&ef->u.store);
+				list[len++].expires_at =
+				    f.now.mono + ef->timeout_ms * AGB_MS;
+			}
+			if (f.l->dirty_jobs == 0 && f.l->writes_len == 0)
+				break;
+			f.now.mono += AGB_MS;
+			len = share_link(&f, list, len);
+		}
+		if (ms > 3 * ideal_ms + 1000)
+			printf("\n  case %zu: %" PRIu64 " ms, the link needs "
+			       "%" PRIu64 " ms\n",
+			    i, ms, ideal_ms);
+		CU_ASSERT(ms <= 3 * ideal_ms + 1000);
+		fixture_free(&f);
+	}
+}
+
 /* ---- writes that the store refuses ---- */
 
 static bool
@@ -920,6 +1010,7 @@
     {"unencodable records are left out", unencodable_records_are_left_out},
     {"writes fit into requests", writes_fit_into_requests},
     {"writes have time on slow links", writes_have_time_on_slow_links},
+    {"large writes share slow links", large_writes_share_slow_links},
     {"refused records hold back no others",
 	refused_records_hold_back_no_others},
     {"lost writes back off", lost_writes_back_off},
