--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -601,7 +601,7 @@
 	}
 	if (each == 0)
 		return FIRST_CALL_RUNNERS;
-	n = (step->count + each - 1) / each * GANG_SPARE_FACTOR;
+	n = (step->count + each - 1) / each * (size_t)GANG_SPARE_FACTOR;
 	n = (size_t)((double)n / approved_share(l, q->name));
 	return n < FIRST_CALL_RUNNERS ? FIRST_CALL_RUNNERS
 	    : n < NAMED_RUNNERS_MAX   ? n
--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -916,8 +916,9 @@
 }
 
 /* Requests missing approvals of a unit that may request them and is expected to
- * start at @start_at. Requests also new tickets for the first @stale_len runners in the pass's list
- * @stale, unless the start is so far off that this can wait. */
+ * start at @start_at. Requests also new tickets for the first @stale_len runners
+ * in the pass's list @stale, unless the start is so far off that this can
+ * wait. */
 static void
 request_advice(struct dispatch_pass *p, struct wf_unit *u,
     const struct wf_queue *q, size_t stale_len, agb_time start_at)
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -28,8 +28,8 @@
  * up to this time, so that a late acknowledgement ends the repetitions. */
 #define PUSH_TIMEOUT_MAX_MS 4000
 /* A push that was not sent is tried again after this time, which doubles with
- * each further failure in the failure domain. Such a push can fail at once: without
- * the delay it would be repeated as fast as the loop runs. */
+ * each further failure in the failure domain. Such a push can fail at once:
+ * without the delay it would be repeated as fast as the loop runs. */
 #define UNSENT_DELAY_MIN_MS 100
 #define UNSENT_DELAY_MAX_MS 2000
 /* An instance to which a push was not sent is chosen after the others for this
