fix(workflow): a failed call for advice leaves the others of its instance pending

When a call failed, its instance counted as free, although it had others to answer. After the advice service had been away, the failures of old calls let the leader give itself up to 3 s of new ones, and batch steps waited behind them while there was room. The instance now counts as busy with the calls that are still pending through it.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -756,6 +756,20 @@
 	    (now->mono - call->sent_at) / AGB_MS, call->est_ms);
 }
 
+/* Expected time of the pending calls through an instance. */
+static agb_time
+pending_calls_time(const struct wf_leader *l, uint32_t client)
+{
+	agb_time sum = 0;
+	size_t i;
+
+	for (i = 0; i < l->advice_calls_len; i++) {
+		if (l->advice_calls[i].client == client)
+			sum += l->advice_calls[i].est_ms * AGB_MS;
+	}
+	return sum;
+}
+
 void
 wf_advice_handle_answer(struct wf_leader *l, const struct wf_now *now,
     uint64_t tag, const struct wf_advice *advice, struct wf_effects *out)
@@ -782,7 +796,8 @@
 		    (client->address[0] != '\0' ? CLIENT_EXCLUDED_MS
 						: CALL_RETRY_MS) *
 			AGB_MS;
-		client->busy_until = now->mono;
+		client->busy_until =
+		    now->mono + pending_calls_time(l, call.client);
 	}
 	j = wf_table_job(l->table, call.job);
 	if (j == NULL || j->exec == NULL)
