--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -399,6 +399,75 @@
 	write_manifest(1, route("plans", ""));
 }
 
+/* ---- case "kind": a runner that starts again behind a cut is of another kind */
+
+#define CUT_MS 5000
+
+static void
+kind_conclude(void)
+{
+	char text[200];
+	size_t i;
+
+	for (i = 0; i < runs_len; i++) {
+		if (strcmp(runs[i].kind, "b") == 0)
+			continue;
+		snprintf(text, sizeof(text),
+		    "%s run %" PRIu32 " was started on i-%02u, which is of kind "
+		    "%s; the job's constraint is b",
+		    runs[i].task, runs[i].run, runs[i].runner, runs[i].kind);
+		rule_broken("ROUTE", text);
+	}
+	conclude();
+}
+
+static void
+kind_second_job(void)
+{
+	clock_submit(2, 4, 300, 500);
+	after(12000, get_all_states);
+	after(13000, kind_conclude);
+}
+
+static void
+kind_crash(void)
+{
+	if (!trouble)
+		return;
+	runner_set_kind(NEW_RUNNER, "a");
+	runner_crash(NEW_RUNNER, 300, 0);
+}
+
+static void
+kind_cut(void)
+{
+	if (trouble)
+		runner_cut_from_store(NEW_RUNNER, CUT_MS);
+	after(500, kind_crash);
+	after(2500, kind_second_job);
+}
+
+static void
+kind_join(void)
+{
+	runner_join(NEW_RUNNER);
+	after(500, clock_first_job);
+	after(3000, kind_cut);
+}
+
+static void
+kind_begin(char *const argv[])
+{
+	static const struct world_options o = {.instances = 3,
+	    .runners = NEW_RUNNER + 1,
+	    .late_runners = 1,
+	    .runner_cpu = 32000,
+	    .store_answer_ms = 4};
+
+	start(&o, argv, kind_join);
+	write_manifest(1, route("plans", ""));
+}
+
 /* ---- cases "services" and "budget": the instances are restarted in turn */
 
 #define WARM_JOBS 1200
@@ -658,6 +727,112 @@
 	write_manifest(1, both);
 }
 
+/* ---- case "gang": a member's runner is cut off, and the leader is stopped */
+
+#define GANG_MS 3000
+
+static struct job *gang_job;
+static unsigned gang_polls, gang_runner;
+/* For trials: leave one of the two disruptions out. */
+static bool without_cut, without_stop;
+
+static void
+gang_get(void)
+{
+	job_get(gang_job, (unsigned)(leader_index() < 0 ? 0 : leader_index()));
+}
+
+static void
+gang_conclude(void)
+{
+	unsigned failed_runs = 0, last = 0;
+	char text[200];
+	size_t i;
+
+	for (i = 0; i < runs_len; i++) {
+		if (runs[i].how != WF_END_FAILED || runs[i].run == last)
+			continue;
+		failed_runs++;
+		last = runs[i].run;
+	}
+	if (strcmp(gang_job->state, "failed") == 0 && failed_runs < 2) {
+		snprintf(text, sizeof(text),
+		    "%s is shown as failed; %u run of the gang has failed, and "
+		    "its queue allows 2 attempts",
+		    gang_job->id, failed_runs);
+		rule_broken("LOST", text);
+	}
+	conclude();
+}
+
+static void
+gang_stop_leader(void)
+{
+	near_leader = leader_index();
+	if (near_leader >= 0)
+		roll((unsigned)near_leader);
+	after(100, restart_ended);
+}
+
+static void
+gang_cut(void)
+{
+	if (trouble && !without_cut)
+		runner_cut(gang_runner, 3000);
+}
+
+static void
+gang_wait_for_start(void)
+{
+	size_t i;
+
+	for (i = 0; i < runs_len; i++) {
+		if (is_task_of(&runs[i], gang_job, 0, 1))
+			break;
+	}
+	if (i == runs_len) {
+		if (++gang_polls > 200)
+			finish(2);
+		after(20, gang_wait_for_start);
+		return;
+	}
+	/* Cut off 1 s before the runs fail, for 3 s; its lease does not lapse
+	 * meanwhile. The leader gets SIGTERM 0.5 s after the runs have failed. */
+	gang_runner = runs[i].runner;
+	after(GANG_MS - 1000, gang_cut);
+	if (!without_stop)
+		after(GANG_MS + 500, gang_stop_leader);
+	after(GANG_MS + 9000, gang_get);
+	after(GANG_MS + 10000, gang_conclude);
+}
+
+static void
+gang_submit(void)
+{
+	char id[17];
+
+	make_id(1, id);
+	gang_job = job_submit("/plans/", id,
+	    "{\"spec\":\"3000 3000 2 20000 2\",\"phases\":[{\"count\":2,"
+	    "\"cpu\":20000,\"mem_mb\":64,\"estimate_ms\":3000,\"gang\":"
+	    "true}]}");
+	after(20, gang_wait_for_start);
+}
+
+static void
+gang_begin(char *const argv[])
+{
+	static const struct world_options o = {.instances = 3,
+	    .runners = 8,
+	    .runner_cpu = 32000,
+	    .store_answer_ms = 4};
+
+	without_cut = getenv("WITHOUT_CUT") != NULL;
+	without_stop = getenv("WITHOUT_STOP") != NULL;
+	start(&o, argv, gang_submit);
+	write_manifest(1, route("plans", ""));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -667,6 +842,8 @@
 	} cases[] = {
 	    {"route", route_begin},
 	    {"clock", clock_begin},
+	    {"kind", kind_begin},
+	    {"gang", gang_begin},
 	    {"services", roll_begin},
 	    {"budget", roll_begin},
 	};
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -584,6 +584,8 @@
 	uint64_t started_ms, ends_ms;
 	enum wf_run_end how;
 	bool stopping;
+	unsigned gang;	     /* number of its members, 0: no gang */
+	uint64_t run_ms;     /* time of a run of a gang, once all are there */
 	size_t log; /* index in runs */
 };
 
@@ -605,6 +607,9 @@
 	uint64_t boot_ms;
 	int64_t born;
 	int64_t clock_step_ms;
+	const char *kind;	 /* its first label */
+	uint64_t cut_until;	 /* no instance reaches it until then */
+	uint64_t store_cut_until; /* it does not reach the store until then */
 	uint64_t up_at, heartbeat_at, seen_at;
 	bool listed;
 	uint64_t fence, lease_until, lapsed_at;
@@ -787,13 +792,42 @@
 	return least + (most > least ? h % (most - least + 1) : 0);
 }
 
+/* The members of a gang work from the moment at which all of a run are there. */
+static void
+start_gang(const struct active_run *a)
+{
+	unsigned k, n = 0, pass;
+	size_t i;
+
+	for (pass = 0; pass < 2; pass++) {
+		for (k = 0; k < opts.runners; k++) {
+			for (i = 0; i < runners[k].active_len; i++) {
+				struct active_run *const m =
+				    &runners[k].active[i];
+
+				if (m->gang == 0 || m->run != a->run ||
+				    m->task.step != a->task.step ||
+				    strcmp(m->task.job, a->task.job) != 0)
+					continue;
+				if (pass == 0)
+					n++;
+				else
+					m->ends_ms = now_ms() + m->run_ms;
+			}
+		}
+		if (n < a->gang)
+			return;
+	}
+}
+
 /* The spec of a job: least and longest time of a run in ms (0 0: until it is
- * stopped), 1 if its runs fail at their end, processors of a task. */
+ * stopped); 1 if its runs fail at their end, 2 if the first one does;
+ * processors of a task; number of members if it is a gang. */
 static const char *
 handle_start(struct runner *r, struct json_object *body)
 {
 	const char *const spec = platform_json_str(body, "spec");
-	unsigned least = 0, most = 0, fails = 0, cpu = 0;
+	unsigned least = 0, most = 0, fails = 0, cpu = 0, gang = 0;
 	struct active_run a = {0};
 	struct run_log *log;
 	size_t i;
@@ -801,7 +835,8 @@
 	platform_task_parse_name(platform_json_str(body, "task"), &a.task);
 	a.run = (uint32_t)platform_json_int(body, "run_id", 0);
 	if (spec == NULL ||
-	    sscanf(spec, "%u %u %u %u", &least, &most, &fails, &cpu) != 4)
+	    sscanf(spec, "%u %u %u %u %u", &least, &most, &fails, &cpu,
+		&gang) < 4)
 		return "400";
 	for (i = 0; i < r->active_len; i++) {
 		if (same_task(&r->active[i].task, &a.task) &&
@@ -822,7 +857,12 @@
 	a.started_ms = now_ms();
 	a.ends_ms = most > 0 ? a.started_ms + run_time(&a.task, a.run, least, most)
 			     : UINT64_MAX;
-	a.how = fails ? WF_END_FAILED : WF_END_DONE;
+	a.how = fails == 1 || (fails == 2 && a.run == 1) ? WF_END_FAILED
+							 : WF_END_DONE;
+	a.gang = gang;
+	a.run_ms = most;
+	if (gang > 0)
+		a.ends_ms = UINT64_MAX;
 	if (runs_len == runs_cap)
 		runs = agb_xgrow(runs, &runs_cap, sizeof(*runs));
 	a.log = runs_len;
@@ -833,9 +873,12 @@
 	log->runner = r->index;
 	log->started_ms = a.started_ms;
 	log->life = r->life;
+	log->kind = r->kind;
 	r->active = agb_xreallocarray(
 	    r->active, r->active_len + 1, sizeof(*r->active));
 	r->active[r->active_len++] = a;
+	if (gang > 0)
+		start_gang(&a);
 	record("%s life %" PRIu64 ": start %s run %" PRIu32 " fence %" PRId64,
 	    r->id, r->life, log->task, log->run,
 	    platform_json_int(body, "fence_token", 0));
@@ -902,6 +945,10 @@
 	char expected[64], text[160];
 	int n;
 
+	if (now_ms() < r->cut_until) {
+		json_object_put(body);
+		return;
+	}
 	http_get_header(m, "Expect-Instance", expected, sizeof(expected));
 	if (expected[0] != '\0' && strcmp(expected, r->id) != 0) {
 		n = snprintf(text, sizeof(text),
@@ -959,6 +1006,8 @@
 {
 	char key[64], *text;
 
+	if (now_ms() < r->store_cut_until)
+		return;
 	runner_key(r, key);
 	text = agb_xasprintf(
 	    "{\"service\":\"desk\",\"addr\":\"%s\",\"zone\":\"z-%u\","
@@ -968,8 +1017,7 @@
 	    "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 ",\"seq\":%" PRIu64
 	    "}",
 	    r->addr, r->index % 3, opts.runner_cpu,
-	    r->index < opts.runners - opts.late_runners ? "a" : "b",
-	    r->index / 8,
+	    r->kind, r->index / 8,
 	    runner_clock(r), r->born, ++r->heartbeat_seq);
 	platform_write(key, text);
 	free(text);
@@ -994,8 +1042,8 @@
 		finish(2);
 	}
 	agb_str_copy(r->addr, sizeof(r->addr), http_server_addr(r->http));
-	record("%s life %" PRIu64 " starts, born %" PRId64, r->id, r->life,
-	    r->born);
+	record("%s life %" PRIu64 " starts, kind %s, born %" PRId64, r->id,
+	    r->life, r->kind, r->born);
 	heartbeat(r);
 }
 
@@ -1021,6 +1069,28 @@
 	r->http = NULL;
 }
 
+void
+runner_cut(unsigned i, uint32_t ms)
+{
+	record("%s is cut off from the instances for %" PRIu32 " ms",
+	    runners[i].id, ms);
+	runners[i].cut_until = now_ms() + ms;
+}
+
+void
+runner_cut_from_store(unsigned i, uint32_t ms)
+{
+	record("%s does not reach the store for %" PRIu32 " ms", runners[i].id,
+	    ms);
+	runners[i].store_cut_until = now_ms() + ms;
+}
+
+void
+runner_set_kind(unsigned i, const char *kind)
+{
+	runners[i].kind = kind;
+}
+
 void
 runner_join(unsigned i)
 {
@@ -1034,16 +1104,17 @@
 	char key[64];
 	size_t i;
 
+	if (r->listed && now - r->seen_at > ENTRY_TTL_MS) {
+		r->listed = false;
+		runner_key(r, key);
+		rev++;
+		kv_change(key, "", 0, true);
+		record("%s: its entry is removed", r->id);
+		reply_to_watchers();
+	}
 	if (!r->up) {
 		if (now >= r->up_at)
 			runner_boot(r);
-		else if (r->listed && now - r->seen_at > ENTRY_TTL_MS) {
-			r->listed = false;
-			runner_key(r, key);
-			rev++;
-			kv_change(key, "", 0, true);
-			reply_to_watchers();
-		}
 		return;
 	}
 	if (r->lease_until > 0 && now > r->lease_until)
@@ -1060,7 +1131,9 @@
 
 		r->hold_conn = NULL;
 		http_set_user_data(c, NULL);
-		reply_lists(r, c);
+		/* The answer of one that is cut off does not arrive. */
+		if (now >= r->cut_until)
+			reply_lists(r, c);
 	}
 	if (now >= r->heartbeat_at)
 		heartbeat(r);
@@ -1470,6 +1543,8 @@
 	uv_signal_start(&intr, on_quit_signal, SIGINT);
 	for (i = 0; i < o->runners; i++) {
 		runners[i].index = i;
+		runners[i].kind =
+		    i < o->runners - o->late_runners ? "a" : "b";
 		snprintf(runners[i].id, sizeof(runners[i].id), "i-%02u", i);
 		snprintf(runners[i].addr, sizeof(runners[i].addr),
 		    "127.0.0.1:0");
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -36,6 +36,7 @@
 	uint64_t noted_ms; /* when "observed" reached its end, or 0 */
 	uint64_t seq;
 	uint64_t life;	   /* life of the runner that ran it */
+	const char *kind;  /* kind of the runner in that life */
 };
 
 /* What the scenario sets; see the cases in main.c. */
@@ -100,6 +101,16 @@
 
 void runner_join(unsigned i);
 
+/* From now on no call reaches the runner, nor an answer of it the instances;
+ * it runs on. */
+void runner_cut(unsigned i, uint32_t ms);
+
+/* From now on the runner does not reach the store; the instances reach it. */
+void runner_cut_from_store(unsigned i, uint32_t ms);
+
+/* The kind of the runner from its next report on. */
+void runner_set_kind(unsigned i, const char *kind);
+
 /* Submits a job through an instance; repeated at another one until accepted. */
 struct job *job_submit(const char *path, const char *id, const char *body);
 void job_get(struct job *j, unsigned instance);
