--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "mem.h"
 #include "world.h"
@@ -833,6 +834,104 @@
 	write_manifest(1, route("plans", ""));
 }
 
+/* ---- case "timed": timed jobs with many occurrences */
+
+#define TIMED_JOBS 24
+/* Every 5 s for three days. */
+#define TIMED_OCCURRENCES 51840
+/* limits.memory_mb of the small deployments. */
+#define MEMORY_MB 260
+
+static unsigned timed_sent;
+
+/* Not the rule of the case, but of the same event. */
+static void
+record_memory_kills(void)
+{
+	unsigned i, machines = 0;
+
+	for (i = 0; i < options->instances; i++) {
+		record("instance %u was killed %u times because of its memory",
+		    i, instance_memory_kills(i));
+		machines += instance_memory_kills(i) >= 3;
+	}
+	record("on %u of %u machines the process ended three times or more "
+	       "because of its memory",
+	    machines, options->instances);
+}
+
+static void
+timed_restart(void)
+{
+	static unsigned down_polls[INSTANCES_MAX];
+	unsigned i;
+
+	for (i = 0; i < options->instances; i++) {
+		if (instance_running(i)) {
+			down_polls[i] = 0;
+		} else if (++down_polls[i] == 5) {
+			instance_start(i);
+		}
+	}
+	after(100, timed_restart);
+}
+
+static void
+timed_submit_plain(void)
+{
+	char id[17];
+	unsigned i;
+	struct job *j;
+
+	for (i = 0; i < 6; i++) {
+		make_id(900 + i, id);
+		j = job_submit("/plans/", id,
+		    "{\"spec\":\"500 900 0 100\",\"phases\":[{\"count\":2,"
+		    "\"cpu\":100,\"mem_mb\":10,\"estimate_ms\":700}]}");
+		j->steps = 1;
+		j->counts[0] = 2;
+	}
+	after(FINISH_MS, begin_sampling);
+	after(FINISH_MS + STALLED_MS, record_memory_kills);
+}
+
+static void
+timed_submit(void)
+{
+	struct timespec ts;
+	char id[17], *body;
+
+	if (timed_sent == 0)
+		after(100, timed_restart);
+	clock_gettime(CLOCK_REALTIME, &ts);
+	make_id(500 + timed_sent, id);
+	body = agb_xasprintf(
+	    "{\"spec\":\"50 90 0 100\",\"phases\":[{\"count\":1,\"cpu\":100,"
+	    "\"mem_mb\":10,\"estimate_ms\":70}],\"start_at_ms\":%" PRId64
+	    ",\"period_ms\":5000,\"repeat_count\":%d}",
+	    (int64_t)ts.tv_sec * 1000 + 3000, trouble ? TIMED_OCCURRENCES : 20);
+	job_submit("/plans/", id, body);
+	free(body);
+	if (++timed_sent < TIMED_JOBS) {
+		after(300, timed_submit);
+		return;
+	}
+	after(5000, timed_submit_plain);
+}
+
+static void
+timed_begin(char *const argv[])
+{
+	static const struct world_options o = {.instances = 6,
+	    .runners = 8,
+	    .runner_cpu = 32000,
+	    .store_answer_ms = 4,
+	    .memory_max = (uint64_t)MEMORY_MB * 1024 * 1024};
+
+	start(&o, argv, timed_submit);
+	write_manifest(1, route("plans", ""));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -844,6 +943,7 @@
 	    {"clock", clock_begin},
 	    {"kind", kind_begin},
 	    {"gang", gang_begin},
+	    {"timed", timed_begin},
 	    {"services", roll_begin},
 	    {"budget", roll_begin},
 	};
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -79,6 +79,8 @@
 	uv_process_t process;
 	bool running;
 	bool ready;
+	bool memory_kill;
+	unsigned memory_kills;
 	char http[64], ready_addr[64], settings[512], log[512];
 	struct http_server *store, *advice;
 	uint32_t rtt_ms, bytes_per_ms;
@@ -1285,6 +1287,7 @@
 		finish(2);
 	}
 	in->running = true;
+	in->memory_kill = false;
 	record("instance %u starts", i);
 }
 
@@ -1511,6 +1514,49 @@
 	reply_to_watchers();
 }
 
+/* Ends an instance that exceeds its memory, as the platform does. */
+static void
+check_memory(struct instance *in)
+{
+	char path[64];
+	long pages = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", in->process.pid);
+	f = fopen(path, "r");
+	if (f == NULL)
+		return;
+	if (fscanf(f, "%*d %ld", &pages) != 1)
+		pages = 0;
+	fclose(f);
+	if ((uint64_t)pages * (uint64_t)sysconf(_SC_PAGESIZE) <=
+		opts.memory_max ||
+	    in->memory_kill)
+		return;
+	in->memory_kill = true;
+	in->memory_kills++;
+	record("instance %u uses %ld kB of memory, over its limit: killed",
+	    in->index, pages * (sysconf(_SC_PAGESIZE) / 1024));
+	kill(in->process.pid, SIGKILL);
+}
+
+unsigned
+instance_memory_kills(unsigned i)
+{
+	return instances[i].memory_kills;
+}
+
+static void
+on_memory_timer(uv_timer_t *t)
+{
+	unsigned i;
+
+	for (i = 0; opts.memory_max > 0 && i < opts.instances; i++) {
+		if (instances[i].running)
+			check_memory(&instances[i]);
+	}
+}
+
 static void
 on_quit_signal(uv_signal_t *s, int signum)
 {
@@ -1522,7 +1568,7 @@
 world_start(const struct world_options *o, const char *repo,
     const char *work_dir, const char *record_path)
 {
-	static uv_timer_t tick, probe;
+	static uv_timer_t tick, probe, memory;
 	static uv_signal_t term, intr;
 	unsigned i;
 
@@ -1559,4 +1605,6 @@
 	uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
 	uv_timer_init(world_loop, &probe);
 	uv_timer_start(&probe, on_probe_timer, 200, 1000);
+	uv_timer_init(world_loop, &memory);
+	uv_timer_start(&memory, on_memory_timer, 100, 100);
 }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -48,6 +48,8 @@
 	unsigned late_runners;
 	int64_t runner_cpu;
 	uint32_t store_answer_ms;
+	/* Memory of an instance in bytes, beyond which it is killed; 0: any. */
+	uint64_t memory_max;
 	/* Way from an instance to the store: delay of an answer beyond the
 	 * store's own time, and rate of the link in bytes a millisecond. */
 	uint32_t far_rtt_ms[INSTANCES_MAX];
@@ -89,6 +91,8 @@
 void instance_start(unsigned i);
 void instance_signal(unsigned i, int sig);
 bool instance_running(unsigned i);
+/* How often it was killed because of its memory. */
+unsigned instance_memory_kills(unsigned i);
 /* Whether the instance answers its readiness probe with 200, as of the last
  * probe, which is made each second. */
 bool instance_ready(unsigned i);
