--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -834,6 +834,104 @@
 	write_manifest(1, route("plans", ""));
 }
 
+/* ---- case "cancel": a job is cancelled whose submission was not answered */
+
+#define CANCEL_MS 3000
+#define KILL_GRACE_MS 900
+#define CANCEL_JOBS 4
+#define LATE_MS 2000
+
+static struct job *cancel_job;
+
+static void
+cancel_check(void)
+{
+	char text[200];
+	size_t i;
+
+	for (i = 0; i < runs_len; i++) {
+		if (strncmp(runs[i].task, cancel_job->id, 16) != 0 ||
+		    runs[i].ended_ms != 0)
+			continue;
+		snprintf(text, sizeof(text),
+		    "%s run %" PRIu32 " is at work %" PRIu64
+		    " ms after the cancelling was answered with %d",
+		    runs[i].task, runs[i].run,
+		    now_ms() - cancel_job->cancelled_ms,
+		    cancel_job->cancel_status);
+		rule_broken("UNASKED", text);
+	}
+	conclude();
+}
+
+static void
+cancel_get(void)
+{
+	job_get(cancel_job, 0);
+}
+
+static void
+cancel_poll(void)
+{
+	static unsigned polls;
+
+	if (cancel_job->cancelled_ms == 0) {
+		if (cancel_job->cancel_status != 0) {
+			cancel_job->cancel_status = 0;
+			job_cancel(cancel_job, 1);
+		}
+		if (++polls > 100)
+			finish(2);
+		after(100, cancel_poll);
+		return;
+	}
+	/* The disruption has been over for much more than contact_ms then. */
+	after(9000, cancel_get);
+	after(10000, cancel_check);
+}
+
+static void
+cancel_leave(void)
+{
+	job_leave(cancel_job);
+	job_cancel(cancel_job, 1);
+	after(100, cancel_poll);
+}
+
+static void
+cancel_submit(void)
+{
+	struct job *j;
+	char id[17];
+	unsigned i;
+
+	for (i = 0; i < CANCEL_JOBS; i++) {
+		make_id(i, id);
+		if (i == 1 && trouble)
+			store_delay_next_write(id, LATE_MS);
+		j = job_submit_once("/plans/", id,
+		    "{\"spec\":\"0 0 0 1000\",\"phases\":[{\"count\":2,\"cpu\":"
+		    "1000,\"mem_mb\":64,\"estimate_ms\":60000,\"long_running\":"
+		    "true}]}",
+		    0);
+		if (i == 1)
+			cancel_job = j;
+	}
+	after(200, cancel_leave);
+}
+
+static void
+cancel_begin(char *const argv[])
+{
+	static const struct world_options o = {.instances = 3,
+	    .runners = 8,
+	    .runner_cpu = 32000,
+	    .store_answer_ms = 4};
+
+	start(&o, argv, cancel_submit);
+	write_manifest(1, route("plans", ""));
+}
+
 /* ---- case "timed": timed jobs with many occurrences */
 
 #define TIMED_JOBS 24
@@ -944,6 +1042,7 @@
 	    {"kind", kind_begin},
 	    {"gang", gang_begin},
 	    {"timed", timed_begin},
+	    {"cancel", cancel_begin},
 	    {"services", roll_begin},
 	    {"budget", roll_begin},
 	};
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -207,6 +207,8 @@
 	const uint64_t now = now_ms();
 	uint64_t at = now + opts.store_answer_ms;
 
+	if (c == NULL)
+		return;
 	if (in->bytes_per_ms > 0) {
 		if (at < in->link_busy_until)
 			at = in->link_busy_until;
@@ -406,6 +408,74 @@
 	DL_APPEND(watchers, w);
 }
 
+static char late_key_part[64];
+static uint32_t late_ms;
+
+void
+store_delay_next_write(const char *key_part, uint32_t ms)
+{
+	agb_str_copy(late_key_part, sizeof(late_key_part), key_part);
+	late_ms = ms;
+}
+
+/* A write that the store carries out late and does not answer. */
+struct late_write {
+	uv_timer_t timer;
+	struct instance *in;
+	struct json_object *body;
+};
+
+static void handle_txn(
+    struct instance *in, struct http_conn *c, struct json_object *body);
+
+static void
+on_late_timer_closed(uv_handle_t *h)
+{
+	struct late_write *const w = h->data;
+
+	json_object_put(w->body);
+	free(w);
+}
+
+static void
+on_late_write(uv_timer_t *t)
+{
+	struct late_write *const w = t->data;
+
+	record("the store carries out the late write");
+	handle_txn(w->in, NULL, w->body);
+	uv_close((uv_handle_t *)t, on_late_timer_closed);
+}
+
+/* Whether the write is the one that store_delay_next_write() has named. Its
+ * answer is lost: nothing further is sent on its channel. */
+static bool
+put_off_write(struct instance *in, struct json_object *body)
+{
+	struct json_object *writes, *row;
+	struct late_write *w;
+	const char *key;
+	size_t n;
+
+	writes = platform_json_array(body, "writes", &n);
+	row = n > 0 ? json_object_array_get_idx(writes, 0) : NULL;
+	key = platform_json_str(row, "key");
+	if (late_key_part[0] == '\0' || key == NULL ||
+	    strstr(key, late_key_part) == NULL)
+		return false;
+	record("the store does not answer a write of %s; done %" PRIu32
+	       " ms later",
+	    key, late_ms);
+	late_key_part[0] = '\0';
+	w = agb_xcalloc(1, sizeof(*w));
+	w->in = in;
+	w->body = json_object_get(body);
+	uv_timer_init(world_loop, &w->timer);
+	w->timer.data = w;
+	uv_timer_start(&w->timer, on_late_write, late_ms, 0);
+	return true;
+}
+
 static void
 handle_txn(struct instance *in, struct http_conn *c, struct json_object *body)
 {
@@ -419,6 +489,8 @@
 	int64_t id;
 	FILE *f;
 
+	if (c != NULL && put_off_write(in, body))
+		return;
 	expect = platform_json_array(body, "expect", &en);
 	writes = platform_json_array(body, "writes", &wn);
 	removes = platform_json_array(body, "remove", &rn);
@@ -1435,6 +1507,85 @@
 	return j;
 }
 
+static void
+on_submitted_once(void *arg, const struct agb_httpc_res *r)
+{
+	struct job *const j = arg;
+
+	j->call = NULL;
+	j->status = r->status == AGB_HTTPC_COMPLETE ? r->http_status : -1;
+	j->accepted = j->status >= 200 && j->status < 300;
+	if (j->accepted)
+		j->accepted_ms = now_ms();
+	record("client: POST %s%s: %d", j->path, j->id, j->status);
+}
+
+struct job *
+job_submit_once(
+    const char *path, const char *id, const char *body, unsigned instance)
+{
+	struct job *const j = agb_xcalloc(1, sizeof(*j));
+	char target[128];
+	const struct agb_httpc_req req = {.addr = instances[instance].http,
+	    .method = "POST",
+	    .path = target,
+	    .headers = client_headers,
+	    .headers_len = 3,
+	    .body = body,
+	    .body_len = strlen(body),
+	    .timeout_ms = 3000,
+	    .cb = on_submitted_once,
+	    .arg = j};
+
+	if (jobs_len == jobs_cap)
+		jobs = agb_xgrow(jobs, &jobs_cap, sizeof(*jobs));
+	jobs[jobs_len++] = j;
+	agb_str_copy(j->path, sizeof(j->path), path);
+	agb_str_copy(j->id, sizeof(j->id), id);
+	snprintf(target, sizeof(target), "%s%s", path, id);
+	j->call = agb_httpc_request(http_client, &req);
+	return j;
+}
+
+void
+job_leave(struct job *j)
+{
+	record("client: leaves its POST %s%s%s", j->path, j->id,
+	    j->call == NULL ? ", which was answered" : "");
+	if (j->call != NULL)
+		agb_httpc_cancel(j->call);
+	j->call = NULL;
+}
+
+static void
+on_cancelled(void *arg, const struct agb_httpc_res *r)
+{
+	struct job *const j = arg;
+
+	j->cancel_status = r->status == AGB_HTTPC_COMPLETE ? r->http_status : -1;
+	record("client: DELETE %s%s: %d", j->path, j->id, j->cancel_status);
+	if (j->cancel_status == 410 ||
+	    (j->cancel_status >= 200 && j->cancel_status < 300))
+		j->cancelled_ms = now_ms();
+}
+
+void
+job_cancel(struct job *j, unsigned instance)
+{
+	char path[128];
+	const struct agb_httpc_req req = {.addr = instances[instance].http,
+	    .method = "DELETE",
+	    .path = path,
+	    .headers = client_headers,
+	    .headers_len = 2,
+	    .timeout_ms = 3000,
+	    .cb = on_cancelled,
+	    .arg = j};
+
+	snprintf(path, sizeof(path), "%s%s", j->path, j->id);
+	agb_httpc_request(http_client, &req);
+}
+
 static void
 on_state(void *arg, const struct agb_httpc_res *r)
 {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -65,6 +65,9 @@
 	uint64_t accepted_ms;
 	char state[16];	    /* last state that a client was shown */
 	int get_status;
+	struct agb_httpc_call *call; /* of job_submit_once(); NULL: ended */
+	int cancel_status;
+	uint64_t cancelled_ms; /* when a client got 2xx or 410 for DELETE */
 	unsigned steps;
 	uint32_t counts[8];
 	uint64_t after[8];
@@ -119,6 +122,17 @@
 struct job *job_submit(const char *path, const char *id, const char *body);
 void job_get(struct job *j, unsigned instance);
 
+/* Submits a job through this instance, once. */
+struct job *job_submit_once(
+    const char *path, const char *id, const char *body, unsigned instance);
+/* The client closes the channel on which it waits for the answer. */
+void job_leave(struct job *j);
+void job_cancel(struct job *j, unsigned instance);
+
+/* The next write whose first key contains the text is not answered and carried
+ * out after a time, if its conditions hold then. */
+void store_delay_next_write(const char *key_part, uint32_t ms);
+
 extern struct run_log *runs;
 extern size_t runs_len;
 extern struct job **jobs;
