--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 out=review/bin
 mkdir -p "$out"
-cc -std=gnu11 -O2 -g -Wall -Wextra -Wno-unused-parameter -D_GNU_SOURCE \
+${CC:-cc} -std=gnu11 -O2 -g -Wall -Wextra -Wno-unused-parameter -D_GNU_SOURCE \
 	-DH2O_USE_LIBUV=1 \
 	-iquote src/agatebeam -iquote src/workflow -iquote src/agatebeam/gen \
 	-iquote src/workflow/gen -iquote platform -iquote tests/standin \
