--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -105,7 +105,8 @@
 static void
 make_id(unsigned n, char id[17])
 {
-	uint64_t h = (uint64_t)n * 0x9e3779b97f4a7c15ULL + 0x51ed270b7f4a7c15ULL;
+	uint64_t h =
+	    (uint64_t)n * 0x9e3779b97f4a7c15ULL + 0x51ed270b7f4a7c15ULL;
 
 	h ^= h >> 31;
 	h *= 0xbf58476d1ce4e5b9ULL;
@@ -116,8 +117,8 @@
 /* ---- what the runners have seen ---- */
 
 static bool
-is_task_of(const struct run_log *r, const struct job *j, unsigned step,
-    unsigned index)
+is_task_of(
+    const struct run_log *r, const struct job *j, unsigned step, unsigned index)
 {
 	char name[96];
 
@@ -191,8 +192,8 @@
 static void
 sample_stalled(void)
 {
-	const bool idle = cpu_used() * 2 <
-	    options->runner_cpu * (int64_t)options->runners;
+	const bool idle =
+	    cpu_used() * 2 < options->runner_cpu * (int64_t)options->runners;
 	char text[256];
 	size_t i;
 
@@ -414,7 +415,8 @@
 		if (strcmp(runs[i].kind, "b") == 0)
 			continue;
 		snprintf(text, sizeof(text),
-		    "%s run %" PRIu32 " was started on i-%02u, which is of kind "
+		    "%s run %" PRIu32
+		    " was started on i-%02u, which is of kind "
 		    "%s; the job's constraint is b",
 		    runs[i].task, runs[i].run, runs[i].runner, runs[i].kind);
 		rule_broken("ROUTE", text);
@@ -596,7 +598,8 @@
 
 	for (n = 0; n < jobs_len; n++) {
 		j = jobs[n];
-		for (t = 0; j->max_attempts > 0 && !j->lasts && t < j->counts[0];
+		for (t = 0;
+		     j->max_attempts > 0 && !j->lasts && t < j->counts[0];
 		     t++) {
 			for (i = 0; i < runs_len; i++) {
 				if (!is_task_of(&runs[i], j, 0, t))
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1,5 +1,6 @@
 #include "world.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <json-c/json.h>
 #include <netinet/in.h>
@@ -10,7 +11,6 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
-#include <fcntl.h>
 #include <time.h>
 #include <unistd.h>
 #include <uthash.h>
@@ -222,8 +222,8 @@
     const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
 static void
-answer_fmt(struct instance *in, struct http_conn *c, int status,
-    const char *fmt, ...)
+answer_fmt(
+    struct instance *in, struct http_conn *c, int status, const char *fmt, ...)
 {
 	char *text;
 	va_list ap;
@@ -327,7 +327,8 @@
 	size_t n = 0;
 
 	dst[0] = '\0';
-	while (p != NULL && (strncmp(p + 1, key, len) != 0 || p[1 + len] != '='))
+	while (
+	    p != NULL && (strncmp(p + 1, key, len) != 0 || p[1 + len] != '='))
 		p = strchr(p + 1, '&');
 	if (p == NULL)
 		return;
@@ -347,7 +348,8 @@
 static int
 compare_keys(const void *a, const void *b)
 {
-	return strcmp((*(struct kv *const *)a)->key, (*(struct kv *const *)b)->key);
+	return strcmp(
+	    (*(struct kv *const *)a)->key, (*(struct kv *const *)b)->key);
 }
 
 static void
@@ -554,8 +556,8 @@
 	struct lease *l;
 
 	if (strcmp(m->path, "/kv-lease") == 0) {
-		leases = agb_xreallocarray(
-		    leases, leases_len + 1, sizeof(*leases));
+		leases =
+		    agb_xreallocarray(leases, leases_len + 1, sizeof(*leases));
 		l = &leases[leases_len++];
 		l->id = next_lease++;
 		l->ttl_ms = (uint64_t)platform_json_int(body, "ttl_ms", 1000);
@@ -658,9 +660,9 @@
 	uint64_t started_ms, ends_ms;
 	enum wf_run_end how;
 	bool stopping;
-	unsigned gang;	     /* number of its members, 0: no gang */
-	uint64_t run_ms;     /* time of a run of a gang, once all are there */
-	size_t log; /* index in runs */
+	unsigned gang;	 /* number of its members, 0: no gang */
+	uint64_t run_ms; /* time of a run of a gang, once all are there */
+	size_t log;	 /* index in runs */
 };
 
 struct ended_run {
@@ -681,8 +683,8 @@
 	uint64_t boot_ms;
 	int64_t born;
 	int64_t clock_step_ms;
-	const char *kind;	 /* its first label */
-	uint64_t cut_until;	 /* no instance reaches it until then */
+	const char *kind;	  /* its first label */
+	uint64_t cut_until;	  /* no instance reaches it until then */
 	uint64_t store_cut_until; /* it does not reach the store until then */
 	uint64_t up_at, heartbeat_at, seen_at;
 	bool listed;
@@ -739,8 +741,8 @@
 	struct ended_run *e;
 
 	r->active[i] = r->active[--r->active_len];
-	r->ended = agb_xreallocarray(
-	    r->ended, r->ended_len + 1, sizeof(*r->ended));
+	r->ended =
+	    agb_xreallocarray(r->ended, r->ended_len + 1, sizeof(*r->ended));
 	e = &r->ended[r->ended_len++];
 	*e = (struct ended_run){.task = a.task,
 	    .run = a.run,
@@ -832,8 +834,8 @@
 	size_t i;
 
 	if (observed > r->observed) {
-		record("%s life %" PRIu64 ": observed %" PRIu64, r->id,
-		    r->life, observed);
+		record("%s life %" PRIu64 ": observed %" PRIu64, r->id, r->life,
+		    observed);
 		r->observed = observed;
 	}
 	for (i = 0; i < r->ended_len; i++) {
@@ -853,8 +855,8 @@
 
 /* Time that a run takes; it differs from task to task. */
 static uint64_t
-run_time(const struct wf_task_ref *t, uint32_t run, unsigned least,
-    unsigned most)
+run_time(
+    const struct wf_task_ref *t, uint32_t run, unsigned least, unsigned most)
 {
 	uint64_t h = 1469598103934665603ULL;
 	const char *p;
@@ -909,8 +911,8 @@
 	platform_task_parse_name(platform_json_str(body, "task"), &a.task);
 	a.run = (uint32_t)platform_json_int(body, "run_id", 0);
 	if (spec == NULL ||
-	    sscanf(spec, "%u %u %u %u %u", &least, &most, &fails, &cpu,
-		&gang) < 4)
+	    sscanf(spec, "%u %u %u %u %u", &least, &most, &fails, &cpu, &gang) <
+		4)
 		return "400";
 	for (i = 0; i < r->active_len; i++) {
 		if (same_task(&r->active[i].task, &a.task) &&
@@ -929,8 +931,9 @@
 	take_deadline(r, body);
 	a.cpu = cpu;
 	a.started_ms = now_ms();
-	a.ends_ms = most > 0 ? a.started_ms + run_time(&a.task, a.run, least, most)
-			     : UINT64_MAX;
+	a.ends_ms = most > 0
+	    ? a.started_ms + run_time(&a.task, a.run, least, most)
+	    : UINT64_MAX;
 	a.how = fails == 1 || (fails == 2 && a.run == 1) ? WF_END_FAILED
 							 : WF_END_DONE;
 	a.gang = gang;
@@ -948,8 +951,8 @@
 	log->started_ms = a.started_ms;
 	log->life = r->life;
 	log->kind = r->kind;
-	r->active = agb_xreallocarray(
-	    r->active, r->active_len + 1, sizeof(*r->active));
+	r->active =
+	    agb_xreallocarray(r->active, r->active_len + 1, sizeof(*r->active));
 	r->active[r->active_len++] = a;
 	if (gang > 0)
 		start_gang(&a);
@@ -985,8 +988,8 @@
 		runs[a->log].by_stop = true;
 		return;
 	}
-	r->ended = agb_xreallocarray(
-	    r->ended, r->ended_len + 1, sizeof(*r->ended));
+	r->ended =
+	    agb_xreallocarray(r->ended, r->ended_len + 1, sizeof(*r->ended));
 	e = &r->ended[r->ended_len++];
 	*e = (struct ended_run){.task = task, .run = run, .log = SIZE_MAX};
 }
@@ -1054,9 +1057,9 @@
 		  "{\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
 		  runner_clock(r), r->born);
 	http_reply(c,
-	    reason == NULL		      ? 200
+	    reason == NULL		     ? 200
 		: strcmp(reason, "400") == 0 ? 400
-					      : 409,
+					     : 409,
 	    text, (size_t)n, 0);
 	json_object_put(body);
 }
@@ -1090,8 +1093,7 @@
 	    ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"%s\",\"r-%u\"],"
 	    "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 ",\"seq\":%" PRIu64
 	    "}",
-	    r->addr, r->index % 3, opts.runner_cpu,
-	    r->kind, r->index / 8,
+	    r->addr, r->index % 3, opts.runner_cpu, r->kind, r->index / 8,
 	    runner_clock(r), r->born, ++r->heartbeat_seq);
 	platform_write(key, text);
 	free(text);
@@ -1109,8 +1111,8 @@
 	r->born = unix_ms() + r->clock_step_ms;
 	r->fence = r->lease_until = r->lapsed_at = 0;
 	r->next_seq = r->observed = r->heartbeat_seq = 0;
-	r->http = http_server_new(world_loop, r->addr, on_runner,
-	    on_runner_conn_closed, r);
+	r->http = http_server_new(
+	    world_loop, r->addr, on_runner, on_runner_conn_closed, r);
 	if (r->http == NULL) {
 		record("%s cannot listen on %s", r->id, r->addr);
 		finish(2);
@@ -1270,7 +1272,8 @@
 
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	for (tries = 0; tries < 12000; tries++) {
-		port = 20000 + (int)(((unsigned)getpid() * 64 + next++) % 12000);
+		port =
+		    20000 + (int)(((unsigned)getpid() * 64 + next++) % 12000);
 		sa.sin_port = htons((uint16_t)port);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
 		ok = fd >= 0 &&
@@ -1299,8 +1302,8 @@
 	in->advice = http_server_new(
 	    world_loop, "127.0.0.1:0", on_advice, on_advice_conn_closed, in);
 	snprintf(in->http, sizeof(in->http), "127.0.0.1:%d", free_port());
-	snprintf(
-	    in->ready_addr, sizeof(in->ready_addr), "127.0.0.1:%d", free_port());
+	snprintf(in->ready_addr, sizeof(in->ready_addr), "127.0.0.1:%d",
+	    free_port());
 	snprintf(in->settings, sizeof(in->settings), "%s/settings-%u.json",
 	    work_dir, i);
 	snprintf(in->log, sizeof(in->log), "%s/instance-%u.log", work_dir, i);
@@ -1347,15 +1350,18 @@
 	int rc;
 
 	snprintf(boot, sizeof(boot), "AGATEBEAM_BOOT=%s", in->settings);
-	snprintf(home, sizeof(home), "HOME=%s", getenv("HOME") ? getenv("HOME") : "/");
-	snprintf(path, sizeof(path), "PATH=%s", getenv("PATH") ? getenv("PATH") : "/usr/bin");
+	snprintf(home, sizeof(home), "HOME=%s",
+	    getenv("HOME") ? getenv("HOME") : "/");
+	snprintf(path, sizeof(path), "PATH=%s",
+	    getenv("PATH") ? getenv("PATH") : "/usr/bin");
 	io[1].flags = io[2].flags = UV_INHERIT_FD;
 	io[1].data.fd = io[2].data.fd = fd;
 	in->process.data = in;
 	rc = uv_spawn(world_loop, &in->process, &po);
 	close(fd);
 	if (rc != 0) {
-		fprintf(stderr, "cannot start %s: %s\n", args[0], uv_strerror(rc));
+		fprintf(
+		    stderr, "cannot start %s: %s\n", args[0], uv_strerror(rc));
 		finish(2);
 	}
 	in->running = true;
@@ -1395,8 +1401,9 @@
 static void
 on_probe_timer(uv_timer_t *t)
 {
-	struct agb_httpc_req req = {
-	    .method = "GET", .path = "/readyz", .timeout_ms = 900,
+	struct agb_httpc_req req = {.method = "GET",
+	    .path = "/readyz",
+	    .timeout_ms = 900,
 	    .cb = on_ready_answer};
 	unsigned i;
 
@@ -1562,7 +1569,8 @@
 {
 	struct job *const j = arg;
 
-	j->cancel_status = r->status == AGB_HTTPC_COMPLETE ? r->http_status : -1;
+	j->cancel_status =
+	    r->status == AGB_HTTPC_COMPLETE ? r->http_status : -1;
 	record("client: DELETE %s%s: %d", j->path, j->id, j->cancel_status);
 	if (j->cancel_status == 410 ||
 	    (j->cancel_status >= 200 && j->cancel_status < 300))
@@ -1740,11 +1748,10 @@
 	uv_signal_start(&intr, on_quit_signal, SIGINT);
 	for (i = 0; i < o->runners; i++) {
 		runners[i].index = i;
-		runners[i].kind =
-		    i < o->runners - o->late_runners ? "a" : "b";
+		runners[i].kind = i < o->runners - o->late_runners ? "a" : "b";
 		snprintf(runners[i].id, sizeof(runners[i].id), "i-%02u", i);
-		snprintf(runners[i].addr, sizeof(runners[i].addr),
-		    "127.0.0.1:0");
+		snprintf(
+		    runners[i].addr, sizeof(runners[i].addr), "127.0.0.1:0");
 		if (i < o->runners - o->late_runners)
 			runner_boot(&runners[i]);
 		else
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -35,8 +35,8 @@
 	bool crashed;	   /* lost with its runner */
 	uint64_t noted_ms; /* when "observed" reached its end, or 0 */
 	uint64_t seq;
-	uint64_t life;	   /* life of the runner that ran it */
-	const char *kind;  /* kind of the runner in that life */
+	uint64_t life;	  /* life of the runner that ran it */
+	const char *kind; /* kind of the runner in that life */
 };
 
 /* What the scenario sets; see the cases in main.c. */
@@ -60,10 +60,10 @@
 	char id[17];
 	char path[64];
 	char body[8192];
-	int status;	    /* last answer to its submission */
+	int status; /* last answer to its submission */
 	bool accepted;
 	uint64_t accepted_ms;
-	char state[16];	    /* last state that a client was shown */
+	char state[16]; /* last state that a client was shown */
 	int get_status;
 	struct agb_httpc_call *call; /* of job_submit_once(); NULL: ended */
 	int cancel_status;
