--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -935,6 +935,93 @@
 	write_manifest(1, route("plans", ""));
 }
 
+/* ---- trial "states": the leader is stopped while jobs end (KNOWN-RED 15) */
+
+#define STATES_JOBS 240
+#define STATES_INTERVAL_MS 25
+
+static unsigned states_sent, states_asked;
+
+/* Counts the jobs that the instance asked last does not show as completed, and
+ * asks the next one. */
+static void
+states_ask_next(void)
+{
+	static unsigned old;
+	char text[200];
+	size_t i;
+
+	for (i = 0; i < jobs_len && states_asked > 0; i++) {
+		if (jobs[i]->get_status == 200 && step_done(jobs[i], 0) &&
+		    strcmp(jobs[i]->state, "completed") != 0) {
+			old++;
+			snprintf(text, sizeof(text),
+			    "%s is shown as %s by instance %u, long after its "
+			    "last task has ended",
+			    jobs[i]->id, jobs[i]->state, states_asked - 1);
+			record("OLD STATE: %s", text);
+		}
+		jobs[i]->get_status = 0;
+	}
+	if (states_asked == options->instances) {
+		record("%u old states", old);
+		printf("%u old states\n", old);
+		fflush(stdout);
+		finish(old > 0 ? 1 : 0);
+	}
+	for (i = 0; i < jobs_len; i++)
+		job_get(jobs[i], states_asked);
+	states_asked++;
+	after(1500, states_ask_next);
+}
+
+static void
+states_stop_leader(void)
+{
+	const int leader = leader_index();
+
+	if (trouble && leader >= 0)
+		instance_signal((unsigned)leader, SIGTERM);
+}
+
+static void
+states_submit(void)
+{
+	struct job *j;
+	char id[17];
+
+	make_id(states_sent, id);
+	j = job_submit("/plans/", id,
+	    "{\"spec\":\"500 900 0 100\",\"phases\":[{\"count\":2,\"cpu\":100,"
+	    "\"mem_mb\":64,\"estimate_ms\":700}]}");
+	j->steps = 1;
+	j->counts[0] = 2;
+	if (++states_sent < STATES_JOBS)
+		after(STATES_INTERVAL_MS, states_submit);
+	else
+		after(18000, states_ask_next);
+}
+
+/* By then only the leader and its standbys follow all states. */
+static void
+states_wait(void)
+{
+	after(4000, states_submit);
+	after(7000, states_stop_leader);
+}
+
+static void
+states_begin(char *const argv[])
+{
+	static const struct world_options o = {.instances = 8,
+	    .runners = 16,
+	    .runner_cpu = 32000,
+	    .store_answer_ms = 4};
+
+	start(&o, argv, states_wait);
+	write_manifest(1, route("plans", ""));
+}
+
 /* ---- case "timed": timed jobs with many occurrences */
 
 #define TIMED_JOBS 24
@@ -1046,6 +1133,7 @@
 	    {"gang", gang_begin},
 	    {"timed", timed_begin},
 	    {"cancel", cancel_begin},
+	    {"states", states_begin},
 	    {"services", roll_begin},
 	    {"budget", roll_begin},
 	};
