--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -39,6 +39,29 @@
 	finish(broken > 0 ? 1 : 0);
 }
 
+/* The case could not run as it is meant to, so that it shows nothing. */
+static void
+require(bool met, const char *what)
+{
+	if (met)
+		return;
+	record("the case could not run: %s", what);
+	printf("the case could not run: %s\n", what);
+	fflush(stdout);
+	finish(2);
+}
+
+/* Jobs among these that were accepted; @to is exclusive. */
+static size_t
+count_accepted(size_t from, size_t to)
+{
+	size_t i, n = 0;
+
+	for (i = from; i < to; i++)
+		n += jobs[i]->accepted;
+	return n;
+}
+
 /* ---- start ---- */
 
 static const struct world_options *options;
@@ -242,6 +265,16 @@
 		job_get(jobs[i], 0);
 }
 
+static void
+route_sample(void)
+{
+	size_t i;
+
+	for (i = 0; i < jobs_len; i++)
+		require(step_done(jobs[i], 0), "a first step has not ended");
+	begin_sampling();
+}
+
 static void
 route_change(void)
 {
@@ -249,10 +282,12 @@
 	char *const cuts = route("cuts", "");
 	char *both;
 
+	require(count_accepted(0, jobs_len) == jobs_len,
+	    "not all jobs were accepted before the change");
 	both = agb_xasprintf("%s,%s", plans, cuts);
 	write_manifest(2, trouble ? cuts : both);
 	after(6000, get_all_states);
-	after(FINISH_MS, begin_sampling);
+	after(FINISH_MS, route_sample);
 }
 
 static void
@@ -329,16 +364,31 @@
 	}
 }
 
-/* ---- case "clock": a runner starts again after its clock went back */
+/* ---- case "clock": a runner starts again as the jump of its clock ends */
 
 #define NEW_RUNNER 7
-/* The largest jump of the site file. */
+/* The jump of the site file: ahead, and back after a time. */
 #define CLOCK_STEP_MS 2400
+#define CLOCK_FOR_MS 6000
+/* The runner crashes so long after its start, as the jump ends. */
+#define CLOCK_LIFE_MS 1700
 
 static void
 clock_conclude(void)
 {
+	unsigned t;
+	size_t i;
+
 	check_twice();
+	require(count_accepted(0, jobs_len) == jobs_len,
+	    "not all jobs were accepted");
+	for (t = 0; t < jobs[1]->counts[0] && broken == 0; t++) {
+		for (i = 0; i < runs_len; i++) {
+			if (is_task_of(&runs[i], jobs[1], 0, t))
+				break;
+		}
+		require(i < runs_len, "a task of the second job has not run");
+	}
 	conclude();
 }
 
@@ -370,7 +420,16 @@
 static void
 clock_crash(void)
 {
-	runner_crash(NEW_RUNNER, 300, trouble ? -CLOCK_STEP_MS : 0);
+	size_t i;
+
+	require(step_done(jobs[0], 0), "the first job has not ended");
+	for (i = 0; i < runs_len; i++)
+		require(runs[i].noted_ms > 0,
+		    "an end of the first job was not taken note of");
+	/* The jump ends. */
+	if (trouble)
+		runner_clock_step(NEW_RUNNER, -CLOCK_STEP_MS);
+	runner_crash(NEW_RUNNER, 300);
 	after(3000, clock_second_job);
 }
 
@@ -385,7 +444,15 @@
 {
 	runner_join(NEW_RUNNER);
 	after(500, clock_first_job);
-	after(1700, clock_crash);
+	after(CLOCK_LIFE_MS, clock_crash);
+}
+
+static void
+clock_jump(void)
+{
+	if (trouble)
+		runner_clock_step(NEW_RUNNER, CLOCK_STEP_MS);
+	after(CLOCK_FOR_MS - CLOCK_LIFE_MS, clock_join);
 }
 
 static void
@@ -397,7 +464,7 @@
 	    .runner_cpu = 32000,
 	    .store_answer_ms = 4};
 
-	start(&o, argv, clock_join);
+	start(&o, argv, clock_jump);
 	write_manifest(1, route("plans", ""));
 }
 
@@ -438,7 +505,7 @@
 	if (!trouble)
 		return;
 	runner_set_kind(NEW_RUNNER, "a");
-	runner_crash(NEW_RUNNER, 300, 0);
+	runner_crash(NEW_RUNNER, 300);
 }
 
 static void
@@ -483,6 +550,7 @@
 static bool work_ends;
 static int near_leader;
 static bool rolled[3];
+static bool handed_over;
 
 static void
 submit_warm(void)
@@ -629,6 +697,10 @@
 static void
 roll_conclude(void)
 {
+	require(work_sent > 0 &&
+		count_accepted(WARM_JOBS, jobs_len) * 2 > work_sent,
+	    "most jobs during the restarts were not accepted");
+	require(!trouble || handed_over, "no other instance has led");
 	if (with_services)
 		check_avail();
 	else
@@ -650,6 +722,9 @@
 	static unsigned down_polls[3];
 	unsigned i;
 
+	handed_over = handed_over ||
+	    (near_leader >= 0 && rolled[near_leader] && leader_index() >= 0 &&
+		leader_index() != near_leader);
 	for (i = 0; i < 3; i++) {
 		if (!rolled[i] || instance_running(i)) {
 			down_polls[i] = 0;
@@ -693,6 +768,8 @@
 		    near_leader);
 		finish(2);
 	}
+	require(count_accepted(0, jobs_len) == WARM_JOBS,
+	    "not all jobs before the restarts were accepted");
 	roll(FAR);
 	after(2500, submit_work);
 	after(7500, roll_other);
@@ -870,6 +947,10 @@
 static void
 cancel_get(void)
 {
+	/* All but the second one. */
+	require(
+	    count_accepted(0, 1) + count_accepted(2, jobs_len) == jobs_len - 1,
+	    "a job that is not cancelled was not accepted");
 	job_get(cancel_job, 0);
 }
 
@@ -896,6 +977,8 @@
 static void
 cancel_leave(void)
 {
+	require(!trouble || cancel_job->call != NULL,
+	    "the submission was answered before the client left");
 	job_leave(cancel_job);
 	job_cancel(cancel_job, 1);
 	after(100, cancel_poll);
@@ -1064,6 +1147,16 @@
 	after(100, timed_restart);
 }
 
+static void
+timed_sample(void)
+{
+	/* Those with times may be refused; then nothing is broken. */
+	require(count_accepted(trouble ? TIMED_JOBS : 0, jobs_len) ==
+		jobs_len - (trouble ? TIMED_JOBS : 0),
+	    "not all jobs were accepted");
+	begin_sampling();
+}
+
 static void
 timed_submit_plain(void)
 {
@@ -1079,7 +1172,7 @@
 		j->steps = 1;
 		j->counts[0] = 2;
 	}
-	after(FINISH_MS, begin_sampling);
+	after(FINISH_MS, timed_sample);
 	after(FINISH_MS + STALLED_MS, record_memory_kills);
 }
 
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1124,14 +1124,13 @@
 }
 
 void
-runner_crash(unsigned i, uint32_t down_ms, int64_t clock_step_ms)
+runner_crash(unsigned i, uint32_t down_ms)
 {
 	struct runner *const r = &runners[i];
 	size_t k;
 
-	record("%s life %" PRIu64 " crashes; starts again after %" PRIu32
-	       " ms, clock moved by %" PRId64 " ms",
-	    r->id, r->life, down_ms, clock_step_ms);
+	record("%s life %" PRIu64 " crashes; starts again after %" PRIu32 " ms",
+	    r->id, r->life, down_ms);
 	for (k = 0; k < r->active_len; k++) {
 		runs[r->active[k].log].ended_ms = now_ms();
 		runs[r->active[k].log].crashed = true;
@@ -1139,12 +1138,19 @@
 	r->active_len = r->ended_len = 0;
 	r->hold_conn = NULL;
 	r->up = false;
-	r->clock_step_ms += clock_step_ms;
 	r->up_at = now_ms() + down_ms;
 	http_server_free(r->http);
 	r->http = NULL;
 }
 
+void
+runner_clock_step(unsigned i, int64_t ms)
+{
+	record(
+	    "%s: its time of day jumps by %" PRId64 " ms", runners[i].id, ms);
+	runners[i].clock_step_ms += ms;
+}
+
 void
 runner_cut(unsigned i, uint32_t ms)
 {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -102,9 +102,11 @@
 /* Instance that holds the leader's key in the store; -1 when there is none. */
 int leader_index(void);
 
-/* Kills a runner; it starts again after @down_ms with its wall clock moved by
- * @clock_step_ms. */
-void runner_crash(unsigned i, uint32_t down_ms, int64_t clock_step_ms);
+/* Kills a runner; it starts again after @down_ms. */
+void runner_crash(unsigned i, uint32_t down_ms);
+
+/* Its time of day jumps, which its next start shows. */
+void runner_clock_step(unsigned i, int64_t ms);
 
 void runner_join(unsigned i);
 
