feat(workflow): the log shows who has answered a start before a restart is known

The log had no line for the answer to a start, so that the hypotheses on TWICE after a restart could not be told apart. event=requeue now says by what the leader knows that a run had started (started_by=list, answer or none), change=restarted says when the runner was last heard, and change=clock-behind names an answer whose clock is behind the runner's.

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -510,6 +510,7 @@
 	t->started_ms = l->runners[runner].info.started_ms;
 	t->recovered = false;
 	t->start_unanswered = false;
+	t->listed = false;
 	t->intent_in_write = false;
 	t->start_accepted_at = 0;
 	t->start_deadline_ms = 0;
@@ -619,6 +620,15 @@
 	return true;
 }
 
+/* What shows that the latest run of a task has started, for the log. */
+static const char *
+start_evidence(const struct wf_task *t)
+{
+	return t->listed	       ? "list"
+	    : t->start_accepted_at > 0 ? "answer"
+				       : "none";
+}
+
 void
 wf_task_requeue(struct wf_leader *l, const struct wf_now *now,
     struct wf_unit *u, struct wf_task *t, const char *why,
@@ -630,8 +640,9 @@
 
 	wf_task_ref(t, &ref);
 	wf_effects_log_run(out, AGB_LOG_INFO, "requeue", &ref, t->run,
-	    l->runners[runner].info.id, "reason=\"%s\" since_ms=%" PRIu64, why,
-	    (now->mono - t->sent_at) / AGB_MS);
+	    l->runners[runner].info.id,
+	    "reason=\"%s\" since_ms=%" PRIu64 " started_by=%s", why,
+	    (now->mono - t->sent_at) / AGB_MS, start_evidence(t));
 	wf_meter_count(l->meter, WF_TALLY_REQUEUED);
 	repair = may_replace_member(now, u, t);
 	task_return_to_queue(l, u, t);
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -215,6 +215,23 @@
 	    wf_poll_is_immediate(&r->poll, res->sent_at);
 }
 
+/* Logs an answer whose clock is behind the runner's clock as it was known when
+ * the order was sent: another process of the runner has given it. */
+static void
+log_clock_behind(const struct wf_runner *r, const struct wf_order_result *res,
+    struct wf_effects *out)
+{
+	if (res->clock_ms <= 0 || res->clock_ms >= r->clock_ms ||
+	    res->sent_at < r->clock_at)
+		return;
+	wf_effects_log(out, AGB_LOG_WARN, "runner",
+	    "runner=%s change=clock-behind order=%d process=%s"
+	    " clock_ms=%" PRId64 " clock_before_ms=%" PRId64,
+	    r->info.id, (int)res->kind,
+	    res->started_ms > 0 ? "named" : "unnamed", res->clock_ms,
+	    r->clock_ms);
+}
+
 void
 wf_fleet_handle_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -245,6 +262,7 @@
 		handle_order_result(l, now, res, out);
 		return;
 	}
+	log_clock_behind(r, res, out);
 	if (res->started_ms > r->info.started_ms) {
 		wf_fleet_handle_restart(
 		    l, now, res->runner, res->started_ms, out);
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -104,6 +104,7 @@
 		return;
 	}
 	t->seen_in_list = true;
+	t->listed = true;
 	t->recovered = false;
 	wf_exec_mark_running(l, u->exec);
 	if (t->state == WF_TASK_SENT) {
--- a/src/workflow/wf_fleet_registry.c
+++ b/src/workflow/wf_fleet_registry.c
@@ -68,8 +68,9 @@
 	if (r->info.started_ms > 0)
 		wf_effects_log(out, AGB_LOG_INFO, "runner",
 		    "runner=%s change=restarted born_ms=%" PRId64
-		    " born_before_ms=%" PRId64,
-		    r->info.id, started_ms, r->info.started_ms);
+		    " born_before_ms=%" PRId64 " heard_ms_ago=%" PRIu64,
+		    r->info.id, started_ms, r->info.started_ms,
+		    (now->mono - r->heard_at) / AGB_MS);
 	requeue_tasks_from_before_restart(l, now, ri, started_ms, out);
 	wf_fleet_clear_orphan_runs(r);
 	r->incarnation++;
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -58,6 +58,7 @@
  * @in_flight: assigned, and its start neither answered nor given up; see struct
  *	wf_flow
  * @start_unanswered: the answer to its start order was lost
+ * @listed: a list of its runner has contained its latest run
  * @intent_in_write: a pending write contains its intent
  * @sent_at: when the start was sent, or the task assigned
  * @start_accepted_at: when the runner accepted the start; 0 while unknown
@@ -90,6 +91,7 @@
 	bool stopping;
 	bool in_flight;
 	bool start_unanswered;
+	bool listed;
 	bool intent_in_write;
 	agb_time sent_at;
 	agb_time start_accepted_at;
