test(workflow): runners that start again under their id, with orders under way

The simulation did not see it because each of its answers named the process that gave it, the clock of every process began at the same value, and a crash refused connections. Now only answers to holds name the process, clocks begin anywhere, and a runner can crash without an answer.

--- a/tests/wfsim/order.c
+++ b/tests/wfsim/order.c
@@ -61,7 +61,10 @@
 
 	if (!r->up || r->unreachable) {
 		c->res.status = WF_ORDER_LOST;
-		send_order_result(s, e, c, 600 * SIM_MS);
+		send_order_result(s, e, c,
+		    r->crashed_silently && s->now < c->gives_up_at
+			? c->gives_up_at - s->now
+			: 600 * SIM_MS);
 		return;
 	}
 	if (s->now + s->o.latency_ms * SIM_MS > c->gives_up_at) {
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -16,7 +16,7 @@
 int64_t
 sim_runner_clock(const struct sim *s, const struct sim_runner *r)
 {
-	return (int64_t)((s->now - r->started_at) / SIM_MS) + 1000;
+	return (int64_t)((s->now - r->started_at) / SIM_MS) + r->clock_base_ms;
 }
 
 static void
@@ -389,7 +389,8 @@
 		break;
 	}
 	c->res.clock_ms = sim_runner_clock(s, r);
-	c->res.started_ms = r->info.started_ms;
+	/* Only the answers to holds say which process has given them. */
+	c->res.started_ms = c->o.kind == WF_ORDER_HOLD ? r->info.started_ms : 0;
 }
 
 void
@@ -415,14 +416,26 @@
 	r->lease_until = 0;
 }
 
+/* The clock of a new process has nothing to do with that of the former one. It
+ * may be far ahead of it or far behind. */
+static int64_t
+new_clock_base_ms(const struct sim *s)
+{
+	return 1000 + (int64_t)(s->now / SIM_MS * 7919 % (2 * CLOCK_BASE_MS));
+}
+
 static void
 restart_runner(struct sim *s, struct sim_event *e)
 {
 	struct sim_runner *const r = &s->runners[e->a];
 
 	r->up = true;
-	r->info.started_ms = UNIX_BASE_MS + (int64_t)(s->now / SIM_MS);
+	r->info.started_ms = UNIX_BASE_MS + (int64_t)(s->now / SIM_MS) -
+	    (int64_t)r->wall_clock_back_ms;
 	r->started_at = s->now;
+	r->clock_base_ms = new_clock_base_ms(s);
+	r->unreachable = r->unreachable && !r->crashed_silently;
+	r->crashed_silently = false;
 	r->info.draining = false;
 	r->info.remaining_ms = -1;
 }
@@ -455,6 +468,24 @@
 		sim_schedule(s, back_ms * SIM_MS, restart_runner)->a = ri;
 }
 
+void
+sim_runner_crash_silently(struct sim *s, unsigned ri, unsigned back_ms)
+{
+	struct sim_runner *const r = &s->runners[ri];
+
+	if (!r->up || r->unreachable)
+		return;
+	sim_runner_crash(s, ri, back_ms);
+	r->unreachable = true;
+	r->crashed_silently = true;
+}
+
+void
+sim_runner_set_clock_back(struct sim *s, unsigned ri, unsigned ms)
+{
+	s->runners[ri].wall_clock_back_ms = ms;
+}
+
 static void
 stop_drained_runner(struct sim *s, struct sim_event *e)
 {
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -32,6 +32,7 @@
 		r->info.capacity.mem_mb = 65536;
 		r->info.started_ms = 1;
 		r->info.remaining_ms = -1;
+		r->clock_base_ms = CLOCK_BASE_MS;
 		r->up = true;
 		r->listed = true;
 	}
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -178,6 +178,10 @@
 /* Cuts a runner off from all instances. */
 void sim_runner_cut(struct sim *s, unsigned ri, bool cut);
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
+/* As sim_runner_crash(); its address does not answer until it is back. */
+void sim_runner_crash_silently(struct sim *s, unsigned ri, unsigned back_ms);
+/* Its next process reads a wall clock that is behind by @ms. */
+void sim_runner_set_clock_back(struct sim *s, unsigned ri, unsigned ms);
 /* Cuts a runner off from the registry only, where it expires. */
 void sim_runner_cut_registry(struct sim *s, unsigned ri, bool cut);
 /* Marks a runner as leaving; it stops after the time and later restarts. */
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -18,6 +18,8 @@
 #define ADVICE_MS 10
 #define TICKET_MS 2000
 #define UNIX_BASE_MS 1700000000000LL
+/* What the clock of a runner's first process shows at the beginning. */
+#define CLOCK_BASE_MS 5000000
 /* Approximate sizes of a start without the payload of its job, of another
  * order, and of a call between instances without its content, in bytes. */
 #define START_BYTES 250
@@ -64,6 +66,9 @@
 	bool ignores_starts; /* starts are lost without an effect */
 	bool loses_hold;     /* the answer to the next hold is lost */
 	unsigned start_delay_ms;
+	bool crashed_silently; /* unreachable until it is back */
+	unsigned wall_clock_back_ms;
+	int64_t clock_base_ms;
 	bool unregistered;
 	bool listed;
 	agb_time started_at;
