fix(workflow): a start is counted for the process of the runner that has accepted it

What callers saw: a task ran twice at the same time (TWICE), after its runner had restarted under its id.

Cause: answers to starts, stops and paces do not name the process that gives them; only lists of runs do. The leader counted each unnamed answer for the process that it knew. A start that the new process had accepted was booked for the former one, and when the registry entry told of the restart, the task was queued again while it ran.

- The clock of an answer shows its process, as each process has a clock of its own: an unnamed answer with another clock has an unknown origin.
Its task stays as it is, the runner is asked for its lists and gets no tasks until they name the process (wf_fleet_process).
- After a restart, all tasks whose start may be at the new process stay assigned until its first list, and go on if they are there.
- Fence tokens rise with the incarnations of a runner, too.
What was meant for the former process is refused once the new one has got an order, so that a hold that is carried out late cannot acknowledge ends unread.
- Start times do not order processes: an answer that names another one is of a later one.
An entry that names another one is a reason to ask.

--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -484,6 +484,24 @@
 	}
 }
 
+/* Requeues the tasks of a unit whose intent is durable and whose runner may be
+ * another process than the one that they were assigned to. */
+static void
+requeue_unidentified(struct wf_leader *l, const struct wf_now *now,
+    struct wf_unit *u, struct wf_effects *out)
+{
+	struct wf_task *t;
+	uint32_t i;
+
+	for (i = 0; i < u->tasks_len; i++) {
+		t = wf_unit_find_task(u, i);
+		if (t != NULL && t->state == WF_TASK_INTENT &&
+		    t->intent_in_write && !l->runners[t->runner].reported)
+			wf_task_requeue(l, now, u, t,
+			    "process of the runner is unknown", out);
+	}
+}
+
 void
 wf_commit_send_starts(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out)
@@ -495,9 +513,13 @@
 	size_t i;
 	uint32_t k;
 
-	for (i = 0; q != NULL && q->advice_required && i < e->open_len; i++) {
-		for (k = 0; k < e->job->spec.steps_len; k++)
-			requeue_expired(l, now, &e->open[i].units[k], out);
+	for (i = 0; i < e->open_len; i++) {
+		for (k = 0; k < e->job->spec.steps_len; k++) {
+			requeue_unidentified(l, now, &e->open[i].units[k], out);
+			if (q != NULL && q->advice_required)
+				requeue_expired(
+				    l, now, &e->open[i].units[k], out);
+		}
 	}
 	wf_task_cursor_init(&c, e);
 	while ((t = wf_task_cursor_next(&c)) != NULL) {
--- a/src/workflow/wf_event.c
+++ b/src/workflow/wf_event.c
@@ -57,6 +57,12 @@
 	    text[0] != '\0' ? " " : "", text);
 }
 
+uint64_t
+wf_order_token(const struct wf_order *o)
+{
+	return o->fence * WF_INCARNATIONS_MAX + o->incarnation;
+}
+
 bool
 wf_task_ref_same(const struct wf_task_ref *a, const struct wf_task_ref *b)
 {
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -377,6 +377,19 @@
 	size_t payload_len;
 };
 
+/* Number of incarnations of runners that the fence tokens of a leader
+ * distinguish. */
+#define WF_INCARNATIONS_MAX ((uint32_t)1 << 20)
+
+/**
+ * wf_order_token() - fence token of an order
+ *
+ * Tokens rise with the leaders and, for the orders of one leader, with the
+ * incarnations of a runner: a runner that has restarted refuses what was meant
+ * for its former process once it has got an order that was meant for it.
+ */
+uint64_t wf_order_token(const struct wf_order *o);
+
 /**
  * struct wf_runner_addr - address of a runner, which relayed orders refer to by
  * the leader's handle
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -110,19 +110,18 @@
 wf_fleet_find_or_add(struct wf_leader *l, const char *id, agb_time now)
 {
 	struct wf_runner *r;
-	uint32_t i, incarnation;
+	uint32_t i;
 
 	i = wf_fleet_find(l, id);
 	if (i != WF_NO_HANDLE)
 		return i;
 	i = alloc_runner_slot(l);
 	r = &l->runners[i];
-	incarnation = r->incarnation;
 	wf_baseline_free(&r->route.baseline);
 	memset(r, 0, sizeof(*r));
 	r->pace_percent = 100;
 	r->used = true;
-	r->incarnation = incarnation + 1;
+	r->incarnation = wf_fleet_next_incarnation(l);
 	r->unlisted_at = now;
 	r->poll.next_at = now;
 	/* The previous leader may have extended leases until its own right to
@@ -184,11 +183,12 @@
 
 static void
 handle_order_result(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res, struct wf_effects *out)
+    const struct wf_order_result *res, enum answer_origin origin,
+    struct wf_effects *out)
 {
 	switch (res->kind) {
 	case WF_ORDER_START:
-		wf_fleet_handle_start_result(l, now, res, out);
+		wf_fleet_handle_start_result(l, now, res, origin, out);
 		break;
 	case WF_ORDER_STOP:
 		wf_fleet_handle_stop_result(l, now, res, out);
@@ -215,27 +215,11 @@
 	    wf_poll_is_immediate(&r->poll, res->sent_at);
 }
 
-/* Logs an answer whose clock is behind the runner's clock as it was known when
- * the order was sent: another process of the runner has given it. */
-static void
-log_clock_behind(const struct wf_runner *r, const struct wf_order_result *res,
-    struct wf_effects *out)
-{
-	if (res->clock_ms <= 0 || res->clock_ms >= r->clock_ms ||
-	    res->sent_at < r->clock_at)
-		return;
-	wf_effects_log(out, AGB_LOG_WARN, "runner",
-	    "runner=%s change=clock-behind order=%d process=%s"
-	    " clock_ms=%" PRId64 " clock_before_ms=%" PRId64,
-	    r->info.id, (int)res->kind,
-	    res->started_ms > 0 ? "named" : "unnamed", res->clock_ms,
-	    r->clock_ms);
-}
-
 void
 wf_fleet_handle_result(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
 {
+	enum answer_origin origin;
 	struct wf_runner *r;
 
 	/* Handles from an earlier term as leader are not valid. */
@@ -259,20 +243,25 @@
 			l->leadership_lost = true;
 		l->fenced_at = now->mono;
 		l->fenced_by = res->runner;
-		handle_order_result(l, now, res, out);
+		handle_order_result(l, now, res, ORIGIN_CURRENT, out);
 		return;
 	}
-	log_clock_behind(r, res, out);
-	if (res->started_ms > r->info.started_ms) {
+	origin = wf_fleet_answer_origin(r, now->mono, res);
+	if (origin == ORIGIN_OTHER) {
 		wf_fleet_handle_restart(
 		    l, now, res->runner, res->started_ms, out);
+		r->named = true;
 		return;
 	}
-	if (res->clock_ms > 0 && res->status == WF_ORDER_OK) {
+	if (origin == ORIGIN_UNKNOWN)
+		wf_fleet_lose_identity(l, now, res, out);
+	r->named = r->named || res->started_ms > 0;
+	if (origin != ORIGIN_UNKNOWN && res->clock_ms > 0 &&
+	    res->status == WF_ORDER_OK) {
 		r->clock_ms = res->clock_ms;
 		r->clock_at = now->mono;
 	}
-	handle_order_result(l, now, res, out);
+	handle_order_result(l, now, res, origin, out);
 }
 
 /* How long after the end of a runner's lease its tasks are requeued. A runner
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -46,6 +46,52 @@
 void wf_fleet_requeue_tasks(struct wf_leader *l, const struct wf_now *now,
     uint32_t ri, const char *why, struct wf_effects *out);
 
+/* ---- wf_fleet_process.c ---- */
+
+/**
+ * enum answer_origin - which process of a runner has given an answer
+ * @ORIGIN_CURRENT: the one that the leader knows
+ * @ORIGIN_OTHER: another one, which the answer names: the runner has restarted
+ * @ORIGIN_UNKNOWN: the answer does not name it, and its clock is not that of the
+ *	process that the leader knows
+ *
+ * Only lists of runs name their process. A runner that restarts under its id
+ * accepts orders that were meant for its former process.
+ */
+enum answer_origin {
+	ORIGIN_CURRENT,
+	ORIGIN_OTHER,
+	ORIGIN_UNKNOWN,
+};
+
+/**
+ * wf_fleet_answer_origin() - which process of a runner has given an answer
+ *
+ * The order was sent since the current process became known.
+ */
+enum answer_origin wf_fleet_answer_origin(
+    const struct wf_runner *r, agb_time now, const struct wf_order_result *res);
+
+/**
+ * wf_fleet_lose_identity() - handle an answer of an unknown process: the runner
+ * is asked for its lists, which name the process, and gets no tasks until then
+ */
+void wf_fleet_lose_identity(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_order_result *res, struct wf_effects *out);
+
+/**
+ * wf_fleet_next_incarnation() - number of a new incarnation of a runner
+ */
+uint32_t wf_fleet_next_incarnation(struct wf_leader *l);
+
+/**
+ * wf_fleet_handle_restart() - reset the state of a runner that has restarted: it
+ * has no memory of earlier orders, and only those tasks whose starts it may have
+ * accepted
+ */
+void wf_fleet_handle_restart(struct wf_leader *l, const struct wf_now *now,
+    uint32_t ri, int64_t started_ms, struct wf_effects *out);
+
 /* ---- wf_fleet_order.c ---- */
 
 /**
@@ -55,6 +101,15 @@
     const struct wf_now *now, uint32_t ri, enum wf_order_kind kind,
     uint32_t timeout_ms);
 
+/**
+ * wf_fleet_clock_ms() - lower bound of a runner's clock
+ * @at: not before its clock was read
+ *
+ * The clock may have run slow since then, and a lease must not end later than
+ * the leader assumes.
+ */
+int64_t wf_fleet_clock_ms(const struct wf_runner *r, agb_time at);
+
 /**
  * wf_fleet_extend_lease() - note that an order sent now may extend the lease of
  * a runner by @ms on the runner's clock
@@ -172,9 +227,11 @@
 
 /**
  * wf_fleet_handle_start_result() - handle the answer to a start, or its absence
+ * @origin: which process has answered
  */
 void wf_fleet_handle_start_result(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res, struct wf_effects *out);
+    const struct wf_order_result *res, enum answer_origin origin,
+    struct wf_effects *out);
 
 /**
  * wf_fleet_handle_stop_result() - handle the answer to a stop, or its absence
@@ -212,13 +269,4 @@
 void wf_fleet_poll(
     struct wf_leader *l, const struct wf_now *now, uint32_t ri, agb_time *next);
 
-/* ---- wf_fleet_registry.c ---- */
-
-/**
- * wf_fleet_handle_restart() - reset the state of a runner that has restarted: it
- * has no tasks and no memory of earlier orders
- */
-void wf_fleet_handle_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, int64_t started_ms, struct wf_effects *out);
-
 #endif
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -165,7 +165,8 @@
 				continue;
 			}
 			wf_fleet_release_or_requeue(l, now, t,
-			    t->recovered ? "not at its runner at takeover"
+			    t->recovered ? "not at its runner after a takeover "
+					   "or restart"
 					 : "not at its runner",
 			    out);
 			again = true;
--- a/src/workflow/wf_fleet_order.c
+++ b/src/workflow/wf_fleet_order.c
@@ -11,12 +11,10 @@
 #define HOLD_WAIT_MS 1000
 #define HOLD_TIMEOUT_MS 1600
 
-/* Lower bound of a runner's clock. The clock may have run slow since it was
- * read, and a lease must not end later than the leader assumes. */
-static int64_t
-runner_clock_ms(const struct wf_runner *r, agb_time now)
+int64_t
+wf_fleet_clock_ms(const struct wf_runner *r, agb_time at)
 {
-	const agb_time since = (now - r->clock_at) / AGB_MS;
+	const agb_time since = (at - r->clock_at) / AGB_MS;
 
 	return r->clock_ms + (int64_t)(since * 1000 / LEASE_SLOW_PERMILLE);
 }
@@ -59,7 +57,7 @@
 	struct wf_order *o;
 
 	t->start_deadline_ms =
-	    runner_clock_ms(r, now->mono) + START_DEADLINE_MS;
+	    wf_fleet_clock_ms(r, now->mono) + START_DEADLINE_MS;
 	wf_fleet_extend_lease(r, now->mono, START_DEADLINE_MS);
 	o = wf_fleet_add_order(
 	    l, now, t->runner, WF_ORDER_START, START_TIMEOUT_MS);
@@ -142,6 +140,6 @@
 		return;
 	o->forget_seq = r->durable_seq;
 	o->known_seq = r->processed_seq;
-	o->deadline_ms = runner_clock_ms(r, now->mono) + RUNNER_LEASE_MS;
+	o->deadline_ms = wf_fleet_clock_ms(r, now->mono) + RUNNER_LEASE_MS;
 	wf_fleet_extend_lease(r, now->mono, RUNNER_LEASE_MS);
 }
--- a/src/workflow/wf_fleet_registry.c
+++ b/src/workflow/wf_fleet_registry.c
@@ -8,86 +8,6 @@
  * answering expires only after its heartbeats have been missing for longer. */
 #define DEPARTED_REPLY_AGE_MS 2500
 
-/* Whether the start of a task may still reach the restarted runner because the
- * start order was not answered. A stop that the earlier incarnation has
- * answered does not rule that out. */
-static bool
-may_start_after_restart(const struct wf_task *t)
-{
-	return t->state == WF_TASK_INTENT || t->state == WF_TASK_SENT;
-}
-
-/* Assigns a task whose start may still reach the restarted runner to its new
- * incarnation, until that has answered a stop or, for a start by an earlier
- * leader, an order of this one. */
-static void
-keep_task_after_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, struct wf_task *t, int64_t started_ms, struct wf_effects *out)
-{
-	t->started_ms = started_ms;
-	t->incarnation = l->runners[ri].incarnation + 1;
-	if (t->recovered)
-		return;
-	t->start_deadline_ms = 0;
-	t->start_accepted_at = 0;
-	t->next_stop_at = now->mono;
-	wf_task_stop(l, now, t->unit, t, "runner restarted", out);
-}
-
-/* Requeues the tasks that were assigned to a runner before it restarted. */
-static void
-requeue_tasks_from_before_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, int64_t started_ms, struct wf_effects *out)
-{
-	struct wf_task *t;
-	bool again;
-
-	do {
-		again = false;
-		for (t = l->runners[ri].tasks; t != NULL; t = t->next) {
-			if (t->started_ms == started_ms)
-				continue;
-			again = true;
-			if (may_start_after_restart(t))
-				keep_task_after_restart(
-				    l, now, ri, t, started_ms, out);
-			else
-				wf_fleet_release_or_requeue(
-				    l, now, t, "runner restarted", out);
-			break;
-		}
-	} while (again);
-}
-
-void
-wf_fleet_handle_restart(struct wf_leader *l, const struct wf_now *now,
-    uint32_t ri, int64_t started_ms, struct wf_effects *out)
-{
-	struct wf_runner *const r = &l->runners[ri];
-
-	if (r->info.started_ms > 0)
-		wf_effects_log(out, AGB_LOG_INFO, "runner",
-		    "runner=%s change=restarted born_ms=%" PRId64
-		    " born_before_ms=%" PRId64 " heard_ms_ago=%" PRIu64,
-		    r->info.id, started_ms, r->info.started_ms,
-		    (now->mono - r->heard_at) / AGB_MS);
-	requeue_tasks_from_before_restart(l, now, ri, started_ms, out);
-	wf_fleet_clear_orphan_runs(r);
-	r->incarnation++;
-	r->info.started_ms = started_ms;
-	r->reported = false;
-	r->poll.pending = false;
-	r->poll.next_at = now->mono;
-	r->processed_seq = 0;
-	r->durable_seq = 0;
-	r->clock_ms = 0;
-	r->fail_streak = 0;
-	r->pace_percent = 100;
-	if (r->tasks == NULL)
-		r->lease_until = now->mono;
-	l->placement_changed = true;
-}
-
 /* @deleted: its entry is gone, not only malformed */
 static void
 handle_runner_unlisted(struct wf_leader *l, const struct wf_now *now,
@@ -110,6 +30,21 @@
 	    r->has_left ? "yes" : "no");
 }
 
+/* Whether an entry shows that a runner has restarted whose process has named
+ * itself in an answer. The entry may be one of a former process: then it is only
+ * a reason to ask the runner, unless that does not answer. */
+static bool
+shows_restart(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_runner_info *info)
+{
+	const struct wf_runner *const r = &l->runners[ri];
+
+	if (r->silent)
+		return info->started_ms > r->info.started_ms;
+	wf_fleet_order_extra_hold(l, now, ri);
+	return false;
+}
+
 static void
 handle_registry_entry(struct wf_leader *l, const struct wf_now *now,
     const struct wf_runner_info *info, struct wf_effects *out)
@@ -120,11 +55,12 @@
 	const bool was_draining = r->info.draining;
 	const bool is_new = r->info.addr[0] == '\0';
 
-	/* The registry may lag behind what the runner has reported itself. */
-	if (info->started_ms < r->info.started_ms)
-		return;
-	if (info->started_ms != r->info.started_ms)
+	if (info->started_ms != r->info.started_ms) {
+		if (r->named && !shows_restart(l, now, ri, info))
+			return;
 		wf_fleet_handle_restart(l, now, ri, info->started_ms, out);
+		r->named = false;
+	}
 	r->info = *info;
 	r->listed = true;
 	if (!was_listed)
--- a/src/workflow/wf_fleet_start.c
+++ b/src/workflow/wf_fleet_start.c
@@ -43,7 +43,8 @@
 
 void
 wf_fleet_handle_start_result(struct wf_leader *l, const struct wf_now *now,
-    const struct wf_order_result *res, struct wf_effects *out)
+    const struct wf_order_result *res, enum answer_origin origin,
+    struct wf_effects *out)
 {
 	struct wf_unit *u;
 	struct wf_task *t;
@@ -54,7 +55,7 @@
 		return;
 	if (res->status == WF_ORDER_OK) {
 		wf_exec_mark_running(l, u->exec);
-		if (t->state == WF_TASK_SENT) {
+		if (t->state == WF_TASK_SENT && origin == ORIGIN_CURRENT) {
 			wf_meter_count(l->meter, WF_TALLY_CONFIRMED);
 			t->state = WF_TASK_RUNNING;
 		}
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -49,8 +49,10 @@
  * struct wf_runner - a runner
  * @used: the table entry is in use
  * @listed: the registry lists it
- * @incarnation: number of its current incarnation; also counts reuses of the
- *	table entry
+ * @incarnation: number of its current incarnation, higher than all earlier ones
+ *	of this leader; part of the fence token of its orders
+ * @named: an answer of its current process has named its start time; until then
+ *	that is known from the registry only
  * @reported: has reported its runs to this leader in this incarnation
  * @silent: the last hold was not answered
  * @missed_holds: number of holds since the last answer that were not answered
@@ -85,6 +87,7 @@
 	bool used;
 	bool listed;
 	uint32_t incarnation;
+	bool named;
 	bool reported;
 	bool silent;
 	uint32_t missed_holds;
@@ -256,6 +259,7 @@
  * @next_occurrence_ms: Unix time of the next occurrence, or an earlier time
  * @starts_deferred: intents became durable while the lease was in doubt, and
  *	their starts are not sent yet
+ * @last_incarnation: number of the latest incarnation of any runner
  * @fenced_by: runner that answered last, at @fenced_at, that it has seen a
  *	higher fence token
  * @leadership_lost: another instance leads
@@ -312,6 +316,7 @@
 	agb_time next_fleet_tick_at;
 	int64_t next_occurrence_ms;
 	bool starts_deferred;
+	uint32_t last_incarnation;
 	uint32_t fenced_by;
 	agb_time fenced_at;
 	bool leadership_lost;
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -52,8 +52,8 @@
  * @allocated: its resources are counted in @runner's allocation. A task that
  *	an earlier run has completed stays allocated in state DONE until its
  *	current run has ended
- * @recovered: started by an earlier leader; its runner has not listed it to
- *	this leader yet
+ * @recovered: started by an earlier leader, or before its runner restarted; its
+ *	runner has not listed it to this leader in this incarnation yet
  * @stopping: has to stop; the order is repeated until the end is confirmed
  * @in_flight: assigned, and its start neither answered nor given up; see struct
  *	wf_flow
--- a/tests/wfsim/check.c
+++ b/tests/wfsim/check.c
@@ -41,6 +41,9 @@
 		    wf_step_reserved(&other->spec.steps[r->runs[i].task.step]);
 		agb_resources_add(&held, &need);
 	}
+	if (!wf_runner_has_label(&r->info, step->label))
+		sim_report_violation(s, "label: %s starts %s.%u without %s",
+		    r->info.id, j->id, o->task.index, step->label);
 	if (!agb_resources_fit(&held, &r->info.capacity))
 		sim_report_violation(s,
 		    "capacity: %s starts %s.%u beyond its capacity", r->info.id,
--- a/tests/wfsim/order.c
+++ b/tests/wfsim/order.c
@@ -85,28 +85,27 @@
 	send_order_result(s, e, c, s->o.latency_ms * SIM_MS);
 }
 
+/* Carries out an order whose answer is lost, in the present process of its
+ * runner; only in the one with the start time @a, unless that is 0. */
 static void
 apply_late_order(struct sim *s, struct sim_event *e)
 {
 	struct order_call *const c = e->data;
 	struct sim_runner *const r = runner_by_id(s, c->o.runner_id);
 
-	if (r->up && !r->unreachable && (uint64_t)r->info.started_ms == e->a)
+	if (r->up && !r->unreachable &&
+	    (e->a == 0 || (uint64_t)r->info.started_ms == e->a))
 		sim_do_order(s, r, c);
 	order_call_free(c);
 }
 
-/* Carries out a start whose answer is lost, in the present incarnation of its
- * runner. */
-static void
-apply_delayed_start(struct sim *s, struct sim_event *e)
+/* The process that may carry out an order late, 0 for any. A start must not
+ * reach a later one, which nobody has spoken with yet: nothing that a leader can
+ * do would keep that from running the task again. */
+static uint64_t
+only_process(const struct sim_runner *r, const struct wf_order *o)
 {
-	struct order_call *const c = e->data;
-	struct sim_runner *const r = runner_by_id(s, c->o.runner_id);
-
-	if (r->up && !r->unreachable)
-		sim_do_order(s, r, c);
-	order_call_free(c);
+	return o->kind == WF_ORDER_START ? (uint64_t)r->info.started_ms : 0;
 }
 
 static void
@@ -137,7 +136,7 @@
 		copy->o = c->o;
 		copy->o.payload = NULL;
 		l = sim_schedule(
-		    s, r->start_delay_ms * SIM_MS, apply_delayed_start);
+		    s, r->start_delay_ms * SIM_MS, apply_late_order);
 		sim_attach(l, copy, order_call_free);
 		c->res.status = WF_ORDER_LOST;
 		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
@@ -150,7 +149,7 @@
 		l = sim_schedule(
 		    s, (2000 + sim_rnd(s, 8000)) * SIM_MS, apply_late_order);
 		sim_attach(l, copy, order_call_free);
-		l->a = (uint64_t)r->info.started_ms;
+		l->a = only_process(r, &c->o);
 		c->res.status = WF_ORDER_LOST;
 		send_order_result(s, e, c, c->o.timeout_ms * SIM_MS);
 		return;
@@ -182,8 +181,8 @@
 
 	copy->o = c->o;
 	copy->o.payload = NULL;
+	e->a = only_process(r, &c->o);
 	sim_attach(e, copy, order_call_free);
-	e->a = (uint64_t)r->info.started_ms;
 }
 
 void
--- a/tests/wfsim/random_run.c
+++ b/tests/wfsim/random_run.c
@@ -65,6 +65,21 @@
 	sim_schedule(s, (500 + sim_rnd(s, 4000)) * SIM_MS, heal_core)->a = ci;
 }
 
+/* Half of the crashes are silent, and the runner is back before its entry tells
+ * of it. Then its start time may be an earlier one. */
+static void
+crash_random_runner(struct sim *s, unsigned ri)
+{
+	const unsigned back_ms = 500 + sim_rnd(s, 5000);
+
+	if (s->now / SIM_MS / 10 % 2 == 0) {
+		sim_runner_crash(s, ri, back_ms);
+		return;
+	}
+	sim_runner_set_clock_back(s, ri, back_ms % 4 == 0 ? 60000 : 0);
+	sim_runner_crash_silently(s, ri, 300 + back_ms % 900);
+}
+
 static void
 inject_fault(struct sim *s)
 {
@@ -119,7 +134,7 @@
 		    ->a = ri;
 		break;
 	case 7:
-		sim_runner_crash(s, ri, 500 + sim_rnd(s, 5000));
+		crash_random_runner(s, ri);
 		break;
 	case 8:
 		sim_runner_drain(s, ri, 1000 + sim_rnd(s, 4000));
--- a/tests/wfsim/registry.c
+++ b/tests/wfsim/registry.c
@@ -22,7 +22,7 @@
 		if (!s->runners[ri].listed && full)
 			continue;
 		items[n].removed = !s->runners[ri].listed;
-		items[n++].info = s->runners[ri].info;
+		items[n++].info = s->runners[ri].entry;
 	}
 	ev.u.runners.full = full;
 	ev.u.runners.items = items;
@@ -75,6 +75,7 @@
 		r = &s->runners[ri];
 		seen = r->up && !r->unreachable && !r->unregistered;
 		if (seen) {
+			r->entry = r->info;
 			r->listed = true;
 			r->delist_at = 0;
 		} else if (r->delist_at == 0) {
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -7,7 +7,6 @@
 
 #define KILL_MS 300
 #define GANG_WAIT_MS 3000
-#define HOLD_MAX_MS 10000
 /* Response time of a long-running task, and what each best-effort task on the
  * same runner adds to it. */
 #define RESPONSE_ALONE_MS 20
@@ -366,11 +365,13 @@
 void
 sim_do_order(struct sim *s, struct sim_runner *r, struct order_call *c)
 {
-	if (c->o.fence < r->fence) {
+	const uint64_t token = wf_order_token(&c->o);
+
+	if (token < r->fence) {
 		c->res.status = WF_ORDER_FENCED;
 		return;
 	}
-	r->fence = c->o.fence;
+	r->fence = token;
 	switch (c->o.kind) {
 	case WF_ORDER_START:
 		c->res.status = do_start(s, r, &c->o);
@@ -486,6 +487,15 @@
 	s->runners[ri].wall_clock_back_ms = ms;
 }
 
+void
+sim_runner_set_label(struct sim *s, unsigned ri, const char *label)
+{
+	struct wf_runner_info *const info = &s->runners[ri].info;
+
+	agb_str_copy(info->labels[0], sizeof(info->labels[0]), label);
+	info->labels_len = 1;
+}
+
 static void
 stop_drained_runner(struct sim *s, struct sim_event *e)
 {
@@ -509,6 +519,7 @@
 
 	s->runners[ri].info.draining = true;
 	s->runners[ri].info.remaining_ms = leave_ms;
+	s->runners[ri].entry = s->runners[ri].info;
 	sim_send_registry_to_all(s);
 	e = sim_schedule(s, leave_ms * SIM_MS, stop_drained_runner);
 	e->a = ri;
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -33,6 +33,7 @@
 		r->info.started_ms = 1;
 		r->info.remaining_ms = -1;
 		r->clock_base_ms = CLOCK_BASE_MS;
+		r->entry = r->info;
 		r->up = true;
 		r->listed = true;
 	}
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -180,6 +180,8 @@
 void sim_runner_crash(struct sim *s, unsigned ri, unsigned back_ms);
 /* As sim_runner_crash(); its address does not answer until it is back. */
 void sim_runner_crash_silently(struct sim *s, unsigned ri, unsigned back_ms);
+/* Its entry says so from its next heartbeat on. */
+void sim_runner_set_label(struct sim *s, unsigned ri, const char *label);
 /* Its next process reads a wall clock that is behind by @ms. */
 void sim_runner_set_clock_back(struct sim *s, unsigned ri, unsigned ms);
 /* Cuts a runner off from the registry only, where it expires. */
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -18,6 +18,8 @@
 #define ADVICE_MS 10
 #define TICKET_MS 2000
 #define UNIX_BASE_MS 1700000000000LL
+/* Longest lease that a runner accepts. */
+#define HOLD_MAX_MS 10000
 /* What the clock of a runner's first process shows at the beginning. */
 #define CLOCK_BASE_MS 5000000
 /* Approximate sizes of a start without the payload of its job, of another
@@ -59,6 +61,7 @@
 
 struct sim_runner {
 	struct wf_runner_info info;
+	struct wf_runner_info entry; /* what the registry says of it */
 	bool up;
 	bool unreachable;
 	bool stalled;
