fix(workflow): a lease that a restarted runner got by an order for its former process

What callers would see: TWICE, when a runner restarts under its id and is cut off soon after.

Cause: the deadlines of orders are times on the clock of the process that the leader knows. On the clock of a new process they can be hours ahead, and then grant the longest lease that the runner accepts (10 s), not the 4 s of a hold or the 1.5 s of a start. The leader counted on the short ones.

Its length comes from the new setting runner_lease_max_ms.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -628,6 +628,7 @@
 	cfg.memory_mb = d->settings.memory_mb;
 	cfg.grace_ms = d->settings.shutdown_grace_ms;
 	cfg.status_s = d->settings.status_retention_s;
+	cfg.runner_lease_max_ms = d->settings.runner_lease_max_ms;
 	cfg.meter_ops = &meter;
 	cfg.meter_arg = d;
 	d->core = wf_core_new(&cfg);
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -79,6 +79,13 @@
 void wf_fleet_lose_identity(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out);
 
+/**
+ * wf_fleet_started_lately() - whether the process of a runner may still have a
+ * lease from an order that was meant for its former process
+ */
+bool wf_fleet_started_lately(const struct wf_leader *l,
+    const struct wf_runner *r, const struct wf_now *now);
+
 /**
  * wf_fleet_next_incarnation() - number of a new incarnation of a runner
  */
@@ -110,6 +117,12 @@
  */
 int64_t wf_fleet_clock_ms(const struct wf_runner *r, agb_time at);
 
+/**
+ * wf_fleet_lease_time() - longest time that a lease of @ms on a runner's clock
+ * lasts
+ */
+agb_time wf_fleet_lease_time(uint32_t ms);
+
 /**
  * wf_fleet_extend_lease() - note that an order sent now may extend the lease of
  * a runner by @ms on the runner's clock
--- a/src/workflow/wf_fleet_process.c
+++ b/src/workflow/wf_fleet_process.c
@@ -7,6 +7,8 @@
 #define CLOCK_AHEAD_MS 2000
 /* Two readings of a clock in whole milliseconds. */
 #define CLOCK_ROUNDING_MS 2
+/* By how much the wall clocks of two machines may differ. */
+#define WALL_CLOCK_ERROR_MS 5000
 
 /* Whether the clock of an answer is that of the process whose clock is known.
  * Each process has a clock of its own that begins anywhere. */
@@ -38,6 +40,25 @@
 	return clock_matches(r, now, res) ? ORIGIN_CURRENT : ORIGIN_UNKNOWN;
 }
 
+/* Notes that the process that answers may have been granted a lease by an order
+ * whose deadline is a time on the clock of another process. */
+static void
+note_unclear_lease(const struct wf_leader *l, struct wf_runner *r, agb_time now)
+{
+	r->unclear_lease_until =
+	    now + wf_fleet_lease_time(l->cfg->runner_lease_max_ms);
+	r->lease_until = agb_time_max(r->lease_until, r->unclear_lease_until);
+}
+
+bool
+wf_fleet_started_lately(const struct wf_leader *l, const struct wf_runner *r,
+    const struct wf_now *now)
+{
+	return r->info.started_ms > 0 &&
+	    now->unix_ms - r->info.started_ms <
+	    (int64_t)l->cfg->runner_lease_max_ms + WALL_CLOCK_ERROR_MS;
+}
+
 void
 wf_fleet_lose_identity(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out)
@@ -52,6 +73,7 @@
 	    r->info.id, (int)res->kind, res->clock_ms, r->clock_ms);
 	r->reported = false;
 	r->clock_ms = 0;
+	note_unclear_lease(l, r, now->mono);
 	wf_fleet_order_extra_hold(l, now, res->runner);
 }
 
@@ -131,6 +153,8 @@
 	    l, now, ri, incarnation, started_ms, out);
 	wf_fleet_clear_orphan_runs(r);
 	r->incarnation = incarnation;
+	if (r->info.started_ms > 0)
+		note_unclear_lease(l, r, now->mono);
 	r->info.started_ms = started_ms;
 	r->reported = false;
 	r->poll.pending = false;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -66,6 +66,8 @@
  * @heard_at: sending time of the last hold that was answered
  * @unlisted_at: when it left the registry, or was entered without being listed
  * @lease_until: its tasks stop by then unless the lease is extended
+ * @unclear_lease_until: its process may have been granted a lease until then by
+ *	orders that were meant for another one
  * @clock_ms: its clock as last reported, at @clock_at on the leader's clock
  * @processed_seq: number of the last end that was processed
  * @durable_seq: number of the last end whose effects are stored; the runner
@@ -99,6 +101,7 @@
 	agb_time heard_at;
 	agb_time unlisted_at;
 	agb_time lease_until;
+	agb_time unclear_lease_until;
 	int64_t clock_ms;
 	agb_time clock_at;
 	uint64_t processed_seq;
--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -10,6 +10,8 @@
 #define SETTINGS_BYTES_MAX ((size_t)64 * 1024)
 #define LINK_MBPS_MAX 100000
 #define MEMORY_MB_MAX 16777216
+#define RUNNER_LEASE_MAX_MS 3600000
+#define DEFAULT_RUNNER_LEASE_MAX_MS 10000
 
 static const char *const keys[] = {
     "instance",
@@ -24,6 +26,7 @@
     "fleet",
     "grace_s",
     "status_s",
+    "runner_lease_max_ms",
     "remote_factor",
     "cpu_share",
     "link_mbps",
@@ -56,6 +59,8 @@
 	    .min = 1024, .max = BODY_MAX_LIMIT_BYTES, .unit = "bytes"};
 	static const struct agb_jsonc_range memory_range = {
 	    .min = 0, .max = MEMORY_MB_MAX, .unit = "MiB"};
+	static const struct agb_jsonc_range lease_range = {
+	    .min = 1, .max = RUNNER_LEASE_MAX_MS, .unit = "ms"};
 	double grace_s = 10, status_s = 120;
 	size_t level = AGB_LOG_INFO;
 
@@ -75,6 +80,8 @@
 	parse_addr(root, "fleet", false, out->machines_addr);
 	agb_jsonc_get_double(root, "grace_s", false, 1, 3600, &grace_s);
 	agb_jsonc_get_double(root, "status_s", false, 1, 86400, &status_s);
+	agb_jsonc_get_u32(root, "runner_lease_max_ms", false, &lease_range,
+	    &out->runner_lease_max_ms);
 	agb_jsonc_get_double(
 	    root, "remote_factor", false, 1, 100, &out->remote_run_factor);
 	agb_jsonc_get_double(
@@ -104,6 +111,7 @@
 	memset(out, 0, sizeof(*out));
 	out->remote_run_factor = 1;
 	out->cpu_share = 1;
+	out->runner_lease_max_ms = DEFAULT_RUNNER_LEASE_MAX_MS;
 	out->body_max_bytes = 1024 * 1024;
 	doc = agb_jsonc_parse(text, len, SETTINGS_BYTES_MAX, findings);
 	if (doc == NULL)
--- a/src/workflow/wf_settings.h
+++ b/src/workflow/wf_settings.h
@@ -25,6 +25,7 @@
  * @machines_addr: address of the service that lists the machines, or ""
  * @shutdown_grace_ms: maximum time from SIGTERM to process exit
  * @status_retention_s: how long the state of a finished job can be queried
+ * @runner_lease_max_ms: longest lease that a runner accepts
  * @remote_run_factor: factor by which run time grows away from the input data
  * @cpu_share: CPU share available to the instance, in cores
  * @link_mbps: bandwidth of the machine's network link; 0 when unknown
@@ -44,6 +45,7 @@
 	agb_addr machines_addr;
 	uint32_t shutdown_grace_ms;
 	uint32_t status_retention_s;
+	uint32_t runner_lease_max_ms;
 	double remote_run_factor;
 	double cpu_share;
 	double link_mbps;
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -44,6 +44,7 @@
  * @memory_mb: memory that its process may use; 0 when unknown
  * @grace_ms: maximum time from SIGTERM to process exit
  * @status_s: how long the state of a finished job can be queried
+ * @runner_lease_max_ms: longest lease that a runner accepts
  * @meter_ops: what measurements read; NULL measures no times
  * @meter_arg: argument of @meter_ops
  */
@@ -58,6 +59,7 @@
 	uint32_t memory_mb;
 	uint32_t grace_ms;
 	uint32_t status_s;
+	uint32_t runner_lease_max_ms;
 	const struct wf_meter_ops *meter_ops;
 	void *meter_arg;
 };
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -216,6 +216,7 @@
 	cfg.memory_mb = s->o.memory_mb;
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
+	cfg.runner_lease_max_ms = HOLD_MAX_MS;
 	cfg.meter_ops = &sim_meter_ops;
 	cfg.meter_arg = c;
 	wf_core_free(c->core);
