--- a/src/workflow/wf_fleet_process.c
+++ b/src/workflow/wf_fleet_process.c
@@ -156,6 +156,7 @@
 	if (r->info.started_ms > 0)
 		note_unclear_lease(l, r, now->mono);
 	r->info.started_ms = started_ms;
+	r->described = false;
 	r->reported = false;
 	r->poll.pending = false;
 	r->poll.next_at = now->mono;
--- a/src/workflow/wf_fleet_registry.c
+++ b/src/workflow/wf_fleet_registry.c
@@ -62,6 +62,7 @@
 		r->named = false;
 	}
 	r->info = *info;
+	r->described = true;
 	r->listed = true;
 	if (!was_listed)
 		r->poll.next_at = now->mono;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -53,6 +53,7 @@
  *	of this leader; part of the fence token of its orders
  * @named: an answer of its current process has named its start time; until then
  *	that is known from the registry only
+ * @described: its registry entry is that of its current process
  * @reported: has reported its runs to this leader in this incarnation
  * @silent: the last hold was not answered
  * @missed_holds: number of holds since the last answer that were not answered
@@ -90,6 +91,7 @@
 	bool listed;
 	uint32_t incarnation;
 	bool named;
+	bool described;
 	bool reported;
 	bool silent;
 	uint32_t missed_holds;
--- a/tests/test_wf_restart.c
+++ b/tests/test_wf_restart.c
@@ -223,12 +223,50 @@
 	run_scenarios(list, sizeof(list) / sizeof(list[0]));
 }
 
+/* Guards against placing tasks by the labels of the former process: a runner that
+ * starts again as another kind got tasks that need the former one, until its
+ * entry was written. */
+static void
+starts_again_as_another_kind(void)
+{
+	const struct sim_options o = {
+	    .seed = 1, .cores = 3, .runners = RUNNERS, .cpu_milli = 4000};
+	struct sim *const s = sim_new(&o);
+	struct wf_spec *spec;
+	unsigned ri;
+
+	for (ri = 0; ri < RUNNERS; ri++)
+		sim_runner_set_label(s, ri, "first");
+	sim_run(s, 3000);
+	for (ri = 1; ri < RUNNERS; ri++) {
+		sim_runner_crash(s, ri, 300);
+		sim_runner_set_label(s, ri, "second");
+		sim_runner_cut_registry(s, ri, true);
+	}
+	/* The leader has spoken with the new processes by then. */
+	sim_run(s, 2500);
+	spec = sim_new_spec(12, 1000, 300);
+	agb_str_copy(
+	    spec->steps[0].label, sizeof(spec->steps[0].label), "first");
+	sim_submit(s, 0, JOB, spec);
+	sim_run(s, 1000);
+	for (ri = 1; ri < RUNNERS; ri++)
+		sim_runner_cut_registry(s, ri, false);
+	sim_run(s, 5000);
+	if (sim_violation_count(s) > 0)
+		printf("\n%s\n", sim_first_violation(s));
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+	sim_free(s);
+}
+
 static const struct suite_test tests[] = {
     {"start is accepted by the new process", start_accepted_by_new_process},
     {"leader is killed after the restart", leader_killed_after_restart},
     {"runner is cut off after the restart", cut_off_after_restart},
     {"start time goes back", start_time_goes_back},
     {"runner restarts twice", restarts_twice},
+    {"runner starts again as another kind", starts_again_as_another_kind},
 };
 
 int
