--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -12,6 +12,8 @@
 		return;
 	free(doc->queues);
 	free(doc->services);
+	free(doc->accounts);
+	free(doc->account_keys);
 	wf_doc_free_index(doc);
 	free(doc);
 }
@@ -226,3 +228,27 @@
 	}
 	return NULL;
 }
+
+const struct wf_account *
+wf_doc_account(const struct wf_doc *doc, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < doc->accounts_len; i++) {
+		if (strcmp(doc->accounts[i].name, name) == 0)
+			return &doc->accounts[i];
+	}
+	return NULL;
+}
+
+const struct wf_account *
+wf_doc_account_by_key(const struct wf_doc *doc, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < doc->account_keys_len; i++) {
+		if (strcmp(doc->account_keys[i].key, key) == 0)
+			return &doc->accounts[doc->account_keys[i].account];
+	}
+	return NULL;
+}
--- a/src/workflow/wf_doc.h
+++ b/src/workflow/wf_doc.h
@@ -23,6 +23,7 @@
  * @advice_base_ms: expected duration of a call to the advice service
  * @advice_per_runner_ms: added to @advice_base_ms for each runner in the call
  * @ticket_valid_ms: lifetime of an approval ticket
+ * @is_public: its callers need no key of a client account
  */
 struct wf_queue {
 	agb_id name;
@@ -38,6 +39,31 @@
 	double advice_base_ms;
 	double advice_per_runner_ms;
 	uint32_t ticket_valid_ms;
+	bool is_public;
+};
+
+/* Longest key of a client account. */
+#define WF_ACCOUNT_KEY_MAX 127
+
+/**
+ * struct wf_account - client account
+ * @weight: its share of the resources relative to that of the other accounts
+ * @limit: resources that its tasks may use at the same time; 0 in a field for no
+ *	limit
+ */
+struct wf_account {
+	agb_id name;
+	uint32_t weight;
+	struct agb_resources limit;
+};
+
+/**
+ * struct wf_account_key - key of a client account
+ * @account: index of the account in the document
+ */
+struct wf_account_key {
+	char key[WF_ACCOUNT_KEY_MAX + 1];
+	uint32_t account;
 };
 
 /**
@@ -62,6 +88,8 @@
 
 /**
  * struct wf_doc - configuration document in force
+ * @accounts: client accounts; calls need no key when there are none
+ * @account_keys: their keys
  * @names: queues sorted by name; of those with one name the first
  * @routes: sorted by host in any case, then by prefix; of queues with the same
  *	host and prefix the first
@@ -74,6 +102,10 @@
 	size_t queues_len;
 	struct wf_service *services;
 	size_t services_len;
+	struct wf_account *accounts;
+	size_t accounts_len;
+	struct wf_account_key *account_keys;
+	size_t account_keys_len;
 	size_t body_max;
 	const struct wf_queue **names;
 	size_t names_len;
@@ -124,4 +156,19 @@
 const struct wf_service *wf_doc_service(
     const struct wf_doc *doc, const char *name);
 
+/**
+ * wf_doc_account() - find a client account by name
+ * Return: NULL when the document has no such account.
+ */
+const struct wf_account *wf_doc_account(
+    const struct wf_doc *doc, const char *name);
+
+/**
+ * wf_doc_account_by_key() - find the client account that a key belongs to, the
+ * first of the document with it
+ * Return: NULL when no account has the key.
+ */
+const struct wf_account *wf_doc_account_by_key(
+    const struct wf_doc *doc, const char *key);
+
 #endif
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -103,6 +103,7 @@
 
 /**
  * struct wf_spec - job as submitted by a client
+ * @account: client account that it belongs to; "" for none
  * @submitted_ms: Unix time at which it was accepted
  * @start_at_ms: Unix time of the first occurrence; 0 to start immediately
  * @period_ms: time between two occurrences
@@ -112,6 +113,7 @@
  */
 struct wf_spec {
 	agb_id queue;
+	agb_id account;
 	int64_t submitted_ms;
 	int64_t start_at_ms;
 	uint32_t period_ms;
