fix(workflow): a registry entry alone does not show that a runner has restarted

An entry is now a reason to ask the runner. A task keeps the start time that its start was meant for, which shows that the lease may be the longest.

--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -507,7 +507,7 @@
 	t->run = run;
 	t->runner = runner;
 	t->incarnation = l->runners[runner].incarnation;
-	t->started_ms = l->runners[runner].info.started_ms;
+	t->started_ms = l->runners[runner].started_ms;
 	t->recovered = false;
 	t->start_unanswered = false;
 	t->listed = false;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -20,8 +20,8 @@
 bool
 wf_fleet_usable(const struct wf_runner *r, agb_time now)
 {
-	return r->used && r->listed && r->described && r->reported &&
-	    !r->info.draining && now >= r->excluded_until;
+	return r->used && r->listed && r->reported && !r->info.draining &&
+	    r->info.started_ms == r->started_ms && now >= r->excluded_until;
 }
 
 struct agb_resources
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -72,6 +72,17 @@
 enum answer_origin wf_fleet_answer_origin(
     const struct wf_runner *r, agb_time now, const struct wf_order_result *res);
 
+/**
+ * wf_fleet_first_lease_ms() - lease that the process of a runner has at most when
+ * it has listed its runs for the first time
+ *
+ * The deadlines of orders are times on the clock of the process that they are
+ * meant for. On the clock of a later process they can grant the longest lease,
+ * also when a former leader has sent them.
+ */
+uint32_t wf_fleet_first_lease_ms(const struct wf_leader *l,
+    const struct wf_runner *r, const struct wf_now *now);
+
 /**
  * wf_fleet_lose_identity() - handle an answer of an unknown process: the runner
  * is asked for its lists, which name the process, and gets no tasks until then
@@ -79,13 +90,6 @@
 void wf_fleet_lose_identity(struct wf_leader *l, const struct wf_now *now,
     const struct wf_order_result *res, struct wf_effects *out);
 
-/**
- * wf_fleet_started_lately() - whether the process of a runner may still have a
- * lease from an order that was meant for its former process
- */
-bool wf_fleet_started_lately(const struct wf_leader *l,
-    const struct wf_runner *r, const struct wf_now *now);
-
 /**
  * wf_fleet_next_incarnation() - number of a new incarnation of a runner
  */
@@ -117,12 +121,6 @@
  */
 int64_t wf_fleet_clock_ms(const struct wf_runner *r, agb_time at);
 
-/**
- * wf_fleet_lease_time() - longest time that a lease of @ms on a runner's clock
- * lasts
- */
-agb_time wf_fleet_lease_time(uint32_t ms);
-
 /**
  * wf_fleet_extend_lease() - note that an order sent now may extend the lease of
  * a runner by @ms on the runner's clock
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -206,14 +206,10 @@
 	wf_fleet_remove_unlisted_orphan_runs(r);
 	if (!r->reported) {
 		r->reported = true;
-		r->lease_until =
-		    agb_time_max(now->mono, r->unclear_lease_until);
-		/* An earlier leader may have granted a lease by the clock of
-		 * the former process. */
-		wf_fleet_extend_lease(r, now->mono,
-		    wf_fleet_started_lately(l, r, now)
-			? l->cfg->runner_lease_max_ms
-			: RUNNER_LEASE_MS);
+		r->lease_until = now->mono;
+		wf_fleet_extend_lease(
+		    r, now->mono, wf_fleet_first_lease_ms(l, r, now));
+		r->lease_unclear = false;
 		l->placement_changed = true;
 	}
 }
--- a/src/workflow/wf_fleet_order.c
+++ b/src/workflow/wf_fleet_order.c
@@ -37,16 +37,11 @@
 	return o;
 }
 
-agb_time
-wf_fleet_lease_time(uint32_t ms)
-{
-	return (agb_time)ms * LEASE_SLOW_PERMILLE + LEASE_MARGIN_MS * AGB_MS;
-}
-
 void
 wf_fleet_extend_lease(struct wf_runner *r, agb_time now, uint32_t ms)
 {
-	const agb_time until = now + wf_fleet_lease_time(ms);
+	const agb_time until =
+	    now + (agb_time)ms * LEASE_SLOW_PERMILLE + LEASE_MARGIN_MS * AGB_MS;
 
 	if (until > r->lease_until)
 		r->lease_until = until;
--- a/src/workflow/wf_fleet_registry.c
+++ b/src/workflow/wf_fleet_registry.c
@@ -30,19 +30,17 @@
 	    r->has_left ? "yes" : "no");
 }
 
-/* Whether an entry shows that a runner has restarted whose process has named
- * itself in an answer. The entry may be one of a former process: then it is only
- * a reason to ask the runner, unless that does not answer. */
-static bool
-shows_restart(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
-    const struct wf_runner_info *info)
+/* Handles an entry with another start time than that of the runner's process as
+ * known. Once a process has named itself, the entry may be one of a former
+ * process as well as of a later one: the runner is asked. */
+static void
+handle_other_process(struct wf_leader *l, const struct wf_now *now, uint32_t ri,
+    const struct wf_runner_info *info, struct wf_effects *out)
 {
-	const struct wf_runner *const r = &l->runners[ri];
-
-	if (r->silent)
-		return info->started_ms > r->info.started_ms;
-	wf_fleet_order_extra_hold(l, now, ri);
-	return false;
+	if (l->runners[ri].named)
+		wf_fleet_order_extra_hold(l, now, ri);
+	else
+		wf_fleet_handle_restart(l, now, ri, info->started_ms, out);
 }
 
 static void
@@ -55,14 +53,11 @@
 	const bool was_draining = r->info.draining;
 	const bool is_new = r->info.addr[0] == '\0';
 
-	if (info->started_ms != r->info.started_ms) {
-		if (r->named && !shows_restart(l, now, ri, info))
-			return;
-		wf_fleet_handle_restart(l, now, ri, info->started_ms, out);
-		r->named = false;
-	}
+	if (strcmp(info->addr, r->info.addr) != 0)
+		r->route.announced = false;
 	r->info = *info;
-	r->described = true;
+	if (info->started_ms != r->started_ms)
+		handle_other_process(l, now, ri, info, out);
 	r->listed = true;
 	if (!was_listed)
 		r->poll.next_at = now->mono;
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -51,9 +51,10 @@
  * @listed: the registry lists it
  * @incarnation: number of its current incarnation, higher than all earlier ones
  *	of this leader; part of the fence token of its orders
- * @named: an answer of its current process has named its start time; until then
- *	that is known from the registry only
- * @described: its registry entry is that of its current process
+ * @started_ms: start time of its current process, which that in @info differs
+ *	from while its registry entry is the one of another process
+ * @named: an answer has named @started_ms; until then it is known from the
+ *	registry only
  * @reported: has reported its runs to this leader in this incarnation
  * @silent: the last hold was not answered
  * @missed_holds: number of holds since the last answer that were not answered
@@ -67,8 +68,8 @@
  * @heard_at: sending time of the last hold that was answered
  * @unlisted_at: when it left the registry, or was entered without being listed
  * @lease_until: its tasks stop by then unless the lease is extended
- * @unclear_lease_until: its process may have been granted a lease until then by
- *	orders that were meant for another one
+ * @lease_unclear: orders that were meant for a former process may have reached
+ *	the current one, which has not listed its runs since
  * @clock_ms: its clock as last reported, at @clock_at on the leader's clock
  * @processed_seq: number of the last end that was processed
  * @durable_seq: number of the last end whose effects are stored; the runner
@@ -90,8 +91,8 @@
 	bool used;
 	bool listed;
 	uint32_t incarnation;
+	int64_t started_ms;
 	bool named;
-	bool described;
 	bool reported;
 	bool silent;
 	uint32_t missed_holds;
@@ -103,7 +104,7 @@
 	agb_time heard_at;
 	agb_time unlisted_at;
 	agb_time lease_until;
-	agb_time unclear_lease_until;
+	bool lease_unclear;
 	int64_t clock_ms;
 	agb_time clock_at;
 	uint64_t processed_seq;
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -48,7 +48,8 @@
  * @failures: failed runs, whether the task or its runner was at fault
  * @runner: index of the runner it is assigned to, or WF_NO_HANDLE
  * @incarnation: number of the incarnation of @runner that it is assigned to
- * @started_ms: start time of that incarnation, as the runner reports it
+ * @started_ms: start time of the process that its start was meant for; a later
+ *	one may have got it
  * @allocated: its resources are counted in @runner's allocation. A task that
  *	an earlier run has completed stays allocated in state DONE until its
  *	current run has ended
--- a/tests/test_wf_restart.c
+++ b/tests/test_wf_restart.c
@@ -13,6 +13,7 @@
 #include "wfsim.h"
 
 #define JOB "00000000000000aa"
+#define EARLIER_JOB "00000000000000bb"
 #define RUNNERS 4
 #define RUN_MS 3000
 /* Longer than the lease of a hold, and the time that a listed runner is waited
@@ -108,8 +109,12 @@
 	unsigned crashed_at;
 
 	spec->steps[0].gang = sc->gang;
+	sim_run(s, 1000);
+	/* The former processes have ends that are acknowledged. */
+	sim_submit(s, 0, EARLIER_JOB, sim_new_spec(12, 1000, 300));
 	/* The crashes differ in the holds and entries that are under way. */
-	sim_run(s, 3000 + submit_ms * CRASH_STEP % HOLD_MS);
+	sim_run(s, 2000 + submit_ms * CRASH_STEP % HOLD_MS);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, EARLIER_JOB), "completed");
 	CU_ASSERT(sim_leader(s) >= 0);
 	crashed_at = sim_now_ms(s);
 	crash_runners(s, sc);
@@ -186,6 +191,12 @@
 		.cut_off_ms = 2300,
 		.cut_off_for_ms = 15000,
 		.run_ms = LONG_RUN_MS},
+	    {.name = "cut off, leader killed, earlier start time",
+		.leader_killed_ms = 1700,
+		.cut_off_ms = 2300,
+		.cut_off_for_ms = 15000,
+		.clock_back_ms = 60000,
+		.run_ms = LONG_RUN_MS},
 	};
 
 	run_scenarios(list, sizeof(list) / sizeof(list[0]));
@@ -260,6 +271,116 @@
 	sim_free(s);
 }
 
+/* Guards against taking an entry of the former process for one of a later process:
+ * the new one, whose start time is earlier, cannot write its entry, and is cut off
+ * from the leader while the former entry is delivered again. Its tasks were
+ * started elsewhere at once. */
+static void
+entry_of_former_process(void)
+{
+	const struct sim_options o = {
+	    .seed = 1, .cores = 3, .runners = RUNNERS, .cpu_milli = 4000};
+	struct sim *s;
+	unsigned ri, ms, crashed_at;
+
+	for (ms = SUBMIT_FROM_MS; ms <= SUBMIT_UPTO_MS; ms += SUBMIT_STEP_MS) {
+		s = sim_new(&o);
+		sim_run(s, 3000 + ms * CRASH_STEP % HOLD_MS);
+		crashed_at = sim_now_ms(s);
+		for (ri = 0; ri < RUNNERS; ri++) {
+			sim_runner_set_clock_back(s, ri, 60000);
+			sim_runner_cut_registry(s, ri, ri > 0);
+			sim_runner_crash_silently(s, ri, AWAY_MS);
+		}
+		at_time(s, crashed_at, ms);
+		sim_submit(s, (unsigned)(sim_leader(s) + 1) % 3, JOB,
+		    sim_new_spec(6, 1000, LONG_RUN_MS));
+		at_time(s, crashed_at, 1500);
+		cut_off_runners(s, true);
+		at_time(s, crashed_at, 12000);
+		cut_off_runners(s, false);
+		for (ri = 1; ri < RUNNERS; ri++)
+			sim_runner_cut_registry(s, ri, false);
+		at_time(s, crashed_at, 60000);
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		sim_free(s);
+	}
+}
+
+/* Guards against a runner that stays unusable as its entry is taken for one of a
+ * former process: it comes back at another address, or after it has drained, with
+ * an earlier start time. */
+static void
+comes_back_elsewhere(void)
+{
+	static const struct {
+		bool drains, moves;
+		unsigned clock_back_ms;
+	} cases[] = {
+	    {false, true, 0},
+	    {false, true, 60000},
+	    {true, false, 60000},
+	    {true, true, 60000},
+	};
+	const struct sim_options o = {
+	    .seed = 1, .cores = 3, .runners = 1, .cpu_milli = 4000};
+	struct sim *s;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		s = sim_new(&o);
+		sim_run(s, 3000);
+		sim_runner_set_clock_back(s, 0, cases[i].clock_back_ms);
+		if (cases[i].drains)
+			sim_runner_drain(s, 0, 1000);
+		else
+			sim_runner_crash_silently(s, 0, AWAY_MS);
+		if (cases[i].moves)
+			sim_runner_set_addr(s, 0, "10.9.0.1:1");
+		/* A drained runner is back 3 s after it has left. */
+		sim_run(s, 4500);
+		sim_submit(s, 0, JOB, sim_new_spec(2, 1000, 300));
+		/* Target: as soon as at a runner that has not moved. */
+		sim_run(s, 2000);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
+/* Guards against a gang some of whose members start and wait in vain: a runner
+ * restarts while the intents are written, and only its own members returned to
+ * the queue. */
+static void
+restarts_before_the_starts(void)
+{
+	const struct sim_options o = {
+	    .seed = 1, .cores = 3, .runners = RUNNERS, .cpu_milli = 2000};
+	struct wf_spec *spec;
+	struct sim *s;
+	unsigned ms, ci;
+
+	for (ms = 2; ms <= 80; ms += 2) {
+		s = sim_new(&o);
+		spec = sim_new_spec(8, 1000, 300);
+		spec->steps[0].gang = true;
+		sim_run(s, 3000);
+		ci = (unsigned)sim_leader(s);
+		sim_submit(s, (ci + 1) % 3, JOB, spec);
+		sim_run(s, ms);
+		sim_set_core_store_mode(s, ci, SIM_STORE_REFUSES);
+		sim_runner_crash(s, 1, 60);
+		sim_run(s, 700);
+		sim_set_core_store_mode(s, ci, SIM_STORE_UP);
+		sim_run(s, 10000);
+		CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+		CU_ASSERT_EQUAL(sim_gang_timeouts(s), 0);
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"start is accepted by the new process", start_accepted_by_new_process},
     {"leader is killed after the restart", leader_killed_after_restart},
@@ -267,6 +388,9 @@
     {"start time goes back", start_time_goes_back},
     {"runner restarts twice", restarts_twice},
     {"runner starts again as another kind", starts_again_as_another_kind},
+    {"entry of the former process", entry_of_former_process},
+    {"runner comes back elsewhere", comes_back_elsewhere},
+    {"runner restarts before the starts", restarts_before_the_starts},
 };
 
 int
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -88,6 +88,12 @@
 	return j != NULL ? (unsigned)(j->started_at / SIM_MS) : 0;
 }
 
+unsigned
+sim_gang_timeouts(const struct sim *s)
+{
+	return s->gang_timeouts;
+}
+
 unsigned
 sim_running_count(const struct sim *s, const char *id)
 {
--- a/tests/wfsim/order.c
+++ b/tests/wfsim/order.c
@@ -117,6 +117,7 @@
 	struct sim_event *l;
 
 	if (r == NULL || !r->up || r->unreachable ||
+	    strcmp(c->o.addr, r->info.addr) != 0 ||
 	    s->cores[e->core].runners_unreachable) {
 		c->res.status = r != NULL && !r->up && !r->unreachable
 		    ? WF_ORDER_UNSENT
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -33,6 +33,7 @@
 	f->task = run->task;
 	f->run = run->run;
 	f->end = how;
+	s->gang_timeouts += how == WF_END_GANG_TIMEOUT;
 	r->barred =
 	    agb_xreallocarray(r->barred, r->barred_len + 1, sizeof(*r->barred));
 	r->barred[r->barred_len++] = *f;
@@ -487,6 +488,14 @@
 	s->runners[ri].wall_clock_back_ms = ms;
 }
 
+void
+sim_runner_set_addr(struct sim *s, unsigned ri, const char *addr)
+{
+	struct wf_runner_info *const info = &s->runners[ri].info;
+
+	agb_str_copy(info->addr, sizeof(info->addr), addr);
+}
+
 void
 sim_runner_set_label(struct sim *s, unsigned ri, const char *label)
 {
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -30,7 +30,7 @@
 		    r->info.domain, sizeof(agb_id), sim_domain_of(s, i));
 		r->info.capacity.cpu_milli = o->cpu_milli;
 		r->info.capacity.mem_mb = 65536;
-		r->info.started_ms = 1;
+		r->info.started_ms = UNIX_BASE_MS - RUNNER_AGE_MS;
 		r->info.remaining_ms = -1;
 		r->clock_base_ms = CLOCK_BASE_MS;
 		r->entry = r->info;
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -181,6 +181,7 @@
 /* As sim_runner_crash(); its address does not answer until it is back. */
 void sim_runner_crash_silently(struct sim *s, unsigned ri, unsigned back_ms);
 /* Its entry says so from its next heartbeat on. */
+void sim_runner_set_addr(struct sim *s, unsigned ri, const char *addr);
 void sim_runner_set_label(struct sim *s, unsigned ri, const char *label);
 /* Its next process reads a wall clock that is behind by @ms. */
 void sim_runner_set_clock_back(struct sim *s, unsigned ri, unsigned ms);
@@ -213,6 +214,8 @@
 /* Order batches, writes and other messages that instances have sent. */
 uint64_t sim_bytes_sent(const struct sim *s, unsigned ci);
 unsigned sim_started_at_ms(const struct sim *s, const char *id);
+/* Runs that ended as the other members of their gang did not start in time. */
+unsigned sim_gang_timeouts(const struct sim *s);
 unsigned sim_running_count(const struct sim *s, const char *id);
 /* Index of a runner that runs a task of the job, or UINT32_MAX. */
 unsigned sim_runner_of(const struct sim *s, const char *id);
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -20,6 +20,8 @@
 #define UNIX_BASE_MS 1700000000000LL
 /* Longest lease that a runner accepts. */
 #define HOLD_MAX_MS 10000
+/* Age of the runners at the beginning. */
+#define RUNNER_AGE_MS 30000
 /* What the clock of a runner's first process shows at the beginning. */
 #define CLOCK_BASE_MS 5000000
 /* Approximate sizes of a start without the payload of its job, of another
@@ -179,6 +181,7 @@
 	size_t leases_len;
 	int64_t next_lease;
 	enum sim_store_mode store;
+	unsigned gang_timeouts;
 	unsigned store_calls;
 	unsigned full_reads;
 	unsigned relayed_writes;
