feat(workflow): the leader keeps limits and shares of client accounts

The leader did not know accounts: the limit of an account was exceeded, and one that sends several times its usual load delayed all others.

Each run that may be at a runner now counts for the account of its job, from the decision to start it until it is released there; orphan runs count, too. A pass passes over what the limit of its account excludes: it asks for no advice and gets no reservation. While room is short, units whose account has its share are placed after the others. Without accounts in the document nothing changes. Log line event=account, counter agatebeam_account_holds_total.

Stored submissions do not name the account yet.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -52,7 +52,7 @@
 	if (u->active > 0 && u->repair_deadline > 0 &&
 	    p->now->mono >= u->repair_deadline)
 		wf_gang_stop(p->l, p->now, u, p->out);
-	if (gang_blocked(u, p->now->mono))
+	if (gang_blocked(u, p->now->mono) || dispatch_account_room(p, u) == 0)
 		return;
 	len = dispatch_collect_candidates(p, u, q, &stale_len);
 	if (step->rack_local)
@@ -67,6 +67,7 @@
 		return;
 	}
 	p->kept_out += room + p->fit_reserved >= u->waiting;
+	dispatch_note_lack_of_room(p, u, q);
 	may_request = dispatch_may_request_advice(p, u, q);
 	if (!may_request && !dispatch_gets_tickets(p, u, q))
 		return;
@@ -105,6 +106,8 @@
 {
 	size_t len, stale_len;
 
+	if (dispatch_account_room(p, u) == 0)
+		return;
 	len = dispatch_collect_candidates(p, u, q, &stale_len);
 	if (wf_unit_step(u)->rack_local)
 		len = dispatch_confine_to_one_rack(
@@ -114,8 +117,9 @@
 		dispatch_place_tasks(p, u, p->candidates, len);
 	else
 		p->kept_out += p->fit_reserved > 0;
-	if (u->waiting == 0)
+	if (u->waiting == 0 || dispatch_account_room(p, u) == 0)
 		return;
+	dispatch_note_lack_of_room(p, u, q);
 	if (dispatch_may_request_advice(p, u, q))
 		dispatch_request_advice(p, u, q, stale_len, p->now->mono);
 	dispatch_claim_with_tickets(p, u, q);
@@ -212,6 +216,7 @@
 	for (i = 0; i < l->runners_len; i++)
 		l->runners[i].reserved = p.reservations[i].start_at > 0;
 	record_room(&p);
+	dispatch_end_accounts(&p, list, len);
 	free(p.run_ends);
 	free(p.ends);
 	free(p.reservations);
--- a/src/workflow/wf_dispatch_advice.c
+++ b/src/workflow/wf_dispatch_advice.c
@@ -183,13 +183,14 @@
 dispatch_claim_with_tickets(
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q)
 {
+	uint32_t tasks;
+
 	if (!q->advice_required || !dispatch_gets_tickets(p, u, q))
 		return;
-	p->tasks_with_advice += u->waiting;
+	tasks = dispatch_account_room(p, u);
+	p->tasks_with_advice += tasks;
 	if (q->advice_base_ms <= ADVICE_FAST_MS)
-		p->claimed_cpu_milli +=
-		    u->waiting * wf_unit_step(u)->need.cpu_milli;
+		p->claimed_cpu_milli += tasks * wf_unit_step(u)->need.cpu_milli;
 	else
-		p->awaited_cpu_milli +=
-		    u->waiting * wf_unit_step(u)->need.cpu_milli;
+		p->awaited_cpu_milli += tasks * wf_unit_step(u)->need.cpu_milli;
 }
--- a/src/workflow/wf_dispatch_candidates.c
+++ b/src/workflow/wf_dispatch_candidates.c
@@ -261,6 +261,7 @@
 	const struct wf_step *const step = wf_unit_step(u);
 	/* Gang members that are assigned again join the run of the others. */
 	const uint32_t gang_run = u->active > 0 ? u->run : u->run + 1;
+	uint32_t left = dispatch_account_room(p, u);
 	struct wf_task *t;
 	struct candidate *c;
 	uint32_t i;
@@ -271,9 +272,12 @@
 		/* A gang starts as a whole, even beyond the limit. */
 		if (!step->gang && wf_flow_room(&p->l->flow) == 0)
 			break;
+		if (left == 0)
+			break;
 		c = pick_candidate(list, len, wf_unit_find_task(u, i));
 		if (c == NULL)
 			break;
+		left--;
 		c->fit--;
 		t = wf_unit_task(u, i);
 		wf_task_assign(p->l, p->now, u, t, c->runner,
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -10,13 +10,15 @@
 
 #include "wf_leader.h"
 
-/* A queued unit with the keys by which the queue is sorted. */
+/* A queued unit with the keys by which the queue is sorted. @over_share: its
+ * account has its share of the resources without it. */
 struct queued_unit {
 	struct wf_unit *unit;
 	const struct wf_queue *queue;
 	int urgency;
 	uint32_t priority;
 	agb_time due_at;
+	bool over_share;
 };
 
 /**
@@ -86,6 +88,7 @@
  * @fit_reserved: tasks of the unit being placed for which only reserved room was
  *	found
  * @kept_out: see struct wf_pass_room
+ * @lacks_room: a unit that was ready waits for room
  */
 struct dispatch_pass {
 	struct wf_leader *l;
@@ -110,6 +113,7 @@
 	int64_t free_cpu;
 	uint64_t fit_reserved;
 	uint32_t kept_out;
+	bool lacks_room;
 	struct wf_effects *out;
 };
 
@@ -145,6 +149,36 @@
 size_t dispatch_sort_queue(
     struct wf_leader *l, agb_time now, struct queued_unit **list);
 
+/* ---- wf_dispatch_account.c ---- */
+
+/**
+ * dispatch_sort_by_share() - move units whose account is over its share behind
+ * the others, if room is short
+ */
+void dispatch_sort_by_share(
+    struct wf_leader *l, agb_time now, struct queued_unit *list, size_t len);
+
+/**
+ * dispatch_account_room() - number of waiting tasks of a unit that the limit of
+ * its account lets start now; of a gang all or none
+ */
+uint32_t dispatch_account_room(
+    const struct dispatch_pass *p, const struct wf_unit *u);
+
+/**
+ * dispatch_note_lack_of_room() - note that a unit waits for room, unless it
+ * waits for advice
+ */
+void dispatch_note_lack_of_room(
+    struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q);
+
+/**
+ * dispatch_end_accounts() - keep what the pass has found out about accounts, and
+ * write the log lines about those that are held back
+ */
+void dispatch_end_accounts(
+    const struct dispatch_pass *p, const struct queued_unit *list, size_t len);
+
 /* ---- wf_dispatch_candidates.c ---- */
 
 /**
--- a/src/workflow/wf_dispatch_queue.c
+++ b/src/workflow/wf_dispatch_queue.c
@@ -66,5 +66,6 @@
 	}
 	if (n > 1)
 		qsort(*list, n, sizeof(**list), compare_queued_units);
+	dispatch_sort_by_share(l, now, *list, n);
 	return n;
 }
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -177,6 +177,7 @@
 	u->exec->allocated++;
 	DL_APPEND(r->tasks, t);
 	wf_runner_account_task(r, wf_unit_step(u), true);
+	agb_resources_add(&u->exec->account->used, &wf_unit_step(u)->need);
 }
 
 void
@@ -262,6 +263,7 @@
 
 	e->job = j;
 	j->exec = e;
+	e->account = wf_account_get(&l->accounts, s->account);
 	wf_exec_init_work(e);
 	age = now->unix_ms - s->submitted_ms;
 	age = age < 0 ? 0 : age > SUBMIT_AGE_MAX_MS ? SUBMIT_AGE_MAX_MS : age;
@@ -314,6 +316,7 @@
 	if (e->job->spec.start_at_ms > 0)
 		l->timed_jobs--;
 	e->job->exec = NULL;
+	wf_account_put(&l->accounts, e->account);
 	wf_exec_free_work(e);
 	free(e);
 }
@@ -547,6 +550,7 @@
 		request_refresh(l, u->exec);
 	DL_DELETE(r->tasks, t);
 	wf_runner_account_task(r, wf_unit_step(u), false);
+	agb_resources_sub(&u->exec->account->used, &wf_unit_step(u)->need);
 	if (t->stopping) {
 		t->stopping = false;
 		l->stops_pending--;
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -288,7 +288,7 @@
 	}
 	if (!r->listed && r->tasks == NULL &&
 	    now->mono - r->unlisted_at > RUNNER_FORGET_MS * AGB_MS) {
-		wf_fleet_clear_orphan_runs(r);
+		wf_fleet_clear_orphan_runs(l, r);
 		index_remove(l, r->info.id);
 		r->used = false;
 		return;
--- a/src/workflow/wf_fleet_internal.h
+++ b/src/workflow/wf_fleet_internal.h
@@ -170,7 +170,8 @@
  * wf_fleet_remove_orphan_run() - forget an orphan run and its resources
  * @i: its index
  */
-void wf_fleet_remove_orphan_run(struct wf_runner *r, size_t i);
+void wf_fleet_remove_orphan_run(
+    struct wf_leader *l, struct wf_runner *r, size_t i);
 
 /**
  * wf_fleet_stop_orphan_run() - record and stop an orphan run, which a runner
@@ -185,12 +186,13 @@
  * wf_fleet_remove_unlisted_orphan_runs() - forget the orphan runs that the
  * latest list of a runner does not contain
  */
-void wf_fleet_remove_unlisted_orphan_runs(struct wf_runner *r);
+void wf_fleet_remove_unlisted_orphan_runs(
+    struct wf_leader *l, struct wf_runner *r);
 
 /**
  * wf_fleet_clear_orphan_runs() - forget all orphan runs of a runner
  */
-void wf_fleet_clear_orphan_runs(struct wf_runner *r);
+void wf_fleet_clear_orphan_runs(struct wf_leader *l, struct wf_runner *r);
 
 /* ---- wf_fleet_progress.c ---- */
 
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -70,7 +70,7 @@
 
 	s = wf_fleet_find_orphan_run(r, &f->task, f->run);
 	if (s != NULL)
-		wf_fleet_remove_orphan_run(r, (size_t)(s - r->orphan_runs));
+		wf_fleet_remove_orphan_run(l, r, (size_t)(s - r->orphan_runs));
 	t = wf_exec_find_task(l, &f->task, &u);
 	if (t == NULL)
 		return;
@@ -203,7 +203,7 @@
 		release_absent_tasks(l, now, ri, res, out);
 	wf_fleet_check_progress(l, now, ri, out);
 	wf_fleet_adjust_pace(l, now, ri, out);
-	wf_fleet_remove_unlisted_orphan_runs(r);
+	wf_fleet_remove_unlisted_orphan_runs(l, r);
 	if (!r->reported) {
 		r->reported = true;
 		r->lease_until =
--- a/src/workflow/wf_fleet_process.c
+++ b/src/workflow/wf_fleet_process.c
@@ -151,7 +151,7 @@
 		    (now->mono - r->heard_at) / AGB_MS);
 	requeue_tasks_from_before_restart(
 	    l, now, ri, incarnation, started_ms, out);
-	wf_fleet_clear_orphan_runs(r);
+	wf_fleet_clear_orphan_runs(l, r);
 	r->incarnation = incarnation;
 	if (r->info.started_ms > 0)
 		note_unclear_lease(l, r, now->mono);
--- a/src/workflow/wf_leader.c
+++ b/src/workflow/wf_leader.c
@@ -38,6 +38,7 @@
 	l->meter = meter;
 	l->table = table;
 	l->doc = doc;
+	wf_accounts_set_doc(&l->accounts, doc);
 	l->elected_at = now->mono;
 	l->next_occurrence_ms = INT64_MAX;
 	l->next_collect_at = now->mono + AGB_SEC;
@@ -71,6 +72,7 @@
 	wf_exec_forget_run_times(l);
 	wf_outbox_free(l);
 	wf_fleet_clear(l);
+	wf_accounts_free(&l->accounts);
 	wf_show_free(l);
 	free(l);
 }
@@ -93,6 +95,7 @@
 wf_leader_set_doc(struct wf_leader *l, const struct wf_doc *doc)
 {
 	l->doc = doc;
+	wf_accounts_set_doc(&l->accounts, doc);
 	l->placement_changed = true;
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -19,6 +19,7 @@
  * before it is acknowledged to the runner, which then forgets it.
  */
 
+#include "wf_account.h"
 #include "wf_estimate.h"
 #include "wf_event.h"
 #include "wf_flow.h"
@@ -36,11 +37,15 @@
 
 /* A run that a runner lists as active though the leader has not assigned it
  * there. Its resources stay allocated until it is no longer present on the
- * runner. @seen: mark used while a runner's list is processed. */
+ * runner. @account: that of its job, or NULL when the job was not known. @request:
+ * what it counts for the account. @seen: mark used while a runner's list is
+ * processed. */
 struct wf_orphan_run {
 	struct wf_task_ref task;
 	uint32_t run;
 	struct agb_resources need;
+	struct wf_account_use *account;
+	struct agb_resources request;
 	agb_time next_stop_at;
 	bool seen;
 };
@@ -241,6 +246,7 @@
  * @valid_until: its lease does not end before this time
  * @extend_until: it may extend leases of runners before this time
  * @flow: limit of the starts in flight
+ * @accounts: use of the runners by client accounts
  * @registry_seen: the list of runners has been read
  * @queue: units that are ready and have waiting tasks
  * @stops_pending: tasks that have to stop and are not known to have ended
@@ -283,6 +289,7 @@
 	struct wf_runner_by_id *runners_by_id;
 	struct wf_outbox outbox;
 	struct wf_flow flow;
+	struct wf_accounts accounts;
 	bool registry_seen;
 	struct wf_exec *execs;
 	struct wf_unit *queue;
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -117,11 +117,15 @@
  *	looked at: the size of the passes, whatever the speed of the machine
  * @queues_compared: queues of the document that lookups by name or by route have
  *	compared
+ * @held_by_limit, @held_by_share: accounts whose limit or share has held work
+ *	back, counted once a second
  */
 struct wf_meter_totals {
 	uint64_t turns;
 	uint64_t examined;
 	uint64_t queues_compared;
+	uint64_t held_by_limit;
+	uint64_t held_by_share;
 	agb_time parts[WF_PARTS];
 	uint64_t tallies[WF_TALLIES];
 };
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -94,6 +94,12 @@
     .label = "decision",
     .type = AGB_METRIC_COUNTER,
 };
+static const struct agb_metric account_holds = {
+    .name = "agatebeam_account_holds_total",
+    .help = "Accounts whose limit or share held work back, once a second.",
+    .label = "by",
+    .type = AGB_METRIC_COUNTER,
+};
 static const struct agb_metric peer_bytes = {
     .name = "agatebeam_peer_queued_bytes_total",
     .help = "Bytes queued for other instances by kind of message.",
@@ -390,6 +396,10 @@
 	for (i = 0; i < WF_TALLIES; i++)
 		set_counter(m, &task_decisions, wf_tally_name(i),
 		    (double)meter->total.tallies[i]);
+	set_counter(
+	    m, &account_holds, "limit", (double)meter->total.held_by_limit);
+	set_counter(
+	    m, &account_holds, "share", (double)meter->total.held_by_share);
 	for (i = 0; i < WF_ORDER_STATUSES; i++)
 		set_counter(m, &start_results, outcome_labels[i],
 		    (double)meter->start_results[i]);
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -15,6 +15,7 @@
 #include "wf_outbox.h"
 #include "wf_table.h"
 
+struct wf_account_use;
 struct wf_leader;
 
 /* Number of tasks whose structures are allocated and freed together. */
@@ -206,6 +207,7 @@
 
 /**
  * struct wf_exec - a job that the leader executes
+ * @account: client account that it belongs to
  * @open: the open occurrences, in order of their numbers
  * @next_occurrence: no occurrence from this one on has been opened because it
  *	was due
@@ -236,6 +238,7 @@
  */
 struct wf_exec {
 	struct wf_job *job;
+	struct wf_account_use *account;
 	struct wf_occurrence *open;
 	size_t open_len;
 	size_t open_cap;
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -300,6 +300,8 @@
 	    "agatebeam_start_results_total{outcome=\"no_payload\"} 0\n",
 	    "agatebeam_approval_age_seconds_count 1\n",
 	    "agatebeam_task_decisions_total{decision=\"refused\"} 1\n",
+	    "agatebeam_account_holds_total{by=\"limit\"} 3\n",
+	    "agatebeam_account_holds_total{by=\"share\"} 2\n",
 	    "agatebeam_peer_queued_bytes_total{message=\"orders\"} 600\n",
 	    "agatebeam_store_given_up_total{call_reason=\"poll_stalled\"} 2\n",
 	    "agatebeam_store_given_up_total{call_reason=\"read_too-slow\"} 1\n",
@@ -323,6 +325,8 @@
 	wf_meter_add_result(&m, &res, 8 * AGB_SEC);
 	wf_meter_add_approval_age(&m, AGB_SEC);
 	m.total.queues_compared = 9;
+	m.total.held_by_limit = 3;
+	m.total.held_by_share = 2;
 	rpc.queued_bytes[AGB_X_ORDERS] = 600;
 	in.gauges.load = (struct wf_load){7, 2, 30, 50, 40, {64500, 18000, 3}};
 	in.meter = &m;
--- a/tests/wfsim/check.c
+++ b/tests/wfsim/check.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "world.h"
 
@@ -19,6 +20,47 @@
 		    sim_now_ms(s), text);
 }
 
+/* Whether a start brings a resource of an account above its limit. What already
+ * runs may be above a limit that was lowered. */
+static bool
+exceeds(int64_t limit, int64_t used, int64_t need)
+{
+	return limit > 0 && need > 0 && used + need > limit;
+}
+
+static bool
+is_quota_exceeded(const struct agb_resources *limit,
+    const struct agb_resources *used, const struct agb_resources *need)
+{
+	return exceeds(limit->cpu_milli, used->cpu_milli, need->cpu_milli) ||
+	    exceeds(limit->mem_mb, used->mem_mb, need->mem_mb) ||
+	    exceeds(limit->accel, used->accel, need->accel);
+}
+
+static void
+check_quota(struct sim *s, const struct sim_runner *r, const struct sim_job *j,
+    const struct wf_order *o)
+{
+	const struct agb_resources *const need =
+	    &j->spec.steps[o->task.step].need;
+	const struct sim_account *a;
+	struct agb_resources used;
+	size_t i;
+
+	for (i = 0; i < s->o.accounts_len; i++) {
+		a = &s->accounts[i];
+		if (strcmp(a->set.name, j->spec.account) != 0)
+			continue;
+		used = sim_account_used(s, j->spec.account);
+		if (is_quota_exceeded(&a->set.limit, &used, need) &&
+		    (s->now >= a->before_until ||
+			is_quota_exceeded(&a->before, &used, need)))
+			sim_report_violation(s,
+			    "quota: %s starts %s.%u beyond the limit of %s",
+			    r->info.id, j->id, o->task.index, j->spec.account);
+	}
+}
+
 void
 sim_check_start(struct sim *s, const struct sim_runner *r, struct sim_job *j,
     const struct wf_order *o)
@@ -41,6 +83,7 @@
 		    wf_step_reserved(&other->spec.steps[r->runs[i].task.step]);
 		agb_resources_add(&held, &need);
 	}
+	check_quota(s, r, j, o);
 	if (!wf_runner_has_label(&r->info, step->label))
 		sim_report_violation(s, "label: %s starts %s.%u without %s",
 		    r->info.id, j->id, o->task.index, step->label);
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -10,6 +10,9 @@
 /* Link bandwidth at which the leader cannot even send one runner its holds, the
  * orders that renew the runner's lease, so that all orders are relayed. */
 #define RELAYS_LINK_KBPS 80
+/* Starts that were decided before a document arrives are at their runner after
+ * this time: a write to the store and an order. */
+#define DOC_STARTS_MS 100
 
 static void
 on_tick(struct sim *s, struct sim_event *e)
@@ -88,6 +91,7 @@
 		break;
 	case WF_EF_LOG:
 		s->load_lines += strcmp(ef->u.log.event, "load") == 0;
+		s->account_lines += strcmp(ef->u.log.event, "account") == 0;
 		if (getenv("SIM_LOG") != NULL)
 			printf("%7u %u %s %s\n", sim_now_ms(s), ci,
 			    ef->u.log.event, ef->u.log.line);
@@ -176,7 +180,7 @@
 	struct wf_doc *const d = agb_xcalloc(1, sizeof(*d));
 	size_t i;
 
-	d->version = 1;
+	d->version = s->doc_version;
 	d->queues_len = s->o.queues_len > 0 ? s->o.queues_len : 1;
 	d->queues = agb_xcalloc(d->queues_len, sizeof(*d->queues));
 	d->services = agb_xcalloc(1, sizeof(*d->services));
@@ -185,6 +189,10 @@
 	queue_init(s, &d->queues[0], "q");
 	for (i = 0; i < s->o.queues_len; i++)
 		queue_init_as(s, &d->queues[i], &s->o.queues[i]);
+	d->accounts_len = s->o.accounts_len;
+	d->accounts = agb_xcalloc(d->accounts_len + 1, sizeof(*d->accounts));
+	for (i = 0; i < d->accounts_len; i++)
+		d->accounts[i] = s->accounts[i].set;
 	wf_doc_build_index(d);
 	return d;
 }
@@ -235,6 +243,30 @@
 	sim_handle_event(s, e->core, &doc);
 }
 
+static void
+doc_arrives(struct sim *s, struct sim_event *e)
+{
+	struct wf_event ev = {.type = WF_EV_DOC};
+
+	if (!sim_deliver_or_postpone(s, e, doc_arrives))
+		return;
+	ev.u.doc = doc_new(s);
+	sim_handle_event(s, e->core, &ev);
+}
+
+void
+sim_set_account(struct sim *s, size_t i, struct agb_resources limit)
+{
+	unsigned ci;
+
+	s->accounts[i].before = s->accounts[i].set.limit;
+	s->accounts[i].before_until = s->now + DOC_STARTS_MS * SIM_MS;
+	s->accounts[i].set.limit = limit;
+	s->doc_version++;
+	for (ci = 0; ci < s->o.cores; ci++)
+		sim_schedule_core(s, ci, 0, doc_arrives);
+}
+
 void
 sim_kill(struct sim *s, unsigned ci, unsigned back_ms)
 {
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -88,6 +88,52 @@
 	return j != NULL ? (unsigned)(j->started_at / SIM_MS) : 0;
 }
 
+struct agb_resources
+sim_account_used(const struct sim *s, const char *account)
+{
+	struct agb_resources sum = {0};
+	const struct sim_job *j;
+	unsigned ri;
+	size_t i;
+
+	for (ri = 0; ri < s->o.runners; ri++) {
+		for (i = 0; s->runners[ri].up && i < s->runners[ri].runs_len;
+		     i++) {
+			const struct wf_task_ref *const t =
+			    &s->runners[ri].runs[i].task;
+
+			j = sim_job_find(s, t->job);
+			if (j != NULL && strcmp(j->spec.account, account) == 0)
+				agb_resources_add(
+				    &sum, &j->spec.steps[t->step].need);
+		}
+	}
+	return sum;
+}
+
+unsigned
+sim_ended_at_ms(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	uint32_t i, len;
+
+	if (j == NULL)
+		return 0;
+	len = j->spec.repeat_count * wf_spec_task_count(&j->spec);
+	for (i = 0; i < len; i++) {
+		if (!j->tasks[i].done)
+			return 0;
+	}
+	return (unsigned)(j->ended_at / SIM_MS);
+}
+
+unsigned
+sim_account_lines(const struct sim *s)
+{
+	return s->account_lines;
+}
+
 unsigned
 sim_running_count(const struct sim *s, const char *id)
 {
--- a/tests/wfsim/random_run.c
+++ b/tests/wfsim/random_run.c
@@ -24,6 +24,9 @@
 	}
 	ci = sim_rnd(s, s->o.cores);
 	snprintf(id, sizeof(id), "%016zx", s->jobs_len + 1);
+	if (s->o.accounts_len > 0)
+		agb_str_copy(spec->account, sizeof(spec->account),
+		    s->o.accounts[s->jobs_len % s->o.accounts_len].name);
 	sim_submit(s, ci, id, spec);
 	if (sim_chance(s, 5))
 		sim_cancel(s, sim_rnd(s, s->o.cores), id);
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -38,8 +38,10 @@
 	r->barred[r->barred_len++] = *f;
 	if (j == NULL)
 		return;
-	if (how == WF_END_DONE)
+	if (how == WF_END_DONE) {
 		sim_task_find(j, &run->task)->done = true;
+		j->ended_at = s->now;
+	}
 	if (how == WF_END_FAILED)
 		sim_task_find(j, &run->task)->failed++;
 }
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -21,6 +21,10 @@
 	s->random = o->seed * 2654435761U + 88172645463325252ULL;
 	s->rev = 1;
 	s->jobs = agb_xcalloc(JOBS_MAX, sizeof(*s->jobs));
+	s->doc_version = 1;
+	s->accounts = agb_xcalloc(o->accounts_len + 1, sizeof(*s->accounts));
+	for (i = 0; i < o->accounts_len; i++)
+		s->accounts[i].set = o->accounts[i];
 	for (i = 0; i < o->runners; i++) {
 		r = &s->runners[i];
 		snprintf(r->info.id, sizeof(r->info.id), "r-%u", i);
@@ -102,6 +106,7 @@
 	free(s->calls);
 	free(s->payload_requests);
 	free(s->jobs);
+	free(s->accounts);
 	free(s);
 }
 
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -60,6 +60,8 @@
  * @advice_in_turn: the advice service handles one call of an instance at a time
  * @ticket_ms: lifetime of an approval; 0 means 2000
  * @queues: queues for sim_submit_to(), in place of the single default one
+ * @accounts: client accounts of the document; a job belongs to the one that its
+ *	spec names
  * @fault_gap_ms: mean time between two faults in randomized runs; 0 for none
  */
 struct sim_options {
@@ -87,6 +89,8 @@
 	unsigned ticket_ms;
 	const struct sim_queue *queues;
 	size_t queues_len;
+	const struct wf_account *accounts;
+	size_t accounts_len;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -200,6 +204,14 @@
 /* All tasks fail at a faulty runner. */
 void sim_runner_faulty(struct sim *s, unsigned ri, bool on);
 
+/**
+ * sim_set_account() - store a new version of the document in which an account
+ * has another limit
+ * @i: its index in the options
+ * @limit: its limit
+ */
+void sim_set_account(struct sim *s, size_t i, struct agb_resources limit);
+
 /* Observations. */
 /* Index of the instance that leads, or -1. */
 int sim_leader(const struct sim *s);
@@ -216,6 +228,13 @@
 unsigned sim_running_count(const struct sim *s, const char *id);
 /* Index of a runner that runs a task of the job, or UINT32_MAX. */
 unsigned sim_runner_of(const struct sim *s, const char *id);
+/* Resources that the runs of an account request at all runners, also those of
+ * runs that are being stopped. */
+struct agb_resources sim_account_used(const struct sim *s, const char *account);
+/* When the last task of a job ended; 0 when some have not. */
+unsigned sim_ended_at_ms(const struct sim *s, const char *id);
+/* Log lines "account" of all instances. */
+unsigned sim_account_lines(const struct sim *s);
 /* Response time of a long-running task at a runner. */
 unsigned sim_response_ms(struct sim *s, const char *id);
 unsigned sim_submit_status(const struct sim *s, const char *id);
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -131,6 +131,7 @@
 	unsigned status;
 	unsigned starts;
 	agb_time started_at;
+	agb_time ended_at;
 	agb_time cancel_at;
 	bool cancel_acked;
 	unsigned cancel_status;
@@ -162,6 +163,14 @@
 	wf_job_id job;
 };
 
+/* A client account as the latest document has it. Until @before_until its limit
+ * may still have been @before for starts that arrive at runners. */
+struct sim_account {
+	struct wf_account set;
+	struct agb_resources before;
+	agb_time before_until;
+};
+
 struct sim {
 	struct sim_options o;
 	uint64_t random;
@@ -194,6 +203,9 @@
 	unsigned advice_runners;
 	bool advice_away;
 	unsigned load_lines;
+	unsigned account_lines;
+	uint64_t doc_version;
+	struct sim_account *accounts;
 	struct sim_core cores[SIM_CORES_MAX];
 	struct sim_runner runners[SIM_RUNNERS_MAX];
 	struct sim_job *jobs;
