fix(workflow): work that a limit excludes asks for no share

An account whose limit of memory or accelerators was used up still asked for processors for all its waiting work. It got a share that it could not use, and the others counted as over theirs. Each unit now asks for what the limit lets start of it.

--- a/src/workflow/wf_account.c
+++ b/src/workflow/wf_account.c
@@ -4,18 +4,21 @@
 
 #include "mem.h"
 
-/* The rest of a limit is kept free for work that the limit has kept out for this
- * long since it became ready. Shorter waits end by themselves when runs end. */
+/* The rest of a limit is kept free for work that the limit has kept out for
+ * this long since it became ready. Shorter waits end by themselves when runs
+ * end. */
 #define HOLD_AFTER_MS 1000
 /* Other work of an account that uses less than half of its limit must not wait
  * for 3 s while it has room. */
 #define HOLD_PERIOD_MS 2000
-/* The rest of the limit is kept free for this long for work that fits now, within
- * which advice for it arrives. Together with HOLD_PERIOD_MS it is below those 3 s.
+/* The rest of the limit is kept free for this long for work that fits now,
+ * within which advice for it arrives. Together with HOLD_PERIOD_MS it is below
+ * those 3 s.
  */
 #define HOLD_FITTING_MS 800
-/* Work that was kept out for this long after HOLD_AFTER_MS starts next, whatever
- * its account uses, as it would never start beside a steady load of longer runs.
+/* Work that was kept out for this long after HOLD_AFTER_MS starts next,
+ * whatever its account uses, as it would never start beside a steady load of
+ * longer runs.
  */
 #define HOLD_ALWAYS_MS 30000
 
@@ -168,9 +171,10 @@
 	return limit > 0 && need > 0 && limit - used < need && used > limit / 2;
 }
 
-/* Whether the rest of the limit may be kept free for work that has been kept out
- * since HOLD_AFTER_MS. While the account uses less than half of its limit, its
- * other work waits for that only in every second period of HOLD_PERIOD_MS. */
+/* Whether the rest of the limit may be kept free for work that has been kept
+ * out since HOLD_AFTER_MS. While the account uses less than half of its limit,
+ * its other work waits for that only in every second period of HOLD_PERIOD_MS.
+ */
 static bool
 may_hold(const struct wf_account_use *a, const struct wf_account_work *w,
     agb_time now)
@@ -214,6 +218,7 @@
 
 	for (a = as->by_name; a != NULL; a = a->hh.next) {
 		a->waiting_cpu_milli = 0;
+		a->demand_cpu_milli = 0;
 		a->planned_cpu_milli = 0;
 		a->last_holder = a->holder;
 		a->last_holder_since = a->holder_since;
@@ -227,13 +232,15 @@
     const struct wf_account_work *w, agb_time now)
 {
 	const int64_t n = start_size(w);
+	const uint32_t fit = wf_account_startable(as, a, w->step, NULL);
 
 	a->waiting_cpu_milli += w->count * w->step->need.cpu_milli;
+	if (fit >= n)
+		a->demand_cpu_milli += w->step->need.cpu_milli *
+		    (int64_t)(fit < w->count ? fit : w->count);
 	if (!holds(as, a, w, now))
 		return;
-	a->excluded_at = wf_account_startable(as, a, w->step, NULL) < n
-	    ? now
-	    : a->last_excluded_at;
+	a->excluded_at = fit < n ? now : a->last_excluded_at;
 	a->holder = w->id;
 	a->holder_since = w->ready_at;
 	a->held = (struct agb_resources){
@@ -253,15 +260,15 @@
 };
 
 static int64_t
-waiting_within_limit(const struct wf_account_use *a)
+demand_within_limit(const struct wf_account_use *a)
 {
 	const int64_t rest = a->limit.cpu_milli - a->used.cpu_milli;
 
 	if (a->limit.cpu_milli <= 0)
-		return a->waiting_cpu_milli;
+		return a->demand_cpu_milli;
 	if (rest <= 0)
 		return 0;
-	return a->waiting_cpu_milli < rest ? a->waiting_cpu_milli : rest;
+	return a->demand_cpu_milli < rest ? a->demand_cpu_milli : rest;
 }
 
 static int
@@ -312,7 +319,7 @@
 	n = 0;
 	for (a = as->by_name; a != NULL; a = a->hh.next) {
 		a->share_cpu_milli = INT64_MAX;
-		more = waiting_within_limit(a);
+		more = demand_within_limit(a);
 		if (a->used.cpu_milli + more <= 0)
 			continue;
 		used += a->used.cpu_milli;
--- a/src/workflow/wf_account.h
+++ b/src/workflow/wf_account.h
@@ -19,19 +19,21 @@
 /**
  * struct wf_account_use - a client account at the leader
  * @weight: share of the resources relative to that of the other accounts
- * @limit: resources that its tasks may use at the same time; 0 in a field for no
- *	limit
- * @used: requests of all its runs that may be on runners; best-effort tasks count
- *	with all resources that they request
+ * @limit: resources that its tasks may use at the same time; 0 in a field for
+ *	no limit
+ * @used: requests of all its runs that may be on runners; best-effort tasks
+ *	count with all resources that they request
  * @refs: number of jobs and orphan runs that refer to it
  * @in_doc: the document has it
  * @waiting_cpu_milli: processors of its queued tasks, in thousandths, as of the
  *	current pass over the queue
- * @share_cpu_milli: its fair share; INT64_MAX when all that it asks for is within
- *	its share
+ * @demand_cpu_milli: those of them that its limit lets start, each unit taken
+ *	alone
+ * @share_cpu_milli: its fair share; INT64_MAX when all that it asks for is
+ *	within its share
  * @planned_cpu_milli: processors of its units that the pass has sorted so far
- * @holder: the work that has been kept out by the limit for longest, if the rest
- *	of the limit is kept free for it
+ * @holder: the work that has been kept out by the limit for longest, if the
+ *	rest of the limit is kept free for it
  * @holder_since: when that work became ready
  * @held: what is kept free for it
  * @excluded_at: when the limit last kept that work out
@@ -48,6 +50,7 @@
 	uint32_t refs;
 	bool in_doc;
 	int64_t waiting_cpu_milli;
+	int64_t demand_cpu_milli;
 	int64_t share_cpu_milli;
 	int64_t planned_cpu_milli;
 	const void *holder;
@@ -109,8 +112,8 @@
 void wf_account_put(struct wf_accounts *as, struct wf_account_use *a);
 
 /**
- * wf_account_startable() - number of further tasks of a step that an account may
- * start now within its limit
+ * wf_account_startable() - number of further tasks of a step that an account
+ * may start now within its limit
  * @id: the work that they belong to; NULL when what is kept free for other work
  *	does not matter, as they join a gang whose other members have started
  */
@@ -126,9 +129,9 @@
  * wf_account_add_waiting() - count queued work
  *
  * Work that has been kept out by the limit for a while gets the rest of the
- * limit kept free, so that smaller work of the same account does not keep it out
- * for good. While the account uses less than half of its limit, this is done only
- * half of the time.
+ * limit kept free, so that smaller work of the same account does not keep it
+ * out for good. While the account uses less than half of its limit, this is
+ * done only half of the time.
  */
 void wf_account_add_waiting(const struct wf_accounts *as,
     struct wf_account_use *a, const struct wf_account_work *w, agb_time now);
@@ -139,15 +142,15 @@
  * @free_cpu_milli: free processors of all usable runners, in thousandths
  *
  * The processors in use and the free ones are divided by weight among the
- * accounts that have work running or waiting. What an account does not ask for is
- * divided among the others.
+ * accounts that have work running or waiting. What an account does not ask for
+ * is divided among the others.
  * Return: false when room is not short, so that shares have no effect.
  */
 bool wf_accounts_divide(struct wf_accounts *as, int64_t free_cpu_milli);
 
 /**
- * wf_account_plan() - whether an account has used up its share before this work,
- * which is counted as planned
+ * wf_account_plan() - whether an account has used up its share before this
+ * work, which is counted as planned
  */
 bool wf_account_plan(const struct wf_accounts *as, struct wf_account_use *a,
     const struct wf_account_work *w);
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -173,8 +173,8 @@
     struct dispatch_pass *p, const struct wf_unit *u, const struct wf_queue *q);
 
 /**
- * dispatch_end_accounts() - keep what the pass has found out about accounts, and
- * write the log lines about those that are held back
+ * dispatch_end_accounts() - keep what the pass has found out about accounts,
+ * and write the log lines about those that are held back
  */
 void dispatch_end_accounts(
     const struct dispatch_pass *p, const struct queued_unit *list, size_t len);
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -37,9 +37,9 @@
 
 /* A run that a runner lists as active though the leader has not assigned it
  * there. Its resources stay allocated until it is no longer present on the
- * runner. @account: that of its job, or NULL when the job was not known. @request:
- * what it counts for the account. @seen: mark used while a runner's list is
- * processed. */
+ * runner. @account: that of its job, or NULL when the job was not known.
+ * @request: what it counts for the account. @seen: mark used while a runner's
+ * list is processed. */
 struct wf_orphan_run {
 	struct wf_task_ref task;
 	uint32_t run;
--- a/tests/test_wf_account.c
+++ b/tests/test_wf_account.c
@@ -193,8 +193,52 @@
 	}
 }
 
-/* Guards against one pass that places all work of an account which was below its
- * share when the pass began. */
+/* Guards against a share for work that a limit keeps out: the other account would
+ * be over its own. */
+static void
+excluded_work_asks_for_no_share(void)
+{
+	static const struct wf_account accounts[] = {
+	    {.name = "a", .weight = 1, .limit = {.mem_mb = 100}},
+	    {.name = "b", .weight = 1},
+	};
+	static const struct {
+		int64_t used_mem_mb;
+		struct wf_step step;
+		uint32_t count;
+		bool is_short;
+	} cases[] = {
+	    {95, {.need = {.cpu_milli = 10, .mem_mb = 10}}, 8, false},
+	    {65, {.need = {.cpu_milli = 10, .mem_mb = 10}}, 8, true},
+	    {30, {.gang = true, .need = {.cpu_milli = 10, .mem_mb = 10}}, 8,
+		false},
+	    {20, {.gang = true, .need = {.cpu_milli = 10, .mem_mb = 10}}, 8,
+		true},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		const struct wf_account_work w = {.id = &cases[i],
+		    .step = &cases[i].step,
+		    .count = cases[i].count};
+		struct wf_accounts as = {0};
+		struct wf_account_use *a, *b;
+
+		set_accounts(&as, accounts, LEN(accounts));
+		a = wf_account_get(&as, "a");
+		b = wf_account_get(&as, "b");
+		a->used.mem_mb = cases[i].used_mem_mb;
+		b->used.cpu_milli = 50;
+		wf_accounts_begin_pass(&as);
+		wf_account_add_waiting(&as, a, &w, 0);
+		CU_ASSERT_EQUAL(wf_accounts_divide(&as, 20), cases[i].is_short);
+		CU_ASSERT_EQUAL(a->waiting_cpu_milli, 80);
+		wf_accounts_free(&as);
+	}
+}
+
+/* Guards against one pass that places all work of an account which was below
+ * its share when the pass began. */
 static void
 planned_work_counts_for_share(void)
 {
@@ -232,8 +276,9 @@
 }
 
 /* A gang of 4 tasks of 1000 with a limit of 6000: when the rest of the limit is
- * kept free for it. Guards against a gang that smaller work of its account keeps
- * out for good, and against work that waits though its account uses little. */
+ * kept free for it. Guards against a gang that smaller work of its account
+ * keeps out for good, and against work that waits though its account uses
+ * little. */
 static void
 rest_of_limit_is_held(void)
 {
@@ -297,9 +342,9 @@
 	}
 }
 
-/* The gang of rest_of_limit_is_held() when all runs end together. Guards against
- * other work that takes the limit before the gang has the advice that it
- * needs. */
+/* The gang of rest_of_limit_is_held() when all runs end together. Guards
+ * against other work that takes the limit before the gang has the advice that
+ * it needs. */
 static void
 rest_of_limit_is_held_for_fitting_gang(void)
 {
@@ -357,6 +402,7 @@
     {"the table has the accounts of the document and of jobs",
 	table_has_accounts_of_document_and_jobs},
     {"shares divide what is asked for", shares_divide_what_is_asked_for},
+    {"excluded work asks for no share", excluded_work_asks_for_no_share},
     {"planned work counts for the share", planned_work_counts_for_share},
     {"the rest of a limit is held", rest_of_limit_is_held},
     {"the rest of a limit is held for a gang that fits",
