test(workflow): bursts of two accounts, and wide gangs with advice beside them

The burst scenario had one account and small gangs without advice. It now also has two accounts at once, and gangs of 20 tasks of 9 cores for 6.2 s whose advice takes half a second. Only jobs that are sent during the burst count, so that calm times do not hide a delay.

--- a/tests/test_wf_account_sim.c
+++ b/tests/test_wf_account_sim.c
@@ -1,8 +1,8 @@
 /**
  * DOC: test_wf_account_sim
  *
- * Limits and shares of client accounts in simulated time. The simulation reports
- * each start that brings an account above its limit.
+ * Limits and shares of client accounts in simulated time. The simulation
+ * reports each start that brings an account above its limit.
  */
 
 #include <stdio.h>
@@ -111,8 +111,8 @@
 }
 
 /* Best-effort tasks, which reserve no processors at their runner, and orphan
- * runs of two jobs. Guards against usage that is counted twice or not at all when
- * runs begin and end, and against accounts that stay in the table. */
+ * runs of two jobs. Guards against usage that is counted twice or not at all
+ * when runs begin and end, and against accounts that stay in the table. */
 static void
 runs_at_runners_count(void)
 {
@@ -188,8 +188,8 @@
 	sim_free(s);
 }
 
-/* Guards against a limit that is read once, against runs that are stopped when it
- * falls, and against work that stays behind when it rises. */
+/* Guards against a limit that is read once, against runs that are stopped when
+ * it falls, and against work that stays behind when it rises. */
 static void
 limit_changes_while_work_runs(void)
 {
@@ -282,8 +282,8 @@
 	sim_free(s);
 }
 
-/* Guards against a gang that the limit keeps out and that blocks others, or that
- * small work of its own account keeps out for good. */
+/* Guards against a gang that the limit keeps out and that blocks others, or
+ * that small work of its own account keeps out for good. */
 static void
 gang_waits_for_limit(void)
 {
@@ -321,8 +321,8 @@
 	sim_free(s);
 }
 
-/* Guards against a gang that asks for advice while the limit keeps it out, whose
- * tickets would expire. */
+/* Guards against a gang that asks for advice while the limit keeps it out,
+ * whose tickets would expire. */
 static void
 no_advice_beyond_limit(void)
 {
@@ -398,19 +398,27 @@
 
 /* ---- shares in simulated time ---- */
 
-/* 16 runners of 8 cores. Five accounts have usual loads that take 0.86 of
- * the processors together; one then sends 7 times its usual load for 5 s. */
+/* Five accounts have usual loads; one or two then send 7 times as much for
+ * 5 s. */
 #define TENANTS 5
 #define BURST_FACTOR 7
+#define BURSTING_MAX 2
 #define BURST_BEGIN_MS 2000
 #define BURST_END_MS 7000
 #define LOAD_END_MS 9000
-#define SMALL_PERIOD_MS 50
-#define SMALL_MS 600
-#define GANG_PERIOD_MS 500
-#define GANG_TASKS 5
-#define GANG_CPU_MILLI 2000
-#define GANG_MS 500
+
+/* A kind of job that accounts send. */
+struct kind {
+	size_t queue;
+	uint32_t tasks;
+	uint32_t cpu_milli;
+	uint32_t ms;
+	unsigned period_ms;
+	bool gang;
+};
+
+#define KINDS 2
+
 /* Bound that the requirements set for the others: time from submission to end,
  * relative to that without the burst. */
 #define SLOWDOWN_MAX 1.5
@@ -423,7 +431,8 @@
     {.name = "t4", .weight = 1},
 };
 
-/* Mean times from submission to end. */
+/* Mean times from submission to end of the jobs that are sent during the
+ * burst. */
 struct times {
 	double small;
 	double gangs;
@@ -444,48 +453,52 @@
 };
 
 static void
-send_job(struct sim *s, struct load *l, unsigned account, bool gang)
+send_job(struct sim *s, struct load *l, unsigned account, const struct kind *k)
 {
 	struct load_job *const j = &l->jobs[l->len];
+	struct wf_spec *const spec =
+	    sim_new_spec(k->tasks, k->cpu_milli, k->ms);
 
 	CU_ASSERT_FATAL(l->len < LOAD_JOBS_MAX);
 	make_id(j->id, account, (unsigned)l->len++);
 	j->account = account;
-	j->gang = gang;
+	j->gang = k->gang;
 	j->sent_ms = sim_now_ms(s);
-	if (gang)
-		submit(s, tenants[account].name, j->id, GANG_TASKS,
-		    GANG_CPU_MILLI, GANG_MS, true);
-	else
-		submit(
-		    s, tenants[account].name, j->id, 1, 1000, SMALL_MS, false);
+	agb_str_copy(
+	    spec->account, sizeof(spec->account), tenants[account].name);
+	spec->steps[0].gang = k->gang;
+	sim_submit_to(s, 0, k->queue, j->id, spec);
 }
 
 static void
-send_load(struct sim *s, struct load *l, bool burst)
+send_load(
+    struct sim *s, struct load *l, const struct kind *kinds, unsigned bursting)
 {
-	unsigned ms, k, n, i;
+	unsigned ms, a, k, n, i;
 
 	for (ms = 0; ms < LOAD_END_MS; ms += 10) {
-		for (k = 0; k < TENANTS; k++) {
-			n = burst && k == 0 && ms >= BURST_BEGIN_MS &&
+		for (a = 0; a < TENANTS; a++) {
+			n = a < bursting && ms >= BURST_BEGIN_MS &&
 				ms < BURST_END_MS
 			    ? BURST_FACTOR
 			    : 1;
-			for (i = 0; ms % SMALL_PERIOD_MS == 0 && i < n; i++)
-				send_job(s, l, k, false);
-			for (i = 0; ms % GANG_PERIOD_MS == k * 100 && i < n;
-			     i++)
-				send_job(s, l, k, true);
+			for (k = 0; k < KINDS; k++) {
+				if (ms % kinds[k].period_ms !=
+				    a * kinds[k].period_ms / TENANTS / 10 * 10)
+					continue;
+				for (i = 0; i < n; i++)
+					send_job(s, l, a, &kinds[k]);
+			}
 		}
 		sim_run(s, 10);
 	}
-	sim_run(s, 30000);
+	sim_run(s, 60000);
 }
 
-/* Times of the jobs of all accounts but the first one. */
+/* Times of the jobs of the accounts that never send more than usual. */
 static struct times
-run_load(const struct sim_options *o, bool burst)
+run_load(
+    const struct sim_options *o, const struct kind *kinds, unsigned bursting)
 {
 	struct load *const l = agb_xcalloc(1, sizeof(*l));
 	struct sim *const s = sim_new(o);
@@ -494,11 +507,13 @@
 	size_t i;
 
 	sim_run(s, SETTLE_MS);
-	send_load(s, l, burst);
+	send_load(s, l, kinds, bursting);
 	for (i = 0; i < l->len; i++) {
 		ended_ms = sim_ended_at_ms(s, l->jobs[i].id);
 		CU_ASSERT(ended_ms > 0);
-		if (l->jobs[i].account == 0)
+		if (l->jobs[i].account < BURSTING_MAX ||
+		    l->jobs[i].sent_ms < SETTLE_MS + BURST_BEGIN_MS ||
+		    l->jobs[i].sent_ms >= SETTLE_MS + BURST_END_MS)
 			continue;
 		if (l->jobs[i].gang) {
 			sum.gangs += ended_ms - l->jobs[i].sent_ms;
@@ -525,20 +540,64 @@
     .accounts_len = TENANTS,
 };
 
+/* 16 runners of 8 cores, 0.86 of which the usual loads take. */
+static const struct kind small_kinds[KINDS] = {
+    {0, 1, 1000, 600, 50, false},
+    {0, 5, 2000, 500, 500, true},
+};
+
+/* Jobs that need advice, with gangs of 180 cores; the usual loads take 0.77 of
+ * the processors. */
+static const struct sim_queue wide_queues[] = {
+    {"short", 0, 400, 1.5, 7, 100, 70},
+    {"gangs", 1, 1200, 2.2, 340, 4900, 50},
+};
+
+static const struct kind wide_kinds[KINDS] = {
+    {0, 1, 4000, 1000, 100, false},
+    {1, 20, 9000, 6200, 3000, true},
+};
+
+static const struct sim_options wide_fleet = {
+    .seed = 3,
+    .cores = 5,
+    .runners = 84,
+    .cpu_milli = 32000,
+    .queues = wide_queues,
+    .queues_len = LEN(wide_queues),
+    .accounts = tenants,
+    .accounts_len = TENANTS,
+};
+
 /* Guards against one account that delays all others by sending much more than
  * usual. */
 static void
 burst_does_not_delay_others(void)
 {
-	const struct times usual = run_load(&shared_fleet, false);
-	const struct times beside = run_load(&shared_fleet, true);
-
-	printf(
-	    "\n  small jobs %.0f ms, usually %.0f ms; gangs %.0f ms, usually "
-	    "%.0f ms\n",
-	    beside.small, usual.small, beside.gangs, usual.gangs);
-	CU_ASSERT(beside.small <= SLOWDOWN_MAX * usual.small);
-	CU_ASSERT(beside.gangs <= SLOWDOWN_MAX * usual.gangs);
+	static const struct {
+		const struct sim_options *fleet;
+		const struct kind *kinds;
+		unsigned bursting;
+	} cases[] = {
+	    {&shared_fleet, small_kinds, 1},
+	    {&shared_fleet, small_kinds, 2},
+	    {&wide_fleet, wide_kinds, 1},
+	    {&wide_fleet, wide_kinds, 2},
+	};
+	struct times usual, beside;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		usual = run_load(cases[i].fleet, cases[i].kinds, 0);
+		beside =
+		    run_load(cases[i].fleet, cases[i].kinds, cases[i].bursting);
+		printf(
+		    "\n  small jobs %.0f ms, usually %.0f ms; gangs %.0f ms, "
+		    "usually %.0f ms\n",
+		    beside.small, usual.small, beside.gangs, usual.gangs);
+		CU_ASSERT(beside.small <= SLOWDOWN_MAX * usual.small);
+		CU_ASSERT(beside.gangs <= SLOWDOWN_MAX * usual.gangs);
+	}
 }
 
 /* Guards against shares that change the order of starts while there is room for
@@ -556,7 +615,7 @@
 	s[1] = sim_new(&without);
 	for (i = 0; i < 2; i++) {
 		sim_run(s[i], SETTLE_MS);
-		send_load(s[i], &l[i], false);
+		send_load(s[i], &l[i], small_kinds, 0);
 	}
 	CU_ASSERT_EQUAL(l[0].len, l[1].len);
 	for (i = 0; i < l[0].len; i++)
