--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -424,7 +424,8 @@
 static int64_t
 new_clock_base_ms(const struct sim *s)
 {
-	return 1000 + (int64_t)(s->now / SIM_MS * 7919 % (2 * CLOCK_BASE_MS));
+	return 1000 +
+	    (int64_t)(s->now / SIM_MS * 7919 % ((uint64_t)2 * CLOCK_BASE_MS));
 }
 
 static void
