test(workflow): accounts whose work never ends get their shares

Guards against an account that gets less than its weight is worth. Beside short tasks, an account with gangs of 180 cores gets 0.83: two of them and one of them fit into its share of 432 and 216 cores.

--- a/tests/test_wf_account_sim.c
+++ b/tests/test_wf_account_sim.c
@@ -600,6 +600,106 @@
 	}
 }
 
+/* Work of two accounts that never ends. Each gets this part of its share at
+ * least, on average. The rest is the time between the end of a run and the next
+ * start. */
+#define SHARE_MIN 0.9
+/* The same for gangs of 180 cores, with shares of 432 and 216: two and one of them
+ * are 0.83 of the share. */
+#define SHARE_MIN_GANGS 0.8
+#define BUSY_MS 40000
+#define BUSY_SETTLE_MS 15000
+#define BUSY_SAMPLE_MS 50
+
+/* Submits jobs of a kind so that at least @backlog of them have not started.
+ */
+static void
+keep_backlog(struct sim *s, const char *account, unsigned number,
+    const struct kind *k, unsigned backlog, unsigned *sent)
+{
+	struct wf_spec *spec;
+	char id[WF_JOB_ID_LEN];
+	unsigned waiting = 0, i;
+
+	for (i = 1; i <= *sent; i++) {
+		make_id(id, number, i);
+		waiting += sim_start_count(s, id) == 0;
+	}
+	for (; waiting < backlog; waiting++) {
+		make_id(id, number, ++*sent);
+		spec = sim_new_spec(k->tasks, k->cpu_milli, k->ms);
+		agb_str_copy(spec->account, sizeof(spec->account), account);
+		spec->steps[0].gang = k->gang;
+		sim_submit(s, 0, id, spec);
+	}
+}
+
+/* Guards against an account that gets less than its weight is worth, with short
+ * tasks and with gangs that need room for all members at once. */
+static void
+busy_accounts_get_their_shares(void)
+{
+	static const struct kind small = {0, 1, 1000, 600, 0, false};
+	static const struct kind batch = {0, 20, 1000, 600, 0, false};
+	static const struct kind wide = {0, 20, 9000, 6200, 0, true};
+	static const struct {
+		uint32_t weights[2];
+		const struct kind *kinds[2];
+		unsigned backlogs[2];
+	} cases[] = {
+	    {{1, 1}, {&small, &small}, {100, 100}},
+	    {{1, 3}, {&small, &small}, {100, 100}},
+	    {{1, 1}, {&batch, &wide}, {30, 6}},
+	    {{3, 1}, {&batch, &wide}, {30, 6}},
+	};
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		const struct wf_account accounts[] = {
+		    {.name = "x", .weight = cases[i].weights[0]},
+		    {.name = "y", .weight = cases[i].weights[1]},
+		};
+		const bool is_wide = cases[i].kinds[1]->gang;
+		const struct sim_options o = {.seed = 5,
+		    .cores = 3,
+		    .runners = is_wide ? 24 : 2,
+		    .cpu_milli = is_wide ? 36000 : 16000,
+		    .accounts = accounts,
+		    .accounts_len = LEN(accounts)};
+		struct sim *const s = sim_new(&o);
+		unsigned sent[2] = {0, 0}, ms, k;
+		double cores[2] = {0, 0}, owed;
+
+		sim_run(s, SETTLE_MS);
+		for (ms = 0; ms < BUSY_MS; ms += BUSY_SAMPLE_MS) {
+			for (k = 0; k < 2; k++) {
+				keep_backlog(s, accounts[k].name, k,
+				    cases[i].kinds[k], cases[i].backlogs[k],
+				    &sent[k]);
+				if (ms >= BUSY_SETTLE_MS)
+					cores[k] += (double)sim_account_used(
+					    s, accounts[k].name)
+							.cpu_milli;
+			}
+			sim_run(s, BUSY_SAMPLE_MS);
+		}
+		for (k = 0; k < 2; k++) {
+			owed = (double)o.runners * (double)o.cpu_milli *
+			    (BUSY_MS - BUSY_SETTLE_MS) / BUSY_SAMPLE_MS *
+			    cases[i].weights[k] /
+			    (cases[i].weights[0] + cases[i].weights[1]);
+			printf(
+			    "\n  case %zu: %s has %.2f of its share, %u jobs\n",
+			    i, accounts[k].name, cores[k] / owed, sent[k]);
+			CU_ASSERT(cores[k] >= owed *
+				(cases[i].kinds[k]->gang ? SHARE_MIN_GANGS
+							 : SHARE_MIN));
+		}
+		check_no_violation(s);
+		sim_free(s);
+	}
+}
+
 /* Guards against shares that change the order of starts while there is room for
  * all: the same jobs start at the same times as without accounts. */
 static void
@@ -639,6 +739,7 @@
     {"no advice is requested beyond a limit", no_advice_beyond_limit},
     {"limits hold during faults", limits_hold_during_faults},
     {"a burst does not delay others", burst_does_not_delay_others},
+    {"busy accounts get their shares", busy_accounts_get_their_shares},
     {"shares have no effect while there is room",
 	shares_have_no_effect_while_there_is_room},
 };
