--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -15,6 +15,7 @@
 #include "wf_outbox.h"
 #include "wf_table.h"
 
+struct wf_account_use;
 struct wf_leader;
 
 /* Number of tasks whose structures are allocated and freed together. */
@@ -207,6 +208,7 @@
 
 /**
  * struct wf_exec - a job that the leader executes
+ * @account: client account that it belongs to
  * @open: the open occurrences, in order of their numbers
  * @next_occurrence: no occurrence from this one on has been opened because it
  *	was due
@@ -237,6 +239,7 @@
  */
 struct wf_exec {
 	struct wf_job *job;
+	struct wf_account_use *account;
 	struct wf_occurrence *open;
 	size_t open_len;
 	size_t open_cap;
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -39,8 +39,10 @@
 	r->barred[r->barred_len++] = *f;
 	if (j == NULL)
 		return;
-	if (how == WF_END_DONE)
+	if (how == WF_END_DONE) {
 		sim_task_find(j, &run->task)->done = true;
+		j->ended_at = s->now;
+	}
 	if (how == WF_END_FAILED)
 		sim_task_find(j, &run->task)->failed++;
 }
@@ -423,7 +425,8 @@
 static int64_t
 new_clock_base_ms(const struct sim *s)
 {
-	return 1000 + (int64_t)(s->now / SIM_MS * 7919 % (2 * CLOCK_BASE_MS));
+	return 1000 +
+	    (int64_t)(s->now / SIM_MS * 7919 % ((uint64_t)2 * CLOCK_BASE_MS));
 }
 
 static void
