refactor(workflow): replies of the request handler in a file of their own

The replies to clients are now in wf_front_reply.c, the state of the handler in wf_front_internal.h; struct waiting_call has become struct wf_front_call. Functions are moved, none is changed but in name.

--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -7,6 +7,7 @@
 
 #include "mem.h"
 #include "wf_budget.h"
+#include "wf_front_internal.h"
 
 /* Time limit of a store operation, after which it is repeated. */
 #define STORE_TIMEOUT_MS 900
@@ -28,71 +29,6 @@
 /* Answers are sent this long before the deadline, so that they reach the client
  * before it gives up. */
 #define ANSWER_MARGIN_MS 100
-/* Retry-After of a rejected request; a client still has attempts left after a
- * store outage of a few seconds. */
-#define RETRY_AFTER_S 2
-/* The same while there is no memory for further jobs: others have to end first. */
-#define RETRY_AFTER_FULL_S 10
-
-/**
- * struct waiting_call - request that waits for the store
- * @tag: tag of the store operation in flight, or 0
- * @record: encoded record to write
- * @retry_at: when the write is repeated, or 0
- * @relay_at: when the write is handed to another instance
- * @relay_tag: tag of the write by another instance, or 0
- * @relays_tried: number of instances that were asked to write
- * @reading: it reads the submission, or the state if @read_state is set
- * @maybe_stored: a write was sent whose outcome is unknown
- * @cancel_rev: revision of the cancellation that is stored, or 0
- * @refused_full: the accepted jobs leave no room for this submission; it is only
- *	read whether it was stored before
- */
-struct waiting_call {
-	struct waiting_call *prev, *next;
-	uint64_t tag;
-	uint64_t call_id;
-	enum wf_call_kind kind;
-	wf_job_id job;
-	struct wf_spec *spec;
-	char *record;
-	size_t record_len;
-	agb_time started_at;
-	agb_time deadline;
-	agb_time retry_at;
-	agb_time relay_at;
-	uint64_t relay_tag;
-	uint32_t relays_tried;
-	bool reading;
-	bool read_state;
-	bool maybe_stored;
-	uint64_t cancel_rev;
-	bool refused_full;
-};
-
-/**
- * struct wf_front - state of the request handler
- * @self, @rpc: name and address of this instance
- * @known: how up to date the table is
- * @memory_mb: memory that this process may use; 0 when unknown
- * @sent_bytes: memory that the submissions take which were written since the
- *	leader told how much is taken
- * @calls: requests that wait for the store
- */
-struct wf_front {
-	struct wf_table *table;
-	bool store_silent;
-	agb_time store_latency;
-	struct wf_front_knowledge known;
-	uint32_t memory_mb;
-	uint64_t sent_bytes;
-	agb_id self;
-	agb_addr rpc;
-	struct waiting_call *calls;
-	size_t calls_len;
-	uint64_t next_tag;
-};
-
 /* Set in the tags of this module; never set in the tags of the leader. */
 #define FRONT_TAG ((uint64_t)1 << 63)
 
@@ -109,7 +45,7 @@
 }
 
 static void
-waiting_destroy(struct waiting_call *w)
+waiting_destroy(struct wf_front_call *w)
 {
 	if (w->spec != NULL) {
 		wf_spec_free(w->spec);
@@ -120,7 +56,7 @@
 }
 
 static void
-waiting_free(struct wf_front *f, struct waiting_call *w)
+waiting_free(struct wf_front *f, struct wf_front_call *w)
 {
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): w is listed. */
 	DL_DELETE(f->calls, w);
@@ -131,7 +67,7 @@
 void
 wf_front_free(struct wf_front *f)
 {
-	struct waiting_call *w, *next;
+	struct wf_front_call *w, *next;
 
 	for (w = f->calls; w != NULL; w = next) {
 		next = w->next;
@@ -177,61 +113,6 @@
 	return f->calls_len;
 }
 
-static struct wf_reply *
-add_reply(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
-    int http_status)
-{
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_REPLY);
-
-	ef->call_id = call_id;
-	ef->u.reply.kind = kind;
-	ef->u.reply.http_status = http_status;
-	return &ef->u.reply;
-}
-
-static struct wf_reply *
-add_refusal(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
-    int http_status, const char *job, const char *why)
-{
-	struct wf_reply *const r = add_reply(out, call_id, kind, http_status);
-
-	agb_str_copy(r->detail, sizeof(r->detail), why);
-	wf_effects_log(out, AGB_LOG_INFO, "answer",
-	    "job=%s status=%d outcome=%s reason=\"%s\"", job, http_status,
-	    http_status == 504 ? "unknown" : "not-run", why);
-	return r;
-}
-
-/* Rejects a request that the same client may send again later. */
-static void
-refuse(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
-    int http_status, const char *job, const char *why)
-{
-	struct wf_reply *const r =
-	    add_refusal(out, call_id, kind, http_status, job, why);
-
-	if (http_status == 503 || http_status == 429)
-		r->retry_s = RETRY_AFTER_S;
-}
-
-/* Rejects a submission as the accepted jobs take all memory that is set aside
- * for them. */
-static void
-refuse_full(struct wf_effects *out, const struct waiting_call *w)
-{
-	add_refusal(out, w->call_id, w->kind, 503, w->job,
-	    "the accepted jobs take all memory that is set aside for them")
-	    ->retry_s = RETRY_AFTER_FULL_S;
-}
-
-/* Rejects a submission that would be rejected again: without a Retry-After. */
-static void
-refuse_cancelled(struct wf_effects *out, const struct waiting_call *w)
-{
-	(void)add_refusal(out, w->call_id, w->kind, 503, w->job,
-	    "the job was cancelled before it was accepted");
-}
-
 /* Gets the job id from the last component of a path. */
 static bool
 parse_job_id(const struct wf_queue *q, const char *path, wf_job_id id)
@@ -247,13 +128,13 @@
 
 /* Key of the record that a submission or a cancellation writes. */
 static void
-make_record_key(const struct waiting_call *w, char key[WF_KEY_MAX])
+make_record_key(const struct wf_front_call *w, char key[WF_KEY_MAX])
 {
 	wf_table_make_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
 }
 
 static void
-copy_record(const struct waiting_call *w, struct wf_record *r)
+copy_record(const struct wf_front_call *w, struct wf_record *r)
 {
 	make_record_key(w, r->key);
 	r->val = agb_xmemdup(w->record, w->record_len);
@@ -268,7 +149,7 @@
 
 static void
 send_store_op(
-    struct wf_front *f, struct waiting_call *w, struct wf_effects *out)
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
 {
 	struct wf_effect *const ef = wf_effects_add(out, WF_EF_STORE);
 	char key[WF_KEY_MAX];
@@ -313,7 +194,7 @@
  * left. */
 static bool
 relay_write(struct wf_front *f, const struct wf_now *now,
-    struct waiting_call *w, struct wf_effects *out)
+    struct wf_front_call *w, struct wf_effects *out)
 {
 	const struct wf_peer *const p =
 	    choose_relay(f, now->mono, w->relays_tried);
@@ -340,7 +221,7 @@
 
 /* Pushes a stored record to the leader, whose feed would deliver it later. */
 static void
-push_to_leader(const struct wf_front *f, const struct waiting_call *w,
+push_to_leader(const struct wf_front *f, const struct wf_front_call *w,
     uint64_t revision, struct wf_effects *out)
 {
 	const struct wf_peer *const p = wf_table_leader(f->table);
@@ -358,11 +239,11 @@
 	ef->u.push.len = 1;
 }
 
-static struct waiting_call *
+static struct wf_front_call *
 waiting_add(struct wf_front *f, const struct wf_now *now,
     const struct wf_call *call, const struct wf_queue *q, const char *job)
 {
-	struct waiting_call *const w = agb_xcalloc(1, sizeof(*w));
+	struct wf_front_call *const w = agb_xcalloc(1, sizeof(*w));
 	uint32_t ms;
 
 	ms = call->deadline_ms > 0 ? call->deadline_ms
@@ -384,7 +265,7 @@
  * any more. */
 static void
 read_submission(
-    struct wf_front *f, struct waiting_call *w, struct wf_effects *out)
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
 {
 	w->reading = true;
 	w->relay_tag = 0;
@@ -392,30 +273,18 @@
 }
 
 static void
-reply_accepted(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
-    const char *job, const char *how, uint64_t revision, agb_time took)
-{
-	add_reply(out, call_id, kind, 200)->state = WF_JOB_QUEUED;
-	wf_effects_log(out, AGB_LOG_INFO, "answer",
-	    "job=%s status=200 call=%s how=%s revision=%" PRIu64
-	    " took_ms=%" PRIu64,
-	    job, kind == WF_CALL_SUBMIT ? "submit" : "cancel", how, revision,
-	    took / AGB_MS);
-}
-
-static void
-give_up(struct wf_front *f, const struct wf_now *now, struct waiting_call *w,
+give_up(struct wf_front *f, const struct wf_now *now, struct wf_front_call *w,
     struct wf_effects *out)
 {
 	/* The job does not run, whether or not it had been submitted. */
 	if (w->cancel_rev > 0)
-		reply_accepted(out, w->call_id, w->kind, w->job, "stored",
-		    w->cancel_rev, now->mono - w->started_at);
+		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
+		    "stored", w->cancel_rev, now->mono - w->started_at);
 	else if (w->maybe_stored)
-		refuse(out, w->call_id, w->kind, 504, w->job,
+		wf_front_refuse(out, w->call_id, w->kind, 504, w->job,
 		    "the store has not answered; it may have been stored");
 	else
-		refuse(out, w->call_id, w->kind, 503, w->job,
+		wf_front_refuse(out, w->call_id, w->kind, 503, w->job,
 		    "the store cannot be reached; nothing was stored");
 	waiting_free(f, w);
 }
@@ -425,7 +294,7 @@
  * nor retried. */
 static void
 send_first_write(struct wf_front *f, const struct wf_now *now,
-    struct waiting_call *w, struct wf_effects *out)
+    struct wf_front_call *w, struct wf_effects *out)
 {
 	if (!f->store_silent) {
 		send_store_op(f, w, out);
@@ -456,15 +325,16 @@
     struct wf_effects *out)
 {
 	const struct wf_job *const known = wf_table_job(f->table, job);
-	struct waiting_call *w;
+	struct wf_front_call *w;
 
 	if (known != NULL && known->spec_rev > 0) {
-		reply_accepted(out, call->id, call->kind, job, "known",
+		wf_front_reply_accepted(out, call->id, call->kind, job, "known",
 		    known->spec_rev, 0);
 		return;
 	}
 	if (call->spec == NULL) {
-		refuse(out, call->id, call->kind, 400, job, call->error);
+		wf_front_refuse(
+		    out, call->id, call->kind, 400, job, call->error);
 		return;
 	}
 	w = waiting_add(f, now, call, q, job);
@@ -480,7 +350,7 @@
 	agb_str_copy(w->spec->origin, sizeof(w->spec->origin), f->rpc);
 	w->record = wf_table_encode_spec(w->spec, &w->record_len);
 	if (w->record == NULL) {
-		refuse(out, call->id, call->kind, 400, job,
+		wf_front_refuse(out, call->id, call->kind, 400, job,
 		    "the job is too large to be stored");
 		waiting_free(f, w);
 		return;
@@ -488,32 +358,22 @@
 	send_first_write(f, now, w, out);
 }
 
-static void
-reply_state(struct wf_effects *out, uint64_t call_id, const struct wf_job *j)
-{
-	struct wf_reply *const r = add_reply(out, call_id, WF_CALL_GET, 200);
-
-	r->state = j->state;
-	if (j->cancel_rev > 0 && !wf_job_state_is_final(j->state))
-		r->state = WF_JOB_CANCELLED;
-}
-
 static void
 handle_get(struct wf_front *f, const struct wf_now *now,
     const struct wf_queue *q, struct wf_call *call, const char *job,
     struct wf_effects *out)
 {
 	const struct wf_job *const j = wf_table_job(f->table, job);
-	struct waiting_call *w;
+	struct wf_front_call *w;
 
 	if (job_state_known(j) &&
 	    (f->known.states_current || f->store_silent ||
 		wf_job_state_is_final(j->state))) {
-		reply_state(out, call->id, j);
+		wf_front_reply_state(out, call->id, j);
 		return;
 	}
 	if (f->store_silent) {
-		refuse(out, call->id, call->kind, 503, job,
+		wf_front_refuse(out, call->id, call->kind, 503, job,
 		    "the job is not known here and the store is silent");
 		return;
 	}
@@ -531,11 +391,11 @@
     struct wf_effects *out)
 {
 	const struct wf_job *const j = wf_table_job(f->table, job);
-	struct waiting_call *w;
+	struct wf_front_call *w;
 
 	if (job_state_known(j) &&
 	    (j->cancel_rev > 0 || wf_job_state_is_final(j->state))) {
-		reply_accepted(
+		wf_front_reply_accepted(
 		    out, call->id, call->kind, job, "known", j->cancel_rev, 0);
 		return;
 	}
@@ -554,11 +414,12 @@
 	struct wf_reply *r;
 
 	if (!f->known.jobs_complete && !f->known.counts_current) {
-		refuse(out, call_id, WF_CALL_QUEUE, 503, q->path_prefix,
+		wf_front_refuse(out, call_id, WF_CALL_QUEUE, 503,
+		    q->path_prefix,
 		    "the number of pending jobs is not known here at present");
 		return;
 	}
-	r = add_reply(out, call_id, WF_CALL_QUEUE, 200);
+	r = wf_front_add_reply(out, call_id, WF_CALL_QUEUE, 200);
 	r->pending = f->known.jobs_complete
 	    ? wf_table_pending_count(f->table, q->name)
 	    : wf_known_counts_get(&f->table->counts, q->name);
@@ -572,13 +433,13 @@
 	wf_job_id job;
 
 	if (doc == NULL) {
-		refuse(out, call->id, call->kind, 503, call->path,
+		wf_front_refuse(out, call->id, call->kind, 503, call->path,
 		    "no document is known yet");
 		return;
 	}
 	q = wf_doc_route(doc, call->host, call->path);
 	if (q == NULL) {
-		refuse(out, call->id, call->kind, 404, call->path,
+		wf_front_refuse(out, call->id, call->kind, 404, call->path,
 		    "no queue has this host and path");
 		return;
 	}
@@ -588,7 +449,7 @@
 		return;
 	}
 	if (!parse_job_id(q, call->path, job)) {
-		refuse(out, call->id, call->kind,
+		wf_front_refuse(out, call->id, call->kind,
 		    call->kind == WF_CALL_SUBMIT ? 400 : 410, call->path,
 		    "the path does not end with a job id of 16 digits");
 		return;
@@ -608,7 +469,7 @@
  * Return: the job when it was stored by this write. */
 static struct wf_job *
 on_submission_written(struct wf_front *f, const struct wf_now *now,
-    struct waiting_call *w, bool written_by_peer, bool stored_now,
+    struct wf_front_call *w, bool written_by_peer, bool stored_now,
     uint64_t revision, struct wf_effects *out)
 {
 	struct wf_job *j = NULL;
@@ -624,11 +485,11 @@
 		w->spec = NULL;
 	}
 	if (revision > 0)
-		reply_accepted(out, w->call_id, w->kind, w->job,
+		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
 		    stored_now ? "stored" : "stored-before", revision,
 		    now->mono - w->started_at);
 	else
-		refuse_cancelled(out, w);
+		wf_front_refuse_cancelled(out, w);
 	waiting_free(f, w);
 	return j;
 }
@@ -638,7 +499,7 @@
  * Return: the job, or NULL when it is not known here. */
 static struct wf_job *
 on_cancellation_written(struct wf_front *f, const struct wf_now *now,
-    struct waiting_call *w, uint64_t revision, struct wf_effects *out)
+    struct wf_front_call *w, uint64_t revision, struct wf_effects *out)
 {
 	struct wf_job *const j = wf_table_job(f->table, w->job);
 
@@ -648,16 +509,17 @@
 		return NULL;
 	}
 	j->cancel_rev = revision;
-	reply_accepted(out, w->call_id, w->kind, w->job, "stored", revision,
-	    now->mono - w->started_at);
+	wf_front_reply_accepted(out, w->call_id, w->kind, w->job, "stored",
+	    revision, now->mono - w->started_at);
 	waiting_free(f, w);
 	return j;
 }
 
 static void
-on_written(struct wf_front *f, const struct wf_now *now, struct waiting_call *w,
-    bool written_by_peer, const struct agb_store_result *res,
-    struct wf_job **changed_job, struct wf_effects *out)
+on_written(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, bool written_by_peer,
+    const struct agb_store_result *res, struct wf_job **changed_job,
+    struct wf_effects *out)
 {
 	uint64_t revision = res->revision;
 	char key[WF_KEY_MAX];
@@ -679,7 +541,7 @@
 /* Processes a key that was read. The state has its own key; a job without one
  * may still be queued. */
 static void
-on_read(struct wf_front *f, const struct wf_now *now, struct waiting_call *w,
+on_read(struct wf_front *f, const struct wf_now *now, struct wf_front_call *w,
     const struct agb_store_result *res, struct wf_effects *out)
 {
 	struct wf_job *j;
@@ -693,18 +555,18 @@
 	}
 	if (res->kvs_len == 0) {
 		if (w->refused_full)
-			refuse_full(out, w);
+			wf_front_refuse_full(out, w);
 		else if (w->kind == WF_CALL_SUBMIT)
-			refuse_cancelled(out, w);
+			wf_front_refuse_cancelled(out, w);
 		else
-			refuse(out, w->call_id, w->kind, 410, w->job,
+			wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
 			    "no such job is known");
 		waiting_free(f, w);
 		return;
 	}
 	j = wf_table_job(f->table, w->job);
 	if (w->kind == WF_CALL_SUBMIT) {
-		reply_accepted(out, w->call_id, w->kind, w->job,
+		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
 		    "stored-before", res->kvs[0].mod_rev,
 		    now->mono - w->started_at);
 		waiting_free(f, w);
@@ -717,9 +579,9 @@
 		return;
 	}
 	if (job_state_known(j))
-		reply_state(out, w->call_id, j);
+		wf_front_reply_state(out, w->call_id, j);
 	else
-		refuse(out, w->call_id, w->kind, 503, w->job,
+		wf_front_refuse(out, w->call_id, w->kind, 503, w->job,
 		    "its record cannot be read");
 	waiting_free(f, w);
 }
@@ -727,7 +589,7 @@
 /* Handles a store operation that was rejected or not answered. */
 static void
 on_store_failure(struct wf_front *f, const struct wf_now *now,
-    struct waiting_call *w, struct wf_effects *out)
+    struct wf_front_call *w, struct wf_effects *out)
 {
 	const struct wf_job *j;
 
@@ -735,7 +597,7 @@
 		/* An outdated state is better than no answer. */
 		j = wf_table_job(f->table, w->job);
 		if (job_state_known(j)) {
-			reply_state(out, w->call_id, j);
+			wf_front_reply_state(out, w->call_id, j);
 			waiting_free(f, w);
 			return;
 		}
@@ -766,7 +628,7 @@
     uint64_t tag, const struct agb_store_result *res,
     struct wf_job **changed_job, struct wf_effects *out)
 {
-	struct waiting_call *w;
+	struct wf_front_call *w;
 	bool by_peer;
 
 	*changed_job = NULL;
@@ -800,7 +662,7 @@
 wf_front_tick(
     struct wf_front *f, const struct wf_now *now, struct wf_effects *out)
 {
-	struct waiting_call *w, *w2;
+	struct wf_front_call *w, *w2;
 	agb_time next;
 
 	next = AGB_TIME_MAX;
