feat(workflow): accounts and keys of a document are sorted

Keys will be looked up on each request, and a document may list thousands. wf_doc_build_index() now sorts accounts by name and keys, and keeps a key that several accounts list for the first of them only. Such keys are logged once a document, with their number and the names of two accounts, without a key. Keys are cleared before their memory is freed.

test_wf_doc compares the lookups with those of a comparison of all accounts in order, in 200 random documents: no difference.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -311,6 +311,19 @@
 		on_leader_changed(c, now, out);
 }
 
+/* Accounts that list the same key, which is not written: it is a secret. */
+static void
+log_shared_keys(const struct wf_doc *doc, struct wf_effects *out)
+{
+	if (doc->shared_keys == 0)
+		return;
+	wf_effects_log(out, AGB_LOG_WARN, "document",
+	    "version=%" PRIu64 " shared_keys=%zu account=\"%s\" also=\"%s\"",
+	    doc->version, doc->shared_keys,
+	    doc->accounts[doc->shared_owner].name,
+	    doc->accounts[doc->shared_other].name);
+}
+
 static void
 on_doc(struct wf_core *c, struct wf_doc *doc, struct wf_effects *out)
 {
@@ -324,6 +337,7 @@
 	    "version=%" PRIu64 " before=%" PRIu64 " queues=%zu services=%zu",
 	    doc->version, old != NULL ? old->version : 0, doc->queues_len,
 	    doc->services_len);
+	log_shared_keys(doc, out);
 	doc->compared = &c->meter.total.queues_compared;
 	c->doc = doc;
 	if (c->leader != NULL)
--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -13,6 +13,9 @@
 	free(doc->queues);
 	free(doc->services);
 	free(doc->accounts);
+	if (doc->account_keys != NULL)
+		explicit_bzero(doc->account_keys,
+		    doc->account_keys_len * sizeof(*doc->account_keys));
 	free(doc->account_keys);
 	wf_doc_free_index(doc);
 	free(doc);
@@ -78,6 +81,80 @@
 	doc->names_len = n;
 }
 
+static int
+compare_account_names(const void *pa, const void *pb)
+{
+	const struct wf_account *const a =
+	    *(const struct wf_account *const *)pa;
+	const struct wf_account *const b =
+	    *(const struct wf_account *const *)pb;
+	const int order = strcmp(a->name, b->name);
+
+	return order != 0 ? order : (a > b) - (a < b);
+}
+
+static void
+index_accounts(struct wf_doc *doc)
+{
+	size_t i, n;
+
+	doc->account_names =
+	    agb_xcalloc(doc->accounts_len, sizeof(const struct wf_account *));
+	for (i = 0; i < doc->accounts_len; i++)
+		doc->account_names[i] = &doc->accounts[i];
+	if (doc->accounts_len > 1)
+		qsort(doc->account_names, doc->accounts_len,
+		    sizeof(const struct wf_account *), compare_account_names);
+	n = 0;
+	for (i = 0; i < doc->accounts_len; i++) {
+		if (n == 0 ||
+		    strcmp(doc->account_names[n - 1]->name,
+			doc->account_names[i]->name) != 0)
+			doc->account_names[n++] = doc->account_names[i];
+	}
+	doc->account_names_len = n;
+}
+
+static int
+compare_keys(const void *pa, const void *pb)
+{
+	const struct wf_account_key *const a = pa;
+	const struct wf_account_key *const b = pb;
+	const int order = strcmp(a->key, b->key);
+
+	return order != 0
+	    ? order
+	    : (a->account > b->account) - (a->account < b->account);
+}
+
+/* Sorts the keys and removes those that an earlier account lists as well. */
+static void
+index_keys(struct wf_doc *doc)
+{
+	struct wf_account_key *const keys = doc->account_keys;
+	size_t i, n = 0, shared_at = SIZE_MAX;
+
+	if (doc->account_keys_len > 1)
+		qsort(keys, doc->account_keys_len, sizeof(*keys), compare_keys);
+	for (i = 0; i < doc->account_keys_len; i++) {
+		if (n == 0 || strcmp(keys[n - 1].key, keys[i].key) != 0) {
+			keys[n++] = keys[i];
+			continue;
+		}
+		if (keys[i].account == keys[n - 1].account ||
+		    shared_at == n - 1)
+			continue;
+		shared_at = n - 1;
+		doc->shared_owner = keys[n - 1].account;
+		doc->shared_other = keys[i].account;
+		doc->shared_keys++;
+	}
+	if (n < doc->account_keys_len)
+		explicit_bzero(
+		    &keys[n], (doc->account_keys_len - n) * sizeof(*keys));
+	doc->account_keys_len = n;
+}
+
 /* Whether a route's prefix begins a path; the host is the same. */
 static bool
 begins(const struct wf_doc_route *r, const char *path)
@@ -133,9 +210,12 @@
 wf_doc_free_index(struct wf_doc *doc)
 {
 	free(doc->names);
+	free(doc->account_names);
 	free(doc->routes);
 	doc->names = NULL;
 	doc->names_len = 0;
+	doc->account_names = NULL;
+	doc->account_names_len = 0;
 	doc->routes = NULL;
 	doc->routes_len = 0;
 }
@@ -146,6 +226,8 @@
 	wf_doc_free_index(doc);
 	index_names(doc);
 	index_routes(doc);
+	index_accounts(doc);
+	index_keys(doc);
 }
 
 /* ---- lookups ---- */
@@ -232,11 +314,20 @@
 const struct wf_account *
 wf_doc_account(const struct wf_doc *doc, const char *name)
 {
-	size_t i;
+	size_t low, high, mid;
+	int order;
 
-	for (i = 0; i < doc->accounts_len; i++) {
-		if (strcmp(doc->accounts[i].name, name) == 0)
-			return &doc->accounts[i];
+	low = 0;
+	high = doc != NULL ? doc->account_names_len : 0;
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(doc->account_names[mid]->name, name);
+		if (order == 0)
+			return doc->account_names[mid];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
 	}
 	return NULL;
 }
@@ -244,11 +335,20 @@
 const struct wf_account *
 wf_doc_account_by_key(const struct wf_doc *doc, const char *key)
 {
-	size_t i;
+	size_t low, high, mid;
+	int order;
 
-	for (i = 0; i < doc->account_keys_len; i++) {
-		if (strcmp(doc->account_keys[i].key, key) == 0)
-			return &doc->accounts[doc->account_keys[i].account];
+	low = 0;
+	high = doc != NULL ? doc->account_keys_len : 0;
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(doc->account_keys[mid].key, key);
+		if (order == 0)
+			return &doc->accounts[doc->account_keys[mid].account];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
 	}
 	return NULL;
 }
--- a/src/workflow/wf_doc.h
+++ b/src/workflow/wf_doc.h
@@ -58,7 +58,8 @@
 };
 
 /**
- * struct wf_account_key - key of a client account
+ * struct wf_account_key - key of a client account; a secret, which is not written
+ * to logs, metrics, records or error messages
  * @account: index of the account in the document
  */
 struct wf_account_key {
@@ -88,9 +89,15 @@
 
 /**
  * struct wf_doc - configuration document in force
- * @accounts: client accounts; calls need no key when there are none
- * @account_keys: their keys
+ * @keys_required: calls need a key of an account, unless their queue is public
+ * @accounts: client accounts
+ * @account_keys: their keys; once indexed, sorted and each one once, with the
+ *	first account that lists it
+ * @shared_keys: keys that several accounts list
+ * @shared_owner, @shared_other: indices of two accounts that list the same key,
+ *	the first of which has it; valid when @shared_keys is not 0
  * @names: queues sorted by name; of those with one name the first
+ * @account_names: accounts sorted by name; of those with one name the first
  * @routes: sorted by host in any case, then by prefix; of queues with the same
  *	host and prefix the first
  * @compared: incremented for each queue that a lookup compares; NULL when
@@ -102,13 +109,19 @@
 	size_t queues_len;
 	struct wf_service *services;
 	size_t services_len;
+	bool keys_required;
 	struct wf_account *accounts;
 	size_t accounts_len;
 	struct wf_account_key *account_keys;
 	size_t account_keys_len;
+	size_t shared_keys;
+	uint32_t shared_owner;
+	uint32_t shared_other;
 	size_t body_max;
 	const struct wf_queue **names;
 	size_t names_len;
+	const struct wf_account **account_names;
+	size_t account_names_len;
 	struct wf_doc_route *routes;
 	size_t routes_len;
 	uint64_t *compared;
@@ -121,10 +134,11 @@
 void wf_doc_free(struct wf_doc *doc);
 
 /**
- * wf_doc_build_index() - prepare lookups in a document whose queues are complete
+ * wf_doc_build_index() - prepare lookups in a document whose queues and accounts
+ * are complete
  *
- * Without it no queue is found. Queues must not be moved or changed afterwards
- * unless it is called again.
+ * Without it no queue, account or key is found. They must not be moved or
+ * changed afterwards unless it is called again.
  */
 void wf_doc_build_index(struct wf_doc *doc);
 
@@ -157,7 +171,8 @@
     const struct wf_doc *doc, const char *name);
 
 /**
- * wf_doc_account() - find a client account by name
+ * wf_doc_account() - find a client account by name, the first of the document
+ * with it
  * Return: NULL when the document has no such account.
  */
 const struct wf_account *wf_doc_account(
--- a/tests/test_wf_doc.c
+++ b/tests/test_wf_doc.c
@@ -2,8 +2,8 @@
  * DOC: test_wf_doc
  *
  * Lookups in the configuration document: their results are those of a
- * comparison of all queues in order, and their work does not follow the number
- * of queues.
+ * comparison of all queues, accounts or keys in order, and the work of those of
+ * queues does not follow their number.
  */
 
 #include <inttypes.h>
@@ -14,6 +14,7 @@
 #include "manifest.h"
 #include "mem.h"
 #include "suite.h"
+#include "wf_core.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
@@ -27,6 +28,8 @@
 #define RANDOM_DOCS 200
 #define RANDOM_QUEUES_MAX 120
 #define RANDOM_LOOKUPS 200
+#define RANDOM_ACCOUNTS_MAX 40
+#define RANDOM_KEYS_MAX 6
 
 /* ---- documents ---- */
 
@@ -343,6 +346,230 @@
 	CU_ASSERT(found > RANDOM_DOCS * RANDOM_LOOKUPS / 2);
 }
 
+/* ---- accounts ---- */
+
+/* Guards against a key that is taken for one that it only resembles, against
+ * one that goes to a later account than the first that lists it, and against a
+ * document whose faults, other than a missing list, open it to everyone. */
+static void
+test_accounts(void)
+{
+	static const struct {
+		const char
+		    *accounts; /* items of the list; NULL without a list */
+		const char *key;
+		const char *account; /* NULL: none */
+		size_t shared;
+		bool keys_required;
+	} cases[] = {
+	    {NULL, "k", NULL, 0, false},
+	    {"", "k", NULL, 0, false},
+	    {"{}", "k", NULL, 0, true},
+	    {"7", "k", NULL, 0, true},
+	    {"{\"name\":\"\",\"keys\":[\"k\"]}", "k", NULL, 0, true},
+	    {"{\"name\":\"a\"}", "", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[\"\"]}", "", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[7,null,\"k\"]}", "7", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[7,null,\"k\"]}", "k", "a", 0, true},
+	    {"{\"name\":\"a\",\"keys\":[\"key\"]}", "ke", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[\"key\"]}", "key1", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[\"key\"]}", "Key", NULL, 0, true},
+	    {"{\"name\":\"a\",\"keys\":[\"z\",\"k\"]},"
+	     "{\"name\":\"b\",\"keys\":[\"c\",\"x\"]}",
+		"x", "b", 0, true},
+	    {"{\"name\":\"b\",\"keys\":[\"k\",\"k\"]}", "k", "b", 0, true},
+	    {"{\"name\":\"b\",\"keys\":[\"k\",\"k\"]},"
+	     "{\"name\":\"a\",\"keys\":[\"k\"]},"
+	     "{\"name\":\"c\",\"keys\":[\"k\",\"j\"]}",
+		"k", "b", 1, true},
+	    {"{\"name\":\"b\",\"keys\":[\"k\",\"j\"]},"
+	     "{\"name\":\"a\",\"keys\":[\"j\",\"k\"]}",
+		"j", "b", 2, true},
+	};
+	const struct wf_account *a;
+	struct text t;
+	struct wf_doc *doc;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(&t, 0, sizeof(t));
+		text_add(&t, "{\"version\":1");
+		if (cases[i].accounts != NULL) {
+			text_add(&t, ",\"tenants\":[");
+			text_add(&t, cases[i].accounts);
+			text_add(&t, "]");
+		}
+		text_add(&t, ",\"routes\":[");
+		doc = parse_doc(&t, NULL);
+		a = wf_doc_account_by_key(doc, cases[i].key);
+		CU_ASSERT_EQUAL(a == NULL, cases[i].account == NULL);
+		if (a != NULL && cases[i].account != NULL) {
+			CU_ASSERT_STRING_EQUAL(a->name, cases[i].account);
+			CU_ASSERT_PTR_EQUAL(wf_doc_account(doc, a->name), a);
+		}
+		CU_ASSERT_EQUAL(doc->shared_keys, cases[i].shared);
+		CU_ASSERT_EQUAL(doc->keys_required, cases[i].keys_required);
+		if (doc->shared_keys > 0) {
+			CU_ASSERT_STRING_EQUAL(
+			    doc->accounts[doc->shared_owner].name, "b");
+			CU_ASSERT_STRING_EQUAL(
+			    doc->accounts[doc->shared_other].name, "a");
+		}
+		wf_doc_free(doc);
+	}
+	CU_ASSERT_PTR_NULL(wf_doc_account(NULL, "a"));
+	CU_ASSERT_PTR_NULL(wf_doc_account_by_key(NULL, "k"));
+}
+
+/* Guards against a key of two accounts that nobody is told of, that is told of
+ * with each delivery of the same document, or that is written to the log. */
+static void
+test_shared_keys_are_logged(void)
+{
+	static const char text[] =
+	    "{\"version\":%u,\"routes\":[],\"tenants\":["
+	    "{\"name\":\"first\",\"keys\":[\"secret-1\",\"secret-2\"]},"
+	    "{\"name\":\"second\",\"keys\":[\"secret-2\"%s]}]}";
+	static const struct {
+		unsigned version;
+		const char *more;
+		const char *line; /* NULL: none */
+	} cases[] = {
+	    {1, "",
+		"version=1 shared_keys=1 account=\"first\" also=\"second\""},
+	    {1, "", NULL},
+	    {2, ",\"secret-1\",\"secret-1\"",
+		"version=2 shared_keys=2 account=\"first\" also=\"second\""},
+	};
+	const struct wf_config cfg = {.name = "i1", .rpc = "10.0.0.1:7"};
+	const struct wf_now now = {.mono = AGB_SEC, .unix_ms = 1};
+	struct wf_core *const core = wf_core_new(&cfg);
+	struct agb_store_kv kv = {.key = "op/config"};
+	struct wf_event ev = {.type = WF_EV_DOC};
+	char fault[AGB_DETAIL_LEN];
+	struct wf_effects out = {0};
+	unsigned found;
+	size_t i, k;
+
+	for (i = 0; i < LEN(cases); i++) {
+		kv.val = agb_xasprintf(text, cases[i].version, cases[i].more);
+		kv.val_len = strlen(kv.val);
+		ev.u.doc = platform_manifest_parse(&kv, fault);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(ev.u.doc);
+		free(kv.val);
+		wf_core_handle(core, &now, &ev, &out);
+		found = 0;
+		for (k = 0; k < out.len; k++) {
+			if (out.items[k].type != WF_EF_LOG)
+				continue;
+			CU_ASSERT_PTR_NULL(
+			    strstr(out.items[k].u.log.line, "secret"));
+			if (strstr(out.items[k].u.log.line, "shared_keys") ==
+			    NULL)
+				continue;
+			found++;
+			if (cases[i].line != NULL)
+				CU_ASSERT_STRING_EQUAL(
+				    out.items[k].u.log.line, cases[i].line);
+		}
+		CU_ASSERT_EQUAL(found, cases[i].line != NULL);
+		wf_effects_free(&out);
+	}
+	wf_core_free(core);
+}
+
+/* Accounts of a random document, in its order. */
+struct drawn_accounts {
+	char names[RANDOM_ACCOUNTS_MAX][8];
+	char keys[RANDOM_ACCOUNTS_MAX][RANDOM_KEYS_MAX][8];
+	uint32_t keys_len[RANDOM_ACCOUNTS_MAX];
+	uint32_t len;
+};
+
+static struct wf_doc *
+draw_accounts(uint32_t *state, struct drawn_accounts *d)
+{
+	struct text t = {0};
+	char s[64];
+	uint32_t i, k;
+
+	d->len = 1 + draw(state, RANDOM_ACCOUNTS_MAX);
+	text_add(&t, "{\"version\":1,\"tenants\":[");
+	for (i = 0; i < d->len; i++) {
+		draw_text(state, "abB-_", 3, d->names[i] + 1);
+		d->names[i][0] = 'n';
+		d->keys_len[i] = draw(state, RANDOM_KEYS_MAX + 1);
+		snprintf(s, sizeof(s), "%s{\"name\":\"%s\",\"keys\":[",
+		    i == 0 ? "" : ",", d->names[i]);
+		text_add(&t, s);
+		for (k = 0; k < d->keys_len[i]; k++) {
+			draw_text(state, "abB-_", 5, d->keys[i][k]);
+			snprintf(s, sizeof(s), "%s\"%s\"", k == 0 ? "" : ",",
+			    d->keys[i][k]);
+			text_add(&t, s);
+		}
+		text_add(&t, "]}");
+	}
+	text_add(&t, "],\"routes\":[");
+	return parse_doc(&t, NULL);
+}
+
+/* Index of the first account with a name or, if @by_key is set, with a key;
+ * SIZE_MAX for none. */
+static size_t
+reference_account(const struct drawn_accounts *d, const char *text, bool by_key)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < d->len; i++) {
+		if (!by_key && strcmp(d->names[i], text) == 0)
+			return i;
+		for (k = 0; by_key && k < d->keys_len[i]; k++) {
+			if (text[0] != '\0' && strcmp(d->keys[i][k], text) == 0)
+				return i;
+		}
+	}
+	return SIZE_MAX;
+}
+
+static size_t
+index_of(const struct wf_doc *doc, const struct wf_account *a)
+{
+	return a != NULL ? (size_t)(a - doc->accounts) : SIZE_MAX;
+}
+
+/* Guards against a key or a name whose account is not the one of a comparison
+ * of all accounts in order. */
+static void
+test_random_accounts(void)
+{
+	static struct drawn_accounts d;
+	uint32_t i, k, differ = 0, found = 0, state = RANDOM_SEED;
+	struct wf_doc *doc;
+	char text[8];
+	size_t want;
+
+	for (i = 0; i < RANDOM_DOCS; i++) {
+		doc = draw_accounts(&state, &d);
+		for (k = 0; k < RANDOM_LOOKUPS; k++) {
+			draw_text(&state, "abB-_", 5, text);
+			want = reference_account(&d, text, true);
+			differ += index_of(doc,
+				      wf_doc_account_by_key(doc, text)) != want;
+			found += want != SIZE_MAX;
+			text[0] = 'n';
+			text[4] = '\0';
+			want = reference_account(&d, text, false);
+			differ +=
+			    index_of(doc, wf_doc_account(doc, text)) != want;
+			found += want != SIZE_MAX;
+		}
+		wf_doc_free(doc);
+	}
+	CU_ASSERT_EQUAL(differ, 0);
+	CU_ASSERT(found > RANDOM_DOCS * RANDOM_LOOKUPS / 8);
+}
+
 /* ---- work ---- */
 
 struct work {
@@ -407,6 +634,9 @@
     {"name: first of that name", test_name},
     {"lookups without queues", test_no_queues},
     {"random documents", test_random_documents},
+    {"accounts: keys", test_accounts},
+    {"accounts: shared keys are logged", test_shared_keys_are_logged},
+    {"accounts: random documents", test_random_accounts},
     {"work of lookups", test_work_of_lookups},
 };
 
