feat(workflow): pass the key of a request on

Nothing uses it yet. A value that is longer than a key can be, or has a NUL, counts as none: cut off, it could equal a key that the client does not have. Of several headers the first counts. Both copies are cleared once the request was handled.

What it checks has not changed. test_platform: each job request also carries a key, which the call must have.

--- a/src/workflow/wf_adapter.h
+++ b/src/workflow/wf_adapter.h
@@ -37,6 +37,7 @@
  *	document
  * @deadline_header: request header with the time that the client waits, in
  *	lower case
+ * @key_header: request header with a key of the client's account, in lower case
  * @open_store: creates a client of the platform's store
  * @open: creates the adapter, which reports to @cbs
  * @parse_runner: reads an entry of the runner registry
@@ -56,6 +57,7 @@
 	const char *registry_prefix;
 	const char *document_prefix;
 	const char *deadline_header;
+	const char *key_header;
 	struct agb_store *(*open_store)(uv_loop_t *loop, const char *addr,
 	    agb_store_cb cb, agb_store_watch_cb watch_cb, void *arg);
 	struct wf_adapter *(*open)(uv_loop_t *loop, const struct wf_settings *s,
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -294,6 +294,7 @@
 	wf_metrics_record_call(d->metrics, &call, get_now().mono);
 	ev.u.call = &call;
 	handle_event(d, &ev);
+	explicit_bzero(call.key, sizeof(call.key));
 	if (call.spec != NULL) {
 		wf_spec_free(call.spec);
 		free(call.spec);
@@ -570,8 +571,8 @@
 static struct wf_httpd *
 listen_on(struct daemon *d, const char *addr, size_t body_max, wf_httpd_cb cb)
 {
-	struct wf_httpd *const s = wf_httpd_new(
-	    &d->loop, addr, d->ops->deadline_header, body_max, cb, d);
+	struct wf_httpd *const s = wf_httpd_new(&d->loop, addr,
+	    d->ops->deadline_header, d->ops->key_header, body_max, cb, d);
 
 	if (s == NULL)
 		fprintf(stderr, "agatebeamd: cannot listen on %s: %s\n", addr,
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -53,6 +53,7 @@
  * @error: why the body was rejected, or ""
  * @spec: job to submit; the reducer takes ownership
  * @deadline_ms: how long the client waits; 0 when not specified
+ * @key: key of the client's account, or ""; a secret, which is not kept
  */
 struct wf_call {
 	uint64_t id;
@@ -62,6 +63,7 @@
 	char error[AGB_DETAIL_LEN];
 	struct wf_spec *spec;
 	uint32_t deadline_ms;
+	char key[WF_ACCOUNT_KEY_MAX + 1];
 };
 
 /**
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -50,6 +50,7 @@
 	wf_httpd_cb cb;
 	void *arg;
 	const char *deadline_header;
+	const char *key_header;
 	struct pending_request *requests;
 	size_t request_count;
 	size_t connection_count;
@@ -121,6 +122,32 @@
 		    req->headers.entries[i].value);
 }
 
+static bool
+is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+/* Copies the key of an account. A value that is too long or has a NUL is left
+ * out: cut off, it could equal a key that the client does not have. */
+static void
+copy_key(const struct wf_httpd *s, struct wf_http_req *out, h2o_req_t *req)
+{
+	const ssize_t i = h2o_find_header_by_str(
+	    &req->headers, s->key_header, strlen(s->key_header), -1);
+	h2o_iovec_t value;
+
+	if (i < 0)
+		return;
+	value = req->headers.entries[i].value;
+	/* h2o leaves the white space after a value in place. */
+	while (value.len > 0 && is_blank(value.base[value.len - 1]))
+		value.len--;
+	if (value.len < sizeof(out->key) &&
+	    memchr(value.base, '\0', value.len) == NULL)
+		copy_string(out->key, sizeof(out->key), value);
+}
+
 static int
 on_h2o_request(h2o_handler_t *self, h2o_req_t *req)
 {
@@ -144,9 +171,11 @@
 	copy_host(&out, req->authority);
 	copy_string(out.path, sizeof(out.path), req->path);
 	copy_deadline(s, &out, req);
+	copy_key(s, &out, req);
 	out.body = req->entity.base;
 	out.body_len = req->entity.len;
 	s->cb(s->arg, &out);
+	explicit_bzero(out.key, sizeof(out.key));
 	return 0;
 }
 
@@ -213,7 +242,7 @@
 
 struct wf_httpd *
 wf_httpd_new(uv_loop_t *loop, const char *addr, const char *deadline_header,
-    size_t body_max, wf_httpd_cb cb, void *arg)
+    const char *key_header, size_t body_max, wf_httpd_cb cb, void *arg)
 {
 	struct wf_httpd *const s = agb_xcalloc(1, sizeof(*s));
 	struct sockaddr_storage ss;
@@ -226,6 +255,7 @@
 	s->cb = cb;
 	s->arg = arg;
 	s->deadline_header = deadline_header;
+	s->key_header = key_header;
 	s->keep_alive = true;
 	uv_tcp_init(loop, &s->listener);
 	s->listener.data = s;
--- a/src/workflow/wf_httpd.h
+++ b/src/workflow/wf_httpd.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include "types.h"
+#include "wf_doc.h"
 
 struct wf_httpd;
 
@@ -19,6 +20,8 @@
  * @id: identifies the request for wf_httpd_reply(); never 0
  * @host: without the port
  * @deadline: value of the deadline header as sent, or ""
+ * @key: value of the first key header; "" without one, and when it is no key. A
+ *	secret, which is cleared after the callback
  */
 struct wf_http_req {
 	uint64_t id;
@@ -26,6 +29,7 @@
 	char host[256];
 	char path[256];
 	char deadline[32];
+	char key[WF_ACCOUNT_KEY_MAX + 1];
 	const char *body;
 	size_t body_len;
 };
@@ -38,11 +42,13 @@
  * @addr: "1.2.3.4:80"
  * @deadline_header: name, in lower case, of the header that is copied to
  *	@deadline of each request; must outlive the server
+ * @key_header: the same for @key of each request
  * @body_max: maximum request body in bytes; larger ones are rejected
  * Return: NULL when the address cannot be bound; errno is set.
  */
 struct wf_httpd *wf_httpd_new(uv_loop_t *loop, const char *addr,
-    const char *deadline_header, size_t body_max, wf_httpd_cb cb, void *arg);
+    const char *deadline_header, const char *key_header, size_t body_max,
+    wf_httpd_cb cb, void *arg);
 
 /**
  * wf_httpd_reply() - send the response to a request; does nothing when the
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -307,11 +307,13 @@
 		agb_str_copy(
 		    req.path, sizeof(req.path), "/p/00112233445566aa?x=1");
 		agb_str_copy(req.deadline, sizeof(req.deadline), "2500");
+		agb_str_copy(req.key, sizeof(req.key), "key-1");
 		req.body = cases[i].body;
 		req.body_len = strlen(cases[i].body);
 		CU_ASSERT(platform_front_parse_call(&req, &call));
 		CU_ASSERT_EQUAL(call.kind, WF_CALL_SUBMIT);
 		CU_ASSERT_EQUAL(call.deadline_ms, 2500);
+		CU_ASSERT_STRING_EQUAL(call.key, "key-1");
 		CU_ASSERT_STRING_EQUAL(call.path, "/p/00112233445566aa");
 		CU_ASSERT_EQUAL(call.spec != NULL, cases[i].fault == NULL);
 		if (cases[i].fault != NULL)
--- a/tests/test_wf_httpd.c
+++ b/tests/test_wf_httpd.c
@@ -31,6 +31,7 @@
 	struct sockaddr_in addr;
 	unsigned requests;
 	size_t body_len;
+	char key[WF_ACCOUNT_KEY_MAX + 1];
 } server;
 
 static void
@@ -39,6 +40,7 @@
 	(void)arg;
 	server.requests++;
 	server.body_len = req->body_len;
+	agb_str_copy(server.key, sizeof(server.key), req->key);
 	wf_httpd_reply(server.httpd, req->id, 200, "text/plain", 0, "ok", 2);
 }
 
@@ -65,8 +67,8 @@
 	snprintf(
 	    addr, sizeof(addr), "127.0.0.1:%u", ntohs(server.addr.sin_port));
 	uv_loop_init(&server.loop);
-	server.httpd = wf_httpd_new(
-	    &server.loop, addr, "deadline-ms", BODY_MAX, on_request, NULL);
+	server.httpd = wf_httpd_new(&server.loop, addr, "deadline-ms",
+	    "x-api-key", BODY_MAX, on_request, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(server.httpd);
 }
 
@@ -112,12 +114,11 @@
 	}
 }
 
-/* Whether the server answers a well-formed request on a new connection. */
+/* Whether the server answers a request with the body "{}" on a new
+ * connection. */
 static bool
-server_answers(void)
+server_answers_to(const char *request)
 {
-	static const char request[] =
-	    "POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
 	const uint64_t until = uv_hrtime() + (uint64_t)WAIT_MS * 1000000;
 	const int fd = connect_client();
 	bool answered = false;
@@ -140,6 +141,56 @@
 	return answered && server.body_len == 2;
 }
 
+/* Whether the server answers a well-formed request on a new connection. */
+static bool
+server_answers(void)
+{
+	return server_answers_to(
+	    "POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}");
+}
+
+/* Guards against a key that is lost, or cut off to one that the client does not
+ * have. */
+static void
+test_keys(void)
+{
+	static const struct {
+		const char *headers;
+		char fill; /* repeated @filled times after @headers */
+		size_t filled;
+		const char *key; /* NULL: the filled part */
+	} cases[] = {
+	    {"", 0, 0, ""},
+	    {"X-Api-Key: abc", 0, 0, "abc"},
+	    {"x-api-key: abc", 0, 0, "abc"},
+	    {"X-API-KEY:\t abc \t", 0, 0, "abc"},
+	    {"X-Api-Key: a b", 0, 0, "a b"},
+	    {"X-Api-Key:", 0, 0, ""},
+	    {"X-Api-Key2: abc", 0, 0, ""},
+	    {"X-Api-Key: abc\r\nX-Api-Key: def", 0, 0, "abc"},
+	    {"X-Api-Key: ", 'k', WF_ACCOUNT_KEY_MAX, NULL},
+	    {"X-Api-Key: ", 'k', WF_ACCOUNT_KEY_MAX + 1, ""},
+	    {"X-Api-Key: ", 'k', 4000, ""},
+	};
+	char *fill, *request;
+	size_t i;
+
+	start_server();
+	for (i = 0; i < LEN(cases); i++) {
+		fill = agb_xcalloc(cases[i].filled + 1, 1);
+		memset(fill, cases[i].fill, cases[i].filled);
+		request = agb_xasprintf("POST /q HTTP/1.1\r\nHost: h\r\n%s%s%s"
+					"Content-Length: 2\r\n\r\n{}",
+		    cases[i].headers, fill,
+		    cases[i].headers[0] != '\0' ? "\r\n" : "");
+		CU_ASSERT(server_answers_to(request));
+		CU_ASSERT_STRING_EQUAL(
+		    server.key, cases[i].key != NULL ? cases[i].key : fill);
+		free(request);
+		free(fill);
+	}
+}
+
 /* Guards against a request that ends the server, or leaves it without answers
  * for others. */
 static void
@@ -251,6 +302,7 @@
 }
 
 static const struct suite_test tests[] = {
+    {"httpd: keys", test_keys},
     {"httpd: malformed requests", test_malformed_requests},
     {"httpd: no descriptors", test_no_descriptors},
 };
