feat(workflow): the record of a submission names its account

The name follows the record, as the memory of an instance follows its entry. A job without an account is encoded as before, byte for byte, and earlier versions read the first part of the others. A record whose account is damaged is malformed: its job must not pass for one without an account.

The account is in wf_spec.account of each job of the table, where the leader finds it. wf_table_put_owner() keeps the queue and the account of a job alone, for instances that know only its state.

--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -67,6 +67,11 @@
 };
 typedef struct wf_x_job wf_x_job;
 
+struct wf_x_job_owner {
+	char *account;
+};
+typedef struct wf_x_job_owner wf_x_job_owner;
+
 struct wf_x_saved {
 	u_int index;
 	struct {
@@ -127,6 +132,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_wf_x_step (XDR *, wf_x_step*);
 extern  bool_t xdr_wf_x_job (XDR *, wf_x_job*);
+extern  bool_t xdr_wf_x_job_owner (XDR *, wf_x_job_owner*);
 extern  bool_t xdr_wf_x_saved (XDR *, wf_x_saved*);
 extern  bool_t xdr_wf_x_runner (XDR *, wf_x_runner*);
 extern  bool_t xdr_wf_x_state (XDR *, wf_x_state*);
@@ -136,6 +142,7 @@
 #else /* K&R C */
 extern bool_t xdr_wf_x_step ();
 extern bool_t xdr_wf_x_job ();
+extern bool_t xdr_wf_x_job_owner ();
 extern bool_t xdr_wf_x_saved ();
 extern bool_t xdr_wf_x_runner ();
 extern bool_t xdr_wf_x_state ();
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -161,6 +161,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wf_x_job_owner (XDR *xdrs, wf_x_job_owner *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, WF_X_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wf_x_saved (XDR *xdrs, wf_x_saved *objp)
 {
--- a/src/workflow/wf_record.x
+++ b/src/workflow/wf_record.x
@@ -52,6 +52,13 @@
 	string home<WF_X_NAME_MAX>;
 };
 
+/* Follows the record of a job that belongs to an account. Jobs without an
+ * account, and records of earlier versions, end without it; earlier versions
+ * ignore it. */
+struct wf_x_job_owner {
+	string account<WF_X_NAME_MAX>;
+};
+
 /* Checkpoint of a task that has been started and is not done. */
 struct wf_x_saved {
 	unsigned int index;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -89,18 +89,27 @@
 	agb_store_op_add_put(op, key, val != NULL ? val : "", len, 0);
 }
 
-uint64_t
-wf_table_stored_revision(const struct agb_store_result *res, const char *key)
+const struct agb_store_kv *
+wf_table_stored_kv(const struct agb_store_result *res, const char *key)
 {
 	size_t i;
 
-	if (res->succeeded)
-		return res->revision;
 	for (i = 0; i < res->kvs_len; i++) {
 		if (strcmp(res->kvs[i].key, key) == 0)
-			return res->kvs[i].mod_rev;
+			return &res->kvs[i];
 	}
-	return 0;
+	return NULL;
+}
+
+uint64_t
+wf_table_stored_revision(const struct agb_store_result *res, const char *key)
+{
+	const struct agb_store_kv *kv;
+
+	if (res->succeeded)
+		return res->revision;
+	kv = wf_table_stored_kv(res, key);
+	return kv != NULL ? kv->mod_rev : 0;
 }
 
 bool
@@ -201,6 +210,47 @@
 		    (x->flags & step_flags[i].flag) != 0;
 }
 
+/* Appends the account to the record of a job, unless it has none. */
+static char *
+append_owner(const struct wf_spec *s, char *raw, size_t *len)
+{
+	struct wf_x_job_owner x = {.account = (char *)(uintptr_t)s->account};
+	size_t tail_len;
+	char *tail;
+
+	if (s->account[0] == '\0')
+		return raw;
+	tail = wf_table_encode((xdrproc_t)xdr_wf_x_job_owner, &x, &tail_len);
+	if (tail == NULL) {
+		free(raw);
+		return NULL;
+	}
+	raw = agb_xreallocarray(raw, *len + tail_len, 1);
+	memcpy(raw + *len, tail, tail_len);
+	*len += tail_len;
+	free(tail);
+	return raw;
+}
+
+/* Reads the account that follows the record of a job. Returns false when what
+ * follows is malformed: the job must not pass for one without an account. */
+static bool
+decode_owner(
+    struct wf_x_job *job, const char *raw, size_t len, struct wf_spec *s)
+{
+	const size_t at = xdr_sizeof((xdrproc_t)xdr_wf_x_job, job);
+	struct wf_x_job_owner x = {0};
+	bool ok;
+
+	if (len <= at)
+		return true;
+	ok = decode((xdrproc_t)xdr_wf_x_job_owner, raw + at, len - at, &x);
+	if (ok)
+		agb_str_copy(s->account, sizeof(s->account), x.account);
+	xdr_free((xdrproc_t)xdr_wf_x_job_owner, (char *)&x);
+	return ok;
+}
+
 char *
 wf_table_encode_spec(const struct wf_spec *s, size_t *len)
 {
@@ -223,7 +273,7 @@
 		encode_step(&s->steps[i], &x.steps.steps_val[i]);
 	raw = wf_table_encode((xdrproc_t)xdr_wf_x_job, &x, len);
 	free(x.steps.steps_val);
-	return raw;
+	return raw != NULL ? append_owner(s, raw, len) : NULL;
 }
 
 /* Checks the invariants of a stored submission that later code relies on. */
@@ -246,8 +296,8 @@
 	return tasks <= WF_TASKS_MAX / s->repeat_count;
 }
 
-static bool
-decode_spec(const char *raw, size_t len, struct wf_spec *s)
+bool
+wf_table_decode_spec(const char *raw, size_t len, struct wf_spec *s)
 {
 	struct wf_x_job x;
 	uint32_t i;
@@ -270,7 +320,7 @@
 	s->steps = agb_xcalloc(s->steps_len, sizeof(*s->steps));
 	for (i = 0; i < s->steps_len; i++)
 		decode_step(&x.steps.steps_val[i], &s->steps[i]);
-	ok = spec_valid(s);
+	ok = spec_valid(s) && decode_owner(&x, raw, len, s);
 	if (!ok)
 		wf_spec_free(s);
 out:
@@ -346,11 +396,22 @@
 	} else {
 		wf_spec_free(spec);
 	}
+	j->owner_known = true;
 	j->found_in_read = true;
 	free(spec);
 	return j;
 }
 
+void
+wf_table_put_owner(struct wf_job *j, const struct wf_spec *spec)
+{
+	if (j->owner_known)
+		return;
+	j->owner_known = true;
+	agb_str_copy(j->spec.queue, sizeof(j->spec.queue), spec->queue);
+	agb_str_copy(j->spec.account, sizeof(j->spec.account), spec->account);
+}
+
 static void
 advance_state(struct wf_job *j, unsigned state)
 {
@@ -394,7 +455,7 @@
 		return;
 	}
 	spec = agb_xcalloc(1, sizeof(*spec));
-	if (!decode_spec(kv->val, kv->val_len, spec)) {
+	if (!wf_table_decode_spec(kv->val, kv->val_len, spec)) {
 		free(spec);
 		ch->malformed = true;
 		return;
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -44,6 +44,8 @@
  * @state_rev: revision of @state_record, or 0
  * @state: reported to clients; never goes back to an earlier state
  * @state_known: @state comes from a state record or a push of the leader
+ * @owner_known: the queue and the account in @spec are valid, even while
+ *	@spec_rev is 0
  * @final_seen_at: when this instance first found it in a final state, or 0
  * @exec: scheduling data of the leader, or NULL
  * @found_in_read: found in the full read that is in progress
@@ -59,6 +61,7 @@
 	size_t state_record_len;
 	enum wf_job_state state;
 	bool state_known;
+	bool owner_known;
 	int64_t ended_ms;
 	agb_time final_seen_at;
 	struct wf_exec *exec;
@@ -154,6 +157,13 @@
 struct wf_job *wf_table_put_spec(struct wf_table *t, const char *id,
     uint64_t revision, struct wf_spec *spec);
 
+/**
+ * wf_table_put_owner() - note the queue and the account of a job without its
+ * submission, which takes much more memory
+ * @spec: its submission as read from the store
+ */
+void wf_table_put_owner(struct wf_job *j, const struct wf_spec *spec);
+
 /**
  * wf_table_put_state() - add a state record that has been stored
  * @raw: copied
@@ -266,6 +276,15 @@
 uint64_t wf_table_stored_revision(
     const struct agb_store_result *res, const char *key);
 
+/**
+ * wf_table_stored_kv() - submission or cancellation that kept a transaction of
+ * wf_table_init_put() from being carried out
+ * @res: the conditions of the transaction did not hold
+ * Return: NULL when the key does not exist.
+ */
+const struct agb_store_kv *wf_table_stored_kv(
+    const struct agb_store_result *res, const char *key);
+
 /**
  * wf_table_parse_state_key() - get the job id from the key of a pushed state
  * Return: false when the key is of another kind.
@@ -278,6 +297,13 @@
  */
 char *wf_table_encode_spec(const struct wf_spec *s, size_t *len);
 
+/**
+ * wf_table_decode_spec() - decode a submission
+ * @s: freed with wf_spec_free()
+ * Return: false when it is malformed; @s then owns nothing.
+ */
+bool wf_table_decode_spec(const char *raw, size_t len, struct wf_spec *s);
+
 /**
  * wf_table_encode_peer() - encode the entry of an instance
  * @memory_mb: memory that its process may use; 0 when unknown
