feat(workflow): requests need a key of the job's account

When the document has accounts, a request needs a valid key unless its queue is public: otherwise 401. Requests for a job of another account get 403, and submissions that the limit of the account excludes for good get 429 without a Retry-After. 503 without a document and 404 come first, as before. Without accounts nothing changes.

wf_front_auth decides, wf_front_owner compares stored jobs. An instance that knows only the state of a job reads its submission once from the store before it answers, and keeps the queue and the account. A cancellation of a job whose account is not known reads first, so that it never writes one for another account's job. Job ids are looked up without their queue, so a public queue opens only its own jobs and those without an account. A submission over the limit is read before the 429, which promises that the job does not run: it may have been accepted before the limit was lowered.

Refusals with 401 write one line a second with a count of the others. No key is kept in a waiting call, a log line, a reply or a record.

--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -159,7 +159,8 @@
 	ef->tag = w->tag;
 	ef->timeout_ms = STORE_TIMEOUT_MS;
 	if (w->reading) {
-		wf_table_make_key(key, w->read_state ? 's' : 'j', w->job);
+		wf_table_make_key(
+		    key, w->read_state && !w->read_owner ? 's' : 'j', w->job);
 		agb_store_op_init_range(&ef->u.store, key, NULL, 1);
 		return;
 	}
@@ -241,18 +242,20 @@
 
 static struct wf_front_call *
 waiting_add(struct wf_front *f, const struct wf_now *now,
-    const struct wf_call *call, const struct wf_queue *q, const char *job)
+    const struct wf_front_request *r)
 {
 	struct wf_front_call *const w = agb_xcalloc(1, sizeof(*w));
+	const struct wf_call *const call = r->call;
 	uint32_t ms;
 
-	ms = call->deadline_ms > 0 ? call->deadline_ms
-	    : q->timeout_ms > 0	   ? q->timeout_ms
-				   : DEFAULT_DEADLINE_MS;
+	ms = call->deadline_ms > 0     ? call->deadline_ms
+	    : r->queue->timeout_ms > 0 ? r->queue->timeout_ms
+				       : DEFAULT_DEADLINE_MS;
 	ms = ms > 2 * ANSWER_MARGIN_MS ? ms - ANSWER_MARGIN_MS : ms;
 	w->call_id = call->id;
 	w->kind = call->kind;
-	agb_str_copy(w->job, sizeof(w->job), job);
+	w->caller = r->caller;
+	agb_str_copy(w->job, sizeof(w->job), r->job);
 	w->started_at = now->mono;
 	w->deadline = now->mono + ms * AGB_MS;
 	w->relay_at = now->mono + relay_delay(f);
@@ -321,23 +324,29 @@
 
 static void
 handle_submit(struct wf_front *f, const struct wf_now *now,
-    const struct wf_queue *q, struct wf_call *call, const char *job,
-    struct wf_effects *out)
+    const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const known = wf_table_job(f->table, job);
+	const struct wf_job *const known = wf_table_job(f->table, r->job);
+	struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
 	if (known != NULL && known->spec_rev > 0) {
-		wf_front_reply_accepted(out, call->id, call->kind, job, "known",
-		    known->spec_rev, 0);
+		wf_front_reply_accepted(out, call->id, call->kind, r->job,
+		    "known", known->spec_rev, 0);
 		return;
 	}
 	if (call->spec == NULL) {
 		wf_front_refuse(
-		    out, call->id, call->kind, 400, job, call->error);
+		    out, call->id, call->kind, 400, r->job, call->error);
+		return;
+	}
+	w = waiting_add(f, now, r);
+	if (wf_account_excludes(
+		wf_doc_account(r->doc, r->caller.account), call->spec)) {
+		w->refused_limit = true;
+		read_submission(f, w, out);
 		return;
 	}
-	w = waiting_add(f, now, call, q, job);
 	if (!memory_suffices(f, call->spec)) {
 		w->refused_full = true;
 		read_submission(f, w, out);
@@ -345,12 +354,15 @@
 	}
 	w->spec = call->spec;
 	call->spec = NULL;
-	agb_str_copy(w->spec->queue, sizeof(w->spec->queue), q->name);
+	agb_str_copy(w->spec->queue, sizeof(w->spec->queue), r->queue->name);
+	if (r->caller.restricted)
+		agb_str_copy(w->spec->account, sizeof(w->spec->account),
+		    r->caller.account);
 	w->spec->submitted_ms = now->unix_ms;
 	agb_str_copy(w->spec->origin, sizeof(w->spec->origin), f->rpc);
 	w->record = wf_table_encode_spec(w->spec, &w->record_len);
 	if (w->record == NULL) {
-		wf_front_refuse(out, call->id, call->kind, 400, job,
+		wf_front_refuse(out, call->id, call->kind, 400, r->job,
 		    "the job is too large to be stored");
 		waiting_free(f, w);
 		return;
@@ -358,53 +370,71 @@
 	send_first_write(f, now, w, out);
 }
 
+static void
+refuse_unknown(struct wf_effects *out, const struct wf_front_request *r)
+{
+	wf_front_refuse(out, r->call->id, r->call->kind, 503, r->job,
+	    "the job is not known here and the store is silent");
+}
+
 static void
 handle_get(struct wf_front *f, const struct wf_now *now,
-    const struct wf_queue *q, struct wf_call *call, const char *job,
-    struct wf_effects *out)
+    const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const j = wf_table_job(f->table, job);
+	const struct wf_job *const j = wf_table_job(f->table, r->job);
+	const bool read_owner = wf_front_owner_missing(&r->caller, j);
+	const struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
-	if (job_state_known(j) &&
+	if (!read_owner && job_state_known(j) &&
 	    (f->known.states_current || f->store_silent ||
 		wf_job_state_is_final(j->state))) {
 		wf_front_reply_state(out, call->id, j);
 		return;
 	}
 	if (f->store_silent) {
-		wf_front_refuse(out, call->id, call->kind, 503, job,
-		    "the job is not known here and the store is silent");
+		refuse_unknown(out, r);
 		return;
 	}
 	/* Another instance may have accepted the job, and the local state may
 	 * be outdated. */
-	w = waiting_add(f, now, call, q, job);
+	w = waiting_add(f, now, r);
 	w->reading = true;
+	w->read_owner = read_owner;
 	w->read_state = true;
 	send_store_op(f, w, out);
 }
 
 static void
 handle_cancel(struct wf_front *f, const struct wf_now *now,
-    const struct wf_queue *q, struct wf_call *call, const char *job,
-    struct wf_effects *out)
+    const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const j = wf_table_job(f->table, job);
+	const struct wf_job *const j = wf_table_job(f->table, r->job);
+	const bool read_owner = wf_front_owner_missing(&r->caller, j);
+	const struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
-	if (job_state_known(j) &&
+	if (!read_owner && job_state_known(j) &&
 	    (j->cancel_rev > 0 || wf_job_state_is_final(j->state))) {
-		wf_front_reply_accepted(
-		    out, call->id, call->kind, job, "known", j->cancel_rev, 0);
+		wf_front_reply_accepted(out, call->id, call->kind, r->job,
+		    "known", j->cancel_rev, 0);
+		return;
+	}
+	if (read_owner && f->store_silent) {
+		refuse_unknown(out, r);
 		return;
 	}
 	/* Also for a job that is not known: a write that submits it may still
 	 * be carried out, and must then find the cancellation. */
-	w = waiting_add(f, now, call, q, job);
+	w = waiting_add(f, now, r);
 	w->record = agb_xasprintf("%" PRId64, now->unix_ms);
 	w->record_len = strlen(w->record);
-	send_first_write(f, now, w, out);
+	if (!read_owner) {
+		send_first_write(f, now, w, out);
+		return;
+	}
+	w->read_owner = true;
+	read_submission(f, w, out);
 }
 
 static void
@@ -429,8 +459,8 @@
 wf_front_handle_call(struct wf_front *f, const struct wf_now *now,
     const struct wf_doc *doc, struct wf_call *call, struct wf_effects *out)
 {
+	struct wf_front_request r = {.doc = doc, .call = call};
 	const struct wf_queue *q;
-	wf_job_id job;
 
 	if (doc == NULL) {
 		wf_front_refuse(out, call->id, call->kind, 503, call->path,
@@ -443,43 +473,57 @@
 		    "no queue has this host and path");
 		return;
 	}
+	if (!wf_caller_identify(doc, q, call->key, &r.caller)) {
+		wf_front_refuse_key(&f->denials, now, call, out);
+		return;
+	}
+	r.queue = q;
 	if (call->kind == WF_CALL_GET &&
 	    strcmp(call->path, q->path_prefix) == 0) {
 		handle_queue(f, q, call->id, out);
 		return;
 	}
-	if (!parse_job_id(q, call->path, job)) {
+	if (!parse_job_id(q, call->path, r.job)) {
 		wf_front_refuse(out, call->id, call->kind,
 		    call->kind == WF_CALL_SUBMIT ? 400 : 410, call->path,
 		    "the path does not end with a job id of 16 digits");
 		return;
 	}
-	if (call->kind == WF_CALL_SUBMIT)
-		handle_submit(f, now, q, call, job, out);
+	if (wf_front_denies_known(&r.caller, wf_table_job(f->table, r.job)))
+		wf_front_refuse_owner(out, call->id, call->kind, r.job);
+	else if (call->kind == WF_CALL_SUBMIT)
+		handle_submit(f, now, &r, out);
 	else if (call->kind == WF_CALL_GET)
-		handle_get(f, now, q, call, job, out);
+		handle_get(f, now, &r, out);
 	else
-		handle_cancel(f, now, q, call, job, out);
+		handle_cancel(f, now, &r, out);
 }
 
 /* Handles the outcome of the write of a submission. Whether it was stored before
  * is read when it was written by a peer, which may be of a version that does not
  * tell.
  * @revision: that of the submission, or 0 when it is not stored
+ * @before: the submission that was stored before, if the result has it
  * Return: the job when it was stored by this write. */
 static struct wf_job *
 on_submission_written(struct wf_front *f, const struct wf_now *now,
     struct wf_front_call *w, bool written_by_peer, bool stored_now,
-    uint64_t revision, struct wf_effects *out)
+    uint64_t revision, const struct agb_store_kv *before,
+    struct wf_effects *out)
 {
 	struct wf_job *j = NULL;
 
-	if (revision == 0 && written_by_peer) {
+	if (!stored_now &&
+	    wf_front_must_read_stored(w, written_by_peer, revision, before)) {
 		w->maybe_stored = true;
 		read_submission(f, w, out);
 		return NULL;
 	}
-
+	if (before != NULL &&
+	    !wf_front_check_stored(f->table, w, before, out)) {
+		waiting_free(f, w);
+		return NULL;
+	}
 	if (stored_now) {
 		j = wf_table_put_spec(f->table, w->job, revision, w->spec);
 		w->spec = NULL;
@@ -531,13 +575,42 @@
 	if (res->succeeded && !written_by_peer)
 		push_to_leader(f, w, revision, out);
 	if (w->kind == WF_CALL_SUBMIT)
-		*changed_job = on_submission_written(
-		    f, now, w, written_by_peer, res->succeeded, revision, out);
+		*changed_job = on_submission_written(f, now, w, written_by_peer,
+		    res->succeeded, revision,
+		    res->succeeded ? NULL : wf_table_stored_kv(res, key), out);
 	else
 		*changed_job =
 		    on_cancellation_written(f, now, w, revision, out);
 }
 
+/* Goes on with a request after the account of its job was read. A job that is
+ * not stored has none; handle_cancel() tells why it is cancelled even so. */
+static void
+on_owner_read(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, const struct agb_store_result *res,
+    struct wf_effects *out)
+{
+	const struct wf_job *const j = wf_table_job(f->table, w->job);
+
+	w->read_owner = false;
+	if (res->kvs_len > 0 &&
+	    !wf_front_check_stored(f->table, w, &res->kvs[0], out)) {
+		waiting_free(f, w);
+	} else if (w->kind == WF_CALL_CANCEL) {
+		w->reading = false;
+		send_first_write(f, now, w, out);
+	} else if (res->kvs_len == 0) {
+		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
+		    "no such job is known");
+		waiting_free(f, w);
+	} else if (job_state_known(j) && f->known.states_current) {
+		wf_front_reply_state(out, w->call_id, j);
+		waiting_free(f, w);
+	} else {
+		send_store_op(f, w, out);
+	}
+}
+
 /* Processes a key that was read. The state has its own key; a job without one
  * may still be queued. */
 static void
@@ -546,6 +619,10 @@
 {
 	struct wf_job *j;
 
+	if (w->read_owner) {
+		on_owner_read(f, now, w, res, out);
+		return;
+	}
 	if (res->kvs_len > 0)
 		wf_table_apply(f->table, &res->kvs[0]);
 	if (w->read_state && res->kvs_len == 0) {
@@ -556,6 +633,8 @@
 	if (res->kvs_len == 0) {
 		if (w->refused_full)
 			wf_front_refuse_full(out, w);
+		else if (w->refused_limit)
+			wf_front_refuse_limit(out, w);
 		else if (w->kind == WF_CALL_SUBMIT)
 			wf_front_refuse_cancelled(out, w);
 		else
@@ -566,9 +645,10 @@
 	}
 	j = wf_table_job(f->table, w->job);
 	if (w->kind == WF_CALL_SUBMIT) {
-		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
-		    "stored-before", res->kvs[0].mod_rev,
-		    now->mono - w->started_at);
+		if (wf_front_check_stored(f->table, w, &res->kvs[0], out))
+			wf_front_reply_accepted(out, w->call_id, w->kind,
+			    w->job, "stored-before", res->kvs[0].mod_rev,
+			    now->mono - w->started_at);
 		waiting_free(f, w);
 		return;
 	}
@@ -596,7 +676,7 @@
 	if (w->kind == WF_CALL_GET) {
 		/* An outdated state is better than no answer. */
 		j = wf_table_job(f->table, w->job);
-		if (job_state_known(j)) {
+		if (job_state_known(j) && !w->read_owner) {
 			wf_front_reply_state(out, w->call_id, j);
 			waiting_free(f, w);
 			return;
--- a/src/workflow/wf_front_reply.c
+++ b/src/workflow/wf_front_reply.c
@@ -60,6 +60,38 @@
 	    "the job was cancelled before it was accepted");
 }
 
+void
+wf_front_refuse_limit(struct wf_effects *out, const struct wf_front_call *w)
+{
+	(void)add_refusal(out, w->call_id, w->kind, 429, w->job,
+	    "a task or a gang needs more than the limit of its account");
+}
+
+void
+wf_front_refuse_owner(struct wf_effects *out, uint64_t call_id,
+    enum wf_call_kind kind, const char *job)
+{
+	(void)add_refusal(
+	    out, call_id, kind, 403, job, "the job belongs to another account");
+}
+
+void
+wf_front_refuse_key(struct wf_denial_log *denials, const struct wf_now *now,
+    const struct wf_call *call, struct wf_effects *out)
+{
+	static const char why[] = "a valid key of an account is needed";
+	struct wf_reply *const r =
+	    wf_front_add_reply(out, call->id, call->kind, 401);
+	uint64_t omitted;
+
+	agb_str_copy(r->detail, sizeof(r->detail), why);
+	if (wf_denial_log_take(denials, now->mono, &omitted))
+		wf_effects_log(out, AGB_LOG_INFO, "answer",
+		    "job=%s status=401 outcome=not-run reason=\"%s\" "
+		    "omitted=%" PRIu64,
+		    call->path, why, omitted);
+}
+
 void
 wf_front_reply_accepted(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, const char *job, const char *how, uint64_t revision,
