fix(workflow): no cancellation of a job that another account submits meanwhile

A cancellation of a job that is not stored was written after its account had been looked up. A submission of another account that was stored in between was then cancelled, although such a request must get 403 and change nothing.

The write of such a cancellation now has the condition that there is still no submission; otherwise the account is read again. It does not go through peers, which do not add the condition. Without accounts nothing changes.

--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -166,6 +166,11 @@
 	}
 	make_record_key(w, key);
 	wf_table_init_put(&ef->u.store, key, w->record, w->record_len);
+	if (w->no_owner) {
+		wf_table_make_key(key, 'j', w->job);
+		agb_store_op_add_cmp(
+		    &ef->u.store, key, AGB_STORE_CMP_MOD_REV, 0);
+	}
 }
 
 /* Returns a peer that responds, after skipping some. The leader comes first,
@@ -203,6 +208,9 @@
 
 	if (w->reading || p == NULL)
 		return false;
+	/* Peers do not add the condition that there is no submission. */
+	if (w->no_owner)
+		return false;
 	/* The outcome of an abandoned write is unknown. */
 	if (w->relay_tag != 0)
 		w->maybe_stored = true;
@@ -574,6 +582,12 @@
 	/* A peer that has written the record tells the leader itself. */
 	if (res->succeeded && !written_by_peer)
 		push_to_leader(f, w, revision, out);
+	if (w->no_owner && revision == 0) {
+		/* A submission, perhaps of another account, was stored since. */
+		w->read_owner = true;
+		read_submission(f, w, out);
+		return;
+	}
 	if (w->kind == WF_CALL_SUBMIT)
 		*changed_job = on_submission_written(f, now, w, written_by_peer,
 		    res->succeeded, revision,
@@ -593,6 +607,7 @@
 	const struct wf_job *const j = wf_table_job(f->table, w->job);
 
 	w->read_owner = false;
+	w->no_owner = res->kvs_len == 0;
 	if (res->kvs_len > 0 &&
 	    !wf_front_check_stored(f->table, w, &res->kvs[0], out)) {
 		waiting_free(f, w);
--- a/src/workflow/wf_front_internal.h
+++ b/src/workflow/wf_front_internal.h
@@ -24,6 +24,8 @@
  * @reading: it reads the submission, or the state if @read_state is set
  * @read_owner: it reads the submission first, as the account of the job is not
  *	known here
+ * @no_owner: there was no submission when it was read; a cancellation is stored
+ *	only while that is so
  * @maybe_stored: a write was sent whose outcome is unknown
  * @cancel_rev: revision of the cancellation that is stored, or 0
  * @refused_full: the accepted jobs leave no room for this submission; it is only
@@ -48,6 +50,7 @@
 	uint32_t relays_tried;
 	bool reading;
 	bool read_owner;
+	bool no_owner;
 	bool read_state;
 	bool maybe_stored;
 	uint64_t cancel_rev;
--- a/tests/test_wf_front_auth.c
+++ b/tests/test_wf_front_auth.c
@@ -58,6 +58,8 @@
 /**
  * struct fixture - a request handler and its store
  * @status: answers that all store operations get
+ * @late: owner of a submission that is stored after the next read that finds
+ *	none; NULL for none
  * @log: all log lines and details of replies, with newlines
  * @reply: the latest reply; its status is 0 while there is none
  */
@@ -69,6 +71,7 @@
 	enum agb_store_status status;
 	struct agb_store_kv records[RECORDS_MAX];
 	size_t records_len;
+	const char *late;
 	uint64_t revision;
 	uint64_t next_id;
 	unsigned store_calls;
@@ -132,6 +135,32 @@
 	free(x->log);
 }
 
+static struct wf_spec *
+new_spec(uint32_t count, int64_t cpu, int64_t mem, bool gang)
+{
+	struct wf_spec *const s = agb_xcalloc(1, sizeof(*s));
+
+	s->repeat_count = 1;
+	s->payload = agb_xstrdup("x");
+	s->payload_len = 1;
+	s->steps = agb_xcalloc(1, sizeof(*s->steps));
+	s->steps_len = 1;
+	s->steps->count = count;
+	s->steps->need.cpu_milli = cpu;
+	s->steps->need.mem_mb = mem;
+	s->steps->gang = gang;
+	return s;
+}
+
+static void
+spec_destroy(struct wf_spec *s)
+{
+	if (s == NULL)
+		return;
+	wf_spec_free(s);
+	free(s);
+}
+
 /* ---- store ---- */
 
 static struct agb_store_kv *
@@ -158,6 +187,22 @@
 	kv->mod_rev = kv->create_rev = ++x->revision;
 }
 
+/* Stores a submission, as another instance or an earlier version has done. */
+static void
+put_submission(struct fixture *x, const char *queue, const char *account)
+{
+	struct wf_spec *const s = new_spec(1, 1000, 100, false);
+	size_t len;
+	char *raw;
+
+	agb_str_copy(s->queue, sizeof(s->queue), queue);
+	agb_str_copy(s->account, sizeof(s->account), account);
+	raw = wf_table_encode_spec(s, &len);
+	put_record(x, JOB_KEY, raw, len);
+	free(raw);
+	spec_destroy(s);
+}
+
 /* Answers an operation; the result borrows the records. */
 static void
 run_store(struct fixture *x, const struct agb_store_op *op,
@@ -176,6 +221,9 @@
 		kv = find_record(x, op->key);
 		if (kv != NULL)
 			found[res->kvs_len++] = *kv;
+		else if (x->late != NULL)
+			put_submission(x, "q", x->late);
+		x->late = NULL;
 		return;
 	}
 	for (i = 0; i < op->cmps_len; i++) {
@@ -229,32 +277,6 @@
 		perform(x, &out);
 }
 
-static struct wf_spec *
-new_spec(uint32_t count, int64_t cpu, int64_t mem, bool gang)
-{
-	struct wf_spec *const s = agb_xcalloc(1, sizeof(*s));
-
-	s->repeat_count = 1;
-	s->payload = agb_xstrdup("x");
-	s->payload_len = 1;
-	s->steps = agb_xcalloc(1, sizeof(*s->steps));
-	s->steps_len = 1;
-	s->steps->count = count;
-	s->steps->need.cpu_milli = cpu;
-	s->steps->need.mem_mb = mem;
-	s->steps->gang = gang;
-	return s;
-}
-
-static void
-spec_destroy(struct wf_spec *s)
-{
-	if (s == NULL)
-		return;
-	wf_spec_free(s);
-	free(s);
-}
-
 /* Sends a request; returns the status of the reply. */
 static int
 send_spec(struct fixture *x, enum wf_call_kind kind, const char *path,
@@ -291,16 +313,8 @@
 	    .key = (char *)(uintptr_t)("ab/v/" JOB),
 	    .val = (char *)(uintptr_t) "\1",
 	    .val_len = 1};
-	struct wf_spec *const s = new_spec(1, 1000, 100, false);
-	size_t len;
-	char *raw;
 
-	agb_str_copy(s->queue, sizeof(s->queue), queue);
-	agb_str_copy(s->account, sizeof(s->account), account);
-	raw = wf_table_encode_spec(s, &len);
-	put_record(x, JOB_KEY, raw, len);
-	free(raw);
-	spec_destroy(s);
+	put_submission(x, queue, account);
 	if (known == SUBMISSION)
 		wf_table_apply(&x->table, find_record(x, JOB_KEY));
 	if (known != UNKNOWN)
@@ -505,6 +519,38 @@
 	}
 }
 
+/* Guards against a cancellation that is stored for a job of another account, or
+ * answered for the own one and not stored, when the job is submitted after its
+ * account was looked up. */
+static void
+test_submitted_meanwhile(void)
+{
+	static const struct {
+		const char *owner, *key;
+		int status;
+	} cases[] = {
+	    {NULL, "key-b1", 410},
+	    {"a", "key-b1", 403},
+	    {"a", "key-a1", 200},
+	    {"", "key-b1", 200},
+	};
+	struct fixture x;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		fixture_init(&x, DOC);
+		x.late = cases[i].owner;
+		CU_ASSERT_EQUAL(
+		    send_call(&x, WF_CALL_CANCEL, "/q/" JOB, cases[i].key),
+		    cases[i].status);
+		CU_ASSERT_EQUAL(
+		    find_record(&x, JOB_KEY) != NULL, cases[i].owner != NULL);
+		CU_ASSERT_EQUAL(find_record(&x, CANCEL_KEY) != NULL,
+		    cases[i].status != 403);
+		fixture_free(&x);
+	}
+}
+
 /* Guards against an answer that a job of another account was accepted, when a
  * peer has made the write and tells only that there is such a job. */
 static void
@@ -792,6 +838,7 @@
     {"accounts: keys of requests", test_keys},
     {"accounts: jobs of others", test_other_accounts},
     {"accounts: store without answers", test_store_without_answers},
+    {"accounts: submitted meanwhile", test_submitted_meanwhile},
     {"accounts: written by a peer", test_written_by_peer},
     {"accounts: new document", test_new_document},
     {"accounts: limits", test_limits},
