test(workflow): accounts of the simulated jobs come from their records

Stored submissions name the account now, so that the test no longer sets it when a leader begins a job.

--- a/tests/test_wf_account_sim.c
+++ b/tests/test_wf_account_sim.c
@@ -16,25 +16,6 @@
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 
-struct wf_exec *__wrap_wf_exec_new(struct wf_leader *l,
-    const struct wf_now *now, struct wf_job *j, struct wf_effects *out);
-struct wf_exec *__real_wf_exec_new(struct wf_leader *l,
-    const struct wf_now *now, struct wf_job *j, struct wf_effects *out);
-
-/* Sets the account that the submission had. */
-struct wf_exec *
-__wrap_wf_exec_new(struct wf_leader *l, const struct wf_now *now,
-    struct wf_job *j, struct wf_effects *out)
-{
-	const struct sim_core *const c = l->cfg->meter_arg;
-	const struct sim_job *const submitted = sim_job_find(c->s, j->id);
-
-	if (submitted != NULL)
-		agb_str_copy(j->spec.account, sizeof(j->spec.account),
-		    submitted->spec.account);
-	return __real_wf_exec_new(l, now, j, out);
-}
-
 #define SETTLE_MS 1000
 
 static void
@@ -97,7 +78,7 @@
 	agb_str_copy(spec->account, sizeof(spec->account), account);
 	spec->steps[0].best_effort = true;
 	j = wf_table_put_spec(t, id, 1, spec);
-	j->exec = __real_wf_exec_new(l, now, j, out);
+	j->exec = wf_exec_new(l, now, j, out);
 	return j->exec;
 }
 
