feat(workflow): bound what clients that nobody controls can hold

libh2o buffers each request until its body is complete and bounds one request, not all of them together; many incomplete ones ended a process. The read callback of each connection is wrapped: the input buffer is counted after each read, and over an eighth of memory_mb the request that holds most bytes for the longest time is given up first. Connections are bounded by the descriptor limit; when there is no place, one without progress for 3 s (20 s between requests) makes room, else the new one gets 503. A head has 64 KiB and 10 s, a body or an unread response 20 s without progress. Refused and incomplete requests never reach the handler. HTTP/2 is switched off at these addresses, because its streams hold bodies that are not counted.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -16,6 +16,7 @@
 #include "wf_core.h"
 #include "wf_follow.h"
 #include "wf_giveup.h"
+#include "wf_httpd_log.h"
 #include "wf_metrics.h"
 #include "wf_registry.h"
 #include "wf_rpc.h"
@@ -26,11 +27,14 @@
 /* Maximum request body in bytes at the readiness and metrics addresses, where
  * the body is ignored. */
 #define PROBE_BODY_MAX 1024
+/* Maximum number of connections at each of these addresses. */
+#define PROBE_CONNECTIONS_MAX 64
 /* At exit the loop runs on so that the last responses can be written. It stops
  * at the first check that finds no pending request, or at the last check. */
 #define EXIT_POLL_MS 100
 #define EXIT_POLLS_MAX 3
 #define GIVE_UP_LINE_LEN 320
+#define REFUSAL_LINE_LEN 256
 /* Minimum time between two deliveries of registry changes. */
 #define REGISTRY_INTERVAL_MS 200
 
@@ -71,6 +75,7 @@
 	struct wf_rpc *rpc;
 	struct agb_store *store;
 	struct wf_giveup_log give_ups;
+	struct wf_httpd_log refusals;
 	struct wf_adapter *adapter;
 	struct {
 		uint64_t tag;
@@ -321,6 +326,7 @@
 	memset(&in, 0, sizeof(in));
 	wf_core_get_gauges(d->core, get_now().mono, &in.gauges);
 	in.connections = wf_httpd_connections(d->http);
+	in.clients = *wf_httpd_budget(d->http);
 	in.requests_open = wf_httpd_pending_requests(d->http);
 	in.store_calls = d->store->ops->call_count(d->store);
 	in.log_dropped = agb_log_dropped(d->log);
@@ -352,6 +358,17 @@
 		agb_log_line(d->log, AGB_LOG_WARN, "store", line);
 }
 
+static void
+on_client_refusal(void *arg, enum wf_httpd_reason reason)
+{
+	struct daemon *const d = arg;
+	char line[REFUSAL_LINE_LEN];
+
+	if (wf_httpd_log_format(&d->refusals, wf_httpd_budget(d->http), reason,
+		get_now().mono, line, sizeof(line)))
+		agb_log_line(d->log, AGB_LOG_WARN, "clients", line);
+}
+
 static void
 on_rpc_log(
     void *arg, enum agb_log_level level, const char *event, const char *line)
@@ -589,6 +606,10 @@
 	const struct wf_settings *const s = &d->settings;
 
 	d->http = listen_on(d, s->http_addr, s->body_max_bytes, on_request);
+	if (d->http != NULL) {
+		wf_httpd_set_memory(d->http, s->memory_mb);
+		wf_httpd_on_refusal(d->http, on_client_refusal);
+	}
 	d->ready_http =
 	    listen_on(d, s->ready_addr, PROBE_BODY_MAX, on_ready_request);
 	d->metrics_http =
@@ -600,6 +621,8 @@
 	if (d->http == NULL || d->ready_http == NULL ||
 	    d->metrics_http == NULL || d->rpc == NULL)
 		return false;
+	wf_httpd_set_connections_max(d->ready_http, PROBE_CONNECTIONS_MAX);
+	wf_httpd_set_connections_max(d->metrics_http, PROBE_CONNECTIONS_MAX);
 	d->store =
 	    d->ops->open_store(&d->loop, s->store_addr, on_store, on_watch, d);
 	d->store->give_up_cb = on_store_give_up;
--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -10,6 +10,7 @@
 
 #include "httpc.h"
 #include "mem.h"
+#include "wf_httpd_conn.h"
 
 #define BACKLOG 1024
 /* Longer than clients keep an idle connection open. */
@@ -33,26 +34,23 @@
  * response. */
 struct request_guard {
 	struct wf_httpd *s;
+	struct wf_httpd_conn *conn;
 	uint64_t id;
 };
 
-struct connection {
-	uv_tcp_t tcp;
-	struct wf_httpd *s;
-};
-
 struct wf_httpd {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	h2o_globalconf_t config;
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept;
+	struct wf_httpd_conns conns;
+	size_t body_max;
 	wf_httpd_cb cb;
 	void *arg;
 	const char *deadline_header;
 	struct pending_request *requests;
 	size_t request_count;
-	size_t connection_count;
 	uint64_t next_id;
 	bool keep_alive;
 	bool stopped;
@@ -86,6 +84,7 @@
 
 	if (c != NULL)
 		free_request(c);
+	wf_httpd_conn_end_request(g->conn);
 }
 
 static void
@@ -139,6 +138,8 @@
 	g = h2o_mem_alloc_shared(&req->pool, sizeof(*g), on_request_disposed);
 	g->s = s;
 	g->id = c->id;
+	g->conn = wf_httpd_conn_of(req);
+	wf_httpd_conn_begin_request(g->conn);
 	out.id = c->id;
 	copy_string(out.method, sizeof(out.method), req->method);
 	copy_host(&out, req->authority);
@@ -155,6 +156,7 @@
     uint32_t retry_s, const char *body, size_t len)
 {
 	struct pending_request *const c = find_request(s, id);
+	struct wf_httpd_conn *conn;
 	h2o_req_t *req;
 	char *text;
 	int n;
@@ -162,6 +164,7 @@
 	if (c == NULL)
 		return;
 	req = c->req;
+	conn = wf_httpd_conn_of(req);
 	free_request(c);
 	req->res.status = status;
 	req->res.reason = status < 400 ? "OK" : "Refused";
@@ -177,38 +180,16 @@
 	if (!s->keep_alive)
 		req->http1_is_persistent = 0;
 	h2o_send_inline(req, body, len);
-}
-
-static void
-on_connection_closed(uv_handle_t *h)
-{
-	struct connection *const c = (struct connection *)h;
-
-	c->s->connection_count--;
-	free(c);
+	wf_httpd_conn_begin_response(conn);
 }
 
 static void
 on_connection(uv_stream_t *listener, int status)
 {
 	struct wf_httpd *const s = listener->data;
-	h2o_socket_t *sock;
-	struct connection *c;
 
-	if (status != 0)
-		return;
-	c = agb_xcalloc(1, sizeof(*c));
-	c->s = s;
-	uv_tcp_init(s->loop, &c->tcp);
-	s->connection_count++;
-	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
-		uv_close((uv_handle_t *)&c->tcp, on_connection_closed);
-		return;
-	}
-	uv_tcp_nodelay(&c->tcp, 1);
-	sock =
-	    h2o_uv_socket_create((uv_stream_t *)&c->tcp, on_connection_closed);
-	h2o_accept(&s->accept, sock);
+	if (status == 0)
+		wf_httpd_conns_accept(&s->conns, listener);
 }
 
 struct wf_httpd *
@@ -244,6 +225,9 @@
 	s->config.server_name = h2o_iovec_init(H2O_STRLIT("agatebeam"));
 	s->config.max_request_entity_size = body_max;
 	s->config.http1.req_timeout = IDLE_TIMEOUT_MS;
+	/* A connection of HTTP/2 could hold a body for each of its streams,
+	 * where wf_httpd_conn does not count them. */
+	s->config.http1.upgrade_to_http2 = 0;
 	host = h2o_config_register_host(
 	    &s->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	path = h2o_config_register_path(host, "/", 0);
@@ -253,6 +237,8 @@
 	h2o_context_init(&s->ctx, loop, &s->config);
 	s->accept.ctx = &s->ctx;
 	s->accept.hosts = s->config.hosts;
+	s->body_max = body_max;
+	wf_httpd_conns_init(&s->conns, loop, &s->accept, body_max);
 	return s;
 }
 
@@ -281,5 +267,31 @@
 size_t
 wf_httpd_connections(const struct wf_httpd *s)
 {
-	return s->connection_count;
+	return s->conns.budget.connections;
+}
+
+void
+wf_httpd_set_memory(struct wf_httpd *s, uint32_t memory_mb)
+{
+	wf_httpd_conns_limit(&s->conns, memory_mb, s->body_max);
+}
+
+void
+wf_httpd_set_connections_max(struct wf_httpd *s, size_t max)
+{
+	s->conns.budget.limits.connections_max = max;
+	s->conns.budget.limits.descriptor_max = SIZE_MAX;
+}
+
+void
+wf_httpd_on_refusal(struct wf_httpd *s, wf_httpd_refusal_cb cb)
+{
+	s->conns.refusal_cb = cb;
+	s->conns.refusal_arg = s->arg;
+}
+
+const struct wf_httpd_budget *
+wf_httpd_budget(const struct wf_httpd *s)
+{
+	return &s->conns.budget;
 }
--- a/src/workflow/wf_httpd.h
+++ b/src/workflow/wf_httpd.h
@@ -6,11 +6,14 @@
  *
  * HTTP/1.1 server on one address. A callback gets each request once its body is
  * complete, and sends the response at once or later by the id of the request.
+ * What clients may hold is bounded (wf_httpd_budget); an incomplete request that
+ * is given up for it never reaches the callback.
  */
 
 #include <uv.h>
 
 #include "types.h"
+#include "wf_httpd_budget.h"
 
 struct wf_httpd;
 
@@ -44,6 +47,33 @@
 struct wf_httpd *wf_httpd_new(uv_loop_t *loop, const char *addr,
     const char *deadline_header, size_t body_max, wf_httpd_cb cb, void *arg);
 
+/* Called for each connection that is refused or given up. */
+typedef void (*wf_httpd_refusal_cb)(void *arg, enum wf_httpd_reason reason);
+
+/**
+ * wf_httpd_set_memory() - derive what clients may hold from the memory of the
+ * process
+ * @memory_mb: 0 when unknown
+ */
+void wf_httpd_set_memory(struct wf_httpd *s, uint32_t memory_mb);
+
+/**
+ * wf_httpd_set_connections_max() - set the maximum number of connections of a
+ * server that may use the descriptors which clients leave free
+ */
+void wf_httpd_set_connections_max(struct wf_httpd *s, size_t max);
+
+/**
+ * wf_httpd_on_refusal() - set the callback for connections that are refused or
+ * given up; its argument is that of wf_httpd_new()
+ */
+void wf_httpd_on_refusal(struct wf_httpd *s, wf_httpd_refusal_cb cb);
+
+/**
+ * wf_httpd_budget() - what clients hold, and the limits on it
+ */
+const struct wf_httpd_budget *wf_httpd_budget(const struct wf_httpd *s);
+
 /**
  * wf_httpd_reply() - send the response to a request; does nothing when the
  * request has ended because its connection closed
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -100,6 +100,12 @@
     .label = "message",
     .type = AGB_METRIC_COUNTER,
 };
+static const struct agb_metric clients_given_up = {
+    .name = "agatebeam_clients_given_up_total",
+    .help = "Client connections refused or given up, by reason.",
+    .label = "reason",
+    .type = AGB_METRIC_COUNTER,
+};
 
 struct wf_metrics {
 	struct agb_counters *counters;
@@ -240,6 +246,8 @@
 	VAL_ADVICE_CALLS,
 	VAL_STORE_WRITES,
 	VAL_CONNECTIONS,
+	VAL_CLIENTS_HELD,
+	VAL_CLIENTS_HELD_MAX,
 	VAL_REQUESTS_OPEN,
 	VAL_STORE_CALLS,
 	VAL_LOG_DROPPED,
@@ -305,6 +313,12 @@
     [VAL_CONNECTIONS] = {.name = "agatebeam_connections",
 	.help = "Connections of callers.",
 	.type = AGB_METRIC_GAUGE},
+    [VAL_CLIENTS_HELD] = {.name = "agatebeam_clients_held_bytes",
+	.help = "Bytes of requests and unread responses of all callers.",
+	.type = AGB_METRIC_GAUGE},
+    [VAL_CLIENTS_HELD_MAX] = {.name = "agatebeam_clients_held_max_bytes",
+	.help = "Upper limit of these bytes.",
+	.type = AGB_METRIC_GAUGE},
     [VAL_REQUESTS_OPEN] = {.name = "agatebeam_requests_open",
 	.help = "Requests not answered yet.",
 	.type = AGB_METRIC_GAUGE},
@@ -395,6 +409,16 @@
 		    (double)meter->start_results[i]);
 }
 
+static void
+set_clients(struct wf_metrics *m, const struct wf_httpd_budget *b)
+{
+	size_t i;
+
+	for (i = WF_HTTPD_KEEP + 1; i < WF_HTTPD_REASONS; i++)
+		set_counter(m, &clients_given_up, wf_httpd_reason_name(i),
+		    (double)b->counts[i]);
+}
+
 static void
 set_peer_bytes(struct wf_metrics *m, const struct agb_rpc_stats *stats)
 {
@@ -438,6 +462,8 @@
 	    [VAL_ADVICE_CALLS] = g->advice_calls,
 	    [VAL_STORE_WRITES] = g->writes,
 	    [VAL_CONNECTIONS] = (double)in->connections,
+	    [VAL_CLIENTS_HELD] = (double)in->clients.held,
+	    [VAL_CLIENTS_HELD_MAX] = (double)in->clients.limits.held_max,
 	    [VAL_REQUESTS_OPEN] = (double)in->requests_open,
 	    [VAL_STORE_CALLS] = (double)in->store_calls,
 	    [VAL_LOG_DROPPED] = (double)in->log_dropped,
@@ -463,5 +489,6 @@
 		    current[i]);
 	set_meter(m, in->meter);
 	set_peer_bytes(m, in->rpc);
+	set_clients(m, &in->clients);
 	return agb_counters_format(m->counters, len);
 }
--- a/src/workflow/wf_metrics.h
+++ b/src/workflow/wf_metrics.h
@@ -11,12 +11,14 @@
 #include "httpc.h"
 #include "rpc.h"
 #include "wf_core.h"
+#include "wf_httpd_budget.h"
 
 struct wf_metrics;
 
 /**
  * struct wf_metrics_sample - values read at the time of a scrape
  * @connections: open client connections
+ * @clients: what they hold, and how many were refused or given up
  * @requests_open: client requests without a response
  * @store_calls: calls made to the store since the start
  * @log_dropped: log lines dropped since the start
@@ -27,6 +29,7 @@
 struct wf_metrics_sample {
 	struct wf_gauges gauges;
 	size_t connections;
+	struct wf_httpd_budget clients;
 	size_t requests_open;
 	uint64_t store_calls;
 	uint64_t log_dropped;
--- a/tests/test_wf_httpd.c
+++ b/tests/test_wf_httpd.c
@@ -23,6 +23,9 @@
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 #define BODY_MAX 1024
 #define WAIT_MS 3000
+/* More than the time without progress after which a connection gives its place
+ * to another one. */
+#define STALE_MS 3200
 
 /* A server cannot be freed. The one of all tests stays reachable here. */
 static struct {
@@ -112,6 +115,43 @@
 	}
 }
 
+/* Return: status of the first response on the connection, read to its end; 0
+ * without one. */
+static int
+receive_status(int fd, char *in, size_t size)
+{
+	const uint64_t until = uv_hrtime() + (uint64_t)WAIT_MS * 1000000;
+	size_t len = 0;
+	ssize_t n;
+
+	in[0] = '\0';
+	while (uv_hrtime() < until && strstr(in, "\r\n\r\n") == NULL) {
+		run_server(1);
+		n = recv(fd, in + len, size - 1 - len, 0);
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		len += n > 0 ? (size_t)n : 0;
+		in[len] = '\0';
+	}
+	return strncmp(in, "HTTP/1.1 ", 9) == 0 ? atoi(in + 9) : 0;
+}
+
+/* Runs the server until its clients hold what is expected. */
+static bool
+holds(size_t min, size_t max)
+{
+	const struct wf_httpd_budget *const b = wf_httpd_budget(server.httpd);
+	const uint64_t until = uv_hrtime() + (uint64_t)WAIT_MS * 1000000;
+
+	do {
+		run_server(1);
+		if (b->held >= min && b->held <= max)
+			return true;
+	} while (uv_hrtime() < until);
+	printf("\nheld: %zu, expected %zu to %zu\n", b->held, min, max);
+	return false;
+}
+
 /* Whether the server answers a well-formed request on a new connection. */
 static bool
 server_answers(void)
@@ -250,9 +290,187 @@
 	CU_ASSERT(server_answers());
 }
 
+/* Guards against a body over the limit that is buffered, and against a refusal
+ * that the client cannot read. */
+static void
+test_announced_body(void)
+{
+	static const char request[] =
+	    "POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000000\r\n\r\n";
+	const unsigned requests = server.requests;
+	char in[512];
+	int fd;
+
+	start_server();
+	fd = connect_client();
+	send_bytes(fd, request, strlen(request));
+	CU_ASSERT_EQUAL(receive_status(fd, in, sizeof(in)), 413);
+	CU_ASSERT_EQUAL(server.requests, requests);
+	close(fd);
+	CU_ASSERT(holds(0, 0));
+}
+
+/* Guards against input that is not counted: of a first request, of one that
+ * follows another on the connection, and of one that waits for "100 Continue",
+ * after which h2o starts to read anew. */
+static void
+test_held_bytes(void)
+{
+	static const struct {
+		const char *first;
+		size_t held;
+		const char *last;
+	} cases[] = {
+	    {"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n", 46,
+		""},
+	    {"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+	     "POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n",
+		46, "200"},
+	    {"POST /q HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n"
+	     "Expect: 100-continue\r\n\r\n",
+		46, "100"},
+	};
+	char body[20], in[512];
+	size_t i;
+	int fd;
+
+	start_server();
+	memset(body, ' ', sizeof(body));
+	for (i = 0; i < LEN(cases); i++) {
+		CU_ASSERT(holds(0, 0));
+		fd = connect_client();
+		send_bytes(fd, cases[i].first, strlen(cases[i].first));
+		if (cases[i].last[0] != '\0')
+			CU_ASSERT_EQUAL(receive_status(fd, in, sizeof(in)),
+			    atoi(cases[i].last));
+		CU_ASSERT(holds(WF_HTTPD_REQUEST_BYTES + cases[i].held,
+		    WF_HTTPD_REQUEST_BYTES + 100));
+		send_bytes(fd, body, 19);
+		CU_ASSERT(holds(WF_HTTPD_REQUEST_BYTES + cases[i].held + 19,
+		    WF_HTTPD_REQUEST_BYTES + 119));
+		send_bytes(fd, body, 1);
+		CU_ASSERT_EQUAL(receive_status(fd, in, sizeof(in)), 200);
+		CU_ASSERT_EQUAL(server.body_len, 20);
+		CU_ASSERT(holds(0, 0));
+		close(fd);
+	}
+}
+
+/* Guards against clients that hold more than the budget together, against a
+ * request that is given up after it has run, and against one that suffers
+ * though it holds little. */
+static void
+test_budget(void)
+{
+	const struct wf_httpd_budget *b;
+	const unsigned requests = server.requests;
+	char head[60000], in[512];
+	int clients[8], small;
+	unsigned refused;
+	size_t i;
+
+	start_server();
+	b = wf_httpd_budget(server.httpd);
+	wf_httpd_set_memory(server.httpd, 1);
+	CU_ASSERT(b->limits.held_max < LEN(clients) * sizeof(head));
+	memset(head, 'x', sizeof(head));
+	small = connect_client();
+	send_bytes(small, "GET /", 5);
+	for (i = 0; i < LEN(clients); i++) {
+		clients[i] = connect_client();
+		send_bytes(clients[i], head, sizeof(head));
+		CU_ASSERT(holds(5, b->limits.held_max));
+	}
+	refused = 0;
+	for (i = 0; i < LEN(clients); i++) {
+		if (recv(clients[i], in, sizeof(in), 0) > 0) {
+			CU_ASSERT_EQUAL(
+			    strncmp(in, "HTTP/1.1 503 Refused\r\n", 22), 0);
+			refused++;
+		}
+	}
+	CU_ASSERT(refused >= LEN(clients) - 2);
+	CU_ASSERT_EQUAL(b->counts[WF_HTTPD_MEMORY], refused);
+	CU_ASSERT_EQUAL(server.requests, requests);
+	send_bytes(small, "q HTTP/1.1\r\nHost: h\r\n\r\n", 24);
+	CU_ASSERT_EQUAL(receive_status(small, in, sizeof(in)), 200);
+	for (i = 0; i < LEN(clients); i++)
+		close(clients[i]);
+	close(small);
+	CU_ASSERT(holds(0, 0));
+	wf_httpd_set_memory(server.httpd, 0);
+}
+
+/* Guards against a head that is buffered beyond four times the limit of a
+ * document. */
+static void
+test_long_head(void)
+{
+	const struct wf_httpd_budget *b;
+	uint64_t refused;
+	char part[8192];
+	size_t i;
+	int fd;
+
+	start_server();
+	b = wf_httpd_budget(server.httpd);
+	refused = b->counts[WF_HTTPD_HEAD_SIZE];
+	fd = connect_client();
+	memset(part, 'x', sizeof(part));
+	send_bytes(fd, "GET / HTTP/1.1\r\nHost: h\r\nx: ", 28);
+	for (i = 0; i < 9 && b->counts[WF_HTTPD_HEAD_SIZE] == refused; i++) {
+		send_bytes(fd, part, sizeof(part));
+		run_server(2);
+	}
+	CU_ASSERT_EQUAL(b->counts[WF_HTTPD_HEAD_SIZE], refused + 1);
+	CU_ASSERT(holds(0, 0));
+	close(fd);
+}
+
+/* Guards against connections beyond the limit, against a place that is not given
+ * to another client after a connection has ended, and against clients that keep
+ * all places without a request. */
+static void
+test_connections(void)
+{
+	char in[512];
+	int clients[3];
+	size_t i;
+
+	start_server();
+	run_server(50);
+	CU_ASSERT_EQUAL(wf_httpd_connections(server.httpd), 0);
+	wf_httpd_set_connections_max(server.httpd, 2);
+	for (i = 0; i < LEN(clients); i++) {
+		clients[i] = connect_client();
+		run_server(5);
+	}
+	CU_ASSERT_EQUAL(wf_httpd_connections(server.httpd), 2);
+	CU_ASSERT_EQUAL(receive_status(clients[2], in, sizeof(in)), 503);
+	close(clients[0]);
+	run_server(5);
+	CU_ASSERT(server_answers());
+	run_server(5);
+	clients[0] = connect_client();
+	run_server(STALE_MS);
+	CU_ASSERT_EQUAL(wf_httpd_connections(server.httpd), 2);
+	CU_ASSERT(server_answers());
+	CU_ASSERT_EQUAL(receive_status(clients[1], in, sizeof(in)), 503);
+	close(clients[0]);
+	close(clients[1]);
+	close(clients[2]);
+	run_server(5);
+	wf_httpd_set_memory(server.httpd, 0);
+}
+
 static const struct suite_test tests[] = {
     {"httpd: malformed requests", test_malformed_requests},
     {"httpd: no descriptors", test_no_descriptors},
+    {"httpd: announced body over the limit", test_announced_body},
+    {"httpd: held bytes", test_held_bytes},
+    {"httpd: budget", test_budget},
+    {"httpd: long head", test_long_head},
+    {"httpd: connections", test_connections},
 };
 
 int
--- a/tests/test_wf_meter.c
+++ b/tests/test_wf_meter.c
@@ -303,6 +303,10 @@
 	    "agatebeam_peer_queued_bytes_total{message=\"orders\"} 600\n",
 	    "agatebeam_store_given_up_total{call_reason=\"poll_stalled\"} 2\n",
 	    "agatebeam_store_given_up_total{call_reason=\"read_too-slow\"} 1\n",
+	    "agatebeam_clients_given_up_total{reason=\"memory\"} 12\n",
+	    "agatebeam_clients_given_up_total{reason=\"response-time\"} 0\n",
+	    "agatebeam_clients_held_bytes 300\n",
+	    "agatebeam_clients_held_max_bytes 900\n",
 	};
 	const struct wf_order_result res = {
 	    .kind = WF_ORDER_START, .status = WF_ORDER_TICKET_EXPIRED};
@@ -327,6 +331,9 @@
 	in.gauges.load = (struct wf_load){7, 2, 30, 50, 40, {64500, 18000, 3}};
 	in.meter = &m;
 	in.rpc = &rpc;
+	in.clients.counts[WF_HTTPD_MEMORY] = 12;
+	in.clients.held = 300;
+	in.clients.limits.held_max = 900;
 	in.backlog = (struct wf_backlog){5000, 4000};
 	wf_metrics_count_give_up(metrics, &poll);
 	wf_metrics_count_give_up(metrics, &poll);
