fix(workflow): clients that are gone run no further requests

h2o ignores failed writes while it has requests in its buffer that the client sent in advance, so that a connection which was reset, or given up, went on until its buffer was empty. Before each of these requests the socket is asked whether it was reset; such requests are not run and the connection ends. A response counts as unread only when the socket has not taken all of it, so that many responses of one turn are not given up, and counts 24 KiB besides: 200 such connections took 26 KB each.

`httpd: reset` fails without the check.

--- a/src/workflow/wf_httpd.c
+++ b/src/workflow/wf_httpd.c
@@ -120,14 +120,30 @@
 		    req->headers.entries[i].value);
 }
 
+/* Ends a connection whose client no longer gets responses. */
+static void
+close_after_refusal(h2o_req_t *req)
+{
+	req->res.status = 503;
+	req->res.reason = "Refused";
+	req->res.content_length = 0;
+	req->http1_is_persistent = 0;
+	h2o_send_inline(req, "", 0);
+}
+
 static int
 on_h2o_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct wf_httpd *const s = ((struct handler *)self)->s;
+	struct wf_httpd_conn *const conn = wf_httpd_conn_of(req);
 	struct wf_http_req out;
 	struct request_guard *g;
 	struct pending_request *c;
 
+	if (!wf_httpd_conn_begin_request(conn)) {
+		close_after_refusal(req);
+		return 0;
+	}
 	memset(&out, 0, sizeof(out));
 	c = agb_xcalloc(1, sizeof(*c));
 	c->s = s;
@@ -138,8 +154,7 @@
 	g = h2o_mem_alloc_shared(&req->pool, sizeof(*g), on_request_disposed);
 	g->s = s;
 	g->id = c->id;
-	g->conn = wf_httpd_conn_of(req);
-	wf_httpd_conn_begin_request(g->conn);
+	g->conn = conn;
 	out.id = c->id;
 	copy_string(out.method, sizeof(out.method), req->method);
 	copy_host(&out, req->authority);
--- a/src/workflow/wf_httpd_budget.c
+++ b/src/workflow/wf_httpd_budget.c
@@ -105,13 +105,22 @@
 	    l->phase == WF_HTTPD_RESPONSE;
 }
 
+static size_t
+extra_bytes(const struct wf_httpd_load *l)
+{
+	if (!is_incomplete(l))
+		return 0;
+	return l->phase == WF_HTTPD_RESPONSE ? WF_HTTPD_RESPONSE_BYTES
+					     : WF_HTTPD_REQUEST_BYTES;
+}
+
 void
 wf_httpd_budget_set_bytes(
     struct wf_httpd_budget *b, struct wf_httpd_load *l, size_t bytes)
 {
 	b->held -= l->held;
 	l->bytes = bytes;
-	l->held = bytes + (is_incomplete(l) ? WF_HTTPD_REQUEST_BYTES : 0);
+	l->held = bytes + extra_bytes(l);
 	b->held += l->held;
 }
 
--- a/src/workflow/wf_httpd_budget.h
+++ b/src/workflow/wf_httpd_budget.h
@@ -13,8 +13,9 @@
 
 /* What a connection takes besides the bytes of an incomplete request or unread
  * response: h2o's buffers and pools. 3,300 connections that had sent a head took
- * 11 KB each, idle ones 1.5 KB. */
+ * 11 KB each, idle ones 1.5 KB, and 200 that did not read 26 KB. */
 #define WF_HTTPD_REQUEST_BYTES ((size_t)8 * 1024)
+#define WF_HTTPD_RESPONSE_BYTES ((size_t)24 * 1024)
 
 /**
  * struct wf_httpd_limits - limits of one server
@@ -36,9 +37,11 @@
 	WF_HTTPD_IDLE,
 	WF_HTTPD_HEAD,
 	WF_HTTPD_BODY,
-	/* The request is complete and has no response yet. It may have had an
-	 * effect, so that it is not given up. */
+	/* The request is complete, and has no response yet or one that the
+	 * socket has taken. It may have had an effect, so that it is not given
+	 * up. */
 	WF_HTTPD_PENDING,
+	/* The socket has not taken the whole response. */
 	WF_HTTPD_RESPONSE,
 	WF_HTTPD_CLOSED,
 };
@@ -58,8 +61,8 @@
 /**
  * struct wf_httpd_load - what one connection holds
  * @bytes: bytes of its input and of its response that have not been sent
- * @held: @bytes, and WF_HTTPD_REQUEST_BYTES while the request is incomplete or
- *	the response unread
+ * @held: @bytes, and WF_HTTPD_REQUEST_BYTES while the request is incomplete, or
+ *	WF_HTTPD_RESPONSE_BYTES while the response is unread
  * @since: when the present request or response began
  * @progress_at: when bytes of it were last received or sent, or the phase began
  * @was_used: whether a response has been sent on the connection
--- a/src/workflow/wf_httpd_conn.c
+++ b/src/workflow/wf_httpd_conn.c
@@ -1,5 +1,6 @@
 #include "wf_httpd_conn.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +25,7 @@
  * @h2o_read: wrapped read callback
  * @scanned: bytes of the head that have been searched for its end
  * @unsent: bytes of the response that the socket has not taken
+ * @has_read: whether bytes have been read since the last complete request
  */
 struct wf_httpd_conn {
 	uv_tcp_t tcp;
@@ -35,6 +37,7 @@
 	size_t scanned;
 	size_t unsent;
 	bool is_unhooked;
+	bool has_read;
 };
 
 static agb_time
@@ -206,6 +209,7 @@
 	struct wf_httpd_conn *const c = (struct wf_httpd_conn *)(void *)stream;
 	struct wf_httpd_conns *const s = c->s;
 
+	c->has_read = true;
 	c->h2o_read(stream, n, buf);
 	if (c->load.phase == WF_HTTPD_CLOSED)
 		return;
@@ -388,11 +392,27 @@
 	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
 }
 
-void
+static bool
+is_reset(const struct wf_httpd_conn *c)
+{
+	struct pollfd p = {0};
+
+	return uv_fileno((const uv_handle_t *)&c->tcp, &p.fd) != 0 ||
+	    poll(&p, 1, 0) != 0;
+}
+
+bool
 wf_httpd_conn_begin_request(struct wf_httpd_conn *c)
 {
-	if (c->load.phase != WF_HTTPD_CLOSED)
-		c->load.phase = WF_HTTPD_PENDING;
+	const bool was_read = c->has_read;
+
+	c->has_read = false;
+	if (c->load.phase == WF_HTTPD_CLOSED)
+		return false;
+	c->load.phase = WF_HTTPD_PENDING;
+	/* h2o ignores failed writes while requests that the client has sent in
+	 * advance are in its buffer. */
+	return was_read || !is_reset(c);
 }
 
 void
@@ -400,9 +420,10 @@
 {
 	if (c->load.phase != WF_HTTPD_PENDING)
 		return;
-	c->load.phase = WF_HTTPD_RESPONSE;
-	c->load.since = c->load.progress_at = loop_now(c->s);
-	c->unsent = 0;
+	if (uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) > 0) {
+		c->load.phase = WF_HTTPD_RESPONSE;
+		c->load.since = c->load.progress_at = loop_now(c->s);
+	}
 	measure(c);
 	keep_within_budget(c->s);
 }
--- a/src/workflow/wf_httpd_conn.h
+++ b/src/workflow/wf_httpd_conn.h
@@ -61,8 +61,10 @@
 
 /**
  * wf_httpd_conn_begin_request() - the request is complete
+ * Return: false when it must not be run, because its connection has been given
+ * up or reset by the client.
  */
-void wf_httpd_conn_begin_request(struct wf_httpd_conn *c);
+bool wf_httpd_conn_begin_request(struct wf_httpd_conn *c);
 
 /**
  * wf_httpd_conn_begin_response() - the response has been passed to h2o
--- a/tests/test_wf_httpd.c
+++ b/tests/test_wf_httpd.c
@@ -427,6 +427,35 @@
 	close(fd);
 }
 
+/* Guards against requests that run for a client which has reset its connection:
+ * h2o goes on with those that it has read in advance. */
+static void
+test_reset(void)
+{
+	static const char request[] = "GET /q HTTP/1.1\r\nHost: h\r\n\r\n";
+	static const struct linger reset = {.l_onoff = 1};
+	char text[100 * sizeof(request)] = "";
+	unsigned requests;
+	size_t len = 0;
+	int fd;
+
+	start_server();
+	requests = server.requests;
+	while (len + sizeof(request) <= sizeof(text))
+		len += (size_t)snprintf(
+		    text + len, sizeof(text) - len, "%s", request);
+	fd = connect_client();
+	CU_ASSERT_EQUAL(send(fd, text, len, MSG_NOSIGNAL), (ssize_t)len);
+	while (server.requests == requests)
+		run_server(0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	run_server(50);
+	CU_ASSERT(server.requests < requests + 100);
+	CU_ASSERT_EQUAL(wf_httpd_connections(server.httpd), 0);
+	CU_ASSERT(holds(0, 0));
+}
+
 /* Guards against connections beyond the limit, against a place that is not given
  * to another client after a connection has ended, and against clients that keep
  * all places without a request. */
@@ -470,6 +499,7 @@
     {"httpd: held bytes", test_held_bytes},
     {"httpd: budget", test_budget},
     {"httpd: long head", test_long_head},
+    {"httpd: reset", test_reset},
     {"httpd: connections", test_connections},
 };
 
