feat(workflow): remote_factor and locality_wait_max_ms reach the leader

remote_factor was parsed and dropped. It is part of struct wf_config now, and so is the new setting locality_wait_max_ms (0 to 10000 ms, default 2000). The simulation gets racks: runners carry rack labels, a task away from the rack of its data and a gang that wants one rack and runs on several take remote_factor times as long. Nothing waits yet.

--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -629,6 +629,8 @@
 	cfg.grace_ms = d->settings.shutdown_grace_ms;
 	cfg.status_s = d->settings.status_retention_s;
 	cfg.runner_lease_max_ms = d->settings.runner_lease_max_ms;
+	cfg.remote_factor = d->settings.remote_run_factor;
+	cfg.locality_wait_max_ms = d->settings.locality_wait_max_ms;
 	cfg.meter_ops = &meter;
 	cfg.meter_arg = d;
 	d->core = wf_core_new(&cfg);
--- a/src/workflow/wf_settings.c
+++ b/src/workflow/wf_settings.c
@@ -12,6 +12,9 @@
 #define MEMORY_MB_MAX 16777216
 #define RUNNER_LEASE_MAX_MS 3600000
 #define DEFAULT_RUNNER_LEASE_MAX_MS 10000
+#define LOCALITY_WAIT_LIMIT_MS 10000
+/* A job must not wait for 3 s while there is room for it twice over. */
+#define DEFAULT_LOCALITY_WAIT_MAX_MS 2000
 
 static const char *const keys[] = {
     "instance",
@@ -28,6 +31,7 @@
     "status_s",
     "runner_lease_max_ms",
     "remote_factor",
+    "locality_wait_max_ms",
     "cpu_share",
     "link_mbps",
     "memory_mb",
@@ -61,6 +65,8 @@
 	    .min = 0, .max = MEMORY_MB_MAX, .unit = "MiB"};
 	static const struct agb_jsonc_range lease_range = {
 	    .min = 1, .max = RUNNER_LEASE_MAX_MS, .unit = "ms"};
+	static const struct agb_jsonc_range locality_range = {
+	    .min = 0, .max = LOCALITY_WAIT_LIMIT_MS, .unit = "ms"};
 	double grace_s = 10, status_s = 120;
 	size_t level = AGB_LOG_INFO;
 
@@ -84,6 +90,8 @@
 	    &out->runner_lease_max_ms);
 	agb_jsonc_get_double(
 	    root, "remote_factor", false, 1, 100, &out->remote_run_factor);
+	agb_jsonc_get_u32(root, "locality_wait_max_ms", false, &locality_range,
+	    &out->locality_wait_max_ms);
 	agb_jsonc_get_double(
 	    root, "cpu_share", false, 0, 1024, &out->cpu_share);
 	agb_jsonc_get_double(
@@ -110,6 +118,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->remote_run_factor = 1;
+	out->locality_wait_max_ms = DEFAULT_LOCALITY_WAIT_MAX_MS;
 	out->cpu_share = 1;
 	out->runner_lease_max_ms = DEFAULT_RUNNER_LEASE_MAX_MS;
 	out->body_max_bytes = 1024 * 1024;
--- a/src/workflow/wf_settings.h
+++ b/src/workflow/wf_settings.h
@@ -27,6 +27,8 @@
  * @status_retention_s: how long the state of a finished job can be queried
  * @runner_lease_max_ms: longest lease that a runner accepts
  * @remote_run_factor: factor by which run time grows away from the input data
+ * @locality_wait_max_ms: longest time that a step waits for a placement near its
+ *	data or its group; 0 disables waiting
  * @cpu_share: CPU share available to the instance, in cores
  * @link_mbps: bandwidth of the machine's network link; 0 when unknown
  * @memory_mb: memory that the process may use; 0 when unknown
@@ -47,6 +49,7 @@
 	uint32_t status_retention_s;
 	uint32_t runner_lease_max_ms;
 	double remote_run_factor;
+	uint32_t locality_wait_max_ms;
 	double cpu_share;
 	double link_mbps;
 	uint32_t memory_mb;
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -45,6 +45,10 @@
  * @grace_ms: maximum time from SIGTERM to process exit
  * @status_s: how long the state of a finished job can be queried
  * @runner_lease_max_ms: longest lease that a runner accepts
+ * @remote_factor: factor by which the run time of a task grows away from its data
+ *	or its group; up to 1 placement does not matter to it
+ * @locality_wait_max_ms: longest time from when a step is ready that it waits for
+ *	a placement near them; 0 disables waiting
  * @meter_ops: what measurements read; NULL measures no times
  * @meter_arg: argument of @meter_ops
  */
@@ -60,6 +64,8 @@
 	uint32_t grace_ms;
 	uint32_t status_s;
 	uint32_t runner_lease_max_ms;
+	double remote_factor;
+	uint32_t locality_wait_max_ms;
 	const struct wf_meter_ops *meter_ops;
 	void *meter_arg;
 };
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -24,6 +24,22 @@
 	sim_handle_event(s, e->core, &ev);
 }
 
+/* A line "wait" begins with "job=" and the id of the job. */
+static void
+keep_wait_line(struct sim *s, const char *line)
+{
+	struct sim_job *j;
+	wf_job_id id;
+
+	if (sscanf(line, "job=%16s", id) != 1)
+		return;
+	j = sim_job_find(s, id);
+	if (j == NULL)
+		return;
+	j->wait_lines++;
+	agb_str_copy(j->wait_line, sizeof(j->wait_line), line);
+}
+
 static void
 apply_effect(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
@@ -88,6 +104,8 @@
 		break;
 	case WF_EF_LOG:
 		s->load_lines += strcmp(ef->u.log.event, "load") == 0;
+		if (strcmp(ef->u.log.event, "wait") == 0)
+			keep_wait_line(s, ef->u.log.line);
 		if (getenv("SIM_LOG") != NULL)
 			printf("%7u %u %s %s\n", sim_now_ms(s), ci,
 			    ef->u.log.event, ef->u.log.line);
@@ -148,7 +166,7 @@
 	agb_str_copy(q->host, sizeof(q->host), "h");
 	snprintf(q->path_prefix, sizeof(q->path_prefix), "/%s/", name);
 	q->timeout_ms = 3000;
-	q->target_ms = 1000;
+	q->target_ms = s->o.target_ms > 0 ? s->o.target_ms : 1000;
 	q->max_attempts = s->o.max_attempts;
 	q->slack_factor = 2;
 	q->advice_required = s->o.advice_required;
@@ -217,6 +235,8 @@
 	cfg.grace_ms = 6000;
 	cfg.status_s = 120;
 	cfg.runner_lease_max_ms = HOLD_MAX_MS;
+	cfg.remote_factor = s->o.remote_factor;
+	cfg.locality_wait_max_ms = s->o.locality_wait_ms;
 	cfg.meter_ops = &sim_meter_ops;
 	cfg.meter_arg = c;
 	wf_core_free(c->core);
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -88,6 +88,38 @@
 	return j != NULL ? (unsigned)(j->started_at / SIM_MS) : 0;
 }
 
+unsigned
+sim_done_at_ms(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? (unsigned)(j->done_at / SIM_MS) : 0;
+}
+
+unsigned
+sim_remote_count(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->remote : 0;
+}
+
+unsigned
+sim_wait_lines(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->wait_lines : 0;
+}
+
+const char *
+sim_wait_line(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->wait_line : "";
+}
+
 unsigned
 sim_running_count(const struct sim *s, const char *id)
 {
@@ -195,6 +227,18 @@
 	    SIM_MS);
 }
 
+uint64_t
+sim_examined(const struct sim *s, unsigned ci)
+{
+	return wf_core_meter(s->cores[ci].core)->total.examined;
+}
+
+uint64_t
+sim_tally(const struct sim *s, unsigned ci, enum wf_tally tally)
+{
+	return wf_core_meter(s->cores[ci].core)->total.tallies[tally];
+}
+
 unsigned
 sim_load_lines(const struct sim *s)
 {
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -38,8 +38,10 @@
 	r->barred[r->barred_len++] = *f;
 	if (j == NULL)
 		return;
-	if (how == WF_END_DONE)
+	if (how == WF_END_DONE) {
 		sim_task_find(j, &run->task)->done = true;
+		j->done_at = s->now;
+	}
 	if (how == WF_END_FAILED)
 		sim_task_find(j, &run->task)->failed++;
 }
@@ -86,6 +88,55 @@
 	}
 }
 
+static const char *
+rack_of(const struct sim_runner *r)
+{
+	return r->info.labels_len > 0 ? r->info.labels[r->info.labels_len - 1]
+				      : "";
+}
+
+/* Whether the members of a gang are on several racks, or one of them is away from
+ * the rack of its data. */
+static bool
+gang_is_remote(
+    struct sim *s, const struct wf_step *step, const struct task_run *g)
+{
+	const struct sim_runner *first = NULL, *r;
+	bool remote = false;
+	unsigned ri;
+	size_t i;
+
+	for (ri = 0; ri < s->o.runners; ri++) {
+		r = &s->runners[ri];
+		for (i = 0; i < r->runs_len; i++) {
+			if (r->runs[i].run != g->run ||
+			    r->runs[i].task.step != g->task.step ||
+			    r->runs[i].task.occurrence != g->task.occurrence ||
+			    strcmp(r->runs[i].task.job, g->task.job) != 0)
+				continue;
+			if (first == NULL)
+				first = r;
+			remote |= !wf_runner_has_label(&r->info, step->rack) ||
+			    (step->rack_local &&
+				strcmp(rack_of(r), rack_of(first)) != 0);
+		}
+	}
+	return remote;
+}
+
+/* Run time of a task or of a whole gang. */
+static agb_time
+run_time(const struct sim *s, const struct wf_step *step, bool remote)
+{
+	const uint64_t stretch =
+	    s->o.run_time_factor > 0 ? s->o.run_time_factor : 1;
+	const agb_time time = step->estimate_ms * stretch * SIM_MS;
+
+	return remote && s->o.remote_factor > 1
+	    ? (agb_time)((double)time * s->o.remote_factor)
+	    : time;
+}
+
 static void
 start_member(struct sim *s, struct task_run *x, uint64_t ends)
 {
@@ -210,11 +261,10 @@
 static enum wf_order_status
 do_start(struct sim *s, struct sim_runner *r, const struct wf_order *o)
 {
-	const uint64_t stretch =
-	    s->o.run_time_factor > 0 ? s->o.run_time_factor : 1;
 	struct sim_job *const j = sim_job_find(s, o->task.job);
 	const struct wf_step *step;
 	struct task_run *x;
+	bool remote;
 	size_t i;
 
 	if (j == NULL) {
@@ -250,15 +300,19 @@
 							       : WF_END_DONE;
 	if (step->gang && step->count > 1) {
 		x->awaits_gang = true;
-		if (gang_members_present(s, x) == step->count)
-			for_gang_members(s, x, start_member,
-			    s->now + step->estimate_ms * stretch * SIM_MS);
+		if (gang_members_present(s, x) != step->count)
+			return WF_ORDER_OK;
+		remote = gang_is_remote(s, step, x);
+		j->remote += remote ? step->count : 0;
+		for_gang_members(
+		    s, x, start_member, s->now + run_time(s, step, remote));
 	} else {
+		remote = !wf_runner_has_label(&r->info, step->rack);
+		j->remote += remote;
 		x->works_since = s->now;
 		x->ends_at = s->now +
-		    (x->end == WF_END_FAILED ? 50
-					     : step->estimate_ms * stretch) *
-			SIM_MS;
+		    (x->end == WF_END_FAILED ? 50 * SIM_MS
+					     : run_time(s, step, remote));
 	}
 	return WF_ORDER_OK;
 }
@@ -422,7 +476,8 @@
 static int64_t
 new_clock_base_ms(const struct sim *s)
 {
-	return 1000 + (int64_t)(s->now / SIM_MS * 7919 % (2 * CLOCK_BASE_MS));
+	return 1000 +
+	    (int64_t)(s->now / SIM_MS * 7919 % ((uint64_t)2 * CLOCK_BASE_MS));
 }
 
 static void
--- a/tests/wfsim/wfsim.c
+++ b/tests/wfsim/wfsim.c
@@ -4,6 +4,13 @@
 #include "mem.h"
 #include "world.h"
 
+static void
+set_rack(struct wf_runner_info *info, unsigned rack)
+{
+	snprintf(info->labels[0], sizeof(info->labels[0]), "rack-%u", rack);
+	info->labels_len = 1;
+}
+
 struct sim *
 sim_new(const struct sim_options *o)
 {
@@ -32,6 +39,8 @@
 		r->info.capacity.mem_mb = 65536;
 		r->info.started_ms = 1;
 		r->info.remaining_ms = -1;
+		if (o->rack_size > 0)
+			set_rack(&r->info, i / o->rack_size);
 		r->clock_base_ms = CLOCK_BASE_MS;
 		r->entry = r->info;
 		r->up = true;
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -60,6 +60,12 @@
  * @advice_in_turn: the advice service handles one call of an instance at a time
  * @ticket_ms: lifetime of an approval; 0 means 2000
  * @queues: queues for sim_submit_to(), in place of the single default one
+ * @rack_size: number of consecutive runners on one rack, "rack-0" and so on;
+ *	0 for no racks
+ * @remote_factor: factor on the run time of a task away from the rack of its
+ *	data, and of a gang that wants one rack and runs on several; 0 for none
+ * @locality_wait_ms: longest wait for a placement near them
+ * @target_ms: target of the default queue; 0 means 1000
  * @fault_gap_ms: mean time between two faults in randomized runs; 0 for none
  */
 struct sim_options {
@@ -87,6 +93,10 @@
 	unsigned ticket_ms;
 	const struct sim_queue *queues;
 	size_t queues_len;
+	unsigned rack_size;
+	double remote_factor;
+	unsigned locality_wait_ms;
+	unsigned target_ms;
 	unsigned jobs_per_s;
 	unsigned load_ms;
 	unsigned fault_gap_ms;
@@ -213,6 +223,14 @@
 /* Order batches, writes and other messages that instances have sent. */
 uint64_t sim_bytes_sent(const struct sim *s, unsigned ci);
 unsigned sim_started_at_ms(const struct sim *s, const char *id);
+/* When the run of a job that ended last was done; 0 while none is. */
+unsigned sim_done_at_ms(const struct sim *s, const char *id);
+/* Starts of a job's tasks away from the rack of their data, and of members of
+ * gangs that want one rack and run on several. */
+unsigned sim_remote_count(const struct sim *s, const char *id);
+/* Log lines "wait" of all instances about a job, and the last of them. */
+unsigned sim_wait_lines(const struct sim *s, const char *id);
+const char *sim_wait_line(const struct sim *s, const char *id);
 unsigned sim_running_count(const struct sim *s, const char *id);
 /* Index of a runner that runs a task of the job, or UINT32_MAX. */
 unsigned sim_runner_of(const struct sim *s, const char *id);
@@ -237,6 +255,10 @@
 unsigned sim_advice_runners(const struct sim *s);
 /* Time that the dispatch passes of an instance have taken. */
 unsigned sim_dispatch_ms(const struct sim *s, unsigned ci);
+/* Queued steps, and runners for them, that its passes have looked at. */
+uint64_t sim_examined(const struct sim *s, unsigned ci);
+/* Decisions of an instance. */
+uint64_t sim_tally(const struct sim *s, unsigned ci, enum wf_tally tally);
 /* Log lines "load" of all instances. */
 unsigned sim_load_lines(const struct sim *s);
 unsigned sim_job_count(const struct sim *s);
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -130,7 +130,11 @@
 	size_t queue;
 	unsigned status;
 	unsigned starts;
+	unsigned remote;
+	unsigned wait_lines;
+	char wait_line[256];
 	agb_time started_at;
+	agb_time done_at;
 	agb_time cancel_at;
 	bool cancel_acked;
 	unsigned cancel_status;
