feat(workflow): steps wait for a place near their data or their group

A step that names the rack of its data, or a gang that wants one rack, took any room that a pass found: near if that was free, remote otherwise, also just before near room became free. The pass now asks wf_locality for units that could start, but not near. Near room is expected from the run ends that plans for gangs use, and is reserved for a unit that waits, so that units behind it do not take it and no two units count on the same end. The wait ends with the time that a remote run takes longer, with locality_wait_max_ms since the unit became ready, before the job is late and before approvals expire. Run times are learned, and ends expected, with remote_factor for remote runs. Units that want no place cause no work: what passes examine is the same in a test.

The line event=wait tells the decision and the outcome once per unit; the tallies waits_near, waits_vain and remote are in the load line, whose buffer grows from 640 to 768 bytes, and in agatebeam_task_decisions_total.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -40,6 +40,13 @@
 	return wf_unit_step(u)->gang && u->active > 0;
 }
 
+static bool
+may_reserve(const struct dispatch_pass *p)
+{
+	return p->reservations_made <
+	    RESERVATIONS_MIN + p->l->runners_len / RUNNERS_PER_RESERVATION;
+}
+
 static void
 place_gang(struct dispatch_pass *p, struct wf_unit *u, const struct wf_queue *q)
 {
@@ -55,6 +62,7 @@
 	if (gang_blocked(u, p->now->mono))
 		return;
 	len = dispatch_collect_candidates(p, u, q, &stale_len);
+	len = dispatch_prefer_data_rack(p, u, len);
 	if (step->rack_local)
 		len = dispatch_confine_to_one_rack(
 		    p->candidates, len, u->waiting);
@@ -62,6 +70,10 @@
 	for (i = 0; i < len; i++)
 		room += p->candidates[i].fit;
 	if (room >= u->waiting) {
+		if (dispatch_gang_waits(p, u, q, len, may_reserve(p))) {
+			dispatch_claim_with_tickets(p, u, q);
+			return;
+		}
 		dispatch_sort_candidates(p->candidates, len);
 		dispatch_place_tasks(p, u, p->candidates, len);
 		return;
@@ -70,8 +82,7 @@
 	may_request = dispatch_may_request_advice(p, u, q);
 	if (!may_request && !dispatch_gets_tickets(p, u, q))
 		return;
-	if (p->reservations_made < RESERVATIONS_MIN +
-		    p->l->runners_len / RUNNERS_PER_RESERVATION &&
+	if (may_reserve(p) &&
 	    p->now->mono - u->ready_at >= RESERVE_AFTER_MS * AGB_MS)
 		dispatch_plan_gang(p, u, q, &plan);
 	if (plan.start_at != AGB_TIME_MAX && stale_len == 0 &&
@@ -110,7 +121,9 @@
 		len = dispatch_confine_to_one_rack(
 		    p->candidates, len, u->waiting);
 	dispatch_sort_candidates(p->candidates, len);
-	if (len > 0)
+	if (len > 0 && dispatch_wants_near(p, u))
+		dispatch_place_near_first(p, u, q, len);
+	else if (len > 0)
 		dispatch_place_tasks(p, u, p->candidates, len);
 	else
 		p->kept_out += p->fit_reserved > 0;
@@ -180,6 +193,8 @@
 	wf_meter_add_examined(l->meter, len);
 	wf_advice_update_claims(l, now->mono);
 	wf_advice_update_clients(l, now->mono);
+	p.units = list;
+	p.units_len = len;
 	p.candidates = agb_xcalloc(l->runners_len + 1, sizeof(*p.candidates));
 	p.stale = agb_xcalloc(l->runners_len + 1, sizeof(*p.stale));
 	p.rooms = agb_xcalloc(l->runners_len + 1, sizeof(*p.rooms));
@@ -212,6 +227,7 @@
 	for (i = 0; i < l->runners_len; i++)
 		l->runners[i].reserved = p.reservations[i].start_at > 0;
 	record_room(&p);
+	free(p.near);
 	free(p.run_ends);
 	free(p.ends);
 	free(p.reservations);
--- a/src/workflow/wf_dispatch_advice.c
+++ b/src/workflow/wf_dispatch_advice.c
@@ -74,9 +74,8 @@
 	return room > 0;
 }
 
-/* Resources of a runner that will be free at a time. */
-static struct agb_resources
-room_at(struct dispatch_pass *p, uint32_t ri, agb_time when)
+struct agb_resources
+dispatch_room_at(struct dispatch_pass *p, uint32_t ri, agb_time when)
 {
 	const struct run_ends *const e = dispatch_run_ends(p, ri);
 	struct agb_resources room;
@@ -110,7 +109,7 @@
 		if (!wf_fleet_usable(r, p->now->mono) ||
 		    strcmp(r->info.service, q->service) != 0)
 			continue;
-		p->rooms_soon[ri] = room_at(p, ri, when);
+		p->rooms_soon[ri] = dispatch_room_at(p, ri, when);
 		p->soon_cpu_milli += p->rooms_soon[ri].cpu_milli;
 	}
 	wf_meter_add_examined(p->l->meter, p->l->runners_len);
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -64,6 +64,13 @@
 	int64_t cpu;
 };
 
+/* A runner near the data of a step, or one on which its group may be; @rack as
+ * in struct candidate. */
+struct near_runner {
+	uint32_t runner;
+	const char *rack;
+};
+
 /**
  * struct dispatch_pass - state of one pass over the queue
  * @candidates: scratch list of runners with room for the unit being placed
@@ -86,6 +93,11 @@
  * @fit_reserved: tasks of the unit being placed for which only reserved room was
  *	found
  * @kept_out: see struct wf_pass_room
+ * @units, @units_len: the queued units, in the order in which they are placed
+ * @near: scratch list of near runners of the unit being placed, allocated for
+ *	the first unit that needs it
+ * @short_service, @room_short: whether room is short for this service, as of the
+ *	first unit of it that asked
  */
 struct dispatch_pass {
 	struct wf_leader *l;
@@ -110,6 +122,12 @@
 	int64_t free_cpu;
 	uint64_t fit_reserved;
 	uint32_t kept_out;
+	const struct queued_unit *units;
+	size_t units_len;
+	struct near_runner *near;
+	size_t near_len;
+	const char *short_service;
+	bool room_short;
 	struct wf_effects *out;
 };
 
@@ -216,6 +234,12 @@
 void dispatch_plan_gang(struct dispatch_pass *p, const struct wf_unit *u,
     const struct wf_queue *q, struct gang_plan *plan);
 
+/**
+ * dispatch_reserve_tasks() - reserve room on a runner for tasks of a step
+ */
+void dispatch_reserve_tasks(const struct dispatch_pass *p,
+    const struct wf_step *step, uint32_t ri, uint32_t tasks, agb_time start_at);
+
 /**
  * dispatch_reserve_for_gang() - reserve the room that a gang is expected to
  * start in
@@ -226,8 +250,48 @@
 void dispatch_reserve_for_gang(struct dispatch_pass *p, const struct wf_unit *u,
     const struct gang_plan *plan);
 
+/* ---- wf_dispatch_locality.c ---- */
+
+/**
+ * dispatch_wants_near() - whether it matters to a unit where it runs
+ */
+bool dispatch_wants_near(
+    const struct dispatch_pass *p, const struct wf_unit *u);
+
+/**
+ * dispatch_prefer_data_rack() - for a gang that wants one rack and names that of
+ * its data: keep only the candidates on it if they have room for the gang
+ * Return: number of candidates that are left.
+ */
+size_t dispatch_prefer_data_rack(
+    const struct dispatch_pass *p, const struct wf_unit *u, size_t len);
+
+/**
+ * dispatch_gang_waits() - whether a gang that has room in @len candidates waits
+ * for near room instead; this is reserved for it then
+ * @may_reserve: the pass may make a further reservation
+ */
+bool dispatch_gang_waits(struct dispatch_pass *p, struct wf_unit *u,
+    const struct wf_queue *q, size_t len, bool may_reserve);
+
+/**
+ * dispatch_place_near_first() - assign waiting tasks to near candidates, and the
+ * others to remote ones unless a wait for near room pays; this is reserved for
+ * them then
+ * @len: number of candidates, which are sorted
+ */
+void dispatch_place_near_first(struct dispatch_pass *p, struct wf_unit *u,
+    const struct wf_queue *q, size_t len);
+
 /* ---- wf_dispatch_advice.c ---- */
 
+/**
+ * dispatch_room_at() - resources of a runner that are expected to be free at a
+ * time
+ */
+struct agb_resources dispatch_room_at(
+    struct dispatch_pass *p, uint32_t ri, agb_time when);
+
 /**
  * dispatch_may_request_advice() - whether a unit may request advice now
  *
--- a/src/workflow/wf_dispatch_plan.c
+++ b/src/workflow/wf_dispatch_plan.c
@@ -20,10 +20,12 @@
 }
 
 static agb_time
-expected_end(const struct wf_runner *r, const struct wf_task *t)
+expected_end(const struct wf_leader *l, const struct wf_runner *r,
+    const struct wf_task *t)
 {
 	const uint32_t expected_ms =
-	    (uint32_t)(dispatch_expected_run_time(t->unit) / AGB_MS);
+	    (uint32_t)((double)dispatch_expected_run_time(t->unit) *
+		wf_task_run_factor(l, t) / (double)AGB_MS);
 	/* The runner's clock is known as it was read last. */
 	const agb_time seen_at =
 	    r->clock_at - (agb_time)(r->clock_ms - t->progress_ms) * AGB_MS;
@@ -65,8 +67,8 @@
 		if (e->len == RUN_ENDS_MAX || step->long_running ||
 		    step->best_effort)
 			continue;
-		item.at =
-		    agb_time_max(expected_end(&p->l->runners[ri], t), soon);
+		item.at = agb_time_max(
+		    expected_end(p->l, &p->l->runners[ri], t), soon);
 		item.need = step->need;
 		run_ends_add(p, e, &item);
 	}
@@ -170,9 +172,9 @@
 	return x->fit > y->fit ? -1 : x->fit < y->fit ? 1 : 0;
 }
 
-static void
-reserve_on_runner(const struct dispatch_pass *p, const struct wf_step *step,
-    uint32_t ri, uint32_t tasks, agb_time start_at)
+void
+dispatch_reserve_tasks(const struct dispatch_pass *p,
+    const struct wf_step *step, uint32_t ri, uint32_t tasks, agb_time start_at)
 {
 	struct reservation *const resv = &p->reservations[ri];
 
@@ -238,8 +240,8 @@
 	left = u->waiting;
 	for (i = 0; i < plan->len && left > 0; i++) {
 		count = plan->offers[i].fit < left ? plan->offers[i].fit : left;
-		reserve_on_runner(p, wf_unit_step(u), plan->offers[i].runner,
-		    count, plan->start_at);
+		dispatch_reserve_tasks(p, wf_unit_step(u),
+		    plan->offers[i].runner, count, plan->start_at);
 		left -= count;
 	}
 }
--- a/src/workflow/wf_exec_times.c
+++ b/src/workflow/wf_exec_times.c
@@ -27,13 +27,33 @@
 	return t->start_deadline_ms > 0 && !t->resumed;
 }
 
+double
+wf_task_run_factor(const struct wf_leader *l, const struct wf_task *t)
+{
+	const struct wf_step *const step = wf_unit_step(t->unit);
+
+	if (l->cfg->remote_factor <= 1)
+		return 1;
+	if (step->gang)
+		return t->unit->locality.gang_remote ? l->cfg->remote_factor
+						     : 1;
+	return step->rack[0] == '\0' ||
+		wf_runner_has_label(&l->runners[t->runner].info, step->rack)
+	    ? 1
+	    : l->cfg->remote_factor;
+}
+
 void
 wf_exec_learn_run_time(
-    struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms)
+    struct wf_leader *l, const struct wf_task *t, uint32_t run_ms)
 {
+	const struct wf_unit *const u = t->unit;
+
+	/* Estimates are for near runs. */
 	wf_estimator_add(
 	    &wf_exec_queue_times(l, u->exec->job->spec.queue)->estimator,
-	    wf_unit_step(u)->estimate_ms, run_ms);
+	    wf_unit_step(u)->estimate_ms,
+	    (uint32_t)(run_ms / wf_task_run_factor(l, t)));
 }
 
 void
@@ -72,6 +92,57 @@
 	return longest;
 }
 
+uint64_t
+wf_unit_following_ms(struct wf_leader *l, const struct wf_unit *u)
+{
+	const struct wf_spec *const s = &u->exec->job->spec;
+	const struct wf_estimator *const times =
+	    &wf_exec_queue_times(l, s->queue)->estimator;
+	uint64_t path_ms[WF_STEPS_MAX] = {0}, longest, follows;
+	uint32_t i, k;
+
+	longest = 0;
+	follows = (uint64_t)1 << u->step;
+	for (i = u->step + 1; i < s->steps_len; i++) {
+		if ((s->steps[i].after & follows) == 0)
+			continue;
+		for (k = u->step; k < i; k++) {
+			if ((s->steps[i].after & follows) >> k & 1)
+				path_ms[i] = path_ms[k] > path_ms[i]
+				    ? path_ms[k]
+				    : path_ms[i];
+		}
+		follows |= (uint64_t)1 << i;
+		path_ms[i] +=
+		    wf_estimator_predict(times, s->steps[i].estimate_ms);
+		if (path_ms[i] > longest)
+			longest = path_ms[i];
+	}
+	return longest;
+}
+
+/* When an occurrence starts. */
+static agb_time
+occurrence_start_at(const struct wf_exec *e, uint32_t occurrence)
+{
+	const struct wf_spec *const s = &e->job->spec;
+	agb_time at;
+
+	at = e->accepted_at;
+	if (s->start_at_ms > 0 && s->start_at_ms > s->submitted_ms)
+		at += (agb_time)(s->start_at_ms - s->submitted_ms) * AGB_MS;
+	return at + (agb_time)occurrence * s->period_ms * AGB_MS;
+}
+
+agb_time
+wf_unit_ready_at(const struct wf_unit *u)
+{
+	if (wf_unit_step(u)->after != 0)
+		return u->ready_at;
+	return agb_time_min(
+	    u->ready_at, occurrence_start_at(u->exec, u->occurrence));
+}
+
 /* When an occurrence should be finished: at its start, plus the
  * length of the critical path times the slack factor of the queue, plus the
  * queue's target. */
@@ -84,10 +155,7 @@
 	const double slack_factor = q != NULL ? q->slack_factor : 1;
 	agb_time due;
 
-	due = e->accepted_at;
-	if (s->start_at_ms > 0 && s->start_at_ms > s->submitted_ms)
-		due += (agb_time)(s->start_at_ms - s->submitted_ms) * AGB_MS;
-	due += (agb_time)occurrence * s->period_ms * AGB_MS;
+	due = occurrence_start_at(e, occurrence);
 	due += (agb_time)((double)path_ms * slack_factor) * AGB_MS;
 	return due + (agb_time)(q != NULL ? q->target_ms : 0) * AGB_MS;
 }
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -87,7 +87,7 @@
 	if (f->end == WF_END_DONE && wf_task_run_time_known(t) &&
 	    !wf_unit_step(u)->long_running)
 		wf_exec_learn_run_time(
-		    l, u, (uint32_t)((now->mono - t->sent_at) / AGB_MS));
+		    l, t, (uint32_t)((now->mono - t->sent_at) / AGB_MS));
 	wf_task_handle_end(l, now, u, t, f->end, f->checkpoint, out);
 }
 
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -615,11 +615,33 @@
  */
 bool wf_task_run_time_known(const struct wf_task *t);
 
+/**
+ * wf_task_run_factor() - factor on the run time of a task where it runs: the
+ * remote factor of the settings when it is away from its data or its group
+ *
+ * Only known for a gang that this leader has started.
+ */
+double wf_task_run_factor(const struct wf_leader *l, const struct wf_task *t);
+
 /**
  * wf_exec_learn_run_time() - learn from a run that has ended successfully
  */
 void wf_exec_learn_run_time(
-    struct wf_leader *l, const struct wf_unit *u, uint32_t run_ms);
+    struct wf_leader *l, const struct wf_task *t, uint32_t run_ms);
+
+/**
+ * wf_unit_following_ms() - expected time from the end of a unit to the end of
+ * its occurrence
+ */
+uint64_t wf_unit_following_ms(struct wf_leader *l, const struct wf_unit *u);
+
+/**
+ * wf_unit_ready_at() - when a unit became ready
+ *
+ * For a unit that depends on others, at the latest when this leader saw it: the
+ * end of a step is not recorded with its time.
+ */
+agb_time wf_unit_ready_at(const struct wf_unit *u);
 
 /**
  * wf_exec_queue_times() - what was learned from the tasks of a queue
--- a/src/workflow/wf_meter.c
+++ b/src/workflow/wf_meter.c
@@ -41,6 +41,9 @@
 	    [WF_TALLY_CALLS_RENEWED] = "calls_renewed",
 	    [WF_TALLY_SETS_USED] = "sets_used",
 	    [WF_TALLY_SETS_EXPIRED] = "sets_expired",
+	    [WF_TALLY_WAITS_NEAR] = "waits_near",
+	    [WF_TALLY_WAITS_VAIN] = "waits_vain",
+	    [WF_TALLY_REMOTE] = "remote",
 	};
 
 	return names[tally];
@@ -119,6 +122,12 @@
 	m->total.tallies[tally]++;
 }
 
+void
+wf_meter_count_many(struct wf_meter *m, enum wf_tally tally, uint64_t n)
+{
+	m->total.tallies[tally] += n;
+}
+
 void
 wf_meter_add_examined(struct wf_meter *m, uint64_t n)
 {
--- a/src/workflow/wf_meter.h
+++ b/src/workflow/wf_meter.h
@@ -23,7 +23,7 @@
 #define WF_METER_LINE_MS 1000
 
 /* Maximum length of the text of the log line "load", with its final 0. */
-#define WF_METER_LINE_MAX 640
+#define WF_METER_LINE_MAX 768
 
 /**
  * enum wf_part - parts of a turn
@@ -64,6 +64,9 @@
  * @WF_TALLY_SETS_USED: sets of approvals, those of one step that are valid
  *	together, by which a task was assigned
  * @WF_TALLY_SETS_EXPIRED: sets of approvals that expired before that
+ * @WF_TALLY_WAITS_NEAR: steps that waited for near room, and started tasks there
+ * @WF_TALLY_WAITS_VAIN: steps that waited for near room in vain
+ * @WF_TALLY_REMOTE: tasks started remote, see wf_locality.h
  */
 enum wf_tally {
 	WF_TALLY_ASSIGNED,
@@ -77,6 +80,9 @@
 	WF_TALLY_CALLS_RENEWED,
 	WF_TALLY_SETS_USED,
 	WF_TALLY_SETS_EXPIRED,
+	WF_TALLY_WAITS_NEAR,
+	WF_TALLY_WAITS_VAIN,
+	WF_TALLY_REMOTE,
 	WF_TALLIES,
 };
 
@@ -220,6 +226,8 @@
 
 void wf_meter_count(struct wf_meter *m, enum wf_tally tally);
 
+void wf_meter_count_many(struct wf_meter *m, enum wf_tally tally, uint64_t n);
+
 /**
  * wf_meter_add_examined() - count steps or runners that a dispatch pass looks at
  */
--- a/src/workflow/wf_metrics.c
+++ b/src/workflow/wf_metrics.c
@@ -90,7 +90,8 @@
 static const struct agb_metric task_decisions = {
     .name = "agatebeam_task_decisions_total",
     .help = "Tasks assigned, confirmed and requeued; approvals received, "
-	    "expired before the start, and refused by the runner.",
+	    "expired before the start, and refused by the runner; steps that "
+	    "waited for near room, and remote starts.",
     .label = "decision",
     .type = AGB_METRIC_COUNTER,
 };
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -140,6 +140,27 @@
 	agb_id ticket;
 };
 
+/**
+ * struct wf_unit_locality - wait of a unit for a placement near its data or its
+ * group
+ * @waits_since: when it was first decided that it waits; 0 before that
+ * @expected_ms: time until near room, as expected then
+ * @room_short: capacity was short at the last decision
+ * @over: the unit does not wait again: near room was found, or a wait does not
+ *	pay
+ * @near, @remote: tasks started near after a wait, and tasks started remote
+ * @gang_remote: the latest run of the gang is remote
+ */
+struct wf_unit_locality {
+	agb_time waits_since;
+	uint32_t expected_ms;
+	bool room_short;
+	bool over;
+	uint32_t near;
+	uint32_t remote;
+	bool gang_remote;
+};
+
 /**
  * struct wf_unit - one step of one occurrence of a job
  * @tasks_len: number of its tasks
@@ -162,6 +183,7 @@
  * @expected_ms: expected run time of its tasks
  * @tickets_until: when its last ticket expires; 0 when it has none, or when a
  *	task was assigned since
+ * @locality: its wait for near room
  */
 struct wf_unit {
 	struct wf_exec *exec;
@@ -188,6 +210,7 @@
 	agb_time due_computed_at;
 	uint32_t expected_ms;
 	agb_time tickets_until;
+	struct wf_unit_locality locality;
 	struct wf_approval *approvals;
 	size_t approvals_len;
 	struct wf_unit *prev, *next;
