fix(workflow): near room stays reserved for a unit whose remote room is gone

A gang that waited for one rack had its room reserved only while it could also have started elsewhere. Once other work had filled that room, units behind the gang took the near room as well, and it started remote, seconds later. A unit that waits now reserves near room in each pass until its wait does not pay any more. Tests: the gang keeps its rack, two jobs do not wait for the same end, remote runs do not raise the estimates; each was seen to fail with its mechanism taken out.

--- a/src/workflow/wf_dispatch.c
+++ b/src/workflow/wf_dispatch.c
@@ -78,6 +78,10 @@
 		dispatch_place_tasks(p, u, p->candidates, len);
 		return;
 	}
+	if (dispatch_gang_keeps_waiting(p, u, q, may_reserve(p))) {
+		dispatch_claim_with_tickets(p, u, q);
+		return;
+	}
 	p->kept_out += room + p->fit_reserved >= u->waiting;
 	may_request = dispatch_may_request_advice(p, u, q);
 	if (!may_request && !dispatch_gets_tickets(p, u, q))
@@ -121,11 +125,11 @@
 		len = dispatch_confine_to_one_rack(
 		    p->candidates, len, u->waiting);
 	dispatch_sort_candidates(p->candidates, len);
-	if (len > 0 && dispatch_wants_near(p, u))
+	if (dispatch_wants_near(p, u))
 		dispatch_place_near_first(p, u, q, len);
 	else if (len > 0)
 		dispatch_place_tasks(p, u, p->candidates, len);
-	else
+	if (len == 0)
 		p->kept_out += p->fit_reserved > 0;
 	if (u->waiting == 0)
 		return;
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -274,6 +274,14 @@
 bool dispatch_gang_waits(struct dispatch_pass *p, struct wf_unit *u,
     const struct wf_queue *q, size_t len, bool may_reserve);
 
+/**
+ * dispatch_gang_keeps_waiting() - whether a gang that waits for near room, and has
+ * no other room any more, goes on to wait for it; it is reserved for it then
+ * @may_reserve: the pass may make a further reservation
+ */
+bool dispatch_gang_keeps_waiting(struct dispatch_pass *p, struct wf_unit *u,
+    const struct wf_queue *q, bool may_reserve);
+
 /**
  * dispatch_place_near_first() - assign waiting tasks to near candidates, and the
  * others to remote ones unless a wait for near room pays; this is reserved for
--- a/src/workflow/wf_dispatch_locality.c
+++ b/src/workflow/wf_dispatch_locality.c
@@ -391,6 +391,14 @@
 	return false;
 }
 
+bool
+dispatch_gang_keeps_waiting(struct dispatch_pass *p, struct wf_unit *u,
+    const struct wf_queue *q, bool may_reserve)
+{
+	return u->locality.waits_since > 0 && !u->locality.over &&
+	    u->active == 0 && may_reserve && gang_wait_pays(p, u, q);
+}
+
 /* ---- other tasks ---- */
 
 /* Number of tasks that the candidates on the rack of the data, or on others, have
@@ -461,7 +469,9 @@
 	bool decided;
 
 	without_near = waiting > near_room ? waiting - (uint32_t)near_room : 0;
-	decided = without_near > 0 && sum_fit(p->candidates, len, false) > 0;
+	/* What is awaited stays reserved when the remote room is gone. */
+	decided = without_near > 0 &&
+	    (waited || sum_fit(p->candidates, len, false) > 0);
 	wait = decided ? tasks_that_wait(p, u, q, without_near) : 0;
 	limit_remote(p->candidates, len, without_near - wait);
 	remote = sum_fit(p->candidates, len, false);
--- a/tests/test_wf_locality.c
+++ b/tests/test_wf_locality.c
@@ -411,6 +411,93 @@
 	}
 }
 
+/* A gang waits for one rack, of which half is free, while tasks that want no place
+ * fill the rest of the fleet for seconds. Guards against near room that goes to
+ * work behind the gang while it waits. */
+static void
+near_room_is_kept_for_a_gang_that_waits(void)
+{
+	struct sim *const s = sim_new(&fleet);
+	struct wf_spec *const gang = sim_new_spec(4, 4000, 1500);
+	struct wf_spec *const others = sim_new_spec(8, 4000, 5000);
+	unsigned submitted;
+
+	gang->steps[0].gang = gang->steps[0].rack_local = true;
+	sim_run(s, ELECTION_MS);
+	occupy(s, RUNNERS / RACK_SIZE, 4000, 1200);
+	sim_run(s, 500);
+	submitted = sim_now_ms(s);
+	submit(s, JOB, gang);
+	sim_run(s, 50);
+	submit(s, "0000000000000300", others);
+	sim_run(s, 12000);
+	CU_ASSERT_EQUAL(sim_remote_count(s, JOB), 0);
+	CU_ASSERT(sim_started_at_ms(s, JOB) <= submitted + 1100);
+	CU_ASSERT_EQUAL(sim_final_job_count(s), sim_job_count(s));
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+	sim_free(s);
+}
+
+/* One runner of rack 0 is soon free, the other one is not, and two jobs want a
+ * whole runner there. Guards against two jobs that wait for the same room. */
+static void
+room_is_awaited_by_one_job(void)
+{
+	static const uint32_t busy_ms[RACK_SIZE] = {1200, 8000};
+	static const char *const jobs[] = {JOB, "00000000000000ab"};
+	struct sim *const s = sim_new(&fleet);
+	struct wf_spec *spec;
+	char id[17];
+	size_t i;
+
+	sim_run(s, ELECTION_MS);
+	for (i = 0; i < RACK_SIZE; i++) {
+		spec = new_near_spec("rack-0", 1, RUNNER_CPU_MILLI, busy_ms[i]);
+		snprintf(id, sizeof(id), "%016x", 0x100 + (unsigned)i);
+		submit(s, id, spec);
+	}
+	sim_run(s, 500);
+	for (i = 0; i < sizeof(jobs) / sizeof(jobs[0]); i++) {
+		spec = new_near_spec("rack-0", 1, RUNNER_CPU_MILLI, 1500);
+		submit(s, jobs[i], spec);
+		sim_run(s, 50);
+	}
+	sim_run(s, 12000);
+	CU_ASSERT_EQUAL(sim_remote_count(s, jobs[0]), 0);
+	CU_ASSERT_EQUAL(sim_remote_count(s, jobs[1]), 1);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(sim_wait_line(s, jobs[1]), "outcome=remote waited_ms=0 "));
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+	sim_free(s);
+}
+
+/* All runs of a queue are remote and take twice the estimate. Guards against the
+ * factor being learned as part of the run time, which would be applied twice. */
+static void
+remote_runs_do_not_raise_the_estimate(void)
+{
+	struct sim *const s = sim_new(&fleet);
+	const char *run_ms;
+	char id[17];
+	unsigned i;
+
+	sim_run(s, ELECTION_MS);
+	occupy(s, 1, RUNNER_CPU_MILLI, 60000);
+	sim_run(s, 500);
+	for (i = 0; i < 60; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x1000 + i);
+		submit(s, id, new_near_spec("rack-0", 4, 4000, 1000));
+		sim_run(s, 700);
+	}
+	run_ms = strstr(sim_wait_line(s, id), "run_ms=");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(run_ms);
+	i = (unsigned)strtoul(run_ms + strlen("run_ms="), NULL, 10);
+	if (i < 900 || i > 1200)
+		printf("\nexpected run time: %u ms\n", i);
+	CU_ASSERT(i >= 900 && i <= 1200);
+	sim_free(s);
+}
+
 /* Runs a backlog of jobs that name no rack, and gangs. Return: what the passes
  * have examined. */
 static uint64_t
@@ -598,6 +685,11 @@
     {"simulation: a rack that is gone is not waited for",
 	rack_that_is_gone_is_not_waited_for},
     {"simulation: a wait ends within its bound", wait_ends_within_its_bound},
+    {"simulation: near room is kept for a gang that waits",
+	near_room_is_kept_for_a_gang_that_waits},
+    {"simulation: room is awaited by one job", room_is_awaited_by_one_job},
+    {"simulation: remote runs do not raise the estimate",
+	remote_runs_do_not_raise_the_estimate},
     {"simulation: jobs without a place cost nothing",
 	jobs_without_a_place_cost_nothing},
     {"simulation: waits shorten completion when room is short",
