feat(workflow): calls for advice name runners near the data first

A call named the runners with most free processors, wherever they are. In a fleet with more runners than a call names, a step could get no approval on the rack of its data, and neither start nor wait there. With remote_factor over 1 the runners near the data are named first, up to half of those named, or more when there are too few others. The new test fails on the code before.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -8,6 +8,9 @@
 
 /* Runners that a call for the first approvals of a step names. */
 #define FIRST_CALL_RUNNERS 30
+/* Share of the runners named that may be near the data of the step. The others
+ * are named so that it can start when near room is not free in time. */
+#define NEAR_PERCENT 50
 /* Maximum number of runners that are named for a gang at the same time, in
  * several calls. */
 #define NAMED_RUNNERS_MAX ((size_t)4 * WF_ADVICE_RUNNERS_MAX)
@@ -501,33 +504,85 @@
 	return len;
 }
 
-/* Selects from the runners that were not asked about those that have the most
- * free processors after the claims of other units. */
+/* Selects from a list of runners those that have the most free processors after
+ * the claims of other units, up to @max of them. */
 static size_t
-select_unasked_runners(const struct wf_leader *l, const struct wf_now *now,
-    const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
+select_free_runners(const struct wf_leader *l, const uint32_t *from,
+    size_t from_len, uint32_t *runners, size_t max)
 {
 	struct runner_candidate list[NAMED_RUNNERS_MAX];
 	const struct wf_runner *r;
-	size_t len, unasked_len, i;
-	uint32_t *unasked;
+	size_t len, i;
 
-	unasked = agb_xcalloc(l->runners_len + 1, sizeof(*unasked));
-	unasked_len = list_unasked_runners(
-	    l, now->mono, u, service, unasked, l->runners_len);
 	len = 0;
-	for (i = 0; i < unasked_len; i++) {
-		r = &l->runners[unasked[i]];
-		candidate_insert(list, &len, max, unasked[i],
+	for (i = 0; i < from_len && max > 0; i++) {
+		r = &l->runners[from[i]];
+		candidate_insert(list, &len, max, from[i],
 		    wf_runner_free_resources(r).cpu_milli -
 			r->claimed_cpu_milli);
 	}
-	free(unasked);
 	for (i = 0; i < len; i++)
 		runners[i] = list[i].runner;
 	return len;
 }
 
+/* Moves the runners near the data of a unit to the front of a list, if it
+ * matters where it runs. Return: their number. */
+static size_t
+move_near_to_front(const struct wf_leader *l, const struct wf_unit *u,
+    uint32_t *list, size_t len)
+{
+	const struct wf_step *const step = wf_unit_step(u);
+	uint32_t runner;
+	size_t i, n = 0;
+
+	if (l->cfg->remote_factor <= 1 || step->rack[0] == '\0')
+		return 0;
+	for (i = 0; i < len; i++) {
+		runner = list[i];
+		if (!wf_runner_has_label(&l->runners[runner].info, step->rack))
+			continue;
+		list[i] = list[n];
+		list[n++] = runner;
+	}
+	return n;
+}
+
+/* Number of runners near the data that are named, of @max: NEAR_PERCENT of them, or
+ * more when there are too few others. */
+static size_t
+near_share(size_t max, size_t near_len, size_t others_len)
+{
+	size_t share = max * NEAR_PERCENT / 100;
+
+	if (near_len == 0)
+		return 0;
+	return max - share > others_len ? max - others_len : share;
+}
+
+/* Selects from the runners that were not asked about those that have the most
+ * free processors after the claims of other units; those near the data of the
+ * unit come first. */
+static size_t
+select_unasked_runners(const struct wf_leader *l, const struct wf_now *now,
+    const struct wf_unit *u, const char *service, uint32_t *runners, size_t max)
+{
+	size_t len, near_len, others_len;
+	uint32_t *unasked;
+
+	unasked = agb_xcalloc(l->runners_len + 1, sizeof(*unasked));
+	others_len = list_unasked_runners(
+	    l, now->mono, u, service, unasked, l->runners_len);
+	near_len = move_near_to_front(l, u, unasked, others_len);
+	others_len -= near_len;
+	len = select_free_runners(l, unasked, near_len, runners,
+	    near_share(max, near_len, others_len));
+	len += select_free_runners(
+	    l, unasked + near_len, others_len, runners + len, max - len);
+	free(unasked);
+	return len;
+}
+
 static uint32_t
 tasks_on_empty_runner(const struct wf_runner *r, const struct wf_step *step)
 {
--- a/tests/test_wf_locality.c
+++ b/tests/test_wf_locality.c
@@ -498,6 +498,45 @@
 	sim_free(s);
 }
 
+/* Runners of rack 0 have less room than the others, of which there are more than
+ * a call names, or there are no others. Guards against calls for advice that do not
+ * name the runners on which a job has its data, and against calls that name fewer
+ * runners than before when all are near. */
+static void
+near_runners_are_named_in_calls(void)
+{
+	static const struct {
+		unsigned rack_size;
+		unsigned named;
+	} cases[] = {{4, 30}, {40, 30}, {20, 30}};
+	struct sim_options o = fleet;
+	struct wf_spec *spec;
+	unsigned named;
+	struct sim *s;
+	size_t i;
+
+	o.runners = 40;
+	o.advice_required = true;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		o.rack_size = cases[i].rack_size;
+		s = sim_new(&o);
+		sim_run(s, ELECTION_MS);
+		spec = new_near_spec("rack-0", 4, 4000, 5000);
+		spec->steps[0].spread_max = 1;
+		submit(s, "0000000000000100", spec);
+		sim_run(s, 500);
+		named = sim_advice_runners(s);
+		submit(s, JOB, new_near_spec("rack-0", 2, 4000, 500));
+		sim_run(s, 500);
+		CU_ASSERT(sim_started_at_ms(s, JOB) > 0);
+		CU_ASSERT_EQUAL(sim_remote_count(s, JOB), 0);
+		CU_ASSERT_EQUAL(sim_advice_runners(s) - named, cases[i].named);
+		sim_run(s, 8000);
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
 /* Runs a backlog of jobs that name no rack, and gangs. Return: what the passes
  * have examined. */
 static uint64_t
@@ -690,6 +729,8 @@
     {"simulation: room is awaited by one job", room_is_awaited_by_one_job},
     {"simulation: remote runs do not raise the estimate",
 	remote_runs_do_not_raise_the_estimate},
+    {"simulation: near runners are named in calls",
+	near_runners_are_named_in_calls},
     {"simulation: jobs without a place cost nothing",
 	jobs_without_a_place_cost_nothing},
     {"simulation: waits shorten completion when room is short",
