perf(workflow): a gang whose wait is over lists no near runners

The pass listed all near runners of a gang before it found that no wait pays, also with locality_wait_max_ms 0. A test covers a gang that wants one rack and has its data on the last one.

--- a/src/workflow/wf_dispatch_locality.c
+++ b/src/workflow/wf_dispatch_locality.c
@@ -352,11 +352,14 @@
 	struct wf_locality_decision d;
 	struct wf_locality in;
 	struct near_room n;
+	agb_time latest;
 
 	locality_init(p, u, q, &in);
+	latest = wf_locality_latest(&in, p->now->mono);
+	if (latest <= p->now->mono)
+		return false;
 	list_near_runners(p, u, q);
-	find_earliest_room(
-	    p, u, u->waiting, wf_locality_latest(&in, p->now->mono), &n);
+	find_earliest_room(p, u, u->waiting, latest, &n);
 	d = wf_locality_decide(&in, p->now->mono, n.at);
 	if (d.choice != WF_LOCALITY_WAIT)
 		return false;
--- a/tests/test_wf_locality.c
+++ b/tests/test_wf_locality.c
@@ -537,6 +537,25 @@
 	}
 }
 
+/* A gang wants one rack and has its data on the last one. Guards against a rack
+ * that is chosen although that of the data has room. */
+static void
+gang_goes_to_the_rack_of_its_data(void)
+{
+	struct sim *const s = sim_new(&fleet);
+	struct wf_spec *const spec = new_near_spec("rack-3", 4, 4000, 500);
+
+	spec->steps[0].gang = spec->steps[0].rack_local = true;
+	sim_run(s, ELECTION_MS);
+	submit(s, JOB, spec);
+	sim_run(s, 2000);
+	CU_ASSERT_STRING_EQUAL(sim_state(s, JOB), "completed");
+	CU_ASSERT_EQUAL(sim_remote_count(s, JOB), 0);
+	CU_ASSERT_EQUAL(sim_wait_lines(s, JOB), 0);
+	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+	sim_free(s);
+}
+
 /* Runs a backlog of jobs that name no rack, and gangs. Return: what the passes
  * have examined. */
 static uint64_t
@@ -729,6 +748,8 @@
     {"simulation: room is awaited by one job", room_is_awaited_by_one_job},
     {"simulation: remote runs do not raise the estimate",
 	remote_runs_do_not_raise_the_estimate},
+    {"simulation: a gang goes to the rack of its data",
+	gang_goes_to_the_rack_of_its_data},
     {"simulation: near runners are named in calls",
 	near_runners_are_named_in_calls},
     {"simulation: jobs without a place cost nothing",
