test(workflow): waits for locality under faults

Four seeds of the simulated load at 80%, two of them with approvals: a runner restarts, another is drained, a rack and then the leader fail.

--- a/tests/test_wf_locality.c
+++ b/tests/test_wf_locality.c
@@ -692,6 +692,54 @@
 	sim_free(s);
 }
 
+/* The leader, single runners and a whole rack fail under load, also while jobs
+ * wait. Guards against jobs that are lost, started twice or never started by a
+ * wait that a fault interrupts. */
+static void
+waits_survive_faults(void)
+{
+	const uint64_t per_ms =
+	    (uint64_t)LOAD_RUNNERS * RUNNER_CPU_MILLI * 8 / 10;
+	struct sim_options o = fleet;
+	uint64_t random, work;
+	struct sim *s;
+	unsigned n, i;
+
+	o.runners = LOAD_RUNNERS;
+	o.rack_size = LOAD_RACK_SIZE;
+	o.max_attempts = 20;
+	for (o.seed = 1; o.seed <= 4; o.seed++) {
+		o.advice_required = o.seed % 2 == 0;
+		random = o.seed * 2654435761U + 88172645463325252ULL;
+		work = n = 0;
+		s = sim_new(&o);
+		sim_run(s, ELECTION_MS);
+		while (sim_now_ms(s) < ELECTION_MS + 9000) {
+			while (work < per_ms * (sim_now_ms(s) - ELECTION_MS))
+				work += submit_load_job(s, &random, n++);
+			sim_run(s, 10);
+			i = sim_now_ms(s) - ELECTION_MS;
+			if (i == 2000)
+				sim_runner_crash(s, 5, 1500);
+			if (i == 3000)
+				sim_runner_drain(s, 9, 2000);
+			if (i == 5000) {
+				for (i = 0; i < LOAD_RACK_SIZE; i++)
+					sim_runner_crash(s, i, 4000);
+			}
+		}
+		sim_kill(s, (unsigned)sim_leader(s), 3000);
+		sim_run(s, 90000);
+		CU_ASSERT_EQUAL(sim_job_count(s), n);
+		CU_ASSERT_EQUAL(sim_final_job_count(s), n);
+		if (sim_violation_count(s) > 0)
+			printf("\nseed %u: %s\n", (unsigned)o.seed,
+			    sim_first_violation(s));
+		CU_ASSERT_EQUAL(sim_violation_count(s), 0);
+		sim_free(s);
+	}
+}
+
 /* Guards against waits that make jobs end later on average while room is short,
  * or scarce on some racks. */
 static void
@@ -754,6 +802,7 @@
 	near_runners_are_named_in_calls},
     {"simulation: jobs without a place cost nothing",
 	jobs_without_a_place_cost_nothing},
+    {"simulation: waits survive faults", waits_survive_faults},
     {"simulation: waits shorten completion when room is short",
 	waits_shorten_completion_when_room_is_short},
 };
