--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -125,7 +125,7 @@
 		if (!j->tasks[i].done)
 			return 0;
 	}
-	return (unsigned)(j->ended_at / SIM_MS);
+	return (unsigned)(j->done_at / SIM_MS);
 }
 
 unsigned
@@ -140,6 +140,38 @@
 	return s->gang_timeouts;
 }
 
+unsigned
+sim_done_at_ms(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? (unsigned)(j->done_at / SIM_MS) : 0;
+}
+
+unsigned
+sim_remote_count(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->remote : 0;
+}
+
+unsigned
+sim_wait_lines(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->wait_lines : 0;
+}
+
+const char *
+sim_wait_line(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->wait_line : "";
+}
+
 unsigned
 sim_running_count(const struct sim *s, const char *id)
 {
@@ -247,6 +279,18 @@
 	    SIM_MS);
 }
 
+uint64_t
+sim_examined(const struct sim *s, unsigned ci)
+{
+	return wf_core_meter(s->cores[ci].core)->total.examined;
+}
+
+uint64_t
+sim_tally(const struct sim *s, unsigned ci, enum wf_tally tally)
+{
+	return wf_core_meter(s->cores[ci].core)->total.tallies[tally];
+}
+
 unsigned
 sim_load_lines(const struct sim *s)
 {
