--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -462,43 +462,41 @@
 	return next;
 }
 
-/* A start whose ticket expired while its intent was being written would be
- * refused. When it is a member of a gang, all members that were not sent yet
- * are assigned anew. */
-static void
-requeue_expired(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_effects *out)
+/* Whether a task whose intent is durable must not be started any more. */
+static bool
+is_start_void(const struct wf_leader *l, const struct wf_queue *q,
+    const struct wf_task *t, agb_time now, const char **why)
 {
-	struct wf_task *t;
-	uint32_t i;
-
-	for (i = 0; i < u->tasks_len; i++) {
-		t = wf_unit_find_task(u, i);
-		if (t != NULL && t->state == WF_TASK_INTENT &&
-		    t->intent_in_write &&
-		    !wf_advice_ticket_lasts(u, t->runner, now->mono)) {
-			wf_meter_count(l->meter, WF_TALLY_EXPIRED);
-			wf_task_requeue(l, now, u, t,
-			    "approval expired before the start", out);
-		}
+	/* The runner may be another process than the one that was chosen. */
+	if (!l->runners[t->runner].reported) {
+		*why = "process of the runner is unknown";
+		return true;
 	}
+	if (q == NULL || !q->advice_required ||
+	    wf_advice_ticket_lasts(t->unit, t->runner, now))
+		return false;
+	/* The runner would refuse it. */
+	wf_meter_count(l->meter, WF_TALLY_EXPIRED);
+	*why = "approval expired before the start";
+	return true;
 }
 
-/* Requeues the tasks of a unit whose intent is durable and whose runner may be
- * another process than the one that they were assigned to. */
+/* Requeues the tasks of a unit that must not be started any more. When one is a
+ * member of a gang, all members that were not sent yet are assigned anew. */
 static void
-requeue_unidentified(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_effects *out)
+requeue_void_starts(struct wf_leader *l, const struct wf_now *now,
+    const struct wf_queue *q, struct wf_unit *u, struct wf_effects *out)
 {
 	struct wf_task *t;
+	const char *why;
 	uint32_t i;
 
 	for (i = 0; i < u->tasks_len; i++) {
 		t = wf_unit_find_task(u, i);
 		if (t != NULL && t->state == WF_TASK_INTENT &&
-		    t->intent_in_write && !l->runners[t->runner].reported)
-			wf_task_requeue(l, now, u, t,
-			    "process of the runner is unknown", out);
+		    t->intent_in_write &&
+		    is_start_void(l, q, t, now->mono, &why))
+			wf_task_requeue(l, now, u, t, why, out);
 	}
 }
 
@@ -514,12 +512,9 @@
 	uint32_t k;
 
 	for (i = 0; i < e->open_len; i++) {
-		for (k = 0; k < e->job->spec.steps_len; k++) {
-			requeue_unidentified(l, now, &e->open[i].units[k], out);
-			if (q != NULL && q->advice_required)
-				requeue_expired(
-				    l, now, &e->open[i].units[k], out);
-		}
+		for (k = 0; k < e->job->spec.steps_len; k++)
+			requeue_void_starts(
+			    l, now, q, &e->open[i].units[k], out);
 	}
 	wf_task_cursor_init(&c, e);
 	while ((t = wf_task_cursor_next(&c)) != NULL) {
