fix(workflow): a state that arrives before its submission is kept

Cause: an instance that begins to follow the store reads jobs and states. At the end of the read of the jobs it dropped each entry that the read did not contain, also those of which only the state, written after the read, had arrived. The watch brought the submission later, but not the state again. As a leader it took such jobs for ones that had never run.

Trace: the elected instance logs state_revision=0 for the job, whose state was stored 0.9 s before its election; its runs are strays or are forgotten.

--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -759,6 +759,17 @@
 		j->found_in_read = false;
 }
 
+/* Whether an entry that a full read of the jobs did not contain was stored after
+ * it. Of a new job, the state or the cancellation may arrive before the
+ * submission, and does not come again. */
+static bool
+stored_after(const struct wf_job *j, uint64_t revision)
+{
+	if (j->spec_rev > 0)
+		return j->spec_rev > revision;
+	return j->cancel_rev > revision || j->state_rev > revision;
+}
+
 void
 wf_table_sweep_jobs(struct wf_table *t, uint64_t revision,
     void (*dropped)(void *arg, struct wf_job *j), void *arg)
@@ -767,8 +778,7 @@
 
 	for (j = t->jobs; j != NULL; j = next) {
 		next = j->hh.next;
-		if (j->found_in_read || j->spec_rev > revision ||
-		    (j->spec_rev == 0 && j->cancel_rev > revision))
+		if (j->found_in_read || stored_after(j, revision))
 			continue;
 		dropped(arg, j);
 		job_free(t, j);
--- a/tests/test_wf_record.c
+++ b/tests/test_wf_record.c
@@ -2,7 +2,7 @@
  * DOC: test_wf_record
  *
  * Records of submissions with and without an account, beside those of earlier
- * versions.
+ * versions, and what a full read of them keeps of other records.
  */
 
 #include <stdio.h>
@@ -165,10 +165,53 @@
 	spec_destroy(s);
 }
 
+static void
+ignore_dropped(void *arg, struct wf_job *j)
+{
+}
+
+/* Guards against an instance that begins to follow the store and drops the state
+ * of a job whose submission its read of the jobs did not have yet: the state does
+ * not come again, and as a leader it starts or stops the tasks of the job anew. */
+static void
+test_record_before_submission(void)
+{
+	static const struct {
+		char kind;
+		uint64_t revision;
+		bool kept;
+	} cases[] = {
+	    {'s', 21, true},
+	    {'s', 20, false},
+	    {'k', 21, true},
+	    {'k', 20, false},
+	};
+	char key[WF_KEY_MAX];
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct wf_table table = {0};
+		const struct agb_store_kv kv = {.key = key,
+		    .val = "1",
+		    .val_len = 1,
+		    .mod_rev = cases[i].revision};
+
+		wf_table_make_key(key, cases[i].kind, JOB);
+		wf_table_begin_jobs_read(&table);
+		wf_table_apply(&table, &kv);
+		wf_table_begin_jobs_read(&table);
+		wf_table_sweep_jobs(&table, 20, ignore_dropped, NULL);
+		CU_ASSERT_EQUAL(
+		    wf_table_job(&table, JOB) != NULL, cases[i].kept);
+		wf_table_free(&table);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"records: jobs without an account are as before", test_without_account},
     {"records: jobs with an account", test_with_account},
     {"records: damaged accounts are malformed", test_damaged_account},
+    {"record before its submission", test_record_before_submission},
 };
 
 int
