--- a/tests/test_wf_record.c
+++ b/tests/test_wf_record.c
@@ -177,14 +177,14 @@
 test_record_before_submission(void)
 {
 	static const struct {
-		char kind;
 		uint64_t revision;
+		char kind;
 		bool kept;
 	} cases[] = {
-	    {'s', 21, true},
-	    {'s', 20, false},
-	    {'k', 21, true},
-	    {'k', 20, false},
+	    {21, 's', true},
+	    {20, 's', false},
+	    {21, 'k', true},
+	    {20, 'k', false},
 	};
 	char key[WF_KEY_MAX];
 	size_t i;
