--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -54,6 +54,8 @@
 	int64_t duration_ms; /* 0: until it is stopped */
 	bool fails;
 	int64_t ends_at; /* after a stop; 0: not stopped */
+	unsigned gang;	 /* number of members; 0: no gang */
+	bool waits;	 /* for the others of its gang */
 };
 
 struct runner {
@@ -68,6 +70,8 @@
 	uint64_t seq;        /* of its entry */
 	struct run *runs;
 	size_t runs_len;
+	bool is_cut;  /* from all machines, both ways; not from the store */
+	bool is_down; /* crashed */
 };
 
 extern struct runner runners[RUNNERS_MAX];
@@ -75,10 +79,24 @@
 
 /*
  * Starts @n runners of @cpu thousandths of a core. The spec of a job tells them
- * what its tasks do: "MS" milliseconds of work, and "MS fail" ends as failed.
+ * what its tasks do: "MS" milliseconds of work; "MS fail" ends as failed, and
+ * "MS fail1" in the first run only; "gang=N": all N members work together.
  */
 void runners_start(size_t n, int64_t cpu, const char *service);
 
+/* The runner crashes: its runs are gone. */
+void runner_crash(struct runner *r);
+
+/* It starts again under its id, and holds and knows nothing of before. */
+void runner_restart(struct runner *r);
+
+/*
+ * Asked at each start. If it returns true, the start is not answered, and kept
+ * to be carried out later by runner_carry_out().
+ */
+extern bool (*on_start_order)(const struct runner *r, const char *task);
+void runner_carry_out(struct runner *r);
+
 /* A start that a runner has accepted, or an end. @how is NULL for a start. */
 extern void (*on_run_event)(const struct runner *r, const char *task,
     uint32_t run_id, const char *how);
@@ -105,6 +123,9 @@
 extern struct node nodes[NODES_MAX];
 extern size_t nodes_len;
 
+/* The machine whose name is in the key of the leader, or NULL. */
+struct node *node_leader(void);
+
 /* Starts the machines: three zones in turn. */
 void nodes_start(size_t n, unsigned memory_mb);
 
@@ -122,6 +143,7 @@
 /* ---- cases ---- */
 
 void case_memory(void);
-void case_route(void);
+void case_gang(void);
+void case_late(void);
 
 #endif
