--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -245,6 +245,9 @@
 	rec("judge: ordinary clients: %zu jobs, %u accepted", jobs_len, accepted);
 	if (accepted == 0)
 		world_finish(2, "no ordinary job was accepted");
+	else if (victims < VICTIMS &&
+	    (sent_to[0] < ROUNDS || sent_to[1] < ROUNDS))
+		world_finish(2, "not all bodies were sent");
 	else if (victims >= VICTIMS)
 		world_finish(1,
 		    "Fault: on %u machines processes ended %d times or more",
@@ -405,6 +408,7 @@
 static int64_t late_sent_at, late_overlap_ms = -1;
 static uint32_t active_runs;
 static unsigned late_starts;
+static bool late_tried;
 
 static bool
 hold_back(const struct runner *r, const char *task)
@@ -421,6 +425,7 @@
 carry_out_late(void *arg)
 {
 	rec("the order is %lld ms old", (long long)(world_ms() - late_sent_at));
+	late_tried = active_runs == 1;
 	runner_carry_out(arg);
 }
 
@@ -464,10 +469,8 @@
 judge_late(void *arg)
 {
 	(void)arg;
-	if (late_starts == 0 ||
-	    (world_trouble && (late_runner == NULL || late_starts < 2)))
-		world_finish(late_starts == 0 ? 2 : 0,
-		    "the task has started %u times", late_starts);
+	if (late_starts == 0 || (world_trouble && !late_tried))
+		world_finish(2, "what the case needs did not come about");
 	else if (late_overlap_ms >= 0)
 		world_finish(1, "TWICE: two runs of one task for %lld ms",
 		    (long long)late_overlap_ms);
--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -1297,6 +1297,8 @@
 	FILE *f;
 	int rc;
 
+	if (finishing)
+		return;
 	snprintf(boot, sizeof(boot), "AGATEBEAM_BOOT=%s/settings", n->dir);
 	snprintf(path, sizeof(path), "PATH=%s",
 	    getenv("PATH") != NULL ? getenv("PATH") : "/usr/bin:/bin");
@@ -1637,6 +1639,13 @@
 	uv_timer_start(&timer, on_finish_timer, 20, 20);
 }
 
+static void
+on_signal(uv_signal_t *h, int sig)
+{
+	(void)h;
+	world_finish(2, "ended by signal %d", sig);
+}
+
 static void
 on_overtime(void *arg)
 {
@@ -1669,6 +1678,7 @@
 {
 	const char *const trouble = getenv("TROUBLE");
 	const char *tmp = getenv("TMPDIR");
+	static uv_signal_t sigterm, sigint;
 
 	if (argc != 3) {
 		fprintf(stderr, "usage: world CASE RECORD\n");
@@ -1688,8 +1698,14 @@
 	}
 	rec("case %s, trouble %s", argv[1], world_trouble ? "on" : "off");
 	after(110000, on_overtime, NULL);
+	uv_signal_init(world_loop, &sigterm);
+	uv_signal_init(world_loop, &sigint);
+	uv_signal_start(&sigterm, on_signal, SIGTERM);
+	uv_signal_start(&sigint, on_signal, SIGINT);
 	store_start();
-	if (strcmp(argv[1], "memory") == 0)
+	if (finishing)
+		rec("the case is not begun");
+	else if (strcmp(argv[1], "memory") == 0)
 		case_memory();
 	else if (strcmp(argv[1], "gang") == 0)
 		case_gang();
