review: stand-in: machines send from their own address, the leader's whole name

Peers refused each other's calls in the stand-in, as all that a machine sent came from 127.0.0.1 and none of them was listed with it; and SIGTERM could reach another machine of the leader's zone.

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -502,3 +502,187 @@
 	put_manifest(2, true);
 	start_deployment(go_late);
 }
+
+/* ---- case limit ---- */
+
+/*
+ * A client account may use LIMIT_CPU at a time. One of its tasks lasts and uses
+ * a sixth of that. A large job of the account comes, which its limit allows, but
+ * not beside the task that lasts. Beside it, the account sends small jobs.
+ */
+#define LIMIT_CPU 12000
+#define LASTING_CPU 2000
+#define LARGE_CPU 11000
+#define SMALL_CPU 250
+#define SMALL_WORK_MS 300
+#define SMALL_EVERY_MS 1000
+#define TRAFFIC_MS 55000
+/* finish_s after the end of the traffic, and the span of the rule. */
+#define FINISH_MS 14000
+#define SPAN_MS 3000
+
+static struct job *lasting_job, *large_job;
+static size_t first_small;
+static unsigned lasting_starts, lasting_ends;
+static unsigned small_starts[400], small_done[400];
+static int64_t traffic_end_ms;
+
+static void
+put_limits(void)
+{
+	static const char text[] =
+	    "{\"version\":2,\"routes\":[{\"name\":\"main\",\"host\":\"" HOST
+	    "\",\"prefix\":\"/main/\",\"service\":\"wick-orders\","
+	    "\"timeout_ms\":3000,\"target_latency_ms\":3000,\"priority\":1,"
+	    "\"max_attempts\":2,\"slack_factor\":2}],"
+	    "\"services\":[{\"name\":\"wick-orders\"}],"
+	    "\"tenants\":[{\"name\":\"north\",\"keys\":[\"key-north\"],"
+	    "\"weight\":1,\"max_count\":{\"cpu\":%d,\"mem_mb\":0,"
+	    "\"gpu\":0}}],\"limits\":{\"max_body_bytes\":%d}}";
+	char manifest[1200];
+
+	snprintf(
+	    manifest, sizeof(manifest), text, LIMIT_CPU, MAX_BODY_BYTES);
+	store_put("op/config", manifest);
+	rec("operator: manifest 2 is acknowledged; tenant north, max_count %d "
+	    "thousandths of a core",
+	    LIMIT_CPU);
+	client_key = "key-north";
+}
+
+static bool
+is_of(const char *task, const struct job *j)
+{
+	return j != NULL && strncmp(task, j->id, 16) == 0;
+}
+
+static void
+on_limit_event(
+    const struct runner *r, const char *task, uint32_t run_id, const char *how)
+{
+	size_t i;
+
+	(void)r;
+	(void)run_id;
+	if (is_of(task, lasting_job)) {
+		lasting_starts += how == NULL;
+		lasting_ends += how != NULL;
+	}
+	for (i = first_small; first_small > 0 && i < jobs_len; i++) {
+		if (!is_of(task, &jobs[i]))
+			continue;
+		small_starts[i] += how == NULL;
+		small_done[i] += how != NULL && strcmp(how, "done") == 0;
+	}
+}
+
+static void
+judge_limit(void *arg)
+{
+	unsigned accepted = 0, done = 0, waiting = 0, early = 0;
+	const char *id = "";
+	size_t i;
+
+	(void)arg;
+	for (i = first_small; i < jobs_len; i++) {
+		if (jobs[i].state != JOB_ACCEPTED)
+			continue;
+		accepted++;
+		done += small_done[i] > 0;
+		early += small_done[i] > 0 && i < first_small + 5;
+		if (small_starts[i] > 0)
+			continue;
+		if (waiting++ == 0)
+			id = jobs[i].id;
+		rec("judge: job %s was accepted %lld ms ago; its task was never "
+		    "started; shown: %s",
+		    jobs[i].id, (long long)(world_ms() - jobs[i].accepted_at),
+		    jobs[i].shown);
+	}
+	rec("judge: %u small jobs accepted, %u done, %u never started; the "
+	    "lasting task was started %u times and ended %u times",
+	    accepted, done, waiting, lasting_starts, lasting_ends);
+	if (lasting_starts != 1 || lasting_ends > 0 || early == 0)
+		world_finish(2, "what the case needs did not come about");
+	else if (waiting > 0)
+		world_finish(1,
+		    "LOST: job %s and %u others have nothing running %d s after "
+		    "the traffic; their tenant uses %d of %d, the service %d of "
+		    "%d",
+		    id, waiting - 1, (FINISH_MS + SPAN_MS) / 1000, LASTING_CPU,
+		    LIMIT_CPU, LASTING_CPU, RUNNERS * RUNNER_CPU);
+	else
+		world_finish(0, "held: all small jobs were done");
+}
+
+static void
+ask_limit(void *arg)
+{
+	size_t i;
+
+	(void)arg;
+	for (i = first_small; i < jobs_len; i++) {
+		if (jobs[i].state == JOB_ACCEPTED && small_starts[i] == 0)
+			ask_state(&jobs[i], i);
+	}
+	after(SPAN_MS, judge_limit, NULL);
+}
+
+static void
+send_small(void *arg)
+{
+	char phases[120];
+
+	(void)arg;
+	if (first_small == 0)
+		first_small = jobs_len;
+	if (world_ms() >= traffic_end_ms) {
+		rec("the traffic ends");
+		after(FINISH_MS, ask_limit, NULL);
+		return;
+	}
+	snprintf(phases, sizeof(phases),
+	    "{\"count\":1,\"cpu\":%d,\"mem_mb\":500,\"estimate_ms\":%d}",
+	    SMALL_CPU, SMALL_WORK_MS);
+	(void)new_job("main", "300", phases);
+	after(SMALL_EVERY_MS, send_small, NULL);
+}
+
+static void
+send_large(void *arg)
+{
+	char phases[120];
+
+	(void)arg;
+	if (!world_trouble)
+		return;
+	snprintf(phases, sizeof(phases),
+	    "{\"count\":1,\"cpu\":%d,\"mem_mb\":500,\"estimate_ms\":3000}",
+	    LARGE_CPU);
+	large_job = new_job("main", "3000", phases);
+	rec("client: job %s is the large one", large_job->id);
+}
+
+static void
+go_limit(void)
+{
+	char phases[120];
+
+	on_run_event = on_limit_event;
+	snprintf(phases, sizeof(phases),
+	    "{\"count\":1,\"cpu\":%d,\"mem_mb\":500,\"estimate_ms\":1000,"
+	    "\"long_running\":true}",
+	    LASTING_CPU);
+	lasting_job = new_job("main", "0", phases);
+	rec("client: job %s is the one that lasts", lasting_job->id);
+	after(2000, send_large, NULL);
+	after(2500, send_small, NULL);
+	traffic_end_ms = world_ms() + TRAFFIC_MS;
+}
+
+void
+case_limit(void)
+{
+	put_limits();
+	start_deployment(go_limit);
+}
--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -159,6 +159,22 @@
 	return out;
 }
 
+static char *
+b64_decode(const char *text)
+{
+	char *const out = xalloc(strlen(text) + 4);
+	uint32_t bits = 0;
+	size_t n = 0;
+	unsigned k = 0;
+
+	for (; *text != '\0' && *text != '='; text++) {
+		bits = bits << 6 | (uint32_t)(strchr(b64, *text) - b64);
+		if (++k % 4 != 1)
+			out[n++] = (char)(bits >> (6 - 2 * ((k - 1) % 4)));
+	}
+	return out;
+}
+
 /* ---- JSON ---- */
 
 static const char *
@@ -1217,21 +1233,35 @@
 size_t nodes_len;
 static unsigned node_memory_mb;
 
+/*
+ * A free port below those that the kernel gives to outgoing connections, which
+ * could take it before the machine listens.
+ */
+#define PORT_FIRST 20000
+#define PORTS 12000
+
 static int
-free_port(const char *ip)
+free_port(void)
 {
+	static unsigned next;
 	struct sockaddr_in sa = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sa);
-	const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	inet_pton(AF_INET, ip, &sa.sin_addr);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sa, &len) != 0) {
-		world_finish(2, "no free port on %s", ip);
-		return 0;
+	unsigned i;
+	int fd, port, rc;
+
+	if (next == 0)
+		next = (unsigned)getpid() * 97;
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < PORTS; i++) {
+		port = PORT_FIRST + (int)(next++ % PORTS);
+		sa.sin_port = htons((uint16_t)port);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		rc = bind(fd, (struct sockaddr *)&sa, sizeof(sa));
+		close(fd);
+		if (rc == 0)
+			return port;
 	}
-	close(fd);
-	return ntohs(sa.sin_port);
+	world_finish(2, "no free port");
+	return 0;
 }
 
 /* Fills in deploy/settings.json.in, as the platform does. */
@@ -1398,18 +1428,19 @@
 node_leader(void)
 {
 	const struct change *const c = store_find("ab/c/leader");
-	size_t i;
-
-	for (i = 0; c != NULL && i < nodes_len; i++) {
-		char *const val =
-		    b64_encode(nodes[i].name, strlen(nodes[i].name) / 3 * 3);
-		const bool same = strncmp(c->val, val, strlen(val)) == 0;
-
-		free(val);
-		if (same && nodes[i].running)
-			return &nodes[i];
+	char *const val = b64_decode(c != NULL ? c->val : "");
+	struct node *n = NULL;
+	size_t i, len;
+
+	/* An instance is the name of its machine, a dot and more. */
+	for (i = 0; n == NULL && i < nodes_len; i++) {
+		len = strlen(nodes[i].name);
+		if (nodes[i].running &&
+		    strncmp(val, nodes[i].name, len) == 0 && val[len] == '.')
+			n = &nodes[i];
 	}
-	return NULL;
+	free(val);
+	return n;
 }
 
 void
@@ -1425,14 +1456,15 @@
 		snprintf(x->zone, sizeof(x->zone), "%s", zones[i % 3]);
 		snprintf(x->name, sizeof(x->name), "frontend-%s-%zu",
 		    x->zone, i / 3 + 1);
-		snprintf(x->ip, sizeof(x->ip), "127.0.1.%zu", i + 1);
+		/* What a machine sends comes from its own address. */
+		snprintf(x->ip, sizeof(x->ip), "127.0.0.1");
 		snprintf(x->front, sizeof(x->front), "%s:%d", x->ip,
-		    free_port(x->ip));
+		    free_port());
 		snprintf(x->ready, sizeof(x->ready), "%s:%d", x->ip,
-		    free_port(x->ip));
+		    free_port());
 		snprintf(x->dir, sizeof(x->dir), "%s/%s", temp_dir, x->name);
 		mkdir(x->dir, 0755);
-		write_settings(x, free_port(x->ip), free_port(x->ip));
+		write_settings(x, free_port(), free_port());
 		nodes_len++;
 		node_spawn(x);
 	}
@@ -1443,6 +1475,8 @@
 
 /* ---- clients ---- */
 
+const char *client_key;
+
 struct client_call {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
@@ -1581,6 +1615,8 @@
 	f = open_memstream(&c->request, &c->request_len);
 	fprintf(f, "%s %s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: %lld\r\n", method,
 	    path, host, (long long)timeout_ms);
+	if (client_key != NULL)
+		fprintf(f, "X-Api-Key: %s\r\n", client_key);
 	if (body != NULL)
 		fprintf(f,
 		    "Content-Type: application/json\r\n"
@@ -1711,6 +1747,8 @@
 		case_gang();
 	else if (strcmp(argv[1], "late") == 0)
 		case_late();
+	else if (strcmp(argv[1], "limit") == 0)
+		case_limit();
 	else
 		world_finish(2, "no such case");
 	uv_run(world_loop, UV_RUN_DEFAULT);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -136,6 +136,8 @@
  * the channel ended without a complete answer, and the body.
  */
 typedef void (*answer_cb)(void *arg, int status, const char *body);
+/* Sent as X-Api-Key with each request; NULL: none. */
+extern const char *client_key;
 void client_send(const char *addr, const char *method, const char *host,
     const char *path, const char *body, size_t body_len, int64_t timeout_ms,
     answer_cb cb, void *arg);
@@ -145,5 +147,6 @@
 void case_memory(void);
 void case_gang(void);
 void case_late(void);
+void case_limit(void);
 
 #endif
