--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -506,47 +506,48 @@
 /* ---- case limit ---- */
 
 /*
- * A client account may use LIMIT_CPU at a time. One of its tasks lasts and uses
- * a sixth of that. A large job of the account comes, which its limit allows, but
- * not beside the task that lasts. Beside it, the account sends small jobs.
+ * A tenant has a task that lasts and uses 2 cores. A manifest halves its
+ * max_count from 24 to 12 cores. Then it sends a job with one task of 11 cores,
+ * which may run, but not beside the one that lasts, and small jobs all the time.
  */
-#define LIMIT_CPU 12000
+#define LIMIT_CPU 24000
+#define LOWER_LIMIT_CPU 12000
 #define LASTING_CPU 2000
 #define LARGE_CPU 11000
 #define SMALL_CPU 250
 #define SMALL_WORK_MS 300
 #define SMALL_EVERY_MS 1000
-#define TRAFFIC_MS 55000
+#define TRAFFIC_MS 60000
 /* finish_s after the end of the traffic, and the span of the rule. */
 #define FINISH_MS 14000
 #define SPAN_MS 3000
 
 static struct job *lasting_job, *large_job;
 static size_t first_small;
-static unsigned lasting_starts, lasting_ends;
+static unsigned lasting_starts, lasting_ends, large_starts;
 static unsigned small_starts[400], small_done[400];
 static int64_t traffic_end_ms;
 
 static void
-put_limits(void)
+put_limits(unsigned version, unsigned cpu)
 {
 	static const char text[] =
-	    "{\"version\":2,\"routes\":[{\"name\":\"main\",\"host\":\"" HOST
+	    "{\"version\":%u,\"routes\":[{\"name\":\"main\",\"host\":\"" HOST
 	    "\",\"prefix\":\"/main/\",\"service\":\"wick-orders\","
 	    "\"timeout_ms\":3000,\"target_latency_ms\":3000,\"priority\":1,"
 	    "\"max_attempts\":2,\"slack_factor\":2}],"
 	    "\"services\":[{\"name\":\"wick-orders\"}],"
 	    "\"tenants\":[{\"name\":\"north\",\"keys\":[\"key-north\"],"
-	    "\"weight\":1,\"max_count\":{\"cpu\":%d,\"mem_mb\":0,"
+	    "\"weight\":1,\"max_count\":{\"cpu\":%u,\"mem_mb\":0,"
 	    "\"gpu\":0}}],\"limits\":{\"max_body_bytes\":%d}}";
 	char manifest[1200];
 
-	snprintf(
-	    manifest, sizeof(manifest), text, LIMIT_CPU, MAX_BODY_BYTES);
+	snprintf(manifest, sizeof(manifest), text, version, cpu,
+	    MAX_BODY_BYTES);
 	store_put("op/config", manifest);
-	rec("operator: manifest 2 is acknowledged; tenant north, max_count %d "
+	rec("operator: manifest %u is acknowledged; tenant north, max_count %u "
 	    "thousandths of a core",
-	    LIMIT_CPU);
+	    version, cpu);
 	client_key = "key-north";
 }
 
@@ -568,6 +569,7 @@
 		lasting_starts += how == NULL;
 		lasting_ends += how != NULL;
 	}
+	large_starts += how == NULL && is_of(task, large_job);
 	for (i = first_small; first_small > 0 && i < jobs_len; i++) {
 		if (!is_of(task, &jobs[i]))
 			continue;
@@ -602,7 +604,9 @@
 	rec("judge: %u small jobs accepted, %u done, %u never started; the "
 	    "lasting task was started %u times and ended %u times",
 	    accepted, done, waiting, lasting_starts, lasting_ends);
-	if (lasting_starts != 1 || lasting_ends > 0 || early == 0)
+	rec("judge: the large task was started %u times", large_starts);
+	if (lasting_starts != 1 || lasting_ends > 0 || early == 0 ||
+	    large_job->state != JOB_ACCEPTED)
 		world_finish(2, "what the case needs did not come about");
 	else if (waiting > 0)
 		world_finish(1,
@@ -610,7 +614,7 @@
 		    "the traffic; their tenant uses %d of %d, the service %d of "
 		    "%d",
 		    id, waiting - 1, (FINISH_MS + SPAN_MS) / 1000, LASTING_CPU,
-		    LIMIT_CPU, LASTING_CPU, RUNNERS * RUNNER_CPU);
+		    LOWER_LIMIT_CPU, LASTING_CPU, RUNNERS * RUNNER_CPU);
 	else
 		world_finish(0, "held: all small jobs were done");
 }
@@ -648,14 +652,20 @@
 	after(SMALL_EVERY_MS, send_small, NULL);
 }
 
+static void
+lower_limit(void *arg)
+{
+	(void)arg;
+	if (world_trouble)
+		put_limits(3, LOWER_LIMIT_CPU);
+}
+
 static void
 send_large(void *arg)
 {
 	char phases[120];
 
 	(void)arg;
-	if (!world_trouble)
-		return;
 	snprintf(phases, sizeof(phases),
 	    "{\"count\":1,\"cpu\":%d,\"mem_mb\":500,\"estimate_ms\":3000}",
 	    LARGE_CPU);
@@ -675,14 +685,15 @@
 	    LASTING_CPU);
 	lasting_job = new_job("main", "0", phases);
 	rec("client: job %s is the one that lasts", lasting_job->id);
-	after(2000, send_large, NULL);
-	after(2500, send_small, NULL);
+	after(1500, lower_limit, NULL);
+	after(6000, send_large, NULL);
+	after(6500, send_small, NULL);
 	traffic_end_ms = world_ms() + TRAFFIC_MS;
 }
 
 void
 case_limit(void)
 {
-	put_limits();
+	put_limits(2, LIMIT_CPU);
 	start_deployment(go_limit);
 }
