--- a/review/9/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 9: a large job, kept out by its limit, holds back its tenant for good.
+# Case 8: a large job, kept out by its limit, holds back its tenant for good.
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0
 # does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
