fix(wf): a failed run of a gang counts once over a change of leader

Callers saw a job as `failed` after one failed run of its gang, where its queue allows two attempts.

Cause: the ends of several members of one run count as one failure. Which run has been counted (wf_unit.failed_run) stood in the leader's memory only, while the count itself is in the state record. A leader that took over between the ends of two members counted the second one again.

Change: the latest failed run of a gang follows the state record (wf_x_failed_runs), for gangs that have failed and have tasks on runners. Earlier versions ignore it. In a record of an earlier version it is missing: then a run that a member has left counts as counted.

The simulation could not show the fault: members of gangs never failed in it, and a job that is shown as failed was never checked.

--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -110,6 +110,20 @@
 };
 typedef struct wf_x_state wf_x_state;
 
+struct wf_x_failed_run {
+	u_int index;
+	u_int run;
+};
+typedef struct wf_x_failed_run wf_x_failed_run;
+
+struct wf_x_failed_runs {
+	struct {
+		u_int runs_len;
+		wf_x_failed_run *runs_val;
+	} runs;
+};
+typedef struct wf_x_failed_runs wf_x_failed_runs;
+
 struct wf_x_peer {
 	int score;
 	u_int capacity;
@@ -136,6 +150,8 @@
 extern  bool_t xdr_wf_x_saved (XDR *, wf_x_saved*);
 extern  bool_t xdr_wf_x_runner (XDR *, wf_x_runner*);
 extern  bool_t xdr_wf_x_state (XDR *, wf_x_state*);
+extern  bool_t xdr_wf_x_failed_run (XDR *, wf_x_failed_run*);
+extern  bool_t xdr_wf_x_failed_runs (XDR *, wf_x_failed_runs*);
 extern  bool_t xdr_wf_x_peer (XDR *, wf_x_peer*);
 extern  bool_t xdr_wf_x_round (XDR *, wf_x_round*);
 
@@ -146,6 +162,8 @@
 extern bool_t xdr_wf_x_saved ();
 extern bool_t xdr_wf_x_runner ();
 extern bool_t xdr_wf_x_state ();
+extern bool_t xdr_wf_x_failed_run ();
+extern bool_t xdr_wf_x_failed_runs ();
 extern bool_t xdr_wf_x_peer ();
 extern bool_t xdr_wf_x_round ();
 
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -220,6 +220,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wf_x_failed_run (XDR *xdrs, wf_x_failed_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wf_x_failed_runs (XDR *xdrs, wf_x_failed_runs *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, WF_X_TASKS_MAX,
+		sizeof (wf_x_failed_run), (xdrproc_t) xdr_wf_x_failed_run))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wf_x_peer (XDR *xdrs, wf_x_peer *objp)
 {
--- a/src/workflow/wf_record.x
+++ b/src/workflow/wf_record.x
@@ -84,6 +84,20 @@
 	wf_x_saved saved<WF_X_TASKS_MAX>;
 };
 
+/* Latest failed run of a gang, which is named by the index of its first task;
+ * run is 0 when none has been counted. */
+struct wf_x_failed_run {
+	unsigned int index;
+	unsigned int run;
+};
+
+/* Follows the state record of a job with gangs that have failed and have tasks
+ * on runners: the further ends of the same run do not count as failures. Records
+ * of earlier versions end without it; earlier versions ignore it. */
+struct wf_x_failed_runs {
+	wf_x_failed_run runs<WF_X_TASKS_MAX>;
+};
+
 /* The instance with the highest score stands for election first. capacity is
  * its capacity for relaying orders, in thousandths of a core. */
 struct wf_x_peer {
--- a/src/workflow/wf_state.c
+++ b/src/workflow/wf_state.c
@@ -149,25 +149,82 @@
 	}
 }
 
+static const wf_x_failed_run *
+find_failed_run(const struct wf_x_failed_runs *x, uint32_t first_task)
+{
+	u_int i;
+
+	for (i = 0; i < x->runs.runs_len; i++) {
+		if (x->runs.runs_val[i].index == first_task)
+			return &x->runs.runs_val[i];
+	}
+	return NULL;
+}
+
+/* Restores which run of a gang counts as failed already, so that the end of
+ * another member of it does not count again. The record of an earlier version
+ * does not say so. Then it is assumed of a run that a member has left: a job that
+ * runs once more than its queue allows does less harm than one that is given up
+ * too early. */
+static void
+restore_failed_run(struct wf_unit *u, const struct wf_x_failed_runs *x)
+{
+	const wf_x_failed_run *const r =
+	    find_failed_run(x, wf_unit_first_task(u));
+
+	if (!wf_unit_step(u)->gang || u->failures == 0)
+		return;
+	if (r != NULL)
+		u->failed_run = r->run;
+	else if (u->waiting > 0)
+		u->failed_run = u->run;
+}
+
+static void
+restore_failed_runs(struct wf_exec *e, const struct wf_x_failed_runs *x)
+{
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < e->open_len; i++) {
+		for (k = 0; k < e->job->spec.steps_len; k++)
+			restore_failed_run(&e->open[i].units[k], x);
+	}
+}
+
+/* Decodes both parts of the state record. */
+static bool
+decode_record(const struct wf_exec *e, struct wf_x_state *x,
+    struct wf_x_failed_runs *failed)
+{
+	const struct wf_job *const j = e->job;
+
+	memset(failed, 0, sizeof(*failed));
+	return wf_table_decode_state(j->state_record, j->state_record_len, x) &&
+	    wf_table_decode_failed_runs(
+		j->state_record, j->state_record_len, x, failed) &&
+	    tasks_valid(e, x);
+}
+
 bool
 wf_state_restore(struct wf_leader *l, const struct wf_now *now,
     struct wf_exec *e, struct wf_effects *out)
 {
+	struct wf_x_failed_runs failed;
 	struct wf_x_state x;
 	struct packed_task p;
 	struct wf_task *t;
 	uint32_t i;
+	bool ok;
 
 	if (e->job->state_record == NULL)
 		return true;
-	if (!wf_table_decode_state(
-		e->job->state_record, e->job->state_record_len, &x) ||
-	    !tasks_valid(e, &x)) {
-		xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
+	ok = decode_record(e, &x, &failed);
+	if (!ok) {
 		wf_effects_log(out, AGB_LOG_ERROR, "record",
 		    "job=%s malformed=state revision=%" PRIu64, e->job->id,
 		    e->job->state_rev);
-		return false;
+		goto out;
 	}
 	e->state = (enum wf_job_state)x.state;
 	wf_exec_set_done(e, x.done.done_val, x.done.done_len);
@@ -177,8 +234,11 @@
 		restore_task(l, now, t->unit, t, &p, &x);
 	}
 	restore_checkpoints(l, now, e, &x);
+	restore_failed_runs(e, &failed);
+out:
+	xdr_free((xdrproc_t)xdr_wf_x_failed_runs, (char *)&failed);
 	xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&x);
-	return true;
+	return ok;
 }
 
 static uint32_t
@@ -275,6 +335,36 @@
 	}
 }
 
+/* Adds the latest failed run of a gang while tasks of it may be on runners, even
+ * if it is an earlier one: so the record of an earlier version can be told. */
+static void
+add_failed_run(const struct wf_unit *u, struct wf_x_failed_runs *x)
+{
+	wf_x_failed_run *r;
+
+	if (!wf_unit_step(u)->gang || u->failures == 0 || u->allocated == 0)
+		return;
+	x->runs.runs_val = agb_xreallocarray(
+	    x->runs.runs_val, x->runs.runs_len + 1, sizeof(*x->runs.runs_val));
+	r = &x->runs.runs_val[x->runs.runs_len++];
+	r->index = wf_unit_first_task(u);
+	r->run = u->failed_run;
+}
+
+static void
+add_failed_runs(const struct wf_exec *e, struct wf_x_failed_runs *x)
+{
+	uint32_t k;
+	size_t i;
+
+	if (wf_job_state_is_final(e->state))
+		return;
+	for (i = 0; i < e->open_len; i++) {
+		for (k = 0; k < e->job->spec.steps_len; k++)
+			add_failed_run(&e->open[i].units[k], x);
+	}
+}
+
 /* Upper bound for the number of tasks that a record lists. */
 static size_t
 count_tasks(const struct wf_exec *e)
@@ -292,6 +382,7 @@
 wf_state_encode(struct wf_leader *l, const struct wf_exec *e, size_t *len)
 {
 	const size_t tasks = count_tasks(e);
+	struct wf_x_failed_runs failed = {0};
 	struct wf_x_state x;
 	size_t size;
 	char *raw;
@@ -307,10 +398,16 @@
 	x.done.done_len = (e->tasks_len + 7) / 8;
 	x.done.done_val = agb_xcalloc(x.done.done_len + 1, 1);
 	add_tasks(l, e, &x);
-	size = xdr_sizeof((xdrproc_t)xdr_wf_x_state, &x);
+	add_failed_runs(e, &failed);
+	size = xdr_sizeof((xdrproc_t)xdr_wf_x_state, &x) +
+	    xdr_sizeof((xdrproc_t)xdr_wf_x_failed_runs, &failed);
 	size = add_checkpoints(e, &x, size, false);
 	(void)add_checkpoints(e, &x, size, true);
 	raw = wf_table_encode((xdrproc_t)xdr_wf_x_state, &x, len);
+	if (raw != NULL && failed.runs.runs_len > 0)
+		raw = wf_table_append(
+		    raw, len, (xdrproc_t)xdr_wf_x_failed_runs, &failed);
+	free(failed.runs.runs_val);
 	free(x.runners.runners_val);
 	free(x.tasks.tasks_val);
 	free(x.saved.saved_val);
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -141,6 +141,23 @@
 	return buf;
 }
 
+char *
+wf_table_append(char *raw, size_t *len, xdrproc_t proc, void *rec)
+{
+	size_t tail_len;
+	char *const tail = wf_table_encode(proc, rec, &tail_len);
+
+	if (tail == NULL) {
+		free(raw);
+		return NULL;
+	}
+	raw = agb_xreallocarray(raw, *len + tail_len, 1);
+	memcpy(raw + *len, tail, tail_len);
+	*len += tail_len;
+	free(tail);
+	return raw;
+}
+
 static bool
 decode(xdrproc_t proc, const char *raw, size_t len, void *out)
 {
@@ -165,6 +182,17 @@
 	return false;
 }
 
+bool
+wf_table_decode_failed_runs(const char *raw, size_t len,
+    struct wf_x_state *state, struct wf_x_failed_runs *out)
+{
+	const size_t at = xdr_sizeof((xdrproc_t)xdr_wf_x_state, state);
+
+	memset(out, 0, sizeof(*out));
+	return len <= at ||
+	    decode((xdrproc_t)xdr_wf_x_failed_runs, raw + at, len - at, out);
+}
+
 static void
 encode_step(const struct wf_step *s, struct wf_x_step *x)
 {
@@ -215,21 +243,10 @@
 append_owner(const struct wf_spec *s, char *raw, size_t *len)
 {
 	struct wf_x_job_owner x = {.account = (char *)(uintptr_t)s->account};
-	size_t tail_len;
-	char *tail;
 
 	if (s->account[0] == '\0')
 		return raw;
-	tail = wf_table_encode((xdrproc_t)xdr_wf_x_job_owner, &x, &tail_len);
-	if (tail == NULL) {
-		free(raw);
-		return NULL;
-	}
-	raw = agb_xreallocarray(raw, *len + tail_len, 1);
-	memcpy(raw + *len, tail, tail_len);
-	*len += tail_len;
-	free(tail);
-	return raw;
+	return wf_table_append(raw, len, (xdrproc_t)xdr_wf_x_job_owner, &x);
 }
 
 /* Reads the account that follows the record of a job. Returns false when what
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -318,10 +318,26 @@
  */
 char *wf_table_encode(xdrproc_t proc, void *rec, size_t *len);
 
+/**
+ * wf_table_append() - append a second record to an encoded one
+ * @raw: the first record, which the function takes over
+ * @len: its length, which is updated
+ * Return: new buffer, freed by the caller; NULL when it cannot be encoded.
+ */
+char *wf_table_append(char *raw, size_t *len, xdrproc_t proc, void *rec);
+
 /**
  * wf_table_decode_state() - decode the state record of a job
  * @out: freed with xdr_free()
  */
 bool wf_table_decode_state(const char *raw, size_t len, struct wf_x_state *out);
 
+/**
+ * wf_table_decode_failed_runs() - decode what follows the state record of a job
+ * @state: the decoded state record
+ * @out: empty when nothing follows it; freed with xdr_free()
+ */
+bool wf_table_decode_failed_runs(const char *raw, size_t len,
+    struct wf_x_state *state, struct wf_x_failed_runs *out);
+
 #endif
--- a/tests/test_wf_record.c
+++ b/tests/test_wf_record.c
@@ -207,10 +207,57 @@
 	}
 }
 
+/* Guards against a state record that earlier versions cannot read, and against
+ * failed runs that are read from a damaged one. */
+static void
+test_failed_runs(void)
+{
+	static const struct {
+		u_int runs;
+		size_t cut;
+		bool readable;
+	} cases[] = {
+	    {0, 0, true},
+	    {2, 0, true},
+	    {2, 4, false},
+	    /* Without all that follows: as earlier versions write it. */
+	    {2, 20, true},
+	};
+	static wf_x_failed_run list[] = {{0, 1}, {65535, 7}};
+	size_t i, len;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct wf_x_state state = {.state = WF_JOB_RUNNING,
+		    .detail = (char *)(uintptr_t) "reason"};
+		struct wf_x_failed_runs runs = {.runs = {cases[i].runs, list}};
+		char *raw =
+		    wf_table_encode((xdrproc_t)xdr_wf_x_state, &state, &len);
+		u_int left = cases[i].cut == 0 ? cases[i].runs : 0;
+
+		raw = wf_table_append(
+		    raw, &len, (xdrproc_t)xdr_wf_x_failed_runs, &runs);
+		len -= cases[i].cut;
+		CU_ASSERT(wf_table_decode_state(raw, len, &state));
+		CU_ASSERT_STRING_EQUAL(state.detail, "reason");
+		CU_ASSERT_EQUAL(
+		    wf_table_decode_failed_runs(raw, len, &state, &runs),
+		    cases[i].readable);
+		if (cases[i].readable)
+			CU_ASSERT_EQUAL(runs.runs.runs_len, left);
+		for (; cases[i].readable && left > 0; left--)
+			CU_ASSERT_EQUAL(runs.runs.runs_val[left - 1].run,
+			    list[left - 1].run);
+		xdr_free((xdrproc_t)xdr_wf_x_failed_runs, (char *)&runs);
+		xdr_free((xdrproc_t)xdr_wf_x_state, (char *)&state);
+		free(raw);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"records: jobs without an account are as before", test_without_account},
     {"records: jobs with an account", test_with_account},
     {"records: damaged accounts are malformed", test_damaged_account},
+    {"records: failed runs of gangs", test_failed_runs},
     {"record before its submission", test_record_before_submission},
 };
 
--- a/tests/wfsim/check.c
+++ b/tests/wfsim/check.c
@@ -139,6 +139,46 @@
 	}
 }
 
+/* Highest number of failed runs that any task of a job has; the members of a gang
+ * fail as one. */
+static uint32_t
+most_failed_runs(const struct sim_job *j)
+{
+	const uint32_t len = wf_spec_task_count(&j->spec);
+	uint32_t failed, most = 0, k, i, n;
+
+	n = 0;
+	while (n < j->spec.repeat_count * len) {
+		for (k = 0; k < j->spec.steps_len; k++) {
+			for (i = 0; i < j->spec.steps[k].count; i++, n++) {
+				failed = j->spec.steps[k].gang
+				    ? j->tasks[n].gang_failed
+				    : j->tasks[n].failed;
+				most = failed > most ? failed : most;
+			}
+		}
+	}
+	return most;
+}
+
+void
+sim_check_end(struct sim *s, struct sim_job *j)
+{
+	const char *const state = sim_state(s, j->id);
+
+	if (j->status != 200)
+		return;
+	if (strcmp(state, "failed") == 0 &&
+	    most_failed_runs(j) < s->o.max_attempts)
+		sim_report_violation(s,
+		    "failed: %s is given up after %u failed runs of %u", j->id,
+		    most_failed_runs(j), s->o.max_attempts);
+	if (strcmp(state, "completed") != 0 && strcmp(state, "failed") != 0 &&
+	    strcmp(state, "cancelled") != 0)
+		sim_report_violation(
+		    s, "unfinished: %s is %s at the end", j->id, state);
+}
+
 unsigned
 sim_violation_count(const struct sim *s)
 {
--- a/tests/wfsim/random_run.c
+++ b/tests/wfsim/random_run.c
@@ -158,7 +158,6 @@
 {
 	const unsigned step_ms = 50;
 	unsigned t, budget, next_fault;
-	const char *state;
 	size_t i;
 
 	budget = 0;
@@ -181,24 +180,19 @@
 	s->o.order_late_percent = 0;
 	s->o.store_lost_percent = 0;
 	sim_run(s, 60000);
-	for (i = 0; i < s->jobs_len; i++) {
-		if (s->jobs[i].status != 200)
-			continue;
-		state = sim_state(s, s->jobs[i].id);
-		if (strcmp(state, "completed") != 0 &&
-		    strcmp(state, "failed") != 0 &&
-		    strcmp(state, "cancelled") != 0)
-			sim_report_violation(s,
-			    "unfinished: %s is %s at the end", s->jobs[i].id,
-			    state);
-	}
+	for (i = 0; i < s->jobs_len; i++)
+		sim_check_end(s, &s->jobs[i]);
 }
 
 unsigned
 sim_run_seed(unsigned seed, FILE *report)
 {
+	const bool gangs_fail = seed >= SIM_FIRST_GANG_SEED;
 	const unsigned stretch =
 	    seed >= SIM_FIRST_STALL_SEED && seed % 6 == 0 ? 4 : 1;
+	/* Gangs that fail run again: a full load would not be finished by the
+	 * end. */
+	const unsigned load_divisor = gangs_fail ? 2 * stretch : stretch;
 	const struct sim_options o = {
 	    .seed = seed,
 	    .cores = 2 + seed % 4,
@@ -206,15 +200,16 @@
 	    .cpu_milli = 8000 + 4000 * (seed % 3),
 	    .latency_ms = 1 + seed % 6,
 	    .advice_required = seed % 2 == 1,
-	    .max_attempts = 3,
+	    .max_attempts = gangs_fail ? 2 : 3,
 	    .fail_percent = seed % 5,
+	    .gang_fail_percent = gangs_fail ? 25 : 0,
 	    .answer_lost_percent = seed % 3 == 0 ? 3 : 0,
 	    .order_late_percent = seed % 4 == 0 ? 2 : 0,
 	    .store_lost_percent = seed % 7 == 0 ? 15 : 0,
 	    .run_time_factor = stretch,
 	    .runner_stalls = seed >= SIM_FIRST_STALL_SEED,
 	    .relays = seed >= SIM_FIRST_RELAY_SEED,
-	    .jobs_per_s = 1 + (3 + seed % 8) / stretch,
+	    .jobs_per_s = 1 + (3 + seed % 8) / load_divisor,
 	    .load_ms = 25000,
 	    .fault_gap_ms = 800 + 400 * (seed % 6),
 	};
--- a/tests/wfsim/runner.c
+++ b/tests/wfsim/runner.c
@@ -18,6 +18,22 @@
 	return (int64_t)((s->now - r->started_at) / SIM_MS) + r->clock_base_ms;
 }
 
+/* The ends of several members count as one failed run of their gang. */
+static void
+count_failure(struct sim_job *j, const struct task_run *run)
+{
+	struct wf_task_ref ref = run->task;
+	struct sim_task *first;
+
+	sim_task_find(j, &ref)->failed++;
+	ref.index = 0;
+	first = sim_task_find(j, &ref);
+	if (!j->spec.steps[ref.step].gang || first->gang_failed_run == run->run)
+		return;
+	first->gang_failed_run = run->run;
+	first->gang_failed++;
+}
+
 static void
 finish_run(struct sim *s, struct sim_runner *r, const struct task_run *run,
     enum wf_run_end how)
@@ -44,7 +60,7 @@
 		j->done_at = s->now;
 	}
 	if (how == WF_END_FAILED)
-		sim_task_find(j, &run->task)->failed++;
+		count_failure(j, run);
 }
 
 /* Counts the active members of a gang, which share their step and run
@@ -147,6 +163,13 @@
 	x->end = WF_END_DONE;
 }
 
+static void
+start_failing_member(struct sim *s, struct task_run *x, uint64_t ends)
+{
+	start_member(s, x, ends);
+	x->end = WF_END_FAILED;
+}
+
 static void
 break_member(struct sim *s, struct task_run *x, uint64_t a)
 {
@@ -265,7 +288,7 @@
 	struct sim_job *const j = sim_job_find(s, o->task.job);
 	const struct wf_step *step;
 	struct task_run *x;
-	bool remote;
+	bool remote, fails;
 	size_t i;
 
 	if (j == NULL) {
@@ -297,16 +320,22 @@
 	x->need = step->need;
 	x->started_at = s->now;
 	x->pace = 100;
-	x->end = r->faulty || sim_chance(s, s->o.fail_percent) ? WF_END_FAILED
-							       : WF_END_DONE;
+	x->end = r->faulty || sim_chance(s, s->o.fail_percent) ||
+		o->run <= j->failing_runs
+	    ? WF_END_FAILED
+	    : WF_END_DONE;
 	if (step->gang && step->count > 1) {
 		x->awaits_gang = true;
 		if (gang_members_present(s, x) != step->count)
 			return WF_ORDER_OK;
 		remote = gang_is_remote(s, step, x);
 		j->remote += remote ? step->count : 0;
-		for_gang_members(
-		    s, x, start_member, s->now + run_time(s, step, remote));
+		fails = o->run <= j->failing_runs ||
+		    (s->o.gang_fail_percent > 0 &&
+			sim_chance(s, s->o.gang_fail_percent));
+		for_gang_members(s, x,
+		    fails ? start_failing_member : start_member,
+		    s->now + run_time(s, step, remote));
 	} else {
 		remote = !wf_runner_has_label(&r->info, step->rack);
 		j->remote += remote;
@@ -608,6 +637,12 @@
 	s->runners[ri].faulty = on;
 }
 
+void
+sim_fail_runs(struct sim *s, const char *id, unsigned upto)
+{
+	sim_job_find(s, id)->failing_runs = upto;
+}
+
 void
 sim_runner_ignore_starts(struct sim *s, unsigned ri, bool on)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -19,6 +19,7 @@
 #define SIM_MS AGB_MS
 #define SIM_FIRST_STALL_SEED 1000000
 #define SIM_FIRST_RELAY_SEED 2000000
+#define SIM_FIRST_GANG_SEED 3000000
 
 struct sim;
 
@@ -42,7 +43,9 @@
  * struct sim_options - parameters of a simulation
  * @latency_ms: one-way latency to the store, the runners and the advice service
  * @advice_required: placements need approval by the advice service
- * @fail_percent: share of the runs that fail
+ * @fail_percent: share of the runs that fail; members of gangs do not
+ * @gang_fail_percent: share of the runs of gangs in which all members fail at the
+ *	same time
  * @answer_lost_percent: share of the orders whose reply is lost
  * @order_late_percent: share of the orders that are carried out seconds later
  * @store_lost_percent: share of the writes whose reply is lost
@@ -79,6 +82,7 @@
 	bool advice_required;
 	unsigned max_attempts;
 	unsigned fail_percent;
+	unsigned gang_fail_percent;
 	unsigned answer_lost_percent;
 	unsigned order_late_percent;
 	unsigned store_lost_percent;
@@ -214,6 +218,9 @@
 void sim_runner_lose_hold(struct sim *s, unsigned ri);
 /* All tasks fail at a faulty runner. */
 void sim_runner_faulty(struct sim *s, unsigned ri, bool on);
+/* The runs of a job's tasks up to this number fail; those of a gang all at the
+ * same time, at the end of their run time. */
+void sim_fail_runs(struct sim *s, const char *id, unsigned upto);
 
 /**
  * sim_set_account() - store a new version of the document in which an account
@@ -301,8 +308,9 @@
 
 /**
  * sim_run_seed() - randomized run whose parameters and faults are derived from
- * the seed; from SIM_FIRST_STALL_SEED on, runners also stall, and from
- * SIM_FIRST_RELAY_SEED on, orders are relayed
+ * the seed; from SIM_FIRST_STALL_SEED on, runners also stall, from
+ * SIM_FIRST_RELAY_SEED on, orders are relayed, and from SIM_FIRST_GANG_SEED on,
+ * gangs also fail
  * @report: gets a line when a guarantee is violated; may be NULL
  * Return: number of violated guarantees.
  */
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -119,9 +119,13 @@
 	bool ready;
 };
 
+/* Of a gang, the first task counts the failed runs of the whole, and has the
+ * number of the last one. */
 struct sim_task {
 	uint32_t starts;
 	uint32_t failed;
+	uint32_t gang_failed;
+	uint32_t gang_failed_run;
 	bool done;
 	bool done_observed;
 };
@@ -141,6 +145,7 @@
 	bool cancel_acked;
 	unsigned cancel_status;
 	unsigned retry_s;
+	unsigned failing_runs; /* runs up to this number fail */
 	struct sim_task *tasks;
 	UT_hash_handle hh;
 };
@@ -310,6 +315,8 @@
     __attribute__((format(printf, 2, 3)));
 void sim_check_start(struct sim *s, const struct sim_runner *r,
     struct sim_job *j, const struct wf_order *o);
+/* Checks the state that is reported of a job at the end. */
+void sim_check_end(struct sim *s, struct sim_job *j);
 
 /* order.c */
 void sim_send_order(struct sim *s, unsigned ci, struct wf_effect *ef);
