fix(wf): a limit is held only for work that can start, and lent until then

Callers of an account whose limit had kept a large job out for 31 s saw none of their other jobs start any more, for as long as the run in its way went on: for good beside a task that lasts (2 of 12 cores in use), for minutes beside a long run.

Cause: the hold asked how long the work had waited, never whether and when what it waits for can come. After HOLD_ALWAYS_MS it was unconditional. With more than half of the limit in use it was so from the first second on.

Change: from the expected ends of the account's runs, the pass computes when the work will fit. There is no hold where it never will (the runs last, the limit is too small), nor while that is further away than the work has waited, or 10 s. Until that time the rest of the limit is lent: work that ends before, or that fits beside what runs then, starts. A run that is overdue is expected to take as much longer as it is overdue. The ends are gathered only while a limit has kept work out for a second.

--- a/src/workflow/wf_account.c
+++ b/src/workflow/wf_account.c
@@ -21,6 +21,9 @@
  * longer runs.
  */
 #define HOLD_ALWAYS_MS 30000
+/* The rest of a limit is kept free for no longer than this, or than the work for
+ * which it is has waited. */
+#define HOLD_HORIZON_MS 10000
 
 static struct wf_account_use *
 find(const struct wf_accounts *as, const char *name)
@@ -55,6 +58,7 @@
 	 * that it is taken off the table. */
 	HASH_DEL(as->by_name, a);
 	/* NOLINTEND(clang-analyzer-unix.Malloc) */
+	free(a->ends);
 	free(a);
 }
 
@@ -95,6 +99,7 @@
 	HASH_CLEAR(hh, as->by_name);
 	for (; a != NULL; a = next) {
 		next = a->hh.next;
+		free(a->ends);
 		free(a);
 	}
 }
@@ -143,17 +148,32 @@
 	return k < n ? k : n;
 }
 
+/* Whether work must leave free what is kept free for other work. */
+static bool
+respects_hold(const struct wf_account_use *a, const struct wf_account_work *w)
+{
+	if (a->holder == NULL || w->id == NULL || w->id == a->holder ||
+	    w->ends_at <= a->held_from)
+		return false;
+	return a->holds_back_lasting || !w->step->long_running;
+}
+
 uint32_t
 wf_account_startable(const struct wf_accounts *as,
-    const struct wf_account_use *a, const struct wf_step *step, const void *id)
+    const struct wf_account_use *a, const struct wf_account_work *w)
 {
 	struct agb_resources used = a->used;
+	uint32_t n, later;
 
 	if (!as->enabled)
 		return UINT32_MAX;
-	if (a->holder != NULL && id != NULL && id != a->holder)
-		agb_resources_add(&used, &a->held);
-	return count_within_limit(a, &used, &step->need);
+	n = count_within_limit(a, &used, &w->step->need);
+	if (!respects_hold(a, w))
+		return n;
+	agb_resources_sub(&used, &a->ending);
+	agb_resources_add(&used, &a->held);
+	later = count_within_limit(a, &used, &w->step->need);
+	return later < n ? later : n;
 }
 
 /* Number of tasks that start together. */
@@ -163,6 +183,15 @@
 	return w->step->gang ? w->count : 1;
 }
 
+/* Number of tasks that the limit lets start, whatever is kept free. */
+static uint32_t
+count_fitting(const struct wf_accounts *as, const struct wf_account_use *a,
+    const struct wf_account_work *w)
+{
+	return as->enabled ? count_within_limit(a, &a->used, &w->step->need)
+			   : UINT32_MAX;
+}
+
 /* Whether more than half of a limited resource is in use of which too little is
  * left for a start. */
 static bool
@@ -171,44 +200,61 @@
 	return limit > 0 && need > 0 && limit - used < need && used > limit / 2;
 }
 
-/* Whether the rest of the limit may be kept free for work that has been kept
- * out since HOLD_AFTER_MS. While the account uses less than half of its limit,
- * its other work waits for that only in every second period of HOLD_PERIOD_MS.
- */
 static bool
-may_hold(const struct wf_account_use *a, const struct wf_account_work *w,
-    agb_time now)
+is_used_up(const struct wf_account_use *a, const struct wf_account_work *w)
 {
-	static const struct agb_resources nothing;
-	const int64_t n = start_size(w);
 	const struct agb_resources *const need = &w->step->need;
-	const agb_time kept_out = now - w->ready_at - HOLD_AFTER_MS * AGB_MS;
+	const int64_t n = start_size(w);
 
-	if (count_within_limit(a, &nothing, need) < n)
-		return false;
-	return kept_out / (HOLD_PERIOD_MS * AGB_MS) % 2 == 0 ||
-	    kept_out >= HOLD_ALWAYS_MS * AGB_MS ||
-	    field_is_used_up(
-		a->limit.cpu_milli, a->used.cpu_milli, n * need->cpu_milli) ||
+	return field_is_used_up(a->limit.cpu_milli, a->used.cpu_milli,
+		   n * need->cpu_milli) ||
 	    field_is_used_up(
 		a->limit.mem_mb, a->used.mem_mb, n * need->mem_mb) ||
 	    field_is_used_up(a->limit.accel, a->used.accel, n * need->accel);
 }
 
-/* Whether the rest of the limit is kept free for work. It stays so for a while
- * when the work fits, which may need advice before it can start; runs that end
- * together would otherwise let other work in first. */
+/* When work that the limit keeps out is expected to fit; AGB_TIME_MAX when it will
+ * not, as the limit is too small or the runs in its way last.
+ * @ending: set to what the runs use that end until then */
+static agb_time
+expected_start(const struct wf_account_use *a, const struct wf_account_work *w,
+    struct agb_resources *ending)
+{
+	struct agb_resources used = a->used;
+	size_t i;
+
+	*ending = (struct agb_resources){0};
+	for (i = 0; i < a->ends_len; i++) {
+		agb_resources_sub(&used, &a->ends[i].need);
+		agb_resources_add(ending, &a->ends[i].need);
+		if (count_within_limit(a, &used, &w->step->need) >=
+		    start_size(w))
+			return a->ends[i].at;
+	}
+	return AGB_TIME_MAX;
+}
+
+/* Whether an account is in one of the periods in which it may keep the rest of
+ * its limit free though it uses less than half of it. */
 static bool
-holds(const struct wf_accounts *as, const struct wf_account_use *a,
-    const struct wf_account_work *w, agb_time now)
+is_hold_period(agb_time kept_out)
 {
-	if (now < w->ready_at + HOLD_AFTER_MS * AGB_MS ||
-	    (a->holder != NULL && a->holder_since <= w->ready_at))
+	return kept_out / (HOLD_PERIOD_MS * AGB_MS) % 2 == 0;
+}
+
+/* Whether the rest of the limit is kept free for work that is expected to fit at
+ * @from. */
+static bool
+may_hold(const struct wf_account_use *a, const struct wf_account_work *w,
+    agb_time from, agb_time now)
+{
+	const agb_time kept_out = now - w->ready_at - HOLD_AFTER_MS * AGB_MS;
+
+	if (from == AGB_TIME_MAX ||
+	    from - now > agb_time_max(kept_out, HOLD_HORIZON_MS * AGB_MS))
 		return false;
-	if (wf_account_startable(as, a, w->step, NULL) < start_size(w))
-		return may_hold(a, w, now);
-	return a->last_holder == w->id && a->last_holder_since == w->ready_at &&
-	    now < a->last_excluded_at + HOLD_FITTING_MS * AGB_MS;
+	return is_hold_period(kept_out) ||
+	    kept_out >= HOLD_ALWAYS_MS * AGB_MS || is_used_up(a, w);
 }
 
 void
@@ -220,6 +266,8 @@
 		a->waiting_cpu_milli = 0;
 		a->demand_cpu_milli = 0;
 		a->planned_cpu_milli = 0;
+		a->excludes_work = false;
+		a->ends_len = 0;
 		a->last_holder = a->holder;
 		a->last_holder_since = a->holder_since;
 		a->last_excluded_at = a->excluded_at;
@@ -227,22 +275,78 @@
 	}
 }
 
+static bool
+has_waited(const struct wf_account_work *w, agb_time now)
+{
+	return now >= w->ready_at + HOLD_AFTER_MS * AGB_MS;
+}
+
 void
 wf_account_add_waiting(const struct wf_accounts *as, struct wf_account_use *a,
     const struct wf_account_work *w, agb_time now)
 {
 	const int64_t n = start_size(w);
-	const uint32_t fit = wf_account_startable(as, a, w->step, NULL);
+	const uint32_t fit = count_fitting(as, a, w);
 
 	a->waiting_cpu_milli += w->count * w->step->need.cpu_milli;
 	if (fit >= n)
 		a->demand_cpu_milli += w->step->need.cpu_milli *
 		    (int64_t)(fit < w->count ? fit : w->count);
-	if (!holds(as, a, w, now))
-		return;
-	a->excluded_at = fit < n ? now : a->last_excluded_at;
+	else if (has_waited(w, now))
+		a->excludes_work = true;
+}
+
+void
+wf_account_add_end(
+    struct wf_account_use *a, agb_time at, const struct agb_resources *need)
+{
+	if (a->ends_len == a->ends_cap)
+		a->ends = agb_xgrow(a->ends, &a->ends_cap, sizeof(*a->ends));
+	a->ends[a->ends_len].at = at;
+	a->ends[a->ends_len++].need = *need;
+}
+
+static int
+compare_ends(const void *pa, const void *pb)
+{
+	const struct wf_account_end *const a = pa, *const b = pb;
+
+	return (a->at > b->at) - (a->at < b->at);
+}
+
+void
+wf_accounts_sort_ends(struct wf_accounts *as)
+{
+	struct wf_account_use *a;
+
+	for (a = as->by_name; a != NULL; a = a->hh.next) {
+		if (a->ends_len > 1)
+			qsort(a->ends, a->ends_len, sizeof(*a->ends),
+			    compare_ends);
+	}
+}
+
+/* Whether the rest of the limit stays free for work that fits now. That is so
+ * for a while, as it may need advice before it can start; runs that end together
+ * would otherwise let other work in first. */
+static bool
+still_holds(const struct wf_account_use *a, const struct wf_account_work *w,
+    agb_time now)
+{
+	return a->last_holder == w->id && a->last_holder_since == w->ready_at &&
+	    now < a->last_excluded_at + HOLD_FITTING_MS * AGB_MS;
+}
+
+static void
+hold(struct wf_account_use *a, const struct wf_account_work *w, agb_time from,
+    const struct agb_resources *ending)
+{
+	const int64_t n = start_size(w);
+
 	a->holder = w->id;
 	a->holder_since = w->ready_at;
+	a->held_from = from;
+	a->ending = *ending;
 	a->held = (struct agb_resources){
 	    .cpu_milli = n * w->step->need.cpu_milli,
 	    .mem_mb = n * w->step->need.mem_mb,
@@ -250,6 +354,33 @@
 	};
 }
 
+void
+wf_account_consider_hold(const struct wf_accounts *as, struct wf_account_use *a,
+    const struct wf_account_work *w, agb_time now)
+{
+	struct agb_resources ending = {0};
+	agb_time from = now;
+
+	if (!has_waited(w, now) ||
+	    (a->holder != NULL && a->holder_since <= w->ready_at))
+		return;
+	if (count_fitting(as, a, w) >= start_size(w)) {
+		if (!still_holds(a, w, now))
+			return;
+		a->excluded_at = a->last_excluded_at;
+		a->holds_back_lasting = true;
+	} else {
+		from = expected_start(a, w, &ending);
+		if (!may_hold(a, w, from, now))
+			return;
+		a->excluded_at = now;
+		a->holds_back_lasting = is_hold_period(now - w->ready_at -
+					    HOLD_AFTER_MS * AGB_MS) ||
+		    is_used_up(a, w);
+	}
+	hold(a, w, from, &ending);
+}
+
 /* ---- shares ---- */
 
 /* An account's weight, and the processors that it uses and could use. */
@@ -342,7 +473,7 @@
 wf_account_plan(const struct wf_accounts *as, struct wf_account_use *a,
     const struct wf_account_work *w)
 {
-	const uint32_t n = wf_account_startable(as, a, w->step, w->id);
+	const uint32_t n = wf_account_startable(as, a, w);
 	const bool is_over = a->share_cpu_milli != INT64_MAX &&
 	    a->used.cpu_milli + a->planned_cpu_milli >= a->share_cpu_milli;
 
--- a/src/workflow/wf_account.h
+++ b/src/workflow/wf_account.h
@@ -16,6 +16,12 @@
 #include "wf_doc.h"
 #include "wf_types.h"
 
+/* When a run of an account is expected to end, and what it uses until then. */
+struct wf_account_end {
+	agb_time at;
+	struct agb_resources need;
+};
+
 /**
  * struct wf_account_use - a client account at the leader
  * @weight: share of the resources relative to that of the other accounts
@@ -32,10 +38,16 @@
  * @share_cpu_milli: its fair share; INT64_MAX when all that it asks for is
  *	within its share
  * @planned_cpu_milli: processors of its units that the pass has sorted so far
+ * @excludes_work: its limit has kept work out for a while, as of the current pass
+ * @ends, @ends_len, @ends_cap: expected ends of its runs, if it excludes work;
+ *	without those that have none
  * @holder: the work that has been kept out by the limit for longest, if the
  *	rest of the limit is kept free for it
  * @holder_since: when that work became ready
- * @held: what is kept free for it
+ * @held: what is kept free for it, from @held_from on
+ * @held_from: when that work is expected to fit
+ * @ending: what the runs use that are expected to end until then
+ * @holds_back_lasting: work that lasts waits for it, too
  * @excluded_at: when the limit last kept that work out
  * @last_holder, @last_holder_since, @last_excluded_at: the same as of the last
  *	pass
@@ -53,9 +65,16 @@
 	int64_t demand_cpu_milli;
 	int64_t share_cpu_milli;
 	int64_t planned_cpu_milli;
+	bool excludes_work;
+	struct wf_account_end *ends;
+	size_t ends_len;
+	size_t ends_cap;
 	const void *holder;
 	agb_time holder_since;
 	struct agb_resources held;
+	agb_time held_from;
+	struct agb_resources ending;
+	bool holds_back_lasting;
 	agb_time excluded_at;
 	const void *last_holder;
 	agb_time last_holder_since;
@@ -80,15 +99,19 @@
 
 /**
  * struct wf_account_work - queued work of one step
- * @id: identifies it within a pass
+ * @id: identifies it within a pass; NULL when what is kept free for other work
+ *	does not matter to it, as it joins a gang whose other members have started
  * @count: number of tasks
  * @ready_at: when it became ready
+ * @ends_at: when a task that starts now is expected to end; AGB_TIME_MAX when
+ *	that is not known
  */
 struct wf_account_work {
 	const void *id;
 	const struct wf_step *step;
 	uint32_t count;
 	agb_time ready_at;
+	agb_time ends_at;
 };
 
 /**
@@ -112,13 +135,15 @@
 void wf_account_put(struct wf_accounts *as, struct wf_account_use *a);
 
 /**
- * wf_account_startable() - number of further tasks of a step that an account
- * may start now within its limit
- * @id: the work that they belong to; NULL when what is kept free for other work
- *	does not matter, as they join a gang whose other members have started
+ * wf_account_startable() - number of further tasks that an account may start now
+ * within its limit
+ * @w: the work that they belong to
+ *
+ * What is kept free for other work is left out, unless the tasks are expected to
+ * end before that work can start.
  */
 uint32_t wf_account_startable(const struct wf_accounts *as,
-    const struct wf_account_use *a, const struct wf_step *step, const void *id);
+    const struct wf_account_use *a, const struct wf_account_work *w);
 
 /**
  * wf_accounts_begin_pass() - forget the queued work of the last pass
@@ -127,13 +152,35 @@
 
 /**
  * wf_account_add_waiting() - count queued work
+ */
+void wf_account_add_waiting(const struct wf_accounts *as,
+    struct wf_account_use *a, const struct wf_account_work *w, agb_time now);
+
+/**
+ * wf_account_add_end() - add the expected end of a run of an account that
+ * excludes work
+ *
+ * Runs that have no end, as they last, are not added.
+ */
+void wf_account_add_end(
+    struct wf_account_use *a, agb_time at, const struct agb_resources *need);
+
+/**
+ * wf_accounts_sort_ends() - sort the expected ends, after all were added
+ */
+void wf_accounts_sort_ends(struct wf_accounts *as);
+
+/**
+ * wf_account_consider_hold() - keep the rest of the limit free for queued work if
+ * it needs that, after all queued work and all expected ends were added
  *
  * Work that has been kept out by the limit for a while gets the rest of the
  * limit kept free, so that smaller work of the same account does not keep it
- * out for good. While the account uses less than half of its limit, this is
- * done only half of the time.
+ * out for good. That is done for work only that can start once runs end, within
+ * a time that is in proportion to that for which it has waited. While the account
+ * uses less than half of its limit, it is done only half of the time at first.
  */
-void wf_account_add_waiting(const struct wf_accounts *as,
+void wf_account_consider_hold(const struct wf_accounts *as,
     struct wf_account_use *a, const struct wf_account_work *w, agb_time now);
 
 /**
--- a/src/workflow/wf_dispatch_account.c
+++ b/src/workflow/wf_dispatch_account.c
@@ -5,20 +5,92 @@
 #include "mem.h"
 #include "wf_dispatch_internal.h"
 
+/* A run that is being stopped is expected to end within this time. */
+#define STOP_END_MS 1000
 /* Interval of the log lines "account". */
 #define LINE_INTERVAL_MS 1000
 
 static struct wf_account_work
-work_of(const struct wf_unit *u)
+work_of(const struct wf_unit *u, agb_time now)
 {
+	const struct wf_step *const step = wf_unit_step(u);
+	const bool end_is_known = !step->long_running && !step->best_effort;
+
 	return (struct wf_account_work){
 	    .id = u,
-	    .step = wf_unit_step(u),
+	    .step = step,
 	    .count = u->waiting,
 	    .ready_at = u->ready_at,
+	    .ends_at = end_is_known ? now + dispatch_expected_run_time(u)
+				    : AGB_TIME_MAX,
 	};
 }
 
+/* Adds the expected ends of the runs of accounts that exclude work. Runs that are
+ * being stopped end soon. */
+static void
+add_run_ends(struct wf_leader *l, agb_time now)
+{
+	const agb_time stop_end = now + STOP_END_MS * AGB_MS;
+	const struct wf_orphan_run *s;
+	const struct wf_step *step;
+	struct wf_account_use *a;
+	const struct wf_task *t;
+	uint32_t ri;
+	size_t i;
+
+	for (ri = 0; ri < l->runners_len; ri++) {
+		for (t = l->runners[ri].tasks; t != NULL; t = t->next) {
+			a = t->unit->exec->account;
+			step = wf_unit_step(t->unit);
+			if (!a->excludes_work ||
+			    (step->long_running && !t->stopping))
+				continue;
+			wf_account_add_end(a,
+			    t->stopping ? stop_end
+					: dispatch_expected_end(l, ri, t, now),
+			    &step->need);
+		}
+		for (i = 0; i < l->runners[ri].orphan_runs_len; i++) {
+			s = &l->runners[ri].orphan_runs[i];
+			if (s->account != NULL && s->account->excludes_work)
+				wf_account_add_end(
+				    s->account, stop_end, &s->request);
+		}
+	}
+	wf_meter_add_examined(l->meter, l->runners_len);
+	wf_accounts_sort_ends(&l->accounts);
+}
+
+/* Whether the limit of any account has kept queued work out for a while. */
+static bool
+is_work_excluded(const struct wf_accounts *as)
+{
+	const struct wf_account_use *a;
+
+	for (a = as->by_name; a != NULL; a = a->hh.next) {
+		if (a->excludes_work)
+			return true;
+	}
+	return false;
+}
+
+static void
+choose_holds(
+    struct wf_leader *l, agb_time now, struct queued_unit *list, size_t len)
+{
+	struct wf_account_work w;
+	size_t i;
+
+	if (is_work_excluded(&l->accounts))
+		add_run_ends(l, now);
+	for (i = 0; i < len; i++) {
+		w = work_of(list[i].unit, now);
+		wf_account_consider_hold(
+		    &l->accounts, list[i].unit->exec->account, &w, now);
+	}
+}
+
 static int64_t
 free_cpu_milli(const struct wf_leader *l, agb_time now)
 {
@@ -64,14 +136,15 @@
 		return;
 	wf_accounts_begin_pass(as);
 	for (i = 0; i < len; i++) {
-		w = work_of(list[i].unit);
+		w = work_of(list[i].unit, now);
 		wf_account_add_waiting(
 		    as, list[i].unit->exec->account, &w, now);
 	}
+	choose_holds(l, now, list, len);
 	if (!wf_accounts_divide(as, free_cpu_milli(l, now)))
 		return;
 	for (i = 0; i < len; i++) {
-		w = work_of(list[i].unit);
+		w = work_of(list[i].unit, now);
 		list[i].over_share =
 		    wf_account_plan(as, list[i].unit->exec->account, &w);
 	}
@@ -85,9 +158,11 @@
 	struct wf_account_use *const a = u->exec->account;
 	/* Members that are assigned again join the others of their gang. */
 	const bool joins = step->gang && u->active > 0;
+	struct wf_account_work w = work_of(u, p->now->mono);
 	uint32_t n;
 
-	n = wf_account_startable(&p->l->accounts, a, step, joins ? NULL : u);
+	w.id = joins ? NULL : u;
+	n = wf_account_startable(&p->l->accounts, a, &w);
 	if (n >= u->waiting)
 		return u->waiting;
 	a->held_by_limit = true;
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -254,6 +254,14 @@
 
 /* ---- wf_dispatch_plan.c ---- */
 
+/**
+ * dispatch_expected_end() - when a task on a runner is expected to end
+ *
+ * Not defined for tasks that last.
+ */
+agb_time dispatch_expected_end(const struct wf_leader *l, uint32_t ri,
+    const struct wf_task *t, agb_time now);
+
 /**
  * dispatch_run_ends() - expected ends of the tasks on a runner
  *
--- a/src/workflow/wf_dispatch_plan.c
+++ b/src/workflow/wf_dispatch_plan.c
@@ -19,8 +19,10 @@
 	return x < y ? -1 : x > y ? 1 : 0;
 }
 
+/* When a task should end by its expected run time, or by its progress where that
+ * is known. */
 static agb_time
-expected_end(const struct wf_leader *l, const struct wf_runner *r,
+predicted_end(const struct wf_leader *l, const struct wf_runner *r,
     const struct wf_task *t)
 {
 	const uint32_t expected_ms =
@@ -37,6 +39,14 @@
 	    t->sent_at, expected_ms, known ? t->progress_percent : 0, seen_at);
 }
 
+agb_time
+dispatch_expected_end(const struct wf_leader *l, uint32_t ri,
+    const struct wf_task *t, agb_time now)
+{
+	return wf_estimate_overdue_end(
+	    predicted_end(l, &l->runners[ri], t), now);
+}
+
 /* Appends an expected end to the list @e, which is the last one in @ends. */
 static void
 run_ends_add(
@@ -68,7 +78,7 @@
 		    step->best_effort)
 			continue;
 		item.at = agb_time_max(
-		    expected_end(p->l, &p->l->runners[ri], t), soon);
+		    predicted_end(p->l, &p->l->runners[ri], t), soon);
 		item.need = step->need;
 		run_ends_add(p, e, &item);
 	}
--- a/src/workflow/wf_estimate.c
+++ b/src/workflow/wf_estimate.c
@@ -11,6 +11,8 @@
 #define PRIOR_VARIANCE 0.25
 /* A prediction differs from the estimate by this factor at most. */
 #define CORRECTION_MAX 8.0
+/* A run that is overdue is expected to take this much longer at least. */
+#define OVERDUE_MIN_MS 300
 /* Less progress than this tells little about the rest of a run. */
 #define PROGRESS_MIN_PERCENT 5
 
@@ -55,3 +57,13 @@
 		return started_at + (agb_time)expected_ms * AGB_MS;
 	return started_at + (seen_at - started_at) * 100 / percent;
 }
+
+agb_time
+wf_estimate_overdue_end(agb_time end, agb_time now)
+{
+	const agb_time overdue = end < now ? now - end : 0;
+
+	if (end >= now + OVERDUE_MIN_MS * AGB_MS)
+		return end;
+	return now + agb_time_max(overdue, OVERDUE_MIN_MS * AGB_MS);
+}
--- a/src/workflow/wf_estimate.h
+++ b/src/workflow/wf_estimate.h
@@ -50,4 +50,13 @@
 agb_time wf_estimate_end(agb_time started_at, uint32_t expected_ms,
     uint32_t percent, agb_time seen_at);
 
+/**
+ * wf_estimate_overdue_end() - when a run is expected to end, seen from @now
+ * @end: when it should end
+ *
+ * A run that is overdue is expected to take as much longer as it is overdue: the
+ * longer it goes on, the less is known of its end.
+ */
+agb_time wf_estimate_overdue_end(agb_time end, agb_time now);
+
 #endif
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -221,6 +221,8 @@
 /* The runs of a job's tasks up to this number fail; those of a gang all at the
  * same time, at the end of their run time. */
 void sim_fail_runs(struct sim *s, const char *id, unsigned upto);
+/* The tasks of a job run for this long, whatever their estimate. */
+void sim_set_run_time(struct sim *s, const char *id, unsigned ms);
 
 /**
  * sim_set_account() - store a new version of the document in which an account
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -146,6 +146,7 @@
 	unsigned cancel_status;
 	unsigned retry_s;
 	unsigned failing_runs; /* runs up to this number fail */
+	unsigned run_ms;       /* run time; 0 for that of the estimate */
 	struct sim_task *tasks;
 	UT_hash_handle hh;
 };
