fix(wf): runners are not reserved for good behind a run that is overdue

Callers: while a gang waited for all runners behind one run that took longer than expected, no other job started on the idle runners, for as long as the run went on, if its queue had the higher priority and a long target.

Cause: the same as with the limits of accounts. A run that is overdue was expected to end within 300 ms, in each pass anew. The reservation was for 300 ms from now for good, so that only tasks shorter than that could use the room.

Change: an overdue run is expected to take as much longer as it is overdue already (wf_estimate_overdue_end(), as for limits). The gang's start moves away with it, tasks that end before use the room, and beyond the 12 s that are planned nothing is reserved.

The simulation has queues that need no advice now.

--- a/src/workflow/wf_dispatch_plan.c
+++ b/src/workflow/wf_dispatch_plan.c
@@ -3,9 +3,6 @@
 #include "mem.h"
 #include "wf_dispatch_internal.h"
 
-/* A task that has run for longer than expected is assumed to end within this
- * time. */
-#define OVERDUE_END_MS 300
 /* Maximum number of expected ends on one runner that are considered when room
  * is planned. */
 #define RUN_ENDS_MAX 32
@@ -61,7 +58,6 @@
 const struct run_ends *
 dispatch_run_ends(struct dispatch_pass *p, uint32_t ri)
 {
-	const agb_time soon = p->now->mono + OVERDUE_END_MS * AGB_MS;
 	struct run_ends *const e = &p->run_ends[ri];
 	const struct wf_task *t;
 	struct run_end item;
@@ -77,8 +73,7 @@
 		if (e->len == RUN_ENDS_MAX || step->long_running ||
 		    step->best_effort)
 			continue;
-		item.at = agb_time_max(
-		    predicted_end(p->l, &p->l->runners[ri], t), soon);
+		item.at = dispatch_expected_end(p->l, ri, t, p->now->mono);
 		item.need = step->need;
 		run_ends_add(p, e, &item);
 	}
--- a/tests/test_wf_holds.c
+++ b/tests/test_wf_holds.c
@@ -25,10 +25,7 @@
 #define LOAD_MS 60000
 #define FOR_GOOD_MS 150000
 
-/**
- * struct stream - jobs of one task that come at an interval; none when @every_ms
- * is 0
- */
+/* Jobs of one task that come at an interval. */
 struct stream {
 	unsigned every_ms;
 	uint32_t cpu;
@@ -67,77 +64,113 @@
 	struct job_shape large;
 	unsigned large_at_ms;
 	int64_t lower_cpu;
-	struct stream small;
-	struct stream other;
+	const struct stream *small;
+	const struct stream *other;
 	unsigned change_every_ms;
 	unsigned large_by_ms;
 };
 
-#define SMALL                  \
-	{                      \
-		1000, 250, 300 \
-	}
+/* Large jobs come first, and are late only after minutes; other jobs are late at
+ * once. */
+enum queue_index {
+	LARGE_JOBS,
+	OTHER_JOBS,
+	QUEUES,
+};
+
+static const struct sim_queue queues[QUEUES] = {
+    [LARGE_JOBS] = {"large", 0, 120000, 2, 0, 0, 0},
+    [OTHER_JOBS] = {"other", 2, 400, 2, 0, 0, 0},
+};
+
+static const struct stream small_jobs = {1000, 250, 300};
+static const struct stream medium_jobs = {1000, 1000, 2000};
+static const struct stream large_jobs = {1000, 4000, 2500};
+static const struct stream long_jobs = {2000, 4000, 7000};
 
 static const struct hold_case limit_cases[] = {
     {.name = "behind a task that lasts",
 	.obstacle = {1, 2000, 1000, .long_running = true},
 	.large = {1, 11000, 3000},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "behind a task that lasts and uses over half of the limit",
 	.obstacle = {1, 7000, 1000, .long_running = true},
 	.large = {1, 11000, 3000},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "behind a long run",
 	.obstacle = {1, 2000, FOR_GOOD_MS},
 	.large = {1, 11000, 3000},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "behind a run that is long overdue",
 	.obstacle = {1, 2000, 1000, .run_ms = FOR_GOOD_MS},
 	.large = {1, 11000, 3000},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "behind an overdue run that uses over half of the limit",
 	.obstacle = {1, 7000, 1000, .run_ms = FOR_GOOD_MS},
 	.large = {1, 11000, 3000},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "gang behind a task that lasts",
 	.obstacle = {1, 2000, 1000, .long_running = true},
 	.large = {11, 1000, 3000, .gang = true},
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "the limit falls below it",
 	.obstacle = {1, 2000, 1000},
 	.large = {1, 14000, 3000},
 	.lower_cpu = LIMIT_CPU,
-	.small = SMALL},
+	.small = &small_jobs},
     {.name = "behind a run that ends",
 	.obstacle = {1, 2000, 20000},
 	.large = {1, 11000, 3000},
-	.small = SMALL,
+	.small = &small_jobs,
 	.large_by_ms = 20000},
     {.name = "beside a steady stream",
 	.obstacle = {1, 2000, 1000},
 	.large = {1, 11000, 3000},
 	.large_at_ms = 10000,
-	.small = SMALL,
-	.other = {1000, 4000, 2500},
+	.small = &small_jobs,
+	.other = &large_jobs,
 	.large_by_ms = 40000},
     {.name = "beside a steady stream of longer runs",
 	.obstacle = {1, 2000, 1000},
 	.large = {1, 11000, 3000},
 	.large_at_ms = 10000,
-	.small = SMALL,
-	.other = {2000, 4000, 7000},
+	.small = &small_jobs,
+	.other = &long_jobs,
 	.large_by_ms = 45000},
 };
 
-struct scenario {
-	struct sim *s;
-	unsigned jobs;
-	unsigned worst_ms;
-	char worst[17];
+/* Gangs that want all runners; the account has no limit. */
+static const struct hold_case room_cases[] = {
+    {.name = "gang behind a task that lasts",
+	.obstacle = {1, 2000, 1000, .long_running = true},
+	.large = {RUNNERS, RUNNER_CPU, 3000, .gang = true},
+	.small = &medium_jobs},
+    {.name = "gang behind a long run",
+	.obstacle = {1, 2000, FOR_GOOD_MS},
+	.large = {RUNNERS, RUNNER_CPU, 3000, .gang = true},
+	.small = &medium_jobs},
+    {.name = "gang behind a run that is long overdue",
+	.obstacle = {1, 2000, 1000, .run_ms = FOR_GOOD_MS},
+	.large = {RUNNERS, RUNNER_CPU, 3000, .gang = true},
+	.small = &medium_jobs},
+    {.name = "gang behind a run that ends",
+	.obstacle = {1, 2000, 10000},
+	.large = {RUNNERS, RUNNER_CPU, 1000, .gang = true},
+	.small = &small_jobs,
+	.large_by_ms = 12000},
+    {.name = "gang wider than all runners",
+	.obstacle = {1, 2000, 1000},
+	.large = {RUNNERS + 1, RUNNER_CPU, 3000, .gang = true},
+	.small = &medium_jobs},
+    {.name = "gang for a label that no runner has",
+	.obstacle = {1, 2000, 1000},
+	.large = {RUNNERS, RUNNER_CPU, 3000, .gang = true, .label = "x"},
+	.small = &medium_jobs},
 };
 
 static void
-submit(struct sim *s, const char *id, const struct job_shape *j)
+submit(struct sim *s, const char *id, const struct job_shape *j,
+    enum queue_index queue)
 {
 	struct wf_spec *const spec =
 	    sim_new_spec(j->count, j->cpu, j->estimate_ms);
@@ -148,7 +181,7 @@
 	step->gang = j->gang;
 	if (j->label != NULL)
 		agb_str_copy(step->label, sizeof(step->label), j->label);
-	sim_submit(s, 0, id, spec);
+	sim_submit_to(s, 0, queue, id, spec);
 	if (j->long_running)
 		sim_set_run_time(s, id, FOR_GOOD_MS);
 	else if (j->run_ms > 0)
@@ -164,13 +197,15 @@
 static void
 submit_from(struct sim *s, char name, const struct stream *x, unsigned at_ms)
 {
-	const struct job_shape j = {1, x->cpu, x->run_ms};
+	struct job_shape j = {.count = 1};
 	char id[17];
 
-	if (x->every_ms == 0 || at_ms % x->every_ms != 0)
+	if (x == NULL || at_ms % x->every_ms != 0)
 		return;
+	j.cpu = x->cpu;
+	j.estimate_ms = x->run_ms;
 	make_id(id, sizeof(id), name, at_ms);
-	submit(s, id, &j);
+	submit(s, id, &j, OTHER_JOBS);
 }
 
 /* Time from the submission of the jobs of a stream to their starts, the longest
@@ -198,9 +233,9 @@
 
 	for (at_ms = 0; at_ms < LOAD_MS; at_ms += step_ms) {
 		if (at_ms == c->large_at_ms)
-			submit(s, LARGE, &c->large);
-		submit_from(s, 'a', &c->small, at_ms);
-		submit_from(s, 'b', &c->other, at_ms);
+			submit(s, LARGE, &c->large, LARGE_JOBS);
+		submit_from(s, 'a', c->small, at_ms);
+		submit_from(s, 'b', c->other, at_ms);
 		if (c->change_every_ms > 0 && at_ms > 0 &&
 		    at_ms % c->change_every_ms == 0 && sim_leader(s) >= 0)
 			sim_kill_process(s, (unsigned)sim_leader(s), 800);
@@ -214,7 +249,7 @@
 	unsigned from, wait, large;
 
 	sim_run(s, SETTLE_MS);
-	submit(s, OBSTACLE, &c->obstacle);
+	submit(s, OBSTACLE, &c->obstacle, OTHER_JOBS);
 	sim_run(s, SETTLE_MS);
 	if (c->lower_cpu > 0)
 		sim_set_account(
@@ -222,49 +257,66 @@
 	from = sim_now_ms(s);
 	run_load(s, c);
 	sim_run(s, WAIT_MAX_MS);
-	wait = longest_wait(s, 'a', &c->small, from);
+	wait = longest_wait(s, 'a', c->small, from);
 	large = sim_started_at_ms(s, LARGE);
 	printf("\n%s: small jobs wait %u ms at most, the large one %d", c->name,
 	    wait, large > 0 ? (int)(large - from - c->large_at_ms) : -1);
-	CU_ASSERT(wait < WAIT_MAX_MS || c->other.every_ms > 0);
+	CU_ASSERT(wait < WAIT_MAX_MS || c->other != NULL);
 	if (c->large_by_ms > 0)
 		CU_ASSERT(large > 0 &&
 		    large - from < c->large_at_ms + c->large_by_ms);
 	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
 }
 
-/* Guards against the rest of a limit that is kept free for work which cannot
- * start for long or ever: 25 of 54 small jobs of an account waited for good
- * behind a job that its limit kept out beside a task that lasts. */
 static void
-limit_is_not_held_for_good(void)
+check_cases(const struct hold_case *list, size_t len, int64_t limit_cpu)
 {
 	static const struct wf_account account = {
 	    .name = "a", .weight = 1, .limit = {.cpu_milli = 24000}};
-	static const struct sim_options o = {
+	const struct sim_options o = {
 	    .seed = 1,
 	    .cores = 3,
 	    .runners = RUNNERS,
 	    .cpu_milli = RUNNER_CPU,
+	    .queues = queues,
+	    .queues_len = QUEUES,
 	    .accounts = &account,
-	    .accounts_len = 1,
+	    .accounts_len = limit_cpu > 0 ? 1 : 0,
 	};
 	struct sim *s;
 	size_t i;
 
-	for (i = 0; i < LEN(limit_cases); i++) {
+	for (i = 0; i < len; i++) {
 		s = sim_new(&o);
 		sim_run(s, 500);
-		if (limit_cases[i].lower_cpu == 0)
+		if (limit_cpu > 0 && list[i].lower_cpu == 0)
 			sim_set_account(s, 0,
-			    (struct agb_resources){.cpu_milli = LIMIT_CPU});
-		check_case(s, &limit_cases[i]);
+			    (struct agb_resources){.cpu_milli = limit_cpu});
+		check_case(s, &list[i]);
 		sim_free(s);
 	}
 }
 
+/* Guards against the rest of a limit that is kept free for work which cannot
+ * start for long or ever: 25 of 54 small jobs of an account waited for good
+ * behind a job that its limit kept out beside a task that lasts. */
+static void
+limit_is_not_held_for_good(void)
+{
+	check_cases(limit_cases, LEN(limit_cases), LIMIT_CPU);
+}
+
+/* Guards against runners that are kept free for a gang which cannot start for
+ * long or ever: one run that was long overdue kept all runners idle. */
+static void
+runners_are_not_reserved_for_good(void)
+{
+	check_cases(room_cases, LEN(room_cases), 0);
+}
+
 static const struct suite_test tests[] = {
     {"the rest of a limit is not held for good", limit_is_not_held_for_good},
+    {"runners are not reserved for good", runners_are_not_reserved_for_good},
 };
 
 int
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -187,7 +187,7 @@
 	q->priority = sq->priority;
 	q->target_ms = sq->target_ms;
 	q->slack_factor = sq->slack_factor;
-	q->advice_required = true;
+	q->advice_required = sq->approved_percent > 0;
 	q->advice_base_ms = sq->advice_ms;
 	q->advice_per_runner_ms = sq->advice_per_runner_us / 1000.0;
 }
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -24,10 +24,11 @@
 struct sim;
 
 /**
- * struct sim_queue - a queue that needs approval by the advice service
+ * struct sim_queue - a queue
  * @advice_ms: time that a call for advice takes
  * @advice_per_runner_us: added to @advice_ms for each runner named
- * @approved_percent: share of the runners that are approved for a step
+ * @approved_percent: share of the runners that the advice service approves for a
+ *	step; 0 when the queue needs no approval
  */
 struct sim_queue {
 	const char *name;
