fix(wf): a limit is not held for work that no runner can take

Callers of an account with a job that no runner can take (a label that none has, a task or gang that is too large) saw their other jobs wait for some seconds again and again while that job was queued.

The rest of the limit was kept free for the job until it fitted, then for 800 ms in which it did not start; then other jobs came, and it was kept out again.

Change: work gets a hold only if the usable runners could take it with nothing else on them (dispatch_is_placeable()). That is looked at for work that would get the hold only, up to the first runner with room for it.

--- a/src/workflow/wf_account.c
+++ b/src/workflow/wf_account.c
@@ -354,6 +354,15 @@
 	};
 }
 
+bool
+wf_account_is_hold_candidate(const struct wf_account_use *a,
+    const struct wf_account_work *w, agb_time now)
+{
+	return (a->excludes_work || a->last_holder == w->id) &&
+	    has_waited(w, now) &&
+	    (a->holder == NULL || w->ready_at < a->holder_since);
+}
+
 void
 wf_account_consider_hold(const struct wf_accounts *as, struct wf_account_use *a,
     const struct wf_account_work *w, agb_time now)
@@ -361,9 +370,6 @@
 	struct agb_resources ending = {0};
 	agb_time from = now;
 
-	if (!has_waited(w, now) ||
-	    (a->holder != NULL && a->holder_since <= w->ready_at))
-		return;
 	if (count_fitting(as, a, w) >= start_size(w)) {
 		if (!still_holds(a, w, now))
 			return;
--- a/src/workflow/wf_account.h
+++ b/src/workflow/wf_account.h
@@ -171,7 +171,15 @@
 void wf_accounts_sort_ends(struct wf_accounts *as);
 
 /**
- * wf_account_consider_hold() - keep the rest of the limit free for queued work if
+ * wf_account_is_hold_candidate() - whether queued work may get the rest of the
+ * limit kept free: it has waited for a while, and for longer than the work for
+ * which that is done so far
+ */
+bool wf_account_is_hold_candidate(const struct wf_account_use *a,
+    const struct wf_account_work *w, agb_time now);
+
+/**
+ * wf_account_consider_hold() - keep the rest of the limit free for a candidate if
  * it needs that, after all queued work and all expected ends were added
  *
  * Work that has been kept out by the limit for a while gets the rest of the
--- a/src/workflow/wf_dispatch_account.c
+++ b/src/workflow/wf_dispatch_account.c
@@ -79,15 +79,18 @@
 choose_holds(
     struct wf_leader *l, agb_time now, struct queued_unit *list, size_t len)
 {
+	struct wf_account_use *a;
 	struct wf_account_work w;
 	size_t i;
 
 	if (is_work_excluded(&l->accounts))
 		add_run_ends(l, now);
 	for (i = 0; i < len; i++) {
+		a = list[i].unit->exec->account;
 		w = work_of(list[i].unit, now);
-		wf_account_consider_hold(
-		    &l->accounts, list[i].unit->exec->account, &w, now);
+		if (wf_account_is_hold_candidate(a, &w, now) &&
+		    dispatch_is_placeable(l, &list[i], now))
+			wf_account_consider_hold(&l->accounts, a, &w, now);
 	}
 }
 
--- a/src/workflow/wf_dispatch_candidates.c
+++ b/src/workflow/wf_dispatch_candidates.c
@@ -79,6 +79,29 @@
 	    &p->l->runners[ri], wf_unit_step(u), service, p->now->mono);
 }
 
+bool
+dispatch_is_placeable(
+    const struct wf_leader *l, const struct queued_unit *x, agb_time now)
+{
+	const struct wf_step *const step = wf_unit_step(x->unit);
+	const uint32_t spread =
+	    step->spread_max > 0 ? step->spread_max : UINT32_MAX;
+	const struct wf_runner *r;
+	uint64_t left = step->gang ? x->unit->waiting : 1;
+	uint32_t ri, fit;
+
+	for (ri = 0; ri < l->runners_len && left > 0; ri++) {
+		r = &l->runners[ri];
+		if (!wf_fleet_eligible(r, step, x->queue->service, now))
+			continue;
+		fit = wf_step_fit_count(step, r->info.capacity);
+		fit = fit < spread ? fit : spread;
+		left -= fit < left ? fit : left;
+	}
+	wf_meter_add_examined(l->meter, ri);
+	return left == 0;
+}
+
 static bool
 candidate_init(struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri, struct candidate *c)
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -218,6 +218,13 @@
 bool dispatch_eligible(const struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri);
 
+/**
+ * dispatch_is_placeable() - whether the usable runners could take a task of a
+ * unit, or a whole gang, if nothing ran on them
+ */
+bool dispatch_is_placeable(
+    const struct wf_leader *l, const struct queued_unit *x, agb_time now);
+
 /**
  * dispatch_collect_candidates() - list the runners that have room for a unit in
  * the pass's list @candidates
--- a/tests/test_wf_account.c
+++ b/tests/test_wf_account.c
@@ -285,6 +285,14 @@
 	wf_accounts_free(&as);
 }
 
+static void
+consider_hold(struct wf_accounts *as, struct wf_account_use *a,
+    const struct wf_account_work *w, agb_time now)
+{
+	if (wf_account_is_hold_candidate(a, w, now))
+		wf_account_consider_hold(as, a, w, now);
+}
+
 /* Makes the pass in which @w waits beside a run that is expected to end after
  * @ends_ms, or 0 for one that lasts, and others of @lasting that last. */
 static void
@@ -300,7 +308,7 @@
 	if (ends_ms > 0)
 		wf_account_add_end(a, now + ends_ms * AGB_MS, &ending);
 	wf_accounts_sort_ends(as);
-	wf_account_consider_hold(as, a, w, now);
+	consider_hold(as, a, w, now);
 }
 
 /* A gang of 4 tasks of 1000 with a limit of 6000, of which 2000 are in use by runs
@@ -449,8 +457,8 @@
 	wf_account_add_waiting(as, a, w, now);
 	wf_account_add_end(a, now + AGB_SEC, &a->used);
 	wf_accounts_sort_ends(as);
-	wf_account_consider_hold(as, a, newer, now);
-	wf_account_consider_hold(as, a, w, now);
+	consider_hold(as, a, newer, now);
+	consider_hold(as, a, w, now);
 }
 
 /* The gang of rest_of_limit_is_held() when all runs end together. Guards
--- a/tests/test_wf_holds.c
+++ b/tests/test_wf_holds.c
@@ -86,6 +86,7 @@
 static const struct stream small_jobs = {1000, 250, 300};
 static const struct stream medium_jobs = {1000, 1000, 2000};
 static const struct stream large_jobs = {1000, 4000, 2500};
+static const struct stream steady_jobs = {1000, 2000, 4000};
 static const struct stream long_jobs = {2000, 4000, 7000};
 
 static const struct hold_case limit_cases[] = {
@@ -139,6 +140,27 @@
 	.large_by_ms = 45000},
 };
 
+/* Large jobs that no runner can take. */
+static const struct hold_case unplaceable_cases[] = {
+    {.name = "label that no runner has",
+	.obstacle = {1, 2000, 1000},
+	.large = {1, 11000, 3000, .label = "x"},
+	.large_at_ms = 10000,
+	.small = &steady_jobs},
+    {.name = "gang for a label that no runner has",
+	.obstacle = {1, 2000, 1000},
+	.large = {11, 1000, 3000, .gang = true, .label = "x"},
+	.large_at_ms = 10000,
+	.small = &steady_jobs},
+    {.name = "a runner could take it",
+	.obstacle = {1, 2000, 1000},
+	.large = {1, 11000, 3000},
+	.large_at_ms = 10000,
+	.small = &small_jobs,
+	.other = &steady_jobs,
+	.large_by_ms = 40000},
+};
+
 /* Gangs that want all runners; the account has no limit. */
 static const struct hold_case room_cases[] = {
     {.name = "gang behind a task that lasts",
@@ -306,6 +328,14 @@
 	check_cases(limit_cases, LEN(limit_cases), LIMIT_CPU);
 }
 
+/* Guards against the rest of a limit that is kept free for work which no runner can
+ * take: other jobs of its account would wait again and again. */
+static void
+limit_is_not_held_for_unplaceable_work(void)
+{
+	check_cases(unplaceable_cases, LEN(unplaceable_cases), LIMIT_CPU);
+}
+
 /* Guards against runners that are kept free for a gang which cannot start for
  * long or ever: one run that was long overdue kept all runners idle. */
 static void
@@ -316,6 +346,8 @@
 
 static const struct suite_test tests[] = {
     {"the rest of a limit is not held for good", limit_is_not_held_for_good},
+    {"a limit is not held for work that no runner can take",
+	limit_is_not_held_for_unplaceable_work},
     {"runners are not reserved for good", runners_are_not_reserved_for_good},
 };
 
