fix(wf): work that a limit keeps out keeps its place over a change of leader

Callers of an account with a steady load of smaller jobs: a large job did not start for as long as leaders changed more often than every 31 s.

Since when work waits for its limit was counted from the moment at which the present leader saw it ready.

Change: it counts from the acceptance of the job, or from the time at which its occurrence is due, both of which are in its submission (wf_unit_ready_at(), which the wait for near room uses already). For a step that depends on others it still begins anew, as the end of a step is not recorded with its time.

--- a/src/workflow/wf_dispatch_account.c
+++ b/src/workflow/wf_dispatch_account.c
@@ -20,7 +20,7 @@
 	    .id = u,
 	    .step = step,
 	    .count = u->waiting,
-	    .ready_at = u->ready_at,
+	    .ready_at = wf_unit_ready_at(u),
 	    .ends_at = end_is_known ? now + dispatch_expected_run_time(u)
 				    : AGB_TIME_MAX,
 	};
--- a/tests/test_wf_holds.c
+++ b/tests/test_wf_holds.c
@@ -161,6 +161,18 @@
 	.large_by_ms = 40000},
 };
 
+/* Work that waits for longer than any leader leads. */
+static const struct hold_case takeover_cases[] = {
+    {.name = "the leader changes every 20 s",
+	.obstacle = {1, 2000, 1000},
+	.large = {1, 11000, 3000},
+	.large_at_ms = 2000,
+	.small = &small_jobs,
+	.other = &steady_jobs,
+	.change_every_ms = 20000,
+	.large_by_ms = 50000},
+};
+
 /* Gangs that want all runners; the account has no limit. */
 static const struct hold_case room_cases[] = {
     {.name = "gang behind a task that lasts",
@@ -336,6 +348,14 @@
 	check_cases(unplaceable_cases, LEN(unplaceable_cases), LIMIT_CPU);
 }
 
+/* Guards against a wait that begins anew with each leader: work that a limit keeps
+ * out would never be put before the other work of its account. */
+static void
+waits_go_on_over_changes_of_leader(void)
+{
+	check_cases(takeover_cases, LEN(takeover_cases), LIMIT_CPU);
+}
+
 /* Guards against runners that are kept free for a gang which cannot start for
  * long or ever: one run that was long overdue kept all runners idle. */
 static void
@@ -348,6 +368,7 @@
     {"the rest of a limit is not held for good", limit_is_not_held_for_good},
     {"a limit is not held for work that no runner can take",
 	limit_is_not_held_for_unplaceable_work},
+    {"waits go on over changes of leader", waits_go_on_over_changes_of_leader},
     {"runners are not reserved for good", runners_are_not_reserved_for_good},
 };
 
