test(wfsim): random runs of accounts, and ablations of the new rules

wfsim could not show work that waits for good while its account uses little: its random runs had neither accounts with limits, nor tasks that last, nor runs that take longer than estimated, and the only bound of a wait was the end of the run.

--- a/tests/test_wf_holds.c
+++ b/tests/test_wf_holds.c
@@ -24,6 +24,7 @@
 #define WAIT_MAX_MS 3000
 #define LOAD_MS 60000
 #define FOR_GOOD_MS 150000
+#define RANDOM_RUNS 30
 
 /* Jobs of one task that come at an interval. */
 struct stream {
@@ -364,12 +365,25 @@
 	check_cases(room_cases, LEN(room_cases), 0);
 }
 
+/* Guards against the same in random runs of accounts, with and without leaders
+ * that are killed. */
+static void
+random_runs_with_accounts(void)
+{
+	unsigned seed;
+
+	for (seed = 0; seed < RANDOM_RUNS; seed++)
+		CU_ASSERT_EQUAL(
+		    sim_run_seed(SIM_FIRST_ACCOUNT_SEED + seed, stdout), 0);
+}
+
 static const struct suite_test tests[] = {
     {"the rest of a limit is not held for good", limit_is_not_held_for_good},
     {"a limit is not held for work that no runner can take",
 	limit_is_not_held_for_unplaceable_work},
     {"waits go on over changes of leader", waits_go_on_over_changes_of_leader},
     {"runners are not reserved for good", runners_are_not_reserved_for_good},
+    {"random runs with accounts", random_runs_with_accounts},
 };
 
 int
--- a/tests/wfsim/random_run.c
+++ b/tests/wfsim/random_run.c
@@ -184,8 +184,8 @@
 		sim_check_end(s, &s->jobs[i]);
 }
 
-unsigned
-sim_run_seed(unsigned seed, FILE *report)
+static struct sim *
+run_jobs(unsigned seed)
 {
 	const bool gangs_fail = seed >= SIM_FIRST_GANG_SEED;
 	const unsigned stretch =
@@ -214,10 +214,19 @@
 	    .fault_gap_ms = 800 + 400 * (seed % 6),
 	};
 	struct sim *const s = sim_new(&o);
-	unsigned n;
 
 	sim_random_run(s);
-	n = sim_violation_count(s);
+	return s;
+}
+
+unsigned
+sim_run_seed(unsigned seed, FILE *report)
+{
+	struct sim *const s = seed >= SIM_FIRST_ACCOUNT_SEED
+	    ? sim_run_accounts(seed)
+	    : run_jobs(seed);
+	const unsigned n = sim_violation_count(s);
+
 	if (n > 0 && report != NULL)
 		fprintf(report, "seed %u: %u violations, the first at %s\n",
 		    seed, n, sim_first_violation(s));
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -20,6 +20,7 @@
 #define SIM_FIRST_STALL_SEED 1000000
 #define SIM_FIRST_RELAY_SEED 2000000
 #define SIM_FIRST_GANG_SEED 3000000
+#define SIM_FIRST_ACCOUNT_SEED 4000000
 
 struct sim;
 
@@ -313,7 +314,8 @@
  * sim_run_seed() - randomized run whose parameters and faults are derived from
  * the seed; from SIM_FIRST_STALL_SEED on, runners also stall, from
  * SIM_FIRST_RELAY_SEED on, orders are relayed, and from SIM_FIRST_GANG_SEED on,
- * gangs also fail
+ * gangs also fail. From SIM_FIRST_ACCOUNT_SEED on, it is a run of accounts with
+ * limits instead, in which no small job may wait while there is room
  * @report: gets a line when a guarantee is violated; may be NULL
  * Return: number of violated guarantees.
  */
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -147,6 +147,7 @@
 	unsigned retry_s;
 	unsigned failing_runs; /* runs up to this number fail */
 	unsigned run_ms;       /* run time; 0 for that of the estimate */
+	agb_time waits_since;  /* since when it waits though there is room */
 	struct sim_task *tasks;
 	UT_hash_handle hh;
 };
@@ -354,6 +355,10 @@
 const char *sim_domain_of(const struct sim *s, unsigned i);
 void sim_core_start(struct sim *s, struct sim_event *e);
 
+/* waits.c */
+/* Runs accounts with limits; the caller frees the simulation. */
+struct sim *sim_run_accounts(unsigned seed);
+
 /* client.c */
 struct sim_job *sim_job_find(const struct sim *s, const char *id);
 struct sim_task *sim_task_find(
