fix(wf): a refusal keeps its Retry-After when the list of effects moves

Callers that were refused with 503 while accepted jobs take all memory, or for another reason that passes, at times got no Retry-After. The process wrote into memory that it had freed.

Cause: add_refusal() returned a pointer to the reply after it had added the log line. Adding an effect may move the list.

Change: the reply is filled in whole before the log line is added, and no pointer is returned.

Measured: test_wf_front_auth, "refusals: list of effects moves", fails on the code before in 2 of 4 cases (Retry-After 0 in place of 2 and 10) and passes now.

--- a/src/workflow/wf_front_reply.c
+++ b/src/workflow/wf_front_reply.c
@@ -20,50 +20,50 @@
 	return &ef->u.reply;
 }
 
-static struct wf_reply *
+/* The reply is complete before the log line is added: adding an effect moves
+ * those that are in the list. A @retry_s of 0 stands for no Retry-After. */
+static void
 add_refusal(struct wf_effects *out, uint64_t call_id, enum wf_call_kind kind,
-    int http_status, const char *job, const char *why)
+    int http_status, uint32_t retry_s, const char *job, const char *why)
 {
 	struct wf_reply *const r =
 	    wf_front_add_reply(out, call_id, kind, http_status);
 
 	agb_str_copy(r->detail, sizeof(r->detail), why);
+	r->retry_s = retry_s;
 	wf_effects_log(out, AGB_LOG_INFO, "answer",
 	    "job=%s status=%d outcome=%s reason=\"%s\"", job, http_status,
 	    http_status == 504 ? "unknown" : "not-run", why);
-	return r;
 }
 
 void
 wf_front_refuse(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, int http_status, const char *job, const char *why)
 {
-	struct wf_reply *const r =
-	    add_refusal(out, call_id, kind, http_status, job, why);
+	const bool may_retry = http_status == 503 || http_status == 429;
 
-	if (http_status == 503 || http_status == 429)
-		r->retry_s = RETRY_AFTER_S;
+	add_refusal(out, call_id, kind, http_status,
+	    may_retry ? RETRY_AFTER_S : 0, job, why);
 }
 
 void
 wf_front_refuse_full(struct wf_effects *out, const struct wf_front_call *w)
 {
-	add_refusal(out, w->call_id, w->kind, 503, w->job,
-	    "the accepted jobs take all memory that is set aside for them")
-	    ->retry_s = RETRY_AFTER_FULL_S;
+	add_refusal(out, w->call_id, w->kind, 503, RETRY_AFTER_FULL_S, w->job,
+	    "the accepted jobs take all memory that is set aside for them");
 }
 
 void
 wf_front_refuse_cancelled(struct wf_effects *out, const struct wf_front_call *w)
 {
-	(void)add_refusal(out, w->call_id, w->kind, 503, w->job,
+	add_refusal(out, w->call_id, w->kind, 503, 0, w->job,
 	    "the job was cancelled before it was accepted");
 }
 
 void
 wf_front_refuse_limit(struct wf_effects *out, const struct wf_front_call *w)
 {
-	(void)add_refusal(out, w->call_id, w->kind, 429, w->job,
+	add_refusal(out, w->call_id, w->kind, 429, 0, w->job,
 	    "a task or a gang needs more than the limit of its account");
 }
 
@@ -71,8 +71,8 @@
 wf_front_refuse_owner(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, const char *job)
 {
-	(void)add_refusal(
-	    out, call_id, kind, 403, job, "the job belongs to another account");
+	add_refusal(out, call_id, kind, 403, 0, job,
+	    "the job belongs to another account");
 }
 
 void
--- a/tests/test_wf_front_auth.c
+++ b/tests/test_wf_front_auth.c
@@ -14,7 +14,7 @@
 #include "manifest.h"
 #include "mem.h"
 #include "suite.h"
-#include "wf_front.h"
+#include "wf_front_internal.h"
 
 #define LEN(a) (sizeof(a) / sizeof((a)[0]))
 #define JOB "00000000000000aa"
@@ -834,6 +834,72 @@
 	fixture_free(&x);
 }
 
+static void
+refuse(struct wf_effects *out)
+{
+	wf_front_refuse(out, 1, WF_CALL_SUBMIT, 503, JOB, "why");
+}
+
+static void
+refuse_for_good(struct wf_effects *out)
+{
+	wf_front_refuse(out, 1, WF_CALL_SUBMIT, 404, JOB, "why");
+}
+
+static void
+refuse_full(struct wf_effects *out)
+{
+	const struct wf_front_call w = {.job = JOB};
+
+	wf_front_refuse_full(out, &w);
+}
+
+static void
+refuse_limit(struct wf_effects *out)
+{
+	const struct wf_front_call w = {.job = JOB};
+
+	wf_front_refuse_limit(out, &w);
+}
+
+/* The list of effects has room for the reply, and moves when the log line is
+ * added. Guards against a Retry-After that is written into the memory that the
+ * list has left. */
+static void
+test_full_list(void)
+{
+	static const struct {
+		void (*refuse)(struct wf_effects *out);
+		int http_status;
+		uint32_t retry_s;
+	} cases[] = {
+	    {refuse, 503, 2},
+	    {refuse_for_good, 404, 0},
+	    {refuse_full, 503, 10},
+	    {refuse_limit, 429, 0},
+	};
+	const struct wf_reply *r;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		struct wf_effects out = {0};
+		void *behind;
+
+		wf_effects_add(&out, WF_EF_READY);
+		while (out.len + 1 < out.cap)
+			wf_effects_add(&out, WF_EF_READY);
+		/* The list cannot grow in place. */
+		behind = malloc(sizeof(JOB));
+		cases[i].refuse(&out);
+		CU_ASSERT_EQUAL_FATAL(out.items[out.len - 2].type, WF_EF_REPLY);
+		r = &out.items[out.len - 2].u.reply;
+		CU_ASSERT_EQUAL(r->http_status, cases[i].http_status);
+		CU_ASSERT_EQUAL(r->retry_s, cases[i].retry_s);
+		wf_effects_free(&out);
+		free(behind);
+	}
+}
+
 static const struct suite_test tests[] = {
     {"accounts: keys of requests", test_keys},
     {"accounts: jobs of others", test_other_accounts},
@@ -846,6 +912,7 @@
     {"accounts: limit of an accepted job", test_limit_of_accepted_job},
     {"accounts: flood of bad keys", test_flood},
     {"accounts: keys stay secret", test_keys_stay_secret},
+    {"refusals: list of effects moves", test_full_list},
 };
 
 int
