--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -327,6 +327,68 @@
 	}
 }
 
+/* Body of a job whose steps have all fields, come after all earlier ones, and are
+ * followed by @extra values that no job has. */
+static char *
+make_large_job(size_t extra)
+{
+	static const char step[] = "%s{\"count\":1,\"cpu\":1,\"mem_mb\":1,"
+				   "\"gpu\":1,\"estimate_ms\":1,"
+				   "\"gang\":true,\"rack_local\":true,"
+				   "\"constraints\":\"[,{\",\"after\":[";
+	const size_t cap = 64 * (sizeof(step) + 64 * 4) + 3 * extra + 64;
+	char *const text = agb_xcalloc(1, cap);
+	size_t at, i, k;
+
+	at = (size_t)snprintf(text, cap, "{\"spec\":\"\\\"[{,\",\"phases\":[");
+	for (i = 0; i < WF_STEPS_MAX; i++) {
+		at += (size_t)snprintf(
+		    text + at, cap - at, step, i > 0 ? "," : "");
+		for (k = 0; k < i; k++)
+			at += (size_t)snprintf(
+			    text + at, cap - at, "%s%zu", k > 0 ? "," : "", k);
+		at += (size_t)snprintf(text + at, cap - at, "]}");
+	}
+	at += (size_t)snprintf(text + at, cap - at, "],\"more\":[0");
+	for (i = 0; i < extra; i++)
+		at += (size_t)snprintf(text + at, cap - at, ",{}");
+	snprintf(text + at, cap - at, "]}");
+	return text;
+}
+
+/* Guards against a body that is built in memory at many times its size: one list
+ * of empty objects within the limit of a body ended a process. */
+static void
+test_values_of_body(void)
+{
+	static const struct {
+		size_t extra;
+		bool accepted;
+	} cases[] = {{0, true}, {100, true}, {10000, false}, {80000, false}};
+	struct wf_http_req req;
+	struct wf_call call;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < LEN(cases); i++) {
+		memset(&req, 0, sizeof(req));
+		memset(&call, 0, sizeof(call));
+		agb_str_copy(req.method, sizeof(req.method), "POST");
+		text = make_large_job(cases[i].extra);
+		req.body = text;
+		req.body_len = strlen(text);
+		CU_ASSERT(platform_front_parse_call(&req, &call));
+		CU_ASSERT_EQUAL(call.spec != NULL, cases[i].accepted);
+		if (!cases[i].accepted)
+			CU_ASSERT_PTR_NOT_NULL(
+			    strstr(call.error, "more values"));
+		if (call.spec != NULL)
+			wf_spec_free(call.spec);
+		free(call.spec);
+		free(text);
+	}
+}
+
 /* Guards against a client with a long deadline that is answered as if it had
  * named none. */
 static void
@@ -727,6 +789,7 @@
     {"queue selection", test_queue_selection},
     {"job requests", test_job_requests},
     {"deadlines", test_deadlines},
+    {"front: values of a body", test_values_of_body},
     {"reply bodies", test_reply_bodies},
     {"task names", test_task_names},
     {"free with calls", test_free_with_calls},
--- a/tests/test_wf_untrusted.c
+++ b/tests/test_wf_untrusted.c
@@ -80,6 +80,9 @@
     {"unread_responses", "", "GET /q/a HTTP/1.1\r\nHost: jobs\r\n\r\n", 2097152,
 	SEND_BYTES, 200, DESCRIPTORS_MAX},
     {"idle", "", "", 0, SEND_BYTES, 600, 500},
+    {"many_values",
+	"POST /q/a HTTP/1.1\r\nHost: jobs\r\nContent-Length: 1000000\r\n\r\n[",
+	"{},", 999999, SEND_BYTES, 6, DESCRIPTORS_MAX},
 };
 
 static const struct shape *shape;
