fix(wf): the document's limit of a request body is applied

Clients could send bodies up to the instance's own setting (1 MiB by default), whatever the operator's document allows (262,144 bytes there).

Cause: max_body_bytes was read into wf_doc.body_max and used nowhere.

Change: a body over the limit of the document in force is answered 413 before it is parsed.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -756,6 +756,12 @@
 	wf_meter_lap(&c->meter, WF_PART_EVENT);
 }
 
+size_t
+wf_core_body_max(const struct wf_core *c)
+{
+	return c->doc != NULL ? c->doc->body_max : SIZE_MAX;
+}
+
 void
 wf_core_get_gauges(const struct wf_core *c, agb_time now, struct wf_gauges *out)
 {
--- a/src/workflow/wf_core.h
+++ b/src/workflow/wf_core.h
@@ -37,6 +37,12 @@
  */
 agb_time wf_core_next_tick(const struct wf_core *c);
 
+/**
+ * wf_core_body_max() - largest request body that the document allows, in bytes
+ * Return: SIZE_MAX while there is no document.
+ */
+size_t wf_core_body_max(const struct wf_core *c);
+
 void wf_core_get_gauges(
     const struct wf_core *c, agb_time now, struct wf_gauges *out);
 
--- a/src/workflow/wf_daemon.c
+++ b/src/workflow/wf_daemon.c
@@ -291,6 +291,10 @@
 	struct daemon *const d = arg;
 	struct wf_call call;
 
+	if (req->body_len > wf_core_body_max(d->core)) {
+		wf_httpd_reply(d->http, req->id, 413, "text/plain", 0, "", 0);
+		return;
+	}
 	memset(&call, 0, sizeof(call));
 	if (!d->ops->parse_call(req, &call)) {
 		wf_httpd_reply(d->http, req->id, 405, "text/plain", 0, "", 0);
--- a/tests/test_wf_untrusted.c
+++ b/tests/test_wf_untrusted.c
@@ -42,6 +42,11 @@
 #define ANSWER_MS 30000
 #define ATTEMPT_MS 4000
 #define PROCESS_S_MAX 200
+/* Limit of a body in the document of the stand-in, and more bytes than an
+ * ordinary one has. */
+#define BODY_MAX 262144
+#define PADDED_BODY 512
+#define FIRST_PADDED 1000000
 
 /**
  * struct shape - crowd of one test
@@ -297,33 +302,38 @@
 	return fd;
 }
 
-/* Return: status of the answer to one submission; 0 without an answer. */
+/* Return: status of the answer to one submission, which is followed by @padding
+ * spaces; 0 without an answer. */
 static int
-submit_once(unsigned attempt)
+submit_once(unsigned attempt, int padding)
 {
 	static const struct timeval timeout = {.tv_sec = ATTEMPT_MS / 1000};
 	static const char body[] =
 	    "{\"spec\":\"10 1000 0\",\"phases\":[{\"count\":1,\"cpu\":1000,"
 	    "\"mem_mb\":10,\"estimate_ms\":10}]}";
-	char text[512], in[512];
-	int fd, n, status;
+	char in[512];
+	int fd, status;
 	ssize_t got;
+	char *text;
+	size_t n;
 
 	fd = connect_client(0);
 	if (fd < 0)
 		return 0;
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-	n = snprintf(text, sizeof(text),
+	text = agb_xasprintf(
 	    "POST /q/%016x HTTP/1.1\r\nHost: jobs\r\nDeadline-Ms: 3000\r\n"
-	    "Content-Length: %zu\r\n\r\n%s",
-	    attempt, strlen(body), body);
+	    "Content-Length: %zu\r\n\r\n%s%*s",
+	    attempt, strlen(body) + (size_t)padding, body, padding, "");
+	n = strlen(text);
 	status = 0;
-	if (send(fd, text, (size_t)n, MSG_NOSIGNAL) == n) {
+	if (send(fd, text, n, MSG_NOSIGNAL) == (ssize_t)n) {
 		got = recv(fd, in, sizeof(in) - 1, 0);
 		in[got > 0 ? got : 0] = '\0';
 		if (strncmp(in, "HTTP/1.1 ", 9) == 0)
 			status = atoi(in + 9);
 	}
+	free(text);
 	close(fd);
 	return status;
 }
@@ -337,7 +347,7 @@
 	const uint64_t until = now_ms() + ANSWER_MS;
 
 	while (now_ms() < until) {
-		if (submit_once(++attempt) == 200)
+		if (submit_once(++attempt, 0) == 200)
 			return true;
 		usleep(50000);
 	}
@@ -449,6 +459,14 @@
 	check_process();
 }
 
+/* Guards against a limit of the document that is read and not used. */
+static void
+test_document_limit(void)
+{
+	CU_ASSERT_EQUAL(submit_once(FIRST_PADDED, BODY_MAX - PADDED_BODY), 200);
+	CU_ASSERT_EQUAL(submit_once(FIRST_PADDED + 1, BODY_MAX), 413);
+}
+
 static void
 test_shape(void)
 {
@@ -465,6 +483,7 @@
 	start_standin();
 	start_daemon();
 	test_crowd();
+	test_document_limit();
 }
 
 int
