fix(rpc): a peer that accepts connections and closes them is backed off from

Cause: the backoff ended when TCP connected. A peer that refuses an instance accepts its connection first and then closes it.

Change: the backoff ends when the peer has sent something. A connection that is lost before that counts as a failed attempt.

Measured: test_rpc, "refused caller": a caller that repeats its call for 600 ms connects more than the 6 times that the delays allow before, and not now.

--- a/src/agatebeam/rpc_conn.c
+++ b/src/agatebeam/rpc_conn.c
@@ -55,6 +55,33 @@
 	agb_rpc_conn_close(conn);
 }
 
+/* Delays the next attempt to connect to a peer, for longer after each one. */
+static void
+back_off(struct agb_rpc_peer *p)
+{
+	struct agb_rpc *const r = p->r;
+
+	p->backoff_ms = p->backoff_ms == 0 ? BACKOFF_MIN_MS : p->backoff_ms * 2;
+	if (p->backoff_ms > BACKOFF_MAX_MS)
+		p->backoff_ms = BACKOFF_MAX_MS;
+	/* Half of the backoff is random, so that instances do not reconnect at
+	 * the same time. */
+	p->retry_at_ms = uv_now(r->loop) + p->backoff_ms / 2 +
+	    agb_rpc_random(r) % (p->backoff_ms / 2 + 1);
+}
+
+/* Closes a connection that has failed. One on which nothing was received counts
+ * as a failed attempt to connect. */
+static void
+conn_lost(struct agb_rpc_conn *conn)
+{
+	if (conn->closing)
+		return;
+	if (conn->peer != NULL && !conn->received)
+		back_off(conn->peer);
+	agb_rpc_conn_close(conn);
+}
+
 static void
 count_received(struct agb_rpc_conn *conn, size_t n)
 {
@@ -134,13 +161,16 @@
 	struct agb_rpc_conn *const conn = s->data;
 
 	if (n < 0) {
-		agb_rpc_conn_close(conn);
+		conn_lost(conn);
 		if (conn->peer != NULL)
 			report_lost(conn->r, conn->addr, false);
 		return;
 	}
 	if (n == 0)
 		return;
+	conn->received = true;
+	if (conn->peer != NULL)
+		conn->peer->backoff_ms = 0;
 	conn->last_recv_ms = uv_now(conn->r->loop);
 	count_received(conn, (size_t)n);
 	agb_rpcmsg_reader_commit(&conn->reader, (size_t)n);
@@ -155,7 +185,7 @@
 	free(conn->write_buf);
 	conn->write_buf = NULL;
 	if (status < 0)
-		agb_rpc_conn_close(conn);
+		conn_lost(conn);
 	else
 		conn->r->dirty = true;
 }
@@ -176,7 +206,7 @@
 	buf = uv_buf_init(conn->out, (unsigned)conn->out_len);
 	n = uv_try_write(s, &buf, 1);
 	if (n < 0 && n != UV_EAGAIN) {
-		agb_rpc_conn_close(conn);
+		conn_lost(conn);
 		return;
 	}
 	count_sent(conn, conn->out_len);
@@ -192,7 +222,7 @@
 		conn->out_cap = 0;
 		conn->write.data = conn;
 		if (uv_write(&conn->write, s, &buf, 1, on_written) != 0)
-			agb_rpc_conn_close(conn);
+			conn_lost(conn);
 	}
 	conn->out_len = 0;
 }
@@ -297,19 +327,10 @@
 static void
 connect_failed(struct agb_rpc_conn *conn)
 {
-	struct agb_rpc *const r = conn->r;
-	struct agb_rpc_peer *const p = conn->peer;
-
-	r->stats.connect_failures++;
-	p->backoff_ms = p->backoff_ms == 0 ? BACKOFF_MIN_MS : p->backoff_ms * 2;
-	if (p->backoff_ms > BACKOFF_MAX_MS)
-		p->backoff_ms = BACKOFF_MAX_MS;
-	/* Half of the backoff is random, so that instances do not reconnect at
-	 * the same time. */
-	p->retry_at_ms = uv_now(r->loop) + p->backoff_ms / 2 +
-	    agb_rpc_random(r) % (p->backoff_ms / 2 + 1);
-	agb_rpc_log(r, AGB_LOG_INFO, "rpc-connect-failed",
-	    "peer=%s backoff_ms=%u", p->addr, p->backoff_ms);
+	conn->r->stats.connect_failures++;
+	back_off(conn->peer);
+	agb_rpc_log(conn->r, AGB_LOG_INFO, "rpc-connect-failed",
+	    "peer=%s backoff_ms=%u", conn->addr, conn->peer->backoff_ms);
 	agb_rpc_conn_close(conn);
 }
 
@@ -328,7 +349,6 @@
 		return;
 	}
 	conn->connected = true;
-	conn->peer->backoff_ms = 0;
 	conn->last_recv_ms = uv_now(conn->r->loop);
 	conn->r->stats.connects++;
 	conn->r->dirty = true;
--- a/src/agatebeam/rpc_internal.h
+++ b/src/agatebeam/rpc_internal.h
@@ -40,6 +40,7 @@
  * @write_buf: buffer owned by the uv_write() in progress, or NULL
  * @last_recv_ms: loop time when data was last received, at first when the
  *	connection was created or established
+ * @received: data has been received
  * @paused: reading is stopped because the peer has too many open calls
  * @inbound_calls: calls that this instance has not answered yet
  */
@@ -58,6 +59,7 @@
 	char *write_buf;
 	uint64_t last_recv_ms;
 	bool connected;
+	bool received;
 	bool closing;
 	bool paused;
 	struct agb_rpc_inbound_call *inbound_calls;
@@ -83,6 +85,9 @@
  * @unwritten: first call in @calls that is not yet written, or NULL
  * @last_used_ms: loop time when the last call ended, at first that of creation
  * @retry_at_ms: loop time before which no connection is attempted
+ * @backoff_ms: longest delay before the next attempt; 0 once the peer has sent
+ *	something, as a peer that refuses this instance accepts connections and
+ *	closes them
  */
 struct agb_rpc_peer {
 	agb_addr addr;
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -914,6 +914,39 @@
 	}
 }
 
+/* Guards against a caller that connects again at once, some ten thousand times a
+ * second, to a peer that accepts its connections and closes them. */
+static void
+test_refused_caller(void)
+{
+	/* The delays are at least 25, 50, 100, 200 and 400 ms. */
+	const uint64_t run_ms = 600, connects_max = 6;
+	static const struct agb_rpc_cbs repeating_cbs = {
+	    .reply = on_repeated_call_failed};
+	const agb_addr other = "127.0.0.2";
+	static struct endpoint refusing;
+	struct repeating_caller c = {.id = "x"};
+	uv_loop_t loop;
+	uint64_t until;
+
+	uv_loop_init(&loop);
+	endpoint_open(&refusing, &loop);
+	agb_rpc_set_allowed_ips(refusing.rpc, &other, 1);
+	c.rpc = agb_rpc_new(&loop, "127.0.0.1:0", &repeating_cbs, &c);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c.rpc);
+	c.peer = agb_rpc_addr(refusing.rpc);
+	repeat_call(&c);
+	until = uv_hrtime() + run_ms * 1000000;
+	while (uv_hrtime() < until)
+		uv_run(&loop, UV_RUN_ONCE);
+	CU_ASSERT(agb_rpc_stats(refusing.rpc)->refused_conns > 1);
+	CU_ASSERT(agb_rpc_stats(refusing.rpc)->refused_conns <= connects_max);
+	CU_ASSERT(agb_rpc_stats(c.rpc)->connects <= connects_max);
+	agb_rpc_free(c.rpc);
+	agb_rpc_free(refusing.rpc);
+	loop_close(&loop);
+}
+
 static const struct suite_test tests[] = {
     {"round_trip", test_round_trip},
     {"backlog", test_backlog},
@@ -926,6 +959,7 @@
     {"forged_replies", test_forged_replies},
     {"forged_calls", test_forged_calls},
     {"allowed", test_allowed},
+    {"refused caller", test_refused_caller},
     {"flood", test_flood},
     {"reader", test_reader},
     {"addr", test_addr},
