fix(wf): an overdue run's end is put off no further than its expected run time

Cause: a run was taken for overdue by its progress alone. A runner that reports 100 percent early made the expected end of a short run move away from the first second on, and small tasks were lent the gang's room.

Change: the end moves away up to the end by the expected run time while that is to come, and by the time since both are over after that.

--- a/src/workflow/wf_dispatch_plan.c
+++ b/src/workflow/wf_dispatch_plan.c
@@ -16,12 +16,11 @@
 	return x < y ? -1 : x > y ? 1 : 0;
 }
 
-/* When a task should end by its expected run time, or by its progress where that
- * is known. */
-static agb_time
-predicted_end(const struct wf_leader *l, const struct wf_runner *r,
-    const struct wf_task *t)
+agb_time
+dispatch_expected_end(const struct wf_leader *l, uint32_t ri,
+    const struct wf_task *t, agb_time now)
 {
+	const struct wf_runner *const r = &l->runners[ri];
 	const uint32_t expected_ms =
 	    (uint32_t)((double)dispatch_expected_run_time(t->unit) *
 		wf_task_run_factor(l, t) / (double)AGB_MS);
@@ -31,17 +30,11 @@
 	const bool known = t->state == WF_TASK_RUNNING &&
 	    t->progress_run == t->run && r->clock_ms >= t->progress_ms &&
 	    wf_task_run_time_known(t);
-
-	return wf_estimate_end(
+	const agb_time end = wf_estimate_end(
 	    t->sent_at, expected_ms, known ? t->progress_percent : 0, seen_at);
-}
 
-agb_time
-dispatch_expected_end(const struct wf_leader *l, uint32_t ri,
-    const struct wf_task *t, agb_time now)
-{
 	return wf_estimate_overdue_end(
-	    predicted_end(l, &l->runners[ri], t), now);
+	    end, t->sent_at + (agb_time)expected_ms * AGB_MS, now);
 }
 
 /* Appends an expected end to the list @e, which is the last one in @ends. */
--- a/src/workflow/wf_estimate.c
+++ b/src/workflow/wf_estimate.c
@@ -59,11 +59,14 @@
 }
 
 agb_time
-wf_estimate_overdue_end(agb_time end, agb_time now)
+wf_estimate_overdue_end(agb_time end, agb_time due, agb_time now)
 {
-	const agb_time overdue = end < now ? now - end : 0;
+	const agb_time least = OVERDUE_MIN_MS * AGB_MS;
+	agb_time overdue;
 
-	if (end >= now + OVERDUE_MIN_MS * AGB_MS)
+	if (end >= now + least)
 		return end;
-	return now + agb_time_max(overdue, OVERDUE_MIN_MS * AGB_MS);
+	overdue = end < now ? now - end : 0;
+	overdue = agb_time_min(overdue, due > now ? due - now : now - due);
+	return now + agb_time_max(overdue, least);
 }
--- a/src/workflow/wf_estimate.h
+++ b/src/workflow/wf_estimate.h
@@ -52,11 +52,13 @@
 
 /**
  * wf_estimate_overdue_end() - when a run is expected to end, seen from @now
- * @end: when it should end
+ * @end: when it should end by its progress, see wf_estimate_end()
+ * @due: when it should end by its expected run time
  *
- * A run that is overdue is expected to take as much longer as it is overdue: the
- * longer it goes on, the less is known of its end.
+ * A run that goes on after @end is expected to take as much longer as it is
+ * overdue: the longer it goes on, the less is known of its end. That is no later
+ * than @due while this is to come, and counts from @due once that is over.
  */
-agb_time wf_estimate_overdue_end(agb_time end, agb_time now);
+agb_time wf_estimate_overdue_end(agb_time end, agb_time due, agb_time now);
 
 #endif
--- a/tests/test_wf_policy.c
+++ b/tests/test_wf_policy.c
@@ -225,6 +225,39 @@
 		    cases[i].end_ms * AGB_MS);
 }
 
+/* A run at 10 s. Guards against a run that is expected to end soon for as long as
+ * it goes on, and against one whose end is put off though its progress tells it. */
+static void
+overdue_run_ends_later(void)
+{
+	static const struct {
+		uint32_t end_ms, due_ms, expected_ms;
+	} cases[] = {
+	    {12000, 12000, 12000},
+	    {10300, 12000, 10300},
+	    {10100, 12000, 10300},
+	    {9990, 3000, 10300},
+	    /* Overdue by its progress, and not by its expected run time. */
+	    {9500, 12000, 10500},
+	    {2000, 12000, 12000},
+	    {2000, 10100, 10300},
+	    /* Overdue by both. */
+	    {9000, 9000, 11000},
+	    {9800, 9800, 10300},
+	    {2000, 9000, 11000},
+	    {4000, 3000, 16000},
+	    /* Slow, but its progress tells its end. */
+	    {15000, 3000, 15000},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(
+		    wf_estimate_overdue_end(cases[i].end_ms * AGB_MS,
+			cases[i].due_ms * AGB_MS, 10 * AGB_SEC),
+		    cases[i].expected_ms * AGB_MS);
+}
+
 /* The leader "a" and three others, at 60 s; two of them can lead at once. Guards
  * against a leadership that moves to an instance that is cut off, has not read
  * the jobs, or is stopped next. */
@@ -874,6 +907,7 @@
     {"hand-over: the successor is chosen", successor_of_leader_is_chosen},
     {"run times: learned from ended runs", run_time_is_learned_from_ended_runs},
     {"run times: progress tells the end", progress_tells_when_a_run_ends},
+    {"overdue run ends later", overdue_run_ends_later},
 };
 
 int
