feat(wf): the log of an account tells of its hold and of work that never fits

Operators could not tell from the log for what an account's quota is kept free, until when, or that a job needs more than the whole quota since it was lowered. Such a job stays queued: it may only be shown as failed after failed runs.

The line "account" has held_cores, held_in_ms and never_fits. test_wf_account checks the count of what never fits.

--- a/src/workflow/wf_account.c
+++ b/src/workflow/wf_account.c
@@ -266,6 +266,7 @@
 		a->waiting_cpu_milli = 0;
 		a->demand_cpu_milli = 0;
 		a->planned_cpu_milli = 0;
+		a->never_fits = 0;
 		a->excludes_work = false;
 		a->ends_len = 0;
 		a->last_holder = a->holder;
@@ -285,9 +286,12 @@
 wf_account_add_waiting(const struct wf_accounts *as, struct wf_account_use *a,
     const struct wf_account_work *w, agb_time now)
 {
+	static const struct agb_resources nothing;
 	const int64_t n = start_size(w);
 	const uint32_t fit = count_fitting(as, a, w);
 
+	a->never_fits +=
+	    as->enabled && count_within_limit(a, &nothing, &w->step->need) < n;
 	a->waiting_cpu_milli += w->count * w->step->need.cpu_milli;
 	if (fit >= n)
 		a->demand_cpu_milli += w->step->need.cpu_milli *
--- a/src/workflow/wf_account.h
+++ b/src/workflow/wf_account.h
@@ -38,6 +38,8 @@
  * @share_cpu_milli: its fair share; INT64_MAX when all that it asks for is
  *	within its share
  * @planned_cpu_milli: processors of its units that the pass has sorted so far
+ * @never_fits: number of its queued units that need more than its whole limit, as
+ *	of the current pass
  * @excludes_work: its limit has kept work out for a while, as of the current pass
  * @ends, @ends_len, @ends_cap: expected ends of its runs, if it excludes work;
  *	without those that have none
@@ -65,6 +67,7 @@
 	int64_t demand_cpu_milli;
 	int64_t share_cpu_milli;
 	int64_t planned_cpu_milli;
+	uint32_t never_fits;
 	bool excludes_work;
 	struct wf_account_end *ends;
 	size_t ends_len;
--- a/src/workflow/wf_dispatch_account.c
+++ b/src/workflow/wf_dispatch_account.c
@@ -188,19 +188,34 @@
 	return "share";
 }
 
+/* Time until the work for which the rest of the limit is kept free is expected to
+ * fit, as of the last pass. */
+static uint64_t
+held_in_ms(const struct wf_account_use *a, agb_time now)
+{
+	return a->holder != NULL && a->held_from > now
+	    ? (a->held_from - now) / AGB_MS
+	    : 0;
+}
+
 /* In the log line, a share or a limit of 0 stands for none. */
 static void
-log_account(const struct wf_account_use *a, struct wf_effects *out)
+log_account(
+    const struct wf_account_use *a, agb_time now, struct wf_effects *out)
 {
 	wf_effects_log(out, AGB_LOG_INFO, "account",
 	    "account=\"%s\" held_by=%s cores=%" PRId64 " limit_cores=%" PRId64
 	    " share_cores=%" PRId64 " waiting_cores=%" PRId64 " mem_mb=%" PRId64
-	    " limit_mem_mb=%" PRId64 " gpu=%" PRId64 " limit_gpu=%" PRId64,
+	    " limit_mem_mb=%" PRId64 " gpu=%" PRId64 " limit_gpu=%" PRId64
+	    " held_cores=%" PRId64 " held_in_ms=%" PRIu64
+	    " never_fits=%" PRIu32,
 	    a->name, held_by(a), a->used.cpu_milli / 1000,
 	    a->limit.cpu_milli / 1000,
 	    a->share_cpu_milli == INT64_MAX ? 0 : a->share_cpu_milli / 1000,
 	    a->waiting_cpu_milli / 1000, a->used.mem_mb, a->limit.mem_mb,
-	    a->used.accel, a->limit.accel);
+	    a->used.accel, a->limit.accel,
+	    a->holder != NULL ? a->held.cpu_milli / 1000 : 0,
+	    held_in_ms(a, now), a->never_fits);
 }
 
 static void
@@ -215,7 +230,7 @@
 	for (a = l->accounts.by_name; a != NULL; a = a->hh.next) {
 		if (!a->held_by_limit && !a->held_by_share)
 			continue;
-		log_account(a, out);
+		log_account(a, now->mono, out);
 		l->meter->total.held_by_limit += a->held_by_limit;
 		l->meter->total.held_by_share += a->held_by_share;
 		a->held_by_limit = a->held_by_share = false;
--- a/tests/test_wf_account.c
+++ b/tests/test_wf_account.c
@@ -377,6 +377,7 @@
 		a->used.cpu_milli = cases[i].used;
 		make_pass(&as, a, &w, 2000, cases[i].ends_ms,
 		    AGB_SEC + cases[i].waited_ms * AGB_MS);
+		CU_ASSERT_EQUAL(a->never_fits, cases[i].count > 6);
 		CU_ASSERT_EQUAL(
 		    startable(&as, a, &small, &small), cases[i].others);
 		CU_ASSERT_EQUAL(startable(&as, a, &gang, &gang), rest);
