refactor(wf): the rack of a runner, free processors and dequeued units once each

The rack was read from the labels in two places, the free processors of usable runners were summed in two, and the units of a job were taken off the queue by the same loop in two. One function each serves now.

A runner over its capacity counts as full for the wait for near room, too; before it took away from the room of the others there.

test_wf_core, test_wf_account_sim, test_wf_locality, test_wf_memory and test_wf_gangs pass unchanged.

--- a/src/workflow/wf_dispatch_account.c
+++ b/src/workflow/wf_dispatch_account.c
@@ -94,21 +94,6 @@
 	}
 }
 
-static int64_t
-free_cpu_milli(const struct wf_leader *l, agb_time now)
-{
-	int64_t cpu, sum = 0;
-	uint32_t ri;
-
-	for (ri = 0; ri < l->runners_len; ri++) {
-		cpu = wf_runner_free_resources(&l->runners[ri]).cpu_milli;
-		if (wf_fleet_usable(&l->runners[ri], now) && cpu > 0)
-			sum += cpu;
-	}
-	wf_meter_add_examined(l->meter, l->runners_len);
-	return sum;
-}
-
 /* Moves the units whose account is over its share behind the others, and keeps
  * the order within both groups. */
 static void
@@ -144,7 +129,7 @@
 		    as, list[i].unit->exec->account, &w, now);
 	}
 	choose_holds(l, now, list, len);
-	if (!wf_accounts_divide(as, free_cpu_milli(l, now)))
+	if (!wf_accounts_divide(as, dispatch_free_cpu_milli(l, NULL, now)))
 		return;
 	for (i = 0; i < len; i++) {
 		w = work_of(list[i].unit, now);
--- a/src/workflow/wf_dispatch_candidates.c
+++ b/src/workflow/wf_dispatch_candidates.c
@@ -17,6 +17,25 @@
 	return (agb_time)u->expected_ms * RUN_TIME_PERCENT / 100 * AGB_MS;
 }
 
+int64_t
+dispatch_free_cpu_milli(
+    const struct wf_leader *l, const char *service, agb_time now)
+{
+	const struct wf_runner *r;
+	int64_t cpu, sum = 0;
+	uint32_t ri;
+
+	for (ri = 0; ri < l->runners_len; ri++) {
+		r = &l->runners[ri];
+		cpu = wf_runner_free_resources(r).cpu_milli;
+		if (cpu > 0 && wf_fleet_usable(r, now) &&
+		    (service == NULL || strcmp(r->info.service, service) == 0))
+			sum += cpu;
+	}
+	wf_meter_add_examined(l->meter, l->runners_len);
+	return sum;
+}
+
 /* Number of tasks of a unit that are allocated on a runner. */
 static uint32_t
 unit_tasks_on_runner(const struct wf_unit *u, const struct wf_runner *r)
@@ -120,9 +139,7 @@
 	c->reserved = r->reserved;
 	c->rack_match =
 	    step->rack[0] == '\0' || wf_runner_has_label(&r->info, step->rack);
-	c->rack = r->info.labels_len > 0
-	    ? r->info.labels[r->info.labels_len - 1]
-	    : "";
+	c->rack = wf_runner_rack(r);
 	return true;
 }
 
--- a/src/workflow/wf_dispatch_internal.h
+++ b/src/workflow/wf_dispatch_internal.h
@@ -199,6 +199,14 @@
 
 /* ---- wf_dispatch_candidates.c ---- */
 
+/**
+ * dispatch_free_cpu_milli() - free processors of all usable runners, in
+ * thousandths
+ * @service: that of the runners; NULL for any
+ */
+int64_t dispatch_free_cpu_milli(
+    const struct wf_leader *l, const char *service, agb_time now);
+
 /**
  * dispatch_expected_run_time() - expected run time of the tasks of a unit, with
  * the margin that plans use
--- a/src/workflow/wf_dispatch_locality.c
+++ b/src/workflow/wf_dispatch_locality.c
@@ -39,28 +39,21 @@
 static bool
 is_room_short(struct dispatch_pass *p, const char *service)
 {
-	int64_t wanted, free_cpu;
+	int64_t wanted = 0;
 	const struct wf_unit *u;
-	uint32_t ri;
 	size_t i;
 
 	if (p->short_service != NULL && strcmp(p->short_service, service) == 0)
 		return p->room_short;
-	wanted = free_cpu = 0;
 	for (i = 0; i < p->units_len; i++) {
 		u = p->units[i].unit;
 		if (strcmp(p->units[i].queue->service, service) == 0)
 			wanted += u->waiting * wf_unit_step(u)->need.cpu_milli;
 	}
-	for (ri = 0; ri < p->l->runners_len; ri++) {
-		if (wf_fleet_usable(&p->l->runners[ri], p->now->mono) &&
-		    strcmp(p->l->runners[ri].info.service, service) == 0)
-			free_cpu += wf_runner_free_resources(&p->l->runners[ri])
-					.cpu_milli;
-	}
-	wf_meter_add_examined(p->l->meter, p->units_len + p->l->runners_len);
+	wf_meter_add_examined(p->l->meter, p->units_len);
 	p->short_service = service;
-	p->room_short = wanted > free_cpu;
+	p->room_short =
+	    wanted > dispatch_free_cpu_milli(p->l, service, p->now->mono);
 	return p->room_short;
 }
 
@@ -105,13 +98,6 @@
 	    ((const struct near_runner *)b)->rack);
 }
 
-static const char *
-rack_of(const struct wf_runner *r)
-{
-	return r->info.labels_len > 0 ? r->info.labels[r->info.labels_len - 1]
-				      : "";
-}
-
 static void
 add_near_runner(struct dispatch_pass *p, const struct wf_unit *u,
     const char *service, uint32_t ri)
@@ -122,7 +108,7 @@
 	    !wf_runner_has_label(&r->info, wf_unit_step(u)->rack))
 		return;
 	p->near[p->near_len].runner = ri;
-	p->near[p->near_len++].rack = rack_of(r);
+	p->near[p->near_len++].rack = wf_runner_rack(r);
 }
 
 /* Lists the runners on the rack of the unit's data, or all on which it may run,
--- a/src/workflow/wf_exec.c
+++ b/src/workflow/wf_exec.c
@@ -142,6 +142,18 @@
 		request_refresh(l, u->exec);
 }
 
+static void
+dequeue_units(struct wf_leader *l, struct wf_exec *e)
+{
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < e->open_len; i++) {
+		for (k = 0; k < e->job->spec.steps_len; k++)
+			unit_dequeue(l, &e->open[i].units[k]);
+	}
+}
+
 void
 wf_task_set_checkpoint(struct wf_task *t, const char *checkpoint)
 {
@@ -289,13 +301,8 @@
 {
 	struct wf_task_cursor c;
 	struct wf_task *t;
-	size_t i;
-	uint32_t k;
 
-	for (i = 0; i < e->open_len; i++) {
-		for (k = 0; k < e->job->spec.steps_len; k++)
-			unit_dequeue(l, &e->open[i].units[k]);
-	}
+	dequeue_units(l, e);
 	wf_task_cursor_init(&c, e);
 	while ((t = wf_task_cursor_next(&c)) != NULL) {
 		if (t->allocated)
@@ -346,8 +353,6 @@
 {
 	struct wf_task_cursor c;
 	struct wf_task *t;
-	size_t i;
-	uint32_t k;
 
 	if (wf_job_state_is_final(e->state))
 		return;
@@ -357,10 +362,7 @@
 	e->next_due_ms = INT64_MAX;
 	e->overdue = false;
 	agb_str_copy(e->detail, sizeof(e->detail), why);
-	for (i = 0; i < e->open_len; i++) {
-		for (k = 0; k < e->job->spec.steps_len; k++)
-			unit_dequeue(l, &e->open[i].units[k]);
-	}
+	dequeue_units(l, e);
 	wf_task_cursor_init(&c, e);
 	while ((t = wf_task_cursor_next(&c)) != NULL) {
 		if (t->allocated && t->state != WF_TASK_DONE)
--- a/src/workflow/wf_fleet.c
+++ b/src/workflow/wf_fleet.c
@@ -33,6 +33,13 @@
 	return room;
 }
 
+const char *
+wf_runner_rack(const struct wf_runner *r)
+{
+	return r->info.labels_len > 0 ? r->info.labels[r->info.labels_len - 1]
+				      : "";
+}
+
 bool
 wf_fleet_eligible(const struct wf_runner *r, const struct wf_step *step,
     const char *service, agb_time now)
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -730,6 +730,11 @@
  */
 struct agb_resources wf_runner_free_resources(const struct wf_runner *r);
 
+/**
+ * wf_runner_rack() - last label of a runner, which names its rack; "" without one
+ */
+const char *wf_runner_rack(const struct wf_runner *r);
+
 /* ---- wf_commit.c ---- */
 
 /**
