--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -336,7 +336,10 @@
 				   "\"gpu\":1,\"estimate_ms\":1,"
 				   "\"gang\":true,\"rack_local\":true,"
 				   "\"constraints\":\"[,{\",\"after\":[";
-	const size_t cap = 64 * (sizeof(step) + 64 * 4) + 3 * extra + 64;
+	const size_t index_len = 4, rest_len = 64;
+	const size_t cap =
+	    WF_STEPS_MAX * (sizeof(step) + WF_STEPS_MAX * index_len) +
+	    3 * extra + rest_len;
 	char *const text = agb_xcalloc(1, cap);
 	size_t at, i, k;
 
--- a/tests/test_wf_record.c
+++ b/tests/test_wf_record.c
@@ -213,15 +213,15 @@
 test_failed_runs(void)
 {
 	static const struct {
-		u_int runs;
 		size_t cut;
+		u_int runs;
 		bool readable;
 	} cases[] = {
 	    {0, 0, true},
-	    {2, 0, true},
-	    {2, 4, false},
+	    {0, 2, true},
+	    {4, 2, false},
 	    /* Without all that follows: as earlier versions write it. */
-	    {2, 20, true},
+	    {20, 2, true},
 	};
 	static wf_x_failed_run list[] = {{0, 1}, {65535, 7}};
 	size_t i, len;
