--- a/src/workflow/wf_account.h
+++ b/src/workflow/wf_account.h
@@ -187,9 +187,10 @@
  *
  * Work that has been kept out by the limit for a while gets the rest of the
  * limit kept free, so that smaller work of the same account does not keep it
- * out for good. That is done for work only that can start once runs end, within
- * a time that is in proportion to that for which it has waited. While the account
- * uses less than half of its limit, it is done only half of the time at first.
+ * out for good. That is done only for work that can start once runs end, and not
+ * while its start is further away than it has waited, or than some seconds. While
+ * the account uses less than half of its limit, it is done half of the time at
+ * first.
  */
 void wf_account_consider_hold(const struct wf_accounts *as,
     struct wf_account_use *a, const struct wf_account_work *w, agb_time now);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -359,15 +359,41 @@
 	return text;
 }
 
+/* Return: a list of empty objects that comes after @start. */
+static char *
+make_list(const char *start, size_t len)
+{
+	const size_t start_len = strlen(start);
+	char *const text = agb_xcalloc(1, start_len + 3 * len + 3);
+	size_t i;
+
+	snprintf(text, start_len + 2, "%s[", start);
+	for (i = 0; i < len; i++)
+		memcpy(text + start_len + 1 + 3 * i, "{},", 3);
+	return text;
+}
+
 /* Guards against a body that is built in memory at many times its size: one list
  * of empty objects within the limit of a body ended a process. */
 static void
 test_values_of_body(void)
 {
 	static const struct {
-		size_t extra;
+		/* NULL for a large job with further values. */
+		const char *start;
+		size_t values;
 		bool accepted;
-	} cases[] = {{0, true}, {100, true}, {10000, false}, {80000, false}};
+	} cases[] = {
+	    {NULL, 0, true},
+	    {NULL, 100, true},
+	    {NULL, 10000, false},
+	    {NULL, 80000, false},
+	    {"", 80000, false},
+	    /* The list would pass for a string. */
+	    {"/*\"*/", 80000, false},
+	    {"//\"\n", 80000, false},
+	    {"['\"',", 80000, false},
+	};
 	struct wf_http_req req;
 	struct wf_call call;
 	char *text;
@@ -377,7 +403,9 @@
 		memset(&req, 0, sizeof(req));
 		memset(&call, 0, sizeof(call));
 		agb_str_copy(req.method, sizeof(req.method), "POST");
-		text = make_large_job(cases[i].extra);
+		text = cases[i].start != NULL
+		    ? make_list(cases[i].start, cases[i].values)
+		    : make_large_job(cases[i].values);
 		req.body = text;
 		req.body_len = strlen(text);
 		CU_ASSERT(platform_front_parse_call(&req, &call));
