--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -363,13 +363,13 @@
 static char *
 make_list(const char *start, size_t len)
 {
-	const size_t start_len = strlen(start);
-	char *const text = agb_xcalloc(1, start_len + 3 * len + 3);
-	size_t i;
+	const size_t cap = strlen(start) + 3 * len + 2;
+	char *const text = agb_xcalloc(1, cap);
+	size_t at, i;
 
-	snprintf(text, start_len + 2, "%s[", start);
+	at = (size_t)snprintf(text, cap, "%s[", start);
 	for (i = 0; i < len; i++)
-		memcpy(text + start_len + 1 + 3 * i, "{},", 3);
+		at += (size_t)snprintf(text + at, cap - at, "{},");
 	return text;
 }
 
