--- a/review/standin-3/cell.c
+++ b/review/standin-3/cell.c
@@ -16,12 +16,13 @@
  *
  * Calls of the test, to the address of the store:
  *
- * POST /test/job	{"job","count","cpu","mem_mb","lasting","fill"}: a client's
- *	submission of a job of one step was answered 2xx
+ * POST /test/job	{"job","count","cpu","mem_mb","lasting","fill","label"}: a
+ *	client submits a job of one step
  * POST /test/note	{"text"}: adds a line to the record
  * GET /test/state	numbers of starts, runs at work and pending ends
  * POST /test/finish	checks the rule LOST now, which is `finish_s` after the end
- *	of the traffic, and returns {"broken":N}
+ *	of the traffic, and returns {"broken":N}; tasks that last are checked all
+ *	the time
  */
 
 #include <inttypes.h>
@@ -52,8 +53,10 @@
 #define MEMORY_MB 65536
 #define NAME_LEN 96
 #define TEXT_LEN 512
-/* Rule LOST: a job has nothing running for this long. */
+/* Rule LOST: a job has nothing running for this long; of a task that lasts it
+ * counts from REST_MS after its last run. */
 #define IDLE_MS 3000
+#define REST_MS 6000
 
 enum work { WORK_LASTING, WORK_SERVE, WORK_FILL, WORK_BATCH, WORK_GANG };
 
@@ -125,7 +128,13 @@
 	uint32_t count;
 	int64_t cpu, mem;
 	bool lasting, fill;
+	char label[32];
 	uint64_t idle_since; /* 0: a task of it runs */
+	/* Of a job that lasts, by the index of the task: end of its last run, 0
+	 * while it runs or has not run; since when it is missed. */
+	uint64_t *down_since, *missed_since;
+	unsigned lost_tasks;
+	uint64_t longest_ms;
 	uint64_t starts, ends_done, ends_failed;
 };
 
@@ -597,6 +606,17 @@
 	return sum;
 }
 
+static bool
+has_label(const struct runner *r, const char *label)
+{
+	char rack[32];
+
+	snprintf(rack, sizeof(rack), "r1-%u",
+	    (unsigned)(r - cell.runners) / RUNNERS_PER_RACK);
+	return label[0] == '\0' || strcmp(label, "a") == 0 ||
+	    strcmp(label, rack) == 0;
+}
+
 /* Number of tasks of a job that all runners have room for. */
 static uint64_t
 room_for(const struct job *j)
@@ -607,6 +627,8 @@
 	for (i = 0; i < cell.runners_len; i++) {
 		const struct runner *const r = &cell.runners[i];
 
+		if (!has_label(r, j->label))
+			continue;
 		by_mem = (uint64_t)((MEMORY_MB - used_mem(r)) / j->mem);
 		by_cpu = j->fill ? by_mem
 				 : (uint64_t)((cell.cpu - used_cpu(r)) /
@@ -668,6 +690,43 @@
 		j->idle_since = now_ms();
 }
 
+/* Checks the tasks of a job that lasts, at any time and however full the service
+ * is. */
+static void
+watch_tasks(struct job *j)
+{
+	const uint64_t now = now_ms();
+	uint64_t room, down;
+	uint32_t i;
+
+	if (!j->lasting)
+		return;
+	room = room_for(j);
+	for (i = 0; i < j->count; i++) {
+		down = j->down_since[i] > 0 ? now - j->down_since[i] : 0;
+		if (down > j->longest_ms)
+			j->longest_ms = down;
+		if (down < REST_MS || room < 2) {
+			j->missed_since[i] = 0;
+			continue;
+		}
+		if (j->missed_since[i] == 0) {
+			j->missed_since[i] = now;
+			continue;
+		}
+		if (j->missed_since[i] == UINT64_MAX ||
+		    now - j->missed_since[i] < IDLE_MS)
+			continue;
+		/* Noted once for each time that it is down. */
+		j->missed_since[i] = UINT64_MAX;
+		j->lost_tasks++;
+		note("LOST: task %" PRIu32 " of job %s lasts, and nothing of it "
+		     "has run for %" PRIu64 " ms; there is room for %" PRIu64
+		     " such tasks",
+		    i, j->id, down, room);
+	}
+}
+
 static void
 finish(struct http_conn *c)
 {
@@ -685,6 +744,11 @@
 		     " of its %" PRIu32 " tasks",
 		    j->id, j->starts, j->ends_done, j->ends_failed, idle,
 		    room_for(j), j->count);
+		if (j->lasting)
+			note("job %s: a task of it was down for %" PRIu64
+			     " ms at most; %u were down for too long",
+			    j->id, j->longest_ms, j->lost_tasks);
+		broken += j->lost_tasks > 0;
 		if (idle < IDLE_MS)
 			continue;
 		note("LOST: job %s was accepted, could run and does not",
@@ -709,6 +773,12 @@
 	j->mem = platform_json_int(body, "mem_mb", 1);
 	j->lasting = platform_json_bool(body, "lasting");
 	j->fill = platform_json_bool(body, "fill");
+	snprintf(j->label, sizeof(j->label), "%s",
+	    platform_json_str(body, "label") != NULL
+		? platform_json_str(body, "label")
+		: "");
+	j->down_since = agb_xcalloc(j->count, sizeof(uint64_t));
+	j->missed_since = agb_xcalloc(j->count, sizeof(uint64_t));
 	note("job %s: %" PRIu32 " tasks of cpu %" PRId64
 	     ", mem_mb %" PRId64 "%s%s",
 	    j->id, j->count, j->cpu, j->mem, j->lasting ? ", long_running" : "",
@@ -802,6 +872,12 @@
 	    a->run_id == b->run_id && strncmp(a->task, b->task, len) == 0;
 }
 
+static uint32_t
+index_of(const char *task)
+{
+	return (uint32_t)strtoul(strrchr(task, '.') + 1, NULL, 10);
+}
+
 static void
 end_run(struct runner *r, size_t i, const char *how)
 {
@@ -816,6 +892,8 @@
 	add_end(&r->ends, &r->ends_len, &e);
 	add_end(&r->ended, &r->ended_len, &e);
 	note("%s ends %s.%" PRIu32 " %s", r->id, run.task, run.run_id, how);
+	if (j != NULL && j->lasting && index_of(run.task) < j->count)
+		j->down_since[index_of(run.task)] = now_ms();
 	if (j != NULL) {
 		j->ends_done += strcmp(how, "done") == 0;
 		j->ends_failed += strcmp(how, "failed") == 0;
@@ -1045,6 +1123,8 @@
 	j = job_of(run.task);
 	if (j != NULL)
 		j->starts++;
+	if (j != NULL && j->lasting && index_of(run.task) < j->count)
+		j->down_since[index_of(run.task)] = 0;
 	note("%s starts %s.%" PRIu32, r->id, run.task, run.run_id);
 	if (run.work == WORK_GANG)
 		complete_gang(&run);
@@ -1238,8 +1318,10 @@
 	(void)t;
 	for (i = 0; i < cell.runners_len; i++)
 		tick_runner(&cell.runners[i]);
-	for (k = 0; k < cell.jobs_len; k++)
+	for (k = 0; k < cell.jobs_len; k++) {
 		watch_job(&cell.jobs[k]);
+		watch_tasks(&cell.jobs[k]);
+	}
 	for (k = cell.leases_len; k > 0; k--) {
 		if (now_ms() >= cell.leases[k - 1].until)
 			end_lease(k - 1);
--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -101,8 +101,9 @@
 	lasting=false fill=false
 	case ${7:-} in *long_running*) lasting=true ;; esac
 	case ${7:-} in *utilization*) fill=true ;; esac
+	label=$(echo "${7:-}" | sed -n 's/.*"constraints":"\([^"]*\)".*/\1/p')
 	# The stand-in watches the job from now on; it counts once it is accepted.
-	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill}" >/dev/null
+	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\"}" >/dev/null
 	body="{\"spec\":\"$6 cpu $4 mem $5\",\"phases\":[{\"count\":$3,\"cpu\":$4,\"mem_mb\":$5${7:-}}]}"
 	answer=$(call POST "$addr" "/q/$2" "$body")
 	note "client: POST /q/$2 -> ${answer%% *}"
