--- a/review/standin-3/cell.c
+++ b/review/standin-3/cell.c
@@ -16,8 +16,8 @@
  *
  * Calls of the test, to the address of the store:
  *
- * POST /test/job	{"job","count","cpu","mem_mb","lasting","fill","label"}: a
- *	client submits a job of one step
+ * POST /test/job	{"job","count","cpu","mem_mb","lasting","fill","label",
+ *	"spec"}: a client submits a job of one step
  * POST /test/note	{"text"}: adds a line to the record
  * GET /test/state	numbers of starts, runs at work and pending ends
  * POST /test/finish	checks the rule LOST now, which is `finish_s` after the end
@@ -64,6 +64,7 @@
 	char task[NAME_LEN];
 	uint32_t run_id;
 	enum work work;
+	char spec[NAME_LEN];
 	int64_t a, b, c; /* figures of the spec */
 	int64_t cpu, mem;
 	bool counts_cpu;
@@ -129,6 +130,7 @@
 	int64_t cpu, mem;
 	bool lasting, fill;
 	char label[32];
+	char spec[NAME_LEN];
 	uint64_t idle_since; /* 0: a task of it runs */
 	/* Of a job that lasts, by the index of the task: end of its last run, 0
 	 * while it runs or has not run; since when it is missed. */
@@ -652,19 +654,21 @@
 	    2 * mem < (int64_t)MEMORY_MB * cell.runners_len;
 }
 
+/* Jobs of two routes may have one id; their specs differ. */
 static bool
-is_task_of(const char *task, const struct job *j)
+is_run_of(const struct run *run, const struct job *j)
 {
-	return strncmp(task, j->id, strlen(j->id)) == 0;
+	return strncmp(run->task, j->id, strlen(j->id)) == 0 &&
+	    strcmp(run->spec, j->spec) == 0;
 }
 
 static struct job *
-job_of(const char *task)
+job_of(const struct run *run)
 {
 	size_t i;
 
 	for (i = 0; i < cell.jobs_len; i++) {
-		if (is_task_of(task, &cell.jobs[i]))
+		if (is_run_of(run, &cell.jobs[i]))
 			return &cell.jobs[i];
 	}
 	return NULL;
@@ -681,7 +685,7 @@
 
 	for (i = 0; i < cell.runners_len && !runs; i++) {
 		for (k = 0; k < cell.runners[i].runs_len && !runs; k++)
-			runs = is_task_of(cell.runners[i].runs[k].task, j);
+			runs = is_run_of(&cell.runners[i].runs[k], j);
 	}
 	if (runs || j->ends_done >= j->count || !under_half_in_use() ||
 	    room_for(j) < 2 * j->count)
@@ -777,6 +781,8 @@
 	    platform_json_str(body, "label") != NULL
 		? platform_json_str(body, "label")
 		: "");
+	snprintf(j->spec, sizeof(j->spec), "%s",
+	    platform_json_str(body, "spec"));
 	j->down_since = agb_xcalloc(j->count, sizeof(uint64_t));
 	j->missed_since = agb_xcalloc(j->count, sizeof(uint64_t));
 	note("job %s: %" PRIu32 " tasks of cpu %" PRId64
@@ -882,7 +888,7 @@
 end_run(struct runner *r, size_t i, const char *how)
 {
 	const struct run run = r->runs[i];
-	struct job *const j = job_of(run.task);
+	struct job *const j = job_of(&run);
 	struct end e = {.run_id = run.run_id, .seq = ++r->seq, .how = how};
 	unsigned k;
 	size_t n;
@@ -1101,7 +1107,9 @@
 	snprintf(
 	    run.task, sizeof(run.task), "%s", platform_json_str(body, "task"));
 	run.run_id = (uint32_t)platform_json_int(body, "run_id", 0);
-	read_spec(&run, platform_json_str(body, "spec"));
+	snprintf(
+	    run.spec, sizeof(run.spec), "%s", platform_json_str(body, "spec"));
+	read_spec(&run, run.spec);
 	if (platform_json_int(body, "deadline_ms", 0) < clock_of(r))
 		return "late";
 	extend(r, body);
@@ -1120,12 +1128,13 @@
 	r->runs = agb_xreallocarray(r->runs, r->runs_len + 1, sizeof(*r->runs));
 	r->runs[r->runs_len++] = run;
 	cell.starts++;
-	j = job_of(run.task);
+	j = job_of(&run);
 	if (j != NULL)
 		j->starts++;
 	if (j != NULL && j->lasting && index_of(run.task) < j->count)
 		j->down_since[index_of(run.task)] = 0;
-	note("%s starts %s.%" PRIu32, r->id, run.task, run.run_id);
+	note("%s starts %s.%" PRIu32 " \"%s\"", r->id, run.task, run.run_id,
+	    run.spec);
 	if (run.work == WORK_GANG)
 		complete_gang(&run);
 	return NULL;
@@ -1336,6 +1345,10 @@
 	    "{\"version\":1,\"routes\":[{\"name\":\"cell-queue\","
 	    "\"host\":\"jobs.example\",\"prefix\":\"/q/\",\"timeout_ms\":3000,"
 	    "\"target_latency_ms\":1000,\"priority\":1,\"service\":"
+	    "\"cell-jobs\",\"max_attempts\":4,\"slack_factor\":2},"
+	    "{\"name\":\"cell-cuts\",\"host\":\"jobs.example\","
+	    "\"prefix\":\"/cuts/\",\"timeout_ms\":3000,"
+	    "\"target_latency_ms\":1000,\"priority\":1,\"service\":"
 	    "\"cell-jobs\",\"max_attempts\":4,\"slack_factor\":2}],"
 	    "\"services\":[{\"name\":\"cell-jobs\",\"enforces_capacity\":"
 	    "false}],\"limits\":{\"max_body_bytes\":262144}}";
--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -9,6 +9,7 @@
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 HOST=jobs.example
+PREFIX=/q/
 WORK=$(mktemp -d)
 PIDS=
 
@@ -95,7 +96,8 @@
 }
 
 # submit N ID COUNT CPU MEM SPEC [FIELDS]: a job of one step, through instance N.
-# FIELDS are further fields of the step, which begin with a comma.
+# FIELDS are further fields of the step, which begin with a comma. PREFIX is that
+# of the route.
 submit() {
 	eval "addr=\$FRONT_$1"
 	lasting=false fill=false
@@ -103,10 +105,10 @@
 	case ${7:-} in *utilization*) fill=true ;; esac
 	label=$(echo "${7:-}" | sed -n 's/.*"constraints":"\([^"]*\)".*/\1/p')
 	# The stand-in watches the job from now on; it counts once it is accepted.
-	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\"}" >/dev/null
+	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\",\"spec\":\"$6 cpu $4 mem $5\"}" >/dev/null
 	body="{\"spec\":\"$6 cpu $4 mem $5\",\"phases\":[{\"count\":$3,\"cpu\":$4,\"mem_mb\":$5${7:-}}]}"
-	answer=$(call POST "$addr" "/q/$2" "$body")
-	note "client: POST /q/$2 -> ${answer%% *}"
+	answer=$(call POST "$addr" "$PREFIX$2" "$body")
+	note "client: POST $PREFIX$2 -> ${answer%% *}"
 	case $answer in
 	200*) ;;
 	*) cannot "job $2 is not accepted: $answer" ;;
@@ -116,15 +118,15 @@
 # get_state N ID: asks instance N for the state of a job.
 get_state() {
 	eval "addr=\$FRONT_$1"
-	answer=$(call GET "$addr" "/q/$2")
-	note "client: GET /q/$2 -> $(echo "$answer" | tr -d '"')"
+	answer=$(call GET "$addr" "$PREFIX$2")
+	note "client: GET $PREFIX$2 -> $(echo "$answer" | tr -d '"')"
 }
 
 # judge: exits with 1 if the rule LOST is broken now, and with 0 if it holds.
 judge() {
 	answer=$(call POST "$STORE" /test/finish "{}")
 	echo "$answer"
-	grep LOST "$RECORD"
+	grep 'LOST\|MIXED' "$RECORD"
 	case $answer in
 	*'"broken":0'*) exit 0 ;;
 	*'"broken":'*) exit 1 ;;
