--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,24 +1,22 @@
 #!/bin/bash
-# A job that fills, after the tails of the tasks that serve have been high once.
+# A manifest in which the route of accepted jobs has another name.
 CASE=$(cd "$(dirname "$0")" && pwd)
 RUNNERS=48
 CPU=16000
 . "$CASE/../standin-3/common.sh"
 
-# Time from the last submission until jobs are asked for.
 FINISH_S=14
-# Tail of the tasks that serve in ms, first and after 6 s. Their target is 100.
-TAILS="90 6000 70"
-[ "$TROUBLE" = 0 ] && TAILS="50 6000 50"
+NAME=cell-orders
+[ "$TROUBLE" = 0 ] && NAME=cell-queue
 
 start_cell
 for n in 1 2 3; do start_instance $n; done
 for n in 1 2 3; do wait_ready $n; done
 sleep 1
-submit 1 00000000000000a1 48 4000 4096 "serve $TAILS" ',"estimate_ms":60000,"anti_affinity":1,"long_running":true,"target_ms":100,"image":"shop"'
-sleep 20
-submit 2 00000000000000b2 8 2000 2048 "fill 4000 0 0" ',"estimate_ms":4000,"utilization":true,"image":"report"'
+TOTAL=8
+submit 1 00000000000000a1 4 1000 1024 "batch 3000 0 0" ',"estimate_ms":3000},{"count":4,"cpu":1000,"mem_mb":1024,"estimate_ms":3000,"after":[0]'
+sleep 1
+call POST "$STORE" /test/manifest "{\"version\":7,\"name\":\"$NAME\"}" >/dev/null
 sleep $FINISH_S
 get_state 3 00000000000000a1
-get_state 3 00000000000000b2
 judge
--- a/review/standin-3/cell.c
+++ b/review/standin-3/cell.c
@@ -17,7 +17,10 @@
  * Calls of the test, to the address of the store:
  *
  * POST /test/job	{"job","count","cpu","mem_mb","lasting","fill","label",
- *	"spec"}: a client submits a job of one step
+ *	"spec","total"}: a client submits a job of one step, or of "total" tasks in
+ *	steps of "count"
+ * POST /test/manifest	{"version","name"}: the operator writes a version in which
+ *	the route /q/ has that name
  * POST /test/note	{"text"}: adds a line to the record
  * GET /test/state	numbers of starts, runs at work and pending ends
  * POST /test/finish	checks the rule LOST now, which is `finish_s` after the end
@@ -126,7 +129,7 @@
 
 struct job {
 	char id[20];
-	uint32_t count;
+	uint32_t count, total; /* tasks of a step, and of all steps */
 	int64_t cpu, mem;
 	bool lasting, fill;
 	char label[32];
@@ -687,7 +690,7 @@
 		for (k = 0; k < cell.runners[i].runs_len && !runs; k++)
 			runs = is_run_of(&cell.runners[i].runs[k], j);
 	}
-	if (runs || j->ends_done >= j->count || !under_half_in_use() ||
+	if (runs || j->ends_done >= j->total || !under_half_in_use() ||
 	    room_for(j) < 2 * j->count)
 		j->idle_since = 0;
 	else if (j->idle_since == 0)
@@ -773,6 +776,7 @@
 	memset(j, 0, sizeof(*j));
 	snprintf(j->id, sizeof(j->id), "%s", platform_json_str(body, "job"));
 	j->count = (uint32_t)platform_json_int(body, "count", 1);
+	j->total = (uint32_t)platform_json_int(body, "total", j->count);
 	j->cpu = platform_json_int(body, "cpu", 1);
 	j->mem = platform_json_int(body, "mem_mb", 1);
 	j->lasting = platform_json_bool(body, "lasting");
@@ -803,6 +807,8 @@
 	    runs);
 }
 
+static void write_manifest(int64_t version, const char *name);
+
 static void
 on_store(void *arg, struct http_conn *c, const struct http_request *m)
 {
@@ -812,7 +818,12 @@
 	(void)arg;
 	if (strcmp(m->path, "/test/job") == 0)
 		add_job(c, body);
-	else if (strcmp(m->path, "/test/finish") == 0)
+	else if (strcmp(m->path, "/test/manifest") == 0) {
+		write_manifest(platform_json_int(body, "version", 2),
+		    platform_json_str(body, "name"));
+		reply(c, 200, "{}");
+		answer_watchers();
+	} else if (strcmp(m->path, "/test/finish") == 0)
 		finish(c);
 	else if (strcmp(m->path, "/test/state") == 0)
 		answer_state(c);
@@ -1339,10 +1350,10 @@
 }
 
 static void
-write_manifest(void)
+write_manifest(int64_t version, const char *name)
 {
-	static const char text[] =
-	    "{\"version\":1,\"routes\":[{\"name\":\"cell-queue\","
+	char *const text = agb_xasprintf(
+	    "{\"version\":%" PRId64 ",\"routes\":[{\"name\":\"%s\","
 	    "\"host\":\"jobs.example\",\"prefix\":\"/q/\",\"timeout_ms\":3000,"
 	    "\"target_latency_ms\":1000,\"priority\":1,\"service\":"
 	    "\"cell-jobs\",\"max_attempts\":4,\"slack_factor\":2},"
@@ -1351,12 +1362,16 @@
 	    "\"target_latency_ms\":1000,\"priority\":1,\"service\":"
 	    "\"cell-jobs\",\"max_attempts\":4,\"slack_factor\":2}],"
 	    "\"services\":[{\"name\":\"cell-jobs\",\"enforces_capacity\":"
-	    "false}],\"limits\":{\"max_body_bytes\":262144}}";
+	    "false}],\"limits\":{\"max_body_bytes\":262144}}",
+	    version, name);
 	char *const val = agb_b64_encode(text, strlen(text));
 
+	note("operator: manifest, version %" PRId64 ", the route /q/ is %s",
+	    version, name);
 	cell.rev++;
 	put_event("op/config", val, 0, false);
 	free(val);
+	free(text);
 }
 
 static bool
@@ -1410,7 +1425,7 @@
 		fprintf(stderr, "cell: cannot start\n");
 		return 2;
 	}
-	write_manifest();
+	write_manifest(1, "cell-queue");
 	uv_timer_init(&cell.loop, &cell.tick);
 	uv_timer_start(&cell.tick, on_tick, TICK_MS, TICK_MS);
 	printf("%s\n", http_server_addr(cell.store));
--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -10,6 +10,8 @@
 TROUBLE=${TROUBLE:-1}
 HOST=jobs.example
 PREFIX=/q/
+# Tasks of all steps of the next job, if it has several.
+TOTAL=
 WORK=$(mktemp -d)
 PIDS=
 
@@ -105,7 +107,7 @@
 	case ${7:-} in *utilization*) fill=true ;; esac
 	label=$(echo "${7:-}" | sed -n 's/.*"constraints":"\([^"]*\)".*/\1/p')
 	# The stand-in watches the job from now on; it counts once it is accepted.
-	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\",\"spec\":\"$6 cpu $4 mem $5\"}" >/dev/null
+	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\",\"spec\":\"$6 cpu $4 mem $5\",\"total\":${TOTAL:-$3}}" >/dev/null
 	body="{\"spec\":\"$6 cpu $4 mem $5\",\"phases\":[{\"count\":$3,\"cpu\":$4,\"mem_mb\":$5${7:-}}]}"
 	answer=$(call POST "$addr" "$PREFIX$2" "$body")
 	note "client: POST $PREFIX$2 -> ${answer%% *}"
