--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -14,6 +14,7 @@
 TOTAL=
 WORK=$(mktemp -d)
 PIDS=
+SLEEPS=
 
 # The case could not run.
 cannot() {
@@ -22,7 +23,7 @@
 }
 
 end_all() {
-	for pid in $PIDS; do
+	for pid in $PIDS $SLEEPS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -31,6 +32,14 @@
 trap end_all EXIT
 trap 'exit 2' INT TERM
 
+# pause SECONDS: a sleep that a signal ends.
+pause() {
+	sleep "$1" &
+	SLEEPS=$!
+	wait "$SLEEPS"
+	SLEEPS=
+}
+
 # call METHOD ADDR PATH [BODY]: prints the status and the body.
 call() {
 	"$BIN/call" "$2" "$1" "$3" "$HOST" "${4:-}"
@@ -47,7 +56,7 @@
 	PIDS="$PIDS $!"
 	disown $!
 	for _ in 1 2 3 4 5 6 7 8 9 10; do
-		sleep 0.1
+		pause 0.1
 		STORE=$(cat "$WORK/cell.out")
 		[ -n "$STORE" ] && return
 	done
@@ -92,23 +101,24 @@
 		case $(call GET "$addr" /readyz 2>/dev/null) in
 		200*) return ;;
 		esac
-		sleep 0.1
+		pause 0.1
 	done
 	cannot "instance $1 does not become ready"
 }
 
 # submit N ID COUNT CPU MEM SPEC [FIELDS]: a job of one step, through instance N.
 # FIELDS are further fields of the step, which begin with a comma. PREFIX is that
-# of the route.
+# of the route, JOB_FIELDS are fields of the job, which begin with a comma, and
+# LABEL, if set, is the label of the step that the rule is checked for.
 submit() {
 	eval "addr=\$FRONT_$1"
 	lasting=false fill=false
 	case ${7:-} in *long_running*) lasting=true ;; esac
 	case ${7:-} in *utilization*) fill=true ;; esac
-	label=$(echo "${7:-}" | sed -n 's/.*"constraints":"\([^"]*\)".*/\1/p')
+	label=${LABEL-$(echo "${7:-}" | sed -n 's/.*"constraints":"\([^"]*\)".*/\1/p')}
 	# The stand-in watches the job from now on; it counts once it is accepted.
 	call POST "$STORE" /test/job "{\"job\":\"$2\",\"count\":$3,\"cpu\":$4,\"mem_mb\":$5,\"lasting\":$lasting,\"fill\":$fill,\"label\":\"$label\",\"spec\":\"$6 cpu $4 mem $5\",\"total\":${TOTAL:-$3}}" >/dev/null
-	body="{\"spec\":\"$6 cpu $4 mem $5\",\"phases\":[{\"count\":$3,\"cpu\":$4,\"mem_mb\":$5${7:-}}]}"
+	body="{\"spec\":\"$6 cpu $4 mem $5\"${JOB_FIELDS:-},\"phases\":[{\"count\":$3,\"cpu\":$4,\"mem_mb\":$5${7:-}}]}"
 	answer=$(call POST "$addr" "$PREFIX$2" "$body")
 	note "client: POST $PREFIX$2 -> ${answer%% *}"
 	case $answer in
@@ -124,6 +134,12 @@
 	note "client: GET $PREFIX$2 -> $(echo "$answer" | tr -d '"')"
 }
 
+# need_starts ID N: the case could not run if fewer tasks of a job have started.
+need_starts() {
+	[ "$(grep -c " starts $1" "$RECORD")" -ge "$2" ] ||
+		cannot "fewer than $2 tasks of job $1 have started"
+}
+
 # judge: exits with 1 if the rule LOST is broken now, and with 0 if it holds.
 judge() {
 	answer=$(call POST "$STORE" /test/finish "{}")
@@ -133,5 +149,5 @@
 	*'"broken":0'*) exit 0 ;;
 	*'"broken":'*) exit 1 ;;
 	esac
-	cannot "no verdict"
+	cannot "there is no verdict"
 }
