--- a/review/standin-3/cell.c
+++ b/review/standin-3/cell.c
@@ -187,6 +187,20 @@
 	fflush(cell.record);
 }
 
+/* Name of a task in the record: with slashes, as four numbers with dots read like
+ * an address. Valid until the next call. */
+static const char *
+record_name(const char *task)
+{
+	static char name[NAME_LEN];
+	char *p;
+
+	snprintf(name, sizeof(name), "%s", task);
+	for (p = name; *p != '\0'; p++)
+		*p = *p == '.' ? '/' : *p;
+	return name;
+}
+
 static void reply(struct http_conn *c, int status, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
@@ -908,7 +922,8 @@
 	r->runs[i] = r->runs[--r->runs_len];
 	add_end(&r->ends, &r->ends_len, &e);
 	add_end(&r->ended, &r->ended_len, &e);
-	note("%s ends %s.%" PRIu32 " %s", r->id, run.task, run.run_id, how);
+	note("%s ends %s run %" PRIu32 " %s", r->id, record_name(run.task),
+	    run.run_id, how);
 	if (j != NULL && j->lasting && index_of(run.task) < j->count)
 		j->down_since[index_of(run.task)] = now_ms();
 	if (j != NULL) {
@@ -1091,17 +1106,17 @@
 		r = &cell.runners[k];
 		for (i = 0; i < r->runs_len; i++) {
 			if (strcmp(r->runs[i].task, run->task) == 0)
-				note("TWICE: %s.%" PRIu32 " starts on %s while "
-				     "run %" PRIu32 " is on %s",
-				    run->task, run->run_id, to->id,
+				note("TWICE: %s run %" PRIu32 " starts on %s "
+				     "while run %" PRIu32 " is on %s",
+				    record_name(run->task), run->run_id, to->id,
 				    r->runs[i].run_id, r->id);
 		}
 		for (i = 0; i < r->ended_len; i++) {
 			if (strcmp(r->ended[i].task, run->task) == 0 &&
 			    strcmp(r->ended[i].how, "done") == 0)
-				note("TWICE: %s.%" PRIu32 " starts on %s after "
-				     "run %" PRIu32 " was done on %s",
-				    run->task, run->run_id, to->id,
+				note("TWICE: %s run %" PRIu32 " starts on %s "
+				     "after run %" PRIu32 " was done on %s",
+				    record_name(run->task), run->run_id, to->id,
 				    r->ended[i].run_id, r->id);
 		}
 	}
@@ -1144,8 +1159,8 @@
 		j->starts++;
 	if (j != NULL && j->lasting && index_of(run.task) < j->count)
 		j->down_since[index_of(run.task)] = 0;
-	note("%s starts %s.%" PRIu32 " \"%s\"", r->id, run.task, run.run_id,
-	    run.spec);
+	note("%s starts %s run %" PRIu32 " \"%s\"", r->id,
+	    record_name(run.task), run.run_id, run.spec);
 	if (run.work == WORK_GANG)
 		complete_gang(&run);
 	return NULL;
