--- a/src/workflow/gen/wf_record.h
+++ b/src/workflow/gen/wf_record.h
@@ -48,6 +48,7 @@
 	char *image;
 };
 typedef struct wf_x_step wf_x_step;
+#define WF_X_ROUTE_MARK 0xff000000
 
 struct wf_x_job {
 	char *queue;
@@ -72,6 +73,11 @@
 };
 typedef struct wf_x_job_owner wf_x_job_owner;
 
+struct wf_x_job_route {
+	u_int tag;
+};
+typedef struct wf_x_job_route wf_x_job_route;
+
 struct wf_x_saved {
 	u_int index;
 	struct {
@@ -147,6 +153,7 @@
 extern  bool_t xdr_wf_x_step (XDR *, wf_x_step*);
 extern  bool_t xdr_wf_x_job (XDR *, wf_x_job*);
 extern  bool_t xdr_wf_x_job_owner (XDR *, wf_x_job_owner*);
+extern  bool_t xdr_wf_x_job_route (XDR *, wf_x_job_route*);
 extern  bool_t xdr_wf_x_saved (XDR *, wf_x_saved*);
 extern  bool_t xdr_wf_x_runner (XDR *, wf_x_runner*);
 extern  bool_t xdr_wf_x_state (XDR *, wf_x_state*);
@@ -159,6 +166,7 @@
 extern bool_t xdr_wf_x_step ();
 extern bool_t xdr_wf_x_job ();
 extern bool_t xdr_wf_x_job_owner ();
+extern bool_t xdr_wf_x_job_route ();
 extern bool_t xdr_wf_x_saved ();
 extern bool_t xdr_wf_x_runner ();
 extern bool_t xdr_wf_x_state ();
--- a/src/workflow/gen/wf_record_xdr.c
+++ b/src/workflow/gen/wf_record_xdr.c
@@ -171,6 +171,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wf_x_job_route (XDR *xdrs, wf_x_job_route *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->tag))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wf_x_saved (XDR *xdrs, wf_x_saved *objp)
 {
--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -371,6 +371,8 @@
 	ef->tag = call->tag;
 	agb_str_copy(ef->peer, sizeof(ef->peer), client->address);
 	wf_unit_task_ref(u, 0, &ef->u.advice_request.step);
+	/* The service knows the id only. */
+	wf_job_id_make(ef->u.advice_request.step.job, call->job, 0);
 	ef->u.advice_request.estimate_ms = est_ms;
 	ef->u.advice_request.timeout_ms =
 	    (uint32_t)((client->busy_until - now->mono) / AGB_MS) +
--- a/src/workflow/wf_codec.c
+++ b/src/workflow/wf_codec.c
@@ -5,6 +5,11 @@
 
 #include "mem.h"
 
+/* A job state on the wire: the state in the lowest bits, above it the tag of the
+ * job's route, which earlier versions ignore. */
+#define STATE_BITS (32 - WF_ROUTE_TAG_BITS)
+#define STATE_MASK (((uint32_t)1 << STATE_BITS) - 1)
+
 void
 wf_codec_init_args(agb_x_args *args, agb_x_proc proc)
 {
@@ -142,11 +147,17 @@
 {
 	wf_job_id job;
 
-	if (rec->len != 1 || !wf_table_parse_state_key(rec->key, job) ||
+	uint32_t route_tag;
+	unsigned state;
+
+	if (!wf_table_parse_state_key(rec->key, job) ||
 	    strlen(job) != sizeof(x->job))
 		return false;
+	state = wf_table_decode_pushed_state(rec->val, rec->len, &route_tag);
+	if (state > STATE_MASK)
+		return false;
 	memcpy(x->job, job, sizeof(x->job));
-	x->state = (unsigned char)rec->val[0];
+	x->state = state | route_tag << STATE_BITS;
 	return true;
 }
 
@@ -159,10 +170,10 @@
 	memcpy(job, x->job, sizeof(x->job));
 	job[sizeof(x->job)] = '\0';
 	wf_table_make_key(t->key, 'v', job);
-	t->state = (char)x->state;
 	kv->key = t->key;
-	kv->val = &t->state;
-	kv->val_len = 1;
+	kv->val = t->state;
+	kv->val_len = wf_table_encode_pushed_state(t->state,
+	    (enum wf_job_state)(x->state & STATE_MASK), x->state >> STATE_BITS);
 }
 
 void
--- a/src/workflow/wf_codec.h
+++ b/src/workflow/wf_codec.h
@@ -124,7 +124,7 @@
 /* Storage of the key and the value of a record made from a job state. */
 struct wf_codec_state {
 	char key[WF_KEY_MAX];
-	char state;
+	char state[WF_PUSHED_STATE_MAX];
 };
 
 /**
--- a/src/workflow/wf_codec_order.c
+++ b/src/workflow/wf_codec_order.c
@@ -24,11 +24,16 @@
 	x->index = t->index;
 }
 
+/* The wire has the digits of the job only, like the names at the runners. */
 static void
-decode_task(const agb_x_task *x, struct wf_task_ref *t)
+decode_task(const agb_x_task *x, uint32_t run, struct wf_task_ref *t)
 {
+	char digits[sizeof(x->job) + 1];
+
+	memcpy(digits, x->job, sizeof(x->job));
+	digits[sizeof(x->job)] = '\0';
 	memset(t, 0, sizeof(*t));
-	memcpy(t->job, x->job, sizeof(x->job));
+	wf_job_id_of_run(t->job, digits, run);
 	t->occurrence = x->occurrence;
 	t->step = x->step;
 	t->index = x->index;
@@ -92,7 +97,7 @@
 		o->known_list = hold->known_list;
 		return true;
 	}
-	decode_task(&run->task, &o->task);
+	decode_task(&run->task, run->run, &o->task);
 	o->run = run->run;
 	o->percent = run->percent;
 	agb_str_copy(o->checkpoint, sizeof(o->checkpoint), run->checkpoint);
@@ -197,7 +202,7 @@
 static void
 decode_active(const agb_x_active_run *x, struct wf_active_run *a)
 {
-	decode_task(&x->task, &a->task);
+	decode_task(&x->task, x->run, &a->task);
 	a->run = x->run;
 	a->percent = x->percent;
 	a->load = x->load;
@@ -218,7 +223,7 @@
 decode_finished(const agb_x_finished_run *x, struct wf_finished_run *f)
 {
 	f->seq = x->seq;
-	decode_task(&x->task, &f->task);
+	decode_task(&x->task, x->run, &f->task);
 	f->run = x->run;
 	f->end = (enum wf_run_end)x->end;
 	agb_str_copy(f->checkpoint, sizeof(f->checkpoint), x->checkpoint);
--- a/src/workflow/wf_commit.c
+++ b/src/workflow/wf_commit.c
@@ -7,9 +7,14 @@
 #include "wf_leader.h"
 
 /* The store accepts 32 entries in a transaction: one compares the leader's
- * key, then each job has a comparison and a put, or up to three deletes. */
+ * key, then each job has a comparison and a put, or a comparison and up to three
+ * deletes. */
 #define JOBS_PER_WRITE 15
-#define DELETED_JOBS_PER_WRITE 10
+#define DELETED_JOBS_PER_WRITE 7
+/* Number of writes in one deletion of the records of ended jobs. */
+#define DELETING_WRITES_MAX 2
+/* Number of cancellations of jobs that were not submitted in one deletion. */
+#define DELETED_MARKS_MAX 10
 /* A write with several records is not larger than this: far below what the store
  * takes as a request, and a link of 2 Mbit/s carries it in 1.4 s. */
 #define WRITE_BYTES_MAX ((size_t)256 * 1024)
@@ -287,11 +292,20 @@
 	    COLLECT_SLACK_MS;
 }
 
+/* A job is deleted only while there is none with the next ordinal: a request
+ * finds that one by following the ordinals. */
 static void
 add_job_deletes(struct wf_write *w, const struct wf_job *j)
 {
+	const uint32_t ordinal = wf_job_id_ordinal(j->id);
 	char key[WF_KEY_MAX];
+	wf_job_id next;
 
+	if (ordinal + 1 < WF_JOBS_PER_ID) {
+		wf_job_id_make(next, j->id, ordinal + 1);
+		wf_table_make_key(key, 'j', next);
+		agb_store_op_add_cmp(&w->op, key, AGB_STORE_CMP_MOD_REV, 0);
+	}
 	wf_table_make_key(key, 'j', j->id);
 	agb_store_op_add_delete(&w->op, key, NULL);
 	wf_table_make_key(key, 'k', j->id);
@@ -314,6 +328,44 @@
 	agb_store_op_add_delete(&w->op, key, NULL);
 }
 
+static bool
+job_expired(const struct wf_job *j, int64_t before)
+{
+	return wf_job_state_is_final(j->state) && j->exec == NULL &&
+	    j->ended_ms <= before;
+}
+
+/* Whether the records of a job can be deleted. Those of jobs with the same digits
+ * are kept until all of them have expired, which also keeps the numbers of their
+ * runs apart, and are deleted in reverse order of their ordinals. */
+static bool
+is_deletable(struct wf_leader *l, const struct wf_job *j, int64_t before)
+{
+	const uint32_t ordinal = wf_job_id_ordinal(j->id);
+	const struct wf_job *other;
+	uint32_t i;
+
+	if (!job_expired(j, before) || j->delete_refused)
+		return false;
+	for (i = 0; j->shares_id && i < WF_JOBS_PER_ID; i++) {
+		other = wf_table_namesake(l->table, j->id, i);
+		if (other == NULL || other == j)
+			continue;
+		if (i > ordinal || !job_expired(other, before))
+			return false;
+	}
+	return true;
+}
+
+static void
+send_deletes(struct wf_leader *l, const struct wf_now *now, struct wf_write *w,
+    size_t jobs, struct wf_effects *out)
+{
+	w->deletes_jobs = true;
+	write_send(l, now, w, out);
+	wf_effects_log(out, AGB_LOG_INFO, "collect", "jobs=%zu", jobs);
+}
+
 /* Deletes the records of jobs whose state need not be kept any longer. */
 static void
 delete_expired_jobs(
@@ -321,24 +373,47 @@
 {
 	const int64_t before = expired_before_ms(l, now);
 	struct wf_write *w = NULL;
+	size_t writes = 0, n = 0;
 	const struct wf_job *j;
-	size_t n = 0;
 
-	for (j = l->table->jobs; j != NULL && n < DELETED_JOBS_PER_WRITE;
+	for (j = l->table->jobs; j != NULL && writes < DELETING_WRITES_MAX;
 	     j = j->hh.next) {
-		if (!wf_job_state_is_final(j->state) || j->exec != NULL ||
-		    j->ended_ms > before)
+		if (!is_deletable(l, j, before))
 			continue;
 		if (w == NULL)
 			w = write_new(l);
 		add_job_deletes(w, j);
-		n++;
+		if (++n < DELETED_JOBS_PER_WRITE)
+			continue;
+		send_deletes(l, now, w, n, out);
+		writes++;
+		w = NULL;
+		n = 0;
+	}
+	if (w != NULL)
+		send_deletes(l, now, w, n, out);
+}
+
+/* Handles a deletion whose conditions did not hold: the jobs that are followed by
+ * one with the next ordinal are kept. */
+static void
+note_refused_deletes(struct wf_leader *l, const struct agb_store_result *res)
+{
+	struct wf_job *j;
+	char key[WF_KEY_MAX];
+	wf_job_id next;
+	size_t i;
+
+	for (j = l->table->jobs; j != NULL; j = j->hh.next) {
+		if (!wf_job_state_is_final(j->state) || j->exec != NULL)
+			continue;
+		wf_job_id_make(next, j->id, wf_job_id_ordinal(j->id) + 1);
+		wf_table_make_key(key, 'j', next);
+		for (i = 0; i < res->kvs_len; i++) {
+			if (strcmp(res->kvs[i].key, key) == 0)
+				j->delete_refused = true;
+		}
 	}
-	if (w == NULL)
-		return;
-	w->deletes_jobs = true;
-	write_send(l, now, w, out);
-	wf_effects_log(out, AGB_LOG_INFO, "collect", "jobs=%zu", n);
 }
 
 /* Deletes the cancellations of jobs that have not been submitted: no submission
@@ -353,7 +428,7 @@
 	struct wf_write *w;
 	size_t n = 0;
 
-	for (j = l->table->jobs; j != NULL && n < DELETED_JOBS_PER_WRITE;
+	for (j = l->table->jobs; j != NULL && n < DELETED_MARKS_MAX;
 	     j = j->hh.next) {
 		if (!wf_job_is_cancel_mark(j) || j->cancelled_ms > before)
 			continue;
@@ -704,6 +779,8 @@
 	l->write_time_us -= l->write_time_us / WRITE_TIME_SMOOTHING;
 	l->write_time_us += (now->mono - sent_at) / WRITE_TIME_SMOOTHING;
 	if (w->deletes_jobs) {
+		if (!res->succeeded)
+			note_refused_deletes(l, res);
 		write_free(l, w);
 		return true;
 	}
--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -340,6 +340,7 @@
 	log_shared_keys(doc, out);
 	doc->compared = &c->meter.total.queues_compared;
 	c->doc = doc;
+	wf_front_set_doc(c->front, doc);
 	if (c->leader != NULL)
 		wf_leader_set_doc(c->leader, doc);
 	wf_doc_free(old);
--- a/src/workflow/wf_dispatch_candidates.c
+++ b/src/workflow/wf_dispatch_candidates.c
@@ -272,19 +272,23 @@
 	return best_len;
 }
 
-/* First candidate with room. The runner on which the task has failed last is
- * chosen only when no other has room. @t is NULL for a task that has never been
- * assigned. */
+/* First candidate with room for a task of a unit. The runner on which the task
+ * has failed last is chosen only when no other has room, and one that has a task
+ * of another job with the same name not at all. */
 static struct candidate *
-pick_candidate(struct candidate *list, size_t len, const struct wf_task *t)
+pick_candidate(const struct wf_leader *l, const struct wf_unit *u,
+    uint32_t task, struct candidate *list, size_t len)
 {
+	/* NULL for a task that has never been assigned. */
+	const struct wf_task *const t = wf_unit_find_task(u, task);
 	const uint32_t avoid = t != NULL ? t->avoid_runner : WF_NO_HANDLE;
 	struct candidate *second;
 	size_t i;
 
 	second = NULL;
 	for (i = 0; i < len; i++) {
-		if (list[i].fit == 0)
+		if (list[i].fit == 0 ||
+		    wf_unit_name_taken(l, u, task, list[i].runner))
 			continue;
 		if (list[i].runner != avoid)
 			return &list[i];
@@ -294,18 +298,49 @@
 	return second;
 }
 
+/* Whether each waiting member of a gang finds a candidate. The room alone does not
+ * show that for a job that shares its id with another one. */
+static bool
+gang_finds_candidates(const struct dispatch_pass *p, const struct wf_unit *u,
+    const struct candidate *list, size_t len)
+{
+	struct candidate *copy, *c;
+	bool found = true;
+	uint32_t i;
+
+	if (!u->exec->job->shares_id || len == 0)
+		return true;
+	copy = agb_xcalloc(len, sizeof(*copy));
+	memcpy(copy, list, len * sizeof(*copy));
+	for (i = u->waiting_from; i < u->tasks_len && found; i++) {
+		if (!wf_unit_is_waiting(u, i))
+			continue;
+		c = pick_candidate(p->l, u, i, copy, len);
+		found = c != NULL;
+		if (found)
+			c->fit--;
+	}
+	free(copy);
+	return found;
+}
+
 void
 dispatch_place_tasks(const struct dispatch_pass *p, struct wf_unit *u,
     struct candidate *list, size_t len)
 {
 	const struct wf_step *const step = wf_unit_step(u);
 	/* Gang members that are assigned again join the run of the others. */
-	const uint32_t gang_run = u->active > 0 ? u->run : u->run + 1;
+	const uint32_t gang_run =
+	    u->active > 0 ? u->run : wf_unit_next_run(p->l, u, u->run);
 	uint32_t left = dispatch_account_room(p, u);
 	struct wf_task *t;
+	/* A task of a job that shares its id may find none where others do. */
+	uint32_t first_left = WF_NO_HANDLE;
 	struct candidate *c;
 	uint32_t i;
 
+	if (step->gang && !gang_finds_candidates(p, u, list, len))
+		return;
 	for (i = u->waiting_from; i < u->tasks_len; i++) {
 		if (!wf_unit_is_waiting(u, i))
 			continue;
@@ -314,15 +349,20 @@
 			break;
 		if (left == 0)
 			break;
-		c = pick_candidate(list, len, wf_unit_find_task(u, i));
+		c = pick_candidate(p->l, u, i, list, len);
+		if (c == NULL && u->exec->job->shares_id &&
+		    first_left == WF_NO_HANDLE)
+			first_left = i;
+		if (c == NULL && u->exec->job->shares_id)
+			continue;
 		if (c == NULL)
 			break;
 		left--;
 		c->fit--;
 		t = wf_unit_task(u, i);
 		wf_task_assign(p->l, p->now, u, t, c->runner,
-		    step->gang ? gang_run : t->run + 1);
+		    step->gang ? gang_run : wf_unit_next_run(p->l, u, t->run));
 		p->run_ends[c->runner].valid = false;
 	}
-	u->waiting_from = i;
+	u->waiting_from = first_left != WF_NO_HANDLE ? first_left : i;
 }
--- a/src/workflow/wf_doc.c
+++ b/src/workflow/wf_doc.c
@@ -1,7 +1,9 @@
 #include "wf_doc.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "mem.h"
 
@@ -206,6 +208,64 @@
 	doc->routes_len = n;
 }
 
+/* Tag of a host, in any case, and a prefix; never 0. */
+static uint32_t
+route_tag(const struct wf_queue *q)
+{
+	char text[2 * WF_HOST_LEN];
+	const size_t host_len = strlen(q->host);
+	const size_t prefix_len = strlen(q->path_prefix);
+	uint32_t tag;
+	size_t i;
+
+	for (i = 0; i < host_len; i++)
+		text[i] = (char)tolower((unsigned char)q->host[i]);
+	/* The NUL separates them. */
+	text[host_len] = '\0';
+	memcpy(text + host_len + 1, q->path_prefix, prefix_len);
+	tag = XXH32(text, host_len + 1 + prefix_len, 0) &
+	    (((uint32_t)1 << WF_ROUTE_TAG_BITS) - 1);
+	return tag != 0 ? tag : 1;
+}
+
+static int
+compare_tags(const void *pa, const void *pb)
+{
+	const struct wf_queue *const a = *(struct wf_queue *const *)pa;
+	const struct wf_queue *const b = *(struct wf_queue *const *)pb;
+
+	return (a->route_tag > b->route_tag) - (a->route_tag < b->route_tag);
+}
+
+/* Sets the tags of the routes. Those that two routes would share are left out:
+ * a job is then found by the name of its queue only. */
+static void
+set_route_tags(struct wf_doc *doc)
+{
+	struct wf_queue **const list =
+	    agb_xcalloc(doc->routes_len + 1, sizeof(struct wf_queue *));
+	size_t i, k;
+
+	for (i = 0; i < doc->routes_len; i++) {
+		list[i] = &doc->queues[doc->routes[i].queue - doc->queues];
+		list[i]->route_tag = route_tag(list[i]);
+	}
+	if (doc->routes_len > 1)
+		qsort(list, doc->routes_len, sizeof(struct wf_queue *),
+		    compare_tags);
+	for (i = 0; i < doc->routes_len; i = k) {
+		for (k = i + 1; k < doc->routes_len &&
+		     list[k]->route_tag == list[i]->route_tag;
+		     k++)
+			continue;
+		if (k == i + 1)
+			continue;
+		for (; i < k; i++)
+			list[i]->route_tag = 0;
+	}
+	free(list);
+}
+
 void
 wf_doc_free_index(struct wf_doc *doc)
 {
@@ -226,6 +286,7 @@
 	wf_doc_free_index(doc);
 	index_names(doc);
 	index_routes(doc);
+	set_route_tags(doc);
 	index_accounts(doc);
 	index_keys(doc);
 }
--- a/src/workflow/wf_doc.h
+++ b/src/workflow/wf_doc.h
@@ -10,6 +10,9 @@
 #include "types.h"
 
 #define WF_HOST_LEN 256
+/* The leader sends the tag of a job's route together with its state, which takes
+ * the other bits of 32. */
+#define WF_ROUTE_TAG_BITS 24
 
 /**
  * struct wf_queue - queue of the configuration document
@@ -24,6 +27,9 @@
  * @advice_per_runner_ms: added to @advice_base_ms for each runner in the call
  * @ticket_valid_ms: lifetime of an approval ticket
  * @is_public: its callers need no key of a client account
+ * @route_tag: number of at most WF_ROUTE_TAG_BITS bits that names its host and
+ *	prefix, whichever name it has; 0 when another route of the document would
+ *	have the same
  */
 struct wf_queue {
 	agb_id name;
@@ -40,6 +46,7 @@
 	double advice_per_runner_ms;
 	uint32_t ticket_valid_ms;
 	bool is_public;
+	uint32_t route_tag;
 };
 
 /* Longest key of a client account. */
--- a/src/workflow/wf_event.h
+++ b/src/workflow/wf_event.h
@@ -11,7 +11,7 @@
 #include "effect.h"
 #include "store.h"
 #include "wf_doc.h"
-#include "wf_types.h"
+#include "wf_job_id.h"
 
 /* Maximum number of runners in one request to the advice service. */
 #define WF_ADVICE_RUNNERS_MAX 100
--- a/src/workflow/wf_fleet_start.c
+++ b/src/workflow/wf_fleet_start.c
@@ -37,6 +37,8 @@
 		wf_fleet_exclude(r, now->mono, EXCLUDE_BUSY_MS);
 	} else if (res->status == WF_ORDER_INVALID) {
 		wf_fleet_exclude(r, now->mono, EXCLUDE_UNANSWERED_MS);
+	} else if (res->status == WF_ORDER_OLD) {
+		wf_unit_note_old(u, t);
 	}
 	wf_task_requeue(l, now, u, t, why[res->status], out);
 }
@@ -55,6 +57,7 @@
 		return;
 	if (res->status == WF_ORDER_OK) {
 		wf_exec_mark_running(l, u->exec);
+		u->run_step = 0;
 		if (t->state == WF_TASK_SENT && origin == ORIGIN_CURRENT) {
 			wf_meter_count(l->meter, WF_TALLY_CONFIRMED);
 			t->state = WF_TASK_RUNNING;
--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -29,6 +29,9 @@
 /* Answers are sent this long before the deadline, so that they reach the client
  * before it gives up. */
 #define ANSWER_MARGIN_MS 100
+/* Number of keys that one request looks at or writes to: the jobs with the same
+ * digits, and some of them again when they change meanwhile. */
+#define KEYS_TRIED_MAX (2 * WF_JOBS_PER_ID)
 /* Set in the tags of this module; never set in the tags of the leader. */
 #define FRONT_TAG ((uint64_t)1 << 63)
 
@@ -76,6 +79,12 @@
 	free(f);
 }
 
+void
+wf_front_set_doc(struct wf_front *f, const struct wf_doc *doc)
+{
+	f->doc = doc;
+}
+
 void
 wf_front_set_knowledge(
     struct wf_front *f, const struct wf_front_knowledge *known)
@@ -113,14 +122,14 @@
 	return f->calls_len;
 }
 
-/* Gets the job id from the last component of a path. */
+/* Gets the digits of a job's id from the last component of a path. */
 static bool
 parse_job_id(const struct wf_queue *q, const char *path, wf_job_id id)
 {
 	const char *const rest = path + strlen(q->path_prefix);
 
-	if (strlen(rest) != WF_JOB_ID_LEN - 1 ||
-	    strspn(rest, "0123456789abcdefABCDEF") != WF_JOB_ID_LEN - 1)
+	if (strlen(rest) != WF_JOB_DIGITS ||
+	    strspn(rest, "0123456789abcdefABCDEF") != WF_JOB_DIGITS)
 		return false;
 	agb_str_copy(id, WF_JOB_ID_LEN, rest);
 	return true;
@@ -130,7 +139,11 @@
 static void
 make_record_key(const struct wf_front_call *w, char key[WF_KEY_MAX])
 {
-	wf_table_make_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', w->job);
+	wf_job_id id;
+
+	wf_job_id_make(id, w->job,
+	    w->unless_submitted ? w->last_ordinal : wf_job_id_ordinal(w->job));
+	wf_table_make_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', id);
 }
 
 static void
@@ -159,18 +172,16 @@
 	ef->tag = w->tag;
 	ef->timeout_ms = STORE_TIMEOUT_MS;
 	if (w->reading) {
-		wf_table_make_key(
-		    key, w->read_state && !w->read_owner ? 's' : 'j', w->job);
+		wf_table_make_key(key, w->read_state ? 's' : 'j', w->job);
 		agb_store_op_init_range(&ef->u.store, key, NULL, 1);
 		return;
 	}
+	if (w->kind == WF_CALL_SUBMIT || w->unless_submitted) {
+		wf_front_init_put(f, w, &ef->u.store);
+		return;
+	}
 	make_record_key(w, key);
 	wf_table_init_put(&ef->u.store, key, w->record, w->record_len);
-	if (w->no_owner) {
-		wf_table_make_key(key, 'j', w->job);
-		agb_store_op_add_cmp(
-		    &ef->u.store, key, AGB_STORE_CMP_MOD_REV, 0);
-	}
 }
 
 /* Returns a peer that responds, after skipping some. The leader comes first,
@@ -208,8 +219,8 @@
 
 	if (w->reading || p == NULL)
 		return false;
-	/* Peers do not add the condition that there is no submission. */
-	if (w->no_owner)
+	/* Peers add no conditions on other keys. */
+	if (w->unless_submitted || wf_front_put_spans_keys(f, w))
 		return false;
 	/* The outcome of an abandoned write is unknown. */
 	if (w->relay_tag != 0)
@@ -263,7 +274,9 @@
 	w->call_id = call->id;
 	w->kind = call->kind;
 	w->caller = r->caller;
-	agb_str_copy(w->job, sizeof(w->job), r->job);
+	agb_str_copy(w->job, sizeof(w->job), r->target.key);
+	w->previous_rev = r->target.previous_rev;
+	w->found = r->known != NULL;
 	w->started_at = now->mono;
 	w->deadline = now->mono + ms * AGB_MS;
 	w->relay_at = now->mono + relay_delay(f);
@@ -330,17 +343,29 @@
 	return true;
 }
 
+static void
+make_submission(const struct wf_front *f, const struct wf_now *now,
+    const struct wf_front_request *r, struct wf_spec *s)
+{
+	agb_str_copy(s->queue, sizeof(s->queue), r->queue->name);
+	if (r->caller.restricted)
+		agb_str_copy(s->account, sizeof(s->account), r->caller.account);
+	s->route_tag = r->caller.route_tag;
+	s->submitted_ms = now->unix_ms;
+	agb_str_copy(s->origin, sizeof(s->origin), f->rpc);
+}
+
 static void
 handle_submit(struct wf_front *f, const struct wf_now *now,
     const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const known = wf_table_job(f->table, r->job);
 	struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
-	if (known != NULL && known->spec_rev > 0) {
-		wf_front_reply_accepted(out, call->id, call->kind, r->job,
-		    "known", known->spec_rev, 0);
+	if (r->known != NULL && wf_front_submission_rev(r->known) > 0) {
+		wf_front_reply_accepted(out, call->id, call->kind,
+		    r->target.key, "known", wf_front_submission_rev(r->known),
+		    0);
 		return;
 	}
 	if (call->spec == NULL) {
@@ -349,25 +374,16 @@
 		return;
 	}
 	w = waiting_add(f, now, r);
-	if (wf_account_excludes(
-		wf_doc_account(r->doc, r->caller.account), call->spec)) {
-		w->refused_limit = true;
-		read_submission(f, w, out);
-		return;
-	}
-	if (!memory_suffices(f, call->spec)) {
-		w->refused_full = true;
+	w->refused_limit = wf_account_excludes(
+	    wf_doc_account(r->doc, r->caller.account), call->spec);
+	w->refused_full = !w->refused_limit && !memory_suffices(f, call->spec);
+	if (w->refused_limit || w->refused_full) {
 		read_submission(f, w, out);
 		return;
 	}
 	w->spec = call->spec;
 	call->spec = NULL;
-	agb_str_copy(w->spec->queue, sizeof(w->spec->queue), r->queue->name);
-	if (r->caller.restricted)
-		agb_str_copy(w->spec->account, sizeof(w->spec->account),
-		    r->caller.account);
-	w->spec->submitted_ms = now->unix_ms;
-	agb_str_copy(w->spec->origin, sizeof(w->spec->origin), f->rpc);
+	make_submission(f, now, r, w->spec);
 	w->record = wf_table_encode_spec(w->spec, &w->record_len);
 	if (w->record == NULL) {
 		wf_front_refuse(out, call->id, call->kind, 400, r->job,
@@ -375,7 +391,11 @@
 		waiting_free(f, w);
 		return;
 	}
-	send_first_write(f, now, w, out);
+	/* A state of the job has been pushed: it is stored. */
+	if (w->found)
+		read_submission(f, w, out);
+	else
+		send_first_write(f, now, w, out);
 }
 
 static void
@@ -389,12 +409,12 @@
 handle_get(struct wf_front *f, const struct wf_now *now,
     const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const j = wf_table_job(f->table, r->job);
-	const bool read_owner = wf_front_owner_missing(&r->caller, j);
+	const struct wf_job *const j = r->known;
+	const bool usable = j != NULL && !wf_front_owner_missing(&r->caller, j);
 	const struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
-	if (!read_owner && job_state_known(j) &&
+	if (usable && job_state_known(j) &&
 	    (f->known.states_current || f->store_silent ||
 		wf_job_state_is_final(j->state))) {
 		wf_front_reply_state(out, call->id, j);
@@ -408,41 +428,54 @@
 	 * be outdated. */
 	w = waiting_add(f, now, r);
 	w->reading = true;
-	w->read_owner = read_owner;
-	w->read_state = true;
+	w->read_state = usable;
 	send_store_op(f, w, out);
 }
 
+static void
+make_cancellation(
+    struct wf_front *f, const struct wf_now *now, struct wf_front_call *w)
+{
+	const struct wf_job *const j =
+	    w->found ? wf_table_job(f->table, w->job) : NULL;
+
+	free(w->record);
+	w->record = wf_table_format_cancellation(
+	    now->unix_ms, j != NULL ? j->route_tag : w->caller.route_tag);
+	w->record_len = strlen(w->record);
+}
+
 static void
 handle_cancel(struct wf_front *f, const struct wf_now *now,
     const struct wf_front_request *r, struct wf_effects *out)
 {
-	const struct wf_job *const j = wf_table_job(f->table, r->job);
-	const bool read_owner = wf_front_owner_missing(&r->caller, j);
+	const struct wf_job *const j = r->known;
+	const bool usable = j != NULL && !wf_front_owner_missing(&r->caller, j);
 	const struct wf_call *const call = r->call;
 	struct wf_front_call *w;
 
-	if (!read_owner && job_state_known(j) &&
+	if (usable && job_state_known(j) &&
 	    (j->cancel_rev > 0 || wf_job_state_is_final(j->state))) {
-		wf_front_reply_accepted(out, call->id, call->kind, r->job,
-		    "known", j->cancel_rev, 0);
+		wf_front_reply_accepted(out, call->id, call->kind,
+		    r->target.key, "known", j->cancel_rev, 0);
 		return;
 	}
-	if (read_owner && f->store_silent) {
+	if (!usable && f->store_silent) {
 		refuse_unknown(out, r);
 		return;
 	}
 	/* Also for a job that is not known: a write that submits it may still
 	 * be carried out, and must then find the cancellation. */
 	w = waiting_add(f, now, r);
-	w->record = agb_xasprintf("%" PRId64, now->unix_ms);
-	w->record_len = strlen(w->record);
-	if (!read_owner) {
+	w->unless_submitted = !usable;
+	if (usable)
+		w->previous_rev = 0;
+	make_cancellation(f, now, w);
+	/* The account of the job decides first. */
+	if (!usable && r->caller.restricted)
+		read_submission(f, w, out);
+	else
 		send_first_write(f, now, w, out);
-		return;
-	}
-	w->read_owner = true;
-	read_submission(f, w, out);
 }
 
 static void
@@ -497,8 +530,11 @@
 		    "the path does not end with a job id of 16 digits");
 		return;
 	}
-	if (wf_front_denies_known(&r.caller, wf_table_job(f->table, r.job)))
-		wf_front_refuse_owner(out, call->id, call->kind, r.job);
+	r.known = wf_front_find_job(f, &r.caller, r.job, &r.target);
+	if (wf_front_denies_known(&r.caller, r.known))
+		wf_front_refuse_owner(out, call->id, call->kind, r.target.key);
+	else if (r.target.key[0] == '\0')
+		wf_front_refuse_shared(out, call->id, call->kind, r.job);
 	else if (call->kind == WF_CALL_SUBMIT)
 		handle_submit(f, now, &r, out);
 	else if (call->kind == WF_CALL_GET)
@@ -507,41 +543,135 @@
 		handle_cancel(f, now, &r, out);
 }
 
-/* Handles the outcome of the write of a submission. Whether it was stored before
- * is read when it was written by a peer, which may be of a version that does not
- * tell.
- * @revision: that of the submission, or 0 when it is not stored
- * @before: the submission that was stored before, if the result has it
- * Return: the job when it was stored by this write. */
-static struct wf_job *
-on_submission_written(struct wf_front *f, const struct wf_now *now,
-    struct wf_front_call *w, bool written_by_peer, bool stored_now,
-    uint64_t revision, const struct agb_store_kv *before,
-    struct wf_effects *out)
+/* Goes on with a request whose key turned out to be that of another queue's job,
+ * or to be free: with the next key that its job may have. */
+static void
+try_next_key(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out)
 {
-	struct wf_job *j = NULL;
+	struct wf_front_target t;
+	const struct wf_job *const j =
+	    wf_front_find_job(f, &w->caller, w->job, &t);
 
-	if (!stored_now &&
-	    wf_front_must_read_stored(w, written_by_peer, revision, before)) {
-		w->maybe_stored = true;
-		read_submission(f, w, out);
-		return NULL;
-	}
-	if (before != NULL &&
-	    !wf_front_check_stored(f->table, w, before, out)) {
+	if (t.key[0] == '\0' || ++w->keys_tried > KEYS_TRIED_MAX) {
+		wf_front_refuse_shared(out, w->call_id, w->kind, w->job);
 		waiting_free(f, w);
-		return NULL;
-	}
-	if (stored_now) {
-		j = wf_table_put_spec(f->table, w->job, revision, w->spec);
-		w->spec = NULL;
+		return;
 	}
-	if (revision > 0)
+	/* Writes to the former key that are still in flight cannot succeed any
+	 * more. */
+	if (strcmp(w->job, t.key) != 0)
+		w->maybe_stored = false;
+	w->relay_tag = 0;
+	agb_str_copy(w->job, sizeof(w->job), t.key);
+	w->previous_rev = t.previous_rev;
+	w->found = j != NULL;
+	/* A state of the job has been pushed: it is stored. */
+	if (w->found && w->kind == WF_CALL_SUBMIT)
+		w->reading = true;
+	if (w->reading)
+		send_store_op(f, w, out);
+	else
+		send_first_write(f, now, w, out);
+}
+
+/* Goes on with a request that means a stored job: its queue and its account are
+ * known by now. */
+static void
+on_job_found(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_job *j, struct wf_effects *out)
+{
+	w->found = true;
+	w->previous_rev = 0;
+	if (wf_front_denies_known(&w->caller, j)) {
+		wf_front_refuse_owner(out, w->call_id, w->kind, w->job);
+	} else if (w->kind == WF_CALL_SUBMIT) {
 		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
-		    stored_now ? "stored" : "stored-before", revision,
+		    "stored-before", wf_front_submission_rev(j),
 		    now->mono - w->started_at);
-	else
+	} else if (w->kind == WF_CALL_CANCEL && w->cancel_rev > 0) {
+		j->cancel_rev = w->cancel_rev;
+		give_up(f, now, w, out);
+		return;
+	} else if (w->kind == WF_CALL_CANCEL) {
+		w->reading = false;
+		w->unless_submitted = false;
+		make_cancellation(f, now, w);
+		send_first_write(f, now, w, out);
+		return;
+	} else if (job_state_known(j) && f->known.states_current) {
+		wf_front_reply_state(out, w->call_id, j);
+	} else {
+		w->read_state = true;
+		send_store_op(f, w, out);
+		return;
+	}
+	waiting_free(f, w);
+}
+
+static void
+refuse_malformed(
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
+{
+	wf_front_refuse(
+	    out, w->call_id, w->kind, 503, w->job, "its record cannot be read");
+	waiting_free(f, w);
+}
+
+static void
+refuse_cancelled(
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
+{
+	if (w->kind == WF_CALL_SUBMIT)
 		wf_front_refuse_cancelled(out, w);
+	else
+		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
+		    "no such job is known");
+	waiting_free(f, w);
+}
+
+/* Goes on with a request once it is known what its key has. */
+static void
+on_keys_learned(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out)
+{
+	struct wf_front_target t;
+	struct wf_job *const j = wf_front_find_job(f, &w->caller, w->job, &t);
+
+	if (j != NULL && wf_front_submission_rev(j) > 0) {
+		agb_str_copy(w->job, sizeof(w->job), j->id);
+		on_job_found(f, now, w, j, out);
+	} else if (t.cancelled && w->kind != WF_CALL_GET) {
+		refuse_cancelled(f, w, out);
+	} else {
+		try_next_key(f, now, w, out);
+	}
+}
+
+/* Handles a write whose conditions did not hold: a job with its key is stored, or
+ * a cancellation is, or the job with the previous ordinal has gone. */
+static void
+on_write_conflict(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, const struct agb_store_result *res,
+    struct wf_effects *out)
+{
+	if (wf_front_learn(f, w, res))
+		on_keys_learned(f, now, w, out);
+	else
+		refuse_malformed(f, w, out);
+}
+
+/* Handles a submission that its write has stored. */
+static struct wf_job *
+on_submission_stored(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, uint64_t revision, struct wf_effects *out)
+{
+	struct wf_job *const j =
+	    wf_table_put_spec(f->table, w->job, revision, w->spec);
+
+	w->spec = NULL;
+	wf_front_reply_accepted(out, w->call_id, w->kind, w->job, "stored",
+	    revision, now->mono - w->started_at);
 	waiting_free(f, w);
 	return j;
 }
@@ -550,12 +680,18 @@
  * read unless it is known here.
  * Return: the job, or NULL when it is not known here. */
 static struct wf_job *
-on_cancellation_written(struct wf_front *f, const struct wf_now *now,
+on_cancellation_stored(struct wf_front *f, const struct wf_now *now,
     struct wf_front_call *w, uint64_t revision, struct wf_effects *out)
 {
 	struct wf_job *const j = wf_table_job(f->table, w->job);
 
 	w->cancel_rev = revision;
+	if (w->unless_submitted) {
+		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
+		    "no such job is known");
+		waiting_free(f, w);
+		return NULL;
+	}
 	if (!job_state_known(j)) {
 		read_submission(f, w, out);
 		return NULL;
@@ -567,118 +703,114 @@
 	return j;
 }
 
+/* Handles the result of a write.
+ * @by_peer: another instance made it, and tells the leader itself; it does not
+ *	tell which record kept its write from being carried out */
 static void
 on_written(struct wf_front *f, const struct wf_now *now,
-    struct wf_front_call *w, bool written_by_peer,
-    const struct agb_store_result *res, struct wf_job **changed_job,
-    struct wf_effects *out)
+    struct wf_front_call *w, bool by_peer, const struct agb_store_result *res,
+    struct wf_job **changed_job, struct wf_effects *out)
 {
 	uint64_t revision = res->revision;
 	char key[WF_KEY_MAX];
 
 	make_record_key(w, key);
-	if (!written_by_peer)
+	if (!by_peer)
 		revision = wf_table_stored_revision(res, key);
-	/* A peer that has written the record tells the leader itself. */
-	if (res->succeeded && !written_by_peer)
+	if (res->succeeded && !by_peer)
 		push_to_leader(f, w, revision, out);
-	if (w->no_owner && revision == 0) {
-		/* A submission, perhaps of another account, was stored since. */
-		w->read_owner = true;
+	if (w->kind == WF_CALL_CANCEL && revision > 0 &&
+	    (res->succeeded || !w->unless_submitted)) {
+		*changed_job = on_cancellation_stored(f, now, w, revision, out);
+	} else if (res->succeeded) {
+		*changed_job = on_submission_stored(f, now, w, revision, out);
+	} else if (by_peer) {
+		w->maybe_stored = true;
 		read_submission(f, w, out);
-		return;
+	} else {
+		on_write_conflict(f, now, w, res, out);
 	}
-	if (w->kind == WF_CALL_SUBMIT)
-		*changed_job = on_submission_written(f, now, w, written_by_peer,
-		    res->succeeded, revision,
-		    res->succeeded ? NULL : wf_table_stored_kv(res, key), out);
-	else
-		*changed_job =
-		    on_cancellation_written(f, now, w, revision, out);
 }
 
-/* Goes on with a request after the account of its job was read. A job that is
- * not stored has none; handle_cancel() tells why it is cancelled even so. */
+/* Handles that the store has no submission with the key of a request. */
 static void
-on_owner_read(struct wf_front *f, const struct wf_now *now,
-    struct wf_front_call *w, const struct agb_store_result *res,
-    struct wf_effects *out)
+on_no_submission(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out)
 {
-	const struct wf_job *const j = wf_table_job(f->table, w->job);
+	struct wf_job *const j = wf_table_job(f->table, w->job);
 
-	w->read_owner = false;
-	w->no_owner = res->kvs_len == 0;
-	if (res->kvs_len > 0 &&
-	    !wf_front_check_stored(f->table, w, &res->kvs[0], out)) {
-		waiting_free(f, w);
-	} else if (w->kind == WF_CALL_CANCEL) {
+	/* A job that was known has been deleted since. */
+	if (w->found && w->kind == WF_CALL_SUBMIT && w->record != NULL &&
+	    j != NULL && j->exec == NULL) {
+		wf_table_forget(f->table, j);
+		w->reading = false;
+		try_next_key(f, now, w, out);
+		return;
+	}
+	if (w->kind == WF_CALL_CANCEL && w->unless_submitted) {
 		w->reading = false;
 		send_first_write(f, now, w, out);
-	} else if (res->kvs_len == 0) {
+		return;
+	}
+	if (w->refused_full)
+		wf_front_refuse_full(out, w);
+	else if (w->refused_limit)
+		wf_front_refuse_limit(out, w);
+	else if (w->kind == WF_CALL_SUBMIT)
+		wf_front_refuse_cancelled(out, w);
+	else
 		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
 		    "no such job is known");
-		waiting_free(f, w);
-	} else if (job_state_known(j) && f->known.states_current) {
-		wf_front_reply_state(out, w->call_id, j);
-		waiting_free(f, w);
-	} else {
-		send_store_op(f, w, out);
-	}
+	waiting_free(f, w);
 }
 
-/* Processes a key that was read. The state has its own key; a job without one
- * may still be queued. */
+/* Handles the state that was read of a job that a GET means. A job without one is
+ * still queued. */
 static void
-on_read(struct wf_front *f, const struct wf_now *now, struct wf_front_call *w,
+on_state_read(struct wf_front *f, struct wf_front_call *w,
     const struct agb_store_result *res, struct wf_effects *out)
 {
 	struct wf_job *j;
 
-	if (w->read_owner) {
-		on_owner_read(f, now, w, res, out);
-		return;
-	}
 	if (res->kvs_len > 0)
 		wf_table_apply(f->table, &res->kvs[0]);
-	if (w->read_state && res->kvs_len == 0) {
+	j = wf_table_job(f->table, w->job);
+	if (j == NULL || (res->kvs_len == 0 && !w->submission_read)) {
 		w->read_state = false;
 		send_store_op(f, w, out);
 		return;
 	}
-	if (res->kvs_len == 0) {
-		if (w->refused_full)
-			wf_front_refuse_full(out, w);
-		else if (w->refused_limit)
-			wf_front_refuse_limit(out, w);
-		else if (w->kind == WF_CALL_SUBMIT)
-			wf_front_refuse_cancelled(out, w);
-		else
-			wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
-			    "no such job is known");
+	if (res->kvs_len == 0)
+		j->state_known = true;
+	if (job_state_known(j)) {
+		wf_front_reply_state(out, w->call_id, j);
 		waiting_free(f, w);
 		return;
 	}
-	j = wf_table_job(f->table, w->job);
-	if (w->kind == WF_CALL_SUBMIT) {
-		if (wf_front_check_stored(f->table, w, &res->kvs[0], out))
-			wf_front_reply_accepted(out, w->call_id, w->kind,
-			    w->job, "stored-before", res->kvs[0].mod_rev,
-			    now->mono - w->started_at);
-		waiting_free(f, w);
+	refuse_malformed(f, w, out);
+}
+
+static void
+on_read(struct wf_front *f, const struct wf_now *now, struct wf_front_call *w,
+    const struct agb_store_result *res, struct wf_effects *out)
+{
+	if (w->read_state) {
+		on_state_read(f, w, res, out);
 		return;
 	}
-	if (w->kind == WF_CALL_CANCEL) {
-		if (j != NULL)
-			j->cancel_rev = w->cancel_rev;
-		give_up(f, now, w, out);
+	if (res->kvs_len == 0) {
+		on_no_submission(f, now, w, out);
 		return;
 	}
-	if (job_state_known(j))
-		wf_front_reply_state(out, w->call_id, j);
-	else
-		wf_front_refuse(out, w->call_id, w->kind, 503, w->job,
-		    "its record cannot be read");
-	waiting_free(f, w);
+	if (!wf_front_learn(f, w, res)) {
+		refuse_malformed(f, w, out);
+		return;
+	}
+	w->submission_read = true;
+	/* A submission that is not stored with this key is written with the
+	 * next one. */
+	w->reading = w->kind != WF_CALL_SUBMIT || w->record == NULL;
+	on_keys_learned(f, now, w, out);
 }
 
 /* Handles a store operation that was rejected or not answered. */
@@ -691,7 +823,8 @@
 	if (w->kind == WF_CALL_GET) {
 		/* An outdated state is better than no answer. */
 		j = wf_table_job(f->table, w->job);
-		if (job_state_known(j) && !w->read_owner) {
+		if (w->found && job_state_known(j) &&
+		    !wf_front_owner_missing(&w->caller, j)) {
 			wf_front_reply_state(out, w->call_id, j);
 			waiting_free(f, w);
 			return;
--- a/src/workflow/wf_front.h
+++ b/src/workflow/wf_front.h
@@ -24,6 +24,11 @@
 
 void wf_front_free(struct wf_front *f);
 
+/**
+ * wf_front_set_doc() - replace the document in force
+ */
+void wf_front_set_doc(struct wf_front *f, const struct wf_doc *doc);
+
 /**
  * wf_front_handle_call() - process a client request
  * @doc: document in force, or NULL
--- a/src/workflow/wf_front_auth.c
+++ b/src/workflow/wf_front_auth.c
@@ -15,6 +15,7 @@
 	out->restricted = doc->keys_required;
 	out->is_public = q->is_public;
 	agb_str_copy(out->queue, sizeof(out->queue), q->name);
+	out->route_tag = q->route_tag;
 	if (!out->restricted || out->is_public)
 		return true;
 	a = wf_doc_account_by_key(doc, key);
@@ -29,8 +30,8 @@
 {
 	if (!c->restricted || s->account[0] == '\0')
 		return true;
-	/* Job ids are looked up without their queue: a public queue must not
-	 * open the jobs of others. */
+	/* A route that has become public must not open the jobs that were
+	 * submitted by it under another name. */
 	if (c->is_public)
 		return strcmp(c->queue, s->queue) == 0;
 	return strcmp(c->account, s->account) == 0;
--- a/src/workflow/wf_front_auth.h
+++ b/src/workflow/wf_front_auth.h
@@ -17,12 +17,14 @@
  * @restricted: the document asks for keys, so that not every job may be used
  * @is_public: the request came by a public queue, and no key was asked for
  * @queue: name of the queue that the request came by
+ * @route_tag: tag of the route that it came by, see struct wf_queue
  * @account: name of the account that the key belongs to; "" without a key
  */
 struct wf_caller {
 	bool restricted;
 	bool is_public;
 	agb_id queue;
+	uint32_t route_tag;
 	agb_id account;
 };
 
--- a/src/workflow/wf_front_internal.h
+++ b/src/workflow/wf_front_internal.h
@@ -5,15 +5,35 @@
  * DOC: wf_front_internal
  *
  * Shared by the files of the request handler: the requests that wait for the
- * store, the replies to clients (wf_front_reply.c), and the accounts of stored
- * jobs (wf_front_owner.c).
+ * store, the replies to clients (wf_front_reply.c), and which stored job a
+ * request means (wf_front_lookup.c).
  */
 
 #include "wf_front.h"
 #include "wf_front_auth.h"
 
+/**
+ * struct wf_front_target - key with which the job of a request is looked up
+ * @key: "" when all keys are those of other jobs
+ * @previous_rev: see struct wf_front_call
+ * @cancelled: a cancellation that keeps its submission from being stored is known
+ *	here
+ */
+struct wf_front_target {
+	wf_job_id key;
+	uint64_t previous_rev;
+	bool cancelled;
+};
+
 /**
  * struct wf_front_call - request that waits for the store
+ * @job: key of the job that it means or may mean
+ * @found: the job with that key is known to be the one that it means
+ * @previous_rev: revision of the submission with the previous ordinal, which a
+ *	write to @job depends on; 0 when its ordinal is 0
+ * @last_ordinal: a write depends on the keys from that of @job up to the one with
+ *	this ordinal, see wf_front_init_put()
+ * @keys_tried: number of keys that were looked at or written to
  * @tag: tag of the store operation in flight, or 0
  * @record: encoded record to write
  * @retry_at: when the write is repeated, or 0
@@ -22,10 +42,9 @@
  * @relays_tried: number of instances that were asked to write
  * @caller: on whose behalf the request is made
  * @reading: it reads the submission, or the state if @read_state is set
- * @read_owner: it reads the submission first, as the account of the job is not
- *	known here
- * @no_owner: there was no submission when it was read; a cancellation is stored
- *	only while that is so
+ * @submission_read: the submission with its present key has been read
+ * @unless_submitted: a cancellation is stored only while there is no submission
+ *	with its key
  * @maybe_stored: a write was sent whose outcome is unknown
  * @cancel_rev: revision of the cancellation that is stored, or 0
  * @refused_full: the accepted jobs leave no room for this submission; it is only
@@ -49,9 +68,13 @@
 	uint64_t relay_tag;
 	uint32_t relays_tried;
 	bool reading;
-	bool read_owner;
-	bool no_owner;
+	bool found;
+	uint64_t previous_rev;
+	uint32_t last_ordinal;
+	uint32_t keys_tried;
+	bool unless_submitted;
 	bool read_state;
+	bool submission_read;
 	bool maybe_stored;
 	uint64_t cancel_rev;
 	bool refused_full;
@@ -60,6 +83,9 @@
 
 /**
  * struct wf_front_request - request whose queue and caller are known
+ * @job: digits of its job
+ * @known: the job that it means, if that is known here
+ * @target: the key that it is looked up with otherwise
  */
 struct wf_front_request {
 	const struct wf_doc *doc;
@@ -67,10 +93,13 @@
 	struct wf_call *call;
 	struct wf_caller caller;
 	wf_job_id job;
+	struct wf_job *known;
+	struct wf_front_target target;
 };
 
 /**
  * struct wf_front - state of the request handler
+ * @doc: document in force, or NULL
  * @self, @rpc: name and address of this instance
  * @known: how up to date the table is
  * @memory_mb: memory that this process may use; 0 when unknown
@@ -81,6 +110,7 @@
  */
 struct wf_front {
 	struct wf_table *table;
+	const struct wf_doc *doc;
 	bool store_silent;
 	agb_time store_latency;
 	struct wf_front_knowledge known;
@@ -131,6 +161,13 @@
 void wf_front_refuse_limit(
     struct wf_effects *out, const struct wf_front_call *w);
 
+/**
+ * wf_front_refuse_shared() - reject a request as all keys for the digits of its
+ * job are those of jobs of other queues
+ */
+void wf_front_refuse_shared(struct wf_effects *out, uint64_t call_id,
+    enum wf_call_kind kind, const char *job);
+
 /**
  * wf_front_refuse_owner() - reject a request for a job of another account
  */
@@ -160,40 +197,66 @@
 void wf_front_reply_state(
     struct wf_effects *out, uint64_t call_id, const struct wf_job *j);
 
-/* ---- accounts of stored jobs ---- */
+/* ---- which job a request means ---- */
 
 /**
- * wf_front_owner_missing() - whether the account of a job has to be read before
- * a request goes on
- * @j: NULL for a job that is not known here
+ * wf_front_find_job() - find the job that a request means
+ * @digits: of its id, or the key of a job with them
+ * @t: set to the key of that job. If it is not known here, the first key that is
+ *	not known to be that of another queue's job: the job has this key or a
+ *	later one, or is not stored.
+ * Return: NULL when it is not known here.
  */
-bool wf_front_owner_missing(
-    const struct wf_caller *caller, const struct wf_job *j);
+struct wf_job *wf_front_find_job(struct wf_front *f,
+    const struct wf_caller *caller, const char *digits,
+    struct wf_front_target *t);
 
 /**
- * wf_front_denies_known() - whether a job is known here to be of another account
- * @j: NULL for a job that is not known here
+ * wf_front_submission_rev() - revision of the submission of a job
+ * Return: 0 when it is not known here to be stored.
  */
-bool wf_front_denies_known(
+uint64_t wf_front_submission_rev(const struct wf_job *j);
+
+/**
+ * wf_front_init_put() - make the write of a submission, or of a cancellation of a
+ * job that is not known here
+ *
+ * While its key has a cancellation for another route, a submission takes the key
+ * and moves that cancellation to the first free key after it, and a cancellation
+ * is written there itself. Submissions thus have the first of the keys, and the
+ * cancellations that may still have to keep one from being stored follow them.
+ */
+void wf_front_init_put(
+    struct wf_front *f, struct wf_front_call *w, struct agb_store_op *op);
+
+/**
+ * wf_front_put_spans_keys() - whether a write of wf_front_init_put() depends on
+ * more keys than its own
+ */
+bool wf_front_put_spans_keys(struct wf_front *f, const struct wf_front_call *w);
+
+/**
+ * wf_front_owner_missing() - whether the account of a job that a request means
+ * has to be read before the request goes on
+ */
+bool wf_front_owner_missing(
     const struct wf_caller *caller, const struct wf_job *j);
 
 /**
- * wf_front_check_stored() - compare the account of a stored submission with that
- * of the caller, and reject the request when they differ
- * @kv: the submission as read from the store
- * Return: false when the request was rejected; @w is then still listed.
+ * wf_front_learn() - note the submission that was read, or what kept a write of
+ * wf_front_init_put() from being carried out
+ * Return: false when a submission is malformed.
  */
-bool wf_front_check_stored(struct wf_table *t, const struct wf_front_call *w,
-    const struct agb_store_kv *kv, struct wf_effects *out);
+bool wf_front_learn(struct wf_front *f, const struct wf_front_call *w,
+    const struct agb_store_result *res);
+
+/* ---- accounts of stored jobs ---- */
 
 /**
- * wf_front_must_read_stored() - whether a submission that was stored before has
- * to be read to learn what its write did not tell
- * @by_peer: another instance made the write; it tells at most the revision
- * @revision: that of the stored submission, or 0 when it is not known to exist
- * @before: the stored submission, if the result of the write had it
+ * wf_front_denies_known() - whether a job is known here to be of another account
+ * @j: NULL for a job that is not known here
  */
-bool wf_front_must_read_stored(const struct wf_front_call *w, bool by_peer,
-    uint64_t revision, const struct agb_store_kv *before);
+bool wf_front_denies_known(
+    const struct wf_caller *caller, const struct wf_job *j);
 
 #endif
--- a/src/workflow/wf_front_reply.c
+++ b/src/workflow/wf_front_reply.c
@@ -67,6 +67,14 @@
 	    "a task or a gang needs more than the limit of its account");
 }
 
+void
+wf_front_refuse_shared(struct wf_effects *out, uint64_t call_id,
+    enum wf_call_kind kind, const char *job)
+{
+	add_refusal(out, call_id, kind, 503, RETRY_AFTER_FULL_S, job,
+	    "too many jobs of other queues have this id");
+}
+
 void
 wf_front_refuse_owner(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, const char *job)
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -404,6 +404,38 @@
 void wf_runner_account_task(
     struct wf_runner *r, const struct wf_step *step, bool add);
 
+/**
+ * wf_job_note_run() - note the number of a run of a job's tasks
+ */
+void wf_job_note_run(struct wf_job *j, uint32_t run);
+
+/**
+ * wf_unit_next_run() - number of the next run of a task of a unit
+ * @after: highest number of its runs so far
+ */
+uint32_t wf_unit_next_run(
+    const struct wf_leader *l, const struct wf_unit *u, uint32_t after);
+
+/**
+ * wf_unit_note_old() - note that a runner has rejected the run of a task as old
+ *
+ * It has ended a later run of a task with the same name: of a job with the same
+ * id, which may have been deleted by now. How much later is not known, and the
+ * numbers of the unit rise in growing steps.
+ */
+void wf_unit_note_old(struct wf_unit *u, const struct wf_task *t);
+
+/**
+ * wf_unit_name_taken() - whether a runner has or may have a task with the same
+ * name that belongs to another job
+ *
+ * It gets no second one: an order to stop a run may end lower ones as well.
+ *
+ * @task: index in the unit
+ */
+bool wf_unit_name_taken(const struct wf_leader *l, const struct wf_unit *u,
+    uint32_t task, uint32_t runner);
+
 /**
  * wf_exec_open() - find an occurrence, which is opened if it is not open
  * Return: its units.
--- a/src/workflow/wf_outbox.c
+++ b/src/workflow/wf_outbox.c
@@ -564,6 +564,10 @@
 	if (o->kind != WF_ORDER_START || j == NULL || j->exec == NULL ||
 	    j->spec.origin[0] == '\0' || lacks_payload(j->exec, relay))
 		return;
+	/* A relay of an earlier version would take the payload of the first job
+	 * with the same id. */
+	if (wf_job_id_ordinal(j->id) > 0)
+		return;
 	agb_str_copy(o->origin, sizeof(o->origin), j->spec.origin);
 	free(o->payload);
 	o->payload = NULL;
--- a/src/workflow/wf_record.x
+++ b/src/workflow/wf_record.x
@@ -38,8 +38,13 @@
 	string image<WF_X_NAME_MAX>;
 };
 
+/* Marks a period that is the tag of a route, in the lower bits. */
+const WF_X_ROUTE_MARK = 0xff000000;
+
 /* submitted_ms and first_ms are Unix times in milliseconds. times is the number
- * of occurrences. home is the address of the instance that accepted the job, at
+ * of occurrences. A job that runs once, without first_ms, has no use for a
+ * period: period_ms then is the tag of the route by which it was submitted, with
+ * WF_X_ROUTE_MARK; earlier versions ignore it. home is the address of the instance that accepted the job, at
  * which other instances can get its spec. */
 struct wf_x_job {
 	string queue<WF_X_NAME_MAX>;
@@ -52,13 +57,19 @@
 	string home<WF_X_NAME_MAX>;
 };
 
-/* Follows the record of a job that belongs to an account. Jobs without an
- * account, and records of earlier versions, end without it; earlier versions
- * ignore it. */
+/* Follows the record of a job. account is "" for a job without an account.
+ * Records of earlier versions may end without it; earlier versions ignore it. */
 struct wf_x_job_owner {
 	string account<WF_X_NAME_MAX>;
 };
 
+/* Follows the owner of a job whose period has a use: the tag of the route by which
+ * it was submitted. Records of earlier versions end without it; earlier versions
+ * ignore it. */
+struct wf_x_job_route {
+	unsigned int tag;
+};
+
 /* Checkpoint of a task that has been started and is not done. */
 struct wf_x_saved {
 	unsigned int index;
--- a/src/workflow/wf_show.c
+++ b/src/workflow/wf_show.c
@@ -77,6 +77,7 @@
 void
 wf_show_add_state(struct wf_leader *l, const char *job, enum wf_job_state state)
 {
+	const struct wf_job *const j = wf_table_job(l->table, job);
 	struct wf_show *const s = &l->show;
 	struct wf_show_state *entry;
 
@@ -85,6 +86,7 @@
 		    agb_xgrow(s->states, &s->states_cap, sizeof(*s->states));
 	entry = &s->states[s->states_len++];
 	agb_str_copy(entry->job, sizeof(entry->job), job);
+	entry->route_tag = j != NULL ? j->route_tag : 0;
 	entry->state = state;
 }
 
@@ -92,9 +94,8 @@
 make_state_record(struct wf_record *r, const struct wf_show_state *s)
 {
 	wf_table_make_key(r->key, 'v', s->job);
-	r->val = agb_xcalloc(1, 1);
-	r->val[0] = (char)s->state;
-	r->len = 1;
+	r->val = agb_xcalloc(1, WF_PUSHED_STATE_MAX);
+	r->len = wf_table_encode_pushed_state(r->val, s->state, s->route_tag);
 }
 
 static struct wf_effect *
--- a/src/workflow/wf_show.h
+++ b/src/workflow/wf_show.h
@@ -19,9 +19,10 @@
 /* Marks the tags of pushes that are acknowledged. */
 #define WF_SHOW_TAG ((uint64_t)1 << 57)
 
-/* State of a job that has to be pushed. */
+/* State of a job that has to be pushed, and tag of its route. */
 struct wf_show_state {
 	wf_job_id job;
+	uint32_t route_tag;
 	enum wf_job_state state;
 };
 
--- a/src/workflow/wf_state.c
+++ b/src/workflow/wf_state.c
@@ -66,6 +66,7 @@
     struct wf_task *t, const struct packed_task *x, const struct wf_x_state *st)
 {
 	t->run = x->run;
+	wf_job_note_run(u->exec->job, x->run);
 	t->failures = x->failures;
 	if (x->run > u->run)
 		u->run = x->run;
--- a/src/workflow/wf_table.c
+++ b/src/workflow/wf_table.c
@@ -1,6 +1,8 @@
 #include "wf_table.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +11,8 @@
 
 /* An instance that has not answered pings for this long is not called. */
 #define PEER_SILENT_MS 1700
+/* Size of the text of a cancellation. */
+#define CANCELLATION_SIZE 24
 
 static const struct {
 	unsigned flag;
@@ -238,32 +242,66 @@
 		    (x->flags & step_flags[i].flag) != 0;
 }
 
-/* Appends the account to the record of a job, unless it has none. */
+/* Whether a job has no use for a period. */
+static bool
+runs_once(const struct wf_spec *s)
+{
+	return s->start_at_ms == 0 && s->repeat_count == 1;
+}
+
+/* Appends the account and the route to the record of a job, unless it has no
+ * account and its period holds the route. */
 static char *
 append_owner(const struct wf_spec *s, char *raw, size_t *len)
 {
-	struct wf_x_job_owner x = {.account = (char *)(uintptr_t)s->account};
+	struct wf_x_job_owner owner = {
+	    .account = (char *)(uintptr_t)s->account};
+	struct wf_x_job_route route = {.tag = s->route_tag};
+	const bool has_route = s->route_tag != 0 && !runs_once(s);
 
-	if (s->account[0] == '\0')
+	if (s->account[0] == '\0' && !has_route)
 		return raw;
-	return wf_table_append(raw, len, (xdrproc_t)xdr_wf_x_job_owner, &x);
+	raw = wf_table_append(raw, len, (xdrproc_t)xdr_wf_x_job_owner, &owner);
+	if (raw == NULL || !has_route)
+		return raw;
+	return wf_table_append(raw, len, (xdrproc_t)xdr_wf_x_job_route, &route);
+}
+
+/* Reads the route that follows the owner of a job, if there is one. */
+static bool
+decode_route(const char *raw, size_t len, struct wf_spec *s)
+{
+	struct wf_x_job_route x = {0};
+
+	if (len == 0)
+		return true;
+	if (!decode((xdrproc_t)xdr_wf_x_job_route, raw, len, &x))
+		return false;
+	s->route_tag = x.tag;
+	return true;
 }
 
-/* Reads the account that follows the record of a job. Returns false when what
- * follows is malformed: the job must not pass for one without an account. */
+/* Reads the account and the route that follow the record of a job. Returns false
+ * when what follows is malformed: the job must not pass for one without an
+ * account. */
 static bool
 decode_owner(
     struct wf_x_job *job, const char *raw, size_t len, struct wf_spec *s)
 {
 	const size_t at = xdr_sizeof((xdrproc_t)xdr_wf_x_job, job);
 	struct wf_x_job_owner x = {0};
+	size_t owner_len;
 	bool ok;
 
 	if (len <= at)
 		return true;
 	ok = decode((xdrproc_t)xdr_wf_x_job_owner, raw + at, len - at, &x);
-	if (ok)
+	if (ok) {
 		agb_str_copy(s->account, sizeof(s->account), x.account);
+		owner_len = xdr_sizeof((xdrproc_t)xdr_wf_x_job_owner, &x);
+		ok =
+		    decode_route(raw + at + owner_len, len - at - owner_len, s);
+	}
 	xdr_free((xdrproc_t)xdr_wf_x_job_owner, (char *)&x);
 	return ok;
 }
@@ -280,6 +318,9 @@
 	x.submitted_ms = s->submitted_ms;
 	x.first_ms = s->start_at_ms;
 	x.period_ms = s->period_ms;
+	if (runs_once(s))
+		x.period_ms =
+		    s->route_tag != 0 ? WF_X_ROUTE_MARK | s->route_tag : 0;
 	x.times = s->repeat_count;
 	x.home = (char *)(uintptr_t)s->origin;
 	x.spec.spec_val = s->payload;
@@ -330,6 +371,11 @@
 	s->start_at_ms = x.first_ms;
 	s->period_ms = x.period_ms;
 	s->repeat_count = x.times;
+	if (runs_once(s) &&
+	    (x.period_ms & WF_X_ROUTE_MARK) == WF_X_ROUTE_MARK) {
+		s->route_tag = x.period_ms & ~WF_X_ROUTE_MARK;
+		s->period_ms = 0;
+	}
 	agb_str_copy(s->origin, sizeof(s->origin), x.home);
 	s->payload = agb_xmemdup(x.spec.spec_val, x.spec.spec_len);
 	s->payload_len = x.spec.spec_len;
@@ -345,10 +391,37 @@
 	return ok;
 }
 
+struct wf_job *
+wf_table_job(struct wf_table *t, const char *id)
+{
+	struct wf_job *j;
+
+	HASH_FIND_STR(t->jobs, id, j);
+	return j;
+}
+
+struct wf_job *
+wf_table_namesake(struct wf_table *t, const char *id, uint32_t ordinal)
+{
+	wf_job_id key;
+
+	wf_job_id_make(key, id, ordinal);
+	return wf_table_job(t, key);
+}
+
 static void
 job_free(struct wf_table *t, struct wf_job *j)
 {
+	const uint32_t ordinal = wf_job_id_ordinal(j->id);
+	struct wf_job *previous;
+
 	HASH_DEL(t->jobs, j);
+	if (ordinal > 0) {
+		t->further_jobs--;
+		previous = wf_table_namesake(t, j->id, ordinal - 1);
+		if (previous != NULL)
+			previous->delete_refused = false;
+	}
 	wf_spec_free(&j->spec);
 	free(j->state_record);
 	free(j);
@@ -378,13 +451,23 @@
 	wf_known_counts_free(&t->counts);
 }
 
-struct wf_job *
-wf_table_job(struct wf_table *t, const char *id)
+/* Notes which jobs share their digits once a new one is in the table. */
+static void
+note_namesakes(struct wf_table *t, struct wf_job *j)
 {
-	struct wf_job *j;
+	struct wf_job *other;
+	uint32_t i;
 
-	HASH_FIND_STR(t->jobs, id, j);
-	return j;
+	t->further_jobs += wf_job_id_ordinal(j->id) > 0;
+	if (t->further_jobs == 0)
+		return;
+	for (i = 0; i < WF_JOBS_PER_ID; i++) {
+		other = wf_table_namesake(t, j->id, i);
+		if (other == NULL || other == j)
+			continue;
+		other->shares_id = true;
+		j->shares_id = true;
+	}
 }
 
 static struct wf_job *
@@ -398,9 +481,38 @@
 	j = agb_xcalloc(1, sizeof(*j));
 	agb_str_copy(j->id, sizeof(j->id), id);
 	HASH_ADD_STR(t->jobs, id, j);
+	note_namesakes(t, j);
 	return j;
 }
 
+void
+wf_table_forget(struct wf_table *t, struct wf_job *j)
+{
+	if (j->exec == NULL)
+		job_free(t, j);
+}
+
+/* Drops a cancellation that is meant for a job of another route. */
+static void
+drop_foreign_cancellation(struct wf_job *j)
+{
+	if (j->cancel_tag == 0 || j->route_tag == 0 ||
+	    j->cancel_tag == j->route_tag)
+		return;
+	j->cancel_rev = 0;
+	j->cancelled_ms = 0;
+	j->cancel_tag = 0;
+}
+
+static void
+set_route_tag(struct wf_job *j, uint32_t route_tag)
+{
+	if (route_tag == 0)
+		return;
+	j->route_tag = route_tag;
+	drop_foreign_cancellation(j);
+}
+
 struct wf_job *
 wf_table_put_spec(
     struct wf_table *t, const char *id, uint64_t revision, struct wf_spec *spec)
@@ -410,6 +522,7 @@
 	if (j->spec_rev == 0) {
 		j->spec_rev = revision;
 		j->spec = *spec;
+		set_route_tag(j, spec->route_tag);
 	} else {
 		wf_spec_free(spec);
 	}
@@ -419,14 +532,26 @@
 	return j;
 }
 
-void
-wf_table_put_owner(struct wf_job *j, const struct wf_spec *spec)
+struct wf_job *
+wf_table_put_owner(
+    struct wf_table *t, const char *id, const struct agb_store_kv *kv)
 {
-	if (j->owner_known)
-		return;
-	j->owner_known = true;
-	agb_str_copy(j->spec.queue, sizeof(j->spec.queue), spec->queue);
-	agb_str_copy(j->spec.account, sizeof(j->spec.account), spec->account);
+	struct wf_spec spec;
+	struct wf_job *j;
+
+	if (!wf_table_decode_spec(kv->val, kv->val_len, &spec))
+		return NULL;
+	j = get_or_add_job(t, id);
+	j->owner_rev = kv->mod_rev;
+	if (!j->owner_known) {
+		j->owner_known = true;
+		agb_str_copy(j->spec.queue, sizeof(j->spec.queue), spec.queue);
+		agb_str_copy(
+		    j->spec.account, sizeof(j->spec.account), spec.account);
+		set_route_tag(j, spec.route_tag);
+	}
+	wf_spec_free(&spec);
+	return j;
 }
 
 static void
@@ -594,29 +719,100 @@
 	    (kind != 'j' && !(kind == 'k' && wf_job_is_cancel_mark(j))))
 		return;
 	/* Jobs are deleted by the leader only, with all their keys in one
-	 * transaction. */
+	 * transaction. A cancellation alone is also deleted by the submission
+	 * that takes its key. */
 	if (j->exec == NULL)
 		job_free(t, j);
 	else
 		ch->job = j;
 }
 
-/* The value of a cancellation is the Unix time in ms. Earlier versions left it
- * empty. */
+char *
+wf_table_format_cancellation(int64_t unix_ms, uint32_t route_tag)
+{
+	if (route_tag == 0)
+		return agb_xasprintf("%" PRId64, unix_ms);
+	return agb_xasprintf("%" PRId64 " %" PRIx32, unix_ms, route_tag);
+}
+
+/* Reads the value of a cancellation: the Unix time in ms, and the tag of a route.
+ * Earlier versions left out the tag, or both. They ignore what follows the time,
+ * and read no value of CANCELLATION_SIZE bytes or more. */
 static void
-apply_cancel(struct wf_job *j, const struct agb_store_kv *kv)
+parse_cancellation(
+    const struct agb_store_kv *kv, int64_t *unix_ms, uint32_t *route_tag)
+{
+	char text[CANCELLATION_SIZE];
+	char *end;
+
+	*unix_ms = 0;
+	*route_tag = 0;
+	if (kv->val == NULL || kv->val_len >= sizeof(text))
+		return;
+	memcpy(text, kv->val, kv->val_len);
+	text[kv->val_len] = '\0';
+	*unix_ms = strtoll(text, &end, 10);
+	if (*end == ' ')
+		*route_tag = (uint32_t)strtoul(end + 1, NULL, 16);
+}
+
+uint32_t
+wf_table_cancellation_tag(const struct agb_store_kv *kv)
 {
-	char text[24];
+	uint32_t route_tag;
+	int64_t unix_ms;
+
+	parse_cancellation(kv, &unix_ms, &route_tag);
+	return route_tag;
+}
 
+static void
+apply_cancel(struct wf_job *j, const struct agb_store_kv *kv)
+{
 	j->cancel_rev = kv->mod_rev;
-	j->cancelled_ms = 0;
-	if (kv->val != NULL && kv->val_len < sizeof(text)) {
-		memcpy(text, kv->val, kv->val_len);
-		text[kv->val_len] = '\0';
-		j->cancelled_ms = strtoll(text, NULL, 10);
-	}
+	parse_cancellation(kv, &j->cancelled_ms, &j->cancel_tag);
 	if (j->spec_rev == 0)
 		j->found_in_read = true;
+	drop_foreign_cancellation(j);
+}
+
+size_t
+wf_table_encode_pushed_state(
+    char val[WF_PUSHED_STATE_MAX], enum wf_job_state state, uint32_t route_tag)
+{
+	size_t i;
+
+	val[0] = (char)state;
+	if (route_tag == 0)
+		return 1;
+	for (i = 1; i < WF_PUSHED_STATE_MAX; i++) {
+		val[i] = (char)(route_tag & 0xff);
+		route_tag >>= 8;
+	}
+	return WF_PUSHED_STATE_MAX;
+}
+
+unsigned
+wf_table_decode_pushed_state(const char *val, size_t len, uint32_t *route_tag)
+{
+	size_t i;
+
+	*route_tag = 0;
+	if (len != 1 && len != WF_PUSHED_STATE_MAX)
+		return UINT_MAX;
+	for (i = len; i > 1; i--)
+		*route_tag = *route_tag << 8 | (unsigned char)val[i - 1];
+	return (unsigned char)val[0];
+}
+
+static void
+apply_pushed_state(struct wf_job *j, const struct agb_store_kv *kv)
+{
+	uint32_t route_tag;
+
+	advance_state(
+	    j, wf_table_decode_pushed_state(kv->val, kv->val_len, &route_tag));
+	set_route_tag(j, route_tag);
 }
 
 static void
@@ -637,8 +833,7 @@
 		break;
 	default:
 		ch->job = get_or_add_job(t, id);
-		if (kv->val_len == 1)
-			advance_state(ch->job, (unsigned char)kv->val[0]);
+		apply_pushed_state(ch->job, kv);
 	}
 }
 
--- a/src/workflow/wf_table.h
+++ b/src/workflow/wf_table.h
@@ -15,7 +15,7 @@
 #include "gen/wf_record.h"
 #include "store.h"
 #include "wf_counts.h"
-#include "wf_types.h"
+#include "wf_job_id.h"
 
 /* Prefix of all keys of the instances, and the prefixes that are watched
  * separately: the leader and the list of instances; submissions and
@@ -38,9 +38,13 @@
 
 /**
  * struct wf_job - what this instance knows about a job
+ * @id: its key, see wf_job_id.h
  * @spec_rev: revision of its submission; 0 while only its other keys are known
+ * @owner_rev: the same, as read together with the owner; 0 when not read
  * @cancel_rev: revision of its cancellation, or 0
  * @cancelled_ms: Unix time of its cancellation, or 0
+ * @cancel_tag: tag of the route that the cancellation is meant for; 0 for any
+ * @route_tag: tag of the route by which it was submitted; 0 while not known
  * @state_rev: revision of @state_record, or 0
  * @state: reported to clients; never goes back to an earlier state
  * @state_known: @state comes from a state record or a push of the leader
@@ -49,13 +53,20 @@
  * @final_seen_at: when this instance first found it in a final state, or 0
  * @exec: scheduling data of the leader, or NULL
  * @found_in_read: found in the full read that is in progress
+ * @shares_id: another job has or had the same digits in its key
+ * @delete_refused: its records were not deleted, as the store has a job with the
+ *	next ordinal that was not known
+ * @top_run: highest number of a run of its tasks that this leader knows of
  */
 struct wf_job {
 	wf_job_id id;
 	struct wf_spec spec;
 	uint64_t spec_rev;
+	uint64_t owner_rev;
 	uint64_t cancel_rev;
 	int64_t cancelled_ms;
+	uint32_t cancel_tag;
+	uint32_t route_tag;
 	uint64_t state_rev;
 	char *state_record;
 	size_t state_record_len;
@@ -66,6 +77,9 @@
 	agb_time final_seen_at;
 	struct wf_exec *exec;
 	bool found_in_read;
+	bool shares_id;
+	bool delete_refused;
+	uint32_t top_run;
 	UT_hash_handle hh;
 };
 
@@ -122,6 +136,8 @@
 
 /**
  * struct wf_table - local copy of the store
+ * @further_jobs: number of jobs whose key has an ordinal, as another job has the
+ *	same digits
  * @counts: pushed by the leader
  * @job_bytes: bytes that the accepted jobs take, as pushed by the leader
  * @job_bytes_pushes: number of times that it was received
@@ -131,6 +147,7 @@
  */
 struct wf_table {
 	struct wf_job *jobs;
+	unsigned further_jobs;
 	struct wf_peer *peers;
 	struct wf_known_counts counts;
 	uint64_t job_bytes;
@@ -146,10 +163,25 @@
 void wf_table_free(struct wf_table *t);
 
 /**
- * wf_table_job() - find a job by id; NULL when there is none
+ * wf_table_job() - find a job by its key; NULL when there is none
  */
 struct wf_job *wf_table_job(struct wf_table *t, const char *id);
 
+/**
+ * wf_table_namesake() - find a job with the digits of a key
+ * @ordinal: its ordinal
+ * Return: NULL when there is none.
+ */
+struct wf_job *wf_table_namesake(
+    struct wf_table *t, const char *id, uint32_t ordinal);
+
+/**
+ * wf_table_forget() - remove a job that the store no longer has
+ *
+ * Nothing is done when the leader executes it.
+ */
+void wf_table_forget(struct wf_table *t, struct wf_job *j);
+
 /**
  * wf_table_put_spec() - add a submission that has been stored
  * @spec: the table takes ownership
@@ -158,11 +190,13 @@
     uint64_t revision, struct wf_spec *spec);
 
 /**
- * wf_table_put_owner() - note the queue and the account of a job without its
- * submission, which takes much more memory
- * @spec: its submission as read from the store
+ * wf_table_put_owner() - note the queue, the route and the account of a job
+ * without its submission, which takes much more memory
+ * @kv: its submission as read from the store
+ * Return: the job, or NULL when the submission is malformed.
  */
-void wf_table_put_owner(struct wf_job *j, const struct wf_spec *spec);
+struct wf_job *wf_table_put_owner(
+    struct wf_table *t, const char *id, const struct agb_store_kv *kv);
 
 /**
  * wf_table_put_state() - add a state record that has been stored
@@ -252,7 +286,7 @@
  * wf_table_make_key() - build the key of a record
  * @kind: 'j' submission, 'k' cancellation, 's' state, 'n' instance; two kinds
  *	are not stored but only pushed by the leader: 'v' durable state of a
- *	job, 'q' number of pending jobs in a queue
+ *	job and tag of its route, 'q' number of pending jobs in a queue
  */
 void wf_table_make_key(char key[WF_KEY_MAX], char kind, const char *id);
 
@@ -285,6 +319,39 @@
 const struct agb_store_kv *wf_table_stored_kv(
     const struct agb_store_result *res, const char *key);
 
+/* Longest value of a pushed state. */
+#define WF_PUSHED_STATE_MAX 4
+
+/**
+ * wf_table_encode_pushed_state() - encode the state of a job for a push
+ * @route_tag: tag of the route of the job, or 0
+ * Return: length of the value.
+ */
+size_t wf_table_encode_pushed_state(
+    char val[WF_PUSHED_STATE_MAX], enum wf_job_state state, uint32_t route_tag);
+
+/**
+ * wf_table_decode_pushed_state() - decode the state of a job that was pushed
+ * @route_tag: set to the tag of the route of the job, or to 0
+ * Return: the state, or a number that is no state.
+ */
+unsigned wf_table_decode_pushed_state(
+    const char *val, size_t len, uint32_t *route_tag);
+
+/**
+ * wf_table_format_cancellation() - make the value of a cancellation
+ * @unix_ms: its time
+ * @route_tag: tag of the route that it is meant for; 0 for any
+ * Return: new string, freed by the caller.
+ */
+char *wf_table_format_cancellation(int64_t unix_ms, uint32_t route_tag);
+
+/**
+ * wf_table_cancellation_tag() - read the tag of a route from a cancellation
+ * Return: 0 when it has none.
+ */
+uint32_t wf_table_cancellation_tag(const struct agb_store_kv *kv);
+
 /**
  * wf_table_parse_state_key() - get the job id from the key of a pushed state
  * Return: false when the key is of another kind.
--- a/src/workflow/wf_types.h
+++ b/src/workflow/wf_types.h
@@ -16,8 +16,11 @@
 /* Upper limit for the tasks of one job over all its occurrences. */
 #define WF_TASKS_MAX 65536
 #define WF_LABELS_MAX 8
-/* A job id is 16 hexadecimal digits, stored with a terminating NUL. */
-#define WF_JOB_ID_LEN 17
+/* Hexadecimal digits of the id that a client chooses for a job. */
+#define WF_JOB_DIGITS 16
+/* Size of the key of a job, which has the digits first, and its NUL; see
+ * wf_job_id.h. */
+#define WF_JOB_ID_LEN (WF_JOB_DIGITS + 4)
 #define WF_CHECKPOINT_MAX 255
 
 typedef char wf_job_id[WF_JOB_ID_LEN];
@@ -115,6 +118,8 @@
  * @period_ms: time between two occurrences
  * @repeat_count: number of occurrences, at least 1
  * @origin: address of the instance that accepted the job and has @payload
+ * @route_tag: that of the route by which it was submitted, see struct wf_queue;
+ *	0 when not known
  * @payload: data passed to each task
  */
 struct wf_spec {
@@ -125,6 +130,7 @@
 	uint32_t period_ms;
 	uint32_t repeat_count;
 	agb_addr origin;
+	uint32_t route_tag;
 	char *payload;
 	size_t payload_len;
 	struct wf_step *steps;
--- a/src/workflow/wf_unit.h
+++ b/src/workflow/wf_unit.h
@@ -173,6 +173,9 @@
  * @failures: failed runs of a gang
  * @failed_run: number of the latest failed run of a gang
  * @run: highest run number of its tasks; the members of a gang share it
+ * @run_floor: the next run of any of its tasks has a higher number
+ * @run_step: latest step of @run_floor; 0 when no start was rejected as old since
+ *	one was accepted
  * @ready: its occurrence is due and the steps it depends on are done
  * @queued: linked into the leader's queue
  * @calls_pending: number of pending calls for advice
@@ -201,6 +204,8 @@
 	uint32_t failures;
 	uint32_t failed_run;
 	uint32_t run;
+	uint32_t run_floor;
+	uint32_t run_step;
 	bool ready;
 	bool queued;
 	uint32_t calls_pending;
--- a/tests/wfsim/observe.c
+++ b/tests/wfsim/observe.c
@@ -219,6 +219,30 @@
 	return j != NULL ? j->status : 0;
 }
 
+unsigned
+sim_get_status(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->get_status : 0;
+}
+
+const char *
+sim_get_state(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? wf_job_state_name(j->get_state) : "";
+}
+
+unsigned
+sim_elsewhere_status(const struct sim *s, const char *id)
+{
+	const struct sim_job *const j = sim_job_find(s, id);
+
+	return j != NULL ? j->elsewhere_status : 0;
+}
+
 unsigned
 sim_submit_retry_s(const struct sim *s, const char *id)
 {
--- a/tests/wfsim/wfsim.h
+++ b/tests/wfsim/wfsim.h
@@ -21,6 +21,7 @@
 #define SIM_FIRST_RELAY_SEED 2000000
 #define SIM_FIRST_GANG_SEED 3000000
 #define SIM_FIRST_ACCOUNT_SEED 4000000
+#define SIM_FIRST_SHARED_ID_SEED 5000000
 
 struct sim;
 
@@ -65,6 +66,8 @@
  * @advice_in_turn: the advice service handles one call of an instance at a time
  * @ticket_ms: lifetime of an approval; 0 means 2000
  * @queues: queues for sim_submit_to(), in place of the single default one
+ * @shared_ids: in randomized runs jobs of different queues have the same id, and
+ *	clients ask for states and for jobs of other queues
  * @accounts: client accounts of the document; a job belongs to the one that its
  *	spec names
  * @rack_size: number of consecutive runners on one rack, "rack-0" and so on;
@@ -101,6 +104,7 @@
 	unsigned ticket_ms;
 	const struct sim_queue *queues;
 	size_t queues_len;
+	bool shared_ids;
 	const struct wf_account *accounts;
 	size_t accounts_len;
 	unsigned rack_size;
@@ -131,7 +135,8 @@
 /**
  * sim_submit() - submit a job to an instance; the simulation takes ownership of
  * @spec
- * @id: 16 hexadecimal digits
+ * @id: 16 hexadecimal digits. What follows them, from a '~' on, is not sent: it
+ *	names a job of another queue with the same digits, and is its payload.
  */
 void sim_submit(
     struct sim *s, unsigned ci, const char *id, struct wf_spec *spec);
@@ -139,6 +144,22 @@
 void sim_submit_again(struct sim *s, unsigned ci, const char *id);
 void sim_cancel(struct sim *s, unsigned ci, const char *id);
 
+/**
+ * sim_get() - ask an instance for the state of a job; a wrong answer is a
+ * violation
+ */
+void sim_get(struct sim *s, unsigned ci, const char *id);
+
+/**
+ * sim_get_elsewhere(), sim_cancel_elsewhere() - ask for the digits of a job, or
+ * cancel them, by a queue to which no job with them was submitted
+ * @queue: index of that queue
+ */
+void sim_get_elsewhere(
+    struct sim *s, unsigned ci, size_t queue, const char *id);
+void sim_cancel_elsewhere(
+    struct sim *s, unsigned ci, size_t queue, const char *id);
+
 /**
  * sim_submit_to() - as sim_submit(), to a queue of the options
  * @queue: its index
@@ -270,6 +291,12 @@
 /* Response time of a long-running task at a runner. */
 unsigned sim_response_ms(struct sim *s, const char *id);
 unsigned sim_submit_status(const struct sim *s, const char *id);
+/* Status of the latest answer to sim_get(), and the most advanced state in any. */
+unsigned sim_get_status(const struct sim *s, const char *id);
+const char *sim_get_state(const struct sim *s, const char *id);
+/* Status of the latest answer to sim_get_elsewhere() or
+ * sim_cancel_elsewhere(). */
+unsigned sim_elsewhere_status(const struct sim *s, const char *id);
 /* Seconds of the Retry-After of the latest answer to the submission. */
 unsigned sim_submit_retry_s(const struct sim *s, const char *id);
 unsigned sim_cancel_status(const struct sim *s, const char *id);
--- a/tests/wfsim/world.h
+++ b/tests/wfsim/world.h
@@ -144,6 +144,12 @@
 	agb_time cancel_at;
 	bool cancel_acked;
 	unsigned cancel_status;
+	bool cancel_sent;
+	agb_time accepted_at; /* by the first answer 200 */
+	unsigned get_status;
+	enum wf_job_state get_state; /* most advanced in an answer */
+	unsigned elsewhere_status;
+	bool cancelled_elsewhere; /* such a call may cancel a later namesake */
 	unsigned retry_s;
 	unsigned failing_runs; /* runs up to this number fail */
 	unsigned run_ms;       /* run time; 0 for that of the estimate */
@@ -313,6 +319,11 @@
 void sim_do_order(struct sim *s, struct sim_runner *r, struct order_call *c);
 
 /* check.c */
+/* Whether two tasks have the same name at a runner, which has the digits of the
+ * job only. */
+bool sim_same_name(const struct wf_task_ref *a, const struct wf_task_ref *b);
+/* Checks the answer to a request for the state of a job. */
+void sim_check_shown(struct sim *s, struct sim_job *j, enum wf_job_state state);
 void sim_report_violation(struct sim *s, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 void sim_check_start(struct sim *s, const struct sim_runner *r,
