fix(wf): an instance forgets an ended job before its records are deleted

What callers would have seen: an id that is used again after `status_s`. An instance that knows jobs by the leader's pushes showed the new job as `completed` for up to 15 s while none of its tasks had run, and the one that had accepted the former job answered 200 to the new submission and did not store it.

The key of a job is whole for the lifetime of its records only. The leader deletes them 10 s after `status_s`; an instance that does not watch the jobs does not see that, and kept them 20 s longer than `status_s`, from when it had learned of the end.

Change: such an instance keeps an ended job for half of `status_s`. A later request is answered from the store, which still has the records.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -33,10 +33,12 @@
 /* The leader tells how much memory jobs take several times a second while that is
  * much. */
 #define JOB_BYTES_STALE_MS 5000
-/* How often an instance that does not watch all jobs removes finished ones, and
- * how long it keeps them beyond the time that their state can be queried. */
+/* How often an instance that does not watch all jobs removes finished ones. It
+ * keeps them for a part of the time that their state can be queried: it does not
+ * see that their records are deleted, and must have forgotten them by then, also
+ * when it learned of their end late. After that their id may be used again. */
 #define EXPIRE_INTERVAL_MS 5000
-#define EXPIRE_SLACK_MS 20000
+#define EXPIRE_STATUS_DIVISOR 2
 #define LEADER_TAG_SHIFT 20
 
 /**
@@ -614,6 +616,7 @@
 tick_front(struct wf_core *c, const struct wf_now *now)
 {
 	const bool store = !wf_lease_store_silent(&c->lease, now->mono);
+	const agb_time kept = c->cfg.status_s * AGB_SEC / EXPIRE_STATUS_DIVISOR;
 	struct wf_front_knowledge known;
 	const bool complete =
 	    c->leader != NULL || (wf_feeds_all_jobs_synced(&c->feeds) && store);
@@ -636,11 +639,9 @@
 	if (now->mono < c->expire_at)
 		return;
 	c->expire_at = now->mono + EXPIRE_INTERVAL_MS * AGB_MS;
-	if (!c->feeds.feed[WF_FEED_JOBS].watched &&
-	    now->mono > c->cfg.status_s * AGB_SEC + EXPIRE_SLACK_MS * AGB_MS)
+	if (!c->feeds.feed[WF_FEED_JOBS].watched)
 		wf_table_expire(&c->table, now->mono,
-		    now->mono - c->cfg.status_s * AGB_SEC -
-			EXPIRE_SLACK_MS * AGB_MS);
+		    now->mono > kept ? now->mono - kept : 0);
 }
 
 static void
--- a/tests/test_wf_shared_id.c
+++ b/tests/test_wf_shared_id.c
@@ -514,11 +514,15 @@
     {.name = "more", .priority = 1, .target_ms = 1000, .slack_factor = 2},
 };
 
+/* Number of instances; the leader and its standbys watch the jobs in the store,
+ * the others know what is pushed to them. */
+#define CORES 6
+
 static struct sim *
 start_sim(unsigned runners)
 {
 	const struct sim_options o = {.seed = 1,
-	    .cores = 4,
+	    .cores = CORES,
 	    .runners = runners,
 	    .cpu_milli = 16000,
 	    .queues = queues,
@@ -547,7 +551,7 @@
 	bool shown = true;
 	unsigned ci;
 
-	for (ci = 0; ci < 4; ci++) {
+	for (ci = 0; ci < CORES; ci++) {
 		sim_get(s, ci, id);
 		sim_run(s, 200);
 		shown = shown && sim_get_status(s, id) == 200 &&
@@ -603,7 +607,7 @@
 		sim_run(s, cases[i].gap_ms);
 		if (cases[i].leader_killed)
 			sim_kill(s, (unsigned)sim_leader(s), 600);
-		for (ci = 0; cases[i].all_killed && ci < 4; ci++)
+		for (ci = 0; cases[i].all_killed && ci < CORES; ci++)
 			sim_kill(s, ci, 600);
 		if (cases[i].leader_killed || cases[i].all_killed)
 			sim_run(s, 4000);
@@ -722,6 +726,48 @@
 	}
 }
 
+/* Runs until the records of a job are deleted. */
+static void
+wait_until_deleted(struct sim *s, const char *id)
+{
+	unsigned waited;
+
+	for (waited = 0; sim_has_record(s, 'j', id); waited++) {
+		CU_ASSERT_FATAL(waited < 2 * KEPT_MS / 100);
+		sim_run(s, 100);
+	}
+}
+
+/* Guards against an instance that still knows a job whose records are deleted
+ * when its id is used again: it would take the new job for the old one, answer
+ * that it is accepted and not store it, or show it as completed. */
+static void
+deleted_job_is_not_shown(void)
+{
+	struct sim *s;
+	unsigned at, ci, i;
+
+	for (at = 0; at < CORES; at++) {
+		s = start_sim(6);
+		sim_submit_to(s, 0, 0, FIRST, spec_of(2, 500, false));
+		sim_run(s, 5000);
+		wait_until_deleted(s, FIRST);
+		sim_run(s, 1000);
+		sim_submit_to(s, at, 0, FOURTH, spec_of(2, 4000, false));
+		sim_run(s, 50);
+		CU_ASSERT_EQUAL(sim_submit_status(s, FOURTH), 200);
+		for (i = 0; i < 10; i++) {
+			for (ci = 0; ci < CORES; ci++)
+				sim_get(s, ci, FOURTH);
+			sim_run(s, 300);
+		}
+		sim_run(s, 5000);
+		CU_ASSERT_EQUAL(sim_start_count(s, FOURTH), 2);
+		CU_ASSERT(all_show(s, FOURTH, "completed"));
+		finish_sim(s);
+	}
+}
+
 /* Guards against the same in random runs with faults, in which jobs of two queues
  * often have one id. */
 static void
@@ -749,6 +795,7 @@
     {"jobs are cancelled apart", jobs_are_cancelled_apart},
     {"job that lasts goes on", job_that_lasts_goes_on},
     {"id is used again", id_is_used_again},
+    {"deleted job is not shown", deleted_job_is_not_shown},
     {"random runs", random_runs},
 };
 
