fix(wf): a relay does not start a job with the text of a former one

What would have happened: an id is used again after the records of its job are deleted. A relay that still had the text of the former job, in its cache or in its local copy of the jobs, started the new one with it (users' rule UNASKED, another spec).

The cache of texts has the key of a job, which is whole for the lifetime of the job's records, and no age; the local copy of the accepting instance was not compared with the order.

Change: a text counts only for the origin that the start names, and not when no start has asked for it for `status_s`, which the records of an ended job outlast. Then the relay fetches it again.

Evidence: "texts of former jobs are not used" in test_wf_relay fails 3 of its cases without the two comparisons, and passes with them.

--- a/src/workflow/wf_core.c
+++ b/src/workflow/wf_core.c
@@ -88,6 +88,7 @@
 	wf_peers_init(&c->peers, cfg->name);
 	c->front = wf_front_new(&c->table, &c->cfg);
 	c->relay = wf_relay_new(&c->table);
+	wf_relay_set_text_lifetime(c->relay, cfg->status_s * AGB_SEC);
 	c->proxy = wf_proxy_new();
 	wf_meter_init(&c->meter, cfg->meter_ops, cfg->meter_arg);
 	return c;
--- a/src/workflow/wf_relay.c
+++ b/src/workflow/wf_relay.c
@@ -47,11 +47,15 @@
 /**
  * struct cached_text - text of a job, which is the payload that every start of
  * the job carries
+ * @origin: address of the instance that accepted the job
+ * @used_at: when a start last asked for it
  * @tag: tag of the call that fetches it; 0 once it has arrived
  * @waiting: starts to send when it arrives
  */
 struct cached_text {
 	wf_job_id job;
+	agb_addr origin;
+	agb_time used_at;
 	uint64_t tag;
 	char *text;
 	size_t len;
@@ -71,6 +75,8 @@
  * @texts: texts of jobs, by job
  * @pending_texts: the members of @texts that are being fetched, by tag
  * @texts_bytes: total length of the texts that have arrived
+ * @text_lifetime: a text that was not used for longer may be that of a job whose
+ *	records are deleted, and whose id has been used again; 0 for no limit
  * @last_list_number: number of the last list sent to the leader
  * @results: results that have not been sent yet
  * @send_at: when to send @results; valid when @send_scheduled is set
@@ -86,6 +92,7 @@
 	struct cached_text *texts;
 	struct cached_text *pending_texts;
 	size_t texts_bytes;
+	agb_time text_lifetime;
 	uint32_t last_list_number;
 	uint64_t last_tag;
 	struct wf_result_batch results;
@@ -105,6 +112,12 @@
 	return relay;
 }
 
+void
+wf_relay_set_text_lifetime(struct wf_relay *relay, agb_time lifetime)
+{
+	relay->text_lifetime = lifetime;
+}
+
 static void
 free_runners(struct wf_relay *relay)
 {
@@ -235,15 +248,24 @@
 }
 
 static struct cached_text *
-text_new(struct wf_relay *relay, const char *job)
+text_new(struct wf_relay *relay, const char *job, const char *origin)
 {
 	struct cached_text *const t = agb_xcalloc(1, sizeof(*t));
 
 	agb_str_copy(t->job, sizeof(t->job), job);
+	agb_str_copy(t->origin, sizeof(t->origin), origin);
 	HASH_ADD_STR(relay->texts, job, t);
 	return t;
 }
 
+static void
+text_drop(struct wf_relay *relay, struct cached_text *t)
+{
+	HASH_DEL(relay->texts, t);
+	relay->texts_bytes -= t->len;
+	text_free(t);
+}
+
 /* Evicts the oldest texts while the cache is too large, except those that are
  * still being fetched. */
 static void
@@ -254,11 +276,8 @@
 	for (t = relay->texts;
 	     t != NULL && relay->texts_bytes > TEXT_CACHE_BYTES_MAX; t = next) {
 		next = t->hh.next;
-		if (t->tag != 0)
-			continue;
-		HASH_DEL(relay->texts, t);
-		relay->texts_bytes -= t->len;
-		text_free(t);
+		if (t->tag == 0)
+			text_drop(relay, t);
 	}
 }
 
@@ -310,13 +329,19 @@
 /* Queues a start until its text has been fetched from the instance that
  * accepted the job. */
 static void
-request_text(struct wf_relay *relay, struct wf_order *o, struct wf_effects *out)
+request_text(struct wf_relay *relay, const struct wf_now *now,
+    struct wf_order *o, struct wf_effects *out)
 {
 	struct cached_text *t = text_find(relay, o->task.job);
 	struct wf_effect *ef;
 
+	/* The text of a former job with the same id is being fetched. */
+	if (t != NULL && strcmp(t->origin, o->origin) != 0) {
+		result_add(relay, o->number, WF_ORDER_NO_PAYLOAD);
+		return;
+	}
 	if (t == NULL) {
-		t = text_new(relay, o->task.job);
+		t = text_new(relay, o->task.job, o->origin);
 		t->tag = WF_PAYLOAD_TAG | ++relay->last_tag;
 		HASH_ADD(hh_tag, relay->pending_texts, tag, sizeof(t->tag), t);
 		ef = wf_effects_add(out, WF_EF_PAYLOAD_REQUEST);
@@ -326,6 +351,7 @@
 		agb_str_copy(
 		    ef->u.payload.job, sizeof(ef->u.payload.job), o->task.job);
 	}
+	t->used_at = now->mono;
 	if (t->waiting_len == t->waiting_cap)
 		t->waiting =
 		    agb_xgrow(t->waiting, &t->waiting_cap, sizeof(*t->waiting));
@@ -333,22 +359,54 @@
 	o->payload = NULL;
 }
 
+/* Finds a text that has arrived. The id of a job may be that of a former one,
+ * whose records are deleted a while after its end; it may have been accepted by
+ * another instance. */
+static const struct cached_text *
+text_use(
+    struct wf_relay *relay, const struct wf_now *now, const struct wf_order *o)
+{
+	struct cached_text *const t = text_find(relay, o->task.job);
+
+	if (t == NULL || t->tag != 0)
+		return NULL;
+	if (strcmp(t->origin, o->origin) != 0 ||
+	    (relay->text_lifetime > 0 &&
+		now->mono - t->used_at > relay->text_lifetime)) {
+		text_drop(relay, t);
+		return NULL;
+	}
+	t->used_at = now->mono;
+	return t;
+}
+
+/* Whether the local copy has the submission of the job of a start. */
+static bool
+has_submission(const struct wf_job *j, const struct wf_order *o)
+{
+	return j != NULL && j->spec_rev > 0 &&
+	    strcmp(j->spec.origin, o->origin) == 0;
+}
+
 static void
 send_start(struct wf_relay *relay, const struct wf_now *now, struct wf_order *o,
     struct wf_effects *out)
 {
-	const struct cached_text *const t = text_find(relay, o->task.job);
 	const struct wf_job *const j = wf_table_job(relay->table, o->task.job);
+	const struct cached_text *t;
 
-	if (o->payload != NULL)
+	if (o->payload != NULL) {
 		send_order(relay, now, o, out);
-	else if (t != NULL && t->tag == 0)
+		return;
+	}
+	t = text_use(relay, now, o);
+	if (t != NULL)
 		send_order_with_text(relay, now, o, t->text, t->len, out);
-	else if (j != NULL && j->spec_rev > 0)
+	else if (has_submission(j, o))
 		send_order_with_text(
 		    relay, now, o, j->spec.payload, j->spec.payload_len, out);
 	else if (o->origin[0] != '\0')
-		request_text(relay, o, out);
+		request_text(relay, now, o, out);
 	else
 		result_add(relay, o->number, WF_ORDER_NO_PAYLOAD);
 }
--- a/src/workflow/wf_relay.h
+++ b/src/workflow/wf_relay.h
@@ -23,6 +23,13 @@
  */
 struct wf_relay *wf_relay_new(struct wf_table *table);
 
+/**
+ * wf_relay_set_text_lifetime() - set how long texts of jobs are used that no start
+ * asks for
+ * @lifetime: shorter than the records of ended jobs are kept
+ */
+void wf_relay_set_text_lifetime(struct wf_relay *relay, agb_time lifetime);
+
 /**
  * wf_relay_free() - free a relay
  * @relay: may be NULL
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -343,6 +343,97 @@
 	return fence;
 }
 
+/* Delivers a start without its text at a time, and answers the call for the text,
+ * if the relay makes one.
+ * Return: the first byte of the text with which the relay sent it; 0 when it did
+ * not. */
+static char
+text_of_start(
+    struct wf_relay *relay, agb_time at, const char *origin, const char *text)
+{
+	const struct wf_payload answer = {
+	    .data = (char *)(uintptr_t)text, .len = 1};
+	const struct wf_now now = {.mono = at};
+	struct wf_runner_addr card = {
+	    .runner = 3, .incarnation = 1, .id = "r-3", .addr = "a"};
+	struct wf_order order = {
+	    .kind = WF_ORDER_START,
+	    .task.job = JOB,
+	    .number = 1,
+	    .send_by = at + 100,
+	    .runner = 3,
+	    .incarnation = 1,
+	};
+	struct wf_order_batch orders = {
+	    .fence = 5,
+	    .reply_to = "leader",
+	    .runners = &card,
+	    .runners_len = 1,
+	    .items = &order,
+	    .len = 1,
+	};
+	struct wf_effects out = {0};
+	char sent = '\0';
+	size_t i;
+
+	agb_str_copy(order.origin, sizeof(order.origin), origin);
+	wf_relay_handle_orders(relay, &now, 1, &orders, true, &out);
+	for (i = 0; i < out.len; i++) {
+		if (out.items[i].type == WF_EF_PAYLOAD_REQUEST)
+			wf_relay_handle_text(
+			    relay, &now, out.items[i].tag, &answer, &out);
+		else if (out.items[i].type == WF_EF_ORDER)
+			sent = out.items[i].u.order.payload[0];
+	}
+	wf_effects_free(&out);
+	return sent;
+}
+
+/* Guards against a start with the text of a former job, when its id is used again
+ * after its records were deleted: the runner would run what nobody has asked for
+ * (users' rule UNASKED). */
+static void
+texts_of_former_jobs_are_not_used(void)
+{
+	static const struct {
+		agb_time after;
+		const char *origin;
+		bool table; /* the former one is in the local copy */
+		char sent;
+	} cases[] = {
+	    {100 * AGB_SEC, "b", false, 'x'},
+	    {121 * AGB_SEC, "b", false, 'y'},
+	    {1 * AGB_SEC, "c", false, 'y'},
+	    {1 * AGB_SEC, "b", true, 'z'},
+	    {1 * AGB_SEC, "c", true, 'y'},
+	};
+	struct wf_table table = {0};
+	struct wf_relay *relay;
+	struct wf_spec *spec;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		relay = wf_relay_new(&table);
+		wf_relay_set_text_lifetime(relay, 120 * AGB_SEC);
+		if (cases[i].table) {
+			spec = agb_xcalloc(1, sizeof(*spec));
+			spec->payload = agb_xstrdup("z");
+			spec->payload_len = 1;
+			agb_str_copy(spec->origin, sizeof(spec->origin), "b");
+			(void)wf_table_put_spec(&table, JOB, 7, spec);
+		} else {
+			CU_ASSERT_EQUAL(
+			    text_of_start(relay, AGB_SEC, "b", "x"), 'x');
+		}
+		CU_ASSERT_EQUAL(text_of_start(relay, AGB_SEC + cases[i].after,
+				    cases[i].origin, "y"),
+		    cases[i].sent);
+		wf_relay_free(relay);
+		wf_table_free(&table);
+		memset(&table, 0, sizeof(table));
+	}
+}
+
 /* Guards against a start that a relay sends after its deadline, or under the
  * fence of the next leader, since it waited for the text of the job. */
 static void
@@ -974,6 +1065,7 @@
     {"deltas of other baselines are rejected",
 	deltas_of_other_baselines_are_rejected},
     {"stale orders are rejected", stale_orders_are_rejected},
+    {"texts of former jobs are not used", texts_of_former_jobs_are_not_used},
     {"starts with late texts are rejected",
 	starts_with_late_texts_are_rejected},
     {"full lists of ends stay full", full_lists_of_ends_stay_full},
