fix(wf): log lines about a task name its occurrence and its step

What operators saw: the line of an end that an earlier run has brought, and that of a lost call for advice, left out the step or the occurrence. With several steps or occurrences they speak of several tasks.

Change: the first uses it, the second has the occurrence. agb-wfsim checks each line of each instance for it.

--- a/src/workflow/wf_advice.c
+++ b/src/workflow/wf_advice.c
@@ -863,9 +863,10 @@
 	} else {
 		u->advice_retry_at = now->mono + CALL_RETRY_MS * AGB_MS;
 		wf_effects_log(out, AGB_LOG_WARN, "advice",
-		    "job=%s step=%" PRIu32 " outcome=%s through=%s"
-		    " took_ms=%" PRIu64,
-		    call.job, u->step, advice->busy ? "busy" : "lost",
+		    "job=%s occurrence=%" PRIu32 " step=%" PRIu32
+		    " outcome=%s through=%s took_ms=%" PRIu64,
+		    call.job, u->occurrence, u->step,
+		    advice->busy ? "busy" : "lost",
 		    client != NULL ? client->name : "?",
 		    (now->mono - call.sent_at) / AGB_MS);
 	}
--- a/src/workflow/wf_fleet_list.c
+++ b/src/workflow/wf_fleet_list.c
@@ -30,17 +30,16 @@
  * run of the task has, the task is done. */
 static void
 handle_superseded_end(struct wf_leader *l, const struct wf_now *now,
-    struct wf_unit *u, struct wf_task *t, const struct wf_finished_run *f,
-    struct wf_effects *out)
+    uint32_t ri, struct wf_unit *u, struct wf_task *t,
+    const struct wf_finished_run *f, struct wf_effects *out)
 {
 	if (f->end != WF_END_DONE || t->state == WF_TASK_DONE ||
 	    wf_unit_step(u)->long_running || u->exec->unreadable ||
 	    wf_job_state_is_final(u->exec->state))
 		return;
-	wf_effects_log(out, AGB_LOG_INFO, "end",
-	    "job=%s task=%" PRIu32 " run=%" PRIu32
-	    " how=done reason=\"an earlier run has finished the task\"",
-	    f->task.job, f->task.index, f->run);
+	wf_effects_log_run(out, AGB_LOG_INFO, "end", &f->task, f->run,
+	    l->runners[ri].info.id,
+	    "how=done reason=\"an earlier run has finished the task\"");
 	wf_task_done_by_earlier_run(l, now, u, t, out);
 }
 
@@ -75,7 +74,7 @@
 	if (t == NULL)
 		return;
 	if (!t->allocated || t->runner != ri || t->run != f->run) {
-		handle_superseded_end(l, now, u, t, f, out);
+		handle_superseded_end(l, now, ri, u, t, f, out);
 		return;
 	}
 	wf_effects_log_run(out, AGB_LOG_INFO, "end", &f->task, f->run,
--- a/tests/wfsim/instance.c
+++ b/tests/wfsim/instance.c
@@ -43,6 +43,19 @@
 	agb_str_copy(j->wait_line, sizeof(j->wait_line), line);
 }
 
+/* A task is named by its job, its occurrence, its step and its index: a line that
+ * leaves one out may speak of several tasks. */
+static void
+check_log_line(struct sim *s, const char *line)
+{
+	const bool names_task = strstr(line, " task=") != NULL;
+	const bool names_step = strstr(line, " step=") != NULL;
+
+	if ((names_task && !names_step) ||
+	    (names_step && strstr(line, " occurrence=") == NULL))
+		sim_report_violation(s, "log: %.200s", line);
+}
+
 static void
 apply_effect(struct sim *s, unsigned ci, struct wf_effect *ef)
 {
@@ -106,6 +119,7 @@
 		c->ready = ef->flag;
 		break;
 	case WF_EF_LOG:
+		check_log_line(s, ef->u.log.line);
 		s->load_lines += strcmp(ef->u.log.event, "load") == 0;
 		s->account_lines += strcmp(ef->u.log.event, "account") == 0;
 		if (strcmp(ef->u.log.event, "wait") == 0)
