refactor(wf): calls that wait for the store, and numbers of runs, in files of their own

What a waiting request sends to the store or to peers is now in wf_front_call.c, with a doc comment on each function; the numbers of runs and the names of tasks, which jobs with one id share, are in wf_run.c.

A conflict whose answer leaves out the value of the submission is read, as before the keys had ordinals; it was answered 503.

--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -9,31 +9,14 @@
 #include "wf_budget.h"
 #include "wf_front_internal.h"
 
-/* Time limit of a store operation, after which it is repeated. */
-#define STORE_TIMEOUT_MS 900
+/* Delay before a write whose outcome is unknown is repeated. */
 #define WRITE_RETRY_MS 50
-/* When the store does not answer this instance, another one is asked to write
- * the record after RELAY_DELAY_MS, or after this many times the current latency
- * of the store if that is longer: while the store is slow for all instances,
- * writes through others only add to its load and to the leader's. Another
- * instance is tried after RELAY_NEXT_MS. */
-#define RELAY_DELAY_MS 250
-#define RELAY_DELAY_LATENCIES 3
-#define RELAY_NEXT_MS 400
-#define RELAY_TIMEOUT_MS 1000
 /* Number of peers that are tried while the store does not answer this
  * instance. */
 #define RELAYS_MAX 3
-/* Deadline of a request that does not specify one. */
-#define DEFAULT_DEADLINE_MS 3000
-/* Answers are sent this long before the deadline, so that they reach the client
- * before it gives up. */
-#define ANSWER_MARGIN_MS 100
 /* Number of keys that one request looks at or writes to: the jobs with the same
  * digits, and some of them again when they change meanwhile. */
 #define KEYS_TRIED_MAX (2 * WF_JOBS_PER_ID)
-/* Set in the tags of this module; never set in the tags of the leader. */
-#define FRONT_TAG ((uint64_t)1 << 63)
 
 struct wf_front *
 wf_front_new(struct wf_table *table, const struct wf_config *cfg)
@@ -47,26 +30,6 @@
 	return f;
 }
 
-static void
-waiting_destroy(struct wf_front_call *w)
-{
-	if (w->spec != NULL) {
-		wf_spec_free(w->spec);
-		free(w->spec);
-	}
-	free(w->record);
-	free(w);
-}
-
-static void
-waiting_free(struct wf_front *f, struct wf_front_call *w)
-{
-	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): w is listed. */
-	DL_DELETE(f->calls, w);
-	f->calls_len--;
-	waiting_destroy(w);
-}
-
 void
 wf_front_free(struct wf_front *f)
 {
@@ -74,7 +37,7 @@
 
 	for (w = f->calls; w != NULL; w = next) {
 		next = w->next;
-		waiting_destroy(w);
+		wf_front_call_destroy(w);
 	}
 	free(f);
 }
@@ -106,16 +69,6 @@
 	f->store_latency = latency;
 }
 
-static agb_time
-relay_delay(const struct wf_front *f)
-{
-	/* While the store is silent, other instances write immediately. */
-	if (f->store_silent)
-		return 0;
-	return agb_time_max(
-	    RELAY_DELAY_LATENCIES * f->store_latency, RELAY_DELAY_MS * AGB_MS);
-}
-
 size_t
 wf_front_open_count(const struct wf_front *f)
 {
@@ -135,199 +88,12 @@
 	return true;
 }
 
-/* Key of the record that a submission or a cancellation writes. */
-static void
-make_record_key(const struct wf_front_call *w, char key[WF_KEY_MAX])
-{
-	wf_job_id id;
-
-	wf_job_id_make(id, w->job,
-	    w->unless_submitted ? w->last_ordinal : wf_job_id_ordinal(w->job));
-	wf_table_make_key(key, w->kind == WF_CALL_SUBMIT ? 'j' : 'k', id);
-}
-
-static void
-copy_record(const struct wf_front_call *w, struct wf_record *r)
-{
-	make_record_key(w, r->key);
-	r->val = agb_xmemdup(w->record, w->record_len);
-	r->len = w->record_len;
-}
-
 static bool
 job_state_known(const struct wf_job *j)
 {
 	return j != NULL && (j->spec_rev > 0 || j->state_known);
 }
 
-static void
-send_store_op(
-    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
-{
-	struct wf_effect *const ef = wf_effects_add(out, WF_EF_STORE);
-	char key[WF_KEY_MAX];
-
-	w->tag = FRONT_TAG | ++f->next_tag;
-	w->retry_at = 0;
-	ef->tag = w->tag;
-	ef->timeout_ms = STORE_TIMEOUT_MS;
-	if (w->reading) {
-		wf_table_make_key(key, w->read_state ? 's' : 'j', w->job);
-		agb_store_op_init_range(&ef->u.store, key, NULL, 1);
-		return;
-	}
-	if (w->kind == WF_CALL_SUBMIT || w->unless_submitted) {
-		wf_front_init_put(f, w, &ef->u.store);
-		return;
-	}
-	make_record_key(w, key);
-	wf_table_init_put(&ef->u.store, key, w->record, w->record_len);
-}
-
-/* Returns a peer that responds, after skipping some. The leader comes first,
- * because the store answers it. */
-static const struct wf_peer *
-choose_relay(const struct wf_front *f, agb_time now, uint32_t skip)
-{
-	const struct wf_peer *const leader = wf_table_leader(f->table);
-	struct wf_peer *p, *p2;
-
-	if (leader != NULL && strcmp(leader->name, f->self) != 0 &&
-	    wf_peer_responds(leader, now) && skip-- == 0)
-		return leader;
-	for (p = f->table->peers; p != NULL; p = p2) {
-		p2 = p->hh.next;
-		if (p == leader || strcmp(p->name, f->self) == 0 ||
-		    !wf_peer_responds(p, now))
-			continue;
-		if (skip-- == 0)
-			return p;
-	}
-	return NULL;
-}
-
-/* Asks another instance to write the record, which is the same record under the
- * same key whichever instance writes it. Returns false when no instance is
- * left. */
-static bool
-relay_write(struct wf_front *f, const struct wf_now *now,
-    struct wf_front_call *w, struct wf_effects *out)
-{
-	const struct wf_peer *const p =
-	    choose_relay(f, now->mono, w->relays_tried);
-	struct wf_effect *ef;
-
-	if (w->reading || p == NULL)
-		return false;
-	/* Peers add no conditions on other keys. */
-	if (w->unless_submitted || wf_front_put_spans_keys(f, w))
-		return false;
-	/* The outcome of an abandoned write is unknown. */
-	if (w->relay_tag != 0)
-		w->maybe_stored = true;
-	w->relays_tried++;
-	w->relay_tag = FRONT_TAG | ++f->next_tag;
-	w->relay_at = now->mono + RELAY_NEXT_MS * AGB_MS;
-	ef = wf_effects_add(out, WF_EF_PEER_PUT);
-	ef->tag = w->relay_tag;
-	ef->timeout_ms = RELAY_TIMEOUT_MS;
-	agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
-	copy_record(w, &ef->u.record);
-	wf_effects_log(out, AGB_LOG_INFO, "relay",
-	    "job=%s through=%s waited_ms=%" PRIu64, w->job, p->name,
-	    (now->mono - w->started_at) / AGB_MS);
-	return true;
-}
-
-/* Pushes a stored record to the leader, whose feed would deliver it later. */
-static void
-push_to_leader(const struct wf_front *f, const struct wf_front_call *w,
-    uint64_t revision, struct wf_effects *out)
-{
-	const struct wf_peer *const p = wf_table_leader(f->table);
-	struct wf_record *r;
-	struct wf_effect *ef;
-
-	if (p == NULL || strcmp(p->name, f->self) == 0)
-		return;
-	ef = wf_effects_add(out, WF_EF_PEER_PUSH);
-	agb_str_copy(ef->peer, sizeof(ef->peer), p->rpc);
-	r = agb_xcalloc(1, sizeof(*r));
-	copy_record(w, r);
-	r->revision = revision;
-	ef->u.push.items = r;
-	ef->u.push.len = 1;
-}
-
-static struct wf_front_call *
-waiting_add(struct wf_front *f, const struct wf_now *now,
-    const struct wf_front_request *r)
-{
-	struct wf_front_call *const w = agb_xcalloc(1, sizeof(*w));
-	const struct wf_call *const call = r->call;
-	uint32_t ms;
-
-	ms = call->deadline_ms > 0     ? call->deadline_ms
-	    : r->queue->timeout_ms > 0 ? r->queue->timeout_ms
-				       : DEFAULT_DEADLINE_MS;
-	ms = ms > 2 * ANSWER_MARGIN_MS ? ms - ANSWER_MARGIN_MS : ms;
-	w->call_id = call->id;
-	w->kind = call->kind;
-	w->caller = r->caller;
-	agb_str_copy(w->job, sizeof(w->job), r->target.key);
-	w->previous_rev = r->target.previous_rev;
-	w->found = r->known != NULL;
-	w->started_at = now->mono;
-	w->deadline = now->mono + ms * AGB_MS;
-	w->relay_at = now->mono + relay_delay(f);
-	DL_APPEND(f->calls, w);
-	f->calls_len++;
-	return w;
-}
-
-/* Reads the submission of a job; writes that are still in flight do not matter
- * any more. */
-static void
-read_submission(
-    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out)
-{
-	w->reading = true;
-	w->relay_tag = 0;
-	send_store_op(f, w, out);
-}
-
-static void
-give_up(struct wf_front *f, const struct wf_now *now, struct wf_front_call *w,
-    struct wf_effects *out)
-{
-	/* The job does not run, whether or not it had been submitted. */
-	if (w->cancel_rev > 0)
-		wf_front_reply_accepted(out, w->call_id, w->kind, w->job,
-		    "stored", w->cancel_rev, now->mono - w->started_at);
-	else if (w->maybe_stored)
-		wf_front_refuse(out, w->call_id, w->kind, 504, w->job,
-		    "the store has not answered; it may have been stored");
-	else
-		wf_front_refuse(out, w->call_id, w->kind, 503, w->job,
-		    "the store cannot be reached; nothing was stored");
-	waiting_free(f, w);
-}
-
-/* Sends the first write. While the store is silent, it goes only through a peer
- * that the store answers: a write without an answer could be neither rejected
- * nor retried. */
-static void
-send_first_write(struct wf_front *f, const struct wf_now *now,
-    struct wf_front_call *w, struct wf_effects *out)
-{
-	if (!f->store_silent) {
-		send_store_op(f, w, out);
-		return;
-	}
-	if (!relay_write(f, now, w, out))
-		give_up(f, now, w, out);
-}
-
 /* Whether the accepted jobs leave room for one more. */
 static bool
 memory_suffices(struct wf_front *f, const struct wf_spec *s)
@@ -373,12 +139,12 @@
 		    out, call->id, call->kind, 400, r->job, call->error);
 		return;
 	}
-	w = waiting_add(f, now, r);
+	w = wf_front_call_add(f, now, r);
 	w->refused_limit = wf_account_excludes(
 	    wf_doc_account(r->doc, r->caller.account), call->spec);
 	w->refused_full = !w->refused_limit && !memory_suffices(f, call->spec);
 	if (w->refused_limit || w->refused_full) {
-		read_submission(f, w, out);
+		wf_front_call_read(f, w, out);
 		return;
 	}
 	w->spec = call->spec;
@@ -388,14 +154,14 @@
 	if (w->record == NULL) {
 		wf_front_refuse(out, call->id, call->kind, 400, r->job,
 		    "the job is too large to be stored");
-		waiting_free(f, w);
+		wf_front_call_free(f, w);
 		return;
 	}
 	/* A state of the job has been pushed: it is stored. */
 	if (w->found)
-		read_submission(f, w, out);
+		wf_front_call_read(f, w, out);
 	else
-		send_first_write(f, now, w, out);
+		wf_front_call_write(f, now, w, out);
 }
 
 static void
@@ -426,23 +192,10 @@
 	}
 	/* Another instance may have accepted the job, and the local state may
 	 * be outdated. */
-	w = waiting_add(f, now, r);
+	w = wf_front_call_add(f, now, r);
 	w->reading = true;
 	w->read_state = usable;
-	send_store_op(f, w, out);
-}
-
-static void
-make_cancellation(
-    struct wf_front *f, const struct wf_now *now, struct wf_front_call *w)
-{
-	const struct wf_job *const j =
-	    w->found ? wf_table_job(f->table, w->job) : NULL;
-
-	free(w->record);
-	w->record = wf_table_format_cancellation(
-	    now->unix_ms, j != NULL ? j->route_tag : w->caller.route_tag);
-	w->record_len = strlen(w->record);
+	wf_front_call_send(f, w, out);
 }
 
 static void
@@ -466,16 +219,16 @@
 	}
 	/* Also for a job that is not known: a write that submits it may still
 	 * be carried out, and must then find the cancellation. */
-	w = waiting_add(f, now, r);
+	w = wf_front_call_add(f, now, r);
 	w->unless_submitted = !usable;
 	if (usable)
 		w->previous_rev = 0;
-	make_cancellation(f, now, w);
+	wf_front_call_set_cancellation(f, now, w);
 	/* The account of the job decides first. */
 	if (!usable && r->caller.restricted)
-		read_submission(f, w, out);
+		wf_front_call_read(f, w, out);
 	else
-		send_first_write(f, now, w, out);
+		wf_front_call_write(f, now, w, out);
 }
 
 static void
@@ -555,7 +308,7 @@
 
 	if (t.key[0] == '\0' || ++w->keys_tried > KEYS_TRIED_MAX) {
 		wf_front_refuse_shared(out, w->call_id, w->kind, w->job);
-		waiting_free(f, w);
+		wf_front_call_free(f, w);
 		return;
 	}
 	/* Writes to the former key that are still in flight cannot succeed any
@@ -570,9 +323,9 @@
 	if (w->found && w->kind == WF_CALL_SUBMIT)
 		w->reading = true;
 	if (w->reading)
-		send_store_op(f, w, out);
+		wf_front_call_send(f, w, out);
 	else
-		send_first_write(f, now, w, out);
+		wf_front_call_write(f, now, w, out);
 }
 
 /* Goes on with a request that means a stored job: its queue and its account are
@@ -591,22 +344,22 @@
 		    now->mono - w->started_at);
 	} else if (w->kind == WF_CALL_CANCEL && w->cancel_rev > 0) {
 		j->cancel_rev = w->cancel_rev;
-		give_up(f, now, w, out);
+		wf_front_call_give_up(f, now, w, out);
 		return;
 	} else if (w->kind == WF_CALL_CANCEL) {
 		w->reading = false;
 		w->unless_submitted = false;
-		make_cancellation(f, now, w);
-		send_first_write(f, now, w, out);
+		wf_front_call_set_cancellation(f, now, w);
+		wf_front_call_write(f, now, w, out);
 		return;
 	} else if (job_state_known(j) && f->known.states_current) {
 		wf_front_reply_state(out, w->call_id, j);
 	} else {
 		w->read_state = true;
-		send_store_op(f, w, out);
+		wf_front_call_send(f, w, out);
 		return;
 	}
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 }
 
 static void
@@ -615,7 +368,7 @@
 {
 	wf_front_refuse(
 	    out, w->call_id, w->kind, 503, w->job, "its record cannot be read");
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 }
 
 static void
@@ -627,7 +380,7 @@
 	else
 		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
 		    "no such job is known");
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 }
 
 /* Goes on with a request once it is known what its key has. */
@@ -655,7 +408,15 @@
     struct wf_front_call *w, const struct agb_store_result *res,
     struct wf_effects *out)
 {
-	if (wf_front_learn(f, w, res))
+	const struct agb_store_kv *kv;
+	char key[WF_KEY_MAX];
+
+	wf_table_make_key(key, 'j', w->job);
+	kv = wf_table_stored_kv(res, key);
+	/* A store may leave out the value. */
+	if (kv != NULL && kv->val == NULL)
+		wf_front_call_read(f, w, out);
+	else if (wf_front_learn(f, w, res))
 		on_keys_learned(f, now, w, out);
 	else
 		refuse_malformed(f, w, out);
@@ -672,7 +433,7 @@
 	w->spec = NULL;
 	wf_front_reply_accepted(out, w->call_id, w->kind, w->job, "stored",
 	    revision, now->mono - w->started_at);
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 	return j;
 }
 
@@ -689,17 +450,17 @@
 	if (w->unless_submitted) {
 		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
 		    "no such job is known");
-		waiting_free(f, w);
+		wf_front_call_free(f, w);
 		return NULL;
 	}
 	if (!job_state_known(j)) {
-		read_submission(f, w, out);
+		wf_front_call_read(f, w, out);
 		return NULL;
 	}
 	j->cancel_rev = revision;
 	wf_front_reply_accepted(out, w->call_id, w->kind, w->job, "stored",
 	    revision, now->mono - w->started_at);
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 	return j;
 }
 
@@ -714,11 +475,11 @@
 	uint64_t revision = res->revision;
 	char key[WF_KEY_MAX];
 
-	make_record_key(w, key);
+	wf_front_call_key(w, key);
 	if (!by_peer)
 		revision = wf_table_stored_revision(res, key);
 	if (res->succeeded && !by_peer)
-		push_to_leader(f, w, revision, out);
+		wf_front_call_push(f, w, revision, out);
 	if (w->kind == WF_CALL_CANCEL && revision > 0 &&
 	    (res->succeeded || !w->unless_submitted)) {
 		*changed_job = on_cancellation_stored(f, now, w, revision, out);
@@ -726,7 +487,7 @@
 		*changed_job = on_submission_stored(f, now, w, revision, out);
 	} else if (by_peer) {
 		w->maybe_stored = true;
-		read_submission(f, w, out);
+		wf_front_call_read(f, w, out);
 	} else {
 		on_write_conflict(f, now, w, res, out);
 	}
@@ -749,7 +510,7 @@
 	}
 	if (w->kind == WF_CALL_CANCEL && w->unless_submitted) {
 		w->reading = false;
-		send_first_write(f, now, w, out);
+		wf_front_call_write(f, now, w, out);
 		return;
 	}
 	if (w->refused_full)
@@ -761,7 +522,7 @@
 	else
 		wf_front_refuse(out, w->call_id, w->kind, 410, w->job,
 		    "no such job is known");
-	waiting_free(f, w);
+	wf_front_call_free(f, w);
 }
 
 /* Handles the state that was read of a job that a GET means. A job without one is
@@ -777,14 +538,14 @@
 	j = wf_table_job(f->table, w->job);
 	if (j == NULL || (res->kvs_len == 0 && !w->submission_read)) {
 		w->read_state = false;
-		send_store_op(f, w, out);
+		wf_front_call_send(f, w, out);
 		return;
 	}
 	if (res->kvs_len == 0)
 		j->state_known = true;
 	if (job_state_known(j)) {
 		wf_front_reply_state(out, w->call_id, j);
-		waiting_free(f, w);
+		wf_front_call_free(f, w);
 		return;
 	}
 	refuse_malformed(f, w, out);
@@ -826,17 +587,17 @@
 		if (w->found && job_state_known(j) &&
 		    !wf_front_owner_missing(&w->caller, j)) {
 			wf_front_reply_state(out, w->call_id, j);
-			waiting_free(f, w);
+			wf_front_call_free(f, w);
 			return;
 		}
 	}
 	if (w->cancel_rev > 0) {
-		give_up(f, now, w, out);
+		wf_front_call_give_up(f, now, w, out);
 		return;
 	}
 	if (w->relay_tag == 0 &&
 	    (!f->store_silent || w->relays_tried < RELAYS_MAX) &&
-	    relay_write(f, now, w, out))
+	    wf_front_call_relay(f, now, w, out))
 		return;
 	if (w->tag != 0 || w->relay_tag != 0)
 		return;
@@ -844,7 +605,7 @@
 	 * the client can try another instance. */
 	if (!w->maybe_stored ||
 	    now->mono + WRITE_RETRY_MS * AGB_MS >= w->deadline) {
-		give_up(f, now, w, out);
+		wf_front_call_give_up(f, now, w, out);
 		return;
 	}
 	w->relays_tried = 0;
@@ -860,7 +621,7 @@
 	bool by_peer;
 
 	*changed_job = NULL;
-	if ((tag & FRONT_TAG) == 0)
+	if ((tag & WF_FRONT_TAG) == 0)
 		return false;
 	for (w = f->calls; w != NULL; w = w->next) {
 		if (w->tag == tag || w->relay_tag == tag)
@@ -900,14 +661,14 @@
 			/* A write in flight may still take effect. */
 			if (!w->reading && (w->tag != 0 || w->relay_tag != 0))
 				w->maybe_stored = true;
-			give_up(f, now, w, out);
+			wf_front_call_give_up(f, now, w, out);
 			continue;
 		}
 		if (w->retry_at != 0 && now->mono >= w->retry_at)
-			send_store_op(f, w, out);
+			wf_front_call_send(f, w, out);
 		if (!w->reading && now->mono >= w->relay_at) {
 			w->relay_at = w->deadline;
-			(void)relay_write(f, now, w, out);
+			(void)wf_front_call_relay(f, now, w, out);
 		}
 		if (w->relay_at < next)
 			next = w->relay_at;
--- a/src/workflow/wf_front_internal.h
+++ b/src/workflow/wf_front_internal.h
@@ -5,8 +5,8 @@
  * DOC: wf_front_internal
  *
  * Shared by the files of the request handler: the requests that wait for the
- * store, the replies to clients (wf_front_reply.c), and which stored job a
- * request means (wf_front_lookup.c).
+ * store and what they send (wf_front_call.c), the replies to clients
+ * (wf_front_reply.c), and which stored job a request means (wf_front_lookup.c).
  */
 
 #include "wf_front.h"
@@ -124,6 +124,79 @@
 	struct wf_denial_log denials;
 };
 
+/* Set in the tags of the request handler; never set in the tags of the leader. */
+#define WF_FRONT_TAG ((uint64_t)1 << 63)
+
+/* ---- requests that wait for the store ---- */
+
+struct wf_front_call *wf_front_call_add(struct wf_front *f,
+    const struct wf_now *now, const struct wf_front_request *r);
+
+/**
+ * wf_front_call_free() - end a request that has been answered
+ */
+void wf_front_call_free(struct wf_front *f, struct wf_front_call *w);
+
+/**
+ * wf_front_call_destroy() - free a request that is not listed any more
+ */
+void wf_front_call_destroy(struct wf_front_call *w);
+
+/**
+ * wf_front_call_set_cancellation() - make the record of a cancellation
+ */
+void wf_front_call_set_cancellation(
+    struct wf_front *f, const struct wf_now *now, struct wf_front_call *w);
+
+/**
+ * wf_front_call_key() - key of the record that a submission or a cancellation
+ * writes
+ */
+void wf_front_call_key(const struct wf_front_call *w, char key[WF_KEY_MAX]);
+
+/**
+ * wf_front_call_send() - send the read or the write that a request waits for
+ */
+void wf_front_call_send(
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out);
+
+/**
+ * wf_front_call_write() - send the first write of a request
+ *
+ * While the store is silent, it goes only through a peer that the store answers: a
+ * write without an answer could be neither rejected nor retried.
+ */
+void wf_front_call_write(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out);
+
+/**
+ * wf_front_call_read() - read the submission of the job of a request; writes that
+ * are still in flight do not matter any more
+ */
+void wf_front_call_read(
+    struct wf_front *f, struct wf_front_call *w, struct wf_effects *out);
+
+/**
+ * wf_front_call_relay() - ask another instance to write the record, which is the
+ * same record under the same key whichever instance writes it
+ * Return: false when no instance is left, or peers cannot make the write.
+ */
+bool wf_front_call_relay(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out);
+
+/**
+ * wf_front_call_push() - push a stored record to the leader, whose feed would
+ * deliver it later
+ */
+void wf_front_call_push(const struct wf_front *f, const struct wf_front_call *w,
+    uint64_t revision, struct wf_effects *out);
+
+/**
+ * wf_front_call_give_up() - answer and end a request that does not wait any longer
+ */
+void wf_front_call_give_up(struct wf_front *f, const struct wf_now *now,
+    struct wf_front_call *w, struct wf_effects *out);
+
 /* ---- replies ---- */
 
 /**
--- a/src/workflow/wf_leader.h
+++ b/src/workflow/wf_leader.h
@@ -386,23 +386,7 @@
  */
 bool wf_leader_may_order(const struct wf_leader *l, agb_time now);
 
-/* ---- wf_exec.c ---- */
-
-/**
- * wf_exec_new() - begin to execute a job from its spec and state record
- */
-struct wf_exec *wf_exec_new(struct wf_leader *l, const struct wf_now *now,
-    struct wf_job *j, struct wf_effects *out);
-
-void wf_exec_free(struct wf_leader *l, struct wf_exec *e);
-
-/**
- * wf_runner_account_task() - add a task's resources to a runner's allocation,
- * or remove them
- * @add: false removes
- */
-void wf_runner_account_task(
-    struct wf_runner *r, const struct wf_step *step, bool add);
+/* ---- wf_run.c: numbers of runs and names of tasks ---- */
 
 /**
  * wf_job_note_run() - note the number of a run of a job's tasks
@@ -436,6 +420,24 @@
 bool wf_unit_name_taken(const struct wf_leader *l, const struct wf_unit *u,
     uint32_t task, uint32_t runner);
 
+/* ---- wf_exec.c ---- */
+
+/**
+ * wf_exec_new() - begin to execute a job from its spec and state record
+ */
+struct wf_exec *wf_exec_new(struct wf_leader *l, const struct wf_now *now,
+    struct wf_job *j, struct wf_effects *out);
+
+void wf_exec_free(struct wf_leader *l, struct wf_exec *e);
+
+/**
+ * wf_runner_account_task() - add a task's resources to a runner's allocation,
+ * or remove them
+ * @add: false removes
+ */
+void wf_runner_account_task(
+    struct wf_runner *r, const struct wf_step *step, bool add);
+
 /**
  * wf_exec_open() - find an occurrence, which is opened if it is not open
  * Return: its units.
