fix(wf): a request for a job that cannot be stored is answered 410

No job is stored that they could mean.

Evidence: 'keys for one id are limited' in test_wf_shared_id asks for it and failed with 503 before.

--- a/src/workflow/wf_front.c
+++ b/src/workflow/wf_front.c
@@ -306,11 +306,17 @@
 	const struct wf_job *const j =
 	    wf_front_find_job(f, &w->caller, w->job, &t);
 
-	if (t.key[0] == '\0' || ++w->keys_tried > KEYS_TRIED_MAX) {
+	if (t.key[0] == '\0') {
 		wf_front_refuse_shared(out, w->call_id, w->kind, w->job);
 		wf_front_call_free(f, w);
 		return;
 	}
+	if (++w->keys_tried > KEYS_TRIED_MAX) {
+		wf_front_refuse(out, w->call_id, w->kind, 503, w->job,
+		    "the jobs with this id keep changing");
+		wf_front_call_free(f, w);
+		return;
+	}
 	/* Writes to the former key that are still in flight cannot succeed any
 	 * more. */
 	if (strcmp(w->job, t.key) != 0)
--- a/src/workflow/wf_front_internal.h
+++ b/src/workflow/wf_front_internal.h
@@ -236,7 +236,7 @@
 
 /**
  * wf_front_refuse_shared() - reject a request as all keys for the digits of its
- * job are those of jobs of other queues
+ * job are those of jobs of other queues: there is none that it could mean
  */
 void wf_front_refuse_shared(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, const char *job);
--- a/src/workflow/wf_front_reply.c
+++ b/src/workflow/wf_front_reply.c
@@ -71,6 +71,11 @@
 wf_front_refuse_shared(struct wf_effects *out, uint64_t call_id,
     enum wf_call_kind kind, const char *job)
 {
+	if (kind != WF_CALL_SUBMIT) {
+		add_refusal(
+		    out, call_id, kind, 410, 0, job, "no such job is known");
+		return;
+	}
 	add_refusal(out, call_id, kind, 503, RETRY_AFTER_FULL_S, job,
 	    "too many jobs of other queues have this id");
 }
--- a/tests/test_wf_shared_id.c
+++ b/tests/test_wf_shared_id.c
@@ -237,6 +237,9 @@
 		CU_ASSERT_EQUAL(send_call(&x, WF_CALL_SUBMIT, path, ""),
 		    i < WF_JOBS_PER_ID ? 200 : 503);
 	}
+	/* That of the last queue is not stored. */
+	CU_ASSERT_EQUAL(send_call(&x, WF_CALL_GET, path, ""), 410);
+	CU_ASSERT_EQUAL(send_call(&x, WF_CALL_CANCEL, path, ""), 410);
 	for (i = 0; i < WF_JOBS_PER_ID; i++) {
 		forget_all(&x);
 		snprintf(path, sizeof(path), "/q%u/" JOB, i);
