test(wf): start and end of a simulation in one place

Four test programs had the same two functions, one of them new. They are in tests/sim_fixture.h now; each keeps its own time of the start, and all ask with a fatal assert that an instance leads, which two of them did with a plain one.

--- a/tests/test_wf_cancel.c
+++ b/tests/test_wf_cancel.c
@@ -8,11 +8,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "suite.h"
+#include "sim_fixture.h"
 #include "wf_table.h"
-#include "wfsim.h"
 
 #define JOB "00000000000000aa"
+/* An instance leads by then. */
+#define START_MS 500
 #define LATE_MS 2000
 /* The instances keep cancellations for the default of status_s and some 10 s. */
 #define KEPT_MS 140000
@@ -20,25 +21,6 @@
 static const struct sim_options options = {
     .seed = 1, .cores = 4, .runners = 6, .cpu_milli = 16000};
 
-static struct sim *
-start_sim(void)
-{
-	struct sim *const s = sim_new(&options);
-
-	sim_run(s, 500);
-	CU_ASSERT_FATAL(sim_leader(s) >= 0);
-	return s;
-}
-
-static void
-finish_sim(struct sim *s)
-{
-	if (sim_violation_count(s) > 0)
-		printf("\n%s\n", sim_first_violation(s));
-	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
-	sim_free(s);
-}
-
 /* An instance that does not lead, other than @except. */
 static unsigned
 other_instance(const struct sim *s, unsigned except)
@@ -73,7 +55,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		s = start_sim();
+		s = start_sim(&options, START_MS);
 		from = other_instance(s, UINT32_MAX);
 		at = cases[i].cancel_elsewhere ? other_instance(s, from) : from;
 		sim_delay_submission(s, from, cases[i].late_ms);
@@ -104,7 +86,7 @@
 static void
 cancellation_without_job_expires(void)
 {
-	struct sim *const s = start_sim();
+	struct sim *const s = start_sim(&options, START_MS);
 	const unsigned from = other_instance(s, UINT32_MAX);
 
 	/* Its submission is carried out after all is over. */
@@ -125,7 +107,7 @@
 static void
 running_job_is_cancelled(void)
 {
-	struct sim *const s = start_sim();
+	struct sim *const s = start_sim(&options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(2, 1000, 60000));
 	sim_run(s, 1000);
--- a/tests/test_wf_core.c
+++ b/tests/test_wf_core.c
@@ -9,9 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "suite.h"
+#include "sim_fixture.h"
 #include "wf_table.h"
-#include "wfsim.h"
+
+/* An instance leads by then. */
+#define START_MS 500
 
 #define JOB "00000000000000aa"
 #define JOB2 "00000000000000bb"
@@ -19,25 +21,6 @@
 static const struct sim_options default_options = {
     .seed = 1, .cores = 3, .runners = 6, .cpu_milli = 16000};
 
-static struct sim *
-start_sim(const struct sim_options *o)
-{
-	struct sim *const s = sim_new(o);
-
-	sim_run(s, 500);
-	CU_ASSERT(sim_leader(s) >= 0);
-	return s;
-}
-
-static void
-finish_sim(struct sim *s)
-{
-	if (sim_violation_count(s) > 0)
-		printf("\n%s\n", sim_first_violation(s));
-	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
-	sim_free(s);
-}
-
 static unsigned
 leader(const struct sim *s)
 {
@@ -62,7 +45,7 @@
 static void
 job_completes(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 1, JOB, sim_new_spec(4, 2000, 300));
 	CU_ASSERT(run_until_state(s, JOB, "completed", 2000) < 900);
@@ -74,7 +57,7 @@
 static void
 steps_run_in_order(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *const spec = sim_new_spec(3, 1000, 200);
 
 	sim_add_step(spec, 2, 1000, 200);
@@ -88,7 +71,7 @@
 static void
 occurrences_start_when_due(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *const spec = sim_new_spec(1, 1000, 100);
 
 	/* The simulated clock starts at this Unix time. */
@@ -106,7 +89,7 @@
 static void
 lasting_task_restarts(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *const spec = sim_new_spec(2, 1000, 60000);
 
 	spec->steps[0].long_running = true;
@@ -131,7 +114,7 @@
 
 	o.fail_percent = 100;
 	o.max_attempts = 2;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 100));
 	run_until_state(s, JOB, "failed", 20000);
 	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 2);
@@ -141,7 +124,7 @@
 static void
 cancel_stops_tasks(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(5, 1000, 10000));
 	sim_run(s, 1000);
@@ -159,7 +142,7 @@
 static void
 ends_durable_before_acknowledged(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *const spec = sim_new_spec(1, 1000, 300);
 	struct wf_step *step;
 
@@ -183,7 +166,7 @@
 static void
 lease_of_unreachable_runner_expires(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 3000));
 	sim_run(s, 500);
@@ -211,7 +194,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		sim_submit(s, 0, JOB, sim_new_spec(1, 1000, cases[i].task_ms));
 		sim_run(s, 500);
 		ri = sim_runner_of(s, JOB);
@@ -237,7 +220,7 @@
 static void
 leaving_runner_without_entry_keeps_tasks(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned ri;
 
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 12000));
@@ -261,7 +244,7 @@
 static void
 tasks_of_runner_that_left_start_again(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 3000));
 	sim_run(s, 500);
@@ -276,7 +259,7 @@
 static void
 runner_leaves_during_failover(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 4000));
 	sim_run(s, 500);
@@ -308,7 +291,7 @@
 
 	o.runners = 2;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		s = start_sim(&o);
+		s = start_sim(&o, START_MS);
 		/* The possible successors have read all jobs by then. */
 		sim_run(s, 2000);
 		for (ri = 0; ri < o.runners; ri++)
@@ -346,7 +329,7 @@
 
 	o.runners = 2;
 	for (crash_ms = 320; crash_ms <= 600; crash_ms += 40) {
-		s = start_sim(&o);
+		s = start_sim(&o, START_MS);
 		for (i = 0; i < o.runners; i++)
 			sim_runner_delay_starts(s, i, 1300);
 		sim_submit(s, leader(s), JOB, sim_new_spec(1, 1000, 3000));
@@ -366,7 +349,7 @@
 static void
 leader_killed(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 
 	sim_submit(s, (old + 1) % 3, JOB, sim_new_spec(2, 1000, 3000));
@@ -383,7 +366,7 @@
 static void
 all_killed(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned i;
 
 	sim_submit(s, 0, JOB, sim_new_spec(6, 4000, 1500));
@@ -420,7 +403,7 @@
 	enum damage d;
 
 	for (d = CUT; d < DAMAGES; d++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		sim_submit(s, 0, JOB, sim_new_spec(2, 1000, 3000));
 		sim_run(s, 600);
 		starts = sim_start_count(s, JOB);
@@ -464,7 +447,7 @@
 static void
 leader_frozen(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 
 	sim_submit(s, (old + 1) % 3, JOB, sim_new_spec(3, 1000, 2500));
@@ -489,7 +472,7 @@
 	size_t i;
 
 	for (i = 0; i < 2; i++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		away = (leader(s) + 1) % 3;
 		sim_set_core_store_mode(s, away, modes[i]);
 		sim_run(s, 300);
@@ -504,7 +487,7 @@
 static void
 store_down_refuses_submit(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_set_store_mode(s, SIM_STORE_REFUSES);
 	sim_run(s, 50);
@@ -526,7 +509,7 @@
 static void
 store_silent_refuses_submit(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_set_store_mode(s, SIM_STORE_SILENT);
 	sim_run(s, 1500);
@@ -546,7 +529,7 @@
 static void
 cut_instance_writes_through_peers(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned ci = (leader(s) + 1) % default_options.cores;
 	char id[17];
 	unsigned i;
@@ -570,7 +553,7 @@
 static void
 new_leader_learns_of_jobs_from_cut_instance(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 	const unsigned cut = (old + 1) % default_options.cores;
 
@@ -590,7 +573,7 @@
 static void
 leader_hands_over_before_it_leaves(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 	unsigned i, without;
 
@@ -637,7 +620,7 @@
 	size_t k;
 
 	for (k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		/* The possible successors have read all jobs by then. */
 		sim_run(s, 4000);
 		old = leader(s);
@@ -674,7 +657,7 @@
 static void
 end_seen_despite_lost_hold(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned ri;
 
 	for (ri = 0; ri < default_options.runners; ri++)
@@ -692,7 +675,7 @@
 static void
 killed_leader_is_replaced_at_once(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 
 	/* The possible successors have read all jobs by then. */
@@ -710,7 +693,7 @@
 static void
 lease_of_killed_leader_ends_after_restart(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned i;
 
 	for (i = 0; i < default_options.cores; i++)
@@ -726,7 +709,7 @@
 static void
 store_down_tasks_keep_running(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(8, 2000, 4000));
 	sim_run(s, 300);
@@ -743,7 +726,7 @@
 static void
 gang_not_starved_by_small_tasks(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *gang;
 	char id[17];
 	unsigned i;
@@ -792,7 +775,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		s = start_sim(&o);
+		s = start_sim(&o, START_MS);
 		/* The runners that are free first are occupied longest. */
 		sim_submit(s, 0, "00000000000000a1",
 		    sim_new_spec(cases[i].occupied, 20000, 60000));
@@ -812,7 +795,7 @@
 static void
 gang_survives_lost_start(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	struct wf_spec *const gang = sim_new_spec(5, 10000, 800);
 
 	gang->steps[0].gang = true;
@@ -833,7 +816,7 @@
 static void
 runner_restarts_with_same_id(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(1, 1000, 2000));
 	sim_run(s, 500);
@@ -848,7 +831,7 @@
 static void
 faulty_runner_is_avoided(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned i, failed;
 	char id[17];
 
@@ -872,7 +855,7 @@
 static void
 watch_history_compacted(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	sim_submit(s, 0, JOB, sim_new_spec(2, 1000, 1500));
 	sim_run(s, 300);
@@ -886,7 +869,7 @@
 static void
 terminated_leader_hands_over(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned old = leader(s);
 
 	sim_sigterm(s, old);
@@ -905,7 +888,7 @@
 	unsigned ri;
 
 	o.runner_stalls = true;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	sim_submit(s, 0, JOB, sim_new_spec(1, 2000, 1000));
 	sim_run(s, 400);
 	CU_ASSERT_EQUAL(sim_running_count(s, JOB), 1);
@@ -927,7 +910,7 @@
 
 	o.runner_stalls = true;
 	o.runners = 2;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	sim_submit(s, 0, JOB, sim_new_spec(1, 2000, 8000));
 	sim_run(s, 500);
 	ri = sim_runner_of(s, JOB);
@@ -949,7 +932,7 @@
 
 	o.runner_stalls = true;
 	o.run_time_factor = 8;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	sim_submit(s, 0, JOB, sim_new_spec(4, 2000, 1500));
 	run_until_state(s, JOB, "completed", 14000);
 	CU_ASSERT_EQUAL(sim_start_count(s, JOB), 4);
@@ -966,7 +949,7 @@
 	struct sim *s;
 
 	o.runners = 1;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	spec = sim_new_spec(1, 4000, 60000);
 	spec->steps[0].long_running = true;
 	spec->steps[0].target_ms = 100;
@@ -997,7 +980,7 @@
 	struct sim *s;
 
 	o.runners = 1;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	spec = sim_new_spec(6, 4000, 4000);
 	spec->steps[0].best_effort = true;
 	spec->steps[0].need.mem_mb = 20000;
@@ -1020,7 +1003,7 @@
 	unsigned i;
 
 	o.small_cores = 2;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	CU_ASSERT_EQUAL(leader(s), 2);
 	for (i = 0; i < o.cores; i++)
 		sim_kill(s, i, 500 + 40 * i);
@@ -1045,7 +1028,7 @@
 	    .cpu_milli = 16000,
 	    .advice_required = true};
 	const unsigned jobs = 1500;
-	struct sim *const s = start_sim(&o);
+	struct sim *const s = start_sim(&o, START_MS);
 	char id[17];
 	unsigned i;
 
@@ -1073,7 +1056,7 @@
 	    .cpu_milli = 16000,
 	    .advice_required = true};
 	const unsigned jobs = 8;
-	struct sim *const s = start_sim(&o);
+	struct sim *const s = start_sim(&o, START_MS);
 	unsigned i, running;
 	char id[17];
 
@@ -1103,7 +1086,7 @@
 	    .runners = 6,
 	    .cpu_milli = 16000,
 	    .latency_ms = 8};
-	struct sim *const s = start_sim(&o);
+	struct sim *const s = start_sim(&o, START_MS);
 	unsigned i, before;
 
 	sim_submit(s, 1, JOB, sim_new_spec(4, 2000, 300));
@@ -1125,7 +1108,7 @@
 static void
 job_queued_until_start_accepted(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned i;
 
 	for (i = 0; i < default_options.runners; i++)
@@ -1165,7 +1148,7 @@
 {
 	const struct sim_options o = {
 	    .seed = 3, .cores = 8, .runners = 20, .cpu_milli = 16000};
-	struct sim *const s = start_sim(&o);
+	struct sim *const s = start_sim(&o, START_MS);
 	const unsigned first = leader(s);
 
 	sim_set_store_loss(s, 35);
@@ -1187,7 +1170,7 @@
 {
 	const struct sim_options o = {
 	    .seed = 3, .cores = 8, .runners = 40, .cpu_milli = 16000};
-	struct sim *const s = start_sim(&o);
+	struct sim *const s = start_sim(&o, START_MS);
 
 	sim_set_store_delay(s, 300);
 	sim_run(s, 1000);
--- a/tests/test_wf_relay.c
+++ b/tests/test_wf_relay.c
@@ -15,11 +15,13 @@
 #include "loop.h"
 #include "mem.h"
 #include "rpc.h"
-#include "suite.h"
+#include "sim_fixture.h"
 #include "wf_delta.h"
 #include "wf_relay.h"
 #include "wf_rpc.h"
-#include "wfsim.h"
+
+/* An instance leads by then. */
+#define START_MS 2000
 
 #define JOB "00000000000000aa"
 #define FAR_MS 100000
@@ -755,25 +757,6 @@
 
 /* ---- clusters in simulated time ---- */
 
-static struct sim *
-start_sim(const struct sim_options *o)
-{
-	struct sim *const s = sim_new(o);
-
-	sim_run(s, 2000);
-	CU_ASSERT(sim_leader(s) >= 0);
-	return s;
-}
-
-static void
-finish_sim(struct sim *s)
-{
-	if (sim_violation_count(s) > 0)
-		printf("\n%s\n", sim_first_violation(s));
-	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
-	sim_free(s);
-}
-
 static unsigned
 leader(const struct sim *s)
 {
@@ -844,7 +827,7 @@
 static void
 small_leader_uses_relays(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 
 	submit_jobs(s, 200, 300, 20);
 	sim_run(s, 3000);
@@ -863,7 +846,7 @@
 	struct sim *s;
 
 	o.relays = false;
-	s = start_sim(&o);
+	s = start_sim(&o, START_MS);
 	submit_jobs(s, 50, 300, 20);
 	sim_run(s, 3000);
 	CU_ASSERT_EQUAL(sim_final_job_count(s), 50);
@@ -883,7 +866,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		sim_submit(s, leader(s), JOB, sim_new_spec(12, 4000, 40000));
 		sim_run(s, 1000);
 		CU_ASSERT_EQUAL(sim_running_count(s, JOB), 12);
@@ -902,7 +885,7 @@
 static void
 runners_outlast_relay_that_cannot_reach_them(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned lead = leader(s);
 	unsigned ci;
 
@@ -942,7 +925,7 @@
 		o.relays = cases[i].relays;
 		o.runners = cases[i].runners;
 		tasks = 900 * o.runners;
-		s = start_sim(&o);
+		s = start_sim(&o, START_MS);
 		sim_submit(s, leader(s), JOB, sim_new_spec(tasks, 100, 6000));
 		sim_run(s, 5500);
 		CU_ASSERT_EQUAL(sim_running_count(s, JOB), tasks);
@@ -969,7 +952,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		sim_submit(
 		    s, (leader(s) + 1) % 5, JOB, sim_new_spec(12, 4000, 20000));
 		sim_run(s, 1000);
@@ -997,7 +980,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
-		s = start_sim(&default_options);
+		s = start_sim(&default_options, START_MS);
 		ci = (leader(s) + 1) % 5;
 		faults[i](s, ci);
 		for (n = 0; n < 30; n++) {
@@ -1017,7 +1000,7 @@
 static void
 text_after_accepting_instance_dies(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	const unsigned ci = (leader(s) + 1) % 5;
 
 	sim_submit(s, ci, JOB, sim_new_spec(12, 4000, 500));
@@ -1034,7 +1017,7 @@
 static void
 all_instances_killed(void)
 {
-	struct sim *const s = start_sim(&default_options);
+	struct sim *const s = start_sim(&default_options, START_MS);
 	unsigned ci;
 
 	sim_submit(s, leader(s), JOB, sim_new_spec(12, 4000, 12000));
--- a/tests/test_wf_shared_id.c
+++ b/tests/test_wf_shared_id.c
@@ -13,8 +13,8 @@
 
 #include "front_fixture.h"
 #include "runner.h"
+#include "sim_fixture.h"
 #include "wf_codec.h"
-#include "wfsim.h"
 
 #define MARK_KEY "ab/j/" JOB ".c"
 #define SECOND_MARK_KEY "ab/j/" JOB "~1.c"
@@ -522,7 +522,7 @@
 #define CORES 6
 
 static struct sim *
-start_sim(unsigned runners)
+start_queues(unsigned runners)
 {
 	const struct sim_options o = {.seed = 1,
 	    .cores = CORES,
@@ -531,20 +531,8 @@
 	    .queues = queues,
 	    .queues_len = LEN(queues),
 	    .shared_ids = true};
-	struct sim *const s = sim_new(&o);
 
-	sim_run(s, 500);
-	CU_ASSERT_FATAL(sim_leader(s) >= 0);
-	return s;
-}
-
-static void
-finish_sim(struct sim *s)
-{
-	if (sim_violation_count(s) > 0)
-		printf("\n%s\n", sim_first_violation(s));
-	CU_ASSERT_EQUAL(sim_violation_count(s), 0);
-	sim_free(s);
+	return start_sim(&o, 500);
 }
 
 /* Whether each instance answers that a job is in a state. */
@@ -604,7 +592,7 @@
 	size_t i;
 
 	for (i = 0; i < LEN(cases); i++) {
-		s = start_sim(cases[i].runners);
+		s = start_queues(cases[i].runners);
 		sim_submit_to(s, 0, cases[i].first_queue, FIRST,
 		    spec_of(4, 3000, cases[i].gangs));
 		sim_run(s, cases[i].gap_ms);
@@ -647,7 +635,7 @@
 	size_t i;
 
 	for (i = 0; i < LEN(cases); i++) {
-		s = start_sim(6);
+		s = start_queues(6);
 		sim_submit_to(s, 0, 0, FIRST, spec_of(4, 8000, false));
 		sim_run(s, 300);
 		sim_get_elsewhere(s, 2, 1, FIRST);
@@ -677,7 +665,7 @@
 static void
 job_that_lasts_goes_on(void)
 {
-	struct sim *const s = start_sim(3);
+	struct sim *const s = start_queues(3);
 	struct wf_spec *const spec = spec_of(2, 1000, false);
 
 	spec->steps[0].long_running = true;
@@ -705,7 +693,7 @@
 	size_t i;
 
 	for (i = 0; i < LEN(taken_over); i++) {
-		s = start_sim(1);
+		s = start_queues(1);
 		sim_submit_to(s, 0, 0, FIRST, spec_of(2, 500, false));
 		sim_fail_runs(s, FIRST, 2);
 		sim_submit_to(s, 1, 1, SECOND, spec_of(2, 500, false));
@@ -751,7 +739,7 @@
 	unsigned at, ci, i;
 
 	for (at = 0; at < CORES; at++) {
-		s = start_sim(6);
+		s = start_queues(6);
 		sim_submit_to(s, 0, 0, FIRST, spec_of(2, 500, false));
 		sim_run(s, 5000);
 		wait_until_deleted(s, FIRST);
